Take worker VMs down for their upkeep in waves

Change: package upkeep (which VM goes down when; no I/O), cells/_cordons.py (what may end on a runner, and moves of limited steps), node/_upkeep.py (the task), platform/_vms.py (calls and formats), waves through the watch of the configuration, progress in cells/0/upkeep, recorded before each order.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -8,6 +8,7 @@
 import attrs
 
 from coltsfootpier.cells._admission import Rejected, judge_job
+from coltsfootpier.cells._cordons import Cordons
 from coltsfootpier.cells._estimates import Estimates
 from coltsfootpier.cells._fleet import Event, Fleet
 from coltsfootpier.cells._gauges import measure_gauges
@@ -83,6 +84,7 @@
             log=log,
             observe=observe,
         )
+        self.cordons = Cordons(fleet=self.fleet, jobs=self.jobs, log=log)
         self._orders: list[Order] = []
         self._checked_ms = float("-inf")
 
@@ -396,22 +398,7 @@
         now_ms : float
             Local time before the question was asked.
         """
-        step = self.jobs.find_step_by_id(question.step_id)
-        if step is None:
-            return
-        step.asked_ms = float("-inf")
-        for runner_id in question.runner_ids:
-            if runner_id in tickets:
-                step.tickets[runner_id] = (tickets[runner_id], now_ms + valid_ms)
-            else:
-                step.unapproved.add(runner_id)
-        self._log(
-            "advice taken",
-            job=question.step_id[0],
-            step=question.step_id[2],
-            asked=len(question.runner_ids),
-            approved=len(tickets),
-        )
+        self._planner.take_advice(question, tickets, valid_ms, now_ms)
 
     def stop_answered(self, runner_id: str, run_id: RunId, now_ms: float) -> None:
         """Note that a runner has stopped or barred a run."""
@@ -445,18 +432,27 @@
         self._planner.begin(now_ms)
         self._orders.extend(self._planner.place(now_ms))
         if is_check_due:
-            moved = self._planner.choose_moved(now_ms)
-            if moved is not None:
-                self._stop(moved, "moved away from serving tasks", now_ms)
-            displaced = self._planner.choose_displaced(now_ms)
-            if displaced is not None:
-                self._stop(displaced, "makes room for a long-running task", now_ms)
-            regrouped = self._planner.choose_regrouped(now_ms)
-            if regrouped is not None:
-                self._stop(regrouped, "moves to other serving tasks", now_ms)
+            self._move_runs(now_ms)
         orders, self._orders = self._orders, []
         return orders
 
+    def _move_runs(self, now_ms: float) -> None:
+        # Each choice sees the runs that the one before has stopped.
+        for choose, reason in (
+            (self._choose_evacuated, "makes way for the upkeep of its VM"),
+            (self._planner.choose_moved, "moved away from serving tasks"),
+            (self._planner.choose_displaced, "makes room for a long-running task"),
+            (self._planner.choose_regrouped, "moves to other serving tasks"),
+        ):
+            run = choose(now_ms)
+            if run is not None:
+                self._stop(run, reason, now_ms)
+
+    def _choose_evacuated(self, now_ms: float) -> Run | None:
+        return self.cordons.choose_evacuated(
+            self._planner.finds_other, now_ms, period_ms=self._settings.make_room_period_ms
+        )
+
     def _check_runner(self, runner: Runner, now_ms: float) -> None:
         settings = self._settings
         if now_ms > runner.lapse_ms:
--- a/coltsfootpier/cells/_planning.py
+++ b/coltsfootpier/cells/_planning.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from coltsfootpier.cells._estimates import Estimates
 from coltsfootpier.cells._fleet import Event, Fleet
@@ -140,7 +140,7 @@
                     return None
                 tried += 1
                 run.move_tried_ms = now_ms
-                if self._finds_other(run, runner):
+                if self.finds_other(run, runner):
                     return run
         return None
 
@@ -204,12 +204,12 @@
                     and run.step_run is not step
                     and run.step.cpu_milli >= missing_cpu
                     and run.step.memory_mb >= missing_mb
-                    and self._finds_other(run, runner)
+                    and self.finds_other(run, runner)
                 ):
                     return run
         return None
 
-    def _finds_other(self, run: Run, runner: Runner) -> bool:
+    def finds_other(self, run: Run, runner: Runner) -> bool:
         """Return whether another runner than its own has room for a run."""
         service = runner.entry.service
         found = self._search.find(run.step_run, service)
@@ -243,6 +243,27 @@
         limit = self._settings.advice_runners
         return AskAdvice(step_id=step.id, runner_ids=tuple(unknown[:limit]))
 
+    def take_advice(
+        self, question: AskAdvice, tickets: Mapping[str, str], valid_ms: float, now_ms: float
+    ) -> None:
+        """Take the answer to a question; see `Cell.take_advice`."""
+        step = self._jobs.find_step_by_id(question.step_id)
+        if step is None:
+            return
+        step.asked_ms = float("-inf")
+        for runner_id in question.runner_ids:
+            if runner_id in tickets:
+                step.tickets[runner_id] = (tickets[runner_id], now_ms + valid_ms)
+            else:
+                step.unapproved.add(runner_id)
+        self._log(
+            "advice taken",
+            job=question.step_id[0],
+            step=question.step_id[2],
+            asked=len(question.runner_ids),
+            approved=len(tickets),
+        )
+
     def _choose(
         self, runners: list[Runner], step: StepRun, task: Task | None, *, rack: str = ""
     ) -> Runner | None:
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -218,6 +218,10 @@
     fill_cpu: int = 0
     memory_mb: int = 0
     gpus: int = 0
+    # Whether it gets nothing new before the upkeep of its VM, and whether that was ordered, so that
+    # what runs there may end at any moment.
+    cordoned: bool = False
+    ending: bool = False
     # After a refusal for want of room nothing is placed before the next report.
     full: bool = False
     # Tails of the serving runs in the last measurement, and when it was taken.
--- a/coltsfootpier/node/_callers.py
+++ b/coltsfootpier/node/_callers.py
@@ -13,9 +13,9 @@
 from coltsfootpier.jobs import JobState
 from coltsfootpier.logs import log_event
 from coltsfootpier.node import _timing
+from coltsfootpier.node._answers import Answer, AnswerStatus
 from coltsfootpier.node._messages import Configuration, Route
 from coltsfootpier.node._metrics import Metrics
-from coltsfootpier.node._owner import Answer, AnswerStatus
 from coltsfootpier.node._peers import CancelJob, Question, ReadJob, ReadQueue, SubmitJob
 from coltsfootpier.platform import (
     DEADLINE_HEADER,
--- a/coltsfootpier/node/_committer.py
+++ b/coltsfootpier/node/_committer.py
@@ -28,6 +28,8 @@
 
 # Records of ended jobs that one change removes at most.
 _MAX_REMOVED = 4
+# Single records that one change writes at most.
+_MAX_RECORDS = 4
 # Entries that a change needs beside the records of jobs: the expected and the new head, the
 # expected and the new owner's key, the fleet, what was learned, and removals.
 _RESERVED_ENTRIES = 6 + _MAX_REMOVED
@@ -113,6 +115,8 @@
         self.recorded_fleet: frozenset[str] = frozenset()
         self._lease_to_bind = 0
         self._learned: bytes | None = None
+        # Single records that wait to be written, by key.
+        self._records: dict[str, bytes] = {}
         self._repeat = RepeatTimer()
         self._wake = anyio.Event()
         self._committed = anyio.Event()
@@ -134,6 +138,15 @@
         """Write what was learned along with the next change; it is not worth one of its own."""
         self._learned = value
 
+    def put_record(self, key: str, value: bytes) -> None:
+        """Write a single record with the next change."""
+        self._records[key] = value
+        self.notify()
+
+    def is_written(self, key: str) -> bool:
+        """Return whether the last value of a single record is durable."""
+        return key not in self._records
+
     def rebind_owner(self, lease: int) -> None:
         """Write the owner's key again under a new lease with the next change."""
         self._lease_to_bind = lease
@@ -148,7 +161,7 @@
     async def run(self, cell: Cell) -> Deposed:
         """Write changes until another daemon owns the cell."""
         while True:
-            if not (cell.jobs.dirty_count or self._fleet or self._lease_to_bind):
+            if not (cell.jobs.dirty_count or self._fleet or self._lease_to_bind or self._records):
                 await self._wake.wait()
             self._wake = anyio.Event()
             deposed = await self._commit(cell)
@@ -158,9 +171,10 @@
             committed.set()
 
     async def _commit(self, cell: Cell) -> Deposed | None:
-        batch = cell.jobs.take_dirty(MAX_ENTRIES - _RESERVED_ENTRIES)
+        records = dict(list(self._records.items())[:_MAX_RECORDS])
+        batch = cell.jobs.take_dirty(MAX_ENTRIES - _RESERVED_ENTRIES - len(records))
         fleet, lease, learned = self._fleet, self._lease_to_bind, self._learned
-        if not (batch or fleet or lease):
+        if not (batch or fleet or lease or records):
             return None
         # Removed along with other changes; records of ended jobs are in nobody's way.
         expired = cell.jobs.list_expired(
@@ -169,6 +183,7 @@
         change = self._head.next()
         puts = [Write(HEAD_KEY, encode(change))]
         puts += [Write(job_key(job.record.id), encode_record(job.record)) for job, _ in batch]
+        puts += [Write(key, value) for key, value in records.items()]
         expect = {HEAD_KEY: self._revision}
         if fleet:
             puts.append(Write(FLEET_KEY, fleet[0]))
@@ -222,6 +237,9 @@
                 self._fleet = None
         if self._learned is learned:
             self._learned = None
+        for key, value in records.items():
+            if self._records.get(key) is value:
+                del self._records[key]
         if lease and self._lease_to_bind == lease:
             self._lease_to_bind = 0
         for job, version in batch:
--- a/coltsfootpier/node/_control.py
+++ b/coltsfootpier/node/_control.py
@@ -1,4 +1,4 @@
-"""What a daemon learns from the store by watching: the configuration and the cell's owner."""
+"""What a daemon learns from the store by watching: configuration, waves of upkeep, cell's owner."""
 
 from __future__ import annotations
 
@@ -12,15 +12,18 @@
 from coltsfootpier.node.keys import CONTROL_PREFIX, OWNER_KEY
 from coltsfootpier.platform import (
     CONFIG_KEY,
+    WAVES_PREFIX,
     HistoryLost,
     Item,
     StoreClient,
     decode_configuration,
+    decode_wave,
 )
+from coltsfootpier.upkeep import Wave
 
 
 class Control:
-    """Keeps the newest configuration and the owner's key.
+    """Keeps the newest configuration, the waves of upkeep and the owner's key.
 
     Parameters
     ----------
@@ -31,6 +34,7 @@
     def __init__(self, *, store: StoreClient) -> None:
         self._store = store
         self.configuration: Configuration | None = None
+        self.waves: dict[str, Wave] = {}
         self.owner: OwnerInfo | None = None
         self.owner_revision = 0
         self.synchronised = False
@@ -55,6 +59,9 @@
             items = {item.key: item for item in listed.unwrap()}
             self._apply(items.get(CONFIG_KEY, Item(CONFIG_KEY)))
             self._apply(items.get(OWNER_KEY, Item(OWNER_KEY)))
+            waves = {key: item for key, item in items.items() if key.startswith(WAVES_PREFIX)}
+            for key in [*waves, *(set(self.waves) - set(waves))]:
+                self._apply_wave(waves.get(key, Item(key)))
             self.synchronised = True
             self._notify()
             await self._follow(max((item.changed for item in items.values()), default=0))
@@ -90,6 +97,8 @@
     def _apply(self, item: Item) -> None:
         if item.key == CONFIG_KEY and item.value is not None:
             self._apply_configuration(item)
+        elif item.key.startswith(WAVES_PREFIX):
+            self._apply_wave(item)
         elif item.key == OWNER_KEY and (item.changed >= self.owner_revision or not item.changed):
             owner = decode_owner(item.value)
             if owner != self.owner:
@@ -119,6 +128,18 @@
             revision=item.changed,
         )
 
+    def _apply_wave(self, item: Item) -> None:
+        if item.value is None:
+            self.waves.pop(item.key, None)
+            return
+        decoded = decode_wave(item.value)
+        if isinstance(decoded, Failure):
+            log_event(
+                "wave unreadable", key=item.key, revision=item.changed, reason=decoded.failure()
+            )
+            return
+        self.waves[item.key] = decoded.unwrap()
+
     def _notify(self) -> None:
         changed, self._changed = self._changed, anyio.Event()
         changed.set()
--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -13,12 +13,13 @@
 from coltsfootpier.journal import Head, OwnerInfo, decode_head
 from coltsfootpier.logs import log_event
 from coltsfootpier.node import _timing
+from coltsfootpier.node._answers import NO_OWNER, Answer, AnswerStatus, refuse
 from coltsfootpier.node._callers import CallerApplication
 from coltsfootpier.node._control import Control
 from coltsfootpier.node._election import choose_claim_delay, choose_lease_ttl
 from coltsfootpier.node._messages import NodeSettings
 from coltsfootpier.node._metrics import Metrics
-from coltsfootpier.node._owner import NO_OWNER, Answer, AnswerStatus, Owner, refuse
+from coltsfootpier.node._owner import Owner
 from coltsfootpier.node._peers import (
     CancelJob,
     PeerClient,
@@ -230,6 +231,7 @@
             info=info,
             lease=lease,
             metrics=self._metrics,
+            get_waves=lambda: list(self._control.waves.values()),
         )
         self._metrics.count("ownerships")
         try:
--- a/coltsfootpier/node/_messages.py
+++ b/coltsfootpier/node/_messages.py
@@ -25,6 +25,8 @@
         Address of the store.
     advice : tuple of (str, int), optional
         Address of the service that approves runners.
+    vm_service : tuple of (str, int), optional
+        Address of the service that lists worker VMs and takes them down.
     min_lease_ms : float
         Shortest lease of the store.
     cores : float
@@ -41,6 +43,10 @@
         Time that a task takes to resume from a checkpoint.
     status_kept_ms : float
         Time for which the state of an ended job is kept.
+    upkeep_ms : float
+        Time that the upkeep of a worker VM takes.
+    order_pause_ms : float
+        Least time between orders of two owners for one worker VM.
     """
 
     name: str
@@ -52,6 +58,7 @@
     metrics_port: int
     store: tuple[str, int]
     advice: tuple[str, int] | None
+    vm_service: tuple[str, int] | None
     min_lease_ms: float
     cores: float
     max_files: int
@@ -60,6 +67,8 @@
     exit_grace_ms: float
     restore_ms: float
     status_kept_ms: float
+    upkeep_ms: float
+    order_pause_ms: float
 
 
 @attrs.frozen(kw_only=True)
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import enum
 import time
+from collections.abc import Callable, Iterable
 
 import anyio
 import attrs
@@ -24,6 +24,7 @@
 from coltsfootpier.journal import Head, OwnerInfo
 from coltsfootpier.logs import log_event
 from coltsfootpier.node import _timing
+from coltsfootpier.node._answers import NO_OWNER, Answer, AnswerStatus, refuse
 from coltsfootpier.node._committer import Committer, Deposed
 from coltsfootpier.node._election import choose_lease_ttl
 from coltsfootpier.node._messages import Configuration, NodeSettings
@@ -31,65 +32,23 @@
 from coltsfootpier.node._records import Records, encode_fleet, load_records
 from coltsfootpier.node._registry import RegistryMerger
 from coltsfootpier.node._runner_task import RunnerTask
+from coltsfootpier.node._upkeep import UpkeepTask
 from coltsfootpier.node.keys import job_key
 from coltsfootpier.platform import (
     REGISTRY_PREFIX,
     AdviceClient,
     LeaseLost,
     StoreClient,
+    VmClient,
     decode_entry,
 )
 from coltsfootpier.transport import encode
+from coltsfootpier.upkeep import UpkeepRecord, Wave
 
 # Share of the longest lease that the platform allows which is asked for at most.
 _LEASE_SHARE = 0.6
 
 
-class AnswerStatus(enum.Enum):
-    """What became of a question about a job."""
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    KNOWN = "known"
-    MISSING = "missing"
-    # Not decided, or nobody could be asked.
-    UNKNOWN = "unknown"
-
-
-@attrs.frozen(kw_only=True)
-class Answer:
-    """What the owner says of a job.
-
-    Parameters
-    ----------
-    status : AnswerStatus
-        What became of the question.
-    reason : str
-        Why it was refused.
-    retry_after_ms : float
-        When a refused job has a chance.
-    state : JobState
-        State of a known job.
-    pending : int
-        Jobs of a queue for which no task has started.
-    """
-
-    status: AnswerStatus
-    reason: str = ""
-    retry_after_ms: float = 0.0
-    state: JobState = JobState.QUEUED
-    pending: int = 0
-
-
-# The daemon that was asked doesn't own the cell, so it has done nothing.
-NO_OWNER = Answer(status=AnswerStatus.UNKNOWN, reason="no owner")
-
-
-def refuse(reason: str, retry_after_ms: float = _timing.RETRY_SOON_MS) -> Answer:
-    """Build the answer for a job that is not taken."""
-    return Answer(status=AnswerStatus.REFUSED, reason=reason, retry_after_ms=retry_after_ms)
-
-
 class Owner:
     """Runs a cell: its runners, its records and its plans.
 
@@ -111,6 +70,8 @@
         Lease of the owner's key.
     metrics : Metrics
         Counters and histograms of the daemon.
+    get_waves : callable, optional
+        Returns the waves of upkeep that operators ask for.
     """
 
     def __init__(
@@ -125,8 +86,10 @@
         info: OwnerInfo,
         lease: int,
         metrics: Metrics,
+        get_waves: Callable[[], Iterable[Wave]] = tuple,
     ) -> None:
         self._settings = settings
+        self._get_waves = get_waves
         self._metrics = metrics
         self._cell_settings = cell_settings
         self._lease_ms = min(cell_settings.run_lease_ms, _LEASE_SHARE * settings.max_run_lease_ms)
@@ -188,6 +151,8 @@
                 group.start_soon(self._plan)
                 group.start_soon(self._summarise)
                 group.start_soon(self._save_learned)
+                if self._settings.vm_service is not None:
+                    group.start_soon(self._run_upkeep, loaded.upkeep)
                 self.is_ready = True
                 deposed = await self._committer.run(self.cell)
                 self._end(deposed)
@@ -359,9 +324,9 @@
         if self.cell.jobs.dirty_count:
             self._committer.notify()
 
-    def _on_fenced(self, runner_id: str) -> None:
+    def _on_fenced(self, target: str) -> None:
         if not self._resigning:
-            log_event("runner obeys a later owner", runner=runner_id)
+            log_event("fenced by a later owner", at=target)
             self._end("fenced")
 
     async def _plan(self) -> None:
@@ -466,6 +431,34 @@
             await anyio.sleep(_timing.LEARNED_PERIOD_MS / 1000)
             self._committer.put_learned(encode(self.cell.export_learned()))
 
+    async def _run_upkeep(self, record: UpkeepRecord) -> None:
+        settings = self._settings
+        host, port = settings.vm_service
+        calls = VmClient(
+            host=host,
+            port=port,
+            clock=self._clock,
+            holder=settings.name,
+            token=self.cell.generation,
+        )
+        task = UpkeepTask(
+            calls=calls,
+            care=self.cell.cordons,
+            records=self._committer,
+            record=record,
+            clock=self._clock,
+            upkeep_ms=settings.upkeep_ms,
+            pause_ms=settings.order_pause_ms,
+            get_waves=self._get_waves,
+            may_order=self._is_lease_valid,
+            on_change=self._kick,
+            on_fenced=self._on_fenced,
+        )
+        try:
+            await task.run()
+        finally:
+            calls.close()
+
     def read_gauges(self) -> dict[str, float]:
         """Return the current values of the cell for metrics and logs."""
         return {
--- a/coltsfootpier/node/_peers.py
+++ b/coltsfootpier/node/_peers.py
@@ -12,7 +12,8 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.jobs import JobSpec, Queue
 from coltsfootpier.journal import OwnerInfo
-from coltsfootpier.node._owner import NO_OWNER, Answer, Owner
+from coltsfootpier.node._answers import NO_OWNER, Answer
+from coltsfootpier.node._owner import Owner
 from coltsfootpier.transport import (
     Application,
     CallError,
--- a/coltsfootpier/node/_records.py
+++ b/coltsfootpier/node/_records.py
@@ -11,9 +11,10 @@
 from coltsfootpier.cells import Learned, RunnerEntry
 from coltsfootpier.jobs import JobRecord, decode_record
 from coltsfootpier.logs import log_event
-from coltsfootpier.node.keys import FLEET_KEY, JOBS_PREFIX, LEARNED_KEY
+from coltsfootpier.node.keys import FLEET_KEY, JOBS_PREFIX, LEARNED_KEY, UPKEEP_KEY
 from coltsfootpier.platform import PlatformError, StoreClient
 from coltsfootpier.transport import MalformedMessageError, decode, encode
+from coltsfootpier.upkeep import UpkeepRecord
 
 _T = TypeVar("_T")
 
@@ -50,11 +51,14 @@
         Runners that owners have used.
     learned : Learned
         What the last owner knew of images and queues.
+    upkeep : UpkeepRecord
+        Progress of the waves of upkeep.
     """
 
     jobs: list[JobRecord]
     fleet: tuple[RunnerEntry, ...]
     learned: Learned
+    upkeep: UpkeepRecord
 
 
 async def load_records(store: StoreClient) -> Result[Records, PlatformError]:
@@ -68,6 +72,9 @@
     learned = await _load_one(store, LEARNED_KEY, Learned)
     if isinstance(learned, Failure):
         return learned
+    upkeep = await _load_one(store, UPKEEP_KEY, UpkeepRecord)
+    if isinstance(upkeep, Failure):
+        return upkeep
     records = []
     for item in items.unwrap():
         decoded = decode_record(item.value)
@@ -79,7 +86,7 @@
         RunnerEntry(id=member.id, service=member.service, address=member.address)
         for member in fleet.unwrap().runners
     )
-    return Success(Records(records, entries, learned.unwrap()))
+    return Success(Records(records, entries, learned.unwrap(), upkeep.unwrap()))
 
 
 async def _load_one(store: StoreClient, key: str, kind: type[_T]) -> Result[_T, PlatformError]:
--- a/coltsfootpier/node/_timing.py
+++ b/coltsfootpier/node/_timing.py
@@ -56,3 +56,10 @@
 # Time between questions to an owner that is out of reach; half of the period of the balancer's
 # checks, so that the daemon is ready again by the next one.
 LOOK_PERIOD_MS = 500.0
+# Time for one call about worker VMs; below the owner's lease, so that an order that was sent while
+# the lease held has arrived or failed soon after it ended.
+VM_TIMEOUT_MS = 1_000.0
+# Time between listings of the worker VMs while a wave of upkeep isn't complete, and after an order,
+# when what ran on the VM waits to be started elsewhere.
+VM_LIST_PERIOD_MS = 500.0
+VM_LIST_SOON_MS = 100.0
--- a/coltsfootpier/node/tests/builders.py
+++ b/coltsfootpier/node/tests/builders.py
@@ -93,6 +93,7 @@
         "metrics_port": 4,
         "store": ("127.0.0.1", 5),
         "advice": None,
+        "vm_service": None,
         "min_lease_ms": 1_000.0,
         "cores": 1.0,
         "max_files": 4_096,
@@ -101,6 +102,8 @@
         "exit_grace_ms": 6_000.0,
         "restore_ms": 600.0,
         "status_kept_ms": 120_000.0,
+        "upkeep_ms": 2_000.0,
+        "order_pause_ms": 3_000.0,
     }
     return NodeSettings(**{**values, **changes})
 
--- a/coltsfootpier/node/tests/test_callers.py
+++ b/coltsfootpier/node/tests/test_callers.py
@@ -7,9 +7,9 @@
 
 from coltsfootpier.clock import VirtualClock
 from coltsfootpier.jobs import JobState
+from coltsfootpier.node._answers import Answer, AnswerStatus, refuse
 from coltsfootpier.node._callers import CallerApplication
 from coltsfootpier.node._metrics import Metrics
-from coltsfootpier.node._owner import Answer, AnswerStatus, refuse
 from coltsfootpier.node._peers import CancelJob, ReadJob, ReadQueue, SubmitJob
 from coltsfootpier.node.tests.builders import build_configuration
 
--- a/coltsfootpier/node/tests/test_committer.py
+++ b/coltsfootpier/node/tests/test_committer.py
@@ -48,6 +48,27 @@
         written = [write.key for write in self.store.commits[-1]["puts"]]
         self.assertNotIn(LEARNED_KEY, written)
 
+    def test_single_record(self):
+        """Guards against a record that counts as durable before it is, or that waits for a job."""
+        self.committer.put_record("k", b"1")
+        self.assertFalse(self.committer.is_written("k"))
+        self.store.faults = [StoreUnknown("lost")]
+        self.assertIsNone(self._commit())
+        self.assertTrue(self.committer.is_written("k"))
+        self.assertEqual(self.store.read("k").value, b"1")
+
+    def test_single_records_beside_many_jobs(self):
+        """Guards against a change with more entries than the store takes."""
+        for number in range(40):
+            self.world.submit(f"j{number}")
+        for number in range(6):
+            self.committer.put_record(f"k{number}", b"1")
+        for _ in range(3):
+            self._commit()
+        for commit in self.store.commits:
+            self.assertLessEqual(len(commit["expect"]) + len(commit["puts"]), 32)
+        self.assertTrue(all(self.committer.is_written(f"k{number}") for number in range(6)))
+
     def test_ended_jobs_are_forgotten_after_their_time(self):
         """Guards against a store and a memory that grow with each job for ever."""
         self.committer._clock = clock = VirtualClock()
--- a/coltsfootpier/node/tests/test_owner.py
+++ b/coltsfootpier/node/tests/test_owner.py
@@ -8,8 +8,9 @@
 from coltsfootpier.clock import VirtualClock
 from coltsfootpier.journal import Head, OwnerInfo
 from coltsfootpier.node import _timing
+from coltsfootpier.node._answers import NO_OWNER, AnswerStatus
 from coltsfootpier.node._metrics import Metrics
-from coltsfootpier.node._owner import NO_OWNER, AnswerStatus, Owner
+from coltsfootpier.node._owner import Owner
 from coltsfootpier.node.tests.builders import MemoryStore, build_settings
 
 
--- a/coltsfootpier/node/tests/test_peers.py
+++ b/coltsfootpier/node/tests/test_peers.py
@@ -6,7 +6,7 @@
 from returns.result import Success
 
 from coltsfootpier.journal import OwnerInfo
-from coltsfootpier.node._owner import Answer, AnswerStatus
+from coltsfootpier.node._answers import Answer, AnswerStatus
 from coltsfootpier.node._peers import ReadJob, ask_while_owner
 
 OLD = OwnerInfo(holder="old", address="127.0.0.1:1", generation=1)
--- a/coltsfootpier/platform/__init__.py
+++ b/coltsfootpier/platform/__init__.py
@@ -25,7 +25,13 @@
     Watched,
     Write,
 )
-from coltsfootpier.platform._operators import CONFIG_KEY, decode_configuration
+from coltsfootpier.platform._operators import (
+    CONFIG_KEY,
+    WAVES_PREFIX,
+    decode_configuration,
+    decode_wave,
+    encode_wave_status,
+)
 from coltsfootpier.platform._runners import (
     REGISTRY_PREFIX,
     AdviceClient,
@@ -34,6 +40,7 @@
 )
 from coltsfootpier.platform._settings import SETTINGS_VARIABLE, read_node_settings
 from coltsfootpier.platform._store import MAX_ENTRIES, StoreClient
+from coltsfootpier.platform._vms import VmClient
 
 __all__ = [
     "CONFIG_KEY",
@@ -41,6 +48,7 @@
     "MAX_ENTRIES",
     "REGISTRY_PREFIX",
     "SETTINGS_VARIABLE",
+    "WAVES_PREFIX",
     "AdviceClient",
     "ConditionFailed",
     "Conflict",
@@ -58,13 +66,16 @@
     "StoreUnavailable",
     "StoreUnknown",
     "Vm",
+    "VmClient",
     "Watched",
     "Write",
     "decode_configuration",
     "decode_entry",
     "decode_job",
+    "decode_wave",
     "encode_pending",
     "encode_state",
+    "encode_wave_status",
     "is_job_id",
     "read_node_settings",
 ]
--- a/coltsfootpier/platform/_operators.py
+++ b/coltsfootpier/platform/_operators.py
@@ -1,4 +1,4 @@
-"""The operators' configuration as it lies in the store."""
+"""What operators write into the store, and what they read there."""
 
 from __future__ import annotations
 
@@ -9,8 +9,11 @@
 
 from coltsfootpier.jobs import Queue
 from coltsfootpier.node import CallerLimits, Configuration, Route
+from coltsfootpier.upkeep import Wave
 
 CONFIG_KEY = "op/config"
+WAVES_PREFIX = "op/wave/"
+_WAVE_STATUS_PREFIX = "status/wave/"
 
 
 def decode_configuration(body: bytes) -> Result[Configuration, str]:
@@ -56,3 +59,35 @@
             needs_advice=bool(value.get("advice")),
         ),
     )
+
+
+def decode_wave(body: bytes) -> Result[Wave, str]:
+    """Decode a request for the upkeep of worker VMs.
+
+    Returns
+    -------
+    Result of Wave or str
+        A failure says what could not be read.
+    """
+    try:
+        value = orjson.loads(body)
+        vms = value["machines"]
+        if not isinstance(vms, list) or not all(isinstance(vm, str) for vm in vms):
+            return Failure(f"not a list of VMs: {vms!r}")
+        return Success(
+            Wave(
+                number=int(value["wave"]),
+                vms=tuple(vms),
+                duration_ms=1_000.0 * float(value["duration_s"]),
+                # At least one VM has to be down for the wave to be possible at all.
+                max_down=max(1, int(value["max_count"])),
+            )
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        return Failure(f"not a wave of upkeep: {error!r}")
+
+
+def encode_wave_status(number: int, *, completed: bool) -> tuple[str, bytes]:
+    """Return the key and the value that tell operators how a wave stands."""
+    state = "completed" if completed else "running"
+    return f"{_WAVE_STATUS_PREFIX}{number}", orjson.dumps({"state": state})
--- a/coltsfootpier/platform/_settings.py
+++ b/coltsfootpier/platform/_settings.py
@@ -36,6 +36,7 @@
 
 def _decode(value: dict[str, Any]) -> NodeSettings:
     bounds, limits, listen = value["bounds"], value["limits"], value["listen"]
+    vms = value.get("cloud_api", {})
     return NodeSettings(
         name=value["node_name"],
         availability_zone=value["zone"],
@@ -47,6 +48,7 @@
         metrics_port=int(value["internal_ports"][0]) + 1,
         store=split_address(value["platform"]["address"]),
         advice=split_address(value["advice"]) if value.get("advice") else None,
+        vm_service=split_address(vms["address"]) if vms.get("address") else None,
         min_lease_ms=float(value["platform"]["ttl_min_ms"]),
         cores=float(limits["cpu_share"]) * float(limits.get("cores", 1)),
         max_files=int(limits["max_fds"]),
@@ -55,4 +57,6 @@
         exit_grace_ms=1_000.0 * float(bounds["grace_s"]),
         restore_ms=float(bounds.get("restore_ms", 0.0)),
         status_kept_ms=1_000.0 * float(bounds["status_s"]),
+        upkeep_ms=1_000.0 * float(bounds.get("maintenance_s", 0.0)),
+        order_pause_ms=float(bounds.get("lease_ms", 0.0)),
     )
--- /dev/null
+++ b/coltsfootpier/platform/tests/test_vms.py
@@ -0,0 +1,141 @@
+"""Worker VMs and waves of upkeep on the platform's wire."""
+
+import unittest
+
+import anyio
+import orjson
+from returns.result import Failure
+
+from coltsfootpier.clock import MonotonicClock
+from coltsfootpier.platform import VmClient, decode_wave, encode_wave_status
+from coltsfootpier.transport import Application, HttpResponse, Server
+from coltsfootpier.upkeep import UpkeepOrder, UpkeepOutcome, VmState, Wave, WorkerVm
+
+ORDER = UpkeepOrder(wave=3, vm_id="m-1")
+
+
+def build_row(name, **changes):
+    """Build the platform's row of a VM."""
+    return {"machine": name, "pool": "p", "state": "up", "id": f"i-{name}", **changes}
+
+
+class WaveTest(unittest.TestCase):
+    """Requests of operators and what they are told."""
+
+    def test_fields(self):
+        """Guards against a wave with other VMs, or a time or limit of another unit."""
+        body = b'{"wave":1,"machines":["m-1","m-2"],"duration_s":20,"max_count":3}'
+        wave = Wave(number=1, vms=("m-1", "m-2"), duration_ms=20_000.0, max_down=3)
+        self.assertEqual(decode_wave(body).unwrap(), wave)
+
+    def test_unreadable(self):
+        """Guards against a daemon that ends because of a wave that can't be read."""
+        for body in (b"{", b"[]", b'{"wave":1}', b'{"wave":1,"machines":[4],"duration_s":1}'):
+            with self.subTest(body=body):
+                self.assertIsInstance(decode_wave(body), Failure)
+
+    def test_status(self):
+        """Guards against a state that operators don't know."""
+        key, value = encode_wave_status(7, completed=False)
+        self.assertEqual((key, orjson.loads(value)), ("status/wave/7", {"state": "running"}))
+        self.assertIn(b"completed", encode_wave_status(7, completed=True)[1])
+
+
+class VmClientTest(unittest.TestCase):
+    """Calls against a server of the platform's format."""
+
+    def setUp(self):
+        self.requests = []
+        self.answers = []
+
+    async def _answer(self, request):
+        self.requests.append(request)
+        status, value = self.answers.pop(0)
+        return HttpResponse.of(value, status)
+
+    def _call(self, call):
+        async def run():
+            app = Application(routes={"GET /": self._answer, "POST /": self._answer}, max_body=999)
+            async with anyio.create_task_group() as group:
+                port = await group.start(Server(app=app, host="127.0.0.1", port=0).run)
+                client = VmClient(
+                    host="127.0.0.1", port=port, clock=MonotonicClock(), holder="n0", token=12
+                )
+                result = await call(client)
+                client.close()
+                group.cancel_scope.cancel()
+            return result
+
+        return anyio.run(run)
+
+    def _list(self):
+        return self._call(lambda client: client.list_vms(timeout_ms=5_000.0))
+
+    def test_pages(self):
+        """Guards against VMs beyond the first page that are never seen."""
+        self.answers = [
+            (200, {"machines": [build_row("m-1")], "next_token": "a b"}),
+            (200, {"machines": [build_row("m-2", state="upkeep", id=None)], "next_token": None}),
+        ]
+        listed = (
+            WorkerVm(id="m-1", state=VmState.UP, runner_id="i-m-1"),
+            WorkerVm(id="m-2", state=VmState.UPKEEP),
+        )
+        self.assertEqual(self._list().unwrap(), listed)
+
+    def test_listing_that_cannot_be_read(self):
+        """Guards against a part of a listing that is taken for the whole one."""
+        for answer in (
+            (429, {}),
+            (200, []),
+            (200, {"machines": [build_row("m-1", state="odd")]}),
+            (200, {"machines": [{"state": "up"}]}),
+        ):
+            with self.subTest(answer=answer):
+                self.answers = [answer]
+                self.assertIsInstance(self._list(), Failure)
+
+    def test_outcomes(self):
+        """Guards against an order that was refused and counts as carried out, or the reverse."""
+        outcomes = {
+            (200, ""): UpkeepOutcome.BEGUN,
+            (409, "busy"): UpkeepOutcome.BUSY,
+            (409, "fence"): UpkeepOutcome.FENCED,
+            (409, "wave"): UpkeepOutcome.FOREIGN,
+            (400, ""): UpkeepOutcome.FOREIGN,
+            (429, ""): UpkeepOutcome.REFUSED,
+            (503, ""): UpkeepOutcome.REFUSED,
+            (500, ""): UpkeepOutcome.UNKNOWN,
+        }
+        for (status, reason), outcome in outcomes.items():
+            with self.subTest(status=status, reason=reason):
+                self.answers = [(status, {"reason": reason})]
+                result = self._call(lambda client: client.begin_upkeep(ORDER, timeout_ms=5_000.0))
+                self.assertEqual(result, outcome)
+
+    def test_order(self):
+        """Guards against an order without its holder and token, which fences nothing."""
+        self.answers = [(200, {})]
+        self._call(lambda client: client.begin_upkeep(ORDER, timeout_ms=5_000.0))
+        (request,) = self.requests
+        self.assertEqual(orjson.loads(request.body), {"machine": "m-1", "wave": 3})
+        headers = {bytes(name).lower(): bytes(value) for name, value in request.headers}
+        self.assertEqual(
+            (headers[b"duty-holder"], headers[b"fencing-token"]),
+            (b"n0", b"12"),
+        )
+
+    def test_no_server(self):
+        """Guards against an order that was never sent and counts as possibly carried out."""
+
+        async def call():
+            client = VmClient(
+                host="127.0.0.1", port=1, clock=MonotonicClock(), holder="n0", token=1
+            )
+            return await client.begin_upkeep(ORDER, timeout_ms=2_000.0)
+
+        self.assertEqual(anyio.run(call), UpkeepOutcome.REFUSED)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/coltsfootpier/upkeep/__init__.py
@@ -0,0 +1,26 @@
+"""Decisions about waves of upkeep: which worker VM goes down when; no I/O."""
+
+from coltsfootpier.upkeep._messages import (
+    UpkeepOrder,
+    UpkeepOutcome,
+    UpkeepRecord,
+    VmState,
+    Wave,
+    WaveRecord,
+    WorkerVm,
+)
+from coltsfootpier.upkeep._planner import RunnerCare, UpkeepPlanner
+from coltsfootpier.upkeep._settings import UpkeepSettings
+
+__all__ = [
+    "RunnerCare",
+    "UpkeepOrder",
+    "UpkeepOutcome",
+    "UpkeepPlanner",
+    "UpkeepRecord",
+    "UpkeepSettings",
+    "VmState",
+    "Wave",
+    "WaveRecord",
+    "WorkerVm",
+]
