Renew the owner's lease at a fixed pace while answers are lost

Cause: a renewal that got no answer was waited for until the time limit of 1,000 ms, and the next one left 350 ms later, beyond the lease of 1,300 ms. Change: LeaseKeeper (node/_lease.py) sends a renewal with each period, at most 3 under way, and counts as valid from the last confirmed one, as before. It takes over the renewal from the owner. Ruled out: a shorter time limit alone; the answers of a slow store take up to 600 ms. The test fails on renewals that wait for one another.

--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -27,6 +27,7 @@
 from coltsfootpier.node._answers import NO_OWNER, Answer, AnswerStatus, refuse
 from coltsfootpier.node._committer import Committer, Deposed
 from coltsfootpier.node._election import choose_lease_ttl
+from coltsfootpier.node._lease import LeaseKeeper
 from coltsfootpier.node._messages import Configuration, NodeSettings
 from coltsfootpier.node._metrics import Metrics
 from coltsfootpier.node._records import Records, encode_fleet, load_records
@@ -37,7 +38,6 @@
 from coltsfootpier.platform import (
     REGISTRY_PREFIX,
     AdviceClient,
-    LeaseLost,
     StoreClient,
     VmClient,
     decode_entry,
@@ -95,7 +95,6 @@
         self._lease_ms = min(cell_settings.run_lease_ms, _LEASE_SHARE * settings.max_run_lease_ms)
         self._store = store
         self._clock = clock
-        self._lease = lease
         self.info = info
         self.cell = Cell(
             settings=attrs.evolve(cell_settings, run_lease_ms=self._lease_ms),
@@ -111,6 +110,13 @@
             owner=info,
             kept_ms=settings.status_kept_ms,
         )
+        self._lease = LeaseKeeper(
+            store=store,
+            clock=clock,
+            lease=lease,
+            ttl_ms=choose_lease_ttl(settings),
+            on_granted=self._committer.rebind_owner,
+        )
         self._advice = None
         if settings.advice is not None:
             host, port = settings.advice
@@ -120,8 +126,6 @@
         self._wake = anyio.Event()
         self._group: TaskGroup | None = None
         self._registry = RegistryMerger()
-        # When the last renewal that the store confirmed was sent.
-        self._renewed_ms = clock.now_ms()
         self.is_ready = False
         self._resigning = False
 
@@ -147,7 +151,7 @@
             async with anyio.create_task_group() as group:
                 self._group = group
                 group.start_soon(self._follow_registry)
-                group.start_soon(self._renew)
+                group.start_soon(self._lease.run)
                 group.start_soon(self._plan)
                 group.start_soon(self._summarise)
                 group.start_soon(self._save_learned)
@@ -182,7 +186,7 @@
         while self.cell.jobs.dirty_count and self._clock.now_ms() < due_ms:
             await self._committer.wait_commit(_timing.STORE_BACKOFF_MS)
         self._end("resigned")
-        await self._store.end_lease(self._lease)
+        await self._store.end_lease(self._lease.lease)
 
     # Requests about jobs
 
@@ -272,7 +276,7 @@
         """Return the state of a job."""
         if not self.is_ready:
             return NO_OWNER
-        if not self._is_lease_valid():
+        if not self._lease.is_valid:
             # Another owner may have ended the job. If the store doesn't answer this daemon, what
             # it knows itself is the best that there is.
             recorded = await self._read_final_state(job_id)
@@ -289,10 +293,7 @@
         An owner whose lease may have ended, such as one that was frozen, doesn't know the jobs of
         its successor.
         """
-        return Answer(status=AnswerStatus.MISSING) if self._is_lease_valid() else NO_OWNER
-
-    def _is_lease_valid(self) -> bool:
-        return self._clock.now_ms() - self._renewed_ms < _timing.OWNER_LEASE_MS
+        return Answer(status=AnswerStatus.MISSING) if self._lease.is_valid else NO_OWNER
 
     async def _read_final_state(self, job_id: str) -> JobState | None:
         item = await self._store.get(job_key(job_id), timeout_ms=_timing.STORE_READ_MS)
@@ -411,21 +412,6 @@
                 )
                 self._group.start_soon(task.run)
 
-    async def _renew(self) -> None:
-        while True:
-            await anyio.sleep(_timing.OWNER_RENEW_MS / 1000)
-            sent_ms = self._clock.now_ms()
-            result = await self._store.renew_lease(self._lease)
-            if isinstance(result, Success):
-                self._renewed_ms = sent_ms
-            if not isinstance(result, Failure) or not isinstance(result.failure(), LeaseLost):
-                continue
-            log_event("owner's lease ended", lease=self._lease)
-            granted = await self._store.grant_lease(ttl_ms=choose_lease_ttl(self._settings))
-            if isinstance(granted, Success):
-                self._lease = granted.unwrap().id
-                self._committer.rebind_owner(self._lease)
-
     async def _save_learned(self) -> None:
         while True:
             await anyio.sleep(_timing.LEARNED_PERIOD_MS / 1000)
@@ -450,7 +436,7 @@
             upkeep_ms=settings.upkeep_ms,
             pause_ms=settings.order_pause_ms,
             get_waves=self._get_waves,
-            may_order=self._is_lease_valid,
+            may_order=lambda: self._lease.is_valid,
             on_change=self._kick,
             on_fenced=self._on_fenced,
         )
--- /dev/null
+++ b/coltsfootpier/node/tests/test_lease.py
@@ -0,0 +1,104 @@
+"""Renewals of the owner's lease while the store loses answers."""
+
+import unittest
+from unittest import mock
+
+import anyio
+from returns.result import Failure, Success
+
+from coltsfootpier.clock import VirtualClock
+from coltsfootpier.node import _timing
+from coltsfootpier.node._lease import LeaseKeeper
+from coltsfootpier.platform import LeaseLost, StoreLease, StoreUnknown
+
+# Far more than the test needs; it ends as soon as its condition holds.
+LIMIT_S = 20
+
+
+class FakeStore:
+    """Store whose answers to renewals are chosen one by one; the rest are confirmed."""
+
+    def __init__(self, *answers, ended=()):
+        self.answers = list(answers)
+        self.ended = ended
+        self.renewed = []
+        self.grants = 0
+
+    async def renew_lease(self, lease):
+        """Renew a lease; without an answer it waits for ever."""
+        self.renewed.append(lease)
+        if lease in self.ended:
+            return Failure(LeaseLost(str(lease)))
+        answer = self.answers.pop(0) if self.answers else Success(StoreLease(lease, 1_300.0))
+        if answer is None:
+            await anyio.sleep_forever()
+        return answer
+
+    async def grant_lease(self, *, ttl_ms):
+        """Grant a lease."""
+        self.grants += 1
+        # Long enough for further renewals to learn of the end.
+        for _ in range(10):
+            await anyio.sleep(0)
+        return Success(StoreLease(100 + self.grants, ttl_ms))
+
+
+class LeaseKeeperTest(unittest.TestCase):
+    """What is sent and what counts as valid."""
+
+    def setUp(self):
+        self.clock = VirtualClock()
+        self.granted = []
+
+    def _run(self, store, until):
+        keeper = LeaseKeeper(
+            store=store,
+            clock=self.clock,
+            lease=7,
+            ttl_ms=1_300.0,
+            on_granted=self.granted.append,
+        )
+
+        async def run():
+            with anyio.fail_after(LIMIT_S):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(keeper.run)
+                    while not until():
+                        await anyio.sleep(0)
+                    group.cancel_scope.cancel()
+
+        with mock.patch.multiple(_timing, OWNER_RENEW_MS=0.0):
+            anyio.run(run)
+        return keeper
+
+    def test_lost_answer_does_not_hold_up_the_next_renewal(self):
+        """Guards against an owner that loses its lease because one answer was lost."""
+        store = FakeStore(None)
+        self._run(store, lambda: len(store.renewed) >= 3)
+
+    def test_renewals_under_way_are_bounded(self):
+        """Guards against a queue of renewals that grows while the store is silent."""
+        store = FakeStore(*[None] * 100)
+        rounds = iter(range(200))
+        self._run(store, lambda: next(rounds) == 199)
+        self.assertLessEqual(len(store.renewed), 4)
+
+    def test_validity(self):
+        """Guards against an owner that goes on for ever without a confirmed renewal."""
+        store = FakeStore(Failure(StoreUnknown("overdue")), None, None, None)
+        keeper = self._run(store, lambda: len(store.renewed) == 4)
+        self.assertTrue(keeper.is_valid)
+        self.clock.advance(_timing.OWNER_LEASE_MS)
+        self.assertFalse(keeper.is_valid)
+
+    def test_ended_lease_is_replaced_once(self):
+        """Guards against several new leases when several renewals learn of the end."""
+        store = FakeStore(ended={7})
+        self._run(store, lambda: 101 in store.renewed)
+        self.assertGreater(store.renewed.count(7), 1)
+        self.assertEqual(store.grants, 1)
+        self.assertEqual(self.granted, [101])
+
+
+if __name__ == "__main__":
+    unittest.main()
