Take the platform's listing as proof that a runner has ended

Cause: what ran on a crashed runner waited for its lapse, 4.3 s after the last contact, and a new owner held up every job of before for 4.2 s when one runner of the fleet record was gone. Change: cells/_lives.py: a runner without a report for 650 ms that two complete listings of the worker VMs in a row don't name has ended; its runs start elsewhere, and a new owner doesn't wait for it. Listings are asked for only while such a runner has work. node/_vms.py is the task of both upkeep and lives.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -16,6 +16,7 @@
 from coltsfootpier.cells._interference import PressureTable
 from coltsfootpier.cells._jobs import JobTable
 from coltsfootpier.cells._learned import Learned
+from coltsfootpier.cells._lives import LifeTracker
 from coltsfootpier.cells._messages import (
     AskAdvice,
     EndedRow,
@@ -84,6 +85,7 @@
             log=log,
             observe=observe,
         )
+        self.lives = LifeTracker(settings=settings, fleet=self.fleet, jobs=self.jobs, log=log)
         self.cordons = Cordons(fleet=self.fleet, jobs=self.jobs, log=log)
         self._orders: list[Order] = []
         self._checked_ms = float("-inf")
@@ -238,7 +240,7 @@
         if not runner.adopted:
             self._log("runner answers", runner=runner_id, runs=len(report.running))
         runner.contact_ms = report.received_ms
-        runner.full = False
+        runner.full = runner.ended = False
         for row in sorted(report.ended, key=lambda row: row.number):
             if row.number > runner.applied_end:
                 runner.applied_end = row.number
--- a/coltsfootpier/cells/_cordons.py
+++ b/coltsfootpier/cells/_cordons.py
@@ -78,8 +78,9 @@
         runner = self._fleet.runners.get(runner_id)
         if runner is None:
             return
-        self._log("runs ended with their VM", runner=runner_id, runs=len(runner.runs))
-        for run in self._fleet.release(runner):
+        runs = self._fleet.end(runner)
+        self._log("runs ended with their VM", runner=runner_id, runs=len(runs))
+        for run in runs:
             self._jobs.requeue(run.id)
 
     def choose_evacuated(
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -68,7 +68,8 @@
             if runner.listed:
                 self._log("runner left the registry", runner=runner_id, runs=len(runner.runs))
             runner.listed = False
-            if not runner.runs and now_ms > runner.lapse_ms and runner_id not in self.inherited:
+            lapsed = runner.ended or now_ms > runner.lapse_ms
+            if not runner.runs and lapsed and runner_id not in self.inherited:
                 del self.runners[runner_id]
         return gone
 
@@ -81,6 +82,12 @@
         runner.adopted = False
         return self.release(runner)
 
+    def end(self, runner: Runner) -> list[Run]:
+        """Note that the life of a runner is over; returns the runs that are gone."""
+        runner.ended = True
+        self.inherited.discard(runner.entry.id)
+        return self.release(runner)
+
     def release(self, runner: Runner) -> list[Run]:
         """Remove all runs of a runner and return them."""
         runs = list(runner.runs.values())
--- a/coltsfootpier/cells/_placing.py
+++ b/coltsfootpier/cells/_placing.py
@@ -37,6 +37,7 @@
         and not runner.entry.draining
         and not runner.full
         and not runner.cordoned
+        and not runner.ended
         and now_ms - runner.contact_ms < settings.contact_fresh_ms
         and (runner.aside_until_ms <= now_ms)
         and not (runner.is_probed and runner.probe in runner.runs)
--- a/coltsfootpier/cells/_settings.py
+++ b/coltsfootpier/cells/_settings.py
@@ -23,6 +23,9 @@
     contact_fresh_ms : float
         Age of the last report from which a runner gets nothing new. More than the longest wait
         for a report (500 ms) and one lost answer.
+    suspect_after_ms : float
+        Time without a report after which it is looked up whether a runner still lives. More than
+        the longest wait for a report (500 ms) and its way.
     unsure_stop_ms : float
         Time after which a start without an answer is stopped; above the usual answer time of a
         runner in another availability zone (10 ms) and one retransmission (200 ms).
@@ -96,6 +99,7 @@
     start_valid_ms: float = 1_500.0
     clock_drift: float = 0.02
     contact_fresh_ms: float = 1_300.0
+    suspect_after_ms: float = 650.0
     unsure_stop_ms: float = 400.0
     stop_retry_ms: float = 500.0
     check_period_ms: float = 50.0
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -218,6 +218,10 @@
     fill_cpu: int = 0
     memory_mb: int = 0
     gpus: int = 0
+    # Whether its life is known to be over, and when the first of the listings in a row that don't
+    # name it was asked for.
+    ended: bool = False
+    missing_ms: float = float("inf")
     # Whether it gets nothing new before the upkeep of its VM, and whether that was ordered, so that
     # what runs there may end at any moment.
     cordoned: bool = False
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -33,7 +33,7 @@
 from coltsfootpier.node._records import Records, encode_fleet, load_records
 from coltsfootpier.node._registry import RegistryMerger
 from coltsfootpier.node._runner_task import RunnerTask
-from coltsfootpier.node._upkeep import UpkeepTask
+from coltsfootpier.node._vms import VmTask
 from coltsfootpier.node.keys import job_key
 from coltsfootpier.platform import (
     REGISTRY_PREFIX,
@@ -157,7 +157,7 @@
                 group.start_soon(self._summarise)
                 group.start_soon(self._save_learned)
                 if self._settings.vm_service is not None:
-                    group.start_soon(self._run_upkeep, loaded.upkeep)
+                    group.start_soon(self._follow_vms, loaded.upkeep)
                 self.is_ready = True
                 deposed = await self._committer.run(self.cell)
                 self._end(deposed)
@@ -422,7 +422,7 @@
             await anyio.sleep(_timing.LEARNED_PERIOD_MS / 1000)
             self._committer.put_learned(encode(self.cell.export_learned()))
 
-    async def _run_upkeep(self, record: UpkeepRecord) -> None:
+    async def _follow_vms(self, record: UpkeepRecord) -> None:
         settings = self._settings
         host, port = settings.vm_service
         calls = VmClient(
@@ -432,9 +432,10 @@
             holder=settings.name,
             token=self.cell.generation,
         )
-        task = UpkeepTask(
+        task = VmTask(
             calls=calls,
             care=self.cell.cordons,
+            lives=self.cell.lives,
             records=self._committer,
             record=record,
             clock=self._clock,
--- a/coltsfootpier/node/_upkeep.py
+++ b/coltsfootpier/node/_vms.py
@@ -1,9 +1,9 @@
-"""The task that carries waves of upkeep out while its daemon owns the cell."""
+"""The task that follows worker VMs while its daemon owns the cell."""
 
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from typing import Protocol
 
 import anyio
@@ -22,6 +22,7 @@
     UpkeepPlanner,
     UpkeepRecord,
     UpkeepSettings,
+    VmState,
     Wave,
     WorkerVm,
 )
@@ -55,8 +56,22 @@
         ...
 
 
-class UpkeepTask:
-    """Lists worker VMs while a wave isn't complete, and sends the planner's orders.
+class Lives(Protocol):
+    """Where it is known which runners live; `LifeTracker` of a cell is one."""
+
+    def has_suspects(self, now_ms: float) -> bool:
+        """Return whether a listing may tell that a runner with work has ended."""
+        ...
+
+    def take_listing(self, living: Container[str], *, asked_ms: float) -> bool:
+        """Take the runners that live; returns whether one has ended."""
+        ...
+
+
+class VmTask:
+    """Lists worker VMs while a wave of upkeep isn't complete or a runner may have ended.
+
+    It sends the orders of the upkeep's planner.
 
     Parameters
     ----------
@@ -64,6 +79,8 @@
         Calls about worker VMs.
     care : RunnerCare
         Owner of the runners.
+    lives : Lives
+        Where it is known which runners live.
     records : RecordWriter
         Where progress is written.
     record : UpkeepRecord
@@ -89,6 +106,7 @@
         *,
         calls: VmCalls,
         care: RunnerCare,
+        lives: Lives,
         records: RecordWriter,
         record: UpkeepRecord,
         clock: Clock,
@@ -100,6 +118,7 @@
         on_fenced: Callable[[str], None],
     ) -> None:
         self._calls = calls
+        self._lives = lives
         self._records = records
         self._clock = clock
         self._get_waves = get_waves
@@ -126,8 +145,11 @@
                 self._get_waves(), now_ms=self._clock.now_ms(), unix_ms=time.time() * 1000
             )
             self._write()
-            ordered = self._planner.is_active and await self._step()
-            rest_ms = _timing.VM_LIST_SOON_MS if ordered else _timing.VM_LIST_PERIOD_MS
+            suspects = self._lives.has_suspects(self._clock.now_ms())
+            ordered = (suspects or self._planner.is_active) and await self._step()
+            rest_ms = _timing.VM_LIST_PERIOD_MS
+            if ordered or suspects:
+                rest_ms = _timing.VM_LIST_SOON_MS
             await anyio.sleep(rest_ms / 1000)
 
     async def _step(self) -> bool:
@@ -142,7 +164,13 @@
         if not self._reachable:
             log_event("worker listing regained")
         self._reachable = True
-        self._planner.take_vms(listed.unwrap(), asked_ms=asked_ms)
+        vms = listed.unwrap()
+        living = {vm.runner_id for vm in vms if vm.state is VmState.UP}
+        if self._lives.take_listing(living, asked_ms=asked_ms):
+            self._on_change()
+        if not self._planner.is_active:
+            return False
+        self._planner.take_vms(vms, asked_ms=asked_ms)
         orders = self._planner.plan(self._clock.now_ms())
         self._write()
         self._on_change()
--- a/coltsfootpier/node/tests/test_upkeep.py
+++ b/coltsfootpier/node/tests/test_vms.py
@@ -1,4 +1,4 @@
-"""Orders for worker VMs: recorded before they are sent, and sent by the owner only."""
+"""Listings of worker VMs, and orders: recorded before they are sent, sent by the owner only."""
 
 import unittest
 from unittest import mock
@@ -8,7 +8,7 @@
 
 from coltsfootpier.clock import VirtualClock
 from coltsfootpier.node import _timing
-from coltsfootpier.node._upkeep import UpkeepTask
+from coltsfootpier.node._vms import VmTask
 from coltsfootpier.node.keys import UPKEEP_KEY
 from coltsfootpier.transport import Unanswered, decode
 from coltsfootpier.upkeep import UpkeepOutcome, UpkeepRecord, VmState, WaveRecord, WorkerVm
@@ -69,7 +69,24 @@
         self.written = dict(self.values)
 
 
-class UpkeepTaskTest(unittest.TestCase):
+class FakeLives:
+    """Runners of which some may have ended."""
+
+    def __init__(self):
+        self.suspects = False
+        self.listings = []
+
+    def has_suspects(self, now_ms):
+        """Return whether a listing is wanted."""
+        return self.suspects
+
+    def take_listing(self, living, *, asked_ms):
+        """Keep a listing."""
+        self.listings.append(living)
+        return False
+
+
+class VmTaskTest(unittest.TestCase):
     """The task beside an owner."""
 
     def setUp(self):
@@ -77,6 +94,7 @@
         self.begin_ms = self.clock.now_ms()
         self.vms = FakeVms()
         self.care = FakeCare()
+        self.lives = FakeLives()
         self.records = FakeRecords()
         self.waves = [build_wave("m-1")]
         self.may_order = True
@@ -93,9 +111,10 @@
             self.clock.advance(STEP_MS)
             return self.waves
 
-        task = UpkeepTask(
+        task = VmTask(
             calls=self.vms,
             care=self.care,
+            lives=self.lives,
             records=self.records,
             record=record or UpkeepRecord(),
             clock=self.clock,
@@ -174,6 +193,18 @@
         self._run(24)
         self.assertEqual(self._read_record().begun, ("m-1",))
 
+    def test_listing_for_runners_that_may_have_ended(self):
+        """Guards against work that waits for a runner that is known to be gone."""
+        self.waves = []
+        self.lives.suspects = True
+        self.vms.states = {"m-1": [VmState.UP], "m-2": [VmState.DOWN], "m-3": [VmState.UPKEEP]}
+        self._run(4)
+        self.assertEqual(self.lives.listings[0], {"i-m-1"})
+        self.vms.failures = 100
+        self.lives.listings.clear()
+        self._run(4)
+        self.assertEqual(self.lives.listings, [])
+
     def test_nothing_is_called_without_a_wave(self):
         """Guards against calls that are paid for while there is nothing to do."""
         self.waves = []
