Send tries of a change beside one another, refuse jobs behind a stuck one

Between 8.8 s and 15.6 s one change came through: each try waited for the one before (150, 300, 600, 1,000 ms) while the store lost a third of them, and the connections of lost renewals were missing for changes. The outage then found that change unsettled, and jobs that waited behind it, never sent, were held up with it. Change: ChangeSender (node/_tries.py) sends a further try each 150 ms, or 1.5 times the last answer's time, at most 6 under way. Changes and renewals have connections of their own. While a change is stuck, new jobs that aren't in it are withdrawn and their callers told (503, store).

--- a/coltsfootpier/cells/__init__.py
+++ b/coltsfootpier/cells/__init__.py
@@ -20,6 +20,7 @@
     StopRun,
 )
 from coltsfootpier.cells._settings import CellSettings
+from coltsfootpier.cells._state import Job
 
 __all__ = [
     "Accepted",
@@ -31,6 +32,7 @@
     "DoubleRunError",
     "EndKind",
     "EndedRow",
+    "Job",
     "LapseTracker",
     "Learned",
     "LearnedPressure",
--- a/coltsfootpier/cells/_jobs.py
+++ b/coltsfootpier/cells/_jobs.py
@@ -245,6 +245,10 @@
         """Return jobs with changes that aren't durable, with the version to be written."""
         return [(job, job.version) for job in islice(self._dirty.values(), limit)]
 
+    def list_new(self) -> list[Job]:
+        """Return jobs of which no record is durable."""
+        return [job for job in self._dirty.values() if job.durable_version == 0]
+
     @property
     def dirty_count(self) -> int:
         """Number of jobs with changes that aren't durable."""
--- a/coltsfootpier/node/_committer.py
+++ b/coltsfootpier/node/_committer.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import anyio
 import attrs
 from returns.result import Failure, Result, Success
 
-from coltsfootpier.cells import Cell
+from coltsfootpier.cells import Cell, Job
 from coltsfootpier.clock import Clock
 from coltsfootpier.jobs import encode_record
 from coltsfootpier.journal import Head, OwnerInfo, decode_head, was_applied
 from coltsfootpier.logs import log_event
 from coltsfootpier.node import _timing
+from coltsfootpier.node._tries import ChangeSender
 from coltsfootpier.node.keys import FLEET_KEY, HEAD_KEY, LEARNED_KEY, OWNER_KEY, job_key
 from coltsfootpier.platform import (
     MAX_ENTRIES,
@@ -35,39 +38,6 @@
 _RESERVED_ENTRIES = 6 + _MAX_REMOVED
 
 
-class RepeatTimer:
-    """Time after which a change without an answer is sent again.
-
-    A repeat is harmless, since every try expects the same head, and a lost answer holds up all
-    jobs that wait behind the change. A slow store would get each change several times, so the
-    time follows what its answers take.
-
-    Examples
-    --------
-    >>> timer = RepeatTimer()
-    >>> timer.timeout_ms
-    150.0
-    >>> timer.note_silence()
-    >>> timer.timeout_ms
-    300.0
-    >>> timer.note_answer(5.0)
-    >>> timer.timeout_ms
-    150.0
-    """
-
-    def __init__(self) -> None:
-        self.timeout_ms = _timing.COMMIT_REPEAT_MS
-
-    def note_silence(self) -> None:
-        """Note that a try got no answer in time."""
-        self.timeout_ms = min(_timing.STORE_TIMEOUT_MS, 2 * self.timeout_ms)
-
-    def note_answer(self, took_ms: float) -> None:
-        """Note how long an answer took."""
-        wanted_ms = _timing.COMMIT_REPEAT_FACTOR * took_ms
-        self.timeout_ms = min(_timing.STORE_TIMEOUT_MS, max(_timing.COMMIT_REPEAT_MS, wanted_ms))
-
-
 @attrs.frozen
 class Deposed:
     """Another daemon owns the cell."""
@@ -117,7 +87,7 @@
         self._learned: bytes | None = None
         # Single records that wait to be written, by key.
         self._records: dict[str, bytes] = {}
-        self._repeat = RepeatTimer()
+        self._sender = ChangeSender(clock=clock, on_outcome=self._note_outcome)
         self._wake = anyio.Event()
         self._committed = anyio.Event()
         # When the change that is being written was first sent; None between changes.
@@ -167,8 +137,7 @@
             deposed = await self._commit(cell)
             if deposed is not None:
                 return deposed
-            committed, self._committed = self._committed, anyio.Event()
-            committed.set()
+            self._announce()
 
     async def _commit(self, cell: Cell) -> Deposed | None:
         records = dict(list(self._records.items())[:_MAX_RECORDS])
@@ -192,43 +161,36 @@
         if lease:
             puts.append(Write(OWNER_KEY, encode(self._owner), lease))
             expect[OWNER_KEY] = 0
-        unknown_before = False
+        removed = [job_key(job_id) for job_id in expired]
         self.pending_since_ms = self._clock.now_ms()
         try:
-            while True:
-                sent_ms = self._clock.now_ms()
-                result = await self._store.commit(
-                    expect=expect,
-                    puts=puts,
-                    remove=[job_key(job_id) for job_id in expired],
-                    timeout_ms=self._repeat.timeout_ms,
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._watch_unsent, cell, batch)
+                result = await self._sender.settle(
+                    lambda: self._store.commit(expect=expect, puts=puts, remove=removed)
                 )
-                self._note_outcome(result, self._clock.now_ms() - sent_ms)
-                if isinstance(result, Success):
-                    self._revision = result.unwrap()
-                    break
-                error = result.failure()
-                if isinstance(error, ConditionFailed):
-                    found = self._check_condition(error, change)
-                    if isinstance(found, Deposed):
-                        return found
-                    if found is None:
-                        # The owner's key still exists, so nothing was written.
-                        self._lease_to_bind = 0
-                        return None
-                    self._revision = found
-                    break
-                if isinstance(error, LeaseLost):
-                    self._lease_to_bind = 0
-                    return None
-                if isinstance(error, StoreUnavailable) and not unknown_before:
-                    if self._withdraw_new(cell, batch, error):
-                        return None
-                else:
-                    unknown_before = True
-                await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
+                group.cancel_scope.cancel()
         finally:
             self.pending_since_ms = None
+        if isinstance(result, Success):
+            self._revision = result.unwrap()
+        else:
+            error = result.failure()
+            if isinstance(error, StoreUnavailable):
+                self._withdraw([job for job, _ in batch], cell, error)
+                await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
+                return None
+            if isinstance(error, LeaseLost):
+                self._lease_to_bind = 0
+                return None
+            found = self._check_condition(error, change)
+            if isinstance(found, Deposed):
+                return found
+            if found is None:
+                # The owner's key still exists, so nothing was written.
+                self._lease_to_bind = 0
+                return None
+            self._revision = found
         self._head = change
         self.commit_count += 1
         if fleet is not None:
@@ -250,23 +212,43 @@
     def _note_outcome(self, result: Result[int, PlatformError], took_ms: float) -> None:
         error = result.failure() if isinstance(result, Failure) else None
         if not isinstance(error, StoreUnknown):
-            self._repeat.note_answer(took_ms)
             self.store_answers = not isinstance(error, StoreUnavailable)
-            return
-        # Silence shorter than the usual time limit says nothing about the store yet; how long the
-        # change has been under way does.
-        if took_ms < self._repeat.timeout_ms or took_ms >= _timing.STORE_TIMEOUT_MS:
+        # Silence for a moment says nothing about the store yet; how long the change has been under
+        # way does.
+        elif took_ms < _timing.COMMIT_REPEAT_MS or took_ms >= _timing.STORE_TIMEOUT_MS:
             self.store_answers = False
-        self._repeat.note_silence()
 
-    def _withdraw_new(self, cell: Cell, batch: list, error: PlatformError) -> bool:
-        """Give up jobs that were never written, since the store has done nothing."""
-        new = [job for job, _ in batch if job.durable_version == 0]
+    @property
+    def is_stuck(self) -> bool:
+        """Whether a new job can't be expected to become durable soon."""
+        since_ms = self.pending_since_ms
+        is_late = since_ms is not None and (
+            self._clock.now_ms() - since_ms > _timing.STORE_TIMEOUT_MS
+        )
+        return is_late or not self.store_answers
+
+    async def _watch_unsent(self, cell: Cell, batch: list[tuple[Job, int]]) -> None:
+        """Give up new jobs that wait behind a change that is stuck; they were never sent."""
+        sent = {job.record.id for job, _ in batch}
+        while True:
+            await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
+            if self.is_stuck:
+                unsent = [job for job in cell.jobs.list_new() if job.record.id not in sent]
+                if self._withdraw(unsent, cell, "behind a change that is stuck"):
+                    self._announce()
+
+    def _withdraw(self, jobs: Iterable[Job], cell: Cell, detail: PlatformError | str) -> bool:
+        """Give up jobs that were never written."""
+        new = [job for job in jobs if job.durable_version == 0]
         for job in new:
-            log_event("job refused", job=job.record.id, reason="store", detail=repr(error))
+            log_event("job refused", job=job.record.id, reason="store", detail=str(detail))
             cell.jobs.withdraw(job.record.id)
         return bool(new)
 
+    def _announce(self) -> None:
+        committed, self._committed = self._committed, anyio.Event()
+        committed.set()
+
     def _check_condition(self, error: ConditionFailed, change: Head) -> int | Deposed | None:
         """Return the revision of the change if an earlier try applied it.
 
--- a/coltsfootpier/node/_lease.py
+++ b/coltsfootpier/node/_lease.py
@@ -20,8 +20,8 @@
 class LeaseStore(Protocol):
     """Calls of the store about leases; `coltsfootpier.platform.StoreClient` is one."""
 
-    async def renew_lease(self, lease: int) -> Result[StoreLease, PlatformError]:
-        """Renew a lease."""
+    async def renew_lease(self, lease: int) -> Result[float, PlatformError]:
+        """Renew a lease; returns its time to live in ms."""
         ...
 
     async def grant_lease(self, *, ttl_ms: float) -> Result[StoreLease, PlatformError]:
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -213,7 +213,7 @@
         due_ms = began_ms + left_ms
         if not self.is_ready or self._resigning:
             return NO_OWNER
-        if job_id not in self.cell.jobs.jobs and self._is_store_stuck():
+        if job_id not in self.cell.jobs.jobs and self._committer.is_stuck:
             log_event("job refused", job=job_id, reason="store")
             return refuse("store")
         result = self.cell.submit(
@@ -246,11 +246,6 @@
             self._kick()
         return refuse("store") if settled is AnswerStatus.REFUSED else Answer(status=settled)
 
-    def _is_store_stuck(self) -> bool:
-        since_ms = self._committer.pending_since_ms
-        stuck = since_ms is not None and self._clock.now_ms() - since_ms > _timing.STORE_TIMEOUT_MS
-        return stuck or not self._committer.store_answers
-
     async def _wait_durable(self, accepted: Accepted, due_ms: float) -> AnswerStatus:
         job = accepted.job
         self._committer.notify()
--- a/coltsfootpier/node/_timing.py
+++ b/coltsfootpier/node/_timing.py
@@ -9,8 +9,8 @@
 # Time after which a change without an answer is sent again, at first: the store answers in 4 ms,
 # from another availability zone in 12 ms, and a lost packet comes again after 40 to 200 ms.
 COMMIT_REPEAT_MS = 150.0
-# The same as a multiple of the last answer's time, for a slow store.
-COMMIT_REPEAT_FACTOR = 4.0
+# The same as a multiple of the last answer's time, so that a slow store gets most changes once.
+COMMIT_REPEAT_FACTOR = 1.5
 # Longest wait of a watch, and time beyond it. Together well below the 2 s in which a
 # configuration has to be in force, so that a silent watch is replaced in time.
 WATCH_WAIT_MS = 800
--- a/coltsfootpier/node/tests/builders.py
+++ b/coltsfootpier/node/tests/builders.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+import anyio
 from returns.result import Failure, Result, Success
 
 from coltsfootpier.clock import VirtualClock
@@ -31,6 +32,8 @@
         self.revision = 10
         self.faults: list[PlatformError | None] = []
         self.lose_answer = True
+        # Number of following commits that get no answer and do nothing.
+        self.silent = 0
         self.commits: list[dict[str, Any]] = []
 
     def put(self, key: str, value: bytes) -> int:
@@ -45,6 +48,9 @@
         """Change keys if all of `expect` hold."""
         puts = list(puts)
         self.commits.append({"expect": dict(expect), "puts": puts, "timeout_ms": timeout_ms})
+        if self.silent:
+            self.silent -= 1
+            await anyio.sleep_forever()
         fault = self.faults.pop(0) if self.faults else None
         if fault is not None and not (isinstance(fault, StoreUnknown) and self.lose_answer):
             return Failure(fault)
--- a/coltsfootpier/platform/_store.py
+++ b/coltsfootpier/platform/_store.py
@@ -30,8 +30,12 @@
 
 # Entries of one transaction, as the platform's page has it.
 MAX_ENTRIES = 32
-# Connections for calls that don't wait; renewals and reads go beside a commit.
+# Connections for each kind of call. A call whose answer is lost keeps its connection until its time
+# limit, so tries of a change and renewals of a lease have their own, as many as are under way at
+# once.
 _CALL_CONNECTIONS = 4
+_CHANGE_CONNECTIONS = 6
+_RENEWAL_CONNECTIONS = 6
 # Watches at once.
 _WATCH_CONNECTIONS = 4
 _BASE = "/coltsfootpier"
@@ -62,6 +66,10 @@
     def __init__(self, *, host: str, port: int, clock: Clock, timeout_ms: float) -> None:
         self._timeout_ms = timeout_ms
         self._calls = LeanPool(host=host, port=port, clock=clock, connections=_CALL_CONNECTIONS)
+        self._changes = LeanPool(host=host, port=port, clock=clock, connections=_CHANGE_CONNECTIONS)
+        self._renewals = LeanPool(
+            host=host, port=port, clock=clock, connections=_RENEWAL_CONNECTIONS
+        )
         self._watches = LeanPool(host=host, port=port, clock=clock, connections=_WATCH_CONNECTIONS)
         self.counts = _Counts()
 
@@ -171,7 +179,9 @@
             ],
             "remove": list(remove),
         }
-        sent = await self._call("POST", "/kv-txn", body=body, timeout_ms=timeout_ms)
+        sent = await self._call(
+            "POST", "/kv-txn", body=body, pool=self._changes, timeout_ms=timeout_ms
+        )
         if isinstance(sent, Failure):
             return sent
         reply = sent.unwrap()
@@ -192,11 +202,9 @@
             )
         )
 
-    async def renew_lease(
-        self, lease: int, *, timeout_ms: float | None = None
-    ) -> Result[float, PlatformError]:
+    async def renew_lease(self, lease: int) -> Result[float, PlatformError]:
         """Renew a lease; returns its time to live in ms, or `LeaseLost`."""
-        sent = await self._call("POST", f"/kv-keep/{lease}", body={}, timeout_ms=timeout_ms)
+        sent = await self._call("POST", f"/kv-keep/{lease}", body={}, pool=self._renewals)
         if isinstance(sent, Success) and sent.unwrap().status == 404:
             return Failure(LeaseLost(str(lease)))
         return sent.bind(lambda reply: _read(reply, lambda value: float(value["ttl_ms"])))
@@ -212,8 +220,8 @@
 
     def close(self) -> None:
         """Close the idle connections."""
-        self._calls.close()
-        self._watches.close()
+        for pool in (self._calls, self._changes, self._renewals, self._watches):
+            pool.close()
 
     async def _call(
         self,
