Take changes of the settings file, show waves in the store's overview

Change: SettingsWatch reads the file on SIGHUP and every 2 s; merge_settings tells what holds from now on and what needs a restart.

--- a/coltsfootpier/cli/_store.py
+++ b/coltsfootpier/cli/_store.py
@@ -22,7 +22,8 @@
     decode_configuration,
     decode_entry,
 )
-from coltsfootpier.transport import encode, split_address
+from coltsfootpier.transport import MalformedMessageError, decode, encode, split_address
+from coltsfootpier.upkeep import UpkeepRecord, WaveRecord
 
 
 @attrs.frozen(kw_only=True)
@@ -33,6 +34,8 @@
     configuration_version: int
     jobs: dict[str, int]
     runners: dict[str, int]
+    # Progress of each wave of upkeep.
+    upkeep: dict[str, str]
     unreadable: int
 
 
@@ -42,11 +45,13 @@
     config = await store.get(CONFIG_KEY)
     items = await store.list_all(keys.JOBS_PREFIX)
     entries = await store.list_all(REGISTRY_PREFIX)
+    upkeep = await store.get(keys.UPKEEP_KEY)
     for name, result in (
         ("the owner", owner),
         ("the configuration", config),
         ("the jobs", items),
         ("the runners", entries),
+        ("the waves of upkeep", upkeep),
     ):
         if isinstance(result, Failure):
             return Failure(f"{name} could not be read: {result.failure()}")
@@ -59,6 +64,10 @@
     if config.unwrap().value is not None:
         configuration = decode_configuration(config.unwrap().value)
         version = configuration.unwrap().version if isinstance(configuration, Success) else 0
+    try:
+        waves = _decode_waves(upkeep.unwrap().value)
+    except MalformedMessageError as error:
+        return Failure(f"the waves of upkeep could not be read: {error}")
     states = Counter(f"{record.queue} {record.state.value}" for record in records)
     return Success(
         Overview(
@@ -66,11 +75,21 @@
             configuration_version=version,
             jobs=dict(sorted(states.items())),
             runners=dict(Counter("draining" if one.draining else "ready" for one in runners)),
+            upkeep={str(wave.number): _describe_wave(wave) for wave in waves},
             unreadable=len(decoded) - len(records) + len(entries.unwrap()) - len(runners),
         )
     )
 
 
+def _decode_waves(value: bytes | None) -> tuple[WaveRecord, ...]:
+    return () if value is None else decode(value, UpkeepRecord).waves
+
+
+def _describe_wave(wave: WaveRecord) -> str:
+    state = "complete" if wave.completed else "running"
+    return f"{state}, begun {len(wave.begun)}, under way {len(wave.ordered)}"
+
+
 async def read_job(store: StoreClient, job_id: str) -> Result[dict[str, Any], str]:
     """Read what is recorded of one job."""
     item = await store.get(keys.job_key(job_id))
--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -31,6 +31,7 @@
     build_peer_application,
 )
 from coltsfootpier.node._reach import OwnerReach
+from coltsfootpier.node._reload import merge_settings
 from coltsfootpier.node.keys import HEAD_KEY, OWNER_KEY
 from coltsfootpier.platform import StoreClient, Write
 from coltsfootpier.transport import (
@@ -114,9 +115,19 @@
         """Begin to drain."""
         self._stopping.set()
 
-    def reload(self) -> None:
-        """Note that the settings file has changed; its bounds hold from the next start."""
-        log_event("reload")
+    def reload(self, found: NodeSettings) -> None:
+        """Take settings as the file has them now.
+
+        An owner keeps its bounds until it gives the cell up: runs that it has extended rely on
+        them.
+        """
+        reload = merge_settings(self._settings, found)
+        self._settings = reload.settings
+        log_event(
+            "reload",
+            applied=",".join(reload.applied),
+            needs_restart=",".join(reload.ignored),
+        )
 
     async def _drain(self) -> None:
         log_event("drain", owner=self._owner is not None)
--- a/coltsfootpier/node/_main.py
+++ b/coltsfootpier/node/_main.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import anyio
@@ -15,6 +16,8 @@
 from coltsfootpier import logs
 from coltsfootpier.cells import CellSettings
 from coltsfootpier.clock import MonotonicClock
+from coltsfootpier.logs import log_event
+from coltsfootpier.node import _timing
 from coltsfootpier.node._daemon import Daemon
 from coltsfootpier.node._messages import NodeSettings
 from coltsfootpier.platform import SETTINGS_VARIABLE, read_node_settings
@@ -23,23 +26,67 @@
 EXIT_INVALID = 3
 
 
-async def _serve(settings: NodeSettings) -> None:
+async def _serve(settings: NodeSettings, path: Path) -> None:
     daemon = Daemon(settings=settings, cell_settings=CellSettings())
+    watch = SettingsWatch(path=path, on_change=daemon.reload)
     async with anyio.create_task_group() as group:
-        group.start_soon(_follow_signals, daemon)
+        group.start_soon(_follow_signals, daemon, watch)
+        group.start_soon(watch.run)
         await daemon.run()
         group.cancel_scope.cancel()
 
 
-async def _follow_signals(daemon: Daemon) -> None:
+async def _follow_signals(daemon: Daemon, watch: SettingsWatch) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async for number in signals:
             if number == signal.SIGHUP:
-                daemon.reload()
+                watch.look()
             else:
                 daemon.stop()
 
 
+class SettingsWatch:
+    """Reads the settings file again when it has changed, with or without a signal.
+
+    Parameters
+    ----------
+    path : Path
+        The file, as it was read last.
+    on_change : callable
+        Takes the settings; called only for a file that can be read and has changed.
+    """
+
+    def __init__(self, *, path: Path, on_change: Callable[[NodeSettings], None]) -> None:
+        self._path = path
+        self._on_change = on_change
+        self._text = self._read_text()
+
+    async def run(self) -> None:
+        """Look at the file from time to time until cancelled."""
+        while True:
+            await anyio.sleep(_timing.SETTINGS_PERIOD_MS / 1000)
+            self.look()
+
+    def look(self) -> None:
+        """Read the file; settings that can't be read leave the ones before in force."""
+        text = self._read_text()
+        if text is None or text == self._text:
+            return
+        self._text = text
+        read = read_node_settings(self._path)
+        if isinstance(read, Failure):
+            log_event("settings unreadable", reason=read.failure())
+            return
+        self._on_change(read.unwrap())
+
+    def _read_text(self) -> bytes | None:
+        try:
+            return self._path.read_bytes()
+        except OSError as error:
+            log_event("settings unreadable", reason=str(error))
+            return None
+
+
 def _run(_: list[str]) -> int:
     path = os.environ.get(SETTINGS_VARIABLE)
     if not path:
@@ -51,13 +98,13 @@
         return EXIT_INVALID
     settings = read.unwrap()
     if flags.FLAGS.check:
-        for owner in (settings, CellSettings()):
+        for owner, origin in ((settings, path), (CellSettings(), "default")):
             for name, value in attrs.asdict(owner).items():
-                print(f"{name} = {value!r}")
+                print(f"{name} = {value!r}  # {origin}")
         return 0
     writer = logs.BoundedWriter(descriptor=sys.stdout.fileno(), clock=MonotonicClock())
     logs.configure(writer=writer, identity={"vm": settings.name})
-    anyio.run(_serve, settings, backend_options={"use_uvloop": True})
+    anyio.run(_serve, settings, Path(path), backend_options={"use_uvloop": True})
     return 0
 
 
--- a/coltsfootpier/node/_timing.py
+++ b/coltsfootpier/node/_timing.py
@@ -64,3 +64,5 @@
 # when what ran on the VM waits to be started elsewhere.
 VM_LIST_PERIOD_MS = 500.0
 VM_LIST_SOON_MS = 100.0
+# Time between looks at the settings file, which may change without a signal.
+SETTINGS_PERIOD_MS = 2_000.0
--- a/coltsfootpier/node/tests/builders.py
+++ b/coltsfootpier/node/tests/builders.py
@@ -114,6 +114,30 @@
     return NodeSettings(**{**values, **changes})
 
 
+def build_settings_text(*, hold_max_ms: int = 10_000) -> str:
+    """Build a settings file as the platform writes it."""
+    return f"""
+node_name = "n0"
+ip = "127.0.0.1"
+zone = "zone-a"
+internal_ports = [3, 4]
+[listen]
+front = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+[limits]
+cpu_share = 1.0
+max_fds = 4096
+[bounds]
+hold_max_ms = {hold_max_ms}
+stop_grace_ms = 200
+grace_s = 6
+status_s = 120
+[platform]
+address = "127.0.0.1:5"
+ttl_min_ms = 1000
+"""
+
+
 def build_configuration(version: int = 1, **changes: Any) -> Configuration:
     """Build a configuration with two queues on one host."""
     values = {
