Reopen a wave of upkeep that changes after its end

Cause: a wave whose VMs were added to after its end stayed complete, found by reading. Change: a wave that changes is looked at again. Result: a test that failed before.

--- a/coltsfootpier/upkeep/_planner.py
+++ b/coltsfootpier/upkeep/_planner.py
@@ -163,8 +163,9 @@
             state = self._waves.get(number)
             if state is None:
                 self._waves[number] = self._open(wave, now_ms, unix_ms)
-            else:
+            elif state.wave != wave:
                 state.wave = wave
+                state.completed = False
 
     def _open(self, wave: Wave, now_ms: float, unix_ms: float) -> _WaveState:
         record = self._recorded.get(wave.number)
--- a/coltsfootpier/upkeep/tests/test_planner.py
+++ b/coltsfootpier/upkeep/tests/test_planner.py
@@ -72,6 +72,15 @@
         world.run(1_000)
         self.assertEqual(world.planner.list_states(), {1: False})
 
+    def test_wave_that_grows(self):
+        """Guards against a VM that was added to a wave after its end and stays without upkeep."""
+        world = SimulatedVms("a", "b")
+        world.waves = [build_wave("a")]
+        world.run(6_000)
+        world.waves = [build_wave("a", "b")]
+        world.run(6_000)
+        self.assertEqual((world.upkeeps, world.planner.list_states()), ([1, 1], {1: True}))
+
     def test_withdrawn_wave(self):
         """Guards against a VM that gets nothing more after its wave was withdrawn."""
         world = SimulatedVms("a")
