Play upkeep with processes: stand-in for worker VMs, process test, soak

Change: standins/vms.py lists worker VMs in pages and takes them down; a runner's life ends and begins under another identifier, and calls for an earlier life are refused. A process test takes three VMs down in one wave while jobs run and the owner stops. The soak asks for waves among its other faults and checks that no wave takes down more than it allows, none twice, and that `completed` is true; daemons there now also see killed runners in the listing.

--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -7,7 +7,9 @@
 * a job that was refused each time never runs;
 * no task runs twice at once, nor again after it was done, unless that end was lost with its runner
   before any owner had acknowledged it;
-* a job fails only if its tasks fail.
+* a job fails only if its tasks fail;
+* no more VMs of a wave of upkeep are down at once than it allows, none twice for one wave, and a
+  wave that is shown as completed has reached each of its VMs.
 
 ``python -m soak.nodes --seeds 1:6 --seconds 20`` plays seeds 1 to 5.
 """
@@ -95,7 +97,8 @@
         self._runners: list[tuple[Any, list[int]]] = []
         self._jobs: list[_Job] = []
         self._stopped: set[str] = set()
-        self._is_over = False
+        # VMs of each wave of upkeep.
+        self._waves: dict[int, list[str]] = {}
         self.report = Report(seed)
 
     async def run(self) -> Report:
@@ -112,6 +115,7 @@
             await self._heal()
             await self._settle()
             await self._check_runs()
+            await self._check_upkeeps()
         except TimeoutError as error:
             # Daemons that don't get ready, at the start or after the faults.
             self._violate(f"not ready: {error}")
@@ -227,6 +231,7 @@
             "store_slow": lambda chance: self._fault_store(chance, delay_ms=300.0),
             "store_lost": lambda chance: self._fault_store(chance, lose_answers=5),
             "path_silent": self._silence_path,
+            "wave": self._ask_upkeep,
         }
         while time.monotonic() < end:
             await anyio.sleep(chance.uniform(0.2, 1.5))
@@ -291,6 +296,14 @@
         self._relays[name].silence()
         await anyio.sleep(chance.uniform(0.0, 1.0))
 
+    async def _ask_upkeep(self, chance: random.Random) -> None:
+        vms = self._nodes.list_vms()
+        number = len(self._waves) + 1
+        self._waves[number] = chance.sample(vms, min(len(vms), 3))
+        # The store may be away; the wave is asked for once it is back.
+        while not await self._nodes.put_wave(number, self._waves[number]):
+            await anyio.sleep(0.3)
+
     # End
 
     async def _heal(self) -> None:
@@ -313,6 +326,20 @@
         for job in open_jobs:
             self._violate(f"{job.id}: accepted, and not ended {_SETTLE_S:.0f} s after the faults")
 
+    async def _check_upkeeps(self) -> None:
+        upkeeps = sorted(await self._nodes.read_upkeeps(), key=lambda row: row["begin_ms"])
+        for number, vms in self._waves.items():
+            rows = [row for row in upkeeps if row["wave"] == number]
+            for earlier, later in zip(rows, rows[1:], strict=False):
+                if later["begin_ms"] < earlier.get("end_ms", float("-inf")):
+                    self._violate(f"wave {number}: {earlier} and {later} at once")
+            taken = [row["machine"] for row in rows]
+            if len(set(taken)) < len(taken):
+                self._violate(f"wave {number}: twice for one VM: {taken}")
+            completed = await self._nodes.read_wave_status(number) == "completed"
+            if completed and set(taken) != set(vms):
+                self._violate(f"wave {number}: completed, and only {taken} of {vms}")
+
     async def _check_runs(self) -> None:
         runs = sorted(await self._nodes.read_history(), key=lambda run: run["begin_ms"])
         jobs = {job.id: job for job in self._jobs}
--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -16,7 +16,14 @@
 from returns.result import Success
 
 from coltsfootpier.clock import MonotonicClock
-from coltsfootpier.platform import CONFIG_KEY, SETTINGS_VARIABLE, StoreClient, Write
+from coltsfootpier.platform import (
+    CONFIG_KEY,
+    SETTINGS_VARIABLE,
+    WAVES_PREFIX,
+    StoreClient,
+    Write,
+    encode_wave_status,
+)
 from coltsfootpier.transport import LeanConnection
 from standins.cluster import Answer, call, wait_for
 
@@ -45,9 +52,13 @@
 grace_s = 6
 restore_ms = 600
 status_s = 120
+maintenance_s = 1
+lease_ms = 1000
 [platform]
 address = "127.0.0.1:{store}"
 ttl_min_ms = 1000
+[cloud_api]
+address = "127.0.0.1:{vms}"
 """
 
 
@@ -136,6 +147,7 @@
                 peer=peer,
                 last=peer + 1,
                 store=store_port or self.store_port,
+                vms=self.store_port,
             )
         )
         log = folder / f"{name}.log"
@@ -154,6 +166,37 @@
         result.unwrap()
         store.close()
 
+    async def put_wave(self, number: int, vms: list[str], **changes: Any) -> bool:
+        """Ask for the upkeep of some worker VMs; returns whether the store has answered."""
+        wave = {"wave": number, "machines": vms, "duration_s": 20, "max_count": 1, **changes}
+        store = StoreClient(
+            host="127.0.0.1", port=self.store_port, clock=self._clock, timeout_ms=5_000.0
+        )
+        result = await store.commit(
+            expect={}, puts=[Write(f"{WAVES_PREFIX}{number}", orjson.dumps(wave))]
+        )
+        store.close()
+        return isinstance(result, Success)
+
+    async def read_wave_status(self, number: int) -> str:
+        """Return what the operators are told of a wave; empty for nothing."""
+        key, _ = encode_wave_status(number, completed=True)
+        store = StoreClient(
+            host="127.0.0.1", port=self.store_port, clock=self._clock, timeout_ms=5_000.0
+        )
+        item = (await store.get(key)).unwrap()
+        store.close()
+        return orjson.loads(item.value)["state"] if item.value is not None else ""
+
+    async def read_upkeeps(self) -> list[dict[str, Any]]:
+        """Return each upkeep of a worker VM with its begin and end."""
+        answer = await call(self.store_port, "GET", "/upkeeps", timeout_ms=2_000)
+        return answer.json()
+
+    def list_vms(self) -> list[str]:
+        """Return the worker VMs of all runners."""
+        return [f"m-{port}" for port in self.runner_ports]
+
     async def wait_ready(self) -> None:
         """Wait until every daemon says that it is ready."""
         for node in self.nodes.values():
@@ -211,6 +254,9 @@
                 {**run, "how": "killed", "end_ms": now_ms} for run in history["present"]
             ]
         handle.kill()
+        for port in ports:
+            body = orjson.dumps({"id": f"m-{port}", "runner": ""})
+            await call(self.store_port, "POST", "/worker", body=body, timeout_ms=2_000)
 
     def read_logs(self) -> str:
         """Return the end of each daemon's log."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,7 +1,8 @@
 """Stand-in for the platform: key-value store, leases, watches and the list of VMs.
 
-The store speaks the users' platform's protocol. The list of VMs has no counterpart there; it is
-this project's own interface (``GET /v1/vms``).
+The store speaks the users' platform's protocol, and so does the service for worker VMs
+(`standins.vms`) at the same address. The list of VMs has no counterpart there; it is this project's
+own interface (``GET /v1/vms``).
 
 Faults are set with ``POST /faults``: ``outage`` (calls are refused), ``silent`` (calls get no
 answer), ``delay_ms``, ``lose_answers`` (writes take effect and the connection is cut), and
@@ -30,6 +31,7 @@
     read_body,
     send_response,
 )
+from standins.vms import WorkerVms
 
 _MAX_VALUE = 1_000_000
 # Items of one page, and entries of one transaction.
@@ -179,6 +181,7 @@
 
     def __init__(self, *, clock: Clock, vms_lag_ms: float) -> None:
         self.store = Store(clock=clock)
+        self.workers = WorkerVms(clock=clock)
         self.faults = Faults()
         self.counts: Counter[str] = Counter()
         self._clock = clock
@@ -206,6 +209,11 @@
             await send_response(send, HttpResponse.of(attrs.asdict(self.faults)))
         elif path == "/counts":
             await send_response(send, HttpResponse.of(dict(self.counts)))
+        elif path == "/worker":
+            self.workers.note_worker(orjson.loads(body))
+            await send_response(send, HttpResponse.of({}))
+        elif path == "/upkeeps":
+            await send_response(send, HttpResponse.of(self.workers.upkeeps))
         elif path == "/vms":
             self._change_vm(orjson.loads(body))
             await send_response(send, HttpResponse.of({}))
@@ -228,7 +236,10 @@
         query = {
             name: values[0] for name, values in parse_qs(scope["query_string"].decode()).items()
         }
-        response = await self._handle(scope["method"], path, query, body)
+        if path.startswith("/coltsfootpier/machine"):
+            response = await self._handle_workers(path, query, body, dict(scope["headers"]))
+        else:
+            response = await self._handle(scope["method"], path, query, body)
         if faults.lose_answers > 0 and scope["method"] != "GET":
             # The write has taken effect; only its answer is cut off.
             faults.lose_answers -= 1
@@ -266,6 +277,15 @@
             return HttpResponse.of({"vms": self._list_vms()})
         return HttpResponse.problem(404, "unknown_path", path)
 
+    async def _handle_workers(
+        self, path: str, query: dict[str, str], body: bytes, headers: dict[bytes, bytes]
+    ) -> HttpResponse:
+        if path == "/coltsfootpier/machines":
+            return self.workers.list(query.get("page_token", ""))
+        if path == "/coltsfootpier/machine-upkeep":
+            return await self.workers.begin_upkeep(orjson.loads(body), headers)
+        return HttpResponse.problem(404, "unknown_path", path)
+
     def _describe(self, key: str) -> dict[str, Any]:
         item = self.store.get(key)
         return {
--- a/standins/runners.py
+++ b/standins/runners.py
@@ -2,7 +2,8 @@
 
 A task's payload is ``run_ms=N``, or ``run_ms=N fail`` for one that fails at its end. The runners
 enter themselves in the store of `standins.platform`. ``GET /history`` of a runner returns each
-run with its begin and end on the clock of the process.
+run with its begin and end on the clock of the process. ``POST /end`` ends the runner's life; a new
+one begins on the same VM after `standins.vms.UPKEEP_MS`.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import secrets
 import sys
 import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
@@ -21,12 +23,20 @@
 
 from coltsfootpier.clock import MonotonicClock
 from coltsfootpier.platform import StoreClient, Write
-from coltsfootpier.transport import Application, HttpRequest, HttpResponse, Server
+from coltsfootpier.transport import (
+    Application,
+    HttpRequest,
+    HttpResponse,
+    LeanConnection,
+    Server,
+)
+from standins.vms import UPKEEP_MS
 
 _HEARTBEAT_MS = 500.0
 _TICK_MS = 10.0
 _CPU_MILLI = 8_000
 _MEMORY_MB = 16_000
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 _RUN_MS = re.compile(r"run_ms=(\d+)")
 
 
@@ -49,8 +59,16 @@
     """
 
     def __init__(self, *, name: str) -> None:
-        self.name = name
         self._clock = MonotonicClock()
+        self.history: list[dict[str, Any]] = []
+        self._ended = anyio.Event()
+        # False while its VM has its upkeep.
+        self.is_up = True
+        self._begin_life(name)
+
+    def _begin_life(self, name: str) -> None:
+        """Begin with nothing, under a new identifier."""
+        self.name = name
         self._born_ms = self._clock.now_ms()
         self.born_unix_ms = int(time.time() * 1000)
         self._token = 0
@@ -60,12 +78,34 @@
         self._last_end = 0
         # Highest attempt of each task that was stopped or has ended.
         self._barred: dict[str, int] = {}
-        self.history: list[dict[str, Any]] = []
-        self._ended = anyio.Event()
+
+    async def end_life(self, _: HttpRequest) -> HttpResponse:
+        """End everything at once, as the upkeep of a VM does."""
+        for run in list(self._runs.values()):
+            self._end(run, "killed")
+        # Ends that nobody has acknowledged are lost with the runner.
+        for row in self.history:
+            row.setdefault("lost", not row["observed"])
+        self.is_up = False
+        self._begin_life(f"i-{secrets.token_hex(5)}")
+        return HttpResponse.of({})
 
     def _now_ms(self) -> float:
         return self._clock.now_ms() - self._born_ms
 
+    def _is_meant(self, request: HttpRequest) -> bool:
+        """Return whether a call is for this life of the runner."""
+        wanted = request.header(b"expect-instance")
+        return self.is_up and wanted in ("", self.name)
+
+    def guard(self, call: Handler) -> Handler:
+        """Refuse calls that are for another life of the runner."""
+
+        async def answer(request: HttpRequest) -> HttpResponse:
+            return await call(request) if self._is_meant(request) else self._answer(421)
+
+        return answer
+
     def _answer(self, status: int = 200, **fields: Any) -> HttpResponse:
         fields = {"clock_ms": int(self._now_ms()), "born": self.born_unix_ms, **fields}
         return HttpResponse.of(fields, status)
@@ -179,10 +219,24 @@
                 elif now_ms >= run.end_ms:
                     self._end(run, "failed" if run.fails else "done")
 
-    async def register(self, store: StoreClient, port: int) -> None:
+    async def _tell_platform(self, platform: LeanConnection, vm: str, port: int) -> None:
+        body = orjson.dumps({"id": vm, "runner": self.name, "port": port})
+        told = await platform.exchange("POST", "/worker", body=body, timeout_ms=5_000)
+        if not isinstance(told, Success):
+            print(f"platform not told: {told}", file=sys.stderr, flush=True)
+
+    async def register(self, store: StoreClient, platform: LeanConnection, port: int) -> None:
         """Write the registry's entry again and again, until cancelled."""
-        sequence = 0
+        sequence, entered = 0, ""
+        vm = f"m-{port}"
         while True:
+            if not self.is_up:
+                await store.commit(expect={}, remove=[f"servers/{entered}"])
+                await anyio.sleep(UPKEEP_MS / 1000)
+                self.is_up = True
+            if entered != self.name:
+                entered = self.name
+                await self._tell_platform(platform, vm, port)
             sequence += 1
             entry = {
                 "service": "web",
@@ -213,10 +267,11 @@
         for _ in range(count):
             runner = Runner(name=f"i-{secrets.token_hex(5)}")
             routes = {
-                "POST /coltsfootpier/run-start": runner.start,
-                "POST /coltsfootpier/run-stop": runner.stop,
-                "POST /coltsfootpier/pace": runner.pace,
-                "POST /coltsfootpier/hold": runner.hold,
+                "POST /coltsfootpier/run-start": runner.guard(runner.start),
+                "POST /coltsfootpier/run-stop": runner.guard(runner.stop),
+                "POST /coltsfootpier/pace": runner.guard(runner.pace),
+                "POST /coltsfootpier/hold": runner.guard(runner.hold),
+                "POST /end": runner.end_life,
                 "GET /history": runner.read_history,
             }
             server = Server(
@@ -225,7 +280,8 @@
             port = await group.start(server.run)
             ports.append(port)
             group.start_soon(runner.run)
-            group.start_soon(runner.register, store, port)
+            platform = LeanConnection(host="127.0.0.1", port=store_port)
+            group.start_soon(runner.register, store, platform, port)
         print("ports=" + ",".join(map(str, ports)), flush=True)
 
 
--- a/tests/test_processes_nodes.py
+++ b/tests/test_processes_nodes.py
@@ -159,6 +159,36 @@
         run_async(test)
 
 
+class UpkeepTest(NodesTestCase):
+    """Worker VMs that go down for their upkeep while jobs run."""
+
+    def test_wave(self):
+        """Guards against a VM without its upkeep, two down at once, and tasks lost with them."""
+
+        async def test():
+            jobs = [await self.submit("n0", build_body(run_ms=900, count=4)) for _ in range(3)]
+            vms = self.nodes.list_vms()
+            await self.nodes.put_wave(1, vms)
+            owner = self.find_owner()
+            self.nodes.nodes[owner].signal(signal.SIGTERM)
+            others = [name for name in self.nodes.nodes if name != owner]
+            jobs.append(await self.submit(others[0], build_body(run_ms=900, count=4)))
+
+            async def is_complete():
+                return await self.nodes.read_wave_status(1) == "completed"
+
+            await wait_for(is_complete, timeout_s=WIDE_S)
+            for job_id in jobs:
+                await self.wait_state(others[1], job_id, "completed")
+            upkeeps = await self.nodes.read_upkeeps()
+            self.assertEqual(sorted(row["machine"] for row in upkeeps), sorted(vms))
+            upkeeps.sort(key=lambda row: row["begin_ms"])
+            for earlier, later in zip(upkeeps, upkeeps[1:], strict=False):
+                self.assertGreaterEqual(later["begin_ms"], earlier["end_ms"])
+
+        run_async(test)
+
+
 class OwnerTest(NodesTestCase):
     """The owner of the cell stops, dies or stands still."""
 
