Bound slow and silent connections, name an address that is taken

The stand-ins reserved ports and released them again, in the range from which every connection on the machine takes its own, so another process may have taken one in the second until the daemon started. Change: LimitedProtocol (transport/_limits.py) closes callers' connections by header_timeout_ms, idle_timeout_ms and max_header_bytes in force. The daemon binds its addresses first, logs `address not available` and ends with 4. The stand-ins take ports from 20,000 to 32,000, below that range, and a daemon that isn't ready shows its exit code and log.

--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -17,7 +17,7 @@
 from coltsfootpier.node._callers import CallerApplication
 from coltsfootpier.node._control import Control
 from coltsfootpier.node._election import choose_claim_delay, choose_lease_ttl
-from coltsfootpier.node._messages import NodeSettings
+from coltsfootpier.node._messages import CallerLimits, NodeSettings
 from coltsfootpier.node._metrics import Metrics
 from coltsfootpier.node._owner import Owner
 from coltsfootpier.node._peers import (
@@ -36,11 +36,15 @@
 from coltsfootpier.platform import StoreClient, Write
 from coltsfootpier.transport import (
     Application,
+    BindError,
+    ConnectionLimits,
     HttpRequest,
     HttpResponse,
     MalformedMessageError,
     NotSent,
     Server,
+    bind,
+    build_protocol,
     encode,
 )
 
@@ -83,22 +87,28 @@
         self._stopping = anyio.Event()
         self._servers: list[Server] = []
 
-    async def run(self) -> None:
-        """Serve until `stop` and the drain after it."""
+    async def run(self) -> BindError | None:
+        """Serve until `stop` and the drain after it; returns why it could not begin."""
         settings = self._settings
         log_event("start", incarnation=self._incarnation, zone=settings.availability_zone)
         readiness = Application(routes={"GET /": self._answer_readiness}, max_body=_MAX_PROBE_BYTES)
         metrics = Application(routes={"GET /metrics": self._render}, max_body=_MAX_PROBE_BYTES)
         peers = build_peer_application(get_owner=lambda: self._owner)
-        self._servers = [
-            Server(app=app, host=address[0], port=address[1])
-            for app, address in (
-                (self._callers, settings.callers),
-                (readiness, settings.readiness),
-                (peers, (settings.ip, settings.peer_port)),
-                (metrics, (settings.ip, settings.metrics_port)),
+        limited = build_protocol(self._get_limits, self._note_closed)
+        for app, (host, port), protocol in (
+            (self._callers, settings.callers, limited),
+            (readiness, settings.readiness, None),
+            (peers, (settings.ip, settings.peer_port), None),
+            (metrics, (settings.ip, settings.metrics_port), None),
+        ):
+            listener = bind(host, port)
+            if isinstance(listener, Failure):
+                error = listener.failure()
+                log_event("address not available", address=error.address, reason=error.reason)
+                return error
+            self._servers.append(
+                Server(app=app, host=host, port=port, listener=listener.unwrap(), protocol=protocol)
             )
-        ]
         async with anyio.create_task_group() as group:
             for server in self._servers:
                 await group.start(server.run)
@@ -110,6 +120,15 @@
             await self._drain()
             group.cancel_scope.cancel()
         log_event("stop", incarnation=self._incarnation)
+        return None
+
+    def _get_limits(self) -> ConnectionLimits:
+        configuration = self._control.configuration
+        return configuration.limits if configuration is not None else CallerLimits()
+
+    def _note_closed(self, bound: str) -> None:
+        self._metrics.count(f"connections_closed_{bound}")
+        log_event("connection closed", bound=bound)
 
     def stop(self) -> None:
         """Begin to drain."""
--- a/coltsfootpier/node/_main.py
+++ b/coltsfootpier/node/_main.py
@@ -24,16 +24,18 @@
 
 EXIT_USAGE = 2
 EXIT_INVALID = 3
+EXIT_ADDRESS = 4
 
 
-async def _serve(settings: NodeSettings, path: Path) -> None:
+async def _serve(settings: NodeSettings, path: Path) -> int:
     daemon = Daemon(settings=settings, cell_settings=CellSettings())
     watch = SettingsWatch(path=path, on_change=daemon.reload)
     async with anyio.create_task_group() as group:
         group.start_soon(_follow_signals, daemon, watch)
         group.start_soon(watch.run)
-        await daemon.run()
+        error = await daemon.run()
         group.cancel_scope.cancel()
+    return 0 if error is None else EXIT_ADDRESS
 
 
 async def _follow_signals(daemon: Daemon, watch: SettingsWatch) -> None:
@@ -104,8 +106,7 @@
         return 0
     writer = logs.BoundedWriter(descriptor=sys.stdout.fileno(), clock=MonotonicClock())
     logs.configure(writer=writer, identity={"vm": settings.name})
-    anyio.run(_serve, settings, Path(path), backend_options={"use_uvloop": True})
-    return 0
+    return anyio.run(_serve, settings, Path(path), backend_options={"use_uvloop": True})
 
 
 def main() -> None:
--- a/coltsfootpier/node/_messages.py
+++ b/coltsfootpier/node/_messages.py
@@ -5,6 +5,7 @@
 import attrs
 
 from coltsfootpier.jobs import Queue
+from coltsfootpier.transport import ConnectionLimits
 
 
 @attrs.frozen(kw_only=True)
@@ -72,8 +73,14 @@
 
 
 @attrs.frozen(kw_only=True)
-class CallerLimits:
-    """Bounds of callers' requests, from the configuration."""
+class CallerLimits(ConnectionLimits):
+    """Bounds of callers' requests, from the configuration.
+
+    Parameters
+    ----------
+    max_body_bytes : int
+        Longest body.
+    """
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 262_144
--- a/coltsfootpier/transport/__init__.py
+++ b/coltsfootpier/transport/__init__.py
@@ -13,6 +13,7 @@
     Unanswered,
 )
 from coltsfootpier.transport._lean import LeanConnection, LeanPool
+from coltsfootpier.transport._limits import ConnectionLimits, build_protocol
 from coltsfootpier.transport._mailbox import Mailbox
 from coltsfootpier.transport._server import (
     Application,
@@ -39,6 +40,7 @@
     "CallError",
     "Channel",
     "Connection",
+    "ConnectionLimits",
     "HttpRequest",
     "HttpResponse",
     "LeanConnection",
@@ -53,6 +55,7 @@
     "Upload",
     "UploadError",
     "bind",
+    "build_protocol",
     "decode",
     "encode",
     "is_address",
--- a/coltsfootpier/transport/_server.py
+++ b/coltsfootpier/transport/_server.py
@@ -16,6 +16,7 @@
 from coltsfootpier.transport._codec import encode
 from coltsfootpier.transport._connection import Headers
 from coltsfootpier.transport._errors import BindError, MalformedMessageError
+from coltsfootpier.transport._limits import LimitedProtocol
 from coltsfootpier.transport._stream import BodyStream, Upload, UploadError
 
 Scope = dict[str, Any]
@@ -308,6 +309,8 @@
         Connections that may be open at once; a further request gets 503.
     listener : socket, optional
         A socket from `bind` that is used instead of `host` and `port`.
+    protocol : type of LimitedProtocol, optional
+        Connections with bounds of their own, from `build_protocol`.
     """
 
     def __init__(
@@ -318,12 +321,13 @@
         port: int,
         max_connections: int | None = None,
         listener: socket.socket | None = None,
+        protocol: type[LimitedProtocol] | None = None,
     ) -> None:
         config = uvicorn.Config(
             app,
             host=host,
             port=port,
-            http="httptools",
+            http=protocol or "httptools",
             ws="none",
             lifespan="off",
             log_config=None,
--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import secrets
 import signal
 import socket
 import subprocess
@@ -29,6 +30,8 @@
 
 HOST = "a.example"
 PREFIX = "/p/"
+# Ports of daemons.
+_PORTS = (20_000, 32_000)
 _ROOT = Path(__file__).resolve().parent.parent
 _SETTINGS = """
 node_name = "{name}"
@@ -73,6 +76,10 @@
     metrics: int
     log: Path
 
+    def list_ports(self) -> list[int]:
+        """Return the ports that the daemon was given."""
+        return [self.front, self.ready, self.metrics - 1, self.metrics]
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the daemon."""
         if self.handle.poll() is None:
@@ -80,15 +87,21 @@
 
 
 def _reserve_ports(count: int) -> list[int]:
-    """Return free ports; they are released again, so another process may take them first."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for reserved in sockets:
-            reserved.bind(("127.0.0.1", 0))
-        return [reserved.getsockname()[1] for reserved in sockets]
-    finally:
-        for reserved in sockets:
-            reserved.close()
+    """Return the first of some ports that are free and follow one another.
+
+    They lie below the range from which the system takes ports for connections (32768 on), so that
+    no connection of another process takes one before the daemon has bound it.
+    """
+    while True:
+        first = secrets.randbelow(_PORTS[1] - _PORTS[0] - count) + _PORTS[0]
+        ports = list(range(first, first + count))
+        try:
+            for port in ports:
+                with socket.socket() as reserved:
+                    reserved.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        return ports
 
 
 class Nodes:
@@ -135,8 +148,7 @@
 
     def start_node(self, name: str, *, store_port: int = 0) -> Node:
         """Start a daemon; `store_port` is that of a relay to the store."""
-        front, ready = _reserve_ports(2)
-        peer = _reserve_pair()
+        front, ready, peer, metrics = _reserve_ports(4)
         folder = Path(self._folder.name)
         settings = folder / f"{name}.toml"
         settings.write_text(
@@ -145,14 +157,14 @@
                 front=front,
                 ready=ready,
                 peer=peer,
-                last=peer + 1,
+                last=metrics,
                 store=store_port or self.store_port,
                 vms=self.store_port,
             )
         )
         log = folder / f"{name}.log"
         handle = self._spawn("coltsfootpier.node", log=log, **{SETTINGS_VARIABLE: str(settings)})
-        node = Node(name=name, handle=handle, front=front, ready=ready, metrics=peer + 1, log=log)
+        node = Node(name=name, handle=handle, front=front, ready=ready, metrics=metrics, log=log)
         self.nodes[name] = node
         return node
 
@@ -198,9 +210,21 @@
         return [f"m-{port}" for port in self.runner_ports]
 
     async def wait_ready(self) -> None:
-        """Wait until every daemon says that it is ready."""
+        """Wait until every daemon says that it is ready.
+
+        Raises
+        ------
+        TimeoutError
+            If one isn't ready in time; with the ends of all logs.
+        """
         for node in self.nodes.values():
-            await wait_for(lambda node=node: self._is_ready(node), timeout_s=20)
+            try:
+                await wait_for(lambda node=node: self._is_ready(node), timeout_s=20)
+            except TimeoutError as error:
+                ended = node.handle.poll()
+                raise TimeoutError(
+                    f"{node.name} isn't ready (exit code {ended}): {error}\n{self.read_logs()}"
+                ) from error
 
     async def _is_ready(self, node: Node) -> bool:
         answer = await call(node.ready, "GET", "/coltsfootpier/ready", timeout_ms=1_000)
@@ -274,15 +298,3 @@
             if handle.stdout is not None:
                 handle.stdout.close()
         self._folder.cleanup()
-
-
-def _reserve_pair() -> int:
-    """Return the first of two free ports that follow each other."""
-    while True:
-        (first,) = _reserve_ports(1)
-        try:
-            with socket.socket() as second:
-                second.bind(("127.0.0.1", first + 1))
-            return first
-        except OSError:
-            continue
--- a/tests/test_processes_nodes.py
+++ b/tests/test_processes_nodes.py
@@ -6,6 +6,7 @@
 import sys
 import unittest
 from collections import Counter
+from unittest import mock
 
 import anyio
 import orjson
@@ -159,6 +160,28 @@
         run_async(test)
 
 
+class AddressTest(unittest.TestCase):
+    """A daemon whose address is taken."""
+
+    def test_taken_address(self):
+        """Guards against a daemon that ends without a word about the address that it needs."""
+        nodes = Nodes()
+        self.addCleanup(nodes.close)
+        nodes.start_platform(runners=1)
+        first = nodes.start_node("n0")
+
+        async def test():
+            await nodes.put_configuration(1, [ROUTE])
+            await nodes.wait_ready()
+            with mock.patch("standins.nodes._reserve_ports", return_value=first.list_ports()):
+                second = nodes.start_node("n1")
+            code = await anyio.to_thread.run_sync(lambda: second.handle.wait(timeout=WIDE_S))
+            self.assertEqual(code, 4)
+            self.assertIn('event="address not available"', second.log.read_text())
+
+        run_async(test)
+
+
 class UpkeepTest(NodesTestCase):
     """Worker VMs that go down for their upkeep while jobs run."""
 
