Let an idle cell try the store again, number no two changes alike

Cause, found by reading: (1) a refused change set "the store doesn't answer", new jobs were then refused at once, and only a further change cleared it; a cell with no work left never made one and refused all jobs for ever. (2) A change that was given up because its lease had ended, or the owner's key still existed, left its number to the next one, with other jobs in it. If an earlier try of the first was carried out late, the second was taken for applied and its jobs for durable. Change: while nothing is under way the refusal lasts 1,000 ms, then a job is let in. A change that is given up keeps its number.

--- a/coltsfootpier/node/_committer.py
+++ b/coltsfootpier/node/_committer.py
@@ -93,6 +93,8 @@
         # When the change that is being written was first sent; None between changes.
         self.pending_since_ms: float | None = None
         self.store_answers = True
+        # When the last try ended.
+        self._answered_ms = float("-inf")
         self.commit_count = 0
 
     def notify(self) -> None:
@@ -180,15 +182,16 @@
                 self._withdraw([job for job, _ in batch], cell, error)
                 await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
                 return None
-            if isinstance(error, LeaseLost):
-                self._lease_to_bind = 0
-                return None
-            found = self._check_condition(error, change)
+            found = None
+            if not isinstance(error, LeaseLost):
+                found = self._check_condition(error, change)
             if isinstance(found, Deposed):
                 return found
             if found is None:
-                # The owner's key still exists, so nothing was written.
+                # The new lease has ended, or the owner's key still exists. An earlier try may yet
+                # be carried out, so no other change gets its number.
                 self._lease_to_bind = 0
+                self._head = change
                 return None
             self._revision = found
         self._head = change
@@ -211,6 +214,7 @@
 
     def _note_outcome(self, result: Result[int, PlatformError], took_ms: float) -> None:
         error = result.failure() if isinstance(result, Failure) else None
+        self._answered_ms = self._clock.now_ms()
         if not isinstance(error, StoreUnknown):
             self.store_answers = not isinstance(error, StoreUnavailable)
         # Silence for a moment says nothing about the store yet; how long the change has been under
@@ -221,11 +225,12 @@
     @property
     def is_stuck(self) -> bool:
         """Whether a new job can't be expected to become durable soon."""
-        since_ms = self.pending_since_ms
-        is_late = since_ms is not None and (
-            self._clock.now_ms() - since_ms > _timing.STORE_TIMEOUT_MS
-        )
-        return is_late or not self.store_answers
+        now_ms = self._clock.now_ms()
+        if self.pending_since_ms is not None:
+            is_late = now_ms - self.pending_since_ms > _timing.STORE_TIMEOUT_MS
+            return is_late or not self.store_answers
+        # Nothing is under way that would show when the store is back, so the next job is let in.
+        return not self.store_answers and now_ms - self._answered_ms < _timing.STORE_TIMEOUT_MS
 
     async def _watch_unsent(self, cell: Cell, batch: list[tuple[Job, int]]) -> None:
         """Give up new jobs that wait behind a change that is stuck; they were never sent."""
--- a/coltsfootpier/node/tests/test_committer.py
+++ b/coltsfootpier/node/tests/test_committer.py
@@ -14,7 +14,7 @@
 from coltsfootpier.node._tries import MAX_TRIES
 from coltsfootpier.node.keys import HEAD_KEY, LEARNED_KEY, job_key
 from coltsfootpier.node.tests.builders import MemoryStore, build_committer
-from coltsfootpier.platform import StoreUnavailable, StoreUnknown
+from coltsfootpier.platform import LeaseLost, StoreUnavailable, StoreUnknown
 from coltsfootpier.transport import encode
 
 
@@ -204,6 +204,30 @@
         anyio.run(lambda: self.store.commit(expect=late["expect"], puts=late["puts"]))
         self.assertEqual(self.store.read(HEAD_KEY).version, before)
 
+    def test_idle_cell_takes_jobs_again_after_a_refusal(self):
+        """Guards against a cell without work that refuses all jobs after one failed change."""
+        self.committer._clock = clock = VirtualClock()
+        self.store.faults = [StoreUnavailable("busy")]
+        self.world.submit("j")
+        self._commit()
+        self.assertTrue(self.committer.is_stuck)
+        clock.advance(1_000)
+        self.assertFalse(self.committer.is_stuck)
+
+    def test_change_that_was_given_up_keeps_its_number(self):
+        """Guards against a late try that is taken for a later change with other jobs."""
+        self.store.faults = [StoreUnknown("late"), LeaseLost("9")]
+        self.store.lose_answer = False
+        self.world.submit("j")
+        self.committer.rebind_owner(9)
+        self._commit()
+        late = self.store.commits[0]
+        anyio.run(lambda: self.store.commit(expect=late["expect"], puts=late["puts"]))
+        second = self.world.submit("k").job
+        self.assertIsInstance(self._commit(), Deposed)
+        self.assertEqual(second.durable_version, 0)
+        self.assertIsNone(self.store.read(job_key("k")).value)
+
     def test_replaced_owner_writes_nothing(self):
         """Guards against an owner that goes on after another one has claimed the cell."""
         claimed = Head(generation=4, holder="other")
