Name what upkeep asks of runners after cordons

Cause: reading the change again: RunnerCare and care don't say what they are. Change: RunnerCordons, cordons, _remove_active; names only. Result: unit tests pass. Conclusion: behaviour unchanged.

--- a/coltsfootpier/cells/_cordons.py
+++ b/coltsfootpier/cells/_cordons.py
@@ -15,7 +15,7 @@
 
 
 class Cordons:
-    """Owner of the cordons of a cell's runners; see `coltsfootpier.upkeep.RunnerCare`.
+    """Owner of the cordons of a cell's runners; see `coltsfootpier.upkeep.RunnerCordons`.
 
     Parameters
     ----------
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -429,7 +429,7 @@
         )
         task = VmTask(
             calls=calls,
-            care=self.cell.cordons,
+            cordons=self.cell.cordons,
             lives=self.cell.lives,
             records=self._committer,
             record=record,
--- a/coltsfootpier/node/_vms.py
+++ b/coltsfootpier/node/_vms.py
@@ -16,7 +16,7 @@
 from coltsfootpier.platform import encode_wave_status
 from coltsfootpier.transport import CallError, encode
 from coltsfootpier.upkeep import (
-    RunnerCare,
+    RunnerCordons,
     UpkeepOrder,
     UpkeepOutcome,
     UpkeepPlanner,
@@ -77,7 +77,7 @@
     ----------
     calls : VmCalls
         Calls about worker VMs.
-    care : RunnerCare
+    cordons : RunnerCordons
         Owner of the runners.
     lives : Lives
         Where it is known which runners live.
@@ -105,7 +105,7 @@
         self,
         *,
         calls: VmCalls,
-        care: RunnerCare,
+        cordons: RunnerCordons,
         lives: Lives,
         records: RecordWriter,
         record: UpkeepRecord,
@@ -129,7 +129,7 @@
             settings=UpkeepSettings(
                 upkeep_ms=upkeep_ms, takeover_ms=pause_ms + _timing.VM_TIMEOUT_MS
             ),
-            care=care,
+            cordons=cordons,
             record=record,
             log=log_event,
         )
--- a/coltsfootpier/node/tests/test_vms.py
+++ b/coltsfootpier/node/tests/test_vms.py
@@ -12,7 +12,7 @@
 from coltsfootpier.node.keys import UPKEEP_KEY
 from coltsfootpier.transport import Unanswered, decode
 from coltsfootpier.upkeep import UpkeepOutcome, UpkeepRecord, VmState, WaveRecord, WorkerVm
-from coltsfootpier.upkeep.tests.builders import FakeCare, build_wave
+from coltsfootpier.upkeep.tests.builders import FakeCordons, build_wave
 
 PAUSE_MS = 3_000.0
 STEP_MS = 500.0
@@ -93,7 +93,7 @@
         self.clock = VirtualClock()
         self.begin_ms = self.clock.now_ms()
         self.vms = FakeVms()
-        self.care = FakeCare()
+        self.cordons = FakeCordons()
         self.lives = FakeLives()
         self.records = FakeRecords()
         self.waves = [build_wave("m-1")]
@@ -113,7 +113,7 @@
 
         task = VmTask(
             calls=self.vms,
-            care=self.care,
+            cordons=self.cordons,
             lives=self.lives,
             records=self.records,
             record=record or UpkeepRecord(),
@@ -147,7 +147,7 @@
 
     def test_status_while_it_runs(self):
         """Guards against a wave that is shown as complete before its last order."""
-        self.care.unendable = {"i-m-1"}
+        self.cordons.unendable = {"i-m-1"}
         self._run(20)
         self.assertEqual(self.records.values["status/wave/1"], b'{"state":"running"}')
 
--- a/coltsfootpier/upkeep/__init__.py
+++ b/coltsfootpier/upkeep/__init__.py
@@ -9,11 +9,11 @@
     WaveRecord,
     WorkerVm,
 )
-from coltsfootpier.upkeep._planner import RunnerCare, UpkeepPlanner
+from coltsfootpier.upkeep._planner import RunnerCordons, UpkeepPlanner
 from coltsfootpier.upkeep._settings import UpkeepSettings
 
 __all__ = [
-    "RunnerCare",
+    "RunnerCordons",
     "UpkeepOrder",
     "UpkeepOutcome",
     "UpkeepPlanner",
--- a/coltsfootpier/upkeep/_planner.py
+++ b/coltsfootpier/upkeep/_planner.py
@@ -29,7 +29,7 @@
 from coltsfootpier.upkeep._settings import UpkeepSettings
 
 
-class RunnerCare(Protocol):
+class RunnerCordons(Protocol):
     """What upkeep asks of the owner of the runners."""
 
     def cordon(self, runner_id: str) -> None:
@@ -116,7 +116,7 @@
     ----------
     settings : UpkeepSettings
         Times.
-    care : RunnerCare
+    cordons : RunnerCordons
         Owner of the runners.
     record : UpkeepRecord
         What earlier owners have recorded.
@@ -128,12 +128,12 @@
         self,
         *,
         settings: UpkeepSettings,
-        care: RunnerCare,
+        cordons: RunnerCordons,
         record: UpkeepRecord,
         log: Callable[..., None],
     ) -> None:
         self._settings = settings
-        self._care = care
+        self._cordons = cordons
         self._log = log
         self._recorded = {wave.number: wave for wave in record.waves}
         self._waves: dict[int, _WaveState] = {}
@@ -228,11 +228,11 @@
         if vm is None:
             if vm_id not in self._kept:
                 self._log("worker gone", wave=state.wave.number, worker=vm_id)
-                self._give_back(state, vm_id, progress)
+                self._remove_active(state, vm_id, progress)
             return
         if progress.phase is _Phase.CORDONED:
             if vm.state is not VmState.UP or vm.runner_id != progress.runner_id:
-                self._give_back(state, vm_id, progress)
+                self._remove_active(state, vm_id, progress)
             return
         if progress.phase is _Phase.ORDERED:
             if vm.state is VmState.UPKEEP:
@@ -245,10 +245,10 @@
             return
         if vm.state is VmState.UPKEEP and not progress.is_ended:
             progress.is_ended = True
-            self._care.note_ended(progress.runner_id)
+            self._cordons.note_ended(progress.runner_id)
         elif vm.state is VmState.UP:
             self._log("worker back", wave=state.wave.number, worker=vm_id, runner=vm.runner_id)
-            self._give_back(state, vm_id, progress)
+            self._remove_active(state, vm_id, progress)
 
     def plan(self, now_ms: float) -> list[UpkeepOrder]:
         """Cordon the next VMs and return the orders that are due.
@@ -279,10 +279,10 @@
         vm = self._vms.get(vm_id)
         if vm is None or vm.state is not VmState.UP or vm.runner_id != progress.runner_id:
             return False
-        if not self._care.can_end(progress.runner_id):
+        if not self._cordons.can_end(progress.runner_id):
             return False
-        self._care.cordon(progress.runner_id)
-        self._care.begin_end(progress.runner_id)
+        self._cordons.cordon(progress.runner_id)
+        self._cordons.begin_end(progress.runner_id)
         return True
 
     def _cordon_next(self, state: _WaveState, now_ms: float) -> None:
@@ -306,12 +306,12 @@
             ):
                 continue
             # A VM of a pool that is off has no runner.
-            use = self._care.measure_use(vm.runner_id) if vm.runner_id else 0.0
+            use = self._cordons.measure_use(vm.runner_id) if vm.runner_id else 0.0
             if use is not None:
                 candidates.append((use, vm_id))
         for _, vm_id in sorted(candidates)[:free]:
             runner_id = self._vms[vm_id].runner_id
-            self._care.cordon(runner_id)
+            self._cordons.cordon(runner_id)
             state.active[vm_id] = _Progress(
                 runner_id=runner_id, phase=_Phase.CORDONED, since_ms=now_ms
             )
@@ -337,10 +337,10 @@
 
     def _is_due(self, state: _WaveState, progress: _Progress, now_ms: float) -> bool:
         """Return whether a cordoned VM is idle or can't wait any longer, and its runs may end."""
-        if not self._care.can_end(progress.runner_id):
+        if not self._cordons.can_end(progress.runner_id):
             return False
         waited_ms = now_ms - progress.since_ms
-        return self._care.is_idle(progress.runner_id) or waited_ms >= self._measure_wait(
+        return self._cordons.is_idle(progress.runner_id) or waited_ms >= self._measure_wait(
             state, now_ms
         )
 
@@ -374,13 +374,13 @@
             progress.due_ms = now_ms + self._settings.repeat_ms
         elif outcome is UpkeepOutcome.FOREIGN:
             state.excluded.add(order.vm_id)
-            self._give_back(state, order.vm_id, progress)
+            self._remove_active(state, order.vm_id, progress)
         elif progress.is_unsure:
             # An earlier order may still be carried out, so the VM goes on counting as down.
             progress.due_ms = now_ms + self._settings.busy_ms
         else:
             state.retry_ms[order.vm_id] = now_ms + self._settings.busy_ms
-            self._give_back(state, order.vm_id, progress)
+            self._remove_active(state, order.vm_id, progress)
 
     def _note_begun(
         self, state: _WaveState, vm_id: str, progress: _Progress, now_ms: float
@@ -388,13 +388,13 @@
         state.begun.add(vm_id)
         progress.phase, progress.since_ms = _Phase.DOWN, now_ms
 
-    def _give_back(self, state: _WaveState, vm_id: str, progress: _Progress) -> None:
+    def _remove_active(self, state: _WaveState, vm_id: str, progress: _Progress) -> None:
         del state.active[vm_id]
         self._release(progress)
 
     def _release(self, progress: _Progress) -> None:
-        self._care.cancel_end(progress.runner_id)
-        self._care.uncordon(progress.runner_id)
+        self._cordons.cancel_end(progress.runner_id)
+        self._cordons.uncordon(progress.runner_id)
 
     # What outlives this owner
 
--- a/coltsfootpier/upkeep/tests/builders.py
+++ b/coltsfootpier/upkeep/tests/builders.py
@@ -29,7 +29,7 @@
 
 
 @attrs.define
-class FakeCare:
+class FakeCordons:
     """Owner of runners without any runs."""
 
     busy: set[str] = attrs.field(factory=set)
@@ -122,10 +122,10 @@
 
     def restart(self, record: UpkeepRecord) -> None:
         """Let another owner take over."""
-        self.care = FakeCare()
+        self.cordons = FakeCordons()
         self.planner = UpkeepPlanner(
             settings=UpkeepSettings(upkeep_ms=UPKEEP_MS),
-            care=self.care,
+            cordons=self.cordons,
             record=record,
             log=lambda event, /, **fields: self.events.append(event),
         )
--- a/coltsfootpier/upkeep/tests/test_planner.py
+++ b/coltsfootpier/upkeep/tests/test_planner.py
@@ -24,7 +24,7 @@
         self.assertEqual(world.upkeeps, [1, 1, 1, 0])
         self.assertEqual(world.planner.list_states(), {1: True})
         self.assertFalse(world.planner.is_active)
-        self.assertEqual((world.care.cordoned, world.care.ending), (set(), set()))
+        self.assertEqual((world.cordons.cordoned, world.cordons.ending), (set(), set()))
 
     def test_limit(self):
         """Guards against more VMs down at once than the operators allow."""
@@ -57,7 +57,7 @@
         """Guards against a wave called complete because one page of a listing missed a VM."""
         world = SimulatedVms("a", "b")
         world.waves = [build_wave("a", "b")]
-        world.care.unendable = {"b-1"}
+        world.cordons.unendable = {"b-1"}
         world.run(5_000)
         missing = world.vms.pop("b")
         world.step()
@@ -84,13 +84,13 @@
     def test_withdrawn_wave(self):
         """Guards against a VM that gets nothing more after its wave was withdrawn."""
         world = SimulatedVms("a")
-        world.care.busy = {"a-1"}
+        world.cordons.busy = {"a-1"}
         world.waves = [build_wave("a")]
         world.run(500)
-        self.assertEqual(world.care.cordoned, {"a-1"})
+        self.assertEqual(world.cordons.cordoned, {"a-1"})
         world.waves = []
         world.step()
-        self.assertEqual(world.care.cordoned, set())
+        self.assertEqual(world.cordons.cordoned, set())
         self.assertEqual(world.upkeeps, [0])
 
     def test_vm_that_is_not_of_the_wave(self):
@@ -118,7 +118,7 @@
     def test_least_used_first(self):
         """Guards against work that is thrown away while idle VMs wait for their upkeep."""
         world = SimulatedVms("a", "b", "c")
-        world.care.uses = {"a-1": 900.0, "b-1": 100.0, "c-1": 500.0}
+        world.cordons.uses = {"a-1": 900.0, "b-1": 100.0, "c-1": 500.0}
         world.waves = [build_wave("a", "b", "c")]
         world.run(10_000)
         self.assertEqual([order.vm_id for order in world.orders], ["b", "c", "a"])
@@ -126,18 +126,18 @@
     def test_waits_for_short_work(self):
         """Guards against batch work that is cut off although there was time to let it end."""
         world = SimulatedVms("a")
-        world.care.busy = {"a-1"}
+        world.cordons.busy = {"a-1"}
         world.waves = [build_wave("a")]
         world.run(1_000)
-        self.assertEqual((world.orders, world.care.cordoned), ([], {"a-1"}))
-        world.care.busy = set()
+        self.assertEqual((world.orders, world.cordons.cordoned), ([], {"a-1"}))
+        world.cordons.busy = set()
         world.step()
         self.assertEqual(world.upkeeps, [1])
 
     def test_wait_is_bounded(self):
         """Guards against a wave that is held up by work that doesn't end."""
         world = SimulatedVms("a")
-        world.care.busy = {"a-1"}
+        world.cordons.busy = {"a-1"}
         world.waves = [build_wave("a")]
         world.run(3_000)
         self.assertEqual(world.upkeeps, [1])
@@ -145,7 +145,7 @@
     def test_no_wait_when_the_time_is_short(self):
         """Guards against a wave that is late because each VM waits for its work."""
         world = SimulatedVms("a", "b", "c")
-        world.care.busy = {"a-1", "b-1", "c-1"}
+        world.cordons.busy = {"a-1", "b-1", "c-1"}
         world.waves = [build_wave("a", "b", "c", duration_ms=9_000.0)]
         world.run(9_000)
         self.assertEqual(world.upkeeps, [1, 1, 1])
@@ -153,23 +153,23 @@
     def test_long_running_tasks_are_not_ended_beyond_their_limit(self):
         """Guards against a step with fewer tasks at work than it allows."""
         world = SimulatedVms("a", "b")
-        world.care.unendable = {"a-1"}
+        world.cordons.unendable = {"a-1"}
         world.waves = [build_wave("a", "b")]
         world.run(8_000)
         self.assertEqual(world.upkeeps[0], 0)
-        world.care.unendable = set()
+        world.cordons.unendable = set()
         world.run(6_000)
         self.assertEqual(world.upkeeps, [1, 1])
 
     def test_vm_that_crashed_while_it_waited(self):
         """Guards against a cordon that stays on a runner, or an order for a life that is over."""
         world = SimulatedVms("a")
-        world.care.busy = {"a-1"}
+        world.cordons.busy = {"a-1"}
         world.waves = [build_wave("a")]
         world.run(300)
         world.vms["a"].life = 2
         world.step()
-        self.assertNotIn("a-1", world.care.cordoned)
+        self.assertNotIn("a-1", world.cordons.cordoned)
         world.run(2_000)
         self.assertEqual(world.upkeeps, [1])
 
@@ -194,7 +194,7 @@
         world.run(15_000)
         self.assertEqual(world.most_down, 1)
         self.assertEqual(world.upkeeps, [1, 1, 1])
-        self.assertEqual(world.care.ended[0], "a-1")
+        self.assertEqual(world.cordons.ended[0], "a-1")
 
     def test_late_order(self):
         """Guards against another VM that goes down before a late order is carried out."""
