Answer waiting requests before a stopping daemon ends

A request that still waited for an owner when the process ended was cancelled, and the HTTP library makes 500 of that, which tells the caller of a POST nothing. Change: from SIGTERM on, requests have their answers due 1,100 ms before the platform's limit: 503 where nothing was sent, 504 where it isn't known, as for a caller's own deadline.

--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -85,6 +85,8 @@
         self._peer: PeerClient | None = None
         self._reach = OwnerReach(clock=self._clock)
         self._stopping = anyio.Event()
+        # By when every request has its answer; finite once the daemon stops.
+        self._answers_due_ms = float("inf")
         self._servers: list[Server] = []
 
     async def run(self) -> BindError | None:
@@ -150,12 +152,15 @@
 
     async def _drain(self) -> None:
         log_event("drain", owner=self._owner is not None)
+        end_ms = self._clock.now_ms() + self._settings.exit_grace_ms - _timing.EXIT_RESERVE_MS
+        # A request that is cut off by the end of the process would be answered with 500, which
+        # doesn't tell its caller whether it was carried out.
+        self._answers_due_ms = end_ms - _timing.ANSWER_RESERVE_MS
         self._callers.draining = True
         if self._owner is not None:
             await self._owner.resign()
         await anyio.sleep(_timing.DRAIN_MS / 1000)
-        due_ms = self._clock.now_ms() + self._settings.exit_grace_ms - _timing.DRAIN_MS - 1_000.0
-        while self._callers.in_flight and self._clock.now_ms() < due_ms:
+        while self._callers.in_flight and self._clock.now_ms() < end_ms:
             await anyio.sleep(_timing.PLAN_MIN_MS / 1000)
 
     async def _answer_readiness(self, _: HttpRequest) -> HttpResponse:
@@ -276,7 +281,7 @@
         began_ms = self._clock.now_ms()
         sent = False
         while True:
-            left_ms = due_ms - self._clock.now_ms()
+            left_ms = min(due_ms, self._answers_due_ms) - self._clock.now_ms()
             if left_ms <= 0:
                 # A job that no owner was asked to take has not been accepted.
                 if sent or not isinstance(question, SubmitJob):
--- a/coltsfootpier/node/_timing.py
+++ b/coltsfootpier/node/_timing.py
@@ -47,6 +47,8 @@
 ANSWER_RESERVE_MS = 100.0
 # Time after SIGTERM in which new connections still arrive: the balancer takes two checks of 1 s.
 DRAIN_MS = 2_600.0
+# Time kept back from the platform's time limit after SIGTERM for the end of the process.
+EXIT_RESERVE_MS = 1_000.0
 # What a caller is told to wait when there is no owner or no store.
 RETRY_SOON_MS = 1_000.0
 # Time between two log lines with the cell's gauges.
--- a/tests/test_processes_nodes.py
+++ b/tests/test_processes_nodes.py
@@ -182,6 +182,41 @@
         run_async(test)
 
 
+class DrainTest(unittest.TestCase):
+    """A daemon that stops while requests wait."""
+
+    def test_waiting_requests_are_answered(self):
+        """Guards against 500 for requests that the end of the process cuts off (soak seed 547)."""
+        nodes = Nodes()
+        self.addCleanup(nodes.close)
+        nodes.start_platform(runners=1)
+        node = nodes.start_node("n0")
+
+        async def test():
+            # Their own deadlines are long after the end of the process.
+            await nodes.put_configuration(1, [{**ROUTE, "timeout_ms": 20_000}])
+            await nodes.wait_ready()
+            await nodes.set_store_faults(silent=True)
+            statuses = []
+
+            async def ask(method, body=None):
+                answer = await nodes.request(
+                    "n0", method, secrets.token_hex(8), body, timeout_ms=20_000
+                )
+                statuses.append(answer.status if answer is not None else None)
+
+            async with anyio.create_task_group() as group:
+                for _ in range(3):
+                    group.start_soon(ask, "GET")
+                    group.start_soon(ask, "POST", build_body())
+                await anyio.sleep(0.5)
+                node.signal(signal.SIGTERM)
+            self.assertEqual(len(statuses), 6)
+            self.assertLessEqual(set(statuses), {503, 504}, node.log.read_text()[-2_000:])
+
+        run_async(test)
+
+
 class UpkeepTest(NodesTestCase):
     """Worker VMs that go down for their upkeep while jobs run."""
 
