Let one piece serve what the change wrote twice

Change: platform/_wire.py, _decode_limits, end_runner, Nodes._open_store; the dead parameter is gone, also from the store in memory of the tests. No assertion changed.

--- a/coltsfootpier/cells/_cordons.py
+++ b/coltsfootpier/cells/_cordons.py
@@ -11,6 +11,7 @@
 
 from coltsfootpier.cells._fleet import Event, Fleet
 from coltsfootpier.cells._jobs import JobTable
+from coltsfootpier.cells._lives import end_runner
 from coltsfootpier.cells._state import Run, Runner, RunState, StepRun
 
 
@@ -78,10 +79,8 @@
         runner = self._fleet.runners.get(runner_id)
         if runner is None:
             return
-        runs = self._fleet.end(runner)
-        self._log("runs ended with their VM", runner=runner_id, runs=len(runs))
-        for run in runs:
-            self._jobs.requeue(run.id)
+        runs = end_runner(runner, fleet=self._fleet, jobs=self._jobs)
+        self._log("runs ended with their VM", runner=runner_id, runs=runs)
 
     def choose_evacuated(
         self, finds_other: Callable[[Run, Runner], bool], now_ms: float, *, period_ms: float
--- a/coltsfootpier/cells/_lives.py
+++ b/coltsfootpier/cells/_lives.py
@@ -77,7 +77,13 @@
         return ended
 
     def _end(self, runner: Runner) -> None:
-        runs = self._fleet.end(runner)
-        self._log("runner ended", runner=runner.entry.id, runs=len(runs))
-        for run in runs:
-            self._jobs.requeue(run.id)
+        runs = end_runner(runner, fleet=self._fleet, jobs=self._jobs)
+        self._log("runner ended", runner=runner.entry.id, runs=runs)
+
+
+def end_runner(runner: Runner, *, fleet: Fleet, jobs: JobTable) -> int:
+    """Release what was on a runner whose life is over; returns the number of its runs."""
+    runs = fleet.end(runner)
+    for run in runs:
+        jobs.requeue(run.id)
+    return len(runs)
--- a/coltsfootpier/node/tests/builders.py
+++ b/coltsfootpier/node/tests/builders.py
@@ -43,11 +43,11 @@
         return self.revision
 
     async def commit(
-        self, *, expect: dict[str, int], puts: Any = (), remove: Any = (), timeout_ms: Any = None
+        self, *, expect: dict[str, int], puts: Any = (), remove: Any = ()
     ) -> Result[int, PlatformError]:
         """Change keys if all of `expect` hold."""
         puts = list(puts)
-        self.commits.append({"expect": dict(expect), "puts": puts, "timeout_ms": timeout_ms})
+        self.commits.append({"expect": dict(expect), "puts": puts})
         if self.silent:
             self.silent -= 1
             await anyio.sleep_forever()
--- a/coltsfootpier/platform/_operators.py
+++ b/coltsfootpier/platform/_operators.py
@@ -26,23 +26,30 @@
     """
     try:
         value = orjson.loads(body)
-        limits = value.get("limits", {})
         return Success(
             Configuration(
                 version=int(value["version"]),
                 routes=tuple(_decode_route(route) for route in value["routes"]),
-                limits=CallerLimits(
-                    max_header_bytes=int(limits.get("max_header_bytes", 16_384)),
-                    max_body_bytes=int(limits.get("max_body_bytes", 262_144)),
-                    header_timeout_ms=float(limits.get("header_timeout_ms", 3_000.0)),
-                    idle_timeout_ms=float(limits.get("idle_timeout_ms", 15_000.0)),
-                ),
+                limits=_decode_limits(value.get("limits", {})),
             )
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         return Failure(f"not a configuration: {error!r}")
 
 
+def _decode_limits(value: dict[str, Any]) -> CallerLimits:
+    """Return the limits that a configuration names; the others have their defaults."""
+    kinds = {
+        "max_header_bytes": int,
+        "max_body_bytes": int,
+        "header_timeout_ms": float,
+        "idle_timeout_ms": float,
+    }
+    return CallerLimits(
+        **{name: kind(value[name]) for name, kind in kinds.items() if name in value}
+    )
+
+
 def _decode_route(value: dict[str, Any]) -> Route:
     return Route(
         host=value["host"].lower(),
--- a/coltsfootpier/platform/_runners.py
+++ b/coltsfootpier/platform/_runners.py
@@ -23,6 +23,7 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.jobs import TaskKey
 from coltsfootpier.platform._messages import Item
+from coltsfootpier.platform._wire import BASE_PATH, load_object
 from coltsfootpier.transport import (
     BadReply,
     CallError,
@@ -34,7 +35,6 @@
 )
 
 REGISTRY_PREFIX = "servers/"
-_BASE = "/coltsfootpier"
 # Orders at once to one runner. Its answer takes two network delays, so two connections carry
 # over 100 orders a second to a runner in another zone.
 _ORDER_CONNECTIONS = 2
@@ -154,7 +154,7 @@
             refused = isinstance(sent.failure(), NotSent)
             return (StartOutcome.REFUSED if refused else StartOutcome.UNKNOWN), None
         reply = sent.unwrap()
-        value = _load(reply)
+        value = load_object(reply)
         clock_ms = value.get("clock_ms")
         if reply.status == 200:
             return StartOutcome.STARTED, clock_ms
@@ -214,7 +214,7 @@
         sent_ms = self._clock.now_ms()
         sent = await self._reports.exchange(
             "POST",
-            f"{_BASE}/hold",
+            f"{BASE_PATH}/hold",
             headers=self._headers,
             body=orjson.dumps(body),
             timeout_ms=wait_ms + timeout_ms,
@@ -222,7 +222,7 @@
         if isinstance(sent, Failure):
             return sent
         reply = sent.unwrap()
-        value = _load(reply)
+        value = load_object(reply)
         if reply.status == 409 and value.get("reason") == "fence":
             return Failure(StartOutcome.FENCED)
         if reply.status != 200:
@@ -237,7 +237,7 @@
     ) -> Result[Reply, CallError]:
         return await self._orders.exchange(
             "POST",
-            f"{_BASE}/{call}",
+            f"{BASE_PATH}/{call}",
             headers=self._headers,
             body=orjson.dumps(body),
             timeout_ms=timeout_ms,
@@ -275,12 +275,12 @@
             "workers": list(question.runner_ids),
         }
         sent = await self._pool.exchange(
-            "POST", f"{_BASE}/advise", body=orjson.dumps(body), timeout_ms=timeout_ms
+            "POST", f"{BASE_PATH}/advise", body=orjson.dumps(body), timeout_ms=timeout_ms
         )
         if isinstance(sent, Failure):
             return sent
         reply = sent.unwrap()
-        value = _load(reply)
+        value = load_object(reply)
         try:
             if reply.status != 200:
                 return Failure(BadReply(f"status {reply.status}", reply.status))
@@ -289,14 +289,6 @@
             return Failure(BadReply(f"not an answer about runners: {error!r}", reply.status))
 
 
-def _load(reply: Reply) -> dict[str, Any]:
-    try:
-        value = orjson.loads(reply.body)
-    except ValueError:
-        return {}
-    return value if isinstance(value, dict) else {}
-
-
 def _decode_report(value: dict[str, Any], sent_ms: float, received_ms: float) -> RunnerReport:
     running = []
     for name, attempt, saved, percent, *measured in value["running"]:
--- a/coltsfootpier/platform/_store.py
+++ b/coltsfootpier/platform/_store.py
@@ -26,6 +26,7 @@
     StoreUnknown,
     Write,
 )
+from coltsfootpier.platform._wire import BASE_PATH
 from coltsfootpier.transport import LeanPool, NotSent, Reply
 
 # Entries of one transaction, as the platform's page has it.
@@ -38,7 +39,6 @@
 _RENEWAL_CONNECTIONS = 6
 # Watches at once.
 _WATCH_CONNECTIONS = 4
-_BASE = "/coltsfootpier"
 
 
 @attrs.define
@@ -146,7 +146,6 @@
         expect: dict[str, int],
         puts: Iterable[Write] = (),
         remove: Sequence[str] = (),
-        timeout_ms: float | None = None,
     ) -> Result[int, PlatformError]:
         """Change several keys at once if all of `expect` hold.
 
@@ -158,8 +157,6 @@
             Keys to be written.
         remove : sequence of str
             Keys to be removed.
-        timeout_ms : float, optional
-            Time allowed, in place of the client's.
 
         Returns
         -------
@@ -179,9 +176,7 @@
             ],
             "remove": list(remove),
         }
-        sent = await self._call(
-            "POST", "/kv-txn", body=body, pool=self._changes, timeout_ms=timeout_ms
-        )
+        sent = await self._call("POST", "/kv-txn", body=body, pool=self._changes)
         if isinstance(sent, Failure):
             return sent
         reply = sent.unwrap()
@@ -235,7 +230,7 @@
         self.counts.calls += 1
         sent = await (pool or self._calls).exchange(
             method,
-            _BASE + target,
+            BASE_PATH + target,
             body=b"" if body is None else orjson.dumps(body),
             timeout_ms=timeout_ms or self._timeout_ms,
         )
--- a/coltsfootpier/platform/_vms.py
+++ b/coltsfootpier/platform/_vms.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Any
 from urllib.parse import quote
 
 import orjson
 from returns.result import Failure, Result, Success
 
 from coltsfootpier.clock import Clock
+from coltsfootpier.platform._wire import BASE_PATH, load_object
 from coltsfootpier.transport import BadReply, CallError, LeanPool, NotSent, Reply
 from coltsfootpier.upkeep import UpkeepOrder, UpkeepOutcome, VmState, WorkerVm
 
-_BASE = "/coltsfootpier"
 # A listing and orders for a few VMs at once.
 _CONNECTIONS = 4
 # Pages of one listing at most; the target's 650 workers fit into a few.
@@ -58,7 +57,7 @@
         for _ in range(_MAX_PAGES):
             query = f"?page_token={quote(page_token, safe='')}" if page_token else ""
             sent = await self._pool.exchange(
-                "GET", f"{_BASE}/machines{query}", timeout_ms=timeout_ms
+                "GET", f"{BASE_PATH}/machines{query}", timeout_ms=timeout_ms
             )
             if isinstance(sent, Failure):
                 return sent
@@ -75,7 +74,7 @@
         """Order the upkeep of a VM, which ends everything on it at once."""
         sent = await self._pool.exchange(
             "POST",
-            f"{_BASE}/machine-upkeep",
+            f"{BASE_PATH}/machine-upkeep",
             headers=self._headers,
             body=orjson.dumps({"machine": order.vm_id, "wave": order.wave}),
             timeout_ms=timeout_ms,
@@ -87,7 +86,7 @@
         if reply.status == 200:
             return UpkeepOutcome.BEGUN
         if reply.status == 409:
-            return _REASONS.get(_load(reply).get("reason"), UpkeepOutcome.REFUSED)
+            return _REASONS.get(load_object(reply).get("reason"), UpkeepOutcome.REFUSED)
         if reply.status == 400:
             # There is no such VM.
             return UpkeepOutcome.FOREIGN
@@ -102,7 +101,7 @@
     """Return the VMs of a page and the token of the next one; empty after the last page."""
     if reply.status != 200:
         return Failure(BadReply(f"status {reply.status}", reply.status))
-    value = _load(reply)
+    value = load_object(reply)
     try:
         vms = [
             WorkerVm(
@@ -116,11 +115,3 @@
         return Success((vms, str(value.get("next_token") or "")))
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         return Failure(BadReply(f"not a listing of worker VMs: {error!r}", reply.status))
-
-
-def _load(reply: Reply) -> dict[str, Any]:
-    try:
-        value = orjson.loads(reply.body)
-    except ValueError:
-        return {}
-    return value if isinstance(value, dict) else {}
--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import secrets
 import signal
@@ -9,6 +10,7 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -168,36 +170,34 @@
         self.nodes[name] = node
         return node
 
-    async def put_configuration(self, version: int, routes: list[dict[str, Any]]) -> None:
-        """Write the operators' configuration."""
+    @contextlib.contextmanager
+    def _open_store(self) -> Iterator[StoreClient]:
         store = StoreClient(
             host="127.0.0.1", port=self.store_port, clock=self._clock, timeout_ms=5_000.0
         )
+        try:
+            yield store
+        finally:
+            store.close()
+
+    async def put_configuration(self, version: int, routes: list[dict[str, Any]]) -> None:
+        """Write the operators' configuration."""
         value = orjson.dumps({"version": version, "routes": routes, "services": []})
-        result = await store.commit(expect={}, puts=[Write(CONFIG_KEY, value)])
-        result.unwrap()
-        store.close()
+        with self._open_store() as store:
+            (await store.commit(expect={}, puts=[Write(CONFIG_KEY, value)])).unwrap()
 
     async def put_wave(self, number: int, vms: list[str], **changes: Any) -> bool:
         """Ask for the upkeep of some worker VMs; returns whether the store has answered."""
         wave = {"wave": number, "machines": vms, "duration_s": 20, "max_count": 1, **changes}
-        store = StoreClient(
-            host="127.0.0.1", port=self.store_port, clock=self._clock, timeout_ms=5_000.0
-        )
-        result = await store.commit(
-            expect={}, puts=[Write(f"{WAVES_PREFIX}{number}", orjson.dumps(wave))]
-        )
-        store.close()
-        return isinstance(result, Success)
+        write = Write(f"{WAVES_PREFIX}{number}", orjson.dumps(wave))
+        with self._open_store() as store:
+            return isinstance(await store.commit(expect={}, puts=[write]), Success)
 
     async def read_wave_status(self, number: int) -> str:
         """Return what the operators are told of a wave; empty for nothing."""
         key, _ = encode_wave_status(number, completed=True)
-        store = StoreClient(
-            host="127.0.0.1", port=self.store_port, clock=self._clock, timeout_ms=5_000.0
-        )
-        item = (await store.get(key)).unwrap()
-        store.close()
+        with self._open_store() as store:
+            item = (await store.get(key)).unwrap()
         return orjson.loads(item.value)["state"] if item.value is not None else ""
 
     async def read_upkeeps(self) -> list[dict[str, Any]]:
