Reword maintenance planning in plain technical terms

Comments and names of the upkeep package were figurative or vague (orders that are answered, lives of a runner, what is left). They now speak of maintenance, commands, responses and incarnations, and private names say what they hold.

--- a/coltsfootpier/upkeep/__init__.py
+++ b/coltsfootpier/upkeep/__init__.py
@@ -1,4 +1,4 @@
-"""Decisions about waves of upkeep: which worker VM goes down when; no I/O."""
+"""Scheduling of maintenance waves: which worker VM is taken down at what time; no I/O."""
 
 from coltsfootpier.upkeep._messages import (
     UpkeepOrder,
--- a/coltsfootpier/upkeep/_messages.py
+++ b/coltsfootpier/upkeep/_messages.py
@@ -1,4 +1,4 @@
-"""Waves of upkeep, worker VMs, and orders that take one down."""
+"""Maintenance waves, worker VMs, and the command that starts the maintenance of one VM."""
 
 from __future__ import annotations
 
@@ -9,18 +9,18 @@
 
 @attrs.frozen(kw_only=True)
 class Wave:
-    """An operator's request that some worker VMs have their upkeep.
+    """An operator's request for the maintenance of a set of worker VMs.
 
     Parameters
     ----------
     number : int
-        Identifies the wave.
+        Identifier of the wave.
     vms : tuple of str
         Identifiers of the worker VMs.
     duration_ms : float
-        Time in which all of them should have had it.
+        Time within which the maintenance of all of them should have started and ended.
     max_down : int
-        VMs of the wave that may be down for their upkeep at once.
+        Number of VMs of the wave that may be down for maintenance at the same time.
     """
 
     number: int
@@ -40,16 +40,16 @@
 
 @attrs.frozen(kw_only=True)
 class WorkerVm:
-    """A worker VM as the platform lists it.
+    """A worker VM as listed by the platform.
 
     Parameters
     ----------
     id : str
-        Identifies the VM over all lives of its runner.
+        Identifier of the VM; it stays the same over all incarnations of its runner.
     state : VmState
-        Its state.
+        State of the VM.
     runner_id : str
-        Runner that lives on it now; empty when there is none.
+        Runner that currently runs on the VM; empty when there is none.
     """
 
     id: str
@@ -59,45 +59,45 @@
 
 @attrs.frozen(kw_only=True)
 class UpkeepOrder:
-    """Order that ends everything on a worker VM and begins its upkeep."""
+    """Command that ends all runs on a worker VM at once and starts its maintenance."""
 
     wave: int
     vm_id: str
 
 
 class UpkeepOutcome(enum.Enum):
-    """What became of an order."""
+    """Outcome of a maintenance command."""
 
-    # The upkeep has begun, now or earlier.
+    # The maintenance was started by this command or by an earlier one.
     BEGUN = "begun"
-    # The VM isn't up, or it leaves; nothing was done by this order.
+    # The VM isn't up, or it is shutting down; the command had no effect.
     BUSY = "busy"
-    # A later owner has given orders about the VM.
+    # A later owner has sent commands for the VM.
     FENCED = "fenced"
     # The VM isn't part of the wave, or doesn't exist.
     FOREIGN = "foreign"
-    # The order was refused or never sent.
+    # The command was rejected or never sent.
     REFUSED = "refused"
-    # The order may have been carried out, or may be later.
+    # The command may have taken effect, or may still take effect.
     UNKNOWN = "unknown"
 
 
 @attrs.frozen(kw_only=True)
 class WaveRecord:
-    """Progress of a wave that outlives an owner.
+    """Progress of a wave, stored for the next owner.
 
     Parameters
     ----------
     number : int
         Number of the wave.
     began_unix_ms : float
-        When it was first seen, since 1970.
+        Unix time at which the wave was first seen.
     ordered : tuple of str
-        VMs whose order may be under way; recorded before the order is sent.
+        VMs whose command may be in flight; recorded before the command is sent.
     begun : tuple of str
-        VMs whose upkeep has begun.
+        VMs whose maintenance has started.
     completed : bool
-        Whether the operators were told that it is complete.
+        Whether the wave was reported to the operators as complete.
     """
 
     number: int
@@ -109,6 +109,6 @@
 
 @attrs.frozen
 class UpkeepRecord:
-    """Progress of all waves that the operators keep."""
+    """Progress of all waves that the operators have in the store."""
 
     waves: tuple[WaveRecord, ...] = ()
--- a/coltsfootpier/upkeep/_planner.py
+++ b/coltsfootpier/upkeep/_planner.py
@@ -1,11 +1,12 @@
-"""Which worker VM of a wave goes down when.
+"""Scheduling of the worker VMs of a maintenance wave.
 
-The load that it answers: operators ask for the upkeep of a third of the worker VMs within 20 to
-60 s while all of them are in use. An upkeep ends everything on its VM at once, at most a few VMs
-may be down together, and long-running steps allow few of their tasks to be away.
+Operators request maintenance of a third of the worker VMs within 20 to 60 s while all of them are
+in use. Maintenance ends all runs on its VM at once, only a few VMs may be down at the same time,
+and long-running steps tolerate only a few missing tasks.
 
-An order without an answer may be carried out later. Its VM counts as down until an answer or a
-listing settles it. It is recorded before the order is sent, so that a later owner counts it too.
+A command without a response may still take effect later. Its VM counts as down until a response
+or a listing shows the outcome. The command is recorded before it is sent, so that the next owner
+counts the VM as down too.
 """
 
 from __future__ import annotations
@@ -30,98 +31,98 @@
 
 
 class RunnerCordons(Protocol):
-    """What upkeep asks of the owner of the runners."""
+    """Operations on runners that the planner needs from the owner of the cell."""
 
     def cordon(self, runner_id: str) -> None:
-        """Give a runner nothing new."""
+        """Stop placing tasks on a runner."""
         ...
 
     def uncordon(self, runner_id: str) -> None:
-        """Use a runner again."""
+        """Place tasks on a runner again."""
         ...
 
     def measure_use(self, runner_id: str) -> float | None:
-        """Return what an end of all runs on a runner would cost; None if it can't be used now."""
+        """Return the cost of ending all runs on a runner; None if the runner can't be used now."""
         ...
 
     def is_idle(self, runner_id: str) -> bool:
-        """Return whether no run on a runner is worth waiting for."""
+        """Return whether a runner has no run that is worth waiting for."""
         ...
 
     def can_end(self, runner_id: str) -> bool:
-        """Return whether all runs on a runner may end at once."""
+        """Return whether all runs on a runner may be ended at once."""
         ...
 
     def begin_end(self, runner_id: str) -> None:
-        """Count the runs on a runner as ending."""
+        """Mark the runs on a runner as about to end."""
         ...
 
     def cancel_end(self, runner_id: str) -> None:
-        """Count the runs on a runner as at work again."""
+        """Revoke the mark of `begin_end`."""
         ...
 
     def note_ended(self, runner_id: str) -> None:
-        """Note that everything on a runner has ended."""
+        """Record that all runs on a runner have ended."""
         ...
 
 
 class _Phase(enum.Enum):
-    # Gets nothing new and waits until it is idle.
+    # Receives no new tasks and waits until it is idle.
     CORDONED = "cordoned"
-    # An order is to be sent, under way, or without an answer.
+    # The command is due, in flight, or without a response.
     ORDERED = "ordered"
-    # The upkeep has begun.
+    # The maintenance has started.
     DOWN = "down"
 
 
 @attrs.define(kw_only=True)
 class _Progress:
-    """A VM that is being taken down.
+    """Progress of a VM that is being taken down.
 
     Parameters
     ----------
-    since_ms : float
-        When its phase began.
-    is_unsure : bool
-        Whether an order may have been or may yet be carried out without an answer.
+    phase_start_ms : float
+        Start of the current phase.
+    is_outcome_unknown : bool
+        Whether a command without a response may have taken effect or may still do so.
     due_ms : float
-        When the order is to be sent; infinite while it is under way.
+        Time at which the command is to be sent; infinite while it is in flight.
     """
 
     runner_id: str
     phase: _Phase
-    since_ms: float
-    is_unsure: bool = False
+    phase_start_ms: float
+    is_outcome_unknown: bool = False
     due_ms: float = 0.0
-    is_ended: bool = False
+    is_end_recorded: bool = False
 
 
 @attrs.define(kw_only=True)
 class _WaveState:
     wave: Wave
     began_unix_ms: float
-    due_ms: float
+    deadline_ms: float
     begun: set[str] = attrs.field(factory=set)
     excluded: set[str] = attrs.field(factory=set)
-    # VMs that were busy, and when they are tried again.
-    retry_ms: dict[str, float] = attrs.field(factory=dict)
+    # VMs that were busy, with the time of the next attempt.
+    retry_at_ms: dict[str, float] = attrs.field(factory=dict)
     active: dict[str, _Progress] = attrs.field(factory=dict)
     completed: bool = False
 
 
 class UpkeepPlanner:
-    """State machine of all waves.
+    """State machine of all maintenance waves.
 
     Parameters
     ----------
     settings : UpkeepSettings
-        Times.
+        Durations.
     cordons : RunnerCordons
-        Owner of the runners.
+        Operations on runners.
     record : UpkeepRecord
-        What earlier owners have recorded.
+        Progress recorded by earlier owners.
     log : callable
-        Takes an event's name and fields.
+        Callback that logs one event with its fields.
     """
 
     def __init__(
@@ -137,97 +138,100 @@
         self._log = log
         self._recorded = {wave.number: wave for wave in record.waves}
         self._waves: dict[int, _WaveState] = {}
-        # VMs of the last listing, and identifiers of the last two.
+        # VMs of the last listing, and identifiers of the VMs of the last two.
         self._vms: dict[str, WorkerVm] = {}
-        self._kept: set[str] = set()
+        self._recent_ids: set[str] = set()
 
     @property
     def is_active(self) -> bool:
-        """Whether a wave isn't complete, or a VM isn't back from its upkeep."""
+        """Whether a wave is incomplete, or a VM hasn't returned from maintenance."""
         return any(not state.completed or state.active for state in self._waves.values())
 
     def set_waves(self, waves: Iterable[Wave], *, now_ms: float, unix_ms: float) -> None:
-        """Take the waves that the operators ask for now.
+        """Replace the set of waves requested by the operators.
 
         Parameters
         ----------
         waves : iterable of Wave
-            All of them.
+            All waves that are requested now.
         now_ms, unix_ms : float
-            Local time, and time since 1970.
+            Local time and Unix time.
         """
         wanted = {wave.number: wave for wave in waves}
         for number in set(self._waves) - set(wanted):
-            self._drop(self._waves.pop(number))
+            self._withdraw(self._waves.pop(number))
         for number, wave in sorted(wanted.items()):
             state = self._waves.get(number)
             if state is None:
-                self._waves[number] = self._open(wave, now_ms, unix_ms)
+                self._waves[number] = self._add_wave(wave, now_ms, unix_ms)
             elif state.wave != wave:
                 state.wave = wave
                 state.completed = False
 
-    def _open(self, wave: Wave, now_ms: float, unix_ms: float) -> _WaveState:
+    def _add_wave(self, wave: Wave, now_ms: float, unix_ms: float) -> _WaveState:
         record = self._recorded.get(wave.number)
         began_unix_ms = record.began_unix_ms if record is not None else unix_ms
         state = _WaveState(
             wave=wave,
             began_unix_ms=began_unix_ms,
-            due_ms=now_ms + wave.duration_ms - (unix_ms - began_unix_ms),
+            deadline_ms=now_ms + wave.duration_ms - (unix_ms - began_unix_ms),
         )
         if record is not None:
             state.begun.update(record.begun)
             state.completed = record.completed
             for vm_id in record.ordered:
-                # Only these can have an order of the owner before: each is recorded first.
+                # Every command is recorded before it is sent, so the previous owner can have sent
+                # commands only to these VMs.
                 state.active[vm_id] = _Progress(
                     runner_id="",
                     phase=_Phase.ORDERED,
-                    since_ms=now_ms,
-                    is_unsure=True,
+                    phase_start_ms=now_ms,
+                    is_outcome_unknown=True,
                     due_ms=now_ms + self._settings.takeover_ms,
                 )
         self._log(
-            "upkeep wave",
+            "maintenance wave opened",
             wave=wave.number,
             vms=len(wave.vms),
             max_down=wave.max_down,
             begun=len(state.begun),
-            left_ms=state.due_ms - now_ms,
+            remaining_ms=state.deadline_ms - now_ms,
         )
         return state
 
-    def _drop(self, state: _WaveState) -> None:
-        """Forget a wave that was withdrawn; VMs that were only cordoned are used again."""
-        self._log("upkeep wave withdrawn", wave=state.wave.number)
+    def _withdraw(self, state: _WaveState) -> None:
+        """Release the VMs of a wave that the operators have withdrawn."""
+        self._log("maintenance wave withdrawn", wave=state.wave.number)
         for progress in state.active.values():
             self._release(progress)
 
     def take_vms(self, vms: Iterable[WorkerVm], *, asked_ms: float) -> None:
-        """Take a complete listing of the worker VMs.
+        """Apply a complete listing of the worker VMs.
 
         Parameters
         ----------
         vms : iterable of WorkerVm
-            All of them.
+            All worker VMs.
         asked_ms : float
-            Local time before the listing was asked for.
+            Local time just before the listing was requested.
         """
         previous = set(self._vms)
         self._vms = {vm.id: vm for vm in vms}
-        # Pages of a listing are not a snapshot, so one listing may miss a VM.
-        self._kept = previous | set(self._vms)
+        # The pages of a listing are not one snapshot, so a single listing may miss a VM.
+        self._recent_ids = previous | set(self._vms)
         for state in self._waves.values():
             for vm_id, progress in list(state.active.items()):
-                if asked_ms >= progress.since_ms:
-                    self._follow(state, vm_id, progress, asked_ms)
+                if asked_ms >= progress.phase_start_ms:
+                    self._reconcile(state, vm_id, progress, asked_ms)
 
-    def _follow(self, state: _WaveState, vm_id: str, progress: _Progress, asked_ms: float) -> None:
-        """Compare what was ordered with the state of the VM."""
+    def _reconcile(
+        self, state: _WaveState, vm_id: str, progress: _Progress, asked_ms: float
+    ) -> None:
+        """Update the progress of a VM from its listed state."""
         vm = self._vms.get(vm_id)
         if vm is None:
-            if vm_id not in self._kept:
-                self._log("worker gone", wave=state.wave.number, worker=vm_id)
+            if vm_id not in self._recent_ids:
+                self._log("worker VM no longer listed", wave=state.wave.number, worker=vm_id)
                 self._remove_active(state, vm_id, progress)
             return
         if progress.phase is _Phase.CORDONED:
@@ -236,46 +240,51 @@
             return
         if progress.phase is _Phase.ORDERED:
             if vm.state is VmState.UPKEEP:
-                # An order without an answer was carried out.
-                self._note_begun(state, vm_id, progress, asked_ms)
+                # A command without a response has taken effect.
+                self._mark_started(state, vm_id, progress, asked_ms)
             elif vm.runner_id != progress.runner_id and progress.due_ms < math.inf:
                 self._release(progress)
                 progress.runner_id = vm.runner_id
         if progress.phase is not _Phase.DOWN:
             return
-        if vm.state is VmState.UPKEEP and not progress.is_ended:
-            progress.is_ended = True
+        if vm.state is VmState.UPKEEP and not progress.is_end_recorded:
+            progress.is_end_recorded = True
             self._cordons.note_ended(progress.runner_id)
         elif vm.state is VmState.UP:
-            self._log("worker back", wave=state.wave.number, worker=vm_id, runner=vm.runner_id)
+            self._log(
+                "worker VM up after maintenance",
+                wave=state.wave.number,
+                worker=vm_id,
+                runner=vm.runner_id,
+            )
             self._remove_active(state, vm_id, progress)
 
     def plan(self, now_ms: float) -> list[UpkeepOrder]:
-        """Cordon the next VMs and return the orders that are due.
+        """Cordon the next VMs and return the commands that are due.
 
-        An order may be sent only once `export` was recorded, since the order may be carried out
-        after its sender is gone.
+        The result of `export` must be recorded before a command is sent, because the command may
+        take effect after its sender has stopped.
         """
-        orders: list[UpkeepOrder] = []
+        commands: list[UpkeepOrder] = []
         if not self._vms:
-            return orders
+            return commands
         for state in self._waves.values():
             if state.completed:
                 continue
             self._cordon_next(state, now_ms)
             for vm_id, progress in state.active.items():
-                if progress.phase is _Phase.CORDONED and self._is_due(state, progress, now_ms):
-                    progress.phase, progress.since_ms = _Phase.ORDERED, now_ms
+                if progress.phase is _Phase.CORDONED and self._may_go_down(state, progress, now_ms):
+                    progress.phase, progress.phase_start_ms = _Phase.ORDERED, now_ms
                     progress.due_ms = now_ms
                 is_due = progress.phase is _Phase.ORDERED and progress.due_ms <= now_ms
-                if is_due and self._may_send(vm_id, progress):
+                if is_due and self._try_mark_ending(vm_id, progress):
                     progress.due_ms = math.inf
-                    orders.append(UpkeepOrder(wave=state.wave.number, vm_id=vm_id))
+                    commands.append(UpkeepOrder(wave=state.wave.number, vm_id=vm_id))
             self._check_complete(state)
-        return orders
+        return commands
 
-    def _may_send(self, vm_id: str, progress: _Progress) -> bool:
-        """Return whether an order may end what runs on the VM now; counts it as ending then."""
+    def _try_mark_ending(self, vm_id: str, progress: _Progress) -> bool:
+        """Mark the runs on a VM as ending if they may end now; return whether they may."""
         vm = self._vms.get(vm_id)
         if vm is None or vm.state is not VmState.UP or vm.runner_id != progress.runner_id:
             return False
@@ -286,48 +295,48 @@
         return True
 
     def _cordon_next(self, state: _WaveState, now_ms: float) -> None:
-        down = self._count_down(state)
+        down = self._count_vms_down(state)
         cordoned = sum(progress.phase is _Phase.CORDONED for progress in state.active.values())
-        free = state.wave.max_down - down - cordoned
-        if free <= 0:
+        available = state.wave.max_down - down - cordoned
+        if available <= 0:
             return
-        elsewhere = {
+        in_other_waves = {
             vm_id for other in self._waves.values() if other is not state for vm_id in other.active
         }
         candidates: list[tuple[float, str]] = []
-        for vm_id in self._list_left(state):
+        for vm_id in self._list_pending(state):
             vm = self._vms.get(vm_id)
             if (
                 vm is None
                 or vm.state is not VmState.UP
                 or vm_id in state.active
-                or vm_id in elsewhere
-                or state.retry_ms.get(vm_id, now_ms) > now_ms
+                or vm_id in in_other_waves
+                or state.retry_at_ms.get(vm_id, now_ms) > now_ms
             ):
                 continue
-            # A VM of a pool that is off has no runner.
-            use = self._cordons.measure_use(vm.runner_id) if vm.runner_id else 0.0
-            if use is not None:
-                candidates.append((use, vm_id))
-        for _, vm_id in sorted(candidates)[:free]:
+            # A VM of a pool that is switched off has no runner.
+            cost = self._cordons.measure_use(vm.runner_id) if vm.runner_id else 0.0
+            if cost is not None:
+                candidates.append((cost, vm_id))
+        for _, vm_id in sorted(candidates)[:available]:
             runner_id = self._vms[vm_id].runner_id
             self._cordons.cordon(runner_id)
             state.active[vm_id] = _Progress(
-                runner_id=runner_id, phase=_Phase.CORDONED, since_ms=now_ms
+                runner_id=runner_id, phase=_Phase.CORDONED, phase_start_ms=now_ms
             )
-            self._log("worker cordoned", wave=state.wave.number, worker=vm_id, runner=runner_id)
+            self._log("worker VM cordoned", wave=state.wave.number, worker=vm_id, runner=runner_id)
 
-    def _list_left(self, state: _WaveState) -> list[str]:
+    def _list_pending(self, state: _WaveState) -> list[str]:
         done = state.begun | state.excluded
         return [vm_id for vm_id in state.wave.vms if vm_id not in done]
 
-    def _count_down(self, state: _WaveState) -> int:
+    def _count_vms_down(self, state: _WaveState) -> int:
         down = {
             vm_id
             for vm_id, progress in state.active.items()
             if progress.phase is not _Phase.CORDONED
         }
-        # VMs that an earlier owner took down.
+        # VMs taken down by an earlier owner.
         down |= {
             vm_id
             for vm_id in state.wave.vms
@@ -335,58 +344,63 @@
         }
         return len(down)
 
-    def _is_due(self, state: _WaveState, progress: _Progress, now_ms: float) -> bool:
-        """Return whether a cordoned VM is idle or can't wait any longer, and its runs may end."""
+    def _may_go_down(self, state: _WaveState, progress: _Progress, now_ms: float) -> bool:
+        """Return whether the runs on a cordoned VM may end and it is idle or has waited enough."""
         if not self._cordons.can_end(progress.runner_id):
             return False
-        waited_ms = now_ms - progress.since_ms
-        return self._cordons.is_idle(progress.runner_id) or waited_ms >= self._measure_wait(
+        waited_ms = now_ms - progress.phase_start_ms
+        return self._cordons.is_idle(progress.runner_id) or waited_ms >= self._compute_max_wait_ms(
             state, now_ms
         )
 
-    def _measure_wait(self, state: _WaveState, now_ms: float) -> float:
-        """Return how long a VM may wait for its runs so that the wave ends in time, in ms."""
+    def _compute_max_wait_ms(self, state: _WaveState, now_ms: float) -> float:
+        """Return how long a VM may wait to become idle so that the wave ends in time, in ms."""
         settings = self._settings
-        rounds = math.ceil(len(self._list_left(state)) / state.wave.max_down)
-        spare_ms = (state.due_ms - now_ms) / max(1, rounds)
+        remaining_rounds = math.ceil(len(self._list_pending(state)) / state.wave.max_down)
+        spare_ms = (state.deadline_ms - now_ms) / max(1, remaining_rounds)
         spare_ms -= settings.upkeep_ms + settings.round_margin_ms
         return min(settings.idle_wait_ms, max(0.0, spare_ms))
 
     def _check_complete(self, state: _WaveState) -> None:
-        left = [vm_id for vm_id in self._list_left(state) if vm_id in self._kept]
-        if not left and not any(
+        pending = [vm_id for vm_id in self._list_pending(state) if vm_id in self._recent_ids]
+        if not pending and not any(
             progress.phase is _Phase.ORDERED for progress in state.active.values()
         ):
             state.completed = True
-            self._log("upkeep wave complete", wave=state.wave.number, begun=len(state.begun))
+            self._log("maintenance wave complete", wave=state.wave.number, begun=len(state.begun))
 
-    def answered(self, order: UpkeepOrder, outcome: UpkeepOutcome, now_ms: float) -> None:
-        """Take the answer to an order."""
-        state = self._waves.get(order.wave)
-        progress = state.active.get(order.vm_id) if state is not None else None
+    def answered(self, command: UpkeepOrder, outcome: UpkeepOutcome, now_ms: float) -> None:
+        """Handle the outcome of a command."""
+        state = self._waves.get(command.wave)
+        progress = state.active.get(command.vm_id) if state is not None else None
         if state is None or progress is None or progress.phase is not _Phase.ORDERED:
             return
-        self._log("upkeep ordered", wave=order.wave, worker=order.vm_id, outcome=outcome.value)
+        self._log(
+            "maintenance command answered",
+            wave=command.wave,
+            worker=command.vm_id,
+            outcome=outcome.value,
+        )
         if outcome is UpkeepOutcome.BEGUN:
-            self._note_begun(state, order.vm_id, progress, now_ms)
+            self._mark_started(state, command.vm_id, progress, now_ms)
         elif outcome is UpkeepOutcome.UNKNOWN:
-            progress.is_unsure = True
-            progress.due_ms = now_ms + self._settings.repeat_ms
+            progress.is_outcome_unknown = True
+            progress.due_ms = now_ms + self._settings.resend_delay_ms
         elif outcome is UpkeepOutcome.FOREIGN:
-            state.excluded.add(order.vm_id)
-            self._remove_active(state, order.vm_id, progress)
-        elif progress.is_unsure:
-            # An earlier order may still be carried out, so the VM goes on counting as down.
-            progress.due_ms = now_ms + self._settings.busy_ms
+            state.excluded.add(command.vm_id)
+            self._remove_active(state, command.vm_id, progress)
+        elif progress.is_outcome_unknown:
+            # An earlier command may still take effect, so the VM keeps counting as down.
+            progress.due_ms = now_ms + self._settings.busy_retry_delay_ms
         else:
-            state.retry_ms[order.vm_id] = now_ms + self._settings.busy_ms
-            self._remove_active(state, order.vm_id, progress)
+            state.retry_at_ms[command.vm_id] = now_ms + self._settings.busy_retry_delay_ms
+            self._remove_active(state, command.vm_id, progress)
 
-    def _note_begun(
+    def _mark_started(
         self, state: _WaveState, vm_id: str, progress: _Progress, now_ms: float
     ) -> None:
         state.begun.add(vm_id)
-        progress.phase, progress.since_ms = _Phase.DOWN, now_ms
+        progress.phase, progress.phase_start_ms = _Phase.DOWN, now_ms
 
     def _remove_active(self, state: _WaveState, vm_id: str, progress: _Progress) -> None:
         del state.active[vm_id]
@@ -396,10 +410,10 @@
         self._cordons.cancel_end(progress.runner_id)
         self._cordons.uncordon(progress.runner_id)
 
-    # What outlives this owner
+    # State handed to the next owner
 
     def export(self) -> UpkeepRecord:
-        """Return what the next owner has to know."""
+        """Return the progress that the next owner needs."""
         return UpkeepRecord(
             tuple(
                 WaveRecord(
@@ -420,5 +434,5 @@
         )
 
     def list_states(self) -> dict[int, bool]:
-        """Return for each wave whether it is complete."""
+        """Return whether each wave is complete, by number."""
         return {number: state.completed for number, state in self._waves.items()}
--- a/coltsfootpier/upkeep/tests/builders.py
+++ b/coltsfootpier/upkeep/tests/builders.py
@@ -1,4 +1,4 @@
-"""Builders of test data for upkeep, and worker VMs that are simulated."""
+"""Test data builders for maintenance, and a simulation of worker VMs."""
 
 from __future__ import annotations
 
@@ -19,18 +19,18 @@
 )
 
 UNIX_MS = 1_700_000_000_000.0
-UPKEEP_MS = 2_000.0
+MAINTENANCE_MS = 2_000.0
 
 
 def build_wave(*vms: str, **changes: Any) -> Wave:
-    """Build a wave that takes one VM down after the other."""
+    """Build a wave that takes its VMs down one at a time."""
     values = {"number": 1, "vms": vms, "duration_ms": 60_000.0, "max_down": 1}
     return Wave(**{**values, **changes})
 
 
 @attrs.define
 class FakeCordons:
-    """Owner of runners without any runs."""
+    """Test double of `RunnerCordons` without any runs."""
 
     busy: set[str] = attrs.field(factory=set)
     unendable: set[str] = attrs.field(factory=set)
@@ -41,97 +41,97 @@
     ended: list[str] = attrs.field(factory=list)
 
     def cordon(self, runner_id: str) -> None:
-        """Give a runner nothing new."""
+        """Stop placing tasks on a runner."""
         self.cordoned.add(runner_id)
 
     def uncordon(self, runner_id: str) -> None:
-        """Use a runner again."""
+        """Place tasks on a runner again."""
         self.cordoned.discard(runner_id)
 
     def measure_use(self, runner_id: str) -> float | None:
-        """Return what an end would cost."""
+        """Return the configured cost of ending all runs; None if the runner is unusable."""
         return None if runner_id in self.unusable else self.uses.get(runner_id, 0.0)
 
     def is_idle(self, runner_id: str) -> bool:
-        """Return whether nothing is worth waiting for."""
+        """Return whether the runner isn't configured as busy."""
         return runner_id not in self.busy
 
     def can_end(self, runner_id: str) -> bool:
-        """Return whether all runs may end."""
+        """Return whether all runs may be ended at once."""
         return runner_id not in self.unendable
 
     def begin_end(self, runner_id: str) -> None:
-        """Count runs as ending."""
+        """Mark the runs on a runner as about to end."""
         self.ending.add(runner_id)
 
     def cancel_end(self, runner_id: str) -> None:
-        """Count runs as at work."""
+        """Revoke the mark of `begin_end`."""
         self.ending.discard(runner_id)
 
     def note_ended(self, runner_id: str) -> None:
-        """Note that everything has ended."""
+        """Record that all runs on a runner have ended."""
         self.ended.append(runner_id)
 
 
-class Answer(enum.Enum):
-    """How the simulated platform treats an order."""
+class Response(enum.Enum):
+    """How the simulated platform handles a command."""
 
     PROMPT = "prompt"
-    # Carried out, and not answered.
+    # Executed at once; the response is lost.
     LOST = "lost"
-    # Not answered, and carried out later.
+    # The response is lost; executed later.
     LATE = "late"
 
 
 @attrs.define
 class SimulatedVm:
-    """A worker VM; its runner gets a new identifier with each life."""
+    """A worker VM whose runner gets a new identifier with each incarnation."""
 
     id: str
-    life: int = 1
+    incarnation: int = 1
     up_ms: float = 0.0
-    upkeeps: int = 0
+    maintenance_count: int = 0
 
     @property
     def runner_id(self) -> str:
-        """Runner of the present life."""
-        return f"{self.id}-{self.life}"
+        """Identifier of the current incarnation's runner."""
+        return f"{self.id}-{self.incarnation}"
 
 
 class SimulatedVms:
-    """Worker VMs, a planner and the orders between them, on a virtual clock.
+    """Simulation of worker VMs that execute the commands of a planner, with virtual time.
 
     Parameters
     ----------
     names : tuple of str
         Identifiers of the VMs.
     record : UpkeepRecord
-        What an earlier owner has recorded.
+        Progress recorded by an earlier owner.
     """
 
     def __init__(self, *names: str, record: UpkeepRecord | None = None) -> None:
         self.now_ms = 1_000.0
         self.vms = {name: SimulatedVm(name) for name in names}
         self.waves: list[Wave] = []
-        self.answers: list[Answer] = []
-        self.late: list[tuple[float, UpkeepOrder]] = []
-        self.most_down = 0
-        self.orders: list[UpkeepOrder] = []
+        self.responses: list[Response] = []
+        self.delayed: list[tuple[float, UpkeepOrder]] = []
+        self.peak_down = 0
+        self.commands: list[UpkeepOrder] = []
         self.events: list[str] = []
-        self.restart(record or UpkeepRecord())
+        self.change_owner(record or UpkeepRecord())
 
-    def restart(self, record: UpkeepRecord) -> None:
-        """Let another owner take over."""
+    def change_owner(self, record: UpkeepRecord) -> None:
+        """Replace the planner by that of the next owner."""
         self.cordons = FakeCordons()
         self.planner = UpkeepPlanner(
-            settings=UpkeepSettings(upkeep_ms=UPKEEP_MS),
+            settings=UpkeepSettings(upkeep_ms=MAINTENANCE_MS),
             cordons=self.cordons,
             record=record,
             log=lambda event, /, **fields: self.events.append(event),
         )
 
     def list_vms(self) -> list[WorkerVm]:
-        """Return the VMs as the platform lists them."""
+        """Return the VMs in the form of the platform's listing."""
         return [
             (
                 WorkerVm(id=vm.id, state=VmState.UP, runner_id=vm.runner_id)
@@ -141,46 +141,46 @@
             for vm in self.vms.values()
         ]
 
-    def carry_out(self, order: UpkeepOrder) -> UpkeepOutcome:
-        """Take a VM down."""
-        vm = self.vms[order.vm_id]
-        if vm.upkeeps:
+    def execute(self, command: UpkeepOrder) -> UpkeepOutcome:
+        """Start the maintenance of a VM, as the platform does."""
+        vm = self.vms[command.vm_id]
+        if vm.maintenance_count:
             return UpkeepOutcome.BEGUN
         if vm.up_ms > self.now_ms:
             return UpkeepOutcome.BUSY
-        vm.upkeeps += 1
-        vm.life += 1
-        vm.up_ms = self.now_ms + UPKEEP_MS
+        vm.maintenance_count += 1
+        vm.incarnation += 1
+        vm.up_ms = self.now_ms + MAINTENANCE_MS
         down = sum(other.up_ms > self.now_ms for other in self.vms.values())
-        self.most_down = max(self.most_down, down)
+        self.peak_down = max(self.peak_down, down)
         return UpkeepOutcome.BEGUN
 
     def step(self, duration_ms: float = 100.0) -> None:
-        """Pass time, list the VMs, plan, and carry the orders out."""
+        """Advance the time, list the VMs, plan, and execute the commands that are due."""
         self.now_ms += duration_ms
-        for due in [due for due in self.late if due[0] <= self.now_ms]:
-            self.late.remove(due)
-            self.carry_out(due[1])
+        for due in [due for due in self.delayed if due[0] <= self.now_ms]:
+            self.delayed.remove(due)
+            self.execute(due[1])
         self.planner.set_waves(self.waves, now_ms=self.now_ms, unix_ms=UNIX_MS + self.now_ms)
         self.planner.take_vms(self.list_vms(), asked_ms=self.now_ms)
-        for order in self.planner.plan(self.now_ms):
-            self.orders.append(order)
-            answer = self.answers.pop(0) if self.answers else Answer.PROMPT
-            if answer is Answer.LATE:
-                self.late.append((self.now_ms + 3_000.0, order))
+        for command in self.planner.plan(self.now_ms):
+            self.commands.append(command)
+            response = self.responses.pop(0) if self.responses else Response.PROMPT
+            if response is Response.LATE:
+                self.delayed.append((self.now_ms + 3_000.0, command))
                 outcome = UpkeepOutcome.UNKNOWN
             else:
-                outcome = self.carry_out(order)
-            if answer is Answer.LOST:
+                outcome = self.execute(command)
+            if response is Response.LOST:
                 outcome = UpkeepOutcome.UNKNOWN
-            self.planner.answered(order, outcome, self.now_ms)
+            self.planner.answered(command, outcome, self.now_ms)
 
     def run(self, duration_ms: float) -> None:
-        """Step for some time."""
+        """Simulate a time span in steps of 100 ms."""
         for _ in range(int(duration_ms / 100.0)):
             self.step()
 
     @property
-    def upkeeps(self) -> list[int]:
-        """Number of upkeeps of each VM."""
-        return [vm.upkeeps for vm in self.vms.values()]
+    def maintenance_counts(self) -> list[int]:
+        """Number of times that each VM had maintenance."""
+        return [vm.maintenance_count for vm in self.vms.values()]
