Reword platform clients in plain technical terms

They now speak of commands, queries and responses and say what is decoded. Names on the wire are untouched.

--- a/coltsfootpier/platform/__init__.py
+++ b/coltsfootpier/platform/__init__.py
@@ -1,4 +1,4 @@
-"""The platform's interfaces: names, formats and calls, and nothing that decides."""
+"""Clients, names and message formats of the platform's interfaces; no decisions."""
 
 from coltsfootpier.platform._callers import (
     DEADLINE_HEADER,
--- a/coltsfootpier/platform/_client.py
+++ b/coltsfootpier/platform/_client.py
@@ -1,4 +1,4 @@
-"""The store with JSON values, and the list of VMs, as the daemon of declared texts uses them."""
+"""Client of the store with JSON values and of the list of VMs, for `coltsfootpier.daemon`."""
 
 from __future__ import annotations
 
@@ -27,17 +27,17 @@
 
 
 @attrs.frozen
-class _Vms:
+class _VmList:
     vms: tuple[Vm, ...]
 
 
 class PlatformClient:
-    """Calls of the store with one key each, and of the list of VMs.
+    """Client of the store, for changes of a single key, and of the list of VMs.
 
     Parameters
     ----------
     host : str
-        IP number of the platform.
+        IP address of the platform.
     port : int
         TCP port.
     clock : Clock
@@ -53,12 +53,16 @@
 
     @property
     def call_count(self) -> int:
-        """Number of calls of the store so far."""
+        """Number of calls to the store so far."""
         return self._store.counts.calls
 
     async def get(self, key: str) -> Result[Item, PlatformError]:
         """Read one key; a missing key has version 0."""
-        return (await self._store.get(key)).bind(_load).bind(lambda item: _check_key(key, item))
+        return (
+            (await self._store.get(key))
+            .bind(_decode_value)
+            .bind(lambda item: _check_key(key, item))
+        )
 
     async def put(
         self, key: str, value: Any, *, expected_version: int, lease: str = ""
@@ -68,19 +72,20 @@
         Returns
         -------
         Result of Item or PlatformError
-            `Conflict` with the current item; `StoreUnknown` when the write may have happened.
+            `Conflict` holds the current item; `StoreUnknown` means that the write may have taken
+            effect.
         """
         write = Write(key, orjson.dumps(value), int(lease or 0))
         result = await self._store.commit(expect={key: expected_version}, puts=[write])
-        return _settle(key, result, value)
+        return _convert_commit(key, result, value)
 
     async def delete(self, key: str, *, expected_version: int) -> Result[Item, PlatformError]:
         """Delete one key if its version is `expected_version`."""
         result = await self._store.commit(expect={key: expected_version}, remove=[key])
-        return _settle(key, result.map(lambda _: 0), None)
+        return _convert_commit(key, result.map(lambda _: 0), None)
 
     async def list(self, prefix: str) -> Result[Listing, PlatformError]:
-        """Read all keys under a prefix, at the store revision before the first page."""
+        """Read all keys under a prefix; the revision is that of the first page."""
         items: list[Item] = []
         first_revision = 0
         has_more = True
@@ -92,26 +97,26 @@
             first_revision = first_revision or page.store_revision
             items.extend(page.items)
             has_more = page.has_more and bool(page.items)
-        return _load_all(items).map(lambda loaded: Listing(loaded, first_revision))
+        return _decode_values(items).map(lambda decoded: Listing(decoded, first_revision))
 
     async def watch(
         self, prefix: str, *, after: int, wait_ms: int
     ) -> Result[Watched, PlatformError]:
-        """Wait for changes under a prefix after a store revision, at most `wait_ms`."""
+        """Wait at most `wait_ms` for changes under a prefix after a store revision."""
         result = await self._store.watch(prefix, after=after, wait_ms=wait_ms)
         if isinstance(result, Failure):
             if isinstance(result.failure(), HistoryLost):
                 return Success(Watched((), after, reset=True))
             return result
         events = result.unwrap()
-        return _load_all(events.items).map(lambda items: Watched(items, events.store_revision))
+        return _decode_values(events.items).map(lambda items: Watched(items, events.store_revision))
 
     async def grant_lease(self, *, ttl_ms: float) -> Result[str, PlatformError]:
         """Obtain a lease."""
         return (await self._store.grant_lease(ttl_ms=ttl_ms)).map(lambda lease: str(lease.id))
 
     async def renew_lease(self, lease: str) -> Result[str, PlatformError]:
-        """Renew a lease; `LeaseLost` when it ended before."""
+        """Renew a lease; the failure is `LeaseLost` when the lease has already ended."""
         return (await self._store.renew_lease(int(lease))).map(lambda _: lease)
 
     async def revoke_lease(self, lease: str) -> Result[str, PlatformError]:
@@ -119,7 +124,7 @@
         return (await self._store.end_lease(int(lease))).map(lambda _: lease)
 
     async def list_vms(self) -> Result[tuple[Vm, ...], PlatformError]:
-        """Read the list of VMs, which lags."""
+        """Read the list of VMs, which may be out of date."""
         sent = await self._vms.exchange("GET", "/v1/vms", timeout_ms=self._timeout_ms)
         if isinstance(sent, Failure):
             error = sent.failure()
@@ -127,39 +132,39 @@
             return Failure(kind(error.reason))
         reply = sent.unwrap()
         if reply.status != 200:
-            return Failure(StoreUnavailable(f"status {reply.status}"))
+            return Failure(StoreUnavailable(f"unexpected status {reply.status}"))
         try:
-            return Success(decode(reply.body, _Vms).vms)
+            return Success(decode(reply.body, _VmList).vms)
         except MalformedMessageError as error:
             return Failure(StoreUnknown(str(error)))
 
 
-def _load(item: Item) -> Result[Item, PlatformError]:
+def _decode_value(item: Item) -> Result[Item, PlatformError]:
     if item.value is None:
         return Success(item)
     try:
         return Success(attrs.evolve(item, value=orjson.loads(item.value)))
     except ValueError as error:
-        return Failure(StoreUnknown(f"{item.key}: not JSON: {error}"))
+        return Failure(StoreUnknown(f"{item.key}: value is not valid JSON: {error}"))
 
 
-def _load_all(items: Any) -> Result[tuple[Item, ...], PlatformError]:
-    loaded: list[Item] = []
+def _decode_values(items: Any) -> Result[tuple[Item, ...], PlatformError]:
+    decoded: list[Item] = []
     for item in items:
-        result = _load(item)
+        result = _decode_value(item)
         if isinstance(result, Failure):
             return result
-        loaded.append(result.unwrap())
-    return Success(tuple(loaded))
+        decoded.append(result.unwrap())
+    return Success(tuple(decoded))
 
 
 def _check_key(key: str, item: Item) -> Result[Item, PlatformError]:
     if item.key != key:
-        return Failure(StoreUnknown(f"the answer is about {item.key!r}, not {key!r}"))
+        return Failure(StoreUnknown(f"the response is for key {item.key!r}, not {key!r}"))
     return Success(item)
 
 
-def _settle(
+def _convert_commit(
     key: str, result: Result[int, PlatformError], value: Any
 ) -> Result[Item, PlatformError]:
     if not isinstance(result, Failure):
@@ -169,4 +174,4 @@
     if not isinstance(error, ConditionFailed):
         return result
     current = next((item for item in error.items if item.key == key), Item(key))
-    return _load(current).bind(lambda item: Failure(Conflict(item)))
+    return _decode_value(current).bind(lambda item: Failure(Conflict(item)))
--- a/coltsfootpier/platform/_messages.py
+++ b/coltsfootpier/platform/_messages.py
@@ -1,4 +1,4 @@
-"""Data and failures of the platform's interface."""
+"""Values and failures of the platform's interfaces."""
 
 from __future__ import annotations
 
@@ -14,13 +14,13 @@
     Parameters
     ----------
     key : str
-        Its key.
+        Key of the value.
     value : JSON value
-        The content; None when the key was deleted.
+        Content; None when the key was deleted.
     version : int
         Version of the key; 0 when it doesn't exist.
     changed : int
-        Store revision of the last change, also of a removal.
+        Store revision of the last change, including a deletion.
     """
 
     key: str
@@ -39,7 +39,7 @@
 
 @attrs.frozen
 class Watched:
-    """Items that changed after a store revision; `reset` asks for a new listing."""
+    """Items that changed after a store revision; after `reset` a new listing is required."""
 
     items: tuple[Item, ...]
     revision: int
@@ -48,7 +48,7 @@
 
 @attrs.frozen
 class Vm:
-    """One entry of the list of VMs; the list lags.
+    """One entry of the list of VMs; the list may be out of date.
 
     Parameters
     ----------
@@ -57,7 +57,7 @@
     state : str
         ``live``, ``leaving`` or ``gone``.
     address : str
-        ``IP:PORT`` of its worker interface; empty for other VMs.
+        ``IP:PORT`` of its worker interface; empty for VMs that aren't workers.
     """
 
     name: str
@@ -70,28 +70,28 @@
 
 @attrs.frozen
 class Conflict:
-    """A conditional write found another version; `current` is what the store holds."""
+    """A conditional write failed on another version; `current` is the item in the store."""
 
     current: Item
 
 
 @attrs.frozen
 class LeaseLost:
-    """The store doesn't know the lease (any more)."""
+    """The lease has ended or never existed in the store."""
 
     lease: str
 
 
 @attrs.frozen
 class StoreUnavailable:
-    """The store refused the call or was not reached; nothing took effect."""
+    """The store rejected the call or was not reached; the call had no effect."""
 
     reason: str
 
 
 @attrs.frozen
 class StoreUnknown:
-    """The answer was lost; the call may have taken effect."""
+    """The response was lost; the call may have taken effect or may still do so."""
 
     reason: str
 
@@ -107,7 +107,7 @@
 
 @attrs.frozen
 class Events:
-    """Changes under a prefix in order; a removed key has version 0."""
+    """Changes under a prefix, in order; a removed key has version 0."""
 
     items: tuple[Item, ...]
     store_revision: int
@@ -115,7 +115,7 @@
 
 @attrs.frozen
 class Write:
-    """A key to be written; `lease` 0 keeps it until it is removed."""
+    """A key to write; with `lease` 0 it exists until it is removed."""
 
     key: str
     value: bytes
@@ -124,7 +124,7 @@
 
 @attrs.frozen
 class StoreLease:
-    """A lease and the time in ms for which it holds from the arrival of its grant."""
+    """A lease and its duration in ms, counted from the arrival of its grant."""
 
     id: int
     ttl_ms: float
@@ -132,7 +132,7 @@
 
 @attrs.frozen
 class ConditionFailed:
-    """A conditional change was not made; `items` are the current ones of its conditions."""
+    """The conditions of a change don't hold; `items` are the current items of their keys."""
 
     items: tuple[Item, ...]
 
--- a/coltsfootpier/platform/_operators.py
+++ b/coltsfootpier/platform/_operators.py
@@ -1,4 +1,4 @@
-"""What operators write into the store, and what they read there."""
+"""Store values that operators write and read: configuration, waves, status of waves."""
 
 from __future__ import annotations
 
@@ -17,12 +17,13 @@
 
 
 def decode_configuration(body: bytes) -> Result[Configuration, str]:
-    """Decode the newest configuration.
+    """Decode the configuration.
 
     Returns
     -------
     Result of Configuration or str
-        A failure says what could not be read; the configuration before stays in force then.
+        A failure describes what could not be decoded; the previous configuration then stays in
+        force.
     """
     try:
         value = orjson.loads(body)
@@ -38,7 +39,7 @@
 
 
 def _decode_limits(value: dict[str, Any]) -> CallerLimits:
-    """Return the limits that a configuration names; the others have their defaults."""
+    """Return the limits set by a configuration; limits that it omits have their defaults."""
     kinds = {
         "max_header_bytes": int,
         "max_body_bytes": int,
@@ -61,7 +62,7 @@
             priority=int(value.get("priority", 0)),
             max_attempts=max(1, int(value.get("max_attempts", 1))),
             stretch=float(value.get("stretch", 1.0)),
-            # The objective of the route is the constant part of a job's objective.
+            # The objective of the route is the constant part of the objective of a job.
             objective_ms=float(value.get("slo_ms", 0.0)),
             needs_advice=bool(value.get("advice")),
         ),
@@ -69,12 +70,12 @@
 
 
 def decode_wave(body: bytes) -> Result[Wave, str]:
-    """Decode a request for the upkeep of worker VMs.
+    """Decode an operator's request for a maintenance wave.
 
     Returns
     -------
     Result of Wave or str
-        A failure says what could not be read.
+        A failure describes what could not be decoded.
     """
     try:
         value = orjson.loads(body)
@@ -86,15 +87,15 @@
                 number=int(value["wave"]),
                 vms=tuple(vms),
                 duration_ms=1_000.0 * float(value["duration_s"]),
-                # At least one VM has to be down for the wave to be possible at all.
+                # A limit of 0 would block the wave forever.
                 max_down=max(1, int(value["max_count"])),
             )
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
-        return Failure(f"not a wave of upkeep: {error!r}")
+        return Failure(f"not a maintenance wave: {error!r}")
 
 
 def encode_wave_status(number: int, *, completed: bool) -> tuple[str, bytes]:
-    """Return the key and the value that tell operators how a wave stands."""
+    """Return the key and the value that report the state of a wave to operators."""
     state = "completed" if completed else "running"
     return f"{_WAVE_STATUS_PREFIX}{number}", orjson.dumps({"state": state})
--- a/coltsfootpier/platform/_runners.py
+++ b/coltsfootpier/platform/_runners.py
@@ -1,4 +1,4 @@
-"""Runners: their entries in the registry, and the calls that order and question them."""
+"""Runners: entries of the registry, and clients for commands and reports."""
 
 from __future__ import annotations
 
@@ -35,9 +35,9 @@
 )
 
 REGISTRY_PREFIX = "servers/"
-# Orders at once to one runner. Its answer takes two network delays, so two connections carry
-# over 100 orders a second to a runner in another zone.
-_ORDER_CONNECTIONS = 2
+# Concurrent commands to one runner. A response takes two network delays, so two connections carry
+# over 100 commands per second to a runner in another availability zone.
+_COMMAND_CONNECTIONS = 2
 _REASONS = {
     "fence": StartOutcome.FENCED,
     "old": StartOutcome.OLD,
@@ -45,14 +45,14 @@
     "room": StartOutcome.ROOM,
     "ticket": StartOutcome.TICKET,
 }
-_STATES = frozenset({"ready", "draining"})
+_USABLE_STATES = frozenset({"ready", "draining"})
 
 
 def decode_entry(item: Item) -> RunnerEntry | None:
-    """Return the runner that an item of the registry describes, or None for a foreign item.
+    """Return the runner described by an item of the registry; None for a malformed item.
 
-    Other writers may leave items with missing fields or bytes that can't be read; they name no
-    runner to use.
+    Other writers may store items with missing fields or undecodable bytes. Such items don't
+    describe a usable runner.
     """
     try:
         value = orjson.loads(item.value)
@@ -60,7 +60,7 @@
         labels = tuple(value["labels"])
         address = value["address"]
         split_address(address)
-        if value["state"] not in _STATES or not isinstance(value["service"], str):
+        if value["state"] not in _USABLE_STATES or not isinstance(value["service"], str):
             return None
         draining = value["state"] == "draining"
         return RunnerEntry(
@@ -69,13 +69,13 @@
             address=address,
             availability_zone=str(value["zone"]),
             draining=draining,
-            # Least time that is left; given while the runner drains.
+            # Minimum remaining time; present only while the runner drains.
             remaining_ms=float(value.get("remaining_ms", 0.0)) if draining else float("inf"),
             cold_left_ms=float(value.get("cold_left_ms", 0.0)),
             cpu_milli=int(capacity["cpu"]),
             memory_mb=int(capacity["mem_mb"]),
             gpus=int(capacity.get("gpu", 0)),
-            # The labels are the runner's kind and then its rack.
+            # The first label is the kind of the runner, the second one its rack.
             rack=str(labels[1]) if len(labels) > 1 else "",
             labels=tuple(str(label) for label in labels),
             born_unix_ms=int(value.get("born", 0)),
@@ -85,25 +85,25 @@
 
 
 def format_task(job_id: str, key: TaskKey) -> str:
-    """Return the platform's name of a task."""
+    """Return the name of a task in the platform's format."""
     return f"{job_id}.{key.occurrence}.{key.step}.{key.index}"
 
 
 def parse_task(name: str) -> tuple[str, TaskKey]:
-    """Return the job and the key that the platform's name of a task stands for."""
+    """Return the job and the key from a task name in the platform's format."""
     job_id, occurrence, step, index = name.split(".")
     return job_id, TaskKey(int(occurrence), int(step), int(index))
 
 
 class RunnerClient:
-    """Calls of one runner.
+    """Client of one runner.
 
     Parameters
     ----------
     entry : RunnerEntry
-        The runner.
+        Registry entry of the runner.
     token : int
-        Fencing token of the owner that gives the orders.
+        Fencing token of the owner that sends the commands.
     clock : Clock
         Time source.
     """
@@ -114,45 +114,47 @@
         self._clock = clock
         self._token = token
         self._headers = (("expect-instance", entry.id),)
-        self._orders = LeanPool(host=host, port=port, clock=clock, connections=_ORDER_CONNECTIONS)
-        self._reports = LeanConnection(host=host, port=port)
+        self._command_pool = LeanPool(
+            host=host, port=port, clock=clock, connections=_COMMAND_CONNECTIONS
+        )
+        self._report_connection = LeanConnection(host=host, port=port)
 
     async def start(
-        self, order: StartRun, *, deadline_ms: float, timeout_ms: float
+        self, command: StartRun, *, deadline_ms: float, timeout_ms: float
     ) -> tuple[StartOutcome, float | None]:
-        """Order a start.
+        """Send a start command.
 
         Parameters
         ----------
-        order : StartRun
-            What to start.
+        command : StartRun
+            Run to start.
         deadline_ms : float
-            Time on the runner's clock after which it no longer starts the run.
+            Time on the runner's clock after which the runner no longer starts the run.
         timeout_ms : float
-            Time allowed for the answer.
+            Time allowed for the response.
 
         Returns
         -------
         outcome : StartOutcome
-            What became of the order.
+            Outcome of the command.
         clock_ms : float or None
-            The runner's clock when it answered.
+            Time on the runner's clock when it responded.
         """
         body = {
-            "task": format_task(order.run.job_id, order.run.key),
-            "attempt": order.run.attempt,
-            "spec": order.payload,
+            "task": format_task(command.run.job_id, command.run.key),
+            "attempt": command.run.attempt,
+            "spec": command.payload,
             "deadline_ms": int(deadline_ms),
             "fencing_token": self._token,
         }
-        if order.checkpoint:
-            body["checkpoint"] = order.checkpoint
-        if order.ticket:
-            body["ticket"] = order.ticket
-        sent = await self._order("run-start", body, timeout_ms)
+        if command.checkpoint:
+            body["checkpoint"] = command.checkpoint
+        if command.ticket:
+            body["ticket"] = command.ticket
+        sent = await self._send_command("run-start", body, timeout_ms)
         if isinstance(sent, Failure):
-            refused = isinstance(sent.failure(), NotSent)
-            return (StartOutcome.REFUSED if refused else StartOutcome.UNKNOWN), None
+            rejected = isinstance(sent.failure(), NotSent)
+            return (StartOutcome.REFUSED if rejected else StartOutcome.UNKNOWN), None
         reply = sent.unwrap()
         value = load_object(reply)
         clock_ms = value.get("clock_ms")
@@ -164,47 +166,50 @@
             return StartOutcome.REFUSED, clock_ms
         return StartOutcome.UNKNOWN, clock_ms
 
-    async def stop(self, order: StopRun, *, timeout_ms: float) -> bool:
-        """Order a stop; returns whether the runner has answered that it stopped or barred it."""
+    async def stop(self, command: StopRun, *, timeout_ms: float) -> bool:
+        """Send a stop command; return whether the runner confirmed that the run can't go on.
+
+        The runner confirms when it has stopped the run, or has barred its later start.
+        """
         body = {
-            "task": format_task(order.run.job_id, order.run.key),
-            "attempt": order.run.attempt,
+            "task": format_task(command.run.job_id, command.run.key),
+            "attempt": command.run.attempt,
             "fencing_token": self._token,
         }
-        sent = await self._order("run-stop", body, timeout_ms)
+        sent = await self._send_command("run-stop", body, timeout_ms)
         return isinstance(sent, Success) and sent.unwrap().status == 200
 
-    async def pace(self, order: PaceRun, *, timeout_ms: float) -> bool:
-        """Order a pace; returns whether the runner has confirmed it."""
+    async def pace(self, command: PaceRun, *, timeout_ms: float) -> bool:
+        """Send a pace command; return whether the runner has confirmed it."""
         body = {
-            "task": format_task(order.run.job_id, order.run.key),
-            "attempt": order.run.attempt,
-            "percent": order.percent,
+            "task": format_task(command.run.job_id, command.run.key),
+            "attempt": command.run.attempt,
+            "percent": command.percent,
             "fencing_token": self._token,
         }
-        sent = await self._order("pace", body, timeout_ms)
+        sent = await self._send_command("pace", body, timeout_ms)
         return isinstance(sent, Success) and sent.unwrap().status == 200
 
     async def report(
         self, *, deadline_ms: float | None, observed: int, wait_ms: int, timeout_ms: float
     ) -> Result[RunnerReport, CallError | StartOutcome]:
-        """Extend what runs on the runner and read its lists.
+        """Extend the leases on the runner and read its running and ended runs.
 
         Parameters
         ----------
         deadline_ms : float, optional
-            New end of the lease on the runner's clock.
+            New end of the lease on the runner's clock; the lease is not extended without it.
         observed : int
-            Number of the last end that the runner may forget.
+            Number of the last ended run that the runner may discard.
         wait_ms : int
-            Time to wait for an end.
+            Time for which the runner waits for a run to end.
         timeout_ms : float
             Time allowed beyond `wait_ms`.
 
         Returns
         -------
         Result of RunnerReport or failure
-            `StartOutcome.FENCED` when a later owner has spoken to the runner.
+            `StartOutcome.FENCED` when a later owner has sent commands to the runner.
         """
         body: dict[str, Any] = {"fencing_token": self._token, "observed": observed}
         if deadline_ms is not None:
@@ -212,7 +217,7 @@
         if wait_ms:
             body["wait_ms"] = wait_ms
         sent_ms = self._clock.now_ms()
-        sent = await self._reports.exchange(
+        sent = await self._report_connection.exchange(
             "POST",
             f"{BASE_PATH}/hold",
             headers=self._headers,
@@ -230,12 +235,12 @@
         try:
             return Success(_decode_report(value, sent_ms, self._clock.now_ms()))
         except (AttributeError, KeyError, TypeError, ValueError) as error:
-            return Failure(BadReply(f"not a report of a runner: {error!r}", reply.status))
+            return Failure(BadReply(f"malformed report of a runner: {error!r}", reply.status))
 
-    async def _order(
+    async def _send_command(
         self, call: str, body: dict[str, Any], timeout_ms: float
     ) -> Result[Reply, CallError]:
-        return await self._orders.exchange(
+        return await self._command_pool.exchange(
             "POST",
             f"{BASE_PATH}/{call}",
             headers=self._headers,
@@ -245,17 +250,17 @@
 
     def close(self) -> None:
         """Close the connections."""
-        self._orders.close()
-        self._reports.close()
+        self._command_pool.close()
+        self._report_connection.close()
 
 
 class AdviceClient:
-    """Calls of the service that approves the runners of a step.
+    """Client of the service that approves runners for a step.
 
     Parameters
     ----------
     host : str
-        IP number.
+        IP address.
     port : int
         TCP port.
     clock : Clock
@@ -263,16 +268,16 @@
     """
 
     def __init__(self, *, host: str, port: int, clock: Clock) -> None:
-        # The service handles one call of a VM at a time, in turn.
+        # The service handles the calls of a VM one at a time.
         self._pool = LeanPool(host=host, port=port, clock=clock, connections=2)
 
     async def ask(
-        self, question: AskAdvice, *, timeout_ms: float
+        self, query: AskAdvice, *, timeout_ms: float
     ) -> Result[tuple[dict[str, str], float], CallError]:
-        """Return the tickets of the approved runners and the time in ms for which they hold."""
+        """Request tickets for runners; return those that are approved and their validity in ms."""
         body = {
-            "step": ".".join(map(str, question.step_id)),
-            "workers": list(question.runner_ids),
+            "step": ".".join(map(str, query.step_id)),
+            "workers": list(query.runner_ids),
         }
         sent = await self._pool.exchange(
             "POST", f"{BASE_PATH}/advise", body=orjson.dumps(body), timeout_ms=timeout_ms
@@ -283,23 +288,25 @@
         value = load_object(reply)
         try:
             if reply.status != 200:
-                return Failure(BadReply(f"status {reply.status}", reply.status))
+                return Failure(BadReply(f"unexpected status {reply.status}", reply.status))
             return Success((dict(value["approved"]), float(value["valid_ms"])))
         except (KeyError, TypeError, ValueError) as error:
-            return Failure(BadReply(f"not an answer about runners: {error!r}", reply.status))
+            return Failure(
+                BadReply(f"malformed response of the advice service: {error!r}", reply.status)
+            )
 
 
 def _decode_report(value: dict[str, Any], sent_ms: float, received_ms: float) -> RunnerReport:
     running = []
     for name, attempt, saved, percent, *measured in value["running"]:
         job_id, key = parse_task(name)
-        # The fifth entry is a tail latency in ms or cores in use, by the kind of task.
-        rough = float(measured[0]) if measured and measured[0] is not None else 0.0
-        running.append(RunningRow(RunId(job_id, key, attempt), saved, float(percent), rough))
+        # The fifth field depends on the kind of task: a tail latency in ms or the cores in use.
+        measurement = float(measured[0]) if measured and measured[0] is not None else 0.0
+        running.append(RunningRow(RunId(job_id, key, attempt), saved, float(percent), measurement))
     ended = []
-    for number, name, attempt, how, saved in value["ended"]:
+    for number, name, attempt, outcome, saved in value["ended"]:
         job_id, key = parse_task(name)
-        ended.append(EndedRow(number, RunId(job_id, key, attempt), EndKind(how), saved))
+        ended.append(EndedRow(number, RunId(job_id, key, attempt), EndKind(outcome), saved))
     return RunnerReport(
         clock_ms=float(value["clock_ms"]),
         born_unix_ms=int(value.get("born", 0)),
--- a/coltsfootpier/platform/_settings.py
+++ b/coltsfootpier/platform/_settings.py
@@ -1,4 +1,4 @@
-"""The settings file that the platform writes for each process (TOML)."""
+"""Reader of the settings file (TOML) that the platform writes for each process."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
     Returns
     -------
     Result of NodeSettings or str
-        A failure names the file, the key and what was found.
+        A failure names the file, the key and the invalid value.
     """
     try:
         value = tomllib.loads(path.read_text())
@@ -43,7 +43,7 @@
         ip=value["ip"],
         callers=split_address(listen["front"]),
         readiness=split_address(listen["ready"]),
-        # Ports of this range are free for the system's own use on every entry VM.
+        # The ports of this range are reserved for this system on every entry VM.
         peer_port=int(value["internal_ports"][0]),
         metrics_port=int(value["internal_ports"][0]) + 1,
         store=split_address(value["platform"]["address"]),
--- a/coltsfootpier/platform/_store.py
+++ b/coltsfootpier/platform/_store.py
@@ -29,32 +29,32 @@
 from coltsfootpier.platform._wire import BASE_PATH
 from coltsfootpier.transport import LeanPool, NotSent, Reply
 
-# Entries of one transaction, as the platform's page has it.
+# Entries of one transaction at most, as specified by the platform.
 MAX_ENTRIES = 32
-# Connections for each kind of call. A call whose answer is lost keeps its connection until its time
-# limit, so tries of a change and renewals of a lease have their own, as many as are under way at
-# once.
-_CALL_CONNECTIONS = 4
-_CHANGE_CONNECTIONS = 6
+# Connections for each kind of call. A call whose response is lost keeps its connection until its
+# timeout, so attempts of a change and renewals of a lease have pools of their own, which are as
+# large as the number of such calls in flight.
+_GENERAL_CONNECTIONS = 4
+_COMMIT_CONNECTIONS = 6
 _RENEWAL_CONNECTIONS = 6
-# Watches at once.
+# Concurrent watches.
 _WATCH_CONNECTIONS = 4
 
 
 @attrs.define
-class _Counts:
+class _CallCounts:
     calls: int = 0
     unavailable: int = 0
     unknown: int = 0
 
 
 class StoreClient:
-    """Calls of the store, with values as bytes.
+    """Client of the store, with values as bytes.
 
     Parameters
     ----------
     host : str
-        IP number.
+        IP address.
     port : int
         TCP port.
     clock : Clock
@@ -65,13 +65,19 @@
 
     def __init__(self, *, host: str, port: int, clock: Clock, timeout_ms: float) -> None:
         self._timeout_ms = timeout_ms
-        self._calls = LeanPool(host=host, port=port, clock=clock, connections=_CALL_CONNECTIONS)
-        self._changes = LeanPool(host=host, port=port, clock=clock, connections=_CHANGE_CONNECTIONS)
-        self._renewals = LeanPool(
+        self._general_pool = LeanPool(
+            host=host, port=port, clock=clock, connections=_GENERAL_CONNECTIONS
+        )
+        self._commit_pool = LeanPool(
+            host=host, port=port, clock=clock, connections=_COMMIT_CONNECTIONS
+        )
+        self._renewal_pool = LeanPool(
             host=host, port=port, clock=clock, connections=_RENEWAL_CONNECTIONS
         )
-        self._watches = LeanPool(host=host, port=port, clock=clock, connections=_WATCH_CONNECTIONS)
-        self.counts = _Counts()
+        self._watch_pool = LeanPool(
+            host=host, port=port, clock=clock, connections=_WATCH_CONNECTIONS
+        )
+        self.counts = _CallCounts()
 
     async def get(
         self, key: str, *, timeout_ms: float | None = None
@@ -84,7 +90,7 @@
         reply = sent.unwrap()
         if reply.status == 404:
             return Success(Item(key))
-        return _read(reply, _decode_item)
+        return _decode_success(reply, _decode_item)
 
     async def list(
         self, prefix: str, *, after: str = "", stale: bool = False
@@ -94,11 +100,11 @@
         Parameters
         ----------
         prefix : str
-            What the keys begin with.
+            Common prefix of the keys.
         after : str
-            Key of the last item of the page before.
+            Key of the last item of the previous page.
         stale : bool
-            Whether an answer that is seconds old will do; costs a tenth.
+            Whether a response that is seconds old is acceptable; it costs a tenth of a fresh one.
         """
         target = f"/kv-range?prefix={quote(prefix, safe='/')}"
         if after:
@@ -106,7 +112,7 @@
         if stale:
             target += "&allow_stale=1"
         sent = await self._call("GET", target)
-        return sent.bind(lambda reply: _read(reply, _decode_page))
+        return sent.bind(lambda reply: _decode_success(reply, _decode_page))
 
     async def list_all(
         self, prefix: str, *, stale: bool = False
@@ -125,20 +131,20 @@
     async def watch(
         self, prefix: str, *, after: int, wait_ms: int
     ) -> Result[Events, PlatformError]:
-        """Wait for changes under a prefix after a store revision, at most `wait_ms`.
+        """Wait at most `wait_ms` for changes under a prefix after a store revision.
 
         Returns
         -------
         Result of Events or PlatformError
-            `HistoryLost` when the changes are no longer available and a list is needed.
+            `HistoryLost` when the changes are no longer available and a listing is required.
         """
         target = f"/kv-watch?prefix={quote(prefix, safe='/')}&after={after}&wait_ms={wait_ms}"
         sent = await self._call(
-            "GET", target, pool=self._watches, timeout_ms=wait_ms + self._timeout_ms
+            "GET", target, pool=self._watch_pool, timeout_ms=wait_ms + self._timeout_ms
         )
         if isinstance(sent, Success) and sent.unwrap().status == 410:
             return Failure(HistoryLost(after))
-        return sent.bind(lambda reply: _read(reply, _decode_events))
+        return sent.bind(lambda reply: _decode_success(reply, _decode_events))
 
     async def commit(
         self,
@@ -147,22 +153,22 @@
         puts: Iterable[Write] = (),
         remove: Sequence[str] = (),
     ) -> Result[int, PlatformError]:
-        """Change several keys at once if all of `expect` hold.
+        """Change several keys in one transaction if all conditions of `expect` hold.
 
         Parameters
         ----------
         expect : dict of str to int
             Revision that each key must have; 0 when it must not exist.
         puts : iterable of Write
-            Keys to be written.
+            Keys to write.
         remove : sequence of str
-            Keys to be removed.
+            Keys to remove.
 
         Returns
         -------
         Result of int or PlatformError
             The revision of the change. `ConditionFailed` holds the current items;
-            `StoreUnknown` means that the change may have happened or may happen later.
+            `StoreUnknown` means that the change may have taken effect or may do so later.
         """
         body = {
             "expect": [{"key": key, "revision": revision} for key, revision in expect.items()],
@@ -176,46 +182,46 @@
             ],
             "remove": list(remove),
         }
-        sent = await self._call("POST", "/kv-txn", body=body, pool=self._changes)
+        sent = await self._call("POST", "/kv-txn", body=body, pool=self._commit_pool)
         if isinstance(sent, Failure):
             return sent
         reply = sent.unwrap()
         if reply.status == 412:
-            return _read_status(reply, 412, _decode_page).bind(
+            return _decode_status(reply, 412, _decode_page).bind(
                 lambda page: Failure(ConditionFailed(page.items))
             )
         if reply.status == 404:
             return Failure(LeaseLost(""))
-        return _read(reply, lambda value: int(value["revision"]))
+        return _decode_success(reply, lambda value: int(value["revision"]))
 
     async def grant_lease(self, *, ttl_ms: float) -> Result[StoreLease, PlatformError]:
         """Obtain a lease."""
         sent = await self._call("POST", "/kv-lease", body={"ttl_ms": int(ttl_ms)})
         return sent.bind(
-            lambda reply: _read(
+            lambda reply: _decode_success(
                 reply, lambda value: StoreLease(int(value["lease"]), float(value["ttl_ms"]))
             )
         )
 
     async def renew_lease(self, lease: int) -> Result[float, PlatformError]:
-        """Renew a lease; returns its time to live in ms, or `LeaseLost`."""
-        sent = await self._call("POST", f"/kv-keep/{lease}", body={}, pool=self._renewals)
+        """Renew a lease; return its time to live in ms, or `LeaseLost`."""
+        sent = await self._call("POST", f"/kv-keep/{lease}", body={}, pool=self._renewal_pool)
         if isinstance(sent, Success) and sent.unwrap().status == 404:
             return Failure(LeaseLost(str(lease)))
-        return sent.bind(lambda reply: _read(reply, lambda value: float(value["ttl_ms"])))
+        return sent.bind(lambda reply: _decode_success(reply, lambda value: float(value["ttl_ms"])))
 
     async def end_lease(self, lease: int) -> Result[None, PlatformError]:
         """End a lease and remove its keys."""
         sent = await self._call("DELETE", f"/kv-lease-end/{lease}")
         return sent.bind(
             lambda reply: (
-                Success(None) if reply.status in (200, 204, 404) else _fail_for(reply.status)
+                Success(None) if reply.status in (200, 204, 404) else _fail_on_status(reply.status)
             )
         )
 
     def close(self) -> None:
         """Close the idle connections."""
-        for pool in (self._calls, self._changes, self._renewals, self._watches):
+        for pool in (self._general_pool, self._commit_pool, self._renewal_pool, self._watch_pool):
             pool.close()
 
     async def _call(
@@ -228,7 +234,7 @@
         timeout_ms: float | None = None,
     ) -> Result[Reply, PlatformError]:
         self.counts.calls += 1
-        sent = await (pool or self._calls).exchange(
+        sent = await (pool or self._general_pool).exchange(
             method,
             BASE_PATH + target,
             body=b"" if body is None else orjson.dumps(body),
@@ -244,26 +250,28 @@
         reply = sent.unwrap()
         if reply.status in (429, 503):
             self.counts.unavailable += 1
-            return Failure(StoreUnavailable(f"the store refused the call with {reply.status}"))
+            return Failure(
+                StoreUnavailable(f"the store rejected the call with status {reply.status}")
+            )
         return Success(reply)
 
 
-def _fail_for(status: int) -> Failure[StoreUnknown]:
+def _fail_on_status(status: int) -> Failure[StoreUnknown]:
     return Failure(StoreUnknown(f"unexpected status {status}"))
 
 
-def _read(reply: Reply, decode: Any) -> Result[Any, PlatformError]:
-    return _read_status(reply, 200, decode)
+def _decode_success(reply: Reply, decode: Any) -> Result[Any, PlatformError]:
+    return _decode_status(reply, 200, decode)
 
 
-def _read_status(reply: Reply, status: int, decode: Any) -> Result[Any, PlatformError]:
+def _decode_status(reply: Reply, status: int, decode: Any) -> Result[Any, PlatformError]:
     if reply.status != status:
-        return _fail_for(reply.status)
+        return _fail_on_status(reply.status)
     try:
         return Success(decode(orjson.loads(reply.body)))
     except (AttributeError, KeyError, TypeError, ValueError) as error:
-        # A body that can't be read says nothing about whether a write took effect.
-        return Failure(StoreUnknown(f"not an answer of the store: {error!r}"))
+        # A malformed body doesn't show whether a write took effect.
+        return Failure(StoreUnknown(f"malformed response of the store: {error!r}"))
 
 
 def _decode_item(value: dict[str, Any]) -> Item:
@@ -276,7 +284,8 @@
     try:
         content = base64.b64decode(encoded, validate=True)
     except (binascii.Error, TypeError, ValueError):
-        # Another writer's value that isn't base64; its reader reports what it can't decode.
+        # The value of another writer isn't base64. The reader of the key reports that it can't
+        # decode the value.
         content = str(encoded).encode("utf-8", "replace")
     return Item(value["key"], content, revision, revision)
 
--- a/coltsfootpier/platform/_vms.py
+++ b/coltsfootpier/platform/_vms.py
@@ -1,4 +1,4 @@
-"""Worker VMs: their listing, and the order that takes one down for its upkeep."""
+"""Client for worker VMs: their listing, and the command that starts maintenance of one."""
 
 from __future__ import annotations
 
@@ -12,9 +12,9 @@
 from coltsfootpier.transport import BadReply, CallError, LeanPool, NotSent, Reply
 from coltsfootpier.upkeep import UpkeepOrder, UpkeepOutcome, VmState, WorkerVm
 
-# A listing and orders for a few VMs at once.
+# A listing and commands to a few VMs at the same time.
 _CONNECTIONS = 4
-# Pages of one listing at most; the target's 650 workers fit into a few.
+# Maximum number of pages of one listing; the 650 workers of the target size fit into a few.
 _MAX_PAGES = 100
 _REASONS = {
     "fence": UpkeepOutcome.FENCED,
@@ -24,20 +24,20 @@
 
 
 class VmClient:
-    """Calls about worker VMs.
+    """Client of the service that lists worker VMs and starts their maintenance.
 
     Parameters
     ----------
     host : str
-        IP number.
+        IP address.
     port : int
         TCP port.
     clock : Clock
         Time source.
     holder : str
-        Name of the entry VM that gives the orders.
+        Name of the entry VM that sends the commands.
     token : int
-        Fencing token of the owner that gives the orders.
+        Fencing token of the owner that sends the commands.
     """
 
     def __init__(self, *, host: str, port: int, clock: Clock, holder: str, token: int) -> None:
@@ -68,20 +68,20 @@
             vms += listed
             if not page_token:
                 return Success(tuple(vms))
-        return Failure(BadReply(f"a listing of over {_MAX_PAGES} pages"))
+        return Failure(BadReply(f"the listing has more than {_MAX_PAGES} pages"))
 
-    async def begin_upkeep(self, order: UpkeepOrder, *, timeout_ms: float) -> UpkeepOutcome:
-        """Order the upkeep of a VM, which ends everything on it at once."""
+    async def begin_upkeep(self, command: UpkeepOrder, *, timeout_ms: float) -> UpkeepOutcome:
+        """Start the maintenance of a VM, which ends all runs on it at once."""
         sent = await self._pool.exchange(
             "POST",
             f"{BASE_PATH}/machine-upkeep",
             headers=self._headers,
-            body=orjson.dumps({"machine": order.vm_id, "wave": order.wave}),
+            body=orjson.dumps({"machine": command.vm_id, "wave": command.wave}),
             timeout_ms=timeout_ms,
         )
         if isinstance(sent, Failure):
-            refused = isinstance(sent.failure(), NotSent)
-            return UpkeepOutcome.REFUSED if refused else UpkeepOutcome.UNKNOWN
+            rejected = isinstance(sent.failure(), NotSent)
+            return UpkeepOutcome.REFUSED if rejected else UpkeepOutcome.UNKNOWN
         reply = sent.unwrap()
         if reply.status == 200:
             return UpkeepOutcome.BEGUN
@@ -98,20 +98,21 @@
 
 
 def _decode_page(reply: Reply) -> Result[tuple[list[WorkerVm], str], CallError]:
-    """Return the VMs of a page and the token of the next one; empty after the last page."""
+    """Return the VMs of a page and the token of the next page, empty after the last page."""
     if reply.status != 200:
-        return Failure(BadReply(f"status {reply.status}", reply.status))
+        return Failure(BadReply(f"unexpected status {reply.status}", reply.status))
     value = load_object(reply)
     try:
         vms = [
             WorkerVm(
                 id=row["machine"],
                 state=VmState(row["state"]),
-                # The platform's `id` is that of the runner; a VM that is off has none.
+                # The platform's `id` identifies the runner, not the VM; a VM that is switched off
+                # has none.
                 runner_id=str(row.get("id") or ""),
             )
             for row in value["machines"]
         ]
         return Success((vms, str(value.get("next_token") or "")))
     except (AttributeError, KeyError, TypeError, ValueError) as error:
-        return Failure(BadReply(f"not a listing of worker VMs: {error!r}", reply.status))
+        return Failure(BadReply(f"malformed listing of worker VMs: {error!r}", reply.status))
--- a/coltsfootpier/platform/_wire.py
+++ b/coltsfootpier/platform/_wire.py
@@ -1,4 +1,4 @@
-"""What all calls of the platform share."""
+"""Helpers shared by all clients of the platform."""
 
 from __future__ import annotations
 
@@ -8,12 +8,12 @@
 
 from coltsfootpier.transport import Reply
 
-# Every path of the platform's calls begins with it.
+# Prefix of the paths of all platform calls.
 BASE_PATH = "/coltsfootpier"
 
 
 def load_object(reply: Reply) -> dict[str, Any]:
-    """Return the JSON object in an answer; one that can't be read is as good as an empty one."""
+    """Return the JSON object in the body of a response; empty when the body isn't one."""
     try:
         value = orjson.loads(reply.body)
     except ValueError:
--- a/coltsfootpier/platform/tests/test_decoding.py
+++ b/coltsfootpier/platform/tests/test_decoding.py
@@ -1,4 +1,4 @@
-"""What other writers may leave in the store, and settings that aren't complete."""
+"""Tests of decoding malformed store values of other writers, and incomplete settings."""
 
 import tempfile
 import unittest
@@ -39,21 +39,21 @@
     """Entries of the registry."""
 
     def test_fields(self):
-        """Guards against a rack or an incarnation that is read from the wrong field."""
+        """Guards against reading the rack or the start time from the wrong field."""
         entry = decode_entry(build_item())
         self.assertEqual((entry.id, entry.rack, entry.cpu_milli), ("i-1", "r1-3", 16000))
         self.assertEqual(entry.born_unix_ms, 1700000000000)
         self.assertFalse(entry.draining)
 
     def test_draining(self):
-        """Guards against new tasks on a runner that leaves."""
+        """Guards against placing new tasks on a draining runner."""
         entry = decode_entry(build_item(state="draining", remaining_ms=1500))
         self.assertTrue(entry.draining)
         self.assertEqual(entry.remaining_ms, 1500)
 
-    def test_foreign_entries_name_no_runner(self):
-        """Guards against an entry of another writer that stops the daemon or is used."""
-        foreign = [
+    def test_malformed_entries_are_ignored(self):
+        """Guards against a malformed entry that crashes the daemon or is used as a runner."""
+        malformed = [
             {"state": "odd"},
             {"state": None},
             {"address": "nowhere"},
@@ -64,7 +64,7 @@
             {"service": ["web"]},
             {"born": "today"},
         ]
-        for changes in foreign:
+        for changes in malformed:
             with self.subTest(changes=changes):
                 self.assertIsNone(decode_entry(build_item(**changes)))
         for value in (b"\xff\x00", b"[]", b"", b"null", None):
@@ -73,10 +73,10 @@
 
 
 class NameTest(unittest.TestCase):
-    """Names of tasks."""
+    """Names of tasks in the platform's format."""
 
     def test_round_trip(self):
-        """Guards against a run that is put down to another task."""
+        """Guards against attributing a run to another task."""
         key = TaskKey(2, 1, 17)
         self.assertEqual(parse_task(format_task("5c0e", key)), ("5c0e", key))
 
@@ -84,14 +84,14 @@
 class ConfigurationTest(unittest.TestCase):
     """The operators' configuration."""
 
-    def test_unreadable_configuration_is_a_failure(self):
-        """Guards against a broken value that takes the routes away."""
+    def test_malformed_configuration_is_a_failure(self):
+        """Guards against a malformed value that removes all routes."""
         for body in (b"", b"{}", b"[]", b'{"version":1,"routes":[{}]}', b'{"version":"x"}'):
             with self.subTest(body=body):
                 self.assertIsInstance(decode_configuration(body), Failure)
 
     def test_fields(self):
-        """Guards against an objective that is read from the time-out."""
+        """Guards against reading the objective from the timeout."""
         body = orjson.dumps(
             {
                 "version": 7,
@@ -119,10 +119,10 @@
 
 
 class SettingsTest(unittest.TestCase):
-    """The settings file that the platform writes."""
+    """Reader of the settings file that the platform writes."""
 
-    def test_missing_and_broken_settings(self):
-        """Guards against a daemon that starts with half of its settings."""
+    def test_missing_and_malformed_settings(self):
+        """Guards against a daemon that starts with incomplete settings."""
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "node.toml"
             self.assertIsInstance(read_node_settings(path), Failure)
--- a/coltsfootpier/platform/tests/test_vms.py
+++ b/coltsfootpier/platform/tests/test_vms.py
@@ -1,4 +1,4 @@
-"""Worker VMs and waves of upkeep on the platform's wire."""
+"""Tests of the platform's wire format for worker VMs and maintenance waves."""
 
 import unittest
 
@@ -11,51 +11,53 @@
 from coltsfootpier.transport import Application, HttpResponse, Server
 from coltsfootpier.upkeep import UpkeepOrder, UpkeepOutcome, VmState, Wave, WorkerVm
 
-ORDER = UpkeepOrder(wave=3, vm_id="m-1")
+COMMAND = UpkeepOrder(wave=3, vm_id="m-1")
 
 
 def build_row(name, **changes):
-    """Build the platform's row of a VM."""
+    """Build the row of a VM in the platform's listing."""
     return {"machine": name, "pool": "p", "state": "up", "id": f"i-{name}", **changes}
 
 
 class WaveTest(unittest.TestCase):
-    """Requests of operators and what they are told."""
+    """Waves that operators request, and the status that they read."""
 
     def test_fields(self):
-        """Guards against a wave with other VMs, or a time or limit of another unit."""
+        """Guards against decoding the wrong VMs, or a duration or limit in the wrong unit."""
         body = b'{"wave":1,"machines":["m-1","m-2"],"duration_s":20,"max_count":3}'
         wave = Wave(number=1, vms=("m-1", "m-2"), duration_ms=20_000.0, max_down=3)
         self.assertEqual(decode_wave(body).unwrap(), wave)
 
-    def test_unreadable(self):
-        """Guards against a daemon that ends because of a wave that can't be read."""
+    def test_malformed(self):
+        """Guards against a daemon that crashes on a malformed wave."""
         for body in (b"{", b"[]", b'{"wave":1}', b'{"wave":1,"machines":[4],"duration_s":1}'):
             with self.subTest(body=body):
                 self.assertIsInstance(decode_wave(body), Failure)
 
     def test_status(self):
-        """Guards against a state that operators don't know."""
+        """Guards against a state that isn't part of the operators' interface."""
         key, value = encode_wave_status(7, completed=False)
         self.assertEqual((key, orjson.loads(value)), ("status/wave/7", {"state": "running"}))
         self.assertIn(b"completed", encode_wave_status(7, completed=True)[1])
 
 
 class VmClientTest(unittest.TestCase):
-    """Calls against a server of the platform's format."""
+    """Calls to a local server that speaks the platform's format."""
 
     def setUp(self):
         self.requests = []
-        self.answers = []
+        self.responses = []
 
-    async def _answer(self, request):
+    async def _respond(self, request):
         self.requests.append(request)
-        status, value = self.answers.pop(0)
+        status, value = self.responses.pop(0)
         return HttpResponse.of(value, status)
 
     def _call(self, call):
         async def run():
-            app = Application(routes={"GET /": self._answer, "POST /": self._answer}, max_body=999)
+            app = Application(
+                routes={"GET /": self._respond, "POST /": self._respond}, max_body=999
+            )
             async with anyio.create_task_group() as group:
                 port = await group.start(Server(app=app, host="127.0.0.1", port=0).run)
                 client = VmClient(
@@ -72,8 +74,8 @@
         return self._call(lambda client: client.list_vms(timeout_ms=5_000.0))
 
     def test_pages(self):
-        """Guards against VMs beyond the first page that are never seen."""
-        self.answers = [
+        """Guards against ignoring VMs beyond the first page."""
+        self.responses = [
             (200, {"machines": [build_row("m-1")], "next_token": "a b"}),
             (200, {"machines": [build_row("m-2", state="upkeep", id=None)], "next_token": None}),
         ]
@@ -83,20 +85,20 @@
         )
         self.assertEqual(self._list().unwrap(), listed)
 
-    def test_listing_that_cannot_be_read(self):
-        """Guards against a part of a listing that is taken for the whole one."""
-        for answer in (
+    def test_malformed_listing(self):
+        """Guards against treating a part of a listing as complete."""
+        for response in (
             (429, {}),
             (200, []),
             (200, {"machines": [build_row("m-1", state="odd")]}),
             (200, {"machines": [{"state": "up"}]}),
         ):
-            with self.subTest(answer=answer):
-                self.answers = [answer]
+            with self.subTest(response=response):
+                self.responses = [response]
                 self.assertIsInstance(self._list(), Failure)
 
     def test_outcomes(self):
-        """Guards against an order that was refused and counts as carried out, or the reverse."""
+        """Guards against counting a rejected command as executed, or the reverse."""
         outcomes = {
             (200, ""): UpkeepOutcome.BEGUN,
             (409, "busy"): UpkeepOutcome.BUSY,
@@ -109,14 +111,14 @@
         }
         for (status, reason), outcome in outcomes.items():
             with self.subTest(status=status, reason=reason):
-                self.answers = [(status, {"reason": reason})]
-                result = self._call(lambda client: client.begin_upkeep(ORDER, timeout_ms=5_000.0))
+                self.responses = [(status, {"reason": reason})]
+                result = self._call(lambda client: client.begin_upkeep(COMMAND, timeout_ms=5_000.0))
                 self.assertEqual(result, outcome)
 
-    def test_order(self):
-        """Guards against an order without its holder and token, which fences nothing."""
-        self.answers = [(200, {})]
-        self._call(lambda client: client.begin_upkeep(ORDER, timeout_ms=5_000.0))
+    def test_command(self):
+        """Guards against a command without holder and token, which would bypass fencing."""
+        self.responses = [(200, {})]
+        self._call(lambda client: client.begin_upkeep(COMMAND, timeout_ms=5_000.0))
         (request,) = self.requests
         self.assertEqual(orjson.loads(request.body), {"machine": "m-1", "wave": 3})
         headers = {bytes(name).lower(): bytes(value) for name, value in request.headers}
@@ -125,14 +127,14 @@
             (b"n0", b"12"),
         )
 
-    def test_no_server(self):
-        """Guards against an order that was never sent and counts as possibly carried out."""
+    def test_unreachable_service(self):
+        """Guards against treating a command that was never sent as possibly executed."""
 
         async def call():
             client = VmClient(
                 host="127.0.0.1", port=1, clock=MonotonicClock(), holder="n0", token=1
             )
-            return await client.begin_upkeep(ORDER, timeout_ms=2_000.0)
+            return await client.begin_upkeep(COMMAND, timeout_ms=2_000.0)
 
         self.assertEqual(anyio.run(call), UpkeepOutcome.REFUSED)
 
