Reword request handling for callers

Comments used figurative phrases (the right to use a runner, what an attempt says), and _settle, _refuse and _assess said little.

--- a/coltsfootpier/callers/__init__.py
+++ b/coltsfootpier/callers/__init__.py
@@ -1,4 +1,4 @@
-"""Callers: the side of the daemon that takes and answers requests."""
+"""Request handling for callers: ASGI application and permits."""
 
 from coltsfootpier.callers._application import CallerApplication, Slots
 from coltsfootpier.callers._permits import Claim, Permit, Permits, Recorded
--- a/coltsfootpier/callers/_application.py
+++ b/coltsfootpier/callers/_application.py
@@ -1,4 +1,4 @@
-"""ASGI application that answers callers' requests."""
+"""ASGI application that handles the requests of callers."""
 
 from __future__ import annotations
 
@@ -48,8 +48,8 @@
     send_response,
 )
 
-# Runners that a request is offered to before it is refused.
-_MAX_OFFERS = 3
+# Maximum number of runners that are tried before a request is rejected.
+_MAX_ATTEMPTS = 3
 _STATUS = {
     RefusalReason.UNKNOWN_SERVICE: 404,
     RefusalReason.BAD_REQUEST: 400,
@@ -57,20 +57,20 @@
     RefusalReason.KEY_BUSY: 409,
     RefusalReason.DEADLINE: 504,
 }
-# Control characters would be refused by the connection to the runner.
-_UNPRINTABLE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
-_FORWARDED = frozenset({b"content-type", b"accept", b"idempotency-key", b"x-exclusive-key"})
+# Control characters, which the connection to the runner would reject.
+_CONTROL_CHARACTERS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+_FORWARDED_HEADERS = frozenset({b"content-type", b"accept", b"idempotency-key", b"x-exclusive-key"})
 
 
 class Slots(Protocol):
-    """Where a request obtains the right to use a runner."""
+    """Source of slots, each of which lets one request use a runner."""
 
     async def acquire(self, ticket: Ticket) -> Grant | Refused:
-        """Wait for a slot, at most until the ticket's deadline."""
+        """Wait for a slot, at most until the deadline of the ticket."""
         ...
 
     async def release(self, grant: Grant, feedback: Feedback) -> None:
-        """Give a slot back with what the attempt says about the runner."""
+        """Release a slot and report the feedback of the attempt about the runner."""
         ...
 
     def record_request(self, service: str) -> None:
@@ -78,21 +78,22 @@
         ...
 
     def limit_attempt(self, service: str, kind: str, left_ms: float) -> float:
-        """Return the time allowed for an attempt that may be repeated."""
+        """Return the timeout in ms of an attempt that may be retried."""
         ...
 
     def may_repeat(self, service: str, kind: str, deadline_ms: float) -> bool:
-        """Take a repeat out of the retry budget if the deadline allows one."""
+        """Spend a retry of the retry budget if the deadline allows one; return whether it did."""
         ...
 
 
 @attrs.frozen(kw_only=True)
-class _Settled:
+class _HandledRequest:
     outcome: Outcome
     response: HttpResponse
     reason: str = ""
     waited_ms: float = 0.0
-    # Set for a large answer: its rest, its length, and the slot that it holds until its end.
+    # Set for a large response: the remaining body, its length, and the slot that is held until the
+    # body has been sent.
     rest: BodyStream | None = None
     length: int | None = None
     grant: Grant | None = None
@@ -110,32 +111,32 @@
     deadline_ms: float
 
     @property
-    def repeatable(self) -> bool:
-        """Whether it may be sent again while an earlier attempt may still run."""
+    def is_retryable(self) -> bool:
+        """Whether the request may be resent while an earlier attempt may still be running."""
         return self.kind.idempotent and not self.kind.exclusive
 
 
 class CallerApplication:
-    """Takes requests at ``/services/SERVICE/KIND[/...]``.
+    """ASGI application for requests to ``/services/SERVICE/KIND[/...]``.
 
     Parameters
     ----------
     clock : Clock
         Time source.
     slots : Slots
-        Grants slots of runners.
+        Source of slots of runners.
     permits : Permits
-        Grants permits for idempotency keys and exclusive keys.
+        Source of permits for idempotency keys and exclusive keys.
     pool : RunnerPool
         Connections to runners.
     stats : RequestStats
         Counters.
     get_declaration : callable
-        Returns the declaration in force.
+        Function that returns the declaration in force.
     max_body : int
         Largest accepted body in bytes.
     default_deadline_ms : float
-        Deadline of a request that names none.
+        Deadline of a request without a deadline header.
     """
 
     def __init__(
@@ -170,65 +171,69 @@
         request_id = headers.get(b"x-request-id", b"").decode("latin-1") or secrets.token_hex(8)
         service = scope["path"].removeprefix("/services/").split("/", 1)[0]
         try:
-            settled = await self._settle(scope, receive, headers, request_id, arrived_ms)
+            handled = await self._handle(scope, receive, headers, request_id, arrived_ms)
             extra = (
                 (b"x-request-id", request_id.encode("latin-1")),
-                (b"x-outcome", settled.outcome.value.encode()),
+                (b"x-outcome", handled.outcome.value.encode()),
             )
             if self.draining:
-                # Callers move to another entry VM before the address is closed, so that no
-                # request meets a connection that closes at the same time.
+                # Callers move to another entry VM before the listener is closed, so that no request
+                # is sent on a connection that is being closed at the same time.
                 extra = (*extra, (b"connection", b"close"))
-            response = settled.response
+            response = handled.response
             response = attrs.evolve(response, headers=(*response.headers, *extra))
-            if settled.rest is None:
-                self._record(service, settled, arrived_ms)
+            if handled.rest is None:
+                self._record(service, handled, arrived_ms)
                 await send_response(send, response)
                 return
             try:
-                await send_large_response(send, response, settled.rest, settled.length)
-                self._record(service, settled, arrived_ms)
+                await send_large_response(send, response, handled.rest, handled.length)
+                self._record(service, handled, arrived_ms)
             except BodyCutError as error:
-                # The answer stays incomplete and the connection is closed, which the caller
-                # can't take for a whole answer.
-                cut = attrs.evolve(settled, outcome=Outcome.UNKNOWN, reason="answer_cut")
+                # The response stays incomplete and the connection is closed, so the caller can't
+                # mistake it for a complete response.
+                cut = attrs.evolve(handled, outcome=Outcome.UNKNOWN, reason="answer_cut")
                 self._record(service, cut, arrived_ms)
-                log_event("answer cut", request=request_id, reason=error.error.reason)
+                log_event("response cut off", request=request_id, reason=error.error.reason)
             finally:
-                settled.rest.close()
+                handled.rest.close()
                 with anyio.CancelScope(shield=True):
-                    await self._slots.release(settled.grant, settled.feedback)
+                    await self._slots.release(handled.grant, handled.feedback)
         finally:
             self.in_flight -= 1
 
-    def _record(self, service: str, settled: _Settled, arrived_ms: float) -> None:
+    def _record(self, service: str, handled: _HandledRequest, arrived_ms: float) -> None:
         declared = self._get_declaration().services.get(service)
         if declared is not None:
             self._stats.record(
                 service,
-                settled.outcome,
-                settled.reason,
+                handled.outcome,
+                handled.reason,
                 latency_ms=self._clock.now_ms() - arrived_ms,
-                waited_ms=settled.waited_ms,
+                waited_ms=handled.waited_ms,
                 objective_ms=declared.latency_ms,
             )
 
-    async def _settle(
+    async def _handle(
         self,
         scope: Scope,
         receive: Callable,
         headers: dict[bytes, bytes],
         request_id: str,
         arrived_ms: float,
-    ) -> _Settled:
-        parts = scope["path"].split("/", 4)
+    ) -> _HandledRequest:
+        segments = scope["path"].split("/", 4)
         declaration = self._get_declaration()
-        if len(parts) < 4 or parts[1] != "services" or parts[2] not in declaration.services:
-            return _refuse(RefusalReason.UNKNOWN_SERVICE, scope["path"])
-        kind = declaration.requests.get((parts[2], parts[3])) or RequestKind(
-            service=parts[2],
-            name=parts[3],
-            # An undeclared kind may do anything, so it is never sent twice.
+        if (
+            len(segments) < 4
+            or segments[1] != "services"
+            or segments[2] not in declaration.services
+        ):
+            return _reject(RefusalReason.UNKNOWN_SERVICE, scope["path"])
+        kind = declaration.requests.get((segments[2], segments[3])) or RequestKind(
+            service=segments[2],
+            name=segments[3],
+            # The effects of an undeclared kind are unknown, so it is never retried.
             idempotent=False,
             exclusive=False,
             max_run_ms=self._default_deadline_ms,
@@ -241,26 +246,29 @@
         except ValueError:
             left_ms = math.nan
         if not math.isfinite(left_ms):
-            return _refuse(RefusalReason.BAD_REQUEST, "X-Deadline-Ms is not a number")
-        # The path as it was sent: a decoded one may hold characters with another meaning.
+            return _reject(RefusalReason.BAD_REQUEST, "X-Deadline-Ms is not a number")
+        # The path as it was sent: decoding may introduce characters with another meaning.
         path, query = scope["raw_path"], scope.get("query_string", b"")
         if not (path + query).isascii() or any(
-            _UNPRINTABLE.search(value) for value in (path, query, *headers.values())
+            _CONTROL_CHARACTERS.search(value) for value in (path, query, *headers.values())
         ):
-            return _refuse(RefusalReason.BAD_REQUEST, "characters that HTTP doesn't allow")
+            return _reject(
+                RefusalReason.BAD_REQUEST,
+                "path, query or headers contain characters that HTTP doesn't allow",
+            )
         try:
             body = await read_upload(
                 scope,
                 receive,
                 max_body=self._max_body,
-                # Permits compare whole bodies, so only requests without permits are streamed.
+                # Permits compare complete bodies, so only requests without permits are streamed.
                 whole_up_to=(
                     WHOLE_BODY_BYTES if kind.idempotent and not kind.exclusive else self._max_body
                 ),
                 timeout_ms=left_ms,
             )
         except BodyError as error:
-            return _Settled(
+            return _HandledRequest(
                 outcome=Outcome.REFUSED,
                 response=error.response,
                 reason=RefusalReason.BAD_REQUEST.value,
@@ -271,7 +279,7 @@
             kind=kind,
             method=scope["method"],
             target=target,
-            headers=tuple(pair for pair in scope["headers"] if pair[0] in _FORWARDED),
+            headers=tuple(pair for pair in scope["headers"] if pair[0] in _FORWARDED_HEADERS),
             body=body,
             deadline_ms=arrived_ms + left_ms,
         )
@@ -287,15 +295,15 @@
             deadline_ms=request.deadline_ms,
         )
         if isinstance(claims, Refused):
-            return _refuse(claims.reason, claims.detail)
-        return await self._run_permitted(request, claims, arrived_ms)
+            return _reject(claims.reason, claims.detail)
+        return await self._run_with_permits(request, claims, arrived_ms)
 
-    async def _run_permitted(
+    async def _run_with_permits(
         self, request: _Request, claims: list[Claim], arrived_ms: float
-    ) -> _Settled:
+    ) -> _HandledRequest:
         held = await acquire_permits(self._permits, claims)
         if isinstance(held, Refused):
-            return _refuse(held.reason, held.detail)
+            return _reject(held.reason, held.detail)
         if isinstance(held, Recorded):
             return _replay(held)
         ticket = Ticket(
@@ -304,57 +312,57 @@
             deadline_ms=request.deadline_ms,
             arrived_ms=arrived_ms,
         )
-        settled = await self._run(request, ticket)
-        await settle_permits(self._permits, held, settled.outcome, settled.response.status)
-        return attrs.evolve(settled, waited_ms=ticket.waited_ms)
+        handled = await self._run_attempts(request, ticket)
+        await settle_permits(self._permits, held, handled.outcome, handled.response.status)
+        return attrs.evolve(handled, waited_ms=ticket.waited_ms)
 
-    async def _run(self, request: _Request, ticket: Ticket) -> _Settled:
+    async def _run_attempts(self, request: _Request, ticket: Ticket) -> _HandledRequest:
         kind = request.kind
         may_have_run = False
         reason = ""
         self._slots.record_request(kind.service)
-        for offer in range(_MAX_OFFERS):
-            if offer and not self._slots.may_repeat(kind.service, kind.name, request.deadline_ms):
+        for attempt in range(_MAX_ATTEMPTS):
+            if attempt and not self._slots.may_repeat(kind.service, kind.name, request.deadline_ms):
                 break
-            asked_ms = self._clock.now_ms()
-            # Each offer has a ticket of its own, because a ticket settles once.
+            wait_start_ms = self._clock.now_ms()
+            # Each attempt gets a ticket of its own, because a ticket can be settled only once.
             grant = await self._slots.acquire(attrs.evolve(ticket))
-            ticket.waited_ms += self._clock.now_ms() - asked_ms
+            ticket.waited_ms += self._clock.now_ms() - wait_start_ms
             if isinstance(grant, Refused):
                 if may_have_run:
-                    return _unknown(reason)
-                return _refuse(grant.reason, grant.detail)
+                    return _respond_unknown(reason)
+                return _reject(grant.reason, grant.detail)
             feedback = Feedback()
             sent_ms = self._clock.now_ms()
             is_streamed = False
             try:
                 result = await self._attempt(request, grant)
-                feedback = _assess(result, request.id, self._clock.now_ms() - sent_ms)
+                feedback = _build_feedback(result, request.id, self._clock.now_ms() - sent_ms)
                 is_streamed = isinstance(result, Success) and result.unwrap().rest is not None
             finally:
                 if not is_streamed:
                     with anyio.CancelScope(shield=True):
                         await self._slots.release(grant, feedback)
             if isinstance(result, Success):
-                return attrs.evolve(_answer(result.unwrap(), grant), feedback=feedback)
+                return attrs.evolve(_respond(result.unwrap(), grant), feedback=feedback)
             error = result.failure()
             reason = error.reason
             ticket.excluded.add(grant.runner.id)
             if not isinstance(error, NotSent | NotStarted):
                 may_have_run = True
-                if not request.repeatable:
+                if not request.is_retryable:
                     break
             if isinstance(request.body, Upload) and request.body.started:
-                # The part that was sent is not kept, so there is no second attempt.
+                # The part that was sent isn't retained, so the request can't be resent.
                 break
         if may_have_run:
-            return _unknown(reason)
-        return _refuse(RefusalReason.RUNNER_REFUSED, reason)
+            return _respond_unknown(reason)
+        return _reject(RefusalReason.RUNNER_REFUSED, reason)
 
     async def _attempt(self, request: _Request, grant: Grant) -> Result:
         left_ms = request.deadline_ms - self._clock.now_ms()
         timeout_ms = left_ms
-        if request.repeatable:
+        if request.is_retryable:
             timeout_ms = self._slots.limit_attempt(request.kind.service, request.kind.name, left_ms)
         return await self._pool.send(
             grant.runner,
@@ -367,38 +375,40 @@
             ),
             body=request.body,
             timeout_ms=timeout_ms,
-            repeatable=request.repeatable,
+            repeatable=request.is_retryable,
         )
 
 
-def _assess(result: Result, request_id: str, elapsed_ms: float) -> Feedback:
-    """Return what an attempt says about its runner."""
+def _build_feedback(result: Result, request_id: str, elapsed_ms: float) -> Feedback:
+    """Return the feedback of an attempt about its runner."""
     leaving = False
     if isinstance(result, Success):
         answer = result.unwrap()
         leaving = answer.leaving
         failed = answer.status >= 500
-        assessed = AttemptResult.FAILED if failed else AttemptResult.ANSWERED
+        attempt_result = AttemptResult.FAILED if failed else AttemptResult.ANSWERED
     else:
         error = result.failure()
         if isinstance(error, NotStarted):
             leaving = error.leaving
-            assessed = AttemptResult.REFUSED
+            attempt_result = AttemptResult.REFUSED
         elif isinstance(error, NotSent):
-            assessed = AttemptResult.UNREACHABLE if error.unreachable else AttemptResult.NONE
+            attempt_result = AttemptResult.UNREACHABLE if error.unreachable else AttemptResult.NONE
         elif isinstance(error, Unanswered):
-            assessed = AttemptResult.OVERDUE
+            attempt_result = AttemptResult.OVERDUE
         else:
-            assessed = AttemptResult.FAILED
-    return Feedback(result=assessed, elapsed_ms=elapsed_ms, request_id=request_id, leaving=leaving)
+            attempt_result = AttemptResult.FAILED
+    return Feedback(
+        result=attempt_result, elapsed_ms=elapsed_ms, request_id=request_id, leaving=leaving
+    )
 
 
-def _answer(answer: Answer, grant: Grant) -> _Settled:
+def _respond(answer: Answer, grant: Grant) -> _HandledRequest:
     content_type = next(
         (value for name, value in answer.headers if name == b"content-type"), b"text/plain"
     )
     headers = tuple(pair for pair in answer.headers if pair[0] != b"content-type")
-    return _Settled(
+    return _HandledRequest(
         outcome=Outcome.FAILED if answer.status >= 500 else Outcome.DONE,
         response=HttpResponse(
             status=answer.status, body=answer.body, headers=headers, content_type=content_type
@@ -409,19 +419,19 @@
     )
 
 
-def _refuse(reason: RefusalReason, detail: str) -> _Settled:
-    return _Settled(
+def _reject(reason: RefusalReason, detail: str) -> _HandledRequest:
+    return _HandledRequest(
         outcome=Outcome.REFUSED,
         response=HttpResponse.problem(_STATUS.get(reason, 503), reason.value, detail),
         reason=reason.value,
     )
 
 
-def _replay(recorded: Recorded) -> _Settled:
-    # The earlier answer itself is not kept, which bounds the memory for a key.
+def _replay(recorded: Recorded) -> _HandledRequest:
+    # Only the outcome of the earlier request is stored, which bounds the memory per key.
     is_unknown = recorded.outcome is Outcome.UNKNOWN
     outcome = {"outcome": recorded.outcome.value, "replayed": True}
-    return _Settled(
+    return _HandledRequest(
         outcome=recorded.outcome,
         response=attrs.evolve(
             HttpResponse.of(outcome, 502 if is_unknown else recorded.status),
@@ -431,8 +441,8 @@
     )
 
 
-def _unknown(reason: str) -> _Settled:
-    return _Settled(
+def _respond_unknown(reason: str) -> _HandledRequest:
+    return _HandledRequest(
         outcome=Outcome.UNKNOWN,
         response=HttpResponse.problem(502, "outcome_unknown", reason),
         reason="outcome_unknown",
--- a/coltsfootpier/callers/_permits.py
+++ b/coltsfootpier/callers/_permits.py
@@ -1,4 +1,4 @@
-"""Permits for the keys of a request, as the callers' side uses them."""
+"""Permits for the idempotency key and the exclusive key of a request."""
 
 from __future__ import annotations
 
@@ -13,12 +13,12 @@
 from coltsfootpier.permits import KeyKind
 from coltsfootpier.routing import Outcome, RefusalReason, Refused
 
-_MAX_KEY = 256
+_MAX_KEY_CHARACTERS = 256
 
 
 @attrs.frozen(kw_only=True)
 class Claim:
-    """A key that a request needs before it may run.
+    """A key for which a request needs a permit before it may run.
 
     Parameters
     ----------
@@ -27,7 +27,7 @@
     deadline_ms : float
         Deadline of the request on the daemon's clock.
     max_run_ms : float
-        Longest time for which a runner works on the request.
+        Longest time that a runner takes for the request.
     """
 
     kind: KeyKind
@@ -39,7 +39,7 @@
 
 @attrs.frozen(kw_only=True)
 class Permit:
-    """The right to run the request of a claim once."""
+    """Permission to run the request of a claim once."""
 
     claim: Claim
     token: str
@@ -47,21 +47,24 @@
 
 @attrs.frozen(kw_only=True)
 class Recorded:
-    """An earlier request with the same key ran or may have run; this one is not run."""
+    """Outcome of an earlier request with the same key that ran or may have run.
+
+    The new request is not run.
+    """
 
     outcome: Outcome
     status: int = 0
 
 
 class Permits(Protocol):
-    """Where a request obtains the right to use its keys."""
+    """Source of permits for the keys of requests."""
 
     async def acquire(self, claim: Claim) -> Permit | Recorded | Refused:
-        """Ask for a permit, at most until the claim's deadline."""
+        """Request a permit and wait for it, at most until the deadline of the claim."""
         ...
 
     async def settle(self, permit: Permit, outcome: Outcome, status: int) -> None:
-        """Record what became of the request; ``REFUSED`` frees the key."""
+        """Record the outcome of the request; ``REFUSED`` frees the key."""
         ...
 
 
@@ -73,27 +76,27 @@
     content: Sequence[bytes],
     deadline_ms: float,
 ) -> list[Claim] | Refused:
-    """Return the keys that a request must claim.
+    """Return the claims for the keys of a request.
 
     Parameters
     ----------
     kind : RequestKind
         Kind of the request.
     declared : bool
-        Whether the kind is in the declared text. A request of another kind may come without
-        a key: it is sent once, and a repeat by its caller counts as a new request.
+        Whether the kind is part of the declaration. A request of an undeclared kind may omit its
+        key: it is sent once, and a retry by its caller counts as a new request.
     headers : Mapping of bytes to bytes
-        Names in lower case.
+        Headers of the request, with names in lower case.
     content : sequence of bytes
-        What makes the request differ from another: method, target and body.
+        Parts that identify the request in its fingerprint: method, target and body.
     deadline_ms : float
-        On the daemon's clock.
+        Deadline of the request on the daemon's clock.
 
     Returns
     -------
     list of Claim or Refused
-        The idempotency key comes first, so that a repeat gets its recorded outcome even while
-        the exclusive key is in use.
+        The claim of the idempotency key comes first, so that a retry gets its recorded outcome
+        even while the exclusive key is in use.
     """
     needed = (
         (KeyKind.IDEMPOTENCY, b"idempotency-key", not kind.idempotent, kind.name),
@@ -106,15 +109,15 @@
         key = headers.get(header, b"").decode("latin-1")
         if not key and not declared:
             continue
-        if not key or len(key) > _MAX_KEY:
-            detail = f"{header.decode()} is required, with at most {_MAX_KEY} characters"
+        if not key or len(key) > _MAX_KEY_CHARACTERS:
+            detail = f"{header.decode()} is required, with at most {_MAX_KEY_CHARACTERS} characters"
             return Refused(reason=RefusalReason.BAD_REQUEST, detail=detail)
         is_exclusive = key_kind is KeyKind.EXCLUSIVE
         claim = Claim(
             kind=key_kind,
-            # Exclusive keys are shared by the kinds of a service.
+            # All kinds of a service share its exclusive keys.
             key=f"{key_kind.value}/{kind.service}/{scope}/{key}",
-            fingerprint="" if is_exclusive else _digest(content),
+            fingerprint="" if is_exclusive else _compute_digest(content),
             deadline_ms=deadline_ms,
             max_run_ms=kind.max_run_ms,
         )
@@ -122,7 +125,7 @@
     return claims
 
 
-def _digest(content: Sequence[bytes]) -> str:
+def _compute_digest(content: Sequence[bytes]) -> str:
     digest = hashlib.blake2b(digest_size=8)
     for part in content:
         digest.update(len(part).to_bytes(8, "big"))
@@ -133,14 +136,14 @@
 async def acquire_permits(
     permits: Permits, claims: Sequence[Claim]
 ) -> list[Permit] | Recorded | Refused:
-    """Acquire the permits for all claims of a request, or none.
+    """Acquire the permits for all claims of a request, or for none of them.
 
     Parameters
     ----------
     permits : Permits
-        Where to ask.
+        Source of the permits.
     claims : sequence of Claim
-        From `list_claims`.
+        Claims returned by `list_claims`.
 
     Returns
     -------
