Reword the operators' interface

Doc comments spoke of asking, sides and what won. They now describe requests, handlers and failures.

--- a/coltsfootpier/operators/__init__.py
+++ b/coltsfootpier/operators/__init__.py
@@ -1,4 +1,4 @@
-"""Operators: messages, server side and client of the command-line tool."""
+"""Operators' interface: messages, server side, and client for the command-line tool."""
 
 from coltsfootpier.operators._client import OperatorClient, OperatorError
 from coltsfootpier.operators._messages import (
--- a/coltsfootpier/operators/_client.py
+++ b/coltsfootpier/operators/_client.py
@@ -1,4 +1,4 @@
-"""Client of a daemon for the command-line tool."""
+"""Client of the command-line tool for the operators' interface of a daemon."""
 
 from __future__ import annotations
 
@@ -22,13 +22,13 @@
 )
 
 _T = TypeVar("_T")
-_MAX_BODY = 64_000_000
+_MAX_BODY_BYTES = 64_000_000
 _MAX_IDLE_MS = 10_000.0
 
 
 @attrs.frozen
 class OperatorError:
-    """The daemon could not be asked.
+    """Failed request to a daemon.
 
     Parameters
     ----------
@@ -47,12 +47,12 @@
 
 
 class OperatorClient:
-    """Calls of one daemon.
+    """Client of the operators' interface of one daemon.
 
     Parameters
     ----------
     address : str
-        ``IP:PORT`` of its operators' side.
+        ``IP:PORT`` of the operators' interface.
     clock : Clock
         Time source.
     timeout_ms : float, default=10_000
@@ -61,7 +61,7 @@
 
     def __init__(self, *, address: str, clock: Clock, timeout_ms: float = 10_000) -> None:
         host, port = split_address(address)
-        self._connection = Connection(host=host, port=port, clock=clock, max_body=_MAX_BODY)
+        self._connection = Connection(host=host, port=port, clock=clock, max_body=_MAX_BODY_BYTES)
         self._timeout_ms = timeout_ms
 
     async def apply(self, request: ApplyRequest) -> Result[ApplyReply, OperatorError]:
@@ -101,13 +101,13 @@
         try:
             return Success(decode(reply.body, kind))
         except MalformedMessageError:
-            return Failure(_describe(reply))
+            return Failure(_decode_error(reply))
 
 
-def _describe(reply: Reply) -> OperatorError:
+def _decode_error(reply: Reply) -> OperatorError:
     try:
         problem = decode(reply.body, _ProblemReply)
     except MalformedMessageError:
-        # Whatever answered may have passed the request on.
-        return OperatorError(f"the answer can't be read (status {reply.status})", unknown=True)
+        # The sender of a malformed response may have forwarded the request.
+        return OperatorError(f"the response is malformed (status {reply.status})", unknown=True)
     return OperatorError(problem.reason, unknown=reply.status >= 500)
--- a/coltsfootpier/operators/_messages.py
+++ b/coltsfootpier/operators/_messages.py
@@ -12,13 +12,13 @@
     Parameters
     ----------
     text : str
-        The new text.
+        New text of the declaration.
     base : int
         Revision that the change is based on.
     token : str
-        Names the change, so that a repeated request is applied once.
+        Identifier of the change, so that a retried request is applied once.
     source : str
-        File name for error messages.
+        File name used in error messages.
     """
 
     text: str
@@ -36,9 +36,9 @@
     outcome : str
         ``accepted``, ``invalid``, ``conflict``, ``unavailable`` or ``unknown``.
     revision : int
-        The accepted revision, or the one that won.
+        The accepted revision, or after a conflict the revision in force.
     problems : tuple of str
-        What is wrong with the text.
+        Errors in the text.
     """
 
     outcome: str
@@ -49,7 +49,7 @@
 
 @attrs.frozen(kw_only=True)
 class EntryVmStatus:
-    """A daemon as another one sees it."""
+    """State of an entry VM's daemon as seen by another daemon."""
 
     name: str
     member: str
@@ -60,7 +60,7 @@
 
 @attrs.frozen(kw_only=True)
 class TaskStatus:
-    """State of one task and the reason when it doesn't run."""
+    """State of one task, with the reason if it isn't running."""
 
     task: str
     state: str
@@ -72,7 +72,7 @@
 
 @attrs.frozen(kw_only=True)
 class WorkerStatus:
-    """Size of a worker and what is free."""
+    """Capacity of a worker, in total and free."""
 
     worker: str
     shard: str
@@ -86,12 +86,12 @@
 
 @attrs.frozen(kw_only=True)
 class StatusReply:
-    """State of the whole system as the dispatcher knows it.
+    """State of the whole system as known to the dispatcher.
 
     Parameters
     ----------
     complete : bool
-        False when the dispatcher could not be asked; then only entry VMs are listed.
+        False when the dispatcher could not be reached; then only entry VMs are listed.
     """
 
     revision: int
--- a/coltsfootpier/operators/_server.py
+++ b/coltsfootpier/operators/_server.py
@@ -1,4 +1,4 @@
-"""Server side for operators, health checks and metrics."""
+"""HTTP application for operators, health checks and metrics."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from coltsfootpier.operators._messages import ApplyReply, ApplyRequest, StatusReply
 from coltsfootpier.transport import Application, HttpRequest, HttpResponse, decode
 
-_MAX_BODY = 4_000_000
+_MAX_BODY_BYTES = 4_000_000
 _APPLY_STATUS = {
     "accepted": 200,
     "invalid": 422,
@@ -20,10 +20,10 @@
 
 
 class OperatorHandlers(Protocol):
-    """What a daemon does for operators."""
+    """Handlers of a daemon for the operators' interface."""
 
     async def on_apply(self, request: ApplyRequest) -> ApplyReply:
-        """Accept a change of the configuration."""
+        """Handle a requested change of the configuration."""
         ...
 
     async def on_status(self) -> StatusReply:
@@ -39,16 +39,16 @@
         ...
 
     def why_not_ready(self) -> str:
-        """Return why the daemon takes no requests; empty when it does."""
+        """Return why the daemon isn't ready for requests; empty when it is."""
         ...
 
     def render_metrics(self) -> bytes:
-        """Return the metrics in the text format of Prometheus."""
+        """Return the metrics in the Prometheus text format."""
         ...
 
 
 def build_operator_application(handlers: OperatorHandlers) -> Application:
-    """Return the application of the operators' side."""
+    """Return the application that serves the operators' interface."""
 
     async def health(_: HttpRequest) -> HttpResponse:
         return HttpResponse.of({"status": "ok"})
@@ -83,5 +83,5 @@
             "GET /v1/config": config,
             "GET /v1/burn": burn,
         },
-        max_body=_MAX_BODY,
+        max_body=_MAX_BODY_BYTES,
     )
