Reword configuration revisions

Doc comments spoke of texts, no way back and being told. They now describe declarations, validation and revision history.

--- a/coltsfootpier/configuration/__init__.py
+++ b/coltsfootpier/configuration/__init__.py
@@ -1,4 +1,4 @@
-"""Revisions of the declared text: acceptance, propagation, no way back."""
+"""Revisions of the declaration: acceptance and propagation; a daemon never goes back."""
 
 from coltsfootpier.configuration._state import Revision, RevisionState, follow, settle
 
--- a/coltsfootpier/configuration/_state.py
+++ b/coltsfootpier/configuration/_state.py
@@ -8,30 +8,31 @@
 from coltsfootpier.declaration import Declaration, parse
 from coltsfootpier.exceptions import InvariantError, Problem
 
-# Tokens kept in the value; at 1,200 changes a day they reach back more than an hour, while an
-# operator's change is settled within seconds.
-_EARLIER = 64
+# Number of earlier tokens stored with a revision. At 1,200 changes a day they cover more than an
+# hour, while the outcome of an operator's change is known within seconds.
+_MAX_EARLIER_TOKENS = 64
 
 
 class RevisionContentError(InvariantError):
-    """Two texts claim the same revision number."""
+    """Two revisions with different tokens have the same number."""
 
 
 @attrs.frozen
 class Revision:
-    """The store value ``control/config``.
+    """Value of the store key ``control/config``.
 
     Parameters
     ----------
     revision : int
         Increases by one with each accepted change; 0 before the first.
     token : str
-        Chosen by the writer; tells after a lost answer whether its write took effect.
+        Identifier chosen by the writer; shows after a lost response whether its write took
+        effect.
     text : str
-        The declared text.
+        Text of the declaration.
     earlier : tuple of str
-        Tokens of the revisions before, the newest first. A writer whose answer was lost finds
-        its own there when others have written since.
+        Tokens of the previous revisions, newest first. A writer whose response was lost finds its
+        token here when others have written since.
     """
 
     revision: int = 0
@@ -40,12 +41,12 @@
     earlier: tuple[str, ...] = ()
 
     def includes(self, token: str) -> bool:
-        """Whether the write with this token took effect, now or before."""
+        """Return whether the write with a token took effect, in this or an earlier revision."""
         return token == self.token or token in self.earlier
 
 
 class RevisionState:
-    """Newest revision that a daemon has seen and runs by.
+    """Newest revision that a daemon has seen and applies.
 
     Examples
     --------
@@ -62,37 +63,37 @@
         self.known = False
 
     def observe(self, revision: Revision) -> bool:
-        """Take a revision from the store or a peer.
+        """Apply a revision from the store or a peer if it is newer.
 
-        A lower revision than the newest one seen is ignored, also when the store shows it.
+        A revision lower than the newest one seen is ignored, even if it comes from the store.
 
         Parameters
         ----------
         revision : Revision
-            A durable revision.
+            Revision that is durable in the store.
 
         Returns
         -------
         bool
-            Whether the revision came into force by this call.
+            Whether this call put the revision into force.
 
         Raises
         ------
         RevisionContentError
-            If another text with the same number was seen before.
+            If a revision with the same number but another token is in force.
         """
         self.known = True
         if revision.revision == self.revision.revision and revision.token != self.revision.token:
             raise RevisionContentError(
-                f"revision {revision.revision}: token {revision.token!r} after "
-                f"{self.revision.token!r}"
+                f"revision {revision.revision} has token {revision.token!r}, but was seen with "
+                f"token {self.revision.token!r}"
             )
         if revision.revision <= self.revision.revision:
             return False
         parsed = parse(revision.text, source=f"revision {revision.revision}")
         if isinstance(parsed, Failure):
-            # Only checked texts are written, so this is a text of a newer release with keys
-            # that this one doesn't know. The state before stays in force.
+            # Only valid texts are written, so this text was written by a newer release and
+            # contains keys unknown to this one. The previous state stays in force.
             return False
         self.revision = revision
         self.declaration = parsed.unwrap()
@@ -101,7 +102,7 @@
     def propose(
         self, text: str, *, base: int, token: str, source: str
     ) -> Result[Revision, tuple[Problem, ...]]:
-        """Check a change and return the revision that it would become."""
+        """Validate a change and return the revision that it proposes."""
         parsed = parse(text, source=source)
         if isinstance(parsed, Failure):
             return parsed
@@ -109,18 +110,18 @@
 
 
 def follow(proposed: Revision, stored: Revision) -> Revision:
-    """Return a proposed revision as it is written over the stored one."""
-    earlier = (stored.token, *stored.earlier)[:_EARLIER] if stored.revision else ()
+    """Return a proposed revision with the token history of the stored one that it replaces."""
+    earlier = (stored.token, *stored.earlier)[:_MAX_EARLIER_TOKENS] if stored.revision else ()
     return attrs.evolve(proposed, earlier=earlier)
 
 
 def settle(proposed: Revision, stored: Revision) -> bool | None:
-    """Tell from the stored value whether the write of a proposed revision took effect.
+    """Return whether the write of a proposed revision took effect, given the stored value.
 
     Returns
     -------
     bool or None
-        None when it has not, but still may, because the write may be on its way.
+        None when the write has not taken effect but still may, because it may be in flight.
 
     Examples
     --------
