Reword remaining comments of maintenance, callers and configuration

Some comments still described a cordon and the known revision vaguely, and the acquired permits of a request were named held. compare_shape reports 0 SHAPE, CONST, MERGED and IMPORT lines.

--- a/coltsfootpier/callers/_application.py
+++ b/coltsfootpier/callers/_application.py
@@ -301,11 +301,11 @@
     async def _run_with_permits(
         self, request: _Request, claims: list[Claim], arrived_ms: float
     ) -> _HandledRequest:
-        held = await acquire_permits(self._permits, claims)
-        if isinstance(held, Refused):
-            return _reject(held.reason, held.detail)
-        if isinstance(held, Recorded):
-            return _replay(held)
+        acquired = await acquire_permits(self._permits, claims)
+        if isinstance(acquired, Refused):
+            return _reject(acquired.reason, acquired.detail)
+        if isinstance(acquired, Recorded):
+            return _replay(acquired)
         ticket = Ticket(
             service=request.kind.service,
             kind=request.kind.name,
@@ -313,7 +313,7 @@
             arrived_ms=arrived_ms,
         )
         handled = await self._run_attempts(request, ticket)
-        await settle_permits(self._permits, held, handled.outcome, handled.response.status)
+        await settle_permits(self._permits, acquired, handled.outcome, handled.response.status)
         return attrs.evolve(handled, waited_ms=ticket.waited_ms)
 
     async def _run_attempts(self, request: _Request, ticket: Ticket) -> _HandledRequest:
--- a/coltsfootpier/callers/_permits.py
+++ b/coltsfootpier/callers/_permits.py
@@ -149,20 +149,20 @@
     -------
     list of Permit, Recorded or Refused
     """
-    held: list[Permit] = []
+    acquired: list[Permit] = []
     for claim in claims:
         result = await permits.acquire(claim)
         if not isinstance(result, Permit):
-            await settle_permits(permits, held, Outcome.REFUSED, 0)
+            await settle_permits(permits, acquired, Outcome.REFUSED, 0)
             return result
-        held.append(result)
-    return held
+        acquired.append(result)
+    return acquired
 
 
 async def settle_permits(
-    permits: Permits, held: Sequence[Permit], outcome: Outcome, status: int
+    permits: Permits, acquired: Sequence[Permit], outcome: Outcome, status: int
 ) -> None:
     """Record the outcome of a request for all its permits."""
     with anyio.CancelScope(shield=True):
-        for permit in reversed(held):
+        for permit in reversed(acquired):
             await permits.settle(permit, outcome, status)
--- a/coltsfootpier/configuration/_state.py
+++ b/coltsfootpier/configuration/_state.py
@@ -60,6 +60,7 @@
     def __init__(self) -> None:
         self.revision = Revision()
         self.declaration = Declaration.empty()
+        # Whether the store was read or a peer has sent a revision, even if it is revision 0.
         self.known = False
 
     def observe(self, revision: Revision) -> bool:
--- a/coltsfootpier/upkeep/_planner.py
+++ b/coltsfootpier/upkeep/_planner.py
@@ -38,7 +38,7 @@
         ...
 
     def uncordon(self, runner_id: str) -> None:
-        """Place tasks on a runner again."""
+        """Allow tasks to be placed on a runner again."""
         ...
 
     def measure_use(self, runner_id: str) -> float | None:
--- a/coltsfootpier/upkeep/tests/builders.py
+++ b/coltsfootpier/upkeep/tests/builders.py
@@ -45,7 +45,7 @@
         self.cordoned.add(runner_id)
 
     def uncordon(self, runner_id: str) -> None:
-        """Place tasks on a runner again."""
+        """Allow tasks to be placed on a runner again."""
         self.cordoned.discard(runner_id)
 
     def measure_use(self, runner_id: str) -> float | None:
