--- a/coltsfootpier/callers/__init__.py
+++ b/coltsfootpier/callers/__init__.py
@@ -1,6 +1,6 @@
 """Request handling for callers: ASGI application and permits."""
 
 from coltsfootpier.callers._application import CallerApplication, Slots
-from coltsfootpier.callers._permits import Claim, Permit, Permits, Recorded
+from coltsfootpier.callers._permits import Claim, Permit, Permits, RecordedOutcome
 
-__all__ = ["CallerApplication", "Claim", "Permit", "Permits", "Recorded", "Slots"]
+__all__ = ["CallerApplication", "Claim", "Permit", "Permits", "RecordedOutcome", "Slots"]
--- a/coltsfootpier/callers/_application.py
+++ b/coltsfootpier/callers/_application.py
@@ -17,7 +17,7 @@
 from coltsfootpier.callers._permits import (
     Claim,
     Permits,
-    Recorded,
+    RecordedOutcome,
     acquire_permits,
     list_claims,
     settle_permits,
@@ -81,7 +81,7 @@
         """Return the timeout in ms of an attempt that may be retried."""
         ...
 
-    def may_repeat(self, service: str, kind: str, deadline_ms: float) -> bool:
+    def try_spend_retry(self, service: str, kind: str, deadline_ms: float) -> bool:
         """Spend a retry of the retry budget if the deadline allows one; return whether it did."""
         ...
 
@@ -304,7 +304,7 @@
         acquired = await acquire_permits(self._permits, claims)
         if isinstance(acquired, Refused):
             return _reject(acquired.reason, acquired.detail)
-        if isinstance(acquired, Recorded):
+        if isinstance(acquired, RecordedOutcome):
             return _replay(acquired)
         ticket = Ticket(
             service=request.kind.service,
@@ -322,7 +322,9 @@
         reason = ""
         self._slots.record_request(kind.service)
         for attempt in range(_MAX_ATTEMPTS):
-            if attempt and not self._slots.may_repeat(kind.service, kind.name, request.deadline_ms):
+            if attempt and not self._slots.try_spend_retry(
+                kind.service, kind.name, request.deadline_ms
+            ):
                 break
             wait_start_ms = self._clock.now_ms()
             # Each attempt gets a ticket of its own, because a ticket can be settled only once.
@@ -427,7 +429,7 @@
     )
 
 
-def _replay(recorded: Recorded) -> _HandledRequest:
+def _replay(recorded: RecordedOutcome) -> _HandledRequest:
     # Only the outcome of the earlier request is stored, which bounds the memory per key.
     is_unknown = recorded.outcome is Outcome.UNKNOWN
     outcome = {"outcome": recorded.outcome.value, "replayed": True}
--- a/coltsfootpier/callers/_permits.py
+++ b/coltsfootpier/callers/_permits.py
@@ -46,7 +46,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Recorded:
+class RecordedOutcome:
     """Outcome of an earlier request with the same key that ran or may have run.
 
     The new request is not run.
@@ -59,7 +59,7 @@
 class Permits(Protocol):
     """Source of permits for the keys of requests."""
 
-    async def acquire(self, claim: Claim) -> Permit | Recorded | Refused:
+    async def acquire(self, claim: Claim) -> Permit | RecordedOutcome | Refused:
         """Request a permit and wait for it, at most until the deadline of the claim."""
         ...
 
@@ -135,7 +135,7 @@
 
 async def acquire_permits(
     permits: Permits, claims: Sequence[Claim]
-) -> list[Permit] | Recorded | Refused:
+) -> list[Permit] | RecordedOutcome | Refused:
     """Acquire the permits for all claims of a request, or for none of them.
 
     Parameters
@@ -147,7 +147,7 @@
 
     Returns
     -------
-    list of Permit, Recorded or Refused
+    list of Permit, RecordedOutcome or Refused
     """
     acquired: list[Permit] = []
     for claim in claims:
--- a/coltsfootpier/cells/_cordons.py
+++ b/coltsfootpier/cells/_cordons.py
@@ -45,7 +45,7 @@
         if runner is not None:
             runner.cordoned = False
 
-    def measure_use(self, runner_id: str) -> float | None:
+    def measure_ending_cost(self, runner_id: str) -> float | None:
         """Return the processors in thousandths of what would end; None if it can't be used now."""
         runner = self._fleet.runners.get(runner_id)
         if runner is None or not runner.listed or not runner.adopted or runner.entry.draining:
@@ -57,24 +57,24 @@
         runner = self._fleet.runners.get(runner_id)
         return runner is None or all(run.step.long_running for run in runner.runs.values())
 
-    def can_end(self, runner_id: str) -> bool:
+    def can_end_runs(self, runner_id: str) -> bool:
         """Return whether all runs on a runner may end at once."""
         runner = self._fleet.runners.get(runner_id)
         return runner is None or not self._list_limited(runner)
 
-    def begin_end(self, runner_id: str) -> None:
+    def mark_ending(self, runner_id: str) -> None:
         """Count the runs on a runner as ending."""
         runner = self._fleet.runners.get(runner_id)
         if runner is not None:
             runner.ending = True
 
-    def cancel_end(self, runner_id: str) -> None:
+    def unmark_ending(self, runner_id: str) -> None:
         """Count the runs on a runner as at work again."""
         runner = self._fleet.runners.get(runner_id)
         if runner is not None:
             runner.ending = False
 
-    def note_ended(self, runner_id: str) -> None:
+    def record_ended(self, runner_id: str) -> None:
         """Note that everything on a runner has ended with its VM."""
         runner = self._fleet.runners.get(runner_id)
         if runner is None:
--- a/coltsfootpier/cells/_lives.py
+++ b/coltsfootpier/cells/_lives.py
@@ -46,7 +46,7 @@
             for runner_id, runner in self._fleet.runners.items()
         )
 
-    def take_listing(self, living: Container[str], *, asked_ms: float) -> bool:
+    def take_listing(self, living: Container[str], *, requested_ms: float) -> bool:
         """Take a complete listing.
 
         Parameters
@@ -65,15 +65,15 @@
         for runner_id, runner in self._fleet.runners.items():
             if runner.ended:
                 continue
-            is_silent = asked_ms - runner.contact_ms > self._settings.suspect_after_ms
+            is_silent = requested_ms - runner.contact_ms > self._settings.suspect_after_ms
             if runner_id in living or not is_silent:
                 runner.missing_ms = float("inf")
-            elif runner.missing_ms < asked_ms:
+            elif runner.missing_ms < requested_ms:
                 # Pages of a listing are not a snapshot, so one that doesn't name it isn't enough.
                 self._end(runner)
                 ended = True
             else:
-                runner.missing_ms = asked_ms
+                runner.missing_ms = requested_ms
         return ended
 
     def _end(self, runner: Runner) -> None:
--- a/coltsfootpier/cells/tests/test_cordons.py
+++ b/coltsfootpier/cells/tests/test_cordons.py
@@ -45,11 +45,11 @@
     def test_limit_of_a_step(self):
         """Guards against more tasks of a step away than it allows."""
         self._start("j", build_service(count=3, may_miss=1))
-        self.assertTrue(self.cordons.can_end("a"))
-        self.cordons.begin_end("a")
-        self.assertFalse(self.cordons.can_end("b"))
-        self.cordons.cancel_end("a")
-        self.assertTrue(self.cordons.can_end("b"))
+        self.assertTrue(self.cordons.can_end_runs("a"))
+        self.cordons.mark_ending("a")
+        self.assertFalse(self.cordons.can_end_runs("b"))
+        self.cordons.unmark_ending("a")
+        self.assertTrue(self.cordons.can_end_runs("b"))
 
     def test_tasks_that_are_not_at_work_count_as_away(self):
         """Guards against an end beside a task that is still starting."""
@@ -57,15 +57,15 @@
         (run,) = self.world.runners["b"].running
         self.world.runners["b"].percents[run] = 50.0
         self.world.advance(500)
-        self.assertFalse(self.cordons.can_end("a"))
+        self.assertFalse(self.cordons.can_end_runs("a"))
         # A runner without a task at work may always end.
-        self.assertTrue(self.cordons.can_end("b"))
+        self.assertTrue(self.cordons.can_end_runs("b"))
 
     def test_step_without_a_limit(self):
         """Guards against a wave that waits for steps that name no limit."""
         self._start("j", build_service(count=3))
-        self.cordons.begin_end("a")
-        self.assertTrue(self.cordons.can_end("b"))
+        self.cordons.mark_ending("a")
+        self.assertTrue(self.cordons.can_end_runs("b"))
 
     def test_tasks_beyond_the_limit_move_away(self):
         """Guards against a VM that can never go down because it holds two tasks of a step."""
@@ -73,7 +73,7 @@
         self.world.join()
         self.cordons = self.world.cell.cordons
         self._start("j", build_service(count=2, may_miss=1, max_per_runner=0, cpu_milli=2_000))
-        self.assertFalse(self.cordons.can_end("a"))
+        self.assertFalse(self.cordons.can_end_runs("a"))
         self.cordons.cordon("a")
         self.world.advance(1_000)
         self.assertEqual(self._count(StopRun, "a"), 0)
@@ -88,16 +88,16 @@
         self._start("j", build_service(count=3))
         self.cordons.cordon("a")
         self.world.runners["a"].reachable = False
-        self.cordons.note_ended("a")
+        self.cordons.record_ended("a")
         self.assertFalse(self.world.cell.fleet.runners["a"].runs)
         self.assertEqual(len(self.world.cell.jobs.ready), 1)
 
     def test_runner_that_is_not_used(self):
         """Guards against an upkeep of a runner whose runs aren't known yet, or that leaves."""
-        self.assertEqual(self.cordons.measure_use("a"), 0.0)
-        self.assertIsNone(self.cordons.measure_use("unknown"))
+        self.assertEqual(self.cordons.measure_ending_cost("a"), 0.0)
+        self.assertIsNone(self.cordons.measure_ending_cost("unknown"))
         self.world.cell.fleet.runners["b"].adopted = False
-        self.assertIsNone(self.cordons.measure_use("b"))
+        self.assertIsNone(self.cordons.measure_ending_cost("b"))
 
 
 if __name__ == "__main__":
--- a/coltsfootpier/cells/tests/test_lives.py
+++ b/coltsfootpier/cells/tests/test_lives.py
@@ -18,7 +18,7 @@
         self.runner = self.world.runners[self.name]
 
     def _list(self, *living):
-        ended = self.world.cell.lives.take_listing(living, asked_ms=self.world.now_ms)
+        ended = self.world.cell.lives.take_listing(living, requested_ms=self.world.now_ms)
         self.world.advance(100)
         return ended
 
@@ -51,11 +51,11 @@
 
     def test_listings_before_the_last_contact(self):
         """Guards against an old listing that counts against a runner that has answered since."""
-        asked_ms = self.world.now_ms + 800
+        requested_ms = self.world.now_ms + 800
         self.world.now_ms += 1_000
         self.world.report()
         for later_ms in (0, 50):
-            self.world.cell.lives.take_listing(set(), asked_ms=asked_ms + later_ms)
+            self.world.cell.lives.take_listing(set(), requested_ms=requested_ms + later_ms)
         self.assertEqual(self.world.find("j"), [(self.name, self.run_id)])
         self.assertFalse(self.world.cell.fleet.runners[self.name].ended)
 
@@ -106,7 +106,7 @@
         world.advance(300)
         self.assertEqual(world.find("j"), [])
         for _ in range(2):
-            world.cell.lives.take_listing({self.other}, asked_ms=world.now_ms)
+            world.cell.lives.take_listing({self.other}, requested_ms=world.now_ms)
             world.advance(100)
         self.assertEqual([name for name, _ in world.find("j")], [self.other])
 
--- a/coltsfootpier/cli/_store.py
+++ b/coltsfootpier/cli/_store.py
@@ -14,6 +14,7 @@
 from coltsfootpier.clock import MonotonicClock
 from coltsfootpier.jobs import JobRecord, decode_record
 from coltsfootpier.journal import OwnerInfo, decode_owner
+from coltsfootpier.maintenance import MaintenanceRecord, WaveRecord
 from coltsfootpier.node import keys
 from coltsfootpier.platform import (
     CONFIG_KEY,
@@ -23,7 +24,6 @@
     decode_entry,
 )
 from coltsfootpier.transport import MalformedMessageError, decode, encode, split_address
-from coltsfootpier.upkeep import UpkeepRecord, WaveRecord
 
 
 @attrs.frozen(kw_only=True)
@@ -82,7 +82,7 @@
 
 
 def _decode_waves(value: bytes | None) -> tuple[WaveRecord, ...]:
-    return () if value is None else decode(value, UpkeepRecord).waves
+    return () if value is None else decode(value, MaintenanceRecord).waves
 
 
 def _describe_wave(wave: WaveRecord) -> str:
--- a/coltsfootpier/configuration/__init__.py
+++ b/coltsfootpier/configuration/__init__.py
@@ -1,5 +1,10 @@
 """Revisions of the declaration: acceptance and propagation; a daemon never goes back."""
 
-from coltsfootpier.configuration._state import Revision, RevisionState, follow, settle
+from coltsfootpier.configuration._state import (
+    Revision,
+    RevisionState,
+    extend_history,
+    has_taken_effect,
+)
 
-__all__ = ["Revision", "RevisionState", "follow", "settle"]
+__all__ = ["Revision", "RevisionState", "extend_history", "has_taken_effect"]
--- a/coltsfootpier/configuration/_state.py
+++ b/coltsfootpier/configuration/_state.py
@@ -110,13 +110,13 @@
         return Success(Revision(base + 1, token, text))
 
 
-def follow(proposed: Revision, stored: Revision) -> Revision:
+def extend_history(proposed: Revision, stored: Revision) -> Revision:
     """Return a proposed revision with the token history of the stored one that it replaces."""
     earlier = (stored.token, *stored.earlier)[:_MAX_EARLIER_TOKENS] if stored.revision else ()
     return attrs.evolve(proposed, earlier=earlier)
 
 
-def settle(proposed: Revision, stored: Revision) -> bool | None:
+def has_taken_effect(proposed: Revision, stored: Revision) -> bool | None:
     """Return whether the write of a proposed revision took effect, given the stored value.
 
     Returns
@@ -127,11 +127,11 @@
     Examples
     --------
     >>> mine = Revision(2, "mine", "")
-    >>> settle(mine, Revision(3, "other", "", ("mine", "first")))
+    >>> has_taken_effect(mine, Revision(3, "other", "", ("mine", "first")))
     True
-    >>> settle(mine, Revision(2, "other", "", ("first",)))
+    >>> has_taken_effect(mine, Revision(2, "other", "", ("first",)))
     False
-    >>> settle(mine, Revision(1, "first", ""))
+    >>> has_taken_effect(mine, Revision(1, "first", ""))
     """
     if stored.includes(proposed.token):
         return True
--- a/coltsfootpier/configuration/tests/test_state.py
+++ b/coltsfootpier/configuration/tests/test_state.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from coltsfootpier.configuration import Revision, RevisionState, follow, settle
+from coltsfootpier.configuration import Revision, RevisionState, extend_history, has_taken_effect
 from tests.builders import TEXT
 
 
@@ -29,10 +29,12 @@
         Other changes have been written since.
         """
         stored = Revision(1, "first", TEXT)
-        mine = follow(Revision(2, "mine", TEXT), stored)
-        self.assertIsNone(settle(mine, stored))
-        self.assertTrue(settle(mine, follow(Revision(3, "other", TEXT), mine)))
-        self.assertIs(settle(mine, follow(Revision(2, "other", TEXT), stored)), False)
+        mine = extend_history(Revision(2, "mine", TEXT), stored)
+        self.assertIsNone(has_taken_effect(mine, stored))
+        self.assertTrue(has_taken_effect(mine, extend_history(Revision(3, "other", TEXT), mine)))
+        self.assertIs(
+            has_taken_effect(mine, extend_history(Revision(2, "other", TEXT), stored)), False
+        )
 
 
 if __name__ == "__main__":
--- a/coltsfootpier/daemon/_control.py
+++ b/coltsfootpier/daemon/_control.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from coltsfootpier.clock import Clock
-from coltsfootpier.configuration import Revision, RevisionState, follow, settle
+from coltsfootpier.configuration import Revision, RevisionState, extend_history, has_taken_effect
 from coltsfootpier.exceptions import Problem
 from coltsfootpier.logs import log_event
 from coltsfootpier.membership import Member, MemberTable, VmTable
@@ -250,7 +250,7 @@
         for known in (stored, self.revisions.revision):
             if known.includes(change.token):
                 return Success(known)
-        revision = follow(change, stored)
+        revision = extend_history(change, stored)
         newest = max(stored.revision, self.revisions.revision.revision)
         if newest != base:
             return Failure(ApplyConflict(newest))
@@ -268,7 +268,7 @@
         if isinstance(error, Conflict):
             stored = _read_revision(error.current)
             # A copy of the write that arrived before may have taken effect.
-            if settle(revision, stored):
+            if has_taken_effect(revision, stored):
                 return Success(revision)
             return Failure(ApplyConflict(stored.revision))
         if not isinstance(error, StoreUnknown):
@@ -279,7 +279,7 @@
             read = await self._platform.get(_CONFIG)
             if isinstance(read, Success):
                 stored = _read_revision(read.unwrap())
-                outcome = settle(revision, stored)
+                outcome = has_taken_effect(revision, stored)
                 if outcome is not None:
                     return Success(revision) if outcome else Failure(ApplyConflict(stored.revision))
         # The write may still be on its way, so a missing token proves nothing.
--- a/coltsfootpier/daemon/_daemon.py
+++ b/coltsfootpier/daemon/_daemon.py
@@ -667,7 +667,7 @@
             declaration=self.control.revisions.declaration, snapshots=snapshots, missing=missing
         )
 
-    def why_not_ready(self) -> str:
+    def get_unready_reason(self) -> str:
         """Return why the daemon takes no requests; empty when it does."""
         if self._draining:
             return "draining"
--- a/coltsfootpier/daemon/_permits.py
+++ b/coltsfootpier/daemon/_permits.py
@@ -9,7 +9,7 @@
 from anyio.abc import TaskGroup
 from returns.result import Failure, Result, Success
 
-from coltsfootpier.callers import Claim, Permit, Recorded
+from coltsfootpier.callers import Claim, Permit, RecordedOutcome
 from coltsfootpier.clock import Clock
 from coltsfootpier.daemon._control import Control
 from coltsfootpier.logs import log_event
@@ -149,7 +149,7 @@
 
     # Requests of this daemon's callers
 
-    async def acquire(self, claim: Claim) -> Permit | Recorded | Refused:
+    async def acquire(self, claim: Claim) -> Permit | RecordedOutcome | Refused:
         """Ask the owner of the key for a permit; asks again while there is no owner."""
         token = secrets.token_hex(8)
         group = key_group(claim.key)
@@ -173,9 +173,9 @@
                 if verdict is Verdict.GRANTED:
                     return Permit(claim=claim, token=token)
                 if verdict is Verdict.KNOWN:
-                    return Recorded(outcome=reply.outcome, status=reply.status)
+                    return RecordedOutcome(outcome=reply.outcome, status=reply.status)
                 if verdict is Verdict.INCOMPLETE and claim.kind is KeyKind.IDEMPOTENCY:
-                    return Recorded(outcome=Outcome.UNKNOWN)
+                    return RecordedOutcome(outcome=Outcome.UNKNOWN)
                 if verdict not in (Verdict.NOT_OWNER, Verdict.NO_COPY):
                     break
             elif not isinstance(result.failure(), NotSent):
--- a/coltsfootpier/daemon/_slots.py
+++ b/coltsfootpier/daemon/_slots.py
@@ -105,7 +105,7 @@
         """Count a new request towards the retry budget."""
         self._router.retries.record_request(service)
 
-    def may_repeat(self, service: str, kind: str, deadline_ms: float) -> bool:
+    def try_spend_retry(self, service: str, kind: str, deadline_ms: float) -> bool:
         """Take a repeat out of the retry budget if the deadline allows one."""
         answer_ms = self._router.health.answer_ms(service, kind)
         if deadline_ms <= self._clock.now_ms() + answer_ms:
--- a/coltsfootpier/upkeep/_messages.py
+++ b/coltsfootpier/maintenance/_messages.py
@@ -58,14 +58,14 @@
 
 
 @attrs.frozen(kw_only=True)
-class UpkeepOrder:
+class MaintenanceCommand:
     """Command that ends all runs on a worker VM at once and starts its maintenance."""
 
     wave: int
     vm_id: str
 
 
-class UpkeepOutcome(enum.Enum):
+class MaintenanceOutcome(enum.Enum):
     """Outcome of a maintenance command."""
 
     # The maintenance was started by this command or by an earlier one.
@@ -108,7 +108,7 @@
 
 
 @attrs.frozen
-class UpkeepRecord:
+class MaintenanceRecord:
     """Progress of all waves that the operators have in the store."""
 
     waves: tuple[WaveRecord, ...] = ()
--- a/coltsfootpier/upkeep/_planner.py
+++ b/coltsfootpier/maintenance/_planner.py
@@ -18,16 +18,16 @@
 
 import attrs
 
-from coltsfootpier.upkeep._messages import (
-    UpkeepOrder,
-    UpkeepOutcome,
-    UpkeepRecord,
+from coltsfootpier.maintenance._messages import (
+    MaintenanceCommand,
+    MaintenanceOutcome,
+    MaintenanceRecord,
     VmState,
     Wave,
     WaveRecord,
     WorkerVm,
 )
-from coltsfootpier.upkeep._settings import UpkeepSettings
+from coltsfootpier.maintenance._settings import MaintenanceSettings
 
 
 class RunnerCordons(Protocol):
@@ -41,7 +41,7 @@
         """Allow tasks to be placed on a runner again."""
         ...
 
-    def measure_use(self, runner_id: str) -> float | None:
+    def measure_ending_cost(self, runner_id: str) -> float | None:
         """Return the cost of ending all runs on a runner; None if the runner can't be used now."""
         ...
 
@@ -49,19 +49,19 @@
         """Return whether a runner has no run that is worth waiting for."""
         ...
 
-    def can_end(self, runner_id: str) -> bool:
+    def can_end_runs(self, runner_id: str) -> bool:
         """Return whether all runs on a runner may be ended at once."""
         ...
 
-    def begin_end(self, runner_id: str) -> None:
+    def mark_ending(self, runner_id: str) -> None:
         """Mark the runs on a runner as about to end."""
         ...
 
-    def cancel_end(self, runner_id: str) -> None:
-        """Revoke the mark of `begin_end`."""
+    def unmark_ending(self, runner_id: str) -> None:
+        """Revoke the mark of `mark_ending`."""
         ...
 
-    def note_ended(self, runner_id: str) -> None:
+    def record_ended(self, runner_id: str) -> None:
         """Record that all runs on a runner have ended."""
         ...
 
@@ -110,16 +110,16 @@
     completed: bool = False
 
 
-class UpkeepPlanner:
+class MaintenancePlanner:
     """State machine of all maintenance waves.
 
     Parameters
     ----------
-    settings : UpkeepSettings
+    settings : MaintenanceSettings
         Durations.
     cordons : RunnerCordons
         Operations on runners.
-    record : UpkeepRecord
+    record : MaintenanceRecord
         Progress recorded by earlier owners.
     log : callable
         Callback that logs one event with its fields.
@@ -128,9 +128,9 @@
     def __init__(
         self,
         *,
-        settings: UpkeepSettings,
+        settings: MaintenanceSettings,
         cordons: RunnerCordons,
-        record: UpkeepRecord,
+        record: MaintenanceRecord,
         log: Callable[..., None],
     ) -> None:
         self._settings = settings
@@ -187,7 +187,7 @@
                     phase=_Phase.ORDERED,
                     phase_start_ms=now_ms,
                     is_outcome_unknown=True,
-                    due_ms=now_ms + self._settings.takeover_ms,
+                    due_ms=now_ms + self._settings.takeover_delay_ms,
                 )
         self._log(
             "maintenance wave opened",
@@ -205,14 +205,14 @@
         for progress in state.active.values():
             self._release(progress)
 
-    def take_vms(self, vms: Iterable[WorkerVm], *, asked_ms: float) -> None:
+    def update_vms(self, vms: Iterable[WorkerVm], *, requested_ms: float) -> None:
         """Apply a complete listing of the worker VMs.
 
         Parameters
         ----------
         vms : iterable of WorkerVm
             All worker VMs.
-        asked_ms : float
+        requested_ms : float
             Local time just before the listing was requested.
         """
         previous = set(self._vms)
@@ -221,11 +221,11 @@
         self._recent_ids = previous | set(self._vms)
         for state in self._waves.values():
             for vm_id, progress in list(state.active.items()):
-                if asked_ms >= progress.phase_start_ms:
-                    self._reconcile(state, vm_id, progress, asked_ms)
+                if requested_ms >= progress.phase_start_ms:
+                    self._reconcile(state, vm_id, progress, requested_ms)
 
     def _reconcile(
-        self, state: _WaveState, vm_id: str, progress: _Progress, asked_ms: float
+        self, state: _WaveState, vm_id: str, progress: _Progress, requested_ms: float
     ) -> None:
         """Update the progress of a VM from its listed state."""
         vm = self._vms.get(vm_id)
@@ -241,7 +241,7 @@
         if progress.phase is _Phase.ORDERED:
             if vm.state is VmState.UPKEEP:
                 # A command without a response has taken effect.
-                self._mark_started(state, vm_id, progress, asked_ms)
+                self._mark_started(state, vm_id, progress, requested_ms)
             elif vm.runner_id != progress.runner_id and progress.due_ms < math.inf:
                 self._release(progress)
                 progress.runner_id = vm.runner_id
@@ -249,7 +249,7 @@
             return
         if vm.state is VmState.UPKEEP and not progress.is_end_recorded:
             progress.is_end_recorded = True
-            self._cordons.note_ended(progress.runner_id)
+            self._cordons.record_ended(progress.runner_id)
         elif vm.state is VmState.UP:
             self._log(
                 "worker VM up after maintenance",
@@ -259,13 +259,13 @@
             )
             self._remove_active(state, vm_id, progress)
 
-    def plan(self, now_ms: float) -> list[UpkeepOrder]:
+    def plan(self, now_ms: float) -> list[MaintenanceCommand]:
         """Cordon the next VMs and return the commands that are due.
 
         The result of `export` must be recorded before a command is sent, because the command may
         take effect after its sender has stopped.
         """
-        commands: list[UpkeepOrder] = []
+        commands: list[MaintenanceCommand] = []
         if not self._vms:
             return commands
         for state in self._waves.values():
@@ -279,7 +279,7 @@
                 is_due = progress.phase is _Phase.ORDERED and progress.due_ms <= now_ms
                 if is_due and self._try_mark_ending(vm_id, progress):
                     progress.due_ms = math.inf
-                    commands.append(UpkeepOrder(wave=state.wave.number, vm_id=vm_id))
+                    commands.append(MaintenanceCommand(wave=state.wave.number, vm_id=vm_id))
             self._check_complete(state)
         return commands
 
@@ -288,10 +288,10 @@
         vm = self._vms.get(vm_id)
         if vm is None or vm.state is not VmState.UP or vm.runner_id != progress.runner_id:
             return False
-        if not self._cordons.can_end(progress.runner_id):
+        if not self._cordons.can_end_runs(progress.runner_id):
             return False
         self._cordons.cordon(progress.runner_id)
-        self._cordons.begin_end(progress.runner_id)
+        self._cordons.mark_ending(progress.runner_id)
         return True
 
     def _cordon_next(self, state: _WaveState, now_ms: float) -> None:
@@ -315,7 +315,7 @@
             ):
                 continue
             # A VM of a pool that is switched off has no runner.
-            cost = self._cordons.measure_use(vm.runner_id) if vm.runner_id else 0.0
+            cost = self._cordons.measure_ending_cost(vm.runner_id) if vm.runner_id else 0.0
             if cost is not None:
                 candidates.append((cost, vm_id))
         for _, vm_id in sorted(candidates)[:available]:
@@ -346,7 +346,7 @@
 
     def _may_go_down(self, state: _WaveState, progress: _Progress, now_ms: float) -> bool:
         """Return whether the runs on a cordoned VM may end and it is idle or has waited enough."""
-        if not self._cordons.can_end(progress.runner_id):
+        if not self._cordons.can_end_runs(progress.runner_id):
             return False
         waited_ms = now_ms - progress.phase_start_ms
         return self._cordons.is_idle(progress.runner_id) or waited_ms >= self._compute_max_wait_ms(
@@ -369,7 +369,9 @@
             state.completed = True
             self._log("maintenance wave complete", wave=state.wave.number, begun=len(state.begun))
 
-    def answered(self, command: UpkeepOrder, outcome: UpkeepOutcome, now_ms: float) -> None:
+    def handle_outcome(
+        self, command: MaintenanceCommand, outcome: MaintenanceOutcome, now_ms: float
+    ) -> None:
         """Handle the outcome of a command."""
         state = self._waves.get(command.wave)
         progress = state.active.get(command.vm_id) if state is not None else None
@@ -381,12 +383,12 @@
             worker=command.vm_id,
             outcome=outcome.value,
         )
-        if outcome is UpkeepOutcome.BEGUN:
+        if outcome is MaintenanceOutcome.BEGUN:
             self._mark_started(state, command.vm_id, progress, now_ms)
-        elif outcome is UpkeepOutcome.UNKNOWN:
+        elif outcome is MaintenanceOutcome.UNKNOWN:
             progress.is_outcome_unknown = True
             progress.due_ms = now_ms + self._settings.resend_delay_ms
-        elif outcome is UpkeepOutcome.FOREIGN:
+        elif outcome is MaintenanceOutcome.FOREIGN:
             state.excluded.add(command.vm_id)
             self._remove_active(state, command.vm_id, progress)
         elif progress.is_outcome_unknown:
@@ -407,14 +409,14 @@
         self._release(progress)
 
     def _release(self, progress: _Progress) -> None:
-        self._cordons.cancel_end(progress.runner_id)
+        self._cordons.unmark_ending(progress.runner_id)
         self._cordons.uncordon(progress.runner_id)
 
     # State handed to the next owner
 
-    def export(self) -> UpkeepRecord:
+    def export(self) -> MaintenanceRecord:
         """Return the progress that the next owner needs."""
-        return UpkeepRecord(
+        return MaintenanceRecord(
             tuple(
                 WaveRecord(
                     number=number,
--- a/coltsfootpier/upkeep/_settings.py
+++ b/coltsfootpier/maintenance/_settings.py
@@ -6,7 +6,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class UpkeepSettings:
+class MaintenanceSettings:
     """Settings of the maintenance schedule; times in ms.
 
     Parameters
@@ -23,7 +23,7 @@
         Delay before a command without a response is sent again.
     busy_retry_delay_ms : float
         Delay before the next command to a VM that was busy.
-    takeover_ms : float
+    takeover_delay_ms : float
         Time after a change of owner during which no command is sent to a VM that the previous
         owner may have sent one to: the platform's minimum time between commands of two owners
         to one VM, plus the longest duration of a call.
@@ -34,4 +34,4 @@
     round_margin_ms: float = 1_000.0
     resend_delay_ms: float = 300.0
     busy_retry_delay_ms: float = 1_000.0
-    takeover_ms: float = 4_000.0
+    takeover_delay_ms: float = 4_000.0
--- a/coltsfootpier/upkeep/tests/builders.py
+++ b/coltsfootpier/maintenance/tests/builders.py
@@ -7,12 +7,12 @@
 
 import attrs
 
-from coltsfootpier.upkeep import (
-    UpkeepOrder,
-    UpkeepOutcome,
-    UpkeepPlanner,
-    UpkeepRecord,
-    UpkeepSettings,
+from coltsfootpier.maintenance import (
+    MaintenanceCommand,
+    MaintenanceOutcome,
+    MaintenancePlanner,
+    MaintenanceRecord,
+    MaintenanceSettings,
     VmState,
     Wave,
     WorkerVm,
@@ -33,7 +33,7 @@
     """Test double of `RunnerCordons` without any runs."""
 
     busy: set[str] = attrs.field(factory=set)
-    unendable: set[str] = attrs.field(factory=set)
+    protected: set[str] = attrs.field(factory=set)
     unusable: set[str] = attrs.field(factory=set)
     uses: dict[str, float] = attrs.field(factory=dict)
     cordoned: set[str] = attrs.field(factory=set)
@@ -48,7 +48,7 @@
         """Allow tasks to be placed on a runner again."""
         self.cordoned.discard(runner_id)
 
-    def measure_use(self, runner_id: str) -> float | None:
+    def measure_ending_cost(self, runner_id: str) -> float | None:
         """Return the configured cost of ending all runs; None if the runner is unusable."""
         return None if runner_id in self.unusable else self.uses.get(runner_id, 0.0)
 
@@ -56,19 +56,19 @@
         """Return whether the runner isn't configured as busy."""
         return runner_id not in self.busy
 
-    def can_end(self, runner_id: str) -> bool:
+    def can_end_runs(self, runner_id: str) -> bool:
         """Return whether all runs may be ended at once."""
-        return runner_id not in self.unendable
+        return runner_id not in self.protected
 
-    def begin_end(self, runner_id: str) -> None:
+    def mark_ending(self, runner_id: str) -> None:
         """Mark the runs on a runner as about to end."""
         self.ending.add(runner_id)
 
-    def cancel_end(self, runner_id: str) -> None:
-        """Revoke the mark of `begin_end`."""
+    def unmark_ending(self, runner_id: str) -> None:
+        """Revoke the mark of `mark_ending`."""
         self.ending.discard(runner_id)
 
-    def note_ended(self, runner_id: str) -> None:
+    def record_ended(self, runner_id: str) -> None:
         """Record that all runs on a runner have ended."""
         self.ended.append(runner_id)
 
@@ -105,26 +105,26 @@
     ----------
     names : tuple of str
         Identifiers of the VMs.
-    record : UpkeepRecord
+    record : MaintenanceRecord
         Progress recorded by an earlier owner.
     """
 
-    def __init__(self, *names: str, record: UpkeepRecord | None = None) -> None:
+    def __init__(self, *names: str, record: MaintenanceRecord | None = None) -> None:
         self.now_ms = 1_000.0
         self.vms = {name: SimulatedVm(name) for name in names}
         self.waves: list[Wave] = []
         self.responses: list[Response] = []
-        self.delayed: list[tuple[float, UpkeepOrder]] = []
+        self.delayed: list[tuple[float, MaintenanceCommand]] = []
         self.peak_down = 0
-        self.commands: list[UpkeepOrder] = []
+        self.commands: list[MaintenanceCommand] = []
         self.events: list[str] = []
-        self.change_owner(record or UpkeepRecord())
+        self.change_owner(record or MaintenanceRecord())
 
-    def change_owner(self, record: UpkeepRecord) -> None:
+    def change_owner(self, record: MaintenanceRecord) -> None:
         """Replace the planner by that of the next owner."""
         self.cordons = FakeCordons()
-        self.planner = UpkeepPlanner(
-            settings=UpkeepSettings(upkeep_ms=MAINTENANCE_MS),
+        self.planner = MaintenancePlanner(
+            settings=MaintenanceSettings(upkeep_ms=MAINTENANCE_MS),
             cordons=self.cordons,
             record=record,
             log=lambda event, /, **fields: self.events.append(event),
@@ -141,19 +141,19 @@
             for vm in self.vms.values()
         ]
 
-    def execute(self, command: UpkeepOrder) -> UpkeepOutcome:
+    def execute(self, command: MaintenanceCommand) -> MaintenanceOutcome:
         """Start the maintenance of a VM, as the platform does."""
         vm = self.vms[command.vm_id]
         if vm.maintenance_count:
-            return UpkeepOutcome.BEGUN
+            return MaintenanceOutcome.BEGUN
         if vm.up_ms > self.now_ms:
-            return UpkeepOutcome.BUSY
+            return MaintenanceOutcome.BUSY
         vm.maintenance_count += 1
         vm.incarnation += 1
         vm.up_ms = self.now_ms + MAINTENANCE_MS
         down = sum(other.up_ms > self.now_ms for other in self.vms.values())
         self.peak_down = max(self.peak_down, down)
-        return UpkeepOutcome.BEGUN
+        return MaintenanceOutcome.BEGUN
 
     def step(self, duration_ms: float = 100.0) -> None:
         """Advance the time, list the VMs, plan, and execute the commands that are due."""
@@ -162,18 +162,18 @@
             self.delayed.remove(due)
             self.execute(due[1])
         self.planner.set_waves(self.waves, now_ms=self.now_ms, unix_ms=UNIX_MS + self.now_ms)
-        self.planner.take_vms(self.list_vms(), asked_ms=self.now_ms)
+        self.planner.update_vms(self.list_vms(), requested_ms=self.now_ms)
         for command in self.planner.plan(self.now_ms):
             self.commands.append(command)
             response = self.responses.pop(0) if self.responses else Response.PROMPT
             if response is Response.LATE:
                 self.delayed.append((self.now_ms + 3_000.0, command))
-                outcome = UpkeepOutcome.UNKNOWN
+                outcome = MaintenanceOutcome.UNKNOWN
             else:
                 outcome = self.execute(command)
             if response is Response.LOST:
-                outcome = UpkeepOutcome.UNKNOWN
-            self.planner.answered(command, outcome, self.now_ms)
+                outcome = MaintenanceOutcome.UNKNOWN
+            self.planner.handle_outcome(command, outcome, self.now_ms)
 
     def run(self, duration_ms: float) -> None:
         """Simulate a time span in steps of 100 ms."""
--- a/coltsfootpier/upkeep/tests/test_planner.py
+++ b/coltsfootpier/maintenance/tests/test_planner.py
@@ -2,15 +2,15 @@
 
 import unittest
 
-from coltsfootpier.upkeep import (
-    UpkeepOrder,
-    UpkeepOutcome,
-    UpkeepRecord,
+from coltsfootpier.maintenance import (
+    MaintenanceCommand,
+    MaintenanceOutcome,
+    MaintenanceRecord,
     VmState,
     WaveRecord,
     WorkerVm,
 )
-from coltsfootpier.upkeep.tests.builders import Response, SimulatedVms, build_wave
+from coltsfootpier.maintenance.tests.builders import Response, SimulatedVms, build_wave
 
 
 class WaveTest(unittest.TestCase):
@@ -57,7 +57,7 @@
         """Guards against a wave reported as complete because one listing missed a VM."""
         simulation = SimulatedVms("a", "b")
         simulation.waves = [build_wave("a", "b")]
-        simulation.cordons.unendable = {"b-1"}
+        simulation.cordons.protected = {"b-1"}
         simulation.run(5_000)
         missing = simulation.vms.pop("b")
         simulation.step()
@@ -98,7 +98,7 @@
     def test_vm_outside_the_wave(self):
         """Guards against endless retries of a command that the platform permanently rejects."""
         simulation = SimulatedVms("a")
-        simulation.execute = lambda command: UpkeepOutcome.FOREIGN
+        simulation.execute = lambda command: MaintenanceOutcome.FOREIGN
         simulation.waves = [build_wave("a")]
         simulation.run(2_000)
         self.assertEqual(len(simulation.commands), 1)
@@ -157,11 +157,11 @@
     def test_long_running_tasks_are_not_ended_beyond_limit(self):
         """Guards against a long-running step that loses more tasks at once than it tolerates."""
         simulation = SimulatedVms("a", "b")
-        simulation.cordons.unendable = {"a-1"}
+        simulation.cordons.protected = {"a-1"}
         simulation.waves = [build_wave("a", "b")]
         simulation.run(8_000)
         self.assertEqual(simulation.maintenance_counts[0], 0)
-        simulation.cordons.unendable = set()
+        simulation.cordons.protected = set()
         simulation.run(6_000)
         self.assertEqual(simulation.maintenance_counts, [1, 1])
 
@@ -215,7 +215,10 @@
     def test_busy_vm_is_retried(self):
         """Guards against skipping a VM for good because it was busy once."""
         simulation = SimulatedVms("a", "b")
-        execute, outcomes = simulation.execute, [UpkeepOutcome.BUSY, UpkeepOutcome.REFUSED]
+        execute, outcomes = simulation.execute, [
+            MaintenanceOutcome.BUSY,
+            MaintenanceOutcome.REFUSED,
+        ]
         simulation.execute = lambda command: outcomes.pop(0) if outcomes else execute(command)
         simulation.waves = [build_wave("a", "b")]
         simulation.run(10_000)
@@ -239,18 +242,18 @@
 
     def test_next_owner_continues_wave(self):
         """Guards against a change of owner that restarts a wave or repeats maintenance of a VM."""
-        record = UpkeepRecord(
+        record = MaintenanceRecord(
             (WaveRecord(number=1, began_unix_ms=0.0, begun=("a",)),),
         )
         simulation = SimulatedVms("a", "b", record=record)
         simulation.waves = [build_wave("a", "b")]
         simulation.run(5_000)
-        self.assertEqual(simulation.commands, [UpkeepOrder(wave=1, vm_id="b")])
+        self.assertEqual(simulation.commands, [MaintenanceCommand(wave=1, vm_id="b")])
         self.assertEqual(simulation.planner.list_states(), {1: True})
 
     def test_completed_wave_stays_completed(self):
         """Guards against a completed wave shown as running again after a change of owner."""
-        record = UpkeepRecord(
+        record = MaintenanceRecord(
             (WaveRecord(number=1, began_unix_ms=0.0, begun=("a",), completed=True),),
         )
         simulation = SimulatedVms("a", record=record)
--- a/coltsfootpier/node/_control.py
+++ b/coltsfootpier/node/_control.py
@@ -7,6 +7,7 @@
 
 from coltsfootpier.journal import OwnerInfo, decode_owner
 from coltsfootpier.logs import log_event
+from coltsfootpier.maintenance import Wave
 from coltsfootpier.node import _timing
 from coltsfootpier.node._messages import Configuration
 from coltsfootpier.node.keys import CONTROL_PREFIX, OWNER_KEY
@@ -19,7 +20,6 @@
     decode_configuration,
     decode_wave,
 )
-from coltsfootpier.upkeep import Wave
 
 
 class Control:
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -23,6 +23,7 @@
 from coltsfootpier.jobs import JobSpec, JobState, Queue, decode_record
 from coltsfootpier.journal import Head, OwnerInfo
 from coltsfootpier.logs import log_event
+from coltsfootpier.maintenance import MaintenanceRecord, Wave
 from coltsfootpier.node import _timing
 from coltsfootpier.node._answers import NO_OWNER, Answer, AnswerStatus, refuse
 from coltsfootpier.node._committer import Committer, Deposed
@@ -43,7 +44,6 @@
     decode_entry,
 )
 from coltsfootpier.transport import encode
-from coltsfootpier.upkeep import UpkeepRecord, Wave
 
 # Share of the longest lease that the platform allows which is asked for at most.
 _LEASE_SHARE = 0.6
@@ -357,7 +357,7 @@
 
     async def _ask_advice(self, question: AskAdvice) -> None:
         asked_ms = self._clock.now_ms()
-        result = await self._advice.ask(question, timeout_ms=_timing.ADVICE_TIMEOUT_MS)
+        result = await self._advice.request_tickets(question, timeout_ms=_timing.ADVICE_TIMEOUT_MS)
         if isinstance(result, Failure):
             log_event("advice missing", job=question.step_id[0], reason=repr(result.failure()))
             return
@@ -417,7 +417,7 @@
             await anyio.sleep(_timing.LEARNED_PERIOD_MS / 1000)
             self._committer.put_learned(encode(self.cell.export_learned()))
 
-    async def _follow_vms(self, record: UpkeepRecord) -> None:
+    async def _follow_vms(self, record: MaintenanceRecord) -> None:
         settings = self._settings
         host, port = settings.vm_service
         calls = VmClient(
--- a/coltsfootpier/node/_records.py
+++ b/coltsfootpier/node/_records.py
@@ -11,10 +11,10 @@
 from coltsfootpier.cells import Learned, RunnerEntry
 from coltsfootpier.jobs import JobRecord, decode_record
 from coltsfootpier.logs import log_event
+from coltsfootpier.maintenance import MaintenanceRecord
 from coltsfootpier.node.keys import FLEET_KEY, JOBS_PREFIX, LEARNED_KEY, UPKEEP_KEY
 from coltsfootpier.platform import PlatformError, StoreClient
 from coltsfootpier.transport import MalformedMessageError, decode, encode
-from coltsfootpier.upkeep import UpkeepRecord
 
 _T = TypeVar("_T")
 
@@ -58,7 +58,7 @@
     jobs: list[JobRecord]
     fleet: tuple[RunnerEntry, ...]
     learned: Learned
-    upkeep: UpkeepRecord
+    upkeep: MaintenanceRecord
 
 
 async def load_records(store: StoreClient) -> Result[Records, PlatformError]:
@@ -72,7 +72,7 @@
     learned = await _load_one(store, LEARNED_KEY, Learned)
     if isinstance(learned, Failure):
         return learned
-    upkeep = await _load_one(store, UPKEEP_KEY, UpkeepRecord)
+    upkeep = await _load_one(store, UPKEEP_KEY, MaintenanceRecord)
     if isinstance(upkeep, Failure):
         return upkeep
     records = []
--- a/coltsfootpier/node/_vms.py
+++ b/coltsfootpier/node/_vms.py
@@ -11,21 +11,21 @@
 
 from coltsfootpier.clock import Clock
 from coltsfootpier.logs import log_event
-from coltsfootpier.node import _timing
-from coltsfootpier.node.keys import UPKEEP_KEY
-from coltsfootpier.platform import encode_wave_status
-from coltsfootpier.transport import CallError, encode
-from coltsfootpier.upkeep import (
+from coltsfootpier.maintenance import (
+    MaintenanceCommand,
+    MaintenanceOutcome,
+    MaintenancePlanner,
+    MaintenanceRecord,
+    MaintenanceSettings,
     RunnerCordons,
-    UpkeepOrder,
-    UpkeepOutcome,
-    UpkeepPlanner,
-    UpkeepRecord,
-    UpkeepSettings,
     VmState,
     Wave,
     WorkerVm,
 )
+from coltsfootpier.node import _timing
+from coltsfootpier.node.keys import UPKEEP_KEY
+from coltsfootpier.platform import encode_wave_status
+from coltsfootpier.transport import CallError, encode
 
 
 class VmCalls(Protocol):
@@ -35,7 +35,9 @@
         """List all worker VMs."""
         ...
 
-    async def begin_upkeep(self, order: UpkeepOrder, *, timeout_ms: float) -> UpkeepOutcome:
+    async def start_maintenance(
+        self, order: MaintenanceCommand, *, timeout_ms: float
+    ) -> MaintenanceOutcome:
         """Order the upkeep of a VM."""
         ...
 
@@ -63,7 +65,7 @@
         """Return whether a listing may tell that a runner with work has ended."""
         ...
 
-    def take_listing(self, living: Container[str], *, asked_ms: float) -> bool:
+    def take_listing(self, living: Container[str], *, requested_ms: float) -> bool:
         """Take the runners that live; returns whether one has ended."""
         ...
 
@@ -108,7 +110,7 @@
         cordons: RunnerCordons,
         lives: Lives,
         records: RecordWriter,
-        record: UpkeepRecord,
+        record: MaintenanceRecord,
         clock: Clock,
         upkeep_ms: float,
         pause_ms: float,
@@ -125,9 +127,9 @@
         self._may_order = may_order
         self._on_change = on_change
         self._on_fenced = on_fenced
-        self._planner = UpkeepPlanner(
-            settings=UpkeepSettings(
-                upkeep_ms=upkeep_ms, takeover_ms=pause_ms + _timing.VM_TIMEOUT_MS
+        self._planner = MaintenancePlanner(
+            settings=MaintenanceSettings(
+                upkeep_ms=upkeep_ms, takeover_delay_ms=pause_ms + _timing.VM_TIMEOUT_MS
             ),
             cordons=cordons,
             record=record,
@@ -154,7 +156,7 @@
 
     async def _step(self) -> bool:
         """List the VMs and send what is due; returns whether an order was sent."""
-        asked_ms = self._clock.now_ms()
+        requested_ms = self._clock.now_ms()
         listed = await self._calls.list_vms(timeout_ms=_timing.VM_TIMEOUT_MS)
         if isinstance(listed, Failure):
             if self._reachable:
@@ -166,11 +168,11 @@
         self._reachable = True
         vms = listed.unwrap()
         living = {vm.runner_id for vm in vms if vm.state is VmState.UP}
-        if self._lives.take_listing(living, asked_ms=asked_ms):
+        if self._lives.take_listing(living, requested_ms=requested_ms):
             self._on_change()
         if not self._planner.is_active:
             return False
-        self._planner.take_vms(vms, asked_ms=asked_ms)
+        self._planner.update_vms(vms, requested_ms=requested_ms)
         orders = self._planner.plan(self._clock.now_ms())
         self._write()
         self._on_change()
@@ -186,12 +188,12 @@
         self._on_change()
         return True
 
-    async def _send(self, order: UpkeepOrder) -> None:
-        outcome = UpkeepOutcome.REFUSED
+    async def _send(self, order: MaintenanceCommand) -> None:
+        outcome = MaintenanceOutcome.REFUSED
         if self._may_order():
-            outcome = await self._calls.begin_upkeep(order, timeout_ms=_timing.VM_TIMEOUT_MS)
-        self._planner.answered(order, outcome, self._clock.now_ms())
-        if outcome is UpkeepOutcome.FENCED:
+            outcome = await self._calls.start_maintenance(order, timeout_ms=_timing.VM_TIMEOUT_MS)
+        self._planner.handle_outcome(order, outcome, self._clock.now_ms())
+        if outcome is MaintenanceOutcome.FENCED:
             self._on_fenced(order.vm_id)
 
     def _write(self) -> None:
--- a/coltsfootpier/node/tests/test_vms.py
+++ b/coltsfootpier/node/tests/test_vms.py
@@ -7,12 +7,18 @@
 from returns.result import Failure, Success
 
 from coltsfootpier.clock import VirtualClock
+from coltsfootpier.maintenance import (
+    MaintenanceOutcome,
+    MaintenanceRecord,
+    VmState,
+    WaveRecord,
+    WorkerVm,
+)
+from coltsfootpier.maintenance.tests.builders import FakeCordons, build_wave
 from coltsfootpier.node import _timing
 from coltsfootpier.node._vms import VmTask
 from coltsfootpier.node.keys import UPKEEP_KEY
 from coltsfootpier.transport import Unanswered, decode
-from coltsfootpier.upkeep import UpkeepOutcome, UpkeepRecord, VmState, WaveRecord, WorkerVm
-from coltsfootpier.upkeep.tests.builders import FakeCordons, build_wave
 
 PAUSE_MS = 3_000.0
 STEP_MS = 500.0
@@ -25,7 +31,7 @@
         self.states = {"m-1": [VmState.UP]}
         self.orders = []
         self.failures = 0
-        self.outcome = UpkeepOutcome.BEGUN
+        self.outcome = MaintenanceOutcome.BEGUN
         self.on_order = lambda order: None
 
     async def list_vms(self, *, timeout_ms):
@@ -40,11 +46,11 @@
                 states.pop(0)
         return Success(tuple(listed))
 
-    async def begin_upkeep(self, order, *, timeout_ms):
+    async def start_maintenance(self, order, *, timeout_ms):
         """Take a VM down."""
         self.on_order(order)
         self.orders.append(order)
-        if self.outcome is UpkeepOutcome.BEGUN:
+        if self.outcome is MaintenanceOutcome.BEGUN:
             self.states[order.vm_id] = [VmState.UPKEEP, VmState.UP]
         return self.outcome
 
@@ -80,7 +86,7 @@
         """Return whether a listing is wanted."""
         return self.suspects
 
-    def take_listing(self, living, *, asked_ms):
+    def take_listing(self, living, *, requested_ms):
         """Keep a listing."""
         self.listings.append(living)
         return False
@@ -116,7 +122,7 @@
             cordons=self.cordons,
             lives=self.lives,
             records=self.records,
-            record=record or UpkeepRecord(),
+            record=record or MaintenanceRecord(),
             clock=self.clock,
             upkeep_ms=2_000.0,
             pause_ms=PAUSE_MS,
@@ -136,7 +142,7 @@
             anyio.run(run)
 
     def _read_record(self):
-        return decode(self.records.values[UPKEEP_KEY], UpkeepRecord).waves[0]
+        return decode(self.records.values[UPKEEP_KEY], MaintenanceRecord).waves[0]
 
     def test_wave(self):
         """Guards against a wave that operators aren't told to be complete."""
@@ -147,7 +153,7 @@
 
     def test_status_while_it_runs(self):
         """Guards against a wave that is shown as complete before its last order."""
-        self.cordons.unendable = {"i-m-1"}
+        self.cordons.protected = {"i-m-1"}
         self._run(20)
         self.assertEqual(self.records.values["status/wave/1"], b'{"state":"running"}')
 
@@ -155,7 +161,7 @@
         """Guards against an order that is carried out late, unknown to the next owner."""
         seen = []
         self.vms.on_order = lambda order: seen.append(
-            decode(self.records.written[UPKEEP_KEY], UpkeepRecord).waves[0].ordered
+            decode(self.records.written[UPKEEP_KEY], MaintenanceRecord).waves[0].ordered
         )
         self._run(20)
         self.assertEqual(seen, [("m-1",)])
@@ -169,7 +175,7 @@
         )
         self.waves = [build_wave("m-1", "m-2", max_down=2)]
         wave = WaveRecord(number=1, began_unix_ms=0.0, ordered=("m-1",))
-        self._run(20, UpkeepRecord((wave,)))
+        self._run(20, MaintenanceRecord((wave,)))
         self.assertGreaterEqual(times["m-1"], PAUSE_MS + _timing.VM_TIMEOUT_MS)
         # No earlier owner has given orders about it.
         self.assertLess(times["m-2"], PAUSE_MS)
@@ -183,7 +189,7 @@
 
     def test_fenced(self):
         """Guards against an owner that goes on after a later one has given orders."""
-        self.vms.outcome = UpkeepOutcome.FENCED
+        self.vms.outcome = MaintenanceOutcome.FENCED
         self._run(12)
         self.assertEqual(self.fenced[0], "m-1")
 
--- a/coltsfootpier/operators/_server.py
+++ b/coltsfootpier/operators/_server.py
@@ -38,7 +38,7 @@
         """Return the burn report, merged over all entry VMs."""
         ...
 
-    def why_not_ready(self) -> str:
+    def get_unready_reason(self) -> str:
         """Return why the daemon isn't ready for requests; empty when it is."""
         ...
 
@@ -54,7 +54,7 @@
         return HttpResponse.of({"status": "ok"})
 
     async def ready(_: HttpRequest) -> HttpResponse:
-        reason = handlers.why_not_ready()
+        reason = handlers.get_unready_reason()
         return HttpResponse.of({"ready": not reason, "reason": reason}, 503 if reason else 200)
 
     async def metrics(_: HttpRequest) -> HttpResponse:
--- a/coltsfootpier/platform/__init__.py
+++ b/coltsfootpier/platform/__init__.py
@@ -22,7 +22,7 @@
     StoreUnavailable,
     StoreUnknown,
     Vm,
-    Watched,
+    WatchResult,
     Write,
 )
 from coltsfootpier.platform._operators import (
@@ -67,7 +67,7 @@
     "StoreUnknown",
     "Vm",
     "VmClient",
-    "Watched",
+    "WatchResult",
     "Write",
     "decode_configuration",
     "decode_entry",
--- a/coltsfootpier/platform/_client.py
+++ b/coltsfootpier/platform/_client.py
@@ -19,7 +19,7 @@
     StoreUnavailable,
     StoreUnknown,
     Vm,
-    Watched,
+    WatchResult,
     Write,
 )
 from coltsfootpier.platform._store import StoreClient
@@ -101,15 +101,17 @@
 
     async def watch(
         self, prefix: str, *, after: int, wait_ms: int
-    ) -> Result[Watched, PlatformError]:
+    ) -> Result[WatchResult, PlatformError]:
         """Wait at most `wait_ms` for changes under a prefix after a store revision."""
         result = await self._store.watch(prefix, after=after, wait_ms=wait_ms)
         if isinstance(result, Failure):
             if isinstance(result.failure(), HistoryLost):
-                return Success(Watched((), after, reset=True))
+                return Success(WatchResult((), after, reset=True))
             return result
         events = result.unwrap()
-        return _decode_values(events.items).map(lambda items: Watched(items, events.store_revision))
+        return _decode_values(events.items).map(
+            lambda items: WatchResult(items, events.store_revision)
+        )
 
     async def grant_lease(self, *, ttl_ms: float) -> Result[str, PlatformError]:
         """Obtain a lease."""
--- a/coltsfootpier/platform/_messages.py
+++ b/coltsfootpier/platform/_messages.py
@@ -38,7 +38,7 @@
 
 
 @attrs.frozen
-class Watched:
+class WatchResult:
     """Items that changed after a store revision; after `reset` a new listing is required."""
 
     items: tuple[Item, ...]
--- a/coltsfootpier/platform/_operators.py
+++ b/coltsfootpier/platform/_operators.py
@@ -8,8 +8,8 @@
 from returns.result import Failure, Result, Success
 
 from coltsfootpier.jobs import Queue
+from coltsfootpier.maintenance import Wave
 from coltsfootpier.node import CallerLimits, Configuration, Route
-from coltsfootpier.upkeep import Wave
 
 CONFIG_KEY = "op/config"
 WAVES_PREFIX = "op/wave/"
--- a/coltsfootpier/platform/_runners.py
+++ b/coltsfootpier/platform/_runners.py
@@ -271,7 +271,7 @@
         # The service handles the calls of a VM one at a time.
         self._pool = LeanPool(host=host, port=port, clock=clock, connections=2)
 
-    async def ask(
+    async def request_tickets(
         self, query: AskAdvice, *, timeout_ms: float
     ) -> Result[tuple[dict[str, str], float], CallError]:
         """Request tickets for runners; return those that are approved and their validity in ms."""
--- a/coltsfootpier/platform/_vms.py
+++ b/coltsfootpier/platform/_vms.py
@@ -8,18 +8,18 @@
 from returns.result import Failure, Result, Success
 
 from coltsfootpier.clock import Clock
+from coltsfootpier.maintenance import MaintenanceCommand, MaintenanceOutcome, VmState, WorkerVm
 from coltsfootpier.platform._wire import BASE_PATH, load_object
 from coltsfootpier.transport import BadReply, CallError, LeanPool, NotSent, Reply
-from coltsfootpier.upkeep import UpkeepOrder, UpkeepOutcome, VmState, WorkerVm
 
 # A listing and commands to a few VMs at the same time.
 _CONNECTIONS = 4
 # Maximum number of pages of one listing; the 650 workers of the target size fit into a few.
 _MAX_PAGES = 100
 _REASONS = {
-    "fence": UpkeepOutcome.FENCED,
-    "busy": UpkeepOutcome.BUSY,
-    "wave": UpkeepOutcome.FOREIGN,
+    "fence": MaintenanceOutcome.FENCED,
+    "busy": MaintenanceOutcome.BUSY,
+    "wave": MaintenanceOutcome.FOREIGN,
 }
 
 
@@ -70,7 +70,9 @@
                 return Success(tuple(vms))
         return Failure(BadReply(f"the listing has more than {_MAX_PAGES} pages"))
 
-    async def begin_upkeep(self, command: UpkeepOrder, *, timeout_ms: float) -> UpkeepOutcome:
+    async def start_maintenance(
+        self, command: MaintenanceCommand, *, timeout_ms: float
+    ) -> MaintenanceOutcome:
         """Start the maintenance of a VM, which ends all runs on it at once."""
         sent = await self._pool.exchange(
             "POST",
@@ -81,16 +83,18 @@
         )
         if isinstance(sent, Failure):
             rejected = isinstance(sent.failure(), NotSent)
-            return UpkeepOutcome.REFUSED if rejected else UpkeepOutcome.UNKNOWN
+            return MaintenanceOutcome.REFUSED if rejected else MaintenanceOutcome.UNKNOWN
         reply = sent.unwrap()
         if reply.status == 200:
-            return UpkeepOutcome.BEGUN
+            return MaintenanceOutcome.BEGUN
         if reply.status == 409:
-            return _REASONS.get(load_object(reply).get("reason"), UpkeepOutcome.REFUSED)
+            return _REASONS.get(load_object(reply).get("reason"), MaintenanceOutcome.REFUSED)
         if reply.status == 400:
             # There is no such VM.
-            return UpkeepOutcome.FOREIGN
-        return UpkeepOutcome.REFUSED if reply.status in (429, 503) else UpkeepOutcome.UNKNOWN
+            return MaintenanceOutcome.FOREIGN
+        return (
+            MaintenanceOutcome.REFUSED if reply.status in (429, 503) else MaintenanceOutcome.UNKNOWN
+        )
 
     def close(self) -> None:
         """Close the connections."""
--- a/coltsfootpier/platform/tests/test_vms.py
+++ b/coltsfootpier/platform/tests/test_vms.py
@@ -7,11 +7,17 @@
 from returns.result import Failure
 
 from coltsfootpier.clock import MonotonicClock
+from coltsfootpier.maintenance import (
+    MaintenanceCommand,
+    MaintenanceOutcome,
+    VmState,
+    Wave,
+    WorkerVm,
+)
 from coltsfootpier.platform import VmClient, decode_wave, encode_wave_status
 from coltsfootpier.transport import Application, HttpResponse, Server
-from coltsfootpier.upkeep import UpkeepOrder, UpkeepOutcome, VmState, Wave, WorkerVm
 
-COMMAND = UpkeepOrder(wave=3, vm_id="m-1")
+COMMAND = MaintenanceCommand(wave=3, vm_id="m-1")
 
 
 def build_row(name, **changes):
@@ -100,25 +106,27 @@
     def test_outcomes(self):
         """Guards against counting a rejected command as executed, or the reverse."""
         outcomes = {
-            (200, ""): UpkeepOutcome.BEGUN,
-            (409, "busy"): UpkeepOutcome.BUSY,
-            (409, "fence"): UpkeepOutcome.FENCED,
-            (409, "wave"): UpkeepOutcome.FOREIGN,
-            (400, ""): UpkeepOutcome.FOREIGN,
-            (429, ""): UpkeepOutcome.REFUSED,
-            (503, ""): UpkeepOutcome.REFUSED,
-            (500, ""): UpkeepOutcome.UNKNOWN,
+            (200, ""): MaintenanceOutcome.BEGUN,
+            (409, "busy"): MaintenanceOutcome.BUSY,
+            (409, "fence"): MaintenanceOutcome.FENCED,
+            (409, "wave"): MaintenanceOutcome.FOREIGN,
+            (400, ""): MaintenanceOutcome.FOREIGN,
+            (429, ""): MaintenanceOutcome.REFUSED,
+            (503, ""): MaintenanceOutcome.REFUSED,
+            (500, ""): MaintenanceOutcome.UNKNOWN,
         }
         for (status, reason), outcome in outcomes.items():
             with self.subTest(status=status, reason=reason):
                 self.responses = [(status, {"reason": reason})]
-                result = self._call(lambda client: client.begin_upkeep(COMMAND, timeout_ms=5_000.0))
+                result = self._call(
+                    lambda client: client.start_maintenance(COMMAND, timeout_ms=5_000.0)
+                )
                 self.assertEqual(result, outcome)
 
     def test_command(self):
         """Guards against a command without holder and token, which would bypass fencing."""
         self.responses = [(200, {})]
-        self._call(lambda client: client.begin_upkeep(COMMAND, timeout_ms=5_000.0))
+        self._call(lambda client: client.start_maintenance(COMMAND, timeout_ms=5_000.0))
         (request,) = self.requests
         self.assertEqual(orjson.loads(request.body), {"machine": "m-1", "wave": 3})
         headers = {bytes(name).lower(): bytes(value) for name, value in request.headers}
@@ -134,9 +142,9 @@
             client = VmClient(
                 host="127.0.0.1", port=1, clock=MonotonicClock(), holder="n0", token=1
             )
-            return await client.begin_upkeep(COMMAND, timeout_ms=2_000.0)
+            return await client.start_maintenance(COMMAND, timeout_ms=2_000.0)
 
-        self.assertEqual(anyio.run(call), UpkeepOutcome.REFUSED)
+        self.assertEqual(anyio.run(call), MaintenanceOutcome.REFUSED)
 
 
 if __name__ == "__main__":
--- a/soak/_fakes.py
+++ b/soak/_fakes.py
@@ -20,7 +20,7 @@
     StoreUnavailable,
     StoreUnknown,
     Vm,
-    Watched,
+    WatchResult,
 )
 from coltsfootpier.transport import BadReply, NotSent
 from coltsfootpier.workers import Command, SyncRequest, WorkerClient
@@ -150,7 +150,7 @@
 
         return await self._ask(read)
 
-    async def watch(self, prefix: str, *, after: int, wait_ms: int) -> Result[Watched, Any]:
+    async def watch(self, prefix: str, *, after: int, wait_ms: int) -> Result[WatchResult, Any]:
         """Wait for changes under a prefix."""
 
         async def wait() -> Result:
@@ -159,10 +159,10 @@
                 revision = self._store.revision
                 changes = self._store.changes(prefix, after)
                 if changes is None:
-                    return Success(Watched((), revision, True))
+                    return Success(WatchResult((), revision, True))
                 left_s = end_s - self._loop.true_s
                 if changes or left_s <= 0:
-                    return Success(Watched(tuple(Item(**item) for item in changes), revision))
+                    return Success(WatchResult(tuple(Item(**item) for item in changes), revision))
                 await self._store.wait(left_s)
 
         return await self._ask(wait, timeout_ms=wait_ms + _STORE_TIMEOUT_MS)
