--- a/coltsfootpier/platform/__init__.py
+++ b/coltsfootpier/platform/__init__.py
@@ -1,4 +1,4 @@
-"""The platform's interfaces: names, formats and calls, and nothing that decides."""
+"""Clients, names and message formats of the platform's interfaces; no decisions."""
 
 from coltsfootpier.platform._callers import (
     DEADLINE_HEADER,
@@ -22,7 +22,7 @@
     StoreUnavailable,
     StoreUnknown,
     Vm,
-    Watched,
+    WatchResult,
     Write,
 )
 from coltsfootpier.platform._operators import (
@@ -67,7 +67,7 @@
     "StoreUnknown",
     "Vm",
     "VmClient",
-    "Watched",
+    "WatchResult",
     "Write",
     "decode_configuration",
     "decode_entry",
