--- a/coltsfootpier/callers/_application.py
+++ b/coltsfootpier/callers/_application.py
@@ -252,10 +252,7 @@
         if not (path + query).isascii() or any(
             _CONTROL_CHARACTERS.search(value) for value in (path, query, *headers.values())
         ):
-            return _reject(
-                RefusalReason.BAD_REQUEST,
-                "path, query or headers contain characters that HTTP doesn't allow",
-            )
+            return _reject(RefusalReason.BAD_REQUEST, "characters that HTTP doesn't allow")
         try:
             body = await read_upload(
                 scope,
--- a/coltsfootpier/platform/_callers.py
+++ b/coltsfootpier/platform/_callers.py
@@ -31,7 +31,7 @@
     try:
         value = orjson.loads(body)
     except ValueError:
-        return Failure("the body isn't valid JSON")
+        return Failure("the body isn't JSON")
     try:
         spec = JobSpec(
             payload=_get_str(value, "spec"),
@@ -74,7 +74,7 @@
 
 def _check_int(name: str, found: Any) -> int:
     if isinstance(found, bool) or not isinstance(found, int):
-        raise TypeError(f"{name} is {found!r}, allowed: an integer")
+        raise TypeError(f"{name} is {found!r}, allowed: a whole number")
     return found
 
 
@@ -85,7 +85,7 @@
 def _get_float(value: dict[str, Any], name: str) -> float:
     found = value.get(name, 0.0)
     if isinstance(found, bool) or not isinstance(found, int | float) or not math.isfinite(found):
-        raise TypeError(f"{name} is {found!r}, allowed: a finite number")
+        raise TypeError(f"{name} is {found!r}, allowed: a number")
     return float(found)
 
 
@@ -99,7 +99,7 @@
 def _get_str(value: dict[str, Any], name: str) -> str:
     found = value.get(name, "")
     if not isinstance(found, str):
-        raise TypeError(f"{name} is {found!r}, allowed: a string")
+        raise TypeError(f"{name} is {found!r}, allowed: a text")
     return found
 
 
