--- a/coltsfootpier/backend_servers/_client.py
+++ b/coltsfootpier/backend_servers/_client.py
@@ -18,7 +18,7 @@
 _REUSE_MS = 5_000.0
 # Larger bodies are streamed through, so that a request holds no more memory than this in each
 # direction, buffers of the connections aside.
-WHOLE_BODY_BYTES = 262_144
+MAX_BUFFERED_BODY_BYTES = 262_144
 # Headers that hold for the connection to the runner only, or that the daemon sets itself.
 _HOP_HEADERS = frozenset(
     {
@@ -35,7 +35,7 @@
 
 
 @attrs.frozen
-class Answer:
+class RunnerResponse:
     """A runner's whole answer.
 
     Parameters
@@ -104,8 +104,8 @@
         headers: tuple[tuple[bytes, bytes], ...],
         body: bytes | Upload,
         timeout_ms: float,
-        repeatable: bool,
-    ) -> Result[Answer, CallError | NotStarted]:
+        retryable: bool,
+    ) -> Result[RunnerResponse, CallError | NotStarted]:
         """Send one request to a runner and wait for its whole answer.
 
         Parameters
@@ -129,8 +129,8 @@
             headers=headers,
             body=body,
             timeout_ms=timeout_ms,
-            max_idle_ms=_REUSE_MS if repeatable else _FRESH_MS,
-            stream_over=WHOLE_BODY_BYTES,
+            max_idle_ms=_REUSE_MS if retryable else _FRESH_MS,
+            stream_over=MAX_BUFFERED_BODY_BYTES,
         )
         if isinstance(sent, Failure):
             return sent
@@ -143,7 +143,7 @@
         kept = tuple(pair for pair in reply.headers if pair[0] not in _HOP_HEADERS)
         declared = reply.header(b"content-length")
         length = int(declared) if declared else None
-        return Success(Answer(reply.status, kept, reply.body, leaving, reply.rest, length))
+        return Success(RunnerResponse(reply.status, kept, reply.body, leaving, reply.rest, length))
 
     def _channel(self, runner: Runner) -> Channel:
         if runner.id not in self._channels:
--- a/coltsfootpier/callers/_application.py
+++ b/coltsfootpier/callers/_application.py
@@ -12,7 +12,12 @@
 import attrs
 from returns.result import Result, Success
 
-from coltsfootpier.backend_servers import WHOLE_BODY_BYTES, Answer, NotStarted, RunnerPool
+from coltsfootpier.backend_servers import (
+    MAX_BUFFERED_BODY_BYTES,
+    NotStarted,
+    RunnerPool,
+    RunnerResponse,
+)
 from coltsfootpier.burn import RequestStats
 from coltsfootpier.callers._permits import (
     Claim,
@@ -30,8 +35,8 @@
     Feedback,
     Grant,
     Outcome,
-    RefusalReason,
-    Refused,
+    Rejected,
+    RejectionReason,
     Ticket,
 )
 from coltsfootpier.transport import (
@@ -51,11 +56,11 @@
 # Maximum number of runners that are tried before a request is rejected.
 _MAX_ATTEMPTS = 3
 _STATUS = {
-    RefusalReason.UNKNOWN_SERVICE: 404,
-    RefusalReason.BAD_REQUEST: 400,
-    RefusalReason.SHARE: 429,
-    RefusalReason.KEY_BUSY: 409,
-    RefusalReason.DEADLINE: 504,
+    RejectionReason.UNKNOWN_SERVICE: 404,
+    RejectionReason.BAD_REQUEST: 400,
+    RejectionReason.SHARE: 429,
+    RejectionReason.KEY_BUSY: 409,
+    RejectionReason.DEADLINE: 504,
 }
 # Control characters, which the connection to the runner would reject.
 _CONTROL_CHARACTERS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
@@ -65,7 +70,7 @@
 class Slots(Protocol):
     """Source of slots, each of which lets one request use a runner."""
 
-    async def acquire(self, ticket: Ticket) -> Grant | Refused:
+    async def acquire(self, ticket: Ticket) -> Grant | Rejected:
         """Wait for a slot, at most until the deadline of the ticket."""
         ...
 
@@ -77,7 +82,7 @@
         """Count a new request towards the retry budget."""
         ...
 
-    def limit_attempt(self, service: str, kind: str, left_ms: float) -> float:
+    def compute_attempt_timeout(self, service: str, kind: str, left_ms: float) -> float:
         """Return the timeout in ms of an attempt that may be retried."""
         ...
 
@@ -229,7 +234,7 @@
             or segments[1] != "services"
             or segments[2] not in declaration.services
         ):
-            return _reject(RefusalReason.UNKNOWN_SERVICE, scope["path"])
+            return _reject(RejectionReason.UNKNOWN_SERVICE, scope["path"])
         kind = declaration.requests.get((segments[2], segments[3])) or RequestKind(
             service=segments[2],
             name=segments[3],
@@ -246,13 +251,13 @@
         except ValueError:
             left_ms = math.nan
         if not math.isfinite(left_ms):
-            return _reject(RefusalReason.BAD_REQUEST, "X-Deadline-Ms is not a number")
+            return _reject(RejectionReason.BAD_REQUEST, "X-Deadline-Ms is not a number")
         # The path as it was sent: decoding may introduce characters with another meaning.
         path, query = scope["raw_path"], scope.get("query_string", b"")
         if not (path + query).isascii() or any(
             _CONTROL_CHARACTERS.search(value) for value in (path, query, *headers.values())
         ):
-            return _reject(RefusalReason.BAD_REQUEST, "characters that HTTP doesn't allow")
+            return _reject(RejectionReason.BAD_REQUEST, "characters that HTTP doesn't allow")
         try:
             body = await read_upload(
                 scope,
@@ -260,7 +265,9 @@
                 max_body=self._max_body,
                 # Permits compare complete bodies, so only requests without permits are streamed.
                 whole_up_to=(
-                    WHOLE_BODY_BYTES if kind.idempotent and not kind.exclusive else self._max_body
+                    MAX_BUFFERED_BODY_BYTES
+                    if kind.idempotent and not kind.exclusive
+                    else self._max_body
                 ),
                 timeout_ms=left_ms,
             )
@@ -268,7 +275,7 @@
             return _HandledRequest(
                 outcome=Outcome.REFUSED,
                 response=error.response,
-                reason=RefusalReason.BAD_REQUEST.value,
+                reason=RejectionReason.BAD_REQUEST.value,
             )
         target = "/" + path.decode().split("/", 3)[3] + (f"?{query.decode()}" if query else "")
         request = _Request(
@@ -291,7 +298,7 @@
             ),
             deadline_ms=request.deadline_ms,
         )
-        if isinstance(claims, Refused):
+        if isinstance(claims, Rejected):
             return _reject(claims.reason, claims.detail)
         return await self._run_with_permits(request, claims, arrived_ms)
 
@@ -299,7 +306,7 @@
         self, request: _Request, claims: list[Claim], arrived_ms: float
     ) -> _HandledRequest:
         acquired = await acquire_permits(self._permits, claims)
-        if isinstance(acquired, Refused):
+        if isinstance(acquired, Rejected):
             return _reject(acquired.reason, acquired.detail)
         if isinstance(acquired, RecordedOutcome):
             return _replay(acquired)
@@ -327,7 +334,7 @@
             # Each attempt gets a ticket of its own, because a ticket can be settled only once.
             grant = await self._slots.acquire(attrs.evolve(ticket))
             ticket.waited_ms += self._clock.now_ms() - wait_start_ms
-            if isinstance(grant, Refused):
+            if isinstance(grant, Rejected):
                 if may_have_run:
                     return _respond_unknown(reason)
                 return _reject(grant.reason, grant.detail)
@@ -356,13 +363,15 @@
                 break
         if may_have_run:
             return _respond_unknown(reason)
-        return _reject(RefusalReason.RUNNER_REFUSED, reason)
+        return _reject(RejectionReason.RUNNER_REFUSED, reason)
 
     async def _attempt(self, request: _Request, grant: Grant) -> Result:
         left_ms = request.deadline_ms - self._clock.now_ms()
         timeout_ms = left_ms
         if request.is_retryable:
-            timeout_ms = self._slots.limit_attempt(request.kind.service, request.kind.name, left_ms)
+            timeout_ms = self._slots.compute_attempt_timeout(
+                request.kind.service, request.kind.name, left_ms
+            )
         return await self._pool.send(
             grant.runner,
             method=request.method,
@@ -374,7 +383,7 @@
             ),
             body=request.body,
             timeout_ms=timeout_ms,
-            repeatable=request.is_retryable,
+            retryable=request.is_retryable,
         )
 
 
@@ -402,7 +411,7 @@
     )
 
 
-def _respond(answer: Answer, grant: Grant) -> _HandledRequest:
+def _respond(answer: RunnerResponse, grant: Grant) -> _HandledRequest:
     content_type = next(
         (value for name, value in answer.headers if name == b"content-type"), b"text/plain"
     )
@@ -418,7 +427,7 @@
     )
 
 
-def _reject(reason: RefusalReason, detail: str) -> _HandledRequest:
+def _reject(reason: RejectionReason, detail: str) -> _HandledRequest:
     return _HandledRequest(
         outcome=Outcome.REFUSED,
         response=HttpResponse.problem(_STATUS.get(reason, 503), reason.value, detail),
--- a/coltsfootpier/callers/_permits.py
+++ b/coltsfootpier/callers/_permits.py
@@ -11,7 +11,7 @@
 
 from coltsfootpier.declaration import RequestKind
 from coltsfootpier.permits import KeyKind
-from coltsfootpier.routing import Outcome, RefusalReason, Refused
+from coltsfootpier.routing import Outcome, Rejected, RejectionReason
 
 _MAX_KEY_CHARACTERS = 256
 
@@ -59,7 +59,7 @@
 class Permits(Protocol):
     """Source of permits for the keys of requests."""
 
-    async def acquire(self, claim: Claim) -> Permit | RecordedOutcome | Refused:
+    async def acquire(self, claim: Claim) -> Permit | RecordedOutcome | Rejected:
         """Request a permit and wait for it, at most until the deadline of the claim."""
         ...
 
@@ -75,7 +75,7 @@
     headers: Mapping[bytes, bytes],
     content: Sequence[bytes],
     deadline_ms: float,
-) -> list[Claim] | Refused:
+) -> list[Claim] | Rejected:
     """Return the claims for the keys of a request.
 
     Parameters
@@ -111,7 +111,7 @@
             continue
         if not key or len(key) > _MAX_KEY_CHARACTERS:
             detail = f"{header.decode()} is required, with at most {_MAX_KEY_CHARACTERS} characters"
-            return Refused(reason=RefusalReason.BAD_REQUEST, detail=detail)
+            return Rejected(reason=RejectionReason.BAD_REQUEST, detail=detail)
         is_exclusive = key_kind is KeyKind.EXCLUSIVE
         claim = Claim(
             kind=key_kind,
@@ -135,7 +135,7 @@
 
 async def acquire_permits(
     permits: Permits, claims: Sequence[Claim]
-) -> list[Permit] | RecordedOutcome | Refused:
+) -> list[Permit] | RecordedOutcome | Rejected:
     """Acquire the permits for all claims of a request, or for none of them.
 
     Parameters
--- a/coltsfootpier/membership/_table.py
+++ b/coltsfootpier/membership/_table.py
@@ -75,7 +75,7 @@
         self.members = {**members, **heard}
         self._heard_ms = {id_: self._heard_ms.get(id_, now_ms) for id_ in self.members}
 
-    def hear_member(self, member: Member) -> bool:
+    def observe_member(self, member: Member) -> bool:
         """Take a member that sent a heartbeat, also one that the store doesn't list.
 
         A member of a VM that the store lists under another identifier is ignored while the
@@ -102,11 +102,11 @@
         self.record_heartbeat(member.id)
         return True
 
-    def note_leaving(self, id_: str) -> None:
+    def mark_leaving(self, id_: str) -> None:
         """Note that a member is about to stop; it is dropped once the store doesn't list it."""
         self._leaving.add(id_)
 
-    def forget_silent(self) -> bool:
+    def remove_suspects(self) -> bool:
         """Remove suspect members that the store doesn't list; return whether there were any."""
         silent = [id_ for id_ in self.members if id_ not in self._listed and self.is_suspect(id_)]
         for id_ in silent:
--- a/coltsfootpier/permits/_copies.py
+++ b/coltsfootpier/permits/_copies.py
@@ -109,7 +109,7 @@
         kept = [self.store(group, record.shift(now_ms)) for record in records]
         return all(kept)
 
-    def answer_pull(self, message: PullPermits, *, process: str) -> PulledPermits:
+    def handle_pull(self, message: PullPermits, *, process: str) -> PulledPermits:
         """Take the announcement of a new owner and return the copies of its group."""
         held = self._group(message.group)
         if message.epoch < held.epoch:
--- a/coltsfootpier/permits/_history.py
+++ b/coltsfootpier/permits/_history.py
@@ -34,7 +34,7 @@
     retired: bool = False
 
 
-class ProcessLog:
+class ProcessTable:
     """Daemons that may hold copies or grant permits: the present ones and recent ones.
 
     A daemon that is gone is forgotten after the window. One that only lost its lease may go
@@ -169,13 +169,13 @@
         process: str,
         epoch: int,
         window_ms: float,
-        log: ProcessLog,
+        known_processes: ProcessTable,
         owned_epoch: int = 0,
     ) -> None:
         self._clock = clock
         self._epoch = epoch
         self._window_ms = window_ms
-        self._log = log
+        self._known_processes = known_processes
         self._covered_since_ms = float("inf")
         self._answered = {process}
         # An epoch without a complete history grants nothing, so only these start complete.
@@ -189,19 +189,19 @@
     def record_answer(self, reply: PulledPermits) -> None:
         """Take the answer of a daemon whose records have been merged."""
         self._answered.add(reply.process)
-        self._log.merge(reply.seen)
+        self._known_processes.merge(reply.seen)
         self.record_coverage(reply.covered_ms)
         if self._epoch > 1 and reply.owned_epoch == self._epoch - 1:
             self._complete = True
 
-    def missing(self) -> set[str]:
+    def missing_processes(self) -> set[str]:
         """Return the daemons that may hold copies and have not answered."""
-        return self._log.ages().keys() - self._answered
+        return self._known_processes.ages().keys() - self._answered
 
     @property
     def is_complete(self) -> bool:
         """Whether a key without a record was surely not granted within the window."""
         if not self._complete:
             covered_ms = self._clock.now_ms() - self._covered_since_ms
-            self._complete = covered_ms >= self._window_ms and len(self.missing()) <= 1
+            self._complete = covered_ms >= self._window_ms and len(self.missing_processes()) <= 1
         return self._complete
--- a/coltsfootpier/permits/_node.py
+++ b/coltsfootpier/permits/_manager.py
@@ -9,7 +9,7 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.ownership import OwnershipState
 from coltsfootpier.permits._copies import CopyTable
-from coltsfootpier.permits._history import Coverage, History, ProcessLog, process_of
+from coltsfootpier.permits._history import Coverage, History, ProcessTable, process_of
 from coltsfootpier.permits._messages import (
     AcquirePermit,
     CopyPermits,
@@ -22,14 +22,14 @@
     SettleReply,
     Verdict,
 )
-from coltsfootpier.permits._table import CopyFirst, PermitTable
+from coltsfootpier.permits._table import CopyRequired, PermitTable
 
 _PREFIX = "keys/"
 # Looking for expired records in full tables takes about 10 ms.
 _EXPIRE_MS = 10_000.0
 
 
-class PermitNode:
+class PermitManager:
     """Owned key groups and copies of one daemon.
 
     Parameters
@@ -65,7 +65,9 @@
         self._unsent: dict[str, dict[str, PermitRecord]] = {}
         self.copies = CopyTable(clock=clock, capacity=capacity)
         self.tables: dict[str, PermitTable] = {}
-        self.log = ProcessLog(clock=clock, window_ms=window_ms, hold_over_ms=hold_over_ms)
+        self.known_processes = ProcessTable(
+            clock=clock, window_ms=window_ms, hold_over_ms=hold_over_ms
+        )
         self.coverage = Coverage(clock=clock)
 
     @property
@@ -74,7 +76,7 @@
         return process_of(self.ownership.member)
 
     @property
-    def is_alone(self) -> bool:
+    def is_only_member(self) -> bool:
         """Whether the store says that there is no other daemon that could keep a copy.
 
         A daemon that is cut off from its peers, or from the store, does not count as alone.
@@ -111,10 +113,10 @@
             is_first = ownership.table_version == 0 and len(self._listed) == 1
             self.coverage.join(ownership.member, is_first=is_first)
         present = {process_of(id_) for id_ in self._listed}
-        self.log.observe({*present, self.process})
-        for process in self.log.ages().keys() - present:
+        self.known_processes.observe({*present, self.process})
+        for process in self.known_processes.ages().keys() - present:
             if is_retired(process):
-                self.log.retire(process)
+                self.known_processes.retire(process)
         for group, owner in ownership.table.partitions.items():
             if group.startswith(_PREFIX):
                 self.copies.announce(group, owner.epoch)
@@ -147,15 +149,15 @@
         has_ended = ownership.has_ended(table.group, table.epoch)
         return not has_ended and ownership.lapsed_ms < self._hold_over_ms
 
-    def decide(self, request: AcquirePermit) -> PermitReply | CopyFirst:
+    def decide(self, request: AcquirePermit) -> PermitReply | CopyRequired:
         """Decide on a request for a permit, or ask for a copy first."""
         table = self.tables.get(request.group)
         if table is None or not self.may_grant(table):
             return PermitReply(verdict=Verdict.NOT_OWNER)
         return table.acquire(request)
 
-    def conclude(
-        self, table: PermitTable, record: PermitRecord, *, copied: bool, was_alone: bool
+    def decide_after_copy(
+        self, table: PermitTable, record: PermitRecord, *, copied: bool, was_only_member: bool
     ) -> PermitReply:
         """Decide after the try to copy a record.
 
@@ -171,7 +173,7 @@
             `is_alone` when the try began; it must still hold, because a daemon that joined
             meanwhile may become the next owner.
         """
-        if not copied and was_alone and self.is_alone:
+        if not copied and was_only_member and self.is_only_member:
             self.coverage.record_uncopied_grant()
             copied = True
         if copied and self.may_grant(table):
@@ -188,7 +190,7 @@
             self._unsent.setdefault(message.group, {})[changed.key] = changed
         return SettleReply(accepted=True)
 
-    def record_pull(self, table: PermitTable, reply: PulledPermits) -> None:
+    def merge_pulled_copies(self, table: PermitTable, reply: PulledPermits) -> None:
         """Take the copies that a daemon returned to the owner of a group."""
         if not reply.accepted or not self.copies.merge(table.group, reply.records):
             return
@@ -203,7 +205,9 @@
         """Return the tables with outcomes that no peer knows yet."""
         return [self.tables[group] for group, records in self._unsent.items() if records]
 
-    def take_copies(self, table: PermitTable, records: tuple[PermitRecord, ...]) -> CopyPermits:
+    def build_copy_message(
+        self, table: PermitTable, records: tuple[PermitRecord, ...]
+    ) -> CopyPermits:
         """Return the message that copies records, along with outcomes that wait."""
         waiting = self._unsent.pop(table.group, {})
         for record in records:
@@ -220,11 +224,11 @@
         self.coverage.hear_peer()
         return self.copies.receive(message)
 
-    def answer_pull(self, message: PullPermits) -> PulledPermits:
+    def handle_pull(self, message: PullPermits) -> PulledPermits:
         """Take the epoch of a new owner and return the copies of its group."""
         self.coverage.hear_peer()
-        pulled = self.copies.answer_pull(message, process=self.process)
-        return attrs.evolve(pulled, covered_ms=self.covered_ms(), seen=self.log.ages())
+        pulled = self.copies.handle_pull(message, process=self.process)
+        return attrs.evolve(pulled, covered_ms=self.covered_ms(), seen=self.known_processes.ages())
 
     def covered_ms(self) -> float:
         """Return for how long this daemon knows all members.
@@ -240,7 +244,7 @@
             process=self.process,
             epoch=epoch,
             window_ms=self._window_ms,
-            log=self.log,
+            known_processes=self.known_processes,
             owned_epoch=self.copies.owned_epoch(group),
         )
         table = PermitTable(
--- a/coltsfootpier/permits/_table.py
+++ b/coltsfootpier/permits/_table.py
@@ -25,7 +25,7 @@
 
 
 @attrs.frozen
-class CopyFirst:
+class CopyRequired:
     """The record must be acknowledged by a peer before `PermitTable.confirm` grants it."""
 
     record: PermitRecord
@@ -77,7 +77,7 @@
         """Whether an owner with a higher epoch is known."""
         return self._copies.epoch_of(self.group) > self.epoch
 
-    def acquire(self, request: AcquirePermit) -> PermitReply | CopyFirst:
+    def acquire(self, request: AcquirePermit) -> PermitReply | CopyRequired:
         """Decide on a request for a permit.
 
         Parameters
@@ -191,7 +191,7 @@
 
     def _record(
         self, request: AcquirePermit, hold_ms: float, known: PermitRecord | None
-    ) -> PermitReply | CopyFirst:
+    ) -> PermitReply | CopyRequired:
         now_ms = self._clock.now_ms()
         # An earlier try may have been granted, so its time must not get shorter.
         held_ms = max(now_ms + hold_ms, known.held_ms if known else 0.0)
@@ -210,7 +210,7 @@
             return PermitReply(verdict=Verdict.FULL)
         is_repeat = known is not None and known.state is RecordState.UNDECIDED
         self._pending[record.token] = is_repeat
-        return CopyFirst(record)
+        return CopyRequired(record)
 
     def _replace(self, record: PermitRecord, **changes: object) -> PermitRecord:
         self._serial += 1
--- a/coltsfootpier/permits/tests/builders.py
+++ b/coltsfootpier/permits/tests/builders.py
@@ -13,9 +13,9 @@
 from coltsfootpier.ownership import OwnershipState, OwnerTable
 from coltsfootpier.permits import (
     AcquirePermit,
-    CopyFirst,
+    CopyRequired,
     KeyKind,
-    PermitNode,
+    PermitManager,
     PermitReply,
     PermitTable,
     PullPermits,
@@ -57,12 +57,12 @@
     )
 
 
-def build_node(clock: VirtualClock, member: str, **changes: Any) -> PermitNode:
+def build_node(clock: VirtualClock, member: str, **changes: Any) -> PermitManager:
     """Build the permits of a daemon that has just joined."""
     ownership = OwnershipState(clock=clock, ttl_ms=LEASE_MS)
     ownership.join(member, sent_ms=clock.now_ms())
     options = {"window_ms": WINDOW_MS, "hold_over_ms": HOLD_OVER_MS, "capacity": 64, **changes}
-    return PermitNode(clock=clock, ownership=ownership, **options)
+    return PermitManager(clock=clock, ownership=ownership, **options)
 
 
 @attrs.define(eq=False)
@@ -70,7 +70,7 @@
     """A simulated daemon."""
 
     name: str
-    node: PermitNode
+    node: PermitManager
     listed: frozenset[str] = frozenset()
     listed_ms: float = float("-inf")
     renewed_ms: float = float("-inf")
@@ -112,7 +112,7 @@
         self.daemons: list[Daemon] = []
         self.cut: set[frozenset[str]] = set()
         self.requests: list[Request] = []
-        self.deciding: list[tuple[Request, Daemon, PermitTable, CopyFirst, bool]] = []
+        self.deciding: list[tuple[Request, Daemon, PermitTable, CopyRequired, bool]] = []
         self.late: list[Callable[[], object]] = []
         self.runs: dict[str, list[tuple[float, float]]] = {}
         self.doubled: list[str] = []
@@ -232,20 +232,20 @@
             return
         pull = PullPermits(group=table.group, epoch=table.epoch)
         table.history.record_coverage(node.covered_ms())
-        for process in sorted(table.history.missing()):
-            reply = self._send(daemon, process, lambda to: to.node.answer_pull(pull))
+        for process in sorted(table.history.missing_processes()):
+            reply = self._send(daemon, process, lambda to: to.node.handle_pull(pull))
             if reply is not None:
-                node.record_pull(table, reply)
+                node.merge_pulled_copies(table, reply)
         table.ready = True
-        if table.check_history() and not table.history.missing():
+        if table.check_history() and not table.history.missing_processes():
             daemon.taking_over.remove(table)
 
     def _copy(
-        self, request: Request, owner: Daemon, table: PermitTable, first: CopyFirst, alone: bool
+        self, request: Request, owner: Daemon, table: PermitTable, first: CopyRequired, alone: bool
     ) -> None:
         if owner not in self.daemons:
             return
-        message = owner.node.take_copies(table, (first.record,))
+        message = owner.node.build_copy_message(table, (first.record,))
         copied = False
         others = sorted(process_of(id_) for id_ in owner.listed if id_ != owner.id)
         for process in self.chance.sample(others, len(others)):
@@ -255,7 +255,9 @@
             if reply is not None and reply.accepted:
                 copied = True
                 break
-        reply = owner.node.conclude(table, first.record, copied=copied, was_alone=alone)
+        reply = owner.node.decide_after_copy(
+            table, first.record, copied=copied, was_only_member=alone
+        )
         if request.entry is owner or self.chance.random() < 0.9:
             self._answer(request, reply)
 
@@ -304,7 +306,7 @@
     def _decide(
         self, request: Request, owner: Daemon, message: AcquirePermit
     ) -> PermitReply | None:
-        alone = owner.node.is_alone
+        alone = owner.node.is_only_member
         decision = owner.node.decide(message)
         if isinstance(decision, PermitReply):
             return decision
--- a/coltsfootpier/permits/tests/test_table.py
+++ b/coltsfootpier/permits/tests/test_table.py
@@ -9,10 +9,10 @@
 from coltsfootpier.clock import VirtualClock
 from coltsfootpier.ownership import Ownership, OwnerTable
 from coltsfootpier.permits import (
-    CopyFirst,
+    CopyRequired,
     DoubleGrantError,
     KeyKind,
-    PermitNode,
+    PermitManager,
     PermitReply,
     PermitTable,
     PullPermits,
@@ -30,12 +30,12 @@
 OWNER, PEER, THIRD = "n1.a.1", "n2.b.1", "n3.c.1"
 
 
-def _observe(node: PermitNode, *members: str) -> list[PermitTable]:
+def _observe(node: PermitManager, *members: str) -> list[PermitTable]:
     # The listing never gets old in these tests.
     return node.reconcile(members, listed_ms=float("inf"), is_retired=lambda _: False)
 
 
-def _own(node: PermitNode, epoch: int, *others: str) -> PermitTable:
+def _own(node: PermitManager, epoch: int, *others: str) -> PermitTable:
     member = node.ownership.member
     node.ownership.observe(OwnerTable({"keys/0": Ownership(member, epoch)}), epoch)
     (table,) = _observe(node, member, *others)
@@ -43,13 +43,15 @@
     return table
 
 
-def _acquire(node: PermitNode, **changes: object) -> PermitReply:
+def _acquire(node: PermitManager, **changes: object) -> PermitReply:
     request = build_acquire(**changes)
-    was_alone = node.is_alone
+    was_only_member = node.is_only_member
     decision = node.decide(request)
-    if isinstance(decision, CopyFirst):
+    if isinstance(decision, CopyRequired):
         table = node.tables[request.group]
-        return node.conclude(table, decision.record, copied=True, was_alone=was_alone)
+        return node.decide_after_copy(
+            table, decision.record, copied=True, was_only_member=was_only_member
+        )
     return decision
 
 
@@ -99,14 +101,14 @@
     def test_grant_needs_a_copy_unless_the_store_lists_no_other_member(self) -> None:
         """Guards against a grant that the death of one daemon makes forgotten."""
         decision = self.node.decide(build_acquire())
-        reply = self.node.conclude(
-            self.table, decision.record, copied=False, was_alone=self.node.is_alone
+        reply = self.node.decide_after_copy(
+            self.table, decision.record, copied=False, was_only_member=self.node.is_only_member
         )
         self.assertIs(reply.verdict, Verdict.NO_COPY)
         _observe(self.node, OWNER)
-        self.assertTrue(self.node.is_alone)
+        self.assertTrue(self.node.is_only_member)
         self.node.ownership.lose_lease()
-        self.assertFalse(self.node.is_alone)
+        self.assertFalse(self.node.is_only_member)
 
     def test_request_that_may_outlast_the_window_is_refused(self) -> None:
         """Guards against a run that a later owner can't know of."""
@@ -140,8 +142,8 @@
         self.old_table = _own(self.old, 1, PEER, THIRD)
 
     def _pull(self) -> None:
-        reply = self.old.answer_pull(PullPermits(group="keys/0", epoch=2))
-        self.new.record_pull(self.new.tables["keys/0"], reply)
+        reply = self.old.handle_pull(PullPermits(group="keys/0", epoch=2))
+        self.new.merge_pulled_copies(self.new.tables["keys/0"], reply)
 
     def test_new_owner_knows_the_keys_of_the_previous_one(self) -> None:
         """Guards against a second run after a change of the owner."""
@@ -154,12 +156,14 @@
     def test_previous_owner_is_fenced_off(self) -> None:
         """Guards against two owners that grant one key."""
         decision = self.old.decide(build_acquire())
-        message = self.old.take_copies(self.old_table, (decision.record,))
+        message = self.old.build_copy_message(self.old_table, (decision.record,))
         _own(self.new, 2, OWNER, THIRD)
         reply = self.new.receive_copies(message)
         self.assertEqual((reply.accepted, reply.epoch), (False, 2))
         self._pull()
-        reply = self.old.conclude(self.old_table, decision.record, copied=True, was_alone=False)
+        reply = self.old.decide_after_copy(
+            self.old_table, decision.record, copied=True, was_only_member=False
+        )
         self.assertIs(reply.verdict, Verdict.NOT_OWNER)
 
     def test_unknown_key_is_not_granted_while_the_history_is_incomplete(self) -> None:
@@ -173,8 +177,8 @@
         table.history.record_coverage(self.new.covered_ms())
         self.assertIs(_acquire(self.new).verdict, Verdict.INCOMPLETE)
         # A grant has two holders, so that one that is missing hides nothing.
-        pulled = build_node(self.clock, THIRD).answer_pull(PullPermits(group="keys/0", epoch=2))
-        self.new.record_pull(table, pulled)
+        pulled = build_node(self.clock, THIRD).handle_pull(PullPermits(group="keys/0", epoch=2))
+        self.new.merge_pulled_copies(table, pulled)
         self.assertIs(_acquire(self.new).verdict, Verdict.GRANTED)
 
     def test_time_of_grants_without_a_copy_is_not_covered(self) -> None:
@@ -185,8 +189,11 @@
         _own(node, 1)
         self.assertGreater(node.covered_ms(), WINDOW_MS)
         decision = node.decide(build_acquire())
-        reply = node.conclude(
-            node.tables["keys/0"], decision.record, copied=False, was_alone=node.is_alone
+        reply = node.decide_after_copy(
+            node.tables["keys/0"],
+            decision.record,
+            copied=False,
+            was_only_member=node.is_only_member,
         )
         self.assertIs(reply.verdict, Verdict.GRANTED)
         self.assertEqual(node.covered_ms(), 0.0)
@@ -194,10 +201,12 @@
     def test_later_record_wins_whatever_the_order_of_arrival(self) -> None:
         """Guards against a delayed copy that brings a freed key back, or frees a used one."""
         decision = self.old.decide(build_acquire())
-        grant = self.old.take_copies(self.old_table, (decision.record,))
-        self.old.conclude(self.old_table, decision.record, copied=True, was_alone=False)
+        grant = self.old.build_copy_message(self.old_table, (decision.record,))
+        self.old.decide_after_copy(
+            self.old_table, decision.record, copied=True, was_only_member=False
+        )
         self.old.settle(build_settle(build_acquire(), Outcome.REFUSED))
-        self.new.receive_copies(self.old.take_copies(self.old_table, ()))
+        self.new.receive_copies(self.old.build_copy_message(self.old_table, ()))
         self.new.receive_copies(grant)
         self.assertIs(self.new.copies.find("keys/0", "k").state, RecordState.FREE)
 
--- a/coltsfootpier/routing/_health.py
+++ b/coltsfootpier/routing/_health.py
@@ -144,7 +144,7 @@
         record = self._records.get(runner_id)
         return record.refusal_rate if record is not None else 0.0
 
-    def answer_ms(self, service: str, kind: str = "") -> float:
+    def response_ms(self, service: str, kind: str = "") -> float:
         """Return the average answer time of a request kind, or of its service; 0 if unknown."""
         return self._kind_ms.get((service, kind)) or self._service_ms.get(service, 0.0)
 
--- a/coltsfootpier/routing/_messages.py
+++ b/coltsfootpier/routing/_messages.py
@@ -16,7 +16,7 @@
     UNKNOWN = "unknown"
 
 
-class RefusalReason(enum.Enum):
+class RejectionReason(enum.Enum):
     """Why a request was refused; it was not run."""
 
     UNKNOWN_SERVICE = "unknown_service"
@@ -180,10 +180,10 @@
 
 
 @attrs.frozen(kw_only=True)
-class Refused:
+class Rejected:
     """The request is not run."""
 
-    reason: RefusalReason
+    reason: RejectionReason
     detail: str = ""
 
 
@@ -192,4 +192,4 @@
     """A ticket that waited, and what became of it."""
 
     ticket: Ticket
-    decision: Grant | Refused
+    decision: Grant | Rejected
--- a/coltsfootpier/routing/_policies.py
+++ b/coltsfootpier/routing/_policies.py
@@ -42,7 +42,7 @@
     outstanding: int
     slots: int
     slowness: float = 1.0
-    answer_ms: float = 0.0
+    response_ms: float = 0.0
     is_near: bool = True
     zone_delay_ms: float = 0.0
     refusal_rate: float = 0.0
@@ -118,7 +118,7 @@
 
 def _expect_ms(candidate: Candidate) -> float:
     occupancy = candidate.outstanding / candidate.slots
-    work_ms = max(candidate.answer_ms, 1.0) * candidate.slowness
+    work_ms = max(candidate.response_ms, 1.0) * candidate.slowness
     expected_ms = work_ms * (1 + _OCCUPANCY_WEIGHT * occupancy) + candidate.zone_delay_ms
     # A refused request costs another offer, so the expected time grows with the refusals.
     return expected_ms / max(0.1, 1 - candidate.refusal_rate)
--- a/coltsfootpier/routing/_queues.py
+++ b/coltsfootpier/routing/_queues.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from coltsfootpier.routing._messages import RefusalReason, Share, Ticket
+from coltsfootpier.routing._messages import RejectionReason, Share, Ticket
 
 # A kind that the text guarantees nothing and leaves no remainder still makes progress.
 _MIN_SHARE = 0.001
@@ -52,7 +52,7 @@
         """Return the number of waiting requests."""
         ...
 
-    def admit(self, ticket: Ticket, use: SlotUse) -> RefusalReason | None:
+    def admit(self, ticket: Ticket, use: SlotUse) -> RejectionReason | None:
         """Add a request, or return why it is refused."""
         ...
 
@@ -97,7 +97,7 @@
 
     length: int
     now_ms: Callable[[], float]
-    answer_ms: Callable[[str], float]
+    response_ms: Callable[[str], float]
     shares: Mapping[str, Share] = attrs.field(factory=dict)
 
 
@@ -117,10 +117,10 @@
     def __len__(self) -> int:
         return len(self._tickets)
 
-    def admit(self, ticket: Ticket, use: SlotUse) -> RefusalReason | None:
+    def admit(self, ticket: Ticket, use: SlotUse) -> RejectionReason | None:
         """Add a request while there is room."""
         if len(self._tickets) >= self._context.length:
-            return RefusalReason.QUEUE_FULL
+            return RejectionReason.QUEUE_FULL
         self._tickets.append(ticket)
         return None
 
@@ -171,19 +171,19 @@
     def __len__(self) -> int:
         return self._size
 
-    def admit(self, ticket: Ticket, use: SlotUse) -> RefusalReason | None:
+    def admit(self, ticket: Ticket, use: SlotUse) -> RejectionReason | None:
         """Add a request if its kind's queue is short enough for its deadline."""
         line = self._lines[ticket.team, ticket.kind]
-        answer_ms = self._context.answer_ms(ticket.kind)
+        response_ms = self._context.response_ms(ticket.kind)
         left_ms = ticket.deadline_ms - self._context.now_ms()
         slots = self._available_slots(ticket.kind, use)
-        if left_ms < answer_ms + (len(line) + 1) * answer_ms / slots:
-            return RefusalReason.DEADLINE
+        if left_ms < response_ms + (len(line) + 1) * response_ms / slots:
+            return RejectionReason.DEADLINE
         share = self._share(ticket.kind)
         if len(line) >= max(_MIN_QUEUE, share * self._context.length):
-            return RefusalReason.QUEUE_FULL
+            return RejectionReason.QUEUE_FULL
         if self._size >= self._context.length + _MIN_QUEUE:
-            return RefusalReason.QUEUE_FULL
+            return RejectionReason.QUEUE_FULL
         line.append(ticket)
         self._size += 1
         return None
@@ -203,11 +203,11 @@
         """Remove and return the requests that can't meet their deadline any more."""
         late: list[Ticket] = []
         for (_, kind), line in self._lines.items():
-            answer_ms = self._context.answer_ms(kind)
-            while line and self._is_late(line[0], answer_ms):
+            response_ms = self._context.response_ms(kind)
+            while line and self._is_late(line[0], response_ms):
                 late.append(line.popleft())
             if thorough:
-                found = [ticket for ticket in line if self._is_late(ticket, answer_ms)]
+                found = [ticket for ticket in line if self._is_late(ticket, response_ms)]
                 for ticket in found:
                     line.remove(ticket)
                 late += found
@@ -278,12 +278,12 @@
         indices = range(len(line))
         if self._is_overloaded(line):
             indices = range(len(line) - 1, -1, -1)
-        answer_ms = self._context.answer_ms(line[0].kind)
+        response_ms = self._context.response_ms(line[0].kind)
         return next(
             (
                 index
                 for index in indices
-                if can_serve(line[index]) and not self._is_late(line[index], answer_ms)
+                if can_serve(line[index]) and not self._is_late(line[index], response_ms)
             ),
             None,
         )
@@ -293,5 +293,5 @@
         waited_ms = self._context.now_ms() - oldest.arrived_ms
         return waited_ms > _OVERLOAD_PART * (oldest.deadline_ms - oldest.arrived_ms)
 
-    def _is_late(self, ticket: Ticket, answer_ms: float) -> bool:
-        return ticket.deadline_ms <= self._context.now_ms() + answer_ms
+    def _is_late(self, ticket: Ticket, response_ms: float) -> bool:
+        return ticket.deadline_ms <= self._context.now_ms() + response_ms
--- a/coltsfootpier/routing/_retries.py
+++ b/coltsfootpier/routing/_retries.py
@@ -11,7 +11,7 @@
 _MAX_SAVED = 20.0
 
 
-def limit_attempt(left_ms: float, answer_ms: float) -> float:
+def compute_attempt_timeout(left_ms: float, response_ms: float) -> float:
     """Return the time allowed for an attempt after which the request may be repeated.
 
     Parameters
@@ -31,9 +31,9 @@
     >>> limit_attempt(1000.0, 100.0), limit_attempt(1000.0, 400.0), limit_attempt(1000.0, 0.0)
     (800.0, 500.0, 500.0)
     """
-    if answer_ms <= 0:
+    if response_ms <= 0:
         return left_ms / 2
-    return max(left_ms / 2, left_ms - _REPEAT_ANSWERS * answer_ms)
+    return max(left_ms / 2, left_ms - _REPEAT_ANSWERS * response_ms)
 
 
 class RetryBudget:
--- a/coltsfootpier/routing/_router.py
+++ b/coltsfootpier/routing/_router.py
@@ -18,8 +18,8 @@
     Feedback,
     Grant,
     Queued,
-    RefusalReason,
-    Refused,
+    Rejected,
+    RejectionReason,
     Runner,
     Settlement,
     Share,
@@ -171,7 +171,7 @@
 
     # Decisions
 
-    def acquire(self, ticket: Ticket) -> Grant | Queued | Refused:
+    def acquire(self, ticket: Ticket) -> Grant | Queued | Rejected:
         """Decide on a request of this daemon, or of a peer that wants to borrow.
 
         Parameters
@@ -185,10 +185,10 @@
             After `Queued`, `plan_borrows` names the peers to ask.
         """
         if ticket.deadline_ms <= self._clock.now_ms():
-            return self._refuse(ticket, RefusalReason.DEADLINE)
+            return self._refuse(ticket, RejectionReason.DEADLINE)
         service = self._services.get(ticket.service)
         if service is None or not service.runners:
-            return self._refuse(ticket, RefusalReason.NO_RUNNER, ticket.service)
+            return self._refuse(ticket, RejectionReason.NO_RUNNER, ticket.service)
         self._free_lingering()
         # A slot is only free while none of the waiting requests may use it.
         grant = self._grant(ticket)
@@ -241,14 +241,16 @@
         if service is None:
             return []
         planned: list[Borrow] = []
-        waiting = [ticket for ticket in service.queue.waiting() if not ticket.borrower]
+        queue_lengths = [ticket for ticket in service.queue.queue_lengths() if not ticket.borrower]
         wanted = len(service.queue) - sum(peer.borrows[name] for peer in self._peers.values())
-        while waiting and wanted > len(planned):
+        while queue_lengths and wanted > len(planned):
             peer = self._choose_lender(name, service)
             if peer is None:
                 break
             self._peers[peer].borrows[name] += 1
-            planned.append(Borrow(peer=peer, ticket=waiting[len(planned) % len(waiting)]))
+            planned.append(
+                Borrow(peer=peer, ticket=queue_lengths[len(planned) % len(queue_lengths)])
+            )
         return planned
 
     def settle_borrow(
@@ -324,7 +326,7 @@
         known = self._services.get(service)
         return sum(self._slots[id_].owned for id_ in known.runners) if known else 0
 
-    def waiting(self) -> dict[str, int]:
+    def queue_lengths(self) -> dict[str, int]:
         """Return the number of waiting requests for each service."""
         return {name: len(service.queue) for name, service in self._services.items()}
 
@@ -355,7 +357,7 @@
             context = QueueContext(
                 length=self._queue_length,
                 now_ms=self._clock.now_ms,
-                answer_ms=lambda kind: self.health.answer_ms(name, kind),
+                response_ms=lambda kind: self.health.response_ms(name, kind),
                 shares=self._shares.get(name, {}),
             )
             self._services[name] = _Service(queue=self._make_queue(context), context=context)
@@ -405,7 +407,7 @@
         # The runner works on the request until its deadline; a further request would be refused.
         ticket = slots.grants[token].ticket
         until_ms = max(ticket.deadline_ms, self._clock.now_ms())
-        until_ms += self.health.answer_ms(ticket.service, ticket.kind)
+        until_ms += self.health.response_ms(ticket.service, ticket.kind)
         heapq.heappush(self._lingering, (until_ms, slots.runner.id, token))
 
     def _free_lingering(self) -> None:
@@ -446,7 +448,7 @@
             outstanding=len(slots.grants),
             slots=slots.owned,
             slowness=self.health.slowness(runner.id),
-            answer_ms=self.health.answer_ms(ticket.service, ticket.kind),
+            response_ms=self.health.response_ms(ticket.service, ticket.kind),
             is_near=is_near,
             zone_delay_ms=0.0 if is_near else _ZONE_DELAY_MS,
             refusal_rate=self.health.refusal_rate(runner.id),
@@ -496,13 +498,13 @@
 
     def _refuse_late(self, service: _Service, *, thorough: bool = False) -> list[Settlement]:
         return [
-            Settlement(ticket=ticket, decision=self._refuse(ticket, RefusalReason.DEADLINE))
+            Settlement(ticket=ticket, decision=self._refuse(ticket, RejectionReason.DEADLINE))
             for ticket in service.queue.drop_late(thorough=thorough)
         ]
 
-    def _refuse(self, ticket: Ticket, reason: RefusalReason, detail: str = "") -> Refused:
+    def _refuse(self, ticket: Ticket, reason: RejectionReason, detail: str = "") -> Rejected:
         self._move(ticket, TicketState.REFUSED)
-        return Refused(reason=reason, detail=detail)
+        return Rejected(reason=reason, detail=detail)
 
     @staticmethod
     def _move(ticket: Ticket, state: TicketState) -> None:
