--- a/coltsfootpier/routing/__init__.py
+++ b/coltsfootpier/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Routing of callers' requests to runners with a free slot."""
+"""Routing of callers' requests to runners that have a free slot."""
 
 from coltsfootpier.routing._assignment import (
     BalancedAssignment,
--- a/coltsfootpier/routing/_assignment.py
+++ b/coltsfootpier/routing/_assignment.py
@@ -1,4 +1,4 @@
-"""Division of the slots of a service among the daemons."""
+"""Assignment of a service's slots to daemons."""
 
 from __future__ import annotations
 
@@ -9,12 +9,15 @@
 from coltsfootpier.ownership import rank_by_rendezvous
 from coltsfootpier.routing._messages import Runner
 
-# For each runner, the number of slots that each member owns.
+# Number of slots by runner and owning member.
 SlotTable = Mapping[str, Mapping[str, int]]
 
 
 class SlotAssignment(Protocol):
-    """Divides slots so that daemons with the same view come to the same result."""
+    """Deterministic assignment of slots to daemons.
+
+    Daemons that know the same runners and members compute the same assignment.
+    """
 
     def assign(self, runners: Sequence[Runner], members: Mapping[str, str]) -> SlotTable:
         """Return the number of slots of each runner that each member owns.
@@ -30,7 +33,7 @@
 
 
 class RendezvousAssignment:
-    """All slots of a runner belong to the member that ranks first for it (baseline)."""
+    """Assignment of all slots of a runner to its first member by rendezvous hashing (baseline)."""
 
     def assign(self, runners: Sequence[Runner], members: Mapping[str, str]) -> SlotTable:
         """Return the number of slots of each runner that each member owns."""
@@ -42,11 +45,12 @@
 
 
 class BalancedAssignment:
-    """Each member owns the same number of slots, give or take one, nearest zone first.
+    """Assignment of equally many slots (within one) to each member, preferring its own zone.
 
-    The slots are listed zone by zone, round robin over the runners of the zone, and the list
-    is cut into equal ranges for the members in the order of their zones. So a member's slots
-    are spread over the runners of its zone, and a failing runner costs each member little.
+    Slots are ordered by availability zone and then round robin over the zone's runners. The
+    ordered list is split into equal ranges for the members, which are ordered by zone too. As a
+    result a member's slots are spread over the runners of its zone, so that a failing runner
+    takes only a few slots from each member.
 
     Examples
     --------
--- a/coltsfootpier/routing/_health.py
+++ b/coltsfootpier/routing/_health.py
@@ -1,4 +1,4 @@
-"""What a daemon has measured of each runner: answer times, refusals and failures."""
+"""Health of runners as observed by one daemon: response times, rejections and failures."""
 
 from __future__ import annotations
 
@@ -10,33 +10,35 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.routing._messages import AttemptResult, Feedback
 
-# Weight of the newest sample; about the last twenty answers count.
-_SMOOTHING = 0.05
-# One extreme answer must neither starve a runner nor draw all requests to it.
+# Weight of the newest sample in the moving averages; covers about the last twenty responses.
+_SMOOTHING_FACTOR = 0.05
+# Bounds of one slowness sample, so that a single outlier neither starves a runner nor attracts
+# all requests to it.
 _SLOWNESS_BOUNDS = (0.25, 4.0)
-# Measured slowness halves towards 1 in this time, so a slow runner is tried again.
+# Half-life of the decay of the measured slowness towards 1, so that a slow runner receives
+# requests again.
 _SLOWNESS_HALF_LIFE_MS = 5_000.0
-# Failures of distinct requests in a row, without an answer in between, that eject a runner.
+# Consecutive failures of distinct requests after which a runner is ejected.
 _EJECT_FAILURES = 5
-_PROBE_AFTER_MS = 1_000.0
-_MAX_PROBE_AFTER_MS = 30_000.0
-# A probe whose feedback got lost doesn't keep a runner out for ever.
+_PROBE_DELAY_MS = 1_000.0
+_MAX_PROBE_DELAY_MS = 30_000.0
+# Bounds how long a probe with lost feedback blocks a runner.
 _PROBE_TIMEOUT_MS = 10_000.0
 
 
 @attrs.define
-class _Record:
+class _RunnerRecord:
     slowness: float = 1.0
     measured_ms: float = 0.0
-    refusal_rate: float = 0.0
+    rejection_rate: float = 0.0
     failed_requests: set[str] = attrs.field(factory=set)
     ejected: bool = False
     blocked_until_ms: float = 0.0
-    backoff_ms: float = _PROBE_AFTER_MS
+    backoff_ms: float = _PROBE_DELAY_MS
 
 
 class RunnerHealth:
-    """Estimates and ejections of the runners, from the feedback of requests.
+    """Response time estimates and ejections of runners, based on request feedback.
 
     Parameters
     ----------
@@ -46,22 +48,22 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._records: dict[str, _Record] = defaultdict(_Record)
-        self._kind_ms: dict[tuple[str, str], float] = {}
-        self._service_ms: dict[str, float] = {}
+        self._records: dict[str, _RunnerRecord] = defaultdict(_RunnerRecord)
+        self._kind_response_ms: dict[tuple[str, str], float] = {}
+        self._service_response_ms: dict[str, float] = {}
         self._peer_ejected: dict[str, frozenset[str]] = {}
 
     def retain(self, runner_ids: Collection[str]) -> None:
-        """Forget runners that are gone."""
+        """Remove the records of all other runners."""
         for id_ in self._records.keys() - set(runner_ids):
             del self._records[id_]
 
     def observe_peer(self, peer: str, ejected: Collection[str]) -> None:
-        """Take the runners that a peer has ejected."""
+        """Replace the set of runners that a peer has ejected."""
         self._peer_ejected[peer] = frozenset(ejected)
 
     def retain_peers(self, members: Collection[str]) -> None:
-        """Forget the ejections of peers that are gone."""
+        """Remove the ejections reported by daemons that are not members."""
         self._peer_ejected = {
             peer: ids for peer, ids in self._peer_ejected.items() if peer in members
         }
@@ -69,34 +71,34 @@
     def observe(
         self, service: str, kind: str, runner_id: str, feedback: Feedback, runners: Collection[str]
     ) -> None:
-        """Take the result of one attempt.
+        """Update the record of a runner with the result of one attempt.
 
         Parameters
         ----------
         service, kind : str
-            What was requested.
+            Service and request kind.
         runner_id : str
-            Where it was sent.
+            Runner that the request was sent to.
         feedback : Feedback
-            The result.
+            Result of the attempt.
         runners : collection of str
-            All runners of the service, of which at most a third is ejected.
+            All runners of the service; at most a third of them is ejected.
         """
         record = self._records[runner_id]
-        refused = feedback.result is AttemptResult.REFUSED
-        record.refusal_rate += _SMOOTHING * (refused - record.refusal_rate)
-        if refused:
+        rejected = feedback.result is AttemptResult.REFUSED
+        record.rejection_rate += _SMOOTHING_FACTOR * (rejected - record.rejection_rate)
+        if rejected:
             return
         now_ms = self._clock.now_ms()
         if feedback.result is AttemptResult.ANSWERED:
             record.failed_requests.clear()
             record.ejected = False
             record.blocked_until_ms = 0.0
-            record.backoff_ms = _PROBE_AFTER_MS
-            self._measure(service, kind, record, feedback.elapsed_ms)
+            record.backoff_ms = _PROBE_DELAY_MS
+            self._update_estimates(service, kind, record, feedback.elapsed_ms)
             return
         if feedback.result is AttemptResult.UNREACHABLE or record.ejected:
-            # Nothing listens there, or the probe failed.
+            # The runner accepts no connection, or a probe of an ejected runner failed.
             self._block(record, now_ms)
             return
         record.failed_requests.add(feedback.request_id)
@@ -104,13 +106,17 @@
             record.ejected = True
             self._block(record, now_ms)
 
-    def may_use(self, runner_id: str) -> bool:
-        """Whether a request may be sent to a runner now."""
+    def is_usable(self, runner_id: str) -> bool:
+        """Return whether a request may be sent to a runner now."""
         record = self._records.get(runner_id)
         return record is None or record.blocked_until_ms <= self._clock.now_ms()
 
-    def begin_probe(self, runner_id: str) -> None:
-        """Note that a request is sent; an ejected runner gets no other one meanwhile."""
+    def record_request_sent(self, runner_id: str) -> None:
+        """Record that a request is sent to a runner.
+
+        If the runner was blocked, the request is a probe, and the runner is blocked for further
+        requests until the feedback arrives or the probe times out.
+        """
         record = self._records.get(runner_id)
         if record is not None and record.blocked_until_ms > 0.0:
             record.blocked_until_ms = self._clock.now_ms() + _PROBE_TIMEOUT_MS
@@ -120,52 +126,63 @@
         return tuple(sorted(id_ for id_, record in self._records.items() if record.ejected))
 
     def limit_ejections(self, runners: Collection[str]) -> None:
-        """Take runners back where all daemons together have ejected more than a third.
+        """Revert ejections where all daemons together have ejected more than a third.
 
-        Daemons that eject at the same time don't know of each other yet. Each keeps the same
-        third, the first ones in the order of identifiers.
+        Daemons may eject different runners before they learn of each other's ejections. All of
+        them keep the same third, the runners with the lowest identifiers.
         """
         kept = sorted(self._all_ejected(runners))[: len(runners) // 3]
         for id_ in runners:
             record = self._records.get(id_)
             if record is not None and record.ejected and id_ not in kept:
-                self._records[id_] = _Record()
+                self._records[id_] = _RunnerRecord()
 
     def slowness(self, runner_id: str) -> float:
-        """Return the answer time of a runner relative to the average of the request kinds."""
+        """Return the response time of a runner relative to the average of the request kinds."""
         record = self._records.get(runner_id)
         if record is None:
             return 1.0
         age_ms = self._clock.now_ms() - record.measured_ms
         return 1.0 + (record.slowness - 1.0) * 0.5 ** (age_ms / _SLOWNESS_HALF_LIFE_MS)
 
-    def refusal_rate(self, runner_id: str) -> float:
-        """Return the share of recent requests that a runner refused before the start."""
+    def rejection_rate(self, runner_id: str) -> float:
+        """Return the share of recent requests that a runner rejected before starting them."""
         record = self._records.get(runner_id)
-        return record.refusal_rate if record is not None else 0.0
+        return record.rejection_rate if record is not None else 0.0
 
     def answer_ms(self, service: str, kind: str = "") -> float:
-        """Return the average answer time of a request kind, or of its service; 0 if unknown."""
-        return self._kind_ms.get((service, kind)) or self._service_ms.get(service, 0.0)
+        """Return the average response time of a request kind, or else of its service.
 
-    def _measure(self, service: str, kind: str, record: _Record, elapsed_ms: float) -> None:
-        average_ms = self._kind_ms.get((service, kind), elapsed_ms)
+        The result is 0 if nothing has been measured.
+        """
+        return self._kind_response_ms.get((service, kind)) or self._service_response_ms.get(
+            service, 0.0
+        )
+
+    def _update_estimates(
+        self, service: str, kind: str, record: _RunnerRecord, elapsed_ms: float
+    ) -> None:
+        average_ms = self._kind_response_ms.get((service, kind), elapsed_ms)
         ratio = elapsed_ms / max(average_ms, 0.1)
         low, high = _SLOWNESS_BOUNDS
-        record.slowness += _SMOOTHING * (min(high, max(low, ratio)) - record.slowness)
+        record.slowness += _SMOOTHING_FACTOR * (min(high, max(low, ratio)) - record.slowness)
         record.measured_ms = self._clock.now_ms()
-        self._kind_ms[service, kind] = average_ms + _SMOOTHING * (elapsed_ms - average_ms)
-        known_ms = self._service_ms.get(service, elapsed_ms)
-        self._service_ms[service] = known_ms + _SMOOTHING * (elapsed_ms - known_ms)
+        self._kind_response_ms[service, kind] = average_ms + _SMOOTHING_FACTOR * (
+            elapsed_ms - average_ms
+        )
+        service_average_ms = self._service_response_ms.get(service, elapsed_ms)
+        self._service_response_ms[service] = service_average_ms + _SMOOTHING_FACTOR * (
+            elapsed_ms - service_average_ms
+        )
 
     def _all_ejected(self, runners: Collection[str]) -> set[str]:
-        known = set(self.ejected()).union(*self._peer_ejected.values())
-        return known & set(runners)
+        all_ejected = set(self.ejected()).union(*self._peer_ejected.values())
+        return all_ejected & set(runners)
 
     def _may_eject(self, runner_id: str, runners: Collection[str]) -> bool:
         return len(self._all_ejected(runners) | {runner_id}) <= len(runners) // 3
 
     @staticmethod
-    def _block(record: _Record, now_ms: float) -> None:
+    def _block(record: _RunnerRecord, now_ms: float) -> None:
         record.blocked_until_ms = now_ms + record.backoff_ms
-        record.backoff_ms = min(2 * record.backoff_ms, _MAX_PROBE_AFTER_MS)
+        record.backoff_ms = min(2 * record.backoff_ms, _MAX_PROBE_DELAY_MS)
--- a/coltsfootpier/routing/_messages.py
+++ b/coltsfootpier/routing/_messages.py
@@ -1,4 +1,4 @@
-"""Data of the router."""
+"""Data types of the router."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class Outcome(enum.Enum):
-    """What became of a caller's request."""
+    """Outcome of a caller's request."""
 
     DONE = "done"
     REFUSED = "refused"
@@ -17,7 +17,7 @@
 
 
 class RefusalReason(enum.Enum):
-    """Why a request was refused; it was not run."""
+    """Reason for rejecting a request, which was not run."""
 
     UNKNOWN_SERVICE = "unknown_service"
     BAD_REQUEST = "bad_request"
@@ -42,9 +42,9 @@
     address : str
         ``IP:PORT``.
     slots, connections : int
-        Requests and connections that it takes at once, over all entry VMs.
+        Most concurrent requests and connections, over all entry VMs.
     leaving : bool
-        Whether it must get no new request.
+        Whether the runner is shutting down and must receive no new request.
     """
 
     id: str
@@ -58,7 +58,7 @@
 
 
 class TicketState(enum.Enum):
-    """Where a ticket is on its way; it settles once."""
+    """State of a ticket, which is settled exactly once."""
 
     NEW = "new"
     WAITING = "waiting"
@@ -69,18 +69,19 @@
 
 @attrs.define(eq=False, kw_only=True)
 class Ticket:
-    """One offer of a request to a runner, for which a slot is needed.
+    """Request for a slot, for one attempt of a caller's request.
 
     Parameters
     ----------
     deadline_ms : float
-        On the daemon's clock.
+        Deadline on the daemon's clock.
     excluded : set of str
         Runners that this request must not be sent to again.
     waited_ms : float
         Time spent waiting for slots.
     borrower : str
-        Member that asks on behalf of its own request; empty for a request of this daemon.
+        Member that borrows the slot for a request of its own; empty for a request of this
+        daemon.
     """
 
     service: str
@@ -95,30 +96,30 @@
 
 
 class AttemptResult(enum.Enum):
-    """What an attempt says about its runner."""
+    """Result of an attempt, as far as it concerns the runner."""
 
     ANSWERED = "answered"
     FAILED = "failed"
-    # Refused before the start, for example because all slots are in use.
+    # Rejected before the start, for example because all slots are in use.
     REFUSED = "refused"
-    # No answer in time: the runner may work on the request until the deadline.
+    # No response in time; the runner may work on the request until its deadline.
     OVERDUE = "overdue"
-    # No connection could be made.
+    # The connection could not be established.
     UNREACHABLE = "unreachable"
-    # The attempt ended for reasons of this daemon or the caller.
+    # The attempt ended for a reason on the side of this daemon or of the caller.
     NONE = "none"
 
 
 @attrs.frozen(kw_only=True)
 class Feedback:
-    """Result of one attempt, for the owner of the slot.
+    """Result of one attempt, reported to the owner of the slot.
 
     Parameters
     ----------
     request_id : str
-        Distinguishes requests; one request that fails everywhere ejects no runner.
+        Identifies the request, so that one request that fails on every runner ejects none.
     leaving : bool
-        Whether the runner said that it leaves.
+        Whether the runner reported that it is shutting down.
     """
 
     result: AttemptResult = AttemptResult.NONE
@@ -129,14 +130,14 @@
 
 @attrs.frozen(kw_only=True)
 class Share:
-    """Share of a request kind in its service's slots, from the declared text.
+    """Declared share of a request kind in its service's slots.
 
     Parameters
     ----------
     weight : float
-        Weight in the part that is not guaranteed to any kind.
+        Weight in the division of the slots that are not guaranteed to any kind.
     guaranteed : float
-        Part of the slots that the kind gets in any case while it has requests.
+        Fraction of the slots that is guaranteed to the kind while it has requests.
     priority : int
         Higher is more urgent.
     """
@@ -148,7 +149,7 @@
 
 @attrs.frozen(kw_only=True)
 class Grant:
-    """The right to send one request to a runner.
+    """Permission to send one request to a runner.
 
     Parameters
     ----------
@@ -168,7 +169,7 @@
 
 @attrs.frozen(kw_only=True)
 class Borrow:
-    """Ask a peer for a slot on behalf of a waiting ticket."""
+    """Instruction to ask a peer for a slot on behalf of a waiting ticket."""
 
     peer: str
     ticket: Ticket
@@ -176,12 +177,12 @@
 
 @attrs.frozen(kw_only=True)
 class Queued:
-    """Wait; a later release, loan or expiry settles the ticket."""
+    """Decision to queue a ticket, which a later release, loan or expiry settles."""
 
 
 @attrs.frozen(kw_only=True)
 class Refused:
-    """The request is not run."""
+    """Decision not to run a request."""
 
     reason: RefusalReason
     detail: str = ""
@@ -189,7 +190,7 @@
 
 @attrs.frozen(kw_only=True)
 class Settlement:
-    """A ticket that waited, and what became of it."""
+    """Decision on a ticket that was queued."""
 
     ticket: Ticket
     decision: Grant | Refused
--- a/coltsfootpier/routing/_policies.py
+++ b/coltsfootpier/routing/_policies.py
@@ -1,4 +1,4 @@
-"""Choice of a runner among those with a free slot."""
+"""Policies that choose among the runners with a free slot."""
 
 from __future__ import annotations
 
@@ -10,32 +10,32 @@
 
 from coltsfootpier.routing._messages import Runner
 
-# How strongly a runner's occupancy counts against it, relative to its usual answer time.
+# Increase of the expected response time at full occupancy, relative to the usual response time.
 _OCCUPANCY_WEIGHT = 0.5
 
 
 @attrs.frozen(kw_only=True)
 class Candidate:
-    """What the daemon knows of a runner that has a free slot.
+    """Runner with a free slot, and its measurements.
 
     Parameters
     ----------
     runner : Runner
         The runner.
     outstanding : int
-        Grants that this daemon has given out for it.
+        Grants for the runner that this daemon has issued and not got back.
     slots : int
         Slots of the runner that this daemon owns.
     slowness : float
-        Its answer time relative to the average of the request kind; 1 when not measured.
+        Response time relative to the average of the request kind; 1 if not measured.
     answer_ms : float
-        Average answer time of the service.
+        Average response time of the request kind or of its service; 0 if not measured.
     is_near : bool
         Whether the runner is in the daemon's availability zone.
     zone_delay_ms : float
-        Added round-trip time to its zone.
-    refusal_rate : float
-        Share of recent requests that it refused before the start.
+        Additional round-trip time to the runner's availability zone.
+    rejection_rate : float
+        Share of recent requests that the runner rejected before starting them.
     """
 
     runner: Runner
@@ -45,37 +45,37 @@
     answer_ms: float = 0.0
     is_near: bool = True
     zone_delay_ms: float = 0.0
-    refusal_rate: float = 0.0
+    rejection_rate: float = 0.0
 
 
 class RunnerPolicy(Protocol):
-    """Chooses the runner of a request."""
+    """Policy that chooses the runner for a request."""
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
-        """Return one of the candidates, of which there is at least one."""
+        """Return one of the candidates; the sequence is not empty."""
         ...
 
 
 class RandomPolicy:
-    """Any free slot with the same probability (baseline).
+    """Uniformly random choice among the free slots (baseline).
 
     Parameters
     ----------
     seed : int, default=0
-        Seed of the random numbers.
+        Seed of the random number generator.
     """
 
     def __init__(self, *, seed: int = 0) -> None:
         self._random = random.Random(seed)
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
-        """Return a candidate, weighted by its free slots."""
+        """Return a random candidate, weighted by the number of free slots."""
         weights = [candidate.slots - candidate.outstanding for candidate in candidates]
         return self._random.choices(candidates, weights)[0]
 
 
 class FirstFitPolicy:
-    """The first runner in the order of identifiers (baseline)."""
+    """Choice of the runner with the lowest identifier (baseline)."""
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
         """Return the candidate whose identifier sorts first."""
@@ -83,10 +83,10 @@
 
 
 class NearestFirstPolicy:
-    """The runner with the most free slots, of the own zone if there is one (baseline)."""
+    """Choice of the runner with the most free slots, in the own zone if possible (baseline)."""
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
-        """Return the nearest candidate with the most free slots."""
+        """Return the candidate with the most free slots among the nearest ones."""
         return max(
             candidates,
             key=lambda candidate: (candidate.is_near, candidate.slots - candidate.outstanding),
@@ -94,10 +94,10 @@
 
 
 class LeastOutstandingPolicy:
-    """The runner with the fewest own requests in flight (baseline)."""
+    """Choice of the runner with the most free slots, regardless of its zone (baseline)."""
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
-        """Return the candidate with the most free slots, the nearer one on a tie."""
+        """Return the candidate with the most free slots; the own zone breaks ties."""
         return max(
             candidates,
             key=lambda candidate: (candidate.slots - candidate.outstanding, candidate.is_near),
@@ -105,20 +105,21 @@
 
 
 class MeasuredDelayPolicy:
-    """The runner with the shortest expected answer time.
+    """Choice of the runner with the shortest expected response time.
 
-    The expectation is the measured answer time, raised with the occupancy and the refusals, plus
-    the delay to the zone: the nearest zone is used while it pays.
+    The expected time is the measured response time, increased with the runner's occupancy and
+    rejection rate, plus the delay to its availability zone. Runners of the own zone are
+    therefore preferred until runners elsewhere are expected to respond sooner.
     """
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
-        """Return the candidate with the shortest expected answer time."""
-        return min(candidates, key=_expect_ms)
+        """Return the candidate with the shortest expected response time."""
+        return min(candidates, key=_expected_response_ms)
 
 
-def _expect_ms(candidate: Candidate) -> float:
+def _expected_response_ms(candidate: Candidate) -> float:
     occupancy = candidate.outstanding / candidate.slots
-    work_ms = max(candidate.answer_ms, 1.0) * candidate.slowness
-    expected_ms = work_ms * (1 + _OCCUPANCY_WEIGHT * occupancy) + candidate.zone_delay_ms
-    # A refused request costs another offer, so the expected time grows with the refusals.
-    return expected_ms / max(0.1, 1 - candidate.refusal_rate)
+    base_ms = max(candidate.answer_ms, 1.0) * candidate.slowness
+    expected_ms = base_ms * (1 + _OCCUPANCY_WEIGHT * occupancy) + candidate.zone_delay_ms
+    # Each rejection costs another attempt, so divides by the expected acceptance rate.
+    return expected_ms / max(0.1, 1 - candidate.rejection_rate)
--- a/coltsfootpier/routing/_queues.py
+++ b/coltsfootpier/routing/_queues.py
@@ -1,4 +1,4 @@
-"""Waiting requests of one service: admission and order."""
+"""Queues of waiting requests of one service: admission and scheduling order."""
 
 from __future__ import annotations
 
@@ -11,28 +11,32 @@
 
 from coltsfootpier.routing._messages import RefusalReason, Share, Ticket
 
-# A kind that the text guarantees nothing and leaves no remainder still makes progress.
+# Lower bound of a kind's share, so that a kind without a guaranteed share still makes progress
+# when the guarantees of the other kinds add up to all slots.
 _MIN_SHARE = 0.001
-# Even a small share may queue a few requests, so that short bursts aren't refused.
-_MIN_QUEUE = 8
-# When the oldest request has used this part of its time in the queue, newer ones go first.
-_OVERLOAD_PART = 0.5
-# Part of its share up to which urgency decides. If it decided up to the whole share, an urgent
-# kind in a flood would take the last slot each time and keep the others below their shares.
-_URGENCY_PART = 0.5
-# Shares are compared with the use averaged over this time. A share of one or two slots would
-# otherwise have to wait in each short burst.
-_AVERAGE_MS = 300.0
+# Number of requests that every kind may queue, however small its share, so that short bursts
+# aren't rejected.
+_MIN_QUEUE_LENGTH = 8
+# A queue whose oldest request has waited for more than this fraction of its time to the
+# deadline is overloaded; it serves the newest requests first.
+_OVERLOAD_FRACTION = 0.5
+# Fraction of its share up to which a kind's priority decides the order. With the whole share, an
+# urgent kind under overload would take the last slot each time and keep the others below their
+# shares.
+_PRIORITY_FRACTION = 0.5
+# Time constant of the average slot use that is compared with the shares. Without averaging, a
+# kind with a share of one or two slots would have to wait in every short burst.
+_AVERAGING_MS = 300.0
 
 
 @attrs.define
 class SlotUse:
-    """Slots of a service that a daemon owns, as its queue sees them.
+    """Use of the slots of a service that a daemon owns.
 
     Parameters
     ----------
     slots : int
-        Usable slots.
+        Number of usable slots.
     busy : Counter
         Slots in use by team and request kind.
     """
@@ -41,32 +45,32 @@
     busy: Counter[tuple[str, str]] = attrs.field(factory=Counter)
 
     def busy_of(self, kind: str) -> int:
-        """Return the slots in use by all teams of a request kind."""
-        return sum(count for (_, known), count in self.busy.items() if known == kind)
+        """Return the number of slots that a request kind uses, over all teams."""
+        return sum(count for (_, used_kind), count in self.busy.items() if used_kind == kind)
 
 
 class WaitingQueue(Protocol):
-    """Waiting requests of one service."""
+    """Queue of waiting requests of one service."""
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
         ...
 
     def admit(self, ticket: Ticket, use: SlotUse) -> RefusalReason | None:
-        """Add a request, or return why it is refused."""
+        """Add a request and return None, or return the reason for rejecting it."""
         ...
 
-    def take(self, use: SlotUse, can_serve: Callable[[Ticket], bool]) -> Ticket | None:
+    def pop_next(self, use: SlotUse, can_serve: Callable[[Ticket], bool]) -> Ticket | None:
         """Remove and return the request that gets the next free slot."""
         ...
 
-    def drop_late(self, *, thorough: bool = False) -> list[Ticket]:
-        """Remove and return the requests that can't meet their deadline any more.
+    def drop_late(self, *, check_all: bool = False) -> list[Ticket]:
+        """Remove and return the requests that can no longer meet their deadline.
 
         Parameters
         ----------
-        thorough : bool, default=False
-            Whether to look at all of them, or only at the oldest ones.
+        check_all : bool, default=False
+            Whether to check all requests; otherwise only the oldest ones are checked.
         """
         ...
 
@@ -74,40 +78,40 @@
         """Remove a request if it is there."""
         ...
 
-    def waiting(self) -> list[Ticket]:
-        """Return one waiting request of each kind, the one to serve first."""
+    def next_tickets(self) -> list[Ticket]:
+        """Return the request to serve next of each kind."""
         ...
 
 
 @attrs.define(kw_only=True)
 class QueueContext:
-    """What a queue needs to know.
+    """Limits and measurements that a queue uses.
 
     Parameters
     ----------
-    length : int
-        Requests that may wait.
+    max_length : int
+        Maximum number of waiting requests.
     now_ms : callable
-        Returns the time.
+        Returns the current time in milliseconds.
     answer_ms : callable
-        Returns the measured answer time of a request kind.
+        Returns the measured response time of a request kind in milliseconds.
     shares : mapping of str to Share
-        Declared request kinds.
+        Shares of the declared request kinds.
     """
 
-    length: int
+    max_length: int
     now_ms: Callable[[], float]
     answer_ms: Callable[[str], float]
     shares: Mapping[str, Share] = attrs.field(factory=dict)
 
 
 class FifoQueue:
-    """First in, first out up to the deadline (baseline).
+    """First-in, first-out queue that drops requests at their deadline (baseline).
 
     Parameters
     ----------
     context : QueueContext
-        Bounds and measurements.
+        Limits and measurements.
     """
 
     def __init__(self, context: QueueContext) -> None:
@@ -118,19 +122,19 @@
         return len(self._tickets)
 
     def admit(self, ticket: Ticket, use: SlotUse) -> RefusalReason | None:
-        """Add a request while there is room."""
-        if len(self._tickets) >= self._context.length:
+        """Add a request unless the queue is full."""
+        if len(self._tickets) >= self._context.max_length:
             return RefusalReason.QUEUE_FULL
         self._tickets.append(ticket)
         return None
 
-    def take(self, use: SlotUse, can_serve: Callable[[Ticket], bool]) -> Ticket | None:
+    def pop_next(self, use: SlotUse, can_serve: Callable[[Ticket], bool]) -> Ticket | None:
         """Remove and return the oldest request."""
         if not self._tickets or not can_serve(self._tickets[0]):
             return None
         return self._tickets.pop(0)
 
-    def drop_late(self, *, thorough: bool = False) -> list[Ticket]:
+    def drop_late(self, *, check_all: bool = False) -> list[Ticket]:
         """Remove and return the requests whose deadline has passed."""
         now_ms = self._context.now_ms()
         late = [ticket for ticket in self._tickets if ticket.deadline_ms <= now_ms]
@@ -143,28 +147,29 @@
         if ticket in self._tickets:
             self._tickets.remove(ticket)
 
-    def waiting(self) -> list[Ticket]:
+    def next_tickets(self) -> list[Ticket]:
         """Return the oldest request."""
         return self._tickets[:1]
 
 
 class FairQueue:
-    """Weighted fair sharing of the slots between request kinds, and between teams of a kind.
+    """Weighted fair queue over request kinds, and over the teams of a kind.
 
-    Each kind has a share: what the text guarantees it, and its weight's part of the rest. Kinds
-    with less than half of their share go first, the more urgent before the less urgent; then the
-    kind that has the smallest part of its share. Slots that a kind doesn't need are used by the
-    others, and go back to it as requests end.
+    The share of a kind is its guaranteed fraction plus a part of the unguaranteed slots in
+    proportion to its weight. Kinds that use less than half of their share are served first, in
+    order of priority; the others follow in order of the fraction of their share that they use.
+    Slots that a kind doesn't need are used by other kinds, and return to it as their requests
+    end.
 
     Parameters
     ----------
     context : QueueContext
-        Bounds and measurements.
+        Limits and measurements.
     """
 
     def __init__(self, context: QueueContext) -> None:
         self._context = context
-        self._lines: dict[tuple[str, str], deque[Ticket]] = defaultdict(deque)
+        self._queues: dict[tuple[str, str], deque[Ticket]] = defaultdict(deque)
         self._size = 0
         self._averages: dict[str, tuple[float, float]] = {}
 
@@ -172,126 +177,129 @@
         return self._size
 
     def admit(self, ticket: Ticket, use: SlotUse) -> RefusalReason | None:
-        """Add a request if its kind's queue is short enough for its deadline."""
-        line = self._lines[ticket.team, ticket.kind]
+        """Add a request unless its queue is full or too long for its deadline."""
+        queue = self._queues[ticket.team, ticket.kind]
         answer_ms = self._context.answer_ms(ticket.kind)
         left_ms = ticket.deadline_ms - self._context.now_ms()
         slots = self._available_slots(ticket.kind, use)
-        if left_ms < answer_ms + (len(line) + 1) * answer_ms / slots:
+        if left_ms < answer_ms + (len(queue) + 1) * answer_ms / slots:
             return RefusalReason.DEADLINE
         share = self._share(ticket.kind)
-        if len(line) >= max(_MIN_QUEUE, share * self._context.length):
+        if len(queue) >= max(_MIN_QUEUE_LENGTH, share * self._context.max_length):
             return RefusalReason.QUEUE_FULL
-        if self._size >= self._context.length + _MIN_QUEUE:
+        if self._size >= self._context.max_length + _MIN_QUEUE_LENGTH:
             return RefusalReason.QUEUE_FULL
-        line.append(ticket)
+        queue.append(ticket)
         self._size += 1
         return None
 
-    def take(self, use: SlotUse, can_serve: Callable[[Ticket], bool]) -> Ticket | None:
+    def pop_next(self, use: SlotUse, can_serve: Callable[[Ticket], bool]) -> Ticket | None:
         """Remove and return the request that gets the next free slot."""
-        for line in self._order(use):
-            index = self._first_servable(line, can_serve)
+        for queue in self._order_queues(use):
+            index = self._first_servable(queue, can_serve)
             if index is not None:
-                ticket = line[index]
-                del line[index]
+                ticket = queue[index]
+                del queue[index]
                 self._size -= 1
                 return ticket
         return None
 
-    def drop_late(self, *, thorough: bool = False) -> list[Ticket]:
-        """Remove and return the requests that can't meet their deadline any more."""
+    def drop_late(self, *, check_all: bool = False) -> list[Ticket]:
+        """Remove and return the requests that can no longer meet their deadline."""
         late: list[Ticket] = []
-        for (_, kind), line in self._lines.items():
+        for (_, kind), queue in self._queues.items():
             answer_ms = self._context.answer_ms(kind)
-            while line and self._is_late(line[0], answer_ms):
-                late.append(line.popleft())
-            if thorough:
-                found = [ticket for ticket in line if self._is_late(ticket, answer_ms)]
+            while queue and self._is_late(queue[0], answer_ms):
+                late.append(queue.popleft())
+            if check_all:
+                found = [ticket for ticket in queue if self._is_late(ticket, answer_ms)]
                 for ticket in found:
-                    line.remove(ticket)
+                    queue.remove(ticket)
                 late += found
         self._size -= len(late)
         return late
 
     def remove(self, ticket: Ticket) -> None:
         """Remove a request if it is there."""
-        line = self._lines.get((ticket.team, ticket.kind))
-        if line is not None and ticket in line:
-            line.remove(ticket)
+        queue = self._queues.get((ticket.team, ticket.kind))
+        if queue is not None and ticket in queue:
+            queue.remove(ticket)
             self._size -= 1
 
-    def waiting(self) -> list[Ticket]:
-        """Return one waiting request of each kind and team, the one to serve first."""
-        return [line[-1] if self._is_overloaded(line) else line[0] for line in self._full_lines()]
+    def next_tickets(self) -> list[Ticket]:
+        """Return the request to serve next of each kind and team."""
+        return [
+            queue[-1] if self._is_overloaded(queue) else queue[0]
+            for queue in self._non_empty_queues()
+        ]
 
-    def _full_lines(self) -> list[deque[Ticket]]:
-        return [line for line in self._lines.values() if line]
+    def _non_empty_queues(self) -> list[deque[Ticket]]:
+        return [queue for queue in self._queues.values() if queue]
 
-    def _order(self, use: SlotUse) -> list[deque[Ticket]]:
-        keys = [key for key, line in self._lines.items() if line]
+    def _order_queues(self, use: SlotUse) -> list[deque[Ticket]]:
+        keys = [key for key, queue in self._queues.items() if queue]
         if len(keys) == 1:
-            return [self._lines[keys[0]]]
+            return [self._queues[keys[0]]]
         kinds = {kind for _, kind in keys}
         ranks = {kind: self._rank(kind, use) for kind in kinds}
         keys.sort(key=lambda key: (ranks[key[1]], use.busy[key]))
-        return [self._lines[key] for key in keys]
+        return [self._queues[key] for key in keys]
 
     def _rank(self, kind: str, use: SlotUse) -> tuple[bool, int, float]:
-        busy = self._average(kind, use.busy_of(kind))
-        filled = busy / (self._share(kind) * max(1, use.slots))
-        if filled >= _URGENCY_PART:
-            return True, 0, filled
-        return False, -self._context.shares.get(kind, Share()).priority, filled
+        busy = self._smooth_use(kind, use.busy_of(kind))
+        used_fraction = busy / (self._share(kind) * max(1, use.slots))
+        if used_fraction >= _PRIORITY_FRACTION:
+            return True, 0, used_fraction
+        return False, -self._context.shares.get(kind, Share()).priority, used_fraction
 
-    def _average(self, kind: str, busy: int) -> float:
+    def _smooth_use(self, kind: str, busy: int) -> float:
         now_ms = self._context.now_ms()
-        then_ms, average = self._averages.get(kind, (now_ms, float(busy)))
-        average += (busy - average) * (1 - math.exp((then_ms - now_ms) / _AVERAGE_MS))
+        previous_ms, average = self._averages.get(kind, (now_ms, float(busy)))
+        average += (busy - average) * (1 - math.exp((previous_ms - now_ms) / _AVERAGING_MS))
         self._averages[kind] = (now_ms, average)
         return min(busy, max(average, busy - 1.0))
 
     def _share(self, kind: str) -> float:
         shares = self._context.shares
         share = shares.get(kind, Share())
-        weights = sum(known.weight for known in shares.values())
+        weights = sum(declared.weight for declared in shares.values())
         if kind not in shares:
             weights += share.weight
-        rest = 1.0 - sum(known.guaranteed for known in shares.values())
-        return max(_MIN_SHARE, share.guaranteed + rest * share.weight / weights)
+        unguaranteed = 1.0 - sum(declared.guaranteed for declared in shares.values())
+        return max(_MIN_SHARE, share.guaranteed + unguaranteed * share.weight / weights)
 
     def _available_slots(self, kind: str, use: SlotUse) -> float:
-        """Return the slots that a kind can count on while the others keep their present load."""
+        """Return the number of slots that a kind can use at the present load of other kinds."""
         waiting = Counter[str]()
-        for (_, known), line in self._lines.items():
-            waiting[known] += len(line)
-        others = {known for _, known in use.busy} | set(waiting)
+        for (_, other), queue in self._queues.items():
+            waiting[other] += len(queue)
+        others = {other for _, other in use.busy} | set(waiting)
         taken = sum(
-            min(self._share(known) * use.slots, use.busy_of(known) + waiting[known])
-            for known in others - {kind}
+            min(self._share(other) * use.slots, use.busy_of(other) + waiting[other])
+            for other in others - {kind}
         )
         return max(1.0, use.slots - taken)
 
     def _first_servable(
-        self, line: deque[Ticket], can_serve: Callable[[Ticket], bool]
+        self, queue: deque[Ticket], can_serve: Callable[[Ticket], bool]
     ) -> int | None:
-        indices = range(len(line))
-        if self._is_overloaded(line):
-            indices = range(len(line) - 1, -1, -1)
-        answer_ms = self._context.answer_ms(line[0].kind)
+        indices = range(len(queue))
+        if self._is_overloaded(queue):
+            indices = range(len(queue) - 1, -1, -1)
+        answer_ms = self._context.answer_ms(queue[0].kind)
         return next(
             (
                 index
                 for index in indices
-                if can_serve(line[index]) and not self._is_late(line[index], answer_ms)
+                if can_serve(queue[index]) and not self._is_late(queue[index], answer_ms)
             ),
             None,
         )
 
-    def _is_overloaded(self, line: deque[Ticket]) -> bool:
-        oldest = line[0]
+    def _is_overloaded(self, queue: deque[Ticket]) -> bool:
+        oldest = queue[0]
         waited_ms = self._context.now_ms() - oldest.arrived_ms
-        return waited_ms > _OVERLOAD_PART * (oldest.deadline_ms - oldest.arrived_ms)
+        return waited_ms > _OVERLOAD_FRACTION * (oldest.deadline_ms - oldest.arrived_ms)
 
     def _is_late(self, ticket: Ticket, answer_ms: float) -> bool:
         return ticket.deadline_ms <= self._context.now_ms() + answer_ms
--- a/coltsfootpier/routing/_retries.py
+++ b/coltsfootpier/routing/_retries.py
@@ -1,30 +1,30 @@
-"""Budget of repeated offers of requests."""
+"""Retry budget and attempt timeouts of requests."""
 
 from __future__ import annotations
 
 from collections import defaultdict
 
-_RATIO = 0.1
-# Time kept for a repeat, in average answer times.
-_REPEAT_ANSWERS = 2.0
-# Repeats saved up from quiet times; bounds the burst after a fault.
-_MAX_SAVED = 20.0
+_RETRIES_PER_REQUEST = 0.1
+# Time reserved for a retry, in multiples of the average response time.
+_RETRY_RESERVE_RESPONSES = 2.0
+# Most unspent retries of a service; bounds the burst of retries after a fault.
+_MAX_SAVED_RETRIES = 20.0
 
 
 def limit_attempt(left_ms: float, answer_ms: float) -> float:
-    """Return the time allowed for an attempt after which the request may be repeated.
+    """Return the timeout of an attempt after which the request may be retried.
 
     Parameters
     ----------
     left_ms : float
         Time left to the deadline.
     answer_ms : float
-        Average answer time; 0 when not measured.
+        Average response time; 0 if not measured.
 
     Returns
     -------
     float
-        At least half of the time left; more when a repeat needs less than the other half.
+        At least half of the time left, and more if a retry needs less than the other half.
 
     Examples
     --------
@@ -33,11 +33,11 @@
     """
     if answer_ms <= 0:
         return left_ms / 2
-    return max(left_ms / 2, left_ms - _REPEAT_ANSWERS * answer_ms)
+    return max(left_ms / 2, left_ms - _RETRY_RESERVE_RESPONSES * answer_ms)
 
 
 class RetryBudget:
-    """Allows repeats up to a tenth of each service's requests.
+    """Budget that limits the retries of each service to a tenth of its requests.
 
     Examples
     --------
@@ -53,16 +53,18 @@
     """
 
     def __init__(self) -> None:
-        self._saved: dict[str, float] = defaultdict(float)
+        self._saved_retries: dict[str, float] = defaultdict(float)
 
     def record_request(self, service: str) -> None:
-        """Count a new request of a caller."""
-        self._saved[service] = min(_MAX_SAVED, self._saved[service] + _RATIO)
+        """Add the retry allowance of one new request to the budget."""
+        self._saved_retries[service] = min(
+            _MAX_SAVED_RETRIES, self._saved_retries[service] + _RETRIES_PER_REQUEST
+        )
 
     def spend(self, service: str) -> bool:
-        """Take one repeat out of the budget; return whether there was one."""
-        # Ten additions of 0.1 sum to slightly less than one.
-        if self._saved[service] < 1 - 1e-9:
+        """Spend one retry and return true, or return false if the budget is exhausted."""
+        # Allows for rounding: ten additions of 0.1 sum to slightly less than one.
+        if self._saved_retries[service] < 1 - 1e-9:
             return False
-        self._saved[service] -= 1
+        self._saved_retries[service] -= 1
         return True
--- a/coltsfootpier/routing/_router.py
+++ b/coltsfootpier/routing/_router.py
@@ -30,41 +30,41 @@
 from coltsfootpier.routing._queues import FairQueue, QueueContext, SlotUse, WaitingQueue
 from coltsfootpier.routing._retries import RetryBudget
 
-# A slot is free again this long after the deadline of its request if it was never given back.
-_LOST_GRANT_MS = 5_000.0
-# Requests for a slot that may wait at one peer at once, however many requests wait here.
-_MAX_BORROWS = 8
-# A peer that declined is not asked again sooner, unless a heartbeat reports free slots.
-_DECLINED_MS = 200.0
-# Added round-trip time assumed for runners of other availability zones until it is measured.
+# Time after a request's deadline at which a slot that was never released is freed.
+_LOST_GRANT_TIMEOUT_MS = 5_000.0
+# Most pending slot requests to one peer per service, however many requests wait here.
+_MAX_PENDING_BORROWS = 8
+# Time before a peer that declined is asked again, unless a heartbeat reports free slots.
+_DECLINED_RETRY_DELAY_MS = 200.0
+# Additional round-trip time assumed for runners of other availability zones.
 _ZONE_DELAY_MS = 8.0
 
 
 class SlotOverrunError(InvariantError):
-    """More grants than slots are out for a runner."""
+    """Raised when a runner has more outstanding grants than slots."""
 
 
 class TicketSettledError(InvariantError):
-    """A ticket that is settled would be settled again."""
+    """Raised when a settled ticket would be settled again."""
 
 
 @attrs.frozen
-class _Held:
+class _IssuedGrant:
     ticket: Ticket
     expires_ms: float
 
 
 @attrs.define(kw_only=True)
-class _Slots:
+class _RunnerSlots:
     runner: Runner
     owned: int = 0
-    grants: dict[int, _Held] = attrs.field(factory=dict)
+    grants: dict[int, _IssuedGrant] = attrs.field(factory=dict)
 
 
 @attrs.define
 class _Peer:
     free: dict[str, int] = attrs.field(factory=dict)
-    borrows: Counter[str] = attrs.field(factory=Counter)
+    pending_borrows: Counter[str] = attrs.field(factory=Counter)
     declined_ms: dict[str, float] = attrs.field(factory=dict)
 
 
@@ -78,22 +78,22 @@
 
 
 class Router:
-    """Grants slots of runners to requests.
+    """Router that grants slots of runners to requests.
 
     Parameters
     ----------
     clock : Clock
         Time source.
     availability_zone : str
-        Zone of this daemon; its runners are preferred.
+        Zone of this daemon; runners of this zone are preferred.
     queue_length : int
-        Requests of a service that may wait.
+        Maximum number of waiting requests of a service.
     policy : RunnerPolicy, optional
-        Choice among runners with a free slot.
+        Policy that chooses among the runners with a free slot.
     assignment : SlotAssignment, optional
-        Division of the slots among the daemons.
+        Assignment of slots to daemons.
     make_queue : callable, optional
-        Returns the queue of a service.
+        Factory of the queue of a service.
     """
 
     def __init__(
@@ -107,7 +107,7 @@
         make_queue: Callable[[QueueContext], WaitingQueue] = FairQueue,
     ) -> None:
         self._clock = clock
-        self._zone = availability_zone
+        self._availability_zone = availability_zone
         self._queue_length = queue_length
         self._policy = policy or MeasuredDelayPolicy()
         self._assignment = assignment or BalancedAssignment()
@@ -115,21 +115,21 @@
         self._member = ""
         self._members: dict[str, str] = {}
         self._tables: dict[str, tuple[int, tuple[Runner, ...]]] = {}
-        self._slots: dict[str, _Slots] = {}
+        self._slots: dict[str, _RunnerSlots] = {}
         self._services: dict[str, _Service] = {}
         self._shares: dict[str, dict[str, Share]] = {}
         self._leaving: set[str] = set()
         self._peers: dict[str, _Peer] = defaultdict(_Peer)
-        self._tokens = 0
-        self._lingering: list[tuple[float, str, int]] = []
+        self._last_token = 0
+        self._overdue: list[tuple[float, str, int]] = []
         self.health = RunnerHealth(clock=clock)
         self.retries = RetryBudget()
 
     # Inputs
 
     def observe_members(self, member: str, members: Mapping[str, str]) -> None:
-        """Take this daemon's identifier, and all reachable ones with their zones."""
-        known = {**members, member: self._zone}
+        """Update this daemon's identifier and the reachable members with their zones."""
+        known = {**members, member: self._availability_zone}
         if (member, known) == (self._member, self._members):
             return
         gone = self._members.keys() - known.keys()
@@ -141,7 +141,7 @@
         self._assign()
 
     def observe_runners(self, shard: str, epoch: int, runners: Iterable[Runner]) -> None:
-        """Take the runners of a shard; those of a lower epoch are ignored."""
+        """Replace the runners of a shard, unless a table of a higher epoch is known."""
         known_epoch, known = self._tables.get(shard, (-1, ()))
         found = tuple(runners)
         if epoch < known_epoch or (epoch, found) == (known_epoch, known):
@@ -150,7 +150,7 @@
         self._rebuild()
 
     def observe_shares(self, shares: Mapping[tuple[str, str], Share]) -> None:
-        """Take the shares of the declared request kinds by service and kind."""
+        """Replace the shares of the declared request kinds, by service and kind."""
         self._shares = defaultdict(dict)
         for (service, kind), share in shares.items():
             self._shares[service][kind] = share
@@ -158,124 +158,130 @@
             service.context.shares = self._shares.get(name, {})
 
     def observe_peer(self, peer: str, free: Mapping[str, int], ejected: Iterable[str] = ()) -> None:
-        """Take a peer's free slots of each service and the runners that it has ejected."""
+        """Update a peer's free slots by service and the runners that it has ejected."""
         self._peers[peer].free = dict(free)
         self.health.observe_peer(peer, tuple(ejected))
         for service in self._services.values():
             self.health.limit_ejections(service.runners)
 
     def mark_leaving(self, runner_id: str) -> None:
-        """Give a runner no new request for as long as it is known: it said that it leaves."""
+        """Grant no further slots of a runner that reported that it is shutting down.
+
+        The mark stays until the runner is no longer in any table.
+        """
         if runner_id in self._slots:
             self._leaving.add(runner_id)
 
     # Decisions
 
     def acquire(self, ticket: Ticket) -> Grant | Queued | Refused:
-        """Decide on a request of this daemon, or of a peer that wants to borrow.
+        """Decide on a slot request of this daemon, or of a peer that borrows a slot.
 
         Parameters
         ----------
         ticket : Ticket
-            The request; new.
+            Ticket in state ``NEW``.
 
         Returns
         -------
         Grant, Queued or Refused
-            After `Queued`, `plan_borrows` names the peers to ask.
+            After `Queued`, `plan_borrows` returns the peers to ask for slots.
         """
         if ticket.deadline_ms <= self._clock.now_ms():
-            return self._refuse(ticket, RefusalReason.DEADLINE)
+            return self._reject(ticket, RefusalReason.DEADLINE)
         service = self._services.get(ticket.service)
         if service is None or not service.runners:
-            return self._refuse(ticket, RefusalReason.NO_RUNNER, ticket.service)
-        self._free_lingering()
-        # A slot is only free while none of the waiting requests may use it.
+            return self._reject(ticket, RefusalReason.NO_RUNNER, ticket.service)
+        self._free_overdue()
+        # This doesn't overtake the queue: a slot is free only if no waiting request can use it.
         grant = self._grant(ticket)
         if grant is not None:
             return grant
-        reason = service.queue.admit(ticket, self._use(service))
+        reason = service.queue.admit(ticket, self._slot_use(service))
         if reason is not None:
-            return self._refuse(ticket, reason)
-        self._move(ticket, TicketState.WAITING)
+            return self._reject(ticket, reason)
+        self._change_state(ticket, TicketState.WAITING)
         return Queued()
 
     def release(
         self, runner_id: str, token: int, feedback: Feedback = Feedback()  # noqa: B008
     ) -> list[Settlement]:
-        """Take a slot back and return the waiting requests that are settled by it.
+        """Release a slot and return the waiting requests that this settles.
 
         Parameters
         ----------
         runner_id, token : str, int
-            From the grant; a token that is no longer known is ignored.
+            Runner and token of the grant; an unknown token is ignored.
         feedback : Feedback
-            What the attempt says about the runner.
+            Result of the attempt.
         """
         slots = self._slots.get(runner_id)
         if slots is None:
             return []
         if feedback.leaving:
             self.mark_leaving(runner_id)
-        held = slots.grants.get(token)
-        if held is None:
+        issued = slots.grants.get(token)
+        if issued is None:
             return []
         if feedback.result is AttemptResult.OVERDUE:
-            self._linger(slots, token)
+            self._hold_overdue(slots, token)
         else:
             self._free(slots, token)
         service = self._services[slots.runner.service]
         if feedback.result is not AttemptResult.NONE:
             self.health.observe(
-                slots.runner.service, held.ticket.kind, runner_id, feedback, service.runners
+                slots.runner.service, issued.ticket.kind, runner_id, feedback, service.runners
             )
-        return self._serve(slots.runner.service)
+        return self._grant_waiting(slots.runner.service)
 
     def plan_borrows(self, name: str) -> list[Borrow]:
-        """Return the peers to ask now for slots of a service; each is asked once.
+        """Return the slot requests to send to peers now; each is returned once.
 
-        A peer is asked for as many slots as it has reported free. A daemon without usable slots
-        of its own asks one more peer, which queues the request fairly with its own ones.
+        A peer is asked for at most as many slots as it has reported free. A daemon without
+        usable slots of its own also asks peers that reported none; each of them queues one such
+        request at a time, under fair sharing with its own requests.
         """
         service = self._services.get(name)
         if service is None:
             return []
         planned: list[Borrow] = []
-        waiting = [ticket for ticket in service.queue.waiting() if not ticket.borrower]
-        wanted = len(service.queue) - sum(peer.borrows[name] for peer in self._peers.values())
-        while waiting and wanted > len(planned):
+        own_tickets = [ticket for ticket in service.queue.next_tickets() if not ticket.borrower]
+        wanted = len(service.queue) - sum(
+            peer.pending_borrows[name] for peer in self._peers.values()
+        )
+        while own_tickets and wanted > len(planned):
             peer = self._choose_lender(name, service)
             if peer is None:
                 break
-            self._peers[peer].borrows[name] += 1
-            planned.append(Borrow(peer=peer, ticket=waiting[len(planned) % len(waiting)]))
+            self._peers[peer].pending_borrows[name] += 1
+            planned.append(Borrow(peer=peer, ticket=own_tickets[len(planned) % len(own_tickets)]))
         return planned
 
     def settle_borrow(
         self, peer: str, service: str, grant: Grant | None, free: int | None = None
     ) -> Settlement | None:
-        """Take the answer to a `Borrow`.
+        """Handle the response to a `Borrow`.
 
         Parameters
         ----------
         peer, service : str, str
-            Who was asked for what.
+            Peer that was asked, and service of the slot.
         grant : Grant or None
-            The slot; None when the peer declined or didn't answer.
+            Grant for the slot; None if the peer declined or didn't respond.
         free : int, optional
-            Free slots that the peer has left.
+            Number of free slots that the peer has left.
 
         Returns
         -------
         Settlement or None
-            The waiting request that gets the slot; without one the grant has to be returned.
+            The waiting request that gets the slot. If None, the caller must return the grant.
         """
         known = self._peers.get(peer)
         if known is not None:
-            known.borrows[service] = max(0, known.borrows[service] - 1)
+            known.pending_borrows[service] = max(0, known.pending_borrows[service] - 1)
             known.free[service] = free or 0
             if grant is None:
-                # Its free slots may be of runners that the waiting request must not use.
+                # The free slots may belong to runners that the waiting request excludes.
                 known.free[service] = 0
                 known.declined_ms[service] = self._clock.now_ms()
         state = self._services.get(service)
@@ -285,47 +291,50 @@
         def can_serve(ticket: Ticket) -> bool:
             return not ticket.borrower and grant.runner.id not in ticket.excluded
 
-        ticket = state.queue.take(self._use(state), can_serve)
+        ticket = state.queue.pop_next(self._slot_use(state), can_serve)
         if ticket is None:
             return None
-        self._move(ticket, TicketState.GRANTED)
+        self._change_state(ticket, TicketState.GRANTED)
         return Settlement(ticket=ticket, decision=grant)
 
     def withdraw(self, ticket: Ticket) -> None:
-        """Remove a request that waits no longer."""
+        """Withdraw a ticket from the queue if it is still waiting."""
         if ticket.state is TicketState.WAITING:
-            self._move(ticket, TicketState.WITHDRAWN)
+            self._change_state(ticket, TicketState.WITHDRAWN)
             self._services[ticket.service].queue.remove(ticket)
 
     def expire(self) -> list[Settlement]:
-        """Return waiting requests that now get a slot or can't meet their deadline."""
+        """Free the slots of expired grants and return the waiting requests that are settled.
+
+        These are the requests that now get a slot or can no longer meet their deadline.
+        """
         now_ms = self._clock.now_ms()
-        self._free_lingering()
+        self._free_overdue()
         for slots in self._slots.values():
-            for token, held in list(slots.grants.items()):
-                if held.expires_ms <= now_ms:
+            for token, issued in list(slots.grants.items()):
+                if issued.expires_ms <= now_ms:
                     self._free(slots, token)
         settled: list[Settlement] = []
         for name, service in self._services.items():
-            settled += self._refuse_late(service, thorough=True)
-            settled += self._serve(name)
+            settled += self._reject_late(service, check_all=True)
+            settled += self._grant_waiting(name)
         return settled
 
     def free_slots(self) -> dict[str, int]:
-        """Return the number of own free slots for each service, for peers."""
+        """Return the number of free slots that this daemon owns, by service."""
         return {
-            name: sum(max(0, self._free_of(self._slots[id_])) for id_ in service.runners)
+            name: sum(max(0, self._count_free(self._slots[id_])) for id_ in service.runners)
             for name, service in self._services.items()
             if service.runners
         }
 
     def owned_slots(self, service: str) -> int:
         """Return the number of slots of a service that this daemon owns."""
-        known = self._services.get(service)
-        return sum(self._slots[id_].owned for id_ in known.runners) if known else 0
+        state = self._services.get(service)
+        return sum(self._slots[id_].owned for id_ in state.runners) if state else 0
 
     def waiting(self) -> dict[str, int]:
-        """Return the number of waiting requests for each service."""
+        """Return the number of waiting requests by service."""
         return {name: len(service.queue) for name, service in self._services.items()}
 
     def runners(self) -> list[Runner]:
@@ -343,17 +352,17 @@
         for service in self._services.values():
             service.runners = []
         for id_, runner in found.items():
-            slots = self._slots.setdefault(id_, _Slots(runner=runner))
+            slots = self._slots.setdefault(id_, _RunnerSlots(runner=runner))
             slots.runner = runner
-            self._service(runner.service).runners.append(id_)
+            self._get_service(runner.service).runners.append(id_)
         self._leaving &= found.keys()
         self.health.retain(found)
         self._assign()
 
-    def _service(self, name: str) -> _Service:
+    def _get_service(self, name: str) -> _Service:
         if name not in self._services:
             context = QueueContext(
-                length=self._queue_length,
+                max_length=self._queue_length,
                 now_ms=self._clock.now_ms,
                 answer_ms=lambda kind: self.health.answer_ms(name, kind),
                 shares=self._shares.get(name, {}),
@@ -372,46 +381,47 @@
                 service.peer_slots.update(owned)
 
     def _reclaim_loans(self, peer: str) -> None:
-        # The peer can't give them back; a request that still runs is the runner's to refuse.
+        # A peer that is gone can't release its slots. If its request still runs, the runner
+        # rejects further requests itself.
         for slots in self._slots.values():
-            for token, held in list(slots.grants.items()):
-                if held.ticket.borrower == peer:
+            for token, issued in list(slots.grants.items()):
+                if issued.ticket.borrower == peer:
                     self._free(slots, token)
 
-    def _is_usable(self, slots: _Slots) -> bool:
+    def _is_usable(self, slots: _RunnerSlots) -> bool:
         runner = slots.runner
         if runner.leaving or runner.id in self._leaving:
             return False
-        return self.health.may_use(runner.id)
+        return self.health.is_usable(runner.id)
 
-    def _free_of(self, slots: _Slots) -> int:
+    def _count_free(self, slots: _RunnerSlots) -> int:
         free = slots.owned - len(slots.grants)
         return free if free > 0 and self._is_usable(slots) else 0
 
-    def _use(self, service: _Service) -> SlotUse:
+    def _slot_use(self, service: _Service) -> SlotUse:
         slots = (self._slots[id_] for id_ in service.runners)
-        usable = sum(one.owned for one in slots if one.owned and self._is_usable(one))
+        usable = sum(item.owned for item in slots if item.owned and self._is_usable(item))
         return SlotUse(slots=usable, busy=service.busy)
 
-    def _free(self, slots: _Slots, token: int) -> None:
-        held = slots.grants.pop(token)
+    def _free(self, slots: _RunnerSlots, token: int) -> None:
+        issued = slots.grants.pop(token)
         busy = self._services[slots.runner.service].busy
-        key = (held.ticket.team, held.ticket.kind)
+        key = (issued.ticket.team, issued.ticket.kind)
         busy[key] -= 1
         if not busy[key]:
             del busy[key]
 
-    def _linger(self, slots: _Slots, token: int) -> None:
-        # The runner works on the request until its deadline; a further request would be refused.
+    def _hold_overdue(self, slots: _RunnerSlots, token: int) -> None:
+        # The runner may work on the request until its deadline and would reject another one.
         ticket = slots.grants[token].ticket
         until_ms = max(ticket.deadline_ms, self._clock.now_ms())
         until_ms += self.health.answer_ms(ticket.service, ticket.kind)
-        heapq.heappush(self._lingering, (until_ms, slots.runner.id, token))
+        heapq.heappush(self._overdue, (until_ms, slots.runner.id, token))
 
-    def _free_lingering(self) -> None:
+    def _free_overdue(self) -> None:
         now_ms = self._clock.now_ms()
-        while self._lingering and self._lingering[0][0] <= now_ms:
-            _, runner_id, token = heapq.heappop(self._lingering)
+        while self._overdue and self._overdue[0][0] <= now_ms:
+            _, runner_id, token = heapq.heappop(self._overdue)
             slots = self._slots.get(runner_id)
             if slots is not None and token in slots.grants:
                 self._free(slots, token)
@@ -419,28 +429,32 @@
     def _grant(self, ticket: Ticket) -> Grant | None:
         service = self._services[ticket.service]
         candidates = [
-            self._describe(slots, ticket)
+            self._build_candidate(slots, ticket)
             for slots in (self._slots[id_] for id_ in service.runners)
-            if slots.owned and slots.runner.id not in ticket.excluded and self._free_of(slots) > 0
+            if slots.owned
+            and slots.runner.id not in ticket.excluded
+            and self._count_free(slots) > 0
         ]
         if not candidates:
             return None
         runner = self._policy.choose(candidates).runner
         slots = self._slots[runner.id]
-        self._move(ticket, TicketState.GRANTED)
-        self._tokens += 1
-        slots.grants[self._tokens] = _Held(ticket, ticket.deadline_ms + _LOST_GRANT_MS)
+        self._change_state(ticket, TicketState.GRANTED)
+        self._last_token += 1
+        slots.grants[self._last_token] = _IssuedGrant(
+            ticket, ticket.deadline_ms + _LOST_GRANT_TIMEOUT_MS
+        )
         service.busy[ticket.team, ticket.kind] += 1
         if len(slots.grants) > runner.slots:
             raise SlotOverrunError(
                 f"runner {runner.id}: {len(slots.grants)} grants, {runner.slots} slots"
             )
-        self.health.begin_probe(runner.id)
-        return Grant(runner=runner, owner=self._member, token=self._tokens, kind=ticket.kind)
+        self.health.record_request_sent(runner.id)
+        return Grant(runner=runner, owner=self._member, token=self._last_token, kind=ticket.kind)
 
-    def _describe(self, slots: _Slots, ticket: Ticket) -> Candidate:
+    def _build_candidate(self, slots: _RunnerSlots, ticket: Ticket) -> Candidate:
         runner = slots.runner
-        is_near = runner.availability_zone == self._zone
+        is_near = runner.availability_zone == self._availability_zone
         return Candidate(
             runner=runner,
             outstanding=len(slots.grants),
@@ -449,26 +463,28 @@
             answer_ms=self.health.answer_ms(ticket.service, ticket.kind),
             is_near=is_near,
             zone_delay_ms=0.0 if is_near else _ZONE_DELAY_MS,
-            refusal_rate=self.health.refusal_rate(runner.id),
+            rejection_rate=self.health.rejection_rate(runner.id),
         )
 
     def _choose_lender(self, name: str, service: _Service) -> str | None:
         def spare(peer: str) -> int:
-            return self._peers[peer].free.get(name, 0) - self._peers[peer].borrows[name]
+            return self._peers[peer].free.get(name, 0) - self._peers[peer].pending_borrows[name]
 
         peers = [peer for peer in self._members if peer != self._member]
-        known = [peer for peer in peers if self._peers[peer].borrows[name] < _MAX_BORROWS]
-        best = max(known, key=spare, default=None)
+        askable = [
+            peer for peer in peers if self._peers[peer].pending_borrows[name] < _MAX_PENDING_BORROWS
+        ]
+        best = max(askable, key=spare, default=None)
         if best is not None and spare(best) > 0:
             return best
-        if self._use(service).slots:
+        if self._slot_use(service).slots:
             return None
         owners = [
             peer
-            for peer in known
+            for peer in askable
             if service.peer_slots[peer] > 0
-            and not self._peers[peer].borrows[name]
-            and self._since_declined(peer, name) >= _DECLINED_MS
+            and not self._peers[peer].pending_borrows[name]
+            and self._since_declined(peer, name) >= _DECLINED_RETRY_DELAY_MS
         ]
         return max(owners, key=lambda peer: service.peer_slots[peer], default=None)
 
@@ -477,16 +493,16 @@
 
     # Waiting requests
 
-    def _serve(self, name: str) -> list[Settlement]:
+    def _grant_waiting(self, name: str) -> list[Settlement]:
         service = self._services[name]
         settled: list[Settlement] = []
         while len(service.queue):
-            free = {id_ for id_ in service.runners if self._free_of(self._slots[id_]) > 0}
+            free = {id_ for id_ in service.runners if self._count_free(self._slots[id_]) > 0}
             if not free:
                 break
-            settled += self._refuse_late(service)
-            ticket = service.queue.take(
-                self._use(service), lambda ticket, free=free: not free <= ticket.excluded
+            settled += self._reject_late(service)
+            ticket = service.queue.pop_next(
+                self._slot_use(service), lambda ticket, free=free: not free <= ticket.excluded
             )
             grant = self._grant(ticket) if ticket is not None else None
             if ticket is None or grant is None:
@@ -494,18 +510,18 @@
             settled.append(Settlement(ticket=ticket, decision=grant))
         return settled
 
-    def _refuse_late(self, service: _Service, *, thorough: bool = False) -> list[Settlement]:
+    def _reject_late(self, service: _Service, *, check_all: bool = False) -> list[Settlement]:
         return [
-            Settlement(ticket=ticket, decision=self._refuse(ticket, RefusalReason.DEADLINE))
-            for ticket in service.queue.drop_late(thorough=thorough)
+            Settlement(ticket=ticket, decision=self._reject(ticket, RefusalReason.DEADLINE))
+            for ticket in service.queue.drop_late(check_all=check_all)
         ]
 
-    def _refuse(self, ticket: Ticket, reason: RefusalReason, detail: str = "") -> Refused:
-        self._move(ticket, TicketState.REFUSED)
+    def _reject(self, ticket: Ticket, reason: RefusalReason, detail: str = "") -> Refused:
+        self._change_state(ticket, TicketState.REFUSED)
         return Refused(reason=reason, detail=detail)
 
     @staticmethod
-    def _move(ticket: Ticket, state: TicketState) -> None:
+    def _change_state(ticket: Ticket, state: TicketState) -> None:
         if ticket.state not in (TicketState.NEW, TicketState.WAITING):
             raise TicketSettledError(f"ticket is {ticket.state.value}, would be {state.value}")
         ticket.state = state
--- a/coltsfootpier/routing/tests/test_assignment.py
+++ b/coltsfootpier/routing/tests/test_assignment.py
@@ -1,4 +1,4 @@
-"""Tests of the division of slots among daemons."""
+"""Tests of the assignment of slots to daemons."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
     def test_every_slot_has_one_owner_and_shares_are_even(
         self, slots: list[int], members: int
     ) -> None:
-        """Guards against slots without owner, and daemons that own far more than others."""
+        """Guards against slots without an owner and an uneven distribution over daemons."""
         runners = [
             build_runner(f"r{index}", slots=count, availability_zone=f"z{index % 3}")
             for index, count in enumerate(slots)
@@ -30,8 +30,8 @@
             owned.update(table[runner.id])
         self.assertLessEqual(max(owned.values()) - min(owned.values()), 1)
 
-    def test_own_zone_comes_first(self) -> None:
-        """Guards against requests that cross zones although the own zone has slots."""
+    def test_own_zone_is_preferred(self) -> None:
+        """Guards against cross-zone requests although the daemon's own zone has slots."""
         runners = [build_runner(f"r{zone}", availability_zone=zone) for zone in "abc"]
         table = BalancedAssignment().assign(runners, {"m1": "c", "m2": "a", "m3": "b"})
         self.assertEqual(table, {"ra": {"m2": 2}, "rb": {"m3": 2}, "rc": {"m1": 2}})
--- a/coltsfootpier/routing/tests/test_health.py
+++ b/coltsfootpier/routing/tests/test_health.py
@@ -1,4 +1,4 @@
-"""Tests of estimates, ejection and the retry budget."""
+"""Tests of runner health: ejection, probes and the limit on ejections."""
 
 from __future__ import annotations
 
@@ -27,25 +27,25 @@
                 self.observe(runner, request)
 
     def test_one_request_that_fails_everywhere_ejects_nothing(self) -> None:
-        """Guards against a faulty request that takes runners out."""
+        """Guards against one faulty request that gets runners ejected."""
         for _ in range(20):
             self.observe("r1", 1)
         self.assertEqual(self.health.ejected(), ())
 
-    def test_distinct_failures_eject_and_a_probe_returns(self) -> None:
-        """Guards against a runner that fails everything, and against losing it for ever."""
+    def test_distinct_failures_eject_and_a_successful_probe_readmits(self) -> None:
+        """Guards against keeping a runner that fails every request, and never readmitting it."""
         self.eject("r1")
-        self.assertFalse(self.health.may_use("r1"))
+        self.assertFalse(self.health.is_usable("r1"))
         self.clock.advance(1_001.0)
-        self.assertTrue(self.health.may_use("r1"))
-        self.health.begin_probe("r1")
-        self.assertFalse(self.health.may_use("r1"))
+        self.assertTrue(self.health.is_usable("r1"))
+        self.health.record_request_sent("r1")
+        self.assertFalse(self.health.is_usable("r1"))
         self.observe("r1", 9, AttemptResult.ANSWERED)
-        self.assertTrue(self.health.may_use("r1"))
+        self.assertTrue(self.health.is_usable("r1"))
         self.assertEqual(self.health.ejected(), ())
 
-    def test_an_answer_in_between_keeps_the_runner(self) -> None:
-        """Guards against ejection of a runner that fails some requests only."""
+    def test_success_between_failures_prevents_ejection(self) -> None:
+        """Guards against ejecting a runner that fails only some requests."""
         for request in range(20):
             answered = request % 4 == 3
             self.observe(
@@ -54,23 +54,23 @@
         self.assertEqual(self.health.ejected(), ())
 
     def test_at_most_a_third_is_ejected(self) -> None:
-        """Guards against a service without runners when everything fails."""
+        """Guards against ejecting all runners of a service when every request fails."""
         self.eject(*RUNNERS)
         self.assertEqual(self.health.ejected(), ("r1", "r2"))
 
-    def test_ejections_of_peers_count(self) -> None:
-        """Guards against daemons that together eject more than a third."""
+    def test_limit_on_ejections_includes_those_of_peers(self) -> None:
+        """Guards against daemons that together eject more than a third of the runners."""
         self.health.observe_peer("m2", ["r5", "r6"])
         self.eject("r1")
         self.assertEqual(self.health.ejected(), ())
 
-    def test_simultaneous_ejections_are_taken_back(self) -> None:
-        """Guards against daemons that eject different runners at the same moment."""
+    def test_simultaneous_ejections_are_reverted(self) -> None:
+        """Guards against too many ejections when daemons eject different runners at once."""
         self.eject("r3", "r4")
         self.health.observe_peer("m2", ["r1", "r2"])
         self.health.limit_ejections(RUNNERS)
         self.assertEqual(self.health.ejected(), ())
-        self.assertTrue(self.health.may_use("r3"))
+        self.assertTrue(self.health.is_usable("r3"))
 
 
 if __name__ == "__main__":
--- a/coltsfootpier/routing/tests/test_queues.py
+++ b/coltsfootpier/routing/tests/test_queues.py
@@ -19,7 +19,7 @@
         }
         self.queue = FairQueue(
             QueueContext(
-                length=100,
+                max_length=100,
                 now_ms=self.clock.now_ms,
                 answer_ms=lambda _: 100.0,
                 shares=shares,
@@ -31,72 +31,75 @@
         ticket = build_ticket(self.clock, kind=kind, **changes)
         return self.queue.admit(ticket, self.use) or ticket
 
-    def take(self) -> Ticket | None:
-        return self.queue.take(self.use, lambda _: True)
+    def pop_next(self) -> Ticket | None:
+        return self.queue.pop_next(self.use, lambda _: True)
 
     def fill(self, slots: int) -> Counter[str]:
         for _ in range(slots):
-            taken = self.take()
-            self.use.busy[taken.team, taken.kind] += 1
+            popped = self.pop_next()
+            self.use.busy[popped.team, popped.kind] += 1
         return Counter({kind: self.use.busy_of(kind) for kind in ("urgent", "low")})
 
-    def test_flood_of_urgent_requests_leaves_the_minimum(self) -> None:
-        """Guards against urgency that takes another kind's guaranteed share."""
+    def test_overload_of_urgent_requests_leaves_the_guaranteed_share(self) -> None:
+        """Guards against a high-priority kind that takes another kind's guaranteed share."""
         for _ in range(20):
             self.push("urgent")
             self.push("low")
         self.assertEqual(self.fill(10), {"urgent": 5, "low": 5})
 
-    def test_unused_share_is_lent_and_taken_back(self) -> None:
-        """Guards against idle slots in a flood, and against lent slots that don't return."""
+    def test_unused_share_is_lent_and_reclaimed(self) -> None:
+        """Guards against idle slots under overload, and lent slots that aren't returned."""
         for _ in range(20):
             self.push("low")
         self.assertEqual(self.fill(10), {"urgent": 0, "low": 10})
         self.push("urgent")
         self.use.busy["", "low"] -= 1
-        self.assertEqual(self.take().kind, "urgent")
+        self.assertEqual(self.pop_next().kind, "urgent")
 
-    def test_urgent_goes_first_below_the_shares(self) -> None:
-        """Guards against urgent requests that wait behind others with nothing in flight."""
+    def test_urgent_kind_is_served_first_below_its_share(self) -> None:
+        """Guards against urgent requests that wait behind others while no slot is in use."""
         self.push("low")
         self.push("urgent")
-        self.assertEqual(self.take().kind, "urgent")
+        self.assertEqual(self.pop_next().kind, "urgent")
 
-    def test_urgency_does_not_decide_near_the_share(self) -> None:
-        """Guards against an urgent flood that wins the last slot below its share each time."""
+    def test_priority_is_ignored_near_the_share(self) -> None:
+        """Guards against an overloaded urgent kind that gets the last slot of its share each time.
+
+        The other kinds would then stay below their shares.
+        """
         self.use.busy.update({("", "urgent"): 4, ("", "low"): 3})
         self.push("urgent")
         self.push("low")
-        self.assertEqual(self.take().kind, "low")
+        self.assertEqual(self.pop_next().kind, "low")
 
     def test_teams_of_a_kind_take_turns(self) -> None:
-        """Guards against a team whose flood shuts out the other teams of the kind."""
+        """Guards against a team whose burst of requests starves the other teams of the kind."""
         for _ in range(10):
             self.push("low", team="a")
         self.push("low", team="b")
         self.fill(1)
-        self.assertEqual(self.take().team, "b")
+        self.assertEqual(self.pop_next().team, "b")
 
-    def test_request_that_cannot_be_served_in_time_is_refused_early(self) -> None:
-        """Guards against callers that wait for their deadline to hear that nothing was run."""
+    def test_request_that_cannot_meet_its_deadline_is_rejected_early(self) -> None:
+        """Guards against callers that learn only at the deadline that their request wasn't run."""
         deadline_ms = self.clock.now_ms() + 150.0
         admitted = [self.push("low", deadline_ms=deadline_ms) for _ in range(10)]
         self.assertIsInstance(admitted[0], Ticket)
         self.assertIs(admitted[-1], RefusalReason.DEADLINE)
 
     def test_newest_is_served_before_the_oldest_under_overload(self) -> None:
-        """Guards against serving everyone just too late."""
+        """Guards against serving every request just after its deadline under overload."""
         oldest = self.push("low")
         self.clock.advance(600.0)
         newest = self.push("low")
-        self.assertIs(self.take(), newest)
-        self.assertIs(self.take(), oldest)
+        self.assertIs(self.pop_next(), newest)
+        self.assertIs(self.pop_next(), oldest)
 
     def test_late_requests_are_dropped(self) -> None:
-        """Guards against slots for requests that can't be answered in time any more."""
+        """Guards against slots for requests that can no longer meet their deadline."""
         oldest = self.push("low")
         self.clock.advance(950.0)
-        self.assertIsNone(self.take())
+        self.assertIsNone(self.pop_next())
         self.assertEqual(self.queue.drop_late(), [oldest])
         self.assertEqual(len(self.queue), 0)
 
--- a/coltsfootpier/routing/tests/test_router.py
+++ b/coltsfootpier/routing/tests/test_router.py
@@ -44,36 +44,36 @@
         self.assertEqual(len(self.router.release(first.runner.id, first.token)), 1)
 
     def test_queue_is_bounded(self) -> None:
-        """Guards against a queue that grows with the load."""
+        """Guards against an unbounded queue under overload."""
         decisions = [self.acquire() for _ in range(20)]
         self.assertEqual(decisions[-1], Refused(reason=RefusalReason.QUEUE_FULL))
 
     def test_leaving_runner_gets_no_request(self) -> None:
-        """Guards against new work for a backend server that leaves."""
+        """Guards against new requests to a runner that is shutting down."""
         self.router.mark_leaving("service/web/0#1")
         self.assertIsInstance(self.acquire(), Queued)
 
-    def test_leaving_is_kept_when_the_table_changes(self) -> None:
-        """Guards against a table from before the runner's own word that brings it back."""
+    def test_leaving_mark_survives_a_table_update(self) -> None:
+        """Guards against an outdated table that makes a leaving runner usable again."""
         self.router.mark_leaving("service/web/0#1")
         other = build_runner("service/other/0#1", service="other")
         self.router.observe_runners("r1", 2, [build_runner(), other])
         self.assertIsInstance(self.acquire(), Queued)
 
-    def test_word_of_a_borrower_marks_the_runner(self) -> None:
-        """Guards against a slot owner that goes on granting a runner that leaves."""
+    def test_leaving_feedback_of_a_borrower_marks_the_runner(self) -> None:
+        """Guards against a slot owner that goes on granting slots of a leaving runner."""
         grant = self.acquire(borrower="m2")
         self.router.release(grant.runner.id, grant.token, Feedback(leaving=True))
         self.assertIsInstance(self.acquire(), Queued)
 
     def test_lower_epoch_is_ignored(self) -> None:
-        """Guards against a superseded shard owner that brings back old runners."""
+        """Guards against a superseded shard owner whose table brings back old runners."""
         self.router.observe_runners("r1", 2, [])
         self.router.observe_runners("r1", 1, [build_runner()])
         self.assertEqual(self.router.runners(), [])
 
     def test_slot_is_borrowed_from_the_peer_with_most_free(self) -> None:
-        """Guards against a queue while another daemon has free slots."""
+        """Guards against queueing requests while another daemon has free slots."""
         self.router.observe_members("m1", {"m2": "z1", "m3": "z2"})
         self.router.observe_peer("m2", {"web": 1})
         self.router.observe_peer("m3", {"web": 5})
@@ -91,15 +91,15 @@
         self.assertEqual(settlement.decision, grant)
         self.assertIsNone(self.router.settle_borrow("m2", "web", grant, 0))
 
-    def test_flood_asks_no_peer_without_free_slots(self) -> None:
-        """Guards against calls to peers that grow with the number of waiting requests."""
+    def test_overload_does_not_query_peers_without_free_slots(self) -> None:
+        """Guards against a number of calls to peers that grows with the waiting requests."""
         self.router.observe_members("m1", {"m2": "z1"})
         self.router.observe_peer("m2", {"web": 0})
         self.fill()
         self.assertEqual(self.router.plan_borrows("web"), [])
 
-    def test_daemon_without_slots_waits_at_an_owner(self) -> None:
-        """Guards against starving the callers of an entry VM that owns no slot of a service."""
+    def test_daemon_without_slots_queues_at_an_owner(self) -> None:
+        """Guards against starvation on an entry VM that owns no slot of a service."""
         self.router.observe_runners("r1", 2, [build_runner(slots=1)])
         self.router.observe_members("m1", {"m2": "z1"})
         self.assertEqual(self.router.owned_slots("web"), 0)
@@ -107,8 +107,8 @@
         self.assertEqual([borrow.peer for borrow in self.router.plan_borrows("web")], ["m2"])
         self.assertEqual(self.router.plan_borrows("web"), [])
 
-    def test_owner_that_declined_is_left_alone_for_a_while(self) -> None:
-        """Guards against calls in a tight loop to an owner whose queue is full."""
+    def test_owner_that_declined_is_not_asked_again_at_once(self) -> None:
+        """Guards against repeated calls without delay to an owner whose queue is full."""
         self.router.observe_runners("r1", 2, [build_runner(slots=1)])
         self.router.observe_members("m1", {"m2": "z1"})
         self.acquire()
@@ -118,15 +118,15 @@
         self.clock.advance(200.0)
         self.assertEqual(len(self.router.plan_borrows("web")), 1)
 
-    def test_slots_lent_to_a_member_that_is_gone_are_free_again(self) -> None:
-        """Guards against capacity that is lost when an entry VM dies with borrowed slots."""
+    def test_slots_lent_to_a_removed_member_are_reclaimed(self) -> None:
+        """Guards against losing the slots that a failed entry VM had borrowed."""
         self.router.observe_members("m1", {"m2": "z1"})
         self.assertIsInstance(self.acquire(borrower="m2"), Grant)
         self.router.observe_members("m1", {})
         self.assertEqual(self.router.free_slots(), {"web": 2})
 
     def test_overdue_attempt_keeps_its_slot_until_the_deadline(self) -> None:
-        """Guards against a next request that the still busy runner refuses."""
+        """Guards against another request to a runner that is still busy and rejects it."""
         grant = self.acquire()
         overdue = Feedback(result=AttemptResult.OVERDUE, request_id="1")
         self.router.release(grant.runner.id, grant.token, overdue)
@@ -135,24 +135,24 @@
         self.router.expire()
         self.assertEqual(self.router.free_slots(), {"web": 2})
 
-    def test_late_request_is_refused_not_granted(self) -> None:
-        """Guards against a slot spent on a request that can't be answered in time."""
+    def test_late_request_is_rejected_not_granted(self) -> None:
+        """Guards against granting a slot to a request that can't meet its deadline."""
         first, _ = self.fill()
         self.clock.advance(1_000.0)
         settled = self.router.release(first.runner.id, first.token)
         self.assertTrue(settled)
-        for one in settled:
-            self.assertEqual(one.decision, Refused(reason=RefusalReason.DEADLINE))
-            self.assertIs(one.ticket.state, TicketState.REFUSED)
+        for settlement in settled:
+            self.assertEqual(settlement.decision, Refused(reason=RefusalReason.DEADLINE))
+            self.assertIs(settlement.ticket.state, TicketState.REFUSED)
 
     def test_ticket_settles_once(self) -> None:
-        """Guards against a grant for a request that was already answered."""
+        """Guards against deciding twice on one request."""
         ticket = build_ticket(self.clock)
         self.router.acquire(ticket)
         with self.assertRaises(TicketSettledError):
             self.router.acquire(ticket)
 
-    def test_unreachable_runner_is_left_out_and_tried_again(self) -> None:
+    def test_unreachable_runner_is_blocked_then_probed(self) -> None:
         """Guards against further requests to a runner that refuses connections."""
         grant = self.acquire()
         feedback = Feedback(result=AttemptResult.UNREACHABLE, request_id="1")
