--- a/coltsfootpier/permits/__init__.py
+++ b/coltsfootpier/permits/__init__.py
@@ -1,4 +1,4 @@
-"""Permits for idempotency keys and exclusive keys, with fenced copies on peers."""
+"""Permits for idempotency keys and exclusive keys, with epoch-fenced copies on peers."""
 
 from coltsfootpier.permits._copies import CopyTable
 from coltsfootpier.permits._history import Coverage, History, ProcessLog, process_of
--- a/coltsfootpier/permits/_history.py
+++ b/coltsfootpier/permits/_history.py
@@ -1,4 +1,4 @@
-"""Whether a new owner knows every key that was granted before."""
+"""Completeness of the key history that a new owner has pulled."""
 
 from __future__ import annotations
 
@@ -9,16 +9,16 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.permits._messages import PulledPermits
 
-# A daemon may take itself for the only member until its watch of the store shows another one.
-# A silent watch is replaced after 5 s; with an older view of the members than this, no daemon
-# counts as alone.
-_WATCH_LAG_MS = 10_000.0
-# Stands for a time without a beginning; JSON has no infinity.
-_ALWAYS_MS = 1e12
+# Longest time for which a daemon may take itself for the only member because its watch of the
+# store hasn't reported another one. A silent watch is replaced after 5 s; a daemon whose view of
+# the members is older than this limit doesn't count as the only member.
+_MAX_WATCH_LAG_MS = 10_000.0
+# Represents an unlimited duration; JSON has no infinity.
+_UNLIMITED_MS = 1e12
 
 
 def process_of(member: str) -> str:
-    """Return the part of a member identifier that stays the same over its leases.
+    """Return the part of a member identifier that stays the same over a daemon's leases.
 
     Examples
     --------
@@ -29,61 +29,61 @@
 
 
 @attrs.define
-class _Seen:
+class _SeenProcess:
     last_ms: float
     retired: bool = False
 
 
 class ProcessLog:
-    """Daemons that may hold copies or grant permits: the present ones and recent ones.
+    """Current and recent daemons, which may hold copies or grant permits.
 
-    A daemon that is gone is forgotten after the window. One that only lost its lease may go
-    on granting for the hold-over time, so it is remembered for that much longer.
+    A daemon that has stopped is removed after the window. A daemon that may only have lost its
+    lease can go on granting for the hold-over time, so it is kept that much longer.
 
     Parameters
     ----------
     clock : Clock
         Time source.
     window_ms, hold_over_ms : float
-        How long keys are remembered, and how long a former owner may grant.
+        Retention time of keys, and time for which a former owner may go on granting.
     """
 
     def __init__(self, *, clock: Clock, window_ms: float, hold_over_ms: float) -> None:
         self._clock = clock
         self._window_ms = window_ms
         self._hold_over_ms = hold_over_ms
-        self._seen: dict[str, _Seen] = {}
+        self._seen: dict[str, _SeenProcess] = {}
 
     def observe(self, processes: Iterable[str]) -> None:
-        """Note the daemons that are members now."""
+        """Record the daemons that are members now."""
         now_ms = self._clock.now_ms()
         for process in processes:
-            self._seen[process] = _Seen(now_ms)
+            self._seen[process] = _SeenProcess(now_ms)
 
     def merge(self, seen: Mapping[str, float]) -> None:
-        """Take what a peer has seen: daemons with the milliseconds since then."""
+        """Merge the daemons that a peer has seen, with the milliseconds since each was seen."""
         now_ms = self._clock.now_ms()
         for process, age_ms in seen.items():
-            known = self._seen.setdefault(process, _Seen(now_ms - age_ms))
+            known = self._seen.setdefault(process, _SeenProcess(now_ms - age_ms))
             known.last_ms = max(known.last_ms, now_ms - age_ms)
 
     def retire(self, process: str) -> None:
-        """Note that a daemon surely runs no more."""
+        """Mark a daemon as certainly stopped."""
         if process in self._seen:
             self._seen[process].retired = True
 
     def ages(self) -> dict[str, float]:
-        """Return the daemons that count, with the milliseconds since they were seen."""
+        """Return the retained daemons, with the milliseconds since each was last seen."""
         now_ms = self._clock.now_ms()
         for process, seen in list(self._seen.items()):
-            keep_ms = self._window_ms + (0.0 if seen.retired else self._hold_over_ms)
-            if now_ms - seen.last_ms > keep_ms:
+            retention_ms = self._window_ms + (0.0 if seen.retired else self._hold_over_ms)
+            if now_ms - seen.last_ms > retention_ms:
                 del self._seen[process]
         return {process: now_ms - seen.last_ms for process, seen in self._seen.items()}
 
 
 class Coverage:
-    """For how long a daemon knows of all members and of all grants without a copy.
+    """Period for which a daemon knows all members and all grants without a copy.
 
     Parameters
     ----------
@@ -95,67 +95,73 @@
         self._clock = clock
         self._member = ""
         self._since_ms = float("inf")
-        self._uncopied_ms = float("-inf")
-        self._heard_ms = float("-inf")
+        self._uncopied_grant_ms = float("-inf")
+        self._last_peer_message_ms = float("-inf")
 
     def is_current(self, listed_ms: float) -> bool:
-        """Whether a listing from `listed_ms` shows each peer that may rely on being seen."""
-        earliest_ms = self._clock.now_ms() - _WATCH_LAG_MS
-        return self._heard_ms < earliest_ms <= listed_ms
+        """Return whether a listing from `listed_ms` is recent enough to rule out other members.
 
-    def join(self, member: str, *, is_first: bool) -> None:
-        """Start to know all members, unless this membership is already known.
+        It isn't if a peer has sent a message within the maximum lag of the store's watch.
+        """
+        earliest_ms = self._clock.now_ms() - _MAX_WATCH_LAG_MS
+        return self._last_peer_message_ms < earliest_ms <= listed_ms
+
+    def start(self, member: str, *, is_first: bool) -> None:
+        """Start the covered period, unless it has already started for this membership.
 
         Parameters
         ----------
         member : str
             Identifier of this membership.
         is_first : bool
-            Whether it is the only member and no key group ever had an owner, so that there is
-            nothing to know before.
+            Whether it is the only member and no key group ever had an owner. Nothing can have
+            been granted before then, so the period is unlimited.
         """
         if member != self._member:
             self._member = member
             joined_ms = self._clock.now_ms()
-            self._since_ms = float("-inf") if is_first else joined_ms + _WATCH_LAG_MS
+            self._since_ms = float("-inf") if is_first else joined_ms + _MAX_WATCH_LAG_MS
 
-    def inherit(self, covered_ms: float) -> None:
-        """Take what a peer knows that has just been heard and has heard this daemon."""
+    def extend(self, covered_ms: float) -> None:
+        """Extend the covered period to that of a peer.
+
+        The two daemons must just have received messages from each other.
+        """
         self._since_ms = min(self._since_ms, self._clock.now_ms() - covered_ms)
 
-    def hear_peer(self) -> None:
-        """Note a message of a peer."""
-        self._heard_ms = self._clock.now_ms()
+    def record_peer_message(self) -> None:
+        """Record that a peer has sent a message."""
+        self._last_peer_message_ms = self._clock.now_ms()
 
     def record_uncopied_grant(self) -> None:
-        """Note a grant that only this daemon knows."""
-        self._uncopied_ms = self._clock.now_ms()
+        """Record a grant that only this daemon knows."""
+        self._uncopied_grant_ms = self._clock.now_ms()
 
     def covered_ms(self) -> float:
-        """Return the milliseconds for which nothing is unknown to this daemon's peers."""
-        since_ms = max(self._since_ms, self._uncopied_ms)
-        return min(max(self._clock.now_ms() - since_ms, 0.0), _ALWAYS_MS)
+        """Return the length in milliseconds of the covered period up to now."""
+        since_ms = max(self._since_ms, self._uncopied_grant_ms)
+        return min(max(self._clock.now_ms() - since_ms, 0.0), _UNLIMITED_MS)
 
 
 class History:
     """Completeness of the history that one owner of a key group has pulled.
 
-    The history is complete when nobody owned the group before, when the previous owner
-    answered and had a complete history, or when the daemons that answered know of all members
-    of the whole window and at most one member did not answer. Each grant has two holders, so
-    one missing daemon hides none. A daemon that is the only member grants without a copy, so
-    its time alone doesn't count as known to the others.
+    The history is complete if the group had no owner before, if the previous owner responded
+    and had a complete history, or if the daemons that responded know all members of the whole
+    window and at most one member did not respond. Two daemons hold each grant, so one missing
+    daemon hides none. The only member grants permits without a copy, so the time in which it
+    was the only member isn't covered for the others.
 
     Parameters
     ----------
     clock : Clock
         Time source.
     process : str
-        This daemon.
+        Identifier of this daemon.
     epoch : int
         Epoch of the ownership.
     window_ms : float
-        How long keys are remembered.
+        Retention time of keys.
     log : ProcessLog
         Daemons that may hold copies.
     owned_epoch : int
@@ -177,30 +183,31 @@
         self._window_ms = window_ms
         self._log = log
         self._covered_since_ms = float("inf")
-        self._answered = {process}
-        # An epoch without a complete history grants nothing, so only these start complete.
+        self._responded = {process}
+        # A history starts complete if there was no owner before, or if this daemon was the
+        # previous owner. An owner without a complete history grants nothing.
         self._complete = epoch <= 1 or owned_epoch == epoch - 1
 
     def record_coverage(self, covered_ms: float) -> None:
-        """Take for how long this daemon, or one that answered, knows all members."""
+        """Record for how long this daemon, or one that responded, has known all members."""
         since_ms = self._clock.now_ms() - covered_ms
         self._covered_since_ms = min(self._covered_since_ms, since_ms)
 
-    def record_answer(self, reply: PulledPermits) -> None:
-        """Take the answer of a daemon whose records have been merged."""
-        self._answered.add(reply.process)
+    def record_response(self, reply: PulledPermits) -> None:
+        """Record the response of a daemon whose records have been merged."""
+        self._responded.add(reply.process)
         self._log.merge(reply.seen)
         self.record_coverage(reply.covered_ms)
         if self._epoch > 1 and reply.owned_epoch == self._epoch - 1:
             self._complete = True
 
     def missing(self) -> set[str]:
-        """Return the daemons that may hold copies and have not answered."""
-        return self._log.ages().keys() - self._answered
+        """Return the daemons that may hold copies and have not responded."""
+        return self._log.ages().keys() - self._responded
 
     @property
     def is_complete(self) -> bool:
-        """Whether a key without a record was surely not granted within the window."""
+        """Whether a key without a record was certainly not granted within the window."""
         if not self._complete:
             covered_ms = self._clock.now_ms() - self._covered_since_ms
             self._complete = covered_ms >= self._window_ms and len(self.missing()) <= 1
--- a/coltsfootpier/permits/_messages.py
+++ b/coltsfootpier/permits/_messages.py
@@ -1,4 +1,7 @@
-"""Data of permits. Times in messages are durations, because clocks can't be compared."""
+"""Permit records and messages.
+
+Times in messages are durations, because the clocks of different daemons can't be compared.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +13,7 @@
 
 
 class KeyKind(enum.Enum):
-    """What a key protects."""
+    """Kind of guarantee that a key gives."""
 
     IDEMPOTENCY = "idempotency"
     EXCLUSIVE = "exclusive"
@@ -25,10 +28,11 @@
 
 
 class Verdict(enum.Enum):
-    """Answer of an owner to a request for a permit.
+    """Decision of a key group's owner on a request for a permit.
 
-    Only ``GRANTED`` allows the request to run. ``KNOWN`` and ``INCOMPLETE`` concern a key
-    that has, or may have, run before; with the others the request surely did not run.
+    Only ``GRANTED`` allows the request to run. With ``KNOWN`` and ``INCOMPLETE``, a request
+    with this key has run, or may have run, before. With all others, the request has certainly
+    not run.
     """
 
     GRANTED = "granted"
@@ -44,23 +48,23 @@
 
 @attrs.frozen(kw_only=True)
 class PermitRecord:
-    """What the history holds about a key.
+    """Record of a key in the history of its group.
 
     Parameters
     ----------
     key : str
         Kind, service and the caller's key.
     token : str
-        Names the request that was granted the key.
+        Identifies the request that holds the key.
     fingerprint : str
-        Digest of that request; a different request with the key is refused.
+        Digest of that request; a different request with the same key is rejected.
     epoch, serial : int
-        Position of the change in the history of the group; the higher one counts.
+        Version of the record in the history of the group; the highest pair wins.
     held_ms : float
-        Until when the request may run: in a table a time on the daemon's clock, in a message
-        the time left.
+        Time until which the request may run. In a table it is a time on the daemon's clock,
+        in a message the remaining time.
     expires_ms : float
-        Until when the record is kept, in the same form.
+        Time until which the record is kept, in the same form.
     """
 
     kind: KeyKind
@@ -84,12 +88,13 @@
 
 @attrs.frozen(kw_only=True)
 class AcquirePermit:
-    """Asks the owner of a key group for a permit; may be repeated with the same token.
+    """Request for a permit to the owner of a key group; may be retried with the same token.
 
     Parameters
     ----------
     hold_ms : float
-        Time for which the request may run: time left to its deadline and maximum run time.
+        Time for which the request may run: the time left to its deadline plus its maximum run
+        time.
     """
 
     group: str
@@ -102,7 +107,7 @@
 
 @attrs.frozen(kw_only=True)
 class PermitReply:
-    """Answer to `AcquirePermit`; outcome and status only with ``KNOWN``."""
+    """Response to `AcquirePermit`; outcome and status are set only with ``KNOWN``."""
 
     verdict: Verdict
     outcome: Outcome = Outcome.UNKNOWN
@@ -111,7 +116,7 @@
 
 @attrs.frozen(kw_only=True)
 class SettlePermit:
-    """Tells the owner what became of a request; ``REFUSED`` means that it was not run."""
+    """Report of a request's outcome to the owner; ``REFUSED`` means that it was not run."""
 
     group: str
     kind: KeyKind
@@ -123,14 +128,14 @@
 
 @attrs.frozen(kw_only=True)
 class SettleReply:
-    """Answer to `SettlePermit`; false when the daemon doesn't own the group."""
+    """Response to `SettlePermit`; `accepted` is false if the daemon doesn't own the group."""
 
     accepted: bool
 
 
 @attrs.frozen(kw_only=True)
 class CopyPermits:
-    """Asks a peer to keep copies of records."""
+    """Request to a peer to store copies of records."""
 
     group: str
     epoch: int
@@ -139,12 +144,12 @@
 
 @attrs.frozen(kw_only=True)
 class CopyReply:
-    """Answer to `CopyPermits`.
+    """Response to `CopyPermits`.
 
     Parameters
     ----------
     accepted : bool
-        Whether all records are kept.
+        Whether all records are stored.
     epoch : int
         Highest epoch that the peer has seen for the group.
     """
@@ -155,7 +160,7 @@
 
 @attrs.frozen(kw_only=True)
 class PullPermits:
-    """Announces a new owner's epoch and asks for all copies of the group."""
+    """Announcement of a new owner's epoch, and request for all copies of the group."""
 
     group: str
     epoch: int
@@ -163,21 +168,21 @@
 
 @attrs.frozen(kw_only=True)
 class PulledPermits:
-    """Answer to `PullPermits`.
+    """Response to `PullPermits`.
 
     Parameters
     ----------
     process : str
-        The answering daemon.
+        Responding daemon.
     accepted : bool
-        False when the daemon has seen a higher epoch.
+        False if the daemon has seen a higher epoch.
     owned_epoch : int
         Epoch at which the daemon last owned the group with a complete history, or 0.
     covered_ms : float
-        For how long it knows every daemon that was a member and no daemon has granted without
-        a copy.
+        Length of the most recent period in which the daemon knows every member and no daemon
+        granted a permit without a copy.
     seen : dict of str to float
-        Daemons that it has seen, with the milliseconds since then.
+        Daemons that it has seen, with the milliseconds since each was last seen.
     """
 
     process: str
--- a/coltsfootpier/permits/_node.py
+++ b/coltsfootpier/permits/_node.py
@@ -1,4 +1,4 @@
-"""Everything that one daemon decides about permits."""
+"""Permit decisions of one daemon, over all its key groups."""
 
 from __future__ import annotations
 
@@ -24,26 +24,26 @@
 )
 from coltsfootpier.permits._table import CopyFirst, PermitTable
 
-_PREFIX = "keys/"
-# Looking for expired records in full tables takes about 10 ms.
-_EXPIRE_MS = 10_000.0
+_GROUP_PREFIX = "keys/"
+# Time between removals of expired records. A scan of full tables takes about 10 ms.
+_EXPIRE_PERIOD_MS = 10_000.0
 
 
 class PermitNode:
-    """Owned key groups and copies of one daemon.
+    """Owned key groups of one daemon, and its copies of records of other groups.
 
     Parameters
     ----------
     clock : Clock
         Time source.
     ownership : OwnershipState
-        Owners of the key groups, and the daemon's own validity.
+        Owners of the key groups, and the state of the daemon's own lease.
     window_ms : float
-        How long a key is remembered.
+        Retention time of keys.
     hold_over_ms : float
-        How long the daemon goes on granting after its lease has lapsed.
+        Time for which the daemon goes on granting permits after its lease has expired.
     capacity : int
-        Most records of one key group.
+        Maximum number of records of one key group.
     """
 
     def __init__(
@@ -61,8 +61,8 @@
         self._hold_over_ms = hold_over_ms
         self._listed: frozenset[str] = frozenset()
         self._listed_ms = float("-inf")
-        self._expired_ms = clock.now_ms()
-        self._unsent: dict[str, dict[str, PermitRecord]] = {}
+        self._last_expiry_ms = clock.now_ms()
+        self._unsent_records: dict[str, dict[str, PermitRecord]] = {}
         self.copies = CopyTable(clock=clock, capacity=capacity)
         self.tables: dict[str, PermitTable] = {}
         self.log = ProcessLog(clock=clock, window_ms=window_ms, hold_over_ms=hold_over_ms)
@@ -70,17 +70,17 @@
 
     @property
     def process(self) -> str:
-        """This daemon, the same over its leases."""
+        """Identifier of this daemon, which stays the same over its leases."""
         return process_of(self.ownership.member)
 
     @property
     def is_alone(self) -> bool:
-        """Whether the store says that there is no other daemon that could keep a copy.
+        """Whether the store lists no other daemon that could store a copy.
 
-        A daemon that is cut off from its peers, or from the store, does not count as alone.
+        This is false for a daemon that is partitioned from its peers or from the store.
         """
-        is_only = self._listed == {self.ownership.member} and self.ownership.is_valid
-        return is_only and self.coverage.is_current(self._listed_ms)
+        is_only_listed = self._listed == {self.ownership.member} and self.ownership.is_valid
+        return is_only_listed and self.coverage.is_current(self._listed_ms)
 
     def reconcile(
         self,
@@ -89,48 +89,48 @@
         listed_ms: float,
         is_retired: Callable[[str], bool],
     ) -> list[PermitTable]:
-        """Take the members and owners as they are now.
+        """Apply the current members and owners of key groups.
 
         Parameters
         ----------
         listed : collection of str
             Members that the store lists.
         listed_ms : float
-            When the store was last asked for them.
+            Time at which the store was last queried for them.
         is_retired : callable
-            Whether an earlier daemon surely runs no more.
+            Returns whether an earlier daemon has certainly stopped running.
 
         Returns
         -------
         list of PermitTable
-            Groups that this daemon newly owns; their history is to be pulled.
+            Tables of the groups that this daemon newly owns. The caller must pull their history.
         """
         ownership = self.ownership
         self._listed, self._listed_ms = frozenset(listed), listed_ms
         if ownership.member in self._listed:
             is_first = ownership.table_version == 0 and len(self._listed) == 1
-            self.coverage.join(ownership.member, is_first=is_first)
+            self.coverage.start(ownership.member, is_first=is_first)
         present = {process_of(id_) for id_ in self._listed}
         self.log.observe({*present, self.process})
         for process in self.log.ages().keys() - present:
             if is_retired(process):
                 self.log.retire(process)
         for group, owner in ownership.table.partitions.items():
-            if group.startswith(_PREFIX):
+            if group.startswith(_GROUP_PREFIX):
                 self.copies.announce(group, owner.epoch)
         for group, table in list(self.tables.items()):
             if table.is_superseded:
                 del self.tables[group]
-                self._unsent.pop(group, None)
-        if self._clock.now_ms() - self._expired_ms > _EXPIRE_MS:
-            self._expired_ms = self._clock.now_ms()
+                self._unsent_records.pop(group, None)
+        if self._clock.now_ms() - self._last_expiry_ms > _EXPIRE_PERIOD_MS:
+            self._last_expiry_ms = self._clock.now_ms()
             self.copies.expire()
             for table in self.tables.values():
                 table.expire()
         return [
-            self._start(group, epoch)
+            self._create_table(group, epoch)
             for group, epoch in ownership.assigned().items()
-            if group.startswith(_PREFIX)
+            if group.startswith(_GROUP_PREFIX)
             and group not in self.tables
             and ownership.may_act(group, epoch)
         ]
@@ -138,17 +138,17 @@
     # Owned groups
 
     def may_grant(self, table: PermitTable) -> bool:
-        """Whether this daemon may grant as the owner of a group, given a copy.
+        """Return whether this daemon may grant permits of a group once a record is copied.
 
-        A lapsed lease does not end the right to grant: the copy that each grant needs is
-        refused by peers that know of a new owner.
+        It may do so for the hold-over time after its lease has expired. This is safe because
+        every grant needs a copy, which peers that know of a new owner reject.
         """
         ownership = self.ownership
         has_ended = ownership.has_ended(table.group, table.epoch)
         return not has_ended and ownership.lapsed_ms < self._hold_over_ms
 
     def decide(self, request: AcquirePermit) -> PermitReply | CopyFirst:
-        """Decide on a request for a permit, or ask for a copy first."""
+        """Decide on a request for a permit, or return the record that must be copied first."""
         table = self.tables.get(request.group)
         if table is None or not self.may_grant(table):
             return PermitReply(verdict=Verdict.NOT_OWNER)
@@ -157,19 +157,19 @@
     def conclude(
         self, table: PermitTable, record: PermitRecord, *, copied: bool, was_alone: bool
     ) -> PermitReply:
-        """Decide after the try to copy a record.
+        """Decide on a request after the attempt to copy its record.
 
         Parameters
         ----------
         table : PermitTable
-            The table that asked for the copy.
+            Table that required the copy.
         record : PermitRecord
-            The record.
+            Record that was to be copied.
         copied : bool
             Whether a peer has acknowledged the copy.
         was_alone : bool
-            `is_alone` when the try began; it must still hold, because a daemon that joined
-            meanwhile may become the next owner.
+            Value of `is_alone` when the attempt started. The property must also hold now,
+            because a daemon that has joined since then may become the next owner.
         """
         if not copied and was_alone and self.is_alone:
             self.coverage.record_uncopied_grant()
@@ -179,62 +179,66 @@
         return table.abandon(record)
 
     def settle(self, message: SettlePermit) -> SettleReply:
-        """Take the outcome of a request."""
+        """Record the outcome of a request."""
         table = self.tables.get(message.group)
         if table is None or not table.ready or table.is_superseded:
             return SettleReply(accepted=False)
         changed = table.settle(message)
         if changed is not None:
-            self._unsent.setdefault(message.group, {})[changed.key] = changed
+            self._unsent_records.setdefault(message.group, {})[changed.key] = changed
         return SettleReply(accepted=True)
 
     def record_pull(self, table: PermitTable, reply: PulledPermits) -> None:
-        """Take the copies that a daemon returned to the owner of a group."""
+        """Merge the copies that a daemon has returned for a newly owned group."""
         if not reply.accepted or not self.copies.merge(table.group, reply.records):
             return
-        table.history.record_answer(reply)
+        table.history.record_response(reply)
         if self.ownership.is_valid:
-            # The daemon has heard this one, so that from now on it is not alone.
-            self.coverage.inherit(reply.covered_ms)
+            # The peer has received this daemon's request, so it no longer takes itself for the
+            # only member.
+            self.coverage.extend(reply.covered_ms)
 
     # Copies
 
     def list_unsent(self) -> list[PermitTable]:
-        """Return the tables with outcomes that no peer knows yet."""
-        return [self.tables[group] for group, records in self._unsent.items() if records]
+        """Return the tables with outcomes that haven't been sent to a peer yet."""
+        return [self.tables[group] for group, records in self._unsent_records.items() if records]
 
     def take_copies(self, table: PermitTable, records: tuple[PermitRecord, ...]) -> CopyPermits:
-        """Return the message that copies records, along with outcomes that wait."""
-        waiting = self._unsent.pop(table.group, {})
+        """Return the message that copies records and the table's unsent outcomes.
+
+        The outcomes then no longer count as unsent.
+        """
+        unsent = self._unsent_records.pop(table.group, {})
         for record in records:
-            waiting.pop(record.key, None)
+            unsent.pop(record.key, None)
         now_ms = self._clock.now_ms()
         return CopyPermits(
             group=table.group,
             epoch=table.epoch,
-            records=tuple(record.shift(-now_ms) for record in (*waiting.values(), *records)),
+            records=tuple(record.shift(-now_ms) for record in (*unsent.values(), *records)),
         )
 
     def receive_copies(self, message: CopyPermits) -> CopyReply:
-        """Keep copies for the owner of a key group."""
-        self.coverage.hear_peer()
+        """Store copies for the owner of a key group."""
+        self.coverage.record_peer_message()
         return self.copies.receive(message)
 
     def answer_pull(self, message: PullPermits) -> PulledPermits:
-        """Take the epoch of a new owner and return the copies of its group."""
-        self.coverage.hear_peer()
-        pulled = self.copies.answer_pull(message, process=self.process)
-        return attrs.evolve(pulled, covered_ms=self.covered_ms(), seen=self.log.ages())
+        """Record the epoch of a new owner and return the copies of its group."""
+        self.coverage.record_peer_message()
+        reply = self.copies.answer_pull(message, process=self.process)
+        return attrs.evolve(reply, covered_ms=self.covered_ms(), seen=self.log.ages())
 
     def covered_ms(self) -> float:
-        """Return for how long this daemon knows all members.
+        """Return for how many milliseconds this daemon has known all members and grants.
 
-        While its lease has lapsed this is 0: others may have ended the membership, and one of
-        them may be alone by now.
+        The result is 0 while its lease has expired: another daemon may be the only member by
+        now and grant permits without a copy.
         """
         return self.coverage.covered_ms() if self.ownership.is_valid else 0.0
 
-    def _start(self, group: str, epoch: int) -> PermitTable:
+    def _create_table(self, group: str, epoch: int) -> PermitTable:
         history = History(
             clock=self._clock,
             process=self.process,
--- a/coltsfootpier/permits/tests/builders.py
+++ b/coltsfootpier/permits/tests/builders.py
@@ -1,4 +1,4 @@
-"""Builders of permit messages, and several daemons on a virtual clock with faults."""
+"""Builders of permit messages, and a simulation of several daemons with injected faults."""
 
 from __future__ import annotations
 
@@ -46,7 +46,7 @@
 
 
 def build_settle(request: AcquirePermit, outcome: Outcome) -> SettlePermit:
-    """Build the outcome of a request."""
+    """Build the message that reports the outcome of a request."""
     return SettlePermit(
         group=request.group,
         kind=request.kind,
@@ -57,8 +57,8 @@
     )
 
 
-def build_node(clock: VirtualClock, member: str, **changes: Any) -> PermitNode:
-    """Build the permits of a daemon that has just joined."""
+def build_manager(clock: VirtualClock, member: str, **changes: Any) -> PermitNode:
+    """Build the permit manager of a daemon that has just joined."""
     ownership = OwnershipState(clock=clock, ttl_ms=LEASE_MS)
     ownership.join(member, sent_ms=clock.now_ms())
     options = {"window_ms": WINDOW_MS, "hold_over_ms": HOLD_OVER_MS, "capacity": 64, **changes}
@@ -67,113 +67,128 @@
 
 @attrs.define(eq=False)
 class Daemon:
-    """A simulated daemon."""
+    """Simulated daemon.
+
+    Parameters
+    ----------
+    listed : frozenset of str
+        Members as the daemon last read them from the store.
+    listed_ms, renewed_ms : float
+        Times of that read and of the last renewal of its lease.
+    pulling : list of PermitTable
+        Owned tables whose history is still being pulled.
+    """
 
     name: str
-    node: PermitNode
+    manager: PermitNode
     listed: frozenset[str] = frozenset()
     listed_ms: float = float("-inf")
     renewed_ms: float = float("-inf")
-    taking_over: list[PermitTable] = attrs.field(factory=list)
+    pulling: list[PermitTable] = attrs.field(factory=list)
 
     @property
     def id(self) -> str:
         """Member identifier."""
-        return self.node.ownership.member
+        return self.manager.ownership.member
 
 
 @attrs.define(eq=False)
 class Request:
-    """A caller's request at one entry VM."""
+    """Caller's request at one entry VM."""
 
     entry: Daemon
     message: AcquirePermit
     sent_ms: float
-    tries: int = 0
+    attempts: int = 0
     granted: bool = False
     end_ms: float = 0.0
     outcome: Outcome = Outcome.DONE
 
 
 class Simulation:
-    """Daemons with a store, message loss, delay, partitions, deaths and changes of owners.
+    """Simulation of daemons and a store on a virtual clock.
+
+    Messages are lost and delayed, daemons are partitioned, killed and restarted, and key groups
+    change their owners.
 
     Parameters
     ----------
     seed : int
-        Chooses everything that happens.
+        Seed of all random choices.
     """
 
     def __init__(self, seed: int) -> None:
-        self.chance = random.Random(seed)
+        self.rng = random.Random(seed)
         self.clock = VirtualClock()
         self.table, self.version = OwnerTable(), 0
         self.leases: dict[str, float] = {}
         self.daemons: list[Daemon] = []
-        self.cut: set[frozenset[str]] = set()
+        self.partitioned: set[frozenset[str]] = set()
         self.requests: list[Request] = []
-        self.deciding: list[tuple[Request, Daemon, PermitTable, CopyFirst, bool]] = []
-        self.late: list[Callable[[], object]] = []
+        self.pending_copies: list[tuple[Request, Daemon, PermitTable, CopyFirst, bool]] = []
+        self.delayed_calls: list[Callable[[], object]] = []
         self.runs: dict[str, list[tuple[float, float]]] = {}
-        self.doubled: list[str] = []
+        self.double_runs: list[str] = []
         self.counts: Counter[str] = Counter()
         self._serial = 0
-        # With two daemons, one of them is often the only member.
+        # Some seeds simulate only two daemons, of which one is often the only member.
         self.names = [f"n{index}" for index in range(2 + seed % 3)]
         for name in self.names:
-            self._boot(name)
+            self._start_daemon(name)
 
     def run(self, steps: int) -> None:
-        """Make random steps, then report double runs in `doubled`."""
+        """Run random steps, and add the runs that violate a guarantee to `double_runs`."""
         for _ in range(steps):
-            self.clock.advance(self.chance.choice((5.0, 50.0, 400.0)))
+            self.clock.advance(self.rng.choice((5.0, 50.0, 400.0)))
             for daemon in list(self.daemons):
-                self._visit_store(daemon)
-            action = self.chance.random()
+                self._sync_with_store(daemon)
+            action = self.rng.random()
             if action < 0.04:
-                self._disturb()
+                self._inject_fault()
             elif action < 0.35:
-                self._request()
-            for item in self._pick(self.deciding, 0.6):
+                self._create_request()
+            for item in self._pop_random(self.pending_copies, 0.6):
                 self._copy(*item)
-            for request in self._pick(self.requests, 0.6):
-                self._advance(request)
-            for call in self._pick(self.late, 0.1):
+            for request in self._pop_random(self.requests, 0.6):
+                self._advance_request(request)
+            for call in self._pop_random(self.delayed_calls, 0.1):
                 call()
             for daemon in self.daemons:
-                for table in list(daemon.taking_over):
-                    if self.chance.random() < 0.5:
-                        self._take_over(daemon, table)
+                for table in list(daemon.pulling):
+                    if self.rng.random() < 0.5:
+                        self._pull_history(daemon, table)
 
-    def _pick(self, items: list, share: float) -> list:
-        picked = [item for item in items if self.chance.random() < share]
+    def _pop_random(self, items: list, share: float) -> list:
+        picked = [item for item in items if self.rng.random() < share]
         items[:] = [item for item in items if item not in picked]
         return picked
 
-    def _boot(self, name: str) -> None:
+    def _start_daemon(self, name: str) -> None:
         self._serial += 1
-        node = build_node(self.clock, f"{name}.{self._serial}.1")
-        self.daemons.append(Daemon(name, node))
-        self.leases[node.ownership.member] = self.clock.now_ms() + LEASE_MS
+        manager = build_manager(self.clock, f"{name}.{self._serial}.1")
+        self.daemons.append(Daemon(name, manager))
+        self.leases[manager.ownership.member] = self.clock.now_ms() + LEASE_MS
 
-    def _disturb(self) -> None:
-        kind = self.chance.choice(("kill", "restart", "cut", "cut", "heal", "hand over"))
+    def _inject_fault(self) -> None:
+        kind = self.rng.choice(("kill", "restart", "cut", "cut", "heal", "hand over"))
         self.counts[kind] += 1
         names = [daemon.name for daemon in self.daemons]
         if kind == "kill" and len(names) > 1:
-            self.daemons.remove(self.chance.choice(self.daemons))
+            self.daemons.remove(self.rng.choice(self.daemons))
         elif kind == "restart":
             missing = sorted(set(self.names) - set(names))
             if missing:
-                self._boot(missing[0])
+                self._start_daemon(missing[0])
         elif kind == "cut":
-            self.cut.add(frozenset((self.chance.choice(names), self.chance.choice((*names, "s")))))
+            self.partitioned.add(
+                frozenset((self.rng.choice(names), self.rng.choice((*names, "s"))))
+            )
         elif kind == "heal":
-            self.cut.clear()
+            self.partitioned.clear()
         elif kind == "hand over":
-            daemon = self.chance.choice(self.daemons)
+            daemon = self.rng.choice(self.daemons)
             live = [id_ for id_ in daemon.listed if self._is_live(id_)]
-            self._write(daemon, daemon.node.ownership.plan_handover(live, leave=True))
+            self._write(daemon, daemon.manager.ownership.plan_handover(live, leave=True))
 
     # Store
 
@@ -181,12 +196,12 @@
         return self.leases.get(id_, 0.0) > self.clock.now_ms()
 
     def _write(self, daemon: Daemon, table: OwnerTable | None) -> None:
-        if table is not None and daemon.node.ownership.table_version == self.version:
+        if table is not None and daemon.manager.ownership.table_version == self.version:
             self.table, self.version = table, self.version + 1
 
-    def _visit_store(self, daemon: Daemon) -> None:
-        node, ownership, now_ms = daemon.node, daemon.node.ownership, self.clock.now_ms()
-        if frozenset((daemon.name, "s")) not in self.cut:
+    def _sync_with_store(self, daemon: Daemon) -> None:
+        manager, ownership, now_ms = daemon.manager, daemon.manager.ownership, self.clock.now_ms()
+        if frozenset((daemon.name, "s")) not in self.partitioned:
             if now_ms - daemon.renewed_ms > LEASE_MS / 3:
                 daemon.renewed_ms = now_ms
                 if not self._is_live(daemon.id):
@@ -194,7 +209,7 @@
                     ownership.join(f"{prefix}.{int(session) + 1}", sent_ms=now_ms)
                 self.leases[daemon.id] = now_ms + LEASE_MS
                 ownership.record_renewal(sent_ms=now_ms)
-            if self.chance.random() < 0.5:
+            if self.rng.random() < 0.5:
                 daemon.listed_ms = now_ms
                 daemon.listed = frozenset(id_ for id_ in self.leases if self._is_live(id_))
                 ownership.observe(self.table, self.version)
@@ -202,7 +217,7 @@
                     self._write(daemon, ownership.plan_claims(GROUPS, daemon.listed))
                     ownership.observe(self.table, self.version)
         names = {id_.split(".")[0] for id_ in daemon.listed}
-        daemon.taking_over += node.reconcile(
+        daemon.pulling += manager.reconcile(
             daemon.listed,
             listed_ms=daemon.listed_ms,
             is_retired=lambda process: process.split(".")[0] in names,
@@ -212,107 +227,108 @@
 
     def _send(self, source: Daemon, process: str, call: Callable[[Daemon], Any]) -> Any:
         target = next((item for item in self.daemons if process_of(item.id) == process), None)
-        if target is None or frozenset((source.name, target.name)) in self.cut:
+        if target is None or frozenset((source.name, target.name)) in self.partitioned:
             return None
         if target is source:
             return call(target)
-        fate = self.chance.random()
-        if fate < 0.05:
+        draw = self.rng.random()
+        if draw < 0.05:
             return None
-        if fate < 0.12:
-            self.late.append(lambda: call(target) if target in self.daemons else None)
+        if draw < 0.12:
+            self.delayed_calls.append(lambda: call(target) if target in self.daemons else None)
             return None
         reply = call(target)
-        return None if fate < 0.18 else reply
+        return None if draw < 0.18 else reply
 
-    def _take_over(self, daemon: Daemon, table: PermitTable) -> None:
-        node = daemon.node
+    def _pull_history(self, daemon: Daemon, table: PermitTable) -> None:
+        manager = daemon.manager
         if table.is_superseded:
-            daemon.taking_over.remove(table)
+            daemon.pulling.remove(table)
             return
         pull = PullPermits(group=table.group, epoch=table.epoch)
-        table.history.record_coverage(node.covered_ms())
+        table.history.record_coverage(manager.covered_ms())
         for process in sorted(table.history.missing()):
-            reply = self._send(daemon, process, lambda to: to.node.answer_pull(pull))
+            reply = self._send(daemon, process, lambda to: to.manager.answer_pull(pull))
             if reply is not None:
-                node.record_pull(table, reply)
+                manager.record_pull(table, reply)
         table.ready = True
         if table.check_history() and not table.history.missing():
-            daemon.taking_over.remove(table)
+            daemon.pulling.remove(table)
 
     def _copy(
-        self, request: Request, owner: Daemon, table: PermitTable, first: CopyFirst, alone: bool
+        self, request: Request, owner: Daemon, table: PermitTable, first: CopyFirst, was_alone: bool
     ) -> None:
         if owner not in self.daemons:
             return
-        message = owner.node.take_copies(table, (first.record,))
+        message = owner.manager.take_copies(table, (first.record,))
         copied = False
         others = sorted(process_of(id_) for id_ in owner.listed if id_ != owner.id)
-        for process in self.chance.sample(others, len(others)):
-            reply = self._send(owner, process, lambda to: to.node.receive_copies(message))
+        for process in self.rng.sample(others, len(others)):
+            reply = self._send(owner, process, lambda to: to.manager.receive_copies(message))
             if reply is not None and not reply.accepted:
-                owner.node.copies.announce(table.group, reply.epoch)
+                owner.manager.copies.announce(table.group, reply.epoch)
             if reply is not None and reply.accepted:
                 copied = True
                 break
-        reply = owner.node.conclude(table, first.record, copied=copied, was_alone=alone)
-        if request.entry is owner or self.chance.random() < 0.9:
-            self._answer(request, reply)
+        reply = owner.manager.conclude(table, first.record, copied=copied, was_alone=was_alone)
+        if request.entry is owner or self.rng.random() < 0.9:
+            self._handle_reply(request, reply)
 
     # Requests
 
-    def _request(self) -> None:
-        entry = self.chance.choice(self.daemons)
-        group = self.chance.choice(GROUPS)
-        kind = self.chance.choice(tuple(KeyKind))
-        key = f"{kind.value}/{group}/{self.chance.randrange(3)}"
+    def _create_request(self) -> None:
+        entry = self.rng.choice(self.daemons)
+        group = self.rng.choice(GROUPS)
+        kind = self.rng.choice(tuple(KeyKind))
+        key = f"{kind.value}/{group}/{self.rng.randrange(3)}"
         self._serial += 1
         message = build_acquire(key, f"t{self._serial}", group=group, kind=kind)
         self.requests.append(Request(entry, message, self.clock.now_ms()))
 
-    def _ask(self, request: Request, call: Callable[[Daemon], Any]) -> Any:
-        owner = request.entry.node.ownership.owner_of(request.message.group)
+    def _send_to_owner(self, request: Request, call: Callable[[Daemon], Any]) -> Any:
+        owner = request.entry.manager.ownership.owner_of(request.message.group)
         return self._send(request.entry, process_of(owner), call)
 
-    def _advance(self, request: Request) -> None:
+    def _advance_request(self, request: Request) -> None:
         now_ms = self.clock.now_ms()
         if request.entry not in self.daemons:
             return
         if request.granted:
             settle = build_settle(request.message, request.outcome)
-            if now_ms >= request.end_ms and self.chance.random() < 0.8:
-                if self._ask(request, lambda to: to.node.settle(settle)) is not None:
+            if now_ms >= request.end_ms and self.rng.random() < 0.8:
+                if self._send_to_owner(request, lambda to: to.manager.settle(settle)) is not None:
                     return
-                request.tries += 1
-            if request.tries < 6:
+                request.attempts += 1
+            if request.attempts < 6:
                 self.requests.append(request)
             return
         left_ms = request.sent_ms + DEADLINE_MS - now_ms
-        if left_ms <= 0 or request.tries >= 4:
-            self._ask(
-                request, lambda to: to.node.settle(build_settle(request.message, Outcome.REFUSED))
+        if left_ms <= 0 or request.attempts >= 4:
+            self._send_to_owner(
+                request,
+                lambda to: to.manager.settle(build_settle(request.message, Outcome.REFUSED)),
             )
             return
-        request.tries += 1
+        request.attempts += 1
         message = attrs.evolve(request.message, hold_ms=left_ms + MAX_RUN_MS)
-        reply = self._ask(request, lambda to: self._decide(request, to, message))
+        reply = self._send_to_owner(request, lambda to: self._decide(request, to, message))
         if reply is None or reply.verdict in (Verdict.NOT_OWNER, Verdict.NO_COPY):
             self.requests.append(request)
         else:
-            self._answer(request, reply)
+            self._handle_reply(request, reply)
 
     def _decide(
         self, request: Request, owner: Daemon, message: AcquirePermit
     ) -> PermitReply | None:
-        alone = owner.node.is_alone
-        decision = owner.node.decide(message)
+        was_alone = owner.manager.is_alone
+        decision = owner.manager.decide(message)
         if isinstance(decision, PermitReply):
             return decision
-        table = owner.node.tables[message.group]
-        self.deciding.append((request, owner, table, decision, alone))
+        table = owner.manager.tables[message.group]
+        self.pending_copies.append((request, owner, table, decision, was_alone))
         return None
 
-    def _answer(self, request: Request, reply: PermitReply) -> None:
+    def _handle_reply(self, request: Request, reply: PermitReply) -> None:
         self.counts[reply.verdict.value] += 1
         now_ms = self.clock.now_ms()
         is_late = now_ms >= request.sent_ms + DEADLINE_MS or request not in self.requests
@@ -320,20 +336,20 @@
             return
         if request.entry not in self.daemons:
             return
-        request.granted, request.tries, request.end_ms = True, 0, now_ms
-        if self.chance.random() < 0.2:
+        request.granted, request.attempts, request.end_ms = True, 0, now_ms
+        if self.rng.random() < 0.2:
             request.outcome = Outcome.REFUSED
             return
         self.counts["run"] += 1
-        request.end_ms += self.chance.uniform(0.0, MAX_RUN_MS)
-        self._check(request, now_ms)
+        request.end_ms += self.rng.uniform(0.0, MAX_RUN_MS)
+        self._check_run(request, now_ms)
 
-    def _check(self, request: Request, now_ms: float) -> None:
+    def _check_run(self, request: Request, now_ms: float) -> None:
         key = request.message.key
         runs = self.runs.setdefault(key, [])
         for sent_ms, end_ms in runs:
             is_exclusive = request.message.kind is KeyKind.EXCLUSIVE
             is_double = now_ms < end_ms if is_exclusive else now_ms - sent_ms < WINDOW_MS
             if is_double:
-                self.doubled.append(f"{key} at {now_ms:.0f} ms")
+                self.double_runs.append(f"{key} at {now_ms:.0f} ms")
         runs.append((request.sent_ms, request.end_ms))
--- a/coltsfootpier/permits/tests/test_process.py
+++ b/coltsfootpier/permits/tests/test_process.py
@@ -1,4 +1,4 @@
-"""Permits with daemons as processes."""
+"""Tests of permits with daemons that run as processes."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from standins.cluster import Answer, Cluster, call, read_store, wait_for
 
 ZONES = ("zone-a", "zone-b", "zone-c")
-TEXT = """
+DECLARATION = """
 [team a]
 cores = 64
 memory_mb = 64000
@@ -35,8 +35,8 @@
 
 async def _send(cluster: Cluster, entry: str, kind: str, **headers: str) -> Answer:
     port = cluster.daemons[entry].ports["callers"]
-    named = {name.replace("_", "-"): value for name, value in headers.items()}
-    answer = await call(port, "POST", f"/services/web/{kind}", body=b"x", headers=named)
+    wire_headers = {name.replace("_", "-"): value for name, value in headers.items()}
+    answer = await call(port, "POST", f"/services/web/{kind}", body=b"x", headers=wire_headers)
     assert answer is not None, f"no answer from {entry}"
     return answer
 
@@ -62,12 +62,12 @@
     cluster.start_platform()
     for index in range(2):
         await cluster.start_worker(f"worker-{index}", ZONES[index])
-    # The first daemon is alone for a while, as after an installation.
+    # The first daemon is the only member for a while, as after an installation.
     for index, zone in enumerate(ZONES):
         cluster.start_daemon(f"entry-{index}", zone)
         await cluster.wait_ready()
     path = Path(cluster.folder / "text.ini")
-    path.write_text(TEXT)
+    path.write_text(DECLARATION)
     operators = cluster.daemons["entry-0"].ports["operators"]
     result = cluster.run_tool("apply", str(path), f"--daemon=127.0.0.1:{operators}")
     assert result.returncode == 0, result.stderr
@@ -84,8 +84,8 @@
 
 
 class PermitProcessTest(unittest.TestCase):
-    def test_key_runs_once_over_entry_vms_and_the_death_of_its_owner(self) -> None:
-        """Guards against a second run through another entry VM or after the owner was killed."""
+    def test_key_runs_once_across_entry_vms_and_owner_failure(self) -> None:
+        """Guards against running a key twice, through another entry VM or after its owner died."""
         anyio.run(self._run)
 
     async def _run(self) -> None:
--- a/coltsfootpier/permits/tests/test_table.py
+++ b/coltsfootpier/permits/tests/test_table.py
@@ -1,4 +1,4 @@
-"""Tests of the owner of a key group and of the copies for others."""
+"""Tests of permit tables of key group owners and of the copies on peers."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 from coltsfootpier.permits.tests.builders import (
     WINDOW_MS,
     build_acquire,
-    build_node,
+    build_manager,
     build_settle,
 )
 from coltsfootpier.routing import Outcome
@@ -30,132 +30,132 @@
 OWNER, PEER, THIRD = "n1.a.1", "n2.b.1", "n3.c.1"
 
 
-def _observe(node: PermitNode, *members: str) -> list[PermitTable]:
-    # The listing never gets old in these tests.
-    return node.reconcile(members, listed_ms=float("inf"), is_retired=lambda _: False)
+def _reconcile(manager: PermitNode, *members: str) -> list[PermitTable]:
+    # An infinite time keeps the listing from becoming outdated.
+    return manager.reconcile(members, listed_ms=float("inf"), is_retired=lambda _: False)
 
 
-def _own(node: PermitNode, epoch: int, *others: str) -> PermitTable:
-    member = node.ownership.member
-    node.ownership.observe(OwnerTable({"keys/0": Ownership(member, epoch)}), epoch)
-    (table,) = _observe(node, member, *others)
+def _take_ownership(manager: PermitNode, epoch: int, *others: str) -> PermitTable:
+    member = manager.ownership.member
+    manager.ownership.observe(OwnerTable({"keys/0": Ownership(member, epoch)}), epoch)
+    (table,) = _reconcile(manager, member, *others)
     table.ready = True
     return table
 
 
-def _acquire(node: PermitNode, **changes: object) -> PermitReply:
+def _acquire(manager: PermitNode, **changes: object) -> PermitReply:
     request = build_acquire(**changes)
-    was_alone = node.is_alone
-    decision = node.decide(request)
+    was_alone = manager.is_alone
+    decision = manager.decide(request)
     if isinstance(decision, CopyFirst):
-        table = node.tables[request.group]
-        return node.conclude(table, decision.record, copied=True, was_alone=was_alone)
+        table = manager.tables[request.group]
+        return manager.conclude(table, decision.record, copied=True, was_alone=was_alone)
     return decision
 
 
 class PermitTableTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = VirtualClock()
-        self.node = build_node(self.clock, OWNER)
-        self.table = _own(self.node, 1, PEER)
+        self.manager = build_manager(self.clock, OWNER)
+        self.table = _take_ownership(self.manager, 1, PEER)
 
     def test_repeat_gets_the_recorded_outcome(self) -> None:
-        """Guards against a second run, and against a lost outcome."""
+        """Guards against running a request twice, and against losing its outcome."""
         request = build_acquire()
-        self.assertIs(_acquire(self.node).verdict, Verdict.GRANTED)
-        repeat = _acquire(self.node, token="t2")
+        self.assertIs(_acquire(self.manager).verdict, Verdict.GRANTED)
+        repeat = _acquire(self.manager, token="t2")
         self.assertEqual((repeat.verdict, repeat.outcome), (Verdict.KNOWN, Outcome.UNKNOWN))
-        self.node.settle(build_settle(request, Outcome.FAILED))
-        repeat = _acquire(self.node, token="t2")
+        self.manager.settle(build_settle(request, Outcome.FAILED))
+        repeat = _acquire(self.manager, token="t2")
         self.assertEqual((repeat.verdict, repeat.outcome), (Verdict.KNOWN, Outcome.FAILED))
         self.assertEqual(repeat.status, 200)
 
-    def test_refused_outcome_frees_the_key_for_its_own_token_only(self) -> None:
-        """Guards against a key that stays blocked, or that a late message frees."""
-        _acquire(self.node)
-        self.node.settle(build_settle(build_acquire(token="other"), Outcome.REFUSED))
-        self.assertIs(_acquire(self.node, token="t2").verdict, Verdict.KNOWN)
-        self.node.settle(build_settle(build_acquire(), Outcome.REFUSED))
-        self.assertIs(_acquire(self.node, token="t2").verdict, Verdict.GRANTED)
-
-    def test_different_request_with_a_known_key_is_refused(self) -> None:
-        """Guards against an answer to a request that the caller did not send."""
-        _acquire(self.node, fingerprint="a")
-        reply = _acquire(self.node, token="t2", fingerprint="b")
+    def test_refused_outcome_frees_the_key_of_its_own_token_only(self) -> None:
+        """Guards against a key that stays blocked, or that another request's message frees."""
+        _acquire(self.manager)
+        self.manager.settle(build_settle(build_acquire(token="other"), Outcome.REFUSED))
+        self.assertIs(_acquire(self.manager, token="t2").verdict, Verdict.KNOWN)
+        self.manager.settle(build_settle(build_acquire(), Outcome.REFUSED))
+        self.assertIs(_acquire(self.manager, token="t2").verdict, Verdict.GRANTED)
+
+    def test_different_request_with_a_known_key_is_rejected(self) -> None:
+        """Guards against responding with the outcome of a different request."""
+        _acquire(self.manager, fingerprint="a")
+        reply = _acquire(self.manager, token="t2", fingerprint="b")
         self.assertIs(reply.verdict, Verdict.MISMATCH)
 
-    def test_exclusive_key_stays_locked_until_the_longest_run_is_over(self) -> None:
-        """Guards against two runs at once after an unknown outcome."""
+    def test_exclusive_key_stays_locked_for_the_maximum_run_time(self) -> None:
+        """Guards against two concurrent runs after an unknown outcome."""
         first = build_acquire(kind=KeyKind.EXCLUSIVE, hold_ms=10_000.0)
-        _acquire(self.node, kind=KeyKind.EXCLUSIVE, hold_ms=10_000.0)
-        self.node.settle(build_settle(first, Outcome.UNKNOWN))
+        _acquire(self.manager, kind=KeyKind.EXCLUSIVE, hold_ms=10_000.0)
+        self.manager.settle(build_settle(first, Outcome.UNKNOWN))
         self.clock.advance(10_500.0)
-        reply = _acquire(self.node, kind=KeyKind.EXCLUSIVE, token="t2")
+        reply = _acquire(self.manager, kind=KeyKind.EXCLUSIVE, token="t2")
         self.assertIs(reply.verdict, Verdict.BUSY)
         self.clock.advance(600.0)
-        reply = _acquire(self.node, kind=KeyKind.EXCLUSIVE, token="t2")
+        reply = _acquire(self.manager, kind=KeyKind.EXCLUSIVE, token="t2")
         self.assertIs(reply.verdict, Verdict.GRANTED)
 
     def test_grant_needs_a_copy_unless_the_store_lists_no_other_member(self) -> None:
-        """Guards against a grant that the death of one daemon makes forgotten."""
-        decision = self.node.decide(build_acquire())
-        reply = self.node.conclude(
-            self.table, decision.record, copied=False, was_alone=self.node.is_alone
+        """Guards against grants that are lost when one daemon fails."""
+        decision = self.manager.decide(build_acquire())
+        reply = self.manager.conclude(
+            self.table, decision.record, copied=False, was_alone=self.manager.is_alone
         )
         self.assertIs(reply.verdict, Verdict.NO_COPY)
-        _observe(self.node, OWNER)
-        self.assertTrue(self.node.is_alone)
-        self.node.ownership.lose_lease()
-        self.assertFalse(self.node.is_alone)
-
-    def test_request_that_may_outlast_the_window_is_refused(self) -> None:
-        """Guards against a run that a later owner can't know of."""
-        self.assertIs(_acquire(self.node, hold_ms=WINDOW_MS).verdict, Verdict.TOO_LONG)
-
-    def test_full_table_refuses_and_keeps_what_it_holds(self) -> None:
-        """Guards against unbounded memory and against evicting a key within its window."""
-        node = build_node(self.clock, OWNER, capacity=2)
-        _own(node, 1, PEER)
+        _reconcile(self.manager, OWNER)
+        self.assertTrue(self.manager.is_alone)
+        self.manager.ownership.lose_lease()
+        self.assertFalse(self.manager.is_alone)
+
+    def test_request_that_may_outlast_the_window_is_rejected(self) -> None:
+        """Guards against a run that a later owner's history doesn't cover."""
+        self.assertIs(_acquire(self.manager, hold_ms=WINDOW_MS).verdict, Verdict.TOO_LONG)
+
+    def test_full_table_rejects_new_keys_and_evicts_none(self) -> None:
+        """Guards against unbounded memory use and against evicting a key within its window."""
+        manager = build_manager(self.clock, OWNER, capacity=2)
+        _take_ownership(manager, 1, PEER)
         for key in ("a", "b"):
-            self.assertIs(_acquire(node, key=key).verdict, Verdict.GRANTED)
-        self.assertIs(_acquire(node, key="c").verdict, Verdict.FULL)
-        self.assertIs(_acquire(node, key="a", token="t2").verdict, Verdict.KNOWN)
+            self.assertIs(_acquire(manager, key=key).verdict, Verdict.GRANTED)
+        self.assertIs(_acquire(manager, key="c").verdict, Verdict.FULL)
+        self.assertIs(_acquire(manager, key="a", token="t2").verdict, Verdict.KNOWN)
         self.clock.advance(WINDOW_MS + 1)
-        self.assertIs(_acquire(node, key="c").verdict, Verdict.GRANTED)
+        self.assertIs(_acquire(manager, key="c").verdict, Verdict.GRANTED)
 
-    def test_second_grant_of_a_key_breaks_an_invariant(self) -> None:
-        """Guards against a fault of the table that goes unnoticed."""
-        _acquire(self.node)
-        record = attrs.evolve(self.node.copies.find("keys/0", "k"), token="t2", serial=99)
-        self.node.copies.store("keys/0", record)
+    def test_second_grant_of_a_key_raises(self) -> None:
+        """Guards against a double grant that goes undetected."""
+        _acquire(self.manager)
+        record = attrs.evolve(self.manager.copies.get("keys/0", "k"), token="t2", serial=99)
+        self.manager.copies.store("keys/0", record)
         with self.assertRaises(DoubleGrantError):
             self.table.confirm(record)
 
 
-class TakeOverTest(unittest.TestCase):
+class OwnerChangeTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = VirtualClock()
-        self.old = build_node(self.clock, OWNER)
-        self.new = build_node(self.clock, PEER)
-        self.old_table = _own(self.old, 1, PEER, THIRD)
+        self.old = build_manager(self.clock, OWNER)
+        self.new = build_manager(self.clock, PEER)
+        self.old_table = _take_ownership(self.old, 1, PEER, THIRD)
 
     def _pull(self) -> None:
         reply = self.old.answer_pull(PullPermits(group="keys/0", epoch=2))
         self.new.record_pull(self.new.tables["keys/0"], reply)
 
-    def test_new_owner_knows_the_keys_of_the_previous_one(self) -> None:
-        """Guards against a second run after a change of the owner."""
+    def test_new_owner_knows_the_keys_of_the_previous_owner(self) -> None:
+        """Guards against running a key twice after a change of the owner."""
         _acquire(self.old)
-        _own(self.new, 2, OWNER, THIRD)
+        _take_ownership(self.new, 2, OWNER, THIRD)
         self._pull()
         self.assertIs(_acquire(self.new, token="t2").verdict, Verdict.KNOWN)
         self.assertIs(_acquire(self.new, key="fresh").verdict, Verdict.GRANTED)
 
-    def test_previous_owner_is_fenced_off(self) -> None:
-        """Guards against two owners that grant one key."""
+    def test_previous_owner_is_fenced(self) -> None:
+        """Guards against two owners that grant the same key."""
         decision = self.old.decide(build_acquire())
         message = self.old.take_copies(self.old_table, (decision.record,))
-        _own(self.new, 2, OWNER, THIRD)
+        _take_ownership(self.new, 2, OWNER, THIRD)
         reply = self.new.receive_copies(message)
         self.assertEqual((reply.accepted, reply.epoch), (False, 2))
         self._pull()
@@ -163,43 +163,43 @@
         self.assertIs(reply.verdict, Verdict.NOT_OWNER)
 
     def test_unknown_key_is_not_granted_while_the_history_is_incomplete(self) -> None:
-        """Guards against a second run of a key whose holders did not answer."""
-        _own(self.new, 2, OWNER, THIRD)
+        """Guards against running a key twice because the daemons that know it didn't respond."""
+        _take_ownership(self.new, 2, OWNER, THIRD)
         self.assertIs(_acquire(self.new).verdict, Verdict.INCOMPLETE)
         self.clock.advance(WINDOW_MS + 10_001)
         self.new.ownership.record_renewal(sent_ms=self.clock.now_ms())
-        _observe(self.new, PEER, OWNER, THIRD)
+        _reconcile(self.new, PEER, OWNER, THIRD)
         table = self.new.tables["keys/0"]
         table.history.record_coverage(self.new.covered_ms())
         self.assertIs(_acquire(self.new).verdict, Verdict.INCOMPLETE)
-        # A grant has two holders, so that one that is missing hides nothing.
-        pulled = build_node(self.clock, THIRD).answer_pull(PullPermits(group="keys/0", epoch=2))
+        # Two daemons hold each grant, so one missing daemon hides none.
+        pulled = build_manager(self.clock, THIRD).answer_pull(PullPermits(group="keys/0", epoch=2))
         self.new.record_pull(table, pulled)
         self.assertIs(_acquire(self.new).verdict, Verdict.GRANTED)
 
     def test_time_of_grants_without_a_copy_is_not_covered(self) -> None:
-        """Guards against a new owner that trusts a witness of grants that had no copy."""
-        node = build_node(self.clock, OWNER)
-        _observe(node, OWNER)
+        """Guards against a new owner that relies on coverage despite grants without a copy."""
+        manager = build_manager(self.clock, OWNER)
+        _reconcile(manager, OWNER)
         self.clock.advance(1.0)
-        _own(node, 1)
-        self.assertGreater(node.covered_ms(), WINDOW_MS)
-        decision = node.decide(build_acquire())
-        reply = node.conclude(
-            node.tables["keys/0"], decision.record, copied=False, was_alone=node.is_alone
+        _take_ownership(manager, 1)
+        self.assertGreater(manager.covered_ms(), WINDOW_MS)
+        decision = manager.decide(build_acquire())
+        reply = manager.conclude(
+            manager.tables["keys/0"], decision.record, copied=False, was_alone=manager.is_alone
         )
         self.assertIs(reply.verdict, Verdict.GRANTED)
-        self.assertEqual(node.covered_ms(), 0.0)
+        self.assertEqual(manager.covered_ms(), 0.0)
 
-    def test_later_record_wins_whatever_the_order_of_arrival(self) -> None:
-        """Guards against a delayed copy that brings a freed key back, or frees a used one."""
+    def test_later_record_wins_in_any_order_of_arrival(self) -> None:
+        """Guards against a delayed copy that blocks a freed key, or frees a held one."""
         decision = self.old.decide(build_acquire())
         grant = self.old.take_copies(self.old_table, (decision.record,))
         self.old.conclude(self.old_table, decision.record, copied=True, was_alone=False)
         self.old.settle(build_settle(build_acquire(), Outcome.REFUSED))
         self.new.receive_copies(self.old.take_copies(self.old_table, ()))
         self.new.receive_copies(grant)
-        self.assertIs(self.new.copies.find("keys/0", "k").state, RecordState.FREE)
+        self.assertIs(self.new.copies.get("keys/0", "k").state, RecordState.FREE)
 
 
 if __name__ == "__main__":
--- a/coltsfootpier/routing/_router.py
+++ b/coltsfootpier/routing/_router.py
@@ -447,7 +447,7 @@
         service.busy[ticket.team, ticket.kind] += 1
         if len(slots.grants) > runner.slots:
             raise SlotOverrunError(
-                f"runner {runner.id}: {len(slots.grants)} grants, {runner.slots} slots"
+                f"runner {runner.id} has {len(slots.grants)} grants but only {runner.slots} slots"
             )
         self.health.record_request_sent(runner.id)
         return Grant(runner=runner, owner=self._member, token=self._last_token, kind=ticket.kind)
@@ -523,5 +523,7 @@
     @staticmethod
     def _change_state(ticket: Ticket, state: TicketState) -> None:
         if ticket.state not in (TicketState.NEW, TicketState.WAITING):
-            raise TicketSettledError(f"ticket is {ticket.state.value}, would be {state.value}")
+            raise TicketSettledError(
+                f"ticket in state {ticket.state.value} can't change to {state.value}"
+            )
         ticket.state = state
