Reword the worker, backend server and membership packages

Doc comments and private names were vague ("heard", "silent", "lags"). They now say what happens in the usual terms.

--- a/coltsfootpier/backend_servers/__init__.py
+++ b/coltsfootpier/backend_servers/__init__.py
@@ -1,4 +1,4 @@
-"""Backend servers: the runners that answer callers' requests."""
+"""Client of backend servers, the runners that serve callers' requests."""
 
 from coltsfootpier.backend_servers._client import WHOLE_BODY_BYTES, Answer, NotStarted, RunnerPool
 
--- a/coltsfootpier/backend_servers/_client.py
+++ b/coltsfootpier/backend_servers/_client.py
@@ -1,4 +1,4 @@
-"""Connections to runners, bounded for each runner."""
+"""Connections to runners, limited in number for each runner."""
 
 from __future__ import annotations
 
@@ -11,16 +11,16 @@
 from coltsfootpier.routing import Runner
 from coltsfootpier.transport import BodyStream, CallError, Channel, Upload, split_address
 
-# A connection that was idle for longer may have gone silent; requests that must not run
-# twice don't try it.
-_FRESH_MS = 500.0
-# Idempotent requests can be sent again, so they may use connections that idled for longer.
-_REUSE_MS = 5_000.0
-# Larger bodies are streamed through, so that a request holds no more memory than this in each
-# direction, buffers of the connections aside.
+# Longest idle time of a connection for requests that must not run twice. A connection that was
+# idle for longer may no longer work.
+_MAX_IDLE_MS = 500.0
+# Longest idle time of a connection for idempotent requests, which can be sent again.
+_MAX_IDLE_RETRYABLE_MS = 5_000.0
+# Larger bodies are streamed, so that a request uses at most this much memory in each direction,
+# apart from the buffers of its connections.
 WHOLE_BODY_BYTES = 262_144
-# Headers that hold for the connection to the runner only, or that the daemon sets itself.
-_HOP_HEADERS = frozenset(
+# Headers that apply only to the connection to the runner, or that the daemon sets itself.
+_HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
         b"content-length",
@@ -36,16 +36,16 @@
 
 @attrs.frozen
 class Answer:
-    """A runner's whole answer.
+    """Response of a runner.
 
     Parameters
     ----------
     leaving : bool
-        Whether the runner said that it leaves.
+        Whether the runner reported that it is shutting down.
     rest : BodyStream, optional
-        The rest of a large body, which must be read or closed.
+        Remainder of a large body, which must be read or closed.
     length : int, optional
-        Declared length of a body with a rest.
+        Value of the response's ``content-length`` header.
     """
 
     status: int
@@ -58,23 +58,23 @@
 
 @attrs.frozen
 class NotStarted:
-    """The runner refused the request before it started it."""
+    """Rejection of a request by the runner before it started the request."""
 
     reason: str
     leaving: bool = False
 
 
 class RunnerPool:
-    """Connections to all runners.
+    """Pool of connections to all runners.
 
     Parameters
     ----------
     clock : Clock
         Time source.
     entry_vms : int
-        Most entry VMs at once; each takes its part of a runner's connections.
+        Maximum number of entry VMs. Each entry VM uses an equal part of a runner's connections.
     max_body : int
-        Largest accepted answer body in bytes.
+        Maximum size of an accepted response body in bytes.
     """
 
     def __init__(self, *, clock: Clock, entry_vms: int, max_body: int) -> None:
@@ -82,17 +82,17 @@
         self._entry_vms = entry_vms
         self._max_body = max_body
         self._channels: dict[str, Channel] = {}
-        self._group: TaskGroup | None = None
+        self._task_group: TaskGroup | None = None
 
     async def run(self) -> None:
-        """Own the connections until cancelled."""
-        async with anyio.create_task_group() as self._group:
+        """Manage the connections until cancelled."""
+        async with anyio.create_task_group() as self._task_group:
             await anyio.sleep_forever()
 
     def retain(self, runners: list[Runner]) -> None:
-        """Close the connections of runners that are not in the list, after their answers."""
-        known = {runner.id for runner in runners}
-        for id_ in self._channels.keys() - known:
+        """Close the connections to all other runners once their pending responses are received."""
+        known_ids = {runner.id for runner in runners}
+        for id_ in self._channels.keys() - known_ids:
             self._channels.pop(id_).close()
 
     async def send(
@@ -106,18 +106,20 @@
         timeout_ms: float,
         repeatable: bool,
     ) -> Result[Answer, CallError | NotStarted]:
-        """Send one request to a runner and wait for its whole answer.
+        """Send one request to a runner and wait for its response.
+
+        A body of more than `WHOLE_BODY_BYTES` is returned in part, with the remainder as a stream.
 
         Parameters
         ----------
         runner : Runner
-            Where to send it; the caller holds a grant for it.
+            Runner to send the request to; the calling code must hold a grant for it.
         method, target, headers, body : str, str, tuple, bytes or Upload
             The request.
         timeout_ms : float
-            Time allowed.
+            Timeout in milliseconds.
         repeatable : bool
-            Whether the request may be sent again if it gets no answer.
+            Whether the request may be sent again if there is no response.
 
         Returns
         -------
@@ -129,7 +131,7 @@
             headers=headers,
             body=body,
             timeout_ms=timeout_ms,
-            max_idle_ms=_REUSE_MS if repeatable else _FRESH_MS,
+            max_idle_ms=_MAX_IDLE_RETRYABLE_MS if repeatable else _MAX_IDLE_MS,
             stream_over=WHOLE_BODY_BYTES,
         )
         if isinstance(sent, Failure):
@@ -140,10 +142,14 @@
             if reply.rest is not None:
                 reply.rest.close()
             return Failure(NotStarted(reply.body.decode("utf-8", "replace")[:200], leaving))
-        kept = tuple(pair for pair in reply.headers if pair[0] not in _HOP_HEADERS)
+        end_to_end_headers = tuple(
+            pair for pair in reply.headers if pair[0] not in _HOP_BY_HOP_HEADERS
+        )
         declared = reply.header(b"content-length")
         length = int(declared) if declared else None
-        return Success(Answer(reply.status, kept, reply.body, leaving, reply.rest, length))
+        return Success(
+            Answer(reply.status, end_to_end_headers, reply.body, leaving, reply.rest, length)
+        )
 
     def _channel(self, runner: Runner) -> Channel:
         if runner.id not in self._channels:
@@ -156,5 +162,5 @@
                 max_body=self._max_body,
             )
             self._channels[runner.id] = channel
-            self._group.start_soon(channel.run)
+            self._task_group.start_soon(channel.run)
         return self._channels[runner.id]
--- a/coltsfootpier/membership/__init__.py
+++ b/coltsfootpier/membership/__init__.py
@@ -1,4 +1,4 @@
-"""Which daemons exist and which of them answer, and which VMs the platform lists."""
+"""Tables of daemons, with their reachability, and of the VMs that the platform lists."""
 
 from coltsfootpier.membership._table import Member, MemberTable
 from coltsfootpier.membership._vms import VmTable
--- a/coltsfootpier/membership/_table.py
+++ b/coltsfootpier/membership/_table.py
@@ -1,4 +1,4 @@
-"""Table of members from the store and from heartbeats."""
+"""Table of members, based on the store's listing and on heartbeats."""
 
 from __future__ import annotations
 
@@ -8,21 +8,21 @@
 
 from coltsfootpier.clock import Clock
 
-_MISSED_HEARTBEATS = 3
+_MAX_MISSED_HEARTBEATS = 3
 
 
 @attrs.frozen
 class Member:
-    """One daemon.
+    """Daemon that is a member of the cluster.
 
     Parameters
     ----------
     id : str
-        Identifier, new for each incarnation and each lease.
+        Identifier, which changes with each incarnation and each lease.
     name : str
         Name of the entry VM.
     availability_zone : str
-        Its availability zone.
+        Availability zone of the entry VM.
     peers_address, operators_address : str
         ``IP:PORT``.
     """
@@ -35,7 +35,10 @@
 
 
 class MemberTable:
-    """Members as the store lists them, with the time of their last heartbeat.
+    """Table of members, with the time of each member's last heartbeat.
+
+    It contains the members that the store lists, and members that the store doesn't list but
+    that respond to heartbeats.
 
     Parameters
     ----------
@@ -49,20 +52,21 @@
         self._clock = clock
         self._heartbeat_ms = heartbeat_ms
         self.members: dict[str, Member] = {}
-        self._heard_ms: dict[str, float] = {}
+        self._last_heartbeat_ms: dict[str, float] = {}
         self._listed: set[str] = set()
         self._leaving: set[str] = set()
 
     def observe_listing(self, members: Mapping[str, Member]) -> None:
-        """Take the members that the store lists.
+        """Update the table with the members that the store lists.
 
-        Members that have left the list stay while they answer, unless they said that they
-        leave: in an outage of the store the leases of all daemons end, and two daemons that
-        dropped each other would never meet again before the store is back.
+        Members that are no longer listed stay as long as they respond, unless they announced
+        that they are leaving. During an outage of the store the leases of all daemons expire,
+        and two daemons that removed each other couldn't find each other again until the store
+        is back.
         """
         now_ms = self._clock.now_ms()
         names = {member.name for member in members.values()}
-        heard = {
+        responding = {
             id_: member
             for id_, member in self.members.items()
             if id_ not in members
@@ -72,19 +76,22 @@
         }
         self._leaving &= self.members.keys() | members.keys()
         self._listed = set(members)
-        self.members = {**members, **heard}
-        self._heard_ms = {id_: self._heard_ms.get(id_, now_ms) for id_ in self.members}
+        self.members = {**members, **responding}
+        self._last_heartbeat_ms = {
+            id_: self._last_heartbeat_ms.get(id_, now_ms) for id_ in self.members
+        }
 
     def hear_member(self, member: Member) -> bool:
-        """Take a member that sent a heartbeat, also one that the store doesn't list.
+        """Record a heartbeat of a member, and add it if it is unknown.
 
-        A member of a VM that the store lists under another identifier is ignored while the
-        listed one answers; otherwise the newer incarnation replaces the older one.
+        Members that the store doesn't list are added too. If the store lists another member of
+        the same VM, the sender is ignored as long as that member responds; otherwise it replaces
+        the older incarnation. A member that announced that it is leaving is not added again.
 
         Returns
         -------
         bool
-            Whether the member was not known before.
+            Whether the member was added.
         """
         if member.id in self.members:
             self.record_heartbeat(member.id)
@@ -97,32 +104,32 @@
             if id_ in self._listed and not self.is_suspect(id_):
                 return False
             del self.members[id_]
-            self._heard_ms.pop(id_, None)
+            self._last_heartbeat_ms.pop(id_, None)
         self.members[member.id] = member
         self.record_heartbeat(member.id)
         return True
 
     def note_leaving(self, id_: str) -> None:
-        """Note that a member is about to stop; it is dropped once the store doesn't list it."""
+        """Mark a member that is shutting down, to remove it once the store doesn't list it."""
         self._leaving.add(id_)
 
     def forget_silent(self) -> bool:
-        """Remove suspect members that the store doesn't list; return whether there were any."""
-        silent = [id_ for id_ in self.members if id_ not in self._listed and self.is_suspect(id_)]
-        for id_ in silent:
+        """Remove suspected members that the store doesn't list, and return whether any were."""
+        suspects = [id_ for id_ in self.members if id_ not in self._listed and self.is_suspect(id_)]
+        for id_ in suspects:
             del self.members[id_]
-            self._heard_ms.pop(id_, None)
-        return bool(silent)
+            self._last_heartbeat_ms.pop(id_, None)
+        return bool(suspects)
 
     def record_heartbeat(self, id_: str) -> None:
-        """Note that a member answered just now."""
-        self._heard_ms[id_] = self._clock.now_ms()
+        """Record that a member has responded now."""
+        self._last_heartbeat_ms[id_] = self._clock.now_ms()
 
     def is_suspect(self, id_: str) -> bool:
-        """Whether a member has missed three heartbeats."""
-        silence_ms = self._clock.now_ms() - self._heard_ms.get(id_, float("-inf"))
-        return silence_ms > _MISSED_HEARTBEATS * self._heartbeat_ms
+        """Return whether a member has missed three heartbeats."""
+        silence_ms = self._clock.now_ms() - self._last_heartbeat_ms.get(id_, float("-inf"))
+        return silence_ms > _MAX_MISSED_HEARTBEATS * self._heartbeat_ms
 
     def reachable(self) -> list[str]:
-        """Return the identifiers of members that are not suspect."""
+        """Return the identifiers of the members that aren't suspected to have failed."""
         return [id_ for id_ in self.members if not self.is_suspect(id_)]
--- a/coltsfootpier/membership/_vms.py
+++ b/coltsfootpier/membership/_vms.py
@@ -1,4 +1,4 @@
-"""The platform's list of VMs over time."""
+"""Table of the VMs that the platform lists or has listed."""
 
 from __future__ import annotations
 
@@ -9,16 +9,16 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.platform import Vm
 
-# The list lags and may be incomplete for a moment, so a VM counts as gone only after it has
-# been missing for this long.
-_ABSENT_MS = 30_000.0
-# VMs that are gone are remembered, for owners that take a shard over later; the oldest are
-# dropped. At 160 replaced VMs a day this covers three days.
+# Time for which a VM must be missing from the list before it counts as gone. The list lags and
+# may be temporarily incomplete.
+_GONE_AFTER_MS = 30_000.0
+# Maximum number of gone VMs that are kept for daemons that become shard owners later; the oldest
+# ones are removed first. At 160 replaced VMs a day this covers three days.
 _MAX_GONE = 500
 
 
 class VmTable:
-    """VMs as listed, and as gone once they have left the list for good.
+    """Table of the listed VMs, and of those that are gone.
 
     Parameters
     ----------
@@ -27,26 +27,29 @@
 
     Notes
     -----
-    When more than half of the VMs vanish at once, the list is taken for faulty and none of
-    them counts as gone: a wrong "gone" would start tasks a second time.
+    If more than half of the VMs are missing, the list is assumed to be faulty and none of them
+    is marked as gone, because tasks of a VM wrongly marked as gone would be started a second
+    time.
     """
 
     def __init__(self, *, clock: Clock) -> None:
         self.vms: tuple[Vm, ...] = ()
         self._clock = clock
         self._known: dict[str, Vm] = {}
-        self._absent_ms: dict[str, float] = {}
+        self._absent_since_ms: dict[str, float] = {}
 
     def observe(self, listed: Iterable[Vm]) -> bool:
-        """Take a successful read of the list; return whether anything changed."""
+        """Update the table with the platform's list, and return whether the table changed."""
         found = {vm.name: vm for vm in listed}
         present = [vm for vm in self._known.values() if vm.state != "gone"]
         absent = [vm for vm in present if vm.name not in found]
         now_ms = self._clock.now_ms()
-        self._absent_ms = {vm.name: self._absent_ms.get(vm.name, now_ms) for vm in absent}
+        self._absent_since_ms = {
+            vm.name: self._absent_since_ms.get(vm.name, now_ms) for vm in absent
+        }
         if len(absent) * 2 <= len(present):
             for vm in absent:
-                if now_ms - self._absent_ms[vm.name] >= _ABSENT_MS:
+                if now_ms - self._absent_since_ms[vm.name] >= _GONE_AFTER_MS:
                     self._known.pop(vm.name)
                     self._known[vm.name] = attrs.evolve(vm, state="gone")
         self._known.update(found)
--- a/coltsfootpier/membership/tests/test_table.py
+++ b/coltsfootpier/membership/tests/test_table.py
@@ -18,8 +18,8 @@
         self.table = MemberTable(clock=self.clock, heartbeat_ms=1_000)
         self.table.observe_listing({"a.i.1": _build("a"), "b.i.1": _build("b")})
 
-    def test_member_that_answers_outlives_its_lease(self) -> None:
-        """Guards against daemons that lose each other when the store's leases end."""
+    def test_responding_member_outlives_its_lease(self) -> None:
+        """Guards against daemons that lose each other when their leases in the store expire."""
         self.table.hear_member(_build("a"))
         self.table.observe_listing({})
         self.assertIn("a.i.1", self.table.reachable())
@@ -27,14 +27,14 @@
         self.table.forget_silent()
         self.assertEqual(self.table.members, {})
 
-    def test_member_that_leaves_is_dropped_with_its_key(self) -> None:
-        """Guards against slots that are looked for at a daemon that has stopped."""
+    def test_leaving_member_is_removed_with_its_store_key(self) -> None:
+        """Guards against requests for slots to a daemon that has stopped."""
         self.table.note_leaving("a.i.1")
         self.table.observe_listing({"b.i.1": _build("b")})
         self.assertEqual(list(self.table.members), ["b.i.1"])
 
-    def test_member_that_the_store_does_not_list_is_heard(self) -> None:
-        """Guards against a daemon, started in an outage, that nobody learns of."""
+    def test_unlisted_member_is_added_on_heartbeat(self) -> None:
+        """Guards against a daemon that stays unknown because it started in a store outage."""
         self.assertTrue(self.table.hear_member(_build("c")))
         self.assertFalse(self.table.hear_member(_build("c")))
         self.assertIn("c.i.1", self.table.reachable())
--- a/coltsfootpier/membership/tests/test_vms.py
+++ b/coltsfootpier/membership/tests/test_vms.py
@@ -19,7 +19,7 @@
     def _states(self) -> dict[str, str]:
         return {vm.name: vm.state for vm in self.table.vms}
 
-    def test_vm_that_left_the_list_counts_as_gone_after_a_while(self) -> None:
+    def test_vm_missing_from_the_list_is_gone_after_a_delay(self) -> None:
         """Guards against tasks that wait for hours for a VM that no longer exists."""
         self.table.observe(self.vms[1:])
         self.assertEqual(self._states()["w0"], "live")
@@ -27,8 +27,11 @@
         self.assertTrue(self.table.observe(self.vms[1:]))
         self.assertEqual(self._states()["w0"], "gone")
 
-    def test_moment_of_absence_is_forgotten(self) -> None:
-        """Guards against a second start after two short gaps in a lagging list."""
+    def test_short_absence_is_reset(self) -> None:
+        """Guards against marking a VM as gone after two short gaps in a lagging list.
+
+        Its tasks would be started a second time.
+        """
         self.table.observe(self.vms[1:])
         self.clock.advance(20_000.0)
         self.table.observe(self.vms)
@@ -37,8 +40,8 @@
         self.table.observe(self.vms[1:])
         self.assertEqual(self._states()["w0"], "live")
 
-    def test_list_that_lost_most_vms_is_not_believed(self) -> None:
-        """Guards against starting everything twice on an empty list."""
+    def test_list_that_lost_most_vms_is_ignored(self) -> None:
+        """Guards against starting all tasks a second time because of an empty list."""
         self.table.observe([])
         self.clock.advance(60_000.0)
         self.table.observe([])
--- a/coltsfootpier/workers/__init__.py
+++ b/coltsfootpier/workers/__init__.py
@@ -1,4 +1,4 @@
-"""Worker VMs: messages and client."""
+"""Client of workers, and the messages exchanged with them."""
 
 from coltsfootpier.workers._client import WorkerClient
 from coltsfootpier.workers._messages import Command, SyncReply, SyncRequest, TaskReport
--- a/coltsfootpier/workers/_client.py
+++ b/coltsfootpier/workers/_client.py
@@ -1,4 +1,4 @@
-"""Wire format of workers; the only module that knows it."""
+"""Client of workers, and the only module that depends on their wire format."""
 
 from __future__ import annotations
 
@@ -17,18 +17,18 @@
 
 
 class WorkerClient:
-    """Exchanges with one worker.
+    """Client of one worker.
 
     Parameters
     ----------
     host : str
-        IP number.
+        IP address.
     port : int
         TCP port.
     clock : Clock
         Time source.
     timeout_ms : float
-        Time allowed for one exchange.
+        Timeout of one request in milliseconds.
     """
 
     def __init__(self, *, host: str, port: int, clock: Clock, timeout_ms: float) -> None:
@@ -36,11 +36,11 @@
         self._timeout_ms = timeout_ms
 
     async def run(self) -> None:
-        """Own the connection until cancelled."""
+        """Manage the connection until cancelled."""
         await self._channel.run()
 
     async def sync(self, request: SyncRequest) -> Result[SyncReply, CallError]:
-        """Send commands and read the worker's state."""
+        """Send commands to the worker and return its state."""
         sent = await self._channel.call(
             "POST", "/v1/sync", body=encode(request), timeout_ms=self._timeout_ms
         )
--- a/coltsfootpier/workers/_messages.py
+++ b/coltsfootpier/workers/_messages.py
@@ -9,25 +9,25 @@
 
 @attrs.frozen(kw_only=True)
 class Command:
-    """One command for one attempt of a task.
+    """Command for one attempt of a task.
 
     Parameters
     ----------
     kind : str
-        ``start``, ``renew``, ``stop``, ``throttle`` or ``forget``. Only ``start`` ever
-        starts anything.
+        ``start``, ``renew``, ``stop``, ``throttle`` or ``forget``. Only ``start`` can start an
+        attempt.
     epoch : int
         Epoch of the shard owner.
     expires_at_ms : float
-        Time on the worker's clock after which a ``start`` is refused.
+        Time on the worker's clock after which a ``start`` is rejected.
     lease_until_ms : float
         End of the lease on the worker's clock.
     spec : TaskSpec, optional
-        What to run; only for ``start``.
+        Specification of the task to run; only for ``start``.
     checkpoint : str
-        Where to resume from; only for ``start``.
+        Checkpoint to resume from; only for ``start``.
     share : float
-        Share of the declared processors that the task may use; only for ``throttle``.
+        Fraction of the declared processors that the task may use; only for ``throttle``.
     """
 
     kind: str
@@ -43,7 +43,7 @@
 
 @attrs.frozen(kw_only=True)
 class SyncRequest:
-    """All commands for a worker; refused as a whole by another incarnation."""
+    """All commands for a worker; any other incarnation of the worker rejects all of them."""
 
     incarnation: str
     commands: tuple[Command, ...] = ()
@@ -51,7 +51,7 @@
 
 @attrs.frozen(kw_only=True)
 class TaskReport:
-    """What a worker says about one attempt.
+    """State of one attempt as reported by its worker.
 
     Parameters
     ----------
@@ -64,11 +64,11 @@
     address : str
         ``IP:PORT`` of a runner.
     cores, memory_mb : float, int
-        Measured use; lags.
+        Measured use, which may be outdated.
     slowdown : float
-        Measured run time relative to running alone; lags.
+        Measured run time relative to running alone on the worker, which may be outdated.
     measured_at_ms : float
-        Time on the worker's clock of the measurement.
+        Time of the measurement on the worker's clock.
     """
 
     task: str
@@ -91,11 +91,11 @@
     Parameters
     ----------
     incarnation : str
-        New with each start of the worker.
+        Identifier that changes with each start of the worker.
     now_ms : float
-        The worker's clock when it answered.
+        Time on the worker's clock when it responded.
     tasks : tuple of TaskReport
-        Running attempts, and ended ones until they are forgotten.
+        Running attempts, and ended ones until a ``forget`` command.
     """
 
     worker: str
