--- a/coltsfootpier/routing/_health.py
+++ b/coltsfootpier/routing/_health.py
@@ -54,7 +54,7 @@
         self._peer_ejected: dict[str, frozenset[str]] = {}
 
     def retain(self, runner_ids: Collection[str]) -> None:
-        """Remove the records of all other runners."""
+        """Remove the records of runners that aren't in `runner_ids`."""
         for id_ in self._records.keys() - set(runner_ids):
             del self._records[id_]
 
--- a/coltsfootpier/routing/_router.py
+++ b/coltsfootpier/routing/_router.py
@@ -274,7 +274,8 @@
         Returns
         -------
         Settlement or None
-            The waiting request that gets the slot. If None, the caller must return the grant.
+            The waiting request that gets the slot. If it is None, the calling code must return
+            the grant, if any, to the peer.
         """
         known = self._peers.get(peer)
         if known is not None:
