--- a/benchmarks/permits.py
+++ b/benchmarks/permits.py
@@ -17,7 +17,7 @@
 
 from coltsfootpier.clock import MonotonicClock, VirtualClock
 from coltsfootpier.ownership import Ownership, OwnershipState, OwnerTable
-from coltsfootpier.permits import AcquirePermit, CopyFirst, KeyKind, PermitNode
+from coltsfootpier.permits import AcquirePermit, CopyRequired, KeyKind, PermitManager
 from coltsfootpier.transport import Connection
 from standins.cluster import Cluster, wait_for
 
@@ -116,7 +116,7 @@
         cluster.stop()
 
 
-def _fill(node: PermitNode) -> None:
+def _fill(manager: PermitManager) -> None:
     for number in range(_RECORDS):
         request = AcquirePermit(
             group="keys/0",
@@ -126,33 +126,35 @@
             fingerprint=f"{number:016x}",
             hold_ms=15_000.0,
         )
-        decision = node.decide(request)
-        if not isinstance(decision, CopyFirst):
+        decision = manager.decide(request)
+        if not isinstance(decision, CopyRequired):
             raise RuntimeError(f"not granted: {decision}")
-        node.conclude(node.tables["keys/0"], decision.record, copied=True, was_alone=False)
+        manager.decide_after_copy(
+            manager.tables["keys/0"], decision.record, copied=True, was_only_member=False
+        )
 
 
-def _build_node() -> PermitNode:
+def _build_manager() -> PermitManager:
     clock = VirtualClock()
     ownership = OwnershipState(clock=clock, ttl_ms=6_000.0)
     ownership.join("a.1.1", sent_ms=0.0)
     ownership.observe(OwnerTable({"keys/0": Ownership("a.1.1", 1)}), 1)
-    node = PermitNode(
+    manager = PermitManager(
         clock=clock, ownership=ownership, window_ms=600_000.0, hold_over_ms=0.0, capacity=8_192
     )
-    (table,) = node.reconcile(["a.1.1", "b.1.1"], listed_ms=0.0, is_retired=lambda _: False)
+    (table,) = manager.reconcile(["a.1.1", "b.1.1"], listed_ms=0.0, is_retired=lambda _: False)
     table.ready = True
-    return node
+    return manager
 
 
 def _measure_decisions() -> None:
-    node = _build_node()
+    manager = _build_manager()
     start = time.process_time()
-    _fill(node)
+    _fill(manager)
     used_us = (time.process_time() - start) * 1e6 / _RECORDS
-    node = _build_node()
+    manager = _build_manager()
     tracemalloc.start()
-    _fill(node)
+    _fill(manager)
     held = tracemalloc.get_traced_memory()[0] / _RECORDS
     tracemalloc.stop()
     print(f"decision alone: {used_us:.0f} us for each grant, {held:.0f} bytes for each record")
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -26,7 +26,7 @@
     NearestFirstPolicy,
     Queued,
     RandomPolicy,
-    Refused,
+    Rejected,
     RendezvousAssignment,
     Router,
     Runner,
@@ -34,7 +34,7 @@
     Share,
     Ticket,
     TicketState,
-    limit_attempt,
+    compute_attempt_timeout,
 )
 
 _EXAMPLES = Path(__file__).parent.parent / "examples"
@@ -189,7 +189,7 @@
     id: str
     zone: str
     router: Router
-    waiting: dict[Ticket, Callable[[Grant | Refused], None]] = attrs.field(factory=dict)
+    waiting: dict[Ticket, Callable[[Grant | Rejected], None]] = attrs.field(factory=dict)
     lost: bool = False
 
 
@@ -354,7 +354,7 @@
         self,
         daemon: _Daemon,
         ticket: Ticket,
-        then: Callable[[Grant | Refused], None],
+        then: Callable[[Grant | Rejected], None],
         wait_ms: float = float("inf"),
     ) -> None:
         decision = daemon.router.acquire(ticket)
@@ -368,14 +368,14 @@
     def _time_out(self, daemon: _Daemon, ticket: Ticket) -> None:
         if ticket.state is TicketState.WAITING:
             daemon.router.withdraw(ticket)
-            daemon.waiting.pop(ticket)(Refused(reason="deadline"))
+            daemon.waiting.pop(ticket)(Rejected(reason="deadline"))
 
     def _settle(self, daemon: _Daemon, settled: list[Settlement]) -> None:
         for one in settled:
             daemon.waiting.pop(one.ticket)(one.decision)
 
-    def _proceed(self, daemon: _Daemon, request: _Request, got: Grant | Refused) -> None:
-        if isinstance(got, Refused):
+    def _proceed(self, daemon: _Daemon, request: _Request, got: Grant | Rejected) -> None:
+        if isinstance(got, Rejected):
             self._end(request, "unknown" if request.may_have_run else "refused")
             return
         self._send(daemon, request, got)
@@ -399,8 +399,8 @@
         timeout_ms = left_ms
         if request.kind.idempotent:
             health = daemon.router.health
-            answer_ms = health.answer_ms(self._deployment.service, request.kind.name)
-            timeout_ms = limit_attempt(left_ms, answer_ms)
+            response_ms = health.response_ms(self._deployment.service, request.kind.name)
+            timeout_ms = compute_attempt_timeout(left_ms, response_ms)
         self._at(timeout_ms, lambda: finish(AttemptResult.OVERDUE))
 
         def answer(result: AttemptResult) -> None:
@@ -484,7 +484,7 @@
         service = self._deployment.service
         delay_ms = self._delay(daemon.zone, peer.zone) + _CALL_MS
 
-        def reply(got: Grant | Refused) -> None:
+        def reply(got: Grant | Rejected) -> None:
             free = peer.router.free_slots()[service]
             grant = got if isinstance(got, Grant) else None
             self._at(delay_ms, lambda: take(grant, free))
--- a/coltsfootpier/backend_servers/__init__.py
+++ b/coltsfootpier/backend_servers/__init__.py
@@ -1,5 +1,10 @@
 """Client of backend servers, the runners that serve callers' requests."""
 
-from coltsfootpier.backend_servers._client import WHOLE_BODY_BYTES, Answer, NotStarted, RunnerPool
+from coltsfootpier.backend_servers._client import (
+    MAX_BUFFERED_BODY_BYTES,
+    NotStarted,
+    RunnerPool,
+    RunnerResponse,
+)
 
-__all__ = ["WHOLE_BODY_BYTES", "Answer", "NotStarted", "RunnerPool"]
+__all__ = ["MAX_BUFFERED_BODY_BYTES", "NotStarted", "RunnerPool", "RunnerResponse"]
--- a/coltsfootpier/backend_servers/_client.py
+++ b/coltsfootpier/backend_servers/_client.py
@@ -18,7 +18,7 @@
 _MAX_IDLE_RETRYABLE_MS = 5_000.0
 # Larger bodies are streamed, so that a request uses at most this much memory in each direction,
 # apart from the buffers of its connections.
-WHOLE_BODY_BYTES = 262_144
+MAX_BUFFERED_BODY_BYTES = 262_144
 # Headers that apply only to the connection to the runner, or that the daemon sets itself.
 _HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -35,7 +35,7 @@
 
 
 @attrs.frozen
-class Answer:
+class RunnerResponse:
     """Response of a runner.
 
     Parameters
@@ -104,11 +104,12 @@
         headers: tuple[tuple[bytes, bytes], ...],
         body: bytes | Upload,
         timeout_ms: float,
-        repeatable: bool,
-    ) -> Result[Answer, CallError | NotStarted]:
+        retryable: bool,
+    ) -> Result[RunnerResponse, CallError | NotStarted]:
         """Send one request to a runner and wait for its response.
 
-        A body of more than `WHOLE_BODY_BYTES` is returned in part, with the remainder as a stream.
+        If the body is larger than `MAX_BUFFERED_BODY_BYTES`, the remainder is returned as a
+        stream.
 
         Parameters
         ----------
@@ -118,12 +119,12 @@
             The request.
         timeout_ms : float
             Timeout in milliseconds.
-        repeatable : bool
+        retryable : bool
             Whether the request may be sent again if there is no response.
 
         Returns
         -------
-        Result of Answer, or of CallError or NotStarted
+        Result of RunnerResponse, or of CallError or NotStarted
         """
         sent = await self._channel(runner).call(
             method,
@@ -131,8 +132,8 @@
             headers=headers,
             body=body,
             timeout_ms=timeout_ms,
-            max_idle_ms=_MAX_IDLE_RETRYABLE_MS if repeatable else _MAX_IDLE_MS,
-            stream_over=WHOLE_BODY_BYTES,
+            max_idle_ms=_MAX_IDLE_RETRYABLE_MS if retryable else _MAX_IDLE_MS,
+            stream_over=MAX_BUFFERED_BODY_BYTES,
         )
         if isinstance(sent, Failure):
             return sent
@@ -148,7 +149,9 @@
         declared = reply.header(b"content-length")
         length = int(declared) if declared else None
         return Success(
-            Answer(reply.status, end_to_end_headers, reply.body, leaving, reply.rest, length)
+            RunnerResponse(
+                reply.status, end_to_end_headers, reply.body, leaving, reply.rest, length
+            )
         )
 
     def _channel(self, runner: Runner) -> Channel:
--- a/coltsfootpier/burn/_stats.py
+++ b/coltsfootpier/burn/_stats.py
@@ -11,7 +11,7 @@
 
 from coltsfootpier.clock import Clock
 from coltsfootpier.exceptions import InvariantError
-from coltsfootpier.routing import Outcome, RefusalReason
+from coltsfootpier.routing import Outcome, RejectionReason
 
 # Upper bounds of the latency buckets in milliseconds, a factor of about 1.5 apart.
 BOUNDS_MS = (1, 2, 3, 5, 7, 10, 15, 22, 33, 50, 75, 110, 165, 250, 375, 560, 840, 1260, 1890, 2835)
@@ -24,8 +24,10 @@
 OTHER = "(other)"
 
 # The caller is at fault, so these spend no error budget.
-_CALLER_FAULTS = frozenset({RefusalReason.BAD_REQUEST.value, RefusalReason.UNKNOWN_SERVICE.value})
-_NO_CAPACITY = frozenset({RefusalReason.NO_RUNNER.value, RefusalReason.RUNNER_REFUSED.value})
+_CALLER_FAULTS = frozenset(
+    {RejectionReason.BAD_REQUEST.value, RejectionReason.UNKNOWN_SERVICE.value}
+)
+_NO_CAPACITY = frozenset({RejectionReason.NO_RUNNER.value, RejectionReason.RUNNER_REFUSED.value})
 
 
 class CounterOverflowError(InvariantError):
--- a/coltsfootpier/callers/_application.py
+++ b/coltsfootpier/callers/_application.py
@@ -12,7 +12,12 @@
 import attrs
 from returns.result import Result, Success
 
-from coltsfootpier.backend_servers import WHOLE_BODY_BYTES, Answer, NotStarted, RunnerPool
+from coltsfootpier.backend_servers import (
+    MAX_BUFFERED_BODY_BYTES,
+    NotStarted,
+    RunnerPool,
+    RunnerResponse,
+)
 from coltsfootpier.burn import RequestStats
 from coltsfootpier.callers._permits import (
     Claim,
@@ -30,8 +35,8 @@
     Feedback,
     Grant,
     Outcome,
-    RefusalReason,
-    Refused,
+    Rejected,
+    RejectionReason,
     Ticket,
 )
 from coltsfootpier.transport import (
@@ -51,11 +56,11 @@
 # Runners that a request is offered to before it is refused.
 _MAX_OFFERS = 3
 _STATUS = {
-    RefusalReason.UNKNOWN_SERVICE: 404,
-    RefusalReason.BAD_REQUEST: 400,
-    RefusalReason.SHARE: 429,
-    RefusalReason.KEY_BUSY: 409,
-    RefusalReason.DEADLINE: 504,
+    RejectionReason.UNKNOWN_SERVICE: 404,
+    RejectionReason.BAD_REQUEST: 400,
+    RejectionReason.SHARE: 429,
+    RejectionReason.KEY_BUSY: 409,
+    RejectionReason.DEADLINE: 504,
 }
 # Control characters would be refused by the connection to the runner.
 _UNPRINTABLE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
@@ -65,7 +70,7 @@
 class Slots(Protocol):
     """Where a request obtains the right to use a runner."""
 
-    async def acquire(self, ticket: Ticket) -> Grant | Refused:
+    async def acquire(self, ticket: Ticket) -> Grant | Rejected:
         """Wait for a slot, at most until the ticket's deadline."""
         ...
 
@@ -77,7 +82,7 @@
         """Count a new request towards the retry budget."""
         ...
 
-    def limit_attempt(self, service: str, kind: str, left_ms: float) -> float:
+    def compute_attempt_timeout(self, service: str, kind: str, left_ms: float) -> float:
         """Return the time allowed for an attempt that may be repeated."""
         ...
 
@@ -110,7 +115,7 @@
     deadline_ms: float
 
     @property
-    def repeatable(self) -> bool:
+    def retryable(self) -> bool:
         """Whether it may be sent again while an earlier attempt may still run."""
         return self.kind.idempotent and not self.kind.exclusive
 
@@ -224,7 +229,7 @@
         parts = scope["path"].split("/", 4)
         declaration = self._get_declaration()
         if len(parts) < 4 or parts[1] != "services" or parts[2] not in declaration.services:
-            return _refuse(RefusalReason.UNKNOWN_SERVICE, scope["path"])
+            return _refuse(RejectionReason.UNKNOWN_SERVICE, scope["path"])
         kind = declaration.requests.get((parts[2], parts[3])) or RequestKind(
             service=parts[2],
             name=parts[3],
@@ -241,13 +246,13 @@
         except ValueError:
             left_ms = math.nan
         if not math.isfinite(left_ms):
-            return _refuse(RefusalReason.BAD_REQUEST, "X-Deadline-Ms is not a number")
+            return _refuse(RejectionReason.BAD_REQUEST, "X-Deadline-Ms is not a number")
         # The path as it was sent: a decoded one may hold characters with another meaning.
         path, query = scope["raw_path"], scope.get("query_string", b"")
         if not (path + query).isascii() or any(
             _UNPRINTABLE.search(value) for value in (path, query, *headers.values())
         ):
-            return _refuse(RefusalReason.BAD_REQUEST, "characters that HTTP doesn't allow")
+            return _refuse(RejectionReason.BAD_REQUEST, "characters that HTTP doesn't allow")
         try:
             body = await read_upload(
                 scope,
@@ -255,7 +260,9 @@
                 max_body=self._max_body,
                 # Permits compare whole bodies, so only requests without permits are streamed.
                 whole_up_to=(
-                    WHOLE_BODY_BYTES if kind.idempotent and not kind.exclusive else self._max_body
+                    MAX_BUFFERED_BODY_BYTES
+                    if kind.idempotent and not kind.exclusive
+                    else self._max_body
                 ),
                 timeout_ms=left_ms,
             )
@@ -263,7 +270,7 @@
             return _Settled(
                 outcome=Outcome.REFUSED,
                 response=error.response,
-                reason=RefusalReason.BAD_REQUEST.value,
+                reason=RejectionReason.BAD_REQUEST.value,
             )
         target = "/" + path.decode().split("/", 3)[3] + (f"?{query.decode()}" if query else "")
         request = _Request(
@@ -286,7 +293,7 @@
             ),
             deadline_ms=request.deadline_ms,
         )
-        if isinstance(claims, Refused):
+        if isinstance(claims, Rejected):
             return _refuse(claims.reason, claims.detail)
         return await self._run_permitted(request, claims, arrived_ms)
 
@@ -294,7 +301,7 @@
         self, request: _Request, claims: list[Claim], arrived_ms: float
     ) -> _Settled:
         held = await acquire_permits(self._permits, claims)
-        if isinstance(held, Refused):
+        if isinstance(held, Rejected):
             return _refuse(held.reason, held.detail)
         if isinstance(held, Recorded):
             return _replay(held)
@@ -320,7 +327,7 @@
             # Each offer has a ticket of its own, because a ticket settles once.
             grant = await self._slots.acquire(attrs.evolve(ticket))
             ticket.waited_ms += self._clock.now_ms() - asked_ms
-            if isinstance(grant, Refused):
+            if isinstance(grant, Rejected):
                 if may_have_run:
                     return _unknown(reason)
                 return _refuse(grant.reason, grant.detail)
@@ -342,20 +349,22 @@
             ticket.excluded.add(grant.runner.id)
             if not isinstance(error, NotSent | NotStarted):
                 may_have_run = True
-                if not request.repeatable:
+                if not request.retryable:
                     break
             if isinstance(request.body, Upload) and request.body.started:
                 # The part that was sent is not kept, so there is no second attempt.
                 break
         if may_have_run:
             return _unknown(reason)
-        return _refuse(RefusalReason.RUNNER_REFUSED, reason)
+        return _refuse(RejectionReason.RUNNER_REFUSED, reason)
 
     async def _attempt(self, request: _Request, grant: Grant) -> Result:
         left_ms = request.deadline_ms - self._clock.now_ms()
         timeout_ms = left_ms
-        if request.repeatable:
-            timeout_ms = self._slots.limit_attempt(request.kind.service, request.kind.name, left_ms)
+        if request.retryable:
+            timeout_ms = self._slots.compute_attempt_timeout(
+                request.kind.service, request.kind.name, left_ms
+            )
         return await self._pool.send(
             grant.runner,
             method=request.method,
@@ -367,7 +376,7 @@
             ),
             body=request.body,
             timeout_ms=timeout_ms,
-            repeatable=request.repeatable,
+            retryable=request.retryable,
         )
 
 
@@ -393,7 +402,7 @@
     return Feedback(result=assessed, elapsed_ms=elapsed_ms, request_id=request_id, leaving=leaving)
 
 
-def _answer(answer: Answer, grant: Grant) -> _Settled:
+def _answer(answer: RunnerResponse, grant: Grant) -> _Settled:
     content_type = next(
         (value for name, value in answer.headers if name == b"content-type"), b"text/plain"
     )
@@ -409,7 +418,7 @@
     )
 
 
-def _refuse(reason: RefusalReason, detail: str) -> _Settled:
+def _refuse(reason: RejectionReason, detail: str) -> _Settled:
     return _Settled(
         outcome=Outcome.REFUSED,
         response=HttpResponse.problem(_STATUS.get(reason, 503), reason.value, detail),
--- a/coltsfootpier/callers/_permits.py
+++ b/coltsfootpier/callers/_permits.py
@@ -11,7 +11,7 @@
 
 from coltsfootpier.declaration import RequestKind
 from coltsfootpier.permits import KeyKind
-from coltsfootpier.routing import Outcome, RefusalReason, Refused
+from coltsfootpier.routing import Outcome, Rejected, RejectionReason
 
 _MAX_KEY = 256
 
@@ -56,7 +56,7 @@
 class Permits(Protocol):
     """Where a request obtains the right to use its keys."""
 
-    async def acquire(self, claim: Claim) -> Permit | Recorded | Refused:
+    async def acquire(self, claim: Claim) -> Permit | Recorded | Rejected:
         """Ask for a permit, at most until the claim's deadline."""
         ...
 
@@ -72,7 +72,7 @@
     headers: Mapping[bytes, bytes],
     content: Sequence[bytes],
     deadline_ms: float,
-) -> list[Claim] | Refused:
+) -> list[Claim] | Rejected:
     """Return the keys that a request must claim.
 
     Parameters
@@ -108,7 +108,7 @@
             continue
         if not key or len(key) > _MAX_KEY:
             detail = f"{header.decode()} is required, with at most {_MAX_KEY} characters"
-            return Refused(reason=RefusalReason.BAD_REQUEST, detail=detail)
+            return Rejected(reason=RejectionReason.BAD_REQUEST, detail=detail)
         is_exclusive = key_kind is KeyKind.EXCLUSIVE
         claim = Claim(
             kind=key_kind,
@@ -132,7 +132,7 @@
 
 async def acquire_permits(
     permits: Permits, claims: Sequence[Claim]
-) -> list[Permit] | Recorded | Refused:
+) -> list[Permit] | Recorded | Rejected:
     """Acquire the permits for all claims of a request, or none.
 
     Parameters
--- a/coltsfootpier/daemon/_daemon.py
+++ b/coltsfootpier/daemon/_daemon.py
@@ -293,7 +293,7 @@
     def _reconcile(self, group: TaskGroup) -> None:
         ownership = self.control.ownership
         self._slots.member = ownership.member
-        self.control.members.forget_silent()
+        self.control.members.remove_suspects()
         self._reconcile_peers(group)
         members = self.control.members
         zones = {id_: members.members[id_].availability_zone for id_ in members.reachable()}
@@ -438,7 +438,7 @@
         self.control.members.record_heartbeat(id_)
         if heard.draining:
             self.control.draining.add(id_)
-            self.control.members.note_leaving(heard.member.id)
+            self.control.members.mark_leaving(heard.member.id)
         self.router.observe_peer(id_, heard.free, heard.ejected)
         self._slots.borrow_waiting()
         peer = self._peers.get(id_)
@@ -483,13 +483,13 @@
         heard = answered.unwrap()
         if heard.member.id == self.control.member.id:
             return
-        self.control.members.hear_member(heard.member)
+        self.control.members.observe_member(heard.member)
         # The seed's own peers, so that one reachable seed is enough.
         listed = await client.pull_members()
         if isinstance(listed, Success):
             for member in listed.unwrap().members:
                 if member.name != self.control.member.name:
-                    self.control.members.hear_member(member)
+                    self.control.members.observe_member(member)
         await self._pull_revision(heard, client)
         self._notify()
 
@@ -520,10 +520,10 @@
         member = heartbeat.member
         if heartbeat.draining:
             self.control.draining.add(member.id)
-            self.control.members.note_leaving(member.id)
+            self.control.members.mark_leaving(member.id)
         if member.name != self.control.member.name:
             # A daemon that can't reach the store is known from its heartbeats only.
-            if self.control.members.hear_member(member):
+            if self.control.members.observe_member(member):
                 log_event("member heard", member=member.id)
                 self._notify()
             if member.id in self.control.members.members:
@@ -702,8 +702,8 @@
                 "reachable_peers": len(self.control.members.reachable()),
                 "known_runners": len(self.router.runners()),
                 "store_calls": self._platform.call_count,
-                "owned_key_groups": len(self.permits.node.tables),
-                "permit_records": len(self.permits.node.copies),
+                "owned_key_groups": len(self.permits.manager.tables),
+                "permit_records": len(self.permits.manager.copies),
                 **{
                     f"permits_{verdict.value}": count
                     for verdict, count in self.permits.verdicts.items()
--- a/coltsfootpier/daemon/_permits.py
+++ b/coltsfootpier/daemon/_permits.py
@@ -17,11 +17,11 @@
 from coltsfootpier.peers import PeerClient
 from coltsfootpier.permits import (
     AcquirePermit,
-    CopyFirst,
     CopyPermits,
     CopyReply,
+    CopyRequired,
     KeyKind,
-    PermitNode,
+    PermitManager,
     PermitRecord,
     PermitReply,
     PermitTable,
@@ -32,7 +32,7 @@
     Verdict,
     process_of,
 )
-from coltsfootpier.routing import Outcome, RefusalReason, Refused
+from coltsfootpier.routing import Outcome, Rejected, RejectionReason
 from coltsfootpier.settings import Settings
 from coltsfootpier.transport import CallError, NotSent
 
@@ -51,16 +51,16 @@
 _SETTLE_TRY_MS = 200.0
 _MAX_BACKGROUND = 1_000
 _DENIALS = {
-    Verdict.BUSY: (RefusalReason.KEY_BUSY, "the exclusive key is in use"),
-    Verdict.MISMATCH: (RefusalReason.BAD_REQUEST, "the key belongs to a different request"),
+    Verdict.BUSY: (RejectionReason.KEY_BUSY, "the exclusive key is in use"),
+    Verdict.MISMATCH: (RejectionReason.BAD_REQUEST, "the key belongs to a different request"),
     Verdict.TOO_LONG: (
-        RefusalReason.BAD_REQUEST,
+        RejectionReason.BAD_REQUEST,
         "deadline and maximum run time exceed the time for which keys are remembered",
     ),
-    Verdict.FULL: (RefusalReason.NO_PERMIT, "the table of keys is full"),
-    Verdict.NO_COPY: (RefusalReason.NO_PERMIT, "no peer keeps a copy"),
-    Verdict.NOT_OWNER: (RefusalReason.NO_PERMIT, "the key group has no owner now"),
-    Verdict.INCOMPLETE: (RefusalReason.NO_PERMIT, "the history of the key is incomplete"),
+    Verdict.FULL: (RejectionReason.NO_PERMIT, "the table of keys is full"),
+    Verdict.NO_COPY: (RejectionReason.NO_PERMIT, "no peer keeps a copy"),
+    Verdict.NOT_OWNER: (RejectionReason.NO_PERMIT, "the key group has no owner now"),
+    Verdict.INCOMPLETE: (RejectionReason.NO_PERMIT, "the history of the key is incomplete"),
 }
 
 
@@ -96,7 +96,7 @@
         self._control = control
         self._get_peer = get_peer
         self._connect_peer = connect_peer
-        self.node = PermitNode(
+        self.manager = PermitManager(
             clock=clock,
             ownership=control.ownership,
             window_ms=options["window_ms"],
@@ -113,7 +113,7 @@
         async with anyio.create_task_group() as self._group:
             while True:
                 await anyio.sleep(_FLUSH_MS / 1000)
-                for table in self.node.list_unsent():
+                for table in self.manager.list_unsent():
                     await self._copy(table, ())
 
     def reconcile(self) -> None:
@@ -121,13 +121,13 @@
         if self._group is None:
             return
         listed = self._control.listed
-        for table in self.node.reconcile(
+        for table in self.manager.reconcile(
             listed, listed_ms=self._control.listed_ms, is_retired=self._is_retired
         ):
             self._group.start_soon(self._take_over, table)
         for id_, member in listed.items():
             self._addresses[process_of(id_)] = member.peers_address
-        for process in self._addresses.keys() - self.node.log.ages().keys():
+        for process in self._addresses.keys() - self.manager.known_processes.ages().keys():
             del self._addresses[process]
 
     def _is_retired(self, process: str) -> bool:
@@ -139,17 +139,17 @@
         owned = self._control.ownership.table.partitions
         groups = {
             group: table.epoch
-            for group, table in self.node.tables.items()
+            for group, table in self.manager.tables.items()
             if owned[group].epoch > table.epoch
         }
-        copies = self.node.copies
+        copies = self.manager.copies
         with anyio.move_on_after(timeout_ms / 1000):
             while any(copies.pulled_epoch(group) <= epoch for group, epoch in groups.items()):
                 await anyio.sleep(_RETRY_MS / 1000)
 
     # Requests of this daemon's callers
 
-    async def acquire(self, claim: Claim) -> Permit | Recorded | Refused:
+    async def acquire(self, claim: Claim) -> Permit | Recorded | Rejected:
         """Ask the owner of the key for a permit; asks again while there is no owner."""
         token = secrets.token_hex(8)
         group = key_group(claim.key)
@@ -183,7 +183,7 @@
             await anyio.sleep(_RETRY_MS / 1000)
         if may_be_recorded:
             self._settle_later(Permit(claim=claim, token=token), Outcome.REFUSED, 0)
-        return Refused(reason=_DENIALS[verdict][0], detail=_DENIALS[verdict][1])
+        return Rejected(reason=_DENIALS[verdict][0], detail=_DENIALS[verdict][1])
 
     async def settle(self, permit: Permit, outcome: Outcome, status: int) -> None:
         """Tell the owner what became of a request."""
@@ -219,7 +219,7 @@
             outcome=outcome,
             status=status,
         )
-        if group in self.node.tables:
+        if group in self.manager.tables:
             reply = await self.on_settle_permit(message)
             return reply.accepted
         peer = self._find_peer(self._control.ownership.owner_of(group))
@@ -231,7 +231,7 @@
     async def _ask_owner(
         self, request: AcquirePermit, timeout_ms: float
     ) -> Result[PermitReply, CallError]:
-        if request.group in self.node.tables:
+        if request.group in self.manager.tables:
             return Success(await self.on_acquire_permit(request))
         peer = self._find_peer(self._control.ownership.owner_of(request.group))
         if peer is None:
@@ -242,31 +242,33 @@
 
     async def on_acquire_permit(self, request: AcquirePermit) -> PermitReply:
         """Decide on a permit if this daemon owns the key group."""
-        was_alone = self.node.is_alone
-        reply = self.node.decide(request)
-        if isinstance(reply, CopyFirst):
-            table, record = self.node.tables[request.group], reply.record
+        was_only_member = self.manager.is_only_member
+        reply = self.manager.decide(request)
+        if isinstance(reply, CopyRequired):
+            table, record = self.manager.tables[request.group], reply.record
             copied = await self._copy(table, (record,))
-            reply = self.node.conclude(table, record, copied=copied, was_alone=was_alone)
+            reply = self.manager.decide_after_copy(
+                table, record, copied=copied, was_only_member=was_only_member
+            )
         self.verdicts[reply.verdict] += 1
         return reply
 
     async def on_copy_permits(self, request: CopyPermits) -> CopyReply:
         """Keep copies of records for the owner of a key group."""
-        return self.node.receive_copies(request)
+        return self.manager.receive_copies(request)
 
     async def on_settle_permit(self, request: SettlePermit) -> SettleReply:
         """Take the outcome of a request."""
-        return self.node.settle(request)
+        return self.manager.settle(request)
 
     async def on_pull_permits(self, request: PullPermits) -> PulledPermits:
         """Take the epoch of a new owner and return the copies of its group."""
-        return self.node.answer_pull(request)
+        return self.manager.handle_pull(request)
 
     # Copies
 
     async def _copy(self, table: PermitTable, records: tuple[PermitRecord, ...]) -> bool:
-        message = self.node.take_copies(table, records)
+        message = self.manager.build_copy_message(table, records)
         for member in self._rank_holders(table.group):
             peer = self._get_peer(member)
             if peer is None:
@@ -276,7 +278,7 @@
                 reply = result.unwrap()
                 if reply.accepted:
                     return True
-                self.node.copies.announce(table.group, reply.epoch)
+                self.manager.copies.announce(table.group, reply.epoch)
                 if table.is_superseded:
                     return False
         # An outcome that no peer took is not sent again: without it the key is undecided for a
@@ -291,7 +293,7 @@
         candidates = [
             id_
             for id_ in rank_by_rendezvous(group, members.reachable())
-            if id_ in self._control.listed and process_of(id_) != self.node.process
+            if id_ in self._control.listed and process_of(id_) != self.manager.process
         ]
         zones = {id_: members.members[id_].availability_zone for id_ in candidates}
         return sorted(candidates, key=lambda id_: zones[id_] == own.availability_zone)
@@ -310,11 +312,11 @@
 
     async def _take_over(self, table: PermitTable) -> None:
         while not table.is_superseded:
-            table.history.record_coverage(self.node.covered_ms())
+            table.history.record_coverage(self.manager.covered_ms())
             # Members that have left the list may be gone and keep the pull waiting, so that they
             # are asked only after the group is ready.
             listed = {process_of(id_) for id_ in self._control.listed}
-            missing = table.history.missing()
+            missing = table.history.missing_processes()
             await self._pull_all(table, missing if table.ready else missing & listed)
             is_complete = table.check_history()
             if not table.ready:
@@ -325,7 +327,7 @@
                     epoch=table.epoch,
                     complete=is_complete,
                 )
-            if is_complete and not table.history.missing():
+            if is_complete and not table.history.missing_processes():
                 return
             await anyio.sleep(_PULL_RETRY_MS / 1000)
 
@@ -352,4 +354,4 @@
                 group.cancel_scope.cancel()
         if isinstance(result, Failure):
             return
-        self.node.record_pull(table, result.unwrap())
+        self.manager.merge_pulled_copies(table, result.unwrap())
--- a/coltsfootpier/daemon/_slots.py
+++ b/coltsfootpier/daemon/_slots.py
@@ -15,12 +15,12 @@
     Feedback,
     Grant,
     Queued,
-    RefusalReason,
-    Refused,
+    Rejected,
+    RejectionReason,
     Router,
     Settlement,
     Ticket,
-    limit_attempt,
+    compute_attempt_timeout,
 )
 
 # Longest wait of a borrowing request in the queue of a peer.
@@ -49,7 +49,7 @@
         self._router = router
         self._clock = clock
         self._get_peer = get_peer
-        self._waiting: dict[Ticket, tuple[anyio.Event, list[Grant | Refused]]] = {}
+        self._waiting: dict[Ticket, tuple[anyio.Event, list[Grant | Rejected]]] = {}
         self._group: TaskGroup | None = None
         # A new lease of the daemon gives it a new identifier; its earlier grants stay its own.
         self._own_ids: set[str] = set()
@@ -70,16 +70,16 @@
         async with anyio.create_task_group() as self._group:
             await anyio.sleep_forever()
 
-    async def acquire(self, ticket: Ticket) -> Grant | Refused:
+    async def acquire(self, ticket: Ticket) -> Grant | Rejected:
         """Wait for a slot, at most until the ticket's deadline."""
         return await self._acquire(ticket, ticket.deadline_ms - self._clock.now_ms())
 
-    async def _acquire(self, ticket: Ticket, wait_ms: float) -> Grant | Refused:
+    async def _acquire(self, ticket: Ticket, wait_ms: float) -> Grant | Rejected:
         decision = self._router.acquire(ticket)
         if not isinstance(decision, Queued):
             return decision
         event = anyio.Event()
-        settled: list[Grant | Refused] = []
+        settled: list[Grant | Rejected] = []
         self._waiting[ticket] = (event, settled)
         if not ticket.borrower:
             self._borrow_for(ticket.service)
@@ -95,7 +95,7 @@
         finally:
             self._waiting.pop(ticket, None)
             self._router.withdraw(ticket)
-        return settled[0] if settled else Refused(reason=RefusalReason.DEADLINE)
+        return settled[0] if settled else Rejected(reason=RejectionReason.DEADLINE)
 
     async def release(self, grant: Grant, feedback: Feedback) -> None:
         """Give a slot back to its owner, with what the attempt says about the runner."""
@@ -107,14 +107,14 @@
 
     def may_repeat(self, service: str, kind: str, deadline_ms: float) -> bool:
         """Take a repeat out of the retry budget if the deadline allows one."""
-        answer_ms = self._router.health.answer_ms(service, kind)
-        if deadline_ms <= self._clock.now_ms() + answer_ms:
+        response_ms = self._router.health.response_ms(service, kind)
+        if deadline_ms <= self._clock.now_ms() + response_ms:
             return False
         return self._router.retries.spend(service)
 
-    def limit_attempt(self, service: str, kind: str, left_ms: float) -> float:
+    def compute_attempt_timeout(self, service: str, kind: str, left_ms: float) -> float:
         """Return the time allowed for an attempt that may be repeated."""
-        return limit_attempt(left_ms, self._router.health.answer_ms(service, kind))
+        return compute_attempt_timeout(left_ms, self._router.health.response_ms(service, kind))
 
     async def lend(self, request: BorrowSlot) -> LentSlot:
         """Queue a peer's request for a slot fairly with the own ones."""
@@ -144,7 +144,7 @@
 
     def borrow_waiting(self) -> None:
         """Ask peers that have reported free slots, for all services with waiting requests."""
-        for service, count in self._router.waiting().items():
+        for service, count in self._router.queue_lengths().items():
             if count:
                 self._borrow_for(service)
 
--- a/coltsfootpier/daemon/tests/test_slots.py
+++ b/coltsfootpier/daemon/tests/test_slots.py
@@ -11,7 +11,7 @@
 from coltsfootpier.clock import MonotonicClock
 from coltsfootpier.daemon._slots import SlotBroker
 from coltsfootpier.peers import BorrowSlot, LentSlot, ReturnSlot
-from coltsfootpier.routing import Feedback, Grant, RefusalReason, Refused, Router, Ticket
+from coltsfootpier.routing import Feedback, Grant, Rejected, RejectionReason, Router, Ticket
 from tests.builders import build_runner
 
 
@@ -68,7 +68,7 @@
 
         async def scenario() -> None:
             held = await self.brokers["m2"].acquire(self.build_ticket(5_000.0))
-            got: list[Grant | Refused] = []
+            got: list[Grant | Rejected] = []
 
             async def wait() -> None:
                 got.append(await self.brokers["m1"].acquire(self.build_ticket(5_000.0)))
@@ -104,7 +104,7 @@
         async def scenario() -> None:
             await self.brokers["m2"].acquire(self.build_ticket(5_000.0))
             got = await self.brokers["m1"].acquire(self.build_ticket(50.0))
-            self.assertEqual(got, Refused(reason=RefusalReason.DEADLINE))
+            self.assertEqual(got, Rejected(reason=RejectionReason.DEADLINE))
 
         self.run_with_brokers(scenario)
 
--- a/coltsfootpier/membership/_table.py
+++ b/coltsfootpier/membership/_table.py
@@ -81,7 +81,7 @@
             id_: self._last_heartbeat_ms.get(id_, now_ms) for id_ in self.members
         }
 
-    def hear_member(self, member: Member) -> bool:
+    def observe_member(self, member: Member) -> bool:
         """Record a heartbeat of a member, and add it if it is unknown.
 
         Members that the store doesn't list are added too. If the store lists another member of
@@ -109,11 +109,11 @@
         self.record_heartbeat(member.id)
         return True
 
-    def note_leaving(self, id_: str) -> None:
+    def mark_leaving(self, id_: str) -> None:
         """Mark a member that is shutting down, to remove it once the store doesn't list it."""
         self._leaving.add(id_)
 
-    def forget_silent(self) -> bool:
+    def remove_suspects(self) -> bool:
         """Remove suspected members that the store doesn't list, and return whether any were."""
         suspects = [id_ for id_ in self.members if id_ not in self._listed and self.is_suspect(id_)]
         for id_ in suspects:
--- a/coltsfootpier/membership/tests/test_table.py
+++ b/coltsfootpier/membership/tests/test_table.py
@@ -20,23 +20,23 @@
 
     def test_responding_member_outlives_its_lease(self) -> None:
         """Guards against daemons that lose each other when their leases in the store expire."""
-        self.table.hear_member(_build("a"))
+        self.table.observe_member(_build("a"))
         self.table.observe_listing({})
         self.assertIn("a.i.1", self.table.reachable())
         self.clock.advance(4_000)
-        self.table.forget_silent()
+        self.table.remove_suspects()
         self.assertEqual(self.table.members, {})
 
     def test_leaving_member_is_removed_with_its_store_key(self) -> None:
         """Guards against requests for slots to a daemon that has stopped."""
-        self.table.note_leaving("a.i.1")
+        self.table.mark_leaving("a.i.1")
         self.table.observe_listing({"b.i.1": _build("b")})
         self.assertEqual(list(self.table.members), ["b.i.1"])
 
     def test_unlisted_member_is_added_on_heartbeat(self) -> None:
         """Guards against a daemon that stays unknown because it started in a store outage."""
-        self.assertTrue(self.table.hear_member(_build("c")))
-        self.assertFalse(self.table.hear_member(_build("c")))
+        self.assertTrue(self.table.observe_member(_build("c")))
+        self.assertFalse(self.table.observe_member(_build("c")))
         self.assertIn("c.i.1", self.table.reachable())
         self.table.observe_listing({"c.i.2": _build("c", 2)})
         self.assertNotIn("c.i.1", self.table.members)
--- a/coltsfootpier/permits/__init__.py
+++ b/coltsfootpier/permits/__init__.py
@@ -1,7 +1,8 @@
 """Permits for idempotency keys and exclusive keys, with epoch-fenced copies on peers."""
 
 from coltsfootpier.permits._copies import CopyTable
-from coltsfootpier.permits._history import Coverage, History, ProcessLog, process_of
+from coltsfootpier.permits._history import Coverage, History, ProcessTable, process_of
+from coltsfootpier.permits._manager import PermitManager
 from coltsfootpier.permits._messages import (
     AcquirePermit,
     CopyPermits,
@@ -16,24 +17,23 @@
     SettleReply,
     Verdict,
 )
-from coltsfootpier.permits._node import PermitNode
-from coltsfootpier.permits._table import CopyFirst, DoubleGrantError, PermitTable
+from coltsfootpier.permits._table import CopyRequired, DoubleGrantError, PermitTable
 
 __all__ = [
     "AcquirePermit",
-    "CopyFirst",
     "CopyPermits",
     "CopyReply",
+    "CopyRequired",
     "CopyTable",
     "Coverage",
     "DoubleGrantError",
     "History",
     "KeyKind",
-    "PermitNode",
+    "PermitManager",
     "PermitRecord",
     "PermitReply",
     "PermitTable",
-    "ProcessLog",
+    "ProcessTable",
     "PullPermits",
     "PulledPermits",
     "RecordState",
--- a/coltsfootpier/permits/_copies.py
+++ b/coltsfootpier/permits/_copies.py
@@ -111,7 +111,7 @@
         kept = [self.store(group, record.shift(now_ms)) for record in records]
         return all(kept)
 
-    def answer_pull(self, message: PullPermits, *, process: str) -> PulledPermits:
+    def handle_pull(self, message: PullPermits, *, process: str) -> PulledPermits:
         """Record the epoch of a new owner and return the copies of its group."""
         state = self._group(message.group)
         if message.epoch < state.epoch:
--- a/coltsfootpier/permits/_history.py
+++ b/coltsfootpier/permits/_history.py
@@ -34,8 +34,8 @@
     retired: bool = False
 
 
-class ProcessLog:
-    """Current and recent daemons, which may hold copies or grant permits.
+class ProcessTable:
+    """Table of current and recent daemons, which may hold copies or grant permits.
 
     A daemon that has stopped is removed after the window. A daemon that may only have lost its
     lease can go on granting for the hold-over time, so it is kept that much longer.
@@ -162,7 +162,7 @@
         Epoch of the ownership.
     window_ms : float
         Retention time of keys.
-    log : ProcessLog
+    known_processes : ProcessTable
         Daemons that may hold copies.
     owned_epoch : int
         Epoch at which this daemon last owned the group with a complete history, or 0.
@@ -175,13 +175,13 @@
         process: str,
         epoch: int,
         window_ms: float,
-        log: ProcessLog,
+        known_processes: ProcessTable,
         owned_epoch: int = 0,
     ) -> None:
         self._clock = clock
         self._epoch = epoch
         self._window_ms = window_ms
-        self._log = log
+        self._known_processes = known_processes
         self._covered_since_ms = float("inf")
         self._responded = {process}
         # A history starts complete if there was no owner before, or if this daemon was the
@@ -196,19 +196,19 @@
     def record_response(self, reply: PulledPermits) -> None:
         """Record the response of a daemon whose records have been merged."""
         self._responded.add(reply.process)
-        self._log.merge(reply.seen)
+        self._known_processes.merge(reply.seen)
         self.record_coverage(reply.covered_ms)
         if self._epoch > 1 and reply.owned_epoch == self._epoch - 1:
             self._complete = True
 
-    def missing(self) -> set[str]:
+    def missing_processes(self) -> set[str]:
         """Return the daemons that may hold copies and have not responded."""
-        return self._log.ages().keys() - self._responded
+        return self._known_processes.ages().keys() - self._responded
 
     @property
     def is_complete(self) -> bool:
         """Whether a key without a record was certainly not granted within the window."""
         if not self._complete:
             covered_ms = self._clock.now_ms() - self._covered_since_ms
-            self._complete = covered_ms >= self._window_ms and len(self.missing()) <= 1
+            self._complete = covered_ms >= self._window_ms and len(self.missing_processes()) <= 1
         return self._complete
--- a/coltsfootpier/permits/_node.py
+++ b/coltsfootpier/permits/_manager.py
@@ -9,7 +9,7 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.ownership import OwnershipState
 from coltsfootpier.permits._copies import CopyTable
-from coltsfootpier.permits._history import Coverage, History, ProcessLog, process_of
+from coltsfootpier.permits._history import Coverage, History, ProcessTable, process_of
 from coltsfootpier.permits._messages import (
     AcquirePermit,
     CopyPermits,
@@ -22,14 +22,14 @@
     SettleReply,
     Verdict,
 )
-from coltsfootpier.permits._table import CopyFirst, PermitTable
+from coltsfootpier.permits._table import CopyRequired, PermitTable
 
 _GROUP_PREFIX = "keys/"
 # Time between removals of expired records. A scan of full tables takes about 10 ms.
 _EXPIRE_PERIOD_MS = 10_000.0
 
 
-class PermitNode:
+class PermitManager:
     """Owned key groups of one daemon, and its copies of records of other groups.
 
     Parameters
@@ -65,7 +65,9 @@
         self._unsent_records: dict[str, dict[str, PermitRecord]] = {}
         self.copies = CopyTable(clock=clock, capacity=capacity)
         self.tables: dict[str, PermitTable] = {}
-        self.log = ProcessLog(clock=clock, window_ms=window_ms, hold_over_ms=hold_over_ms)
+        self.known_processes = ProcessTable(
+            clock=clock, window_ms=window_ms, hold_over_ms=hold_over_ms
+        )
         self.coverage = Coverage(clock=clock)
 
     @property
@@ -74,7 +76,7 @@
         return process_of(self.ownership.member)
 
     @property
-    def is_alone(self) -> bool:
+    def is_only_member(self) -> bool:
         """Whether the store lists no other daemon that could store a copy.
 
         This is false for a daemon that is partitioned from its peers or from the store.
@@ -103,7 +105,7 @@
         Returns
         -------
         list of PermitTable
-            Tables of the groups that this daemon newly owns. The caller must pull their history.
+            Tables of the groups that this daemon newly owns; their history must be pulled.
         """
         ownership = self.ownership
         self._listed, self._listed_ms = frozenset(listed), listed_ms
@@ -111,10 +113,10 @@
             is_first = ownership.table_version == 0 and len(self._listed) == 1
             self.coverage.start(ownership.member, is_first=is_first)
         present = {process_of(id_) for id_ in self._listed}
-        self.log.observe({*present, self.process})
-        for process in self.log.ages().keys() - present:
+        self.known_processes.observe({*present, self.process})
+        for process in self.known_processes.ages().keys() - present:
             if is_retired(process):
-                self.log.retire(process)
+                self.known_processes.retire(process)
         for group, owner in ownership.table.partitions.items():
             if group.startswith(_GROUP_PREFIX):
                 self.copies.announce(group, owner.epoch)
@@ -147,15 +149,15 @@
         has_ended = ownership.has_ended(table.group, table.epoch)
         return not has_ended and ownership.lapsed_ms < self._hold_over_ms
 
-    def decide(self, request: AcquirePermit) -> PermitReply | CopyFirst:
+    def decide(self, request: AcquirePermit) -> PermitReply | CopyRequired:
         """Decide on a request for a permit, or return the record that must be copied first."""
         table = self.tables.get(request.group)
         if table is None or not self.may_grant(table):
             return PermitReply(verdict=Verdict.NOT_OWNER)
         return table.acquire(request)
 
-    def conclude(
-        self, table: PermitTable, record: PermitRecord, *, copied: bool, was_alone: bool
+    def decide_after_copy(
+        self, table: PermitTable, record: PermitRecord, *, copied: bool, was_only_member: bool
     ) -> PermitReply:
         """Decide on a request after the attempt to copy its record.
 
@@ -167,11 +169,11 @@
             Record that was to be copied.
         copied : bool
             Whether a peer has acknowledged the copy.
-        was_alone : bool
-            Value of `is_alone` when the attempt started. The property must also hold now,
+        was_only_member : bool
+            Value of `is_only_member` when the attempt started. The property must also hold now,
             because a daemon that has joined since then may become the next owner.
         """
-        if not copied and was_alone and self.is_alone:
+        if not copied and was_only_member and self.is_only_member:
             self.coverage.record_uncopied_grant()
             copied = True
         if copied and self.may_grant(table):
@@ -188,7 +190,7 @@
             self._unsent_records.setdefault(message.group, {})[changed.key] = changed
         return SettleReply(accepted=True)
 
-    def record_pull(self, table: PermitTable, reply: PulledPermits) -> None:
+    def merge_pulled_copies(self, table: PermitTable, reply: PulledPermits) -> None:
         """Merge the copies that a daemon has returned for a newly owned group."""
         if not reply.accepted or not self.copies.merge(table.group, reply.records):
             return
@@ -204,7 +206,9 @@
         """Return the tables with outcomes that haven't been sent to a peer yet."""
         return [self.tables[group] for group, records in self._unsent_records.items() if records]
 
-    def take_copies(self, table: PermitTable, records: tuple[PermitRecord, ...]) -> CopyPermits:
+    def build_copy_message(
+        self, table: PermitTable, records: tuple[PermitRecord, ...]
+    ) -> CopyPermits:
         """Return the message that copies records and the table's unsent outcomes.
 
         The outcomes then no longer count as unsent.
@@ -224,11 +228,11 @@
         self.coverage.record_peer_message()
         return self.copies.receive(message)
 
-    def answer_pull(self, message: PullPermits) -> PulledPermits:
+    def handle_pull(self, message: PullPermits) -> PulledPermits:
         """Record the epoch of a new owner and return the copies of its group."""
         self.coverage.record_peer_message()
-        reply = self.copies.answer_pull(message, process=self.process)
-        return attrs.evolve(reply, covered_ms=self.covered_ms(), seen=self.log.ages())
+        reply = self.copies.handle_pull(message, process=self.process)
+        return attrs.evolve(reply, covered_ms=self.covered_ms(), seen=self.known_processes.ages())
 
     def covered_ms(self) -> float:
         """Return for how many milliseconds this daemon has known all members and grants.
@@ -244,7 +248,7 @@
             process=self.process,
             epoch=epoch,
             window_ms=self._window_ms,
-            log=self.log,
+            known_processes=self.known_processes,
             owned_epoch=self.copies.owned_epoch(group),
         )
         table = PermitTable(
--- a/coltsfootpier/permits/_table.py
+++ b/coltsfootpier/permits/_table.py
@@ -25,7 +25,7 @@
 
 
 @attrs.frozen
-class CopyFirst:
+class CopyRequired:
     """Record that a peer must acknowledge before `PermitTable.confirm` grants the permit."""
 
     record: PermitRecord
@@ -77,7 +77,7 @@
         """Whether this daemon knows of an owner with a higher epoch."""
         return self._copies.epoch_of(self.group) > self.epoch
 
-    def acquire(self, request: AcquirePermit) -> PermitReply | CopyFirst:
+    def acquire(self, request: AcquirePermit) -> PermitReply | CopyRequired:
         """Decide on a request for a permit.
 
         Parameters
@@ -87,8 +87,8 @@
 
         Returns
         -------
-        PermitReply or CopyFirst
-            After `CopyFirst`, the caller must call `confirm` or `abandon` to decide the request.
+        PermitReply or CopyRequired
+            After `CopyRequired`, `confirm` or `abandon` must be called to decide the request.
         """
         if self.is_superseded or not self.ready:
             return PermitReply(verdict=Verdict.NOT_OWNER)
@@ -193,7 +193,7 @@
 
     def _store_pending_record(
         self, request: AcquirePermit, hold_ms: float, known: PermitRecord | None
-    ) -> PermitReply | CopyFirst:
+    ) -> PermitReply | CopyRequired:
         now_ms = self._clock.now_ms()
         # An earlier attempt may have been granted, so its hold time must not get shorter.
         held_ms = max(now_ms + hold_ms, known.held_ms if known else 0.0)
@@ -212,7 +212,7 @@
             return PermitReply(verdict=Verdict.FULL)
         is_retry = known is not None and known.state is RecordState.UNDECIDED
         self._pending_is_retry[record.token] = is_retry
-        return CopyFirst(record)
+        return CopyRequired(record)
 
     def _update_record(self, record: PermitRecord, **changes: object) -> PermitRecord:
         self._serial += 1
--- a/coltsfootpier/permits/tests/builders.py
+++ b/coltsfootpier/permits/tests/builders.py
@@ -13,9 +13,9 @@
 from coltsfootpier.ownership import OwnershipState, OwnerTable
 from coltsfootpier.permits import (
     AcquirePermit,
-    CopyFirst,
+    CopyRequired,
     KeyKind,
-    PermitNode,
+    PermitManager,
     PermitReply,
     PermitTable,
     PullPermits,
@@ -57,12 +57,12 @@
     )
 
 
-def build_manager(clock: VirtualClock, member: str, **changes: Any) -> PermitNode:
+def build_manager(clock: VirtualClock, member: str, **changes: Any) -> PermitManager:
     """Build the permit manager of a daemon that has just joined."""
     ownership = OwnershipState(clock=clock, ttl_ms=LEASE_MS)
     ownership.join(member, sent_ms=clock.now_ms())
     options = {"window_ms": WINDOW_MS, "hold_over_ms": HOLD_OVER_MS, "capacity": 64, **changes}
-    return PermitNode(clock=clock, ownership=ownership, **options)
+    return PermitManager(clock=clock, ownership=ownership, **options)
 
 
 @attrs.define(eq=False)
@@ -80,7 +80,7 @@
     """
 
     name: str
-    manager: PermitNode
+    manager: PermitManager
     listed: frozenset[str] = frozenset()
     listed_ms: float = float("-inf")
     renewed_ms: float = float("-inf")
@@ -125,7 +125,7 @@
         self.daemons: list[Daemon] = []
         self.partitioned: set[frozenset[str]] = set()
         self.requests: list[Request] = []
-        self.pending_copies: list[tuple[Request, Daemon, PermitTable, CopyFirst, bool]] = []
+        self.pending_copies: list[tuple[Request, Daemon, PermitTable, CopyRequired, bool]] = []
         self.delayed_calls: list[Callable[[], object]] = []
         self.runs: dict[str, list[tuple[float, float]]] = {}
         self.double_runs: list[str] = []
@@ -247,20 +247,25 @@
             return
         pull = PullPermits(group=table.group, epoch=table.epoch)
         table.history.record_coverage(manager.covered_ms())
-        for process in sorted(table.history.missing()):
-            reply = self._send(daemon, process, lambda to: to.manager.answer_pull(pull))
+        for process in sorted(table.history.missing_processes()):
+            reply = self._send(daemon, process, lambda to: to.manager.handle_pull(pull))
             if reply is not None:
-                manager.record_pull(table, reply)
+                manager.merge_pulled_copies(table, reply)
         table.ready = True
-        if table.check_history() and not table.history.missing():
+        if table.check_history() and not table.history.missing_processes():
             daemon.pulling.remove(table)
 
     def _copy(
-        self, request: Request, owner: Daemon, table: PermitTable, first: CopyFirst, was_alone: bool
+        self,
+        request: Request,
+        owner: Daemon,
+        table: PermitTable,
+        first: CopyRequired,
+        was_only_member: bool,
     ) -> None:
         if owner not in self.daemons:
             return
-        message = owner.manager.take_copies(table, (first.record,))
+        message = owner.manager.build_copy_message(table, (first.record,))
         copied = False
         others = sorted(process_of(id_) for id_ in owner.listed if id_ != owner.id)
         for process in self.rng.sample(others, len(others)):
@@ -270,7 +275,9 @@
             if reply is not None and reply.accepted:
                 copied = True
                 break
-        reply = owner.manager.conclude(table, first.record, copied=copied, was_alone=was_alone)
+        reply = owner.manager.decide_after_copy(
+            table, first.record, copied=copied, was_only_member=was_only_member
+        )
         if request.entry is owner or self.rng.random() < 0.9:
             self._handle_reply(request, reply)
 
@@ -320,12 +327,12 @@
     def _decide(
         self, request: Request, owner: Daemon, message: AcquirePermit
     ) -> PermitReply | None:
-        was_alone = owner.manager.is_alone
+        was_only_member = owner.manager.is_only_member
         decision = owner.manager.decide(message)
         if isinstance(decision, PermitReply):
             return decision
         table = owner.manager.tables[message.group]
-        self.pending_copies.append((request, owner, table, decision, was_alone))
+        self.pending_copies.append((request, owner, table, decision, was_only_member))
         return None
 
     def _handle_reply(self, request: Request, reply: PermitReply) -> None:
--- a/coltsfootpier/permits/tests/test_claims.py
+++ b/coltsfootpier/permits/tests/test_claims.py
@@ -9,7 +9,7 @@
 from coltsfootpier.callers._permits import Claim, list_claims
 from coltsfootpier.declaration import RequestKind
 from coltsfootpier.permits import KeyKind
-from coltsfootpier.routing import RefusalReason, Refused
+from coltsfootpier.routing import Rejected, RejectionReason
 
 KIND = RequestKind(
     service="web",
@@ -24,7 +24,7 @@
 KEYS = {b"idempotency-key": b"k", b"x-exclusive-key": b"k"}
 
 
-def _list_claims(kind: RequestKind = KIND, **changes: object) -> list[Claim] | Refused:
+def _list_claims(kind: RequestKind = KIND, **changes: object) -> list[Claim] | Rejected:
     options = {"declared": True, "headers": KEYS, "content": (b"POST", b"/write", b"x")}
     return list_claims(kind, **{**options, "deadline_ms": 5_000.0, **changes})
 
@@ -36,8 +36,8 @@
         for kind, name in ((KIND, b"idempotency-key"), (exclusive, b"x-exclusive-key")):
             for headers in ({}, {name: b"k" * 257}):
                 claims = _list_claims(kind, headers=headers)
-                self.assertIsInstance(claims, Refused)
-                self.assertIs(claims.reason, RefusalReason.BAD_REQUEST)
+                self.assertIsInstance(claims, Rejected)
+                self.assertIs(claims.reason, RejectionReason.BAD_REQUEST)
 
     def test_undeclared_kind_needs_no_key(self) -> None:
         """Guards against rejecting requests that aren't declared as non-idempotent."""
--- a/coltsfootpier/permits/tests/test_table.py
+++ b/coltsfootpier/permits/tests/test_table.py
@@ -9,10 +9,10 @@
 from coltsfootpier.clock import VirtualClock
 from coltsfootpier.ownership import Ownership, OwnerTable
 from coltsfootpier.permits import (
-    CopyFirst,
+    CopyRequired,
     DoubleGrantError,
     KeyKind,
-    PermitNode,
+    PermitManager,
     PermitReply,
     PermitTable,
     PullPermits,
@@ -30,12 +30,12 @@
 OWNER, PEER, THIRD = "n1.a.1", "n2.b.1", "n3.c.1"
 
 
-def _reconcile(manager: PermitNode, *members: str) -> list[PermitTable]:
+def _reconcile(manager: PermitManager, *members: str) -> list[PermitTable]:
     # An infinite time keeps the listing from becoming outdated.
     return manager.reconcile(members, listed_ms=float("inf"), is_retired=lambda _: False)
 
 
-def _take_ownership(manager: PermitNode, epoch: int, *others: str) -> PermitTable:
+def _take_ownership(manager: PermitManager, epoch: int, *others: str) -> PermitTable:
     member = manager.ownership.member
     manager.ownership.observe(OwnerTable({"keys/0": Ownership(member, epoch)}), epoch)
     (table,) = _reconcile(manager, member, *others)
@@ -43,13 +43,15 @@
     return table
 
 
-def _acquire(manager: PermitNode, **changes: object) -> PermitReply:
+def _acquire(manager: PermitManager, **changes: object) -> PermitReply:
     request = build_acquire(**changes)
-    was_alone = manager.is_alone
+    was_only_member = manager.is_only_member
     decision = manager.decide(request)
-    if isinstance(decision, CopyFirst):
+    if isinstance(decision, CopyRequired):
         table = manager.tables[request.group]
-        return manager.conclude(table, decision.record, copied=True, was_alone=was_alone)
+        return manager.decide_after_copy(
+            table, decision.record, copied=True, was_only_member=was_only_member
+        )
     return decision
 
 
@@ -99,14 +101,14 @@
     def test_grant_needs_a_copy_unless_the_store_lists_no_other_member(self) -> None:
         """Guards against grants that are lost when one daemon fails."""
         decision = self.manager.decide(build_acquire())
-        reply = self.manager.conclude(
-            self.table, decision.record, copied=False, was_alone=self.manager.is_alone
+        reply = self.manager.decide_after_copy(
+            self.table, decision.record, copied=False, was_only_member=self.manager.is_only_member
         )
         self.assertIs(reply.verdict, Verdict.NO_COPY)
         _reconcile(self.manager, OWNER)
-        self.assertTrue(self.manager.is_alone)
+        self.assertTrue(self.manager.is_only_member)
         self.manager.ownership.lose_lease()
-        self.assertFalse(self.manager.is_alone)
+        self.assertFalse(self.manager.is_only_member)
 
     def test_request_that_may_outlast_the_window_is_rejected(self) -> None:
         """Guards against a run that a later owner's history doesn't cover."""
@@ -140,8 +142,8 @@
         self.old_table = _take_ownership(self.old, 1, PEER, THIRD)
 
     def _pull(self) -> None:
-        reply = self.old.answer_pull(PullPermits(group="keys/0", epoch=2))
-        self.new.record_pull(self.new.tables["keys/0"], reply)
+        reply = self.old.handle_pull(PullPermits(group="keys/0", epoch=2))
+        self.new.merge_pulled_copies(self.new.tables["keys/0"], reply)
 
     def test_new_owner_knows_the_keys_of_the_previous_owner(self) -> None:
         """Guards against running a key twice after a change of the owner."""
@@ -154,12 +156,14 @@
     def test_previous_owner_is_fenced(self) -> None:
         """Guards against two owners that grant the same key."""
         decision = self.old.decide(build_acquire())
-        message = self.old.take_copies(self.old_table, (decision.record,))
+        message = self.old.build_copy_message(self.old_table, (decision.record,))
         _take_ownership(self.new, 2, OWNER, THIRD)
         reply = self.new.receive_copies(message)
         self.assertEqual((reply.accepted, reply.epoch), (False, 2))
         self._pull()
-        reply = self.old.conclude(self.old_table, decision.record, copied=True, was_alone=False)
+        reply = self.old.decide_after_copy(
+            self.old_table, decision.record, copied=True, was_only_member=False
+        )
         self.assertIs(reply.verdict, Verdict.NOT_OWNER)
 
     def test_unknown_key_is_not_granted_while_the_history_is_incomplete(self) -> None:
@@ -173,8 +177,8 @@
         table.history.record_coverage(self.new.covered_ms())
         self.assertIs(_acquire(self.new).verdict, Verdict.INCOMPLETE)
         # Two daemons hold each grant, so one missing daemon hides none.
-        pulled = build_manager(self.clock, THIRD).answer_pull(PullPermits(group="keys/0", epoch=2))
-        self.new.record_pull(table, pulled)
+        pulled = build_manager(self.clock, THIRD).handle_pull(PullPermits(group="keys/0", epoch=2))
+        self.new.merge_pulled_copies(table, pulled)
         self.assertIs(_acquire(self.new).verdict, Verdict.GRANTED)
 
     def test_time_of_grants_without_a_copy_is_not_covered(self) -> None:
@@ -185,8 +189,11 @@
         _take_ownership(manager, 1)
         self.assertGreater(manager.covered_ms(), WINDOW_MS)
         decision = manager.decide(build_acquire())
-        reply = manager.conclude(
-            manager.tables["keys/0"], decision.record, copied=False, was_alone=manager.is_alone
+        reply = manager.decide_after_copy(
+            manager.tables["keys/0"],
+            decision.record,
+            copied=False,
+            was_only_member=manager.is_only_member,
         )
         self.assertIs(reply.verdict, Verdict.GRANTED)
         self.assertEqual(manager.covered_ms(), 0.0)
@@ -194,10 +201,12 @@
     def test_later_record_wins_in_any_order_of_arrival(self) -> None:
         """Guards against a delayed copy that blocks a freed key, or frees a held one."""
         decision = self.old.decide(build_acquire())
-        grant = self.old.take_copies(self.old_table, (decision.record,))
-        self.old.conclude(self.old_table, decision.record, copied=True, was_alone=False)
+        grant = self.old.build_copy_message(self.old_table, (decision.record,))
+        self.old.decide_after_copy(
+            self.old_table, decision.record, copied=True, was_only_member=False
+        )
         self.old.settle(build_settle(build_acquire(), Outcome.REFUSED))
-        self.new.receive_copies(self.old.take_copies(self.old_table, ()))
+        self.new.receive_copies(self.old.build_copy_message(self.old_table, ()))
         self.new.receive_copies(grant)
         self.assertIs(self.new.copies.get("keys/0", "k").state, RecordState.FREE)
 
--- a/coltsfootpier/routing/__init__.py
+++ b/coltsfootpier/routing/__init__.py
@@ -13,8 +13,8 @@
     Grant,
     Outcome,
     Queued,
-    RefusalReason,
-    Refused,
+    Rejected,
+    RejectionReason,
     Runner,
     Settlement,
     Share,
@@ -31,7 +31,7 @@
     RunnerPolicy,
 )
 from coltsfootpier.routing._queues import FairQueue, FifoQueue, QueueContext, SlotUse, WaitingQueue
-from coltsfootpier.routing._retries import RetryBudget, limit_attempt
+from coltsfootpier.routing._retries import RetryBudget, compute_attempt_timeout
 from coltsfootpier.routing._router import Router, SlotOverrunError, TicketSettledError
 
 __all__ = [
@@ -51,8 +51,8 @@
     "QueueContext",
     "Queued",
     "RandomPolicy",
-    "RefusalReason",
-    "Refused",
+    "Rejected",
+    "RejectionReason",
     "RendezvousAssignment",
     "RetryBudget",
     "Router",
@@ -68,5 +68,5 @@
     "TicketSettledError",
     "TicketState",
     "WaitingQueue",
-    "limit_attempt",
+    "compute_attempt_timeout",
 ]
--- a/coltsfootpier/routing/_health.py
+++ b/coltsfootpier/routing/_health.py
@@ -150,7 +150,7 @@
         record = self._records.get(runner_id)
         return record.rejection_rate if record is not None else 0.0
 
-    def answer_ms(self, service: str, kind: str = "") -> float:
+    def response_ms(self, service: str, kind: str = "") -> float:
         """Return the average response time of a request kind, or else of its service.
 
         The result is 0 if nothing has been measured.
--- a/coltsfootpier/routing/_messages.py
+++ b/coltsfootpier/routing/_messages.py
@@ -16,7 +16,7 @@
     UNKNOWN = "unknown"
 
 
-class RefusalReason(enum.Enum):
+class RejectionReason(enum.Enum):
     """Reason for rejecting a request, which was not run."""
 
     UNKNOWN_SERVICE = "unknown_service"
@@ -181,10 +181,10 @@
 
 
 @attrs.frozen(kw_only=True)
-class Refused:
+class Rejected:
     """Decision not to run a request."""
 
-    reason: RefusalReason
+    reason: RejectionReason
     detail: str = ""
 
 
@@ -193,4 +193,4 @@
     """Decision on a ticket that was queued."""
 
     ticket: Ticket
-    decision: Grant | Refused
+    decision: Grant | Rejected
--- a/coltsfootpier/routing/_policies.py
+++ b/coltsfootpier/routing/_policies.py
@@ -28,7 +28,7 @@
         Slots of the runner that this daemon owns.
     slowness : float
         Response time relative to the average of the request kind; 1 if not measured.
-    answer_ms : float
+    response_ms : float
         Average response time of the request kind or of its service; 0 if not measured.
     is_near : bool
         Whether the runner is in the daemon's availability zone.
@@ -42,7 +42,7 @@
     outstanding: int
     slots: int
     slowness: float = 1.0
-    answer_ms: float = 0.0
+    response_ms: float = 0.0
     is_near: bool = True
     zone_delay_ms: float = 0.0
     rejection_rate: float = 0.0
@@ -119,7 +119,7 @@
 
 def _expected_response_ms(candidate: Candidate) -> float:
     occupancy = candidate.outstanding / candidate.slots
-    base_ms = max(candidate.answer_ms, 1.0) * candidate.slowness
+    base_ms = max(candidate.response_ms, 1.0) * candidate.slowness
     expected_ms = base_ms * (1 + _OCCUPANCY_WEIGHT * occupancy) + candidate.zone_delay_ms
     # Each rejection costs another attempt, so divides by the expected acceptance rate.
     return expected_ms / max(0.1, 1 - candidate.rejection_rate)
--- a/coltsfootpier/routing/_queues.py
+++ b/coltsfootpier/routing/_queues.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from coltsfootpier.routing._messages import RefusalReason, Share, Ticket
+from coltsfootpier.routing._messages import RejectionReason, Share, Ticket
 
 # Lower bound of a kind's share, so that a kind without a guaranteed share still makes progress
 # when the guarantees of the other kinds add up to all slots.
@@ -56,7 +56,7 @@
         """Return the number of waiting requests."""
         ...
 
-    def admit(self, ticket: Ticket, use: SlotUse) -> RefusalReason | None:
+    def admit(self, ticket: Ticket, use: SlotUse) -> RejectionReason | None:
         """Add a request and return None, or return the reason for rejecting it."""
         ...
 
@@ -93,7 +93,7 @@
         Maximum number of waiting requests.
     now_ms : callable
         Returns the current time in milliseconds.
-    answer_ms : callable
+    response_ms : callable
         Returns the measured response time of a request kind in milliseconds.
     shares : mapping of str to Share
         Shares of the declared request kinds.
@@ -101,7 +101,7 @@
 
     max_length: int
     now_ms: Callable[[], float]
-    answer_ms: Callable[[str], float]
+    response_ms: Callable[[str], float]
     shares: Mapping[str, Share] = attrs.field(factory=dict)
 
 
@@ -121,10 +121,10 @@
     def __len__(self) -> int:
         return len(self._tickets)
 
-    def admit(self, ticket: Ticket, use: SlotUse) -> RefusalReason | None:
+    def admit(self, ticket: Ticket, use: SlotUse) -> RejectionReason | None:
         """Add a request unless the queue is full."""
         if len(self._tickets) >= self._context.max_length:
-            return RefusalReason.QUEUE_FULL
+            return RejectionReason.QUEUE_FULL
         self._tickets.append(ticket)
         return None
 
@@ -176,19 +176,19 @@
     def __len__(self) -> int:
         return self._size
 
-    def admit(self, ticket: Ticket, use: SlotUse) -> RefusalReason | None:
+    def admit(self, ticket: Ticket, use: SlotUse) -> RejectionReason | None:
         """Add a request unless its queue is full or too long for its deadline."""
         queue = self._queues[ticket.team, ticket.kind]
-        answer_ms = self._context.answer_ms(ticket.kind)
+        response_ms = self._context.response_ms(ticket.kind)
         left_ms = ticket.deadline_ms - self._context.now_ms()
         slots = self._available_slots(ticket.kind, use)
-        if left_ms < answer_ms + (len(queue) + 1) * answer_ms / slots:
-            return RefusalReason.DEADLINE
+        if left_ms < response_ms + (len(queue) + 1) * response_ms / slots:
+            return RejectionReason.DEADLINE
         share = self._share(ticket.kind)
         if len(queue) >= max(_MIN_QUEUE_LENGTH, share * self._context.max_length):
-            return RefusalReason.QUEUE_FULL
+            return RejectionReason.QUEUE_FULL
         if self._size >= self._context.max_length + _MIN_QUEUE_LENGTH:
-            return RefusalReason.QUEUE_FULL
+            return RejectionReason.QUEUE_FULL
         queue.append(ticket)
         self._size += 1
         return None
@@ -208,11 +208,11 @@
         """Remove and return the requests that can no longer meet their deadline."""
         late: list[Ticket] = []
         for (_, kind), queue in self._queues.items():
-            answer_ms = self._context.answer_ms(kind)
-            while queue and self._is_late(queue[0], answer_ms):
+            response_ms = self._context.response_ms(kind)
+            while queue and self._is_late(queue[0], response_ms):
                 late.append(queue.popleft())
             if check_all:
-                found = [ticket for ticket in queue if self._is_late(ticket, answer_ms)]
+                found = [ticket for ticket in queue if self._is_late(ticket, response_ms)]
                 for ticket in found:
                     queue.remove(ticket)
                 late += found
@@ -286,12 +286,12 @@
         indices = range(len(queue))
         if self._is_overloaded(queue):
             indices = range(len(queue) - 1, -1, -1)
-        answer_ms = self._context.answer_ms(queue[0].kind)
+        response_ms = self._context.response_ms(queue[0].kind)
         return next(
             (
                 index
                 for index in indices
-                if can_serve(queue[index]) and not self._is_late(queue[index], answer_ms)
+                if can_serve(queue[index]) and not self._is_late(queue[index], response_ms)
             ),
             None,
         )
@@ -301,5 +301,5 @@
         waited_ms = self._context.now_ms() - oldest.arrived_ms
         return waited_ms > _OVERLOAD_FRACTION * (oldest.deadline_ms - oldest.arrived_ms)
 
-    def _is_late(self, ticket: Ticket, answer_ms: float) -> bool:
-        return ticket.deadline_ms <= self._context.now_ms() + answer_ms
+    def _is_late(self, ticket: Ticket, response_ms: float) -> bool:
+        return ticket.deadline_ms <= self._context.now_ms() + response_ms
--- a/coltsfootpier/routing/_retries.py
+++ b/coltsfootpier/routing/_retries.py
@@ -11,14 +11,14 @@
 _MAX_SAVED_RETRIES = 20.0
 
 
-def limit_attempt(left_ms: float, answer_ms: float) -> float:
+def compute_attempt_timeout(left_ms: float, response_ms: float) -> float:
     """Return the timeout of an attempt after which the request may be retried.
 
     Parameters
     ----------
     left_ms : float
         Time left to the deadline.
-    answer_ms : float
+    response_ms : float
         Average response time; 0 if not measured.
 
     Returns
@@ -28,12 +28,14 @@
 
     Examples
     --------
-    >>> limit_attempt(1000.0, 100.0), limit_attempt(1000.0, 400.0), limit_attempt(1000.0, 0.0)
-    (800.0, 500.0, 500.0)
+    >>> compute_attempt_timeout(1000.0, 100.0), compute_attempt_timeout(1000.0, 400.0)
+    (800.0, 500.0)
+    >>> compute_attempt_timeout(1000.0, 0.0)
+    500.0
     """
-    if answer_ms <= 0:
+    if response_ms <= 0:
         return left_ms / 2
-    return max(left_ms / 2, left_ms - _RETRY_RESERVE_RESPONSES * answer_ms)
+    return max(left_ms / 2, left_ms - _RETRY_RESERVE_RESPONSES * response_ms)
 
 
 class RetryBudget:
--- a/coltsfootpier/routing/_router.py
+++ b/coltsfootpier/routing/_router.py
@@ -18,8 +18,8 @@
     Feedback,
     Grant,
     Queued,
-    RefusalReason,
-    Refused,
+    Rejected,
+    RejectionReason,
     Runner,
     Settlement,
     Share,
@@ -174,7 +174,7 @@
 
     # Decisions
 
-    def acquire(self, ticket: Ticket) -> Grant | Queued | Refused:
+    def acquire(self, ticket: Ticket) -> Grant | Queued | Rejected:
         """Decide on a slot request of this daemon, or of a peer that borrows a slot.
 
         Parameters
@@ -184,14 +184,14 @@
 
         Returns
         -------
-        Grant, Queued or Refused
+        Grant, Queued or Rejected
             After `Queued`, `plan_borrows` returns the peers to ask for slots.
         """
         if ticket.deadline_ms <= self._clock.now_ms():
-            return self._reject(ticket, RefusalReason.DEADLINE)
+            return self._reject(ticket, RejectionReason.DEADLINE)
         service = self._services.get(ticket.service)
         if service is None or not service.runners:
-            return self._reject(ticket, RefusalReason.NO_RUNNER, ticket.service)
+            return self._reject(ticket, RejectionReason.NO_RUNNER, ticket.service)
         self._free_overdue()
         # This doesn't overtake the queue: a slot is free only if no waiting request can use it.
         grant = self._grant(ticket)
@@ -334,7 +334,7 @@
         state = self._services.get(service)
         return sum(self._slots[id_].owned for id_ in state.runners) if state else 0
 
-    def waiting(self) -> dict[str, int]:
+    def queue_lengths(self) -> dict[str, int]:
         """Return the number of waiting requests by service."""
         return {name: len(service.queue) for name, service in self._services.items()}
 
@@ -365,7 +365,7 @@
             context = QueueContext(
                 max_length=self._queue_length,
                 now_ms=self._clock.now_ms,
-                answer_ms=lambda kind: self.health.answer_ms(name, kind),
+                response_ms=lambda kind: self.health.response_ms(name, kind),
                 shares=self._shares.get(name, {}),
             )
             self._services[name] = _Service(queue=self._make_queue(context), context=context)
@@ -416,7 +416,7 @@
         # The runner may work on the request until its deadline and would reject another one.
         ticket = slots.grants[token].ticket
         until_ms = max(ticket.deadline_ms, self._clock.now_ms())
-        until_ms += self.health.answer_ms(ticket.service, ticket.kind)
+        until_ms += self.health.response_ms(ticket.service, ticket.kind)
         heapq.heappush(self._overdue, (until_ms, slots.runner.id, token))
 
     def _free_overdue(self) -> None:
@@ -461,7 +461,7 @@
             outstanding=len(slots.grants),
             slots=slots.owned,
             slowness=self.health.slowness(runner.id),
-            answer_ms=self.health.answer_ms(ticket.service, ticket.kind),
+            response_ms=self.health.response_ms(ticket.service, ticket.kind),
             is_near=is_near,
             zone_delay_ms=0.0 if is_near else _ZONE_DELAY_MS,
             rejection_rate=self.health.rejection_rate(runner.id),
@@ -513,13 +513,13 @@
 
     def _reject_late(self, service: _Service, *, check_all: bool = False) -> list[Settlement]:
         return [
-            Settlement(ticket=ticket, decision=self._reject(ticket, RefusalReason.DEADLINE))
+            Settlement(ticket=ticket, decision=self._reject(ticket, RejectionReason.DEADLINE))
             for ticket in service.queue.drop_late(check_all=check_all)
         ]
 
-    def _reject(self, ticket: Ticket, reason: RefusalReason, detail: str = "") -> Refused:
+    def _reject(self, ticket: Ticket, reason: RejectionReason, detail: str = "") -> Rejected:
         self._change_state(ticket, TicketState.REFUSED)
-        return Refused(reason=reason, detail=detail)
+        return Rejected(reason=reason, detail=detail)
 
     @staticmethod
     def _change_state(ticket: Ticket, state: TicketState) -> None:
--- a/coltsfootpier/routing/tests/test_queues.py
+++ b/coltsfootpier/routing/tests/test_queues.py
@@ -6,7 +6,7 @@
 from collections import Counter
 
 from coltsfootpier.clock import VirtualClock
-from coltsfootpier.routing import FairQueue, QueueContext, RefusalReason, Share, SlotUse, Ticket
+from coltsfootpier.routing import FairQueue, QueueContext, RejectionReason, Share, SlotUse, Ticket
 from tests.builders import build_ticket
 
 
@@ -21,13 +21,13 @@
             QueueContext(
                 max_length=100,
                 now_ms=self.clock.now_ms,
-                answer_ms=lambda _: 100.0,
+                response_ms=lambda _: 100.0,
                 shares=shares,
             )
         )
         self.use = SlotUse(slots=10)
 
-    def push(self, kind: str, **changes: object) -> Ticket | RefusalReason:
+    def push(self, kind: str, **changes: object) -> Ticket | RejectionReason:
         ticket = build_ticket(self.clock, kind=kind, **changes)
         return self.queue.admit(ticket, self.use) or ticket
 
@@ -85,7 +85,7 @@
         deadline_ms = self.clock.now_ms() + 150.0
         admitted = [self.push("low", deadline_ms=deadline_ms) for _ in range(10)]
         self.assertIsInstance(admitted[0], Ticket)
-        self.assertIs(admitted[-1], RefusalReason.DEADLINE)
+        self.assertIs(admitted[-1], RejectionReason.DEADLINE)
 
     def test_newest_is_served_before_the_oldest_under_overload(self) -> None:
         """Guards against serving every request just after its deadline under overload."""
--- a/coltsfootpier/routing/tests/test_router.py
+++ b/coltsfootpier/routing/tests/test_router.py
@@ -10,8 +10,8 @@
     Feedback,
     Grant,
     Queued,
-    RefusalReason,
-    Refused,
+    Rejected,
+    RejectionReason,
     Router,
     TicketSettledError,
     TicketState,
@@ -26,7 +26,7 @@
         self.router.observe_members("m1", {})
         self.router.observe_runners("r1", 1, [build_runner()])
 
-    def acquire(self, **changes: object) -> Grant | Queued | Refused:
+    def acquire(self, **changes: object) -> Grant | Queued | Rejected:
         return self.router.acquire(build_ticket(self.clock, **changes))
 
     def fill(self) -> list[Grant]:
@@ -46,7 +46,7 @@
     def test_queue_is_bounded(self) -> None:
         """Guards against an unbounded queue under overload."""
         decisions = [self.acquire() for _ in range(20)]
-        self.assertEqual(decisions[-1], Refused(reason=RefusalReason.QUEUE_FULL))
+        self.assertEqual(decisions[-1], Rejected(reason=RejectionReason.QUEUE_FULL))
 
     def test_leaving_runner_gets_no_request(self) -> None:
         """Guards against new requests to a runner that is shutting down."""
@@ -142,7 +142,7 @@
         settled = self.router.release(first.runner.id, first.token)
         self.assertTrue(settled)
         for settlement in settled:
-            self.assertEqual(settlement.decision, Refused(reason=RefusalReason.DEADLINE))
+            self.assertEqual(settlement.decision, Rejected(reason=RejectionReason.DEADLINE))
             self.assertIs(settlement.ticket.state, TicketState.REFUSED)
 
     def test_ticket_settles_once(self) -> None:
