--- a/coltsfootpier/permits/tests/builders.py
+++ b/coltsfootpier/permits/tests/builders.py
@@ -170,7 +170,7 @@
         self.leases[manager.ownership.member] = self.clock.now_ms() + LEASE_MS
 
     def _inject_fault(self) -> None:
-        kind = self.rng.choice(("kill", "restart", "cut", "cut", "heal", "hand over"))
+        kind = self.rng.choice(("kill", "restart", "partition", "partition", "heal", "hand over"))
         self.counts[kind] += 1
         names = [daemon.name for daemon in self.daemons]
         if kind == "kill" and len(names) > 1:
@@ -179,7 +179,7 @@
             missing = sorted(set(self.names) - set(names))
             if missing:
                 self._start_daemon(missing[0])
-        elif kind == "cut":
+        elif kind == "partition":
             self.partitioned.add(
                 frozenset((self.rng.choice(names), self.rng.choice((*names, "s"))))
             )
