--- a/coltsfootpier/backend_servers/__init__.py
+++ b/coltsfootpier/backend_servers/__init__.py
@@ -1,4 +1,4 @@
-"""Backend servers: the runners that answer callers' requests."""
+"""Client of backend servers, the runners that serve callers' requests."""
 
 from coltsfootpier.backend_servers._client import (
     MAX_BUFFERED_BODY_BYTES,
@@ -7,4 +7,4 @@
     RunnerResponse,
 )
 
-__all__ = ["WHOLE_BODY_BYTES", "Answer", "NotStarted", "RunnerPool"]
+__all__ = ["MAX_BUFFERED_BODY_BYTES", "NotStarted", "RunnerPool", "RunnerResponse"]
--- a/coltsfootpier/permits/__init__.py
+++ b/coltsfootpier/permits/__init__.py
@@ -1,4 +1,4 @@
-"""Permits for idempotency keys and exclusive keys, with fenced copies on peers."""
+"""Permits for idempotency keys and exclusive keys, with epoch-fenced copies on peers."""
 
 from coltsfootpier.permits._copies import CopyTable
 from coltsfootpier.permits._history import Coverage, History, ProcessTable, process_of
@@ -21,19 +21,19 @@
 
 __all__ = [
     "AcquirePermit",
-    "CopyFirst",
     "CopyPermits",
     "CopyReply",
+    "CopyRequired",
     "CopyTable",
     "Coverage",
     "DoubleGrantError",
     "History",
     "KeyKind",
-    "PermitNode",
+    "PermitManager",
     "PermitRecord",
     "PermitReply",
     "PermitTable",
-    "ProcessLog",
+    "ProcessTable",
     "PullPermits",
     "PulledPermits",
     "RecordState",
--- a/coltsfootpier/routing/__init__.py
+++ b/coltsfootpier/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Routing of callers' requests to runners with a free slot."""
+"""Routing of callers' requests to runners that have a free slot."""
 
 from coltsfootpier.routing._assignment import (
     BalancedAssignment,
@@ -51,8 +51,8 @@
     "QueueContext",
     "Queued",
     "RandomPolicy",
-    "RefusalReason",
-    "Refused",
+    "Rejected",
+    "RejectionReason",
     "RendezvousAssignment",
     "RetryBudget",
     "Router",
@@ -68,5 +68,5 @@
     "TicketSettledError",
     "TicketState",
     "WaitingQueue",
-    "limit_attempt",
+    "compute_attempt_timeout",
 ]
