--- a/coltsfootpier/dispatch/_dispatcher.py
+++ b/coltsfootpier/dispatch/_dispatcher.py
@@ -47,7 +47,7 @@
         without it they wait for room.
     """
 
-    def __init__(self, *, clock: Clock, ledger: Ledger, evicts: bool = True) -> None:
+    def __init__(self, *, clock: Clock, ledger: Ledger, allow_eviction: bool = True) -> None:
         self.ledger = ledger
         self.links: dict[str, ShardLink] = {}
         self._clock = clock
@@ -56,7 +56,7 @@
         self._revision = -1
         self._shares = Shares()
         self._queue = TaskQueue()
-        self._evictor = Evictor(ledger=ledger, shares=self._shares) if evicts else None
+        self._evictor = Evictor(ledger=ledger, shares=self._shares) if allow_eviction else None
         self._schedule = Schedule(clock=clock, ledger=ledger)
         self._spread: dict[str, Counter[str]] = defaultdict(Counter)
         self._stale: dict[str, dict[str, None]] = defaultdict(dict)
--- a/coltsfootpier/placement/_guard.py
+++ b/coltsfootpier/placement/_guard.py
@@ -90,10 +90,10 @@
     reaction those from before it took effect are ignored, so that no measurement causes two.
     """
 
-    def __init__(self, *, slowdowns: SlowdownTable, reacts: bool = True) -> None:
+    def __init__(self, *, slowdowns: SlowdownTable, protect_services: bool = True) -> None:
         self.shares: dict[Key, float] = {}
         self._slowdowns = slowdowns
-        self._reacts = reacts
+        self._reacts = protect_services
         self._workers: dict[str, _WorkerGuard] = {}
         self._blocked: dict[tuple[str, str], float] = {}
         # Share that was sent last for each attempt, and how often it is still repeated.
--- a/coltsfootpier/placement/_shard.py
+++ b/coltsfootpier/placement/_shard.py
@@ -92,7 +92,7 @@
         worker_lease_ms: float,
         hold_over_ms: float,
         policy: PlacementPolicy | None = None,
-        reacts: bool = True,
+        protect_services: bool = True,
     ) -> None:
         self.shard = shard
         self.record: VersionedRecord[Placement] = VersionedRecord(
@@ -106,7 +106,7 @@
         self.usage = UsageTable()
         self._digest = ReplyDigest()
         self._policy = policy or ColocationFit(self.slowdowns)
-        self._guard = ColocationGuard(slowdowns=self.slowdowns, reacts=reacts)
+        self._guard = ColocationGuard(slowdowns=self.slowdowns, protect_services=protect_services)
         self._reserved: dict[str, tuple[int, str]] = {}
         self._last_sequence = 0
         self._accepted_ms: dict[str, float] = {}
@@ -153,21 +153,23 @@
         for entry in list(self.record.working.values()):
             if entry.worker != worker or not entry.charged:
                 continue
-            report = view.reports.get((entry.task, entry.attempt))
+            build_exchange_reply = view.reports.get((entry.task, entry.attempt))
             if entry.incarnation != reply.incarnation:
                 self._release(entry, "lost", "the worker restarted")
-            elif report is not None and report.state == "ended":
-                self._release_reported(entry, report)
-            elif report is not None and report.checkpoint:
+            elif build_exchange_reply is not None and build_exchange_reply.state == "ended":
+                self._release_reported(entry, build_exchange_reply)
+            elif build_exchange_reply is not None and build_exchange_reply.checkpoint:
                 # Checkpoints are kept in the record lazily: they ride along with the next write.
                 name = self._name_of(entry)
-                self.record.amend(name, attrs.evolve(entry, checkpoint=report.checkpoint))
+                self.record.amend(
+                    name, attrs.evolve(entry, checkpoint=build_exchange_reply.checkpoint)
+                )
         self._judge_health(worker, view, now_ms)
         self._protect_services(worker, view, now_ms)
         if self._reserved:
             self.place()
 
-    def receive(self, request: ExchangeRequest) -> StaleExchange | None:
+    def apply_request(self, request: ExchangeRequest) -> StaleExchange | None:
         """Apply one step of the exchange with the dispatcher to the working copy.
 
         Returns
@@ -256,7 +258,7 @@
             load = loads[reserved[1]]
             loads[load.name] = attrs.evolve(load, free=subtract(load.free, entry.spec.size))
 
-    def check_leases(self) -> None:
+    def expire_leases(self) -> None:
         """Release attempts on workers whose leases have surely ended."""
         now_ms = self._clock.now_ms()
         for entry in list(self.record.working.values()):
@@ -350,7 +352,7 @@
         live = [view for view in self.workers.values() if view.vm.state == "live"]
         return bool(live) and all(view.received_ms > float("-inf") for view in live)
 
-    def has_unstarted(self, worker: str) -> bool:
+    def has_pending_commands(self, worker: str) -> bool:
         """Whether the durable record has commands for a worker that it has not carried out."""
         view = self.workers.get(worker)
         if view is None:
@@ -361,7 +363,7 @@
             for entry in self._list_durable(worker)
         )
 
-    def report(self, *, full: bool) -> ExchangeReply:
+    def build_exchange_reply(self, *, full: bool) -> ExchangeReply:
         """Return the answer for the dispatcher from the durable copy."""
         released = tuple(
             Release(
@@ -392,9 +394,9 @@
                 continue
             state = entry.state
             view = self.workers.get(entry.worker)
-            report = view.reports.get((entry.task, entry.attempt)) if view else None
-            if state == "placed" and report is not None:
-                state = report.state
+            build_exchange_reply = view.reports.get((entry.task, entry.attempt)) if view else None
+            if state == "placed" and build_exchange_reply is not None:
+                state = build_exchange_reply.state
             unsaved_ms = 0.0
             if view is not None and entry.spec.kind == "batch":
                 key = (entry.task, entry.attempt)
@@ -487,10 +489,14 @@
         running: dict[tuple[str, int], Placement] = {}
         for entry in self._list_working(worker):
             key = (entry.task, entry.attempt)
-            report = view.reports.get(key)
-            if report is not None and report.state == "running" and entry.charged:
+            build_exchange_reply = view.reports.get(key)
+            if (
+                build_exchange_reply is not None
+                and build_exchange_reply.state == "running"
+                and entry.charged
+            ):
                 running[key] = entry
-                self.usage.observe(entry.spec, report)
+                self.usage.observe(entry.spec, build_exchange_reply)
         tasks = [build_neighbour(entry, view.reports[key]) for key, entry in running.items()]
         eviction = self._guard.observe(worker, view.worker_now_ms, now_ms, tasks)
         if eviction is not None and running[eviction.key].state == "placed":
@@ -501,12 +507,18 @@
             if entry.worker == worker and entry.charged:
                 self._release(entry, outcome, reason)
 
-    def _release_reported(self, entry: Placement, report: TaskReport) -> None:
-        outcome = "stopped" if report.outcome in ("stopped", "expired") else report.outcome
+    def _release_reported(self, entry: Placement, build_exchange_reply: TaskReport) -> None:
+        outcome = (
+            "stopped"
+            if build_exchange_reply.outcome in ("stopped", "expired")
+            else build_exchange_reply.outcome
+        )
         if outcome == "refused":
             outcome = "no_capacity"
-        checkpoint = report.checkpoint or entry.checkpoint
-        self._release(attrs.evolve(entry, checkpoint=checkpoint), outcome, report.reason)
+        checkpoint = build_exchange_reply.checkpoint or entry.checkpoint
+        self._release(
+            attrs.evolve(entry, checkpoint=checkpoint), outcome, build_exchange_reply.reason
+        )
 
     def _release(self, entry: Placement, outcome: str, reason: str) -> None:
         self._guard.drop((entry.task, entry.attempt))
