--- a/coltsfootpier/placement/__init__.py
+++ b/coltsfootpier/placement/__init__.py
@@ -1,4 +1,4 @@
-"""Placement of tasks on the workers of one shard."""
+"""Placement of tasks on the workers of a shard."""
 
 from coltsfootpier.placement._messages import (
     Assignment,
--- a/coltsfootpier/placement/_capacity.py
+++ b/coltsfootpier/placement/_capacity.py
@@ -1,4 +1,4 @@
-"""Room on workers as policies and the dispatcher see it."""
+"""Load and free capacity of workers, as seen by policies and by the dispatcher."""
 
 from __future__ import annotations
 
@@ -14,14 +14,15 @@
 def build_load(
     name: str, view: WorkerView, charged: Sequence[Placement], usage: UsageTable
 ) -> WorkerLoad:
-    """Return what a worker holds, tasks that use more than declared at their use."""
-    at_risk = sum_sizes(
-        usage.charge(entry.spec, view.reports.get((entry.task, entry.attempt))) for entry in charged
+    """Build the load of a worker; tasks that exceed their declared size count as measured."""
+    charged_size = sum_sizes(
+        usage.compute_charge(entry.spec, view.reports.get((entry.task, entry.attempt)))
+        for entry in charged
     )
     return WorkerLoad(
         name=name,
         size=view.size,
-        free=subtract(view.size, at_risk),
+        free=subtract(view.size, charged_size),
         declared=tuple(entry.spec.declared for entry in charged),
         services=frozenset(
             entry.spec.declared for entry in charged if entry.spec.kind == "service"
@@ -30,19 +31,21 @@
 
 
 def build_capacity(
-    load: WorkerLoad, vm: Vm, *, held: Size, set_aside: bool, probe_due: bool
+    load: WorkerLoad, vm: Vm, *, reserved: Size, quarantined: bool, probe_due: bool
 ) -> WorkerCapacity:
-    """Return what the dispatcher is told about a worker.
+    """Build the capacity of a worker that is reported to the dispatcher.
 
     Parameters
     ----------
-    held : tuple of (float, int, int)
-        Room that is kept for tasks for which others are being evicted.
-    set_aside, probe_due : bool
-        Whether the worker gets nothing, but for a task that probes it.
+    reserved : tuple of (float, int, int)
+        Capacity reserved for tasks for which others are being evicted.
+    quarantined : bool
+        Whether the worker is quarantined and has no free capacity unless a probe is due.
+    probe_due : bool
+        Whether a quarantined worker may receive a task as a probe.
     """
-    free = subtract(load.free, held)
-    if set_aside and not probe_due:
+    free = subtract(load.free, reserved)
+    if quarantined and not probe_due:
         free = (0.0, 0, 0)
     return WorkerCapacity(
         worker=load.name,
@@ -54,5 +57,5 @@
         free_cores=free[0],
         free_memory_mb=free[1],
         free_accelerators=free[2],
-        set_aside=set_aside,
+        set_aside=quarantined,
     )
--- a/coltsfootpier/placement/_commands.py
+++ b/coltsfootpier/placement/_commands.py
@@ -1,4 +1,4 @@
-"""Commands for a worker, from the durable record and the worker's report."""
+"""Commands for a worker, derived from the durable record and the worker's report."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 from coltsfootpier.workers import Command
 
 
-def choose_command(entry: Placement, view: WorkerView, may_start: bool) -> str:
-    """Return the kind of command that an attempt needs now; empty for none."""
+def choose_command_kind(entry: Placement, view: WorkerView, may_start: bool) -> str:
+    """Return the kind of command to send for an attempt, or an empty string for none."""
     running = (entry.task, entry.attempt) in view.reports
     if entry.state in ("stopping", "orphaned"):
         return "stop" if may_start else ""
@@ -18,9 +18,11 @@
     return "start" if may_start else ""
 
 
-def plan_cleanup(held: Iterable[Placement], view: WorkerView, epoch: int) -> Iterable[Command]:
-    """Yield commands for reported attempts that the record doesn't hold there."""
-    known = {(entry.task, entry.attempt) for entry in held if entry.charged}
+def plan_cleanup(
+    held_entries: Iterable[Placement], view: WorkerView, epoch: int
+) -> Iterable[Command]:
+    """Yield commands that stop or forget reported attempts without a charged record entry."""
+    known = {(entry.task, entry.attempt) for entry in held_entries if entry.charged}
     for (task, attempt), report in view.reports.items():
         if (task, attempt) not in known:
             kind = "forget" if report.state == "ended" else "stop"
--- a/coltsfootpier/placement/_guard.py
+++ b/coltsfootpier/placement/_guard.py
@@ -1,4 +1,4 @@
-"""Reaction to services that their neighbours slow down: throttle first, then evict."""
+"""Protection of services from interference: neighbours are throttled first, then evicted."""
 
 from __future__ import annotations
 
@@ -13,26 +13,27 @@
 
 Key = tuple[str, int]
 
-# A service's p99 is to stay within 1.5 times its normal value.
-_LIMIT = 1.5
-# Throttling is taken back only well below the limit.
-_CALM = 1.2
-_LEAST_SHARE = 0.25
-# Time on the worker until a command is in force and shows in measurements: one exchange
-# period and one measurement.
+# Slowdown above which batch neighbours are throttled: the p99 latency of a service must stay
+# within 1.5 times its normal value.
+_MAX_SLOWDOWN = 1.5
+# Throttling is relaxed only while the slowdown is well below the limit.
+_RELAX_SLOWDOWN = 1.2
+_MIN_SHARE = 0.25
+# Time until a command takes effect on the worker and shows in measurements: one exchange period
+# plus one measurement period.
 _SETTLE_MS = 2_000.0
-_HOLD_MS = 20_000.0
-_LONGEST_HOLD_MS = 320_000.0
-# A kind that was evicted from a worker isn't placed there again within this time.
-_BLOCK_MS = 120_000.0
-_HISTORY = 64
-# A throttle command is repeated, since an exchange with a worker may be lost.
-_REPEATS = 3
+_INITIAL_HOLD_MS = 20_000.0
+_MAX_HOLD_MS = 320_000.0
+# Time during which a service or job that was evicted from a worker isn't placed there again.
+_PLACEMENT_BLOCK_MS = 120_000.0
+_MAX_HISTORY = 64
+# Number of times a throttle command is sent, since an exchange with a worker may be lost.
+_THROTTLE_SENDS = 3
 
 
 @attrs.frozen(kw_only=True)
 class Neighbour:
-    """A task on a worker, as far as interference is concerned."""
+    """Running task on a worker, with the data needed to assess interference."""
 
     key: Key
     declared: str
@@ -43,7 +44,7 @@
 
 
 def build_neighbour(entry: Placement, report: TaskReport) -> Neighbour:
-    """Return what a report says about interference."""
+    """Build the `Neighbour` of an attempt from its record entry and its report."""
     return Neighbour(
         key=(entry.task, entry.attempt),
         declared=entry.spec.declared,
@@ -56,7 +57,7 @@
 
 @attrs.frozen(kw_only=True)
 class Eviction:
-    """A batch task to stop because it slows a service down."""
+    """Batch task that must stop because it slows down a service."""
 
     key: Key
     reason: str
@@ -65,29 +66,29 @@
 @attrs.define
 class _WorkerGuard:
     ignore_until_ms: float = float("-inf")
-    calm_since_ms: float | None = None
-    hold_ms: float = _HOLD_MS
-    relaxed_ms: float = float("-inf")
+    recovered_since_ms: float | None = None
+    hold_ms: float = _INITIAL_HOLD_MS
+    last_relaxed_ms: float = float("-inf")
     measured_ms: dict[Key, float] = attrs.field(factory=dict)
     history: deque[tuple[float, dict[str, float]]] = attrs.field(
-        factory=lambda: deque(maxlen=_HISTORY)
+        factory=lambda: deque(maxlen=_MAX_HISTORY)
     )
 
 
 class ColocationGuard:
-    """Learns from the reports of a shard's workers and protects its services.
+    """Estimator of slowdowns in a shard that also protects the shard's services.
 
     Parameters
     ----------
     slowdowns : SlowdownTable
-        What is learned; shared with the placement policy.
+        Slowdown estimates to update; shared with the placement policy.
     reacts : bool, default=True
         Whether batch neighbours are throttled and evicted.
 
     Notes
     -----
-    Measurements are judged by the time at which they were taken on the worker. After a
-    reaction those from before it took effect are ignored, so that no measurement causes two.
+    Measurements are ordered by the time at which the worker took them. After a command, those
+    taken before it took effect are ignored, so that one measurement can't cause two commands.
     """
 
     def __init__(self, *, slowdowns: SlowdownTable, reacts: bool = True) -> None:
@@ -96,37 +97,37 @@
         self._reacts = reacts
         self._workers: dict[str, _WorkerGuard] = {}
         self._blocked: dict[tuple[str, str], float] = {}
-        # Share that was sent last for each attempt, and how often it is still repeated.
+        # Share last sent for each attempt, and how many more times it will be sent.
         self._sent: dict[Key, tuple[float, int]] = {}
 
     def forget(self, worker: str) -> None:
-        """Drop the state of a worker that is gone or was restarted."""
+        """Discard the state of a worker that is gone or has restarted."""
         self._workers.pop(worker, None)
 
     def is_blocked(self, worker: str, declared: str, now_ms: float) -> bool:
-        """Whether a kind was evicted from a worker a short time ago."""
+        """Whether a service or job was evicted from a worker recently."""
         until_ms = self._blocked.get((worker, declared))
         if until_ms is not None and now_ms >= until_ms:
             del self._blocked[worker, declared]
             return False
         return until_ms is not None
 
-    def note_start(self, key: Key) -> None:
-        """Note that this owner starts an attempt, which then isn't throttled."""
+    def record_start(self, key: Key) -> None:
+        """Record that this owner starts an attempt, which therefore runs unthrottled."""
         self._sent.setdefault(key, (1.0, 0))
 
-    def drop(self, key: Key) -> None:
-        """Forget an attempt that has ended."""
+    def remove_attempt(self, key: Key) -> None:
+        """Discard the state of an attempt that has ended."""
         self._sent.pop(key, None)
         self.shares.pop(key, None)
 
     def plan_throttles(
         self, entries: Iterable[Placement], view: WorkerView, epoch: int
     ) -> Iterable[Command]:
-        """Yield the commands that bring the throttling on a worker in line.
+        """Yield the throttle commands that apply the current shares on a worker.
 
-        The previous owner may have throttled the attempts that this one didn't start; these
-        get their full share until there is a reason against it.
+        Attempts that this owner didn't start may have been throttled by the previous owner.
+        They are reset to their full share unless this owner throttles them itself.
         """
         for entry in entries:
             key = (entry.task, entry.attempt)
@@ -134,12 +135,12 @@
             if entry.spec.kind != "batch" or report is None or report.state != "running":
                 continue
             share = self.shares.get(key, 1.0)
-            known, left = self._sent.get(key, (1.0, _REPEATS))
-            if known != share:
-                left = _REPEATS
-            if share == 1.0 and not left:
+            last_sent_share, sends_left = self._sent.get(key, (1.0, _THROTTLE_SENDS))
+            if last_sent_share != share:
+                sends_left = _THROTTLE_SENDS
+            if share == 1.0 and not sends_left:
                 continue
-            self._sent[key] = (share, max(left - 1, 0))
+            self._sent[key] = (share, max(sends_left - 1, 0))
             yield Command(
                 kind="throttle", task=entry.task, attempt=entry.attempt, epoch=epoch, share=share
             )
@@ -147,15 +148,15 @@
     def observe(
         self, worker: str, worker_now_ms: float, now_ms: float, tasks: Sequence[Neighbour]
     ) -> Eviction | None:
-        """Take the running tasks that a worker reported; return a task to evict, if any."""
+        """Process the running tasks that a worker reported and return a task to evict, if any."""
         state = self._workers.setdefault(worker, _WorkerGuard())
         keys = {task.key for task in tasks}
         for key in state.measured_ms.keys() - keys:
             del state.measured_ms[key]
             self.shares.pop(key, None)
-        fresh = [task for task in tasks if self._is_fresh(state, task)]
-        self._learn(state, fresh)
-        self._remember(state, worker_now_ms, tasks)
+        fresh = [task for task in tasks if self._register_measurement(state, task)]
+        self._update_slowdowns(state, fresh)
+        self._record_mix(state, worker_now_ms, tasks)
         if not self._reacts:
             return None
         services = [
@@ -167,23 +168,23 @@
             return None
         worst = max(services, key=lambda task: task.slowdown)
         batch = [task for task in tasks if not task.is_service]
-        if worst.slowdown > _LIMIT and batch:
-            state.calm_since_ms = None
+        if worst.slowdown > _MAX_SLOWDOWN and batch:
+            state.recovered_since_ms = None
             state.ignore_until_ms = worker_now_ms + _SETTLE_MS
-            return self._react(state, worker, now_ms, worst, batch)
-        if worst.slowdown < _CALM:
-            self._relax(state, now_ms, worker_now_ms, batch)
+            return self._throttle_or_evict(state, worker, now_ms, worst, batch)
+        if worst.slowdown < _RELAX_SLOWDOWN:
+            self._relax_throttling(state, now_ms, worker_now_ms, batch)
         else:
-            state.calm_since_ms = None
+            state.recovered_since_ms = None
         return None
 
-    def _is_fresh(self, state: _WorkerGuard, task: Neighbour) -> bool:
+    def _register_measurement(self, state: _WorkerGuard, task: Neighbour) -> bool:
         known_ms = state.measured_ms.get(task.key, float("-inf"))
         state.measured_ms[task.key] = max(known_ms, task.measured_at_ms)
         return task.measured_at_ms > known_ms
 
-    def _learn(self, state: _WorkerGuard, fresh: Sequence[Neighbour]) -> None:
-        # A late measurement is set against the neighbours that were there at its time.
+    def _update_slowdowns(self, state: _WorkerGuard, fresh: Sequence[Neighbour]) -> None:
+        # A delayed measurement is attributed to the neighbours that ran when it was taken.
         for task in fresh:
             mix = next(
                 (mix for at_ms, mix in reversed(state.history) if at_ms <= task.measured_at_ms),
@@ -196,7 +197,7 @@
             others = {name: count for name, count in others.items() if count > 1e-6}
             self._slowdowns.observe(task.declared, others, task.slowdown)
 
-    def _remember(
+    def _record_mix(
         self, state: _WorkerGuard, worker_now_ms: float, tasks: Sequence[Neighbour]
     ) -> None:
         mix: Counter[str] = Counter()
@@ -205,7 +206,7 @@
         if not state.history or state.history[-1][1] != mix:
             state.history.append((worker_now_ms, mix))
 
-    def _react(
+    def _throttle_or_evict(
         self,
         state: _WorkerGuard,
         worker: str,
@@ -213,38 +214,39 @@
         service: Neighbour,
         batch: Sequence[Neighbour],
     ) -> Eviction | None:
-        def harm(task: Neighbour) -> tuple[float, float, Key]:
+        def rank_interference(task: Neighbour) -> tuple[float, float, Key]:
             mean, deviation = self._slowdowns.estimate(service.declared, task.declared)
             return (mean + deviation) * self.shares.get(task.key, 1.0), task.cores, task.key
 
-        if now_ms - state.relaxed_ms < state.hold_ms * 2:
-            # The last relaxation was premature; waves of noisy work would repeat it.
-            state.hold_ms = min(2 * state.hold_ms, _LONGEST_HOLD_MS)
-        full = [task for task in batch if self.shares.get(task.key, 1.0) > _LEAST_SHARE]
-        if full:
-            worst = max(full, key=harm)
+        if now_ms - state.last_relaxed_ms < state.hold_ms * 2:
+            # The last relaxation was too early. A longer hold time avoids repeated throttling
+            # and relaxing when the interference comes in waves.
+            state.hold_ms = min(2 * state.hold_ms, _MAX_HOLD_MS)
+        throttleable = [task for task in batch if self.shares.get(task.key, 1.0) > _MIN_SHARE]
+        if throttleable:
+            worst = max(throttleable, key=rank_interference)
             share = self.shares.get(worst.key, 1.0) / 2
-            self.shares[worst.key] = max(share, _LEAST_SHARE)
+            self.shares[worst.key] = max(share, _MIN_SHARE)
             return None
-        worst = max(batch, key=harm)
+        worst = max(batch, key=rank_interference)
         self._blocked = {pair: end for pair, end in self._blocked.items() if end > now_ms}
-        self._blocked[worker, worst.declared] = now_ms + _BLOCK_MS
+        self._blocked[worker, worst.declared] = now_ms + _PLACEMENT_BLOCK_MS
         return Eviction(key=worst.key, reason=f"slows service {service.declared} down")
 
-    def _relax(
+    def _relax_throttling(
         self,
         state: _WorkerGuard,
         now_ms: float,
         worker_now_ms: float,
         batch: Sequence[Neighbour],
     ) -> None:
-        if state.calm_since_ms is None:
-            state.calm_since_ms = now_ms
+        if state.recovered_since_ms is None:
+            state.recovered_since_ms = now_ms
         throttled = [task for task in batch if self.shares.get(task.key, 1.0) < 1.0]
-        if not throttled or now_ms - state.calm_since_ms < state.hold_ms:
+        if not throttled or now_ms - state.recovered_since_ms < state.hold_ms:
             return
         task = min(throttled, key=lambda item: (self.shares[item.key], item.key))
         self.shares[task.key] = min(2 * self.shares[task.key], 1.0)
-        state.calm_since_ms = None
-        state.relaxed_ms = now_ms
+        state.recovered_since_ms = None
+        state.last_relaxed_ms = now_ms
         state.ignore_until_ms = worker_now_ms + _SETTLE_MS
--- a/coltsfootpier/placement/_health.py
+++ b/coltsfootpier/placement/_health.py
@@ -1,4 +1,4 @@
-"""Workers that fail everything they start, and their probing for return."""
+"""Quarantine of workers that fail every task, and the probes that end it."""
 
 from __future__ import annotations
 
@@ -6,102 +6,110 @@
 
 import attrs
 
-# A worker is set aside after this many distinct tasks failed there in a row.
-_FAILURES = 3
-# A job that failed on this many workers without success is no evidence against a worker.
+# Number of distinct tasks that must fail in a row on a worker before it is quarantined.
+_QUARANTINE_FAILURES = 3
+# A job that has failed on this many workers without a success is considered faulty itself, and
+# its failures no longer count against workers.
 _FAULTY_JOB_WORKERS = 3
-# At most this share of the workers is set aside at once, so that a fault of ours that looks
-# like broken workers can't empty a shard.
-_CEILING = 1 / 3
-_FIRST_PROBE_MS = 10_000.0
-_LONGEST_PROBE_MS = 300_000.0
-_JOBS = 512
+# Largest fraction of a shard's workers that may be quarantined at once, so that a scheduler
+# fault that looks like broken workers can't empty the shard.
+_MAX_QUARANTINED_SHARE = 1 / 3
+_INITIAL_PROBE_DELAY_MS = 10_000.0
+_MAX_PROBE_DELAY_MS = 300_000.0
+_MAX_JOBS = 512
 
 
 @attrs.define
-class _Health:
-    failed: dict[str, None] = attrs.field(factory=dict)
-    set_aside: bool = False
+class _WorkerHealth:
+    failed_tasks: dict[str, None] = attrs.field(factory=dict)
+    quarantined: bool = False
     probe_at_ms: float = 0.0
-    delay_ms: float = _FIRST_PROBE_MS
+    probe_delay_ms: float = _INITIAL_PROBE_DELAY_MS
     probe: tuple[str, int] | None = None
 
 
 class HealthTable:
-    """Evidence on the workers of one shard; lost with its owner and gathered again."""
+    """Failure history of the workers of one shard.
+
+    It is kept in memory only: a new shard owner starts with an empty table.
+    """
 
     def __init__(self) -> None:
-        self._workers: dict[str, _Health] = {}
-        self._jobs: OrderedDict[str, set[str]] = OrderedDict()
+        self._workers: dict[str, _WorkerHealth] = {}
+        self._failed_workers_by_job: OrderedDict[str, set[str]] = OrderedDict()
 
     def forget(self, worker: str) -> None:
-        """Drop what is known about a worker that is gone or was restarted."""
+        """Discard the history of a worker that is gone or has restarted."""
         self._workers.pop(worker, None)
 
-    def is_set_aside(self, worker: str) -> bool:
-        """Whether a worker gets nothing but probes."""
+    def is_quarantined(self, worker: str) -> bool:
+        """Whether a worker is quarantined and receives only probes."""
         health = self._workers.get(worker)
-        return health is not None and health.set_aside
+        return health is not None and health.quarantined
 
     def is_probe_due(self, worker: str, now_ms: float) -> bool:
-        """Whether one task may be tried on a worker that is set aside."""
+        """Whether a quarantined worker may receive one task as a probe now."""
         health = self._workers.get(worker)
         return (
             health is not None
-            and health.set_aside
+            and health.quarantined
             and health.probe is None
             and now_ms >= health.probe_at_ms
         )
 
-    def begin_probe(self, worker: str, task: str, attempt: int) -> None:
-        """Note that a task was placed as a probe."""
+    def start_probe(self, worker: str, task: str, attempt: int) -> None:
+        """Record that an attempt was placed on a quarantined worker as a probe."""
         self._workers[worker].probe = (task, attempt)
 
-    def end_probe(self, worker: str, task: str, attempt: int, now_ms: float) -> None:
-        """Note that an attempt ended without telling anything about its worker."""
+    def end_inconclusive_probe(self, worker: str, task: str, attempt: int, now_ms: float) -> None:
+        """Allow a new probe if the attempt was one and ended without evidence on the worker."""
         health = self._workers.get(worker)
         if health is not None and health.probe == (task, attempt):
             health.probe = None
             health.probe_at_ms = now_ms
 
     def observe_success(self, worker: str, key: tuple[str, int], declared: str) -> None:
-        """Take an attempt that was done, or has run for long enough.
+        """Record an attempt that completed or has run for long enough to count as a success.
 
-        A worker that is set aside comes back only by its probe: attempts that were started
-        before say nothing about new ones.
+        Only the success of its probe ends a worker's quarantine, because attempts that started
+        earlier don't show that new ones can start.
         """
-        self._jobs.pop(declared, None)
+        self._failed_workers_by_job.pop(declared, None)
         health = self._workers.get(worker)
-        if health is not None and (not health.set_aside or health.probe == key):
+        if health is not None and (not health.quarantined or health.probe == key):
             del self._workers[worker]
 
     def observe_failure(
-        self, worker: str, task: str, declared: str, *, now_ms: float, live: int
+        self, worker: str, task: str, declared: str, *, now_ms: float, live_workers: int
     ) -> bool:
-        """Take a failed task; return whether the worker is set aside by it.
+        """Record a failed task and return whether it caused the worker to be quarantined.
 
         Parameters
         ----------
-        live : int
-            Number of live workers of the shard.
+        live_workers : int
+            Number of live workers in the shard.
         """
-        health = self._workers.setdefault(worker, _Health())
-        if health.set_aside:
+        health = self._workers.setdefault(worker, _WorkerHealth())
+        if health.quarantined:
             health.probe = None
-            health.delay_ms = min(2 * health.delay_ms, _LONGEST_PROBE_MS)
-            health.probe_at_ms = now_ms + health.delay_ms
+            health.probe_delay_ms = min(2 * health.probe_delay_ms, _MAX_PROBE_DELAY_MS)
+            health.probe_at_ms = now_ms + health.probe_delay_ms
             return False
-        failed_on = self._jobs.setdefault(declared, set())
-        failed_on.add(worker)
-        self._jobs.move_to_end(declared)
-        while len(self._jobs) > _JOBS:
-            self._jobs.popitem(last=False)
-        if len(failed_on) >= _FAULTY_JOB_WORKERS:
+        failed_workers = self._failed_workers_by_job.setdefault(declared, set())
+        failed_workers.add(worker)
+        self._failed_workers_by_job.move_to_end(declared)
+        while len(self._failed_workers_by_job) > _MAX_JOBS:
+            self._failed_workers_by_job.popitem(last=False)
+        if len(failed_workers) >= _FAULTY_JOB_WORKERS:
             return False
-        health.failed[task] = None
-        aside = sum(known.set_aside for known in self._workers.values())
-        if len(health.failed) < _FAILURES or aside + 1 > max(1, int(live * _CEILING)) or live < 2:
+        health.failed_tasks[task] = None
+        quarantined_count = sum(known.quarantined for known in self._workers.values())
+        if (
+            len(health.failed_tasks) < _QUARANTINE_FAILURES
+            or quarantined_count + 1 > max(1, int(live_workers * _MAX_QUARANTINED_SHARE))
+            or live_workers < 2
+        ):
             return False
-        health.set_aside = True
-        health.probe_at_ms = now_ms + health.delay_ms
+        health.quarantined = True
+        health.probe_at_ms = now_ms + health.probe_delay_ms
         return True
--- a/coltsfootpier/placement/_leases.py
+++ b/coltsfootpier/placement/_leases.py
@@ -1,4 +1,4 @@
-"""When leases that workers hold have surely ended."""
+"""Expiry of the leases that workers hold on their tasks."""
 
 from __future__ import annotations
 
@@ -6,60 +6,68 @@
 from coltsfootpier.placement._views import Placement, WorkerView
 
 
-class Leases:
-    """Ends of the leases that this owner and the previous one may have granted.
+class LeaseTracker:
+    """Latest expiry of the leases that this owner and the previous one may have granted.
 
     Parameters
     ----------
     worker_lease_ms : float
-        Lease of a task on its worker.
+        Duration of the lease of a task on its worker, in milliseconds.
     hold_over_ms : float
-        How long a previous owner that can't reach the store may go on renewing.
+        How long a previous owner that can't reach the store may keep renewing leases, in
+        milliseconds.
     now_ms : float
-        Time of the start.
+        Time at which this owner starts.
     """
 
     def __init__(self, *, worker_lease_ms: float, hold_over_ms: float, now_ms: float) -> None:
         self._worker_lease_ms = worker_lease_ms
         self._hold_over_ms = hold_over_ms
-        self._took_over_ms = now_ms
-        self._previous_end_ms = float("-inf")
+        self._takeover_ms = now_ms
+        self._previous_owner_expiry_ms = float("-inf")
 
-    def take_over(self, now_ms: float) -> None:
-        """Note that the record was read from the store."""
-        self._took_over_ms = now_ms
-        # A previous owner that can't reach the store may renew until its hold-over is used
-        # up, and can't be asked for the end of what it granted.
-        longest_ms = (self._hold_over_ms + self._worker_lease_ms) * (1 + CLOCK_DRIFT)
-        self._previous_end_ms = now_ms + longest_ms
+    def record_takeover(self, now_ms: float) -> None:
+        """Record that this owner has read the shard record from the store."""
+        self._takeover_ms = now_ms
+        # A previous owner that can't reach the store may keep renewing until its hold-over
+        # ends, and can't be queried for the expiry of the leases that it granted.
+        max_remaining_ms = (self._hold_over_ms + self._worker_lease_ms) * (1 + CLOCK_DRIFT)
+        self._previous_owner_expiry_ms = now_ms + max_remaining_ms
 
     def retire_previous_owner(self, now_ms: float) -> None:
-        """Note that the previous owner surely renews nothing any more."""
-        self._previous_end_ms = min(self._previous_end_ms, self.grant_end_ms(now_ms))
+        """Record that the previous owner can no longer renew any lease."""
+        self._previous_owner_expiry_ms = min(
+            self._previous_owner_expiry_ms, self.compute_grant_expiry_ms(now_ms)
+        )
 
-    def grant_end_ms(self, now_ms: float) -> float:
-        """Return when a lease that is granted now has surely ended.
+    def compute_grant_expiry_ms(self, now_ms: float) -> float:
+        """Return the time by which a lease granted now has expired on any worker.
 
-        A worker's clock may run slower than ours by the assumed drift.
+        The lease is extended by the assumed clock drift, because a worker's clock may run
+        slower than the owner's.
         """
         return now_ms + self._worker_lease_ms * (1 + CLOCK_DRIFT)
 
-    def end_ms(self, view: WorkerView | None) -> float:
-        """Return when all leases on a worker have surely ended."""
-        # An attempt that was just placed has no lease yet; it may be started until the start
-        # command expires, so the earliest end counts from the last contact.
+    def compute_expiry_ms(self, view: WorkerView | None) -> float:
+        """Return the time by which all leases on a worker have expired."""
+        # A newly placed attempt has no lease yet, but the worker may still start it until the
+        # start command expires. The lease is therefore counted from the last contact.
         if view is None:
-            return max(self._previous_end_ms, self._took_over_ms + self._worker_lease_ms)
-        contact_ms = max(view.received_ms, self._took_over_ms)
-        return max(self._previous_end_ms, view.lease_end_ms, self.grant_end_ms(contact_ms))
+            return max(self._previous_owner_expiry_ms, self._takeover_ms + self._worker_lease_ms)
+        contact_ms = max(view.received_ms, self._takeover_ms)
+        return max(
+            self._previous_owner_expiry_ms,
+            view.lease_end_ms,
+            self.compute_grant_expiry_ms(contact_ms),
+        )
 
-    def is_orphan(self, entry: Placement, view: WorkerView | None, now_ms: float) -> bool:
-        """Whether a runner on a silent worker is to be replaced.
+    def is_orphaned(self, entry: Placement, view: WorkerView | None, now_ms: float) -> bool:
+        """Whether the runner on an unresponsive worker should be replaced.
 
-        A further runner of a service does no harm, so its replacement need not wait until a
-        previous owner has surely stopped renewing.
+        An extra runner of a service is harmless, so the replacement doesn't wait until the
+        previous owner can no longer renew leases.
         """
         if entry.spec.kind != "service" or entry.state == "orphaned":
             return False
-        heard_ms = max(view.received_ms if view else self._took_over_ms, self._took_over_ms)
-        return now_ms - heard_ms >= self._worker_lease_ms
+        last_contact_ms = max(view.received_ms if view else self._takeover_ms, self._takeover_ms)
+        return now_ms - last_contact_ms >= self._worker_lease_ms
--- a/coltsfootpier/placement/_messages.py
+++ b/coltsfootpier/placement/_messages.py
@@ -9,7 +9,7 @@
 
 @attrs.frozen
 class AttemptKey:
-    """Names one attempt of a task."""
+    """Identifier of one attempt of a task."""
 
     task: str
     attempt: int
@@ -17,14 +17,14 @@
 
 @attrs.frozen(kw_only=True)
 class Assignment:
-    """An attempt for a shard to place.
+    """Attempt that a shard has to place.
 
     Parameters
     ----------
     avoid : tuple of str
         Workers on which the task has failed.
     worker : str
-        Worker whose tasks are being evicted for this one; empty when there is room.
+        Worker on which tasks are being evicted for this one; empty if no eviction is needed.
     """
 
     task: str
@@ -37,25 +37,26 @@
 
 @attrs.frozen(kw_only=True)
 class ExchangeRequest:
-    """One step of the stop-and-wait exchange.
+    """Request of the stop-and-wait exchange, sent by the dispatcher to a shard owner.
 
     Parameters
     ----------
     shard : str
         Name of the shard.
     shard_epoch, dispatch_epoch : int
-        Epochs of both owners; any other pair is refused.
+        Epochs of the shard owner and of the dispatcher; the shard owner rejects requests with
+        another shard epoch or an older dispatch epoch.
     sequence : int
-        Increases by one with each step within a pair of epochs. A repeated number is
-        answered again and not applied again.
+        Sequence number, which increases by one with each request within a pair of epochs. A
+        request with a repeated number gets a reply but isn't applied again.
     assign : tuple of Assignment
         Attempts to place.
     revoke : tuple of AttemptKey
         Attempts to stop.
     acknowledge : tuple of AttemptKey
-        Releases that are durable in the ledger.
+        Releases that the ledger has stored durably.
     full : bool
-        Whether the answer shall list all attempts.
+        Whether the reply must list all attempts.
     """
 
     shard: str
@@ -70,7 +71,7 @@
 
 @attrs.frozen(kw_only=True)
 class Release:
-    """An attempt that surely doesn't run any more.
+    """Attempt that no longer runs, or an orphaned runner that is to be replaced.
 
     Parameters
     ----------
@@ -93,25 +94,27 @@
     Parameters
     ----------
     unsaved_ms : float
-        Work since the start or the newest checkpoint, which an eviction would lose.
+        Run time since the start or the newest checkpoint, in milliseconds; an eviction would
+        lose this work.
     """
 
     task: str
     attempt: int
     state: str
     worker: str = ""
-    # Grows all the time; a change of it alone is no news.
+    # Grows continuously, so it is excluded from comparisons that detect changes.
     unsaved_ms: float = attrs.field(default=0.0, eq=False)
 
 
 @attrs.frozen(kw_only=True)
 class WorkerCapacity:
-    """Size of a worker and what is free on it.
+    """Total and free capacity of a worker.
 
     Parameters
     ----------
     set_aside : bool
-        Whether everything failed there lately; nothing is free then but for a probe.
+        Whether the worker is quarantined because all recent tasks failed on it; it then has
+        free capacity only while a probe is due.
     """
 
     worker: str
@@ -138,18 +141,19 @@
 
 @attrs.frozen(kw_only=True)
 class ExchangeReply:
-    """Answer to an `ExchangeRequest`, given once the shard's record is durable.
+    """Reply to an `ExchangeRequest`, sent once the shard's record is durable.
 
     Parameters
     ----------
     states, workers : tuple of AttemptState, tuple of WorkerCapacity
-        All when `full`, else those that changed since the answer to the previous sequence
-        number, which the dispatcher has when it goes on to the next one.
+        All of them if `full`; otherwise those that changed since the reply to the previous
+        sequence number. The dispatcher sends the next number only after it has received that
+        reply.
     gone, gone_workers : tuple of str
-        Tasks and workers that the shard no longer holds; only when not `full`.
+        Tasks and workers that the shard no longer holds; empty if `full`.
     measured : dict
-        Cores and memory in MB that tasks were seen to use beyond what was declared, by
-        declared name.
+        Measured cores and memory in MB of services and jobs whose tasks exceed their declared
+        size, by declared name.
     """
 
     shard: str
--- a/coltsfootpier/placement/_policies.py
+++ b/coltsfootpier/placement/_policies.py
@@ -13,34 +13,38 @@
 
 Size = tuple[float, int, int]
 
-# Sums of core fractions such as 0.1 differ from their exact value by rounding.
-_ROUNDING = 1e-6
+# Sums of fractional cores such as 0.1 carry floating-point rounding errors.
+_ROUNDING_TOLERANCE = 1e-6
 
 
 def subtract(left: Size, right: Size) -> Size:
-    """Return `left` less `right` in each dimension."""
+    """Subtract `right` from `left` in each dimension."""
     return left[0] - right[0], left[1] - right[1], left[2] - right[2]
 
 
 def fits(size: Size, free: Size) -> bool:
-    """Whether a task of `size` fits into `free`."""
-    return size[0] <= free[0] + _ROUNDING and size[1] <= free[1] and size[2] <= free[2] + _ROUNDING
+    """Whether a task of `size` fits into the free capacity `free`."""
+    return (
+        size[0] <= free[0] + _ROUNDING_TOLERANCE
+        and size[1] <= free[1]
+        and size[2] <= free[2] + _ROUNDING_TOLERANCE
+    )
 
 
 @attrs.frozen(kw_only=True)
 class WorkerLoad:
-    """What a policy may know about a worker.
+    """Load of a worker, as seen by placement policies.
 
     Parameters
     ----------
     name : str
         Name of the worker.
     size, free : tuple of (float, int, int)
-        Cores, memory in MB and accelerators.
+        Total and free capacity: cores, memory in MB and accelerators.
     declared : tuple of str
-        Names of the services and jobs whose tasks the worker holds.
+        Name of the service or job of each task on the worker.
     services : frozenset of str
-        Those of the names that belong to services.
+        Subset of `declared` that are services.
     """
 
     name: str
@@ -51,106 +55,126 @@
 
 
 class PlacementPolicy(Protocol):
-    """Chooses a worker."""
+    """Interface of policies that choose a worker for a task."""
 
     def choose(self, spec: TaskSpec, workers: Sequence[WorkerLoad]) -> str | None:
-        """Return the name of a worker with room for the task, or None."""
+        """Return the name of a worker with enough free capacity for the task, or None."""
         ...
 
 
 class FirstFit:
-    """Takes the first worker that has room; baseline for comparisons."""
+    """Policy that chooses the first worker with enough free capacity.
+
+    It serves as the baseline for comparisons.
+    """
 
     def choose(self, spec: TaskSpec, workers: Sequence[WorkerLoad]) -> str | None:
-        """Return the name of a worker with room for the task, or None."""
+        """Return the name of a worker with enough free capacity for the task, or None."""
         return next((load.name for load in workers if fits(spec.size, load.free)), None)
 
 
 class SpreadFit:
-    """Spreads the runners of a service, and packs batch tasks by what stays free.
+    """Policy that spreads the tasks of each service or job over workers.
 
-    Two runners of a service on one worker fail together, so workers with fewer runners of
-    the same service come first. Among equals the worker with the most free cores is taken
-    for services, since interference grows with load.
+    Runners of a service on the same worker fail together, so workers with fewer runners of the
+    service are preferred. Ties go to the worker with the most free cores, because interference
+    grows with load.
     """
 
     def choose(self, spec: TaskSpec, workers: Sequence[WorkerLoad]) -> str | None:
-        """Return the name of a worker with room for the task, or None."""
-        roomy = [load for load in workers if fits(spec.size, load.free)]
-        if not roomy:
+        """Return the name of a worker with enough free capacity for the task, or None."""
+        candidates = [load for load in workers if fits(spec.size, load.free)]
+        if not candidates:
             return None
 
         def rank(load: WorkerLoad) -> tuple[float, ...]:
-            # Accelerators are scarce: tasks without need of them leave those workers free.
-            spared = load.free[2] if spec.accelerators == 0 else 0
-            return load.declared.count(spec.declared), spared, -load.free[0], -load.free[1]
+            # Accelerators are scarce, so tasks that don't need them avoid workers that have any.
+            free_accelerators = load.free[2] if spec.accelerators == 0 else 0
+            return (
+                load.declared.count(spec.declared),
+                free_accelerators,
+                -load.free[0],
+                -load.free[1],
+            )
 
-        return min(roomy, key=rank).name
+        return min(candidates, key=rank).name
 
 
-# Weight of a service's slowdown against that of a batch task.
+# Weight of a service's slowdown relative to that of a batch task.
 _SERVICE_WEIGHT = 4.0
-# Interference grows with the load, also with kinds that were never seen together.
+# Weight of a worker's load for batch tasks: interference grows with load, even between kinds
+# that have not been measured together.
 _LOAD_WEIGHT = 0.2
-# Expected harm to a runner by batch tasks that will fill the rest of its worker.
+# Weight of the interference that a runner must expect from batch tasks that will later fill the
+# free capacity of its worker.
 _EXPOSURE_WEIGHT = 6.0
-# Runners of one service on one worker; more of them would be lost together with it.
-_SAME_RUNNERS = 4
+# Preferred maximum number of runners of one service on one worker, which limits how many are
+# lost together with the worker.
+_MAX_RUNNERS_PER_SERVICE = 4
 
 
 class ColocationFit:
-    """Takes the worker on which least interference is expected.
+    """Policy that chooses the worker with the least expected interference.
 
-    The expected interference is what the task adds to its neighbours and what they add to it;
-    for services the deviation of the estimate is added, so that unknown neighbours are
-    avoided. Runners are packed beside each other up to a bound, because batch tasks fill what
-    they leave free; the spread over racks and zones is chosen by the dispatcher.
+    The expected interference is the slowdown that the task causes to its neighbours plus the
+    slowdown that they cause to it. For services the standard deviation of the estimate is
+    added, so that neighbours without measurements are avoided. Runners are packed together up
+    to a bound, because batch tasks use the capacity that they leave free. The dispatcher
+    spreads runners over racks and availability zones.
 
     Parameters
     ----------
     slowdowns : SlowdownTable
-        Estimates by pair of kinds.
+        Slowdown estimates for pairs of kinds.
     """
 
     def __init__(self, slowdowns: SlowdownTable) -> None:
         self._slowdowns = slowdowns
 
     def choose(self, spec: TaskSpec, workers: Sequence[WorkerLoad]) -> str | None:
-        """Return the name of a worker with room for the task, or None."""
-        roomy = [load for load in workers if fits(spec.size, load.free)]
-        if not roomy:
+        """Return the name of a worker with enough free capacity for the task, or None."""
+        candidates = [load for load in workers if fits(spec.size, load.free)]
+        if not candidates:
             return None
         is_service = spec.kind == "service"
 
         def rank(load: WorkerLoad) -> tuple[float, ...]:
-            crowded = is_service and load.declared.count(spec.declared) >= _SAME_RUNNERS
-            spared = load.free[2] if spec.accelerators == 0 else 0
+            has_enough_runners = (
+                is_service and load.declared.count(spec.declared) >= _MAX_RUNNERS_PER_SERVICE
+            )
+            free_accelerators = load.free[2] if spec.accelerators == 0 else 0
             used = 1.0 - load.free[0] / load.size[0] if load.size[0] else 0.0
-            harm = self._predict(spec.declared, is_service, load)
+            interference = self._predict_interference(spec.declared, is_service, load)
             if is_service:
-                harm += _EXPOSURE_WEIGHT * (1.0 - used)
+                interference += _EXPOSURE_WEIGHT * (1.0 - used)
             else:
-                harm += _LOAD_WEIGHT * used
-            return crowded, spared, harm, -load.free[0], -load.free[1]
+                interference += _LOAD_WEIGHT * used
+            return has_enough_runners, free_accelerators, interference, -load.free[0], -load.free[1]
 
-        return min(roomy, key=rank).name
+        return min(candidates, key=rank).name
 
-    def _predict(self, declared: str, is_service: bool, load: WorkerLoad) -> float:
-        harm = 0.0
+    def _predict_interference(self, declared: str, is_service: bool, load: WorkerLoad) -> float:
+        interference = 0.0
         for other, count in Counter(load.declared).items():
-            # Runners rarely slow each other down, and small ones that are spread over many
-            # workers split the room for batch tasks; so they stay together until it is known
-            # to harm.
-            if is_service and other in load.services and not self._knows(declared, other):
+            # Runners rarely slow each other down, and spreading small ones over many workers
+            # fragments the free capacity for batch tasks. They are therefore packed together
+            # until measurements exist for the pair.
+            if (
+                is_service
+                and other in load.services
+                and not self._is_pair_measured(declared, other)
+            ):
                 continue
-            added = self._weigh(declared, is_service, other)
-            added += self._weigh(other, other in load.services, declared)
-            harm += count * added
-        return harm
+            added = self._estimate_weighted_slowdown(declared, is_service, other)
+            added += self._estimate_weighted_slowdown(other, other in load.services, declared)
+            interference += count * added
+        return interference
 
-    def _knows(self, kind: str, other: str) -> bool:
-        return self._slowdowns.knows(kind, other) or self._slowdowns.knows(other, kind)
+    def _is_pair_measured(self, kind: str, other: str) -> bool:
+        return self._slowdowns.has_measurements(kind, other) or self._slowdowns.has_measurements(
+            other, kind
+        )
 
-    def _weigh(self, kind: str, is_service: bool, neighbour: str) -> float:
+    def _estimate_weighted_slowdown(self, kind: str, is_service: bool, neighbour: str) -> float:
         mean, deviation = self._slowdowns.estimate(kind, neighbour)
         return _SERVICE_WEIGHT * (mean + deviation) if is_service else mean
--- a/coltsfootpier/placement/_shard.py
+++ b/coltsfootpier/placement/_shard.py
@@ -1,4 +1,4 @@
-"""State machine of a shard owner."""
+"""State machine of the shard owner."""
 
 from __future__ import annotations
 
@@ -10,11 +10,10 @@
 from coltsfootpier.clock import CLOCK_DRIFT, Clock
 from coltsfootpier.declaration import PRIORITIES
 from coltsfootpier.placement._capacity import build_capacity, build_load
-from coltsfootpier.placement._commands import choose_command, plan_cleanup
-from coltsfootpier.placement._digest import ReplyDigest
+from coltsfootpier.placement._commands import choose_command_kind, plan_cleanup
 from coltsfootpier.placement._guard import ColocationGuard, build_neighbour
 from coltsfootpier.placement._health import HealthTable
-from coltsfootpier.placement._leases import Leases
+from coltsfootpier.placement._leases import LeaseTracker
 from coltsfootpier.placement._messages import (
     Assignment,
     AttemptState,
@@ -31,6 +30,7 @@
     fits,
     subtract,
 )
+from coltsfootpier.placement._reply_delta import ReplyDelta
 from coltsfootpier.placement._slowdown import SlowdownTable
 from coltsfootpier.placement._usage import UsageTable, sum_sizes
 from coltsfootpier.placement._views import OvercommitError, Placement, StaleExchange, WorkerView
@@ -38,25 +38,26 @@
 from coltsfootpier.records import VersionedRecord
 from coltsfootpier.workers import Command, SyncReply, SyncRequest, TaskReport
 
-# A start command that reaches the worker later than this is refused by it.
+# Validity of a start command; the worker rejects one that arrives later.
 _START_EXPIRY_MS = 5_000.0
-# Recovery of many tasks must not overload a worker with starts.
-_STARTS_PER_S = 2
-# An attempt without room on any worker goes back to the dispatcher after this time.
-_UNPLACED_MS = 2_000.0
-# The same while tasks are being evicted for it; leaves time for another try within 8.3 s.
-_EVICTING_MS = 4_000.0
-# A task that has run for this long speaks for its worker.
-_HEALTHY_MS = 10_000.0
-# A worker gets nothing new after a silence of this share of its lease. An attempt that is
-# placed on a worker that died waits there until the lease has ended, so the share is small;
-# at the default periods it is four exchanges.
-_SILENT_SHARE = 0.2
+# Start rate per worker, so that the recovery of many tasks doesn't overload it.
+_MAX_STARTS_PER_S = 2
+# An attempt that fits on no worker is released to the dispatcher after this time.
+_PLACEMENT_TIMEOUT_MS = 2_000.0
+# The same while tasks are being evicted for the attempt; leaves time for another attempt within
+# 8.3 s.
+_EVICTION_TIMEOUT_MS = 4_000.0
+# A task that has run for this long counts as a success for its worker.
+_PROVEN_AFTER_MS = 10_000.0
+# A worker that hasn't reported for this fraction of its lease receives no new attempts. The
+# fraction is small because an attempt placed on a dead worker is stuck until the lease expires;
+# with the default periods it amounts to four exchanges.
+_SILENT_LEASE_FRACTION = 0.2
 _URGENT = PRIORITIES["urgent"]
 
 
 class ShardState:
-    """Placements, leases and recovery of one shard.
+    """Placement, leases and recovery of the tasks of one shard.
 
     Parameters
     ----------
@@ -69,17 +70,18 @@
     clock : Clock
         Time source.
     worker_lease_ms : float
-        Lease of a task on its worker.
+        Duration of the lease of a task on its worker, in milliseconds.
     hold_over_ms : float
-        How long a previous owner that can't reach the store may go on renewing.
+        How long a previous owner that can't reach the store may keep renewing leases, in
+        milliseconds.
     policy : PlacementPolicy, optional
-        Chooses workers; `ColocationFit` by default.
+        Policy that chooses workers; `ColocationFit` by default.
     reacts : bool, default=True
-        Whether batch tasks are throttled and evicted when they slow services down.
+        Whether batch tasks are throttled and evicted when they slow down services.
 
     Notes
     -----
-    The owner acts only upon the durable copy of its record.
+    Starts and other commands are derived only from the durable copy of the record.
     """
 
     def __init__(
@@ -104,32 +106,32 @@
         self.slowdowns = SlowdownTable()
         self.health = HealthTable()
         self.usage = UsageTable()
-        self._digest = ReplyDigest()
+        self._reply_delta = ReplyDelta()
         self._policy = policy or ColocationFit(self.slowdowns)
         self._guard = ColocationGuard(slowdowns=self.slowdowns, reacts=reacts)
         self._reserved: dict[str, tuple[int, str]] = {}
         self._last_sequence = 0
         self._accepted_ms: dict[str, float] = {}
-        self._grouped: tuple[int, dict[str, list[Placement]]] = (-1, {})
-        self._leases = Leases(
+        self._durable_by_worker: tuple[int, dict[str, list[Placement]]] = (-1, {})
+        self._leases = LeaseTracker(
             worker_lease_ms=worker_lease_ms, hold_over_ms=hold_over_ms, now_ms=clock.now_ms()
         )
 
     # Inputs
 
     def load(self, *items: Item) -> None:
-        """Take the record as found in the store."""
+        """Load the record from the items found in the store."""
         self.record.load(*items)
-        self._leases.take_over(self._clock.now_ms())
+        self._leases.record_takeover(self._clock.now_ms())
 
     def retire_previous_owner(self) -> None:
-        """Note that the previous owner surely renews nothing any more."""
+        """Record that the previous owner can no longer renew any lease."""
         self._leases.retire_previous_owner(self._clock.now_ms())
 
     def observe_vms(self, vms: Iterable[Vm]) -> None:
-        """Take the shard's part of the list of VMs."""
-        found = {vm.name: vm for vm in vms}
-        for name, vm in found.items():
+        """Apply the part of the VM list that belongs to this shard."""
+        vms_by_name = {vm.name: vm for vm in vms}
+        for name, vm in vms_by_name.items():
             if name in self.workers:
                 self.workers[name].vm = vm
             elif vm.state != "gone":
@@ -139,17 +141,17 @@
                 self._forget_worker(name)
                 self.workers.pop(name, None)
             elif vm.state == "leaving":
-                self._leave(name)
+                self._stop_attempts_on(name)
 
     def observe_reply(self, worker: str, reply: SyncReply) -> None:
-        """Take the state that a worker reported."""
+        """Apply a worker's report."""
         view = self.workers.get(worker)
         if view is None:
             return
         now_ms = self._clock.now_ms()
         if view.incarnation and view.incarnation != reply.incarnation:
             self._forget_worker(worker)
-        view.take_reply(reply, now_ms)
+        view.apply_reply(reply, now_ms)
         for entry in list(self.record.working.values()):
             if entry.worker != worker or not entry.charged:
                 continue
@@ -159,37 +161,43 @@
             elif report is not None and report.state == "ended":
                 self._release_reported(entry, report)
             elif report is not None and report.checkpoint:
-                # Checkpoints are kept in the record lazily: they ride along with the next write.
-                name = self._name_of(entry)
+                # A new checkpoint alone doesn't trigger a write; it is stored with the next one.
+                name = self._get_entry_name(entry)
                 self.record.amend(name, attrs.evolve(entry, checkpoint=report.checkpoint))
-        self._judge_health(worker, view, now_ms)
+        self._record_proven_attempts(worker, view, now_ms)
         self._protect_services(worker, view, now_ms)
         if self._reserved:
             self.place()
 
     def receive(self, request: ExchangeRequest) -> StaleExchange | None:
-        """Apply one step of the exchange with the dispatcher to the working copy.
+        """Apply a request of the dispatcher to the working copy of the record.
 
         Returns
         -------
         StaleExchange or None
-            Why the step was refused; None when it is applied, now or before.
+            Reason for a rejection; None if the request was applied, now or earlier.
         """
         if request.shard_epoch != self.record.epoch:
-            return StaleExchange(f"shard epoch {request.shard_epoch}, now {self.record.epoch}")
+            return StaleExchange(
+                f"shard epoch {request.shard_epoch} does not match current epoch"
+                f" {self.record.epoch}"
+            )
         if request.dispatch_epoch < self.record.fence:
             return StaleExchange(
-                f"dispatch epoch {request.dispatch_epoch}, now {self.record.fence}"
+                f"stale dispatch epoch {request.dispatch_epoch};"
+                f" current epoch is {self.record.fence}"
             )
         if request.dispatch_epoch > self.record.fence:
             self.record.raise_fence(request.dispatch_epoch)
             self._last_sequence = 0
         if request.sequence < self._last_sequence:
-            return StaleExchange(f"sequence {request.sequence}, now {self._last_sequence}")
+            return StaleExchange(
+                f"stale sequence number {request.sequence}; last number is {self._last_sequence}"
+            )
         if request.sequence == self._last_sequence:
             return None
         self._last_sequence = request.sequence
-        self._digest.advance()
+        self._reply_delta.confirm_last()
         for key in request.acknowledge:
             self._acknowledge(key.task, key.attempt)
         for key in request.revoke:
@@ -201,45 +209,46 @@
 
     def place(self) -> None:
         """Choose workers for accepted attempts in the working copy."""
-        waiting = [entry for entry in self.record.working.values() if entry.state == "accepted"]
-        if not waiting:
+        accepted = [entry for entry in self.record.working.values() if entry.state == "accepted"]
+        if not accepted:
             self._reserved.clear()
             return
-        waiting.sort(key=lambda entry: (-entry.spec.priority, entry.task))
-        loads = {load.name: load for load in self._loads()}
-        for entry in waiting:
+        accepted.sort(key=lambda entry: (-entry.spec.priority, entry.task))
+        loads = {load.name: load for load in self._build_loads()}
+        for entry in accepted:
             worker = self._choose_worker(entry, loads)
             if worker is None:
-                self._hold_room(entry, loads)
-                self._give_back(entry)
+                self._hold_reserved_capacity(entry, loads)
+                self._release_if_timed_out(entry)
                 continue
             self._reserved.pop(entry.task, None)
             load = loads[worker]
             loads[worker] = attrs.evolve(
                 load,
-                free=subtract(load.free, self.usage.expect(entry.spec, load.size)),
+                free=subtract(load.free, self.usage.predict_size(entry.spec, load.size)),
                 declared=(*load.declared, entry.spec.declared),
                 services=load.services
                 | ({entry.spec.declared} if entry.spec.kind == "service" else set()),
             )
-            if self.health.is_set_aside(worker):
-                self.health.begin_probe(worker, entry.task, entry.attempt)
+            if self.health.is_quarantined(worker):
+                self.health.start_probe(worker, entry.task, entry.attempt)
                 del loads[worker]
             incarnation = self.workers[worker].incarnation
-            self._put(entry, state="placed", worker=worker, incarnation=incarnation)
+            self._update_entry(entry, state="placed", worker=worker, incarnation=incarnation)
 
     def _choose_worker(self, entry: Placement, loads: dict[str, WorkerLoad]) -> str | None:
         now_ms = self._clock.now_ms()
         spec = entry.spec
         usable: list[WorkerLoad] = []
-        # Only ordinary batch tasks are risked on a worker that failed the last ones.
+        # Quarantined workers are probed only with batch tasks that are neither urgent nor have
+        # failed elsewhere.
         may_probe = spec.kind == "batch" and spec.priority < _URGENT and not entry.avoid
         for name, load in loads.items():
             if name in entry.avoid or self._guard.is_blocked(name, spec.declared, now_ms):
                 continue
-            if not fits(self.usage.expect(spec, load.size), load.free):
+            if not fits(self.usage.predict_size(spec, load.size), load.free):
                 continue
-            if self.health.is_set_aside(name):
+            if self.health.is_quarantined(name):
                 if may_probe and self.health.is_probe_due(name, now_ms):
                     return name
                 continue
@@ -249,62 +258,66 @@
             return reserved[1]
         return self._policy.choose(spec, usable)
 
-    def _hold_room(self, entry: Placement, loads: dict[str, WorkerLoad]) -> None:
-        # Room that an eviction makes must not go to a task that comes later in the order.
+    def _hold_reserved_capacity(self, entry: Placement, loads: dict[str, WorkerLoad]) -> None:
+        # Capacity freed by an eviction must not go to an attempt with lower priority.
         reserved = self._reserved.get(entry.task)
         if reserved and reserved[1] in loads:
             load = loads[reserved[1]]
             loads[load.name] = attrs.evolve(load, free=subtract(load.free, entry.spec.size))
 
     def check_leases(self) -> None:
-        """Release attempts on workers whose leases have surely ended."""
+        """Release attempts whose leases have expired, and orphan runners on silent workers."""
         now_ms = self._clock.now_ms()
         for entry in list(self.record.working.values()):
             if not entry.charged:
                 continue
             view = self.workers.get(entry.worker)
-            if now_ms >= self._leases.end_ms(view):
-                self._release(entry, "lost", "the lease on the worker ended")
-            elif self._leases.is_orphan(entry, view, now_ms):
-                self._put(entry, state="orphaned", outcome="lost", reason="no report of the worker")
+            if now_ms >= self._leases.compute_expiry_ms(view):
+                self._release(entry, "lost", "the lease on the worker expired")
+            elif self._leases.is_orphaned(entry, view, now_ms):
+                self._update_entry(
+                    entry, state="orphaned", outcome="lost", reason="no report from the worker"
+                )
 
     # Outputs
 
     def check_capacity(self) -> None:
-        """Assert that no worker is given more than it holds.
+        """Check that the attempts charged to each worker fit into its size.
 
         Raises
         ------
         OvercommitError
-            With the worker and the sizes involved.
+            If a worker is overcommitted; the message names the worker and the sizes.
         """
         for name, view in self.workers.items():
-            used = self._used(name)
+            used = self._sum_charged(name)
             if view.received_ms > float("-inf") and not fits(used, view.size):
-                raise OvercommitError(f"worker {name}: charged {used}, size {view.size}")
+                raise OvercommitError(
+                    f"worker {name} is overcommitted: charged {used}, size {view.size}"
+                )
 
     def plan_sync(self, worker: str, *, may_start: bool, may_renew_batch: bool) -> SyncRequest:
-        """Return the commands for a worker and note the lease that they grant.
+        """Build the commands for a worker and record the lease that they grant.
 
         Parameters
         ----------
         worker : str
             Name of the worker.
         may_start : bool
-            Whether this daemon surely owns the shard now.
+            Whether this daemon certainly owns the shard now.
         may_renew_batch : bool
-            Whether batch tasks may still be renewed (hold-over not used up).
+            Whether leases of batch tasks may still be renewed (hold-over not yet over).
         """
         view = self.workers[worker]
         now_ms = self._clock.now_ms()
         if view.received_ms == float("-inf"):
             return SyncRequest(incarnation="")
-        # The worker's clock may be slower than ours. A time ahead of it would grant a lease
-        # that ends later than counted below, when the worker's answers have long been lost.
+        # The worker's clock may run slower than the owner's. Overestimating it would grant a
+        # lease that outlasts the expiry computed below if replies have been lost for a long time.
         worker_now_ms = view.worker_now_ms + (now_ms - view.received_ms) * (1 - CLOCK_DRIFT)
         lease_until_ms = worker_now_ms + self._worker_lease_ms
         commands: list[Command] = []
-        # The most urgent come first where starts are limited.
+        # The most urgent attempts come first, because the rate of starts is limited.
         durable = sorted(
             self._list_durable(worker), key=lambda entry: (-entry.spec.priority, entry.task)
         )
@@ -313,12 +326,12 @@
                 continue
             if entry.incarnation != view.incarnation:
                 continue
-            kind = choose_command(entry, view, may_start)
+            kind = choose_command_kind(entry, view, may_start)
             if kind == "start":
                 key = (entry.task, entry.attempt)
-                if not view.admit_start(key, now_ms, _STARTS_PER_S):
+                if not view.admit_start(key, now_ms, _MAX_STARTS_PER_S):
                     continue
-                self._guard.note_start(key)
+                self._guard.record_start(key)
             if kind == "renew" and entry.spec.kind == "batch" and not may_renew_batch:
                 continue
             if kind:
@@ -336,22 +349,24 @@
                 )
         if may_start:
             commands += self._guard.plan_throttles(durable, view, self.record.epoch)
-            # Both copies count: an attempt may be placed on the worker only in one of them.
-            held = (*self._list_working(worker), *durable)
-            commands += plan_cleanup(held, view, self.record.epoch)
-        # The reply may be lost after the commands took effect, so the lease counts from here.
-        end_ms = self._leases.grant_end_ms(now_ms)
+            # An attempt may be placed on the worker in only one of the copies; it must not be
+            # cleaned up in either case.
+            entries = (*self._list_working(worker), *durable)
+            commands += plan_cleanup(entries, view, self.record.epoch)
+        # The reply may be lost after the commands have taken effect, so the lease is recorded
+        # before they are sent.
+        granted_expiry_ms = self._leases.compute_grant_expiry_ms(now_ms)
         if any(command.kind in ("start", "renew") for command in commands):
-            view.lease_end_ms = end_ms
+            view.lease_end_ms = granted_expiry_ms
         return SyncRequest(incarnation=view.incarnation, commands=tuple(commands))
 
     def has_all_reports(self) -> bool:
-        """Whether each live worker has reported to this owner."""
-        live = [view for view in self.workers.values() if view.vm.state == "live"]
-        return bool(live) and all(view.received_ms > float("-inf") for view in live)
+        """Whether every live worker has reported to this owner."""
+        live_workers = [view for view in self.workers.values() if view.vm.state == "live"]
+        return bool(live_workers) and all(view.received_ms > float("-inf") for view in live_workers)
 
     def has_unstarted(self, worker: str) -> bool:
-        """Whether the durable record has commands for a worker that it has not carried out."""
+        """Whether a worker still has to start or stop attempts of the durable record."""
         view = self.workers.get(worker)
         if view is None:
             return False
@@ -362,7 +377,7 @@
         )
 
     def report(self, *, full: bool) -> ExchangeReply:
-        """Return the answer for the dispatcher from the durable copy."""
+        """Build the reply to the dispatcher from the durable copy of the record."""
         released = tuple(
             Release(
                 task=entry.task,
@@ -383,10 +398,10 @@
             full=full,
             measured=self.usage.list_excess(),
         )
-        return self._digest.shorten(reply, self.attempt_states(), self.capacities())
+        return self._reply_delta.build_reply(reply, self.attempt_states(), self.capacities())
 
     def attempt_states(self) -> Iterable[AttemptState]:
-        """Yield the state of each attempt that is not released."""
+        """Yield the state of each attempt that is neither released nor orphaned."""
         for entry in self.record.durable.values():
             if entry.state in ("released", "orphaned"):
                 continue
@@ -408,19 +423,19 @@
             )
 
     def capacities(self) -> Iterable[WorkerCapacity]:
-        """Yield size and free room of each worker that may take tasks."""
+        """Yield the total and free capacity of each worker that may receive tasks."""
         now_ms = self._clock.now_ms()
-        held: dict[str, list[Size]] = defaultdict(list)
+        reserved_sizes: dict[str, list[Size]] = defaultdict(list)
         for task, (_, worker) in self._reserved.items():
             entry = self.record.working.get(task)
             if entry is not None and entry.state == "accepted":
-                held[worker].append(entry.spec.size)
-        for load in self._loads():
+                reserved_sizes[worker].append(entry.spec.size)
+        for load in self._build_loads():
             yield build_capacity(
                 load,
                 self.workers[load.name].vm,
-                held=sum_sizes(held[load.name]),
-                set_aside=self.health.is_set_aside(load.name),
+                reserved=sum_sizes(reserved_sizes[load.name]),
+                quarantined=self.health.is_quarantined(load.name),
                 probe_due=self.health.is_probe_due(load.name, now_ms),
             )
 
@@ -432,7 +447,8 @@
         if known is not None and known.attempt >= attempt:
             return
         if known is not None and known.charged:
-            # The earlier attempt is an orphan; its entry keeps its charge under another name.
+            # The earlier attempt is orphaned; its entry moves to another name, so that it stays
+            # charged to its worker.
             self.record.put(f"{task}#{known.attempt}", known)
         self._accepted_ms[task] = self._clock.now_ms()
         if assignment.worker:
@@ -455,7 +471,7 @@
             self._accepted_ms.pop(task, None)
             self._reserved.pop(task, None)
         if entry.state == "orphaned":
-            # Nothing is left to report, but the attempt still counts against its worker.
+            # The release is acknowledged, but the attempt stays charged to its worker.
             self.record.put(f"{task}#{attempt}", entry)
 
     def _revoke(self, task: str, attempt: int) -> None:
@@ -463,24 +479,24 @@
         if entry is None or entry.attempt != attempt:
             return
         if entry.state == "accepted":
-            self._put(entry, state="released", outcome="stopped", reason="revoked")
+            self._update_entry(entry, state="released", outcome="stopped", reason="revoked")
         elif entry.state == "placed":
-            self._put(entry, state="stopping", reason="revoked")
+            self._update_entry(entry, state="stopping", reason="revoked")
 
-    def _leave(self, worker: str) -> None:
-        # A further runner of a service does no harm, so the replacement of each is started
-        # at once and not only when the runner has finished its requests.
+    def _stop_attempts_on(self, worker: str) -> None:
+        # An extra runner of a service is harmless, so replacements start at once and don't wait
+        # until the old runners have finished their requests.
         for entry in list(self.record.working.values()):
             if entry.worker == worker and entry.state == "placed":
                 state = "orphaned" if entry.spec.kind == "service" else "stopping"
-                self._put(entry, state=state, reason="the VM is leaving")
+                self._update_entry(entry, state=state, reason="the VM is leaving")
 
     def _forget_worker(self, worker: str) -> None:
         self.health.forget(worker)
         self._guard.forget(worker)
 
-    def _judge_health(self, worker: str, view: WorkerView, now_ms: float) -> None:
-        for key in view.take_proven(now_ms, _HEALTHY_MS):
+    def _record_proven_attempts(self, worker: str, view: WorkerView, now_ms: float) -> None:
+        for key in view.mark_proven(now_ms, _PROVEN_AFTER_MS):
             self.health.observe_success(worker, key, key[0].split("/")[1])
 
     def _protect_services(self, worker: str, view: WorkerView, now_ms: float) -> None:
@@ -494,7 +510,7 @@
         tasks = [build_neighbour(entry, view.reports[key]) for key, entry in running.items()]
         eviction = self._guard.observe(worker, view.worker_now_ms, now_ms, tasks)
         if eviction is not None and running[eviction.key].state == "placed":
-            self._put(running[eviction.key], state="stopping", reason=eviction.reason)
+            self._update_entry(running[eviction.key], state="stopping", reason=eviction.reason)
 
     def _release_all(self, worker: str, outcome: str, reason: str) -> None:
         for entry in list(self.record.working.values()):
@@ -509,9 +525,9 @@
         self._release(attrs.evolve(entry, checkpoint=checkpoint), outcome, report.reason)
 
     def _release(self, entry: Placement, outcome: str, reason: str) -> None:
-        self._guard.drop((entry.task, entry.attempt))
-        self._note_outcome(entry, outcome)
-        name = self._name_of(entry)
+        self._guard.remove_attempt((entry.task, entry.attempt))
+        self._record_outcome(entry, outcome)
+        name = self._get_entry_name(entry)
         if entry.state == "orphaned" and name != entry.task:
             self.record.drop(name)
             return
@@ -520,57 +536,62 @@
             attrs.evolve(entry, state="released", outcome=outcome, reason=entry.reason or reason),
         )
 
-    def _note_outcome(self, entry: Placement, outcome: str) -> None:
+    def _record_outcome(self, entry: Placement, outcome: str) -> None:
         now_ms = self._clock.now_ms()
         declared = entry.spec.declared
         if outcome == "done":
             key = (entry.task, entry.attempt)
             self.health.observe_success(entry.worker, key, declared)
         elif outcome == "failed":
-            live = sum(view.vm.state == "live" for view in self.workers.values())
+            live_workers = sum(view.vm.state == "live" for view in self.workers.values())
             self.health.observe_failure(
-                entry.worker, entry.task, declared, now_ms=now_ms, live=live
+                entry.worker, entry.task, declared, now_ms=now_ms, live_workers=live_workers
             )
         else:
-            self.health.end_probe(entry.worker, entry.task, entry.attempt, now_ms)
+            self.health.end_inconclusive_probe(entry.worker, entry.task, entry.attempt, now_ms)
 
-    def _put(self, entry: Placement, **changes: object) -> None:
-        self.record.put(self._name_of(entry), attrs.evolve(entry, **changes))
+    def _update_entry(self, entry: Placement, **changes: object) -> None:
+        self.record.put(self._get_entry_name(entry), attrs.evolve(entry, **changes))
 
-    def _name_of(self, entry: Placement) -> str:
+    def _get_entry_name(self, entry: Placement) -> str:
         orphan = f"{entry.task}#{entry.attempt}"
         return orphan if orphan in self.record.working else entry.task
 
-    def _give_back(self, entry: Placement) -> None:
+    def _release_if_timed_out(self, entry: Placement) -> None:
         waited_ms = self._clock.now_ms() - self._accepted_ms.setdefault(
             entry.task, self._clock.now_ms()
         )
-        limit_ms = _EVICTING_MS if entry.task in self._reserved else _UNPLACED_MS
+        limit_ms = _EVICTION_TIMEOUT_MS if entry.task in self._reserved else _PLACEMENT_TIMEOUT_MS
         if waited_ms >= limit_ms:
             self._reserved.pop(entry.task, None)
-            self._put(entry, state="released", outcome="no_capacity", reason="no room on a worker")
+            self._update_entry(
+                entry,
+                state="released",
+                outcome="no_capacity",
+                reason="no worker has enough free capacity",
+            )
 
     def _list_durable(self, worker: str) -> list[Placement]:
-        if self._grouped[0] != self.record.durable_version:
+        if self._durable_by_worker[0] != self.record.durable_version:
             groups: dict[str, list[Placement]] = defaultdict(list)
             for entry in self.record.durable.values():
                 groups[entry.worker].append(entry)
-            self._grouped = (self.record.durable_version, groups)
-        return self._grouped[1].get(worker, [])
+            self._durable_by_worker = (self.record.durable_version, groups)
+        return self._durable_by_worker[1].get(worker, [])
 
     def _list_working(self, worker: str) -> list[Placement]:
         return [entry for entry in self.record.working.values() if entry.worker == worker]
 
-    def _used(self, worker: str) -> Size:
+    def _sum_charged(self, worker: str) -> Size:
         return sum_sizes(entry.spec.size for entry in self._list_working(worker) if entry.charged)
 
-    def _loads(self) -> Iterable[WorkerLoad]:
+    def _build_loads(self) -> Iterable[WorkerLoad]:
         groups: dict[str, list[Placement]] = defaultdict(list)
         for entry in self.record.working.values():
             if entry.charged:
                 groups[entry.worker].append(entry)
         now_ms = self._clock.now_ms()
         for name, view in self.workers.items():
-            silent = now_ms - view.received_ms > self._worker_lease_ms * _SILENT_SHARE
+            silent = now_ms - view.received_ms > self._worker_lease_ms * _SILENT_LEASE_FRACTION
             if view.vm.state == "live" and not silent:
                 yield build_load(name, view, groups[name], self.usage)
--- a/coltsfootpier/placement/_slowdown.py
+++ b/coltsfootpier/placement/_slowdown.py
@@ -1,4 +1,4 @@
-"""Slowdown between kinds of tasks that share a worker, learned from reports."""
+"""Estimates of the slowdown between kinds of tasks that share a worker."""
 
 from __future__ import annotations
 
@@ -8,30 +8,30 @@
 
 import attrs
 
-# Excess slowdown by one neighbour of a pair that was never seen together, and its deviation.
+# Excess slowdown per neighbour for a pair without measurements, and its standard deviation.
 _PRIOR_MEAN = 0.05
 _PRIOR_DEVIATION = 0.1
-# The newest measurements keep at least this weight, since loads shift.
-_LEAST_RATE = 0.05
+# Minimum weight of a new measurement, so that estimates follow changing loads.
+_MIN_LEARNING_RATE = 0.05
 
 
 @attrs.define
-class _Pair:
+class _PairEstimate:
     mean: float = _PRIOR_MEAN
     variance: float = _PRIOR_DEVIATION**2
     count: int = 0
 
 
 class SlowdownTable:
-    """Excess slowdown that one task of a kind adds to a task of another kind.
+    """Excess slowdown that one task of a kind causes to a task of another kind.
 
-    A measurement covers all neighbours together; its error is divided among the pairs in
-    proportion to their part in it (normalised least mean squares).
+    A measurement covers all neighbours together. Its prediction error is distributed over the
+    pairs in proportion to their contribution (normalised least mean squares).
 
     Parameters
     ----------
     bound : int, default=4096
-        Number of pairs; the pair that was not used for longest is dropped.
+        Maximum number of pairs; the least recently measured pair is dropped.
 
     Examples
     --------
@@ -44,24 +44,24 @@
 
     def __init__(self, *, bound: int = 4_096) -> None:
         self._bound = bound
-        self._pairs: OrderedDict[tuple[str, str], _Pair] = OrderedDict()
+        self._pairs: OrderedDict[tuple[str, str], _PairEstimate] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._pairs)
 
     def observe(self, kind: str, neighbours: Mapping[str, float], slowdown: float) -> None:
-        """Take one measurement.
+        """Update the estimates with one measurement.
 
         Parameters
         ----------
         kind : str
             Declared name of the measured task.
         neighbours : mapping of str to float
-            Number of tasks of each kind beside it, each weighted with its processor share.
+            Number of neighbouring tasks of each kind, each weighted with its CPU share.
         slowdown : float
-            Run time relative to running alone.
+            Run time relative to the run time without neighbours.
         """
-        pairs = {name: self._touch(kind, name) for name in neighbours}
+        pairs = {name: self._get_or_create_pair(kind, name) for name in neighbours}
         norm = sum(count * count for count in neighbours.values())
         if not norm:
             return
@@ -70,24 +70,24 @@
         for name, count in neighbours.items():
             pair = pairs[name]
             pair.count += 1
-            rate = max(1.0 / (pair.count + 1), _LEAST_RATE)
+            rate = max(1.0 / (pair.count + 1), _MIN_LEARNING_RATE)
             pair.mean = max(pair.mean + rate * error * count / norm, 0.0)
             pair.variance += rate * (error * error / norm - pair.variance)
 
-    def knows(self, kind: str, neighbour: str) -> bool:
-        """Whether the pair was ever measured."""
+    def has_measurements(self, kind: str, neighbour: str) -> bool:
+        """Whether the table holds measurements of the pair."""
         return (kind, neighbour) in self._pairs
 
     def estimate(self, kind: str, neighbour: str) -> tuple[float, float]:
-        """Return the excess slowdown by one neighbour, and the deviation of this estimate."""
+        """Return the excess slowdown per neighbour and the standard deviation of the estimate."""
         pair = self._pairs.get((kind, neighbour))
         if pair is None:
             return _PRIOR_MEAN, _PRIOR_DEVIATION
         return pair.mean, math.sqrt(pair.variance / (1 + min(pair.count, 20)))
 
-    def _touch(self, kind: str, neighbour: str) -> _Pair:
+    def _get_or_create_pair(self, kind: str, neighbour: str) -> _PairEstimate:
         key = (kind, neighbour)
-        pair = self._pairs.setdefault(key, _Pair())
+        pair = self._pairs.setdefault(key, _PairEstimate())
         self._pairs.move_to_end(key)
         while len(self._pairs) > self._bound:
             self._pairs.popitem(last=False)
--- a/coltsfootpier/placement/_usage.py
+++ b/coltsfootpier/placement/_usage.py
@@ -1,4 +1,4 @@
-"""Use of processors and memory by kinds of tasks, learned from reports."""
+"""Measured CPU and memory usage of services and jobs."""
 
 from __future__ import annotations
 
@@ -9,15 +9,15 @@
 from coltsfootpier.placement._policies import Size
 from coltsfootpier.workers import TaskReport
 
-# A higher use counts at once; a lower one is believed slowly.
-_FALL_RATE = 0.02
-_KINDS = 1_024
-# Measured use up to this factor of the declared one is within the noise of measurements.
+# Smoothing factor for usage that falls. Usage that rises is applied at once.
+_DECAY_RATE = 0.02
+_MAX_KINDS = 1_024
+# Usage up to this multiple of the declared size is treated as measurement noise.
 _TOLERANCE = 1.05
 
 
 def sum_sizes(sizes: Iterable[Size]) -> Size:
-    """Return the sum in each dimension."""
+    """Add up sizes in each dimension."""
     cores, memory_mb, accelerators = 0.0, 0, 0
     for size in sizes:
         cores += size[0]
@@ -27,37 +27,44 @@
 
 
 class UsageTable:
-    """Measured use by declared name.
+    """Measured usage by declared name.
 
-    Only use beyond the declared size matters: smaller tasks keep what was declared for them,
-    since R1 is checked against declared sizes.
+    Only usage above the declared size is tracked. Tasks that use less are still charged with
+    their declared size, because R1 is checked against declared sizes.
     """
 
     def __init__(self) -> None:
-        self._kinds: OrderedDict[str, tuple[float, float]] = OrderedDict()
+        self._usage_by_kind: OrderedDict[str, tuple[float, float]] = OrderedDict()
 
     def observe(self, spec: TaskSpec, report: TaskReport) -> None:
-        """Take the use of one task; kinds that keep to their declared size aren't kept."""
-        known = self._kinds.get(spec.declared)
+        """Record the usage of one task.
+
+        Services and jobs that have stayed within their declared size are not stored.
+        """
+        previous = self._usage_by_kind.get(spec.declared)
         cores, memory_mb = report.cores, report.memory_mb
-        if known is None:
+        if previous is None:
             if cores <= spec.cores * _TOLERANCE and memory_mb <= spec.memory_mb * _TOLERANCE:
                 return
-            known = (0.0, 0.0)
-        self._kinds[spec.declared] = (_follow(known[0], cores), _follow(known[1], memory_mb))
-        self._kinds.move_to_end(spec.declared)
-        while len(self._kinds) > _KINDS:
-            self._kinds.popitem(last=False)
+            previous = (0.0, 0.0)
+        self._usage_by_kind[spec.declared] = (
+            _smooth_usage(previous[0], cores),
+            _smooth_usage(previous[1], memory_mb),
+        )
+        self._usage_by_kind.move_to_end(spec.declared)
+        while len(self._usage_by_kind) > _MAX_KINDS:
+            self._usage_by_kind.popitem(last=False)
 
-    def expect(self, spec: TaskSpec, limit: Size) -> Size:
-        """Return the larger of the declared and the learned size.
+    def predict_size(self, spec: TaskSpec, limit: Size) -> Size:
+        """Return the larger of the declared and the measured size of a service or job.
 
         Parameters
         ----------
         limit : tuple of (float, int, int)
-            Size of the worker; a task that is learned to be larger still has it for itself.
+            Size of the worker, which caps the measured size: a task that has used more than
+            that can still get a whole worker.
         """
-        cores, memory_mb = self._kinds.get(spec.declared, (0.0, 0.0))
+        cores, memory_mb = self._usage_by_kind.get(spec.declared, (0.0, 0.0))
         if cores <= spec.cores * _TOLERANCE and memory_mb <= spec.memory_mb * _TOLERANCE:
             return spec.size
         return (
@@ -66,8 +73,8 @@
             spec.accelerators,
         )
 
-    def charge(self, spec: TaskSpec, report: TaskReport | None) -> Size:
-        """Return the larger of the declared and the measured size of a task."""
+    def compute_charge(self, spec: TaskSpec, report: TaskReport | None) -> Size:
+        """Return the size to charge for a task: the larger of its declared and reported size."""
         if report is None or report.state != "running":
             return spec.size
         return (
@@ -77,9 +84,9 @@
         )
 
     def list_excess(self) -> dict[str, tuple[float, int]]:
-        """Return the learned use of the kinds that exceeded their declared size."""
-        return {name: (round(use[0], 1), int(use[1])) for name, use in self._kinds.items()}
+        """Return the measured usage of services and jobs that exceeded their declared size."""
+        return {name: (round(use[0], 1), int(use[1])) for name, use in self._usage_by_kind.items()}
 
 
-def _follow(known: float, measured: float) -> float:
-    return measured if measured >= known else known + _FALL_RATE * (measured - known)
+def _smooth_usage(previous: float, measured: float) -> float:
+    return measured if measured >= previous else previous + _DECAY_RATE * (measured - previous)
--- a/coltsfootpier/placement/_views.py
+++ b/coltsfootpier/placement/_views.py
@@ -1,4 +1,4 @@
-"""Entries of a shard record, and what its owner knows about workers beside it."""
+"""Entries of a shard record, and the owner's in-memory view of workers."""
 
 from __future__ import annotations
 
@@ -12,19 +12,19 @@
 
 
 class OvercommitError(InvariantError):
-    """The record gives a worker more than it can hold."""
+    """Raised when the tasks charged to a worker exceed its capacity."""
 
 
 @attrs.frozen
 class StaleExchange:
-    """An exchange was refused: wrong epochs or an old sequence number."""
+    """Rejection of an exchange with wrong epochs or an old sequence number."""
 
     reason: str
 
 
 @attrs.frozen(kw_only=True)
 class Placement:
-    """Entry of a shard record: one attempt of a task.
+    """Shard record entry for one attempt of a task.
 
     Parameters
     ----------
@@ -32,7 +32,7 @@
         ``accepted`` (no worker yet), ``placed``, ``stopping``, ``orphaned`` (reported as
         released, but still charged to its worker) or ``released``.
     worker, incarnation : str
-        Where it was placed; empty before.
+        Worker, and its incarnation, on which the attempt was placed; empty before placement.
     avoid : tuple of str
         Workers on which the task has failed.
     """
@@ -56,26 +56,37 @@
 
 @attrs.frozen
 class Progress:
-    """When an attempt was first seen running, and when its newest checkpoint appeared."""
+    """Time at which an attempt was first seen running, and its newest checkpoint.
 
-    first_ms: float
+    Parameters
+    ----------
+    first_seen_ms : float
+        Time at which the attempt was first reported as running.
+    last_saved_ms : float
+        Time at which the newest checkpoint was first reported; `first_seen_ms` before that.
+    is_proven : bool
+        Whether the attempt has already counted as a success for its worker.
+    """
+
+    first_seen_ms: float
     checkpoint: str
-    saved_ms: float
+    last_saved_ms: float
     is_proven: bool = False
 
 
 @attrs.define(kw_only=True)
 class WorkerView:
-    """What the owner knows about a worker; not part of the record.
+    """State of a worker as last reported to the shard owner; not part of the record.
 
     Parameters
     ----------
     lease_end_ms : float
-        Owner's clock: when the last lease that this owner may have granted has surely ended.
+        Time, on the owner's clock, by which every lease that this owner may have granted has
+        expired.
     progress : dict
-        For each running attempt when it was first seen and its newest checkpoint with the time.
+        `Progress` of each running attempt.
     started : dict
-        When each start command of the last second was first sent.
+        Time at which each start command of the last second was first sent.
     """
 
     vm: Vm
@@ -88,8 +99,8 @@
     progress: dict[tuple[str, int], Progress] = attrs.field(factory=dict)
     started: dict[tuple[str, int], float] = attrs.field(factory=dict)
 
-    def take_reply(self, reply: SyncReply, now_ms: float) -> None:
-        """Take the state that the worker reported."""
+    def apply_reply(self, reply: SyncReply, now_ms: float) -> None:
+        """Update the view with a report of the worker."""
         self.incarnation = reply.incarnation
         self.size = (reply.cores, reply.memory_mb, reply.accelerators)
         self.worker_now_ms = reply.now_ms
@@ -103,28 +114,28 @@
             if known is None:
                 known = Progress(now_ms, report.checkpoint, now_ms)
             elif known.checkpoint != report.checkpoint:
-                known = attrs.evolve(known, checkpoint=report.checkpoint, saved_ms=now_ms)
+                known = attrs.evolve(known, checkpoint=report.checkpoint, last_saved_ms=now_ms)
             progress[key] = known
         self.progress = progress
 
-    def take_proven(self, now_ms: float, after_ms: float) -> list[tuple[str, int]]:
-        """Return the attempts that have run for `after_ms`, each of them once."""
+    def mark_proven(self, now_ms: float, after_ms: float) -> list[tuple[str, int]]:
+        """Mark and return the attempts that have newly reached a run time of `after_ms`."""
         proven = [
             key
             for key, known in self.progress.items()
-            if not known.is_proven and now_ms - known.first_ms >= after_ms
+            if not known.is_proven and now_ms - known.first_seen_ms >= after_ms
         ]
         for key in proven:
             self.progress[key] = attrs.evolve(self.progress[key], is_proven=True)
         return proven
 
     def measure_unsaved_ms(self, key: tuple[str, int], now_ms: float) -> float:
-        """Return for how long an attempt has run since its start or newest checkpoint."""
+        """Return the run time of an attempt since its start or newest checkpoint."""
         known = self.progress.get(key)
-        return now_ms - known.saved_ms if known else 0.0
+        return now_ms - known.last_saved_ms if known else 0.0
 
     def admit_start(self, key: tuple[str, int], now_ms: float, limit: int) -> bool:
-        """Whether a start is within the limit for a second; a repeated one always is."""
+        """Admit a start command within the limit per second; repeated ones are always admitted."""
         self.started = {
             known: sent_ms for known, sent_ms in self.started.items() if now_ms - sent_ms < 1_000.0
         }
--- a/coltsfootpier/placement/tests/test_guard.py
+++ b/coltsfootpier/placement/tests/test_guard.py
@@ -1,4 +1,4 @@
-"""Tests of learned slowdowns and of the reaction to them."""
+"""Tests of slowdown estimates and of the protection of services."""
 
 from __future__ import annotations
 
@@ -33,8 +33,8 @@
     def _share(self) -> float:
         return self.guard.shares.get(("job/load/0", 1), 1.0)
 
-    def test_late_measurement_causes_one_reaction(self) -> None:
-        """Guards against an eviction on measurements from before the throttling."""
+    def test_measurements_before_throttling_takes_effect_are_ignored(self) -> None:
+        """Guards against an eviction caused by measurements from before the throttling."""
         self._observe(10_000.0, 2.0, 7_000.0)
         self.assertEqual(self._share(), 0.5)
         self._observe(11_000.0, 2.0, 7_000.0)
@@ -43,14 +43,17 @@
         self.assertEqual(self._share(), 0.5)
 
     def test_neighbour_is_throttled_before_it_is_evicted(self) -> None:
-        """Guards against evictions where a throttle would have done, and against none."""
+        """Guards against evictions where throttling suffices, and against missing evictions."""
         evictions = [self._observe(at, 2.0, at - 100.0) for at in (5_000.0, 10_000.0, 15_000.0)]
         self.assertEqual(evictions[:2], [None, None])
         self.assertEqual(evictions[2].key, ("job/load/0", 1))
         self.assertTrue(self.guard.is_blocked("w1", "load", 16_000.0))
 
-    def test_waves_lengthen_the_hold(self) -> None:
-        """Guards against throttling that comes and goes with each wave of noisy work."""
+    def test_recurring_interference_extends_the_hold_time(self) -> None:
+        """Guards against throttling that toggles with every wave of interference.
+
+        The service is slowed down for the first 10 s of each minute.
+        """
         changes = 0
         share = 1.0
         for second in range(600):
@@ -60,8 +63,8 @@
             share = self._share()
         self.assertLess(changes, 20)
 
-    def test_measurement_is_set_against_the_neighbours_of_its_time(self) -> None:
-        """Guards against blaming a task that came after the measurement."""
+    def test_measurement_is_attributed_to_neighbours_at_its_time(self) -> None:
+        """Guards against attributing a slowdown to a task that started after the measurement."""
         table = SlowdownTable()
         guard = ColocationGuard(slowdowns=table)
         web = {"key": ("service/web/0", 1), "declared": "web", "is_service": True, "cores": 1.0}
@@ -73,7 +76,7 @@
         self.assertEqual(table.estimate("web", "late"), SlowdownTable().estimate("web", "late"))
 
     def test_table_is_bounded(self) -> None:
-        """Guards against memory that grows with the number of kinds ever seen."""
+        """Guards against memory use that grows with the number of kinds ever seen."""
         table = SlowdownTable(bound=10)
         for index in range(100):
             table.observe("web", {f"job{index}": 1.0}, 1.5)
--- a/coltsfootpier/placement/tests/test_recovery.py
+++ b/coltsfootpier/placement/tests/test_recovery.py
@@ -1,4 +1,4 @@
-"""Tests of eviction, failing workers, leaving workers and limits of starts."""
+"""Tests of eviction, failing workers, leaving workers and start limits."""
 
 from __future__ import annotations
 
@@ -49,8 +49,8 @@
             self.shard.observe_reply(worker, build_reply(worker, (ended,)))
             commit(self.shard.record)
 
-    def test_room_of_an_eviction_goes_to_the_task_that_it_is_for(self) -> None:
-        """Guards against a less urgent task that takes the room while the last victim stops."""
+    def test_capacity_freed_by_an_eviction_goes_to_the_evicting_task(self) -> None:
+        """Guards against a less urgent task that takes the capacity while victims are stopping."""
         for index in range(4):
             self._exchange(assign=(build_assignment(build_spec(f"job/load/{index}")),))
         urgent = build_spec("job/urgent/0", cores=8.0, priority=3)
@@ -70,7 +70,10 @@
         self.assertEqual(self.shard.record.durable["job/late/0"].state, "accepted")
 
     def test_starts_are_limited_for_each_worker(self) -> None:
-        """Guards against a recovery that overloads a worker with starts; urgent ones first."""
+        """Guards against a recovery that overloads a worker with starts.
+
+        Urgent attempts start first, and repeated commands don't count against the limit.
+        """
         specs = [build_spec(f"job/load/{index}", cores=1.0) for index in range(4)]
         urgent = build_spec("job/urgent/0", cores=1.0, priority=3)
         self._exchange(assign=tuple(build_assignment(spec) for spec in (*specs, urgent)))
@@ -80,11 +83,11 @@
         self.clock.advance(1_000.0)
         self.assertEqual(len(self._sync()), 2)
 
-    def test_worker_that_fails_everything_is_set_aside_and_probed(self) -> None:
-        """Guards against a black hole that swallows one task after the other."""
+    def test_worker_that_fails_all_tasks_is_quarantined_and_probed(self) -> None:
+        """Guards against a broken worker that keeps receiving tasks and fails all of them."""
         self._add_workers("w2", "w3")
         self._fail("w2", "job/a/0", "job/b/0", "job/c/0")
-        self.assertTrue(self.shard.health.is_set_aside("w2"))
+        self.assertTrue(self.shard.health.is_quarantined("w2"))
         capacity = {item.worker: item for item in self.shard.capacities()}
         self.assertEqual((capacity["w2"].set_aside, capacity["w2"].free_cores), (True, 0.0))
         self.clock.advance(10_000.0)
@@ -94,10 +97,13 @@
         self.assertEqual(self.shard.record.durable["job/probe/0"].worker, "w2")
         done = build_report("job/probe/0", state="ended", outcome="done")
         self.shard.observe_reply("w2", build_reply("w2", (done,)))
-        self.assertFalse(self.shard.health.is_set_aside("w2"))
+        self.assertFalse(self.shard.health.is_quarantined("w2"))
+
+    def test_running_tasks_do_not_prevent_quarantine(self) -> None:
+        """Guards against a worker that stays in use although all new tasks fail on it.
 
-    def test_old_tasks_do_not_speak_for_a_worker_that_fails_new_ones(self) -> None:
-        """Guards against a broken worker that stays in use because of what runs there."""
+        A task that was started earlier keeps running there.
+        """
         self._add_workers("w2", "w3")
         old = build_report("job/old/0")
         assignment = build_assignment(build_spec("job/old/0", cores=1.0), avoid=("w1", "w3"))
@@ -112,10 +118,10 @@
             ended = build_report(task, state="ended", outcome="failed")
             self.shard.observe_reply("w2", build_reply("w2", (old, ended)))
             commit(self.shard.record)
-        self.assertTrue(self.shard.health.is_set_aside("w2"))
+        self.assertTrue(self.shard.health.is_quarantined("w2"))
 
-    def test_new_owner_takes_back_unknown_throttling(self) -> None:
-        """Guards against a task that stays throttled after its shard changed hands."""
+    def test_new_owner_resets_throttling_of_the_previous_owner(self) -> None:
+        """Guards against a task that stays throttled after a change of the shard owner."""
         self._exchange(assign=(build_assignment(build_spec()),))
         self.shard.observe_reply("w1", build_reply(tasks=(build_report("job/load/0"),)))
         expected = [("renew", "job/load/0", 1), ("throttle", "job/load/0", 1)]
@@ -124,24 +130,26 @@
             self._sync()
         self.assertEqual(self._sync(), expected[:1])
 
-    def test_only_a_share_of_a_shard_is_set_aside(self) -> None:
-        """Guards against a fault of ours that empties a whole shard."""
+    def test_quarantine_is_limited_to_a_share_of_the_workers(self) -> None:
+        """Guards against a scheduler fault that quarantines all workers of a shard."""
         self._add_workers("w2", "w3")
         self._fail("w2", "job/a/0", "job/b/0", "job/c/0")
         self._fail("w3", "job/d/0", "job/e/0", "job/f/0")
-        self.assertFalse(self.shard.health.is_set_aside("w3"))
+        self.assertFalse(self.shard.health.is_quarantined("w3"))
 
-    def test_faulty_job_does_not_set_workers_aside(self) -> None:
-        """Guards against good workers that a job with many broken tasks takes out."""
+    def test_faulty_job_does_not_quarantine_workers(self) -> None:
+        """Guards against quarantining good workers because of a job whose tasks all fail."""
         self._add_workers("w2", "w3")
         for index in range(3):
             for worker in ("w1", "w2", "w3"):
                 self._fail(worker, f"job/broken/{worker}{index}")
-        aside = [name for name in self.shard.workers if self.shard.health.is_set_aside(name)]
-        self.assertEqual(aside, [])
+        quarantined = [
+            name for name in self.shard.workers if self.shard.health.is_quarantined(name)
+        ]
+        self.assertEqual(quarantined, [])
 
     def test_runner_on_a_leaving_worker_is_replaced_while_it_stops(self) -> None:
-        """Guards against a service that lacks runners while the old ones finish requests."""
+        """Guards against a service without enough runners while old ones finish requests."""
         self._exchange(assign=(build_assignment(build_service_spec()),))
         running = build_report("service/web/0")
         self.shard.observe_reply("w1", build_reply(tasks=(running,)))
@@ -152,8 +160,8 @@
         self.assertEqual([item.task for item in released], ["service/web/0"])
         self.assertTrue(self.shard.record.durable["service/web/0"].charged)
 
-    def test_task_that_uses_more_than_declared_is_charged_with_its_use(self) -> None:
-        """Guards against a VM that gets more work than its memory can hold."""
+    def test_task_that_exceeds_its_declared_size_is_charged_as_measured(self) -> None:
+        """Guards against placing more work on a VM than fits into its memory."""
         self._exchange(assign=(build_assignment(build_spec()),))
         report = build_report("job/load/0", cores=4.0, memory_mb=59_500)
         self.shard.observe_reply("w1", build_reply(tasks=(report,)))
@@ -161,8 +169,8 @@
         self.assertEqual(self.shard.record.durable["job/next/0"].state, "accepted")
         self.assertEqual(self.shard.report(full=True).measured, {"load": (4.0, 59_500)})
 
-    def test_silent_worker_gets_nothing_new(self) -> None:
-        """Guards against urgent work that waits on a dead worker for the end of its lease."""
+    def test_silent_worker_receives_no_new_tasks(self) -> None:
+        """Guards against urgent work that is stuck on a dead worker until its lease expires."""
         self._add_workers("w2")
         self.clock.advance(4_500.0)
         self.shard.observe_reply("w2", build_reply("w2", now_ms=self.clock.now_ms()))
@@ -171,8 +179,8 @@
         workers = {entry.worker for entry in self.shard.record.durable.values()}
         self.assertEqual(workers, {"w2"})
 
-    def test_small_runners_stay_together(self) -> None:
-        """Guards against small runners that split the room for batch tasks on many workers."""
+    def test_small_runners_are_packed_together(self) -> None:
+        """Guards against small runners that fragment the free capacity for batch tasks."""
         self._add_workers("w2", "w3")
         specs = [build_service_spec(f"service/web/{index}", cores=1.0) for index in range(4)]
         self._exchange(assign=tuple(build_assignment(spec) for spec in specs))
--- a/coltsfootpier/placement/tests/test_shard.py
+++ b/coltsfootpier/placement/tests/test_shard.py
@@ -35,14 +35,14 @@
         self.shard.receive(build_exchange(sequence, assign=(assignment,)))
 
     def test_nothing_starts_before_the_record_is_durable(self) -> None:
-        """Guards against a start that a failed write would leave unrecorded."""
+        """Guards against starting an attempt that a failed write leaves unrecorded."""
         self._assign()
         self.assertEqual(_sync(self.shard), [])
         commit(self.shard.record)
         self.assertEqual(_sync(self.shard), [("start", "job/load/0", 1)])
 
-    def test_lapsed_owner_renews_and_never_starts(self) -> None:
-        """Guards against two owners that both start an attempt during a store outage."""
+    def test_owner_with_expired_ownership_renews_but_does_not_start(self) -> None:
+        """Guards against two owners that start the same attempt during a store outage."""
         self._assign()
         commit(self.shard.record)
         self.assertEqual(_sync(self.shard, may_start=False), [])
@@ -51,7 +51,7 @@
         self.assertEqual(_sync(self.shard, may_start=False, may_renew_batch=False), [])
 
     def test_duplicate_exchange_does_not_place_again(self) -> None:
-        """Guards against a delayed duplicate that revives an attempt that has ended."""
+        """Guards against a delayed duplicate request that restarts an ended attempt."""
         self._assign()
         commit(self.shard.record)
         ended = build_report("job/load/0", state="ended", outcome="done")
@@ -64,8 +64,8 @@
         )
         self.assertEqual(self.shard.record.working, {})
 
-    def test_worker_never_gets_more_than_it_holds(self) -> None:
-        """Guards against overcommitment (16 cores, five tasks of 4 cores)."""
+    def test_worker_is_not_overcommitted(self) -> None:
+        """Guards against overcommitting a worker: five tasks of 4 cores don't fit on 16 cores."""
         specs = [build_spec(f"job/load/{index}") for index in range(5)]
         assign = tuple(build_assignment(spec) for spec in specs)
         self.shard.receive(build_exchange(1, assign=assign))
@@ -73,8 +73,11 @@
         self.assertEqual(states.count("placed"), 4)
         self.shard.check_capacity()
 
-    def test_silent_worker_keeps_its_tasks_until_the_lease_surely_ended(self) -> None:
-        """Guards against a second attempt while the first may still run."""
+    def test_silent_worker_keeps_its_tasks_until_the_lease_expires(self) -> None:
+        """Guards against a second attempt while the first may still run.
+
+        The lease of 20 s is extended by the assumed clock drift.
+        """
         self._assign()
         commit(self.shard.record)
         _sync(self.shard)
@@ -85,24 +88,27 @@
         self.shard.check_leases()
         self.assertEqual(self.shard.record.working["job/load/0"].state, "released")
 
-    def test_lease_does_not_outlast_its_count_on_a_slow_worker_clock(self) -> None:
-        """Guards against a second attempt after a time in which only answers were lost."""
+    def test_lease_on_a_slow_worker_clock_does_not_outlast_its_computed_expiry(self) -> None:
+        """Guards against a second attempt while the first still holds a lease.
+
+        Replies are lost for 60 s, and the worker's clock runs slower than the owner's.
+        """
         self._assign()
         commit(self.shard.record)
         running = (build_report("job/load/0"),)
         self.shard.observe_reply("w1", build_reply(now_ms=0.0, tasks=running))
         self.clock.advance(60_000.0)
         request = self.shard.plan_sync("w1", may_start=True, may_renew_batch=True)
-        lease_end_on_worker_ms = request.commands[0].lease_until_ms
+        worker_expiry_ms = request.commands[0].lease_until_ms
         worker_now_ms = 60_000.0 / 1.09
-        owner_waits_ms = 22_000.0
-        self.assertLessEqual((lease_end_on_worker_ms - worker_now_ms) * 1.09, owner_waits_ms)
+        owner_expiry_ms = 22_000.0
+        self.assertLessEqual((worker_expiry_ms - worker_now_ms) * 1.09, owner_expiry_ms)
 
-    def test_taker_waits_for_the_hold_over_of_the_previous_owner(self) -> None:
-        """Guards against a second attempt while a cut-off owner still renews the first."""
+    def test_new_owner_waits_for_the_hold_over_of_the_previous_owner(self) -> None:
+        """Guards against a second attempt while a partitioned owner still renews the first."""
         self._assign()
         commit(self.shard.record)
-        write_value = {
+        stored_record = {
             "header": {"epoch": 1, "token": "t"},
             "entries": {
                 "job/load/0": {
@@ -122,7 +128,7 @@
                 }
             },
         }
-        taker = ShardState(
+        new_owner = ShardState(
             shard="r1",
             epoch=2,
             writer="m2",
@@ -130,17 +136,17 @@
             worker_lease_ms=20_000.0,
             hold_over_ms=1_800_000.0,
         )
-        taker.load(Item(f"{taker.record.key}/base", write_value, 7))
+        new_owner.load(Item(f"{new_owner.record.key}/base", stored_record, 7))
         self.clock.advance(1_800_000.0)
-        taker.check_leases()
-        self.assertEqual(taker.record.working["job/load/0"].state, "placed")
-        taker.retire_previous_owner()
+        new_owner.check_leases()
+        self.assertEqual(new_owner.record.working["job/load/0"].state, "placed")
+        new_owner.retire_previous_owner()
         self.clock.advance(22_100.0)
-        taker.check_leases()
-        self.assertEqual(taker.record.working["job/load/0"].state, "released")
+        new_owner.check_leases()
+        self.assertEqual(new_owner.record.working["job/load/0"].state, "released")
 
     def test_runner_of_a_silent_worker_is_replaced_but_stays_charged(self) -> None:
-        """Guards against overcommitment by an orphan that still runs."""
+        """Guards against overcommitting a worker on which an orphaned runner still runs."""
         spec = build_service_spec()
         self._assign(spec)
         commit(self.shard.record)
