--- a/coltsfootpier/dispatch/__init__.py
+++ b/coltsfootpier/dispatch/__init__.py
@@ -1,4 +1,4 @@
-"""Ledger of all tasks: dependencies, quotas, fair shares and the choice of shards."""
+"""Dispatch of tasks to shards: ledger, dependencies, quotas and fair shares."""
 
 from coltsfootpier.dispatch._dispatcher import Dispatcher
 from coltsfootpier.dispatch._ledger import Entry, Ledger
--- a/coltsfootpier/dispatch/_dispatcher.py
+++ b/coltsfootpier/dispatch/_dispatcher.py
@@ -11,9 +11,9 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.declaration import Declaration, Job, TaskSpec, expand
 from coltsfootpier.dispatch._eviction import Evictor
-from coltsfootpier.dispatch._failures import Failures
+from coltsfootpier.dispatch._failures import FailureTable
 from coltsfootpier.dispatch._ledger import FINAL_STATES, Entry, Ledger
-from coltsfootpier.dispatch._link import Promise, ShardLink
+from coltsfootpier.dispatch._link import Reservation, ShardLink
 from coltsfootpier.dispatch._schedule import Schedule
 from coltsfootpier.dispatch._shares import QueueKey, Shares, TaskQueue
 from coltsfootpier.dispatch._sizes import KnownSizes
@@ -25,26 +25,26 @@
     Release,
 )
 
-# Tasks assigned in one step; bounds the size of a message and of a write.
-_ASSIGN_PER_STEP = 200
-# Tasks for which others are evicted in one step.
-_EVICTIONS_PER_STEP = 16
-# Time-dependent decisions are looked at this often when nothing changed.
+# Number of tasks assigned in one step, which bounds the size of messages and writes.
+_MAX_ASSIGNMENTS_PER_STEP = 200
+# Number of tasks in one step for which others may be evicted.
+_MAX_EVICTIONS_PER_STEP = 16
+# Interval at which time-dependent decisions are re-evaluated if nothing else has changed.
 _RETRY_MS = 1_000.0
 
 
 class Dispatcher:
-    """Decides which shard runs which task.
+    """State machine that assigns tasks to shards.
 
     Parameters
     ----------
     clock : Clock
         Time source.
     ledger : Ledger
-        The tasks; owned by this dispatcher.
+        Ledger of all tasks, owned by this dispatcher.
     evicts : bool, default=True
-        Whether urgent tasks, runners and teams below their share may evict batch tasks;
-        without it they wait for room.
+        Whether urgent tasks, runners and teams below their guaranteed share may evict batch
+        tasks; if false, they wait for free capacity.
     """
 
     def __init__(self, *, clock: Clock, ledger: Ledger, evicts: bool = True) -> None:
@@ -58,39 +58,39 @@
         self._queue = TaskQueue()
         self._evictor = Evictor(ledger=ledger, shares=self._shares) if evicts else None
         self._schedule = Schedule(clock=clock, ledger=ledger)
-        self._spread: dict[str, Counter[str]] = defaultdict(Counter)
-        self._stale: dict[str, dict[str, None]] = defaultdict(dict)
+        self._assigned_by_shard: dict[str, Counter[str]] = defaultdict(Counter)
+        self._outdated_runners: dict[str, dict[str, None]] = defaultdict(dict)
         self._satisfied: dict[str, bool] = {}
-        self._waiting_changes = -1
+        self._resolved_changes = -1
         self._assign_stamp: tuple[int, int] = (-1, -1)
         self._assign_retry_ms = float("-inf")
         self._sizes = KnownSizes(now_ms=clock.now_ms())
-        self._measured: dict[str, tuple[float, int]] = {}
-        self._failures = Failures(self.links)
+        self._measured_sizes: dict[str, tuple[float, int]] = {}
+        self._failures = FailureTable(self.links)
         ledger.listener = self._observe_entry
 
     # Inputs
 
     def observe_shards(self, epochs: Mapping[str, int]) -> None:
-        """Take the shards that exist, with the epochs of their owners."""
+        """Update the set of shards and the epochs of their owners."""
         for shard, epoch in epochs.items():
-            self.links.setdefault(shard, ShardLink(shard=shard)).observe_epoch(epoch)
+            self.links.setdefault(shard, ShardLink(shard=shard)).set_epoch(epoch)
 
     def observe_declaration(self, revision: int, declaration: Declaration) -> None:
-        """Bring the ledger in line with a configuration revision.
+        """Update the ledger to a configuration revision.
 
-        A revision below the one that the ledger was brought in line with is ignored, so that
-        a dispatcher that has not seen the newest text cancels nothing.
+        Revisions older than the one that the ledger already reflects are ignored, so that a
+        dispatcher with an outdated declaration can't cancel tasks.
         """
         if revision < self.ledger.revision or revision <= self._revision:
             return
         self._revision = revision
         self._declaration = declaration
         self._specs = expand(declaration)
-        self._reindex()
+        self._rebuild_indexes()
         for task, entry in self.ledger.entries():
             if task not in self._specs:
-                self._withdraw(task, entry)
+                self._cancel_removed(task, entry)
         for task, spec in self._specs.items():
             entry = self.ledger.get(task)
             if entry is None:
@@ -101,22 +101,22 @@
         self.ledger.raise_revision(revision)
 
     def observe_reply(self, reply: ExchangeReply) -> None:
-        """Take a shard's answer: record releases and prepare their acknowledgement."""
+        """Apply a shard's reply: record its releases and queue their acknowledgements."""
         link = self.links.get(reply.shard)
         request = link.pending if link is not None else None
-        if link is None or not link.accept_reply(reply, self._clock.now_ms()):
+        if link is None or not link.apply_reply(reply, self._clock.now_ms()):
             return
         self._sizes.observe_reply(reply, self._clock.now_ms())
-        self._measured.update(reply.measured)
-        self._shares.observe_fleet(sum(known.cores for known in self.links.values()))
+        self._measured_sizes.update(reply.measured)
+        self._shares.set_fleet_cores(sum(known.cores for known in self.links.values()))
         for release in reply.released:
             self._apply_release(link, release)
-        # An attempt that was revoked before it was ever sent is unknown to the shard, which
-        # therefore has nothing to release.
+        # A shard can't release an attempt that was revoked before it was sent, so the release is
+        # applied here.
         released = {(item.task, item.attempt) for item in reply.released}
         for key in request.revoke:
-            held = link.states.get(key.task)
-            if (held is None or held.attempt != key.attempt) and (
+            shard_state = link.states.get(key.task)
+            if (shard_state is None or shard_state.attempt != key.attempt) and (
                 key.task,
                 key.attempt,
             ) not in released:
@@ -126,66 +126,68 @@
     # Steps
 
     def step(self) -> None:
-        """Make the decisions that are due in the working copy of the ledger."""
+        """Make all decisions that are due and apply them to the working copy of the ledger."""
         if not self.ledger.fenced:
             return
         self._schedule.step()
         self._resolve_dependencies()
-        self._roll_changed_services()
+        self._restart_changed_services()
         self._assign_pending()
 
     def next_request(self, shard: str, *, regular: bool) -> ExchangeRequest | None:
-        """Return the step of the exchange to send to a shard, from the durable ledger.
+        """Build the next request to a shard from the durable copy of the ledger.
 
         Parameters
         ----------
         shard : str
             Name of the shard.
         regular : bool
-            Whether a step is wanted also when there is nothing to tell the shard.
+            Whether to send a request even if there is nothing new for the shard.
 
         Returns
         -------
         ExchangeRequest or None
-            None when no step is due.
+            None if no request is due.
         """
         link = self.links[shard]
         assigned = self.ledger.list_durable(shard)
-        changed = self.ledger.take_changed(shard)
-        link.unsettled |= changed if link.is_listed else assigned.keys()
-        link.is_listed = True
+        changed = self.ledger.pop_changed(shard)
+        link.unreconciled |= changed if link.is_unreconciled_complete else assigned.keys()
+        link.is_unreconciled_complete = True
         assign: list[Assignment] = []
         revoke: list[AttemptKey] = []
-        for task in sorted(link.unsettled):
-            entry, held = assigned.get(task), link.states.get(task)
+        for task in sorted(link.unreconciled):
+            entry, shard_state = assigned.get(task), link.states.get(task)
             spec = self._specs.get(task)
             if entry is not None and entry.revoking:
                 revoke.append(AttemptKey(task, entry.attempt))
-            elif entry is None or (held is not None and held.attempt == entry.attempt):
-                link.unsettled.discard(task)
-            elif spec is not None and len(assign) < _ASSIGN_PER_STEP:
+            elif entry is None or (
+                shard_state is not None and shard_state.attempt == entry.attempt
+            ):
+                link.unreconciled.discard(task)
+            elif spec is not None and len(assign) < _MAX_ASSIGNMENTS_PER_STEP:
                 assign.append(self._build_assignment(link, task, entry, spec))
-        # A release is acknowledged only once its consequence is durable in the ledger.
+        # A release is acknowledged only once the ledger has stored its result durably.
         for key in list(link.acknowledge):
             if not self._is_release_durable(key):
                 link.acknowledge.pop(key)
-        if not regular and not link.has_work(tuple(assign), tuple(revoke)):
+        if not regular and not link.has_pending_work(tuple(assign), tuple(revoke)):
             return None
         return link.next_request(
             dispatch_epoch=self.ledger.epoch, assign=tuple(assign), revoke=tuple(revoke)
         )
 
     def running(self, declared: str) -> int:
-        """Return how many tasks of a service or job are running."""
+        """Return the number of running tasks of a service or job."""
         return sum(link.running[declared] for link in self.links.values())
 
     # Indexes
 
-    def _reindex(self) -> None:
+    def _rebuild_indexes(self) -> None:
         self._shares.reset(self._declaration.teams)
         self._queue.clear()
-        self._spread.clear()
-        self._stale.clear()
+        self._assigned_by_shard.clear()
+        self._outdated_runners.clear()
         self._satisfied.clear()
         for task, entry in self.ledger.entries():
             self._observe_entry(task, None, entry)
@@ -195,21 +197,21 @@
         if spec is None:
             return
         if before is not None and before.state == "assigned":
-            self._shares.add(spec, -1)
+            self._shares.charge(spec, -1)
             if before.revoking:
-                self._shares.leave(spec, -1)
-            self._spread[spec.declared][before.shard] -= 1
-            self._stale[spec.declared].pop(task, None)
+                self._shares.mark_stopping(spec, -1)
+            self._assigned_by_shard[spec.declared][before.shard] -= 1
+            self._outdated_runners[spec.declared].pop(task, None)
         if before is not None and before.state == "pending":
             self._queue.remove(task)
-            self._shares.queue(spec, -1)
+            self._shares.add_demand(spec, -1)
         if after is not None and after.state == "assigned":
-            self._shares.add(spec)
+            self._shares.charge(spec)
             if after.revoking:
-                self._shares.leave(spec)
-            self._spread[spec.declared][after.shard] += 1
+                self._shares.mark_stopping(spec)
+            self._assigned_by_shard[spec.declared][after.shard] += 1
             if spec.kind == "service" and after.digest != spec.digest:
-                self._stale[spec.declared][task] = None
+                self._outdated_runners[spec.declared][task] = None
         if after is not None and after.state == "pending":
             key = QueueKey(
                 team=spec.team,
@@ -221,24 +223,24 @@
                 avoid=self._failures.list_avoided(spec, after),
             )
             self._queue.add(task, key, self._clock.now_ms())
-            self._shares.queue(spec)
+            self._shares.add_demand(spec)
 
     # Decisions
 
-    def _withdraw(self, task: str, entry: Entry) -> None:
+    def _cancel_removed(self, task: str, entry: Entry) -> None:
         if entry.state == "assigned":
             self.ledger.put(task, attrs.evolve(entry, revoking=True, reason="removed"))
         elif task.startswith("service/") and not entry.attempt:
             self.ledger.drop(task)
         elif entry.state not in FINAL_STATES:
-            # The entry of a removed runner stays: its attempt numbers must not begin again
-            # while a shard may still hold a release of an earlier one.
+            # The entry of a removed runner is kept, because its attempt numbers must not restart
+            # while a shard may still hold a release of an earlier attempt.
             self.ledger.put(task, attrs.evolve(entry, state="cancelled", reason="removed"))
 
     def _apply_release(self, link: ShardLink, release: Release) -> None:
         key = AttemptKey(release.task, release.attempt)
         link.acknowledge[key] = None
-        link.withdraw(release.task, release.attempt)
+        link.cancel_reservation(release.task, release.attempt)
         entry = self.ledger.get(release.task)
         if (
             entry is None
@@ -250,7 +252,7 @@
         spec = self._specs.get(release.task)
         checkpoint = release.checkpoint or entry.checkpoint
         if release.outcome == "done":
-            self._failures.observe_done(release.worker)
+            self._failures.observe_success(release.worker)
         if spec is None:
             done = release.outcome == "done" and not release.task.startswith("service/")
             state = "done" if done else "cancelled"
@@ -304,19 +306,19 @@
     def _build_assignment(
         self, link: ShardLink, task: str, entry: Entry, spec: TaskSpec
     ) -> Assignment:
-        promise = link.promises.get(task)
+        reservation = link.reservations.get(task)
         avoid = self._failures.list_avoided(spec, entry)
-        if promise is None or promise.attempt != entry.attempt:
+        if reservation is None or reservation.attempt != entry.attempt:
             worker = link.find_worker(spec.size, avoid) or ""
-            promise = Promise(entry.attempt, worker, spec.size)
-            link.promise(task, promise)
+            reservation = Reservation(entry.attempt, worker, spec.size)
+            link.reserve(task, reservation)
         return Assignment(
             task=task,
             attempt=entry.attempt,
             spec=spec,
             checkpoint=entry.checkpoint,
             avoid=avoid,
-            worker=promise.worker if promise.evicting else "",
+            worker=reservation.worker if reservation.evicting else "",
         )
 
     def _is_release_durable(self, key: AttemptKey) -> bool:
@@ -331,41 +333,42 @@
         if not waiting:
             return
         satisfied = {name: self._is_satisfied(name) for name in self._satisfied}
-        if satisfied == self._satisfied and self._waiting_changes == self.ledger.changes:
+        if satisfied == self._satisfied and self._resolved_changes == self.ledger.changes:
             return
         self._satisfied = {}
         for task in list(waiting):
             spec = self._specs.get(task)
             if spec is None:
                 continue
-            missing = [name for name in spec.depends_on if not self._check_satisfied(name)]
-            broken = next((name for name in missing if self._is_broken(name)), "")
+            missing = [name for name in spec.depends_on if not self._is_satisfied_cached(name)]
+            unsatisfiable = next((name for name in missing if self._is_unsatisfiable(name)), "")
             entry = self.ledger.get(task)
-            if broken and spec.kind == "batch":
-                reason = f"depends on {broken}, which was refused or failed"
+            if unsatisfiable and spec.kind == "batch":
+                reason = f"depends on {unsatisfiable}, which was rejected or failed"
                 self.ledger.put(task, attrs.evolve(entry, state="failed", reason=reason))
             elif not missing:
                 self.ledger.put(task, attrs.evolve(entry, state="pending", reason=""))
             else:
-                self.ledger.explain(task, f"waits for {missing[0]}")
-        self._waiting_changes = self.ledger.changes
+                self.ledger.explain(task, f"waiting for {missing[0]}")
+        self._resolved_changes = self.ledger.changes
 
-    def _check_satisfied(self, name: str) -> bool:
+    def _is_satisfied_cached(self, name: str) -> bool:
         if name not in self._satisfied:
             self._satisfied[name] = self._is_satisfied(name)
         return self._satisfied[name]
 
-    def _is_broken(self, name: str) -> bool:
-        # A job that waits for one of these would wait for ever.
+    def _is_unsatisfiable(self, name: str) -> bool:
+        # A dependency with a rejected or failed task can never be satisfied.
         job = self._declaration.jobs.get(name)
-        if job is None or not self.ledger.count_broken(name):
+        if job is None or not self.ledger.count_unsuccessful(name):
             return False
         return any(entry.state in ("refused", "failed") for entry in self._list_entries(job))
 
     def _is_satisfied(self, name: str) -> bool:
         job = self._declaration.jobs.get(name)
         if job is not None:
-            # The count includes tasks that were removed when the job shrank.
+            # The count includes tasks that were removed when the job was scaled down, so it is
+            # necessary but not sufficient.
             if self.ledger.count_done(name) < job.tasks:
                 return False
             return all(entry.state == "done" for entry in self._list_entries(job))
@@ -375,9 +378,10 @@
         names = (f"job/{job.name}/{index}" for index in range(job.tasks))
         return [entry for name in names if (entry := self.ledger.get(name)) is not None]
 
-    def _roll_changed_services(self) -> None:
-        # A changed service is restarted one runner at a time, so that the others answer.
-        for declared, tasks in self._stale.items():
+    def _restart_changed_services(self) -> None:
+        # The runners of a changed service are restarted one at a time, so that the others can
+        # serve requests.
+        for declared, tasks in self._outdated_runners.items():
             if not tasks:
                 continue
             count = self._declaration.services[declared].runners
@@ -394,34 +398,34 @@
             return
         if stamp == self._assign_stamp and now_ms < self._assign_retry_ms:
             return
-        self._shares.divide()
+        self._shares.compute_guarantees()
         heap = [(self._rank(key), index, key) for index, key in enumerate(self._queue.list_keys())]
         heapq.heapify(heap)
         assigned = evictions = 0
-        while heap and assigned < _ASSIGN_PER_STEP:
+        while heap and assigned < _MAX_ASSIGNMENTS_PER_STEP:
             _, index, key = heapq.heappop(heap)
-            head = self._queue.peek(key)
-            if head is None:
+            oldest = self._queue.peek(key)
+            if oldest is None:
                 continue
-            task, since_ms = head
+            task, pending_since_ms = oldest
             spec, entry = self._specs[task], self.ledger.get(task)
             if not self._shares.is_within_quota(spec):
-                self.ledger.explain(task, f"quota of team {spec.team}")
+                self.ledger.explain(task, f"exceeds the quota of team {spec.team}")
                 continue
-            needed = self._expect(spec)
+            needed = self._apply_measured_size(spec)
             chosen = self._choose_shard(needed, key.avoid)
             evicting = False
-            if chosen is None and evictions < _EVICTIONS_PER_STEP:
-                chosen = self._evict_for(needed, key, now_ms - since_ms)
+            if chosen is None and evictions < _MAX_EVICTIONS_PER_STEP:
+                chosen = self._evict_for(needed, key, now_ms - pending_since_ms)
                 evicting = chosen is not None
                 evictions += evicting
             if chosen is None:
-                if self._handle_no_room(spec, entry):
+                if self._handle_no_capacity(spec, entry):
                     heapq.heappush(heap, (self._rank(key), index, key))
                 continue
             shard, worker = chosen
-            promise = Promise(entry.attempt + 1, worker, needed.size, evicting)
-            self.links[shard].promise(task, promise)
+            reservation = Reservation(entry.attempt + 1, worker, needed.size, evicting)
+            self.links[shard].reserve(task, reservation)
             assigned += 1
             self.ledger.put(
                 task,
@@ -434,19 +438,21 @@
                     digest=spec.digest,
                 ),
             )
-            # The team's usage has changed, and with it the rank of its other tasks.
+            # The team's usage has changed, so its remaining tasks are ranked again.
             heapq.heappush(heap, (self._rank(key), index, key))
         self._assign_stamp = (
             self.ledger.changes,
             sum(link.changes for link in self.links.values()),
         )
-        # A step that reached its bound goes on with the next one.
-        full = assigned >= _ASSIGN_PER_STEP or evictions >= _EVICTIONS_PER_STEP
-        self._assign_retry_ms = now_ms if full else now_ms + _RETRY_MS
+        # If a limit was reached, the next step continues without delay.
+        reached_limit = (
+            assigned >= _MAX_ASSIGNMENTS_PER_STEP or evictions >= _MAX_EVICTIONS_PER_STEP
+        )
+        self._assign_retry_ms = now_ms if reached_limit else now_ms + _RETRY_MS
 
-    def _expect(self, spec: TaskSpec) -> TaskSpec:
-        # Tasks may use more than was declared; the shard owners report what they learned.
-        measured = self._measured.get(spec.declared)
+    def _apply_measured_size(self, spec: TaskSpec) -> TaskSpec:
+        # Tasks may use more than they declare; shard owners report the measured usage.
+        measured = self._measured_sizes.get(spec.declared)
         if measured is None:
             return spec
         largest = self._sizes.largest
@@ -457,16 +463,16 @@
         )
 
     def _rank(self, key: QueueKey) -> tuple[bool, int, bool, float, float, str]:
-        # A team below its guaranteed share goes first, so that urgency gives order but never
-        # takes another team's minimum. Jobs of a team that are equally urgent take turns by
-        # the time for which their tasks have waited.
-        head = self._queue.peek(key)
+        # Teams below their guaranteed share come first, so that priorities can't deprive another
+        # team of its guarantee. Among jobs of a team with equal priority, the one whose task has
+        # waited longest comes first.
+        oldest = self._queue.peek(key)
         return (
-            not self._shares.is_below(key.team),
+            not self._shares.is_below_guarantee(key.team),
             -key.priority,
             not key.resumed,
-            self._shares.weigh(key.team),
-            head[1] if head else 0.0,
+            self._shares.compute_relative_usage(key.team),
+            oldest[1] if oldest else 0.0,
             key.declared,
         )
 
@@ -478,27 +484,27 @@
         return None
 
     def _rank_shards(self, spec: TaskSpec) -> list[str]:
-        # Runners are spread over zones first and racks second; batch tasks go where there is
-        # most room.
+        # Runners are spread over availability zones first and racks second. Batch tasks go to
+        # the shard with the most free cores.
         shards = [shard for shard, link in self.links.items() if link.synced]
         if spec.kind != "service":
             return sorted(shards, key=lambda shard: (-self.links[shard].free_cores, shard))
-        spread = self._spread[spec.declared]
+        assigned_by_shard = self._assigned_by_shard[spec.declared]
         zones: Counter[str] = Counter()
-        for shard, count in spread.items():
+        for shard, count in assigned_by_shard.items():
             if shard in self.links:
                 zones[self.links[shard].availability_zone] += count
 
         def rank(shard: str) -> tuple[int, int, float, str]:
             link = self.links[shard]
-            return zones[link.availability_zone], spread[shard], -link.free_cores, shard
+            return zones[link.availability_zone], assigned_by_shard[shard], -link.free_cores, shard
 
         return sorted(shards, key=rank)
 
     def _evict_for(self, spec: TaskSpec, key: QueueKey, waited_ms: float) -> tuple[str, str] | None:
         if self._evictor is None:
             return None
-        eviction = self._evictor.make_room(
+        eviction = self._evictor.evict_for(
             spec,
             [self.links[shard] for shard in self._rank_shards(spec)],
             specs=self._specs,
@@ -508,11 +514,11 @@
         )
         return (eviction.shard, eviction.worker) if eviction else None
 
-    def _handle_no_room(self, spec: TaskSpec, entry: Entry) -> bool:
-        """Say why a task waits, or refuse it; return whether it was refused."""
-        verdict = self._sizes.judge(spec, self.links, self._clock.now_ms())
-        if not verdict.is_final or spec.kind != "batch":
-            self.ledger.explain(spec.name, verdict.reason)
+    def _handle_no_capacity(self, spec: TaskSpec, entry: Entry) -> bool:
+        """Record why a task waits, or reject it; return whether it was rejected."""
+        assessment = self._sizes.assess(spec, self.links, self._clock.now_ms())
+        if not assessment.is_final or spec.kind != "batch":
+            self.ledger.explain(spec.name, assessment.reason)
             return False
-        self.ledger.put(spec.name, attrs.evolve(entry, state="refused", reason=verdict.reason))
+        self.ledger.put(spec.name, attrs.evolve(entry, state="refused", reason=assessment.reason))
         return True
--- a/coltsfootpier/dispatch/_eviction.py
+++ b/coltsfootpier/dispatch/_eviction.py
@@ -1,4 +1,4 @@
-"""Choice of the batch tasks to evict for a task that must not wait."""
+"""Selection of batch tasks to evict in favour of a task that must not wait."""
 
 from __future__ import annotations
 
@@ -14,22 +14,22 @@
 
 Size = tuple[float, int, int]
 
-# Shards that are looked at together; bounds the cost where the first ones have candidates.
-_EVICTION_SHARDS = 8
-# A team reclaims lent capacity by eviction only after its task has waited this long, since
-# lent capacity often becomes free by itself.
-_RECLAIM_MS = 5_000.0
+# Number of shards examined together, which bounds the cost if the first ones have candidates.
+_SHARDS_PER_BATCH = 8
+# Time for which a task must wait before its team reclaims lent capacity by eviction; lent
+# capacity often becomes free without one.
+_RECLAIM_DELAY_MS = 5_000.0
 _URGENT = PRIORITIES["urgent"]
 
 
 @attrs.frozen(kw_only=True)
 class Candidate:
-    """A running batch task that may be evicted.
+    """Running batch task that may be evicted.
 
     Parameters
     ----------
     lost_ms : float
-        Core-milliseconds of work that its eviction would lose.
+        Work that the eviction would lose, in core-milliseconds.
     """
 
     spec: TaskSpec
@@ -38,7 +38,7 @@
 
 @attrs.frozen(kw_only=True)
 class Eviction:
-    """Tasks to evict from one worker; none when stopping tasks make enough room."""
+    """Tasks to evict from one worker; empty if stopping tasks free enough capacity."""
 
     shard: str
     worker: str
@@ -47,28 +47,28 @@
 
     @property
     def cost(self) -> tuple[int, float]:
-        """Order of preference: fewest tasks, then least lost work."""
+        """Sort key of evictions: fewest victims first, then least lost work."""
         return len(self.victims), self.lost_ms
 
 
 def choose_victims(
     size: Size, free: Size, candidates: Sequence[Candidate]
 ) -> list[Candidate] | None:
-    """Choose the fewest and cheapest tasks whose end makes room on one worker.
+    """Choose few and cheap tasks whose eviction frees enough capacity on one worker.
 
     Parameters
     ----------
     size : tuple of (float, int, int)
-        Cores, memory in MB and accelerators that are needed.
+        Required cores, memory in MB and accelerators.
     free : tuple of (float, int, int)
-        What is free, or will be when stopping tasks have ended; may be negative.
+        Free capacity once stopping tasks have ended; may be negative.
     candidates : sequence of Candidate
         Tasks on the worker that may be evicted.
 
     Returns
     -------
     list of Candidate or None
-        None when all candidates together don't make enough room.
+        None if evicting all candidates doesn't free enough capacity.
 
     Examples
     --------
@@ -77,20 +77,21 @@
     """
     if fits(size, free):
         return []
-    single = [item for item in candidates if fits(size, _add(free, [item]))]
+    single = [item for item in candidates if fits(size, _add_freed(free, [item]))]
     if single:
         return [min(single, key=lambda item: (item.lost_ms, item.spec.name))]
     chosen: list[Candidate] = []
-    # Large tasks first gives few victims; a second pass drops those that became superfluous.
+    # Choosing large tasks first keeps the number of victims low. A second pass removes those
+    # that are no longer needed.
     for item in sorted(candidates, key=lambda item: (-item.spec.cores, item.lost_ms)):
         chosen.append(item)
-        if fits(size, _add(free, chosen)):
+        if fits(size, _add_freed(free, chosen)):
             break
     else:
         return None
     for item in sorted(chosen, key=lambda item: -item.lost_ms):
         rest = [other for other in chosen if other is not item]
-        if fits(size, _add(free, rest)):
+        if fits(size, _add_freed(free, rest)):
             chosen = rest
     return chosen
 
@@ -102,28 +103,28 @@
     avoid: Sequence[str],
     list_candidates: Callable[[ShardLink, str], tuple[Size, list[Candidate]]],
 ) -> Eviction | None:
-    """Choose the worker on which room for a task costs least.
+    """Choose the worker on which evictions for a task cost least.
 
     Parameters
     ----------
     spec : TaskSpec
-        The task that needs room.
+        Task that needs capacity.
     links : iterable of ShardLink
-        Shards to look at; their number bounds the cost.
+        Shards to examine; their number bounds the cost.
     avoid : sequence of str
-        Workers that are out of the question.
+        Workers to exclude.
     list_candidates : callable
-        Returns for a worker the room that stopping tasks will leave, and the tasks that may
-        be evicted.
+        Callback that returns, for a worker, the capacity that stopping tasks will free and the
+        tasks that may be evicted.
     """
     best: Eviction | None = None
     for link in links:
         for name, worker in link.workers.items():
             if worker.set_aside or name in avoid or not fits(spec.size, worker.size):
                 continue
-            leaving, candidates = list_candidates(link, name)
-            room = link.room[name]
-            free = tuple(have + more for have, more in zip(room, leaving, strict=True))
+            stopping_size, candidates = list_candidates(link, name)
+            free_now = link.free_by_worker[name]
+            free = tuple(have + more for have, more in zip(free_now, stopping_size, strict=True))
             chosen = choose_victims(spec.size, free, candidates)
             if chosen is None:
                 continue
@@ -139,21 +140,21 @@
 
 
 class Evictor:
-    """Decides for which tasks others are evicted, and whose.
+    """Policy that decides which tasks may evict others, and which tasks are evicted.
 
     Parameters
     ----------
     ledger : Ledger
-        The tasks; the attempts to evict are revoked in it.
+        Ledger of all tasks, in which evicted attempts are marked for revocation.
     shares : Shares
-        What each team is guaranteed.
+        Guaranteed shares of the teams.
     """
 
     def __init__(self, *, ledger: Ledger, shares: Shares) -> None:
         self._ledger = ledger
         self._shares = shares
 
-    def make_room(
+    def evict_for(
         self,
         spec: TaskSpec,
         links: Sequence[ShardLink],
@@ -163,41 +164,41 @@
         waited_ms: float,
         now_ms: float,
     ) -> Eviction | None:
-        """Revoke the cheapest attempts that make room for a task.
+        """Revoke the cheapest attempts that free enough capacity for a task.
 
         Parameters
         ----------
         spec : TaskSpec
-            The task that found no room.
+            Task that no worker has enough free capacity for.
         links : sequence of ShardLink
-            Shards, the preferred ones first.
+            Shards in order of preference.
         specs : mapping of str to TaskSpec
-            Specifications by task.
+            Specifications by task name.
         avoid : sequence of str
-            Workers that are out of the question.
+            Workers to exclude.
         waited_ms : float
-            How long the task has waited.
+            Time for which the task has been pending, in milliseconds.
         now_ms : float
             Time of the decision.
 
         Returns
         -------
         Eviction or None
-            None when the task has to wait for room.
+            None if the task has to wait for free capacity.
         """
-        below = self._shares.is_below_with(spec)
-        at_once = spec.kind == "service" or spec.priority >= _URGENT
-        if not at_once and not (below and waited_ms >= _RECLAIM_MS):
+        below_guarantee = self._shares.stays_within_guarantee_with(spec)
+        may_evict_now = spec.kind == "service" or spec.priority >= _URGENT
+        if not may_evict_now and not (below_guarantee and waited_ms >= _RECLAIM_DELAY_MS):
             return None
 
         def list_candidates(link: ShardLink, worker: str) -> tuple[Size, list[Candidate]]:
-            return self._list_candidates(spec, below, specs, link, worker, now_ms)
+            return self._list_candidates(spec, below_guarantee, specs, link, worker, now_ms)
 
         eviction: Eviction | None = None
-        for begin in range(0, len(links), _EVICTION_SHARDS):
+        for start in range(0, len(links), _SHARDS_PER_BATCH):
             eviction = plan_eviction(
                 spec,
-                links[begin : begin + _EVICTION_SHARDS],
+                links[start : start + _SHARDS_PER_BATCH],
                 avoid=avoid,
                 list_candidates=list_candidates,
             )
@@ -214,13 +215,13 @@
     def _list_candidates(
         self,
         spec: TaskSpec,
-        below: bool,
+        below_guarantee: bool,
         specs: Mapping[str, TaskSpec],
         link: ShardLink,
         worker: str,
         now_ms: float,
     ) -> tuple[Size, list[Candidate]]:
-        leaving = [0.0, 0, 0]
+        stopping_size = [0.0, 0, 0]
         candidates: list[Candidate] = []
         for state in link.list_attempts(worker):
             entry = self._ledger.get(state.task)
@@ -231,27 +232,27 @@
                 continue
             if entry.state != "assigned" or entry.revoking or state.state in ("stopping", "ended"):
                 for index, amount in enumerate(victim.size):
-                    leaving[index] += amount
-            elif self._may_evict(spec, below, victim):
+                    stopping_size[index] += amount
+            elif self._may_evict(spec, below_guarantee, victim):
                 cores_ms = link.measure_unsaved_ms(state, now_ms) * victim.cores
                 candidates.append(Candidate(spec=victim, lost_ms=cores_ms))
-        return (leaving[0], leaving[1], leaving[2]), candidates
+        return (stopping_size[0], stopping_size[1], stopping_size[2]), candidates
 
-    def _may_evict(self, spec: TaskSpec, below: bool, victim: TaskSpec) -> bool:
+    def _may_evict(self, spec: TaskSpec, below_guarantee: bool, victim: TaskSpec) -> bool:
         if victim.kind != "batch":
             return False
         if spec.kind == "service" and victim.priority <= spec.priority:
             return True
         if victim.team == spec.team:
             return victim.priority < spec.priority
-        # No team is taken below its guaranteed share. A team that is below its own takes
-        # back what was lent, whatever the urgency of what runs there now.
-        if victim.priority < spec.priority or below:
-            return self._shares.is_above_without(victim)
+        # Evictions never take another team below its guaranteed share. A team below its own
+        # share reclaims lent capacity regardless of the victim's priority.
+        if victim.priority < spec.priority or below_guarantee:
+            return self._shares.keeps_guarantee_without(victim)
         return False
 
 
-def _add(free: Size, candidates: Iterable[Candidate]) -> Size:
+def _add_freed(free: Size, candidates: Iterable[Candidate]) -> Size:
     cores, memory_mb, accelerators = free
     for item in candidates:
         cores += item.spec.cores
--- a/coltsfootpier/dispatch/_failures.py
+++ b/coltsfootpier/dispatch/_failures.py
@@ -1,4 +1,4 @@
-"""Evidence for the question whether a job or a worker is at fault."""
+"""Failure history that tells faulty jobs from faulty workers."""
 
 from __future__ import annotations
 
@@ -9,42 +9,43 @@
 from coltsfootpier.dispatch._link import ShardLink
 from coltsfootpier.placement import fits
 
-# A job that fails on this many distinct workers is at fault itself.
-_DISTINCT_FAILURES = 3
-# Failures on workers that fail other jobs too don't count, but not without limit.
-_MOST_FAILURES = 10
+# A job that fails on this many distinct credible workers is considered faulty.
+_MIN_CREDIBLE_FAILURES = 3
+# Failures on workers that also fail other jobs don't count, but a job that fails on this many
+# distinct workers is considered faulty in any case.
+_MAX_FAILURES = 10
 
 
-class Failures:
-    """Jobs that failed on each worker since it last finished one.
+class FailureTable:
+    """Jobs that have failed on each worker since its last success.
 
     Parameters
     ----------
     links : mapping of str to ShardLink
-        Shards with the workers that they have set aside.
+        Shards, which report the workers that they have quarantined.
     """
 
     def __init__(self, links: Mapping[str, ShardLink]) -> None:
         self._links = links
-        self._jobs: dict[str, set[str]] = {}
+        self._failed_jobs: dict[str, set[str]] = {}
 
-    def observe_done(self, worker: str) -> None:
-        """Take a task that was done on a worker."""
-        self._jobs.pop(worker, None)
+    def observe_success(self, worker: str) -> None:
+        """Record that a task completed on a worker."""
+        self._failed_jobs.pop(worker, None)
 
     def observe_failure(self, worker: str, declared: str) -> None:
-        """Take a task that failed on a worker."""
-        self._jobs.setdefault(worker, set()).add(declared)
+        """Record that a task failed on a worker."""
+        self._failed_jobs.setdefault(worker, set()).add(declared)
 
     def is_at_fault(self, declared: str, workers: tuple[str, ...]) -> bool:
-        """Whether a task that failed on `workers` is at fault itself."""
+        """Whether a task that failed on `workers` is considered faulty."""
         credible = sum(self._is_credible(worker, declared) for worker in workers)
-        return credible >= _DISTINCT_FAILURES or len(workers) >= _MOST_FAILURES
+        return credible >= _MIN_CREDIBLE_FAILURES or len(workers) >= _MAX_FAILURES
 
     def list_avoided(self, spec: TaskSpec, entry: Entry) -> tuple[str, ...]:
-        """Return the workers on which a task is not to be tried again.
+        """Return the workers on which a task must not be retried.
 
-        In a fleet that has no other worker of sufficient size it may run where it failed.
+        If no other worker is large enough, the task may run again where it failed.
         """
         if not entry.failed_workers:
             return ()
@@ -56,10 +57,10 @@
         return entry.failed_workers if has_other else ()
 
     def _is_credible(self, worker: str, declared: str) -> bool:
-        # A worker that fails other jobs as well is no evidence against this one.
-        set_aside = any(
+        # A failure on a worker that also fails other jobs is no evidence against this job.
+        quarantined = any(
             link.workers[worker].set_aside
             for link in self._links.values()
             if worker in link.workers
         )
-        return not set_aside and not self._jobs.get(worker, set()) - {declared}
+        return not quarantined and not self._failed_jobs.get(worker, set()) - {declared}
--- a/coltsfootpier/dispatch/_ledger.py
+++ b/coltsfootpier/dispatch/_ledger.py
@@ -1,4 +1,4 @@
-"""The ledger: state of each task, spread over several values of the store."""
+"""Ledger with the state of each task, stored in several records."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from coltsfootpier.platform import Item
 from coltsfootpier.records import VersionedRecord, Write
 
-_BROKEN_STATES = frozenset({"refused", "failed"})
+_UNSUCCESSFUL_STATES = frozenset({"refused", "failed"})
 FINAL_STATES = frozenset({"done", "cancelled", "refused", "failed"})
 
 
@@ -27,20 +27,21 @@
     attempt : int
         Number of the newest attempt; 0 before the first.
     shard : str
-        Where the attempt is assigned.
+        Shard to which the attempt is assigned.
     revoking : bool
-        Whether the attempt shall be stopped.
+        Whether the attempt must be stopped.
     failed_workers : tuple of str
-        Distinct workers on which attempts failed.
+        Distinct workers on which attempts of the task failed.
     digest : str
-        Digest of the specification that the attempt was assigned with.
+        Digest of the specification with which the attempt was assigned.
     run : int
-        Number of the run of a scheduled job; the attempts of all runs are numbered through.
+        Run number of a periodic job; attempt numbers continue across runs.
     elapsed_ms : float
-        Time since the creation of the run that is known to have passed; kept with the first
-        task of a scheduled job only.
+        Recorded time since the creation of the run, in milliseconds; stored only with the first
+        task of a periodic job.
     skipped : int
-        Due times of a scheduled job that passed while a run went on; kept as above.
+        Number of due times of a periodic job that passed while a run was in progress; stored
+        only with the first task.
     """
 
     state: str
@@ -60,7 +61,7 @@
 
 
 class Ledger:
-    """Entries by task name in a fixed number of records.
+    """Entries by task name, distributed over a fixed number of records.
 
     Parameters
     ----------
@@ -69,7 +70,7 @@
     writer : str
         Member identifier of this daemon.
     buckets : int, default=8
-        Number of store values; a change writes only its own bucket.
+        Number of records; a change rewrites only the record that holds the task.
     """
 
     def __init__(self, *, epoch: int, writer: str, buckets: int = 8) -> None:
@@ -87,89 +88,89 @@
         self.listener: Listener | None = None
         self._by_state: dict[str, dict[str, None]] = defaultdict(dict)
         self._done: Counter[str] = Counter()
-        self._broken: Counter[str] = Counter()
+        self._unsuccessful: Counter[str] = Counter()
         self._by_shard: dict[str, dict[str, Entry]] = defaultdict(dict)
         self._changed_by_shard: dict[str, set[str]] = defaultdict(set)
         for record in self.records:
-            record.listener = self._take_durable
+            record.listener = self._index_durable
 
     @property
     def fenced(self) -> bool:
-        """Whether each bucket was written with this owner's epoch."""
+        """Whether every record has been written with this owner's epoch."""
         return all(record.fenced for record in self.records)
 
     @property
     def revision(self) -> int:
-        """Highest configuration revision that was applied."""
+        """Highest configuration revision that has been applied."""
         return max(record.fence for record in self.records)
 
     def load(self, items: Iterable[Item]) -> None:
-        """Take the buckets as found in the store."""
+        """Load the records from the items found in the store."""
         found = list(items)
         for record in self.records:
             record.load(*(item for item in found if item.key.startswith(record.prefix)))
         self._by_state.clear()
         self._done.clear()
-        self._broken.clear()
+        self._unsuccessful.clear()
         self._by_shard.clear()
         for record in self.records:
-            self._take_durable(set(record.durable), {}, record.durable)
+            self._index_durable(set(record.durable), {}, record.durable)
         for task, entry in self.entries():
             self._index(task, None, entry)
 
     def get(self, task: str) -> Entry | None:
         """Return the working entry of a task."""
-        return self._record(task).working.get(task)
+        return self._get_record(task).working.get(task)
 
     def get_durable(self, task: str) -> Entry | None:
         """Return the durable entry of a task."""
-        return self._record(task).durable.get(task)
+        return self._get_record(task).durable.get(task)
 
     def put(self, task: str, entry: Entry) -> None:
-        """Change the working entry of a task."""
-        record = self._record(task)
+        """Set the working entry of a task."""
+        record = self._get_record(task)
         before = record.working.get(task)
         record.put(task, entry)
         if before != entry:
             self._index(task, before, entry)
 
     def explain(self, task: str, reason: str) -> None:
-        """Set the reason that operators are shown; it alone is not worth a write."""
-        record = self._record(task)
+        """Set the reason that is shown to operators; this alone doesn't trigger a write."""
+        record = self._get_record(task)
         entry = record.working[task]
         if entry.reason != reason:
             record.amend(task, attrs.evolve(entry, reason=reason))
 
     def drop(self, task: str) -> None:
         """Remove the working entry of a task."""
-        record = self._record(task)
+        record = self._get_record(task)
         before = record.working.get(task)
         record.drop(task)
         if before is not None:
             self._index(task, before, None)
 
     def list_tasks(self, state: str) -> dict[str, None]:
-        """Return the tasks in a state, in the order in which they entered it."""
+        """Return the tasks in a state, ordered by the time at which they entered it."""
         return self._by_state[state]
 
     def count_done(self, declared: str) -> int:
-        """Return how many tasks of a job are done."""
+        """Return the number of completed tasks of a job."""
         return self._done[declared]
 
-    def count_broken(self, declared: str) -> int:
-        """Return how many tasks of a job were refused or have failed."""
-        return self._broken[declared]
+    def count_unsuccessful(self, declared: str) -> int:
+        """Return the number of rejected or failed tasks of a job."""
+        return self._unsuccessful[declared]
 
     def list_durable(self, shard: str) -> dict[str, Entry]:
-        """Return the attempts that are durably assigned to a shard."""
+        """Return the entries that are durably assigned to a shard, by task."""
         return self._by_shard[shard]
 
-    def take_changed(self, shard: str) -> set[str]:
-        """Return the tasks whose durable assignment to a shard changed since the last call."""
+    def pop_changed(self, shard: str) -> set[str]:
+        """Return and clear the tasks whose durable assignment to a shard has changed."""
         return self._changed_by_shard.pop(shard, set())
 
     def raise_revision(self, revision: int) -> None:
-        """Note that a configuration revision was applied."""
+        """Record that a configuration revision has been applied."""
         for record in self.records:
             record.raise_fence(revision)
 
@@ -179,7 +180,7 @@
             yield from list(record.working.items())
 
     def begin_writes(self) -> list[tuple[VersionedRecord[Entry], Write]]:
-        """Return the conditional writes that are due."""
+        """Return the conditional writes of all records that have unwritten changes."""
         writes = ((record, record.begin_write()) for record in self.records)
         return [(record, write) for record, write in writes if write is not None]
 
@@ -193,11 +194,13 @@
                 self._by_state[new][task] = None
             declared = task.split("/")[1] if "/" in task else task
             self._done[declared] += (new == "done") - (old == "done")
-            self._broken[declared] += (new in _BROKEN_STATES) - (old in _BROKEN_STATES)
+            self._unsuccessful[declared] += (new in _UNSUCCESSFUL_STATES) - (
+                old in _UNSUCCESSFUL_STATES
+            )
         if self.listener is not None:
             self.listener(task, before, after)
 
-    def _take_durable(
+    def _index_durable(
         self, names: set[str], before: dict[str, Entry], after: dict[str, Entry]
     ) -> None:
         for task in names:
@@ -209,5 +212,5 @@
                 self._by_shard[new.shard][task] = new
                 self._changed_by_shard[new.shard].add(task)
 
-    def _record(self, task: str) -> VersionedRecord[Entry]:
+    def _get_record(self, task: str) -> VersionedRecord[Entry]:
         return self.records[zlib.crc32(task.encode()) % len(self.records)]
--- a/coltsfootpier/dispatch/_link.py
+++ b/coltsfootpier/dispatch/_link.py
@@ -1,4 +1,4 @@
-"""Stop-and-wait exchange with one shard owner, dispatcher's side."""
+"""Dispatcher's side of the stop-and-wait exchange with one shard owner."""
 
 from __future__ import annotations
 
@@ -21,8 +21,14 @@
 
 
 @attrs.frozen
-class Promise:
-    """Room that an assignment takes before the shard reports it."""
+class Reservation:
+    """Capacity reserved for an assignment until the shard reports its attempt.
+
+    Parameters
+    ----------
+    evicting : bool
+        Whether tasks on the worker are being evicted for the assignment.
+    """
 
     attempt: int
     worker: str
@@ -32,7 +38,7 @@
 
 @attrs.define(kw_only=True)
 class ShardLink:
-    """What the dispatcher knows about a shard.
+    """Dispatcher's view of a shard.
 
     Parameters
     ----------
@@ -44,16 +50,16 @@
         Attempts that the shard holds, by task.
     workers : dict
         Capacity of its workers, by name.
-    promises : dict
-        Assignments that the reported room doesn't account for yet, by task.
-    room : dict
-        Free room of each worker less the promises.
-    unsettled : set
-        Tasks of which the ledger and the shard may differ.
-    is_listed : bool
-        Whether `unsettled` is complete; false after a full answer.
+    reservations : dict
+        Reservations of assignments that the reported capacity doesn't include yet, by task.
+    free_by_worker : dict
+        Free capacity of each worker minus the reservations.
+    unreconciled : set
+        Tasks for which the ledger and the shard may disagree.
+    is_unreconciled_complete : bool
+        Whether `unreconciled` contains all such tasks; false after a full reply.
     changes : int
-        Changes whenever the states, the workers or the room changed.
+        Counter that increases whenever states, workers or free capacity change.
     """
 
     shard: str
@@ -64,33 +70,33 @@
     states: dict[str, AttemptState] = attrs.field(factory=dict)
     workers: dict[str, WorkerCapacity] = attrs.field(factory=dict)
     acknowledge: dict[AttemptKey, None] = attrs.field(factory=dict)
-    promises: dict[str, Promise] = attrs.field(factory=dict)
-    room: dict[str, Size] = attrs.field(factory=dict)
+    reservations: dict[str, Reservation] = attrs.field(factory=dict)
+    free_by_worker: dict[str, Size] = attrs.field(factory=dict)
     largest: Size = (0.0, 0, 0)
     free_cores: float = 0.0
     cores: float = 0.0
     availability_zone: str = ""
     running: Counter[str] = attrs.field(factory=Counter)
     changes: int = 0
-    unsettled: set[str] = attrs.field(factory=set)
-    is_listed: bool = False
+    unreconciled: set[str] = attrs.field(factory=set)
+    is_unreconciled_complete: bool = False
     _by_worker: dict[str, dict[str, AttemptState]] = attrs.field(factory=dict)
-    _told_ms: dict[str, float] = attrs.field(factory=dict)
+    _state_received_ms: dict[str, float] = attrs.field(factory=dict)
 
-    def observe_epoch(self, epoch: int) -> None:
-        """Start anew when the shard has another owner."""
+    def set_epoch(self, epoch: int) -> None:
+        """Set the epoch of the shard's owner and reset the exchange if it has changed."""
         if epoch != self.epoch:
             self.epoch = epoch
             self.reset()
 
     def reset(self) -> None:
-        """Forget the session; the next step asks for all attempts."""
+        """Discard the exchange state; the next request asks for all attempts."""
         self.sequence = 0
         self.synced = False
         self.pending = None
         self.acknowledge.clear()
-        self.promises.clear()
-        self.is_listed = False
+        self.reservations.clear()
+        self.is_unreconciled_complete = False
         self.changes += 1
 
     def next_request(
@@ -100,10 +106,10 @@
         assign: tuple[Assignment, ...],
         revoke: tuple[AttemptKey, ...],
     ) -> ExchangeRequest:
-        """Return the step to send: the unanswered one again, or the next.
+        """Return the request to send: the unanswered one again, or the next one.
 
-        Until the shard has listed all its attempts, nothing is assigned: what the ledger
-        assigned before may be there already.
+        Nothing is assigned until the shard has listed all its attempts, because it may already
+        hold attempts that the ledger assigned earlier.
         """
         if self.pending is None:
             self.sequence += 1
@@ -119,12 +125,14 @@
             )
         return self.pending
 
-    def has_work(self, assign: tuple[Assignment, ...], revoke: tuple[AttemptKey, ...]) -> bool:
-        """Whether a step is due before the next regular one."""
+    def has_pending_work(
+        self, assign: tuple[Assignment, ...], revoke: tuple[AttemptKey, ...]
+    ) -> bool:
+        """Whether a request is due before the next regular one."""
         return bool(assign or revoke or self.acknowledge or self.pending or not self.synced)
 
-    def accept_reply(self, reply: ExchangeReply, now_ms: float = 0.0) -> bool:
-        """Take the answer to the pending step; return whether it belongs to it."""
+    def apply_reply(self, reply: ExchangeReply, now_ms: float = 0.0) -> bool:
+        """Apply a reply and return whether it belongs to the pending request."""
         if (
             self.pending is None
             or reply.shard_epoch != self.epoch
@@ -137,80 +145,87 @@
         self.synced = True
         if reply.full:
             self._by_worker.clear()
-            self._told_ms.clear()
+            self._state_received_ms.clear()
             self.running.clear()
             self.states, self.workers = {}, {}
-            self.is_listed = False
+            self.is_unreconciled_complete = False
         elif not (reply.states or reply.workers or reply.gone or reply.gone_workers):
             return True
         for task in reply.gone:
-            self._replace(task, None)
+            self._replace_state(task, None)
         for state in reply.states:
-            self._replace(state.task, state)
-            self._told_ms[state.task] = now_ms
+            self._replace_state(state.task, state)
+            self._state_received_ms[state.task] = now_ms
         for name in reply.gone_workers:
             self.workers.pop(name, None)
         self.workers.update((worker.worker, worker) for worker in reply.workers)
         states = self.states
-        for task, promise in list(self.promises.items()):
+        for task, reservation in list(self.reservations.items()):
             state = states.get(task)
-            if state is not None and state.attempt >= promise.attempt:
-                del self.promises[task]
-        self._refresh_room()
+            if state is not None and state.attempt >= reservation.attempt:
+                del self.reservations[task]
+        self._update_free_capacity()
         return True
 
-    def promise(self, task: str, promise: Promise) -> None:
-        """Count an assignment against the room that was reported."""
-        self.promises[task] = promise
-        self._refresh_room()
+    def reserve(self, task: str, reservation: Reservation) -> None:
+        """Reserve capacity for an assignment."""
+        self.reservations[task] = reservation
+        self._update_free_capacity()
 
-    def withdraw(self, task: str, attempt: int) -> None:
-        """Remove the promise of an attempt that was released."""
-        promise = self.promises.get(task)
-        if promise is not None and promise.attempt <= attempt:
-            del self.promises[task]
-            self._refresh_room()
+    def cancel_reservation(self, task: str, attempt: int) -> None:
+        """Remove the reservation of an attempt that was released."""
+        reservation = self.reservations.get(task)
+        if reservation is not None and reservation.attempt <= attempt:
+            del self.reservations[task]
+            self._update_free_capacity()
 
     def find_worker(self, size: Size, avoid: tuple[str, ...]) -> str | None:
-        """Return the worker with the most free cores on which a task fits."""
+        """Return the worker with the most free cores that a task fits on, or None."""
         if not self.synced or not fits(size, self.largest):
             return None
-        roomy = [name for name, free in self.room.items() if fits(size, free) and name not in avoid]
-        return max(roomy, key=lambda name: self.room[name][0], default=None)
+        candidates = [
+            name
+            for name, free in self.free_by_worker.items()
+            if fits(size, free) and name not in avoid
+        ]
+        return max(candidates, key=lambda name: self.free_by_worker[name][0], default=None)
 
     def list_attempts(self, worker: str) -> list[AttemptState]:
-        """Return the attempts that a worker holds."""
+        """Return the states of the attempts on a worker."""
         return list(self._by_worker.get(worker, {}).values())
 
     def measure_unsaved_ms(self, state: AttemptState, now_ms: float) -> float:
-        """Return the work that the eviction of an attempt would lose now."""
+        """Return the run time, in milliseconds, that evicting an attempt now would lose."""
         if state.state != "running":
             return state.unsaved_ms
-        return state.unsaved_ms + now_ms - self._told_ms.get(state.task, now_ms)
+        return state.unsaved_ms + now_ms - self._state_received_ms.get(state.task, now_ms)
 
-    def _replace(self, task: str, state: AttemptState | None) -> None:
-        # Tasks are numbered below the name of their service or job: service/NAME/INDEX.
+    def _replace_state(self, task: str, state: AttemptState | None) -> None:
+        # Task names consist of the kind, the name of the service or job, and an index:
+        # service/NAME/INDEX.
         declared = task.split("/")[1] if "/" in task else task
-        self.unsettled.add(task)
-        before = self.states.pop(task, None)
-        if before is not None:
-            self._by_worker.get(before.worker, {}).pop(task, None)
-            self._told_ms.pop(task, None)
-            self.running[declared] -= before.state == "running"
+        self.unreconciled.add(task)
+        previous = self.states.pop(task, None)
+        if previous is not None:
+            self._by_worker.get(previous.worker, {}).pop(task, None)
+            self._state_received_ms.pop(task, None)
+            self.running[declared] -= previous.state == "running"
         if state is not None:
             self.states[task] = state
             self._by_worker.setdefault(state.worker, {})[task] = state
             self.running[declared] += state.state == "running"
 
-    def _refresh_room(self) -> None:
-        room = {name: worker.free for name, worker in self.workers.items()}
-        for promise in self.promises.values():
-            if promise.worker in room:
-                room[promise.worker] = subtract(room[promise.worker], promise.size)
-        self.room = room
-        sizes = list(room.values()) or [(0.0, 0, 0)]
-        self.largest = tuple(max(size[index] for size in sizes) for index in range(3))
-        self.free_cores = sum(size[0] for size in sizes)
+    def _update_free_capacity(self) -> None:
+        free_by_worker = {name: worker.free for name, worker in self.workers.items()}
+        for reservation in self.reservations.values():
+            if reservation.worker in free_by_worker:
+                free_by_worker[reservation.worker] = subtract(
+                    free_by_worker[reservation.worker], reservation.size
+                )
+        self.free_by_worker = free_by_worker
+        free_sizes = list(free_by_worker.values()) or [(0.0, 0, 0)]
+        self.largest = tuple(max(size[index] for size in free_sizes) for index in range(3))
+        self.free_cores = sum(size[0] for size in free_sizes)
         self.cores = sum(worker.cores for worker in self.workers.values())
         zones = (worker.availability_zone for worker in self.workers.values())
         self.availability_zone = next(zones, "")
--- a/coltsfootpier/dispatch/_shares.py
+++ b/coltsfootpier/dispatch/_shares.py
@@ -1,4 +1,4 @@
-"""Usage of teams, their guaranteed shares, and the queue of tasks that wait for room."""
+"""Queue of pending tasks, and the usage and guaranteed shares of teams."""
 
 from __future__ import annotations
 
@@ -14,13 +14,13 @@
 
 @attrs.frozen
 class QueueKey:
-    """Tasks that are interchangeable for the choice of what comes next.
+    """Key of pending tasks that are equivalent for scheduling.
 
     Parameters
     ----------
     resumed : bool
-        Whether the tasks ran before; they come before new ones of equal urgency, so that
-        evicted work doesn't queue behind a flood.
+        Whether the tasks had earlier attempts; they precede new tasks of equal priority, so that
+        evicted tasks don't queue behind a flood of new ones.
     avoid : tuple of str
         Workers on which the tasks failed.
     """
@@ -35,7 +35,7 @@
 
 
 class TaskQueue:
-    """Pending tasks by `QueueKey`, each in order of arrival."""
+    """Pending tasks grouped by `QueueKey`, in order of arrival within each group."""
 
     def __init__(self) -> None:
         self._tasks: dict[QueueKey, dict[str, float]] = {}
@@ -48,13 +48,13 @@
         return len(self._keys)
 
     def add(self, task: str, key: QueueKey, now_ms: float) -> None:
-        """Append a task."""
+        """Append a task to its group, or move it to the end if it is already queued."""
         self.remove(task)
         self._keys[task] = key
         self._tasks.setdefault(key, {})[task] = now_ms
 
     def remove(self, task: str) -> None:
-        """Remove a task if it is there."""
+        """Remove a task if it is queued."""
         key = self._keys.pop(task, None)
         if key is not None:
             tasks = self._tasks[key]
@@ -68,100 +68,106 @@
         self._keys.clear()
 
     def list_keys(self) -> list[QueueKey]:
-        """Return the keys under which tasks wait."""
+        """Return the keys of all groups of pending tasks."""
         return list(self._tasks)
 
     def peek(self, key: QueueKey) -> tuple[str, float] | None:
-        """Return the task that waits longest under a key, and since when."""
+        """Return the oldest pending task with a key and the time at which it was queued."""
         tasks = self._tasks.get(key)
         return next(iter(tasks.items())) if tasks else None
 
 
 class Shares:
-    """What teams use, and what each is guaranteed.
+    """Usage and guaranteed share of each team.
 
-    The fleet is divided by weight among the teams that have work (max-min fairness): what a
-    team doesn't ask for is divided among the others. Capacity beyond the demand of all is lent
-    to anyone up to the quota.
+    The cores of the fleet are divided by weight among the teams that have work (max-min
+    fairness): cores that a team has no demand for are divided among the others. Capacity beyond
+    the guarantees is lent to any team up to its quota.
     """
 
     def __init__(self) -> None:
         self._teams: Mapping[str, Team] = {}
         self._used: dict[str, list[float]] = {}
-        self._queued: dict[str, float] = {}
-        self._leaving: dict[str, float] = {}
-        self._guaranteed: dict[str, float] = {}
-        self._cores = 0.0
+        self._queued_cores: dict[str, float] = {}
+        self._stopping_cores: dict[str, float] = {}
+        self._guaranteed_cores: dict[str, float] = {}
+        self._fleet_cores = 0.0
 
     def reset(self, teams: Mapping[str, Team]) -> None:
-        """Start with the teams of a declaration, none of which uses anything."""
+        """Reset to the teams of a declaration, without any usage."""
         self._teams = teams
         self._used = {name: [0.0, 0.0, 0.0] for name in teams}
-        self._queued = dict.fromkeys(teams, 0.0)
-        self._leaving = dict.fromkeys(teams, 0.0)
-        self._guaranteed = dict.fromkeys(teams, 0.0)
+        self._queued_cores = dict.fromkeys(teams, 0.0)
+        self._stopping_cores = dict.fromkeys(teams, 0.0)
+        self._guaranteed_cores = dict.fromkeys(teams, 0.0)
 
-    def observe_fleet(self, cores: float) -> None:
-        """Take the number of processors of the fleet."""
-        self._cores = cores
+    def set_fleet_cores(self, cores: float) -> None:
+        """Set the number of cores in the fleet."""
+        self._fleet_cores = cores
 
-    def add(self, spec: TaskSpec, sign: int = 1) -> None:
-        """Charge a task to its team, or with sign -1 remove it."""
+    def charge(self, spec: TaskSpec, sign: int = 1) -> None:
+        """Charge a task to its team, or remove the charge if `sign` is -1."""
         used = self._used[spec.team]
         for index, amount in enumerate(spec.size):
             used[index] += sign * amount
 
-    def queue(self, spec: TaskSpec, sign: int = 1) -> None:
-        """Add a pending task to its team's demand, or with sign -1 remove it."""
-        self._queued[spec.team] += sign * spec.cores
+    def add_demand(self, spec: TaskSpec, sign: int = 1) -> None:
+        """Add a pending task to its team's demand, or remove it if `sign` is -1."""
+        self._queued_cores[spec.team] += sign * spec.cores
 
-    def leave(self, spec: TaskSpec, sign: int = 1) -> None:
-        """Note that a task is being stopped; it counts for the quota until it has ended.
+    def mark_stopping(self, spec: TaskSpec, sign: int = 1) -> None:
+        """Mark a task as stopping, or remove the mark if `sign` is -1.
 
-        For the share it counts no more, else one task after the other would be evicted from
-        a team while the first ones stop.
+        A stopping task counts towards the quota until it has ended, but not towards the share.
+        Otherwise further tasks of the team would be evicted while the first ones stop.
         """
-        self._leaving[spec.team] += sign * spec.cores
+        self._stopping_cores[spec.team] += sign * spec.cores
 
-    def divide(self) -> None:
-        """Compute what each team is guaranteed now."""
+    def compute_guarantees(self) -> None:
+        """Compute the guaranteed cores of each team for the current demand."""
         demand = {
-            name: min(self._used[name][0] + self._queued[name], team.cores)
+            name: min(self._used[name][0] + self._queued_cores[name], team.cores)
             for name, team in self._teams.items()
         }
         order = sorted(demand, key=lambda name: demand[name] / self._teams[name].weight)
-        left = self._cores
-        weight = sum(team.weight for team in self._teams.values())
+        remaining = self._fleet_cores
+        total_weight = sum(team.weight for team in self._teams.values())
         for name in order:
-            own = self._teams[name].weight
-            self._guaranteed[name] = min(demand[name], left * own / weight)
-            left -= self._guaranteed[name]
-            weight -= own
-
-    def weigh(self, team: str) -> float:
-        """Return the used processors in relation to the weight."""
-        return self._keeps(team) / self._teams[team].weight
-
-    def is_below(self, team: str) -> bool:
-        """Whether a team uses less than it is guaranteed."""
-        return self._keeps(team) < self._guaranteed[team] - 1e-6
-
-    def is_below_with(self, spec: TaskSpec) -> bool:
-        """Whether a team stays within its guarantee with one more task."""
-        return self._keeps(spec.team) + spec.cores <= self._guaranteed[spec.team] + 1e-6
+            own_weight = self._teams[name].weight
+            self._guaranteed_cores[name] = min(demand[name], remaining * own_weight / total_weight)
+            remaining -= self._guaranteed_cores[name]
+            total_weight -= own_weight
+
+    def compute_relative_usage(self, team: str) -> float:
+        """Return the cores that a team uses relative to its weight."""
+        return self._get_retained_cores(team) / self._teams[team].weight
+
+    def is_below_guarantee(self, team: str) -> bool:
+        """Whether a team uses less than its guaranteed share."""
+        return self._get_retained_cores(team) < self._guaranteed_cores[team] - 1e-6
+
+    def stays_within_guarantee_with(self, spec: TaskSpec) -> bool:
+        """Whether a task's team stays within its guaranteed share if the task is added."""
+        return (
+            self._get_retained_cores(spec.team) + spec.cores
+            <= self._guaranteed_cores[spec.team] + 1e-6
+        )
 
-    def is_above_without(self, spec: TaskSpec) -> bool:
-        """Whether a team still has what it is guaranteed when a task of it is evicted."""
-        return self._keeps(spec.team) - spec.cores >= self._guaranteed[spec.team] - 1e-6
+    def keeps_guarantee_without(self, spec: TaskSpec) -> bool:
+        """Whether a task's team keeps its guaranteed share if the task is evicted."""
+        return (
+            self._get_retained_cores(spec.team) - spec.cores
+            >= self._guaranteed_cores[spec.team] - 1e-6
+        )
 
-    def _keeps(self, team: str) -> float:
-        return self._used[team][0] - self._leaving[team]
+    def _get_retained_cores(self, team: str) -> float:
+        return self._used[team][0] - self._stopping_cores[team]
 
     def is_within_quota(self, spec: TaskSpec) -> bool:
-        """Whether one more task is within its team's quota."""
+        """Whether a task's team stays within its quota if the task is added."""
         team = self._teams[spec.team]
         used = self._used[spec.team]
-        left = subtract(
+        remaining = subtract(
             (team.cores, team.memory_mb, team.accelerators), (used[0], used[1], used[2])
         )
-        return fits(spec.size, left)
+        return fits(spec.size, remaining)
--- a/coltsfootpier/dispatch/tests/test_dispatcher.py
+++ b/coltsfootpier/dispatch/tests/test_dispatcher.py
@@ -1,4 +1,4 @@
-"""Tests of the dispatcher together with a shard owner."""
+"""Tests of the dispatcher with one shard owner."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
         for record in self.dispatcher.ledger.records:
             commit(record)
 
-    def _round(self) -> None:
+    def _run_round(self) -> None:
         self.dispatcher.step()
         self._commit()
         request = self.dispatcher.next_request("r1", regular=True)
@@ -51,21 +51,21 @@
         shard.observe_reply("w1", build_reply(tasks=(report,)))
         commit(shard.record)
 
-    def test_dependent_job_waits(self) -> None:
-        """Guards against a job that starts before what it depends on is done."""
+    def test_dependent_job_waits_for_its_dependency(self) -> None:
+        """Guards against starting a job before the job that it depends on is done."""
         for _ in range(4):
-            self._round()
+            self._run_round()
         self.assertEqual(self.dispatcher.ledger.get("job/report/0").state, "waiting")
         self._finish(self.shard, "job/load/0")
         for _ in range(3):
-            self._round()
+            self._run_round()
         self.assertEqual(self.dispatcher.ledger.get("job/load/0").state, "done")
         self.assertEqual(self.dispatcher.ledger.get("job/report/0").state, "assigned")
 
     def test_dependent_of_a_failed_job_fails_with_a_reason(self) -> None:
-        """Guards against a job that waits without end for one that can't become done."""
+        """Guards against a job that waits forever for a dependency that can't complete."""
         for _ in range(4):
-            self._round()
+            self._run_round()
         entry = self.dispatcher.ledger.get("job/load/0")
         self.dispatcher.ledger.put("job/load/0", attrs.evolve(entry, state="failed"))
         self.dispatcher.step()
@@ -74,21 +74,21 @@
         self.assertIn("load", entry.reason)
 
     def test_evicted_task_resumes_once_from_its_checkpoint(self) -> None:
-        """Guards against evicted work that is lost or resumed twice."""
+        """Guards against evicted tasks that are lost or resumed twice."""
         for _ in range(4):
-            self._round()
+            self._run_round()
         self._finish(self.shard, "job/load/0", outcome="stopped")
         for _ in range(4):
-            self._round()
+            self._run_round()
         entry = self.dispatcher.ledger.get("job/load/0")
         self.assertEqual((entry.state, entry.attempt), ("assigned", 2))
         held = self.shard.record.durable["job/load/0"]
         self.assertEqual((held.attempt, held.checkpoint), (2, "7"))
 
     def test_release_is_not_acknowledged_before_it_is_durable(self) -> None:
-        """Guards against work that is lost when the dispatcher dies after an acknowledgement."""
+        """Guards against losing a task if the dispatcher crashes after an acknowledgement."""
         for _ in range(4):
-            self._round()
+            self._run_round()
         self._finish(self.shard, "job/load/0", outcome="stopped")
         request = self.dispatcher.next_request("r1", regular=True)
         self.shard.receive(request)
@@ -97,40 +97,40 @@
         self.assertEqual(request.acknowledge, ())
 
     def test_removed_job_is_cancelled(self) -> None:
-        """Guards against cancelled work that goes on."""
+        """Guards against removed jobs that keep running."""
         for _ in range(4):
-            self._round()
+            self._run_round()
         text = "[team a]\ncores = 64\nmemory_mb = 64000\n"
         self.dispatcher.observe_declaration(2, build_declaration(text))
         for _ in range(3):
-            self._round()
+            self._run_round()
         self.assertEqual(self.shard.record.durable["job/load/0"].state, "stopping")
         self._finish(self.shard, "job/load/0", outcome="stopped")
         for _ in range(3):
-            self._round()
+            self._run_round()
         self.assertEqual(self.dispatcher.ledger.get("job/load/0").state, "cancelled")
 
-    def test_runner_that_returns_goes_on_with_its_attempt_numbers(self) -> None:
-        """Guards against a new attempt that a stale release of the same number ends."""
+    def test_redeclared_runner_continues_its_attempt_numbers(self) -> None:
+        """Guards against a stale release that ends a new attempt with the same number."""
         for _ in range(4):
-            self._round()
+            self._run_round()
         text = "[team a]\ncores = 64\nmemory_mb = 64000\n"
         self.dispatcher.observe_declaration(2, build_declaration(text))
         for _ in range(3):
-            self._round()
+            self._run_round()
         self._finish(self.shard, "service/web/0", outcome="stopped")
         for _ in range(3):
-            self._round()
+            self._run_round()
         self.assertEqual(self.dispatcher.ledger.get("service/web/0").state, "cancelled")
         self.dispatcher.observe_declaration(3, build_declaration())
         for _ in range(3):
-            self._round()
+            self._run_round()
         entry = self.dispatcher.ledger.get("service/web/0")
         self.assertEqual((entry.state, entry.attempt), ("assigned", 2))
 
-    def test_job_removed_before_its_shard_heard_of_it_is_cancelled(self) -> None:
-        """Guards against an attempt that stays assigned because no shard ever held it."""
-        self._round()
+    def test_job_removed_before_its_assignment_is_sent_is_cancelled(self) -> None:
+        """Guards against an attempt that stays assigned because no shard ever received it."""
+        self._run_round()
         self.dispatcher.step()
         self._commit()
         self.assertEqual(self.dispatcher.ledger.get("job/load/0").state, "assigned")
@@ -138,7 +138,7 @@
         text = "[team a]\ncores = 64\nmemory_mb = 64000\n"
         self.dispatcher.observe_declaration(2, build_declaration(text))
         for _ in range(2):
-            self._round()
+            self._run_round()
         self.assertEqual(self.dispatcher.ledger.get("job/load/0").state, "cancelled")
 
 
--- a/coltsfootpier/dispatch/tests/test_policy.py
+++ b/coltsfootpier/dispatch/tests/test_policy.py
@@ -1,4 +1,4 @@
-"""Tests of eviction, shares, refusals and failures with several shards."""
+"""Tests of eviction, guaranteed shares, rejections and failures with several shards."""
 
 from __future__ import annotations
 
@@ -69,7 +69,7 @@
                 reply = build_reply(worker, tuple(reports), now_ms=self.clock.now_ms())
                 state.observe_reply(worker, reply)
 
-    def _round(self, count: int = 1) -> None:
+    def _run_rounds(self, count: int = 1) -> None:
         for _ in range(count):
             self.clock.advance(250.0)
             self.dispatcher.step()
@@ -95,17 +95,17 @@
         return self.dispatcher.running(job)
 
     def test_urgent_task_starts_on_a_full_fleet(self) -> None:
-        """Guards against urgent work that waits for batch tasks to end."""
+        """Guards against an urgent task that waits for batch tasks to end."""
         text = _team("a") + _job("load", tasks=8)
         self._declare(1, text)
-        self._round(6)
+        self._run_rounds(6)
         self.assertEqual(self._running("load"), 8)
         self._declare(2, text + _job("alarm", more="priority = urgent"))
-        began_ms = self.clock.now_ms()
+        submitted_ms = self.clock.now_ms()
         while not self._running("alarm"):
-            self._round()
-            self.assertLess(self.clock.now_ms() - began_ms, 8_300.0)
-        self._round(4)
+            self._run_rounds()
+            self.assertLess(self.clock.now_ms() - submitted_ms, 8_300.0)
+        self._run_rounds(4)
         self.assertEqual(self._running("load"), 7)
         attempts = [
             entry.attempt
@@ -114,35 +114,35 @@
         ]
         self.assertEqual(sorted(attempts), [1] * 8)
 
-    def test_urgency_takes_no_other_team_below_its_share(self) -> None:
-        """Guards against a flood of urgent work that starves another team."""
+    def test_urgent_tasks_do_not_take_another_team_below_its_share(self) -> None:
+        """Guards against a flood of urgent tasks that starves another team."""
         text = _team("a") + _team("b") + _job("load", tasks=8, team="b")
         self._declare(1, text)
-        self._round(6)
+        self._run_rounds(6)
         self._declare(2, text + _job("flood", tasks=80, more="priority = urgent"))
-        self._round(30)
+        self._run_rounds(30)
         self.assertEqual((self._running("load"), self._running("flood")), (4, 4))
 
-    def test_team_takes_back_what_was_lent(self) -> None:
-        """Guards against a team that waits without bound behind a flood of long jobs."""
+    def test_team_reclaims_lent_capacity(self) -> None:
+        """Guards against a team that waits without limit behind a flood of long jobs."""
         text = _team("a") + _team("b") + _job("flood", tasks=80)
         self._declare(1, text)
-        self._round(6)
+        self._run_rounds(6)
         self.assertEqual(self._running("flood"), 8)
         self._declare(2, text + _job("small", tasks=4, team="b", more="priority = low"))
-        self._round(30)
+        self._run_rounds(30)
         self.assertEqual((self._running("small"), self._running("flood")), (4, 4))
 
-    def test_wait_is_bounded_by_the_share_of_the_team(self) -> None:
-        """Guards against a team whose tasks starve while another floods with urgent work."""
+    def test_queueing_delay_is_bounded_by_the_guaranteed_share(self) -> None:
+        """Guards against a team that starves while another submits a flood of urgent tasks."""
         text = _team("a") + _team("b") + _job("flood", tasks=200, more="priority = urgent")
         self._declare(1, text)
-        self._round(8)
+        self._run_rounds(8)
         self._declare(2, text + _job("small", tasks=12, team="b", more="priority = low"))
-        began_ms = self.clock.now_ms()
+        submitted_ms = self.clock.now_ms()
         started_ms: dict[str, float] = {}
         for _ in range(120):
-            self._round()
+            self._run_rounds()
             now_ms = self.clock.now_ms()
             for state in self.shards.values():
                 for entry in state.record.durable.values():
@@ -150,20 +150,23 @@
                         started_ms.setdefault(entry.task, now_ms)
             # Each task runs for 5 s.
             self.done = {task for task, at_ms in started_ms.items() if now_ms - at_ms >= 5_000}
-        waits = [
-            at_ms - began_ms for task, at_ms in started_ms.items() if task.startswith("job/small/")
+        queueing_delays = [
+            at_ms - submitted_ms
+            for task, at_ms in started_ms.items()
+            if task.startswith("job/small/")
         ]
-        self.assertEqual(len(waits), 12)
-        # The share is 4 of 8 places: three turns of 5 s, the time before lent room is taken
-        # back, and two exchanges for each turn.
-        self.assertLess(max(waits), 2 * 5_000 + 5_000 + 3 * 1_000)
+        self.assertEqual(len(queueing_delays), 12)
+        # The share is 4 of 8 tasks at a time, so the last of 12 tasks waits for two rounds of
+        # 5 s, plus the delay before lent capacity is reclaimed and two exchanges for each of the
+        # three rounds.
+        self.assertLess(max(queueing_delays), 2 * 5_000 + 5_000 + 3 * 1_000)
 
-    def test_dispatcher_knows_all_states_in_spite_of_lost_answers(self) -> None:
-        """Guards against a dispatcher that keeps an outdated state when an answer is lost."""
+    def test_states_are_complete_despite_lost_replies(self) -> None:
+        """Guards against a dispatcher that keeps outdated states after a reply is lost."""
         rng = random.Random(1)
         jobs = "".join(_job(f"j{index}", tasks=3, cores=1) for index in range(6))
         self._declare(1, _team("a") + jobs)
-        self._round(2)
+        self._run_rounds(2)
         self.done = {f"job/j{index}/0" for index in range(6)}
         for _ in range(60):
             self.clock.advance(250.0)
@@ -188,53 +191,56 @@
                 workers = {item.worker: item for item in state.capacities()}
                 self.assertEqual(link.workers, workers)
 
-    def test_black_hole_does_not_fail_a_good_job(self) -> None:
-        """Guards against good jobs that end as failed because of broken workers."""
+    def test_broken_worker_does_not_fail_good_jobs(self) -> None:
+        """Guards against marking good jobs as failed because of a broken worker."""
         self.failing = {"w1"}
         text = _team("a") + "".join(_job(f"j{index}", cores=2) for index in range(8))
         self._declare(1, text)
-        self._round(60)
+        self._run_rounds(60)
         states = [entry.state for _, entry in self.dispatcher.ledger.entries()]
         self.assertEqual(states, ["assigned"] * 8)
         self.assertEqual(sum(self._running(f"j{index}") for index in range(8)), 8)
 
-    def test_job_is_not_refused_while_a_shard_is_without_workers(self) -> None:
-        """Guards against a refusal because the zone with the large workers is cut off."""
+    def test_job_is_not_rejected_while_a_shard_has_no_workers(self) -> None:
+        """Guards against rejecting a job while the zone with large workers is unreachable."""
         self.shards["r2"].observe_vms([build_vm("w2", rack="r2", state="gone")])
         self._declare(1, _team("a") + _job("large", cores=32))
-        self._round(100)
+        self._run_rounds(100)
         self.assertEqual(self._states("large"), ["pending"])
         reply = build_reply("w2", cores=32.0)
         self.shards["r2"].observe_vms([build_vm("w2", rack="r2")])
         self.shards["r2"].observe_reply("w2", reply)
         self.dispatcher.observe_reply(self.shards["r2"].report(full=True))
         self._report = lambda shard: None
-        self._round(8)
+        self._run_rounds(8)
         self.assertEqual(self._states("large"), ["assigned"])
 
-    def test_job_that_fits_no_worker_is_refused(self) -> None:
-        """Guards against a job that waits for ever, and says why."""
+    def test_job_that_fits_no_worker_is_rejected(self) -> None:
+        """Guards against a job that waits forever for a worker of sufficient size.
+
+        The reason must name the required size.
+        """
         self._declare(1, _team("a") + _job("large", tasks=3, cores=32))
-        self._round(60)
+        self._run_rounds(60)
         self.assertEqual(self._states("large"), ["refused"] * 3)
         self.assertIn("32.0", self.dispatcher.ledger.get("job/large/0").reason)
 
-    def test_wave_of_cancellation_costs_writes_by_bucket(self) -> None:
-        """Guards against store writes in proportion to the cancelled jobs."""
+    def test_mass_cancellation_writes_each_record_only_a_few_times(self) -> None:
+        """Guards against a number of store writes that grows with the cancelled jobs."""
         text = _team("a") + "".join(_job(f"j{index}", tasks=50) for index in range(20))
         self._declare(1, text)
-        self._round(10)
+        self._run_rounds(10)
         self.writes = 0
         self._declare(2, _team("a"))
-        self._round(10)
+        self._run_rounds(10)
         states = [entry.state for _, entry in self.dispatcher.ledger.entries()]
         self.assertEqual(states, ["cancelled"] * 1_000)
         self.assertLessEqual(self.writes, 6)
 
-    def test_room_is_promised_once(self) -> None:
-        """Guards against assignments that exceed a shard's room before it reports them."""
+    def test_capacity_is_reserved_until_reported(self) -> None:
+        """Guards against assignments beyond a shard's capacity before it reports earlier ones."""
         self._declare(1, _team("a") + _job("load", tasks=20))
-        self._round()
+        self._run_rounds()
         for _ in range(4):
             self.dispatcher.step()
             for record in self.dispatcher.ledger.records:
@@ -242,7 +248,7 @@
         self.assertEqual(self._states("load").count("assigned"), 8)
 
     def test_fewest_and_cheapest_tasks_are_evicted(self) -> None:
-        """Guards against evictions that waste more work than needed."""
+        """Guards against evictions that lose more work than necessary."""
         names = {"job/a/0": (2.0, 5.0), "job/b/0": (4.0, 9.0), "job/c/0": (4.0, 3.0)}
         candidates = [
             Candidate(spec=build_spec(name, cores=cores), lost_ms=lost_ms)
--- a/coltsfootpier/dispatch/tests/test_schedule.py
+++ b/coltsfootpier/dispatch/tests/test_schedule.py
@@ -1,4 +1,4 @@
-"""Tests of the runs of periodic jobs."""
+"""Tests of periodic jobs."""
 
 from __future__ import annotations
 
@@ -31,17 +31,17 @@
     def setUp(self) -> None:
         self.clock = VirtualClock()
         self.items: dict[str, Item] = {}
-        self.dispatcher = self._take_over(epoch=1, items={})
+        self.dispatcher = self._build_dispatcher(epoch=1, items={})
 
-    def _take_over(self, *, epoch: int, items: dict[str, Item]) -> Dispatcher:
+    def _build_dispatcher(self, *, epoch: int, items: dict[str, Item]) -> Dispatcher:
         ledger = Ledger(epoch=epoch, writer=f"m{epoch}", buckets=4)
         ledger.load(items.values())
         dispatcher = Dispatcher(clock=self.clock, ledger=ledger)
         dispatcher.observe_declaration(1, build_declaration(TEXT))
         return dispatcher
 
-    def _write(self, dispatcher: Dispatcher, *, only: int | None = None) -> dict[str, Item]:
-        """Carry out the writes, or that of one bucket, and return the store's content."""
+    def _write_records(self, dispatcher: Dispatcher, *, only: int | None = None) -> dict[str, Item]:
+        """Perform the writes of all records or of one, and return the content of the store."""
         for index, record in enumerate(dispatcher.ledger.records):
             write = record.begin_write()
             if write is not None and only in (None, index):
@@ -49,13 +49,13 @@
                 record.confirm(write.expected_version + 1)
         return dict(self.items)
 
-    def _pass(self, seconds: float) -> None:
+    def _advance_seconds(self, seconds: float) -> None:
         for _ in range(int(seconds)):
             self.clock.advance(1_000.0)
             self.dispatcher.step()
-            self._write(self.dispatcher)
+            self._write_records(self.dispatcher)
 
-    def _end(self) -> None:
+    def _complete_tasks(self) -> None:
         for task, entry in self.dispatcher.ledger.entries():
             self.dispatcher.ledger.put(task, attrs.evolve(entry, state="done"))
 
@@ -63,56 +63,61 @@
         return sorted(entry.run for _, entry in self.dispatcher.ledger.entries())
 
     def test_next_run_is_created_when_due(self) -> None:
-        """Guards against a periodic job that runs once only, or too early."""
-        self._pass(5)
-        self._end()
-        self._pass(590)
+        """Guards against a periodic job that runs only once or too early."""
+        self._advance_seconds(5)
+        self._complete_tasks()
+        self._advance_seconds(590)
         self.assertEqual(self._runs(), [1] * 6)
-        self._pass(10)
+        self._advance_seconds(10)
         self.assertEqual(self._runs(), [2] * 6)
 
-    def test_runs_do_not_overlap_and_skips_are_counted(self) -> None:
-        """Guards against two runs at a time, and against a due time that vanishes silently."""
-        self._pass(1_500)
+    def test_runs_do_not_overlap_and_skipped_runs_are_counted(self) -> None:
+        """Guards against overlapping runs and against due times that are skipped silently."""
+        self._advance_seconds(1_500)
         self.assertEqual(self._runs(), [1] * 6)
-        self._end()
-        self._pass(2)
+        self._complete_tasks()
+        self._advance_seconds(2)
         self.assertEqual(self._runs(), [2] * 6)
         self.assertEqual(self.dispatcher.ledger.get("job/sweep/0").skipped, 1)
 
     def test_change_of_dispatcher_delays_by_one_step_at_most(self) -> None:
-        """Guards against a run that each change of dispatcher puts off by a whole period."""
-        self._pass(5)
-        self._end()
-        self._pass(500)
-        items = self._write(self.dispatcher)
+        """Guards against a change of dispatcher that delays the next run by a whole period."""
+        self._advance_seconds(5)
+        self._complete_tasks()
+        self._advance_seconds(500)
+        items = self._write_records(self.dispatcher)
         self.clock = VirtualClock(start_ms=7.0)
-        self.dispatcher = self._take_over(epoch=2, items=items)
-        self._write(self.dispatcher)
-        self._pass(90)
+        self.dispatcher = self._build_dispatcher(epoch=2, items=items)
+        self._write_records(self.dispatcher)
+        self._advance_seconds(90)
         self.assertEqual(self._runs(), [1] * 6)
-        self._pass(50)
+        self._advance_seconds(50)
         self.assertEqual(self._runs(), [2] * 6)
 
-    def test_run_of_which_a_part_was_written_is_completed(self) -> None:
-        """Guards against a run created twice or in part when the dispatcher dies between writes."""
+    def test_partially_written_run_is_completed(self) -> None:
+        """Guards against a run that is created twice or in part.
+
+        The dispatcher crashes after it has written only one of the four records.
+        """
         for bucket in range(4):
             with self.subTest(bucket=bucket):
                 self.setUp()
-                self._pass(5)
-                self._end()
-                self._pass(590)
+                self._advance_seconds(5)
+                self._complete_tasks()
+                self._advance_seconds(590)
                 self.clock.advance(20_000.0)
                 self.dispatcher.step()
-                items = self._write(self.dispatcher, only=bucket)
+                items = self._write_records(self.dispatcher, only=bucket)
                 runs = set()
                 for record in self.dispatcher.ledger.records:
-                    mine = [item for key, item in items.items() if key.startswith(record.prefix)]
-                    entries = replay_record(record.key, mine)[1]
+                    record_items = [
+                        item for key, item in items.items() if key.startswith(record.prefix)
+                    ]
+                    entries = replay_record(record.key, record_items)[1]
                     runs |= {entry.get("run", 1) for entry in entries.values()}
-                self.dispatcher = self._take_over(epoch=2, items=items)
-                self._write(self.dispatcher)
-                self._pass(3)
+                self.dispatcher = self._build_dispatcher(epoch=2, items=items)
+                self._write_records(self.dispatcher)
+                self._advance_seconds(3)
                 self.assertEqual(self._runs(), [max(runs, default=1)] * 6)
                 self.assertEqual(
                     {entry.attempt for _, entry in self.dispatcher.ledger.entries()}, {0}
