--- a/coltsfootpier/dispatch/_dispatcher.py
+++ b/coltsfootpier/dispatch/_dispatcher.py
@@ -177,7 +177,7 @@
             dispatch_epoch=self.ledger.epoch, assign=tuple(assign), revoke=tuple(revoke)
         )
 
-    def running(self, declared: str) -> int:
+    def count_running(self, declared: str) -> int:
         """Return the number of running tasks of a service or job."""
         return sum(link.running[declared] for link in self.links.values())
 
@@ -372,7 +372,7 @@
             if self.ledger.count_done(name) < job.tasks:
                 return False
             return all(entry.state == "done" for entry in self._list_entries(job))
-        return self.running(name) > 0
+        return self.count_running(name) > 0
 
     def _list_entries(self, job: Job) -> list[Entry]:
         names = (f"job/{job.name}/{index}" for index in range(job.tasks))
--- a/coltsfootpier/dispatch/tests/test_policy.py
+++ b/coltsfootpier/dispatch/tests/test_policy.py
@@ -92,7 +92,7 @@
         return [entry.state for task, entry in entries if task.startswith(f"job/{job}/")]
 
     def _running(self, job: str) -> int:
-        return self.dispatcher.running(job)
+        return self.dispatcher.count_running(job)
 
     def test_urgent_task_starts_on_a_full_fleet(self) -> None:
         """Guards against an urgent task that waits for batch tasks to end."""
@@ -184,11 +184,11 @@
                     continue
                 self.dispatcher.observe_reply(reply)
                 link = self.dispatcher.links[shard]
-                held = {item.task: item for item in state.attempt_states()}
+                held = {item.task: item for item in state.list_attempt_states()}
                 self.assertEqual(link.states, held)
                 running = sum(item.state == "running" for item in held.values())
                 self.assertEqual(sum(link.running.values()), running)
-                workers = {item.worker: item for item in state.capacities()}
+                workers = {item.worker: item for item in state.list_capacities()}
                 self.assertEqual(link.workers, workers)
 
     def test_broken_worker_does_not_fail_good_jobs(self) -> None:
--- a/coltsfootpier/placement/_guard.py
+++ b/coltsfootpier/placement/_guard.py
@@ -94,7 +94,7 @@
     def __init__(self, *, slowdowns: SlowdownTable, reacts: bool = True) -> None:
         self.shares: dict[Key, float] = {}
         self._slowdowns = slowdowns
-        self._reacts = reacts
+        self._protects_services = reacts
         self._workers: dict[str, _WorkerGuard] = {}
         self._blocked: dict[tuple[str, str], float] = {}
         # Share last sent for each attempt, and how many more times it will be sent.
@@ -157,7 +157,7 @@
         fresh = [task for task in tasks if self._register_measurement(state, task)]
         self._update_slowdowns(state, fresh)
         self._record_mix(state, worker_now_ms, tasks)
-        if not self._reacts:
+        if not self._protects_services:
             return None
         services = [
             task
--- a/coltsfootpier/placement/_shard.py
+++ b/coltsfootpier/placement/_shard.py
@@ -155,15 +155,15 @@
         for entry in list(self.record.working.values()):
             if entry.worker != worker or not entry.charged:
                 continue
-            report = view.reports.get((entry.task, entry.attempt))
+            task_report = view.reports.get((entry.task, entry.attempt))
             if entry.incarnation != reply.incarnation:
                 self._release(entry, "lost", "the worker restarted")
-            elif report is not None and report.state == "ended":
-                self._release_reported(entry, report)
-            elif report is not None and report.checkpoint:
+            elif task_report is not None and task_report.state == "ended":
+                self._release_reported(entry, task_report)
+            elif task_report is not None and task_report.checkpoint:
                 # A new checkpoint alone doesn't trigger a write; it is stored with the next one.
                 name = self._get_entry_name(entry)
-                self.record.amend(name, attrs.evolve(entry, checkpoint=report.checkpoint))
+                self.record.amend(name, attrs.evolve(entry, checkpoint=task_report.checkpoint))
         self._record_proven_attempts(worker, view, now_ms)
         self._protect_services(worker, view, now_ms)
         if self._reserved:
@@ -398,18 +398,20 @@
             full=full,
             measured=self.usage.list_excess(),
         )
-        return self._reply_delta.build_reply(reply, self.attempt_states(), self.capacities())
+        return self._reply_delta.build_reply(
+            reply, self.list_attempt_states(), self.list_capacities()
+        )
 
-    def attempt_states(self) -> Iterable[AttemptState]:
+    def list_attempt_states(self) -> Iterable[AttemptState]:
         """Yield the state of each attempt that is neither released nor orphaned."""
         for entry in self.record.durable.values():
             if entry.state in ("released", "orphaned"):
                 continue
             state = entry.state
             view = self.workers.get(entry.worker)
-            report = view.reports.get((entry.task, entry.attempt)) if view else None
-            if state == "placed" and report is not None:
-                state = report.state
+            task_report = view.reports.get((entry.task, entry.attempt)) if view else None
+            if state == "placed" and task_report is not None:
+                state = task_report.state
             unsaved_ms = 0.0
             if view is not None and entry.spec.kind == "batch":
                 key = (entry.task, entry.attempt)
@@ -422,7 +424,7 @@
                 unsaved_ms=unsaved_ms,
             )
 
-    def capacities(self) -> Iterable[WorkerCapacity]:
+    def list_capacities(self) -> Iterable[WorkerCapacity]:
         """Yield the total and free capacity of each worker that may receive tasks."""
         now_ms = self._clock.now_ms()
         reserved_sizes: dict[str, list[Size]] = defaultdict(list)
@@ -503,10 +505,10 @@
         running: dict[tuple[str, int], Placement] = {}
         for entry in self._list_working(worker):
             key = (entry.task, entry.attempt)
-            report = view.reports.get(key)
-            if report is not None and report.state == "running" and entry.charged:
+            task_report = view.reports.get(key)
+            if task_report is not None and task_report.state == "running" and entry.charged:
                 running[key] = entry
-                self.usage.observe(entry.spec, report)
+                self.usage.observe(entry.spec, task_report)
         tasks = [build_neighbour(entry, view.reports[key]) for key, entry in running.items()]
         eviction = self._guard.observe(worker, view.worker_now_ms, now_ms, tasks)
         if eviction is not None and running[eviction.key].state == "placed":
@@ -517,12 +519,14 @@
             if entry.worker == worker and entry.charged:
                 self._release(entry, outcome, reason)
 
-    def _release_reported(self, entry: Placement, report: TaskReport) -> None:
-        outcome = "stopped" if report.outcome in ("stopped", "expired") else report.outcome
+    def _release_reported(self, entry: Placement, task_report: TaskReport) -> None:
+        outcome = (
+            "stopped" if task_report.outcome in ("stopped", "expired") else task_report.outcome
+        )
         if outcome == "refused":
             outcome = "no_capacity"
-        checkpoint = report.checkpoint or entry.checkpoint
-        self._release(attrs.evolve(entry, checkpoint=checkpoint), outcome, report.reason)
+        checkpoint = task_report.checkpoint or entry.checkpoint
+        self._release(attrs.evolve(entry, checkpoint=checkpoint), outcome, task_report.reason)
 
     def _release(self, entry: Placement, outcome: str, reason: str) -> None:
         self._guard.remove_attempt((entry.task, entry.attempt))
--- a/coltsfootpier/placement/tests/test_recovery.py
+++ b/coltsfootpier/placement/tests/test_recovery.py
@@ -88,7 +88,7 @@
         self._add_workers("w2", "w3")
         self._fail("w2", "job/a/0", "job/b/0", "job/c/0")
         self.assertTrue(self.shard.health.is_quarantined("w2"))
-        capacity = {item.worker: item for item in self.shard.capacities()}
+        capacity = {item.worker: item for item in self.shard.list_capacities()}
         self.assertEqual((capacity["w2"].set_aside, capacity["w2"].free_cores), (True, 0.0))
         self.clock.advance(10_000.0)
         self._add_workers("w2", "w3")
