--- a/coltsfootpier/dispatch/_shares.py
+++ b/coltsfootpier/dispatch/_shares.py
@@ -82,7 +82,7 @@
 
     The cores of the fleet are divided by weight among the teams that have work (max-min
     fairness): cores that a team has no demand for are divided among the others. Capacity beyond
-    the guarantees is lent to any team up to its quota.
+    the total demand is lent to any team up to its quota.
     """
 
     def __init__(self) -> None:
--- a/coltsfootpier/placement/_policies.py
+++ b/coltsfootpier/placement/_policies.py
@@ -139,7 +139,7 @@
         is_service = spec.kind == "service"
 
         def rank(load: WorkerLoad) -> tuple[float, ...]:
-            has_enough_runners = (
+            is_at_runner_limit = (
                 is_service and load.declared.count(spec.declared) >= _MAX_RUNNERS_PER_SERVICE
             )
             free_accelerators = load.free[2] if spec.accelerators == 0 else 0
@@ -149,7 +149,7 @@
                 interference += _EXPOSURE_WEIGHT * (1.0 - used)
             else:
                 interference += _LOAD_WEIGHT * used
-            return has_enough_runners, free_accelerators, interference, -load.free[0], -load.free[1]
+            return is_at_runner_limit, free_accelerators, interference, -load.free[0], -load.free[1]
 
         return min(candidates, key=rank).name
 
--- a/coltsfootpier/placement/_views.py
+++ b/coltsfootpier/placement/_views.py
@@ -12,7 +12,7 @@
 
 
 class OvercommitError(InvariantError):
-    """Raised when the tasks charged to a worker exceed its capacity."""
+    """Error raised when the tasks charged to a worker exceed its capacity."""
 
 
 @attrs.frozen
