Rename outward names of placement

Methods and parameters of ShardState, Dispatcher and Ledger that daemon and benchmarks use did not say what they do (receive, report, check_leases, has_unstarted, begin_writes, evicts, reacts). They became apply_request, build_exchange_reply, expire_leases, has_pending_commands, prepare_writes, allow_eviction and protect_services. No wire name changes.

--- a/benchmarks/_logic.py
+++ b/benchmarks/_logic.py
@@ -142,13 +142,13 @@
             request = self.dispatcher.next_request(name, regular=True)
             if request is None:
                 continue
-            shard.receive(request)
+            shard.apply_request(request)
             for _ in range(3):
                 _commit(shard.record)
                 shard.place()
             for worker in shard.workers:
                 shard.observe_reply(worker, self._report(shard, worker))
-            self.dispatcher.observe_reply(shard.report(full=request.full))
+            self.dispatcher.observe_reply(shard.build_exchange_reply(full=request.full))
 
     def _report(self, shard: ShardState, worker: str) -> SyncReply:
         tasks = tuple(
@@ -178,9 +178,9 @@
 
         def exchange(shard: ShardState = shard, dispatcher: Dispatcher = dispatcher) -> None:
             request = dispatcher.next_request("r0", regular=True)
-            shard.receive(decode(encode(request), ExchangeRequest))
-            reply = encode(shard.report(full=False))
-            dispatcher.observe_reply(decode(reply, type(shard.report(full=False))))
+            shard.apply_request(decode(encode(request), ExchangeRequest))
+            reply = encode(shard.build_exchange_reply(full=False))
+            dispatcher.observe_reply(decode(reply, type(shard.build_exchange_reply(full=False))))
 
         exchanges.append((system.tasks, cost_ms(exchange, times=3)))
         record = max(dispatcher.ledger.records, key=lambda item: len(item.working))
@@ -226,7 +226,7 @@
             for index in range(tasks)
         ]
         assign = tuple(Assignment(task=item.name, attempt=1, spec=item) for item in specs)
-        shard.receive(
+        shard.apply_request(
             ExchangeRequest(shard="r0", shard_epoch=1, dispatch_epoch=1, sequence=1, assign=assign)
         )
         write = shard.record.begin_write()
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -217,7 +217,7 @@
         rng = random.Random(seed)
         ledger = Ledger(epoch=1, writer="m1")
         ledger.load(())
-        self.dispatcher = Dispatcher(clock=self.clock, ledger=ledger, evicts=acts)
+        self.dispatcher = Dispatcher(clock=self.clock, ledger=ledger, allow_eviction=acts)
         self.workers: dict[str, FakeWorker] = {}
         self.shards: dict[str, ShardState] = {}
         self._removed: dict[str, float] = {}
@@ -233,7 +233,7 @@
                 worker_lease_ms=20_000.0,
                 hold_over_ms=1_800_000.0,
                 policy=build_policy() if build_policy else None,
-                reacts=acts,
+                protect_services=acts,
             )
             self.shards[shard].load()
             self.shards[shard].retire_previous_owner()
@@ -274,10 +274,10 @@
         for name, shard in self.shards.items():
             if is_second:
                 shard.observe_vms(self._list_vms(name, now_ms))
-                shard.check_leases()
+                shard.expire_leases()
                 shard.place()
             for worker in list(shard.workers):
-                if is_second or shard.has_unstarted(worker):
+                if is_second or shard.has_pending_commands(worker):
                     request = shard.plan_sync(worker, may_start=True, may_renew_batch=True)
                     if not self.workers[worker].is_cut:
                         reply = self.workers[worker].sync(request.commands)
@@ -289,10 +289,10 @@
             self._commit(record)
         for name, shard in self.shards.items():
             request = self.dispatcher.next_request(name, regular=is_second)
-            if request is None or shard.receive(request) is not None:
+            if request is None or shard.apply_request(request) is not None:
                 continue
             self._commit(shard.record)
-            self.dispatcher.observe_reply(shard.report(full=request.full))
+            self.dispatcher.observe_reply(shard.build_exchange_reply(full=request.full))
 
     def _commit(self, record: object) -> None:
         self.store_writes += record.dirty
--- a/coltsfootpier/daemon/_dispatch_task.py
+++ b/coltsfootpier/daemon/_dispatch_task.py
@@ -137,7 +137,7 @@
 
     async def _write_all(self) -> None:
         async with anyio.create_task_group() as group:
-            for record, write in self.dispatcher.ledger.begin_writes():
+            for record, write in self.dispatcher.ledger.prepare_writes():
                 group.start_soon(self._write, record, write)
 
     async def _write(self, record: VersionedRecord, write: Write) -> None:
--- a/coltsfootpier/daemon/_shard_task.py
+++ b/coltsfootpier/daemon/_shard_task.py
@@ -158,7 +158,7 @@
         mine = [vm for vm in vms if vm.role == "worker" and vm.rack == self.shard]
         self.state.observe_vms(mine)
         if self.may_act:
-            self.state.check_leases()
+            self.state.expire_leases()
             self.state.place()
         self._publish()
         self._changed.set()
@@ -215,7 +215,7 @@
             while True:
                 await self._written.wait()
                 await anyio.sleep(self._periods["record_ms"] / 1000)
-                if self.state.has_unstarted(name):
+                if self.state.has_pending_commands(name):
                     return
 
     async def _write_loop(self) -> None:
@@ -242,7 +242,7 @@
             if not self.may_act:
                 envelope.answer(Failure(StaleExchange("not the owner now")))
                 continue
-            stale = self.state.receive(envelope.message)
+            stale = self.state.apply_request(envelope.message)
             if stale is not None:
                 envelope.answer(Failure(stale))
                 continue
@@ -252,7 +252,7 @@
             if self._lost:
                 result = Failure(StaleExchange("ownership was lost"))
             else:
-                result = Success(self.state.report(full=envelope.message.full))
+                result = Success(self.state.build_exchange_reply(full=envelope.message.full))
             envelope.answer(result)
 
     def _publish(self) -> None:
--- a/coltsfootpier/dispatch/_dispatcher.py
+++ b/coltsfootpier/dispatch/_dispatcher.py
@@ -42,12 +42,12 @@
         Time source.
     ledger : Ledger
         Ledger of all tasks, owned by this dispatcher.
-    evicts : bool, default=True
+    allow_eviction : bool, default=True
         Whether urgent tasks, runners and teams below their guaranteed share may evict batch
         tasks; if false, they wait for free capacity.
     """
 
-    def __init__(self, *, clock: Clock, ledger: Ledger, evicts: bool = True) -> None:
+    def __init__(self, *, clock: Clock, ledger: Ledger, allow_eviction: bool = True) -> None:
         self.ledger = ledger
         self.links: dict[str, ShardLink] = {}
         self._clock = clock
@@ -56,7 +56,7 @@
         self._revision = -1
         self._shares = Shares()
         self._queue = TaskQueue()
-        self._evictor = Evictor(ledger=ledger, shares=self._shares) if evicts else None
+        self._evictor = Evictor(ledger=ledger, shares=self._shares) if allow_eviction else None
         self._schedule = Schedule(clock=clock, ledger=ledger)
         self._assigned_by_shard: dict[str, Counter[str]] = defaultdict(Counter)
         self._outdated_runners: dict[str, dict[str, None]] = defaultdict(dict)
--- a/coltsfootpier/dispatch/_ledger.py
+++ b/coltsfootpier/dispatch/_ledger.py
@@ -179,7 +179,7 @@
         for record in self.records:
             yield from list(record.working.items())
 
-    def begin_writes(self) -> list[tuple[VersionedRecord[Entry], Write]]:
+    def prepare_writes(self) -> list[tuple[VersionedRecord[Entry], Write]]:
         """Return the conditional writes of all records that have unwritten changes."""
         writes = ((record, record.begin_write()) for record in self.records)
         return [(record, write) for record, write in writes if write is not None]
--- a/coltsfootpier/dispatch/tests/test_dispatcher.py
+++ b/coltsfootpier/dispatch/tests/test_dispatcher.py
@@ -40,9 +40,9 @@
         self.dispatcher.step()
         self._commit()
         request = self.dispatcher.next_request("r1", regular=True)
-        self.assertIsNone(self.shard.receive(request))
+        self.assertIsNone(self.shard.apply_request(request))
         commit(self.shard.record)
-        self.dispatcher.observe_reply(self.shard.report(full=request.full))
+        self.dispatcher.observe_reply(self.shard.build_exchange_reply(full=request.full))
 
     def _finish(
         self, shard: ShardState, task: str, attempt: int = 1, outcome: str = "done"
@@ -91,8 +91,8 @@
             self._run_round()
         self._finish(self.shard, "job/load/0", outcome="stopped")
         request = self.dispatcher.next_request("r1", regular=True)
-        self.shard.receive(request)
-        self.dispatcher.observe_reply(self.shard.report(full=False))
+        self.shard.apply_request(request)
+        self.dispatcher.observe_reply(self.shard.build_exchange_reply(full=False))
         request = self.dispatcher.next_request("r1", regular=True)
         self.assertEqual(request.acknowledge, ())
 
--- a/coltsfootpier/dispatch/tests/test_policy.py
+++ b/coltsfootpier/dispatch/tests/test_policy.py
@@ -78,14 +78,14 @@
                 commit(record)
             for shard, state in self.shards.items():
                 request = self.dispatcher.next_request(shard, regular=True)
-                self.assertIsNone(state.receive(request))
+                self.assertIsNone(state.apply_request(request))
                 state.place()
                 state.check_capacity()
                 commit(state.record)
                 self._report(shard)
                 state.place()
                 commit(state.record)
-                self.dispatcher.observe_reply(state.report(full=True))
+                self.dispatcher.observe_reply(state.build_exchange_reply(full=True))
 
     def _states(self, job: str) -> list[str]:
         entries = self.dispatcher.ledger.entries()
@@ -177,9 +177,9 @@
                 self._report(shard)
                 commit(state.record)
                 request = self.dispatcher.next_request(shard, regular=True)
-                state.receive(request)
+                state.apply_request(request)
                 commit(state.record)
-                reply = state.report(full=request.full)
+                reply = state.build_exchange_reply(full=request.full)
                 if rng.random() < 0.5:
                     continue
                 self.dispatcher.observe_reply(reply)
@@ -210,7 +210,7 @@
         reply = build_reply("w2", cores=32.0)
         self.shards["r2"].observe_vms([build_vm("w2", rack="r2")])
         self.shards["r2"].observe_reply("w2", reply)
-        self.dispatcher.observe_reply(self.shards["r2"].report(full=True))
+        self.dispatcher.observe_reply(self.shards["r2"].build_exchange_reply(full=True))
         self._report = lambda shard: None
         self._run_rounds(8)
         self.assertEqual(self._states("large"), ["assigned"])
--- a/coltsfootpier/placement/_guard.py
+++ b/coltsfootpier/placement/_guard.py
@@ -82,7 +82,7 @@
     ----------
     slowdowns : SlowdownTable
         Slowdown estimates to update; shared with the placement policy.
-    reacts : bool, default=True
+    protect_services : bool, default=True
         Whether batch neighbours are throttled and evicted.
 
     Notes
@@ -91,10 +91,10 @@
     taken before it took effect are ignored, so that one measurement can't cause two commands.
     """
 
-    def __init__(self, *, slowdowns: SlowdownTable, reacts: bool = True) -> None:
+    def __init__(self, *, slowdowns: SlowdownTable, protect_services: bool = True) -> None:
         self.shares: dict[Key, float] = {}
         self._slowdowns = slowdowns
-        self._protects_services = reacts
+        self._protects_services = protect_services
         self._workers: dict[str, _WorkerGuard] = {}
         self._blocked: dict[tuple[str, str], float] = {}
         # Share last sent for each attempt, and how many more times it will be sent.
--- a/coltsfootpier/placement/_shard.py
+++ b/coltsfootpier/placement/_shard.py
@@ -76,7 +76,7 @@
         milliseconds.
     policy : PlacementPolicy, optional
         Policy that chooses workers; `ColocationFit` by default.
-    reacts : bool, default=True
+    protect_services : bool, default=True
         Whether batch tasks are throttled and evicted when they slow down services.
 
     Notes
@@ -94,7 +94,7 @@
         worker_lease_ms: float,
         hold_over_ms: float,
         policy: PlacementPolicy | None = None,
-        reacts: bool = True,
+        protect_services: bool = True,
     ) -> None:
         self.shard = shard
         self.record: VersionedRecord[Placement] = VersionedRecord(
@@ -108,7 +108,7 @@
         self.usage = UsageTable()
         self._reply_delta = ReplyDelta()
         self._policy = policy or ColocationFit(self.slowdowns)
-        self._guard = ColocationGuard(slowdowns=self.slowdowns, reacts=reacts)
+        self._guard = ColocationGuard(slowdowns=self.slowdowns, protect_services=protect_services)
         self._reserved: dict[str, tuple[int, str]] = {}
         self._last_sequence = 0
         self._accepted_ms: dict[str, float] = {}
@@ -169,7 +169,7 @@
         if self._reserved:
             self.place()
 
-    def receive(self, request: ExchangeRequest) -> StaleExchange | None:
+    def apply_request(self, request: ExchangeRequest) -> StaleExchange | None:
         """Apply a request of the dispatcher to the working copy of the record.
 
         Returns
@@ -265,7 +265,7 @@
             load = loads[reserved[1]]
             loads[load.name] = attrs.evolve(load, free=subtract(load.free, entry.spec.size))
 
-    def check_leases(self) -> None:
+    def expire_leases(self) -> None:
         """Release attempts whose leases have expired, and orphan runners on silent workers."""
         now_ms = self._clock.now_ms()
         for entry in list(self.record.working.values()):
@@ -365,7 +365,7 @@
         live_workers = [view for view in self.workers.values() if view.vm.state == "live"]
         return bool(live_workers) and all(view.received_ms > float("-inf") for view in live_workers)
 
-    def has_unstarted(self, worker: str) -> bool:
+    def has_pending_commands(self, worker: str) -> bool:
         """Whether a worker still has to start or stop attempts of the durable record."""
         view = self.workers.get(worker)
         if view is None:
@@ -376,7 +376,7 @@
             for entry in self._list_durable(worker)
         )
 
-    def report(self, *, full: bool) -> ExchangeReply:
+    def build_exchange_reply(self, *, full: bool) -> ExchangeReply:
         """Build the reply to the dispatcher from the durable copy of the record."""
         released = tuple(
             Release(
--- a/coltsfootpier/placement/tests/test_recovery.py
+++ b/coltsfootpier/placement/tests/test_recovery.py
@@ -28,7 +28,7 @@
 
     def _exchange(self, **changes) -> None:
         self.sequence += 1
-        self.assertIsNone(self.shard.receive(build_exchange(self.sequence, **changes)))
+        self.assertIsNone(self.shard.apply_request(build_exchange(self.sequence, **changes)))
         commit(self.shard.record)
 
     def _add_workers(self, *names: str) -> None:
@@ -156,7 +156,7 @@
         self.shard.observe_vms([build_vm(state="leaving")])
         commit(self.shard.record)
         self.assertEqual(self._sync(), [("stop", "service/web/0", 1)])
-        released = self.shard.report(full=False).released
+        released = self.shard.build_exchange_reply(full=False).released
         self.assertEqual([item.task for item in released], ["service/web/0"])
         self.assertTrue(self.shard.record.durable["service/web/0"].charged)
 
@@ -167,7 +167,9 @@
         self.shard.observe_reply("w1", build_reply(tasks=(report,)))
         self._exchange(assign=(build_assignment(build_spec("job/next/0")),))
         self.assertEqual(self.shard.record.durable["job/next/0"].state, "accepted")
-        self.assertEqual(self.shard.report(full=True).measured, {"load": (4.0, 59_500)})
+        self.assertEqual(
+            self.shard.build_exchange_reply(full=True).measured, {"load": (4.0, 59_500)}
+        )
 
     def test_silent_worker_receives_no_new_tasks(self) -> None:
         """Guards against urgent work that is stuck on a dead worker until its lease expires."""
--- a/coltsfootpier/placement/tests/test_shard.py
+++ b/coltsfootpier/placement/tests/test_shard.py
@@ -32,7 +32,7 @@
 
     def _assign(self, spec=None, sequence: int = 1, attempt: int = 1) -> None:
         assignment = build_assignment(spec or self.spec, attempt)
-        self.shard.receive(build_exchange(sequence, assign=(assignment,)))
+        self.shard.apply_request(build_exchange(sequence, assign=(assignment,)))
 
     def test_nothing_starts_before_the_record_is_durable(self) -> None:
         """Guards against starting an attempt that a failed write leaves unrecorded."""
@@ -58,9 +58,9 @@
         self.shard.observe_reply("w1", build_reply(tasks=(ended,)))
         commit(self.shard.record)
         key = AttemptKey("job/load/0", 1)
-        self.shard.receive(build_exchange(2, acknowledge=(key,)))
+        self.shard.apply_request(build_exchange(2, acknowledge=(key,)))
         self.assertIsNotNone(
-            self.shard.receive(build_exchange(1, assign=(build_assignment(self.spec),)))
+            self.shard.apply_request(build_exchange(1, assign=(build_assignment(self.spec),)))
         )
         self.assertEqual(self.shard.record.working, {})
 
@@ -68,7 +68,7 @@
         """Guards against overcommitting a worker: five tasks of 4 cores don't fit on 16 cores."""
         specs = [build_spec(f"job/load/{index}") for index in range(5)]
         assign = tuple(build_assignment(spec) for spec in specs)
-        self.shard.receive(build_exchange(1, assign=assign))
+        self.shard.apply_request(build_exchange(1, assign=assign))
         states = [entry.state for entry in self.shard.record.working.values()]
         self.assertEqual(states.count("placed"), 4)
         self.shard.check_capacity()
@@ -82,10 +82,10 @@
         commit(self.shard.record)
         _sync(self.shard)
         self.clock.advance(20_000.0)
-        self.shard.check_leases()
+        self.shard.expire_leases()
         self.assertEqual(self.shard.record.working["job/load/0"].state, "placed")
         self.clock.advance(2_100.0)
-        self.shard.check_leases()
+        self.shard.expire_leases()
         self.assertEqual(self.shard.record.working["job/load/0"].state, "released")
 
     def test_lease_on_a_slow_worker_clock_does_not_outlast_its_computed_expiry(self) -> None:
@@ -138,11 +138,11 @@
         )
         new_owner.load(Item(f"{new_owner.record.key}/base", stored_record, 7))
         self.clock.advance(1_800_000.0)
-        new_owner.check_leases()
+        new_owner.expire_leases()
         self.assertEqual(new_owner.record.working["job/load/0"].state, "placed")
         new_owner.retire_previous_owner()
         self.clock.advance(22_100.0)
-        new_owner.check_leases()
+        new_owner.expire_leases()
         self.assertEqual(new_owner.record.working["job/load/0"].state, "released")
 
     def test_runner_of_a_silent_worker_is_replaced_but_stays_charged(self) -> None:
@@ -152,7 +152,7 @@
         commit(self.shard.record)
         _sync(self.shard)
         self.clock.advance(20_500.0)
-        self.shard.check_leases()
+        self.shard.expire_leases()
         entry = self.shard.record.working["service/web/0"]
         self.assertEqual((entry.state, entry.charged), ("orphaned", True))
 
