--- a/coltsfootpier/dispatch/_ledger.py
+++ b/coltsfootpier/dispatch/_ledger.py
@@ -139,7 +139,7 @@
         record = self._get_record(task)
         entry = record.working[task]
         if entry.reason != reason:
-            record.amend(task, attrs.evolve(entry, reason=reason))
+            record.put_deferred(task, attrs.evolve(entry, reason=reason))
 
     def drop(self, task: str) -> None:
         """Remove the working entry of a task."""
--- a/coltsfootpier/jobs/_model.py
+++ b/coltsfootpier/jobs/_model.py
@@ -170,7 +170,7 @@
     needs_advice: bool = False
 
 
-def find_job_fault(spec: JobSpec) -> str:
+def find_job_error(spec: JobSpec) -> str:
     """Return why a job can't be taken, or an empty text.
 
     Parameters
--- a/coltsfootpier/ownership/_state.py
+++ b/coltsfootpier/ownership/_state.py
@@ -47,12 +47,12 @@
 
     partitions: dict[str, Ownership] = attrs.field(factory=dict)
 
-    def held(self, member: str) -> set[str]:
+    def partitions_of(self, member: str) -> set[str]:
         """Return the partitions of a member."""
         return {name for name, owner in self.partitions.items() if owner.member == member}
 
 
-def name_of(member: str) -> str:
+def parse_vm_name(member: str) -> str:
     """Return the name of the entry VM in a member identifier (``NAME.INCARNATION.SESSION``)."""
     return member.rsplit(".", 2)[0]
 
@@ -123,11 +123,11 @@
         return self._clock.now_ms() < self._valid_until_ms
 
     @property
-    def lapsed_ms(self) -> float:
+    def since_expiry_ms(self) -> float:
         """Milliseconds since the validity ended; negative while it lasts."""
         return self._clock.now_ms() - self._valid_until_ms
 
-    def begin_session(self) -> None:
+    def start_session(self) -> None:
         """Stop what earlier sessions may still do, before a new member key is written.
 
         Others take the new key as the sign that the earlier session renews no batch task.
@@ -188,10 +188,10 @@
     def may_act(self, partition: str, epoch: int) -> bool:
         """Whether this daemon may act as owner of a partition at an epoch now."""
         ownership = self.table.partitions.get(partition)
-        held = (
+        partitions_of = (
             ownership is not None and ownership.member == self.member and ownership.epoch == epoch
         )
-        return held and self.is_valid and not self.has_ended(partition, epoch)
+        return partitions_of and self.is_valid and not self.has_ended(partition, epoch)
 
     def has_ended(self, partition: str, epoch: int) -> bool:
         """Whether this daemon has given up acting at an epoch for good."""
@@ -289,10 +289,10 @@
         partitions = dict(self.table.partitions)
         for partition, member in moves.items():
             previous = partitions.get(partition, Ownership("", 0))
-            suspects = {name_of(item): item for item in previous.suspects}
+            suspects = {parse_vm_name(item): item for item in previous.suspects}
             if previous.member not in ("", self.member):
                 # Only the owner itself gives a partition away; from another it is claimed.
-                suspects[name_of(previous.member)] = previous.member
+                suspects[parse_vm_name(previous.member)] = previous.member
             partitions[partition] = Ownership(
                 member,
                 previous.epoch + 1,
--- a/coltsfootpier/placement/_shard.py
+++ b/coltsfootpier/placement/_shard.py
@@ -163,7 +163,9 @@
             elif task_report is not None and task_report.checkpoint:
                 # A new checkpoint alone doesn't trigger a write; it is stored with the next one.
                 name = self._get_entry_name(entry)
-                self.record.amend(name, attrs.evolve(entry, checkpoint=task_report.checkpoint))
+                self.record.put_deferred(
+                    name, attrs.evolve(entry, checkpoint=task_report.checkpoint)
+                )
         self._record_proven_attempts(worker, view, now_ms)
         self._protect_services(worker, view, now_ms)
         if self._reserved:
