--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -90,7 +90,7 @@
         self._servers: list[Server] = []
 
     async def run(self) -> BindError | None:
-        """Serve until `stop` and the drain after it; return an error if an address can't be bound."""
+        """Serve until `stop` and the drain after it; return an error if an address can't be used."""
         settings = self._settings
         log_event("daemon started", incarnation=self._incarnation, zone=settings.availability_zone)
         readiness = Application(routes={"GET /": self._handle_readiness}, max_body=_MAX_PROBE_BYTES)
--- a/coltsfootpier/node/_election.py
+++ b/coltsfootpier/node/_election.py
@@ -17,8 +17,8 @@
 def choose_claim_delay(cores: float, jitter_fraction: float) -> float:
     """Return how long a daemon waits before it claims the cell, in ms.
 
-    The owner of a cell needs up to 0.9 cores in large deployments. A small VM that becomes the owner
-    is overloaded and makes callers wait until their deadlines.
+    The owner of a cell needs up to 0.9 cores in large deployments. A small VM that becomes the
+    owner is overloaded and makes callers wait until their deadlines.
 
     Parameters
     ----------
