Reword partition ownership

Comments and names were vague (mine, free, fair, held before, acts no more). They now say owned, unowned and fair share, and the doc comments name leases, epochs and claims.

--- a/coltsfootpier/ownership/__init__.py
+++ b/coltsfootpier/ownership/__init__.py
@@ -1,4 +1,4 @@
-"""Which daemon owns which partition, under leases with epochs."""
+"""Ownership of partitions by daemons, under leases with epochs."""
 
 from coltsfootpier.ownership._state import (
     DISPATCH,
--- a/coltsfootpier/ownership/_state.py
+++ b/coltsfootpier/ownership/_state.py
@@ -1,4 +1,4 @@
-"""State machine of partition ownership."""
+"""State of partition ownership as seen by one daemon."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class EpochRegressionError(InvariantError):
-    """The owner table shows a lower epoch for a partition than before."""
+    """A newer owner table has a lower epoch for a partition."""
 
 
 @attrs.frozen
@@ -31,9 +31,9 @@
     epoch : int
         Increases by one with each change of owner.
     suspects : tuple of str
-        Earlier owners that did not hand the partition over. One that is cut off may go on
-        renewing tasks, also while further owners follow it, so the list outlasts its
-        successors.
+        Earlier owners that did not hand over the partition. One that is partitioned from the
+        network may keep renewing tasks even after several changes of owner, so the list is passed
+        on to later owners.
     """
 
     member: str
@@ -43,40 +43,42 @@
 
 @attrs.frozen
 class OwnerTable:
-    """The store value ``control/owners``: all partitions with their owners."""
+    """Value of the store key ``control/owners``: all partitions with their owners."""
 
     partitions: dict[str, Ownership] = attrs.field(factory=dict)
 
     def held(self, member: str) -> set[str]:
-        """Return the partitions of a member."""
+        """Return the partitions that a member owns."""
         return {name for name, owner in self.partitions.items() if owner.member == member}
 
 
 def name_of(member: str) -> str:
-    """Return the name of the entry VM in a member identifier (``NAME.INCARNATION.SESSION``)."""
+    """Return the entry VM name from a member identifier (``NAME.INCARNATION.SESSION``)."""
     return member.rsplit(".", 2)[0]
 
 
 def rank_by_rendezvous(key: str, members: Iterable[str]) -> list[str]:
-    """Order members for a key so that each change of membership moves few keys.
+    """Rank members for a key by rendezvous hashing.
+
+    A change of membership moves few keys.
 
     Parameters
     ----------
     key : str
-        What is to be assigned.
+        Key to assign.
     members : iterable of str
         Candidates.
 
     Returns
     -------
     list of str
-        Members, the preferred one first.
+        Members in order of preference.
     """
 
-    def weigh(member: str) -> bytes:
+    def score(member: str) -> bytes:
         return hashlib.blake2b(f"{key}\0{member}".encode(), digest_size=8).digest()
 
-    return sorted(members, key=weigh, reverse=True)
+    return sorted(members, key=score, reverse=True)
 
 
 def key_group(key: str) -> str:
@@ -92,7 +94,7 @@
 
 
 class OwnershipState:
-    """What one daemon knows about owners, and its own validity.
+    """Owner table as one daemon knows it, and the validity of the daemon's own lease.
 
     Parameters
     ----------
@@ -103,8 +105,8 @@
 
     Notes
     -----
-    A renewal counts from before it was sent: the store's lease can't end earlier than
-    `ttl_ms` after that moment, so this daemon stops acting before another may claim.
+    A renewal counts from the time at which it was sent: the store's lease can't expire earlier than
+    `ttl_ms` after that time, so this daemon stops acting before another may claim.
     """
 
     def __init__(self, *, clock: Clock, ttl_ms: float) -> None:
@@ -115,70 +117,70 @@
         self.table = OwnerTable()
         self.table_version = 0
         self.session = 0
-        self._ended: dict[str, int] = {}
+        self._ended_epochs: dict[str, int] = {}
 
     @property
     def is_valid(self) -> bool:
-        """Whether the daemon's lease is surely still held."""
+        """Whether the daemon's lease is guaranteed to hold."""
         return self._clock.now_ms() < self._valid_until_ms
 
     @property
     def lapsed_ms(self) -> float:
-        """Milliseconds since the validity ended; negative while it lasts."""
+        """Time in ms since the lease expired; negative while it is valid."""
         return self._clock.now_ms() - self._valid_until_ms
 
     def begin_session(self) -> None:
-        """Stop what earlier sessions may still do, before a new member key is written.
+        """Start a new session, which stops earlier ones, before a new member key is written.
 
-        Others take the new key as the sign that the earlier session renews no batch task.
+        Other daemons infer from the new key that earlier sessions no longer renew batch tasks.
         """
         self.session += 1
 
     def join(self, member: str, *, sent_ms: float) -> None:
-        """Start a new membership, granted by a lease request sent at `sent_ms`."""
+        """Start a new membership, whose lease was requested at `sent_ms`."""
         self.member = member
         self._valid_until_ms = float("-inf")
         self.record_renewal(sent_ms=sent_ms)
 
     def record_renewal(self, *, sent_ms: float) -> None:
-        """Extend the validity after a renewal that was sent at `sent_ms`."""
+        """Extend the validity after a successful renewal that was sent at `sent_ms`."""
         until_ms = sent_ms + self._ttl_ms * (1 - CLOCK_DRIFT)
         self._valid_until_ms = max(self._valid_until_ms, until_ms)
 
     def lose_lease(self) -> None:
-        """End the validity at once."""
+        """Make the lease invalid at once."""
         self._valid_until_ms = min(self._valid_until_ms, self._clock.now_ms())
 
     def observe(self, table: OwnerTable, version: int) -> None:
-        """Take the owner table from the store; older versions are ignored.
+        """Update the owner table from the store; older versions are ignored.
 
         Raises
         ------
         EpochRegressionError
-            If a newer table shows a lower epoch for some partition.
+            If the newer table has a lower epoch for a partition.
         """
         if version <= self.table_version:
             return
         for partition, ownership in table.partitions.items():
-            known = self.table.partitions.get(partition)
-            if known is not None and ownership.epoch < known.epoch:
+            current = self.table.partitions.get(partition)
+            if current is not None and ownership.epoch < current.epoch:
                 raise EpochRegressionError(
-                    f"partition {partition}: epoch {ownership.epoch} after {known.epoch}"
+                    f"partition {partition}: epoch {ownership.epoch} after {current.epoch}"
                 )
         self.table, self.table_version = table, version
 
     def epoch_of(self, partition: str) -> int:
-        """Return the epoch of a partition; 0 when nobody ever owned it."""
+        """Return the epoch of a partition; 0 if it has never been owned."""
         ownership = self.table.partitions.get(partition)
         return ownership.epoch if ownership else 0
 
     def owner_of(self, partition: str) -> str:
-        """Return the member that owns a partition by the table; empty when none does."""
+        """Return the owner of a partition in the table; empty if it has none."""
         ownership = self.table.partitions.get(partition)
         return ownership.member if ownership else ""
 
     def assigned(self) -> dict[str, int]:
-        """Return the partitions that the table gives to this daemon, with epochs."""
+        """Return the partitions that this daemon owns in the table, with epochs."""
         return {
             partition: ownership.epoch
             for partition, ownership in self.table.partitions.items()
@@ -186,25 +188,25 @@
         }
 
     def may_act(self, partition: str, epoch: int) -> bool:
-        """Whether this daemon may act as owner of a partition at an epoch now."""
+        """Return whether this daemon may now act as owner of a partition at an epoch."""
         ownership = self.table.partitions.get(partition)
-        held = (
+        is_owner = (
             ownership is not None and ownership.member == self.member and ownership.epoch == epoch
         )
-        return held and self.is_valid and not self.has_ended(partition, epoch)
+        return is_owner and self.is_valid and not self.has_ended(partition, epoch)
 
     def has_ended(self, partition: str, epoch: int) -> bool:
-        """Whether this daemon has given up acting at an epoch for good."""
-        return self._ended.get(partition, 0) >= epoch
+        """Return whether this daemon has permanently stopped acting at an epoch."""
+        return self._ended_epochs.get(partition, 0) >= epoch
 
     def end_epoch(self, partition: str, epoch: int) -> None:
-        """Never act at an epoch again; the partition needs a new claim, also by this daemon.
+        """Stop acting at an epoch permanently; even this daemon needs a new claim to own it again.
 
-        Sequence numbers of the exchange count within a pair of epochs. An owner that started
-        anew with the same epoch would begin them again: its peer would refuse every step, or
-        it would take a delayed step of before for a new one.
+        Sequence numbers of the exchange are valid within a pair of epochs. An owner that restarted
+        with the same epoch would reset them: its peer would reject every step, or it would mistake
+        a delayed earlier step for a new one.
         """
-        self._ended[partition] = max(epoch, self._ended.get(partition, 0))
+        self._ended_epochs[partition] = max(epoch, self._ended_epochs.get(partition, 0))
 
     def plan_claims(
         self,
@@ -220,63 +222,63 @@
         partitions : collection of str
             All partitions that should have an owner.
         live : collection of str
-            Members whose key exists in the store, this daemon included.
+            Members whose key exists in the store, including this daemon.
         retired : collection of str
-            Members that surely act no more; they are dropped from the suspects.
+            Members that are known to have stopped acting; they are removed from the suspects.
 
         Returns
         -------
         OwnerTable or None
-            To be written by compare-and-swap on the version of the table.
+            Table to write by compare-and-swap on the version of the current table.
         """
         if self.member not in live:
             return None
-        fair = math.ceil(len(partitions) / len(live))
-        mine = [name for name in partitions if self.owner_of(name) == self.member]
-        ended = [name for name in mine if self.has_ended(name, self.epoch_of(name))]
-        free = [name for name in partitions if self.owner_of(name) not in live]
-        # Each daemon prefers other partitions, so that claims of several seldom collide; what
-        # is over the fair share is left to the others unless nobody has taken it.
-        # Partitions that this process held before its lease ended come first, which moves the
-        # fewest after an outage of the store.
-        free.sort(
+        fair_share = math.ceil(len(partitions) / len(live))
+        owned = [name for name in partitions if self.owner_of(name) == self.member]
+        ended = [name for name in owned if self.has_ended(name, self.epoch_of(name))]
+        unowned = [name for name in partitions if self.owner_of(name) not in live]
+        # Each daemon prefers different partitions, so that concurrent claims rarely conflict.
+        # Partitions beyond the fair share are left to the other daemons. Partitions that this
+        # process owned before its lease expired come first, which moves the fewest partitions after
+        # an outage of the store.
+        unowned.sort(
             key=lambda name: (
-                not self._held_before(name),
+                not self._owned_before(name),
                 rank_by_rendezvous(name, live).index(self.member),
             )
         )
-        claims = ended + free[: max(0, fair - len(mine))]
+        claims = ended + unowned[: max(0, fair_share - len(owned))]
         if not claims:
             return None
         return self._assign(dict.fromkeys(claims, self.member), retired)
 
-    def _held_before(self, partition: str) -> bool:
-        # The last part of an identifier counts the leases of one process.
+    def _owned_before(self, partition: str) -> bool:
+        # The last part of a member identifier is the session number within the process.
         process = self.member.rpartition(".")[0]
         return bool(process) and self.owner_of(partition).rpartition(".")[0] == process
 
     def plan_handover(
         self, live: Collection[str], *, leave: bool, partitions: Collection[str] = ()
     ) -> OwnerTable | None:
-        """Return the table with partitions given to others, or None.
+        """Return the owner table with partitions handed over to other members, or None without any.
 
         Parameters
         ----------
         live : collection of str
-            Members that may take partitions.
+            Members that may receive partitions.
         leave : bool
-            Whether to give everything away (on a stop), or only what is over the fair share.
+            Whether to hand over all partitions (on a stop), or only those beyond the fair share.
         partitions : collection of str
             All partitions; needed when `leave` is false.
         """
         others = [member for member in live if member != self.member]
-        mine = sorted(self.assigned())
-        if not others or not mine:
+        owned = sorted(self.assigned())
+        if not others or not owned:
             return None
-        excess = mine
+        excess = owned
         if not leave:
-            fair = math.ceil(len(partitions) / len(live))
-            excess = mine[fair:]
+            fair_share = math.ceil(len(partitions) / len(live))
+            excess = owned[fair_share:]
         counts = Counter(ownership.member for ownership in self.table.partitions.values())
         moves: dict[str, str] = {}
         for partition in excess:
@@ -291,7 +293,8 @@
             previous = partitions.get(partition, Ownership("", 0))
             suspects = {name_of(item): item for item in previous.suspects}
             if previous.member not in ("", self.member):
-                # Only the owner itself gives a partition away; from another it is claimed.
+                # Only the owner hands over a partition. Any other change of owner is a claim, so
+                # the previous owner becomes a suspect.
                 suspects[name_of(previous.member)] = previous.member
             partitions[partition] = Ownership(
                 member,
--- a/coltsfootpier/ownership/tests/test_state.py
+++ b/coltsfootpier/ownership/tests/test_state.py
@@ -15,8 +15,8 @@
 
 
 class OwnershipStateTest(unittest.TestCase):
-    def test_validity_counts_from_before_the_renewal_was_sent(self) -> None:
-        """Guards against a holder that acts after the store has ended its lease."""
+    def test_validity_counts_from_the_time_a_renewal_was_sent(self) -> None:
+        """Guards against an owner that acts after its lease has expired in the store."""
         clock = VirtualClock()
         state = _build(clock)
         clock.advance(3_000.0)
@@ -27,15 +27,15 @@
         self.assertFalse(state.is_valid)
 
     def test_partition_of_a_live_member_is_never_claimed(self) -> None:
-        """Guards against two owners."""
+        """Guards against two concurrent owners of one partition."""
         state = _build(VirtualClock())
         state.observe(OwnerTable({"shard/a": Ownership("m2", 4)}), 1)
         self.assertIsNone(state.plan_claims(["shard/a"], ["m1", "m2"]))
         table = state.plan_claims(["shard/a"], ["m1"])
         self.assertEqual(table.partitions["shard/a"], Ownership("m1", 5, ("m2",)))
 
-    def test_suspect_outlasts_the_owners_that_follow_it(self) -> None:
-        """Guards against a second start while the owner before the last is cut off and renews."""
+    def test_suspect_is_passed_on_to_later_owners(self) -> None:
+        """Guards against starting a task twice while an unreachable earlier owner renews it."""
         state = _build(VirtualClock(), "b.1.1")
         state.observe(OwnerTable({"shard/a": Ownership("a.1.1", 4)}), 1)
         claimed = state.plan_claims(["shard/a"], ["b.1.1", "c.1.1"])
@@ -46,16 +46,17 @@
         table = state.plan_claims(["shard/a"], ["b.1.1"], retired=["a.1.1"])
         self.assertEqual(table.partitions["shard/a"].suspects, ("d.1.1",))
 
-    def test_leaving_member_names_the_new_owners(self) -> None:
-        """Guards against a gap until a lease ends on a planned stop."""
+    def test_leaving_member_assigns_new_owners(self) -> None:
+        """Guards against partitions without an owner until a lease expires after a planned stop."""
         state = _build(VirtualClock())
         state.observe(OwnerTable({"a": Ownership("m1", 1), "b": Ownership("m1", 1)}), 1)
         table = state.plan_handover(["m1", "m2", "m3"], leave=True)
         self.assertEqual({item.member for item in table.partitions.values()}, {"m2", "m3"})
 
-    def test_ended_epoch_is_claimed_anew(self) -> None:
-        """Guards against an owner that acts during or after a hand-over, or restarts its
-        sequence numbers within one epoch.
+    def test_ended_epoch_needs_a_new_claim(self) -> None:
+        """Guards against an owner that acts during or after a hand-over.
+
+        It also guards against sequence numbers that are reset within one epoch.
         """
         state = _build(VirtualClock())
         state.observe(OwnerTable({"a": Ownership("m1", 1)}), 1)
