Reword head records and versioned records

Comments used tries, answers and writes that were given up or still on their way. They now use attempts, responses and abandoned writes, and constants say what they count.

--- a/coltsfootpier/journal/__init__.py
+++ b/coltsfootpier/journal/__init__.py
@@ -1,4 +1,4 @@
-"""The head of a cell's records: who owns the cell, and which change came last."""
+"""Head record of a cell: its owner and the number of the last change."""
 
 from coltsfootpier.journal._head import Head, OwnerInfo, decode_head, decode_owner, was_applied
 
--- a/coltsfootpier/journal/_head.py
+++ b/coltsfootpier/journal/_head.py
@@ -1,8 +1,8 @@
-"""The head record, which every change of a cell expects and replaces.
+"""Head record of a cell, which is a condition of every change and is replaced by it.
 
-A change whose answer was lost may be carried out seconds later. Since each change expects the
-head at the revision of the change before, at most one of its repeats takes effect, and none
-does once a later change or a later owner has written the head.
+A change whose response was lost may take effect seconds later. Since each change expects the head
+at the revision of the previous change, at most one of its attempts takes effect, and none does once
+a later change or a later owner has written the head.
 """
 
 from __future__ import annotations
@@ -19,10 +19,10 @@
     Parameters
     ----------
     generation : int
-        Number of the ownership, from 1; each claim raises it. Runners refuse orders with a
-        lower one than they have seen.
+        Number of the ownership, from 1; each claim increments it. Runners reject commands with a
+        lower generation than the highest that they have seen.
     holder : str
-        Incarnation of the daemon that wrote it.
+        Incarnation of the daemon that wrote the head.
     sequence : int
         Number of the change within the ownership.
     """
@@ -32,11 +32,11 @@
     sequence: int = 0
 
     def next(self) -> Head:
-        """Return the head of the following change."""
+        """Return the head of the next change."""
         return attrs.evolve(self, sequence=self.sequence + 1)
 
     def claim(self, holder: str) -> Head:
-        """Return the head of a new ownership.
+        """Return the head that claims the cell for a new owner.
 
         Examples
         --------
@@ -48,14 +48,14 @@
 
 @attrs.frozen(kw_only=True)
 class OwnerInfo:
-    """Value of the owner's key, which exists while its lease holds.
+    """Value of the owner's key, which exists until its lease expires.
 
     Parameters
     ----------
     holder : str
         Incarnation of the daemon.
     address : str
-        ``IP:PORT`` for the other daemons.
+        ``IP:PORT`` for requests of other daemons.
     generation : int
         Number of the ownership.
     """
@@ -74,14 +74,14 @@
     Raises
     ------
     MalformedMessageError
-        If the value isn't a head. Nothing is claimed then, because a lower generation than one
-        in use would be refused by every runner.
+        If the value isn't a head record. The cell must not be claimed then, because every runner
+        would reject a lower generation than one in use.
     """
     return NO_HEAD if value is None else decode(value, Head)
 
 
 def decode_owner(value: bytes | None) -> OwnerInfo | None:
-    """Decode the owner's key; None when nobody owns the cell or the value can't be read."""
+    """Decode the owner's key; None if the cell has no owner or the value is malformed."""
     if value is None:
         return None
     try:
@@ -91,7 +91,7 @@
 
 
 def was_applied(change: Head, found: Head) -> bool:
-    """Return whether a change whose condition failed had been applied by an earlier try.
+    """Return whether a change whose condition failed was applied by an earlier attempt.
 
     Examples
     --------
--- a/coltsfootpier/records/__init__.py
+++ b/coltsfootpier/records/__init__.py
@@ -1,4 +1,4 @@
-"""Records that are changed in memory and written by compare-and-swap before they are acted upon."""
+"""Records that are changed in memory and take effect once written by compare-and-swap."""
 
 from coltsfootpier.records._record import (
     JOURNAL_SLOTS,
--- a/coltsfootpier/records/_record.py
+++ b/coltsfootpier/records/_record.py
@@ -1,8 +1,8 @@
-"""A record with a working copy and the copy that is known to be durable.
+"""Record with a working copy and a durable copy.
 
-In the store a record is a base value with all entries and a ring of journal values, each with
-the entries of one write. A write costs in proportion to what changed, and the base is written
-anew once the journal holds about as many entries as the record.
+In the store a record consists of a base value with all entries and a ring of journal values, each
+with the changed entries of one write. The cost of a write is proportional to the number of changed
+entries, and the base is rewritten once the journal has about as many entries as the record.
 """
 
 from __future__ import annotations
@@ -18,41 +18,43 @@
 
 _E = TypeVar("_E")
 
-# Called with the names that a write changed, their durable entries before it, and all durable
-# entries after it.
+# Called after a write with the names of the changed entries, their previous durable values, and all
+# durable entries.
 Listener = Callable[[set[str], dict[str, Any], dict[str, Any]], None]
 
-# Journal values of a record. A take-over reads all of them with one call.
+# Number of journal values of a record. A new owner reads all of them with one call.
 JOURNAL_SLOTS = 256
-# The base is written anew before the ring would overwrite a value that it doesn't include.
-_MAX_JOURNAL = JOURNAL_SLOTS - 8
-# Records with few entries would otherwise write their base with nearly each change.
+# Number of writes after which the base is rewritten, before the ring overwrites a journal value
+# that the base doesn't include.
+_MAX_WRITES_SINCE_BASE = JOURNAL_SLOTS - 8
+# Minimum number of journal entries before the base is rewritten. Records with few entries would
+# otherwise rewrite it with nearly every change.
 _MIN_JOURNAL_ENTRIES = 64
 
 
 class RecordEpochError(InvariantError):
-    """A record in the store has a higher epoch than its owner."""
+    """The record in the store has a higher epoch than its owner."""
 
 
 class RecordGapError(InvariantError):
-    """A journal value is missing between the base and the newest one."""
+    """A journal value is missing between the base and the latest write."""
 
 
 @attrs.frozen
 class RecordHeader:
-    """Fields of a store value beside its entries.
+    """Fields of a store value other than its entries.
 
     Parameters
     ----------
     epoch : int
         Epoch of the owner that wrote the value.
     token : str
-        Names the write; tells after a lost answer whether it took effect.
+        Unique name of the write; shows after a lost response whether it took effect.
     fence : int
-        Further number that never decreases: the dispatcher's epoch in a shard record, the
+        Additional number that never decreases: the dispatcher's epoch in a shard record, the
         configuration's revision in a ledger bucket.
     number : int
-        Number of the write; a base includes all writes up to its number.
+        Sequence number of the write; a base includes all writes up to its number.
     """
 
     epoch: int = 0
@@ -63,7 +65,7 @@
 
 @attrs.frozen
 class Write:
-    """A conditional write to carry out."""
+    """Conditional write to send to the store."""
 
     key: str
     value: dict[str, Any]
@@ -73,7 +75,7 @@
 
 @attrs.frozen
 class _InFlight(Generic[_E]):
-    """A write that was begun: changed entries (None: removed), and the header."""
+    """Write in flight, with its header and changed entries; None for a removed entry."""
 
     write: Write
     header: RecordHeader
@@ -82,7 +84,7 @@
 
 
 class VersionedRecord(Generic[_E]):
-    """Entries by name, changed in the working copy and acted upon only when durable.
+    """Entries by name, which are changed in a working copy and take effect only when durable.
 
     Parameters
     ----------
@@ -93,7 +95,7 @@
     epoch : int
         Epoch of the owner.
     writer : str
-        Unique name of the owner's incarnation, used in write tokens.
+        Unique name of the owner's incarnation, used in tokens of writes.
     """
 
     def __init__(self, *, key: str, kind: type[_E], epoch: int, writer: str) -> None:
@@ -103,12 +105,12 @@
         self.durable: dict[str, _E] = {}
         self.fence = 0
         self.fenced = False
-        # Changes whenever the durable entries do.
+        # Incremented whenever the durable entries change.
         self.durable_version = 0
         self.listener: Listener | None = None
         self._kind = kind
         self._writer = writer
-        self._writes = 0
+        self._write_count = 0
         self._number = 0
         self._base_number = 0
         self._journal_entries = 0
@@ -116,7 +118,7 @@
         self._changed: set[str] = set()
         self._dirty = False
         self._in_flight: _InFlight[_E] | None = None
-        self._given_up: dict[str, _InFlight[_E]] = {}
+        self._abandoned: dict[str, _InFlight[_E]] = {}
 
     @property
     def prefix(self) -> str:
@@ -125,7 +127,7 @@
 
     @property
     def dirty(self) -> bool:
-        """Whether changes wait for a write that has not begun."""
+        """Whether there are changes that are not part of a write yet."""
         return self._dirty
 
     @property
@@ -134,7 +136,7 @@
         return self.fenced and not self._dirty and self._in_flight is None
 
     def load(self, *items: Item) -> None:
-        """Take the values found at a take-over; the record must be written once before use.
+        """Load the values in the store for a new owner; the record must be written once before use.
 
         Parameters
         ----------
@@ -157,11 +159,11 @@
         self.durable_version += 1
         self.fence = header.fence
         self._number = header.number
-        base = next((item for item in items if item.key == f"{self.key}/base"), None)
-        self._base_number = _read_header(base).number if base else 0
+        base_item = next((item for item in items if item.key == f"{self.key}/base"), None)
+        self._base_number = _read_header(base_item).number if base_item else 0
         self._journal_entries = header.number - self._base_number
-        # The next journal value with the new epoch takes the place at which a write of the
-        # previous owner that is still on its way would have to go, so that one fails.
+        # The next journal value, with the new epoch, occupies the key that a write of the previous
+        # owner still in flight would use, so that write fails.
         self._dirty = True
 
     def put(self, name: str, entry: _E) -> None:
@@ -171,7 +173,7 @@
             self._dirty = True
 
     def amend(self, name: str, entry: _E) -> None:
-        """Replace an entry by one whose change may wait for the next write."""
+        """Replace an entry by a change that doesn't trigger a write by itself."""
         self.working[name] = entry
         self._changed.add(name)
 
@@ -188,30 +190,30 @@
             self._dirty = True
 
     def begin_write(self) -> Write | None:
-        """Return the next write, or None while one is in flight or nothing changed."""
+        """Start the next write; return None while one is in flight or if nothing changed."""
         if self._in_flight is not None or not self._dirty:
             return None
-        self._writes += 1
-        token = f"{self._writer}/{self._writes}"
+        self._write_count += 1
+        token = f"{self._writer}/{self._write_count}"
         is_base = self.fenced and self._is_base_due()
         self._in_flight = self._build_base(token) if is_base else self._build_delta(token)
         return self._in_flight.write
 
     def confirm(self, version: int) -> None:
-        """Note that the write in flight took effect as `version`."""
-        done, self._in_flight = self._in_flight, None
-        if done is None:
+        """Apply the write in flight, which took effect as `version`."""
+        written, self._in_flight = self._in_flight, None
+        if written is None:
             return
-        self._given_up.clear()
-        self._versions[done.write.key] = version
-        if done.is_base:
-            self._base_number = done.header.number
+        self._abandoned.clear()
+        self._versions[written.write.key] = version
+        if written.is_base:
+            self._base_number = written.header.number
             self._journal_entries = 0
             return
-        self._number = done.header.number
-        self._journal_entries += max(1, len(done.changes))
-        before = {name: self.durable.get(name) for name in done.changes}
-        for name, entry in done.changes.items():
+        self._number = written.header.number
+        self._journal_entries += max(1, len(written.changes))
+        before = {name: self.durable.get(name) for name in written.changes}
+        for name, entry in written.changes.items():
             if entry is None:
                 self.durable.pop(name, None)
             else:
@@ -219,49 +221,49 @@
         self.fenced = True
         self.durable_version += 1
         if self.listener is not None:
-            self.listener(set(done.changes), before, self.durable)
+            self.listener(set(written.changes), before, self.durable)
 
     def abandon(self) -> None:
-        """Note that the write in flight has not taken effect; it is tried again."""
-        given_up, self._in_flight = self._in_flight, None
-        if given_up is not None:
-            # It may still be on its way; a later conflict with it is no other owner's write.
-            self._given_up[given_up.write.token] = given_up
-            self._changed |= given_up.changes.keys()
+        """Abandon the write in flight, which has had no effect; its changes are written again."""
+        abandoned, self._in_flight = self._in_flight, None
+        if abandoned is not None:
+            # It may still arrive, so a later conflict with it doesn't show another owner.
+            self._abandoned[abandoned.write.token] = abandoned
+            self._changed |= abandoned.changes.keys()
         self._dirty = True
 
     def resolve(self, item: Item) -> bool:
-        """Settle a write whose answer was lost, or that met a conflict, from a later read.
+        """Resolve a write with a lost response or a conflict by a later read of its key.
 
         Parameters
         ----------
         item : Item
-            The value of the write's key as read after the write was given up.
+            Item of the write's key, read after the write failed or timed out.
 
         Returns
         -------
         bool
-            False when another owner has written, so that this owner must stop acting.
+            False if another owner has written, so that this owner must stop acting.
         """
         if self._in_flight is None:
             return item.version == self._versions.get(item.key, 0)
-        done = self._in_flight
-        if item.version == done.write.expected_version:
+        written = self._in_flight
+        if item.version == written.write.expected_version:
             self.abandon()
             return True
         header = _read_header(item)
-        if header.token == done.write.token:
+        if header.token == written.write.token:
             self.confirm(item.version)
             return True
-        if header.token in self._given_up:
-            earlier = self._given_up[header.token]
+        if header.token in self._abandoned:
+            earlier = self._abandoned[header.token]
             self.abandon()
             self._in_flight = earlier
             self.confirm(item.version)
             return True
-        if done.is_base and header.epoch <= self.epoch and header.number < self._number:
-            # A previous owner's base that was still on its way; it holds no more than the
-            # journal does, and the next base replaces it.
+        if written.is_base and header.epoch <= self.epoch and header.number < self._number:
+            # A base of a previous owner that arrived late. It contains nothing beyond the journal,
+            # and the next base replaces it.
             self._versions[item.key] = item.version
             self.abandon()
             return True
@@ -269,14 +271,14 @@
 
     def _is_base_due(self) -> bool:
         entries = self._journal_entries > max(_MIN_JOURNAL_ENTRIES, len(self.durable))
-        return entries or self._number - self._base_number >= _MAX_JOURNAL
+        return entries or self._number - self._base_number >= _MAX_WRITES_SINCE_BASE
 
     def _build_base(self, token: str) -> _InFlight[_E]:
-        # Holds the durable copy only. With further changes in it, a base that arrives after
-        # the next owner's first journal value would add a history that this owner never read.
+        # The base contains the durable copy only. With other changes, a base that arrives after the
+        # next owner's first journal value would add changes that the next owner never read.
         header = RecordHeader(self.epoch, token, self.fence, self._number)
         value = {"header": unstructure(header), "entries": unstructure(self.durable)}
-        return _InFlight(self._write("base", value, token), header, {}, is_base=True)
+        return _InFlight(self._build_write("base", value, token), header, {}, is_base=True)
 
     def _build_delta(self, token: str) -> _InFlight[_E]:
         header = RecordHeader(self.epoch, token, self.fence, self._number + 1)
@@ -286,9 +288,11 @@
         value = {"header": unstructure(header), "put": unstructure(puts), "drop": drops}
         self._changed.clear()
         self._dirty = False
-        return _InFlight(self._write(_slot(header.number), value, token), header, changes)
+        return _InFlight(
+            self._build_write(_journal_name(header.number), value, token), header, changes
+        )
 
-    def _write(self, name: str, value: dict[str, Any], token: str) -> Write:
+    def _build_write(self, name: str, value: dict[str, Any], token: str) -> Write:
         key = f"{self.key}/{name}"
         return Write(key, value, self._versions.get(key, 0), token)
 
@@ -296,7 +300,7 @@
 def replay_record(
     key: str, items: Iterable[Item]
 ) -> tuple[RecordHeader, dict[str, dict[str, Any]]]:
-    """Return the newest header and the entries of a record from its store values.
+    """Replay a record from its store values; return its latest header and its entries.
 
     Parameters
     ----------
@@ -308,7 +312,7 @@
     Returns
     -------
     header : RecordHeader
-        Header of the newest write.
+        Header of the latest write.
     entries : dict
         Entries by name as plain JSON values.
 
@@ -326,9 +330,9 @@
             header, entries = _read_header(item), dict(item.value["entries"])
         else:
             deltas.append((_read_header(item), item.value))
-    base = header.number
+    base_number = header.number
     for delta, value in sorted(deltas, key=lambda pair: pair[0].number):
-        if delta.number <= base:
+        if delta.number <= base_number:
             continue
         if delta.number != header.number + 1:
             raise RecordGapError(f"{key}: write {delta.number} after {header.number}")
@@ -339,7 +343,7 @@
     return header, entries
 
 
-def _slot(number: int) -> str:
+def _journal_name(number: int) -> str:
     return f"journal/{number % JOURNAL_SLOTS}"
 
 
--- a/coltsfootpier/records/tests/test_record.py
+++ b/coltsfootpier/records/tests/test_record.py
@@ -26,7 +26,7 @@
 
 
 class _Store:
-    """Compare-and-swap in memory."""
+    """In-memory store with compare-and-swap."""
 
     def __init__(self) -> None:
         self.items: dict[str, Item] = {}
@@ -43,19 +43,21 @@
         return True
 
 
-def _take_over(store: _Store, epoch: int) -> VersionedRecord[_Entry]:
+def _load_as_new_owner(store: _Store, epoch: int) -> VersionedRecord[_Entry]:
     record = VersionedRecord(key="k", kind=_Entry, epoch=epoch, writer=f"m{epoch}")
     record.load(*store.items.values())
-    _carry_out(store, record)
+    _execute_write(store, record)
     return record
 
 
-def _carry_out(store: _Store, record: VersionedRecord[_Entry], *, lost: bool = False) -> bool:
+def _execute_write(
+    store: _Store, record: VersionedRecord[_Entry], *, response_lost: bool = False
+) -> bool:
     write = record.begin_write()
     if write is None:
         return True
-    done = store.put(write)
-    if done and not lost:
+    applied = store.put(write)
+    if applied and not response_lost:
         record.confirm(store.get(write.key).version)
         return True
     return record.resolve(store.get(write.key))
@@ -64,43 +66,45 @@
 class VersionedRecordTest(unittest.TestCase):
     def setUp(self) -> None:
         self.store = _Store()
-        self.record = _take_over(self.store, 1)
+        self.record = _load_as_new_owner(self.store, 1)
 
-    def test_lost_answer_of_a_write_that_took_effect_is_recognised(self) -> None:
-        """Guards against writing, and acting, twice after a lost answer."""
+    def test_applied_write_with_lost_response_is_confirmed(self) -> None:
+        """Guards against writing and acting twice after a lost response."""
         self.record.put("a", _Entry(1))
-        self.assertTrue(_carry_out(self.store, self.record, lost=True))
+        self.assertTrue(_execute_write(self.store, self.record, response_lost=True))
         self.assertEqual(self.record.durable, {"a": _Entry(1)})
         self.assertTrue(self.record.settled)
 
-    def test_lost_answer_of_a_write_without_effect_is_tried_again(self) -> None:
-        """Guards against treating a change as durable that the store never took."""
+    def test_write_without_effect_is_retried(self) -> None:
+        """Guards against treating a change as durable that the store never applied."""
         self.record.put("a", _Entry(1))
         write = self.record.begin_write()
         self.assertTrue(self.record.resolve(self.store.get(write.key)))
         self.assertEqual(self.record.durable, {})
-        self.assertTrue(_carry_out(self.store, self.record))
+        self.assertTrue(_execute_write(self.store, self.record))
         self.assertEqual(self.record.durable, {"a": _Entry(1)})
 
-    def test_write_that_was_given_up_may_still_arrive(self) -> None:
-        """Guards against an owner that takes its own late write for another owner's."""
+    def test_abandoned_write_may_still_arrive(self) -> None:
+        """Guards against an owner that mistakes its own late write for another owner's."""
         self.record.put("a", _Entry(1))
         late = self.record.begin_write()
         self.assertTrue(self.record.resolve(self.store.get(late.key)))
         self.record.put("b", _Entry(2))
         self.assertTrue(self.store.put(late))
-        self.assertTrue(_carry_out(self.store, self.record))
-        self.assertTrue(_carry_out(self.store, self.record))
-        self.assertEqual(_take_over(self.store, 2).durable, {"a": _Entry(1), "b": _Entry(2)})
+        self.assertTrue(_execute_write(self.store, self.record))
+        self.assertTrue(_execute_write(self.store, self.record))
+        self.assertEqual(
+            _load_as_new_owner(self.store, 2).durable, {"a": _Entry(1), "b": _Entry(2)}
+        )
 
-    def test_write_of_another_owner_ends_the_ownership(self) -> None:
-        """Guards against an owner that goes on after it was superseded."""
-        _take_over(self.store, 2)
+    def test_write_of_another_owner_is_a_conflict(self) -> None:
+        """Guards against an owner that keeps acting after another owner has replaced it."""
+        _load_as_new_owner(self.store, 2)
         self.record.put("a", _Entry(1))
-        self.assertFalse(_carry_out(self.store, self.record))
+        self.assertFalse(_execute_write(self.store, self.record))
         self.assertEqual(self.record.durable, {})
 
-    def test_base_of_a_previous_owner_that_arrives_late_changes_nothing(self) -> None:
+    def test_late_base_of_a_previous_owner_has_no_effect(self) -> None:
         """Guards against a late base that adds or removes changes of the next owner."""
         for value in range(200):
             self.record.put("a", _Entry(value))
@@ -110,30 +114,30 @@
             self.assertTrue(self.store.put(late))
             self.record.confirm(self.store.get(late.key).version)
         self.assertTrue(late.key.endswith("/base"))
-        taker = _take_over(self.store, 2)
-        taker.put("a", _Entry(100))
-        _carry_out(self.store, taker)
+        new_owner = _load_as_new_owner(self.store, 2)
+        new_owner.put("a", _Entry(100))
+        _execute_write(self.store, new_owner)
         self.store.put(late)
         for value in range(301, 600):
-            taker.put("a", _Entry(value))
-            while not taker.settled:
-                self.assertTrue(_carry_out(self.store, taker))
-        self.assertEqual(_take_over(self.store, 3).durable, {"a": _Entry(599)})
+            new_owner.put("a", _Entry(value))
+            while not new_owner.settled:
+                self.assertTrue(_execute_write(self.store, new_owner))
+        self.assertEqual(_load_as_new_owner(self.store, 3).durable, {"a": _Entry(599)})
 
-    def test_higher_epoch_in_the_store_is_refused(self) -> None:
+    def test_higher_epoch_in_the_store_is_rejected(self) -> None:
         """Guards against a stale owner that overwrites its successor."""
-        _take_over(self.store, 2)
+        _load_as_new_owner(self.store, 2)
         with self.assertRaises(RecordEpochError):
-            _take_over(self.store, 1)
+            _load_as_new_owner(self.store, 1)
 
-    def test_missing_journal_value_is_noticed(self) -> None:
-        """Guards against acting on a record with a hole."""
+    def test_missing_journal_value_is_detected(self) -> None:
+        """Guards against acting on a record with a missing journal value."""
         for value in range(3):
             self.record.put("a", _Entry(value))
-            _carry_out(self.store, self.record)
+            _execute_write(self.store, self.record)
         del self.store.items["k/journal/2"]
         with self.assertRaises(RecordGapError):
-            _take_over(self.store, 2)
+            _load_as_new_owner(self.store, 2)
 
     @given(
         st.lists(
@@ -146,35 +150,35 @@
         )
     )
     def test_next_owner_reads_what_was_durable(self, steps: list[tuple[str, int, str]]) -> None:
-        """Guards against changes that are lost or revived by journal, base or lost answers."""
+        """Guards against changes that are lost or restored by journal, base or lost responses."""
         store = _Store()
-        record = _take_over(store, 1)
-        for name, value, fate in steps:
+        record = _load_as_new_owner(store, 1)
+        for name, value, outcome in steps:
             if value:
                 record.put(name, _Entry(value))
             else:
                 record.drop(name)
-            if fate == "refused":
+            if outcome == "refused":
                 if record.begin_write() is not None:
                     record.abandon()
             else:
-                self.assertTrue(_carry_out(store, record, lost=fate == "lost"))
-        self.assertEqual(_take_over(store, 2).durable, record.durable)
+                self.assertTrue(_execute_write(store, record, response_lost=outcome == "lost"))
+        self.assertEqual(_load_as_new_owner(store, 2).durable, record.durable)
 
     def test_listener_and_amended_entries_follow_the_durable_copy(self) -> None:
-        """Guards against an index that misses a change, or an amended entry that is lost."""
+        """Guards against an index that misses a change, and against a lost amended entry."""
         rng = random.Random(1)
         record = VersionedRecord(key="k", kind=_Entry, epoch=1, writer="m1")
         index: dict[str, _Entry] = {}
         items: dict[str, Item] = {}
 
-        def follow(names, before, after) -> None:
+        def update_index(names, before, after) -> None:
             for name in names:
                 self.assertEqual(index.pop(name, None), before.get(name))
                 if name in after:
                     index[name] = after[name]
 
-        record.listener = follow
+        record.listener = update_index
         record.load()
         for _ in range(600):
             name = rng.choice("abcdef")
