Reword the data model of jobs

Doc comments spoke of what callers hand in, chains of work and times since 1970. They now speak of submitted jobs, critical paths and Unix time, and give units.

--- a/coltsfootpier/jobs/__init__.py
+++ b/coltsfootpier/jobs/__init__.py
@@ -1,4 +1,4 @@
-"""What callers hand in: jobs of steps of tasks, and the record that is kept of each job."""
+"""Jobs that callers submit, which consist of steps of tasks, and the stored record of each job."""
 
 from coltsfootpier.jobs._model import (
     JobSpec,
--- a/coltsfootpier/jobs/_model.py
+++ b/coltsfootpier/jobs/_model.py
@@ -1,4 +1,4 @@
-"""Jobs, steps and queues in the project's own terms."""
+"""Data model of jobs, steps and queues."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 
 import attrs
 
-# Bounds of one job. They keep the record of a job well below the store's largest value (1 MB)
-# and one job from taking the memory of an entry VM.
+# Limits of one job. They keep the record of a job well below the store's maximum value size (1 MB)
+# and prevent one job from exhausting the memory of an entry VM.
 MAX_STEPS = 64
 MAX_TASKS_PER_STEP = 5_000
 MAX_TASKS = 20_000
@@ -17,7 +17,7 @@
 
 
 class JobState(enum.Enum):
-    """State of a job as callers see it."""
+    """State of a job as reported to callers."""
 
     QUEUED = "queued"
     RUNNING = "running"
@@ -27,12 +27,12 @@
 
     @property
     def is_final(self) -> bool:
-        """Whether the job never changes its state again."""
+        """Whether the state never changes again."""
         return self in (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 
 
 class TaskKey(NamedTuple):
-    """Place of a task within its job: occurrence, step and index in the step."""
+    """Identifier of a task within its job: occurrence, step and index in the step."""
 
     occurrence: int
     step: int
@@ -41,46 +41,46 @@
 
 @attrs.frozen(kw_only=True)
 class StepSpec:
-    """One step of a job: tasks that are alike.
+    """Step of a job, which consists of identical tasks.
 
     Parameters
     ----------
     count : int
         Number of tasks.
     cpu_milli : int
-        Processor demand of one task in thousandths of a core.
+        CPU demand of one task in thousandths of a core.
     memory_mb : int
-        Memory of one task.
+        Memory demand of one task.
     gpus : int
-        Accelerators of one task.
+        Number of accelerators of one task.
     estimate_ms : float
-        Declared duration of one task; often wrong by half or more.
+        Declared duration of one task, often wrong by half or more.
     after : tuple of int
-        Earlier steps whose tasks must all be done before.
+        Indices of earlier steps whose tasks must all be done first.
     checkpointed : bool
         Whether tasks save their progress.
     gang : bool
-        Whether the tasks work only while all of them are present.
+        Whether the tasks make progress only while all of them run.
     same_rack : bool
-        Whether the tasks are slow when they are spread over racks.
+        Whether the tasks are slow when they are spread over several racks.
     required_label : str
-        Label that the runner must have; empty for none.
+        Label that a runner must have; empty for none.
     rack_affinity : str
-        Rack where the data is; tasks are slow elsewhere. Empty for none.
+        Rack with the input data; tasks are slow on other racks. Empty for none.
     max_per_runner : int
-        Most tasks of one occurrence of the step on one runner; 0 for no limit.
+        Maximum number of tasks of one occurrence of the step on one runner; 0 for no limit.
     speculative : bool
         Whether copies of a task may run in parallel.
     long_running : bool
         Whether tasks run until the job is cancelled.
     image : str
-        What the tasks run; tasks of one image behave alike.
+        Image that the tasks run; tasks of one image behave alike.
     latency_target_ms : float
-        Limit for the tail latency of what the task serves; 0 for none.
+        Target for the tail latency of a serving task; 0 for tasks that don't serve requests.
     fills : bool
-        Whether the tasks use only capacity that others leave unused.
+        Whether the tasks are best-effort tasks, which use only capacity that others leave unused.
     may_miss : int
-        Tasks of a long-running step that the system may take away at the same time.
+        Number of tasks of a long-running step that the system may stop at the same time.
     """
 
     count: int
@@ -105,20 +105,20 @@
 
 @attrs.frozen(kw_only=True)
 class JobSpec:
-    """What a caller hands in.
+    """Job as submitted by a caller.
 
     Parameters
     ----------
     payload : str
-        Opaque text that is passed to each task.
+        Opaque text passed to each task.
     steps : tuple of StepSpec
         At least one step.
     occurrences : int
         Number of times that the steps run; 0 for a job without a schedule, which runs once.
     first_due_unix_ms : float
-        Time at which the first occurrence is due, since 1970.
+        Unix time in ms at which the first occurrence is due.
     interval_ms : float
-        Time between occurrences.
+        Time between occurrences in ms.
     """
 
     payload: str
@@ -133,7 +133,7 @@
         return max(1, self.occurrences)
 
     def due_unix_ms(self, occurrence: int) -> float:
-        """Return the time since 1970 before which an occurrence must not start."""
+        """Return the Unix time in ms before which an occurrence must not start."""
         if not self.occurrences:
             return 0.0
         return self.first_due_unix_ms + occurrence * self.interval_ms
@@ -141,7 +141,7 @@
 
 @attrs.frozen(kw_only=True)
 class Queue:
-    """A kind of job with its service and objectives, from the configuration.
+    """Queue of jobs with its service and objectives, from the configuration.
 
     Parameters
     ----------
@@ -150,13 +150,13 @@
     service : str
         Service whose runners run the tasks.
     priority : int
-        0 is the most urgent.
+        Priority of the queue's jobs; 0 is the most urgent.
     max_attempts : int
-        Failed runs of one task after which its job has failed.
+        Number of failed attempts of one task after which its job fails.
     stretch : float
-        Objective as a multiple of the job's longest chain of work.
+        Part of the objective that is a multiple of the job's critical path.
     objective_ms : float
-        Constant part of the objective.
+        Constant part of the objective, in ms.
     needs_advice : bool
         Whether the queue's policy has to approve the runners of each step.
     """
@@ -171,12 +171,12 @@
 
 
 def find_job_fault(spec: JobSpec) -> str:
-    """Return why a job can't be taken, or an empty text.
+    """Return why a job is invalid, or an empty string if it is valid.
 
     Parameters
     ----------
     spec : JobSpec
-        What a caller handed in.
+        Submitted job.
 
     Examples
     --------
@@ -192,14 +192,14 @@
     if not 0 <= spec.occurrences <= MAX_OCCURRENCES:
         return f"{spec.occurrences} occurrences, allowed: 0 to {MAX_OCCURRENCES}"
     for number, step in enumerate(spec.steps):
-        fault = _find_step_fault(number, step)
-        if fault:
-            return f"step {number}: {fault}"
+        error = _find_step_error(number, step)
+        if error:
+            return f"step {number}: {error}"
     tasks = sum(step.count for step in spec.steps) * spec.runs
     return f"{tasks} tasks, allowed: 1 to {MAX_TASKS}" if tasks > MAX_TASKS else ""
 
 
-def _find_step_fault(number: int, step: StepSpec) -> str:
+def _find_step_error(number: int, step: StepSpec) -> str:
     if not 1 <= step.count <= MAX_TASKS_PER_STEP:
         return f"count {step.count}, allowed: 1 to {MAX_TASKS_PER_STEP}"
     for earlier in step.after:
--- a/coltsfootpier/jobs/_record.py
+++ b/coltsfootpier/jobs/_record.py
@@ -1,4 +1,4 @@
-"""The record of a job as it is kept in the store."""
+"""Record of a job in the store."""
 
 from __future__ import annotations
 
@@ -12,12 +12,12 @@
 
 
 class RecordError(ColtsfootpierError):
-    """A record in the store can't be read."""
+    """A record in the store can't be decoded."""
 
 
 @attrs.define(kw_only=True)
 class JobRecord:
-    """What must outlive the owner of a job.
+    """Durable state of a job, which outlives its owner.
 
     Parameters
     ----------
@@ -28,17 +28,18 @@
     service : str
         Service of the queue when the job was accepted.
     accepted_unix_ms : float
-        Time of acceptance since 1970.
+        Unix time in ms at which the job was accepted.
     state : JobState
-        `JobState.QUEUED` stands for every state that isn't final: whether a task has started
-        is known to the owner and the runners only.
+        `JobState.QUEUED` represents every state that isn't final: only the owner and the runners
+        know whether a task has started.
     spec : JobSpec, optional
         None once the state is final, which keeps records of ended jobs small.
     done : set of TaskKey
-        Tasks that have ended as done.
+        Tasks that have completed.
     failures : dict of TaskKey to set of int
-        Attempts of a task that have failed. A runner lists an end until it is acknowledged, so a
-        later owner may see it again; the numbers keep it from counting twice.
+        Numbers of the failed attempts of each task. A runner reports an ended run until it is
+        acknowledged, so a later owner may see it again; the numbers keep it from being counted
+        twice.
     """
 
     id: str
@@ -94,4 +95,4 @@
             )
         )
     except (MalformedMessageError, AttributeError, KeyError, TypeError, ValueError) as error:
-        return Failure(RecordError(f"not a record of a job: {error!r}"))
+        return Failure(RecordError(f"malformed job record: {error!r}"))
