--- a/coltsfootpier/node/_change_sender.py
+++ b/coltsfootpier/node/_change_sender.py
@@ -77,7 +77,7 @@
         Returns
         -------
         Result of int or PlatformError
-            `StoreUnavailable` only if no attempt has taken or may still take effect.
+            `StoreUnavailable` only if no attempt has taken effect or may still do so.
         """
         outcomes, inbox = anyio.create_memory_object_stream[tuple[Outcome, float]](MAX_ATTEMPTS)
         in_flight = 0
@@ -99,7 +99,7 @@
                     if period.cancelled_caught:
                         continue
                     in_flight -= 1
-                    self._record(outcome, duration_ms)
+                    self._record_outcome(outcome, duration_ms)
                     error = outcome.failure() if isinstance(outcome, Failure) else None
                     maybe_applied = maybe_applied or isinstance(error, StoreUnknown)
                     is_unavailable = isinstance(error, StoreUnavailable)
@@ -110,7 +110,7 @@
                         return outcome
                     await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
 
-    def _record(self, outcome: Outcome, duration_ms: float) -> None:
+    def _record_outcome(self, outcome: Outcome, duration_ms: float) -> None:
         if not isinstance(outcome, Failure) or not isinstance(outcome.failure(), StoreUnknown):
             self._timer.record_response(duration_ms)
         self._on_outcome(outcome, duration_ms)
--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -90,7 +90,7 @@
         self._servers: list[Server] = []
 
     async def run(self) -> BindError | None:
-        """Serve until `stop` and the drain after it; return an error if an address can't be used."""
+        """Serve until `stop` and the drain after it; return the error of a failed bind."""
         settings = self._settings
         log_event("daemon started", incarnation=self._incarnation, zone=settings.availability_zone)
         readiness = Application(routes={"GET /": self._handle_readiness}, max_body=_MAX_PROBE_BYTES)
@@ -353,7 +353,7 @@
             )
 
     async def _probe_unresponsive_owner(self) -> None:
-        """Probe an unresponsive owner periodically, as no callers' requests are sent to it then."""
+        """Probe an unresponsive owner periodically, since new jobs aren't sent to it meanwhile."""
         while True:
             await anyio.sleep(_timing.PROBE_PERIOD_MS / 1000)
             if self._reachability.is_unresponsive:
