Rename outward names of node

name_of, begin_session, lapsed_ms, held, amend and find_job_fault were vague or figurative for the folders that call them. They are called parse_vm_name, start_session, since_expiry_ms, partitions_of, put_deferred and find_job_error.

--- a/coltsfootpier/daemon/_control.py
+++ b/coltsfootpier/daemon/_control.py
@@ -15,7 +15,7 @@
 from coltsfootpier.exceptions import Problem
 from coltsfootpier.logs import log_event
 from coltsfootpier.membership import Member, MemberTable, VmTable
-from coltsfootpier.ownership import OwnershipState, OwnerTable, list_partitions, name_of
+from coltsfootpier.ownership import OwnershipState, OwnerTable, list_partitions, parse_vm_name
 from coltsfootpier.platform import (
     Conflict,
     Item,
@@ -187,7 +187,7 @@
 
     def is_retired(self, member: str) -> bool:
         """Whether a member's VM is gone, or runs a later incarnation or session."""
-        name = name_of(member)
+        name = parse_vm_name(member)
         gone = any(vm.name == name and vm.state == "gone" for vm in self.vms)
         return gone or any(live.name == name and live.id != member for live in self._live.values())
 
@@ -340,7 +340,7 @@
         if self._sessions:
             self._claim_after_ms = self._clock.now_ms() + _REJOIN_WAIT_MS
         self._sessions += 1
-        self.ownership.begin_session()
+        self.ownership.start_session()
         member_id = self._member_id()
         member = attrs.evolve(self.member, id=member_id)
         written = await self._platform.put(
@@ -466,7 +466,9 @@
         # whatever becomes of the write, whose answer may be lost after it took effect; what
         # is still this daemon's then is claimed anew.
         moved = {
-            name for name in self.ownership.assigned() if name not in table.held(self.member.id)
+            name
+            for name in self.ownership.assigned()
+            if name not in table.partitions_of(self.member.id)
         }
         for name in moved:
             self.ownership.end_epoch(name, self.ownership.epoch_of(name))
--- a/coltsfootpier/daemon/_shard_task.py
+++ b/coltsfootpier/daemon/_shard_task.py
@@ -191,7 +191,7 @@
     async def _sync_worker(self, name: str, client: WorkerClient) -> None:
         # A later session of this daemon counts as the end of what earlier ones renewed.
         held_over = (
-            self._ownership.lapsed_ms > self._periods["hold_over_ms"]
+            self._ownership.since_expiry_ms > self._periods["hold_over_ms"]
             or self._ownership.session != self._session
         )
         request = self.state.plan_sync(name, may_start=self.may_act, may_renew_batch=not held_over)
--- a/coltsfootpier/dispatch/_ledger.py
+++ b/coltsfootpier/dispatch/_ledger.py
@@ -138,7 +138,7 @@
         record = self._record(task)
         entry = record.working[task]
         if entry.reason != reason:
-            record.amend(task, attrs.evolve(entry, reason=reason))
+            record.put_deferred(task, attrs.evolve(entry, reason=reason))
 
     def drop(self, task: str) -> None:
         """Remove the working entry of a task."""
--- a/coltsfootpier/jobs/__init__.py
+++ b/coltsfootpier/jobs/__init__.py
@@ -6,7 +6,7 @@
     Queue,
     StepSpec,
     TaskKey,
-    find_job_fault,
+    find_job_error,
 )
 from coltsfootpier.jobs._record import JobRecord, decode_record, encode_record
 
@@ -19,5 +19,5 @@
     "TaskKey",
     "decode_record",
     "encode_record",
-    "find_job_fault",
+    "find_job_error",
 ]
--- a/coltsfootpier/jobs/_model.py
+++ b/coltsfootpier/jobs/_model.py
@@ -170,7 +170,7 @@
     needs_advice: bool = False
 
 
-def find_job_fault(spec: JobSpec) -> str:
+def find_job_error(spec: JobSpec) -> str:
     """Return why a job is invalid, or an empty string if it is valid.
 
     Parameters
@@ -180,9 +180,9 @@
 
     Examples
     --------
-    >>> find_job_fault(JobSpec(payload="", steps=(StepSpec(count=0),)))
+    >>> find_job_error(JobSpec(payload="", steps=(StepSpec(count=0),)))
     'step 0: count 0, allowed: 1 to 5000'
-    >>> find_job_fault(JobSpec(payload="", steps=(StepSpec(count=1, after=(0,)),)))
+    >>> find_job_error(JobSpec(payload="", steps=(StepSpec(count=1, after=(0,)),)))
     'step 0: after 0, allowed: earlier steps'
     """
     if len(spec.payload.encode("utf-8", "replace")) > MAX_PAYLOAD_BYTES:
--- a/coltsfootpier/ownership/__init__.py
+++ b/coltsfootpier/ownership/__init__.py
@@ -8,7 +8,7 @@
     OwnerTable,
     key_group,
     list_partitions,
-    name_of,
+    parse_vm_name,
     rank_by_rendezvous,
 )
 
@@ -20,6 +20,6 @@
     "OwnershipState",
     "key_group",
     "list_partitions",
-    "name_of",
+    "parse_vm_name",
     "rank_by_rendezvous",
 ]
--- a/coltsfootpier/ownership/_state.py
+++ b/coltsfootpier/ownership/_state.py
@@ -47,12 +47,12 @@
 
     partitions: dict[str, Ownership] = attrs.field(factory=dict)
 
-    def held(self, member: str) -> set[str]:
+    def partitions_of(self, member: str) -> set[str]:
         """Return the partitions that a member owns."""
         return {name for name, owner in self.partitions.items() if owner.member == member}
 
 
-def name_of(member: str) -> str:
+def parse_vm_name(member: str) -> str:
     """Return the entry VM name from a member identifier (``NAME.INCARNATION.SESSION``)."""
     return member.rsplit(".", 2)[0]
 
@@ -125,11 +125,11 @@
         return self._clock.now_ms() < self._valid_until_ms
 
     @property
-    def lapsed_ms(self) -> float:
+    def since_expiry_ms(self) -> float:
         """Time in ms since the lease expired; negative while it is valid."""
         return self._clock.now_ms() - self._valid_until_ms
 
-    def begin_session(self) -> None:
+    def start_session(self) -> None:
         """Start a new session, which stops earlier ones, before a new member key is written.
 
         Other daemons infer from the new key that earlier sessions no longer renew batch tasks.
@@ -291,11 +291,11 @@
         partitions = dict(self.table.partitions)
         for partition, member in moves.items():
             previous = partitions.get(partition, Ownership("", 0))
-            suspects = {name_of(item): item for item in previous.suspects}
+            suspects = {parse_vm_name(item): item for item in previous.suspects}
             if previous.member not in ("", self.member):
                 # Only the owner hands over a partition. Any other change of owner is a claim, so
                 # the previous owner becomes a suspect.
-                suspects[name_of(previous.member)] = previous.member
+                suspects[parse_vm_name(previous.member)] = previous.member
             partitions[partition] = Ownership(
                 member,
                 previous.epoch + 1,
--- a/coltsfootpier/permits/_node.py
+++ b/coltsfootpier/permits/_node.py
@@ -145,7 +145,7 @@
         """
         ownership = self.ownership
         has_ended = ownership.has_ended(table.group, table.epoch)
-        return not has_ended and ownership.lapsed_ms < self._hold_over_ms
+        return not has_ended and ownership.since_expiry_ms < self._hold_over_ms
 
     def decide(self, request: AcquirePermit) -> PermitReply | CopyFirst:
         """Decide on a request for a permit, or ask for a copy first."""
--- a/coltsfootpier/placement/_shard.py
+++ b/coltsfootpier/placement/_shard.py
@@ -161,7 +161,7 @@
             elif report is not None and report.checkpoint:
                 # Checkpoints are kept in the record lazily: they ride along with the next write.
                 name = self._name_of(entry)
-                self.record.amend(name, attrs.evolve(entry, checkpoint=report.checkpoint))
+                self.record.put_deferred(name, attrs.evolve(entry, checkpoint=report.checkpoint))
         self._judge_health(worker, view, now_ms)
         self._protect_services(worker, view, now_ms)
         if self._reserved:
--- a/coltsfootpier/platform/_callers.py
+++ b/coltsfootpier/platform/_callers.py
@@ -9,7 +9,7 @@
 import orjson
 from returns.result import Failure, Result, Success
 
-from coltsfootpier.jobs import JobSpec, JobState, StepSpec, find_job_fault
+from coltsfootpier.jobs import JobSpec, JobState, StepSpec, find_job_error
 
 DEADLINE_HEADER = b"deadline-ms"
 _JOB_ID = re.compile(r"^[0-9a-f]{16}$")
@@ -44,7 +44,7 @@
         return Failure(f"{error.args[0]} is missing")
     except (AttributeError, TypeError, ValueError) as error:
         return Failure(str(error))
-    fault = find_job_fault(spec)
+    fault = find_job_error(spec)
     return Failure(fault) if fault else Success(spec)
 
 
--- a/coltsfootpier/records/_record.py
+++ b/coltsfootpier/records/_record.py
@@ -169,10 +169,10 @@
     def put(self, name: str, entry: _E) -> None:
         """Add or replace an entry in the working copy."""
         if self.working.get(name) != entry:
-            self.amend(name, entry)
+            self.put_deferred(name, entry)
             self._dirty = True
 
-    def amend(self, name: str, entry: _E) -> None:
+    def put_deferred(self, name: str, entry: _E) -> None:
         """Replace an entry by a change that doesn't trigger a write by itself."""
         self.working[name] = entry
         self._changed.add(name)
--- a/coltsfootpier/records/tests/test_record.py
+++ b/coltsfootpier/records/tests/test_record.py
@@ -182,7 +182,7 @@
         record.load()
         for _ in range(600):
             name = rng.choice("abcdef")
-            change = rng.choice((record.put, record.amend, record.drop))
+            change = rng.choice((record.put, record.put_deferred, record.drop))
             change(name, *(() if change == record.drop else (_Entry(rng.randrange(9)),)))
             write = record.begin_write()
             if write is not None and rng.random() < 0.2:
