--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -79,7 +79,7 @@
         self._clock = clock
         self._on_event = on_event
         self._on_fenced = on_fenced
-        self._lapses = LapseTracker(settings)
+        self._lease_expiry = LapseTracker(settings)
         self._client = RunnerClient(entry=entry, token=cell.generation, clock=clock)
         # Clock of the runner and local time at which it was read, from the last report.
         self._clock_sample: tuple[float, float] | None = None
@@ -121,13 +121,13 @@
         return runner_ms + self._clock.now_ms() - local_ms
 
     def _start_call(self, duration_ms: float) -> int:
-        call = self._lapses.begin(now_ms=self._clock.now_ms(), duration_ms=duration_ms)
-        self._cell.fleet.set_lapse(self.id, self._lapses.lapse_ms)
+        call = self._lease_expiry.begin(now_ms=self._clock.now_ms(), duration_ms=duration_ms)
+        self._cell.fleet.set_lapse(self.id, self._lease_expiry.lapse_ms)
         return call
 
     def _finish_call(self, call: int, *, taken: bool) -> None:
-        self._lapses.settle(call, taken=taken)
-        self._cell.fleet.set_lapse(self.id, self._lapses.lapse_ms)
+        self._lease_expiry.settle(call, taken=taken)
+        self._cell.fleet.set_lapse(self.id, self._lease_expiry.lapse_ms)
 
     async def _poll_report(self) -> None:
         cell = self._cell
@@ -149,7 +149,7 @@
             timeout_ms=_timing.RUNNER_TIMEOUT_MS,
         )
         if deadline_ms is not None:
-            self._finish_call(call, taken=_may_be_received(result))
+            self._finish_call(call, taken=_may_be_accepted(result))
         if isinstance(result, Failure):
             await self._handle_failure(result.failure())
             return
@@ -200,8 +200,8 @@
             self._cell.pace_failed(self.id, command.run)
 
 
-def _may_be_received(result: Result[RunnerReport, object]) -> bool:
-    """Return whether the runner may have received the deadline of a report request."""
+def _may_be_accepted(result: Result[RunnerReport, object]) -> bool:
+    """Return whether the runner may have accepted the deadline of a report request."""
     if not isinstance(result, Failure):
         return True
     error = result.failure()
