--- a/coltsfootpier/node/_callers.py
+++ b/coltsfootpier/node/_callers.py
@@ -128,10 +128,10 @@
 
     def _compute_remaining_ms(self, headers: dict[bytes, bytes], route: Route) -> float:
         try:
-            deadline_ms = float(headers.get(DEADLINE_HEADER, b"") or math.inf)
+            requested_ms = float(headers.get(DEADLINE_HEADER, b"") or math.inf)
         except ValueError:
-            deadline_ms = math.inf
-        left_ms = min(deadline_ms if deadline_ms > 0 else math.inf, route.timeout_ms)
+            requested_ms = math.inf
+        left_ms = min(requested_ms if requested_ms > 0 else math.inf, route.timeout_ms)
         return max(0.0, left_ms - _timing.RESPONSE_RESERVE_MS)
 
     async def _submit(
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -314,7 +314,7 @@
         return record.unwrap().state
 
     def read_pending(self, queue: str) -> Response:
-        """Return the number of jobs of a queue of which no task has started."""
+        """Return the number of jobs of a queue without any started task."""
         if not self.is_ready:
             return NOT_OWNER
         return Response(status=ResponseStatus.KNOWN, pending=self.cell.jobs.count_pending(queue))
--- a/coltsfootpier/node/_responses.py
+++ b/coltsfootpier/node/_responses.py
@@ -36,7 +36,7 @@
     state : JobState
         State of the job, if it is known.
     pending : int
-        Number of jobs of a queue of which no task has started.
+        Number of jobs of a queue without any started task.
     """
 
     status: ResponseStatus
--- a/coltsfootpier/records/_record.py
+++ b/coltsfootpier/records/_record.py
@@ -247,12 +247,12 @@
         """
         if self._in_flight is None:
             return item.version == self._versions.get(item.key, 0)
-        written = self._in_flight
-        if item.version == written.write.expected_version:
+        in_flight = self._in_flight
+        if item.version == in_flight.write.expected_version:
             self.abandon()
             return True
         header = _read_header(item)
-        if header.token == written.write.token:
+        if header.token == in_flight.write.token:
             self.confirm(item.version)
             return True
         if header.token in self._abandoned:
@@ -261,7 +261,7 @@
             self._in_flight = earlier
             self.confirm(item.version)
             return True
-        if written.is_base and header.epoch <= self.epoch and header.number < self._number:
+        if in_flight.is_base and header.epoch <= self.epoch and header.number < self._number:
             # A base of a previous owner that arrived late. It contains nothing beyond the journal,
             # and the next base replaces it.
             self._versions[item.key] = item.version
--- a/coltsfootpier/records/tests/test_record.py
+++ b/coltsfootpier/records/tests/test_record.py
@@ -165,8 +165,8 @@
                 self.assertTrue(_execute_write(store, record, response_lost=outcome == "lost"))
         self.assertEqual(_load_as_new_owner(store, 2).durable, record.durable)
 
-    def test_listener_and_amended_entries_follow_the_durable_copy(self) -> None:
-        """Guards against an index that misses a change, and against a lost amended entry."""
+    def test_listener_and_deferred_entries_follow_the_durable_copy(self) -> None:
+        """Guards against an index that misses a change, and against a lost deferred entry."""
         rng = random.Random(1)
         record = VersionedRecord(key="k", kind=_Entry, epoch=1, writer="m1")
         index: dict[str, _Entry] = {}
