--- a/coltsfootpier/ownership/__init__.py
+++ b/coltsfootpier/ownership/__init__.py
@@ -1,4 +1,4 @@
-"""Which daemon owns which partition, under leases with epochs."""
+"""Ownership of partitions by daemons, under leases with epochs."""
 
 from coltsfootpier.ownership._state import (
     DISPATCH,
@@ -20,6 +20,6 @@
     "OwnershipState",
     "key_group",
     "list_partitions",
-    "name_of",
+    "parse_vm_name",
     "rank_by_rendezvous",
 ]
