--- a/coltsfootpier/clock/_clock.py
+++ b/coltsfootpier/clock/_clock.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 # Share by which the rates of the clocks of two VMs are assumed to differ at most.
-CLOCK_DRIFT = 0.1
+MAX_CLOCK_DRIFT_RATIO = 0.1
 
 
 class Clock(Protocol):
--- a/coltsfootpier/placement/_leases.py
+++ b/coltsfootpier/placement/_leases.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from coltsfootpier.clock import CLOCK_DRIFT
+from coltsfootpier.clock import MAX_CLOCK_DRIFT_RATIO
 from coltsfootpier.placement._views import Placement, WorkerView
 
 
@@ -31,7 +31,9 @@
         self._takeover_ms = now_ms
         # A previous owner that can't reach the store may keep renewing until its hold-over
         # ends, and can't be queried for the expiry of the leases that it granted.
-        max_remaining_ms = (self._hold_over_ms + self._worker_lease_ms) * (1 + CLOCK_DRIFT)
+        max_remaining_ms = (self._hold_over_ms + self._worker_lease_ms) * (
+            1 + MAX_CLOCK_DRIFT_RATIO
+        )
         self._previous_owner_expiry_ms = now_ms + max_remaining_ms
 
     def retire_previous_owner(self, now_ms: float) -> None:
@@ -46,7 +48,7 @@
         The lease is extended by the assumed clock drift, because a worker's clock may run
         slower than the owner's.
         """
-        return now_ms + self._worker_lease_ms * (1 + CLOCK_DRIFT)
+        return now_ms + self._worker_lease_ms * (1 + MAX_CLOCK_DRIFT_RATIO)
 
     def compute_expiry_ms(self, view: WorkerView | None) -> float:
         """Return the time by which all leases on a worker have expired."""
--- a/coltsfootpier/placement/_shard.py
+++ b/coltsfootpier/placement/_shard.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from coltsfootpier.clock import CLOCK_DRIFT, Clock
+from coltsfootpier.clock import MAX_CLOCK_DRIFT_RATIO, Clock
 from coltsfootpier.declaration import PRIORITIES
 from coltsfootpier.placement._capacity import build_capacity, build_load
 from coltsfootpier.placement._commands import choose_command_kind, plan_cleanup
@@ -310,7 +310,9 @@
             return SyncRequest(incarnation="")
         # The worker's clock may run slower than the owner's. Overestimating it would grant a
         # lease that outlasts the expiry computed below if replies have been lost for a long time.
-        worker_now_ms = view.worker_now_ms + (now_ms - view.received_ms) * (1 - CLOCK_DRIFT)
+        worker_now_ms = view.worker_now_ms + (now_ms - view.received_ms) * (
+            1 - MAX_CLOCK_DRIFT_RATIO
+        )
         lease_until_ms = worker_now_ms + self._worker_lease_ms
         commands: list[Command] = []
         # The most urgent attempts come first, because the rate of starts is limited.
--- a/coltsfootpier/placement/tests/test_recovery.py
+++ b/coltsfootpier/placement/tests/test_recovery.py
@@ -8,15 +8,15 @@
 from coltsfootpier.placement import AttemptKey
 from tests.builders import (
     build_assignment,
-    build_exchange,
-    build_reply,
-    build_report,
+    build_exchange_request,
     build_service_spec,
     build_shard,
     build_spec,
+    build_sync_reply,
+    build_task_report,
     build_vm,
     commit,
-    kinds,
+    list_commands,
 )
 
 
@@ -28,16 +28,18 @@
 
     def _exchange(self, **changes) -> None:
         self.sequence += 1
-        self.assertIsNone(self.shard.apply_request(build_exchange(self.sequence, **changes)))
+        self.assertIsNone(
+            self.shard.apply_request(build_exchange_request(self.sequence, **changes))
+        )
         commit(self.shard.record)
 
     def _add_workers(self, *names: str) -> None:
         self.shard.observe_vms([build_vm(name) for name in ("w1", *names)])
         for name in names:
-            self.shard.observe_reply(name, build_reply(name, now_ms=self.clock.now_ms()))
+            self.shard.observe_reply(name, build_sync_reply(name, now_ms=self.clock.now_ms()))
 
     def _sync(self, worker: str = "w1") -> list[tuple[str, str, int]]:
-        return kinds(self.shard.plan_sync(worker, may_start=True, may_renew_batch=True))
+        return list_commands(self.shard.plan_sync(worker, may_start=True, may_renew_batch=True))
 
     def _fail(self, worker: str, *tasks: str) -> None:
         for task in tasks:
@@ -45,8 +47,8 @@
             others = [name for name in self.shard.workers if name != worker]
             assignment = build_assignment(spec, avoid=tuple(others))
             self._exchange(assign=(assignment,))
-            ended = build_report(task, state="ended", outcome="failed")
-            self.shard.observe_reply(worker, build_reply(worker, (ended,)))
+            ended = build_task_report(task, state="ended", outcome="failed")
+            self.shard.observe_reply(worker, build_sync_reply(worker, (ended,)))
             commit(self.shard.record)
 
     def test_capacity_freed_by_an_eviction_goes_to_the_evicting_task(self) -> None:
@@ -63,8 +65,8 @@
             revoke=victims,
         )
         for index in range(2):
-            ended = build_report(f"job/load/{index}", state="ended", outcome="stopped")
-            self.shard.observe_reply("w1", build_reply(tasks=(ended,)))
+            ended = build_task_report(f"job/load/{index}", state="ended", outcome="stopped")
+            self.shard.observe_reply("w1", build_sync_reply(tasks=(ended,)))
             commit(self.shard.record)
         self.assertEqual(self.shard.record.durable["job/urgent/0"].state, "placed")
         self.assertEqual(self.shard.record.durable["job/late/0"].state, "accepted")
@@ -95,8 +97,8 @@
         probe = build_assignment(build_spec("job/probe/0", cores=1.0))
         self._exchange(assign=(probe,))
         self.assertEqual(self.shard.record.durable["job/probe/0"].worker, "w2")
-        done = build_report("job/probe/0", state="ended", outcome="done")
-        self.shard.observe_reply("w2", build_reply("w2", (done,)))
+        done = build_task_report("job/probe/0", state="ended", outcome="done")
+        self.shard.observe_reply("w2", build_sync_reply("w2", (done,)))
         self.assertFalse(self.shard.health.is_quarantined("w2"))
 
     def test_running_tasks_do_not_prevent_quarantine(self) -> None:
@@ -105,25 +107,25 @@
         A task that was started earlier keeps running there.
         """
         self._add_workers("w2", "w3")
-        old = build_report("job/old/0")
+        old = build_task_report("job/old/0")
         assignment = build_assignment(build_spec("job/old/0", cores=1.0), avoid=("w1", "w3"))
         self._exchange(assign=(assignment,))
         for index in range(5):
             self.clock.advance(20_000.0)
-            self.shard.observe_reply("w2", build_reply("w2", (old,)))
+            self.shard.observe_reply("w2", build_sync_reply("w2", (old,)))
             task = f"job/j{index}/0"
             avoid = ("w1", "w3")
             spec = build_spec(task, cores=1.0)
             self._exchange(assign=(build_assignment(spec, avoid=avoid),))
-            ended = build_report(task, state="ended", outcome="failed")
-            self.shard.observe_reply("w2", build_reply("w2", (old, ended)))
+            ended = build_task_report(task, state="ended", outcome="failed")
+            self.shard.observe_reply("w2", build_sync_reply("w2", (old, ended)))
             commit(self.shard.record)
         self.assertTrue(self.shard.health.is_quarantined("w2"))
 
     def test_new_owner_resets_throttling_of_the_previous_owner(self) -> None:
         """Guards against a task that stays throttled after a change of the shard owner."""
         self._exchange(assign=(build_assignment(build_spec()),))
-        self.shard.observe_reply("w1", build_reply(tasks=(build_report("job/load/0"),)))
+        self.shard.observe_reply("w1", build_sync_reply(tasks=(build_task_report("job/load/0"),)))
         expected = [("renew", "job/load/0", 1), ("throttle", "job/load/0", 1)]
         self.assertEqual(self._sync(), expected)
         for _ in range(2):
@@ -151,8 +153,8 @@
     def test_runner_on_a_leaving_worker_is_replaced_while_it_stops(self) -> None:
         """Guards against a service without enough runners while old ones finish requests."""
         self._exchange(assign=(build_assignment(build_service_spec()),))
-        running = build_report("service/web/0")
-        self.shard.observe_reply("w1", build_reply(tasks=(running,)))
+        running = build_task_report("service/web/0")
+        self.shard.observe_reply("w1", build_sync_reply(tasks=(running,)))
         self.shard.observe_vms([build_vm(state="leaving")])
         commit(self.shard.record)
         self.assertEqual(self._sync(), [("stop", "service/web/0", 1)])
@@ -163,8 +165,8 @@
     def test_task_that_exceeds_its_declared_size_is_charged_as_measured(self) -> None:
         """Guards against placing more work on a VM than fits into its memory."""
         self._exchange(assign=(build_assignment(build_spec()),))
-        report = build_report("job/load/0", cores=4.0, memory_mb=59_500)
-        self.shard.observe_reply("w1", build_reply(tasks=(report,)))
+        report = build_task_report("job/load/0", cores=4.0, memory_mb=59_500)
+        self.shard.observe_reply("w1", build_sync_reply(tasks=(report,)))
         self._exchange(assign=(build_assignment(build_spec("job/next/0")),))
         self.assertEqual(self.shard.record.durable["job/next/0"].state, "accepted")
         self.assertEqual(
@@ -175,7 +177,7 @@
         """Guards against urgent work that is stuck on a dead worker until its lease expires."""
         self._add_workers("w2")
         self.clock.advance(4_500.0)
-        self.shard.observe_reply("w2", build_reply("w2", now_ms=self.clock.now_ms()))
+        self.shard.observe_reply("w2", build_sync_reply("w2", now_ms=self.clock.now_ms()))
         for index in range(3):
             self._exchange(assign=(build_assignment(build_spec(f"job/load/{index}")),))
         workers = {entry.worker for entry in self.shard.record.durable.values()}
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -14,7 +14,7 @@
 from coltsfootpier.routing import Runner, Ticket
 from coltsfootpier.workers import SyncReply, SyncRequest, TaskReport
 
-TEXT = """
+DECLARATION_TEXT = """
 [team a]
 cores = 64
 memory_mb = 64000
@@ -44,7 +44,7 @@
 """
 
 
-def build_declaration(text: str = TEXT) -> Declaration:
+def build_declaration(text: str = DECLARATION_TEXT) -> Declaration:
     """Parse a text that must be valid."""
     return parse(text).unwrap()
 
@@ -76,7 +76,7 @@
     return attrs.evolve(vm, **changes)
 
 
-def build_reply(
+def build_sync_reply(
     worker: str = "w1", tasks: tuple[TaskReport, ...] = (), **changes: Any
 ) -> SyncReply:
     """Build a worker's report: 16 cores, 60 GB."""
@@ -86,7 +86,7 @@
     return attrs.evolve(reply, **changes)
 
 
-def build_report(task: str, attempt: int = 1, **changes: Any) -> TaskReport:
+def build_task_report(task: str, attempt: int = 1, **changes: Any) -> TaskReport:
     """Build a worker's report on a running attempt."""
     return attrs.evolve(TaskReport(task=task, attempt=attempt, state="running"), **changes)
 
@@ -107,7 +107,7 @@
     shard.retire_previous_owner()
     commit(shard.record)
     shard.observe_vms([build_vm()])
-    shard.observe_reply("w1", build_reply(now_ms=clock.now_ms()))
+    shard.observe_reply("w1", build_sync_reply(now_ms=clock.now_ms()))
     return shard
 
 
@@ -123,13 +123,13 @@
     return attrs.evolve(Assignment(task=spec.name, attempt=attempt, spec=spec), **changes)
 
 
-def build_exchange(sequence: int, **changes: Any) -> ExchangeRequest:
+def build_exchange_request(sequence: int, **changes: Any) -> ExchangeRequest:
     """Build a step of the exchange with shard r1 at epoch 1."""
     request = ExchangeRequest(shard="r1", shard_epoch=1, dispatch_epoch=1, sequence=sequence)
     return attrs.evolve(request, **changes)
 
 
-def kinds(request: SyncRequest) -> list[tuple[str, str, int]]:
+def list_commands(request: SyncRequest) -> list[tuple[str, str, int]]:
     """Return kind, task and attempt of each command."""
     return [(command.kind, command.task, command.attempt) for command in request.commands]
 
--- a/tests/clusters.py
+++ b/tests/clusters.py
@@ -10,7 +10,7 @@
 
 from standins.cluster import Cluster, call, wait_for
 
-TEXT = """
+DECLARATION_TEXT = """
 [team a]
 cores = 64
 memory_mb = 64000
@@ -75,7 +75,7 @@
         await cluster.start_daemons({f"entry-{n}": zones[n] for n in range(cls.daemons)})
         await cluster.wait_ready()
         if cls.runners:
-            await cls.put_in_force(TEXT.format(runners=cls.runners))
+            await cls.put_in_force(DECLARATION_TEXT.format(runners=cls.runners))
             await cls.wait_for_runners(cls.runners)
 
     @classmethod
