--- a/coltsfootpier/_ini.py
+++ b/coltsfootpier/_ini.py
@@ -1,6 +1,6 @@
-"""INI input that people write: typed keys with bounds, and every problem reported at once.
+"""Parser for INI text with typed, bounded keys that reports every problem at once.
 
-Settings and the declared text are both read through this module.
+Settings and declarations are both parsed by this module.
 """
 
 from __future__ import annotations
@@ -23,22 +23,22 @@
 
 @attrs.frozen(kw_only=True)
 class Key:
-    """One key of a section.
+    """Definition of one key of a section.
 
     Parameters
     ----------
     name : str
         Name in the INI text.
     convert : callable
-        Turns text into the value; raises ``ValueError`` for what is not allowed.
+        Converts text to the value; raises ``ValueError`` if the text is not allowed.
     allowed : str
-        What is allowed, for error messages and generated pages.
+        Description of the allowed values, for error messages and reference pages.
     default : object
-        Value when the key is absent; without one the key is required.
+        Value used when the key is absent; a key without a default is required.
     unit : str
         Unit of the value.
     description : str
-        What the key is for.
+        Purpose of the key.
     """
 
     name: str
@@ -50,11 +50,11 @@
 
     @property
     def required(self) -> bool:
-        """Whether the key must be given."""
+        """Whether the key has no default and must be given."""
         return self.default is _REQUIRED
 
 
-def _options(default: Any, unit: str, description: str) -> dict[str, Any]:
+def _collect_options(default: Any, unit: str, description: str) -> dict[str, Any]:
     return {"default": default, "unit": unit, "description": description}
 
 
@@ -68,7 +68,7 @@
     unit: str = "",
     description: str = "",
 ) -> Key:
-    """Build a key whose value is a number within bounds, both included."""
+    """Define a key whose value is a number within inclusive bounds."""
 
     def convert(text: str) -> float:
         value = int(text) if integer else float(text)
@@ -78,11 +78,13 @@
 
     kind = "whole number" if integer else "number"
     allowed = f"{kind} from {minimum:g} to {maximum:g}"
-    return Key(name=name, convert=convert, allowed=allowed, **_options(default, unit, description))
+    return Key(
+        name=name, convert=convert, allowed=allowed, **_collect_options(default, unit, description)
+    )
 
 
 def flag(name: str, *, default: Any = _REQUIRED, description: str = "") -> Key:
-    """Build a key whose value is yes or no."""
+    """Define a key whose value is yes or no."""
 
     def convert(text: str) -> bool:
         if text.lower() not in _TRUE | _FALSE:
@@ -97,7 +99,7 @@
 def choice(
     name: str, *, options: Sequence[str], default: Any = _REQUIRED, description: str = ""
 ) -> Key:
-    """Build a key whose value is one of a few words."""
+    """Define a key whose value is one of several fixed words."""
 
     def convert(text: str) -> str:
         if text not in options:
@@ -111,7 +113,7 @@
 
 
 def words(name: str, *, default: Any = _REQUIRED, description: str = "") -> Key:
-    """Build a key whose value is a list of words separated by commas or spaces."""
+    """Define a key whose value is a list of words separated by commas or spaces."""
 
     def convert(text: str) -> tuple[str, ...]:
         return tuple(text.replace(",", " ").split())
@@ -126,7 +128,7 @@
 
 
 def text(name: str, *, default: Any = _REQUIRED, description: str = "") -> Key:
-    """Build a key whose value is any text that isn't empty."""
+    """Define a key whose value is any non-empty text."""
 
     def convert(value: str) -> str:
         if not value:
@@ -143,7 +145,7 @@
 
 
 def address(name: str, *, default: Any = _REQUIRED, description: str = "") -> Key:
-    """Build a key whose value is ``IP:PORT``; read as a pair of str and int."""
+    """Define a key whose value is ``IP:PORT``, converted to a pair of str and int."""
 
     return Key(
         name=name,
@@ -155,13 +157,13 @@
 
 
 def addresses(name: str, *, default: Any = _REQUIRED, description: str = "") -> Key:
-    """Build a key whose value is a list of ``IP:PORT``; read as a tuple of str."""
+    """Define a key whose value is a list of ``IP:PORT``, converted to a tuple of str."""
 
     def convert(value: str) -> tuple[str, ...]:
-        words = tuple(value.replace(",", " ").split())
-        for word in words:
-            parse_address(word)
-        return words
+        parts = tuple(value.replace(",", " ").split())
+        for part in parts:
+            parse_address(part)
+        return parts
 
     return Key(
         name=name,
@@ -173,12 +175,12 @@
 
 
 def parse_address(value: str) -> tuple[str, int]:
-    """Read ``IP:PORT``.
+    """Parse an address in the form ``IP:PORT``.
 
     Raises
     ------
     ValueError
-        If the text isn't an IP number and a port.
+        If the text isn't an IP address and a port.
 
     Examples
     --------
@@ -193,21 +195,23 @@
 
 
 def suggest(name: str, known: Iterable[str]) -> str:
-    """Return what is allowed in place of an unknown name, with the nearest known one."""
+    """Return a hint for an unknown name: the closest known name, or all known names."""
     known = sorted(known)
-    near = difflib.get_close_matches(name, known, n=1, cutoff=0.5)
-    return f"did you mean {near[0]!r}?" if near else "one of " + ", ".join(known)
+    closest = difflib.get_close_matches(name, known, n=1, cutoff=0.5)
+    return f"did you mean {closest[0]!r}?" if closest else "one of " + ", ".join(known)
 
 
-def read_text(source: str, content: str) -> Result[dict[str, dict[str, str]], tuple[Problem, ...]]:
-    """Read INI text into sections.
+def parse_sections(
+    source: str, content: str
+) -> Result[dict[str, dict[str, str]], tuple[Problem, ...]]:
+    """Parse INI text into sections.
 
     Parameters
     ----------
     source : str
-        File name for error messages.
+        File name used in error messages.
     content : str
-        The text.
+        INI text.
 
     Returns
     -------
@@ -217,49 +221,53 @@
     try:
         parser.read_string(content, source)
     except configparser.DuplicateSectionError as error:
-        return Failure((_syntax(source, error.section, "", "a section name used once"),))
+        return Failure(
+            (_build_syntax_problem(source, error.section, "", "a section name used once"),)
+        )
     except configparser.DuplicateOptionError as error:
-        return Failure((_syntax(source, error.section, error.option, "a key given once"),))
+        return Failure(
+            (_build_syntax_problem(source, error.section, error.option, "a key given once"),)
+        )
     except configparser.Error as error:
         message = " ".join(str(error).split())
-        return Failure((_syntax(source, "", "", f"INI text ({message})"),))
+        return Failure((_build_syntax_problem(source, "", "", f"INI text ({message})"),))
     return Success({name: dict(parser.items(name)) for name in parser.sections()})
 
 
-def _syntax(source: str, section: str, key: str, allowed: str) -> Problem:
+def _build_syntax_problem(source: str, section: str, key: str, allowed: str) -> Problem:
     return Problem(source=source, section=section, key=key, found=key or section, allowed=allowed)
 
 
-def read_section(
-    source: str, section: str, given: Mapping[str, str], keys: Sequence[Key]
+def convert_section(
+    source: str, section: str, raw_values: Mapping[str, str], keys: Sequence[Key]
 ) -> tuple[dict[str, Any], list[Problem]]:
-    """Convert the keys of one section.
+    """Convert and validate the keys of one section.
 
     Parameters
     ----------
     source, section : str
-        Where the keys stand, for error messages.
-    given : Mapping of str to str
-        Keys as written.
+        Location of the keys, used in error messages.
+    raw_values : Mapping of str to str
+        Unconverted values by key name.
     keys : sequence of Key
-        Known keys.
+        Definitions of the known keys.
 
     Returns
     -------
     values : dict
-        Converted values; a key with a problem has its default or is absent.
+        Converted values by key name; keys with a problem are absent.
     problems : list of Problem
-        Everything that is wrong in the section.
+        Every problem in the section.
     """
     known = {key.name: key for key in keys}
     problems = [
         Problem(source=source, section=section, key=name, found=name, allowed=suggest(name, known))
-        for name in given
+        for name in raw_values
         if name not in known
     ]
     values: dict[str, Any] = {}
     for key in keys:
-        if key.name not in given:
+        if key.name not in raw_values:
             if key.required:
                 problems.append(
                     Problem(
@@ -273,13 +281,17 @@
             else:
                 values[key.name] = key.default
             continue
-        found = given[key.name].strip()
+        raw_value = raw_values[key.name].strip()
         try:
-            values[key.name] = key.convert(found)
+            values[key.name] = key.convert(raw_value)
         except ValueError:
             problems.append(
                 Problem(
-                    source=source, section=section, key=key.name, found=found, allowed=key.allowed
+                    source=source,
+                    section=section,
+                    key=key.name,
+                    found=raw_value,
+                    allowed=key.allowed,
                 )
             )
     return values, problems
--- a/coltsfootpier/declaration/__init__.py
+++ b/coltsfootpier/declaration/__init__.py
@@ -1,4 +1,4 @@
-"""The declared text: what operators want to run."""
+"""Declarations: teams, services, request kinds and batch jobs that operators want to run."""
 
 from coltsfootpier.declaration._expand import TaskSpec, diff_declarations, expand
 from coltsfootpier.declaration._model import (
--- a/coltsfootpier/declaration/_expand.py
+++ b/coltsfootpier/declaration/_expand.py
@@ -1,4 +1,4 @@
-"""Expansion of a declaration into tasks, and the difference of two declarations."""
+"""Expansion of a declaration into tasks, and comparison of two declarations."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 @attrs.frozen(kw_only=True)
 class TaskSpec:
-    """What one task needs.
+    """Specification of one task.
 
     Parameters
     ----------
@@ -20,13 +20,13 @@
     kind : str
         ``service`` or ``batch``.
     declared : str
-        Name of the service or job.
+        Name of the declared service or job.
     cores, memory_mb, accelerators : float, int, int
-        Declared size.
+        Resources of the task.
     priority : int
-        Higher is more urgent.
+        Priority as a number; higher is more urgent.
     digest : str
-        Changes whenever the declaration of the task changes.
+        Hash that changes whenever the declared values of the task change.
     """
 
     name: str
@@ -50,19 +50,19 @@
         return self.cores, self.memory_mb, self.accelerators
 
 
-def _digest(item: Service | Job) -> str:
-    # The count of runners or tasks adds or removes tasks and doesn't change those that stay.
+def _compute_digest(item: Service | Job) -> str:
+    # A changed number of runners only adds or removes tasks; those that stay are unchanged.
     fields = {key: value for key, value in attrs.asdict(item).items() if key != "runners"}
     return hashlib.sha256(repr(sorted(fields.items())).encode()).hexdigest()[:12]
 
 
 def expand(declaration: Declaration) -> dict[str, TaskSpec]:
-    """Return the tasks of a declaration by name.
+    """Expand a declaration into task specifications by name.
 
     Parameters
     ----------
     declaration : Declaration
-        A checked declaration.
+        Validated declaration.
 
     Returns
     -------
@@ -70,7 +70,7 @@
     """
     specs: dict[str, TaskSpec] = {}
     for service in declaration.services.values():
-        digest = _digest(service)
+        digest = _compute_digest(service)
         for index in range(service.runners):
             name = f"service/{service.name}/{index}"
             specs[name] = TaskSpec(
@@ -88,7 +88,7 @@
                 digest=digest,
             )
     for job in declaration.jobs.values():
-        digest = _digest(job)
+        digest = _compute_digest(job)
         for index in range(job.tasks):
             name = f"job/{job.name}/{index}"
             specs[name] = TaskSpec(
@@ -109,17 +109,17 @@
 
 
 def diff_declarations(old: Declaration, new: Declaration) -> list[str]:
-    """Return one line for each section that was added, removed or changed.
+    """Describe each section that was added, removed or changed in one line.
 
     Parameters
     ----------
     old, new : Declaration
-        Checked declarations.
+        Validated declarations.
 
     Returns
     -------
     list of str
-        Lines that start with ``+``, ``-`` or ``~``.
+        Lines that start with ``+`` (added), ``-`` (removed) or ``~`` (changed).
     """
     lines: list[str] = []
     for kind, field in (
@@ -136,10 +136,10 @@
             elif key not in after:
                 lines.append(f"- [{kind} {name}]")
             elif before[key] != after[key]:
-                lines.append(f"~ [{kind} {name}] {_changes(before[key], after[key])}")
+                lines.append(f"~ [{kind} {name}] {_format_changes(before[key], after[key])}")
     return lines
 
 
-def _changes(before: object, after: object) -> str:
+def _format_changes(before: object, after: object) -> str:
     pairs = zip(attrs.asdict(before).items(), attrs.asdict(after).values(), strict=True)
     return ", ".join(f"{key}: {old} -> {new}" for (key, old), new in pairs if old != new)
--- a/coltsfootpier/declaration/_model.py
+++ b/coltsfootpier/declaration/_model.py
@@ -1,4 +1,4 @@
-"""Data of the declared text."""
+"""Data model of declarations."""
 
 from __future__ import annotations
 
@@ -10,14 +10,14 @@
 
 @attrs.frozen(kw_only=True)
 class Team:
-    """A team with its share and quota.
+    """Team with its fair-sharing weight and quota.
 
     Parameters
     ----------
     weight : float
-        Weight in fair sharing.
+        Weight of the team in fair sharing.
     cores, memory_mb, accelerators : float, int, int
-        Quota over all tasks of the team.
+        Quota for all tasks of the team together.
     """
 
     name: str
@@ -29,22 +29,22 @@
 
 @attrs.frozen(kw_only=True)
 class Service:
-    """A latency-critical service that runs as several runners.
+    """Latency-critical service that is served by several runners.
 
     Parameters
     ----------
     runners : int
         Number of runners.
     slots, connections : int
-        Requests and connections that one runner takes at once.
+        Concurrent requests and connections that one runner accepts.
     cores, memory_mb, accelerators : float, int, int
-        Size of one runner.
+        Resources of one runner.
     latency_ms : float
         Latency objective of a request.
     objective : float
-        Share of requests that meet it, between 0 and 1.
+        Share of requests that must meet the latency objective, between 0 and 1.
     depends_on : tuple of str
-        Names of services and jobs.
+        Names of the services and jobs that the service depends on.
     """
 
     name: str
@@ -63,18 +63,18 @@
 
 @attrs.frozen(kw_only=True)
 class RequestKind:
-    """A kind of request of one service.
+    """Kind of request of one service.
 
     Parameters
     ----------
     idempotent : bool
-        Whether running a request twice does no harm.
+        Whether a request can safely run twice.
     exclusive : bool
-        Whether requests with the same exclusive key must not run at the same time.
+        Whether requests with the same exclusive key must not run concurrently.
     max_run_ms : float
-        Longest time for which a runner works on a request.
+        Longest time that a runner works on a request.
     weight, guaranteed_share : float
-        Share of the service's slots in a flood.
+        Weighted and guaranteed share of the service's slots under overload.
     """
 
     service: str
@@ -89,18 +89,18 @@
 
 @attrs.frozen(kw_only=True)
 class Job:
-    """A batch job.
+    """Batch job.
 
     Parameters
     ----------
     tasks : int
-        Number of tasks of one run.
+        Number of tasks in one run.
     run_time_ms : float
-        Declared run time of a task; a hint only.
+        Expected run time of a task; only a hint.
     checkpointing : bool
         Whether a task can resume from a checkpoint.
     every_ms : float
-        Time between runs; 0 for a job that runs once.
+        Period between runs; 0 for a job that runs once.
     """
 
     name: str
@@ -118,7 +118,10 @@
 
 @attrs.frozen(kw_only=True)
 class Declaration:
-    """One checked text."""
+    """Validated declaration.
+
+    Requests are keyed by service and request kind, everything else by name.
+    """
 
     teams: dict[str, Team]
     services: dict[str, Service]
@@ -127,5 +130,5 @@
 
     @classmethod
     def empty(cls) -> Declaration:
-        """Return the declaration of an empty text."""
+        """Return a declaration without any entries."""
         return cls(teams={}, services={}, requests={}, jobs={})
--- a/coltsfootpier/declaration/_parse.py
+++ b/coltsfootpier/declaration/_parse.py
@@ -1,4 +1,4 @@
-"""Reading and checking of the declared text as a whole."""
+"""Parsing and validation of declarations."""
 
 from __future__ import annotations
 
@@ -21,13 +21,13 @@
 
 _DAY_S = 86_400
 
-_SIZE = (
+_SIZE_KEYS = (
     _ini.number("cores", minimum=0.01, maximum=1_000, integer=False, unit="cores"),
     _ini.number("memory_mb", minimum=1, maximum=10_000_000, unit="MB"),
     _ini.number("accelerators", minimum=0, maximum=1_000, default=0),
 )
 _PRIORITY = _ini.choice("priority", options=tuple(PRIORITIES), default="normal")
-_DEPENDS = _ini.words("depends_on", default=())
+_DEPENDS_ON = _ini.words("depends_on", default=())
 
 KEYS: dict[str, tuple[_ini.Key, ...]] = {
     "team": (
@@ -41,11 +41,11 @@
         _ini.number("runners", minimum=0, maximum=10_000),
         _ini.number("slots", minimum=1, maximum=1_000, default=8),
         _ini.number("connections", minimum=1, maximum=10_000, default=64),
-        *_SIZE,
+        *_SIZE_KEYS,
         _ini.number("latency_ms", minimum=1, maximum=600_000, integer=False, unit="ms"),
         _ini.number("objective", minimum=0.5, maximum=0.99999, default=0.99, integer=False),
         _ini.choice("priority", options=tuple(PRIORITIES), default="high"),
-        _DEPENDS,
+        _DEPENDS_ON,
     ),
     "request": (
         _ini.flag("idempotent", default=True),
@@ -58,30 +58,30 @@
     "job": (
         _ini.text("team"),
         _ini.number("tasks", minimum=1, maximum=10_000, default=1),
-        *_SIZE,
+        *_SIZE_KEYS,
         _ini.number("run_time_s", minimum=0.01, maximum=30 * _DAY_S, integer=False, unit="s"),
         _PRIORITY,
         _ini.flag("checkpointing", default=True),
         _ini.number("every_s", minimum=0, maximum=30 * _DAY_S, default=0, integer=False, unit="s"),
-        _DEPENDS,
+        _DEPENDS_ON,
     ),
 }
 
 
 def parse(content: str, *, source: str = "text") -> Result[Declaration, tuple[Problem, ...]]:
-    """Read the declared text and check it as a whole.
+    """Parse a declaration and validate it as a whole.
 
     Parameters
     ----------
     content : str
         INI text.
     source : str, default="text"
-        File name for error messages.
+        File name used in error messages.
 
     Returns
     -------
     Result of Declaration or tuple of Problem
-        All problems of the text at once.
+        The declaration, or every problem that was found.
 
     Examples
     --------
@@ -89,46 +89,48 @@
     >>> parse(text).unwrap().teams["a"].cores
     4.0
     """
-    read = _ini.read_text(source, content)
-    if isinstance(read, Failure):
-        return read
+    parsed = _ini.parse_sections(source, content)
+    if isinstance(parsed, Failure):
+        return parsed
     problems: list[Problem] = []
     values: dict[str, dict[str, dict[str, Any]]] = {kind: {} for kind in KEYS}
-    for section, given in read.unwrap().items():
+    for section, raw_values in parsed.unwrap().items():
         kind, _, name = section.partition(" ")
         name = name.strip()
         if kind not in KEYS or not name:
             allowed = _ini.suggest(kind, (f"{known} NAME" for known in KEYS))
-            problems.append(_problem(source, section, "", section, allowed))
+            problems.append(_build_problem(source, section, "", section, allowed))
             continue
-        converted, found = _ini.read_section(source, section, given, KEYS[kind])
-        problems += found
-        if not found:
+        converted, section_problems = _ini.convert_section(source, section, raw_values, KEYS[kind])
+        problems += section_problems
+        if not section_problems:
             values[kind][name] = converted
     if problems:
         return Failure(tuple(problems))
-    declaration = _build(values)
-    problems += _check(source, declaration)
+    declaration = _build_declaration(values)
+    problems += _validate(source, declaration)
     return Failure(tuple(problems)) if problems else Success(declaration)
 
 
-def _problem(source: str, section: str, key: str, found: str, allowed: str) -> Problem:
+def _build_problem(source: str, section: str, key: str, found: str, allowed: str) -> Problem:
     return Problem(source=source, section=section, key=key, found=found, allowed=allowed)
 
 
-def _build(values: Mapping[str, dict[str, dict[str, Any]]]) -> Declaration:
+def _build_declaration(values: Mapping[str, dict[str, dict[str, Any]]]) -> Declaration:
     requests = {}
     for name, keys in values["request"].items():
         service, _, kind = name.partition("/")
         requests[service, kind] = RequestKind(service=service, name=kind, **keys)
     jobs = {}
     for name, keys in values["job"].items():
-        rest = {key: value for key, value in keys.items() if key not in ("run_time_s", "every_s")}
+        other_keys = {
+            key: value for key, value in keys.items() if key not in ("run_time_s", "every_s")
+        }
         jobs[name] = Job(
             name=name,
             run_time_ms=keys["run_time_s"] * 1000,
             every_ms=keys["every_s"] * 1000,
-            **rest,
+            **other_keys,
         )
     return Declaration(
         teams={name: Team(name=name, **keys) for name, keys in values["team"].items()},
@@ -138,7 +140,7 @@
     )
 
 
-def _check(source: str, declaration: Declaration) -> Iterator[Problem]:
+def _validate(source: str, declaration: Declaration) -> Iterator[Problem]:
     yield from _check_names(source, declaration)
     yield from _check_dependencies(source, declaration)
     yield from _check_quotas(source, declaration)
@@ -150,39 +152,39 @@
         for item in items.values():
             if item.team not in declaration.teams:
                 allowed = _ini.suggest(item.team, declaration.teams)
-                yield _problem(source, f"{kind} {item.name}", "team", item.team, allowed)
+                yield _build_problem(source, f"{kind} {item.name}", "team", item.team, allowed)
     for name in declaration.services.keys() & declaration.jobs.keys():
-        yield _problem(source, f"job {name}", "", name, "a name that no service has")
+        yield _build_problem(source, f"job {name}", "", name, "a name that no service has")
     for service, kind in declaration.requests:
         if service not in declaration.services or not kind:
             allowed = _ini.suggest(service, declaration.services) + " (request SERVICE/KIND)"
-            yield _problem(source, f"request {service}/{kind}", "", service, allowed)
+            yield _build_problem(source, f"request {service}/{kind}", "", service, allowed)
 
 
 def _check_dependencies(source: str, declaration: Declaration) -> Iterator[Problem]:
-    known = declaration.services.keys() | declaration.jobs.keys()
+    known_names = declaration.services.keys() | declaration.jobs.keys()
     graph: dict[str, tuple[str, ...]] = {}
     for kind, items in (("service", declaration.services), ("job", declaration.jobs)):
         for item in items.values():
             graph[item.name] = item.depends_on
             for name in item.depends_on:
-                if name not in known:
-                    allowed = _ini.suggest(name, known)
-                    yield _problem(source, f"{kind} {item.name}", "depends_on", name, allowed)
+                if name not in known_names:
+                    allowed = _ini.suggest(name, known_names)
+                    yield _build_problem(source, f"{kind} {item.name}", "depends_on", name, allowed)
     try:
         TopologicalSorter(graph).prepare()
     except CycleError as error:
         cycle = error.args[1]
         kind = "service" if cycle[0] in declaration.services else "job"
         found = " -> ".join(reversed(cycle))
-        yield _problem(
+        yield _build_problem(
             source, f"{kind} {cycle[0]}", "depends_on", found, "dependencies without a cycle"
         )
 
 
 def _check_quotas(source: str, declaration: Declaration) -> Iterator[Problem]:
-    # Services run all the time, so their sum must fit; jobs wait for their team's quota, but
-    # a single task has to fit into it.
+    # Services run all the time, so their total must fit within the quota. Jobs can wait for
+    # quota, so only each single task has to fit.
     for team in declaration.teams.values():
         services = [item for item in declaration.services.values() if item.team == team.name]
         jobs = [item for item in declaration.jobs.values() if item.team == team.name]
@@ -191,12 +193,12 @@
             total = sum(getattr(item, dimension) * item.runners for item in services)
             if total > quota:
                 allowed = f"at least {total:g}, which the team's services take"
-                yield _problem(source, f"team {team.name}", dimension, f"{quota:g}", allowed)
+                yield _build_problem(source, f"team {team.name}", dimension, f"{quota:g}", allowed)
             for job in jobs:
                 if getattr(job, dimension) > quota:
                     allowed = f"at most the quota of team {team.name} ({quota:g})"
                     found = f"{getattr(job, dimension):g}"
-                    yield _problem(source, f"job {job.name}", dimension, found, allowed)
+                    yield _build_problem(source, f"job {job.name}", dimension, found, allowed)
 
 
 def _check_shares(source: str, declaration: Declaration) -> Iterator[Problem]:
@@ -206,4 +208,4 @@
         if total > 1:
             allowed = "guaranteed shares of all request kinds that sum to at most 1"
             section = f"request {service}/{kinds[0].name}"
-            yield _problem(source, section, "guaranteed_share", f"{total:g}", allowed)
+            yield _build_problem(source, section, "guaranteed_share", f"{total:g}", allowed)
--- a/coltsfootpier/declaration/tests/test_parse.py
+++ b/coltsfootpier/declaration/tests/test_parse.py
@@ -1,4 +1,4 @@
-"""Tests of the declared text's checks."""
+"""Tests of parsing, validation and comparison of declarations."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 class ParseTest(unittest.TestCase):
     def test_all_problems_are_reported_at_once(self) -> None:
-        """Guards against an operator who has to correct a text one error at a time."""
+        """Guards against operators who have to correct a declaration one error at a time."""
         text = TEXT.replace("runners = 2", "runers = 2").replace("cores = 1", "cores = x")
         problems = parse(text, source="t.ini").failure()
         found = {(problem.section, problem.key) for problem in problems}
@@ -18,16 +18,16 @@
         self.assertIn(("job load", "cores"), found)
         self.assertIn("did you mean 'runners'?", [problem.allowed for problem in problems])
 
-    def test_cycles_unknown_names_and_quotas_are_refused(self) -> None:
-        """Guards against texts that can never be satisfied."""
+    def test_cycles_unknown_names_and_exceeded_quotas_are_rejected(self) -> None:
+        """Guards against accepted declarations that can never be satisfied."""
         text = TEXT.replace("runners = 2", "runners = 60\ndepends_on = report, nobody")
         text = text.replace("run_time_s = 10\n", "run_time_s = 10\ndepends_on = web\n", 1)
         keys = [problem.key for problem in parse(text).failure()]
         self.assertEqual(keys.count("depends_on"), 2)
         self.assertIn("cores", keys)
 
-    def test_more_runners_add_tasks_and_change_no_digest(self) -> None:
-        """Guards against a restart of all runners when only their number changes."""
+    def test_more_runners_add_tasks_and_keep_digests(self) -> None:
+        """Guards against restarts of all runners when only their number changes."""
         old = build_declaration()
         new = build_declaration(TEXT.replace("runners = 2", "runners = 3"))
         self.assertEqual(expand(old)["service/web/0"].digest, expand(new)["service/web/0"].digest)
--- a/coltsfootpier/settings/__main__.py
+++ b/coltsfootpier/settings/__main__.py
@@ -1,4 +1,4 @@
-"""Prints the page ``docs/settings.md``."""
+"""Print the reference page ``docs/settings.md``."""
 
 from coltsfootpier.settings import format_settings_page
 
--- a/coltsfootpier/settings/_settings.py
+++ b/coltsfootpier/settings/_settings.py
@@ -1,4 +1,4 @@
-"""Definitions of all settings with their units and bounds."""
+"""Definitions of the daemon's settings with their units and bounds."""
 
 from __future__ import annotations
 
@@ -214,7 +214,7 @@
 
 @attrs.frozen
 class Settings:
-    """Checked settings; one mapping for each section.
+    """Validated settings with one dictionary per section.
 
     Parameters
     ----------
@@ -232,58 +232,60 @@
 
 
 def read_settings(source: str, content: str) -> Result[Settings, tuple[Problem, ...]]:
-    """Read and check the settings of a daemon.
+    """Parse and validate the settings of a daemon.
 
     Parameters
     ----------
     source : str
-        File name for error messages.
+        File name used in error messages.
     content : str
         INI text.
 
     Returns
     -------
     Result of Settings or tuple of Problem
-        All problems at once, or the settings with defaults filled in.
+        The settings with defaults filled in, or every problem that was found.
     """
-    read = _ini.read_text(source, content)
-    if isinstance(read, Failure):
-        return read
-    given = read.unwrap()
+    parsed = _ini.parse_sections(source, content)
+    if isinstance(parsed, Failure):
+        return parsed
+    sections = parsed.unwrap()
     problems = [
         Problem(
             source=source, section=name, key="", found=name, allowed=_ini.suggest(name, SECTIONS)
         )
-        for name in given
+        for name in sections
         if name not in SECTIONS
     ]
     values: dict[str, dict[str, Any]] = {}
     for name, keys in SECTIONS.items():
-        values[name], found = _ini.read_section(source, name, given.get(name, {}), keys)
-        problems += found
+        values[name], section_problems = _ini.convert_section(
+            source, name, sections.get(name, {}), keys
+        )
+        problems += section_problems
     if not problems:
-        problems += _check_relations(source, values["periods"])
+        problems += _check_lease_periods(source, values["periods"])
     return Failure(tuple(problems)) if problems else Success(Settings(**values))
 
 
-def _check_relations(source: str, periods: dict[str, Any]) -> list[Problem]:
-    # A lease must survive two lost renewals; otherwise one slow call costs the ownership.
-    pairs = (("member_lease_ms", "member_renew_ms"), ("worker_lease_ms", "worker_sync_ms"))
+def _check_lease_periods(source: str, periods: dict[str, Any]) -> list[Problem]:
+    # A lease has to outlast two lost renewals; otherwise a single slow call loses ownership.
+    key_pairs = (("member_lease_ms", "member_renew_ms"), ("worker_lease_ms", "worker_sync_ms"))
     return [
         Problem(
             source=source,
             section="periods",
-            key=lease,
-            found=str(periods[lease]),
-            allowed=f"at least three times {period} ({periods[period]})",
+            key=lease_key,
+            found=str(periods[lease_key]),
+            allowed=f"at least three times {period_key} ({periods[period_key]})",
         )
-        for lease, period in pairs
-        if periods[lease] < 3 * periods[period]
+        for lease_key, period_key in key_pairs
+        if periods[lease_key] < 3 * periods[period_key]
     ]
 
 
 def format_settings(settings: Settings) -> str:
-    """Return the effective settings as INI text, each with its unit and bounds."""
+    """Format the settings as INI text, with the description and bounds of each key."""
     lines: list[str] = []
     for name, keys in SECTIONS.items():
         lines.append(f"[{name}]")
@@ -292,14 +294,14 @@
             value = values[key.name]
             lines += [
                 f"# {key.description} Allowed: {key.allowed}.",
-                f"{key.name} = {_show(value)}",
+                f"{key.name} = {_format_value(value)}",
             ]
         lines.append("")
     return "\n".join(lines)
 
 
 def format_settings_page() -> str:
-    """Return the page ``docs/settings.md`` from the definitions."""
+    """Format the reference page ``docs/settings.md`` from the definitions."""
     lines = [
         "# Settings",
         "",
@@ -309,7 +311,7 @@
         lines += ["", f"## [{name}]", "", "| key | default | allowed | unit | meaning |"]
         lines.append("|---|---|---|---|---|")
         for key in keys:
-            default = "required" if key.required else _show(key.default) or "empty"
+            default = "required" if key.required else _format_value(key.default) or "empty"
             unit = key.unit or "-"
             lines.append(
                 f"| `{key.name}` | {default} | {key.allowed} | {unit} | {key.description} |"
@@ -317,7 +319,7 @@
     return "\n".join(lines) + "\n"
 
 
-def _show(value: Any) -> str:
+def _format_value(value: Any) -> str:
     if isinstance(value, tuple):
         is_address = len(value) == 2 and isinstance(value[1], int)
         return f"{value[0]}:{value[1]}" if is_address else ", ".join(value)
--- a/coltsfootpier/settings/tests/test_settings.py
+++ b/coltsfootpier/settings/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Tests of the settings."""
+"""Tests of parsing, validation and formatting of settings."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 from coltsfootpier.settings import format_settings, format_settings_page, read_settings
 
-_TEXT = """
+_SETTINGS_TEXT = """
 [daemon]
 name = e1
 availability_zone = z1
@@ -21,24 +21,24 @@
 
 
 class SettingsTest(unittest.TestCase):
-    def test_effective_settings_are_read_back(self) -> None:
-        """Guards against printed settings that can't be used."""
-        settings = read_settings("s.ini", _TEXT).unwrap()
+    def test_formatted_settings_can_be_parsed(self) -> None:
+        """Guards against printed settings that don't parse back to the same values."""
+        settings = read_settings("s.ini", _SETTINGS_TEXT).unwrap()
         self.assertEqual(read_settings("t", format_settings(settings)).unwrap(), settings)
 
-    def test_page_matches_the_definitions(self) -> None:
-        """Guards against a page for operators that lacks or misstates a setting."""
+    def test_reference_page_matches_definitions(self) -> None:
+        """Guards against a reference page with a missing or outdated setting."""
         page = Path(__file__).parents[3] / "docs" / "settings.md"
         self.assertEqual(page.read_text(), format_settings_page())
 
-    def test_unknown_key_names_the_nearest_known_one(self) -> None:
-        """Guards against a typo that silently leaves a default in force."""
-        problems = read_settings("s.ini", _TEXT + "[periods]\nheartbeat = 5\n").failure()
+    def test_unknown_key_suggests_nearest_known_key(self) -> None:
+        """Guards against a misspelt key that is ignored, so that its default applies."""
+        problems = read_settings("s.ini", _SETTINGS_TEXT + "[periods]\nheartbeat = 5\n").failure()
         self.assertEqual(problems[0].allowed, "did you mean 'heartbeat_ms'?")
 
-    def test_lease_must_outlast_lost_renewals(self) -> None:
-        """Guards against periods that lose the lease with one slow call."""
-        text = _TEXT + "[periods]\nmember_lease_ms = 3000\nmember_renew_ms = 2000\n"
+    def test_lease_shorter_than_three_renewals_is_rejected(self) -> None:
+        """Guards against periods with which a single slow call loses the lease."""
+        text = _SETTINGS_TEXT + "[periods]\nmember_lease_ms = 3000\nmember_renew_ms = 2000\n"
         self.assertEqual(read_settings("s.ini", text).failure()[0].key, "member_lease_ms")
 
 
