Reword the error-budget burn report

Minutes of the ring buffer were called slots, a term that means request slots elsewhere; counters, constants and doc comments were vague (SLOTS, _WIDTH, _TOP, what spent it). They now use minutes, burn rates and causes.

--- a/coltsfootpier/burn/_html.py
+++ b/coltsfootpier/burn/_html.py
@@ -1,4 +1,4 @@
-"""The burn report as one HTML page without any outside reference."""
+"""Rendering of the burn report as a self-contained HTML page."""
 
 from __future__ import annotations
 
@@ -6,10 +6,10 @@
 
 from coltsfootpier.burn._report import BurnReport, ServiceBurn
 
-_WIDTH = 600
-_HEIGHT = 80
-# Burn rate at the top of a chart; higher ones are cut off there.
-_TOP = 20.0
+_CHART_WIDTH_PX = 600
+_CHART_HEIGHT_PX = 80
+# Burn rate at the top edge of a chart; higher rates are clipped.
+_MAX_BURN_RATE = 20.0
 _STYLE = (
     "body{font:14px sans-serif;margin:2em}td,th{padding:.2em 1em .2em 0;text-align:left}"
     ".page{color:#b00}.ticket{color:#a60}svg{background:#f6f6f6}"
@@ -17,7 +17,7 @@
 
 
 def render_html(report: BurnReport) -> str:
-    """Return the report as HTML with one chart of the last hour for each service."""
+    """Render the report as HTML with a chart of the last hour for each service."""
     parts = [
         "<!doctype html><meta charset=utf-8><title>Service-level burn</title>",
         f"<style>{_STYLE}</style><h1>Service-level burn</h1>",
@@ -31,19 +31,20 @@
 
 
 def _render_service(item: ServiceBurn) -> str:
-    rows = "".join(f"<td>{item.burn[window]:.2f}" for window in ("5m", "60m", "360m"))
+    burn_cells = "".join(f"<td>{item.burn[window]:.2f}" for window in ("5m", "60m", "360m"))
     causes = ", ".join(f"{count} {cause}" for cause, count in item.causes.items()) or "nothing"
     points = " ".join(
-        f"{index * _WIDTH / max(1, len(item.by_minute) - 1):.0f},"
-        f"{_HEIGHT * (1 - min(burn, _TOP) / _TOP):.0f}"
-        for index, burn in enumerate(item.by_minute)
+        f"{index * _CHART_WIDTH_PX / max(1, len(item.by_minute) - 1):.0f},"
+        f"{_CHART_HEIGHT_PX * (1 - min(burn_rate, _MAX_BURN_RATE) / _MAX_BURN_RATE):.0f}"
+        for index, burn_rate in enumerate(item.by_minute)
     )
     return (
         f"<h2 class={item.alarm or 'calm'}>{escape(item.service)} {item.alarm}</h2>"
         f"<table><tr><th>objective<th>requests<th>p99<th>budget left<th>5 min<th>1 h<th>6 h"
         f"<tr><td>{item.objective:.3%} under {item.latency_ms:g} ms<td>{item.finished}"
-        f"<td>{item.p99_ms:g} ms<td>{item.budget_left:.0%}{rows}</table>"
-        f"<p>Budget spent by {escape(causes)}. Burn rate of the last hour, 0 to {_TOP:g}:</p>"
-        f"<svg width={_WIDTH} height={_HEIGHT}>"
+        f"<td>{item.p99_ms:g} ms<td>{item.budget_left:.0%}{burn_cells}</table>"
+        f"<p>Budget spent by {escape(causes)}. "
+        f"Burn rate of the last hour, 0 to {_MAX_BURN_RATE:g}:</p>"
+        f"<svg width={_CHART_WIDTH_PX} height={_CHART_HEIGHT_PX}>"
         f"<polyline fill=none stroke=#06c points='{points}'/></svg>"
     )
--- a/coltsfootpier/burn/_stats.py
+++ b/coltsfootpier/burn/_stats.py
@@ -1,4 +1,4 @@
-"""Counters of requests, their latencies and what spent the error budget, in one daemon."""
+"""Counters of requests, latencies and causes of error-budget burn in one daemon."""
 
 from __future__ import annotations
 
@@ -13,27 +13,27 @@
 from coltsfootpier.exceptions import InvariantError
 from coltsfootpier.routing import Outcome, RefusalReason
 
-# Upper bounds of the latency buckets in milliseconds, a factor of about 1.5 apart.
+# Upper bounds of the latency buckets, a factor of about 1.5 apart.
 BOUNDS_MS = (1, 2, 3, 5, 7, 10, 15, 22, 33, 50, 75, 110, 165, 250, 375, 560, 840, 1260, 1890, 2835)
 
-SLOT_MS = 60_000.0
-# Six hours, the longest window of the report; 12 KB for each service.
-SLOTS = 360
-# Services that are counted; further ones are counted together, which bounds the memory.
+_MINUTE_MS = 60_000.0
+# Six hours, the longest window of the report; takes 12 KB per service.
+_RING_MINUTES = 360
+# Further services are counted together under `OTHER_SERVICES`, which bounds the memory.
 _MAX_SERVICES = 1_000
-OTHER = "(other)"
+OTHER_SERVICES = "(other)"
 
-# The caller is at fault, so these spend no error budget.
+# Rejections that the caller causes spend no error budget.
 _CALLER_FAULTS = frozenset({RefusalReason.BAD_REQUEST.value, RefusalReason.UNKNOWN_SERVICE.value})
 _NO_CAPACITY = frozenset({RefusalReason.NO_RUNNER.value, RefusalReason.RUNNER_REFUSED.value})
 
 
-class CounterOverflowError(InvariantError):
-    """More bad than finished requests were counted in a slot."""
+class InconsistentCountsError(InvariantError):
+    """More bad than finished requests were counted in one minute."""
 
 
 class Cause(enum.Enum):
-    """What spent a part of the error budget."""
+    """Cause of a request that spent error budget."""
 
     QUEUEING = "queueing"
     SLOW_RUNNER = "slow_runner"
@@ -45,7 +45,7 @@
 
 
 _CAUSES = tuple(Cause)
-_WIDTH = 1 + len(_CAUSES)
+_COUNTERS_PER_MINUTE = 1 + len(_CAUSES)
 
 
 @attrs.frozen(kw_only=True)
@@ -59,7 +59,8 @@
     bad : dict of str to tuple of int
         Requests that missed the objective, by cause, shape (n_minutes,) each.
     latencies : tuple of int, shape (n_buckets,)
-        Requests since the start by latency, bounds in `BOUNDS_MS` and one bucket above.
+        Requests by latency since the daemon started; upper bounds are in `BOUNDS_MS`, and the
+        last bucket holds all higher latencies.
     """
 
     finished: tuple[int, ...]
@@ -69,29 +70,32 @@
 
 @attrs.frozen(kw_only=True)
 class StatsSnapshot:
-    """Series of all services of one daemon; the last minute is the current one."""
+    """Counts of all services of one daemon; the last minute is the current one."""
 
     services: dict[str, ServiceSeries] = attrs.field(factory=dict)
 
 
-class _Ring:
-    """Counts of one service in a ring of minutes."""
+class _MinuteRing:
+    """Ring buffer of the counts of one service by minute."""
 
-    def __init__(self, slot: int) -> None:
-        self._newest = slot
-        self._counts = array("I", bytes(4 * SLOTS * _WIDTH))
+    def __init__(self, minute: int) -> None:
+        self._newest_minute = minute
+        self._counts = array("I", bytes(4 * _RING_MINUTES * _COUNTERS_PER_MINUTE))
         self.latencies = [0] * (len(BOUNDS_MS) + 1)
 
-    def add(self, slot: int, cause: Cause | None) -> None:
-        self._advance(slot)
-        offset = (slot % SLOTS) * _WIDTH
+    def add(self, minute: int, cause: Cause | None) -> None:
+        self._advance(minute)
+        offset = (minute % _RING_MINUTES) * _COUNTERS_PER_MINUTE
         self._counts[offset] += 1
         if cause is not None:
             self._counts[offset + 1 + _CAUSES.index(cause)] += 1
 
-    def series(self, slot: int, minutes: int) -> ServiceSeries:
-        self._advance(slot)
-        offsets = [(index % SLOTS) * _WIDTH for index in range(slot - minutes + 1, slot + 1)]
+    def build_series(self, minute: int, n_minutes: int) -> ServiceSeries:
+        self._advance(minute)
+        offsets = [
+            (index % _RING_MINUTES) * _COUNTERS_PER_MINUTE
+            for index in range(minute - n_minutes + 1, minute + 1)
+        ]
         finished = tuple(self._counts[offset] for offset in offsets)
         bad = {
             cause.value: tuple(self._counts[offset + 1 + index] for offset in offsets)
@@ -99,25 +103,31 @@
         }
         for count, *causes in zip(finished, *bad.values(), strict=True):
             if sum(causes) > count:
-                raise CounterOverflowError(f"{sum(causes)} bad of {count} finished requests")
+                raise InconsistentCountsError(
+                    f"{sum(causes)} bad requests exceed {count} finished requests"
+                )
         return ServiceSeries(
             finished=finished,
             bad={cause: counts for cause, counts in bad.items() if any(counts)},
             latencies=tuple(self.latencies),
         )
 
-    def _advance(self, slot: int) -> None:
-        for stale in range(self._newest + 1, min(slot, self._newest + SLOTS) + 1):
-            offset = (stale % SLOTS) * _WIDTH
-            self._counts[offset : offset + _WIDTH] = array("I", bytes(4 * _WIDTH))
-        self._newest = max(self._newest, slot)
+    def _advance(self, minute: int) -> None:
+        for stale_minute in range(
+            self._newest_minute + 1, min(minute, self._newest_minute + _RING_MINUTES) + 1
+        ):
+            offset = (stale_minute % _RING_MINUTES) * _COUNTERS_PER_MINUTE
+            self._counts[offset : offset + _COUNTERS_PER_MINUTE] = array(
+                "I", bytes(4 * _COUNTERS_PER_MINUTE)
+            )
+        self._newest_minute = max(self._newest_minute, minute)
 
 
 class RequestStats:
     """Outcomes and latencies by service.
 
-    The counters are plain integers: a metrics call on the request path costs more than the
-    decision itself, so metrics are computed from here when they are scraped.
+    The counters are plain integers, from which metrics are computed when they are scraped: a
+    call of the metrics library on the request path costs more than the routing decision itself.
 
     Parameters
     ----------
@@ -128,7 +138,7 @@
     def __init__(self, *, clock: Clock) -> None:
         self.outcomes: Counter[tuple[str, str, str]] = Counter()
         self._clock = clock
-        self._rings: dict[str, _Ring] = {}
+        self._rings: dict[str, _MinuteRing] = {}
 
     def record(
         self,
@@ -148,48 +158,50 @@
         service : str
             Name of the declared service.
         outcome : Outcome
-            What became of the request.
+            How the request ended.
         reason : str
-            Reason of a refusal.
+            Reason of a rejection.
         latency_ms : float
-            Time from arrival to answer.
+            Time from arrival to response.
         waited_ms : float
-            Part of it that was spent waiting for a slot.
+            Part of the latency that was spent waiting for a slot.
         objective_ms : float
             Latency objective of the service.
         slowdown : float, default=1.0
-            Slowdown that was last reported for the runner.
+            Last reported slowdown of the runner; 1 means none.
         """
         if service not in self._rings and len(self._rings) >= _MAX_SERVICES:
-            service = OTHER
+            service = OTHER_SERVICES
         self.outcomes[service, outcome.value, reason] += 1
         if reason in _CALLER_FAULTS:
             return
-        slot = self._slot()
-        ring = self._rings.setdefault(service, _Ring(slot))
+        minute = self._compute_minute()
+        ring = self._rings.setdefault(service, _MinuteRing(minute))
         ring.latencies[bisect.bisect_left(BOUNDS_MS, latency_ms)] += 1
-        late = latency_ms > objective_ms
-        ring.add(slot, _find_cause(outcome, reason, late, latency_ms, waited_ms, slowdown))
+        is_late = latency_ms > objective_ms
+        ring.add(minute, _classify_cause(outcome, reason, is_late, latency_ms, waited_ms, slowdown))
 
     def latencies(self) -> dict[str, list[int]]:
-        """Return the latency histogram of each service since the start."""
+        """Return the latency histogram of each service since the daemon started."""
         return {service: ring.latencies for service, ring in self._rings.items()}
 
-    def snapshot(self, *, minutes: int = SLOTS) -> StatsSnapshot:
-        """Return the newest minutes of all services."""
-        slot = self._slot()
+    def snapshot(self, *, minutes: int = _RING_MINUTES) -> StatsSnapshot:
+        """Return the counts of the most recent minutes of all services."""
+        minute = self._compute_minute()
         return StatsSnapshot(
-            services={service: ring.series(slot, minutes) for service, ring in self._rings.items()}
+            services={
+                service: ring.build_series(minute, minutes) for service, ring in self._rings.items()
+            }
         )
 
-    def _slot(self) -> int:
-        return int(self._clock.now_ms() // SLOT_MS)
+    def _compute_minute(self) -> int:
+        return int(self._clock.now_ms() // _MINUTE_MS)
 
 
-def _find_cause(
+def _classify_cause(
     outcome: Outcome,
     reason: str,
-    late: bool,
+    is_late: bool,
     latency_ms: float,
     waited_ms: float,
     slowdown: float,
@@ -200,9 +212,9 @@
         return Cause.FAILED
     if outcome is Outcome.UNKNOWN:
         return Cause.UNKNOWN
-    if not late:
+    if not is_late:
         return None
     if waited_ms > latency_ms / 2:
         return Cause.QUEUEING
-    # Below a fifth the slowdown explains too little of a missed objective.
+    # A slowdown of less than 20 % explains too little of a missed objective.
     return Cause.INTERFERENCE if slowdown > 1.2 else Cause.SLOW_RUNNER
