Reword logs, clock and exceptions

Doc comments said that nobody is told, that a clock moves when told to and which share is assumed. They now describe rate limits, buffers, clock drift and invariants in the usual terms.

--- a/coltsfootpier/clock/_clock.py
+++ b/coltsfootpier/clock/_clock.py
@@ -1,18 +1,18 @@
-"""The project's clock type and its two implementations."""
+"""Clock protocol with a monotonic and a virtual implementation."""
 
 from __future__ import annotations
 
 import time
 from typing import Protocol
 
-# Share by which the rates of the clocks of two VMs are assumed to differ at most.
+# Maximum relative difference between the clock rates of two VMs.
 CLOCK_DRIFT = 0.1
 
 
 class Clock(Protocol):
     """Source of monotonic time.
 
-    Values of different processes can't be compared with each other.
+    Values from different processes are not comparable.
     """
 
     def now_ms(self) -> float:
@@ -21,7 +21,7 @@
 
 
 class MonotonicClock:
-    """Clock of the operating system.
+    """Monotonic clock of the operating system.
 
     Examples
     --------
@@ -36,7 +36,7 @@
 
 
 class VirtualClock:
-    """Clock that moves only when told to; used in randomised runs and tests.
+    """Clock that only moves when it is advanced, for tests and randomised simulations.
 
     Parameters
     ----------
@@ -59,12 +59,12 @@
         return self._now_ms
 
     def advance(self, duration_ms: float) -> None:
-        """Move the clock forward.
+        """Advance the clock.
 
         Parameters
         ----------
         duration_ms : float
-            Milliseconds to move; must not be negative.
+            Time to advance in milliseconds; must not be negative.
 
         Raises
         ------
--- a/coltsfootpier/exceptions.py
+++ b/coltsfootpier/exceptions.py
@@ -1,8 +1,8 @@
-"""Base types of the project's failures.
+"""Base exception types, and the type of problems in input.
 
-Failures that a caller is expected to handle are values: they are returned inside
-``returns.result.Failure``. Exceptions are kept for broken invariants and for input that
-makes it impossible to go on.
+Failures that calling code is expected to handle are returned as values inside
+``returns.result.Failure``. Exceptions are reserved for broken invariants and for input with
+which the process can't continue.
 """
 
 from __future__ import annotations
@@ -15,29 +15,29 @@
 
 
 class InvariantError(ColtsfootpierError):
-    """Base class of broken invariants.
+    """Base class of exceptions for broken invariants.
 
-    A broken invariant is a fault of the program. The daemon logs it with the values
-    involved and stops, so that it does not act on a wrong state.
+    A broken invariant is a bug. The daemon logs it with the values involved and stops, so that
+    it doesn't act on inconsistent state.
     """
 
 
 @attrs.frozen(kw_only=True)
 class Problem:
-    """One fault in an input that people write.
+    """One problem in input that people write.
 
     Parameters
     ----------
     source : str
         File name, or the name of the input.
     section : str
-        Section of the input; empty when the fault concerns the whole.
+        Section of the input; empty if the problem concerns the input as a whole.
     key : str
-        Key within the section; empty when the fault concerns the section.
+        Key within the section; empty if the problem concerns the section.
     found : str
-        The value found.
+        Value that was found.
     allowed : str
-        What is allowed instead.
+        Description of what is allowed instead.
 
     Examples
     --------
@@ -58,7 +58,7 @@
 
 
 class InputError(ColtsfootpierError):
-    """An input was refused; holds every problem that was found in it.
+    """Rejected input, with every problem that was found in it.
 
     Parameters
     ----------
--- a/coltsfootpier/logs/_bounded.py
+++ b/coltsfootpier/logs/_bounded.py
@@ -1,4 +1,4 @@
-"""A stream for log lines that never blocks and has a bounded volume."""
+"""Non-blocking writer for log lines with a bounded volume."""
 
 from __future__ import annotations
 
@@ -8,68 +8,72 @@
 
 from coltsfootpier.clock import Clock
 
-# Lines of one event in a second; the heaviest event of a flood has about 200.
-_LINES_PER_SECOND = 400
-# Bytes that wait for a reader who is slow; later lines are dropped.
-_BUFFER_BYTES = 262_144
-_PERIOD_MS = 1_000.0
+# Limit for each event; the most frequent event has about 200 lines per second under overload.
+_MAX_LINES_PER_SECOND = 400
+# Bytes buffered for a slow reader; above this, further lines are dropped.
+_MAX_BUFFER_BYTES = 262_144
+_RATE_PERIOD_MS = 1_000.0
 
 
 class BoundedWriter:
-    """Writes lines to a file descriptor without waiting for its reader.
+    """Writer of log lines that doesn't wait for the reader of its file descriptor.
 
-    Lines beyond a rate for each event, and lines for which the reader has no room, are dropped
-    and counted; a line with the counts follows once there is room.
+    Lines above the rate limit of their event, and lines that exceed the buffer because the
+    reader is slow, are dropped and counted. A line with the counts is written once the buffer
+    has space again.
 
     Parameters
     ----------
     descriptor : int
-        File descriptor; it is set to non-blocking.
+        File descriptor, which is switched to non-blocking mode.
     clock : Clock
         Time source.
     lines_per_second : int
-        Lines of one event in a second.
+        Maximum number of lines per second for each event.
     """
 
     def __init__(
-        self, *, descriptor: int, clock: Clock, lines_per_second: int = _LINES_PER_SECOND
+        self, *, descriptor: int, clock: Clock, lines_per_second: int = _MAX_LINES_PER_SECOND
     ) -> None:
         self._descriptor = descriptor
         self._clock = clock
-        self._limit = lines_per_second
-        self._begin_ms = clock.now_ms()
-        self._counts: Counter[str] = Counter()
+        self._lines_per_second = lines_per_second
+        self._period_start_ms = clock.now_ms()
+        self._lines_in_period: Counter[str] = Counter()
         self._buffer = bytearray()
         self.dropped: Counter[str] = Counter()
-        # A descriptor that can't be set, such as a closed one, fails at the first write.
+        # An unusable descriptor, such as a closed one, fails at the first write instead.
         with contextlib.suppress(OSError):
             os.set_blocking(descriptor, False)
 
     def write(self, event: str, line: str) -> None:
-        """Write one line without its end, or drop it.
+        """Write one line, or drop it if a limit is exceeded.
 
         Parameters
         ----------
         event : str
-            Name of the event, for the limit.
+            Name of the event; the rate limit applies to each event separately.
         line : str
-            The line.
+            Line without a line end.
         """
         self.flush()
         now_ms = self._clock.now_ms()
-        if now_ms - self._begin_ms >= _PERIOD_MS:
-            self._begin_ms = now_ms
-            self._counts.clear()
-            self._report_dropped()
-        self._counts[event] += 1
-        if self._counts[event] > self._limit or len(self._buffer) > _BUFFER_BYTES:
+        if now_ms - self._period_start_ms >= _RATE_PERIOD_MS:
+            self._period_start_ms = now_ms
+            self._lines_in_period.clear()
+            self._append_dropped_counts()
+        self._lines_in_period[event] += 1
+        if (
+            self._lines_in_period[event] > self._lines_per_second
+            or len(self._buffer) > _MAX_BUFFER_BYTES
+        ):
             self.dropped[event] += 1
             return
         self._buffer += line.encode("utf-8", "replace") + b"\n"
         self.flush()
 
     def flush(self) -> None:
-        """Pass on what the reader has room for."""
+        """Write buffered bytes until none are left or the descriptor would block."""
         try:
             while self._buffer:
                 written = os.write(self._descriptor, self._buffer)
@@ -77,12 +81,12 @@
         except BlockingIOError:
             return
         except OSError:
-            # The reader is gone; there is nobody to tell.
+            # The reader is gone, so the failure can't be logged.
             self.dropped["closed"] += 1
             self._buffer.clear()
 
-    def _report_dropped(self) -> None:
-        if self.dropped and len(self._buffer) <= _BUFFER_BYTES:
+    def _append_dropped_counts(self) -> None:
+        if self.dropped and len(self._buffer) <= _MAX_BUFFER_BYTES:
             counts = ",".join(f"{event}:{count}" for event, count in sorted(self.dropped.items()))
             self._buffer += f'event="lines dropped" counts="{counts}"\n'.encode()
             self.dropped.clear()
--- a/coltsfootpier/logs/_keyvalue.py
+++ b/coltsfootpier/logs/_keyvalue.py
@@ -1,4 +1,4 @@
-"""An eliot destination that writes key=value lines, and the parser that reads them back."""
+"""Eliot destination that writes key=value lines, and a parser for these lines."""
 
 from __future__ import annotations
 
@@ -12,12 +12,13 @@
 
 from coltsfootpier.logs._bounded import BoundedWriter
 
-# Values made of these characters need no quotes; everything else is written as a JSON string.
-_PLAIN = re.compile(r"^[A-Za-z0-9_./:@%+-]+$")
-_PAIR = re.compile(r'([A-Za-z_][A-Za-z0-9_]*)=("(?:[^"\\]|\\.)*"|[^\s"]+)')
+# Values of only these characters are written unquoted, all others as JSON strings.
+_UNQUOTED_VALUE = re.compile(r"^[A-Za-z0-9_./:@%+-]+$")
+_KEY_VALUE_PAIR = re.compile(r'([A-Za-z_][A-Za-z0-9_]*)=("(?:[^"\\]|\\.)*"|[^\s"]+)')
 
-# Bookkeeping fields of eliot that carry no information in a log of single events.
-_OMITTED = frozenset({"task_uuid", "task_level", "message_type", "timestamp"})
+# Internal fields of eliot. Task identifiers carry no information in a log of single events;
+# message type and timestamp are written as event and time.
+_OMITTED_FIELDS = frozenset({"task_uuid", "task_level", "message_type", "timestamp"})
 
 
 def _format_value(value: object) -> str:
@@ -26,7 +27,7 @@
     if isinstance(value, float):
         return f"{value:.3f}"
     text = value if isinstance(value, str) else json.dumps(value, default=str)
-    return text if _PLAIN.match(text) else json.dumps(text)
+    return text if _UNQUOTED_VALUE.match(text) else json.dumps(text)
 
 
 def format_event(fields: Mapping[str, object]) -> str:
@@ -51,17 +52,17 @@
 
 
 def parse_line(line: str) -> dict[str, str]:
-    """Read back a line that `format_event` wrote.
+    """Parse a line that `format_event` wrote.
 
     Parameters
     ----------
     line : str
-        One line.
+        Line without a line end.
 
     Returns
     -------
     dict of str to str
-        The fields in order, values as text.
+        Fields in their order in the line, with values as text.
 
     Examples
     --------
@@ -70,7 +71,7 @@
     """
     return {
         key: json.loads(value) if value.startswith('"') else value
-        for key, value in _PAIR.findall(line)
+        for key, value in _KEY_VALUE_PAIR.findall(line)
     }
 
 
@@ -86,7 +87,7 @@
             "event": event,
             **self._identity,
         }
-        fields.update({key: value for key, value in message.items() if key not in _OMITTED})
+        fields.update({key: value for key, value in message.items() if key not in _OMITTED_FIELDS})
         self._write(event, format_event(fields))
 
 
@@ -96,22 +97,22 @@
     writer: BoundedWriter | None = None,
     identity: Mapping[str, str] | None = None,
 ) -> None:
-    """Send the events of this process to a stream.
+    """Write the events of this process to a stream or a writer.
 
     Parameters
     ----------
     stream : file object, default=sys.stderr
-        Where lines are written, if there is no `writer`.
+        Destination of the lines if `writer` is not given.
     writer : BoundedWriter, optional
-        Where lines are written without waiting.
+        Non-blocking destination of the lines.
     identity : Mapping of str to str, optional
         Fields added to each line, such as the daemon's name.
     """
-    target = stream or sys.stderr
+    output = stream or sys.stderr
 
     def write(_: str, line: str) -> None:
-        target.write(line + "\n")
-        target.flush()
+        output.write(line + "\n")
+        output.flush()
 
     write_line = writer.write if writer is not None else write
     eliot.add_destinations(_Destination(write_line, identity or {}))
@@ -123,8 +124,8 @@
     Parameters
     ----------
     event : str
-        Name of the event in plain words.
+        Human-readable name of the event.
     **fields : object
-        Values that belong to it; units are part of the names.
+        Fields of the event; units are part of the field names.
     """
     eliot.log_message(event, **fields)
