Reword the process tests, builders and test runner

Doc comments and names described tests figuratively: rubbish, texts, answers that are cut or whole, an owner that stands still. They now name the failure that each test guards against in plain terms. The order of the tests that share a cluster is kept where a result depends on it (peak memory, outages).

--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests that span several packages, the shared builders and the test runner."""
+"""Tests that span several packages, shared test builders and the test runner."""
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,4 +1,4 @@
-"""Builders of test data: complete objects with sensible values, changed by keyword."""
+"""Builders of test data: complete objects with defaults that keywords override."""
 
 from __future__ import annotations
 
@@ -45,11 +45,11 @@
 
 
 def build_declaration(text: str = TEXT) -> Declaration:
-    """Parse a text that must be valid."""
+    """Parse a declaration that must be valid."""
     return parse(text).unwrap()
 
 
-def build_spec(name: str = "job/load/0", **changes: Any) -> TaskSpec:
+def build_spec(name: str = "job/load/0", **overrides: Any) -> TaskSpec:
     """Build the specification of a batch task."""
     spec = TaskSpec(
         name=name,
@@ -62,37 +62,37 @@
         checkpointing=True,
         digest="d1",
     )
-    return attrs.evolve(spec, **changes)
+    return attrs.evolve(spec, **overrides)
 
 
-def build_service_spec(name: str = "service/web/0", **changes: Any) -> TaskSpec:
+def build_service_spec(name: str = "service/web/0", **overrides: Any) -> TaskSpec:
     """Build the specification of a runner."""
-    return build_spec(name, **{"kind": "service", "slots": 8, "connections": 64, **changes})
+    return build_spec(name, **{"kind": "service", "slots": 8, "connections": 64, **overrides})
 
 
-def build_vm(name: str = "w1", **changes: Any) -> Vm:
-    """Build an entry of the list of VMs."""
+def build_vm(name: str = "w1", **overrides: Any) -> Vm:
+    """Build a live worker VM as listed by the platform."""
     vm = Vm(name=name, state="live", availability_zone="z1", rack="r1", address="127.0.0.1:1")
-    return attrs.evolve(vm, **changes)
+    return attrs.evolve(vm, **overrides)
 
 
 def build_reply(
-    worker: str = "w1", tasks: tuple[TaskReport, ...] = (), **changes: Any
+    worker: str = "w1", tasks: tuple[TaskReport, ...] = (), **overrides: Any
 ) -> SyncReply:
-    """Build a worker's report: 16 cores, 60 GB."""
+    """Build the sync reply of a worker with 16 cores and 60 GB of memory."""
     reply = SyncReply(
         worker=worker, incarnation="i1", now_ms=0.0, cores=16.0, memory_mb=60_000, tasks=tasks
     )
-    return attrs.evolve(reply, **changes)
+    return attrs.evolve(reply, **overrides)
 
 
-def build_report(task: str, attempt: int = 1, **changes: Any) -> TaskReport:
-    """Build a worker's report on a running attempt."""
-    return attrs.evolve(TaskReport(task=task, attempt=attempt, state="running"), **changes)
+def build_report(task: str, attempt: int = 1, **overrides: Any) -> TaskReport:
+    """Build the report of a worker on a running attempt."""
+    return attrs.evolve(TaskReport(task=task, attempt=attempt, state="running"), **overrides)
 
 
-def build_shard(clock: VirtualClock, **changes: Any) -> ShardState:
-    """Build a shard owner with a fenced empty record and one worker that has reported."""
+def build_shard(clock: VirtualClock, **overrides: Any) -> ShardState:
+    """Build the state of a shard owner with an empty fenced record and one reporting worker."""
     options = {
         "shard": "r1",
         "epoch": 1,
@@ -100,7 +100,7 @@
         "clock": clock,
         "worker_lease_ms": 20_000.0,
         "hold_over_ms": 1_800_000.0,
-        **changes,
+        **overrides,
     }
     shard = ShardState(**options)
     shard.load()
@@ -112,32 +112,32 @@
 
 
 def commit(record: VersionedRecord, version: int | None = None) -> None:
-    """Carry out the next write of a record, as a store that is up would."""
+    """Confirm the next write of a record, as an available store would."""
     write = record.begin_write()
     if write is not None:
         record.confirm(version or write.expected_version + 1)
 
 
-def build_assignment(spec: TaskSpec, attempt: int = 1, **changes: Any) -> Assignment:
-    """Build an assignment of one attempt."""
-    return attrs.evolve(Assignment(task=spec.name, attempt=attempt, spec=spec), **changes)
+def build_assignment(spec: TaskSpec, attempt: int = 1, **overrides: Any) -> Assignment:
+    """Build the assignment of one attempt."""
+    return attrs.evolve(Assignment(task=spec.name, attempt=attempt, spec=spec), **overrides)
 
 
-def build_exchange(sequence: int, **changes: Any) -> ExchangeRequest:
-    """Build a step of the exchange with shard r1 at epoch 1."""
+def build_exchange(sequence: int, **overrides: Any) -> ExchangeRequest:
+    """Build an exchange request to shard r1 at epoch 1."""
     request = ExchangeRequest(shard="r1", shard_epoch=1, dispatch_epoch=1, sequence=sequence)
-    return attrs.evolve(request, **changes)
+    return attrs.evolve(request, **overrides)
 
 
 def kinds(request: SyncRequest) -> list[tuple[str, str, int]]:
-    """Return kind, task and attempt of each command."""
+    """Return the kind, task and attempt of each command."""
     return [(command.kind, command.task, command.attempt) for command in request.commands]
 
 
-def build_runner(id_: str = "service/web/0#1", **changes: Any) -> Runner:
+def build_runner(runner_id: str = "service/web/0#1", **overrides: Any) -> Runner:
     """Build a runner of service web."""
     runner = Runner(
-        id=id_,
+        id=runner_id,
         service="web",
         address="127.0.0.1:1",
         availability_zone="z1",
@@ -145,12 +145,12 @@
         slots=2,
         connections=64,
     )
-    return attrs.evolve(runner, **changes)
+    return attrs.evolve(runner, **overrides)
 
 
-def build_ticket(clock: VirtualClock, **changes: Any) -> Ticket:
-    """Build a request that has a second."""
+def build_ticket(clock: VirtualClock, **overrides: Any) -> Ticket:
+    """Build a request with a deadline in one second."""
     now_ms = clock.now_ms()
     return Ticket(
-        **{"service": "web", "deadline_ms": now_ms + 1_000.0, "arrived_ms": now_ms, **changes}
+        **{"service": "web", "deadline_ms": now_ms + 1_000.0, "arrived_ms": now_ms, **overrides}
     )
--- a/tests/clusters.py
+++ b/tests/clusters.py
@@ -1,4 +1,4 @@
-"""A cluster of processes shared by the tests of a class."""
+"""Test case base class with a cluster of processes for all tests of a class."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 idempotent = no
 """
 
-JOB = """
+JOB_SECTION = """
 [job {name}]
 team = a
 cores = 1
@@ -41,15 +41,18 @@
 
 
 def run_async(test: Callable[[], Awaitable[None]]) -> None:
-    """Run an async test."""
+    """Run an async test function to completion."""
     anyio.run(test, backend_options={"use_uvloop": True})
 
 
 class ClusterTestCase(unittest.TestCase):
-    """Starts a cluster once for all tests of a class; a failed test shows the logs' ends."""
+    """Base class that starts one cluster for all tests of a class.
+
+    The error of a daemon that doesn't start contains the end of its log.
+    """
 
     cluster: ClassVar[Cluster]
-    zones: ClassVar[tuple[str, ...]] = ("zone-a",)
+    availability_zones: ClassVar[tuple[str, ...]] = ("zone-a",)
     daemons: ClassVar[int] = 1
     workers: ClassVar[int] = 1
     runners: ClassVar[int] = 2
@@ -57,7 +60,7 @@
 
     @classmethod
     def setUpClass(cls) -> None:
-        cls.cluster = Cluster(zones=cls.zones, settings=cls.settings)
+        cls.cluster = Cluster(zones=cls.availability_zones, settings=cls.settings)
         try:
             run_async(cls._start)
         except BaseException:
@@ -68,14 +71,18 @@
     async def _start(cls) -> None:
         cluster = cls.cluster
         cluster.start_platform()
-        zones = [cls.zones[index % len(cls.zones)] for index in range(10)]
+        availability_zones = [
+            cls.availability_zones[index % len(cls.availability_zones)] for index in range(10)
+        ]
         async with anyio.create_task_group() as group:
             for index in range(cls.workers):
-                group.start_soon(cluster.start_worker, f"worker-{index}", zones[index])
-        await cluster.start_daemons({f"entry-{n}": zones[n] for n in range(cls.daemons)})
+                group.start_soon(cluster.start_worker, f"worker-{index}", availability_zones[index])
+        await cluster.start_daemons(
+            {f"entry-{n}": availability_zones[n] for n in range(cls.daemons)}
+        )
         await cluster.wait_ready()
         if cls.runners:
-            await cls.put_in_force(TEXT.format(runners=cls.runners))
+            await cls.apply_declaration(TEXT.format(runners=cls.runners))
             await cls.wait_for_runners(cls.runners)
 
     @classmethod
@@ -83,8 +90,8 @@
         cls.cluster.stop()
 
     @classmethod
-    async def put_in_force(cls, text: str, daemon: str = "entry-0") -> None:
-        """Apply a text on top of the revision in force."""
+    async def apply_declaration(cls, text: str, daemon: str = "entry-0") -> None:
+        """Apply a declaration on top of the revision in force."""
         operators = cls.cluster.daemons[daemon].ports["operators"]
         path = cls.cluster.folder / "applied.ini"
         path.write_text(text)
@@ -96,29 +103,29 @@
 
     @classmethod
     async def wait_for_runners(cls, count: int, daemon: str = "entry-0") -> None:
-        """Wait until a daemon knows so many runners and all of them run."""
+        """Wait until a daemon knows exactly `count` runners and all of them run."""
 
-        async def known() -> bool:
-            return await cls.read_gauge(daemon, "known_runners") == count
+        async def has_count() -> bool:
+            return await cls.read_metric(daemon, "known_runners") == count
 
-        await wait_for(known, timeout_s=20)
+        await wait_for(has_count, timeout_s=20)
 
     @classmethod
-    async def read_gauge(cls, daemon: str, name: str) -> float:
-        """Read one metric of a daemon; -1 when it doesn't answer."""
-        answer = await call(cls.cluster.daemons[daemon].ports["operators"], "GET", "/metrics")
-        if answer is None:
+    async def read_metric(cls, daemon: str, name: str) -> float:
+        """Read one metric of a daemon; -1 if it is missing or the daemon doesn't respond."""
+        response = await call(cls.cluster.daemons[daemon].ports["operators"], "GET", "/metrics")
+        if response is None:
             return -1.0
-        for line in answer.body.decode().splitlines():
+        for line in response.body.decode().splitlines():
             if line.startswith(f"coltsfootpier_{name}"):
                 return float(line.split()[-1])
         return -1.0
 
     def read_log(self, daemon: str) -> str:
-        """Return what a daemon has logged."""
+        """Return the log of a daemon."""
         return self.cluster.daemons[daemon].log.read_text()
 
-    def assert_unharmed(self, daemon: str) -> None:
-        """Check that a daemon lives and logged no traceback."""
+    def assert_healthy(self, daemon: str) -> None:
+        """Check that a daemon still runs and has logged no traceback."""
         self.assertIsNone(self.cluster.daemons[daemon].handle.poll())
         self.assertNotIn("Traceback", self.read_log(daemon))
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,4 +1,4 @@
-"""Test runner: discovers every test of the repository and prints a closing count."""
+"""Test runner that runs all tests of the repository and prints how many passed and failed."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 def list_known_failures() -> set[str]:
-    """Read the test identifiers that KNOWN-RED.txt names.
+    """Read the identifiers of known failing tests from KNOWN-RED.txt.
 
     Returns
     -------
@@ -33,13 +33,13 @@
     return {line.removeprefix(prefix).strip() for line in lines if line.startswith(prefix)}
 
 
-def select_tests(suite: unittest.TestSuite, known: set[str]) -> unittest.TestSuite:
-    """Return the tests of `suite` without those in `known`, which are printed."""
+def select_tests(suite: unittest.TestSuite, known_failures: set[str]) -> unittest.TestSuite:
+    """Return `suite` without the tests in `known_failures`, which are printed."""
     selected = unittest.TestSuite()
     for test in suite:
         if isinstance(test, unittest.TestSuite):
-            selected.addTest(select_tests(test, known))
-        elif test.id() in known:
+            selected.addTest(select_tests(test, known_failures))
+        elif test.id() in known_failures:
             print(f"known failure, not run: {test.id()}")
         else:
             selected.addTest(test)
@@ -47,7 +47,7 @@
 
 
 def load_doctests() -> unittest.TestSuite:
-    """Collect the examples of all docstrings of the product."""
+    """Collect the doctests of all modules of the product."""
     suite = unittest.TestSuite()
     for module in pkgutil.walk_packages(coltsfootpier.__path__, "coltsfootpier."):
         if module.name.endswith("__main__") or ".tests" in module.name:
@@ -57,9 +57,9 @@
 
 
 def main() -> int:
-    """Run the tests and return the exit code."""
+    """Run all tests and return the exit code."""
     os.chdir(ROOT)
-    # The same examples each time, so that two runs of CI give the same verdict.
+    # Generate the same examples in every run, so that CI results are reproducible.
     hypothesis.settings.register_profile("ci", derandomize=True, deadline=None, database=None)
     hypothesis.settings.load_profile("ci")
     loader = unittest.TestLoader()
--- a/tests/test_processes_failures.py
+++ b/tests/test_processes_failures.py
@@ -1,4 +1,4 @@
-"""Failures of real processes and of the paths between them."""
+"""Process tests of failing processes and of failing connections between them."""
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 from coltsfootpier.transport import Connection
 from standins.cluster import call, is_ready, read_store, wait_for
 from standins.relay import Relay
-from tests.clusters import JOB, TEXT, ClusterTestCase, run_async
+from tests.clusters import JOB_SECTION, TEXT, ClusterTestCase, run_async
 
-_PERIODS = {
+_SHORT_PERIODS = {
     "member_lease_ms": 3_000,
     "member_renew_ms": 500,
     "heartbeat_ms": 300,
@@ -27,15 +27,15 @@
 
 
 class ProcessFailureTest(ClusterTestCase):
-    """Three daemons, one behind a relay, and two workers, with short periods.
+    """Failures of a cluster with short periods: two workers and four daemons, one behind a relay.
 
-    All tests share the cluster; each leaves it as it found it.
+    All tests share the cluster; each test restores it.
     """
 
-    zones = ("zone-a", "zone-b")
+    availability_zones = ("zone-a", "zone-b")
     daemons = 3
     workers = 2
-    settings = {"periods": _PERIODS}
+    settings = {"periods": _SHORT_PERIODS}
 
     @classmethod
     async def _start(cls) -> None:
@@ -49,7 +49,7 @@
         run_async(self._reset)
 
     async def _reset(self) -> None:
-        # A test that failed may have left daemons stopped; the others don't pay for it.
+        # A failed test may leave daemons stopped, which must not fail the following tests.
         for name, daemon in list(self.cluster.daemons.items()):
             daemon.signal(signal.SIGCONT)
             if name in ("entry-s", "entry-u"):
@@ -71,26 +71,26 @@
         for daemon in self.cluster.daemons:
             await self.wait_for_runners(2, daemon)
 
-    async def _revisions(self) -> dict[str, int]:
-        found = {}
+    async def _read_revisions(self) -> dict[str, int]:
+        revisions = {}
         for name, daemon in self.cluster.daemons.items():
             if daemon.handle.poll() is None:
-                answer = await call(daemon.ports["operators"], "GET", "/v1/config")
-                found[name] = answer.json().get("revision", 0) if answer else -1
-        return found
+                response = await call(daemon.ports["operators"], "GET", "/v1/config")
+                revisions[name] = response.json().get("revision", 0) if response else -1
+        return revisions
 
     async def _wait_for_revision(self, revision: int, timeout_s: float = 15) -> float:
-        async def everywhere() -> bool:
-            return set((await self._revisions()).values()) == {revision}
+        async def is_everywhere() -> bool:
+            return set((await self._read_revisions()).values()) == {revision}
 
-        return await wait_for(everywhere, timeout_s=timeout_s)
+        return await wait_for(is_everywhere, timeout_s=timeout_s)
 
     async def _apply(self, daemon: str, text: str, base: int) -> dict[str, Any]:
         body = orjson.dumps({"text": text, "base": base, "token": f"{daemon}-{time.monotonic()}"})
         port = self.cluster.daemons[daemon].ports["operators"]
         return (await call(port, "POST", "/v1/apply", body=body, timeout_ms=20_000)).json()
 
-    async def _runs(self) -> dict[str, Counter]:
+    async def _read_runs(self) -> dict[str, Counter]:
         totals = {"requests": Counter(), "started": Counter(), "finished": Counter()}
         for worker in self.cluster.workers.values():
             if worker.handle.poll() is None:
@@ -99,41 +99,41 @@
                     counter.update(runs[kind])
         return totals
 
-    async def _send(self, daemon: str, kind: str, id_: str, **options: Any) -> str:
-        """Make one request and return its outcome; empty when the connection broke."""
-        answer = await call(
+    async def _send_request(self, daemon: str, kind: str, request_id: str, **options: Any) -> str:
+        """Send one request and return its outcome; empty if the connection broke."""
+        response = await call(
             self.cluster.daemons[daemon].ports["callers"],
             "POST",
             f"/services/web/{kind}",
-            headers={"X-Request-Id": id_, "Idempotency-Key": id_},
+            headers={"X-Request-Id": request_id, "Idempotency-Key": request_id},
             **options,
         )
-        return answer.headers.get("x-outcome", "") if answer else ""
+        return response.headers.get("x-outcome", "") if response else ""
 
-    async def _task_states(self, prefix: str, daemon: str = "entry-0") -> list[dict[str, Any]]:
+    async def _list_tasks(self, prefix: str, daemon: str = "entry-0") -> list[dict[str, Any]]:
         status = await self.cluster.status(daemon)
         return [task for task in status.get("tasks", ()) if task["task"].startswith(prefix)]
 
     async def _wait_for_jobs(self, prefix: str, count: int) -> None:
-        async def done() -> bool:
-            states = await self._task_states(prefix)
-            return [task["state"] for task in states] == ["done"] * count
+        async def all_done() -> bool:
+            tasks = await self._list_tasks(prefix)
+            return [task["state"] for task in tasks] == ["done"] * count
 
-        await wait_for(done, timeout_s=40)
+        await wait_for(all_done, timeout_s=40)
 
-    def test_two_operators_race(self) -> None:
-        """Guards against two accepted changes, or daemons that stay on the one that lost."""
+    def test_two_operators_apply_concurrently(self) -> None:
+        """Guards against accepting both of two concurrent changes, or keeping the rejected one."""
 
         async def test() -> None:
-            base = max((await self._revisions()).values())
+            base = max((await self._read_revisions()).values())
             replies: list[dict[str, Any]] = []
 
-            async def change(daemon: str, runners: int) -> None:
+            async def apply_change(daemon: str, runners: int) -> None:
                 replies.append(await self._apply(daemon, TEXT.format(runners=runners), base))
 
             async with anyio.create_task_group() as group:
-                group.start_soon(change, "entry-0", 2)
-                group.start_soon(change, "entry-1", 3)
+                group.start_soon(apply_change, "entry-0", 2)
+                group.start_soon(apply_change, "entry-1", 3)
             self.assertEqual(
                 sorted((reply["outcome"], reply["revision"]) for reply in replies),
                 [("accepted", base + 1), ("conflict", base + 1)],
@@ -147,28 +147,28 @@
 
         run_async(test)
 
-    def test_lost_answers(self) -> None:
-        """Guards against an unknown or doubled change when the answer of a write is lost."""
+    def test_lost_platform_responses(self) -> None:
+        """Guards against an unknown or repeated change when the response to a write is lost."""
 
         async def test() -> None:
-            base = max((await self._revisions()).values())
-            text = TEXT.format(runners=2) + JOB.format(name="lost", run_time_s=1, count=3)
+            base = max((await self._read_revisions()).values())
+            text = TEXT.format(runners=2) + JOB_SECTION.format(name="lost", run_time_s=1, count=3)
             await self.cluster.set_faults(self.cluster.platform, lose_answers=6)
             reply = await self._apply("entry-2", text, base)
             self.assertEqual((reply["outcome"], reply["revision"]), ("accepted", base + 1))
             await self.cluster.set_faults(self.cluster.platform, lose_answers=6)
             await self._wait_for_jobs("job/lost/", 3)
-            runs = await self._runs()
+            runs = await self._read_runs()
             finished = [count for task, count in runs["finished"].items() if "lost" in task]
             self.assertEqual(finished, [1, 1, 1])
 
         run_async(test)
 
-    def test_silent_connections_to_the_platform(self) -> None:
-        """Guards against a lost lease, and a late change, when connections fall silent."""
+    def test_silent_platform_connections(self) -> None:
+        """Guards against a lost lease or a delayed change when connections go silent."""
 
         async def test() -> None:
-            base = max((await self._revisions()).values())
+            base = max((await self._read_revisions()).values())
             lost_before = self.read_log("entry-r").count("lease lost")
             self.relay.silence()
             reply = await self._apply("entry-0", TEXT.format(runners=2) + "\n", base)
@@ -178,45 +178,51 @@
             self.assertLess(waited_s, 4)
             await anyio.sleep(3)
             self.assertEqual(self.read_log("entry-r").count("lease lost"), lost_before)
-            self.assert_unharmed("entry-r")
+            self.assert_healthy("entry-r")
 
         run_async(test)
 
-    def test_store_down_for_longer_than_the_leases(self) -> None:
-        """Guards against tasks that stop or start twice, and a stampede, after an outage.
+    def test_store_outage_longer_than_leases(self) -> None:
+        """Guards against stopped or repeated tasks, and a burst of store calls, after an outage.
 
-        Also against a daemon that is started meanwhile and never becomes ready although its
-        seeds answer, or becomes ready without any configuration.
+        Also against a daemon that is started during the outage and never becomes ready although
+        its seeds respond, or becomes ready without a configuration.
         """
 
         async def test() -> None:
-            revision = max((await self._revisions()).values())
-            before = await self._runs()
-            owners = await self._read_owners()
+            revision = max((await self._read_revisions()).values())
+            before = await self._read_runs()
+            epochs_before = await self._read_owner_epochs()
             await self.cluster.set_faults(self.cluster.platform, outage=True)
             await anyio.sleep(3.5)
             for daemon in ("entry-0", "entry-1", "entry-2"):
-                self.assertEqual(await self._send(daemon, "read", f"outage-{daemon}"), "done")
-            await self._check_started_in_outage(revision)
+                self.assertEqual(
+                    await self._send_request(daemon, "read", f"outage-{daemon}"), "done"
+                )
+            await self._check_daemons_started_in_outage(revision)
             await anyio.sleep(0.5)
-            self.assertEqual((await self._runs())["started"], before["started"])
+            self.assertEqual((await self._read_runs())["started"], before["started"])
             calls_before = await self._count_calls()
             await self.cluster.set_faults(self.cluster.platform)
             await anyio.sleep(5)
-            made = await self._count_calls() - calls_before
-            raised = [new - owners[name] for name, new in (await self._read_owners()).items()]
-            print(f"changes of owner after the outage: {sum(raised)}, at most {max(raised)} each")
-            print(f"calls of 6 daemons in the 5 s after the outage: {made}")
-            self.assertLess(made, 400)
-            text = TEXT.format(runners=2) + JOB.format(name="after", run_time_s=1, count=2)
-            await self.put_in_force(text)
+            calls_made = await self._count_calls() - calls_before
+            changes = [
+                new - epochs_before[name] for name, new in (await self._read_owner_epochs()).items()
+            ]
+            print(f"changes of owner after the outage: {sum(changes)}, at most {max(changes)} each")
+            print(f"calls of 6 daemons in the 5 s after the outage: {calls_made}")
+            self.assertLess(calls_made, 400)
+            text = TEXT.format(runners=2) + JOB_SECTION.format(name="after", run_time_s=1, count=2)
+            await self.apply_declaration(text)
             await self._wait_for_jobs("job/after/", 2)
-            runs = await self._runs()
-            services = {task: n for task, n in runs["started"].items() if "service" in task}
-            expected = {task: n for task, n in before["started"].items() if "service" in task}
-            self.assertEqual(services, expected)
+            runs = await self._read_runs()
+            service_starts = {task: n for task, n in runs["started"].items() if "service" in task}
+            expected_starts = {
+                task: n for task, n in before["started"].items() if "service" in task
+            }
+            self.assertEqual(service_starts, expected_starts)
             for daemon in self.cluster.daemons:
-                self.assert_unharmed(daemon)
+                self.assert_healthy(daemon)
             for name in ("entry-s", "entry-u"):
                 stopped = self.cluster.daemons.pop(name)
                 stopped.signal(signal.SIGTERM)
@@ -224,46 +230,48 @@
 
         run_async(test)
 
-    async def _check_started_in_outage(self, revision: int) -> None:
+    async def _check_daemons_started_in_outage(self, revision: int) -> None:
         seed = self.cluster.daemons["entry-0"].ports["peers"]
         seeded = self.cluster.start_daemon("entry-s", "zone-a", seeds=(f"127.0.0.1:{seed}",))
         waited_s = await wait_for(lambda: is_ready(seeded), timeout_s=15)
-        alone = self.cluster.start_daemon("entry-u", "zone-b")
+        unseeded = self.cluster.start_daemon("entry-u", "zone-b")
         print(f"ready {waited_s:.2f} s after it listens, with the store down")
-        answer = await call(seeded.ports["operators"], "GET", "/v1/config")
-        self.assertEqual(answer.json()["revision"], revision)
-        self.assertEqual(await self._send("entry-s", "read", "seeded"), "done")
+        response = await call(seeded.ports["operators"], "GET", "/v1/config")
+        self.assertEqual(response.json()["revision"], revision)
+        self.assertEqual(await self._send_request("entry-s", "read", "seeded"), "done")
 
         async def is_known() -> bool:
             status = await self.cluster.status("entry-2")
             return "entry-s" in [vm["name"] for vm in status.get("entry_vms", ())]
 
         await wait_for(is_known, timeout_s=10)
-        answer = await call(alone.ports["operators"], "GET", "/readyz")
-        self.assertEqual(answer.status, 503)
-        self.assertIn("no seeds are set", answer.json()["reason"])
+        response = await call(unseeded.ports["operators"], "GET", "/readyz")
+        self.assertEqual(response.status, 503)
+        self.assertIn("no seeds are set", response.json()["reason"])
 
-    async def _read_owners(self) -> dict[str, int]:
+    async def _read_owner_epochs(self) -> dict[str, int]:
         owners = await read_store(self.cluster.platform.ports["api"], "control/owners")
         partitions = owners["partitions"]
         return {name: owner["epoch"] for name, owner in partitions.items()}
 
     async def _count_calls(self) -> int:
-        answer = await call(self.cluster.platform.ports["api"], "GET", "/counts")
-        return sum(answer.json().values())
+        response = await call(self.cluster.platform.ports["api"], "GET", "/counts")
+        return sum(response.json().values())
 
     def test_daemons_killed_and_paused_under_load(self) -> None:
-        """Guards against doubled requests and tasks when daemons die or wake up late."""
+        """Guards against requests and tasks that run twice when daemons die or resume late."""
 
         async def test() -> None:
-            text = TEXT.format(runners=2) + JOB.format(name="death", run_time_s=4, count=4)
-            await self.put_in_force(text)
+            text = TEXT.format(runners=2) + JOB_SECTION.format(name="death", run_time_s=4, count=4)
+            await self.apply_declaration(text)
             outcomes: dict[str, str] = {}
 
             async def send_all(daemon: str) -> None:
                 for index in range(60):
-                    id_ = f"{daemon}-{index}"
-                    outcomes[id_] = await self._send(daemon, "write", id_, timeout_ms=4_000)
+                    request_id = f"{daemon}-{index}"
+                    outcomes[request_id] = await self._send_request(
+                        daemon, "write", request_id, timeout_ms=4_000
+                    )
                     await anyio.sleep(0.05)
 
             async with anyio.create_task_group() as group:
@@ -275,103 +283,112 @@
                 await anyio.sleep(4)
                 self.cluster.daemons["entry-1"].signal(signal.SIGCONT)
             await self._wait_for_jobs("job/death/", 4)
-            runs = await self._runs()
-            doubled = [id_ for id_ in outcomes if runs["requests"][id_] > 1]
-            refused = [
-                id_ for id_, got in outcomes.items() if got == "refused" and runs["requests"][id_]
+            runs = await self._read_runs()
+            repeated = [request_id for request_id in outcomes if runs["requests"][request_id] > 1]
+            rejected_but_run = [
+                request_id
+                for request_id, outcome in outcomes.items()
+                if outcome == "refused" and runs["requests"][request_id]
             ]
-            lost = [
-                id_ for id_, got in outcomes.items() if got == "done" and not runs["requests"][id_]
+            done_but_not_run = [
+                request_id
+                for request_id, outcome in outcomes.items()
+                if outcome == "done" and not runs["requests"][request_id]
             ]
-            self.assertEqual((doubled, refused, lost), ([], [], []))
-            done = Counter(got for id_, got in outcomes.items() if id_.startswith("entry-0"))
-            # A key group whose owner died without a hand-over answers unknown, and a slot that a
-            # dead daemon lent may be missed until the deadline: both are typed, none is broken.
-            self.assertLessEqual(set(done), {"done", "refused", "unknown"})
+            self.assertEqual((repeated, rejected_but_run, done_but_not_run), ([], [], []))
+            outcomes_of_survivor = Counter(
+                outcome
+                for request_id, outcome in outcomes.items()
+                if request_id.startswith("entry-0")
+            )
+            # Requests of a key group whose owner died without a hand-over end as unknown, and a
+            # request may miss a slot lent by the dead daemon until its deadline. Both outcomes
+            # are typed; no connection breaks.
+            self.assertLessEqual(set(outcomes_of_survivor), {"done", "refused", "unknown"})
             finished = {task: n for task, n in runs["finished"].items() if "death" in task}
             self.assertEqual(sorted(finished.values()), [1, 1, 1, 1])
-            self.assert_unharmed("entry-1")
+            self.assert_healthy("entry-1")
 
         run_async(test)
 
-    def test_worker_killed_and_replaced_under_its_name(self) -> None:
-        """Guards against a replaced worker that is looked for at its old address for ever.
+    def test_worker_killed_and_replaced_under_same_name(self) -> None:
+        """Guards against contacting a replaced worker at its old address indefinitely.
 
-        The text declared a third runner before, whose entry stays as cancelled.
+        The previous declaration had a third runner, whose task stays listed as cancelled.
         """
 
         async def test() -> None:
-            await self.put_in_force(TEXT.format(runners=3))
+            await self.apply_declaration(TEXT.format(runners=3))
             await self.wait_for_runners(3)
-            await self.put_in_force(TEXT.format(runners=2))
+            await self.apply_declaration(TEXT.format(runners=2))
             await self.wait_for_runners(2)
-            before = (await self._runs())["started"]
+            before = (await self._read_runs())["started"]
             old = self.cluster.workers["worker-0"]
             old.signal(signal.SIGKILL)
             old.handle.wait()
             new = await self.cluster.start_worker("worker-0", "zone-a")
 
-            async def is_used() -> bool:
+            async def receives_syncs() -> bool:
                 runs = (await call(new.ports["api"], "GET", "/runs")).json()
                 return len(runs["syncs_ms"]) > 3
 
-            await wait_for(is_used, timeout_s=15)
+            await wait_for(receives_syncs, timeout_s=15)
 
             async def all_running() -> bool:
-                states = await self._task_states("service/")
-                wanted = [("running", None), ("running", None), ("cancelled", "removed")]
-                return [(task["state"], task.get("reason")) for task in states] == wanted
+                tasks = await self._list_tasks("service/")
+                expected = [("running", None), ("running", None), ("cancelled", "removed")]
+                return [(task["state"], task.get("reason")) for task in tasks] == expected
 
             try:
                 await wait_for(all_running, timeout_s=30)
             except TimeoutError:
-                runs = await self._runs()
-                states = await self._task_states("service/")
-                self.fail(f"{states}; started {runs['started']}; before {before}")
-            started = (await self._runs())["started"]
+                runs = await self._read_runs()
+                tasks = await self._list_tasks("service/")
+                self.fail(f"{tasks}; started {runs['started']}; before {before}")
+            started = (await self._read_runs())["started"]
             for task in [task for task in started if "service" in task]:
                 self.assertLessEqual(started[task], before[task] + 1)
 
         run_async(test)
 
     def test_worker_paused(self) -> None:
-        """Guards against tasks that run on in two places after a worker wakes up."""
+        """Guards against tasks that keep running on two workers after one of them resumes."""
 
         async def test() -> None:
-            text = TEXT.format(runners=2) + JOB.format(name="pause", run_time_s=3, count=4)
-            await self.put_in_force(text)
+            text = TEXT.format(runners=2) + JOB_SECTION.format(name="pause", run_time_s=3, count=4)
+            await self.apply_declaration(text)
 
-            async def running() -> bool:
+            async def all_running() -> bool:
                 return await self.cluster.count_running("entry-0", "job/pause") == 4
 
-            await wait_for(running, timeout_s=20)
+            await wait_for(all_running, timeout_s=20)
             worker = self.cluster.workers["worker-1"]
             worker.signal(signal.SIGSTOP)
             await anyio.sleep(6.5)
             worker.signal(signal.SIGCONT)
             await self._wait_for_jobs("job/pause/", 4)
-            finished = (await self._runs())["finished"]
+            finished = (await self._read_runs())["finished"]
             self.assertEqual(
                 sorted(n for task, n in finished.items() if "pause" in task), [1, 1, 1, 1]
             )
 
         run_async(test)
 
-    def test_stop_under_load_cuts_nothing_off(self) -> None:
-        """Guards against cut answers on a planned stop, slow requests and readers included."""
+    def test_stop_under_load_truncates_no_response(self) -> None:
+        """Guards against a planned stop that truncates responses of slow requests or readers."""
 
         async def test() -> None:
             await self.cluster.balancer.check()
-            broken: list[str] = []
-            counted: Counter[str] = Counter()
+            failures: list[str] = []
+            outcome_counts: Counter[str] = Counter()
             stopping = anyio.Event()
 
-            async def keep_calling(index: int) -> None:
+            async def send_until_stopped(index: int) -> None:
                 connection: Connection | None = None
                 daemon = None
                 while not stopping.is_set():
                     if daemon not in self.cluster.balancer.ready:
-                        # A balancer sends new requests of a caller to a ready daemon.
+                        # A load balancer sends new requests of a caller to a ready daemon.
                         if connection is not None:
                             await connection.close()
                         daemon = self.cluster.balancer.ready[
@@ -383,23 +400,23 @@
                             clock=MonotonicClock(),
                             max_body=1_000_000,
                         )
-                    id_ = f"stop-{index}-{counted['all']}"
+                    request_id = f"stop-{index}-{outcome_counts['all']}"
                     result = await connection.exchange(
                         method=b"POST",
                         target=b"/services/web/read",
                         headers=(
-                            (b"x-request-id", id_.encode()),
-                            (b"idempotency-key", id_.encode()),
+                            (b"x-request-id", request_id.encode()),
+                            (b"idempotency-key", request_id.encode()),
                         ),
                         timeout_ms=10_000,
                         max_idle_ms=60_000,
                     )
                     reply = result.value_or(None)
                     outcome = reply.header(b"x-outcome").decode() if reply else repr(result)
-                    counted["all"] += 1
-                    counted[outcome] += 1
+                    outcome_counts["all"] += 1
+                    outcome_counts[outcome] += 1
                     if outcome != "done":
-                        broken.append(f"{daemon.name}: {outcome}")
+                        failures.append(f"{daemon.name}: {outcome}")
                 await connection.close()
 
             for worker in self.cluster.workers.values():
@@ -408,7 +425,7 @@
                 group.start_soon(self.cluster.balancer.run)
                 async with anyio.create_task_group() as callers:
                     for index in range(9):
-                        callers.start_soon(keep_calling, index)
+                        callers.start_soon(send_until_stopped, index)
                     await anyio.sleep(1)
                     daemon = self.cluster.daemons["entry-1"]
                     daemon.signal(signal.SIGTERM)
@@ -416,24 +433,24 @@
                     await anyio.sleep(1)
                     stopping.set()
                 group.cancel_scope.cancel()
-            self.assertEqual(broken, [])
-            self.assertGreater(counted["done"], 20)
+            self.assertEqual(failures, [])
+            self.assertGreater(outcome_counts["done"], 20)
             self.assertEqual(daemon.handle.returncode, 0)
-            await self._print_gaps()
+            await self._check_sync_gaps()
             for worker in self.cluster.workers.values():
                 await self.cluster.set_faults(worker)
 
         run_async(test)
 
-    async def _print_gaps(self) -> None:
+    async def _check_sync_gaps(self) -> None:
         for name, worker in self.cluster.workers.items():
             times = (await call(worker.ports["api"], "GET", "/runs")).json()["syncs_ms"]
-            gaps = [late - early for early, late in zip(times, times[1:], strict=False)]
+            gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
             print(f"{name}: longest time between exchanges {max(gaps[-20:]):.0f} ms")
             self.assertLess(max(gaps[-20:]), 3_000)
 
-    def test_slow_reader_gets_its_whole_answer(self) -> None:
-        """Guards against an answer that is cut because the stop doesn't wait for its reader."""
+    def test_slow_reader_gets_complete_response_during_stop(self) -> None:
+        """Guards against a truncated response because the stop doesn't wait for its reader."""
 
         async def test() -> None:
             size = 6_000_000
--- a/tests/test_processes_nodes.py
+++ b/tests/test_processes_nodes.py
@@ -1,4 +1,4 @@
-"""Daemons on the stand-ins of the users' platform, as processes."""
+"""Process tests of node daemons with stand-ins for the users' platform."""
 
 import re
 import secrets
@@ -26,12 +26,12 @@
     "max_attempts": 2,
     "stretch": 3.0,
 }
-# Time for what takes a second or two on a free machine.
-WIDE_S = 40
+# Generous limit for operations that take a second or two on an idle system.
+TIMEOUT_S = 40
 
 
-def build_body(run_ms=200, count=2, steps=1, text=""):
-    """Build the body of a job whose steps follow each other."""
+def build_job_body(run_ms=200, count=2, steps=1, text=""):
+    """Build the body of a job whose steps run one after another."""
     step = {"count": count, "cpu": 500, "mem_mb": 100, "estimate_ms": run_ms}
     return {
         "spec": f"run_ms={run_ms} {text}",
@@ -55,47 +55,47 @@
         await self.nodes.wait_ready()
 
     async def submit(self, node, body):
-        """Hand a job in as callers do: again at another daemon after an unclear answer."""
+        """Submit a job as callers do, with retries at other daemons after unclear responses."""
         job_id = secrets.token_hex(8)
-        order = [node, *(name for name in self.nodes.nodes if name != node)]
-        for name in order * 10:
-            answer = await self.nodes.request(name, "POST", job_id, body)
-            if answer is not None and answer.status == 200:
+        node_names = [node, *(name for name in self.nodes.nodes if name != node)]
+        for name in node_names * 10:
+            response = await self.nodes.request(name, "POST", job_id, body)
+            if response is not None and response.status == 200:
                 return job_id
             await anyio.sleep(0.2)
         raise AssertionError(f"job not accepted\n{self.nodes.read_logs()}")
 
     async def read_state(self, node, job_id):
-        """Return the state of a job, or the status of the answer."""
-        answer = await self.nodes.request(node, "GET", job_id)
-        if answer is None:
+        """Return the state of a job, or the HTTP status of an unsuccessful response."""
+        response = await self.nodes.request(node, "GET", job_id)
+        if response is None:
             return "no answer"
-        return answer.json()["state"] if answer.status == 200 else answer.status
+        return response.json()["state"] if response.status == 200 else response.status
 
-    async def wait_state(self, node, job_id, state):
-        """Wait until a daemon shows a state of a job."""
+    async def wait_for_state(self, node, job_id, state):
+        """Wait until a daemon reports the given state of a job."""
 
-        async def is_shown():
+        async def has_state():
             return await self.read_state(node, job_id) == state
 
         try:
-            await wait_for(is_shown, timeout_s=WIDE_S)
+            await wait_for(has_state, timeout_s=TIMEOUT_S)
         except TimeoutError:
-            shown = await self.read_state(node, job_id)
-            self.fail(f"{job_id} is {shown}, not {state}\n{self.nodes.read_logs()}")
+            actual_state = await self.read_state(node, job_id)
+            self.fail(f"{job_id} is {actual_state}, not {state}\n{self.nodes.read_logs()}")
 
     def find_owner(self):
-        """Return the name of the daemon that became the owner last."""
-        begun = {}
+        """Return the name of the daemon that became owner most recently."""
+        owners = {}
         for node in self.nodes.nodes.values():
             for line in node.log.read_text().splitlines():
                 if 'event="ownership begins"' in line:
                     generation = int(re.search(r"generation=(\d+)", line).group(1))
-                    begun[generation] = node.name
-        return begun[max(begun)]
+                    owners[generation] = node.name
+        return owners[max(owners)]
 
     async def assert_single_runs(self, job_ids):
-        """Check that no task ran twice at once, nor again after it was done."""
+        """Check that no task had concurrent runs or ran again after completion."""
         runs = [run for run in await self.nodes.read_history() if run["task"][:16] in job_ids]
         done = Counter(run["task"] for run in runs if run["how"] == "done")
         self.assertEqual([task for task, count in done.items() if count > 1], [])
@@ -107,64 +107,66 @@
             by_task[run["task"]] = run
 
 
-class PathTest(NodesTestCase):
-    """The whole path, and what callers see of it."""
+class JobPathTest(NodesTestCase):
+    """Jobs from submission to completion, as observed by callers."""
 
-    def test_jobs_from_any_daemon(self):
-        """Guards against a job that only the daemon that took it knows."""
+    def test_jobs_are_known_to_all_daemons(self):
+        """Guards against a job that only the daemon that accepted it knows."""
 
         async def test():
-            first = await self.submit("n0", build_body(steps=2))
-            second = await self.submit("n1", build_body(text="fail"))
-            await self.wait_state("n2", first, "completed")
-            await self.wait_state("n0", second, "failed")
+            first = await self.submit("n0", build_job_body(steps=2))
+            second = await self.submit("n1", build_job_body(text="fail"))
+            await self.wait_for_state("n2", first, "completed")
+            await self.wait_for_state("n0", second, "failed")
             self.assertEqual(await self.read_state("n1", secrets.token_hex(8)), 410)
-            lasting = await self.submit("n2", build_body(run_ms=60_000))
-            await self.wait_state("n0", lasting, "running")
-            answer = await self.nodes.request("n1", "DELETE", lasting)
-            self.assertEqual(answer.status, 200)
-            self.assertEqual(await self.read_state("n2", lasting), "cancelled")
+            long_job = await self.submit("n2", build_job_body(run_ms=60_000))
+            await self.wait_for_state("n0", long_job, "running")
+            response = await self.nodes.request("n1", "DELETE", long_job)
+            self.assertEqual(response.status, 200)
+            self.assertEqual(await self.read_state("n2", long_job), "cancelled")
             pending = await self.nodes.request("n0", "GET", "")
             self.assertEqual(pending.json(), {"pending": 0})
-            await self.assert_single_runs({first, second, lasting})
-            await self._check_tool(first)
+            await self.assert_single_runs({first, second, long_job})
+            await self._check_operators_tool(first)
 
         run_async(test)
 
-    async def _check_tool(self, job_id):
-        """Guards against an operators' tool that can't read what the daemons keep."""
+    async def _check_operators_tool(self, job_id):
+        """Guards against an operators' tool that can't read the records of the daemons."""
         address = f"--store=127.0.0.1:{self.nodes.store_port}"
-        shown = await self._run_tool("store", address)
-        self.assertEqual(shown["jobs"]["r-1 completed"], 1)
-        self.assertEqual(shown["owner"]["holder"].split("-")[0], self.find_owner())
-        self.assertEqual((await self._run_tool("store", job_id, address))["state"], "completed")
-
-    async def _run_tool(self, *arguments):
+        store_status = await self._run_operators_tool("store", address)
+        self.assertEqual(store_status["jobs"]["r-1 completed"], 1)
+        self.assertEqual(store_status["owner"]["holder"].split("-")[0], self.find_owner())
+        self.assertEqual(
+            (await self._run_operators_tool("store", job_id, address))["state"], "completed"
+        )
+
+    async def _run_operators_tool(self, *arguments):
         command = [sys.executable, "-m", "coltsfootpier.cli", *arguments, "--json"]
         result = await anyio.run_process(command, check=True)
         return orjson.loads(result.stdout)
 
-    def test_configuration_takes_effect_everywhere(self):
-        """Guards against a daemon that goes on with dropped routes."""
+    def test_configuration_takes_effect_on_all_daemons(self):
+        """Guards against a daemon that keeps serving removed routes."""
 
         async def test():
             await self.nodes.put_configuration(2, [{**ROUTE, "prefix": "/other/"}])
             for node in self.nodes.nodes:
 
                 async def is_gone(node=node):
-                    answer = await self.nodes.request(node, "GET", "")
-                    return answer is not None and answer.status == 404
+                    response = await self.nodes.request(node, "GET", "")
+                    return response is not None and response.status == 404
 
-                await wait_for(is_gone, timeout_s=WIDE_S)
+                await wait_for(is_gone, timeout_s=TIMEOUT_S)
 
         run_async(test)
 
 
 class AddressTest(unittest.TestCase):
-    """A daemon whose address is taken."""
+    """A daemon whose address is already in use."""
 
-    def test_taken_address(self):
-        """Guards against a daemon that ends without a word about the address that it needs."""
+    def test_address_in_use(self):
+        """Guards against a daemon that exits without logging that its address is unavailable."""
         nodes = Nodes()
         self.addCleanup(nodes.close)
         nodes.start_platform(runners=1)
@@ -175,7 +177,7 @@
             await nodes.wait_ready()
             with mock.patch("standins.nodes._reserve_ports", return_value=first.list_ports()):
                 second = nodes.start_node("n1")
-            code = await anyio.to_thread.run_sync(lambda: second.handle.wait(timeout=WIDE_S))
+            code = await anyio.to_thread.run_sync(lambda: second.handle.wait(timeout=TIMEOUT_S))
             self.assertEqual(code, 4)
             self.assertIn('event="address not available"', second.log.read_text())
 
@@ -183,32 +185,32 @@
 
 
 class DrainTest(unittest.TestCase):
-    """A daemon that stops while requests wait."""
+    """A daemon that stops while requests are pending."""
 
-    def test_waiting_requests_are_answered(self):
-        """Guards against 500 for requests that the end of the process cuts off (soak seed 547)."""
+    def test_pending_requests_get_responses(self):
+        """Guards against status 500 for requests pending at process exit (soak seed 547)."""
         nodes = Nodes()
         self.addCleanup(nodes.close)
         nodes.start_platform(runners=1)
         node = nodes.start_node("n0")
 
         async def test():
-            # Their own deadlines are long after the end of the process.
+            # With this timeout, the requests' own deadlines are long after the process exits.
             await nodes.put_configuration(1, [{**ROUTE, "timeout_ms": 20_000}])
             await nodes.wait_ready()
             await nodes.set_store_faults(silent=True)
             statuses = []
 
-            async def ask(method, body=None):
-                answer = await nodes.request(
+            async def send_request(method, body=None):
+                response = await nodes.request(
                     "n0", method, secrets.token_hex(8), body, timeout_ms=20_000
                 )
-                statuses.append(answer.status if answer is not None else None)
+                statuses.append(response.status if response is not None else None)
 
             async with anyio.create_task_group() as group:
                 for _ in range(3):
-                    group.start_soon(ask, "GET")
-                    group.start_soon(ask, "POST", build_body())
+                    group.start_soon(send_request, "GET")
+                    group.start_soon(send_request, "POST", build_job_body())
                 await anyio.sleep(0.5)
                 node.signal(signal.SIGTERM)
             self.assertEqual(len(statuses), 6)
@@ -217,80 +219,82 @@
         run_async(test)
 
 
-class UpkeepTest(NodesTestCase):
-    """Worker VMs that go down for their upkeep while jobs run."""
+class MaintenanceTest(NodesTestCase):
+    """Worker VMs that go down for maintenance while jobs run."""
 
-    def test_wave(self):
-        """Guards against a VM without its upkeep, two down at once, and tasks lost with them."""
+    def test_maintenance_wave(self):
+        """Guards against missed maintenance, two VMs down at once, and tasks lost with them."""
 
         async def test():
-            jobs = [await self.submit("n0", build_body(run_ms=900, count=4)) for _ in range(3)]
+            jobs = [await self.submit("n0", build_job_body(run_ms=900, count=4)) for _ in range(3)]
             vms = self.nodes.list_vms()
             await self.nodes.put_wave(1, vms)
             owner = self.find_owner()
             self.nodes.nodes[owner].signal(signal.SIGTERM)
             others = [name for name in self.nodes.nodes if name != owner]
-            jobs.append(await self.submit(others[0], build_body(run_ms=900, count=4)))
+            jobs.append(await self.submit(others[0], build_job_body(run_ms=900, count=4)))
 
             async def is_complete():
                 return await self.nodes.read_wave_status(1) == "completed"
 
-            await wait_for(is_complete, timeout_s=WIDE_S)
+            await wait_for(is_complete, timeout_s=TIMEOUT_S)
             for job_id in jobs:
-                await self.wait_state(others[1], job_id, "completed")
-            upkeeps = await self.nodes.read_upkeeps()
-            self.assertEqual(sorted(row["machine"] for row in upkeeps), sorted(vms))
-            upkeeps.sort(key=lambda row: row["begin_ms"])
-            for earlier, later in zip(upkeeps, upkeeps[1:], strict=False):
+                await self.wait_for_state(others[1], job_id, "completed")
+            maintenance_rows = await self.nodes.read_upkeeps()
+            self.assertEqual(sorted(row["machine"] for row in maintenance_rows), sorted(vms))
+            maintenance_rows.sort(key=lambda row: row["begin_ms"])
+            for earlier, later in zip(maintenance_rows, maintenance_rows[1:], strict=False):
                 self.assertGreaterEqual(later["begin_ms"], earlier["end_ms"])
 
         run_async(test)
 
 
 class OwnerTest(NodesTestCase):
-    """The owner of the cell stops, dies or stands still."""
+    """The owner of the cell is stopped, killed or paused."""
 
-    def _play(self, number):
+    def _check_jobs_complete_after_signal(self, signal_number):
         async def test():
-            jobs = [await self.submit("n0", build_body(run_ms=1_500, steps=2)) for _ in range(4)]
+            jobs = [
+                await self.submit("n0", build_job_body(run_ms=1_500, steps=2)) for _ in range(4)
+            ]
             owner = self.find_owner()
-            self.nodes.nodes[owner].signal(number)
+            self.nodes.nodes[owner].signal(signal_number)
             others = [name for name in self.nodes.nodes if name != owner]
-            jobs.append(await self.submit(others[0], build_body()))
+            jobs.append(await self.submit(others[0], build_job_body()))
             for job_id in jobs:
-                await self.wait_state(others[1], job_id, "completed")
-            if number is signal.SIGSTOP:
+                await self.wait_for_state(others[1], job_id, "completed")
+            if signal_number is signal.SIGSTOP:
                 self.nodes.nodes[owner].signal(signal.SIGCONT)
-                jobs.append(await self.submit(others[0], build_body(run_ms=500)))
-                await self.wait_state(owner, jobs[-1], "completed")
+                jobs.append(await self.submit(others[0], build_job_body(run_ms=500)))
+                await self.wait_for_state(owner, jobs[-1], "completed")
             await self.assert_single_runs(set(jobs))
 
         run_async(test)
 
-    def test_killed(self):
-        """Guards against jobs that are lost, or run twice, when the owner dies."""
-        self._play(signal.SIGKILL)
+    def test_owner_killed(self):
+        """Guards against jobs that are lost or run twice when the owner is killed."""
+        self._check_jobs_complete_after_signal(signal.SIGKILL)
 
-    def test_stopped(self):
+    def test_owner_stopped(self):
         """Guards against a planned stop that leaves the cell without an owner."""
-        self._play(signal.SIGTERM)
+        self._check_jobs_complete_after_signal(signal.SIGTERM)
 
-    def test_paused(self):
-        """Guards against an owner that wakes up and acts beside its successor."""
-        self._play(signal.SIGSTOP)
+    def test_owner_paused(self):
+        """Guards against an owner that resumes and acts concurrently with its successor."""
+        self._check_jobs_complete_after_signal(signal.SIGSTOP)
 
-    def test_all_killed(self):
-        """Guards against accepted jobs that only the processes knew."""
+    def test_all_daemons_killed(self):
+        """Guards against accepted jobs that were held only in memory."""
 
         async def test():
-            jobs = [await self.submit("n0", build_body(run_ms=700, steps=2)) for _ in range(3)]
+            jobs = [await self.submit("n0", build_job_body(run_ms=700, steps=2)) for _ in range(3)]
             for node in self.nodes.nodes.values():
                 node.signal(signal.SIGKILL)
             for name in list(self.nodes.nodes):
                 self.nodes.start_node(name)
             await self.nodes.wait_ready()
             for job_id in jobs:
-                await self.wait_state("n1", job_id, "completed")
+                await self.wait_for_state("n1", job_id, "completed")
             await self.assert_single_runs(set(jobs))
 
         run_async(test)
