Rename outward names of support

CLOCK_DRIFT did not say that it is a maximum ratio; the builders kinds, build_reply, build_report and build_exchange and the constant TEXT did not say what they list or build. They are now MAX_CLOCK_DRIFT_RATIO, list_commands, build_sync_reply, build_task_report, build_exchange_request and DECLARATION_TEXT.

--- a/coltsfootpier/clock/__init__.py
+++ b/coltsfootpier/clock/__init__.py
@@ -1,5 +1,5 @@
 """Monotonic time in milliseconds."""
 
-from coltsfootpier.clock._clock import CLOCK_DRIFT, Clock, MonotonicClock, VirtualClock
+from coltsfootpier.clock._clock import MAX_CLOCK_DRIFT_RATIO, Clock, MonotonicClock, VirtualClock
 
-__all__ = ["CLOCK_DRIFT", "Clock", "MonotonicClock", "VirtualClock"]
+__all__ = ["MAX_CLOCK_DRIFT_RATIO", "Clock", "MonotonicClock", "VirtualClock"]
--- a/coltsfootpier/clock/_clock.py
+++ b/coltsfootpier/clock/_clock.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 # Maximum relative difference between the clock rates of two VMs.
-CLOCK_DRIFT = 0.1
+MAX_CLOCK_DRIFT_RATIO = 0.1
 
 
 class Clock(Protocol):
--- a/coltsfootpier/configuration/tests/test_state.py
+++ b/coltsfootpier/configuration/tests/test_state.py
@@ -5,21 +5,21 @@
 import unittest
 
 from coltsfootpier.configuration import Revision, RevisionState, extend_history, has_taken_effect
-from tests.builders import TEXT
+from tests.builders import DECLARATION_TEXT
 
 
 class RevisionStateTest(unittest.TestCase):
     def test_lower_revision_never_comes_into_force(self) -> None:
         """Guards against reverting to an older configuration."""
         state = RevisionState()
-        self.assertTrue(state.observe(Revision(3, "c", TEXT)))
+        self.assertTrue(state.observe(Revision(3, "c", DECLARATION_TEXT)))
         self.assertFalse(state.observe(Revision(2, "b", "")))
         self.assertEqual(state.revision.revision, 3)
 
     def test_unparsable_text_leaves_state_unchanged(self) -> None:
         """Guards against dropping all services on a text written by a newer release."""
         state = RevisionState()
-        state.observe(Revision(1, "a", TEXT))
+        state.observe(Revision(1, "a", DECLARATION_TEXT))
         self.assertFalse(state.observe(Revision(2, "b", "[unknown x]")))
         self.assertIn("web", state.declaration.services)
 
@@ -28,12 +28,15 @@
 
         Other changes have been written since.
         """
-        stored = Revision(1, "first", TEXT)
-        mine = extend_history(Revision(2, "mine", TEXT), stored)
+        stored = Revision(1, "first", DECLARATION_TEXT)
+        mine = extend_history(Revision(2, "mine", DECLARATION_TEXT), stored)
         self.assertIsNone(has_taken_effect(mine, stored))
-        self.assertTrue(has_taken_effect(mine, extend_history(Revision(3, "other", TEXT), mine)))
+        self.assertTrue(
+            has_taken_effect(mine, extend_history(Revision(3, "other", DECLARATION_TEXT), mine))
+        )
         self.assertIs(
-            has_taken_effect(mine, extend_history(Revision(2, "other", TEXT), stored)), False
+            has_taken_effect(mine, extend_history(Revision(2, "other", DECLARATION_TEXT), stored)),
+            False,
         )
 
 
--- a/coltsfootpier/dispatch/tests/test_dispatcher.py
+++ b/coltsfootpier/dispatch/tests/test_dispatcher.py
@@ -11,9 +11,9 @@
 from coltsfootpier.placement import ShardState
 from tests.builders import (
     build_declaration,
-    build_reply,
-    build_report,
     build_shard,
+    build_sync_reply,
+    build_task_report,
     commit,
 )
 
@@ -47,8 +47,8 @@
     def _finish(
         self, shard: ShardState, task: str, attempt: int = 1, outcome: str = "done"
     ) -> None:
-        report = build_report(task, attempt, state="ended", outcome=outcome, checkpoint="7")
-        shard.observe_reply("w1", build_reply(tasks=(report,)))
+        report = build_task_report(task, attempt, state="ended", outcome=outcome, checkpoint="7")
+        shard.observe_reply("w1", build_sync_reply(tasks=(report,)))
         commit(shard.record)
 
     def test_dependent_job_waits(self) -> None:
--- a/coltsfootpier/dispatch/tests/test_policy.py
+++ b/coltsfootpier/dispatch/tests/test_policy.py
@@ -10,10 +10,10 @@
 from coltsfootpier.dispatch._eviction import Candidate, choose_victims
 from tests.builders import (
     build_declaration,
-    build_reply,
-    build_report,
     build_shard,
     build_spec,
+    build_sync_reply,
+    build_task_report,
     build_vm,
     commit,
 )
@@ -38,7 +38,7 @@
         for shard, worker in (("r1", "w1"), ("r2", "w2")):
             state = build_shard(self.clock, shard=shard)
             state.observe_vms([build_vm("w1", state="gone"), build_vm(worker, rack=shard)])
-            state.observe_reply(worker, build_reply(worker))
+            state.observe_reply(worker, build_sync_reply(worker))
             self.shards[shard] = state
         ledger = Ledger(epoch=1, writer="m1", buckets=2)
         ledger.load(())
@@ -63,10 +63,10 @@
                 outcome = "done" if entry.task in self.done else outcome
                 state_name = "ended" if outcome else "running"
                 reports.append(
-                    build_report(entry.task, entry.attempt, state=state_name, outcome=outcome)
+                    build_task_report(entry.task, entry.attempt, state=state_name, outcome=outcome)
                 )
             if view.vm.state == "live":
-                reply = build_reply(worker, tuple(reports), now_ms=self.clock.now_ms())
+                reply = build_sync_reply(worker, tuple(reports), now_ms=self.clock.now_ms())
                 state.observe_reply(worker, reply)
 
     def _round(self, count: int = 1) -> None:
@@ -204,7 +204,7 @@
         self._declare(1, _team("a") + _job("large", cores=32))
         self._round(100)
         self.assertEqual(self._states("large"), ["pending"])
-        reply = build_reply("w2", cores=32.0)
+        reply = build_sync_reply("w2", cores=32.0)
         self.shards["r2"].observe_vms([build_vm("w2", rack="r2")])
         self.shards["r2"].observe_reply("w2", reply)
         self.dispatcher.observe_reply(self.shards["r2"].report(full=True))
--- a/coltsfootpier/ownership/_state.py
+++ b/coltsfootpier/ownership/_state.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from coltsfootpier.clock import CLOCK_DRIFT, Clock
+from coltsfootpier.clock import MAX_CLOCK_DRIFT_RATIO, Clock
 from coltsfootpier.exceptions import InvariantError
 
 DISPATCH = "dispatch"
@@ -142,7 +142,7 @@
 
     def record_renewal(self, *, sent_ms: float) -> None:
         """Extend the validity after a renewal that was sent at `sent_ms`."""
-        until_ms = sent_ms + self._ttl_ms * (1 - CLOCK_DRIFT)
+        until_ms = sent_ms + self._ttl_ms * (1 - MAX_CLOCK_DRIFT_RATIO)
         self._valid_until_ms = max(self._valid_until_ms, until_ms)
 
     def lose_lease(self) -> None:
--- a/coltsfootpier/permits/_table.py
+++ b/coltsfootpier/permits/_table.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from coltsfootpier.clock import CLOCK_DRIFT, Clock
+from coltsfootpier.clock import MAX_CLOCK_DRIFT_RATIO, Clock
 from coltsfootpier.exceptions import InvariantError
 from coltsfootpier.permits._copies import CopyTable
 from coltsfootpier.permits._history import History
@@ -92,7 +92,7 @@
         """
         if self.is_superseded or not self.ready:
             return PermitReply(verdict=Verdict.NOT_OWNER)
-        hold_ms = request.hold_ms * (1 + CLOCK_DRIFT)
+        hold_ms = request.hold_ms * (1 + MAX_CLOCK_DRIFT_RATIO)
         if hold_ms > self._window_ms:
             # The history of a new owner reaches back for one window only.
             return PermitReply(verdict=Verdict.TOO_LONG)
--- a/coltsfootpier/placement/_leases.py
+++ b/coltsfootpier/placement/_leases.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from coltsfootpier.clock import CLOCK_DRIFT
+from coltsfootpier.clock import MAX_CLOCK_DRIFT_RATIO
 from coltsfootpier.placement._views import Placement, WorkerView
 
 
@@ -30,7 +30,7 @@
         self._took_over_ms = now_ms
         # A previous owner that can't reach the store may renew until its hold-over is used
         # up, and can't be asked for the end of what it granted.
-        longest_ms = (self._hold_over_ms + self._worker_lease_ms) * (1 + CLOCK_DRIFT)
+        longest_ms = (self._hold_over_ms + self._worker_lease_ms) * (1 + MAX_CLOCK_DRIFT_RATIO)
         self._previous_end_ms = now_ms + longest_ms
 
     def retire_previous_owner(self, now_ms: float) -> None:
@@ -42,7 +42,7 @@
 
         A worker's clock may run slower than ours by the assumed drift.
         """
-        return now_ms + self._worker_lease_ms * (1 + CLOCK_DRIFT)
+        return now_ms + self._worker_lease_ms * (1 + MAX_CLOCK_DRIFT_RATIO)
 
     def end_ms(self, view: WorkerView | None) -> float:
         """Return when all leases on a worker have surely ended."""
--- a/coltsfootpier/placement/_shard.py
+++ b/coltsfootpier/placement/_shard.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from coltsfootpier.clock import CLOCK_DRIFT, Clock
+from coltsfootpier.clock import MAX_CLOCK_DRIFT_RATIO, Clock
 from coltsfootpier.declaration import PRIORITIES
 from coltsfootpier.placement._capacity import build_capacity, build_load
 from coltsfootpier.placement._commands import choose_command, plan_cleanup
@@ -301,7 +301,9 @@
             return SyncRequest(incarnation="")
         # The worker's clock may be slower than ours. A time ahead of it would grant a lease
         # that ends later than counted below, when the worker's answers have long been lost.
-        worker_now_ms = view.worker_now_ms + (now_ms - view.received_ms) * (1 - CLOCK_DRIFT)
+        worker_now_ms = view.worker_now_ms + (now_ms - view.received_ms) * (
+            1 - MAX_CLOCK_DRIFT_RATIO
+        )
         lease_until_ms = worker_now_ms + self._worker_lease_ms
         commands: list[Command] = []
         # The most urgent come first where starts are limited.
--- a/coltsfootpier/placement/tests/test_recovery.py
+++ b/coltsfootpier/placement/tests/test_recovery.py
@@ -8,15 +8,15 @@
 from coltsfootpier.placement import AttemptKey
 from tests.builders import (
     build_assignment,
-    build_exchange,
-    build_reply,
-    build_report,
+    build_exchange_request,
     build_service_spec,
     build_shard,
     build_spec,
+    build_sync_reply,
+    build_task_report,
     build_vm,
     commit,
-    kinds,
+    list_commands,
 )
 
 
@@ -28,16 +28,16 @@
 
     def _exchange(self, **changes) -> None:
         self.sequence += 1
-        self.assertIsNone(self.shard.receive(build_exchange(self.sequence, **changes)))
+        self.assertIsNone(self.shard.receive(build_exchange_request(self.sequence, **changes)))
         commit(self.shard.record)
 
     def _add_workers(self, *names: str) -> None:
         self.shard.observe_vms([build_vm(name) for name in ("w1", *names)])
         for name in names:
-            self.shard.observe_reply(name, build_reply(name, now_ms=self.clock.now_ms()))
+            self.shard.observe_reply(name, build_sync_reply(name, now_ms=self.clock.now_ms()))
 
     def _sync(self, worker: str = "w1") -> list[tuple[str, str, int]]:
-        return kinds(self.shard.plan_sync(worker, may_start=True, may_renew_batch=True))
+        return list_commands(self.shard.plan_sync(worker, may_start=True, may_renew_batch=True))
 
     def _fail(self, worker: str, *tasks: str) -> None:
         for task in tasks:
@@ -45,8 +45,8 @@
             others = [name for name in self.shard.workers if name != worker]
             assignment = build_assignment(spec, avoid=tuple(others))
             self._exchange(assign=(assignment,))
-            ended = build_report(task, state="ended", outcome="failed")
-            self.shard.observe_reply(worker, build_reply(worker, (ended,)))
+            ended = build_task_report(task, state="ended", outcome="failed")
+            self.shard.observe_reply(worker, build_sync_reply(worker, (ended,)))
             commit(self.shard.record)
 
     def test_room_of_an_eviction_goes_to_the_task_that_it_is_for(self) -> None:
@@ -63,8 +63,8 @@
             revoke=victims,
         )
         for index in range(2):
-            ended = build_report(f"job/load/{index}", state="ended", outcome="stopped")
-            self.shard.observe_reply("w1", build_reply(tasks=(ended,)))
+            ended = build_task_report(f"job/load/{index}", state="ended", outcome="stopped")
+            self.shard.observe_reply("w1", build_sync_reply(tasks=(ended,)))
             commit(self.shard.record)
         self.assertEqual(self.shard.record.durable["job/urgent/0"].state, "placed")
         self.assertEqual(self.shard.record.durable["job/late/0"].state, "accepted")
@@ -92,32 +92,32 @@
         probe = build_assignment(build_spec("job/probe/0", cores=1.0))
         self._exchange(assign=(probe,))
         self.assertEqual(self.shard.record.durable["job/probe/0"].worker, "w2")
-        done = build_report("job/probe/0", state="ended", outcome="done")
-        self.shard.observe_reply("w2", build_reply("w2", (done,)))
+        done = build_task_report("job/probe/0", state="ended", outcome="done")
+        self.shard.observe_reply("w2", build_sync_reply("w2", (done,)))
         self.assertFalse(self.shard.health.is_set_aside("w2"))
 
     def test_old_tasks_do_not_speak_for_a_worker_that_fails_new_ones(self) -> None:
         """Guards against a broken worker that stays in use because of what runs there."""
         self._add_workers("w2", "w3")
-        old = build_report("job/old/0")
+        old = build_task_report("job/old/0")
         assignment = build_assignment(build_spec("job/old/0", cores=1.0), avoid=("w1", "w3"))
         self._exchange(assign=(assignment,))
         for index in range(5):
             self.clock.advance(20_000.0)
-            self.shard.observe_reply("w2", build_reply("w2", (old,)))
+            self.shard.observe_reply("w2", build_sync_reply("w2", (old,)))
             task = f"job/j{index}/0"
             avoid = ("w1", "w3")
             spec = build_spec(task, cores=1.0)
             self._exchange(assign=(build_assignment(spec, avoid=avoid),))
-            ended = build_report(task, state="ended", outcome="failed")
-            self.shard.observe_reply("w2", build_reply("w2", (old, ended)))
+            ended = build_task_report(task, state="ended", outcome="failed")
+            self.shard.observe_reply("w2", build_sync_reply("w2", (old, ended)))
             commit(self.shard.record)
         self.assertTrue(self.shard.health.is_set_aside("w2"))
 
     def test_new_owner_takes_back_unknown_throttling(self) -> None:
         """Guards against a task that stays throttled after its shard changed hands."""
         self._exchange(assign=(build_assignment(build_spec()),))
-        self.shard.observe_reply("w1", build_reply(tasks=(build_report("job/load/0"),)))
+        self.shard.observe_reply("w1", build_sync_reply(tasks=(build_task_report("job/load/0"),)))
         expected = [("renew", "job/load/0", 1), ("throttle", "job/load/0", 1)]
         self.assertEqual(self._sync(), expected)
         for _ in range(2):
@@ -143,8 +143,8 @@
     def test_runner_on_a_leaving_worker_is_replaced_while_it_stops(self) -> None:
         """Guards against a service that lacks runners while the old ones finish requests."""
         self._exchange(assign=(build_assignment(build_service_spec()),))
-        running = build_report("service/web/0")
-        self.shard.observe_reply("w1", build_reply(tasks=(running,)))
+        running = build_task_report("service/web/0")
+        self.shard.observe_reply("w1", build_sync_reply(tasks=(running,)))
         self.shard.observe_vms([build_vm(state="leaving")])
         commit(self.shard.record)
         self.assertEqual(self._sync(), [("stop", "service/web/0", 1)])
@@ -155,8 +155,8 @@
     def test_task_that_uses_more_than_declared_is_charged_with_its_use(self) -> None:
         """Guards against a VM that gets more work than its memory can hold."""
         self._exchange(assign=(build_assignment(build_spec()),))
-        report = build_report("job/load/0", cores=4.0, memory_mb=59_500)
-        self.shard.observe_reply("w1", build_reply(tasks=(report,)))
+        report = build_task_report("job/load/0", cores=4.0, memory_mb=59_500)
+        self.shard.observe_reply("w1", build_sync_reply(tasks=(report,)))
         self._exchange(assign=(build_assignment(build_spec("job/next/0")),))
         self.assertEqual(self.shard.record.durable["job/next/0"].state, "accepted")
         self.assertEqual(self.shard.report(full=True).measured, {"load": (4.0, 59_500)})
@@ -165,7 +165,7 @@
         """Guards against urgent work that waits on a dead worker for the end of its lease."""
         self._add_workers("w2")
         self.clock.advance(4_500.0)
-        self.shard.observe_reply("w2", build_reply("w2", now_ms=self.clock.now_ms()))
+        self.shard.observe_reply("w2", build_sync_reply("w2", now_ms=self.clock.now_ms()))
         for index in range(3):
             self._exchange(assign=(build_assignment(build_spec(f"job/load/{index}")),))
         workers = {entry.worker for entry in self.shard.record.durable.values()}
--- a/coltsfootpier/placement/tests/test_shard.py
+++ b/coltsfootpier/placement/tests/test_shard.py
@@ -9,19 +9,21 @@
 from coltsfootpier.platform import Item
 from tests.builders import (
     build_assignment,
-    build_exchange,
-    build_reply,
-    build_report,
+    build_exchange_request,
     build_service_spec,
     build_shard,
     build_spec,
+    build_sync_reply,
+    build_task_report,
     commit,
-    kinds,
+    list_commands,
 )
 
 
 def _sync(shard: ShardState, **options: bool) -> list[tuple[str, str, int]]:
-    return kinds(shard.plan_sync("w1", **{"may_start": True, "may_renew_batch": True, **options}))
+    return list_commands(
+        shard.plan_sync("w1", **{"may_start": True, "may_renew_batch": True, **options})
+    )
 
 
 class ShardStateTest(unittest.TestCase):
@@ -32,7 +34,7 @@
 
     def _assign(self, spec=None, sequence: int = 1, attempt: int = 1) -> None:
         assignment = build_assignment(spec or self.spec, attempt)
-        self.shard.receive(build_exchange(sequence, assign=(assignment,)))
+        self.shard.receive(build_exchange_request(sequence, assign=(assignment,)))
 
     def test_nothing_starts_before_the_record_is_durable(self) -> None:
         """Guards against a start that a failed write would leave unrecorded."""
@@ -46,7 +48,7 @@
         self._assign()
         commit(self.shard.record)
         self.assertEqual(_sync(self.shard, may_start=False), [])
-        self.shard.observe_reply("w1", build_reply(tasks=(build_report("job/load/0"),)))
+        self.shard.observe_reply("w1", build_sync_reply(tasks=(build_task_report("job/load/0"),)))
         self.assertEqual(_sync(self.shard, may_start=False), [("renew", "job/load/0", 1)])
         self.assertEqual(_sync(self.shard, may_start=False, may_renew_batch=False), [])
 
@@ -54,13 +56,13 @@
         """Guards against a delayed duplicate that revives an attempt that has ended."""
         self._assign()
         commit(self.shard.record)
-        ended = build_report("job/load/0", state="ended", outcome="done")
-        self.shard.observe_reply("w1", build_reply(tasks=(ended,)))
+        ended = build_task_report("job/load/0", state="ended", outcome="done")
+        self.shard.observe_reply("w1", build_sync_reply(tasks=(ended,)))
         commit(self.shard.record)
         key = AttemptKey("job/load/0", 1)
-        self.shard.receive(build_exchange(2, acknowledge=(key,)))
+        self.shard.receive(build_exchange_request(2, acknowledge=(key,)))
         self.assertIsNotNone(
-            self.shard.receive(build_exchange(1, assign=(build_assignment(self.spec),)))
+            self.shard.receive(build_exchange_request(1, assign=(build_assignment(self.spec),)))
         )
         self.assertEqual(self.shard.record.working, {})
 
@@ -68,7 +70,7 @@
         """Guards against overcommitment (16 cores, five tasks of 4 cores)."""
         specs = [build_spec(f"job/load/{index}") for index in range(5)]
         assign = tuple(build_assignment(spec) for spec in specs)
-        self.shard.receive(build_exchange(1, assign=assign))
+        self.shard.receive(build_exchange_request(1, assign=assign))
         states = [entry.state for entry in self.shard.record.working.values()]
         self.assertEqual(states.count("placed"), 4)
         self.shard.check_capacity()
@@ -89,8 +91,8 @@
         """Guards against a second attempt after a time in which only answers were lost."""
         self._assign()
         commit(self.shard.record)
-        running = (build_report("job/load/0"),)
-        self.shard.observe_reply("w1", build_reply(now_ms=0.0, tasks=running))
+        running = (build_task_report("job/load/0"),)
+        self.shard.observe_reply("w1", build_sync_reply(now_ms=0.0, tasks=running))
         self.clock.advance(60_000.0)
         request = self.shard.plan_sync("w1", may_start=True, may_renew_batch=True)
         lease_end_on_worker_ms = request.commands[0].lease_until_ms
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -14,7 +14,7 @@
 from coltsfootpier.routing import Runner, Ticket
 from coltsfootpier.workers import SyncReply, SyncRequest, TaskReport
 
-TEXT = """
+DECLARATION_TEXT = """
 [team a]
 cores = 64
 memory_mb = 64000
@@ -44,7 +44,7 @@
 """
 
 
-def build_declaration(text: str = TEXT) -> Declaration:
+def build_declaration(text: str = DECLARATION_TEXT) -> Declaration:
     """Parse a declaration that must be valid."""
     return parse(text).unwrap()
 
@@ -76,7 +76,7 @@
     return attrs.evolve(vm, **overrides)
 
 
-def build_reply(
+def build_sync_reply(
     worker: str = "w1", tasks: tuple[TaskReport, ...] = (), **overrides: Any
 ) -> SyncReply:
     """Build the sync reply of a worker with 16 cores and 60 GB of memory."""
@@ -86,7 +86,7 @@
     return attrs.evolve(reply, **overrides)
 
 
-def build_report(task: str, attempt: int = 1, **overrides: Any) -> TaskReport:
+def build_task_report(task: str, attempt: int = 1, **overrides: Any) -> TaskReport:
     """Build the report of a worker on a running attempt."""
     return attrs.evolve(TaskReport(task=task, attempt=attempt, state="running"), **overrides)
 
@@ -107,7 +107,7 @@
     shard.retire_previous_owner()
     commit(shard.record)
     shard.observe_vms([build_vm()])
-    shard.observe_reply("w1", build_reply(now_ms=clock.now_ms()))
+    shard.observe_reply("w1", build_sync_reply(now_ms=clock.now_ms()))
     return shard
 
 
@@ -123,13 +123,13 @@
     return attrs.evolve(Assignment(task=spec.name, attempt=attempt, spec=spec), **overrides)
 
 
-def build_exchange(sequence: int, **overrides: Any) -> ExchangeRequest:
+def build_exchange_request(sequence: int, **overrides: Any) -> ExchangeRequest:
     """Build an exchange request to shard r1 at epoch 1."""
     request = ExchangeRequest(shard="r1", shard_epoch=1, dispatch_epoch=1, sequence=sequence)
     return attrs.evolve(request, **overrides)
 
 
-def kinds(request: SyncRequest) -> list[tuple[str, str, int]]:
+def list_commands(request: SyncRequest) -> list[tuple[str, str, int]]:
     """Return the kind, task and attempt of each command."""
     return [(command.kind, command.task, command.attempt) for command in request.commands]
 
--- a/tests/clusters.py
+++ b/tests/clusters.py
@@ -10,7 +10,7 @@
 
 from standins.cluster import Cluster, call, wait_for
 
-TEXT = """
+DECLARATION_TEXT = """
 [team a]
 cores = 64
 memory_mb = 64000
@@ -82,7 +82,7 @@
         )
         await cluster.wait_ready()
         if cls.runners:
-            await cls.apply_declaration(TEXT.format(runners=cls.runners))
+            await cls.apply_declaration(DECLARATION_TEXT.format(runners=cls.runners))
             await cls.wait_for_runners(cls.runners)
 
     @classmethod
--- a/tests/test_processes_failures.py
+++ b/tests/test_processes_failures.py
@@ -14,7 +14,7 @@
 from coltsfootpier.transport import Connection
 from standins.cluster import call, is_ready, read_store, wait_for
 from standins.relay import Relay
-from tests.clusters import JOB_SECTION, TEXT, ClusterTestCase, run_async
+from tests.clusters import DECLARATION_TEXT, JOB_SECTION, ClusterTestCase, run_async
 
 _SHORT_PERIODS = {
     "member_lease_ms": 3_000,
@@ -63,7 +63,7 @@
             await self.cluster.set_faults(worker)
         await self.cluster.set_faults(self.cluster.platform)
         await self.cluster.wait_ready()
-        text = TEXT.format(runners=2)
+        text = DECLARATION_TEXT.format(runners=2)
         config = await call(self.cluster.daemons["entry-0"].ports["operators"], "GET", "/v1/config")
         if config.json().get("text") != text:
             reply = await self._apply("entry-0", text, config.json()["revision"])
@@ -129,7 +129,9 @@
             replies: list[dict[str, Any]] = []
 
             async def apply_change(daemon: str, runners: int) -> None:
-                replies.append(await self._apply(daemon, TEXT.format(runners=runners), base))
+                replies.append(
+                    await self._apply(daemon, DECLARATION_TEXT.format(runners=runners), base)
+                )
 
             async with anyio.create_task_group() as group:
                 group.start_soon(apply_change, "entry-0", 2)
@@ -152,7 +154,9 @@
 
         async def test() -> None:
             base = max((await self._read_revisions()).values())
-            text = TEXT.format(runners=2) + JOB_SECTION.format(name="lost", run_time_s=1, count=3)
+            text = DECLARATION_TEXT.format(runners=2) + JOB_SECTION.format(
+                name="lost", run_time_s=1, count=3
+            )
             await self.cluster.set_faults(self.cluster.platform, lose_answers=6)
             reply = await self._apply("entry-2", text, base)
             self.assertEqual((reply["outcome"], reply["revision"]), ("accepted", base + 1))
@@ -171,7 +175,7 @@
             base = max((await self._read_revisions()).values())
             lost_before = self.read_log("entry-r").count("lease lost")
             self.relay.silence()
-            reply = await self._apply("entry-0", TEXT.format(runners=2) + "\n", base)
+            reply = await self._apply("entry-0", DECLARATION_TEXT.format(runners=2) + "\n", base)
             self.assertEqual(reply["outcome"], "accepted")
             waited_s = await self._wait_for_revision(base + 1)
             print(f"in force after {waited_s:.2f} s with one silent watch")
@@ -212,7 +216,9 @@
             print(f"changes of owner after the outage: {sum(changes)}, at most {max(changes)} each")
             print(f"calls of 6 daemons in the 5 s after the outage: {calls_made}")
             self.assertLess(calls_made, 400)
-            text = TEXT.format(runners=2) + JOB_SECTION.format(name="after", run_time_s=1, count=2)
+            text = DECLARATION_TEXT.format(runners=2) + JOB_SECTION.format(
+                name="after", run_time_s=1, count=2
+            )
             await self.apply_declaration(text)
             await self._wait_for_jobs("job/after/", 2)
             runs = await self._read_runs()
@@ -262,7 +268,9 @@
         """Guards against requests and tasks that run twice when daemons die or resume late."""
 
         async def test() -> None:
-            text = TEXT.format(runners=2) + JOB_SECTION.format(name="death", run_time_s=4, count=4)
+            text = DECLARATION_TEXT.format(runners=2) + JOB_SECTION.format(
+                name="death", run_time_s=4, count=4
+            )
             await self.apply_declaration(text)
             outcomes: dict[str, str] = {}
 
@@ -318,9 +326,9 @@
         """
 
         async def test() -> None:
-            await self.apply_declaration(TEXT.format(runners=3))
+            await self.apply_declaration(DECLARATION_TEXT.format(runners=3))
             await self.wait_for_runners(3)
-            await self.apply_declaration(TEXT.format(runners=2))
+            await self.apply_declaration(DECLARATION_TEXT.format(runners=2))
             await self.wait_for_runners(2)
             before = (await self._read_runs())["started"]
             old = self.cluster.workers["worker-0"]
@@ -355,7 +363,9 @@
         """Guards against tasks that keep running on two workers after one of them resumes."""
 
         async def test() -> None:
-            text = TEXT.format(runners=2) + JOB_SECTION.format(name="pause", run_time_s=3, count=4)
+            text = DECLARATION_TEXT.format(runners=2) + JOB_SECTION.format(
+                name="pause", run_time_s=3, count=4
+            )
             await self.apply_declaration(text)
 
             async def all_running() -> bool:
--- a/tests/test_processes_input.py
+++ b/tests/test_processes_input.py
@@ -13,7 +13,7 @@
 import orjson
 
 from standins.cluster import call, wait_for
-from tests.clusters import TEXT, ClusterTestCase, run_async
+from tests.clusters import DECLARATION_TEXT, ClusterTestCase, run_async
 
 _REQUEST_HEAD = (
     "POST /services/web/write HTTP/1.1\r\nhost: x\r\nidempotency-key: k\r\n"
@@ -140,7 +140,7 @@
             await anyio.sleep(2)
             await self._check_serving()
             await self.cluster.set_faults(self.cluster.platform)
-            await self.apply_declaration(TEXT.format(runners=2))
+            await self.apply_declaration(DECLARATION_TEXT.format(runners=2))
             await self._check_serving()
 
         run_async(test)
@@ -155,7 +155,7 @@
             (folder / "typo.ini").write_text("[service web]\nrunnners = 3\n")
             (folder / "binary.ini").write_bytes(b"\xff\xfe\x00")
             large = "".join(f"# {'x' * 1_000}\n" for _ in range(1_100))
-            (folder / "large.ini").write_text(TEXT.format(runners=2) + large)
+            (folder / "large.ini").write_text(DECLARATION_TEXT.format(runners=2) + large)
             for arguments, exit_code in (
                 (("apply", str(folder / "typo.ini"), daemon_flag), 3),
                 (("apply", str(folder / "binary.ini"), daemon_flag), 3),
