--- a/coltsfootpier/clock/__init__.py
+++ b/coltsfootpier/clock/__init__.py
@@ -2,4 +2,4 @@
 
 from coltsfootpier.clock._clock import MAX_CLOCK_DRIFT_RATIO, Clock, MonotonicClock, VirtualClock
 
-__all__ = ["CLOCK_DRIFT", "Clock", "MonotonicClock", "VirtualClock"]
+__all__ = ["MAX_CLOCK_DRIFT_RATIO", "Clock", "MonotonicClock", "VirtualClock"]
