--- a/coltsfootpier/cells/__init__.py
+++ b/coltsfootpier/cells/__init__.py
@@ -3,13 +3,13 @@
 from coltsfootpier.cells._admission import Backlog, Rejected, judge_job
 from coltsfootpier.cells._cell import Accepted, Cell
 from coltsfootpier.cells._fleet import CapacityError, DoubleRunError
-from coltsfootpier.cells._lapses import LapseTracker
+from coltsfootpier.cells._lapses import LeaseExpiryTracker
 from coltsfootpier.cells._learned import Learned, LearnedPressure
 from coltsfootpier.cells._messages import (
-    AskAdvice,
+    AdviceRequest,
+    CellCommand,
     EndedRow,
     EndKind,
-    Order,
     PaceRun,
     RunId,
     RunnerEntry,
--- a/coltsfootpier/cells/_admission.py
+++ b/coltsfootpier/cells/_admission.py
@@ -32,7 +32,7 @@
     capacity: float
 
     @property
-    def wait_ms(self) -> float:
+    def queueing_delay_ms(self) -> float:
         """Time until the work ahead is done."""
         return self.work / self.capacity if self.capacity > 0 else float("inf")
 
@@ -69,12 +69,12 @@
 
     reason: str
     retry_after_ms: float
-    wait_ms: float = 0.0
-    chain_ms: float = 0.0
+    queueing_delay_ms: float = 0.0
+    critical_path_ms: float = 0.0
 
 
 def judge_job(
-    waits: Waits, *, chain_ms: float, objective_ms: float, useful: float
+    waits: Waits, *, critical_path_ms: float, objective_ms: float, useful: float
 ) -> Rejected | None:
     """Return a refusal if a job can't be expected to end while that is of use.
 
@@ -100,15 +100,15 @@
     >>> judge_job(full, chain_ms=500.0, objective_ms=2_000.0, useful=1.0)
     Rejected(reason='backlog', retry_after_ms=500.0, wait_ms=2000.0, chain_ms=500.0)
     """
-    excess_ms = waits.in_time_ms + chain_ms - objective_ms
+    excess_ms = waits.in_time_ms + critical_path_ms - objective_ms
     # A job whose chain alone is longer than its objective would never be taken.
     if excess_ms <= 0 or waits.in_time_ms < MIN_RETRY_AFTER_MS:
         return None
-    if waits.all_ms + chain_ms <= useful * objective_ms:
+    if waits.all_ms + critical_path_ms <= useful * objective_ms:
         return None
     return Rejected(
         "backlog",
         min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, excess_ms)),
-        wait_ms=waits.in_time_ms,
-        chain_ms=chain_ms,
+        queueing_delay_ms=waits.in_time_ms,
+        critical_path_ms=critical_path_ms,
     )
--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -18,10 +18,10 @@
 from coltsfootpier.cells._learned import Learned
 from coltsfootpier.cells._lives import LifeTracker
 from coltsfootpier.cells._messages import (
-    AskAdvice,
+    AdviceRequest,
+    CellCommand,
     EndedRow,
     EndKind,
-    Order,
     RunId,
     RunnerEntry,
     RunnerReport,
@@ -85,9 +85,11 @@
             log=log,
             observe=observe,
         )
-        self.lives = LifeTracker(settings=settings, fleet=self.fleet, jobs=self.jobs, log=log)
+        self.incarnations = LifeTracker(
+            settings=settings, fleet=self.fleet, jobs=self.jobs, log=log
+        )
         self.cordons = Cordons(fleet=self.fleet, jobs=self.jobs, log=log)
-        self._orders: list[Order] = []
+        self._orders: list[CellCommand] = []
         self._checked_ms = float("-inf")
 
     # Jobs
@@ -176,8 +178,8 @@
             return Rejected("tasks", settings.tasks_retry_ms)
         if any(step.long_running for step in spec.steps) or spec.occurrences:
             return None
-        chain_ms = self._estimates.chain_ms(queue.name, spec.steps)
-        objective_ms = queue.stretch * chain_ms + queue.objective_ms
+        critical_path_ms = self._estimates.critical_path_ms(queue.name, spec.steps)
+        objective_ms = queue.stretch * critical_path_ms + queue.objective_ms
         if not any(step.fills for step in spec.steps):
             waits = self._estimates.wait_short(
                 self.jobs.jobs.values(),
@@ -190,7 +192,7 @@
             waits = self._estimates.wait_fill(queue, spec)
         refusal = judge_job(
             waits,
-            chain_ms=chain_ms,
+            critical_path_ms=critical_path_ms,
             objective_ms=objective_ms,
             useful=settings.admit_late,
         )
@@ -228,15 +230,15 @@
             if run.step.long_running and run.state is RunState.RUNNING:
                 self._stop(run, "runner leaves", now_ms)
 
-    def take_report(self, runner_id: str, report: RunnerReport, now_ms: float) -> None:
+    def apply_report(self, runner_id: str, report: RunnerReport, now_ms: float) -> None:
         """Take both lists of a runner."""
         runner = self.fleet.runners.get(runner_id)
-        if runner is None or report.born_unix_ms < runner.born_unix_ms:
+        if runner is None or report.started_unix_ms < runner.started_unix_ms:
             return
-        if runner.born_unix_ms and report.born_unix_ms > runner.born_unix_ms:
-            for run in self.fleet.restart(runner, report.born_unix_ms):
+        if runner.started_unix_ms and report.started_unix_ms > runner.started_unix_ms:
+            for run in self.fleet.restart(runner, report.started_unix_ms):
                 self.jobs.requeue(run.id)
-        runner.born_unix_ms = report.born_unix_ms
+        runner.started_unix_ms = report.started_unix_ms
         if not runner.adopted:
             self._log("runner answers", runner=runner_id, runs=len(report.running))
         runner.contact_ms = report.received_ms
@@ -354,7 +356,7 @@
 
     # Answers to orders
 
-    def start_answered(
+    def handle_start_response(
         self, runner_id: str, run_id: RunId, outcome: StartOutcome, now_ms: float
     ) -> None:
         """Take the answer to an order to start."""
@@ -384,8 +386,8 @@
         self.fleet.remove_run(run)
         self.jobs.requeue(run_id)
 
-    def take_advice(
-        self, question: AskAdvice, tickets: Mapping[str, str], valid_ms: float, now_ms: float
+    def apply_advice(
+        self, question: AdviceRequest, tickets: Mapping[str, str], valid_ms: float, now_ms: float
     ) -> None:
         """Take the answer of the service that approves runners.
 
@@ -400,15 +402,15 @@
         now_ms : float
             Local time before the question was asked.
         """
-        self._planner.take_advice(question, tickets, valid_ms, now_ms)
+        self._planner.apply_advice(question, tickets, valid_ms, now_ms)
 
-    def stop_answered(self, runner_id: str, run_id: RunId, now_ms: float) -> None:
+    def handle_stop_response(self, runner_id: str, run_id: RunId, now_ms: float) -> None:
         """Note that a runner has stopped or barred a run."""
         run = self.fleet.find_run(runner_id, run_id)
         if run is not None:
             run.barred_ms = min(run.barred_ms, now_ms)
 
-    def pace_failed(self, runner_id: str, run_id: RunId) -> None:
+    def handle_pace_failure(self, runner_id: str, run_id: RunId) -> None:
         """Note that the pace of a run is not known, so that it is ordered again."""
         run = self.fleet.find_run(runner_id, run_id)
         if run is not None:
@@ -416,7 +418,7 @@
 
     # Planning
 
-    def plan(self, now_ms: float, unix_ms: float) -> list[Order]:
+    def plan(self, now_ms: float, unix_ms: float) -> list[CellCommand]:
         """Return the orders that are due now.
 
         Parameters
@@ -457,7 +459,7 @@
 
     def _check_runner(self, runner: Runner, now_ms: float) -> None:
         settings = self._settings
-        if now_ms > runner.lapse_ms:
+        if now_ms > runner.lease_expiry_ms:
             if runner.runs:
                 self._log("runs lapsed", runner=runner.entry.id, runs=len(runner.runs))
             for run in self.fleet.release(runner):
--- a/coltsfootpier/cells/_lapses.py
+++ b/coltsfootpier/cells/_lapses.py
@@ -8,7 +8,7 @@
 _SEND_SLACK_MS = 50.0
 
 
-class LapseTracker:
+class LeaseExpiryTracker:
     """Latest local time at which a deadline that a runner may have taken ends.
 
     A call counts from before it is sent until it is known that the runner did not take it, so a
@@ -38,7 +38,7 @@
         self._last_call = 0
 
     @property
-    def lapse_ms(self) -> float:
+    def lease_expiry_ms(self) -> float:
         """Local time from which nothing runs there any more."""
         return max(self._taken_ms, *self._calls.values(), float("-inf"))
 
@@ -58,6 +58,6 @@
 
     def settle(self, call: int, *, taken: bool) -> None:
         """Note whether the runner may have taken a call."""
-        lapse_ms = self._calls.pop(call)
+        lease_expiry_ms = self._calls.pop(call)
         if taken:
-            self._taken_ms = max(self._taken_ms, lapse_ms)
+            self._taken_ms = max(self._taken_ms, lease_expiry_ms)
--- a/coltsfootpier/cells/_planning.py
+++ b/coltsfootpier/cells/_planning.py
@@ -8,7 +8,7 @@
 from coltsfootpier.cells._fleet import Event, Fleet
 from coltsfootpier.cells._interference import PressureTable
 from coltsfootpier.cells._jobs import JobTable
-from coltsfootpier.cells._messages import AskAdvice, RunId, StartRun
+from coltsfootpier.cells._messages import AdviceRequest, RunId, StartRun
 from coltsfootpier.cells._placing import choose_runner, is_eligible, is_usable
 from coltsfootpier.cells._regrouping import Regrouper
 from coltsfootpier.cells._search import RunnerSearch
@@ -77,7 +77,7 @@
                 usable.setdefault(runner.entry.service, []).append(runner)
         self._search.begin(usable)
 
-    def place(self, now_ms: float) -> list[StartRun | AskAdvice]:
+    def place(self, now_ms: float) -> list[StartRun | AdviceRequest]:
         """Start what has room; returns the orders."""
         steps = [
             step
@@ -87,7 +87,7 @@
             and not (self._fleet.inherited and step.job.record.id in self._jobs.inherited)
         ]
         steps.sort(key=lambda step: self._estimates.rank(step, now_ms))
-        orders: list[StartRun | AskAdvice] = []
+        orders: list[StartRun | AdviceRequest] = []
         for step in steps:
             service = self._service_of(step)
             runners = self._search.list_usable(service)
@@ -226,7 +226,7 @@
 
     def _find_question(
         self, step: StepRun, runners: list[Runner], now_ms: float
-    ) -> AskAdvice | None:
+    ) -> AdviceRequest | None:
         """Return the question for runners that may have room and aren't known to be refused."""
         if now_ms - step.asked_ms < self._settings.advice_retry_ms:
             return None
@@ -241,10 +241,10 @@
             return None
         step.asked_ms = now_ms
         limit = self._settings.advice_runners
-        return AskAdvice(step_id=step.id, runner_ids=tuple(unknown[:limit]))
+        return AdviceRequest(step_id=step.id, runner_ids=tuple(unknown[:limit]))
 
-    def take_advice(
-        self, question: AskAdvice, tickets: Mapping[str, str], valid_ms: float, now_ms: float
+    def apply_advice(
+        self, question: AdviceRequest, tickets: Mapping[str, str], valid_ms: float, now_ms: float
     ) -> None:
         """Take the answer to a question; see `Cell.take_advice`."""
         step = self._jobs.find_step_by_id(question.step_id)
--- a/coltsfootpier/cells/tests/builders.py
+++ b/coltsfootpier/cells/tests/builders.py
@@ -9,10 +9,10 @@
 from coltsfootpier.cells import (
     Accepted,
     Cell,
+    CellCommand,
     CellSettings,
     EndedRow,
     EndKind,
-    Order,
     PaceRun,
     RunId,
     RunnerEntry,
@@ -114,7 +114,7 @@
         self.cell = Cell(settings=self.settings, generation=generation, log=self._log)
         entries = entries or tuple(build_entry(name) for name in names)
         self.runners = {entry.id: SimulatedRunner(entry) for entry in entries}
-        self.orders: list[Order] = []
+        self.orders: list[CellCommand] = []
         # Runs whose start is answered with another outcome than started.
         self.outcomes: dict[str, StartOutcome] = {}
         self.is_durable = True
@@ -152,7 +152,7 @@
 
     def store(self) -> None:
         """Make all changes durable."""
-        for job, version in self.cell.jobs.take_dirty(1_000):
+        for job, version in self.cell.jobs.list_dirty(1_000):
             self.cell.jobs.mark_durable(job, version)
 
     def report(self, *names: str) -> None:
@@ -162,15 +162,15 @@
                 continue
             known = self.cell.fleet.runners.get(name)
             if known is not None:
-                observed = self.cell.fleet.observed_end(name)
+                observed = self.cell.fleet.last_durable_end(name)
                 runner.ended = [row for row in runner.ended if row.number > observed]
-                lapse_ms = self.now_ms + self.settings.run_lease_ms
-                self.cell.fleet.set_lapse(name, lapse_ms)
-            self.cell.take_report(
+                lease_expiry_ms = self.now_ms + self.settings.run_lease_ms
+                self.cell.fleet.set_lease_expiry(name, lease_expiry_ms)
+            self.cell.apply_report(
                 name,
                 RunnerReport(
                     clock_ms=self.now_ms,
-                    born_unix_ms=runner.entry.born_unix_ms,
+                    started_unix_ms=runner.entry.started_unix_ms,
                     running=tuple(
                         RunningRow(
                             run,
@@ -187,7 +187,7 @@
                 self.now_ms,
             )
 
-    def plan(self) -> list[Order]:
+    def plan(self) -> list[CellCommand]:
         """Plan once and carry the orders out at the runners that can be reached."""
         orders = self.cell.plan(self.now_ms, self.unix_ms)
         self.orders += orders
@@ -199,9 +199,9 @@
                 runner.barred.add(order.run)
                 if order.run in runner.running:
                     runner.end(order.run, EndKind.STOPPED, runner.running[order.run])
-                self.cell.stop_answered(order.runner_id, order.run, self.now_ms)
+                self.cell.handle_stop_response(order.runner_id, order.run, self.now_ms)
             elif isinstance(order, PaceRun) and not runner.reachable:
-                self.cell.pace_failed(order.runner_id, order.run)
+                self.cell.handle_pace_failure(order.runner_id, order.run)
         return orders
 
     def _start(self, runner: SimulatedRunner, order: StartRun) -> None:
@@ -210,7 +210,7 @@
             outcome = StartOutcome.UNKNOWN
         if outcome is StartOutcome.STARTED:
             runner.running[order.run] = order.checkpoint
-        self.cell.start_answered(order.runner_id, order.run, outcome, self.now_ms)
+        self.cell.handle_start_response(order.runner_id, order.run, outcome, self.now_ms)
 
     def advance(self, duration_ms: float, step_ms: float = 100.0) -> None:
         """Let time pass with reports and plans."""
--- a/coltsfootpier/cells/tests/test_lives.py
+++ b/coltsfootpier/cells/tests/test_lives.py
@@ -18,7 +18,7 @@
         self.runner = self.world.runners[self.name]
 
     def _list(self, *living):
-        ended = self.world.cell.lives.take_listing(living, requested_ms=self.world.now_ms)
+        ended = self.world.cell.incarnations.take_listing(living, requested_ms=self.world.now_ms)
         self.world.advance(100)
         return ended
 
@@ -29,7 +29,7 @@
     def test_crashed_runner(self):
         """Guards against tasks of a crashed runner that wait 4 s for their lapse."""
         self._crash()
-        self.assertTrue(self.world.cell.lives.has_suspects(self.world.now_ms))
+        self.assertTrue(self.world.cell.incarnations.has_suspects(self.world.now_ms))
         self.assertFalse(self._list(self.other))
         self.assertTrue(self._list(self.other))
         self.assertEqual(len(self.world.runners[self.other].running), 1)
@@ -55,7 +55,7 @@
         self.world.now_ms += 1_000
         self.world.report()
         for later_ms in (0, 50):
-            self.world.cell.lives.take_listing(set(), requested_ms=requested_ms + later_ms)
+            self.world.cell.incarnations.take_listing(set(), requested_ms=requested_ms + later_ms)
         self.assertEqual(self.world.find("j"), [(self.name, self.run_id)])
         self.assertFalse(self.world.cell.fleet.runners[self.name].ended)
 
@@ -92,7 +92,7 @@
         """Guards against listings that are paid for while nothing waits for them."""
         self.world.finish("j")
         self._crash()
-        self.assertFalse(self.world.cell.lives.has_suspects(self.world.now_ms))
+        self.assertFalse(self.world.cell.incarnations.has_suspects(self.world.now_ms))
 
     def test_next_owner_does_not_wait_for_a_gone_runner(self):
         """Guards against all jobs of before that wait 4 s because one runner is gone."""
@@ -106,7 +106,7 @@
         world.advance(300)
         self.assertEqual(world.find("j"), [])
         for _ in range(2):
-            world.cell.lives.take_listing({self.other}, requested_ms=world.now_ms)
+            world.cell.incarnations.take_listing({self.other}, requested_ms=world.now_ms)
             world.advance(100)
         self.assertEqual([name for name, _ in world.find("j")], [self.other])
 
--- a/coltsfootpier/cells/tests/test_regrouping.py
+++ b/coltsfootpier/cells/tests/test_regrouping.py
@@ -34,7 +34,9 @@
         run = runner.runs[order.run]
         run.load = 0.5
         self.world.runners[runner_id].running[order.run] = ""
-        self.cell.start_answered(runner_id, order.run, StartOutcome.STARTED, self.world.now_ms)
+        self.cell.handle_start_response(
+            runner_id, order.run, StartOutcome.STARTED, self.world.now_ms
+        )
         run.percent = 100.0
 
     def _choose(self, prices=None):
--- a/coltsfootpier/cells/tests/test_runs.py
+++ b/coltsfootpier/cells/tests/test_runs.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from coltsfootpier.cells import AskAdvice, EndKind, RunId, StartOutcome, StartRun, StopRun
+from coltsfootpier.cells import AdviceRequest, EndKind, RunId, StartOutcome, StartRun, StopRun
 from coltsfootpier.cells.tests.builders import (
     SimulatedCell,
     build_entry,
@@ -38,9 +38,9 @@
         world.plan()
         world.is_durable = False
         world.finish("j")
-        self.assertEqual(job.shown_state, JobState.RUNNING)
+        self.assertEqual(job.visible_state, JobState.RUNNING)
         world.store()
-        self.assertEqual(job.shown_state, JobState.COMPLETED)
+        self.assertEqual(job.visible_state, JobState.COMPLETED)
 
     def test_nothing_starts_before_the_job_is_durable(self):
         """Guards against a run of a job that a crash would forget."""
@@ -101,9 +101,9 @@
         _, run = world.find("j")[0]
         world.runners["a"].end(run)
         world.report()
-        self.assertEqual(world.cell.fleet.observed_end("a"), 0)
+        self.assertEqual(world.cell.fleet.last_durable_end("a"), 0)
         world.store()
-        self.assertEqual(world.cell.fleet.observed_end("a"), 1)
+        self.assertEqual(world.cell.fleet.last_durable_end("a"), 1)
 
     def test_failed_runs_are_counted(self):
         """Guards against a task that is started after its attempts are used up."""
@@ -116,7 +116,7 @@
             world.advance(100)
         starts = [order for order in world.orders if isinstance(order, StartRun)]
         self.assertEqual(len(starts), 2)
-        self.assertEqual(job.shown_state, JobState.FAILED)
+        self.assertEqual(job.visible_state, JobState.FAILED)
 
     def test_failed_task_avoids_its_runner(self):
         """Guards against attempts that are all spent on a runner that fails everything."""
@@ -162,7 +162,7 @@
         job = world.cell.cancel("j", world.now_ms)
         world.advance(1_000)
         self.assertEqual(world.find("j"), [])
-        self.assertEqual(job.shown_state, JobState.CANCELLED)
+        self.assertEqual(job.visible_state, JobState.CANCELLED)
 
 
 class UnknownTest(unittest.TestCase):
@@ -201,8 +201,8 @@
         world.plan()
         name, _ = world.find("j")[0]
         world.runners[name].reachable = False
-        lapse_ms = world.cell.fleet.runners[name].lapse_ms
-        while world.now_ms < lapse_ms:
+        lease_expiry_ms = world.cell.fleet.runners[name].lease_expiry_ms
+        while world.now_ms < lease_expiry_ms:
             self.assertEqual(len(world.find("j")), 1)
             world.advance(100)
         world.advance(200)
@@ -218,7 +218,7 @@
         runner = world.runners[name]
         runner.running.clear()
         runner.last_end = 0
-        runner.entry = build_entry(name, born_unix_ms=2)
+        runner.entry = build_entry(name, started_unix_ms=2)
         world.advance(200)
         self.assertEqual(len(world.find("j")), 1)
 
@@ -349,10 +349,10 @@
         world.join()
         world.submit("j", build_job(build_step(count=3)), build_queue(needs_advice=True))
         question = world.cell.plan(world.now_ms, world.unix_ms)[0]
-        self.assertIsInstance(question, AskAdvice)
+        self.assertIsInstance(question, AdviceRequest)
         self.assertEqual(set(question.runner_ids), {"a", "b", "c"})
         self.assertEqual(world.cell.plan(world.now_ms, world.unix_ms), [])
-        world.cell.take_advice(question, {"b": "ticket"}, 3_000.0, world.now_ms)
+        world.cell.apply_advice(question, {"b": "ticket"}, 3_000.0, world.now_ms)
         orders = world.plan()
         self.assertEqual({order.runner_id for order in orders}, {"b"})
         self.assertEqual({order.ticket for order in orders}, {"ticket"})
@@ -364,11 +364,11 @@
         queue = build_queue(needs_advice=True)
         world.submit("j", build_job(build_step(long_running=True)), queue)
         question = world.cell.plan(world.now_ms, world.unix_ms)[0]
-        world.cell.take_advice(question, {"a": "t1"}, 100.0, world.now_ms)
+        world.cell.apply_advice(question, {"a": "t1"}, 100.0, world.now_ms)
         world.now_ms += 200
         world.report()
         question = world.cell.plan(world.now_ms, world.unix_ms)[0]
-        self.assertIsInstance(question, AskAdvice)
+        self.assertIsInstance(question, AdviceRequest)
 
 
 class HealthTest(unittest.TestCase):
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -12,10 +12,10 @@
 
 from coltsfootpier.cells import (
     Accepted,
-    AskAdvice,
+    AdviceRequest,
     Cell,
+    CellCommand,
     CellSettings,
-    Order,
     Rejected,
     RunnerEntry,
 )
@@ -228,8 +228,8 @@
                 queue=queue.name,
                 reason=result.reason,
                 retry_after_ms=result.retry_after_ms,
-                queueing_delay_ms=result.wait_ms,
-                critical_path_ms=result.chain_ms,
+                queueing_delay_ms=result.queueing_delay_ms,
+                critical_path_ms=result.critical_path_ms,
                 generation=self.cell.generation,
             )
             return reject(result.reason, result.retry_after_ms)
@@ -287,7 +287,7 @@
         job = self.cell.jobs.jobs.get(job_id)
         if job is None or job.durable_version == 0:
             return self._build_unknown_job_response()
-        return Response(status=ResponseStatus.KNOWN, state=job.shown_state)
+        return Response(status=ResponseStatus.KNOWN, state=job.visible_state)
 
     def _build_unknown_job_response(self) -> Response:
         """Return the response for a job that is unknown to this owner.
@@ -352,8 +352,8 @@
             with anyio.move_on_after(_timing.MAX_PLAN_WAIT_MS / 1000):
                 await self._wake.wait()
 
-    def _execute(self, command: Order) -> None:
-        if isinstance(command, AskAdvice):
+    def _execute(self, command: CellCommand) -> None:
+        if isinstance(command, AdviceRequest):
             if self._advice is not None:
                 self._group.start_soon(self._request_advice, command)
             return
@@ -361,7 +361,7 @@
         if task is not None:
             task.execute(command)
 
-    async def _request_advice(self, request: AskAdvice) -> None:
+    async def _request_advice(self, request: AdviceRequest) -> None:
         requested_ms = self._clock.now_ms()
         result = await self._advice.request_tickets(request, timeout_ms=_timing.ADVICE_TIMEOUT_MS)
         if isinstance(result, Failure):
@@ -370,7 +370,7 @@
             )
             return
         tickets, valid_ms = result.unwrap()
-        self.cell.take_advice(request, tickets, valid_ms, requested_ms)
+        self.cell.apply_advice(request, tickets, valid_ms, requested_ms)
         self._wake_planner()
 
     async def _poll_registry(self) -> None:
@@ -440,7 +440,7 @@
         task = VmTask(
             calls=calls,
             cordons=self.cell.cordons,
-            liveness=self.cell.lives,
+            liveness=self.cell.incarnations,
             records=self._committer,
             record=record,
             clock=self._clock,
--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -12,7 +12,7 @@
 from coltsfootpier.cells import (
     Cell,
     CellSettings,
-    LapseTracker,
+    LeaseExpiryTracker,
     PaceRun,
     RunnerEntry,
     RunnerReport,
@@ -79,7 +79,7 @@
         self._clock = clock
         self._on_event = on_event
         self._on_fenced = on_fenced
-        self._lease_expiry = LapseTracker(settings)
+        self._lease_expiry = LeaseExpiryTracker(settings)
         self._client = RunnerClient(entry=entry, token=cell.generation, clock=clock)
         # Clock of the runner and local time at which it was read, from the last report.
         self._clock_sample: tuple[float, float] | None = None
@@ -103,7 +103,7 @@
         """Send a command in a separate task."""
         if self._group is None:
             if isinstance(command, StartRun):
-                self._cell.start_answered(
+                self._cell.handle_start_response(
                     self.id, command.run, StartOutcome.REFUSED, self._clock.now_ms()
                 )
             return
@@ -121,13 +121,13 @@
         return runner_ms + self._clock.now_ms() - local_ms
 
     def _start_call(self, duration_ms: float) -> int:
-        call = self._lease_expiry.begin(now_ms=self._clock.now_ms(), duration_ms=duration_ms)
-        self._cell.fleet.set_lapse(self.id, self._lease_expiry.lapse_ms)
+        call = self._lease_expiry.record_call(now_ms=self._clock.now_ms(), duration_ms=duration_ms)
+        self._cell.fleet.set_lease_expiry(self.id, self._lease_expiry.lease_expiry_ms)
         return call
 
-    def _finish_call(self, call: int, *, taken: bool) -> None:
-        self._lease_expiry.settle(call, taken=taken)
-        self._cell.fleet.set_lapse(self.id, self._lease_expiry.lapse_ms)
+    def _finish_call(self, call: int, *, applied: bool) -> None:
+        self._lease_expiry.settle(call, applied=applied)
+        self._cell.fleet.set_lease_expiry(self.id, self._lease_expiry.lease_expiry_ms)
 
     async def _poll_report(self) -> None:
         cell = self._cell
@@ -143,13 +143,13 @@
         self.report_count += 1
         result = await self._client.report(
             deadline_ms=deadline_ms,
-            observed=cell.fleet.observed_end(self.id),
+            observed=cell.fleet.last_durable_end(self.id),
             # A long poll would return at once while the runner still lists earlier ended runs.
             wait_ms=0 if has_pending_ends or runner_now_ms is None else _timing.REPORT_WAIT_MS,
             timeout_ms=_timing.RUNNER_TIMEOUT_MS,
         )
         if deadline_ms is not None:
-            self._finish_call(call, taken=_may_be_accepted(result))
+            self._finish_call(call, applied=_may_be_accepted(result))
         if isinstance(result, Failure):
             await self._handle_failure(result.failure())
             return
@@ -170,34 +170,34 @@
 
     def _apply_report(self, report: RunnerReport) -> None:
         self._clock_sample = (report.clock_ms, report.received_ms)
-        self._cell.take_report(self.id, report, self._clock.now_ms())
+        self._cell.apply_report(self.id, report, self._clock.now_ms())
         self._on_event()
 
     async def _start(self, command: StartRun) -> None:
         runner_now_ms = self._estimate_runner_ms()
         now_ms = self._clock.now_ms
         if runner_now_ms is None:
-            self._cell.start_answered(self.id, command.run, StartOutcome.REFUSED, now_ms())
+            self._cell.handle_start_response(self.id, command.run, StartOutcome.REFUSED, now_ms())
             return
         valid_ms = self._settings.start_valid_ms
         call = self._start_call(valid_ms)
         outcome, _ = await self._client.start(
             command, deadline_ms=runner_now_ms + valid_ms, timeout_ms=_timing.RUNNER_TIMEOUT_MS
         )
-        self._finish_call(call, taken=outcome not in (StartOutcome.REFUSED, StartOutcome.FENCED))
+        self._finish_call(call, applied=outcome not in (StartOutcome.REFUSED, StartOutcome.FENCED))
         if outcome is StartOutcome.FENCED:
             self._on_fenced(self.id)
-        self._cell.start_answered(self.id, command.run, outcome, now_ms())
+        self._cell.handle_start_response(self.id, command.run, outcome, now_ms())
         if outcome is not StartOutcome.STARTED:
             self._on_event()
 
     async def _stop(self, command: StopRun) -> None:
         if await self._client.stop(command, timeout_ms=_timing.RUNNER_TIMEOUT_MS):
-            self._cell.stop_answered(self.id, command.run, self._clock.now_ms())
+            self._cell.handle_stop_response(self.id, command.run, self._clock.now_ms())
 
     async def _pace(self, command: PaceRun) -> None:
         if not await self._client.pace(command, timeout_ms=_timing.RUNNER_TIMEOUT_MS):
-            self._cell.pace_failed(self.id, command.run)
+            self._cell.handle_pace_failure(self.id, command.run)
 
 
 def _may_be_accepted(result: Result[RunnerReport, object]) -> bool:
