Rename outward names of cells

Methods such as start_answered, take_report, observed_end, touch-like take_dirty, and names such as lapse, born and lives say little to a reader. In the package, docstrings, doctests, __all__ and the key "started_unix_ms" of a test builder follow. The doctest of check_admission breaks its expected line and compares it with NORMALIZE_WHITESPACE; it still compares the whole value.

--- a/benchmarks/colocation.py
+++ b/benchmarks/colocation.py
@@ -165,7 +165,7 @@
                 cpu_milli=round(16_000 * size),
                 memory_mb=round(64_000 * size),
                 rack=f"rack{number // 8}",
-                born_unix_ms=1,
+                started_unix_ms=1,
             )
             self._machines[entry.id] = _Machine(entry, report_ms=choose.uniform(0, _REPORT_MS))
         self._calls: list[_Call] = []
@@ -314,9 +314,9 @@
 
     def _report(self, machine: _Machine) -> None:
         name = machine.entry.id
-        observed = self.cell.fleet.observed_end(name)
+        observed = self.cell.fleet.last_durable_end(name)
         machine.ended = [row for row in machine.ended if row.number > observed]
-        self.cell.fleet.set_lapse(name, self.now_ms + self._settings.run_lease_ms)
+        self.cell.fleet.set_lease_expiry(name, self.now_ms + self._settings.run_lease_ms)
         due = self.now_ms >= machine.report_ms
         if due:
             machine.report_ms += _REPORT_MS
@@ -328,11 +328,11 @@
             measured = work.used_sum / work.used_count if work.used_count else 0.0
             rows.append(RunningRow(work.run, f"{work.done_ms}", percent, float(round(measured))))
         machine.has_news = False
-        self.cell.take_report(
+        self.cell.apply_report(
             name,
             RunnerReport(
                 clock_ms=self.now_ms,
-                born_unix_ms=1,
+                started_unix_ms=1,
                 running=tuple(rows),
                 ended=tuple(machine.ended),
                 sent_ms=self.now_ms,
@@ -355,13 +355,13 @@
                 work = _Work(order.run, step.spec, length_ms)
                 work.done_ms = float(order.checkpoint or 0.0)
                 machine.works[order.run] = work
-                self.cell.start_answered(
+                self.cell.handle_start_response(
                     order.runner_id, order.run, StartOutcome.STARTED, self.now_ms
                 )
             elif isinstance(order, StopRun):
                 if order.run in machine.works:
                     self._end(machine, order.run, EndKind.STOPPED)
-                self.cell.stop_answered(order.runner_id, order.run, self.now_ms)
+                self.cell.handle_stop_response(order.runner_id, order.run, self.now_ms)
             elif isinstance(order, PaceRun) and order.run in machine.works:
                 machine.works[order.run].pace = order.percent
 
@@ -400,7 +400,7 @@
                 if machine.has_news or self.now_ms >= machine.report_ms:
                     self._report(machine)
             self._carry_out()
-            for job, version in self.cell.jobs.take_dirty(1_000):
+            for job, version in self.cell.jobs.list_dirty(1_000):
                 self.cell.jobs.mark_durable(job, version)
             self._note_ends()
 
--- a/coltsfootpier/cells/__init__.py
+++ b/coltsfootpier/cells/__init__.py
@@ -4,12 +4,12 @@
 from coltsfootpier.cells._cell import Accepted, Cell
 from coltsfootpier.cells._fleet import CapacityError, DoubleRunError
 from coltsfootpier.cells._learned import Learned, LearnedInterference
-from coltsfootpier.cells._lease_expiry import LapseTracker
+from coltsfootpier.cells._lease_expiry import LeaseExpiryTracker
 from coltsfootpier.cells._messages import (
-    AskAdvice,
+    AdviceRequest,
+    CellCommand,
     EndedRow,
     EndKind,
-    Order,
     PaceRun,
     RunId,
     RunnerEntry,
@@ -24,19 +24,19 @@
 
 __all__ = [
     "Accepted",
-    "AskAdvice",
+    "AdviceRequest",
     "Backlog",
     "CapacityError",
     "Cell",
+    "CellCommand",
     "CellSettings",
     "DoubleRunError",
     "EndKind",
     "EndedRow",
     "Job",
-    "LapseTracker",
     "Learned",
     "LearnedInterference",
-    "Order",
+    "LeaseExpiryTracker",
     "PaceRun",
     "Rejected",
     "RunId",
--- a/coltsfootpier/cells/_admission.py
+++ b/coltsfootpier/cells/_admission.py
@@ -32,7 +32,7 @@
     capacity: float
 
     @property
-    def wait_ms(self) -> float:
+    def queueing_delay_ms(self) -> float:
         """Time in ms until the work ahead is done."""
         return self.work / self.capacity if self.capacity > 0 else float("inf")
 
@@ -63,18 +63,18 @@
         ``unknown_queue``, ``backlog``, ``tasks``, ``store`` or ``starting``.
     retry_after_ms : float
         Time after which a retry may succeed.
-    wait_ms, chain_ms : float
+    queueing_delay_ms, critical_path_ms : float
         Expected queueing delay and critical path behind the decision, or 0.
     """
 
     reason: str
     retry_after_ms: float
-    wait_ms: float = 0.0
-    chain_ms: float = 0.0
+    queueing_delay_ms: float = 0.0
+    critical_path_ms: float = 0.0
 
 
 def check_admission(
-    delays: QueueingDelays, *, chain_ms: float, objective_ms: float, lateness_factor: float
+    delays: QueueingDelays, *, critical_path_ms: float, objective_ms: float, lateness_factor: float
 ) -> Rejected | None:
     """Return a rejection if a job isn't expected to end while its result is of use.
 
@@ -84,7 +84,7 @@
     ----------
     delays : QueueingDelays
         Time until the work ahead of the job is done.
-    chain_ms : float
+    critical_path_ms : float
         Expected critical path of the job without queueing.
     objective_ms : float
         Time in which the job should end.
@@ -94,22 +94,27 @@
     Examples
     --------
     >>> free = QueueingDelays(in_time_ms=1_000.0, all_ms=9_000.0)
-    >>> check_admission(free, chain_ms=500.0, objective_ms=2_000.0, lateness_factor=1.0) is None
+    >>> check_admission(
+    ...     free, critical_path_ms=500.0, objective_ms=2_000.0, lateness_factor=1.0
+    ... ) is None
     True
     >>> full = QueueingDelays(in_time_ms=2_000.0, all_ms=9_000.0)
-    >>> check_admission(full, chain_ms=500.0, objective_ms=2_000.0, lateness_factor=1.0)
-    Rejected(reason='backlog', retry_after_ms=500.0, wait_ms=2000.0, chain_ms=500.0)
+    >>> check_admission(
+    ...     full, critical_path_ms=500.0, objective_ms=2_000.0, lateness_factor=1.0
+    ... )  # doctest: +NORMALIZE_WHITESPACE
+    Rejected(reason='backlog', retry_after_ms=500.0, queueing_delay_ms=2000.0,
+             critical_path_ms=500.0)
     """
-    excess_ms = delays.in_time_ms + chain_ms - objective_ms
+    excess_ms = delays.in_time_ms + critical_path_ms - objective_ms
     # With a short queue, accept a job even if its critical path alone exceeds its objective;
     # otherwise it would never be accepted.
     if excess_ms <= 0 or delays.in_time_ms < MIN_RETRY_AFTER_MS:
         return None
-    if delays.all_ms + chain_ms <= lateness_factor * objective_ms:
+    if delays.all_ms + critical_path_ms <= lateness_factor * objective_ms:
         return None
     return Rejected(
         "backlog",
         min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, excess_ms)),
-        wait_ms=delays.in_time_ms,
-        chain_ms=chain_ms,
+        queueing_delay_ms=delays.in_time_ms,
+        critical_path_ms=critical_path_ms,
     )
--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -23,10 +23,10 @@
 from coltsfootpier.cells._jobs import JobTable
 from coltsfootpier.cells._learned import Learned
 from coltsfootpier.cells._messages import (
-    AskAdvice,
+    AdviceRequest,
+    CellCommand,
     EndedRow,
     EndKind,
-    Order,
     RunId,
     RunnerEntry,
     RunnerReport,
@@ -90,11 +90,11 @@
             log=log,
             observe=observe,
         )
-        self.lives = IncarnationTracker(
+        self.incarnations = IncarnationTracker(
             settings=settings, fleet=self.fleet, jobs=self.jobs, log=log
         )
         self.cordons = Cordons(fleet=self.fleet, jobs=self.jobs, log=log)
-        self._commands: list[Order] = []
+        self._commands: list[CellCommand] = []
         self._checked_ms = float("-inf")
 
     # Jobs
@@ -183,8 +183,8 @@
             return Rejected("tasks", settings.tasks_retry_ms)
         if any(step.long_running for step in spec.steps) or spec.occurrences:
             return None
-        chain_ms = self._estimates.chain_ms(queue.name, spec.steps)
-        objective_ms = queue.stretch * chain_ms + queue.objective_ms
+        critical_path_ms = self._estimates.critical_path_ms(queue.name, spec.steps)
+        objective_ms = queue.stretch * critical_path_ms + queue.objective_ms
         if not any(step.fills for step in spec.steps):
             delays = self._estimates.estimate_short_delays(
                 self.jobs.jobs.values(),
@@ -197,7 +197,7 @@
             delays = self._estimates.estimate_best_effort_delays(queue, spec)
         rejection = check_admission(
             delays,
-            chain_ms=chain_ms,
+            critical_path_ms=critical_path_ms,
             objective_ms=objective_ms,
             lateness_factor=settings.admit_late,
         )
@@ -237,15 +237,15 @@
             if run.step.long_running and run.state is RunState.RUNNING:
                 self._stop(run, "runner is draining", now_ms)
 
-    def take_report(self, runner_id: str, report: RunnerReport, now_ms: float) -> None:
+    def apply_report(self, runner_id: str, report: RunnerReport, now_ms: float) -> None:
         """Apply a runner's report of its present and ended runs."""
         runner = self.fleet.runners.get(runner_id)
-        if runner is None or report.born_unix_ms < runner.born_unix_ms:
+        if runner is None or report.started_unix_ms < runner.started_unix_ms:
             return
-        if runner.born_unix_ms and report.born_unix_ms > runner.born_unix_ms:
-            for run in self.fleet.handle_restart(runner, report.born_unix_ms):
+        if runner.started_unix_ms and report.started_unix_ms > runner.started_unix_ms:
+            for run in self.fleet.handle_restart(runner, report.started_unix_ms):
                 self.jobs.requeue(run.id)
-        runner.born_unix_ms = report.born_unix_ms
+        runner.started_unix_ms = report.started_unix_ms
         if not runner.adopted:
             self._log("runner responded", runner=runner_id, runs=len(report.running))
         runner.contact_ms = report.received_ms
@@ -363,7 +363,7 @@
 
     # Responses to commands
 
-    def start_answered(
+    def handle_start_response(
         self, runner_id: str, run_id: RunId, outcome: StartOutcome, now_ms: float
     ) -> None:
         """Handle the response to a start command."""
@@ -393,8 +393,8 @@
         self.fleet.remove_run(run)
         self.jobs.requeue(run_id)
 
-    def take_advice(
-        self, request: AskAdvice, tickets: Mapping[str, str], valid_ms: float, now_ms: float
+    def apply_advice(
+        self, request: AdviceRequest, tickets: Mapping[str, str], valid_ms: float, now_ms: float
     ) -> None:
         """Apply the response of the service that approves runners.
 
@@ -410,15 +410,15 @@
         now_ms : float
             Local time before the request was sent.
         """
-        self._planner.take_advice(request, tickets, valid_ms, now_ms)
+        self._planner.apply_advice(request, tickets, valid_ms, now_ms)
 
-    def stop_answered(self, runner_id: str, run_id: RunId, now_ms: float) -> None:
+    def handle_stop_response(self, runner_id: str, run_id: RunId, now_ms: float) -> None:
         """Record that a runner stopped a run, or will reject its start from now on."""
         run = self.fleet.find_run(runner_id, run_id)
         if run is not None:
             run.stop_confirmed_ms = min(run.stop_confirmed_ms, now_ms)
 
-    def pace_failed(self, runner_id: str, run_id: RunId) -> None:
+    def handle_pace_failure(self, runner_id: str, run_id: RunId) -> None:
         """Mark the pace of a run as unknown, so that it is commanded again."""
         run = self.fleet.find_run(runner_id, run_id)
         if run is not None:
@@ -426,7 +426,7 @@
 
     # Planning
 
-    def plan(self, now_ms: float, unix_ms: float) -> list[Order]:
+    def plan(self, now_ms: float, unix_ms: float) -> list[CellCommand]:
         """Return the commands that are due now.
 
         Parameters
@@ -467,7 +467,7 @@
 
     def _check_runner(self, runner: Runner, now_ms: float) -> None:
         settings = self._settings
-        if now_ms > runner.lapse_ms:
+        if now_ms > runner.lease_expiry_ms:
             if runner.runs:
                 self._log("run leases expired", runner=runner.entry.id, runs=len(runner.runs))
             for run in self.fleet.remove_runs(runner):
--- a/coltsfootpier/cells/_estimates.py
+++ b/coltsfootpier/cells/_estimates.py
@@ -95,7 +95,7 @@
         mean = self._mean_work.setdefault(queue, work)
         self._mean_work[queue] = mean + _MEAN_WORK_RATE * (work - mean)
 
-    def chain_ms(self, queue: str, steps: Iterable[StepSpec]) -> float:
+    def critical_path_ms(self, queue: str, steps: Iterable[StepSpec]) -> float:
         """Return the expected time of steps that run one after another."""
         return sum(self.task_ms(queue, step) for step in steps)
 
@@ -311,8 +311,8 @@
             if runner.listed and not runner.entry.draining and runner.entry.service == service:
                 capacity += max(0.0, _free_cpu(runner))
         return QueueingDelays(
-            in_time_ms=Backlog(work=in_time, capacity=capacity).wait_ms,
-            all_ms=Backlog(work=behind_all, capacity=capacity).wait_ms,
+            in_time_ms=Backlog(work=in_time, capacity=capacity).queueing_delay_ms,
+            all_ms=Backlog(work=behind_all, capacity=capacity).queueing_delay_ms,
         )
 
 
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -43,7 +43,7 @@
         lease_ms = self._settings.run_lease_ms * (1 + 2 * self._settings.clock_drift)
         for entry in entries:
             runner = Runner(entry=entry, listed=False, recorded=True)
-            runner.lapse_ms = runner.inherited_lease_expiry_ms = now_ms + lease_ms
+            runner.lease_expiry_ms = runner.inherited_lease_expiry_ms = now_ms + lease_ms
             self.runners[entry.id] = runner
             self.inherited.add(entry.id)
 
@@ -56,8 +56,8 @@
             if runner is None:
                 runner = self.runners[runner_id] = Runner(entry=entry)
                 self._log("runner joined", runner=runner_id, rack=entry.rack)
-            if runner.born_unix_ms and entry.born_unix_ms > runner.born_unix_ms:
-                lost += self.handle_restart(runner, entry.born_unix_ms)
+            if runner.started_unix_ms and entry.started_unix_ms > runner.started_unix_ms:
+                lost += self.handle_restart(runner, entry.started_unix_ms)
             if entry.draining and not runner.entry.draining:
                 self._log("runner is draining", runner=runner_id, remaining_ms=entry.remaining_ms)
             runner.entry = entry
@@ -68,15 +68,15 @@
             if runner.listed:
                 self._log("runner left the registry", runner=runner_id, runs=len(runner.runs))
             runner.listed = False
-            expired = runner.ended or now_ms > runner.lapse_ms
+            expired = runner.ended or now_ms > runner.lease_expiry_ms
             if not runner.runs and expired and runner_id not in self.inherited:
                 del self.runners[runner_id]
         return lost
 
-    def handle_restart(self, runner: Runner, born_unix_ms: int) -> list[Run]:
+    def handle_restart(self, runner: Runner, started_unix_ms: int) -> list[Run]:
         """Apply a restart, after which nothing runs there, and return the runs that were lost."""
         self._log("runner restarted", runner=runner.entry.id, runs=len(runner.runs))
-        runner.born_unix_ms = born_unix_ms
+        runner.started_unix_ms = started_unix_ms
         runner.applied_end = 0
         runner.pending_ends.clear()
         runner.adopted = False
@@ -161,11 +161,11 @@
                 f"{runner.memory_mb} of {entry.memory_mb} MB, {runner.gpus} of {entry.gpus} GPUs"
             )
 
-    def set_lapse(self, runner_id: str, lapse_ms: float) -> None:
+    def set_lease_expiry(self, runner_id: str, lease_expiry_ms: float) -> None:
         """Set the local time from which no run of this owner continues on a runner."""
         runner = self.runners.get(runner_id)
         if runner is not None:
-            runner.lapse_ms = max(runner.inherited_lease_expiry_ms, lapse_ms)
+            runner.lease_expiry_ms = max(runner.inherited_lease_expiry_ms, lease_expiry_ms)
 
     def mark_recorded(self, runner_ids: Iterable[str]) -> None:
         """Mark runners as contained in the fleet recorded in the store."""
@@ -174,7 +174,7 @@
             if runner is not None:
                 runner.recorded = True
 
-    def observed_end(self, runner_id: str) -> int:
+    def last_durable_end(self, runner_id: str) -> int:
         """Return the number of a runner's last ended run up to which all ends are durable."""
         runner = self.runners[runner_id]
         while runner.pending_ends:
@@ -186,5 +186,5 @@
 
     def has_pending_ends(self, runner_id: str) -> bool:
         """Return whether ended runs of a runner await a durable record."""
-        self.observed_end(runner_id)
+        self.last_durable_end(runner_id)
         return bool(self.runners[runner_id].pending_ends)
--- a/coltsfootpier/cells/_jobs.py
+++ b/coltsfootpier/cells/_jobs.py
@@ -241,11 +241,11 @@
         job.version += 1
         self._dirty[job.record.id] = job
 
-    def take_dirty(self, limit: int) -> list[tuple[Job, int]]:
+    def list_dirty(self, limit: int) -> list[tuple[Job, int]]:
         """Return jobs with changes that aren't durable, and the version to write for each."""
         return [(job, job.version) for job in islice(self._dirty.values(), limit)]
 
-    def list_new(self) -> list[Job]:
+    def list_unsaved(self) -> list[Job]:
         """Return jobs that have no durable record yet."""
         return [job for job in self._dirty.values() if job.durable_version == 0]
 
--- a/coltsfootpier/cells/_lease_expiry.py
+++ b/coltsfootpier/cells/_lease_expiry.py
@@ -8,7 +8,7 @@
 _SEND_ALLOWANCE_MS = 50.0
 
 
-class LapseTracker:
+class LeaseExpiryTracker:
     """Latest local time at which a deadline that a runner may have applied ends.
 
     A call counts from before it is sent until it is known that the runner did not apply it, so the
@@ -21,12 +21,12 @@
 
     Examples
     --------
-    >>> tracker = LapseTracker(CellSettings(clock_drift=0.0))
-    >>> call = tracker.begin(now_ms=0.0, duration_ms=100.0)
-    >>> tracker.lapse_ms
+    >>> tracker = LeaseExpiryTracker(CellSettings(clock_drift=0.0))
+    >>> call = tracker.record_call(now_ms=0.0, duration_ms=100.0)
+    >>> tracker.lease_expiry_ms
     150.0
-    >>> tracker.settle(call, taken=False)
-    >>> tracker.lapse_ms
+    >>> tracker.settle(call, applied=False)
+    >>> tracker.lease_expiry_ms
     -inf
     """
 
@@ -38,11 +38,11 @@
         self._last_call = 0
 
     @property
-    def lapse_ms(self) -> float:
+    def lease_expiry_ms(self) -> float:
         """Local time from which no run continues there."""
         return max(self._applied_expiry_ms, *self._calls.values(), float("-inf"))
 
-    def begin(self, *, now_ms: float, duration_ms: float) -> int:
+    def record_call(self, *, now_ms: float, duration_ms: float) -> int:
         """Record a call that is about to be sent; return its number for `settle`.
 
         Parameters
@@ -56,8 +56,8 @@
         self._calls[self._last_call] = now_ms + duration_ms * self._margin + _SEND_ALLOWANCE_MS
         return self._last_call
 
-    def settle(self, call: int, *, taken: bool) -> None:
+    def settle(self, call: int, *, applied: bool) -> None:
         """Record whether the runner may have applied a call."""
-        lapse_ms = self._calls.pop(call)
-        if taken:
-            self._applied_expiry_ms = max(self._applied_expiry_ms, lapse_ms)
+        lease_expiry_ms = self._calls.pop(call)
+        if applied:
+            self._applied_expiry_ms = max(self._applied_expiry_ms, lease_expiry_ms)
--- a/coltsfootpier/cells/_messages.py
+++ b/coltsfootpier/cells/_messages.py
@@ -51,7 +51,7 @@
     gpus: int = 0
     rack: str = ""
     labels: tuple[str, ...] = ()
-    born_unix_ms: int = 0
+    started_unix_ms: int = 0
 
 
 class EndKind(enum.Enum):
@@ -131,7 +131,7 @@
     """
 
     clock_ms: float
-    born_unix_ms: int
+    started_unix_ms: int
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
     sent_ms: float
@@ -185,11 +185,11 @@
 
 
 @attrs.frozen(kw_only=True)
-class AskAdvice:
+class AdviceRequest:
     """Request for advice on which of the given runners may run a step."""
 
     step_id: tuple[str, int, int]
     runner_ids: tuple[str, ...]
 
 
-Order = StartRun | StopRun | PaceRun | AskAdvice
+CellCommand = StartRun | StopRun | PaceRun | AdviceRequest
--- a/coltsfootpier/cells/_planning.py
+++ b/coltsfootpier/cells/_planning.py
@@ -8,7 +8,7 @@
 from coltsfootpier.cells._fleet import Fleet, LogCallback
 from coltsfootpier.cells._interference import InterferenceTable
 from coltsfootpier.cells._jobs import JobTable
-from coltsfootpier.cells._messages import AskAdvice, RunId, StartRun
+from coltsfootpier.cells._messages import AdviceRequest, RunId, StartRun
 from coltsfootpier.cells._placement import choose_runner, is_eligible, is_usable
 from coltsfootpier.cells._regrouping import Regrouper
 from coltsfootpier.cells._search import RunnerSearch
@@ -77,7 +77,7 @@
                 usable.setdefault(runner.entry.service, []).append(runner)
         self._search.start_plan(usable)
 
-    def place(self, now_ms: float) -> list[StartRun | AskAdvice]:
+    def place(self, now_ms: float) -> list[StartRun | AdviceRequest]:
         """Start the tasks that fit on a runner and return the commands."""
         steps = [
             step
@@ -87,7 +87,7 @@
             and not (self._fleet.inherited and step.job.record.id in self._jobs.inherited)
         ]
         steps.sort(key=lambda step: self._estimates.rank(step, now_ms))
-        commands: list[StartRun | AskAdvice] = []
+        commands: list[StartRun | AdviceRequest] = []
         for step in steps:
             service = self._find_service(step)
             runners = self._search.list_usable(service)
@@ -226,7 +226,7 @@
 
     def _build_advice_request(
         self, step: StepRun, runners: list[Runner], now_ms: float
-    ) -> AskAdvice | None:
+    ) -> AdviceRequest | None:
         """Build a request for runners that may fit and are neither approved nor excluded."""
         if now_ms - step.advice_requested_ms < self._settings.advice_retry_ms:
             return None
@@ -241,10 +241,10 @@
             return None
         step.advice_requested_ms = now_ms
         limit = self._settings.advice_runners
-        return AskAdvice(step_id=step.id, runner_ids=tuple(unknown[:limit]))
+        return AdviceRequest(step_id=step.id, runner_ids=tuple(unknown[:limit]))
 
-    def take_advice(
-        self, request: AskAdvice, tickets: Mapping[str, str], valid_ms: float, now_ms: float
+    def apply_advice(
+        self, request: AdviceRequest, tickets: Mapping[str, str], valid_ms: float, now_ms: float
     ) -> None:
         """Apply the response to a request; see `Cell.apply_advice`."""
         step = self._jobs.find_step_by_id(request.step_id)
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -177,7 +177,7 @@
         return not self.record.state.is_final
 
     @property
-    def shown_state(self) -> JobState:
+    def visible_state(self) -> JobState:
         """State to report to callers: a final state only once it is durable."""
         if self.record.state.is_final and self.durable_version >= self.version:
             return self.record.state
@@ -204,9 +204,9 @@
     adopted: bool = False
     # Whether the fleet recorded in the store contains it, so that a later owner contacts it.
     recorded: bool = False
-    born_unix_ms: int = 0
+    started_unix_ms: int = 0
     contact_ms: float = float("-inf")
-    lapse_ms: float = float("-inf")
+    lease_expiry_ms: float = float("-inf")
     # Lease expiry of what an earlier owner may have extended.
     inherited_lease_expiry_ms: float = float("-inf")
     applied_end: int = 0
--- a/coltsfootpier/cells/tests/builders.py
+++ b/coltsfootpier/cells/tests/builders.py
@@ -9,10 +9,10 @@
 from coltsfootpier.cells import (
     Accepted,
     Cell,
+    CellCommand,
     CellSettings,
     EndedRow,
     EndKind,
-    Order,
     PaceRun,
     RunId,
     RunnerEntry,
@@ -62,7 +62,7 @@
         "memory_mb": 8_000,
         "rack": "r1",
         "labels": ("kind", "r1"),
-        "born_unix_ms": 1,
+        "started_unix_ms": 1,
     }
     return RunnerEntry(**{**values, **changes})
 
@@ -114,8 +114,8 @@
         self.cell = Cell(settings=self.settings, generation=generation, log=self._log)
         entries = entries or tuple(build_entry(name) for name in names)
         self.runners = {entry.id: SimulatedRunner(entry) for entry in entries}
-        self.commands: list[Order] = []
-        # Outcome of a start on each runner, where it isn't to be started.
+        self.commands: list[CellCommand] = []
+        # Outcome of start commands on each runner, if it is another than `STARTED`.
         self.outcomes: dict[str, StartOutcome] = {}
         self.is_durable = True
 
@@ -152,7 +152,7 @@
 
     def store(self) -> None:
         """Make all changes durable."""
-        for job, version in self.cell.jobs.take_dirty(1_000):
+        for job, version in self.cell.jobs.list_dirty(1_000):
             self.cell.jobs.mark_durable(job, version)
 
     def report(self, *names: str) -> None:
@@ -162,15 +162,15 @@
                 continue
             known = self.cell.fleet.runners.get(name)
             if known is not None:
-                observed = self.cell.fleet.observed_end(name)
-                runner.ended = [row for row in runner.ended if row.number > observed]
-                lapse_ms = self.now_ms + self.settings.run_lease_ms
-                self.cell.fleet.set_lapse(name, lapse_ms)
-            self.cell.take_report(
+                durable_end = self.cell.fleet.last_durable_end(name)
+                runner.ended = [row for row in runner.ended if row.number > durable_end]
+                lease_expiry_ms = self.now_ms + self.settings.run_lease_ms
+                self.cell.fleet.set_lease_expiry(name, lease_expiry_ms)
+            self.cell.apply_report(
                 name,
                 RunnerReport(
                     clock_ms=self.now_ms,
-                    born_unix_ms=runner.entry.born_unix_ms,
+                    started_unix_ms=runner.entry.started_unix_ms,
                     running=tuple(
                         RunningRow(
                             run,
@@ -187,7 +187,7 @@
                 self.now_ms,
             )
 
-    def plan(self) -> list[Order]:
+    def plan(self) -> list[CellCommand]:
         """Plan once and execute the commands on reachable runners."""
         commands = self.cell.plan(self.now_ms, self.unix_ms)
         self.commands += commands
@@ -199,9 +199,9 @@
                 runner.rejected.add(command.run)
                 if command.run in runner.running:
                     runner.end(command.run, EndKind.STOPPED, runner.running[command.run])
-                self.cell.stop_answered(command.runner_id, command.run, self.now_ms)
+                self.cell.handle_stop_response(command.runner_id, command.run, self.now_ms)
             elif isinstance(command, PaceRun) and not runner.reachable:
-                self.cell.pace_failed(command.runner_id, command.run)
+                self.cell.handle_pace_failure(command.runner_id, command.run)
         return commands
 
     def _start(self, runner: SimulatedRunner, command: StartRun) -> None:
@@ -210,7 +210,7 @@
             outcome = StartOutcome.UNKNOWN
         if outcome is StartOutcome.STARTED:
             runner.running[command.run] = command.checkpoint
-        self.cell.start_answered(command.runner_id, command.run, outcome, self.now_ms)
+        self.cell.handle_start_response(command.runner_id, command.run, outcome, self.now_ms)
 
     def advance(self, duration_ms: float, step_ms: float = 100.0) -> None:
         """Advance the clock in steps, with reports and a plan in each."""
--- a/coltsfootpier/cells/tests/test_admission.py
+++ b/coltsfootpier/cells/tests/test_admission.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from coltsfootpier.cells import Accepted, LapseTracker, Rejected
+from coltsfootpier.cells import Accepted, LeaseExpiryTracker, Rejected
 from coltsfootpier.cells._ordering import rank_step
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells.tests.builders import (
@@ -115,20 +115,20 @@
 
     def test_unapplied_calls_extend_nothing(self):
         """Guards against a runner that is down and never expires, because calls are repeated."""
-        tracker = LapseTracker(CellSettings())
-        tracker.settle(tracker.begin(now_ms=0.0, duration_ms=1_000.0), taken=True)
-        lapse_ms = tracker.lapse_ms
+        tracker = LeaseExpiryTracker(CellSettings())
+        tracker.settle(tracker.record_call(now_ms=0.0, duration_ms=1_000.0), applied=True)
+        lease_expiry_ms = tracker.lease_expiry_ms
         for now_ms in range(100, 5_000, 100):
-            call = tracker.begin(now_ms=float(now_ms), duration_ms=1_000.0)
-            self.assertGreaterEqual(tracker.lapse_ms, now_ms + 1_000.0)
-            tracker.settle(call, taken=False)
-        self.assertEqual(tracker.lapse_ms, lapse_ms)
+            call = tracker.record_call(now_ms=float(now_ms), duration_ms=1_000.0)
+            self.assertGreaterEqual(tracker.lease_expiry_ms, now_ms + 1_000.0)
+            tracker.settle(call, applied=False)
+        self.assertEqual(tracker.lease_expiry_ms, lease_expiry_ms)
 
     def test_call_in_transit_counts(self):
         """Guards against a task that starts elsewhere while a lease extension is in transit."""
-        tracker = LapseTracker(CellSettings())
-        tracker.begin(now_ms=500.0, duration_ms=1_000.0)
-        self.assertGreater(tracker.lapse_ms, 1_500.0)
+        tracker = LeaseExpiryTracker(CellSettings())
+        tracker.record_call(now_ms=500.0, duration_ms=1_000.0)
+        self.assertGreater(tracker.lease_expiry_ms, 1_500.0)
 
 
 if __name__ == "__main__":
--- a/coltsfootpier/cells/tests/test_incarnations.py
+++ b/coltsfootpier/cells/tests/test_incarnations.py
@@ -18,7 +18,7 @@
         self.runner = self.harness.runners[self.name]
 
     def _apply_listing(self, *living):
-        ended = self.harness.cell.lives.take_listing(living, asked_ms=self.harness.now_ms)
+        ended = self.harness.cell.incarnations.take_listing(living, asked_ms=self.harness.now_ms)
         self.harness.advance(100)
         return ended
 
@@ -29,7 +29,7 @@
     def test_crashed_runner(self):
         """Guards against tasks of a crashed runner that wait 4 s for their lease expiry."""
         self._crash()
-        self.assertTrue(self.harness.cell.lives.has_suspects(self.harness.now_ms))
+        self.assertTrue(self.harness.cell.incarnations.has_suspects(self.harness.now_ms))
         self.assertFalse(self._apply_listing(self.other))
         self.assertTrue(self._apply_listing(self.other))
         self.assertEqual(len(self.harness.runners[self.other].running), 1)
@@ -55,7 +55,7 @@
         self.harness.now_ms += 1_000
         self.harness.report()
         for later_ms in (0, 50):
-            self.harness.cell.lives.take_listing(set(), asked_ms=asked_ms + later_ms)
+            self.harness.cell.incarnations.take_listing(set(), asked_ms=asked_ms + later_ms)
         self.assertEqual(self.harness.find("j"), [(self.name, self.run_id)])
         self.assertFalse(self.harness.cell.fleet.runners[self.name].ended)
 
@@ -92,7 +92,7 @@
         """Guards against requesting costly listings while no task waits for them."""
         self.harness.finish("j")
         self._crash()
-        self.assertFalse(self.harness.cell.lives.has_suspects(self.harness.now_ms))
+        self.assertFalse(self.harness.cell.incarnations.has_suspects(self.harness.now_ms))
 
     def test_next_owner_does_not_wait_for_a_gone_runner(self):
         """Guards against inherited jobs that all wait 4 s because one runner is gone."""
@@ -106,7 +106,7 @@
         harness.advance(300)
         self.assertEqual(harness.find("j"), [])
         for _ in range(2):
-            harness.cell.lives.take_listing({self.other}, asked_ms=harness.now_ms)
+            harness.cell.incarnations.take_listing({self.other}, asked_ms=harness.now_ms)
             harness.advance(100)
         self.assertEqual([name for name, _ in harness.find("j")], [self.other])
 
--- a/coltsfootpier/cells/tests/test_regrouping.py
+++ b/coltsfootpier/cells/tests/test_regrouping.py
@@ -38,7 +38,9 @@
         run = runner.runs[command.run]
         run.load = 0.5
         self.harness.runners[runner_id].running[command.run] = ""
-        self.cell.start_answered(runner_id, command.run, StartOutcome.STARTED, self.harness.now_ms)
+        self.cell.handle_start_response(
+            runner_id, command.run, StartOutcome.STARTED, self.harness.now_ms
+        )
         run.percent = 100.0
 
     def _choose(self, scarcity=None):
--- a/coltsfootpier/cells/tests/test_runs.py
+++ b/coltsfootpier/cells/tests/test_runs.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from coltsfootpier.cells import AskAdvice, EndKind, RunId, StartOutcome, StartRun, StopRun
+from coltsfootpier.cells import AdviceRequest, EndKind, RunId, StartOutcome, StartRun, StopRun
 from coltsfootpier.cells.tests.builders import (
     SimulatedCell,
     build_entry,
@@ -38,9 +38,9 @@
         harness.plan()
         harness.is_durable = False
         harness.finish("j")
-        self.assertEqual(job.shown_state, JobState.RUNNING)
+        self.assertEqual(job.visible_state, JobState.RUNNING)
         harness.store()
-        self.assertEqual(job.shown_state, JobState.COMPLETED)
+        self.assertEqual(job.visible_state, JobState.COMPLETED)
 
     def test_nothing_starts_before_the_job_is_durable(self):
         """Guards against a run of a job that a crash would lose."""
@@ -101,9 +101,9 @@
         _, run = harness.find("j")[0]
         harness.runners["a"].end(run)
         harness.report()
-        self.assertEqual(harness.cell.fleet.observed_end("a"), 0)
+        self.assertEqual(harness.cell.fleet.last_durable_end("a"), 0)
         harness.store()
-        self.assertEqual(harness.cell.fleet.observed_end("a"), 1)
+        self.assertEqual(harness.cell.fleet.last_durable_end("a"), 1)
 
     def test_failed_runs_are_counted(self):
         """Guards against a task that starts again after its attempts are used up."""
@@ -116,7 +116,7 @@
             harness.advance(100)
         starts = [command for command in harness.commands if isinstance(command, StartRun)]
         self.assertEqual(len(starts), 2)
-        self.assertEqual(job.shown_state, JobState.FAILED)
+        self.assertEqual(job.visible_state, JobState.FAILED)
 
     def test_failed_task_avoids_its_runner(self):
         """Guards against spending all attempts on a runner that fails every run."""
@@ -162,7 +162,7 @@
         job = harness.cell.cancel("j", harness.now_ms)
         harness.advance(1_000)
         self.assertEqual(harness.find("j"), [])
-        self.assertEqual(job.shown_state, JobState.CANCELLED)
+        self.assertEqual(job.visible_state, JobState.CANCELLED)
 
 
 class UnansweredCommandTest(unittest.TestCase):
@@ -201,8 +201,8 @@
         harness.plan()
         name, _ = harness.find("j")[0]
         harness.runners[name].reachable = False
-        lapse_ms = harness.cell.fleet.runners[name].lapse_ms
-        while harness.now_ms < lapse_ms:
+        lease_expiry_ms = harness.cell.fleet.runners[name].lease_expiry_ms
+        while harness.now_ms < lease_expiry_ms:
             self.assertEqual(len(harness.find("j")), 1)
             harness.advance(100)
         harness.advance(200)
@@ -218,7 +218,7 @@
         runner = harness.runners[name]
         runner.running.clear()
         runner.last_end = 0
-        runner.entry = build_entry(name, born_unix_ms=2)
+        runner.entry = build_entry(name, started_unix_ms=2)
         harness.advance(200)
         self.assertEqual(len(harness.find("j")), 1)
 
@@ -349,10 +349,10 @@
         harness.join()
         harness.submit("j", build_job(build_step(count=3)), build_queue(needs_advice=True))
         request = harness.cell.plan(harness.now_ms, harness.unix_ms)[0]
-        self.assertIsInstance(request, AskAdvice)
+        self.assertIsInstance(request, AdviceRequest)
         self.assertEqual(set(request.runner_ids), {"a", "b", "c"})
         self.assertEqual(harness.cell.plan(harness.now_ms, harness.unix_ms), [])
-        harness.cell.take_advice(request, {"b": "ticket"}, 3_000.0, harness.now_ms)
+        harness.cell.apply_advice(request, {"b": "ticket"}, 3_000.0, harness.now_ms)
         commands = harness.plan()
         self.assertEqual({command.runner_id for command in commands}, {"b"})
         self.assertEqual({command.ticket for command in commands}, {"ticket"})
@@ -364,11 +364,11 @@
         queue = build_queue(needs_advice=True)
         harness.submit("j", build_job(build_step(long_running=True)), queue)
         request = harness.cell.plan(harness.now_ms, harness.unix_ms)[0]
-        harness.cell.take_advice(request, {"a": "t1"}, 100.0, harness.now_ms)
+        harness.cell.apply_advice(request, {"a": "t1"}, 100.0, harness.now_ms)
         harness.now_ms += 200
         harness.report()
         request = harness.cell.plan(harness.now_ms, harness.unix_ms)[0]
-        self.assertIsInstance(request, AskAdvice)
+        self.assertIsInstance(request, AdviceRequest)
 
 
 class HealthTest(unittest.TestCase):
--- a/coltsfootpier/node/_committer.py
+++ b/coltsfootpier/node/_committer.py
@@ -143,7 +143,7 @@
 
     async def _commit(self, cell: Cell) -> Deposed | None:
         records = dict(list(self._records.items())[:_MAX_RECORDS])
-        batch = cell.jobs.take_dirty(MAX_ENTRIES - _RESERVED_ENTRIES - len(records))
+        batch = cell.jobs.list_dirty(MAX_ENTRIES - _RESERVED_ENTRIES - len(records))
         fleet, lease, learned = self._fleet, self._lease_to_bind, self._learned
         if not (batch or fleet or lease or records):
             return None
@@ -238,7 +238,7 @@
         while True:
             await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
             if self.is_stuck:
-                unsent = [job for job in cell.jobs.list_new() if job.record.id not in sent]
+                unsent = [job for job in cell.jobs.list_unsaved() if job.record.id not in sent]
                 if self._withdraw(unsent, cell, "behind a change that is stuck"):
                     self._announce()
 
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -12,10 +12,10 @@
 
 from coltsfootpier.cells import (
     Accepted,
-    AskAdvice,
+    AdviceRequest,
     Cell,
+    CellCommand,
     CellSettings,
-    Order,
     Rejected,
     RunnerEntry,
 )
@@ -226,8 +226,8 @@
                 queue=queue.name,
                 reason=result.reason,
                 retry_after_ms=result.retry_after_ms,
-                wait_ms=result.wait_ms,
-                chain_ms=result.chain_ms,
+                queueing_delay_ms=result.queueing_delay_ms,
+                critical_path_ms=result.critical_path_ms,
                 generation=self.cell.generation,
             )
             return refuse(result.reason, result.retry_after_ms)
@@ -285,7 +285,7 @@
         job = self.cell.jobs.jobs.get(job_id)
         if job is None or job.durable_version == 0:
             return self._answer_unknown_job()
-        return Answer(status=AnswerStatus.KNOWN, state=job.shown_state)
+        return Answer(status=AnswerStatus.KNOWN, state=job.visible_state)
 
     def _answer_unknown_job(self) -> Answer:
         """Return the answer about a job that this owner doesn't know.
@@ -346,8 +346,8 @@
             with anyio.move_on_after(_timing.PLAN_MAX_MS / 1000):
                 await self._wake.wait()
 
-    def _carry_out(self, order: Order) -> None:
-        if isinstance(order, AskAdvice):
+    def _carry_out(self, order: CellCommand) -> None:
+        if isinstance(order, AdviceRequest):
             if self._advice is not None:
                 self._group.start_soon(self._ask_advice, order)
             return
@@ -355,14 +355,14 @@
         if task is not None:
             task.carry_out(order)
 
-    async def _ask_advice(self, question: AskAdvice) -> None:
+    async def _ask_advice(self, question: AdviceRequest) -> None:
         asked_ms = self._clock.now_ms()
         result = await self._advice.ask(question, timeout_ms=_timing.ADVICE_TIMEOUT_MS)
         if isinstance(result, Failure):
             log_event("advice missing", job=question.step_id[0], reason=repr(result.failure()))
             return
         tickets, valid_ms = result.unwrap()
-        self.cell.take_advice(question, tickets, valid_ms, asked_ms)
+        self.cell.apply_advice(question, tickets, valid_ms, asked_ms)
         self._kick()
 
     async def _follow_registry(self) -> None:
@@ -430,7 +430,7 @@
         task = VmTask(
             calls=calls,
             cordons=self.cell.cordons,
-            lives=self.cell.lives,
+            lives=self.cell.incarnations,
             records=self._committer,
             record=record,
             clock=self._clock,
--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -12,7 +12,7 @@
 from coltsfootpier.cells import (
     Cell,
     CellSettings,
-    LapseTracker,
+    LeaseExpiryTracker,
     PaceRun,
     RunnerEntry,
     RunnerReport,
@@ -79,7 +79,7 @@
         self._clock = clock
         self._on_event = on_event
         self._on_fenced = on_fenced
-        self._lapses = LapseTracker(settings)
+        self._lapses = LeaseExpiryTracker(settings)
         self._client = RunnerClient(entry=entry, token=cell.generation, clock=clock)
         # The runner's clock at a local time, from the last report.
         self._clock_at: tuple[float, float] | None = None
@@ -103,7 +103,7 @@
         """Send an order from a task of its own."""
         if self._group is None:
             if isinstance(order, StartRun):
-                self._cell.start_answered(
+                self._cell.handle_start_response(
                     self.id, order.run, StartOutcome.REFUSED, self._clock.now_ms()
                 )
             return
@@ -121,13 +121,13 @@
         return runner_ms + self._clock.now_ms() - local_ms
 
     def _begin_call(self, duration_ms: float) -> int:
-        call = self._lapses.begin(now_ms=self._clock.now_ms(), duration_ms=duration_ms)
-        self._cell.fleet.set_lapse(self.id, self._lapses.lapse_ms)
+        call = self._lapses.record_call(now_ms=self._clock.now_ms(), duration_ms=duration_ms)
+        self._cell.fleet.set_lease_expiry(self.id, self._lapses.lease_expiry_ms)
         return call
 
-    def _settle_call(self, call: int, *, taken: bool) -> None:
-        self._lapses.settle(call, taken=taken)
-        self._cell.fleet.set_lapse(self.id, self._lapses.lapse_ms)
+    def _settle_call(self, call: int, *, applied: bool) -> None:
+        self._lapses.settle(call, applied=applied)
+        self._cell.fleet.set_lease_expiry(self.id, self._lapses.lease_expiry_ms)
 
     async def _report(self) -> None:
         cell = self._cell
@@ -143,13 +143,13 @@
         self.report_count += 1
         result = await self._client.report(
             deadline_ms=deadline_ms,
-            observed=cell.fleet.observed_end(self.id),
+            observed=cell.fleet.last_durable_end(self.id),
             # An answer that waits for an end would come at once while older ends are listed.
             wait_ms=0 if waiting or runner_now is None else _timing.REPORT_WAIT_MS,
             timeout_ms=_timing.RUNNER_TIMEOUT_MS,
         )
         if deadline_ms is not None:
-            self._settle_call(call, taken=_may_be_taken(result))
+            self._settle_call(call, applied=_may_be_taken(result))
         if isinstance(result, Failure):
             await self._take_failure(result.failure())
             return
@@ -170,34 +170,34 @@
 
     def _take_report(self, report: RunnerReport) -> None:
         self._clock_at = (report.clock_ms, report.received_ms)
-        self._cell.take_report(self.id, report, self._clock.now_ms())
+        self._cell.apply_report(self.id, report, self._clock.now_ms())
         self._on_event()
 
     async def _start(self, order: StartRun) -> None:
         runner_now = self._runner_now()
         now_ms = self._clock.now_ms
         if runner_now is None:
-            self._cell.start_answered(self.id, order.run, StartOutcome.REFUSED, now_ms())
+            self._cell.handle_start_response(self.id, order.run, StartOutcome.REFUSED, now_ms())
             return
         valid_ms = self._settings.start_valid_ms
         call = self._begin_call(valid_ms)
         outcome, _ = await self._client.start(
             order, deadline_ms=runner_now + valid_ms, timeout_ms=_timing.RUNNER_TIMEOUT_MS
         )
-        self._settle_call(call, taken=outcome not in (StartOutcome.REFUSED, StartOutcome.FENCED))
+        self._settle_call(call, applied=outcome not in (StartOutcome.REFUSED, StartOutcome.FENCED))
         if outcome is StartOutcome.FENCED:
             self._on_fenced(self.id)
-        self._cell.start_answered(self.id, order.run, outcome, now_ms())
+        self._cell.handle_start_response(self.id, order.run, outcome, now_ms())
         if outcome is not StartOutcome.STARTED:
             self._on_event()
 
     async def _stop(self, order: StopRun) -> None:
         if await self._client.stop(order, timeout_ms=_timing.RUNNER_TIMEOUT_MS):
-            self._cell.stop_answered(self.id, order.run, self._clock.now_ms())
+            self._cell.handle_stop_response(self.id, order.run, self._clock.now_ms())
 
     async def _pace(self, order: PaceRun) -> None:
         if not await self._client.pace(order, timeout_ms=_timing.RUNNER_TIMEOUT_MS):
-            self._cell.pace_failed(self.id, order.run)
+            self._cell.handle_pace_failure(self.id, order.run)
 
 
 def _may_be_taken(result: Result[RunnerReport, object]) -> bool:
--- a/coltsfootpier/platform/_runners.py
+++ b/coltsfootpier/platform/_runners.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from coltsfootpier.cells import (
-    AskAdvice,
+    AdviceRequest,
     EndedRow,
     EndKind,
     PaceRun,
@@ -78,7 +78,7 @@
             # The labels are the runner's kind and then its rack.
             rack=str(labels[1]) if len(labels) > 1 else "",
             labels=tuple(str(label) for label in labels),
-            born_unix_ms=int(value.get("born", 0)),
+            started_unix_ms=int(value.get("born", 0)),
         )
     except (ArithmeticError, AttributeError, IndexError, KeyError, TypeError, ValueError):
         return None
@@ -267,7 +267,7 @@
         self._pool = LeanPool(host=host, port=port, clock=clock, connections=2)
 
     async def ask(
-        self, question: AskAdvice, *, timeout_ms: float
+        self, question: AdviceRequest, *, timeout_ms: float
     ) -> Result[tuple[dict[str, str], float], CallError]:
         """Return the tickets of the approved runners and the time in ms for which they hold."""
         body = {
@@ -302,7 +302,7 @@
         ended.append(EndedRow(number, RunId(job_id, key, attempt), EndKind(how), saved))
     return RunnerReport(
         clock_ms=float(value["clock_ms"]),
-        born_unix_ms=int(value.get("born", 0)),
+        started_unix_ms=int(value.get("born", 0)),
         running=tuple(running),
         ended=tuple(ended),
         sent_ms=sent_ms,
--- a/coltsfootpier/platform/tests/test_decoding.py
+++ b/coltsfootpier/platform/tests/test_decoding.py
@@ -42,7 +42,7 @@
         """Guards against a rack or an incarnation that is read from the wrong field."""
         entry = decode_entry(build_item())
         self.assertEqual((entry.id, entry.rack, entry.cpu_milli), ("i-1", "r1-3", 16000))
-        self.assertEqual(entry.born_unix_ms, 1700000000000)
+        self.assertEqual(entry.started_unix_ms, 1700000000000)
         self.assertFalse(entry.draining)
 
     def test_draining(self):
