--- a/coltsfootpier/cells/__init__.py
+++ b/coltsfootpier/cells/__init__.py
@@ -1,10 +1,10 @@
-"""Decisions about jobs and runners: admission, order, placement, pace, health and recovery."""
+"""Decisions about jobs and runners: admission, ordering, placement, pacing, health, recovery."""
 
-from coltsfootpier.cells._admission import Backlog, Rejected, judge_job
+from coltsfootpier.cells._admission import Backlog, Rejected, check_admission
 from coltsfootpier.cells._cell import Accepted, Cell
 from coltsfootpier.cells._fleet import CapacityError, DoubleRunError
-from coltsfootpier.cells._lapses import LeaseExpiryTracker
-from coltsfootpier.cells._learned import Learned, LearnedPressure
+from coltsfootpier.cells._learned import Learned, LearnedInterference
+from coltsfootpier.cells._lease_expiry import LeaseExpiryTracker
 from coltsfootpier.cells._messages import (
     AdviceRequest,
     CellCommand,
@@ -24,19 +24,19 @@
 
 __all__ = [
     "Accepted",
-    "AskAdvice",
+    "AdviceRequest",
     "Backlog",
     "CapacityError",
     "Cell",
+    "CellCommand",
     "CellSettings",
     "DoubleRunError",
     "EndKind",
     "EndedRow",
     "Job",
-    "LapseTracker",
     "Learned",
-    "LearnedPressure",
-    "Order",
+    "LearnedInterference",
+    "LeaseExpiryTracker",
     "PaceRun",
     "Rejected",
     "RunId",
@@ -46,5 +46,5 @@
     "StartOutcome",
     "StartRun",
     "StopRun",
-    "judge_job",
+    "check_admission",
 ]
--- /dev/null
+++ b/coltsfootpier/cells/_lease_expiry.py
@@ -0,0 +1,63 @@
+"""Time by which the leases of all runs on a runner have certainly expired."""
+
+from __future__ import annotations
+
+from coltsfootpier.cells._settings import CellSettings
+
+# Allowance for the time between reading the clock and sending, in ms.
+_SEND_ALLOWANCE_MS = 50.0
+
+
+class LeaseExpiryTracker:
+    """Latest local time at which a deadline that a runner may have applied ends.
+
+    A call counts from before it is sent until it is known that the runner did not apply it, so the
+    leases of an unreachable runner expire although calls to it are repeated.
+
+    Parameters
+    ----------
+    settings : CellSettings
+        Bound of the clock drift.
+
+    Examples
+    --------
+    >>> tracker = LeaseExpiryTracker(CellSettings(clock_drift=0.0))
+    >>> call = tracker.record_call(now_ms=0.0, duration_ms=100.0)
+    >>> tracker.lease_expiry_ms
+    150.0
+    >>> tracker.settle(call, applied=False)
+    >>> tracker.lease_expiry_ms
+    -inf
+    """
+
+    def __init__(self, settings: CellSettings) -> None:
+        # The runner's clock may be slow, and the estimate of its time may be too.
+        self._margin = 1.0 + 3.0 * settings.clock_drift
+        self._applied_expiry_ms = float("-inf")
+        self._calls: dict[int, float] = {}
+        self._last_call = 0
+
+    @property
+    def lease_expiry_ms(self) -> float:
+        """Local time from which no run continues there."""
+        return max(self._applied_expiry_ms, *self._calls.values(), float("-inf"))
+
+    def record_call(self, *, now_ms: float, duration_ms: float) -> int:
+        """Record a call that is about to be sent; return its number for `settle`.
+
+        Parameters
+        ----------
+        now_ms : float
+            Local time.
+        duration_ms : float
+            Time on the runner's clock by which the call extends the leases of its runs.
+        """
+        self._last_call += 1
+        self._calls[self._last_call] = now_ms + duration_ms * self._margin + _SEND_ALLOWANCE_MS
+        return self._last_call
+
+    def settle(self, call: int, *, applied: bool) -> None:
+        """Record whether the runner may have applied a call."""
+        lease_expiry_ms = self._calls.pop(call)
+        if applied:
+            self._applied_expiry_ms = max(self._applied_expiry_ms, lease_expiry_ms)
