--- a/coltsfootpier/transport/_channel.py
+++ b/coltsfootpier/transport/_channel.py
@@ -25,7 +25,7 @@
     body: bytes | Upload
     deadline_ms: float
     max_idle_ms: float
-    stream_over: int | None
+    stream_threshold_bytes: int | None
     done: anyio.Event = attrs.field(factory=anyio.Event)
     started: bool = False
     sent_ms: float = 0.0
@@ -119,7 +119,7 @@
         headers: Headers = (),
         timeout_ms: float,
         max_idle_ms: float = _MAX_IDLE_MS,
-        stream_over: int | None = None,
+        stream_threshold_bytes: int | None = None,
     ) -> Result[Reply, CallError]:
         """Make one call.
 
@@ -145,7 +145,9 @@
             `NotSent` when nothing was handed over, `Unanswered` when the outcome is unknown.
         """
         deadline_ms = self._clock.now_ms() + timeout_ms
-        exchange = _Exchange(method, target, headers, body, deadline_ms, max_idle_ms, stream_over)
+        exchange = _Exchange(
+            method, target, headers, body, deadline_ms, max_idle_ms, stream_threshold_bytes
+        )
         if self._closed:
             return Failure(NotSent("closed"))
         if self._idle:
@@ -205,7 +207,7 @@
             body=exchange.body,
             timeout_ms=left_ms,
             max_idle_ms=min(exchange.max_idle_ms, sent_ms - self._suspect_ms),
-            stream_over=exchange.stream_over,
+            stream_threshold_bytes=exchange.stream_threshold_bytes,
             on_large=exchange.begin,
         )
         if isinstance(result, Failure) and result.failure() == OVERDUE:
--- a/coltsfootpier/transport/_connection.py
+++ b/coltsfootpier/transport/_connection.py
@@ -99,7 +99,7 @@
         body: bytes | Upload = b"",
         timeout_ms: float,
         max_idle_ms: float,
-        stream_over: int | None = None,
+        stream_threshold_bytes: int | None = None,
         on_large: Callable[[Reply], None] | None = None,
     ) -> Result[Reply, CallError]:
         """Send one request and wait for its whole answer.
@@ -151,7 +151,7 @@
                     scope.deadline = anyio.current_time() + _STREAM_MS / 1000
                     on_large(reply)
 
-                result = await self._send(request, stream_over, begin)
+                result = await self._send(request, stream_threshold_bytes, begin)
         finally:
             if self._stream is not None:
                 self._stream.end(result.failure() if isinstance(result, Failure) else None)
@@ -163,14 +163,14 @@
     async def _send(
         self,
         request: httpcore.Request,
-        stream_over: int | None,
+        stream_threshold_bytes: int | None,
         begin: Callable[[Reply], None],
     ) -> Result[Reply, CallError]:
         if self._connection is None:
             self._connection = httpcore.AsyncHTTPConnection(self._origin, keepalive_expiry=None)
         try:
             response = await self._connection.handle_async_request(request)
-            return await self._read(response, stream_over, begin)
+            return await self._read(response, stream_threshold_bytes, begin)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             reason = f"can't connect to {self._host_header.decode()}: {error}"
             return Failure(NotSent(reason, unreachable=True))
@@ -185,7 +185,7 @@
     async def _read(
         self,
         response: httpcore.Response,
-        stream_over: int | None,
+        stream_threshold_bytes: int | None,
         begin: Callable[[Reply], None],
     ) -> Result[Reply, CallError]:
         headers = tuple((name.lower(), value) for name, value in response.headers)
@@ -209,7 +209,7 @@
                     return Failure(Unanswered("the reader of the answer has gone"))
                 continue
             chunks.append(chunk)
-            if stream_over is not None and size > stream_over:
+            if stream_threshold_bytes is not None and size > stream_threshold_bytes:
                 self._stream = BodyStream()
                 begin(Reply(response.status, headers, b"".join(chunks), self._stream))
                 chunks.clear()
--- a/coltsfootpier/transport/_mailbox.py
+++ b/coltsfootpier/transport/_mailbox.py
@@ -22,7 +22,7 @@
     _answered: anyio.Event = attrs.field(factory=anyio.Event)
     _answer: object = None
 
-    def answer(self, value: object) -> None:
+    def respond(self, value: object) -> None:
         """Give the answer; only the first one counts."""
         if not self._answered.is_set():
             self._answer = value
@@ -38,10 +38,12 @@
         Messages that may wait.
     """
 
-    def __init__(self, *, bound: int) -> None:
-        self._send, self._receive = anyio.create_memory_object_stream[Envelope[_M]](bound)
+    def __init__(self, *, max_messages: int) -> None:
+        self._send, self._receive = anyio.create_memory_object_stream[Envelope[_M]](max_messages)
 
-    async def ask(self, message: _M, *, timeout_ms: float) -> Result[object, NotSent | Unanswered]:
+    async def request(
+        self, message: _M, *, timeout_ms: float
+    ) -> Result[object, NotSent | Unanswered]:
         """Send a message and wait for the answer.
 
         Parameters
--- a/coltsfootpier/transport/_server.py
+++ b/coltsfootpier/transport/_server.py
@@ -135,7 +135,7 @@
 
 
 async def read_upload(
-    scope: Scope, receive: Callable, *, max_body: int, whole_up_to: int, timeout_ms: float
+    scope: Scope, receive: Callable, *, max_body: int, max_buffered_bytes: int, timeout_ms: float
 ) -> bytes | Upload:
     """Read the body of a request whole if it is small; otherwise return it as an upload.
 
@@ -160,7 +160,7 @@
         As in `read_body`.
     """
     declared = next((value for key, value in scope["headers"] if key == b"content-length"), b"")
-    if not declared or int(declared) <= whole_up_to or int(declared) > max_body:
+    if not declared or int(declared) <= max_buffered_bytes or int(declared) > max_body:
         return await read_body(scope, receive, max_body=max_body, timeout_ms=timeout_ms)
 
     async def read() -> bytes | None:
@@ -176,7 +176,7 @@
     more = True
     first = bytearray()
     with anyio.move_on_after(max(0.0, timeout_ms) / 1000) as scope_:
-        while more and len(first) < whole_up_to:
+        while more and len(first) < max_buffered_bytes:
             try:
                 first += await read() or b""
             except UploadError as error:
--- a/tests/test_processes_nodes.py
+++ b/tests/test_processes_nodes.py
@@ -240,7 +240,7 @@
             await wait_for(is_complete, timeout_s=TIMEOUT_S)
             for job_id in jobs:
                 await self.wait_for_state(others[1], job_id, "completed")
-            maintenance_rows = await self.nodes.read_upkeeps()
+            maintenance_rows = await self.nodes.read_maintenance_runs()
             self.assertEqual(sorted(row["machine"] for row in maintenance_rows), sorted(vms))
             maintenance_rows.sort(key=lambda row: row["begin_ms"])
             for earlier, later in zip(maintenance_rows, maintenance_rows[1:], strict=False):
