Reword the transport package in plain technical terms

Comments and doc comments of the HTTP transport were terse or figurative, and private names were vague (begin, _find, _carry_out, _suspect_ms). They now use the terms of the field: response, timeout, limit, truncated, queued. Reason texts of failures stay, because callers receive them.

--- a/coltsfootpier/transport/__init__.py
+++ b/coltsfootpier/transport/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP plumbing: connections owned by tasks, embedded servers, typed JSON messages."""
+"""HTTP transport: client connections, embedded servers and typed JSON messages."""
 
 from coltsfootpier.transport._address import is_address, split_address
 from coltsfootpier.transport._channel import Channel
--- a/coltsfootpier/transport/_address.py
+++ b/coltsfootpier/transport/_address.py
@@ -1,10 +1,10 @@
-"""Addresses in messages of other processes."""
+"""Parsing of addresses received from other processes."""
 
 from __future__ import annotations
 
 
 def is_address(text: str) -> bool:
-    """Return whether a text has the form ``HOST:PORT``, so that a connection can be tried.
+    """Return whether a text has the form ``HOST:PORT``, so that a connection can be attempted.
 
     Examples
     --------
@@ -16,7 +16,7 @@
 
 
 def split_address(text: str) -> tuple[str, int]:
-    """Return host and port of a text that `is_address` accepts.
+    """Split a text that `is_address` accepts into host and port.
 
     Examples
     --------
--- a/coltsfootpier/transport/_channel.py
+++ b/coltsfootpier/transport/_channel.py
@@ -1,4 +1,4 @@
-"""Calls to one address through a bounded queue and tasks that own the connections."""
+"""Client for one address: a bounded queue of calls and tasks that own the connections."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from coltsfootpier.transport._errors import OVERDUE, CallError, NotSent
 from coltsfootpier.transport._stream import Upload
 
-# Kept under the keep-alive time of our servers (75 s), so that the client closes first.
+# Shorter than the keep-alive timeout of our servers (75 s), so that the client closes first.
 _MAX_IDLE_MS = 30_000.0
 
 
@@ -32,49 +32,49 @@
     abandoned: bool = False
     result: Result[Reply, CallError] = Failure(NotSent("not started"))
 
-    def begin(self, reply: Reply) -> None:
-        """Give the beginning of a large answer."""
+    def start_stream(self, reply: Reply) -> None:
+        """Resolve with the first part of a large response."""
         if self.abandoned:
             reply.rest.close()
         self.resolve(Success(reply))
 
     def resolve(self, result: Result[Reply, CallError]) -> None:
-        """Give the result; the beginning of a streamed answer comes before its end."""
+        """Set the result once; a streamed response resolves at its start, not at its end."""
         if not self.done.is_set():
             self.result = result
             self.done.set()
 
 
 @attrs.define(eq=False)
-class _Idle:
+class _IdleConnection:
     """A connection task that waits for an exchange."""
 
-    handed: anyio.Event = attrs.field(factory=anyio.Event)
+    assigned: anyio.Event = attrs.field(factory=anyio.Event)
     exchange: _Exchange | None = None
 
 
 class Channel:
-    """Request-answer calls to one address.
+    """Request-response calls to one address.
 
-    The connection that was used last is used first, so that at low rates few connections are
-    in use and stay fresh. After an overdue answer, every connection that has not answered
-    since the overdue request was sent is replaced before its next use: what silenced one
+    The most recently used connection is reused first, so that at low rates few connections are
+    in use and stay fresh. After a timeout, every connection without a response since the
+    overdue request was sent is replaced before its next use: a network fault that silenced one
     connection has usually silenced the others to the same address.
 
     Parameters
     ----------
     host : str
-        IP number.
+        IP address.
     port : int
         TCP port.
     clock : Clock
         Time source.
     connections : int, default=1
-        Number of connections, each owned by a task; also the number of calls at once.
+        Number of connections, each owned by a task; limits the concurrent calls.
     queue : int, default=64
-        Calls that may wait; a further one fails at once with `NotSent`.
+        Largest number of queued calls; a further call fails immediately with `NotSent`.
     max_body : int, default=4_000_000
-        Largest accepted answer body in bytes.
+        Largest accepted response body in bytes.
     """
 
     def __init__(
@@ -90,25 +90,25 @@
         self._host = host
         self._port = port
         self._clock = clock
-        self._size = connections
+        self._connection_count = connections
         self._max_body = max_body
-        self._queue = queue
+        self._max_pending = queue
         self._pending: deque[_Exchange] = deque()
-        self._idle: list[_Idle] = []
+        self._idle: list[_IdleConnection] = []
         self._closed = False
-        self._suspect_ms = float("-inf")
+        self._suspect_since_ms = float("-inf")
 
     async def run(self) -> None:
-        """Own the connections until cancelled."""
+        """Run the connection tasks until cancelled or closed."""
         async with anyio.create_task_group() as group:
-            for _ in range(self._size):
+            for _ in range(self._connection_count):
                 group.start_soon(self._run_connection)
 
     def close(self) -> None:
-        """Take no further calls; `run` ends after those that wait are finished."""
+        """Reject further calls; `run` returns once the queued calls are finished."""
         self._closed = True
         while self._idle:
-            self._idle.pop().handed.set()
+            self._idle.pop().assigned.set()
 
     async def call(
         self,
@@ -130,19 +130,19 @@
         body : bytes or Upload
             Request body.
         headers : sequence of (bytes, bytes)
-            Further headers.
+            Additional headers.
         timeout_ms : float
-            Time allowed, waiting for a free connection included.
+            Timeout in ms, including the wait for a free connection.
         max_idle_ms : float
-            A connection whose last answer is older is replaced first.
+            A connection whose last response is older than this (ms) is replaced first.
         stream_over : int, optional
-            A larger body (bytes) is returned with its rest as a stream, which must be read or
-            closed.
+            A body larger than this (bytes) is returned with its rest as a stream, which must be
+            read or closed.
 
         Returns
         -------
         Result of Reply or CallError
-            `NotSent` when nothing was handed over, `Unanswered` when the outcome is unknown.
+            `NotSent` if no byte was sent, `Unanswered` if the outcome is unknown.
         """
         deadline_ms = self._clock.now_ms() + timeout_ms
         exchange = _Exchange(method, target, headers, body, deadline_ms, max_idle_ms, stream_over)
@@ -151,8 +151,8 @@
         if self._idle:
             idle = self._idle.pop()
             idle.exchange = exchange
-            idle.handed.set()
-        elif len(self._pending) >= self._queue:
+            idle.assigned.set()
+        elif len(self._pending) >= self._max_pending:
             return Failure(NotSent("queue full"))
         else:
             self._pending.append(exchange)
@@ -160,25 +160,25 @@
             with anyio.move_on_after(timeout_ms / 1000):
                 await exchange.done.wait()
         finally:
-            # Reported as not sent, or given up by the caller, so it must not be sent later.
+            # Reported as not sent or cancelled by the caller, so it must not be sent later.
             exchange.abandoned = True
         if exchange.done.is_set():
             return exchange.result
         if not exchange.started:
             return Failure(NotSent("queued too long"))
-        # Noted here as well, because the next call may be handed over before the connection's
-        # task finds out.
-        self._suspect_ms = max(self._suspect_ms, exchange.sent_ms)
+        # Also set here, because the next call may be assigned before the connection task observes
+        # the timeout.
+        self._suspect_since_ms = max(self._suspect_since_ms, exchange.sent_ms)
         return Failure(OVERDUE)
 
-    async def _next(self) -> _Exchange | None:
+    async def _get_next_exchange(self) -> _Exchange | None:
         if self._pending:
             return self._pending.popleft()
         if self._closed:
             return None
-        idle = _Idle()
+        idle = _IdleConnection()
         self._idle.append(idle)
-        await idle.handed.wait()
+        await idle.assigned.wait()
         return idle.exchange
 
     async def _run_connection(self) -> None:
@@ -186,28 +186,30 @@
             host=self._host, port=self._port, clock=self._clock, max_body=self._max_body
         )
         try:
-            while (exchange := await self._next()) is not None:
-                left_ms = exchange.deadline_ms - self._clock.now_ms()
-                if exchange.abandoned or left_ms <= 0:
+            while (exchange := await self._get_next_exchange()) is not None:
+                remaining_ms = exchange.deadline_ms - self._clock.now_ms()
+                if exchange.abandoned or remaining_ms <= 0:
                     exchange.resolve(Failure(NotSent("queued too long")))
                     continue
                 exchange.started = True
-                await self._carry_out(connection, exchange, left_ms)
+                await self._execute(connection, exchange, remaining_ms)
         finally:
             await connection.close()
 
-    async def _carry_out(self, connection: Connection, exchange: _Exchange, left_ms: float) -> None:
+    async def _execute(
+        self, connection: Connection, exchange: _Exchange, remaining_ms: float
+    ) -> None:
         exchange.sent_ms = sent_ms = self._clock.now_ms()
         result = await connection.exchange(
             method=exchange.method.encode(),
             target=exchange.target.encode(),
             headers=exchange.headers,
             body=exchange.body,
-            timeout_ms=left_ms,
-            max_idle_ms=min(exchange.max_idle_ms, sent_ms - self._suspect_ms),
+            timeout_ms=remaining_ms,
+            max_idle_ms=min(exchange.max_idle_ms, sent_ms - self._suspect_since_ms),
             stream_over=exchange.stream_over,
-            on_large=exchange.begin,
+            on_large_response=exchange.start_stream,
         )
         if isinstance(result, Failure) and result.failure() == OVERDUE:
-            self._suspect_ms = max(self._suspect_ms, sent_ms)
+            self._suspect_since_ms = max(self._suspect_since_ms, sent_ms)
         exchange.resolve(result)
--- a/coltsfootpier/transport/_codec.py
+++ b/coltsfootpier/transport/_codec.py
@@ -1,4 +1,4 @@
-"""Typed messages as JSON: attrs classes through cattrs and orjson."""
+"""JSON encoding of typed messages: attrs classes through cattrs and orjson."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 def unstructure(message: object) -> object:
-    """Return the plain JSON value of an attrs object, fields at their default left out."""
+    """Convert an attrs object into a plain JSON value; fields at their default are omitted."""
     return _converter.unstructure(message)
 
 
@@ -31,7 +31,7 @@
     Returns
     -------
     bytes
-        UTF-8 JSON without spaces.
+        UTF-8 JSON without whitespace.
     """
     return orjson.dumps(_converter.unstructure(message))
 
--- a/coltsfootpier/transport/_connection.py
+++ b/coltsfootpier/transport/_connection.py
@@ -1,4 +1,4 @@
-"""One HTTP connection with one exchange at a time."""
+"""HTTP client connection that carries one exchange at a time."""
 
 from __future__ import annotations
 
@@ -13,14 +13,14 @@
 from coltsfootpier.transport._errors import OVERDUE, BadReply, CallError, NotSent, Unanswered
 from coltsfootpier.transport._stream import BodyStream, Upload, UploadError
 
-# Time for the rest of a streamed answer; bounds how long a slow reader holds a connection.
-_STREAM_MS = 60_000.0
+# Time for the rest of a streamed response; limits how long a slow reader holds a connection.
+_STREAM_TIMEOUT_MS = 60_000.0
 Headers = Sequence[tuple[bytes, bytes]]
 
 
 @attrs.frozen
 class Reply:
-    """A whole answer.
+    """A complete HTTP response, or the start of a streamed one.
 
     Parameters
     ----------
@@ -29,9 +29,9 @@
     headers : sequence of (bytes, bytes)
         Header names in lower case.
     body : bytes
-        The body, checked against its length; its first part when `rest` is given.
+        The body, checked against its declared length; its first part if `rest` is given.
     rest : BodyStream, optional
-        The rest of a large body.
+        Stream of the rest of a large body.
     """
 
     status: int
@@ -45,21 +45,21 @@
 
 
 class Connection:
-    """An HTTP/1.1 connection that belongs to one task.
+    """An HTTP/1.1 connection owned by one task.
 
-    The connection is closed for good after an overdue, failed or cut-off exchange, so that
-    a late answer can't be taken for the answer to a later request.
+    The connection is closed after an exchange that timed out, failed or was truncated, so that
+    a late response can't be mistaken for the response to a later request.
 
     Parameters
     ----------
     host : str
-        IP number.
+        IP address.
     port : int
         TCP port.
     clock : Clock
         Time source.
     max_body : int
-        Largest accepted answer body in bytes.
+        Largest accepted response body in bytes.
     """
 
     def __init__(self, *, host: str, port: int, clock: Clock, max_body: int) -> None:
@@ -68,20 +68,20 @@
         self._clock = clock
         self._max_body = max_body
         self._connection: httpcore.AsyncHTTPConnection | None = None
-        self._answered_ms = float("-inf")
+        self._last_response_ms = float("-inf")
         self._stream: BodyStream | None = None
 
     @property
     def is_open(self) -> bool:
         """Whether an exchange has succeeded on the connection and it is still usable."""
         connection = self._connection
-        # An idle connection with something to read was closed by the other side, or carries
-        # an answer to no request.
+        # An idle connection with data to read was closed by the peer, or received a response
+        # without a request.
         return connection is not None and connection.is_idle() and not connection.has_expired()
 
     def idle_ms(self) -> float:
-        """Return the milliseconds since the last whole answer on this connection."""
-        return self._clock.now_ms() - self._answered_ms
+        """Return the time in ms since the last complete response on this connection."""
+        return self._clock.now_ms() - self._last_response_ms
 
     async def close(self) -> None:
         """Close the connection; a later exchange opens a new one."""
@@ -100,28 +100,28 @@
         timeout_ms: float,
         max_idle_ms: float,
         stream_over: int | None = None,
-        on_large: Callable[[Reply], None] | None = None,
+        on_large_response: Callable[[Reply], None] | None = None,
     ) -> Result[Reply, CallError]:
-        """Send one request and wait for its whole answer.
+        """Send one request and wait for the complete response.
 
         Parameters
         ----------
         method, target : bytes
             Request line.
         headers : sequence of (bytes, bytes)
-            Further headers; ``Host`` and ``Content-Length`` are added.
+            Additional headers; ``Host`` and ``Content-Length`` are added.
         body : bytes or Upload
             Request body.
         timeout_ms : float
-            Time allowed for the exchange, connection set-up included.
+            Timeout of the exchange in ms, including connection set-up.
         max_idle_ms : float
-            An open connection whose last answer is older than this is replaced first,
-            because a connection that idles may have gone silent.
+            An open connection whose last response is older than this (ms) is replaced first,
+            because an idle connection may have stopped delivering data.
         stream_over : int, optional
-            An answer whose body is larger (bytes) is passed to `on_large` with its rest as a
-            stream, which must be read; `timeout_ms` then holds up to this point.
-        on_large : callable, optional
-            Takes the beginning of a large answer.
+            A response whose body is larger than this (bytes) is passed to `on_large_response`
+            with the rest as a stream, which must be read; `timeout_ms` applies until then.
+        on_large_response : callable, optional
+            Called with the first part of a large response.
 
         Returns
         -------
@@ -139,7 +139,7 @@
             headers=[
                 (b"host", self._host_header),
                 *headers,
-                _describe_length(body),
+                _build_length_header(body),
             ],
             content=body,
         )
@@ -147,51 +147,51 @@
         try:
             with anyio.move_on_after(timeout_ms / 1000) as scope:
 
-                def begin(reply: Reply) -> None:
-                    scope.deadline = anyio.current_time() + _STREAM_MS / 1000
-                    on_large(reply)
+                def start_stream(reply: Reply) -> None:
+                    scope.deadline = anyio.current_time() + _STREAM_TIMEOUT_MS / 1000
+                    on_large_response(reply)
 
-                result = await self._send(request, stream_over, begin)
+                result = await self._send_request(request, stream_over, start_stream)
         finally:
             if self._stream is not None:
-                self._stream.end(result.failure() if isinstance(result, Failure) else None)
+                self._stream.finish(result.failure() if isinstance(result, Failure) else None)
                 self._stream = None
             if not isinstance(result, Success):
                 await self.close()
         return result
 
-    async def _send(
+    async def _send_request(
         self,
         request: httpcore.Request,
         stream_over: int | None,
-        begin: Callable[[Reply], None],
+        start_stream: Callable[[Reply], None],
     ) -> Result[Reply, CallError]:
         if self._connection is None:
             self._connection = httpcore.AsyncHTTPConnection(self._origin, keepalive_expiry=None)
         try:
             response = await self._connection.handle_async_request(request)
-            return await self._read(response, stream_over, begin)
+            return await self._read_response(response, stream_over, start_stream)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             reason = f"can't connect to {self._host_header.decode()}: {error}"
             return Failure(NotSent(reason, unreachable=True))
         except (httpcore.LocalProtocolError, httpcore.ConnectionNotAvailable) as error:
-            # The request line or a header is not allowed in HTTP; found before anything is sent.
+            # The request line or a header violates HTTP; detected before any byte is sent.
             return Failure(NotSent(f"not a valid request: {error}"))
         except UploadError as error:
             return Failure(Unanswered(f"request body: {error}"))
         except (httpcore.NetworkError, httpcore.ProtocolError, OSError) as error:
             return Failure(Unanswered(repr(error)))
 
-    async def _read(
+    async def _read_response(
         self,
         response: httpcore.Response,
         stream_over: int | None,
-        begin: Callable[[Reply], None],
+        start_stream: Callable[[Reply], None],
     ) -> Result[Reply, CallError]:
         headers = tuple((name.lower(), value) for name, value in response.headers)
         if not _has_length(response.status, headers):
-            # The end of such a body is the end of the connection, so that a cut answer would
-            # look complete.
+            # The connection's end delimits such a body, so a truncated response would look
+            # complete.
             return Failure(BadReply("answer without a length", response.status))
         declared = next((value for name, value in headers if name == b"content-length"), b"0")
         if int(declared) > self._max_body:
@@ -211,14 +211,14 @@
             chunks.append(chunk)
             if stream_over is not None and size > stream_over:
                 self._stream = BodyStream()
-                begin(Reply(response.status, headers, b"".join(chunks), self._stream))
+                start_stream(Reply(response.status, headers, b"".join(chunks), self._stream))
                 chunks.clear()
         await response.aclose()
-        self._answered_ms = self._clock.now_ms()
+        self._last_response_ms = self._clock.now_ms()
         return Success(Reply(response.status, headers, b"".join(chunks)))
 
 
-def _describe_length(body: bytes | Upload) -> tuple[bytes, bytes]:
+def _build_length_header(body: bytes | Upload) -> tuple[bytes, bytes]:
     length = body.length if isinstance(body, Upload) else len(body)
     if length is None:
         return b"transfer-encoding", b"chunked"
--- a/coltsfootpier/transport/_errors.py
+++ b/coltsfootpier/transport/_errors.py
@@ -9,12 +9,13 @@
 
 @attrs.frozen
 class NotSent:
-    """No byte of the request was handed to the other side.
+    """No byte of the request was sent.
 
     Parameters
     ----------
     unreachable : bool
-        Whether no connection could be made; otherwise there was no time or no room here.
+        Whether no connection could be established; otherwise the timeout or a queue limit of this
+        process prevented the request, or the request was invalid.
     """
 
     reason: str
@@ -23,20 +24,20 @@
 
 @attrs.frozen
 class Unanswered:
-    """The request may have taken effect, but no whole answer arrived."""
+    """The request may have taken effect, but no complete response arrived."""
 
     reason: str
 
 
 @attrs.frozen
 class BadReply:
-    """A whole answer arrived that isn't what the protocol allows."""
+    """A response arrived that violates the protocol or a size limit."""
 
     reason: str
     status: int = 0
 
 
-# The answer did not arrive within the time allowed.
+# The response did not arrive within the timeout.
 OVERDUE = Unanswered("overdue")
 
 CallError = NotSent | Unanswered | BadReply
@@ -44,11 +45,11 @@
 
 @attrs.frozen
 class BindError:
-    """An address could not be listened on."""
+    """A listening socket could not be bound to an address."""
 
     address: str
     reason: str
 
 
 class MalformedMessageError(ColtsfootpierError):
-    """A message body isn't the JSON that its type asks for."""
+    """A message body isn't valid JSON for its type."""
--- a/coltsfootpier/transport/_lean.py
+++ b/coltsfootpier/transport/_lean.py
@@ -1,8 +1,8 @@
-"""HTTP/1.1 client connections parsed by ``httptools``, for calls that are frequent.
+"""HTTP/1.1 client connections parsed by ``httptools``, for frequent calls.
 
 An exchange costs about a twentieth of the processor time of one through ``httpcore``
-(docs/measurements.md). The protocol object learns of a connection that the peer closed while
-it was idle, so no request is written to it.
+(docs/measurements.md). The protocol object is notified when the peer closes an idle connection,
+so that no request is written to a closed one.
 """
 
 from __future__ import annotations
@@ -18,15 +18,16 @@
 from coltsfootpier.transport._connection import Reply
 from coltsfootpier.transport._errors import OVERDUE, BadReply, CallError, NotSent, Unanswered
 
-# Largest answer that is accepted, in bytes; a range of the store is at most about 1 MB of values
+# Largest accepted response body; a range response of the store holds at most about 1 MB of values
 # in base64.
-_MAX_ANSWER_BYTES = 4_000_000
-# Time after which unacknowledged bytes end a connection, in ms; a partition sends no reset.
-_USER_TIMEOUT_MS = 4_000
+_MAX_RESPONSE_BYTES = 4_000_000
+# Unacknowledged bytes close a connection after this time, because a network partition sends no
+# reset.
+_TCP_USER_TIMEOUT_MS = 4_000
 
 
 class _Protocol(asyncio.Protocol):
-    """Feeds the answers of one connection to the parser."""
+    """Parser of the responses on one connection."""
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
@@ -57,8 +58,8 @@
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
-        if self._size > _MAX_ANSWER_BYTES:
-            self.finish(Failure(BadReply(f"body over {_MAX_ANSWER_BYTES} bytes")))
+        if self._size > _MAX_RESPONSE_BYTES:
+            self.finish(Failure(BadReply(f"body over {_MAX_RESPONSE_BYTES} bytes")))
             self.abort()
             return
         self._chunks.append(body)
@@ -83,15 +84,15 @@
 
 
 class LeanConnection:
-    """A connection that belongs to one task, with one exchange at a time.
+    """A low-overhead connection owned by one task, with one exchange at a time.
 
-    It is closed for good after an exchange without a whole answer, so that a late answer can't
-    be taken for the answer to a later request. The next exchange opens a new one.
+    It is closed after an exchange without a complete response, so that a late response can't
+    be mistaken for the response to a later request. The next exchange opens a new one.
 
     Parameters
     ----------
     host : str
-        IP number.
+        IP address.
     port : int
         TCP port.
     """
@@ -104,7 +105,7 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether the connection can take a request without being opened first."""
+        """Whether a request can be sent without opening a connection first."""
         return self._protocol is not None and not self._protocol.closed
 
     def close(self) -> None:
@@ -122,28 +123,28 @@
         body: bytes = b"",
         timeout_ms: float,
     ) -> Result[Reply, CallError]:
-        """Send one request and wait for its whole answer.
+        """Send one request and wait for the complete response.
 
         Parameters
         ----------
         method, target : str
             Request line.
         headers : tuple of (str, str)
-            Further headers; ``Host`` is the address if it isn't given.
+            Additional headers; ``Host`` defaults to the address.
         body : bytes
             JSON body.
         timeout_ms : float
-            Time allowed for the exchange, connection set-up included.
+            Timeout of the exchange in ms, including connection set-up.
 
         Returns
         -------
         Result of Reply or CallError
         """
         loop = asyncio.get_running_loop()
-        due = loop.time() + timeout_ms / 1000
+        deadline_s = loop.time() + timeout_ms / 1000
         if not self.is_open:
             self.close()
-            opened = await self._open(due)
+            opened = await self._open(deadline_s)
             if isinstance(opened, Failure):
                 return opened
         protocol = self._protocol
@@ -157,50 +158,50 @@
             lines.append(b"content-type: application/json\r\n")
             lines.append(f"content-length: {len(body)}\r\n".encode())
         protocol.transport.write(b"".join((*lines, b"\r\n", body)))
-        timer = loop.call_at(due, protocol.finish, Failure(OVERDUE))
-        answered = False
+        timer = loop.call_at(deadline_s, protocol.finish, Failure(OVERDUE))
+        completed = False
         try:
             result = await waiter
-            answered = isinstance(result, Success)
+            completed = isinstance(result, Success)
             return result
         finally:
             timer.cancel()
-            if not answered:
+            if not completed:
                 protocol.waiter = None
                 self.close()
 
-    async def _open(self, due: float) -> Result[None, CallError]:
+    async def _open(self, deadline_s: float) -> Result[None, CallError]:
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout_at(due):
+            async with asyncio.timeout_at(deadline_s):
                 _, protocol = await loop.create_connection(_Protocol, self._host, self._port)
         except TimeoutError:
             return Failure(NotSent(f"no connection to {self._host}:{self._port} in time"))
         except OSError as error:
             reason = f"can't connect to {self._host}:{self._port}: {error}"
             return Failure(NotSent(reason, unreachable=True))
-        # Not every platform takes the option; without it the exchange's own time limit holds.
+        # Not every platform supports the option; the timeout of the exchange applies anyway.
         with contextlib.suppress(OSError):
             protocol.transport.get_extra_info("socket").setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
             )
         self._protocol = protocol
         return Success(None)
 
 
 class LeanPool:
-    """A bounded set of connections to one address.
+    """A bounded pool of `LeanConnection` to one address.
 
     Parameters
     ----------
     host : str
-        IP number.
+        IP address.
     port : int
         TCP port.
     clock : Clock
         Time source.
     connections : int
-        Exchanges at once; further ones wait within their time limit.
+        Largest number of concurrent exchanges; further ones wait within their timeout.
     """
 
     def __init__(self, *, host: str, port: int, clock: Clock, connections: int) -> None:
@@ -218,18 +219,18 @@
         timeout_ms: float,
     ) -> Result[Reply, CallError]:
         """Send one request on a free connection; see `LeanConnection.exchange`."""
-        began_ms = self._clock.now_ms()
+        start_ms = self._clock.now_ms()
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 await self._slots.acquire()
         except TimeoutError:
             return Failure(NotSent("no free connection in time"))
-        # The last one used is taken first, so few connections stay open under a light load.
+        # Reuses the most recently used connection first, so that few stay open under light load.
         connection = self._free.pop()
         try:
-            left_ms = timeout_ms - (self._clock.now_ms() - began_ms)
+            remaining_ms = timeout_ms - (self._clock.now_ms() - start_ms)
             return await connection.exchange(
-                method, target, headers=headers, body=body, timeout_ms=left_ms
+                method, target, headers=headers, body=body, timeout_ms=remaining_ms
             )
         finally:
             self._free.append(connection)
--- a/coltsfootpier/transport/_mailbox.py
+++ b/coltsfootpier/transport/_mailbox.py
@@ -1,4 +1,4 @@
-"""Messages to a task that owns state, with an answer for each."""
+"""Request-response messages to a task that owns state."""
 
 from __future__ import annotations
 
@@ -16,45 +16,45 @@
 
 @attrs.define(eq=False)
 class Envelope(Generic[_M]):
-    """A message with the place for its answer."""
+    """A message and its pending response."""
 
     message: _M
-    _answered: anyio.Event = attrs.field(factory=anyio.Event)
-    _answer: object = None
+    _responded: anyio.Event = attrs.field(factory=anyio.Event)
+    _response: object = None
 
     def answer(self, value: object) -> None:
-        """Give the answer; only the first one counts."""
-        if not self._answered.is_set():
-            self._answer = value
-            self._answered.set()
+        """Set the response; later calls have no effect."""
+        if not self._responded.is_set():
+            self._response = value
+            self._responded.set()
 
 
 class Mailbox(Generic[_M]):
-    """Bounded inbox of a task.
+    """Bounded message queue of a task.
 
     Parameters
     ----------
     bound : int
-        Messages that may wait.
+        Largest number of queued messages.
     """
 
     def __init__(self, *, bound: int) -> None:
         self._send, self._receive = anyio.create_memory_object_stream[Envelope[_M]](bound)
 
     async def ask(self, message: _M, *, timeout_ms: float) -> Result[object, NotSent | Unanswered]:
-        """Send a message and wait for the answer.
+        """Send a message and wait for the response.
 
         Parameters
         ----------
         message : object
             The message.
         timeout_ms : float
-            Time allowed.
+            Timeout in ms.
 
         Returns
         -------
         Result
-            The answer, `NotSent` when the inbox is full, or `Unanswered`.
+            The response, `NotSent` if the queue is full, or `Unanswered` after the timeout.
         """
         envelope = Envelope(message)
         try:
@@ -62,9 +62,9 @@
         except anyio.WouldBlock:
             return Failure(NotSent("inbox full"))
         with anyio.move_on_after(timeout_ms / 1000):
-            await envelope._answered.wait()
-        if envelope._answered.is_set():
-            return Success(envelope._answer)
+            await envelope._responded.wait()
+        if envelope._responded.is_set():
+            return Success(envelope._response)
         return Failure(Unanswered("no answer from the task"))
 
     async def __aiter__(self) -> AsyncIterator[Envelope[_M]]:
--- a/coltsfootpier/transport/_server.py
+++ b/coltsfootpier/transport/_server.py
@@ -1,4 +1,4 @@
-"""Embedded uvicorn server and a small ASGI application with bounded bodies."""
+"""Embedded uvicorn server and a small ASGI application with limits on body size."""
 
 from __future__ import annotations
 
@@ -20,14 +20,14 @@
 from coltsfootpier.transport._stream import BodyStream, Upload, UploadError
 
 Scope = dict[str, Any]
-# A body that takes longer is not waited for, so that a stalled sender holds no server up.
+# Bodies that take longer are rejected, so that a stalled sender can't block a server.
 _BODY_TIMEOUT_MS = 10_000.0
 AsgiApp = Callable[[Scope, Callable, Callable], Awaitable[None]]
 
 
 @attrs.frozen
 class HttpRequest:
-    """A request whose body was read whole.
+    """A request with its complete body.
 
     Parameters
     ----------
@@ -36,7 +36,7 @@
     headers : sequence of (bytes, bytes)
         Names in lower case.
     body : bytes
-        The body.
+        The complete body.
     """
 
     method: str
@@ -46,13 +46,13 @@
     body: bytes
 
     def header(self, name: bytes) -> str:
-        """Return the first header called `name` (lower case), or an empty text."""
+        """Return the value of the first header called `name` (lower case), or an empty string."""
         return next((value.decode("latin-1") for key, value in self.headers if key == name), "")
 
 
 @attrs.frozen
 class HttpResponse:
-    """An answer with its whole body."""
+    """A response with its complete body."""
 
     status: int = 200
     body: bytes = b""
@@ -61,12 +61,12 @@
 
     @classmethod
     def of(cls, message: object, status: int = 200) -> HttpResponse:
-        """Build a JSON answer from an attrs object or a JSON value."""
+        """Build a JSON response from an attrs object or a JSON value."""
         return cls(status=status, body=encode(message))
 
     @classmethod
     def problem(cls, status: int, kind: str, reason: str) -> HttpResponse:
-        """Build the JSON answer for a typed error."""
+        """Build the JSON response for a typed error."""
         return cls.of({"error": kind, "reason": reason}, status)
 
 
@@ -74,15 +74,17 @@
 
 
 class BodyError(Exception):
-    """The body of a request could not be taken."""
+    """The body of a request was rejected."""
 
     def __init__(self, status: int, kind: str, reason: str) -> None:
         super().__init__(reason)
-        # A sender that is too slow is not waited for. After a body that is too large the
-        # connection stays open and the rest is discarded, because closing it while the
-        # sender still writes would reset it and lose this answer.
-        closing = ((b"connection", b"close"),) if status == 408 else ()
-        self.response = attrs.evolve(HttpResponse.problem(status, kind, reason), headers=closing)
+        # After a timeout the connection is closed. After a body that is too large it stays open
+        # and the rest is discarded, because closing it while the sender still writes would reset
+        # it and lose this response.
+        close_headers = ((b"connection", b"close"),) if status == 408 else ()
+        self.response = attrs.evolve(
+            HttpResponse.problem(status, kind, reason), headers=close_headers
+        )
 
 
 async def read_body(
@@ -99,12 +101,12 @@
     max_body : int
         Largest accepted body in bytes.
     timeout_ms : float
-        Time allowed for the whole body.
+        Timeout of the complete body in ms.
 
     Returns
     -------
     bytes
-        The whole body.
+        The complete body.
 
     Raises
     ------
@@ -115,11 +117,11 @@
     if declared and int(declared) > max_body:
         raise BodyError(413, "body_too_large", f"at most {max_body} bytes are allowed")
     with anyio.move_on_after(max(0.0, timeout_ms) / 1000):
-        return await _gather_body(receive, max_body)
+        return await _receive_body(receive, max_body)
     raise BodyError(408, "body_overdue", f"the body did not arrive within {timeout_ms:.0f} ms")
 
 
-async def _gather_body(receive: Callable, max_body: int) -> bytes:
+async def _receive_body(receive: Callable, max_body: int) -> bytes:
     chunks: list[bytes] = []
     size = 0
     while True:
@@ -137,7 +139,7 @@
 async def read_upload(
     scope: Scope, receive: Callable, *, max_body: int, whole_up_to: int, timeout_ms: float
 ) -> bytes | Upload:
-    """Read the body of a request whole if it is small; otherwise return it as an upload.
+    """Read a small request body completely; return a larger one as an upload.
 
     Parameters
     ----------
@@ -146,9 +148,9 @@
     max_body : int
         Largest accepted body in bytes.
     whole_up_to : int
-        Largest body in bytes that is read whole.
+        Largest body in bytes that is buffered completely.
     timeout_ms : float
-        Time allowed for the whole body, or for its first part of `whole_up_to` bytes.
+        Timeout in ms of the complete body, or of its first `whole_up_to` bytes.
 
     Returns
     -------
@@ -164,30 +166,30 @@
         return await read_body(scope, receive, max_body=max_body, timeout_ms=timeout_ms)
 
     async def read() -> bytes | None:
-        nonlocal more
-        if not more:
+        nonlocal has_more
+        if not has_more:
             return None
         message = await receive()
         if message["type"] == "http.disconnect":
             raise UploadError("the connection closed before the body ended")
-        more = message.get("more_body", False)
+        has_more = message.get("more_body", False)
         return message.get("body", b"")
 
-    more = True
+    has_more = True
     first = bytearray()
-    with anyio.move_on_after(max(0.0, timeout_ms) / 1000) as scope_:
-        while more and len(first) < whole_up_to:
+    with anyio.move_on_after(max(0.0, timeout_ms) / 1000) as cancel_scope:
+        while has_more and len(first) < whole_up_to:
             try:
                 first += await read() or b""
             except UploadError as error:
                 raise BodyError(400, "body_truncated", str(error)) from error
-    if scope_.cancelled_caught:
+    if cancel_scope.cancelled_caught:
         raise BodyError(408, "body_overdue", f"the body did not begin within {timeout_ms:.0f} ms")
     return Upload(first=bytes(first), read=read, length=int(declared))
 
 
 async def send_response(send: Callable, response: HttpResponse) -> None:
-    """Send a whole answer over ASGI."""
+    """Send a complete response over ASGI."""
     headers = [
         (b"content-type", response.content_type),
         (b"content-length", str(len(response.body)).encode()),
@@ -200,12 +202,13 @@
 async def send_large_response(
     send: Callable, response: HttpResponse, rest: BodyStream, length: int | None
 ) -> None:
-    """Send an answer whose body is its first part; the rest follows as it arrives.
+    """Send the first part of a response, then stream the rest as it arrives.
 
     Raises
     ------
     BodyCutError
-        If the body is cut. The answer is left incomplete, so that the connection is closed.
+        If the body is truncated. The response is left incomplete, so that the connection is
+        closed.
     """
     headers = [(b"content-type", response.content_type), *response.headers]
     if length is not None:
@@ -238,17 +241,17 @@
     async def __call__(self, scope: Scope, receive: Callable, send: Callable) -> None:
         if scope["type"] != "http":
             return
-        await send_response(send, await self._answer(scope, receive))
+        await send_response(send, await self._respond(scope, receive))
 
-    def _find(self, method: str, path: str) -> Handler | None:
+    def _find_handler(self, method: str, path: str) -> Handler | None:
         for route_method, prefix, handler in self._routes:
             if method == route_method and path.startswith(prefix):
                 return handler
         return None
 
-    async def _answer(self, scope: Scope, receive: Callable) -> HttpResponse:
+    async def _respond(self, scope: Scope, receive: Callable) -> HttpResponse:
         method, path = scope["method"], scope["path"]
-        handler = self._find(method, path)
+        handler = self._find_handler(method, path)
         if handler is None:
             return HttpResponse.problem(404, "unknown_path", f"{method} {path}")
         try:
@@ -262,14 +265,14 @@
 
 
 def bind(host: str, port: int) -> Result[socket.socket, BindError]:
-    """Bind a TCP socket, so that an address that can't be used is found out at the start.
+    """Bind a TCP socket, so that an unusable address is detected at startup.
 
     Parameters
     ----------
     host : str
-        IP number.
+        IP address.
     port : int
-        TCP port; 0 takes a free one.
+        TCP port; 0 selects a free one.
 
     Returns
     -------
@@ -286,8 +289,8 @@
     return Success(listener)
 
 
-class _QuietServer(uvicorn.Server):
-    """uvicorn without signal handlers: the process decides when a server stops."""
+class _EmbeddedServer(uvicorn.Server):
+    """uvicorn server without signal handlers; the process decides when it stops."""
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -300,17 +303,17 @@
     Parameters
     ----------
     app : ASGI application
-        What answers the requests.
+        Application that handles the requests.
     host : str
-        IP number to listen on.
+        IP address to listen on.
     port : int
-        TCP port; 0 takes a free one.
+        TCP port; 0 selects a free one.
     max_connections : int, optional
-        Connections that may be open at once; a further request gets 503.
+        Largest number of open connections; requests beyond it are answered with 503.
     listener : socket, optional
-        A socket from `bind` that is used instead of `host` and `port`.
+        Socket from `bind` that is used instead of `host` and `port`.
     protocol : type of LimitedProtocol, optional
-        Connections with bounds of their own, from `build_protocol`.
+        Protocol class with connection limits, from `build_protocol`.
     """
 
     def __init__(
@@ -338,13 +341,13 @@
             timeout_keep_alive=75,
             limit_concurrency=max_connections,
         )
-        self._server = _QuietServer(config)
+        self._server = _EmbeddedServer(config)
         self._listener = listener
         self.port = port
         self.ended = anyio.Event()
 
     async def run(self, *, task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED) -> None:
-        """Serve until `stop`; reports the port once the socket listens.
+        """Serve until `stop`, and report the port once the socket listens.
 
         Requests in flight are finished before this returns.
         """
@@ -358,5 +361,5 @@
         self.ended.set()
 
     def stop(self) -> None:
-        """Close the listening socket and end once requests in flight are finished."""
+        """Close the listening socket; `run` returns once requests in flight are finished."""
         self._server.should_exit = True
--- a/coltsfootpier/transport/_stream.py
+++ b/coltsfootpier/transport/_stream.py
@@ -1,4 +1,4 @@
-"""Bodies that are too large to be held whole."""
+"""Streams for bodies that are too large to buffer."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 from coltsfootpier.exceptions import ColtsfootpierError
 from coltsfootpier.transport._errors import CallError, Unanswered
 
-# Chunks that wait for a slow reader; one chunk is at most 64 KB, the read size of httpcore.
-_CHUNKS = 4
+# Chunks queued for a slow reader; one chunk is at most 64 KB, the read size of httpcore.
+_MAX_QUEUED_CHUNKS = 4
 
 
 class BodyCutError(ColtsfootpierError):
@@ -22,33 +22,33 @@
 
 
 class BodyStream:
-    """The rest of a large answer, passed on by the task that owns the connection.
+    """The rest of a large response body, filled by the task that owns the connection.
 
-    Iterating raises `BodyCutError` when the body ends before it is complete, so that a cut
-    body is never taken for a whole one.
+    Iteration raises `BodyCutError` when the body ends before it is complete, so that a truncated
+    body is never mistaken for a complete one.
     """
 
     def __init__(self) -> None:
-        self._send, self._receive = anyio.create_memory_object_stream[bytes](_CHUNKS)
+        self._send, self._receive = anyio.create_memory_object_stream[bytes](_MAX_QUEUED_CHUNKS)
         self._error: CallError | None = Unanswered("the answer was cut off")
 
     async def put(self, chunk: bytes) -> None:
-        """Pass a chunk on; waits while the reader is slow.
+        """Queue a chunk for the reader; blocks while the queue is full.
 
         Raises
         ------
         anyio.BrokenResourceError
-            If the reader has given up.
+            If the reader has closed the stream.
         """
         await self._send.send(chunk)
 
-    def end(self, error: CallError | None) -> None:
-        """End the body, as a whole one without an error."""
+    def finish(self, error: CallError | None) -> None:
+        """End the body; it is complete if `error` is None."""
         self._error = error
         self._send.close()
 
     def close(self) -> None:
-        """Give up reading."""
+        """Stop reading; the next `put` raises."""
         self._receive.close()
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
@@ -59,18 +59,18 @@
 
 
 class UploadError(ColtsfootpierError):
-    """The sender of a streamed request body stopped before its end."""
+    """A streamed request body ended before it was complete."""
 
 
 class Upload:
-    """A request body that is read while it is sent; it can be read once.
+    """A request body that is forwarded while it is received; it can be iterated once.
 
     Parameters
     ----------
     first : bytes
-        What has been read already.
+        Bytes that have been read already.
     read : callable
-        Returns the next chunk, or None at the end; raises `UploadError` if the body is cut.
+        Returns the next chunk, or None at the end; raises `UploadError` if the body is truncated.
     length : int, optional
         Declared length in bytes.
     """
--- a/coltsfootpier/transport/tests/test_channel.py
+++ b/coltsfootpier/transport/tests/test_channel.py
@@ -1,4 +1,4 @@
-"""Tests of connections against sockets that misbehave."""
+"""Tests of `Channel` against servers that misbehave."""
 
 from __future__ import annotations
 
@@ -18,10 +18,10 @@
 
 
 class _RawServer:
-    """Answers each request with the bytes that `answer` returns for its target."""
+    """Server that sends the bytes that `respond` returns for the target of each request."""
 
-    def __init__(self, answer, *, close: bool = False) -> None:
-        self.answer = answer
+    def __init__(self, respond, *, close: bool = False) -> None:
+        self.respond = respond
         self.close = close
         self.targets: list[str] = []
         self.port = 0
@@ -40,7 +40,7 @@
                     received = await stream.receive()
                     target = received.split(b" ")[1].decode()
                     self.targets.append(target)
-                    await stream.send(await self.answer(target))
+                    await stream.send(await self.respond(target))
                 except (anyio.EndOfStream, anyio.BrokenResourceError):
                     return
                 if self.close:
@@ -48,8 +48,10 @@
 
 
 @asynccontextmanager
-async def _serving(answer, *, close: bool = False, connections: int = 1, relayed: bool = False):
-    server = _RawServer(answer, close=close)
+async def _open_channel(
+    respond, *, close: bool = False, connections: int = 1, relayed: bool = False
+):
+    server = _RawServer(respond, close=close)
     async with anyio.create_task_group() as group:
         await group.start(server.run)
         relay = Relay(port=server.port) if relayed else None
@@ -75,14 +77,14 @@
     anyio.run(test, backend_options={"use_uvloop": True})
 
 
-async def _bodies(channel: Channel, targets: list[str]) -> AsyncIterator[object]:
+async def _call_each(channel: Channel, targets: list[str]) -> AsyncIterator[object]:
     for target in targets:
         yield target, await channel.call("GET", target, timeout_ms=5_000)
 
 
-class CutAnswerTest(unittest.TestCase):
-    def test_cut_answers_are_never_complete(self) -> None:
-        """Guards against a truncated answer that looks complete."""
+class TruncatedResponseTest(unittest.TestCase):
+    def test_truncated_responses_are_failures(self) -> None:
+        """Guards against a truncated response that is accepted as complete."""
 
         async def with_length(_: str) -> bytes:
             return b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf"
@@ -94,36 +96,36 @@
             return b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n"
 
         async def test() -> None:
-            for answer, kind in (
+            for respond, kind in (
                 (with_length, Unanswered),
                 (without_length, BadReply),
                 (chunked, Unanswered),
             ):
-                async with _serving(answer, close=True) as (_, channel, _relay):
+                async with _open_channel(respond, close=True) as (_, channel, _relay):
                     result = await channel.call("GET", "/", timeout_ms=5_000)
                     self.assertIsInstance(result, Failure)
                     self.assertIsInstance(result.failure(), kind)
 
         _run(test)
 
-    def test_rubbish_is_a_typed_error(self) -> None:
-        """Guards against an exception from a peer that doesn't speak HTTP."""
+    def test_invalid_http_is_a_typed_error(self) -> None:
+        """Guards against an exception when the peer sends bytes that aren't HTTP."""
 
-        async def rubbish(_: str) -> bytes:
+        async def invalid_http(_: str) -> bytes:
             return b"\x00\xffrubbish\r\n\r\n"
 
         async def test() -> None:
-            async with _serving(rubbish, close=True) as (_, channel, _relay):
+            async with _open_channel(invalid_http, close=True) as (_, channel, _relay):
                 result = await channel.call("GET", "/", timeout_ms=5_000)
                 self.assertIsInstance(result.failure(), Unanswered)
 
         _run(test)
 
-    def test_request_that_http_does_not_allow_is_not_sent(self) -> None:
-        """Guards against the outcome unknown for a request of which no byte was sent."""
+    def test_invalid_request_is_not_sent(self) -> None:
+        """Guards against an unknown outcome for a request of which no byte was sent."""
 
         async def test() -> None:
-            async with _serving(_echo) as (server, channel, _):
+            async with _open_channel(_echo) as (server, channel, _):
                 result = await channel.call("GET", "/", headers=((b"x a", b"a"),), timeout_ms=5_000)
                 self.assertIsInstance(result.failure(), NotSent)
                 self.assertEqual(server.targets, [])
@@ -131,35 +133,38 @@
         _run(test)
 
 
-class LateAnswerTest(unittest.TestCase):
-    def test_late_answer_reaches_no_other_call(self) -> None:
-        """Guards against an overdue answer taken for the answer to the next request."""
+class LateResponseTest(unittest.TestCase):
+    def test_late_response_reaches_no_other_call(self) -> None:
+        """Guards against an overdue response that is returned for the next request."""
 
-        async def answer(target: str) -> bytes:
+        async def respond(target: str) -> bytes:
             if target == "/late":
                 await anyio.sleep(0.3)
             return await _echo(target)
 
         async def test() -> None:
-            async with _serving(answer) as (_, channel, _relay):
+            async with _open_channel(respond) as (_, channel, _relay):
                 late = await channel.call("GET", "/late", timeout_ms=100)
                 self.assertIsInstance(late.failure(), Unanswered)
-                async for target, result in _bodies(channel, ["/a", "/b"]):
+                async for target, result in _call_each(channel, ["/a", "/b"]):
                     self.assertEqual(result.unwrap().body, target.encode())
                     await anyio.sleep(0.2)
 
         _run(test)
 
     def test_call_reported_as_not_sent_is_not_sent_later(self) -> None:
-        """Guards against a queued call that is sent after its caller gave it up."""
+        """Guards against a queued call that is sent after its caller cancelled it."""
 
-        async def answer(target: str) -> bytes:
+        async def respond(target: str) -> bytes:
             if target == "/slow":
                 await anyio.sleep(0.5)
             return await _echo(target)
 
         async def test() -> None:
-            async with _serving(answer) as (server, channel, _), anyio.create_task_group() as group:
+            async with (
+                _open_channel(respond) as (server, channel, _),
+                anyio.create_task_group() as group,
+            ):
 
                 async def call_slow() -> None:
                     await channel.call("GET", "/slow", timeout_ms=5_000)
@@ -176,16 +181,16 @@
 
 
 class SilentConnectionTest(unittest.TestCase):
-    def test_one_call_at_most_pays_for_connections_that_fell_silent_together(self) -> None:
-        """Guards against one overdue call for each connection of a silent path."""
+    def test_connections_silenced_together_cost_one_overdue_call(self) -> None:
+        """Guards against one overdue call per connection after a network path goes silent."""
 
-        async def answer(target: str) -> bytes:
+        async def respond(target: str) -> bytes:
             if target == "/warm":
                 await anyio.sleep(0.2)
             return await _echo(target)
 
         async def test() -> None:
-            async with _serving(answer, connections=4, relayed=True) as (_, channel, relay):
+            async with _open_channel(respond, connections=4, relayed=True) as (_, channel, relay):
 
                 async def warm() -> None:
                     self.assertIsInstance(
@@ -204,21 +209,21 @@
         _run(test)
 
     def test_connection_closed_by_the_server_is_replaced_before_use(self) -> None:
-        """Guards against the outcome unknown after a server closed an idle connection."""
+        """Guards against an unknown outcome after the server has closed an idle connection."""
 
         async def test() -> None:
-            async with _serving(_echo, close=True) as (_, channel, _relay):
-                async for target, result in _bodies(channel, ["/a", "/b", "/c"]):
+            async with _open_channel(_echo, close=True) as (_, channel, _relay):
+                async for target, result in _call_each(channel, ["/a", "/b", "/c"]):
                     self.assertEqual(result.unwrap().body, target.encode())
                     await anyio.sleep(0.1)
 
         _run(test)
 
-    def test_low_rates_use_one_connection(self) -> None:
-        """Guards against a low rate spread over all connections, so that none stays fresh."""
+    def test_sequential_calls_use_one_connection(self) -> None:
+        """Guards against a low call rate spread over all connections, so that none stays fresh."""
 
         async def test() -> None:
-            async with _serving(_echo, connections=4, relayed=True) as (_, channel, relay):
+            async with _open_channel(_echo, connections=4, relayed=True) as (_, channel, relay):
                 for _ in range(12):
                     await channel.call("GET", "/", timeout_ms=5_000)
                 self.assertEqual(relay.accepted, 1)
@@ -226,15 +231,15 @@
         _run(test)
 
 
-class LargeAnswerTest(unittest.TestCase):
-    def test_large_answer_is_streamed_whole_or_visibly_cut(self) -> None:
-        """Guards against a cut answer that looks complete, and against one held whole."""
+class LargeResponseTest(unittest.TestCase):
+    def test_large_response_is_streamed_and_truncation_detected(self) -> None:
+        """Guards against a truncated response that looks complete, and against full buffering."""
         body = b"0123456789" * 100_000
 
         async def whole(_: str) -> bytes:
             return _OK % (len(body), body)
 
-        async def cut(_: str) -> bytes:
+        async def truncated(_: str) -> bytes:
             return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body[:600_000])
 
         async def read(channel: Channel) -> bytes:
@@ -247,24 +252,24 @@
             return received
 
         async def test() -> None:
-            async with _serving(whole) as (_, channel, _relay):
+            async with _open_channel(whole) as (_, channel, _relay):
                 for _ in range(3):
                     self.assertEqual(await read(channel), body)
-            async with _serving(cut, close=True) as (_, channel, _relay):
+            async with _open_channel(truncated, close=True) as (_, channel, _relay):
                 with self.assertRaises(BodyCutError):
                     await read(channel)
 
         _run(test)
 
-    def test_reader_that_gives_up_frees_the_connection(self) -> None:
-        """Guards against a connection that waits for a reader that has gone."""
+    def test_closed_reader_frees_the_connection(self) -> None:
+        """Guards against a connection that blocks on a reader that has closed its stream."""
         body = b"x" * 4_000_000
 
-        async def answer(target: str) -> bytes:
+        async def respond(target: str) -> bytes:
             return _OK % (len(body), body) if target == "/large" else await _echo(target)
 
         async def test() -> None:
-            async with _serving(answer) as (_, channel, _relay):
+            async with _open_channel(respond) as (_, channel, _relay):
                 large = await channel.call("GET", "/large", timeout_ms=5_000, stream_over=1_000)
                 large.unwrap().rest.close()
                 small = await channel.call("GET", "/small", timeout_ms=5_000)
