--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for the systems around the daemons, for demos and tests."""
+"""Stand-ins for the external systems of the daemons, for the demo and for tests."""
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -1,4 +1,4 @@
-"""Starting and stopping the stand-ins and daemons as processes, for the demo and for tests."""
+"""Cluster of stand-ins and daemons as processes, for the demo and for tests."""
 
 from __future__ import annotations
 
@@ -21,9 +21,9 @@
 from coltsfootpier.logs import parse_line
 from coltsfootpier.transport import Connection
 
-_MAX_BODY = 64_000_000
-_START_S = 20.0
-_SIDES = ("callers", "peers", "operators")
+_MAX_BODY_BYTES = 64_000_000
+_START_TIMEOUT_S = 20.0
+_LISTENERS = ("callers", "peers", "operators")
 
 
 @attrs.define(kw_only=True)
@@ -33,7 +33,7 @@
     Parameters
     ----------
     ports : dict of str to int
-        Ports by side.
+        Ports by listener.
     """
 
     name: str
@@ -42,21 +42,21 @@
     log: Path | None = None
 
     def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process."""
+        """Send a signal to the process if it is still running."""
         if self.handle.poll() is None:
             self.handle.send_signal(number)
 
 
 @attrs.frozen(kw_only=True)
 class Answer:
-    """An HTTP answer as a caller sees it."""
+    """An HTTP response as a caller receives it."""
 
     status: int
     headers: dict[str, str]
     body: bytes
 
     def json(self) -> Any:
-        """Return the body as JSON."""
+        """Parse the body as JSON."""
         return orjson.loads(self.body)
 
 
@@ -69,9 +69,9 @@
     headers: dict[str, str] | None = None,
     timeout_ms: float = 10_000,
 ) -> Answer | None:
-    """Make one call on a connection of its own; None when no whole answer arrived."""
+    """Make one call on a new connection; return None if no complete response arrived."""
     clock = MonotonicClock()
-    connection = Connection(host="127.0.0.1", port=port, clock=clock, max_body=_MAX_BODY)
+    connection = Connection(host="127.0.0.1", port=port, clock=clock, max_body=_MAX_BODY_BYTES)
     pairs = [(name.encode(), value.encode()) for name, value in (headers or {}).items()]
     try:
         result = await connection.exchange(
@@ -92,14 +92,14 @@
 
 
 class Balancer:
-    """Stand-in for the platform's balancer: asks each daemon whether it is ready.
+    """Stand-in for the platform's load balancer, which checks the readiness of each daemon.
 
     Parameters
     ----------
     cluster : Cluster
-        The daemons.
+        Cluster whose daemons are checked.
     period_ms : float, default=200
-        Time between checks.
+        Time between checks in ms.
     """
 
     def __init__(self, *, cluster: Cluster, period_ms: float = 200) -> None:
@@ -122,7 +122,7 @@
 
 
 async def read_store(port: int, key: str) -> Any:
-    """Return the JSON value of a key in the stand-in of the store."""
+    """Return the JSON value of a key in the stand-in store."""
     answer = await call(port, "GET", f"/coltsfootpier/kv-key?key={key}")
     return orjson.loads(base64.b64decode(answer.json()["value"]))
 
@@ -135,7 +135,7 @@
     zones : sequence of str
         Availability zones; each has one rack of workers.
     settings : dict, optional
-        Further settings of the daemons by section.
+        Additional settings of the daemons by section.
     """
 
     def __init__(
@@ -148,10 +148,10 @@
         self._settings = settings or {}
         self.folder = Path(tempfile.mkdtemp(prefix="coltsfootpier-"))
         self.balancer = Balancer(cluster=self)
-        self._started: list[subprocess.Popen] = []
+        self._handles: list[subprocess.Popen] = []
 
     def start_platform(self) -> None:
-        """Start the stand-in of the platform."""
+        """Start the stand-in for the platform."""
         handle = self._spawn("platform", ["-m", "standins.platform"])
         self.platform = Process(name="platform", handle=handle, ports={"api": _read_port(handle)})
 
@@ -166,7 +166,7 @@
     ) -> Process:
         """Start a worker and add it to the list of VMs.
 
-        `through` returns the port of a relay to the worker's port, which is listed instead.
+        `through` returns the port of a relay to the worker; the list of VMs then holds that port.
         """
         handle = self._spawn(name, ["-m", "standins.worker", f"--name={name}", *options])
         port = await anyio.to_thread.run_sync(_read_port, handle)
@@ -182,20 +182,20 @@
         return self.workers[name]
 
     async def list_vm(self, **vm: str) -> None:
-        """Change the platform's list of VMs, which lags."""
+        """Change a VM in the platform's list of VMs, which shows the change after a delay."""
         await call(self.platform.ports["api"], "POST", "/vms", body=orjson.dumps(vm))
 
     def start_daemon(
         self, name: str, zone: str, *, seeds: tuple[str, ...] = (), platform_port: int = 0
     ) -> Process:
-        """Start a daemon on free ports; `wait_ready` tells when it takes requests.
+        """Start a daemon on free ports; `wait_ready` waits until it accepts requests.
 
         `platform_port` is the port of a relay to the platform.
         """
         platform_port = platform_port or self.platform.ports["api"]
         sections = {
             "daemon": {"name": name, "availability_zone": zone},
-            "listen": dict.fromkeys(_SIDES, "127.0.0.1:0"),
+            "listen": dict.fromkeys(_LISTENERS, "127.0.0.1:0"),
             "platform": {"address": f"127.0.0.1:{platform_port}"},
         }
         if seeds:
@@ -208,31 +208,31 @@
         path = self.folder / f"{name}.ini"
         path.write_text("\n".join(lines) + "\n")
         log = self.folder / f"{name}.log"
-        known = log.stat().st_size if log.exists() else 0
+        log_offset = log.stat().st_size if log.exists() else 0
         handle = self._spawn(name, ["-m", "coltsfootpier.daemon", f"--settings={path}"])
-        ports = _read_bound_ports(handle, log, known)
+        ports = _read_bound_ports(handle, log, log_offset)
         self.daemons[name] = Process(name=name, handle=handle, ports=ports, log=log)
         return self.daemons[name]
 
     async def start_daemons(self, zones: dict[str, str]) -> None:
-        """Start several daemons at once; `zones` holds the zone of each by name."""
+        """Start several daemons concurrently; `zones` maps each name to its availability zone."""
         async with anyio.create_task_group() as group:
             for name, zone in zones.items():
                 group.start_soon(anyio.to_thread.run_sync, self.start_daemon, name, zone)
 
-    async def wait_ready(self, *, timeout_s: float = _START_S) -> None:
+    async def wait_ready(self, *, timeout_s: float = _START_TIMEOUT_S) -> None:
         """Wait until each daemon is ready."""
         for daemon in self.daemons.values():
             await wait_for(lambda d=daemon: is_ready(d), timeout_s=timeout_s)
         await self.balancer.check()
 
     async def status(self, daemon: str) -> dict[str, Any]:
-        """Read the status from a daemon."""
+        """Return the status of a daemon, or an empty dict if it doesn't respond."""
         answer = await call(self.daemons[daemon].ports["operators"], "GET", "/v1/status")
         return answer.json() if answer is not None and answer.status == 200 else {}
 
     async def count_running(self, daemon: str, prefix: str) -> int:
-        """Return how many tasks with a name prefix are running."""
+        """Count the running tasks whose name has a prefix."""
         status = await self.status(daemon)
         return sum(
             task["state"] == "running" and task["task"].startswith(prefix)
@@ -240,24 +240,24 @@
         )
 
     async def set_faults(self, process: Process, **faults: Any) -> None:
-        """Set the faults of a stand-in."""
+        """Replace the injected faults of a stand-in."""
         await call(process.ports["api"], "POST", "/faults", body=orjson.dumps(faults))
 
     def run_tool(self, *arguments: str) -> subprocess.CompletedProcess:
-        """Run the command-line tool."""
+        """Run the command-line tool and return its output."""
         command = [sys.executable, "-m", "coltsfootpier.cli", *arguments]
         return subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
 
     def stop(self) -> None:
-        """End all processes that this object started."""
-        for handle in self._started:
+        """Stop all processes that this object started."""
+        for handle in self._handles:
             if handle.poll() is None:
                 handle.send_signal(signal.SIGCONT)
                 handle.terminate()
-        end = time.monotonic() + 3
-        for handle in self._started:
+        deadline_s = time.monotonic() + 3
+        for handle in self._handles:
             try:
-                handle.wait(max(0.05, end - time.monotonic()))
+                handle.wait(max(0.05, deadline_s - time.monotonic()))
             except subprocess.TimeoutExpired:
                 handle.kill()
                 handle.wait()
@@ -274,12 +274,12 @@
             env={**os.environ, "PYTHONUNBUFFERED": "1"},
         )
         log.close()
-        self._started.append(handle)
+        self._handles.append(handle)
         return handle
 
 
 async def is_ready(daemon: Process) -> bool:
-    """Return whether a daemon takes requests."""
+    """Return whether a daemon accepts requests."""
     answer = await call(daemon.ports["operators"], "GET", "/readyz", timeout_ms=1_000)
     return answer is not None and answer.status == 200
 
@@ -292,15 +292,15 @@
 
 
 def _read_bound_ports(handle: subprocess.Popen, log: Path, offset: int) -> dict[str, int]:
-    # Daemons take free ports themselves and log them, so that two of them can't collide.
-    end = time.monotonic() + _START_S
-    while time.monotonic() < end and handle.poll() is None:
+    # Daemons bind free ports themselves and log them, so that two daemons can't collide.
+    deadline_s = time.monotonic() + _START_TIMEOUT_S
+    while time.monotonic() < deadline_s and handle.poll() is None:
         with log.open() as lines:
             lines.seek(offset)
             for line in lines:
                 fields = parse_line(line) if line.endswith("\n") else {}
                 if fields.get("event") == "started":
-                    return {side: int(fields[side]) for side in _SIDES}
+                    return {listener: int(fields[listener]) for listener in _LISTENERS}
         time.sleep(0.02)
     raise ConnectionError(f"the daemon did not start: {log.read_text()[offset:][-500:]}")
 
@@ -311,7 +311,7 @@
     Raises
     ------
     TimeoutError
-        If it doesn't hold in time.
+        If it doesn't hold within `timeout_s`.
     """
     start = time.monotonic()
     while not await condition():
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,4 +1,4 @@
-"""The demo: three zones, daemons, workers, services, jobs, faults, checked answers."""
+"""Demo: daemons and workers in three availability zones, with faults and checked responses."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 from standins.cluster import Cluster, call, wait_for
 
-_TEXT = Path(__file__).parent.parent / "examples" / "demo.ini"
+_DECLARATION_PATH = Path(__file__).parent.parent / "examples" / "demo.ini"
 _ZONES = ("zone-a", "zone-b", "zone-c")
 _CALLERS = 8
 _REQUESTS_PER_CALLER = 100
@@ -23,7 +23,7 @@
 
 @attrs.define
 class Tally:
-    """What the callers saw."""
+    """Results that the callers observed."""
 
     outcomes: Counter = attrs.field(factory=Counter)
     wrong: int = 0
@@ -33,14 +33,14 @@
 
 
 async def _run_caller(cluster: Cluster, index: int, tally: Tally, seed: int) -> None:
-    chance = random.Random(f"{seed}/{index}")
+    rng = random.Random(f"{seed}/{index}")
     for number in range(_REQUESTS_PER_CALLER):
-        service, kind = chance.choice(_KINDS)
+        service, kind = rng.choice(_KINDS)
         request_id = f"caller-{index}-{number}"
-        body = f"{request_id}:{chance.random()}".encode()
+        body = f"{request_id}:{rng.random()}".encode()
         start = time.monotonic()
         answer = await call(
-            chance.choice(cluster.balancer.ready).ports["callers"],
+            rng.choice(cluster.balancer.ready).ports["callers"],
             "POST",
             f"/services/{service}/{kind}",
             body=body,
@@ -61,7 +61,7 @@
         tally.outcomes[outcome] += 1
         if kind != "guidance":
             tally.non_idempotent.append((request_id, outcome))
-        await anyio.sleep(chance.uniform(0.0, 0.03))
+        await anyio.sleep(rng.uniform(0.0, 0.03))
 
 
 async def _count_runs(cluster: Cluster) -> Counter:
@@ -74,8 +74,8 @@
 
 
 def _percentile(values: list[float], share: float) -> float:
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+    sorted_values = sorted(values)
+    return sorted_values[min(len(sorted_values) - 1, int(share * len(sorted_values)))]
 
 
 async def _start(cluster: Cluster) -> None:
@@ -87,7 +87,7 @@
     await cluster.wait_ready()
 
 
-def _apply(cluster: Cluster, path: Path) -> None:
+def _apply_declaration(cluster: Cluster, path: Path) -> None:
     operators = cluster.daemons["entry-0"].ports["operators"]
     result = cluster.run_tool("apply", str(path), f"--daemon=127.0.0.1:{operators}")
     print((result.stdout + result.stderr).strip())
@@ -95,7 +95,7 @@
         raise RuntimeError(f"apply ended with exit code {result.returncode}")
 
 
-async def _disturb(cluster: Cluster) -> None:
+async def _inject_faults(cluster: Cluster) -> None:
     await anyio.sleep(1.0)
     print("stopping entry-2 gracefully")
     cluster.daemons["entry-2"].signal(signal.SIGTERM)
@@ -113,41 +113,41 @@
 
 async def run(*, seed: int = 1) -> int:
     """Run the demo and return the exit code."""
-    began = time.monotonic()
+    start_s = time.monotonic()
     cluster = Cluster(zones=_ZONES)
     tally = Tally()
     try:
         await _start(cluster)
-        print(f"started 1 platform, 6 workers, 3 daemons in {time.monotonic() - began:.1f} s")
-        _apply(cluster, _TEXT)
-        waited = await wait_for(lambda: _is_running(cluster, 9), timeout_s=30)
+        print(f"started 1 platform, 6 workers, 3 daemons in {time.monotonic() - start_s:.1f} s")
+        _apply_declaration(cluster, _DECLARATION_PATH)
+        waited = await wait_for(lambda: _has_running(cluster, 9), timeout_s=30)
         print(f"all 9 runners are running after {waited:.1f} s")
         async with anyio.create_task_group() as balancing:
             balancing.start_soon(cluster.balancer.run)
             async with anyio.create_task_group() as group:
                 for index in range(_CALLERS):
                     group.start_soon(_run_caller, cluster, index, tally, seed)
-                group.start_soon(_disturb, cluster)
+                group.start_soon(_inject_faults, cluster)
             balancing.cancel_scope.cancel()
-        waited = await wait_for(lambda: _is_running(cluster, 9), timeout_s=40)
+        waited = await wait_for(lambda: _has_running(cluster, 9), timeout_s=40)
         print(f"all 9 runners are running again after {waited:.1f} s")
         await wait_for(lambda: _jobs_done(cluster), timeout_s=60)
         changed = Path(cluster.folder / "changed.ini")
-        changed.write_text(_TEXT.read_text().replace("runners = 6", "runners = 8"))
-        _apply(cluster, changed)
-        await wait_for(lambda: _is_running(cluster, 11), timeout_s=30)
-        return await _report(cluster, tally, began)
+        changed.write_text(_DECLARATION_PATH.read_text().replace("runners = 6", "runners = 8"))
+        _apply_declaration(cluster, changed)
+        await wait_for(lambda: _has_running(cluster, 11), timeout_s=30)
+        return await _report(cluster, tally, start_s)
     finally:
         cluster.stop()
 
 
-async def _is_running(cluster: Cluster, count: int) -> bool:
+async def _has_running(cluster: Cluster, count: int) -> bool:
     return await cluster.count_running("entry-0", "service/") == count
 
 
-async def _report(cluster: Cluster, tally: Tally, began: float) -> int:
+async def _report(cluster: Cluster, tally: Tally, start_s: float) -> int:
     runs = await _count_runs(cluster)
-    doubled = [name for name, _ in tally.non_idempotent if runs[name] > 1]
+    duplicated = [name for name, _ in tally.non_idempotent if runs[name] > 1]
     ran_refused = [
         name
         for name, outcome in tally.non_idempotent
@@ -166,13 +166,15 @@
         f"latency: p50 {_percentile(tally.latencies_ms, 0.5):.1f} ms, "
         f"p99 {_percentile(tally.latencies_ms, 0.99):.1f} ms"
     )
-    print(f"non-idempotent requests that ran twice: {len(doubled)}")
+    print(f"non-idempotent requests that ran twice: {len(duplicated)}")
     print(f"requests refused as not run that did run: {len(ran_refused)}")
     print(f"job tasks done: {done}, further attempts of tasks: {evicted}")
     operators = cluster.daemons["entry-0"].ports["operators"]
     print(cluster.run_tool("report", "burn", f"--daemon=127.0.0.1:{operators}").stdout.strip())
-    print(f"took {time.monotonic() - began:.1f} s")
-    failed = tally.wrong or tally.broken or doubled or ran_refused or tally.outcomes["done"] < 500
+    print(f"took {time.monotonic() - start_s:.1f} s")
+    failed = (
+        tally.wrong or tally.broken or duplicated or ran_refused or tally.outcomes["done"] < 500
+    )
     return 1 if failed else 0
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,4 +1,4 @@
-"""Many worker stand-ins in one process, for capacity measurements."""
+"""Many stand-in workers in one process, for capacity measurements."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 async def serve(count: int, host: str, cores: float, memory_mb: int) -> None:
-    """Serve `count` workers until cancelled; prints their ports as a JSON list."""
+    """Serve `count` workers until cancelled, and print their ports as a JSON list."""
     clock = MonotonicClock()
     ports = []
     async with anyio.create_task_group() as group:
@@ -48,7 +48,7 @@
 
 
 if __name__ == "__main__":
-    flags.DEFINE_integer("count", 24, "Workers.")
-    flags.DEFINE_float("cores", 16.0, "Processors of each.")
-    flags.DEFINE_integer("memory_mb", 60_000, "Memory of each in MB.")
+    flags.DEFINE_integer("count", 24, "Number of workers.")
+    flags.DEFINE_float("cores", 16.0, "Processors of each worker.")
+    flags.DEFINE_integer("memory_mb", 60_000, "Memory of each worker in MB.")
     sys.exit(app.run(_run))
--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -1,4 +1,4 @@
-"""Starting the users' platform's stand-ins and the daemons that run on it, as processes."""
+"""Stand-ins for the users' platform and the daemons that run on it, as processes."""
 
 from __future__ import annotations
 
@@ -32,8 +32,8 @@
 
 HOST = "a.example"
 PREFIX = "/p/"
-# Ports of daemons.
-_PORTS = (20_000, 32_000)
+# Range of the ports of daemons; the end is excluded.
+_PORT_RANGE = (20_000, 32_000)
 _ROOT = Path(__file__).resolve().parent.parent
 _SETTINGS = """
 node_name = "{name}"
@@ -69,7 +69,7 @@
 
 @attrs.define(kw_only=True)
 class Node:
-    """A daemon and its ports."""
+    """A daemon process and its ports."""
 
     name: str
     handle: subprocess.Popen
@@ -79,28 +79,28 @@
     log: Path
 
     def list_ports(self) -> list[int]:
-        """Return the ports that the daemon was given."""
+        """Return the ports that were reserved for the daemon."""
         return [self.front, self.ready, self.metrics - 1, self.metrics]
 
     def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the daemon."""
+        """Send a signal to the daemon if it is still running."""
         if self.handle.poll() is None:
             self.handle.send_signal(number)
 
 
 def _reserve_ports(count: int) -> list[int]:
-    """Return the first of some ports that are free and follow one another.
+    """Return consecutive free ports.
 
-    They lie below the range from which the system takes ports for connections (32768 on), so that
-    no connection of another process takes one before the daemon has bound it.
+    They lie below the ephemeral port range of the system (from 32768), so that no connection of
+    another process occupies one before the daemon has bound it.
     """
     while True:
-        first = secrets.randbelow(_PORTS[1] - _PORTS[0] - count) + _PORTS[0]
+        first = secrets.randbelow(_PORT_RANGE[1] - _PORT_RANGE[0] - count) + _PORT_RANGE[0]
         ports = list(range(first, first + count))
         try:
             for port in ports:
-                with socket.socket() as reserved:
-                    reserved.bind(("127.0.0.1", port))
+                with socket.socket() as probe:
+                    probe.bind(("127.0.0.1", port))
         except OSError:
             continue
         return ports
@@ -114,7 +114,7 @@
         self._handles: list[subprocess.Popen] = []
         self.nodes: dict[str, Node] = {}
         self.runner_ports: list[int] = []
-        # Runs on runners that were killed.
+        # Run history of killed runners.
         self.past_runs: list[dict[str, Any]] = []
         self.store_port = 0
         self._clock = MonotonicClock()
@@ -132,14 +132,14 @@
         return handle
 
     def start_platform(self, runners: int) -> None:
-        """Start the store and some runners."""
+        """Start the store and a number of runners."""
         folder = Path(self._folder.name)
         handle = self._spawn("standins.platform", log=folder / "store.log")
         self.store_port = int(handle.stdout.readline().split(b"=")[1])
         self.start_runners(runners)
 
     def start_runners(self, count: int) -> subprocess.Popen:
-        """Start a process with some runners and return it."""
+        """Start a process that hosts runners, and return it."""
         log = Path(self._folder.name) / "runners.log"
         handle = self._spawn(
             "standins.runners", f"--store={self.store_port}", f"--count={count}", log=log
@@ -149,7 +149,7 @@
         return handle
 
     def start_node(self, name: str, *, store_port: int = 0) -> Node:
-        """Start a daemon; `store_port` is that of a relay to the store."""
+        """Start a daemon; `store_port` may be the port of a relay to the store."""
         front, ready, peer, metrics = _reserve_ports(4)
         folder = Path(self._folder.name)
         settings = folder / f"{name}.toml"
@@ -187,21 +187,21 @@
             (await store.commit(expect={}, puts=[Write(CONFIG_KEY, value)])).unwrap()
 
     async def put_wave(self, number: int, vms: list[str], **changes: Any) -> bool:
-        """Ask for the upkeep of some worker VMs; returns whether the store has answered."""
+        """Request maintenance of worker VMs; return whether the store confirmed the write."""
         wave = {"wave": number, "machines": vms, "duration_s": 20, "max_count": 1, **changes}
         write = Write(f"{WAVES_PREFIX}{number}", orjson.dumps(wave))
         with self._open_store() as store:
             return isinstance(await store.commit(expect={}, puts=[write]), Success)
 
     async def read_wave_status(self, number: int) -> str:
-        """Return what the operators are told of a wave; empty for nothing."""
+        """Return the state of a wave that operators read; empty if none is stored."""
         key, _ = encode_wave_status(number, completed=True)
         with self._open_store() as store:
             item = (await store.get(key)).unwrap()
         return orjson.loads(item.value)["state"] if item.value is not None else ""
 
     async def read_upkeeps(self) -> list[dict[str, Any]]:
-        """Return each upkeep of a worker VM with its begin and end."""
+        """Return each maintenance run of a worker VM with its start and end times."""
         answer = await call(self.store_port, "GET", "/upkeeps", timeout_ms=2_000)
         return answer.json()
 
@@ -210,12 +210,12 @@
         return [f"m-{port}" for port in self.runner_ports]
 
     async def wait_ready(self) -> None:
-        """Wait until every daemon says that it is ready.
+        """Wait until every daemon reports that it is ready.
 
         Raises
         ------
         TimeoutError
-            If one isn't ready in time; with the ends of all logs.
+            If a daemon isn't ready in time; the message holds the ends of all daemon logs.
         """
         for node in self.nodes.values():
             try:
@@ -233,7 +233,7 @@
     async def request(
         self, node: str, method: str, name: str, body: Any = None, timeout_ms: float = 3_000
     ) -> Answer | None:
-        """Send one caller's request."""
+        """Send one request as a caller; return None if no complete response arrived."""
         connection = LeanConnection(host="127.0.0.1", port=self.nodes[node].front)
         result = await connection.exchange(
             method,
@@ -250,12 +250,12 @@
         return Answer(status=reply.status, headers=headers, body=reply.body)
 
     async def set_store_faults(self, **faults: Any) -> None:
-        """Set the faults of the store; without any it is sound."""
+        """Replace the injected faults of the store; no arguments clear them."""
         body = orjson.dumps(faults)
         await call(self.store_port, "POST", "/faults", body=body, timeout_ms=2_000)
 
     async def read_history(self) -> list[dict[str, Any]]:
-        """Return all runs that have ended on all runners."""
+        """Return the ended runs of all runners, including killed ones."""
         runs: list[dict[str, Any]] = list(self.past_runs)
         for port in self.runner_ports:
             answer = await call(port, "GET", "/history", timeout_ms=2_000)
@@ -264,14 +264,14 @@
         return runs
 
     async def kill_runners(self, handle: subprocess.Popen, ports: list[int]) -> None:
-        """Kill a process with runners; keeps what ran there, up to now."""
+        """Kill a process that hosts runners, after saving their run history."""
         for port in ports:
             answer = await call(port, "GET", "/history", timeout_ms=2_000)
             self.runner_ports.remove(port)
             if answer is None:
                 continue
             history = answer.json()
-            # An end that no owner has acknowledged is lost with its runner.
+            # An ended run that no owner has acknowledged is lost with its runner.
             self.past_runs += [{**run, "lost": not run["observed"]} for run in history["ended"]]
             now_ms = self._clock.now_ms()
             self.past_runs += [
@@ -289,7 +289,7 @@
         )
 
     def close(self) -> None:
-        """End all processes that were started here."""
+        """Kill all processes that this object started, and delete their files."""
         for handle in self._handles:
             if handle.poll() is None:
                 handle.kill()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,12 +1,12 @@
 """Stand-in for the platform: key-value store, leases, watches and the list of VMs.
 
-The store speaks the users' platform's protocol, and so does the service for worker VMs
-(`standins.vms`) at the same address. The list of VMs has no counterpart there; it is this project's
-own interface (``GET /v1/vms``).
+The store implements the protocol of the users' platform, as does the service for worker VMs
+(`standins.vms`) at the same address. The list of VMs (``GET /v1/vms``) has no counterpart there; it
+is an interface of this project.
 
-Faults are set with ``POST /faults``: ``outage`` (calls are refused), ``silent`` (calls get no
-answer), ``delay_ms``, ``lose_answers`` (writes take effect and the connection is cut), and
-``rubbish`` (answers that aren't JSON).
+Faults are set with ``POST /faults``: ``outage`` (calls are rejected), ``silent`` (calls get no
+response), ``delay_ms``, ``lose_answers`` (writes take effect, but the connection is closed without
+a response), and ``rubbish`` (responses that aren't JSON).
 """
 
 from __future__ import annotations
@@ -33,13 +33,13 @@
 )
 from standins.vms import WorkerVms
 
-_MAX_VALUE = 1_000_000
-# Items of one page, and entries of one transaction.
-_PAGE = 500
+_MAX_VALUE_LENGTH = 1_000_000
+# Largest number of items per page, and of entries per transaction.
+_PAGE_SIZE = 500
 _MAX_ENTRIES = 32
-_LEASE = "lease-"
-# Changes kept for watches; a watch that is further behind is told to list again.
-_HISTORY = 10_000
+_LEASE_PREFIX = "lease-"
+# Changes kept for watches; a watch that is further behind must list again.
+_MAX_HISTORY_LENGTH = 10_000
 
 
 @attrs.define
@@ -51,7 +51,7 @@
 
 @attrs.define
 class Faults:
-    """Faults in force."""
+    """Injected faults; defaults mean none."""
 
     outage: bool = False
     silent: bool = False
@@ -61,7 +61,7 @@
 
 
 class Store:
-    """The state of the key-value service.
+    """State of the key-value service.
 
     Parameters
     ----------
@@ -78,22 +78,22 @@
         self.changed = anyio.Event()
 
     def get(self, key: str) -> dict[str, Any]:
-        """Return a key as an item."""
+        """Return the item of a key; version 0 if there is none."""
         entry = self._entries.get(key)
         if entry is None:
             return {"key": key, "value": None, "version": 0}
         return {"key": key, "value": entry.value, "version": entry.version}
 
     def put(self, key: str, value: Any, expected: int, lease: str) -> bool:
-        """Write a key if its version is the expected one."""
+        """Write a key if its version is the expected one and its lease, if any, exists."""
         if self.get(key)["version"] != expected or (lease and lease not in self._leases):
             return False
-        self._note(key)
+        self._record_change(key)
         self._entries[key] = _Entry(value, self.revision, lease)
         return True
 
-    def change(self, puts: dict[str, tuple[Any, str]], remove: list[str]) -> None:
-        """Write and delete keys at one revision; values come with their leases."""
+    def write_batch(self, puts: dict[str, tuple[Any, str]], remove: list[str]) -> None:
+        """Write and delete keys at one revision; each value is paired with its lease."""
         self.revision += 1
         for key, (value, lease) in puts.items():
             self._entries[key] = _Entry(value, self.revision, lease)
@@ -106,31 +106,31 @@
         if key not in self._entries or self._entries[key].version != expected:
             return False
         del self._entries[key]
-        self._note(key)
+        self._record_change(key)
         return True
 
     def list(self, prefix: str) -> list[dict[str, Any]]:
-        """Return all items under a prefix."""
+        """Return all items whose key has a prefix."""
         return [self.get(key) for key in sorted(self._entries) if key.startswith(prefix)]
 
     def changes(self, prefix: str, after: int) -> list[dict[str, Any]] | None:
-        """Return the items that changed after a revision, or None if it is too old."""
+        """Return the items changed after a revision, or None if the history doesn't reach back."""
         if self._history and after < self._history[0][0] - 1:
             return None
-        # The history is in the order of revisions.
+        # The history is sorted by revision.
         first = bisect.bisect_right(self._history, after, key=lambda change: change[0])
         keys = {key for _, key in self._history[first:]}
         return [self.get(key) for key in sorted(keys) if key.startswith(prefix)]
 
     def grant(self, ttl_ms: float) -> str:
-        """Grant a lease."""
+        """Grant a lease and return its name."""
         self.revision += 1
         lease = f"lease-{self.revision}"
         self._leases[lease] = (ttl_ms, self._clock.now_ms() + ttl_ms)
         return lease
 
     def renew(self, lease: str) -> bool:
-        """Renew a lease."""
+        """Renew a lease; return False if it doesn't exist."""
         if lease not in self._leases:
             return False
         ttl_ms = self._leases[lease][0]
@@ -138,32 +138,32 @@
         return True
 
     def read_ttl(self, lease: str) -> float | None:
-        """Return the time to live of a lease in ms; None when there is no such lease."""
+        """Return the time to live of a lease in ms, or None if it doesn't exist."""
         found = self._leases.get(lease)
         return found[0] if found is not None else None
 
     def revoke(self, lease: str) -> bool:
-        """End a lease and delete its keys."""
+        """Revoke a lease and delete its keys; return False if it doesn't exist."""
         if self._leases.pop(lease, None) is None:
             return False
         for key in [key for key, entry in self._entries.items() if entry.lease == lease]:
             del self._entries[key]
-            self._note(key)
+            self._record_change(key)
         return True
 
     def expire(self) -> None:
-        """End the leases whose time is over."""
+        """Revoke all expired leases."""
         now_ms = self._clock.now_ms()
         for lease in [name for name, (_, end_ms) in self._leases.items() if end_ms <= now_ms]:
             self.revoke(lease)
 
-    def _note(self, key: str) -> None:
+    def _record_change(self, key: str) -> None:
         self.revision += 1
         self._publish([key])
 
     def _publish(self, keys: list[str]) -> None:
         self._history += [(self.revision, key) for key in keys]
-        del self._history[:-_HISTORY]
+        del self._history[:-_MAX_HISTORY_LENGTH]
         self.changed.set()
         self.changed = anyio.Event()
 
@@ -176,7 +176,7 @@
     clock : Clock
         Time source.
     vms_lag_ms : float
-        Delay after which changes of VMs show in the list.
+        Delay in ms until changes of VMs appear in the list.
     """
 
     def __init__(self, *, clock: Clock, vms_lag_ms: float) -> None:
@@ -199,7 +199,7 @@
         if scope["type"] != "http":
             return
         try:
-            body = await read_body(scope, receive, max_body=4 * _MAX_VALUE)
+            body = await read_body(scope, receive, max_body=4 * _MAX_VALUE_LENGTH)
         except BodyError as error:
             await send_response(send, error.response)
             return
@@ -210,17 +210,19 @@
         elif path == "/counts":
             await send_response(send, HttpResponse.of(dict(self.counts)))
         elif path == "/worker":
-            self.workers.note_worker(orjson.loads(body))
+            self.workers.update_worker(orjson.loads(body))
             await send_response(send, HttpResponse.of({}))
         elif path == "/upkeeps":
-            await send_response(send, HttpResponse.of(self.workers.upkeeps))
+            await send_response(send, HttpResponse.of(self.workers.maintenance_runs))
         elif path == "/vms":
             self._change_vm(orjson.loads(body))
             await send_response(send, HttpResponse.of({}))
         else:
-            await self._answer(scope, path, body, receive, send)
+            await self._process_request(scope, path, body, receive, send)
 
-    async def _answer(self, scope: Scope, path: str, body: bytes, receive: Any, send: Any) -> None:
+    async def _process_request(
+        self, scope: Scope, path: str, body: bytes, receive: Any, send: Any
+    ) -> None:
         faults = self.faults
         if faults.silent:
             while (await receive())["type"] != "http.disconnect":
@@ -239,14 +241,14 @@
         if path.startswith("/coltsfootpier/machine"):
             response = await self._handle_workers(path, query, body, dict(scope["headers"]))
         else:
-            response = await self._handle(scope["method"], path, query, body)
+            response = await self._handle_store(scope["method"], path, query, body)
         if faults.lose_answers > 0 and scope["method"] != "GET":
-            # The write has taken effect; only its answer is cut off.
+            # The write has taken effect; only its response is lost.
             faults.lose_answers -= 1
-            raise ConnectionAbortedError("answer lost on purpose")
+            raise ConnectionAbortedError("response dropped by an injected fault")
         await send_response(send, response)
 
-    async def _handle(
+    async def _handle_store(
         self, method: str, path: str, query: dict[str, str], body: bytes
     ) -> HttpResponse:
         _, _, call, *rest = path.split("/", 3)
@@ -255,23 +257,23 @@
             item = self._describe(query["key"])
             return HttpResponse.of(item, 404 if item["revision"] == 0 else 200)
         if call == "kv-range":
-            return self._list(query)
+            return self._handle_range(query)
         if call == "kv-watch":
-            return await self._watch(query)
+            return await self._handle_watch(query)
         if call == "kv-txn":
-            return self._change(orjson.loads(body))
+            return self._handle_transaction(orjson.loads(body))
         if call == "kv-lease":
             ttl_ms = orjson.loads(body)["ttl_ms"]
-            lease = int(self.store.grant(ttl_ms).removeprefix(_LEASE))
+            lease = int(self.store.grant(ttl_ms).removeprefix(_LEASE_PREFIX))
             return HttpResponse.of({"lease": lease, "ttl_ms": ttl_ms})
         if call == "kv-keep" and rest:
-            known = self.store.renew(_LEASE + rest[0])
+            known = self.store.renew(_LEASE_PREFIX + rest[0])
             return HttpResponse.of(
-                {"ttl_ms": self.store.read_ttl(_LEASE + rest[0])} if known else {},
+                {"ttl_ms": self.store.read_ttl(_LEASE_PREFIX + rest[0])} if known else {},
                 200 if known else 404,
             )
         if call == "kv-lease-end" and rest:
-            known = self.store.revoke(_LEASE + rest[0])
+            known = self.store.revoke(_LEASE_PREFIX + rest[0])
             return HttpResponse.of({}, 200 if known else 404)
         if call == "vms":
             return HttpResponse.of({"vms": self._list_vms()})
@@ -283,7 +285,7 @@
         if path == "/coltsfootpier/machines":
             return self.workers.list(query.get("page_token", ""))
         if path == "/coltsfootpier/machine-upkeep":
-            return await self.workers.begin_upkeep(orjson.loads(body), headers)
+            return await self.workers.start_maintenance(orjson.loads(body), headers)
         return HttpResponse.problem(404, "unknown_path", path)
 
     def _describe(self, key: str) -> dict[str, Any]:
@@ -295,7 +297,7 @@
             "store_revision": self.store.revision,
         }
 
-    def _list(self, query: dict[str, str]) -> HttpResponse:
+    def _handle_range(self, query: dict[str, str]) -> HttpResponse:
         keys = [
             item["key"]
             for item in self.store.list(query["prefix"])
@@ -303,32 +305,32 @@
         ]
         return HttpResponse.of(
             {
-                "items": [self._describe(key) for key in keys[:_PAGE]],
-                "has_more": len(keys) > _PAGE,
+                "items": [self._describe(key) for key in keys[:_PAGE_SIZE]],
+                "has_more": len(keys) > _PAGE_SIZE,
                 "store_revision": self.store.revision,
             }
         )
 
-    def _change(self, change: dict[str, Any]) -> HttpResponse:
+    def _handle_transaction(self, change: dict[str, Any]) -> HttpResponse:
         entries = sum(len(change[name]) for name in ("expect", "puts", "remove"))
         values = [put["value"] for put in change["puts"]]
-        if entries > _MAX_ENTRIES or any(len(value) > _MAX_VALUE for value in values):
+        if entries > _MAX_ENTRIES or any(len(value) > _MAX_VALUE_LENGTH for value in values):
             return HttpResponse.problem(400, "too_large", f"{entries} entries")
         leases = {put.get("lease", 0) for put in change["puts"]} - {0}
-        if not all(self.store.read_ttl(f"{_LEASE}{lease}") for lease in leases):
+        if not all(self.store.read_ttl(f"{_LEASE_PREFIX}{lease}") for lease in leases):
             return HttpResponse.problem(404, "no_such_lease", str(leases))
         current = [self._describe(row["key"]) for row in change["expect"]]
-        wanted = [row["revision"] for row in change["expect"]]
-        if [item["revision"] for item in current] != wanted:
+        expected_revisions = [row["revision"] for row in change["expect"]]
+        if [item["revision"] for item in current] != expected_revisions:
             return HttpResponse.of({"items": current}, 412)
         puts = {
-            put["key"]: (put["value"], f"{_LEASE}{put['lease']}" if put.get("lease") else "")
+            put["key"]: (put["value"], f"{_LEASE_PREFIX}{put['lease']}" if put.get("lease") else "")
             for put in change["puts"]
         }
-        self.store.change(puts, change["remove"])
+        self.store.write_batch(puts, change["remove"])
         return HttpResponse.of({"revision": self.store.revision})
 
-    async def _watch(self, query: dict[str, str]) -> HttpResponse:
+    async def _handle_watch(self, query: dict[str, str]) -> HttpResponse:
         after = int(query["after"])
         end_ms = self._clock.now_ms() + float(query["wait_ms"])
         while True:
@@ -336,11 +338,11 @@
             items = self.store.changes(query["prefix"], after)
             if items is None:
                 return HttpResponse.problem(410, "history_lost", f"after {after}")
-            left_ms = end_ms - self._clock.now_ms()
-            if items or left_ms <= 0:
+            remaining_ms = end_ms - self._clock.now_ms()
+            if items or remaining_ms <= 0:
                 events = [self._describe_event(item["key"]) for item in items]
                 return HttpResponse.of({"events": events, "store_revision": revision})
-            with anyio.move_on_after(left_ms / 1000):
+            with anyio.move_on_after(remaining_ms / 1000):
                 await event.wait()
 
     def _describe_event(self, key: str) -> dict[str, Any]:
@@ -362,13 +364,13 @@
 
 
 async def serve(host: str, port: int, vms_lag_ms: float) -> None:
-    """Serve the stand-in until cancelled; prints the port."""
+    """Serve the stand-in until cancelled, and print the port."""
     application = PlatformApplication(clock=MonotonicClock(), vms_lag_ms=vms_lag_ms)
     server = Server(app=application, host=host, port=port)
     async with anyio.create_task_group() as group:
         group.start_soon(application.run)
-        bound = await group.start(server.run)
-        print(f"port={bound}", flush=True)
+        bound_port = await group.start(server.run)
+        print(f"port={bound_port}", flush=True)
 
 
 def _run(_: list[str]) -> int:
@@ -384,7 +386,7 @@
 
 
 if __name__ == "__main__":
-    flags.DEFINE_string("host", "127.0.0.1", "IP number to listen on.")
-    flags.DEFINE_integer("port", 0, "TCP port; 0 takes a free one.")
-    flags.DEFINE_float("vms_lag_ms", 500.0, "Lag of the list of VMs in milliseconds.")
+    flags.DEFINE_string("host", "127.0.0.1", "IP address to listen on.")
+    flags.DEFINE_integer("port", 0, "TCP port; 0 selects a free one.")
+    flags.DEFINE_float("vms_lag_ms", 500.0, "Delay of changes in the list of VMs in milliseconds.")
     sys.exit(app.run(_run))
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,7 +1,7 @@
-"""Stand-in for a network path: forwards TCP connections and can make them go silent for good.
+"""Stand-in for a network path: forwards TCP connections and can silence them permanently.
 
-A silent connection stays open and takes bytes, but forwards nothing any more in either
-direction; connections that are opened later work.
+A silenced connection stays open and receives bytes, but forwards nothing in either direction.
+Connections that are opened later work.
 """
 
 from __future__ import annotations
@@ -11,17 +11,17 @@
 import anyio
 from anyio.abc import ByteStream, SocketStream
 
-_CHUNK = 65_536
-_START_S = 10.0
+_CHUNK_BYTES = 65_536
+_START_TIMEOUT_S = 10.0
 
 
 class Relay:
-    """Forwards connections to one address; runs in a thread until `close`.
+    """A TCP relay to one port that runs in a thread until `close`.
 
     Parameters
     ----------
     port : int
-        Port on the loopback address to forward to.
+        Target port on the loopback address.
     """
 
     def __init__(self, *, port: int) -> None:
@@ -33,17 +33,17 @@
         self._closing = threading.Event()
         self._thread = threading.Thread(target=lambda: anyio.run(self._run), daemon=True)
         self._thread.start()
-        if not self._listening.wait(_START_S):
+        if not self._listening.wait(_START_TIMEOUT_S):
             raise ConnectionError("the relay did not start")
 
     def silence(self) -> None:
-        """Stop forwarding on the connections that are open now."""
+        """Permanently stop forwarding on all connections that are open now."""
         self._generation += 1
 
     def close(self) -> None:
-        """Close all connections and end the thread."""
+        """Close all connections and stop the thread."""
         self._closing.set()
-        self._thread.join(_START_S)
+        self._thread.join(_START_TIMEOUT_S)
 
     async def _run(self) -> None:
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
@@ -70,7 +70,7 @@
     async def _forward(self, source: ByteStream, sink: ByteStream, generation: int) -> None:
         try:
             while True:
-                chunk = await source.receive(_CHUNK)
+                chunk = await source.receive(_CHUNK_BYTES)
                 if generation == self._generation:
                     await sink.send(chunk)
         except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
--- a/standins/runners.py
+++ b/standins/runners.py
@@ -1,9 +1,9 @@
 """Stand-in for the users' runners: runs tasks as timers under leases and fencing tokens.
 
-A task's payload is ``run_ms=N``, or ``run_ms=N fail`` for one that fails at its end. The runners
-enter themselves in the store of `standins.platform`. ``GET /history`` of a runner returns each
-run with its begin and end on the clock of the process. ``POST /end`` ends the runner's life; a new
-one begins on the same VM after `standins.vms.UPKEEP_MS`.
+A task's payload is ``run_ms=N``, or ``run_ms=N fail`` for a task that fails when its time is over.
+The runners register in the store of `standins.platform`. ``GET /history`` of a runner returns each
+run with its start and end times on the clock of the process. ``POST /end`` ends the incarnation of
+the runner; a new one starts on the same VM after `standins.vms.MAINTENANCE_MS`.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
     LeanConnection,
     Server,
 )
-from standins.vms import UPKEEP_MS
+from standins.vms import MAINTENANCE_MS
 
 _HEARTBEAT_MS = 500.0
 _TICK_MS = 10.0
@@ -44,73 +44,73 @@
 class _Run:
     task: str
     attempt: int
-    begin_ms: float
+    start_ms: float
     end_ms: float
     fails: bool
 
 
 class Runner:
-    """One runner.
+    """A runner that starts anew, under another name, after each maintenance of its VM.
 
     Parameters
     ----------
     name : str
-        Identifier.
+        Identifier of the first incarnation.
     """
 
     def __init__(self, *, name: str) -> None:
         self._clock = MonotonicClock()
         self.history: list[dict[str, Any]] = []
-        self._ended = anyio.Event()
-        # False while its VM has its upkeep.
+        self._run_ended = anyio.Event()
+        # False while its VM is in maintenance.
         self.is_up = True
-        self._begin_life(name)
+        self._start_incarnation(name)
 
-    def _begin_life(self, name: str) -> None:
-        """Begin with nothing, under a new identifier."""
+    def _start_incarnation(self, name: str) -> None:
+        """Reset all state and adopt a new identifier."""
         self.name = name
-        self._born_ms = self._clock.now_ms()
-        self.born_unix_ms = int(time.time() * 1000)
+        self._incarnation_start_ms = self._clock.now_ms()
+        self.start_unix_ms = int(time.time() * 1000)
         self._token = 0
-        self._deadline_ms = 0.0
+        self._lease_until_ms = 0.0
         self._runs: dict[str, _Run] = {}
-        self._ends: list[list[Any]] = []
-        self._last_end = 0
-        # Highest attempt of each task that was stopped or has ended.
-        self._barred: dict[str, int] = {}
+        self._ended_runs: list[list[Any]] = []
+        self._last_ended_number = 0
+        # Highest attempt of each task that was stopped or has ended; older starts are rejected.
+        self._highest_ended_attempts: dict[str, int] = {}
 
-    async def end_life(self, _: HttpRequest) -> HttpResponse:
-        """End everything at once, as the upkeep of a VM does."""
+    async def end_incarnation(self, _: HttpRequest) -> HttpResponse:
+        """Kill all runs at once, as the maintenance of a VM does, and start a new incarnation."""
         for run in list(self._runs.values()):
-            self._end(run, "killed")
-        # Ends that nobody has acknowledged are lost with the runner.
+            self._end_run(run, "killed")
+        # Ended runs that no owner has acknowledged are lost with the incarnation.
         for row in self.history:
             row.setdefault("lost", not row["observed"])
         self.is_up = False
-        self._begin_life(f"i-{secrets.token_hex(5)}")
+        self._start_incarnation(f"i-{secrets.token_hex(5)}")
         return HttpResponse.of({})
 
     def _now_ms(self) -> float:
-        return self._clock.now_ms() - self._born_ms
+        return self._clock.now_ms() - self._incarnation_start_ms
 
-    def _is_meant(self, request: HttpRequest) -> bool:
-        """Return whether a call is for this life of the runner."""
-        wanted = request.header(b"expect-instance")
-        return self.is_up and wanted in ("", self.name)
+    def _is_addressed(self, request: HttpRequest) -> bool:
+        """Return whether a request addresses the current incarnation."""
+        expected_name = request.header(b"expect-instance")
+        return self.is_up and expected_name in ("", self.name)
 
-    def guard(self, call: Handler) -> Handler:
-        """Refuse calls that are for another life of the runner."""
+    def require_incarnation(self, handler: Handler) -> Handler:
+        """Wrap a handler so that it rejects requests to another incarnation with status 421."""
 
-        async def answer(request: HttpRequest) -> HttpResponse:
-            return await call(request) if self._is_meant(request) else self._answer(421)
+        async def respond(request: HttpRequest) -> HttpResponse:
+            return await handler(request) if self._is_addressed(request) else self._respond(421)
 
-        return answer
+        return respond
 
-    def _answer(self, status: int = 200, **fields: Any) -> HttpResponse:
-        fields = {"clock_ms": int(self._now_ms()), "born": self.born_unix_ms, **fields}
+    def _respond(self, status: int = 200, **fields: Any) -> HttpResponse:
+        fields = {"clock_ms": int(self._now_ms()), "born": self.start_unix_ms, **fields}
         return HttpResponse.of(fields, status)
 
-    def _take_token(self, body: dict[str, Any]) -> bool:
+    def _accept_token(self, body: dict[str, Any]) -> bool:
         token = body.get("fencing_token", 0)
         if token < self._token:
             return False
@@ -118,125 +118,129 @@
         return True
 
     async def start(self, request: HttpRequest) -> HttpResponse:
-        """Start a run."""
+        """Start a run unless its fencing token, attempt or lease is outdated."""
         body = orjson.loads(request.body)
-        if not self._take_token(body):
-            return self._answer(409, reason="fence")
+        if not self._accept_token(body):
+            return self._respond(409, reason="fence")
         task, attempt, now_ms = body["task"], body["attempt"], self._now_ms()
-        present = self._runs.get(task)
-        if present is not None and present.attempt == attempt:
-            return self._answer()
-        if attempt <= self._barred.get(task, 0):
-            return self._answer(409, reason="old")
+        current_run = self._runs.get(task)
+        if current_run is not None and current_run.attempt == attempt:
+            return self._respond()
+        if attempt <= self._highest_ended_attempts.get(task, 0):
+            return self._respond(409, reason="old")
         if body["deadline_ms"] <= now_ms:
-            return self._answer(409, reason="late")
-        self._deadline_ms = max(self._deadline_ms, body["deadline_ms"])
-        found = _RUN_MS.search(body["spec"])
-        duration_ms = float(found.group(1)) if found else 100.0
+            return self._respond(409, reason="late")
+        self._lease_until_ms = max(self._lease_until_ms, body["deadline_ms"])
+        match = _RUN_MS.search(body["spec"])
+        duration_ms = float(match.group(1)) if match else 100.0
         self._runs[task] = _Run(task, attempt, now_ms, now_ms + duration_ms, "fail" in body["spec"])
-        return self._answer()
+        return self._respond()
 
     async def stop(self, request: HttpRequest) -> HttpResponse:
-        """Stop a run, or bar it."""
+        """Stop a run, and reject later starts of the same or an older attempt."""
         body = orjson.loads(request.body)
-        if not self._take_token(body):
-            return self._answer(409, reason="fence")
+        if not self._accept_token(body):
+            return self._respond(409, reason="fence")
         task, attempt = body["task"], body["attempt"]
-        self._barred[task] = max(attempt, self._barred.get(task, 0))
+        self._highest_ended_attempts[task] = max(attempt, self._highest_ended_attempts.get(task, 0))
         run = self._runs.get(task)
         if run is not None and run.attempt <= attempt:
-            self._end(run, "stopped")
-        return self._answer()
+            self._end_run(run, "stopped")
+        return self._respond()
 
     async def pace(self, request: HttpRequest) -> HttpResponse:
-        """Accept a pace; the stand-in's tasks are timers and don't change."""
-        accepted = self._take_token(orjson.loads(request.body))
-        return self._answer() if accepted else self._answer(409, reason="fence")
+        """Accept a pace without effect, because the tasks of the stand-in are timers."""
+        accepted = self._accept_token(orjson.loads(request.body))
+        return self._respond() if accepted else self._respond(409, reason="fence")
 
     async def hold(self, request: HttpRequest) -> HttpResponse:
-        """Extend what runs and list it."""
+        """Extend the lease of all runs, and return the running and the ended runs."""
         body = orjson.loads(request.body)
-        if not self._take_token(body):
-            return self._answer(409, reason="fence")
+        if not self._accept_token(body):
+            return self._respond(409, reason="fence")
         observed = body.get("observed", 0)
-        self._ends = [end for end in self._ends if end[0] > observed]
+        self._ended_runs = [ended_run for ended_run in self._ended_runs if ended_run[0] > observed]
         for row in self.history:
             row["observed"] = row["observed"] or row["number"] <= observed
-        self._deadline_ms = max(self._deadline_ms, body.get("deadline_ms", 0))
-        if not self._ends and body.get("wait_ms"):
+        self._lease_until_ms = max(self._lease_until_ms, body.get("deadline_ms", 0))
+        if not self._ended_runs and body.get("wait_ms"):
             with anyio.move_on_after(body["wait_ms"] / 1000):
-                await self._ended.wait()
+                await self._run_ended.wait()
         now_ms = self._now_ms()
         running = [
-            [run.task, run.attempt, "", int(100 * self._share_done(run, now_ms)), 0]
+            [run.task, run.attempt, "", int(100 * self._compute_progress(run, now_ms)), 0]
             for run in self._runs.values()
         ]
-        return self._answer(running=running, ended=self._ends[:500])
+        return self._respond(running=running, ended=self._ended_runs[:500])
 
-    def _share_done(self, run: _Run, now_ms: float) -> float:
-        return min(0.99, (now_ms - run.begin_ms) / max(1.0, run.end_ms - run.begin_ms))
+    def _compute_progress(self, run: _Run, now_ms: float) -> float:
+        return min(0.99, (now_ms - run.start_ms) / max(1.0, run.end_ms - run.start_ms))
 
     async def read_history(self, _: HttpRequest) -> HttpResponse:
-        """Return the runs that have ended and those that are present."""
+        """Return the ended and the present runs."""
         present = [
             {
                 "task": run.task,
                 "attempt": run.attempt,
-                "begin_ms": self._born_ms + run.begin_ms,
+                "begin_ms": self._incarnation_start_ms + run.start_ms,
             }
             for run in self._runs.values()
         ]
         return HttpResponse.of({"ended": self.history, "present": present})
 
-    def _end(self, run: _Run, how: str) -> None:
+    def _end_run(self, run: _Run, outcome: str) -> None:
         del self._runs[run.task]
-        self._barred[run.task] = max(run.attempt, self._barred.get(run.task, 0))
-        self._last_end += 1
-        self._ends.append([self._last_end, run.task, run.attempt, how, ""])
-        born_ms = self._born_ms
+        self._highest_ended_attempts[run.task] = max(
+            run.attempt, self._highest_ended_attempts.get(run.task, 0)
+        )
+        self._last_ended_number += 1
+        self._ended_runs.append([self._last_ended_number, run.task, run.attempt, outcome, ""])
+        incarnation_start_ms = self._incarnation_start_ms
         self.history.append(
             {
                 "task": run.task,
                 "attempt": run.attempt,
-                "how": how,
-                "begin_ms": born_ms + run.begin_ms,
-                "end_ms": born_ms + self._now_ms(),
-                "number": self._last_end,
+                "how": outcome,
+                "begin_ms": incarnation_start_ms + run.start_ms,
+                "end_ms": incarnation_start_ms + self._now_ms(),
+                "number": self._last_ended_number,
                 "observed": False,
             }
         )
-        self._ended.set()
-        self._ended = anyio.Event()
+        self._run_ended.set()
+        self._run_ended = anyio.Event()
 
     async def run(self) -> None:
-        """End runs whose time or lease is over, until cancelled."""
+        """End runs whose time is over or whose lease has expired, until cancelled."""
         while True:
             await anyio.sleep(_TICK_MS / 1000)
             now_ms = self._now_ms()
             for run in list(self._runs.values()):
-                if now_ms >= self._deadline_ms:
-                    self._end(run, "lapsed")
+                if now_ms >= self._lease_until_ms:
+                    self._end_run(run, "lapsed")
                 elif now_ms >= run.end_ms:
-                    self._end(run, "failed" if run.fails else "done")
+                    self._end_run(run, "failed" if run.fails else "done")
 
-    async def _tell_platform(self, platform: LeanConnection, vm: str, port: int) -> None:
+    async def _report_to_platform(self, platform: LeanConnection, vm: str, port: int) -> None:
         body = orjson.dumps({"id": vm, "runner": self.name, "port": port})
-        told = await platform.exchange("POST", "/worker", body=body, timeout_ms=5_000)
-        if not isinstance(told, Success):
-            print(f"platform not told: {told}", file=sys.stderr, flush=True)
+        reported = await platform.exchange("POST", "/worker", body=body, timeout_ms=5_000)
+        if not isinstance(reported, Success):
+            print(
+                f"registration with the VM service failed: {reported}", file=sys.stderr, flush=True
+            )
 
     async def register(self, store: StoreClient, platform: LeanConnection, port: int) -> None:
-        """Write the registry's entry again and again, until cancelled."""
-        sequence, entered = 0, ""
+        """Refresh the registry entry of the runner periodically until cancelled."""
+        sequence, registered_name = 0, ""
         vm = f"m-{port}"
         while True:
             if not self.is_up:
-                await store.commit(expect={}, remove=[f"servers/{entered}"])
-                await anyio.sleep(UPKEEP_MS / 1000)
+                await store.commit(expect={}, remove=[f"servers/{registered_name}"])
+                await anyio.sleep(MAINTENANCE_MS / 1000)
                 self.is_up = True
-            if entered != self.name:
-                entered = self.name
-                await self._tell_platform(platform, vm, port)
+            if registered_name != self.name:
+                registered_name = self.name
+                await self._report_to_platform(platform, vm, port)
             sequence += 1
             entry = {
                 "service": "web",
@@ -249,17 +253,17 @@
                 "capacity": {"cpu": _CPU_MILLI, "mem_mb": _MEMORY_MB, "gpu": 0},
                 "labels": ["a", "r1"],
                 "seq": sequence,
-                "born": self.born_unix_ms,
+                "born": self.start_unix_ms,
             }
             key = f"servers/{self.name}"
             result = await store.commit(expect={}, puts=[Write(key, orjson.dumps(entry))])
             if not isinstance(result, Success):
-                print(f"entry not written: {result}", file=sys.stderr, flush=True)
+                print(f"registry entry not written: {result}", file=sys.stderr, flush=True)
             await anyio.sleep(_HEARTBEAT_MS / 1000)
 
 
 async def serve(store_port: int, count: int) -> None:
-    """Serve `count` runners until cancelled; prints their ports."""
+    """Serve `count` runners until cancelled, and print their ports."""
     clock = MonotonicClock()
     store = StoreClient(host="127.0.0.1", port=store_port, clock=clock, timeout_ms=1_000.0)
     ports = []
@@ -267,11 +271,11 @@
         for _ in range(count):
             runner = Runner(name=f"i-{secrets.token_hex(5)}")
             routes = {
-                "POST /coltsfootpier/run-start": runner.guard(runner.start),
-                "POST /coltsfootpier/run-stop": runner.guard(runner.stop),
-                "POST /coltsfootpier/pace": runner.guard(runner.pace),
-                "POST /coltsfootpier/hold": runner.guard(runner.hold),
-                "POST /end": runner.end_life,
+                "POST /coltsfootpier/run-start": runner.require_incarnation(runner.start),
+                "POST /coltsfootpier/run-stop": runner.require_incarnation(runner.stop),
+                "POST /coltsfootpier/pace": runner.require_incarnation(runner.pace),
+                "POST /coltsfootpier/hold": runner.require_incarnation(runner.hold),
+                "POST /end": runner.end_incarnation,
                 "GET /history": runner.read_history,
             }
             server = Server(
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,8 +1,9 @@
 """Stand-in for a worker VM: runs batch tasks as timers and runners as small HTTP servers.
 
 Faults are set with ``POST /faults``: ``fail_starts`` (every start fails), ``silent_runners``
-(runners take requests and never answer), ``service_ms`` (service time of a request),
-``answer_bytes`` (size of the answers) and ``cut_after`` (bytes after which they are cut off).
+(runners accept requests and never respond), ``service_ms`` (service time of a request),
+``answer_bytes`` (size of the response bodies) and ``cut_after`` (bytes after which they are
+truncated).
 """
 
 from __future__ import annotations
@@ -32,18 +33,18 @@
 )
 from coltsfootpier.workers import Command, SyncReply, SyncRequest, TaskReport
 
-# An ended attempt stays refused for this long after it was forgotten, which is longer than
-# any start command is valid.
+# Start commands of a forgotten attempt are rejected for this long, which is longer than any start
+# command is valid.
 _TOMBSTONE_MS = 30_000.0
 _TICK_MS = 20.0
-_CHUNK = 65_536
-# Times of exchanges that are kept for `GET /runs`.
-_SYNCS = 1_000
+_CHUNK_BYTES = 65_536
+# Number of the newest sync times that `GET /runs` returns.
+_MAX_SYNC_TIMES = 1_000
 
 
 @attrs.define
 class Faults:
-    """Faults in force."""
+    """Injected faults; defaults mean none."""
 
     fail_starts: bool = False
     silent_runners: bool = False
@@ -53,14 +54,14 @@
 
 
 class Runner:
-    """A runner of a service with slots; counts how often each request ran.
+    """A runner of a service with slots, which counts the runs of each request.
 
     Parameters
     ----------
     worker : Worker
-        Where it runs.
+        Worker that the runner is on.
     slots : int
-        Requests that it takes at once.
+        Largest number of concurrent requests.
     """
 
     def __init__(self, *, worker: Worker, slots: int) -> None:
@@ -82,10 +83,10 @@
         headers = dict(scope["headers"])
         extra = ((b"x-leaving", b"1"),) if self.leaving else ()
         if self._busy >= self._slots or self.leaving:
-            refusal = HttpResponse(
+            rejection = HttpResponse(
                 status=503, body=b"no free slot", headers=((b"x-not-started", b"1"), *extra)
             )
-            await send_response(send, refusal)
+            await send_response(send, rejection)
             return
         self._busy += 1
         try:
@@ -95,21 +96,22 @@
                 await anyio.sleep_forever()
             await anyio.sleep(self._worker.faults.service_ms / 1000)
             if self._worker.faults.answer_bytes:
-                await self._answer_large(send, request_id)
+                await self._send_large_response(send, request_id)
                 return
-            answer = HttpResponse.of(
+            response = HttpResponse.of(
                 {"id": request_id, "path": scope["path"], "body": body.decode("utf-8", "replace")}
             )
-            await send_response(send, attrs.evolve(answer, headers=extra))
+            await send_response(send, attrs.evolve(response, headers=extra))
         finally:
             self._busy -= 1
 
-    async def _answer_large(self, send: Any, request_id: str) -> None:
-        # The body repeats the request's identifier, so that bytes of another answer show.
+    async def _send_large_response(self, send: Any, request_id: str) -> None:
+        # The body repeats the request's identifier, so that bytes of another response are
+        # recognised.
         faults = self._worker.faults
         size = faults.answer_bytes
         unit = f"{request_id};".encode()
-        chunk = unit * (_CHUNK // len(unit))
+        chunk = unit * (_CHUNK_BYTES // len(unit))
         headers = [(b"content-type", b"text/plain"), (b"content-length", str(size).encode())]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         end = faults.cut_after or size
@@ -120,11 +122,11 @@
             await send({"type": "http.response.body", "body": b""})
 
     async def run(self, *, task_status: Any) -> None:
-        """Serve until stopped."""
+        """Serve requests until drained."""
         await self._server.run(task_status=task_status)
 
     async def drain(self) -> None:
-        """Refuse new requests and stop once those in flight are finished."""
+        """Reject new requests and stop once those in flight are finished."""
         self.leaving = True
         await anyio.sleep(0.5)
         self._server.stop()
@@ -159,18 +161,18 @@
 
 
 class Worker:
-    """State of the stand-in.
+    """A worker VM that runs tasks under leases.
 
     Parameters
     ----------
     name : str
         Name of the VM.
     host : str
-        IP number that runners listen on.
+        IP address that runners listen on.
     clock : Clock
         Time source.
     cores, memory_mb, accelerators : float, int, int
-        Size of the VM.
+        Capacity of the VM; memory in MB.
     speed : float
         Factor by which batch tasks run faster than declared.
     """
@@ -198,26 +200,26 @@
         self._tombstones: dict[tuple[str, int], float] = {}
         self._group: TaskGroup | None = None
         self.started: Counter[str] = Counter()
-        self.syncs: deque[float] = deque(maxlen=_SYNCS)
+        self.syncs: deque[float] = deque(maxlen=_MAX_SYNC_TIMES)
         self.finished: Counter[str] = Counter()
 
     async def run(self) -> None:
-        """Run the tasks until cancelled."""
+        """Advance the tasks until cancelled."""
         async with anyio.create_task_group() as self._group:
             while True:
                 await anyio.sleep(_TICK_MS / 1000)
                 self._advance(_TICK_MS)
 
     async def handle_sync(self, request: HttpRequest) -> HttpResponse:
-        """Carry out commands and report."""
+        """Handle a sync request of a shard owner."""
         return HttpResponse.of(await self.sync(decode(request.body, SyncRequest)))
 
     async def sync(self, request: SyncRequest) -> SyncReply:
-        """Carry out commands and return the state."""
+        """Execute commands and return the state of the worker."""
         self.syncs.append(self._clock.now_ms())
         if request.incarnation == self.incarnation:
             for command in request.commands:
-                await self._carry_out(command)
+                await self._execute(command)
         now_ms = self._clock.now_ms()
         cores, memory_mb, accelerators = self._size
         return SyncReply(
@@ -231,12 +233,12 @@
         )
 
     async def handle_faults(self, request: HttpRequest) -> HttpResponse:
-        """Set faults."""
+        """Replace the injected faults."""
         self.faults = Faults(**orjson.loads(request.body))
         return HttpResponse.of(attrs.asdict(self.faults))
 
     async def handle_runs(self, _: HttpRequest) -> HttpResponse:
-        """Return how often each request and each task ran."""
+        """Return how often each request and each task ran, and the newest sync times."""
         return HttpResponse.of(
             {
                 "requests": dict(self.runs),
@@ -246,7 +248,7 @@
             }
         )
 
-    async def _carry_out(self, command: Command) -> None:
+    async def _execute(self, command: Command) -> None:
         key = (command.task, command.attempt)
         attempt = self._attempts.get(key)
         if command.kind == "start":
@@ -260,7 +262,8 @@
             attempt.share = command.share
         elif command.kind == "stop":
             if attempt is None:
-                # A start of this attempt may still be on its way; it must not run any more.
+                # A start command of this attempt may still be in flight; the recorded attempt
+                # keeps it from running.
                 attempt = _Attempt(command=command, lease_until_ms=0.0)
                 self._attempts[key] = attempt
             self._end(attempt, "stopped", "stopped by the shard owner")
@@ -277,7 +280,7 @@
         if self.faults.fail_starts:
             self._end(attempt, "failed", "the task failed to start")
             return
-        if not self._has_room(command):
+        if not self._fits(command):
             self._end(attempt, "refused", "no room on the worker")
             return
         self.started[command.task] += 1
@@ -286,8 +289,8 @@
         else:
             attempt.progress_ms = float(command.checkpoint or 0.0)
 
-    def _has_room(self, command: Command) -> bool:
-        # The guard of a worker: never more than it holds, whatever the owner thinks.
+    def _fits(self, command: Command) -> bool:
+        # A worker never exceeds its own capacity, even if the owner's view of it is wrong.
         sizes = [
             attempt.command.spec.size
             for attempt in self._attempts.values()
@@ -329,7 +332,7 @@
 
 
 async def serve(worker: Worker, port: int) -> None:
-    """Serve the stand-in until cancelled; prints the port."""
+    """Serve the stand-in until cancelled, and print the port."""
     application = Application(
         routes={
             "POST /v1/sync": worker.handle_sync,
@@ -341,8 +344,8 @@
     server = Server(app=application, host=worker.host, port=port)
     async with anyio.create_task_group() as group:
         group.start_soon(worker.run)
-        bound = await group.start(server.run)
-        print(f"port={bound}", flush=True)
+        bound_port = await group.start(server.run)
+        print(f"port={bound_port}", flush=True)
 
 
 def _run(_: list[str]) -> int:
@@ -362,8 +365,8 @@
 
 if __name__ == "__main__":
     flags.DEFINE_string("name", "worker", "Name of the VM.")
-    flags.DEFINE_string("host", "127.0.0.1", "IP number to listen on.")
-    flags.DEFINE_integer("port", 0, "TCP port; 0 takes a free one.")
+    flags.DEFINE_string("host", "127.0.0.1", "IP address to listen on.")
+    flags.DEFINE_integer("port", 0, "TCP port; 0 selects a free one.")
     flags.DEFINE_float("cores", 16.0, "Processors.")
     flags.DEFINE_integer("memory_mb", 60_000, "Memory in MB.")
     flags.DEFINE_integer("accelerators", 0, "Accelerators.")
