Rename outward names of transport

Parameters and methods of the transport package and of the stand-ins that other folders use were vague (whole_up_to, stream_over, ask, answer, bound, read_upkeeps, Answer).

--- a/coltsfootpier/backend_servers/_client.py
+++ b/coltsfootpier/backend_servers/_client.py
@@ -133,7 +133,7 @@
             body=body,
             timeout_ms=timeout_ms,
             max_idle_ms=_MAX_IDLE_RETRYABLE_MS if retryable else _MAX_IDLE_MS,
-            stream_over=MAX_BUFFERED_BODY_BYTES,
+            stream_threshold_bytes=MAX_BUFFERED_BODY_BYTES,
         )
         if isinstance(sent, Failure):
             return sent
--- a/coltsfootpier/callers/_application.py
+++ b/coltsfootpier/callers/_application.py
@@ -264,7 +264,7 @@
                 receive,
                 max_body=self._max_body,
                 # Permits compare complete bodies, so only requests without permits are streamed.
-                whole_up_to=(
+                max_buffered_bytes=(
                     MAX_BUFFERED_BODY_BYTES
                     if kind.idempotent and not kind.exclusive
                     else self._max_body
--- a/coltsfootpier/daemon/_daemon.py
+++ b/coltsfootpier/daemon/_daemon.py
@@ -560,7 +560,7 @@
         held = self._shards.get((request.shard, request.shard_epoch))
         if held is None:
             return Failure(StaleExchange("not the owner"))
-        result = await held[0].inbox.ask(request, timeout_ms=_EXCHANGE_TIMEOUT_MS)
+        result = await held[0].inbox.request(request, timeout_ms=_EXCHANGE_TIMEOUT_MS)
         return result.unwrap() if isinstance(result, Success) else result
 
     async def on_borrow(self, request: BorrowSlot) -> LentSlot:
--- a/coltsfootpier/daemon/_shard_task.py
+++ b/coltsfootpier/daemon/_shard_task.py
@@ -76,7 +76,7 @@
     ) -> None:
         self.shard = shard
         self.epoch = epoch
-        self.inbox: Mailbox[ExchangeRequest] = Mailbox(bound=_INBOX)
+        self.inbox: Mailbox[ExchangeRequest] = Mailbox(max_messages=_INBOX)
         self.published: PublishedRunners | None = None
         periods = settings.periods
         self.state = ShardState(
@@ -240,11 +240,11 @@
         async for envelope in self.inbox:
             result: Result[ExchangeReply, StaleExchange]
             if not self.may_act:
-                envelope.answer(Failure(StaleExchange("not the owner now")))
+                envelope.respond(Failure(StaleExchange("not the owner now")))
                 continue
             stale = self.state.receive(envelope.message)
             if stale is not None:
-                envelope.answer(Failure(stale))
+                envelope.respond(Failure(stale))
                 continue
             self._changed.set()
             while not self.state.record.settled and not self._lost:
@@ -253,7 +253,7 @@
                 result = Failure(StaleExchange("ownership was lost"))
             else:
                 result = Success(self.state.report(full=envelope.message.full))
-            envelope.answer(result)
+            envelope.respond(result)
 
     def _publish(self) -> None:
         # Until the workers have reported, the runners that the previous owner published are
--- a/coltsfootpier/permits/tests/test_process.py
+++ b/coltsfootpier/permits/tests/test_process.py
@@ -9,7 +9,7 @@
 import anyio
 
 from coltsfootpier.ownership import key_group
-from standins.cluster import Answer, Cluster, call, read_store, wait_for
+from standins.cluster import ClientResponse, Cluster, call, read_store, wait_for
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 DECLARATION = """
@@ -33,7 +33,7 @@
 """
 
 
-async def _send(cluster: Cluster, entry: str, kind: str, **headers: str) -> Answer:
+async def _send(cluster: Cluster, entry: str, kind: str, **headers: str) -> ClientResponse:
     port = cluster.daemons[entry].ports["callers"]
     wire_headers = {name.replace("_", "-"): value for name, value in headers.items()}
     answer = await call(port, "POST", f"/services/web/{kind}", body=b"x", headers=wire_headers)
@@ -41,7 +41,7 @@
     return answer
 
 
-async def _write(cluster: Cluster, entry: str, key: str) -> Answer:
+async def _write(cluster: Cluster, entry: str, key: str) -> ClientResponse:
     return await _send(cluster, entry, "write", x_request_id=key, idempotency_key=key)
 
 
--- a/coltsfootpier/transport/_channel.py
+++ b/coltsfootpier/transport/_channel.py
@@ -25,7 +25,7 @@
     body: bytes | Upload
     deadline_ms: float
     max_idle_ms: float
-    stream_over: int | None
+    stream_threshold_bytes: int | None
     done: anyio.Event = attrs.field(factory=anyio.Event)
     started: bool = False
     sent_ms: float = 0.0
@@ -119,7 +119,7 @@
         headers: Headers = (),
         timeout_ms: float,
         max_idle_ms: float = _MAX_IDLE_MS,
-        stream_over: int | None = None,
+        stream_threshold_bytes: int | None = None,
     ) -> Result[Reply, CallError]:
         """Make one call.
 
@@ -135,7 +135,7 @@
             Timeout in ms, including the wait for a free connection.
         max_idle_ms : float
             A connection whose last response is older than this (ms) is replaced first.
-        stream_over : int, optional
+        stream_threshold_bytes : int, optional
             A body larger than this (bytes) is returned with its rest as a stream, which must be
             read or closed.
 
@@ -145,7 +145,9 @@
             `NotSent` if no byte was sent, `Unanswered` if the outcome is unknown.
         """
         deadline_ms = self._clock.now_ms() + timeout_ms
-        exchange = _Exchange(method, target, headers, body, deadline_ms, max_idle_ms, stream_over)
+        exchange = _Exchange(
+            method, target, headers, body, deadline_ms, max_idle_ms, stream_threshold_bytes
+        )
         if self._closed:
             return Failure(NotSent("closed"))
         if self._idle:
@@ -207,7 +209,7 @@
             body=exchange.body,
             timeout_ms=remaining_ms,
             max_idle_ms=min(exchange.max_idle_ms, sent_ms - self._suspect_since_ms),
-            stream_over=exchange.stream_over,
+            stream_threshold_bytes=exchange.stream_threshold_bytes,
             on_large_response=exchange.start_stream,
         )
         if isinstance(result, Failure) and result.failure() == OVERDUE:
--- a/coltsfootpier/transport/_connection.py
+++ b/coltsfootpier/transport/_connection.py
@@ -99,7 +99,7 @@
         body: bytes | Upload = b"",
         timeout_ms: float,
         max_idle_ms: float,
-        stream_over: int | None = None,
+        stream_threshold_bytes: int | None = None,
         on_large_response: Callable[[Reply], None] | None = None,
     ) -> Result[Reply, CallError]:
         """Send one request and wait for the complete response.
@@ -117,7 +117,7 @@
         max_idle_ms : float
             An open connection whose last response is older than this (ms) is replaced first,
             because an idle connection may have stopped delivering data.
-        stream_over : int, optional
+        stream_threshold_bytes : int, optional
             A response whose body is larger than this (bytes) is passed to `on_large_response`
             with the rest as a stream, which must be read; `timeout_ms` applies until then.
         on_large_response : callable, optional
@@ -151,7 +151,7 @@
                     scope.deadline = anyio.current_time() + _STREAM_TIMEOUT_MS / 1000
                     on_large_response(reply)
 
-                result = await self._send_request(request, stream_over, start_stream)
+                result = await self._send_request(request, stream_threshold_bytes, start_stream)
         finally:
             if self._stream is not None:
                 self._stream.finish(result.failure() if isinstance(result, Failure) else None)
@@ -163,14 +163,14 @@
     async def _send_request(
         self,
         request: httpcore.Request,
-        stream_over: int | None,
+        stream_threshold_bytes: int | None,
         start_stream: Callable[[Reply], None],
     ) -> Result[Reply, CallError]:
         if self._connection is None:
             self._connection = httpcore.AsyncHTTPConnection(self._origin, keepalive_expiry=None)
         try:
             response = await self._connection.handle_async_request(request)
-            return await self._read_response(response, stream_over, start_stream)
+            return await self._read_response(response, stream_threshold_bytes, start_stream)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             reason = f"can't connect to {self._host_header.decode()}: {error}"
             return Failure(NotSent(reason, unreachable=True))
@@ -185,7 +185,7 @@
     async def _read_response(
         self,
         response: httpcore.Response,
-        stream_over: int | None,
+        stream_threshold_bytes: int | None,
         start_stream: Callable[[Reply], None],
     ) -> Result[Reply, CallError]:
         headers = tuple((name.lower(), value) for name, value in response.headers)
@@ -209,7 +209,7 @@
                     return Failure(Unanswered("the reader of the answer has gone"))
                 continue
             chunks.append(chunk)
-            if stream_over is not None and size > stream_over:
+            if stream_threshold_bytes is not None and size > stream_threshold_bytes:
                 self._stream = BodyStream()
                 start_stream(Reply(response.status, headers, b"".join(chunks), self._stream))
                 chunks.clear()
--- a/coltsfootpier/transport/_mailbox.py
+++ b/coltsfootpier/transport/_mailbox.py
@@ -22,7 +22,7 @@
     _responded: anyio.Event = attrs.field(factory=anyio.Event)
     _response: object = None
 
-    def answer(self, value: object) -> None:
+    def respond(self, value: object) -> None:
         """Set the response; later calls have no effect."""
         if not self._responded.is_set():
             self._response = value
@@ -34,14 +34,16 @@
 
     Parameters
     ----------
-    bound : int
+    max_messages : int
         Largest number of queued messages.
     """
 
-    def __init__(self, *, bound: int) -> None:
-        self._send, self._receive = anyio.create_memory_object_stream[Envelope[_M]](bound)
+    def __init__(self, *, max_messages: int) -> None:
+        self._send, self._receive = anyio.create_memory_object_stream[Envelope[_M]](max_messages)
 
-    async def ask(self, message: _M, *, timeout_ms: float) -> Result[object, NotSent | Unanswered]:
+    async def request(
+        self, message: _M, *, timeout_ms: float
+    ) -> Result[object, NotSent | Unanswered]:
         """Send a message and wait for the response.
 
         Parameters
--- a/coltsfootpier/transport/_server.py
+++ b/coltsfootpier/transport/_server.py
@@ -137,7 +137,7 @@
 
 
 async def read_upload(
-    scope: Scope, receive: Callable, *, max_body: int, whole_up_to: int, timeout_ms: float
+    scope: Scope, receive: Callable, *, max_body: int, max_buffered_bytes: int, timeout_ms: float
 ) -> bytes | Upload:
     """Read a small request body completely; return a larger one as an upload.
 
@@ -147,10 +147,10 @@
         As in `read_body`.
     max_body : int
         Largest accepted body in bytes.
-    whole_up_to : int
+    max_buffered_bytes : int
         Largest body in bytes that is buffered completely.
     timeout_ms : float
-        Timeout in ms of the complete body, or of its first `whole_up_to` bytes.
+        Timeout in ms of the complete body, or of its first `max_buffered_bytes` bytes.
 
     Returns
     -------
@@ -162,7 +162,7 @@
         As in `read_body`.
     """
     declared = next((value for key, value in scope["headers"] if key == b"content-length"), b"")
-    if not declared or int(declared) <= whole_up_to or int(declared) > max_body:
+    if not declared or int(declared) <= max_buffered_bytes or int(declared) > max_body:
         return await read_body(scope, receive, max_body=max_body, timeout_ms=timeout_ms)
 
     async def read() -> bytes | None:
@@ -178,7 +178,7 @@
     has_more = True
     first = bytearray()
     with anyio.move_on_after(max(0.0, timeout_ms) / 1000) as cancel_scope:
-        while has_more and len(first) < whole_up_to:
+        while has_more and len(first) < max_buffered_bytes:
             try:
                 first += await read() or b""
             except UploadError as error:
--- a/coltsfootpier/transport/tests/test_channel.py
+++ b/coltsfootpier/transport/tests/test_channel.py
@@ -243,7 +243,9 @@
             return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body[:600_000])
 
         async def read(channel: Channel) -> bytes:
-            result = await channel.call("GET", "/", timeout_ms=5_000, stream_over=100_000)
+            result = await channel.call(
+                "GET", "/", timeout_ms=5_000, stream_threshold_bytes=100_000
+            )
             reply = result.unwrap()
             self.assertLess(len(reply.body), 200_000)
             received = reply.body
@@ -270,7 +272,9 @@
 
         async def test() -> None:
             async with _open_channel(respond) as (_, channel, _relay):
-                large = await channel.call("GET", "/large", timeout_ms=5_000, stream_over=1_000)
+                large = await channel.call(
+                    "GET", "/large", timeout_ms=5_000, stream_threshold_bytes=1_000
+                )
                 large.unwrap().rest.close()
                 small = await channel.call("GET", "/small", timeout_ms=5_000)
                 self.assertEqual(small.unwrap().body, b"/small")
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -327,7 +327,7 @@
             self._violate(f"{job.id}: accepted, and not ended {_SETTLE_S:.0f} s after the faults")
 
     async def _check_upkeeps(self) -> None:
-        upkeeps = sorted(await self._nodes.read_upkeeps(), key=lambda row: row["begin_ms"])
+        upkeeps = sorted(await self._nodes.read_maintenance_runs(), key=lambda row: row["begin_ms"])
         for number, vms in self._waves.items():
             rows = [row for row in upkeeps if row["wave"] == number]
             for earlier, later in zip(rows, rows[1:], strict=False):
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -48,7 +48,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Answer:
+class ClientResponse:
     """An HTTP response as a caller receives it."""
 
     status: int
@@ -68,7 +68,7 @@
     body: bytes | None = None,
     headers: dict[str, str] | None = None,
     timeout_ms: float = 10_000,
-) -> Answer | None:
+) -> ClientResponse | None:
     """Make one call on a new connection; return None if no complete response arrived."""
     clock = MonotonicClock()
     connection = Connection(host="127.0.0.1", port=port, clock=clock, max_body=_MAX_BODY_BYTES)
@@ -88,7 +88,7 @@
     if reply is None:
         return None
     decoded = {name.decode(): value.decode("latin-1") for name, value in reply.headers}
-    return Answer(status=reply.status, headers=decoded, body=reply.body)
+    return ClientResponse(status=reply.status, headers=decoded, body=reply.body)
 
 
 class Balancer:
--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -28,7 +28,7 @@
     encode_wave_status,
 )
 from coltsfootpier.transport import LeanConnection
-from standins.cluster import Answer, call, wait_for
+from standins.cluster import ClientResponse, call, wait_for
 
 HOST = "a.example"
 PREFIX = "/p/"
@@ -200,7 +200,7 @@
             item = (await store.get(key)).unwrap()
         return orjson.loads(item.value)["state"] if item.value is not None else ""
 
-    async def read_upkeeps(self) -> list[dict[str, Any]]:
+    async def read_maintenance_runs(self) -> list[dict[str, Any]]:
         """Return each maintenance run of a worker VM with its start and end times."""
         answer = await call(self.store_port, "GET", "/upkeeps", timeout_ms=2_000)
         return answer.json()
@@ -232,7 +232,7 @@
 
     async def request(
         self, node: str, method: str, name: str, body: Any = None, timeout_ms: float = 3_000
-    ) -> Answer | None:
+    ) -> ClientResponse | None:
         """Send one request as a caller; return None if no complete response arrived."""
         connection = LeanConnection(host="127.0.0.1", port=self.nodes[node].front)
         result = await connection.exchange(
@@ -247,7 +247,7 @@
             return None
         reply = result.unwrap()
         headers = {name.decode(): value.decode("latin-1") for name, value in reply.headers}
-        return Answer(status=reply.status, headers=headers, body=reply.body)
+        return ClientResponse(status=reply.status, headers=headers, body=reply.body)
 
     async def set_store_faults(self, **faults: Any) -> None:
         """Replace the injected faults of the store; no arguments clear them."""
--- a/tests/test_processes_nodes.py
+++ b/tests/test_processes_nodes.py
@@ -238,7 +238,7 @@
             await wait_for(is_complete, timeout_s=WIDE_S)
             for job_id in jobs:
                 await self.wait_state(others[1], job_id, "completed")
-            upkeeps = await self.nodes.read_upkeeps()
+            upkeeps = await self.nodes.read_maintenance_runs()
             self.assertEqual(sorted(row["machine"] for row in upkeeps), sorted(vms))
             upkeeps.sort(key=lambda row: row["begin_ms"])
             for earlier, later in zip(upkeeps, upkeeps[1:], strict=False):
