--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of policies, capacity and cost."""
+"""Benchmarks of scheduling policies, capacity and processor cost."""
--- a/benchmarks/_daemons.py
+++ b/benchmarks/_daemons.py
@@ -1,12 +1,12 @@
-"""Cost of real daemons by number of peers and of workers."""
+"""Resource use of real daemon processes by number of peers and of workers."""
 
 from __future__ import annotations
 
 import anyio
 import orjson
 
-from benchmarks._logic import build_text
-from benchmarks._process import Usage, measure
+from benchmarks._logic import build_declaration_text
+from benchmarks._process import Usage, measure_usage
 from benchmarks._slopes import Slope
 from standins.cluster import Cluster, call, wait_for
 
@@ -16,10 +16,10 @@
 
 
 class FleetCluster(Cluster):
-    """Cluster whose workers all run in one process."""
+    """Cluster that runs all of its workers in one process."""
 
     async def start_fleet(self, count: int, *, rack_size: int = 8) -> None:
-        """Start `count` workers, `rack_size` to a rack."""
+        """Start `count` workers, with `rack_size` workers in each rack."""
         handle = self._spawn("fleet", ["-m", "standins.fleet", f"--count={count}"])
         for index, port in enumerate(orjson.loads(handle.stdout.readline())):
             rack = index // rack_size
@@ -38,7 +38,10 @@
 
 
 async def measure_peers(counts: tuple[int, ...]) -> list[Slope]:
-    """Measure daemons without workers by number of daemons; the figures are one daemon's."""
+    """Measure daemons without workers, by number of peers; values are averages for one daemon.
+
+    Memory is that of the largest daemon.
+    """
     cpu, memory, calls = [], [], []
     for count in counts:
         cluster = Cluster(zones=_ZONES)
@@ -51,12 +54,12 @@
             before = sum((await _count_calls(cluster)).values())
             usages: list[Usage] = []
 
-            async def watch(pid: int, usages: list[Usage] = usages) -> None:
-                usages.append(await measure(pid, window_s=_WINDOW_S))
+            async def measure_daemon(pid: int, usages: list[Usage] = usages) -> None:
+                usages.append(await measure_usage(pid, window_s=_WINDOW_S))
 
             async with anyio.create_task_group() as group:
                 for daemon in cluster.daemons.values():
-                    group.start_soon(watch, daemon.handle.pid)
+                    group.start_soon(measure_daemon, daemon.handle.pid)
             after = sum((await _count_calls(cluster)).values())
             cpu.append((count - 1, sum(usage.cpu_ms_per_s for usage in usages) / count))
             memory.append((count - 1, max(usage.memory_mb for usage in usages)))
@@ -71,7 +74,7 @@
 
 
 async def measure_workers(counts: tuple[int, ...]) -> list[Slope]:
-    """Measure one daemon that owns everything by number of workers with 20 tasks each."""
+    """Measure a single daemon that owns all shards, by number of workers with 20 tasks each."""
     cpu, memory, calls = [], [], []
     for count in counts:
         cluster = FleetCluster(zones=_ZONES)
@@ -81,17 +84,17 @@
             daemon = cluster.start_daemon("entry-0", _ZONES[0])
             await cluster.wait_ready()
             path = cluster.folder / "text.ini"
-            path.write_text(build_text(workers=count, teams=min(8, count)))
+            path.write_text(build_declaration_text(workers=count, teams=min(8, count)))
             operators = f"127.0.0.1:{daemon.ports['operators']}"
             cluster.run_tool("apply", str(path), f"--daemon={operators}")
 
-            async def settled(cluster: Cluster = cluster, count: int = count) -> bool:
+            async def has_running_tasks(cluster: Cluster = cluster, count: int = count) -> bool:
                 return await cluster.count_running("entry-0", "") >= 18 * count
 
-            await wait_for(settled, timeout_s=120)
+            await wait_for(has_running_tasks, timeout_s=120)
             await anyio.sleep(_SETTLE_S)
             before = sum((await _count_calls(cluster)).values())
-            usage = await measure(daemon.handle.pid, window_s=_WINDOW_S)
+            usage = await measure_usage(daemon.handle.pid, window_s=_WINDOW_S)
             after = sum((await _count_calls(cluster)).values())
             cpu.append((count, usage.cpu_ms_per_s))
             memory.append((count, usage.memory_mb))
--- a/benchmarks/_logic.py
+++ b/benchmarks/_logic.py
@@ -1,4 +1,4 @@
-"""Cost of the decision logic by size, without processes."""
+"""Processor and memory cost of the decision logic by size, measured in one process."""
 
 from __future__ import annotations
 
@@ -19,15 +19,15 @@
 from coltsfootpier.transport import decode, encode
 from coltsfootpier.workers import SyncReply, TaskReport
 
-_WORKERS_A_SHARD = 8
-_SERVICES_A_WORKER = 7
-_BATCH_A_WORKER = 13
+_WORKERS_PER_SHARD = 8
+_SERVICE_TASKS_PER_WORKER = 7
+_BATCH_TASKS_PER_WORKER = 13
 _LEASE_MS = 20_000.0
 _HOLD_OVER_MS = 1_800_000.0
 
 
-def cost_ms(call: Callable[[], object], *, times: int = 20) -> float:
-    """Return the processor milliseconds of one call, the best of three series."""
+def measure_cpu_ms(call: Callable[[], object], *, times: int = 20) -> float:
+    """Return the mean processor time of one call in ms, the lowest of three series."""
     best = float("inf")
     for _ in range(3):
         start = time.process_time_ns()
@@ -37,26 +37,26 @@
     return best
 
 
-def memory_mb(build: Callable[[], object]) -> float:
-    """Return the memory that a built object holds, in MB."""
+def measure_memory_mb(build: Callable[[], object]) -> float:
+    """Return the memory that the object returned by `build` occupies, in MB."""
     gc.collect()
     tracemalloc.start()
-    kept = build()
+    built = build()
     gc.collect()
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    del kept
+    del built
     return size / 1e6
 
 
-def build_text(*, workers: int, teams: int) -> str:
-    """Return a declared text that fills a number of workers as the target does."""
+def build_declaration_text(*, workers: int, teams: int) -> str:
+    """Return a declaration whose number of tasks per worker is that of the target size."""
     sections = [f"[team t{team}]\ncores = 100000\nmemory_mb = 100000000\n" for team in range(teams)]
     for index in range(max(teams, workers // 4)):
         team = f"t{index % teams}"
-        share = max(teams, workers // 4)
-        runners = workers * _SERVICES_A_WORKER // share
-        tasks = workers * _BATCH_A_WORKER // share
+        service_count = max(teams, workers // 4)
+        runners = workers * _SERVICE_TASKS_PER_WORKER // service_count
+        tasks = workers * _BATCH_TASKS_PER_WORKER // service_count
         sections.append(
             f"[service s{index}]\nteam = {team}\nrunners = {runners}\ncores = 0.5\n"
             f"memory_mb = 500\nlatency_ms = 100\n"
@@ -68,7 +68,7 @@
     return "\n".join(sections)
 
 
-def _commit(record: VersionedRecord) -> None:
+def _commit_write(record: VersionedRecord) -> None:
     write = record.begin_write()
     if write is not None:
         record.confirm(write.expected_version + 1)
@@ -84,38 +84,38 @@
         hold_over_ms=_HOLD_OVER_MS,
     )
     shard.load()
-    _commit(shard.record)
+    _commit_write(shard.record)
     vms = [
         Vm(name=f"{name}-{index}", state="live", availability_zone="z1", rack=name, address="h:1")
         for index in range(workers)
     ]
     shard.observe_vms(vms)
     for vm in vms:
-        shard.observe_reply(vm.name, _reply(vm.name, ()))
+        shard.observe_reply(vm.name, _build_reply(vm.name, ()))
     return shard
 
 
-def _reply(worker: str, tasks: tuple[TaskReport, ...]) -> SyncReply:
+def _build_reply(worker: str, tasks: tuple[TaskReport, ...]) -> SyncReply:
     return SyncReply(
         worker=worker, incarnation="i1", now_ms=0.0, cores=16.0, memory_mb=60_000, tasks=tasks
     )
 
 
 class System:
-    """Dispatcher and shard owners filled with running tasks.
+    """Dispatcher and shard owners whose declared tasks are all running.
 
     Parameters
     ----------
     workers, teams : int
-        Size.
+        Number of workers and of teams.
     """
 
     def __init__(self, *, workers: int, teams: int) -> None:
         self.clock = VirtualClock()
-        self.declaration = parse(build_text(workers=workers, teams=teams)).unwrap()
+        self.declaration = parse(build_declaration_text(workers=workers, teams=teams)).unwrap()
         self.shards = {
-            f"r{index}": _build_shard(self.clock, f"r{index}", _WORKERS_A_SHARD)
-            for index in range(workers // _WORKERS_A_SHARD)
+            f"r{index}": _build_shard(self.clock, f"r{index}", _WORKERS_PER_SHARD)
+            for index in range(workers // _WORKERS_PER_SHARD)
         }
         ledger = Ledger(epoch=1, writer="m1")
         ledger.load(())
@@ -124,33 +124,33 @@
         self.dispatcher.observe_declaration(1, self.declaration)
         self.tasks = len(expand(self.declaration))
         for _ in range(200):
-            self._round()
+            self._run_round()
             self.clock.advance(250.0)
-            if self._assigned() == self.tasks:
+            if self._count_assigned() == self.tasks:
                 break
         for _ in range(2):
-            self._round()
+            self._run_round()
 
-    def _assigned(self) -> int:
+    def _count_assigned(self) -> int:
         return sum(entry.state == "assigned" for _, entry in self.dispatcher.ledger.entries())
 
-    def _round(self) -> None:
+    def _run_round(self) -> None:
         self.dispatcher.step()
         for record in self.dispatcher.ledger.records:
-            _commit(record)
+            _commit_write(record)
         for name, shard in self.shards.items():
             request = self.dispatcher.next_request(name, regular=True)
             if request is None:
                 continue
             shard.receive(request)
             for _ in range(3):
-                _commit(shard.record)
+                _commit_write(shard.record)
                 shard.place()
             for worker in shard.workers:
-                shard.observe_reply(worker, self._report(shard, worker))
+                shard.observe_reply(worker, self._build_running_reply(shard, worker))
             self.dispatcher.observe_reply(shard.report(full=request.full))
 
-    def _report(self, shard: ShardState, worker: str) -> SyncReply:
+    def _build_running_reply(self, shard: ShardState, worker: str) -> SyncReply:
         tasks = tuple(
             TaskReport(
                 task=entry.task,
@@ -164,16 +164,16 @@
             for entry in shard.record.durable.values()
             if entry.worker == worker
         )
-        return _reply(worker, tasks)
+        return _build_reply(worker, tasks)
 
 
 def measure_dispatcher(sizes: tuple[int, ...], teams: int) -> list[Slope]:
-    """Measure one step, one exchange and the ledger by number of tasks."""
-    steps, exchanges, buckets, starts = [], [], [], []
+    """Measure a dispatcher step, an exchange with a shard and the ledger, by number of tasks."""
+    steps, exchanges, buckets, memories = [], [], [], []
     for workers in sizes:
         system = System(workers=workers, teams=min(teams, workers))
         dispatcher = system.dispatcher
-        steps.append((system.tasks, cost_ms(dispatcher.step, times=3)))
+        steps.append((system.tasks, measure_cpu_ms(dispatcher.step, times=3)))
         shard = system.shards["r0"]
 
         def exchange(shard: ShardState = shard, dispatcher: Dispatcher = dispatcher) -> None:
@@ -182,12 +182,12 @@
             reply = encode(shard.report(full=False))
             dispatcher.observe_reply(decode(reply, type(shard.report(full=False))))
 
-        exchanges.append((system.tasks, cost_ms(exchange, times=3)))
+        exchanges.append((system.tasks, measure_cpu_ms(exchange, times=3)))
         record = max(dispatcher.ledger.records, key=lambda item: len(item.working))
         task = next(iter(record.working))
         record.put(task, record.working[task].__class__(state="pending", attempt=9))
         buckets.append((system.tasks, len(encode(record.begin_write().value)) / 1000))
-        starts.append((system.tasks, memory_mb(lambda d=dispatcher: _copy_ledger(d))))
+        memories.append((system.tasks, measure_memory_mb(lambda d=dispatcher: _copy_ledger(d))))
     return [
         Slope(name="dispatcher: one step", unit="ms", per="task", points=tuple(steps)),
         Slope(
@@ -197,7 +197,7 @@
             points=tuple(exchanges),
         ),
         Slope(name="ledger: one bucket of 8", unit="KB", per="task", points=tuple(buckets)),
-        Slope(name="ledger: memory", unit="MB", per="task", points=tuple(starts)),
+        Slope(name="ledger: memory", unit="MB", per="task", points=tuple(memories)),
     ]
 
 
@@ -206,12 +206,12 @@
 
 
 def measure_shard(sizes: tuple[int, ...]) -> list[Slope]:
-    """Measure one worker exchange and the shard record by tasks."""
+    """Measure an exchange with a worker and the record of a shard, by number of tasks."""
     syncs, records, writes = [], [], []
     for tasks in sizes:
         clock = VirtualClock()
         shard = _build_shard(clock, "r0", 1)
-        declaration = parse(build_text(workers=4, teams=1)).unwrap()
+        declaration = parse(build_declaration_text(workers=4, teams=1)).unwrap()
         spec = expand(declaration)["service/s0/0"]
         specs = [
             spec.__class__(
@@ -236,23 +236,23 @@
             TaskReport(task=item.name, attempt=1, state="running", cores=0.1, memory_mb=100)
             for item in specs
         )
-        reply = encode(_reply("r0-0", reports))
+        reply = encode(_build_reply("r0-0", reports))
 
         def sync(shard: ShardState = shard, reply: bytes = reply) -> None:
             encode(shard.plan_sync("r0-0", may_start=True, may_renew_batch=True))
             shard.observe_reply("r0-0", decode(reply, SyncReply))
 
-        syncs.append((tasks, cost_ms(sync)))
+        syncs.append((tasks, measure_cpu_ms(sync)))
 
-        def write_once(shard: ShardState = shard, spec: str = specs[0].name) -> None:
-            entry = shard.record.working[spec]
-            shard.record.drop(spec)
-            shard.record.put(spec, entry)
+        def write_once(shard: ShardState = shard, task: str = specs[0].name) -> None:
+            entry = shard.record.working[task]
+            shard.record.drop(task)
+            shard.record.put(task, entry)
             write = shard.record.begin_write()
             encode(write.value)
             shard.record.confirm(write.expected_version + 1)
 
-        writes.append((tasks, cost_ms(write_once)))
+        writes.append((tasks, measure_cpu_ms(write_once)))
     return [
         Slope(
             name="shard: one worker exchange, logic and codec",
@@ -266,7 +266,7 @@
 
 
 def measure_router(sizes: tuple[int, ...]) -> list[Slope]:
-    """Measure one routing decision and the table by number of runners (24 a service)."""
+    """Measure a routing decision and the routing table by number of runners (24 per service)."""
     decisions, tables = [], []
     for count in sizes:
         clock = VirtualClock()
@@ -299,8 +299,8 @@
             if hasattr(grant, "token"):
                 router.release(grant.runner.id, grant.token)
 
-        decisions.append((count, cost_ms(decide, times=200)))
-        tables.append((count, memory_mb(build)))
+        decisions.append((count, measure_cpu_ms(decide, times=200)))
+        tables.append((count, measure_memory_mb(build)))
     return [
         Slope(name="router: one decision", unit="ms", per="runner", points=tuple(decisions)),
         Slope(name="router: table", unit="MB", per="runner", points=tuple(tables)),
@@ -308,12 +308,12 @@
 
 
 def measure_configuration(sizes: tuple[int, ...]) -> list[Slope]:
-    """Measure text size, parsing and expansion by workers declared for."""
+    """Measure the size, parsing and expansion of a declaration by number of workers."""
     texts, costs = [], []
     for workers in sizes:
-        text = build_text(workers=workers, teams=min(67, workers))
+        text = build_declaration_text(workers=workers, teams=min(67, workers))
         texts.append((workers, len(text) / 1000))
-        costs.append((workers, cost_ms(lambda t=text: expand(parse(t).unwrap()), times=1)))
+        costs.append((workers, measure_cpu_ms(lambda t=text: expand(parse(t).unwrap()), times=1)))
     return [
         Slope(name="configuration: text", unit="KB", per="worker", points=tuple(texts)),
         Slope(name="configuration: parse and expand", unit="ms", per="worker", points=tuple(costs)),
@@ -321,7 +321,7 @@
 
 
 def measure_burn(sizes: tuple[int, ...]) -> list[Slope]:
-    """Measure memory and the snapshot by number of services."""
+    """Measure the memory and the snapshot of request statistics by number of services."""
     memories, snapshots = [], []
     for count in sizes:
 
@@ -338,9 +338,9 @@
                 )
             return stats
 
-        memories.append((count, memory_mb(build)))
+        memories.append((count, measure_memory_mb(build)))
         stats = build()
-        snapshots.append((count, cost_ms(lambda s=stats: encode(s.snapshot()), times=1)))
+        snapshots.append((count, measure_cpu_ms(lambda s=stats: encode(s.snapshot()), times=1)))
     return [
         Slope(name="burn: counters", unit="MB", per="service", points=tuple(memories)),
         Slope(name="burn: one snapshot", unit="ms", per="service", points=tuple(snapshots)),
--- a/benchmarks/_process.py
+++ b/benchmarks/_process.py
@@ -1,4 +1,4 @@
-"""Processor time and memory of processes that a measurement started."""
+"""Processor time and memory of the processes that a benchmark starts."""
 
 from __future__ import annotations
 
@@ -9,19 +9,19 @@
 import attrs
 
 _TICK_MS = 1000 / os.sysconf("SC_CLK_TCK")
-_MB = 1024
+_KB_PER_MB = 1024
 
 
 @attrs.frozen
 class Usage:
-    """Cost of a process over a window.
+    """Resource use of a process over a time window.
 
     Parameters
     ----------
     cpu_ms_per_s : float
-        Processor milliseconds, user and system, for each second.
+        Processor time, user and system, in milliseconds per second.
     memory_mb : float
-        Resident memory at the end.
+        Resident memory at the end of the window.
     """
 
     cpu_ms_per_s: float
@@ -29,7 +29,7 @@
 
 
 def read_cpu_ms(pid: int) -> float:
-    """Return the processor time of a process in milliseconds (granularity 10 ms)."""
+    """Return the processor time of a process in milliseconds (resolution 10 ms)."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) * _TICK_MS
 
@@ -38,12 +38,12 @@
     """Return the resident memory of a process in MB."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / _MB
+            return int(line.split()[1]) / _KB_PER_MB
     return 0.0
 
 
-async def measure(pid: int, *, window_s: float) -> Usage:
-    """Measure a process over a window."""
+async def measure_usage(pid: int, *, window_s: float) -> Usage:
+    """Measure the resource use of a process over the next `window_s` seconds."""
     before_ms = read_cpu_ms(pid)
     await anyio.sleep(window_s)
     return Usage((read_cpu_ms(pid) - before_ms) / window_s, read_memory_mb(pid))
--- a/benchmarks/_slopes.py
+++ b/benchmarks/_slopes.py
@@ -1,4 +1,4 @@
-"""Slopes from several sizes, and their value at a further size."""
+"""Straight lines fitted to measurements at several sizes."""
 
 from __future__ import annotations
 
@@ -10,14 +10,14 @@
 
 @attrs.frozen(kw_only=True)
 class Slope:
-    """Straight line through measured points.
+    """Straight line fitted to measured points.
 
     Parameters
     ----------
     name, unit, per : str
-        What was measured, in which unit, for each of what.
+        Measured quantity, its unit, and the item that the size counts.
     points : sequence of (float, float)
-        Size and value.
+        Size and measured value of each point.
     """
 
     name: str
@@ -26,20 +26,20 @@
     points: tuple[tuple[float, float], ...]
 
     @property
-    def line(self) -> tuple[float, float]:
-        """Slope and intercept by least squares."""
+    def fit_line(self) -> tuple[float, float]:
+        """Slope and intercept of the least-squares line."""
         sizes, values = zip(*self.points, strict=True)
         fit = statistics.linear_regression(sizes, values)
         return fit.slope, fit.intercept
 
-    def at(self, size: float) -> float:
-        """Return the value of the line at a size."""
-        slope, intercept = self.line
+    def evaluate(self, size: float) -> float:
+        """Return the value of the fitted line at a size."""
+        slope, intercept = self.fit_line
         return slope * size + intercept
 
-    def row(self) -> str:
-        """Return a row of the table of slopes."""
-        slope, intercept = self.line
+    def format_row(self) -> str:
+        """Return the slope as a row of a Markdown table."""
+        slope, intercept = self.fit_line
         points = ", ".join(f"{size:g}: {value:.3g}" for size, value in self.points)
         return (
             f"| {self.name} | {points} | {intercept:.3g} + {slope:.3g} a {self.per} | {self.unit} |"
@@ -47,6 +47,6 @@
 
 
 def format_slopes(slopes: Sequence[Slope]) -> str:
-    """Return a table in Markdown."""
+    """Return a Markdown table of slopes."""
     head = "| what | measured (size: value) | line | unit |\n|---|---|---|---|"
-    return "\n".join([head, *(slope.row() for slope in slopes)])
+    return "\n".join([head, *(slope.format_row() for slope in slopes)])
--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -1,4 +1,4 @@
-"""Policy measurements; each section prints its own table.
+"""Benchmarks of scheduling policies; each section prints a table.
 
 ``python -m benchmarks.bench [SECTION ...] [--seeds=N] [--duration_ms=N] [--variants=a,b]``
 """
@@ -16,42 +16,44 @@
 
 from benchmarks import placement, routing
 
-# Each task is one core at full load; the machine is shared.
+# Each process uses a full core, and other programs run on the same host.
 _PROCESSES = 2
 _DEFAULT_VARIANTS = ("hash+fifo", "random", "least outst.", "first fit", "chosen")
 
 
-def _percentile(values: list[float], part: float) -> float:
+def _percentile(values: list[float], quantile: float) -> float:
     ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else float("nan")
+    return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))] if ordered else float("nan")
 
 
-def _format(values: list[float], digits: int) -> str:
-    """Return the mean over the seeds and half of the range between them."""
+def _format_mean(values: list[float], digits: int) -> str:
+    """Return the mean over the seeds and half of their range."""
     spread = (max(values) - min(values)) / 2
     return f"{statistics.fmean(values):.{digits}f}±{spread:.{digits}f}"
 
 
-def _format_kinds(tallies: list[routing.Tally], kinds: list[str]) -> str:
-    parts = []
+def _format_request_kinds(tallies: list[routing.Tally], kinds: list[str]) -> str:
+    columns = []
     for kind in kinds:
-        kept = [tally.done[kind] / max(1, tally.offered[kind]) for tally in tallies]
-        late = [_percentile(tally.latencies_ms.get(kind, []), 0.99) for tally in tallies]
-        parts.append(f"{kind} {100 * statistics.fmean(kept):.1f}% p99 {statistics.fmean(late):.0f}")
-    return "; ".join(parts)
+        done_shares = [tally.done[kind] / max(1, tally.offered[kind]) for tally in tallies]
+        p99_ms = [_percentile(tally.latencies_ms.get(kind, []), 0.99) for tally in tallies]
+        columns.append(
+            f"{kind} {100 * statistics.fmean(done_shares):.1f}% p99 {statistics.fmean(p99_ms):.0f}"
+        )
+    return "; ".join(columns)
 
 
 def run_routing(options: flags.FlagValues) -> None:
-    """Measure the routing variants."""
+    """Print the table of routing variants."""
     duration_ms = float(options.duration_ms)
     seeds = range(1, options.seeds + 1)
     print(
         f"routing: seeds 1 to {options.seeds}, {duration_ms / 1000:g} s each, ms, mean±half range"
     )
     cases = list(itertools.product(options.deployments, options.scenarios, options.variants))
-    tasks = [(*case, seed, duration_ms) for case in cases for seed in seeds]
+    runs = [(*case, seed, duration_ms) for case in cases for seed in seeds]
     with ProcessPoolExecutor(_PROCESSES) as pool:
-        results = pool.map(routing.run_one, *zip(*tasks, strict=True))
+        results = pool.map(routing.run_case, *zip(*runs, strict=True))
         head = f"{'deployment':10} {'scenario':11} {'variant':13}"
         print(
             f"{head} {'p50':>9} {'p99':>9} {'p99.9':>9} {'done/s':>9} {'refused %':>9} "
@@ -64,28 +66,34 @@
             done = [tally.done.total() / duration_ms * 1000 for tally in tallies]
             columns = [
                 *(
-                    _format([_percentile(one, p) for one in latencies], 0)
+                    _format_mean([_percentile(values, p) for values in latencies], 0)
                     for p in (0.5, 0.99, 0.999)
                 ),
-                _format(done, 0),
-                _format(_parts([tally.refused.total() for tally in tallies], offered), 1),
-                _format(_parts([tally.retries for tally in tallies], offered), 1),
-                _format(_parts([tally.borrows for tally in tallies], offered), 1),
+                _format_mean(done, 0),
+                _format_mean(
+                    _compute_percentages([tally.refused.total() for tally in tallies], offered), 1
+                ),
+                _format_mean(
+                    _compute_percentages([tally.retries for tally in tallies], offered), 1
+                ),
+                _format_mean(
+                    _compute_percentages([tally.borrows for tally in tallies], offered), 1
+                ),
             ]
             row = " ".join(f"{column:>9}" for column in columns)
-            kinds = _format_kinds(tallies, list(routing.DEPLOYMENTS[deployment].mix))
+            kinds = _format_request_kinds(tallies, list(routing.DEPLOYMENTS[deployment].mix))
             print(f"{deployment:10} {scenario:11} {variant:13} {row}  {kinds}", flush=True)
 
 
 def run_lending(options: flags.FlagValues) -> None:
-    """Show how fast unused shares are lent to a flood of 2 s and taken back."""
+    """Print how fast a 2 s flood borrows unused shares and how fast they are reclaimed."""
     duration_ms = 4_000.0
     print(f"lending: flood from 0 to 2 s, seeds 1 to {options.seeds}, chosen, done/s by time (s)")
     steps = range(int(duration_ms / routing.STEP_MS))
     print(f"{'':22}" + "".join(f"{step * routing.STEP_MS / 1000:>7.1f}" for step in steps))
     for deployment in options.deployments:
         tallies = [
-            routing.run_one(deployment, "short flood", "chosen", seed, duration_ms)
+            routing.run_case(deployment, "short flood", "chosen", seed, duration_ms)
             for seed in range(1, options.seeds + 1)
         ]
         for kind in routing.DEPLOYMENTS[deployment].mix:
@@ -97,7 +105,7 @@
             print(f"{deployment:10} {kind:11}" + "".join(f"{rate:>7.0f}" for rate in rates))
 
 
-def _parts(counts: list[int], totals: list[int]) -> list[float]:
+def _compute_percentages(counts: list[int], totals: list[int]) -> list[float]:
     return [100 * count / max(1, total) for count, total in zip(counts, totals, strict=True)]
 
 
@@ -106,7 +114,7 @@
     placement.main([f"--seeds={options.seeds}"])
 
 
-# Sections by name; each prints one table.
+# Sections by name.
 SECTIONS: dict[str, Callable[[flags.FlagValues], None]] = {
     "routing": run_routing,
     "lending": run_lending,
@@ -120,16 +128,18 @@
         if name not in SECTIONS:
             print(f"unknown section {name}; sections: {', '.join(SECTIONS)}", file=sys.stderr)
             return 2
-        began = time.monotonic()
+        started_s = time.monotonic()
         SECTIONS[name](options)
-        print(f"{name} took {time.monotonic() - began:.0f} s")
+        print(f"{name} took {time.monotonic() - started_s:.0f} s")
     return 0
 
 
 if __name__ == "__main__":
     flags.DEFINE_integer("seeds", 3, "Seeds for each combination.", lower_bound=1)
-    flags.DEFINE_integer("duration_ms", 4_000, "Virtual time after the warm-up.", lower_bound=100)
-    flags.DEFINE_list("deployments", list(routing.DEPLOYMENTS), "Deployments.")
-    flags.DEFINE_list("scenarios", list(routing.TABLE_SCENARIOS), "Scenarios.")
-    flags.DEFINE_list("variants", list(_DEFAULT_VARIANTS), "Variants.")
+    flags.DEFINE_integer(
+        "duration_ms", 4_000, "Virtual time after the warm-up, in ms.", lower_bound=100
+    )
+    flags.DEFINE_list("deployments", list(routing.DEPLOYMENTS), "Deployments to simulate.")
+    flags.DEFINE_list("scenarios", list(routing.TABLE_SCENARIOS), "Scenarios to simulate.")
+    flags.DEFINE_list("variants", list(_DEFAULT_VARIANTS), "Routing variants to compare.")
     sys.exit(app.run(_run))
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,4 +1,4 @@
-"""Slopes behind docs/CAPACITY.md: ``make capacity`` prints the tables of that page."""
+"""Measurements for docs/CAPACITY.md; ``make capacity`` prints the tables of that page."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 def _run(_: list[str]) -> int:
-    began = time.monotonic()
+    started_s = time.monotonic()
     slopes = [
         *_logic.measure_shard((5, 20, 40, 160)),
         *_logic.measure_router((24, 300, 1_200, 4_700)),
@@ -27,10 +27,10 @@
         slopes += anyio.run(_daemons.measure_peers, (1, 2, 4, 7))
         slopes += anyio.run(_daemons.measure_workers, (8, 24, 48, 96))
     print(format_slopes(slopes))
-    print(f"took {time.monotonic() - began:.0f} s")
+    print(f"took {time.monotonic() - started_s:.0f} s")
     return 0
 
 
 if __name__ == "__main__":
-    flags.DEFINE_bool("processes", True, "Measure real daemons too.")
+    flags.DEFINE_bool("processes", True, "Also measure real daemon processes.")
     sys.exit(app.run(_run))
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -1,7 +1,7 @@
-"""Processor time of control at several sizes: dispatcher and shard owner.
+"""Processor time of the dispatcher and a shard owner at several sizes.
 
-Everything runs; an idle second changes nothing, in a busy one tasks end and as many start. JSON
-and HTTP are left out.
+All declared tasks are running. Nothing changes in an idle second; in a busy second some tasks end
+and the same number start. JSON and HTTP are not included.
 """
 
 from __future__ import annotations
@@ -28,24 +28,24 @@
 from coltsfootpier.records import VersionedRecord
 from coltsfootpier.workers import SyncReply, TaskReport
 
-# Tasks, teams and workers: a deployment of today, two steps between, and the target.
+# Tasks, teams and workers: a current deployment, two intermediate sizes, and the target size.
 SIZES = ((100, 4, 24), (1_000, 10, 80), (5_000, 30, 250), (13_100, 67, 650))
 _WORKERS_PER_SHARD = 8
-# Task starts in a busy second at the target.
+# Task starts in a busy second at the target size.
 STARTS = 53
 
 
 def commit(record: VersionedRecord) -> None:
-    """Carry out the next write of a record, as a store that is up would."""
+    """Commit the pending write of a record, as an available store would."""
     write = record.begin_write()
     if write is not None:
         record.confirm(write.expected_version + 1)
 
 
 def build_declaration(tasks: int, teams: int) -> Declaration:
-    """Build teams with one service and jobs each; about a third of the tasks are runners."""
-    per_team = tasks // teams
-    runners = per_team * 36 // 100
+    """Build teams with one service and four jobs each; about 36 % of the tasks are runners."""
+    tasks_per_team = tasks // teams
+    runners = tasks_per_team * 36 // 100
     size = {"cores": 0.5, "memory_mb": 500, "accelerators": 0}
     declaration = Declaration.empty()
     for index in range(teams):
@@ -64,12 +64,12 @@
             depends_on=(),
             **size,
         )
-        for part in range(4):
-            name = f"j{index}-{part}"
+        for part_index in range(4):
+            name = f"j{index}-{part_index}"
             declaration.jobs[name] = Job(
                 name=name,
                 team=team,
-                tasks=(per_team - runners) // 4,
+                tasks=(tasks_per_team - runners) // 4,
                 run_time_ms=60_000.0,
                 priority="normal",
                 checkpointing=True,
@@ -81,7 +81,7 @@
 
 
 class Fleet:
-    """A dispatcher with all its tasks running; shards are represented by their answers."""
+    """Dispatcher whose tasks are all running; shard owners are replaced by generated replies."""
 
     def __init__(self, tasks: int, teams: int, workers: int) -> None:
         self.clock = VirtualClock()
@@ -94,15 +94,18 @@
         }
         self._rng = random.Random(1)
         self.dispatcher.observe_shards(dict.fromkeys(self._workers, 1))
-        self._held: dict[str, dict[str, AttemptState]] = {shard: {} for shard in self._workers}
+        self._attempts: dict[str, dict[str, AttemptState]] = {shard: {} for shard in self._workers}
         self.dispatcher.observe_declaration(1, build_declaration(tasks, teams))
         for _ in range(200):
-            self.turn()
-            if len([1 for held in self._held.values() for _ in held]) >= tasks * 95 // 100:
+            self.run_round()
+            if (
+                len([1 for attempts in self._attempts.values() for _ in attempts])
+                >= tasks * 95 // 100
+            ):
                 break
 
-    def turn(self) -> None:
-        """Let a period pass with an exchange with each shard."""
+    def run_round(self) -> None:
+        """Advance the clock by one period and exchange with each shard."""
         self.clock.advance(1_000.0)
         self.dispatcher.step()
         for record in self.dispatcher.ledger.records:
@@ -111,21 +114,21 @@
             self.exchange(shard)
 
     def exchange(self, shard: str, *, full: bool = True) -> None:
-        """Send the next step to a shard and take its answer."""
+        """Apply the next request to a shard and pass its reply to the dispatcher."""
         request = self.dispatcher.next_request(shard, regular=True)
-        held = self._held[shard]
+        attempts = self._attempts[shard]
         names = self._workers[shard]
         for item in request.assign:
-            worker = names[len(held) % len(names)]
-            held[item.task] = AttemptState(
+            worker = names[len(attempts) % len(names)]
+            attempts[item.task] = AttemptState(
                 task=item.task, attempt=item.attempt, state="running", worker=worker
             )
         self.dispatcher.observe_reply(self.build_reply(shard, request.sequence, full=full))
 
     def build_reply(self, shard: str, sequence: int, *, full: bool = True) -> ExchangeReply:
-        """Build a shard's answer: workers of 16 cores with tasks of half a core."""
-        held = self._held[shard]
-        free = 16.0 - 0.5 * len(held) / _WORKERS_PER_SHARD
+        """Build a shard's reply: workers of 16 cores with tasks of half a core."""
+        attempts = self._attempts[shard]
+        free = 16.0 - 0.5 * len(attempts) / _WORKERS_PER_SHARD
         workers = tuple(
             WorkerCapacity(
                 worker=name,
@@ -135,7 +138,7 @@
                 memory_mb=60_000,
                 accelerators=0,
                 free_cores=free,
-                free_memory_mb=60_000 - 500 * len(held) // _WORKERS_PER_SHARD,
+                free_memory_mb=60_000 - 500 * len(attempts) // _WORKERS_PER_SHARD,
                 free_accelerators=0,
             )
             for name in self._workers[shard]
@@ -144,21 +147,21 @@
             shard=shard,
             shard_epoch=1,
             sequence=sequence,
-            states=tuple(held.values()) if full else (),
+            states=tuple(attempts.values()) if full else (),
             workers=workers if full else (),
             full=full,
         )
 
     def replace_tasks(self, count: int) -> None:
-        """Let a second pass in which tasks end and as many start, in four steps."""
+        """Simulate a second, in four steps, in which `count` tasks end and as many start."""
         shards = list(self._workers)
         for _ in range(4):
             self.clock.advance(250.0)
             ended: dict[str, list[AttemptState]] = {}
             for _ in range(count // 4):
                 shard = self._rng.choice(shards)
-                task = self._rng.choice(list(self._held[shard]))
-                ended.setdefault(shard, []).append(self._held[shard].pop(task))
+                task = self._rng.choice(list(self._attempts[shard]))
+                ended.setdefault(shard, []).append(self._attempts[shard].pop(task))
             for shard, states in ended.items():
                 request = self.dispatcher.next_request(shard, regular=True)
                 reply = self.build_reply(shard, request.sequence, full=False)
@@ -174,36 +177,36 @@
             for shard in shards:
                 request = self.dispatcher.next_request(shard, regular=False)
                 if request is not None:
-                    self._start(shard, request)
+                    self._start_assigned(shard, request)
 
-    def _start(self, shard: str, request: ExchangeRequest) -> None:
+    def _start_assigned(self, shard: str, request: ExchangeRequest) -> None:
         names = self._workers[shard]
         started = tuple(
             AttemptState(
                 task=item.task,
                 attempt=item.attempt,
                 state="running",
-                worker=names[len(self._held[shard]) % len(names)],
+                worker=names[len(self._attempts[shard]) % len(names)],
             )
             for item in request.assign
         )
-        self._held[shard].update((state.task, state) for state in started)
+        self._attempts[shard].update((state.task, state) for state in started)
         reply = self.build_reply(shard, request.sequence, full=False)
         self.dispatcher.observe_reply(attrs.evolve(reply, states=started))
 
     def poll(self) -> None:
-        """Ask for the next step of each shard without a regular one being due."""
+        """Query the next request for each shard while no regular request is due."""
         for shard in self._workers:
             self.dispatcher.next_request(shard, regular=False)
 
-    def reply(self) -> None:
-        """Take a regular answer without changes from each shard."""
+    def exchange_unchanged(self) -> None:
+        """Process a regular reply without changes from each shard."""
         for shard in self._workers:
             self.exchange(shard, full=False)
 
 
 def build_shard(tasks: int) -> ShardState:
-    """Build the owner of a shard of 8 workers that run tasks."""
+    """Build the owner of a shard with 8 workers that run `tasks` tasks."""
     clock = VirtualClock()
     shard = ShardState(
         shard="r1",
@@ -238,7 +241,7 @@
 
 
 def build_worker_reply(shard: ShardState, worker: str) -> SyncReply:
-    """Build the report of a worker that runs all that it was given."""
+    """Build the reply of a worker that runs all tasks placed on it."""
     return SyncReply(
         worker=worker,
         incarnation="i1",
@@ -254,37 +257,37 @@
 
 
 def measure_ms(call: Callable[[], object], *, repeats: int) -> float:
-    """Return the mean processor time of a call in ms, the best of three series."""
+    """Return the mean processor time of a call in ms, the lowest of three series."""
     series = []
     for _ in range(3):
-        began = time.process_time()
+        started_s = time.process_time()
         for _ in range(repeats):
             call()
-        series.append((time.process_time() - began) * 1000 / repeats)
+        series.append((time.process_time() - started_s) * 1000 / repeats)
     return min(series)
 
 
 @attrs.frozen
 class Cost:
-    """Processor time in ms of a size, each for one call over all shards."""
+    """Processor time in ms at one size; `step` to `busy_second` cover all shards."""
 
     tasks: int
     workers: int
     step: float
     poll: float
     exchanges: float
-    busy: float
+    busy_second: float
     plan_sync: float
     observe_reply: float
 
     @property
-    def second(self) -> float:
-        """Dispatcher's processor time in ms for a second in which nothing changes."""
+    def idle_second(self) -> float:
+        """Processor time of the dispatcher in ms for a second in which nothing changes."""
         return 4 * (self.step + self.poll) + self.exchanges
 
 
 def measure(tasks: int, teams: int, workers: int) -> Cost:
-    """Measure one size."""
+    """Measure the costs at one size."""
     fleet = Fleet(tasks, teams, workers)
     shard = build_shard(tasks * _WORKERS_PER_SHARD // workers)
     reply = build_worker_reply(shard, "w0")
@@ -293,8 +296,8 @@
         workers=workers,
         step=measure_ms(fleet.dispatcher.step, repeats=5),
         poll=measure_ms(fleet.poll, repeats=3),
-        exchanges=measure_ms(fleet.reply, repeats=3),
-        busy=measure_ms(lambda: fleet.replace_tasks(STARTS), repeats=5),
+        exchanges=measure_ms(fleet.exchange_unchanged, repeats=3),
+        busy_second=measure_ms(lambda: fleet.replace_tasks(STARTS), repeats=5),
         plan_sync=measure_ms(
             lambda: shard.plan_sync("w0", may_start=True, may_renew_batch=True), repeats=200
         ),
@@ -303,14 +306,14 @@
 
 
 def main() -> int:
-    """Print a table."""
+    """Print the table of costs and return the exit code."""
     print("| tasks | workers | step | next_request, all shards | exchange, all shards |", end="")
     print(f" idle second | second with {STARTS} starts |", end="")
     print(" plan_sync, a worker | observe_reply, a worker |")
     print("|" + "---|" * 9)
     for size in SIZES:
         cost = measure(*size)
-        values = (cost.step, cost.poll, cost.exchanges, cost.second, cost.busy)
+        values = (cost.step, cost.poll, cost.exchanges, cost.idle_second, cost.busy_second)
         cells = " | ".join(f"{value:.2f}" for value in values)
         worker = f"{cost.plan_sync:.3f} | {cost.observe_reply:.3f}"
         print(f"| {cost.tasks} | {cost.workers} | {cells} | {worker} |", flush=True)
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,4 +1,4 @@
-"""Fake workers on a virtual clock under the real dispatcher and shard owners."""
+"""Fake workers on a virtual clock, scheduled by the real dispatcher and shard owners."""
 
 from __future__ import annotations
 
@@ -17,16 +17,16 @@
 from coltsfootpier.workers import Command, SyncReply, TaskReport
 
 TICK_MS = 500.0
-_SYNC_MS = 1_000.0
-_LAG_MS = 3_000.0
-_CHECKPOINT_MS = 30_000.0
-# Time for which a worker that stopped answering stays on the platform's list.
-_LIST_LAG_MS = 10_000.0
+_SYNC_PERIOD_MS = 1_000.0
+_MEASUREMENT_LAG_MS = 3_000.0
+_CHECKPOINT_PERIOD_MS = 30_000.0
+# Time for which the platform still lists a worker that stopped responding.
+_VM_LIST_LAG_MS = 10_000.0
 
 
 @attrs.define
 class Attempt:
-    """One attempt on a fake worker."""
+    """Attempt of a task on a fake worker."""
 
     command: Command
     run_time_ms: float
@@ -41,7 +41,7 @@
 
 @attrs.define
 class Totals:
-    """What happened in one run; work is in core seconds."""
+    """Totals of one simulation; `finished` and `wasted` are in core seconds."""
 
     finished: Counter[str] = attrs.field(factory=Counter)
     wasted: float = 0.0
@@ -50,16 +50,16 @@
     slowdowns: list[float] = attrs.field(factory=list)
     runners: list[int] = attrs.field(factory=list)
     overcommits: int = 0
-    doubles: int = 0
+    duplicate_runs: int = 0
 
 
 class FakeWorker:
-    """Runs tasks as numbers: progress, pairwise slowdown, late measurements.
+    """Worker that simulates progress, pairwise slowdown and delayed measurements of tasks.
 
     Parameters
     ----------
     harm : callable
-        Returns the excess slowdown that a task of the second kind adds to one of the first.
+        Returns the excess slowdown that a task of the second kind causes to one of the first.
     """
 
     def __init__(
@@ -68,73 +68,73 @@
         *,
         clock: VirtualClock,
         rng: random.Random,
-        harm: Callable[[str, str], float],
+        interference: Callable[[str, str], float],
         totals: Totals,
         cores: float = 16.0,
         memory_mb: int = 60_000,
     ) -> None:
         self.vm = vm
         self.attempts: dict[tuple[str, int], Attempt] = {}
-        self.is_cut = False
-        self.fails = False
-        self._size = (cores, memory_mb)
+        self.is_disconnected = False
+        self.fails_starts = False
+        self._capacity = (cores, memory_mb)
         self._clock = clock
         self._rng = rng
-        self._harm = harm
+        self._interference = interference
         self._totals = totals
 
     def sync(self, commands: tuple[Command, ...]) -> SyncReply:
-        """Carry out commands and report."""
+        """Execute commands and return the state of all attempts."""
         now_ms = self._clock.now_ms()
         for command in commands:
-            self._carry_out(command, now_ms)
+            self._execute(command, now_ms)
         return SyncReply(
             worker=self.vm.name,
             incarnation=f"{self.vm.name}/1",
             now_ms=now_ms,
-            cores=self._size[0],
-            memory_mb=self._size[1],
-            tasks=tuple(self._report(key, item) for key, item in self.attempts.items()),
+            cores=self._capacity[0],
+            memory_mb=self._capacity[1],
+            tasks=tuple(self._build_report(key, item) for key, item in self.attempts.items()),
         )
 
     def advance(self) -> None:
-        """Let the tasks run for one tick."""
+        """Advance all running tasks by one tick."""
         now_ms = self._clock.now_ms()
         running = [item for item in self.attempts.values() if item.state == "running"]
         for item in running:
             spec = item.command.spec
             excess = sum(
-                self._harm(spec.declared, other.command.spec.declared) * other.share
+                self._interference(spec.declared, other.command.spec.declared) * other.share
                 for other in running
                 if other is not item
             )
             slowdown = 1.0 + excess
             item.slowdowns.append((now_ms, slowdown * self._rng.uniform(0.95, 1.05)))
-            while len(item.slowdowns) > 1 and item.slowdowns[1][0] <= now_ms - _LAG_MS:
+            while len(item.slowdowns) > 1 and item.slowdowns[1][0] <= now_ms - _MEASUREMENT_LAG_MS:
                 item.slowdowns.popleft()
             if now_ms >= item.lease_until_ms:
-                self._end(item, "expired")
+                self._end_attempt(item, "expired")
             elif spec.kind == "service":
                 self._totals.slowdowns.append(slowdown)
             else:
                 item.progress_ms += TICK_MS * item.share / slowdown
-                if spec.checkpointing and item.progress_ms - item.saved_ms >= _CHECKPOINT_MS:
+                if spec.checkpointing and item.progress_ms - item.saved_ms >= _CHECKPOINT_PERIOD_MS:
                     item.saved_ms = item.progress_ms
                 if item.progress_ms >= item.run_time_ms:
-                    self._end(item, "done")
+                    self._end_attempt(item, "done")
 
-    def lose(self) -> None:
-        """Stop everything without a trace."""
+    def crash(self) -> None:
+        """End all running attempts as lost and stop responding."""
         for item in self.attempts.values():
             if item.state == "running":
-                self._end(item, "lost")
-        self.is_cut = True
+                self._end_attempt(item, "lost")
+        self.is_disconnected = True
 
-    def _carry_out(self, command: Command, now_ms: float) -> None:
+    def _execute(self, command: Command, now_ms: float) -> None:
         key = (command.task, command.attempt)
         item = self.attempts.get(key)
         if command.kind == "start" and item is None and now_ms < command.expires_at_ms:
-            self._start(key, command, now_ms)
+            self._start_attempt(key, command, now_ms)
         elif item is None:
             return
         elif command.kind == "renew":
@@ -143,29 +143,29 @@
             item.share = command.share
         elif command.kind == "stop" and item.state == "running":
             self._totals.evictions += item.command.spec.kind == "batch"
-            self._end(item, "stopped")
+            self._end_attempt(item, "stopped")
         elif command.kind == "forget" and item.state == "ended":
             del self.attempts[key]
 
-    def _start(self, key: tuple[str, int], command: Command, now_ms: float) -> None:
+    def _start_attempt(self, key: tuple[str, int], command: Command, now_ms: float) -> None:
         spec = command.spec
-        # Declared run times are off by up to a factor of two either way.
+        # Declared run times differ from the actual ones by up to a factor of two either way.
         factor = 2.0 ** random.Random(f"{command.task}").uniform(-1.0, 1.0)
         saved_ms = float(command.checkpoint or 0.0)
         item = Attempt(
             command, spec.run_time_ms * factor, command.lease_until_ms, saved_ms, saved_ms
         )
         self.attempts[key] = item
-        if self.fails:
-            self._end(item, "failed")
+        if self.fails_starts:
+            self._end_attempt(item, "failed")
             return
         self._totals.started_ms.setdefault(command.task, now_ms)
         used = sum(
             other.command.spec.cores for other in self.attempts.values() if other.state == "running"
         )
-        self._totals.overcommits += used > self._size[0] + 1e-6
+        self._totals.overcommits += used > self._capacity[0] + 1e-6
 
-    def _end(self, item: Attempt, outcome: str) -> None:
+    def _end_attempt(self, item: Attempt, outcome: str) -> None:
         spec = item.command.spec
         item.state, item.outcome = "ended", outcome
         if spec.kind == "service" or outcome == "failed":
@@ -173,10 +173,10 @@
         if outcome == "done":
             self._totals.finished[spec.declared] += item.run_time_ms * spec.cores / 1000
         else:
-            lost_ms = item.progress_ms - item.saved_ms
-            self._totals.wasted += lost_ms * spec.cores / 1000
+            unsaved_ms = item.progress_ms - item.saved_ms
+            self._totals.wasted += unsaved_ms * spec.cores / 1000
 
-    def _report(self, key: tuple[str, int], item: Attempt) -> TaskReport:
+    def _build_report(self, key: tuple[str, int], item: Attempt) -> TaskReport:
         spec = item.command.spec
         measured_at_ms, slowdown = item.slowdowns[0]
         return TaskReport(
@@ -194,14 +194,16 @@
 
 
 class Fleet:
-    """Three racks in three zones with 8 workers each, their owners and the dispatcher.
+    """Dispatcher, and three shard owners for a rack of 8 workers in each availability zone.
 
     Parameters
     ----------
     build_policy : callable
-        Returns the policy of a shard owner; None for the default.
+        Returns the placement policy of a shard owner; None selects the default policy.
     acts : bool
         Whether batch tasks may be evicted and throttled.
+    interference : callable
+        Passed to each `FakeWorker`.
     """
 
     def __init__(
@@ -209,18 +211,18 @@
         *,
         seed: int,
         build_policy: Callable[[], PlacementPolicy] | None,
-        acts: bool,
-        harm: Callable[[str, str], float],
+        may_preempt: bool,
+        interference: Callable[[str, str], float],
     ) -> None:
         self.clock = VirtualClock()
         self.totals = Totals()
         rng = random.Random(seed)
         ledger = Ledger(epoch=1, writer="m1")
         ledger.load(())
-        self.dispatcher = Dispatcher(clock=self.clock, ledger=ledger, evicts=acts)
+        self.dispatcher = Dispatcher(clock=self.clock, ledger=ledger, evicts=may_preempt)
         self.workers: dict[str, FakeWorker] = {}
         self.shards: dict[str, ShardState] = {}
-        self._removed: dict[str, float] = {}
+        self._unlisted_from_ms: dict[str, float] = {}
         self._revision = 0
         self.store_writes = 0
         for number in range(3):
@@ -233,7 +235,7 @@
                 worker_lease_ms=20_000.0,
                 hold_over_ms=1_800_000.0,
                 policy=build_policy() if build_policy else None,
-                reacts=acts,
+                reacts=may_preempt,
             )
             self.shards[shard].load()
             self.shards[shard].retire_previous_owner()
@@ -246,40 +248,40 @@
                     address="127.0.0.1:1",
                 )
                 self.workers[vm.name] = FakeWorker(
-                    vm, clock=self.clock, rng=rng, harm=harm, totals=self.totals
+                    vm, clock=self.clock, rng=rng, interference=interference, totals=self.totals
                 )
         self.dispatcher.observe_shards(dict.fromkeys(self.shards, 1))
 
     def declare(self, declaration: Declaration) -> None:
-        """Put a declaration in force."""
+        """Apply a declaration as a new revision."""
         self._revision += 1
         self.dispatcher.observe_declaration(self._revision, declaration)
 
-    def lose_zone(self, shard: str) -> None:
-        """Lose all workers of a rack, and with it of its zone."""
+    def crash_zone(self, shard: str) -> None:
+        """Crash all workers of a rack, which are all workers of its availability zone."""
         for worker in self.workers.values():
             if worker.vm.rack == shard:
-                worker.lose()
-                self._removed[worker.vm.name] = self.clock.now_ms() + _LIST_LAG_MS
+                worker.crash()
+                self._unlisted_from_ms[worker.vm.name] = self.clock.now_ms() + _VM_LIST_LAG_MS
 
-    def tick(self) -> None:
-        """Let one tick pass."""
+    def run_tick(self) -> None:
+        """Advance the fleet by one tick."""
         self.clock.advance(TICK_MS)
         now_ms = self.clock.now_ms()
         for worker in self.workers.values():
-            if not worker.is_cut:
+            if not worker.is_disconnected:
                 worker.advance()
         self._count_runners()
-        is_second = now_ms % _SYNC_MS < TICK_MS
+        is_sync_tick = now_ms % _SYNC_PERIOD_MS < TICK_MS
         for name, shard in self.shards.items():
-            if is_second:
+            if is_sync_tick:
                 shard.observe_vms(self._list_vms(name, now_ms))
                 shard.check_leases()
                 shard.place()
             for worker in list(shard.workers):
-                if is_second or shard.has_unstarted(worker):
+                if is_sync_tick or shard.has_unstarted(worker):
                     request = shard.plan_sync(worker, may_start=True, may_renew_batch=True)
-                    if not self.workers[worker].is_cut:
+                    if not self.workers[worker].is_disconnected:
                         reply = self.workers[worker].sync(request.commands)
                         shard.observe_reply(worker, reply)
             shard.check_capacity()
@@ -288,7 +290,7 @@
         for record in self.dispatcher.ledger.records:
             self._commit(record)
         for name, shard in self.shards.items():
-            request = self.dispatcher.next_request(name, regular=is_second)
+            request = self.dispatcher.next_request(name, regular=is_sync_tick)
             if request is None or shard.receive(request) is not None:
                 continue
             self._commit(shard.record)
@@ -301,13 +303,13 @@
     def _count_runners(self) -> None:
         running: set[str] = set()
         for worker in self.workers.values():
-            if worker.is_cut:
+            if worker.is_disconnected:
                 continue
             for (task, _), item in worker.attempts.items():
                 if item.state != "running":
                     continue
                 if task in running and item.command.spec.kind == "batch":
-                    self.totals.doubles += 1
+                    self.totals.duplicate_runs += 1
                 running.add(task)
         self.totals.runners.append(sum(task.startswith("service/") for task in running))
 
@@ -315,7 +317,7 @@
         return [
             (
                 attrs.evolve(worker.vm, state="gone")
-                if now_ms >= self._removed.get(name, float("inf"))
+                if now_ms >= self._unlisted_from_ms.get(name, float("inf"))
                 else worker.vm
             )
             for name, worker in self.workers.items()
@@ -323,13 +325,18 @@
         ]
 
 
-def build_harm(truth: Mapping[tuple[str, str], float], clock: list[Fleet]) -> Callable:
-    """Return the excess slowdown of pairs; kinds named ``noisy`` come and go in waves."""
+def build_interference(
+    true_slowdowns: Mapping[tuple[str, str], float], fleets: list[Fleet]
+) -> Callable:
+    """Return a function for the excess slowdown of pairs of kinds.
 
-    def harm(kind: str, neighbour: str) -> float:
-        value = truth.get((kind, neighbour), 0.02)
-        if neighbour == "noisy" and clock and clock[0].clock.now_ms() % 60_000.0 < 30_000.0:
+    The excess slowdown by kind ``noisy`` triples during the first half of each minute.
+    """
+
+    def interference(kind: str, neighbour: str) -> float:
+        value = true_slowdowns.get((kind, neighbour), 0.02)
+        if neighbour == "noisy" and fleets and fleets[0].clock.now_ms() % 60_000.0 < 30_000.0:
             return 3 * value
         return value
 
-    return harm
+    return interference
--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -1,4 +1,4 @@
-"""Cost of the hop through a daemon, against the same callers straight to the runners."""
+"""Cost of the hop through a daemon, compared with direct calls to the runners."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 _FLAGS = flags.FLAGS
 _ZONE = "zone-a"
-_TEXT = """
+_DECLARATION = """
 [team t]
 cores = 64
 memory_mb = 64000
@@ -36,8 +36,8 @@
 
 
 @attrs.define(kw_only=True)
-class Load:
-    """What a number of callers measured."""
+class LoadResult:
+    """Results of a number of concurrent callers."""
 
     latencies_ms: list[float] = attrs.field(factory=list)
     failed: int = 0
@@ -50,13 +50,13 @@
 
     @property
     def rate(self) -> float:
-        """Return answers a second."""
+        """Return the number of successful responses per second."""
         return len(self.latencies_ms) / self.seconds
 
 
-async def run_load(ports: list[int], target: bytes, *, callers: int, seconds: float) -> Load:
-    """Send requests one after the other from several callers."""
-    load = Load()
+async def run_load(ports: list[int], target: bytes, *, callers: int, seconds: float) -> LoadResult:
+    """Send requests from concurrent callers, each waiting for its response before the next."""
+    load = LoadResult()
     clock = MonotonicClock()
     end = time.monotonic() + seconds
 
@@ -73,19 +73,19 @@
                 load.failed += 1
         await connection.close()
 
-    began = time.monotonic()
+    started_s = time.monotonic()
     async with anyio.create_task_group() as group:
         for index in range(callers):
             group.start_soon(run_caller, ports[index % len(ports)])
-    load.seconds = time.monotonic() - began
+    load.seconds = time.monotonic() - started_s
     return load
 
 
-async def _find_runners(cluster: Cluster) -> list[int]:
-    answer = await call(
+async def _list_runner_ports(cluster: Cluster) -> list[int]:
+    response = await call(
         cluster.daemons["entry-0"].ports["peers"], "POST", "/peer/v1/runners", body=b"{}"
     )
-    shards = answer.json().get("shards", ())
+    shards = response.json().get("shards", ())
     return [
         int(runner["address"].rpartition(":")[2])
         for shard in shards
@@ -94,7 +94,7 @@
 
 
 async def run() -> int:
-    """Measure and print a table."""
+    """Measure direct and forwarded requests and print a table."""
     cluster = Cluster(zones=(_ZONE,))
     try:
         cluster.start_platform()
@@ -104,14 +104,14 @@
         daemon = cluster.start_daemon("entry-0", _ZONE)
         await cluster.wait_ready()
         path = cluster.folder / "hop.ini"
-        path.write_text(_TEXT)
+        path.write_text(_DECLARATION)
         cluster.run_tool("apply", str(path), f"--daemon=127.0.0.1:{daemon.ports['operators']}")
 
-        async def running() -> bool:
-            return len(await _find_runners(cluster)) == 4
+        async def are_runners_published() -> bool:
+            return len(await _list_runner_ports(cluster)) == 4
 
-        await wait_for(running, timeout_s=30)
-        runners = await _find_runners(cluster)
+        await wait_for(are_runners_published, timeout_s=30)
+        runners = await _list_runner_ports(cluster)
         print("| callers | way | answers/s | p50 ms | p99 ms | failed | daemon ms/request |")
         print("|---|---|---|---|---|---|---|")
         for callers in (1, 4, 16):
@@ -124,9 +124,9 @@
                 seconds=_FLAGS.seconds,
             )
             cost_ms = (read_cpu_ms(daemon.handle.pid) - before_ms) / max(1, len(hop.latencies_ms))
-            for way, load, cost in (("direct", direct, ""), ("daemon", hop, f"{cost_ms:.2f}")):
+            for route, load, cost in (("direct", direct, ""), ("daemon", hop, f"{cost_ms:.2f}")):
                 print(
-                    f"| {callers} | {way} | {load.rate:.0f} | {load.percentile(0.5):.1f} | "
+                    f"| {callers} | {route} | {load.rate:.0f} | {load.percentile(0.5):.1f} | "
                     f"{load.percentile(0.99):.1f} | {load.failed} | {cost} |"
                 )
         return 0
@@ -139,6 +139,6 @@
 
 
 if __name__ == "__main__":
-    flags.DEFINE_float("seconds", 5.0, "Seconds for each row.")
+    flags.DEFINE_float("seconds", 5.0, "Duration of each measurement in seconds.")
     flags.DEFINE_float("service_ms", 5.0, "Service time of the runners in milliseconds.")
     sys.exit(app.run(_run))
--- a/benchmarks/permits.py
+++ b/benchmarks/permits.py
@@ -1,7 +1,7 @@
-"""Cost of a permit: latency and processor time of requests with and without one.
+"""Cost of a permit: latency and processor time of requests with and without a permit.
 
 Run with ``.venv/bin/python -m benchmarks.permits``. Three daemons, two workers and the
-stand-in of the platform run on loopback addresses; requests are sent one after another.
+stand-in for the platform run on loopback addresses; requests are sent sequentially.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 _REQUESTS = 400
 _RECORDS = 8_000
-_TEXT = """
+_DECLARATION = """
 [team a]
 cores = 64
 memory_mb = 64000
@@ -61,13 +61,15 @@
         timeout_ms=10_000,
         max_idle_ms=10_000,
     )
-    reply = result.unwrap()
-    if reply.status != 200:
-        raise RuntimeError(f"{kind} was answered {reply.status}: {reply.body[:200]!r}")
+    response = result.unwrap()
+    if response.status != 200:
+        raise RuntimeError(f"{kind} failed with status {response.status}: {response.body[:200]!r}")
     return (time.monotonic() - start) * 1000
 
 
-async def _measure_kind(cluster: Cluster, kind: str, round_: int) -> tuple[list[float], float]:
+async def _measure_kind(
+    cluster: Cluster, kind: str, round_number: int
+) -> tuple[list[float], float]:
     clock = MonotonicClock()
     connections = [
         Connection(host="127.0.0.1", port=daemon.ports["callers"], clock=clock, max_body=10_000)
@@ -75,7 +77,7 @@
     ]
     before_ms = _read_cpu_ms(cluster)
     latencies = [
-        await _send(connections[number % len(connections)], kind, f"{round_}/{kind}/{number}")
+        await _send(connections[number % len(connections)], kind, f"{round_number}/{kind}/{number}")
         for number in range(_REQUESTS)
     ]
     used_ms = _read_cpu_ms(cluster) - before_ms
@@ -95,7 +97,7 @@
             cluster.start_daemon(f"entry-{index}", zone)
         await cluster.wait_ready()
         path = cluster.folder / "text.ini"
-        path.write_text(_TEXT)
+        path.write_text(_DECLARATION)
         operators = cluster.daemons["entry-0"].ports["operators"]
         cluster.run_tool("apply", str(path), f"--daemon=127.0.0.1:{operators}")
 
@@ -104,9 +106,9 @@
 
         await wait_for(is_running, timeout_s=60)
         await anyio.sleep(5)
-        for round_ in range(3):
+        for round_number in range(3):
             for kind in ("read", "write"):
-                latencies, cpu_ms = await _measure_kind(cluster, kind, round_)
+                latencies, cpu_ms = await _measure_kind(cluster, kind, round_number)
                 cuts = statistics.quantiles(latencies, n=100)
                 print(
                     f"{kind}: p50 {cuts[49]:.2f} ms, p99 {cuts[98]:.2f} ms, "
@@ -116,7 +118,7 @@
         cluster.stop()
 
 
-def _fill(node: PermitNode) -> None:
+def _grant_permits(node: PermitNode) -> None:
     for number in range(_RECORDS):
         request = AcquirePermit(
             group="keys/0",
@@ -128,7 +130,7 @@
         )
         decision = node.decide(request)
         if not isinstance(decision, CopyFirst):
-            raise RuntimeError(f"not granted: {decision}")
+            raise RuntimeError(f"permit was not granted: {decision}")
         node.conclude(node.tables["keys/0"], decision.record, copied=True, was_alone=False)
 
 
@@ -148,18 +150,20 @@
 def _measure_decisions() -> None:
     node = _build_node()
     start = time.process_time()
-    _fill(node)
+    _grant_permits(node)
     used_us = (time.process_time() - start) * 1e6 / _RECORDS
     node = _build_node()
     tracemalloc.start()
-    _fill(node)
-    held = tracemalloc.get_traced_memory()[0] / _RECORDS
+    _grant_permits(node)
+    held_bytes = tracemalloc.get_traced_memory()[0] / _RECORDS
     tracemalloc.stop()
-    print(f"decision alone: {used_us:.0f} us for each grant, {held:.0f} bytes for each record")
+    print(
+        f"decision alone: {used_us:.0f} us for each grant, {held_bytes:.0f} bytes for each record"
+    )
 
 
 def main() -> int:
-    """Run the measurement and return the exit code."""
+    """Measure permit decisions and requests, and return the exit code."""
     _measure_decisions()
     anyio.run(_measure_cluster)
     return 0
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -1,6 +1,6 @@
-"""Placement policies side by side: the same seeds, loads and faults for each.
+"""Comparison of placement policies under the same seeds, loads and faults.
 
-Run with ``python -m benchmarks.placement``; ``--seeds`` and ``--minutes`` bound its time.
+Run with ``python -m benchmarks.placement``; ``--seeds`` and ``--minutes`` set its duration.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 
 import attrs
 
-from benchmarks.fleet import TICK_MS, Fleet, build_harm
+from benchmarks.fleet import TICK_MS, Fleet, build_interference
 from coltsfootpier.declaration import Declaration, parse
 from coltsfootpier.placement import FirstFit, PlacementPolicy, SpreadFit
 
@@ -25,31 +25,31 @@
 
 @attrs.frozen(kw_only=True)
 class Policy:
-    """A way to schedule.
+    """Placement policy with or without eviction.
 
     Parameters
     ----------
     build : callable, optional
-        Builds the policy of a shard owner; its default if not given.
+        Builds the placement policy of a shard owner; None selects the default policy.
     acts : bool
-        Whether batch tasks are evicted and throttled.
+        Whether batch tasks may be evicted and throttled.
     """
 
     name: str
     build: Callable[[], PlacementPolicy] | None = None
-    acts: bool = True
+    may_preempt: bool = True
 
 
 POLICIES = (
-    Policy(name="first fit", build=FirstFit, acts=False),
-    Policy(name="spread fit", build=SpreadFit, acts=False),
+    Policy(name="first fit", build=FirstFit, may_preempt=False),
+    Policy(name="spread fit", build=SpreadFit, may_preempt=False),
     Policy(name="chosen"),
 )
 
 
 @attrs.frozen(kw_only=True)
 class Deployment:
-    """Services of a deployment: name, runners and cores of each."""
+    """Services of a deployment (name, runners and cores per runner) and size of its batch tasks."""
 
     name: str
     services: tuple[tuple[str, int, int], ...]
@@ -57,20 +57,20 @@
 
     @property
     def free_cores(self) -> int:
-        """Cores beside the services."""
+        """Cores that the services leave free."""
         return _FLEET_CORES - sum(count * cores for _, count, cores in self.services)
 
 
 @attrs.frozen(kw_only=True)
 class Scenario:
-    """Load and faults.
+    """Load and faults of a simulation.
 
     Parameters
     ----------
     load : float
-        Offered batch work in relation to the cores beside the services.
+        Offered batch load relative to the cores that the services leave free.
     flood : str
-        Priority of a ten-fold flood by a team of its own; empty for none.
+        Priority of a flood at ten times the batch rate by a separate team; empty for none.
     """
 
     name: str
@@ -100,7 +100,7 @@
 
 @attrs.frozen(kw_only=True)
 class Outcome:
-    """Measured values of one run; work in core seconds, times in seconds."""
+    """Results of one simulation; work is in core seconds, times are in seconds."""
 
     finished: float
     kept: float
@@ -118,7 +118,7 @@
 def build_declaration(
     deployment: Deployment, scenario: Scenario, elapsed_s: float, kinds: tuple[str, ...]
 ) -> Declaration:
-    """Build the text at a time of a run: jobs grow by tasks as work arrives."""
+    """Build the declaration at a time of the simulation; arriving work adds tasks to the jobs."""
     lines = []
     for team, weight in (("services", 2), ("reports", 1), ("surge", 1)):
         lines += [f"[team {team}]", f"weight = {weight}", "cores = 400", "memory_mb = 2000000"]
@@ -126,7 +126,7 @@
         lines += [f"[service {name}]", "team = services", f"runners = {runners}"]
         lines += [f"cores = {cores}", "memory_mb = 2000", "latency_ms = 100", "priority = high"]
     rate = deployment.free_cores * scenario.load / (deployment.batch_cores * _RUN_TIME_S)
-    # The first work is there at the start, so that the load is reached at once.
+    # The work of one run time arrives at the start, so that the load is steady from then on.
     arrived = rate * (elapsed_s + _RUN_TIME_S)
     jobs = [(kind, "reports", "normal", arrived / len(kinds)) for kind in kinds]
     jobs.append(("urgent", "reports", "urgent", elapsed_s / _URGENT_EVERY_S))
@@ -149,22 +149,25 @@
     seed: int,
     minutes: float,
 ) -> Outcome:
-    """Run one scenario under one policy."""
+    """Simulate one scenario under one policy."""
     rng = random.Random(seed)
     kinds = ("noisy", "plain", "quiet") if scenario.waves else ("heavy", "plain", "quiet")
-    truth: dict[tuple[str, str], float] = {}
-    everything = [name for name, _, _ in deployment.services] + [*kinds, "urgent", "flood"]
-    for kind in everything:
-        for neighbour in everything:
-            truth[kind, neighbour] = rng.uniform(0.0, 0.04)
-        truth[kind, kinds[0]] = rng.uniform(0.1, 0.25)
-    holder: list[Fleet] = []
+    true_slowdowns: dict[tuple[str, str], float] = {}
+    all_kinds = [name for name, _, _ in deployment.services] + [*kinds, "urgent", "flood"]
+    for kind in all_kinds:
+        for neighbour in all_kinds:
+            true_slowdowns[kind, neighbour] = rng.uniform(0.0, 0.04)
+        true_slowdowns[kind, kinds[0]] = rng.uniform(0.1, 0.25)
+    fleets: list[Fleet] = []
     fleet = Fleet(
-        seed=seed, build_policy=policy.build, acts=policy.acts, harm=build_harm(truth, holder)
+        seed=seed,
+        build_policy=policy.build,
+        may_preempt=policy.may_preempt,
+        interference=build_interference(true_slowdowns, fleets),
     )
-    holder.append(fleet)
+    fleets.append(fleet)
     accepted_ms: dict[str, float] = {}
-    holes = rng.sample(sorted(fleet.workers), 2)
+    faulty_workers = rng.sample(sorted(fleet.workers), 2)
     ticks = int(minutes * 60_000 / TICK_MS)
     for tick in range(ticks):
         elapsed_s = tick * TICK_MS / 1000
@@ -175,66 +178,68 @@
                 for index in range(declaration.jobs["urgent"].tasks):
                     accepted_ms.setdefault(f"job/urgent/{index}", fleet.clock.now_ms())
         if elapsed_s == 60 and scenario.black_holes:
-            for name in holes:
-                fleet.workers[name].lose()
-                fleet.workers[name].is_cut = False
-                fleet.workers[name].fails = True
+            for name in faulty_workers:
+                fleet.workers[name].crash()
+                fleet.workers[name].is_disconnected = False
+                fleet.workers[name].fails_starts = True
         if elapsed_s == 90 and scenario.zone_lost:
-            fleet.lose_zone("r2")
-        fleet.tick()
+            fleet.crash_zone("r2")
+        fleet.run_tick()
     return summarise(fleet, deployment, accepted_ms)
 
 
 def summarise(fleet: Fleet, deployment: Deployment, accepted_ms: dict[str, float]) -> Outcome:
-    """Compute the values of one run.
+    """Compute the results of one simulation.
 
     Raises
     ------
     AssertionError
-        If a worker was overcommitted, or a batch task ran twice at a time.
+        If a worker was overcommitted, or a batch task ran twice at the same time.
     """
     totals = fleet.totals
-    if totals.overcommits or totals.doubles:
-        raise AssertionError(f"{totals.overcommits} overcommits, {totals.doubles} doubles")
+    if totals.overcommits or totals.duplicate_runs:
+        raise AssertionError(
+            f"{totals.overcommits} overcommits, {totals.duplicate_runs} duplicate runs"
+        )
     now_ms = fleet.clock.now_ms()
-    waits = [
-        (totals.started_ms.get(task, now_ms) - since_ms) / 1000
-        for task, since_ms in accepted_ms.items()
-        if task in totals.started_ms or now_ms - since_ms > 8_300
+    queueing_delays_s = [
+        (totals.started_ms.get(task, now_ms) - task_accepted_ms) / 1000
+        for task, task_accepted_ms in accepted_ms.items()
+        if task in totals.started_ms or now_ms - task_accepted_ms > 8_300
     ]
     expected = sum(count for _, count, _ in deployment.services)
-    settled = totals.runners[int(30_000 / TICK_MS) :]
+    runners_after_start = totals.runners[int(30_000 / TICK_MS) :]
     slowdowns = sorted(totals.slowdowns[len(totals.slowdowns) // 10 :])
-    entries = fleet.dispatcher.ledger.list_tasks("failed")
+    failed_tasks = fleet.dispatcher.ledger.list_tasks("failed")
     return Outcome(
         finished=sum(totals.finished.values()),
         kept=sum(work for kind, work in totals.finished.items() if kind != "flood"),
         evictions=totals.evictions,
         wasted=totals.wasted,
-        urgent_median=statistics.median(waits),
-        urgent_longest=max(waits),
-        urgent_late=sum(wait > 8.3 for wait in waits),
+        urgent_median=statistics.median(queueing_delays_s),
+        urgent_longest=max(queueing_delays_s),
+        urgent_late=sum(delay_s > 8.3 for delay_s in queueing_delays_s),
         slowdown=statistics.fmean(slowdowns),
         slowdown_p99=slowdowns[int(len(slowdowns) * 0.99)],
-        runner_gap=sum(expected - count for count in settled) * TICK_MS / 1000,
-        failed=len(entries),
+        runner_gap=sum(expected - count for count in runners_after_start) * TICK_MS / 1000,
+        failed=len(failed_tasks),
     )
 
 
 def format_values(outcomes: list[Outcome]) -> str:
-    """Return mean and, where seeds differ, half the range of each value."""
+    """Return the mean of each value and, where seeds differ, half of its range."""
     cells = []
     for field in attrs.fields(Outcome):
         values = [getattr(outcome, field.name) for outcome in outcomes]
         digits = 2 if field.name.startswith("slowdown") else 1 if "urgent" in field.name else 0
-        half = (max(values) - min(values)) / 2
-        spread = f" ±{half:.{digits}f}" if round(half, digits) else ""
+        half_range = (max(values) - min(values)) / 2
+        spread = f" ±{half_range:.{digits}f}" if round(half_range, digits) else ""
         cells.append(f"{statistics.fmean(values):.{digits}f}{spread}")
     return " | ".join(cells)
 
 
 def main(arguments: list[str] | None = None) -> int:
-    """Print one table and return the exit code."""
+    """Print the table of policies and return the exit code."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seeds", type=int, default=2)
     parser.add_argument("--minutes", type=float, default=3.0)
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -1,4 +1,4 @@
-"""Routing on a virtual clock: the real `Router` of seven daemons with small fakes around it."""
+"""Simulation of routing on a virtual clock: seven real `Router` objects and fake runners."""
 
 from __future__ import annotations
 
@@ -42,30 +42,30 @@
 _DAEMON_ZONES = "aaabbcc"
 _RUNNERS = 24
 _SLOTS = 8
-_NEAR_MS = 0.25
-# Handling of one message between daemons.
-_CALL_MS = 0.5
-_HEARTBEAT_MS = 1_000.0
-_SUSPECT_MS = 3_000.0
-# Longest wait of a borrowing request at a peer.
-_BORROW_MS = 500.0
-_WARM_MS = 2_000.0
+_SAME_ZONE_DELAY_MS = 0.25
+# Processing time of one message between daemons.
+_PEER_CALL_MS = 0.5
+_HEARTBEAT_PERIOD_MS = 1_000.0
+_FAILURE_DETECTION_MS = 3_000.0
+# Time-out of a borrowing request in the queue of a peer.
+_BORROW_TIMEOUT_MS = 500.0
+_WARM_UP_MS = 2_000.0
 STEP_MS = 500.0
-# Slowdown of a runner by its own load and by its noisy neighbours.
+# Slowdown of a runner by its own load and by noisy neighbours.
 _LOAD_SLOWDOWN = 0.3
 _NOISY_SLOWDOWN = 1.8
-_NOISY_PART = 0.2
-_NOISY_MS = 2_000.0
+_NOISY_SHARE = 0.2
+_NOISE_PERIOD_MS = 2_000.0
 
 
 @attrs.frozen(kw_only=True)
 class Deployment:
-    """One deployment of section 1 of the design page; times in milliseconds."""
+    """Deployment of section 1 of the design page; times are in milliseconds."""
 
-    text: str
+    declaration_file: str
     service: str
-    zone_ms: float
-    client_ms: float
+    cross_zone_delay_ms: float
+    client_delay_ms: float
     service_ms: float
     deadline_ms: float
     mix: dict[str, float]
@@ -74,17 +74,17 @@
 
     @property
     def capacity_per_ms(self) -> float:
-        """Requests that all runners complete, with the slowdowns of full load."""
-        slowdown = (1 + _LOAD_SLOWDOWN) * (1 + _NOISY_PART * (_NOISY_SLOWDOWN - 1))
+        """Requests per ms that all runners complete at full load, including the slowdowns."""
+        slowdown = (1 + _LOAD_SLOWDOWN) * (1 + _NOISY_SHARE * (_NOISY_SLOWDOWN - 1))
         return _RUNNERS * _SLOTS / (self.service_ms * slowdown)
 
 
 DEPLOYMENTS = {
     "riga": Deployment(
-        text="riga.ini",
+        declaration_file="riga.ini",
         service="sign",
-        zone_ms=4.0,
-        client_ms=3.0,
+        cross_zone_delay_ms=4.0,
+        client_delay_ms=3.0,
         service_ms=60.0,
         deadline_ms=500.0,
         mix={"count": 0.6, "guidance": 0.3, "report": 0.1},
@@ -92,10 +92,10 @@
         most_urgent="count",
     ),
     "waitaha": Deployment(
-        text="waitaha.ini",
+        declaration_file="waitaha.ini",
         service="smoke-map",
-        zone_ms=3.0,
-        client_ms=3.0,
+        cross_zone_delay_ms=3.0,
+        client_delay_ms=3.0,
         service_ms=150.0,
         deadline_ms=1_000.0,
         mix={"plume": 0.3, "tile": 0.7},
@@ -107,7 +107,7 @@
 
 @attrs.frozen(kw_only=True)
 class Scenario:
-    """Load as a part of the capacity, and what happens after the warm-up."""
+    """Load as a share of the capacity, and faults and floods that start after the warm-up."""
 
     load: float = 0.5
     flood: str = ""
@@ -127,7 +127,7 @@
     "entry lost": Scenario(load=0.8, lost_entry=True),
     "short flood": Scenario(flood="most_urgent", flood_ms=2_000.0),
 }
-# The last one is for the section on lending only.
+# The last scenario is only used by the lending section.
 TABLE_SCENARIOS = tuple(SCENARIOS)[:-1]
 
 _Variant = Callable[[int], dict[str, object]]
@@ -152,13 +152,13 @@
 
 @attrs.define
 class Tally:
-    """What the callers saw after the warm-up, by request kind."""
+    """Outcomes of the requests after the warm-up, by request kind."""
 
     offered: Counter = attrs.field(factory=Counter)
     done: Counter = attrs.field(factory=Counter)
     refused: Counter = attrs.field(factory=Counter)
     latencies_ms: dict[str, list[float]] = attrs.field(factory=lambda: defaultdict(list))
-    # Requests done by time since the warm-up, in steps of `STEP_MS`.
+    # Completed requests by time since the warm-up, in steps of `STEP_MS`.
     steps: Counter = attrs.field(factory=Counter)
     borrows: int = 0
     retries: int = 0
@@ -180,7 +180,7 @@
     arrived_ms: float
     work_ms: float
     excluded: set[str] = attrs.field(factory=set)
-    offers: int = 0
+    attempts: int = 0
     may_have_run: bool = False
 
 
@@ -194,7 +194,7 @@
 
 
 class Simulation:
-    """One run of one variant, scenario and seed."""
+    """Simulation of one deployment, scenario, variant and seed."""
 
     def __init__(
         self, deployment: Deployment, scenario: Scenario, variant: _Variant, seed: int
@@ -206,7 +206,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self.tally = Tally()
-        text = (_EXAMPLES / deployment.text).read_text()
+        text = (_EXAMPLES / deployment.declaration_file).read_text()
         self._kinds = {
             kind: request
             for (service, kind), request in parse(text).unwrap().requests.items()
@@ -248,39 +248,42 @@
             daemon.router.observe_runners(
                 "r1", 1, [backend.runner for backend in self._backends.values()]
             )
-        self._by_id = {daemon.id: daemon for daemon in self._daemons}
+        self._daemons_by_id = {daemon.id: daemon for daemon in self._daemons}
 
     def run(self, duration_ms: float) -> Tally:
         """Run the warm-up and then `duration_ms` of the scenario."""
-        end_ms = _WARM_MS + duration_ms
+        end_ms = _WARM_UP_MS + duration_ms
         for kind in self._kinds:
             if self._deployment.mix.get(kind):
-                self._arrive(kind, end_ms)
+                self._handle_arrival(kind, end_ms)
         for index, daemon in enumerate(self._daemons):
-            self._at(_HEARTBEAT_MS * (index + 1) / 7, lambda daemon=daemon: self._beat(daemon))
+            self._schedule(
+                _HEARTBEAT_PERIOD_MS * (index + 1) / 7,
+                lambda daemon=daemon: self._send_heartbeats(daemon),
+            )
         self._change_noise()
-        self._at(_WARM_MS, self._disturb)
+        self._schedule(_WARM_UP_MS, self._inject_faults)
         while self._events and self._events[0][0] <= end_ms + self._deployment.deadline_ms:
-            at_ms, _, action = heapq.heappop(self._events)
-            self._clock.advance(at_ms - self._clock.now_ms())
+            event_ms, _, action = heapq.heappop(self._events)
+            self._clock.advance(event_ms - self._clock.now_ms())
             action()
         return self.tally
 
     # Events
 
-    def _at(self, delay_ms: float, action: Callable[[], None]) -> None:
+    def _schedule(self, delay_ms: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (self._clock.now_ms() + delay_ms, next(self._order), action))
 
-    def _arrive(self, kind: str, end_ms: float) -> None:
+    def _handle_arrival(self, kind: str, end_ms: float) -> None:
         now_ms = self._clock.now_ms()
         if now_ms >= end_ms:
             return
         deployment, scenario = self._deployment, self._scenario
         rate = scenario.load * deployment.capacity_per_ms * deployment.mix[kind]
-        in_flood = _WARM_MS <= now_ms < _WARM_MS + scenario.flood_ms
+        in_flood = _WARM_UP_MS <= now_ms < _WARM_UP_MS + scenario.flood_ms
         if scenario.flood and kind == getattr(deployment, scenario.flood) and in_flood:
             rate *= 10
-        self._at(self._random.expovariate(rate), lambda: self._arrive(kind, end_ms))
+        self._schedule(self._random.expovariate(rate), lambda: self._handle_arrival(kind, end_ms))
         if now_ms == 0.0:
             return
         request = _Request(
@@ -289,18 +292,18 @@
             arrived_ms=now_ms,
             work_ms=deployment.service_ms * self._random.lognormvariate(-0.125, 0.5),
         )
-        if now_ms >= _WARM_MS:
+        if now_ms >= _WARM_UP_MS:
             self.tally.offered[kind] += 1
-        daemon = self._random.choice([one for one in self._daemons if not one.lost])
+        daemon = self._random.choice([item for item in self._daemons if not item.lost])
         daemon.router.retries.record_request(deployment.service)
-        self._offer(daemon, request)
+        self._route(daemon, request)
 
     def _change_noise(self) -> None:
         for backend in self._backends.values():
-            backend.noisy = self._random.random() < _NOISY_PART
-        self._at(_NOISY_MS, self._change_noise)
+            backend.noisy = self._random.random() < _NOISY_SHARE
+        self._schedule(_NOISE_PERIOD_MS, self._change_noise)
 
-    def _disturb(self) -> None:
+    def _inject_faults(self) -> None:
         scenario = self._scenario
         for backend in self._random.sample(list(self._backends.values()), scenario.failing):
             backend.failing = True
@@ -310,7 +313,7 @@
             daemon.lost = daemon.zone == scenario.lost_zone
         if scenario.lost_entry:
             self._daemons[0].lost = True
-        self._at(_SUSPECT_MS, self._observe_members)
+        self._schedule(_FAILURE_DETECTION_MS, self._observe_members)
 
     def _members(self) -> dict[str, str]:
         return {daemon.id: daemon.zone for daemon in self._daemons if not daemon.lost}
@@ -319,27 +322,31 @@
         for daemon in self._daemons:
             daemon.router.observe_members(daemon.id, self._members())
 
-    def _beat(self, daemon: _Daemon) -> None:
+    def _send_heartbeats(self, daemon: _Daemon) -> None:
         if daemon.lost:
             return
-        self._at(_HEARTBEAT_MS, lambda: self._beat(daemon))
+        self._schedule(_HEARTBEAT_PERIOD_MS, lambda: self._send_heartbeats(daemon))
         free, ejected = daemon.router.free_slots(), daemon.router.health.ejected()
         for peer in self._daemons:
             if peer is not daemon and not peer.lost:
-                self._at(
-                    self._delay(daemon.zone, peer.zone) + _CALL_MS,
+                self._schedule(
+                    self._get_delay_ms(daemon.zone, peer.zone) + _PEER_CALL_MS,
                     lambda peer=peer: peer.router.observe_peer(daemon.id, free, ejected),
                 )
-        self._settle(daemon, daemon.router.expire())
+        self._resume_settled(daemon, daemon.router.expire())
         self._borrow(daemon)
 
-    def _delay(self, one: str, other: str) -> float:
-        return _NEAR_MS if one == other else self._deployment.zone_ms
+    def _get_delay_ms(self, source_zone: str, target_zone: str) -> float:
+        return (
+            _SAME_ZONE_DELAY_MS
+            if source_zone == target_zone
+            else self._deployment.cross_zone_delay_ms
+        )
 
-    # A daemon's side of a request
+    # Request handling by a daemon
 
-    def _offer(self, daemon: _Daemon, request: _Request) -> None:
-        request.offers += 1
+    def _route(self, daemon: _Daemon, request: _Request) -> None:
+        request.attempts += 1
         ticket = Ticket(
             service=self._deployment.service,
             kind=request.kind.name,
@@ -347,53 +354,57 @@
             arrived_ms=request.arrived_ms,
             excluded=request.excluded,
         )
-        self._acquire(daemon, ticket, lambda got: self._proceed(daemon, request, got))
+        self._acquire(
+            daemon, ticket, lambda decision: self._handle_decision(daemon, request, decision)
+        )
         self._borrow(daemon)
 
     def _acquire(
         self,
         daemon: _Daemon,
         ticket: Ticket,
-        then: Callable[[Grant | Refused], None],
+        callback: Callable[[Grant | Refused], None],
         wait_ms: float = float("inf"),
     ) -> None:
         decision = daemon.router.acquire(ticket)
         if not isinstance(decision, Queued):
-            then(decision)
+            callback(decision)
             return
-        daemon.waiting[ticket] = then
+        daemon.waiting[ticket] = callback
         wait_ms = min(wait_ms, ticket.deadline_ms - self._clock.now_ms())
-        self._at(wait_ms, lambda: self._time_out(daemon, ticket))
+        self._schedule(wait_ms, lambda: self._expire_ticket(daemon, ticket))
 
-    def _time_out(self, daemon: _Daemon, ticket: Ticket) -> None:
+    def _expire_ticket(self, daemon: _Daemon, ticket: Ticket) -> None:
         if ticket.state is TicketState.WAITING:
             daemon.router.withdraw(ticket)
             daemon.waiting.pop(ticket)(Refused(reason="deadline"))
 
-    def _settle(self, daemon: _Daemon, settled: list[Settlement]) -> None:
-        for one in settled:
-            daemon.waiting.pop(one.ticket)(one.decision)
+    def _resume_settled(self, daemon: _Daemon, settled: list[Settlement]) -> None:
+        for settlement in settled:
+            daemon.waiting.pop(settlement.ticket)(settlement.decision)
 
-    def _proceed(self, daemon: _Daemon, request: _Request, got: Grant | Refused) -> None:
-        if isinstance(got, Refused):
-            self._end(request, "unknown" if request.may_have_run else "refused")
+    def _handle_decision(
+        self, daemon: _Daemon, request: _Request, decision: Grant | Refused
+    ) -> None:
+        if isinstance(decision, Refused):
+            self._record_outcome(request, "unknown" if request.may_have_run else "refused")
             return
-        self._send(daemon, request, got)
+        self._send(daemon, request, decision)
 
     def _send(self, daemon: _Daemon, request: _Request, grant: Grant) -> None:
         backend = self._backends[grant.runner.id]
-        delay_ms = self._delay(daemon.zone, grant.runner.availability_zone)
+        delay_ms = self._get_delay_ms(daemon.zone, grant.runner.availability_zone)
         sent_ms = self._clock.now_ms()
-        open_ = [True]
+        is_pending = [True]
 
         def finish(result: AttemptResult) -> None:
-            if not open_[0] or daemon.lost:
+            if not is_pending[0] or daemon.lost:
                 return
-            open_[0] = False
+            is_pending[0] = False
             elapsed_ms = self._clock.now_ms() - sent_ms
             feedback = Feedback(result=result, elapsed_ms=elapsed_ms, request_id=request.id)
             self._release(daemon, grant, feedback)
-            self._conclude(daemon, request, grant, result)
+            self._handle_result(daemon, request, grant, result)
 
         left_ms = request.arrived_ms + self._deployment.deadline_ms - sent_ms
         timeout_ms = left_ms
@@ -401,32 +412,32 @@
             health = daemon.router.health
             answer_ms = health.answer_ms(self._deployment.service, request.kind.name)
             timeout_ms = limit_attempt(left_ms, answer_ms)
-        self._at(timeout_ms, lambda: finish(AttemptResult.OVERDUE))
+        self._schedule(timeout_ms, lambda: finish(AttemptResult.OVERDUE))
 
-        def answer(result: AttemptResult) -> None:
-            self._at(delay_ms, lambda: finish(result))
+        def respond(result: AttemptResult) -> None:
+            self._schedule(delay_ms, lambda: finish(result))
 
         def arrive() -> None:
             if backend.lost:
                 return
             if backend.busy >= _SLOTS:
-                answer(AttemptResult.REFUSED)
+                respond(AttemptResult.REFUSED)
                 return
             backend.busy += 1
             slowdown = 1 + _LOAD_SLOWDOWN * backend.busy / _SLOTS
             slowdown *= _NOISY_SLOWDOWN if backend.noisy else 1.0
             work_ms = 2.0 if backend.failing else request.work_ms * slowdown
 
-            def work_done() -> None:
+            def complete() -> None:
                 backend.busy -= 1
                 failed = backend.failing
-                answer(AttemptResult.FAILED if failed else AttemptResult.ANSWERED)
+                respond(AttemptResult.FAILED if failed else AttemptResult.ANSWERED)
 
-            self._at(work_ms, work_done)
+            self._schedule(work_ms, complete)
 
-        self._at(delay_ms, arrive)
+        self._schedule(delay_ms, arrive)
 
-    def _conclude(
+    def _handle_result(
         self,
         daemon: _Daemon,
         request: _Request,
@@ -434,70 +445,74 @@
         result: AttemptResult,
     ) -> None:
         if result is AttemptResult.ANSWERED:
-            self._end(request, "done")
+            self._record_outcome(request, "done")
             return
         request.excluded = {*request.excluded, grant.runner.id}
         if result is not AttemptResult.REFUSED:
             request.may_have_run = True
             if not request.kind.idempotent:
-                self._end(request, "unknown")
+                self._record_outcome(request, "unknown")
                 return
-        if request.offers < 3 and daemon.router.retries.spend(self._deployment.service):
+        if request.attempts < 3 and daemon.router.retries.spend(self._deployment.service):
             self.tally.retries += 1
-            self._offer(daemon, request)
+            self._route(daemon, request)
         else:
-            self._end(request, "unknown" if request.may_have_run else "refused")
+            self._record_outcome(request, "unknown" if request.may_have_run else "refused")
 
-    def _end(self, request: _Request, outcome: str) -> None:
-        if request.arrived_ms < _WARM_MS:
+    def _record_outcome(self, request: _Request, outcome: str) -> None:
+        if request.arrived_ms < _WARM_UP_MS:
             return
         kind = request.kind.name
-        latency_ms = self._clock.now_ms() - request.arrived_ms + 2 * self._deployment.client_ms
+        latency_ms = (
+            self._clock.now_ms() - request.arrived_ms + 2 * self._deployment.client_delay_ms
+        )
         if outcome == "refused":
             self.tally.refused[kind] += 1
         elif outcome == "done" and latency_ms <= self._deployment.deadline_ms:
             self.tally.done[kind] += 1
-            self.tally.steps[kind, int((self._clock.now_ms() - _WARM_MS) // STEP_MS)] += 1
+            self.tally.steps[kind, int((self._clock.now_ms() - _WARM_UP_MS) // STEP_MS)] += 1
             self.tally.latencies_ms[kind].append(latency_ms)
 
     # Slots between daemons
 
     def _release(self, daemon: _Daemon, grant: Grant, feedback: Feedback) -> None:
-        owner = self._by_id[grant.owner]
+        owner = self._daemons_by_id[grant.owner]
 
         def release() -> None:
             if not owner.lost:
-                self._settle(owner, owner.router.release(grant.runner.id, grant.token, feedback))
+                self._resume_settled(
+                    owner, owner.router.release(grant.runner.id, grant.token, feedback)
+                )
                 self._borrow(owner)
 
         if owner is daemon:
             release()
         else:
-            self._at(self._delay(daemon.zone, owner.zone) + _CALL_MS, release)
+            self._schedule(self._get_delay_ms(daemon.zone, owner.zone) + _PEER_CALL_MS, release)
 
     def _borrow(self, daemon: _Daemon) -> None:
         for borrow in daemon.router.plan_borrows(self._deployment.service):
             self.tally.borrows += 1
-            self._ask(daemon, self._by_id[borrow.peer], borrow.ticket)
+            self._request_slot(daemon, self._daemons_by_id[borrow.peer], borrow.ticket)
 
-    def _ask(self, daemon: _Daemon, peer: _Daemon, waiting: Ticket) -> None:
+    def _request_slot(self, daemon: _Daemon, peer: _Daemon, waiting: Ticket) -> None:
         service = self._deployment.service
-        delay_ms = self._delay(daemon.zone, peer.zone) + _CALL_MS
+        delay_ms = self._get_delay_ms(daemon.zone, peer.zone) + _PEER_CALL_MS
 
-        def reply(got: Grant | Refused) -> None:
+        def respond(decision: Grant | Refused) -> None:
             free = peer.router.free_slots()[service]
-            grant = got if isinstance(got, Grant) else None
-            self._at(delay_ms, lambda: take(grant, free))
+            grant = decision if isinstance(decision, Grant) else None
+            self._schedule(delay_ms, lambda: apply_response(grant, free))
 
-        def take(grant: Grant | None, free: int) -> None:
+        def apply_response(grant: Grant | None, free: int) -> None:
             settlement = daemon.router.settle_borrow(peer.id, service, grant, free)
             if settlement is not None:
-                self._settle(daemon, [settlement])
+                self._resume_settled(daemon, [settlement])
             elif grant is not None:
                 self._release(daemon, grant, Feedback())
             self._borrow(daemon)
 
-        def ask() -> None:
+        def handle_request() -> None:
             if peer.lost:
                 return
             now_ms = self._clock.now_ms()
@@ -509,17 +524,17 @@
                 excluded=waiting.excluded,
                 borrower=daemon.id,
             )
-            self._acquire(peer, ticket, reply, wait_ms=_BORROW_MS)
+            self._acquire(peer, ticket, respond, wait_ms=_BORROW_TIMEOUT_MS)
 
-        # A peer that is gone doesn't answer within the time-out of a call between daemons.
+        # A call to a lost peer fails after the time-out of calls between daemons.
         if peer.lost:
-            self._at(1_000.0, lambda: take(None, 0))
+            self._schedule(1_000.0, lambda: apply_response(None, 0))
         else:
-            self._at(delay_ms, ask)
+            self._schedule(delay_ms, handle_request)
 
 
-def run_one(deployment: str, scenario: str, variant: str, seed: int, duration_ms: float) -> Tally:
-    """Run one combination."""
+def run_case(deployment: str, scenario: str, variant: str, seed: int, duration_ms: float) -> Tally:
+    """Simulate one combination and return its tally."""
     simulation = Simulation(DEPLOYMENTS[deployment], SCENARIOS[scenario], VARIANTS[variant], seed)
     tally = simulation.run(duration_ms)
     tally.latencies_ms = dict(tally.latencies_ms)
--- a/benchmarks/tests/test_colocation.py
+++ b/benchmarks/tests/test_colocation.py
@@ -1,19 +1,19 @@
-"""The load on a cell: what callers get, and that plays repeat."""
+"""Tests of the colocation benchmark."""
 
 import unittest
 
-from benchmarks.colocation import play
+from benchmarks.colocation import simulate
 
 
 class ColocationTest(unittest.TestCase):
-    """A short play on few runners."""
+    """Short simulations on few runners."""
 
-    def test_play_repeats_and_serves(self):
-        """Guards against measurements that can't be compared, and against a load that idles."""
-        first = play(3, seconds=10.0, runners=12, load=0.4)
-        again = play(3, seconds=10.0, runners=12, load=0.4)
-        self.assertEqual(first, again)
-        # The share of time over target that the users bear is small against its weight of four.
+    def test_simulation_is_repeatable_and_completes_jobs(self):
+        """Guards against differing runs of one seed, and a load that leaves runners idle."""
+        first = simulate(3, seconds=10.0, runners=12, load=0.4)
+        second = simulate(3, seconds=10.0, runners=12, load=0.4)
+        self.assertEqual(first, second)
+        # Time over the target counts four times, so users accept only a small share of it.
         self.assertLess(first.over_share, 0.05)
         self.assertGreater(first.fill_cores, 1.0)
         # The users' target for the larger of their deployments.
