--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -1,1 +1,1 @@
-"""Seeded randomised runs of the decision logic on a virtual clock."""
+"""Seeded soak tests of the decision logic on a virtual clock, and of real processes."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Command line of the randomised runs."""
+"""Command line of the soak test on a virtual clock."""
 
 from __future__ import annotations
 
@@ -17,9 +17,11 @@
 flags.DEFINE_float("minutes", 10.0, "Virtual minutes of each run.", lower_bound=4.0)
 flags.DEFINE_integer("daemons", 0, "Number of daemons; 0 draws 3 to 7.", lower_bound=0)
 flags.DEFINE_integer("workers", 24, "Number of workers.", lower_bound=1)
-flags.DEFINE_integer("processes", 1, "Runs at once.", lower_bound=1, upper_bound=4)
-flags.DEFINE_integer("events", 60, "Events printed on a violation.", lower_bound=0)
-flags.DEFINE_list("kinds", [], "Restrict the faults to these kinds.")
+flags.DEFINE_integer(
+    "processes", 1, "Number of seeds to run in parallel.", lower_bound=1, upper_bound=4
+)
+flags.DEFINE_integer("events", 60, "Number of events to print on a violation.", lower_bound=0)
+flags.DEFINE_list("kinds", [], "Inject only these kinds of faults.")
 flags.DEFINE_string("grep", "", "Print only events that contain this text.")
 
 
@@ -30,7 +32,7 @@
     return [int(seed) for seed in text.split(",")]
 
 
-def _show(report: Report) -> None:
+def _print_report(report: Report) -> None:
     faults = sum(report.faults.values())
     print(
         f"seed={report.seed} faults={faults} callbacks={report.callbacks} "
@@ -40,8 +42,8 @@
         flush=True,
     )
     if report.violation:
-        chosen = [event for event in report.events if _FLAGS.grep in event]
-        print("\n".join(chosen[-_FLAGS.events :]) if _FLAGS.events else "", flush=True)
+        matching_events = [event for event in report.events if _FLAGS.grep in event]
+        print("\n".join(matching_events[-_FLAGS.events :]) if _FLAGS.events else "", flush=True)
 
 
 def _run(_: list[str]) -> int:
@@ -52,23 +54,23 @@
         workers=_FLAGS.workers,
         kinds=tuple(_FLAGS.kinds),
     )
-    began = time.perf_counter()
+    started_s = time.perf_counter()
     faults: Counter[str] = Counter()
     counts: Counter[str] = Counter()
-    broken: list[int] = []
+    failed_seeds: list[int] = []
     runs = 0
     with ProcessPoolExecutor(_FLAGS.processes) as pool:
         for report in pool.map(run, _list_seeds(_FLAGS.seeds)):
-            _show(report)
+            _print_report(report)
             runs += 1
             faults.update(report.faults)
             counts.update(report.counts)
             if report.violation:
-                broken.append(report.seed)
+                failed_seeds.append(report.seed)
     print(f"faults by kind: {dict(sorted(faults.items()))}")
     print(f"events by kind: {dict(sorted(counts.items()))}")
-    print(f"runs={runs} broken={broken} wall_s={time.perf_counter() - began:.1f}")
-    return 1 if broken else 0
+    print(f"runs={runs} broken={failed_seeds} wall_s={time.perf_counter() - started_s:.1f}")
+    return 1 if failed_seeds else 0
 
 
 if __name__ == "__main__":
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -1,4 +1,4 @@
-"""A deployment on the virtual clock: daemons, workers, store and operators."""
+"""Deployment on a virtual clock: daemons, workers, store and operators."""
 
 from __future__ import annotations
 
@@ -27,10 +27,10 @@
 
 _RACK_SIZE = 8
 _ZONES = ("z1", "z2", "z3")
-_SIZE = (16.0, 60_000, 1)
-# Two clocks differ by at most 9 %, below the 10 % that the program assumes.
-_RATES = (0.957, 1.043)
-_TRACE = 4_000
+_WORKER_SIZE = (16.0, 60_000, 1)
+# Clock rates differ by at most 9 %, which is below the 10 % that the daemons allow for.
+_CLOCK_RATES = (0.957, 1.043)
+_MAX_EVENTS = 4_000
 
 _SETTINGS = """
 [daemon]
@@ -50,15 +50,15 @@
 
 
 @attrs.define(eq=False)
-class Node:
-    """One daemon.
+class DaemonProcess:
+    """Process of one daemon on its entry VM.
 
     Parameters
     ----------
     index : int
-        Number of its VM; its address follows from it.
+        Number of the VM, from which its address is derived.
     started_s : float
-        True time of its start.
+        True time at which the process started.
     """
 
     index: int
@@ -69,15 +69,15 @@
 
 
 @attrs.define
-class Declared:
-    """The declared text as an operator edits it."""
+class DeclarationDraft:
+    """Declaration that an operator edits."""
 
     jobs: dict[str, str] = attrs.field(factory=dict)
     runners: int = 24
     cores: int = 4
 
     def render(self) -> str:
-        """Return the text."""
+        """Return the declaration as text."""
         return "\n".join(
             [
                 "[team a]\ncores = 1000\nmemory_mb = 4000000\naccelerators = 100",
@@ -89,24 +89,24 @@
 
 
 class Cluster:
-    """All parts of one run.
+    """Deployment of one soak run.
 
     Parameters
     ----------
     loop : VirtualLoop
-        Time and tasks.
+        Event loop that provides the virtual time.
     seed : int
-        Determines everything that is drawn.
+        Seed of all random choices.
     daemons, workers : int
-        Sizes.
+        Number of daemons and of workers.
     """
 
     def __init__(self, *, loop: VirtualLoop, seed: int, daemons: int, workers: int) -> None:
         self.loop = loop
         self.rng = random.Random(f"{seed}/cluster")
-        self.events: deque[str] = deque(maxlen=_TRACE)
+        self.events: deque[str] = deque(maxlen=_MAX_EVENTS)
         self.network = Network(loop=loop, rng=random.Random(f"{seed}/network"))
-        self.network.on_error = lambda where, error: self.checker.fail(
+        self.network.on_error = lambda where, error: self.checker.record_violation(
             "assertion", f"{where}: {error!r}"
         )
         self.checker = Checker(self)
@@ -114,18 +114,18 @@
             loop=loop, host=self._build_host("store"), vms_lag_s=self.rng.uniform(0.5, 3.0)
         )
         self.store.on_put = self.checker.on_put
-        self.nodes: dict[int, Node] = {}
-        self.all_nodes: list[Node] = []
+        self.processes: dict[int, DaemonProcess] = {}
+        self.all_processes: list[DaemonProcess] = []
         self.workers: dict[str, FakeWorker] = {}
         self.worker_vms: dict[str, Vm] = {}
         self.hold_over_ms = self.rng.choice((15_000, 30_000))
         self.operator_rng = random.Random(f"{seed}/operators")
         self.cancellations = 0
-        # The load of 24 workers is scaled to the size.
-        self._scale = workers / 24
+        # Scales the load, which is defined for 24 workers, to the number of workers.
+        self._load_scale = workers / 24
         self._operator = Host("operator")
         self._incarnations: Counter[str] = Counter()
-        self._declared = 0
+        self._change_count = 0
         self._daemons = daemons
         for index in range(1, daemons + 1):
             self.start_daemon(index)
@@ -142,14 +142,14 @@
             self.start_worker(vm)
 
     def trace(self, event: str, **fields: object) -> None:
-        """Keep an event for the report of a violation."""
+        """Record an event for the report of a violation."""
         details = " ".join(f"{key}={value}" for key, value in fields.items())
         self.events.append(f"{self.loop.true_s:10.3f} {event} {details}")
 
     # Daemons
 
     def start_daemon(self, index: int) -> None:
-        """Start a daemon on a VM, after an earlier one there was killed."""
+        """Start a daemon on an entry VM; an earlier daemon on it must have been killed."""
         name = f"d{index}"
         host = self._build_host(name)
         clock = HostClock(loop=self.loop, host=host)
@@ -159,7 +159,7 @@
         interfaces = Interfaces(
             platform=platform,
             connect_peer=lambda address: FakePeerClient(
-                network=self.network, host=host, find_node=lambda: self._find_node(address)
+                network=self.network, host=host, find_process=lambda: self._find_process(address)
             ),
             connect_worker=lambda address: FakeWorkerClient(
                 network=self.network,
@@ -169,56 +169,58 @@
             incarnation=self._name_incarnation(name),
         )
         daemon = Daemon(settings=self._build_settings(index), clock=clock, interfaces=interfaces)
-        node = Node(index, host, daemon, platform, self.loop.true_s)
-        self.nodes[index] = node
-        self.all_nodes.append(node)
-        self.store.show_vm(Vm(name=name, state="live", role="entry"))
-        self.loop.start(host, self._run_daemon(node))
+        process = DaemonProcess(index, host, daemon, platform, self.loop.true_s)
+        self.processes[index] = process
+        self.all_processes.append(process)
+        self.store.update_vm(Vm(name=name, state="live", role="entry"))
+        self.loop.start(host, self._run_daemon(process))
 
-    async def _run_daemon(self, node: Node) -> None:
+    async def _run_daemon(self, process: DaemonProcess) -> None:
         try:
-            await node.daemon.run_scheduling()
+            await process.daemon.run_scheduling()
         except BaseExceptionGroup as error:
-            self.checker.fail("assertion", f"{node.host.name}: {_describe(error)}")
+            self.checker.record_violation(
+                "assertion", f"{process.host.name}: {_describe_first_error(error)}"
+            )
         except Exception as error:
-            self.checker.fail("assertion", f"{node.host.name}: {error!r}")
+            self.checker.record_violation("assertion", f"{process.host.name}: {error!r}")
 
     def kill_daemon(self, index: int) -> None:
-        """End a daemon without any cleanup."""
-        self.nodes[index].host.dead = True
+        """Kill a daemon without any cleanup."""
+        self.processes[index].host.dead = True
 
     def stop_daemon(self, index: int) -> None:
-        """End a daemon as on a planned stop."""
-        node = self.nodes[index]
-        done = self.loop.start(node.host, node.daemon.control.hand_over())
+        """Stop a daemon after it handed over, or after 20 s."""
+        process = self.processes[index]
+        done = self.loop.start(process.host, process.daemon.control.hand_over())
         self.loop.call_after(20.0, done.cancel)
-        done.add_done_callback(lambda _: setattr(node.host, "dead", True))
+        done.add_done_callback(lambda _: setattr(process.host, "dead", True))
 
-    def show_gone(self, node: Node) -> None:
-        """Let the list of VMs show that a daemon's VM is gone."""
-        del self.nodes[node.index]
-        self.store.show_vm(Vm(name=node.host.name, state="gone", role="entry"))
+    def mark_vm_gone(self, process: DaemonProcess) -> None:
+        """Mark the VM of a daemon as gone in the list of VMs."""
+        del self.processes[process.index]
+        self.store.update_vm(Vm(name=process.host.name, state="gone", role="entry"))
 
     def start_new_daemon(self) -> None:
-        """Start a daemon on a VM that was not there before."""
-        self.start_daemon(max(node.index for node in self.all_nodes) + 1)
+        """Start a daemon on a new entry VM."""
+        self.start_daemon(max(process.index for process in self.all_processes) + 1)
 
-    def knows_seed(self, node: Node) -> bool:
-        """Whether some live daemon at a seed address has a revision and all links work."""
-        if self.network.weather.loss or any(count > 0 for count in self.network.cuts.values()):
+    def can_pull_revision(self, process: DaemonProcess) -> bool:
+        """Return whether links work and another live daemon at a seed address has a revision."""
+        if self.network.link_quality.loss or any(count > 0 for count in self.network.cuts.values()):
             return False
-        live = self.list_live()
+        live = self.list_live_daemons()
         if any(item.host.frozen for item in live):
             return False
-        old = [item for item in live if item is not node and item.index <= self._daemons]
-        return any(item.daemon.control.revisions.revision.revision for item in old)
+        seeds = [item for item in live if item is not process and item.index <= self._daemons]
+        return any(item.daemon.control.revisions.revision.revision for item in seeds)
 
-    def list_live(self) -> list[Node]:
-        """Return the daemons that were not killed."""
-        return [node for node in self.nodes.values() if not node.host.dead]
+    def list_live_daemons(self) -> list[DaemonProcess]:
+        """Return the processes of the daemons that were not killed."""
+        return [process for process in self.processes.values() if not process.host.dead]
 
-    def _find_node(self, address: str) -> Node | None:
-        return self.nodes.get(int(address.partition(":")[0].rpartition(".")[2]))
+    def _find_process(self, address: str) -> DaemonProcess | None:
+        return self.processes.get(int(address.partition(":")[0].rpartition(".")[2]))
 
     def _build_settings(self, index: int) -> Settings:
         text = _SETTINGS.format(
@@ -233,89 +235,91 @@
     # Workers
 
     def start_worker(self, vm: Vm) -> None:
-        """Start a worker, after an earlier one on its VM was killed."""
+        """Start a worker on a VM; an earlier worker on it must have been killed."""
         host = self._build_host(vm.name)
         self.workers[vm.name] = FakeWorker(
             loop=self.loop,
             host=host,
-            size=_SIZE,
+            size=_WORKER_SIZE,
             incarnation=self._name_incarnation(vm.name),
             on_event=self.checker.on_worker_event,
         )
         self.worker_vms[vm.name] = vm
-        self.store.show_vm(vm)
+        self.store.update_vm(vm)
 
     def kill_worker(self, name: str) -> None:
-        """End a worker with all that runs on it."""
-        self.workers[name].process.dead = True
+        """Kill a worker and all tasks that run on it."""
+        self.workers[name].process_host.dead = True
 
     def replace_worker(self, name: str) -> None:
-        """Let a dead worker's VM show as gone and start one under another name in its rack."""
+        """Mark the VM of a dead worker as gone and start a worker on a new VM in the same rack."""
         vm = self.worker_vms.pop(name)
-        self.store.show_vm(attrs.evolve(vm, state="gone"))
-        new = f"w{len(self.workers)}"
-        self.start_worker(attrs.evolve(vm, name=new, state="live", address=f"{new}:1"))
+        self.store.update_vm(attrs.evolve(vm, state="gone"))
+        new_name = f"w{len(self.workers)}"
+        self.start_worker(attrs.evolve(vm, name=new_name, state="live", address=f"{new_name}:1"))
 
     def is_live(self, name: str) -> bool:
-        """Whether the list of VMs shows a worker as live."""
+        """Return whether the list of VMs shows a worker as live."""
         vm = self.store.vms.get(name)
         return vm is not None and vm.state == "live"
 
-    def list_workers(self) -> list[FakeWorker]:
+    def list_live_workers(self) -> list[FakeWorker]:
         """Return the workers that were not killed."""
-        return [worker for worker in self.workers.values() if not worker.process.dead]
+        return [worker for worker in self.workers.values() if not worker.process_host.dead]
 
     # Operators
 
-    async def operate(self, until_s: float) -> None:
-        """Change the declared text again and again, as one of several operators."""
+    async def run_operator(self, until_s: float) -> None:
+        """Submit changes of the declaration repeatedly, as one of several operators."""
         rng = self.operator_rng
         while self.loop.true_s < until_s:
-            await self._change_once()
-            await anyio.sleep(rng.uniform(2.0, 15.0) / self._scale)
+            await self._submit_change()
+            await anyio.sleep(rng.uniform(2.0, 15.0) / self._load_scale)
 
-    async def _change_once(self) -> None:
+    async def _submit_change(self) -> None:
         rng = self.operator_rng
-        nodes = self.list_live()
-        if not nodes:
+        processes = self.list_live_daemons()
+        if not processes:
             return
-        node = rng.choice(nodes)
-        seen = await self._ask(node, lambda: node.daemon.on_pull_revision())
-        if not isinstance(seen, Success):
+        process = rng.choice(processes)
+        pulled = await self._call_daemon(process, lambda: process.daemon.on_pull_revision())
+        if not isinstance(pulled, Success):
             return
-        base: Revision = seen.unwrap()
-        self._declared += 1
-        token = f"t{self._declared}"
-        declared = _read_declared(base.text)
+        base: Revision = pulled.unwrap()
+        self._change_count += 1
+        token = f"t{self._change_count}"
+        draft = _parse_draft(base.text)
         if not base.text:
-            declared.runners = round(24 * self._scale)
-        self._edit(declared)
-        request = ApplyRequest(
-            text=declared.render(), base=base.revision, token=token, source="soak"
+            draft.runners = round(24 * self._load_scale)
+        self._edit_draft(draft)
+        request = ApplyRequest(text=draft.render(), base=base.revision, token=token, source="soak")
+        self.trace(
+            "operator submits change", token=token, base=base.revision, daemon=process.host.name
+        )
+        reply = await self._call_daemon(
+            process, lambda: process.daemon.on_apply(request), timeout_ms=20_000.0
         )
-        self.trace("operator changes", token=token, base=base.revision, daemon=node.host.name)
-        reply = await self._ask(node, lambda: node.daemon.on_apply(request), timeout_ms=20_000.0)
         if isinstance(reply, Success):
-            answer = reply.unwrap()
-            self.trace("operator told", token=token, outcome=answer.outcome)
-            self.checker.on_apply(token, answer.outcome, answer.revision)
+            result = reply.unwrap()
+            self.trace("operator receives outcome", token=token, outcome=result.outcome)
+            self.checker.on_apply(token, result.outcome, result.revision)
 
-    async def _ask(self, node: Node, act, timeout_ms: float = 2_000.0):
+    async def _call_daemon(self, process: DaemonProcess, handle, timeout_ms: float = 2_000.0):
         return await self.network.call(
-            self._operator, lambda: node.host, act, timeout_ms=timeout_ms
+            self._operator, lambda: process.host, handle, timeout_ms=timeout_ms
         )
 
-    def _edit(self, declared: Declared) -> None:
+    def _edit_draft(self, draft: DeclarationDraft) -> None:
         rng = self.operator_rng
         if self.cancellations > 0:
             self.cancellations -= 1
-            for name in list(declared.jobs)[-rng.randint(3, 12) :]:
-                _remove_job(declared, name)
+            for name in list(draft.jobs)[-rng.randint(3, 12) :]:
+                _remove_job(draft, name)
             return
         if rng.random() < 0.15:
-            declared.runners = round(rng.randint(16, 28) * self._scale)
+            draft.runners = round(rng.randint(16, 28) * self._load_scale)
         if rng.random() < 0.05:
-            declared.cores = rng.choice((3, 4, 5))
+            draft.cores = rng.choice((3, 4, 5))
         for _ in range(rng.randint(1, 2)):
             size = rng.choice((1, 1, 2, 4, 8, 40))
             lines = [
@@ -329,14 +333,14 @@
             ]
             if rng.random() < 0.1:
                 lines.append("accelerators = 1")
-            if declared.jobs and rng.random() < 0.2:
-                lines.append(f"depends_on = {rng.choice(list(declared.jobs))}")
-            declared.jobs[f"j{self._declared}-{len(declared.jobs)}"] = "\n".join(lines)
+            if draft.jobs and rng.random() < 0.2:
+                lines.append(f"depends_on = {rng.choice(list(draft.jobs))}")
+            draft.jobs[f"j{self._change_count}-{len(draft.jobs)}"] = "\n".join(lines)
 
     # Helpers
 
     def _build_host(self, name: str) -> Host:
-        rate = self.rng.choice((self.rng.uniform(*_RATES), *_RATES))
+        rate = self.rng.choice((self.rng.uniform(*_CLOCK_RATES), *_CLOCK_RATES))
         return Host(name, rate=rate, origin_s=self.rng.uniform(0.0, 1e5))
 
     def _name_incarnation(self, name: str) -> str:
@@ -344,28 +348,28 @@
         return f"i{self._incarnations[name]}"
 
 
-def _describe(error: BaseException) -> str:
+def _describe_first_error(error: BaseException) -> str:
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
     return repr(error)
 
 
-def _read_declared(text: str) -> Declared:
-    declared = Declared()
+def _parse_draft(text: str) -> DeclarationDraft:
+    draft = DeclarationDraft()
     for section in text.split("\n["):
         head, _, body = section.partition("]\n")
         kind, _, name = head.strip("[").partition(" ")
         if kind == "job":
-            declared.jobs[name] = body
+            draft.jobs[name] = body
         elif kind == "service":
             values = dict(line.split(" = ") for line in body.split("\n"))
-            declared.runners, declared.cores = int(values["runners"]), int(values["cores"])
-    return declared
+            draft.runners, draft.cores = int(values["runners"]), int(values["cores"])
+    return draft
 
 
-def _remove_job(declared: Declared, name: str) -> None:
-    if declared.jobs.pop(name, None) is None:
+def _remove_job(draft: DeclarationDraft, name: str) -> None:
+    if draft.jobs.pop(name, None) is None:
         return
-    for other, body in list(declared.jobs.items()):
+    for other, body in list(draft.jobs.items()):
         if f"depends_on = {name}" in body.split("\n"):
-            _remove_job(declared, other)
+            _remove_job(draft, other)
--- a/soak/_fakes.py
+++ b/soak/_fakes.py
@@ -1,4 +1,4 @@
-"""Fakes at the interfaces of a daemon: platform, peers and workers."""
+"""Fakes for the interfaces of a daemon: platform, peers and workers."""
 
 from __future__ import annotations
 
@@ -36,16 +36,16 @@
 
 
 class FakeStore(Store):
-    """The stand-in's store with faults, a list of VMs and a hook on writes.
+    """Store of the stand-in for the platform, with faults, a list of VMs and a hook on writes.
 
     Parameters
     ----------
     loop : VirtualLoop
-        Time and tasks.
+        Event loop that provides the virtual time.
     host : Host
-        Whose clock the leases run on.
+        Host whose clock determines the expiry of leases.
     vms_lag_s : float
-        Delay after which changes of VMs show in the list.
+        Delay after which changes of VMs appear in the list.
     """
 
     def __init__(self, *, loop: VirtualLoop, host: Host, vms_lag_s: float) -> None:
@@ -61,7 +61,7 @@
         self._vms_lag_s = vms_lag_s
 
     def put(self, key: str, value: Any, expected: int, lease: str) -> bool:
-        """Write a key if its version is the expected one."""
+        """Write a key if its current version is `expected`."""
         self.expire()
         done = super().put(key, value, expected, lease)
         if done:
@@ -69,37 +69,37 @@
         return done
 
     def renew(self, lease: str) -> bool:
-        """Renew a lease that has not ended."""
+        """Renew a lease unless it has expired."""
         self.expire()
         return super().renew(lease)
 
     async def wait(self, duration_s: float) -> None:
-        """Wait for a change, at most for a time."""
+        """Wait for a change, for at most `duration_s` seconds."""
         with anyio.move_on_after(duration_s):
             await self.changed.wait()
 
-    def show_vm(self, vm: Vm) -> None:
-        """Let a change of a VM show after the lag."""
+    def update_vm(self, vm: Vm) -> None:
+        """Update a VM in the list of VMs after the configured lag."""
 
-        def show() -> None:
+        def update_list() -> None:
             self.vms[vm.name] = vm
 
-        self._loop.call_after(self._vms_lag_s, show)
+        self._loop.call_after(self._vms_lag_s, update_list)
 
 
 class FakePlatformClient(PlatformClient):
-    """Calls of one daemon to the store.
+    """Platform client of one daemon that calls the fake store.
 
     Parameters
     ----------
     store : FakeStore
-        The store.
+        Store to call.
     network : Network
-        Carries the calls.
+        Network that transmits the calls.
     loop : VirtualLoop
-        Time.
+        Event loop that provides the virtual time.
     host : Host
-        The daemon.
+        Host of the calling daemon.
     """
 
     def __init__(
@@ -114,7 +114,7 @@
 
     @property
     def call_count(self) -> int:
-        """Number of calls of the store so far."""
+        """Number of store calls so far."""
         return self._call_count
 
     async def get(self, key: str) -> Result[Item, Any]:
@@ -122,7 +122,7 @@
         return await self._ask(lambda: Success(Item(**self._store.get(key))))
 
     async def put(self, key: str, value: Any, *, expected_version: int, lease: str = "") -> Result:
-        """Write one key if its version is `expected_version`."""
+        """Write one key if its current version is `expected_version`."""
 
         def write() -> Result:
             done = self._store.put(key, value, expected_version, lease)
@@ -132,7 +132,7 @@
         return await self._ask(write, writes=True)
 
     async def delete(self, key: str, *, expected_version: int) -> Result:
-        """Delete one key if its version is `expected_version`."""
+        """Delete one key if its current version is `expected_version`."""
 
         def write() -> Result:
             done = self._store.delete(key, expected_version)
@@ -179,7 +179,7 @@
         )
 
     async def revoke_lease(self, lease: str) -> Result[str, Any]:
-        """End a lease."""
+        """Revoke a lease."""
         return await self._ask(
             lambda: Success(lease) if self._store.revoke(lease) else Failure(LeaseLost(lease)),
             writes=True,
@@ -191,7 +191,7 @@
 
     async def _ask(
         self,
-        act: Callable[[], Any],
+        operation: Callable[[], Any],
         *,
         writes: bool = False,
         timeout_ms: float = _STORE_TIMEOUT_MS,
@@ -207,7 +207,7 @@
                 return Failure(StoreUnavailable("outage"))
             if store.slow_s:
                 await anyio.sleep(store.slow_s)
-            result = act()
+            result = operation()
             if not isinstance(result, Result):
                 result = await result
             if store.outage or store.silent or (writes and store.lose_answers > 0):
@@ -215,34 +215,34 @@
                 await anyio.sleep_forever()
             return result
 
-        sent = await self._network.call(
+        call_result = await self._network.call(
             self._host, lambda: store.host, handle, timeout_ms=timeout_ms
         )
-        if isinstance(sent, Success):
-            return sent.unwrap()
-        error = sent.failure()
+        if isinstance(call_result, Success):
+            return call_result.unwrap()
+        error = call_result.failure()
         if isinstance(error, NotSent):
             return Failure(StoreUnavailable(error.reason))
         return Failure(StoreUnknown(error.reason))
 
 
 class FakePeerClient(PeerClient):
-    """Calls of one daemon to another.
+    """Peer client of one daemon that calls another daemon.
 
     Parameters
     ----------
     network : Network
-        Carries the calls.
+        Network that transmits the calls.
     host : Host
-        The calling daemon.
-    find_node : callable
-        Returns the node that listens on the address now, or None.
+        Host of the calling daemon.
+    find_process : callable
+        Returns the daemon process that currently listens on the address, or None.
     """
 
-    def __init__(self, *, network: Network, host: Host, find_node: Callable[[], Any]) -> None:
+    def __init__(self, *, network: Network, host: Host, find_process: Callable[[], Any]) -> None:
         self._network = network
         self._host = host
-        self._find_node = find_node
+        self._find_process = find_process
 
     async def run(self) -> None:
         """Own no connection."""
@@ -260,7 +260,7 @@
         return await self._ask(lambda daemon: daemon.on_pull_revision())
 
     async def pull_members(self) -> Result:
-        """Read the members that the peer knows."""
+        """Read the peer's list of members."""
         return await self._ask(lambda daemon: daemon.on_pull_members())
 
     async def pull_runners(self) -> Result:
@@ -268,31 +268,31 @@
         return await self._ask(lambda daemon: daemon.on_pull_runners())
 
     async def exchange(self, request: Any) -> Result:
-        """Carry out one step of the exchange with a shard owner."""
-        sent = await self._ask(
+        """Send one exchange request to a shard owner."""
+        call_result = await self._ask(
             lambda daemon: daemon.on_exchange(request), timeout_ms=_EXCHANGE_TIMEOUT_MS
         )
-        if isinstance(sent, Failure):
-            return sent
-        result = sent.unwrap()
+        if isinstance(call_result, Failure):
+            return call_result
+        result = call_result.unwrap()
         if isinstance(result, Failure):
             return Failure(BadReply(str(result.failure()), 409))
         return result
 
     async def acquire_permit(self, request: Any, *, timeout_ms: float) -> Result:
-        """Ask the owner of a key group for a permit."""
+        """Request a permit from the owner of a key group."""
         return await self._ask(
             lambda daemon: daemon.on_acquire_permit(request), timeout_ms=timeout_ms
         )
 
     async def copy_permits(self, request: Any, *, timeout_ms: float) -> Result:
-        """Ask the peer to keep copies of records."""
+        """Request that the peer store copies of records."""
         return await self._ask(
             lambda daemon: daemon.on_copy_permits(request), timeout_ms=timeout_ms
         )
 
     async def settle_permit(self, request: Any) -> Result:
-        """Tell the owner of a key group the outcome of a request."""
+        """Report the outcome of a request to the owner of its key group."""
         return await self._ask(lambda daemon: daemon.on_settle_permit(request))
 
     async def pull_permits(self, request: Any) -> Result:
@@ -300,13 +300,16 @@
         return await self._ask(lambda daemon: daemon.on_pull_permits(request))
 
     async def _ask(
-        self, act: Callable[[Any], Awaitable], *, timeout_ms: float = _PEER_TIMEOUT_MS
+        self, operation: Callable[[Any], Awaitable], *, timeout_ms: float = _PEER_TIMEOUT_MS
     ) -> Result:
-        node = self._find_node()
-        if node is None:
+        process = self._find_process()
+        if process is None:
             return Failure(NotSent("no such address"))
         return await self._network.call(
-            self._host, lambda: node.host, lambda: act(node.daemon), timeout_ms=timeout_ms
+            self._host,
+            lambda: process.host,
+            lambda: operation(process.daemon),
+            timeout_ms=timeout_ms,
         )
 
 
@@ -316,20 +319,21 @@
 
 
 class FakeWorker(Worker):
-    """The stand-in without sockets, with hooks that see its true state.
+    """Stand-in for a worker without sockets, which reports its true state to a hook.
 
     Parameters
     ----------
     loop : VirtualLoop
-        Time.
+        Event loop that provides the virtual time.
     host : Host
-        Its process.
+        Host of the worker process.
     size : tuple of (float, int, int)
         Cores, memory in MB and accelerators.
     incarnation : str
-        Unique among all starts of workers.
+        Incarnation, unique among all starts of workers.
     on_event : callable
-        Called with ``started`` or the outcome, this worker and the command.
+        Called at the start and the end of each attempt, with ``started`` or the outcome, this
+        worker and the command.
     """
 
     def __init__(
@@ -350,43 +354,45 @@
             memory_mb=size[1],
             accelerators=size[2],
         )
-        self.process = host
+        self.process_host = host
         self.size = size
         self.incarnation = incarnation
         self._loop = loop
         self._on_event = on_event
-        self._ports = 1_000
-        self._advanced_ms = clock.now_ms()
+        self._last_port = 1_000
+        self._advanced_to_ms = clock.now_ms()
 
     def list_running(self) -> list[Command]:
-        """Return what truly runs now."""
-        if self.process.dead:
+        """Return the commands of the attempts that are actually running."""
+        if self.process_host.dead:
             return []
         return [item.command for item in self._attempts.values() if item.state == "running"]
 
     def advance(self) -> None:
-        """Bring progress and leases up to the present."""
+        """Update progress and leases to the current time."""
         now_ms = self._clock.now_ms()
-        self._advance(now_ms - self._advanced_ms)
-        self._advanced_ms = now_ms
+        self._advance(now_ms - self._advanced_to_ms)
+        self._advanced_to_ms = now_ms
 
     async def sync(self, request: SyncRequest) -> Any:
-        """Carry out commands and return the state."""
+        """Execute commands and return the state of the worker."""
         self.advance()
         reply = await super().sync(request)
-        self._schedule()
+        self._schedule_lease_expiry()
         return reply
 
-    def _schedule(self) -> None:
-        # Leases end on time, so that an owner's margin is really tested.
+    def _schedule_lease_expiry(self) -> None:
+        # Leases expire on time, so that the safety margin of a shard owner is tested.
         now_ms = self._clock.now_ms()
-        ends = [item.lease_until_ms for item in self._attempts.values() if item.state == "running"]
-        if ends:
-            delay_s = max(0.0, min(ends) - now_ms) / 1000 / self.process.rate
-            self._loop.call_after(min(delay_s, 60.0), self._expire)
-
-    def _expire(self) -> None:
-        if not self.process.dead:
+        lease_ends_ms = [
+            item.lease_until_ms for item in self._attempts.values() if item.state == "running"
+        ]
+        if lease_ends_ms:
+            delay_s = max(0.0, min(lease_ends_ms) - now_ms) / 1000 / self.process_host.rate
+            self._loop.call_after(min(delay_s, 60.0), self._apply_lease_expiry)
+
+    def _apply_lease_expiry(self) -> None:
+        if not self.process_host.dead:
             self.advance()
 
     async def _start(self, key: tuple[str, int], command: Command) -> None:
@@ -401,24 +407,24 @@
             self._on_event(outcome, self, attempt.command)
 
     async def _open_runner(self, slots: int) -> Any:
-        self._ports += 1
-        return _Port(self._ports)
+        self._last_port += 1
+        return _Port(self._last_port)
 
     def _close_runner(self, runner: Any) -> None:
         pass
 
 
 class FakeWorkerClient(WorkerClient):
-    """Calls of one daemon to a worker.
+    """Worker client of one daemon that calls a fake worker.
 
     Parameters
     ----------
     network : Network
-        Carries the calls.
+        Network that transmits the calls.
     host : Host
-        The calling daemon.
+        Host of the calling daemon.
     find_worker : callable
-        Returns the worker that listens on the address now, or None.
+        Returns the worker that currently listens on the address, or None.
     """
 
     def __init__(
@@ -438,7 +444,7 @@
             return Failure(NotSent("no such address"))
         return await self._network.call(
             self._host,
-            lambda: worker.process,
+            lambda: worker.process_host,
             lambda: worker.sync(request),
             timeout_ms=_WORKER_TIMEOUT_MS,
         )
--- a/soak/_invariants.py
+++ b/soak/_invariants.py
@@ -1,4 +1,4 @@
-"""Invariants, checked from outside on the true state of workers, store and daemons."""
+"""Invariants that are checked on the actual state of workers, store and daemons."""
 
 from __future__ import annotations
 
@@ -19,18 +19,18 @@
     from soak._cluster import Cluster
     from soak._fakes import FakeWorker
 
-_FINAL = {"done", "cancelled", "refused", "failed"}
+_FINAL_STATES = {"done", "cancelled", "refused", "failed"}
 
 
 class ViolationError(InvariantError):
-    """An invariant was seen broken from outside.
+    """Violation of an invariant.
 
     Parameters
     ----------
     invariant : str
-        Its name.
+        Name of the invariant.
     detail : str
-        Values involved.
+        Description with the values involved.
     """
 
     def __init__(self, invariant: str, detail: str) -> None:
@@ -39,12 +39,12 @@
 
 
 class Checker:
-    """Watches one run; keeps the first violation.
+    """Checker of one soak run, which stores the first violation.
 
     Parameters
     ----------
     cluster : Cluster
-        What is watched.
+        Deployment to check.
     """
 
     def __init__(self, cluster: Cluster) -> None:
@@ -53,53 +53,59 @@
         self.counts: Counter[str] = Counter()
         self._cluster = cluster
         self._newest_attempt: dict[str, int] = defaultdict(int)
-        self._done: set[str] = set()
-        self._highest: dict[int, int] = {}
-        self._accepted: dict[str, int] = {}
-        self._refused: set[str] = set()
-        self._applied: set[int] = set()
+        self._done_tasks: set[str] = set()
+        self._highest_revisions: dict[int, int] = {}
+        self._accepted_revisions: dict[str, int] = {}
+        self._conflict_tokens: set[str] = set()
+        self._applied_revisions: set[int] = set()
         self._records: dict[str, dict[str, Any]] = defaultdict(dict)
 
-    def fail(self, invariant: str, detail: str) -> None:
-        """Keep a violation, which ends the run."""
+    def record_violation(self, invariant: str, detail: str) -> None:
+        """Record a violation, which ends the run; later violations are ignored."""
         if self.violation is None:
             self.violation = ViolationError(invariant, detail)
 
     # Hooks
 
     def on_worker_event(self, event: str, worker: FakeWorker, command: Command) -> None:
-        """Check each start and end on a worker's true state."""
+        """Check the start or end of an attempt against the actual state of all workers."""
         task, attempt = command.task, command.attempt
-        self._cluster.trace(f"{event} {task}#{attempt}", worker=worker.process.name)
+        self._cluster.trace(f"{event} {task}#{attempt}", worker=worker.process_host.name)
         self.counts[f"attempts {event}"] += 1
         if event == "refused":
-            self.fail("R1", f"{worker.process.name} had no room for {task}#{attempt}")
+            self.record_violation(
+                "R1", f"{worker.process_host.name} had no free capacity for {task}#{attempt}"
+            )
         if event != "started":
             return
-        self._check_size(worker)
+        self._check_usage(worker)
         if not task.startswith("job/"):
             return
         if attempt <= self._newest_attempt[task]:
-            self.fail("R3", f"{task}#{attempt} started after #{self._newest_attempt[task]}")
+            self.record_violation(
+                "R3", f"{task}#{attempt} started after #{self._newest_attempt[task]}"
+            )
         self._newest_attempt[task] = max(attempt, self._newest_attempt[task])
-        if task in self._done:
-            self.fail("done once", f"{task}#{attempt} started after it was recorded as done")
-        for other in self._cluster.list_workers():
+        if task in self._done_tasks:
+            self.record_violation(
+                "done once", f"{task}#{attempt} started after it was recorded as done"
+            )
+        for other in self._cluster.list_live_workers():
             for running in other.list_running():
                 if running.task == task and (other is not worker or running.attempt != attempt):
-                    self.fail(
+                    self.record_violation(
                         "R2",
-                        f"{task}#{attempt} started on {worker.process.name} while "
-                        f"#{running.attempt} runs on {other.process.name}",
+                        f"{task}#{attempt} started on {worker.process_host.name} while "
+                        f"#{running.attempt} runs on {other.process_host.name}",
                     )
 
     def on_put(self, key: str, value: Any) -> None:
-        """Check each value that the store takes."""
+        """Check a value that was written to the store."""
         if key == "control/config":
             revision = decode(value, Revision)
             newest = self.revisions[-1].revision if self.revisions else 0
             if revision.revision != newest + 1:
-                self.fail("R9", f"revision {revision.revision} written after {newest}")
+                self.record_violation("R9", f"revision {revision.revision} written after {newest}")
             self.revisions.append(revision)
         elif "/journal/" in key:
             record = key.partition("/journal/")[0]
@@ -108,31 +114,31 @@
             for name in value["drop"]:
                 entries.pop(name, None)
             if key.startswith("records/ledger/"):
-                self._applied.add(value["header"].get("fence", 0))
+                self._applied_revisions.add(value["header"].get("fence", 0))
                 self._check_ledger(value["put"])
             else:
                 self._check_record(record, entries)
 
     def on_apply(self, token: str, outcome: str, revision: int) -> None:
-        """Note what an operator was told."""
+        """Record the outcome of a change as the operator received it."""
         self.counts[f"changes {outcome}"] += 1
         if outcome == "accepted":
-            self._accepted[token] = revision
+            self._accepted_revisions[token] = revision
         elif outcome == "conflict":
-            self._refused.add(token)
+            self._conflict_tokens.add(token)
 
-    def _check_size(self, worker: FakeWorker) -> None:
+    def _check_usage(self, worker: FakeWorker) -> None:
         sizes = [command.spec.size for command in worker.list_running() if command.spec]
         used = tuple(sum(size[index] for size in sizes) for index in range(3))
         if not fits(used, worker.size):
-            self.fail("R1", f"{worker.process.name} runs {used} of {worker.size}")
+            self.record_violation("R1", f"{worker.process_host.name} runs {used} of {worker.size}")
 
     def _check_ledger(self, changed: dict[str, Any]) -> None:
         for task, raw in changed.items():
             if raw["state"] == "done":
-                self._done.add(task)
-            elif task in self._done:
-                self.fail("done once", f"{task} went from done to {raw['state']}")
+                self._done_tasks.add(task)
+            elif task in self._done_tasks:
+                self.record_violation("done once", f"{task} went from done to {raw['state']}")
 
     def _check_record(self, key: str, entries: dict[str, Any]) -> None:
         used: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
@@ -144,44 +150,48 @@
         for name, total in used.items():
             worker = self._cluster.workers.get(name)
             if worker is not None and not fits(tuple(total), worker.size):
-                self.fail("R1", f"{key} charges {name} with {total} of {worker.size}")
+                self.record_violation("R1", f"{key} charges {name} with {total} of {worker.size}")
 
     # Regular checks
 
     def check_daemons(self) -> None:
-        """Check owners and revisions of all live daemons."""
+        """Check the owned partitions and the revisions of all live daemons."""
         owners: dict[str, str] = {}
-        for node in self._cluster.nodes.values():
-            if node.host.dead:
+        for process in self._cluster.processes.values():
+            if process.host.dead:
                 continue
-            control = node.daemon.control
+            control = process.daemon.control
             for partition, epoch in control.ownership.assigned().items():
                 if control.ownership.may_act(partition, epoch):
                     if partition in owners:
-                        names = f"{owners[partition]} and {node.host.name}"
-                        self.fail("single owner", f"{partition} has {names}")
-                    owners[partition] = node.host.name
+                        names = f"{owners[partition]} and {process.host.name}"
+                        self.record_violation("single owner", f"{partition} has {names}")
+                    owners[partition] = process.host.name
             revision = control.revisions.revision.revision
-            age_s = self._cluster.loop.true_s - node.started_s
-            if not revision and age_s > 15.0 and self._cluster.knows_seed(node):
-                self.fail("R9", f"{node.host.name} has no revision {age_s:.0f} s after its start")
-            if revision < self._highest.get(id(node), 0):
-                self.fail("R9", f"{node.host.name} went back to revision {revision}")
-            self._highest[id(node)] = revision
+            age_s = self._cluster.loop.true_s - process.started_s
+            if not revision and age_s > 15.0 and self._cluster.can_pull_revision(process):
+                self.record_violation(
+                    "R9", f"{process.host.name} has no revision {age_s:.0f} s after its start"
+                )
+            if revision < self._highest_revisions.get(id(process), 0):
+                self.record_violation("R9", f"{process.host.name} went back to revision {revision}")
+            self._highest_revisions[id(process)] = revision
 
     def check_store_calls(self, bound: int) -> None:
-        """Check that no daemon makes more calls in a second than a bound."""
-        for node in self._cluster.all_nodes:
-            for second, calls in node.platform.calls_by_second.items():
+        """Check that no daemon makes more than `bound` store calls in any second."""
+        for process in self._cluster.all_processes:
+            for second, calls in process.platform.calls_by_second.items():
                 if calls > bound:
-                    self.fail("store calls", f"{node.host.name}: {calls} in second {second}")
+                    self.record_violation(
+                        "store calls", f"{process.host.name}: {calls} in second {second}"
+                    )
 
     # End of a run
 
     def check_end(self) -> None:
-        """Check the state after the faults ended and a quiet time passed."""
+        """Check the final state, after all faults ended and the deployment had time to recover."""
         self._check_revisions()
-        newest = self._declaration()
+        newest = self._parse_newest_declaration()
         entries = self._read_ledger()
         declared = {
             task: spec
@@ -193,30 +203,36 @@
                 self._check_job(task, entries.get(task))
         specs = expand(newest)
         running: dict[str, list[str]] = defaultdict(list)
-        for worker in self._cluster.list_workers():
+        for worker in self._cluster.list_live_workers():
             for command in worker.list_running():
-                running[command.task].append(worker.process.name)
+                running[command.task].append(worker.process_host.name)
                 if command.task not in specs:
-                    self.fail("R10", f"{command.task} still runs on {worker.process.name}")
+                    self.record_violation(
+                        "R10", f"{command.task} still runs on {worker.process_host.name}"
+                    )
         for task, spec in specs.items():
             if spec.kind == "service" and len(running[task]) != 1:
-                self.fail("R10", f"{task} runs on {running[task]}: {entries.get(task)}")
+                self.record_violation("R10", f"{task} runs on {running[task]}: {entries.get(task)}")
         self._check_shards(entries)
 
     def _check_revisions(self) -> None:
         written = {revision.token: revision.revision for revision in self.revisions}
-        for token, revision in self._accepted.items():
+        for token, revision in self._accepted_revisions.items():
             if not 0 < written.get(token, 0) <= revision:
-                self.fail("R9", f"accepted revision {revision} of {token} is not in the store")
-        for token in self._refused & written.keys():
-            self.fail("R9", f"{token} was told conflict and took effect")
+                self.record_violation(
+                    "R9", f"accepted revision {revision} of {token} is not in the store"
+                )
+        for token in self._conflict_tokens & written.keys():
+            self.record_violation("R9", f"{token} was rejected with a conflict but took effect")
         newest = self.revisions[-1].revision
-        for node in self._cluster.nodes.values():
-            found = node.daemon.control.revisions.revision.revision
-            if not node.host.dead and found != newest:
-                self.fail("R9", f"{node.host.name} has revision {found}, newest is {newest}")
-
-    def _declaration(self) -> Declaration:
+        for process in self._cluster.processes.values():
+            applied = process.daemon.control.revisions.revision.revision
+            if not process.host.dead and applied != newest:
+                self.record_violation(
+                    "R9", f"{process.host.name} has revision {applied}, newest is {newest}"
+                )
+
+    def _parse_newest_declaration(self) -> Declaration:
         return parse(self.revisions[-1].text).unwrap()
 
     def _read_ledger(self) -> dict[str, Entry]:
@@ -228,37 +244,37 @@
         }
 
     def _check_replay(self) -> None:
-        # What the next owner would read is the sum of all journal values in their order.
+        # The entries that the next owner would read must equal all journal values applied in order.
         for key, entries in self._records.items():
             items = [Item(**item) for item in self._cluster.store.list(f"{key}/")]
             replayed = replay_record(key, items)[1]
             if replayed != entries:
-                self.fail("replay", f"{key}: {replayed} instead of {entries}")
+                self.record_violation("replay", f"{key}: {replayed} instead of {entries}")
 
     def _check_job(self, task: str, entry: Entry | None) -> None:
         if entry is None:
-            # Allowed only for a job that operators withdrew before any dispatcher had applied
-            # a revision that declares it: it ended as cancelled and never started.
+            # Allowed only for a job that operators removed before any dispatcher had applied a
+            # revision that declares it: the job ended as cancelled and never started.
             section = f"[job {task.split('/')[1]}]"
             declared = {item.revision for item in self.revisions if section in item.text}
-            if declared & self._applied or self._newest_attempt[task]:
-                self.fail("R10", f"{task} is not in the ledger")
+            if declared & self._applied_revisions or self._newest_attempt[task]:
+                self.record_violation("R10", f"{task} is not in the ledger")
             self.counts["tasks withdrawn before dispatch"] += 1
-        elif entry.state not in _FINAL:
-            self.fail("R10", f"{task} has not ended: {entry}")
+        elif entry.state not in _FINAL_STATES:
+            self.record_violation("R10", f"{task} has not ended: {entry}")
         elif entry.state in ("refused", "failed") and not entry.reason:
-            self.fail("R10", f"{task} is {entry.state} without a reason")
+            self.record_violation("R10", f"{task} is {entry.state} without a reason")
         else:
             self.counts[f"tasks {entry.state}"] += 1
 
     def _check_shards(self, entries: dict[str, Entry]) -> None:
         self._check_replay()
-        for key, held in self._records.items():
+        for key, placements in self._records.items():
             if not key.startswith("records/shard/"):
                 continue
-            for raw in held.values():
+            for raw in placements.values():
                 placement = decode(raw, Placement)
                 entry = entries.get(placement.task)
-                known = entry is not None and entry.attempt == placement.attempt
-                if placement.state != "placed" or not known or entry.state != "assigned":
-                    self.fail("R10", f"left over in {key}: {placement} for {entry}")
+                is_current = entry is not None and entry.attempt == placement.attempt
+                if placement.state != "placed" or not is_current or entry.state != "assigned":
+                    self.record_violation("R10", f"left over in {key}: {placement} for {entry}")
--- a/soak/_loop.py
+++ b/soak/_loop.py
@@ -1,4 +1,4 @@
-"""Event loop on a virtual clock whose hosts have clocks of their own and can be frozen."""
+"""Event loop on a virtual clock; its hosts have their own clocks and can be frozen."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 
 import attrs
 
-# Rounding of a conversion between two clocks must not make a timer fire too early, because
-# it would then be set again for the same moment without end.
+# Prevents a timer from firing too early because of rounding in the conversion between two clocks:
+# it would be set again for the same time in an endless loop.
 _ROUNDING_S = 1e-6
 
 _HOST: contextvars.ContextVar[Host | None] = contextvars.ContextVar("host", default=None)
@@ -19,20 +19,24 @@
 
 @attrs.define(eq=False)
 class Host:
-    """A process with its own clock.
+    """Process with its own clock.
 
     Parameters
     ----------
     name : str
-        Name in the trace.
+        Name of the host in the trace.
     rate : float
-        Local seconds for each second of true time.
+        Seconds of local time per second of true time.
     origin_s : float
         Local time at true time zero.
     frozen : bool
-        Whether its callbacks wait; its clock goes on.
+        Whether its callbacks are deferred; its clock continues to run.
     dead : bool
-        Whether its callbacks are dropped for ever, without any cleanup.
+        Whether its callbacks are dropped permanently, without any cleanup.
+    freeze_at_send_s : float
+        Seconds for which the host freezes when it next sends a message; 0 for none.
+    pending_callbacks : list of asyncio.Handle
+        Callbacks deferred while the host is frozen.
     """
 
     name: str
@@ -41,7 +45,7 @@
     frozen: bool = False
     dead: bool = False
     freeze_at_send_s: float = 0.0
-    waiting: list[asyncio.Handle] = attrs.field(factory=list)
+    pending_callbacks: list[asyncio.Handle] = attrs.field(factory=list)
 
     def make_context(self) -> contextvars.Context:
         """Return a context whose callbacks belong to this host."""
@@ -51,14 +55,14 @@
 
 
 class HostClock:
-    """The project's clock as one host reads it.
+    """Implementation of the project's clock interface for one host.
 
     Parameters
     ----------
     loop : VirtualLoop
-        Source of the true time.
+        Event loop that provides the true time.
     host : Host
-        Whose clock it is.
+        Host whose local time is returned.
     """
 
     def __init__(self, *, loop: VirtualLoop, host: Host) -> None:
@@ -75,47 +79,48 @@
 
     def select(self, timeout: float | None = None) -> list:
         if timeout is None:
-            raise RuntimeError("nothing is left to happen")
+            raise RuntimeError("no callback or timer is left to run")
         self.loop.true_s += timeout
         return []
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
-    """Runs callbacks in order of virtual time; waiting costs no time.
+    """Event loop that runs callbacks in order of virtual time, without waiting.
 
     A callback belongs to the host that is set in its context, which tasks inherit.
     """
 
     def __init__(self) -> None:
         self.true_s = 0.0
-        self.events = 0
+        self.callback_count = 0
         selector = _Selector()
         selector.loop = self
         super().__init__(selector)
-        # Tasks of killed hosts stay pending; keep them so that nothing of them runs again.
-        self.kept: list[asyncio.Task] = []
+        # Holds references to the pending tasks of killed hosts: garbage collection would run their
+        # cleanup code.
+        self.started_tasks: list[asyncio.Task] = []
         self.set_exception_handler(lambda *_: None)
 
     def time(self) -> float:
-        """Return the time on the clock of the current host."""
+        """Return the local time of the current host in seconds."""
         host = _HOST.get()
         return self.true_s if host is None else host.origin_s + host.rate * self.true_s
 
     def call_soon(self, callback: Callable, *args: Any, context: Any = None) -> asyncio.Handle:
-        """Run a callback next, or when its host goes on."""
-        self.events += 1
+        """Run a callback in the next iteration, or once its frozen host resumes."""
+        self.callback_count += 1
         host = _HOST.get() if context is None else context.get(_HOST)
         if host is None or not (host.frozen or host.dead):
             return super().call_soon(callback, *args, context=context)
         handle = asyncio.Handle(callback, args, self, context)
         if not host.dead:
-            host.waiting.append(handle)
+            host.pending_callbacks.append(handle)
         return handle
 
     def call_at(
         self, when: float, callback: Callable, *args: Any, context: Any = None
     ) -> asyncio.TimerHandle:
-        """Run a callback at a time on the clock of its host."""
+        """Run a callback at a local time of its host."""
         host = _HOST.get() if context is None else context.get(_HOST)
         if host is None:
             return super().call_at(when, callback, *args, context=context)
@@ -127,9 +132,9 @@
                 callback(*args)
 
         def fire() -> None:
-            self.events += 1
+            self.callback_count += 1
             if host.frozen:
-                host.waiting.append(asyncio.Handle(run, (), self, context))
+                host.pending_callbacks.append(asyncio.Handle(run, (), self, context))
             elif not host.dead:
                 callback(*args)
 
@@ -137,29 +142,29 @@
         return timer[0]
 
     def call_after(self, delay_s: float, callback: Callable[[], object]) -> None:
-        """Run a callback that belongs to no host after a true time."""
+        """Run a callback that belongs to no host after `delay_s` seconds of true time."""
         context = contextvars.Context()
         super().call_at(self.true_s + delay_s, callback, context=context)
 
     def start(self, host: Host | None, coroutine: Coroutine) -> asyncio.Task:
-        """Start a task that belongs to a host."""
+        """Start a task that belongs to a host, or to none."""
         context = contextvars.Context() if host is None else host.make_context()
         task = self.create_task(coroutine, context=context)
-        self.kept.append(task)
-        if len(self.kept) > 5_000:
-            self.kept = [item for item in self.kept if not item.done()]
+        self.started_tasks.append(task)
+        if len(self.started_tasks) > 5_000:
+            self.started_tasks = [item for item in self.started_tasks if not item.done()]
         return task
 
     def freeze(self, host: Host, duration_s: float) -> None:
-        """Stop a host for a time; what reaches it meanwhile waits."""
+        """Freeze a host for `duration_s` seconds of true time; its callbacks are deferred."""
         if host.frozen or host.dead:
             return
         host.frozen = True
-        self.call_after(duration_s, lambda: self.wake(host))
+        self.call_after(duration_s, lambda: self.unfreeze(host))
 
-    def wake(self, host: Host) -> None:
-        """Let a frozen host go on where it was."""
+    def unfreeze(self, host: Host) -> None:
+        """Resume a frozen host and run its deferred callbacks."""
         host.frozen = False
-        waiting, host.waiting = host.waiting, []
+        pending_callbacks, host.pending_callbacks = host.pending_callbacks, []
         if not host.dead:
-            self._ready.extend(waiting)
+            self._ready.extend(pending_callbacks)
--- a/soak/_network.py
+++ b/soak/_network.py
@@ -1,4 +1,4 @@
-"""Messages between hosts: delay, loss, duplication, reordering and cuts."""
+"""Simulated network between hosts: delay, loss, duplication, reordering and cut links."""
 
 from __future__ import annotations
 
@@ -15,15 +15,15 @@
 
 
 @attrs.define
-class Weather:
+class LinkQuality:
     """Quality of all links.
 
     Parameters
     ----------
     delay_s : float
-        Mean one-way delay; drawn anew for each message, so that messages overtake others.
+        Mean one-way delay. Each message has its own random delay, so messages are reordered.
     loss, duplication : float
-        Share of messages.
+        Share of messages that are lost, and share of calls that are delivered twice.
     """
 
     delay_s: float = 0.004
@@ -32,29 +32,29 @@
 
 
 class Network:
-    """Carries calls from one host to another.
+    """Network that transmits calls from one host to another.
 
     Parameters
     ----------
     loop : VirtualLoop
-        Time and tasks.
+        Event loop that provides the virtual time.
     rng : random.Random
-        Source of all draws.
+        Source of all random choices.
     """
 
     def __init__(self, *, loop: VirtualLoop, rng: random.Random) -> None:
-        self.weather = Weather()
+        self.link_quality = LinkQuality()
         self.cuts: dict[tuple[str, str], int] = {}
         self.on_error: Callable[[str, BaseException], None] = lambda *_: None
         self._loop = loop
         self._rng = rng
 
     def cut(self, source: str, target: str, change: int) -> None:
-        """Add (1) or remove (-1) a cut of one direction."""
+        """Add (1) or remove (-1) a cut of the link from `source` to `target`."""
         self.cuts[source, target] = self.cuts.get((source, target), 0) + change
 
     def is_cut(self, source: str, target: str) -> bool:
-        """Whether messages from one host to another are dropped."""
+        """Return whether messages from `source` to `target` are dropped."""
         return self.cuts.get((source, target), 0) > 0
 
     async def call(
@@ -65,15 +65,15 @@
         *,
         timeout_ms: float,
     ) -> Result[Any, NotSent | Unanswered]:
-        """Carry out `handle` on another host and wait for its answer."""
+        """Run `handle` on another host and wait for its response."""
         target = find_target()
         if target is None or (target.dead and self._rng.random() < 0.5):
             await anyio.sleep(0.001)
             return Failure(NotSent("connection refused"))
-        answer = self._loop.create_future()
+        response = self._loop.create_future()
         with anyio.move_on_after(timeout_ms / 1000):
-            # The message waits in the sender before it is on the wire; a sender that is
-            # frozen here sends what it decided before.
+            # The message is delayed in the sender before it is transmitted. A sender that is
+            # frozen here later sends a message that it decided on before the freeze.
             await anyio.sleep(self._rng.uniform(0.0, 0.002))
             if source.freeze_at_send_s:
                 duration_s, source.freeze_at_send_s = source.freeze_at_send_s, 0.0
@@ -83,25 +83,25 @@
             if self.is_cut(source.name, target.name) and self._rng.random() < 0.5:
                 await anyio.sleep(timeout_ms / 1000)
                 return Failure(NotSent("no connection"))
-            copies = 2 if self._rng.random() < self.weather.duplication else 1
+            copies = 2 if self._rng.random() < self.link_quality.duplication else 1
             for copy in range(copies):
-                self._carry(
+                self._transmit(
                     source.name,
                     target.name,
-                    lambda: self._run(source, target, handle, answer),
-                    late_s=copy * self._rng.uniform(0.0, 8.0),
+                    lambda: self._handle_on_target(source, target, handle, response),
+                    extra_delay_s=copy * self._rng.uniform(0.0, 8.0),
                 )
-            return Success(await answer)
+            return Success(await response)
         return Failure(Unanswered("overdue"))
 
-    def _carry(
-        self, source: str, target: str, deliver: Callable[[], object], *, late_s: float = 0.0
+    def _transmit(
+        self, source: str, target: str, deliver: Callable[[], object], *, extra_delay_s: float = 0.0
     ) -> None:
-        if self._rng.random() < self.weather.loss:
+        if self._rng.random() < self.link_quality.loss:
             return
-        delay_s = late_s + self.weather.delay_s * self._rng.uniform(0.3, 1.7)
+        delay_s = extra_delay_s + self.link_quality.delay_s * self._rng.uniform(0.3, 1.7)
         if self._rng.random() < 0.01:
-            # A packet that was sent again.
+            # Simulates the retransmission of a packet.
             delay_s += self._rng.uniform(0.2, 1.5)
 
         def arrive() -> None:
@@ -110,18 +110,20 @@
 
         self._loop.call_after(delay_s, arrive)
 
-    def _run(self, source: Host, target: Host, handle: Callable, answer: Any) -> None:
-        async def run() -> None:
+    def _handle_on_target(
+        self, source: Host, target: Host, handle: Callable, response: Any
+    ) -> None:
+        async def handle_and_respond() -> None:
             try:
                 value = await handle()
             except Exception as error:
                 self.on_error(target.name, error)
                 return
-            self._carry(target.name, source.name, lambda: settle(value))
+            self._transmit(target.name, source.name, lambda: set_response(value))
 
-        def settle(value: object) -> None:
-            if not answer.done():
-                answer.set_result(value)
+        def set_response(value: object) -> None:
+            if not response.done():
+                response.set_result(value)
 
         if not target.dead:
-            self._loop.start(target, run())
+            self._loop.start(target, handle_and_respond())
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -1,4 +1,4 @@
-"""One seeded run."""
+"""Soak run of one seed."""
 
 from __future__ import annotations
 
@@ -16,22 +16,22 @@
 from soak._faults import Injector
 from soak._loop import VirtualLoop
 
-_CHECK_S = 0.25
+_CHECK_PERIOD_S = 0.25
 _OPERATORS = 2
-# Bound on the calls that one daemon makes in a second; see docs/proofs.md for the measurement.
+# Maximum number of store calls of one daemon in a second; see docs/proofs.md for measured values.
 STORE_CALLS_BOUND = 100
 
 
 @attrs.frozen(kw_only=True)
 class Report:
-    """Result of one run.
+    """Result of one soak run.
 
     Parameters
     ----------
     violation : str
-        What was broken; empty when nothing was.
+        First violation of an invariant; empty if there was none.
     events : tuple of str
-        The last events before the violation.
+        Last events of the run, up to the violation if there was one.
     """
 
     seed: int
@@ -61,26 +61,28 @@
     seed : int
         Determines the whole run.
     minutes : float, default=10.0
-        Virtual time.
+        Duration of the run in virtual minutes.
     daemons : int, default=0
-        Number of daemons; 0 draws 3 to 7.
+        Number of daemons; 0 chooses 3 to 7 by seed.
     workers : int, default=24
         Number of workers.
     kinds : tuple of str, optional
-        Restricts the faults to some kinds.
+        Kinds of faults to inject; all if empty.
 
     Returns
     -------
     Report
     """
-    began = time.perf_counter()
+    started_s = time.perf_counter()
     random.seed(seed)
     loop = VirtualLoop()
     daemons = daemons or random.Random(f"{seed}/size").randint(3, 7)
     try:
-        return loop.run_until_complete(_run(loop, seed, minutes, daemons, workers, kinds, began))
+        return loop.run_until_complete(
+            _run(loop, seed, minutes, daemons, workers, kinds, started_s)
+        )
     finally:
-        _discard(loop)
+        _discard_loop(loop)
 
 
 async def _run(
@@ -90,7 +92,7 @@
     daemons: int,
     workers: int,
     kinds: tuple[str, ...],
-    began: float,
+    started_s: float,
 ) -> Report:
     cluster = Cluster(loop=loop, seed=seed, daemons=daemons, workers=workers)
     injector = Injector(cluster=cluster, seed=seed, kinds=kinds)
@@ -107,16 +109,16 @@
 
     eliot.add_destinations(trace)
     try:
-        drivers = [cluster.operate(faults_end_s) for _ in range(_OPERATORS)]
+        drivers = [cluster.run_operator(faults_end_s) for _ in range(_OPERATORS)]
         drivers.append(injector.run(faults_end_s))
         tasks = [loop.start(None, driver) for driver in drivers]
         while loop.true_s < end_s and cluster.checker.violation is None:
-            await anyio.sleep(_CHECK_S)
+            await anyio.sleep(_CHECK_PERIOD_S)
             cluster.checker.check_daemons()
         for task in tasks:
-            # A driver that fails would leave the rest of the run without faults.
+            # A failed driver leaves the rest of the run without faults or changes.
             if task.done() and task.exception() is not None:
-                cluster.checker.fail("driver", repr(task.exception()))
+                cluster.checker.record_violation("driver", repr(task.exception()))
         if cluster.checker.violation is None:
             cluster.checker.check_end()
             cluster.checker.check_store_calls(STORE_CALLS_BOUND)
@@ -125,31 +127,31 @@
     violation = cluster.checker.violation
     calls: Counter[int] = Counter()
     highest = 0
-    for node in cluster.all_nodes:
-        calls.update(node.platform.calls_by_second)
-        highest = max(highest, *node.platform.calls_by_second.values(), 0)
-    live_seconds = len(cluster.nodes) * faults_end_s
-    rest = [calls[second] for second in range(int(end_s) - 20, int(end_s))]
+    for process in cluster.all_processes:
+        calls.update(process.platform.calls_by_second)
+        highest = max(highest, *process.platform.calls_by_second.values(), 0)
+    live_seconds = len(cluster.processes) * faults_end_s
+    rest_calls = [calls[second] for second in range(int(end_s) - 20, int(end_s))]
     return Report(
         seed=seed,
         violation=str(violation or ""),
         events=tuple(cluster.events),
         faults=dict(injector.counts),
         counts=dict(cluster.checker.counts),
-        callbacks=loop.events,
-        wall_s=time.perf_counter() - began,
-        calls_at_rest=sum(rest) / len(rest) / max(1, len(cluster.list_live())),
+        callbacks=loop.callback_count,
+        wall_s=time.perf_counter() - started_s,
+        calls_at_rest=sum(rest_calls) / len(rest_calls) / max(1, len(cluster.list_live_daemons())),
         calls_under_load=sum(calls[second] for second in range(int(faults_end_s))) / live_seconds,
         calls_highest=highest,
     )
 
 
-def _discard(loop: VirtualLoop) -> None:
-    # Pending tasks of killed daemons are dropped without running any of their code.
+def _discard_loop(loop: VirtualLoop) -> None:
+    # Drops the pending tasks of killed daemons without resuming them and without warnings.
     with warnings.catch_warnings():
         warnings.simplefilter("ignore", ResourceWarning)
-        for task in loop.kept:
+        for task in loop.started_tasks:
             task._log_destroy_pending = False
-        loop.kept.clear()
+        loop.started_tasks.clear()
         loop.close()
         gc.collect()
--- a/soak/test_nodes.py
+++ b/soak/test_nodes.py
@@ -1,14 +1,14 @@
-"""The soak of the daemons on the users' platform: its checks, and a short seeded run."""
+"""Tests of the checks of `soak.nodes`, and a short seeded run."""
 
 import unittest
 
 import anyio
 
-from soak.nodes import NodesSoak, play
+from soak.nodes import NodesSoak, run_seed
 
 
 def build_run(attempt, **changes):
-    """Build a run of one task as a runner's history lists it."""
+    """Build an entry of a runner's history for one task."""
     begin_ms = 1_000.0 * attempt
     values = {
         "task": "5c0e7a21d94b36f8.0.0.0",
@@ -21,7 +21,7 @@
 
 
 class RunsTest(unittest.TestCase):
-    """Promises about the runs of one task of an accepted job."""
+    """Checks of the runs of one task of an accepted job."""
 
     def _check(self, *runs):
         soak = NodesSoak(seed=1, duration_s=0.0)
@@ -30,38 +30,39 @@
             return list(runs)
 
         soak._nodes.read_history = read_history
-        soak.add_accepted("5c0e7a21d94b36f8")
+        soak.add_accepted_job("5c0e7a21d94b36f8")
         anyio.run(soak._check_runs)
         soak._nodes.close()
         return soak.report
 
-    def test_run_after_an_end_that_counts(self):
-        """Guards against a check that lets a task run again although its end was listed."""
+    def test_run_after_known_outcome_is_a_violation(self):
+        """Guards against a check that permits a task to run again although its outcome is known."""
         self.assertEqual(len(self._check(build_run(1), build_run(2)).violations), 1)
-        kept = build_run(1, observed=False, lost=False)
-        self.assertEqual(len(self._check(kept, build_run(2)).violations), 1)
+        known_run = build_run(1, observed=False, lost=False)
+        self.assertEqual(len(self._check(known_run, build_run(2)).violations), 1)
 
-    def test_run_after_an_end_that_was_lost(self):
-        """Guards against a report of what is allowed (seed 208).
+    def test_run_after_lost_outcome_is_allowed(self):
+        """Guards against a false violation (seed 208).
 
-        A runner was killed after its run was done and before any owner had acknowledged that; the
-        store was away, so the owner could not record it, and the next owner ran the task again.
+        A runner was killed after its run was done and before any owner had acknowledged the
+        outcome. The store was unavailable, so the owner could not record it, and the next owner
+        ran the task again.
         """
         report = self._check(build_run(1, observed=False, lost=True), build_run(2))
         self.assertEqual(report.violations, [])
-        self.assertEqual(len(report.lost_ends), 1)
+        self.assertEqual(len(report.lost_completions), 1)
 
-    def test_runs_at_once(self):
-        """Guards against a check that misses two runs of one task that overlap."""
+    def test_overlapping_runs_are_a_violation(self):
+        """Guards against a check that misses two overlapping runs of one task."""
         first = build_run(1, end_ms=9_000.0, lost=True)
         self.assertEqual(len(self._check(first, build_run(2)).violations), 1)
 
 
 class ShortSoakTest(unittest.TestCase):
-    """Real processes with faults from outside."""
+    """Short run of real processes with injected faults."""
 
-    def test_short_run_keeps_the_promises(self):
-        """Guards against doubled, lost and falsely refused jobs when faults overlap."""
-        report = play(seed=3, seconds=5.0)
+    def test_short_run_has_no_violations(self):
+        """Guards against duplicated, lost and wrongly rejected jobs when faults overlap."""
+        report = run_seed(seed=3, seconds=5.0)
         self.assertEqual(report.violations, [], report.logs)
         self.assertGreater(report.accepted, 0)
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -1,4 +1,4 @@
-"""Fixed seeds of the randomised runs, and the exact replay of a seed."""
+"""Soak runs of fixed seeds, and the exact replay of a seed."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 
 from soak._run import run_seed
 
-# Seed, virtual minutes, workers, daemons (0: drawn) and kinds of faults (empty: all);
-# docs/proofs.md names the mutation that each of them catches.
+# Seed, virtual minutes, workers, daemons (0: chosen by seed) and kinds of faults (empty: all);
+# docs/proofs.md lists the mutation that each run detects.
 RUNS: tuple[tuple[int, float, int, int, tuple[str, ...]], ...] = (
     (0, 4.0, 8, 0, ()),
     (1, 4.0, 8, 0, ()),
@@ -20,8 +20,8 @@
 
 
 class SoakTest(unittest.TestCase):
-    def test_fixed_seeds_break_no_invariant(self) -> None:
-        """Guards against the faults that these seeds have shown, see docs/proofs.md."""
+    def test_fixed_seeds_violate_no_invariant(self) -> None:
+        """Guards against the faults that these seeds have revealed, see docs/proofs.md."""
         for seed, minutes, workers, daemons, kinds in RUNS:
             with self.subTest(seed=seed, kinds=kinds):
                 report = run_seed(
@@ -30,7 +30,7 @@
                 self.assertEqual(report.violation, "", "\n".join(report.events[-60:]))
 
     def test_seed_replays_exactly(self) -> None:
-        """Guards against a run that can't be repeated to find its cause."""
+        """Guards against violations that can't be reproduced from their seed."""
         first, second = (run_seed(9, minutes=2.5, workers=4, daemons=3) for _ in range(2))
         self.assertEqual(first.events, second.events)
         self.assertEqual(first.callbacks, second.callbacks)
