Rename remaining vague locals in the benchmarks and the soak

Locals and private attributes such as item, done, cuts, left_ms, due and a bare zone now name what they hold, and docstrings list parameters by their new names.

--- a/benchmarks/_logic.py
+++ b/benchmarks/_logic.py
@@ -101,7 +101,7 @@
     )
 
 
-class System:
+class ControlPlane:
     """Dispatcher and shard owners whose declared tasks are all running.
 
     Parameters
@@ -171,10 +171,10 @@
     """Measure a dispatcher step, an exchange with a shard and the ledger, by number of tasks."""
     steps, exchanges, buckets, memories = [], [], [], []
     for workers in sizes:
-        system = System(workers=workers, teams=min(teams, workers))
-        dispatcher = system.dispatcher
-        steps.append((system.tasks, measure_cpu_ms(dispatcher.step, times=3)))
-        shard = system.shards["r0"]
+        control_plane = ControlPlane(workers=workers, teams=min(teams, workers))
+        dispatcher = control_plane.dispatcher
+        steps.append((control_plane.tasks, measure_cpu_ms(dispatcher.step, times=3)))
+        shard = control_plane.shards["r0"]
 
         def exchange(shard: ShardState = shard, dispatcher: Dispatcher = dispatcher) -> None:
             request = dispatcher.next_request("r0", regular=True)
@@ -182,12 +182,14 @@
             reply = encode(shard.report(full=False))
             dispatcher.observe_reply(decode(reply, type(shard.report(full=False))))
 
-        exchanges.append((system.tasks, measure_cpu_ms(exchange, times=3)))
+        exchanges.append((control_plane.tasks, measure_cpu_ms(exchange, times=3)))
         record = max(dispatcher.ledger.records, key=lambda item: len(item.working))
         task = next(iter(record.working))
         record.put(task, record.working[task].__class__(state="pending", attempt=9))
-        buckets.append((system.tasks, len(encode(record.begin_write().value)) / 1000))
-        memories.append((system.tasks, measure_memory_mb(lambda d=dispatcher: _copy_ledger(d))))
+        buckets.append((control_plane.tasks, len(encode(record.begin_write().value)) / 1000))
+        memories.append(
+            (control_plane.tasks, measure_memory_mb(lambda d=dispatcher: _copy_ledger(d)))
+        )
     return [
         Slope(name="dispatcher: one step", unit="ms", per="task", points=tuple(steps)),
         Slope(
--- a/benchmarks/colocation.py
+++ b/benchmarks/colocation.py
@@ -48,7 +48,7 @@
 _IDLE_TAIL_MS = 4.0
 _LATENCY_TARGET_MS = 24.0
 # Mean load of a serving step, amplitude of its oscillation relative to the mean, and period.
-_MEAN_LOAD, _LOAD_SWING, _LOAD_PERIOD_MS = 0.48, 0.5, 9_500.0
+_MEAN_LOAD, _LOAD_AMPLITUDE, _LOAD_PERIOD_MS = 0.48, 0.5, 9_500.0
 _SERVING_IMAGES, _BEST_EFFORT_IMAGES = 5, 9
 # Share of image pairs with high interference, and the ranges of high and low interference.
 _HIGH_INTERFERENCE_SHARE, _HIGH_INTERFERENCE, _LOW_INTERFERENCE = 0.55, (1.3, 5.0), (0.0, 0.3)
@@ -75,8 +75,8 @@
 class _TaskRun:
     """Run on a simulated runner.
 
-    `used_sum` adds up the samples since the last report: the processor use of a best-effort run, or
-    the tail latency of a serving run.
+    `sample_sum` is the sum of the samples since the last report: the processor use of a best-effort
+    run, or the tail latency of a serving run.
     """
 
     run_id: RunId
@@ -85,8 +85,8 @@
     progress_ms: float = 0.0
     pace: int = 100
     age_ms: float = 0.0
-    used_sum: float = 0.0
-    used_count: int = 0
+    sample_sum: float = 0.0
+    sample_count: int = 0
 
 
 @attrs.define
@@ -95,7 +95,7 @@
     task_runs: dict[RunId, _TaskRun] = attrs.field(factory=dict)
     ended: list[EndedRow] = attrs.field(factory=list)
     last_end_number: int = 0
-    report_ms: float = 0.0
+    next_report_ms: float = 0.0
     has_unreported_end: bool = False
 
 
@@ -153,7 +153,7 @@
         self._settings = settings
         rng = self._rng
         self.interference = {
-            (f"s{serving}", f"f{filling}"): rng.uniform(
+            (f"s{serving}", f"f{best_effort}"): rng.uniform(
                 *(
                     _HIGH_INTERFERENCE
                     if rng.random() < _HIGH_INTERFERENCE_SHARE
@@ -161,7 +161,7 @@
                 )
             )
             for serving in range(_SERVING_IMAGES)
-            for filling in range(_BEST_EFFORT_IMAGES)
+            for best_effort in range(_BEST_EFFORT_IMAGES)
         }
         self._phases: dict[str, float] = {}
         self._runners = {}
@@ -176,9 +176,11 @@
                 rack=f"rack{number // 8}",
                 born_unix_ms=1,
             )
-            self._runners[entry.id] = _SimulatedRunner(entry, report_ms=rng.uniform(0, _REPORT_MS))
+            self._runners[entry.id] = _SimulatedRunner(
+                entry, next_report_ms=rng.uniform(0, _REPORT_MS)
+            )
         self._submissions: list[_Submission] = []
-        self._open: dict[str, _Submission] = {}
+        self._open_submissions: dict[str, _Submission] = {}
         self._durations_ms: dict[tuple[str, int], list[float]] = {}
         self._long_running_offered = self._long_running_earned = 0.0
         self._samples_over_target = self._serving_samples = 0
@@ -264,7 +266,7 @@
         if isinstance(result, Accepted):
             submission.accepted = True
             submission.next_attempt_ms = math.inf
-            self._open[submission.id] = submission
+            self._open_submissions[submission.id] = submission
         elif isinstance(result, Rejected):
             wait_ms = math.ceil(result.retry_after_ms / 1000) * 1000.0
             submission.next_attempt_ms = (
@@ -276,7 +278,7 @@
     def _compute_load(self, job_id: str) -> float:
         phase = self._phases.setdefault(job_id, self._rng.uniform(0, 2 * math.pi))
         return _MEAN_LOAD * (
-            1 + _LOAD_SWING * math.sin(2 * math.pi * self.now_ms / _LOAD_PERIOD_MS + phase)
+            1 + _LOAD_AMPLITUDE * math.sin(2 * math.pi * self.now_ms / _LOAD_PERIOD_MS + phase)
         )
 
     def _advance_runner(self, runner: _SimulatedRunner) -> None:
@@ -299,8 +301,8 @@
         for task_run in best_effort:
             rate = share * task_run.pace / 100
             task_run.progress_ms += rate * _STEP_MS
-            task_run.used_sum += task_run.spec.cpu_milli * rate
-            task_run.used_count += 1
+            task_run.sample_sum += task_run.spec.cpu_milli * rate
+            task_run.sample_count += 1
             self._best_effort_cores_sum += task_run.spec.cpu_milli * rate / 1000
         for task_run in serving:
             added_utilisation = sum(
@@ -310,16 +312,18 @@
             )
             utilisation = min(0.97, loads[task_run.run_id] + added_utilisation)
             tail = _IDLE_TAIL_MS / (1 - utilisation)
-            task_run.used_sum += tail
-            task_run.used_count += 1
+            task_run.sample_sum += tail
+            task_run.sample_count += 1
             if task_run.age_ms >= _STARTUP_MS:
-                alone = _IDLE_TAIL_MS / (1 - loads[task_run.run_id])
+                tail_without_interference = _IDLE_TAIL_MS / (1 - loads[task_run.run_id])
                 self._serving_samples += 1
                 self._long_running_earned += 1
                 if tail > _LATENCY_TARGET_MS:
                     self._samples_over_target += 1
                     self._long_running_earned -= (
-                        1.0 if alone > _LATENCY_TARGET_MS else _INTERFERENCE_PENALTY
+                        1.0
+                        if tail_without_interference > _LATENCY_TARGET_MS
+                        else _INTERFERENCE_PENALTY
                     )
         for task_run in list(runner.task_runs.values()):
             task_run.age_ms += _STEP_MS
@@ -341,15 +345,15 @@
         observed = self.cell.fleet.observed_end(name)
         runner.ended = [row for row in runner.ended if row.number > observed]
         self.cell.fleet.set_lapse(name, self.now_ms + self._settings.run_lease_ms)
-        due = self.now_ms >= runner.report_ms
-        if due:
-            runner.report_ms += _REPORT_MS
+        is_report_due = self.now_ms >= runner.next_report_ms
+        if is_report_due:
+            runner.next_report_ms += _REPORT_MS
         rows = []
         for task_run in runner.task_runs.values():
             percent = min(99.0, 100 * task_run.progress_ms / task_run.duration_ms)
             if task_run.spec.long_running:
                 percent = 100.0 if task_run.age_ms >= _STARTUP_MS else 0.0
-            measured = task_run.used_sum / task_run.used_count if task_run.used_count else 0.0
+            measured = task_run.sample_sum / task_run.sample_count if task_run.sample_count else 0.0
             rows.append(
                 RunningRow(
                     task_run.run_id, f"{task_run.progress_ms}", percent, float(round(measured))
@@ -368,10 +372,10 @@
             ),
             self.now_ms,
         )
-        if due:
+        if is_report_due:
             # The next report covers the time since this one.
             for task_run in runner.task_runs.values():
-                task_run.used_sum, task_run.used_count = 0.0, 0
+                task_run.sample_sum, task_run.sample_count = 0.0, 0
 
     def _execute_commands(self) -> None:
         for command in self.cell.plan(self.now_ms, _UNIX_OFFSET_MS + self.now_ms):
@@ -395,7 +399,7 @@
 
     # Simulation
 
-    def _arrivals(self, burst: float) -> Iterator[str]:
+    def _generate_arrivals(self, burst: float) -> Iterator[str]:
         for kind, rate in _JOBS_PER_S.items():
             rate_factor = burst if kind == "batch" else 1.0
             if self._rng.random() < rate * self._load * rate_factor * _STEP_MS / 1000:
@@ -412,13 +416,13 @@
             Length of the period.
         burst : float
             Factor on the arrival rate of batch jobs.
-        calls : bool
+        with_arrivals : bool
             Whether new jobs arrive.
         """
         end_ms = self.now_ms + duration_ms
         while self.now_ms < end_ms:
             self.now_ms += _STEP_MS
-            for kind in self._arrivals(burst) if with_arrivals else ():
+            for kind in self._generate_arrivals(burst) if with_arrivals else ():
                 self._create_job(kind)
             for submission in self._submissions[-400:]:
                 if submission.next_attempt_ms <= self.now_ms:
@@ -427,7 +431,7 @@
                 self._advance_runner(runner)
             self._best_effort_samples += 1
             for runner in self._runners.values():
-                if runner.has_unreported_end or self.now_ms >= runner.report_ms:
+                if runner.has_unreported_end or self.now_ms >= runner.next_report_ms:
                     self._send_report(runner)
             self._execute_commands()
             for job, version in self.cell.jobs.take_dirty(1_000):
@@ -435,17 +439,19 @@
             self._record_completions()
 
     def _record_completions(self) -> None:
-        for job_id, submission in list(self._open.items()):
+        for job_id, submission in list(self._open_submissions.items()):
             job = self.cell.jobs.jobs[job_id]
             if job.record.state is JobState.COMPLETED:
                 submission.ended_ms = self.now_ms
-                del self._open[job_id]
-        lasting = [
+                del self._open_submissions[job_id]
+        long_running_submissions = [
             submission
             for submission in self._submissions
             if submission.kind == "lasting" and submission.accepted
         ]
-        self._long_running_offered += sum(submission.spec.steps[0].count for submission in lasting)
+        self._long_running_offered += sum(
+            submission.spec.steps[0].count for submission in long_running_submissions
+        )
 
     def start(self) -> None:
         """Register the runners and start the long-running jobs that precede all other jobs."""
@@ -453,14 +459,14 @@
         self.cell.set_runners(entries, self.now_ms)
         self.cell.fleet.mark_recorded(self._runners)
         for runner in self._runners.values():
-            runner.report_ms += self.now_ms
+            runner.next_report_ms += self.now_ms
             self._send_report(runner)
-        declared = 0
+        declared_cpu_milli = 0
         capacity = sum(entry.cpu_milli for entry in entries)
-        while declared < 0.85 * capacity:
+        while declared_cpu_milli < 0.85 * capacity:
             self._create_job("lasting")
             step = self._submissions[-1].spec.steps[0]
-            declared += step.count * step.cpu_milli
+            declared_cpu_milli += step.count * step.cpu_milli
         self.advance(3_000, with_arrivals=False)
         self._samples_over_target = self._serving_samples = 0
         self._long_running_offered = self._long_running_earned = self._best_effort_cores_sum = 0.0
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -58,7 +58,7 @@
 
     Parameters
     ----------
-    harm : callable
+    interference : callable
         Returns the excess slowdown that a task of the second kind causes to one of the first.
     """
 
@@ -94,57 +94,63 @@
             now_ms=now_ms,
             cores=self._capacity[0],
             memory_mb=self._capacity[1],
-            tasks=tuple(self._build_report(key, item) for key, item in self.attempts.items()),
+            tasks=tuple(self._build_report(key, attempt) for key, attempt in self.attempts.items()),
         )
 
     def advance(self) -> None:
         """Advance all running tasks by one tick."""
         now_ms = self._clock.now_ms()
-        running = [item for item in self.attempts.values() if item.state == "running"]
-        for item in running:
-            spec = item.command.spec
+        running = [attempt for attempt in self.attempts.values() if attempt.state == "running"]
+        for attempt in running:
+            spec = attempt.command.spec
             excess = sum(
                 self._interference(spec.declared, other.command.spec.declared) * other.share
                 for other in running
-                if other is not item
+                if other is not attempt
             )
             slowdown = 1.0 + excess
-            item.slowdowns.append((now_ms, slowdown * self._rng.uniform(0.95, 1.05)))
-            while len(item.slowdowns) > 1 and item.slowdowns[1][0] <= now_ms - _MEASUREMENT_LAG_MS:
-                item.slowdowns.popleft()
-            if now_ms >= item.lease_until_ms:
-                self._end_attempt(item, "expired")
+            attempt.slowdowns.append((now_ms, slowdown * self._rng.uniform(0.95, 1.05)))
+            while (
+                len(attempt.slowdowns) > 1
+                and attempt.slowdowns[1][0] <= now_ms - _MEASUREMENT_LAG_MS
+            ):
+                attempt.slowdowns.popleft()
+            if now_ms >= attempt.lease_until_ms:
+                self._end_attempt(attempt, "expired")
             elif spec.kind == "service":
                 self._totals.slowdowns.append(slowdown)
             else:
-                item.progress_ms += TICK_MS * item.share / slowdown
-                if spec.checkpointing and item.progress_ms - item.saved_ms >= _CHECKPOINT_PERIOD_MS:
-                    item.saved_ms = item.progress_ms
-                if item.progress_ms >= item.run_time_ms:
-                    self._end_attempt(item, "done")
+                attempt.progress_ms += TICK_MS * attempt.share / slowdown
+                if (
+                    spec.checkpointing
+                    and attempt.progress_ms - attempt.saved_ms >= _CHECKPOINT_PERIOD_MS
+                ):
+                    attempt.saved_ms = attempt.progress_ms
+                if attempt.progress_ms >= attempt.run_time_ms:
+                    self._end_attempt(attempt, "done")
 
     def crash(self) -> None:
         """End all running attempts as lost and stop responding."""
-        for item in self.attempts.values():
-            if item.state == "running":
-                self._end_attempt(item, "lost")
+        for attempt in self.attempts.values():
+            if attempt.state == "running":
+                self._end_attempt(attempt, "lost")
         self.is_disconnected = True
 
     def _execute(self, command: Command, now_ms: float) -> None:
         key = (command.task, command.attempt)
-        item = self.attempts.get(key)
-        if command.kind == "start" and item is None and now_ms < command.expires_at_ms:
+        attempt = self.attempts.get(key)
+        if command.kind == "start" and attempt is None and now_ms < command.expires_at_ms:
             self._start_attempt(key, command, now_ms)
-        elif item is None:
+        elif attempt is None:
             return
         elif command.kind == "renew":
-            item.lease_until_ms = max(item.lease_until_ms, command.lease_until_ms)
+            attempt.lease_until_ms = max(attempt.lease_until_ms, command.lease_until_ms)
         elif command.kind == "throttle":
-            item.share = command.share
-        elif command.kind == "stop" and item.state == "running":
-            self._totals.evictions += item.command.spec.kind == "batch"
-            self._end_attempt(item, "stopped")
-        elif command.kind == "forget" and item.state == "ended":
+            attempt.share = command.share
+        elif command.kind == "stop" and attempt.state == "running":
+            self._totals.evictions += attempt.command.spec.kind == "batch"
+            self._end_attempt(attempt, "stopped")
+        elif command.kind == "forget" and attempt.state == "ended":
             del self.attempts[key]
 
     def _start_attempt(self, key: tuple[str, int], command: Command, now_ms: float) -> None:
@@ -152,12 +158,12 @@
         # Declared run times differ from the actual ones by up to a factor of two either way.
         factor = 2.0 ** random.Random(f"{command.task}").uniform(-1.0, 1.0)
         saved_ms = float(command.checkpoint or 0.0)
-        item = Attempt(
+        attempt = Attempt(
             command, spec.run_time_ms * factor, command.lease_until_ms, saved_ms, saved_ms
         )
-        self.attempts[key] = item
+        self.attempts[key] = attempt
         if self.fails_starts:
-            self._end_attempt(item, "failed")
+            self._end_attempt(attempt, "failed")
             return
         self._totals.started_ms.setdefault(command.task, now_ms)
         used = sum(
@@ -165,26 +171,26 @@
         )
         self._totals.overcommits += used > self._capacity[0] + 1e-6
 
-    def _end_attempt(self, item: Attempt, outcome: str) -> None:
-        spec = item.command.spec
-        item.state, item.outcome = "ended", outcome
+    def _end_attempt(self, attempt: Attempt, outcome: str) -> None:
+        spec = attempt.command.spec
+        attempt.state, attempt.outcome = "ended", outcome
         if spec.kind == "service" or outcome == "failed":
             return
         if outcome == "done":
-            self._totals.finished[spec.declared] += item.run_time_ms * spec.cores / 1000
+            self._totals.finished[spec.declared] += attempt.run_time_ms * spec.cores / 1000
         else:
-            unsaved_ms = item.progress_ms - item.saved_ms
+            unsaved_ms = attempt.progress_ms - attempt.saved_ms
             self._totals.wasted += unsaved_ms * spec.cores / 1000
 
-    def _build_report(self, key: tuple[str, int], item: Attempt) -> TaskReport:
-        spec = item.command.spec
-        measured_at_ms, slowdown = item.slowdowns[0]
+    def _build_report(self, key: tuple[str, int], attempt: Attempt) -> TaskReport:
+        spec = attempt.command.spec
+        measured_at_ms, slowdown = attempt.slowdowns[0]
         return TaskReport(
             task=key[0],
             attempt=key[1],
-            state=item.state,
-            outcome=item.outcome,
-            checkpoint=f"{item.saved_ms:.0f}" if spec.checkpointing and item.saved_ms else "",
+            state=attempt.state,
+            outcome=attempt.outcome,
+            checkpoint=f"{attempt.saved_ms:.0f}" if spec.checkpointing and attempt.saved_ms else "",
             address="127.0.0.1:1" if spec.kind == "service" else "",
             cores=spec.cores,
             memory_mb=spec.memory_mb,
@@ -200,7 +206,7 @@
     ----------
     build_policy : callable
         Returns the placement policy of a shard owner; None selects the default policy.
-    acts : bool
+    may_preempt : bool
         Whether batch tasks may be evicted and throttled.
     interference : callable
         Passed to each `FakeWorker`.
@@ -305,10 +311,10 @@
         for worker in self.workers.values():
             if worker.is_disconnected:
                 continue
-            for (task, _), item in worker.attempts.items():
-                if item.state != "running":
+            for (task, _), attempt in worker.attempts.items():
+                if attempt.state != "running":
                     continue
-                if task in running and item.command.spec.kind == "batch":
+                if task in running and attempt.command.spec.kind == "batch":
                     self.totals.duplicate_runs += 1
                 running.add(task)
         self.totals.runners.append(sum(task.startswith("service/") for task in running))
--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -45,8 +45,8 @@
 
     def percentile(self, share: float) -> float:
         """Return a percentile of the latencies in milliseconds."""
-        cuts = statistics.quantiles(self.latencies_ms, n=1000)
-        return cuts[min(998, int(share * 1000) - 1)]
+        quantiles = statistics.quantiles(self.latencies_ms, n=1000)
+        return quantiles[min(998, int(share * 1000) - 1)]
 
     @property
     def rate(self) -> float:
@@ -58,11 +58,11 @@
     """Send requests from concurrent callers, each waiting for its response before the next."""
     load = LoadResult()
     clock = MonotonicClock()
-    end = time.monotonic() + seconds
+    end_s = time.monotonic() + seconds
 
     async def run_caller(port: int) -> None:
         connection = Connection(host="127.0.0.1", port=port, clock=clock, max_body=1_000_000)
-        while time.monotonic() < end:
+        while time.monotonic() < end_s:
             start_ms = clock.now_ms()
             result = await connection.exchange(
                 method=b"POST", target=target, body=_BODY, timeout_ms=5_000, max_idle_ms=5_000
--- a/benchmarks/permits.py
+++ b/benchmarks/permits.py
@@ -109,9 +109,9 @@
         for round_number in range(3):
             for kind in ("read", "write"):
                 latencies, cpu_ms = await _measure_kind(cluster, kind, round_number)
-                cuts = statistics.quantiles(latencies, n=100)
+                quantiles = statistics.quantiles(latencies, n=100)
                 print(
-                    f"{kind}: p50 {cuts[49]:.2f} ms, p99 {cuts[98]:.2f} ms, "
+                    f"{kind}: p50 {quantiles[49]:.2f} ms, p99 {quantiles[98]:.2f} ms, "
                     f"{cpu_ms:.2f} ms of processor time in all daemons for each request"
                 )
     finally:
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -31,7 +31,7 @@
     ----------
     build : callable, optional
         Builds the placement policy of a shard owner; None selects the default policy.
-    acts : bool
+    may_preempt : bool
         Whether batch tasks may be evicted and throttled.
     """
 
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -38,8 +38,8 @@
 )
 
 _EXAMPLES = Path(__file__).parent.parent / "examples"
-_ZONES = ("a", "b", "c")
-_DAEMON_ZONES = "aaabbcc"
+_AVAILABILITY_ZONES = ("a", "b", "c")
+_DAEMON_AVAILABILITY_ZONES = "aaabbcc"
 _RUNNERS = 24
 _SLOTS = 8
 _SAME_ZONE_DELAY_MS = 0.25
@@ -187,7 +187,7 @@
 @attrs.define(eq=False)
 class _Daemon:
     id: str
-    zone: str
+    availability_zone: str
     router: Router
     waiting: dict[Ticket, Callable[[Grant | Refused], None]] = attrs.field(factory=dict)
     lost: bool = False
@@ -201,10 +201,10 @@
     ) -> None:
         self._deployment = deployment
         self._scenario = scenario
-        self._random = random.Random(f"{seed}")
+        self._rng = random.Random(f"{seed}")
         self._clock = VirtualClock()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
+        self._sequence = itertools.count()
         self.tally = Tally()
         text = (_EXAMPLES / deployment.declaration_file).read_text()
         self._kinds = {
@@ -226,7 +226,7 @@
                 id=f"service/{deployment.service}/{index}#1",
                 service=deployment.service,
                 address="",
-                availability_zone=_ZONES[index % len(_ZONES)],
+                availability_zone=_AVAILABILITY_ZONES[index % len(_AVAILABILITY_ZONES)],
                 worker=f"w{index}",
                 slots=_SLOTS,
                 connections=64,
@@ -235,16 +235,19 @@
         self._daemons = [
             _Daemon(
                 id=f"m{index}-{seed}",
-                zone=zone,
+                availability_zone=availability_zone,
                 router=Router(
-                    clock=self._clock, availability_zone=zone, queue_length=256, **variant(seed)
+                    clock=self._clock,
+                    availability_zone=availability_zone,
+                    queue_length=256,
+                    **variant(seed),
                 ),
             )
-            for index, zone in enumerate(_DAEMON_ZONES)
+            for index, availability_zone in enumerate(_DAEMON_AVAILABILITY_ZONES)
         ]
         for daemon in self._daemons:
             daemon.router.observe_shares(shares)
-            daemon.router.observe_members(daemon.id, self._members())
+            daemon.router.observe_members(daemon.id, self._list_members())
             daemon.router.observe_runners(
                 "r1", 1, [backend.runner for backend in self._backends.values()]
             )
@@ -272,7 +275,9 @@
     # Events
 
     def _schedule(self, delay_ms: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._events, (self._clock.now_ms() + delay_ms, next(self._order), action))
+        heapq.heappush(
+            self._events, (self._clock.now_ms() + delay_ms, next(self._sequence), action)
+        )
 
     def _handle_arrival(self, kind: str, end_ms: float) -> None:
         now_ms = self._clock.now_ms()
@@ -283,44 +288,44 @@
         in_flood = _WARM_UP_MS <= now_ms < _WARM_UP_MS + scenario.flood_ms
         if scenario.flood and kind == getattr(deployment, scenario.flood) and in_flood:
             rate *= 10
-        self._schedule(self._random.expovariate(rate), lambda: self._handle_arrival(kind, end_ms))
+        self._schedule(self._rng.expovariate(rate), lambda: self._handle_arrival(kind, end_ms))
         if now_ms == 0.0:
             return
         request = _Request(
-            id=str(next(self._order)),
+            id=str(next(self._sequence)),
             kind=self._kinds[kind],
             arrived_ms=now_ms,
-            work_ms=deployment.service_ms * self._random.lognormvariate(-0.125, 0.5),
+            work_ms=deployment.service_ms * self._rng.lognormvariate(-0.125, 0.5),
         )
         if now_ms >= _WARM_UP_MS:
             self.tally.offered[kind] += 1
-        daemon = self._random.choice([item for item in self._daemons if not item.lost])
+        daemon = self._rng.choice([item for item in self._daemons if not item.lost])
         daemon.router.retries.record_request(deployment.service)
         self._route(daemon, request)
 
     def _change_noise(self) -> None:
         for backend in self._backends.values():
-            backend.noisy = self._random.random() < _NOISY_SHARE
+            backend.noisy = self._rng.random() < _NOISY_SHARE
         self._schedule(_NOISE_PERIOD_MS, self._change_noise)
 
     def _inject_faults(self) -> None:
         scenario = self._scenario
-        for backend in self._random.sample(list(self._backends.values()), scenario.failing):
+        for backend in self._rng.sample(list(self._backends.values()), scenario.failing):
             backend.failing = True
         for backend in self._backends.values():
             backend.lost = backend.runner.availability_zone == scenario.lost_zone
         for daemon in self._daemons:
-            daemon.lost = daemon.zone == scenario.lost_zone
+            daemon.lost = daemon.availability_zone == scenario.lost_zone
         if scenario.lost_entry:
             self._daemons[0].lost = True
         self._schedule(_FAILURE_DETECTION_MS, self._observe_members)
 
-    def _members(self) -> dict[str, str]:
-        return {daemon.id: daemon.zone for daemon in self._daemons if not daemon.lost}
+    def _list_members(self) -> dict[str, str]:
+        return {daemon.id: daemon.availability_zone for daemon in self._daemons if not daemon.lost}
 
     def _observe_members(self) -> None:
         for daemon in self._daemons:
-            daemon.router.observe_members(daemon.id, self._members())
+            daemon.router.observe_members(daemon.id, self._list_members())
 
     def _send_heartbeats(self, daemon: _Daemon) -> None:
         if daemon.lost:
@@ -330,11 +335,12 @@
         for peer in self._daemons:
             if peer is not daemon and not peer.lost:
                 self._schedule(
-                    self._get_delay_ms(daemon.zone, peer.zone) + _PEER_CALL_MS,
+                    self._get_delay_ms(daemon.availability_zone, peer.availability_zone)
+                    + _PEER_CALL_MS,
                     lambda peer=peer: peer.router.observe_peer(daemon.id, free, ejected),
                 )
         self._resume_settled(daemon, daemon.router.expire())
-        self._borrow(daemon)
+        self._start_borrows(daemon)
 
     def _get_delay_ms(self, source_zone: str, target_zone: str) -> float:
         return (
@@ -357,7 +363,7 @@
         self._acquire(
             daemon, ticket, lambda decision: self._handle_decision(daemon, request, decision)
         )
-        self._borrow(daemon)
+        self._start_borrows(daemon)
 
     def _acquire(
         self,
@@ -393,7 +399,7 @@
 
     def _send(self, daemon: _Daemon, request: _Request, grant: Grant) -> None:
         backend = self._backends[grant.runner.id]
-        delay_ms = self._get_delay_ms(daemon.zone, grant.runner.availability_zone)
+        delay_ms = self._get_delay_ms(daemon.availability_zone, grant.runner.availability_zone)
         sent_ms = self._clock.now_ms()
         is_pending = [True]
 
@@ -406,12 +412,12 @@
             self._release(daemon, grant, feedback)
             self._handle_result(daemon, request, grant, result)
 
-        left_ms = request.arrived_ms + self._deployment.deadline_ms - sent_ms
-        timeout_ms = left_ms
+        remaining_ms = request.arrived_ms + self._deployment.deadline_ms - sent_ms
+        timeout_ms = remaining_ms
         if request.kind.idempotent:
             health = daemon.router.health
             answer_ms = health.answer_ms(self._deployment.service, request.kind.name)
-            timeout_ms = limit_attempt(left_ms, answer_ms)
+            timeout_ms = limit_attempt(remaining_ms, answer_ms)
         self._schedule(timeout_ms, lambda: finish(AttemptResult.OVERDUE))
 
         def respond(result: AttemptResult) -> None:
@@ -483,21 +489,27 @@
                 self._resume_settled(
                     owner, owner.router.release(grant.runner.id, grant.token, feedback)
                 )
-                self._borrow(owner)
+                self._start_borrows(owner)
 
         if owner is daemon:
             release()
         else:
-            self._schedule(self._get_delay_ms(daemon.zone, owner.zone) + _PEER_CALL_MS, release)
+            self._schedule(
+                self._get_delay_ms(daemon.availability_zone, owner.availability_zone)
+                + _PEER_CALL_MS,
+                release,
+            )
 
-    def _borrow(self, daemon: _Daemon) -> None:
+    def _start_borrows(self, daemon: _Daemon) -> None:
         for borrow in daemon.router.plan_borrows(self._deployment.service):
             self.tally.borrows += 1
             self._request_slot(daemon, self._daemons_by_id[borrow.peer], borrow.ticket)
 
     def _request_slot(self, daemon: _Daemon, peer: _Daemon, waiting: Ticket) -> None:
         service = self._deployment.service
-        delay_ms = self._get_delay_ms(daemon.zone, peer.zone) + _PEER_CALL_MS
+        delay_ms = (
+            self._get_delay_ms(daemon.availability_zone, peer.availability_zone) + _PEER_CALL_MS
+        )
 
         def respond(decision: Grant | Refused) -> None:
             free = peer.router.free_slots()[service]
@@ -510,7 +522,7 @@
                 self._resume_settled(daemon, [settlement])
             elif grant is not None:
                 self._release(daemon, grant, Feedback())
-            self._borrow(daemon)
+            self._start_borrows(daemon)
 
         def handle_request() -> None:
             if peer.lost:
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -192,9 +192,9 @@
     def stop_daemon(self, index: int) -> None:
         """Stop a daemon after it handed over, or after 20 s."""
         process = self.processes[index]
-        done = self.loop.start(process.host, process.daemon.control.hand_over())
-        self.loop.call_after(20.0, done.cancel)
-        done.add_done_callback(lambda _: setattr(process.host, "dead", True))
+        hand_over_task = self.loop.start(process.host, process.daemon.control.hand_over())
+        self.loop.call_after(20.0, hand_over_task.cancel)
+        hand_over_task.add_done_callback(lambda _: setattr(process.host, "dead", True))
 
     def mark_vm_gone(self, process: DaemonProcess) -> None:
         """Mark the VM of a daemon as gone in the list of VMs."""
--- a/soak/_fakes.py
+++ b/soak/_fakes.py
@@ -63,10 +63,10 @@
     def put(self, key: str, value: Any, expected: int, lease: str) -> bool:
         """Write a key if its current version is `expected`."""
         self.expire()
-        done = super().put(key, value, expected, lease)
-        if done:
+        succeeded = super().put(key, value, expected, lease)
+        if succeeded:
             self.on_put(key, value)
-        return done
+        return succeeded
 
     def renew(self, lease: str) -> bool:
         """Renew a lease unless it has expired."""
@@ -119,27 +119,27 @@
 
     async def get(self, key: str) -> Result[Item, Any]:
         """Read one key."""
-        return await self._ask(lambda: Success(Item(**self._store.get(key))))
+        return await self._call_store(lambda: Success(Item(**self._store.get(key))))
 
     async def put(self, key: str, value: Any, *, expected_version: int, lease: str = "") -> Result:
         """Write one key if its current version is `expected_version`."""
 
         def write() -> Result:
-            done = self._store.put(key, value, expected_version, lease)
+            succeeded = self._store.put(key, value, expected_version, lease)
             item = Item(**self._store.get(key))
-            return Success(item) if done else Failure(Conflict(item))
+            return Success(item) if succeeded else Failure(Conflict(item))
 
-        return await self._ask(write, writes=True)
+        return await self._call_store(write, writes=True)
 
     async def delete(self, key: str, *, expected_version: int) -> Result:
         """Delete one key if its current version is `expected_version`."""
 
         def write() -> Result:
-            done = self._store.delete(key, expected_version)
+            succeeded = self._store.delete(key, expected_version)
             item = Item(**self._store.get(key))
-            return Success(item) if done else Failure(Conflict(item))
+            return Success(item) if succeeded else Failure(Conflict(item))
 
-        return await self._ask(write, writes=True)
+        return await self._call_store(write, writes=True)
 
     async def list(self, prefix: str) -> Result[Listing, Any]:
         """Read all keys under a prefix."""
@@ -148,7 +148,7 @@
             items = tuple(Item(**item) for item in self._store.list(prefix))
             return Success(Listing(items, self._store.revision))
 
-        return await self._ask(read)
+        return await self._call_store(read)
 
     async def watch(self, prefix: str, *, after: int, wait_ms: int) -> Result[WatchResult, Any]:
         """Wait for changes under a prefix."""
@@ -165,31 +165,31 @@
                     return Success(WatchResult(tuple(Item(**item) for item in changes), revision))
                 await self._store.wait(left_s)
 
-        return await self._ask(wait, timeout_ms=wait_ms + _STORE_TIMEOUT_MS)
+        return await self._call_store(wait, timeout_ms=wait_ms + _STORE_TIMEOUT_MS)
 
     async def grant_lease(self, *, ttl_ms: float) -> Result[str, Any]:
         """Obtain a lease."""
-        return await self._ask(lambda: Success(self._store.grant(ttl_ms)), writes=True)
+        return await self._call_store(lambda: Success(self._store.grant(ttl_ms)), writes=True)
 
     async def renew_lease(self, lease: str) -> Result[str, Any]:
         """Renew a lease."""
-        return await self._ask(
+        return await self._call_store(
             lambda: Success(lease) if self._store.renew(lease) else Failure(LeaseLost(lease)),
             writes=True,
         )
 
     async def revoke_lease(self, lease: str) -> Result[str, Any]:
         """Revoke a lease."""
-        return await self._ask(
+        return await self._call_store(
             lambda: Success(lease) if self._store.revoke(lease) else Failure(LeaseLost(lease)),
             writes=True,
         )
 
     async def list_vms(self) -> Result[tuple[Vm, ...], Any]:
         """Read the list of VMs."""
-        return await self._ask(lambda: Success(tuple(self._store.vms.values())))
+        return await self._call_store(lambda: Success(tuple(self._store.vms.values())))
 
-    async def _ask(
+    async def _call_store(
         self,
         operation: Callable[[], Any],
         *,
@@ -249,27 +249,27 @@
 
     async def send_heartbeat(self, heartbeat: Any) -> Result:
         """Send a heartbeat."""
-        return await self._ask(lambda daemon: daemon.on_heartbeat(heartbeat))
+        return await self._call_peer(lambda daemon: daemon.on_heartbeat(heartbeat))
 
     async def push_revision(self, revision: Any) -> Result:
         """Send a durable revision."""
-        return await self._ask(lambda daemon: daemon.on_revision(revision))
+        return await self._call_peer(lambda daemon: daemon.on_revision(revision))
 
     async def pull_revision(self) -> Result:
         """Read the peer's revision."""
-        return await self._ask(lambda daemon: daemon.on_pull_revision())
+        return await self._call_peer(lambda daemon: daemon.on_pull_revision())
 
     async def pull_members(self) -> Result:
         """Read the peer's list of members."""
-        return await self._ask(lambda daemon: daemon.on_pull_members())
+        return await self._call_peer(lambda daemon: daemon.on_pull_members())
 
     async def pull_runners(self) -> Result:
         """Read the runners that the peer publishes."""
-        return await self._ask(lambda daemon: daemon.on_pull_runners())
+        return await self._call_peer(lambda daemon: daemon.on_pull_runners())
 
     async def exchange(self, request: Any) -> Result:
         """Send one exchange request to a shard owner."""
-        call_result = await self._ask(
+        call_result = await self._call_peer(
             lambda daemon: daemon.on_exchange(request), timeout_ms=_EXCHANGE_TIMEOUT_MS
         )
         if isinstance(call_result, Failure):
@@ -281,25 +281,25 @@
 
     async def acquire_permit(self, request: Any, *, timeout_ms: float) -> Result:
         """Request a permit from the owner of a key group."""
-        return await self._ask(
+        return await self._call_peer(
             lambda daemon: daemon.on_acquire_permit(request), timeout_ms=timeout_ms
         )
 
     async def copy_permits(self, request: Any, *, timeout_ms: float) -> Result:
         """Request that the peer store copies of records."""
-        return await self._ask(
+        return await self._call_peer(
             lambda daemon: daemon.on_copy_permits(request), timeout_ms=timeout_ms
         )
 
     async def settle_permit(self, request: Any) -> Result:
         """Report the outcome of a request to the owner of its key group."""
-        return await self._ask(lambda daemon: daemon.on_settle_permit(request))
+        return await self._call_peer(lambda daemon: daemon.on_settle_permit(request))
 
     async def pull_permits(self, request: Any) -> Result:
         """Announce the ownership of a key group and read the peer's copies."""
-        return await self._ask(lambda daemon: daemon.on_pull_permits(request))
+        return await self._call_peer(lambda daemon: daemon.on_pull_permits(request))
 
-    async def _ask(
+    async def _call_peer(
         self, operation: Callable[[Any], Awaitable], *, timeout_ms: float = _PEER_TIMEOUT_MS
     ) -> Result:
         process = self._find_process()
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -60,7 +60,7 @@
     accepted: bool = False
     undecided: bool = False
     cancelled: bool = False
-    final: str = ""
+    final_state: str = ""
 
 
 @attrs.define
@@ -211,14 +211,14 @@
             )
             return
         state = response.json()["state"]
-        if job.final and state != job.final:
-            self._add_violation(f"{job.id}: {state} after {job.final}")
+        if job.final_state and state != job.final_state:
+            self._add_violation(f"{job.id}: {state} after {job.final_state}")
         if state == "failed" and not job.fails:
             self._add_violation(f"{job.id}: failed although its tasks don't fail")
         if state == "cancelled" and not job.cancelled:
             self._add_violation(f"{job.id}: cancelled without a request")
         if state in ("completed", "failed", "cancelled"):
-            job.final = state
+            job.final_state = state
 
     async def _request(self, method: str, name: str, body: Any = None) -> Any:
         node = self._rng.choice(sorted(self._nodes.nodes))
@@ -327,11 +327,11 @@
 
     async def _wait_for_jobs(self) -> None:
         end_s = time.monotonic() + _SETTLE_S
-        open_jobs = [job for job in self._jobs if job.accepted and not job.final]
+        open_jobs = [job for job in self._jobs if job.accepted and not job.final_state]
         while open_jobs and time.monotonic() < end_s:
             for job in open_jobs:
                 await self._check_state(job)
-            open_jobs = [job for job in open_jobs if not job.final]
+            open_jobs = [job for job in open_jobs if not job.final_state]
         for job in open_jobs:
             self._add_violation(
                 f"{job.id}: accepted, but not ended {_SETTLE_S:.0f} s after the faults"
