--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -228,7 +228,7 @@
         self.dispatcher = Dispatcher(clock=self.clock, ledger=ledger, evicts=may_preempt)
         self.workers: dict[str, FakeWorker] = {}
         self.shards: dict[str, ShardState] = {}
-        self._unlisted_from_ms: dict[str, float] = {}
+        self._gone_from_ms: dict[str, float] = {}
         self._revision = 0
         self.store_writes = 0
         for number in range(3):
@@ -268,7 +268,7 @@
         for worker in self.workers.values():
             if worker.vm.rack == shard:
                 worker.crash()
-                self._unlisted_from_ms[worker.vm.name] = self.clock.now_ms() + _VM_LIST_LAG_MS
+                self._gone_from_ms[worker.vm.name] = self.clock.now_ms() + _VM_LIST_LAG_MS
 
     def run_tick(self) -> None:
         """Advance the fleet by one tick."""
@@ -323,7 +323,7 @@
         return [
             (
                 attrs.evolve(worker.vm, state="gone")
-                if now_ms >= self._unlisted_from_ms.get(name, float("inf"))
+                if now_ms >= self._gone_from_ms.get(name, float("inf"))
                 else worker.vm
             )
             for name, worker in self.workers.items()
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -423,7 +423,7 @@
         def respond(result: AttemptResult) -> None:
             self._schedule(delay_ms, lambda: finish(result))
 
-        def arrive() -> None:
+        def start_work() -> None:
             if backend.lost:
                 return
             if backend.busy >= _SLOTS:
@@ -441,7 +441,7 @@
 
             self._schedule(work_ms, complete)
 
-        self._schedule(delay_ms, arrive)
+        self._schedule(delay_ms, start_work)
 
     def _handle_result(
         self,
@@ -505,7 +505,7 @@
             self.tally.borrows += 1
             self._request_slot(daemon, self._daemons_by_id[borrow.peer], borrow.ticket)
 
-    def _request_slot(self, daemon: _Daemon, peer: _Daemon, waiting: Ticket) -> None:
+    def _request_slot(self, daemon: _Daemon, peer: _Daemon, waiting_ticket: Ticket) -> None:
         service = self._deployment.service
         delay_ms = (
             self._get_delay_ms(daemon.availability_zone, peer.availability_zone) + _PEER_CALL_MS
@@ -530,10 +530,10 @@
             now_ms = self._clock.now_ms()
             ticket = Ticket(
                 service=service,
-                kind=waiting.kind,
-                deadline_ms=waiting.deadline_ms,
+                kind=waiting_ticket.kind,
+                deadline_ms=waiting_ticket.deadline_ms,
                 arrived_ms=now_ms,
-                excluded=waiting.excluded,
+                excluded=waiting_ticket.excluded,
                 borrower=daemon.id,
             )
             self._acquire(peer, ticket, respond, wait_ms=_BORROW_TIMEOUT_MS)
