--- a/coltsfootpier/daemon/_daemon.py
+++ b/coltsfootpier/daemon/_daemon.py
@@ -1,4 +1,4 @@
-"""Wiring of a daemon: servers, tasks of owned partitions and connections to peers."""
+"""Daemon of one entry VM: servers, tasks of owned partitions and connections to peers."""
 
 from __future__ import annotations
 
@@ -68,12 +68,14 @@
 
 _EXCHANGE_TIMEOUT_MS = 2_500.0
 _POLL_MS = 50.0
-# Time that a stopping daemon stays up for the new owners of its key groups.
-_SUCCESSORS_MS = 3_000.0
-# Time without the store and without any peer after which the balancer is told to stay away.
-_ISOLATED_MS = 10_000.0
-# Silence of the store after which the seeds are asked.
-_SEED_AFTER_MS = 1_000.0
+# Maximum time for which a stopping daemon waits until the new owners of its key groups have pulled
+# the permit records.
+_SUCCESSOR_TIMEOUT_MS = 3_000.0
+# Time without a response from the store after which a daemon without reachable peers reports itself
+# as not ready, so that the load balancer sends it no requests.
+_ISOLATION_TIMEOUT_MS = 10_000.0
+# Time without a response from the store after which the daemon polls the seeds.
+_SEED_FALLBACK_DELAY_MS = 1_000.0
 
 
 @attrs.define(kw_only=True)
@@ -86,16 +88,16 @@
 
 @attrs.frozen(kw_only=True)
 class Interfaces:
-    """Clients by which a daemon reaches the other parts; the randomised runs replace them.
+    """Clients of the platform, peers and workers; randomised simulations replace them.
 
     Parameters
     ----------
     platform : PlatformClient
-        The store and the list of VMs.
+        Client of the store and of the list of VMs.
     connect_peer, connect_worker : callable
         Return the client for an ``IP:PORT``.
     incarnation : str
-        Unique among all starts of daemons.
+        Identifier of this start of the daemon, unique among all daemons.
     """
 
     platform: PlatformClient
@@ -105,9 +107,9 @@
 
     @classmethod
     def over_tcp(cls, *, settings: Settings, clock: Clock) -> Interfaces:
-        """Return the clients that use real connections."""
+        """Return clients that use TCP connections."""
         host, port = settings.platform["address"]
-        # A worker that misses two periods counts as silent for this exchange.
+        # A call times out after two sync periods without a response from the worker.
         worker_timeout_ms = 2 * settings.periods["worker_sync_ms"]
 
         def connect_worker(address: str) -> WorkerClient:
@@ -130,18 +132,18 @@
 
 
 class Daemon:
-    """One entry VM's daemon.
+    """Daemon of one entry VM.
 
     Parameters
     ----------
     settings : Settings
-        Checked settings.
+        Validated settings.
     listeners : dict of str to socket, optional
-        Bound sockets by side: callers, peers and operators. Needed by `run`.
+        Bound sockets for ``callers``, ``peers`` and ``operators``. Required by `run`.
     clock : Clock, optional
         Time source.
     interfaces : Interfaces, optional
-        Clients of the other parts; real connections by default.
+        Clients of the platform, peers and workers; TCP connections by default.
     """
 
     def __init__(
@@ -153,8 +155,9 @@
         interfaces: Interfaces | None = None,
     ) -> None:
         if listeners is not None:
-            # Port 0 in the settings takes a free port, which only the bound socket tells.
-            listen = {side: bound.getsockname()[:2] for side, bound in listeners.items()}
+            # With port 0 in the settings the operating system selects a free port, which is known
+            # only from the bound socket.
+            listen = {endpoint: bound.getsockname()[:2] for endpoint, bound in listeners.items()}
             settings = attrs.evolve(settings, listen=listen)
         self._listeners = listeners or {}
         self._settings = settings
@@ -166,8 +169,8 @@
             settings=settings,
             platform=self._platform,
             clock=self._clock,
-            on_change=self._notify,
-            on_suspend=self._suspend,
+            on_change=self._notify_change,
+            on_suspend=self._suspend_partitions,
             incarnation=self._interfaces.incarnation,
         )
         bounds = settings.bounds
@@ -210,7 +213,7 @@
     # Life cycle
 
     async def run(self) -> None:
-        """Serve until `stop`, then drain."""
+        """Serve requests until `stop` is called, then drain."""
         listen = self._settings.listen
         callers = Server(
             app=self._callers,
@@ -237,7 +240,7 @@
             group.start_soon(self._pool.run)
             group.start_soon(self.run_scheduling)
             group.start_soon(self._slots.run)
-            log_event("started", **{side: port for side, (_, port) in listen.items()})
+            log_event("started", **{endpoint: port for endpoint, (_, port) in listen.items()})
             await self._stopping.wait()
             await self._drain(callers)
             peers.stop()
@@ -248,17 +251,17 @@
     async def run_scheduling(self) -> None:
         """Run membership, ownership and the owned partitions until cancelled.
 
-        Needs no server, so that randomised runs can deliver messages by the handlers below.
+        Requires no server, so that simulations can call the message handlers directly.
         """
         async with anyio.create_task_group() as group:
             group.start_soon(self.control.run)
             group.start_soon(self.permits.run)
             group.start_soon(self._reconcile_loop, group)
             group.start_soon(self._expire_loop)
-            group.start_soon(self._seed_loop)
+            group.start_soon(self._run_seed_clients)
 
     def stop(self) -> None:
-        """Begin a graceful stop."""
+        """Request a graceful stop."""
         self._stopping.set()
 
     async def _drain(self, callers: Server) -> None:
@@ -267,8 +270,8 @@
         log_event("draining", in_flight=self._callers.in_flight)
         await anyio.sleep(self._settings.periods["drain_delay_ms"] / 1000)
         callers.stop()
-        # The server ends once each answer has left its socket buffers, which is later than
-        # the end of the last request when a caller reads slowly.
+        # The server ends once all responses have left the socket buffers. If a caller reads
+        # slowly, this is later than the end of the last request.
         with anyio.move_on_after(self._settings.periods["drain_limit_ms"] / 1000):
             await callers.ended.wait()
         if not callers.ended.is_set():
@@ -276,9 +279,9 @@
         await self.control.hand_over(before_leaving=self._wait_for_successors)
 
     async def _wait_for_successors(self) -> None:
-        await self.permits.wait_for_successors(timeout_ms=_SUCCESSORS_MS)
+        await self.permits.wait_for_successors(timeout_ms=_SUCCESSOR_TIMEOUT_MS)
 
-    def _notify(self) -> None:
+    def _notify_change(self) -> None:
         self._changed.set()
 
     # Partitions
@@ -296,12 +299,16 @@
         self.control.members.remove_suspects()
         self._reconcile_peers(group)
         members = self.control.members
-        zones = {id_: members.members[id_].availability_zone for id_ in members.reachable()}
-        self.router.observe_members(ownership.member, zones)
+        availability_zones = {
+            member_id: members.members[member_id].availability_zone
+            for member_id in members.reachable()
+        }
+        self.router.observe_members(ownership.member, availability_zones)
         self._observe_shares()
         self.permits.reconcile()
         for (shard, epoch), (_, scope) in list(self._shards.items()):
-            # A shard whose ownership lapsed without a successor goes on renewing.
+            # A shard whose ownership expired without a new owner continues to renew the leases of
+            # its tasks.
             if ownership.epoch_of(f"shard/{shard}") != epoch:
                 scope.cancel()
                 del self._shards[shard, epoch]
@@ -321,7 +328,7 @@
         self._observe_own_runners()
 
     def _observe_shares(self) -> None:
-        # The declaration is held in memory, so shares stay in force while the store is down.
+        # The declaration is kept in memory, so shares stay in force during a store outage.
         requests = self.control.revisions.declaration.requests
         self.router.observe_shares(
             {
@@ -344,7 +351,9 @@
             settings=self._settings,
             connect_worker=self._interfaces.connect_worker,
             list_vms=lambda: self.control.vms,
-            is_retired=lambda: self.control.is_previous_retired(f"shard/{shard}"),
+            are_previous_owners_retired=lambda: self.control.are_previous_owners_retired(
+                f"shard/{shard}"
+            ),
             on_change=self._on_runners_changed,
         )
 
@@ -378,7 +387,7 @@
             self._dispatch[1].cancel()
         self._dispatch = (task, spawn(group, run))
 
-    async def _suspend(self, partitions: set[str]) -> None:
+    async def _suspend_partitions(self, partitions: set[str]) -> None:
         for (shard, epoch), (_, scope) in list(self._shards.items()):
             if f"shard/{shard}" in partitions:
                 scope.cancel()
@@ -394,7 +403,7 @@
             return await self.on_exchange(request)
         peer = self._get_peer(owner)
         if peer is None:
-            return Failure(BadReply(f"owner {owner} is not known"))
+            return Failure(BadReply(f"owner {owner} is unknown"))
         return await peer.exchange(request)
 
     # Peers
@@ -405,26 +414,30 @@
 
     def _reconcile_peers(self, group: TaskGroup) -> None:
         own = self.control.ownership.member
-        known = {id_: member for id_, member in self.control.members.members.items() if id_ != own}
-        for id_ in sorted(self._peers.keys() - known.keys()):
-            self._peers.pop(id_).scope.cancel()
-        for id_, member in known.items():
-            is_new = id_ not in self._peers and member.name != self._settings.daemon["name"]
+        peer_members = {
+            member_id: member
+            for member_id, member in self.control.members.members.items()
+            if member_id != own
+        }
+        for member_id in sorted(self._peers.keys() - peer_members.keys()):
+            self._peers.pop(member_id).scope.cancel()
+        for member_id, member in peer_members.items():
+            is_new = member_id not in self._peers and member.name != self._settings.daemon["name"]
             if is_new and is_address(member.peers_address):
                 client = self._interfaces.connect_peer(member.peers_address)
-                scope = spawn(group, self._peer_loop, id_, client)
-                self._peers[id_] = _Peer(client=client, scope=scope)
+                scope = spawn(group, self._peer_loop, member_id, client)
+                self._peers[member_id] = _Peer(client=client, scope=scope)
 
-    async def _peer_loop(self, id_: str, client: PeerClient) -> None:
+    async def _peer_loop(self, member_id: str, client: PeerClient) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(client.run)
             while True:
-                result = await client.send_heartbeat(self._heartbeat())
+                result = await client.send_heartbeat(self._build_heartbeat())
                 if isinstance(result, Success):
-                    await self._observe_heartbeat(id_, client, result.unwrap())
+                    await self._observe_heartbeat(member_id, client, result.unwrap())
                 await anyio.sleep(self._settings.periods["heartbeat_ms"] / 1000)
 
-    def _heartbeat(self) -> Heartbeat:
+    def _build_heartbeat(self) -> Heartbeat:
         return Heartbeat(
             member=self.control.member,
             revision=self.control.known_revision,
@@ -434,66 +447,70 @@
             ejected=self.router.health.ejected(),
         )
 
-    async def _observe_heartbeat(self, id_: str, client: PeerClient, heard: Heartbeat) -> None:
-        self.control.members.record_heartbeat(id_)
-        if heard.draining:
-            self.control.draining.add(id_)
-            self.control.members.mark_leaving(heard.member.id)
-        self.router.observe_peer(id_, heard.free, heard.ejected)
-        self._slots.borrow_waiting()
-        peer = self._peers.get(id_)
+    async def _observe_heartbeat(
+        self, member_id: str, client: PeerClient, heartbeat: Heartbeat
+    ) -> None:
+        self.control.members.record_heartbeat(member_id)
+        if heartbeat.draining:
+            self.control.draining.add(member_id)
+            self.control.members.mark_leaving(heartbeat.member.id)
+        self.router.observe_peer(member_id, heartbeat.free, heartbeat.ejected)
+        self._slots.borrow_for_waiting()
+        peer = self._peers.get(member_id)
         if peer is None:
             return
-        peer.revision = heard.revision
-        await self._pull_revision(heard, client)
-        if heard.runners_version != peer.runners_version:
+        peer.revision = heartbeat.revision
+        await self._pull_revision(heartbeat, client)
+        if heartbeat.runners_version != peer.runners_version:
             table = await client.pull_runners()
             if isinstance(table, Success):
                 peer.runners_version = table.unwrap().version
                 for published in table.unwrap().shards:
-                    self._observe_published(published.shard, published.epoch, published.runners)
+                    self._observe_published_runners(
+                        published.shard, published.epoch, published.runners
+                    )
 
-    async def _pull_revision(self, heard: Heartbeat, client: PeerClient) -> None:
-        if heard.revision > self.control.known_revision:
+    async def _pull_revision(self, heartbeat: Heartbeat, client: PeerClient) -> None:
+        if heartbeat.revision > self.control.known_revision:
             pulled = await client.pull_revision()
             if isinstance(pulled, Success):
                 self.control.observe_revision(pulled.unwrap())
 
     # Seeds
 
-    async def _seed_loop(self) -> None:
-        """Ask the seeds for members and the revision while the store doesn't answer."""
+    async def _run_seed_clients(self) -> None:
+        """Request members and the revision from the seeds while the store does not respond."""
         async with anyio.create_task_group() as group:
             for address in self._settings.peers["seeds"]:
-                group.start_soon(self._ask_seed, address)
+                group.start_soon(self._poll_seed, address)
 
-    async def _ask_seed(self, address: str) -> None:
+    async def _poll_seed(self, address: str) -> None:
         client = self._interfaces.connect_peer(address)
         async with anyio.create_task_group() as group:
             group.start_soon(client.run)
             while True:
-                if self.control.store_silence_ms > _SEED_AFTER_MS:
-                    await self._learn_from_seed(client)
+                if self.control.store_response_age_ms > _SEED_FALLBACK_DELAY_MS:
+                    await self._update_from_seed(client)
                 await anyio.sleep(self._settings.periods["heartbeat_ms"] / 1000)
 
-    async def _learn_from_seed(self, client: PeerClient) -> None:
-        answered = await client.send_heartbeat(self._heartbeat())
-        if not isinstance(answered, Success):
+    async def _update_from_seed(self, client: PeerClient) -> None:
+        result = await client.send_heartbeat(self._build_heartbeat())
+        if not isinstance(result, Success):
             return
-        heard = answered.unwrap()
-        if heard.member.id == self.control.member.id:
+        heartbeat = result.unwrap()
+        if heartbeat.member.id == self.control.member.id:
             return
-        self.control.members.observe_member(heard.member)
-        # The seed's own peers, so that one reachable seed is enough.
+        self.control.members.observe_member(heartbeat.member)
+        # The peers of the seed are added as well, so that one reachable seed is sufficient.
         listed = await client.pull_members()
         if isinstance(listed, Success):
             for member in listed.unwrap().members:
                 if member.name != self.control.member.name:
                     self.control.members.observe_member(member)
-        await self._pull_revision(heard, client)
-        self._notify()
+        await self._pull_revision(heartbeat, client)
+        self._notify_change()
 
-    def _observe_published(self, shard: str, epoch: int, runners: tuple) -> None:
+    def _observe_published_runners(self, shard: str, epoch: int, runners: tuple) -> None:
         self.router.observe_runners(shard, epoch, runners)
         self._pool.retain(self.router.runners())
         self._slots.expire()
@@ -506,7 +523,7 @@
         for task, _ in self._shards.values():
             published = task.published
             if published is not None:
-                self._observe_published(published.shard, published.epoch, published.runners)
+                self._observe_published_runners(published.shard, published.epoch, published.runners)
 
     async def _expire_loop(self) -> None:
         while True:
@@ -516,29 +533,29 @@
     # Messages of peers
 
     async def on_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
-        """Take a heartbeat and return the own one."""
+        """Handle a heartbeat of a peer and return the heartbeat of this daemon."""
         member = heartbeat.member
         if heartbeat.draining:
             self.control.draining.add(member.id)
             self.control.members.mark_leaving(member.id)
         if member.name != self.control.member.name:
-            # A daemon that can't reach the store is known from its heartbeats only.
+            # A member that can't reach the store is known only from its heartbeats.
             if self.control.members.observe_member(member):
-                log_event("member heard", member=member.id)
-                self._notify()
+                log_event("member discovered by heartbeat", member=member.id)
+                self._notify_change()
             if member.id in self.control.members.members:
                 self.router.observe_peer(member.id, heartbeat.free, heartbeat.ejected)
-                self._slots.borrow_waiting()
-        return self._heartbeat()
+                self._slots.borrow_for_waiting()
+        return self._build_heartbeat()
 
     async def on_pull_members(self) -> MemberList:
-        """Return the members that answer, this daemon included."""
+        """Return the reachable members, including this daemon."""
         members = self.control.members
-        reachable = tuple(members.members[id_] for id_ in members.reachable())
+        reachable = tuple(members.members[member_id] for member_id in members.reachable())
         return MemberList(members=tuple({*reachable, self.control.member}))
 
     async def on_revision(self, revision: Revision) -> Revision:
-        """Take a durable revision and return the one in force."""
+        """Apply a durable revision and return the revision in force."""
         self.control.observe_revision(revision)
         return self.control.revisions.revision
 
@@ -547,7 +564,7 @@
         return self.control.revisions.revision
 
     async def on_pull_runners(self) -> RunnerTable:
-        """Return the published runners."""
+        """Return the published runners of all shards that this daemon owns."""
         return RunnerTable(
             version=self._runners_version,
             shards=tuple(
@@ -556,36 +573,36 @@
         )
 
     async def on_exchange(self, request: ExchangeRequest) -> Result[ExchangeReply, object]:
-        """Pass a step of the dispatcher's exchange to the owner of the shard."""
-        held = self._shards.get((request.shard, request.shard_epoch))
-        if held is None:
+        """Forward one step of the dispatcher's exchange to the task that owns the shard."""
+        owned_shard = self._shards.get((request.shard, request.shard_epoch))
+        if owned_shard is None:
             return Failure(StaleExchange("not the owner"))
-        result = await held[0].inbox.ask(request, timeout_ms=_EXCHANGE_TIMEOUT_MS)
+        result = await owned_shard[0].inbox.ask(request, timeout_ms=_EXCHANGE_TIMEOUT_MS)
         return result.unwrap() if isinstance(result, Success) else result
 
     async def on_borrow(self, request: BorrowSlot) -> LentSlot:
-        """Lend a slot if one is free."""
+        """Lend a slot to a peer, after queueing if none is free."""
         return await self._slots.lend(request)
 
     async def on_return(self, request: ReturnSlot) -> LentSlot:
-        """Take a lent slot back."""
-        self._slots.take_back(request)
+        """Handle the return of a lent slot."""
+        self._slots.handle_return(request)
         return LentSlot()
 
     async def on_acquire_permit(self, request: AcquirePermit) -> PermitReply:
-        """Decide on a permit if this daemon owns the key group."""
+        """Decide on a permit request if this daemon owns the key group."""
         return await self.permits.on_acquire_permit(request)
 
     async def on_copy_permits(self, request: CopyPermits) -> CopyReply:
-        """Keep copies of records for the owner of a key group."""
+        """Store copies of permit records for the owner of a key group."""
         return await self.permits.on_copy_permits(request)
 
     async def on_settle_permit(self, request: SettlePermit) -> SettleReply:
-        """Take the outcome of a request."""
+        """Record the outcome of a request."""
         return await self.permits.on_settle_permit(request)
 
     async def on_pull_permits(self, request: PullPermits) -> PulledPermits:
-        """Take the epoch of a new owner and return the copies of its group."""
+        """Record the epoch of the new owner of a key group and return the copies of its records."""
         return await self.permits.on_pull_permits(request)
 
     async def on_dispatch_status(self) -> StatusReply:
@@ -598,7 +615,7 @@
     # Operators
 
     async def on_apply(self, request: ApplyRequest) -> ApplyReply:
-        """Accept a change of the configuration and pass it to all peers."""
+        """Apply a change of the configuration and push it to all peers."""
         result = await self.control.apply(
             request.text, base=request.base, token=request.token, source=request.source
         )
@@ -607,12 +624,12 @@
             self.control.observe_revision(revision)
             async with anyio.create_task_group() as group:
                 for peer in self._peers.values():
-                    group.start_soon(self._push, peer, revision)
+                    group.start_soon(self._push_revision, peer, revision)
         return build_apply_reply(result)
 
     @staticmethod
-    async def _push(peer: _Peer, revision: Revision) -> None:
-        # The second try is for a connection that had gone silent.
+    async def _push_revision(peer: _Peer, revision: Revision) -> None:
+        # The second attempt covers a connection that was broken without notice.
         for _ in range(2):
             pushed = await peer.client.push_revision(revision)
             if isinstance(pushed, Success):
@@ -627,23 +644,23 @@
             control.member,
             revision,
             control.members,
-            {id_: peer.revision for id_, peer in self._peers.items()},
+            {member_id: peer.revision for member_id, peer in self._peers.items()},
         )
-        status = await self._ask_dispatcher()
+        status = await self._read_dispatch_status()
         return attrs.evolve(status, revision=revision, entry_vms=entry_vms)
 
-    async def _ask_dispatcher(self) -> StatusReply:
+    async def _read_dispatch_status(self) -> StatusReply:
         if self._dispatch is not None:
             return await self.on_dispatch_status()
         peer = self._get_peer(self.control.ownership.owner_of(DISPATCH))
         if peer is not None:
-            asked = await peer.read_status()
-            if isinstance(asked, Success):
-                return asked.unwrap()
+            result = await peer.read_status()
+            if isinstance(result, Success):
+                return result.unwrap()
         return StatusReply(revision=0, complete=False)
 
     async def on_pull_stats(self) -> StatsSnapshot:
-        """Return the counters of this daemon's requests."""
+        """Return the request counters of this daemon."""
         return self.stats.snapshot()
 
     async def on_burn(self) -> BurnReport:
@@ -651,9 +668,9 @@
         snapshots = {self.control.member.name: self.stats.snapshot()}
         missing: list[str] = []
 
-        async def pull(id_: str, peer: _Peer) -> None:
-            member = self.control.members.members.get(id_)
-            name = member.name if member else id_
+        async def pull(member_id: str, peer: _Peer) -> None:
+            member = self.control.members.members.get(member_id)
+            name = member.name if member else member_id
             pulled = await peer.client.pull_stats()
             if isinstance(pulled, Success):
                 snapshots[name] = pulled.unwrap()
@@ -661,36 +678,36 @@
                 missing.append(name)
 
         async with anyio.create_task_group() as group:
-            for id_, peer in self._peers.items():
-                group.start_soon(pull, id_, peer)
+            for member_id, peer in self._peers.items():
+                group.start_soon(pull, member_id, peer)
         return build_report(
             declaration=self.control.revisions.declaration, snapshots=snapshots, missing=missing
         )
 
     def get_unready_reason(self) -> str:
-        """Return why the daemon takes no requests; empty when it does."""
+        """Return the reason why the daemon accepts no requests; empty if it is ready."""
         if self._draining:
             return "draining"
         if not self.control.revisions.known:
             seeds = self._settings.peers["seeds"]
-            asked = "no seed has answered" if seeds else "no seeds are set"
-            return f"no configuration: the store has not answered and {asked}"
+            seed_state = "no seed has answered" if seeds else "no seeds are set"
+            return f"no configuration: the store has not answered and {seed_state}"
         own = self.control.ownership.member
-        peers = [id_ for id_ in self.control.members.reachable() if id_ != own]
-        if self.control.store_silence_ms > _ISOLATED_MS and not peers:
+        peers = [member_id for member_id in self.control.members.reachable() if member_id != own]
+        if self.control.store_response_age_ms > _ISOLATION_TIMEOUT_MS and not peers:
             return "isolated: neither the store nor a peer answers"
-        if self.control.store_silence_ms == float("inf"):
+        if self.control.store_response_age_ms == float("inf"):
             missing = [
-                id_
-                for id_ in peers
-                if id_ not in self._peers or self._peers[id_].runners_version < 0
+                member_id
+                for member_id in peers
+                if member_id not in self._peers or self._peers[member_id].runners_version < 0
             ]
             if missing:
                 return "no runner table yet from " + ", ".join(sorted(missing))
         return ""
 
     def render_metrics(self) -> bytes:
-        """Return the metrics in the text format of Prometheus."""
+        """Return all metrics in the Prometheus text format."""
         return render_metrics(
             stats=self.stats,
             gauges={
--- a/coltsfootpier/daemon/_dispatch_task.py
+++ b/coltsfootpier/daemon/_dispatch_task.py
@@ -1,4 +1,4 @@
-"""The task that owns the dispatcher: the ledger and the exchanges with shard owners."""
+"""Task that runs the dispatcher: its ledger and its exchanges with shard owners."""
 
 from __future__ import annotations
 
@@ -20,33 +20,33 @@
 from coltsfootpier.settings import Settings
 from coltsfootpier.transport import MalformedMessageError
 
-# Time between exchanges with a shard that has nothing to be told.
-_REGULAR_MS = 1_000.0
-# Wait before a ledger that can't be read is read again.
-_MALFORMED_RETRY_MS = 1_000.0
+# Time between exchanges with a shard for which the dispatcher has no changes.
+_EXCHANGE_PERIOD_MS = 1_000.0
+# Delay before a ledger that can't be decoded is read again.
+_DECODE_RETRY_DELAY_MS = 1_000.0
 
 Exchange = Callable[[str, ExchangeRequest], Awaitable[Result[ExchangeReply, object]]]
 
 
 class DispatchTask:
-    """Owner of the dispatcher.
+    """Task that runs the dispatcher while the daemon owns it.
 
     Parameters
     ----------
     epoch : int
         Epoch of the ownership.
     ownership : OwnershipState
-        Owners of all shards, and the daemon's own validity.
+        Owners of all shards, and the state of the daemon's own lease.
     revisions : RevisionState
-        The configuration in force.
+        Configuration in force.
     platform : PlatformClient
-        The store.
+        Client of the store.
     clock : Clock
         Time source.
     settings : Settings
-        Periods and bounds.
+        Periods and limits.
     exchange : callable
-        Sends a step of the exchange to the owner of a shard.
+        Callback that sends one exchange request to the owner of a shard.
     """
 
     def __init__(
@@ -69,29 +69,29 @@
         self._clock = clock
         self._period_ms = settings.periods["dispatch_ms"]
         self._exchange = exchange
-        self._lost = False
+        self._ownership_lost = False
         self._shards: set[str] = set()
 
     @property
     def may_act(self) -> bool:
-        """Whether decisions and writes are allowed now."""
-        return not self._lost and self._ownership.may_act(DISPATCH, self.epoch)
+        """Whether the task may currently make decisions and write to the store."""
+        return not self._ownership_lost and self._ownership.may_act(DISPATCH, self.epoch)
 
     async def run(self) -> None:
-        """Take the ledger over, then dispatch until cancelled or superseded."""
+        """Take over the ledger, then dispatch until cancelled or until ownership is lost."""
         if not await self._take_over():
             return
         log_event("dispatcher taken over", epoch=self.epoch)
         async with anyio.create_task_group() as group:
-            while not self._lost:
+            while not self._ownership_lost:
                 if self.may_act:
                     await self._tick(group)
                 await anyio.sleep(self._period_ms / 1000)
             group.cancel_scope.cancel()
-        log_event("dispatcher lost", epoch=self.epoch)
+        log_event("dispatcher ownership lost", epoch=self.epoch)
 
     async def flush(self, *, timeout_ms: float) -> None:
-        """Wait until every change is durable, before ownership is handed over."""
+        """Wait up to `timeout_ms` until all changes are durable, before a hand-over."""
         with anyio.move_on_after(timeout_ms / 1000):
             while not all(record.settled for record in self.dispatcher.ledger.records):
                 await anyio.sleep(self._period_ms / 1000)
@@ -108,11 +108,11 @@
                         raise
                     return False
                 except MalformedMessageError as error:
-                    log_event("ledger refused", reason=str(error))
-                    await anyio.sleep(_MALFORMED_RETRY_MS / 1000)
+                    log_event("ledger could not be decoded", reason=str(error))
+                    await anyio.sleep(_DECODE_RETRY_DELAY_MS / 1000)
                     continue
                 await self._write_all()
-                if self._lost:
+                if self._ownership_lost:
                     return False
                 if ledger.fenced:
                     return True
@@ -142,19 +142,19 @@
 
     async def _write(self, record: VersionedRecord, write: Write) -> None:
         if not await write_record(self._platform, record, write):
-            self._lost = True
+            self._ownership_lost = True
 
     async def _shard_loop(self, shard: str) -> None:
-        regular_ms = self._clock.now_ms()
+        last_exchange_ms = self._clock.now_ms()
         while True:
             await anyio.sleep(self._period_ms / 1000)
             if not self.may_act:
                 continue
-            is_regular = self._clock.now_ms() - regular_ms >= _REGULAR_MS
-            request = self.dispatcher.next_request(shard, regular=is_regular)
+            is_due = self._clock.now_ms() - last_exchange_ms >= _EXCHANGE_PERIOD_MS
+            request = self.dispatcher.next_request(shard, regular=is_due)
             if request is None:
                 continue
-            regular_ms = self._clock.now_ms()
+            last_exchange_ms = self._clock.now_ms()
             result = await self._exchange(shard, request)
             if isinstance(result, Success):
                 self.dispatcher.observe_reply(result.unwrap())
--- a/coltsfootpier/daemon/_main.py
+++ b/coltsfootpier/daemon/_main.py
@@ -1,4 +1,4 @@
-"""Command line of ``coltsfootpierd``."""
+"""Command-line interface of ``coltsfootpierd``."""
 
 from __future__ import annotations
 
@@ -62,16 +62,16 @@
         print(format_settings(settings), end="")
         return 0
     listeners: dict[str, socket.socket] = {}
-    for side, (host, port) in settings.listen.items():
+    for endpoint, (host, port) in settings.listen.items():
         bound = bind(host, port)
         if isinstance(bound, Failure):
             error = bound.failure()
             print(
-                f"coltsfootpierd: [listen] {side}: {error.address}: {error.reason}",
+                f"coltsfootpierd: [listen] {endpoint}: {error.address}: {error.reason}",
                 file=sys.stderr,
             )
             return EXIT_FAILURE
-        listeners[side] = bound.unwrap()
+        listeners[endpoint] = bound.unwrap()
     logs.configure(identity={"daemon": settings.daemon["name"]})
     anyio.run(_serve, settings, listeners, backend_options={"use_uvloop": True})
     return 0
@@ -86,5 +86,5 @@
 
 
 def main() -> None:
-    """Run the daemon."""
+    """Run the daemon with the flags of the command line."""
     app.run(_run, flags_parser=_parse_flags)
--- a/coltsfootpier/daemon/_metrics.py
+++ b/coltsfootpier/daemon/_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics, computed from plain counters when they are scraped."""
+"""Prometheus metrics, computed from plain counters at each scrape."""
 
 from __future__ import annotations
 
@@ -11,14 +11,14 @@
 
 
 def render_metrics(*, stats: RequestStats, gauges: Mapping[str, float]) -> bytes:
-    """Return metrics in the text format of Prometheus.
+    """Return metrics in the Prometheus text format.
 
     Parameters
     ----------
     stats : RequestStats
-        Outcomes of requests.
+        Counters of request outcomes.
     gauges : Mapping of str to float
-        Further values by name.
+        Gauge values by name, without the prefix ``coltsfootpier_``.
 
     Returns
     -------
--- a/coltsfootpier/daemon/_replies.py
+++ b/coltsfootpier/daemon/_replies.py
@@ -1,4 +1,4 @@
-"""Replies to operators, built from the state of the daemon."""
+"""Responses to operators, built from the state of the daemon."""
 
 from __future__ import annotations
 
@@ -20,12 +20,12 @@
 
 
 def build_apply_reply(result: Result[Revision, object]) -> ApplyReply:
-    """Return what an operator is told about a change.
+    """Convert the result of a configuration change to the operator's response.
 
     Parameters
     ----------
     result : Result of Revision, or of a tuple of Problem or an ApplyError
-        Outcome of the change.
+        Result of the change.
 
     Returns
     -------
@@ -44,21 +44,21 @@
 
 
 def build_dispatch_status(dispatcher: Dispatcher, revision: int) -> StatusReply:
-    """Return the state of all tasks and workers as the dispatcher knows it."""
+    """Return the state of all tasks and workers, as last reported to the dispatcher."""
     tasks = []
     for task, entry in dispatcher.ledger.entries():
         link = dispatcher.links.get(entry.shard)
-        held = link.states.get(task) if link else None
+        report = link.states.get(task) if link else None
         state = entry.state
-        if held is not None and held.attempt == entry.attempt:
-            state = held.state
+        if report is not None and report.attempt == entry.attempt:
+            state = report.state
         tasks.append(
             TaskStatus(
                 task=task,
                 state=state,
                 attempt=entry.attempt,
                 shard=entry.shard,
-                worker=held.worker if held else "",
+                worker=report.worker if report else "",
                 reason=entry.reason,
             )
         )
@@ -82,16 +82,16 @@
 def list_entry_vms(
     own: Member, own_revision: int, members: MemberTable, revisions: Mapping[str, int]
 ) -> tuple[EntryVmStatus, ...]:
-    """Return this daemon and its peers, by name.
+    """Return the status of this daemon and its peers, sorted by name.
 
     Parameters
     ----------
     own : Member
         This daemon.
     own_revision : int
-        Revision that it runs by.
+        Revision that is in force on this daemon.
     members : MemberTable
-        All members.
+        All known members.
     revisions : Mapping of str to int
         Revisions of the peers by member identifier.
     """
@@ -106,13 +106,13 @@
     ]
     statuses += [
         EntryVmStatus(
-            name=members.members[id_].name,
-            member=id_,
-            availability_zone=members.members[id_].availability_zone,
+            name=members.members[member_id].name,
+            member=member_id,
+            availability_zone=members.members[member_id].availability_zone,
             revision=revision,
-            reachable=not members.is_suspect(id_),
+            reachable=not members.is_suspect(member_id),
         )
-        for id_, revision in revisions.items()
-        if id_ in members.members
+        for member_id, revision in revisions.items()
+        if member_id in members.members
     ]
     return tuple(sorted(statuses, key=lambda status: status.name))
--- a/coltsfootpier/daemon/_shard_task.py
+++ b/coltsfootpier/daemon/_shard_task.py
@@ -1,4 +1,4 @@
-"""The task that owns a shard: its record, its workers' connections and its messages."""
+"""Task that owns a shard: its record, its worker connections and its exchanges."""
 
 from __future__ import annotations
 
@@ -26,15 +26,15 @@
 from coltsfootpier.transport import Mailbox, MalformedMessageError, is_address
 from coltsfootpier.workers import WorkerClient
 
-_INBOX = 64
-# Longest wait for the first report of each worker after a take-over.
-_FIRST_REPORTS_MS = 3_000.0
-# Wait before a record that can't be read is read again.
-_MALFORMED_RETRY_MS = 1_000.0
+_INBOX_CAPACITY = 64
+# Maximum time to wait for the first report of each worker after a take-over.
+_FIRST_REPORT_TIMEOUT_MS = 3_000.0
+# Delay before a record that can't be decoded is read again.
+_DECODE_RETRY_DELAY_MS = 1_000.0
 
 
 class ShardTask:
-    """Owner of one shard.
+    """Task that manages one shard while the daemon owns it.
 
     Parameters
     ----------
@@ -43,21 +43,21 @@
     epoch : int
         Epoch of the ownership.
     ownership : OwnershipState
-        Tells before each send whether the daemon still owns the shard.
+        Checked before each command and write: whether the daemon still owns the shard.
     platform : PlatformClient
-        The store.
+        Client of the store.
     clock : Clock
         Time source.
     settings : Settings
-        Periods and bounds.
+        Periods and limits.
     connect_worker : callable
         Returns the client for a worker's address.
     list_vms : callable
-        Returns the newest list of VMs.
+        Returns the latest list of VMs.
     is_retired : callable
-        Tells whether the previous owner surely renews nothing any more.
+        Returns whether it is certain that no previous owner can still renew leases.
     on_change : callable
-        Called whenever the published runners changed.
+        Callback that runs after each change of the published runners.
     """
 
     def __init__(
@@ -71,12 +71,12 @@
         settings: Settings,
         connect_worker: Callable[[str], WorkerClient],
         list_vms: Callable[[], tuple[Vm, ...]],
-        is_retired: Callable[[], bool],
+        are_previous_owners_retired: Callable[[], bool],
         on_change: Callable[[], None],
     ) -> None:
         self.shard = shard
         self.epoch = epoch
-        self.inbox: Mailbox[ExchangeRequest] = Mailbox(bound=_INBOX)
+        self.inbox: Mailbox[ExchangeRequest] = Mailbox(bound=_INBOX_CAPACITY)
         self.published: PublishedRunners | None = None
         periods = settings.periods
         self.state = ShardState(
@@ -94,38 +94,40 @@
         self._periods = periods
         self._connect_worker = connect_worker
         self._list_vms = list_vms
-        self._is_retired = is_retired
+        self._are_previous_owners_retired = are_previous_owners_retired
         self._on_change = on_change
-        self._lost = False
-        self._written = anyio.Event()
-        self._changed = anyio.Event()
-        self._loops: dict[str, tuple[str, anyio.CancelScope]] = {}
-        self._began_ms = clock.now_ms()
+        self._ownership_lost = False
+        self._write_done = anyio.Event()
+        self._state_changed = anyio.Event()
+        self._worker_loops: dict[str, tuple[str, anyio.CancelScope]] = {}
+        self._start_ms = clock.now_ms()
 
     @property
     def may_act(self) -> bool:
-        """Whether starts, stops and writes are allowed now."""
-        return not self._lost and self._ownership.may_act(f"shard/{self.shard}", self.epoch)
+        """Whether the task may currently send start and stop commands and write to the store."""
+        return not self._ownership_lost and self._ownership.may_act(
+            f"shard/{self.shard}", self.epoch
+        )
 
     async def run(self) -> None:
-        """Take the shard over, then act as its owner until cancelled or superseded."""
+        """Take over the shard, then manage it until cancelled or until ownership is lost."""
         if not await self._take_over():
             return
         log_event("shard taken over", shard=self.shard, epoch=self.epoch)
         async with anyio.create_task_group() as group:
             group.start_soon(self._write_loop)
             group.start_soon(self._exchange_loop, group)
-            while not self._lost:
+            while not self._ownership_lost:
                 self._tick(group)
                 await anyio.sleep(self._periods["worker_sync_ms"] / 1000)
             group.cancel_scope.cancel()
-        log_event("shard lost", shard=self.shard, epoch=self.epoch)
+        log_event("shard ownership lost", shard=self.shard, epoch=self.epoch)
 
     async def flush(self, *, timeout_ms: float) -> None:
-        """Wait until every change is durable, before ownership is handed over."""
+        """Wait up to `timeout_ms` until all changes are durable, before a hand-over."""
         with anyio.move_on_after(timeout_ms / 1000):
-            while not self._lost and not self.state.record.settled:
-                await self._written.wait()
+            while not self._ownership_lost and not self.state.record.settled:
+                await self._write_done.wait()
 
     async def _take_over(self) -> bool:
         record = self.state.record
@@ -135,13 +137,13 @@
                 try:
                     self.state.load(*read.unwrap().items)
                 except RecordEpochError:
-                    # Expected only when the ownership lapsed while the read was on its way.
+                    # Expected only if the ownership expired while the read was in flight.
                     if self.may_act:
                         raise
                     return False
                 except MalformedMessageError as error:
-                    log_event("record refused", key=record.key, reason=str(error))
-                    await anyio.sleep(_MALFORMED_RETRY_MS / 1000)
+                    log_event("record could not be decoded", key=record.key, reason=str(error))
+                    await anyio.sleep(_DECODE_RETRY_DELAY_MS / 1000)
                     continue
                 write = record.begin_write()
                 if write is None or not await write_record(self._platform, record, write):
@@ -152,30 +154,30 @@
         return False
 
     def _tick(self, group: TaskGroup) -> None:
-        if self._is_retired():
+        if self._are_previous_owners_retired():
             self.state.retire_previous_owner()
         vms = self._list_vms()
-        mine = [vm for vm in vms if vm.role == "worker" and vm.rack == self.shard]
-        self.state.observe_vms(mine)
+        shard_vms = [vm for vm in vms if vm.role == "worker" and vm.rack == self.shard]
+        self.state.observe_vms(shard_vms)
         if self.may_act:
             self.state.check_leases()
             self.state.place()
-        self._publish()
-        self._changed.set()
-        # A VM that is replaced under the same name has another address.
+        self._publish_runners()
+        self._state_changed.set()
+        # A replacement VM with the same name has a different address.
         addresses = {
             name: view.vm.address
             for name, view in self.state.workers.items()
             if is_address(view.vm.address)
         }
-        for name, (address, scope) in list(self._loops.items()):
+        for name, (address, scope) in list(self._worker_loops.items()):
             if addresses.get(name) != address:
                 scope.cancel()
-                del self._loops[name]
+                del self._worker_loops[name]
         for name, address in addresses.items():
-            if name not in self._loops:
+            if name not in self._worker_loops:
                 scope = anyio.CancelScope()
-                self._loops[name] = (address, scope)
+                self._worker_loops[name] = (address, scope)
                 group.start_soon(self._worker_loop, name, address, scope)
 
     async def _worker_loop(self, name: str, address: str, scope: anyio.CancelScope) -> None:
@@ -186,34 +188,41 @@
                 group.start_soon(client.run)
                 while True:
                     await self._sync_worker(name, client)
-                    await self._wait_for_work(name, period_ms)
+                    await self._wait_for_next_sync(name, period_ms)
 
     async def _sync_worker(self, name: str, client: WorkerClient) -> None:
-        # A later session of this daemon counts as the end of what earlier ones renewed.
-        held_over = (
+        # Batch tasks are renewed only in the session in which this task took over the shard, and
+        # until the hold-over after an expired lease has passed.
+        hold_over_ended = (
             self._ownership.lapsed_ms > self._periods["hold_over_ms"]
             or self._ownership.session != self._session
         )
-        request = self.state.plan_sync(name, may_start=self.may_act, may_renew_batch=not held_over)
+        request = self.state.plan_sync(
+            name, may_start=self.may_act, may_renew_batch=not hold_over_ended
+        )
         result = await client.sync(request)
         if isinstance(result, Failure):
-            log_event("worker silent", worker=name, error=type(result.failure()).__name__)
+            log_event("worker did not respond", worker=name, error=type(result.failure()).__name__)
             return
         if result.unwrap().worker != name:
-            # The address has passed to another VM, and the list of VMs lags.
-            log_event("report of another worker", worker=name, found=result.unwrap().worker)
+            # The address was reassigned to another VM, and the list of VMs is not yet up to date.
+            log_event(
+                "report from a different worker",
+                worker=name,
+                reported_worker=result.unwrap().worker,
+            )
             return
         if name in self.state.workers:
             self.state.observe_reply(name, result.unwrap())
-            self._publish()
-            self._changed.set()
+            self._publish_runners()
+            self._state_changed.set()
 
-    async def _wait_for_work(self, name: str, period_ms: float) -> None:
-        # New placements are started as soon as they are durable and not only at the next
-        # period; a short pause lets several of them share an exchange.
+    async def _wait_for_next_sync(self, name: str, period_ms: float) -> None:
+        # New placements are started as soon as they are durable instead of at the next period. A
+        # short delay combines several of them into one request.
         with anyio.move_on_after(period_ms / 1000):
             while True:
-                await self._written.wait()
+                await self._write_done.wait()
                 await anyio.sleep(self._periods["record_ms"] / 1000)
                 if self.state.has_unstarted(name):
                     return
@@ -222,17 +231,17 @@
         record = self.state.record
         while True:
             if not record.dirty:
-                await self._changed.wait()
-                self._changed = anyio.Event()
+                await self._state_changed.wait()
+                self._state_changed = anyio.Event()
                 continue
             if self.may_act:
                 self.state.check_capacity()
                 write = record.begin_write()
                 if write is not None and not await write_record(self._platform, record, write):
-                    self._lost = True
-                written, self._written = self._written, anyio.Event()
-                written.set()
-                if self._lost:
+                    self._ownership_lost = True
+                write_done, self._write_done = self._write_done, anyio.Event()
+                write_done.set()
+                if self._ownership_lost:
                     return
             await anyio.sleep(self._periods["record_ms"] / 1000)
 
@@ -246,20 +255,20 @@
             if stale is not None:
                 envelope.answer(Failure(stale))
                 continue
-            self._changed.set()
-            while not self.state.record.settled and not self._lost:
-                await self._written.wait()
-            if self._lost:
+            self._state_changed.set()
+            while not self.state.record.settled and not self._ownership_lost:
+                await self._write_done.wait()
+            if self._ownership_lost:
                 result = Failure(StaleExchange("ownership was lost"))
             else:
                 result = Success(self.state.report(full=envelope.message.full))
             envelope.answer(result)
 
-    def _publish(self) -> None:
-        # Until the workers have reported, the runners that the previous owner published are
-        # better than an empty list.
-        waited_ms = self._clock.now_ms() - self._began_ms
-        if waited_ms < _FIRST_REPORTS_MS and not self.state.has_all_reports():
+    def _publish_runners(self) -> None:
+        # Until all workers have reported, nothing is published, so that routers keep the runners
+        # that the previous owner published instead of an incomplete list.
+        elapsed_ms = self._clock.now_ms() - self._start_ms
+        if elapsed_ms < _FIRST_REPORT_TIMEOUT_MS and not self.state.has_all_reports():
             return
         runners: list[Runner] = []
         for entry in self.state.record.durable.values():
--- a/coltsfootpier/daemon/_slots.py
+++ b/coltsfootpier/daemon/_slots.py
@@ -1,4 +1,4 @@
-"""Waiting for slots: the router's decisions carried out for requests."""
+"""Slot allocation for requests: carries out the decisions of the router."""
 
 from __future__ import annotations
 
@@ -23,24 +23,24 @@
     compute_attempt_timeout,
 )
 
-# Longest wait of a borrowing request in the queue of a peer.
-_BORROW_MS = 500.0
+# Maximum time for which a request for a borrowed slot waits in the queue of a peer.
+_MAX_BORROW_WAIT_MS = 500.0
 
 
 class SlotBroker:
-    """Grants slots to requests of this daemon, own ones or borrowed ones.
+    """Grants owned and borrowed slots to the requests of this daemon.
 
-    A request that has to wait is queued here, while slots are asked for at peers; whichever
-    slot comes first serves it.
+    A request for which no slot is free is queued while slots are requested from peers. It
+    receives the first slot that becomes available, owned or borrowed.
 
     Parameters
     ----------
     router : Router
-        The decisions.
+        Makes the decisions.
     clock : Clock
         Time source.
     get_peer : callable
-        Returns the client of a member, or None.
+        Returns the client of a member, or None if there is none.
     """
 
     def __init__(
@@ -51,8 +51,9 @@
         self._get_peer = get_peer
         self._waiting: dict[Ticket, tuple[anyio.Event, list[Grant | Rejected]]] = {}
         self._group: TaskGroup | None = None
-        # A new lease of the daemon gives it a new identifier; its earlier grants stay its own.
-        self._own_ids: set[str] = set()
+        # Each new lease gives the daemon a new identifier. Grants under earlier identifiers still
+        # belong to this daemon.
+        self._own_member_ids: set[str] = set()
         self._member = ""
 
     @property
@@ -63,10 +64,10 @@
     @member.setter
     def member(self, member: str) -> None:
         self._member = member
-        self._own_ids.add(member)
+        self._own_member_ids.add(member)
 
     async def run(self) -> None:
-        """Own the calls to peers until cancelled."""
+        """Run the calls to peers until cancelled."""
         async with anyio.create_task_group() as self._group:
             await anyio.sleep_forever()
 
@@ -79,45 +80,45 @@
         if not isinstance(decision, Queued):
             return decision
         event = anyio.Event()
-        settled: list[Grant | Rejected] = []
-        self._waiting[ticket] = (event, settled)
+        decisions: list[Grant | Rejected] = []
+        self._waiting[ticket] = (event, decisions)
         if not ticket.borrower:
             self._borrow_for(ticket.service)
         try:
             with anyio.move_on_after(wait_ms / 1000):
                 await event.wait()
         except BaseException:
-            # The caller went away while the request waited.
-            for grant in settled:
+            # The request was cancelled while it was queued.
+            for grant in decisions:
                 if isinstance(grant, Grant):
-                    self._give_back(grant, Feedback())
+                    self._return_slot(grant, Feedback())
             raise
         finally:
             self._waiting.pop(ticket, None)
             self._router.withdraw(ticket)
-        return settled[0] if settled else Rejected(reason=RejectionReason.DEADLINE)
+        return decisions[0] if decisions else Rejected(reason=RejectionReason.DEADLINE)
 
     async def release(self, grant: Grant, feedback: Feedback) -> None:
-        """Give a slot back to its owner, with what the attempt says about the runner."""
-        self._give_back(grant, feedback)
+        """Return a slot to its owner, with the attempt's feedback on the runner."""
+        self._return_slot(grant, feedback)
 
     def record_request(self, service: str) -> None:
         """Count a new request towards the retry budget."""
         self._router.retries.record_request(service)
 
     def try_spend_retry(self, service: str, kind: str, deadline_ms: float) -> bool:
-        """Take a repeat out of the retry budget if the deadline allows one."""
+        """Spend one retry of the retry budget if there is time for it before the deadline."""
         response_ms = self._router.health.response_ms(service, kind)
         if deadline_ms <= self._clock.now_ms() + response_ms:
             return False
         return self._router.retries.spend(service)
 
     def compute_attempt_timeout(self, service: str, kind: str, left_ms: float) -> float:
-        """Return the time allowed for an attempt that may be repeated."""
+        """Return the timeout of an attempt that can be retried."""
         return compute_attempt_timeout(left_ms, self._router.health.response_ms(service, kind))
 
     async def lend(self, request: BorrowSlot) -> LentSlot:
-        """Queue a peer's request for a slot fairly with the own ones."""
+        """Handle a peer's request for a slot, queued fairly with the requests of this daemon."""
         now_ms = self._clock.now_ms()
         ticket = Ticket(
             service=request.service,
@@ -128,22 +129,26 @@
             excluded=set(request.excluded),
             borrower=request.borrower,
         )
-        decision = await self._acquire(ticket, min(request.left_ms, request.wait_ms, _BORROW_MS))
+        decision = await self._acquire(
+            ticket, min(request.left_ms, request.wait_ms, _MAX_BORROW_WAIT_MS)
+        )
         free = self._router.free_slots().get(request.service, 0)
         if isinstance(decision, Grant):
             return LentSlot(runner=decision.runner, token=decision.token, free=free)
         return LentSlot(free=free)
 
-    def take_back(self, request: ReturnSlot) -> None:
-        """Take back a slot that a peer borrowed."""
-        self._settle(self._router.release(request.runner, request.token, request.feedback))
+    def handle_return(self, request: ReturnSlot) -> None:
+        """Handle the return of a slot that a peer borrowed."""
+        self._apply_settlements(
+            self._router.release(request.runner, request.token, request.feedback)
+        )
 
     def expire(self) -> None:
-        """Serve waiting requests after changes of runners or lapsed loans."""
-        self._settle(self._router.expire())
+        """Expire loans and grant free slots to waiting requests."""
+        self._apply_settlements(self._router.expire())
 
-    def borrow_waiting(self) -> None:
-        """Ask peers that have reported free slots, for all services with waiting requests."""
+    def borrow_for_waiting(self) -> None:
+        """Request slots from peers with free slots, for all services with waiting requests."""
         for service, count in self._router.queue_lengths().items():
             if count:
                 self._borrow_for(service)
@@ -158,18 +163,18 @@
         lent: LentSlot | None = None
         if peer is not None:
             left_ms = borrow.ticket.deadline_ms - self._clock.now_ms()
-            answer = await peer.borrow_slot(
+            result = await peer.borrow_slot(
                 BorrowSlot(
                     service=service,
                     borrower=self.member,
                     kind=borrow.ticket.kind,
                     team=borrow.ticket.team,
                     left_ms=left_ms,
-                    wait_ms=_BORROW_MS,
+                    wait_ms=_MAX_BORROW_WAIT_MS,
                     excluded=tuple(borrow.ticket.excluded),
                 )
             )
-            lent = answer.unwrap() if isinstance(answer, Success) else None
+            lent = result.unwrap() if isinstance(result, Success) else None
         grant = None
         if lent is not None and lent.runner is not None:
             grant = Grant(
@@ -178,33 +183,33 @@
         free = lent.free if lent is not None else 0
         settlement = self._router.settle_borrow(borrow.peer, service, grant, free)
         if settlement is not None:
-            self._settle([settlement])
+            self._apply_settlements([settlement])
         elif grant is not None:
-            self._give_back(grant, Feedback())
+            self._return_slot(grant, Feedback())
         self._borrow_for(service)
 
-    def _give_back(self, grant: Grant, feedback: Feedback) -> None:
-        if grant.owner in self._own_ids:
-            self._settle(self._router.release(grant.runner.id, grant.token, feedback))
+    def _return_slot(self, grant: Grant, feedback: Feedback) -> None:
+        if grant.owner in self._own_member_ids:
+            self._apply_settlements(self._router.release(grant.runner.id, grant.token, feedback))
             return
         if feedback.leaving:
             self._router.mark_leaving(grant.runner.id)
-        self._group.start_soon(self._return, grant, feedback)
+        self._group.start_soon(self._send_return, grant, feedback)
 
-    async def _return(self, grant: Grant, feedback: Feedback) -> None:
-        # Tried twice; after that the owner frees the slot by itself.
+    async def _send_return(self, grant: Grant, feedback: Feedback) -> None:
+        # Two attempts are made. If both fail, the slot is freed when the loan expires at its owner.
         message = ReturnSlot(runner=grant.runner.id, token=grant.token, feedback=feedback)
         for _ in range(2):
             peer = self._get_peer(grant.owner)
             if peer is None or not isinstance(await peer.return_slot(message), Failure):
                 return
 
-    def _settle(self, settled: list[Settlement]) -> None:
-        for one in settled:
-            waiting = self._waiting.get(one.ticket)
+    def _apply_settlements(self, settlements: list[Settlement]) -> None:
+        for settlement in settlements:
+            waiting = self._waiting.get(settlement.ticket)
             if waiting is None:
-                if isinstance(one.decision, Grant):
-                    self._give_back(one.decision, Feedback())
+                if isinstance(settlement.decision, Grant):
+                    self._return_slot(settlement.decision, Feedback())
                 continue
-            waiting[1].append(one.decision)
+            waiting[1].append(settlement.decision)
             waiting[0].set()
--- a/coltsfootpier/daemon/_writer.py
+++ b/coltsfootpier/daemon/_writer.py
@@ -1,4 +1,4 @@
-"""Carrying out the conditional writes of a record."""
+"""Conditional writes of versioned records."""
 
 from __future__ import annotations
 
@@ -12,38 +12,43 @@
 from coltsfootpier.records import VersionedRecord, Write
 from coltsfootpier.transport import MalformedMessageError
 
-# Wait between reads that settle a write whose answer was lost.
-_RETRY_MS = 250.0
+# Delay after a failed write, and between reads that determine the outcome of a write without a
+# response.
+_RETRY_DELAY_MS = 250.0
 
 
 async def write_record(
     platform: PlatformClient, record: VersionedRecord[Any], write: Write
 ) -> bool:
-    """Carry out one write until its outcome is known.
+    """Execute one write and wait until its outcome is known.
 
     Parameters
     ----------
     platform : PlatformClient
-        The store.
+        Client of the store.
     record : VersionedRecord
-        The record that began the write.
+        Record that the write belongs to.
     write : Write
-        The write.
+        Write to execute.
 
     Returns
     -------
     bool
-        False when another owner has written the record, so that this one must stop acting.
+        False if another owner has written the record. The caller then has lost ownership and
+        must stop acting on the record.
     """
     try:
-        return await _settle(platform, record, write)
+        return await _execute_write(platform, record, write)
     except MalformedMessageError as error:
-        # Nobody but an owner writes the record, so its content is not this owner's any more.
-        log_event("record refused", key=write.key, reason=str(error))
+        # Only owners write the record. Content that can't be decoded comes from another owner, so
+        # ownership is lost.
+        log_event("record could not be decoded", key=write.key, reason=str(error))
         return False
 
 
-async def _settle(platform: PlatformClient, record: VersionedRecord[Any], write: Write) -> bool:
+async def _execute_write(
+    platform: PlatformClient, record: VersionedRecord[Any], write: Write
+) -> bool:
     result = await platform.put(write.key, write.value, expected_version=write.expected_version)
     if isinstance(result, Success):
         record.confirm(result.unwrap().version)
@@ -53,11 +58,11 @@
         return record.resolve(error.current)
     if isinstance(error, StoreUnavailable):
         record.abandon()
-        await anyio.sleep(_RETRY_MS / 1000)
+        await anyio.sleep(_RETRY_DELAY_MS / 1000)
         return True
-    log_event("store write without answer", key=write.key, token=write.token)
+    log_event("store write without response", key=write.key, token=write.token)
     while True:
-        await anyio.sleep(_RETRY_MS / 1000)
+        await anyio.sleep(_RETRY_DELAY_MS / 1000)
         read = await platform.get(write.key)
         if isinstance(read, Success):
             return record.resolve(read.unwrap())
--- a/coltsfootpier/daemon/tests/test_slots.py
+++ b/coltsfootpier/daemon/tests/test_slots.py
@@ -1,4 +1,4 @@
-"""Tests of waiting for slots and borrowing them."""
+"""Tests of queueing for slots and borrowing them from peers."""
 
 from __future__ import annotations
 
@@ -16,18 +16,18 @@
 
 
 class _Peer:
-    """Delivers the messages of a peer to its broker."""
+    """Peer client that passes messages directly to the broker of the peer."""
 
     def __init__(self, broker: SlotBroker) -> None:
         self._broker = broker
-        self.borrows = 0
+        self.borrow_count = 0
 
     async def borrow_slot(self, request: BorrowSlot) -> Result[LentSlot, Any]:
-        self.borrows += 1
+        self.borrow_count += 1
         return Success(await self._broker.lend(request))
 
     async def return_slot(self, request: ReturnSlot) -> Result[LentSlot, Any]:
-        self._broker.take_back(request)
+        self._broker.handle_return(request)
         return Success(LentSlot())
 
 
@@ -37,7 +37,7 @@
         self.peers: dict[str, _Peer] = {}
         self.brokers = {}
         self.routers = {}
-        # One slot, which member m2 owns.
+        # The only runner has one slot, which is assigned to member m2.
         for member in ("m1", "m2"):
             router = Router(clock=self.clock, availability_zone="z1", queue_length=4)
             router.observe_members(member, {"m1": "z1", "m2": "z1"})
@@ -47,9 +47,9 @@
             self.routers[member], self.brokers[member] = router, broker
             self.peers[member] = _Peer(broker)
 
-    def build_ticket(self, time_ms: float) -> Ticket:
+    def build_ticket(self, timeout_ms: float) -> Ticket:
         now_ms = self.clock.now_ms()
-        return Ticket(service="web", deadline_ms=now_ms + time_ms, arrived_ms=now_ms)
+        return Ticket(service="web", deadline_ms=now_ms + timeout_ms, arrived_ms=now_ms)
 
     def run_with_brokers(self, scenario: Any) -> None:
         async def run() -> None:
@@ -63,48 +63,48 @@
 
         anyio.run(run)
 
-    def test_waiting_request_makes_one_call_and_is_served_by_a_release(self) -> None:
-        """Guards against asking peers again and again for each waiting request."""
+    def test_waiting_request_borrows_once_and_gets_released_slot(self) -> None:
+        """Guards against repeated borrow requests to peers for one waiting request."""
 
         async def scenario() -> None:
-            held = await self.brokers["m2"].acquire(self.build_ticket(5_000.0))
-            got: list[Grant | Rejected] = []
+            grant = await self.brokers["m2"].acquire(self.build_ticket(5_000.0))
+            decisions: list[Grant | Rejected] = []
 
             async def wait() -> None:
-                got.append(await self.brokers["m1"].acquire(self.build_ticket(5_000.0)))
+                decisions.append(await self.brokers["m1"].acquire(self.build_ticket(5_000.0)))
 
             async with anyio.create_task_group() as group:
                 group.start_soon(wait)
                 await anyio.sleep(0.2)
-                self.assertEqual((self.peers["m2"].borrows, got), (1, []))
-                await self.brokers["m2"].release(held, Feedback())
-            self.assertEqual(got[0].owner, "m2")
-            await self.brokers["m1"].release(got[0], Feedback())
+                self.assertEqual((self.peers["m2"].borrow_count, decisions), (1, []))
+                await self.brokers["m2"].release(grant, Feedback())
+            self.assertEqual(decisions[0].owner, "m2")
+            await self.brokers["m1"].release(decisions[0], Feedback())
             await anyio.sleep(0.01)
             self.assertEqual(self.routers["m2"].free_slots(), {"web": 1})
 
         self.run_with_brokers(scenario)
 
-    def test_borrowed_slot_that_comes_too_late_goes_back(self) -> None:
-        """Guards against a slot that is lost because the request stopped waiting."""
+    def test_slot_lent_after_cancellation_is_returned(self) -> None:
+        """Guards against losing a slot that a peer lends after the request was cancelled."""
 
         async def scenario() -> None:
-            held = await self.brokers["m2"].acquire(self.build_ticket(5_000.0))
+            grant = await self.brokers["m2"].acquire(self.build_ticket(5_000.0))
             with anyio.move_on_after(0.05):
                 await self.brokers["m1"].acquire(self.build_ticket(5_000.0))
-            await self.brokers["m2"].release(held, Feedback())
+            await self.brokers["m2"].release(grant, Feedback())
             await anyio.sleep(0.05)
             self.assertEqual(self.routers["m2"].free_slots(), {"web": 1})
 
         self.run_with_brokers(scenario)
 
-    def test_request_without_a_slot_is_refused_at_its_deadline(self) -> None:
-        """Guards against a request that waits for longer than its caller."""
+    def test_queued_request_is_rejected_at_its_deadline(self) -> None:
+        """Guards against a request that stays queued after its deadline."""
 
         async def scenario() -> None:
             await self.brokers["m2"].acquire(self.build_ticket(5_000.0))
-            got = await self.brokers["m1"].acquire(self.build_ticket(50.0))
-            self.assertEqual(got, Rejected(reason=RejectionReason.DEADLINE))
+            decision = await self.brokers["m1"].acquire(self.build_ticket(50.0))
+            self.assertEqual(decision, Rejected(reason=RejectionReason.DEADLINE))
 
         self.run_with_brokers(scenario)
 
