Reword the messages between daemons

Docstrings described messages from the view of a participant ("hears from", "gives back", "asks"). They now name sender, request and response. Fields, paths and classes of messages are unchanged.

--- a/coltsfootpier/peers/__init__.py
+++ b/coltsfootpier/peers/__init__.py
@@ -1,4 +1,4 @@
-"""The other daemons: messages, client and server."""
+"""Communication between daemons: messages, client and server."""
 
 from coltsfootpier.peers._client import PeerClient
 from coltsfootpier.peers._messages import (
--- a/coltsfootpier/peers/_messages.py
+++ b/coltsfootpier/peers/_messages.py
@@ -10,22 +10,22 @@
 
 @attrs.frozen(kw_only=True)
 class Heartbeat:
-    """Sent to each peer once a period; the answer is the peer's own.
+    """Periodic message to each peer; the response is the heartbeat of the peer.
 
     Parameters
     ----------
     member : Member
-        The sender.
+        Sender of the message.
     revision : int
-        Newest configuration revision that it runs by; -1 while it knows none.
+        Configuration revision in force at the sender; -1 while it has none.
     runners_version : int
-        Changes whenever the runners that it publishes change.
+        Version of the runners that the sender publishes; differs after each change.
     free : dict of str to int
-        Its free slots for each service.
+        Free slots of the sender by service.
     draining : bool
-        Whether it is about to stop.
+        Whether the sender is about to stop.
     ejected : tuple of str
-        Runners that it has ejected.
+        Runners that the sender has ejected.
     """
 
     member: Member
@@ -55,25 +55,25 @@
 
 @attrs.frozen(kw_only=True)
 class MemberList:
-    """Members that a daemon hears from, itself included."""
+    """Members that are reachable from a daemon, including itself."""
 
     members: tuple[Member, ...]
 
 
 @attrs.frozen(kw_only=True)
 class BorrowSlot:
-    """Asks the slot owner for one slot of a service.
+    """Request to the owner of slots for one slot of a service.
 
     Parameters
     ----------
     borrower : str
-        Member that asks.
+        Member that requests the slot.
     kind, team : str, str
-        Whose share the slot is counted against.
+        Request kind and team to whose share the slot is charged.
     left_ms : float
-        Time left to the deadline of the request.
+        Time until the deadline of the request.
     wait_ms : float
-        Time for which the owner may queue the request.
+        Maximum time for which the owner may queue the request.
     """
 
     service: str
@@ -87,12 +87,12 @@
 
 @attrs.frozen(kw_only=True)
 class LentSlot:
-    """Answer to `BorrowSlot`; without a runner the request is declined.
+    """Response to `BorrowSlot`; without a runner, no slot is lent.
 
     Parameters
     ----------
     free : int
-        Free slots of the service that the owner has left.
+        Remaining free slots of the service at the owner.
     """
 
     runner: Runner | None = None
@@ -102,7 +102,7 @@
 
 @attrs.frozen(kw_only=True)
 class ReturnSlot:
-    """Gives a borrowed slot back, with what the attempt says about the runner."""
+    """Return of a borrowed slot, with the attempt's feedback on the runner."""
 
     runner: str
     token: int
--- a/coltsfootpier/peers/_server.py
+++ b/coltsfootpier/peers/_server.py
@@ -1,4 +1,4 @@
-"""Server side of the messages between daemons."""
+"""HTTP application for messages from other daemons."""
 
 from __future__ import annotations
 
@@ -31,19 +31,19 @@
 from coltsfootpier.placement import ExchangeReply, ExchangeRequest
 from coltsfootpier.transport import Application, HttpRequest, HttpResponse, decode
 
-# A whole configuration text has to fit, which the store bounds to 1 MB.
-_MAX_BODY = 4_000_000
+# The body must hold a complete configuration text, which the store limits to 1 MB.
+_MAX_BODY_BYTES = 4_000_000
 
 
 class PeerHandlers(Protocol):
-    """What a daemon does with the messages of its peers."""
+    """Handlers for the messages of peers."""
 
     async def on_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
-        """Take a heartbeat and return the own one."""
+        """Handle a heartbeat of a peer and return the heartbeat of this daemon."""
         ...
 
     async def on_revision(self, revision: Revision) -> Revision:
-        """Take a durable revision and return the one in force."""
+        """Apply a durable revision and return the revision in force."""
         ...
 
     async def on_pull_revision(self) -> Revision:
@@ -51,19 +51,19 @@
         ...
 
     async def on_pull_members(self) -> MemberList:
-        """Return the members that this daemon hears from."""
+        """Return the reachable members, including this daemon."""
         ...
 
     async def on_pull_runners(self) -> RunnerTable:
-        """Return the published runners."""
+        """Return the published runners of all shards that this daemon owns."""
         ...
 
     async def on_exchange(self, request: ExchangeRequest) -> Result[ExchangeReply, Any]:
-        """Pass a step of the dispatcher's exchange to the owner of the shard."""
+        """Forward one step of the dispatcher's exchange to the task that owns the shard."""
         ...
 
     async def on_borrow(self, request: BorrowSlot) -> LentSlot:
-        """Lend a slot if one is free."""
+        """Lend a slot to a peer, after queueing if none is free."""
         ...
 
     async def on_dispatch_status(self) -> StatusReply:
@@ -71,42 +71,42 @@
         ...
 
     async def on_pull_stats(self) -> StatsSnapshot:
-        """Return the counters of this daemon's requests."""
+        """Return the request counters of this daemon."""
         ...
 
     async def on_return(self, request: ReturnSlot) -> LentSlot:
-        """Take a lent slot back."""
+        """Handle the return of a lent slot."""
         ...
 
     async def on_acquire_permit(self, request: AcquirePermit) -> PermitReply:
-        """Decide on a permit if this daemon owns the key group."""
+        """Decide on a permit request if this daemon owns the key group."""
         ...
 
     async def on_copy_permits(self, request: CopyPermits) -> CopyReply:
-        """Keep copies of records for the owner of a key group."""
+        """Store copies of permit records for the owner of a key group."""
         ...
 
     async def on_settle_permit(self, request: SettlePermit) -> SettleReply:
-        """Take the outcome of a request."""
+        """Record the outcome of a request."""
         ...
 
     async def on_pull_permits(self, request: PullPermits) -> PulledPermits:
-        """Take the epoch of a new owner and return the copies of its group."""
+        """Record the epoch of the new owner of a key group and return the copies of its records."""
         ...
 
 
 def build_peer_application(handlers: PeerHandlers) -> Application:
-    """Return the application of the peers' side."""
+    """Return the HTTP application that serves the messages of peers."""
 
-    def typed(kind: type, call: Callable[[Any], Awaitable[object]]) -> Any:
+    def with_body(message_type: type, handler: Callable[[Any], Awaitable[object]]) -> Any:
         async def handle(request: HttpRequest) -> HttpResponse:
-            return HttpResponse.of(await call(decode(request.body, kind)))
+            return HttpResponse.of(await handler(decode(request.body, message_type)))
 
         return handle
 
-    def plain(call: Callable[[], Awaitable[object]]) -> Any:
+    def without_body(handler: Callable[[], Awaitable[object]]) -> Any:
         async def handle(_: HttpRequest) -> HttpResponse:
-            return HttpResponse.of(await call())
+            return HttpResponse.of(await handler())
 
         return handle
 
@@ -118,20 +118,20 @@
 
     return Application(
         routes={
-            "POST /peer/v1/heartbeat": typed(Heartbeat, handlers.on_heartbeat),
-            "POST /peer/v1/revision": typed(Revision, handlers.on_revision),
-            "POST /peer/v1/pull-revision": plain(handlers.on_pull_revision),
-            "POST /peer/v1/members": plain(handlers.on_pull_members),
-            "POST /peer/v1/runners": plain(handlers.on_pull_runners),
+            "POST /peer/v1/heartbeat": with_body(Heartbeat, handlers.on_heartbeat),
+            "POST /peer/v1/revision": with_body(Revision, handlers.on_revision),
+            "POST /peer/v1/pull-revision": without_body(handlers.on_pull_revision),
+            "POST /peer/v1/members": without_body(handlers.on_pull_members),
+            "POST /peer/v1/runners": without_body(handlers.on_pull_runners),
             "POST /peer/v1/exchange": exchange,
-            "POST /peer/v1/borrow": typed(BorrowSlot, handlers.on_borrow),
-            "POST /peer/v1/status": plain(handlers.on_dispatch_status),
-            "POST /peer/v1/stats": plain(handlers.on_pull_stats),
-            "POST /peer/v1/return": typed(ReturnSlot, handlers.on_return),
-            "POST /peer/v1/acquire-permit": typed(AcquirePermit, handlers.on_acquire_permit),
-            "POST /peer/v1/copy-permits": typed(CopyPermits, handlers.on_copy_permits),
-            "POST /peer/v1/settle-permit": typed(SettlePermit, handlers.on_settle_permit),
-            "POST /peer/v1/pull-permits": typed(PullPermits, handlers.on_pull_permits),
+            "POST /peer/v1/borrow": with_body(BorrowSlot, handlers.on_borrow),
+            "POST /peer/v1/status": without_body(handlers.on_dispatch_status),
+            "POST /peer/v1/stats": without_body(handlers.on_pull_stats),
+            "POST /peer/v1/return": with_body(ReturnSlot, handlers.on_return),
+            "POST /peer/v1/acquire-permit": with_body(AcquirePermit, handlers.on_acquire_permit),
+            "POST /peer/v1/copy-permits": with_body(CopyPermits, handlers.on_copy_permits),
+            "POST /peer/v1/settle-permit": with_body(SettlePermit, handlers.on_settle_permit),
+            "POST /peer/v1/pull-permits": with_body(PullPermits, handlers.on_pull_permits),
         },
-        max_body=_MAX_BODY,
+        max_body=_MAX_BODY_BYTES,
     )
