--- a/coltsfootpier/cli/__init__.py
+++ b/coltsfootpier/cli/__init__.py
@@ -1,4 +1,4 @@
-"""The command-line tool ``coltsfootpier``."""
+"""Command-line tool ``coltsfootpier``."""
 
 from coltsfootpier.cli._main import main
 
--- a/coltsfootpier/cli/_commands.py
+++ b/coltsfootpier/cli/_commands.py
@@ -1,4 +1,4 @@
-"""Subcommands of the command-line tool."""
+"""Subcommands of the command-line tool that call a daemon or check a declaration."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from coltsfootpier.burn import format_report, render_html
-from coltsfootpier.cli._exits import Exit
+from coltsfootpier.cli._exit_codes import ExitCode
 from coltsfootpier.clock import MonotonicClock
 from coltsfootpier.declaration import Declaration, diff_declarations, parse
 from coltsfootpier.operators import (
@@ -26,18 +26,18 @@
 from coltsfootpier.transport import encode
 
 _POLL_MS = 200.0
-_APPLY_EXITS = {
-    "accepted": Exit.SUCCESS,
-    "invalid": Exit.INVALID,
-    "conflict": Exit.CONFLICT,
-    "unavailable": Exit.FAILURE,
-    "unknown": Exit.UNKNOWN,
+_APPLY_EXIT_CODES = {
+    "accepted": ExitCode.SUCCESS,
+    "invalid": ExitCode.INVALID,
+    "conflict": ExitCode.CONFLICT,
+    "unavailable": ExitCode.FAILURE,
+    "unknown": ExitCode.UNKNOWN,
 }
 
 
 @attrs.frozen(kw_only=True)
 class Options:
-    """Options common to the subcommands."""
+    """Command-line options of the subcommands."""
 
     daemon: str
     json: bool
@@ -51,39 +51,39 @@
     print(encode(message).decode())
 
 
-def _fail(reason: str, code: Exit = Exit.FAILURE) -> Exit:
+def _report_failure(reason: str, code: ExitCode = ExitCode.FAILURE) -> ExitCode:
     print(f"coltsfootpier: {reason}", file=sys.stderr)
     return code
 
 
-def _read(path: str) -> Result[str, Exit]:
+def _read_file(path: str) -> Result[str, ExitCode]:
     try:
         return Success(Path(path).read_text())
     except OSError as error:
-        return Failure(_fail(f"{path}: {error.strerror}"))
+        return Failure(_report_failure(f"{path}: {error.strerror}"))
     except UnicodeDecodeError:
-        return Failure(_fail(f"{path}: not UTF-8 text", Exit.INVALID))
+        return Failure(_report_failure(f"{path}: not UTF-8 text", ExitCode.INVALID))
 
 
-def _parse(path: str) -> Result[tuple[str, Declaration], Exit]:
-    text = _read(path)
-    if isinstance(text, Failure):
-        return text
-    parsed = parse(text.unwrap(), source=path)
+def _parse_file(path: str) -> Result[tuple[str, Declaration], ExitCode]:
+    content = _read_file(path)
+    if isinstance(content, Failure):
+        return content
+    parsed = parse(content.unwrap(), source=path)
     if isinstance(parsed, Failure):
         for problem in parsed.failure():
             print(problem, file=sys.stderr)
-        return Failure(Exit.INVALID)
-    return Success((text.unwrap(), parsed.unwrap()))
+        return Failure(ExitCode.INVALID)
+    return Success((content.unwrap(), parsed.unwrap()))
 
 
-def _client(options: Options) -> OperatorClient:
+def _build_client(options: Options) -> OperatorClient:
     return OperatorClient(address=options.daemon, clock=MonotonicClock())
 
 
 async def validate(options: Options, path: str) -> int:
-    """Check a declared text."""
-    parsed = _parse(path)
+    """Check a declaration for errors."""
+    parsed = _parse_file(path)
     if isinstance(parsed, Failure):
         return parsed.failure()
     declaration = parsed.unwrap()[1]
@@ -97,40 +97,42 @@
         _print_json(counts)
     else:
         print(f"{path}: valid, " + ", ".join(f"{count} {name}" for name, count in counts.items()))
-    return Exit.SUCCESS
+    return ExitCode.SUCCESS
 
 
 async def diff(options: Options, path: str) -> int:
-    """Show what a text would change."""
-    parsed = _parse(path)
+    """Print the differences between a declaration and the one in force."""
+    parsed = _parse_file(path)
     if isinstance(parsed, Failure):
         return parsed.failure()
-    config = await _client(options).read_config()
+    config = await _build_client(options).read_config()
     if isinstance(config, Failure):
-        return _fail(config.failure().reason)
-    old = parse(config.unwrap().text, source=f"revision {config.unwrap().revision}")
-    if isinstance(old, Failure):
-        return _fail("the text in force has keys that this release of the tool doesn't know")
-    lines = diff_declarations(old.unwrap(), parsed.unwrap()[1])
+        return _report_failure(config.failure().reason)
+    current = parse(config.unwrap().text, source=f"revision {config.unwrap().revision}")
+    if isinstance(current, Failure):
+        return _report_failure(
+            "the text in force has keys that this release of the tool doesn't know"
+        )
+    lines = diff_declarations(current.unwrap(), parsed.unwrap()[1])
     if options.json:
         _print_json({"base": config.unwrap().revision, "changes": lines})
     else:
         print(f"against revision {config.unwrap().revision}:")
         print("\n".join(lines) or "no changes")
-    return Exit.SUCCESS
+    return ExitCode.SUCCESS
 
 
 async def apply(options: Options, path: str) -> int:
-    """Put a text in force and wait until all entry VMs run by it."""
-    parsed = _parse(path)
+    """Apply a declaration and wait until it is in force on all entry VMs."""
+    parsed = _parse_file(path)
     if isinstance(parsed, Failure):
         return parsed.failure()
-    client = _client(options)
+    client = _build_client(options)
     base = options.base
     if base is None:
         config = await client.read_config()
         if isinstance(config, Failure):
-            return _fail(config.failure().reason)
+            return _report_failure(config.failure().reason)
         base = config.unwrap().revision
     request = ApplyRequest(
         text=parsed.unwrap()[0], base=base, token=secrets.token_hex(8), source=path
@@ -138,8 +140,8 @@
     applied = await client.apply(request)
     if isinstance(applied, Failure):
         error: OperatorError = applied.failure()
-        code = Exit.UNKNOWN if error.unknown else Exit.FAILURE
-        return _fail(f"{error.reason} (token {request.token})", code)
+        code = ExitCode.UNKNOWN if error.unknown else ExitCode.FAILURE
+        return _report_failure(f"{error.reason} (token {request.token})", code)
     reply = applied.unwrap()
     if reply.outcome != "accepted":
         return _report_rejection(options, reply, base)
@@ -150,12 +152,14 @@
     if options.json:
         _print_json(reply)
     elif reply.outcome == "conflict":
-        _fail(f"conflict: revision {reply.revision} is in force, the change is based on {base}")
+        _report_failure(
+            f"conflict: revision {reply.revision} is in force, the change is based on {base}"
+        )
     else:
         for problem in reply.problems:
             print(problem, file=sys.stderr)
-        _fail(f"{reply.outcome} {reply.reason}".strip())
-    return _APPLY_EXITS[reply.outcome]
+        _report_failure(f"{reply.outcome} {reply.reason}".strip())
+    return _APPLY_EXIT_CODES[reply.outcome]
 
 
 async def _wait_in_force(options: Options, client: OperatorClient, revision: int) -> int:
@@ -179,36 +183,36 @@
         _print_json({"revision": revision, "in_force": in_force, "entry_vms": total})
     else:
         print(f"revision {revision}: in force on {in_force} of {total} entry VMs")
-    late = options.wait and (in_force < total or not total)
-    return Exit.TIMEOUT if late else Exit.SUCCESS
+    timed_out = options.wait and (in_force < total or not total)
+    return ExitCode.TIMEOUT if timed_out else ExitCode.SUCCESS
 
 
 async def status(options: Options) -> int:
-    """Show services, jobs, workers and entry VMs."""
-    asked = await _client(options).read_status()
-    if isinstance(asked, Failure):
-        return _fail(asked.failure().reason)
-    reply = asked.unwrap()
+    """Print the state of services, jobs, workers and entry VMs."""
+    result = await _build_client(options).read_status()
+    if isinstance(result, Failure):
+        return _report_failure(result.failure().reason)
+    reply = result.unwrap()
     if options.json:
         _print_json(reply)
-        return Exit.SUCCESS
+        return ExitCode.SUCCESS
     print(f"revision {reply.revision}")
     for vm in reply.entry_vms:
         state = "reachable" if vm.reachable else "unreachable"
         print(f"entry VM {vm.name} ({vm.availability_zone}): revision {vm.revision}, {state}")
     if not reply.complete:
-        return _fail("the dispatcher could not be asked; tasks and workers are missing")
-    for line in _summarize(reply):
+        return _report_failure("the dispatcher could not be asked; tasks and workers are missing")
+    for line in _summarise_tasks(reply):
         print(line)
     for worker in sorted(reply.workers, key=lambda item: item.worker):
         print(
             f"worker {worker.worker}: {worker.free_cores:g} of {worker.cores:g} cores and "
             f"{worker.free_memory_mb} of {worker.memory_mb} MB free"
         )
-    return Exit.SUCCESS
+    return ExitCode.SUCCESS
 
 
-def _summarize(reply: StatusReply) -> list[str]:
+def _summarise_tasks(reply: StatusReply) -> list[str]:
     groups: dict[str, list[TaskStatus]] = defaultdict(list)
     for task in reply.tasks:
         groups[task.task.rsplit("/", 1)[0]].append(task)
@@ -222,40 +226,40 @@
 
 
 async def explain(options: Options, name: str) -> int:
-    """Show why a service or job is where it is, or why it isn't."""
-    asked = await _client(options).read_status()
-    if isinstance(asked, Failure):
-        return _fail(asked.failure().reason)
-    reply = asked.unwrap()
+    """Print where the tasks of a service or job are placed, or why they are not placed."""
+    result = await _build_client(options).read_status()
+    if isinstance(result, Failure):
+        return _report_failure(result.failure().reason)
+    reply = result.unwrap()
     if not reply.complete:
-        return _fail("the dispatcher could not be asked")
+        return _report_failure("the dispatcher could not be asked")
     tasks = [task for task in reply.tasks if name in (task.task, task.task.split("/")[1])]
     if not tasks:
-        return _fail(f"no service, job or task is called {name!r}")
+        return _report_failure(f"no service, job or task is called {name!r}")
     if options.json:
         _print_json(tasks)
-        return Exit.SUCCESS
+        return ExitCode.SUCCESS
     for task in sorted(tasks, key=lambda item: item.task):
         place = f" on {task.worker} (rack {task.shard})" if task.worker else ""
         reason = f": {task.reason}" if task.reason else ""
         print(f"{task.task}: {task.state}{place}, attempt {task.attempt}{reason}")
-    return Exit.SUCCESS
+    return ExitCode.SUCCESS
 
 
 async def report(options: Options, name: str) -> int:
-    """Show a report; ``burn`` is the only one."""
+    """Print a report; ``burn`` is the only one."""
     if name != "burn":
-        return _fail(f"no report is called {name!r}; there is: burn", Exit.USAGE)
-    asked = await _client(options).read_burn()
-    if isinstance(asked, Failure):
-        return _fail(asked.failure().reason)
+        return _report_failure(f"no report is called {name!r}; there is: burn", ExitCode.USAGE)
+    result = await _build_client(options).read_burn()
+    if isinstance(result, Failure):
+        return _report_failure(result.failure().reason)
     if options.html:
         try:
-            Path(options.html).write_text(render_html(asked.unwrap()))
+            Path(options.html).write_text(render_html(result.unwrap()))
         except OSError as error:
-            return _fail(f"{options.html}: {error.strerror}")
+            return _report_failure(f"{options.html}: {error.strerror}")
     if options.json:
-        _print_json(asked.unwrap())
+        _print_json(result.unwrap())
     else:
-        print(format_report(asked.unwrap()))
-    return Exit.SUCCESS
+        print(format_report(result.unwrap()))
+    return ExitCode.SUCCESS
--- a/coltsfootpier/cli/_exits.py
+++ b/coltsfootpier/cli/_exit_codes.py
@@ -5,8 +5,8 @@
 import enum
 
 
-class Exit(enum.IntEnum):
-    """Exit codes; scripts rely on them."""
+class ExitCode(enum.IntEnum):
+    """Exit codes, on which scripts of operators rely."""
 
     SUCCESS = 0
     FAILURE = 1
--- a/coltsfootpier/cli/_main.py
+++ b/coltsfootpier/cli/_main.py
@@ -1,4 +1,4 @@
-"""Command line of ``coltsfootpier``."""
+"""Command-line interface of ``coltsfootpier``."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from absl import app, flags
 
 from coltsfootpier.cli import _commands, _store
-from coltsfootpier.cli._exits import Exit
+from coltsfootpier.cli._exit_codes import ExitCode
 from coltsfootpier.settings import parse_address
 
 USAGE = """usage: coltsfootpier COMMAND [ARGUMENTS] [--daemon IP:PORT] [--store IP:PORT] [--json]
@@ -53,7 +53,7 @@
         parse_address(_FLAGS.store)
     except ValueError:
         print(f"coltsfootpier: --store: found {_FLAGS.store!r}, allowed: IP:PORT", file=sys.stderr)
-        return Exit.USAGE
+        return ExitCode.USAGE
     timeout_ms = _FLAGS.timeout * 1_000
     return anyio.run(
         lambda: _store.show(_FLAGS.store, arguments, as_json=_FLAGS.json, timeout_ms=timeout_ms)
@@ -64,17 +64,17 @@
     name, *rest = arguments[1:] or [""]
     if name == "store" and len(rest) <= 1:
         return _run_store(rest)
-    command, count = _COMMANDS.get(name, (None, 0))
-    if command is None or len(rest) != count:
+    command, argument_count = _COMMANDS.get(name, (None, 0))
+    if command is None or len(rest) != argument_count:
         print(USAGE, end="", file=sys.stderr)
-        return Exit.USAGE
+        return ExitCode.USAGE
     try:
         parse_address(_FLAGS.daemon)
     except ValueError:
         print(
             f"coltsfootpier: --daemon: found {_FLAGS.daemon!r}, allowed: IP:PORT", file=sys.stderr
         )
-        return Exit.USAGE
+        return ExitCode.USAGE
     options = _commands.Options(
         daemon=_FLAGS.daemon,
         json=_FLAGS.json,
@@ -91,9 +91,9 @@
         return _FLAGS(arguments)
     except flags.Error as error:
         print(f"coltsfootpier: {error}", file=sys.stderr)
-        sys.exit(Exit.USAGE)
+        sys.exit(ExitCode.USAGE)
 
 
 def main() -> None:
-    """Run the command-line tool."""
+    """Run the subcommand that the command line names."""
     app.run(_run, flags_parser=_parse_flags)
--- a/coltsfootpier/cli/_store.py
+++ b/coltsfootpier/cli/_store.py
@@ -1,4 +1,4 @@
-"""Subcommands that read what the platform's store keeps; they change nothing."""
+"""Read-only subcommands that print records of the platform's store."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from coltsfootpier.cells import RunnerEntry
-from coltsfootpier.cli._exits import Exit
+from coltsfootpier.cli._exit_codes import ExitCode
 from coltsfootpier.clock import MonotonicClock
 from coltsfootpier.jobs import JobRecord, decode_record
 from coltsfootpier.journal import OwnerInfo, decode_owner
@@ -28,19 +28,19 @@
 
 @attrs.frozen(kw_only=True)
 class Overview:
-    """What the store says of the whole system."""
+    """Summary of the whole system, read from the store."""
 
     owner: OwnerInfo | None
     configuration_version: int
     jobs: dict[str, int]
     runners: dict[str, int]
-    # Progress of each wave of upkeep.
+    # Progress of each maintenance wave, by its number.
     upkeep: dict[str, str]
     unreadable: int
 
 
 async def read_overview(store: StoreClient) -> Result[Overview, str]:
-    """Read the owner, the configuration's version and the counts of jobs and runners."""
+    """Read the owner, configuration version, maintenance waves, and counts of jobs and runners."""
     owner = await store.get(keys.OWNER_KEY)
     config = await store.get(CONFIG_KEY)
     items = await store.list_all(keys.JOBS_PREFIX)
@@ -56,7 +56,9 @@
         if isinstance(result, Failure):
             return Failure(f"{name} could not be read: {result.failure()}")
     decoded = [decode_record(item.value) for item in items.unwrap()]
-    records: list[JobRecord] = [one.unwrap() for one in decoded if isinstance(one, Success)]
+    records: list[JobRecord] = [
+        parsed.unwrap() for parsed in decoded if isinstance(parsed, Success)
+    ]
     runners: list[RunnerEntry] = [
         entry for item in entries.unwrap() if (entry := decode_entry(item)) is not None
     ]
@@ -74,7 +76,7 @@
             owner=decode_owner(owner.unwrap().value),
             configuration_version=version,
             jobs=dict(sorted(states.items())),
-            runners=dict(Counter("draining" if one.draining else "ready" for one in runners)),
+            runners=dict(Counter("draining" if runner.draining else "ready" for runner in runners)),
             upkeep={str(wave.number): _describe_wave(wave) for wave in waves},
             unreadable=len(decoded) - len(records) + len(entries.unwrap()) - len(runners),
         )
@@ -91,7 +93,7 @@
 
 
 async def read_job(store: StoreClient, job_id: str) -> Result[dict[str, Any], str]:
-    """Read what is recorded of one job."""
+    """Read the record of one job."""
     item = await store.get(keys.job_key(job_id))
     if isinstance(item, Failure):
         return Failure(f"the job could not be read: {item.failure()}")
@@ -108,7 +110,7 @@
             "id": record.id,
             "queue": record.queue,
             "service": record.service,
-            # The store doesn't say whether a task has started; the runners do.
+            # The store doesn't record whether a task has started; only runners know that.
             "state": record.state.value if record.state.is_final else "open",
             "accepted_unix_ms": record.accepted_unix_ms,
             "steps": [
@@ -123,19 +125,19 @@
     )
 
 
-async def show(address: str, arguments: list[str], *, as_json: bool, timeout_ms: float) -> Exit:
-    """Print the overview, or one job.
+async def show(address: str, arguments: list[str], *, as_json: bool, timeout_ms: float) -> ExitCode:
+    """Print the overview of the store or the record of one job.
 
     Parameters
     ----------
     address : str
         ``IP:PORT`` of the store.
     arguments : list of str
-        Nothing, or the identifier of a job.
+        Identifier of a job; empty for the overview.
     as_json : bool
         Whether to print JSON.
     timeout_ms : float
-        Time allowed for each call.
+        Timeout of each call.
     """
     host, port = split_address(address)
     store = StoreClient(host=host, port=port, clock=MonotonicClock(), timeout_ms=timeout_ms)
@@ -143,12 +145,12 @@
     store.close()
     if isinstance(result, Failure):
         print(f"coltsfootpier: {result.failure()}", file=sys.stderr)
-        return Exit.FAILURE
-    found = result.unwrap()
+        return ExitCode.FAILURE
+    content = result.unwrap()
     if as_json:
-        print(encode(found).decode())
-        return Exit.SUCCESS
-    fields = found if isinstance(found, dict) else attrs.asdict(found)
+        print(encode(content).decode())
+        return ExitCode.SUCCESS
+    fields = content if isinstance(content, dict) else attrs.asdict(content)
     for name, value in fields.items():
         print(f"{name:24} {value}")
-    return Exit.SUCCESS
+    return ExitCode.SUCCESS
