State when waiting requests are served and runners are published

The docstrings and comments had lost when expiry runs, what peers provide while a watch is silent, and the time limit of the first publication. Comments only.

--- a/coltsfootpier/daemon/_control.py
+++ b/coltsfootpier/daemon/_control.py
@@ -33,8 +33,8 @@
 _CONFIG_KEY = "control/config"
 _OWNERS_KEY = "control/owners"
 _MEMBERS_PREFIX = "control/members/"
-# A watch without a response for this time is restarted. Meanwhile, heartbeats of peers show which
-# members are alive.
+# A watch without a response for this time is restarted. Meanwhile, changes of members and of the
+# revision arrive with the heartbeats of peers.
 _WATCH_TIMEOUT_MS = 5_000
 _VM_LIST_PERIOD_MS = 1_000.0
 # Maximum delay between attempts while the store is unavailable. The delay is random, below a bound
--- a/coltsfootpier/daemon/_shard_task.py
+++ b/coltsfootpier/daemon/_shard_task.py
@@ -265,8 +265,8 @@
             envelope.answer(result)
 
     def _publish_runners(self) -> None:
-        # Until all workers have reported, nothing is published, so that routers keep the runners
-        # that the previous owner published instead of an incomplete list.
+        # Until all workers have reported or the time limit has passed, nothing is published, so
+        # that routers keep the runners of the previous owner instead of an incomplete list.
         elapsed_ms = self._clock.now_ms() - self._start_ms
         if elapsed_ms < _FIRST_REPORT_TIMEOUT_MS and not self.state.has_all_reports():
             return
--- a/coltsfootpier/daemon/_slots.py
+++ b/coltsfootpier/daemon/_slots.py
@@ -144,7 +144,7 @@
         )
 
     def expire(self) -> None:
-        """Expire loans and grant free slots to waiting requests."""
+        """Expire loans and serve waiting requests, after loans expired or runners changed."""
         self._apply_settlements(self._router.expire())
 
     def borrow_for_waiting(self) -> None:
