Align terms and docstrings of cells, node and their records

Docstrings named identifiers that no longer exist (find_job_fault, UpkeepRecord, Refused, coltsfootpier.upkeep, asked_ms), and several comments used other words for one concept or read like a translation. They now use the names in the code and one term per concept.

--- a/coltsfootpier/callers/_application.py
+++ b/coltsfootpier/callers/_application.py
@@ -53,7 +53,7 @@
     send_response,
 )
 
-# Maximum number of runners that are tried before a request is rejected.
+# Maximum number of runners to try before a request is rejected.
 _MAX_ATTEMPTS = 3
 _STATUS = {
     RejectionReason.UNKNOWN_SERVICE: 404,
@@ -391,9 +391,9 @@
     """Return the feedback of an attempt about its runner."""
     leaving = False
     if isinstance(result, Success):
-        answer = result.unwrap()
-        leaving = answer.leaving
-        failed = answer.status >= 500
+        response = result.unwrap()
+        leaving = response.leaving
+        failed = response.status >= 500
         attempt_result = AttemptResult.FAILED if failed else AttemptResult.ANSWERED
     else:
         error = result.failure()
@@ -411,18 +411,18 @@
     )
 
 
-def _respond(answer: RunnerResponse, grant: Grant) -> _HandledRequest:
+def _respond(response: RunnerResponse, grant: Grant) -> _HandledRequest:
     content_type = next(
-        (value for name, value in answer.headers if name == b"content-type"), b"text/plain"
+        (value for name, value in response.headers if name == b"content-type"), b"text/plain"
     )
-    headers = tuple(pair for pair in answer.headers if pair[0] != b"content-type")
+    headers = tuple(pair for pair in response.headers if pair[0] != b"content-type")
     return _HandledRequest(
-        outcome=Outcome.FAILED if answer.status >= 500 else Outcome.DONE,
+        outcome=Outcome.FAILED if response.status >= 500 else Outcome.DONE,
         response=HttpResponse(
-            status=answer.status, body=answer.body, headers=headers, content_type=content_type
+            status=response.status, body=response.body, headers=headers, content_type=content_type
         ),
-        rest=answer.rest,
-        length=answer.length,
+        rest=response.rest,
+        length=response.length,
         grant=grant,
     )
 
--- a/coltsfootpier/callers/_permits.py
+++ b/coltsfootpier/callers/_permits.py
@@ -27,7 +27,7 @@
     deadline_ms : float
         Deadline of the request on the daemon's clock.
     max_run_ms : float
-        Longest time that a runner takes for the request.
+        Maximum time that a runner takes to process the request.
     """
 
     kind: KeyKind
@@ -94,7 +94,7 @@
 
     Returns
     -------
-    list of Claim or Refused
+    list of Claim or Rejected
         The claim of the idempotency key comes first, so that a retry gets its recorded outcome
         even while the exclusive key is in use.
     """
@@ -147,7 +147,7 @@
 
     Returns
     -------
-    list of Permit, RecordedOutcome or Refused
+    list of Permit, RecordedOutcome or Rejected
     """
     acquired: list[Permit] = []
     for claim in claims:
--- a/coltsfootpier/cells/_capacity.py
+++ b/coltsfootpier/cells/_capacity.py
@@ -15,8 +15,8 @@
 
 # Period for which measured capacities and delays are used, in ms; loads swing within seconds.
 REFRESH_MS = 250.0
-# Minimum share of the unused CPU that an image is assumed to find, so that an image that finds none
-# at the moment isn't ranked behind all others for ever.
+# Minimum share of the unused CPU assumed to be available to an image, so that an image without
+# any at the moment isn't permanently ranked behind all others.
 _MIN_SHARE = 0.05
 
 
@@ -31,7 +31,7 @@
 
     def __init__(self, table: InterferenceTable) -> None:
         self._table = table
-        # CPU in thousandths of a core that each image alone would find on each runner.
+        # CPU in thousandths of a core that each image could use alone on each runner.
         self._free_cpus: list[dict[str, float]] = []
         self._totals: dict[str, float] = {}
         self._unused = 0.0
@@ -69,13 +69,13 @@
         return max(_MIN_SHARE, self._totals[image] / self._unused)
 
     def total(self, image: str) -> float:
-        """Return the CPU in thousandths of a core that an image alone would find."""
+        """Return the CPU in thousandths of a core that an image could use if it ran alone."""
         return self._totals.get(image, self._unused)
 
     def drain(self, work: Mapping[str, float]) -> dict[str, float]:
         """Return how long the work of each image takes beside that of the others, in ms.
 
-        Each image uses the runners that have capacity for it, beginning with those that become
+        Each image uses the runners that have capacity for it, starting with those that become
         free first. Images with the least capacity are placed first, since they have the least
         choice.
 
@@ -93,7 +93,7 @@
             )
             remaining, rate, level = work[image], 0.0, 0.0
             for index in order:
-                # All runners that are free by now work until the next one becomes free.
+                # All runners that are already free work until the next one becomes free.
                 if rate * (busy[index] - level) >= remaining:
                     break
                 remaining -= rate * (busy[index] - level)
@@ -109,7 +109,7 @@
 
 
 def _measure_unused(runner: Runner) -> float:
-    """Return the CPU that serving and urgent tasks leave unused on a runner, in thousandths."""
+    """Return the CPU that serving and urgent tasks leave unused, in thousandths of a core."""
     used = float(runner.guaranteed_cpu - runner.serving_cpu)
     used += sum(run.step.cpu_milli * run.load for run in list_serving(runner))
     return max(0.0, runner.entry.cpu_milli - used)
--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -43,7 +43,7 @@
 
 @attrs.frozen
 class Accepted:
-    """An accepted job; the caller may be told so once its record is durable."""
+    """An accepted job; the caller gets the response once its record is durable."""
 
     job: Job
     version: int
@@ -107,7 +107,7 @@
         now_ms: float,
         unix_ms: float,
     ) -> None:
-        """Load the jobs and runners that an earlier owner has recorded.
+        """Load the jobs and runners recorded by earlier owners.
 
         Parameters
         ----------
@@ -128,11 +128,11 @@
                 self.jobs.inherited.add(record.id)
 
     def export_learned(self) -> Learned:
-        """Return what was learned about images and queues, for the next owner."""
+        """Return the learned state of images and queues, for the next owner."""
         return self._estimates.export()
 
     def restore_learned(self, learned: Learned) -> None:
-        """Restore what an earlier owner learned about images and queues."""
+        """Restore the learned state of images and queues from an earlier owner."""
         self._estimates.restore(learned)
 
     def set_queues(self, queues: Mapping[str, Queue]) -> None:
@@ -142,7 +142,7 @@
     def submit(
         self, job_id: str, queue: Queue, spec: JobSpec, *, now_ms: float, unix_ms: float
     ) -> Accepted | Rejected:
-        """Accept a job or reject it for good; a known identifier refers to the existing job.
+        """Accept or reject a job permanently; a known identifier refers to the existing job.
 
         Parameters
         ----------
@@ -151,7 +151,7 @@
         queue : Queue
             Queue of the job.
         spec : JobSpec
-            What to run; already validated with `find_job_fault`.
+            What to run; already validated with `find_job_error`.
         now_ms, unix_ms : float
             Local time and Unix time.
         """
@@ -324,7 +324,7 @@
             record_success(runner)
             # The start time of an adopted run is unknown.
             if run is not None and not run.adopted and step.spec.estimate_ms:
-                self._estimates.learn_duration(step, now_ms - run.start_sent_ms)
+                self._estimates.record_duration(step, now_ms - run.start_sent_ms)
             for unneeded in self.jobs.finish_task(step, row.run.key, now_ms):
                 self._stop(unneeded, "no longer needed", now_ms)
             runner.pending_ends.append((row.number, job, job.version))
@@ -401,10 +401,10 @@
         Parameters
         ----------
         request : AdviceRequest
-            The request that was answered.
+            The request that got this response.
         tickets : Mapping of str to str
             Ticket of each approved runner. The other runners of the request are excluded from
-            running the step for good.
+            running the step permanently.
         valid_ms : float
             Validity of the tickets, counted from before the request was sent.
         now_ms : float
@@ -479,7 +479,7 @@
                 run.state is RunState.UNSURE
                 and now_ms - run.start_sent_ms > settings.unsure_stop_ms
             ):
-                self._stop(run, "start command was not answered", now_ms)
+                self._stop(run, "no response to start command", now_ms)
             if run.state is RunState.STOPPING:
                 if now_ms - run.stop_sent_ms >= settings.stop_retry_ms:
                     self._queue_stop(run, now_ms)
--- a/coltsfootpier/cells/_cordons.py
+++ b/coltsfootpier/cells/_cordons.py
@@ -16,7 +16,7 @@
 
 
 class Cordons:
-    """Cordons of a cell's runners; implements `coltsfootpier.upkeep.RunnerCordons`.
+    """Cordons of a cell's runners; implements `coltsfootpier.maintenance.RunnerCordons`.
 
     Parameters
     ----------
--- a/coltsfootpier/cells/_estimates.py
+++ b/coltsfootpier/cells/_estimates.py
@@ -15,11 +15,11 @@
 from coltsfootpier.cells._state import Job, Runner, StepRun
 from coltsfootpier.jobs import JobSpec, Queue, StepSpec
 
-# Decay per new job of the submitted work that is counted; the last 50 jobs count most.
+# Decay factor of the submitted work per new job; the last 50 jobs count most.
 _SUBMITTED_DECAY = 0.98
-# Work below which an image is dropped: a task of one core that takes a millisecond.
+# Work below which an image is dropped, in thousandths of a core times ms: 1 ms on one core.
 _MIN_SUBMITTED_WORK = 1_000.0
-# Capacity in thousandths of a core below which an image counts as no scarcer.
+# Lower bound of an image's capacity in thousandths of a core when its scarcity is computed.
 _MIN_CAPACITY_CPU = 4_000.0
 # Weight of a new job in the mean work of its queue.
 _MEAN_WORK_RATE = 0.05
@@ -27,18 +27,18 @@
 
 @attrs.define
 class _BestEffortBacklog:
-    """Best-effort work of one service by image, and the time it takes.
+    """Best-effort work of one service by image, and the time until it is done.
 
     Parameters
     ----------
     capacity : BestEffortCapacity
-        Capacity that each image finds.
+        Capacity available to each image.
     in_time, all : dict of str to float
         Work of jobs that can meet their objective, and of all jobs.
     added : dict of str to float
         Work accepted since the last measurement.
     delay_in_time, delay_all : dict of str to float
-        Time in ms that each of these works takes.
+        Time in ms until the work in `in_time` and in `all` is done.
     """
 
     capacity: BestEffortCapacity
@@ -50,14 +50,14 @@
 
 
 class Estimates:
-    """Learned durations and sizes of the jobs of each queue.
+    """Estimated durations, work and queueing delays of the jobs of each queue.
 
     Parameters
     ----------
     interference : InterferenceTable
         Estimated interference of best-effort images with serving images.
     lateness_factor : float
-        Multiple of its objective up to which the end of a job is of use to its caller.
+        Multiple of the objective up to which the result of a late job is of use to its caller.
     """
 
     def __init__(self, interference: InterferenceTable, *, lateness_factor: float) -> None:
@@ -70,7 +70,7 @@
         # Decaying sum of the work submitted for each best-effort image.
         self._submitted_work: dict[str, float] = {}
 
-    def learn_duration(self, step: StepRun, real_ms: float) -> None:
+    def record_duration(self, step: StepRun, real_ms: float) -> None:
         """Update the duration model with a completed run."""
         self._find_durations(step.job.queue.name).update(real_ms, step.spec.estimate_ms)
         step.completed_count += 1
@@ -124,7 +124,7 @@
         return job.arrived_ms + self._objective_ms(step) - now_ms - remaining_ms
 
     def lateness(self, step: StepRun, now_ms: float) -> int:
-        """Return 0 for a job that can meet its objective, 1 for a late one, 2 if it is useless."""
+        """Return 0 if a job can meet its objective, 1 if it is late, 2 if it is useless."""
         slack_ms = self.slack_ms(step, now_ms)
         if slack_ms >= 0:
             return 0
@@ -167,7 +167,7 @@
         )
 
     def restore(self, learned: Learned) -> None:
-        """Restore what an earlier owner learned."""
+        """Restore the learned state of an earlier owner."""
         self._interference.restore(learned.pressures, learned.idle_tails)
         for queue, sums in learned.durations.items():
             model = DurationModel.restore(sums)
--- a/coltsfootpier/cells/_health.py
+++ b/coltsfootpier/cells/_health.py
@@ -1,8 +1,8 @@
 """Quarantine of runners on which runs fail or stall.
 
-A runner may answer its health check and its reports while every run on it fails. Failed runs count
-against the attempts of a job, so such a runner is quarantined after failures of several jobs and
-then gets one run at a time until one succeeds.
+A runner may respond to health checks and report requests while every run on it fails. Failed runs
+count against the attempts of a job, so such a runner is quarantined after failures of several jobs
+and then gets one run at a time until one succeeds.
 """
 
 from __future__ import annotations
--- a/coltsfootpier/cells/_incarnations.py
+++ b/coltsfootpier/cells/_incarnations.py
@@ -1,10 +1,10 @@
 """Detection of runners whose incarnation has ended, from the platform's listings of worker VMs.
 
 When a tenth of the runners crash at once, or runners of earlier owners are gone when a new owner
-takes over, their tasks have to wait until the leases of their runs have certainly expired, 4 s
-after the last contact; after a change of owner, so do all jobs accepted before it. The platform's
-listing of worker VMs names the incarnation of the runner on each. A runner that it no longer names
-runs nothing, while one that is only partitioned is still named.
+takes over, their tasks have to wait until the leases of their runs have expired, 4 s after the last
+contact; after a change of owner, so do all jobs accepted before it. The platform's listing
+of worker VMs names the incarnation of the runner on each. A runner that it no longer names runs
+nothing, while one that is only partitioned is still named.
 """
 
 from __future__ import annotations
@@ -55,7 +55,7 @@
         ----------
         living : container of str
             Runners that are live on a worker VM that is up.
-        asked_ms : float
+        requested_ms : float
             Local time before the listing was requested.
 
         Returns
@@ -67,11 +67,11 @@
         for runner_id, runner in self._fleet.runners.items():
             if runner.ended:
                 continue
-            is_silent = requested_ms - runner.contact_ms > self._settings.suspect_after_ms
-            if runner_id in living or not is_silent:
+            is_unresponsive = requested_ms - runner.contact_ms > self._settings.suspect_after_ms
+            if runner_id in living or not is_unresponsive:
                 runner.unlisted_since_ms = float("inf")
             elif runner.unlisted_since_ms < requested_ms:
-                # The pages of a listing are not a snapshot, so it takes two listings without it.
+                # The pages of a listing are not one snapshot, so one listing may miss a runner.
                 self._end(runner)
                 ended = True
             else:
--- a/coltsfootpier/cells/_interference.py
+++ b/coltsfootpier/cells/_interference.py
@@ -50,7 +50,7 @@
 # interference of pairs without effect (up to 0.3) and of the others (from 1.3).
 _IDLE_RUNNER_INTERFERENCE = 0.6
 # Reported tail latency as a share of the target from which a serving run counts as over it, and
-# below which it certainly no longer is: reports are off by about 5 %.
+# below which it no longer does: reports are off by about 5 %.
 _OVER_TARGET_RATIO = 0.97
 _BELOW_TARGET_RATIO = 0.9
 # Utilisation that a best-effort run may always add: a serving task whose own load is near its limit
@@ -185,7 +185,7 @@
     def restore(
         self, learned_pairs: Iterable[LearnedInterference], idle: Mapping[str, float]
     ) -> None:
-        """Restore what an earlier owner learned."""
+        """Restore the pairs and idle tail latencies from an earlier owner."""
         for pair in learned_pairs:
             self._pairs[pair.serving, pair.filling] = _Estimate(
                 min(_MAX_INTERFERENCE, max(0.0, pair.mean)),
@@ -207,7 +207,7 @@
         return self._pairs[key]
 
     def has_headroom(self, runner: Runner, spec: StepSpec) -> bool:
-        """Return whether one more best-effort task keeps every serving task below its limit.
+        """Return whether every serving task stays below its limit with one more best-effort task.
 
         Parameters
         ----------
@@ -226,8 +226,8 @@
     def cost(self, runner: Runner, spec: StepSpec) -> float:
         """Return the utilisation that one more task adds to the serving task it affects most.
 
-        A runner without serving tasks has a cost too, so that it is kept for images that do harm
-        everywhere else.
+        A runner without serving tasks has a cost too, so that it is reserved for images that
+        interfere with the serving tasks everywhere else.
         """
         cpu_share = spec.cpu_milli / max(1, runner.entry.cpu_milli)
         images = self._headrooms(runner)
@@ -284,7 +284,7 @@
         return self._settings.utilisation_limit - self.load(run) - added_utilisation
 
     def choose_paces(self, runner: Runner, best_effort: list[Run]) -> dict[Run, int]:
-        """Return the pace in percent of each best-effort run that keeps all targets.
+        """Return the pace in percent of each best-effort run with which all targets are met.
 
         Parameters
         ----------
@@ -319,7 +319,7 @@
 
 
 def _is_harmless(headroom: float, added_utilisation: float, spare: float) -> bool:
-    """Return whether the utilisation that a best-effort run adds keeps a target safe.
+    """Return whether a serving run still meets its target with an added best-effort run.
 
     Parameters
     ----------
--- a/coltsfootpier/cells/_jobs.py
+++ b/coltsfootpier/cells/_jobs.py
@@ -1,4 +1,4 @@
-"""Jobs of a cell: their steps, which are ready, and which changes aren't durable yet."""
+"""Jobs of a cell: their steps, the ready ones, and changes that aren't durable yet."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class JobTable:
-    """Owner of all jobs of a cell.
+    """Table of all jobs of a cell.
 
     Parameters
     ----------
@@ -188,7 +188,7 @@
         return len(attempts)
 
     def requeue(self, run_id: RunId) -> None:
-        """Queue the task of an ended run again if it is still to be done."""
+        """Queue the task of an ended run again if the task isn't done."""
         step = self.find_step(run_id)
         if step is None or not step.job.is_open:
             return
@@ -209,7 +209,7 @@
     # Expiry
 
     def list_expired(self, now_ms: float, *, kept_ms: float, limit: int) -> list[str]:
-        """Return the oldest ended jobs whose states may be forgotten.
+        """Return the oldest ended jobs whose retention time has passed.
 
         Parameters
         ----------
--- a/coltsfootpier/cells/_learned.py
+++ b/coltsfootpier/cells/_learned.py
@@ -1,4 +1,4 @@
-"""State that a cell has learned about images and queues, as it is stored for the next owner.
+"""Learned state of images and queues, stored for the next owner of the cell.
 
 Owners are stopped, killed and replaced several times a day. An owner that starts from priors slows
 harmless batch tasks, overloads serving tasks, and trusts declared durations until its own reports
--- a/coltsfootpier/cells/_lease_expiry.py
+++ b/coltsfootpier/cells/_lease_expiry.py
@@ -1,4 +1,4 @@
-"""Time by which the leases of all runs on a runner have certainly expired."""
+"""Time by which the leases of all runs on a runner are guaranteed to have expired."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
 
     @property
     def lease_expiry_ms(self) -> float:
-        """Local time from which no run continues there."""
+        """Local time from which no run continues on the runner."""
         return max(self._applied_expiry_ms, *self._calls.values(), float("-inf"))
 
     def record_call(self, *, now_ms: float, duration_ms: float) -> int:
--- a/coltsfootpier/cells/_ordering.py
+++ b/coltsfootpier/cells/_ordering.py
@@ -10,10 +10,8 @@
 _BEST_EFFORT_CLASS = 2
 _SHORT_CLASS = 1
 _LONG_RUNNING_CLASS = 0
-
-
-# Part of a job's worth that doesn't depend on its size.
-_FIXED_WORTH = 0.3
+# Part of a job's value that doesn't depend on its size.
+_FIXED_VALUE = 0.3
 
 
 def rank_step(
@@ -22,10 +20,10 @@
     """Return the sort key of a step that waits for runners; the smallest goes first.
 
     Long-running tasks go first, because their users have no service until they run. Jobs that
-    can still meet their objective go before jobs that can't, so that a flood doesn't make all
-    jobs late, and jobs that are no longer of use to their callers go last. Within each group the
-    job with the least remaining work for its worth goes first: it takes the least from the
-    others, and started jobs are finished before more are started.
+    can still meet their objective go before jobs that can't, so that a burst of jobs doesn't
+    make all of them late, and jobs that are no longer of use to their callers go last. Within each
+    group the job with the least remaining work relative to its value goes first: it delays the
+    others least, and started jobs are finished before more are started.
 
     Parameters
     ----------
@@ -34,8 +32,8 @@
     lateness : int
         0 while the job can meet its objective, 1 while it is of some use, 2 after that.
     remaining : float
-        Remaining work of the job, as a share of the queue's mean job; work that can run on few
-        runners counts for as much capacity as it keeps from the others.
+        Remaining work of the job, as a share of the queue's mean job; best-effort work is
+        divided by the share of the unused CPU that its image can use.
     size : float
         Whole work of the job, as a share of the queue's mean job.
     """
@@ -44,6 +42,6 @@
         if step.blocked_ms < math.inf:
             return _LONG_RUNNING_CLASS, 0, step.blocked_ms
         return _LONG_RUNNING_CLASS, 1, step.job.arrived_ms
-    kind = _BEST_EFFORT_CLASS if step.spec.fills else _SHORT_CLASS
-    worth = _FIXED_WORTH + (1.0 - _FIXED_WORTH) * size
-    return kind, lateness, remaining / worth
+    step_class = _BEST_EFFORT_CLASS if step.spec.fills else _SHORT_CLASS
+    value = _FIXED_VALUE + (1.0 - _FIXED_VALUE) * size
+    return step_class, lateness, remaining / value
--- a/coltsfootpier/cells/_pacing.py
+++ b/coltsfootpier/cells/_pacing.py
@@ -24,7 +24,7 @@
     """Choose the pace of each best-effort run on a runner after a new measurement.
 
     The runs of the jobs that rank first get the highest pace that keeps every serving task below
-    its limit; the others get what remains, so that a flood doesn't slow all jobs.
+    its limit; the others get what remains, so that a burst of jobs doesn't slow all of them.
 
     Parameters
     ----------
--- a/coltsfootpier/cells/_placement.py
+++ b/coltsfootpier/cells/_placement.py
@@ -134,7 +134,7 @@
         # The least interference first; the most unused capacity breaks ties.
         free = _UNUSED_WEIGHT * free - runner.entry.cpu_milli * table.cost(runner, spec)
     else:
-        # An even spread of free declared capacity keeps every runner able to take wide steps.
+        # Spread free declared capacity evenly, so that steps with many tasks fit.
         free = 0.5 * free + (runner.entry.cpu_milli - runner.guaranteed_cpu)
     return preference, free / max(1, runner.entry.cpu_milli)
 
@@ -142,7 +142,7 @@
 def _score_images(images: set[str], image: str) -> int:
     """Return how well a serving image fits with the images that a runner already serves.
 
-    Runners with a single serving image are kept so; mixed runners take the other images.
+    Runners with a single serving image should stay so; other images prefer mixed runners.
     """
     if images == {image}:
         return 2
--- a/coltsfootpier/cells/_planning.py
+++ b/coltsfootpier/cells/_planning.py
@@ -15,8 +15,8 @@
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells._state import Run, Runner, RunState, StepRun, Task
 
-# Attempt numbers reserved for one owner of a task. Each owner numbers from its own base, so that
-# it never reuses a number that an earlier owner used without having recorded it.
+# Attempt numbers reserved for one owner of a task. Each owner starts from a base of its own, so
+# that it never reuses a number that an earlier owner used without recording it.
 ATTEMPTS_PER_OWNER = 10_000
 # Pace in percent up to which a best-effort run counts as slowed and may be moved.
 _SLOWED_PERCENT = 50
@@ -119,7 +119,7 @@
     def choose_slowed_run(self, now_ms: float) -> Run | None:
         """Return a slowed best-effort run that fits on another runner without harm.
 
-        Each plan returns only one, so that each move sees the capacity that the previous one used.
+        Each plan returns only one, so that each move accounts for the previous one.
         """
         settings = self._settings
         attempts = 0
@@ -147,8 +147,8 @@
     def choose_displaced_run(self, now_ms: float) -> Run | None:
         """Return a long-running run whose move frees capacity for one that fits on no runner.
 
-        A step that allows few tasks per runner needs many runners with a little free capacity;
-        packed runners leave it a few with much.
+        A step that allows few tasks per runner needs a little free capacity on many runners, but
+        packing tasks leaves much of it on few.
         """
         settings = self._settings
         for step in self._jobs.ready.values():
--- a/coltsfootpier/cells/_search.py
+++ b/coltsfootpier/cells/_search.py
@@ -1,8 +1,8 @@
-"""Search for runners that caches which demands found none.
+"""Search for runners that caches the demands that fit on none.
 
 At larger sizes a thousand tasks of a hundred sizes wait for 176 runners, and a few runners change
-every 20 ms. Checking each size on each runner in each plan takes more than a core. A demand that
-found no runner before only needs to be checked on the runners that have changed since.
+every 20 ms. Checking each size on each runner in each plan uses more than one core. A demand that
+fitted on no runner before only needs to be checked on the runners that have changed since.
 """
 
 from __future__ import annotations
@@ -41,8 +41,8 @@
         self._usable: Mapping[str, list[Runner]] = {}
         self._changed: dict[str, list[Runner]] = {}
         self._versions: dict[str, int] = {}
-        # Sizes that found no runner: in the previous plan, so that only runners changed since need
-        # to be checked, and in this one.
+        # Sizes that fitted on no runner, in the previous plan and in this one: only runners that
+        # have changed since need to be checked.
         self._failed_before: dict[_DemandKey, list[_Size]] = {}
         self._failed: dict[_DemandKey, list[_Size]] = {}
         self.examined = 0
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -13,11 +13,11 @@
 
 
 class RunState(enum.Enum):
-    """State of a run as far as the cell knows it."""
+    """State of a run as known to the cell."""
 
-    # The start command was sent and is not answered yet.
+    # The start command was sent and has no response yet.
     STARTING = "starting"
-    # The start command was not answered, so the run may still start later.
+    # The start command got no response, so the run may still start later.
     UNSURE = "unsure"
     RUNNING = "running"
     STOPPING = "stopping"
@@ -43,7 +43,7 @@
     runner_id: str
     state: RunState
     start_sent_ms: float
-    # Whether it was found on its runner after an earlier owner had started it.
+    # Whether an earlier owner started it and this one found it on its runner.
     adopted: bool = False
     confirmed_ms: float = float("inf")
     stop_confirmed_ms: float = float("inf")
@@ -207,7 +207,7 @@
     started_unix_ms: int = 0
     contact_ms: float = float("-inf")
     lease_expiry_ms: float = float("-inf")
-    # Lease expiry of what an earlier owner may have extended.
+    # Expiry of the leases that an earlier owner may have extended.
     inherited_lease_expiry_ms: float = float("-inf")
     applied_end: int = 0
     # Ended runs whose durable record is outstanding: number, job, version of the job.
@@ -273,7 +273,7 @@
 
     @property
     def unused_cpu(self) -> float:
-        """CPU capacity in thousandths of a core that one more best-effort task would find."""
+        """CPU capacity in thousandths of a core available to one more best-effort task."""
         if self._unused_cpu is None:
             self._unused_cpu = self._measure_unused()
         return self._unused_cpu
--- a/coltsfootpier/cells/tests/test_admission.py
+++ b/coltsfootpier/cells/tests/test_admission.py
@@ -14,7 +14,7 @@
 
 
 class AdmissionTest(unittest.TestCase):
-    """Admission under more work than there is capacity for."""
+    """Admission while the submitted work exceeds the capacity."""
 
     def _flood(self, **changes):
         harness = SimulatedCell(("a",), **changes)
@@ -27,7 +27,7 @@
         """Guards against accepting a backlog whose last jobs end too late to be of use."""
         results = self._flood()
         accepted = sum(isinstance(result, Accepted) for result in results)
-        # 8 core-seconds each on 4 cores take 2 s a job; three objectives of 1.8 s fit two to four.
+        # A job of 8 core-seconds takes 2 s on 4 cores; three objectives of 1.8 s fit two to four.
         self.assertTrue(2 <= accepted <= 5, accepted)
         self.assertIsInstance(results[-1], Rejected)
 
@@ -94,12 +94,12 @@
         self.assertLess(urgent, rank_step(self.best_effort, lateness=0, remaining=0.1, size=1.0))
 
     def test_late_jobs_go_after_jobs_in_time(self):
-        """Guards against a flood in which every job ends slightly late."""
+        """Guards against an overload in which every job ends slightly late."""
         late = rank_step(self.best_effort, lateness=1, remaining=0.1, size=1.0)
         self.assertLess(rank_step(self.best_effort, lateness=0, remaining=3.0, size=3.0), late)
 
     def test_started_jobs_are_finished_first(self):
-        """Guards against many jobs that are all half done."""
+        """Guards against starting many jobs and finishing none."""
         started = rank_step(self.best_effort, lateness=0, remaining=0.5, size=1.0)
         self.assertLess(started, rank_step(self.best_effort, lateness=0, remaining=1.0, size=1.0))
 
--- a/coltsfootpier/cells/tests/test_colocation.py
+++ b/coltsfootpier/cells/tests/test_colocation.py
@@ -78,7 +78,7 @@
 
 
 class PaceTest(unittest.TestCase):
-    """Harm is detected, kept short, and not attributed to the wrong image."""
+    """Interference is detected, short, and not attributed to the wrong image."""
 
     def test_harmful_best_effort_tasks_are_slowed(self):
         """Guards against a serving task that stays over its target beside best-effort tasks."""
--- a/coltsfootpier/cells/tests/test_cordons.py
+++ b/coltsfootpier/cells/tests/test_cordons.py
@@ -13,7 +13,7 @@
 
 
 class CordonTest(unittest.TestCase):
-    """Which runs a cordoned runner gets, keeps and loses."""
+    """Runs that are placed on, stay on and move away from a cordoned runner."""
 
     def setUp(self):
         self.harness = SimulatedCell(("a", "b", "c"))
--- a/coltsfootpier/cells/tests/test_runs.py
+++ b/coltsfootpier/cells/tests/test_runs.py
@@ -296,7 +296,7 @@
         self.assertEqual(later.cell.jobs.jobs["j"].arrived_ms, later.now_ms - 5_000)
 
     def test_adopted_runs_do_not_update_durations(self):
-        """Guards against rejections after a takeover, because jobs look a tenth as long."""
+        """Guards against rejections because jobs seem a tenth as long after a takeover."""
         harness = SimulatedCell()
         harness.join()
         harness.submit("j", build_job(build_step(count=4)))
@@ -358,7 +358,7 @@
         self.assertEqual({command.ticket for command in commands}, {"ticket"})
 
     def test_expired_ticket_is_requested_again(self):
-        """Guards against a step that waits for ever with expired tickets."""
+        """Guards against a step that waits forever with expired tickets."""
         harness = SimulatedCell(("a",))
         harness.join()
         queue = build_queue(needs_advice=True)
--- a/coltsfootpier/configuration/__init__.py
+++ b/coltsfootpier/configuration/__init__.py
@@ -1,4 +1,4 @@
-"""Revisions of the declaration: acceptance and propagation; a daemon never goes back."""
+"""Acceptance and propagation of declaration revisions; a daemon never reverts to an older one."""
 
 from coltsfootpier.configuration._state import (
     Revision,
--- a/coltsfootpier/jobs/_record.py
+++ b/coltsfootpier/jobs/_record.py
@@ -30,8 +30,8 @@
     accepted_unix_ms : float
         Unix time in ms at which the job was accepted.
     state : JobState
-        `JobState.QUEUED` represents every state that isn't final: only the owner and the runners
-        know whether a task has started.
+        `JobState.QUEUED` represents every state that isn't final: whether a task has
+        started is known only to the owner and the runners.
     spec : JobSpec, optional
         None once the state is final, which keeps records of ended jobs small.
     done : set of TaskKey
--- a/coltsfootpier/maintenance/_planner.py
+++ b/coltsfootpier/maintenance/_planner.py
@@ -2,7 +2,7 @@
 
 Operators request maintenance of a third of the worker VMs within 20 to 60 s while all of them are
 in use. Maintenance ends all runs on its VM at once, only a few VMs may be down at the same time,
-and long-running steps tolerate only a few missing tasks.
+and long-running steps tolerate only a few unavailable tasks.
 
 A command without a response may still take effect later. Its VM counts as down until a response
 or a listing shows the outcome. The command is recorded before it is sent, so that the next owner
@@ -345,7 +345,7 @@
         return len(down)
 
     def _may_go_down(self, state: _WaveState, progress: _Progress, now_ms: float) -> bool:
-        """Return whether the runs on a cordoned VM may end and it is idle or has waited enough."""
+        """Return whether a cordoned VM may go down: it is idle or has waited long enough."""
         if not self._cordons.can_end_runs(progress.runner_id):
             return False
         waited_ms = now_ms - progress.phase_start_ms
@@ -378,7 +378,7 @@
         if state is None or progress is None or progress.phase is not _Phase.ORDERED:
             return
         self._log(
-            "maintenance command answered",
+            "maintenance command outcome",
             wave=command.wave,
             worker=command.vm_id,
             outcome=outcome.value,
--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -92,7 +92,11 @@
     async def run(self) -> BindError | None:
         """Serve until `stop` and the drain after it; return the error of a failed bind."""
         settings = self._settings
-        log_event("daemon started", incarnation=self._incarnation, zone=settings.availability_zone)
+        log_event(
+            "daemon started",
+            incarnation=self._incarnation,
+            availability_zone=settings.availability_zone,
+        )
         readiness = Application(routes={"GET /": self._handle_readiness}, max_body=_MAX_PROBE_BYTES)
         metrics = Application(
             routes={"GET /metrics": self._render_metrics}, max_body=_MAX_PROBE_BYTES
@@ -155,8 +159,8 @@
     async def _drain(self) -> None:
         log_event("drain started", owner=self._owner is not None)
         end_ms = self._clock.now_ms() + self._settings.exit_grace_ms - _timing.EXIT_RESERVE_MS
-        # A request that is cut off by the exit of the process would get a 500 response, which
-        # doesn't tell its caller whether the request took effect.
+        # A request that is interrupted by the exit of the process would get a 500 response, which
+        # doesn't show its caller whether the request took effect.
         self._responses_due_ms = end_ms - _timing.RESPONSE_RESERVE_MS
         self._callers.draining = True
         if self._owner is not None:
@@ -286,7 +290,7 @@
         while True:
             left_ms = min(deadline_ms, self._responses_due_ms) - self._clock.now_ms()
             if left_ms <= 0:
-                # A job that was never sent to an owner has certainly not been accepted.
+                # A job that was never sent to an owner can't have been accepted.
                 if sent or not isinstance(request, SubmitJob):
                     return Response(status=ResponseStatus.UNKNOWN, reason="deadline")
                 return reject("deadline")
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -187,7 +187,7 @@
         return None
 
     async def resign(self) -> None:
-        """Give up the cell at once: commit what is dirty, then end the lease."""
+        """Release the cell immediately: commit pending changes, then end the lease."""
         self._resigning = True
         deadline_ms = self._clock.now_ms() + _timing.STORE_TIMEOUT_MS
         while self.cell.jobs.dirty_count and self._clock.now_ms() < deadline_ms:
--- a/coltsfootpier/node/_peers.py
+++ b/coltsfootpier/node/_peers.py
@@ -168,9 +168,9 @@
 ) -> Result[Response, CallError]:
     """Send a request to an owner and cancel it when another daemon owns the cell.
 
-    An owner that is cut off from the network would let the request run into its time limit, while
-    its successor could respond. A job that was submitted to both is still one job, since the caller
-    chose its identifier.
+    A request to an owner that is partitioned from the network would run into its time limit, while
+    the next owner could respond. A job that was submitted to both is still one job, since the
+    caller chose its identifier.
 
     Parameters
     ----------
--- a/coltsfootpier/node/_reachability.py
+++ b/coltsfootpier/node/_reachability.py
@@ -1,10 +1,10 @@
 """Reachability of the owner of the cell from a daemon.
 
-It handles two failures. In a network partition a third of the entry VMs may be cut off from the
-others for 12 s and still reach callers and the store. Each of them would reject all jobs, which
-other daemons could accept; so it reports that it isn't ready, and the load balancer sends callers
-elsewhere. An owner that is frozen during an outage of the store keeps its lease, and each request
-that is forwarded to it would wait until its deadline; so new jobs are rejected at once.
+It handles two failures. In a network partition a third of the entry VMs may be separated
+from the others for 12 s and still reach callers and the store. Each of them would reject all jobs,
+which other daemons could accept; so it reports that it isn't ready, and the load balancer sends
+callers elsewhere. An owner that is frozen during an outage of the store keeps its lease, and each
+request that is forwarded to it would wait until its deadline; so new jobs are rejected at once.
 """
 
 from __future__ import annotations
@@ -16,8 +16,8 @@
 # daemons out of rotation at each change of owner.
 UNREACHABLE_AFTER_MS = 2_000.0
 # Time without a response, from the first failure on, after which new jobs aren't sent to the owner.
-# The first failure itself takes 1,000 ms or more, so in total this is longer than a change of owner
-# takes.
+# The first failure itself takes 1,000 ms or more, so in total this is longer than a change of
+# owner.
 UNRESPONSIVE_AFTER_MS = 500.0
 
 
--- a/coltsfootpier/node/_records.py
+++ b/coltsfootpier/node/_records.py
@@ -1,4 +1,4 @@
-"""Records that outlive an owner: loading of all, encoding of those other than job records."""
+"""Loading of all records that outlive an owner, and encoding of the list of runners."""
 
 from __future__ import annotations
 
@@ -50,8 +50,8 @@
     fleet : tuple of RunnerEntry
         Runners on which earlier owners may have started runs.
     learned : Learned
-        State of images and queues that the last owner had learned.
-    upkeep : UpkeepRecord
+        Learned state of images and queues, as the last owner stored it.
+    upkeep : MaintenanceRecord
         Progress of the maintenance waves.
     """
 
--- a/coltsfootpier/node/_timing.py
+++ b/coltsfootpier/node/_timing.py
@@ -57,8 +57,8 @@
 # Time between two log lines with the cell's gauges.
 SUMMARY_PERIOD_MS = 1_000.0
 # Time between writes of the learned state, each along with another change. The interference of a
-# pair of images is learned from two or three reports of 500 ms, so the next owner has little to
-# learn again.
+# pair of images is learned from two or three reports of 500 ms, so the next owner has to
+# learn little again.
 LEARNED_PERIOD_MS = 2_000.0
 # Time between probes of an unresponsive owner; half of the load balancer's check period, so that
 # the daemon is ready again by the next check.
--- a/coltsfootpier/node/_vms.py
+++ b/coltsfootpier/node/_vms.py
@@ -38,7 +38,7 @@
     async def start_maintenance(
         self, command: MaintenanceCommand, *, timeout_ms: float
     ) -> MaintenanceOutcome:
-        """Command the maintenance of a VM."""
+        """Send the command that starts the maintenance of a VM."""
         ...
 
 
@@ -59,14 +59,14 @@
 
 
 class RunnerLiveness(Protocol):
-    """Tracker of which runners are alive; the cell has one."""
+    """Tracker of live runners; `coltsfootpier.cells.IncarnationTracker` implements it."""
 
     def has_suspects(self, now_ms: float) -> bool:
         """Return whether a listing may show that a runner with work has ended."""
         ...
 
     def take_listing(self, alive: Container[str], *, requested_ms: float) -> bool:
-        """Apply a listing of the runners that are alive; return whether one has ended."""
+        """Apply a listing of the live runners; return whether one has ended."""
         ...
 
 
@@ -82,10 +82,10 @@
     cordons : RunnerCordons
         Interface to cordon and release the runners of VMs.
     liveness : RunnerLiveness
-        Tracker of which runners are alive.
+        Tracker of live runners.
     records : RecordWriter
         Writer of progress records.
-    record : UpkeepRecord
+    record : MaintenanceRecord
         Progress that earlier owners have recorded.
     clock : Clock
         Time source.
@@ -167,8 +167,8 @@
             log_event("worker VM listing succeeded again")
         self._reachable = True
         vms = listed.unwrap()
-        alive = {vm.runner_id for vm in vms if vm.state is VmState.UP}
-        if self._liveness.take_listing(alive, requested_ms=requested_ms):
+        live = {vm.runner_id for vm in vms if vm.state is VmState.UP}
+        if self._liveness.take_listing(live, requested_ms=requested_ms):
             self._on_change()
         if not self._planner.is_active:
             return False
--- a/coltsfootpier/ownership/_state.py
+++ b/coltsfootpier/ownership/_state.py
@@ -94,7 +94,7 @@
 
 
 class OwnershipState:
-    """Owner table as one daemon knows it, and the validity of the daemon's own lease.
+    """Owner table as known to one daemon, and the validity of the daemon's own lease.
 
     Parameters
     ----------
--- a/coltsfootpier/platform/_vms.py
+++ b/coltsfootpier/platform/_vms.py
@@ -1,4 +1,4 @@
-"""Client for worker VMs: their listing, and the command that starts maintenance of one."""
+"""Client for worker VMs: their listing, and the command that starts the maintenance of one."""
 
 from __future__ import annotations
 
