Name the delay estimate and the removal of expired jobs

BestEffortCapacity.drain computed delays while drain elsewhere means a runner that leaves, and JobTable.forget is the counterpart of list_expired. They are estimate_delays and remove_expired now; test docstrings of the estimates say which failure they guard against.

Unit tests of cells and node pass.

--- a/coltsfootpier/cells/_capacity.py
+++ b/coltsfootpier/cells/_capacity.py
@@ -72,8 +72,8 @@
         """Return the CPU in thousandths of a core that an image could use if it ran alone."""
         return self._totals.get(image, self._unused)
 
-    def drain(self, work: Mapping[str, float]) -> dict[str, float]:
-        """Return how long the work of each image takes beside that of the others, in ms.
+    def estimate_delays(self, work: Mapping[str, float]) -> dict[str, float]:
+        """Return the time in ms until the work of each image is done beside that of the others.
 
         Each image uses the runners that have capacity for it, starting with those that become
         free first. Images with the least capacity are placed first, since they have the least
--- a/coltsfootpier/cells/_estimates.py
+++ b/coltsfootpier/cells/_estimates.py
@@ -214,8 +214,8 @@
                 self._add_remaining_work(job, now_ms)
         for service, backlog in self._backlogs.items():
             backlog.capacity.measure(by_service.get(service, ()), backlog.all)
-            backlog.delay_in_time = backlog.capacity.drain(backlog.in_time)
-            backlog.delay_all = backlog.capacity.drain(backlog.all)
+            backlog.delay_in_time = backlog.capacity.estimate_delays(backlog.in_time)
+            backlog.delay_all = backlog.capacity.estimate_delays(backlog.all)
 
     def _add_remaining_work(self, job: Job, now_ms: float) -> None:
         backlog = None
--- a/coltsfootpier/cells/_jobs.py
+++ b/coltsfootpier/cells/_jobs.py
@@ -227,7 +227,7 @@
             expired.append(job.record.id)
         return expired
 
-    def forget(self, job_ids: Iterable[str]) -> None:
+    def remove_expired(self, job_ids: Iterable[str]) -> None:
         """Remove ended jobs whose records were removed from the store."""
         removed = set(job_ids)
         while self._ended and self._ended[0][1].record.id in removed:
--- a/coltsfootpier/cells/tests/test_estimates.py
+++ b/coltsfootpier/cells/tests/test_estimates.py
@@ -61,7 +61,7 @@
     """Declarations that are off by a factor of 2.5 either way."""
 
     def test_declarations_are_weighted_by_their_accuracy(self):
-        """Guards against an order of jobs that follows the errors of their declarations."""
+        """Guards against ordering jobs by the errors in their declared durations."""
         generator = random.Random(1)
         model = DurationModel()
         errors, declared_errors = [], []
@@ -100,21 +100,21 @@
     def test_images_on_separate_runners_do_not_delay_each_other(self):
         """Guards against rejecting jobs whose runners are free because other runners are busy."""
         capacity = self._build_capacity([{"a": 1_000.0}, {"b": 2_000.0}])
-        delays = capacity.drain({"a": 10_000.0, "b": 2_000.0})
+        delays = capacity.estimate_delays({"a": 10_000.0, "b": 2_000.0})
         self.assertEqual(delays, {"a": 10.0, "b": 1.0})
 
     def test_image_with_a_choice_uses_free_runners(self):
         """Guards against counting the same CPU for two images."""
         capacity = self._build_capacity([{"a": 1_000.0, "b": 1_000.0}, {"b": 1_000.0}])
-        delays = capacity.drain({"a": 10_000.0, "b": 5_000.0})
+        delays = capacity.estimate_delays({"a": 10_000.0, "b": 5_000.0})
         self.assertEqual(delays, {"a": 10.0, "b": 5.0})
-        delays = capacity.drain({"a": 10_000.0, "b": 20_000.0})
+        delays = capacity.estimate_delays({"a": 10_000.0, "b": 20_000.0})
         self.assertEqual(delays, {"a": 10.0, "b": 15.0})
 
     def test_image_without_capacity_has_infinite_delay(self):
         """Guards against a division by zero, and against accepting jobs that can't run."""
         capacity = self._build_capacity([{"b": 1_000.0}])
-        self.assertEqual(capacity.drain({"a": 1.0}), {"a": math.inf})
+        self.assertEqual(capacity.estimate_delays({"a": 1.0}), {"a": math.inf})
 
 
 class FloodOfOneImageTest(unittest.TestCase):
@@ -146,18 +146,18 @@
             image: sum(isinstance(result, Accepted) for result in results_of_image)
             for image, results_of_image in results.items()
         }
-        # 16 core-seconds a job: in three objectives of 3 s the heavy image completes two or three
-        # of them and the light one, with 28 cores, at least twelve.
+        # Each job has 16 core-seconds. In three objectives of 3 s the heavy image completes two or
+        # three of them and the light one, with 28 cores, at least twelve.
         self.assertLessEqual(accepted["heavy"], 5)
         self.assertGreaterEqual(accepted["light"], 12)
         self.assertTrue(all(isinstance(result, Rejected) for result in results["heavy"][-10:]))
 
 
 class TakeoverTest(unittest.TestCase):
-    """A new owner that restores what the previous one learned."""
+    """A new owner that restores the learned state of the previous one."""
 
     def test_next_owner_restores_interference_and_durations(self):
-        """Guards against batch work that is slowed or misjudged after each change of owner."""
+        """Guards against slowed batch work and wrong durations after each change of owner."""
         harness = build_harness(2)
         harness.submit("s", build_job(build_serving(count=4)))
         harness.advance(1_000)
--- a/coltsfootpier/node/_committer.py
+++ b/coltsfootpier/node/_committer.py
@@ -209,7 +209,7 @@
             self._lease_to_bind = 0
         for job, version in batch:
             cell.jobs.mark_durable(job, version)
-        cell.jobs.forget(expired)
+        cell.jobs.remove_expired(expired)
         return None
 
     def _record_outcome(self, result: Result[int, PlatformError], duration_ms: float) -> None:
