--- a/benchmarks/_logic.py
+++ b/benchmarks/_logic.py
@@ -69,7 +69,7 @@
 
 
 def _commit_write(record: VersionedRecord) -> None:
-    write = record.begin_write()
+    write = record.start_write()
     if write is not None:
         record.confirm(write.expected_version + 1)
 
@@ -186,7 +186,7 @@
         record = max(dispatcher.ledger.records, key=lambda item: len(item.working))
         task = next(iter(record.working))
         record.put(task, record.working[task].__class__(state="pending", attempt=9))
-        buckets.append((control_plane.tasks, len(encode(record.begin_write().value)) / 1000))
+        buckets.append((control_plane.tasks, len(encode(record.start_write().value)) / 1000))
         memories.append(
             (control_plane.tasks, measure_memory_mb(lambda d=dispatcher: _copy_ledger(d)))
         )
@@ -231,7 +231,7 @@
         shard.apply_request(
             ExchangeRequest(shard="r0", shard_epoch=1, dispatch_epoch=1, sequence=1, assign=assign)
         )
-        write = shard.record.begin_write()
+        write = shard.record.start_write()
         records.append((tasks, len(encode(write.value)) / 1000))
         shard.record.confirm(2)
         reports = tuple(
@@ -250,7 +250,7 @@
             entry = shard.record.working[task]
             shard.record.drop(task)
             shard.record.put(task, entry)
-            write = shard.record.begin_write()
+            write = shard.record.start_write()
             encode(write.value)
             shard.record.confirm(write.expected_version + 1)
 
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -37,7 +37,7 @@
 
 def commit(record: VersionedRecord) -> None:
     """Commit the pending write of a record, as an available store would."""
-    write = record.begin_write()
+    write = record.start_write()
     if write is not None:
         record.confirm(write.expected_version + 1)
 
--- a/coltsfootpier/cells/__init__.py
+++ b/coltsfootpier/cells/__init__.py
@@ -3,7 +3,7 @@
 from coltsfootpier.cells._admission import Backlog, Rejected, check_admission
 from coltsfootpier.cells._cell import Accepted, Cell
 from coltsfootpier.cells._fleet import CapacityError, DoubleRunError
-from coltsfootpier.cells._learned import Learned, LearnedInterference
+from coltsfootpier.cells._learned import LearnedInterference, LearnedState
 from coltsfootpier.cells._lease_expiry import LeaseExpiryTracker
 from coltsfootpier.cells._messages import (
     AdviceRequest,
@@ -34,8 +34,8 @@
     "EndKind",
     "EndedRow",
     "Job",
-    "Learned",
     "LearnedInterference",
+    "LearnedState",
     "LeaseExpiryTracker",
     "PaceRun",
     "Rejected",
--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -21,7 +21,7 @@
 from coltsfootpier.cells._incarnations import IncarnationTracker
 from coltsfootpier.cells._interference import InterferenceTable
 from coltsfootpier.cells._jobs import JobTable
-from coltsfootpier.cells._learned import Learned
+from coltsfootpier.cells._learned import LearnedState
 from coltsfootpier.cells._messages import (
     AdviceRequest,
     CellCommand,
@@ -127,11 +127,11 @@
             if job.is_open:
                 self.jobs.inherited.add(record.id)
 
-    def export_learned(self) -> Learned:
+    def export_learned(self) -> LearnedState:
         """Return the learned state of images and queues, for the next owner."""
         return self._estimates.export()
 
-    def restore_learned(self, learned: Learned) -> None:
+    def restore_learned(self, learned: LearnedState) -> None:
         """Restore the learned state of images and queues from an earlier owner."""
         self._estimates.restore(learned)
 
--- a/coltsfootpier/cells/_estimates.py
+++ b/coltsfootpier/cells/_estimates.py
@@ -10,7 +10,7 @@
 from coltsfootpier.cells._capacity import REFRESH_MS, BestEffortCapacity
 from coltsfootpier.cells._durations import DurationModel
 from coltsfootpier.cells._interference import InterferenceTable
-from coltsfootpier.cells._learned import Learned
+from coltsfootpier.cells._learned import LearnedState
 from coltsfootpier.cells._ordering import rank_step
 from coltsfootpier.cells._state import Job, Runner, StepRun
 from coltsfootpier.jobs import JobSpec, Queue, StepSpec
@@ -155,10 +155,10 @@
 
     # State for the next owner
 
-    def export(self) -> Learned:
+    def export(self) -> LearnedState:
         """Return the learned state."""
         pressures, idle_tails = self._interference.export()
-        return Learned(
+        return LearnedState(
             pressures=pressures,
             idle_tails=idle_tails,
             durations={queue: model.export() for queue, model in self._durations.items()},
@@ -166,7 +166,7 @@
             offered=dict(self._submitted_work),
         )
 
-    def restore(self, learned: Learned) -> None:
+    def restore(self, learned: LearnedState) -> None:
         """Restore the learned state of an earlier owner."""
         self._interference.restore(learned.pressures, learned.idle_tails)
         for queue, sums in learned.durations.items():
--- a/coltsfootpier/cells/_incarnations.py
+++ b/coltsfootpier/cells/_incarnations.py
@@ -48,12 +48,12 @@
             for runner_id, runner in self._fleet.runners.items()
         )
 
-    def take_listing(self, living: Container[str], *, requested_ms: float) -> bool:
+    def apply_listing(self, live: Container[str], *, requested_ms: float) -> bool:
         """Apply a complete listing.
 
         Parameters
         ----------
-        living : container of str
+        live : container of str
             Runners that are live on a worker VM that is up.
         requested_ms : float
             Local time before the listing was requested.
@@ -68,7 +68,7 @@
             if runner.ended:
                 continue
             is_unresponsive = requested_ms - runner.contact_ms > self._settings.suspect_after_ms
-            if runner_id in living or not is_unresponsive:
+            if runner_id in live or not is_unresponsive:
                 runner.unlisted_since_ms = float("inf")
             elif runner.unlisted_since_ms < requested_ms:
                 # The pages of a listing are not one snapshot, so one listing may miss a runner.
--- a/coltsfootpier/cells/_learned.py
+++ b/coltsfootpier/cells/_learned.py
@@ -21,7 +21,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Learned:
+class LearnedState:
     """Learned state for the next owner, at most a few seconds old.
 
     Parameters
--- a/coltsfootpier/cells/tests/test_estimates.py
+++ b/coltsfootpier/cells/tests/test_estimates.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from coltsfootpier.cells import Accepted, Learned, LearnedInterference, Rejected
+from coltsfootpier.cells import Accepted, LearnedInterference, LearnedState, Rejected
 from coltsfootpier.cells._capacity import BestEffortCapacity
 from coltsfootpier.cells._durations import DurationModel
 from coltsfootpier.cells._interference import InterferenceTable
@@ -167,7 +167,7 @@
         for name, run in harness.find("light"):
             harness.runners[name].end(run)
         harness.report()
-        learned = decode(encode(harness.cell.export_learned()), Learned)
+        learned = decode(encode(harness.cell.export_learned()), LearnedState)
         later = build_harness(2).cell
         later.restore_learned(learned)
         for image in ("heavy", "light"):
@@ -183,7 +183,7 @@
         """Guards against an owner that fails at each takeover because of one bad record."""
         cell = build_harness(2).cell
         for sums in ((), (1.0,), (0.0,) * 5, (1.0, 2.0, math.nan, 3.0, 4.0)):
-            cell.restore_learned(Learned(durations={"batch": sums}))
+            cell.restore_learned(LearnedState(durations={"batch": sums}))
             spec = build_best_effort("light", estimate_ms=700.0)
             self.assertEqual(cell._estimates.task_ms("batch", spec), 700.0)
 
--- a/coltsfootpier/cells/tests/test_incarnations.py
+++ b/coltsfootpier/cells/tests/test_incarnations.py
@@ -18,7 +18,7 @@
         self.runner = self.harness.runners[self.name]
 
     def _apply_listing(self, *living):
-        ended = self.harness.cell.incarnations.take_listing(
+        ended = self.harness.cell.incarnations.apply_listing(
             living, requested_ms=self.harness.now_ms
         )
         self.harness.advance(100)
@@ -57,7 +57,9 @@
         self.harness.now_ms += 1_000
         self.harness.report()
         for later_ms in (0, 50):
-            self.harness.cell.incarnations.take_listing(set(), requested_ms=requested_ms + later_ms)
+            self.harness.cell.incarnations.apply_listing(
+                set(), requested_ms=requested_ms + later_ms
+            )
         self.assertEqual(self.harness.find("j"), [(self.name, self.run_id)])
         self.assertFalse(self.harness.cell.fleet.runners[self.name].ended)
 
@@ -108,7 +110,7 @@
         harness.advance(300)
         self.assertEqual(harness.find("j"), [])
         for _ in range(2):
-            harness.cell.incarnations.take_listing({self.other}, requested_ms=harness.now_ms)
+            harness.cell.incarnations.apply_listing({self.other}, requested_ms=harness.now_ms)
             harness.advance(100)
         self.assertEqual([name for name, _ in harness.find("j")], [self.other])
 
--- a/coltsfootpier/daemon/_shard_task.py
+++ b/coltsfootpier/daemon/_shard_task.py
@@ -145,7 +145,7 @@
                     log_event("record could not be decoded", key=record.key, reason=str(error))
                     await anyio.sleep(_DECODE_RETRY_DELAY_MS / 1000)
                     continue
-                write = record.begin_write()
+                write = record.start_write()
                 if write is None or not await write_record(self._platform, record, write):
                     return False
                 if record.fenced:
@@ -236,7 +236,7 @@
                 continue
             if self.may_act:
                 self.state.check_capacity()
-                write = record.begin_write()
+                write = record.start_write()
                 if write is not None and not await write_record(self._platform, record, write):
                     self._ownership_lost = True
                 write_done, self._write_done = self._write_done, anyio.Event()
--- a/coltsfootpier/dispatch/_ledger.py
+++ b/coltsfootpier/dispatch/_ledger.py
@@ -181,7 +181,7 @@
 
     def prepare_writes(self) -> list[tuple[VersionedRecord[Entry], Write]]:
         """Return the conditional writes of all records that have unwritten changes."""
-        writes = ((record, record.begin_write()) for record in self.records)
+        writes = ((record, record.start_write()) for record in self.records)
         return [(record, write) for record, write in writes if write is not None]
 
     def _index(self, task: str, before: Entry | None, after: Entry | None) -> None:
--- a/coltsfootpier/dispatch/tests/test_schedule.py
+++ b/coltsfootpier/dispatch/tests/test_schedule.py
@@ -43,7 +43,7 @@
     def _write_records(self, dispatcher: Dispatcher, *, only: int | None = None) -> dict[str, Item]:
         """Perform the writes of all records or of one, and return the content of the store."""
         for index, record in enumerate(dispatcher.ledger.records):
-            write = record.begin_write()
+            write = record.start_write()
             if write is not None and only in (None, index):
                 self.items[write.key] = Item(write.key, write.value, write.expected_version + 1)
                 record.confirm(write.expected_version + 1)
--- a/coltsfootpier/node/_records.py
+++ b/coltsfootpier/node/_records.py
@@ -8,7 +8,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from coltsfootpier.cells import Learned, RunnerEntry
+from coltsfootpier.cells import LearnedState, RunnerEntry
 from coltsfootpier.jobs import JobRecord, decode_record
 from coltsfootpier.logs import log_event
 from coltsfootpier.maintenance import MaintenanceRecord
@@ -49,7 +49,7 @@
         Records of all jobs.
     fleet : tuple of RunnerEntry
         Runners on which earlier owners may have started runs.
-    learned : Learned
+    learned : LearnedState
         Learned state of images and queues, as the last owner stored it.
     upkeep : MaintenanceRecord
         Progress of the maintenance waves.
@@ -57,7 +57,7 @@
 
     jobs: list[JobRecord]
     fleet: tuple[RunnerEntry, ...]
-    learned: Learned
+    learned: LearnedState
     upkeep: MaintenanceRecord
 
 
@@ -69,7 +69,7 @@
     fleet = await _load_one(store, FLEET_KEY, _Fleet)
     if isinstance(fleet, Failure):
         return fleet
-    learned = await _load_one(store, LEARNED_KEY, Learned)
+    learned = await _load_one(store, LEARNED_KEY, LearnedState)
     if isinstance(learned, Failure):
         return learned
     upkeep = await _load_one(store, UPKEEP_KEY, MaintenanceRecord)
--- a/coltsfootpier/node/_vms.py
+++ b/coltsfootpier/node/_vms.py
@@ -65,7 +65,7 @@
         """Return whether a listing may show that a runner with work has ended."""
         ...
 
-    def take_listing(self, alive: Container[str], *, requested_ms: float) -> bool:
+    def apply_listing(self, alive: Container[str], *, requested_ms: float) -> bool:
         """Apply a listing of the live runners; return whether one has ended."""
         ...
 
@@ -168,7 +168,7 @@
         self._reachable = True
         vms = listed.unwrap()
         live = {vm.runner_id for vm in vms if vm.state is VmState.UP}
-        if self._liveness.take_listing(live, requested_ms=requested_ms):
+        if self._liveness.apply_listing(live, requested_ms=requested_ms):
             self._on_change()
         if not self._planner.is_active:
             return False
--- a/coltsfootpier/node/tests/test_vms.py
+++ b/coltsfootpier/node/tests/test_vms.py
@@ -86,7 +86,7 @@
         """Return whether a listing is needed."""
         return self.suspects
 
-    def take_listing(self, live, *, requested_ms):
+    def apply_listing(self, live, *, requested_ms):
         """Record a listing."""
         self.listings.append(live)
         return False
--- a/coltsfootpier/records/_record.py
+++ b/coltsfootpier/records/_record.py
@@ -189,7 +189,7 @@
             self.fence = fence
             self._dirty = True
 
-    def begin_write(self) -> Write | None:
+    def start_write(self) -> Write | None:
         """Start the next write; return None while one is in flight or if nothing changed."""
         if self._in_flight is not None or not self._dirty:
             return None
--- a/coltsfootpier/records/tests/test_record.py
+++ b/coltsfootpier/records/tests/test_record.py
@@ -53,7 +53,7 @@
 def _execute_write(
     store: _Store, record: VersionedRecord[_Entry], *, response_lost: bool = False
 ) -> bool:
-    write = record.begin_write()
+    write = record.start_write()
     if write is None:
         return True
     applied = store.put(write)
@@ -78,7 +78,7 @@
     def test_write_without_effect_is_retried(self) -> None:
         """Guards against treating a change as durable that the store never applied."""
         self.record.put("a", _Entry(1))
-        write = self.record.begin_write()
+        write = self.record.start_write()
         self.assertTrue(self.record.resolve(self.store.get(write.key)))
         self.assertEqual(self.record.durable, {})
         self.assertTrue(_execute_write(self.store, self.record))
@@ -87,7 +87,7 @@
     def test_abandoned_write_may_still_arrive(self) -> None:
         """Guards against an owner that mistakes its own late write for another owner's."""
         self.record.put("a", _Entry(1))
-        late = self.record.begin_write()
+        late = self.record.start_write()
         self.assertTrue(self.record.resolve(self.store.get(late.key)))
         self.record.put("b", _Entry(2))
         self.assertTrue(self.store.put(late))
@@ -108,7 +108,7 @@
         """Guards against a late base that adds or removes changes of the next owner."""
         for value in range(200):
             self.record.put("a", _Entry(value))
-            late = self.record.begin_write()
+            late = self.record.start_write()
             if late.key.endswith("/base"):
                 break
             self.assertTrue(self.store.put(late))
@@ -159,7 +159,7 @@
             else:
                 record.drop(name)
             if outcome == "refused":
-                if record.begin_write() is not None:
+                if record.start_write() is not None:
                     record.abandon()
             else:
                 self.assertTrue(_execute_write(store, record, response_lost=outcome == "lost"))
@@ -184,7 +184,7 @@
             name = rng.choice("abcdef")
             change = rng.choice((record.put, record.put_deferred, record.drop))
             change(name, *(() if change == record.drop else (_Entry(rng.randrange(9)),)))
-            write = record.begin_write()
+            write = record.start_write()
             if write is not None and rng.random() < 0.2:
                 record.abandon()
             elif write is not None:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -113,7 +113,7 @@
 
 def commit(record: VersionedRecord, version: int | None = None) -> None:
     """Confirm the next write of a record, as an available store would."""
-    write = record.begin_write()
+    write = record.start_write()
     if write is not None:
         record.confirm(version or write.expected_version + 1)
 
