--- a/coltsfootpier/maintenance/_planner.py
+++ b/coltsfootpier/maintenance/_planner.py
@@ -345,7 +345,10 @@
         return len(down)
 
     def _may_go_down(self, state: _WaveState, progress: _Progress, now_ms: float) -> bool:
-        """Return whether a cordoned VM may go down: it is idle or has waited long enough."""
+        """Return whether a cordoned VM may go down.
+
+        Its runs may end, and it is idle or has waited long enough.
+        """
         if not self._cordons.can_end_runs(progress.runner_id):
             return False
         waited_ms = now_ms - progress.phase_start_ms
