--- a/coltsfootpier/node/_records.py
+++ b/coltsfootpier/node/_records.py
@@ -1,4 +1,4 @@
-"""Records that outlive an owner: loading of all, encoding of those other than job records."""
+"""Loading of all records that outlive an owner, and encoding of the list of runners."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from coltsfootpier.cells import Learned, RunnerEntry
+from coltsfootpier.cells import LearnedState, RunnerEntry
 from coltsfootpier.jobs import JobRecord, decode_record
 from coltsfootpier.logs import log_event
 from coltsfootpier.maintenance import MaintenanceRecord
@@ -49,15 +49,15 @@
         Records of all jobs.
     fleet : tuple of RunnerEntry
         Runners on which earlier owners may have started runs.
-    learned : Learned
-        State of images and queues that the last owner had learned.
-    upkeep : UpkeepRecord
+    learned : LearnedState
+        Learned state of images and queues, as the last owner stored it.
+    upkeep : MaintenanceRecord
         Progress of the maintenance waves.
     """
 
     jobs: list[JobRecord]
     fleet: tuple[RunnerEntry, ...]
-    learned: Learned
+    learned: LearnedState
     upkeep: MaintenanceRecord
 
 
@@ -69,7 +69,7 @@
     fleet = await _load_one(store, FLEET_KEY, _Fleet)
     if isinstance(fleet, Failure):
         return fleet
-    learned = await _load_one(store, LEARNED_KEY, Learned)
+    learned = await _load_one(store, LEARNED_KEY, LearnedState)
     if isinstance(learned, Failure):
         return learned
     upkeep = await _load_one(store, UPKEEP_KEY, MaintenanceRecord)
