Use one term for one concept in the daemon, routing, permits and stand-ins

The parts were reworded separately, so the same thing had several names: answer and response, ask and request, refuse and reject, take-over and takeover, "could not be decoded" and "cannot decode", largest, most, longest and maximum. Some comments said zone for availability zone and caller for calling code, and a Parameters entry of ShardTask named a former argument.

Each now has the term that the rest of the tree uses.

--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -50,7 +50,7 @@
 
     @property
     def rate(self) -> float:
-        """Return the number of successful responses per second."""
+        """Number of successful responses per second."""
         return len(self.latencies_ms) / self.seconds
 
 
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -47,7 +47,7 @@
 _PEER_CALL_MS = 0.5
 _HEARTBEAT_PERIOD_MS = 1_000.0
 _FAILURE_DETECTION_MS = 3_000.0
-# Time-out of a borrowing request in the queue of a peer.
+# Timeout of a borrow request in the queue of a peer.
 _BORROW_TIMEOUT_MS = 500.0
 _WARM_UP_MS = 2_000.0
 STEP_MS = 500.0
@@ -538,7 +538,7 @@
             )
             self._acquire(peer, ticket, respond, wait_ms=_BORROW_TIMEOUT_MS)
 
-        # A call to a lost peer fails after the time-out of calls between daemons.
+        # A call to a lost peer fails after the timeout of calls between daemons.
         if peer.lost:
             self._schedule(1_000.0, lambda: apply_response(None, 0))
         else:
--- a/coltsfootpier/backend_servers/_client.py
+++ b/coltsfootpier/backend_servers/_client.py
@@ -11,10 +11,10 @@
 from coltsfootpier.routing import Runner
 from coltsfootpier.transport import BodyStream, CallError, Channel, Upload, split_address
 
-# Longest idle time of a connection for requests that must not run twice. A connection that was
+# Maximum idle time of a connection for requests that must not run twice. A connection that was
 # idle for longer may no longer work.
 _MAX_IDLE_MS = 500.0
-# Longest idle time of a connection for idempotent requests, which can be sent again.
+# Maximum idle time of a connection for idempotent requests, which can be sent again.
 _MAX_IDLE_RETRYABLE_MS = 5_000.0
 # Larger bodies are streamed, so that a request uses at most this much memory in each direction,
 # apart from the buffers of its connections.
--- a/coltsfootpier/cli/_commands.py
+++ b/coltsfootpier/cli/_commands.py
@@ -201,7 +201,7 @@
         state = "reachable" if vm.reachable else "unreachable"
         print(f"entry VM {vm.name} ({vm.availability_zone}): revision {vm.revision}, {state}")
     if not reply.complete:
-        return _report_failure("the dispatcher could not be asked; tasks and workers are missing")
+        return _report_failure("the dispatcher could not be queried; tasks and workers are missing")
     for line in _summarise_tasks(reply):
         print(line)
     for worker in sorted(reply.workers, key=lambda item: item.worker):
@@ -232,7 +232,7 @@
         return _report_failure(result.failure().reason)
     reply = result.unwrap()
     if not reply.complete:
-        return _report_failure("the dispatcher could not be asked")
+        return _report_failure("the dispatcher could not be queried")
     tasks = [task for task in reply.tasks if name in (task.task, task.task.split("/")[1])]
     if not tasks:
         return _report_failure(f"no service, job or task is called {name!r}")
--- a/coltsfootpier/cli/_store.py
+++ b/coltsfootpier/cli/_store.py
@@ -51,7 +51,7 @@
         ("the configuration", config),
         ("the jobs", items),
         ("the runners", entries),
-        ("the waves of upkeep", upkeep),
+        ("the maintenance waves", upkeep),
     ):
         if isinstance(result, Failure):
             return Failure(f"{name} could not be read: {result.failure()}")
@@ -69,7 +69,7 @@
     try:
         waves = _decode_waves(upkeep.unwrap().value)
     except MalformedMessageError as error:
-        return Failure(f"the waves of upkeep could not be read: {error}")
+        return Failure(f"the maintenance waves could not be read: {error}")
     states = Counter(f"{record.queue} {record.state.value}" for record in records)
     return Success(
         Overview(
--- a/coltsfootpier/daemon/_control.py
+++ b/coltsfootpier/daemon/_control.py
@@ -209,7 +209,7 @@
         """Apply a durable revision from the store or a peer; return whether it is new."""
         changed = self.revisions.observe(revision)
         if changed:
-            log_event("configuration in force", revision=revision.revision)
+            log_event("configuration applied", revision=revision.revision)
             self._on_change()
         return changed
 
@@ -360,7 +360,7 @@
             return False
         self._lease = granted.unwrap()
         self.ownership.join(member_id, sent_ms=sent_ms)
-        log_event("joined", member=member_id)
+        log_event("member joined", member=member_id)
         self._on_change()
         return True
 
@@ -419,7 +419,7 @@
             try:
                 self._observe_item(item)
             except MalformedMessageError as error:
-                log_event("store value rejected", key=item.key, reason=str(error))
+                log_event("cannot decode store value", key=item.key, reason=str(error))
         self.members.observe_listing(self._live_members)
         self.draining &= self._live_members.keys()
         self._on_change()
--- a/coltsfootpier/daemon/_daemon.py
+++ b/coltsfootpier/daemon/_daemon.py
@@ -246,7 +246,7 @@
             peers.stop()
             operators.stop()
             group.cancel_scope.cancel()
-        log_event("stopped")
+        log_event("daemon stopped")
 
     async def run_scheduling(self) -> None:
         """Run membership, ownership and the owned partitions until cancelled.
@@ -267,7 +267,7 @@
     async def _drain(self, callers: Server) -> None:
         self._draining = True
         self._callers.draining = True
-        log_event("draining", in_flight=self._callers.in_flight)
+        log_event("drain started", in_flight=self._callers.in_flight)
         await anyio.sleep(self._settings.periods["drain_delay_ms"] / 1000)
         callers.stop()
         # The server ends once all responses have left the socket buffers. If a caller reads
--- a/coltsfootpier/daemon/_dispatch_task.py
+++ b/coltsfootpier/daemon/_dispatch_task.py
@@ -91,7 +91,7 @@
         log_event("dispatcher ownership lost", epoch=self.epoch)
 
     async def flush(self, *, timeout_ms: float) -> None:
-        """Wait up to `timeout_ms` until all changes are durable, before a hand-over."""
+        """Wait up to `timeout_ms` until all changes are durable, before a handover."""
         with anyio.move_on_after(timeout_ms / 1000):
             while not all(record.settled for record in self.dispatcher.ledger.records):
                 await anyio.sleep(self._period_ms / 1000)
@@ -108,7 +108,7 @@
                         raise
                     return False
                 except MalformedMessageError as error:
-                    log_event("ledger could not be decoded", reason=str(error))
+                    log_event("cannot decode ledger", reason=str(error))
                     await anyio.sleep(_DECODE_RETRY_DELAY_MS / 1000)
                     continue
                 await self._write_all()
--- a/coltsfootpier/daemon/_permits.py
+++ b/coltsfootpier/daemon/_permits.py
@@ -316,7 +316,7 @@
                 return self._get_peer(member_id)
         return None
 
-    # Take-over
+    # Takeover
 
     async def _take_over(self, table: PermitTable) -> None:
         while not table.is_superseded:
--- a/coltsfootpier/daemon/_shard_task.py
+++ b/coltsfootpier/daemon/_shard_task.py
@@ -27,7 +27,7 @@
 from coltsfootpier.workers import WorkerClient
 
 _INBOX_CAPACITY = 64
-# Maximum time to wait for the first report of each worker after a take-over.
+# Maximum time to wait for the first report of each worker after a takeover.
 _FIRST_REPORT_TIMEOUT_MS = 3_000.0
 # Delay before a record that can't be decoded is read again.
 _DECODE_RETRY_DELAY_MS = 1_000.0
@@ -54,7 +54,7 @@
         Returns the client for a worker's address.
     list_vms : callable
         Returns the latest list of VMs.
-    is_retired : callable
+    are_previous_owners_retired : callable
         Returns whether it is certain that no previous owner can still renew leases.
     on_change : callable
         Callback that runs after each change of the published runners.
@@ -124,7 +124,7 @@
         log_event("shard ownership lost", shard=self.shard, epoch=self.epoch)
 
     async def flush(self, *, timeout_ms: float) -> None:
-        """Wait up to `timeout_ms` until all changes are durable, before a hand-over."""
+        """Wait up to `timeout_ms` until all changes are durable, before a handover."""
         with anyio.move_on_after(timeout_ms / 1000):
             while not self._ownership_lost and not self.state.record.settled:
                 await self._write_done.wait()
@@ -142,7 +142,7 @@
                         raise
                     return False
                 except MalformedMessageError as error:
-                    log_event("record could not be decoded", key=record.key, reason=str(error))
+                    log_event("cannot decode record", key=record.key, reason=str(error))
                     await anyio.sleep(_DECODE_RETRY_DELAY_MS / 1000)
                     continue
                 write = record.begin_write()
--- a/coltsfootpier/daemon/_writer.py
+++ b/coltsfootpier/daemon/_writer.py
@@ -34,15 +34,15 @@
     Returns
     -------
     bool
-        False if another owner has written the record. The caller then has lost ownership and
-        must stop acting on the record.
+        False if another owner has written the record. The calling task has then lost ownership
+        and must stop acting on the record.
     """
     try:
         return await _execute_write(platform, record, write)
     except MalformedMessageError as error:
         # Only owners write the record. Content that can't be decoded comes from another owner, so
         # ownership is lost.
-        log_event("record could not be decoded", key=write.key, reason=str(error))
+        log_event("cannot decode record", key=write.key, reason=str(error))
         return False
 
 
--- a/coltsfootpier/declaration/_model.py
+++ b/coltsfootpier/declaration/_model.py
@@ -72,7 +72,7 @@
     exclusive : bool
         Whether requests with the same exclusive key must not run concurrently.
     max_run_ms : float
-        Longest time that a runner works on a request.
+        Maximum time for which a runner works on a request.
     weight, guaranteed_share : float
         Weighted and guaranteed share of the service's slots under overload.
     """
--- a/coltsfootpier/dispatch/_dispatcher.py
+++ b/coltsfootpier/dispatch/_dispatcher.py
@@ -349,7 +349,7 @@
             elif not missing:
                 self.ledger.put(task, attrs.evolve(entry, state="pending", reason=""))
             else:
-                self.ledger.explain(task, f"waits for {missing[0]}")
+                self.ledger.set_reason(task, f"waits for {missing[0]}")
         self._resolved_changes = self.ledger.changes
 
     def _is_satisfied_cached(self, name: str) -> bool:
@@ -410,7 +410,7 @@
             task, pending_since_ms = oldest
             spec, entry = self._specs[task], self.ledger.get(task)
             if not self._shares.is_within_quota(spec):
-                self.ledger.explain(task, f"quota of team {spec.team}")
+                self.ledger.set_reason(task, f"quota of team {spec.team}")
                 continue
             needed = self._apply_measured_size(spec)
             chosen = self._choose_shard(needed, key.avoid)
@@ -518,7 +518,7 @@
         """Record why a task waits, or reject it; return whether it was rejected."""
         assessment = self._sizes.assess(spec, self.links, self._clock.now_ms())
         if not assessment.is_final or spec.kind != "batch":
-            self.ledger.explain(spec.name, assessment.reason)
+            self.ledger.set_reason(spec.name, assessment.reason)
             return False
         self.ledger.put(spec.name, attrs.evolve(entry, state="refused", reason=assessment.reason))
         return True
--- a/coltsfootpier/dispatch/_ledger.py
+++ b/coltsfootpier/dispatch/_ledger.py
@@ -134,7 +134,7 @@
         if before != entry:
             self._index(task, before, entry)
 
-    def explain(self, task: str, reason: str) -> None:
+    def set_reason(self, task: str, reason: str) -> None:
         """Set the reason that is shown to operators; this alone doesn't trigger a write."""
         record = self._get_record(task)
         entry = record.working[task]
--- a/coltsfootpier/dispatch/_link.py
+++ b/coltsfootpier/dispatch/_link.py
@@ -90,7 +90,7 @@
             self.reset()
 
     def reset(self) -> None:
-        """Discard the exchange state; the next request asks for all attempts."""
+        """Discard the exchange state; the next request is for all attempts."""
         self.sequence = 0
         self.synced = False
         self.pending = None
--- a/coltsfootpier/dispatch/tests/test_dispatcher.py
+++ b/coltsfootpier/dispatch/tests/test_dispatcher.py
@@ -63,7 +63,7 @@
         self.assertEqual(self.dispatcher.ledger.get("job/report/0").state, "assigned")
 
     def test_dependent_of_a_failed_job_fails_with_a_reason(self) -> None:
-        """Guards against a job that waits forever for a dependency that can't complete."""
+        """Guards against a job that waits indefinitely for a dependency that can't complete."""
         for _ in range(4):
             self._run_round()
         entry = self.dispatcher.ledger.get("job/load/0")
--- a/coltsfootpier/dispatch/tests/test_policy.py
+++ b/coltsfootpier/dispatch/tests/test_policy.py
@@ -202,7 +202,7 @@
         self.assertEqual(sum(self._running(f"j{index}") for index in range(8)), 8)
 
     def test_job_is_not_rejected_while_a_shard_has_no_workers(self) -> None:
-        """Guards against rejecting a job while the zone with large workers is unreachable."""
+        """Guards against rejecting a job while the shard with large workers is unreachable."""
         self.shards["r2"].observe_vms([build_vm("w2", rack="r2", state="gone")])
         self._declare(1, _team("a") + _job("large", cores=32))
         self._run_rounds(100)
@@ -216,7 +216,7 @@
         self.assertEqual(self._states("large"), ["assigned"])
 
     def test_job_that_fits_no_worker_is_rejected(self) -> None:
-        """Guards against a job that waits forever for a worker of sufficient size.
+        """Guards against a job that waits indefinitely for a worker of sufficient size.
 
         The reason must name the required size.
         """
--- a/coltsfootpier/permits/_history.py
+++ b/coltsfootpier/permits/_history.py
@@ -9,7 +9,7 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.permits._messages import PulledPermits
 
-# Longest time for which a daemon may take itself for the only member because its watch of the
+# Maximum time for which a daemon may consider itself the only member because its watch of the
 # store hasn't reported another one. A silent watch is replaced after 5 s; a daemon whose view of
 # the members is older than this limit doesn't count as the only member.
 _MAX_WATCH_LAG_MS = 10_000.0
@@ -38,14 +38,14 @@
     """Table of current and recent daemons, which may hold copies or grant permits.
 
     A daemon that has stopped is removed after the window. A daemon that may only have lost its
-    lease can go on granting for the hold-over time, so it is kept that much longer.
+    lease can continue to grant for the hold-over time, so it is kept that much longer.
 
     Parameters
     ----------
     clock : Clock
         Time source.
     window_ms, hold_over_ms : float
-        Retention time of keys, and time for which a former owner may go on granting.
+        Retention time of keys, and time for which a former owner may continue to grant permits.
     """
 
     def __init__(self, *, clock: Clock, window_ms: float, hold_over_ms: float) -> None:
--- a/coltsfootpier/permits/_manager.py
+++ b/coltsfootpier/permits/_manager.py
@@ -41,7 +41,7 @@
     window_ms : float
         Retention time of keys.
     hold_over_ms : float
-        Time for which the daemon goes on granting permits after its lease has expired.
+        Time for which the daemon continues to grant permits after its lease has expired.
     capacity : int
         Maximum number of records of one key group.
     """
@@ -196,8 +196,8 @@
             return
         table.history.record_response(reply)
         if self.ownership.is_valid:
-            # The peer has received this daemon's request, so it no longer takes itself for the
-            # only member.
+            # The peer has received this daemon's request, so it no longer considers itself
+            # the only member.
             self.coverage.extend(reply.covered_ms)
 
     # Copies
--- a/coltsfootpier/permits/tests/test_process.py
+++ b/coltsfootpier/permits/tests/test_process.py
@@ -36,9 +36,9 @@
 async def _send(cluster: Cluster, entry: str, kind: str, **headers: str) -> ClientResponse:
     port = cluster.daemons[entry].ports["callers"]
     wire_headers = {name.replace("_", "-"): value for name, value in headers.items()}
-    answer = await call(port, "POST", f"/services/web/{kind}", body=b"x", headers=wire_headers)
-    assert answer is not None, f"no answer from {entry}"
-    return answer
+    response = await call(port, "POST", f"/services/web/{kind}", body=b"x", headers=wire_headers)
+    assert response is not None, f"no response from {entry}"
+    return response
 
 
 async def _write(cluster: Cluster, entry: str, key: str) -> ClientResponse:
@@ -46,10 +46,10 @@
 
 
 async def _count_runs(cluster: Cluster, request_id: str) -> int:
-    answers = [
+    responses = [
         await call(worker.ports["api"], "GET", "/runs") for worker in cluster.workers.values()
     ]
-    return sum(answer.json()["requests"].get(request_id, 0) for answer in answers)
+    return sum(response.json()["requests"].get(request_id, 0) for response in responses)
 
 
 async def _find_owner(cluster: Cluster, key: str) -> str:
@@ -76,8 +76,8 @@
         return await cluster.count_running("entry-0", "service/") == 2
 
     async def is_serving() -> bool:
-        answers = [await _write(cluster, name, f"warm/{name}") for name in cluster.daemons]
-        return all(answer.status == 200 for answer in answers)
+        responses = [await _write(cluster, name, f"warm/{name}") for name in cluster.daemons]
+        return all(response.status == 200 for response in responses)
 
     await wait_for(is_running, timeout_s=60)
     await wait_for(is_serving, timeout_s=60)
@@ -93,8 +93,8 @@
         try:
             await _start(cluster)
             await self._check_exclusive(cluster)
-            answer = await _send(cluster, "entry-0", "write")
-            self.assertEqual((answer.status, answer.json()["error"]), (400, "bad_request"))
+            response = await _send(cluster, "entry-0", "write")
+            self.assertEqual((response.status, response.json()["error"]), (400, "bad_request"))
             await self._check_repeats(cluster)
         finally:
             cluster.stop()
@@ -102,12 +102,12 @@
     async def _check_repeats(self, cluster: Cluster) -> None:
         owner = await _find_owner(cluster, "order-1")
         others = [name for name in cluster.daemons if name != owner]
-        answer = await _write(cluster, others[0], "order-1")
-        self.assertEqual(answer.headers["x-outcome"], "done")
+        response = await _write(cluster, others[0], "order-1")
+        self.assertEqual(response.headers["x-outcome"], "done")
         for entry in cluster.daemons:
-            answer = await _write(cluster, entry, "order-1")
-            self.assertEqual(answer.headers["x-outcome"], "done")
-            self.assertEqual(answer.headers["idempotent-replayed"], "true")
+            response = await _write(cluster, entry, "order-1")
+            self.assertEqual(response.headers["x-outcome"], "done")
+            self.assertEqual(response.headers["idempotent-replayed"], "true")
         cluster.daemons[owner].signal(signal.SIGKILL)
         for entry in others:
 
@@ -126,8 +126,8 @@
         statuses: list[int] = []
 
         async def refresh(entry: str) -> None:
-            answer = await _send(cluster, entry, "refresh", x_exclusive_key="fire-7")
-            statuses.append(answer.status)
+            response = await _send(cluster, entry, "refresh", x_exclusive_key="fire-7")
+            statuses.append(response.status)
 
         async with anyio.create_task_group() as group:
             for entry in cluster.daemons:
--- a/coltsfootpier/placement/_guard.py
+++ b/coltsfootpier/placement/_guard.py
@@ -179,9 +179,9 @@
         return None
 
     def _register_measurement(self, state: _WorkerGuard, task: Neighbour) -> bool:
-        known_ms = state.measured_ms.get(task.key, float("-inf"))
-        state.measured_ms[task.key] = max(known_ms, task.measured_at_ms)
-        return task.measured_at_ms > known_ms
+        last_measured_ms = state.measured_ms.get(task.key, float("-inf"))
+        state.measured_ms[task.key] = max(last_measured_ms, task.measured_at_ms)
+        return task.measured_at_ms > last_measured_ms
 
     def _update_slowdowns(self, state: _WorkerGuard, fresh: Sequence[Neighbour]) -> None:
         # A delayed measurement is attributed to the neighbours that ran when it was taken.
--- a/coltsfootpier/placement/_health.py
+++ b/coltsfootpier/placement/_health.py
@@ -11,7 +11,7 @@
 # A job that has failed on this many workers without a success is considered faulty itself, and
 # its failures no longer count against workers.
 _FAULTY_JOB_WORKERS = 3
-# Largest fraction of a shard's workers that may be quarantined at once, so that a scheduler
+# Maximum fraction of a shard's workers that may be quarantined at once, so that a scheduler
 # fault that looks like broken workers can't empty the shard.
 _MAX_QUARANTINED_SHARE = 1 / 3
 _INITIAL_PROBE_DELAY_MS = 10_000.0
--- a/coltsfootpier/routing/_assignment.py
+++ b/coltsfootpier/routing/_assignment.py
@@ -45,12 +45,12 @@
 
 
 class BalancedAssignment:
-    """Assignment of equally many slots (within one) to each member, preferring its own zone.
+    """Assignment of equally many slots (within one) to each member, preferring near runners.
 
-    Slots are ordered by availability zone and then round robin over the zone's runners. The
-    ordered list is split into equal ranges for the members, which are ordered by zone too. As a
-    result a member's slots are spread over the runners of its zone, so that a failing runner
-    takes only a few slots from each member.
+    Slots are ordered by availability zone and then round robin over its runners. The ordered
+    list is split into equal ranges for the members, which are ordered by availability zone too.
+    As a result a member's slots are spread over the runners of its availability zone, so that a
+    failing runner takes only a few slots from each member.
 
     Examples
     --------
--- a/coltsfootpier/routing/_health.py
+++ b/coltsfootpier/routing/_health.py
@@ -128,7 +128,7 @@
     def limit_ejections(self, runners: Collection[str]) -> None:
         """Revert ejections where all daemons together have ejected more than a third.
 
-        Daemons may eject different runners before they learn of each other's ejections. All of
+        Daemons may eject different runners before they receive each other's ejections. All of
         them keep the same third, the runners with the lowest identifiers.
         """
         kept = sorted(self._all_ejected(runners))[: len(runners) // 3]
--- a/coltsfootpier/routing/_messages.py
+++ b/coltsfootpier/routing/_messages.py
@@ -42,7 +42,7 @@
     address : str
         ``IP:PORT``.
     slots, connections : int
-        Most concurrent requests and connections, over all entry VMs.
+        Maximum number of concurrent requests and of connections, over all entry VMs.
     leaving : bool
         Whether the runner is shutting down and must receive no new request.
     """
@@ -169,7 +169,7 @@
 
 @attrs.frozen(kw_only=True)
 class Borrow:
-    """Instruction to ask a peer for a slot on behalf of a waiting ticket."""
+    """Instruction to request a slot from a peer on behalf of a waiting ticket."""
 
     peer: str
     ticket: Ticket
--- a/coltsfootpier/routing/_policies.py
+++ b/coltsfootpier/routing/_policies.py
@@ -83,7 +83,10 @@
 
 
 class NearestFirstPolicy:
-    """Choice of the runner with the most free slots, in the own zone if possible (baseline)."""
+    """Choice of the runner with the most free slots among the nearest ones (baseline).
+
+    The nearest runners are those in the daemon's availability zone, if any of them is a candidate.
+    """
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
         """Return the candidate with the most free slots among the nearest ones."""
@@ -94,10 +97,10 @@
 
 
 class LeastOutstandingPolicy:
-    """Choice of the runner with the most free slots, regardless of its zone (baseline)."""
+    """Choice of the runner with the most free slots in any availability zone (baseline)."""
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
-        """Return the candidate with the most free slots; the own zone breaks ties."""
+        """Return the candidate with the most free slots; ties go to the nearest one."""
         return max(
             candidates,
             key=lambda candidate: (candidate.slots - candidate.outstanding, candidate.is_near),
@@ -108,8 +111,8 @@
     """Choice of the runner with the shortest expected response time.
 
     The expected time is the measured response time, increased with the runner's occupancy and
-    rejection rate, plus the delay to its availability zone. Runners of the own zone are
-    therefore preferred until runners elsewhere are expected to respond sooner.
+    rejection rate, plus the delay to its availability zone. Runners of the daemon's
+    availability zone are therefore preferred until others are expected to respond sooner.
     """
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
--- a/coltsfootpier/routing/_queues.py
+++ b/coltsfootpier/routing/_queues.py
@@ -44,7 +44,7 @@
     slots: int = 0
     busy: Counter[tuple[str, str]] = attrs.field(factory=Counter)
 
-    def busy_of(self, kind: str) -> int:
+    def count_busy(self, kind: str) -> int:
         """Return the number of slots that a request kind uses, over all teams."""
         return sum(count for (_, used_kind), count in self.busy.items() if used_kind == kind)
 
@@ -246,7 +246,7 @@
         return [self._queues[key] for key in keys]
 
     def _rank(self, kind: str, use: SlotUse) -> tuple[bool, int, float]:
-        busy = self._smooth_use(kind, use.busy_of(kind))
+        busy = self._smooth_use(kind, use.count_busy(kind))
         used_fraction = busy / (self._share(kind) * max(1, use.slots))
         if used_fraction >= _PRIORITY_FRACTION:
             return True, 0, used_fraction
@@ -269,16 +269,16 @@
         return max(_MIN_SHARE, share.guaranteed + unguaranteed * share.weight / weights)
 
     def _available_slots(self, kind: str, use: SlotUse) -> float:
-        """Return the number of slots that a kind can use at the present load of other kinds."""
+        """Return the number of slots that a kind can use at the current load of other kinds."""
         waiting = Counter[str]()
         for (_, other), queue in self._queues.items():
             waiting[other] += len(queue)
         others = {other for _, other in use.busy} | set(waiting)
-        taken = sum(
-            min(self._share(other) * use.slots, use.busy_of(other) + waiting[other])
+        used_by_others = sum(
+            min(self._share(other) * use.slots, use.count_busy(other) + waiting[other])
             for other in others - {kind}
         )
-        return max(1.0, use.slots - taken)
+        return max(1.0, use.slots - used_by_others)
 
     def _first_servable(
         self, queue: deque[Ticket], can_serve: Callable[[Ticket], bool]
--- a/coltsfootpier/routing/_retries.py
+++ b/coltsfootpier/routing/_retries.py
@@ -7,7 +7,7 @@
 _RETRIES_PER_REQUEST = 0.1
 # Time reserved for a retry, in multiples of the average response time.
 _RETRY_RESERVE_RESPONSES = 2.0
-# Most unspent retries of a service; bounds the burst of retries after a fault.
+# Maximum number of unspent retries of a service; bounds the burst of retries after a fault.
 _MAX_SAVED_RETRIES = 20.0
 
 
--- a/coltsfootpier/routing/_router.py
+++ b/coltsfootpier/routing/_router.py
@@ -32,9 +32,11 @@
 
 # Time after a request's deadline at which a slot that was never released is freed.
 _LOST_GRANT_TIMEOUT_MS = 5_000.0
-# Most pending slot requests to one peer per service, however many requests wait here.
+# Maximum number of pending slot requests to one peer per service, however many requests wait
+# here.
 _MAX_PENDING_BORROWS = 8
-# Time before a peer that declined is asked again, unless a heartbeat reports free slots.
+# Time before a slot is requested again from a peer that declined, unless a heartbeat reports free
+# slots.
 _DECLINED_RETRY_DELAY_MS = 200.0
 # Additional round-trip time assumed for runners of other availability zones.
 _ZONE_DELAY_MS = 8.0
@@ -85,7 +87,7 @@
     clock : Clock
         Time source.
     availability_zone : str
-        Zone of this daemon; runners of this zone are preferred.
+        Availability zone of this daemon; its runners are preferred.
     queue_length : int
         Maximum number of waiting requests of a service.
     policy : RunnerPolicy, optional
@@ -128,7 +130,7 @@
     # Inputs
 
     def observe_members(self, member: str, members: Mapping[str, str]) -> None:
-        """Update this daemon's identifier and the reachable members with their zones."""
+        """Update this daemon's identifier and the availability zones of reachable members."""
         known = {**members, member: self._availability_zone}
         if (member, known) == (self._member, self._members):
             return
@@ -185,7 +187,7 @@
         Returns
         -------
         Grant, Queued or Rejected
-            After `Queued`, `plan_borrows` returns the peers to ask for slots.
+            After `Queued`, `plan_borrows` returns the peers to request slots from.
         """
         if ticket.deadline_ms <= self._clock.now_ms():
             return self._reject(ticket, RejectionReason.DEADLINE)
@@ -237,19 +239,19 @@
     def plan_borrows(self, name: str) -> list[Borrow]:
         """Return the slot requests to send to peers now; each is returned once.
 
-        A peer is asked for at most as many slots as it has reported free. A daemon without
-        usable slots of its own also asks peers that reported none; each of them queues one such
-        request at a time, under fair sharing with its own requests.
+        At most as many slots are requested from a peer as it has reported free. A daemon
+        without usable slots of its own also sends requests to peers that reported none; each of
+        them queues one such request at a time, under fair sharing with its own requests.
         """
         service = self._services.get(name)
         if service is None:
             return []
         planned: list[Borrow] = []
         own_tickets = [ticket for ticket in service.queue.next_tickets() if not ticket.borrower]
-        wanted = len(service.queue) - sum(
+        missing_slots = len(service.queue) - sum(
             peer.pending_borrows[name] for peer in self._peers.values()
         )
-        while own_tickets and wanted > len(planned):
+        while own_tickets and missing_slots > len(planned):
             peer = self._choose_lender(name, service)
             if peer is None:
                 break
@@ -265,7 +267,7 @@
         Parameters
         ----------
         peer, service : str, str
-            Peer that was asked, and service of the slot.
+            Peer that received the request, and service of the slot.
         grant : Grant or None
             Grant for the slot; None if the peer declined or didn't respond.
         free : int, optional
--- a/coltsfootpier/routing/tests/test_assignment.py
+++ b/coltsfootpier/routing/tests/test_assignment.py
@@ -31,7 +31,7 @@
         self.assertLessEqual(max(owned.values()) - min(owned.values()), 1)
 
     def test_own_zone_is_preferred(self) -> None:
-        """Guards against cross-zone requests although the daemon's own zone has slots."""
+        """Guards against requests to other availability zones although the own one has slots."""
         runners = [build_runner(f"r{zone}", availability_zone=zone) for zone in "abc"]
         table = BalancedAssignment().assign(runners, {"m1": "c", "m2": "a", "m3": "b"})
         self.assertEqual(table, {"ra": {"m2": 2}, "rb": {"m3": 2}, "rc": {"m1": 2}})
--- a/coltsfootpier/routing/tests/test_queues.py
+++ b/coltsfootpier/routing/tests/test_queues.py
@@ -38,7 +38,7 @@
         for _ in range(slots):
             popped = self.pop_next()
             self.use.busy[popped.team, popped.kind] += 1
-        return Counter({kind: self.use.busy_of(kind) for kind in ("urgent", "low")})
+        return Counter({kind: self.use.count_busy(kind) for kind in ("urgent", "low")})
 
     def test_overload_of_urgent_requests_leaves_the_guaranteed_share(self) -> None:
         """Guards against a high-priority kind that takes another kind's guaranteed share."""
@@ -81,7 +81,7 @@
         self.assertEqual(self.pop_next().team, "b")
 
     def test_request_that_cannot_meet_its_deadline_is_rejected_early(self) -> None:
-        """Guards against callers that learn only at the deadline that their request wasn't run."""
+        """Guards against callers that get a rejection only at the deadline of their request."""
         deadline_ms = self.clock.now_ms() + 150.0
         admitted = [self.push("low", deadline_ms=deadline_ms) for _ in range(10)]
         self.assertIsInstance(admitted[0], Ticket)
--- a/coltsfootpier/routing/tests/test_router.py
+++ b/coltsfootpier/routing/tests/test_router.py
@@ -61,7 +61,7 @@
         self.assertIsInstance(self.acquire(), Queued)
 
     def test_leaving_feedback_of_a_borrower_marks_the_runner(self) -> None:
-        """Guards against a slot owner that goes on granting slots of a leaving runner."""
+        """Guards against a slot owner that continues to grant slots of a leaving runner."""
         grant = self.acquire(borrower="m2")
         self.router.release(grant.runner.id, grant.token, Feedback(leaving=True))
         self.assertIsInstance(self.acquire(), Queued)
@@ -107,7 +107,7 @@
         self.assertEqual([borrow.peer for borrow in self.router.plan_borrows("web")], ["m2"])
         self.assertEqual(self.router.plan_borrows("web"), [])
 
-    def test_owner_that_declined_is_not_asked_again_at_once(self) -> None:
+    def test_owner_that_declined_gets_no_second_request_at_once(self) -> None:
         """Guards against repeated calls without delay to an owner whose queue is full."""
         self.router.observe_runners("r1", 2, [build_runner(slots=1)])
         self.router.observe_members("m1", {"m2": "z1"})
--- a/coltsfootpier/transport/_channel.py
+++ b/coltsfootpier/transport/_channel.py
@@ -72,9 +72,9 @@
     connections : int, default=1
         Number of connections, each owned by a task; limits the concurrent calls.
     queue : int, default=64
-        Largest number of queued calls; a further call fails immediately with `NotSent`.
+        Maximum number of queued calls; a further call fails immediately with `NotSent`.
     max_body : int, default=4_000_000
-        Largest accepted response body in bytes.
+        Maximum size of an accepted response body in bytes.
     """
 
     def __init__(
@@ -162,7 +162,7 @@
             with anyio.move_on_after(timeout_ms / 1000):
                 await exchange.done.wait()
         finally:
-            # Reported as not sent or cancelled by the caller, so it must not be sent later.
+            # Reported as not sent or cancelled by the calling task, so it must not be sent later.
             exchange.abandoned = True
         if exchange.done.is_set():
             return exchange.result
--- a/coltsfootpier/transport/_connection.py
+++ b/coltsfootpier/transport/_connection.py
@@ -59,7 +59,7 @@
     clock : Clock
         Time source.
     max_body : int
-        Largest accepted response body in bytes.
+        Maximum size of an accepted response body in bytes.
     """
 
     def __init__(self, *, host: str, port: int, clock: Clock, max_body: int) -> None:
--- a/coltsfootpier/transport/_lean.py
+++ b/coltsfootpier/transport/_lean.py
@@ -18,7 +18,7 @@
 from coltsfootpier.transport._connection import Reply
 from coltsfootpier.transport._errors import OVERDUE, BadReply, CallError, NotSent, Unanswered
 
-# Largest accepted response body; a range response of the store holds at most about 1 MB of values
+# Maximum size of a response body; a range response of the store holds at most about 1 MB of values
 # in base64.
 _MAX_RESPONSE_BYTES = 4_000_000
 # Unacknowledged bytes close a connection after this time, because a network partition sends no
@@ -201,7 +201,7 @@
     clock : Clock
         Time source.
     connections : int
-        Largest number of concurrent exchanges; further ones wait within their timeout.
+        Maximum number of concurrent exchanges; further ones wait within their timeout.
     """
 
     def __init__(self, *, host: str, port: int, clock: Clock, connections: int) -> None:
--- a/coltsfootpier/transport/_limits.py
+++ b/coltsfootpier/transport/_limits.py
@@ -21,7 +21,7 @@
     Parameters
     ----------
     max_header_bytes : int
-        Largest accepted request line and headers, together, in bytes.
+        Maximum size of request line and headers together, in bytes.
     header_timeout_ms : float
         Time in ms from the first byte of a request until its header is complete.
     idle_timeout_ms : float
--- a/coltsfootpier/transport/_mailbox.py
+++ b/coltsfootpier/transport/_mailbox.py
@@ -35,7 +35,7 @@
     Parameters
     ----------
     max_messages : int
-        Largest number of queued messages.
+        Maximum number of queued messages.
     """
 
     def __init__(self, *, max_messages: int) -> None:
--- a/coltsfootpier/transport/_server.py
+++ b/coltsfootpier/transport/_server.py
@@ -99,7 +99,7 @@
     receive : callable
         ASGI receive function.
     max_body : int
-        Largest accepted body in bytes.
+        Maximum size of an accepted body in bytes.
     timeout_ms : float
         Timeout of the complete body in ms.
 
@@ -146,9 +146,9 @@
     scope, receive
         As in `read_body`.
     max_body : int
-        Largest accepted body in bytes.
+        Maximum size of an accepted body in bytes.
     max_buffered_bytes : int
-        Largest body in bytes that is buffered completely.
+        Maximum size in bytes of a body that is buffered completely.
     timeout_ms : float
         Timeout in ms of the complete body, or of its first `max_buffered_bytes` bytes.
 
@@ -228,7 +228,7 @@
     routes : dict of str to Handler
         Keys are ``"METHOD /prefix"``.
     max_body : int
-        Largest accepted request body in bytes.
+        Maximum size of an accepted request body in bytes.
     """
 
     def __init__(self, *, routes: dict[str, Handler], max_body: int) -> None:
@@ -309,7 +309,7 @@
     port : int
         TCP port; 0 selects a free one.
     max_connections : int, optional
-        Largest number of open connections; requests beyond it are answered with 503.
+        Maximum number of open connections; requests beyond it are rejected with status 503.
     listener : socket, optional
         Socket from `bind` that is used instead of `host` and `port`.
     protocol : type of LimitedProtocol, optional
--- a/coltsfootpier/transport/tests/test_channel.py
+++ b/coltsfootpier/transport/tests/test_channel.py
@@ -153,7 +153,7 @@
         _run(test)
 
     def test_call_reported_as_not_sent_is_not_sent_later(self) -> None:
-        """Guards against a queued call that is sent after its caller cancelled it."""
+        """Guards against a queued call that is sent after the calling task cancelled it."""
 
         async def respond(target: str) -> bytes:
             if target == "/slow":
@@ -236,7 +236,7 @@
         """Guards against a truncated response that looks complete, and against full buffering."""
         body = b"0123456789" * 100_000
 
-        async def whole(_: str) -> bytes:
+        async def complete(_: str) -> bytes:
             return _OK % (len(body), body)
 
         async def truncated(_: str) -> bytes:
@@ -254,7 +254,7 @@
             return received
 
         async def test() -> None:
-            async with _open_channel(whole) as (_, channel, _relay):
+            async with _open_channel(complete) as (_, channel, _relay):
                 for _ in range(3):
                     self.assertEqual(await read(channel), body)
             async with _open_channel(truncated, close=True) as (_, channel, _relay):
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -123,8 +123,8 @@
 
 async def read_store(port: int, key: str) -> Any:
     """Return the JSON value of a key in the stand-in store."""
-    answer = await call(port, "GET", f"/coltsfootpier/kv-key?key={key}")
-    return orjson.loads(base64.b64decode(answer.json()["value"]))
+    response = await call(port, "GET", f"/coltsfootpier/kv-key?key={key}")
+    return orjson.loads(base64.b64decode(response.json()["value"]))
 
 
 class Cluster:
@@ -228,8 +228,8 @@
 
     async def status(self, daemon: str) -> dict[str, Any]:
         """Return the status of a daemon, or an empty dict if it doesn't respond."""
-        answer = await call(self.daemons[daemon].ports["operators"], "GET", "/v1/status")
-        return answer.json() if answer is not None and answer.status == 200 else {}
+        response = await call(self.daemons[daemon].ports["operators"], "GET", "/v1/status")
+        return response.json() if response is not None and response.status == 200 else {}
 
     async def count_running(self, daemon: str, prefix: str) -> int:
         """Count the running tasks whose name has a prefix."""
@@ -280,8 +280,8 @@
 
 async def is_ready(daemon: Process) -> bool:
     """Return whether a daemon accepts requests."""
-    answer = await call(daemon.ports["operators"], "GET", "/readyz", timeout_ms=1_000)
-    return answer is not None and answer.status == 200
+    response = await call(daemon.ports["operators"], "GET", "/readyz", timeout_ms=1_000)
+    return response is not None and response.status == 200
 
 
 def _read_port(handle: subprocess.Popen) -> int:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -39,7 +39,7 @@
         request_id = f"caller-{index}-{number}"
         body = f"{request_id}:{rng.random()}".encode()
         start = time.monotonic()
-        answer = await call(
+        response = await call(
             rng.choice(cluster.balancer.ready).ports["callers"],
             "POST",
             f"/services/{service}/{kind}",
@@ -47,17 +47,17 @@
             headers={"X-Request-Id": request_id, "Idempotency-Key": request_id},
         )
         elapsed_ms = (time.monotonic() - start) * 1000
-        if answer is None:
+        if response is None:
             tally.broken += 1
             continue
-        outcome = answer.headers.get("x-outcome", "none")
+        outcome = response.headers.get("x-outcome", "none")
         if outcome == "done":
             tally.latencies_ms.append(elapsed_ms)
-            echoed = answer.json()
+            echoed = response.json()
             if echoed["id"] != request_id or echoed["body"] != body.decode():
                 tally.wrong += 1
         else:
-            outcome = f"{outcome}: {answer.json().get('error', '')}"
+            outcome = f"{outcome}: {response.json().get('error', '')}"
         tally.outcomes[outcome] += 1
         if kind != "guidance":
             tally.non_idempotent.append((request_id, outcome))
@@ -68,8 +68,8 @@
     runs: Counter = Counter()
     for worker in cluster.workers.values():
         if worker.handle.poll() is None:
-            answer = await call(worker.ports["api"], "GET", "/runs")
-            runs.update(answer.json()["requests"])
+            response = await call(worker.ports["api"], "GET", "/runs")
+            runs.update(response.json()["requests"])
     return runs
 
 
@@ -148,7 +148,7 @@
 async def _report(cluster: Cluster, tally: Tally, start_s: float) -> int:
     runs = await _count_runs(cluster)
     duplicated = [name for name, _ in tally.non_idempotent if runs[name] > 1]
-    ran_refused = [
+    ran_rejected = [
         name
         for name, outcome in tally.non_idempotent
         if outcome.startswith("refused") and runs[name]
@@ -167,13 +167,13 @@
         f"p99 {_percentile(tally.latencies_ms, 0.99):.1f} ms"
     )
     print(f"non-idempotent requests that ran twice: {len(duplicated)}")
-    print(f"requests refused as not run that did run: {len(ran_refused)}")
+    print(f"requests refused as not run that did run: {len(ran_rejected)}")
     print(f"job tasks done: {done}, further attempts of tasks: {evicted}")
     operators = cluster.daemons["entry-0"].ports["operators"]
     print(cluster.run_tool("report", "burn", f"--daemon=127.0.0.1:{operators}").stdout.strip())
     print(f"took {time.monotonic() - start_s:.1f} s")
     failed = (
-        tally.wrong or tally.broken or duplicated or ran_refused or tally.outcomes["done"] < 500
+        tally.wrong or tally.broken or duplicated or ran_rejected or tally.outcomes["done"] < 500
     )
     return 1 if failed else 0
 
--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -202,8 +202,8 @@
 
     async def read_maintenance_runs(self) -> list[dict[str, Any]]:
         """Return each maintenance run of a worker VM with its start and end times."""
-        answer = await call(self.store_port, "GET", "/upkeeps", timeout_ms=2_000)
-        return answer.json()
+        response = await call(self.store_port, "GET", "/upkeeps", timeout_ms=2_000)
+        return response.json()
 
     def list_vms(self) -> list[str]:
         """Return the worker VMs of all runners."""
@@ -227,8 +227,8 @@
                 ) from error
 
     async def _is_ready(self, node: Node) -> bool:
-        answer = await call(node.ready, "GET", "/coltsfootpier/ready", timeout_ms=1_000)
-        return answer is not None and answer.status == 200
+        response = await call(node.ready, "GET", "/coltsfootpier/ready", timeout_ms=1_000)
+        return response is not None and response.status == 200
 
     async def request(
         self, node: str, method: str, name: str, body: Any = None, timeout_ms: float = 3_000
@@ -258,19 +258,19 @@
         """Return the ended runs of all runners, including killed ones."""
         runs: list[dict[str, Any]] = list(self.past_runs)
         for port in self.runner_ports:
-            answer = await call(port, "GET", "/history", timeout_ms=2_000)
-            if answer is not None:
-                runs += answer.json()["ended"]
+            response = await call(port, "GET", "/history", timeout_ms=2_000)
+            if response is not None:
+                runs += response.json()["ended"]
         return runs
 
     async def kill_runners(self, handle: subprocess.Popen, ports: list[int]) -> None:
         """Kill a process that hosts runners, after saving their run history."""
         for port in ports:
-            answer = await call(port, "GET", "/history", timeout_ms=2_000)
+            response = await call(port, "GET", "/history", timeout_ms=2_000)
             self.runner_ports.remove(port)
-            if answer is None:
+            if response is None:
                 continue
-            history = answer.json()
+            history = response.json()
             # An ended run that no owner has acknowledged is lost with its runner.
             self.past_runs += [{**run, "lost": not run["observed"]} for run in history["ended"]]
             now_ms = self._clock.now_ms()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -34,7 +34,7 @@
 from standins.vms import WorkerVms
 
 _MAX_VALUE_LENGTH = 1_000_000
-# Largest number of items per page, and of entries per transaction.
+# Maximum number of items per page, and of entries per transaction.
 _PAGE_SIZE = 500
 _MAX_ENTRIES = 32
 _LEASE_PREFIX = "lease-"
--- a/standins/runners.py
+++ b/standins/runners.py
@@ -177,7 +177,7 @@
         return min(0.99, (now_ms - run.start_ms) / max(1.0, run.end_ms - run.start_ms))
 
     async def read_history(self, _: HttpRequest) -> HttpResponse:
-        """Return the ended and the present runs."""
+        """Return the ended and the current runs."""
         present = [
             {
                 "task": run.task,
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -61,7 +61,7 @@
     worker : Worker
         Worker that the runner is on.
     slots : int
-        Largest number of concurrent requests.
+        Maximum number of concurrent requests.
     """
 
     def __init__(self, *, worker: Worker, slots: int) -> None:
--- a/tests/test_processes_failures.py
+++ b/tests/test_processes_failures.py
@@ -309,7 +309,7 @@
                 for request_id, outcome in outcomes.items()
                 if request_id.startswith("entry-0")
             )
-            # Requests of a key group whose owner died without a hand-over end as unknown, and a
+            # Requests of a key group whose owner died without a handover end as unknown, and a
             # request may miss a slot lent by the dead daemon until its deadline. Both outcomes
             # are typed; no connection breaks.
             self.assertLessEqual(set(outcomes_of_survivor), {"done", "refused", "unknown"})
--- a/tests/test_processes_nodes.py
+++ b/tests/test_processes_nodes.py
@@ -69,7 +69,7 @@
         """Return the state of a job, or the HTTP status of an unsuccessful response."""
         response = await self.nodes.request(node, "GET", job_id)
         if response is None:
-            return "no answer"
+            return "no response"
         return response.json()["state"] if response.status == 200 else response.status
 
     async def wait_for_state(self, node, job_id, state):
