Name the weights of neighbouring kinds and the eviction of benchmarks

Predicates in placement, dispatch and the daemon were documented as noun clauses, those of routing and permits as sentences; all now say "Return whether".

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -206,7 +206,7 @@
     ----------
     build_policy : callable
         Returns the placement policy of a shard owner; None selects the default policy.
-    may_preempt : bool
+    may_evict : bool
         Whether batch tasks may be evicted and throttled.
     interference : callable
         Passed to each `FakeWorker`.
@@ -217,7 +217,7 @@
         *,
         seed: int,
         build_policy: Callable[[], PlacementPolicy] | None,
-        may_preempt: bool,
+        may_evict: bool,
         interference: Callable[[str, str], float],
     ) -> None:
         self.clock = VirtualClock()
@@ -225,7 +225,7 @@
         rng = random.Random(seed)
         ledger = Ledger(epoch=1, writer="m1")
         ledger.load(())
-        self.dispatcher = Dispatcher(clock=self.clock, ledger=ledger, allow_eviction=may_preempt)
+        self.dispatcher = Dispatcher(clock=self.clock, ledger=ledger, allow_eviction=may_evict)
         self.workers: dict[str, FakeWorker] = {}
         self.shards: dict[str, ShardState] = {}
         self._gone_from_ms: dict[str, float] = {}
@@ -241,7 +241,7 @@
                 worker_lease_ms=20_000.0,
                 hold_over_ms=1_800_000.0,
                 policy=build_policy() if build_policy else None,
-                protect_services=may_preempt,
+                protect_services=may_evict,
             )
             self.shards[shard].load()
             self.shards[shard].retire_previous_owner()
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -31,18 +31,18 @@
     ----------
     build : callable, optional
         Builds the placement policy of a shard owner; None selects the default policy.
-    may_preempt : bool
+    may_evict : bool
         Whether batch tasks may be evicted and throttled.
     """
 
     name: str
     build: Callable[[], PlacementPolicy] | None = None
-    may_preempt: bool = True
+    may_evict: bool = True
 
 
 POLICIES = (
-    Policy(name="first fit", build=FirstFit, may_preempt=False),
-    Policy(name="spread fit", build=SpreadFit, may_preempt=False),
+    Policy(name="first fit", build=FirstFit, may_evict=False),
+    Policy(name="spread fit", build=SpreadFit, may_evict=False),
     Policy(name="chosen"),
 )
 
@@ -162,7 +162,7 @@
     fleet = Fleet(
         seed=seed,
         build_policy=policy.build,
-        may_preempt=policy.may_preempt,
+        may_evict=policy.may_evict,
         interference=build_interference(true_slowdowns, fleets),
     )
     fleets.append(fleet)
--- a/coltsfootpier/daemon/_control.py
+++ b/coltsfootpier/daemon/_control.py
@@ -184,12 +184,12 @@
         return self._live_members
 
     def are_previous_owners_retired(self, partition: str) -> bool:
-        """Whether no previous owner of a partition can still renew leases of its batch tasks."""
+        """Return whether no previous owner can still renew leases of a partition's batch tasks."""
         ownership = self.ownership.table.partitions.get(partition)
         return ownership is None or all(map(self.is_retired, ownership.suspects))
 
     def is_retired(self, member: str) -> bool:
-        """Whether a member's VM is gone, or a later incarnation or session runs on that VM."""
+        """Return whether a member's VM is gone or runs a later incarnation or session."""
         name = parse_vm_name(member)
         gone = any(vm.name == name and vm.state == "gone" for vm in self.vms)
         return gone or any(
--- a/coltsfootpier/dispatch/_failures.py
+++ b/coltsfootpier/dispatch/_failures.py
@@ -38,7 +38,7 @@
         self._failed_jobs.setdefault(worker, set()).add(declared)
 
     def is_at_fault(self, declared: str, workers: tuple[str, ...]) -> bool:
-        """Whether a task that failed on `workers` is considered faulty."""
+        """Return whether a task that failed on `workers` is considered faulty."""
         credible = sum(self._is_credible(worker, declared) for worker in workers)
         return credible >= _MIN_CREDIBLE_FAILURES or len(workers) >= _MAX_FAILURES
 
--- a/coltsfootpier/dispatch/_link.py
+++ b/coltsfootpier/dispatch/_link.py
@@ -128,7 +128,7 @@
     def has_pending_work(
         self, assign: tuple[Assignment, ...], revoke: tuple[AttemptKey, ...]
     ) -> bool:
-        """Whether a request is due before the next regular one."""
+        """Return whether a request is due before the next regular one."""
         return bool(assign or revoke or self.acknowledge or self.pending or not self.synced)
 
     def apply_reply(self, reply: ExchangeReply, now_ms: float = 0.0) -> bool:
--- a/coltsfootpier/dispatch/_shares.py
+++ b/coltsfootpier/dispatch/_shares.py
@@ -143,18 +143,18 @@
         return self._get_retained_cores(team) / self._teams[team].weight
 
     def is_below_guarantee(self, team: str) -> bool:
-        """Whether a team uses less than its guaranteed share."""
+        """Return whether a team uses less than its guaranteed share."""
         return self._get_retained_cores(team) < self._guaranteed_cores[team] - 1e-6
 
     def stays_within_guarantee_with(self, spec: TaskSpec) -> bool:
-        """Whether a task's team stays within its guaranteed share if the task is added."""
+        """Return whether a task's team stays within its guaranteed share if the task is added."""
         return (
             self._get_retained_cores(spec.team) + spec.cores
             <= self._guaranteed_cores[spec.team] + 1e-6
         )
 
     def keeps_guarantee_without(self, spec: TaskSpec) -> bool:
-        """Whether a task's team keeps its guaranteed share if the task is evicted."""
+        """Return whether a task's team keeps its guaranteed share if the task is evicted."""
         return (
             self._get_retained_cores(spec.team) - spec.cores
             >= self._guaranteed_cores[spec.team] - 1e-6
@@ -164,7 +164,7 @@
         return self._used[team][0] - self._stopping_cores[team]
 
     def is_within_quota(self, spec: TaskSpec) -> bool:
-        """Whether a task's team stays within its quota if the task is added."""
+        """Return whether a task's team stays within its quota if the task is added."""
         team = self._teams[spec.team]
         used = self._used[spec.team]
         remaining = subtract(
--- a/coltsfootpier/placement/_guard.py
+++ b/coltsfootpier/placement/_guard.py
@@ -105,7 +105,7 @@
         self._workers.pop(worker, None)
 
     def is_blocked(self, worker: str, declared: str, now_ms: float) -> bool:
-        """Whether a service or job was evicted from a worker recently."""
+        """Return whether a service or job was evicted from a worker recently."""
         until_ms = self._blocked.get((worker, declared))
         if until_ms is not None and now_ms >= until_ms:
             del self._blocked[worker, declared]
@@ -156,7 +156,7 @@
             self.shares.pop(key, None)
         fresh = [task for task in tasks if self._register_measurement(state, task)]
         self._update_slowdowns(state, fresh)
-        self._record_mix(state, worker_now_ms, tasks)
+        self._record_kind_weights(state, worker_now_ms, tasks)
         if not self._protects_services:
             return None
         services = [
@@ -186,25 +186,29 @@
     def _update_slowdowns(self, state: _WorkerGuard, fresh: Sequence[Neighbour]) -> None:
         # A delayed measurement is attributed to the neighbours that ran when it was taken.
         for task in fresh:
-            mix = next(
-                (mix for at_ms, mix in reversed(state.history) if at_ms <= task.measured_at_ms),
+            kind_weights = next(
+                (
+                    kind_weights
+                    for at_ms, kind_weights in reversed(state.history)
+                    if at_ms <= task.measured_at_ms
+                ),
                 None,
             )
-            if mix is None or task.declared not in mix:
+            if kind_weights is None or task.declared not in kind_weights:
                 continue
-            others = dict(mix)
+            others = dict(kind_weights)
             others[task.declared] -= 1.0
             others = {name: count for name, count in others.items() if count > 1e-6}
             self._slowdowns.observe(task.declared, others, task.slowdown)
 
-    def _record_mix(
+    def _record_kind_weights(
         self, state: _WorkerGuard, worker_now_ms: float, tasks: Sequence[Neighbour]
     ) -> None:
-        mix: Counter[str] = Counter()
+        kind_weights: Counter[str] = Counter()
         for task in tasks:
-            mix[task.declared] += self.shares.get(task.key, 1.0)
-        if not state.history or state.history[-1][1] != mix:
-            state.history.append((worker_now_ms, mix))
+            kind_weights[task.declared] += self.shares.get(task.key, 1.0)
+        if not state.history or state.history[-1][1] != kind_weights:
+            state.history.append((worker_now_ms, kind_weights))
 
     def _throttle_or_evict(
         self,
--- a/coltsfootpier/placement/_health.py
+++ b/coltsfootpier/placement/_health.py
@@ -43,12 +43,12 @@
         self._workers.pop(worker, None)
 
     def is_quarantined(self, worker: str) -> bool:
-        """Whether a worker is quarantined and receives only probes."""
+        """Return whether a worker is quarantined and receives only probes."""
         health = self._workers.get(worker)
         return health is not None and health.quarantined
 
     def is_probe_due(self, worker: str, now_ms: float) -> bool:
-        """Whether a quarantined worker may receive one task as a probe now."""
+        """Return whether a quarantined worker may receive one task as a probe now."""
         health = self._workers.get(worker)
         return (
             health is not None
--- a/coltsfootpier/placement/_leases.py
+++ b/coltsfootpier/placement/_leases.py
@@ -64,7 +64,7 @@
         )
 
     def is_orphaned(self, entry: Placement, view: WorkerView | None, now_ms: float) -> bool:
-        """Whether the runner on an unresponsive worker should be replaced.
+        """Return whether the runner on an unresponsive worker should be replaced.
 
         An extra runner of a service is harmless, so the replacement doesn't wait until the
         previous owner can no longer renew leases.
--- a/coltsfootpier/placement/_policies.py
+++ b/coltsfootpier/placement/_policies.py
@@ -23,7 +23,7 @@
 
 
 def fits(size: Size, free: Size) -> bool:
-    """Whether a task of `size` fits into the free capacity `free`."""
+    """Return whether a task of `size` fits into the free capacity `free`."""
     return (
         size[0] <= free[0] + _ROUNDING_TOLERANCE
         and size[1] <= free[1]
--- a/coltsfootpier/placement/_shard.py
+++ b/coltsfootpier/placement/_shard.py
@@ -359,12 +359,12 @@
         return SyncRequest(incarnation=view.incarnation, commands=tuple(commands))
 
     def has_all_reports(self) -> bool:
-        """Whether every live worker has reported to this owner."""
+        """Return whether every live worker has reported to this owner."""
         live_workers = [view for view in self.workers.values() if view.vm.state == "live"]
         return bool(live_workers) and all(view.received_ms > float("-inf") for view in live_workers)
 
     def has_pending_commands(self, worker: str) -> bool:
-        """Whether a worker still has to start or stop attempts of the durable record."""
+        """Return whether a worker still has to start or stop attempts of the durable record."""
         view = self.workers.get(worker)
         if view is None:
             return False
--- a/coltsfootpier/placement/_slowdown.py
+++ b/coltsfootpier/placement/_slowdown.py
@@ -75,7 +75,7 @@
             pair.variance += rate * (error * error / norm - pair.variance)
 
     def has_measurements(self, kind: str, neighbour: str) -> bool:
-        """Whether the table holds measurements of the pair."""
+        """Return whether the table holds measurements of the pair."""
         return (kind, neighbour) in self._pairs
 
     def estimate(self, kind: str, neighbour: str) -> tuple[float, float]:
--- a/coltsfootpier/routing/_health.py
+++ b/coltsfootpier/routing/_health.py
@@ -22,7 +22,7 @@
 _EJECT_FAILURES = 5
 _PROBE_DELAY_MS = 1_000.0
 _MAX_PROBE_DELAY_MS = 30_000.0
-# Bounds how long a probe with lost feedback blocks a runner.
+# Maximum time for which a probe blocks a runner if its feedback is lost.
 _PROBE_TIMEOUT_MS = 10_000.0
 
 
--- a/soak/_fakes.py
+++ b/soak/_fakes.py
@@ -245,7 +245,7 @@
         self._find_process = find_process
 
     async def run(self) -> None:
-        """Own no connection."""
+        """Return at once, because there are no connections to run."""
 
     async def send_heartbeat(self, heartbeat: Any) -> Result:
         """Send a heartbeat."""
@@ -435,7 +435,7 @@
         self._find_worker = find_worker
 
     async def run(self) -> None:
-        """Own no connection."""
+        """Return at once, because there are no connections to run."""
 
     async def sync(self, request: SyncRequest) -> Result:
         """Send commands and read the worker's state."""
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -20,7 +20,7 @@
 
 
 class Injector:
-    """Injector of faults: one at a time, up to two or up to three together, by seed.
+    """Injector of random faults; the seed sets whether one, two or three may be concurrent.
 
     Parameters
     ----------
