--- a/coltsfootpier/dispatch/_link.py
+++ b/coltsfootpier/dispatch/_link.py
@@ -90,7 +90,7 @@
             self.reset()
 
     def reset(self) -> None:
-        """Discard the exchange state; the next request asks for all attempts."""
+        """Discard the exchange state; the next request is for all attempts."""
         self.sequence = 0
         self.synced = False
         self.pending = None
@@ -128,7 +128,7 @@
     def has_pending_work(
         self, assign: tuple[Assignment, ...], revoke: tuple[AttemptKey, ...]
     ) -> bool:
-        """Whether a request is due before the next regular one."""
+        """Return whether a request is due before the next regular one."""
         return bool(assign or revoke or self.acknowledge or self.pending or not self.synced)
 
     def apply_reply(self, reply: ExchangeReply, now_ms: float = 0.0) -> bool:
--- a/coltsfootpier/routing/_health.py
+++ b/coltsfootpier/routing/_health.py
@@ -22,7 +22,7 @@
 _EJECT_FAILURES = 5
 _PROBE_DELAY_MS = 1_000.0
 _MAX_PROBE_DELAY_MS = 30_000.0
-# Bounds how long a probe with lost feedback blocks a runner.
+# Maximum time for which a probe blocks a runner if its feedback is lost.
 _PROBE_TIMEOUT_MS = 10_000.0
 
 
@@ -128,7 +128,7 @@
     def limit_ejections(self, runners: Collection[str]) -> None:
         """Revert ejections where all daemons together have ejected more than a third.
 
-        Daemons may eject different runners before they learn of each other's ejections. All of
+        Daemons may eject different runners before they receive each other's ejections. All of
         them keep the same third, the runners with the lowest identifiers.
         """
         kept = sorted(self._all_ejected(runners))[: len(runners) // 3]
