--- a/coltsfootpier/node/_callers.py
+++ b/coltsfootpier/node/_callers.py
@@ -13,10 +13,10 @@
 from coltsfootpier.jobs import JobState
 from coltsfootpier.logs import log_event
 from coltsfootpier.node import _timing
-from coltsfootpier.node._messages import Configuration, Route
 from coltsfootpier.node._metrics import Metrics
 from coltsfootpier.node._peers import CancelJob, JobRequest, ReadJob, ReadQueue, SubmitJob
 from coltsfootpier.node._responses import Response, ResponseStatus
+from coltsfootpier.node._settings import Configuration, Route
 from coltsfootpier.platform import (
     DEADLINE_HEADER,
     decode_job,
@@ -41,7 +41,10 @@
     """Client that sends requests to the owner of the cell, in this process or on another VM."""
 
     async def send_request(self, request: JobRequest, deadline_ms: float) -> Response:
-        """Return the owner's response, or an unknown or rejected one if no owner responded."""
+        """Return the owner's response; if there is none, one with the status unknown or refused.
+
+        `deadline_ms` is the local time until which to wait for a response.
+        """
         ...
 
 
@@ -79,7 +82,7 @@
         self._owner_client = owner_client
         self._get_configuration = get_configuration
         self.in_flight = 0
-        self.draining = False
+        self.is_draining = False
 
     async def __call__(self, scope: Scope, receive: Callable, send: Callable) -> None:
         if scope["type"] != "http":
@@ -87,18 +90,18 @@
         self.in_flight += 1
         started_ms = self._clock.now_ms()
         try:
-            response = await self._handle(scope, receive)
+            response = await self._route_request(scope, receive)
             method, status = scope["method"], str(response.status)
             self._metrics.count("requests", method=method, status=status)
             self._metrics.observe("request_ms", self._clock.now_ms() - started_ms)
-            if self.draining:
-                closing = (*response.headers, (b"connection", b"close"))
-                response = attrs.evolve(response, headers=closing)
+            if self.is_draining:
+                headers = (*response.headers, (b"connection", b"close"))
+                response = attrs.evolve(response, headers=headers)
             await send_response(send, response)
         finally:
             self.in_flight -= 1
 
-    async def _handle(self, scope: Scope, receive: Callable) -> HttpResponse:
+    async def _route_request(self, scope: Scope, receive: Callable) -> HttpResponse:
         configuration = self._get_configuration()
         if configuration is None:
             return _build_retry_response(503, "no_configuration", _timing.DEFAULT_RETRY_AFTER_MS)
@@ -127,12 +130,13 @@
         return HttpResponse.problem(405, "bad_method", method)
 
     def _compute_remaining_ms(self, headers: dict[bytes, bytes], route: Route) -> float:
+        """Return the time for processing a request: the caller's or the route's, if shorter."""
         try:
             requested_ms = float(headers.get(DEADLINE_HEADER, b"") or math.inf)
         except ValueError:
             requested_ms = math.inf
-        left_ms = min(requested_ms if requested_ms > 0 else math.inf, route.timeout_ms)
-        return max(0.0, left_ms - _timing.RESPONSE_RESERVE_MS)
+        limit_ms = min(requested_ms if requested_ms > 0 else math.inf, route.timeout_ms)
+        return max(0.0, limit_ms - _timing.RESPONSE_RESERVE_MS)
 
     async def _submit(
         self, job_id: str, route: Route, body: bytes, deadline_ms: float
--- a/coltsfootpier/node/_change_sender.py
+++ b/coltsfootpier/node/_change_sender.py
@@ -1,7 +1,8 @@
 """Sender that repeats a change to the store until its outcome is known.
 
-It handles a store that loses the responses to a third of the changes, applies some of them seconds
-later, or responds in 600 ms instead of 4 ms. All jobs wait behind one change.
+Changes are sent one at a time, so all new jobs wait behind the change in flight. The sender limits
+that wait while the store loses the responses to a third of the changes, applies some of them
+seconds later, or responds in 600 ms instead of 4 ms.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 from coltsfootpier.platform import PlatformError, StoreUnavailable, StoreUnknown
 
 # Maximum number of concurrent attempts of one change. At a period of 150 ms the first reaches its
-# time limit of 1,000 ms about when the next would be sent.
+# time limit of 1,000 ms about when a seventh would be sent.
 MAX_ATTEMPTS = 6
 
 Outcome = Result[int, PlatformError]
@@ -43,8 +44,8 @@
 
     def record_response(self, duration_ms: float) -> None:
         """Update the period from the duration of an attempt that got a response."""
-        wanted_ms = _timing.COMMIT_RETRY_FACTOR * duration_ms
-        self.period_ms = min(_timing.STORE_TIMEOUT_MS, max(_timing.COMMIT_RETRY_MS, wanted_ms))
+        period_ms = _timing.COMMIT_RETRY_FACTOR * duration_ms
+        self.period_ms = min(_timing.STORE_TIMEOUT_MS, max(_timing.COMMIT_RETRY_MS, period_ms))
 
 
 class ChangeSender:
@@ -72,31 +73,34 @@
         Parameters
         ----------
         send : callable
-            Makes one attempt.
+            Makes one attempt and returns its outcome.
 
         Returns
         -------
         Result of int or PlatformError
-            `StoreUnavailable` only if no attempt has taken effect or may still do so.
+            Outcome of the change. It is `StoreUnavailable` only if no attempt has taken effect or
+            may still do so.
         """
-        outcomes, inbox = anyio.create_memory_object_stream[tuple[Outcome, float]](MAX_ATTEMPTS)
+        send_stream, receive_stream = anyio.create_memory_object_stream[tuple[Outcome, float]](
+            MAX_ATTEMPTS
+        )
         in_flight = 0
         maybe_applied = False
 
         async def make_attempt() -> None:
             sent_ms = self._clock.now_ms()
             outcome = await send()
-            await outcomes.send((outcome, self._clock.now_ms() - sent_ms))
+            await send_stream.send((outcome, self._clock.now_ms() - sent_ms))
 
-        with outcomes, inbox:
+        with send_stream, receive_stream:
             async with anyio.create_task_group() as group:
                 while True:
                     if in_flight < MAX_ATTEMPTS:
                         group.start_soon(make_attempt)
                         in_flight += 1
-                    with anyio.move_on_after(self._timer.period_ms / 1000) as period:
-                        outcome, duration_ms = await inbox.receive()
-                    if period.cancelled_caught:
+                    with anyio.move_on_after(self._timer.period_ms / 1000) as wait_scope:
+                        outcome, duration_ms = await receive_stream.receive()
+                    if wait_scope.cancelled_caught:
                         continue
                     in_flight -= 1
                     self._record_outcome(outcome, duration_ms)
--- a/coltsfootpier/node/_committer.py
+++ b/coltsfootpier/node/_committer.py
@@ -30,12 +30,12 @@
 from coltsfootpier.transport import MalformedMessageError, encode
 
 # Maximum number of records of ended jobs that one change removes.
-_MAX_REMOVED = 4
-# Maximum number of single records that one change writes.
-_MAX_RECORDS = 4
-# Entries of a change other than job records: the expected and the new head, the expected and the
-# new owner's key, the fleet, the learned state, and removals.
-_RESERVED_ENTRIES = 6 + _MAX_REMOVED
+_MAX_REMOVED_JOBS = 4
+# Maximum number of single records (see `Committer.put_record`) that one change writes.
+_MAX_SINGLE_RECORDS = 4
+# Entries of a change other than job records and single records: the expected and the new head, the
+# expected and the new owner's key, the fleet, the learned state, and removals.
+_RESERVED_ENTRIES = 6 + _MAX_REMOVED_JOBS
 
 
 @attrs.frozen
@@ -60,7 +60,7 @@
         Store revision of the head.
     owner : OwnerInfo
         Value of the owner's key.
-    kept_ms : float
+    retention_ms : float
         Retention time of the record of an ended job, in ms.
     """
 
@@ -72,28 +72,29 @@
         head: Head,
         revision: int,
         owner: OwnerInfo,
-        kept_ms: float,
+        retention_ms: float,
     ) -> None:
-        self._kept_ms = kept_ms
+        self._retention_ms = retention_ms
         self._store = store
         self._clock = clock
         self._head = head
         self._revision = revision
         self._owner = owner
         self._fleet: tuple[bytes, frozenset[str]] | None = None
-        # Runners in the list that the store holds.
+        # Identifiers of the runners in the durable list.
         self.recorded_fleet: frozenset[str] = frozenset()
+        # Lease under which the owner's key is to be written again; 0 if none.
         self._lease_to_bind = 0
         self._learned: bytes | None = None
-        # Single records not yet written, by key.
-        self._records: dict[str, bytes] = {}
+        # Single records that aren't durable yet, by key.
+        self._single_records: dict[str, bytes] = {}
         self._sender = ChangeSender(clock=clock, on_outcome=self._record_outcome)
         self._wake = anyio.Event()
         self._committed = anyio.Event()
-        # When the change that is being written was first sent; None between changes.
+        # Local time at which the change in flight was first sent; None between changes.
         self.pending_since_ms: float | None = None
         self.is_store_responding = True
-        # When the last attempt of any change ended.
+        # Local time at which the last attempt of any change ended.
         self._last_outcome_ms = float("-inf")
         self.commit_count = 0
 
@@ -102,7 +103,7 @@
         self._wake.set()
 
     def put_fleet(self, value: bytes, runner_ids: frozenset[str]) -> None:
-        """Write the list of runners with the next change."""
+        """Write the encoded list of runners, which lists `runner_ids`, with the next change."""
         self._fleet = (value, runner_ids)
         self.notify()
 
@@ -111,13 +112,16 @@
         self._learned = value
 
     def put_record(self, key: str, value: bytes) -> None:
-        """Write a single record with the next change."""
-        self._records[key] = value
+        """Write a single record with the next change.
+
+        Single records are written as given; they hold the progress and status of maintenance waves.
+        """
+        self._single_records[key] = value
         self.notify()
 
     def is_written(self, key: str) -> bool:
         """Return whether the latest value of a single record is durable."""
-        return key not in self._records
+        return key not in self._single_records
 
     def rebind_owner(self, lease: int) -> None:
         """Write the owner's key again under a new lease with the next change."""
@@ -133,7 +137,9 @@
     async def run(self, cell: Cell) -> OwnershipLost:
         """Commit changes until another daemon owns the cell."""
         while True:
-            if not (cell.jobs.dirty_count or self._fleet or self._lease_to_bind or self._records):
+            if not (
+                cell.jobs.dirty_count or self._fleet or self._lease_to_bind or self._single_records
+            ):
                 await self._wake.wait()
             self._wake = anyio.Event()
             ownership_lost = await self._commit(cell)
@@ -142,19 +148,20 @@
             self._notify_waiters()
 
     async def _commit(self, cell: Cell) -> OwnershipLost | None:
-        records = dict(list(self._records.items())[:_MAX_RECORDS])
-        batch = cell.jobs.list_dirty(MAX_ENTRIES - _RESERVED_ENTRIES - len(records))
+        """Commit one change; return None unless it shows that another daemon owns the cell."""
+        single_records = dict(list(self._single_records.items())[:_MAX_SINGLE_RECORDS])
+        batch = cell.jobs.list_dirty(MAX_ENTRIES - _RESERVED_ENTRIES - len(single_records))
         fleet, lease, learned = self._fleet, self._lease_to_bind, self._learned
-        if not (batch or fleet or lease or records):
+        if not (batch or fleet or lease or single_records):
             return None
         # Records of ended jobs are removed along with other changes, as the removal isn't urgent.
         expired = cell.jobs.list_expired(
-            self._clock.now_ms(), kept_ms=self._kept_ms, limit=_MAX_REMOVED
+            self._clock.now_ms(), kept_ms=self._retention_ms, limit=_MAX_REMOVED_JOBS
         )
-        change = self._head.next()
-        puts = [Write(HEAD_KEY, encode(change))]
+        next_head = self._head.next()
+        puts = [Write(HEAD_KEY, encode(next_head))]
         puts += [Write(job_key(job.record.id), encode_record(job.record)) for job, _ in batch]
-        puts += [Write(key, value) for key, value in records.items()]
+        puts += [Write(key, value) for key, value in single_records.items()]
         expect = {HEAD_KEY: self._revision}
         if fleet:
             puts.append(Write(FLEET_KEY, fleet[0]))
@@ -182,19 +189,19 @@
                 self._withdraw([job for job, _ in batch], cell, error)
                 await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
                 return None
-            found = None
+            resolution = None
             if not isinstance(error, LeaseLost):
-                found = self._resolve_conflict(error, change)
-            if isinstance(found, OwnershipLost):
-                return found
-            if found is None:
+                resolution = self._resolve_conflict(error, next_head)
+            if isinstance(resolution, OwnershipLost):
+                return resolution
+            if resolution is None:
                 # The new lease has ended, or the owner's key still exists. An earlier attempt may
-                # still take effect, so the number of this change isn't reused.
+                # still take effect, so the sequence number of this head isn't reused.
                 self._lease_to_bind = 0
-                self._head = change
+                self._head = next_head
                 return None
-            self._revision = found
-        self._head = change
+            self._revision = resolution
+        self._head = next_head
         self.commit_count += 1
         if fleet is not None:
             self.recorded_fleet = fleet[1]
@@ -202,9 +209,9 @@
                 self._fleet = None
         if self._learned is learned:
             self._learned = None
-        for key, value in records.items():
-            if self._records.get(key) is value:
-                del self._records[key]
+        for key, value in single_records.items():
+            if self._single_records.get(key) is value:
+                del self._single_records[key]
         if lease and self._lease_to_bind == lease:
             self._lease_to_bind = 0
         for job, version in batch:
@@ -217,8 +224,8 @@
         self._last_outcome_ms = self._clock.now_ms()
         if not isinstance(error, StoreUnknown):
             self.is_store_responding = not isinstance(error, StoreUnavailable)
-        # A single attempt without a response doesn't show that the store is down. That is decided
-        # by how long the change has been in flight.
+        # A single attempt without a response doesn't show that the store is down; `is_stuck` also
+        # considers how long the change has been in flight.
         elif duration_ms < _timing.COMMIT_RETRY_MS or duration_ms >= _timing.STORE_TIMEOUT_MS:
             self.is_store_responding = False
 
@@ -258,26 +265,29 @@
         committed, self._committed = self._committed, anyio.Event()
         committed.set()
 
-    def _resolve_conflict(self, error: ConditionFailed, change: Head) -> int | OwnershipLost | None:
+    def _resolve_conflict(
+        self, error: ConditionFailed, next_head: Head
+    ) -> int | OwnershipLost | None:
         """Return the revision of the change if an earlier attempt applied it.
 
-        None means that the head is unchanged and another condition of the change failed.
+        Return None if the head is unchanged, so that another condition of the change failed, and
+        `OwnershipLost` if another daemon wrote the head.
         """
         items = {item.key: item for item in error.items}
         item = items.get(HEAD_KEY, Item(HEAD_KEY))
         try:
-            found = decode_head(item.value)
+            found_head = decode_head(item.value)
         except MalformedMessageError as malformed:
             log_event("cannot decode head record", reason=str(malformed))
             return OwnershipLost(self._head)
-        if was_applied(change, found):
+        if was_applied(next_head, found_head):
             return item.version
         if item.version == self._revision:
             return None
         log_event(
             "ownership lost",
             generation=self._head.generation,
-            found_generation=found.generation,
-            found_holder=found.holder,
+            found_generation=found_head.generation,
+            found_holder=found_head.holder,
         )
-        return OwnershipLost(found)
+        return OwnershipLost(found_head)
--- a/coltsfootpier/node/_control.py
+++ b/coltsfootpier/node/_control.py
@@ -1,4 +1,4 @@
-"""State that a daemon watches in the store: configuration, maintenance waves, owner of the cell."""
+"""State that each daemon watches in the store: configuration, maintenance waves, cell owner."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from coltsfootpier.logs import log_event
 from coltsfootpier.maintenance import Wave
 from coltsfootpier.node import _timing
-from coltsfootpier.node._messages import Configuration
+from coltsfootpier.node._settings import Configuration
 from coltsfootpier.node.keys import CONTROL_PREFIX, OWNER_KEY
 from coltsfootpier.platform import (
     CONFIG_KEY,
@@ -23,7 +23,7 @@
 
 
 class ControlState:
-    """Latest configuration, maintenance waves and owner's key, followed by a watch of the store.
+    """Latest configuration, maintenance waves and owner of the cell, kept current by a store watch.
 
     Parameters
     ----------
@@ -34,12 +34,14 @@
     def __init__(self, *, store: StoreClient) -> None:
         self._store = store
         self.configuration: Configuration | None = None
+        # Maintenance waves by store key.
         self.waves: dict[str, Wave] = {}
         self.owner: OwnerInfo | None = None
         self.owner_revision = 0
-        self.synchronised = False
+        # Whether the state has been read from the store at least once.
+        self.is_synchronised = False
         self._changed = anyio.Event()
-        self._reachable = True
+        self._is_store_reachable = True
 
     async def wait_change(self, timeout_ms: float) -> None:
         """Wait until the configuration or the owner changes, at most `timeout_ms`."""
@@ -57,12 +59,12 @@
                 continue
             self._record_success()
             items = {item.key: item for item in listed.unwrap()}
-            self._apply(items.get(CONFIG_KEY, Item(CONFIG_KEY)))
-            self._apply(items.get(OWNER_KEY, Item(OWNER_KEY)))
+            self._apply_item(items.get(CONFIG_KEY, Item(CONFIG_KEY)))
+            self._apply_item(items.get(OWNER_KEY, Item(OWNER_KEY)))
             waves = {key: item for key, item in items.items() if key.startswith(WAVES_PREFIX)}
             for key in [*waves, *(set(self.waves) - set(waves))]:
                 self._apply_wave(waves.get(key, Item(key)))
-            self.synchronised = True
+            self.is_synchronised = True
             self._notify()
             await self._watch(max((item.changed for item in items.values()), default=0))
 
@@ -83,18 +85,18 @@
             self._record_success()
             events = result.unwrap()
             for item in events.items:
-                self._apply(item)
+                self._apply_item(item)
             after = max(after, events.store_revision)
             if events.items:
                 self._notify()
 
     def update_owner(self, owner: OwnerInfo, revision: int) -> None:
-        """Set an owner that is known from another source than the watch."""
+        """Set an owner that is known before the watch reports it; older revisions are ignored."""
         if revision > self.owner_revision:
             self.owner, self.owner_revision = owner, revision
             self._notify()
 
-    def _apply(self, item: Item) -> None:
+    def _apply_item(self, item: Item) -> None:
         if item.key == CONFIG_KEY and item.value is not None:
             self._apply_configuration(item)
         elif item.key.startswith(WAVES_PREFIX):
@@ -147,11 +149,11 @@
         changed.set()
 
     def _record_failure(self, error: object) -> None:
-        if self._reachable:
+        if self._is_store_reachable:
             log_event("store unreachable", reason=repr(error))
-        self._reachable = False
+        self._is_store_reachable = False
 
     def _record_success(self) -> None:
-        if not self._reachable:
+        if not self._is_store_reachable:
             log_event("store reachable again")
-        self._reachable = True
+        self._is_store_reachable = True
--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -1,4 +1,4 @@
-"""Daemon of an entry VM: its servers, claims of the cell and requests to the owner."""
+"""Daemon of an entry VM: runs its servers, claims the cell and forwards requests to the owner."""
 
 from __future__ import annotations
 
@@ -16,7 +16,6 @@
 from coltsfootpier.node._callers import CallerApplication
 from coltsfootpier.node._control import ControlState
 from coltsfootpier.node._election import choose_claim_delay, choose_lease_ttl
-from coltsfootpier.node._messages import CallerLimits, NodeSettings
 from coltsfootpier.node._metrics import Metrics
 from coltsfootpier.node._owner import Owner
 from coltsfootpier.node._peers import (
@@ -31,7 +30,8 @@
 )
 from coltsfootpier.node._reachability import OwnerReachability
 from coltsfootpier.node._reload import merge_settings
-from coltsfootpier.node._responses import NOT_OWNER, Response, ResponseStatus, reject
+from coltsfootpier.node._responses import NOT_OWNER, Response, ResponseStatus, build_rejection
+from coltsfootpier.node._settings import CallerLimits, NodeSettings
 from coltsfootpier.node.keys import HEAD_KEY, OWNER_KEY
 from coltsfootpier.platform import StoreClient, Write
 from coltsfootpier.transport import (
@@ -82,7 +82,8 @@
             metrics=self._metrics,
         )
         self._owner: Owner | None = None
-        self._peer: PeerClient | None = None
+        # Client of the daemon that owned the cell when a request was last sent to another VM.
+        self._peer_client: PeerClient | None = None
         self._reachability = OwnerReachability(clock=self._clock)
         self._stopping = anyio.Event()
         # Local time by which every request must have its response; finite once the daemon drains.
@@ -90,21 +91,21 @@
         self._servers: list[Server] = []
 
     async def run(self) -> BindError | None:
-        """Serve until `stop` and the drain after it; return the error of a failed bind."""
+        """Serve until the drain that `stop` starts has ended; return an error if a bind fails."""
         settings = self._settings
         log_event(
             "daemon started",
             incarnation=self._incarnation,
             availability_zone=settings.availability_zone,
         )
-        readiness = Application(routes={"GET /": self._handle_readiness}, max_body=_MAX_PROBE_BYTES)
+        readiness = Application(routes={"GET /": self._report_readiness}, max_body=_MAX_PROBE_BYTES)
         metrics = Application(
             routes={"GET /metrics": self._render_metrics}, max_body=_MAX_PROBE_BYTES
         )
         peers = build_peer_application(get_owner=lambda: self._owner)
-        limited = build_protocol(self._get_limits, self._record_closed_connection)
+        limited_protocol = build_protocol(self._get_limits, self._record_closed_connection)
         for app, (host, port), protocol in (
-            (self._callers, settings.callers, limited),
+            (self._callers, settings.callers, limited_protocol),
             (readiness, settings.readiness, None),
             (peers, (settings.ip, settings.peer_port), None),
             (metrics, (settings.ip, settings.metrics_port), None),
@@ -139,14 +140,14 @@
         log_event("connection closed", bound=bound)
 
     def stop(self) -> None:
-        """Start draining."""
+        """Start the drain, after which `run` returns."""
         self._stopping.set()
 
     def reload(self, new_settings: NodeSettings) -> None:
-        """Apply the current content of the settings file.
+        """Apply settings that were read from the changed settings file.
 
-        An owner keeps its bounds until it resigns, because the leases of runs that it has extended
-        rely on them.
+        A running owner keeps the previous bounds until it resigns, because the leases of runs
+        that it has extended depend on them.
         """
         reload = merge_settings(self._settings, new_settings)
         self._settings = reload.settings
@@ -159,20 +160,20 @@
     async def _drain(self) -> None:
         log_event("drain started", owner=self._owner is not None)
         end_ms = self._clock.now_ms() + self._settings.exit_grace_ms - _timing.EXIT_RESERVE_MS
-        # A request that is interrupted by the exit of the process would get a 500 response, which
-        # doesn't show its caller whether the request took effect.
+        # Requests get their response before the process exits. One that the exit interrupts would
+        # get a 500 response, which doesn't tell its caller whether the request took effect.
         self._responses_due_ms = end_ms - _timing.RESPONSE_RESERVE_MS
-        self._callers.draining = True
+        self._callers.is_draining = True
         if self._owner is not None:
             await self._owner.resign()
         await anyio.sleep(_timing.DRAIN_MS / 1000)
         while self._callers.in_flight and self._clock.now_ms() < end_ms:
             await anyio.sleep(_timing.MIN_PLAN_PERIOD_MS / 1000)
 
-    async def _handle_readiness(self, _: HttpRequest) -> HttpResponse:
+    async def _report_readiness(self, _: HttpRequest) -> HttpResponse:
         ready = (
             self._control.configuration is not None
-            and not self._callers.draining
+            and not self._callers.is_draining
             and not self._reachability.is_unreachable
         )
         return HttpResponse.of({"ready": ready}, 200 if ready else 503)
@@ -206,24 +207,24 @@
     # Ownership
 
     async def _claim_when_unowned(self) -> None:
-        """Claim the cell whenever it has no owner."""
+        """Claim the cell whenever it has no owner, and own it until the ownership ends."""
         while not self._stopping.is_set():
             control = self._control
             owner = control.owner
-            if not control.synchronised or control.configuration is None:
+            if not control.is_synchronised or control.configuration is None:
                 await control.wait_change(_timing.STORE_TIMEOUT_MS)
             elif owner is None:
                 await control.wait_change(choose_claim_delay(self._settings.cores, random.random()))
                 if control.owner is None:
                     await self._claim(0)
-            elif owner.address == self._peer_address and owner.holder != self._incarnation:
-                # An earlier incarnation of this daemon, which no longer runs.
+            elif owner.address == self._own_peer_address and owner.holder != self._incarnation:
+                # The owner is an earlier incarnation of this daemon, which no longer runs.
                 await self._claim(control.owner_revision)
             else:
                 await control.wait_change(_timing.STORE_TIMEOUT_MS)
 
     @property
-    def _peer_address(self) -> str:
+    def _own_peer_address(self) -> str:
         return f"{self._settings.ip}:{self._settings.peer_port}"
 
     async def _claim(self, owner_revision: int) -> None:
@@ -245,7 +246,7 @@
             return
         lease = granted.unwrap().id
         info = OwnerInfo(
-            holder=self._incarnation, address=self._peer_address, generation=head.generation
+            holder=self._incarnation, address=self._own_peer_address, generation=head.generation
         )
         result = await self._store.commit(
             expect={OWNER_KEY: owner_revision, HEAD_KEY: item.version},
@@ -253,8 +254,9 @@
         )
         if isinstance(result, Failure):
             log_event("claim failed", generation=head.generation, reason=repr(result.failure()))
-            # If the claim took effect, the watch shows it in the owner's key. A claim that takes
-            # effect later ends when its lease expires.
+            # The claim may have taken effect although the commit failed; the watch then shows this
+            # daemon in the owner's key. A claim that takes effect later ends when its lease
+            # expires.
             await self._control.wait_change(_timing.STORE_BACKOFF_MS)
             if self._control.owner == info:
                 await self._run_owner(head, self._control.owner_revision, info, lease)
@@ -286,46 +288,46 @@
     async def send_request(self, request: JobRequest, deadline_ms: float) -> Response:
         """Send a request to the owner, in this process or on another VM; see `OwnerClient`."""
         started_ms = self._clock.now_ms()
-        sent = False
+        maybe_sent = False
         while True:
             left_ms = min(deadline_ms, self._responses_due_ms) - self._clock.now_ms()
             if left_ms <= 0:
                 # A job that was never sent to an owner can't have been accepted.
-                if sent or not isinstance(request, SubmitJob):
+                if maybe_sent or not isinstance(request, SubmitJob):
                     return Response(status=ResponseStatus.UNKNOWN, reason="deadline")
-                return reject("deadline")
-            if not sent and isinstance(request, SubmitJob) and self._is_owner_unresponsive():
-                return reject("owner_silent")
+                return build_rejection("deadline")
+            if not maybe_sent and isinstance(request, SubmitJob) and self._is_owner_unresponsive():
+                return build_rejection("owner_silent")
             waited_ms = self._clock.now_ms() - started_ms
             if (
-                not sent
+                not maybe_sent
                 and waited_ms > _timing.OWNER_WAIT_TIMEOUT_MS
                 and isinstance(request, SubmitJob)
             ):
-                return reject("no_owner")
+                return build_rejection("no_owner")
             response, maybe_processed = await self._send_once(request, left_ms)
-            sent = sent or maybe_processed
+            maybe_sent = maybe_sent or maybe_processed
             if response is not None and response.status is not ResponseStatus.UNKNOWN:
                 return response
             await self._control.wait_change(min(left_ms, 5 * _timing.MIN_PLAN_PERIOD_MS))
 
     async def _send_once(self, request: JobRequest, left_ms: float) -> tuple[Response | None, bool]:
-        """Send a request once; return the response, and whether an owner may have processed it."""
+        """Send a request once; return the response and whether an owner may have processed it."""
         if self._owner is not None and self._owner.is_ready:
             self._reachability.reset()
             return await pass_to_owner(self._owner, request), True
         info = self._control.owner
         if info is None or info.holder == self._incarnation:
             return None, False
-        if self._peer is None or self._peer.address != info.address:
-            if self._peer is not None:
-                self._peer.close()
+        if self._peer_client is None or self._peer_client.address != info.address:
+            if self._peer_client is not None:
+                self._peer_client.close()
             self._reachability.reset()
-            self._peer = PeerClient(address=info.address, clock=self._clock)
+            self._peer_client = PeerClient(address=info.address, clock=self._clock)
         is_change = isinstance(request, SubmitJob | CancelJob)
         timeout_ms = min(left_ms, _timing.PEER_TIMEOUT_MS * (2 if is_change else 1))
         result = await request_while_owner(
-            self._peer, request, info=info, watch=self._control, timeout_ms=timeout_ms
+            self._peer_client, request, info=info, watch=self._control, timeout_ms=timeout_ms
         )
         self._record_reachability(responded=not isinstance(result, Failure))
         if isinstance(result, Failure):
@@ -338,8 +340,8 @@
         return (
             self._owner is None
             and info is not None
-            and self._peer is not None
-            and self._peer.address == info.address
+            and self._peer_client is not None
+            and self._peer_client.address == info.address
             and self._reachability.is_unresponsive
         )
 
@@ -353,7 +355,7 @@
                     if self._reachability.is_unreachable
                     else "owner reachable again"
                 ),
-                address=self._peer.address if self._peer is not None else "",
+                address=self._peer_client.address if self._peer_client is not None else "",
             )
 
     async def _probe_unresponsive_owner(self) -> None:
--- a/coltsfootpier/node/_election.py
+++ b/coltsfootpier/node/_election.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from coltsfootpier.node import _timing
-from coltsfootpier.node._messages import NodeSettings
+from coltsfootpier.node._settings import NodeSettings
 
 # Claim delay of a daemon with one core; the delay is inversely proportional to the number of cores.
 # Between VMs of 2.15 and 0.52 cores the delays differ by 59 ms, which is the time that a claim and
-# its notification through the watch take.
+# its notification to the other daemons through the watch take.
 _SINGLE_CORE_DELAY_MS = 40.0
-# Random addition to the delay of daemons with equal cores, so that most of them see the owner's key
-# of the first one before they claim.
+# Maximum random addition to the delay. It separates the claims of daemons with equal cores, so that
+# most of them see the owner's key of the first one before they claim.
 _MAX_JITTER_MS = 20.0
 
 
--- a/coltsfootpier/node/_lease.py
+++ b/coltsfootpier/node/_lease.py
@@ -13,7 +13,7 @@
 from coltsfootpier.node import _timing
 from coltsfootpier.platform import LeaseLost, PlatformError, StoreLease
 
-# Maximum number of concurrent renewals: as many as are sent while one waits for its response.
+# Maximum number of concurrent renewals: as many as are sent until the first reaches its time limit.
 _MAX_IN_FLIGHT = 1 + int(_timing.STORE_TIMEOUT_MS / _timing.OWNER_RENEW_PERIOD_MS)
 
 
@@ -29,10 +29,10 @@
         ...
 
 
-class LeaseKeeper:
-    """Keeper of the lease of the owner's key.
+class LeaseRenewer:
+    """Renews the lease of the owner's key, and replaces it by a new one if it has expired.
 
-    It keeps the lease while the store loses or delays the responses to a third of its calls. A
+    It keeps the lease also while the store loses or delays the responses to a third of its calls. A
     renewal is sent every period, whether or not the previous one got a response, since waiting for
     a response until the time limit could take longer than the lease lasts.
 
@@ -43,11 +43,11 @@
     clock : Clock
         Time source.
     lease : int
-        Lease that the claim of the cell used.
+        Identifier of the lease that the claim of the cell used.
     ttl_ms : float
         Time to live of a new lease, in ms.
     on_granted : callable
-        Called with a new lease that replaces an expired one.
+        Called with the identifier of a new lease that replaces an expired one.
     """
 
     def __init__(
@@ -67,7 +67,7 @@
         # Send time of the latest renewal that the store confirmed.
         self._renewed_ms = clock.now_ms()
         self._in_flight = 0
-        self._granting = False
+        self._is_granting = False
 
     @property
     def is_valid(self) -> bool:
@@ -93,16 +93,16 @@
             self._renewed_ms = max(self._renewed_ms, sent_ms)
             return
         is_expired = isinstance(result.failure(), LeaseLost)
-        if is_expired and lease == self.lease and not self._granting:
+        if is_expired and lease == self.lease and not self._is_granting:
             await self._grant()
 
     async def _grant(self) -> None:
         log_event("owner's lease expired", lease=self.lease)
-        self._granting = True
+        self._is_granting = True
         try:
             granted = await self._store.grant_lease(ttl_ms=self._ttl_ms)
         finally:
-            self._granting = False
+            self._is_granting = False
         if isinstance(granted, Failure):
             log_event("lease grant failed", reason=repr(granted.failure()))
             return
--- a/coltsfootpier/node/_main.py
+++ b/coltsfootpier/node/_main.py
@@ -19,7 +19,7 @@
 from coltsfootpier.logs import log_event
 from coltsfootpier.node import _timing
 from coltsfootpier.node._daemon import Daemon
-from coltsfootpier.node._messages import NodeSettings
+from coltsfootpier.node._settings import NodeSettings
 from coltsfootpier.platform import SETTINGS_VARIABLE, read_node_settings
 
 EXIT_USAGE = 2
@@ -55,13 +55,13 @@
     path : Path
         The settings file.
     on_change : callable
-        Called with the new settings; only for a file that has changed and can be read.
+        Called with the new settings when the file has changed and can be read.
     """
 
     def __init__(self, *, path: Path, on_change: Callable[[NodeSettings], None]) -> None:
         self._path = path
         self._on_change = on_change
-        self._text = self._read_text()
+        self._content = self._read_content()
 
     async def run(self) -> None:
         """Check the file periodically until cancelled."""
@@ -70,18 +70,18 @@
             self.check_file()
 
     def check_file(self) -> None:
-        """Reload the file if it has changed; the previous settings stay if it can't be read."""
-        text = self._read_text()
-        if text is None or text == self._text:
+        """Reload the file if it has changed; if it can't be read, the previous settings stay."""
+        content = self._read_content()
+        if content is None or content == self._content:
             return
-        self._text = text
+        self._content = content
         read = read_node_settings(self._path)
         if isinstance(read, Failure):
             log_event("cannot read settings", reason=read.failure())
             return
         self._on_change(read.unwrap())
 
-    def _read_text(self) -> bytes | None:
+    def _read_content(self) -> bytes | None:
         try:
             return self._path.read_bytes()
         except OSError as error:
@@ -100,8 +100,8 @@
         return EXIT_INVALID
     settings = read.unwrap()
     if flags.FLAGS.check:
-        for owner, origin in ((settings, path), (CellSettings(), "default")):
-            for name, value in attrs.asdict(owner).items():
+        for group, origin in ((settings, path), (CellSettings(), "default")):
+            for name, value in attrs.asdict(group).items():
                 print(f"{name} = {value!r}  # {origin}")
         return 0
     writer = logs.BoundedWriter(descriptor=sys.stdout.fileno(), clock=MonotonicClock())
--- a/coltsfootpier/node/_metrics.py
+++ b/coltsfootpier/node/_metrics.py
@@ -10,16 +10,16 @@
 from aioprometheus import Gauge, Registry
 from aioprometheus.formats import text
 
-# Upper bounds of the histogram buckets in ms, doubling from one to the next. They cover 20 ms, in
-# which an accepted job becomes durable at best, to a minute, in which it ends at worst.
-BOUNDS_MS = (5, 10, 20, 40, 80, 160, 320, 640, 1_280, 2_560, 5_120, 10_240, 20_480, 40_960)
+# Upper bounds of the histogram buckets in ms, doubling from one to the next. The range follows
+# from jobs: one becomes durable after 20 ms at best and ends after a minute at worst.
+BUCKET_BOUNDS_MS = (5, 10, 20, 40, 80, 160, 320, 640, 1_280, 2_560, 5_120, 10_240, 20_480, 40_960)
 
 
 class Metrics:
     """Counters and histograms in plain dictionaries.
 
-    The Prometheus library is used only to render a scrape, because its calls are too expensive for
-    each event.
+    The Prometheus library is used only to render a scrape, because its calls are too expensive to
+    make for each event.
 
     Examples
     --------
@@ -49,28 +49,30 @@
 
     def observe(self, name: str, value_ms: float) -> None:
         """Add a latency in ms to a histogram."""
-        buckets = self._buckets.setdefault(name, [0] * (len(BOUNDS_MS) + 1))
-        buckets[bisect.bisect_left(BOUNDS_MS, value_ms)] += 1
+        buckets = self._buckets.setdefault(name, [0] * (len(BUCKET_BOUNDS_MS) + 1))
+        buckets[bisect.bisect_left(BUCKET_BOUNDS_MS, value_ms)] += 1
         self._sums[name] = self._sums.get(name, 0.0) + value_ms
 
-    def render(self, gauges: Mapping[str, float], counts: Mapping[str, int] | None = None) -> bytes:
+    def render(
+        self, gauges: Mapping[str, float], decision_counts: Mapping[str, int] | None = None
+    ) -> bytes:
         """Return all metrics in the Prometheus text format.
 
         Parameters
         ----------
         gauges : Mapping of str to float
             Current gauge values by name.
-        counts : Mapping of str to int, optional
-            Numbers of scheduling decisions by name, which the cell counts.
+        decision_counts : Mapping of str to int, optional
+            Numbers of the cell's scheduling decisions by name.
         """
         registry = Registry()
         for name, values in self._counters.items():
             metric = CounterMetric(f"coltsfootpier_{name}_total", name, registry=registry)
             for labels, count in values.items():
                 metric.set(dict(labels), count)
-        if counts:
+        if decision_counts:
             metric = CounterMetric("coltsfootpier_decisions_total", "decisions", registry=registry)
-            for name, count in counts.items():
+            for name, count in decision_counts.items():
                 metric.set({"decision": name}, count)
         for name, value in gauges.items():
             gauge = Gauge(f"coltsfootpier_{name}", name.replace("_", " "), registry=registry)
@@ -81,9 +83,9 @@
     def _render_histogram(self, name: str) -> bytes:
         metric = f"coltsfootpier_{name}"
         lines = [f"# TYPE {metric} histogram"]
-        total = 0
-        for bound, count in zip((*BOUNDS_MS, "+Inf"), self._buckets[name], strict=True):
-            total += count
-            lines.append(f'{metric}_bucket{{le="{bound}"}} {total}')
-        lines += [f"{metric}_sum {self._sums[name]:.3f}", f"{metric}_count {total}", ""]
+        cumulative_count = 0
+        for bound, count in zip((*BUCKET_BOUNDS_MS, "+Inf"), self._buckets[name], strict=True):
+            cumulative_count += count
+            lines.append(f'{metric}_bucket{{le="{bound}"}} {cumulative_count}')
+        lines += [f"{metric}_sum {self._sums[name]:.3f}", f"{metric}_count {cumulative_count}", ""]
         return "\n".join(lines).encode()
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -1,4 +1,4 @@
-"""Tasks that a daemon runs while it owns the cell."""
+"""Owner of the cell: the tasks that a daemon runs while it owns the cell."""
 
 from __future__ import annotations
 
@@ -27,13 +27,13 @@
 from coltsfootpier.node import _timing
 from coltsfootpier.node._committer import Committer, OwnershipLost
 from coltsfootpier.node._election import choose_lease_ttl
-from coltsfootpier.node._lease import LeaseKeeper
-from coltsfootpier.node._messages import Configuration, NodeSettings
+from coltsfootpier.node._lease import LeaseRenewer
 from coltsfootpier.node._metrics import Metrics
 from coltsfootpier.node._records import OwnerRecords, encode_fleet, load_records
 from coltsfootpier.node._registry import RegistryMerger
-from coltsfootpier.node._responses import NOT_OWNER, Response, ResponseStatus, reject
+from coltsfootpier.node._responses import NOT_OWNER, Response, ResponseStatus, build_rejection
 from coltsfootpier.node._runner_task import RunnerTask
+from coltsfootpier.node._settings import Configuration, NodeSettings
 from coltsfootpier.node._vms import VmTask
 from coltsfootpier.node.keys import job_key
 from coltsfootpier.platform import (
@@ -46,7 +46,7 @@
 from coltsfootpier.transport import encode
 
 # Upper bound of the run lease as a fraction of the longest lease that the platform allows.
-_MAX_LEASE_FRACTION = 0.6
+_MAX_RUN_LEASE_FRACTION = 0.6
 
 
 class Owner:
@@ -67,7 +67,7 @@
     info : OwnerInfo
         Value of the owner's key.
     lease : int
-        Lease of the owner's key.
+        Identifier of the lease of the owner's key.
     metrics : Metrics
         Counters and histograms of the daemon.
     get_waves : callable, optional
@@ -92,14 +92,14 @@
         self._get_waves = get_waves
         self._metrics = metrics
         self._cell_settings = cell_settings
-        self._lease_ms = min(
-            cell_settings.run_lease_ms, _MAX_LEASE_FRACTION * settings.max_run_lease_ms
+        self._run_lease_ms = min(
+            cell_settings.run_lease_ms, _MAX_RUN_LEASE_FRACTION * settings.max_run_lease_ms
         )
         self._store = store
         self._clock = clock
         self.info = info
         self.cell = Cell(
-            settings=attrs.evolve(cell_settings, run_lease_ms=self._lease_ms),
+            settings=attrs.evolve(cell_settings, run_lease_ms=self._run_lease_ms),
             generation=head.generation,
             log=log_event,
             observe=metrics.observe,
@@ -110,39 +110,39 @@
             head=head,
             revision=revision,
             owner=info,
-            kept_ms=settings.status_kept_ms,
+            retention_ms=settings.status_kept_ms,
         )
-        self._lease = LeaseKeeper(
+        self._lease_renewer = LeaseRenewer(
             store=store,
             clock=clock,
             lease=lease,
             ttl_ms=choose_lease_ttl(settings),
             on_granted=self._committer.rebind_owner,
         )
-        self._advice = None
+        self._advice_client = None
         if settings.advice is not None:
             host, port = settings.advice
-            self._advice = AdviceClient(host=host, port=port, clock=clock)
-        self._tasks: dict[str, RunnerTask] = {}
-        self._fleet: dict[str, RunnerEntry] = {}
+            self._advice_client = AdviceClient(host=host, port=port, clock=clock)
+        self._runner_tasks: dict[str, RunnerTask] = {}
+        self._fleet_entries: dict[str, RunnerEntry] = {}
         self._wake = anyio.Event()
         self._group: TaskGroup | None = None
-        self._registry = RegistryMerger()
+        self._registry_merger = RegistryMerger()
         self.is_ready = False
-        self._resigning = False
+        self._is_resigning = False
         self._is_stopped = False
 
     async def run(self, configuration: Configuration) -> None:
-        """Run the cell until another daemon owns it, or until `resign`."""
+        """Schedule the cell until another daemon owns it, or until `resign`."""
         self.cell.set_queues(configuration.queues)
-        loaded = await self._load()
+        loaded = await self._load_records()
         if loaded is None:
             return
         now_ms = self._clock.now_ms()
         self.cell.restore_learned(loaded.learned)
         self.cell.load(loaded.jobs, loaded.fleet, now_ms=now_ms, unix_ms=time.time() * 1000)
-        self._fleet = {entry.id: entry for entry in loaded.fleet}
-        self._committer.recorded_fleet = frozenset(self._fleet)
+        self._fleet_entries = {entry.id: entry for entry in loaded.fleet}
+        self._committer.recorded_fleet = frozenset(self._fleet_entries)
         log_event(
             "ownership begins",
             generation=self.cell.generation,
@@ -154,12 +154,12 @@
             async with anyio.create_task_group() as group:
                 self._group = group
                 group.start_soon(self._poll_registry)
-                group.start_soon(self._lease.run)
+                group.start_soon(self._lease_renewer.run)
                 group.start_soon(self._run_planner)
                 group.start_soon(self._log_summaries)
                 group.start_soon(self._save_learned)
                 if self._settings.vm_service is not None:
-                    group.start_soon(self._run_vm_task, loaded.upkeep)
+                    group.start_soon(self._run_vm_task, loaded.maintenance)
                 self.is_ready = True
                 ownership_lost = await self._committer.run(self.cell)
                 self._stop(ownership_lost)
@@ -168,7 +168,7 @@
             log_event("ownership ended", generation=self.cell.generation)
 
     def _stop(self, cause: OwnershipLost | str) -> None:
-        # Several runners may report a later owner at the same time.
+        # Several causes may coincide, for example several runners that report a later owner.
         if self._is_stopped:
             return
         self._is_stopped = True
@@ -176,7 +176,7 @@
         if self._group is not None:
             self._group.cancel_scope.cancel()
 
-    async def _load(self) -> OwnerRecords | None:
+    async def _load_records(self) -> OwnerRecords | None:
         deadline_ms = self._clock.now_ms() + _timing.OWNER_LEASE_MS
         while self._clock.now_ms() < deadline_ms:
             result = await load_records(self._store)
@@ -188,12 +188,12 @@
 
     async def resign(self) -> None:
         """Release the cell immediately: commit pending changes, then end the lease."""
-        self._resigning = True
+        self._is_resigning = True
         deadline_ms = self._clock.now_ms() + _timing.STORE_TIMEOUT_MS
         while self.cell.jobs.dirty_count and self._clock.now_ms() < deadline_ms:
             await self._committer.wait_commit(_timing.STORE_BACKOFF_MS)
         self._stop("resigned")
-        await self._store.end_lease(self._lease.lease)
+        await self._store.end_lease(self._lease_renewer.lease)
 
     # Requests about jobs
 
@@ -213,11 +213,11 @@
         """
         started_ms = self._clock.now_ms()
         deadline_ms = started_ms + left_ms
-        if not self.is_ready or self._resigning:
+        if not self.is_ready or self._is_resigning:
             return NOT_OWNER
         if job_id not in self.cell.jobs.jobs and self._committer.is_stuck:
             log_event("job rejected", job=job_id, reason="store")
-            return reject("store")
+            return build_rejection("store")
         result = self.cell.submit(
             job_id, queue, spec, now_ms=self._clock.now_ms(), unix_ms=time.time() * 1000
         )
@@ -232,7 +232,7 @@
                 critical_path_ms=result.critical_path_ms,
                 generation=self.cell.generation,
             )
-            return reject(result.reason, result.retry_after_ms)
+            return build_rejection(result.reason, result.retry_after_ms)
         outcome = await self._wait_durable(result, deadline_ms)
         if outcome is ResponseStatus.ACCEPTED:
             durable_ms = self._clock.now_ms() - started_ms
@@ -246,7 +246,11 @@
                 generation=self.cell.generation,
             )
             self._wake_planner()
-        return reject("store") if outcome is ResponseStatus.REFUSED else Response(status=outcome)
+        return (
+            build_rejection("store")
+            if outcome is ResponseStatus.REFUSED
+            else Response(status=outcome)
+        )
 
     async def _wait_durable(self, accepted: Accepted, deadline_ms: float) -> ResponseStatus:
         job = accepted.job
@@ -261,7 +265,15 @@
         return ResponseStatus.ACCEPTED
 
     async def cancel(self, job_id: str, left_ms: float) -> Response:
-        """Cancel a job and wait until the cancellation is durable."""
+        """Cancel a job and wait until the cancellation is durable.
+
+        Parameters
+        ----------
+        job_id : str
+            Identifier of the job.
+        left_ms : float
+            Remaining time in ms until the caller's deadline.
+        """
         if not self.is_ready:
             return NOT_OWNER
         job = self.cell.cancel(job_id, self._clock.now_ms())
@@ -278,12 +290,12 @@
         """Return the state of a job."""
         if not self.is_ready:
             return NOT_OWNER
-        if not self._lease.is_valid:
-            # A later owner may have ended the job. If the store doesn't respond, the state in
-            # memory is the best available.
-            recorded = await self._read_final_state(job_id)
-            if recorded is not None:
-                return Response(status=ResponseStatus.KNOWN, state=recorded)
+        if not self._lease_renewer.is_valid:
+            # A later owner may have ended the job, which then has a final state in the store. If
+            # the store doesn't respond, the state in memory is the best available.
+            final_state = await self._read_final_state(job_id)
+            if final_state is not None:
+                return Response(status=ResponseStatus.KNOWN, state=final_state)
         job = self.cell.jobs.jobs.get(job_id)
         if job is None or job.durable_version == 0:
             return self._build_unknown_job_response()
@@ -293,11 +305,14 @@
         """Return the response for a job that is unknown to this owner.
 
         An owner whose lease may have expired, for example because its process was frozen, doesn't
-        have the jobs of its successor and so can't report a job as missing.
+        know the jobs that its successor has accepted, so it can't report a job as missing.
         """
-        return Response(status=ResponseStatus.MISSING) if self._lease.is_valid else NOT_OWNER
+        return (
+            Response(status=ResponseStatus.MISSING) if self._lease_renewer.is_valid else NOT_OWNER
+        )
 
     async def _read_final_state(self, job_id: str) -> JobState | None:
+        """Return the final state of a job in the store; None if it has none or can't be read."""
         item = await self._store.get(job_key(job_id), timeout_ms=_timing.STORE_READ_TIMEOUT_MS)
         if isinstance(item, Failure):
             log_event(
@@ -327,12 +342,13 @@
     # Tasks
 
     def _wake_planner(self) -> None:
+        """Wake the planner, and the committer if the cell has unwritten changes."""
         self._wake.set()
         if self.cell.jobs.dirty_count:
             self._committer.notify()
 
     def _on_fenced(self, target: str) -> None:
-        if not self._resigning:
+        if not self._is_resigning:
             log_event("fenced by a later owner", at=target)
             self._stop("fenced")
 
@@ -354,16 +370,18 @@
 
     def _execute(self, command: CellCommand) -> None:
         if isinstance(command, AdviceRequest):
-            if self._advice is not None:
+            if self._advice_client is not None:
                 self._group.start_soon(self._request_advice, command)
             return
-        task = self._tasks.get(command.runner_id)
+        task = self._runner_tasks.get(command.runner_id)
         if task is not None:
             task.execute(command)
 
     async def _request_advice(self, request: AdviceRequest) -> None:
         requested_ms = self._clock.now_ms()
-        result = await self._advice.request_tickets(request, timeout_ms=_timing.ADVICE_TIMEOUT_MS)
+        result = await self._advice_client.request_tickets(
+            request, timeout_ms=_timing.ADVICE_TIMEOUT_MS
+        )
         if isinstance(result, Failure):
             log_event(
                 "advice request failed", job=request.step_id[0], reason=repr(result.failure())
@@ -383,41 +401,45 @@
                 ]
                 self._apply_registry(entries, now_ms)
             else:
-                self._registry.record_failure()
+                self._registry_merger.record_failure()
             await anyio.sleep(_timing.REGISTRY_PERIOD_MS / 1000)
 
     def _apply_registry(self, entries: list[RunnerEntry], now_ms: float) -> None:
         listed = [runner.entry for runner in self.cell.fleet.runners.values() if runner.listed]
-        entries = self._registry.merge(entries, listed, now_ms)
+        entries = self._registry_merger.merge(entries, listed, now_ms)
         self.cell.set_runners(entries, now_ms)
-        new = [entry for entry in entries if entry.id not in self._fleet]
+        new = [entry for entry in entries if entry.id not in self._fleet_entries]
         removed = [
-            runner_id for runner_id in self._fleet if runner_id not in self.cell.fleet.runners
+            runner_id
+            for runner_id in self._fleet_entries
+            if runner_id not in self.cell.fleet.runners
         ]
         if new or removed:
-            self._fleet.update((entry.id, entry) for entry in new)
+            self._fleet_entries.update((entry.id, entry) for entry in new)
             for runner_id in removed:
-                del self._fleet[runner_id]
-            self._committer.put_fleet(encode_fleet(self._fleet.values()), frozenset(self._fleet))
+                del self._fleet_entries[runner_id]
+            self._committer.put_fleet(
+                encode_fleet(self._fleet_entries.values()), frozenset(self._fleet_entries)
+            )
         self._update_runner_tasks()
         self._wake_planner()
 
     def _update_runner_tasks(self) -> None:
-        for runner_id, task in list(self._tasks.items()):
+        for runner_id, task in list(self._runner_tasks.items()):
             runner = self.cell.fleet.runners.get(runner_id)
             if runner is None or runner.entry.address != task.address:
                 task.scope.cancel()
-                del self._tasks[runner_id]
+                del self._runner_tasks[runner_id]
         for runner_id, runner in self.cell.fleet.runners.items():
-            if runner_id not in self._tasks:
-                task = self._tasks[runner_id] = RunnerTask(
+            if runner_id not in self._runner_tasks:
+                task = self._runner_tasks[runner_id] = RunnerTask(
                     entry=runner.entry,
                     cell=self.cell,
                     settings=self._cell_settings,
-                    lease_ms=self._lease_ms,
+                    run_lease_ms=self._run_lease_ms,
                     commits=self._committer,
                     clock=self._clock,
-                    on_event=self._wake_planner,
+                    on_change=self._wake_planner,
                     on_fenced=self._on_fenced,
                 )
                 self._group.start_soon(task.run)
@@ -430,7 +452,7 @@
     async def _run_vm_task(self, record: MaintenanceRecord) -> None:
         settings = self._settings
         host, port = settings.vm_service
-        calls = VmClient(
+        client = VmClient(
             host=host,
             port=port,
             clock=self._clock,
@@ -438,23 +460,23 @@
             token=self.cell.generation,
         )
         task = VmTask(
-            calls=calls,
+            client=client,
             cordons=self.cell.cordons,
             liveness=self.cell.incarnations,
             records=self._committer,
             record=record,
             clock=self._clock,
             upkeep_ms=settings.upkeep_ms,
-            pause_ms=settings.order_pause_ms,
+            command_pause_ms=settings.order_pause_ms,
             get_waves=self._get_waves,
-            may_send_commands=lambda: self._lease.is_valid,
+            may_send_commands=lambda: self._lease_renewer.is_valid,
             on_change=self._wake_planner,
             on_fenced=self._on_fenced,
         )
         try:
             await task.run()
         finally:
-            calls.close()
+            client.close()
 
     def read_gauges(self) -> dict[str, float]:
         """Return the current values of the cell for metrics and logs."""
@@ -462,7 +484,7 @@
             **self.cell.summarise(),
             "generation": self.cell.generation,
             "commits": self._committer.commit_count,
-            "reports": sum(task.report_count for task in self._tasks.values()),
+            "reports": sum(task.report_count for task in self._runner_tasks.values()),
         }
 
     async def _log_summaries(self) -> None:
--- a/coltsfootpier/node/_peers.py
+++ b/coltsfootpier/node/_peers.py
@@ -1,4 +1,4 @@
-"""Requests between daemons: each daemon forwards callers' requests about jobs to the owner."""
+"""Requests between daemons: a daemon forwards callers' requests about jobs to the owner."""
 
 from __future__ import annotations
 
@@ -75,7 +75,7 @@
 
 
 async def pass_to_owner(owner: Owner, request: JobRequest) -> Response:
-    """Pass a request to an owner in this process."""
+    """Pass a request to an owner in this process and return its response."""
     if isinstance(request, SubmitJob):
         return await owner.submit(request.job_id, request.queue, request.spec, request.left_ms)
     if isinstance(request, CancelJob):
@@ -95,14 +95,14 @@
     """
 
     def build_handler(kind: type) -> Callable[[HttpRequest], Awaitable[HttpResponse]]:
-        async def handle(http_request: HttpRequest) -> HttpResponse:
+        async def handle_request(http_request: HttpRequest) -> HttpResponse:
             request = decode(http_request.body, kind)
             owner = get_owner()
             if owner is None:
                 return HttpResponse.of(NOT_OWNER)
             return HttpResponse.of(await pass_to_owner(owner, request))
 
-        return handle
+        return handle_request
 
     routes = {f"POST {path}": build_handler(kind) for kind, path in _PATHS.items()}
     return Application(routes=routes, max_body=_MAX_MESSAGE_BYTES)
@@ -127,14 +127,14 @@
     async def send_request(
         self, request: JobRequest, *, timeout_ms: float
     ) -> Result[Response, CallError]:
-        """Send a request to the owner."""
-        sent = await self._pool.exchange(
+        """Send a request to the owner; a malformed response counts as `NOT_OWNER`."""
+        result = await self._pool.exchange(
             "POST", _PATHS[type(request)], body=encode(request), timeout_ms=timeout_ms
         )
-        if isinstance(sent, Failure):
-            return sent
+        if isinstance(result, Failure):
+            return result
         try:
-            return Success(decode(sent.unwrap().body, Response))
+            return Success(decode(result.unwrap().body, Response))
         except MalformedMessageError:
             return Success(NOT_OWNER)
 
--- a/coltsfootpier/node/_reachability.py
+++ b/coltsfootpier/node/_reachability.py
@@ -1,10 +1,11 @@
 """Reachability of the owner of the cell from a daemon.
 
-It handles two failures. In a network partition a third of the entry VMs may be separated
-from the others for 12 s and still reach callers and the store. Each of them would reject all jobs,
-which other daemons could accept; so it reports that it isn't ready, and the load balancer sends
-callers elsewhere. An owner that is frozen during an outage of the store keeps its lease, and each
-request that is forwarded to it would wait until its deadline; so new jobs are rejected at once.
+Two failures make the owner unreachable. In a network partition a third of the entry VMs may be
+separated from the others for 12 s and still reach callers and the store. Each of them would reject
+all jobs, which other daemons could accept; so it reports that it isn't ready, and the load balancer
+sends callers elsewhere. An owner that is frozen during an outage of the store keeps its lease, and
+each request that is forwarded to it would wait until its deadline; so new jobs are rejected at
+once.
 """
 
 from __future__ import annotations
@@ -52,7 +53,7 @@
         self.is_unreachable = False
 
     def record(self, *, responded: bool) -> None:
-        """Record whether the owner responded to a request."""
+        """Record whether the owner has responded to a request."""
         now_ms = self._clock.now_ms()
         if responded:
             self._failing_since_ms = None
--- a/coltsfootpier/node/_records.py
+++ b/coltsfootpier/node/_records.py
@@ -1,4 +1,4 @@
-"""Loading of all records that outlive an owner, and encoding of the list of runners."""
+"""Loading of the records that an owner leaves to the next one; encoding of the list of runners."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 @attrs.frozen
 class _Fleet:
-    """Runners that may have runs; must be durable before a run starts on any of them."""
+    """List of the runners that may have runs; a runner must be in it before a run starts there."""
 
     runners: tuple[_FleetMember, ...] = ()
 
@@ -51,14 +51,14 @@
         Runners on which earlier owners may have started runs.
     learned : LearnedState
         Learned state of images and queues, as the last owner stored it.
-    upkeep : MaintenanceRecord
+    maintenance : MaintenanceRecord
         Progress of the maintenance waves.
     """
 
     jobs: list[JobRecord]
     fleet: tuple[RunnerEntry, ...]
     learned: LearnedState
-    upkeep: MaintenanceRecord
+    maintenance: MaintenanceRecord
 
 
 async def load_records(store: StoreClient) -> Result[OwnerRecords, PlatformError]:
@@ -72,9 +72,9 @@
     learned = await _load_one(store, LEARNED_KEY, LearnedState)
     if isinstance(learned, Failure):
         return learned
-    upkeep = await _load_one(store, UPKEEP_KEY, MaintenanceRecord)
-    if isinstance(upkeep, Failure):
-        return upkeep
+    maintenance = await _load_one(store, UPKEEP_KEY, MaintenanceRecord)
+    if isinstance(maintenance, Failure):
+        return maintenance
     records = []
     for item in items.unwrap():
         decoded = decode_record(item.value)
@@ -86,19 +86,21 @@
         RunnerEntry(id=member.id, service=member.service, address=member.address)
         for member in fleet.unwrap().runners
     )
-    return Success(OwnerRecords(records, entries, learned.unwrap(), upkeep.unwrap()))
+    return Success(OwnerRecords(records, entries, learned.unwrap(), maintenance.unwrap()))
 
 
-async def _load_one(store: StoreClient, key: str, kind: type[_T]) -> Result[_T, PlatformError]:
+async def _load_one(
+    store: StoreClient, key: str, record_type: type[_T]
+) -> Result[_T, PlatformError]:
     """Load one record; a missing or malformed one is treated as empty."""
     item = await store.get(key)
     if isinstance(item, Failure):
         return item
     value = item.unwrap().value
     if value is None:
-        return Success(kind())
+        return Success(record_type())
     try:
-        return Success(decode(value, kind))
+        return Success(decode(value, record_type))
     except MalformedMessageError as error:
         log_event("cannot decode record", key=key, reason=str(error))
-        return Success(kind())
+        return Success(record_type())
--- a/coltsfootpier/node/_registry.py
+++ b/coltsfootpier/node/_registry.py
@@ -1,4 +1,4 @@
-"""Handling of the runner registry around an outage of the store."""
+"""Merging of the runner registry with the runners in use after an outage of the store."""
 
 from __future__ import annotations
 
@@ -6,20 +6,23 @@
 
 from coltsfootpier.cells import RunnerEntry
 
-# Entries that expired during an outage are registered again within about 2,000 ms of its end; the
-# rest covers the time between two reads of the registry.
-GRACE_MS = 2_500.0
+# Time after an outage in which runners without an entry stay in use. Runners whose entries expired
+# during the outage register again within about 2,000 ms of its end; the rest covers the time
+# between two reads of the registry.
+REREGISTRATION_GRACE_MS = 2_500.0
 
 
 class RegistryMerger:
-    """Filter that keeps runners whose entries expired in an outage until they can register again.
+    """Keeps runners whose entries expired in an outage in use until they can register again.
 
     Examples
     --------
     >>> merger, entry = RegistryMerger(), RunnerEntry(id="a", service="s", address="h:1")
     >>> merger.record_failure()
-    >>> merger.merge([], [entry], 0.0) == [entry], merger.merge([], [entry], GRACE_MS)
-    (True, [])
+    >>> merger.merge([], [entry], 0.0) == [entry]
+    True
+    >>> merger.merge([], [entry], REREGISTRATION_GRACE_MS)
+    []
     """
 
     def __init__(self) -> None:
@@ -42,13 +45,13 @@
         in_use : iterable of RunnerEntry
             Runners in use before the read.
         now_ms : float
-            Local time.
+            Local time in ms.
         """
         if self._is_unreadable:
             self._is_unreadable = False
             self._recovered_ms = now_ms
         merged = list(entries)
-        if now_ms - self._recovered_ms < GRACE_MS:
+        if now_ms - self._recovered_ms < REREGISTRATION_GRACE_MS:
             known = {entry.id for entry in merged}
             merged += [entry for entry in in_use if entry.id not in known]
         return merged
--- a/coltsfootpier/node/_reload.py
+++ b/coltsfootpier/node/_reload.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from coltsfootpier.node._messages import NodeSettings
+from coltsfootpier.node._settings import NodeSettings
 
 # Settings that determine the sockets, clients and names that the daemon creates when it starts.
 _RESTART_REQUIRED = (
@@ -21,7 +21,7 @@
 
 @attrs.frozen(kw_only=True)
 class Reload:
-    """Effect of a new version of the settings.
+    """Effect of changed settings on a running daemon.
 
     Parameters
     ----------
@@ -39,7 +39,7 @@
 
 
 def merge_settings(current: NodeSettings, new_settings: NodeSettings) -> Reload:
-    """Return the effective settings after the settings file has changed.
+    """Return the settings in effect after a change of the settings file.
 
     Parameters
     ----------
@@ -54,9 +54,9 @@
         if getattr(current, field.name) != getattr(new_settings, field.name)
     ]
     ignored = tuple(name for name in changed if name in _RESTART_REQUIRED)
-    unchanged = {name: getattr(current, name) for name in ignored}
+    retained = {name: getattr(current, name) for name in ignored}
     return Reload(
-        settings=attrs.evolve(new_settings, **unchanged),
+        settings=attrs.evolve(new_settings, **retained),
         applied=tuple(name for name in changed if name not in _RESTART_REQUIRED),
         ignored=ignored,
     )
--- a/coltsfootpier/node/_responses.py
+++ b/coltsfootpier/node/_responses.py
@@ -17,7 +17,7 @@
     REFUSED = "refused"
     KNOWN = "known"
     MISSING = "missing"
-    # The outcome is undecided, or no owner could be reached.
+    # No owner could be reached, or it isn't known whether the request took effect.
     UNKNOWN = "unknown"
 
 
@@ -50,6 +50,8 @@
 NOT_OWNER = Response(status=ResponseStatus.UNKNOWN, reason="no owner")
 
 
-def reject(reason: str, retry_after_ms: float = _timing.DEFAULT_RETRY_AFTER_MS) -> Response:
-    """Build the response for a job that is rejected."""
+def build_rejection(
+    reason: str, retry_after_ms: float = _timing.DEFAULT_RETRY_AFTER_MS
+) -> Response:
+    """Build the response to a submission that is rejected for `reason`."""
     return Response(status=ResponseStatus.REFUSED, reason=reason, retry_after_ms=retry_after_ms)
--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -43,19 +43,20 @@
     entry : RunnerEntry
         The runner.
     cell : Cell
-        Cell that the reports and responses are applied to.
+        Cell to which the reports and responses are applied.
     settings : CellSettings
         Settings of the cell, with the validity of start commands.
-    lease_ms : float
+    run_lease_ms : float
         Time in ms by which each report request extends the leases of runs.
     commits : CommitNotifier
         Notifies when ended runs may have become durable.
     clock : Clock
         Time source.
-    on_event : callable
-        Called after the cell has changed, which may require new commands.
+    on_change : callable
+        Called after a response has changed the cell, which may require new commands.
     on_fenced : callable
-        Called when the runner rejects the fencing token, because it knows a later owner.
+        Called with the runner's identifier when it rejects the fencing token, because it knows a
+        later owner.
     """
 
     def __init__(
@@ -64,26 +65,27 @@
         entry: RunnerEntry,
         cell: Cell,
         settings: CellSettings,
-        lease_ms: float,
+        run_lease_ms: float,
         commits: CommitNotifier,
         clock: Clock,
-        on_event: Callable[[], None],
+        on_change: Callable[[], None],
         on_fenced: Callable[[str], None],
     ) -> None:
         self.id = entry.id
         self.address = entry.address
         self._cell = cell
         self._settings = settings
-        self._lease_ms = lease_ms
+        self._run_lease_ms = run_lease_ms
         self._commits = commits
         self._clock = clock
-        self._on_event = on_event
+        self._on_change = on_change
         self._on_fenced = on_fenced
         self._lease_expiry = LeaseExpiryTracker(settings)
         self._client = RunnerClient(entry=entry, token=cell.generation, clock=clock)
-        # Clock of the runner and local time at which it was read, from the last report.
+        # Clock of the runner in the last report, and local time at which that report arrived; both
+        # in ms.
         self._clock_sample: tuple[float, float] | None = None
-        self._reachable = True
+        self._is_reachable = True
         self.scope = anyio.CancelScope()
         self._group: TaskGroup | None = None
         self.report_count = 0
@@ -100,7 +102,10 @@
             self._client.close()
 
     def execute(self, command: StartRun | StopRun | PaceRun) -> None:
-        """Send a command in a separate task."""
+        """Send a command to the runner in a separate task.
+
+        Before `run` has begun, a start counts as refused and any other command is dropped.
+        """
         if self._group is None:
             if isinstance(command, StartRun):
                 self._cell.handle_start_response(
@@ -108,25 +113,28 @@
                 )
             return
         if isinstance(command, StartRun):
-            self._group.start_soon(self._start, command)
+            self._group.start_soon(self._send_start, command)
         elif isinstance(command, StopRun):
-            self._group.start_soon(self._stop, command)
+            self._group.start_soon(self._send_stop, command)
         else:
-            self._group.start_soon(self._pace, command)
+            self._group.start_soon(self._send_pace, command)
 
-    def _estimate_runner_ms(self) -> float | None:
+    def _estimate_runner_now_ms(self) -> float | None:
+        """Return the current time on the runner's clock; None before the first report."""
         if self._clock_sample is None:
             return None
         runner_ms, local_ms = self._clock_sample
         return runner_ms + self._clock.now_ms() - local_ms
 
-    def _start_call(self, duration_ms: float) -> int:
-        call = self._lease_expiry.record_call(now_ms=self._clock.now_ms(), duration_ms=duration_ms)
+    def _record_call(self, duration_ms: float) -> int:
+        call_number = self._lease_expiry.record_call(
+            now_ms=self._clock.now_ms(), duration_ms=duration_ms
+        )
         self._cell.fleet.set_lease_expiry(self.id, self._lease_expiry.lease_expiry_ms)
-        return call
+        return call_number
 
-    def _finish_call(self, call: int, *, applied: bool) -> None:
-        self._lease_expiry.settle(call, applied=applied)
+    def _settle_call(self, call_number: int, *, applied: bool) -> None:
+        self._lease_expiry.settle(call_number, applied=applied)
         self._cell.fleet.set_lease_expiry(self.id, self._lease_expiry.lease_expiry_ms)
 
     async def _poll_report(self) -> None:
@@ -135,11 +143,11 @@
             await anyio.sleep(_timing.REPORT_BACKOFF_MS / 1000)
             return
         has_pending_ends = cell.fleet.has_pending_ends(self.id)
-        runner_now_ms = self._estimate_runner_ms()
+        runner_now_ms = self._estimate_runner_now_ms()
         deadline_ms = None
         if runner_now_ms is not None:
-            deadline_ms = runner_now_ms + self._lease_ms
-            call = self._start_call(self._lease_ms)
+            deadline_ms = runner_now_ms + self._run_lease_ms
+            call_number = self._record_call(self._run_lease_ms)
         self.report_count += 1
         result = await self._client.report(
             deadline_ms=deadline_ms,
@@ -149,13 +157,13 @@
             timeout_ms=_timing.RUNNER_TIMEOUT_MS,
         )
         if deadline_ms is not None:
-            self._finish_call(call, applied=_may_be_accepted(result))
+            self._settle_call(call_number, applied=_may_be_accepted(result))
         if isinstance(result, Failure):
             await self._handle_failure(result.failure())
             return
-        if not self._reachable:
+        if not self._is_reachable:
             log_event("runner reachable again", runner=self.id)
-        self._reachable = True
+        self._is_reachable = True
         self._apply_report(result.unwrap())
         if cell.fleet.has_pending_ends(self.id):
             await self._commits.wait_commit(_timing.REPORT_WAIT_MS / 2)
@@ -163,39 +171,41 @@
     async def _handle_failure(self, error: object) -> None:
         if error is StartOutcome.FENCED:
             self._on_fenced(self.id)
-        if self._reachable:
+        if self._is_reachable:
             log_event("runner unreachable", runner=self.id, reason=repr(error))
-        self._reachable = False
+        self._is_reachable = False
         await anyio.sleep(_timing.REPORT_BACKOFF_MS / 1000)
 
     def _apply_report(self, report: RunnerReport) -> None:
         self._clock_sample = (report.clock_ms, report.received_ms)
         self._cell.apply_report(self.id, report, self._clock.now_ms())
-        self._on_event()
+        self._on_change()
 
-    async def _start(self, command: StartRun) -> None:
-        runner_now_ms = self._estimate_runner_ms()
+    async def _send_start(self, command: StartRun) -> None:
+        runner_now_ms = self._estimate_runner_now_ms()
         now_ms = self._clock.now_ms
         if runner_now_ms is None:
             self._cell.handle_start_response(self.id, command.run, StartOutcome.REFUSED, now_ms())
             return
         valid_ms = self._settings.start_valid_ms
-        call = self._start_call(valid_ms)
+        call_number = self._record_call(valid_ms)
         outcome, _ = await self._client.start(
             command, deadline_ms=runner_now_ms + valid_ms, timeout_ms=_timing.RUNNER_TIMEOUT_MS
         )
-        self._finish_call(call, applied=outcome not in (StartOutcome.REFUSED, StartOutcome.FENCED))
+        self._settle_call(
+            call_number, applied=outcome not in (StartOutcome.REFUSED, StartOutcome.FENCED)
+        )
         if outcome is StartOutcome.FENCED:
             self._on_fenced(self.id)
         self._cell.handle_start_response(self.id, command.run, outcome, now_ms())
         if outcome is not StartOutcome.STARTED:
-            self._on_event()
+            self._on_change()
 
-    async def _stop(self, command: StopRun) -> None:
+    async def _send_stop(self, command: StopRun) -> None:
         if await self._client.stop(command, timeout_ms=_timing.RUNNER_TIMEOUT_MS):
             self._cell.handle_stop_response(self.id, command.run, self._clock.now_ms())
 
-    async def _pace(self, command: PaceRun) -> None:
+    async def _send_pace(self, command: PaceRun) -> None:
         if not await self._client.pace(command, timeout_ms=_timing.RUNNER_TIMEOUT_MS):
             self._cell.handle_pace_failure(self.id, command.run)
 
--- a/coltsfootpier/node/_messages.py
+++ b/coltsfootpier/node/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of a daemon, and the configuration that operators maintain."""
+"""Settings of a daemon from the platform, and the configuration that operators maintain."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
     vm_service : tuple of (str, int), optional
         Address of the service that lists worker VMs and takes them down for maintenance.
     min_lease_ms : float
-        Shortest lease that the store grants.
+        Shortest time to live of a lease that the store grants.
     cores : float
         Number of cores of this VM; may be a fraction.
     max_files : int
@@ -90,7 +90,19 @@
 
 @attrs.frozen(kw_only=True)
 class Route:
-    """Rule that maps requests to a queue, by host and prefix of the path."""
+    """Rule that maps requests to a queue, by host and prefix of the path.
+
+    Parameters
+    ----------
+    host : str
+        Host that the requests name, without the port and in lower case.
+    prefix : str
+        Prefix of the path; a job identifier may follow it.
+    timeout_ms : float
+        Longest time in ms until the response to a request, also if the caller allows more.
+    queue : Queue
+        Queue of the jobs.
+    """
 
     host: str
     prefix: str
@@ -122,7 +134,7 @@
         return {route.queue.name: route.queue for route in self.routes}
 
     def find_route(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix of `path` for a host.
+        """Return the route with the longest prefix of `path` for a host; None if there is none.
 
         Parameters
         ----------
--- a/coltsfootpier/node/_timing.py
+++ b/coltsfootpier/node/_timing.py
@@ -6,10 +6,10 @@
 STORE_TIMEOUT_MS = 1_000.0
 # Time limit of a read that a caller waits for while the store may be down.
 STORE_READ_TIMEOUT_MS = 300.0
-# Initial time after which a change without a response is sent again. The store responds in 4 ms,
+# Initial period after which a change without a response is sent again. The store responds in 4 ms,
 # from another availability zone in 12 ms, and a lost packet is retransmitted after 40 to 200 ms.
 COMMIT_RETRY_MS = 150.0
-# The retry time as a multiple of the latest response time, so that a slow store gets most changes
+# Retry period as a multiple of the latest response time, so that a slow store gets most changes
 # only once.
 COMMIT_RETRY_FACTOR = 1.5
 # Long-poll time of a watch. Together with the time limit of a call it is below the 2 s in which a
@@ -27,15 +27,15 @@
 REGISTRY_PERIOD_MS = 400.0
 # Time limit of a call to a runner; covers the usual 10 ms and two retransmissions of 200 ms.
 RUNNER_TIMEOUT_MS = 600.0
-# Long-poll time of a report, whose tail latency covers the last 500 ms.
+# Long-poll time of a report request. The tail latency in a report covers the last 500 ms.
 REPORT_WAIT_MS = 500
 # Pause after a failed report request.
 REPORT_BACKOFF_MS = 150.0
-# Time limit of a call to the service that approves runners. Its time increases with the number of
-# runners in the call, and it processes calls one at a time.
+# Time limit of a call to the service that approves runners. Its response time increases with the
+# number of runners in the call, and it processes calls one at a time.
 ADVICE_TIMEOUT_MS = 2_000.0
-# Minimum time between two plans, so that one plan handles several events, and maximum wait for an
-# event.
+# Minimum time between two plans, so that one plan handles several events, and maximum time that the
+# planner waits for an event before it plans again.
 MIN_PLAN_PERIOD_MS = 10.0
 MAX_PLAN_WAIT_MS = 100.0
 # Pause after a plan as a multiple of its duration. It limits planning to a third of the CPU time,
@@ -45,20 +45,20 @@
 PEER_TIMEOUT_MS = 1_000.0
 # Time that a new job waits for an owner before it is rejected.
 OWNER_WAIT_TIMEOUT_MS = 900.0
-# Time reserved from a caller's deadline for sending the response.
+# Part of a caller's remaining time that is reserved for sending the response.
 RESPONSE_RESERVE_MS = 100.0
-# Time after SIGTERM in which new connections still arrive: the load balancer needs two checks, 1 s
-# apart, to stop sending callers.
+# Time after SIGTERM in which new connections still arrive: the load balancer stops sending callers
+# after two failed checks, 1 s apart.
 DRAIN_MS = 2_600.0
-# Time reserved for the exit of the process from the platform's time limit after SIGTERM.
+# Part of the platform's time limit after SIGTERM that is reserved for the exit of the process.
 EXIT_RESERVE_MS = 1_000.0
 # Retry delay given to a caller when there is no owner or no store.
 DEFAULT_RETRY_AFTER_MS = 1_000.0
 # Time between two log lines with the cell's gauges.
 SUMMARY_PERIOD_MS = 1_000.0
-# Time between writes of the learned state, each along with another change. The interference of a
-# pair of images is learned from two or three reports of 500 ms, so the next owner has to
-# learn little again.
+# Time between writes of the learned state; each is part of a change that is sent anyway. The
+# interference of a pair of images is learned from two or three reports, 500 ms apart, so the next
+# owner learns again the little that was not written.
 LEARNED_PERIOD_MS = 2_000.0
 # Time between probes of an unresponsive owner; half of the load balancer's check period, so that
 # the daemon is ready again by the next check.
--- a/coltsfootpier/node/_vms.py
+++ b/coltsfootpier/node/_vms.py
@@ -28,8 +28,8 @@
 from coltsfootpier.transport import CallError, encode
 
 
-class VmCalls(Protocol):
-    """Calls of the VM service; `coltsfootpier.platform.VmClient` implements them."""
+class VmServiceClient(Protocol):
+    """Client of the VM service; `coltsfootpier.platform.VmClient` implements it."""
 
     async def list_vms(self, *, timeout_ms: float) -> Result[tuple[WorkerVm, ...], CallError]:
         """List all worker VMs."""
@@ -77,7 +77,7 @@
 
     Parameters
     ----------
-    calls : VmCalls
+    client : VmServiceClient
         Client of the VM service.
     cordons : RunnerCordons
         Interface to cordon and release the runners of VMs.
@@ -91,7 +91,7 @@
         Time source.
     upkeep_ms : float
         Time in ms that the maintenance of a VM takes.
-    pause_ms : float
+    command_pause_ms : float
         Minimum time in ms between the commands of two owners for one VM.
     get_waves : callable
         Returns the waves that operators have requested.
@@ -100,26 +100,27 @@
     on_change : callable
         Called when runners were cordoned or released, or have ended.
     on_fenced : callable
-        Called when the VM service has a command of a later owner for a VM.
+        Called with the identifier of a VM when the VM service rejects a command for it, because a
+        later owner has sent one.
     """
 
     def __init__(
         self,
         *,
-        calls: VmCalls,
+        client: VmServiceClient,
         cordons: RunnerCordons,
         liveness: RunnerLiveness,
         records: RecordWriter,
         record: MaintenanceRecord,
         clock: Clock,
         upkeep_ms: float,
-        pause_ms: float,
+        command_pause_ms: float,
         get_waves: Callable[[], Iterable[Wave]],
         may_send_commands: Callable[[], bool],
         on_change: Callable[[], None],
         on_fenced: Callable[[str], None],
     ) -> None:
-        self._calls = calls
+        self._client = client
         self._liveness = liveness
         self._records = records
         self._clock = clock
@@ -129,43 +130,43 @@
         self._on_fenced = on_fenced
         self._planner = MaintenancePlanner(
             settings=MaintenanceSettings(
-                upkeep_ms=upkeep_ms, takeover_delay_ms=pause_ms + _timing.VM_TIMEOUT_MS
+                upkeep_ms=upkeep_ms, takeover_delay_ms=command_pause_ms + _timing.VM_TIMEOUT_MS
             ),
             cordons=cordons,
             record=record,
             log=log_event,
         )
         self._last_record = record
-        # Status of each wave that was last published to operators.
+        # Whether each wave is complete, by number, as last published to operators.
         self._published: dict[int, bool] = {}
-        self._reachable = True
+        self._is_service_reachable = True
 
     async def run(self) -> None:
-        """Carry out waves until cancelled."""
+        """Carry out waves and look for ended runners until cancelled."""
         while True:
             self._planner.set_waves(
                 self._get_waves(), now_ms=self._clock.now_ms(), unix_ms=time.time() * 1000
             )
-            self._write()
-            suspects = self._liveness.has_suspects(self._clock.now_ms())
-            sent = (suspects or self._planner.is_active) and await self._list_and_send()
+            self._write_progress()
+            has_suspects = self._liveness.has_suspects(self._clock.now_ms())
+            sent = (has_suspects or self._planner.is_active) and await self._list_and_send()
             sleep_ms = _timing.VM_LIST_PERIOD_MS
-            if sent or suspects:
+            if sent or has_suspects:
                 sleep_ms = _timing.VM_LIST_SHORT_PERIOD_MS
             await anyio.sleep(sleep_ms / 1000)
 
     async def _list_and_send(self) -> bool:
         """List the VMs and send the commands that are due; return whether any was sent."""
         requested_ms = self._clock.now_ms()
-        listed = await self._calls.list_vms(timeout_ms=_timing.VM_TIMEOUT_MS)
+        listed = await self._client.list_vms(timeout_ms=_timing.VM_TIMEOUT_MS)
         if isinstance(listed, Failure):
-            if self._reachable:
+            if self._is_service_reachable:
                 log_event("worker VM listing failed", reason=repr(listed.failure()))
-            self._reachable = False
+            self._is_service_reachable = False
             return False
-        if not self._reachable:
+        if not self._is_service_reachable:
             log_event("worker VM listing succeeded again")
-        self._reachable = True
+        self._is_service_reachable = True
         vms = listed.unwrap()
         live = {vm.runner_id for vm in vms if vm.state is VmState.UP}
         if self._liveness.apply_listing(live, requested_ms=requested_ms):
@@ -174,30 +175,33 @@
             return False
         self._planner.update_vms(vms, requested_ms=requested_ms)
         commands = self._planner.plan(self._clock.now_ms())
-        self._write()
+        self._write_progress()
         self._on_change()
         if not commands:
             return False
-        # Recorded before it is sent, so that a later owner accounts for a command that takes effect
-        # late.
+        # Commands are recorded before they are sent, so that a later owner accounts for one that
+        # takes effect late.
         while not self._records.is_written(UPKEEP_KEY):
             await self._records.wait_commit(_timing.STORE_TIMEOUT_MS)
         async with anyio.create_task_group() as group:
             for command in commands:
-                group.start_soon(self._send, command)
-        self._write()
+                group.start_soon(self._send_command, command)
+        self._write_progress()
         self._on_change()
         return True
 
-    async def _send(self, command: MaintenanceCommand) -> None:
+    async def _send_command(self, command: MaintenanceCommand) -> None:
         outcome = MaintenanceOutcome.REFUSED
         if self._may_send_commands():
-            outcome = await self._calls.start_maintenance(command, timeout_ms=_timing.VM_TIMEOUT_MS)
+            outcome = await self._client.start_maintenance(
+                command, timeout_ms=_timing.VM_TIMEOUT_MS
+            )
         self._planner.handle_outcome(command, outcome, self._clock.now_ms())
         if outcome is MaintenanceOutcome.FENCED:
             self._on_fenced(command.vm_id)
 
-    def _write(self) -> None:
+    def _write_progress(self) -> None:
+        """Write the maintenance record and the status of waves where they have changed."""
         record = self._planner.export()
         if record != self._last_record:
             self._last_record = record
--- a/coltsfootpier/node/tests/builders.py
+++ b/coltsfootpier/node/tests/builders.py
@@ -83,7 +83,7 @@
         head=head,
         revision=revision,
         owner=OwnerInfo(holder="me", address="127.0.0.1:1", generation=3),
-        kept_ms=120_000.0,
+        retention_ms=120_000.0,
     )
 
 
--- a/coltsfootpier/node/tests/test_callers.py
+++ b/coltsfootpier/node/tests/test_callers.py
@@ -10,7 +10,7 @@
 from coltsfootpier.node._callers import CallerApplication
 from coltsfootpier.node._metrics import Metrics
 from coltsfootpier.node._peers import CancelJob, ReadJob, ReadQueue, SubmitJob
-from coltsfootpier.node._responses import Response, ResponseStatus, reject
+from coltsfootpier.node._responses import Response, ResponseStatus, build_rejection
 from coltsfootpier.node.tests.builders import build_configuration
 
 JOB_ID = "5c0e7a21d94b36f8"
@@ -83,8 +83,8 @@
         """Guards against a rejection response for a job that may have been accepted."""
         expected = {
             200: Response(status=ResponseStatus.ACCEPTED),
-            429: reject("backlog", 1_200.0),
-            503: reject("store"),
+            429: build_rejection("backlog", 1_200.0),
+            503: build_rejection("store"),
             504: Response(status=ResponseStatus.UNKNOWN),
         }
         for status, response in expected.items():
@@ -93,7 +93,7 @@
 
     def test_rejection_has_retry_delay(self):
         """Guards against callers that retry immediately."""
-        _, body = self._post(BODY, reject("backlog", 1_200.0))
+        _, body = self._post(BODY, build_rejection("backlog", 1_200.0))
         self.assertEqual(orjson.loads(body)["retry_after_ms"], 1_200)
         self.assertEqual(self.headers[b"retry-after"], b"2")
 
@@ -135,7 +135,7 @@
         self.assertEqual(self._post(b"x" * 262_145)[0], 413)
 
     def test_state_and_pending(self):
-        """Guards against responses with field names other than the platform's."""
+        """Guards against responses whose field names differ from those of the platform."""
         known = Response(status=ResponseStatus.KNOWN, state=JobState.RUNNING, pending=4)
         configuration = build_configuration()
         status, body = self._call("GET", f"/p/{JOB_ID}", b"", known, configuration)
--- a/coltsfootpier/node/tests/test_control.py
+++ b/coltsfootpier/node/tests/test_control.py
@@ -15,7 +15,7 @@
         self.control = ControlState(store=None)
 
     def _apply(self, number, value):
-        self.control._apply(Item(f"op/wave/{number}", value, 5, 5))
+        self.control._apply_item(Item(f"op/wave/{number}", value, 5, 5))
 
     def test_wave_is_added_and_removed(self):
         """Guards against a wave that is missed, or that is kept after its withdrawal."""
--- a/coltsfootpier/node/tests/test_lease.py
+++ b/coltsfootpier/node/tests/test_lease.py
@@ -8,11 +8,11 @@
 
 from coltsfootpier.clock import VirtualClock
 from coltsfootpier.node import _timing
-from coltsfootpier.node._lease import LeaseKeeper
+from coltsfootpier.node._lease import LeaseRenewer
 from coltsfootpier.platform import LeaseLost, StoreLease, StoreUnknown
 
 # Much longer than needed; a test ends as soon as its condition holds.
-LIMIT_S = 20
+TIMEOUT_S = 20
 
 
 class FakeStore:
@@ -43,7 +43,7 @@
         return Success(StoreLease(100 + self.grants, ttl_ms))
 
 
-class LeaseKeeperTest(unittest.TestCase):
+class LeaseRenewerTest(unittest.TestCase):
     """Sent renewals and validity of the lease."""
 
     def setUp(self):
@@ -51,7 +51,7 @@
         self.granted = []
 
     def _run(self, store, until):
-        keeper = LeaseKeeper(
+        renewer = LeaseRenewer(
             store=store,
             clock=self.clock,
             lease=7,
@@ -60,16 +60,16 @@
         )
 
         async def run():
-            with anyio.fail_after(LIMIT_S):
+            with anyio.fail_after(TIMEOUT_S):
                 async with anyio.create_task_group() as group:
-                    group.start_soon(keeper.run)
+                    group.start_soon(renewer.run)
                     while not until():
                         await anyio.sleep(0)
                     group.cancel_scope.cancel()
 
         with mock.patch.multiple(_timing, OWNER_RENEW_PERIOD_MS=0.0):
             anyio.run(run)
-        return keeper
+        return renewer
 
     def test_lost_response_does_not_delay_the_next_renewal(self):
         """Guards against an owner that loses its lease because of one lost response."""
@@ -86,10 +86,10 @@
     def test_validity(self):
         """Guards against an owner whose lease stays valid without a confirmed renewal."""
         store = FakeStore(Failure(StoreUnknown("overdue")), None, None, None)
-        keeper = self._run(store, lambda: len(store.renewed) == 4)
-        self.assertTrue(keeper.is_valid)
+        renewer = self._run(store, lambda: len(store.renewed) == 4)
+        self.assertTrue(renewer.is_valid)
         self.clock.advance(_timing.OWNER_LEASE_MS)
-        self.assertFalse(keeper.is_valid)
+        self.assertFalse(renewer.is_valid)
 
     def test_expired_lease_is_replaced_once(self):
         """Guards against several new leases when several renewals find the lease expired."""
--- a/coltsfootpier/node/tests/test_owner.py
+++ b/coltsfootpier/node/tests/test_owner.py
@@ -48,7 +48,8 @@
     def test_frozen_owner_does_not_report_missing_job(self):
         """Guards against a 410 response for a job that the next owner has accepted.
 
-        This occurred with soak seed 227, when an owner was frozen longer than its lease."""
+        This occurred with soak seed 227, when an owner was frozen longer than its lease.
+        """
         self.clock.advance(_timing.OWNER_LEASE_MS + 1.0)
         for response in self._query():
             self.assertEqual(response, NOT_OWNER)
--- a/coltsfootpier/node/tests/test_vms.py
+++ b/coltsfootpier/node/tests/test_vms.py
@@ -86,9 +86,9 @@
         """Return whether a listing is needed."""
         return self.suspects
 
-    def apply_listing(self, live, *, requested_ms):
+    def apply_listing(self, alive, *, requested_ms):
         """Record a listing."""
-        self.listings.append(live)
+        self.listings.append(alive)
         return False
 
 
@@ -107,25 +107,25 @@
         self.fenced = []
 
     def _run(self, rounds, record=None):
-        left = [rounds]
+        remaining_rounds = [rounds]
         scopes = []
 
         def get_waves():
-            left[0] -= 1
-            if left[0] < 0:
+            remaining_rounds[0] -= 1
+            if remaining_rounds[0] < 0:
                 scopes[0].cancel()
             self.clock.advance(STEP_MS)
             return self.waves
 
         task = VmTask(
-            calls=self.vms,
+            client=self.vms,
             cordons=self.cordons,
             liveness=self.liveness,
             records=self.records,
             record=record or MaintenanceRecord(),
             clock=self.clock,
             upkeep_ms=2_000.0,
-            pause_ms=PAUSE_MS,
+            command_pause_ms=PAUSE_MS,
             get_waves=get_waves,
             may_send_commands=lambda: self.may_send_commands,
             on_change=lambda: None,
