--- a/coltsfootpier/jobs/_model.py
+++ b/coltsfootpier/jobs/_model.py
@@ -32,7 +32,7 @@
 
 
 class TaskKey(NamedTuple):
-    """Identifier of a task within its job: occurrence, step and index in the step."""
+    """Identifier of a task within its job: numbers of the occurrence, step and task."""
 
     occurrence: int
     step: int
@@ -50,13 +50,13 @@
     cpu_milli : int
         CPU demand of one task in thousandths of a core.
     memory_mb : int
-        Memory demand of one task.
+        Memory demand of one task in MB.
     gpus : int
         Number of accelerators of one task.
     estimate_ms : float
-        Declared duration of one task, often wrong by half or more.
+        Declared duration of one task in ms, often wrong by half or more.
     after : tuple of int
-        Indices of earlier steps whose tasks must all be done first.
+        Indices of earlier steps whose tasks must all have completed before this step starts.
     checkpointed : bool
         Whether tasks save their progress.
     gang : bool
@@ -76,11 +76,11 @@
     image : str
         Image that the tasks run; tasks of one image behave alike.
     latency_target_ms : float
-        Target for the tail latency of a serving task; 0 for tasks that don't serve requests.
+        Target for the tail latency of a serving task, in ms; 0 for tasks that don't serve requests.
     fills : bool
         Whether the tasks are best-effort tasks, which use only capacity that others leave unused.
     may_miss : int
-        Number of tasks of a long-running step that the system may stop at the same time.
+        Maximum number of tasks of a long-running step that the system may stop at the same time.
     """
 
     count: int
--- a/coltsfootpier/jobs/_record.py
+++ b/coltsfootpier/jobs/_record.py
@@ -30,8 +30,8 @@
     accepted_unix_ms : float
         Unix time in ms at which the job was accepted.
     state : JobState
-        `JobState.QUEUED` represents every state that isn't final: whether a task has
-        started is known only to the owner and the runners.
+        A final state, or `JobState.QUEUED` for any other: whether a task has started is known only
+        to the owner and the runners.
     spec : JobSpec, optional
         None once the state is final, which keeps records of ended jobs small.
     done : set of TaskKey
@@ -76,7 +76,7 @@
 
 
 def decode_record(body: bytes) -> Result[JobRecord, RecordError]:
-    """Decode a record from the store."""
+    """Decode a record from the store; return a `RecordError` if it is malformed."""
     try:
         value = orjson.loads(body)
         spec = value.get("spec")
--- a/coltsfootpier/ownership/_state.py
+++ b/coltsfootpier/ownership/_state.py
@@ -12,7 +12,9 @@
 from coltsfootpier.clock import MAX_CLOCK_DRIFT_RATIO, Clock
 from coltsfootpier.exceptions import InvariantError
 
+# Name of the partition of the dispatcher.
 DISPATCH = "dispatch"
+# Number of partitions of request keys.
 KEY_GROUPS = 16
 
 
@@ -31,9 +33,9 @@
     epoch : int
         Increases by one with each change of owner.
     suspects : tuple of str
-        Earlier owners that did not hand over the partition. One that is partitioned from the
-        network may keep renewing tasks even after several changes of owner, so the list is passed
-        on to later owners.
+        Member identifiers of earlier owners that did not hand over the partition. One that is cut
+        off from the network may keep renewing tasks even after several changes of owner, so the
+        list is passed on to later owners.
     """
 
     member: str
@@ -60,7 +62,7 @@
 def rank_by_rendezvous(key: str, members: Iterable[str]) -> list[str]:
     """Rank members for a key by rendezvous hashing.
 
-    A change of membership moves few keys.
+    When a member joins or leaves, the first member changes for few keys only.
 
     Parameters
     ----------
@@ -101,7 +103,7 @@
     clock : Clock
         Time source.
     ttl_ms : float
-        Time to live of the daemon's lease in the store.
+        Time to live of the daemon's lease in the store, in ms.
 
     Notes
     -----
@@ -117,6 +119,7 @@
         self.table = OwnerTable()
         self.table_version = 0
         self.session = 0
+        # Highest epoch at which this daemon has permanently stopped acting, by partition.
         self._ended_epochs: dict[str, int] = {}
 
     @property
@@ -130,14 +133,14 @@
         return self._clock.now_ms() - self._valid_until_ms
 
     def start_session(self) -> None:
-        """Start a new session, which stops earlier ones, before a new member key is written.
+        """Start a new session, which ends earlier ones; call it before writing the new member key.
 
         Other daemons infer from the new key that earlier sessions no longer renew batch tasks.
         """
         self.session += 1
 
     def join(self, member: str, *, sent_ms: float) -> None:
-        """Start a new membership, whose lease was requested at `sent_ms`."""
+        """Start a new membership, whose lease was requested at the local time `sent_ms`."""
         self.member = member
         self._valid_until_ms = float("-inf")
         self.record_renewal(sent_ms=sent_ms)
@@ -175,12 +178,12 @@
         return ownership.epoch if ownership else 0
 
     def owner_of(self, partition: str) -> str:
-        """Return the owner of a partition in the table; empty if it has none."""
+        """Return the member that owns a partition in the table; empty if none does."""
         ownership = self.table.partitions.get(partition)
         return ownership.member if ownership else ""
 
     def assigned(self) -> dict[str, int]:
-        """Return the partitions that this daemon owns in the table, with epochs."""
+        """Return the epochs of the partitions that this daemon owns in the table, by partition."""
         return {
             partition: ownership.epoch
             for partition, ownership in self.table.partitions.items()
@@ -188,7 +191,7 @@
         }
 
     def may_act(self, partition: str, epoch: int) -> bool:
-        """Return whether this daemon may now act as owner of a partition at an epoch."""
+        """Return whether this daemon may currently act as the owner of a partition at an epoch."""
         ownership = self.table.partitions.get(partition)
         is_owner = (
             ownership is not None and ownership.member == self.member and ownership.epoch == epoch
@@ -200,11 +203,11 @@
         return self._ended_epochs.get(partition, 0) >= epoch
 
     def end_epoch(self, partition: str, epoch: int) -> None:
-        """Stop acting at an epoch permanently; even this daemon needs a new claim to own it again.
+        """Stop acting at an epoch permanently; this daemon, too, then needs a claim to act again.
 
-        Sequence numbers of the exchange are valid within a pair of epochs. An owner that restarted
-        with the same epoch would reset them: its peer would reject every step, or it would mistake
-        a delayed earlier step for a new one.
+        Sequence numbers of the exchange between two owners are valid within a pair of epochs. An
+        owner that started again with the same epoch would reset them: its peer would reject every
+        step, or it would mistake a delayed earlier step for a new one.
         """
         self._ended_epochs[partition] = max(epoch, self._ended_epochs.get(partition, 0))
 
@@ -215,7 +218,7 @@
         *,
         retired: Collection[str] = (),
     ) -> OwnerTable | None:
-        """Return the owner table with this daemon's claims, or None without any.
+        """Return the owner table with this daemon's claims, or None if it claims nothing.
 
         Parameters
         ----------
@@ -243,7 +246,7 @@
         # an outage of the store.
         unowned.sort(
             key=lambda name: (
-                not self._owned_before(name),
+                not self._was_owned_by_this_process(name),
                 rank_by_rendezvous(name, live).index(self.member),
             )
         )
@@ -252,7 +255,7 @@
             return None
         return self._assign(dict.fromkeys(claims, self.member), retired)
 
-    def _owned_before(self, partition: str) -> bool:
+    def _was_owned_by_this_process(self, partition: str) -> bool:
         # The last part of a member identifier is the session number within the process.
         process = self.member.rpartition(".")[0]
         return bool(process) and self.owner_of(partition).rpartition(".")[0] == process
@@ -260,7 +263,7 @@
     def plan_handover(
         self, live: Collection[str], *, leave: bool, partitions: Collection[str] = ()
     ) -> OwnerTable | None:
-        """Return the owner table with partitions handed over to other members, or None without any.
+        """Return the owner table with partitions handed over to other members, or None if none are.
 
         Parameters
         ----------
@@ -288,6 +291,7 @@
         return self._assign(moves) if moves else None
 
     def _assign(self, moves: dict[str, str], retired: Collection[str] = ()) -> OwnerTable:
+        """Return the owner table with new owners for some partitions, each at the next epoch."""
         partitions = dict(self.table.partitions)
         for partition, member in moves.items():
             previous = partitions.get(partition, Ownership("", 0))
--- a/coltsfootpier/ownership/tests/test_state.py
+++ b/coltsfootpier/ownership/tests/test_state.py
@@ -56,7 +56,7 @@
     def test_ended_epoch_needs_a_new_claim(self) -> None:
         """Guards against an owner that acts during or after a hand-over.
 
-        It also guards against sequence numbers that are reset within one epoch.
+        It also guards against an exchange whose sequence numbers are reset within one epoch.
         """
         state = _build(VirtualClock())
         state.observe(OwnerTable({"a": Ownership("m1", 1)}), 1)
--- a/coltsfootpier/records/_record.py
+++ b/coltsfootpier/records/_record.py
@@ -1,4 +1,4 @@
-"""Record with a working copy and a durable copy.
+"""Record with a working copy, which its owner changes, and a durable copy.
 
 In the store a record consists of a base value with all entries and a ring of journal values, each
 with the changed entries of one write. The cost of a write is proportional to the number of changed
@@ -75,7 +75,7 @@
 
 @attrs.frozen
 class _InFlight(Generic[_E]):
-    """Write in flight, with its header and changed entries; None for a removed entry."""
+    """Write in flight, with its header and the changed entries by name; None if removed."""
 
     write: Write
     header: RecordHeader
@@ -91,7 +91,7 @@
     key : str
         Prefix of the record's keys in the store.
     kind : type
-        attrs class of an entry.
+        attrs class of the entries.
     epoch : int
         Epoch of the owner.
     writer : str
@@ -104,6 +104,8 @@
         self.working: dict[str, _E] = {}
         self.durable: dict[str, _E] = {}
         self.fence = 0
+        # Whether this owner has written a journal value, so that previous owners can't change the
+        # entries any more.
         self.fenced = False
         # Incremented whenever the durable entries change.
         self.durable_version = 0
@@ -127,7 +129,7 @@
 
     @property
     def dirty(self) -> bool:
-        """Whether there are changes that are not part of a write yet."""
+        """Whether there are changes that require a write and aren't part of one yet."""
         return self._dirty
 
     @property
@@ -136,7 +138,7 @@
         return self.fenced and not self._dirty and self._in_flight is None
 
     def load(self, *items: Item) -> None:
-        """Load the values in the store for a new owner; the record must be written once before use.
+        """Load the values in the store for a new owner, who must write the record once before use.
 
         Parameters
         ----------
@@ -173,7 +175,7 @@
             self._dirty = True
 
     def put_deferred(self, name: str, entry: _E) -> None:
-        """Replace an entry by a change that doesn't trigger a write by itself."""
+        """Add or replace an entry by a change that doesn't trigger a write by itself."""
         self.working[name] = entry
         self._changed.add(name)
 
@@ -200,7 +202,7 @@
         return self._in_flight.write
 
     def confirm(self, version: int) -> None:
-        """Apply the write in flight, which took effect as `version`."""
+        """Apply the write in flight, which took effect and gave its key the version `version`."""
         written, self._in_flight = self._in_flight, None
         if written is None:
             return
@@ -212,7 +214,7 @@
             return
         self._number = written.header.number
         self._journal_entries += max(1, len(written.changes))
-        before = {name: self.durable.get(name) for name in written.changes}
+        previous = {name: self.durable.get(name) for name in written.changes}
         for name, entry in written.changes.items():
             if entry is None:
                 self.durable.pop(name, None)
@@ -221,19 +223,19 @@
         self.fenced = True
         self.durable_version += 1
         if self.listener is not None:
-            self.listener(set(written.changes), before, self.durable)
+            self.listener(set(written.changes), previous, self.durable)
 
     def abandon(self) -> None:
         """Abandon the write in flight, which has had no effect; its changes are written again."""
         abandoned, self._in_flight = self._in_flight, None
         if abandoned is not None:
-            # It may still arrive, so a later conflict with it doesn't show another owner.
+            # It may still take effect, so a later conflict with it doesn't show another owner.
             self._abandoned[abandoned.write.token] = abandoned
             self._changed |= abandoned.changes.keys()
         self._dirty = True
 
     def resolve(self, item: Item) -> bool:
-        """Resolve a write with a lost response or a conflict by a later read of its key.
+        """Determine from a read of its key whether a write that failed or timed out took effect.
 
         Parameters
         ----------
@@ -270,12 +272,13 @@
         return False
 
     def _is_base_due(self) -> bool:
-        entries = self._journal_entries > max(_MIN_JOURNAL_ENTRIES, len(self.durable))
-        return entries or self._number - self._base_number >= _MAX_WRITES_SINCE_BASE
+        is_journal_long = self._journal_entries > max(_MIN_JOURNAL_ENTRIES, len(self.durable))
+        return is_journal_long or self._number - self._base_number >= _MAX_WRITES_SINCE_BASE
 
     def _build_base(self, token: str) -> _InFlight[_E]:
-        # The base contains the durable copy only. With other changes, a base that arrives after the
-        # next owner's first journal value would add changes that the next owner never read.
+        # The base contains the durable copy only. If it also had changes that aren't durable, one
+        # that arrives after the next owner's first journal value would add changes that the next
+        # owner never read.
         header = RecordHeader(self.epoch, token, self.fence, self._number)
         value = {"header": unstructure(header), "entries": unstructure(self.durable)}
         return _InFlight(self._build_write("base", value, token), header, {}, is_base=True)
--- a/coltsfootpier/records/tests/test_record.py
+++ b/coltsfootpier/records/tests/test_record.py
@@ -105,7 +105,7 @@
         self.assertEqual(self.record.durable, {})
 
     def test_late_base_of_a_previous_owner_has_no_effect(self) -> None:
-        """Guards against a late base that adds or removes changes of the next owner."""
+        """Guards against a late base of a previous owner that alters entries of the next one."""
         for value in range(200):
             self.record.put("a", _Entry(value))
             late = self.record.start_write()
@@ -131,7 +131,7 @@
             _load_as_new_owner(self.store, 1)
 
     def test_missing_journal_value_is_detected(self) -> None:
-        """Guards against acting on a record with a missing journal value."""
+        """Guards against an owner that acts on entries from an incomplete journal."""
         for value in range(3):
             self.record.put("a", _Entry(value))
             _execute_write(self.store, self.record)
@@ -150,7 +150,10 @@
         )
     )
     def test_next_owner_reads_what_was_durable(self, steps: list[tuple[str, int, str]]) -> None:
-        """Guards against changes that are lost or restored by journal, base or lost responses."""
+        """Guards against changes that are lost, or reappear, when a new owner replays the record.
+
+        Writes are applied, applied with a lost response, or abandoned, in journal and base values.
+        """
         store = _Store()
         record = _load_as_new_owner(store, 1)
         for name, value, outcome in steps:
