--- a/coltsfootpier/maintenance/_messages.py
+++ b/coltsfootpier/maintenance/_messages.py
@@ -18,9 +18,9 @@
     vms : tuple of str
         Identifiers of the worker VMs.
     duration_ms : float
-        Time within which the maintenance of all of them should have started and ended.
+        Time from the request until the maintenance of all these VMs should have ended.
     max_down : int
-        Number of VMs of the wave that may be down for maintenance at the same time.
+        Maximum number of VMs of the wave that are down for maintenance at the same time.
     """
 
     number: int
@@ -30,10 +30,14 @@
 
 
 class VmState(enum.Enum):
-    """State of a worker VM."""
+    """State of a worker VM as listed by the platform.
+
+    A maintenance command has an effect only on a VM that is ``UP``.
+    """
 
     UP = "up"
     MOVING = "moving"
+    # Under maintenance; all runs on the VM have ended.
     UPKEEP = "upkeep"
     DOWN = "down"
 
@@ -59,7 +63,15 @@
 
 @attrs.frozen(kw_only=True)
 class MaintenanceCommand:
-    """Command that ends all runs on a worker VM at once and starts its maintenance."""
+    """Command that ends all runs on a worker VM at once and starts its maintenance.
+
+    Parameters
+    ----------
+    wave : int
+        Number of the wave that the VM is part of.
+    vm_id : str
+        Identifier of the VM.
+    """
 
     wave: int
     vm_id: str
@@ -72,7 +84,7 @@
     BEGUN = "begun"
     # The VM isn't up, or it is shutting down; the command had no effect.
     BUSY = "busy"
-    # A later owner has sent commands for the VM.
+    # The platform rejected the command because a later owner has sent commands for the VM.
     FENCED = "fenced"
     # The VM isn't part of the wave, or doesn't exist.
     FOREIGN = "foreign"
@@ -93,11 +105,11 @@
     began_unix_ms : float
         Unix time at which the wave was first seen.
     ordered : tuple of str
-        VMs whose command may be in flight; recorded before the command is sent.
+        VMs whose command is due or may be in flight; recorded before the command is sent.
     begun : tuple of str
         VMs whose maintenance has started.
     completed : bool
-        Whether the wave was reported to the operators as complete.
+        Whether the wave is complete, as reported to the operators.
     """
 
     number: int
@@ -109,6 +121,6 @@
 
 @attrs.frozen
 class MaintenanceRecord:
-    """Progress of all waves that the operators have in the store."""
+    """Progress of all waves that the operators currently request."""
 
     waves: tuple[WaveRecord, ...] = ()
--- a/coltsfootpier/maintenance/_planner.py
+++ b/coltsfootpier/maintenance/_planner.py
@@ -1,12 +1,12 @@
 """Scheduling of the worker VMs of a maintenance wave.
 
-Operators request maintenance of a third of the worker VMs within 20 to 60 s while all of them are
-in use. Maintenance ends all runs on its VM at once, only a few VMs may be down at the same time,
-and long-running steps tolerate only a few unavailable tasks.
+A wave typically covers a third of the worker VMs, all of them in use, and allows 20 to 60 s for
+their maintenance. Maintenance ends all runs on its VM at once, only a few VMs may be down at the
+same time, and long-running steps tolerate only a few unavailable tasks.
 
-A command without a response may still take effect later. Its VM counts as down until a response
-or a listing shows the outcome. The command is recorded before it is sent, so that the next owner
-counts the VM as down too.
+A command whose response was lost may still take effect later. Its VM therefore counts as down until
+a later response or a listing shows the outcome. The command is recorded before it is sent, so that
+the next owner counts the VM as down too.
 """
 
 from __future__ import annotations
@@ -42,11 +42,14 @@
         ...
 
     def measure_ending_cost(self, runner_id: str) -> float | None:
-        """Return the cost of ending all runs on a runner; None if the runner can't be used now."""
+        """Return the cost of ending all runs on a runner; None if the runner can't be used now.
+
+        Only the order of the costs matters: VMs with a low cost are taken down first.
+        """
         ...
 
     def is_idle(self, runner_id: str) -> bool:
-        """Return whether a runner has no run that is worth waiting for."""
+        """Return whether a runner has no run worth waiting for; long-running runs never end."""
         ...
 
     def can_end_runs(self, runner_id: str) -> bool:
@@ -67,7 +70,9 @@
 
 
 class _Phase(enum.Enum):
-    # Receives no new tasks and waits until it is idle.
+    """Phase of a VM that is being taken down."""
+
+    # The runner receives no new tasks; the VM waits until the runner is idle.
     CORDONED = "cordoned"
     # The command is due, in flight, or without a response.
     ORDERED = "ordered"
@@ -87,6 +92,8 @@
         Whether a command without a response may have taken effect or may still do so.
     due_ms : float
         Time at which the command is to be sent; infinite while it is in flight.
+    is_end_recorded : bool
+        Whether `RunnerCordons.record_ended` was called for the runner.
     """
 
     runner_id: str
@@ -99,12 +106,27 @@
 
 @attrs.define(kw_only=True)
 class _WaveState:
+    """State of one wave.
+
+    Parameters
+    ----------
+    deadline_ms : float
+        Local time at which the maintenance of all VMs should have ended.
+    begun : set of str
+        VMs whose maintenance has started.
+    excluded : set of str
+        VMs that get no maintenance, because the platform doesn't count them as part of the wave.
+    retry_at_ms : dict of str to float
+        Local time until which a VM isn't chosen again after its command was rejected.
+    active : dict of str to _Progress
+        VMs that are cordoned, have a command, or are down.
+    """
+
     wave: Wave
     began_unix_ms: float
     deadline_ms: float
     begun: set[str] = attrs.field(factory=set)
     excluded: set[str] = attrs.field(factory=set)
-    # VMs that were busy, with the time of the next attempt.
     retry_at_ms: dict[str, float] = attrs.field(factory=dict)
     active: dict[str, _Progress] = attrs.field(factory=dict)
     completed: bool = False
@@ -136,11 +158,11 @@
         self._settings = settings
         self._cordons = cordons
         self._log = log
-        self._recorded = {wave.number: wave for wave in record.waves}
+        self._earlier_records = {wave.number: wave for wave in record.waves}
         self._waves: dict[int, _WaveState] = {}
-        # VMs of the last listing, and identifiers of the VMs of the last two.
+        # VMs of the last listing, and identifiers of the VMs of the last two listings.
         self._vms: dict[str, WorkerVm] = {}
-        self._recent_ids: set[str] = set()
+        self._recently_listed_ids: set[str] = set()
 
     @property
     def is_active(self) -> bool:
@@ -157,10 +179,10 @@
         now_ms, unix_ms : float
             Local time and Unix time.
         """
-        wanted = {wave.number: wave for wave in waves}
-        for number in set(self._waves) - set(wanted):
+        requested = {wave.number: wave for wave in waves}
+        for number in set(self._waves) - set(requested):
             self._withdraw(self._waves.pop(number))
-        for number, wave in sorted(wanted.items()):
+        for number, wave in sorted(requested.items()):
             state = self._waves.get(number)
             if state is None:
                 self._waves[number] = self._add_wave(wave, now_ms, unix_ms)
@@ -169,7 +191,7 @@
                 state.completed = False
 
     def _add_wave(self, wave: Wave, now_ms: float, unix_ms: float) -> _WaveState:
-        record = self._recorded.get(wave.number)
+        record = self._earlier_records.get(wave.number)
         began_unix_ms = record.began_unix_ms if record is not None else unix_ms
         state = _WaveState(
             wave=wave,
@@ -218,9 +240,10 @@
         previous = set(self._vms)
         self._vms = {vm.id: vm for vm in vms}
         # The pages of a listing are not one snapshot, so a single listing may miss a VM.
-        self._recent_ids = previous | set(self._vms)
+        self._recently_listed_ids = previous | set(self._vms)
         for state in self._waves.values():
             for vm_id, progress in list(state.active.items()):
+                # An earlier listing may show the state before the current phase.
                 if requested_ms >= progress.phase_start_ms:
                     self._reconcile(state, vm_id, progress, requested_ms)
 
@@ -230,7 +253,7 @@
         """Update the progress of a VM from its listed state."""
         vm = self._vms.get(vm_id)
         if vm is None:
-            if vm_id not in self._recent_ids:
+            if vm_id not in self._recently_listed_ids:
                 self._log("worker VM no longer listed", wave=state.wave.number, worker=vm_id)
                 self._remove_active(state, vm_id, progress)
             return
@@ -240,9 +263,10 @@
             return
         if progress.phase is _Phase.ORDERED:
             if vm.state is VmState.UPKEEP:
-                # A command without a response has taken effect.
+                # The command has taken effect, although its response was lost or is late.
                 self._mark_started(state, vm_id, progress, requested_ms)
             elif vm.runner_id != progress.runner_id and progress.due_ms < math.inf:
+                # The VM has another runner now, and no command is in flight.
                 self._release(progress)
                 progress.runner_id = vm.runner_id
         if progress.phase is not _Phase.DOWN:
@@ -271,7 +295,7 @@
         for state in self._waves.values():
             if state.completed:
                 continue
-            self._cordon_next(state, now_ms)
+            self._cordon_next_vms(state, now_ms)
             for vm_id, progress in state.active.items():
                 if progress.phase is _Phase.CORDONED and self._may_go_down(state, progress, now_ms):
                     progress.phase, progress.phase_start_ms = _Phase.ORDERED, now_ms
@@ -280,7 +304,7 @@
                 if is_due and self._try_mark_ending(vm_id, progress):
                     progress.due_ms = math.inf
                     commands.append(MaintenanceCommand(wave=state.wave.number, vm_id=vm_id))
-            self._check_complete(state)
+            self._complete_if_done(state)
         return commands
 
     def _try_mark_ending(self, vm_id: str, progress: _Progress) -> bool:
@@ -294,7 +318,8 @@
         self._cordons.mark_ending(progress.runner_id)
         return True
 
-    def _cordon_next(self, state: _WaveState, now_ms: float) -> None:
+    def _cordon_next_vms(self, state: _WaveState, now_ms: float) -> None:
+        """Cordon as many VMs as may go down next, those with the lowest cost first."""
         down = self._count_vms_down(state)
         cordoned = sum(progress.phase is _Phase.CORDONED for progress in state.active.values())
         available = state.wave.max_down - down - cordoned
@@ -304,7 +329,7 @@
             vm_id for other in self._waves.values() if other is not state for vm_id in other.active
         }
         candidates: list[tuple[float, str]] = []
-        for vm_id in self._list_pending(state):
+        for vm_id in self._list_pending_vms(state):
             vm = self._vms.get(vm_id)
             if (
                 vm is None
@@ -326,7 +351,7 @@
             )
             self._log("worker VM cordoned", wave=state.wave.number, worker=vm_id, runner=runner_id)
 
-    def _list_pending(self, state: _WaveState) -> list[str]:
+    def _list_pending_vms(self, state: _WaveState) -> list[str]:
         done = state.begun | state.excluded
         return [vm_id for vm_id in state.wave.vms if vm_id not in done]
 
@@ -336,7 +361,7 @@
             for vm_id, progress in state.active.items()
             if progress.phase is not _Phase.CORDONED
         }
-        # VMs taken down by an earlier owner.
+        # VMs that an earlier owner took down aren't active, but are listed as under maintenance.
         down |= {
             vm_id
             for vm_id in state.wave.vms
@@ -357,15 +382,22 @@
         )
 
     def _compute_max_wait_ms(self, state: _WaveState, now_ms: float) -> float:
-        """Return how long a VM may wait to become idle so that the wave ends in time, in ms."""
+        """Return how long a cordoned VM may wait to become idle, in ms.
+
+        The remaining time of the wave is divided among the remaining rounds, each of which takes
+        down `max_down` VMs and needs time for their maintenance.
+        """
         settings = self._settings
-        remaining_rounds = math.ceil(len(self._list_pending(state)) / state.wave.max_down)
+        remaining_rounds = math.ceil(len(self._list_pending_vms(state)) / state.wave.max_down)
         spare_ms = (state.deadline_ms - now_ms) / max(1, remaining_rounds)
         spare_ms -= settings.upkeep_ms + settings.round_margin_ms
         return min(settings.idle_wait_ms, max(0.0, spare_ms))
 
-    def _check_complete(self, state: _WaveState) -> None:
-        pending = [vm_id for vm_id in self._list_pending(state) if vm_id in self._recent_ids]
+    def _complete_if_done(self, state: _WaveState) -> None:
+        """Mark a wave as complete if no listed VM still needs a command or a response."""
+        pending = [
+            vm_id for vm_id in self._list_pending_vms(state) if vm_id in self._recently_listed_ids
+        ]
         if not pending and not any(
             progress.phase is _Phase.ORDERED for progress in state.active.values()
         ):
@@ -375,7 +407,7 @@
     def handle_outcome(
         self, command: MaintenanceCommand, outcome: MaintenanceOutcome, now_ms: float
     ) -> None:
-        """Handle the outcome of a command."""
+        """Update the progress of a VM after a command, and schedule a retry if it needs one."""
         state = self._waves.get(command.wave)
         progress = state.active.get(command.vm_id) if state is not None else None
         if state is None or progress is None or progress.phase is not _Phase.ORDERED:
@@ -395,7 +427,7 @@
             state.excluded.add(command.vm_id)
             self._remove_active(state, command.vm_id, progress)
         elif progress.is_outcome_unknown:
-            # An earlier command may still take effect, so the VM keeps counting as down.
+            # An earlier command may still take effect, so the VM still counts as down.
             progress.due_ms = now_ms + self._settings.busy_retry_delay_ms
         else:
             state.retry_at_ms[command.vm_id] = now_ms + self._settings.busy_retry_delay_ms
@@ -408,6 +440,7 @@
         progress.phase, progress.phase_start_ms = _Phase.DOWN, now_ms
 
     def _remove_active(self, state: _WaveState, vm_id: str, progress: _Progress) -> None:
+        """Stop taking down a VM, or finish it, and allow new tasks on its runner."""
         del state.active[vm_id]
         self._release(progress)
 
--- a/coltsfootpier/maintenance/tests/builders.py
+++ b/coltsfootpier/maintenance/tests/builders.py
@@ -30,12 +30,24 @@
 
 @attrs.define
 class FakeCordons:
-    """Test double of `RunnerCordons` without any runs."""
+    """Test double of `RunnerCordons`, which has no runs and records the calls.
+
+    Parameters
+    ----------
+    busy : set of str
+        Runners that aren't idle.
+    protected : set of str
+        Runners whose runs may not be ended at once.
+    unusable : set of str
+        Runners that can't be used, so that their VMs are not chosen.
+    ending_costs : dict of str to float
+        Cost of ending the runs on a runner; 0 for all others.
+    """
 
     busy: set[str] = attrs.field(factory=set)
     protected: set[str] = attrs.field(factory=set)
     unusable: set[str] = attrs.field(factory=set)
-    uses: dict[str, float] = attrs.field(factory=dict)
+    ending_costs: dict[str, float] = attrs.field(factory=dict)
     cordoned: set[str] = attrs.field(factory=set)
     ending: set[str] = attrs.field(factory=set)
     ended: list[str] = attrs.field(factory=list)
@@ -50,7 +62,7 @@
 
     def measure_ending_cost(self, runner_id: str) -> float | None:
         """Return the configured cost of ending all runs; None if the runner is unusable."""
-        return None if runner_id in self.unusable else self.uses.get(runner_id, 0.0)
+        return None if runner_id in self.unusable else self.ending_costs.get(runner_id, 0.0)
 
     def is_idle(self, runner_id: str) -> bool:
         """Return whether the runner isn't configured as busy."""
@@ -77,15 +89,21 @@
     """How the simulated platform handles a command."""
 
     PROMPT = "prompt"
-    # Executed at once; the response is lost.
+    # The command is executed at once, and its response is lost.
     LOST = "lost"
-    # The response is lost; executed later.
+    # The command is executed later, and its response is lost.
     LATE = "late"
 
 
 @attrs.define
 class SimulatedVm:
-    """A worker VM whose runner gets a new identifier with each incarnation."""
+    """A worker VM whose runner gets a new identifier with each incarnation.
+
+    Parameters
+    ----------
+    up_ms : float
+        Time from which the VM is up; until then it is under maintenance.
+    """
 
     id: str
     incarnation: int = 1
--- a/coltsfootpier/maintenance/tests/test_planner.py
+++ b/coltsfootpier/maintenance/tests/test_planner.py
@@ -1,4 +1,4 @@
-"""Tests of maintenance waves: command of the VMs, limit of VMs down at once, and completion."""
+"""Tests of the planner: commands to VMs, limit of VMs down at once, completion of waves."""
 
 import unittest
 
@@ -27,7 +27,7 @@
         self.assertEqual((simulation.cordons.cordoned, simulation.cordons.ending), (set(), set()))
 
     def test_max_down_limit(self):
-        """Guards against more VMs down at once than the operators allow."""
+        """Guards against taking down more VMs at once than the operators allow."""
         names = tuple("abcdefgh")
         for max_down in (1, 2, 3):
             with self.subTest(max_down=max_down):
@@ -73,7 +73,7 @@
         self.assertEqual(simulation.planner.list_states(), {1: False})
 
     def test_vm_added_to_completed_wave(self):
-        """Guards against a VM that is added to a completed wave and gets no maintenance."""
+        """Guards against ignoring a VM that operators add to a completed wave."""
         simulation = SimulatedVms("a", "b")
         simulation.waves = [build_wave("a")]
         simulation.run(6_000)
@@ -122,7 +122,7 @@
     def test_least_used_first(self):
         """Guards against ending the runs of a busy VM while less used VMs are still waiting."""
         simulation = SimulatedVms("a", "b", "c")
-        simulation.cordons.uses = {"a-1": 900.0, "b-1": 100.0, "c-1": 500.0}
+        simulation.cordons.ending_costs = {"a-1": 900.0, "b-1": 100.0, "c-1": 500.0}
         simulation.waves = [build_wave("a", "b", "c")]
         simulation.run(10_000)
         self.assertEqual([command.vm_id for command in simulation.commands], ["b", "c", "a"])
@@ -166,7 +166,7 @@
         self.assertEqual(simulation.maintenance_counts, [1, 1])
 
     def test_crash_while_cordoned(self):
-        """Guards against a leftover cordon, or a command that targets an ended incarnation.
+        """Guards against a cordon that stays, or a command for an incarnation that has ended.
 
         The VM crashes while it is cordoned, and its runner returns under another identifier.
         """
