Name results, outcomes and decoded values of the platform's clients in usual terms

Results of calls were named by a participle, decoded values were all called value, and two docstrings claimed or left out facts about listings and leases.

--- a/coltsfootpier/operators/_client.py
+++ b/coltsfootpier/operators/_client.py
@@ -32,6 +32,8 @@
 
     Parameters
     ----------
+    reason : str
+        Description of the failure.
     unknown : bool
         Whether the request may have taken effect.
     """
@@ -56,7 +58,7 @@
     clock : Clock
         Time source.
     timeout_ms : float, default=10_000
-        Time allowed for a call.
+        Time allowed for a call, in ms.
     """
 
     def __init__(self, *, address: str, clock: Clock, timeout_ms: float = 10_000) -> None:
@@ -65,7 +67,7 @@
         self._timeout_ms = timeout_ms
 
     async def apply(self, request: ApplyRequest) -> Result[ApplyReply, OperatorError]:
-        """Change the configuration."""
+        """Request a change of the configuration."""
         return await self._call(b"POST", b"/v1/apply", ApplyReply, encode(request))
 
     async def read_status(self) -> Result[StatusReply, OperatorError]:
@@ -85,21 +87,21 @@
         await self._connection.close()
 
     async def _call(
-        self, method: bytes, target: bytes, kind: type[_T], body: bytes = b""
+        self, method: bytes, target: bytes, reply_type: type[_T], body: bytes = b""
     ) -> Result[_T, OperatorError]:
-        sent = await self._connection.exchange(
+        result = await self._connection.exchange(
             method=method,
             target=target,
             body=body,
             timeout_ms=self._timeout_ms,
             max_idle_ms=_MAX_IDLE_MS,
         )
-        if isinstance(sent, Failure):
-            error = sent.failure()
+        if isinstance(result, Failure):
+            error = result.failure()
             return Failure(OperatorError(error.reason, not isinstance(error, NotSent)))
-        reply = sent.unwrap()
+        reply = result.unwrap()
         try:
-            return Success(decode(reply.body, kind))
+            return Success(decode(reply.body, reply_type))
         except MalformedMessageError:
             return Failure(_decode_error(reply))
 
--- a/coltsfootpier/operators/_messages.py
+++ b/coltsfootpier/operators/_messages.py
@@ -38,7 +38,9 @@
     revision : int
         The accepted revision, or after a conflict the revision in force.
     problems : tuple of str
-        Errors in the text.
+        Errors in the text, when it is invalid.
+    reason : str
+        Why the store is unavailable, or the token of a change whose outcome is unknown.
     """
 
     outcome: str
@@ -49,7 +51,19 @@
 
 @attrs.frozen(kw_only=True)
 class EntryVmStatus:
-    """State of an entry VM's daemon as seen by another daemon."""
+    """State of an entry VM's daemon as seen by the daemon that responds.
+
+    Parameters
+    ----------
+    name : str
+        Name of the entry VM.
+    member : str
+        Member identifier of the daemon.
+    revision : int
+        Configuration revision that is in force on the daemon.
+    reachable : bool
+        False when the responding daemon suspects that it has failed.
+    """
 
     name: str
     member: str
--- a/coltsfootpier/operators/_server.py
+++ b/coltsfootpier/operators/_server.py
@@ -10,7 +10,7 @@
 from coltsfootpier.transport import Application, HttpRequest, HttpResponse, decode
 
 _MAX_BODY_BYTES = 4_000_000
-_APPLY_STATUS = {
+_STATUS_BY_OUTCOME = {
     "accepted": 200,
     "invalid": 422,
     "conflict": 409,
@@ -23,7 +23,7 @@
     """Handlers of a daemon for the operators' interface."""
 
     async def on_apply(self, request: ApplyRequest) -> ApplyReply:
-        """Handle a requested change of the configuration."""
+        """Apply a change of the configuration and return its outcome."""
         ...
 
     async def on_status(self) -> StatusReply:
@@ -62,7 +62,7 @@
 
     async def apply(request: HttpRequest) -> HttpResponse:
         reply = await handlers.on_apply(decode(request.body, ApplyRequest))
-        return HttpResponse.of(reply, _APPLY_STATUS[reply.outcome])
+        return HttpResponse.of(reply, _STATUS_BY_OUTCOME[reply.outcome])
 
     async def status(_: HttpRequest) -> HttpResponse:
         return HttpResponse.of(await handlers.on_status())
--- a/coltsfootpier/platform/__init__.py
+++ b/coltsfootpier/platform/__init__.py
@@ -1,4 +1,4 @@
-"""Clients, names and message formats of the platform's interfaces; no decisions."""
+"""Clients and message formats of the platform's interfaces; all decisions are made elsewhere."""
 
 from coltsfootpier.platform._callers import (
     DEADLINE_HEADER,
--- a/coltsfootpier/platform/_callers.py
+++ b/coltsfootpier/platform/_callers.py
@@ -1,4 +1,4 @@
-"""Bodies of callers' requests: submitted jobs, and the responses about them."""
+"""Bodies of callers' requests about jobs and queues, and of the responses to them."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 
 from coltsfootpier.jobs import JobSpec, JobState, StepSpec, find_job_error
 
+# Request header with the time in ms within which the caller needs the response.
 DEADLINE_HEADER = b"deadline-ms"
 _JOB_ID = re.compile(r"^[0-9a-f]{16}$")
 
@@ -29,85 +30,85 @@
         A failure describes the first error in the body.
     """
     try:
-        value = orjson.loads(body)
+        fields = orjson.loads(body)
     except ValueError:
         return Failure("the body isn't JSON")
     try:
         spec = JobSpec(
-            payload=_get_str(value, "spec"),
-            steps=tuple(_decode_step(step) for step in value["steps"]),
-            occurrences=_get_int(value, "repeat_count"),
-            first_due_unix_ms=_get_float(value, "start_at_ms"),
-            interval_ms=_get_float(value, "interval_ms"),
+            payload=_get_str(fields, "spec"),
+            steps=tuple(_decode_step(step) for step in fields["steps"]),
+            occurrences=_get_int(fields, "repeat_count"),
+            first_due_unix_ms=_get_float(fields, "start_at_ms"),
+            interval_ms=_get_float(fields, "interval_ms"),
         )
     except KeyError as error:
         return Failure(f"{error.args[0]} is missing")
     except (AttributeError, TypeError, ValueError) as error:
         return Failure(str(error))
-    fault = find_job_error(spec)
-    return Failure(fault) if fault else Success(spec)
+    job_error = find_job_error(spec)
+    return Failure(job_error) if job_error else Success(spec)
 
 
-def _decode_step(value: dict[str, Any]) -> StepSpec:
+def _decode_step(fields: dict[str, Any]) -> StepSpec:
     return StepSpec(
-        count=_get_int(value, "count"),
-        cpu_milli=_get_int(value, "cpu"),
-        memory_mb=_get_int(value, "mem_mb"),
-        gpus=_get_int(value, "gpu"),
-        estimate_ms=_get_float(value, "estimate_ms"),
-        after=tuple(_check_int("after", number) for number in value.get("after", ())),
-        checkpointed=_get_bool(value, "checkpointed"),
-        gang=_get_bool(value, "gang"),
-        same_rack=_get_bool(value, "same_rack"),
-        required_label=_get_str(value, "required_label"),
+        count=_get_int(fields, "count"),
+        cpu_milli=_get_int(fields, "cpu"),
+        memory_mb=_get_int(fields, "mem_mb"),
+        gpus=_get_int(fields, "gpu"),
+        estimate_ms=_get_float(fields, "estimate_ms"),
+        after=tuple(_require_int("after", number) for number in fields.get("after", ())),
+        checkpointed=_get_bool(fields, "checkpointed"),
+        gang=_get_bool(fields, "gang"),
+        same_rack=_get_bool(fields, "same_rack"),
+        required_label=_get_str(fields, "required_label"),
         # The rack that holds the data of the step.
-        rack_affinity=_get_str(value, "affinity"),
-        max_per_runner=_get_int(value, "max_per_server"),
-        speculative=_get_bool(value, "speculative"),
-        long_running=_get_bool(value, "long_running"),
-        image=_get_str(value, "image"),
-        latency_target_ms=_get_float(value, "target_ms"),
-        fills=_get_bool(value, "fills"),
-        may_miss=_get_int(value, "may_miss"),
+        rack_affinity=_get_str(fields, "affinity"),
+        max_per_runner=_get_int(fields, "max_per_server"),
+        speculative=_get_bool(fields, "speculative"),
+        long_running=_get_bool(fields, "long_running"),
+        image=_get_str(fields, "image"),
+        latency_target_ms=_get_float(fields, "target_ms"),
+        fills=_get_bool(fields, "fills"),
+        may_miss=_get_int(fields, "may_miss"),
     )
 
 
-def _check_int(name: str, found: Any) -> int:
-    if isinstance(found, bool) or not isinstance(found, int):
-        raise TypeError(f"{name} is {found!r}, allowed: a whole number")
-    return found
+def _require_int(name: str, value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"{name} is {value!r}, allowed: a whole number")
+    return value
 
 
-def _get_int(value: dict[str, Any], name: str) -> int:
-    return _check_int(name, value.get(name, 0))
+def _get_int(fields: dict[str, Any], name: str) -> int:
+    return _require_int(name, fields.get(name, 0))
 
 
-def _get_float(value: dict[str, Any], name: str) -> float:
-    found = value.get(name, 0.0)
-    if isinstance(found, bool) or not isinstance(found, int | float) or not math.isfinite(found):
-        raise TypeError(f"{name} is {found!r}, allowed: a number")
-    return float(found)
+def _get_float(fields: dict[str, Any], name: str) -> float:
+    value = fields.get(name, 0.0)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise TypeError(f"{name} is {value!r}, allowed: a number")
+    return float(value)
 
 
-def _get_bool(value: dict[str, Any], name: str) -> bool:
-    found = value.get(name, False)
-    if not isinstance(found, bool):
-        raise TypeError(f"{name} is {found!r}, allowed: true or false")
-    return found
+def _get_bool(fields: dict[str, Any], name: str) -> bool:
+    value = fields.get(name, False)
+    if not isinstance(value, bool):
+        raise TypeError(f"{name} is {value!r}, allowed: true or false")
+    return value
 
 
-def _get_str(value: dict[str, Any], name: str) -> str:
-    found = value.get(name, "")
-    if not isinstance(found, str):
-        raise TypeError(f"{name} is {found!r}, allowed: a text")
-    return found
+def _get_str(fields: dict[str, Any], name: str) -> str:
+    value = fields.get(name, "")
+    if not isinstance(value, str):
+        raise TypeError(f"{name} is {value!r}, allowed: a text")
+    return value
 
 
 def encode_state(state: JobState) -> bytes:
-    """Encode the response about one job."""
+    """Encode the response with the state of a job."""
     return orjson.dumps({"state": state.value})
 
 
 def encode_pending(count: int) -> bytes:
-    """Encode the response about a queue: number of accepted jobs without a started task."""
+    """Encode the response with the number of a queue's accepted jobs without a started task."""
     return orjson.dumps({"pending": count})
--- a/coltsfootpier/platform/_client.py
+++ b/coltsfootpier/platform/_client.py
@@ -49,7 +49,7 @@
     def __init__(self, *, host: str, port: int, clock: Clock, timeout_ms: float) -> None:
         self._timeout_ms = timeout_ms
         self._store = StoreClient(host=host, port=port, clock=clock, timeout_ms=timeout_ms)
-        self._vms = LeanPool(host=host, port=port, clock=clock, connections=1)
+        self._vm_pool = LeanPool(host=host, port=port, clock=clock, connections=1)
 
     @property
     def call_count(self) -> int:
@@ -61,7 +61,7 @@
         return (
             (await self._store.get(key))
             .bind(_decode_value)
-            .bind(lambda item: _check_key(key, item))
+            .bind(lambda item: _require_key(key, item))
         )
 
     async def put(
@@ -77,20 +77,20 @@
         """
         write = Write(key, orjson.dumps(value), int(lease or 0))
         result = await self._store.commit(expect={key: expected_version}, puts=[write])
-        return _convert_commit(key, result, value)
+        return _convert_commit_result(key, result, value)
 
     async def delete(self, key: str, *, expected_version: int) -> Result[Item, PlatformError]:
         """Delete one key if its version is `expected_version`."""
         result = await self._store.commit(expect={key: expected_version}, remove=[key])
-        return _convert_commit(key, result.map(lambda _: 0), None)
+        return _convert_commit_result(key, result.map(lambda _: 0), None)
 
     async def list(self, prefix: str) -> Result[Listing, PlatformError]:
-        """Read all keys under a prefix; the revision is that of the first page."""
+        """Read all items under a prefix, page by page."""
         items: list[Item] = []
         first_revision = 0
         has_more = True
         while has_more:
-            result = await self._store.list(prefix, after=items[-1].key if items else "")
+            result = await self._store.list_page(prefix, after=items[-1].key if items else "")
             if isinstance(result, Failure):
                 return result
             page = result.unwrap()
@@ -102,7 +102,7 @@
     async def watch(
         self, prefix: str, *, after: int, wait_ms: int
     ) -> Result[WatchResult, PlatformError]:
-        """Wait at most `wait_ms` for changes under a prefix after a store revision."""
+        """Wait at most `wait_ms` for changes under a prefix after the store revision `after`."""
         result = await self._store.watch(prefix, after=after, wait_ms=wait_ms)
         if isinstance(result, Failure):
             if isinstance(result.failure(), HistoryLost):
@@ -114,25 +114,25 @@
         )
 
     async def grant_lease(self, *, ttl_ms: float) -> Result[str, PlatformError]:
-        """Obtain a lease."""
+        """Obtain a lease and return its identifier."""
         return (await self._store.grant_lease(ttl_ms=ttl_ms)).map(lambda lease: str(lease.id))
 
     async def renew_lease(self, lease: str) -> Result[str, PlatformError]:
-        """Renew a lease; the failure is `LeaseLost` when the lease has already ended."""
+        """Renew a lease and return its identifier; `LeaseLost` when it has already ended."""
         return (await self._store.renew_lease(int(lease))).map(lambda _: lease)
 
     async def revoke_lease(self, lease: str) -> Result[str, PlatformError]:
-        """End a lease and delete its keys."""
+        """End a lease and delete its keys; return its identifier."""
         return (await self._store.end_lease(int(lease))).map(lambda _: lease)
 
     async def list_vms(self) -> Result[tuple[Vm, ...], PlatformError]:
         """Read the list of VMs, which may be out of date."""
-        sent = await self._vms.exchange("GET", "/v1/vms", timeout_ms=self._timeout_ms)
-        if isinstance(sent, Failure):
-            error = sent.failure()
-            kind = StoreUnavailable if isinstance(error, NotSent) else StoreUnknown
-            return Failure(kind(error.reason))
-        reply = sent.unwrap()
+        result = await self._vm_pool.exchange("GET", "/v1/vms", timeout_ms=self._timeout_ms)
+        if isinstance(result, Failure):
+            error = result.failure()
+            error_type = StoreUnavailable if isinstance(error, NotSent) else StoreUnknown
+            return Failure(error_type(error.reason))
+        reply = result.unwrap()
         if reply.status != 200:
             return Failure(StoreUnavailable(f"unexpected status {reply.status}"))
         try:
@@ -160,13 +160,13 @@
     return Success(tuple(decoded))
 
 
-def _check_key(key: str, item: Item) -> Result[Item, PlatformError]:
+def _require_key(key: str, item: Item) -> Result[Item, PlatformError]:
     if item.key != key:
         return Failure(StoreUnknown(f"the response is for key {item.key!r}, not {key!r}"))
     return Success(item)
 
 
-def _convert_commit(
+def _convert_commit_result(
     key: str, result: Result[int, PlatformError], value: Any
 ) -> Result[Item, PlatformError]:
     if not isinstance(result, Failure):
--- a/coltsfootpier/platform/_messages.py
+++ b/coltsfootpier/platform/_messages.py
@@ -15,8 +15,9 @@
     ----------
     key : str
         Key of the value.
-    value : JSON value
-        Content; None when the key was deleted.
+    value : bytes or JSON value
+        Content, as bytes from `StoreClient` and decoded from `PlatformClient`; None when the key
+        doesn't exist.
     version : int
         Version of the key; 0 when it doesn't exist.
     changed : int
@@ -31,7 +32,7 @@
 
 @attrs.frozen
 class Listing:
-    """All items under a prefix at one store revision."""
+    """Items under a prefix; a watch after `revision` reports every change that they may lack."""
 
     items: tuple[Item, ...]
     revision: int
@@ -70,7 +71,7 @@
 
 @attrs.frozen
 class Conflict:
-    """A conditional write failed on another version; `current` is the item in the store."""
+    """The key has another version than a write expects; `current` is the item in the store."""
 
     current: Item
 
@@ -124,7 +125,7 @@
 
 @attrs.frozen
 class StoreLease:
-    """A lease and its duration in ms, counted from the arrival of its grant."""
+    """A lease; it ends `ttl_ms` after its grant has arrived unless it is renewed."""
 
     id: int
     ttl_ms: float
@@ -132,14 +133,14 @@
 
 @attrs.frozen
 class ConditionFailed:
-    """The conditions of a change don't hold; `items` are the current items of their keys."""
+    """A condition of a change doesn't hold; `items` are the current items of the expected keys."""
 
     items: tuple[Item, ...]
 
 
 @attrs.frozen
 class HistoryLost:
-    """The changes after a store revision are no longer available."""
+    """The changes after the store revision `after` are no longer available."""
 
     after: int
 
--- a/coltsfootpier/platform/_operators.py
+++ b/coltsfootpier/platform/_operators.py
@@ -1,4 +1,4 @@
-"""Store values that operators write and read: configuration, waves, status of waves."""
+"""Store values that operators write (configuration, waves) or read (status of waves)."""
 
 from __future__ import annotations
 
@@ -40,14 +40,14 @@
 
 def _decode_limits(value: dict[str, Any]) -> CallerLimits:
     """Return the limits set by a configuration; limits that it omits have their defaults."""
-    kinds = {
+    types = {
         "max_header_bytes": int,
         "max_body_bytes": int,
         "header_timeout_ms": float,
         "idle_timeout_ms": float,
     }
     return CallerLimits(
-        **{name: kind(value[name]) for name, kind in kinds.items() if name in value}
+        **{name: field_type(value[name]) for name, field_type in types.items() if name in value}
     )
 
 
@@ -62,7 +62,7 @@
             priority=int(value.get("priority", 0)),
             max_attempts=max(1, int(value.get("max_attempts", 1))),
             stretch=float(value.get("stretch", 1.0)),
-            # The objective of the route is the constant part of the objective of a job.
+            # The route's objective is the constant part of the objective of each of its jobs.
             objective_ms=float(value.get("slo_ms", 0.0)),
             needs_advice=bool(value.get("advice")),
         ),
--- a/coltsfootpier/platform/_runners.py
+++ b/coltsfootpier/platform/_runners.py
@@ -34,11 +34,12 @@
     split_address,
 )
 
+# Prefix of the store keys of registry entries.
 REGISTRY_PREFIX = "servers/"
 # Concurrent commands to one runner. A response takes two network delays, so two connections carry
 # over 100 commands per second to a runner in another availability zone.
 _COMMAND_CONNECTIONS = 2
-_REASONS = {
+_OUTCOME_BY_REASON = {
     "fence": StartOutcome.FENCED,
     "old": StartOutcome.OLD,
     "late": StartOutcome.LATE,
@@ -69,7 +70,7 @@
             address=address,
             availability_zone=str(value["zone"]),
             draining=draining,
-            # Minimum remaining time; present only while the runner drains.
+            # Minimum time until the runner leaves; present only while it drains.
             remaining_ms=float(value.get("remaining_ms", 0.0)) if draining else float("inf"),
             cold_left_ms=float(value.get("cold_left_ms", 0.0)),
             cpu_milli=int(capacity["cpu"]),
@@ -129,7 +130,7 @@
         command : StartRun
             Run to start.
         deadline_ms : float
-            Time on the runner's clock after which the runner no longer starts the run.
+            Time on the runner's clock after which the runner rejects the command.
         timeout_ms : float
             Time allowed for the response.
 
@@ -151,17 +152,17 @@
             body["checkpoint"] = command.checkpoint
         if command.ticket:
             body["ticket"] = command.ticket
-        sent = await self._send_command("run-start", body, timeout_ms)
-        if isinstance(sent, Failure):
-            rejected = isinstance(sent.failure(), NotSent)
-            return (StartOutcome.REFUSED if rejected else StartOutcome.UNKNOWN), None
-        reply = sent.unwrap()
+        result = await self._send_command("run-start", body, timeout_ms)
+        if isinstance(result, Failure):
+            is_unsent = isinstance(result.failure(), NotSent)
+            return (StartOutcome.REFUSED if is_unsent else StartOutcome.UNKNOWN), None
+        reply = result.unwrap()
         value = load_object(reply)
         clock_ms = value.get("clock_ms")
         if reply.status == 200:
             return StartOutcome.STARTED, clock_ms
         if reply.status == 409:
-            return _REASONS.get(value.get("reason"), StartOutcome.REFUSED), clock_ms
+            return _OUTCOME_BY_REASON.get(value.get("reason"), StartOutcome.REFUSED), clock_ms
         if reply.status in (400, 421, 429, 503):
             return StartOutcome.REFUSED, clock_ms
         return StartOutcome.UNKNOWN, clock_ms
@@ -176,31 +177,31 @@
             "attempt": command.run.attempt,
             "fencing_token": self._token,
         }
-        sent = await self._send_command("run-stop", body, timeout_ms)
-        return isinstance(sent, Success) and sent.unwrap().status == 200
+        result = await self._send_command("run-stop", body, timeout_ms)
+        return isinstance(result, Success) and result.unwrap().status == 200
 
     async def pace(self, command: PaceRun, *, timeout_ms: float) -> bool:
-        """Send a pace command; return whether the runner has confirmed it."""
+        """Limit a run to a percentage of its speed; return whether the runner confirmed it."""
         body = {
             "task": format_task(command.run.job_id, command.run.key),
             "attempt": command.run.attempt,
             "percent": command.percent,
             "fencing_token": self._token,
         }
-        sent = await self._send_command("pace", body, timeout_ms)
-        return isinstance(sent, Success) and sent.unwrap().status == 200
+        result = await self._send_command("pace", body, timeout_ms)
+        return isinstance(result, Success) and result.unwrap().status == 200
 
     async def report(
         self, *, deadline_ms: float | None, observed: int, wait_ms: int, timeout_ms: float
     ) -> Result[RunnerReport, CallError | StartOutcome]:
-        """Extend the leases on the runner and read its running and ended runs.
+        """Extend the leases of the runs on the runner, and read its running and ended runs.
 
         Parameters
         ----------
         deadline_ms : float, optional
             New end of the lease on the runner's clock; the lease is not extended without it.
         observed : int
-            Number of the last ended run that the runner may discard.
+            Number up to which ended runs are acknowledged, so that the runner may discard them.
         wait_ms : int
             Time for which the runner waits for a run to end.
         timeout_ms : float
@@ -217,16 +218,16 @@
         if wait_ms:
             body["wait_ms"] = wait_ms
         sent_ms = self._clock.now_ms()
-        sent = await self._report_connection.exchange(
+        result = await self._report_connection.exchange(
             "POST",
             f"{BASE_PATH}/hold",
             headers=self._headers,
             body=orjson.dumps(body),
             timeout_ms=wait_ms + timeout_ms,
         )
-        if isinstance(sent, Failure):
-            return sent
-        reply = sent.unwrap()
+        if isinstance(result, Failure):
+            return result
+        reply = result.unwrap()
         value = load_object(reply)
         if reply.status == 409 and value.get("reason") == "fence":
             return Failure(StartOutcome.FENCED)
@@ -238,11 +239,11 @@
             return Failure(BadReply(f"malformed report of a runner: {error!r}", reply.status))
 
     async def _send_command(
-        self, call: str, body: dict[str, Any], timeout_ms: float
+        self, command_name: str, body: dict[str, Any], timeout_ms: float
     ) -> Result[Reply, CallError]:
         return await self._command_pool.exchange(
             "POST",
-            f"{BASE_PATH}/{call}",
+            f"{BASE_PATH}/{command_name}",
             headers=self._headers,
             body=orjson.dumps(body),
             timeout_ms=timeout_ms,
@@ -268,23 +269,29 @@
     """
 
     def __init__(self, *, host: str, port: int, clock: Clock) -> None:
-        # The service handles the calls of a VM one at a time.
+        # The service handles the calls of one entry VM one at a time.
         self._pool = LeanPool(host=host, port=port, clock=clock, connections=2)
 
     async def request_tickets(
         self, query: AdviceRequest, *, timeout_ms: float
     ) -> Result[tuple[dict[str, str], float], CallError]:
-        """Request tickets for runners; return those that are approved and their validity in ms."""
+        """Request tickets for runners.
+
+        Returns
+        -------
+        Result of (dict of str to str, float) or CallError
+            Tickets of the approved runners by runner, and the time in ms for which they are valid.
+        """
         body = {
             "step": ".".join(map(str, query.step_id)),
             "workers": list(query.runner_ids),
         }
-        sent = await self._pool.exchange(
+        result = await self._pool.exchange(
             "POST", f"{BASE_PATH}/advise", body=orjson.dumps(body), timeout_ms=timeout_ms
         )
-        if isinstance(sent, Failure):
-            return sent
-        reply = sent.unwrap()
+        if isinstance(result, Failure):
+            return result
+        reply = result.unwrap()
         value = load_object(reply)
         try:
             if reply.status != 200:
@@ -298,15 +305,17 @@
 
 def _decode_report(value: dict[str, Any], sent_ms: float, received_ms: float) -> RunnerReport:
     running = []
-    for name, attempt, saved, percent, *measured in value["running"]:
+    for name, attempt, checkpoint, percent, *measured in value["running"]:
         job_id, key = parse_task(name)
         # The fifth field depends on the kind of task: a tail latency in ms or the cores in use.
         measurement = float(measured[0]) if measured and measured[0] is not None else 0.0
-        running.append(RunningRow(RunId(job_id, key, attempt), saved, float(percent), measurement))
+        running.append(
+            RunningRow(RunId(job_id, key, attempt), checkpoint, float(percent), measurement)
+        )
     ended = []
-    for number, name, attempt, outcome, saved in value["ended"]:
+    for number, name, attempt, outcome, checkpoint in value["ended"]:
         job_id, key = parse_task(name)
-        ended.append(EndedRow(number, RunId(job_id, key, attempt), EndKind(outcome), saved))
+        ended.append(EndedRow(number, RunId(job_id, key, attempt), EndKind(outcome), checkpoint))
     return RunnerReport(
         clock_ms=float(value["clock_ms"]),
         started_unix_ms=int(value.get("born", 0)),
--- a/coltsfootpier/platform/_settings.py
+++ b/coltsfootpier/platform/_settings.py
@@ -23,33 +23,33 @@
         A failure names the file, the key and the invalid value.
     """
     try:
-        value = tomllib.loads(path.read_text())
+        settings = tomllib.loads(path.read_text())
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         return Failure(f"{path}: {error}")
     try:
-        return Success(_decode(value))
+        return Success(_decode_settings(settings))
     except KeyError as error:
         return Failure(f"{path}: {error.args[0]} is missing")
     except (AttributeError, IndexError, TypeError, ValueError) as error:
         return Failure(f"{path}: {error}")
 
 
-def _decode(value: dict[str, Any]) -> NodeSettings:
-    bounds, limits, listen = value["bounds"], value["limits"], value["listen"]
-    vms = value.get("cloud_api", {})
+def _decode_settings(settings: dict[str, Any]) -> NodeSettings:
+    bounds, limits, listen = settings["bounds"], settings["limits"], settings["listen"]
+    vm_service = settings.get("cloud_api", {})
     return NodeSettings(
-        name=value["node_name"],
-        availability_zone=value["zone"],
-        ip=value["ip"],
+        name=settings["node_name"],
+        availability_zone=settings["zone"],
+        ip=settings["ip"],
         callers=split_address(listen["front"]),
         readiness=split_address(listen["ready"]),
         # The ports of this range are reserved for this system on every entry VM.
-        peer_port=int(value["internal_ports"][0]),
-        metrics_port=int(value["internal_ports"][0]) + 1,
-        store=split_address(value["platform"]["address"]),
-        advice=split_address(value["advice"]) if value.get("advice") else None,
-        vm_service=split_address(vms["address"]) if vms.get("address") else None,
-        min_lease_ms=float(value["platform"]["ttl_min_ms"]),
+        peer_port=int(settings["internal_ports"][0]),
+        metrics_port=int(settings["internal_ports"][0]) + 1,
+        store=split_address(settings["platform"]["address"]),
+        advice=split_address(settings["advice"]) if settings.get("advice") else None,
+        vm_service=split_address(vm_service["address"]) if vm_service.get("address") else None,
+        min_lease_ms=float(settings["platform"]["ttl_min_ms"]),
         cores=float(limits["cpu_share"]) * float(limits.get("cores", 1)),
         max_files=int(limits["max_fds"]),
         max_run_lease_ms=float(bounds["hold_max_ms"]),
--- a/coltsfootpier/platform/_store.py
+++ b/coltsfootpier/platform/_store.py
@@ -29,7 +29,7 @@
 from coltsfootpier.platform._wire import BASE_PATH
 from coltsfootpier.transport import LeanPool, NotSent, Reply
 
-# Entries of one transaction at most, as specified by the platform.
+# Maximum number of conditions, writes and removals of one transaction, set by the platform.
 MAX_ENTRIES = 32
 # Connections for each kind of call. A call whose response is lost keeps its connection until its
 # timeout, so attempts of a change and renewals of a lease have pools of their own, which are as
@@ -43,6 +43,8 @@
 
 @attrs.define
 class _CallCounts:
+    """Number of calls, of calls without effect, and of calls with an unknown outcome."""
+
     calls: int = 0
     unavailable: int = 0
     unknown: int = 0
@@ -84,16 +86,16 @@
     ) -> Result[Item, PlatformError]:
         """Read one key; a missing key has version 0."""
         target = f"/kv-key?key={quote(key, safe='/')}"
-        sent = await self._call("GET", target, timeout_ms=timeout_ms)
-        if isinstance(sent, Failure):
-            return sent
-        reply = sent.unwrap()
+        result = await self._call("GET", target, timeout_ms=timeout_ms)
+        if isinstance(result, Failure):
+            return result
+        reply = result.unwrap()
         if reply.status == 404:
             return Success(Item(key))
         return _decode_success(reply, _decode_item)
 
-    async def list(
-        self, prefix: str, *, after: str = "", stale: bool = False
+    async def list_page(
+        self, prefix: str, *, after: str = "", allow_stale: bool = False
     ) -> Result[Page, PlatformError]:
         """Read one page of the items under a prefix.
 
@@ -103,24 +105,26 @@
             Common prefix of the keys.
         after : str
             Key of the last item of the previous page.
-        stale : bool
-            Whether a response that is seconds old is acceptable; it costs a tenth of a fresh one.
+        allow_stale : bool
+            Whether the response may be seconds old; it costs a tenth of a current one.
         """
         target = f"/kv-range?prefix={quote(prefix, safe='/')}"
         if after:
             target += f"&after={quote(after, safe='/')}"
-        if stale:
+        if allow_stale:
             target += "&allow_stale=1"
-        sent = await self._call("GET", target)
-        return sent.bind(lambda reply: _decode_success(reply, _decode_page))
+        result = await self._call("GET", target)
+        return result.bind(lambda reply: _decode_success(reply, _decode_page))
 
     async def list_all(
-        self, prefix: str, *, stale: bool = False
+        self, prefix: str, *, allow_stale: bool = False
     ) -> Result[list[Item], PlatformError]:
         """Read all items under a prefix; the pages are not one snapshot."""
         items: list[Item] = []
         while True:
-            result = await self.list(prefix, after=items[-1].key if items else "", stale=stale)
+            result = await self.list_page(
+                prefix, after=items[-1].key if items else "", allow_stale=allow_stale
+            )
             if isinstance(result, Failure):
                 return result
             page = result.unwrap()
@@ -131,7 +135,7 @@
     async def watch(
         self, prefix: str, *, after: int, wait_ms: int
     ) -> Result[Events, PlatformError]:
-        """Wait at most `wait_ms` for changes under a prefix after a store revision.
+        """Wait at most `wait_ms` for changes under a prefix after the store revision `after`.
 
         Returns
         -------
@@ -139,12 +143,12 @@
             `HistoryLost` when the changes are no longer available and a listing is required.
         """
         target = f"/kv-watch?prefix={quote(prefix, safe='/')}&after={after}&wait_ms={wait_ms}"
-        sent = await self._call(
+        result = await self._call(
             "GET", target, pool=self._watch_pool, timeout_ms=wait_ms + self._timeout_ms
         )
-        if isinstance(sent, Success) and sent.unwrap().status == 410:
+        if isinstance(result, Success) and result.unwrap().status == 410:
             return Failure(HistoryLost(after))
-        return sent.bind(lambda reply: _decode_success(reply, _decode_events))
+        return result.bind(lambda reply: _decode_success(reply, _decode_events))
 
     async def commit(
         self,
@@ -182,10 +186,10 @@
             ],
             "remove": list(remove),
         }
-        sent = await self._call("POST", "/kv-txn", body=body, pool=self._commit_pool)
-        if isinstance(sent, Failure):
-            return sent
-        reply = sent.unwrap()
+        result = await self._call("POST", "/kv-txn", body=body, pool=self._commit_pool)
+        if isinstance(result, Failure):
+            return result
+        reply = result.unwrap()
         if reply.status == 412:
             return _decode_status(reply, 412, _decode_page).bind(
                 lambda page: Failure(ConditionFailed(page.items))
@@ -196,26 +200,30 @@
 
     async def grant_lease(self, *, ttl_ms: float) -> Result[StoreLease, PlatformError]:
         """Obtain a lease."""
-        sent = await self._call("POST", "/kv-lease", body={"ttl_ms": int(ttl_ms)})
-        return sent.bind(
+        result = await self._call("POST", "/kv-lease", body={"ttl_ms": int(ttl_ms)})
+        return result.bind(
             lambda reply: _decode_success(
                 reply, lambda value: StoreLease(int(value["lease"]), float(value["ttl_ms"]))
             )
         )
 
     async def renew_lease(self, lease: int) -> Result[float, PlatformError]:
-        """Renew a lease; return its time to live in ms, or `LeaseLost`."""
-        sent = await self._call("POST", f"/kv-keep/{lease}", body={}, pool=self._renewal_pool)
-        if isinstance(sent, Success) and sent.unwrap().status == 404:
+        """Renew a lease; return its time to live in ms, or `LeaseLost` if it has ended."""
+        result = await self._call("POST", f"/kv-keep/{lease}", body={}, pool=self._renewal_pool)
+        if isinstance(result, Success) and result.unwrap().status == 404:
             return Failure(LeaseLost(str(lease)))
-        return sent.bind(lambda reply: _decode_success(reply, lambda value: float(value["ttl_ms"])))
+        return result.bind(
+            lambda reply: _decode_success(reply, lambda value: float(value["ttl_ms"]))
+        )
 
     async def end_lease(self, lease: int) -> Result[None, PlatformError]:
         """End a lease and remove its keys."""
-        sent = await self._call("DELETE", f"/kv-lease-end/{lease}")
-        return sent.bind(
+        result = await self._call("DELETE", f"/kv-lease-end/{lease}")
+        return result.bind(
             lambda reply: (
-                Success(None) if reply.status in (200, 204, 404) else _fail_on_status(reply.status)
+                Success(None)
+                if reply.status in (200, 204, 404)
+                else _build_status_failure(reply.status)
             )
         )
 
@@ -234,20 +242,20 @@
         timeout_ms: float | None = None,
     ) -> Result[Reply, PlatformError]:
         self.counts.calls += 1
-        sent = await (pool or self._general_pool).exchange(
+        result = await (pool or self._general_pool).exchange(
             method,
             BASE_PATH + target,
             body=b"" if body is None else orjson.dumps(body),
             timeout_ms=timeout_ms or self._timeout_ms,
         )
-        if isinstance(sent, Failure):
-            error = sent.failure()
+        if isinstance(result, Failure):
+            error = result.failure()
             if isinstance(error, NotSent):
                 self.counts.unavailable += 1
                 return Failure(StoreUnavailable(error.reason))
             self.counts.unknown += 1
             return Failure(StoreUnknown(error.reason))
-        reply = sent.unwrap()
+        reply = result.unwrap()
         if reply.status in (429, 503):
             self.counts.unavailable += 1
             return Failure(
@@ -256,7 +264,7 @@
         return Success(reply)
 
 
-def _fail_on_status(status: int) -> Failure[StoreUnknown]:
+def _build_status_failure(status: int) -> Failure[StoreUnknown]:
     return Failure(StoreUnknown(f"unexpected status {status}"))
 
 
@@ -266,7 +274,7 @@
 
 def _decode_status(reply: Reply, status: int, decode: Any) -> Result[Any, PlatformError]:
     if reply.status != status:
-        return _fail_on_status(reply.status)
+        return _build_status_failure(reply.status)
     try:
         return Success(decode(orjson.loads(reply.body)))
     except (AttributeError, KeyError, TypeError, ValueError) as error:
@@ -284,8 +292,8 @@
     try:
         content = base64.b64decode(encoded, validate=True)
     except (binascii.Error, TypeError, ValueError):
-        # The value of another writer isn't base64. The reader of the key reports that it can't
-        # decode the value.
+        # Another writer stored a value that isn't base64. The raw text is returned, so that the
+        # reader of the key reports that it can't decode the value.
         content = str(encoded).encode("utf-8", "replace")
     return Item(value["key"], content, revision, revision)
 
--- a/coltsfootpier/platform/_vms.py
+++ b/coltsfootpier/platform/_vms.py
@@ -1,4 +1,4 @@
-"""Client for worker VMs: their listing, and the command that starts the maintenance of one."""
+"""Client of the service that lists worker VMs and starts their maintenance."""
 
 from __future__ import annotations
 
@@ -12,11 +12,12 @@
 from coltsfootpier.platform._wire import BASE_PATH, load_object
 from coltsfootpier.transport import BadReply, CallError, LeanPool, NotSent, Reply
 
-# A listing and commands to a few VMs at the same time.
+# Enough for a listing and commands to a few VMs at the same time.
 _CONNECTIONS = 4
-# Maximum number of pages of one listing; the 650 workers of the target size fit into a few.
+# Maximum number of pages of one listing. The system is designed for 650 workers, which fit into a
+# few pages.
 _MAX_PAGES = 100
-_REASONS = {
+_OUTCOME_BY_REASON = {
     "fence": MaintenanceOutcome.FENCED,
     "busy": MaintenanceOutcome.BUSY,
     "wave": MaintenanceOutcome.FOREIGN,
@@ -56,12 +57,12 @@
         page_token = ""
         for _ in range(_MAX_PAGES):
             query = f"?page_token={quote(page_token, safe='')}" if page_token else ""
-            sent = await self._pool.exchange(
+            result = await self._pool.exchange(
                 "GET", f"{BASE_PATH}/machines{query}", timeout_ms=timeout_ms
             )
-            if isinstance(sent, Failure):
-                return sent
-            page = _decode_page(sent.unwrap())
+            if isinstance(result, Failure):
+                return result
+            page = _decode_page(result.unwrap())
             if isinstance(page, Failure):
                 return page
             listed, page_token = page.unwrap()
@@ -74,21 +75,23 @@
         self, command: MaintenanceCommand, *, timeout_ms: float
     ) -> MaintenanceOutcome:
         """Start the maintenance of a VM, which ends all runs on it at once."""
-        sent = await self._pool.exchange(
+        result = await self._pool.exchange(
             "POST",
             f"{BASE_PATH}/machine-upkeep",
             headers=self._headers,
             body=orjson.dumps({"machine": command.vm_id, "wave": command.wave}),
             timeout_ms=timeout_ms,
         )
-        if isinstance(sent, Failure):
-            rejected = isinstance(sent.failure(), NotSent)
-            return MaintenanceOutcome.REFUSED if rejected else MaintenanceOutcome.UNKNOWN
-        reply = sent.unwrap()
+        if isinstance(result, Failure):
+            is_unsent = isinstance(result.failure(), NotSent)
+            return MaintenanceOutcome.REFUSED if is_unsent else MaintenanceOutcome.UNKNOWN
+        reply = result.unwrap()
         if reply.status == 200:
             return MaintenanceOutcome.BEGUN
         if reply.status == 409:
-            return _REASONS.get(load_object(reply).get("reason"), MaintenanceOutcome.REFUSED)
+            return _OUTCOME_BY_REASON.get(
+                load_object(reply).get("reason"), MaintenanceOutcome.REFUSED
+            )
         if reply.status == 400:
             # There is no such VM.
             return MaintenanceOutcome.FOREIGN
--- a/coltsfootpier/platform/_wire.py
+++ b/coltsfootpier/platform/_wire.py
@@ -1,4 +1,4 @@
-"""Helpers shared by all clients of the platform."""
+"""Helpers shared by the clients of the platform."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 from coltsfootpier.transport import Reply
 
-# Prefix of the paths of all platform calls.
+# Prefix of the paths of calls to the store, the runners, the advice service and the VM service.
 BASE_PATH = "/coltsfootpier"
 
 
--- a/coltsfootpier/platform/tests/test_decoding.py
+++ b/coltsfootpier/platform/tests/test_decoding.py
@@ -1,4 +1,4 @@
-"""Tests of decoding malformed store values of other writers, and incomplete settings."""
+"""Tests of decoding registry entries, task names, configurations and settings."""
 
 import tempfile
 import unittest
@@ -72,7 +72,7 @@
                 self.assertIsNone(decode_entry(Item("servers/i-1", value, 5, 5)))
 
 
-class NameTest(unittest.TestCase):
+class TaskNameTest(unittest.TestCase):
     """Names of tasks in the platform's format."""
 
     def test_round_trip(self):
