Describe caller requests, permits and proposed revisions, and name builders as such

Functions that only build a result were named like actions, and fields of requests, claims and changes had no description. The shape comparison shows only renames, and lint and the tests of configuration and permits pass.

--- a/coltsfootpier/callers/_application.py
+++ b/coltsfootpier/callers/_application.py
@@ -53,16 +53,16 @@
     send_response,
 )
 
-# Maximum number of runners to try before a request is rejected.
+# Maximum number of attempts of one request, each on another runner.
 _MAX_ATTEMPTS = 3
-_STATUS = {
+_STATUS_BY_REASON = {
     RejectionReason.UNKNOWN_SERVICE: 404,
     RejectionReason.BAD_REQUEST: 400,
     RejectionReason.SHARE: 429,
     RejectionReason.KEY_BUSY: 409,
     RejectionReason.DEADLINE: 504,
 }
-# Control characters, which the connection to the runner would reject.
+# Control characters other than the tab; the connection to the runner would reject them.
 _CONTROL_CHARACTERS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 _FORWARDED_HEADERS = frozenset({b"content-type", b"accept", b"idempotency-key", b"x-exclusive-key"})
 
@@ -93,12 +93,28 @@
 
 @attrs.frozen(kw_only=True)
 class _HandledRequest:
+    """Outcome of a request, and the response to its caller.
+
+    Parameters
+    ----------
+    reason : str
+        Why the caller gets no complete response of a runner; empty if it gets one.
+    waited_ms : float
+        Time spent waiting for slots.
+    rest : BodyStream, optional
+        Remaining body of a large response.
+    length : int, optional
+        Length of the body of a large response in bytes.
+    grant : Grant, optional
+        Slot of the last attempt; with a large response it is held until the body has been sent.
+    feedback : Feedback
+        Feedback of the last attempt about its runner.
+    """
+
     outcome: Outcome
     response: HttpResponse
     reason: str = ""
     waited_ms: float = 0.0
-    # Set for a large response: the remaining body, its length, and the slot that is held until the
-    # body has been sent.
     rest: BodyStream | None = None
     length: int | None = None
     grant: Grant | None = None
@@ -107,6 +123,18 @@
 
 @attrs.frozen(kw_only=True)
 class _Request:
+    """A valid request with the values that are sent to a runner.
+
+    Parameters
+    ----------
+    target : str
+        Path and query without the prefix ``/services/SERVICE``.
+    headers : tuple of (bytes, bytes)
+        Headers of the caller that are forwarded.
+    deadline_ms : float
+        Deadline on the daemon's clock.
+    """
+
     id: str
     kind: RequestKind
     method: str
@@ -141,7 +169,14 @@
     max_body : int
         Largest accepted body in bytes.
     default_deadline_ms : float
-        Deadline of a request without a deadline header.
+        Time allowed for a request without a deadline header.
+
+    Attributes
+    ----------
+    in_flight : int
+        Number of requests whose response has not been sent completely.
+    draining : bool
+        Whether responses ask callers to close their connections.
     """
 
     def __init__(
@@ -162,7 +197,7 @@
         self._pool = pool
         self._stats = stats
         self._get_declaration = get_declaration
-        self._max_body = max_body
+        self._max_body_bytes = max_body
         self._default_deadline_ms = default_deadline_ms
         self.in_flight = 0
         self.draining = False
@@ -176,17 +211,17 @@
         request_id = headers.get(b"x-request-id", b"").decode("latin-1") or secrets.token_hex(8)
         service = scope["path"].removeprefix("/services/").split("/", 1)[0]
         try:
-            handled = await self._handle(scope, receive, headers, request_id, arrived_ms)
-            extra = (
+            handled = await self._validate_and_run(scope, receive, headers, request_id, arrived_ms)
+            extra_headers = (
                 (b"x-request-id", request_id.encode("latin-1")),
                 (b"x-outcome", handled.outcome.value.encode()),
             )
             if self.draining:
                 # Callers move to another entry VM before the listener is closed, so that no request
                 # is sent on a connection that is being closed at the same time.
-                extra = (*extra, (b"connection", b"close"))
+                extra_headers = (*extra_headers, (b"connection", b"close"))
             response = handled.response
-            response = attrs.evolve(response, headers=(*response.headers, *extra))
+            response = attrs.evolve(response, headers=(*response.headers, *extra_headers))
             if handled.rest is None:
                 self._record(service, handled, arrived_ms)
                 await send_response(send, response)
@@ -197,8 +232,8 @@
             except BodyCutError as error:
                 # The response stays incomplete and the connection is closed, so the caller can't
                 # mistake it for a complete response.
-                cut = attrs.evolve(handled, outcome=Outcome.UNKNOWN, reason="answer_cut")
-                self._record(service, cut, arrived_ms)
+                truncated = attrs.evolve(handled, outcome=Outcome.UNKNOWN, reason="answer_cut")
+                self._record(service, truncated, arrived_ms)
                 log_event("response cut off", request=request_id, reason=error.error.reason)
             finally:
                 handled.rest.close()
@@ -219,7 +254,7 @@
                 objective_ms=declared.latency_ms,
             )
 
-    async def _handle(
+    async def _validate_and_run(
         self,
         scope: Scope,
         receive: Callable,
@@ -227,6 +262,7 @@
         request_id: str,
         arrived_ms: float,
     ) -> _HandledRequest:
+        """Read a request and run it if it is valid."""
         segments = scope["path"].split("/", 4)
         declaration = self._get_declaration()
         if (
@@ -234,7 +270,7 @@
             or segments[1] != "services"
             or segments[2] not in declaration.services
         ):
-            return _reject(RejectionReason.UNKNOWN_SERVICE, scope["path"])
+            return _build_rejection(RejectionReason.UNKNOWN_SERVICE, scope["path"])
         kind = declaration.requests.get((segments[2], segments[3])) or RequestKind(
             service=segments[2],
             name=segments[3],
@@ -251,23 +287,26 @@
         except ValueError:
             left_ms = math.nan
         if not math.isfinite(left_ms):
-            return _reject(RejectionReason.BAD_REQUEST, "X-Deadline-Ms is not a number")
-        # The path as it was sent: decoding may introduce characters with another meaning.
+            return _build_rejection(RejectionReason.BAD_REQUEST, "X-Deadline-Ms is not a number")
+        # The path is forwarded as it was sent, because decoding it may introduce characters with
+        # another meaning.
         path, query = scope["raw_path"], scope.get("query_string", b"")
         if not (path + query).isascii() or any(
             _CONTROL_CHARACTERS.search(value) for value in (path, query, *headers.values())
         ):
-            return _reject(RejectionReason.BAD_REQUEST, "characters that HTTP doesn't allow")
+            return _build_rejection(
+                RejectionReason.BAD_REQUEST, "characters that HTTP doesn't allow"
+            )
         try:
             body = await read_upload(
                 scope,
                 receive,
-                max_body=self._max_body,
+                max_body=self._max_body_bytes,
                 # Permits compare complete bodies, so only requests without permits are streamed.
                 max_buffered_bytes=(
                     MAX_BUFFERED_BODY_BYTES
                     if kind.idempotent and not kind.exclusive
-                    else self._max_body
+                    else self._max_body_bytes
                 ),
                 timeout_ms=left_ms,
             )
@@ -299,17 +338,18 @@
             deadline_ms=request.deadline_ms,
         )
         if isinstance(claims, Rejected):
-            return _reject(claims.reason, claims.detail)
+            return _build_rejection(claims.reason, claims.detail)
         return await self._run_with_permits(request, claims, arrived_ms)
 
     async def _run_with_permits(
         self, request: _Request, claims: list[Claim], arrived_ms: float
     ) -> _HandledRequest:
+        """Acquire the permits of a request, run it, and record its outcome for its keys."""
         acquired = await acquire_permits(self._permits, claims)
         if isinstance(acquired, Rejected):
-            return _reject(acquired.reason, acquired.detail)
+            return _build_rejection(acquired.reason, acquired.detail)
         if isinstance(acquired, RecordedOutcome):
-            return _replay(acquired)
+            return _build_replayed_outcome(acquired)
         ticket = Ticket(
             service=request.kind.service,
             kind=request.kind.name,
@@ -321,6 +361,7 @@
         return attrs.evolve(handled, waited_ms=ticket.waited_ms)
 
     async def _run_attempts(self, request: _Request, ticket: Ticket) -> _HandledRequest:
+        """Send a request to one runner after another until one responds or no retry is allowed."""
         kind = request.kind
         may_have_run = False
         reason = ""
@@ -336,13 +377,13 @@
             ticket.waited_ms += self._clock.now_ms() - wait_start_ms
             if isinstance(grant, Rejected):
                 if may_have_run:
-                    return _respond_unknown(reason)
-                return _reject(grant.reason, grant.detail)
+                    return _build_unknown_outcome(reason)
+                return _build_rejection(grant.reason, grant.detail)
             feedback = Feedback()
             sent_ms = self._clock.now_ms()
             is_streamed = False
             try:
-                result = await self._attempt(request, grant)
+                result = await self._send_attempt(request, grant)
                 feedback = _build_feedback(result, request.id, self._clock.now_ms() - sent_ms)
                 is_streamed = isinstance(result, Success) and result.unwrap().rest is not None
             finally:
@@ -350,7 +391,7 @@
                     with anyio.CancelScope(shield=True):
                         await self._slots.release(grant, feedback)
             if isinstance(result, Success):
-                return attrs.evolve(_respond(result.unwrap(), grant), feedback=feedback)
+                return attrs.evolve(_build_response(result.unwrap(), grant), feedback=feedback)
             error = result.failure()
             reason = error.reason
             ticket.excluded.add(grant.runner.id)
@@ -362,10 +403,11 @@
                 # The part that was sent isn't retained, so the request can't be resent.
                 break
         if may_have_run:
-            return _respond_unknown(reason)
-        return _reject(RejectionReason.RUNNER_REFUSED, reason)
+            return _build_unknown_outcome(reason)
+        return _build_rejection(RejectionReason.RUNNER_REFUSED, reason)
 
-    async def _attempt(self, request: _Request, grant: Grant) -> Result:
+    async def _send_attempt(self, request: _Request, grant: Grant) -> Result:
+        """Send a request to the runner of a slot."""
         left_ms = request.deadline_ms - self._clock.now_ms()
         timeout_ms = left_ms
         if request.is_retryable:
@@ -388,7 +430,7 @@
 
 
 def _build_feedback(result: Result, request_id: str, elapsed_ms: float) -> Feedback:
-    """Return the feedback of an attempt about its runner."""
+    """Return what the result of an attempt says about its runner."""
     leaving = False
     if isinstance(result, Success):
         response = result.unwrap()
@@ -411,7 +453,8 @@
     )
 
 
-def _respond(response: RunnerResponse, grant: Grant) -> _HandledRequest:
+def _build_response(response: RunnerResponse, grant: Grant) -> _HandledRequest:
+    """Return the response of a runner in the form in which the caller gets it."""
     content_type = next(
         (value for name, value in response.headers if name == b"content-type"), b"text/plain"
     )
@@ -427,15 +470,15 @@
     )
 
 
-def _reject(reason: RejectionReason, detail: str) -> _HandledRequest:
+def _build_rejection(reason: RejectionReason, detail: str) -> _HandledRequest:
     return _HandledRequest(
         outcome=Outcome.REFUSED,
-        response=HttpResponse.problem(_STATUS.get(reason, 503), reason.value, detail),
+        response=HttpResponse.problem(_STATUS_BY_REASON.get(reason, 503), reason.value, detail),
         reason=reason.value,
     )
 
 
-def _replay(recorded: RecordedOutcome) -> _HandledRequest:
+def _build_replayed_outcome(recorded: RecordedOutcome) -> _HandledRequest:
     # Only the outcome of the earlier request is stored, which bounds the memory per key.
     is_unknown = recorded.outcome is Outcome.UNKNOWN
     outcome = {"outcome": recorded.outcome.value, "replayed": True}
@@ -449,7 +492,7 @@
     )
 
 
-def _respond_unknown(reason: str) -> _HandledRequest:
+def _build_unknown_outcome(reason: str) -> _HandledRequest:
     return _HandledRequest(
         outcome=Outcome.UNKNOWN,
         response=HttpResponse.problem(502, "outcome_unknown", reason),
--- a/coltsfootpier/callers/_permits.py
+++ b/coltsfootpier/callers/_permits.py
@@ -22,8 +22,12 @@
 
     Parameters
     ----------
+    kind : KeyKind
+        Guarantee that the key gives.
+    key : str
+        Kind, service and the caller's key; an idempotency key also has the kind of the request.
     fingerprint : str
-        Digest of the request.
+        Digest of the request; empty for an exclusive key, under which requests may differ.
     deadline_ms : float
         Deadline of the request on the daemon's clock.
     max_run_ms : float
@@ -39,7 +43,7 @@
 
 @attrs.frozen(kw_only=True)
 class Permit:
-    """Permission to run the request of a claim once."""
+    """Permission to run the request of a claim once; `token` identifies the request."""
 
     claim: Claim
     token: str
@@ -50,6 +54,11 @@
     """Outcome of an earlier request with the same key that ran or may have run.
 
     The new request is not run.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the earlier response; 0 when unknown.
     """
 
     outcome: Outcome
@@ -64,7 +73,7 @@
         ...
 
     async def settle(self, permit: Permit, outcome: Outcome, status: int) -> None:
-        """Record the outcome of the request; ``REFUSED`` frees the key."""
+        """Record the outcome and the HTTP status of the request; ``REFUSED`` frees the key."""
         ...
 
 
@@ -98,12 +107,12 @@
         The claim of the idempotency key comes first, so that a retry gets its recorded outcome
         even while the exclusive key is in use.
     """
-    needed = (
+    key_requirements = (
         (KeyKind.IDEMPOTENCY, b"idempotency-key", not kind.idempotent, kind.name),
         (KeyKind.EXCLUSIVE, b"x-exclusive-key", kind.exclusive, ""),
     )
     claims: list[Claim] = []
-    for key_kind, header, is_needed, scope in needed:
+    for key_kind, header, is_needed, scope in key_requirements:
         if not is_needed:
             continue
         key = headers.get(header, b"").decode("latin-1")
@@ -148,6 +157,8 @@
     Returns
     -------
     list of Permit, RecordedOutcome or Rejected
+        One permit for each claim. Otherwise the first result that isn't a permit; the permits
+        acquired before it are settled, so that their keys are free again.
     """
     acquired: list[Permit] = []
     for claim in claims:
--- a/coltsfootpier/configuration/_state.py
+++ b/coltsfootpier/configuration/_state.py
@@ -60,7 +60,8 @@
     def __init__(self) -> None:
         self.revision = Revision()
         self.declaration = Declaration.empty()
-        # Whether the store was read or a peer has sent a revision, even if it is revision 0.
+        # Whether any revision is known: the store was read or a peer has sent a revision, even if
+        # it is revision 0.
         self.known = False
 
     def observe(self, revision: Revision) -> bool:
@@ -94,7 +95,7 @@
         parsed = parse(revision.text, source=f"revision {revision.revision}")
         if isinstance(parsed, Failure):
             # Only valid texts are written, so this text was written by a newer release and
-            # contains keys unknown to this one. The previous state stays in force.
+            # contains keys unknown to this one. The previous revision stays in force.
             return False
         self.revision = revision
         self.declaration = parsed.unwrap()
@@ -103,7 +104,19 @@
     def propose(
         self, text: str, *, base: int, token: str, source: str
     ) -> Result[Revision, tuple[Problem, ...]]:
-        """Validate a change and return the revision that it proposes."""
+        """Parse the text of a change, and return the revision to write or the errors in the text.
+
+        Parameters
+        ----------
+        text : str
+            New text of the declaration.
+        base : int
+            Revision that the change is based on; the proposed revision is the next one.
+        token : str
+            Identifier of the change.
+        source : str
+            Name of the text in error messages.
+        """
         parsed = parse(text, source=source)
         if isinstance(parsed, Failure):
             return parsed
--- a/coltsfootpier/configuration/tests/test_state.py
+++ b/coltsfootpier/configuration/tests/test_state.py
@@ -9,6 +9,8 @@
 
 
 class RevisionStateTest(unittest.TestCase):
+    """Revision in force in one daemon, and the outcome of a write whose response was lost."""
+
     def test_lower_revision_never_comes_into_force(self) -> None:
         """Guards against reverting to an older configuration."""
         state = RevisionState()
@@ -24,9 +26,9 @@
         self.assertIn("web", state.declaration.services)
 
     def test_change_is_found_after_later_changes(self) -> None:
-        """Guards against reporting a conflict although the change took effect.
+        """Guards against reporting a conflict for a change that took effect.
 
-        Other changes have been written since.
+        Its response was lost, and another change has been written since.
         """
         stored = Revision(1, "first", DECLARATION_TEXT)
         mine = extend_history(Revision(2, "mine", DECLARATION_TEXT), stored)
