--- a/coltsfootpier/placement/_capacity.py
+++ b/coltsfootpier/placement/_capacity.py
@@ -14,7 +14,14 @@
 def build_load(
     name: str, view: WorkerView, charged: Sequence[Placement], usage: UsageTable
 ) -> WorkerLoad:
-    """Build the load of a worker; tasks that exceed their declared size count as measured."""
+    """Build the load of a worker, as seen by placement policies.
+
+    Parameters
+    ----------
+    charged : sequence of Placement
+        Entries that count against the worker's capacity. Each is charged with its declared size,
+        or while it runs with its reported cores or memory where these are larger.
+    """
     charged_size = sum_sizes(
         usage.compute_charge(entry.spec, view.reports.get((entry.task, entry.attempt)))
         for entry in charged
@@ -31,21 +38,22 @@
 
 
 def build_capacity(
-    load: WorkerLoad, vm: Vm, *, reserved: Size, quarantined: bool, probe_due: bool
+    load: WorkerLoad, vm: Vm, *, reserved: Size, is_quarantined: bool, is_probe_due: bool
 ) -> WorkerCapacity:
     """Build the capacity of a worker that is reported to the dispatcher.
 
     Parameters
     ----------
     reserved : tuple of (float, int, int)
-        Capacity reserved for tasks for which others are being evicted.
-    quarantined : bool
-        Whether the worker is quarantined and has no free capacity unless a probe is due.
-    probe_due : bool
+        Cores, memory in MB and accelerators reserved for accepted attempts for which other tasks
+        are being evicted.
+    is_quarantined : bool
+        Whether the worker is quarantined; it then has no free capacity unless a probe is due.
+    is_probe_due : bool
         Whether a quarantined worker may receive a task as a probe.
     """
     free = subtract(load.free, reserved)
-    if quarantined and not probe_due:
+    if is_quarantined and not is_probe_due:
         free = (0.0, 0, 0)
     return WorkerCapacity(
         worker=load.name,
@@ -57,5 +65,5 @@
         free_cores=free[0],
         free_memory_mb=free[1],
         free_accelerators=free[2],
-        set_aside=quarantined,
+        set_aside=is_quarantined,
     )
--- a/coltsfootpier/placement/_commands.py
+++ b/coltsfootpier/placement/_commands.py
@@ -9,11 +9,15 @@
 
 
 def choose_command_kind(entry: Placement, view: WorkerView, may_start: bool) -> str:
-    """Return the kind of command to send for an attempt, or an empty string for none."""
-    running = (entry.task, entry.attempt) in view.reports
+    """Return the kind of command to send for an attempt, or an empty string for none.
+
+    Without `may_start` the only kind is ``renew``: this daemon may no longer own the shard, and
+    another owner may have decided differently about starts and stops.
+    """
+    is_reported = (entry.task, entry.attempt) in view.reports
     if entry.state in ("stopping", "orphaned"):
         return "stop" if may_start else ""
-    if running:
+    if is_reported:
         return "renew"
     return "start" if may_start else ""
 
@@ -21,7 +25,11 @@
 def plan_cleanup(
     held_entries: Iterable[Placement], view: WorkerView, epoch: int
 ) -> Iterable[Command]:
-    """Yield commands that stop or forget reported attempts without a charged record entry."""
+    """Yield a command for each reported attempt that no charged record entry covers.
+
+    Running attempts are stopped. Ended ones are forgotten, so that the worker no longer reports
+    them.
+    """
     known = {(entry.task, entry.attempt) for entry in held_entries if entry.charged}
     for (task, attempt), report in view.reports.items():
         if (task, attempt) not in known:
--- a/coltsfootpier/placement/_health.py
+++ b/coltsfootpier/placement/_health.py
@@ -14,15 +14,33 @@
 # Maximum fraction of a shard's workers that may be quarantined at once, so that a scheduler
 # fault that looks like broken workers can't empty the shard.
 _MAX_QUARANTINED_SHARE = 1 / 3
+# Time from the quarantine to the first probe. It doubles, up to the maximum, with each failure
+# during the quarantine.
 _INITIAL_PROBE_DELAY_MS = 10_000.0
 _MAX_PROBE_DELAY_MS = 300_000.0
+# Number of services and jobs whose failures are tracked; the one whose last failure is oldest is
+# dropped first.
 _MAX_JOBS = 512
 
 
 @attrs.define
 class _WorkerHealth:
+    """Failures of one worker since its last success.
+
+    Parameters
+    ----------
+    failed_tasks : dict
+        Distinct tasks that have failed, as keys.
+    probe_at_ms : float
+        Time at which the next probe is due.
+    probe_delay_ms : float
+        Time between the last failure and the next probe.
+    probe : tuple of (str, int) or None
+        Task and attempt of the probe that was placed and has not ended.
+    """
+
     failed_tasks: dict[str, None] = attrs.field(factory=dict)
-    quarantined: bool = False
+    is_quarantined: bool = False
     probe_at_ms: float = 0.0
     probe_delay_ms: float = _INITIAL_PROBE_DELAY_MS
     probe: tuple[str, int] | None = None
@@ -38,21 +56,21 @@
         self._workers: dict[str, _WorkerHealth] = {}
         self._failed_workers_by_job: OrderedDict[str, set[str]] = OrderedDict()
 
-    def forget(self, worker: str) -> None:
+    def remove_worker(self, worker: str) -> None:
         """Discard the history of a worker that is gone or has restarted."""
         self._workers.pop(worker, None)
 
     def is_quarantined(self, worker: str) -> bool:
         """Return whether a worker is quarantined and receives only probes."""
         health = self._workers.get(worker)
-        return health is not None and health.quarantined
+        return health is not None and health.is_quarantined
 
     def is_probe_due(self, worker: str, now_ms: float) -> bool:
         """Return whether a quarantined worker may receive one task as a probe now."""
         health = self._workers.get(worker)
         return (
             health is not None
-            and health.quarantined
+            and health.is_quarantined
             and health.probe is None
             and now_ms >= health.probe_at_ms
         )
@@ -62,7 +80,10 @@
         self._workers[worker].probe = (task, attempt)
 
     def end_inconclusive_probe(self, worker: str, task: str, attempt: int, now_ms: float) -> None:
-        """Allow a new probe if the attempt was one and ended without evidence on the worker."""
+        """Record that an attempt ended in a way that says nothing about its worker.
+
+        If the attempt was the worker's probe, another probe is due at once.
+        """
         health = self._workers.get(worker)
         if health is not None and health.probe == (task, attempt):
             health.probe = None
@@ -76,21 +97,21 @@
         """
         self._failed_workers_by_job.pop(declared, None)
         health = self._workers.get(worker)
-        if health is not None and (not health.quarantined or health.probe == key):
+        if health is not None and (not health.is_quarantined or health.probe == key):
             del self._workers[worker]
 
     def observe_failure(
-        self, worker: str, task: str, declared: str, *, now_ms: float, live_workers: int
+        self, worker: str, task: str, declared: str, *, now_ms: float, live_worker_count: int
     ) -> bool:
         """Record a failed task and return whether it caused the worker to be quarantined.
 
         Parameters
         ----------
-        live_workers : int
+        live_worker_count : int
             Number of live workers in the shard.
         """
         health = self._workers.setdefault(worker, _WorkerHealth())
-        if health.quarantined:
+        if health.is_quarantined:
             health.probe = None
             health.probe_delay_ms = min(2 * health.probe_delay_ms, _MAX_PROBE_DELAY_MS)
             health.probe_at_ms = now_ms + health.probe_delay_ms
@@ -103,13 +124,13 @@
         if len(failed_workers) >= _FAULTY_JOB_WORKERS:
             return False
         health.failed_tasks[task] = None
-        quarantined_count = sum(known.quarantined for known in self._workers.values())
+        quarantined_count = sum(other.is_quarantined for other in self._workers.values())
         if (
             len(health.failed_tasks) < _QUARANTINE_FAILURES
-            or quarantined_count + 1 > max(1, int(live_workers * _MAX_QUARANTINED_SHARE))
-            or live_workers < 2
+            or quarantined_count + 1 > max(1, int(live_worker_count * _MAX_QUARANTINED_SHARE))
+            or live_worker_count < 2
         ):
             return False
-        health.quarantined = True
+        health.is_quarantined = True
         health.probe_at_ms = now_ms + health.probe_delay_ms
         return True
--- a/coltsfootpier/placement/_leases.py
+++ b/coltsfootpier/placement/_leases.py
@@ -7,7 +7,9 @@
 
 
 class LeaseTracker:
-    """Latest expiry of the leases that this owner and the previous one may have granted.
+    """Upper bounds on the expiry of the leases that this owner and the previous one have granted.
+
+    All times are on this owner's clock.
 
     Parameters
     ----------
@@ -51,7 +53,13 @@
         return now_ms + self._worker_lease_ms * (1 + MAX_CLOCK_DRIFT_RATIO)
 
     def compute_expiry_ms(self, view: WorkerView | None) -> float:
-        """Return the time by which all leases on a worker have expired."""
+        """Return the time by which all leases on a worker have expired.
+
+        Parameters
+        ----------
+        view : WorkerView or None
+            State of the worker; None if it isn't in the VM list.
+        """
         # A newly placed attempt has no lease yet, but the worker may still start it until the
         # start command expires. The lease is therefore counted from the last contact.
         if view is None:
@@ -63,11 +71,12 @@
             self.compute_grant_expiry_ms(contact_ms),
         )
 
-    def is_orphaned(self, entry: Placement, view: WorkerView | None, now_ms: float) -> bool:
-        """Return whether the runner on an unresponsive worker should be replaced.
+    def should_orphan(self, entry: Placement, view: WorkerView | None, now_ms: float) -> bool:
+        """Return whether an attempt is a runner on a silent worker and should become orphaned.
 
-        An extra runner of a service is harmless, so the replacement doesn't wait until the
-        previous owner can no longer renew leases.
+        An orphaned runner is replaced although it may still run. An extra runner of a service is
+        harmless, so the replacement doesn't wait until the previous owner can no longer renew
+        leases.
         """
         if entry.spec.kind != "service" or entry.state == "orphaned":
             return False
--- a/coltsfootpier/placement/_messages.py
+++ b/coltsfootpier/placement/_messages.py
@@ -76,7 +76,12 @@
     Parameters
     ----------
     outcome : str
-        ``done``, ``failed``, ``stopped``, ``lost`` or ``no_capacity``.
+        ``done``, ``failed``, ``stopped``, ``lost`` or ``no_capacity``; empty for an orphaned runner
+        of a worker that is leaving.
+    checkpoint : str
+        Newest checkpoint; empty if there is none.
+    worker : str
+        Worker of the attempt; empty if it was never placed.
     """
 
     task: str
@@ -93,6 +98,11 @@
 
     Parameters
     ----------
+    state : str
+        ``accepted``, ``placed`` or ``stopping`` as in the shard's record; ``running`` or ``ended``
+        instead of ``placed`` if the worker has reported the attempt.
+    worker : str
+        Worker of the attempt; empty before placement.
     unsaved_ms : float
         Run time since the start or the newest checkpoint, in milliseconds; an eviction would
         lose this work.
@@ -102,7 +112,7 @@
     attempt: int
     state: str
     worker: str = ""
-    # Grows continuously, so it is excluded from comparisons that detect changes.
+    # Increases while the attempt runs, so it is excluded from comparisons that detect changes.
     unsaved_ms: float = attrs.field(default=0.0, eq=False)
 
 
--- a/coltsfootpier/placement/_policies.py
+++ b/coltsfootpier/placement/_policies.py
@@ -11,6 +11,7 @@
 from coltsfootpier.declaration import TaskSpec
 from coltsfootpier.placement._slowdown import SlowdownTable
 
+# Cores, memory in MB and accelerators.
 Size = tuple[float, int, int]
 
 # Sums of fractional cores such as 0.1 carry floating-point rounding errors.
@@ -102,8 +103,8 @@
 
 # Weight of a service's slowdown relative to that of a batch task.
 _SERVICE_WEIGHT = 4.0
-# Weight of a worker's load for batch tasks: interference grows with load, even between kinds
-# that have not been measured together.
+# Weight of a worker's load for batch tasks: interference grows with load, even between services and
+# jobs that have not been measured together.
 _LOAD_WEIGHT = 0.2
 # Weight of the interference that a runner must expect from batch tasks that will later fill the
 # free capacity of its worker.
@@ -125,7 +126,7 @@
     Parameters
     ----------
     slowdowns : SlowdownTable
-        Slowdown estimates for pairs of kinds.
+        Slowdown estimates for pairs of services and jobs.
     """
 
     def __init__(self, slowdowns: SlowdownTable) -> None:
@@ -143,12 +144,12 @@
                 is_service and load.declared.count(spec.declared) >= _MAX_RUNNERS_PER_SERVICE
             )
             free_accelerators = load.free[2] if spec.accelerators == 0 else 0
-            used = 1.0 - load.free[0] / load.size[0] if load.size[0] else 0.0
+            used_share = 1.0 - load.free[0] / load.size[0] if load.size[0] else 0.0
             interference = self._predict_interference(spec.declared, is_service, load)
             if is_service:
-                interference += _EXPOSURE_WEIGHT * (1.0 - used)
+                interference += _EXPOSURE_WEIGHT * (1.0 - used_share)
             else:
-                interference += _LOAD_WEIGHT * used
+                interference += _LOAD_WEIGHT * used_share
             return is_at_runner_limit, free_accelerators, interference, -load.free[0], -load.free[1]
 
         return min(candidates, key=rank).name
@@ -170,11 +171,11 @@
             interference += count * added
         return interference
 
-    def _is_pair_measured(self, kind: str, other: str) -> bool:
-        return self._slowdowns.has_measurements(kind, other) or self._slowdowns.has_measurements(
-            other, kind
-        )
+    def _is_pair_measured(self, declared: str, other: str) -> bool:
+        return self._slowdowns.has_measurements(
+            declared, other
+        ) or self._slowdowns.has_measurements(other, declared)
 
-    def _estimate_weighted_slowdown(self, kind: str, is_service: bool, neighbour: str) -> float:
-        mean, deviation = self._slowdowns.estimate(kind, neighbour)
+    def _estimate_weighted_slowdown(self, declared: str, is_service: bool, neighbour: str) -> float:
+        mean, deviation = self._slowdowns.estimate(declared, neighbour)
         return _SERVICE_WEIGHT * (mean + deviation) if is_service else mean
--- a/coltsfootpier/placement/_reply_delta.py
+++ b/coltsfootpier/placement/_reply_delta.py
@@ -15,23 +15,23 @@
     workers: dict[str, WorkerCapacity] = attrs.field(factory=dict)
 
 
-class ReplyDelta:
-    """Difference between successive replies of a shard owner.
+class ReplyDeltaEncoder:
+    """Encoder of replies as the changes since the last reply that the dispatcher has received.
 
-    Replies to a repeated sequence number are computed against the same confirmed reply as the
+    A reply to a repeated sequence number is computed against the same confirmed reply as the
     first one, because the first one may have been lost.
     """
 
     def __init__(self) -> None:
-        self._confirmed = _Snapshot()
-        self._sent = _Snapshot()
+        self._confirmed_snapshot = _Snapshot()
+        self._sent_snapshot = _Snapshot()
 
-    def confirm_last(self) -> None:
+    def confirm_last_reply(self) -> None:
         """Record that the dispatcher has received the last reply.
 
-        It sends the next sequence number only after that.
+        To be called for each new sequence number, which the dispatcher sends only after that.
         """
-        self._confirmed = self._sent
+        self._confirmed_snapshot = self._sent_snapshot
 
     def build_reply(
         self,
@@ -39,19 +39,19 @@
         states: Iterable[AttemptState],
         workers: Iterable[WorkerCapacity],
     ) -> ExchangeReply:
-        """Return `reply` with all states and workers, or with the changes if it isn't full."""
+        """Return `reply` with all states and workers if it is full, otherwise with the changes."""
         current = _Snapshot(
             {state.task: state for state in states},
             {worker.worker: worker for worker in workers},
         )
-        self._sent = current
+        self._sent_snapshot = current
         if reply.full:
             return attrs.evolve(
                 reply,
                 states=tuple(current.states.values()),
                 workers=tuple(current.workers.values()),
             )
-        previous = self._confirmed
+        previous = self._confirmed_snapshot
         return attrs.evolve(
             reply,
             states=tuple(
--- a/coltsfootpier/placement/_shard.py
+++ b/coltsfootpier/placement/_shard.py
@@ -30,7 +30,7 @@
     fits,
     subtract,
 )
-from coltsfootpier.placement._reply_delta import ReplyDelta
+from coltsfootpier.placement._reply_delta import ReplyDeltaEncoder
 from coltsfootpier.placement._slowdown import SlowdownTable
 from coltsfootpier.placement._usage import UsageTable, sum_sizes
 from coltsfootpier.placement._views import OvercommitError, Placement, StaleExchange, WorkerView
@@ -38,7 +38,7 @@
 from coltsfootpier.records import VersionedRecord
 from coltsfootpier.workers import Command, SyncReply, SyncRequest, TaskReport
 
-# Validity of a start command; the worker rejects one that arrives later.
+# Validity of a start command; the worker rejects a command that arrives later.
 _START_EXPIRY_MS = 5_000.0
 # Start rate per worker, so that the recovery of many tasks doesn't overload it.
 _MAX_STARTS_PER_S = 2
@@ -47,8 +47,8 @@
 # The same while tasks are being evicted for the attempt; leaves time for another attempt within
 # 8.3 s.
 _EVICTION_TIMEOUT_MS = 4_000.0
-# A task that has run for this long counts as a success for its worker.
-_PROVEN_AFTER_MS = 10_000.0
+# An attempt that has run for this long counts as a success for its worker.
+_SUCCESS_AFTER_MS = 10_000.0
 # A worker that hasn't reported for this fraction of its lease receives no new attempts. The
 # fraction is small because an attempt placed on a dead worker is stuck until the lease expires;
 # with the default periods it amounts to four exchanges.
@@ -106,12 +106,14 @@
         self.slowdowns = SlowdownTable()
         self.health = HealthTable()
         self.usage = UsageTable()
-        self._reply_delta = ReplyDelta()
+        self._reply_encoder = ReplyDeltaEncoder()
         self._policy = policy or ColocationFit(self.slowdowns)
         self._guard = ColocationGuard(slowdowns=self.slowdowns, protect_services=protect_services)
+        # Attempt number, and worker on which others are evicted for the attempt, by task.
         self._reserved: dict[str, tuple[int, str]] = {}
         self._last_sequence = 0
         self._accepted_ms: dict[str, float] = {}
+        # Durable entries by worker, with the version of the durable copy that they belong to.
         self._durable_by_worker: tuple[int, dict[str, list[Placement]]] = (-1, {})
         self._leases = LeaseTracker(
             worker_lease_ms=worker_lease_ms, hold_over_ms=hold_over_ms, now_ms=clock.now_ms()
@@ -129,7 +131,7 @@
         self._leases.retire_previous_owner(self._clock.now_ms())
 
     def observe_vms(self, vms: Iterable[Vm]) -> None:
-        """Apply the part of the VM list that belongs to this shard."""
+        """Apply the state of the shard's VMs, as listed by the platform."""
         vms_by_name = {vm.name: vm for vm in vms}
         for name, vm in vms_by_name.items():
             if name in self.workers:
@@ -137,14 +139,14 @@
             elif vm.state != "gone":
                 self.workers[name] = WorkerView(vm=vm)
             if vm.state == "gone":
-                self._release_all(name, "lost", "the platform reports the VM gone")
+                self._release_attempts_on(name, "lost", "the platform reports the VM gone")
                 self._forget_worker(name)
                 self.workers.pop(name, None)
             elif vm.state == "leaving":
                 self._stop_attempts_on(name)
 
     def observe_reply(self, worker: str, reply: SyncReply) -> None:
-        """Apply a worker's report."""
+        """Apply a worker's report to its view and to the entries of its attempts."""
         view = self.workers.get(worker)
         if view is None:
             return
@@ -157,16 +159,16 @@
                 continue
             task_report = view.reports.get((entry.task, entry.attempt))
             if entry.incarnation != reply.incarnation:
-                self._release(entry, "lost", "the worker restarted")
+                self._release_attempt(entry, "lost", "the worker restarted")
             elif task_report is not None and task_report.state == "ended":
                 self._release_reported(entry, task_report)
             elif task_report is not None and task_report.checkpoint:
-                # A new checkpoint alone doesn't trigger a write; it is stored with the next one.
+                # A new checkpoint alone doesn't trigger a write; it is stored with the next write.
                 name = self._get_entry_name(entry)
                 self.record.put_deferred(
                     name, attrs.evolve(entry, checkpoint=task_report.checkpoint)
                 )
-        self._record_proven_attempts(worker, view, now_ms)
+        self._record_successes(worker, view, now_ms)
         self._protect_services(worker, view, now_ms)
         if self._reserved:
             self.place()
@@ -193,18 +195,18 @@
         if request.sequence == self._last_sequence:
             return None
         self._last_sequence = request.sequence
-        self._reply_delta.confirm_last()
+        self._reply_encoder.confirm_last_reply()
         for key in request.acknowledge:
-            self._acknowledge(key.task, key.attempt)
+            self._acknowledge_release(key.task, key.attempt)
         for key in request.revoke:
-            self._revoke(key.task, key.attempt)
+            self._revoke_attempt(key.task, key.attempt)
         for assignment in request.assign:
-            self._accept(assignment)
+            self._accept_assignment(assignment)
         self.place()
         return None
 
     def place(self) -> None:
-        """Choose workers for accepted attempts in the working copy."""
+        """Place the accepted attempts in the working copy; release those that time out."""
         accepted = [entry for entry in self.record.working.values() if entry.state == "accepted"]
         if not accepted:
             self._reserved.clear()
@@ -214,7 +216,7 @@
         for entry in accepted:
             worker = self._choose_worker(entry, loads)
             if worker is None:
-                self._hold_reserved_capacity(entry, loads)
+                self._subtract_reserved_capacity(entry, loads)
                 self._release_if_timed_out(entry)
                 continue
             self._reserved.pop(entry.task, None)
@@ -254,8 +256,8 @@
             return reserved[1]
         return self._policy.choose(spec, usable)
 
-    def _hold_reserved_capacity(self, entry: Placement, loads: dict[str, WorkerLoad]) -> None:
-        # Capacity freed by an eviction must not go to an attempt with lower priority.
+    def _subtract_reserved_capacity(self, entry: Placement, loads: dict[str, WorkerLoad]) -> None:
+        # Capacity that evictions free for this attempt must not go to one with lower priority.
         reserved = self._reserved.get(entry.task)
         if reserved and reserved[1] in loads:
             load = loads[reserved[1]]
@@ -269,8 +271,8 @@
                 continue
             view = self.workers.get(entry.worker)
             if now_ms >= self._leases.compute_expiry_ms(view):
-                self._release(entry, "lost", "the lease on the worker ended")
-            elif self._leases.is_orphaned(entry, view, now_ms):
+                self._release_attempt(entry, "lost", "the lease on the worker ended")
+            elif self._leases.should_orphan(entry, view, now_ms):
                 self._update_entry(
                     entry, state="orphaned", outcome="lost", reason="no report of the worker"
                 )
@@ -286,7 +288,7 @@
             If a worker is overcommitted; the message names the worker and the sizes.
         """
         for name, view in self.workers.items():
-            used = self._sum_charged(name)
+            used = self._sum_charged_sizes(name)
             if view.received_ms > float("-inf") and not fits(used, view.size):
                 raise OvercommitError(
                     f"worker {name} is overcommitted: charged {used}, size {view.size}"
@@ -302,7 +304,13 @@
         may_start : bool
             Whether this daemon certainly owns the shard now.
         may_renew_batch : bool
-            Whether leases of batch tasks may still be renewed (hold-over not yet over).
+            Whether leases of batch tasks may still be renewed; false once this daemon's hold-over
+            has ended.
+
+        Returns
+        -------
+        SyncRequest
+            Without an incarnation or commands if the worker hasn't reported to this owner yet.
         """
         view = self.workers[worker]
         now_ms = self._clock.now_ms()
@@ -317,7 +325,7 @@
         commands: list[Command] = []
         # The most urgent attempts come first, because the rate of starts is limited.
         durable = sorted(
-            self._list_durable(worker), key=lambda entry: (-entry.spec.priority, entry.task)
+            self._list_durable_entries(worker), key=lambda entry: (-entry.spec.priority, entry.task)
         )
         for entry in durable:
             if not entry.charged:
@@ -347,9 +355,9 @@
                 )
         if may_start:
             commands += self._guard.plan_throttles(durable, view, self.record.epoch)
-            # An attempt may be placed on the worker in only one of the copies; it must not be
-            # cleaned up in either case.
-            entries = (*self._list_working(worker), *durable)
+            # An attempt that only one of the copies places on the worker must not be cleaned up
+            # either.
+            entries = (*self._list_working_entries(worker), *durable)
             commands += plan_cleanup(entries, view, self.record.epoch)
         # The reply may be lost after the commands have taken effect, so the lease is recorded
         # before they are sent.
@@ -371,11 +379,13 @@
         return any(
             (entry.state == "placed" and (entry.task, entry.attempt) not in view.reports)
             or entry.state == "stopping"
-            for entry in self._list_durable(worker)
+            for entry in self._list_durable_entries(worker)
         )
 
     def build_exchange_reply(self, *, full: bool) -> ExchangeReply:
         """Build the reply to the dispatcher from the durable copy of the record."""
+        # An orphaned entry under the name TASK#ATTEMPT has been acknowledged already, or a later
+        # attempt has replaced it.
         released = tuple(
             Release(
                 task=entry.task,
@@ -394,9 +404,9 @@
             sequence=self._last_sequence,
             released=released,
             full=full,
-            measured=self.usage.list_excess(),
+            measured=self.usage.list_excess_usage(),
         )
-        return self._reply_delta.build_reply(
+        return self._reply_encoder.build_reply(
             reply, self.list_attempt_states(), self.list_capacities()
         )
 
@@ -413,7 +423,7 @@
             unsaved_ms = 0.0
             if view is not None and entry.spec.kind == "batch":
                 key = (entry.task, entry.attempt)
-                unsaved_ms = round(view.measure_unsaved_ms(key, self._clock.now_ms()))
+                unsaved_ms = round(view.compute_unsaved_ms(key, self._clock.now_ms()))
             yield AttemptState(
                 task=entry.task,
                 attempt=entry.attempt,
@@ -435,21 +445,21 @@
                 load,
                 self.workers[load.name].vm,
                 reserved=sum_sizes(reserved_sizes[load.name]),
-                quarantined=self.health.is_quarantined(load.name),
-                probe_due=self.health.is_probe_due(load.name, now_ms),
+                is_quarantined=self.health.is_quarantined(load.name),
+                is_probe_due=self.health.is_probe_due(load.name, now_ms),
             )
 
-    # Steps
+    # State transitions
 
-    def _accept(self, assignment: Assignment) -> None:
+    def _accept_assignment(self, assignment: Assignment) -> None:
         task, attempt = assignment.task, assignment.attempt
-        known = self.record.working.get(task)
-        if known is not None and known.attempt >= attempt:
+        earlier = self.record.working.get(task)
+        if earlier is not None and earlier.attempt >= attempt:
             return
-        if known is not None and known.charged:
+        if earlier is not None and earlier.charged:
             # The earlier attempt is orphaned; its entry moves to another name, so that it stays
             # charged to its worker.
-            self.record.put(f"{task}#{known.attempt}", known)
+            self.record.put(f"{task}#{earlier.attempt}", earlier)
         self._accepted_ms[task] = self._clock.now_ms()
         if assignment.worker:
             self._reserved[task] = (attempt, assignment.worker)
@@ -462,7 +472,7 @@
         )
         self.record.put(task, entry)
 
-    def _acknowledge(self, task: str, attempt: int) -> None:
+    def _acknowledge_release(self, task: str, attempt: int) -> None:
         entry = self.record.working.get(task)
         if entry is None or entry.attempt != attempt:
             return
@@ -474,7 +484,7 @@
             # The release is acknowledged, but the attempt stays charged to its worker.
             self.record.put(f"{task}#{attempt}", entry)
 
-    def _revoke(self, task: str, attempt: int) -> None:
+    def _revoke_attempt(self, task: str, attempt: int) -> None:
         entry = self.record.working.get(task)
         if entry is None or entry.attempt != attempt:
             return
@@ -492,16 +502,16 @@
                 self._update_entry(entry, state=state, reason="the VM is leaving")
 
     def _forget_worker(self, worker: str) -> None:
-        self.health.forget(worker)
-        self._guard.forget(worker)
+        self.health.remove_worker(worker)
+        self._guard.remove_worker(worker)
 
-    def _record_proven_attempts(self, worker: str, view: WorkerView, now_ms: float) -> None:
-        for key in view.mark_proven(now_ms, _PROVEN_AFTER_MS):
+    def _record_successes(self, worker: str, view: WorkerView, now_ms: float) -> None:
+        for key in view.mark_successes(now_ms, _SUCCESS_AFTER_MS):
             self.health.observe_success(worker, key, key[0].split("/")[1])
 
     def _protect_services(self, worker: str, view: WorkerView, now_ms: float) -> None:
         running: dict[tuple[str, int], Placement] = {}
-        for entry in self._list_working(worker):
+        for entry in self._list_working_entries(worker):
             key = (entry.task, entry.attempt)
             task_report = view.reports.get(key)
             if task_report is not None and task_report.state == "running" and entry.charged:
@@ -512,10 +522,10 @@
         if eviction is not None and running[eviction.key].state == "placed":
             self._update_entry(running[eviction.key], state="stopping", reason=eviction.reason)
 
-    def _release_all(self, worker: str, outcome: str, reason: str) -> None:
+    def _release_attempts_on(self, worker: str, outcome: str, reason: str) -> None:
         for entry in list(self.record.working.values()):
             if entry.worker == worker and entry.charged:
-                self._release(entry, outcome, reason)
+                self._release_attempt(entry, outcome, reason)
 
     def _release_reported(self, entry: Placement, task_report: TaskReport) -> None:
         outcome = (
@@ -524,9 +534,11 @@
         if outcome == "refused":
             outcome = "no_capacity"
         checkpoint = task_report.checkpoint or entry.checkpoint
-        self._release(attrs.evolve(entry, checkpoint=checkpoint), outcome, task_report.reason)
+        self._release_attempt(
+            attrs.evolve(entry, checkpoint=checkpoint), outcome, task_report.reason
+        )
 
-    def _release(self, entry: Placement, outcome: str, reason: str) -> None:
+    def _release_attempt(self, entry: Placement, outcome: str, reason: str) -> None:
         self._guard.remove_attempt((entry.task, entry.attempt))
         self._record_outcome(entry, outcome)
         name = self._get_entry_name(entry)
@@ -545,9 +557,13 @@
             key = (entry.task, entry.attempt)
             self.health.observe_success(entry.worker, key, declared)
         elif outcome == "failed":
-            live_workers = sum(view.vm.state == "live" for view in self.workers.values())
+            live_worker_count = sum(view.vm.state == "live" for view in self.workers.values())
             self.health.observe_failure(
-                entry.worker, entry.task, declared, now_ms=now_ms, live_workers=live_workers
+                entry.worker,
+                entry.task,
+                declared,
+                now_ms=now_ms,
+                live_worker_count=live_worker_count,
             )
         else:
             self.health.end_inconclusive_probe(entry.worker, entry.task, entry.attempt, now_ms)
@@ -556,8 +572,9 @@
         self.record.put(self._get_entry_name(entry), attrs.evolve(entry, **changes))
 
     def _get_entry_name(self, entry: Placement) -> str:
-        orphan = f"{entry.task}#{entry.attempt}"
-        return orphan if orphan in self.record.working else entry.task
+        # TASK#ATTEMPT for an orphaned entry that was moved, otherwise the task.
+        orphan_name = f"{entry.task}#{entry.attempt}"
+        return orphan_name if orphan_name in self.record.working else entry.task
 
     def _release_if_timed_out(self, entry: Placement) -> None:
         waited_ms = self._clock.now_ms() - self._accepted_ms.setdefault(
@@ -573,27 +590,29 @@
                 reason="no room on a worker",
             )
 
-    def _list_durable(self, worker: str) -> list[Placement]:
+    def _list_durable_entries(self, worker: str) -> list[Placement]:
         if self._durable_by_worker[0] != self.record.durable_version:
-            groups: dict[str, list[Placement]] = defaultdict(list)
+            entries_by_worker: dict[str, list[Placement]] = defaultdict(list)
             for entry in self.record.durable.values():
-                groups[entry.worker].append(entry)
-            self._durable_by_worker = (self.record.durable_version, groups)
+                entries_by_worker[entry.worker].append(entry)
+            self._durable_by_worker = (self.record.durable_version, entries_by_worker)
         return self._durable_by_worker[1].get(worker, [])
 
-    def _list_working(self, worker: str) -> list[Placement]:
+    def _list_working_entries(self, worker: str) -> list[Placement]:
         return [entry for entry in self.record.working.values() if entry.worker == worker]
 
-    def _sum_charged(self, worker: str) -> Size:
-        return sum_sizes(entry.spec.size for entry in self._list_working(worker) if entry.charged)
+    def _sum_charged_sizes(self, worker: str) -> Size:
+        return sum_sizes(
+            entry.spec.size for entry in self._list_working_entries(worker) if entry.charged
+        )
 
     def _build_loads(self) -> Iterable[WorkerLoad]:
-        groups: dict[str, list[Placement]] = defaultdict(list)
+        entries_by_worker: dict[str, list[Placement]] = defaultdict(list)
         for entry in self.record.working.values():
             if entry.charged:
-                groups[entry.worker].append(entry)
+                entries_by_worker[entry.worker].append(entry)
         now_ms = self._clock.now_ms()
         for name, view in self.workers.items():
-            silent = now_ms - view.received_ms > self._worker_lease_ms * _SILENT_LEASE_FRACTION
-            if view.vm.state == "live" and not silent:
-                yield build_load(name, view, groups[name], self.usage)
+            is_silent = now_ms - view.received_ms > self._worker_lease_ms * _SILENT_LEASE_FRACTION
+            if view.vm.state == "live" and not is_silent:
+                yield build_load(name, view, entries_by_worker[name], self.usage)
--- a/coltsfootpier/placement/_slowdown.py
+++ b/coltsfootpier/placement/_slowdown.py
@@ -1,4 +1,4 @@
-"""Estimates of the slowdown between kinds of tasks that share a worker."""
+"""Estimates of the slowdown that services and jobs cause each other on a shared worker."""
 
 from __future__ import annotations
 
@@ -23,14 +23,14 @@
 
 
 class SlowdownTable:
-    """Excess slowdown that one task of a kind causes to a task of another kind.
+    """Excess slowdown that a task of one service or job causes to a task of another.
 
     A measurement covers all neighbours together. Its prediction error is distributed over the
     pairs in proportion to their contribution (normalised least mean squares).
 
     Parameters
     ----------
-    bound : int, default=4096
+    max_pairs : int, default=4096
         Maximum number of pairs; the least recently measured pair is dropped.
 
     Examples
@@ -42,53 +42,54 @@
     0.4
     """
 
-    def __init__(self, *, bound: int = 4_096) -> None:
-        self._bound = bound
+    def __init__(self, *, max_pairs: int = 4_096) -> None:
+        self._max_pairs = max_pairs
         self._pairs: OrderedDict[tuple[str, str], _PairEstimate] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._pairs)
 
-    def observe(self, kind: str, neighbours: Mapping[str, float], slowdown: float) -> None:
+    def observe(self, declared: str, neighbours: Mapping[str, float], slowdown: float) -> None:
         """Update the estimates with one measurement.
 
         Parameters
         ----------
-        kind : str
-            Declared name of the measured task.
+        declared : str
+            Name of the service or job of the measured task.
         neighbours : mapping of str to float
-            Number of neighbouring tasks of each kind, each weighted with its CPU share.
+            Number of neighbouring tasks of each service or job, each weighted with its CPU share.
         slowdown : float
             Run time relative to the run time without neighbours.
         """
-        pairs = {name: self._get_or_create_pair(kind, name) for name in neighbours}
-        norm = sum(count * count for count in neighbours.values())
-        if not norm:
+        pairs = {name: self._get_or_create_pair(declared, name) for name in neighbours}
+        squared_norm = sum(weight * weight for weight in neighbours.values())
+        if not squared_norm:
             return
-        predicted = sum(pairs[name].mean * count for name, count in neighbours.items())
+        predicted = sum(pairs[name].mean * weight for name, weight in neighbours.items())
         error = max(slowdown - 1.0, 0.0) - predicted
-        for name, count in neighbours.items():
+        for name, weight in neighbours.items():
             pair = pairs[name]
             pair.count += 1
-            rate = max(1.0 / (pair.count + 1), _MIN_LEARNING_RATE)
-            pair.mean = max(pair.mean + rate * error * count / norm, 0.0)
-            pair.variance += rate * (error * error / norm - pair.variance)
+            learning_rate = max(1.0 / (pair.count + 1), _MIN_LEARNING_RATE)
+            pair.mean = max(pair.mean + learning_rate * error * weight / squared_norm, 0.0)
+            pair.variance += learning_rate * (error * error / squared_norm - pair.variance)
 
-    def has_measurements(self, kind: str, neighbour: str) -> bool:
+    def has_measurements(self, declared: str, neighbour: str) -> bool:
         """Return whether the table holds measurements of the pair."""
-        return (kind, neighbour) in self._pairs
+        return (declared, neighbour) in self._pairs
 
-    def estimate(self, kind: str, neighbour: str) -> tuple[float, float]:
+    def estimate(self, declared: str, neighbour: str) -> tuple[float, float]:
         """Return the excess slowdown per neighbour and the standard deviation of the estimate."""
-        pair = self._pairs.get((kind, neighbour))
+        pair = self._pairs.get((declared, neighbour))
         if pair is None:
             return _PRIOR_MEAN, _PRIOR_DEVIATION
+        # At the minimum learning rate of 1/20, only about the last 20 measurements still count.
         return pair.mean, math.sqrt(pair.variance / (1 + min(pair.count, 20)))
 
-    def _get_or_create_pair(self, kind: str, neighbour: str) -> _PairEstimate:
-        key = (kind, neighbour)
+    def _get_or_create_pair(self, declared: str, neighbour: str) -> _PairEstimate:
+        key = (declared, neighbour)
         pair = self._pairs.setdefault(key, _PairEstimate())
         self._pairs.move_to_end(key)
-        while len(self._pairs) > self._bound:
+        while len(self._pairs) > self._max_pairs:
             self._pairs.popitem(last=False)
         return pair
--- a/coltsfootpier/placement/_usage.py
+++ b/coltsfootpier/placement/_usage.py
@@ -11,9 +11,10 @@
 
 # Smoothing factor for usage that falls. Usage that rises is applied at once.
 _DECAY_RATE = 0.02
-_MAX_KINDS = 1_024
+# Number of services and jobs tracked; the least recently measured one is dropped first.
+_MAX_NAMES = 1_024
 # Usage up to this multiple of the declared size is treated as measurement noise.
-_TOLERANCE = 1.05
+_TOLERANCE_RATIO = 1.05
 
 
 def sum_sizes(sizes: Iterable[Size]) -> Size:
@@ -27,45 +28,52 @@
 
 
 class UsageTable:
-    """Measured usage by declared name.
+    """Measured usage by the name of the service or job.
 
     Only usage above the declared size is tracked. Tasks that use less are still charged with
-    their declared size, because R1 is checked against declared sizes.
+    their declared size, because requirement R1 (no worker is overcommitted) is checked against
+    declared sizes.
     """
 
     def __init__(self) -> None:
-        self._usage_by_kind: OrderedDict[str, tuple[float, float]] = OrderedDict()
+        self._usage_by_declared: OrderedDict[str, tuple[float, float]] = OrderedDict()
 
     def observe(self, spec: TaskSpec, report: TaskReport) -> None:
         """Record the usage of one task.
 
         Services and jobs that have stayed within their declared size are not stored.
         """
-        previous = self._usage_by_kind.get(spec.declared)
+        previous = self._usage_by_declared.get(spec.declared)
         cores, memory_mb = report.cores, report.memory_mb
         if previous is None:
-            if cores <= spec.cores * _TOLERANCE and memory_mb <= spec.memory_mb * _TOLERANCE:
+            if (
+                cores <= spec.cores * _TOLERANCE_RATIO
+                and memory_mb <= spec.memory_mb * _TOLERANCE_RATIO
+            ):
                 return
             previous = (0.0, 0.0)
-        self._usage_by_kind[spec.declared] = (
+        self._usage_by_declared[spec.declared] = (
             _smooth_usage(previous[0], cores),
             _smooth_usage(previous[1], memory_mb),
         )
-        self._usage_by_kind.move_to_end(spec.declared)
-        while len(self._usage_by_kind) > _MAX_KINDS:
-            self._usage_by_kind.popitem(last=False)
+        self._usage_by_declared.move_to_end(spec.declared)
+        while len(self._usage_by_declared) > _MAX_NAMES:
+            self._usage_by_declared.popitem(last=False)
 
     def predict_size(self, spec: TaskSpec, limit: Size) -> Size:
-        """Return the larger of the declared and the measured size of a service or job.
+        """Return the larger of a task's declared size and its service's or job's measured usage.
 
         Parameters
         ----------
         limit : tuple of (float, int, int)
-            Size of the worker, which caps the measured size: a task that has used more than
-            that can still get a whole worker.
+            Size of the worker, which caps the measured usage. Without the cap, a task of a service
+            or job that has used more than a whole worker would fit nowhere.
         """
-        cores, memory_mb = self._usage_by_kind.get(spec.declared, (0.0, 0.0))
-        if cores <= spec.cores * _TOLERANCE and memory_mb <= spec.memory_mb * _TOLERANCE:
+        cores, memory_mb = self._usage_by_declared.get(spec.declared, (0.0, 0.0))
+        if (
+            cores <= spec.cores * _TOLERANCE_RATIO
+            and memory_mb <= spec.memory_mb * _TOLERANCE_RATIO
+        ):
             return spec.size
         return (
             max(spec.cores, min(cores, limit[0])),
@@ -83,9 +91,12 @@
             spec.accelerators,
         )
 
-    def list_excess(self) -> dict[str, tuple[float, int]]:
-        """Return the measured usage of services and jobs that exceeded their declared size."""
-        return {name: (round(use[0], 1), int(use[1])) for name, use in self._usage_by_kind.items()}
+    def list_excess_usage(self) -> dict[str, tuple[float, int]]:
+        """Return the cores and memory in MB of services and jobs that exceeded their size."""
+        return {
+            name: (round(usage[0], 1), int(usage[1]))
+            for name, usage in self._usage_by_declared.items()
+        }
 
 
 def _smooth_usage(previous: float, measured: float) -> float:
--- a/coltsfootpier/placement/_views.py
+++ b/coltsfootpier/placement/_views.py
@@ -17,7 +17,7 @@
 
 @attrs.frozen
 class StaleExchange:
-    """Rejection of an exchange with wrong epochs or an old sequence number."""
+    """Rejection of an exchange request with a wrong epoch or an old sequence number."""
 
     reason: str
 
@@ -64,14 +64,14 @@
         Time at which the attempt was first reported as running.
     last_saved_ms : float
         Time at which the newest checkpoint was first reported; `first_seen_ms` before that.
-    is_proven : bool
+    is_counted_as_success : bool
         Whether the attempt has already counted as a success for its worker.
     """
 
     first_seen_ms: float
     checkpoint: str
     last_saved_ms: float
-    is_proven: bool = False
+    is_counted_as_success: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -83,9 +83,16 @@
     lease_end_ms : float
         Time, on the owner's clock, by which every lease that this owner may have granted has
         expired.
+    worker_now_ms : float
+        Time of the last report, on the worker's clock.
+    received_ms : float
+        Time at which the last report was received, on the owner's clock; minus infinity before the
+        first.
+    reports : dict
+        Attempts in the last report, by task and attempt number.
     progress : dict
         `Progress` of each running attempt.
-    started : dict
+    recent_starts_ms : dict
         Time at which each start command of the last second was first sent.
     """
 
@@ -97,7 +104,7 @@
     received_ms: float = float("-inf")
     reports: dict[tuple[str, int], TaskReport] = attrs.field(factory=dict)
     progress: dict[tuple[str, int], Progress] = attrs.field(factory=dict)
-    started: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    recent_starts_ms: dict[tuple[str, int], float] = attrs.field(factory=dict)
 
     def apply_reply(self, reply: SyncReply, now_ms: float) -> None:
         """Update the view with a report of the worker."""
@@ -108,40 +115,47 @@
         self.reports = {(report.task, report.attempt): report for report in reply.tasks}
         progress: dict[tuple[str, int], Progress] = {}
         for key, report in self.reports.items():
-            known = self.progress.get(key)
+            attempt_progress = self.progress.get(key)
             if report.state != "running":
                 continue
-            if known is None:
-                known = Progress(now_ms, report.checkpoint, now_ms)
-            elif known.checkpoint != report.checkpoint:
-                known = attrs.evolve(known, checkpoint=report.checkpoint, last_saved_ms=now_ms)
-            progress[key] = known
+            if attempt_progress is None:
+                attempt_progress = Progress(now_ms, report.checkpoint, now_ms)
+            elif attempt_progress.checkpoint != report.checkpoint:
+                attempt_progress = attrs.evolve(
+                    attempt_progress, checkpoint=report.checkpoint, last_saved_ms=now_ms
+                )
+            progress[key] = attempt_progress
         self.progress = progress
 
-    def mark_proven(self, now_ms: float, after_ms: float) -> list[tuple[str, int]]:
-        """Mark and return the attempts that have newly reached a run time of `after_ms`."""
-        proven = [
+    def mark_successes(self, now_ms: float, after_ms: float) -> list[tuple[str, int]]:
+        """Mark and return the attempts that have run for `after_ms` since they were first seen."""
+        new_successes = [
             key
-            for key, known in self.progress.items()
-            if not known.is_proven and now_ms - known.first_seen_ms >= after_ms
+            for key, progress in self.progress.items()
+            if not progress.is_counted_as_success and now_ms - progress.first_seen_ms >= after_ms
         ]
-        for key in proven:
-            self.progress[key] = attrs.evolve(self.progress[key], is_proven=True)
-        return proven
+        for key in new_successes:
+            self.progress[key] = attrs.evolve(self.progress[key], is_counted_as_success=True)
+        return new_successes
 
-    def measure_unsaved_ms(self, key: tuple[str, int], now_ms: float) -> float:
-        """Return the run time of an attempt since its start or newest checkpoint."""
-        known = self.progress.get(key)
-        return now_ms - known.last_saved_ms if known else 0.0
+    def compute_unsaved_ms(self, key: tuple[str, int], now_ms: float) -> float:
+        """Return the run time, in milliseconds, since the attempt's start or newest checkpoint."""
+        progress = self.progress.get(key)
+        return now_ms - progress.last_saved_ms if progress else 0.0
 
     def admit_start(self, key: tuple[str, int], now_ms: float, limit: int) -> bool:
-        """Admit a start command within the limit per second; repeated ones are always admitted."""
-        self.started = {
-            known: sent_ms for known, sent_ms in self.started.items() if now_ms - sent_ms < 1_000.0
+        """Return whether a start command may be sent, and count it if it is new.
+
+        At most `limit` new commands are admitted per second; repeated ones don't count.
+        """
+        self.recent_starts_ms = {
+            started_key: sent_ms
+            for started_key, sent_ms in self.recent_starts_ms.items()
+            if now_ms - sent_ms < 1_000.0
         }
-        if key in self.started:
+        if key in self.recent_starts_ms:
             return True
-        if len(self.started) >= limit:
+        if len(self.recent_starts_ms) >= limit:
             return False
-        self.started[key] = now_ms
+        self.recent_starts_ms[key] = now_ms
         return True
--- a/coltsfootpier/placement/tests/test_guard.py
+++ b/coltsfootpier/placement/tests/test_guard.py
@@ -30,17 +30,17 @@
             ],
         )
 
-    def _share(self) -> float:
+    def _get_share(self) -> float:
         return self.guard.shares.get(("job/load/0", 1), 1.0)
 
     def test_measurements_before_throttling_takes_effect_are_ignored(self) -> None:
         """Guards against an eviction caused by measurements from before the throttling."""
         self._observe(10_000.0, 2.0, 7_000.0)
-        self.assertEqual(self._share(), 0.5)
+        self.assertEqual(self._get_share(), 0.5)
         self._observe(11_000.0, 2.0, 7_000.0)
         self._observe(12_000.0, 2.0, 9_000.0)
         self._observe(14_000.0, 2.0, 11_900.0)
-        self.assertEqual(self._share(), 0.5)
+        self.assertEqual(self._get_share(), 0.5)
 
     def test_neighbour_is_throttled_before_it_is_evicted(self) -> None:
         """Guards against evictions where throttling suffices, and against missing evictions."""
@@ -59,8 +59,8 @@
         for second in range(600):
             now_ms = 1_000.0 * second
             self._observe(now_ms, 1.8 if second % 60 < 10 else 1.0, now_ms - 100.0)
-            changes += self._share() != share
-            share = self._share()
+            changes += self._get_share() != share
+            share = self._get_share()
         self.assertLess(changes, 20)
 
     def test_measurement_is_attributed_to_neighbours_at_its_time(self) -> None:
@@ -77,7 +77,7 @@
 
     def test_table_is_bounded(self) -> None:
         """Guards against memory use that grows with the number of kinds ever seen."""
-        table = SlowdownTable(bound=10)
+        table = SlowdownTable(max_pairs=10)
         for index in range(100):
             table.observe("web", {f"job{index}": 1.0}, 1.5)
         self.assertEqual(len(table), 10)
--- a/coltsfootpier/placement/tests/test_recovery.py
+++ b/coltsfootpier/placement/tests/test_recovery.py
@@ -38,10 +38,10 @@
         for name in names:
             self.shard.observe_reply(name, build_sync_reply(name, now_ms=self.clock.now_ms()))
 
-    def _sync(self, worker: str = "w1") -> list[tuple[str, str, int]]:
+    def _list_sync_commands(self, worker: str = "w1") -> list[tuple[str, str, int]]:
         return list_commands(self.shard.plan_sync(worker, may_start=True, may_renew_batch=True))
 
-    def _fail(self, worker: str, *tasks: str) -> None:
+    def _fail_tasks(self, worker: str, *tasks: str) -> None:
         for task in tasks:
             spec = build_spec(task, cores=1.0)
             others = [name for name in self.shard.workers if name != worker]
@@ -52,7 +52,10 @@
             commit(self.shard.record)
 
     def test_capacity_freed_by_an_eviction_goes_to_the_evicting_task(self) -> None:
-        """Guards against a less urgent task that takes the capacity while victims are stopping."""
+        """Guards against a less urgent task that takes the capacity freed for an urgent one.
+
+        The victims stop one after the other, and each frees enough for the less urgent task.
+        """
         for index in range(4):
             self._exchange(assign=(build_assignment(build_spec(f"job/load/{index}")),))
         urgent = build_spec("job/urgent/0", cores=8.0, priority=3)
@@ -80,15 +83,15 @@
         urgent = build_spec("job/urgent/0", cores=1.0, priority=3)
         self._exchange(assign=tuple(build_assignment(spec) for spec in (*specs, urgent)))
         expected = [("start", "job/urgent/0", 1), ("start", "job/load/0", 1)]
-        self.assertEqual(self._sync(), expected)
-        self.assertEqual(self._sync(), expected)
+        self.assertEqual(self._list_sync_commands(), expected)
+        self.assertEqual(self._list_sync_commands(), expected)
         self.clock.advance(1_000.0)
-        self.assertEqual(len(self._sync()), 2)
+        self.assertEqual(len(self._list_sync_commands()), 2)
 
     def test_worker_that_fails_all_tasks_is_quarantined_and_probed(self) -> None:
         """Guards against a broken worker that keeps receiving tasks and fails all of them."""
         self._add_workers("w2", "w3")
-        self._fail("w2", "job/a/0", "job/b/0", "job/c/0")
+        self._fail_tasks("w2", "job/a/0", "job/b/0", "job/c/0")
         self.assertTrue(self.shard.health.is_quarantined("w2"))
         capacity = {item.worker: item for item in self.shard.list_capacities()}
         self.assertEqual((capacity["w2"].set_aside, capacity["w2"].free_cores), (True, 0.0))
@@ -104,21 +107,21 @@
     def test_running_tasks_do_not_prevent_quarantine(self) -> None:
         """Guards against a worker that stays in use although all new tasks fail on it.
 
-        A task that was started earlier keeps running there.
+        A task that started before the failures keeps running there.
         """
         self._add_workers("w2", "w3")
-        old = build_task_report("job/old/0")
+        earlier = build_task_report("job/old/0")
         assignment = build_assignment(build_spec("job/old/0", cores=1.0), avoid=("w1", "w3"))
         self._exchange(assign=(assignment,))
         for index in range(5):
             self.clock.advance(20_000.0)
-            self.shard.observe_reply("w2", build_sync_reply("w2", (old,)))
+            self.shard.observe_reply("w2", build_sync_reply("w2", (earlier,)))
             task = f"job/j{index}/0"
             avoid = ("w1", "w3")
             spec = build_spec(task, cores=1.0)
             self._exchange(assign=(build_assignment(spec, avoid=avoid),))
             ended = build_task_report(task, state="ended", outcome="failed")
-            self.shard.observe_reply("w2", build_sync_reply("w2", (old, ended)))
+            self.shard.observe_reply("w2", build_sync_reply("w2", (earlier, ended)))
             commit(self.shard.record)
         self.assertTrue(self.shard.health.is_quarantined("w2"))
 
@@ -127,16 +130,16 @@
         self._exchange(assign=(build_assignment(build_spec()),))
         self.shard.observe_reply("w1", build_sync_reply(tasks=(build_task_report("job/load/0"),)))
         expected = [("renew", "job/load/0", 1), ("throttle", "job/load/0", 1)]
-        self.assertEqual(self._sync(), expected)
+        self.assertEqual(self._list_sync_commands(), expected)
         for _ in range(2):
-            self._sync()
-        self.assertEqual(self._sync(), expected[:1])
+            self._list_sync_commands()
+        self.assertEqual(self._list_sync_commands(), expected[:1])
 
     def test_quarantine_is_limited_to_a_share_of_the_workers(self) -> None:
-        """Guards against a scheduler fault that quarantines all workers of a shard."""
+        """Guards against quarantining all workers of a shard because of a scheduler fault."""
         self._add_workers("w2", "w3")
-        self._fail("w2", "job/a/0", "job/b/0", "job/c/0")
-        self._fail("w3", "job/d/0", "job/e/0", "job/f/0")
+        self._fail_tasks("w2", "job/a/0", "job/b/0", "job/c/0")
+        self._fail_tasks("w3", "job/d/0", "job/e/0", "job/f/0")
         self.assertFalse(self.shard.health.is_quarantined("w3"))
 
     def test_faulty_job_does_not_quarantine_workers(self) -> None:
@@ -144,7 +147,7 @@
         self._add_workers("w2", "w3")
         for index in range(3):
             for worker in ("w1", "w2", "w3"):
-                self._fail(worker, f"job/broken/{worker}{index}")
+                self._fail_tasks(worker, f"job/broken/{worker}{index}")
         quarantined = [
             name for name in self.shard.workers if self.shard.health.is_quarantined(name)
         ]
@@ -157,7 +160,7 @@
         self.shard.observe_reply("w1", build_sync_reply(tasks=(running,)))
         self.shard.observe_vms([build_vm(state="leaving")])
         commit(self.shard.record)
-        self.assertEqual(self._sync(), [("stop", "service/web/0", 1)])
+        self.assertEqual(self._list_sync_commands(), [("stop", "service/web/0", 1)])
         released = self.shard.build_exchange_reply(full=False).released
         self.assertEqual([item.task for item in released], ["service/web/0"])
         self.assertTrue(self.shard.record.durable["service/web/0"].charged)
--- a/coltsfootpier/placement/tests/test_shard.py
+++ b/coltsfootpier/placement/tests/test_shard.py
@@ -20,7 +20,7 @@
 )
 
 
-def _sync(shard: ShardState, **options: bool) -> list[tuple[str, str, int]]:
+def _list_sync_commands(shard: ShardState, **options: bool) -> list[tuple[str, str, int]]:
     return list_commands(
         shard.plan_sync("w1", **{"may_start": True, "may_renew_batch": True, **options})
     )
@@ -37,23 +37,27 @@
         self.shard.apply_request(build_exchange_request(sequence, assign=(assignment,)))
 
     def test_nothing_starts_before_the_record_is_durable(self) -> None:
-        """Guards against starting an attempt that a failed write leaves unrecorded."""
+        """Guards against starting an attempt that a failed write of the record would lose."""
         self._assign()
-        self.assertEqual(_sync(self.shard), [])
+        self.assertEqual(_list_sync_commands(self.shard), [])
         commit(self.shard.record)
-        self.assertEqual(_sync(self.shard), [("start", "job/load/0", 1)])
+        self.assertEqual(_list_sync_commands(self.shard), [("start", "job/load/0", 1)])
 
     def test_owner_with_expired_ownership_renews_but_does_not_start(self) -> None:
         """Guards against two owners that start the same attempt during a store outage."""
         self._assign()
         commit(self.shard.record)
-        self.assertEqual(_sync(self.shard, may_start=False), [])
+        self.assertEqual(_list_sync_commands(self.shard, may_start=False), [])
         self.shard.observe_reply("w1", build_sync_reply(tasks=(build_task_report("job/load/0"),)))
-        self.assertEqual(_sync(self.shard, may_start=False), [("renew", "job/load/0", 1)])
-        self.assertEqual(_sync(self.shard, may_start=False, may_renew_batch=False), [])
+        self.assertEqual(
+            _list_sync_commands(self.shard, may_start=False), [("renew", "job/load/0", 1)]
+        )
+        self.assertEqual(
+            _list_sync_commands(self.shard, may_start=False, may_renew_batch=False), []
+        )
 
     def test_duplicate_exchange_does_not_place_again(self) -> None:
-        """Guards against a delayed duplicate request that restarts an ended attempt."""
+        """Guards against a delayed copy of an earlier request that restarts an ended attempt."""
         self._assign()
         commit(self.shard.record)
         ended = build_task_report("job/load/0", state="ended", outcome="done")
@@ -84,7 +88,7 @@
         """
         self._assign()
         commit(self.shard.record)
-        _sync(self.shard)
+        _list_sync_commands(self.shard)
         self.clock.advance(20_000.0)
         self.shard.expire_leases()
         self.assertEqual(self.shard.record.working["job/load/0"].state, "placed")
@@ -154,7 +158,7 @@
         spec = build_service_spec()
         self._assign(spec)
         commit(self.shard.record)
-        _sync(self.shard)
+        _list_sync_commands(self.shard)
         self.clock.advance(20_500.0)
         self.shard.expire_leases()
         entry = self.shard.record.working["service/web/0"]
