Name what the dispatcher's indexes and links hold

Attributes such as pending, largest, changes or running left open what they count or hold, and some names and docstrings meant two things. The names and doc comments of dispatch now say what each is, in which unit, and which failure each test guards against.

--- a/coltsfootpier/dispatch/_dispatcher.py
+++ b/coltsfootpier/dispatch/_dispatcher.py
@@ -14,8 +14,8 @@
 from coltsfootpier.dispatch._failures import FailureTable
 from coltsfootpier.dispatch._ledger import FINAL_STATES, Entry, Ledger
 from coltsfootpier.dispatch._link import Reservation, ShardLink
-from coltsfootpier.dispatch._schedule import Schedule
-from coltsfootpier.dispatch._shares import QueueKey, Shares, TaskQueue
+from coltsfootpier.dispatch._schedule import PeriodicJobScheduler
+from coltsfootpier.dispatch._shares import QueueKey, TaskQueue, TeamShares
 from coltsfootpier.dispatch._sizes import KnownSizes
 from coltsfootpier.placement import (
     Assignment,
@@ -25,9 +25,9 @@
     Release,
 )
 
-# Number of tasks assigned in one step, which bounds the size of messages and writes.
+# Maximum number of tasks assigned in one step, which bounds the size of messages and writes.
 _MAX_ASSIGNMENTS_PER_STEP = 200
-# Number of tasks in one step for which others may be evicted.
+# Maximum number of tasks in one step for which others are evicted.
 _MAX_EVICTIONS_PER_STEP = 16
 # Interval at which time-dependent decisions are re-evaluated if nothing else has changed.
 _RETRY_MS = 1_000.0
@@ -54,20 +54,25 @@
         self._declaration = Declaration.empty()
         self._specs: dict[str, TaskSpec] = {}
         self._revision = -1
-        self._shares = Shares()
+        self._shares = TeamShares()
         self._queue = TaskQueue()
         self._evictor = Evictor(ledger=ledger, shares=self._shares) if allow_eviction else None
-        self._schedule = Schedule(clock=clock, ledger=ledger)
+        self._job_scheduler = PeriodicJobScheduler(clock=clock, ledger=ledger)
         self._assigned_by_shard: dict[str, Counter[str]] = defaultdict(Counter)
+        # Runners, by service, whose attempt was assigned with an earlier specification.
         self._outdated_runners: dict[str, dict[str, None]] = defaultdict(dict)
-        self._satisfied: dict[str, bool] = {}
-        self._resolved_changes = -1
-        self._assign_stamp: tuple[int, int] = (-1, -1)
+        # Result of the last check of each service or job that waiting tasks depend on.
+        self._is_satisfied_by_name: dict[str, bool] = {}
+        # Change count of the ledger when dependencies were last resolved, and change counts of the
+        # ledger and of all links when tasks were last assigned. They show whether anything has
+        # changed since.
+        self._resolved_change_count = -1
+        self._assigned_change_counts: tuple[int, int] = (-1, -1)
         self._assign_retry_ms = float("-inf")
-        self._sizes = KnownSizes(now_ms=clock.now_ms())
+        self._known_sizes = KnownSizes(now_ms=clock.now_ms())
         self._measured_sizes: dict[str, tuple[float, int]] = {}
         self._failures = FailureTable(self.links)
-        ledger.listener = self._observe_entry
+        ledger.listener = self._update_indexes
 
     # Inputs
 
@@ -77,7 +82,7 @@
             self.links.setdefault(shard, ShardLink(shard=shard)).set_epoch(epoch)
 
     def observe_declaration(self, revision: int, declaration: Declaration) -> None:
-        """Update the ledger to a configuration revision.
+        """Add and cancel tasks in the ledger according to a configuration revision.
 
         Revisions older than the one that the ledger already reflects are ignored, so that a
         dispatcher with an outdated declaration can't cancel tasks.
@@ -90,25 +95,27 @@
         self._rebuild_indexes()
         for task, entry in self.ledger.entries():
             if task not in self._specs:
-                self._cancel_removed(task, entry)
+                self._cancel_removed_task(task, entry)
         for task, spec in self._specs.items():
             entry = self.ledger.get(task)
             if entry is None:
                 self.ledger.put(task, Entry(state="waiting"))
             elif entry.state == "cancelled" and spec.kind == "service":
                 self.ledger.put(task, Entry(state="waiting", attempt=entry.attempt))
-        self._schedule.reset(declaration)
+        self._job_scheduler.set_declaration(declaration)
         self.ledger.raise_revision(revision)
 
     def observe_reply(self, reply: ExchangeReply) -> None:
         """Apply a shard's reply: record its releases and queue their acknowledgements."""
         link = self.links.get(reply.shard)
-        request = link.pending if link is not None else None
+        request = link.pending_request if link is not None else None
         if link is None or not link.apply_reply(reply, self._clock.now_ms()):
             return
-        self._sizes.observe_reply(reply, self._clock.now_ms())
+        self._known_sizes.observe_reply(reply, self._clock.now_ms())
         self._measured_sizes.update(reply.measured)
-        self._shares.set_fleet_cores(sum(known.cores for known in self.links.values()))
+        self._shares.set_fleet_cores(
+            sum(known_link.total_cores for known_link in self.links.values())
+        )
         for release in reply.released:
             self._apply_release(link, release)
         # A shard can't release an attempt that was revoked before it was sent, so the release is
@@ -129,7 +136,7 @@
         """Make all decisions that are due and apply them to the working copy of the ledger."""
         if not self.ledger.fenced:
             return
-        self._schedule.step()
+        self._job_scheduler.create_due_runs()
         self._resolve_dependencies()
         self._restart_changed_services()
         self._assign_pending()
@@ -150,7 +157,7 @@
             None if no request is due.
         """
         link = self.links[shard]
-        assigned = self.ledger.list_durable(shard)
+        assigned = self.ledger.list_durably_assigned(shard)
         changed = self.ledger.pop_changed(shard)
         link.unreconciled |= changed if link.is_unreconciled_complete else assigned.keys()
         link.is_unreconciled_complete = True
@@ -168,18 +175,18 @@
             elif spec is not None and len(assign) < _MAX_ASSIGNMENTS_PER_STEP:
                 assign.append(self._build_assignment(link, task, entry, spec))
         # A release is acknowledged only once the ledger has stored its result durably.
-        for key in list(link.acknowledge):
+        for key in list(link.releases_to_acknowledge):
             if not self._is_release_durable(key):
-                link.acknowledge.pop(key)
-        if not regular and not link.has_pending_work(tuple(assign), tuple(revoke)):
+                link.releases_to_acknowledge.pop(key)
+        if not regular and not link.is_request_due(tuple(assign), tuple(revoke)):
             return None
-        return link.next_request(
+        return link.prepare_request(
             dispatch_epoch=self.ledger.epoch, assign=tuple(assign), revoke=tuple(revoke)
         )
 
     def count_running(self, declared: str) -> int:
         """Return the number of running tasks of a service or job."""
-        return sum(link.running[declared] for link in self.links.values())
+        return sum(link.running_counts[declared] for link in self.links.values())
 
     # Indexes
 
@@ -188,11 +195,11 @@
         self._queue.clear()
         self._assigned_by_shard.clear()
         self._outdated_runners.clear()
-        self._satisfied.clear()
+        self._is_satisfied_by_name.clear()
         for task, entry in self.ledger.entries():
-            self._observe_entry(task, None, entry)
+            self._update_indexes(task, None, entry)
 
-    def _observe_entry(self, task: str, before: Entry | None, after: Entry | None) -> None:
+    def _update_indexes(self, task: str, before: Entry | None, after: Entry | None) -> None:
         spec = self._specs.get(task)
         if spec is None:
             return
@@ -227,7 +234,7 @@
 
     # Decisions
 
-    def _cancel_removed(self, task: str, entry: Entry) -> None:
+    def _cancel_removed_task(self, task: str, entry: Entry) -> None:
         if entry.state == "assigned":
             self.ledger.put(task, attrs.evolve(entry, revoking=True, reason="removed"))
         elif task.startswith("service/") and not entry.attempt:
@@ -239,7 +246,7 @@
 
     def _apply_release(self, link: ShardLink, release: Release) -> None:
         key = AttemptKey(release.task, release.attempt)
-        link.acknowledge[key] = None
+        link.releases_to_acknowledge[key] = None
         link.cancel_reservation(release.task, release.attempt)
         entry = self.ledger.get(release.task)
         if (
@@ -254,14 +261,14 @@
         if release.outcome == "done":
             self._failures.observe_success(release.worker)
         if spec is None:
-            done = release.outcome == "done" and not release.task.startswith("service/")
-            state = "done" if done else "cancelled"
-            ended = attrs.evolve(
+            is_done = release.outcome == "done" and not release.task.startswith("service/")
+            state = "done" if is_done else "cancelled"
+            ended_entry = attrs.evolve(
                 entry, state=state, shard="", revoking=False, checkpoint="", reason="removed"
             )
-            self.ledger.put(release.task, ended)
+            self.ledger.put(release.task, ended_entry)
         elif release.outcome == "done" and spec.kind == "batch":
-            done = attrs.evolve(
+            done_entry = attrs.evolve(
                 entry,
                 state="done",
                 shard="",
@@ -270,7 +277,7 @@
                 revoking=False,
                 failed_workers=(),
             )
-            self.ledger.put(release.task, done)
+            self.ledger.put(release.task, done_entry)
         elif release.outcome == "failed" and spec.kind == "batch":
             self._apply_failure(release, entry, spec)
         else:
@@ -290,12 +297,12 @@
     def _apply_failure(self, release: Release, entry: Entry, spec: TaskSpec) -> None:
         workers = tuple(sorted({*entry.failed_workers, release.worker}))
         self._failures.observe_failure(release.worker, spec.declared)
-        failed = self._failures.is_at_fault(spec.declared, workers)
+        is_faulty = self._failures.is_faulty(spec.declared, workers)
         self.ledger.put(
             release.task,
             attrs.evolve(
                 entry,
-                state="failed" if failed else "pending",
+                state="failed" if is_faulty else "pending",
                 shard="",
                 revoking=False,
                 reason=f"failed on {', '.join(workers)}: {release.reason}",
@@ -309,6 +316,8 @@
         reservation = link.reservations.get(task)
         avoid = self._failures.list_avoided(spec, entry)
         if reservation is None or reservation.attempt != entry.attempt:
+            # The reservation is lost when the dispatcher or the shard's owner changes. The shard
+            # has been chosen already, so capacity is reserved again if a worker has enough.
             worker = link.find_worker(spec.size, avoid) or ""
             reservation = Reservation(entry.attempt, worker, spec.size)
             link.reserve(task, reservation)
@@ -318,7 +327,7 @@
             spec=spec,
             checkpoint=entry.checkpoint,
             avoid=avoid,
-            worker=reservation.worker if reservation.evicting else "",
+            worker=reservation.worker if reservation.is_evicting else "",
         )
 
     def _is_release_durable(self, key: AttemptKey) -> bool:
@@ -332,10 +341,13 @@
         waiting = self.ledger.list_tasks("waiting")
         if not waiting:
             return
-        satisfied = {name: self._is_satisfied(name) for name in self._satisfied}
-        if satisfied == self._satisfied and self._resolved_changes == self.ledger.changes:
+        satisfied = {name: self._is_satisfied(name) for name in self._is_satisfied_by_name}
+        if (
+            satisfied == self._is_satisfied_by_name
+            and self._resolved_change_count == self.ledger.change_count
+        ):
             return
-        self._satisfied = {}
+        self._is_satisfied_by_name = {}
         for task in list(waiting):
             spec = self._specs.get(task)
             if spec is None:
@@ -350,19 +362,19 @@
                 self.ledger.put(task, attrs.evolve(entry, state="pending", reason=""))
             else:
                 self.ledger.set_reason(task, f"waits for {missing[0]}")
-        self._resolved_changes = self.ledger.changes
+        self._resolved_change_count = self.ledger.change_count
 
     def _is_satisfied_cached(self, name: str) -> bool:
-        if name not in self._satisfied:
-            self._satisfied[name] = self._is_satisfied(name)
-        return self._satisfied[name]
+        if name not in self._is_satisfied_by_name:
+            self._is_satisfied_by_name[name] = self._is_satisfied(name)
+        return self._is_satisfied_by_name[name]
 
     def _is_unsatisfiable(self, name: str) -> bool:
         # A dependency with a rejected or failed task can never be satisfied.
         job = self._declaration.jobs.get(name)
         if job is None or not self.ledger.count_unsuccessful(name):
             return False
-        return any(entry.state in ("refused", "failed") for entry in self._list_entries(job))
+        return any(entry.state in ("refused", "failed") for entry in self._list_job_entries(job))
 
     def _is_satisfied(self, name: str) -> bool:
         job = self._declaration.jobs.get(name)
@@ -371,10 +383,10 @@
             # necessary but not sufficient.
             if self.ledger.count_done(name) < job.tasks:
                 return False
-            return all(entry.state == "done" for entry in self._list_entries(job))
+            return all(entry.state == "done" for entry in self._list_job_entries(job))
         return self.count_running(name) > 0
 
-    def _list_entries(self, job: Job) -> list[Entry]:
+    def _list_job_entries(self, job: Job) -> list[Entry]:
         names = (f"job/{job.name}/{index}" for index in range(job.tasks))
         return [entry for name in names if (entry := self.ledger.get(name)) is not None]
 
@@ -393,18 +405,23 @@
 
     def _assign_pending(self) -> None:
         now_ms = self._clock.now_ms()
-        stamp = (self.ledger.changes, sum(link.changes for link in self.links.values()))
+        change_counts = (
+            self.ledger.change_count,
+            sum(link.change_count for link in self.links.values()),
+        )
         if not self._queue:
             return
-        if stamp == self._assign_stamp and now_ms < self._assign_retry_ms:
+        if change_counts == self._assigned_change_counts and now_ms < self._assign_retry_ms:
             return
         self._shares.compute_guarantees()
-        heap = [(self._rank(key), index, key) for index, key in enumerate(self._queue.list_keys())]
+        heap = [
+            (self._rank_group(key), index, key) for index, key in enumerate(self._queue.list_keys())
+        ]
         heapq.heapify(heap)
         assigned = evictions = 0
         while heap and assigned < _MAX_ASSIGNMENTS_PER_STEP:
             _, index, key = heapq.heappop(heap)
-            oldest = self._queue.peek(key)
+            oldest = self._queue.peek_oldest(key)
             if oldest is None:
                 continue
             task, pending_since_ms = oldest
@@ -412,19 +429,19 @@
             if not self._shares.is_within_quota(spec):
                 self.ledger.set_reason(task, f"quota of team {spec.team}")
                 continue
-            needed = self._apply_measured_size(spec)
-            chosen = self._choose_shard(needed, key.avoid)
-            evicting = False
+            sized_spec = self._apply_measured_size(spec)
+            chosen = self._choose_shard(sized_spec, key.avoid)
+            is_evicting = False
             if chosen is None and evictions < _MAX_EVICTIONS_PER_STEP:
-                chosen = self._evict_for(needed, key, now_ms - pending_since_ms)
-                evicting = chosen is not None
-                evictions += evicting
+                chosen = self._evict_for(sized_spec, key, now_ms - pending_since_ms)
+                is_evicting = chosen is not None
+                evictions += is_evicting
             if chosen is None:
-                if self._handle_no_capacity(spec, entry):
-                    heapq.heappush(heap, (self._rank(key), index, key))
+                if self._reject_or_record_reason(spec, entry):
+                    heapq.heappush(heap, (self._rank_group(key), index, key))
                 continue
             shard, worker = chosen
-            reservation = Reservation(entry.attempt + 1, worker, needed.size, evicting)
+            reservation = Reservation(entry.attempt + 1, worker, sized_spec.size, is_evicting)
             self.links[shard].reserve(task, reservation)
             assigned += 1
             self.ledger.put(
@@ -439,10 +456,10 @@
                 ),
             )
             # The team's usage has changed, so its remaining tasks are ranked again.
-            heapq.heappush(heap, (self._rank(key), index, key))
-        self._assign_stamp = (
-            self.ledger.changes,
-            sum(link.changes for link in self.links.values()),
+            heapq.heappush(heap, (self._rank_group(key), index, key))
+        self._assigned_change_counts = (
+            self.ledger.change_count,
+            sum(link.change_count for link in self.links.values()),
         )
         # If a limit was reached, the next step continues without delay.
         reached_limit = (
@@ -451,22 +468,24 @@
         self._assign_retry_ms = now_ms if reached_limit else now_ms + _RETRY_MS
 
     def _apply_measured_size(self, spec: TaskSpec) -> TaskSpec:
-        # Tasks may use more than they declare; shard owners report the measured usage.
+        # Tasks may use more than they declare. The usage that shard owners report then determines
+        # the required capacity, up to the size of the largest worker.
         measured = self._measured_sizes.get(spec.declared)
         if measured is None:
             return spec
-        largest = self._sizes.largest
+        largest = self._known_sizes.largest
         return attrs.evolve(
             spec,
             cores=max(spec.cores, min(measured[0], largest[0])),
             memory_mb=max(spec.memory_mb, min(measured[1], largest[1])),
         )
 
-    def _rank(self, key: QueueKey) -> tuple[bool, int, bool, float, float, str]:
-        # Teams below their guaranteed share come first, so that priorities can't deprive another
-        # team of its guarantee. Among jobs of a team with equal priority, the one whose task has
-        # waited longest comes first.
-        oldest = self._queue.peek(key)
+    def _rank_group(self, key: QueueKey) -> tuple[bool, int, bool, float, float, str]:
+        # Sort key of the group of pending tasks with this key; the lowest comes first. Teams below
+        # their guaranteed share come first, so that priorities can't deprive another team of its
+        # guarantee. Among jobs of a team with equal priority, the one whose task has waited longest
+        # comes first.
+        oldest = self._queue.peek_oldest(key)
         return (
             not self._shares.is_below_guarantee(key.team),
             -key.priority,
@@ -486,9 +505,9 @@
     def _rank_shards(self, spec: TaskSpec) -> list[str]:
         # Runners are spread over availability zones first and racks second. Batch tasks go to
         # the shard with the most free cores.
-        shards = [shard for shard, link in self.links.items() if link.synced]
+        shards = [shard for shard, link in self.links.items() if link.is_synced]
         if spec.kind != "service":
-            return sorted(shards, key=lambda shard: (-self.links[shard].free_cores, shard))
+            return sorted(shards, key=lambda shard: (-self.links[shard].total_free_cores, shard))
         assigned_by_shard = self._assigned_by_shard[spec.declared]
         zones: Counter[str] = Counter()
         for shard, count in assigned_by_shard.items():
@@ -497,14 +516,19 @@
 
         def rank(shard: str) -> tuple[int, int, float, str]:
             link = self.links[shard]
-            return zones[link.availability_zone], assigned_by_shard[shard], -link.free_cores, shard
+            return (
+                zones[link.availability_zone],
+                assigned_by_shard[shard],
+                -link.total_free_cores,
+                shard,
+            )
 
         return sorted(shards, key=rank)
 
     def _evict_for(self, spec: TaskSpec, key: QueueKey, waited_ms: float) -> tuple[str, str] | None:
         if self._evictor is None:
             return None
-        eviction = self._evictor.evict_for(
+        plan = self._evictor.evict_for(
             spec,
             [self.links[shard] for shard in self._rank_shards(spec)],
             specs=self._specs,
@@ -512,11 +536,17 @@
             waited_ms=waited_ms,
             now_ms=self._clock.now_ms(),
         )
-        return (eviction.shard, eviction.worker) if eviction else None
+        return (plan.shard, plan.worker) if plan else None
 
-    def _handle_no_capacity(self, spec: TaskSpec, entry: Entry) -> bool:
-        """Record why a task waits, or reject it; return whether it was rejected."""
-        assessment = self._sizes.assess(spec, self.links, self._clock.now_ms())
+    def _reject_or_record_reason(self, spec: TaskSpec, entry: Entry) -> bool:
+        """Reject a task that can never run, otherwise record why it waits.
+
+        Returns
+        -------
+        bool
+            Whether the task was rejected.
+        """
+        assessment = self._known_sizes.assess(spec, self.links, self._clock.now_ms())
         if not assessment.is_final or spec.kind != "batch":
             self.ledger.set_reason(spec.name, assessment.reason)
             return False
--- a/coltsfootpier/dispatch/_eviction.py
+++ b/coltsfootpier/dispatch/_eviction.py
@@ -9,13 +9,14 @@
 from coltsfootpier.declaration import PRIORITIES, TaskSpec
 from coltsfootpier.dispatch._ledger import Ledger
 from coltsfootpier.dispatch._link import ShardLink
-from coltsfootpier.dispatch._shares import Shares
+from coltsfootpier.dispatch._shares import TeamShares
 from coltsfootpier.placement import fits
 
 Size = tuple[float, int, int]
 
-# Number of shards examined together, which bounds the cost if the first ones have candidates.
-_SHARDS_PER_BATCH = 8
+# Number of shards that are compared with each other. Later shards are examined only if no eviction
+# in the earlier ones frees enough capacity, which bounds the cost of a decision.
+_SHARDS_PER_GROUP = 8
 # Time for which a task must wait before its team reclaims lent capacity by eviction; lent
 # capacity often becomes free without one.
 _RECLAIM_DELAY_MS = 5_000.0
@@ -28,33 +29,44 @@
 
     Parameters
     ----------
-    lost_ms : float
+    lost_core_ms : float
         Work that the eviction would lose, in core-milliseconds.
     """
 
     spec: TaskSpec
-    lost_ms: float
+    lost_core_ms: float
 
 
 @attrs.frozen(kw_only=True)
-class Eviction:
-    """Tasks to evict from one worker; empty if stopping tasks free enough capacity."""
+class EvictionPlan:
+    """Worker on which a task fits once others have ended, and the tasks to evict from it.
+
+    Parameters
+    ----------
+    victims : tuple of TaskSpec
+        Tasks to evict; empty if the tasks that are already stopping free enough capacity.
+    lost_core_ms : float
+        Work that the evictions lose, in core-milliseconds.
+    """
 
     shard: str
     worker: str
     victims: tuple[TaskSpec, ...]
-    lost_ms: float
+    lost_core_ms: float
 
     @property
     def cost(self) -> tuple[int, float]:
-        """Sort key of evictions: fewest victims first, then least lost work."""
-        return len(self.victims), self.lost_ms
+        """Sort key of plans: fewest victims first, then least lost work."""
+        return len(self.victims), self.lost_core_ms
 
 
 def choose_victims(
     size: Size, free: Size, candidates: Sequence[Candidate]
 ) -> list[Candidate] | None:
-    """Choose few and cheap tasks whose eviction frees enough capacity on one worker.
+    """Choose tasks on one worker whose eviction frees enough capacity.
+
+    If a single task is enough, the one that loses the least work is chosen. Otherwise a heuristic
+    chooses few tasks; they aren't guaranteed to be the fewest.
 
     Parameters
     ----------
@@ -77,19 +89,19 @@
     """
     if fits(size, free):
         return []
-    single = [item for item in candidates if fits(size, _add_freed(free, [item]))]
-    if single:
-        return [min(single, key=lambda item: (item.lost_ms, item.spec.name))]
+    single_candidates = [item for item in candidates if fits(size, _add_freed(free, [item]))]
+    if single_candidates:
+        return [min(single_candidates, key=lambda item: (item.lost_core_ms, item.spec.name))]
     chosen: list[Candidate] = []
     # Choosing large tasks first keeps the number of victims low. A second pass removes those
     # that are no longer needed.
-    for item in sorted(candidates, key=lambda item: (-item.spec.cores, item.lost_ms)):
+    for item in sorted(candidates, key=lambda item: (-item.spec.cores, item.lost_core_ms)):
         chosen.append(item)
         if fits(size, _add_freed(free, chosen)):
             break
     else:
         return None
-    for item in sorted(chosen, key=lambda item: -item.lost_ms):
+    for item in sorted(chosen, key=lambda item: -item.lost_core_ms):
         rest = [other for other in chosen if other is not item]
         if fits(size, _add_freed(free, rest)):
             chosen = rest
@@ -102,7 +114,7 @@
     *,
     avoid: Sequence[str],
     list_candidates: Callable[[ShardLink, str], tuple[Size, list[Candidate]]],
-) -> Eviction | None:
+) -> EvictionPlan | None:
     """Choose the worker on which evictions for a task cost least.
 
     Parameters
@@ -114,29 +126,37 @@
     avoid : sequence of str
         Workers to exclude.
     list_candidates : callable
-        Callback that returns, for a worker, the capacity that stopping tasks will free and the
-        tasks that may be evicted.
+        Callback that returns, for a shard and a worker, the capacity that stopping tasks will
+        free and the tasks that may be evicted.
+
+    Returns
+    -------
+    EvictionPlan or None
+        None if no worker would have enough free capacity.
     """
-    best: Eviction | None = None
+    cheapest: EvictionPlan | None = None
     for link in links:
         for name, worker in link.workers.items():
             if worker.set_aside or name in avoid or not fits(spec.size, worker.size):
                 continue
             stopping_size, candidates = list_candidates(link, name)
             free_now = link.free_by_worker[name]
-            free = tuple(have + more for have, more in zip(free_now, stopping_size, strict=True))
+            free = tuple(
+                amount + stopping_amount
+                for amount, stopping_amount in zip(free_now, stopping_size, strict=True)
+            )
             chosen = choose_victims(spec.size, free, candidates)
             if chosen is None:
                 continue
-            eviction = Eviction(
+            plan = EvictionPlan(
                 shard=link.shard,
                 worker=name,
                 victims=tuple(item.spec for item in chosen),
-                lost_ms=sum(item.lost_ms for item in chosen),
+                lost_core_ms=sum(item.lost_core_ms for item in chosen),
             )
-            if best is None or eviction.cost < best.cost:
-                best = eviction
-    return best
+            if cheapest is None or plan.cost < cheapest.cost:
+                cheapest = plan
+    return cheapest
 
 
 class Evictor:
@@ -146,11 +166,11 @@
     ----------
     ledger : Ledger
         Ledger of all tasks, in which evicted attempts are marked for revocation.
-    shares : Shares
+    shares : TeamShares
         Guaranteed shares of the teams.
     """
 
-    def __init__(self, *, ledger: Ledger, shares: Shares) -> None:
+    def __init__(self, *, ledger: Ledger, shares: TeamShares) -> None:
         self._ledger = ledger
         self._shares = shares
 
@@ -163,8 +183,11 @@
         avoid: Sequence[str],
         waited_ms: float,
         now_ms: float,
-    ) -> Eviction | None:
-        """Revoke the cheapest attempts that free enough capacity for a task.
+    ) -> EvictionPlan | None:
+        """Revoke the cheapest attempts that free enough capacity for a task, if it may evict any.
+
+        Runners and urgent tasks may evict at once. Other tasks may do so after a delay if their
+        team stays within its guaranteed share.
 
         Parameters
         ----------
@@ -183,7 +206,7 @@
 
         Returns
         -------
-        Eviction or None
+        EvictionPlan or None
             None if the task has to wait for free capacity.
         """
         below_guarantee = self._shares.stays_within_guarantee_with(spec)
@@ -194,23 +217,23 @@
         def list_candidates(link: ShardLink, worker: str) -> tuple[Size, list[Candidate]]:
             return self._list_candidates(spec, below_guarantee, specs, link, worker, now_ms)
 
-        eviction: Eviction | None = None
-        for start in range(0, len(links), _SHARDS_PER_BATCH):
-            eviction = plan_eviction(
+        plan: EvictionPlan | None = None
+        for start in range(0, len(links), _SHARDS_PER_GROUP):
+            plan = plan_eviction(
                 spec,
-                links[start : start + _SHARDS_PER_BATCH],
+                links[start : start + _SHARDS_PER_GROUP],
                 avoid=avoid,
                 list_candidates=list_candidates,
             )
-            if eviction is not None:
+            if plan is not None:
                 break
-        if eviction is None:
+        if plan is None:
             return None
-        for victim in eviction.victims:
+        for victim in plan.victims:
             entry = self._ledger.get(victim.name)
             reason = f"evicted for {spec.name}"
             self._ledger.put(victim.name, attrs.evolve(entry, revoking=True, reason=reason))
-        return eviction
+        return plan
 
     def _list_candidates(
         self,
@@ -234,8 +257,8 @@
                 for index, amount in enumerate(victim.size):
                     stopping_size[index] += amount
             elif self._may_evict(spec, below_guarantee, victim):
-                cores_ms = link.measure_unsaved_ms(state, now_ms) * victim.cores
-                candidates.append(Candidate(spec=victim, lost_ms=cores_ms))
+                unsaved_core_ms = link.compute_unsaved_ms(state, now_ms) * victim.cores
+                candidates.append(Candidate(spec=victim, lost_core_ms=unsaved_core_ms))
         return (stopping_size[0], stopping_size[1], stopping_size[2]), candidates
 
     def _may_evict(self, spec: TaskSpec, below_guarantee: bool, victim: TaskSpec) -> bool:
--- a/coltsfootpier/dispatch/_ledger.py
+++ b/coltsfootpier/dispatch/_ledger.py
@@ -27,7 +27,11 @@
     attempt : int
         Number of the newest attempt; 0 before the first.
     shard : str
-        Shard to which the attempt is assigned.
+        Shard to which the attempt is assigned; empty if it isn't.
+    checkpoint : str
+        Newest checkpoint, from which the next attempt resumes; empty if there is none.
+    reason : str
+        Why the task is in its state, as shown to operators.
     revoking : bool
         Whether the attempt must be stopped.
     failed_workers : tuple of str
@@ -57,7 +61,8 @@
     skipped: int = 0
 
 
-Listener = Callable[[str, Entry | None, Entry | None], None]
+# Called after a change of a working entry with the task, its previous entry and its new entry.
+EntryListener = Callable[[str, Entry | None, Entry | None], None]
 
 
 class Ledger:
@@ -70,7 +75,14 @@
     writer : str
         Member identifier of this daemon.
     buckets : int, default=8
-        Number of records; a change rewrites only the record that holds the task.
+        Number of records; a change is written only to the record that holds the task.
+
+    Attributes
+    ----------
+    change_count : int
+        Number of changes of working entries so far.
+    listener : callable or None
+        Function that is called after each such change.
     """
 
     def __init__(self, *, epoch: int, writer: str, buckets: int = 8) -> None:
@@ -84,15 +96,15 @@
             )
             for index in range(buckets)
         ]
-        self.changes = 0
-        self.listener: Listener | None = None
-        self._by_state: dict[str, dict[str, None]] = defaultdict(dict)
-        self._done: Counter[str] = Counter()
-        self._unsuccessful: Counter[str] = Counter()
-        self._by_shard: dict[str, dict[str, Entry]] = defaultdict(dict)
+        self.change_count = 0
+        self.listener: EntryListener | None = None
+        self._tasks_by_state: dict[str, dict[str, None]] = defaultdict(dict)
+        self._done_counts: Counter[str] = Counter()
+        self._unsuccessful_counts: Counter[str] = Counter()
+        self._durable_by_shard: dict[str, dict[str, Entry]] = defaultdict(dict)
         self._changed_by_shard: dict[str, set[str]] = defaultdict(set)
         for record in self.records:
-            record.listener = self._index_durable
+            record.listener = self._update_durable_indexes
 
     @property
     def fenced(self) -> bool:
@@ -109,14 +121,14 @@
         found = list(items)
         for record in self.records:
             record.load(*(item for item in found if item.key.startswith(record.prefix)))
-        self._by_state.clear()
-        self._done.clear()
-        self._unsuccessful.clear()
-        self._by_shard.clear()
+        self._tasks_by_state.clear()
+        self._done_counts.clear()
+        self._unsuccessful_counts.clear()
+        self._durable_by_shard.clear()
         for record in self.records:
-            self._index_durable(set(record.durable), {}, record.durable)
+            self._update_durable_indexes(set(record.durable), {}, record.durable)
         for task, entry in self.entries():
-            self._index(task, None, entry)
+            self._update_indexes(task, None, entry)
 
     def get(self, task: str) -> Entry | None:
         """Return the working entry of a task."""
@@ -132,7 +144,7 @@
         before = record.working.get(task)
         record.put(task, entry)
         if before != entry:
-            self._index(task, before, entry)
+            self._update_indexes(task, before, entry)
 
     def set_reason(self, task: str, reason: str) -> None:
         """Set the reason that is shown to operators; this alone doesn't trigger a write."""
@@ -147,23 +159,23 @@
         before = record.working.get(task)
         record.drop(task)
         if before is not None:
-            self._index(task, before, None)
+            self._update_indexes(task, before, None)
 
     def list_tasks(self, state: str) -> dict[str, None]:
         """Return the tasks in a state, ordered by the time at which they entered it."""
-        return self._by_state[state]
+        return self._tasks_by_state[state]
 
     def count_done(self, declared: str) -> int:
         """Return the number of completed tasks of a job."""
-        return self._done[declared]
+        return self._done_counts[declared]
 
     def count_unsuccessful(self, declared: str) -> int:
         """Return the number of rejected or failed tasks of a job."""
-        return self._unsuccessful[declared]
+        return self._unsuccessful_counts[declared]
 
-    def list_durable(self, shard: str) -> dict[str, Entry]:
+    def list_durably_assigned(self, shard: str) -> dict[str, Entry]:
         """Return the entries that are durably assigned to a shard, by task."""
-        return self._by_shard[shard]
+        return self._durable_by_shard[shard]
 
     def pop_changed(self, shard: str) -> set[str]:
         """Return and clear the tasks whose durable assignment to a shard has changed."""
@@ -184,32 +196,32 @@
         writes = ((record, record.start_write()) for record in self.records)
         return [(record, write) for record, write in writes if write is not None]
 
-    def _index(self, task: str, before: Entry | None, after: Entry | None) -> None:
-        self.changes += 1
+    def _update_indexes(self, task: str, before: Entry | None, after: Entry | None) -> None:
+        self.change_count += 1
         old = before.state if before else ""
         new = after.state if after else ""
         if old != new:
-            self._by_state[old].pop(task, None)
+            self._tasks_by_state[old].pop(task, None)
             if new:
-                self._by_state[new][task] = None
+                self._tasks_by_state[new][task] = None
             declared = task.split("/")[1] if "/" in task else task
-            self._done[declared] += (new == "done") - (old == "done")
-            self._unsuccessful[declared] += (new in _UNSUCCESSFUL_STATES) - (
+            self._done_counts[declared] += (new == "done") - (old == "done")
+            self._unsuccessful_counts[declared] += (new in _UNSUCCESSFUL_STATES) - (
                 old in _UNSUCCESSFUL_STATES
             )
         if self.listener is not None:
             self.listener(task, before, after)
 
-    def _index_durable(
+    def _update_durable_indexes(
         self, names: set[str], before: dict[str, Entry], after: dict[str, Entry]
     ) -> None:
         for task in names:
             old, new = before.get(task), after.get(task)
             if old is not None and old.state == "assigned":
-                self._by_shard[old.shard].pop(task, None)
+                self._durable_by_shard[old.shard].pop(task, None)
                 self._changed_by_shard[old.shard].add(task)
             if new is not None and new.state == "assigned":
-                self._by_shard[new.shard][task] = new
+                self._durable_by_shard[new.shard][task] = new
                 self._changed_by_shard[new.shard].add(task)
 
     def _get_record(self, task: str) -> VersionedRecord[Entry]:
--- a/coltsfootpier/dispatch/_schedule.py
+++ b/coltsfootpier/dispatch/_schedule.py
@@ -8,15 +8,16 @@
 from coltsfootpier.declaration import Declaration, Job
 from coltsfootpier.dispatch._ledger import FINAL_STATES, Entry, Ledger
 
-# The elapsed time since the creation of a run is recorded this many times per period, but at
-# most once per minimum step. A change of dispatcher delays a run by at most one such step plus
-# the duration of the change.
+# The elapsed time since the creation of a run is recorded this many times per period, but with at
+# least the minimum time between two records. A change of dispatcher delays a run by at most this
+# time plus the duration of the change.
 _PROGRESS_STEPS_PER_PERIOD = 16
 _MIN_PROGRESS_STEP_MS = 30_000.0
+# Time between checks for due runs.
 _CHECK_PERIOD_MS = 1_000.0
 
 
-class Schedule:
+class PeriodicJobScheduler:
     """Scheduler that creates each run of a periodic job once, after the previous run has ended.
 
     The clocks of two dispatchers can't be compared, so the ledger stores no points in time. It
@@ -38,10 +39,10 @@
         self._jobs: dict[str, Job] = {}
         # Run number, recorded elapsed time and local time at which they were read, by job.
         self._baselines: dict[str, tuple[int, float, float]] = {}
-        self._checked_ms = float("-inf")
+        self._last_check_ms = float("-inf")
 
-    def reset(self, declaration: Declaration) -> None:
-        """Replace the periodic jobs by those of a declaration."""
+    def set_declaration(self, declaration: Declaration) -> None:
+        """Set the periodic jobs to those of a declaration and complete partially written runs."""
         self._jobs = {name: job for name, job in declaration.jobs.items() if job.every_ms > 0}
         self._baselines = {
             name: baseline for name, baseline in self._baselines.items() if name in self._jobs
@@ -49,12 +50,12 @@
         for job in self._jobs.values():
             self._complete_partial_run(job)
 
-    def step(self) -> None:
-        """Create the runs that are due."""
+    def create_due_runs(self) -> None:
+        """Create the runs that are due, and record the elapsed time of the others."""
         now_ms = self._clock.now_ms()
-        if now_ms - self._checked_ms < _CHECK_PERIOD_MS:
+        if now_ms - self._last_check_ms < _CHECK_PERIOD_MS:
             return
-        self._checked_ms = now_ms
+        self._last_check_ms = now_ms
         for job in self._jobs.values():
             self._advance_job(job, now_ms)
 
@@ -91,7 +92,7 @@
         )
 
     def _complete_partial_run(self, job: Job) -> None:
-        # The tasks of a run are spread over buckets that are written one by one, so a crash can
+        # The tasks of a run are spread over records that are written one by one, so a crash can
         # leave a run partially written. It can be completed, because all tasks of the previous
         # run had ended before it was created.
         entries = {
--- a/coltsfootpier/dispatch/_shares.py
+++ b/coltsfootpier/dispatch/_shares.py
@@ -22,7 +22,7 @@
         Whether the tasks had earlier attempts; they precede new tasks of equal priority, so that
         evicted tasks don't queue behind a flood of new ones.
     avoid : tuple of str
-        Workers on which the tasks failed.
+        Workers on which the tasks failed and must not be retried.
     """
 
     team: str
@@ -38,46 +38,46 @@
     """Pending tasks grouped by `QueueKey`, in order of arrival within each group."""
 
     def __init__(self) -> None:
-        self._tasks: dict[QueueKey, dict[str, float]] = {}
-        self._keys: dict[str, QueueKey] = {}
+        self._tasks_by_key: dict[QueueKey, dict[str, float]] = {}
+        self._key_by_task: dict[str, QueueKey] = {}
 
     def __bool__(self) -> bool:
-        return bool(self._keys)
+        return bool(self._key_by_task)
 
     def __len__(self) -> int:
-        return len(self._keys)
+        return len(self._key_by_task)
 
     def add(self, task: str, key: QueueKey, now_ms: float) -> None:
         """Append a task to its group, or move it to the end if it is already queued."""
         self.remove(task)
-        self._keys[task] = key
-        self._tasks.setdefault(key, {})[task] = now_ms
+        self._key_by_task[task] = key
+        self._tasks_by_key.setdefault(key, {})[task] = now_ms
 
     def remove(self, task: str) -> None:
         """Remove a task if it is queued."""
-        key = self._keys.pop(task, None)
+        key = self._key_by_task.pop(task, None)
         if key is not None:
-            tasks = self._tasks[key]
+            tasks = self._tasks_by_key[key]
             del tasks[task]
             if not tasks:
-                del self._tasks[key]
+                del self._tasks_by_key[key]
 
     def clear(self) -> None:
         """Remove all tasks."""
-        self._tasks.clear()
-        self._keys.clear()
+        self._tasks_by_key.clear()
+        self._key_by_task.clear()
 
     def list_keys(self) -> list[QueueKey]:
         """Return the keys of all groups of pending tasks."""
-        return list(self._tasks)
+        return list(self._tasks_by_key)
 
-    def peek(self, key: QueueKey) -> tuple[str, float] | None:
+    def peek_oldest(self, key: QueueKey) -> tuple[str, float] | None:
         """Return the oldest pending task with a key and the time at which it was queued."""
-        tasks = self._tasks.get(key)
+        tasks = self._tasks_by_key.get(key)
         return next(iter(tasks.items())) if tasks else None
 
 
-class Shares:
+class TeamShares:
     """Usage and guaranteed share of each team.
 
     The cores of the fleet are divided by weight among the teams that have work (max-min
@@ -129,38 +129,38 @@
             name: min(self._used[name][0] + self._queued_cores[name], team.cores)
             for name, team in self._teams.items()
         }
-        order = sorted(demand, key=lambda name: demand[name] / self._teams[name].weight)
+        names_by_demand = sorted(demand, key=lambda name: demand[name] / self._teams[name].weight)
         remaining = self._fleet_cores
         total_weight = sum(team.weight for team in self._teams.values())
-        for name in order:
+        for name in names_by_demand:
             own_weight = self._teams[name].weight
             self._guaranteed_cores[name] = min(demand[name], remaining * own_weight / total_weight)
             remaining -= self._guaranteed_cores[name]
             total_weight -= own_weight
 
     def compute_relative_usage(self, team: str) -> float:
-        """Return the cores that a team uses relative to its weight."""
-        return self._get_retained_cores(team) / self._teams[team].weight
+        """Return the cores of a team's tasks that aren't stopping, divided by the team's weight."""
+        return self._get_cores_without_stopping(team) / self._teams[team].weight
 
     def is_below_guarantee(self, team: str) -> bool:
         """Return whether a team uses less than its guaranteed share."""
-        return self._get_retained_cores(team) < self._guaranteed_cores[team] - 1e-6
+        return self._get_cores_without_stopping(team) < self._guaranteed_cores[team] - 1e-6
 
     def stays_within_guarantee_with(self, spec: TaskSpec) -> bool:
         """Return whether a task's team stays within its guaranteed share if the task is added."""
         return (
-            self._get_retained_cores(spec.team) + spec.cores
+            self._get_cores_without_stopping(spec.team) + spec.cores
             <= self._guaranteed_cores[spec.team] + 1e-6
         )
 
     def keeps_guarantee_without(self, spec: TaskSpec) -> bool:
         """Return whether a task's team keeps its guaranteed share if the task is evicted."""
         return (
-            self._get_retained_cores(spec.team) - spec.cores
+            self._get_cores_without_stopping(spec.team) - spec.cores
             >= self._guaranteed_cores[spec.team] - 1e-6
         )
 
-    def _get_retained_cores(self, team: str) -> float:
+    def _get_cores_without_stopping(self, team: str) -> float:
         return self._used[team][0] - self._stopping_cores[team]
 
     def is_within_quota(self, spec: TaskSpec) -> bool:
--- a/coltsfootpier/dispatch/tests/test_dispatcher.py
+++ b/coltsfootpier/dispatch/tests/test_dispatcher.py
@@ -44,7 +44,7 @@
         commit(self.shard.record)
         self.dispatcher.observe_reply(self.shard.build_exchange_reply(full=request.full))
 
-    def _finish(
+    def _end_attempt(
         self, shard: ShardState, task: str, attempt: int = 1, outcome: str = "done"
     ) -> None:
         report = build_task_report(task, attempt, state="ended", outcome=outcome, checkpoint="7")
@@ -56,7 +56,7 @@
         for _ in range(4):
             self._run_round()
         self.assertEqual(self.dispatcher.ledger.get("job/report/0").state, "waiting")
-        self._finish(self.shard, "job/load/0")
+        self._end_attempt(self.shard, "job/load/0")
         for _ in range(3):
             self._run_round()
         self.assertEqual(self.dispatcher.ledger.get("job/load/0").state, "done")
@@ -74,22 +74,22 @@
         self.assertIn("load", entry.reason)
 
     def test_evicted_task_resumes_once_from_its_checkpoint(self) -> None:
-        """Guards against evicted tasks that are lost or resumed twice."""
+        """Guards against evicted tasks that are lost, resumed twice or restarted from scratch."""
         for _ in range(4):
             self._run_round()
-        self._finish(self.shard, "job/load/0", outcome="stopped")
+        self._end_attempt(self.shard, "job/load/0", outcome="stopped")
         for _ in range(4):
             self._run_round()
         entry = self.dispatcher.ledger.get("job/load/0")
         self.assertEqual((entry.state, entry.attempt), ("assigned", 2))
-        held = self.shard.record.durable["job/load/0"]
-        self.assertEqual((held.attempt, held.checkpoint), (2, "7"))
+        placement = self.shard.record.durable["job/load/0"]
+        self.assertEqual((placement.attempt, placement.checkpoint), (2, "7"))
 
     def test_release_is_not_acknowledged_before_it_is_durable(self) -> None:
         """Guards against losing a task if the dispatcher crashes after an acknowledgement."""
         for _ in range(4):
             self._run_round()
-        self._finish(self.shard, "job/load/0", outcome="stopped")
+        self._end_attempt(self.shard, "job/load/0", outcome="stopped")
         request = self.dispatcher.next_request("r1", regular=True)
         self.shard.apply_request(request)
         self.dispatcher.observe_reply(self.shard.build_exchange_reply(full=False))
@@ -105,7 +105,7 @@
         for _ in range(3):
             self._run_round()
         self.assertEqual(self.shard.record.durable["job/load/0"].state, "stopping")
-        self._finish(self.shard, "job/load/0", outcome="stopped")
+        self._end_attempt(self.shard, "job/load/0", outcome="stopped")
         for _ in range(3):
             self._run_round()
         self.assertEqual(self.dispatcher.ledger.get("job/load/0").state, "cancelled")
@@ -118,7 +118,7 @@
         self.dispatcher.observe_declaration(2, build_declaration(text))
         for _ in range(3):
             self._run_round()
-        self._finish(self.shard, "service/web/0", outcome="stopped")
+        self._end_attempt(self.shard, "service/web/0", outcome="stopped")
         for _ in range(3):
             self._run_round()
         self.assertEqual(self.dispatcher.ledger.get("service/web/0").state, "cancelled")
@@ -129,7 +129,10 @@
         self.assertEqual((entry.state, entry.attempt), ("assigned", 2))
 
     def test_job_removed_before_its_assignment_is_sent_is_cancelled(self) -> None:
-        """Guards against an attempt that stays assigned because no shard ever received it."""
+        """Guards against an attempt that stays assigned after its job was removed.
+
+        The shard has never received the attempt, so it can't release it.
+        """
         self._run_round()
         self.dispatcher.step()
         self._commit()
--- a/coltsfootpier/dispatch/tests/test_schedule.py
+++ b/coltsfootpier/dispatch/tests/test_schedule.py
@@ -12,7 +12,7 @@
 from coltsfootpier.records import replay_record
 from tests.builders import build_declaration
 
-TEXT = """
+DECLARATION_TEXT = """
 [team a]
 cores = 64
 memory_mb = 64000
@@ -37,7 +37,7 @@
         ledger = Ledger(epoch=epoch, writer=f"m{epoch}", buckets=4)
         ledger.load(items.values())
         dispatcher = Dispatcher(clock=self.clock, ledger=ledger)
-        dispatcher.observe_declaration(1, build_declaration(TEXT))
+        dispatcher.observe_declaration(1, build_declaration(DECLARATION_TEXT))
         return dispatcher
 
     def _write_records(self, dispatcher: Dispatcher, *, only: int | None = None) -> dict[str, Item]:
@@ -59,7 +59,7 @@
         for task, entry in self.dispatcher.ledger.entries():
             self.dispatcher.ledger.put(task, attrs.evolve(entry, state="done"))
 
-    def _runs(self) -> list[int]:
+    def _list_runs(self) -> list[int]:
         return sorted(entry.run for _, entry in self.dispatcher.ledger.entries())
 
     def test_next_run_is_created_when_due(self) -> None:
@@ -67,17 +67,17 @@
         self._advance_seconds(5)
         self._complete_tasks()
         self._advance_seconds(590)
-        self.assertEqual(self._runs(), [1] * 6)
+        self.assertEqual(self._list_runs(), [1] * 6)
         self._advance_seconds(10)
-        self.assertEqual(self._runs(), [2] * 6)
+        self.assertEqual(self._list_runs(), [2] * 6)
 
     def test_runs_do_not_overlap_and_skipped_runs_are_counted(self) -> None:
-        """Guards against overlapping runs and against due times that are skipped silently."""
+        """Guards against overlapping runs and against skipped due times that aren't counted."""
         self._advance_seconds(1_500)
-        self.assertEqual(self._runs(), [1] * 6)
+        self.assertEqual(self._list_runs(), [1] * 6)
         self._complete_tasks()
         self._advance_seconds(2)
-        self.assertEqual(self._runs(), [2] * 6)
+        self.assertEqual(self._list_runs(), [2] * 6)
         self.assertEqual(self.dispatcher.ledger.get("job/sweep/0").skipped, 1)
 
     def test_change_of_dispatcher_delays_by_one_step_at_most(self) -> None:
@@ -90,9 +90,9 @@
         self.dispatcher = self._build_dispatcher(epoch=2, items=items)
         self._write_records(self.dispatcher)
         self._advance_seconds(90)
-        self.assertEqual(self._runs(), [1] * 6)
+        self.assertEqual(self._list_runs(), [1] * 6)
         self._advance_seconds(50)
-        self.assertEqual(self._runs(), [2] * 6)
+        self.assertEqual(self._list_runs(), [2] * 6)
 
     def test_partially_written_run_is_completed(self) -> None:
         """Guards against a run that is created twice or in part.
@@ -118,7 +118,7 @@
                 self.dispatcher = self._build_dispatcher(epoch=2, items=items)
                 self._write_records(self.dispatcher)
                 self._advance_seconds(3)
-                self.assertEqual(self._runs(), [max(runs, default=1)] * 6)
+                self.assertEqual(self._list_runs(), [max(runs, default=1)] * 6)
                 self.assertEqual(
                     {entry.attempt for _, entry in self.dispatcher.ledger.entries()}, {0}
                 )
