--- a/coltsfootpier/cells/_capacity.py
+++ b/coltsfootpier/cells/_capacity.py
@@ -33,8 +33,8 @@
         self._table = table
         # CPU in thousandths of a core that each image could use alone on each runner.
         self._free_cpus: list[dict[str, float]] = []
-        self._totals: dict[str, float] = {}
-        self._unused = 0.0
+        self._total_cpus: dict[str, float] = {}
+        self._unused_cpu = 0.0
 
     def measure(self, runners: Iterable[Runner], images: Iterable[str]) -> None:
         """Measure the capacity for each image on the runners of the service now.
@@ -48,29 +48,29 @@
         """
         images = set(images)
         self._free_cpus = []
-        self._totals = dict.fromkeys(images, 0.0)
-        self._unused = 0.0
+        self._total_cpus = dict.fromkeys(images, 0.0)
+        self._unused_cpu = 0.0
         for runner in runners:
-            unused = _measure_unused(runner)
-            self._unused += unused
+            unused = _measure_unused_cpu(runner)
+            self._unused_cpu += unused
             headrooms = self._table.list_headrooms(runner)
             free_cpu = {
                 image: min(unused, self._table.limit_cpu(headrooms, image, runner.entry.cpu_milli))
                 for image in images
             }
             for image, cpu in free_cpu.items():
-                self._totals[image] += cpu
+                self._total_cpus[image] += cpu
             self._free_cpus.append(free_cpu)
 
-    def share(self, image: str) -> float:
+    def estimate_share(self, image: str) -> float:
         """Return the share of the unused CPU that an image can use, up to 1."""
-        if self._unused <= 0 or image not in self._totals:
+        if self._unused_cpu <= 0 or image not in self._total_cpus:
             return 1.0
-        return max(_MIN_SHARE, self._totals[image] / self._unused)
+        return max(_MIN_SHARE, self._total_cpus[image] / self._unused_cpu)
 
-    def total(self, image: str) -> float:
+    def estimate_total_cpu(self, image: str) -> float:
         """Return the CPU in thousandths of a core that an image could use if it ran alone."""
-        return self._totals.get(image, self._unused)
+        return self._total_cpus.get(image, self._unused_cpu)
 
     def estimate_delays(self, work: Mapping[str, float]) -> dict[str, float]:
         """Return the time in ms until the work of each image is done beside that of the others.
@@ -86,7 +86,7 @@
         """
         busy = [0.0] * len(self._free_cpus)
         delays: dict[str, float] = {}
-        for image in sorted(work, key=self.total):
+        for image in sorted(work, key=self.estimate_total_cpu):
             caps = [free_cpu.get(image, 0.0) for free_cpu in self._free_cpus]
             order = sorted(
                 (index for index, cap in enumerate(caps) if cap > 0), key=busy.__getitem__
@@ -108,7 +108,7 @@
         return delays
 
 
-def _measure_unused(runner: Runner) -> float:
+def _measure_unused_cpu(runner: Runner) -> float:
     """Return the CPU that serving and urgent tasks leave unused, in thousandths of a core."""
     used = float(runner.guaranteed_cpu - runner.serving_cpu)
     used += sum(run.step.cpu_milli * run.load for run in list_serving(runner))
--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -95,7 +95,7 @@
         )
         self.cordons = Cordons(fleet=self.fleet, jobs=self.jobs, log=log)
         self._commands: list[CellCommand] = []
-        self._checked_ms = float("-inf")
+        self._last_check_ms = float("-inf")
 
     # Jobs
 
@@ -183,7 +183,7 @@
             return Rejected("tasks", settings.tasks_retry_ms)
         if any(step.long_running for step in spec.steps) or spec.occurrences:
             return None
-        critical_path_ms = self._estimates.critical_path_ms(queue.name, spec.steps)
+        critical_path_ms = self._estimates.estimate_critical_path_ms(queue.name, spec.steps)
         objective_ms = queue.stretch * critical_path_ms + queue.objective_ms
         if not any(step.fills for step in spec.steps):
             delays = self._estimates.estimate_short_delays(
@@ -202,7 +202,7 @@
             lateness_factor=settings.admit_late,
         )
         if rejection is None:
-            self._estimates.add_best_effort(queue, spec)
+            self._estimates.record_acceptance(queue, spec)
         return rejection
 
     def _measure_best_effort(self, now_ms: float) -> None:
@@ -214,12 +214,12 @@
         """Cancel a job and stop its tasks; return None for an unknown job."""
         job = self.jobs.jobs.get(job_id)
         if job is not None and job.is_open:
-            self._close(job, JobState.CANCELLED, "cancelled by the caller", now_ms)
+            self._close_job(job, JobState.CANCELLED, "cancelled by the caller", now_ms)
         return job
 
-    def _close(self, job: Job, state: JobState, reason: str, now_ms: float) -> None:
+    def _close_job(self, job: Job, state: JobState, reason: str, now_ms: float) -> None:
         for run in self.jobs.close(job, state, reason, now_ms):
-            self._stop(run, reason, now_ms)
+            self._stop_run(run, reason, now_ms)
 
     # Runners
 
@@ -229,13 +229,13 @@
             self.jobs.requeue(run.id)
         for runner in self.fleet.runners.values():
             if runner.entry.draining:
-                self._evacuate(runner, now_ms)
+                self._evacuate_runner(runner, now_ms)
 
-    def _evacuate(self, runner: Runner, now_ms: float) -> None:
+    def _evacuate_runner(self, runner: Runner, now_ms: float) -> None:
         """Stop the long-running tasks of a draining runner so that they move before it leaves."""
         for run in runner.runs.values():
             if run.step.long_running and run.state is RunState.RUNNING:
-                self._stop(run, "runner is draining", now_ms)
+                self._stop_run(run, "runner is draining", now_ms)
 
     def apply_report(self, runner_id: str, report: RunnerReport, now_ms: float) -> None:
         """Apply a runner's report of its present and ended runs."""
@@ -243,7 +243,7 @@
         if runner is None or report.started_unix_ms < runner.started_unix_ms:
             return
         if runner.started_unix_ms and report.started_unix_ms > runner.started_unix_ms:
-            for run in self.fleet.handle_restart(runner, report.started_unix_ms):
+            for run in self.fleet.apply_restart(runner, report.started_unix_ms):
                 self.jobs.requeue(run.id)
         runner.started_unix_ms = report.started_unix_ms
         if not runner.adopted:
@@ -255,11 +255,13 @@
                 runner.applied_end = row.number
                 self._apply_end(runner, row, now_ms)
         for row in report.running:
-            self._apply_row(runner, row, now_ms)
+            self._apply_running_row(runner, row, now_ms)
         present = {row.run for row in report.running}
         for run in list(runner.runs.values()):
-            missing = run.confirmed_ms < report.sent_ms or run.stop_confirmed_ms < report.sent_ms
-            if run.id not in present and missing:
+            should_be_listed = (
+                run.confirmed_ms < report.sent_ms or run.stop_confirmed_ms < report.sent_ms
+            )
+            if run.id not in present and should_be_listed:
                 self.fleet.remove_run(run)
                 self.jobs.requeue(run.id)
         runner.adopted = True
@@ -275,8 +277,8 @@
                 )
             )
 
-    def _apply_row(self, runner: Runner, row: RunningRow, now_ms: float) -> None:
-        run = runner.runs.get(row.run) or self._adopt(runner, row, now_ms)
+    def _apply_running_row(self, runner: Runner, row: RunningRow, now_ms: float) -> None:
+        run = runner.runs.get(row.run) or self._adopt_run(runner, row, now_ms)
         if run is None:
             return
         if run.state in (RunState.STARTING, RunState.UNSURE):
@@ -290,7 +292,7 @@
         if row.checkpoint:
             run.task.checkpoint = row.checkpoint
 
-    def _adopt(self, runner: Runner, row: RunningRow, now_ms: float) -> Run | None:
+    def _adopt_run(self, runner: Runner, row: RunningRow, now_ms: float) -> Run | None:
         """Adopt an unknown run, or stop it when its task doesn't need it."""
         step = self.jobs.find_step(row.run)
         needed = (
@@ -326,32 +328,34 @@
             if run is not None and not run.adopted and step.spec.estimate_ms:
                 self._estimates.record_duration(step, now_ms - run.start_sent_ms)
             for unneeded in self.jobs.finish_task(step, row.run.key, now_ms):
-                self._stop(unneeded, "no longer needed", now_ms)
+                self._stop_run(unneeded, "no longer needed", now_ms)
             runner.pending_ends.append((row.number, job, job.version))
         elif row.outcome is EndKind.FAILED:
-            self._fail_run(runner, step, row, now_ms)
+            self._apply_failed_run(runner, step, row, now_ms)
             runner.pending_ends.append((row.number, job, job.version))
         if run is not None:
             self.jobs.requeue(run.id)
 
-    def _fail_run(self, runner: Runner, step: StepRun, row: EndedRow, now_ms: float) -> None:
+    def _apply_failed_run(
+        self, runner: Runner, step: StepRun, row: EndedRow, now_ms: float
+    ) -> None:
         job = step.job
         step.tasks.setdefault(row.run.key.index, Task()).avoided_runners.add(runner.entry.id)
         record_failure(runner, job.record.id)
         if is_suspect(runner, self._settings):
-            self._quarantine(runner, now_ms, "failures")
+            self._quarantine_runner(runner, now_ms, "failures")
         if step.spec.long_running:
             return
         failures = self.jobs.count_failure(step, row.run.key, row.run.attempt)
         self._log("run failed", run=str(row.run), runner=runner.entry.id, failures=failures)
         if failures >= job.queue.max_attempts:
-            self._close(job, JobState.FAILED, "attempts used up", now_ms)
+            self._close_job(job, JobState.FAILED, "attempts used up", now_ms)
 
-    def _quarantine(self, runner: Runner, now_ms: float, reason: str) -> None:
+    def _quarantine_runner(self, runner: Runner, now_ms: float, reason: str) -> None:
         if quarantine_runner(runner, self.fleet.runners.values(), now_ms, self._settings):
             self._log("runner quarantined", runner=runner.entry.id, reason=reason)
 
-    def _stop(self, run: Run, reason: str, now_ms: float) -> None:
+    def _stop_run(self, run: Run, reason: str, now_ms: float) -> None:
         if run.state is not RunState.STOPPING:
             run.state = RunState.STOPPING
             self._queue_stop(run, now_ms)
@@ -434,15 +438,15 @@
         now_ms, unix_ms : float
             Local time and Unix time.
         """
-        self.jobs.open_due_occurrences(unix_ms)
-        is_check_due = now_ms - self._checked_ms >= self._settings.check_period_ms
+        self.jobs.mark_due_occurrences_ready(unix_ms)
+        is_check_due = now_ms - self._last_check_ms >= self._settings.check_period_ms
         if is_check_due:
-            self._checked_ms = now_ms
+            self._last_check_ms = now_ms
             for runner in self.fleet.runners.values():
-                self._check_runner(runner, now_ms)
+                self._enforce_time_limits(runner, now_ms)
         self._measure_best_effort(now_ms)
-        self._planner.prepare(now_ms)
-        self._commands.extend(self._planner.place(now_ms))
+        self._planner.collect_usable_runners(now_ms)
+        self._commands.extend(self._planner.place_tasks(now_ms))
         if is_check_due:
             self._move_runs(now_ms)
         commands, self._commands = self._commands, []
@@ -458,14 +462,14 @@
         ):
             run = choose(now_ms)
             if run is not None:
-                self._stop(run, reason, now_ms)
+                self._stop_run(run, reason, now_ms)
 
     def _choose_evacuated_run(self, now_ms: float) -> Run | None:
         return self.cordons.choose_evacuated_run(
             self._planner.has_alternative, now_ms, period_ms=self._settings.make_room_period_ms
         )
 
-    def _check_runner(self, runner: Runner, now_ms: float) -> None:
+    def _enforce_time_limits(self, runner: Runner, now_ms: float) -> None:
         settings = self._settings
         if now_ms > runner.lease_expiry_ms:
             if runner.runs:
@@ -479,7 +483,7 @@
                 run.state is RunState.UNSURE
                 and now_ms - run.start_sent_ms > settings.unsure_stop_ms
             ):
-                self._stop(run, "no response to start command", now_ms)
+                self._stop_run(run, "no response to start command", now_ms)
             if run.state is RunState.STOPPING:
                 if now_ms - run.stop_sent_ms >= settings.stop_retry_ms:
                     self._queue_stop(run, now_ms)
@@ -487,9 +491,9 @@
                 stalled.append(run)
         for run in stalled:
             run.task.avoided_runners.add(runner.entry.id)
-            self._stop(run, "no progress", now_ms)
+            self._stop_run(run, "no progress", now_ms)
         if len(stalled) >= settings.suspect_stalls:
-            self._quarantine(runner, now_ms, "stalled runs")
+            self._quarantine_runner(runner, now_ms, "stalled runs")
 
     def _is_stalled(self, runner: Runner, run: Run, now_ms: float) -> bool:
         settings = self._settings
--- a/coltsfootpier/cells/_cordons.py
+++ b/coltsfootpier/cells/_cordons.py
@@ -60,7 +60,7 @@
     def can_end_runs(self, runner_id: str) -> bool:
         """Return whether all runs on a runner may end at once."""
         runner = self._fleet.runners.get(runner_id)
-        return runner is None or not self._list_limited(runner)
+        return runner is None or not self._list_blocking_steps(runner)
 
     def mark_ending(self, runner_id: str) -> None:
         """Count the runs on a runner as unavailable from now on."""
@@ -99,7 +99,7 @@
         for runner in self._fleet.runners.values():
             if not runner.cordoned or runner.shutting_down:
                 continue
-            for step in self._list_limited(runner):
+            for step in self._list_blocking_steps(runner):
                 if now_ms - step.last_move_ms < period_ms or self._count_unavailable(step) + 1 > (
                     step.spec.may_miss
                 ):
@@ -110,7 +110,7 @@
                         return run
         return None
 
-    def _list_limited(self, runner: Runner) -> list[StepRun]:
+    def _list_blocking_steps(self, runner: Runner) -> list[StepRun]:
         """Return the steps that would exceed their limit on unavailable tasks without a runner."""
         steps = {run.step_run.id: run.step_run for run in runner.runs.values() if _is_ready(run)}
         return [
--- a/coltsfootpier/cells/_estimates.py
+++ b/coltsfootpier/cells/_estimates.py
@@ -42,11 +42,11 @@
     """
 
     capacity: BestEffortCapacity
-    in_time: dict[str, float] = attrs.field(factory=dict)
-    all: dict[str, float] = attrs.field(factory=dict)
-    added: dict[str, float] = attrs.field(factory=dict)
-    delay_in_time: dict[str, float] = attrs.field(factory=dict)
-    delay_all: dict[str, float] = attrs.field(factory=dict)
+    in_time_work: dict[str, float] = attrs.field(factory=dict)
+    all_work: dict[str, float] = attrs.field(factory=dict)
+    added_work: dict[str, float] = attrs.field(factory=dict)
+    in_time_delay_ms: dict[str, float] = attrs.field(factory=dict)
+    all_delay_ms: dict[str, float] = attrs.field(factory=dict)
 
 
 class Estimates:
@@ -65,75 +65,79 @@
         self._lateness_factor = lateness_factor
         self._backlogs: dict[str, _BestEffortBacklog] = {}
         self._measured_ms = float("-inf")
-        self._durations: dict[str, DurationModel] = {}
+        self._duration_models: dict[str, DurationModel] = {}
         self._mean_work: dict[str, float] = {}
         # Decaying sum of the work submitted for each best-effort image.
         self._submitted_work: dict[str, float] = {}
 
     def record_duration(self, step: StepRun, real_ms: float) -> None:
         """Update the duration model with a completed run."""
-        self._find_durations(step.job.queue.name).update(real_ms, step.spec.estimate_ms)
+        self._get_duration_model(step.job.queue.name).update(real_ms, step.spec.estimate_ms)
         step.completed_count += 1
         step.completed_ms += real_ms
 
-    def _find_durations(self, queue: str) -> DurationModel:
-        return self._durations.setdefault(queue, DurationModel())
+    def _get_duration_model(self, queue: str) -> DurationModel:
+        return self._duration_models.setdefault(queue, DurationModel())
 
-    def task_ms(self, queue: str, spec: StepSpec) -> float:
+    def estimate_task_ms(self, queue: str, spec: StepSpec) -> float:
         """Return the expected duration of a task of a step."""
-        return self._find_durations(queue).predict(spec.estimate_ms)
+        return self._get_duration_model(queue).predict(spec.estimate_ms)
 
-    def run_ms(self, step: StepRun) -> float:
+    def estimate_run_ms(self, step: StepRun) -> float:
         """Return the expected duration of a step's tasks, given those that have ended."""
-        expected = self.task_ms(step.job.queue.name, step.spec)
+        expected = self.estimate_task_ms(step.job.queue.name, step.spec)
         return (expected + step.completed_ms) / (1 + step.completed_count)
 
     def record_submission(self, queue: str, spec: JobSpec) -> None:
         """Update the statistics of a queue with the declared work of a submitted job."""
-        work = self.measure_work(queue, spec)
+        work = self.estimate_work(queue, spec)
         self._record_submitted_work(queue, spec)
         mean = self._mean_work.setdefault(queue, work)
         self._mean_work[queue] = mean + _MEAN_WORK_RATE * (work - mean)
 
-    def critical_path_ms(self, queue: str, steps: Iterable[StepSpec]) -> float:
+    def estimate_critical_path_ms(self, queue: str, steps: Iterable[StepSpec]) -> float:
         """Return the expected time of steps that run one after another."""
-        return sum(self.task_ms(queue, step) for step in steps)
+        return sum(self.estimate_task_ms(queue, step) for step in steps)
 
-    def measure_work(self, queue: str, spec: JobSpec) -> float:
+    def estimate_work(self, queue: str, spec: JobSpec) -> float:
         """Return the expected work of one occurrence, in thousandths of a core times ms."""
-        return sum(self._measure_step(queue, step) for step in spec.steps)
+        return sum(self._estimate_step_work(queue, step) for step in spec.steps)
 
-    def _measure_step(self, queue: str, step: StepSpec) -> float:
-        return step.count * step.cpu_milli * self.task_ms(queue, step)
+    def _estimate_step_work(self, queue: str, step: StepSpec) -> float:
+        return step.count * step.cpu_milli * self.estimate_task_ms(queue, step)
 
     def _add_best_effort_work(self, queue: str, spec: JobSpec, work: dict[str, float]) -> None:
         """Add the best-effort work of a job to the work of its images."""
         for step in spec.steps:
             if step.fills:
-                added = self._measure_step(queue, step)
+                added = self._estimate_step_work(queue, step)
                 work[step.image] = work.get(step.image, 0.0) + added
 
-    def slack_ms(self, step: StepRun, now_ms: float) -> float:
+    def estimate_slack_ms(self, step: StepRun, now_ms: float) -> float:
         """Return the time until a job's objective, less the remaining time of its steps."""
         job = step.job
         if step.spec.long_running or job.record.spec is None:
             return 0.0
         remaining_ms = sum(
-            self.run_ms(other) for other in job.steps_of(step.occurrence) if not other.is_done
+            self.estimate_run_ms(other)
+            for other in job.iter_steps(step.occurrence)
+            if not other.is_done
         )
-        return job.arrived_ms + self._objective_ms(step) - now_ms - remaining_ms
+        return job.arrived_ms + self._compute_objective_ms(step) - now_ms - remaining_ms
 
-    def lateness(self, step: StepRun, now_ms: float) -> int:
+    def classify_lateness(self, step: StepRun, now_ms: float) -> int:
         """Return 0 if a job can meet its objective, 1 if it is late, 2 if it is useless."""
-        slack_ms = self.slack_ms(step, now_ms)
+        slack_ms = self.estimate_slack_ms(step, now_ms)
         if slack_ms >= 0:
             return 0
-        objective_ms = self._objective_ms(step)
+        objective_ms = self._compute_objective_ms(step)
         return 1 if slack_ms >= -(self._lateness_factor - 1.0) * objective_ms else 2
 
-    def _objective_ms(self, step: StepRun) -> float:
+    def _compute_objective_ms(self, step: StepRun) -> float:
         queue = step.job.queue
-        whole_ms = sum(self.run_ms(other) for other in step.job.steps_of(step.occurrence))
+        whole_ms = sum(
+            self.estimate_run_ms(other) for other in step.job.iter_steps(step.occurrence)
+        )
         return queue.stretch * whole_ms + queue.objective_ms
 
     def rank(self, step: StepRun, now_ms: float) -> tuple[int, int, float]:
@@ -141,16 +145,20 @@
         job = step.job
         mean = self._mean_work.get(job.queue.name, 0.0) or 1.0
         remaining = sum(
-            (other.spec.count - other.done_count) * other.spec.cpu_milli * self.run_ms(other)
-            for other in job.steps_of(step.occurrence)
+            (other.spec.count - other.done_count)
+            * other.spec.cpu_milli
+            * self.estimate_run_ms(other)
+            for other in job.iter_steps(step.occurrence)
         )
         if step.spec.fills:
-            remaining /= self._find_backlog(job.queue.service).capacity.share(step.spec.image)
+            remaining /= self._get_backlog(job.queue.service).capacity.estimate_share(
+                step.spec.image
+            )
         return rank_step(
             step,
-            lateness=self.lateness(step, now_ms),
+            lateness=self.classify_lateness(step, now_ms),
             remaining=remaining / mean,
-            size=self.measure_work(job.queue.name, job.record.spec) / mean,
+            size=self.estimate_work(job.queue.name, job.record.spec) / mean,
         )
 
     # State for the next owner
@@ -161,7 +169,7 @@
         return LearnedState(
             pressures=pressures,
             idle_tails=idle_tails,
-            durations={queue: model.export() for queue, model in self._durations.items()},
+            durations={queue: model.export() for queue, model in self._duration_models.items()},
             mean_work=dict(self._mean_work),
             offered=dict(self._submitted_work),
         )
@@ -172,13 +180,13 @@
         for queue, sums in learned.durations.items():
             model = DurationModel.restore(sums)
             if model is not None:
-                self._durations[queue] = model
+                self._duration_models[queue] = model
         self._mean_work.update(learned.mean_work)
         self._submitted_work.update(learned.offered)
 
     # Best-effort jobs
 
-    def _find_backlog(self, service: str) -> _BestEffortBacklog:
+    def _get_backlog(self, service: str) -> _BestEffortBacklog:
         found = self._backlogs.get(service)
         if found is None:
             found = self._backlogs[service] = _BestEffortBacklog(
@@ -203,19 +211,19 @@
         if now_ms - self._measured_ms < REFRESH_MS:
             return
         self._measured_ms = now_ms
-        by_service: dict[str, list[Runner]] = {}
+        runners_by_service: dict[str, list[Runner]] = {}
         for runner in runners:
             if runner.listed and not runner.entry.draining:
-                by_service.setdefault(runner.entry.service, []).append(runner)
+                runners_by_service.setdefault(runner.entry.service, []).append(runner)
         for backlog in self._backlogs.values():
-            backlog.in_time, backlog.all, backlog.added = {}, {}, {}
+            backlog.in_time_work, backlog.all_work, backlog.added_work = {}, {}, {}
         for job in jobs:
             if job.is_open:
                 self._add_remaining_work(job, now_ms)
         for service, backlog in self._backlogs.items():
-            backlog.capacity.measure(by_service.get(service, ()), backlog.all)
-            backlog.delay_in_time = backlog.capacity.estimate_delays(backlog.in_time)
-            backlog.delay_all = backlog.capacity.estimate_delays(backlog.all)
+            backlog.capacity.measure(runners_by_service.get(service, ()), backlog.all_work)
+            backlog.in_time_delay_ms = backlog.capacity.estimate_delays(backlog.in_time_work)
+            backlog.all_delay_ms = backlog.capacity.estimate_delays(backlog.all_work)
 
     def _add_remaining_work(self, job: Job, now_ms: float) -> None:
         backlog = None
@@ -223,18 +231,20 @@
             spec = step.spec
             if not spec.fills or spec.long_running or step.is_done:
                 continue
-            backlog = backlog or self._find_backlog(job.queue.service)
-            remaining = self._measure_remaining(step)
-            backlog.all[spec.image] = backlog.all.get(spec.image, 0.0) + remaining
-            if self.slack_ms(step, now_ms) >= 0:
-                backlog.in_time[spec.image] = backlog.in_time.get(spec.image, 0.0) + remaining
-
-    def _measure_remaining(self, step: StepRun) -> float:
+            backlog = backlog or self._get_backlog(job.queue.service)
+            remaining = self._estimate_remaining_work(step)
+            backlog.all_work[spec.image] = backlog.all_work.get(spec.image, 0.0) + remaining
+            if self.estimate_slack_ms(step, now_ms) >= 0:
+                backlog.in_time_work[spec.image] = (
+                    backlog.in_time_work.get(spec.image, 0.0) + remaining
+                )
+
+    def _estimate_remaining_work(self, step: StepRun) -> float:
         """Return the remaining work of a step, in thousandths of a core times ms."""
         remaining = step.spec.count - step.done_count
         # A running task is half done on average.
         remaining -= 0.5 * max(0, remaining - len(step.waiting))
-        return remaining * step.spec.cpu_milli * self.run_ms(step)
+        return remaining * step.spec.cpu_milli * self.estimate_run_ms(step)
 
     def _record_submitted_work(self, queue: str, spec: JobSpec) -> None:
         """Count the best-effort work of a submitted job, whether it is accepted or not."""
@@ -247,9 +257,9 @@
 
     def measure_scarcity(self, service: str) -> dict[str, float]:
         """Return how scarce the capacity of each best-effort image is; the mean is 1."""
-        capacity = self._find_backlog(service).capacity
+        capacity = self._get_backlog(service).capacity
         ratios = {
-            image: work / max(_MIN_CAPACITY_CPU, capacity.total(image))
+            image: work / max(_MIN_CAPACITY_CPU, capacity.estimate_total_cpu(image))
             for image, work in self._submitted_work.items()
         }
         mean = sum(ratios.values()) / len(ratios) if ratios else 0.0
@@ -265,20 +275,20 @@
         spec : JobSpec
             The job.
         """
-        backlog = self._find_backlog(queue.service)
+        backlog = self._get_backlog(queue.service)
         in_time = behind_all = 0.0
         for step in spec.steps:
             if step.fills:
-                total = backlog.capacity.total(step.image)
-                added = backlog.added.get(step.image, 0.0)
+                total = backlog.capacity.estimate_total_cpu(step.image)
+                added = backlog.added_work.get(step.image, 0.0)
                 added_ms = added / total if total > 0 else 0.0
-                in_time = max(in_time, backlog.delay_in_time.get(step.image, 0.0) + added_ms)
-                behind_all = max(behind_all, backlog.delay_all.get(step.image, 0.0) + added_ms)
+                in_time = max(in_time, backlog.in_time_delay_ms.get(step.image, 0.0) + added_ms)
+                behind_all = max(behind_all, backlog.all_delay_ms.get(step.image, 0.0) + added_ms)
         return QueueingDelays(in_time_ms=in_time, all_ms=behind_all)
 
-    def add_best_effort(self, queue: Queue, spec: JobSpec) -> None:
+    def record_acceptance(self, queue: Queue, spec: JobSpec) -> None:
         """Count a best-effort job that was accepted since the last measurement."""
-        self._add_best_effort_work(queue.name, spec, self._find_backlog(queue.service).added)
+        self._add_best_effort_work(queue.name, spec, self._get_backlog(queue.service).added_work)
 
     def estimate_short_delays(
         self, jobs: Iterable[Job], runners: Iterable[Runner], *, service: str, now_ms: float
@@ -302,21 +312,21 @@
                 continue
             for step in job.steps.values():
                 if not (step.spec.fills or step.spec.long_running or step.is_done):
-                    work = self._measure_remaining(step)
+                    work = self._estimate_remaining_work(step)
                     behind_all += work
-                    if self.slack_ms(step, now_ms) >= 0:
+                    if self.estimate_slack_ms(step, now_ms) >= 0:
                         in_time += work
         capacity = 0.0
         for runner in runners:
             if runner.listed and not runner.entry.draining and runner.entry.service == service:
-                capacity += max(0.0, _free_cpu(runner))
+                capacity += max(0.0, _measure_available_cpu(runner))
         return QueueingDelays(
             in_time_ms=Backlog(work=in_time, capacity=capacity).queueing_delay_ms,
             all_ms=Backlog(work=behind_all, capacity=capacity).queueing_delay_ms,
         )
 
 
-def _free_cpu(runner: Runner) -> float:
+def _measure_available_cpu(runner: Runner) -> float:
     """Return the CPU capacity beside the long-running tasks on a runner."""
     long_running_cpu = sum(
         run.step.cpu_milli for run in runner.runs.values() if run.step.long_running
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -57,7 +57,7 @@
                 runner = self.runners[runner_id] = Runner(entry=entry)
                 self._log("runner joined", runner=runner_id, rack=entry.rack)
             if runner.started_unix_ms and entry.started_unix_ms > runner.started_unix_ms:
-                lost += self.handle_restart(runner, entry.started_unix_ms)
+                lost += self.apply_restart(runner, entry.started_unix_ms)
             if entry.draining and not runner.entry.draining:
                 self._log("runner is draining", runner=runner_id, remaining_ms=entry.remaining_ms)
             runner.entry = entry
@@ -73,7 +73,7 @@
                 del self.runners[runner_id]
         return lost
 
-    def handle_restart(self, runner: Runner, started_unix_ms: int) -> list[Run]:
+    def apply_restart(self, runner: Runner, started_unix_ms: int) -> list[Run]:
         """Apply a restart, after which nothing runs there, and return the runs that were lost."""
         self._log("runner restarted", runner=runner.entry.id, runs=len(runner.runs))
         runner.started_unix_ms = started_unix_ms
--- a/coltsfootpier/cells/_incarnations.py
+++ b/coltsfootpier/cells/_incarnations.py
@@ -72,13 +72,13 @@
                 runner.unlisted_since_ms = float("inf")
             elif runner.unlisted_since_ms < requested_ms:
                 # The pages of a listing are not one snapshot, so one listing may miss a runner.
-                self._end(runner)
+                self._end_runner(runner)
                 ended = True
             else:
                 runner.unlisted_since_ms = requested_ms
         return ended
 
-    def _end(self, runner: Runner) -> None:
+    def _end_runner(self, runner: Runner) -> None:
         runs = end_incarnation(runner, fleet=self._fleet, jobs=self._jobs)
         self._log("runner ended", runner=runner.entry.id, runs=runs)
 
--- a/coltsfootpier/cells/_interference.py
+++ b/coltsfootpier/cells/_interference.py
@@ -20,7 +20,7 @@
 import attrs
 
 from coltsfootpier.cells._learned import LearnedInterference
-from coltsfootpier.cells._loads import LoadTrack
+from coltsfootpier.cells._loads import LoadFilter
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells._state import Run, Runner
 from coltsfootpier.jobs import StepSpec
@@ -83,11 +83,11 @@
     def __init__(self, settings: CellSettings) -> None:
         self._settings = settings
         self._pairs: dict[tuple[str, str], _Estimate] = {}
-        self._loads: dict[tuple[str, int, int], LoadTrack] = {}
+        self._load_filters: dict[tuple[str, int, int], LoadFilter] = {}
         # Local time of the newest report.
-        self._now_ms = float("-inf")
+        self._newest_report_ms = float("-inf")
         # Lowest tail latency of each serving image as a share of its target.
-        self._idle: dict[str, float] = {}
+        self._idle_tails: dict[str, float] = {}
 
     def estimate(self, serving: str, best_effort: str) -> float:
         """Return a cautious estimate of a best-effort image's interference with a serving image."""
@@ -97,7 +97,7 @@
 
     def observe(self, runner: Runner, now_ms: float) -> bool:
         """Update the estimates from a runner's report; return whether it was a new measurement."""
-        self._now_ms = now_ms
+        self._newest_report_ms = now_ms
         serving = list_serving(runner)
         measured = tuple(run.measured for run in serving)
         unchanged = measured == runner.measured_tails
@@ -129,14 +129,14 @@
     def _update_estimates(self, run: Run, cpu_shares: dict[str, float], now_ms: float) -> None:
         image = run.step.image
         share = run.measured / run.step.latency_target_ms
-        idle = self._idle[image] = min(share, self._idle.get(image, _IDLE_TAIL_SHARE))
+        idle = self._idle_tails[image] = min(share, self._idle_tails.get(image, _IDLE_TAIL_SHARE))
         utilisation = min(_SATURATED_UTILISATION, 1.0 - idle / share)
         key = run.step_run.id
-        load = self._loads.get(key)
+        load = self._load_filters.get(key)
         if load is None:
-            load = self._loads[key] = LoadTrack(now_ms)
-            while len(self._loads) > _MAX_PAIRS:
-                del self._loads[next(iter(self._loads))]
+            load = self._load_filters[key] = LoadFilter(now_ms)
+            while len(self._load_filters) > _MAX_PAIRS:
+                del self._load_filters[next(iter(self._load_filters))]
         load.advance(now_ms)
         pairs = {name: self._get_pair(image, name) for name in cpu_shares}
         predicted = load.mean + sum(
@@ -144,7 +144,7 @@
         )
         error = utilisation - predicted
         if utilisation >= _SATURATED_UTILISATION and error < 0:
-            run.load = self.load(run)
+            run.load = self.predict_load(run)
             return
         # Change of the utilisation per ms of tail latency.
         slope = (1.0 - utilisation) / run.measured
@@ -165,7 +165,7 @@
             pair.variance = max(
                 _MIN_INTERFERENCE_VARIANCE, pair.variance * (1.0 - gain * cpu_share)
             )
-        run.load = self.load(run)
+        run.load = self.predict_load(run)
 
     def export(self) -> tuple[tuple[LearnedInterference, ...], dict[str, float]]:
         """Return the most recently added pairs and the idle tail latencies."""
@@ -179,7 +179,7 @@
             )
             for (serving, filling), found in pairs
         )
-        idle = list(self._idle.items())[-_MAX_EXPORTED_PAIRS:]
+        idle = list(self._idle_tails.items())[-_MAX_EXPORTED_PAIRS:]
         return learned_pairs, {image: round(share, 4) for image, share in idle}
 
     def restore(
@@ -191,12 +191,12 @@
                 min(_MAX_INTERFERENCE, max(0.0, pair.mean)),
                 max(_MIN_INTERFERENCE_VARIANCE, pair.variance),
             )
-        self._idle.update(idle)
+        self._idle_tails.update(idle)
 
-    def load(self, run: Run) -> float:
+    def predict_load(self, run: Run) -> float:
         """Return the utilisation of a serving run by its own users until the next report."""
-        found = self._loads.get(run.step_run.id)
-        return found.predict_upper(self._now_ms) if found is not None else _LOAD_PRIOR
+        found = self._load_filters.get(run.step_run.id)
+        return found.predict_upper(self._newest_report_ms) if found is not None else _LOAD_PRIOR
 
     def _get_pair(self, serving: str, best_effort: str) -> _Estimate:
         key = (serving, best_effort)
@@ -217,25 +217,25 @@
             Specification of a best-effort task that is added at full speed.
         """
         cpu_share = spec.cpu_milli / max(1, runner.entry.cpu_milli)
-        headrooms = self._headrooms(runner)
+        headrooms = self._get_headrooms(runner)
         return all(
             _is_harmless(headroom, self.estimate(image, spec.image) * cpu_share, 0.0)
             for image, headroom in headrooms.items()
         )
 
-    def cost(self, runner: Runner, spec: StepSpec) -> float:
+    def estimate_cost(self, runner: Runner, spec: StepSpec) -> float:
         """Return the utilisation that one more task adds to the serving task it affects most.
 
         A runner without serving tasks has a cost too, so that it is reserved for images that
         interfere with the serving tasks everywhere else.
         """
         cpu_share = spec.cpu_milli / max(1, runner.entry.cpu_milli)
-        images = self._headrooms(runner)
+        images = self._get_headrooms(runner)
         if not images:
             return _IDLE_RUNNER_INTERFERENCE * cpu_share
         return max(self.estimate(image, spec.image) for image in images) * cpu_share
 
-    def _headrooms(self, runner: Runner) -> dict[str, float]:
+    def _get_headrooms(self, runner: Runner) -> dict[str, float]:
         """Return the headroom of the serving tasks of each image on a runner."""
         if runner.headroom is None:
             cpu_shares = sum_requested_shares(runner, {})
@@ -281,7 +281,7 @@
             self.estimate(run.step.image, name) * cpu_share
             for name, cpu_share in cpu_shares.items()
         )
-        return self._settings.utilisation_limit - self.load(run) - added_utilisation
+        return self._settings.utilisation_limit - self.predict_load(run) - added_utilisation
 
     def choose_paces(self, runner: Runner, best_effort: list[Run]) -> dict[Run, int]:
         """Return the pace in percent of each best-effort run with which all targets are met.
--- a/coltsfootpier/cells/_jobs.py
+++ b/coltsfootpier/cells/_jobs.py
@@ -66,7 +66,7 @@
                 for number, spec in enumerate(record.spec.steps):
                     self._add_step(job, occurrence, number, spec)
             for step in list(job.steps.values()):
-                self._open_step(step, now_ms)
+                self._mark_step_ready(step, now_ms)
         if not job.is_open:
             self._ended.append((now_ms, job))
         return job
@@ -74,14 +74,14 @@
     def _add_step(self, job: Job, occurrence: int, number: int, spec: StepSpec) -> None:
         step = StepRun(job=job, occurrence=occurrence, number=number, spec=spec)
         for index in range(spec.count):
-            if step.key(index) in job.record.done:
+            if step.build_key(index) in job.record.done:
                 step.done_count += 1
             else:
                 step.waiting.append(index)
         job.started = job.started or step.done_count > 0
         job.steps[occurrence, number] = step
 
-    def _open_step(self, step: StepRun, now_ms: float) -> None:
+    def _mark_step_ready(self, step: StepRun, now_ms: float) -> None:
         """Make a step ready for placement if all steps before it are done."""
         job = step.job
         earlier = (job.steps[step.occurrence, number] for number in step.spec.after)
@@ -93,7 +93,7 @@
         else:
             self.ready[step.id] = step
 
-    def open_due_occurrences(self, unix_ms: float) -> None:
+    def mark_due_occurrences_ready(self, unix_ms: float) -> None:
         """Make the steps of due occurrences ready."""
         due = [
             step
@@ -159,9 +159,9 @@
         unneeded: list[Run] = []
         # One completed run of a gang completes all of its tasks.
         for index in range(step.spec.count) if step.spec.gang else (key.index,):
-            if step.key(index) in job.record.done:
+            if step.build_key(index) in job.record.done:
                 continue
-            job.record.done.add(step.key(index))
+            job.record.done.add(step.build_key(index))
             step.done_count += 1
             if index in step.waiting:
                 step.waiting.remove(index)
@@ -173,7 +173,7 @@
             self.ready.pop(step.id, None)
             for other in job.steps.values():
                 if other.occurrence == step.occurrence and step.number in other.spec.after:
-                    self._open_step(other, now_ms)
+                    self._mark_step_ready(other, now_ms)
             if all(other.is_done for other in job.steps.values()):
                 unneeded += self.close(job, JobState.COMPLETED, "all tasks are done", now_ms)
         return unneeded
@@ -181,7 +181,7 @@
     def count_failure(self, step: StepRun, key: TaskKey, attempt: int) -> int:
         """Count a failed run of a task and return the number of its failures."""
         # The members of a gang fail together, which counts as one failure.
-        counted = step.key(0) if step.spec.gang else key
+        counted = step.build_key(0) if step.spec.gang else key
         attempts = step.job.record.failures.setdefault(counted, set())
         attempts.add(attempt)
         self.mark_dirty(step.job)
--- a/coltsfootpier/cells/_lease_expiry.py
+++ b/coltsfootpier/cells/_lease_expiry.py
@@ -32,10 +32,10 @@
 
     def __init__(self, settings: CellSettings) -> None:
         # The runner's clock may be slow, and the estimate of its time may be too.
-        self._margin = 1.0 + 3.0 * settings.clock_drift
+        self._drift_factor = 1.0 + 3.0 * settings.clock_drift
         self._applied_expiry_ms = float("-inf")
         self._calls: dict[int, float] = {}
-        self._last_call = 0
+        self._last_call_number = 0
 
     @property
     def lease_expiry_ms(self) -> float:
@@ -52,9 +52,11 @@
         duration_ms : float
             Time on the runner's clock by which the call extends the leases of its runs.
         """
-        self._last_call += 1
-        self._calls[self._last_call] = now_ms + duration_ms * self._margin + _SEND_ALLOWANCE_MS
-        return self._last_call
+        self._last_call_number += 1
+        self._calls[self._last_call_number] = (
+            now_ms + duration_ms * self._drift_factor + _SEND_ALLOWANCE_MS
+        )
+        return self._last_call_number
 
     def settle(self, call: int, *, applied: bool) -> None:
         """Record whether the runner may have applied a call."""
--- a/coltsfootpier/cells/_loads.py
+++ b/coltsfootpier/cells/_loads.py
@@ -24,13 +24,13 @@
 # too late, and 0.08 follows the noise of the reports.
 _TREND_NOISE = 0.02
 # Time constant with which a trend that no report confirms decays, in s: a quarter of such a swing.
-_TREND_FADE_S = 4.0
+_TREND_DECAY_S = 4.0
 # Longest time that is extrapolated at once, in s; a trend has decayed by then.
 _MAX_GAP_S = 5.0
 
 
 @attrs.define
-class LoadTrack:
+class LoadFilter:
     """Kalman filter of a load and its trend.
 
     Parameters
@@ -40,10 +40,10 @@
 
     Examples
     --------
-    >>> track = LoadTrack(updated_ms=0.0)
+    >>> load_filter = LoadFilter(updated_ms=0.0)
     >>> for number in range(1, 9):
-    ...     track.observe(0.3 + 0.02 * number, 0.0004, now_ms=500.0 * number)
-    >>> track.predict_upper(4_000.0) > 0.46
+    ...     load_filter.observe(0.3 + 0.02 * number, 0.0004, now_ms=500.0 * number)
+    >>> load_filter.predict_upper(4_000.0) > 0.46
     True
     """
 
@@ -68,19 +68,19 @@
         if gap_s <= 0:
             return
         self.updated_ms = now_ms - REPORT_SPAN_MS / 2
-        fade = math.exp(-gap_s / _TREND_FADE_S)
-        reach_s = _TREND_FADE_S * (1.0 - fade)
-        self.mean = _clip(self.mean + self.trend * reach_s)
-        self.trend *= fade
+        decay = math.exp(-gap_s / _TREND_DECAY_S)
+        effective_s = _TREND_DECAY_S * (1.0 - decay)
+        self.mean = _clip(self.mean + self.trend * effective_s)
+        self.trend *= decay
         self.variance += (
-            2 * reach_s * self.covariance
-            + reach_s * reach_s * self.trend_variance
+            2 * effective_s * self.covariance
+            + effective_s * effective_s * self.trend_variance
             + _TREND_NOISE * gap_s**3 / 3
         )
         self.covariance = (
-            self.covariance + reach_s * self.trend_variance
-        ) * fade + _TREND_NOISE * gap_s**2 / 2
-        self.trend_variance = self.trend_variance * fade * fade + _TREND_NOISE * gap_s
+            self.covariance + effective_s * self.trend_variance
+        ) * decay + _TREND_NOISE * gap_s**2 / 2
+        self.trend_variance = self.trend_variance * decay * decay + _TREND_NOISE * gap_s
 
     def correct(self, error: float, total_variance: float) -> None:
         """Correct the estimate by the difference between a report and the prediction.
@@ -110,8 +110,8 @@
         gap_s = min(_MAX_GAP_S, max(0.0, now_ms - self.updated_ms) / 1000)
         if self.trend > 0:
             gap_s += _HORIZON_MS / 1000
-        reach_s = _TREND_FADE_S * (1.0 - math.exp(-gap_s / _TREND_FADE_S))
-        return _clip(self.mean + self.trend * reach_s)
+        effective_s = _TREND_DECAY_S * (1.0 - math.exp(-gap_s / _TREND_DECAY_S))
+        return _clip(self.mean + self.trend * effective_s)
 
 
 def _clip(load: float) -> float:
--- a/coltsfootpier/cells/_placement.py
+++ b/coltsfootpier/cells/_placement.py
@@ -14,7 +14,7 @@
 from coltsfootpier.cells._state import Runner, StepRun, Task
 
 # Weight of unused capacity relative to the utilisation that is added to a serving task.
-_UNUSED_WEIGHT = 0.1
+_UNUSED_CPU_WEIGHT = 0.1
 
 
 def is_usable(runner: Runner, now_ms: float, settings: CellSettings) -> bool:
@@ -92,7 +92,7 @@
             continue
         if not _can_run(runner, step, table, settings):
             continue
-        rank = _rank(runner, step, task, table)
+        rank = _rank_runner(runner, step, task, table)
         if best_rank is None or rank > best_rank:
             best, best_rank = runner, rank
     return best
@@ -111,7 +111,7 @@
     return True
 
 
-def _rank(
+def _rank_runner(
     runner: Runner, step: StepRun, task: Task | None, table: InterferenceTable
 ) -> tuple[int, float]:
     spec = step.spec
@@ -132,7 +132,9 @@
         free = -(runner.entry.cpu_milli - runner.guaranteed_cpu)
     elif spec.fills:
         # The least interference first; the most unused capacity breaks ties.
-        free = _UNUSED_WEIGHT * free - runner.entry.cpu_milli * table.cost(runner, spec)
+        free = _UNUSED_CPU_WEIGHT * free - runner.entry.cpu_milli * table.estimate_cost(
+            runner, spec
+        )
     else:
         # Spread free declared capacity evenly, so that steps with many tasks fit.
         free = 0.5 * free + (runner.entry.cpu_milli - runner.guaranteed_cpu)
--- a/coltsfootpier/cells/_planning.py
+++ b/coltsfootpier/cells/_planning.py
@@ -67,9 +67,9 @@
         self._interference = interference
         self._search = RunnerSearch(interference, settings)
         self._regrouper = Regrouper(interference, settings)
-        self._regrouped_ms = float("-inf")
+        self._last_regroup_ms = float("-inf")
 
-    def prepare(self, now_ms: float) -> None:
+    def collect_usable_runners(self, now_ms: float) -> None:
         """Prepare a plan with the runners that are usable now."""
         usable: dict[str, list[Runner]] = {}
         for runner in self._fleet.runners.values():
@@ -77,7 +77,7 @@
                 usable.setdefault(runner.entry.service, []).append(runner)
         self._search.start_plan(usable)
 
-    def place(self, now_ms: float) -> list[StartRun | AdviceRequest]:
+    def place_tasks(self, now_ms: float) -> list[StartRun | AdviceRequest]:
         """Start the tasks that fit on a runner and return the commands."""
         steps = [
             step
@@ -105,13 +105,13 @@
                 index = step.waiting[0]
                 task = step.tasks.get(index)
                 if step.job.queue.needs_advice:
-                    runner = self._choose(runners, step, task)
+                    runner = self._choose_runner(runners, step, task)
                 else:
-                    runner = self._search.find(step, service, task)
+                    runner = self._search.find_runner(step, service, task)
                 if runner is None:
                     step.blocked_ms = min(step.blocked_ms, now_ms)
                     break
-                commands.append(self._start(runner, step, index, now_ms))
+                commands.append(self._start_run(runner, step, index, now_ms))
             else:
                 step.blocked_ms = float("inf")
         return commands
@@ -160,7 +160,9 @@
             ):
                 continue
             step.last_move_ms = now_ms
-            return self._find_displaced(step, self._search.list_usable(self._find_service(step)))
+            return self._find_displaceable_run(
+                step, self._search.list_usable(self._find_service(step))
+            )
         return None
 
     def choose_regrouped_run(self, now_ms: float) -> Run | None:
@@ -168,9 +170,9 @@
 
         Nothing moves while a long-running task waits, since that task would take the capacity.
         """
-        if now_ms - self._regrouped_ms < self._settings.regroup_period_ms:
+        if now_ms - self._last_regroup_ms < self._settings.regroup_period_ms:
             return None
-        self._regrouped_ms = now_ms
+        self._last_regroup_ms = now_ms
         if any(step.waiting and step.spec.long_running for step in self._jobs.ready.values()):
             return None
         for service in self._search.list_services():
@@ -188,7 +190,7 @@
                 return chosen.run
         return None
 
-    def _find_displaced(self, step: StepRun, runners: list[Runner]) -> Run | None:
+    def _find_displaceable_run(self, step: StepRun, runners: list[Runner]) -> Run | None:
         spec = step.spec
         for runner in runners:
             if not is_eligible(runner, step):
@@ -212,11 +214,11 @@
     def has_alternative(self, run: Run, runner: Runner) -> bool:
         """Return whether a run fits on a runner other than its own."""
         service = runner.entry.service
-        found = self._search.find(run.step_run, service)
+        found = self._search.find_runner(run.step_run, service)
         if found is not runner:
             return found is not None
         others = [other for other in self._search.list_usable(service) if other is not runner]
-        return self._choose(others, run.step_run, None) is not None
+        return self._choose_runner(others, run.step_run, None) is not None
 
     def _find_service(self, step: StepRun) -> str:
         return self._jobs.queues.get(step.job.record.queue, step.job.queue).service
@@ -264,7 +266,7 @@
             approved=len(tickets),
         )
 
-    def _choose(
+    def _choose_runner(
         self, runners: list[Runner], step: StepRun, task: Task | None, *, rack: str = ""
     ) -> Runner | None:
         return choose_runner(runners, step, task, self._interference, self._settings, rack=rack)
@@ -279,7 +281,7 @@
             if len(chosen) == len(step.waiting):
                 attempt = 1 + max((task.attempt for task in step.tasks.values()), default=0)
                 return [
-                    self._start(runner, step, index, now_ms, attempt=attempt)
+                    self._start_run(runner, step, index, now_ms, attempt=attempt)
                     for index, runner in zip(list(step.waiting), chosen, strict=True)
                 ]
         return []
@@ -287,7 +289,7 @@
     def _choose_members(self, step: StepRun, runners: list[Runner], rack: str) -> list[Runner]:
         chosen: list[Runner] = []
         for index in step.waiting:
-            runner = self._choose(runners, step, step.tasks.get(index), rack=rack)
+            runner = self._choose_runner(runners, step, step.tasks.get(index), rack=rack)
             if runner is None:
                 break
             # Reserve at once, so that the next member sees the remaining capacity.
@@ -311,10 +313,10 @@
             tasks=step.spec.count,
             runner=runner.entry.id,
             queueing_delay_ms=queueing_delay_ms,
-            slack_ms=self._estimates.slack_ms(step, now_ms),
+            slack_ms=self._estimates.estimate_slack_ms(step, now_ms),
         )
 
-    def _start(
+    def _start_run(
         self, runner: Runner, step: StepRun, index: int, now_ms: float, *, attempt: int = 0
     ) -> StartRun:
         task = step.tasks.setdefault(index, Task())
@@ -322,7 +324,7 @@
             self._record_step_start(runner, step, now_ms)
         base = (self._generation - 1) * ATTEMPTS_PER_OWNER
         attempt = max(attempt, task.attempt + 1, base + 1)
-        run_id = RunId(step.job.record.id, step.key(index), attempt)
+        run_id = RunId(step.job.record.id, step.build_key(index), attempt)
         self._fleet.add_run(runner, step, run_id, now_ms)
         task.preferred_runner = ""
         # A long-running task shows too late whether its runner is healthy.
--- a/coltsfootpier/cells/_regrouping.py
+++ b/coltsfootpier/cells/_regrouping.py
@@ -70,17 +70,19 @@
         targets = [runner for runner in runners if runner is not source]
         if len(targets) > self._settings.regroup_targets:
             targets = self._random.sample(targets, self._settings.regroup_targets)
-        before = self._value(source, scarcity)
-        taken_before = {target: self._value(target, scarcity) for target in targets}
+        before = self._measure_weighted_cpu(source, scarcity)
+        taken_before = {target: self._measure_weighted_cpu(target, scarcity) for target in targets}
         best: Regrouping | None = None
         for run in list_serving(source):
             if not self._may_move(run):
                 continue
-            freed = self._value(source, scarcity, without=run) - before
+            freed = self._measure_weighted_cpu(source, scarcity, without=run) - before
             for target in targets:
                 if not target.fits(run.step) or not is_eligible(target, run.step_run):
                     continue
-                taken = self._value(target, scarcity, added=run) - taken_before[target]
+                taken = (
+                    self._measure_weighted_cpu(target, scarcity, added=run) - taken_before[target]
+                )
                 gain = freed + taken
                 if gain > (best.gain if best else self._settings.regroup_gain_cpu):
                     best = Regrouping(run, target, gain)
@@ -93,7 +95,7 @@
     def _list_images(self, runner: Runner) -> set[str]:
         return {run.step.image for run in list_serving(runner)}
 
-    def _value(
+    def _measure_weighted_cpu(
         self,
         runner: Runner,
         scarcity: Mapping[str, float],
--- a/coltsfootpier/cells/_search.py
+++ b/coltsfootpier/cells/_search.py
@@ -74,7 +74,7 @@
         """Return the runners of a service that may get new runs."""
         return self._usable.get(service, [])
 
-    def find(self, step: StepRun, service: str, task: Task | None = None) -> Runner | None:
+    def find_runner(self, step: StepRun, service: str, task: Task | None = None) -> Runner | None:
         """Return the runner for one more run of a step, or None when it fits on none.
 
         Parameters
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -139,7 +139,7 @@
             return task.checkpoint
         return next((other.checkpoint for other in self.tasks.values() if other.checkpoint), "")
 
-    def key(self, index: int) -> TaskKey:
+    def build_key(self, index: int) -> TaskKey:
         """Return the key of the task with an index."""
         return TaskKey(self.occurrence, self.number, index)
 
@@ -167,7 +167,7 @@
     steps: dict[tuple[int, int], StepRun] = attrs.field(factory=dict)
     started: bool = False
 
-    def steps_of(self, occurrence: int) -> Iterator[StepRun]:
+    def iter_steps(self, occurrence: int) -> Iterator[StepRun]:
         """Iterate over the steps of one occurrence."""
         return (step for step in self.steps.values() if step.occurrence == occurrence)
 
@@ -275,10 +275,10 @@
     def unused_cpu(self) -> float:
         """CPU capacity in thousandths of a core available to one more best-effort task."""
         if self._unused_cpu is None:
-            self._unused_cpu = self._measure_unused()
+            self._unused_cpu = self._measure_unused_cpu()
         return self._unused_cpu
 
-    def _measure_unused(self) -> float:
+    def _measure_unused_cpu(self) -> float:
         used = float(self.guaranteed_cpu - self.serving_cpu)
         for run in self.runs.values():
             if run.step.latency_target_ms:
--- a/coltsfootpier/cells/tests/test_admission.py
+++ b/coltsfootpier/cells/tests/test_admission.py
@@ -16,7 +16,7 @@
 class AdmissionTest(unittest.TestCase):
     """Admission while the submitted work exceeds the capacity."""
 
-    def _flood(self, **changes):
+    def _submit_flood(self, **changes):
         harness = SimulatedCell(("a",), **changes)
         harness.join()
         queue = build_queue(stretch=1.5, objective_ms=300.0)
@@ -25,7 +25,7 @@
 
     def test_job_that_cannot_end_in_time_is_rejected_at_once(self):
         """Guards against accepting a backlog whose last jobs end too late to be of use."""
-        results = self._flood()
+        results = self._submit_flood()
         accepted = sum(isinstance(result, Accepted) for result in results)
         # A job of 8 core-seconds takes 2 s on 4 cores; three objectives of 1.8 s fit two to four.
         self.assertTrue(2 <= accepted <= 5, accepted)
@@ -33,7 +33,7 @@
 
     def test_retry_after_follows_the_backlog(self):
         """Guards against callers that all retry while the backlog is as long as before."""
-        rejected = [result for result in self._flood() if isinstance(result, Rejected)]
+        rejected = [result for result in self._submit_flood() if isinstance(result, Rejected)]
         self.assertTrue(all(300 <= result.retry_after_ms <= 3_000 for result in rejected))
 
     def test_rejected_job_may_be_resubmitted(self):
--- a/coltsfootpier/cells/tests/test_cordons.py
+++ b/coltsfootpier/cells/tests/test_cordons.py
@@ -20,7 +20,7 @@
         self.harness.join()
         self.cordons = self.harness.cell.cordons
 
-    def _start(self, job_id, spec):
+    def _start_job(self, job_id, spec):
         self.harness.submit(job_id, spec)
         self.harness.advance(1_000)
         for runner in self.harness.runners.values():
@@ -37,15 +37,15 @@
     def test_cordoned_runner_gets_no_new_runs(self):
         """Guards against runs that start on a runner just before its VM goes down."""
         self.cordons.cordon("a")
-        self._start("j", build_job(build_step(count=6)))
+        self._start_job("j", build_job(build_step(count=6)))
         self.assertEqual(self._count(StartRun, "a"), 0)
         self.cordons.uncordon("a")
-        self._start("k", build_job(build_step(count=12)))
+        self._start_job("k", build_job(build_step(count=12)))
         self.assertGreater(self._count(StartRun, "a"), 0)
 
     def test_limit_on_unavailable_tasks(self):
         """Guards against more unavailable tasks of a step than it allows."""
-        self._start("j", build_service(count=3, may_miss=1))
+        self._start_job("j", build_service(count=3, may_miss=1))
         self.assertTrue(self.cordons.can_end_runs("a"))
         self.cordons.mark_ending("a")
         self.assertFalse(self.cordons.can_end_runs("b"))
@@ -54,7 +54,7 @@
 
     def test_tasks_that_are_not_ready_count_as_unavailable(self):
         """Guards against ending a task while another task of the step is still starting."""
-        self._start("j", build_service(count=3, may_miss=1))
+        self._start_job("j", build_service(count=3, may_miss=1))
         (run,) = self.harness.runners["b"].running
         self.harness.runners["b"].percents[run] = 50.0
         self.harness.advance(500)
@@ -64,7 +64,7 @@
 
     def test_step_without_a_limit(self):
         """Guards against a maintenance wave that waits for steps that set no limit."""
-        self._start("j", build_service(count=3))
+        self._start_job("j", build_service(count=3))
         self.cordons.mark_ending("a")
         self.assertTrue(self.cordons.can_end_runs("b"))
 
@@ -73,7 +73,7 @@
         self.harness = SimulatedCell(entries=(build_entry("a"), build_entry("b", cpu_milli=1_000)))
         self.harness.join()
         self.cordons = self.harness.cell.cordons
-        self._start("j", build_service(count=2, may_miss=1, max_per_runner=0, cpu_milli=2_000))
+        self._start_job("j", build_service(count=2, may_miss=1, max_per_runner=0, cpu_milli=2_000))
         self.assertFalse(self.cordons.can_end_runs("a"))
         self.cordons.cordon("a")
         self.harness.advance(1_000)
@@ -86,7 +86,7 @@
 
     def test_runs_end_with_their_vm(self):
         """Guards against tasks that wait for the lease expiry of a runner known to be off."""
-        self._start("j", build_service(count=3))
+        self._start_job("j", build_service(count=3))
         self.cordons.cordon("a")
         self.harness.runners["a"].reachable = False
         self.cordons.record_ended("a")
--- a/coltsfootpier/cells/tests/test_estimates.py
+++ b/coltsfootpier/cells/tests/test_estimates.py
@@ -8,7 +8,7 @@
 from coltsfootpier.cells._capacity import BestEffortCapacity
 from coltsfootpier.cells._durations import DurationModel
 from coltsfootpier.cells._interference import InterferenceTable
-from coltsfootpier.cells._loads import LoadTrack
+from coltsfootpier.cells._loads import LoadFilter
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells._state import Runner
 from coltsfootpier.cells.tests.builders import build_entry, build_job, build_queue
@@ -25,7 +25,7 @@
 class SwingTest(unittest.TestCase):
     """A load that swings by half of its mean within ten seconds."""
 
-    def _measure_error(self, track):
+    def _measure_error(self, load_filter):
         generator = random.Random(1)
         phase = generator.uniform(0, 2 * math.pi)
 
@@ -36,10 +36,12 @@
         for number in range(1, 160):
             now_ms = 125.0 * number
             # A report covers the last 500 ms.
-            track.observe(load(now_ms - 250) + generator.gauss(0, 0.02), 0.0004, now_ms=now_ms)
+            load_filter.observe(
+                load(now_ms - 250) + generator.gauss(0, 0.02), 0.0004, now_ms=now_ms
+            )
             if now_ms > 5_000:
                 highest = max(load(now_ms + ahead) for ahead in range(0, 601, 100))
-                errors.append(track.predict_upper(now_ms) - highest)
+                errors.append(load_filter.predict_upper(now_ms) - highest)
         return math.sqrt(sum(error**2 for error in errors) / len(errors))
 
     def test_prediction_follows_the_swing(self):
@@ -47,14 +49,16 @@
 
         An estimate without a trend is off by 0.1, twice the headroom that the limit leaves.
         """
-        self.assertLess(self._measure_error(LoadTrack(0.0)), 0.05)
+        self.assertLess(self._measure_error(LoadFilter(0.0)), 0.05)
 
     def test_trend_decays_without_reports(self):
         """Guards against a trend that is extrapolated through an outage."""
-        track = LoadTrack(0.0)
+        load_filter = LoadFilter(0.0)
         for number in range(1, 9):
-            track.observe(0.2 + 0.05 * number, 0.0004, now_ms=500.0 * number)
-        self.assertLess(abs(track.predict_upper(60_000.0) - track.predict_upper(9_000.0)), 0.01)
+            load_filter.observe(0.2 + 0.05 * number, 0.0004, now_ms=500.0 * number)
+        self.assertLess(
+            abs(load_filter.predict_upper(60_000.0) - load_filter.predict_upper(9_000.0)), 0.01
+        )
 
 
 class DurationTest(unittest.TestCase):
@@ -177,7 +181,7 @@
                 delta=0.01,
             )
         spec = build_best_effort("light", estimate_ms=9_000.0)
-        self.assertLess(later._estimates.task_ms("batch", spec), 8_500.0)
+        self.assertLess(later._estimates.estimate_task_ms("batch", spec), 8_500.0)
 
     def test_invalid_sums_are_ignored(self):
         """Guards against an owner that fails at each takeover because of one bad record."""
@@ -185,7 +189,7 @@
         for sums in ((), (1.0,), (0.0,) * 5, (1.0, 2.0, math.nan, 3.0, 4.0)):
             cell.restore_learned(LearnedState(durations={"batch": sums}))
             spec = build_best_effort("light", estimate_ms=700.0)
-            self.assertEqual(cell._estimates.task_ms("batch", spec), 700.0)
+            self.assertEqual(cell._estimates.estimate_task_ms("batch", spec), 700.0)
 
     def test_implausible_values_are_clipped(self):
         """Guards against a wrong record that stops all batch work."""
--- a/coltsfootpier/cells/tests/test_regrouping.py
+++ b/coltsfootpier/cells/tests/test_regrouping.py
@@ -26,15 +26,15 @@
         self.table.estimate = lambda serving, best_effort: INTERFERENCE[serving, best_effort]
         for number in range(2):
             for image in ("calm", "touchy"):
-                self._start(f"r{number}", image)
+                self._start_task(f"r{number}", image)
 
-    def _start(self, runner_id, image, **changes):
+    def _start_task(self, runner_id, image, **changes):
         """Place one serving task of an image on a runner."""
         name = f"{runner_id}-{image}"
         step = build_serving(image=image, **changes)
         job = self.harness.submit(name, build_job(step)).job
         runner = self.cell.fleet.runners[runner_id]
-        command = self.cell._planner._start(runner, job.steps[0, 0], 0, self.harness.now_ms)
+        command = self.cell._planner._start_run(runner, job.steps[0, 0], 0, self.harness.now_ms)
         run = runner.runs[command.run]
         run.load = 0.5
         self.harness.runners[runner_id].running[command.run] = ""
@@ -90,8 +90,8 @@
 class UnavailabilityLimitTest(RegroupTest):
     """The same runners with tasks whose callers limit how many may be unavailable."""
 
-    def _start(self, runner_id, image, **changes):
-        super()._start(runner_id, image, may_miss=1, **changes)
+    def _start_task(self, runner_id, image, **changes):
+        super()._start_task(runner_id, image, may_miss=1, **changes)
 
     def test_mixed_runners_are_regrouped(self):
         """Guards against breaking the limit on unavailable tasks."""
--- a/coltsfootpier/cells/tests/test_runs.py
+++ b/coltsfootpier/cells/tests/test_runs.py
@@ -306,7 +306,7 @@
         later.join()
         later.now_ms += 50
         later.finish("j")
-        self.assertEqual(later.cell._estimates.task_ms("batch", build_step()), 500.0)
+        self.assertEqual(later.cell._estimates.estimate_task_ms("batch", build_step()), 500.0)
 
     def test_failure_counts_once_across_owners(self):
         """Guards against a job reported as failed because two owners counted the same failure."""
--- a/coltsfootpier/cells/tests/test_search.py
+++ b/coltsfootpier/cells/tests/test_search.py
@@ -19,19 +19,19 @@
     build_step,
 )
 
-RUNNERS = 40
-SIZES = 50
+RUNNER_COUNT = 40
+SIZE_COUNT = 50
 
 
 def build_overloaded():
     """Build a cell whose runners are full while tasks of many sizes wait."""
-    entries = tuple(build_entry(f"r{number}") for number in range(RUNNERS))
+    entries = tuple(build_entry(f"r{number}") for number in range(RUNNER_COUNT))
     harness = SimulatedCell(entries=entries)
     harness.join()
-    harness.submit("full", build_job(build_step(count=RUNNERS, cpu_milli=3_500)))
+    harness.submit("full", build_job(build_step(count=RUNNER_COUNT, cpu_milli=3_500)))
     harness.plan()
-    for number in range(SIZES):
-        step = build_step(count=2, cpu_milli=1_000 + number, memory_mb=100 + SIZES - number)
+    for number in range(SIZE_COUNT):
+        step = build_step(count=2, cpu_milli=1_000 + number, memory_mb=100 + SIZE_COUNT - number)
         harness.submit(f"wait{number}", build_job(step))
     harness.plan()
     return harness
@@ -63,7 +63,7 @@
         harness.plan()
         started = [other for runner, other in harness.list_running() if runner == name]
         self.assertEqual(len(started), 3)
-        self.assertLess(search.examined - before, RUNNERS + SIZES)
+        self.assertLess(search.examined - before, RUNNER_COUNT + SIZE_COUNT)
 
 
 class EqualityTest(unittest.TestCase):
@@ -98,7 +98,7 @@
             usable = [runner for runner in runners if generator.random() < 0.8]
             search.start_plan({"web": usable})
             for step in generator.sample(steps, 6):
-                found = search.find(step, "web")
+                found = search.find_runner(step, "web")
                 expected = choose_runner(usable, step, None, table, settings)
                 self.assertIs(found, expected)
                 if found is not None and generator.random() < 0.5:
