Clarify comments, docstrings and local names of the cells package

Some sentences left the subject or the unit open, several values of messages had no description, and locals such as busy, level, rate, taken and total hid what they hold.

--- a/coltsfootpier/cells/_admission.py
+++ b/coltsfootpier/cells/_admission.py
@@ -1,17 +1,17 @@
 """Admission control: which submitted jobs are accepted.
 
 Batch jobs arrive in bursts of 3 to 6 s at 1.3 to 2.6 times the usual rate, while the runners are
-70 to 85 % utilised in normal operation. An accepted job can't be given back, and a job that ends
-late is worth a seventh. An immediate rejection lets the caller retry when the backlog has drained,
-and keeps the accepted jobs in time.
+70 to 85 % utilised in normal operation. An accepted job can't be rejected later, and a late result
+is worth a seventh of one in time. An immediate rejection lets the caller retry when the backlog has
+drained, and lets the accepted jobs end in time.
 """
 
 from __future__ import annotations
 
 import attrs
 
-# Minimum and maximum retry delay given to a caller, in ms. With a shorter one the caller would
-# retry before the next reports; with a longer one its own deadline (about 3 s) would pass.
+# Minimum and maximum retry delay given to a caller. With a shorter one the caller would retry
+# before the next reports; with a longer one its own deadline (about 3 s) would pass.
 MIN_RETRY_AFTER_MS = 300.0
 MAX_RETRY_AFTER_MS = 3_000.0
 
@@ -33,7 +33,7 @@
 
     @property
     def queueing_delay_ms(self) -> float:
-        """Time in ms until the work ahead is done."""
+        """Time in ms until the work ahead is done; infinite without capacity."""
         return self.work / self.capacity if self.capacity > 0 else float("inf")
 
 
--- a/coltsfootpier/cells/_capacity.py
+++ b/coltsfootpier/cells/_capacity.py
@@ -13,7 +13,7 @@
 from coltsfootpier.cells._interference import InterferenceTable, list_serving
 from coltsfootpier.cells._state import Runner
 
-# Period for which measured capacities and delays are used, in ms; loads swing within seconds.
+# Time for which measured capacities and delays are reused; loads swing within seconds.
 REFRESH_MS = 250.0
 # Minimum share of the unused CPU assumed to be available to an image, so that an image without
 # any at the moment isn't permanently ranked behind all others.
@@ -84,27 +84,29 @@
         work : Mapping of str to float
             Work by image, in thousandths of a core times ms.
         """
-        busy = [0.0] * len(self._free_cpus)
+        # Time in ms at which each runner becomes free.
+        busy_until_ms = [0.0] * len(self._free_cpus)
         delays: dict[str, float] = {}
         for image in sorted(work, key=self.estimate_total_cpu):
-            caps = [free_cpu.get(image, 0.0) for free_cpu in self._free_cpus]
+            image_cpus = [free_cpu.get(image, 0.0) for free_cpu in self._free_cpus]
             order = sorted(
-                (index for index, cap in enumerate(caps) if cap > 0), key=busy.__getitem__
+                (index for index, cpu in enumerate(image_cpus) if cpu > 0),
+                key=busy_until_ms.__getitem__,
             )
-            remaining, rate, level = work[image], 0.0, 0.0
+            remaining, available_cpu, reached_ms = work[image], 0.0, 0.0
             for index in order:
                 # All runners that are already free work until the next one becomes free.
-                if rate * (busy[index] - level) >= remaining:
+                if available_cpu * (busy_until_ms[index] - reached_ms) >= remaining:
                     break
-                remaining -= rate * (busy[index] - level)
-                level = busy[index]
-                rate += caps[index]
-            if rate <= 0:
+                remaining -= available_cpu * (busy_until_ms[index] - reached_ms)
+                reached_ms = busy_until_ms[index]
+                available_cpu += image_cpus[index]
+            if available_cpu <= 0:
                 delays[image] = float("inf") if remaining > 0 else 0.0
                 continue
-            delays[image] = level + remaining / rate
+            delays[image] = reached_ms + remaining / available_cpu
             for index in order:
-                busy[index] = max(busy[index], delays[image])
+                busy_until_ms[index] = max(busy_until_ms[index], delays[image])
         return delays
 
 
--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -142,7 +142,7 @@
     def submit(
         self, job_id: str, queue: Queue, spec: JobSpec, *, now_ms: float, unix_ms: float
     ) -> Accepted | Rejected:
-        """Accept or reject a job permanently; a known identifier refers to the existing job.
+        """Accept a job permanently or reject it; a known identifier returns the existing job.
 
         Parameters
         ----------
@@ -258,6 +258,8 @@
             self._apply_running_row(runner, row, now_ms)
         present = {row.run for row in report.running}
         for run in list(runner.runs.values()):
+            # The report was requested after the run was confirmed present, or after its start was
+            # ruled out. If it doesn't list the run, the run is gone.
             should_be_listed = (
                 run.confirmed_ms < report.sent_ms or run.stop_confirmed_ms < report.sent_ms
             )
@@ -370,7 +372,7 @@
     def handle_start_response(
         self, runner_id: str, run_id: RunId, outcome: StartOutcome, now_ms: float
     ) -> None:
-        """Handle the response to a start command."""
+        """Apply the outcome of a start command to its run."""
         self.counters[f"start_{outcome.value}"] += 1
         run = self.fleet.find_run(runner_id, run_id)
         if run is None:
@@ -400,15 +402,15 @@
     def apply_advice(
         self, request: AdviceRequest, tickets: Mapping[str, str], valid_ms: float, now_ms: float
     ) -> None:
-        """Apply the response of the service that approves runners.
+        """Apply the response of the service that approves runners to an advice request.
 
         Parameters
         ----------
         request : AdviceRequest
             The request that got this response.
         tickets : Mapping of str to str
-            Ticket of each approved runner. The other runners of the request are excluded from
-            running the step permanently.
+            Ticket of each approved runner. The other runners of the request are never asked for
+            the step again.
         valid_ms : float
             Validity of the tickets, counted from before the request was sent.
         now_ms : float
@@ -505,5 +507,5 @@
         return now_ms - run.last_progress_ms > limit_ms
 
     def summarise(self) -> dict[str, int]:
-        """Return gauge values for logs and metrics."""
+        """Return the gauge values by name, for logs and metrics."""
         return measure_gauges(self.jobs, self.fleet)
--- a/coltsfootpier/cells/_cordons.py
+++ b/coltsfootpier/cells/_cordons.py
@@ -53,12 +53,12 @@
         return float(runner.guaranteed_cpu + runner.best_effort_cpu)
 
     def is_idle(self, runner_id: str) -> bool:
-        """Return whether a runner has only long-running tasks, which never end by themselves."""
+        """Return whether all tasks on a runner are long-running; these never end on their own."""
         runner = self._fleet.runners.get(runner_id)
         return runner is None or all(run.step.long_running for run in runner.runs.values())
 
     def can_end_runs(self, runner_id: str) -> bool:
-        """Return whether all runs on a runner may end at once."""
+        """Return whether all runs on a runner may end at once without breaking a step's limit."""
         runner = self._fleet.runners.get(runner_id)
         return runner is None or not self._list_blocking_steps(runner)
 
@@ -85,7 +85,7 @@
     def choose_evacuated_run(
         self, has_alternative: Callable[[Run, Runner], bool], now_ms: float, *, period_ms: float
     ) -> Run | None:
-        """Return a run whose move brings a cordoned runner closer to its maintenance.
+        """Return a run that blocks the maintenance of a cordoned runner and may move off it now.
 
         Parameters
         ----------
--- a/coltsfootpier/cells/_durations.py
+++ b/coltsfootpier/cells/_durations.py
@@ -1,8 +1,8 @@
 """Expected durations of tasks, from callers' declarations and measured runs.
 
-Declared durations of batch tasks are off by a factor of 2.5 either way while the real ones differ
-by 1.6. Used as they are, they put the wrong jobs first, mark jobs as late that are not, and reject
-jobs that would end in time.
+Declared durations of batch tasks are off by a factor of 2.5 either way, while the real ones differ
+only by a factor of 1.6. Without a correction, the wrong jobs would go first, jobs in time would
+count as late, and jobs that would end in time would be rejected.
 """
 
 from __future__ import annotations
@@ -12,13 +12,14 @@
 
 import attrs
 
-# Decay of the sums per new run; the last 200 runs count most.
+# Decay factor of the sums per new run; the last 200 runs count most.
 _DECAY = 0.995
-# Weight, in runs, of the prior that declarations are right, and the spread of the logarithms at
-# which it is assumed. A few runs then suffice to show how accurate declarations are.
+# Prior that declarations are accurate: its weight in runs, and the distance of its two points from
+# the first declaration, in logarithms. The weight is small, so that a few runs suffice to show how
+# accurate declarations are.
 _PRIOR_WEIGHT = 3.0
 _PRIOR_SPREAD = 1.0
-# Minimum declared or measured duration, in ms.
+# Lower bound of declared and measured durations.
 _MIN_DURATION_MS = 1.0
 
 
@@ -37,7 +38,8 @@
     True
     """
 
-    # Sums of weights, declared and real logarithms, squares of the declared, and products.
+    # Weighted sums over the runs: weights, logarithms of declared durations, logarithms of real
+    # durations, squares of the declared logarithms, and products of both logarithms.
     _weight: float = 0.0
     _declared: float = 0.0
     _real: float = 0.0
@@ -52,7 +54,7 @@
         return cls(*sums) if sums[0] > 0 else None
 
     def export(self) -> tuple[float, ...]:
-        """Return the sums from which a later owner continues."""
+        """Return the sums from which the next owner restores the model."""
         return attrs.astuple(self)
 
     def update(self, real_ms: float, declared_ms: float) -> None:
--- a/coltsfootpier/cells/_estimates.py
+++ b/coltsfootpier/cells/_estimates.py
@@ -33,12 +33,13 @@
     ----------
     capacity : BestEffortCapacity
         Capacity available to each image.
-    in_time, all : dict of str to float
-        Work of jobs that can meet their objective, and of all jobs.
-    added : dict of str to float
-        Work accepted since the last measurement.
-    delay_in_time, delay_all : dict of str to float
-        Time in ms until the work in `in_time` and in `all` is done.
+    in_time_work, all_work : dict of str to float
+        Work of jobs that can meet their objective, and of all jobs, in thousandths of a core times
+        ms.
+    added_work : dict of str to float
+        Work accepted since the last measurement, in the same unit.
+    in_time_delay_ms, all_delay_ms : dict of str to float
+        Time in ms until `in_time_work` and `all_work` are done.
     """
 
     capacity: BestEffortCapacity
@@ -80,11 +81,11 @@
         return self._duration_models.setdefault(queue, DurationModel())
 
     def estimate_task_ms(self, queue: str, spec: StepSpec) -> float:
-        """Return the expected duration of a task of a step."""
+        """Return the expected duration in ms of a task of a step."""
         return self._get_duration_model(queue).predict(spec.estimate_ms)
 
     def estimate_run_ms(self, step: StepRun) -> float:
-        """Return the expected duration of a step's tasks, given those that have ended."""
+        """Return the expected duration in ms of a step's tasks, given those that have ended."""
         expected = self.estimate_task_ms(step.job.queue.name, step.spec)
         return (expected + step.completed_ms) / (1 + step.completed_count)
 
@@ -96,7 +97,7 @@
         self._mean_work[queue] = mean + _MEAN_WORK_RATE * (work - mean)
 
     def estimate_critical_path_ms(self, queue: str, steps: Iterable[StepSpec]) -> float:
-        """Return the expected time of steps that run one after another."""
+        """Return the expected time in ms of steps that run one after another."""
         return sum(self.estimate_task_ms(queue, step) for step in steps)
 
     def estimate_work(self, queue: str, spec: JobSpec) -> float:
@@ -114,7 +115,7 @@
                 work[step.image] = work.get(step.image, 0.0) + added
 
     def estimate_slack_ms(self, step: StepRun, now_ms: float) -> float:
-        """Return the time until a job's objective, less the remaining time of its steps."""
+        """Return the time in ms until a job's objective, less the remaining time of its steps."""
         job = step.job
         if step.spec.long_running or job.record.spec is None:
             return 0.0
@@ -126,7 +127,7 @@
         return job.arrived_ms + self._compute_objective_ms(step) - now_ms - remaining_ms
 
     def classify_lateness(self, step: StepRun, now_ms: float) -> int:
-        """Return 0 if a job can meet its objective, 1 if it is late, 2 if it is useless."""
+        """Return 0 if a job can meet its objective, 1 if it is late, 2 if it is of no more use."""
         slack_ms = self.estimate_slack_ms(step, now_ms)
         if slack_ms >= 0:
             return 0
@@ -197,7 +198,7 @@
     def measure_best_effort(
         self, jobs: Iterable[Job], runners: Iterable[Runner], now_ms: float
     ) -> None:
-        """Measure the capacity for best-effort images and the queueing delay of their jobs.
+        """Update the capacity for best-effort images and the queueing delay of their jobs.
 
         Parameters
         ----------
@@ -276,15 +277,17 @@
             The job.
         """
         backlog = self._get_backlog(queue.service)
-        in_time = behind_all = 0.0
+        in_time_ms = all_ms = 0.0
         for step in spec.steps:
             if step.fills:
                 total = backlog.capacity.estimate_total_cpu(step.image)
                 added = backlog.added_work.get(step.image, 0.0)
                 added_ms = added / total if total > 0 else 0.0
-                in_time = max(in_time, backlog.in_time_delay_ms.get(step.image, 0.0) + added_ms)
-                behind_all = max(behind_all, backlog.all_delay_ms.get(step.image, 0.0) + added_ms)
-        return QueueingDelays(in_time_ms=in_time, all_ms=behind_all)
+                in_time_ms = max(
+                    in_time_ms, backlog.in_time_delay_ms.get(step.image, 0.0) + added_ms
+                )
+                all_ms = max(all_ms, backlog.all_delay_ms.get(step.image, 0.0) + added_ms)
+        return QueueingDelays(in_time_ms=in_time_ms, all_ms=all_ms)
 
     def record_acceptance(self, queue: Queue, spec: JobSpec) -> None:
         """Count a best-effort job that was accepted since the last measurement."""
@@ -306,28 +309,28 @@
         now_ms : float
             Local time.
         """
-        in_time = behind_all = 0.0
+        in_time_work = all_work = 0.0
         for job in jobs:
             if not job.is_open or job.queue.service != service:
                 continue
             for step in job.steps.values():
                 if not (step.spec.fills or step.spec.long_running or step.is_done):
                     work = self._estimate_remaining_work(step)
-                    behind_all += work
+                    all_work += work
                     if self.estimate_slack_ms(step, now_ms) >= 0:
-                        in_time += work
+                        in_time_work += work
         capacity = 0.0
         for runner in runners:
             if runner.listed and not runner.entry.draining and runner.entry.service == service:
                 capacity += max(0.0, _measure_available_cpu(runner))
         return QueueingDelays(
-            in_time_ms=Backlog(work=in_time, capacity=capacity).queueing_delay_ms,
-            all_ms=Backlog(work=behind_all, capacity=capacity).queueing_delay_ms,
+            in_time_ms=Backlog(work=in_time_work, capacity=capacity).queueing_delay_ms,
+            all_ms=Backlog(work=all_work, capacity=capacity).queueing_delay_ms,
         )
 
 
 def _measure_available_cpu(runner: Runner) -> float:
-    """Return the CPU capacity beside the long-running tasks on a runner."""
+    """Return the CPU in thousandths of a core that long-running tasks leave on a runner."""
     long_running_cpu = sum(
         run.step.cpu_milli for run in runner.runs.values() if run.step.long_running
     )
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -1,4 +1,4 @@
-"""Runners of a cell and the runs on each of them."""
+"""Bookkeeping of runners and runs, with checks for invariants."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 class Fleet:
-    """Owner of the runners of a cell and of the runs on them.
+    """Runners of a cell and the runs on each of them.
 
     Parameters
     ----------
@@ -162,13 +162,13 @@
             )
 
     def set_lease_expiry(self, runner_id: str, lease_expiry_ms: float) -> None:
-        """Set the local time from which no run of this owner continues on a runner."""
+        """Set the local time by which the leases of all runs of this owner on a runner expire."""
         runner = self.runners.get(runner_id)
         if runner is not None:
             runner.lease_expiry_ms = max(runner.inherited_lease_expiry_ms, lease_expiry_ms)
 
     def mark_recorded(self, runner_ids: Iterable[str]) -> None:
-        """Mark runners as contained in the fleet recorded in the store."""
+        """Mark runners as contained in the fleet record in the store."""
         for runner_id in runner_ids:
             runner = self.runners.get(runner_id)
             if runner is not None:
--- a/coltsfootpier/cells/_health.py
+++ b/coltsfootpier/cells/_health.py
@@ -29,7 +29,7 @@
 def quarantine_runner(
     runner: Runner, runners: Iterable[Runner], now_ms: float, settings: CellSettings
 ) -> bool:
-    """Quarantine a runner unless too many others are; return whether it was done.
+    """Quarantine a runner unless too many are already; return whether it was quarantined.
 
     Parameters
     ----------
@@ -42,9 +42,9 @@
     settings : CellSettings
         Limits.
     """
-    others = [other for other in runners if other.listed]
-    quarantined = sum(other.quarantined_until_ms > now_ms or other.on_probation for other in others)
-    if quarantined + 1 > max(1.0, settings.aside_share * len(others)):
+    listed = [other for other in runners if other.listed]
+    quarantined = sum(other.quarantined_until_ms > now_ms or other.on_probation for other in listed)
+    if quarantined + 1 > max(1.0, settings.aside_share * len(listed)):
         return False
     runner.quarantine_ms = min(
         settings.aside_max_ms, max(settings.aside_ms, 2 * runner.quarantine_ms)
--- a/coltsfootpier/cells/_interference.py
+++ b/coltsfootpier/cells/_interference.py
@@ -41,10 +41,10 @@
 # Minimum variance of an interference. The tail latencies and CPU shares of one report may cover
 # different moments, so no number of reports makes an estimate certain.
 _MIN_INTERFERENCE_VARIANCE = 0.01
-# Utilisation from which the tail latency only shows that a task is saturated, not how far.
+# Utilisation above which the tail latency only shows that a task is saturated, not by how much.
 _SATURATED_UTILISATION = 0.95
-# Time after which an unchanged report counts as a new one, in ms; the runner measures the last
-# 500 ms.
+# Time after which a report with unchanged values counts as a new measurement; each measurement
+# covers the last 500 ms.
 _REPORT_PERIOD_MS = 450.0
 # Interference above which a best-effort task prefers a runner without serving tasks: between the
 # interference of pairs without effect (up to 0.3) and of the others (from 1.3).
@@ -58,7 +58,7 @@
 _NEGLIGIBLE_UTILISATION = 0.025
 # Share of a runner's CPU that one best-effort task typically requests.
 _TYPICAL_CPU_SHARE = 0.1
-# Maximum number of pairs in memory; the oldest are dropped first.
+# Maximum number of pairs, and of load filters, in memory; the oldest are dropped first.
 _MAX_PAIRS = 4_096
 # Maximum number of pairs stored for the next owner: 5 serving and 9 best-effort images make 45, and
 # 60 bytes each keep the record at 20 KB, which costs the store one more round trip.
@@ -120,26 +120,28 @@
         Reports are imprecise, so one with a tail latency slightly below the target doesn't end
         the period.
         """
-        share = run.measured / run.step.latency_target_ms
-        if share >= _OVER_TARGET_RATIO:
+        tail_share = run.measured / run.step.latency_target_ms
+        if tail_share >= _OVER_TARGET_RATIO:
             run.over_target_since_ms = min(run.over_target_since_ms, now_ms)
-        elif share < _BELOW_TARGET_RATIO:
+        elif tail_share < _BELOW_TARGET_RATIO:
             run.over_target_since_ms = math.inf
 
     def _update_estimates(self, run: Run, cpu_shares: dict[str, float], now_ms: float) -> None:
         image = run.step.image
-        share = run.measured / run.step.latency_target_ms
-        idle = self._idle_tails[image] = min(share, self._idle_tails.get(image, _IDLE_TAIL_SHARE))
-        utilisation = min(_SATURATED_UTILISATION, 1.0 - idle / share)
+        tail_share = run.measured / run.step.latency_target_ms
+        idle_share = self._idle_tails[image] = min(
+            tail_share, self._idle_tails.get(image, _IDLE_TAIL_SHARE)
+        )
+        utilisation = min(_SATURATED_UTILISATION, 1.0 - idle_share / tail_share)
         key = run.step_run.id
-        load = self._load_filters.get(key)
-        if load is None:
-            load = self._load_filters[key] = LoadFilter(now_ms)
+        load_filter = self._load_filters.get(key)
+        if load_filter is None:
+            load_filter = self._load_filters[key] = LoadFilter(now_ms)
             while len(self._load_filters) > _MAX_PAIRS:
                 del self._load_filters[next(iter(self._load_filters))]
-        load.advance(now_ms)
+        load_filter.advance(now_ms)
         pairs = {name: self._get_pair(image, name) for name in cpu_shares}
-        predicted = load.mean + sum(
+        predicted = load_filter.mean + sum(
             pairs[name].mean * cpu_share for name, cpu_share in cpu_shares.items()
         )
         error = utilisation - predicted
@@ -148,8 +150,8 @@
             return
         # Change of the utilisation per ms of tail latency.
         slope = (1.0 - utilisation) / run.measured
-        total = (
-            load.variance
+        total_variance = (
+            load_filter.variance
             + sum(
                 pairs[name].variance * cpu_share * cpu_share
                 for name, cpu_share in cpu_shares.items()
@@ -157,10 +159,10 @@
             + _REPORT_VARIANCE
             + slope * slope * _ROUNDING_VARIANCE_MS
         )
-        load.correct(error, total)
+        load_filter.correct(error, total_variance)
         for name, cpu_share in cpu_shares.items():
             pair = pairs[name]
-            gain = pair.variance * cpu_share / total
+            gain = pair.variance * cpu_share / total_variance
             pair.mean = min(_MAX_INTERFERENCE, max(0.0, pair.mean + gain * error))
             pair.variance = max(
                 _MIN_INTERFERENCE_VARIANCE, pair.variance * (1.0 - gain * cpu_share)
@@ -194,7 +196,7 @@
         self._idle_tails.update(idle)
 
     def predict_load(self, run: Run) -> float:
-        """Return the utilisation of a serving run by its own users until the next report."""
+        """Return the highest expected utilisation of a serving run by its own users."""
         found = self._load_filters.get(run.step_run.id)
         return found.predict_upper(self._newest_report_ms) if found is not None else _LOAD_PRIOR
 
@@ -284,7 +286,7 @@
         return self._settings.utilisation_limit - self.predict_load(run) - added_utilisation
 
     def choose_paces(self, runner: Runner, best_effort: list[Run]) -> dict[Run, int]:
-        """Return the pace in percent of each best-effort run with which all targets are met.
+        """Return the highest pace in percent of each best-effort run that meets all targets.
 
         Parameters
         ----------
@@ -296,25 +298,25 @@
         settings = self._settings
         cpu = max(1, runner.entry.cpu_milli)
         others = sum_requested_shares(runner, dict.fromkeys(best_effort, 0))
-        limits = [
+        headrooms = [
             [run.step.image, self._measure_headroom(run, others)] for run in list_serving(runner)
         ]
         paces: dict[Run, int] = {}
         for run in best_effort:
             paces[run] = 0
-            # A pace rises only with headroom to spare, so that it doesn't change with each report.
+            # A pace rises only if headroom remains, so that it doesn't change with each report.
             for level in settings.pace_levels:
                 spare = settings.pace_hysteresis if level > run.pace else 0.0
                 cpu_share = run.step.cpu_milli * level / 100 / cpu
                 if all(
                     _is_harmless(headroom, self.estimate(image, run.step.image) * cpu_share, spare)
-                    for image, headroom in limits
+                    for image, headroom in headrooms
                 ):
                     paces[run] = level
                     break
             cpu_share = run.step.cpu_milli * paces[run] / 100 / cpu
-            for limit in limits:
-                limit[1] -= self.estimate(limit[0], run.step.image) * cpu_share
+            for entry in headrooms:
+                entry[1] -= self.estimate(entry[0], run.step.image) * cpu_share
         return paces
 
 
--- a/coltsfootpier/cells/_jobs.py
+++ b/coltsfootpier/cells/_jobs.py
@@ -40,7 +40,7 @@
         self.inherited: set[str] = set()
         self._scheduled_steps: list[StepRun] = []
         self._dirty: dict[str, Job] = {}
-        # Jobs in a final state with the local time since when it is known, oldest first.
+        # Jobs in a final state, oldest first, and the local time at which each was known to end.
         self._ended: deque[tuple[float, Job]] = deque()
 
     def set_queues(self, queues: Mapping[str, Queue]) -> None:
@@ -82,7 +82,7 @@
         job.steps[occurrence, number] = step
 
     def _mark_step_ready(self, step: StepRun, now_ms: float) -> None:
-        """Make a step ready for placement if all steps before it are done."""
+        """Mark a step as ready for placement if all steps before it are done."""
         job = step.job
         earlier = (job.steps[step.occurrence, number] for number in step.spec.after)
         if step.is_done or step.ready_ms <= now_ms or not all(other.is_done for other in earlier):
@@ -94,7 +94,7 @@
             self.ready[step.id] = step
 
     def mark_due_occurrences_ready(self, unix_ms: float) -> None:
-        """Make the steps of due occurrences ready."""
+        """Mark the steps of due occurrences as ready for placement."""
         due = [
             step
             for step in self._scheduled_steps
--- a/coltsfootpier/cells/_learned.py
+++ b/coltsfootpier/cells/_learned.py
@@ -1,8 +1,8 @@
 """Learned state of images and queues, stored for the next owner of the cell.
 
-Owners are stopped, killed and replaced several times a day. An owner that starts from priors slows
-harmless batch tasks, overloads serving tasks, and trusts declared durations until its own reports
-correct the estimates, which takes 10 to 20 s.
+Owners are stopped, killed and replaced several times a day. An owner that starts from prior
+estimates slows harmless batch tasks, overloads serving tasks and trusts declared durations until
+reports have corrected the estimates, which takes 10 to 20 s.
 """
 
 from __future__ import annotations
--- a/coltsfootpier/cells/_lease_expiry.py
+++ b/coltsfootpier/cells/_lease_expiry.py
@@ -4,15 +4,16 @@
 
 from coltsfootpier.cells._settings import CellSettings
 
-# Allowance for the time between reading the clock and sending, in ms.
+# Allowance for the time between reading the clock and sending.
 _SEND_ALLOWANCE_MS = 50.0
 
 
 class LeaseExpiryTracker:
-    """Latest local time at which a deadline that a runner may have applied ends.
+    """Tracks when the last lease that a runner may have extended expires, in local time.
 
-    A call counts from before it is sent until it is known that the runner did not apply it, so the
-    leases of an unreachable runner expire although calls to it are repeated.
+    A call counts as applied from before it is sent until it is known that the runner did not apply
+    it. Calls that are known to have failed don't count, so the leases of an unreachable runner
+    expire although calls to it are repeated.
 
     Parameters
     ----------
@@ -31,9 +32,10 @@
     """
 
     def __init__(self, settings: CellSettings) -> None:
-        # The runner's clock may be slow, and the estimate of its time may be too.
+        # Covers a runner's clock that runs slow and an error in the estimate of its time.
         self._drift_factor = 1.0 + 3.0 * settings.clock_drift
         self._applied_expiry_ms = float("-inf")
+        # Expiry of the leases that each unsettled call extends.
         self._calls: dict[int, float] = {}
         self._last_call_number = 0
 
@@ -58,8 +60,8 @@
         )
         return self._last_call_number
 
-    def settle(self, call: int, *, applied: bool) -> None:
-        """Record whether the runner may have applied a call."""
-        lease_expiry_ms = self._calls.pop(call)
+    def settle(self, call_number: int, *, applied: bool) -> None:
+        """Record whether the runner may have applied a call that `record_call` numbered."""
+        lease_expiry_ms = self._calls.pop(call_number)
         if applied:
             self._applied_expiry_ms = max(self._applied_expiry_ms, lease_expiry_ms)
--- a/coltsfootpier/cells/_loads.py
+++ b/coltsfootpier/cells/_loads.py
@@ -12,9 +12,9 @@
 
 import attrs
 
-# Time that a report covers, in ms; its value applies to the middle of it.
+# Time that a report covers; its value applies to the middle of that time.
 REPORT_SPAN_MS = 500.0
-# Time until a decision on a report is replaced by one on the next, in ms: reports come every
+# Time until a decision based on one report is replaced by one based on the next: reports come every
 # 500 ms, and a pace takes effect after 100 ms.
 _HORIZON_MS = 600.0
 # Load and trend (1/s) before the first report, with their variances.
@@ -23,9 +23,9 @@
 # Growth of the trend's variance per second, for loads that swing within 10 s: 0.005 follows them
 # too late, and 0.08 follows the noise of the reports.
 _TREND_NOISE = 0.02
-# Time constant with which a trend that no report confirms decays, in s: a quarter of such a swing.
+# Time constant with which a trend that no report confirms decays: a quarter of such a swing.
 _TREND_DECAY_S = 4.0
-# Longest time that is extrapolated at once, in s; a trend has decayed by then.
+# Longest time that is extrapolated at once; a trend has decayed by then.
 _MAX_GAP_S = 5.0
 
 
@@ -69,6 +69,7 @@
             return
         self.updated_ms = now_ms - REPORT_SPAN_MS / 2
         decay = math.exp(-gap_s / _TREND_DECAY_S)
+        # Time in which a constant trend would change the load as much as the decaying one does.
         effective_s = _TREND_DECAY_S * (1.0 - decay)
         self.mean = _clip(self.mean + self.trend * effective_s)
         self.trend *= decay
--- a/coltsfootpier/cells/_messages.py
+++ b/coltsfootpier/cells/_messages.py
@@ -1,4 +1,4 @@
-"""Messages between a cell and the tasks that communicate with runners."""
+"""Commands of a cell to its runners, and the reports and outcomes that come back."""
 
 from __future__ import annotations
 
@@ -28,13 +28,13 @@
     remaining_ms : float
         Minimum time until a draining runner leaves; infinite otherwise.
     cold_left_ms : float
-        Remaining time for which it is slow after its start.
+        Remaining time during which it is slow because it has just started.
     cpu_milli, memory_mb, gpus : int
         Capacity.
     rack : str
         Rack of its VM; empty when unknown.
     labels : tuple of str
-        Its kind and its rack.
+        Labels that a step may require: the runner's kind and its rack.
     started_unix_ms : int
         Unix time at which this incarnation started; 0 when unknown.
     """
@@ -60,6 +60,7 @@
     DONE = "done"
     FAILED = "failed"
     STOPPED = "stopped"
+    # Its lease expired.
     LAPSED = "lapsed"
     # Another member of its gang ended.
     BROKEN = "broken"
@@ -104,7 +105,19 @@
 
 @attrs.frozen
 class EndedRow:
-    """An ended run that a runner lists until it is acknowledged."""
+    """An ended run that a runner lists until it is acknowledged.
+
+    Parameters
+    ----------
+    number : int
+        Number of the end, ascending within one incarnation of the runner.
+    run : RunId
+        Identifier of the run.
+    outcome : EndKind
+        How the run ended.
+    checkpoint : str
+        Last saved progress; empty for none.
+    """
 
     number: int
     run: RunId
@@ -125,7 +138,7 @@
     running : tuple of RunningRow
         All runs present.
     ended : tuple of EndedRow
-        Ended runs that aren't acknowledged, by number.
+        Ended runs that aren't acknowledged.
     sent_ms, received_ms : float
         Local times before the request and after the response.
     """
@@ -146,10 +159,13 @@
     FENCED = "fenced"
     # This attempt or a later one was stopped or has ended on the runner.
     OLD = "old"
+    # The command arrived after its deadline.
     LATE = "late"
+    # The runner lacks the capacity.
     ROOM = "room"
+    # The ticket was missing or not valid.
     TICKET = "ticket"
-    # The runner did not execute it: unhealthy, another incarnation, or never reached.
+    # The runner did not execute it: it is unhealthy, a different incarnation, or was not reached.
     REFUSED = "refused"
     # It may have been executed, or may still be executed later.
     UNKNOWN = "unknown"
--- a/coltsfootpier/cells/_placement.py
+++ b/coltsfootpier/cells/_placement.py
@@ -13,7 +13,7 @@
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells._state import Runner, StepRun, Task
 
-# Weight of unused capacity relative to the utilisation that is added to a serving task.
+# Weight of unused CPU relative to the utilisation that a best-effort task adds to serving tasks.
 _UNUSED_CPU_WEIGHT = 0.1
 
 
@@ -114,6 +114,10 @@
 def _rank_runner(
     runner: Runner, step: StepRun, task: Task | None, table: InterferenceTable
 ) -> tuple[int, float]:
+    """Return the sort key of a runner that fits; the largest is chosen.
+
+    Preferences decide first; the score of the free capacity or interference breaks ties.
+    """
     spec = step.spec
     preference = 0
     if spec.rack_affinity and runner.entry.rack == spec.rack_affinity:
@@ -122,29 +126,31 @@
         preference -= 4
     if task is not None and runner.entry.id == task.preferred_runner:
         preference += 4
+    # A long-running task shows too late whether a runner on probation is healthy.
     if runner.on_probation and spec.long_running:
         preference -= 8
-    free = runner.unused_cpu
+    score = runner.unused_cpu
     if spec.latency_target_ms:
         # Serving tasks of one image share runners and pack them, so that each best-effort image
         # finds runners where it does no harm, and some runners have no serving tasks.
         preference += _score_images({run.step.image for run in list_serving(runner)}, spec.image)
-        free = -(runner.entry.cpu_milli - runner.guaranteed_cpu)
+        score = -(runner.entry.cpu_milli - runner.guaranteed_cpu)
     elif spec.fills:
-        # The least interference first; the most unused capacity breaks ties.
-        free = _UNUSED_CPU_WEIGHT * free - runner.entry.cpu_milli * table.estimate_cost(
+        # Prefer the least interference, and with a small weight the most unused capacity.
+        score = _UNUSED_CPU_WEIGHT * score - runner.entry.cpu_milli * table.estimate_cost(
             runner, spec
         )
     else:
         # Spread free declared capacity evenly, so that steps with many tasks fit.
-        free = 0.5 * free + (runner.entry.cpu_milli - runner.guaranteed_cpu)
-    return preference, free / max(1, runner.entry.cpu_milli)
+        score = 0.5 * score + (runner.entry.cpu_milli - runner.guaranteed_cpu)
+    return preference, score / max(1, runner.entry.cpu_milli)
 
 
 def _score_images(images: set[str], image: str) -> int:
-    """Return how well a serving image fits with the images that a runner already serves.
+    """Return the preference of a serving image for a runner with the given serving images.
 
-    Runners with a single serving image should stay so; other images prefer mixed runners.
+    Runners with a single serving image should keep only that one, so other images prefer runners
+    that are already mixed.
     """
     if images == {image}:
         return 2
--- a/coltsfootpier/cells/_planning.py
+++ b/coltsfootpier/cells/_planning.py
@@ -70,7 +70,7 @@
         self._last_regroup_ms = float("-inf")
 
     def collect_usable_runners(self, now_ms: float) -> None:
-        """Prepare a plan with the runners that are usable now."""
+        """Determine the runners that may get new runs in the next plan."""
         usable: dict[str, list[Runner]] = {}
         for runner in self._fleet.runners.values():
             if is_usable(runner, now_ms, self._settings):
@@ -78,7 +78,7 @@
         self._search.start_plan(usable)
 
     def place_tasks(self, now_ms: float) -> list[StartRun | AdviceRequest]:
-        """Start the tasks that fit on a runner and return the commands."""
+        """Place the waiting tasks that fit on a runner and return the commands."""
         steps = [
             step
             for step in self._jobs.ready.values()
@@ -117,9 +117,9 @@
         return commands
 
     def choose_slowed_run(self, now_ms: float) -> Run | None:
-        """Return a slowed best-effort run that fits on another runner without harm.
+        """Return a slowed best-effort run that fits beside the serving tasks of another runner.
 
-        Each plan returns only one, so that each move accounts for the previous one.
+        Each call returns only one run, so that each move takes the previous one into account.
         """
         settings = self._settings
         attempts = 0
@@ -147,8 +147,8 @@
     def choose_displaced_run(self, now_ms: float) -> Run | None:
         """Return a long-running run whose move frees capacity for one that fits on no runner.
 
-        A step that allows few tasks per runner needs a little free capacity on many runners, but
-        packing tasks leaves much of it on few.
+        Placement packs tasks, which leaves the free capacity on a few runners, while a step with a
+        limit per runner needs a little on many runners.
         """
         settings = self._settings
         for step in self._jobs.ready.values():
@@ -229,7 +229,7 @@
     def _build_advice_request(
         self, step: StepRun, runners: list[Runner], now_ms: float
     ) -> AdviceRequest | None:
-        """Build a request for runners that may fit and are neither approved nor excluded."""
+        """Build a request for runners with free capacity that are neither approved nor excluded."""
         if now_ms - step.advice_requested_ms < self._settings.advice_retry_ms:
             return None
         unknown = [
@@ -272,7 +272,7 @@
         return choose_runner(runners, step, task, self._interference, self._settings, rack=rack)
 
     def _place_gang(self, step: StepRun, runners: list[Runner], now_ms: float) -> list[StartRun]:
-        """Start all members at once, in one rack if that is required, or none."""
+        """Start all members of a gang at once, in one rack if that is required, or none of them."""
         if len(step.waiting) < step.spec.count:
             return []
         racks = {runner.entry.rack for runner in runners} if step.spec.same_rack else {""}
--- a/coltsfootpier/cells/_regrouping.py
+++ b/coltsfootpier/cells/_regrouping.py
@@ -49,11 +49,13 @@
     def __init__(self, table: InterferenceTable, settings: CellSettings) -> None:
         self._table = table
         self._settings = settings
-        # A fixed seed makes the same events give the same choices, so that simulations repeat.
+        # With a fixed seed, the same events give the same choices and simulations are reproducible.
         self._random = random.Random(0)
 
     def choose(self, runners: Iterable[Runner], scarcity: Mapping[str, float]) -> Regrouping | None:
-        """Return the best move of one runner's serving runs, or None when none gains enough.
+        """Return the best move of a serving run off a mixed runner, or None if none gains enough.
+
+        The mixed runner is chosen at random, and the targets too if there are many.
 
         Parameters
         ----------
@@ -70,20 +72,24 @@
         targets = [runner for runner in runners if runner is not source]
         if len(targets) > self._settings.regroup_targets:
             targets = self._random.sample(targets, self._settings.regroup_targets)
-        before = self._measure_weighted_cpu(source, scarcity)
-        taken_before = {target: self._measure_weighted_cpu(target, scarcity) for target in targets}
+        source_before = self._measure_weighted_cpu(source, scarcity)
+        targets_before = {
+            target: self._measure_weighted_cpu(target, scarcity) for target in targets
+        }
         best: Regrouping | None = None
         for run in list_serving(source):
             if not self._may_move(run):
                 continue
-            freed = self._measure_weighted_cpu(source, scarcity, without=run) - before
+            source_change = (
+                self._measure_weighted_cpu(source, scarcity, without=run) - source_before
+            )
             for target in targets:
                 if not target.fits(run.step) or not is_eligible(target, run.step_run):
                     continue
-                taken = (
-                    self._measure_weighted_cpu(target, scarcity, added=run) - taken_before[target]
+                target_change = (
+                    self._measure_weighted_cpu(target, scarcity, added=run) - targets_before[target]
                 )
-                gain = freed + taken
+                gain = source_change + target_change
                 if gain > (best.gain if best else self._settings.regroup_gain_cpu):
                     best = Regrouping(run, target, gain)
         return best
--- a/coltsfootpier/cells/_search.py
+++ b/coltsfootpier/cells/_search.py
@@ -1,6 +1,6 @@
-"""Search for runners that caches the demands that fit on none.
+"""Search for runners that remembers which demands fitted on none.
 
-At larger sizes a thousand tasks of a hundred sizes wait for 176 runners, and a few runners change
+In a large fleet, a thousand tasks of a hundred sizes wait for 176 runners, and a few runners change
 every 20 ms. Checking each size on each runner in each plan uses more than one core. A demand that
 fitted on no runner before only needs to be checked on the runners that have changed since.
 """
@@ -41,14 +41,13 @@
         self._usable: Mapping[str, list[Runner]] = {}
         self._changed: dict[str, list[Runner]] = {}
         self._versions: dict[str, int] = {}
-        # Sizes that fitted on no runner, in the previous plan and in this one: only runners that
-        # have changed since need to be checked.
+        # Sizes that fitted on no runner, in the previous plan and in this one.
         self._failed_before: dict[_DemandKey, list[_Size]] = {}
         self._failed: dict[_DemandKey, list[_Size]] = {}
         self.examined = 0
 
     def start_plan(self, usable: Mapping[str, list[Runner]]) -> None:
-        """Start a plan.
+        """Start a plan and find the runners that changed since the previous one.
 
         Parameters
         ----------
@@ -102,7 +101,7 @@
 
 
 def _build_key(step: StepRun, service: str) -> _DemandKey:
-    """Return what two demands must share so that the smaller fits wherever the larger does."""
+    """Return a key; of two demands with equal keys, the smaller fits wherever the larger does."""
     spec: StepSpec = step.spec
     limited = bool(spec.required_label or spec.max_per_runner)
     image = spec.image if spec.fills else ""
@@ -110,7 +109,7 @@
 
 
 def _has_failed(failed: list[_Size] | None, size: _Size) -> bool:
-    """Return whether a demand that is not larger than `size` has failed."""
+    """Return whether a demand that is not larger than `size` in any resource has failed."""
     return failed is not None and any(
         all(small <= wanted for small, wanted in zip(other, size, strict=True)) for other in failed
     )
--- a/coltsfootpier/cells/_settings.py
+++ b/coltsfootpier/cells/_settings.py
@@ -32,20 +32,20 @@
     stop_retry_ms : float
         Time between stop commands for a run that is still listed.
     check_period_ms : float
-        Time between checks of all runs for expired leases, stalls and moves. A check takes 3 ms on
-        a large fleet, and the conditions that it detects take 400 ms or more to arise.
+        Time between checks of all runs for expired leases, stalls and useful moves. A check takes
+        3 ms on a large fleet, and the conditions that it detects take 400 ms or more to arise.
     fill_fit : float
-        Share of a best-effort task's demand that must be unused on the runner it is placed on.
+        Share of a best-effort task's CPU demand that must be unused on a runner to place it there.
     stall_ms : float
         Time without progress after which a run is stopped and started elsewhere. Above the time to
         resume from a checkpoint (600 ms) plus the time a long task takes to progress by 1 percent.
     startup_ms : float
         Time that a long-running task may take to become ready before it counts as stalled.
     utilisation_limit : float
-        Utilisation that a serving task is allowed. Its tail latency reaches the target at about
-        0.83; the rest is reserved for the rise of its own load until the next report.
+        Maximum utilisation of a serving task. Its tail latency reaches the target at about 0.83;
+        the difference is reserved for a rise of its own load until the next report.
     pressure_caution : float
-        Standard deviations that are added to an estimated interference.
+        Number of standard deviations that are added to an estimated interference.
     pace_hysteresis : float
         Utilisation that must remain when a pace is raised.
     harm_stop_ms : float
@@ -59,21 +59,22 @@
         Time for which a long-running task fits on no runner before another task is moved to free
         capacity. Short tasks that occupy the capacity end within that time.
     make_room_period_ms : float
-        Time between two such attempts for one step; a moved task has started elsewhere by then.
+        Time between two moves that free capacity for one step, and between two moves of one step
+        off cordoned runners; a moved task has started elsewhere by then.
     move_retry_ms : float
         Time between attempts to move one slowed run; each runner has a new measurement by then.
     moves_tried : int
         Maximum number of slowed runs that one plan tries to move; bounds the time of a plan.
     regroup_period_ms : float
-        Time between attempts to move a serving run to free capacity for best-effort tasks; a move
-        has ended and shows in reports by then.
+        Time between attempts to move a serving run to free capacity for best-effort tasks; by
+        then, the previous move has ended and shows in reports.
     regroup_gain_cpu : float
         Minimum capacity in thousandths of a core that such a move must free. A move costs a serving
         task about a second of its service, worth 1 to 2 core-seconds of batch work.
     regroup_targets : int
         Number of runners that one attempt examines; bounds its time to a few ms.
     advice_runners : int
-        Maximum number of runners in one advice request; each lengthens the response.
+        Maximum number of runners in one advice request; each adds to the response time.
     advice_retry_ms : float
         Time after which an unanswered advice request is repeated.
     pace_levels : tuple of int
@@ -92,7 +93,8 @@
     max_open_tasks : int
         Maximum number of tasks of accepted jobs in a cell; bounds memory and the store's records.
     tasks_retry_ms : float
-        Retry delay of a job that was rejected for this bound: a usual task has ended by then.
+        Retry delay of a job that was rejected because of `max_open_tasks`: a typical task has
+        ended by then.
     """
 
     run_lease_ms: float = 4_000.0
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -32,10 +32,15 @@
     confirmed_ms : float
         Since when the run is known to be present; infinite before.
     last_progress_ms : float
-        When `percent` changed last.
+        Local time of the last report in which `percent` changed or the run was paused; initially
+        the start of the run.
     stop_confirmed_ms : float
         When the runner confirmed a stop command for the run; infinite before. A report that was
         requested later and doesn't list the run proves that the run never starts.
+    measured : float
+        Last measurement in a report, see `RunningRow`.
+    pace : int
+        Commanded speed in percent; -1 while it is unknown.
     """
 
     id: RunId
@@ -43,7 +48,7 @@
     runner_id: str
     state: RunState
     start_sent_ms: float
-    # Whether an earlier owner started it and this one found it on its runner.
+    # Whether it was started by an earlier owner and found in a runner's report by this one.
     adopted: bool = False
     confirmed_ms: float = float("inf")
     stop_confirmed_ms: float = float("inf")
@@ -79,7 +84,7 @@
     attempt: int = 0
     checkpoint: str = ""
     runs: list[Run] = attrs.field(factory=list)
-    # Runner that the task was stopped to be moved to; empty for none.
+    # Runner on which a stopped task should start again; empty for none.
     preferred_runner: str = ""
     # Runners where a run of this task failed or stalled.
     avoided_runners: set[str] = attrs.field(factory=set)
@@ -134,7 +139,7 @@
         return [run for task in self.tasks.values() for run in task.runs]
 
     def find_checkpoint(self, task: Task) -> str:
-        """Return the checkpoint to resume from; in a gang any member's checkpoint is valid."""
+        """Return the checkpoint to resume from; any member's checkpoint is valid for its gang."""
         if not self.spec.gang:
             return task.checkpoint
         return next((other.checkpoint for other in self.tasks.values() if other.checkpoint), "")
@@ -202,7 +207,7 @@
     entry: RunnerEntry
     listed: bool = True
     adopted: bool = False
-    # Whether the fleet recorded in the store contains it, so that a later owner contacts it.
+    # Whether it is in the fleet record in the store, so that a later owner contacts it.
     recorded: bool = False
     started_unix_ms: int = 0
     contact_ms: float = float("-inf")
@@ -219,14 +224,15 @@
     memory_mb: int = 0
     gpus: int = 0
     # Whether its incarnation is known to have ended, and when the first of the consecutive
-    # listings without it was requested.
+    # platform listings without it was requested; infinite while it is listed.
     ended: bool = False
     unlisted_since_ms: float = float("inf")
     # Whether it gets no new runs before maintenance of its VM, and whether the maintenance was
     # requested, so that its runs may end at any moment.
     cordoned: bool = False
     shutting_down: bool = False
-    # Set when a start is rejected for lack of capacity; no run is placed before the next report.
+    # Set when a start is rejected for lack of capacity or as `REFUSED`; no run is placed before the
+    # next report.
     full: bool = False
     # Tail latencies of the serving runs in the last measurement, and when it was taken.
     measured_tails: tuple[float, ...] = ()
--- a/coltsfootpier/cells/tests/builders.py
+++ b/coltsfootpier/cells/tests/builders.py
@@ -24,7 +24,7 @@
 )
 from coltsfootpier.jobs import JobSpec, Queue, StepSpec, TaskKey
 
-# Local time at which simulated cells start, in ms.
+# Local time at which simulated cells start.
 START_MS = 1_000.0
 UNIX_OFFSET_MS = 1_700_000_000_000.0
 
@@ -96,8 +96,10 @@
         Names of the runners.
     generation : int
         Number of the ownership.
+    entries : tuple of RunnerEntry
+        Registry entries of the runners, instead of `names`.
     **changes
-        Settings of the cell.
+        Settings of the cell that differ from the defaults.
     """
 
     def __init__(
@@ -223,11 +225,11 @@
                 self.store()
 
     def list_running(self) -> list[tuple[str, RunId]]:
-        """Return all runs that are present on runners."""
+        """Return all runs that are present on runners, each with its runner."""
         return [(name, run) for name, runner in self.runners.items() for run in runner.running]
 
     def find(self, job_id: str, key: TaskKey | None = None) -> list[tuple[str, RunId]]:
-        """Return the runs of a job, or of one of its tasks."""
+        """Return the present runs of a job, or of one of its tasks, each with its runner."""
         return [
             (name, run)
             for name, run in self.list_running()
--- a/coltsfootpier/cells/tests/test_colocation.py
+++ b/coltsfootpier/cells/tests/test_colocation.py
@@ -19,6 +19,7 @@
 
 
 def build_serving(**changes):
+    """Build a step of serving tasks."""
     values = {
         "cpu_milli": 4_000,
         "long_running": True,
@@ -29,6 +30,7 @@
 
 
 def build_best_effort(image, **changes):
+    """Build a step of best-effort tasks of an image."""
     values = {"cpu_milli": 2_000, "fills": True, "image": image, "checkpointed": True}
     return build_step(**{**values, **changes})
 
@@ -69,6 +71,7 @@
 
 
 def build_harness(count=4):
+    """Build a cell with simulated runners of 16 cores each."""
     entries = tuple(
         build_entry(f"r{number}", cpu_milli=16_000, memory_mb=64_000) for number in range(count)
     )
@@ -78,7 +81,7 @@
 
 
 class PaceTest(unittest.TestCase):
-    """Interference is detected, short, and not attributed to the wrong image."""
+    """Pace of best-effort tasks that do or don't interfere with serving tasks."""
 
     def test_harmful_best_effort_tasks_are_slowed(self):
         """Guards against a serving task that stays over its target beside best-effort tasks."""
@@ -110,8 +113,8 @@
     def test_harm_ends_although_reports_are_imprecise(self):
         """Guards against a target that is missed for 4 s while every other report is just below it.
 
-        Seen once in a load run (HARM, dss-vieta, mix 158084069494); a rerun of that mix alone
-        didn't reproduce it.
+        Seen once in a load run (HARM on dss-vieta, mix 158084069494, see docs/measurements.md); a
+        rerun of that mix alone didn't reproduce it.
         """
         harness = build_harness(1)
         harness.cell._interference.estimate = lambda serving, best_effort: 0.0
@@ -168,7 +171,7 @@
         self.assertEqual(len({name for name, _ in harness.find("s")}), 1)
 
     def test_flood_of_best_effort_tasks_does_not_harm_the_service(self):
-        """Simulates a flood of batch tasks and checks serving tail latencies and throughput."""
+        """Guards against a flood of batch tasks that harms serving tasks or is never completed."""
         harness = build_harness(4)
         harness.submit("s", build_job(build_serving(count=4)))
         harness.advance(1_000)
@@ -189,7 +192,7 @@
 
 
 class InterferenceTest(unittest.TestCase):
-    """The table finds which pairs of images interfere although loads swing."""
+    """Estimated interference of pairs of images, known and unknown."""
 
     def test_interfering_pairs_are_identified(self):
         """Guards against placement by prior estimates after reports have shown the pairs."""
--- a/coltsfootpier/cells/tests/test_estimates.py
+++ b/coltsfootpier/cells/tests/test_estimates.py
@@ -23,7 +23,7 @@
 
 
 class SwingTest(unittest.TestCase):
-    """A load that swings by half of its mean within ten seconds."""
+    """Predictions of a load that swings by half of its mean within ten seconds."""
 
     def _measure_error(self, load_filter):
         generator = random.Random(1)
@@ -62,7 +62,7 @@
 
 
 class DurationTest(unittest.TestCase):
-    """Declarations that are off by a factor of 2.5 either way."""
+    """Durations predicted from declarations that are off by a factor of 2.5 either way."""
 
     def test_declarations_are_weighted_by_their_accuracy(self):
         """Guards against ordering jobs by the errors in their declared durations."""
@@ -125,9 +125,9 @@
     """A flood of jobs of an image with little capacity, beside jobs of an image with much."""
 
     def test_admission_uses_the_capacity_of_each_image(self):
-        """Guards against the backlog of an image without capacity that gets other jobs rejected.
+        """Guards against jobs that are rejected because of the backlog of another image.
 
-        Simulates the flood and checks the responses for both images.
+        Jobs of the image with little capacity must be rejected, those of the other one accepted.
         """
         harness = build_harness(4)
         harness.submit("s", build_job(build_serving(count=16)))
--- a/coltsfootpier/cells/tests/test_runs.py
+++ b/coltsfootpier/cells/tests/test_runs.py
@@ -65,7 +65,7 @@
         self.assertEqual({run.key.occurrence for _, run in harness.find("j")}, {0, 1})
 
     def test_gang_starts_completely_or_not_at_all(self):
-        """Guards against members that wait alone for capacity that others hold."""
+        """Guards against gangs that hold capacity while they wait for their last members."""
         harness = SimulatedCell()
         harness.join()
         harness.submit("big", build_job(build_step(count=9, gang=True)))
@@ -166,7 +166,7 @@
 
 
 class UnansweredCommandTest(unittest.TestCase):
-    """Unanswered commands, and unreachable runners."""
+    """Commands without a response, and unreachable or restarted runners."""
 
     def test_unanswered_start_is_stopped_before_the_task_starts_elsewhere(self):
         """Guards against a late start beside a second run of the task."""
@@ -296,7 +296,11 @@
         self.assertEqual(later.cell.jobs.jobs["j"].arrived_ms, later.now_ms - 5_000)
 
     def test_adopted_runs_do_not_update_durations(self):
-        """Guards against rejections because jobs seem a tenth as long after a takeover."""
+        """Guards against rejections after a takeover because task durations are learned wrongly.
+
+        The start time of an adopted run is unknown. Counted from its adoption, the duration is only
+        a tenth of the real one.
+        """
         harness = SimulatedCell()
         harness.join()
         harness.submit("j", build_job(build_step(count=4)))
--- a/coltsfootpier/cells/tests/test_search.py
+++ b/coltsfootpier/cells/tests/test_search.py
@@ -67,7 +67,7 @@
 
 
 class EqualityTest(unittest.TestCase):
-    """The cached search gives the same results as one that checks every runner each time."""
+    """The search, which remembers failed demands, compared with a full search."""
 
     @given(st.integers(0, 10_000))
     def test_finds_the_same_as_a_full_search(self, seed):
