--- a/coltsfootpier/cells/_capacity.py
+++ b/coltsfootpier/cells/_capacity.py
@@ -13,7 +13,7 @@
 from coltsfootpier.cells._interference import InterferenceTable, list_serving
 from coltsfootpier.cells._state import Runner
 
-# Period for which measured capacities and delays are used, in ms; loads swing within seconds.
+# Time for which measured capacities and delays are reused; loads swing within seconds.
 REFRESH_MS = 250.0
 # Minimum share of the unused CPU assumed to be available to an image, so that an image without
 # any at the moment isn't permanently ranked behind all others.
@@ -33,8 +33,8 @@
         self._table = table
         # CPU in thousandths of a core that each image could use alone on each runner.
         self._free_cpus: list[dict[str, float]] = []
-        self._totals: dict[str, float] = {}
-        self._unused = 0.0
+        self._total_cpus: dict[str, float] = {}
+        self._unused_cpu = 0.0
 
     def measure(self, runners: Iterable[Runner], images: Iterable[str]) -> None:
         """Measure the capacity for each image on the runners of the service now.
@@ -48,29 +48,29 @@
         """
         images = set(images)
         self._free_cpus = []
-        self._totals = dict.fromkeys(images, 0.0)
-        self._unused = 0.0
+        self._total_cpus = dict.fromkeys(images, 0.0)
+        self._unused_cpu = 0.0
         for runner in runners:
-            unused = _measure_unused(runner)
-            self._unused += unused
+            unused = _measure_unused_cpu(runner)
+            self._unused_cpu += unused
             headrooms = self._table.list_headrooms(runner)
             free_cpu = {
                 image: min(unused, self._table.limit_cpu(headrooms, image, runner.entry.cpu_milli))
                 for image in images
             }
             for image, cpu in free_cpu.items():
-                self._totals[image] += cpu
+                self._total_cpus[image] += cpu
             self._free_cpus.append(free_cpu)
 
-    def share(self, image: str) -> float:
+    def estimate_share(self, image: str) -> float:
         """Return the share of the unused CPU that an image can use, up to 1."""
-        if self._unused <= 0 or image not in self._totals:
+        if self._unused_cpu <= 0 or image not in self._total_cpus:
             return 1.0
-        return max(_MIN_SHARE, self._totals[image] / self._unused)
+        return max(_MIN_SHARE, self._total_cpus[image] / self._unused_cpu)
 
-    def total(self, image: str) -> float:
+    def estimate_total_cpu(self, image: str) -> float:
         """Return the CPU in thousandths of a core that an image could use if it ran alone."""
-        return self._totals.get(image, self._unused)
+        return self._total_cpus.get(image, self._unused_cpu)
 
     def estimate_delays(self, work: Mapping[str, float]) -> dict[str, float]:
         """Return the time in ms until the work of each image is done beside that of the others.
@@ -84,31 +84,33 @@
         work : Mapping of str to float
             Work by image, in thousandths of a core times ms.
         """
-        busy = [0.0] * len(self._free_cpus)
+        # Time in ms at which each runner becomes free.
+        busy_until_ms = [0.0] * len(self._free_cpus)
         delays: dict[str, float] = {}
-        for image in sorted(work, key=self.total):
-            caps = [free_cpu.get(image, 0.0) for free_cpu in self._free_cpus]
+        for image in sorted(work, key=self.estimate_total_cpu):
+            image_cpus = [free_cpu.get(image, 0.0) for free_cpu in self._free_cpus]
             order = sorted(
-                (index for index, cap in enumerate(caps) if cap > 0), key=busy.__getitem__
+                (index for index, cpu in enumerate(image_cpus) if cpu > 0),
+                key=busy_until_ms.__getitem__,
             )
-            remaining, rate, level = work[image], 0.0, 0.0
+            remaining, available_cpu, reached_ms = work[image], 0.0, 0.0
             for index in order:
                 # All runners that are already free work until the next one becomes free.
-                if rate * (busy[index] - level) >= remaining:
+                if available_cpu * (busy_until_ms[index] - reached_ms) >= remaining:
                     break
-                remaining -= rate * (busy[index] - level)
-                level = busy[index]
-                rate += caps[index]
-            if rate <= 0:
+                remaining -= available_cpu * (busy_until_ms[index] - reached_ms)
+                reached_ms = busy_until_ms[index]
+                available_cpu += image_cpus[index]
+            if available_cpu <= 0:
                 delays[image] = float("inf") if remaining > 0 else 0.0
                 continue
-            delays[image] = level + remaining / rate
+            delays[image] = reached_ms + remaining / available_cpu
             for index in order:
-                busy[index] = max(busy[index], delays[image])
+                busy_until_ms[index] = max(busy_until_ms[index], delays[image])
         return delays
 
 
-def _measure_unused(runner: Runner) -> float:
+def _measure_unused_cpu(runner: Runner) -> float:
     """Return the CPU that serving and urgent tasks leave unused, in thousandths of a core."""
     used = float(runner.guaranteed_cpu - runner.serving_cpu)
     used += sum(run.step.cpu_milli * run.load for run in list_serving(runner))
--- a/coltsfootpier/cells/_cordons.py
+++ b/coltsfootpier/cells/_cordons.py
@@ -53,14 +53,14 @@
         return float(runner.guaranteed_cpu + runner.best_effort_cpu)
 
     def is_idle(self, runner_id: str) -> bool:
-        """Return whether a runner has only long-running tasks, which never end by themselves."""
+        """Return whether all tasks on a runner are long-running; these never end on their own."""
         runner = self._fleet.runners.get(runner_id)
         return runner is None or all(run.step.long_running for run in runner.runs.values())
 
     def can_end_runs(self, runner_id: str) -> bool:
-        """Return whether all runs on a runner may end at once."""
+        """Return whether all runs on a runner may end at once without breaking a step's limit."""
         runner = self._fleet.runners.get(runner_id)
-        return runner is None or not self._list_limited(runner)
+        return runner is None or not self._list_blocking_steps(runner)
 
     def mark_ending(self, runner_id: str) -> None:
         """Count the runs on a runner as unavailable from now on."""
@@ -85,7 +85,7 @@
     def choose_evacuated_run(
         self, has_alternative: Callable[[Run, Runner], bool], now_ms: float, *, period_ms: float
     ) -> Run | None:
-        """Return a run whose move brings a cordoned runner closer to its maintenance.
+        """Return a run that blocks the maintenance of a cordoned runner and may move off it now.
 
         Parameters
         ----------
@@ -99,7 +99,7 @@
         for runner in self._fleet.runners.values():
             if not runner.cordoned or runner.shutting_down:
                 continue
-            for step in self._list_limited(runner):
+            for step in self._list_blocking_steps(runner):
                 if now_ms - step.last_move_ms < period_ms or self._count_unavailable(step) + 1 > (
                     step.spec.may_miss
                 ):
@@ -110,7 +110,7 @@
                         return run
         return None
 
-    def _list_limited(self, runner: Runner) -> list[StepRun]:
+    def _list_blocking_steps(self, runner: Runner) -> list[StepRun]:
         """Return the steps that would exceed their limit on unavailable tasks without a runner."""
         steps = {run.step_run.id: run.step_run for run in runner.runs.values() if _is_ready(run)}
         return [
