Clarify names and docstrings of the router

Several docstrings left out units, results or the subject, and private names were bare nouns. They now say what is returned and in which unit, and private functions have verbs.

--- a/coltsfootpier/routing/_assignment.py
+++ b/coltsfootpier/routing/_assignment.py
@@ -9,7 +9,7 @@
 from coltsfootpier.ownership import rank_by_rendezvous
 from coltsfootpier.routing._messages import Runner
 
-# Number of slots by runner and owning member.
+# Number of slots by runner identifier and owning member.
 SlotTable = Mapping[str, Mapping[str, int]]
 
 
@@ -45,12 +45,13 @@
 
 
 class BalancedAssignment:
-    """Assignment of equally many slots (within one) to each member, preferring near runners.
+    """Assignment of an equal number of slots, within one, to each member (default).
 
-    Slots are ordered by availability zone and then round robin over its runners. The ordered
-    list is split into equal ranges for the members, which are ordered by availability zone too.
-    As a result a member's slots are spread over the runners of its availability zone, so that a
-    failing runner takes only a few slots from each member.
+    Slots are ordered by availability zone, and in round-robin order over the runners of a zone.
+    The ordered list is split into equal ranges for the members, which are ordered by availability
+    zone too. As far as the sizes of the zones allow, a member's slots are therefore spread over
+    the runners of its own availability zone, so that a failing runner takes only a few slots from
+    each member.
 
     Examples
     --------
--- a/coltsfootpier/routing/_health.py
+++ b/coltsfootpier/routing/_health.py
@@ -10,31 +10,35 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.routing._messages import AttemptResult, Feedback
 
-# Weight of the newest sample in the moving averages; covers about the last twenty responses.
+# Weight of the newest sample in the exponential moving averages, which therefore cover about the
+# last twenty samples.
 _SMOOTHING_FACTOR = 0.05
 # Bounds of one slowness sample, so that a single outlier neither starves a runner nor attracts
 # all requests to it.
 _SLOWNESS_BOUNDS = (0.25, 4.0)
-# Half-life of the decay of the measured slowness towards 1, so that a slow runner receives
-# requests again.
+# Half-life of the decay of the measured slowness towards 1. Without the decay, a slow runner
+# might receive no more requests and never be measured again.
 _SLOWNESS_HALF_LIFE_MS = 5_000.0
 # Consecutive failures of distinct requests after which a runner is ejected.
-_EJECT_FAILURES = 5
-_PROBE_DELAY_MS = 1_000.0
+_MIN_EJECTION_FAILURES = 5
+# Time for which a runner is blocked before it is probed; doubles with each further failure, up to
+# the maximum.
+_INITIAL_PROBE_DELAY_MS = 1_000.0
 _MAX_PROBE_DELAY_MS = 30_000.0
-# Maximum time for which a probe blocks a runner if its feedback is lost.
+# Maximum time for which a probe blocks a runner if the probe's feedback is lost.
 _PROBE_TIMEOUT_MS = 10_000.0
 
 
 @attrs.define
 class _RunnerRecord:
+    # Response time relative to the average of the request kind.
     slowness: float = 1.0
-    measured_ms: float = 0.0
+    measured_at_ms: float = 0.0
     rejection_rate: float = 0.0
     failed_requests: set[str] = attrs.field(factory=set)
-    ejected: bool = False
+    is_ejected: bool = False
     blocked_until_ms: float = 0.0
-    backoff_ms: float = _PROBE_DELAY_MS
+    probe_delay_ms: float = _INITIAL_PROBE_DELAY_MS
 
 
 class RunnerHealth:
@@ -53,12 +57,12 @@
         self._service_response_ms: dict[str, float] = {}
         self._peer_ejected: dict[str, frozenset[str]] = {}
 
-    def retain(self, runner_ids: Collection[str]) -> None:
+    def retain_runners(self, runner_ids: Collection[str]) -> None:
         """Remove the records of runners that aren't in `runner_ids`."""
         for id_ in self._records.keys() - set(runner_ids):
             del self._records[id_]
 
-    def observe_peer(self, peer: str, ejected: Collection[str]) -> None:
+    def observe_peer_ejections(self, peer: str, ejected: Collection[str]) -> None:
         """Replace the set of runners that a peer has ejected."""
         self._peer_ejected[peer] = frozenset(ejected)
 
@@ -68,7 +72,7 @@
             peer: ids for peer, ids in self._peer_ejected.items() if peer in members
         }
 
-    def observe(
+    def record_result(
         self, service: str, kind: str, runner_id: str, feedback: Feedback, runners: Collection[str]
     ) -> None:
         """Update the record of a runner with the result of one attempt.
@@ -92,18 +96,20 @@
         now_ms = self._clock.now_ms()
         if feedback.result is AttemptResult.ANSWERED:
             record.failed_requests.clear()
-            record.ejected = False
+            record.is_ejected = False
             record.blocked_until_ms = 0.0
-            record.backoff_ms = _PROBE_DELAY_MS
+            record.probe_delay_ms = _INITIAL_PROBE_DELAY_MS
             self._update_estimates(service, kind, record, feedback.elapsed_ms)
             return
-        if feedback.result is AttemptResult.UNREACHABLE or record.ejected:
+        if feedback.result is AttemptResult.UNREACHABLE or record.is_ejected:
             # The runner accepts no connection, or a probe of an ejected runner failed.
             self._block(record, now_ms)
             return
         record.failed_requests.add(feedback.request_id)
-        if len(record.failed_requests) >= _EJECT_FAILURES and self._may_eject(runner_id, runners):
-            record.ejected = True
+        if len(record.failed_requests) >= _MIN_EJECTION_FAILURES and self._may_eject(
+            runner_id, runners
+        ):
+            record.is_ejected = True
             self._block(record, now_ms)
 
     def is_usable(self, runner_id: str) -> bool:
@@ -123,37 +129,48 @@
 
     def ejected(self) -> tuple[str, ...]:
         """Return the runners that this daemon has ejected."""
-        return tuple(sorted(id_ for id_, record in self._records.items() if record.ejected))
+        return tuple(sorted(id_ for id_, record in self._records.items() if record.is_ejected))
 
     def limit_ejections(self, runners: Collection[str]) -> None:
-        """Revert ejections where all daemons together have ejected more than a third.
+        """Revert own ejections if all daemons together have ejected too many runners of a service.
 
-        Daemons may eject different runners before they receive each other's ejections. All of
-        them keep the same third, the runners with the lowest identifiers.
+        Daemons may eject different runners before they receive each other's ejections. If these
+        are more than a third of the service's runners, every daemon keeps only the ejections of
+        the same third: those with the lowest identifiers among the ejected ones.
+
+        Parameters
+        ----------
+        runners : collection of str
+            All runners of the service.
         """
-        kept = sorted(self._all_ejected(runners))[: len(runners) // 3]
+        kept = sorted(self._list_all_ejected(runners))[: len(runners) // 3]
         for id_ in runners:
             record = self._records.get(id_)
-            if record is not None and record.ejected and id_ not in kept:
+            if record is not None and record.is_ejected and id_ not in kept:
                 self._records[id_] = _RunnerRecord()
 
     def slowness(self, runner_id: str) -> float:
-        """Return the response time of a runner relative to the average of the request kinds."""
+        """Return the response time of a runner relative to the average of the request kinds.
+
+        The result is 1 if nothing has been measured, and decays towards 1 since the last
+        measurement.
+        """
         record = self._records.get(runner_id)
         if record is None:
             return 1.0
-        age_ms = self._clock.now_ms() - record.measured_ms
+        age_ms = self._clock.now_ms() - record.measured_at_ms
         return 1.0 + (record.slowness - 1.0) * 0.5 ** (age_ms / _SLOWNESS_HALF_LIFE_MS)
 
     def rejection_rate(self, runner_id: str) -> float:
-        """Return the share of recent requests that a runner rejected before starting them."""
+        """Return the fraction of recent requests that a runner rejected before starting them."""
         record = self._records.get(runner_id)
         return record.rejection_rate if record is not None else 0.0
 
     def response_ms(self, service: str, kind: str = "") -> float:
-        """Return the average response time of a request kind, or else of its service.
+        """Return the average response time of a request kind in milliseconds.
 
-        The result is 0 if nothing has been measured.
+        If the kind has not been measured, the result is the average of its service, or 0 if that
+        has not been measured either.
         """
         return self._kind_response_ms.get((service, kind)) or self._service_response_ms.get(
             service, 0.0
@@ -166,7 +183,7 @@
         ratio = elapsed_ms / max(average_ms, 0.1)
         low, high = _SLOWNESS_BOUNDS
         record.slowness += _SMOOTHING_FACTOR * (min(high, max(low, ratio)) - record.slowness)
-        record.measured_ms = self._clock.now_ms()
+        record.measured_at_ms = self._clock.now_ms()
         self._kind_response_ms[service, kind] = average_ms + _SMOOTHING_FACTOR * (
             elapsed_ms - average_ms
         )
@@ -175,14 +192,14 @@
             elapsed_ms - service_average_ms
         )
 
-    def _all_ejected(self, runners: Collection[str]) -> set[str]:
+    def _list_all_ejected(self, runners: Collection[str]) -> set[str]:
         all_ejected = set(self.ejected()).union(*self._peer_ejected.values())
         return all_ejected & set(runners)
 
     def _may_eject(self, runner_id: str, runners: Collection[str]) -> bool:
-        return len(self._all_ejected(runners) | {runner_id}) <= len(runners) // 3
+        return len(self._list_all_ejected(runners) | {runner_id}) <= len(runners) // 3
 
     @staticmethod
     def _block(record: _RunnerRecord, now_ms: float) -> None:
-        record.blocked_until_ms = now_ms + record.backoff_ms
-        record.backoff_ms = min(2 * record.backoff_ms, _MAX_PROBE_DELAY_MS)
+        record.blocked_until_ms = now_ms + record.probe_delay_ms
+        record.probe_delay_ms = min(2 * record.probe_delay_ms, _MAX_PROBE_DELAY_MS)
--- a/coltsfootpier/routing/_messages.py
+++ b/coltsfootpier/routing/_messages.py
@@ -8,7 +8,10 @@
 
 
 class Outcome(enum.Enum):
-    """Outcome of a caller's request."""
+    """Outcome of a caller's request.
+
+    With ``REFUSED``, the request was not run. With ``UNKNOWN``, it may have run.
+    """
 
     DONE = "done"
     REFUSED = "refused"
@@ -17,7 +20,7 @@
 
 
 class RejectionReason(enum.Enum):
-    """Reason for rejecting a request, which was not run."""
+    """Reason for rejecting a request; a rejected request has not been run."""
 
     UNKNOWN_SERVICE = "unknown_service"
     BAD_REQUEST = "bad_request"
@@ -38,7 +41,7 @@
     Parameters
     ----------
     id : str
-        Task name and attempt.
+        Task name and attempt number, for example ``service/web/0#1``.
     address : str
         ``IP:PORT``.
     slots, connections : int
@@ -58,7 +61,7 @@
 
 
 class TicketState(enum.Enum):
-    """State of a ticket, which is settled exactly once."""
+    """State of a ticket, which is settled exactly once: granted, rejected or withdrawn."""
 
     NEW = "new"
     WAITING = "waiting"
@@ -73,15 +76,14 @@
 
     Parameters
     ----------
-    deadline_ms : float
-        Deadline on the daemon's clock.
+    deadline_ms, arrived_ms : float
+        Deadline and arrival time on the daemon's clock.
     excluded : set of str
         Runners that this request must not be sent to again.
     waited_ms : float
-        Time spent waiting for slots.
+        Time spent waiting for slots in milliseconds.
     borrower : str
-        Member that borrows the slot for a request of its own; empty for a request of this
-        daemon.
+        Peer that borrows the slot for a request of its own; empty for a request of this daemon.
     """
 
     service: str
@@ -96,7 +98,7 @@
 
 
 class AttemptResult(enum.Enum):
-    """Result of an attempt, as far as it concerns the runner."""
+    """What the result of an attempt says about the runner."""
 
     ANSWERED = "answered"
     FAILED = "failed"
@@ -116,8 +118,11 @@
 
     Parameters
     ----------
+    elapsed_ms : float
+        Duration of the attempt in milliseconds; used only with ``ANSWERED``.
     request_id : str
-        Identifies the request, so that one request that fails on every runner ejects none.
+        Identifier of the request. Repeated failures of one request count once, so that a request
+        that fails on every runner ejects none.
     leaving : bool
         Whether the runner reported that it is shutting down.
     """
@@ -130,7 +135,7 @@
 
 @attrs.frozen(kw_only=True)
 class Share:
-    """Declared share of a request kind in its service's slots.
+    """Declared share of a service's slots for one request kind.
 
     Parameters
     ----------
@@ -153,10 +158,10 @@
 
     Parameters
     ----------
-    token : int
-        Unique within the owner.
     owner : str
         Member that owns the slot.
+    token : int
+        Identifier of the grant, unique within the owner.
     kind : str
         Request kind that the slot was granted for.
     """
@@ -177,7 +182,7 @@
 
 @attrs.frozen(kw_only=True)
 class Queued:
-    """Decision to queue a ticket, which a later release, loan or expiry settles."""
+    """Decision to queue a ticket until it gets a slot, is rejected or is withdrawn."""
 
 
 @attrs.frozen(kw_only=True)
--- a/coltsfootpier/routing/_policies.py
+++ b/coltsfootpier/routing/_policies.py
@@ -23,19 +23,20 @@
     runner : Runner
         The runner.
     outstanding : int
-        Grants for the runner that this daemon has issued and not got back.
+        Number of this daemon's grants for the runner that have not been released yet.
     slots : int
-        Slots of the runner that this daemon owns.
+        Number of the runner's slots that this daemon owns.
     slowness : float
         Response time relative to the average of the request kind; 1 if not measured.
     response_ms : float
-        Average response time of the request kind or of its service; 0 if not measured.
+        Average response time of the request kind in milliseconds, or else of its service; 0 if
+        neither is measured.
     is_near : bool
         Whether the runner is in the daemon's availability zone.
     zone_delay_ms : float
-        Additional round-trip time to the runner's availability zone.
+        Additional round-trip time to the runner's availability zone in milliseconds.
     rejection_rate : float
-        Share of recent requests that the runner rejected before starting them.
+        Fraction of recent requests that the runner rejected before starting them.
     """
 
     runner: Runner
@@ -108,7 +109,7 @@
 
 
 class MeasuredDelayPolicy:
-    """Choice of the runner with the shortest expected response time.
+    """Choice of the runner with the shortest expected response time (default).
 
     The expected time is the measured response time, increased with the runner's occupancy and
     rejection rate, plus the delay to its availability zone. Runners of the daemon's
@@ -117,12 +118,12 @@
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
         """Return the candidate with the shortest expected response time."""
-        return min(candidates, key=_expected_response_ms)
+        return min(candidates, key=_estimate_response_ms)
 
 
-def _expected_response_ms(candidate: Candidate) -> float:
+def _estimate_response_ms(candidate: Candidate) -> float:
     occupancy = candidate.outstanding / candidate.slots
     base_ms = max(candidate.response_ms, 1.0) * candidate.slowness
     expected_ms = base_ms * (1 + _OCCUPANCY_WEIGHT * occupancy) + candidate.zone_delay_ms
-    # Each rejection costs another attempt, so divides by the expected acceptance rate.
+    # Each rejection costs another attempt, so the time is divided by the acceptance rate.
     return expected_ms / max(0.1, 1 - candidate.rejection_rate)
--- a/coltsfootpier/routing/_queues.py
+++ b/coltsfootpier/routing/_queues.py
@@ -11,22 +11,23 @@
 
 from coltsfootpier.routing._messages import RejectionReason, Share, Ticket
 
-# Lower bound of a kind's share, so that a kind without a guaranteed share still makes progress
-# when the guarantees of the other kinds add up to all slots.
+# Lower bound of a kind's share, as a fraction of the slots, so that a kind without a guaranteed
+# share still makes progress when the guarantees of the other kinds add up to all slots.
 _MIN_SHARE = 0.001
 # Number of requests that every kind may queue, however small its share, so that short bursts
 # aren't rejected.
 _MIN_QUEUE_LENGTH = 8
 # A queue whose oldest request has waited for more than this fraction of its time to the
 # deadline is overloaded; it serves the newest requests first.
-_OVERLOAD_FRACTION = 0.5
-# Fraction of its share up to which a kind's priority decides the order. With the whole share, an
-# urgent kind under overload would take the last slot each time and keep the others below their
-# shares.
-_PRIORITY_FRACTION = 0.5
-# Time constant of the average slot use that is compared with the shares. Without averaging, a
-# kind with a share of one or two slots would have to wait in every short burst.
-_AVERAGING_MS = 300.0
+_OVERLOAD_WAIT_FRACTION = 0.5
+# Fraction of its share below which a kind is served in order of priority. If priority counted up to
+# the whole share, an overloaded urgent kind would take the last slot each time and keep the other
+# kinds below their shares.
+_PRIORITY_SHARE_FRACTION = 0.5
+# Time constant of the moving average of a kind's slot use, which is compared with its share.
+# Without averaging, a kind with a share of one or two slots would have to wait in every short
+# burst.
+_AVERAGING_TIME_MS = 300.0
 
 
 @attrs.define
@@ -45,7 +46,7 @@
     busy: Counter[tuple[str, str]] = attrs.field(factory=Counter)
 
     def count_busy(self, kind: str) -> int:
-        """Return the number of slots that a request kind uses, over all teams."""
+        """Return the number of slots that the requests of a kind use, over all teams."""
         return sum(count for (_, used_kind), count in self.busy.items() if used_kind == kind)
 
 
@@ -61,7 +62,15 @@
         ...
 
     def pop_next(self, use: SlotUse, can_serve: Callable[[Ticket], bool]) -> Ticket | None:
-        """Remove and return the request that gets the next free slot."""
+        """Remove and return the request that gets the next free slot, or return None.
+
+        Parameters
+        ----------
+        use : SlotUse
+            Current use of the daemon's slots.
+        can_serve : callable
+            Returns whether one of the free slots can serve a request.
+        """
         ...
 
     def drop_late(self, *, check_all: bool = False) -> list[Ticket]:
@@ -78,8 +87,8 @@
         """Remove a request if it is there."""
         ...
 
-    def next_tickets(self) -> list[Ticket]:
-        """Return the request to serve next of each kind."""
+    def list_next_tickets(self) -> list[Ticket]:
+        """Return the waiting requests to serve next, one of each kind that the queue separates."""
         ...
 
 
@@ -147,19 +156,19 @@
         if ticket in self._tickets:
             self._tickets.remove(ticket)
 
-    def next_tickets(self) -> list[Ticket]:
+    def list_next_tickets(self) -> list[Ticket]:
         """Return the oldest request."""
         return self._tickets[:1]
 
 
 class FairQueue:
-    """Weighted fair queue over request kinds, and over the teams of a kind.
+    """Weighted fair queue over request kinds, and over the teams of each kind (default).
 
-    The share of a kind is its guaranteed fraction plus a part of the unguaranteed slots in
-    proportion to its weight. Kinds that use less than half of their share are served first, in
-    order of priority; the others follow in order of the fraction of their share that they use.
-    Slots that a kind doesn't need are used by other kinds, and return to it as their requests
-    end.
+    The share of a kind is its guaranteed fraction of the slots plus a part of the unguaranteed
+    fraction in proportion to its weight. Kinds that use less than half of their share are served
+    first, in order of priority. The others follow, those that use the smallest fraction of their
+    share first. Slots that a kind doesn't need are used by other kinds, and the kind gets them
+    back as the requests of the others end.
 
     Parameters
     ----------
@@ -171,20 +180,21 @@
         self._context = context
         self._queues: dict[tuple[str, str], deque[Ticket]] = defaultdict(deque)
         self._size = 0
-        self._averages: dict[str, tuple[float, float]] = {}
+        # Time of the last update and average slot use, by kind.
+        self._average_use: dict[str, tuple[float, float]] = {}
 
     def __len__(self) -> int:
         return self._size
 
     def admit(self, ticket: Ticket, use: SlotUse) -> RejectionReason | None:
-        """Add a request unless its queue is full or too long for its deadline."""
+        """Add a request unless the queue is full or too long to meet the request's deadline."""
         queue = self._queues[ticket.team, ticket.kind]
         response_ms = self._context.response_ms(ticket.kind)
         left_ms = ticket.deadline_ms - self._context.now_ms()
-        slots = self._available_slots(ticket.kind, use)
+        slots = self._count_available_slots(ticket.kind, use)
         if left_ms < response_ms + (len(queue) + 1) * response_ms / slots:
             return RejectionReason.DEADLINE
-        share = self._share(ticket.kind)
+        share = self._compute_share(ticket.kind)
         if len(queue) >= max(_MIN_QUEUE_LENGTH, share * self._context.max_length):
             return RejectionReason.QUEUE_FULL
         if self._size >= self._context.max_length + _MIN_QUEUE_LENGTH:
@@ -196,7 +206,7 @@
     def pop_next(self, use: SlotUse, can_serve: Callable[[Ticket], bool]) -> Ticket | None:
         """Remove and return the request that gets the next free slot."""
         for queue in self._order_queues(use):
-            index = self._first_servable(queue, can_serve)
+            index = self._find_first_servable(queue, can_serve)
             if index is not None:
                 ticket = queue[index]
                 del queue[index]
@@ -226,14 +236,14 @@
             queue.remove(ticket)
             self._size -= 1
 
-    def next_tickets(self) -> list[Ticket]:
-        """Return the request to serve next of each kind and team."""
+    def list_next_tickets(self) -> list[Ticket]:
+        """Return the request to serve next of each team and kind."""
         return [
             queue[-1] if self._is_overloaded(queue) else queue[0]
-            for queue in self._non_empty_queues()
+            for queue in self._list_non_empty_queues()
         ]
 
-    def _non_empty_queues(self) -> list[deque[Ticket]]:
+    def _list_non_empty_queues(self) -> list[deque[Ticket]]:
         return [queue for queue in self._queues.values() if queue]
 
     def _order_queues(self, use: SlotUse) -> list[deque[Ticket]]:
@@ -241,25 +251,26 @@
         if len(keys) == 1:
             return [self._queues[keys[0]]]
         kinds = {kind for _, kind in keys}
-        ranks = {kind: self._rank(kind, use) for kind in kinds}
+        ranks = {kind: self._compute_rank(kind, use) for kind in kinds}
         keys.sort(key=lambda key: (ranks[key[1]], use.busy[key]))
         return [self._queues[key] for key in keys]
 
-    def _rank(self, kind: str, use: SlotUse) -> tuple[bool, int, float]:
+    def _compute_rank(self, kind: str, use: SlotUse) -> tuple[bool, int, float]:
         busy = self._smooth_use(kind, use.count_busy(kind))
-        used_fraction = busy / (self._share(kind) * max(1, use.slots))
-        if used_fraction >= _PRIORITY_FRACTION:
+        used_fraction = busy / (self._compute_share(kind) * max(1, use.slots))
+        if used_fraction >= _PRIORITY_SHARE_FRACTION:
             return True, 0, used_fraction
         return False, -self._context.shares.get(kind, Share()).priority, used_fraction
 
     def _smooth_use(self, kind: str, busy: int) -> float:
         now_ms = self._context.now_ms()
-        previous_ms, average = self._averages.get(kind, (now_ms, float(busy)))
-        average += (busy - average) * (1 - math.exp((previous_ms - now_ms) / _AVERAGING_MS))
-        self._averages[kind] = (now_ms, average)
+        previous_ms, average = self._average_use.get(kind, (now_ms, float(busy)))
+        average += (busy - average) * (1 - math.exp((previous_ms - now_ms) / _AVERAGING_TIME_MS))
+        self._average_use[kind] = (now_ms, average)
+        # The average may be at most one slot below the current use, and never above it.
         return min(busy, max(average, busy - 1.0))
 
-    def _share(self, kind: str) -> float:
+    def _compute_share(self, kind: str) -> float:
         shares = self._context.shares
         share = shares.get(kind, Share())
         weights = sum(declared.weight for declared in shares.values())
@@ -268,19 +279,19 @@
         unguaranteed = 1.0 - sum(declared.guaranteed for declared in shares.values())
         return max(_MIN_SHARE, share.guaranteed + unguaranteed * share.weight / weights)
 
-    def _available_slots(self, kind: str, use: SlotUse) -> float:
-        """Return the number of slots that a kind can use at the current load of other kinds."""
+    def _count_available_slots(self, kind: str, use: SlotUse) -> float:
+        """Return how many slots a kind can use while the other kinds have their current load."""
         waiting = Counter[str]()
         for (_, other), queue in self._queues.items():
             waiting[other] += len(queue)
         others = {other for _, other in use.busy} | set(waiting)
         used_by_others = sum(
-            min(self._share(other) * use.slots, use.count_busy(other) + waiting[other])
+            min(self._compute_share(other) * use.slots, use.count_busy(other) + waiting[other])
             for other in others - {kind}
         )
         return max(1.0, use.slots - used_by_others)
 
-    def _first_servable(
+    def _find_first_servable(
         self, queue: deque[Ticket], can_serve: Callable[[Ticket], bool]
     ) -> int | None:
         indices = range(len(queue))
@@ -299,7 +310,7 @@
     def _is_overloaded(self, queue: deque[Ticket]) -> bool:
         oldest = queue[0]
         waited_ms = self._context.now_ms() - oldest.arrived_ms
-        return waited_ms > _OVERLOAD_FRACTION * (oldest.deadline_ms - oldest.arrived_ms)
+        return waited_ms > _OVERLOAD_WAIT_FRACTION * (oldest.deadline_ms - oldest.arrived_ms)
 
     def _is_late(self, ticket: Ticket, response_ms: float) -> bool:
         return ticket.deadline_ms <= self._context.now_ms() + response_ms
--- a/coltsfootpier/routing/_retries.py
+++ b/coltsfootpier/routing/_retries.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 
 _RETRIES_PER_REQUEST = 0.1
-# Time reserved for a retry, in multiples of the average response time.
+# Time reserved for a retry, as a multiple of the average response time.
 _RETRY_RESERVE_RESPONSES = 2.0
 # Maximum number of unspent retries of a service; bounds the burst of retries after a fault.
 _MAX_SAVED_RETRIES = 20.0
@@ -17,14 +17,15 @@
     Parameters
     ----------
     left_ms : float
-        Time left to the deadline.
+        Time left to the deadline in milliseconds.
     response_ms : float
-        Average response time; 0 if not measured.
+        Average response time in milliseconds; 0 if not measured.
 
     Returns
     -------
     float
-        At least half of the time left, and more if a retry needs less than the other half.
+        Timeout in milliseconds: at least half of the time left, and more if a retry needs less
+        than the other half.
 
     Examples
     --------
--- a/coltsfootpier/routing/_router.py
+++ b/coltsfootpier/routing/_router.py
@@ -1,4 +1,4 @@
-"""State machine of the router in one daemon."""
+"""State machine with which one daemon grants slots of runners to requests."""
 
 from __future__ import annotations
 
@@ -32,13 +32,13 @@
 
 # Time after a request's deadline at which a slot that was never released is freed.
 _LOST_GRANT_TIMEOUT_MS = 5_000.0
-# Maximum number of pending slot requests to one peer per service, however many requests wait
-# here.
+# Maximum number of pending slot requests to one peer per service, however many requests are
+# waiting.
 _MAX_PENDING_BORROWS = 8
-# Time before a slot is requested again from a peer that declined, unless a heartbeat reports free
-# slots.
+# Time before a slot is requested again from a peer that declined, unless the peer's heartbeat
+# reports free slots.
 _DECLINED_RETRY_DELAY_MS = 200.0
-# Additional round-trip time assumed for runners of other availability zones.
+# Additional round-trip time assumed for runners in other availability zones.
 _ZONE_DELAY_MS = 8.0
 
 
@@ -47,7 +47,7 @@
 
 
 class TicketSettledError(InvariantError):
-    """Raised when a settled ticket would be settled again."""
+    """Raised when the state of a settled ticket would change again."""
 
 
 @attrs.frozen
@@ -59,43 +59,49 @@
 @attrs.define(kw_only=True)
 class _RunnerSlots:
     runner: Runner
+    # Number of slots that this daemon owns, and its unreleased grants by token.
     owned: int = 0
     grants: dict[int, _IssuedGrant] = attrs.field(factory=dict)
 
 
 @attrs.define
 class _Peer:
+    # Reported free slots, pending slot requests and time of the last declined one, by service.
     free: dict[str, int] = attrs.field(factory=dict)
     pending_borrows: Counter[str] = attrs.field(factory=Counter)
-    declined_ms: dict[str, float] = attrs.field(factory=dict)
+    declined_at_ms: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
-class _Service:
+class _ServiceState:
     queue: WaitingQueue
     context: QueueContext
     runners: list[str] = attrs.field(factory=list)
     busy: Counter[tuple[str, str]] = attrs.field(factory=Counter)
-    peer_slots: Counter[str] = attrs.field(factory=Counter)
+    # Number of owned slots by member, this daemon included.
+    member_slots: Counter[str] = attrs.field(factory=Counter)
 
 
 class Router:
     """Router that grants slots of runners to requests.
 
+    Each daemon grants only the slots that it owns, and borrows slots from its peers for requests
+    that would have to wait.
+
     Parameters
     ----------
     clock : Clock
         Time source.
     availability_zone : str
-        Availability zone of this daemon; its runners are preferred.
+        Availability zone of this daemon; runners in it are preferred.
     queue_length : int
         Maximum number of waiting requests of a service.
-    policy : RunnerPolicy, optional
+    policy : RunnerPolicy, default=MeasuredDelayPolicy()
         Policy that chooses among the runners with a free slot.
-    assignment : SlotAssignment, optional
+    assignment : SlotAssignment, default=BalancedAssignment()
         Assignment of slots to daemons.
-    make_queue : callable, optional
-        Factory of the queue of a service.
+    make_queue : callable, default=FairQueue
+        Creates the queue of a service.
     """
 
     def __init__(
@@ -116,21 +122,29 @@
         self._make_queue = make_queue
         self._member = ""
         self._members: dict[str, str] = {}
-        self._tables: dict[str, tuple[int, tuple[Runner, ...]]] = {}
+        self._runner_tables: dict[str, tuple[int, tuple[Runner, ...]]] = {}
         self._slots: dict[str, _RunnerSlots] = {}
-        self._services: dict[str, _Service] = {}
+        self._services: dict[str, _ServiceState] = {}
         self._shares: dict[str, dict[str, Share]] = {}
-        self._leaving: set[str] = set()
+        self._leaving_runners: set[str] = set()
         self._peers: dict[str, _Peer] = defaultdict(_Peer)
         self._last_token = 0
-        self._overdue: list[tuple[float, str, int]] = []
+        self._overdue_grants: list[tuple[float, str, int]] = []
         self.health = RunnerHealth(clock=clock)
         self.retries = RetryBudget()
 
-    # Inputs
+    # Observed state
 
     def observe_members(self, member: str, members: Mapping[str, str]) -> None:
-        """Update this daemon's identifier and the availability zones of reachable members."""
+        """Update this daemon's identifier and the reachable members.
+
+        Parameters
+        ----------
+        member : str
+            Identifier of this daemon.
+        members : mapping of str to str
+            Availability zone of each reachable member.
+        """
         known = {**members, member: self._availability_zone}
         if (member, known) == (self._member, self._members):
             return
@@ -140,16 +154,16 @@
             self._peers.pop(peer, None)
             self._reclaim_loans(peer)
         self.health.retain_peers(known)
-        self._assign()
+        self._assign_slots()
 
     def observe_runners(self, shard: str, epoch: int, runners: Iterable[Runner]) -> None:
         """Replace the runners of a shard, unless a table of a higher epoch is known."""
-        known_epoch, known = self._tables.get(shard, (-1, ()))
+        known_epoch, known = self._runner_tables.get(shard, (-1, ()))
         found = tuple(runners)
         if epoch < known_epoch or (epoch, found) == (known_epoch, known):
             return
-        self._tables[shard] = (epoch, found)
-        self._rebuild()
+        self._runner_tables[shard] = (epoch, found)
+        self._rebuild_runners()
 
     def observe_shares(self, shares: Mapping[tuple[str, str], Share]) -> None:
         """Replace the shares of the declared request kinds, by service and kind."""
@@ -162,17 +176,17 @@
     def observe_peer(self, peer: str, free: Mapping[str, int], ejected: Iterable[str] = ()) -> None:
         """Update a peer's free slots by service and the runners that it has ejected."""
         self._peers[peer].free = dict(free)
-        self.health.observe_peer(peer, tuple(ejected))
+        self.health.observe_peer_ejections(peer, tuple(ejected))
         for service in self._services.values():
             self.health.limit_ejections(service.runners)
 
     def mark_leaving(self, runner_id: str) -> None:
-        """Grant no further slots of a runner that reported that it is shutting down.
+        """Stop granting slots of a runner that has reported that it is shutting down.
 
-        The mark stays until the runner is no longer in any table.
+        The mark stays until no shard's table contains the runner any more.
         """
         if runner_id in self._slots:
-            self._leaving.add(runner_id)
+            self._leaving_runners.add(runner_id)
 
     # Decisions
 
@@ -194,12 +208,12 @@
         service = self._services.get(ticket.service)
         if service is None or not service.runners:
             return self._reject(ticket, RejectionReason.NO_RUNNER, ticket.service)
-        self._free_overdue()
+        self._free_overdue_slots()
         # This doesn't overtake the queue: a slot is free only if no waiting request can use it.
-        grant = self._grant(ticket)
+        grant = self._try_grant(ticket)
         if grant is not None:
             return grant
-        reason = service.queue.admit(ticket, self._slot_use(service))
+        reason = service.queue.admit(ticket, self._compute_slot_use(service))
         if reason is not None:
             return self._reject(ticket, reason)
         self._change_state(ticket, TicketState.WAITING)
@@ -208,7 +222,7 @@
     def release(
         self, runner_id: str, token: int, feedback: Feedback = Feedback()  # noqa: B008
     ) -> list[Settlement]:
-        """Release a slot and return the waiting requests that this settles.
+        """Release a slot, and grant the free slots to waiting requests.
 
         Parameters
         ----------
@@ -216,6 +230,11 @@
             Runner and token of the grant; an unknown token is ignored.
         feedback : Feedback
             Result of the attempt.
+
+        Returns
+        -------
+        list of Settlement
+            The waiting requests that now get a slot or can no longer meet their deadline.
         """
         slots = self._slots.get(runner_id)
         if slots is None:
@@ -226,28 +245,31 @@
         if issued is None:
             return []
         if feedback.result is AttemptResult.OVERDUE:
-            self._hold_overdue(slots, token)
+            self._hold_overdue_slot(slots, token)
         else:
-            self._free(slots, token)
+            self._free_slot(slots, token)
         service = self._services[slots.runner.service]
         if feedback.result is not AttemptResult.NONE:
-            self.health.observe(
+            self.health.record_result(
                 slots.runner.service, issued.ticket.kind, runner_id, feedback, service.runners
             )
         return self._grant_waiting(slots.runner.service)
 
     def plan_borrows(self, name: str) -> list[Borrow]:
-        """Return the slot requests to send to peers now; each is returned once.
+        """Return the slot requests of a service to send to peers now; each is returned once.
 
-        At most as many slots are requested from a peer as it has reported free. A daemon
-        without usable slots of its own also sends requests to peers that reported none; each of
-        them queues one such request at a time, under fair sharing with its own requests.
+        At most as many slots are requested from a peer as it has reported free. A daemon without
+        usable slots of its own also sends requests to owners that reported no free slot, at most
+        one at a time to each of them. The owner queues such a request in fair sharing with its
+        own requests.
         """
         service = self._services.get(name)
         if service is None:
             return []
         planned: list[Borrow] = []
-        own_tickets = [ticket for ticket in service.queue.next_tickets() if not ticket.borrower]
+        own_tickets = [
+            ticket for ticket in service.queue.list_next_tickets() if not ticket.borrower
+        ]
         missing_slots = len(service.queue) - sum(
             peer.pending_borrows[name] for peer in self._peers.values()
         )
@@ -262,7 +284,7 @@
     def settle_borrow(
         self, peer: str, service: str, grant: Grant | None, free: int | None = None
     ) -> Settlement | None:
-        """Handle the response to a `Borrow`.
+        """Apply a peer's response to a slot request that `plan_borrows` returned.
 
         Parameters
         ----------
@@ -271,22 +293,22 @@
         grant : Grant or None
             Grant for the slot; None if the peer declined or didn't respond.
         free : int, optional
-            Number of free slots that the peer has left.
+            Number of free slots of the service that the peer has left.
 
         Returns
         -------
         Settlement or None
-            The waiting request that gets the slot. If it is None, the calling code must return
-            the grant, if any, to the peer.
+            The waiting request that gets the slot. If it is None and there is a grant, the
+            calling code must return the grant to the peer.
         """
         known = self._peers.get(peer)
         if known is not None:
             known.pending_borrows[service] = max(0, known.pending_borrows[service] - 1)
             known.free[service] = free or 0
             if grant is None:
-                # The free slots may belong to runners that the waiting request excludes.
+                # The remaining free slots may belong to runners that the waiting request excludes.
                 known.free[service] = 0
-                known.declined_ms[service] = self._clock.now_ms()
+                known.declined_at_ms[service] = self._clock.now_ms()
         state = self._services.get(service)
         if grant is None or state is None:
             return None
@@ -294,7 +316,7 @@
         def can_serve(ticket: Ticket) -> bool:
             return not ticket.borrower and grant.runner.id not in ticket.excluded
 
-        ticket = state.queue.pop_next(self._slot_use(state), can_serve)
+        ticket = state.queue.pop_next(self._compute_slot_use(state), can_serve)
         if ticket is None:
             return None
         self._change_state(ticket, TicketState.GRANTED)
@@ -307,16 +329,19 @@
             self._services[ticket.service].queue.remove(ticket)
 
     def expire(self) -> list[Settlement]:
-        """Free the slots of expired grants and return the waiting requests that are settled.
+        """Free the slots of expired grants, and grant the free slots to waiting requests.
 
-        These are the requests that now get a slot or can no longer meet their deadline.
+        Returns
+        -------
+        list of Settlement
+            The waiting requests that now get a slot or can no longer meet their deadline.
         """
         now_ms = self._clock.now_ms()
-        self._free_overdue()
+        self._free_overdue_slots()
         for slots in self._slots.values():
             for token, issued in list(slots.grants.items()):
                 if issued.expires_ms <= now_ms:
-                    self._free(slots, token)
+                    self._free_slot(slots, token)
         settled: list[Settlement] = []
         for name, service in self._services.items():
             settled += self._reject_late(service, check_all=True)
@@ -346,23 +371,25 @@
 
     # Slots
 
-    def _rebuild(self) -> None:
-        found = {runner.id: runner for _, runners in self._tables.values() for runner in runners}
+    def _rebuild_runners(self) -> None:
+        found = {
+            runner.id: runner for _, runners in self._runner_tables.values() for runner in runners
+        }
         for id_ in self._slots.keys() - found.keys():
             slots = self._slots.pop(id_)
             for token in list(slots.grants):
-                self._free(slots, token)
+                self._free_slot(slots, token)
         for service in self._services.values():
             service.runners = []
         for id_, runner in found.items():
             slots = self._slots.setdefault(id_, _RunnerSlots(runner=runner))
             slots.runner = runner
             self._get_service(runner.service).runners.append(id_)
-        self._leaving &= found.keys()
-        self.health.retain(found)
-        self._assign()
+        self._leaving_runners &= found.keys()
+        self.health.retain_runners(found)
+        self._assign_slots()
 
-    def _get_service(self, name: str) -> _Service:
+    def _get_service(self, name: str) -> _ServiceState:
         if name not in self._services:
             context = QueueContext(
                 max_length=self._queue_length,
@@ -370,30 +397,30 @@
                 response_ms=lambda kind: self.health.response_ms(name, kind),
                 shares=self._shares.get(name, {}),
             )
-            self._services[name] = _Service(queue=self._make_queue(context), context=context)
+            self._services[name] = _ServiceState(queue=self._make_queue(context), context=context)
         return self._services[name]
 
-    def _assign(self) -> None:
+    def _assign_slots(self) -> None:
         for service in self._services.values():
             runners = [self._slots[id_].runner for id_ in service.runners]
             table = self._assignment.assign(runners, self._members)
-            service.peer_slots = Counter()
+            service.member_slots = Counter()
             for id_ in service.runners:
                 owned = table.get(id_, {})
                 self._slots[id_].owned = owned.get(self._member, 0)
-                service.peer_slots.update(owned)
+                service.member_slots.update(owned)
 
     def _reclaim_loans(self, peer: str) -> None:
-        # A peer that is gone can't release its slots. If its request still runs, the runner
-        # rejects further requests itself.
+        # A peer that is gone can't release the slots that it borrowed. If one of its requests is
+        # still running, the runner itself rejects requests beyond its slots.
         for slots in self._slots.values():
             for token, issued in list(slots.grants.items()):
                 if issued.ticket.borrower == peer:
-                    self._free(slots, token)
+                    self._free_slot(slots, token)
 
     def _is_usable(self, slots: _RunnerSlots) -> bool:
         runner = slots.runner
-        if runner.leaving or runner.id in self._leaving:
+        if runner.leaving or runner.id in self._leaving_runners:
             return False
         return self.health.is_usable(runner.id)
 
@@ -401,12 +428,12 @@
         free = slots.owned - len(slots.grants)
         return free if free > 0 and self._is_usable(slots) else 0
 
-    def _slot_use(self, service: _Service) -> SlotUse:
+    def _compute_slot_use(self, service: _ServiceState) -> SlotUse:
         slots = (self._slots[id_] for id_ in service.runners)
         usable = sum(item.owned for item in slots if item.owned and self._is_usable(item))
         return SlotUse(slots=usable, busy=service.busy)
 
-    def _free(self, slots: _RunnerSlots, token: int) -> None:
+    def _free_slot(self, slots: _RunnerSlots, token: int) -> None:
         issued = slots.grants.pop(token)
         busy = self._services[slots.runner.service].busy
         key = (issued.ticket.team, issued.ticket.kind)
@@ -414,22 +441,23 @@
         if not busy[key]:
             del busy[key]
 
-    def _hold_overdue(self, slots: _RunnerSlots, token: int) -> None:
-        # The runner may work on the request until its deadline and would reject another one.
+    def _hold_overdue_slot(self, slots: _RunnerSlots, token: int) -> None:
+        # The runner may work on the request until its deadline, and would reject another request in
+        # the meantime.
         ticket = slots.grants[token].ticket
         until_ms = max(ticket.deadline_ms, self._clock.now_ms())
         until_ms += self.health.response_ms(ticket.service, ticket.kind)
-        heapq.heappush(self._overdue, (until_ms, slots.runner.id, token))
+        heapq.heappush(self._overdue_grants, (until_ms, slots.runner.id, token))
 
-    def _free_overdue(self) -> None:
+    def _free_overdue_slots(self) -> None:
         now_ms = self._clock.now_ms()
-        while self._overdue and self._overdue[0][0] <= now_ms:
-            _, runner_id, token = heapq.heappop(self._overdue)
+        while self._overdue_grants and self._overdue_grants[0][0] <= now_ms:
+            _, runner_id, token = heapq.heappop(self._overdue_grants)
             slots = self._slots.get(runner_id)
             if slots is not None and token in slots.grants:
-                self._free(slots, token)
+                self._free_slot(slots, token)
 
-    def _grant(self, ticket: Ticket) -> Grant | None:
+    def _try_grant(self, ticket: Ticket) -> Grant | None:
         service = self._services[ticket.service]
         candidates = [
             self._build_candidate(slots, ticket)
@@ -469,30 +497,30 @@
             rejection_rate=self.health.rejection_rate(runner.id),
         )
 
-    def _choose_lender(self, name: str, service: _Service) -> str | None:
-        def spare(peer: str) -> int:
+    def _choose_lender(self, name: str, service: _ServiceState) -> str | None:
+        def count_spare(peer: str) -> int:
             return self._peers[peer].free.get(name, 0) - self._peers[peer].pending_borrows[name]
 
         peers = [peer for peer in self._members if peer != self._member]
-        askable = [
+        available_peers = [
             peer for peer in peers if self._peers[peer].pending_borrows[name] < _MAX_PENDING_BORROWS
         ]
-        best = max(askable, key=spare, default=None)
-        if best is not None and spare(best) > 0:
+        best = max(available_peers, key=count_spare, default=None)
+        if best is not None and count_spare(best) > 0:
             return best
-        if self._slot_use(service).slots:
+        if self._compute_slot_use(service).slots:
             return None
         owners = [
             peer
-            for peer in askable
-            if service.peer_slots[peer] > 0
+            for peer in available_peers
+            if service.member_slots[peer] > 0
             and not self._peers[peer].pending_borrows[name]
-            and self._since_declined(peer, name) >= _DECLINED_RETRY_DELAY_MS
+            and self._ms_since_declined(peer, name) >= _DECLINED_RETRY_DELAY_MS
         ]
-        return max(owners, key=lambda peer: service.peer_slots[peer], default=None)
+        return max(owners, key=lambda peer: service.member_slots[peer], default=None)
 
-    def _since_declined(self, peer: str, name: str) -> float:
-        return self._clock.now_ms() - self._peers[peer].declined_ms.get(name, float("-inf"))
+    def _ms_since_declined(self, peer: str, name: str) -> float:
+        return self._clock.now_ms() - self._peers[peer].declined_at_ms.get(name, float("-inf"))
 
     # Waiting requests
 
@@ -505,15 +533,16 @@
                 break
             settled += self._reject_late(service)
             ticket = service.queue.pop_next(
-                self._slot_use(service), lambda ticket, free=free: not free <= ticket.excluded
+                self._compute_slot_use(service),
+                lambda ticket, free=free: not free <= ticket.excluded,
             )
-            grant = self._grant(ticket) if ticket is not None else None
+            grant = self._try_grant(ticket) if ticket is not None else None
             if ticket is None or grant is None:
                 break
             settled.append(Settlement(ticket=ticket, decision=grant))
         return settled
 
-    def _reject_late(self, service: _Service, *, check_all: bool = False) -> list[Settlement]:
+    def _reject_late(self, service: _ServiceState, *, check_all: bool = False) -> list[Settlement]:
         return [
             Settlement(ticket=ticket, decision=self._reject(ticket, RejectionReason.DEADLINE))
             for ticket in service.queue.drop_late(check_all=check_all)
--- a/coltsfootpier/routing/tests/test_assignment.py
+++ b/coltsfootpier/routing/tests/test_assignment.py
@@ -17,7 +17,7 @@
     def test_every_slot_has_one_owner_and_shares_are_even(
         self, slots: list[int], members: int
     ) -> None:
-        """Guards against slots without an owner and an uneven distribution over daemons."""
+        """Guards against slots without an owner, and against members with too few or too many."""
         runners = [
             build_runner(f"r{index}", slots=count, availability_zone=f"z{index % 3}")
             for index, count in enumerate(slots)
@@ -31,7 +31,7 @@
         self.assertLessEqual(max(owned.values()) - min(owned.values()), 1)
 
     def test_own_zone_is_preferred(self) -> None:
-        """Guards against requests to other availability zones although the own one has slots."""
+        """Guards against members that own remote slots while their own zone has enough slots."""
         runners = [build_runner(f"r{zone}", availability_zone=zone) for zone in "abc"]
         table = BalancedAssignment().assign(runners, {"m1": "c", "m2": "a", "m3": "b"})
         self.assertEqual(table, {"ra": {"m2": 2}, "rb": {"m3": 2}, "rc": {"m1": 2}})
--- a/coltsfootpier/routing/tests/test_queues.py
+++ b/coltsfootpier/routing/tests/test_queues.py
@@ -27,14 +27,14 @@
         )
         self.use = SlotUse(slots=10)
 
-    def push(self, kind: str, **changes: object) -> Ticket | RejectionReason:
+    def admit(self, kind: str, **changes: object) -> Ticket | RejectionReason:
         ticket = build_ticket(self.clock, kind=kind, **changes)
         return self.queue.admit(ticket, self.use) or ticket
 
     def pop_next(self) -> Ticket | None:
         return self.queue.pop_next(self.use, lambda _: True)
 
-    def fill(self, slots: int) -> Counter[str]:
+    def fill_slots(self, slots: int) -> Counter[str]:
         for _ in range(slots):
             popped = self.pop_next()
             self.use.busy[popped.team, popped.kind] += 1
@@ -43,61 +43,61 @@
     def test_overload_of_urgent_requests_leaves_the_guaranteed_share(self) -> None:
         """Guards against a high-priority kind that takes another kind's guaranteed share."""
         for _ in range(20):
-            self.push("urgent")
-            self.push("low")
-        self.assertEqual(self.fill(10), {"urgent": 5, "low": 5})
+            self.admit("urgent")
+            self.admit("low")
+        self.assertEqual(self.fill_slots(10), {"urgent": 5, "low": 5})
 
     def test_unused_share_is_lent_and_reclaimed(self) -> None:
-        """Guards against idle slots under overload, and lent slots that aren't returned."""
+        """Guards against idle slots under overload, and lent shares that aren't returned."""
         for _ in range(20):
-            self.push("low")
-        self.assertEqual(self.fill(10), {"urgent": 0, "low": 10})
-        self.push("urgent")
+            self.admit("low")
+        self.assertEqual(self.fill_slots(10), {"urgent": 0, "low": 10})
+        self.admit("urgent")
         self.use.busy["", "low"] -= 1
         self.assertEqual(self.pop_next().kind, "urgent")
 
     def test_urgent_kind_is_served_first_below_its_share(self) -> None:
-        """Guards against urgent requests that wait behind others while no slot is in use."""
-        self.push("low")
-        self.push("urgent")
+        """Guards against urgent requests that wait behind others while their kind uses no slot."""
+        self.admit("low")
+        self.admit("urgent")
         self.assertEqual(self.pop_next().kind, "urgent")
 
     def test_priority_is_ignored_near_the_share(self) -> None:
-        """Guards against an overloaded urgent kind that gets the last slot of its share each time.
+        """Guards against an overloaded urgent kind that keeps the other kinds below their shares.
 
-        The other kinds would then stay below their shares.
+        This happens if its priority lets it take every slot up to its whole share.
         """
         self.use.busy.update({("", "urgent"): 4, ("", "low"): 3})
-        self.push("urgent")
-        self.push("low")
+        self.admit("urgent")
+        self.admit("low")
         self.assertEqual(self.pop_next().kind, "low")
 
     def test_teams_of_a_kind_take_turns(self) -> None:
         """Guards against a team whose burst of requests starves the other teams of the kind."""
         for _ in range(10):
-            self.push("low", team="a")
-        self.push("low", team="b")
-        self.fill(1)
+            self.admit("low", team="a")
+        self.admit("low", team="b")
+        self.fill_slots(1)
         self.assertEqual(self.pop_next().team, "b")
 
     def test_request_that_cannot_meet_its_deadline_is_rejected_early(self) -> None:
         """Guards against callers that get a rejection only at the deadline of their request."""
         deadline_ms = self.clock.now_ms() + 150.0
-        admitted = [self.push("low", deadline_ms=deadline_ms) for _ in range(10)]
+        admitted = [self.admit("low", deadline_ms=deadline_ms) for _ in range(10)]
         self.assertIsInstance(admitted[0], Ticket)
         self.assertIs(admitted[-1], RejectionReason.DEADLINE)
 
     def test_newest_is_served_before_the_oldest_under_overload(self) -> None:
         """Guards against serving every request just after its deadline under overload."""
-        oldest = self.push("low")
+        oldest = self.admit("low")
         self.clock.advance(600.0)
-        newest = self.push("low")
+        newest = self.admit("low")
         self.assertIs(self.pop_next(), newest)
         self.assertIs(self.pop_next(), oldest)
 
     def test_late_requests_are_dropped(self) -> None:
-        """Guards against slots for requests that can no longer meet their deadline."""
-        oldest = self.push("low")
+        """Guards against using slots for requests that can no longer meet their deadline."""
+        oldest = self.admit("low")
         self.clock.advance(950.0)
         self.assertIsNone(self.pop_next())
         self.assertEqual(self.queue.drop_late(), [oldest])
--- a/coltsfootpier/routing/tests/test_router.py
+++ b/coltsfootpier/routing/tests/test_router.py
@@ -29,7 +29,7 @@
     def acquire(self, **changes: object) -> Grant | Queued | Rejected:
         return self.router.acquire(build_ticket(self.clock, **changes))
 
-    def fill(self) -> list[Grant]:
+    def fill_slots(self) -> list[Grant]:
         grants = []
         while isinstance(decision := self.acquire(), Grant):
             grants.append(decision)
@@ -77,15 +77,15 @@
         self.router.observe_members("m1", {"m2": "z1", "m3": "z2"})
         self.router.observe_peer("m2", {"web": 1})
         self.router.observe_peer("m3", {"web": 5})
-        self.fill()
+        self.fill_slots()
         borrow = self.router.plan_borrows("web")[0]
         self.assertEqual(borrow.peer, "m3")
 
     def test_borrowed_slot_serves_the_waiting_request(self) -> None:
-        """Guards against a borrowed slot that nobody uses."""
+        """Guards against borrowed slots that no waiting request gets."""
         self.router.observe_members("m1", {"m2": "z1"})
         self.router.observe_peer("m2", {"web": 1})
-        self.fill()
+        self.fill_slots()
         grant = Grant(runner=build_runner(), owner="m2", token=1)
         settlement = self.router.settle_borrow("m2", "web", grant, 0)
         self.assertEqual(settlement.decision, grant)
@@ -95,11 +95,11 @@
         """Guards against a number of calls to peers that grows with the waiting requests."""
         self.router.observe_members("m1", {"m2": "z1"})
         self.router.observe_peer("m2", {"web": 0})
-        self.fill()
+        self.fill_slots()
         self.assertEqual(self.router.plan_borrows("web"), [])
 
     def test_daemon_without_slots_queues_at_an_owner(self) -> None:
-        """Guards against starvation on an entry VM that owns no slot of a service."""
+        """Guards against requests that starve on an entry VM that owns no slot of their service."""
         self.router.observe_runners("r1", 2, [build_runner(slots=1)])
         self.router.observe_members("m1", {"m2": "z1"})
         self.assertEqual(self.router.owned_slots("web"), 0)
@@ -126,7 +126,7 @@
         self.assertEqual(self.router.free_slots(), {"web": 2})
 
     def test_overdue_attempt_keeps_its_slot_until_the_deadline(self) -> None:
-        """Guards against another request to a runner that is still busy and rejects it."""
+        """Guards against requests to a runner that rejects them while an overdue one runs."""
         grant = self.acquire()
         overdue = Feedback(result=AttemptResult.OVERDUE, request_id="1")
         self.router.release(grant.runner.id, grant.token, overdue)
@@ -137,7 +137,7 @@
 
     def test_late_request_is_rejected_not_granted(self) -> None:
         """Guards against granting a slot to a request that can't meet its deadline."""
-        first, _ = self.fill()
+        first, _ = self.fill_slots()
         self.clock.advance(1_000.0)
         settled = self.router.release(first.runner.id, first.token)
         self.assertTrue(settled)
@@ -146,7 +146,7 @@
             self.assertIs(settlement.ticket.state, TicketState.REFUSED)
 
     def test_ticket_settles_once(self) -> None:
-        """Guards against deciding twice on one request."""
+        """Guards against two decisions on one request."""
         ticket = build_ticket(self.clock)
         self.router.acquire(ticket)
         with self.assertRaises(TicketSettledError):
