Clarify names and docstrings of the permits

Several rules of the key history were compressed, and states, units and results were not explained. They are now spelt out, and vague or reused names in the code and the simulation are replaced.

--- a/coltsfootpier/permits/_copies.py
+++ b/coltsfootpier/permits/_copies.py
@@ -30,10 +30,10 @@
 
 
 class CopyTable:
-    """Table of all records in one daemon by key group, fenced by epochs.
+    """Table of all records that a daemon stores, by key group, fenced by epochs.
 
-    Records are never evicted before they expire. A full table rejects further copies, so that
-    an owner can rely on every acknowledged copy.
+    Records are never evicted before they expire, so that an owner can rely on every acknowledged
+    copy. A full table rejects further copies instead.
 
     Parameters
     ----------
@@ -53,35 +53,41 @@
 
     def epoch_of(self, group: str) -> int:
         """Return the highest epoch seen for a group."""
-        return self._group(group).epoch
+        return self._get_group(group).epoch
 
     def pulled_epoch(self, group: str) -> int:
-        """Return the highest epoch of an owner that has pulled the records of a group."""
-        return self._group(group).pulled_epoch
+        """Return the highest epoch of an owner that has pulled this daemon's copies of a group."""
+        return self._get_group(group).pulled_epoch
 
     def announce(self, group: str, epoch: int) -> None:
         """Record that a group has an owner with this epoch."""
-        state = self._group(group)
+        state = self._get_group(group)
         state.epoch = max(state.epoch, epoch)
 
     def owned_epoch(self, group: str) -> int:
         """Return the epoch at which this daemon last owned a group with a complete history."""
-        return self._group(group).owned_epoch
+        return self._get_group(group).owned_epoch
 
     def mark_complete(self, group: str, epoch: int) -> None:
         """Record that this daemon owns a group at an epoch with a complete history."""
-        self._group(group).owned_epoch = epoch
+        self._get_group(group).owned_epoch = epoch
 
     def get(self, group: str, key: str) -> PermitRecord | None:
         """Return the record of a key, unless it has expired."""
-        record = self._group(group).records.get(key)
+        record = self._get_group(group).records.get(key)
         if record is None or record.expires_ms <= self._clock.now_ms():
             return None
         return record
 
     def store(self, group: str, record: PermitRecord) -> bool:
-        """Store a record unless a later one is known, and return false if the group is full."""
-        state = self._group(group)
+        """Store a record unless a later one is known, and return false if the group is full.
+
+        Raises
+        ------
+        EpochOrderError
+            If the record's epoch is higher than the highest announced one of the group.
+        """
+        state = self._get_group(group)
         if record.epoch > state.epoch:
             raise EpochOrderError(
                 f"{group}: record has epoch {record.epoch}, above the announced epoch {state.epoch}"
@@ -89,7 +95,7 @@
         known = state.records.get(record.key)
         if known is None:
             if len(state.records) >= self._capacity:
-                self._expire(state)
+                self._remove_expired(state)
             if len(state.records) >= self._capacity:
                 return False
         elif (known.epoch, known.serial) >= (record.epoch, record.serial):
@@ -97,27 +103,27 @@
         state.records[record.key] = record
         return True
 
-    def receive(self, message: CopyPermits) -> CopyReply:
-        """Store copies for an owner, unless its epoch is outdated."""
-        state = self._group(message.group)
+    def receive_copies(self, message: CopyPermits) -> CopyReply:
+        """Store copies for an owner, unless an owner with a higher epoch is known."""
+        state = self._get_group(message.group)
         if message.epoch < state.epoch:
             return CopyReply(accepted=False, epoch=state.epoch)
         state.epoch = message.epoch
         return CopyReply(accepted=self.merge(message.group, message.records), epoch=state.epoch)
 
     def merge(self, group: str, records: Iterable[PermitRecord]) -> bool:
-        """Store the records of a message, and return whether the group had capacity for all."""
+        """Store the records of a message, and return whether the group had room for all of them."""
         now_ms = self._clock.now_ms()
-        kept = [self.store(group, record.shift(now_ms)) for record in records]
-        return all(kept)
+        are_stored = [self.store(group, record.shift(now_ms)) for record in records]
+        return all(are_stored)
 
     def handle_pull(self, message: PullPermits, *, process: str) -> PulledPermits:
         """Record the epoch of a new owner and return the copies of its group."""
-        state = self._group(message.group)
+        state = self._get_group(message.group)
         if message.epoch < state.epoch:
             return PulledPermits(process=process, accepted=False)
         state.epoch = state.pulled_epoch = message.epoch
-        self._expire(state)
+        self._remove_expired(state)
         now_ms = self._clock.now_ms()
         return PulledPermits(
             process=process,
@@ -126,15 +132,15 @@
             owned_epoch=state.owned_epoch,
         )
 
-    def expire(self) -> None:
+    def remove_expired(self) -> None:
         """Remove the expired records."""
         for state in self._groups.values():
-            self._expire(state)
+            self._remove_expired(state)
 
-    def _group(self, group: str) -> _GroupState:
+    def _get_group(self, group: str) -> _GroupState:
         return self._groups.setdefault(group, _GroupState())
 
-    def _expire(self, state: _GroupState) -> None:
+    def _remove_expired(self, state: _GroupState) -> None:
         now_ms = self._clock.now_ms()
         for key in [key for key, record in state.records.items() if record.expires_ms <= now_ms]:
             del state.records[key]
--- a/coltsfootpier/permits/_history.py
+++ b/coltsfootpier/permits/_history.py
@@ -1,4 +1,4 @@
-"""Completeness of the key history that a new owner has pulled."""
+"""Decision on whether the key history that a new owner has pulled is complete."""
 
 from __future__ import annotations
 
@@ -9,9 +9,10 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.permits._messages import PulledPermits
 
-# Maximum time for which a daemon may consider itself the only member because its watch of the
-# store hasn't reported another one. A silent watch is replaced after 5 s; a daemon whose view of
-# the members is older than this limit doesn't count as the only member.
+# Maximum time for which a daemon may consider itself the only member although another one has
+# joined, because its watch of the store hasn't reported that one yet. A silent watch is replaced
+# after 5 s; a daemon whose listing of the members is older than this limit doesn't count as the
+# only member.
 _MAX_WATCH_LAG_MS = 10_000.0
 # Represents an unlimited duration; JSON has no infinity.
 _UNLIMITED_MS = 1e12
@@ -30,22 +31,24 @@
 
 @attrs.define
 class _SeenProcess:
-    last_ms: float
-    retired: bool = False
+    last_seen_ms: float
+    is_retired: bool = False
 
 
 class ProcessTable:
     """Table of current and recent daemons, which may hold copies or grant permits.
 
-    A daemon that has stopped is removed after the window. A daemon that may only have lost its
-    lease can continue to grant for the hold-over time, so it is kept that much longer.
+    A daemon that has certainly stopped is removed when the window has passed since it was last
+    seen. A daemon that may only have lost its lease can continue to grant permits for the hold-over
+    time, so it is kept that much longer.
 
     Parameters
     ----------
     clock : Clock
         Time source.
     window_ms, hold_over_ms : float
-        Retention time of keys, and time for which a former owner may continue to grant permits.
+        Retention time of keys, and time for which a daemon without a valid lease may continue to
+        grant permits, both in milliseconds.
     """
 
     def __init__(self, *, clock: Clock, window_ms: float, hold_over_ms: float) -> None:
@@ -61,29 +64,31 @@
             self._seen[process] = _SeenProcess(now_ms)
 
     def merge(self, seen: Mapping[str, float]) -> None:
-        """Merge the daemons that a peer has seen, with the milliseconds since each was seen."""
+        """Add the daemons that a peer has seen, with the milliseconds since each was last seen."""
         now_ms = self._clock.now_ms()
         for process, age_ms in seen.items():
             known = self._seen.setdefault(process, _SeenProcess(now_ms - age_ms))
-            known.last_ms = max(known.last_ms, now_ms - age_ms)
+            known.last_seen_ms = max(known.last_seen_ms, now_ms - age_ms)
 
     def retire(self, process: str) -> None:
         """Mark a daemon as certainly stopped."""
         if process in self._seen:
-            self._seen[process].retired = True
+            self._seen[process].is_retired = True
 
     def ages(self) -> dict[str, float]:
         """Return the retained daemons, with the milliseconds since each was last seen."""
         now_ms = self._clock.now_ms()
         for process, seen in list(self._seen.items()):
-            retention_ms = self._window_ms + (0.0 if seen.retired else self._hold_over_ms)
-            if now_ms - seen.last_ms > retention_ms:
+            retention_ms = self._window_ms + (0.0 if seen.is_retired else self._hold_over_ms)
+            if now_ms - seen.last_seen_ms > retention_ms:
                 del self._seen[process]
-        return {process: now_ms - seen.last_ms for process, seen in self._seen.items()}
+        return {process: now_ms - seen.last_seen_ms for process, seen in self._seen.items()}
 
 
 class Coverage:
-    """Period for which a daemon knows all members and all grants without a copy.
+    """Period in which a daemon has known all members and no permit was granted without a copy.
+
+    The period extends to the present.
 
     Parameters
     ----------
@@ -101,7 +106,8 @@
     def is_current(self, listed_ms: float) -> bool:
         """Return whether a listing from `listed_ms` is recent enough to rule out other members.
 
-        It isn't if a peer has sent a message within the maximum lag of the store's watch.
+        It doesn't rule them out if a peer has sent a message within the maximum lag of the watch
+        of the store.
         """
         earliest_ms = self._clock.now_ms() - _MAX_WATCH_LAG_MS
         return self._last_peer_message_ms < earliest_ms <= listed_ms
@@ -114,8 +120,10 @@
         member : str
             Identifier of this membership.
         is_first : bool
-            Whether it is the only member and no key group ever had an owner. Nothing can have
-            been granted before then, so the period is unlimited.
+            Whether it is the only member and no key group has ever had an owner. No permit can
+            have been granted before, so the period is unlimited. Otherwise it starts when the
+            maximum lag of the store's watch has passed, because until then another daemon may
+            still consider itself the only member and grant permits without a copy.
         """
         if member != self._member:
             self._member = member
@@ -123,9 +131,14 @@
             self._since_ms = float("-inf") if is_first else joined_ms + _MAX_WATCH_LAG_MS
 
     def extend(self, covered_ms: float) -> None:
-        """Extend the covered period to that of a peer.
+        """Extend the covered period to that of a peer, if the peer's is longer.
 
         The two daemons must just have received messages from each other.
+
+        Parameters
+        ----------
+        covered_ms : float
+            Length of the peer's period in milliseconds.
         """
         self._since_ms = min(self._since_ms, self._clock.now_ms() - covered_ms)
 
@@ -134,7 +147,7 @@
         self._last_peer_message_ms = self._clock.now_ms()
 
     def record_uncopied_grant(self) -> None:
-        """Record a grant that only this daemon knows."""
+        """Record that this daemon has granted a permit without a copy."""
         self._uncopied_grant_ms = self._clock.now_ms()
 
     def covered_ms(self) -> float:
@@ -146,11 +159,14 @@
 class History:
     """Completeness of the history that one owner of a key group has pulled.
 
-    The history is complete if the group had no owner before, if the previous owner responded
-    and had a complete history, or if the daemons that responded know all members of the whole
-    window and at most one member did not respond. Two daemons hold each grant, so one missing
-    daemon hides none. The only member grants permits without a copy, so the time in which it
-    was the only member isn't covered for the others.
+    The history is complete in each of these cases:
+
+    - The group had no owner before.
+    - The previous owner had a complete history, and it is this daemon or has responded.
+    - The daemons that have responded have known all members for the whole window, and at most one
+      member has not responded. Two daemons store each grant, so one missing daemon hides none.
+      Grants of an only member are the exception, as they have no copy; `Coverage` therefore
+      excludes the time up to the last one of them.
 
     Parameters
     ----------
@@ -161,7 +177,7 @@
     epoch : int
         Epoch of the ownership.
     window_ms : float
-        Retention time of keys.
+        Retention time of keys in milliseconds.
     known_processes : ProcessTable
         Daemons that may hold copies.
     owned_epoch : int
@@ -184,12 +200,18 @@
         self._known_processes = known_processes
         self._covered_since_ms = float("inf")
         self._responded = {process}
-        # A history starts complete if there was no owner before, or if this daemon was the
-        # previous owner. An owner without a complete history grants nothing.
+        # The history is complete from the start if there was no owner before, or if this daemon was
+        # the previous owner with a complete history. An owner without one grants nothing.
         self._complete = epoch <= 1 or owned_epoch == epoch - 1
 
     def record_coverage(self, covered_ms: float) -> None:
-        """Record for how long this daemon, or one that responded, has known all members."""
+        """Record the covered period of this daemon, or of one that has responded.
+
+        Parameters
+        ----------
+        covered_ms : float
+            Length of the period in milliseconds, as returned by `Coverage.covered_ms`.
+        """
         since_ms = self._clock.now_ms() - covered_ms
         self._covered_since_ms = min(self._covered_since_ms, since_ms)
 
@@ -207,7 +229,7 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether a key without a record was certainly not granted within the window."""
+        """Whether a key without a record has certainly not been granted within the window."""
         if not self._complete:
             covered_ms = self._clock.now_ms() - self._covered_since_ms
             self._complete = covered_ms >= self._window_ms and len(self.missing_processes()) <= 1
--- a/coltsfootpier/permits/_manager.py
+++ b/coltsfootpier/permits/_manager.py
@@ -24,13 +24,13 @@
 )
 from coltsfootpier.permits._table import CopyRequired, PermitTable
 
-_GROUP_PREFIX = "keys/"
-# Time between removals of expired records. A scan of full tables takes about 10 ms.
-_EXPIRE_PERIOD_MS = 10_000.0
+_KEY_GROUP_PREFIX = "keys/"
+# Minimum time between removals of expired records. A scan of full tables takes about 10 ms.
+_EXPIRY_PERIOD_MS = 10_000.0
 
 
 class PermitManager:
-    """Owned key groups of one daemon, and its copies of records of other groups.
+    """Manager of the key groups that a daemon owns, and of the copies that it stores for others.
 
     Parameters
     ----------
@@ -39,9 +39,10 @@
     ownership : OwnershipState
         Owners of the key groups, and the state of the daemon's own lease.
     window_ms : float
-        Retention time of keys.
+        Retention time of keys in milliseconds.
     hold_over_ms : float
-        Time for which the daemon continues to grant permits after its lease has expired.
+        Time in milliseconds for which the daemon continues to grant permits after its lease has
+        expired.
     capacity : int
         Maximum number of records of one key group.
     """
@@ -98,9 +99,9 @@
         listed : collection of str
             Members that the store lists.
         listed_ms : float
-            Time at which the store was last queried for them.
+            Time at which the store was last queried for them, on the daemon's clock.
         is_retired : callable
-            Returns whether an earlier daemon has certainly stopped running.
+            Returns whether a daemon that is no longer a member has certainly stopped running.
 
         Returns
         -------
@@ -118,21 +119,21 @@
             if is_retired(process):
                 self.known_processes.retire(process)
         for group, owner in ownership.table.partitions.items():
-            if group.startswith(_GROUP_PREFIX):
+            if group.startswith(_KEY_GROUP_PREFIX):
                 self.copies.announce(group, owner.epoch)
         for group, table in list(self.tables.items()):
             if table.is_superseded:
                 del self.tables[group]
                 self._unsent_records.pop(group, None)
-        if self._clock.now_ms() - self._last_expiry_ms > _EXPIRE_PERIOD_MS:
+        if self._clock.now_ms() - self._last_expiry_ms > _EXPIRY_PERIOD_MS:
             self._last_expiry_ms = self._clock.now_ms()
-            self.copies.expire()
+            self.copies.remove_expired()
             for table in self.tables.values():
-                table.expire()
+                table.remove_expired()
         return [
             self._create_table(group, epoch)
             for group, epoch in ownership.assigned().items()
-            if group.startswith(_GROUP_PREFIX)
+            if group.startswith(_KEY_GROUP_PREFIX)
             and group not in self.tables
             and ownership.may_act(group, epoch)
         ]
@@ -140,7 +141,7 @@
     # Owned groups
 
     def may_grant(self, table: PermitTable) -> bool:
-        """Return whether this daemon may grant permits of a group once a record is copied.
+        """Return whether this daemon may grant a permit of a group after its record is copied.
 
         It may do so for the hold-over time after its lease has expired. This is safe because
         every grant needs a copy, which peers that know of a new owner reject.
@@ -159,12 +160,12 @@
     def decide_after_copy(
         self, table: PermitTable, record: PermitRecord, *, copied: bool, was_only_member: bool
     ) -> PermitReply:
-        """Decide on a request after the attempt to copy its record.
+        """Grant or reject a request after the attempt to copy its record to a peer.
 
         Parameters
         ----------
         table : PermitTable
-            Table that required the copy.
+            Table that returned `CopyRequired`.
         record : PermitRecord
             Record that was to be copied.
         copied : bool
@@ -181,7 +182,7 @@
         return table.abandon(record)
 
     def settle(self, message: SettlePermit) -> SettleReply:
-        """Record the outcome of a request."""
+        """Record the outcome of a request, and keep the changed record to send it to a peer."""
         table = self.tables.get(message.group)
         if table is None or not table.ready or table.is_superseded:
             return SettleReply(accepted=False)
@@ -191,7 +192,11 @@
         return SettleReply(accepted=True)
 
     def merge_pulled_copies(self, table: PermitTable, reply: PulledPermits) -> None:
-        """Merge the copies that a daemon has returned for a newly owned group."""
+        """Merge the copies that a daemon has returned for a newly owned group.
+
+        If the daemon has seen a higher epoch, or if the group has no room for all copies, the
+        daemon doesn't count as having responded.
+        """
         if not reply.accepted or not self.copies.merge(table.group, reply.records):
             return
         table.history.record_response(reply)
@@ -226,7 +231,7 @@
     def receive_copies(self, message: CopyPermits) -> CopyReply:
         """Store copies for the owner of a key group."""
         self.coverage.record_peer_message()
-        return self.copies.receive(message)
+        return self.copies.receive_copies(message)
 
     def handle_pull(self, message: PullPermits) -> PulledPermits:
         """Record the epoch of a new owner and return the copies of its group."""
@@ -235,10 +240,10 @@
         return attrs.evolve(reply, covered_ms=self.covered_ms(), seen=self.known_processes.ages())
 
     def covered_ms(self) -> float:
-        """Return for how many milliseconds this daemon has known all members and grants.
+        """Return the length in milliseconds of the period that `Coverage` describes.
 
-        The result is 0 while its lease has expired: another daemon may be the only member by
-        now and grant permits without a copy.
+        The result is 0 while the lease of this daemon has expired: another daemon may be the only
+        member by now and grant permits without a copy.
         """
         return self.coverage.covered_ms() if self.ownership.is_valid else 0.0
 
--- a/coltsfootpier/permits/_messages.py
+++ b/coltsfootpier/permits/_messages.py
@@ -1,6 +1,7 @@
 """Permit records and messages.
 
-Times in messages are durations, because the clocks of different daemons can't be compared.
+Messages contain remaining or elapsed times in milliseconds instead of points in time, because the
+clocks of different daemons can't be compared.
 """
 
 from __future__ import annotations
@@ -13,14 +14,22 @@
 
 
 class KeyKind(enum.Enum):
-    """Kind of guarantee that a key gives."""
+    """Kind of guarantee that a key gives.
+
+    With ``IDEMPOTENCY``, a request with the key runs at most once within the window. With
+    ``EXCLUSIVE``, at most one request with the key runs at a time.
+    """
 
     IDEMPOTENCY = "idempotency"
     EXCLUSIVE = "exclusive"
 
 
 class RecordState(enum.Enum):
-    """State of a key in the history."""
+    """State of a key in the history.
+
+    With ``UNDECIDED``, the request with the key may have been granted and its outcome isn't known.
+    With ``SETTLED``, the outcome is recorded. With ``FREE``, no request holds the key.
+    """
 
     UNDECIDED = "undecided"
     SETTLED = "settled"
@@ -53,18 +62,20 @@
     Parameters
     ----------
     key : str
-        Kind, service and the caller's key.
+        Kind of the key, service, request kind (empty for an exclusive key) and the caller's key,
+        separated by slashes.
     token : str
-        Identifies the request that holds the key.
+        Identifier of the request that holds the key.
     fingerprint : str
         Digest of that request; a different request with the same key is rejected.
+    outcome, status : Outcome, int
+        Outcome of the request and status of its response; set only with ``SETTLED``.
     epoch, serial : int
-        Version of the record in the history of the group; the highest pair wins.
-    held_ms : float
-        Time until which the request may run. In a table it is a time on the daemon's clock,
-        in a message the remaining time.
-    expires_ms : float
-        Time until which the record is kept, in the same form.
+        Epoch of the owner that wrote the record, and number of the change within that epoch. Of
+        two records of a key, the one with the higher pair is the later one.
+    held_ms, expires_ms : float
+        Time until which the request may run, and time until which the record is kept. In a table
+        these are times on the daemon's clock, in a message the remaining milliseconds.
     """
 
     kind: KeyKind
@@ -80,7 +91,7 @@
     expires_ms: float
 
     def shift(self, offset_ms: float) -> PermitRecord:
-        """Return the record with both times moved by `offset_ms`."""
+        """Return the record with `offset_ms` added to both times."""
         return attrs.evolve(
             self, held_ms=self.held_ms + offset_ms, expires_ms=self.expires_ms + offset_ms
         )
@@ -88,13 +99,13 @@
 
 @attrs.frozen(kw_only=True)
 class AcquirePermit:
-    """Request for a permit to the owner of a key group; may be retried with the same token.
+    """Request to the owner of a key group for a permit; may be retried with the same token.
 
     Parameters
     ----------
     hold_ms : float
-        Time for which the request may run: the time left to its deadline plus its maximum run
-        time.
+        Longest time in milliseconds until the request has ended: the time left to its deadline
+        plus its maximum run time.
     """
 
     group: str
@@ -116,7 +127,7 @@
 
 @attrs.frozen(kw_only=True)
 class SettlePermit:
-    """Report of a request's outcome to the owner; ``REFUSED`` means that it was not run."""
+    """Report of a request's outcome to the owner; with ``REFUSED``, the request was not run."""
 
     group: str
     kind: KeyKind
@@ -160,7 +171,7 @@
 
 @attrs.frozen(kw_only=True)
 class PullPermits:
-    """Announcement of a new owner's epoch, and request for all copies of the group."""
+    """Request of a group's new owner for all copies; it also announces the owner's epoch."""
 
     group: str
     epoch: int
@@ -173,14 +184,14 @@
     Parameters
     ----------
     process : str
-        Responding daemon.
+        Identifier of the responding daemon, as returned by `process_of`.
     accepted : bool
         False if the daemon has seen a higher epoch.
     owned_epoch : int
         Epoch at which the daemon last owned the group with a complete history, or 0.
     covered_ms : float
-        Length of the most recent period in which the daemon knows every member and no daemon
-        granted a permit without a copy.
+        Length in milliseconds of the period up to now in which the daemon has known all members
+        and no daemon has granted a permit without a copy.
     seen : dict of str to float
         Daemons that it has seen, with the milliseconds since each was last seen.
     """
--- a/coltsfootpier/permits/_table.py
+++ b/coltsfootpier/permits/_table.py
@@ -32,7 +32,7 @@
 
 
 class PermitTable:
-    """Table of the owner of one key group, which grants permits for its keys.
+    """Table with which the owner of one key group grants permits for its keys.
 
     Parameters
     ----------
@@ -47,7 +47,13 @@
     clock : Clock
         Time source.
     window_ms : float
-        Retention time of keys.
+        Retention time of keys in milliseconds.
+
+    Attributes
+    ----------
+    ready : bool
+        Whether the owner has tried to pull the records of previous owners; false at first. Until
+        then, the table decides on no request.
     """
 
     def __init__(
@@ -68,7 +74,9 @@
         self._clock = clock
         self._window_ms = window_ms
         self._serial = 0
+        # Whether the request is a retry, by token of the requests whose copy is pending.
         self._pending_is_retry: dict[str, bool] = {}
+        # Token and end of the current grant of each key.
         self._granted: dict[str, tuple[str, float]] = {}
         copies.announce(group, epoch)
 
@@ -80,11 +88,6 @@
     def acquire(self, request: AcquirePermit) -> PermitReply | CopyRequired:
         """Decide on a request for a permit.
 
-        Parameters
-        ----------
-        request : AcquirePermit
-            The request.
-
         Returns
         -------
         PermitReply or CopyRequired
@@ -94,22 +97,22 @@
             return PermitReply(verdict=Verdict.NOT_OWNER)
         hold_ms = request.hold_ms * (1 + MAX_CLOCK_DRIFT_RATIO)
         if hold_ms > self._window_ms:
-            # A new owner's history covers only one window, so it might miss this request.
+            # The history of a later owner covers only one window, so it might miss this request.
             return PermitReply(verdict=Verdict.TOO_LONG)
         record = self._copies.get(self.group, request.key)
         if record is not None and record.state is not RecordState.FREE:
-            known = self._decide_from_record(request, record)
-            if known is not None:
-                return known
+            reply = self._decide_from_record(request, record)
+            if reply is not None:
+                return reply
         if not self.check_history():
-            # The key may have been granted even if its record is free, because a later grant
-            # may be missing from the history.
+            # The key may have been granted even if its record is free, because the record of a
+            # later grant may be missing from the history.
             return PermitReply(verdict=Verdict.INCOMPLETE)
-        known = record if record is not None and record.token == request.token else None
-        return self._store_pending_record(request, hold_ms, known)
+        previous = record if record is not None and record.token == request.token else None
+        return self._store_pending_record(request, hold_ms, previous)
 
     def check_history(self) -> bool:
-        """Return whether the history is complete, and if so record it for the next owner."""
+        """Return whether the history is complete, and if so, record that for the next owner."""
         is_complete = self.history.is_complete
         if is_complete and not self.is_superseded:
             self._copies.mark_complete(self.group, self.epoch)
@@ -136,10 +139,10 @@
         return PermitReply(verdict=Verdict.GRANTED)
 
     def abandon(self, record: PermitRecord) -> PermitReply:
-        """Free the key of a record that no peer has acknowledged, without granting it.
+        """Reject the request of a record that no peer has acknowledged, and free its key.
 
-        The record of a retried request stays, because an earlier attempt may have been granted
-        by this owner or a previous one.
+        The record of a retried request stays as it is, because an earlier attempt may have been
+        granted by this owner or a previous one.
         """
         is_retry = self._pending_is_retry.pop(record.token, True)
         if self.is_superseded:
@@ -149,7 +152,13 @@
         return PermitReply(verdict=Verdict.NO_COPY)
 
     def settle(self, message: SettlePermit) -> PermitRecord | None:
-        """Record the outcome of a request, and return the changed record for the peers, if any."""
+        """Record the outcome of a request.
+
+        Returns
+        -------
+        PermitRecord or None
+            The changed record, of which a peer needs a copy; None if nothing has changed.
+        """
         record = self._copies.get(self.group, message.key)
         if self.is_superseded or record is None or record.token != message.token:
             return None
@@ -170,7 +179,7 @@
             expires_ms=expires_ms,
         )
 
-    def expire(self) -> None:
+    def remove_expired(self) -> None:
         """Remove the expired grants."""
         now_ms = self._clock.now_ms()
         self._granted = {key: item for key, item in self._granted.items() if item[1] > now_ms}
@@ -179,8 +188,9 @@
         self, request: AcquirePermit, record: PermitRecord
     ) -> PermitReply | None:
         if record.token == request.token and record.state is RecordState.UNDECIDED:
-            # The response to an earlier attempt was lost. The requesting daemon has not run the
-            # request, so the copy alone decides whether it may.
+            # The response to an earlier attempt was lost, so the requesting daemon has not run the
+            # request. It may run once a peer has acknowledged a copy. While the copy of an earlier
+            # attempt is pending, no second one is started.
             if record.token in self._pending_is_retry:
                 return PermitReply(verdict=Verdict.NO_COPY)
             return None
@@ -192,11 +202,11 @@
         return PermitReply(verdict=Verdict.KNOWN, outcome=record.outcome, status=record.status)
 
     def _store_pending_record(
-        self, request: AcquirePermit, hold_ms: float, known: PermitRecord | None
+        self, request: AcquirePermit, hold_ms: float, previous: PermitRecord | None
     ) -> PermitReply | CopyRequired:
         now_ms = self._clock.now_ms()
         # An earlier attempt may have been granted, so its hold time must not get shorter.
-        held_ms = max(now_ms + hold_ms, known.held_ms if known else 0.0)
+        held_ms = max(now_ms + hold_ms, previous.held_ms if previous else 0.0)
         self._serial += 1
         record = PermitRecord(
             kind=request.kind,
@@ -210,7 +220,7 @@
         )
         if not self._copies.store(self.group, record):
             return PermitReply(verdict=Verdict.FULL)
-        is_retry = known is not None and known.state is RecordState.UNDECIDED
+        is_retry = previous is not None and previous.state is RecordState.UNDECIDED
         self._pending_is_retry[record.token] = is_retry
         return CopyRequired(record)
 
--- a/coltsfootpier/permits/tests/builders.py
+++ b/coltsfootpier/permits/tests/builders.py
@@ -74,7 +74,7 @@
     listed : frozenset of str
         Members as the daemon last read them from the store.
     listed_ms, renewed_ms : float
-        Times of that read and of the last renewal of its lease.
+        Times of that read and of the last renewal of its lease, on the virtual clock.
     pulling : list of PermitTable
         Owned tables whose history is still being pulled.
     """
@@ -94,7 +94,23 @@
 
 @attrs.define(eq=False)
 class Request:
-    """Caller's request at one entry VM."""
+    """Caller's request at one entry VM.
+
+    Parameters
+    ----------
+    entry : Daemon
+        Daemon that received the request from the caller.
+    message : AcquirePermit
+        Request for the permit that the caller's request needs.
+    sent_ms : float
+        Time at which the caller sent the request.
+    attempts : int
+        Number of attempts to acquire the permit, or to settle it once it is granted.
+    granted : bool
+        Whether the permit has been granted.
+    end_ms, outcome : float, Outcome
+        Time at which the run ends, and its outcome; set when the permit is granted.
+    """
 
     entry: Daemon
     message: AcquirePermit
@@ -123,6 +139,7 @@
         self.table, self.version = OwnerTable(), 0
         self.leases: dict[str, float] = {}
         self.daemons: list[Daemon] = []
+        # Pairs of daemon names that can't reach each other; "s" stands for the store.
         self.partitioned: set[frozenset[str]] = set()
         self.requests: list[Request] = []
         self.pending_copies: list[tuple[Request, Daemon, PermitTable, CopyRequired, bool]] = []
@@ -137,7 +154,7 @@
             self._start_daemon(name)
 
     def run(self, steps: int) -> None:
-        """Run random steps, and add the runs that violate a guarantee to `double_runs`."""
+        """Simulate random steps; runs that violate a guarantee are added to `double_runs`."""
         for _ in range(steps):
             self.clock.advance(self.rng.choice((5.0, 50.0, 400.0)))
             for daemon in list(self.daemons):
@@ -148,7 +165,7 @@
             elif action < 0.35:
                 self._create_request()
             for item in self._pop_random(self.pending_copies, 0.6):
-                self._copy(*item)
+                self._copy_record(*item)
             for request in self._pop_random(self.requests, 0.6):
                 self._advance_request(request)
             for call in self._pop_random(self.delayed_calls, 0.1):
@@ -158,8 +175,8 @@
                     if self.rng.random() < 0.5:
                         self._pull_history(daemon, table)
 
-    def _pop_random(self, items: list, share: float) -> list:
-        picked = [item for item in items if self.rng.random() < share]
+    def _pop_random(self, items: list, probability: float) -> list:
+        picked = [item for item in items if self.rng.random() < probability]
         items[:] = [item for item in items if item not in picked]
         return picked
 
@@ -188,14 +205,16 @@
         elif kind == "hand over":
             daemon = self.rng.choice(self.daemons)
             live = [id_ for id_ in daemon.listed if self._is_live(id_)]
-            self._write(daemon, daemon.manager.ownership.plan_handover(live, leave=True))
+            self._write_owner_table(
+                daemon, daemon.manager.ownership.plan_handover(live, leave=True)
+            )
 
     # Store
 
     def _is_live(self, id_: str) -> bool:
         return self.leases.get(id_, 0.0) > self.clock.now_ms()
 
-    def _write(self, daemon: Daemon, table: OwnerTable | None) -> None:
+    def _write_owner_table(self, daemon: Daemon, table: OwnerTable | None) -> None:
         if table is not None and daemon.manager.ownership.table_version == self.version:
             self.table, self.version = table, self.version + 1
 
@@ -214,7 +233,7 @@
                 daemon.listed = frozenset(id_ for id_ in self.leases if self._is_live(id_))
                 ownership.observe(self.table, self.version)
                 if ownership.is_valid:
-                    self._write(daemon, ownership.plan_claims(GROUPS, daemon.listed))
+                    self._write_owner_table(daemon, ownership.plan_claims(GROUPS, daemon.listed))
                     ownership.observe(self.table, self.version)
         names = {id_.split(".")[0] for id_ in daemon.listed}
         daemon.pulling += manager.reconcile(
@@ -225,7 +244,7 @@
 
     # Messages
 
-    def _send(self, source: Daemon, process: str, call: Callable[[Daemon], Any]) -> Any:
+    def _call_daemon(self, source: Daemon, process: str, call: Callable[[Daemon], Any]) -> Any:
         target = next((item for item in self.daemons if process_of(item.id) == process), None)
         if target is None or frozenset((source.name, target.name)) in self.partitioned:
             return None
@@ -248,35 +267,35 @@
         pull = PullPermits(group=table.group, epoch=table.epoch)
         table.history.record_coverage(manager.covered_ms())
         for process in sorted(table.history.missing_processes()):
-            reply = self._send(daemon, process, lambda to: to.manager.handle_pull(pull))
+            reply = self._call_daemon(daemon, process, lambda to: to.manager.handle_pull(pull))
             if reply is not None:
                 manager.merge_pulled_copies(table, reply)
         table.ready = True
         if table.check_history() and not table.history.missing_processes():
             daemon.pulling.remove(table)
 
-    def _copy(
+    def _copy_record(
         self,
         request: Request,
         owner: Daemon,
         table: PermitTable,
-        first: CopyRequired,
+        decision: CopyRequired,
         was_only_member: bool,
     ) -> None:
         if owner not in self.daemons:
             return
-        message = owner.manager.build_copy_message(table, (first.record,))
+        message = owner.manager.build_copy_message(table, (decision.record,))
         copied = False
         others = sorted(process_of(id_) for id_ in owner.listed if id_ != owner.id)
         for process in self.rng.sample(others, len(others)):
-            reply = self._send(owner, process, lambda to: to.manager.receive_copies(message))
+            reply = self._call_daemon(owner, process, lambda to: to.manager.receive_copies(message))
             if reply is not None and not reply.accepted:
                 owner.manager.copies.announce(table.group, reply.epoch)
             if reply is not None and reply.accepted:
                 copied = True
                 break
         reply = owner.manager.decide_after_copy(
-            table, first.record, copied=copied, was_only_member=was_only_member
+            table, decision.record, copied=copied, was_only_member=was_only_member
         )
         if request.entry is owner or self.rng.random() < 0.9:
             self._handle_reply(request, reply)
@@ -292,9 +311,9 @@
         message = build_acquire(key, f"t{self._serial}", group=group, kind=kind)
         self.requests.append(Request(entry, message, self.clock.now_ms()))
 
-    def _send_to_owner(self, request: Request, call: Callable[[Daemon], Any]) -> Any:
+    def _call_owner(self, request: Request, call: Callable[[Daemon], Any]) -> Any:
         owner = request.entry.manager.ownership.owner_of(request.message.group)
-        return self._send(request.entry, process_of(owner), call)
+        return self._call_daemon(request.entry, process_of(owner), call)
 
     def _advance_request(self, request: Request) -> None:
         now_ms = self.clock.now_ms()
@@ -303,7 +322,7 @@
         if request.granted:
             settle = build_settle(request.message, request.outcome)
             if now_ms >= request.end_ms and self.rng.random() < 0.8:
-                if self._send_to_owner(request, lambda to: to.manager.settle(settle)) is not None:
+                if self._call_owner(request, lambda to: to.manager.settle(settle)) is not None:
                     return
                 request.attempts += 1
             if request.attempts < 6:
@@ -311,14 +330,14 @@
             return
         left_ms = request.sent_ms + DEADLINE_MS - now_ms
         if left_ms <= 0 or request.attempts >= 4:
-            self._send_to_owner(
+            self._call_owner(
                 request,
                 lambda to: to.manager.settle(build_settle(request.message, Outcome.REFUSED)),
             )
             return
         request.attempts += 1
         message = attrs.evolve(request.message, hold_ms=left_ms + MAX_RUN_MS)
-        reply = self._send_to_owner(request, lambda to: self._decide(request, to, message))
+        reply = self._call_owner(request, lambda to: self._decide(request, to, message))
         if reply is None or reply.verdict in (Verdict.NOT_OWNER, Verdict.NO_COPY):
             self.requests.append(request)
         else:
--- a/coltsfootpier/permits/tests/test_claims.py
+++ b/coltsfootpier/permits/tests/test_claims.py
@@ -1,4 +1,4 @@
-"""Tests of the key claims of callers' requests."""
+"""Tests of the claims that callers' requests make on keys."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 class ListClaimsTest(unittest.TestCase):
     def test_missing_or_oversized_key_is_a_bad_request(self) -> None:
-        """Guards against requests that the caller can repeat without the daemon detecting it."""
+        """Guards against requests whose repetition by the caller the daemon can't detect."""
         exclusive = attrs.evolve(KIND, idempotent=True, exclusive=True)
         for kind, name in ((KIND, b"idempotency-key"), (exclusive, b"x-exclusive-key")):
             for headers in ({}, {name: b"k" * 257}):
--- a/coltsfootpier/permits/tests/test_process.py
+++ b/coltsfootpier/permits/tests/test_process.py
@@ -1,4 +1,4 @@
-"""Tests of permits with daemons that run as processes."""
+"""Test of permits with daemons that run as separate processes."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
     return response
 
 
-async def _write(cluster: Cluster, entry: str, key: str) -> ClientResponse:
+async def _send_write(cluster: Cluster, entry: str, key: str) -> ClientResponse:
     return await _send(cluster, entry, "write", x_request_id=key, idempotency_key=key)
 
 
@@ -58,7 +58,7 @@
     return owners["partitions"][group]["member"].split(".")[0]
 
 
-async def _start(cluster: Cluster) -> None:
+async def _start_cluster(cluster: Cluster) -> None:
     cluster.start_platform()
     for index in range(2):
         await cluster.start_worker(f"worker-{index}", ZONES[index])
@@ -76,7 +76,7 @@
         return await cluster.count_running("entry-0", "service/") == 2
 
     async def is_serving() -> bool:
-        responses = [await _write(cluster, name, f"warm/{name}") for name in cluster.daemons]
+        responses = [await _send_write(cluster, name, f"warm/{name}") for name in cluster.daemons]
         return all(response.status == 200 for response in responses)
 
     await wait_for(is_running, timeout_s=60)
@@ -85,42 +85,45 @@
 
 class PermitProcessTest(unittest.TestCase):
     def test_key_runs_once_across_entry_vms_and_owner_failure(self) -> None:
-        """Guards against running a key twice, through another entry VM or after its owner died."""
-        anyio.run(self._run)
+        """Guards against running two requests with the same key.
 
-    async def _run(self) -> None:
+        The second one arrives at another entry VM, or after the owner of the key has failed.
+        """
+        anyio.run(self._run_checks)
+
+    async def _run_checks(self) -> None:
         cluster = Cluster(zones=ZONES)
         try:
-            await _start(cluster)
-            await self._check_exclusive(cluster)
+            await _start_cluster(cluster)
+            await self._check_exclusive_key(cluster)
             response = await _send(cluster, "entry-0", "write")
             self.assertEqual((response.status, response.json()["error"]), (400, "bad_request"))
-            await self._check_repeats(cluster)
+            await self._check_repeated_requests(cluster)
         finally:
             cluster.stop()
 
-    async def _check_repeats(self, cluster: Cluster) -> None:
+    async def _check_repeated_requests(self, cluster: Cluster) -> None:
         owner = await _find_owner(cluster, "order-1")
         others = [name for name in cluster.daemons if name != owner]
-        response = await _write(cluster, others[0], "order-1")
+        response = await _send_write(cluster, others[0], "order-1")
         self.assertEqual(response.headers["x-outcome"], "done")
         for entry in cluster.daemons:
-            response = await _write(cluster, entry, "order-1")
+            response = await _send_write(cluster, entry, "order-1")
             self.assertEqual(response.headers["x-outcome"], "done")
             self.assertEqual(response.headers["idempotent-replayed"], "true")
         cluster.daemons[owner].signal(signal.SIGKILL)
         for entry in others:
 
             async def is_decided(entry: str = entry) -> bool:
-                repeat = await _write(cluster, entry, "order-1")
+                repeat = await _send_write(cluster, entry, "order-1")
                 return repeat.headers["x-outcome"] in ("done", "unknown")
 
             await wait_for(is_decided, timeout_s=60)
         self.assertEqual(await _count_runs(cluster, "order-1"), 1)
-        fresh = await _write(cluster, others[0], "order-2")
+        fresh = await _send_write(cluster, others[0], "order-2")
         self.assertEqual(fresh.headers["x-outcome"], "done")
 
-    async def _check_exclusive(self, cluster: Cluster) -> None:
+    async def _check_exclusive_key(self, cluster: Cluster) -> None:
         for worker in cluster.workers.values():
             await cluster.set_faults(worker, service_ms=2_500.0)
         statuses: list[int] = []
--- a/coltsfootpier/permits/tests/test_table.py
+++ b/coltsfootpier/permits/tests/test_table.py
@@ -62,7 +62,7 @@
         self.table = _take_ownership(self.manager, 1, PEER)
 
     def test_repeat_gets_the_recorded_outcome(self) -> None:
-        """Guards against running a request twice, and against losing its outcome."""
+        """Guards against running a repeated request, and losing the outcome of the first one."""
         request = build_acquire()
         self.assertIs(_acquire(self.manager).verdict, Verdict.GRANTED)
         repeat = _acquire(self.manager, token="t2")
@@ -73,7 +73,7 @@
         self.assertEqual(repeat.status, 200)
 
     def test_refused_outcome_frees_the_key_of_its_own_token_only(self) -> None:
-        """Guards against a key that stays blocked, or that another request's message frees."""
+        """Guards against a key that stays blocked, or that another request's outcome frees."""
         _acquire(self.manager)
         self.manager.settle(build_settle(build_acquire(token="other"), Outcome.REFUSED))
         self.assertIs(_acquire(self.manager, token="t2").verdict, Verdict.KNOWN)
@@ -87,7 +87,7 @@
         self.assertIs(reply.verdict, Verdict.MISMATCH)
 
     def test_exclusive_key_stays_locked_for_the_maximum_run_time(self) -> None:
-        """Guards against two concurrent runs after an unknown outcome."""
+        """Guards against concurrent runs with an exclusive key after an unknown outcome."""
         first = build_acquire(kind=KeyKind.EXCLUSIVE, hold_ms=10_000.0)
         _acquire(self.manager, kind=KeyKind.EXCLUSIVE, hold_ms=10_000.0)
         self.manager.settle(build_settle(first, Outcome.UNKNOWN))
@@ -126,7 +126,7 @@
         self.assertIs(_acquire(manager, key="c").verdict, Verdict.GRANTED)
 
     def test_second_grant_of_a_key_raises(self) -> None:
-        """Guards against a double grant that goes undetected."""
+        """Guards against undetected double grants."""
         _acquire(self.manager)
         record = attrs.evolve(self.manager.copies.get("keys/0", "k"), token="t2", serial=99)
         self.manager.copies.store("keys/0", record)
@@ -146,7 +146,7 @@
         self.new.merge_pulled_copies(self.new.tables["keys/0"], reply)
 
     def test_new_owner_knows_the_keys_of_the_previous_owner(self) -> None:
-        """Guards against running a key twice after a change of the owner."""
+        """Guards against running a repeated request after a change of the owner."""
         _acquire(self.old)
         _take_ownership(self.new, 2, OWNER, THIRD)
         self._pull()
@@ -167,7 +167,7 @@
         self.assertIs(reply.verdict, Verdict.NOT_OWNER)
 
     def test_unknown_key_is_not_granted_while_the_history_is_incomplete(self) -> None:
-        """Guards against running a key twice because the daemons that know it didn't respond."""
+        """Guards against running a repeated request while no daemon that knows its key responds."""
         _take_ownership(self.new, 2, OWNER, THIRD)
         self.assertIs(_acquire(self.new).verdict, Verdict.INCOMPLETE)
         self.clock.advance(WINDOW_MS + 10_001)
@@ -182,7 +182,7 @@
         self.assertIs(_acquire(self.new).verdict, Verdict.GRANTED)
 
     def test_time_of_grants_without_a_copy_is_not_covered(self) -> None:
-        """Guards against a new owner that relies on coverage despite grants without a copy."""
+        """Guards against a new owner that counts a time with grants without a copy as covered."""
         manager = build_manager(self.clock, OWNER)
         _reconcile(manager, OWNER)
         self.clock.advance(1.0)
@@ -199,7 +199,7 @@
         self.assertEqual(manager.covered_ms(), 0.0)
 
     def test_later_record_wins_in_any_order_of_arrival(self) -> None:
-        """Guards against a delayed copy that blocks a freed key, or frees a held one."""
+        """Guards against a delayed older copy that blocks a freed key, or frees a held one."""
         decision = self.old.decide(build_acquire())
         grant = self.old.build_copy_message(self.old_table, (decision.record,))
         self.old.decide_after_copy(
