--- a/coltsfootpier/backend_servers/_client.py
+++ b/coltsfootpier/backend_servers/_client.py
@@ -1,4 +1,4 @@
-"""Connections to runners, limited in number for each runner."""
+"""HTTP client of runners, with a limited number of connections to each of them."""
 
 from __future__ import annotations
 
@@ -11,13 +11,14 @@
 from coltsfootpier.routing import Runner
 from coltsfootpier.transport import BodyStream, CallError, Channel, Upload, split_address
 
-# Maximum idle time of a connection for requests that must not run twice. A connection that was
-# idle for longer may no longer work.
+# Maximum idle time of a connection that is reused for requests that must not run twice. A
+# connection that was idle for longer may no longer work, and the request can't be sent again.
 _MAX_IDLE_MS = 500.0
-# Maximum idle time of a connection for idempotent requests, which can be sent again.
+# Maximum idle time of a connection that is reused for idempotent requests, which can be sent again.
 _MAX_IDLE_RETRYABLE_MS = 5_000.0
-# Larger bodies are streamed, so that a request uses at most this much memory in each direction,
-# apart from the buffers of its connections.
+# Size of the largest body that is kept in memory as a whole. Larger bodies are streamed, so that a
+# request uses at most this much memory in each direction, apart from the buffers of its
+# connections.
 MAX_BUFFERED_BODY_BYTES = 262_144
 # Headers that apply only to the connection to the runner, or that the daemon sets itself.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -40,6 +41,8 @@
 
     Parameters
     ----------
+    body : bytes
+        The whole body, or the first part of a large one.
     leaving : bool
         Whether the runner reported that it is shutting down.
     rest : BodyStream, optional
@@ -58,7 +61,15 @@
 
 @attrs.frozen
 class NotStarted:
-    """Rejection of a request by the runner before it started the request."""
+    """Rejection of a request that the runner has not started.
+
+    Parameters
+    ----------
+    reason : str
+        Start of the response's body.
+    leaving : bool
+        Whether the runner reported that it is shutting down.
+    """
 
     reason: str
     leaving: bool = False
@@ -72,7 +83,8 @@
     clock : Clock
         Time source.
     entry_vms : int
-        Maximum number of entry VMs. Each entry VM uses an equal part of a runner's connections.
+        Maximum number of entry VMs. Each entry VM uses an equal part of the connections that a
+        runner accepts.
     max_body : int
         Maximum size of an accepted response body in bytes.
     """
@@ -90,7 +102,10 @@
             await anyio.sleep_forever()
 
     def retain(self, runners: list[Runner]) -> None:
-        """Close the connections to all other runners once their pending responses are received."""
+        """Close the connections to all runners that aren't in `runners`.
+
+        They are closed once the pending responses are received.
+        """
         known_ids = {runner.id for runner in runners}
         for id_ in self._channels.keys() - known_ids:
             self._channels.pop(id_).close()
@@ -120,13 +135,16 @@
         timeout_ms : float
             Timeout in milliseconds.
         retryable : bool
-            Whether the request may be sent again if there is no response.
+            Whether the request may be sent again if there is no response, which allows a
+            connection that was idle for longer.
 
         Returns
         -------
-        Result of RunnerResponse, or of CallError or NotStarted
+        Result of RunnerResponse, CallError or NotStarted
+            `Failure` with `NotStarted` if the runner has rejected the request, or with `CallError`
+            if there is no valid response.
         """
-        sent = await self._channel(runner).call(
+        result = await self._get_channel(runner).call(
             method,
             target,
             headers=headers,
@@ -135,26 +153,26 @@
             max_idle_ms=_MAX_IDLE_RETRYABLE_MS if retryable else _MAX_IDLE_MS,
             stream_threshold_bytes=MAX_BUFFERED_BODY_BYTES,
         )
-        if isinstance(sent, Failure):
-            return sent
-        reply = sent.unwrap()
+        if isinstance(result, Failure):
+            return result
+        reply = result.unwrap()
         leaving = reply.header(b"x-leaving") == b"1"
         if reply.status == 503 and reply.header(b"x-not-started") == b"1":
             if reply.rest is not None:
                 reply.rest.close()
             return Failure(NotStarted(reply.body.decode("utf-8", "replace")[:200], leaving))
         end_to_end_headers = tuple(
-            pair for pair in reply.headers if pair[0] not in _HOP_BY_HOP_HEADERS
+            header for header in reply.headers if header[0] not in _HOP_BY_HOP_HEADERS
         )
-        declared = reply.header(b"content-length")
-        length = int(declared) if declared else None
+        content_length = reply.header(b"content-length")
+        length = int(content_length) if content_length else None
         return Success(
             RunnerResponse(
                 reply.status, end_to_end_headers, reply.body, leaving, reply.rest, length
             )
         )
 
-    def _channel(self, runner: Runner) -> Channel:
+    def _get_channel(self, runner: Runner) -> Channel:
         if runner.id not in self._channels:
             host, port = split_address(runner.address)
             channel = Channel(
--- a/coltsfootpier/membership/__init__.py
+++ b/coltsfootpier/membership/__init__.py
@@ -1,4 +1,4 @@
-"""Tables of daemons, with their reachability, and of the VMs that the platform lists."""
+"""Tables of the daemons, with their reachability, and of the VMs that the platform lists."""
 
 from coltsfootpier.membership._table import Member, MemberTable
 from coltsfootpier.membership._vms import VmTable
--- a/coltsfootpier/membership/_table.py
+++ b/coltsfootpier/membership/_table.py
@@ -24,7 +24,7 @@
     availability_zone : str
         Availability zone of the entry VM.
     peers_address, operators_address : str
-        ``IP:PORT``.
+        ``IP:PORT`` at which the daemon serves its peers and operators.
     """
 
     id: str
@@ -45,7 +45,7 @@
     clock : Clock
         Time source.
     heartbeat_ms : float
-        Time between heartbeats.
+        Time between heartbeats in milliseconds.
     """
 
     def __init__(self, *, clock: Clock, heartbeat_ms: float) -> None:
@@ -60,9 +60,9 @@
         """Update the table with the members that the store lists.
 
         Members that are no longer listed stay as long as they respond, unless they announced
-        that they are leaving. During an outage of the store the leases of all daemons expire,
-        and two daemons that removed each other couldn't find each other again until the store
-        is back.
+        that they are leaving. The reason is that the leases of all daemons expire during an
+        outage of the store. If two daemons then removed each other, they couldn't find each other
+        again until the store is available.
         """
         now_ms = self._clock.now_ms()
         names = {member.name for member in members.values()}
@@ -84,9 +84,10 @@
     def observe_member(self, member: Member) -> bool:
         """Record a heartbeat of a member, and add it if it is unknown.
 
-        Members that the store doesn't list are added too. If the store lists another member of
-        the same VM, the sender is ignored as long as that member responds; otherwise it replaces
-        the older incarnation. A member that announced that it is leaving is not added again.
+        Members that the store doesn't list are added too. If the store lists another member on
+        the same VM and that member responds, the sender of the heartbeat is ignored; otherwise it
+        replaces the other members on its VM. A member that announced that it is leaving is not
+        added again.
 
         Returns
         -------
@@ -110,7 +111,7 @@
         return True
 
     def mark_leaving(self, id_: str) -> None:
-        """Mark a member that is shutting down, to remove it once the store doesn't list it."""
+        """Mark a member that is shutting down; it is removed when the store no longer lists it."""
         self._leaving.add(id_)
 
     def remove_suspects(self) -> bool:
@@ -126,9 +127,9 @@
         self._last_heartbeat_ms[id_] = self._clock.now_ms()
 
     def is_suspect(self, id_: str) -> bool:
-        """Return whether a member has missed three heartbeats."""
-        silence_ms = self._clock.now_ms() - self._last_heartbeat_ms.get(id_, float("-inf"))
-        return silence_ms > _MAX_MISSED_HEARTBEATS * self._heartbeat_ms
+        """Return whether a member has missed three heartbeats, and may therefore have failed."""
+        elapsed_ms = self._clock.now_ms() - self._last_heartbeat_ms.get(id_, float("-inf"))
+        return elapsed_ms > _MAX_MISSED_HEARTBEATS * self._heartbeat_ms
 
     def reachable(self) -> list[str]:
         """Return the identifiers of the members that aren't suspected to have failed."""
--- a/coltsfootpier/membership/_vms.py
+++ b/coltsfootpier/membership/_vms.py
@@ -9,12 +9,12 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.platform import Vm
 
-# Time for which a VM must be missing from the list before it counts as gone. The list lags and
-# may be temporarily incomplete.
+# Time for which a VM must be missing from the platform's list before it counts as gone. The list
+# lags and may be temporarily incomplete.
 _GONE_AFTER_MS = 30_000.0
-# Maximum number of gone VMs that are kept for daemons that become shard owners later; the oldest
-# ones are removed first. At 160 replaced VMs a day this covers three days.
-_MAX_GONE = 500
+# Maximum number of gone VMs that are kept, because a daemon that becomes a shard owner later needs
+# them; the oldest ones are removed first. With 160 VMs replaced per day, this covers three days.
+_MAX_GONE_VMS = 500
 
 
 class VmTable:
@@ -27,9 +27,9 @@
 
     Notes
     -----
-    If more than half of the VMs are missing, the list is assumed to be faulty and none of them
-    is marked as gone, because tasks of a VM wrongly marked as gone would be started a second
-    time.
+    If more than half of the VMs that are not gone are missing from the platform's list, the list
+    is assumed to be faulty and none of them is marked as gone, because the tasks of a VM that is
+    marked as gone by mistake would be started a second time.
     """
 
     def __init__(self, *, clock: Clock) -> None:
@@ -54,7 +54,7 @@
                     self._known[vm.name] = attrs.evolve(vm, state="gone")
         self._known.update(found)
         gone = [name for name, vm in self._known.items() if vm.state == "gone"]
-        for name in gone[:-_MAX_GONE]:
+        for name in gone[:-_MAX_GONE_VMS]:
             del self._known[name]
         before, self.vms = self.vms, tuple(self._known.values())
         return self.vms != before
--- a/coltsfootpier/membership/tests/test_vms.py
+++ b/coltsfootpier/membership/tests/test_vms.py
@@ -41,7 +41,7 @@
         self.assertEqual(self._states()["w0"], "live")
 
     def test_list_that_lost_most_vms_is_ignored(self) -> None:
-        """Guards against starting all tasks a second time because of an empty list."""
+        """Guards against starting all tasks a second time when the list is empty by mistake."""
         self.table.observe([])
         self.clock.advance(60_000.0)
         self.table.observe([])
--- a/coltsfootpier/workers/_client.py
+++ b/coltsfootpier/workers/_client.py
@@ -1,4 +1,4 @@
-"""Client of workers, and the only module that depends on their wire format."""
+"""HTTP client of workers; no other module depends on the protocol that they use."""
 
 from __future__ import annotations
 
@@ -41,12 +41,12 @@
 
     async def sync(self, request: SyncRequest) -> Result[SyncReply, CallError]:
         """Send commands to the worker and return its state."""
-        sent = await self._channel.call(
+        result = await self._channel.call(
             "POST", "/v1/sync", body=encode(request), timeout_ms=self._timeout_ms
         )
-        if isinstance(sent, Failure):
-            return sent
-        reply = sent.unwrap()
+        if isinstance(result, Failure):
+            return result
+        reply = result.unwrap()
         if reply.status != 200:
             return Failure(BadReply("unexpected status", reply.status))
         try:
--- a/coltsfootpier/workers/_messages.py
+++ b/coltsfootpier/workers/_messages.py
@@ -27,7 +27,7 @@
     checkpoint : str
         Checkpoint to resume from; only for ``start``.
     share : float
-        Fraction of the declared processors that the task may use; only for ``throttle``.
+        Fraction of its declared processors that the task may use; only for ``throttle``.
     """
 
     kind: str
@@ -43,7 +43,7 @@
 
 @attrs.frozen(kw_only=True)
 class SyncRequest:
-    """All commands for a worker; any other incarnation of the worker rejects all of them."""
+    """All commands for one incarnation of a worker; any other incarnation rejects all of them."""
 
     incarnation: str
     commands: tuple[Command, ...] = ()
@@ -51,22 +51,22 @@
 
 @attrs.frozen(kw_only=True)
 class TaskReport:
-    """State of one attempt as reported by its worker.
+    """State of one attempt of a task, as reported by its worker.
 
     Parameters
     ----------
     state : str
         ``running`` or ``ended``.
     outcome : str
-        For an ended attempt ``done``, ``failed``, ``stopped``, ``expired`` or ``refused``.
+        For an ended attempt, one of ``done``, ``failed``, ``stopped``, ``expired`` or ``refused``.
     checkpoint : str
-        Newest checkpoint.
+        Newest checkpoint of the task.
     address : str
         ``IP:PORT`` of a runner.
     cores, memory_mb : float, int
-        Measured use, which may be outdated.
+        Measured use of processors and of memory in megabytes; may be outdated.
     slowdown : float
-        Measured run time relative to running alone on the worker, which may be outdated.
+        Measured run time relative to that of the task alone on the worker; may be outdated.
     measured_at_ms : float
         Time of the measurement on the worker's clock.
     """
@@ -94,6 +94,8 @@
         Identifier that changes with each start of the worker.
     now_ms : float
         Time on the worker's clock when it responded.
+    cores, memory_mb, accelerators : float, int, int
+        Size of the worker.
     tasks : tuple of TaskReport
         Running attempts, and ended ones until a ``forget`` command.
     """
