Clarify names and docstrings of the daemon and its peer messages

Local names of servers, a noun as a method name and vague verbs hid what the daemon does, and some message fields had no description. They are renamed to what they hold or do, and the reasons behind retries and outcomes are spelled out.

--- a/coltsfootpier/daemon/_control.py
+++ b/coltsfootpier/daemon/_control.py
@@ -129,6 +129,7 @@
         # Members that announced a planned stop; they are assigned no partitions.
         self.draining: set[str] = set()
         self.last_store_response_ms = float("-inf")
+        # Time at which the newest listing or watch that succeeded was requested.
         self.listed_ms = float("-inf")
         self._settings = settings
         self._platform = platform
@@ -142,7 +143,7 @@
         self._config_version = 0
         self._leaving = False
         self._claim_after_ms = float("-inf")
-        self.ownership.member = self._member_id()
+        self.ownership.member = self._build_member_id()
 
     # State of the daemon
 
@@ -160,7 +161,7 @@
 
     @property
     def vms(self) -> tuple[Vm, ...]:
-        """VMs that the platform lists, and those that it no longer lists."""
+        """VMs that the platform lists, and VMs that it no longer lists."""
         return self._vm_table.vms
 
     @property
@@ -199,7 +200,7 @@
     # Tasks
 
     async def run(self) -> None:
-        """Run membership, watch and VM list tasks until cancelled."""
+        """Renew the member lease, watch the store and list the VMs until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._lease_loop)
             group.start_soon(self._watch_loop)
@@ -321,7 +322,7 @@
 
     # Lease
 
-    def _member_id(self) -> str:
+    def _build_member_id(self) -> str:
         name = self._settings.daemon["name"]
         return f"{name}.{self._incarnation}.{self._session_count}"
 
@@ -347,7 +348,7 @@
             self._claim_after_ms = self._clock.now_ms() + _REJOIN_CLAIM_DELAY_MS
         self._session_count += 1
         self.ownership.start_session()
-        member_id = self._member_id()
+        member_id = self._build_member_id()
         member = attrs.evolve(self.member, id=member_id)
         written = await self._platform.put(
             _MEMBERS_PREFIX + member_id,
@@ -383,22 +384,23 @@
 
     async def _watch_loop(self) -> None:
         backoff = Backoff()
-        after = -1
+        # Revision up to which changes were observed; -1 requires a new listing.
+        observed_revision = -1
         while True:
             sent_ms = self._clock.now_ms()
-            if after < 0:
+            if observed_revision < 0:
                 listing = await self._platform.list(_CONTROL_PREFIX)
                 if isinstance(listing, Failure):
                     await backoff.sleep()
                     continue
-                after = listing.unwrap().revision
+                observed_revision = listing.unwrap().revision
                 self._live_members.clear()
                 self.listed_ms = sent_ms
                 self._observe_items(listing.unwrap().items)
                 self.revisions.known = True
                 self.last_store_response_ms = self._clock.now_ms()
             watched = await self._platform.watch(
-                _CONTROL_PREFIX, after=after, wait_ms=_WATCH_TIMEOUT_MS
+                _CONTROL_PREFIX, after=observed_revision, wait_ms=_WATCH_TIMEOUT_MS
             )
             if isinstance(watched, Failure):
                 await backoff.sleep()
@@ -407,7 +409,7 @@
             self.last_store_response_ms = self._clock.now_ms()
             self.listed_ms = sent_ms
             change = watched.unwrap()
-            after = -1 if change.reset else change.revision
+            observed_revision = -1 if change.reset else change.revision
             if change.items:
                 self._observe_items(change.items)
                 await self._claim_partitions()
@@ -439,6 +441,7 @@
     # Claims
 
     async def _claim_partitions(self) -> None:
+        """Claim partitions without a live owner, or hand over those beyond the fair share."""
         # Members and owners are read from one ordered watch. An owner that is not among the
         # members had therefore already lost its lease at the observed version of the table.
         if self._leaving or not self.ownership.is_valid or not self.shards:
--- a/coltsfootpier/daemon/_daemon.py
+++ b/coltsfootpier/daemon/_daemon.py
@@ -80,6 +80,8 @@
 
 @attrs.define(kw_only=True)
 class _Peer:
+    """Connection to a peer, and the versions of its data that this daemon received last."""
+
     client: PeerClient
     scope: anyio.CancelScope
     revision: int = 0
@@ -215,36 +217,36 @@
     async def run(self) -> None:
         """Serve requests until `stop` is called, then drain."""
         listen = self._settings.listen
-        callers = Server(
+        caller_server = Server(
             app=self._callers,
             host=listen["callers"][0],
             port=listen["callers"][1],
             max_connections=self._settings.bounds["caller_connections"],
             listener=self._listeners.get("callers"),
         )
-        peers = Server(
+        peer_server = Server(
             app=build_peer_application(self),
             host=listen["peers"][0],
             port=listen["peers"][1],
             listener=self._listeners.get("peers"),
         )
-        operators = Server(
+        operator_server = Server(
             app=build_operator_application(self),
             host=listen["operators"][0],
             port=listen["operators"][1],
             listener=self._listeners.get("operators"),
         )
         async with anyio.create_task_group() as group:
-            for server in (operators, peers, callers):
+            for server in (operator_server, peer_server, caller_server):
                 await group.start(server.run)
             group.start_soon(self._pool.run)
             group.start_soon(self.run_scheduling)
             group.start_soon(self._slots.run)
             log_event("started", **{endpoint: port for endpoint, (_, port) in listen.items()})
             await self._stopping.wait()
-            await self._drain(callers)
-            peers.stop()
-            operators.stop()
+            await self._drain(caller_server)
+            peer_server.stop()
+            operator_server.stop()
             group.cancel_scope.cancel()
         log_event("daemon stopped")
 
@@ -264,17 +266,17 @@
         """Request a graceful stop."""
         self._stopping.set()
 
-    async def _drain(self, callers: Server) -> None:
+    async def _drain(self, caller_server: Server) -> None:
         self._draining = True
         self._callers.draining = True
         log_event("drain started", in_flight=self._callers.in_flight)
         await anyio.sleep(self._settings.periods["drain_delay_ms"] / 1000)
-        callers.stop()
+        caller_server.stop()
         # The server ends once all responses have left the socket buffers. If a caller reads
         # slowly, this is later than the end of the last request.
         with anyio.move_on_after(self._settings.periods["drain_limit_ms"] / 1000):
-            await callers.ended.wait()
-        if not callers.ended.is_set():
+            await caller_server.ended.wait()
+        if not caller_server.ended.is_set():
             log_event("drain limit reached", in_flight=self._callers.in_flight)
         await self.control.hand_over(before_leaving=self._wait_for_successors)
 
@@ -304,7 +306,7 @@
             for member_id in members.reachable()
         }
         self.router.observe_members(ownership.member, availability_zones)
-        self._observe_shares()
+        self._update_shares()
         self.permits.reconcile()
         for (shard, epoch), (_, scope) in list(self._shards.items()):
             # A shard whose ownership expired without a new owner continues to renew the leases of
@@ -327,8 +329,8 @@
                 self._dispatch = None
         self._observe_own_runners()
 
-    def _observe_shares(self) -> None:
-        # The declaration is kept in memory, so shares stay in force during a store outage.
+    def _update_shares(self) -> None:
+        # The declaration is held in memory, so the shares apply during a store outage as well.
         requests = self.control.revisions.declaration.requests
         self.router.observe_shares(
             {
@@ -374,7 +376,7 @@
             platform=self._platform,
             clock=self._clock,
             settings=self._settings,
-            exchange=self._exchange,
+            send_exchange=self._send_exchange,
         )
 
         async def run() -> None:
@@ -396,7 +398,7 @@
             self._dispatch[1].cancel()
             self._dispatch = None
 
-    async def _exchange(self, shard: str, request: ExchangeRequest) -> Result:
+    async def _send_exchange(self, shard: str, request: ExchangeRequest) -> Result:
         ownership = self.control.ownership
         owner = ownership.owner_of(f"shard/{shard}")
         if owner == ownership.member:
@@ -479,7 +481,7 @@
     # Seeds
 
     async def _run_seed_clients(self) -> None:
-        """Request members and the revision from the seeds while the store does not respond."""
+        """Poll the seeds for members and the revision while the store does not respond."""
         async with anyio.create_task_group() as group:
             for address in self._settings.peers["seeds"]:
                 group.start_soon(self._poll_seed, address)
@@ -533,7 +535,7 @@
     # Messages of peers
 
     async def on_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
-        """Handle a heartbeat of a peer and return the heartbeat of this daemon."""
+        """Record the heartbeat of a peer; the response is the heartbeat of this daemon."""
         member = heartbeat.member
         if heartbeat.draining:
             self.control.draining.add(member.id)
@@ -585,8 +587,8 @@
         return await self._slots.lend(request)
 
     async def on_return(self, request: ReturnSlot) -> LentSlot:
-        """Handle the return of a lent slot."""
-        self._slots.handle_return(request)
+        """Free a lent slot that a peer returns."""
+        self._slots.free_returned_slot(request)
         return LentSlot()
 
     async def on_acquire_permit(self, request: AcquirePermit) -> PermitReply:
@@ -629,7 +631,7 @@
 
     @staticmethod
     async def _push_revision(peer: _Peer, revision: Revision) -> None:
-        # The second attempt covers a connection that was broken without notice.
+        # The first attempt may fail on a connection that broke unnoticed, so a second one follows.
         for _ in range(2):
             pushed = await peer.client.push_revision(revision)
             if isinstance(pushed, Success):
@@ -693,13 +695,13 @@
             seed_state = "no seed has answered" if seeds else "no seeds are set"
             return f"no configuration: the store has not answered and {seed_state}"
         own = self.control.ownership.member
-        peers = [member_id for member_id in self.control.members.reachable() if member_id != own]
-        if self.control.store_response_age_ms > _ISOLATION_TIMEOUT_MS and not peers:
+        peer_ids = [member_id for member_id in self.control.members.reachable() if member_id != own]
+        if self.control.store_response_age_ms > _ISOLATION_TIMEOUT_MS and not peer_ids:
             return "isolated: neither the store nor a peer answers"
         if self.control.store_response_age_ms == float("inf"):
             missing = [
                 member_id
-                for member_id in peers
+                for member_id in peer_ids
                 if member_id not in self._peers or self._peers[member_id].runners_version < 0
             ]
             if missing:
@@ -723,7 +725,7 @@
                 "permit_records": len(self.permits.manager.copies),
                 **{
                     f"permits_{verdict.value}": count
-                    for verdict, count in self.permits.verdicts.items()
+                    for verdict, count in self.permits.verdict_counts.items()
                 },
             },
         )
--- a/coltsfootpier/daemon/_dispatch_task.py
+++ b/coltsfootpier/daemon/_dispatch_task.py
@@ -25,7 +25,7 @@
 # Delay before a ledger that can't be decoded is read again.
 _DECODE_RETRY_DELAY_MS = 1_000.0
 
-Exchange = Callable[[str, ExchangeRequest], Awaitable[Result[ExchangeReply, object]]]
+SendExchange = Callable[[str, ExchangeRequest], Awaitable[Result[ExchangeReply, object]]]
 
 
 class DispatchTask:
@@ -45,7 +45,7 @@
         Time source.
     settings : Settings
         Periods and limits.
-    exchange : callable
+    send_exchange : callable
         Callback that sends one exchange request to the owner of a shard.
     """
 
@@ -58,7 +58,7 @@
         platform: PlatformClient,
         clock: Clock,
         settings: Settings,
-        exchange: Exchange,
+        send_exchange: SendExchange,
     ) -> None:
         self.epoch = epoch
         ledger = Ledger(epoch=epoch, writer=ownership.member)
@@ -68,7 +68,7 @@
         self._platform = platform
         self._clock = clock
         self._period_ms = settings.periods["dispatch_ms"]
-        self._exchange = exchange
+        self._send_exchange = send_exchange
         self._ownership_lost = False
         self._shards: set[str] = set()
 
@@ -85,7 +85,7 @@
         async with anyio.create_task_group() as group:
             while not self._ownership_lost:
                 if self.may_act:
-                    await self._tick(group)
+                    await self._make_decisions(group)
                 await anyio.sleep(self._period_ms / 1000)
             group.cancel_scope.cancel()
         log_event("dispatcher ownership lost", epoch=self.epoch)
@@ -104,6 +104,7 @@
                 try:
                     ledger.load(listing.unwrap().items)
                 except RecordEpochError:
+                    # Expected only if the ownership expired while the read was in flight.
                     if self.may_act:
                         raise
                     return False
@@ -119,7 +120,7 @@
             await anyio.sleep(self._period_ms / 1000)
         return False
 
-    async def _tick(self, group: TaskGroup) -> None:
+    async def _make_decisions(self, group: TaskGroup) -> None:
         partitions = self._ownership.table.partitions
         epochs = {
             name.removeprefix("shard/"): ownership.epoch
@@ -155,6 +156,6 @@
             if request is None:
                 continue
             last_exchange_ms = self._clock.now_ms()
-            result = await self._exchange(shard, request)
+            result = await self._send_exchange(shard, request)
             if isinstance(result, Success):
                 self.dispatcher.observe_reply(result.unwrap())
--- a/coltsfootpier/daemon/_permits.py
+++ b/coltsfootpier/daemon/_permits.py
@@ -103,7 +103,7 @@
             hold_over_ms=options["hold_over_ms"],
             capacity=options["group_records"],
         )
-        self.verdicts: dict[Verdict, int] = dict.fromkeys(Verdict, 0)
+        self.verdict_counts: dict[Verdict, int] = dict.fromkeys(Verdict, 0)
         self._addresses: dict[str, str] = {}
         self._background_settlements = 0
         self._group: TaskGroup | None = None
@@ -131,7 +131,8 @@
             del self._addresses[process]
 
     def _is_retired(self, process: str) -> bool:
-        # Called only for processes without a listed member, so that the session does not matter.
+        # Called only for processes without a listed member, so the session number, 0 here, does
+        # not matter.
         return self._control.is_retired(f"{process}.0")
 
     async def wait_for_successors(self, *, timeout_ms: float) -> None:
@@ -182,6 +183,8 @@
                 may_be_recorded = True
             await anyio.sleep(_RETRY_DELAY_MS / 1000)
         if may_be_recorded:
+            # The owner may have granted the permit although no response arrived. `REFUSED` frees
+            # the record, so that the key does not stay undecided.
             self._settle_in_background(Permit(claim=claim, token=token), Outcome.REFUSED, 0)
         return Rejected(reason=_REJECTIONS[verdict][0], detail=_REJECTIONS[verdict][1])
 
@@ -252,7 +255,7 @@
             reply = self.manager.decide_after_copy(
                 table, record, copied=copied, was_only_member=was_only_member
             )
-        self.verdicts[reply.verdict] += 1
+        self.verdict_counts[reply.verdict] += 1
         return reply
 
     async def on_copy_permits(self, request: CopyPermits) -> CopyReply:
@@ -283,8 +286,8 @@
                 self.manager.copies.announce(table.group, reply.epoch)
                 if table.is_superseded:
                     return False
-        # An outcome that no peer accepted is not sent again. Without it, a new owner treats the
-        # key as undecided, which is safe.
+        # An outcome that no peer accepted is not sent again. A new owner that does not receive it
+        # treats the key as undecided, which is safe.
         return False
 
     def _rank_copy_holders(self, group: str) -> list[str]:
--- a/coltsfootpier/daemon/_shard_task.py
+++ b/coltsfootpier/daemon/_shard_task.py
@@ -43,7 +43,7 @@
     epoch : int
         Epoch of the ownership.
     ownership : OwnershipState
-        Checked before each command and write: whether the daemon still owns the shard.
+        Determines, before each command and write, whether the daemon still owns the shard.
     platform : PlatformClient
         Client of the store.
     clock : Clock
@@ -51,11 +51,11 @@
     settings : Settings
         Periods and limits.
     connect_worker : callable
-        Returns the client for a worker's address.
+        Returns a client for the address of a worker.
     list_vms : callable
         Returns the latest list of VMs.
     are_previous_owners_retired : callable
-        Returns whether it is certain that no previous owner can still renew leases.
+        Returns whether it is certain that no previous owner can still renew task leases.
     on_change : callable
         Callback that runs after each change of the published runners.
     """
@@ -118,7 +118,7 @@
             group.start_soon(self._write_loop)
             group.start_soon(self._exchange_loop, group)
             while not self._ownership_lost:
-                self._tick(group)
+                self._reconcile(group)
                 await anyio.sleep(self._periods["worker_sync_ms"] / 1000)
             group.cancel_scope.cancel()
         log_event("shard ownership lost", shard=self.shard, epoch=self.epoch)
@@ -153,7 +153,7 @@
             await anyio.sleep(self._periods["record_ms"] / 1000)
         return False
 
-    def _tick(self, group: TaskGroup) -> None:
+    def _reconcile(self, group: TaskGroup) -> None:
         if self._are_previous_owners_retired():
             self.state.retire_previous_owner()
         vms = self._list_vms()
--- a/coltsfootpier/daemon/_slots.py
+++ b/coltsfootpier/daemon/_slots.py
@@ -1,4 +1,4 @@
-"""Slot allocation for requests: carries out the decisions of the router."""
+"""Slot allocation for requests: executes the decisions of the router."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
     Parameters
     ----------
     router : Router
-        Makes the decisions.
+        Decides which request gets a slot and from which peers slots are borrowed.
     clock : Clock
         Time source.
     get_peer : callable
@@ -58,7 +58,7 @@
 
     @property
     def member(self) -> str:
-        """Identifier of this daemon."""
+        """Member identifier of this daemon under its newest lease."""
         return self._member
 
     @member.setter
@@ -114,11 +114,11 @@
         return self._router.retries.spend(service)
 
     def compute_attempt_timeout(self, service: str, kind: str, left_ms: float) -> float:
-        """Return the timeout of an attempt that can be retried."""
+        """Return the timeout in ms of an attempt that can be retried."""
         return compute_attempt_timeout(left_ms, self._router.health.response_ms(service, kind))
 
     async def lend(self, request: BorrowSlot) -> LentSlot:
-        """Handle a peer's request for a slot, queued fairly with the requests of this daemon."""
+        """Lend a slot to a peer, or queue its request fairly with the requests of this daemon."""
         now_ms = self._clock.now_ms()
         ticket = Ticket(
             service=request.service,
@@ -137,14 +137,17 @@
             return LentSlot(runner=decision.runner, token=decision.token, free=free)
         return LentSlot(free=free)
 
-    def handle_return(self, request: ReturnSlot) -> None:
-        """Handle the return of a slot that a peer borrowed."""
+    def free_returned_slot(self, request: ReturnSlot) -> None:
+        """Free a slot that a peer had borrowed and returns."""
         self._apply_settlements(
             self._router.release(request.runner, request.token, request.feedback)
         )
 
     def expire(self) -> None:
-        """Expire loans and serve waiting requests, after loans expired or runners changed."""
+        """Free the slots of expired grants, and settle the waiting requests that this affects.
+
+        Also called after the published runners have changed.
+        """
         self._apply_settlements(self._router.expire())
 
     def borrow_for_waiting(self) -> None:
--- a/coltsfootpier/daemon/tests/test_slots.py
+++ b/coltsfootpier/daemon/tests/test_slots.py
@@ -27,7 +27,7 @@
         return Success(await self._broker.lend(request))
 
     async def return_slot(self, request: ReturnSlot) -> Result[LentSlot, Any]:
-        self._broker.handle_return(request)
+        self._broker.free_returned_slot(request)
         return Success(LentSlot())
 
 
--- a/coltsfootpier/peers/_messages.py
+++ b/coltsfootpier/peers/_messages.py
@@ -47,7 +47,13 @@
 
 @attrs.frozen(kw_only=True)
 class RunnerTable:
-    """Runners of all shards that a daemon owns."""
+    """Runners of all shards that a daemon owns.
+
+    Parameters
+    ----------
+    version : int
+        Differs after each change of the runners.
+    """
 
     version: int = 0
     shards: tuple[PublishedRunners, ...] = ()
@@ -62,18 +68,20 @@
 
 @attrs.frozen(kw_only=True)
 class BorrowSlot:
-    """Request to the owner of slots for one slot of a service.
+    """Request for one slot of a service, sent to the member that owns the slots.
 
     Parameters
     ----------
     borrower : str
         Member that requests the slot.
-    kind, team : str, str
-        Request kind and team to whose share the slot is charged.
+    kind, team : str
+        Request kind and team whose shares the slot is charged to.
     left_ms : float
         Time until the deadline of the request.
     wait_ms : float
         Maximum time for which the owner may queue the request.
+    excluded : tuple of str
+        Runners that the request must not be sent to again.
     """
 
     service: str
@@ -91,6 +99,8 @@
 
     Parameters
     ----------
+    token : int
+        Identifies the grant when the slot is returned.
     free : int
         Remaining free slots of the service at the owner.
     """
--- a/coltsfootpier/peers/_server.py
+++ b/coltsfootpier/peers/_server.py
@@ -39,7 +39,7 @@
     """Handlers for the messages of peers."""
 
     async def on_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
-        """Handle a heartbeat of a peer and return the heartbeat of this daemon."""
+        """Record the heartbeat of a peer; the response is the heartbeat of this daemon."""
         ...
 
     async def on_revision(self, revision: Revision) -> Revision:
@@ -75,7 +75,7 @@
         ...
 
     async def on_return(self, request: ReturnSlot) -> LentSlot:
-        """Handle the return of a lent slot."""
+        """Free a lent slot that a peer returns."""
         ...
 
     async def on_acquire_permit(self, request: AcquirePermit) -> PermitReply:
