Reword comments and local names of the transport

Several comments left their subject open or described network faults in figurative words. They now name the subject and the cause, local names say what they hold, and two reasons that are only logged say response.

--- a/coltsfootpier/transport/_channel.py
+++ b/coltsfootpier/transport/_channel.py
@@ -13,12 +13,15 @@
 from coltsfootpier.transport._errors import OVERDUE, CallError, NotSent
 from coltsfootpier.transport._stream import Upload
 
-# Shorter than the keep-alive timeout of our servers (75 s), so that the client closes first.
+# Shorter than the keep-alive timeout of the daemons' servers (75 s), so that the client closes
+# first.
 _MAX_IDLE_MS = 30_000.0
 
 
 @attrs.define(eq=False)
 class _Exchange:
+    """A call, from its submission to its result."""
+
     method: str
     target: str
     headers: Headers
@@ -56,10 +59,10 @@
 class Channel:
     """Request-response calls to one address.
 
-    The most recently used connection is reused first, so that at low rates few connections are
-    in use and stay fresh. After a timeout, every connection without a response since the
-    overdue request was sent is replaced before its next use: a network fault that silenced one
-    connection has usually silenced the others to the same address.
+    The most recently used connection is reused first, so that at a low call rate only few
+    connections are used, none of which is idle for long. After a timeout, every connection without
+    a response since the overdue request was sent is replaced before its next use: a network fault
+    that drops the packets of one connection usually affects all connections to the same address.
 
     Parameters
     ----------
@@ -162,7 +165,8 @@
             with anyio.move_on_after(timeout_ms / 1000):
                 await exchange.done.wait()
         finally:
-            # Reported as not sent or cancelled by the calling task, so it must not be sent later.
+            # A queued call that is reported as not sent, or that the calling task has cancelled,
+            # must not be sent later.
             exchange.abandoned = True
         if exchange.done.is_set():
             return exchange.result
--- a/coltsfootpier/transport/_codec.py
+++ b/coltsfootpier/transport/_codec.py
@@ -21,12 +21,12 @@
 
 
 def encode(message: object) -> bytes:
-    """Encode an attrs object, or any JSON value, as JSON.
+    """Encode a message as JSON.
 
     Parameters
     ----------
     message : object
-        The message.
+        An attrs object, or any JSON value.
 
     Returns
     -------
@@ -36,19 +36,19 @@
     return orjson.dumps(_converter.unstructure(message))
 
 
-def decode(body: bytes | dict | list, kind: type[_T]) -> _T:
-    """Decode JSON into an instance of `kind`.
+def decode(body: bytes | dict | list, message_type: type[_T]) -> _T:
+    """Decode JSON into an instance of a message type.
 
     Parameters
     ----------
     body : bytes, dict or list
         JSON text or a parsed JSON value.
-    kind : type
+    message_type : type
         An attrs class.
 
     Returns
     -------
-    instance of `kind`
+    instance of `message_type`
 
     Raises
     ------
@@ -57,7 +57,7 @@
     """
     try:
         value = orjson.loads(body) if isinstance(body, bytes) else body
-        return _converter.structure(value, kind)
+        return _converter.structure(value, message_type)
     except (
         ArithmeticError,
         AttributeError,
@@ -67,5 +67,5 @@
         ValueError,
     ) as error:
         raise MalformedMessageError(
-            f"not a {getattr(kind, '__name__', kind)}: {error!r}"
+            f"not a {getattr(message_type, '__name__', message_type)}: {error!r}"
         ) from error
--- a/coltsfootpier/transport/_connection.py
+++ b/coltsfootpier/transport/_connection.py
@@ -75,8 +75,8 @@
     def is_open(self) -> bool:
         """Whether an exchange has succeeded on the connection and it is still usable."""
         connection = self._connection
-        # An idle connection with data to read was closed by the peer, or received a response
-        # without a request.
+        # `has_expired` reports a readable socket: the peer has closed the idle connection or sent
+        # a response without a request.
         return connection is not None and connection.is_idle() and not connection.has_expired()
 
     def idle_ms(self) -> float:
@@ -189,12 +189,14 @@
         start_stream: Callable[[Reply], None],
     ) -> Result[Reply, CallError]:
         headers = tuple((name.lower(), value) for name, value in response.headers)
-        if not _has_length(response.status, headers):
-            # The connection's end delimits such a body, so a truncated response would look
+        if not _is_body_delimited(response.status, headers):
+            # Such a body ends when the connection is closed, so a truncated response would look
             # complete.
             return Failure(BadReply("answer without a length", response.status))
-        declared = next((value for name, value in headers if name == b"content-length"), b"0")
-        if int(declared) > self._max_body:
+        declared_length = next(
+            (value for name, value in headers if name == b"content-length"), b"0"
+        )
+        if int(declared_length) > self._max_body:
             return Failure(BadReply(f"body over {self._max_body} bytes", response.status))
         chunks: list[bytes] = []
         size = 0
@@ -206,7 +208,7 @@
                 try:
                     await self._stream.put(chunk)
                 except anyio.BrokenResourceError:
-                    return Failure(Unanswered("the reader of the answer has gone"))
+                    return Failure(Unanswered("the reader of the response has closed the stream"))
                 continue
             chunks.append(chunk)
             if stream_threshold_bytes is not None and size > stream_threshold_bytes:
@@ -225,7 +227,7 @@
     return b"content-length", str(length).encode()
 
 
-def _has_length(status: int, headers: Headers) -> bool:
+def _is_body_delimited(status: int, headers: Headers) -> bool:
     if status in (204, 304):
         return True
     return any(
--- a/coltsfootpier/transport/_errors.py
+++ b/coltsfootpier/transport/_errors.py
@@ -52,4 +52,4 @@
 
 
 class MalformedMessageError(ColtsfootpierError):
-    """A message body isn't valid JSON for its type."""
+    """A message isn't JSON, or a field of its type is missing or invalid."""
--- a/coltsfootpier/transport/_lean.py
+++ b/coltsfootpier/transport/_lean.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 client connections parsed by ``httptools``, for frequent calls.
 
-An exchange costs about a twentieth of the processor time of one through ``httpcore``
+An exchange takes about a twentieth of the CPU time of one through ``httpcore``
 (docs/measurements.md). The protocol object is notified when the peer closes an idle connection,
 so that no request is written to a closed one.
 """
@@ -21,8 +21,8 @@
 # Maximum size of a response body; a range response of the store holds at most about 1 MB of values
 # in base64.
 _MAX_RESPONSE_BYTES = 4_000_000
-# Unacknowledged bytes close a connection after this time, because a network partition sends no
-# reset.
+# A connection whose sent bytes are not acknowledged within this time is closed by the operating
+# system, because no reset arrives during a network partition.
 _TCP_USER_TIMEOUT_MS = 4_000
 
 
@@ -180,7 +180,8 @@
         except OSError as error:
             reason = f"can't connect to {self._host}:{self._port}: {error}"
             return Failure(NotSent(reason, unreachable=True))
-        # Not every platform supports the option; the timeout of the exchange applies anyway.
+        # Not every operating system supports the option. The timeout of the exchange applies in any
+        # case.
         with contextlib.suppress(OSError):
             protocol.transport.get_extra_info("socket").setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
@@ -225,7 +226,7 @@
                 await self._slots.acquire()
         except TimeoutError:
             return Failure(NotSent("no free connection in time"))
-        # Reuses the most recently used connection first, so that few stay open under light load.
+        # The most recently used connection is reused first, so that few stay open under light load.
         connection = self._free.pop()
         try:
             remaining_ms = timeout_ms - (self._clock.now_ms() - start_ms)
--- a/coltsfootpier/transport/_limits.py
+++ b/coltsfootpier/transport/_limits.py
@@ -46,14 +46,14 @@
     def __init__(self, *arguments: Any, **keywords: Any) -> None:
         super().__init__(*arguments, **keywords)
         self._timer: asyncio.TimerHandle | None = None
-        # Bytes received of an incomplete header, and whether a body is being received.
+        # Number of bytes received so far of an incomplete header.
         self._header_bytes = 0
         self._in_body = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the idle timeout of the first request."""
         super().connection_made(transport)
-        self._start_timer(self._limits().idle_timeout_ms, "idle")
+        self._start_timer(self._read_limits().idle_timeout_ms, "idle")
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timer."""
@@ -65,7 +65,7 @@
         if self._in_body:
             super().data_received(data)
             return
-        limits = self._limits()
+        limits = self._read_limits()
         if not self._header_bytes:
             self._start_timer(limits.header_timeout_ms, "header_timeout")
         self._header_bytes += len(data)
@@ -88,10 +88,10 @@
 
     def on_response_complete(self) -> None:
         """Apply the current idle timeout until the next request."""
-        self.timeout_keep_alive = self._limits().idle_timeout_ms / 1000
+        self.timeout_keep_alive = self._read_limits().idle_timeout_ms / 1000
         super().on_response_complete()
 
-    def _limits(self) -> ConnectionLimits:
+    def _read_limits(self) -> ConnectionLimits:
         return type(self).get_limits()
 
     def _start_timer(self, timeout_ms: float, limit_name: str) -> None:
@@ -122,5 +122,5 @@
     on_closed : callable
         Called with the name of the limit that closed a connection.
     """
-    members = {"get_limits": staticmethod(get_limits), "on_closed": staticmethod(on_closed)}
-    return type("BoundProtocol", (LimitedProtocol,), members)
+    attributes = {"get_limits": staticmethod(get_limits), "on_closed": staticmethod(on_closed)}
+    return type("BoundProtocol", (LimitedProtocol,), attributes)
--- a/coltsfootpier/transport/_mailbox.py
+++ b/coltsfootpier/transport/_mailbox.py
@@ -49,7 +49,7 @@
         Parameters
         ----------
         message : object
-            The message.
+            Message for the task that reads the mailbox.
         timeout_ms : float
             Timeout in ms.
 
--- a/coltsfootpier/transport/_server.py
+++ b/coltsfootpier/transport/_server.py
@@ -74,7 +74,7 @@
 
 
 class BodyError(Exception):
-    """The body of a request was rejected."""
+    """The body of a request was rejected; `response` is the response to its sender."""
 
     def __init__(self, status: int, kind: str, reason: str) -> None:
         super().__init__(reason)
@@ -113,8 +113,10 @@
     BodyError
         If the body is too large, ends before its declared length, or takes too long.
     """
-    declared = next((value for key, value in scope["headers"] if key == b"content-length"), b"")
-    if declared and int(declared) > max_body:
+    declared_length = next(
+        (value for key, value in scope["headers"] if key == b"content-length"), b""
+    )
+    if declared_length and int(declared_length) > max_body:
         raise BodyError(413, "body_too_large", f"at most {max_body} bytes are allowed")
     with anyio.move_on_after(max(0.0, timeout_ms) / 1000):
         return await _receive_body(receive, max_body)
@@ -161,11 +163,17 @@
     BodyError
         As in `read_body`.
     """
-    declared = next((value for key, value in scope["headers"] if key == b"content-length"), b"")
-    if not declared or int(declared) <= max_buffered_bytes or int(declared) > max_body:
+    declared_length = next(
+        (value for key, value in scope["headers"] if key == b"content-length"), b""
+    )
+    if (
+        not declared_length
+        or int(declared_length) <= max_buffered_bytes
+        or int(declared_length) > max_body
+    ):
         return await read_body(scope, receive, max_body=max_body, timeout_ms=timeout_ms)
 
-    async def read() -> bytes | None:
+    async def read_chunk() -> bytes | None:
         nonlocal has_more
         if not has_more:
             return None
@@ -180,12 +188,12 @@
     with anyio.move_on_after(max(0.0, timeout_ms) / 1000) as cancel_scope:
         while has_more and len(first) < max_buffered_bytes:
             try:
-                first += await read() or b""
+                first += await read_chunk() or b""
             except UploadError as error:
                 raise BodyError(400, "body_truncated", str(error)) from error
     if cancel_scope.cancelled_caught:
         raise BodyError(408, "body_overdue", f"the body did not begin within {timeout_ms:.0f} ms")
-    return Upload(first=bytes(first), read=read, length=int(declared))
+    return Upload(first=bytes(first), read=read_chunk, length=int(declared_length))
 
 
 async def send_response(send: Callable, response: HttpResponse) -> None:
@@ -204,6 +212,17 @@
 ) -> None:
     """Send the first part of a response, then stream the rest as it arrives.
 
+    Parameters
+    ----------
+    send : callable
+        ASGI send function.
+    response : HttpResponse
+        Status, headers and the first part of the body.
+    rest : BodyStream
+        Rest of the body.
+    length : int, optional
+        Length of the complete body in bytes; without it, the body is sent in chunks.
+
     Raises
     ------
     BodyCutError
--- a/coltsfootpier/transport/_stream.py
+++ b/coltsfootpier/transport/_stream.py
@@ -9,7 +9,8 @@
 from coltsfootpier.exceptions import ColtsfootpierError
 from coltsfootpier.transport._errors import CallError, Unanswered
 
-# Chunks queued for a slow reader; one chunk is at most 64 KB, the read size of httpcore.
+# Maximum number of chunks queued for a slow reader; a chunk has at most 64 KB, the read size of
+# httpcore.
 _MAX_QUEUED_CHUNKS = 4
 
 
@@ -30,7 +31,7 @@
 
     def __init__(self) -> None:
         self._send, self._receive = anyio.create_memory_object_stream[bytes](_MAX_QUEUED_CHUNKS)
-        self._error: CallError | None = Unanswered("the answer was cut off")
+        self._error: CallError | None = Unanswered("the response was truncated")
 
     async def put(self, chunk: bytes) -> None:
         """Queue a chunk for the reader; blocks while the queue is full.
@@ -73,6 +74,12 @@
         Returns the next chunk, or None at the end; raises `UploadError` if the body is truncated.
     length : int, optional
         Declared length in bytes.
+
+    Attributes
+    ----------
+    started : bool
+        Whether iteration has begun. From then on the request can't be resent, because the bytes
+        that were read are not retained.
     """
 
     def __init__(self, *, first: bytes, read: Callable[[], object], length: int | None) -> None:
--- a/coltsfootpier/transport/tests/test_channel.py
+++ b/coltsfootpier/transport/tests/test_channel.py
@@ -233,7 +233,7 @@
 
 class LargeResponseTest(unittest.TestCase):
     def test_large_response_is_streamed_and_truncation_detected(self) -> None:
-        """Guards against a truncated response that looks complete, and against full buffering."""
+        """Guards against a large response that is fully buffered, or accepted when truncated."""
         body = b"0123456789" * 100_000
 
         async def complete(_: str) -> bytes:
