Reword the usage text and errors of the command-line tool

The usage text described the subcommands in idioms, and options and the store overview had no field descriptions. The texts use the terms of the declaration, and the fields are documented.

--- a/coltsfootpier/cli/_commands.py
+++ b/coltsfootpier/cli/_commands.py
@@ -37,7 +37,23 @@
 
 @attrs.frozen(kw_only=True)
 class Options:
-    """Command-line options of the subcommands."""
+    """Command-line options of the subcommands.
+
+    Parameters
+    ----------
+    daemon : str
+        ``IP:PORT`` at which a daemon listens for operators.
+    json : bool
+        Whether to print JSON.
+    base : int or None
+        Revision that an applied change is based on; None selects the revision in force.
+    wait : bool
+        Whether `apply` waits until the change is in force on all entry VMs.
+    timeout_ms : float
+        Maximum time of that wait.
+    html : str
+        File for the report as an HTML page; empty for none.
+    """
 
     daemon: str
     json: bool
@@ -111,7 +127,7 @@
     current = parse(config.unwrap().text, source=f"revision {config.unwrap().revision}")
     if isinstance(current, Failure):
         return _report_failure(
-            "the text in force has keys that this release of the tool doesn't know"
+            "the declaration in force has keys that this release of the tool doesn't support"
         )
     lines = diff_declarations(current.unwrap(), parsed.unwrap()[1])
     if options.json:
@@ -145,7 +161,7 @@
     reply = applied.unwrap()
     if reply.outcome != "accepted":
         return _report_rejection(options, reply, base)
-    return await _wait_in_force(options, client, reply.revision)
+    return await _wait_until_in_force(options, client, reply.revision)
 
 
 def _report_rejection(options: Options, reply: ApplyReply, base: int) -> int:
@@ -162,13 +178,13 @@
     return _APPLY_EXIT_CODES[reply.outcome]
 
 
-async def _wait_in_force(options: Options, client: OperatorClient, revision: int) -> int:
+async def _wait_until_in_force(options: Options, client: OperatorClient, revision: int) -> int:
     in_force = total = 0
     with anyio.move_on_after(options.timeout_ms / 1000):
         while True:
-            status = await client.read_status()
-            if isinstance(status, Success):
-                vms = status.unwrap().entry_vms
+            result = await client.read_status()
+            if isinstance(result, Success):
+                vms = result.unwrap().entry_vms
                 in_force = sum(vm.revision >= revision for vm in vms)
                 total = len(vms)
                 if sys.stderr.isatty():
@@ -221,7 +237,9 @@
         counts = Counter(task.state for task in tasks)
         states = ", ".join(f"{count} {state}" for state, count in sorted(counts.items()))
         reasons = sorted({task.reason for task in tasks if task.reason})
-        lines.append(f"{name.replace('/', ' ')}: {states}" + "".join(f"; {r}" for r in reasons))
+        lines.append(
+            f"{name.replace('/', ' ')}: {states}" + "".join(f"; {reason}" for reason in reasons)
+        )
     return lines
 
 
@@ -249,7 +267,7 @@
 async def report(options: Options, name: str) -> int:
     """Print a report; ``burn`` is the only one."""
     if name != "burn":
-        return _report_failure(f"no report is called {name!r}; there is: burn", ExitCode.USAGE)
+        return _report_failure(f"unknown report {name!r}; the only report is burn", ExitCode.USAGE)
     result = await _build_client(options).read_burn()
     if isinstance(result, Failure):
         return _report_failure(result.failure().reason)
--- a/coltsfootpier/cli/_main.py
+++ b/coltsfootpier/cli/_main.py
@@ -15,17 +15,17 @@
 USAGE = """usage: coltsfootpier COMMAND [ARGUMENTS] [--daemon IP:PORT] [--store IP:PORT] [--json]
 
 commands:
-  validate FILE   check a declared text
-  diff FILE       show what a text would change
-  apply FILE      put a text in force and wait until all entry VMs run by it
+  validate FILE   check a declaration for errors
+  diff FILE       show the differences between the declaration in force and a new one
+  apply FILE      apply a declaration and wait until it is in force on all entry VMs
   status          show services, jobs, workers and entry VMs
-  explain NAME    show why a service or job is where it is, or why it isn't
-  store           show owner, jobs and runners as the platform's store keeps them
-  store ID        show what the store keeps of one job
-  report burn     show error budgets, burn rates and what spent them
+  explain NAME    show where the tasks of a service or job run, or why they are not placed
+  store           show the owner, jobs and runners recorded in the platform's store
+  store ID        show the record of one job in the platform's store
+  report burn     show error budgets, burn rates and the causes of spent budgets
                   (--html FILE writes a page with charts)
 
-exit codes: 0 success, 1 failure, 2 usage, 3 invalid text, 4 conflict, 5 unknown outcome,
+exit codes: 0 success, 1 failure, 2 usage, 3 invalid declaration, 4 conflict, 5 unknown outcome,
 6 timed out waiting
 """
 
--- a/coltsfootpier/cli/_store.py
+++ b/coltsfootpier/cli/_store.py
@@ -28,13 +28,28 @@
 
 @attrs.frozen(kw_only=True)
 class Overview:
-    """Summary of the whole system, read from the store."""
+    """Summary of the whole system, read from the store.
+
+    Parameters
+    ----------
+    owner : OwnerInfo or None
+        Daemon that owns the cell; None without one.
+    configuration_version : int
+        Version of the configuration; 0 without a valid one.
+    jobs : dict of str to int
+        Number of jobs by queue and state.
+    runners : dict of str to int
+        Number of runners that are ready and draining.
+    upkeep : dict of str to str
+        Progress of each maintenance wave, by its number.
+    unreadable : int
+        Number of job records and runner entries that can't be decoded.
+    """
 
     owner: OwnerInfo | None
     configuration_version: int
     jobs: dict[str, int]
     runners: dict[str, int]
-    # Progress of each maintenance wave, by its number.
     upkeep: dict[str, str]
     unreadable: int
 
@@ -43,24 +58,24 @@
     """Read the owner, configuration version, maintenance waves, and counts of jobs and runners."""
     owner = await store.get(keys.OWNER_KEY)
     config = await store.get(CONFIG_KEY)
-    items = await store.list_all(keys.JOBS_PREFIX)
-    entries = await store.list_all(REGISTRY_PREFIX)
+    job_items = await store.list_all(keys.JOBS_PREFIX)
+    runner_items = await store.list_all(REGISTRY_PREFIX)
     upkeep = await store.get(keys.UPKEEP_KEY)
     for name, result in (
         ("the owner", owner),
         ("the configuration", config),
-        ("the jobs", items),
-        ("the runners", entries),
+        ("the jobs", job_items),
+        ("the runners", runner_items),
         ("the maintenance waves", upkeep),
     ):
         if isinstance(result, Failure):
             return Failure(f"{name} could not be read: {result.failure()}")
-    decoded = [decode_record(item.value) for item in items.unwrap()]
+    decoded = [decode_record(item.value) for item in job_items.unwrap()]
     records: list[JobRecord] = [
         parsed.unwrap() for parsed in decoded if isinstance(parsed, Success)
     ]
     runners: list[RunnerEntry] = [
-        entry for item in entries.unwrap() if (entry := decode_entry(item)) is not None
+        entry for item in runner_items.unwrap() if (entry := decode_entry(item)) is not None
     ]
     version = 0
     if config.unwrap().value is not None:
@@ -78,7 +93,7 @@
             jobs=dict(sorted(states.items())),
             runners=dict(Counter("draining" if runner.draining else "ready" for runner in runners)),
             upkeep={str(wave.number): _describe_wave(wave) for wave in waves},
-            unreadable=len(decoded) - len(records) + len(entries.unwrap()) - len(runners),
+            unreadable=len(decoded) - len(records) + len(runner_items.unwrap()) - len(runners),
         )
     )
 
@@ -137,7 +152,7 @@
     as_json : bool
         Whether to print JSON.
     timeout_ms : float
-        Timeout of each call.
+        Timeout of each call to the store.
     """
     host, port = split_address(address)
     store = StoreClient(host=host, port=port, clock=MonotonicClock(), timeout_ms=timeout_ms)
