Say what the burn counters and the burn report hold

Fields of the report had no description, one local name stood for two things, and durations and bounds had no unit. Unit tests of burn: 5 passed.

--- a/coltsfootpier/burn/__init__.py
+++ b/coltsfootpier/burn/__init__.py
@@ -1,4 +1,4 @@
-"""Latency histograms, error budgets and the error-budget burn report."""
+"""Counters and latency histograms of requests, and the error-budget burn report."""
 
 from coltsfootpier.burn._html import render_html
 from coltsfootpier.burn._report import (
--- a/coltsfootpier/burn/_html.py
+++ b/coltsfootpier/burn/_html.py
@@ -26,23 +26,27 @@
     if report.missing:
         missing = escape(", ".join(report.missing))
         parts.append(f"<p class=page>Not included, no answer: {missing}.</p>")
-    parts += [_render_service(item) for item in report.services]
+    parts += [_render_service(service_burn) for service_burn in report.services]
     return "\n".join(parts) + "\n"
 
 
-def _render_service(item: ServiceBurn) -> str:
-    burn_cells = "".join(f"<td>{item.burn[window]:.2f}" for window in ("5m", "60m", "360m"))
-    causes = ", ".join(f"{count} {cause}" for cause, count in item.causes.items()) or "nothing"
+def _render_service(service_burn: ServiceBurn) -> str:
+    burn_cells = "".join(f"<td>{service_burn.burn[window]:.2f}" for window in ("5m", "60m", "360m"))
+    causes = (
+        ", ".join(f"{count} {cause}" for cause, count in service_burn.causes.items()) or "nothing"
+    )
     points = " ".join(
-        f"{index * _CHART_WIDTH_PX / max(1, len(item.by_minute) - 1):.0f},"
+        f"{index * _CHART_WIDTH_PX / max(1, len(service_burn.by_minute) - 1):.0f},"
         f"{_CHART_HEIGHT_PX * (1 - min(burn_rate, _MAX_BURN_RATE) / _MAX_BURN_RATE):.0f}"
-        for index, burn_rate in enumerate(item.by_minute)
+        for index, burn_rate in enumerate(service_burn.by_minute)
     )
     return (
-        f"<h2 class={item.alarm or 'calm'}>{escape(item.service)} {item.alarm}</h2>"
+        f"<h2 class={service_burn.alarm or 'calm'}>"
+        f"{escape(service_burn.service)} {service_burn.alarm}</h2>"
         f"<table><tr><th>objective<th>requests<th>p99<th>budget left<th>5 min<th>1 h<th>6 h"
-        f"<tr><td>{item.objective:.3%} under {item.latency_ms:g} ms<td>{item.finished}"
-        f"<td>{item.p99_ms:g} ms<td>{item.budget_left:.0%}{burn_cells}</table>"
+        f"<tr><td>{service_burn.objective:.3%} under {service_burn.latency_ms:g} ms"
+        f"<td>{service_burn.finished}"
+        f"<td>{service_burn.p99_ms:g} ms<td>{service_burn.budget_left:.0%}{burn_cells}</table>"
         f"<p>Budget spent by {escape(causes)}. "
         f"Burn rate of the last hour, 0 to {_MAX_BURN_RATE:g}:</p>"
         f"<svg width={_CHART_WIDTH_PX} height={_CHART_HEIGHT_PX}>"
--- a/coltsfootpier/burn/_report.py
+++ b/coltsfootpier/burn/_report.py
@@ -10,9 +10,9 @@
 from coltsfootpier.burn._stats import BOUNDS_MS, ServiceSeries, StatsSnapshot
 from coltsfootpier.declaration import Declaration
 
-# Alarm, short and long window in minutes, and burn-rate threshold. Both windows must exceed the
-# threshold, so that neither a single bad minute nor a fault that is already fixed raises an alarm.
-# At a burn rate of 14.4 a 30-day budget is spent within two days, at 6 within five.
+# Alarm, short and long window in minutes, and threshold of the burn rate. The rate must exceed the
+# threshold in both windows, so that neither a single bad minute nor a fault that is already fixed
+# raises an alarm. At a rate of 14.4 a 30-day budget is spent in about two days, at 6 in five.
 _ALARM_RULES = (("page", 5, 60, 14.4), ("ticket", 30, 360, 6.0))
 _WINDOWS_MINUTES = (5, 30, 60, 360)
 
@@ -21,20 +21,33 @@
 class ServiceBurn:
     """Error-budget burn of one service.
 
+    The error budget is the share of requests that may miss the objective. The burn rate is the
+    share that missed it, divided by the error budget; at a constant rate of 1 the budget is spent
+    exactly.
+
     Parameters
     ----------
+    service : str
+        Name of the service.
+    latency_ms : float
+        Latency objective of a request.
     objective : float
-        Share of requests that must meet the latency objective.
+        Share of requests that must meet the latency objective, between 0 and 1.
+    finished : int
+        Number of requests of the last six hours that count towards the objective.
     burn : dict of str to float
-        Burn rate by window, such as ``"5m"``; at a rate of 1 the budget is spent exactly.
+        Burn rate by window; ``"5m"`` is the window of the last five minutes.
     budget_left : float
         Remaining share of the error budget of the last six hours; negative when overspent.
     causes : dict of str to int
         Number of requests of the last six hours that spent the budget, by cause.
     alarm : str
         ``page``, ``ticket`` or empty.
+    p50_ms, p99_ms : float
+        Percentiles of the latency since the daemons started, rounded up to a bound of the
+        histogram; infinite above its highest bound, 0 without requests.
     by_minute : tuple of float, shape (n_minutes,)
-        Burn rate in each minute, oldest first.
+        Burn rate in each minute of the last hour, oldest first.
     """
 
     service: str
@@ -52,7 +65,7 @@
 
 @attrs.frozen(kw_only=True)
 class BurnReport:
-    """Error-budget burn of all declared services.
+    """Error-budget burn of all declared services, as counted by the entry VMs.
 
     Parameters
     ----------
@@ -98,12 +111,12 @@
             if service.name in snapshot.services
         ]
         merged = _merge_series(series)
-        budget = 1.0 - service.objective
+        error_budget = 1.0 - service.objective
         bad_counts = [sum(counts) for counts in zip(*merged.bad.values(), strict=True)]
         bad_counts = bad_counts or [0] * len(merged.finished)
         burn = {
             f"{window}m": _compute_burn_rate(
-                bad_counts[-window:], merged.finished[-window:], budget
+                bad_counts[-window:], merged.finished[-window:], error_budget
             )
             for window in _WINDOWS_MINUTES
         }
@@ -114,13 +127,13 @@
                 objective=service.objective,
                 finished=sum(merged.finished),
                 burn=burn,
-                budget_left=1.0 - _compute_burn_rate(bad_counts, merged.finished, budget),
+                budget_left=1.0 - _compute_burn_rate(bad_counts, merged.finished, error_budget),
                 causes={cause: sum(counts) for cause, counts in merged.bad.items()},
                 alarm=_select_alarm(burn),
                 p50_ms=_compute_percentile(merged.latencies, 0.5),
                 p99_ms=_compute_percentile(merged.latencies, 0.99),
                 by_minute=tuple(
-                    _compute_burn_rate([bad], [finished], budget)
+                    _compute_burn_rate([bad], [finished], error_budget)
                     for bad, finished in zip(bad_counts[-60:], merged.finished[-60:], strict=True)
                 ),
             )
@@ -135,32 +148,32 @@
 def format_report(report: BurnReport) -> str:
     """Format the report as a text table."""
     header = ("service", "objective", "requests", "p99", "left", "5m", "60m", "360m", "alarm")
-    rows = [header, *(_format_row(item) for item in report.services)]
+    rows = [header, *(_format_row(service_burn) for service_burn in report.services)]
     widths = [max(len(row[index]) for row in rows) for index in range(len(header))]
     lines = [
         "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
         for row in rows
     ]
-    for item in report.services:
-        if item.causes:
-            counts_by_cause = Counter(item.causes).most_common()
+    for service_burn in report.services:
+        if service_burn.causes:
+            counts_by_cause = Counter(service_burn.causes).most_common()
             causes = ", ".join(f"{count} {cause}" for cause, count in counts_by_cause)
-            lines.append(f"{item.service}: budget spent by {causes}")
+            lines.append(f"{service_burn.service}: budget spent by {causes}")
     lines.append(f"from {len(report.entry_vms)} entry VMs: {', '.join(report.entry_vms)}")
     if report.missing:
         lines.append(f"NOT INCLUDED, no answer: {', '.join(report.missing)}")
     return "\n".join(lines)
 
 
-def _format_row(item: ServiceBurn) -> tuple[str, ...]:
+def _format_row(service_burn: ServiceBurn) -> tuple[str, ...]:
     return (
-        item.service,
-        f"{item.objective:.3%} < {item.latency_ms:g} ms",
-        str(item.finished),
-        f"{item.p99_ms:g} ms",
-        f"{item.budget_left:.0%}",
-        *(f"{item.burn[window]:.2f}" for window in ("5m", "60m", "360m")),
-        item.alarm or "-",
+        service_burn.service,
+        f"{service_burn.objective:.3%} < {service_burn.latency_ms:g} ms",
+        str(service_burn.finished),
+        f"{service_burn.p99_ms:g} ms",
+        f"{service_burn.budget_left:.0%}",
+        *(f"{service_burn.burn[window]:.2f}" for window in ("5m", "60m", "360m")),
+        service_burn.alarm or "-",
     )
 
 
@@ -185,24 +198,25 @@
 
 
 def _compute_burn_rate(
-    bad_counts: Sequence[int], finished_counts: Sequence[int], budget: float
+    bad_counts: Sequence[int], finished_counts: Sequence[int], error_budget: float
 ) -> float:
-    total = sum(finished_counts)
-    return sum(bad_counts) / total / budget if total else 0.0
+    finished = sum(finished_counts)
+    return sum(bad_counts) / finished / error_budget if finished else 0.0
 
 
 def _select_alarm(burn: Mapping[str, float]) -> str:
-    for alarm, short, long, threshold in _ALARM_RULES:
-        if burn[f"{short}m"] > threshold and burn[f"{long}m"] > threshold:
+    for alarm, short_minutes, long_minutes, threshold in _ALARM_RULES:
+        if burn[f"{short_minutes}m"] > threshold and burn[f"{long_minutes}m"] > threshold:
             return alarm
     return ""
 
 
-def _compute_percentile(latencies: Sequence[int], share: float) -> float:
-    total = sum(latencies)
+def _compute_percentile(histogram: Sequence[int], share: float) -> float:
+    """Return the upper bound in ms of the bucket in which a percentile lies; 0 if it is empty."""
+    total = sum(histogram)
     cumulative = 0
-    for bound, count in zip((*BOUNDS_MS, float("inf")), latencies, strict=False):
+    for bound_ms, count in zip((*BOUNDS_MS, float("inf")), histogram, strict=False):
         cumulative += count
         if total and cumulative >= share * total:
-            return float(bound)
+            return float(bound_ms)
     return 0.0
--- a/coltsfootpier/burn/_stats.py
+++ b/coltsfootpier/burn/_stats.py
@@ -1,4 +1,4 @@
-"""Counters of requests, latencies and causes of error-budget burn in one daemon."""
+"""Counters of the requests of one daemon: outcomes, latencies and causes of missed objectives."""
 
 from __future__ import annotations
 
@@ -13,17 +13,17 @@
 from coltsfootpier.exceptions import InvariantError
 from coltsfootpier.routing import Outcome, RejectionReason
 
-# Upper bounds of the latency buckets, a factor of about 1.5 apart.
+# Upper bounds of the buckets of the latency histogram, a factor of about 1.5 apart.
 BOUNDS_MS = (1, 2, 3, 5, 7, 10, 15, 22, 33, 50, 75, 110, 165, 250, 375, 560, 840, 1260, 1890, 2835)
 
 _MINUTE_MS = 60_000.0
-# Six hours, the longest window of the report; takes 12 KB per service.
+# Six hours, the longest window of the report; the counters take 12 KB for each service.
 _RING_MINUTES = 360
-# Further services are counted together under `OTHER_SERVICES`, which bounds the memory.
+# Services beyond this number are counted together as `OTHER_SERVICES`, which bounds the memory.
 _MAX_SERVICES = 1_000
 OTHER_SERVICES = "(other)"
 
-# Rejections that the caller causes spend no error budget.
+# Rejections for a fault of the caller spend no error budget.
 _CALLER_FAULTS = frozenset(
     {RejectionReason.BAD_REQUEST.value, RejectionReason.UNKNOWN_SERVICE.value}
 )
@@ -31,7 +31,7 @@
 
 
 class InconsistentCountsError(InvariantError):
-    """More bad than finished requests were counted in one minute."""
+    """More requests missed the objective in one minute than were finished in it."""
 
 
 class Cause(enum.Enum):
@@ -78,14 +78,19 @@
 
 
 class _MinuteRing:
-    """Ring buffer of the counts of one service by minute."""
+    """Counts of one service in a ring buffer of minutes, and its latency histogram.
+
+    The ring buffer holds one counter of finished requests and one for each cause in every minute.
+    Minutes are numbered on the daemon's monotonic clock.
+    """
 
     def __init__(self, minute: int) -> None:
         self._newest_minute = minute
         self._counts = array("I", bytes(4 * _RING_MINUTES * _COUNTERS_PER_MINUTE))
         self.latencies = [0] * (len(BOUNDS_MS) + 1)
 
-    def add(self, minute: int, cause: Cause | None) -> None:
+    def add_request(self, minute: int, cause: Cause | None) -> None:
+        """Count a finished request; the cause is None if it met the objective."""
         self._advance(minute)
         offset = (minute % _RING_MINUTES) * _COUNTERS_PER_MINUTE
         self._counts[offset] += 1
@@ -93,6 +98,7 @@
             self._counts[offset + 1 + _CAUSES.index(cause)] += 1
 
     def build_series(self, minute: int, n_minutes: int) -> ServiceSeries:
+        """Return the counts of the last `n_minutes` minutes, of which `minute` is the newest."""
         self._advance(minute)
         offsets = [
             (index % _RING_MINUTES) * _COUNTERS_PER_MINUTE
@@ -103,10 +109,10 @@
             cause.value: tuple(self._counts[offset + 1 + index] for offset in offsets)
             for index, cause in enumerate(_CAUSES)
         }
-        for count, *causes in zip(finished, *bad.values(), strict=True):
-            if sum(causes) > count:
+        for count, *bad_counts in zip(finished, *bad.values(), strict=True):
+            if sum(bad_counts) > count:
                 raise InconsistentCountsError(
-                    f"{sum(causes)} bad requests exceed {count} finished requests"
+                    f"{sum(bad_counts)} bad requests exceed {count} finished requests"
                 )
         return ServiceSeries(
             finished=finished,
@@ -115,10 +121,11 @@
         )
 
     def _advance(self, minute: int) -> None:
-        for stale_minute in range(
+        # Each new minute reuses the counters of the minute six hours before, which are reset here.
+        for new_minute in range(
             self._newest_minute + 1, min(minute, self._newest_minute + _RING_MINUTES) + 1
         ):
-            offset = (stale_minute % _RING_MINUTES) * _COUNTERS_PER_MINUTE
+            offset = (new_minute % _RING_MINUTES) * _COUNTERS_PER_MINUTE
             self._counts[offset : offset + _COUNTERS_PER_MINUTE] = array(
                 "I", bytes(4 * _COUNTERS_PER_MINUTE)
             )
@@ -126,7 +133,7 @@
 
 
 class RequestStats:
-    """Outcomes and latencies by service.
+    """Outcomes and latencies of the requests of one daemon, by service.
 
     The counters are plain integers, from which metrics are computed when they are scraped: a
     call of the metrics library on the request path costs more than the routing decision itself.
@@ -135,6 +142,11 @@
     ----------
     clock : Clock
         Time source.
+
+    Attributes
+    ----------
+    outcomes : Counter of tuple of str
+        Requests since the daemon started, by service, outcome and reason.
     """
 
     def __init__(self, *, clock: Clock) -> None:
@@ -162,7 +174,7 @@
         outcome : Outcome
             How the request ended.
         reason : str
-            Reason of a rejection.
+            Reason of the outcome, such as a `RejectionReason`; may be empty.
         latency_ms : float
             Time from arrival to response.
         waited_ms : float
@@ -170,7 +182,7 @@
         objective_ms : float
             Latency objective of the service.
         slowdown : float, default=1.0
-            Last reported slowdown of the runner; 1 means none.
+            Last reported run time of the runner relative to running alone on its worker.
         """
         if service not in self._rings and len(self._rings) >= _MAX_SERVICES:
             service = OTHER_SERVICES
@@ -181,14 +193,19 @@
         ring = self._rings.setdefault(service, _MinuteRing(minute))
         ring.latencies[bisect.bisect_left(BOUNDS_MS, latency_ms)] += 1
         is_late = latency_ms > objective_ms
-        ring.add(minute, _classify_cause(outcome, reason, is_late, latency_ms, waited_ms, slowdown))
+        ring.add_request(
+            minute, _classify_cause(outcome, reason, is_late, latency_ms, waited_ms, slowdown)
+        )
 
     def latencies(self) -> dict[str, list[int]]:
-        """Return the latency histogram of each service since the daemon started."""
+        """Return the latency histogram of each service since the daemon started.
+
+        Each histogram has one count for each bound of `BOUNDS_MS`, and one for higher latencies.
+        """
         return {service: ring.latencies for service, ring in self._rings.items()}
 
     def snapshot(self, *, minutes: int = _RING_MINUTES) -> StatsSnapshot:
-        """Return the counts of the most recent minutes of all services."""
+        """Return the counts of all services in the last `minutes` minutes."""
         minute = self._compute_minute()
         return StatsSnapshot(
             services={
@@ -208,6 +225,7 @@
     waited_ms: float,
     slowdown: float,
 ) -> Cause | None:
+    """Return why a request spent error budget, or None if it met the objective."""
     if outcome is Outcome.REFUSED:
         return Cause.NO_CAPACITY if reason in _NO_CAPACITY else Cause.REFUSED
     if outcome is Outcome.FAILED:
--- a/coltsfootpier/burn/tests/test_burn.py
+++ b/coltsfootpier/burn/tests/test_burn.py
@@ -29,7 +29,7 @@
         return build_report(declaration=build_declaration(), snapshots=snapshots, **options)
 
     def test_burn_rate_is_share_of_bad_requests_over_budget(self) -> None:
-        """Guards against burn rates that aren't divided by the error budget (objective 0.99)."""
+        """Guards against burn rates that aren't divided by the error budget, here 0.01."""
         self._record(95)
         self._record(5, latency_ms=150.0)
         burn = self._build_report().services[0]
@@ -38,7 +38,10 @@
         self.assertEqual(burn.alarm, "")
 
     def test_fixed_fault_does_not_page(self) -> None:
-        """Guards against paging for a fault that was fixed 20 minutes ago."""
+        """Guards against paging for a fault that was fixed 20 minutes ago.
+
+        It still exceeds the threshold in the window of 60 minutes, but not in that of 5 minutes.
+        """
         self._record(50, latency_ms=150.0)
         self.assertEqual(self._build_report().services[0].alarm, "page")
         self.clock.advance(20 * _MINUTE_MS)
@@ -46,7 +49,7 @@
         self.assertNotEqual(self._build_report().services[0].alarm, "page")
 
     def test_counts_expire_after_six_hours(self) -> None:
-        """Guards against counts that remain from an earlier pass over the ring buffer."""
+        """Guards against counting requests of earlier minutes that share a place in the ring."""
         self._record(10, latency_ms=150.0)
         self.clock.advance(361 * _MINUTE_MS)
         self.assertEqual(self._build_report().services[0].finished, 0)
@@ -61,7 +64,7 @@
         self.assertEqual(causes, {"queueing": 1, "interference": 1, "no_capacity": 1, "unknown": 1})
 
     def test_unresponsive_daemon_is_listed(self) -> None:
-        """Guards against reports that silently omit a daemon that did not respond."""
+        """Guards against reports that don't say which daemon did not respond."""
         report = self._build_report(missing=["e2"])
         self.assertIn("e2", format_report(report))
         self.assertIn("e2", render_html(report))
