Describe the fields of declarations, INI keys and the log writer

Several fields had no description, values were called keys, and kind stood for the kind of a section and of a request. Unit tests of settings, declaration and logs: 11 passed; doctests of five modules passed.

--- a/coltsfootpier/_ini.py
+++ b/coltsfootpier/_ini.py
@@ -1,6 +1,7 @@
-"""Parser for INI text with typed, bounded keys that reports every problem at once.
+"""Parser for INI text whose keys have types and bounds.
 
-Settings and declarations are both parsed by this module.
+Settings and declarations are both parsed by this module. It reports all invalid keys of a text at
+once, but only the first syntax error.
 """
 
 from __future__ import annotations
@@ -30,13 +31,13 @@
     name : str
         Name in the INI text.
     convert : callable
-        Converts text to the value; raises ``ValueError`` if the text is not allowed.
+        Function that converts the text of a value; raises ``ValueError`` if it is not allowed.
     allowed : str
         Description of the allowed values, for error messages and reference pages.
     default : object
-        Value used when the key is absent; a key without a default is required.
+        Converted value used when the key is absent; a key without a default is required.
     unit : str
-        Unit of the value.
+        Unit of the value; empty if it has none.
     description : str
         Purpose of the key.
     """
@@ -84,7 +85,7 @@
 
 
 def flag(name: str, *, default: Any = _REQUIRED, description: str = "") -> Key:
-    """Define a key whose value is yes or no."""
+    """Define a key whose value is yes or no, also written true, on, 1, false, off or 0."""
 
     def convert(text: str) -> bool:
         if text.lower() not in _TRUE | _FALSE:
@@ -175,12 +176,19 @@
 
 
 def parse_address(value: str) -> tuple[str, int]:
-    """Parse an address in the form ``IP:PORT``.
+    """Parse an address in the form ``IP:PORT``, with or without square brackets around the IP.
+
+    Returns
+    -------
+    host : str
+        IP address without brackets.
+    port : int
+        Port number.
 
     Raises
     ------
     ValueError
-        If the text isn't an IP address and a port.
+        If the text isn't an IP address with a port from 0 to 65535.
 
     Examples
     --------
@@ -204,7 +212,7 @@
 def parse_sections(
     source: str, content: str
 ) -> Result[dict[str, dict[str, str]], tuple[Problem, ...]]:
-    """Parse INI text into sections.
+    """Split INI text into sections, without converting the values.
 
     Parameters
     ----------
@@ -216,7 +224,10 @@
     Returns
     -------
     Result of dict or tuple of Problem
+        Text of each value by section and key, or the first syntax error as the only problem.
     """
+    # The keys of a default section would apply to all other sections. No text is expected to use
+    # this name, so that [DEFAULT] is parsed like any other section.
     parser = configparser.ConfigParser(interpolation=None, default_section="\0")
     try:
         parser.read_string(content, source)
@@ -248,16 +259,16 @@
     source, section : str
         Location of the keys, used in error messages.
     raw_values : Mapping of str to str
-        Unconverted values by key name.
+        Text of each value by key name.
     keys : sequence of Key
         Definitions of the known keys.
 
     Returns
     -------
     values : dict
-        Converted values by key name; keys with a problem are absent.
+        Converted values by key name, with defaults filled in; keys with a problem are absent.
     problems : list of Problem
-        Every problem in the section.
+        Unknown keys, missing required keys and values that aren't allowed.
     """
     known = {key.name: key for key in keys}
     problems = [
--- a/coltsfootpier/clock/_clock.py
+++ b/coltsfootpier/clock/_clock.py
@@ -5,7 +5,8 @@
 import time
 from typing import Protocol
 
-# Maximum relative difference between the clock rates of two VMs.
+# Assumed maximum relative difference between the clock rates of two VMs. Durations that one VM
+# grants and another VM measures are shortened or extended by this ratio.
 MAX_CLOCK_DRIFT_RATIO = 0.1
 
 
@@ -41,7 +42,7 @@
     Parameters
     ----------
     start_ms : float, default=0.0
-        Time at which the clock starts.
+        Time in milliseconds at which the clock starts.
 
     Examples
     --------
--- a/coltsfootpier/declaration/_expand.py
+++ b/coltsfootpier/declaration/_expand.py
@@ -11,7 +11,7 @@
 
 @attrs.frozen(kw_only=True)
 class TaskSpec:
-    """Specification of one task.
+    """Specification of one task: a runner of a service, or a task of a batch job.
 
     Parameters
     ----------
@@ -21,12 +21,21 @@
         ``service`` or ``batch``.
     declared : str
         Name of the declared service or job.
+    team : str
+        Team to whose quota the task is charged.
     cores, memory_mb, accelerators : float, int, int
-        Resources of the task.
+        Resources of the task; memory in MB.
     priority : int
         Priority as a number; higher is more urgent.
+    run_time_ms, checkpointing : float, bool
+        Expected run time of a batch task, and whether it can resume from a checkpoint.
+    slots, connections : int
+        Concurrent requests and connections that a runner accepts; 0 for a batch task.
+    depends_on : tuple of str
+        Names of the services and jobs that the task depends on.
     digest : str
-        Hash that changes whenever the declared values of the task change.
+        Hash of the declared values, without the number of runners; it shows whether a declaration
+        changes the task.
     """
 
     name: str
@@ -51,13 +60,14 @@
 
 
 def _compute_digest(item: Service | Job) -> str:
-    # A changed number of runners only adds or removes tasks; those that stay are unchanged.
+    # The number of runners is left out: changing it adds or removes runners, but must not restart
+    # the ones that stay.
     fields = {key: value for key, value in attrs.asdict(item).items() if key != "runners"}
     return hashlib.sha256(repr(sorted(fields.items())).encode()).hexdigest()[:12]
 
 
 def expand(declaration: Declaration) -> dict[str, TaskSpec]:
-    """Expand a declaration into task specifications by name.
+    """Expand a declaration into the tasks that must run.
 
     Parameters
     ----------
@@ -67,6 +77,7 @@
     Returns
     -------
     dict of str to TaskSpec
+        Specification of each runner and batch task, by name of the task.
     """
     specs: dict[str, TaskSpec] = {}
     for service in declaration.services.values():
@@ -109,7 +120,7 @@
 
 
 def diff_declarations(old: Declaration, new: Declaration) -> list[str]:
-    """Describe each section that was added, removed or changed in one line.
+    """Describe the sections that were added, removed or changed, in one line each.
 
     Parameters
     ----------
@@ -119,7 +130,8 @@
     Returns
     -------
     list of str
-        Lines that start with ``+`` (added), ``-`` (removed) or ``~`` (changed).
+        Lines that start with ``+`` (added), ``-`` (removed) or ``~`` (changed, followed by the old
+        and the new value of each changed field).
     """
     lines: list[str] = []
     for kind, field in (
--- a/coltsfootpier/declaration/_model.py
+++ b/coltsfootpier/declaration/_model.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-# Higher is more urgent.
+# Numbers of the declared priorities; higher is more urgent.
 PRIORITIES = {"low": 0, "normal": 1, "high": 2, "urgent": 3}
 
 
@@ -15,9 +15,9 @@
     Parameters
     ----------
     weight : float
-        Weight of the team in fair sharing.
+        Weight of the team in the fair sharing of cores.
     cores, memory_mb, accelerators : float, int, int
-        Quota for all tasks of the team together.
+        Quota for all tasks of the team together; memory in MB.
     """
 
     name: str
@@ -38,11 +38,13 @@
     slots, connections : int
         Concurrent requests and connections that one runner accepts.
     cores, memory_mb, accelerators : float, int, int
-        Resources of one runner.
+        Resources of one runner; memory in MB.
     latency_ms : float
         Latency objective of a request.
     objective : float
         Share of requests that must meet the latency objective, between 0 and 1.
+    priority : str
+        Priority of the runners when tasks are scheduled, a key of ``PRIORITIES``.
     depends_on : tuple of str
         Names of the services and jobs that the service depends on.
     """
@@ -72,9 +74,13 @@
     exclusive : bool
         Whether requests with the same exclusive key must not run concurrently.
     max_run_ms : float
-        Maximum time for which a runner works on a request.
-    weight, guaranteed_share : float
-        Weighted and guaranteed share of the service's slots under overload.
+        Maximum time that a runner takes to process a request.
+    guaranteed_share : float
+        Share of the service's slots that the kind gets under overload, between 0 and 1.
+    weight : float
+        Weight of the kind when the slots that aren't guaranteed to any kind are divided.
+    priority : str
+        Priority among requests that wait for a slot, a key of ``PRIORITIES``.
     """
 
     service: str
@@ -95,12 +101,18 @@
     ----------
     tasks : int
         Number of tasks in one run.
+    cores, memory_mb, accelerators : float, int, int
+        Resources of one task; memory in MB.
     run_time_ms : float
         Expected run time of a task; only a hint.
+    priority : str
+        Priority of the tasks when they are scheduled, a key of ``PRIORITIES``.
     checkpointing : bool
         Whether a task can resume from a checkpoint.
     every_ms : float
-        Period between runs; 0 for a job that runs once.
+        Period at which a new run is due; 0 for a job that runs once.
+    depends_on : tuple of str
+        Names of the services and jobs that the job depends on.
     """
 
     name: str
@@ -120,7 +132,12 @@
 class Declaration:
     """Validated declaration.
 
-    Requests are keyed by service and request kind, everything else by name.
+    Parameters
+    ----------
+    teams, services, jobs : dict
+        Teams, services and jobs by name.
+    requests : dict of tuple of str to RequestKind
+        Request kinds by name of the service and name of the kind.
     """
 
     teams: dict[str, Team]
--- a/coltsfootpier/declaration/_parse.py
+++ b/coltsfootpier/declaration/_parse.py
@@ -69,7 +69,7 @@
 
 
 def parse(content: str, *, source: str = "text") -> Result[Declaration, tuple[Problem, ...]]:
-    """Parse a declaration and validate it as a whole.
+    """Parse a declaration and validate it, also across its sections.
 
     Parameters
     ----------
@@ -81,7 +81,8 @@
     Returns
     -------
     Result of Declaration or tuple of Problem
-        The declaration, or every problem that was found.
+        The declaration, or every problem that was found; references between sections, quotas and
+        shares are only validated if each section is valid.
 
     Examples
     --------
@@ -93,7 +94,7 @@
     if isinstance(parsed, Failure):
         return parsed
     problems: list[Problem] = []
-    values: dict[str, dict[str, dict[str, Any]]] = {kind: {} for kind in KEYS}
+    sections: dict[str, dict[str, dict[str, Any]]] = {kind: {} for kind in KEYS}
     for section, raw_values in parsed.unwrap().items():
         kind, _, name = section.partition(" ")
         name = name.strip()
@@ -101,13 +102,13 @@
             allowed = _ini.suggest(kind, (f"{known} NAME" for known in KEYS))
             problems.append(_build_problem(source, section, "", section, allowed))
             continue
-        converted, section_problems = _ini.convert_section(source, section, raw_values, KEYS[kind])
+        values, section_problems = _ini.convert_section(source, section, raw_values, KEYS[kind])
         problems += section_problems
         if not section_problems:
-            values[kind][name] = converted
+            sections[kind][name] = values
     if problems:
         return Failure(tuple(problems))
-    declaration = _build_declaration(values)
+    declaration = _build_declaration(sections)
     problems += _validate(source, declaration)
     return Failure(tuple(problems)) if problems else Success(declaration)
 
@@ -116,25 +117,27 @@
     return Problem(source=source, section=section, key=key, found=found, allowed=allowed)
 
 
-def _build_declaration(values: Mapping[str, dict[str, dict[str, Any]]]) -> Declaration:
+def _build_declaration(sections: Mapping[str, dict[str, dict[str, Any]]]) -> Declaration:
     requests = {}
-    for name, keys in values["request"].items():
-        service, _, kind = name.partition("/")
-        requests[service, kind] = RequestKind(service=service, name=kind, **keys)
+    for name, values in sections["request"].items():
+        service, _, request_kind = name.partition("/")
+        requests[service, request_kind] = RequestKind(service=service, name=request_kind, **values)
     jobs = {}
-    for name, keys in values["job"].items():
-        other_keys = {
-            key: value for key, value in keys.items() if key not in ("run_time_s", "every_s")
+    for name, values in sections["job"].items():
+        other_values = {
+            key: value for key, value in values.items() if key not in ("run_time_s", "every_s")
         }
         jobs[name] = Job(
             name=name,
-            run_time_ms=keys["run_time_s"] * 1000,
-            every_ms=keys["every_s"] * 1000,
-            **other_keys,
+            run_time_ms=values["run_time_s"] * 1000,
+            every_ms=values["every_s"] * 1000,
+            **other_values,
         )
     return Declaration(
-        teams={name: Team(name=name, **keys) for name, keys in values["team"].items()},
-        services={name: Service(name=name, **keys) for name, keys in values["service"].items()},
+        teams={name: Team(name=name, **values) for name, values in sections["team"].items()},
+        services={
+            name: Service(name=name, **values) for name, values in sections["service"].items()
+        },
         requests=requests,
         jobs=jobs,
     )
@@ -155,10 +158,10 @@
                 yield _build_problem(source, f"{kind} {item.name}", "team", item.team, allowed)
     for name in declaration.services.keys() & declaration.jobs.keys():
         yield _build_problem(source, f"job {name}", "", name, "a name that no service has")
-    for service, kind in declaration.requests:
-        if service not in declaration.services or not kind:
+    for service, request_kind in declaration.requests:
+        if service not in declaration.services or not request_kind:
             allowed = _ini.suggest(service, declaration.services) + " (request SERVICE/KIND)"
-            yield _build_problem(source, f"request {service}/{kind}", "", service, allowed)
+            yield _build_problem(source, f"request {service}/{request_kind}", "", service, allowed)
 
 
 def _check_dependencies(source: str, declaration: Declaration) -> Iterator[Problem]:
@@ -176,6 +179,8 @@
     except CycleError as error:
         cycle = error.args[1]
         kind = "service" if cycle[0] in declaration.services else "job"
+        # The cycle lists each item before those that depend on it; in the message, each arrow
+        # points from an item to one that it depends on.
         found = " -> ".join(reversed(cycle))
         yield _build_problem(
             source, f"{kind} {cycle[0]}", "depends_on", found, "dependencies without a cycle"
@@ -183,8 +188,8 @@
 
 
 def _check_quotas(source: str, declaration: Declaration) -> Iterator[Problem]:
-    # Services run all the time, so their total must fit within the quota. Jobs can wait for
-    # quota, so only each single task has to fit.
+    # Services run all the time, so together they must fit within the quota. The tasks of jobs can
+    # wait until others end, so only each single task must fit.
     for team in declaration.teams.values():
         services = [item for item in declaration.services.values() if item.team == team.name]
         jobs = [item for item in declaration.jobs.values() if item.team == team.name]
@@ -203,9 +208,9 @@
 
 def _check_shares(source: str, declaration: Declaration) -> Iterator[Problem]:
     for service in declaration.services:
-        kinds = [kind for kind in declaration.requests.values() if kind.service == service]
-        total = sum(kind.guaranteed_share for kind in kinds)
+        request_kinds = [kind for kind in declaration.requests.values() if kind.service == service]
+        total = sum(kind.guaranteed_share for kind in request_kinds)
         if total > 1:
             allowed = "guaranteed shares of all request kinds that sum to at most 1"
-            section = f"request {service}/{kinds[0].name}"
+            section = f"request {service}/{request_kinds[0].name}"
             yield _build_problem(source, section, "guaranteed_share", f"{total:g}", allowed)
--- a/coltsfootpier/declaration/tests/test_parse.py
+++ b/coltsfootpier/declaration/tests/test_parse.py
@@ -10,7 +10,7 @@
 
 class ParseTest(unittest.TestCase):
     def test_all_problems_are_reported_at_once(self) -> None:
-        """Guards against operators who have to correct a declaration one error at a time."""
+        """Guards against reporting only the first of several errors in a declaration."""
         text = DECLARATION_TEXT.replace("runners = 2", "runers = 2").replace(
             "cores = 1", "cores = x"
         )
--- a/coltsfootpier/exceptions.py
+++ b/coltsfootpier/exceptions.py
@@ -1,4 +1,4 @@
-"""Base exception types, and the type of problems in input.
+"""Base exception types, and the description of a problem in input.
 
 Failures that calling code is expected to handle are returned as values inside
 ``returns.result.Failure``. Exceptions are reserved for broken invariants and for input with
@@ -24,18 +24,18 @@
 
 @attrs.frozen(kw_only=True)
 class Problem:
-    """One problem in input that people write.
+    """One problem in input that people write, such as settings or a declaration.
 
     Parameters
     ----------
     source : str
-        File name, or the name of the input.
+        File name, or a name for input that isn't from a file.
     section : str
         Section of the input; empty if the problem concerns the input as a whole.
     key : str
-        Key within the section; empty if the problem concerns the section.
+        Key within the section; empty if the problem concerns the section as a whole.
     found : str
-        Value that was found.
+        Value that was found; empty if a required key is missing.
     allowed : str
         Description of what is allowed instead.
 
@@ -52,9 +52,9 @@
     allowed: str
 
     def __str__(self) -> str:
-        where = f"{self.source}: [{self.section}]" if self.section else f"{self.source}:"
-        key = f" {self.key}:" if self.key else ""
-        return f"{where}{key} found {self.found!r}, allowed: {self.allowed}"
+        location = f"{self.source}: [{self.section}]" if self.section else f"{self.source}:"
+        key_label = f" {self.key}:" if self.key else ""
+        return f"{location}{key_label} found {self.found!r}, allowed: {self.allowed}"
 
 
 class InputError(ColtsfootpierError):
--- a/coltsfootpier/logs/_bounded.py
+++ b/coltsfootpier/logs/_bounded.py
@@ -1,4 +1,4 @@
-"""Non-blocking writer for log lines with a bounded volume."""
+"""Non-blocking writer of log lines that limits their rate and buffers a bounded amount."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 # Limit for each event; the most frequent event has about 200 lines per second under overload.
 _MAX_LINES_PER_SECOND = 400
-# Bytes buffered for a slow reader; above this, further lines are dropped.
+# While more bytes than this wait for a slow reader, further lines are dropped.
 _MAX_BUFFER_BYTES = 262_144
 _RATE_PERIOD_MS = 1_000.0
 
@@ -18,9 +18,9 @@
 class BoundedWriter:
     """Writer of log lines that doesn't wait for the reader of its file descriptor.
 
-    Lines above the rate limit of their event, and lines that exceed the buffer because the
-    reader is slow, are dropped and counted. A line with the counts is written once the buffer
-    has space again.
+    Lines above the rate limit of their event, and lines for which the buffer has no space because
+    the reader is slow, are dropped and counted. A line with the counts is written in the next
+    second in which a line is written and the buffer has space.
 
     Parameters
     ----------
@@ -28,8 +28,14 @@
         File descriptor, which is switched to non-blocking mode.
     clock : Clock
         Time source.
-    lines_per_second : int
+    lines_per_second : int, default=400
         Maximum number of lines per second for each event.
+
+    Attributes
+    ----------
+    dropped : Counter of str
+        Lines dropped since the last line with the counts, by event. The key ``closed`` counts
+        failed writes, each of which discards the buffered lines.
     """
 
     def __init__(
@@ -42,7 +48,7 @@
         self._lines_in_period: Counter[str] = Counter()
         self._buffer = bytearray()
         self.dropped: Counter[str] = Counter()
-        # An unusable descriptor, such as a closed one, fails at the first write instead.
+        # With an unusable descriptor, such as a closed one, each write fails and is counted.
         with contextlib.suppress(OSError):
             os.set_blocking(descriptor, False)
 
@@ -81,7 +87,7 @@
         except BlockingIOError:
             return
         except OSError:
-            # The reader is gone, so the failure can't be logged.
+            # The reader is gone, so the failure is only counted and can't be logged.
             self.dropped["closed"] += 1
             self._buffer.clear()
 
--- a/coltsfootpier/logs/_keyvalue.py
+++ b/coltsfootpier/logs/_keyvalue.py
@@ -12,12 +12,12 @@
 
 from coltsfootpier.logs._bounded import BoundedWriter
 
-# Values of only these characters are written unquoted, all others as JSON strings.
+# Values that consist of these characters are written unquoted, all others as JSON strings.
 _UNQUOTED_VALUE = re.compile(r"^[A-Za-z0-9_./:@%+-]+$")
 _KEY_VALUE_PAIR = re.compile(r'([A-Za-z_][A-Za-z0-9_]*)=("(?:[^"\\]|\\.)*"|[^\s"]+)')
 
-# Internal fields of eliot. Task identifiers carry no information in a log of single events;
-# message type and timestamp are written as event and time.
+# Fields that eliot adds to each message. The task fields carry no information here, because events
+# aren't grouped into eliot's tasks; message type and timestamp are written as event and time.
 _OMITTED_FIELDS = frozenset({"task_uuid", "task_level", "message_type", "timestamp"})
 
 
@@ -76,6 +76,8 @@
 
 
 class _Destination:
+    """Eliot destination that passes the event name and the formatted line to a function."""
+
     def __init__(self, write: Callable[[str, str], None], identity: Mapping[str, str]) -> None:
         self._write = write
         self._identity = dict(identity)
@@ -102,7 +104,7 @@
     Parameters
     ----------
     stream : file object, default=sys.stderr
-        Destination of the lines if `writer` is not given.
+        Destination of the lines, flushed after each line, if `writer` is not given.
     writer : BoundedWriter, optional
         Non-blocking destination of the lines.
     identity : Mapping of str to str, optional
--- a/coltsfootpier/settings/_settings.py
+++ b/coltsfootpier/settings/_settings.py
@@ -219,7 +219,7 @@
     Parameters
     ----------
     daemon, listen, peers, platform, periods, bounds, permits : dict
-        Values by key name, as ``SECTIONS`` defines them.
+        Converted values by key name; ``SECTIONS`` defines the keys and their units.
     """
 
     daemon: dict[str, Any]
@@ -269,7 +269,7 @@
 
 
 def _check_lease_periods(source: str, periods: dict[str, Any]) -> list[Problem]:
-    # A lease has to outlast two lost renewals; otherwise a single slow call loses ownership.
+    # A lease must outlast two lost renewals, so that a single slow call doesn't lose it.
     key_pairs = (("member_lease_ms", "member_renew_ms"), ("worker_lease_ms", "worker_sync_ms"))
     return [
         Problem(
