--- a/tests/builders.py
+++ b/tests/builders.py
@@ -149,7 +149,7 @@
 
 
 def build_ticket(clock: VirtualClock, **overrides: Any) -> Ticket:
-    """Build a request with a deadline in one second."""
+    """Build the ticket of a request that arrives now and has a deadline in one second."""
     now_ms = clock.now_ms()
     return Ticket(
         **{"service": "web", "deadline_ms": now_ms + 1_000.0, "arrived_ms": now_ms, **overrides}
--- a/tests/clusters.py
+++ b/tests/clusters.py
@@ -1,4 +1,4 @@
-"""Test case base class with a cluster of processes for all tests of a class."""
+"""Base class of tests that use a cluster of processes: the platform, workers and daemons."""
 
 from __future__ import annotations
 
@@ -48,7 +48,20 @@
 class ClusterTestCase(unittest.TestCase):
     """Base class that starts one cluster for all tests of a class.
 
-    The error of a daemon that doesn't start contains the end of its log.
+    If a daemon doesn't start, the error shows the end of its log.
+
+    Attributes
+    ----------
+    cluster : Cluster
+        The running processes.
+    availability_zones : tuple of str
+        Availability zones; workers and daemons are distributed over them in turn.
+    daemons, workers : int
+        Number of daemons, named ``entry-0`` and up, and of workers, named ``worker-0`` and up.
+    runners : int
+        Number of runners of service web; nothing is declared if it is 0.
+    settings : dict
+        Settings of the daemons that differ from the defaults, by section.
     """
 
     cluster: ClassVar[Cluster]
@@ -91,7 +104,7 @@
 
     @classmethod
     async def apply_declaration(cls, text: str, daemon: str = "entry-0") -> None:
-        """Apply a declaration on top of the revision in force."""
+        """Apply a declaration on top of the revision in force; fail if it isn't accepted."""
         operators = cls.cluster.daemons[daemon].ports["operators"]
         path = cls.cluster.folder / "applied.ini"
         path.write_text(text)
@@ -103,7 +116,7 @@
 
     @classmethod
     async def wait_for_runners(cls, count: int, daemon: str = "entry-0") -> None:
-        """Wait until a daemon knows exactly `count` runners and all of them run."""
+        """Wait until a daemon routes requests to exactly `count` runners."""
 
         async def has_count() -> bool:
             return await cls.read_metric(daemon, "known_runners") == count
@@ -112,7 +125,7 @@
 
     @classmethod
     async def read_metric(cls, daemon: str, name: str) -> float:
-        """Read one metric of a daemon; -1 if it is missing or the daemon doesn't respond."""
+        """Return the value of a metric; -1 if it is missing or the daemon doesn't respond."""
         response = await call(cls.cluster.daemons[daemon].ports["operators"], "GET", "/metrics")
         if response is None:
             return -1.0
--- a/tests/run.py
+++ b/tests/run.py
@@ -34,7 +34,7 @@
 
 
 def select_tests(suite: unittest.TestSuite, known_failures: set[str]) -> unittest.TestSuite:
-    """Return `suite` without the tests in `known_failures`, which are printed."""
+    """Return the tests of `suite` that aren't in `known_failures`, and print the others."""
     selected = unittest.TestSuite()
     for test in suite:
         if isinstance(test, unittest.TestSuite):
@@ -47,7 +47,7 @@
 
 
 def load_doctests() -> unittest.TestSuite:
-    """Collect the doctests of all modules of the product."""
+    """Collect the doctests of all modules of `coltsfootpier`."""
     suite = unittest.TestSuite()
     for module in pkgutil.walk_packages(coltsfootpier.__path__, "coltsfootpier."):
         if module.name.endswith("__main__") or ".tests" in module.name:
@@ -57,7 +57,7 @@
 
 
 def main() -> int:
-    """Run all tests and return the exit code."""
+    """Run all tests but the known failures; return 0 if they all pass, otherwise 1."""
     os.chdir(ROOT)
     # Generate the same examples in every run, so that CI results are reproducible.
     hypothesis.settings.register_profile("ci", derandomize=True, deadline=None, database=None)
--- a/tests/test_processes_bodies.py
+++ b/tests/test_processes_bodies.py
@@ -15,6 +15,8 @@
 
 
 class LargeBodyTest(ClusterTestCase):
+    """Bodies of several megabytes, and bodies that end early."""
+
     settings = {"bounds": {"request_body_bytes": 8_000_000}}
 
     async def _set_faults(self, **faults) -> None:
@@ -25,6 +27,7 @@
         return self.cluster.daemons["entry-0"].ports["callers"]
 
     def _read_peak_memory_mb(self) -> float:
+        """Return the peak resident memory of the daemon since it started."""
         status = Path(f"/proc/{self.cluster.daemons['entry-0'].handle.pid}/status")
         if not status.exists():
             raise unittest.SkipTest("peak memory is only available from /proc")
@@ -32,6 +35,7 @@
         return int(line.split()[1]) / 1024
 
     async def _read_slowly(self, request_id: str) -> bytes:
+        """Send a request, read its response only after 2 s, and return the received body."""
         head = f"POST /services/web/read HTTP/1.1\r\nhost: x\r\nx-request-id: {request_id}\r\n"
         received = []
         async with await anyio.connect_tcp("127.0.0.1", self._get_callers_port()) as stream:
@@ -45,7 +49,7 @@
         return b"".join(received).partition(b"\r\n\r\n")[2]
 
     def test_large_bodies_reach_slow_readers_with_bounded_memory(self) -> None:
-        """Guards against responses to slow readers that are buffered, mixed up or truncated."""
+        """Guards against buffering whole responses for slow readers, mixing or truncating them."""
 
         async def test() -> None:
             await self._set_faults(answer_bytes=_BODY_BYTES)
@@ -62,10 +66,12 @@
             print(
                 f"peak memory grew by {growth_mb:.0f} MB for {_SLOW_READERS} slow readers of 6 MB"
             )
+            # The stand-in runner sends chunks that repeat the request's identifier, which shows
+            # parts of other responses.
             for request_id, body in bodies.items():
                 self.assertEqual(len(body), _BODY_BYTES)
-                unit = f"{request_id};".encode()
-                chunk = unit * (65_536 // len(unit))
+                pattern = f"{request_id};".encode()
+                chunk = pattern * (65_536 // len(pattern))
                 self.assertTrue((chunk * (_BODY_BYTES // len(chunk) + 1)).startswith(body))
             self.assertLess(growth_mb, _SLOW_READERS * _BODY_BYTES / 1e6)
             await self._set_faults()
--- a/tests/test_processes_failures.py
+++ b/tests/test_processes_failures.py
@@ -27,9 +27,10 @@
 
 
 class ProcessFailureTest(ClusterTestCase):
-    """Failures of a cluster with short periods: two workers and four daemons, one behind a relay.
+    """Failures in a cluster of two workers and four daemons, with short periods.
 
-    All tests share the cluster; each test restores it.
+    The daemon entry-r reaches the platform through a relay, which can make its connections silent.
+    All tests share the cluster, which is restored before each test.
     """
 
     availability_zones = ("zone-a", "zone-b")
@@ -49,7 +50,8 @@
         run_async(self._reset)
 
     async def _reset(self) -> None:
-        # A failed test may leave daemons stopped, which must not fail the following tests.
+        # A failed test may leave processes paused, stopped or with faults, which must not fail the
+        # following tests.
         for name, daemon in list(self.cluster.daemons.items()):
             daemon.signal(signal.SIGCONT)
             if name in ("entry-s", "entry-u"):
@@ -72,6 +74,7 @@
             await self.wait_for_runners(2, daemon)
 
     async def _read_revisions(self) -> dict[str, int]:
+        """Return the revision in force at each running daemon; -1 if it doesn't respond."""
         revisions = {}
         for name, daemon in self.cluster.daemons.items():
             if daemon.handle.poll() is None:
@@ -80,17 +83,21 @@
         return revisions
 
     async def _wait_for_revision(self, revision: int, timeout_s: float = 15) -> float:
-        async def is_everywhere() -> bool:
+        """Wait until a revision is in force at all daemons; return the seconds it took."""
+
+        async def is_in_force() -> bool:
             return set((await self._read_revisions()).values()) == {revision}
 
-        return await wait_for(is_everywhere, timeout_s=timeout_s)
+        return await wait_for(is_in_force, timeout_s=timeout_s)
 
     async def _apply(self, daemon: str, text: str, base: int) -> dict[str, Any]:
+        """Apply a declaration on top of revision `base`; return the daemon's reply."""
         body = orjson.dumps({"text": text, "base": base, "token": f"{daemon}-{time.monotonic()}"})
         port = self.cluster.daemons[daemon].ports["operators"]
         return (await call(port, "POST", "/v1/apply", body=body, timeout_ms=20_000)).json()
 
     async def _read_runs(self) -> dict[str, Counter]:
+        """Return how often each request ran and each task was started and finished."""
         totals = {"requests": Counter(), "started": Counter(), "finished": Counter()}
         for worker in self.cluster.workers.values():
             if worker.handle.poll() is None:
@@ -115,6 +122,8 @@
         return [task for task in status.get("tasks", ()) if task["task"].startswith(prefix)]
 
     async def _wait_for_jobs(self, prefix: str, count: int) -> None:
+        """Wait until all tasks with the prefix are done and there are exactly `count` of them."""
+
         async def all_done() -> bool:
             tasks = await self._list_tasks(prefix)
             return [task["state"] for task in tasks] == ["done"] * count
@@ -222,9 +231,11 @@
             await self.apply_declaration(text)
             await self._wait_for_jobs("job/after/", 2)
             runs = await self._read_runs()
-            service_starts = {task: n for task, n in runs["started"].items() if "service" in task}
+            service_starts = {
+                task: count for task, count in runs["started"].items() if "service" in task
+            }
             expected_starts = {
-                task: n for task, n in before["started"].items() if "service" in task
+                task: count for task, count in before["started"].items() if "service" in task
             }
             self.assertEqual(service_starts, expected_starts)
             for daemon in self.cluster.daemons:
@@ -237,8 +248,9 @@
         run_async(test)
 
     async def _check_daemons_started_in_outage(self, revision: int) -> None:
-        seed = self.cluster.daemons["entry-0"].ports["peers"]
-        seeded = self.cluster.start_daemon("entry-s", "zone-a", seeds=(f"127.0.0.1:{seed}",))
+        """Check that a new daemon with a seed becomes ready in an outage, and one without not."""
+        seed_port = self.cluster.daemons["entry-0"].ports["peers"]
+        seeded = self.cluster.start_daemon("entry-s", "zone-a", seeds=(f"127.0.0.1:{seed_port}",))
         waited_s = await wait_for(lambda: is_ready(seeded), timeout_s=15)
         unseeded = self.cluster.start_daemon("entry-u", "zone-b")
         print(f"ready {waited_s:.2f} s after it listens, with the store down")
@@ -256,11 +268,13 @@
         self.assertIn("no seeds are set", response.json()["reason"])
 
     async def _read_owner_epochs(self) -> dict[str, int]:
+        """Return the epoch of each partition from the store."""
         owners = await read_store(self.cluster.platform.ports["api"], "control/owners")
         partitions = owners["partitions"]
         return {name: owner["epoch"] for name, owner in partitions.items()}
 
     async def _count_calls(self) -> int:
+        """Return the number of calls that the platform has received."""
         response = await call(self.cluster.platform.ports["api"], "GET", "/counts")
         return sum(response.json().values())
 
@@ -310,10 +324,10 @@
                 if request_id.startswith("entry-0")
             )
             # Requests of a key group whose owner died without a handover end as unknown, and a
-            # request may miss a slot lent by the dead daemon until its deadline. Both outcomes
-            # are typed; no connection breaks.
+            # request may be rejected at its deadline because a slot lent by the dead daemon is
+            # missing. Both outcomes are typed; no connection breaks.
             self.assertLessEqual(set(outcomes_of_survivor), {"done", "refused", "unknown"})
-            finished = {task: n for task, n in runs["finished"].items() if "death" in task}
+            finished = {task: count for task, count in runs["finished"].items() if "death" in task}
             self.assertEqual(sorted(finished.values()), [1, 1, 1, 1])
             self.assert_healthy("entry-1")
 
@@ -322,7 +336,7 @@
     def test_worker_killed_and_replaced_under_same_name(self) -> None:
         """Guards against contacting a replaced worker at its old address indefinitely.
 
-        The previous declaration had a third runner, whose task stays listed as cancelled.
+        A third runner is declared and removed first; its task must stay listed as cancelled.
         """
 
         async def test() -> None:
@@ -379,7 +393,7 @@
             await self._wait_for_jobs("job/pause/", 4)
             finished = (await self._read_runs())["finished"]
             self.assertEqual(
-                sorted(n for task, n in finished.items() if "pause" in task), [1, 1, 1, 1]
+                sorted(count for task, count in finished.items() if "pause" in task), [1, 1, 1, 1]
             )
 
         run_async(test)
@@ -453,6 +467,7 @@
         run_async(test)
 
     async def _check_sync_gaps(self) -> None:
+        """Check that no worker went without an exchange for 3 s during the handover of shards."""
         for name, worker in self.cluster.workers.items():
             times = (await call(worker.ports["api"], "GET", "/runs")).json()["syncs_ms"]
             gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
--- a/tests/test_processes_input.py
+++ b/tests/test_processes_input.py
@@ -22,7 +22,10 @@
 
 
 async def _send_raw(port: int, data: bytes, *, close: bool) -> bytes:
-    """Send bytes, close the sending side or keep it open, and return the received bytes."""
+    """Send bytes and return what is received until the peer closes or 10 s have passed.
+
+    With `close`, the sending side of the connection is closed after the bytes.
+    """
     received = b""
     async with await anyio.connect_tcp("127.0.0.1", port) as stream:
         await stream.send(data)
@@ -38,7 +41,10 @@
 
 
 class InvalidInputTest(ClusterTestCase):
+    """Invalid input of callers, peers, the platform and operators."""
+
     async def _send_request(self, target: str, **options) -> tuple[int, str, str]:
+        """Return the status, the outcome and the error code of the response."""
         port = self.cluster.daemons["entry-0"].ports["callers"]
         response = await call(port, "POST", target, **options)
         self.assertIsNotNone(response)
@@ -46,6 +52,8 @@
         return response.status, response.headers.get("x-outcome", ""), error
 
     async def _check_serving(self) -> None:
+        """Check that the daemon still serves requests and has logged no traceback."""
+
         async def is_served() -> bool:
             return (await self._send_request("/services/web/read"))[:2] == (200, "done")
 
@@ -82,7 +90,7 @@
         run_async(test)
 
     def test_path_is_forwarded_unchanged(self) -> None:
-        """Guards against forwarding a decoded path, which is invalid or has another meaning."""
+        """Guards against forwarding a decoded path, which may be invalid or mean another path."""
 
         async def test() -> None:
             port = self.cluster.daemons["entry-0"].ports["callers"]
@@ -102,10 +110,10 @@
             self.assertIn(b" 408 ", response.split(b"\r\n")[0])
             self.assertIn(b"x-outcome: refused", response)
 
-            async def nothing_in_flight() -> bool:
+            async def has_no_requests_in_flight() -> bool:
                 return await self.read_metric("entry-0", "in_flight_requests") == 0
 
-            await wait_for(nothing_in_flight, timeout_s=10)
+            await wait_for(has_no_requests_in_flight, timeout_s=10)
             await self._check_serving()
 
         run_async(test)
@@ -146,7 +154,7 @@
         run_async(test)
 
     def test_invalid_operator_input(self) -> None:
-        """Guards against a traceback or an unknown outcome for rejected operator input."""
+        """Guards against a traceback, a wrong exit code or an untyped outcome for bad input."""
 
         async def test() -> None:
             operators_port = self.cluster.daemons["entry-0"].ports["operators"]
@@ -183,8 +191,10 @@
 
 
 class DaemonStartTest(unittest.TestCase):
+    """Starts of a daemon that must fail."""
+
     def test_invalid_settings_and_arguments(self) -> None:
-        """Guards against a traceback for invalid settings or arguments."""
+        """Guards against a traceback or a wrong exit code for invalid settings or arguments."""
         occupied_socket = socket.socket()
         self.addCleanup(occupied_socket.close)
         occupied_socket.bind(("127.0.0.1", 0))
--- a/tests/test_processes_nodes.py
+++ b/tests/test_processes_nodes.py
@@ -1,4 +1,4 @@
-"""Process tests of node daemons with stand-ins for the users' platform."""
+"""Process tests of node daemons with stand-ins for the platform."""
 
 import re
 import secrets
@@ -31,7 +31,10 @@
 
 
 def build_job_body(run_ms=200, count=2, steps=1, text=""):
-    """Build the body of a job whose steps run one after another."""
+    """Build the body of a job whose steps run one after another.
+
+    With the text ``fail``, the stand-in runners let each task fail after `run_ms`.
+    """
     step = {"count": count, "cpu": 500, "mem_mb": 100, "estimate_ms": run_ms}
     return {
         "spec": f"run_ms={run_ms} {text}",
@@ -55,7 +58,7 @@
         await self.nodes.wait_ready()
 
     async def submit(self, node, body):
-        """Submit a job as callers do, with retries at other daemons after unclear responses."""
+        """Submit a job as callers do: retry at the other daemons until one accepts it."""
         job_id = secrets.token_hex(8)
         node_names = [node, *(name for name in self.nodes.nodes if name != node)]
         for name in node_names * 10:
@@ -66,7 +69,7 @@
         raise AssertionError(f"job not accepted\n{self.nodes.read_logs()}")
 
     async def read_state(self, node, job_id):
-        """Return the state of a job, or the HTTP status of an unsuccessful response."""
+        """Return the state of a job, the HTTP status of an error response, or ``no response``."""
         response = await self.nodes.request(node, "GET", job_id)
         if response is None:
             return "no response"
@@ -95,16 +98,17 @@
         return owners[max(owners)]
 
     async def assert_single_runs(self, job_ids):
-        """Check that no task had concurrent runs or ran again after completion."""
+        """Check that no task of the jobs had concurrent runs or was completed twice."""
+        # A task's name starts with the 16 characters of its job's identifier.
         runs = [run for run in await self.nodes.read_history() if run["task"][:16] in job_ids]
-        done = Counter(run["task"] for run in runs if run["how"] == "done")
-        self.assertEqual([task for task, count in done.items() if count > 1], [])
-        by_task = {}
+        completions = Counter(run["task"] for run in runs if run["how"] == "done")
+        self.assertEqual([task for task, count in completions.items() if count > 1], [])
+        latest_runs = {}
         for run in sorted(runs, key=lambda run: run["begin_ms"]):
-            last = by_task.get(run["task"])
-            if last is not None:
-                self.assertGreaterEqual(run["begin_ms"], last["end_ms"], (last, run))
-            by_task[run["task"]] = run
+            previous = latest_runs.get(run["task"])
+            if previous is not None:
+                self.assertGreaterEqual(run["begin_ms"], previous["end_ms"], (previous, run))
+            latest_runs[run["task"]] = run
 
 
 class JobPathTest(NodesTestCase):
@@ -132,7 +136,7 @@
         run_async(test)
 
     async def _check_operators_tool(self, job_id):
-        """Guards against an operators' tool that can't read the records of the daemons."""
+        """Check that the operators' tool can read the records that the daemons wrote."""
         address = f"--store=127.0.0.1:{self.nodes.store_port}"
         store_status = await self._run_operators_tool("store", address)
         self.assertEqual(store_status["jobs"]["r-1 completed"], 1)
@@ -166,7 +170,7 @@
     """A daemon whose address is already in use."""
 
     def test_address_in_use(self):
-        """Guards against a daemon that exits without logging that its address is unavailable."""
+        """Guards against a daemon that exits without logging that its address is in use."""
         nodes = Nodes()
         self.addCleanup(nodes.close)
         nodes.start_platform(runners=1)
