--- a/soak/_fakes.py
+++ b/soak/_fakes.py
@@ -36,7 +36,7 @@
 
 
 class FakeStore(Store):
-    """Store of the stand-in for the platform, with faults, a list of VMs and a hook on writes.
+    """Store of the stand-in for the platform, with faults, a list of VMs and a hook for writes.
 
     Parameters
     ----------
@@ -46,6 +46,21 @@
         Host whose clock determines the expiry of leases.
     vms_lag_s : float
         Delay after which changes of VMs appear in the list.
+
+    Attributes
+    ----------
+    outage : bool
+        Whether calls are rejected.
+    silent : bool
+        Whether calls get no response.
+    slow_s : float
+        Delay of each call in s.
+    lose_answers : int
+        Number of further writes that take effect without a response.
+    vms : dict of str to Vm
+        List of VMs by name.
+    on_put : callable
+        Called with key and value after each write of a key.
     """
 
     def __init__(self, *, loop: VirtualLoop, host: Host, vms_lag_s: float) -> None:
@@ -62,7 +77,7 @@
 
     def put(self, key: str, value: Any, expected: int, lease: str) -> bool:
         """Write a key if its current version is `expected`."""
-        self.expire()
+        self.expire_leases()
         succeeded = super().put(key, value, expected, lease)
         if succeeded:
             self.on_put(key, value)
@@ -70,11 +85,11 @@
 
     def renew(self, lease: str) -> bool:
         """Renew a lease unless it has expired."""
-        self.expire()
+        self.expire_leases()
         return super().renew(lease)
 
-    async def wait(self, duration_s: float) -> None:
-        """Wait for a change, for at most `duration_s` seconds."""
+    async def wait_for_change(self, duration_s: float) -> None:
+        """Wait for a change of a key, for at most `duration_s` seconds."""
         with anyio.move_on_after(duration_s):
             await self.changed.wait()
 
@@ -88,7 +103,7 @@
 
 
 class FakePlatformClient(PlatformClient):
-    """Platform client of one daemon that calls the fake store.
+    """Platform client of one daemon, which calls the fake store over the simulated network.
 
     Parameters
     ----------
@@ -100,6 +115,11 @@
         Event loop that provides the virtual time.
     host : Host
         Host of the calling daemon.
+
+    Attributes
+    ----------
+    calls_by_second : Counter of int
+        Number of store calls in each second of true time.
     """
 
     def __init__(
@@ -129,7 +149,7 @@
             item = Item(**self._store.get(key))
             return Success(item) if succeeded else Failure(Conflict(item))
 
-        return await self._call_store(write, writes=True)
+        return await self._call_store(write, is_write=True)
 
     async def delete(self, key: str, *, expected_version: int) -> Result:
         """Delete one key if its current version is `expected_version`."""
@@ -139,7 +159,7 @@
             item = Item(**self._store.get(key))
             return Success(item) if succeeded else Failure(Conflict(item))
 
-        return await self._call_store(write, writes=True)
+        return await self._call_store(write, is_write=True)
 
     async def list(self, prefix: str) -> Result[Listing, Any]:
         """Read all keys under a prefix."""
@@ -157,32 +177,32 @@
             end_s = self._loop.true_s + wait_ms / 1000
             while True:
                 revision = self._store.revision
-                changes = self._store.changes(prefix, after)
+                changes = self._store.list_changes(prefix, after)
                 if changes is None:
                     return Success(WatchResult((), revision, True))
-                left_s = end_s - self._loop.true_s
-                if changes or left_s <= 0:
+                remaining_s = end_s - self._loop.true_s
+                if changes or remaining_s <= 0:
                     return Success(WatchResult(tuple(Item(**item) for item in changes), revision))
-                await self._store.wait(left_s)
+                await self._store.wait_for_change(remaining_s)
 
         return await self._call_store(wait, timeout_ms=wait_ms + _STORE_TIMEOUT_MS)
 
     async def grant_lease(self, *, ttl_ms: float) -> Result[str, Any]:
         """Obtain a lease."""
-        return await self._call_store(lambda: Success(self._store.grant(ttl_ms)), writes=True)
+        return await self._call_store(lambda: Success(self._store.grant(ttl_ms)), is_write=True)
 
     async def renew_lease(self, lease: str) -> Result[str, Any]:
         """Renew a lease."""
         return await self._call_store(
             lambda: Success(lease) if self._store.renew(lease) else Failure(LeaseLost(lease)),
-            writes=True,
+            is_write=True,
         )
 
     async def revoke_lease(self, lease: str) -> Result[str, Any]:
         """Revoke a lease."""
         return await self._call_store(
             lambda: Success(lease) if self._store.revoke(lease) else Failure(LeaseLost(lease)),
-            writes=True,
+            is_write=True,
         )
 
     async def list_vms(self) -> Result[tuple[Vm, ...], Any]:
@@ -193,14 +213,14 @@
         self,
         operation: Callable[[], Any],
         *,
-        writes: bool = False,
+        is_write: bool = False,
         timeout_ms: float = _STORE_TIMEOUT_MS,
     ) -> Result[Any, Any]:
         self._call_count += 1
         self.calls_by_second[int(self._loop.true_s)] += 1
         store = self._store
 
-        async def handle() -> Result:
+        async def run_operation() -> Result:
             if store.silent:
                 await anyio.sleep_forever()
             if store.outage:
@@ -210,13 +230,14 @@
             result = operation()
             if not isinstance(result, Result):
                 result = await result
-            if store.outage or store.silent or (writes and store.lose_answers > 0):
-                store.lose_answers -= writes
+            if store.outage or store.silent or (is_write and store.lose_answers > 0):
+                # The operation took effect; only its response is lost.
+                store.lose_answers -= is_write
                 await anyio.sleep_forever()
             return result
 
         call_result = await self._network.call(
-            self._host, lambda: store.host, handle, timeout_ms=timeout_ms
+            self._host, lambda: store.host, run_operation, timeout_ms=timeout_ms
         )
         if isinstance(call_result, Success):
             return call_result.unwrap()
@@ -227,7 +248,7 @@
 
 
 class FakePeerClient(PeerClient):
-    """Peer client of one daemon that calls another daemon.
+    """Peer client of one daemon, which calls another daemon over the simulated network.
 
     Parameters
     ----------
@@ -314,12 +335,14 @@
 
 
 @attrs.define
-class _Port:
+class _FakeRunner:
+    """Runner that serves no requests and only has a port."""
+
     port: int
 
 
 class FakeWorker(Worker):
-    """Stand-in for a worker without sockets, which reports its true state to a hook.
+    """Stand-in for a worker without sockets, which reports starts and ends of attempts to a hook.
 
     Parameters
     ----------
@@ -330,7 +353,7 @@
     size : tuple of (float, int, int)
         Cores, memory in MB and accelerators.
     incarnation : str
-        Incarnation, unique among all starts of workers.
+        Incarnation, unique among all starts of a worker on this VM.
     on_event : callable
         Called at the start and the end of each attempt, with ``started`` or the outcome, this
         worker and the command.
@@ -369,20 +392,21 @@
         return [item.command for item in self._attempts.values() if item.state == "running"]
 
     def advance(self) -> None:
-        """Update progress and leases to the current time."""
+        """Advance the progress of running attempts to the current time and end expired ones."""
         now_ms = self._clock.now_ms()
         self._advance(now_ms - self._advanced_to_ms)
         self._advanced_to_ms = now_ms
 
     async def sync(self, request: SyncRequest) -> Any:
-        """Execute commands and return the state of the worker."""
+        """Execute commands and return the state of the worker at the current time."""
         self.advance()
         reply = await super().sync(request)
         self._schedule_lease_expiry()
         return reply
 
     def _schedule_lease_expiry(self) -> None:
-        # Leases expire on time, so that the safety margin of a shard owner is tested.
+        # Attempts end exactly at the end of their leases, also between two sync requests, so that
+        # the safety margin of the shard owner is tested.
         now_ms = self._clock.now_ms()
         lease_ends_ms = [
             item.lease_until_ms for item in self._attempts.values() if item.state == "running"
@@ -395,27 +419,27 @@
         if not self.process_host.dead:
             self.advance()
 
-    async def _start(self, key: tuple[str, int], command: Command) -> None:
-        before = self.started[command.task]
-        await super()._start(key, command)
-        if self.started[command.task] > before:
+    async def _start_attempt(self, key: tuple[str, int], command: Command) -> None:
+        started_before = self.started[command.task]
+        await super()._start_attempt(key, command)
+        if self.started[command.task] > started_before:
             self._on_event("started", self, command)
 
-    def _end(self, attempt: Any, outcome: str, reason: str) -> None:
+    def _end_attempt(self, attempt: Any, outcome: str, reason: str) -> None:
         if attempt.state != "ended":
-            super()._end(attempt, outcome, reason)
+            super()._end_attempt(attempt, outcome, reason)
             self._on_event(outcome, self, attempt.command)
 
     async def _open_runner(self, slots: int) -> Any:
         self._last_port += 1
-        return _Port(self._last_port)
+        return _FakeRunner(self._last_port)
 
     def _close_runner(self, runner: Any) -> None:
         pass
 
 
 class FakeWorkerClient(WorkerClient):
-    """Worker client of one daemon that calls a fake worker.
+    """Worker client of one daemon, which calls a fake worker over the simulated network.
 
     Parameters
     ----------
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -33,7 +33,9 @@
     Parameters
     ----------
     ports : dict of str to int
-        Ports by listener.
+        Ports by listener; ``api`` is the only listener of a stand-in.
+    log : Path, optional
+        Log file of a daemon.
     """
 
     name: str
@@ -69,26 +71,26 @@
     headers: dict[str, str] | None = None,
     timeout_ms: float = 10_000,
 ) -> ClientResponse | None:
-    """Make one call on a new connection; return None if no complete response arrived."""
+    """Make one HTTP call on a new connection; return None if no complete response arrived."""
     clock = MonotonicClock()
     connection = Connection(host="127.0.0.1", port=port, clock=clock, max_body=_MAX_BODY_BYTES)
-    pairs = [(name.encode(), value.encode()) for name, value in (headers or {}).items()]
+    encoded_headers = [(name.encode(), value.encode()) for name, value in (headers or {}).items()]
     try:
         result = await connection.exchange(
             method=method.encode(),
             target=target.encode(),
-            headers=pairs,
+            headers=encoded_headers,
             body=body or b"",
             timeout_ms=timeout_ms,
             max_idle_ms=0.0,
         )
     finally:
         await connection.close()
-    reply = result.value_or(None)
-    if reply is None:
+    response = result.value_or(None)
+    if response is None:
         return None
-    decoded = {name.decode(): value.decode("latin-1") for name, value in reply.headers}
-    return ClientResponse(status=reply.status, headers=decoded, body=reply.body)
+    decoded_headers = {name.decode(): value.decode("latin-1") for name, value in response.headers}
+    return ClientResponse(status=response.status, headers=decoded_headers, body=response.body)
 
 
 class Balancer:
@@ -100,6 +102,11 @@
         Cluster whose daemons are checked.
     period_ms : float, default=200
         Time between checks in ms.
+
+    Attributes
+    ----------
+    ready : list of Process
+        Daemons that were ready at the latest check.
     """
 
     def __init__(self, *, cluster: Cluster, period_ms: float = 200) -> None:
@@ -108,13 +115,13 @@
         self.ready: list[Process] = []
 
     async def run(self) -> None:
-        """Check until cancelled."""
+        """Check all daemons periodically until cancelled."""
         while True:
             await self.check()
             await anyio.sleep(self._period_ms / 1000)
 
     async def check(self) -> None:
-        """Check each daemon once."""
+        """Check the readiness of each running daemon once."""
         running = [
             daemon for daemon in self._cluster.daemons.values() if daemon.handle.poll() is None
         ]
@@ -162,11 +169,12 @@
         *,
         rack: str = "",
         options: tuple[str, ...] = (),
-        through: Callable[[int], int] | None = None,
+        open_relay: Callable[[int], int] | None = None,
     ) -> Process:
         """Start a worker and add it to the list of VMs.
 
-        `through` returns the port of a relay to the worker; the list of VMs then holds that port.
+        `open_relay` opens a relay to the worker's port and returns the port of the relay, which the
+        list of VMs then holds instead of the worker's.
         """
         handle = self._spawn(name, ["-m", "standins.worker", f"--name={name}", *options])
         port = await anyio.to_thread.run_sync(_read_port, handle)
@@ -177,12 +185,15 @@
             role="worker",
             availability_zone=zone,
             rack=rack or f"rack-{zone}",
-            address=f"127.0.0.1:{through(port) if through else port}",
+            address=f"127.0.0.1:{open_relay(port) if open_relay else port}",
         )
         return self.workers[name]
 
     async def list_vm(self, **vm: str) -> None:
-        """Change a VM in the platform's list of VMs, which shows the change after a delay."""
+        """Add or update a VM in the platform's list of VMs, which shows the change after a delay.
+
+        Only the given fields are changed.
+        """
         await call(self.platform.ports["api"], "POST", "/vms", body=orjson.dumps(vm))
 
     def start_daemon(
@@ -190,7 +201,7 @@
     ) -> Process:
         """Start a daemon on free ports; `wait_ready` waits until it accepts requests.
 
-        `platform_port` is the port of a relay to the platform.
+        `platform_port` is the port of a relay to the platform; 0 connects to it directly.
         """
         platform_port = platform_port or self.platform.ports["api"]
         sections = {
@@ -221,7 +232,7 @@
                 group.start_soon(anyio.to_thread.run_sync, self.start_daemon, name, zone)
 
     async def wait_ready(self, *, timeout_s: float = _START_TIMEOUT_S) -> None:
-        """Wait until each daemon is ready."""
+        """Wait until each daemon is ready, for at most `timeout_s` seconds per daemon."""
         for daemon in self.daemons.values():
             await wait_for(lambda d=daemon: is_ready(d), timeout_s=timeout_s)
         await self.balancer.check()
@@ -232,7 +243,7 @@
         return response.json() if response is not None and response.status == 200 else {}
 
     async def count_running(self, daemon: str, prefix: str) -> int:
-        """Count the running tasks whose name has a prefix."""
+        """Count the running tasks whose name starts with `prefix`, as shown by a daemon."""
         status = await self.status(daemon)
         return sum(
             task["state"] == "running" and task["task"].startswith(prefix)
@@ -240,16 +251,16 @@
         )
 
     async def set_faults(self, process: Process, **faults: Any) -> None:
-        """Replace the injected faults of a stand-in."""
+        """Replace the injected faults of a stand-in; no arguments clear them."""
         await call(process.ports["api"], "POST", "/faults", body=orjson.dumps(faults))
 
     def run_tool(self, *arguments: str) -> subprocess.CompletedProcess:
-        """Run the command-line tool and return its output."""
+        """Run the command-line tool and return its output and exit code."""
         command = [sys.executable, "-m", "coltsfootpier.cli", *arguments]
         return subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
 
     def stop(self) -> None:
-        """Stop all processes that this object started."""
+        """Stop all processes that this object started; kill those that still run after 3 s."""
         for handle in self._handles:
             if handle.poll() is None:
                 handle.send_signal(signal.SIGCONT)
@@ -306,16 +317,28 @@
 
 
 async def wait_for(condition: Any, *, timeout_s: float) -> float:
-    """Wait until an async condition holds; return the seconds it took.
+    """Wait until an async condition holds.
+
+    Parameters
+    ----------
+    condition : callable
+        Async function that returns whether the condition holds.
+    timeout_s : float
+        Longest time to wait in s.
+
+    Returns
+    -------
+    float
+        Time that it took in s.
 
     Raises
     ------
     TimeoutError
-        If it doesn't hold within `timeout_s`.
+        If the condition doesn't hold within `timeout_s`.
     """
-    start = time.monotonic()
+    start_s = time.monotonic()
     while not await condition():
-        if time.monotonic() - start > timeout_s:
+        if time.monotonic() - start_s > timeout_s:
             raise TimeoutError(f"condition not met within {timeout_s} s")
         await anyio.sleep(0.05)
-    return time.monotonic() - start
+    return time.monotonic() - start_s
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -16,18 +16,32 @@
 
 _DECLARATION_PATH = Path(__file__).parent.parent / "examples" / "demo.ini"
 _ZONES = ("zone-a", "zone-b", "zone-c")
-_CALLERS = 8
+_CALLER_COUNT = 8
 _REQUESTS_PER_CALLER = 100
-_KINDS = (("sign", "count"), ("sign", "guidance"), ("ingest", "reading"))
+_REQUEST_KINDS = (("sign", "count"), ("sign", "guidance"), ("ingest", "reading"))
 
 
 @attrs.define
 class Tally:
-    """Results that the callers observed."""
+    """Results that the callers observed.
+
+    Attributes
+    ----------
+    outcomes : Counter
+        Number of responses by outcome.
+    wrong_count : int
+        Number of responses whose content doesn't belong to the request.
+    incomplete_count : int
+        Number of requests that received no complete response.
+    latencies_ms : list of float
+        Latencies of the requests that were done.
+    non_idempotent : list of (str, str)
+        Identifier and outcome of each request whose kind isn't idempotent.
+    """
 
     outcomes: Counter = attrs.field(factory=Counter)
-    wrong: int = 0
-    broken: int = 0
+    wrong_count: int = 0
+    incomplete_count: int = 0
     latencies_ms: list[float] = attrs.field(factory=list)
     non_idempotent: list[tuple[str, str]] = attrs.field(factory=list)
 
@@ -35,10 +49,10 @@
 async def _run_caller(cluster: Cluster, index: int, tally: Tally, seed: int) -> None:
     rng = random.Random(f"{seed}/{index}")
     for number in range(_REQUESTS_PER_CALLER):
-        service, kind = rng.choice(_KINDS)
+        service, kind = rng.choice(_REQUEST_KINDS)
         request_id = f"caller-{index}-{number}"
         body = f"{request_id}:{rng.random()}".encode()
-        start = time.monotonic()
+        request_start_s = time.monotonic()
         response = await call(
             rng.choice(cluster.balancer.ready).ports["callers"],
             "POST",
@@ -46,16 +60,16 @@
             body=body,
             headers={"X-Request-Id": request_id, "Idempotency-Key": request_id},
         )
-        elapsed_ms = (time.monotonic() - start) * 1000
+        elapsed_ms = (time.monotonic() - request_start_s) * 1000
         if response is None:
-            tally.broken += 1
+            tally.incomplete_count += 1
             continue
         outcome = response.headers.get("x-outcome", "none")
         if outcome == "done":
             tally.latencies_ms.append(elapsed_ms)
             echoed = response.json()
             if echoed["id"] != request_id or echoed["body"] != body.decode():
-                tally.wrong += 1
+                tally.wrong_count += 1
         else:
             outcome = f"{outcome}: {response.json().get('error', '')}"
         tally.outcomes[outcome] += 1
@@ -65,6 +79,7 @@
 
 
 async def _count_runs(cluster: Cluster) -> Counter:
+    """Return how often each request ran on the workers that are still running."""
     runs: Counter = Counter()
     for worker in cluster.workers.values():
         if worker.handle.poll() is None:
@@ -73,12 +88,12 @@
     return runs
 
 
-def _percentile(values: list[float], share: float) -> float:
+def _compute_percentile(values: list[float], share: float) -> float:
     sorted_values = sorted(values)
     return sorted_values[min(len(sorted_values) - 1, int(share * len(sorted_values)))]
 
 
-async def _start(cluster: Cluster) -> None:
+async def _start_processes(cluster: Cluster) -> None:
     cluster.start_platform()
     async with anyio.create_task_group() as group:
         for index in range(6):
@@ -88,8 +103,8 @@
 
 
 def _apply_declaration(cluster: Cluster, path: Path) -> None:
-    operators = cluster.daemons["entry-0"].ports["operators"]
-    result = cluster.run_tool("apply", str(path), f"--daemon=127.0.0.1:{operators}")
+    operators_port = cluster.daemons["entry-0"].ports["operators"]
+    result = cluster.run_tool("apply", str(path), f"--daemon=127.0.0.1:{operators_port}")
     print((result.stdout + result.stderr).strip())
     if result.returncode:
         raise RuntimeError(f"apply ended with exit code {result.returncode}")
@@ -105,47 +120,47 @@
     await cluster.list_vm(name="worker-5", state="gone")
 
 
-async def _jobs_done(cluster: Cluster) -> bool:
+async def _are_jobs_done(cluster: Cluster) -> bool:
     status = await cluster.status("entry-0")
     jobs = [task for task in status.get("tasks", ()) if task["task"].startswith("job/")]
     return bool(jobs) and all(task["state"] == "done" for task in jobs)
 
 
 async def run(*, seed: int = 1) -> int:
-    """Run the demo and return the exit code."""
+    """Run the demo and return the exit code; the seed determines the requests of the callers."""
     start_s = time.monotonic()
     cluster = Cluster(zones=_ZONES)
     tally = Tally()
     try:
-        await _start(cluster)
+        await _start_processes(cluster)
         print(f"started 1 platform, 6 workers, 3 daemons in {time.monotonic() - start_s:.1f} s")
         _apply_declaration(cluster, _DECLARATION_PATH)
-        waited = await wait_for(lambda: _has_running(cluster, 9), timeout_s=30)
-        print(f"all 9 runners are running after {waited:.1f} s")
-        async with anyio.create_task_group() as balancing:
-            balancing.start_soon(cluster.balancer.run)
+        waited_s = await wait_for(lambda: _are_runners_running(cluster, 9), timeout_s=30)
+        print(f"all 9 runners are running after {waited_s:.1f} s")
+        async with anyio.create_task_group() as balancer_group:
+            balancer_group.start_soon(cluster.balancer.run)
             async with anyio.create_task_group() as group:
-                for index in range(_CALLERS):
+                for index in range(_CALLER_COUNT):
                     group.start_soon(_run_caller, cluster, index, tally, seed)
                 group.start_soon(_inject_faults, cluster)
-            balancing.cancel_scope.cancel()
-        waited = await wait_for(lambda: _has_running(cluster, 9), timeout_s=40)
-        print(f"all 9 runners are running again after {waited:.1f} s")
-        await wait_for(lambda: _jobs_done(cluster), timeout_s=60)
-        changed = Path(cluster.folder / "changed.ini")
-        changed.write_text(_DECLARATION_PATH.read_text().replace("runners = 6", "runners = 8"))
-        _apply_declaration(cluster, changed)
-        await wait_for(lambda: _has_running(cluster, 11), timeout_s=30)
-        return await _report(cluster, tally, start_s)
+            balancer_group.cancel_scope.cancel()
+        waited_s = await wait_for(lambda: _are_runners_running(cluster, 9), timeout_s=40)
+        print(f"all 9 runners are running again after {waited_s:.1f} s")
+        await wait_for(lambda: _are_jobs_done(cluster), timeout_s=60)
+        changed_path = Path(cluster.folder / "changed.ini")
+        changed_path.write_text(_DECLARATION_PATH.read_text().replace("runners = 6", "runners = 8"))
+        _apply_declaration(cluster, changed_path)
+        await wait_for(lambda: _are_runners_running(cluster, 11), timeout_s=30)
+        return await _print_report(cluster, tally, start_s)
     finally:
         cluster.stop()
 
 
-async def _has_running(cluster: Cluster, count: int) -> bool:
+async def _are_runners_running(cluster: Cluster, count: int) -> bool:
     return await cluster.count_running("entry-0", "service/") == count
 
 
-async def _report(cluster: Cluster, tally: Tally, start_s: float) -> int:
+async def _print_report(cluster: Cluster, tally: Tally, start_s: float) -> int:
     runs = await _count_runs(cluster)
     duplicated = [name for name, _ in tally.non_idempotent if runs[name] > 1]
     ran_rejected = [
@@ -154,26 +169,33 @@
         if outcome.startswith("refused") and runs[name]
     ]
     status = await cluster.status("entry-0")
-    done = sum(
+    done_count = sum(
         task["state"] == "done" and task["task"].startswith("job/") for task in status["tasks"]
     )
-    evicted = sum(max(0, task["attempt"] - 1) for task in status["tasks"])
-    print(f"answers: {tally.outcomes['done']} done, {tally.wrong} wrong, {tally.broken} broken")
+    further_attempts = sum(max(0, task["attempt"] - 1) for task in status["tasks"])
+    print(
+        f"answers: {tally.outcomes['done']} done, {tally.wrong_count} wrong, "
+        f"{tally.incomplete_count} broken"
+    )
     for outcome, count in sorted(tally.outcomes.items()):
         if outcome != "done":
             print(f"  {outcome}: {count}")
     print(
-        f"latency: p50 {_percentile(tally.latencies_ms, 0.5):.1f} ms, "
-        f"p99 {_percentile(tally.latencies_ms, 0.99):.1f} ms"
+        f"latency: p50 {_compute_percentile(tally.latencies_ms, 0.5):.1f} ms, "
+        f"p99 {_compute_percentile(tally.latencies_ms, 0.99):.1f} ms"
     )
     print(f"non-idempotent requests that ran twice: {len(duplicated)}")
     print(f"requests refused as not run that did run: {len(ran_rejected)}")
-    print(f"job tasks done: {done}, further attempts of tasks: {evicted}")
-    operators = cluster.daemons["entry-0"].ports["operators"]
-    print(cluster.run_tool("report", "burn", f"--daemon=127.0.0.1:{operators}").stdout.strip())
+    print(f"job tasks done: {done_count}, further attempts of tasks: {further_attempts}")
+    operators_port = cluster.daemons["entry-0"].ports["operators"]
+    print(cluster.run_tool("report", "burn", f"--daemon=127.0.0.1:{operators_port}").stdout.strip())
     print(f"took {time.monotonic() - start_s:.1f} s")
     failed = (
-        tally.wrong or tally.broken or duplicated or ran_rejected or tally.outcomes["done"] < 500
+        tally.wrong_count
+        or tally.incomplete_count
+        or duplicated
+        or ran_rejected
+        or tally.outcomes["done"] < 500
     )
     return 1 if failed else 0
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -14,7 +14,19 @@
 
 
 async def serve(count: int, host: str, cores: float, memory_mb: int) -> None:
-    """Serve `count` workers until cancelled, and print their ports as a JSON list."""
+    """Serve `count` workers until cancelled, and print their ports as a JSON list.
+
+    Parameters
+    ----------
+    count : int
+        Number of workers.
+    host : str
+        IP address to listen on.
+    cores : float
+        Processors of each worker.
+    memory_mb : int
+        Memory of each worker in MB.
+    """
     clock = MonotonicClock()
     ports = []
     async with anyio.create_task_group() as group:
--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -30,6 +30,7 @@
 from coltsfootpier.transport import LeanConnection
 from standins.cluster import ClientResponse, call, wait_for
 
+# Host and path prefix of the requests that `Nodes.request` sends.
 HOST = "a.example"
 PREFIX = "/p/"
 # Range of the ports of daemons; the end is excluded.
@@ -69,7 +70,17 @@
 
 @attrs.define(kw_only=True)
 class Node:
-    """A daemon process and its ports."""
+    """A daemon process and its ports.
+
+    Parameters
+    ----------
+    front : int
+        Port for callers.
+    ready : int
+        Port of the readiness check.
+    metrics : int
+        Port of the metrics; the port for other daemons precedes it.
+    """
 
     name: str
     handle: subprocess.Popen
@@ -107,14 +118,23 @@
 
 
 class Nodes:
-    """A store, runners and daemons on the loopback address."""
+    """A store, runners and daemons on the loopback address.
+
+    Attributes
+    ----------
+    nodes : dict of str to Node
+        Daemons by name.
+    runner_ports : list of int
+        Ports of the runners whose process wasn't killed.
+    past_runs : list of dict
+        Run history of killed runners.
+    """
 
     def __init__(self) -> None:
         self._folder = tempfile.TemporaryDirectory(prefix="coltsfootpier-")
         self._handles: list[subprocess.Popen] = []
         self.nodes: dict[str, Node] = {}
         self.runner_ports: list[int] = []
-        # Run history of killed runners.
         self.past_runs: list[dict[str, Any]] = []
         self.store_port = 0
         self._clock = MonotonicClock()
@@ -221,9 +241,9 @@
             try:
                 await wait_for(lambda node=node: self._is_ready(node), timeout_s=20)
             except TimeoutError as error:
-                ended = node.handle.poll()
+                exit_code = node.handle.poll()
                 raise TimeoutError(
-                    f"{node.name} isn't ready (exit code {ended}): {error}\n{self.read_logs()}"
+                    f"{node.name} isn't ready (exit code {exit_code}): {error}\n{self.read_logs()}"
                 ) from error
 
     async def _is_ready(self, node: Node) -> bool:
@@ -245,9 +265,9 @@
         connection.close()
         if not isinstance(result, Success):
             return None
-        reply = result.unwrap()
-        headers = {name.decode(): value.decode("latin-1") for name, value in reply.headers}
-        return ClientResponse(status=reply.status, headers=headers, body=reply.body)
+        response = result.unwrap()
+        headers = {name.decode(): value.decode("latin-1") for name, value in response.headers}
+        return ClientResponse(status=response.status, headers=headers, body=response.body)
 
     async def set_store_faults(self, **faults: Any) -> None:
         """Replace the injected faults of the store; no arguments clear them."""
@@ -283,7 +303,7 @@
             await call(self.store_port, "POST", "/worker", body=body, timeout_ms=2_000)
 
     def read_logs(self) -> str:
-        """Return the end of each daemon's log."""
+        """Return the last 2,000 characters of each daemon's log."""
         return "\n".join(
             f"{node.name}:\n{node.log.read_text()[-2_000:]}" for node in self.nodes.values()
         )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -33,10 +33,11 @@
 )
 from standins.vms import WorkerVms
 
-_MAX_VALUE_LENGTH = 1_000_000
-# Maximum number of items per page, and of entries per transaction.
+_MAX_VALUE_CHARS = 1_000_000
+# Maximum number of items per page of a range.
 _PAGE_SIZE = 500
-_MAX_ENTRIES = 32
+# Maximum number of expected revisions, writes and deletions of one transaction together.
+_MAX_TRANSACTION_ENTRIES = 32
 _LEASE_PREFIX = "lease-"
 # Changes kept for watches; a watch that is further behind must list again.
 _MAX_HISTORY_LENGTH = 10_000
@@ -67,12 +68,21 @@
     ----------
     clock : Clock
         Time source.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store, which increases with each change.
+    changed : anyio.Event
+        Set at the next change of a key, and then replaced by a new event.
     """
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._entries: dict[str, _Entry] = {}
+        # Time to live and end of each lease in ms.
         self._leases: dict[str, tuple[float, float]] = {}
+        # Revision and key of each change, oldest first.
         self._history: list[tuple[int, str]] = []
         self.revision = 0
         self.changed = anyio.Event()
@@ -113,24 +123,27 @@
         """Return all items whose key has a prefix."""
         return [self.get(key) for key in sorted(self._entries) if key.startswith(prefix)]
 
-    def changes(self, prefix: str, after: int) -> list[dict[str, Any]] | None:
-        """Return the items changed after a revision, or None if the history doesn't reach back."""
-        if self._history and after < self._history[0][0] - 1:
+    def list_changes(self, prefix: str, after_revision: int) -> list[dict[str, Any]] | None:
+        """Return the items under a prefix that changed after a revision.
+
+        Returns None if the history no longer contains all changes since then.
+        """
+        if self._history and after_revision < self._history[0][0] - 1:
             return None
         # The history is sorted by revision.
-        first = bisect.bisect_right(self._history, after, key=lambda change: change[0])
+        first = bisect.bisect_right(self._history, after_revision, key=lambda change: change[0])
         keys = {key for _, key in self._history[first:]}
         return [self.get(key) for key in sorted(keys) if key.startswith(prefix)]
 
     def grant(self, ttl_ms: float) -> str:
-        """Grant a lease and return its name."""
+        """Grant a lease with a time to live of `ttl_ms` and return its name."""
         self.revision += 1
         lease = f"lease-{self.revision}"
         self._leases[lease] = (ttl_ms, self._clock.now_ms() + ttl_ms)
         return lease
 
     def renew(self, lease: str) -> bool:
-        """Renew a lease; return False if it doesn't exist."""
+        """Renew a lease for its time to live; return False if it doesn't exist."""
         if lease not in self._leases:
             return False
         ttl_ms = self._leases[lease][0]
@@ -151,7 +164,7 @@
             self._record_change(key)
         return True
 
-    def expire(self) -> None:
+    def expire_leases(self) -> None:
         """Revoke all expired leases."""
         now_ms = self._clock.now_ms()
         for lease in [name for name, (_, end_ms) in self._leases.items() if end_ms <= now_ms]:
@@ -169,7 +182,7 @@
 
 
 class PlatformApplication:
-    """ASGI application of the stand-in.
+    """ASGI application of the stand-in for the platform.
 
     Parameters
     ----------
@@ -181,25 +194,26 @@
 
     def __init__(self, *, clock: Clock, vms_lag_ms: float) -> None:
         self.store = Store(clock=clock)
-        self.workers = WorkerVms(clock=clock)
+        self.worker_vms = WorkerVms(clock=clock)
         self.faults = Faults()
         self.counts: Counter[str] = Counter()
         self._clock = clock
         self._vms_lag_ms = vms_lag_ms
         self._vms: dict[str, dict[str, Any]] = {}
-        self._vm_changes: list[tuple[float, dict[str, Any]]] = []
+        # Changes that don't appear in the list of VMs yet, with the times at which they do.
+        self._pending_vm_changes: list[tuple[float, dict[str, Any]]] = []
 
     async def run(self) -> None:
         """Expire leases until cancelled."""
         while True:
             await anyio.sleep(0.05)
-            self.store.expire()
+            self.store.expire_leases()
 
     async def __call__(self, scope: Scope, receive: Any, send: Any) -> None:
         if scope["type"] != "http":
             return
         try:
-            body = await read_body(scope, receive, max_body=4 * _MAX_VALUE_LENGTH)
+            body = await read_body(scope, receive, max_body=4 * _MAX_VALUE_CHARS)
         except BodyError as error:
             await send_response(send, error.response)
             return
@@ -210,12 +224,12 @@
         elif path == "/counts":
             await send_response(send, HttpResponse.of(dict(self.counts)))
         elif path == "/worker":
-            self.workers.update_worker(orjson.loads(body))
+            self.worker_vms.update_worker(orjson.loads(body))
             await send_response(send, HttpResponse.of({}))
         elif path == "/upkeeps":
-            await send_response(send, HttpResponse.of(self.workers.maintenance_runs))
+            await send_response(send, HttpResponse.of(self.worker_vms.maintenance_runs))
         elif path == "/vms":
-            self._change_vm(orjson.loads(body))
+            self._schedule_vm_change(orjson.loads(body))
             await send_response(send, HttpResponse.of({}))
         else:
             await self._process_request(scope, path, body, receive, send)
@@ -239,7 +253,7 @@
             name: values[0] for name, values in parse_qs(scope["query_string"].decode()).items()
         }
         if path.startswith("/coltsfootpier/machine"):
-            response = await self._handle_workers(path, query, body, dict(scope["headers"]))
+            response = await self._handle_worker_vms(path, query, body, dict(scope["headers"]))
         else:
             response = await self._handle_store(scope["method"], path, query, body)
         if faults.lose_answers > 0 and scope["method"] != "GET":
@@ -251,44 +265,44 @@
     async def _handle_store(
         self, method: str, path: str, query: dict[str, str], body: bytes
     ) -> HttpResponse:
-        _, _, call, *rest = path.split("/", 3)
-        self.counts[f"{method} {call}"] += 1
-        if call == "kv-key":
-            item = self._describe(query["key"])
+        _, _, operation, *rest = path.split("/", 3)
+        self.counts[f"{method} {operation}"] += 1
+        if operation == "kv-key":
+            item = self._describe_item(query["key"])
             return HttpResponse.of(item, 404 if item["revision"] == 0 else 200)
-        if call == "kv-range":
+        if operation == "kv-range":
             return self._handle_range(query)
-        if call == "kv-watch":
+        if operation == "kv-watch":
             return await self._handle_watch(query)
-        if call == "kv-txn":
+        if operation == "kv-txn":
             return self._handle_transaction(orjson.loads(body))
-        if call == "kv-lease":
+        if operation == "kv-lease":
             ttl_ms = orjson.loads(body)["ttl_ms"]
             lease = int(self.store.grant(ttl_ms).removeprefix(_LEASE_PREFIX))
             return HttpResponse.of({"lease": lease, "ttl_ms": ttl_ms})
-        if call == "kv-keep" and rest:
-            known = self.store.renew(_LEASE_PREFIX + rest[0])
+        if operation == "kv-keep" and rest:
+            exists = self.store.renew(_LEASE_PREFIX + rest[0])
             return HttpResponse.of(
-                {"ttl_ms": self.store.read_ttl(_LEASE_PREFIX + rest[0])} if known else {},
-                200 if known else 404,
+                {"ttl_ms": self.store.read_ttl(_LEASE_PREFIX + rest[0])} if exists else {},
+                200 if exists else 404,
             )
-        if call == "kv-lease-end" and rest:
-            known = self.store.revoke(_LEASE_PREFIX + rest[0])
-            return HttpResponse.of({}, 200 if known else 404)
-        if call == "vms":
+        if operation == "kv-lease-end" and rest:
+            exists = self.store.revoke(_LEASE_PREFIX + rest[0])
+            return HttpResponse.of({}, 200 if exists else 404)
+        if operation == "vms":
             return HttpResponse.of({"vms": self._list_vms()})
         return HttpResponse.problem(404, "unknown_path", path)
 
-    async def _handle_workers(
+    async def _handle_worker_vms(
         self, path: str, query: dict[str, str], body: bytes, headers: dict[bytes, bytes]
     ) -> HttpResponse:
         if path == "/coltsfootpier/machines":
-            return self.workers.list(query.get("page_token", ""))
+            return self.worker_vms.list(query.get("page_token", ""))
         if path == "/coltsfootpier/machine-upkeep":
-            return await self.workers.start_maintenance(orjson.loads(body), headers)
+            return await self.worker_vms.start_maintenance(orjson.loads(body), headers)
         return HttpResponse.problem(404, "unknown_path", path)
 
-    def _describe(self, key: str) -> dict[str, Any]:
+    def _describe_item(self, key: str) -> dict[str, Any]:
         item = self.store.get(key)
         return {
             "key": key,
@@ -305,7 +319,7 @@
         ]
         return HttpResponse.of(
             {
-                "items": [self._describe(key) for key in keys[:_PAGE_SIZE]],
+                "items": [self._describe_item(key) for key in keys[:_PAGE_SIZE]],
                 "has_more": len(keys) > _PAGE_SIZE,
                 "store_revision": self.store.revision,
             }
@@ -314,12 +328,14 @@
     def _handle_transaction(self, change: dict[str, Any]) -> HttpResponse:
         entries = sum(len(change[name]) for name in ("expect", "puts", "remove"))
         values = [put["value"] for put in change["puts"]]
-        if entries > _MAX_ENTRIES or any(len(value) > _MAX_VALUE_LENGTH for value in values):
+        if entries > _MAX_TRANSACTION_ENTRIES or any(
+            len(value) > _MAX_VALUE_CHARS for value in values
+        ):
             return HttpResponse.problem(400, "too_large", f"{entries} entries")
         leases = {put.get("lease", 0) for put in change["puts"]} - {0}
         if not all(self.store.read_ttl(f"{_LEASE_PREFIX}{lease}") for lease in leases):
             return HttpResponse.problem(404, "no_such_lease", str(leases))
-        current = [self._describe(row["key"]) for row in change["expect"]]
+        current = [self._describe_item(row["key"]) for row in change["expect"]]
         expected_revisions = [row["revision"] for row in change["expect"]]
         if [item["revision"] for item in current] != expected_revisions:
             return HttpResponse.of({"items": current}, 412)
@@ -331,34 +347,34 @@
         return HttpResponse.of({"revision": self.store.revision})
 
     async def _handle_watch(self, query: dict[str, str]) -> HttpResponse:
-        after = int(query["after"])
+        after_revision = int(query["after"])
         end_ms = self._clock.now_ms() + float(query["wait_ms"])
         while True:
             event, revision = self.store.changed, self.store.revision
-            items = self.store.changes(query["prefix"], after)
+            items = self.store.list_changes(query["prefix"], after_revision)
             if items is None:
-                return HttpResponse.problem(410, "history_lost", f"after {after}")
+                return HttpResponse.problem(410, "history_lost", f"after {after_revision}")
             remaining_ms = end_ms - self._clock.now_ms()
             if items or remaining_ms <= 0:
-                events = [self._describe_event(item["key"]) for item in items]
+                events = [self._describe_watch_event(item["key"]) for item in items]
                 return HttpResponse.of({"events": events, "store_revision": revision})
             with anyio.move_on_after(remaining_ms / 1000):
                 await event.wait()
 
-    def _describe_event(self, key: str) -> dict[str, Any]:
-        item = self._describe(key)
+    def _describe_watch_event(self, key: str) -> dict[str, Any]:
+        item = self._describe_item(key)
         if item["revision"]:
             return item
         return {"key": key, "revision": item["store_revision"], "deleted": True}
 
-    def _change_vm(self, vm: dict[str, Any]) -> None:
-        self._vm_changes.append((self._clock.now_ms() + self._vms_lag_ms, vm))
+    def _schedule_vm_change(self, vm: dict[str, Any]) -> None:
+        self._pending_vm_changes.append((self._clock.now_ms() + self._vms_lag_ms, vm))
 
     def _list_vms(self) -> list[dict[str, Any]]:
         now_ms = self._clock.now_ms()
-        for due_ms, vm in list(self._vm_changes):
+        for due_ms, vm in list(self._pending_vm_changes):
             if due_ms <= now_ms:
-                self._vm_changes.remove((due_ms, vm))
+                self._pending_vm_changes.remove((due_ms, vm))
                 self._vms[vm["name"]] = {**self._vms.get(vm["name"], {}), **vm}
         return list(self._vms.values())
 
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -22,12 +22,20 @@
     ----------
     port : int
         Target port on the loopback address.
+
+    Attributes
+    ----------
+    port : int
+        Port that the relay listens on.
+    accepted : int
+        Number of connections accepted so far.
     """
 
     def __init__(self, *, port: int) -> None:
-        self.target = port
+        self.target_port = port
         self.port = 0
         self.accepted = 0
+        # Incremented by `silence`; connections of an earlier generation forward nothing.
         self._generation = 0
         self._listening = threading.Event()
         self._closing = threading.Event()
@@ -59,7 +67,7 @@
         self.accepted += 1
         generation = self._generation
         try:
-            outgoing = await anyio.connect_tcp("127.0.0.1", self.target)
+            outgoing = await anyio.connect_tcp("127.0.0.1", self.target_port)
         except OSError:
             await incoming.aclose()
             return
--- a/standins/runners.py
+++ b/standins/runners.py
@@ -37,7 +37,7 @@
 _CPU_MILLI = 8_000
 _MEMORY_MB = 16_000
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
-_RUN_MS = re.compile(r"run_ms=(\d+)")
+_RUN_MS_PATTERN = re.compile(r"run_ms=(\d+)")
 
 
 @attrs.define
@@ -50,33 +50,40 @@
 
 
 class Runner:
-    """A runner that starts anew, under another name, after each maintenance of its VM.
+    """A runner that starts a new incarnation, with another name, after each maintenance of its VM.
 
     Parameters
     ----------
     name : str
-        Identifier of the first incarnation.
+        Name of the first incarnation.
+
+    Attributes
+    ----------
+    history : list of dict
+        Ended runs of all incarnations, in the format of ``GET /history``.
+    is_up : bool
+        False while its VM is in maintenance.
     """
 
     def __init__(self, *, name: str) -> None:
         self._clock = MonotonicClock()
         self.history: list[dict[str, Any]] = []
         self._run_ended = anyio.Event()
-        # False while its VM is in maintenance.
         self.is_up = True
         self._start_incarnation(name)
 
     def _start_incarnation(self, name: str) -> None:
-        """Reset all state and adopt a new identifier."""
+        """Reset all state except the history and adopt the name of a new incarnation."""
         self.name = name
         self._incarnation_start_ms = self._clock.now_ms()
         self.start_unix_ms = int(time.time() * 1000)
-        self._token = 0
+        self._highest_token = 0
+        # End of the lease, which all runs share.
         self._lease_until_ms = 0.0
         self._runs: dict[str, _Run] = {}
         self._ended_runs: list[list[Any]] = []
         self._last_ended_number = 0
-        # Highest attempt of each task that was stopped or has ended; older starts are rejected.
+        # Highest attempt of each task that was stopped or has ended; starts up to it are rejected.
         self._highest_ended_attempts: dict[str, int] = {}
 
     async def end_incarnation(self, _: HttpRequest) -> HttpResponse:
@@ -84,8 +91,8 @@
         for run in list(self._runs.values()):
             self._end_run(run, "killed")
         # Ended runs that no owner has acknowledged are lost with the incarnation.
-        for row in self.history:
-            row.setdefault("lost", not row["observed"])
+        for run_record in self.history:
+            run_record.setdefault("lost", not run_record["observed"])
         self.is_up = False
         self._start_incarnation(f"i-{secrets.token_hex(5)}")
         return HttpResponse.of({})
@@ -101,84 +108,90 @@
     def require_incarnation(self, handler: Handler) -> Handler:
         """Wrap a handler so that it rejects requests to another incarnation with status 421."""
 
-        async def respond(request: HttpRequest) -> HttpResponse:
-            return await handler(request) if self._is_addressed(request) else self._respond(421)
+        async def handle_if_addressed(request: HttpRequest) -> HttpResponse:
+            return (
+                await handler(request) if self._is_addressed(request) else self._build_response(421)
+            )
 
-        return respond
+        return handle_if_addressed
 
-    def _respond(self, status: int = 200, **fields: Any) -> HttpResponse:
+    def _build_response(self, status: int = 200, **fields: Any) -> HttpResponse:
         fields = {"clock_ms": int(self._now_ms()), "born": self.start_unix_ms, **fields}
         return HttpResponse.of(fields, status)
 
     def _accept_token(self, body: dict[str, Any]) -> bool:
+        """Record the fencing token of a request; return False if a higher one was recorded."""
         token = body.get("fencing_token", 0)
-        if token < self._token:
+        if token < self._highest_token:
             return False
-        self._token = token
+        self._highest_token = token
         return True
 
-    async def start(self, request: HttpRequest) -> HttpResponse:
+    async def start_run(self, request: HttpRequest) -> HttpResponse:
         """Start a run unless its fencing token, attempt or lease is outdated."""
         body = orjson.loads(request.body)
         if not self._accept_token(body):
-            return self._respond(409, reason="fence")
+            return self._build_response(409, reason="fence")
         task, attempt, now_ms = body["task"], body["attempt"], self._now_ms()
         current_run = self._runs.get(task)
         if current_run is not None and current_run.attempt == attempt:
-            return self._respond()
+            return self._build_response()
         if attempt <= self._highest_ended_attempts.get(task, 0):
-            return self._respond(409, reason="old")
+            return self._build_response(409, reason="old")
         if body["deadline_ms"] <= now_ms:
-            return self._respond(409, reason="late")
+            return self._build_response(409, reason="late")
         self._lease_until_ms = max(self._lease_until_ms, body["deadline_ms"])
-        match = _RUN_MS.search(body["spec"])
+        match = _RUN_MS_PATTERN.search(body["spec"])
         duration_ms = float(match.group(1)) if match else 100.0
         self._runs[task] = _Run(task, attempt, now_ms, now_ms + duration_ms, "fail" in body["spec"])
-        return self._respond()
+        return self._build_response()
 
-    async def stop(self, request: HttpRequest) -> HttpResponse:
+    async def stop_run(self, request: HttpRequest) -> HttpResponse:
         """Stop a run, and reject later starts of the same or an older attempt."""
         body = orjson.loads(request.body)
         if not self._accept_token(body):
-            return self._respond(409, reason="fence")
+            return self._build_response(409, reason="fence")
         task, attempt = body["task"], body["attempt"]
         self._highest_ended_attempts[task] = max(attempt, self._highest_ended_attempts.get(task, 0))
         run = self._runs.get(task)
         if run is not None and run.attempt <= attempt:
             self._end_run(run, "stopped")
-        return self._respond()
+        return self._build_response()
 
-    async def pace(self, request: HttpRequest) -> HttpResponse:
+    async def accept_pace(self, request: HttpRequest) -> HttpResponse:
         """Accept a pace without effect, because the tasks of the stand-in are timers."""
         accepted = self._accept_token(orjson.loads(request.body))
-        return self._respond() if accepted else self._respond(409, reason="fence")
+        return self._build_response() if accepted else self._build_response(409, reason="fence")
+
+    async def extend_lease(self, request: HttpRequest) -> HttpResponse:
+        """Extend the lease of all runs, and return the running and the ended runs.
 
-    async def hold(self, request: HttpRequest) -> HttpResponse:
-        """Extend the lease of all runs, and return the running and the ended runs."""
+        If all ended runs are acknowledged, waits up to ``wait_ms`` for a run to end.
+        """
         body = orjson.loads(request.body)
         if not self._accept_token(body):
-            return self._respond(409, reason="fence")
+            return self._build_response(409, reason="fence")
         observed = body.get("observed", 0)
         self._ended_runs = [ended_run for ended_run in self._ended_runs if ended_run[0] > observed]
-        for row in self.history:
-            row["observed"] = row["observed"] or row["number"] <= observed
+        for run_record in self.history:
+            run_record["observed"] = run_record["observed"] or run_record["number"] <= observed
         self._lease_until_ms = max(self._lease_until_ms, body.get("deadline_ms", 0))
         if not self._ended_runs and body.get("wait_ms"):
             with anyio.move_on_after(body["wait_ms"] / 1000):
                 await self._run_ended.wait()
         now_ms = self._now_ms()
         running = [
-            [run.task, run.attempt, "", int(100 * self._compute_progress(run, now_ms)), 0]
+            [run.task, run.attempt, "", int(100 * self._compute_progress_share(run, now_ms)), 0]
             for run in self._runs.values()
         ]
-        return self._respond(running=running, ended=self._ended_runs[:500])
+        return self._build_response(running=running, ended=self._ended_runs[:500])
 
-    def _compute_progress(self, run: _Run, now_ms: float) -> float:
+    def _compute_progress_share(self, run: _Run, now_ms: float) -> float:
         return min(0.99, (now_ms - run.start_ms) / max(1.0, run.end_ms - run.start_ms))
 
     async def read_history(self, _: HttpRequest) -> HttpResponse:
         """Return the ended and the current runs."""
-        present = [
+        current_runs = [
             {
                 "task": run.task,
                 "attempt": run.attempt,
@@ -186,7 +199,7 @@
             }
             for run in self._runs.values()
         ]
-        return HttpResponse.of({"ended": self.history, "present": present})
+        return HttpResponse.of({"ended": self.history, "present": current_runs})
 
     def _end_run(self, run: _Run, outcome: str) -> None:
         del self._runs[run.task]
@@ -242,7 +255,7 @@
                 registered_name = self.name
                 await self._report_to_platform(platform, vm, port)
             sequence += 1
-            entry = {
+            registry_entry = {
                 "service": "web",
                 "address": f"127.0.0.1:{port}",
                 "zone": "zone-a",
@@ -256,7 +269,7 @@
                 "born": self.start_unix_ms,
             }
             key = f"servers/{self.name}"
-            result = await store.commit(expect={}, puts=[Write(key, orjson.dumps(entry))])
+            result = await store.commit(expect={}, puts=[Write(key, orjson.dumps(registry_entry))])
             if not isinstance(result, Success):
                 print(f"registry entry not written: {result}", file=sys.stderr, flush=True)
             await anyio.sleep(_HEARTBEAT_MS / 1000)
@@ -271,10 +284,10 @@
         for _ in range(count):
             runner = Runner(name=f"i-{secrets.token_hex(5)}")
             routes = {
-                "POST /coltsfootpier/run-start": runner.require_incarnation(runner.start),
-                "POST /coltsfootpier/run-stop": runner.require_incarnation(runner.stop),
-                "POST /coltsfootpier/pace": runner.require_incarnation(runner.pace),
-                "POST /coltsfootpier/hold": runner.require_incarnation(runner.hold),
+                "POST /coltsfootpier/run-start": runner.require_incarnation(runner.start_run),
+                "POST /coltsfootpier/run-stop": runner.require_incarnation(runner.stop_run),
+                "POST /coltsfootpier/pace": runner.require_incarnation(runner.accept_pace),
+                "POST /coltsfootpier/hold": runner.require_incarnation(runner.extend_lease),
                 "POST /end": runner.end_incarnation,
                 "GET /history": runner.read_history,
             }
--- a/standins/vms.py
+++ b/standins/vms.py
@@ -1,7 +1,7 @@
 """Stand-in for the service that lists worker VMs and takes them down for maintenance.
 
 Runners report their VM (``POST /worker``). Maintenance ends the incarnation of the runner through
-its ``POST /end``; the runner returns with another identifier after `MAINTENANCE_MS`.
+its ``POST /end``; the runner returns with another name after `MAINTENANCE_MS`.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
     port: int
     state: str = "up"
     waves: set[int] = attrs.field(factory=set)
-    token: int = 0
+    highest_token: int = 0
 
 
 class WorkerVms:
@@ -41,11 +41,11 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._vms: dict[str, _Vm] = {}
-        # Start time, wave and holder of each maintenance run, checked by tests.
+        # VM, wave, holder, runner and times of each maintenance run; tests check them.
         self.maintenance_runs: list[dict[str, Any]] = []
 
     def update_worker(self, worker: dict[str, Any]) -> None:
-        """Update the runner of a VM; a VM without a runner is down."""
+        """Update the runner of a VM, which ends maintenance; a VM without a runner is down."""
         vm = self._vms.setdefault(worker["id"], _Vm("", 0))
         if not worker["runner"]:
             vm.state, vm.runner = "down", ""
@@ -79,14 +79,17 @@
     async def start_maintenance(
         self, command: dict[str, Any], headers: dict[bytes, bytes]
     ) -> HttpResponse:
-        """Take a VM down for maintenance."""
+        """Take a VM down for maintenance, once for each wave.
+
+        Requests with an outdated fencing token and requests for a VM that isn't up are rejected.
+        """
         vm = self._vms.get(command["machine"])
         if vm is None:
             return HttpResponse.of({}, 400)
         token = int(headers.get(b"fencing-token", b"0"))
-        if token < vm.token:
+        if token < vm.highest_token:
             return HttpResponse.of({"reason": "fence"}, 409)
-        vm.token = token
+        vm.highest_token = token
         if command["wave"] in vm.waves:
             return HttpResponse.of({})
         if vm.state != "up":
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -44,7 +44,7 @@
 
 @attrs.define
 class Faults:
-    """Injected faults; defaults mean none."""
+    """Injected faults and the service time; the module describes each. Defaults mean no fault."""
 
     fail_starts: bool = False
     silent_runners: bool = False
@@ -54,22 +54,29 @@
 
 
 class Runner:
-    """A runner of a service with slots, which counts the runs of each request.
+    """A runner of a service as an HTTP server, which counts how often each request runs.
 
     Parameters
     ----------
     worker : Worker
         Worker that the runner is on.
     slots : int
-        Maximum number of concurrent requests.
+        Maximum number of concurrent requests; further requests are rejected.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        Whether the runner rejects new requests because it is being stopped.
+    port : int
+        Port that the runner listens on; 0 until it is started.
     """
 
     def __init__(self, *, worker: Worker, slots: int) -> None:
-        self.leaving = False
+        self.is_leaving = False
         self.port = 0
         self._worker = worker
         self._slots = slots
-        self._busy = 0
+        self._busy_slots = 0
         self._server = Server(app=self, host=worker.host, port=0)
 
     async def __call__(self, scope: Scope, receive: Any, send: Any) -> None:
@@ -81,17 +88,17 @@
             await send_response(send, error.response)
             return
         headers = dict(scope["headers"])
-        extra = ((b"x-leaving", b"1"),) if self.leaving else ()
-        if self._busy >= self._slots or self.leaving:
+        extra_headers = ((b"x-leaving", b"1"),) if self.is_leaving else ()
+        if self._busy_slots >= self._slots or self.is_leaving:
             rejection = HttpResponse(
-                status=503, body=b"no free slot", headers=((b"x-not-started", b"1"), *extra)
+                status=503, body=b"no free slot", headers=((b"x-not-started", b"1"), *extra_headers)
             )
             await send_response(send, rejection)
             return
-        self._busy += 1
+        self._busy_slots += 1
         try:
             request_id = headers.get(b"x-request-id", b"").decode()
-            self._worker.runs[request_id] += 1
+            self._worker.request_runs[request_id] += 1
             if self._worker.faults.silent_runners:
                 await anyio.sleep_forever()
             await anyio.sleep(self._worker.faults.service_ms / 1000)
@@ -101,9 +108,9 @@
             response = HttpResponse.of(
                 {"id": request_id, "path": scope["path"], "body": body.decode("utf-8", "replace")}
             )
-            await send_response(send, attrs.evolve(response, headers=extra))
+            await send_response(send, attrs.evolve(response, headers=extra_headers))
         finally:
-            self._busy -= 1
+            self._busy_slots -= 1
 
     async def _send_large_response(self, send: Any, request_id: str) -> None:
         # The body repeats the request's identifier, so that bytes of another response are
@@ -127,7 +134,7 @@
 
     async def drain(self) -> None:
         """Reject new requests and stop once those in flight are finished."""
-        self.leaving = True
+        self.is_leaving = True
         await anyio.sleep(0.5)
         self._server.stop()
 
@@ -143,7 +150,7 @@
     outcome: str = ""
     reason: str = ""
 
-    def report(self, host: str, now_ms: float) -> TaskReport:
+    def build_report(self, host: str, now_ms: float) -> TaskReport:
         spec = self.command.spec
         address = f"{host}:{self.runner.port}" if self.runner and self.runner.port else ""
         return TaskReport(
@@ -175,6 +182,15 @@
         Capacity of the VM; memory in MB.
     speed : float
         Factor by which batch tasks run faster than declared.
+
+    Attributes
+    ----------
+    request_runs : Counter
+        Number of runs of each request.
+    started, finished : Counter
+        Number of starts, and of completions of batch tasks, by task.
+    sync_times_ms : deque of float
+        Times of the latest sync requests on the worker's clock.
     """
 
     def __init__(
@@ -190,17 +206,18 @@
     ) -> None:
         self.host = host
         self.faults = Faults()
-        self.runs: Counter[str] = Counter()
+        self.request_runs: Counter[str] = Counter()
         self.incarnation = secrets.token_hex(4)
         self._name = name
         self._clock = clock
         self._size = (cores, memory_mb, accelerators)
         self._speed = speed
         self._attempts: dict[tuple[str, int], _Attempt] = {}
+        # Forgotten attempts whose start commands are still rejected, with the end of that time.
         self._tombstones: dict[tuple[str, int], float] = {}
         self._group: TaskGroup | None = None
         self.started: Counter[str] = Counter()
-        self.syncs: deque[float] = deque(maxlen=_MAX_SYNC_TIMES)
+        self.sync_times_ms: deque[float] = deque(maxlen=_MAX_SYNC_TIMES)
         self.finished: Counter[str] = Counter()
 
     async def run(self) -> None:
@@ -211,12 +228,15 @@
                 self._advance(_TICK_MS)
 
     async def handle_sync(self, request: HttpRequest) -> HttpResponse:
-        """Handle a sync request of a shard owner."""
+        """Execute the sync request of a shard owner."""
         return HttpResponse.of(await self.sync(decode(request.body, SyncRequest)))
 
     async def sync(self, request: SyncRequest) -> SyncReply:
-        """Execute commands and return the state of the worker."""
-        self.syncs.append(self._clock.now_ms())
+        """Execute commands and return the state of the worker.
+
+        Commands for another incarnation of the worker are ignored.
+        """
+        self.sync_times_ms.append(self._clock.now_ms())
         if request.incarnation == self.incarnation:
             for command in request.commands:
                 await self._execute(command)
@@ -229,7 +249,9 @@
             cores=cores,
             memory_mb=memory_mb,
             accelerators=accelerators,
-            tasks=tuple(attempt.report(self.host, now_ms) for attempt in self._attempts.values()),
+            tasks=tuple(
+                attempt.build_report(self.host, now_ms) for attempt in self._attempts.values()
+            ),
         )
 
     async def handle_faults(self, request: HttpRequest) -> HttpResponse:
@@ -241,10 +263,10 @@
         """Return how often each request and each task ran, and the newest sync times."""
         return HttpResponse.of(
             {
-                "requests": dict(self.runs),
+                "requests": dict(self.request_runs),
                 "started": dict(self.started),
                 "finished": dict(self.finished),
-                "syncs_ms": list(self.syncs),
+                "syncs_ms": list(self.sync_times_ms),
             }
         )
 
@@ -253,7 +275,7 @@
         attempt = self._attempts.get(key)
         if command.kind == "start":
             if attempt is None:
-                await self._start(key, command)
+                await self._start_attempt(key, command)
             else:
                 attempt.lease_until_ms = max(attempt.lease_until_ms, command.lease_until_ms)
         elif command.kind == "renew" and attempt is not None:
@@ -266,22 +288,22 @@
                 # keeps it from running.
                 attempt = _Attempt(command=command, lease_until_ms=0.0)
                 self._attempts[key] = attempt
-            self._end(attempt, "stopped", "stopped by the shard owner")
+            self._end_attempt(attempt, "stopped", "stopped by the shard owner")
         elif command.kind == "forget" and attempt is not None and attempt.state == "ended":
             del self._attempts[key]
             self._tombstones[key] = self._clock.now_ms() + _TOMBSTONE_MS
 
-    async def _start(self, key: tuple[str, int], command: Command) -> None:
+    async def _start_attempt(self, key: tuple[str, int], command: Command) -> None:
         now_ms = self._clock.now_ms()
         if now_ms >= command.expires_at_ms or key in self._tombstones or command.spec is None:
             return
         attempt = _Attempt(command=command, lease_until_ms=command.lease_until_ms)
         self._attempts[key] = attempt
         if self.faults.fail_starts:
-            self._end(attempt, "failed", "the task failed to start")
+            self._end_attempt(attempt, "failed", "the task failed to start")
             return
         if not self._fits(command):
-            self._end(attempt, "refused", "no room on the worker")
+            self._end_attempt(attempt, "refused", "no room on the worker")
             return
         self.started[command.task] += 1
         if command.spec.kind == "service":
@@ -290,14 +312,15 @@
             attempt.progress_ms = float(command.checkpoint or 0.0)
 
     def _fits(self, command: Command) -> bool:
-        # A worker never exceeds its own capacity, even if the owner's view of it is wrong.
+        # Checked with the new attempt included: a worker never exceeds its own capacity, even if
+        # the shard owner's view of it is wrong.
         sizes = [
             attempt.command.spec.size
             for attempt in self._attempts.values()
             if attempt.state == "running" and attempt.command.spec is not None
         ]
         used = [sum(size[index] for size in sizes) for index in range(3)]
-        return all(have <= limit + 1e-6 for have, limit in zip(used, self._size, strict=True))
+        return all(amount <= limit + 1e-6 for amount, limit in zip(used, self._size, strict=True))
 
     def _advance(self, elapsed_ms: float) -> None:
         now_ms = self._clock.now_ms()
@@ -305,17 +328,17 @@
             if attempt.state != "running":
                 continue
             if now_ms >= attempt.lease_until_ms:
-                self._end(attempt, "expired", "the lease ended")
+                self._end_attempt(attempt, "expired", "the lease ended")
             elif attempt.command.spec.kind == "batch":
                 attempt.progress_ms += elapsed_ms * self._speed * attempt.share
                 if attempt.progress_ms >= attempt.command.spec.run_time_ms:
                     self.finished[attempt.command.task] += 1
-                    self._end(attempt, "done", "")
+                    self._end_attempt(attempt, "done", "")
         self._tombstones = {
             key: until_ms for key, until_ms in self._tombstones.items() if until_ms > now_ms
         }
 
-    def _end(self, attempt: _Attempt, outcome: str, reason: str) -> None:
+    def _end_attempt(self, attempt: _Attempt, outcome: str, reason: str) -> None:
         if attempt.state == "ended":
             return
         attempt.state, attempt.outcome, attempt.reason = "ended", outcome, reason
@@ -332,7 +355,7 @@
 
 
 async def serve(worker: Worker, port: int) -> None:
-    """Serve the stand-in until cancelled, and print the port."""
+    """Serve a worker until cancelled, and print the port."""
     application = Application(
         routes={
             "POST /v1/sync": worker.handle_sync,
