State what the soak faults and checks on a virtual clock do

Names such as mute, cut and kinds stood for several things, and one term stood for workers that are running and for workers that are listed as live.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,7 +25,8 @@
 flags.DEFINE_string("grep", "", "Print only events that contain this text.")
 
 
-def _list_seeds(text: str) -> list[int]:
+def _parse_seeds(text: str) -> list[int]:
+    """Return the seeds of a range ``FIRST:END``, END excluded, or of a comma-separated list."""
     first, colon, end = text.partition(":")
     if colon:
         return list(range(int(first), int(end)))
@@ -33,9 +34,9 @@
 
 
 def _print_report(report: Report) -> None:
-    faults = sum(report.faults.values())
+    fault_count = sum(report.fault_counts.values())
     print(
-        f"seed={report.seed} faults={faults} callbacks={report.callbacks} "
+        f"seed={report.seed} faults={fault_count} callbacks={report.callbacks} "
         f"wall_s={report.wall_s:.1f} calls_at_rest={report.calls_at_rest:.2f} "
         f"calls_under_load={report.calls_under_load:.2f} calls_highest={report.calls_highest} "
         f"violation={report.violation or 'none'}",
@@ -55,21 +56,21 @@
         kinds=tuple(_FLAGS.kinds),
     )
     started_s = time.perf_counter()
-    faults: Counter[str] = Counter()
-    counts: Counter[str] = Counter()
+    fault_counts: Counter[str] = Counter()
+    event_counts: Counter[str] = Counter()
     failed_seeds: list[int] = []
-    runs = 0
+    run_count = 0
     with ProcessPoolExecutor(_FLAGS.processes) as pool:
-        for report in pool.map(run, _list_seeds(_FLAGS.seeds)):
+        for report in pool.map(run, _parse_seeds(_FLAGS.seeds)):
             _print_report(report)
-            runs += 1
-            faults.update(report.faults)
-            counts.update(report.counts)
+            run_count += 1
+            fault_counts.update(report.fault_counts)
+            event_counts.update(report.event_counts)
             if report.violation:
                 failed_seeds.append(report.seed)
-    print(f"faults by kind: {dict(sorted(faults.items()))}")
-    print(f"events by kind: {dict(sorted(counts.items()))}")
-    print(f"runs={runs} broken={failed_seeds} wall_s={time.perf_counter() - started_s:.1f}")
+    print(f"faults by kind: {dict(sorted(fault_counts.items()))}")
+    print(f"events by kind: {dict(sorted(event_counts.items()))}")
+    print(f"runs={run_count} broken={failed_seeds} wall_s={time.perf_counter() - started_s:.1f}")
     return 1 if failed_seeds else 0
 
 
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -25,12 +25,13 @@
 from soak._loop import Host, HostClock, VirtualLoop
 from soak._network import Network
 
-_RACK_SIZE = 8
+_WORKERS_PER_RACK = 8
 _ZONES = ("z1", "z2", "z3")
+# Cores, memory in MB and accelerators.
 _WORKER_SIZE = (16.0, 60_000, 1)
 # Clock rates differ by at most 9 %, which is below the 10 % that the daemons allow for.
 _CLOCK_RATES = (0.957, 1.043)
-_MAX_EVENTS = 4_000
+_MAX_EVENT_COUNT = 4_000
 
 _SETTINGS = """
 [daemon]
@@ -56,9 +57,15 @@
     Parameters
     ----------
     index : int
-        Number of the VM, from which its address is derived.
+        Number of the VM, from which its name and address are derived.
+    host : Host
+        Host of the process, which has its own clock.
+    daemon : Daemon
+        Daemon under test.
+    platform : FakePlatformClient
+        Client with which the daemon calls the store.
     started_s : float
-        True time at which the process started.
+        True time in s at which the process started.
     """
 
     index: int
@@ -70,7 +77,17 @@
 
 @attrs.define
 class DeclarationDraft:
-    """Declaration that an operator edits."""
+    """Declaration that an operator edits.
+
+    Parameters
+    ----------
+    jobs : dict of str to str
+        Body of each job's section by the name of the job.
+    runners : int
+        Number of runners of the service.
+    cores : int
+        Cores of each runner.
+    """
 
     jobs: dict[str, str] = attrs.field(factory=dict)
     runners: int = 24
@@ -99,12 +116,23 @@
         Seed of all random choices.
     daemons, workers : int
         Number of daemons and of workers.
+
+    Attributes
+    ----------
+    events : deque of str
+        Latest events, which are reported with a violation.
+    processes : dict of int to DaemonProcess
+        Latest process on each entry VM that isn't gone, by number of the VM.
+    all_processes : list of DaemonProcess
+        All processes that were started, including those that were killed or replaced.
+    pending_cancellations : int
+        Number of further changes in which operators remove jobs instead of adding some.
     """
 
     def __init__(self, *, loop: VirtualLoop, seed: int, daemons: int, workers: int) -> None:
         self.loop = loop
         self.rng = random.Random(f"{seed}/cluster")
-        self.events: deque[str] = deque(maxlen=_MAX_EVENTS)
+        self.events: deque[str] = deque(maxlen=_MAX_EVENT_COUNT)
         self.network = Network(loop=loop, rng=random.Random(f"{seed}/network"))
         self.network.on_error = lambda where, error: self.checker.record_violation(
             "assertion", f"{where}: {error!r}"
@@ -120,18 +148,18 @@
         self.worker_vms: dict[str, Vm] = {}
         self.hold_over_ms = self.rng.choice((15_000, 30_000))
         self.operator_rng = random.Random(f"{seed}/operators")
-        self.cancellations = 0
-        # Scales the load, which is defined for 24 workers, to the number of workers.
+        self.pending_cancellations = 0
+        # The numbers of runners and the rate of changes are defined for 24 workers.
         self._load_scale = workers / 24
-        self._operator = Host("operator")
+        self._operator_host = Host("operator")
         self._incarnations: Counter[str] = Counter()
         self._change_count = 0
-        self._daemons = daemons
+        self._initial_daemon_count = daemons
         for index in range(1, daemons + 1):
             self.start_daemon(index)
         for index in range(workers):
             name = f"w{index}"
-            rack = index // _RACK_SIZE
+            rack = index // _WORKERS_PER_RACK
             vm = Vm(
                 name=name,
                 state="live",
@@ -166,7 +194,7 @@
                 host=host,
                 find_worker=lambda: self.workers.get(address.partition(":")[0]),
             ),
-            incarnation=self._name_incarnation(name),
+            incarnation=self._build_incarnation(name),
         )
         daemon = Daemon(settings=self._build_settings(index), clock=clock, interfaces=interfaces)
         process = DaemonProcess(index, host, daemon, platform, self.loop.true_s)
@@ -190,7 +218,7 @@
         self.processes[index].host.dead = True
 
     def stop_daemon(self, index: int) -> None:
-        """Stop a daemon after it handed over, or after 20 s."""
+        """Stop a daemon once it has handed over its partitions, after 20 s at the latest."""
         process = self.processes[index]
         hand_over_task = self.loop.start(process.host, process.daemon.control.hand_over())
         self.loop.call_after(20.0, hand_over_task.cancel)
@@ -206,17 +234,27 @@
         self.start_daemon(max(process.index for process in self.all_processes) + 1)
 
     def can_pull_revision(self, process: DaemonProcess) -> bool:
-        """Return whether links work and another live daemon at a seed address has a revision."""
-        if self.network.link_quality.loss or any(count > 0 for count in self.network.cuts.values()):
+        """Return whether a daemon should be able to pull a revision from a seed address.
+
+        Requires that links work, that no daemon is frozen, and that another live daemon at a seed
+        address has a revision.
+        """
+        if self.network.link_quality.loss or any(
+            count > 0 for count in self.network.cut_counts.values()
+        ):
             return False
-        live = self.list_live_daemons()
-        if any(item.host.frozen for item in live):
+        live_processes = self.list_live_daemons()
+        if any(item.host.frozen for item in live_processes):
             return False
-        seeds = [item for item in live if item is not process and item.index <= self._daemons]
-        return any(item.daemon.control.revisions.revision.revision for item in seeds)
+        seed_processes = [
+            item
+            for item in live_processes
+            if item is not process and item.index <= self._initial_daemon_count
+        ]
+        return any(item.daemon.control.revisions.revision.revision for item in seed_processes)
 
     def list_live_daemons(self) -> list[DaemonProcess]:
-        """Return the processes of the daemons that were not killed."""
+        """Return the processes of the daemons that are neither killed nor stopped."""
         return [process for process in self.processes.values() if not process.host.dead]
 
     def _find_process(self, address: str) -> DaemonProcess | None:
@@ -228,7 +266,9 @@
             index=index,
             zone=_ZONES[index % 3],
             hold_over_ms=self.hold_over_ms,
-            seeds=", ".join(f"10.0.1.{seed}:2" for seed in range(1, self._daemons + 1)),
+            seeds=", ".join(
+                f"10.0.1.{seed}:2" for seed in range(1, self._initial_daemon_count + 1)
+            ),
         )
         return read_settings("soak", text).unwrap()
 
@@ -241,7 +281,7 @@
             loop=self.loop,
             host=host,
             size=_WORKER_SIZE,
-            incarnation=self._name_incarnation(vm.name),
+            incarnation=self._build_incarnation(vm.name),
             on_event=self.checker.on_worker_event,
         )
         self.worker_vms[vm.name] = vm
@@ -258,7 +298,7 @@
         new_name = f"w{len(self.workers)}"
         self.start_worker(attrs.evolve(vm, name=new_name, state="live", address=f"{new_name}:1"))
 
-    def is_live(self, name: str) -> bool:
+    def is_listed_as_live(self, name: str) -> bool:
         """Return whether the list of VMs shows a worker as live."""
         vm = self.store.vms.get(name)
         return vm is not None and vm.state == "live"
@@ -270,7 +310,7 @@
     # Operators
 
     async def run_operator(self, until_s: float) -> None:
-        """Submit changes of the declaration repeatedly, as one of several operators."""
+        """Submit changes of the declaration until a true time, as one of several operators."""
         rng = self.operator_rng
         while self.loop.true_s < until_s:
             await self._submit_change()
@@ -304,15 +344,15 @@
             self.trace("operator receives outcome", token=token, outcome=result.outcome)
             self.checker.on_apply(token, result.outcome, result.revision)
 
-    async def _call_daemon(self, process: DaemonProcess, handle, timeout_ms: float = 2_000.0):
+    async def _call_daemon(self, process: DaemonProcess, handler, timeout_ms: float = 2_000.0):
         return await self.network.call(
-            self._operator, lambda: process.host, handle, timeout_ms=timeout_ms
+            self._operator_host, lambda: process.host, handler, timeout_ms=timeout_ms
         )
 
     def _edit_draft(self, draft: DeclarationDraft) -> None:
         rng = self.operator_rng
-        if self.cancellations > 0:
-            self.cancellations -= 1
+        if self.pending_cancellations > 0:
+            self.pending_cancellations -= 1
             for name in list(draft.jobs)[-rng.randint(3, 12) :]:
                 _remove_job(draft, name)
             return
@@ -321,11 +361,12 @@
         if rng.random() < 0.05:
             draft.cores = rng.choice((3, 4, 5))
         for _ in range(rng.randint(1, 2)):
-            size = rng.choice((1, 1, 2, 4, 8, 40))
+            # A job with 40 cores per task fits on no worker, so it must be refused.
+            cores = rng.choice((1, 1, 2, 4, 8, 40))
             lines = [
                 "team = a",
                 f"tasks = {rng.randint(1, 6)}",
-                f"cores = {size}",
+                f"cores = {cores}",
                 f"memory_mb = {rng.choice((500, 4_000, 20_000))}",
                 f"run_time_s = {rng.choice((2, 10, 30, 60))}",
                 f"checkpointing = {rng.choice(('yes', 'no'))}",
@@ -343,7 +384,7 @@
         rate = self.rng.choice((self.rng.uniform(*_CLOCK_RATES), *_CLOCK_RATES))
         return Host(name, rate=rate, origin_s=self.rng.uniform(0.0, 1e5))
 
-    def _name_incarnation(self, name: str) -> str:
+    def _build_incarnation(self, name: str) -> str:
         self._incarnations[name] += 1
         return f"i{self._incarnations[name]}"
 
@@ -368,6 +409,7 @@
 
 
 def _remove_job(draft: DeclarationDraft, name: str) -> None:
+    """Remove a job and all jobs that depend on it."""
     if draft.jobs.pop(name, None) is None:
         return
     for other, body in list(draft.jobs.items()):
--- a/soak/_invariants.py
+++ b/soak/_invariants.py
@@ -1,4 +1,8 @@
-"""Invariants that are checked on the actual state of workers, store and daemons."""
+"""Invariants that are checked on the actual state of workers, store and daemons.
+
+The names ``R1`` to ``R10`` of invariants are the requirements in docs/design.md; docs/proofs.md
+describes how each invariant is checked.
+"""
 
 from __future__ import annotations
 
@@ -45,19 +49,29 @@
     ----------
     cluster : Cluster
         Deployment to check.
+
+    Attributes
+    ----------
+    violation : ViolationError, optional
+        First violation; None if there was none.
+    revisions : list of Revision
+        All revisions that were written to the store, in order.
+    event_counts : Counter of str
+        Number of events by kind, for the report.
     """
 
     def __init__(self, cluster: Cluster) -> None:
         self.violation: ViolationError | None = None
         self.revisions: list[Revision] = []
-        self.counts: Counter[str] = Counter()
+        self.event_counts: Counter[str] = Counter()
         self._cluster = cluster
-        self._newest_attempt: dict[str, int] = defaultdict(int)
+        self._newest_attempts: dict[str, int] = defaultdict(int)
         self._done_tasks: set[str] = set()
         self._highest_revisions: dict[int, int] = {}
         self._accepted_revisions: dict[str, int] = {}
         self._conflict_tokens: set[str] = set()
         self._applied_revisions: set[int] = set()
+        # Entries of each record, as its journal values in the store yield them.
         self._records: dict[str, dict[str, Any]] = defaultdict(dict)
 
     def record_violation(self, invariant: str, detail: str) -> None:
@@ -71,7 +85,7 @@
         """Check the start or end of an attempt against the actual state of all workers."""
         task, attempt = command.task, command.attempt
         self._cluster.trace(f"{event} {task}#{attempt}", worker=worker.process_host.name)
-        self.counts[f"attempts {event}"] += 1
+        self.event_counts[f"attempts {event}"] += 1
         if event == "refused":
             self.record_violation(
                 "R1", f"{worker.process_host.name} had no free capacity for {task}#{attempt}"
@@ -81,11 +95,11 @@
         self._check_usage(worker)
         if not task.startswith("job/"):
             return
-        if attempt <= self._newest_attempt[task]:
+        if attempt <= self._newest_attempts[task]:
             self.record_violation(
-                "R3", f"{task}#{attempt} started after #{self._newest_attempt[task]}"
+                "R3", f"{task}#{attempt} started after #{self._newest_attempts[task]}"
             )
-        self._newest_attempt[task] = max(attempt, self._newest_attempt[task])
+        self._newest_attempts[task] = max(attempt, self._newest_attempts[task])
         if task in self._done_tasks:
             self.record_violation(
                 "done once", f"{task}#{attempt} started after it was recorded as done"
@@ -100,7 +114,7 @@
                     )
 
     def on_put(self, key: str, value: Any) -> None:
-        """Check a value that was written to the store."""
+        """Check a revision or a journal value that was written to the store."""
         if key == "control/config":
             revision = decode(value, Revision)
             newest = self.revisions[-1].revision if self.revisions else 0
@@ -120,8 +134,8 @@
                 self._check_record(record, entries)
 
     def on_apply(self, token: str, outcome: str, revision: int) -> None:
-        """Record the outcome of a change as the operator received it."""
-        self.counts[f"changes {outcome}"] += 1
+        """Record the outcome of a change of the declaration as the operator received it."""
+        self.event_counts[f"changes {outcome}"] += 1
         if outcome == "accepted":
             self._accepted_revisions[token] = revision
         elif outcome == "conflict":
@@ -134,19 +148,19 @@
             self.record_violation("R1", f"{worker.process_host.name} runs {used} of {worker.size}")
 
     def _check_ledger(self, changed: dict[str, Any]) -> None:
-        for task, raw in changed.items():
-            if raw["state"] == "done":
+        for task, raw_entry in changed.items():
+            if raw_entry["state"] == "done":
                 self._done_tasks.add(task)
             elif task in self._done_tasks:
-                self.record_violation("done once", f"{task} went from done to {raw['state']}")
+                self.record_violation("done once", f"{task} went from done to {raw_entry['state']}")
 
     def _check_record(self, key: str, entries: dict[str, Any]) -> None:
         used: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
-        for raw in entries.values():
-            if raw.get("state") in ("placed", "stopping", "orphaned"):
-                spec = raw["spec"]
+        for raw_placement in entries.values():
+            if raw_placement.get("state") in ("placed", "stopping", "orphaned"):
+                spec = raw_placement["spec"]
                 for index, field in enumerate(("cores", "memory_mb", "accelerators")):
-                    used[raw["worker"]][index] += spec.get(field, 0)
+                    used[raw_placement["worker"]][index] += spec.get(field, 0)
         for name, total in used.items():
             worker = self._cluster.workers.get(name)
             if worker is not None and not fits(tuple(total), worker.size):
@@ -177,18 +191,18 @@
                 self.record_violation("R9", f"{process.host.name} went back to revision {revision}")
             self._highest_revisions[id(process)] = revision
 
-    def check_store_calls(self, bound: int) -> None:
-        """Check that no daemon makes more than `bound` store calls in any second."""
+    def check_store_calls(self, max_calls_per_second: int) -> None:
+        """Check that no daemon made more than `max_calls_per_second` store calls in a second."""
         for process in self._cluster.all_processes:
             for second, calls in process.platform.calls_by_second.items():
-                if calls > bound:
+                if calls > max_calls_per_second:
                     self.record_violation(
                         "store calls", f"{process.host.name}: {calls} in second {second}"
                     )
 
     # End of a run
 
-    def check_end(self) -> None:
+    def check_final_state(self) -> None:
         """Check the final state, after all faults ended and the deployment had time to recover."""
         self._check_revisions()
         newest = self._parse_newest_declaration()
@@ -237,14 +251,15 @@
 
     def _read_ledger(self) -> dict[str, Entry]:
         return {
-            task: decode(raw, Entry)
+            task: decode(raw_entry, Entry)
             for key, entries in self._records.items()
             if key.startswith("records/ledger/")
-            for task, raw in entries.items()
+            for task, raw_entry in entries.items()
         }
 
     def _check_replay(self) -> None:
-        # The entries that the next owner would read must equal all journal values applied in order.
+        # The entries that the next owner would read from the store must equal the result of all
+        # journal values applied in order.
         for key, entries in self._records.items():
             items = [Item(**item) for item in self._cluster.store.list(f"{key}/")]
             replayed = replay_record(key, items)[1]
@@ -257,23 +272,23 @@
             # revision that declares it: the job ended as cancelled and never started.
             section = f"[job {task.split('/')[1]}]"
             declared = {item.revision for item in self.revisions if section in item.text}
-            if declared & self._applied_revisions or self._newest_attempt[task]:
+            if declared & self._applied_revisions or self._newest_attempts[task]:
                 self.record_violation("R10", f"{task} is not in the ledger")
-            self.counts["tasks withdrawn before dispatch"] += 1
+            self.event_counts["tasks withdrawn before dispatch"] += 1
         elif entry.state not in _FINAL_STATES:
             self.record_violation("R10", f"{task} has not ended: {entry}")
         elif entry.state in ("refused", "failed") and not entry.reason:
             self.record_violation("R10", f"{task} is {entry.state} without a reason")
         else:
-            self.counts[f"tasks {entry.state}"] += 1
+            self.event_counts[f"tasks {entry.state}"] += 1
 
     def _check_shards(self, entries: dict[str, Entry]) -> None:
         self._check_replay()
         for key, placements in self._records.items():
             if not key.startswith("records/shard/"):
                 continue
-            for raw in placements.values():
-                placement = decode(raw, Placement)
+            for raw_placement in placements.values():
+                placement = decode(raw_placement, Placement)
                 entry = entries.get(placement.task)
                 is_current = entry is not None and entry.attempt == placement.attempt
                 if placement.state != "placed" or not is_current or entry.state != "assigned":
--- a/soak/_loop.py
+++ b/soak/_loop.py
@@ -1,4 +1,8 @@
-"""Event loop on a virtual clock; its hosts have their own clocks and can be frozen."""
+"""Event loop on a virtual clock; its hosts have their own clocks and can be frozen.
+
+True time is the virtual time of the loop. The local time of a host runs at a different rate and
+from a different origin.
+"""
 
 from __future__ import annotations
 
@@ -10,9 +14,9 @@
 
 import attrs
 
-# Prevents a timer from firing too early because of rounding in the conversion between two clocks:
-# it would be set again for the same time in an endless loop.
-_ROUNDING_S = 1e-6
+# Added to the time of each timer. Without it, rounding in the conversion between two clocks could
+# make a timer fire too early; it would then be set again for the same time in an endless loop.
+_ROUNDING_MARGIN_S = 1e-6
 
 _HOST: contextvars.ContextVar[Host | None] = contextvars.ContextVar("host", default=None)
 
@@ -88,6 +92,15 @@
     """Event loop that runs callbacks in order of virtual time, without waiting.
 
     A callback belongs to the host that is set in its context, which tasks inherit.
+
+    Attributes
+    ----------
+    true_s : float
+        Current true time in s.
+    callback_count : int
+        Number of callbacks so far; equal in two runs of the same seed.
+    started_tasks : list of asyncio.Task
+        References to the tasks that were started.
     """
 
     def __init__(self) -> None:
@@ -96,18 +109,21 @@
         selector = _Selector()
         selector.loop = self
         super().__init__(selector)
-        # Holds references to the pending tasks of killed hosts: garbage collection would run their
+        # Keeps the pending tasks of killed hosts alive, since garbage collection would run their
         # cleanup code.
         self.started_tasks: list[asyncio.Task] = []
         self.set_exception_handler(lambda *_: None)
 
     def time(self) -> float:
-        """Return the local time of the current host in seconds."""
+        """Return the local time of the current host in seconds; true time outside of hosts."""
         host = _HOST.get()
         return self.true_s if host is None else host.origin_s + host.rate * self.true_s
 
     def call_soon(self, callback: Callable, *args: Any, context: Any = None) -> asyncio.Handle:
-        """Run a callback in the next iteration, or once its frozen host resumes."""
+        """Run a callback in the next iteration, or once its frozen host resumes.
+
+        Callbacks of dead hosts are dropped.
+        """
         self.callback_count += 1
         host = _HOST.get() if context is None else context.get(_HOST)
         if host is None or not (host.frozen or host.dead):
@@ -120,26 +136,28 @@
     def call_at(
         self, when: float, callback: Callable, *args: Any, context: Any = None
     ) -> asyncio.TimerHandle:
-        """Run a callback at a local time of its host."""
+        """Run a callback at a local time of its host, in seconds."""
         host = _HOST.get() if context is None else context.get(_HOST)
         if host is None:
             return super().call_at(when, callback, *args, context=context)
-        when = (when - host.origin_s) / host.rate + _ROUNDING_S
-        timer: list[asyncio.TimerHandle] = []
+        when = (when - host.origin_s) / host.rate + _ROUNDING_MARGIN_S
+        created_timers: list[asyncio.TimerHandle] = []
 
-        def run() -> None:
-            if not timer[0].cancelled():
+        def run_unless_cancelled() -> None:
+            if not created_timers[0].cancelled():
                 callback(*args)
 
-        def fire() -> None:
+        def run_or_defer() -> None:
             self.callback_count += 1
             if host.frozen:
-                host.pending_callbacks.append(asyncio.Handle(run, (), self, context))
+                host.pending_callbacks.append(
+                    asyncio.Handle(run_unless_cancelled, (), self, context)
+                )
             elif not host.dead:
                 callback(*args)
 
-        timer.append(super().call_at(when, fire, context=context))
-        return timer[0]
+        created_timers.append(super().call_at(when, run_or_defer, context=context))
+        return created_timers[0]
 
     def call_after(self, delay_s: float, callback: Callable[[], object]) -> None:
         """Run a callback that belongs to no host after `delay_s` seconds of true time."""
--- a/soak/_network.py
+++ b/soak/_network.py
@@ -44,33 +44,53 @@
 
     def __init__(self, *, loop: VirtualLoop, rng: random.Random) -> None:
         self.link_quality = LinkQuality()
-        self.cuts: dict[tuple[str, str], int] = {}
+        self.cut_counts: dict[tuple[str, str], int] = {}
         self.on_error: Callable[[str, BaseException], None] = lambda *_: None
         self._loop = loop
         self._rng = rng
 
-    def cut(self, source: str, target: str, change: int) -> None:
-        """Add (1) or remove (-1) a cut of the link from `source` to `target`."""
-        self.cuts[source, target] = self.cuts.get((source, target), 0) + change
+    def change_cut_count(self, source: str, target: str, change: int) -> None:
+        """Add (1) or remove (-1) a cut of the link from `source` to `target`.
+
+        Several faults may cut the same link; it works again once all of them are undone.
+        """
+        self.cut_counts[source, target] = self.cut_counts.get((source, target), 0) + change
 
     def is_cut(self, source: str, target: str) -> bool:
         """Return whether messages from `source` to `target` are dropped."""
-        return self.cuts.get((source, target), 0) > 0
+        return self.cut_counts.get((source, target), 0) > 0
 
     async def call(
         self,
         source: Host,
         find_target: Callable[[], Host | None],
-        handle: Callable[[], Awaitable[Any]],
+        handler: Callable[[], Awaitable[Any]],
         *,
         timeout_ms: float,
     ) -> Result[Any, NotSent | Unanswered]:
-        """Run `handle` on another host and wait for its response."""
+        """Run a handler on another host and wait for its response.
+
+        Parameters
+        ----------
+        source : Host
+            Host that makes the call.
+        find_target : callable
+            Returns the host to call, or None if there is none.
+        handler : callable
+            Async function that runs on the target and returns the response.
+        timeout_ms : float
+            Longest time to wait for the response in ms.
+
+        Returns
+        -------
+        Result
+            The response, `NotSent` if the handler can't have run, or `Unanswered` if it may have.
+        """
         target = find_target()
         if target is None or (target.dead and self._rng.random() < 0.5):
             await anyio.sleep(0.001)
             return Failure(NotSent("connection refused"))
-        response = self._loop.create_future()
+        response_future = self._loop.create_future()
         with anyio.move_on_after(timeout_ms / 1000):
             # The message is delayed in the sender before it is transmitted. A sender that is
             # frozen here later sends a message that it decided on before the freeze.
@@ -78,20 +98,21 @@
             if source.freeze_at_send_s:
                 duration_s, source.freeze_at_send_s = source.freeze_at_send_s, 0.0
                 self._loop.freeze(source, duration_s)
+                # The call resumes here after the freeze.
                 await anyio.sleep(0)
                 await anyio.sleep(0)
             if self.is_cut(source.name, target.name) and self._rng.random() < 0.5:
                 await anyio.sleep(timeout_ms / 1000)
                 return Failure(NotSent("no connection"))
-            copies = 2 if self._rng.random() < self.link_quality.duplication else 1
-            for copy in range(copies):
+            copy_count = 2 if self._rng.random() < self.link_quality.duplication else 1
+            for copy in range(copy_count):
                 self._transmit(
                     source.name,
                     target.name,
-                    lambda: self._handle_on_target(source, target, handle, response),
+                    lambda: self._run_on_target(source, target, handler, response_future),
                     extra_delay_s=copy * self._rng.uniform(0.0, 8.0),
                 )
-            return Success(await response)
+            return Success(await response_future)
         return Failure(Unanswered("overdue"))
 
     def _transmit(
@@ -110,20 +131,20 @@
 
         self._loop.call_after(delay_s, arrive)
 
-    def _handle_on_target(
-        self, source: Host, target: Host, handle: Callable, response: Any
+    def _run_on_target(
+        self, source: Host, target: Host, handler: Callable, response_future: Any
     ) -> None:
-        async def handle_and_respond() -> None:
+        async def run_handler_and_respond() -> None:
             try:
-                value = await handle()
+                value = await handler()
             except Exception as error:
                 self.on_error(target.name, error)
                 return
             self._transmit(target.name, source.name, lambda: set_response(value))
 
         def set_response(value: object) -> None:
-            if not response.done():
-                response.set_result(value)
+            if not response_future.done():
+                response_future.set_result(value)
 
         if not target.dead:
-            self._loop.start(target, handle_and_respond())
+            self._loop.start(target, run_handler_and_respond())
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -17,9 +17,9 @@
 from soak._loop import VirtualLoop
 
 _CHECK_PERIOD_S = 0.25
-_OPERATORS = 2
-# Maximum number of store calls of one daemon in a second; see docs/proofs.md for measured values.
-STORE_CALLS_BOUND = 100
+_OPERATOR_COUNT = 2
+# Limit for each daemon; docs/proofs.md lists measured values.
+MAX_STORE_CALLS_PER_SECOND = 100
 
 
 @attrs.frozen(kw_only=True)
@@ -32,13 +32,23 @@
         First violation of an invariant; empty if there was none.
     events : tuple of str
         Last events of the run, up to the violation if there was one.
+    fault_counts, event_counts : dict of str to int
+        Number of injected faults and of other events by kind.
+    callbacks : int
+        Number of callbacks that the event loop ran.
+    wall_s : float
+        Duration of the run in real time in s.
+    calls_at_rest, calls_under_load : float
+        Mean store calls of one daemon per second, in the last 20 s and while faults are injected.
+    calls_highest : int
+        Highest number of store calls of one daemon in a second.
     """
 
     seed: int
     violation: str
     events: tuple[str, ...]
-    faults: dict[str, int]
-    counts: dict[str, int]
+    fault_counts: dict[str, int]
+    event_counts: dict[str, int]
     callbacks: int
     wall_s: float
     calls_at_rest: float
@@ -97,9 +107,10 @@
     cluster = Cluster(loop=loop, seed=seed, daemons=daemons, workers=workers)
     injector = Injector(cluster=cluster, seed=seed, kinds=kinds)
     end_s = minutes * 60
+    # After the faults the deployment has 30 % of the run, at least 110 s, to recover.
     faults_end_s = end_s - max(110.0, 0.3 * end_s)
 
-    def trace(message: dict) -> None:
+    def trace_log_message(message: dict) -> None:
         fields = {
             key: value
             for key, value in message.items()
@@ -107,47 +118,48 @@
         }
         cluster.trace(f"log: {message.get('message_type')}", **fields)
 
-    eliot.add_destinations(trace)
+    eliot.add_destinations(trace_log_message)
     try:
-        drivers = [cluster.run_operator(faults_end_s) for _ in range(_OPERATORS)]
+        drivers = [cluster.run_operator(faults_end_s) for _ in range(_OPERATOR_COUNT)]
         drivers.append(injector.run(faults_end_s))
         tasks = [loop.start(None, driver) for driver in drivers]
         while loop.true_s < end_s and cluster.checker.violation is None:
             await anyio.sleep(_CHECK_PERIOD_S)
             cluster.checker.check_daemons()
         for task in tasks:
-            # A failed driver leaves the rest of the run without faults or changes.
+            # After a driver (operator or injector) has failed, the rest of the run would have no
+            # changes or no faults.
             if task.done() and task.exception() is not None:
                 cluster.checker.record_violation("driver", repr(task.exception()))
         if cluster.checker.violation is None:
-            cluster.checker.check_end()
-            cluster.checker.check_store_calls(STORE_CALLS_BOUND)
+            cluster.checker.check_final_state()
+            cluster.checker.check_store_calls(MAX_STORE_CALLS_PER_SECOND)
     finally:
-        eliot.remove_destination(trace)
+        eliot.remove_destination(trace_log_message)
     violation = cluster.checker.violation
     calls: Counter[int] = Counter()
-    highest = 0
+    highest_calls = 0
     for process in cluster.all_processes:
         calls.update(process.platform.calls_by_second)
-        highest = max(highest, *process.platform.calls_by_second.values(), 0)
-    live_seconds = len(cluster.processes) * faults_end_s
+        highest_calls = max(highest_calls, *process.platform.calls_by_second.values(), 0)
+    daemon_seconds = len(cluster.processes) * faults_end_s
     rest_calls = [calls[second] for second in range(int(end_s) - 20, int(end_s))]
     return Report(
         seed=seed,
         violation=str(violation or ""),
         events=tuple(cluster.events),
-        faults=dict(injector.counts),
-        counts=dict(cluster.checker.counts),
+        fault_counts=dict(injector.fault_counts),
+        event_counts=dict(cluster.checker.event_counts),
         callbacks=loop.callback_count,
         wall_s=time.perf_counter() - started_s,
         calls_at_rest=sum(rest_calls) / len(rest_calls) / max(1, len(cluster.list_live_daemons())),
-        calls_under_load=sum(calls[second] for second in range(int(faults_end_s))) / live_seconds,
-        calls_highest=highest,
+        calls_under_load=sum(calls[second] for second in range(int(faults_end_s))) / daemon_seconds,
+        calls_highest=highest_calls,
     )
 
 
 def _discard_loop(loop: VirtualLoop) -> None:
-    # Drops the pending tasks of killed daemons without resuming them and without warnings.
+    # Drops the pending tasks of killed daemons without warnings and without resuming them.
     with warnings.catch_warnings():
         warnings.simplefilter("ignore", ResourceWarning)
         for task in loop.started_tasks:
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -20,8 +20,13 @@
 
 
 class SoakTest(unittest.TestCase):
+    """Runs of the whole deployment on a virtual clock with injected faults."""
+
     def test_fixed_seeds_violate_no_invariant(self) -> None:
-        """Guards against the faults that these seeds have revealed, see docs/proofs.md."""
+        """Guards against the defects of the daemons that these seeds have revealed.
+
+        docs/proofs.md describes them.
+        """
         for seed, minutes, workers, daemons, kinds in RUNS:
             with self.subTest(seed=seed, kinds=kinds):
                 report = run_seed(
@@ -30,7 +35,10 @@
                 self.assertEqual(report.violation, "", "\n".join(report.events[-60:]))
 
     def test_seed_replays_exactly(self) -> None:
-        """Guards against violations that can't be reproduced from their seed."""
+        """Guards against a violation that can't be reproduced from its seed.
+
+        This happens when a run depends on anything but its seed, such as real time.
+        """
         first, second = (run_seed(9, minutes=2.5, workers=4, daemons=3) for _ in range(2))
         self.assertEqual(first.events, second.events)
         self.assertEqual(first.callbacks, second.callbacks)
