--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -1,4 +1,4 @@
-"""Seeded soak of the daemons on the users' platform, as real processes with injected faults.
+"""Seeded soak runs of the daemons on the users' platform: real processes with injected faults.
 
 Callers continuously submit, query and cancel jobs while overlapping series of faults affect the
 daemons, the runners, the store and the paths to it. The following guarantees are checked from the
@@ -55,11 +55,27 @@
 
 @attrs.define
 class _Job:
+    """Job that was submitted.
+
+    Parameters
+    ----------
+    tasks_fail : bool
+        Whether its tasks end as failed.
+    is_accepted : bool
+        Whether a submission was accepted.
+    may_be_accepted : bool
+        Whether some submission may have been accepted without a response that says so.
+    cancel_requested : bool
+        Whether its cancellation was requested.
+    final_state : str
+        Final state that a query returned; empty until then.
+    """
+
     id: str
-    fails: bool
-    accepted: bool = False
-    undecided: bool = False
-    cancelled: bool = False
+    tasks_fail: bool
+    is_accepted: bool = False
+    may_be_accepted: bool = False
+    cancel_requested: bool = False
     final_state: str = ""
 
 
@@ -68,8 +84,8 @@
     """Results of one seed."""
 
     seed: int
-    jobs: int = 0
-    accepted: int = 0
+    job_count: int = 0
+    accepted_count: int = 0
     faults: Counter[str] = attrs.field(factory=Counter)
     violations: list[str] = attrs.field(factory=list)
     # Tasks that ran again because their outcomes were lost with their runners.
@@ -97,8 +113,10 @@
         self._duration_s = duration_s
         self._nodes = Nodes()
         self._relays: dict[str, Relay] = {}
-        self._runners: list[tuple[Any, list[int]]] = []
+        # Processes that host runners, with the ports of these runners.
+        self._runner_processes: list[tuple[Any, list[int]]] = []
         self._jobs: list[_Job] = []
+        # Daemons that a fault currently affects; no other fault may choose them.
         self._faulted_nodes: set[str] = set()
         # VMs of each maintenance wave.
         self._waves: dict[int, list[str]] = {}
@@ -128,8 +146,8 @@
             self._nodes.close()
             for relay in self._relays.values():
                 relay.close()
-        self.report.jobs = len(self._jobs)
-        self.report.accepted = sum(job.accepted for job in self._jobs)
+        self.report.job_count = len(self._jobs)
+        self.report.accepted_count = sum(job.is_accepted for job in self._jobs)
         return self.report
 
     async def _start_processes(self) -> None:
@@ -150,7 +168,7 @@
         known_ports = set(self._nodes.runner_ports)
         handle = self._nodes.start_runners(2)
         ports = [port for port in self._nodes.runner_ports if port not in known_ports]
-        self._runners.append((handle, ports))
+        self._runner_processes.append((handle, ports))
 
     def _add_violation(self, text: str) -> None:
         if len(self.report.violations) < 20:
@@ -158,36 +176,36 @@
 
     def add_accepted_job(self, job_id: str) -> None:
         """Register an accepted job; used by tests of the checks."""
-        self._jobs.append(_Job(job_id, fails=False, accepted=True))
+        self._jobs.append(_Job(job_id, tasks_fail=False, is_accepted=True))
 
     # Callers
 
     async def _submit_jobs(self, end_s: float) -> None:
         while time.monotonic() < end_s:
-            await self._submit()
+            await self._submit_job()
             await anyio.sleep(self._rng.uniform(0.05, 0.4))
 
-    async def _submit(self) -> None:
+    async def _submit_job(self) -> None:
         rng = self._rng
-        job = _Job(secrets.token_hex(8), fails=rng.random() < 0.1)
+        job = _Job(secrets.token_hex(8), tasks_fail=rng.random() < 0.1)
         self._jobs.append(job)
         run_ms = rng.choice((50, 200, 600, 1_500))
         step = {"count": rng.randint(1, 4), "cpu": 500, "mem_mb": 100, "estimate_ms": run_ms}
         body = {
-            "spec": f"run_ms={run_ms}" + (" fail" if job.fails else ""),
+            "spec": f"run_ms={run_ms}" + (" fail" if job.tasks_fail else ""),
             "steps": [step, {**step, "after": [0]}][: rng.randint(1, 2)],
         }
         for _ in range(4):
             response = await self._request("POST", job.id, body)
             if response is not None and response.status == 200:
-                job.accepted = True
+                job.is_accepted = True
                 break
             if response is None or response.status not in (429, 503):
-                job.undecided = True
+                job.may_be_accepted = True
             await anyio.sleep(0.3)
-        if job.accepted and rng.random() < 0.1:
+        if job.is_accepted and rng.random() < 0.1:
             # Set before the call, since the state may be read before the response arrives.
-            job.cancelled = True
+            job.cancel_requested = True
             response = await self._request("DELETE", job.id)
             if response is not None and response.status == 410:
                 self._add_violation(
@@ -196,12 +214,13 @@
 
     async def _poll_jobs(self, end_s: float) -> None:
         while time.monotonic() < end_s:
-            accepted = [job for job in self._jobs if job.accepted]
-            if accepted:
-                await self._check_state(self._rng.choice(accepted[-60:]))
+            accepted_jobs = [job for job in self._jobs if job.is_accepted]
+            if accepted_jobs:
+                await self._check_job_state(self._rng.choice(accepted_jobs[-60:]))
             await anyio.sleep(0.05)
 
-    async def _check_state(self, job: _Job) -> None:
+    async def _check_job_state(self, job: _Job) -> None:
+        """Query an accepted job and check that its state is allowed and no final state changes."""
         response = await self._request("GET", job.id)
         if response is None or response.status == 503:
             return
@@ -213,9 +232,9 @@
         state = response.json()["state"]
         if job.final_state and state != job.final_state:
             self._add_violation(f"{job.id}: {state} after {job.final_state}")
-        if state == "failed" and not job.fails:
+        if state == "failed" and not job.tasks_fail:
             self._add_violation(f"{job.id}: failed although its tasks don't fail")
-        if state == "cancelled" and not job.cancelled:
+        if state == "cancelled" and not job.cancel_requested:
             self._add_violation(f"{job.id}: cancelled without a request")
         if state in ("completed", "failed", "cancelled"):
             job.final_state = state
@@ -247,11 +266,12 @@
             await faults[name](rng)
 
     def _choose_node(self, rng: random.Random) -> str | None:
+        """Return a random daemon without a fault, or None if fewer than two are left."""
         healthy_nodes = sorted(set(self._nodes.nodes) - self._faulted_nodes)
         return rng.choice(healthy_nodes) if len(healthy_nodes) > 1 else None
 
     async def _restart_node(
-        self, rng: random.Random, signal_number: signal.Signals, wait_s: float
+        self, rng: random.Random, signal_number: signal.Signals, downtime_s: float
     ) -> None:
         name = self._choose_node(rng)
         if name is None:
@@ -260,7 +280,7 @@
         node = self._nodes.nodes[name]
         node.signal(signal_number)
         await anyio.to_thread.run_sync(lambda: node.handle.wait(timeout=20))
-        await anyio.sleep(wait_s)
+        await anyio.sleep(downtime_s)
         self._start_node(name)
         self._faulted_nodes.discard(name)
 
@@ -281,15 +301,15 @@
         self._faulted_nodes.discard(name)
 
     async def _kill_runner_process(self, rng: random.Random) -> None:
-        if len(self._runners) < 2:
+        if len(self._runner_processes) < 2:
             return
-        handle, ports = self._runners.pop(rng.randrange(len(self._runners)))
+        handle, ports = self._runner_processes.pop(rng.randrange(len(self._runner_processes)))
         await self._nodes.kill_runners(handle, ports)
         await anyio.sleep(rng.uniform(0.0, 1.0))
         self._start_runner_process()
 
     async def _pause_runner_process(self, rng: random.Random) -> None:
-        handle, _ = rng.choice(self._runners)
+        handle, _ = rng.choice(self._runner_processes)
         if handle.poll() is None:
             handle.send_signal(signal.SIGSTOP)
             await anyio.sleep(rng.uniform(0.3, 2.0))
@@ -321,16 +341,16 @@
             node.signal(signal.SIGCONT)
             if node.handle.poll() is not None:
                 self._start_node(name)
-        for handle, _ in self._runners:
+        for handle, _ in self._runner_processes:
             handle.send_signal(signal.SIGCONT)
         await self._nodes.wait_ready()
 
     async def _wait_for_jobs(self) -> None:
         end_s = time.monotonic() + _SETTLE_S
-        open_jobs = [job for job in self._jobs if job.accepted and not job.final_state]
+        open_jobs = [job for job in self._jobs if job.is_accepted and not job.final_state]
         while open_jobs and time.monotonic() < end_s:
             for job in open_jobs:
-                await self._check_state(job)
+                await self._check_job_state(job)
             open_jobs = [job for job in open_jobs if not job.final_state]
         for job in open_jobs:
             self._add_violation(
@@ -363,7 +383,7 @@
         for run in runs:
             task = run["task"]
             job = jobs.get(task.split(".")[0])
-            if job is None or not (job.accepted or job.undecided):
+            if job is None or not (job.is_accepted or job.may_be_accepted):
                 self._add_violation(f"{task}: ran, but its job was never accepted")
             earlier_run = latest_runs.get(task)
             if earlier_run is not None and run["begin_ms"] < earlier_run["end_ms"]:
@@ -391,21 +411,23 @@
 
 def _run(_: list[str]) -> int:
     options = flags.FLAGS
-    first, last = (int(part) for part in options.seeds.split(":"))
-    failed = 0
-    for seed in range(first, last):
+    first, end = (int(part) for part in options.seeds.split(":"))
+    failed_seed_count = 0
+    for seed in range(first, end):
         report = run_seed(seed, options.seconds)
-        failed += bool(report.violations)
+        failed_seed_count += bool(report.violations)
         faults = " ".join(f"{name}={count}" for name, count in sorted(report.faults.items()))
         verdict = "FAILED" if report.violations else "ok"
-        print(f"seed {seed}: {verdict}, {report.accepted} of {report.jobs} jobs, {faults}")
+        print(
+            f"seed {seed}: {verdict}, {report.accepted_count} of {report.job_count} jobs, {faults}"
+        )
         for lost in report.lost_completions:
             print(f"  lost with its runner: {lost}")
         for violation in report.violations:
             print(f"  {violation}")
         if report.violations and options.logs:
             print(report.logs)
-    return 1 if failed else 0
+    return 1 if failed_seed_count else 0
 
 
 if __name__ == "__main__":
--- a/soak/test_nodes.py
+++ b/soak/test_nodes.py
@@ -65,4 +65,4 @@
         """Guards against duplicated, lost and wrongly rejected jobs when faults overlap."""
         report = run_seed(seed=3, seconds=5.0)
         self.assertEqual(report.violations, [], report.logs)
-        self.assertGreater(report.accepted, 0)
+        self.assertGreater(report.accepted_count, 0)
