Name the fits, units and measurements of the capacity benchmarks

The class of a fitted line was called Slope, lists of points had the names of quantities, and times and counts had no unit. The names now say what is measured and in which unit, and docstrings describe parameters and results.

--- a/benchmarks/_logic.py
+++ b/benchmarks/_logic.py
@@ -1,4 +1,7 @@
-"""Processor and memory cost of the decision logic by size, measured in one process."""
+"""Processor time, memory and record sizes of the decision logic, by size of the deployment.
+
+The logic runs in this process, without daemons, HTTP and a store.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +10,7 @@
 import tracemalloc
 from collections.abc import Callable
 
-from benchmarks._slopes import Slope
+from benchmarks._linear_fit import LinearFit
 from coltsfootpier.burn import RequestStats
 from coltsfootpier.clock import VirtualClock
 from coltsfootpier.declaration import expand, parse
@@ -22,35 +25,35 @@
 _WORKERS_PER_SHARD = 8
 _SERVICE_TASKS_PER_WORKER = 7
 _BATCH_TASKS_PER_WORKER = 13
-_LEASE_MS = 20_000.0
+_WORKER_LEASE_MS = 20_000.0
 _HOLD_OVER_MS = 1_800_000.0
 
 
-def measure_cpu_ms(call: Callable[[], object], *, times: int = 20) -> float:
-    """Return the mean processor time of one call in ms, the lowest of three series."""
-    best = float("inf")
+def measure_cpu_ms(call: Callable[[], object], *, repeats: int = 20) -> float:
+    """Return the processor time of one call in ms: the lowest mean of three series of calls."""
+    lowest_ms = float("inf")
     for _ in range(3):
-        start = time.process_time_ns()
-        for _ in range(times):
+        started_ns = time.process_time_ns()
+        for _ in range(repeats):
             call()
-        best = min(best, (time.process_time_ns() - start) / times / 1e6)
-    return best
+        lowest_ms = min(lowest_ms, (time.process_time_ns() - started_ns) / repeats / 1e6)
+    return lowest_ms
 
 
 def measure_memory_mb(build: Callable[[], object]) -> float:
-    """Return the memory that the object returned by `build` occupies, in MB."""
+    """Return the memory in MB that the object built by `build` occupies."""
     gc.collect()
     tracemalloc.start()
     built = build()
     gc.collect()
-    size = tracemalloc.get_traced_memory()[0]
+    size_bytes = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     del built
-    return size / 1e6
+    return size_bytes / 1e6
 
 
 def build_declaration_text(*, workers: int, teams: int) -> str:
-    """Return a declaration whose number of tasks per worker is that of the target size."""
+    """Return a declaration with as many tasks per worker as at the target size."""
     sections = [f"[team t{team}]\ncores = 100000\nmemory_mb = 100000000\n" for team in range(teams)]
     for index in range(max(teams, workers // 4)):
         team = f"t{index % teams}"
@@ -69,6 +72,7 @@
 
 
 def _commit_write(record: VersionedRecord) -> None:
+    """Commit the pending write of a record, as an available store would."""
     write = record.start_write()
     if write is not None:
         record.confirm(write.expected_version + 1)
@@ -80,7 +84,7 @@
         epoch=1,
         writer="m1",
         clock=clock,
-        worker_lease_ms=_LEASE_MS,
+        worker_lease_ms=_WORKER_LEASE_MS,
         hold_over_ms=_HOLD_OVER_MS,
     )
     shard.load()
@@ -91,18 +95,18 @@
     ]
     shard.observe_vms(vms)
     for vm in vms:
-        shard.observe_reply(vm.name, _build_reply(vm.name, ()))
+        shard.observe_reply(vm.name, _build_sync_reply(vm.name, ()))
     return shard
 
 
-def _build_reply(worker: str, tasks: tuple[TaskReport, ...]) -> SyncReply:
+def _build_sync_reply(worker: str, tasks: tuple[TaskReport, ...]) -> SyncReply:
     return SyncReply(
         worker=worker, incarnation="i1", now_ms=0.0, cores=16.0, memory_mb=60_000, tasks=tasks
     )
 
 
 class ControlPlane:
-    """Dispatcher and shard owners whose declared tasks are all running.
+    """Dispatcher and shard owners that exchange directly; all declared tasks are running.
 
     Parameters
     ----------
@@ -122,11 +126,11 @@
         self.dispatcher = Dispatcher(clock=self.clock, ledger=ledger)
         self.dispatcher.observe_shards(dict.fromkeys(self.shards, 1))
         self.dispatcher.observe_declaration(1, self.declaration)
-        self.tasks = len(expand(self.declaration))
+        self.task_count = len(expand(self.declaration))
         for _ in range(200):
             self._run_round()
             self.clock.advance(250.0)
-            if self._count_assigned() == self.tasks:
+            if self._count_assigned() == self.task_count:
                 break
         for _ in range(2):
             self._run_round()
@@ -135,6 +139,7 @@
         return sum(entry.state == "assigned" for _, entry in self.dispatcher.ledger.entries())
 
     def _run_round(self) -> None:
+        """Run a dispatcher step and an exchange with each shard, which places and starts tasks."""
         self.dispatcher.step()
         for record in self.dispatcher.ledger.records:
             _commit_write(record)
@@ -147,11 +152,11 @@
                 _commit_write(shard.record)
                 shard.place()
             for worker in shard.workers:
-                shard.observe_reply(worker, self._build_running_reply(shard, worker))
+                shard.observe_reply(worker, self._build_all_running_reply(shard, worker))
             self.dispatcher.observe_reply(shard.build_exchange_reply(full=request.full))
 
-    def _build_running_reply(self, shard: ShardState, worker: str) -> SyncReply:
-        tasks = tuple(
+    def _build_all_running_reply(self, shard: ShardState, worker: str) -> SyncReply:
+        reports = tuple(
             TaskReport(
                 task=entry.task,
                 attempt=entry.attempt,
@@ -164,53 +169,70 @@
             for entry in shard.record.durable.values()
             if entry.worker == worker
         )
-        return _build_reply(worker, tasks)
+        return _build_sync_reply(worker, reports)
+
 
+def measure_dispatcher(sizes: tuple[int, ...], teams: int) -> list[LinearFit]:
+    """Measure a dispatcher step, an exchange with one shard and the ledger, by number of tasks.
 
-def measure_dispatcher(sizes: tuple[int, ...], teams: int) -> list[Slope]:
-    """Measure a dispatcher step, an exchange with a shard and the ledger, by number of tasks."""
-    steps, exchanges, buckets, memories = [], [], [], []
+    Parameters
+    ----------
+    sizes : tuple of int
+        Numbers of workers.
+    teams : int
+        Largest number of teams.
+    """
+    step_points, exchange_points, bucket_points, memory_points = [], [], [], []
     for workers in sizes:
         control_plane = ControlPlane(workers=workers, teams=min(teams, workers))
         dispatcher = control_plane.dispatcher
-        steps.append((control_plane.tasks, measure_cpu_ms(dispatcher.step, times=3)))
+        step_points.append((control_plane.task_count, measure_cpu_ms(dispatcher.step, repeats=3)))
         shard = control_plane.shards["r0"]
 
-        def exchange(shard: ShardState = shard, dispatcher: Dispatcher = dispatcher) -> None:
+        def exchange_with_shard(
+            shard: ShardState = shard, dispatcher: Dispatcher = dispatcher
+        ) -> None:
             request = dispatcher.next_request("r0", regular=True)
             shard.apply_request(decode(encode(request), ExchangeRequest))
             reply = encode(shard.build_exchange_reply(full=False))
             dispatcher.observe_reply(decode(reply, type(shard.build_exchange_reply(full=False))))
 
-        exchanges.append((control_plane.tasks, measure_cpu_ms(exchange, times=3)))
+        exchange_points.append(
+            (control_plane.task_count, measure_cpu_ms(exchange_with_shard, repeats=3))
+        )
         record = max(dispatcher.ledger.records, key=lambda item: len(item.working))
         task = next(iter(record.working))
         record.put(task, record.working[task].__class__(state="pending", attempt=9))
-        buckets.append((control_plane.tasks, len(encode(record.start_write().value)) / 1000))
-        memories.append(
-            (control_plane.tasks, measure_memory_mb(lambda d=dispatcher: _copy_ledger(d)))
+        bucket_points.append(
+            (control_plane.task_count, len(encode(record.start_write().value)) / 1000)
+        )
+        memory_points.append(
+            (control_plane.task_count, measure_memory_mb(lambda d=dispatcher: _copy_ledger(d)))
         )
     return [
-        Slope(name="dispatcher: one step", unit="ms", per="task", points=tuple(steps)),
-        Slope(
+        LinearFit(name="dispatcher: one step", unit="ms", per="task", points=tuple(step_points)),
+        LinearFit(
             name="dispatcher and shard: one exchange, both sides",
             unit="ms",
             per="task in all",
-            points=tuple(exchanges),
+            points=tuple(exchange_points),
+        ),
+        LinearFit(
+            name="ledger: one bucket of 8", unit="KB", per="task", points=tuple(bucket_points)
         ),
-        Slope(name="ledger: one bucket of 8", unit="KB", per="task", points=tuple(buckets)),
-        Slope(name="ledger: memory", unit="MB", per="task", points=tuple(memories)),
+        LinearFit(name="ledger: memory", unit="MB", per="task", points=tuple(memory_points)),
     ]
 
 
 def _copy_ledger(dispatcher: Dispatcher) -> list:
+    """Return a copy of all ledger entries, whose memory is measured in place of the ledger's."""
     return [decode(encode(entry), type(entry)) for _, entry in dispatcher.ledger.entries()]
 
 
-def measure_shard(sizes: tuple[int, ...]) -> list[Slope]:
-    """Measure an exchange with a worker and the record of a shard, by number of tasks."""
-    syncs, records, writes = [], [], []
-    for tasks in sizes:
+def measure_shard(sizes: tuple[int, ...]) -> list[LinearFit]:
+    """Measure an exchange with a worker and the record of its shard, by number of tasks."""
+    sync_points, record_points, write_points = [], [], []
+    for task_count in sizes:
         clock = VirtualClock()
         shard = _build_shard(clock, "r0", 1)
         declaration = parse(build_declaration_text(workers=4, teams=1)).unwrap()
@@ -225,28 +247,30 @@
                 memory_mb=100,
                 digest=spec.digest,
             )
-            for index in range(tasks)
+            for index in range(task_count)
         ]
-        assign = tuple(Assignment(task=item.name, attempt=1, spec=item) for item in specs)
+        assign = tuple(
+            Assignment(task=task_spec.name, attempt=1, spec=task_spec) for task_spec in specs
+        )
         shard.apply_request(
             ExchangeRequest(shard="r0", shard_epoch=1, dispatch_epoch=1, sequence=1, assign=assign)
         )
         write = shard.record.start_write()
-        records.append((tasks, len(encode(write.value)) / 1000))
+        record_points.append((task_count, len(encode(write.value)) / 1000))
         shard.record.confirm(2)
         reports = tuple(
-            TaskReport(task=item.name, attempt=1, state="running", cores=0.1, memory_mb=100)
-            for item in specs
+            TaskReport(task=task_spec.name, attempt=1, state="running", cores=0.1, memory_mb=100)
+            for task_spec in specs
         )
-        reply = encode(_build_reply("r0-0", reports))
+        reply = encode(_build_sync_reply("r0-0", reports))
 
-        def sync(shard: ShardState = shard, reply: bytes = reply) -> None:
+        def sync_worker(shard: ShardState = shard, reply: bytes = reply) -> None:
             encode(shard.plan_sync("r0-0", may_start=True, may_renew_batch=True))
             shard.observe_reply("r0-0", decode(reply, SyncReply))
 
-        syncs.append((tasks, measure_cpu_ms(sync)))
+        sync_points.append((task_count, measure_cpu_ms(sync_worker)))
 
-        def write_once(shard: ShardState = shard, task: str = specs[0].name) -> None:
+        def write_record(shard: ShardState = shard, task: str = specs[0].name) -> None:
             entry = shard.record.working[task]
             shard.record.drop(task)
             shard.record.put(task, entry)
@@ -254,26 +278,28 @@
             encode(write.value)
             shard.record.confirm(write.expected_version + 1)
 
-        writes.append((tasks, measure_cpu_ms(write_once)))
+        write_points.append((task_count, measure_cpu_ms(write_record)))
     return [
-        Slope(
+        LinearFit(
             name="shard: one worker exchange, logic and codec",
             unit="ms",
             per="task on the worker",
-            points=tuple(syncs),
+            points=tuple(sync_points),
+        ),
+        LinearFit(name="shard: record", unit="KB", per="task", points=tuple(record_points)),
+        LinearFit(
+            name="shard: one record write", unit="ms", per="task", points=tuple(write_points)
         ),
-        Slope(name="shard: record", unit="KB", per="task", points=tuple(records)),
-        Slope(name="shard: one record write", unit="ms", per="task", points=tuple(writes)),
     ]
 
 
-def measure_router(sizes: tuple[int, ...]) -> list[Slope]:
-    """Measure a routing decision and the routing table by number of runners (24 per service)."""
-    decisions, tables = [], []
-    for count in sizes:
+def measure_router(sizes: tuple[int, ...]) -> list[LinearFit]:
+    """Measure a routing decision and the routing table, by number of runners (24 per service)."""
+    decision_points, table_points = [], []
+    for runner_count in sizes:
         clock = VirtualClock()
 
-        def build(count: int = count, clock: VirtualClock = clock) -> Router:
+        def build_router(runner_count: int = runner_count, clock: VirtualClock = clock) -> Router:
             router = Router(clock=clock, availability_zone="z1", queue_length=256)
             zones = {f"m{index}": f"z{index}" for index in range(7)}
             router.observe_members("m0", zones)
@@ -287,49 +313,58 @@
                     slots=8,
                     connections=64,
                 )
-                for index in range(count)
+                for index in range(runner_count)
             ]
             router.observe_runners("r0", 1, runners)
             return router
 
-        router = build()
+        router = build_router()
 
-        def decide(router: Router = router, clock: VirtualClock = clock) -> None:
+        def route_request(router: Router = router, clock: VirtualClock = clock) -> None:
             now_ms = clock.now_ms()
             ticket = Ticket(service="s0", deadline_ms=now_ms + 1000, arrived_ms=now_ms)
-            grant = router.acquire(ticket)
-            if hasattr(grant, "token"):
-                router.release(grant.runner.id, grant.token)
+            decision = router.acquire(ticket)
+            if hasattr(decision, "token"):
+                router.release(decision.runner.id, decision.token)
 
-        decisions.append((count, measure_cpu_ms(decide, times=200)))
-        tables.append((count, measure_memory_mb(build)))
+        decision_points.append((runner_count, measure_cpu_ms(route_request, repeats=200)))
+        table_points.append((runner_count, measure_memory_mb(build_router)))
     return [
-        Slope(name="router: one decision", unit="ms", per="runner", points=tuple(decisions)),
-        Slope(name="router: table", unit="MB", per="runner", points=tuple(tables)),
+        LinearFit(
+            name="router: one decision", unit="ms", per="runner", points=tuple(decision_points)
+        ),
+        LinearFit(name="router: table", unit="MB", per="runner", points=tuple(table_points)),
     ]
 
 
-def measure_configuration(sizes: tuple[int, ...]) -> list[Slope]:
-    """Measure the size, parsing and expansion of a declaration by number of workers."""
-    texts, costs = [], []
+def measure_declaration(sizes: tuple[int, ...]) -> list[LinearFit]:
+    """Measure the size of a declaration and its parsing and expansion, by number of workers."""
+    size_points, time_points = [], []
     for workers in sizes:
         text = build_declaration_text(workers=workers, teams=min(67, workers))
-        texts.append((workers, len(text) / 1000))
-        costs.append((workers, measure_cpu_ms(lambda t=text: expand(parse(t).unwrap()), times=1)))
+        size_points.append((workers, len(text) / 1000))
+        time_points.append(
+            (workers, measure_cpu_ms(lambda t=text: expand(parse(t).unwrap()), repeats=1))
+        )
     return [
-        Slope(name="configuration: text", unit="KB", per="worker", points=tuple(texts)),
-        Slope(name="configuration: parse and expand", unit="ms", per="worker", points=tuple(costs)),
+        LinearFit(name="configuration: text", unit="KB", per="worker", points=tuple(size_points)),
+        LinearFit(
+            name="configuration: parse and expand",
+            unit="ms",
+            per="worker",
+            points=tuple(time_points),
+        ),
     ]
 
 
-def measure_burn(sizes: tuple[int, ...]) -> list[Slope]:
-    """Measure the memory and the snapshot of request statistics by number of services."""
-    memories, snapshots = [], []
-    for count in sizes:
+def measure_request_stats(sizes: tuple[int, ...]) -> list[LinearFit]:
+    """Measure the memory and a snapshot of the request statistics, by number of services."""
+    memory_points, snapshot_points = [], []
+    for service_count in sizes:
 
-        def build(count: int = count) -> RequestStats:
+        def build_stats(service_count: int = service_count) -> RequestStats:
             stats = RequestStats(clock=VirtualClock())
-            for index in range(count):
+            for index in range(service_count):
                 stats.record(
                     f"s{index}",
                     Outcome.DONE,
@@ -340,10 +375,14 @@
                 )
             return stats
 
-        memories.append((count, measure_memory_mb(build)))
-        stats = build()
-        snapshots.append((count, measure_cpu_ms(lambda s=stats: encode(s.snapshot()), times=1)))
+        memory_points.append((service_count, measure_memory_mb(build_stats)))
+        stats = build_stats()
+        snapshot_points.append(
+            (service_count, measure_cpu_ms(lambda s=stats: encode(s.snapshot()), repeats=1))
+        )
     return [
-        Slope(name="burn: counters", unit="MB", per="service", points=tuple(memories)),
-        Slope(name="burn: one snapshot", unit="ms", per="service", points=tuple(snapshots)),
+        LinearFit(name="burn: counters", unit="MB", per="service", points=tuple(memory_points)),
+        LinearFit(
+            name="burn: one snapshot", unit="ms", per="service", points=tuple(snapshot_points)
+        ),
     ]
--- a/benchmarks/_process.py
+++ b/benchmarks/_process.py
@@ -8,7 +8,7 @@
 import anyio
 import attrs
 
-_TICK_MS = 1000 / os.sysconf("SC_CLK_TCK")
+_CLOCK_TICK_MS = 1000 / os.sysconf("SC_CLK_TCK")
 _KB_PER_MB = 1024
 
 
@@ -19,9 +19,9 @@
     Parameters
     ----------
     cpu_ms_per_s : float
-        Processor time, user and system, in milliseconds per second.
+        User and system time, in milliseconds of processor time per second of the window.
     memory_mb : float
-        Resident memory at the end of the window.
+        Resident memory at the end of the window, in MB.
     """
 
     cpu_ms_per_s: float
@@ -29,9 +29,11 @@
 
 
 def read_cpu_ms(pid: int) -> float:
-    """Return the processor time of a process in milliseconds (resolution 10 ms)."""
+    """Return the user and system time of a process in milliseconds (resolution 10 ms)."""
+    # The command name can contain spaces and parentheses, so the fields after it are counted from
+    # its closing parenthesis: `utime` and `stime` are at positions 11 and 12.
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) * _TICK_MS
+    return (int(fields[11]) + int(fields[12])) * _CLOCK_TICK_MS
 
 
 def read_memory_mb(pid: int) -> float:
@@ -44,6 +46,6 @@
 
 async def measure_usage(pid: int, *, window_s: float) -> Usage:
     """Measure the resource use of a process over the next `window_s` seconds."""
-    before_ms = read_cpu_ms(pid)
+    cpu_before_ms = read_cpu_ms(pid)
     await anyio.sleep(window_s)
-    return Usage((read_cpu_ms(pid) - before_ms) / window_s, read_memory_mb(pid))
+    return Usage((read_cpu_ms(pid) - cpu_before_ms) / window_s, read_memory_mb(pid))
--- a/benchmarks/permits.py
+++ b/benchmarks/permits.py
@@ -1,7 +1,8 @@
 """Cost of a permit: latency and processor time of requests with and without a permit.
 
-Run with ``.venv/bin/python -m benchmarks.permits``. Three daemons, two workers and the
-stand-in for the platform run on loopback addresses; requests are sent sequentially.
+Run with ``.venv/bin/python -m benchmarks.permits``. Three daemons, two workers and the stand-in for
+the platform run on loopback addresses. Requests of kind ``read`` are idempotent and need no permit,
+those of kind ``write`` need one. They are sent one after another.
 """
 
 from __future__ import annotations
@@ -21,9 +22,9 @@
 from coltsfootpier.transport import Connection
 from standins.cluster import Cluster, wait_for
 
-_REQUESTS = 400
-_RECORDS = 8_000
-_DECLARATION = """
+_REQUEST_COUNT = 400
+_PERMIT_COUNT = 8_000
+_DECLARATION_TEXT = """
 [team a]
 cores = 64
 memory_mb = 64000
@@ -44,6 +45,7 @@
 
 
 def _read_cpu_ms(cluster: Cluster) -> float:
+    """Return the user and system time of all daemons in milliseconds."""
     ticks = 0
     for daemon in cluster.daemons.values():
         fields = Path(f"/proc/{daemon.handle.pid}/stat").read_text().rsplit(")", 1)[1].split()
@@ -51,11 +53,12 @@
     return ticks * 1000 / os.sysconf("SC_CLK_TCK")
 
 
-async def _send(connection: Connection, kind: str, key: str) -> float:
-    start = time.monotonic()
+async def _send_request(connection: Connection, request_kind: str, key: str) -> float:
+    """Send a request with an idempotency key and return its latency in milliseconds."""
+    started_s = time.monotonic()
     result = await connection.exchange(
         method=b"POST",
-        target=f"/services/web/{kind}".encode(),
+        target=f"/services/web/{request_kind}".encode(),
         headers=((b"idempotency-key", key.encode()),),
         body=b"x" * 100,
         timeout_ms=10_000,
@@ -63,27 +66,34 @@
     )
     response = result.unwrap()
     if response.status != 200:
-        raise RuntimeError(f"{kind} failed with status {response.status}: {response.body[:200]!r}")
-    return (time.monotonic() - start) * 1000
+        raise RuntimeError(
+            f"{request_kind} failed with status {response.status}: {response.body[:200]!r}"
+        )
+    return (time.monotonic() - started_s) * 1000
 
 
-async def _measure_kind(
-    cluster: Cluster, kind: str, round_number: int
+async def _measure_requests(
+    cluster: Cluster, request_kind: str, round_number: int
 ) -> tuple[list[float], float]:
+    """Return the latencies, and the processor time of all daemons per request, in milliseconds."""
     clock = MonotonicClock()
     connections = [
         Connection(host="127.0.0.1", port=daemon.ports["callers"], clock=clock, max_body=10_000)
         for daemon in cluster.daemons.values()
     ]
     before_ms = _read_cpu_ms(cluster)
-    latencies = [
-        await _send(connections[number % len(connections)], kind, f"{round_number}/{kind}/{number}")
-        for number in range(_REQUESTS)
+    latencies_ms = [
+        await _send_request(
+            connections[number % len(connections)],
+            request_kind,
+            f"{round_number}/{request_kind}/{number}",
+        )
+        for number in range(_REQUEST_COUNT)
     ]
     used_ms = _read_cpu_ms(cluster) - before_ms
     for connection in connections:
         await connection.close()
-    return latencies, used_ms / _REQUESTS
+    return latencies_ms, used_ms / _REQUEST_COUNT
 
 
 async def _measure_cluster() -> None:
@@ -96,22 +106,23 @@
         for index, zone in enumerate(cluster.zones):
             cluster.start_daemon(f"entry-{index}", zone)
         await cluster.wait_ready()
-        path = cluster.folder / "text.ini"
-        path.write_text(_DECLARATION)
-        operators = cluster.daemons["entry-0"].ports["operators"]
-        cluster.run_tool("apply", str(path), f"--daemon=127.0.0.1:{operators}")
+        declaration_path = cluster.folder / "text.ini"
+        declaration_path.write_text(_DECLARATION_TEXT)
+        operators_port = cluster.daemons["entry-0"].ports["operators"]
+        cluster.run_tool("apply", str(declaration_path), f"--daemon=127.0.0.1:{operators_port}")
 
-        async def is_running() -> bool:
+        async def are_runners_running() -> bool:
             return await cluster.count_running("entry-0", "service/") == 2
 
-        await wait_for(is_running, timeout_s=60)
+        await wait_for(are_runners_running, timeout_s=60)
         await anyio.sleep(5)
         for round_number in range(3):
-            for kind in ("read", "write"):
-                latencies, cpu_ms = await _measure_kind(cluster, kind, round_number)
-                quantiles = statistics.quantiles(latencies, n=100)
+            for request_kind in ("read", "write"):
+                latencies_ms, cpu_ms = await _measure_requests(cluster, request_kind, round_number)
+                percentiles_ms = statistics.quantiles(latencies_ms, n=100)
                 print(
-                    f"{kind}: p50 {quantiles[49]:.2f} ms, p99 {quantiles[98]:.2f} ms, "
+                    f"{request_kind}: p50 {percentiles_ms[49]:.2f} ms, "
+                    f"p99 {percentiles_ms[98]:.2f} ms, "
                     f"{cpu_ms:.2f} ms of processor time in all daemons for each request"
                 )
     finally:
@@ -119,7 +130,8 @@
 
 
 def _grant_permits(manager: PermitManager) -> None:
-    for number in range(_RECORDS):
+    """Grant a permit for each of `_PERMIT_COUNT` keys."""
+    for number in range(_PERMIT_COUNT):
         request = AcquirePermit(
             group="keys/0",
             kind=KeyKind.IDEMPOTENCY,
@@ -137,6 +149,7 @@
 
 
 def _build_manager() -> PermitManager:
+    """Build the permit manager of a daemon that owns one key group and has one peer."""
     clock = VirtualClock()
     ownership = OwnershipState(clock=clock, ttl_ms=6_000.0)
     ownership.join("a.1.1", sent_ms=0.0)
@@ -150,14 +163,15 @@
 
 
 def _measure_decisions() -> None:
+    """Print the processor time and the memory of a permit, without copies, JSON and HTTP."""
     manager = _build_manager()
-    start = time.process_time()
+    started_s = time.process_time()
     _grant_permits(manager)
-    used_us = (time.process_time() - start) * 1e6 / _RECORDS
+    used_us = (time.process_time() - started_s) * 1e6 / _PERMIT_COUNT
     manager = _build_manager()
     tracemalloc.start()
     _grant_permits(manager)
-    held_bytes = tracemalloc.get_traced_memory()[0] / _RECORDS
+    held_bytes = tracemalloc.get_traced_memory()[0] / _PERMIT_COUNT
     tracemalloc.stop()
     print(
         f"decision alone: {used_us:.0f} us for each grant, {held_bytes:.0f} bytes for each record"
@@ -165,7 +179,7 @@
 
 
 def main() -> int:
-    """Measure permit decisions and requests, and return the exit code."""
+    """Measure the permit manager alone and requests to daemons, and return the exit code."""
     _measure_decisions()
     anyio.run(_measure_cluster)
     return 0
