Describe the simulated workers and results of the placement benchmark

Fields of scenarios, totals and costs had neither units nor descriptions, and two classes were called Fleet. They are now described one by one, conditions read as conditions, and terms are those of the scheduler.

--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -1,7 +1,7 @@
-"""Processor time of the dispatcher and a shard owner at several sizes.
+"""Processor time of the dispatcher and of a shard owner at several sizes.
 
-All declared tasks are running. Nothing changes in an idle second; in a busy second some tasks end
-and the same number start. JSON and HTTP are not included.
+All declared tasks are running. In an idle second nothing changes; in a busy second some tasks end
+and the same number of tasks start. Encoding to JSON and HTTP are not included.
 """
 
 from __future__ import annotations
@@ -28,14 +28,14 @@
 from coltsfootpier.records import VersionedRecord
 from coltsfootpier.workers import SyncReply, TaskReport
 
-# Tasks, teams and workers: a current deployment, two intermediate sizes, and the target size.
+# Numbers of tasks, teams and workers: a current deployment, two sizes in between, the target size.
 SIZES = ((100, 4, 24), (1_000, 10, 80), (5_000, 30, 250), (13_100, 67, 650))
 _WORKERS_PER_SHARD = 8
 # Task starts in a busy second at the target size.
-STARTS = 53
+STARTS_PER_S = 53
 
 
-def commit(record: VersionedRecord) -> None:
+def commit_pending_write(record: VersionedRecord) -> None:
     """Commit the pending write of a record, as an available store would."""
     write = record.start_write()
     if write is not None:
@@ -43,10 +43,13 @@
 
 
 def build_declaration(tasks: int, teams: int) -> Declaration:
-    """Build teams with one service and four jobs each; about 36 % of the tasks are runners."""
+    """Build a declaration of teams with one service and four jobs each.
+
+    About 36 % of the tasks are runners of the services.
+    """
     tasks_per_team = tasks // teams
     runners = tasks_per_team * 36 // 100
-    size = {"cores": 0.5, "memory_mb": 500, "accelerators": 0}
+    resources = {"cores": 0.5, "memory_mb": 500, "accelerators": 0}
     declaration = Declaration.empty()
     for index in range(teams):
         team = f"t{index}"
@@ -62,10 +65,10 @@
             objective=0.99,
             priority="high",
             depends_on=(),
-            **size,
+            **resources,
         )
-        for part_index in range(4):
-            name = f"j{index}-{part_index}"
+        for job_index in range(4):
+            name = f"j{index}-{job_index}"
             declaration.jobs[name] = Job(
                 name=name,
                 team=team,
@@ -75,13 +78,16 @@
                 checkpointing=True,
                 every_ms=0.0,
                 depends_on=(),
-                **size,
+                **resources,
             )
     return declaration
 
 
-class Fleet:
-    """Dispatcher whose tasks are all running; shard owners are replaced by generated replies."""
+class DispatcherSimulation:
+    """Dispatcher whose tasks are all running, and simulated shards.
+
+    There are no shard owners: the replies of the shards are generated from the assignments.
+    """
 
     def __init__(self, tasks: int, teams: int, workers: int) -> None:
         self.clock = VirtualClock()
@@ -105,30 +111,30 @@
                 break
 
     def run_round(self) -> None:
-        """Advance the clock by one period and exchange with each shard."""
+        """Advance the clock by 1 s, run a dispatcher step and exchange with each shard."""
         self.clock.advance(1_000.0)
         self.dispatcher.step()
         for record in self.dispatcher.ledger.records:
-            commit(record)
+            commit_pending_write(record)
         for shard in self._workers:
-            self.exchange(shard)
+            self.exchange_with_shard(shard)
 
-    def exchange(self, shard: str, *, full: bool = True) -> None:
-        """Apply the next request to a shard and pass its reply to the dispatcher."""
+    def exchange_with_shard(self, shard: str, *, full: bool = True) -> None:
+        """Start the tasks of the next request to a shard, and pass its reply to the dispatcher."""
         request = self.dispatcher.next_request(shard, regular=True)
         attempts = self._attempts[shard]
-        names = self._workers[shard]
+        worker_names = self._workers[shard]
         for item in request.assign:
-            worker = names[len(attempts) % len(names)]
+            worker = worker_names[len(attempts) % len(worker_names)]
             attempts[item.task] = AttemptState(
                 task=item.task, attempt=item.attempt, state="running", worker=worker
             )
         self.dispatcher.observe_reply(self.build_reply(shard, request.sequence, full=full))
 
     def build_reply(self, shard: str, sequence: int, *, full: bool = True) -> ExchangeReply:
-        """Build a shard's reply: workers of 16 cores with tasks of half a core."""
+        """Build the reply of a shard; workers have 16 cores, and tasks use half a core."""
         attempts = self._attempts[shard]
-        free = 16.0 - 0.5 * len(attempts) / _WORKERS_PER_SHARD
+        free_cores = 16.0 - 0.5 * len(attempts) / _WORKERS_PER_SHARD
         workers = tuple(
             WorkerCapacity(
                 worker=name,
@@ -137,7 +143,7 @@
                 cores=16.0,
                 memory_mb=60_000,
                 accelerators=0,
-                free_cores=free,
+                free_cores=free_cores,
                 free_memory_mb=60_000 - 500 * len(attempts) // _WORKERS_PER_SHARD,
                 free_accelerators=0,
             )
@@ -153,7 +159,10 @@
         )
 
     def replace_tasks(self, count: int) -> None:
-        """Simulate a second, in four steps, in which `count` tasks end and as many start."""
+        """Simulate one second in which `count` tasks end and as many start.
+
+        The second consists of four periods of 250 ms, with a dispatcher step in each.
+        """
         shards = list(self._workers)
         for _ in range(4):
             self.clock.advance(250.0)
@@ -165,28 +174,31 @@
             for shard, states in ended.items():
                 request = self.dispatcher.next_request(shard, regular=True)
                 reply = self.build_reply(shard, request.sequence, full=False)
-                gone = tuple(state.task for state in states)
+                gone_tasks = tuple(state.task for state in states)
                 released = tuple(
                     Release(task=state.task, attempt=state.attempt, outcome="stopped")
                     for state in states
                 )
-                self.dispatcher.observe_reply(attrs.evolve(reply, released=released, gone=gone))
+                self.dispatcher.observe_reply(
+                    attrs.evolve(reply, released=released, gone=gone_tasks)
+                )
             self.dispatcher.step()
             for record in self.dispatcher.ledger.records:
-                commit(record)
+                commit_pending_write(record)
             for shard in shards:
                 request = self.dispatcher.next_request(shard, regular=False)
                 if request is not None:
-                    self._start_assigned(shard, request)
+                    self._start_assigned_tasks(shard, request)
 
-    def _start_assigned(self, shard: str, request: ExchangeRequest) -> None:
-        names = self._workers[shard]
+    def _start_assigned_tasks(self, shard: str, request: ExchangeRequest) -> None:
+        """Report the tasks that a request assigns to a shard as running."""
+        worker_names = self._workers[shard]
         started = tuple(
             AttemptState(
                 task=item.task,
                 attempt=item.attempt,
                 state="running",
-                worker=names[len(self._attempts[shard]) % len(names)],
+                worker=worker_names[len(self._attempts[shard]) % len(worker_names)],
             )
             for item in request.assign
         )
@@ -194,19 +206,19 @@
         reply = self.build_reply(shard, request.sequence, full=False)
         self.dispatcher.observe_reply(attrs.evolve(reply, states=started))
 
-    def poll(self) -> None:
-        """Query the next request for each shard while no regular request is due."""
+    def poll_shards(self) -> None:
+        """Ask the dispatcher for a request to each shard while no regular request is due."""
         for shard in self._workers:
             self.dispatcher.next_request(shard, regular=False)
 
     def exchange_unchanged(self) -> None:
-        """Process a regular reply without changes from each shard."""
+        """Exchange with each shard; the replies contain no changes."""
         for shard in self._workers:
-            self.exchange(shard, full=False)
+            self.exchange_with_shard(shard, full=False)
 
 
 def build_shard(tasks: int) -> ShardState:
-    """Build the owner of a shard with 8 workers that run `tasks` tasks."""
+    """Build the owner of a shard whose 8 workers run `tasks` tasks."""
     clock = VirtualClock()
     shard = ShardState(
         shard="r1",
@@ -217,7 +229,7 @@
         hold_over_ms=1_800_000.0,
     )
     entries = {}
-    names = [f"w{index}" for index in range(_WORKERS_PER_SHARD)]
+    worker_names = [f"w{index}" for index in range(_WORKERS_PER_SHARD)]
     for index in range(tasks):
         task = f"job/load{index % 10}/{index}"
         spec = {"name": task, "kind": "batch", "declared": f"load{index % 10}", "team": "a"}
@@ -225,23 +237,23 @@
             "task": task,
             "attempt": 1,
             "state": "placed",
-            "worker": names[index % len(names)],
+            "worker": worker_names[index % len(worker_names)],
             "incarnation": "i1",
             "spec": {**spec, "cores": 0.5, "memory_mb": 500},
         }
     shard.load(Item(f"{shard.record.key}/base", {"header": {}, "entries": entries}, 1))
-    commit(shard.record)
+    commit_pending_write(shard.record)
     shard.observe_vms(
         Vm(name=name, state="live", availability_zone="z1", rack="r1", address="127.0.0.1:1")
-        for name in names
+        for name in worker_names
     )
-    for name in names:
+    for name in worker_names:
         shard.observe_reply(name, build_worker_reply(shard, name))
     return shard
 
 
 def build_worker_reply(shard: ShardState, worker: str) -> SyncReply:
-    """Build the reply of a worker that runs all tasks placed on it."""
+    """Build the sync reply of a worker that runs all tasks placed on it."""
     return SyncReply(
         worker=worker,
         incarnation="i1",
@@ -256,8 +268,8 @@
     )
 
 
-def measure_ms(call: Callable[[], object], *, repeats: int) -> float:
-    """Return the mean processor time of a call in ms, the lowest of three series."""
+def measure_cpu_ms(call: Callable[[], object], *, repeats: int) -> float:
+    """Return the processor time of one call in ms: the lowest mean of three series of calls."""
     series = []
     for _ in range(3):
         started_s = time.process_time()
@@ -268,55 +280,82 @@
 
 
 @attrs.frozen
-class Cost:
-    """Processor time in ms at one size; `step` to `busy_second` cover all shards."""
+class Costs:
+    """Processor time at one size, in milliseconds.
+
+    Parameters
+    ----------
+    tasks, workers : int
+        Size of the deployment.
+    step_ms : float
+        One dispatcher step.
+    poll_ms : float
+        Asking the dispatcher for a request to each shard.
+    exchanges_ms : float
+        The dispatcher's part of an exchange without changes with each shard.
+    busy_second_ms : float
+        The dispatcher's part of a second in which `STARTS_PER_S` tasks end and as many start.
+    plan_sync_ms, observe_reply_ms : float
+        Request to one worker and processing of its reply by a shard owner.
+    """
 
     tasks: int
     workers: int
-    step: float
-    poll: float
-    exchanges: float
-    busy_second: float
-    plan_sync: float
-    observe_reply: float
+    step_ms: float
+    poll_ms: float
+    exchanges_ms: float
+    busy_second_ms: float
+    plan_sync_ms: float
+    observe_reply_ms: float
 
     @property
-    def idle_second(self) -> float:
-        """Processor time of the dispatcher in ms for a second in which nothing changes."""
-        return 4 * (self.step + self.poll) + self.exchanges
+    def idle_second_ms(self) -> float:
+        """Processor time of the dispatcher in ms for a second without changes.
 
+        It consists of four steps and one exchange with each shard.
+        """
+        return 4 * (self.step_ms + self.poll_ms) + self.exchanges_ms
 
-def measure(tasks: int, teams: int, workers: int) -> Cost:
-    """Measure the costs at one size."""
-    fleet = Fleet(tasks, teams, workers)
+
+def measure(tasks: int, teams: int, workers: int) -> Costs:
+    """Measure the costs of the dispatcher and of one shard owner at one size."""
+    simulation = DispatcherSimulation(tasks, teams, workers)
     shard = build_shard(tasks * _WORKERS_PER_SHARD // workers)
     reply = build_worker_reply(shard, "w0")
-    return Cost(
+    return Costs(
         tasks=tasks,
         workers=workers,
-        step=measure_ms(fleet.dispatcher.step, repeats=5),
-        poll=measure_ms(fleet.poll, repeats=3),
-        exchanges=measure_ms(fleet.exchange_unchanged, repeats=3),
-        busy_second=measure_ms(lambda: fleet.replace_tasks(STARTS), repeats=5),
-        plan_sync=measure_ms(
+        step_ms=measure_cpu_ms(simulation.dispatcher.step, repeats=5),
+        poll_ms=measure_cpu_ms(simulation.poll_shards, repeats=3),
+        exchanges_ms=measure_cpu_ms(simulation.exchange_unchanged, repeats=3),
+        busy_second_ms=measure_cpu_ms(lambda: simulation.replace_tasks(STARTS_PER_S), repeats=5),
+        plan_sync_ms=measure_cpu_ms(
             lambda: shard.plan_sync("w0", may_start=True, may_renew_batch=True), repeats=200
         ),
-        observe_reply=measure_ms(lambda: shard.observe_reply("w0", reply), repeats=200),
+        observe_reply_ms=measure_cpu_ms(lambda: shard.observe_reply("w0", reply), repeats=200),
     )
 
 
 def main() -> int:
     """Print the table of costs and return the exit code."""
     print("| tasks | workers | step | next_request, all shards | exchange, all shards |", end="")
-    print(f" idle second | second with {STARTS} starts |", end="")
+    print(f" idle second | second with {STARTS_PER_S} starts |", end="")
     print(" plan_sync, a worker | observe_reply, a worker |")
     print("|" + "---|" * 9)
     for size in SIZES:
-        cost = measure(*size)
-        values = (cost.step, cost.poll, cost.exchanges, cost.idle_second, cost.busy_second)
-        cells = " | ".join(f"{value:.2f}" for value in values)
-        worker = f"{cost.plan_sync:.3f} | {cost.observe_reply:.3f}"
-        print(f"| {cost.tasks} | {cost.workers} | {cells} | {worker} |", flush=True)
+        costs = measure(*size)
+        costs_ms = (
+            costs.step_ms,
+            costs.poll_ms,
+            costs.exchanges_ms,
+            costs.idle_second_ms,
+            costs.busy_second_ms,
+        )
+        shard_columns = " | ".join(f"{value:.2f}" for value in costs_ms)
+        worker_columns = f"{costs.plan_sync_ms:.3f} | {costs.observe_reply_ms:.3f}"
+        print(
+            f"| {costs.tasks} | {costs.workers} | {shard_columns} | {worker_columns} |", flush=True
+        )
     return 0
 
 
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,4 +1,4 @@
-"""Fake workers on a virtual clock, scheduled by the real dispatcher and shard owners."""
+"""Simulated workers on a virtual clock, which the real dispatcher and shard owners schedule."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 import attrs
 
-from benchmarks.control_cost import commit
+from benchmarks.control_cost import commit_pending_write
 from coltsfootpier.clock import VirtualClock
 from coltsfootpier.declaration import Declaration
 from coltsfootpier.dispatch import Dispatcher, Ledger
@@ -18,6 +18,7 @@
 
 TICK_MS = 500.0
 _SYNC_PERIOD_MS = 1_000.0
+# Age of the slowdown measurements that workers report.
 _MEASUREMENT_LAG_MS = 3_000.0
 _CHECKPOINT_PERIOD_MS = 30_000.0
 # Time for which the platform still lists a worker that stopped responding.
@@ -26,40 +27,79 @@
 
 @attrs.define
 class Attempt:
-    """Attempt of a task on a fake worker."""
+    """Attempt of a task on a simulated worker.
+
+    Parameters
+    ----------
+    command : Command
+        Command that started the attempt.
+    run_time_ms : float
+        Actual run time at full speed.
+    lease_until_ms : float
+        Lease expiry.
+    progress_ms, checkpointed_ms : float
+        Part of the run time that is done, and the part of it that the last checkpoint contains.
+    cpu_share : float
+        Share of its cores that the task may use; below 1 while it is throttled.
+    measured_slowdowns : deque of (float, float)
+        Times of recent measurements in ms, and the measured slowdown.
+    """
 
     command: Command
     run_time_ms: float
     lease_until_ms: float
     progress_ms: float = 0.0
-    saved_ms: float = 0.0
-    share: float = 1.0
+    checkpointed_ms: float = 0.0
+    cpu_share: float = 1.0
     state: str = "running"
     outcome: str = ""
-    slowdowns: deque[tuple[float, float]] = attrs.field(factory=lambda: deque([(0.0, 1.0)]))
+    measured_slowdowns: deque[tuple[float, float]] = attrs.field(
+        factory=lambda: deque([(0.0, 1.0)])
+    )
 
 
 @attrs.define
 class Totals:
-    """Totals of one simulation; `finished` and `wasted` are in core seconds."""
+    """Totals of one simulation.
+
+    Parameters
+    ----------
+    finished_core_s : Counter
+        Work of the finished batch tasks in core seconds, by job.
+    wasted_core_s : float
+        Work of batch tasks that was lost because it was not checkpointed, in core seconds.
+    evictions : int
+        Number of running batch tasks that were stopped.
+    started_ms : dict of str to float
+        First start of each task.
+    service_slowdowns : list of float
+        Slowdown of each running service task at each tick.
+    runner_counts : list of int
+        Number of running service tasks at each tick.
+    overcommits : int
+        Number of starts for which the worker did not have enough cores.
+    duplicate_runs : int
+        Number of ticks, over all batch tasks, at which a task was running twice.
+    """
 
-    finished: Counter[str] = attrs.field(factory=Counter)
-    wasted: float = 0.0
+    finished_core_s: Counter[str] = attrs.field(factory=Counter)
+    wasted_core_s: float = 0.0
     evictions: int = 0
     started_ms: dict[str, float] = attrs.field(factory=dict)
-    slowdowns: list[float] = attrs.field(factory=list)
-    runners: list[int] = attrs.field(factory=list)
+    service_slowdowns: list[float] = attrs.field(factory=list)
+    runner_counts: list[int] = attrs.field(factory=list)
     overcommits: int = 0
     duplicate_runs: int = 0
 
 
 class FakeWorker:
-    """Worker that simulates progress, pairwise slowdown and delayed measurements of tasks.
+    """Worker that simulates the progress and the slowdown of its tasks, and measures it with delay.
 
     Parameters
     ----------
-    interference : callable
-        Returns the excess slowdown that a task of the second kind causes to one of the first.
+    compute_interference : callable
+        Takes two names of jobs or services. Returns the slowdown that a task of the second causes
+        to a task of the first, as a share of its run time.
     """
 
     def __init__(
@@ -68,7 +108,7 @@
         *,
         clock: VirtualClock,
         rng: random.Random,
-        interference: Callable[[str, str], float],
+        compute_interference: Callable[[str, str], float],
         totals: Totals,
         cores: float = 16.0,
         memory_mb: int = 60_000,
@@ -80,7 +120,7 @@
         self._capacity = (cores, memory_mb)
         self._clock = clock
         self._rng = rng
-        self._interference = interference
+        self._compute_interference = compute_interference
         self._totals = totals
 
     def sync(self, commands: tuple[Command, ...]) -> SyncReply:
@@ -103,34 +143,35 @@
         running = [attempt for attempt in self.attempts.values() if attempt.state == "running"]
         for attempt in running:
             spec = attempt.command.spec
-            excess = sum(
-                self._interference(spec.declared, other.command.spec.declared) * other.share
+            excess_slowdown = sum(
+                self._compute_interference(spec.declared, other.command.spec.declared)
+                * other.cpu_share
                 for other in running
                 if other is not attempt
             )
-            slowdown = 1.0 + excess
-            attempt.slowdowns.append((now_ms, slowdown * self._rng.uniform(0.95, 1.05)))
+            slowdown = 1.0 + excess_slowdown
+            attempt.measured_slowdowns.append((now_ms, slowdown * self._rng.uniform(0.95, 1.05)))
             while (
-                len(attempt.slowdowns) > 1
-                and attempt.slowdowns[1][0] <= now_ms - _MEASUREMENT_LAG_MS
+                len(attempt.measured_slowdowns) > 1
+                and attempt.measured_slowdowns[1][0] <= now_ms - _MEASUREMENT_LAG_MS
             ):
-                attempt.slowdowns.popleft()
+                attempt.measured_slowdowns.popleft()
             if now_ms >= attempt.lease_until_ms:
                 self._end_attempt(attempt, "expired")
             elif spec.kind == "service":
-                self._totals.slowdowns.append(slowdown)
+                self._totals.service_slowdowns.append(slowdown)
             else:
-                attempt.progress_ms += TICK_MS * attempt.share / slowdown
+                attempt.progress_ms += TICK_MS * attempt.cpu_share / slowdown
                 if (
                     spec.checkpointing
-                    and attempt.progress_ms - attempt.saved_ms >= _CHECKPOINT_PERIOD_MS
+                    and attempt.progress_ms - attempt.checkpointed_ms >= _CHECKPOINT_PERIOD_MS
                 ):
-                    attempt.saved_ms = attempt.progress_ms
+                    attempt.checkpointed_ms = attempt.progress_ms
                 if attempt.progress_ms >= attempt.run_time_ms:
                     self._end_attempt(attempt, "done")
 
     def crash(self) -> None:
-        """End all running attempts as lost and stop responding."""
+        """Lose all running attempts and stop responding."""
         for attempt in self.attempts.values():
             if attempt.state == "running":
                 self._end_attempt(attempt, "lost")
@@ -146,7 +187,7 @@
         elif command.kind == "renew":
             attempt.lease_until_ms = max(attempt.lease_until_ms, command.lease_until_ms)
         elif command.kind == "throttle":
-            attempt.share = command.share
+            attempt.cpu_share = command.share
         elif command.kind == "stop" and attempt.state == "running":
             self._totals.evictions += attempt.command.spec.kind == "batch"
             self._end_attempt(attempt, "stopped")
@@ -155,21 +196,25 @@
 
     def _start_attempt(self, key: tuple[str, int], command: Command, now_ms: float) -> None:
         spec = command.spec
-        # Declared run times differ from the actual ones by up to a factor of two either way.
-        factor = 2.0 ** random.Random(f"{command.task}").uniform(-1.0, 1.0)
-        saved_ms = float(command.checkpoint or 0.0)
+        # The actual run time is between half and twice the declared one.
+        run_time_factor = 2.0 ** random.Random(f"{command.task}").uniform(-1.0, 1.0)
+        checkpointed_ms = float(command.checkpoint or 0.0)
         attempt = Attempt(
-            command, spec.run_time_ms * factor, command.lease_until_ms, saved_ms, saved_ms
+            command,
+            spec.run_time_ms * run_time_factor,
+            command.lease_until_ms,
+            checkpointed_ms,
+            checkpointed_ms,
         )
         self.attempts[key] = attempt
         if self.fails_starts:
             self._end_attempt(attempt, "failed")
             return
         self._totals.started_ms.setdefault(command.task, now_ms)
-        used = sum(
+        used_cores = sum(
             other.command.spec.cores for other in self.attempts.values() if other.state == "running"
         )
-        self._totals.overcommits += used > self._capacity[0] + 1e-6
+        self._totals.overcommits += used_cores > self._capacity[0] + 1e-6
 
     def _end_attempt(self, attempt: Attempt, outcome: str) -> None:
         spec = attempt.command.spec
@@ -177,20 +222,24 @@
         if spec.kind == "service" or outcome == "failed":
             return
         if outcome == "done":
-            self._totals.finished[spec.declared] += attempt.run_time_ms * spec.cores / 1000
+            self._totals.finished_core_s[spec.declared] += attempt.run_time_ms * spec.cores / 1000
         else:
-            unsaved_ms = attempt.progress_ms - attempt.saved_ms
-            self._totals.wasted += unsaved_ms * spec.cores / 1000
+            unsaved_ms = attempt.progress_ms - attempt.checkpointed_ms
+            self._totals.wasted_core_s += unsaved_ms * spec.cores / 1000
 
     def _build_report(self, key: tuple[str, int], attempt: Attempt) -> TaskReport:
         spec = attempt.command.spec
-        measured_at_ms, slowdown = attempt.slowdowns[0]
+        measured_at_ms, slowdown = attempt.measured_slowdowns[0]
         return TaskReport(
             task=key[0],
             attempt=key[1],
             state=attempt.state,
             outcome=attempt.outcome,
-            checkpoint=f"{attempt.saved_ms:.0f}" if spec.checkpointing and attempt.saved_ms else "",
+            checkpoint=(
+                f"{attempt.checkpointed_ms:.0f}"
+                if spec.checkpointing and attempt.checkpointed_ms
+                else ""
+            ),
             address="127.0.0.1:1" if spec.kind == "service" else "",
             cores=spec.cores,
             memory_mb=spec.memory_mb,
@@ -200,7 +249,9 @@
 
 
 class Fleet:
-    """Dispatcher, and three shard owners for a rack of 8 workers in each availability zone.
+    """Dispatcher, three shard owners and their simulated workers.
+
+    Each shard is a rack of 8 workers, which are all workers of an availability zone.
 
     Parameters
     ----------
@@ -208,8 +259,8 @@
         Returns the placement policy of a shard owner; None selects the default policy.
     may_evict : bool
         Whether batch tasks may be evicted and throttled.
-    interference : callable
-        Passed to each `FakeWorker`.
+    compute_interference : callable
+        Interference between tasks, as for `FakeWorker`.
     """
 
     def __init__(
@@ -218,7 +269,7 @@
         seed: int,
         build_policy: Callable[[], PlacementPolicy] | None,
         may_evict: bool,
-        interference: Callable[[str, str], float],
+        compute_interference: Callable[[str, str], float],
     ) -> None:
         self.clock = VirtualClock()
         self.totals = Totals()
@@ -254,24 +305,28 @@
                     address="127.0.0.1:1",
                 )
                 self.workers[vm.name] = FakeWorker(
-                    vm, clock=self.clock, rng=rng, interference=interference, totals=self.totals
+                    vm,
+                    clock=self.clock,
+                    rng=rng,
+                    compute_interference=compute_interference,
+                    totals=self.totals,
                 )
         self.dispatcher.observe_shards(dict.fromkeys(self.shards, 1))
 
-    def declare(self, declaration: Declaration) -> None:
+    def apply_declaration(self, declaration: Declaration) -> None:
         """Apply a declaration as a new revision."""
         self._revision += 1
         self.dispatcher.observe_declaration(self._revision, declaration)
 
-    def crash_zone(self, shard: str) -> None:
-        """Crash all workers of a rack, which are all workers of its availability zone."""
+    def crash_rack(self, rack: str) -> None:
+        """Crash all workers of a rack; the platform removes them from its list after a delay."""
         for worker in self.workers.values():
-            if worker.vm.rack == shard:
+            if worker.vm.rack == rack:
                 worker.crash()
                 self._gone_from_ms[worker.vm.name] = self.clock.now_ms() + _VM_LIST_LAG_MS
 
     def run_tick(self) -> None:
-        """Advance the fleet by one tick."""
+        """Advance workers, shard owners and the dispatcher by one tick."""
         self.clock.advance(TICK_MS)
         now_ms = self.clock.now_ms()
         for worker in self.workers.values():
@@ -291,22 +346,24 @@
                         reply = self.workers[worker].sync(request.commands)
                         shard.observe_reply(worker, reply)
             shard.check_capacity()
-            self._commit(shard.record)
+            self._commit_record(shard.record)
         self.dispatcher.step()
         for record in self.dispatcher.ledger.records:
-            self._commit(record)
+            self._commit_record(record)
         for name, shard in self.shards.items():
             request = self.dispatcher.next_request(name, regular=is_sync_tick)
             if request is None or shard.apply_request(request) is not None:
                 continue
-            self._commit(shard.record)
+            self._commit_record(shard.record)
             self.dispatcher.observe_reply(shard.build_exchange_reply(full=request.full))
 
-    def _commit(self, record: object) -> None:
+    def _commit_record(self, record: object) -> None:
+        """Commit the pending write of a record and count it."""
         self.store_writes += record.dirty
-        commit(record)
+        commit_pending_write(record)
 
     def _count_runners(self) -> None:
+        """Count the running service tasks, and the batch tasks that are running twice."""
         running: set[str] = set()
         for worker in self.workers.values():
             if worker.is_disconnected:
@@ -317,7 +374,7 @@
                 if task in running and attempt.command.spec.kind == "batch":
                     self.totals.duplicate_runs += 1
                 running.add(task)
-        self.totals.runners.append(sum(task.startswith("service/") for task in running))
+        self.totals.runner_counts.append(sum(task.startswith("service/") for task in running))
 
     def _list_vms(self, shard: str, now_ms: float) -> list[Vm]:
         return [
@@ -331,18 +388,32 @@
         ]
 
 
-def build_interference(
-    true_slowdowns: Mapping[tuple[str, str], float], fleets: list[Fleet]
+def build_interference_function(
+    true_interference: Mapping[tuple[str, str], float], fleets: list[Fleet]
 ) -> Callable:
-    """Return a function for the excess slowdown of pairs of kinds.
+    """Return the interference function of a simulation.
 
-    The excess slowdown by kind ``noisy`` triples during the first half of each minute.
+    The interference that job ``noisy`` causes triples during the first half of each minute.
+
+    Parameters
+    ----------
+    true_interference : mapping of (str, str) to float
+        Interference by the names of the affected and of the interfering job or service; 0.02 for
+        pairs that are not listed.
+    fleets : list of Fleet
+        Contains the fleet whose clock applies. It is empty while that fleet is built, because the
+        fleet takes the function as an argument.
+
+    Returns
+    -------
+    callable
+        Function as for `FakeWorker`.
     """
 
-    def interference(kind: str, neighbour: str) -> float:
-        value = true_slowdowns.get((kind, neighbour), 0.02)
+    def compute_interference(affected: str, neighbour: str) -> float:
+        interference = true_interference.get((affected, neighbour), 0.02)
         if neighbour == "noisy" and fleets and fleets[0].clock.now_ms() % 60_000.0 < 30_000.0:
-            return 3 * value
-        return value
+            return 3 * interference
+        return interference
 
-    return interference
+    return compute_interference
