Describe the events and results of the routing and colocation simulations

Functions say what they do, intervals and ticks have their own names, and scenarios, tallies and outcomes are documented.

--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks of scheduling policies, capacity and processor cost."""
+"""Benchmarks of scheduling policies, of capacity and of processor and memory cost."""
--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -1,4 +1,4 @@
-"""Benchmarks of scheduling policies; each section prints a table.
+"""Comparison of routing and placement policies; each section prints a table.
 
 ``python -m benchmarks.bench [SECTION ...] [--seeds=N] [--duration_ms=N] [--variants=a,b]``
 """
@@ -16,12 +16,12 @@
 
 from benchmarks import placement, routing
 
-# Each process uses a full core, and other programs run on the same host.
-_PROCESSES = 2
+# Each process uses a full core; two leave the remaining cores to other programs on the host.
+_PROCESS_COUNT = 2
 _DEFAULT_VARIANTS = ("hash+fifo", "random", "least outst.", "first fit", "chosen")
 
 
-def _percentile(values: list[float], quantile: float) -> float:
+def _compute_percentile(values: list[float], quantile: float) -> float:
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))] if ordered else float("nan")
 
@@ -33,10 +33,11 @@
 
 
 def _format_request_kinds(tallies: list[routing.Tally], kinds: list[str]) -> str:
+    """Return the completed share of the offered requests and the p99 in ms for each kind."""
     columns = []
     for kind in kinds:
-        done_shares = [tally.done[kind] / max(1, tally.offered[kind]) for tally in tallies]
-        p99_ms = [_percentile(tally.latencies_ms.get(kind, []), 0.99) for tally in tallies]
+        done_shares = [tally.completed[kind] / max(1, tally.offered[kind]) for tally in tallies]
+        p99_ms = [_compute_percentile(tally.latencies_ms.get(kind, []), 0.99) for tally in tallies]
         columns.append(
             f"{kind} {100 * statistics.fmean(done_shares):.1f}% p99 {statistics.fmean(p99_ms):.0f}"
         )
@@ -44,7 +45,7 @@
 
 
 def run_routing(options: flags.FlagValues) -> None:
-    """Print the table of routing variants."""
+    """Print latency, throughput and rejections of the routing variants."""
     duration_ms = float(options.duration_ms)
     seeds = range(1, options.seeds + 1)
     print(
@@ -52,55 +53,64 @@
     )
     cases = list(itertools.product(options.deployments, options.scenarios, options.variants))
     runs = [(*case, seed, duration_ms) for case in cases for seed in seeds]
-    with ProcessPoolExecutor(_PROCESSES) as pool:
+    with ProcessPoolExecutor(_PROCESS_COUNT) as pool:
         results = pool.map(routing.run_case, *zip(*runs, strict=True))
-        head = f"{'deployment':10} {'scenario':11} {'variant':13}"
+        label_columns = f"{'deployment':10} {'scenario':11} {'variant':13}"
         print(
-            f"{head} {'p50':>9} {'p99':>9} {'p99.9':>9} {'done/s':>9} {'refused %':>9} "
+            f"{label_columns} {'p50':>9} {'p99':>9} {'p99.9':>9} {'done/s':>9} {'refused %':>9} "
             f"{'retry %':>8} {'borrow %':>8}  kinds: done of offered, p99"
         )
         for deployment, scenario, variant in cases:
             tallies = [next(results) for _ in seeds]
             latencies = [sum(tally.latencies_ms.values(), []) for tally in tallies]
             offered = [tally.offered.total() for tally in tallies]
-            done = [tally.done.total() / duration_ms * 1000 for tally in tallies]
+            completed_per_s = [tally.completed.total() / duration_ms * 1000 for tally in tallies]
             columns = [
                 *(
-                    _format_mean([_percentile(values, p) for values in latencies], 0)
-                    for p in (0.5, 0.99, 0.999)
+                    _format_mean([_compute_percentile(values, quantile) for values in latencies], 0)
+                    for quantile in (0.5, 0.99, 0.999)
                 ),
-                _format_mean(done, 0),
+                _format_mean(completed_per_s, 0),
                 _format_mean(
-                    _compute_percentages([tally.refused.total() for tally in tallies], offered), 1
+                    _compute_percentages([tally.rejected.total() for tally in tallies], offered), 1
                 ),
                 _format_mean(
-                    _compute_percentages([tally.retries for tally in tallies], offered), 1
+                    _compute_percentages([tally.retry_count for tally in tallies], offered), 1
                 ),
                 _format_mean(
-                    _compute_percentages([tally.borrows for tally in tallies], offered), 1
+                    _compute_percentages([tally.borrow_count for tally in tallies], offered), 1
                 ),
             ]
             row = " ".join(f"{column:>9}" for column in columns)
-            kinds = _format_request_kinds(tallies, list(routing.DEPLOYMENTS[deployment].mix))
+            kinds = _format_request_kinds(
+                tallies, list(routing.DEPLOYMENTS[deployment].request_mix)
+            )
             print(f"{deployment:10} {scenario:11} {variant:13} {row}  {kinds}", flush=True)
 
 
 def run_lending(options: flags.FlagValues) -> None:
-    """Print how fast a 2 s flood borrows unused shares and how fast they are reclaimed."""
+    """Print the throughput of each request kind over time, during and after a flood.
+
+    A flood of the most urgent kind lasts 2 s. The table shows how fast it is lent the unused
+    guaranteed shares of the other kinds, and how fast these get them back.
+    """
     duration_ms = 4_000.0
     print(f"lending: flood from 0 to 2 s, seeds 1 to {options.seeds}, chosen, done/s by time (s)")
-    steps = range(int(duration_ms / routing.STEP_MS))
-    print(f"{'':22}" + "".join(f"{step * routing.STEP_MS / 1000:>7.1f}" for step in steps))
+    intervals = range(int(duration_ms / routing.INTERVAL_MS))
+    print(
+        f"{'':22}"
+        + "".join(f"{interval * routing.INTERVAL_MS / 1000:>7.1f}" for interval in intervals)
+    )
     for deployment in options.deployments:
         tallies = [
             routing.run_case(deployment, "short flood", "chosen", seed, duration_ms)
             for seed in range(1, options.seeds + 1)
         ]
-        for kind in routing.DEPLOYMENTS[deployment].mix:
+        for kind in routing.DEPLOYMENTS[deployment].request_mix:
             rates = [
-                statistics.fmean(tally.steps[kind, step] for tally in tallies)
-                * (1_000 / routing.STEP_MS)
-                for step in steps
+                statistics.fmean(tally.completed_by_interval[kind, interval] for tally in tallies)
+                * (1_000 / routing.INTERVAL_MS)
+                for interval in intervals
             ]
             print(f"{deployment:10} {kind:11}" + "".join(f"{rate:>7.0f}" for rate in rates))
 
@@ -110,11 +120,10 @@
 
 
 def run_placement(options: flags.FlagValues) -> None:
-    """Print the table of placement policies."""
+    """Print the results of the placement policies in each scenario."""
     placement.main([f"--seeds={options.seeds}"])
 
 
-# Sections by name.
 SECTIONS: dict[str, Callable[[flags.FlagValues], None]] = {
     "routing": run_routing,
     "lending": run_lending,
--- a/benchmarks/tests/test_colocation.py
+++ b/benchmarks/tests/test_colocation.py
@@ -6,15 +6,20 @@
 
 
 class ColocationTest(unittest.TestCase):
-    """Short simulations on few runners."""
+    """Guards against a simulation that differs between runs, or whose results are implausible."""
 
     def test_simulation_is_repeatable_and_completes_jobs(self):
-        """Guards against differing runs of one seed, and a load that leaves runners idle."""
-        first = simulate(3, seconds=10.0, runners=12, load=0.4)
-        second = simulate(3, seconds=10.0, runners=12, load=0.4)
+        """Two runs of one seed agree, best-effort tasks run, and most of the value is earned.
+
+        With differing runs, two versions of a policy couldn't be compared; on idle runners, the
+        policy would make no difference.
+        """
+        first = simulate(3, seconds=10.0, runners=12, job_rate_factor=0.4)
+        second = simulate(3, seconds=10.0, runners=12, job_rate_factor=0.4)
         self.assertEqual(first, second)
-        # Time over the target counts four times, so users accept only a small share of it.
+        # Users accept little time over the latency target; if best-effort tasks cause it, it counts
+        # four times against the value.
         self.assertLess(first.over_share, 0.05)
         self.assertGreater(first.fill_cores, 1.0)
-        # The users' target for the larger of their deployments.
+        # Share of the offered value that users require of the larger of their deployments.
         self.assertGreater(first.total, 0.63)
--- a/benchmarks/tests/test_routing.py
+++ b/benchmarks/tests/test_routing.py
@@ -8,20 +8,22 @@
 
 
 class RoutingBenchmarkTest(unittest.TestCase):
+    """Guards against comparisons of routing policies that mean nothing."""
+
     def test_same_seed_gives_same_figures(self) -> None:
-        """Guards against policies that are compared under different loads."""
+        """Guards against runs of one seed that differ, so that policies face different loads."""
         first, second = (run_case("waitaha", "normal", "chosen", 3, 300.0) for _ in range(2))
         self.assertEqual(first, second)
 
     def test_every_variant_and_scenario_completes_requests(self) -> None:
-        """Guards against rows in which no request completes, and against requests counted twice."""
+        """Guards against cases in which no request completes, and requests counted twice."""
         cases = {("normal", variant) for variant in VARIANTS}
         cases |= {(scenario, "chosen") for scenario in SCENARIOS}
         for scenario, variant in sorted(cases):
             with self.subTest(scenario=scenario, variant=variant):
                 tally = run_case("waitaha", scenario, variant, 1, 200.0)
-                self.assertGreater(tally.done.total(), 0)
-                settled = tally.done.total() + tally.refused.total()
+                self.assertGreater(tally.completed.total(), 0)
+                settled = tally.completed.total() + tally.rejected.total()
                 self.assertLessEqual(settled, tally.offered.total())
 
 
