State how many tasks end in a busy second of the dispatcher benchmark

The docstring promised exactly the given number, but a quarter of it is rounded down in each period. It now says so.

--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -159,9 +159,10 @@
         )
 
     def replace_tasks(self, count: int) -> None:
-        """Simulate one second in which `count` tasks end and as many start.
+        """Simulate one second in which about `count` tasks end and as many start.
 
-        The second consists of four periods of 250 ms, with a dispatcher step in each.
+        The second consists of four periods of 250 ms, with a dispatcher step in each. A quarter of
+        `count`, rounded down, ends in each period.
         """
         shards = list(self._workers)
         for _ in range(4):
@@ -294,7 +295,7 @@
     exchanges_ms : float
         The dispatcher's part of an exchange without changes with each shard.
     busy_second_ms : float
-        The dispatcher's part of a second in which `STARTS_PER_S` tasks end and as many start.
+        The dispatcher's part of a second in which about `STARTS_PER_S` tasks end and as many start.
     plan_sync_ms, observe_reply_ms : float
         Request to one worker and processing of its reply by a shard owner.
     """
