Name the state of records and partitions by what it is

Cause: boolean properties read as participles or verbs, and functions were named by nouns. Change: names of records, the ledger, placements, ownership and job specifications with every use.

--- a/benchmarks/_logic.py
+++ b/benchmarks/_logic.py
@@ -136,7 +136,7 @@
             self._run_round()
 
     def _count_assigned(self) -> int:
-        return sum(entry.state == "assigned" for _, entry in self.dispatcher.ledger.entries())
+        return sum(entry.state == "assigned" for _, entry in self.dispatcher.ledger.iter_entries())
 
     def _run_round(self) -> None:
         """Run a dispatcher step and an exchange with each shard, which places and starts tasks."""
@@ -144,7 +144,7 @@
         for record in self.dispatcher.ledger.records:
             _commit_write(record)
         for name, shard in self.shards.items():
-            request = self.dispatcher.next_request(name, regular=True)
+            request = self.dispatcher.build_next_request(name, regular=True)
             if request is None:
                 continue
             shard.apply_request(request)
@@ -192,7 +192,7 @@
         def exchange_with_shard(
             shard: ShardState = shard, dispatcher: Dispatcher = dispatcher
         ) -> None:
-            request = dispatcher.next_request("r0", regular=True)
+            request = dispatcher.build_next_request("r0", regular=True)
             shard.apply_request(decode(encode(request), ExchangeRequest))
             reply = encode(shard.build_exchange_reply(full=False))
             dispatcher.observe_reply(decode(reply, type(shard.build_exchange_reply(full=False))))
@@ -226,7 +226,7 @@
 
 def _copy_ledger(dispatcher: Dispatcher) -> list:
     """Return a copy of all ledger entries, whose memory is measured in place of the ledger's."""
-    return [decode(encode(entry), type(entry)) for _, entry in dispatcher.ledger.entries()]
+    return [decode(encode(entry), type(entry)) for _, entry in dispatcher.ledger.iter_entries()]
 
 
 def measure_shard(sizes: tuple[int, ...]) -> list[LinearFit]:
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -121,7 +121,7 @@
 
     def exchange_with_shard(self, shard: str, *, full: bool = True) -> None:
         """Start the tasks of the next request to a shard, and pass its reply to the dispatcher."""
-        request = self.dispatcher.next_request(shard, regular=True)
+        request = self.dispatcher.build_next_request(shard, regular=True)
         attempts = self._attempts[shard]
         worker_names = self._workers[shard]
         for item in request.assign:
@@ -173,7 +173,7 @@
                 task = self._rng.choice(list(self._attempts[shard]))
                 ended.setdefault(shard, []).append(self._attempts[shard].pop(task))
             for shard, states in ended.items():
-                request = self.dispatcher.next_request(shard, regular=True)
+                request = self.dispatcher.build_next_request(shard, regular=True)
                 reply = self.build_reply(shard, request.sequence, full=False)
                 gone_tasks = tuple(state.task for state in states)
                 released = tuple(
@@ -187,7 +187,7 @@
             for record in self.dispatcher.ledger.records:
                 commit_pending_write(record)
             for shard in shards:
-                request = self.dispatcher.next_request(shard, regular=False)
+                request = self.dispatcher.build_next_request(shard, regular=False)
                 if request is not None:
                     self._start_assigned_tasks(shard, request)
 
@@ -210,7 +210,7 @@
     def poll_shards(self) -> None:
         """Ask the dispatcher for a request to each shard while no regular request is due."""
         for shard in self._workers:
-            self.dispatcher.next_request(shard, regular=False)
+            self.dispatcher.build_next_request(shard, regular=False)
 
     def exchange_unchanged(self) -> None:
         """Exchange with each shard; the replies contain no changes."""
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -351,7 +351,7 @@
         for record in self.dispatcher.ledger.records:
             self._commit_record(record)
         for name, shard in self.shards.items():
-            request = self.dispatcher.next_request(name, regular=is_sync_tick)
+            request = self.dispatcher.build_next_request(name, regular=is_sync_tick)
             if request is None or shard.apply_request(request) is not None:
                 continue
             self._commit_record(shard.record)
@@ -359,7 +359,7 @@
 
     def _commit_record(self, record: object) -> None:
         """Commit the pending write of a record and count it."""
-        self.store_writes += record.dirty
+        self.store_writes += record.is_dirty
         commit_pending_write(record)
 
     def _count_runners(self) -> None:
--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -177,7 +177,7 @@
 
     def _check_admission(self, queue: Queue, spec: JobSpec, now_ms: float) -> Rejected | None:
         settings = self._settings
-        tasks = sum(step.count for step in spec.steps) * spec.runs
+        tasks = sum(step.count for step in spec.steps) * spec.occurrence_count
         waiting = sum(len(step.waiting) for step in self.jobs.ready.values())
         if waiting + tasks > settings.max_open_tasks:
             return Rejected("tasks", settings.tasks_retry_ms)
--- a/coltsfootpier/cells/_jobs.py
+++ b/coltsfootpier/cells/_jobs.py
@@ -62,7 +62,7 @@
             job.version = job.durable_version = 1
         self.jobs[record.id] = job
         if job.is_open and record.spec is not None:
-            for occurrence in range(record.spec.runs):
+            for occurrence in range(record.spec.occurrence_count):
                 for number, spec in enumerate(record.spec.steps):
                     self._add_step(job, occurrence, number, spec)
             for step in list(job.steps.values()):
@@ -98,7 +98,8 @@
         due = [
             step
             for step in self._scheduled_steps
-            if not step.job.is_open or step.job.record.spec.due_unix_ms(step.occurrence) <= unix_ms
+            if not step.job.is_open
+            or step.job.record.spec.compute_due_unix_ms(step.occurrence) <= unix_ms
         ]
         for step in due:
             self._scheduled_steps.remove(step)
--- a/coltsfootpier/daemon/_control.py
+++ b/coltsfootpier/daemon/_control.py
@@ -375,7 +375,7 @@
             return True
         if isinstance(renewed.failure(), LeaseLost):
             log_event("lease lost", member=self.ownership.member)
-            self.ownership.lose_lease()
+            self.ownership.invalidate_lease()
             self._lease = ""
             self._on_change()
         return False
@@ -480,7 +480,7 @@
         # after the write took effect. Partitions that this daemon still owns are claimed again.
         moved = {
             name
-            for name in self.ownership.assigned()
+            for name in self.ownership.list_assigned_epochs()
             if name not in table.partitions_of(self.member.id)
         }
         for name in moved:
--- a/coltsfootpier/daemon/_daemon.py
+++ b/coltsfootpier/daemon/_daemon.py
@@ -38,7 +38,7 @@
     StatusReply,
     build_operator_application,
 )
-from coltsfootpier.ownership import DISPATCH
+from coltsfootpier.ownership import DISPATCH_PARTITION
 from coltsfootpier.peers import (
     BorrowSlot,
     Heartbeat,
@@ -314,17 +314,17 @@
             if ownership.epoch_of(f"shard/{shard}") != epoch:
                 scope.cancel()
                 del self._shards[shard, epoch]
-        for partition, epoch in ownership.assigned().items():
+        for partition, epoch in ownership.list_assigned_epochs().items():
             shard = partition.removeprefix("shard/")
             if not ownership.may_act(partition, epoch):
                 continue
             if partition.startswith("shard/") and (shard, epoch) not in self._shards:
                 self._start_shard(group, shard, epoch)
-            if partition == DISPATCH:
+            if partition == DISPATCH_PARTITION:
                 self._start_dispatch(group, epoch)
         if self._dispatch is not None:
             task, scope = self._dispatch
-            if ownership.epoch_of(DISPATCH) != task.epoch:
+            if ownership.epoch_of(DISPATCH_PARTITION) != task.epoch:
                 scope.cancel()
                 self._dispatch = None
         self._observe_own_runners()
@@ -383,7 +383,7 @@
             await task.run()
             if self._dispatch is not None and self._dispatch[0] is task:
                 self._dispatch = None
-            self.control.ownership.end_epoch(DISPATCH, epoch)
+            self.control.ownership.end_epoch(DISPATCH_PARTITION, epoch)
 
         if self._dispatch is not None:
             self._dispatch[1].cancel()
@@ -394,7 +394,7 @@
             if f"shard/{shard}" in partitions:
                 scope.cancel()
                 self._shards.pop((shard, epoch), None)
-        if DISPATCH in partitions and self._dispatch is not None:
+        if DISPATCH_PARTITION in partitions and self._dispatch is not None:
             self._dispatch[1].cancel()
             self._dispatch = None
 
@@ -654,7 +654,7 @@
     async def _read_dispatch_status(self) -> StatusReply:
         if self._dispatch is not None:
             return await self.on_dispatch_status()
-        peer = self._get_peer(self.control.ownership.owner_of(DISPATCH))
+        peer = self._get_peer(self.control.ownership.owner_of(DISPATCH_PARTITION))
         if peer is not None:
             result = await peer.read_status()
             if isinstance(result, Success):
--- a/coltsfootpier/daemon/_dispatch_task.py
+++ b/coltsfootpier/daemon/_dispatch_task.py
@@ -13,7 +13,7 @@
 from coltsfootpier.daemon._writer import write_record
 from coltsfootpier.dispatch import Dispatcher, Ledger
 from coltsfootpier.logs import log_event
-from coltsfootpier.ownership import DISPATCH, OwnershipState
+from coltsfootpier.ownership import DISPATCH_PARTITION, OwnershipState
 from coltsfootpier.placement import ExchangeReply, ExchangeRequest
 from coltsfootpier.platform import PlatformClient
 from coltsfootpier.records import RecordEpochError, VersionedRecord, Write
@@ -75,7 +75,7 @@
     @property
     def may_act(self) -> bool:
         """Whether the task may currently make decisions and write to the store."""
-        return not self._ownership_lost and self._ownership.may_act(DISPATCH, self.epoch)
+        return not self._ownership_lost and self._ownership.may_act(DISPATCH_PARTITION, self.epoch)
 
     async def run(self) -> None:
         """Take over the ledger, then dispatch until cancelled or until ownership is lost."""
@@ -93,7 +93,7 @@
     async def flush(self, *, timeout_ms: float) -> None:
         """Wait up to `timeout_ms` until all changes are durable, before a handover."""
         with anyio.move_on_after(timeout_ms / 1000):
-            while not all(record.settled for record in self.dispatcher.ledger.records):
+            while not all(record.is_settled for record in self.dispatcher.ledger.records):
                 await anyio.sleep(self._period_ms / 1000)
 
     async def _take_over(self) -> bool:
@@ -115,7 +115,7 @@
                 await self._write_all()
                 if self._ownership_lost:
                     return False
-                if ledger.fenced:
+                if ledger.is_fenced:
                     return True
             await anyio.sleep(self._period_ms / 1000)
         return False
@@ -152,7 +152,7 @@
             if not self.may_act:
                 continue
             is_due = self._clock.now_ms() - last_exchange_ms >= _EXCHANGE_PERIOD_MS
-            request = self.dispatcher.next_request(shard, regular=is_due)
+            request = self.dispatcher.build_next_request(shard, regular=is_due)
             if request is None:
                 continue
             last_exchange_ms = self._clock.now_ms()
--- a/coltsfootpier/daemon/_permits.py
+++ b/coltsfootpier/daemon/_permits.py
@@ -13,7 +13,7 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.daemon._control import Control
 from coltsfootpier.logs import log_event
-from coltsfootpier.ownership import key_group, rank_by_rendezvous
+from coltsfootpier.ownership import compute_key_group, rank_by_rendezvous
 from coltsfootpier.peers import PeerClient
 from coltsfootpier.permits import (
     AcquirePermit,
@@ -153,7 +153,7 @@
     async def acquire(self, claim: Claim) -> Permit | RecordedOutcome | Rejected:
         """Request a permit from the owner of the key; retry while no owner responds."""
         token = secrets.token_hex(8)
-        group = key_group(claim.key)
+        group = compute_key_group(claim.key)
         start_ms = self._clock.now_ms()
         end_ms = start_ms + (claim.deadline_ms - start_ms) * _MAX_ACQUIRE_SHARE
         verdict = Verdict.NOT_OWNER
@@ -215,7 +215,7 @@
             self._background_settlements -= 1
 
     async def _try_settle(self, permit: Permit, outcome: Outcome, status: int) -> bool:
-        group = key_group(permit.claim.key)
+        group = compute_key_group(permit.claim.key)
         message = SettlePermit(
             group=group,
             kind=permit.claim.kind,
--- a/coltsfootpier/daemon/_replies.py
+++ b/coltsfootpier/daemon/_replies.py
@@ -46,7 +46,7 @@
 def build_dispatch_status(dispatcher: Dispatcher, revision: int) -> StatusReply:
     """Return the state of all tasks and workers, as last reported to the dispatcher."""
     tasks = []
-    for task, entry in dispatcher.ledger.entries():
+    for task, entry in dispatcher.ledger.iter_entries():
         link = dispatcher.links.get(entry.shard)
         report = link.states.get(task) if link else None
         state = entry.state
--- a/coltsfootpier/daemon/_shard_task.py
+++ b/coltsfootpier/daemon/_shard_task.py
@@ -126,7 +126,7 @@
     async def flush(self, *, timeout_ms: float) -> None:
         """Wait up to `timeout_ms` until all changes are durable, before a handover."""
         with anyio.move_on_after(timeout_ms / 1000):
-            while not self._ownership_lost and not self.state.record.settled:
+            while not self._ownership_lost and not self.state.record.is_settled:
                 await self._write_done.wait()
 
     async def _take_over(self) -> bool:
@@ -148,7 +148,7 @@
                 write = record.start_write()
                 if write is None or not await write_record(self._platform, record, write):
                     return False
-                if record.fenced:
+                if record.is_fenced:
                     return True
             await anyio.sleep(self._periods["record_ms"] / 1000)
         return False
@@ -230,7 +230,7 @@
     async def _write_loop(self) -> None:
         record = self.state.record
         while True:
-            if not record.dirty:
+            if not record.is_dirty:
                 await self._state_changed.wait()
                 self._state_changed = anyio.Event()
                 continue
@@ -256,7 +256,7 @@
                 envelope.respond(Failure(stale))
                 continue
             self._state_changed.set()
-            while not self.state.record.settled and not self._ownership_lost:
+            while not self.state.record.is_settled and not self._ownership_lost:
                 await self._write_done.wait()
             if self._ownership_lost:
                 result = Failure(StaleExchange("ownership was lost"))
--- a/coltsfootpier/dispatch/_dispatcher.py
+++ b/coltsfootpier/dispatch/_dispatcher.py
@@ -93,7 +93,7 @@
         self._declaration = declaration
         self._specs = expand(declaration)
         self._rebuild_indexes()
-        for task, entry in self.ledger.entries():
+        for task, entry in self.ledger.iter_entries():
             if task not in self._specs:
                 self._cancel_removed_task(task, entry)
         for task, spec in self._specs.items():
@@ -134,14 +134,14 @@
 
     def step(self) -> None:
         """Make all decisions that are due and apply them to the working copy of the ledger."""
-        if not self.ledger.fenced:
+        if not self.ledger.is_fenced:
             return
         self._job_scheduler.create_due_runs()
         self._resolve_dependencies()
         self._restart_changed_services()
         self._assign_pending()
 
-    def next_request(self, shard: str, *, regular: bool) -> ExchangeRequest | None:
+    def build_next_request(self, shard: str, *, regular: bool) -> ExchangeRequest | None:
         """Build the next request to a shard from the durable copy of the ledger.
 
         Parameters
@@ -196,7 +196,7 @@
         self._assigned_by_shard.clear()
         self._outdated_runners.clear()
         self._is_satisfied_by_name.clear()
-        for task, entry in self.ledger.entries():
+        for task, entry in self.ledger.iter_entries():
             self._update_indexes(task, None, entry)
 
     def _update_indexes(self, task: str, before: Entry | None, after: Entry | None) -> None:
--- a/coltsfootpier/dispatch/_ledger.py
+++ b/coltsfootpier/dispatch/_ledger.py
@@ -74,7 +74,7 @@
         Epoch of the dispatcher.
     writer : str
         Member identifier of this daemon.
-    buckets : int, default=8
+    record_count : int, default=8
         Number of records; a change is written only to the record that holds the task.
 
     Attributes
@@ -85,7 +85,7 @@
         Function that is called after each such change.
     """
 
-    def __init__(self, *, epoch: int, writer: str, buckets: int = 8) -> None:
+    def __init__(self, *, epoch: int, writer: str, record_count: int = 8) -> None:
         self.epoch = epoch
         self.records: list[VersionedRecord[Entry]] = [
             VersionedRecord(
@@ -94,7 +94,7 @@
                 epoch=epoch,
                 writer=f"{writer}/ledger/{index}",
             )
-            for index in range(buckets)
+            for index in range(record_count)
         ]
         self.change_count = 0
         self.listener: EntryListener | None = None
@@ -107,9 +107,9 @@
             record.listener = self._update_durable_indexes
 
     @property
-    def fenced(self) -> bool:
+    def is_fenced(self) -> bool:
         """Whether every record has been written with this owner's epoch."""
-        return all(record.fenced for record in self.records)
+        return all(record.is_fenced for record in self.records)
 
     @property
     def revision(self) -> int:
@@ -127,7 +127,7 @@
         self._durable_by_shard.clear()
         for record in self.records:
             self._update_durable_indexes(set(record.durable), {}, record.durable)
-        for task, entry in self.entries():
+        for task, entry in self.iter_entries():
             self._update_indexes(task, None, entry)
 
     def get(self, task: str) -> Entry | None:
@@ -186,7 +186,7 @@
         for record in self.records:
             record.raise_fence(revision)
 
-    def entries(self) -> Iterator[tuple[str, Entry]]:
+    def iter_entries(self) -> Iterator[tuple[str, Entry]]:
         """Yield all working entries."""
         for record in self.records:
             yield from list(record.working.items())
--- a/coltsfootpier/dispatch/tests/test_dispatcher.py
+++ b/coltsfootpier/dispatch/tests/test_dispatcher.py
@@ -25,7 +25,7 @@
         self.dispatcher = self._build_dispatcher(epoch=1)
 
     def _build_dispatcher(self, epoch: int) -> Dispatcher:
-        ledger = Ledger(epoch=epoch, writer=f"m{epoch}", buckets=2)
+        ledger = Ledger(epoch=epoch, writer=f"m{epoch}", record_count=2)
         ledger.load(())
         dispatcher = Dispatcher(clock=self.clock, ledger=ledger)
         dispatcher.observe_shards({"r1": 1})
@@ -39,7 +39,7 @@
     def _run_round(self) -> None:
         self.dispatcher.step()
         self._commit()
-        request = self.dispatcher.next_request("r1", regular=True)
+        request = self.dispatcher.build_next_request("r1", regular=True)
         self.assertIsNone(self.shard.apply_request(request))
         commit(self.shard.record)
         self.dispatcher.observe_reply(self.shard.build_exchange_reply(full=request.full))
@@ -90,10 +90,10 @@
         for _ in range(4):
             self._run_round()
         self._end_attempt(self.shard, "job/load/0", outcome="stopped")
-        request = self.dispatcher.next_request("r1", regular=True)
+        request = self.dispatcher.build_next_request("r1", regular=True)
         self.shard.apply_request(request)
         self.dispatcher.observe_reply(self.shard.build_exchange_reply(full=False))
-        request = self.dispatcher.next_request("r1", regular=True)
+        request = self.dispatcher.build_next_request("r1", regular=True)
         self.assertEqual(request.acknowledge, ())
 
     def test_removed_job_is_cancelled(self) -> None:
--- a/coltsfootpier/dispatch/tests/test_policy.py
+++ b/coltsfootpier/dispatch/tests/test_policy.py
@@ -44,7 +44,7 @@
             state.observe_vms([build_vm("w1", state="gone"), build_vm(worker, rack=shard)])
             state.observe_reply(worker, build_sync_reply(worker))
             self.shards[shard] = state
-        ledger = Ledger(epoch=1, writer="m1", buckets=2)
+        ledger = Ledger(epoch=1, writer="m1", record_count=2)
         ledger.load(())
         self.dispatcher = Dispatcher(clock=self.clock, ledger=ledger)
         self.dispatcher.observe_shards({"r1": 1, "r2": 1})
@@ -78,10 +78,10 @@
             self.clock.advance(250.0)
             self.dispatcher.step()
             for record in self.dispatcher.ledger.records:
-                self.writes += record.dirty
+                self.writes += record.is_dirty
                 commit(record)
             for shard, state in self.shards.items():
-                request = self.dispatcher.next_request(shard, regular=True)
+                request = self.dispatcher.build_next_request(shard, regular=True)
                 self.assertIsNone(state.apply_request(request))
                 state.place()
                 state.check_capacity()
@@ -92,7 +92,7 @@
                 self.dispatcher.observe_reply(state.build_exchange_reply(full=True))
 
     def _list_states(self, job: str) -> list[str]:
-        entries = self.dispatcher.ledger.entries()
+        entries = self.dispatcher.ledger.iter_entries()
         return [entry.state for task, entry in entries if task.startswith(f"job/{job}/")]
 
     def _count_running(self, job: str) -> int:
@@ -113,7 +113,7 @@
         self.assertEqual(self._count_running("load"), 7)
         attempts = [
             entry.attempt
-            for task, entry in self.dispatcher.ledger.entries()
+            for task, entry in self.dispatcher.ledger.iter_entries()
             if task.startswith("job/load/")
         ]
         self.assertEqual(sorted(attempts), [1] * 8)
@@ -196,7 +196,7 @@
             for shard, state in self.shards.items():
                 self._report_tasks(shard)
                 commit(state.record)
-                request = self.dispatcher.next_request(shard, regular=True)
+                request = self.dispatcher.build_next_request(shard, regular=True)
                 state.apply_request(request)
                 commit(state.record)
                 reply = state.build_exchange_reply(full=request.full)
@@ -219,7 +219,7 @@
         )
         self._observe_declaration(1, text)
         self._run_rounds(60)
-        states = [entry.state for _, entry in self.dispatcher.ledger.entries()]
+        states = [entry.state for _, entry in self.dispatcher.ledger.iter_entries()]
         self.assertEqual(states, ["assigned"] * 8)
         self.assertEqual(sum(self._count_running(f"j{index}") for index in range(8)), 8)
 
@@ -259,7 +259,7 @@
         self.writes = 0
         self._observe_declaration(2, _build_team_text("a"))
         self._run_rounds(10)
-        states = [entry.state for _, entry in self.dispatcher.ledger.entries()]
+        states = [entry.state for _, entry in self.dispatcher.ledger.iter_entries()]
         self.assertEqual(states, ["cancelled"] * 1_000)
         self.assertLessEqual(self.writes, 6)
 
--- a/coltsfootpier/dispatch/tests/test_schedule.py
+++ b/coltsfootpier/dispatch/tests/test_schedule.py
@@ -34,7 +34,7 @@
         self.dispatcher = self._build_dispatcher(epoch=1, items={})
 
     def _build_dispatcher(self, *, epoch: int, items: dict[str, Item]) -> Dispatcher:
-        ledger = Ledger(epoch=epoch, writer=f"m{epoch}", buckets=4)
+        ledger = Ledger(epoch=epoch, writer=f"m{epoch}", record_count=4)
         ledger.load(items.values())
         dispatcher = Dispatcher(clock=self.clock, ledger=ledger)
         dispatcher.observe_declaration(1, build_declaration(DECLARATION_TEXT))
@@ -56,11 +56,11 @@
             self._write_records(self.dispatcher)
 
     def _complete_tasks(self) -> None:
-        for task, entry in self.dispatcher.ledger.entries():
+        for task, entry in self.dispatcher.ledger.iter_entries():
             self.dispatcher.ledger.put(task, attrs.evolve(entry, state="done"))
 
     def _list_runs(self) -> list[int]:
-        return sorted(entry.run for _, entry in self.dispatcher.ledger.entries())
+        return sorted(entry.run for _, entry in self.dispatcher.ledger.iter_entries())
 
     def test_next_run_is_created_when_due(self) -> None:
         """Guards against a periodic job that runs only once or too early."""
@@ -120,7 +120,7 @@
                 self._advance_seconds(3)
                 self.assertEqual(self._list_runs(), [max(runs, default=1)] * 6)
                 self.assertEqual(
-                    {entry.attempt for _, entry in self.dispatcher.ledger.entries()}, {0}
+                    {entry.attempt for _, entry in self.dispatcher.ledger.iter_entries()}, {0}
                 )
 
 
--- a/coltsfootpier/jobs/_model.py
+++ b/coltsfootpier/jobs/_model.py
@@ -128,11 +128,11 @@
     interval_ms: float = 0.0
 
     @property
-    def runs(self) -> int:
-        """Number of times that the steps run."""
+    def occurrence_count(self) -> int:
+        """Number of times that the steps run, at least 1."""
         return max(1, self.occurrences)
 
-    def due_unix_ms(self, occurrence: int) -> float:
+    def compute_due_unix_ms(self, occurrence: int) -> float:
         """Return the Unix time in ms before which an occurrence must not start."""
         if not self.occurrences:
             return 0.0
@@ -195,7 +195,7 @@
         error = _find_step_error(number, step)
         if error:
             return f"step {number}: {error}"
-    tasks = sum(step.count for step in spec.steps) * spec.runs
+    tasks = sum(step.count for step in spec.steps) * spec.occurrence_count
     return f"{tasks} tasks, allowed: 1 to {MAX_TASKS}" if tasks > MAX_TASKS else ""
 
 
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -495,4 +495,4 @@
 
 def count_tasks(spec: JobSpec) -> int:
     """Return the number of tasks of a job."""
-    return sum(step.count for step in spec.steps) * spec.runs
+    return sum(step.count for step in spec.steps) * spec.occurrence_count
--- a/coltsfootpier/ownership/__init__.py
+++ b/coltsfootpier/ownership/__init__.py
@@ -1,24 +1,24 @@
 """Ownership of partitions by daemons, under leases with epochs."""
 
 from coltsfootpier.ownership._state import (
-    DISPATCH,
-    KEY_GROUPS,
+    DISPATCH_PARTITION,
+    KEY_GROUP_COUNT,
     Ownership,
     OwnershipState,
     OwnerTable,
-    key_group,
+    compute_key_group,
     list_partitions,
     parse_vm_name,
     rank_by_rendezvous,
 )
 
 __all__ = [
-    "DISPATCH",
-    "KEY_GROUPS",
+    "DISPATCH_PARTITION",
+    "KEY_GROUP_COUNT",
     "OwnerTable",
     "Ownership",
     "OwnershipState",
-    "key_group",
+    "compute_key_group",
     "list_partitions",
     "parse_vm_name",
     "rank_by_rendezvous",
--- a/coltsfootpier/ownership/_state.py
+++ b/coltsfootpier/ownership/_state.py
@@ -13,9 +13,9 @@
 from coltsfootpier.exceptions import InvariantError
 
 # Name of the partition of the dispatcher.
-DISPATCH = "dispatch"
+DISPATCH_PARTITION = "dispatch"
 # Number of partitions of request keys.
-KEY_GROUPS = 16
+KEY_GROUP_COUNT = 16
 
 
 class EpochRegressionError(InvariantError):
@@ -83,16 +83,16 @@
     return sorted(members, key=score, reverse=True)
 
 
-def key_group(key: str) -> str:
+def compute_key_group(key: str) -> str:
     """Return the partition that a request key belongs to."""
     digest = hashlib.blake2b(key.encode(), digest_size=4).digest()
-    return f"keys/{int.from_bytes(digest, 'big') % KEY_GROUPS}"
+    return f"keys/{int.from_bytes(digest, 'big') % KEY_GROUP_COUNT}"
 
 
 def list_partitions(shards: Iterable[str]) -> list[str]:
     """Return the names of all partitions for the given shards."""
-    groups = [f"keys/{index}" for index in range(KEY_GROUPS)]
-    return [DISPATCH, *groups, *(f"shard/{shard}" for shard in sorted(shards))]
+    groups = [f"keys/{index}" for index in range(KEY_GROUP_COUNT)]
+    return [DISPATCH_PARTITION, *groups, *(f"shard/{shard}" for shard in sorted(shards))]
 
 
 class OwnershipState:
@@ -150,7 +150,7 @@
         until_ms = sent_ms + self._ttl_ms * (1 - MAX_CLOCK_DRIFT_RATIO)
         self._valid_until_ms = max(self._valid_until_ms, until_ms)
 
-    def lose_lease(self) -> None:
+    def invalidate_lease(self) -> None:
         """Make the lease invalid at once."""
         self._valid_until_ms = min(self._valid_until_ms, self._clock.now_ms())
 
@@ -182,7 +182,7 @@
         ownership = self.table.partitions.get(partition)
         return ownership.member if ownership else ""
 
-    def assigned(self) -> dict[str, int]:
+    def list_assigned_epochs(self) -> dict[str, int]:
         """Return the epochs of the partitions that this daemon owns in the table, by partition."""
         return {
             partition: ownership.epoch
@@ -275,7 +275,7 @@
             All partitions; needed when `leave` is false.
         """
         others = [member for member in live if member != self.member]
-        owned = sorted(self.assigned())
+        owned = sorted(self.list_assigned_epochs())
         if not others or not owned:
             return None
         excess = owned
--- a/coltsfootpier/permits/_manager.py
+++ b/coltsfootpier/permits/_manager.py
@@ -132,7 +132,7 @@
                 table.remove_expired()
         return [
             self._create_table(group, epoch)
-            for group, epoch in ownership.assigned().items()
+            for group, epoch in ownership.list_assigned_epochs().items()
             if group.startswith(_KEY_GROUP_PREFIX)
             and group not in self.tables
             and ownership.may_act(group, epoch)
--- a/coltsfootpier/permits/tests/test_process.py
+++ b/coltsfootpier/permits/tests/test_process.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from coltsfootpier.ownership import key_group
+from coltsfootpier.ownership import compute_key_group
 from standins.cluster import ClientResponse, Cluster, call, read_store, wait_for
 
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -54,7 +54,7 @@
 
 async def _find_owner(cluster: Cluster, key: str) -> str:
     owners = await read_store(cluster.platform.ports["api"], "control/owners")
-    group = key_group(f"idempotency/web/write/{key}")
+    group = compute_key_group(f"idempotency/web/write/{key}")
     return owners["partitions"][group]["member"].split(".")[0]
 
 
--- a/coltsfootpier/permits/tests/test_table.py
+++ b/coltsfootpier/permits/tests/test_table.py
@@ -107,7 +107,7 @@
         self.assertIs(reply.verdict, Verdict.NO_COPY)
         _reconcile(self.manager, OWNER)
         self.assertTrue(self.manager.is_only_member)
-        self.manager.ownership.lose_lease()
+        self.manager.ownership.invalidate_lease()
         self.assertFalse(self.manager.is_only_member)
 
     def test_request_that_may_outlast_the_window_is_rejected(self) -> None:
--- a/coltsfootpier/placement/_commands.py
+++ b/coltsfootpier/placement/_commands.py
@@ -30,7 +30,7 @@
     Running attempts are stopped. Ended ones are forgotten, so that the worker no longer reports
     them.
     """
-    known = {(entry.task, entry.attempt) for entry in held_entries if entry.charged}
+    known = {(entry.task, entry.attempt) for entry in held_entries if entry.is_charged}
     for (task, attempt), report in view.reports.items():
         if (task, attempt) not in known:
             kind = "forget" if report.state == "ended" else "stop"
--- a/coltsfootpier/placement/_shard.py
+++ b/coltsfootpier/placement/_shard.py
@@ -155,7 +155,7 @@
             self._forget_worker(worker)
         view.apply_reply(reply, now_ms)
         for entry in list(self.record.working.values()):
-            if entry.worker != worker or not entry.charged:
+            if entry.worker != worker or not entry.is_charged:
                 continue
             task_report = view.reports.get((entry.task, entry.attempt))
             if entry.incarnation != reply.incarnation:
@@ -267,7 +267,7 @@
         """Release attempts whose leases have expired, and orphan runners on silent workers."""
         now_ms = self._clock.now_ms()
         for entry in list(self.record.working.values()):
-            if not entry.charged:
+            if not entry.is_charged:
                 continue
             view = self.workers.get(entry.worker)
             if now_ms >= self._leases.compute_expiry_ms(view):
@@ -328,7 +328,7 @@
             self._list_durable_entries(worker), key=lambda entry: (-entry.spec.priority, entry.task)
         )
         for entry in durable:
-            if not entry.charged:
+            if not entry.is_charged:
                 continue
             if entry.incarnation != view.incarnation:
                 continue
@@ -456,7 +456,7 @@
         earlier = self.record.working.get(task)
         if earlier is not None and earlier.attempt >= attempt:
             return
-        if earlier is not None and earlier.charged:
+        if earlier is not None and earlier.is_charged:
             # The earlier attempt is orphaned; its entry moves to another name, so that it stays
             # charged to its worker.
             self.record.put(f"{task}#{earlier.attempt}", earlier)
@@ -514,7 +514,7 @@
         for entry in self._list_working_entries(worker):
             key = (entry.task, entry.attempt)
             task_report = view.reports.get(key)
-            if task_report is not None and task_report.state == "running" and entry.charged:
+            if task_report is not None and task_report.state == "running" and entry.is_charged:
                 running[key] = entry
                 self.usage.observe(entry.spec, task_report)
         tasks = [build_neighbour(entry, view.reports[key]) for key, entry in running.items()]
@@ -524,7 +524,7 @@
 
     def _release_attempts_on(self, worker: str, outcome: str, reason: str) -> None:
         for entry in list(self.record.working.values()):
-            if entry.worker == worker and entry.charged:
+            if entry.worker == worker and entry.is_charged:
                 self._release_attempt(entry, outcome, reason)
 
     def _release_reported(self, entry: Placement, task_report: TaskReport) -> None:
@@ -603,13 +603,13 @@
 
     def _sum_charged_sizes(self, worker: str) -> Size:
         return sum_sizes(
-            entry.spec.size for entry in self._list_working_entries(worker) if entry.charged
+            entry.spec.size for entry in self._list_working_entries(worker) if entry.is_charged
         )
 
     def _build_loads(self) -> Iterable[WorkerLoad]:
         entries_by_worker: dict[str, list[Placement]] = defaultdict(list)
         for entry in self.record.working.values():
-            if entry.charged:
+            if entry.is_charged:
                 entries_by_worker[entry.worker].append(entry)
         now_ms = self._clock.now_ms()
         for name, view in self.workers.items():
--- a/coltsfootpier/placement/_views.py
+++ b/coltsfootpier/placement/_views.py
@@ -49,7 +49,7 @@
     avoid: tuple[str, ...] = ()
 
     @property
-    def charged(self) -> bool:
+    def is_charged(self) -> bool:
         """Whether the attempt counts against its worker's capacity."""
         return self.state in ("placed", "stopping", "orphaned")
 
--- a/coltsfootpier/placement/tests/test_recovery.py
+++ b/coltsfootpier/placement/tests/test_recovery.py
@@ -163,7 +163,7 @@
         self.assertEqual(self._list_sync_commands(), [("stop", "service/web/0", 1)])
         released = self.shard.build_exchange_reply(full=False).released
         self.assertEqual([item.task for item in released], ["service/web/0"])
-        self.assertTrue(self.shard.record.durable["service/web/0"].charged)
+        self.assertTrue(self.shard.record.durable["service/web/0"].is_charged)
 
     def test_task_that_exceeds_its_declared_size_is_charged_as_measured(self) -> None:
         """Guards against placing more work on a VM than fits into its memory."""
--- a/coltsfootpier/placement/tests/test_shard.py
+++ b/coltsfootpier/placement/tests/test_shard.py
@@ -162,7 +162,7 @@
         self.clock.advance(20_500.0)
         self.shard.expire_leases()
         entry = self.shard.record.working["service/web/0"]
-        self.assertEqual((entry.state, entry.charged), ("orphaned", True))
+        self.assertEqual((entry.state, entry.is_charged), ("orphaned", True))
 
 
 if __name__ == "__main__":
--- a/coltsfootpier/records/_record.py
+++ b/coltsfootpier/records/_record.py
@@ -106,7 +106,7 @@
         self.fence = 0
         # Whether this owner has written a journal value, so that previous owners can't change the
         # entries any more.
-        self.fenced = False
+        self.is_fenced = False
         # Incremented whenever the durable entries change.
         self.durable_version = 0
         self.listener: Listener | None = None
@@ -128,14 +128,14 @@
         return f"{self.key}/"
 
     @property
-    def dirty(self) -> bool:
+    def is_dirty(self) -> bool:
         """Whether there are changes that require a write and aren't part of one yet."""
         return self._dirty
 
     @property
-    def settled(self) -> bool:
+    def is_settled(self) -> bool:
         """Whether every change is durable."""
-        return self.fenced and not self._dirty and self._in_flight is None
+        return self.is_fenced and not self._dirty and self._in_flight is None
 
     def load(self, *items: Item) -> None:
         """Load the values in the store for a new owner, who must write the record once before use.
@@ -197,7 +197,7 @@
             return None
         self._write_count += 1
         token = f"{self._writer}/{self._write_count}"
-        is_base = self.fenced and self._is_base_due()
+        is_base = self.is_fenced and self._is_base_due()
         self._in_flight = self._build_base(token) if is_base else self._build_delta(token)
         return self._in_flight.write
 
@@ -220,7 +220,7 @@
                 self.durable.pop(name, None)
             else:
                 self.durable[name] = entry
-        self.fenced = True
+        self.is_fenced = True
         self.durable_version += 1
         if self.listener is not None:
             self.listener(set(written.changes), previous, self.durable)
--- a/coltsfootpier/records/tests/test_record.py
+++ b/coltsfootpier/records/tests/test_record.py
@@ -73,7 +73,7 @@
         self.record.put("a", _Entry(1))
         self.assertTrue(_execute_write(self.store, self.record, response_lost=True))
         self.assertEqual(self.record.durable, {"a": _Entry(1)})
-        self.assertTrue(self.record.settled)
+        self.assertTrue(self.record.is_settled)
 
     def test_write_without_effect_is_retried(self) -> None:
         """Guards against treating a change as durable that the store never applied."""
@@ -120,7 +120,7 @@
         self.store.put(late)
         for value in range(301, 600):
             new_owner.put("a", _Entry(value))
-            while not new_owner.settled:
+            while not new_owner.is_settled:
                 self.assertTrue(_execute_write(self.store, new_owner))
         self.assertEqual(_load_as_new_owner(self.store, 3).durable, {"a": _Entry(599)})
 
@@ -196,7 +196,7 @@
             self.assertEqual(index, record.durable)
             entries = replay_record("k", items.values())[1]
             self.assertEqual(entries, unstructure(record.durable))
-            if record.settled and not record._changed:
+            if record.is_settled and not record._changed:
                 self.assertEqual(record.durable, record.working)
 
 
--- a/soak/_invariants.py
+++ b/soak/_invariants.py
@@ -175,7 +175,7 @@
             if process.host.dead:
                 continue
             control = process.daemon.control
-            for partition, epoch in control.ownership.assigned().items():
+            for partition, epoch in control.ownership.list_assigned_epochs().items():
                 if control.ownership.may_act(partition, epoch):
                     if partition in owners:
                         names = f"{owners[partition]} and {process.host.name}"
