Name maintenance, lease and runner calls by what they do

Cause: constants and parameters called maintenance upkeep, and methods were named by nouns or vague verbs. Change: names of the maintenance planner and of the store and runner clients, with every use; stored keys stay.

--- a/coltsfootpier/cli/_store.py
+++ b/coltsfootpier/cli/_store.py
@@ -21,7 +21,7 @@
     REGISTRY_PREFIX,
     StoreClient,
     decode_configuration,
-    decode_entry,
+    decode_runner_entry,
 )
 from coltsfootpier.transport import MalformedMessageError, decode, encode, split_address
 
@@ -60,13 +60,13 @@
     config = await store.get(CONFIG_KEY)
     job_items = await store.list_all(keys.JOBS_PREFIX)
     runner_items = await store.list_all(REGISTRY_PREFIX)
-    upkeep = await store.get(keys.UPKEEP_KEY)
+    maintenance = await store.get(keys.MAINTENANCE_KEY)
     for name, result in (
         ("the owner", owner),
         ("the configuration", config),
         ("the jobs", job_items),
         ("the runners", runner_items),
-        ("the maintenance waves", upkeep),
+        ("the maintenance waves", maintenance),
     ):
         if isinstance(result, Failure):
             return Failure(f"{name} could not be read: {result.failure()}")
@@ -75,14 +75,14 @@
         parsed.unwrap() for parsed in decoded if isinstance(parsed, Success)
     ]
     runners: list[RunnerEntry] = [
-        entry for item in runner_items.unwrap() if (entry := decode_entry(item)) is not None
+        entry for item in runner_items.unwrap() if (entry := decode_runner_entry(item)) is not None
     ]
     version = 0
     if config.unwrap().value is not None:
         configuration = decode_configuration(config.unwrap().value)
         version = configuration.unwrap().version if isinstance(configuration, Success) else 0
     try:
-        waves = _decode_waves(upkeep.unwrap().value)
+        waves = _decode_waves(maintenance.unwrap().value)
     except MalformedMessageError as error:
         return Failure(f"the maintenance waves could not be read: {error}")
     states = Counter(f"{record.queue} {record.state.value}" for record in records)
--- a/coltsfootpier/daemon/_control.py
+++ b/coltsfootpier/daemon/_control.py
@@ -409,7 +409,7 @@
             self.last_store_response_ms = self._clock.now_ms()
             self.listed_ms = sent_ms
             change = watched.unwrap()
-            observed_revision = -1 if change.reset else change.revision
+            observed_revision = -1 if change.is_history_lost else change.revision
             if change.items:
                 self._observe_items(change.items)
                 await self._claim_partitions()
--- a/coltsfootpier/maintenance/_planner.py
+++ b/coltsfootpier/maintenance/_planner.py
@@ -390,7 +390,7 @@
         settings = self._settings
         remaining_rounds = math.ceil(len(self._list_pending_vms(state)) / state.wave.max_down)
         spare_ms = (state.deadline_ms - now_ms) / max(1, remaining_rounds)
-        spare_ms -= settings.upkeep_ms + settings.round_margin_ms
+        spare_ms -= settings.maintenance_ms + settings.round_margin_ms
         return min(settings.idle_wait_ms, max(0.0, spare_ms))
 
     def _complete_if_done(self, state: _WaveState) -> None:
@@ -404,7 +404,7 @@
             state.completed = True
             self._log("maintenance wave complete", wave=state.wave.number, begun=len(state.begun))
 
-    def handle_outcome(
+    def apply_outcome(
         self, command: MaintenanceCommand, outcome: MaintenanceOutcome, now_ms: float
     ) -> None:
         """Update the progress of a VM after a command, and schedule a retry if it needs one."""
@@ -471,6 +471,6 @@
             )
         )
 
-    def list_states(self) -> dict[int, bool]:
+    def get_completion_by_wave(self) -> dict[int, bool]:
         """Return whether each wave is complete, by number."""
         return {number: state.completed for number, state in self._waves.items()}
--- a/coltsfootpier/maintenance/_settings.py
+++ b/coltsfootpier/maintenance/_settings.py
@@ -11,7 +11,7 @@
 
     Parameters
     ----------
-    upkeep_ms : float
+    maintenance_ms : float
         Duration of the maintenance of a VM; an upper bound given by the platform.
     idle_wait_ms : float
         Longest time that a cordoned VM waits to become idle. A typical batch task takes 800 to
@@ -29,7 +29,7 @@
         to one VM, plus the longest duration of a call.
     """
 
-    upkeep_ms: float = 2_000.0
+    maintenance_ms: float = 2_000.0
     idle_wait_ms: float = 2_500.0
     round_margin_ms: float = 1_000.0
     resend_delay_ms: float = 300.0
--- a/coltsfootpier/maintenance/tests/builders.py
+++ b/coltsfootpier/maintenance/tests/builders.py
@@ -142,7 +142,7 @@
         """Replace the planner by that of the next owner."""
         self.cordons = FakeCordons()
         self.planner = MaintenancePlanner(
-            settings=MaintenanceSettings(upkeep_ms=MAINTENANCE_MS),
+            settings=MaintenanceSettings(maintenance_ms=MAINTENANCE_MS),
             cordons=self.cordons,
             record=record,
             log=lambda event, /, **fields: self.events.append(event),
@@ -191,7 +191,7 @@
                 outcome = self.execute(command)
             if response is Response.LOST:
                 outcome = MaintenanceOutcome.UNKNOWN
-            self.planner.handle_outcome(command, outcome, self.now_ms)
+            self.planner.apply_outcome(command, outcome, self.now_ms)
 
     def run(self, duration_ms: float) -> None:
         """Simulate a time span in steps of 100 ms."""
--- a/coltsfootpier/maintenance/tests/test_planner.py
+++ b/coltsfootpier/maintenance/tests/test_planner.py
@@ -22,7 +22,7 @@
         simulation.waves = [build_wave("a", "b", "c")]
         simulation.run(12_000)
         self.assertEqual(simulation.maintenance_counts, [1, 1, 1, 0])
-        self.assertEqual(simulation.planner.list_states(), {1: True})
+        self.assertEqual(simulation.planner.get_completion_by_wave(), {1: True})
         self.assertFalse(simulation.planner.is_active)
         self.assertEqual((simulation.cordons.cordoned, simulation.cordons.ending), (set(), set()))
 
@@ -41,7 +41,7 @@
         """Guards against a wave reported as complete while a VM still waits for maintenance."""
         simulation = SimulatedVms("a", "b")
         simulation.waves = [build_wave("a", "b")]
-        while not simulation.planner.list_states().get(1):
+        while not simulation.planner.get_completion_by_wave().get(1):
             self.assertLess(simulation.now_ms, 20_000)
             simulation.step()
         self.assertEqual(simulation.maintenance_counts, [1, 1])
@@ -51,7 +51,7 @@
         simulation = SimulatedVms("a")
         simulation.waves = [build_wave("a", "lost")]
         simulation.run(6_000)
-        self.assertEqual(simulation.planner.list_states(), {1: True})
+        self.assertEqual(simulation.planner.get_completion_by_wave(), {1: True})
 
     def test_vm_missing_from_one_listing(self):
         """Guards against a wave reported as complete because one listing missed a VM."""
@@ -63,14 +63,14 @@
         simulation.step()
         simulation.vms["b"] = missing
         simulation.step()
-        self.assertEqual(simulation.planner.list_states(), {1: False})
+        self.assertEqual(simulation.planner.get_completion_by_wave(), {1: False})
 
     def test_empty_listing(self):
         """Guards against a wave reported as complete before any VM was listed."""
         simulation = SimulatedVms()
         simulation.waves = [build_wave("a")]
         simulation.run(1_000)
-        self.assertEqual(simulation.planner.list_states(), {1: False})
+        self.assertEqual(simulation.planner.get_completion_by_wave(), {1: False})
 
     def test_vm_added_to_completed_wave(self):
         """Guards against ignoring a VM that operators add to a completed wave."""
@@ -80,7 +80,8 @@
         simulation.waves = [build_wave("a", "b")]
         simulation.run(6_000)
         self.assertEqual(
-            (simulation.maintenance_counts, simulation.planner.list_states()), ([1, 1], {1: True})
+            (simulation.maintenance_counts, simulation.planner.get_completion_by_wave()),
+            ([1, 1], {1: True}),
         )
 
     def test_withdrawn_wave(self):
@@ -102,7 +103,7 @@
         simulation.waves = [build_wave("a")]
         simulation.run(2_000)
         self.assertEqual(len(simulation.commands), 1)
-        self.assertEqual(simulation.planner.list_states(), {1: True})
+        self.assertEqual(simulation.planner.get_completion_by_wave(), {1: True})
 
     def test_two_waves_with_one_vm(self):
         """Guards against commands of two waves to one VM at the same time."""
@@ -113,7 +114,7 @@
             len({command.vm_id for command in simulation.commands}), len(simulation.commands)
         )
         simulation.run(10_000)
-        self.assertEqual(simulation.planner.list_states(), {1: True, 2: True})
+        self.assertEqual(simulation.planner.get_completion_by_wave(), {1: True, 2: True})
 
 
 class ChoiceTest(unittest.TestCase):
@@ -249,7 +250,7 @@
         simulation.waves = [build_wave("a", "b")]
         simulation.run(5_000)
         self.assertEqual(simulation.commands, [MaintenanceCommand(wave=1, vm_id="b")])
-        self.assertEqual(simulation.planner.list_states(), {1: True})
+        self.assertEqual(simulation.planner.get_completion_by_wave(), {1: True})
 
     def test_completed_wave_stays_completed(self):
         """Guards against a completed wave shown as running again after a change of owner."""
@@ -259,7 +260,9 @@
         simulation = SimulatedVms("a", record=record)
         simulation.waves = [build_wave("a")]
         simulation.run(1_000)
-        self.assertEqual((simulation.commands, simulation.planner.list_states()), ([], {1: True}))
+        self.assertEqual(
+            (simulation.commands, simulation.planner.get_completion_by_wave()), ([], {1: True})
+        )
 
 
 if __name__ == "__main__":
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -41,7 +41,7 @@
     AdviceClient,
     StoreClient,
     VmClient,
-    decode_entry,
+    decode_runner_entry,
 )
 from coltsfootpier.transport import encode
 
@@ -193,7 +193,7 @@
         while self.cell.jobs.dirty_count and self._clock.now_ms() < deadline_ms:
             await self._committer.wait_commit(_timing.STORE_BACKOFF_MS)
         self._stop("resigned")
-        await self._store.end_lease(self._lease_renewer.lease)
+        await self._store.revoke_lease(self._lease_renewer.lease)
 
     # Requests about jobs
 
@@ -397,7 +397,9 @@
             now_ms = self._clock.now_ms()
             if isinstance(result, Success):
                 entries = [
-                    entry for item in result.unwrap() if (entry := decode_entry(item)) is not None
+                    entry
+                    for item in result.unwrap()
+                    if (entry := decode_runner_entry(item)) is not None
                 ]
                 self._apply_registry(entries, now_ms)
             else:
@@ -466,7 +468,7 @@
             records=self._committer,
             record=record,
             clock=self._clock,
-            upkeep_ms=settings.upkeep_ms,
+            maintenance_ms=settings.upkeep_ms,
             command_pause_ms=settings.order_pause_ms,
             get_waves=self._get_waves,
             may_send_commands=lambda: self._lease_renewer.is_valid,
--- a/coltsfootpier/node/_records.py
+++ b/coltsfootpier/node/_records.py
@@ -12,7 +12,7 @@
 from coltsfootpier.jobs import JobRecord, decode_record
 from coltsfootpier.logs import log_event
 from coltsfootpier.maintenance import MaintenanceRecord
-from coltsfootpier.node.keys import FLEET_KEY, JOBS_PREFIX, LEARNED_KEY, UPKEEP_KEY
+from coltsfootpier.node.keys import FLEET_KEY, JOBS_PREFIX, LEARNED_KEY, MAINTENANCE_KEY
 from coltsfootpier.platform import PlatformError, StoreClient
 from coltsfootpier.transport import MalformedMessageError, decode, encode
 
@@ -72,7 +72,7 @@
     learned = await _load_one(store, LEARNED_KEY, LearnedState)
     if isinstance(learned, Failure):
         return learned
-    maintenance = await _load_one(store, UPKEEP_KEY, MaintenanceRecord)
+    maintenance = await _load_one(store, MAINTENANCE_KEY, MaintenanceRecord)
     if isinstance(maintenance, Failure):
         return maintenance
     records = []
--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -149,7 +149,7 @@
             deadline_ms = runner_now_ms + self._run_lease_ms
             call_number = self._record_call(self._run_lease_ms)
         self.report_count += 1
-        result = await self._client.report(
+        result = await self._client.poll_report(
             deadline_ms=deadline_ms,
             observed=cell.fleet.last_durable_end(self.id),
             # A long poll would return at once while the runner still lists earlier ended runs.
@@ -206,7 +206,7 @@
             self._cell.handle_stop_response(self.id, command.run, self._clock.now_ms())
 
     async def _send_pace(self, command: PaceRun) -> None:
-        if not await self._client.pace(command, timeout_ms=_timing.RUNNER_TIMEOUT_MS):
+        if not await self._client.set_pace(command, timeout_ms=_timing.RUNNER_TIMEOUT_MS):
             self._cell.handle_pace_failure(self.id, command.run)
 
 
--- a/coltsfootpier/node/_vms.py
+++ b/coltsfootpier/node/_vms.py
@@ -23,7 +23,7 @@
     WorkerVm,
 )
 from coltsfootpier.node import _timing
-from coltsfootpier.node.keys import UPKEEP_KEY
+from coltsfootpier.node.keys import MAINTENANCE_KEY
 from coltsfootpier.platform import encode_wave_status
 from coltsfootpier.transport import CallError, encode
 
@@ -89,7 +89,7 @@
         Progress that earlier owners have recorded.
     clock : Clock
         Time source.
-    upkeep_ms : float
+    maintenance_ms : float
         Time in ms that the maintenance of a VM takes.
     command_pause_ms : float
         Minimum time in ms between the commands of two owners for one VM.
@@ -113,7 +113,7 @@
         records: RecordWriter,
         record: MaintenanceRecord,
         clock: Clock,
-        upkeep_ms: float,
+        maintenance_ms: float,
         command_pause_ms: float,
         get_waves: Callable[[], Iterable[Wave]],
         may_send_commands: Callable[[], bool],
@@ -130,7 +130,8 @@
         self._on_fenced = on_fenced
         self._planner = MaintenancePlanner(
             settings=MaintenanceSettings(
-                upkeep_ms=upkeep_ms, takeover_delay_ms=command_pause_ms + _timing.VM_TIMEOUT_MS
+                maintenance_ms=maintenance_ms,
+                takeover_delay_ms=command_pause_ms + _timing.VM_TIMEOUT_MS,
             ),
             cordons=cordons,
             record=record,
@@ -181,7 +182,7 @@
             return False
         # Commands are recorded before they are sent, so that a later owner accounts for one that
         # takes effect late.
-        while not self._records.is_written(UPKEEP_KEY):
+        while not self._records.is_written(MAINTENANCE_KEY):
             await self._records.wait_commit(_timing.STORE_TIMEOUT_MS)
         async with anyio.create_task_group() as group:
             for command in commands:
@@ -196,7 +197,7 @@
             outcome = await self._client.start_maintenance(
                 command, timeout_ms=_timing.VM_TIMEOUT_MS
             )
-        self._planner.handle_outcome(command, outcome, self._clock.now_ms())
+        self._planner.apply_outcome(command, outcome, self._clock.now_ms())
         if outcome is MaintenanceOutcome.FENCED:
             self._on_fenced(command.vm_id)
 
@@ -205,8 +206,8 @@
         record = self._planner.export()
         if record != self._last_record:
             self._last_record = record
-            self._records.put_record(UPKEEP_KEY, encode(record))
-        for number, completed in self._planner.list_states().items():
+            self._records.put_record(MAINTENANCE_KEY, encode(record))
+        for number, completed in self._planner.get_completion_by_wave().items():
             if self._published.get(number) != completed:
                 self._published[number] = completed
                 self._records.put_record(*encode_wave_status(number, completed=completed))
--- a/coltsfootpier/node/keys.py
+++ b/coltsfootpier/node/keys.py
@@ -12,7 +12,7 @@
 HEAD_KEY = "cells/0/head"
 FLEET_KEY = "cells/0/fleet"
 LEARNED_KEY = "cells/0/learned"
-UPKEEP_KEY = "cells/0/upkeep"
+MAINTENANCE_KEY = "cells/0/upkeep"
 JOBS_PREFIX = "cells/0/jobs/"
 
 
--- a/coltsfootpier/node/tests/test_vms.py
+++ b/coltsfootpier/node/tests/test_vms.py
@@ -17,7 +17,7 @@
 from coltsfootpier.maintenance.tests.builders import FakeCordons, build_wave
 from coltsfootpier.node import _timing
 from coltsfootpier.node._vms import VmTask
-from coltsfootpier.node.keys import UPKEEP_KEY
+from coltsfootpier.node.keys import MAINTENANCE_KEY
 from coltsfootpier.transport import Unanswered, decode
 
 PAUSE_MS = 3_000.0
@@ -124,7 +124,7 @@
             records=self.records,
             record=record or MaintenanceRecord(),
             clock=self.clock,
-            upkeep_ms=2_000.0,
+            maintenance_ms=2_000.0,
             command_pause_ms=PAUSE_MS,
             get_waves=get_waves,
             may_send_commands=lambda: self.may_send_commands,
@@ -142,7 +142,7 @@
             anyio.run(run)
 
     def _read_record(self):
-        return decode(self.records.values[UPKEEP_KEY], MaintenanceRecord).waves[0]
+        return decode(self.records.values[MAINTENANCE_KEY], MaintenanceRecord).waves[0]
 
     def test_wave_is_completed(self):
         """Guards against a complete wave that isn't reported to operators as complete."""
@@ -161,7 +161,7 @@
         """Guards against a command that takes effect late and is unknown to the next owner."""
         seen = []
         self.vms.on_command = lambda command: seen.append(
-            decode(self.records.written[UPKEEP_KEY], MaintenanceRecord).waves[0].ordered
+            decode(self.records.written[MAINTENANCE_KEY], MaintenanceRecord).waves[0].ordered
         )
         self._run(20)
         self.assertEqual(seen, [("m-1",)])
--- a/coltsfootpier/platform/__init__.py
+++ b/coltsfootpier/platform/__init__.py
@@ -36,7 +36,7 @@
     REGISTRY_PREFIX,
     AdviceClient,
     RunnerClient,
-    decode_entry,
+    decode_runner_entry,
 )
 from coltsfootpier.platform._settings import SETTINGS_VARIABLE, read_node_settings
 from coltsfootpier.platform._store import MAX_ENTRIES, StoreClient
@@ -70,7 +70,7 @@
     "WatchResult",
     "Write",
     "decode_configuration",
-    "decode_entry",
+    "decode_runner_entry",
     "decode_job",
     "decode_wave",
     "encode_pending",
--- a/coltsfootpier/platform/_client.py
+++ b/coltsfootpier/platform/_client.py
@@ -106,7 +106,7 @@
         result = await self._store.watch(prefix, after=after, wait_ms=wait_ms)
         if isinstance(result, Failure):
             if isinstance(result.failure(), HistoryLost):
-                return Success(WatchResult((), after, reset=True))
+                return Success(WatchResult((), after, is_history_lost=True))
             return result
         events = result.unwrap()
         return _decode_values(events.items).map(
@@ -123,7 +123,7 @@
 
     async def revoke_lease(self, lease: str) -> Result[str, PlatformError]:
         """End a lease and delete its keys; return its identifier."""
-        return (await self._store.end_lease(int(lease))).map(lambda _: lease)
+        return (await self._store.revoke_lease(int(lease))).map(lambda _: lease)
 
     async def list_vms(self) -> Result[tuple[Vm, ...], PlatformError]:
         """Read the list of VMs, which may be out of date."""
--- a/coltsfootpier/platform/_messages.py
+++ b/coltsfootpier/platform/_messages.py
@@ -40,11 +40,11 @@
 
 @attrs.frozen
 class WatchResult:
-    """Items that changed after a store revision; after `reset` a new listing is required."""
+    """Items that changed after a store revision; if `is_history_lost`, list all items anew."""
 
     items: tuple[Item, ...]
     revision: int
-    reset: bool = False
+    is_history_lost: bool = False
 
 
 @attrs.frozen
--- a/coltsfootpier/platform/_runners.py
+++ b/coltsfootpier/platform/_runners.py
@@ -49,7 +49,7 @@
 _USABLE_STATES = frozenset({"ready", "draining"})
 
 
-def decode_entry(item: Item) -> RunnerEntry | None:
+def decode_runner_entry(item: Item) -> RunnerEntry | None:
     """Return the runner described by an item of the registry; None for a malformed item.
 
     Other writers may store items with missing fields or undecodable bytes. Such items don't
@@ -180,7 +180,7 @@
         result = await self._send_command("run-stop", body, timeout_ms)
         return isinstance(result, Success) and result.unwrap().status == 200
 
-    async def pace(self, command: PaceRun, *, timeout_ms: float) -> bool:
+    async def set_pace(self, command: PaceRun, *, timeout_ms: float) -> bool:
         """Limit a run to a percentage of its speed; return whether the runner confirmed it."""
         body = {
             "task": format_task(command.run.job_id, command.run.key),
@@ -191,7 +191,7 @@
         result = await self._send_command("pace", body, timeout_ms)
         return isinstance(result, Success) and result.unwrap().status == 200
 
-    async def report(
+    async def poll_report(
         self, *, deadline_ms: float | None, observed: int, wait_ms: int, timeout_ms: float
     ) -> Result[RunnerReport, CallError | StartOutcome]:
         """Extend the leases of the runs on the runner, and read its running and ended runs.
--- a/coltsfootpier/platform/_store.py
+++ b/coltsfootpier/platform/_store.py
@@ -216,7 +216,7 @@
             lambda reply: _decode_success(reply, lambda value: float(value["ttl_ms"]))
         )
 
-    async def end_lease(self, lease: int) -> Result[None, PlatformError]:
+    async def revoke_lease(self, lease: int) -> Result[None, PlatformError]:
         """End a lease and remove its keys."""
         result = await self._call("DELETE", f"/kv-lease-end/{lease}")
         return result.bind(
--- a/coltsfootpier/platform/tests/test_decoding.py
+++ b/coltsfootpier/platform/tests/test_decoding.py
@@ -11,7 +11,7 @@
 from coltsfootpier.platform import (
     Item,
     decode_configuration,
-    decode_entry,
+    decode_runner_entry,
     read_node_settings,
 )
 from coltsfootpier.platform._runners import format_task, parse_task
@@ -40,14 +40,14 @@
 
     def test_fields(self):
         """Guards against reading the rack or the start time from the wrong field."""
-        entry = decode_entry(build_item())
+        entry = decode_runner_entry(build_item())
         self.assertEqual((entry.id, entry.rack, entry.cpu_milli), ("i-1", "r1-3", 16000))
         self.assertEqual(entry.started_unix_ms, 1700000000000)
         self.assertFalse(entry.draining)
 
     def test_draining(self):
         """Guards against placing new tasks on a draining runner."""
-        entry = decode_entry(build_item(state="draining", remaining_ms=1500))
+        entry = decode_runner_entry(build_item(state="draining", remaining_ms=1500))
         self.assertTrue(entry.draining)
         self.assertEqual(entry.remaining_ms, 1500)
 
@@ -66,10 +66,10 @@
         ]
         for changes in malformed:
             with self.subTest(changes=changes):
-                self.assertIsNone(decode_entry(build_item(**changes)))
+                self.assertIsNone(decode_runner_entry(build_item(**changes)))
         for value in (b"\xff\x00", b"[]", b"", b"null", None):
             with self.subTest(value=value):
-                self.assertIsNone(decode_entry(Item("servers/i-1", value, 5, 5)))
+                self.assertIsNone(decode_runner_entry(Item("servers/i-1", value, 5, 5)))
 
 
 class TaskNameTest(unittest.TestCase):
