Name HTTP connections, body limits and responses by what they are

Cause: connections were called lean, a truncated body cut, and body limits had no unit. Change: names of the transport and their uses; the module _lean is now _httptools.

--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -85,7 +85,7 @@
     end_s = time.monotonic() + duration_s
 
     async def run_caller(port: int) -> None:
-        connection = Connection(host="127.0.0.1", port=port, clock=clock, max_body=1_000_000)
+        connection = Connection(host="127.0.0.1", port=port, clock=clock, max_body_bytes=1_000_000)
         while time.monotonic() < end_s:
             start_ms = clock.now_ms()
             result = await connection.exchange(
--- a/benchmarks/permits.py
+++ b/benchmarks/permits.py
@@ -78,7 +78,9 @@
     """Return the latencies, and the processor time of all daemons per request, in milliseconds."""
     clock = MonotonicClock()
     connections = [
-        Connection(host="127.0.0.1", port=daemon.ports["callers"], clock=clock, max_body=10_000)
+        Connection(
+            host="127.0.0.1", port=daemon.ports["callers"], clock=clock, max_body_bytes=10_000
+        )
         for daemon in cluster.daemons.values()
     ]
     before_ms = _read_cpu_ms(cluster)
--- a/coltsfootpier/backend_servers/_client.py
+++ b/coltsfootpier/backend_servers/_client.py
@@ -85,14 +85,14 @@
     entry_vms : int
         Maximum number of entry VMs. Each entry VM uses an equal part of the connections that a
         runner accepts.
-    max_body : int
+    max_body_bytes : int
         Maximum size of an accepted response body in bytes.
     """
 
-    def __init__(self, *, clock: Clock, entry_vms: int, max_body: int) -> None:
+    def __init__(self, *, clock: Clock, entry_vms: int, max_body_bytes: int) -> None:
         self._clock = clock
         self._entry_vms = entry_vms
-        self._max_body = max_body
+        self._max_body_bytes = max_body_bytes
         self._channels: dict[str, Channel] = {}
         self._task_group: TaskGroup | None = None
 
@@ -180,7 +180,7 @@
                 port=port,
                 clock=self._clock,
                 connections=max(1, min(runner.slots, runner.connections // self._entry_vms)),
-                max_body=self._max_body,
+                max_body_bytes=self._max_body_bytes,
             )
             self._channels[runner.id] = channel
             self._task_group.start_soon(channel.run)
--- a/coltsfootpier/callers/_application.py
+++ b/coltsfootpier/callers/_application.py
@@ -40,9 +40,9 @@
     Ticket,
 )
 from coltsfootpier.transport import (
-    BodyCutError,
     BodyError,
     BodyStream,
+    BodyTruncatedError,
     HttpResponse,
     NotSent,
     Scope,
@@ -166,7 +166,7 @@
         Counters.
     get_declaration : callable
         Function that returns the declaration in force.
-    max_body : int
+    max_body_bytes : int
         Largest accepted body in bytes.
     default_deadline_ms : float
         Time allowed for a request without a deadline header.
@@ -175,7 +175,7 @@
     ----------
     in_flight : int
         Number of requests whose response has not been sent completely.
-    draining : bool
+    is_draining : bool
         Whether responses ask callers to close their connections.
     """
 
@@ -188,7 +188,7 @@
         pool: RunnerPool,
         stats: RequestStats,
         get_declaration: Callable[[], Declaration],
-        max_body: int,
+        max_body_bytes: int,
         default_deadline_ms: float,
     ) -> None:
         self._clock = clock
@@ -197,10 +197,10 @@
         self._pool = pool
         self._stats = stats
         self._get_declaration = get_declaration
-        self._max_body_bytes = max_body
+        self._max_body_bytes = max_body_bytes
         self._default_deadline_ms = default_deadline_ms
         self.in_flight = 0
-        self.draining = False
+        self.is_draining = False
 
     async def __call__(self, scope: Scope, receive: Callable, send: Callable) -> None:
         if scope["type"] != "http":
@@ -216,7 +216,7 @@
                 (b"x-request-id", request_id.encode("latin-1")),
                 (b"x-outcome", handled.outcome.value.encode()),
             )
-            if self.draining:
+            if self.is_draining:
                 # Callers move to another entry VM before the listener is closed, so that no request
                 # is sent on a connection that is being closed at the same time.
                 extra_headers = (*extra_headers, (b"connection", b"close"))
@@ -229,7 +229,7 @@
             try:
                 await send_large_response(send, response, handled.rest, handled.length)
                 self._record(service, handled, arrived_ms)
-            except BodyCutError as error:
+            except BodyTruncatedError as error:
                 # The response stays incomplete and the connection is closed, so the caller can't
                 # mistake it for a complete response.
                 truncated = attrs.evolve(handled, outcome=Outcome.UNKNOWN, reason="answer_cut")
@@ -301,7 +301,7 @@
             body = await read_upload(
                 scope,
                 receive,
-                max_body=self._max_body_bytes,
+                max_body_bytes=self._max_body_bytes,
                 # Permits compare complete bodies, so only requests without permits are streamed.
                 max_buffered_bytes=(
                     MAX_BUFFERED_BODY_BYTES
@@ -485,7 +485,7 @@
     return _HandledRequest(
         outcome=recorded.outcome,
         response=attrs.evolve(
-            HttpResponse.of(outcome, 502 if is_unknown else recorded.status),
+            HttpResponse.from_message(outcome, 502 if is_unknown else recorded.status),
             headers=((b"idempotent-replayed", b"true"),),
         ),
         reason="replayed",
--- a/coltsfootpier/configuration/_state.py
+++ b/coltsfootpier/configuration/_state.py
@@ -62,7 +62,7 @@
         self.declaration = Declaration.empty()
         # Whether any revision is known: the store was read or a peer has sent a revision, even if
         # it is revision 0.
-        self.known = False
+        self.is_known = False
 
     def observe(self, revision: Revision) -> bool:
         """Apply a revision from the store or a peer if it is newer.
@@ -84,7 +84,7 @@
         RevisionContentError
             If a revision with the same number but another token is in force.
         """
-        self.known = True
+        self.is_known = True
         if revision.revision == self.revision.revision and revision.token != self.revision.token:
             raise RevisionContentError(
                 f"revision {revision.revision} has token {revision.token!r}, but was seen with "
--- a/coltsfootpier/daemon/_control.py
+++ b/coltsfootpier/daemon/_control.py
@@ -172,7 +172,7 @@
     @property
     def known_revision(self) -> int:
         """Newest known revision; -1 until the store or a peer has reported one."""
-        return self.revisions.revision.revision if self.revisions.known else -1
+        return self.revisions.revision.revision if self.revisions.is_known else -1
 
     @property
     def shards(self) -> list[str]:
@@ -397,7 +397,7 @@
                 self._live_members.clear()
                 self.listed_ms = sent_ms
                 self._observe_items(listing.unwrap().items)
-                self.revisions.known = True
+                self.revisions.is_known = True
                 self.last_store_response_ms = self._clock.now_ms()
             watched = await self._platform.watch(
                 _CONTROL_PREFIX, after=observed_revision, wait_ms=_WATCH_TIMEOUT_MS
--- a/coltsfootpier/daemon/_daemon.py
+++ b/coltsfootpier/daemon/_daemon.py
@@ -186,7 +186,7 @@
         self._pool = RunnerPool(
             clock=self._clock,
             entry_vms=bounds["entry_vms"],
-            max_body=bounds["answer_body_bytes"],
+            max_body_bytes=bounds["answer_body_bytes"],
         )
         self.permits = PermitService(
             settings=settings,
@@ -202,7 +202,7 @@
             pool=self._pool,
             stats=self.stats,
             get_declaration=lambda: self.control.revisions.declaration,
-            max_body=bounds["request_body_bytes"],
+            max_body_bytes=bounds["request_body_bytes"],
             default_deadline_ms=bounds["default_deadline_ms"],
         )
         self._peers: dict[str, _Peer] = {}
@@ -268,7 +268,7 @@
 
     async def _drain(self, caller_server: Server) -> None:
         self._draining = True
-        self._callers.draining = True
+        self._callers.is_draining = True
         log_event("drain started", in_flight=self._callers.in_flight)
         await anyio.sleep(self._settings.periods["drain_delay_ms"] / 1000)
         caller_server.stop()
@@ -690,7 +690,7 @@
         """Return the reason why the daemon accepts no requests; empty if it is ready."""
         if self._draining:
             return "draining"
-        if not self.control.revisions.known:
+        if not self.control.revisions.is_known:
             seeds = self._settings.peers["seeds"]
             seed_state = "no seed has answered" if seeds else "no seeds are set"
             return f"no configuration: the store has not answered and {seed_state}"
--- a/coltsfootpier/node/_callers.py
+++ b/coltsfootpier/node/_callers.py
@@ -49,7 +49,9 @@
 
 
 def _build_retry_response(status: int, reason: str, retry_after_ms: float) -> HttpResponse:
-    response = HttpResponse.of({"error": reason, "retry_after_ms": round(retry_after_ms)}, status)
+    response = HttpResponse.from_message(
+        {"error": reason, "retry_after_ms": round(retry_after_ms)}, status
+    )
     seconds = str(max(1, math.ceil(retry_after_ms / 1000)))
     return attrs.evolve(response, headers=((b"retry-after", seconds.encode()),))
 
@@ -112,7 +114,9 @@
             return HttpResponse.problem(404, "unknown_queue", path)
         deadline_ms = self._clock.now_ms() + self._compute_remaining_ms(headers, route)
         try:
-            body = await read_body(scope, receive, max_body=configuration.limits.max_body_bytes)
+            body = await read_body(
+                scope, receive, max_body_bytes=configuration.limits.max_body_bytes
+            )
         except BodyError as error:
             return error.response
         name = path[len(route.prefix) :]
@@ -153,7 +157,7 @@
         )
         response = await self._owner_client.send_request(request, deadline_ms)
         if response.status is ResponseStatus.ACCEPTED:
-            return HttpResponse.of({"state": JobState.QUEUED.value})
+            return HttpResponse.from_message({"state": JobState.QUEUED.value})
         if response.status is ResponseStatus.REFUSED:
             status = 429 if response.reason in _OVERLOAD_REASONS else 503
             return _build_retry_response(status, response.reason, response.retry_after_ms)
@@ -172,7 +176,7 @@
         request = CancelJob(job_id=job_id, left_ms=deadline_ms - self._clock.now_ms())
         response = await self._owner_client.send_request(request, deadline_ms)
         if response.status is ResponseStatus.KNOWN:
-            return HttpResponse.of({"state": JobState.CANCELLED.value})
+            return HttpResponse.from_message({"state": JobState.CANCELLED.value})
         if response.status is ResponseStatus.MISSING:
             return HttpResponse.problem(410, "no_such_job", job_id)
         return HttpResponse.problem(504, "undecided", response.reason)
--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -98,9 +98,11 @@
             incarnation=self._incarnation,
             availability_zone=settings.availability_zone,
         )
-        readiness = Application(routes={"GET /": self._report_readiness}, max_body=_MAX_PROBE_BYTES)
+        readiness = Application(
+            routes={"GET /": self._report_readiness}, max_body_bytes=_MAX_PROBE_BYTES
+        )
         metrics = Application(
-            routes={"GET /metrics": self._render_metrics}, max_body=_MAX_PROBE_BYTES
+            routes={"GET /metrics": self._render_metrics}, max_body_bytes=_MAX_PROBE_BYTES
         )
         peers = build_peer_application(get_owner=lambda: self._owner)
         limited_protocol = build_protocol(self._get_limits, self._record_closed_connection)
@@ -176,7 +178,7 @@
             and not self._callers.is_draining
             and not self._reachability.is_unreachable
         )
-        return HttpResponse.of({"ready": ready}, 200 if ready else 503)
+        return HttpResponse.from_message({"ready": ready}, 200 if ready else 503)
 
     async def _render_metrics(self, _: HttpRequest) -> HttpResponse:
         configuration, owner, counts = self._control.configuration, self._owner, self._store.counts
--- a/coltsfootpier/node/_peers.py
+++ b/coltsfootpier/node/_peers.py
@@ -19,7 +19,7 @@
     CallError,
     HttpRequest,
     HttpResponse,
-    LeanPool,
+    HttptoolsPool,
     MalformedMessageError,
     Unanswered,
     decode,
@@ -99,13 +99,13 @@
             request = decode(http_request.body, kind)
             owner = get_owner()
             if owner is None:
-                return HttpResponse.of(NOT_OWNER)
-            return HttpResponse.of(await pass_to_owner(owner, request))
+                return HttpResponse.from_message(NOT_OWNER)
+            return HttpResponse.from_message(await pass_to_owner(owner, request))
 
         return handle_request
 
     routes = {f"POST {path}": build_handler(kind) for kind, path in _PATHS.items()}
-    return Application(routes=routes, max_body=_MAX_MESSAGE_BYTES)
+    return Application(routes=routes, max_body_bytes=_MAX_MESSAGE_BYTES)
 
 
 class PeerClient:
@@ -122,7 +122,7 @@
     def __init__(self, *, address: str, clock: Clock) -> None:
         host, port = split_address(address)
         self.address = address
-        self._pool = LeanPool(host=host, port=port, clock=clock, connections=_MAX_CONNECTIONS)
+        self._pool = HttptoolsPool(host=host, port=port, clock=clock, connections=_MAX_CONNECTIONS)
 
     async def send_request(
         self, request: JobRequest, *, timeout_ms: float
--- a/coltsfootpier/operators/_client.py
+++ b/coltsfootpier/operators/_client.py
@@ -63,7 +63,9 @@
 
     def __init__(self, *, address: str, clock: Clock, timeout_ms: float = 10_000) -> None:
         host, port = split_address(address)
-        self._connection = Connection(host=host, port=port, clock=clock, max_body=_MAX_BODY_BYTES)
+        self._connection = Connection(
+            host=host, port=port, clock=clock, max_body_bytes=_MAX_BODY_BYTES
+        )
         self._timeout_ms = timeout_ms
 
     async def apply(self, request: ApplyRequest) -> Result[ApplyReply, OperatorError]:
--- a/coltsfootpier/operators/_server.py
+++ b/coltsfootpier/operators/_server.py
@@ -51,27 +51,29 @@
     """Return the application that serves the operators' interface."""
 
     async def health(_: HttpRequest) -> HttpResponse:
-        return HttpResponse.of({"status": "ok"})
+        return HttpResponse.from_message({"status": "ok"})
 
     async def ready(_: HttpRequest) -> HttpResponse:
         reason = handlers.get_unready_reason()
-        return HttpResponse.of({"ready": not reason, "reason": reason}, 503 if reason else 200)
+        return HttpResponse.from_message(
+            {"ready": not reason, "reason": reason}, 503 if reason else 200
+        )
 
     async def metrics(_: HttpRequest) -> HttpResponse:
         return HttpResponse(body=handlers.render_metrics(), content_type=b"text/plain")
 
     async def apply(request: HttpRequest) -> HttpResponse:
         reply = await handlers.on_apply(decode(request.body, ApplyRequest))
-        return HttpResponse.of(reply, _STATUS_BY_OUTCOME[reply.outcome])
+        return HttpResponse.from_message(reply, _STATUS_BY_OUTCOME[reply.outcome])
 
     async def status(_: HttpRequest) -> HttpResponse:
-        return HttpResponse.of(await handlers.on_status())
+        return HttpResponse.from_message(await handlers.on_status())
 
     async def config(_: HttpRequest) -> HttpResponse:
-        return HttpResponse.of(await handlers.on_pull_revision())
+        return HttpResponse.from_message(await handlers.on_pull_revision())
 
     async def burn(_: HttpRequest) -> HttpResponse:
-        return HttpResponse.of(await handlers.on_burn())
+        return HttpResponse.from_message(await handlers.on_burn())
 
     return Application(
         routes={
@@ -83,5 +85,5 @@
             "GET /v1/config": config,
             "GET /v1/burn": burn,
         },
-        max_body=_MAX_BODY_BYTES,
+        max_body_bytes=_MAX_BODY_BYTES,
     )
--- a/coltsfootpier/peers/_server.py
+++ b/coltsfootpier/peers/_server.py
@@ -100,13 +100,13 @@
 
     def with_body(message_type: type, handler: Callable[[Any], Awaitable[object]]) -> Any:
         async def handle(request: HttpRequest) -> HttpResponse:
-            return HttpResponse.of(await handler(decode(request.body, message_type)))
+            return HttpResponse.from_message(await handler(decode(request.body, message_type)))
 
         return handle
 
     def without_body(handler: Callable[[], Awaitable[object]]) -> Any:
         async def handle(_: HttpRequest) -> HttpResponse:
-            return HttpResponse.of(await handler())
+            return HttpResponse.from_message(await handler())
 
         return handle
 
@@ -114,7 +114,7 @@
         result = await handlers.on_exchange(decode(request.body, ExchangeRequest))
         if isinstance(result, Failure):
             return HttpResponse.problem(409, "exchange_refused", str(result.failure()))
-        return HttpResponse.of(result.unwrap())
+        return HttpResponse.from_message(result.unwrap())
 
     return Application(
         routes={
@@ -133,5 +133,5 @@
             "POST /peer/v1/settle-permit": with_body(SettlePermit, handlers.on_settle_permit),
             "POST /peer/v1/pull-permits": with_body(PullPermits, handlers.on_pull_permits),
         },
-        max_body=_MAX_BODY_BYTES,
+        max_body_bytes=_MAX_BODY_BYTES,
     )
--- a/coltsfootpier/platform/_client.py
+++ b/coltsfootpier/platform/_client.py
@@ -23,7 +23,7 @@
     Write,
 )
 from coltsfootpier.platform._store import StoreClient
-from coltsfootpier.transport import LeanPool, MalformedMessageError, NotSent, decode
+from coltsfootpier.transport import HttptoolsPool, MalformedMessageError, NotSent, decode
 
 
 @attrs.frozen
@@ -49,7 +49,7 @@
     def __init__(self, *, host: str, port: int, clock: Clock, timeout_ms: float) -> None:
         self._timeout_ms = timeout_ms
         self._store = StoreClient(host=host, port=port, clock=clock, timeout_ms=timeout_ms)
-        self._vm_pool = LeanPool(host=host, port=port, clock=clock, connections=1)
+        self._vm_pool = HttptoolsPool(host=host, port=port, clock=clock, connections=1)
 
     @property
     def call_count(self) -> int:
--- a/coltsfootpier/platform/_runners.py
+++ b/coltsfootpier/platform/_runners.py
@@ -27,8 +27,8 @@
 from coltsfootpier.transport import (
     BadReply,
     CallError,
-    LeanConnection,
-    LeanPool,
+    HttptoolsConnection,
+    HttptoolsPool,
     NotSent,
     Reply,
     split_address,
@@ -115,10 +115,10 @@
         self._clock = clock
         self._token = token
         self._headers = (("expect-instance", entry.id),)
-        self._command_pool = LeanPool(
+        self._command_pool = HttptoolsPool(
             host=host, port=port, clock=clock, connections=_COMMAND_CONNECTIONS
         )
-        self._report_connection = LeanConnection(host=host, port=port)
+        self._report_connection = HttptoolsConnection(host=host, port=port)
 
     async def start(
         self, command: StartRun, *, deadline_ms: float, timeout_ms: float
@@ -270,7 +270,7 @@
 
     def __init__(self, *, host: str, port: int, clock: Clock) -> None:
         # The service handles the calls of one entry VM one at a time.
-        self._pool = LeanPool(host=host, port=port, clock=clock, connections=2)
+        self._pool = HttptoolsPool(host=host, port=port, clock=clock, connections=2)
 
     async def request_tickets(
         self, query: AdviceRequest, *, timeout_ms: float
--- a/coltsfootpier/platform/_store.py
+++ b/coltsfootpier/platform/_store.py
@@ -27,7 +27,7 @@
     Write,
 )
 from coltsfootpier.platform._wire import BASE_PATH
-from coltsfootpier.transport import LeanPool, NotSent, Reply
+from coltsfootpier.transport import HttptoolsPool, NotSent, Reply
 
 # Maximum number of conditions, writes and removals of one transaction, set by the platform.
 MAX_ENTRIES = 32
@@ -67,16 +67,16 @@
 
     def __init__(self, *, host: str, port: int, clock: Clock, timeout_ms: float) -> None:
         self._timeout_ms = timeout_ms
-        self._general_pool = LeanPool(
+        self._general_pool = HttptoolsPool(
             host=host, port=port, clock=clock, connections=_GENERAL_CONNECTIONS
         )
-        self._commit_pool = LeanPool(
+        self._commit_pool = HttptoolsPool(
             host=host, port=port, clock=clock, connections=_COMMIT_CONNECTIONS
         )
-        self._renewal_pool = LeanPool(
+        self._renewal_pool = HttptoolsPool(
             host=host, port=port, clock=clock, connections=_RENEWAL_CONNECTIONS
         )
-        self._watch_pool = LeanPool(
+        self._watch_pool = HttptoolsPool(
             host=host, port=port, clock=clock, connections=_WATCH_CONNECTIONS
         )
         self.counts = _CallCounts()
@@ -238,7 +238,7 @@
         target: str,
         *,
         body: object = None,
-        pool: LeanPool | None = None,
+        pool: HttptoolsPool | None = None,
         timeout_ms: float | None = None,
     ) -> Result[Reply, PlatformError]:
         self.counts.calls += 1
--- a/coltsfootpier/platform/_vms.py
+++ b/coltsfootpier/platform/_vms.py
@@ -10,7 +10,7 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.maintenance import MaintenanceCommand, MaintenanceOutcome, VmState, WorkerVm
 from coltsfootpier.platform._wire import BASE_PATH, load_object
-from coltsfootpier.transport import BadReply, CallError, LeanPool, NotSent, Reply
+from coltsfootpier.transport import BadReply, CallError, HttptoolsPool, NotSent, Reply
 
 # Enough for a listing and commands to a few VMs at the same time.
 _CONNECTIONS = 4
@@ -42,7 +42,7 @@
     """
 
     def __init__(self, *, host: str, port: int, clock: Clock, holder: str, token: int) -> None:
-        self._pool = LeanPool(host=host, port=port, clock=clock, connections=_CONNECTIONS)
+        self._pool = HttptoolsPool(host=host, port=port, clock=clock, connections=_CONNECTIONS)
         self._headers = (("duty-holder", holder), ("fencing-token", str(token)))
 
     async def list_vms(self, *, timeout_ms: float) -> Result[tuple[WorkerVm, ...], CallError]:
--- a/coltsfootpier/platform/tests/test_vms.py
+++ b/coltsfootpier/platform/tests/test_vms.py
@@ -57,12 +57,12 @@
     async def _respond(self, request):
         self.requests.append(request)
         status, value = self.responses.pop(0)
-        return HttpResponse.of(value, status)
+        return HttpResponse.from_message(value, status)
 
     def _call(self, call):
         async def run():
             app = Application(
-                routes={"GET /": self._respond, "POST /": self._respond}, max_body=999
+                routes={"GET /": self._respond, "POST /": self._respond}, max_body_bytes=999
             )
             async with anyio.create_task_group() as group:
                 port = await group.start(Server(app=app, host="127.0.0.1", port=0).run)
--- a/coltsfootpier/transport/__init__.py
+++ b/coltsfootpier/transport/__init__.py
@@ -12,7 +12,7 @@
     NotSent,
     Unanswered,
 )
-from coltsfootpier.transport._lean import LeanConnection, LeanPool
+from coltsfootpier.transport._httptools import HttptoolsConnection, HttptoolsPool
 from coltsfootpier.transport._limits import ConnectionLimits, build_protocol
 from coltsfootpier.transport._mailbox import Mailbox
 from coltsfootpier.transport._server import (
@@ -28,13 +28,13 @@
     send_large_response,
     send_response,
 )
-from coltsfootpier.transport._stream import BodyCutError, BodyStream, Upload, UploadError
+from coltsfootpier.transport._stream import BodyStream, BodyTruncatedError, Upload, UploadError
 
 __all__ = [
     "Application",
     "BadReply",
     "BindError",
-    "BodyCutError",
+    "BodyTruncatedError",
     "BodyError",
     "BodyStream",
     "CallError",
@@ -43,8 +43,8 @@
     "ConnectionLimits",
     "HttpRequest",
     "HttpResponse",
-    "LeanConnection",
-    "LeanPool",
+    "HttptoolsConnection",
+    "HttptoolsPool",
     "Mailbox",
     "MalformedMessageError",
     "NotSent",
--- a/coltsfootpier/transport/_channel.py
+++ b/coltsfootpier/transport/_channel.py
@@ -76,7 +76,7 @@
         Number of connections, each owned by a task; limits the concurrent calls.
     queue : int, default=64
         Maximum number of queued calls; a further call fails immediately with `NotSent`.
-    max_body : int, default=4_000_000
+    max_body_bytes : int, default=4_000_000
         Maximum size of an accepted response body in bytes.
     """
 
@@ -88,13 +88,13 @@
         clock: Clock,
         connections: int = 1,
         queue: int = 64,
-        max_body: int = 4_000_000,
+        max_body_bytes: int = 4_000_000,
     ) -> None:
         self._host = host
         self._port = port
         self._clock = clock
         self._connection_count = connections
-        self._max_body = max_body
+        self._max_body_bytes = max_body_bytes
         self._max_pending = queue
         self._pending: deque[_Exchange] = deque()
         self._idle: list[_IdleConnection] = []
@@ -189,7 +189,7 @@
 
     async def _run_connection(self) -> None:
         connection = Connection(
-            host=self._host, port=self._port, clock=self._clock, max_body=self._max_body
+            host=self._host, port=self._port, clock=self._clock, max_body_bytes=self._max_body_bytes
         )
         try:
             while (exchange := await self._get_next_exchange()) is not None:
--- a/coltsfootpier/transport/_connection.py
+++ b/coltsfootpier/transport/_connection.py
@@ -58,15 +58,15 @@
         TCP port.
     clock : Clock
         Time source.
-    max_body : int
+    max_body_bytes : int
         Maximum size of an accepted response body in bytes.
     """
 
-    def __init__(self, *, host: str, port: int, clock: Clock, max_body: int) -> None:
+    def __init__(self, *, host: str, port: int, clock: Clock, max_body_bytes: int) -> None:
         self._origin = httpcore.Origin(b"http", host.encode(), port)
         self._host_header = f"{host}:{port}".encode()
         self._clock = clock
-        self._max_body = max_body
+        self._max_body_bytes = max_body_bytes
         self._connection: httpcore.AsyncHTTPConnection | None = None
         self._last_response_ms = float("-inf")
         self._stream: BodyStream | None = None
@@ -196,14 +196,14 @@
         declared_length = next(
             (value for name, value in headers if name == b"content-length"), b"0"
         )
-        if int(declared_length) > self._max_body:
-            return Failure(BadReply(f"body over {self._max_body} bytes", response.status))
+        if int(declared_length) > self._max_body_bytes:
+            return Failure(BadReply(f"body over {self._max_body_bytes} bytes", response.status))
         chunks: list[bytes] = []
         size = 0
         async for chunk in response.aiter_stream():
             size += len(chunk)
-            if size > self._max_body:
-                return Failure(BadReply(f"body over {self._max_body} bytes", response.status))
+            if size > self._max_body_bytes:
+                return Failure(BadReply(f"body over {self._max_body_bytes} bytes", response.status))
             if self._stream is not None:
                 try:
                     await self._stream.put(chunk)
--- a/coltsfootpier/transport/_lean.py
+++ b/coltsfootpier/transport/_httptools.py
@@ -83,11 +83,13 @@
             self.transport.abort()
 
 
-class LeanConnection:
-    """A low-overhead connection owned by one task, with one exchange at a time.
+class HttptoolsConnection:
+    """A connection whose responses ``httptools`` parses, with one exchange at a time.
 
-    It is closed after an exchange without a complete response, so that a late response can't
-    be mistaken for the response to a later request. The next exchange opens a new one.
+    It is owned by one task and takes far less CPU time than a `Connection`, which uses
+    ``httpcore``. It is closed after an exchange without a complete response, so that a late
+    response can't be mistaken for the response to a later request. The next exchange opens a new
+    one.
 
     Parameters
     ----------
@@ -190,8 +192,8 @@
         return Success(None)
 
 
-class LeanPool:
-    """A bounded pool of `LeanConnection` to one address.
+class HttptoolsPool:
+    """A bounded pool of connections to one address, each an `HttptoolsConnection`.
 
     Parameters
     ----------
@@ -207,7 +209,7 @@
 
     def __init__(self, *, host: str, port: int, clock: Clock, connections: int) -> None:
         self._clock = clock
-        self._free = [LeanConnection(host=host, port=port) for _ in range(connections)]
+        self._free = [HttptoolsConnection(host=host, port=port) for _ in range(connections)]
         self._slots = asyncio.Semaphore(connections)
 
     async def exchange(
@@ -219,7 +221,7 @@
         body: bytes = b"",
         timeout_ms: float,
     ) -> Result[Reply, CallError]:
-        """Send one request on a free connection; see `LeanConnection.exchange`."""
+        """Send one request on a free connection; see `HttptoolsConnection.exchange`."""
         start_ms = self._clock.now_ms()
         try:
             async with asyncio.timeout(timeout_ms / 1000):
--- a/coltsfootpier/transport/_server.py
+++ b/coltsfootpier/transport/_server.py
@@ -60,14 +60,14 @@
     content_type: bytes = b"application/json"
 
     @classmethod
-    def of(cls, message: object, status: int = 200) -> HttpResponse:
+    def from_message(cls, message: object, status: int = 200) -> HttpResponse:
         """Build a JSON response from an attrs object or a JSON value."""
         return cls(status=status, body=encode(message))
 
     @classmethod
     def problem(cls, status: int, kind: str, reason: str) -> HttpResponse:
         """Build the JSON response for a typed error."""
-        return cls.of({"error": kind, "reason": reason}, status)
+        return cls.from_message({"error": kind, "reason": reason}, status)
 
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -88,7 +88,7 @@
 
 
 async def read_body(
-    scope: Scope, receive: Callable, *, max_body: int, timeout_ms: float = _BODY_TIMEOUT_MS
+    scope: Scope, receive: Callable, *, max_body_bytes: int, timeout_ms: float = _BODY_TIMEOUT_MS
 ) -> bytes:
     """Read the body of a request.
 
@@ -98,7 +98,7 @@
         ASGI scope.
     receive : callable
         ASGI receive function.
-    max_body : int
+    max_body_bytes : int
         Maximum size of an accepted body in bytes.
     timeout_ms : float
         Timeout of the complete body in ms.
@@ -116,14 +116,14 @@
     declared_length = next(
         (value for key, value in scope["headers"] if key == b"content-length"), b""
     )
-    if declared_length and int(declared_length) > max_body:
-        raise BodyError(413, "body_too_large", f"at most {max_body} bytes are allowed")
+    if declared_length and int(declared_length) > max_body_bytes:
+        raise BodyError(413, "body_too_large", f"at most {max_body_bytes} bytes are allowed")
     with anyio.move_on_after(max(0.0, timeout_ms) / 1000):
-        return await _receive_body(receive, max_body)
+        return await _receive_body(receive, max_body_bytes)
     raise BodyError(408, "body_overdue", f"the body did not arrive within {timeout_ms:.0f} ms")
 
 
-async def _receive_body(receive: Callable, max_body: int) -> bytes:
+async def _receive_body(receive: Callable, max_body_bytes: int) -> bytes:
     chunks: list[bytes] = []
     size = 0
     while True:
@@ -132,14 +132,19 @@
             raise BodyError(400, "body_truncated", "the connection closed before the body ended")
         chunks.append(message.get("body", b""))
         size += len(chunks[-1])
-        if size > max_body:
-            raise BodyError(413, "body_too_large", f"at most {max_body} bytes are allowed")
+        if size > max_body_bytes:
+            raise BodyError(413, "body_too_large", f"at most {max_body_bytes} bytes are allowed")
         if not message.get("more_body", False):
             return b"".join(chunks)
 
 
 async def read_upload(
-    scope: Scope, receive: Callable, *, max_body: int, max_buffered_bytes: int, timeout_ms: float
+    scope: Scope,
+    receive: Callable,
+    *,
+    max_body_bytes: int,
+    max_buffered_bytes: int,
+    timeout_ms: float,
 ) -> bytes | Upload:
     """Read a small request body completely; return a larger one as an upload.
 
@@ -147,7 +152,7 @@
     ----------
     scope, receive
         As in `read_body`.
-    max_body : int
+    max_body_bytes : int
         Maximum size of an accepted body in bytes.
     max_buffered_bytes : int
         Maximum size in bytes of a body that is buffered completely.
@@ -169,9 +174,9 @@
     if (
         not declared_length
         or int(declared_length) <= max_buffered_bytes
-        or int(declared_length) > max_body
+        or int(declared_length) > max_body_bytes
     ):
-        return await read_body(scope, receive, max_body=max_body, timeout_ms=timeout_ms)
+        return await read_body(scope, receive, max_body_bytes=max_body_bytes, timeout_ms=timeout_ms)
 
     async def read_chunk() -> bytes | None:
         nonlocal has_more
@@ -225,7 +230,7 @@
 
     Raises
     ------
-    BodyCutError
+    BodyTruncatedError
         If the body is truncated. The response is left incomplete, so that the connection is
         closed.
     """
@@ -246,16 +251,16 @@
     ----------
     routes : dict of str to Handler
         Keys are ``"METHOD /prefix"``.
-    max_body : int
+    max_body_bytes : int
         Maximum size of an accepted request body in bytes.
     """
 
-    def __init__(self, *, routes: dict[str, Handler], max_body: int) -> None:
+    def __init__(self, *, routes: dict[str, Handler], max_body_bytes: int) -> None:
         self._routes = sorted(
             ((*key.split(" ", 1), handler) for key, handler in routes.items()),
             key=lambda route: -len(route[1]),
         )
-        self._max_body = max_body
+        self._max_body_bytes = max_body_bytes
 
     async def __call__(self, scope: Scope, receive: Callable, send: Callable) -> None:
         if scope["type"] != "http":
@@ -274,7 +279,7 @@
         if handler is None:
             return HttpResponse.problem(404, "unknown_path", f"{method} {path}")
         try:
-            body = await read_body(scope, receive, max_body=self._max_body)
+            body = await read_body(scope, receive, max_body_bytes=self._max_body_bytes)
             query = scope.get("query_string", b"").decode("latin-1")
             return await handler(HttpRequest(method, path, query, scope["headers"], body))
         except BodyError as error:
--- a/coltsfootpier/transport/_stream.py
+++ b/coltsfootpier/transport/_stream.py
@@ -14,7 +14,7 @@
 _MAX_QUEUED_CHUNKS = 4
 
 
-class BodyCutError(ColtsfootpierError):
+class BodyTruncatedError(ColtsfootpierError):
     """A streamed body ended before it was complete."""
 
     def __init__(self, error: CallError) -> None:
@@ -25,8 +25,8 @@
 class BodyStream:
     """The rest of a large response body, filled by the task that owns the connection.
 
-    Iteration raises `BodyCutError` when the body ends before it is complete, so that a truncated
-    body is never mistaken for a complete one.
+    Iteration raises `BodyTruncatedError` when the body ends before it is complete, so that a
+    truncated body is never mistaken for a complete one.
     """
 
     def __init__(self) -> None:
@@ -56,7 +56,7 @@
         async for chunk in self._receive:
             yield chunk
         if self._error is not None:
-            raise BodyCutError(self._error)
+            raise BodyTruncatedError(self._error)
 
 
 class UploadError(ColtsfootpierError):
--- a/coltsfootpier/transport/tests/test_channel.py
+++ b/coltsfootpier/transport/tests/test_channel.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Success
 
 from coltsfootpier.clock import MonotonicClock
-from coltsfootpier.transport import BadReply, BodyCutError, Channel, NotSent, Unanswered
+from coltsfootpier.transport import BadReply, BodyTruncatedError, Channel, NotSent, Unanswered
 from standins.relay import Relay
 
 _OK = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b"
@@ -258,7 +258,7 @@
                 for _ in range(3):
                     self.assertEqual(await read(channel), body)
             async with _open_channel(truncated, close=True) as (_, channel, _relay):
-                with self.assertRaises(BodyCutError):
+                with self.assertRaises(BodyTruncatedError):
                     await read(channel)
 
         _run(test)
--- a/coltsfootpier/transport/tests/test_limits.py
+++ b/coltsfootpier/transport/tests/test_limits.py
@@ -19,7 +19,7 @@
 
 async def respond(request):
     """Respond with the length of the body."""
-    return HttpResponse.of({"bytes": len(request.body)})
+    return HttpResponse.from_message({"bytes": len(request.body)})
 
 
 class LimitsTest(unittest.TestCase):
@@ -35,7 +35,7 @@
         closed = []
 
         async def run():
-            app = Application(routes={"POST /": respond, "GET /": respond}, max_body=10_000)
+            app = Application(routes={"POST /": respond, "GET /": respond}, max_body_bytes=10_000)
             protocol = build_protocol(lambda: limits, closed.append)
             server = Server(app=app, host="127.0.0.1", port=0, protocol=protocol)
             async with anyio.create_task_group() as group:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -73,7 +73,9 @@
 ) -> ClientResponse | None:
     """Make one HTTP call on a new connection; return None if no complete response arrived."""
     clock = MonotonicClock()
-    connection = Connection(host="127.0.0.1", port=port, clock=clock, max_body=_MAX_BODY_BYTES)
+    connection = Connection(
+        host="127.0.0.1", port=port, clock=clock, max_body_bytes=_MAX_BODY_BYTES
+    )
     encoded_headers = [(name.encode(), value.encode()) for name, value in (headers or {}).items()]
     try:
         result = await connection.exchange(
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -40,7 +40,9 @@
                 accelerators=0,
             )
             routes = {"POST /v1/sync": worker.handle_sync}
-            server = Server(app=Application(routes=routes, max_body=8_000_000), host=host, port=0)
+            server = Server(
+                app=Application(routes=routes, max_body_bytes=8_000_000), host=host, port=0
+            )
             group.start_soon(worker.run)
             ports.append(await group.start(server.run))
         print(orjson.dumps(ports).decode(), flush=True)
--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -27,7 +27,7 @@
     Write,
     encode_wave_status,
 )
-from coltsfootpier.transport import LeanConnection
+from coltsfootpier.transport import HttptoolsConnection
 from standins.cluster import ClientResponse, call, wait_for
 
 # Host and path prefix of the requests that `Nodes.request` sends.
@@ -254,7 +254,7 @@
         self, node: str, method: str, name: str, body: Any = None, timeout_ms: float = 3_000
     ) -> ClientResponse | None:
         """Send one request as a caller; return None if no complete response arrived."""
-        connection = LeanConnection(host="127.0.0.1", port=self.nodes[node].front)
+        connection = HttptoolsConnection(host="127.0.0.1", port=self.nodes[node].front)
         result = await connection.exchange(
             method,
             PREFIX + name,
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -213,24 +213,24 @@
         if scope["type"] != "http":
             return
         try:
-            body = await read_body(scope, receive, max_body=4 * _MAX_VALUE_CHARS)
+            body = await read_body(scope, receive, max_body_bytes=4 * _MAX_VALUE_CHARS)
         except BodyError as error:
             await send_response(send, error.response)
             return
         path = unquote(scope["path"])
         if path == "/faults":
             self.faults = Faults(**orjson.loads(body))
-            await send_response(send, HttpResponse.of(attrs.asdict(self.faults)))
+            await send_response(send, HttpResponse.from_message(attrs.asdict(self.faults)))
         elif path == "/counts":
-            await send_response(send, HttpResponse.of(dict(self.counts)))
+            await send_response(send, HttpResponse.from_message(dict(self.counts)))
         elif path == "/worker":
             self.worker_vms.update_worker(orjson.loads(body))
-            await send_response(send, HttpResponse.of({}))
+            await send_response(send, HttpResponse.from_message({}))
         elif path == "/upkeeps":
-            await send_response(send, HttpResponse.of(self.worker_vms.maintenance_runs))
+            await send_response(send, HttpResponse.from_message(self.worker_vms.maintenance_runs))
         elif path == "/vms":
             self._schedule_vm_change(orjson.loads(body))
-            await send_response(send, HttpResponse.of({}))
+            await send_response(send, HttpResponse.from_message({}))
         else:
             await self._process_request(scope, path, body, receive, send)
 
@@ -269,7 +269,7 @@
         self.counts[f"{method} {operation}"] += 1
         if operation == "kv-key":
             item = self._describe_item(query["key"])
-            return HttpResponse.of(item, 404 if item["revision"] == 0 else 200)
+            return HttpResponse.from_message(item, 404 if item["revision"] == 0 else 200)
         if operation == "kv-range":
             return self._handle_range(query)
         if operation == "kv-watch":
@@ -279,18 +279,18 @@
         if operation == "kv-lease":
             ttl_ms = orjson.loads(body)["ttl_ms"]
             lease = int(self.store.grant(ttl_ms).removeprefix(_LEASE_PREFIX))
-            return HttpResponse.of({"lease": lease, "ttl_ms": ttl_ms})
+            return HttpResponse.from_message({"lease": lease, "ttl_ms": ttl_ms})
         if operation == "kv-keep" and rest:
             exists = self.store.renew(_LEASE_PREFIX + rest[0])
-            return HttpResponse.of(
+            return HttpResponse.from_message(
                 {"ttl_ms": self.store.read_ttl(_LEASE_PREFIX + rest[0])} if exists else {},
                 200 if exists else 404,
             )
         if operation == "kv-lease-end" and rest:
             exists = self.store.revoke(_LEASE_PREFIX + rest[0])
-            return HttpResponse.of({}, 200 if exists else 404)
+            return HttpResponse.from_message({}, 200 if exists else 404)
         if operation == "vms":
-            return HttpResponse.of({"vms": self._list_vms()})
+            return HttpResponse.from_message({"vms": self._list_vms()})
         return HttpResponse.problem(404, "unknown_path", path)
 
     async def _handle_worker_vms(
@@ -317,7 +317,7 @@
             for item in self.store.list(query["prefix"])
             if item["key"] > query.get("after", "")
         ]
-        return HttpResponse.of(
+        return HttpResponse.from_message(
             {
                 "items": [self._describe_item(key) for key in keys[:_PAGE_SIZE]],
                 "has_more": len(keys) > _PAGE_SIZE,
@@ -338,13 +338,13 @@
         current = [self._describe_item(row["key"]) for row in change["expect"]]
         expected_revisions = [row["revision"] for row in change["expect"]]
         if [item["revision"] for item in current] != expected_revisions:
-            return HttpResponse.of({"items": current}, 412)
+            return HttpResponse.from_message({"items": current}, 412)
         puts = {
             put["key"]: (put["value"], f"{_LEASE_PREFIX}{put['lease']}" if put.get("lease") else "")
             for put in change["puts"]
         }
         self.store.write_batch(puts, change["remove"])
-        return HttpResponse.of({"revision": self.store.revision})
+        return HttpResponse.from_message({"revision": self.store.revision})
 
     async def _handle_watch(self, query: dict[str, str]) -> HttpResponse:
         after_revision = int(query["after"])
@@ -357,7 +357,7 @@
             remaining_ms = end_ms - self._clock.now_ms()
             if items or remaining_ms <= 0:
                 events = [self._describe_watch_event(item["key"]) for item in items]
-                return HttpResponse.of({"events": events, "store_revision": revision})
+                return HttpResponse.from_message({"events": events, "store_revision": revision})
             with anyio.move_on_after(remaining_ms / 1000):
                 await event.wait()
 
--- a/standins/runners.py
+++ b/standins/runners.py
@@ -27,7 +27,7 @@
     Application,
     HttpRequest,
     HttpResponse,
-    LeanConnection,
+    HttptoolsConnection,
     Server,
 )
 from standins.vms import MAINTENANCE_MS
@@ -95,7 +95,7 @@
             run_record.setdefault("lost", not run_record["observed"])
         self.is_up = False
         self._start_incarnation(f"i-{secrets.token_hex(5)}")
-        return HttpResponse.of({})
+        return HttpResponse.from_message({})
 
     def _now_ms(self) -> float:
         return self._clock.now_ms() - self._incarnation_start_ms
@@ -117,7 +117,7 @@
 
     def _build_response(self, status: int = 200, **fields: Any) -> HttpResponse:
         fields = {"clock_ms": int(self._now_ms()), "born": self.start_unix_ms, **fields}
-        return HttpResponse.of(fields, status)
+        return HttpResponse.from_message(fields, status)
 
     def _accept_token(self, body: dict[str, Any]) -> bool:
         """Record the fencing token of a request; return False if a higher one was recorded."""
@@ -199,7 +199,7 @@
             }
             for run in self._runs.values()
         ]
-        return HttpResponse.of({"ended": self.history, "present": current_runs})
+        return HttpResponse.from_message({"ended": self.history, "present": current_runs})
 
     def _end_run(self, run: _Run, outcome: str) -> None:
         del self._runs[run.task]
@@ -234,7 +234,7 @@
                 elif now_ms >= run.end_ms:
                     self._end_run(run, "failed" if run.fails else "done")
 
-    async def _report_to_platform(self, platform: LeanConnection, vm: str, port: int) -> None:
+    async def _report_to_platform(self, platform: HttptoolsConnection, vm: str, port: int) -> None:
         body = orjson.dumps({"id": vm, "runner": self.name, "port": port})
         reported = await platform.exchange("POST", "/worker", body=body, timeout_ms=5_000)
         if not isinstance(reported, Success):
@@ -242,7 +242,7 @@
                 f"registration with the VM service failed: {reported}", file=sys.stderr, flush=True
             )
 
-    async def register(self, store: StoreClient, platform: LeanConnection, port: int) -> None:
+    async def register(self, store: StoreClient, platform: HttptoolsConnection, port: int) -> None:
         """Refresh the registry entry of the runner periodically until cancelled."""
         sequence, registered_name = 0, ""
         vm = f"m-{port}"
@@ -292,12 +292,12 @@
                 "GET /history": runner.read_history,
             }
             server = Server(
-                app=Application(routes=routes, max_body=100_000), host="127.0.0.1", port=0
+                app=Application(routes=routes, max_body_bytes=100_000), host="127.0.0.1", port=0
             )
             port = await group.start(server.run)
             ports.append(port)
             group.start_soon(runner.run)
-            platform = LeanConnection(host="127.0.0.1", port=store_port)
+            platform = HttptoolsConnection(host="127.0.0.1", port=store_port)
             group.start_soon(runner.register, store, platform, port)
         print("ports=" + ",".join(map(str, ports)), flush=True)
 
--- a/standins/vms.py
+++ b/standins/vms.py
@@ -12,7 +12,7 @@
 from returns.result import Success
 
 from coltsfootpier.clock import Clock
-from coltsfootpier.transport import HttpResponse, LeanConnection
+from coltsfootpier.transport import HttpResponse, HttptoolsConnection
 
 MAINTENANCE_MS = 1_000.0
 # VMs per page; small, so that a few runners already fill several pages.
@@ -69,7 +69,7 @@
             }
             for name in names[:_PAGE_SIZE]
         ]
-        return HttpResponse.of(
+        return HttpResponse.from_message(
             {
                 "machines": rows,
                 "next_token": names[_PAGE_SIZE - 1] if len(names) > _PAGE_SIZE else None,
@@ -85,15 +85,15 @@
         """
         vm = self._vms.get(command["machine"])
         if vm is None:
-            return HttpResponse.of({}, 400)
+            return HttpResponse.from_message({}, 400)
         token = int(headers.get(b"fencing-token", b"0"))
         if token < vm.highest_token:
-            return HttpResponse.of({"reason": "fence"}, 409)
+            return HttpResponse.from_message({"reason": "fence"}, 409)
         vm.highest_token = token
         if command["wave"] in vm.waves:
-            return HttpResponse.of({})
+            return HttpResponse.from_message({})
         if vm.state != "up":
-            return HttpResponse.of({"reason": "busy"}, 409)
+            return HttpResponse.from_message({"reason": "busy"}, 409)
         vm.state, runner, vm.runner = "upkeep", vm.runner, ""
         vm.waves.add(command["wave"])
         self.maintenance_runs.append(
@@ -105,10 +105,10 @@
                 "begin_ms": self._clock.now_ms(),
             }
         )
-        connection = LeanConnection(host="127.0.0.1", port=vm.port)
+        connection = HttptoolsConnection(host="127.0.0.1", port=vm.port)
         result = await connection.exchange("POST", "/end", timeout_ms=_CALL_TIMEOUT_MS)
         connection.close()
         if not isinstance(result, Success):
             # The runner process no longer exists.
             vm.state = "down"
-        return HttpResponse.of({})
+        return HttpResponse.from_message({})
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -83,7 +83,7 @@
         if scope["type"] != "http":
             return
         try:
-            body = await read_body(scope, receive, max_body=64_000_000)
+            body = await read_body(scope, receive, max_body_bytes=64_000_000)
         except BodyError as error:
             await send_response(send, error.response)
             return
@@ -105,7 +105,7 @@
             if self._worker.faults.answer_bytes:
                 await self._send_large_response(send, request_id)
                 return
-            response = HttpResponse.of(
+            response = HttpResponse.from_message(
                 {"id": request_id, "path": scope["path"], "body": body.decode("utf-8", "replace")}
             )
             await send_response(send, attrs.evolve(response, headers=extra_headers))
@@ -229,7 +229,7 @@
 
     async def handle_sync(self, request: HttpRequest) -> HttpResponse:
         """Execute the sync request of a shard owner."""
-        return HttpResponse.of(await self.sync(decode(request.body, SyncRequest)))
+        return HttpResponse.from_message(await self.sync(decode(request.body, SyncRequest)))
 
     async def sync(self, request: SyncRequest) -> SyncReply:
         """Execute commands and return the state of the worker.
@@ -257,11 +257,11 @@
     async def handle_faults(self, request: HttpRequest) -> HttpResponse:
         """Replace the injected faults."""
         self.faults = Faults(**orjson.loads(request.body))
-        return HttpResponse.of(attrs.asdict(self.faults))
+        return HttpResponse.from_message(attrs.asdict(self.faults))
 
     async def handle_runs(self, _: HttpRequest) -> HttpResponse:
         """Return how often each request and each task ran, and the newest sync times."""
-        return HttpResponse.of(
+        return HttpResponse.from_message(
             {
                 "requests": dict(self.request_runs),
                 "started": dict(self.started),
@@ -362,7 +362,7 @@
             "POST /faults": worker.handle_faults,
             "GET /runs": worker.handle_runs,
         },
-        max_body=8_000_000,
+        max_body_bytes=8_000_000,
     )
     server = Server(app=application, host=worker.host, port=port)
     async with anyio.create_task_group() as group:
--- a/tests/test_processes_failures.py
+++ b/tests/test_processes_failures.py
@@ -422,7 +422,7 @@
                             host="127.0.0.1",
                             port=daemon.ports["callers"],
                             clock=MonotonicClock(),
-                            max_body=1_000_000,
+                            max_body_bytes=1_000_000,
                         )
                     request_id = f"stop-{index}-{outcome_counts['all']}"
                     result = await connection.exchange(
