Name routing, membership, permit and registry functions by what they do

Cause: functions were called by bare nouns and participles, and flags didn't read as conditions. Change: names of cells, routing, membership, permits, settings, burn and the stand-in cluster, with every use.

--- a/benchmarks/_daemons.py
+++ b/benchmarks/_daemons.py
@@ -23,7 +23,7 @@
         process = self._spawn("fleet", ["-m", "standins.fleet", f"--count={count}"])
         for index, port in enumerate(orjson.loads(process.stdout.readline())):
             rack = index // rack_size
-            await self.list_vm(
+            await self.update_vm(
                 name=f"worker-{index}",
                 state="live",
                 role="worker",
--- a/benchmarks/colocation.py
+++ b/benchmarks/colocation.py
@@ -408,7 +408,7 @@
     def _send_report(self, runner: _SimulatedRunner) -> None:
         """Report the state of a runner to the cell; the report also renews the lease."""
         runner_id = runner.entry.id
-        acknowledged_end = self.cell.fleet.last_durable_end(runner_id)
+        acknowledged_end = self.cell.fleet.get_last_durable_end(runner_id)
         runner.ended = [row for row in runner.ended if row.number > acknowledged_end]
         self.cell.fleet.set_lease_expiry(runner_id, self.now_ms + self._settings.run_lease_ms)
         is_report_due = self.now_ms >= runner.next_report_ms
--- a/benchmarks/permits.py
+++ b/benchmarks/permits.py
@@ -160,7 +160,7 @@
         clock=clock, ownership=ownership, window_ms=600_000.0, hold_over_ms=0.0, capacity=8_192
     )
     (table,) = manager.reconcile(["a.1.1", "b.1.1"], listed_ms=0.0, is_retired=lambda _: False)
-    table.ready = True
+    table.is_ready = True
     return manager
 
 
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -419,7 +419,7 @@
         if daemon.is_lost:
             return
         self._schedule(_HEARTBEAT_PERIOD_MS, lambda: self._send_heartbeats(daemon))
-        free_slots, ejected = daemon.router.free_slots(), daemon.router.health.ejected()
+        free_slots, ejected = daemon.router.count_free_slots(), daemon.router.health.list_ejected()
         for peer in self._daemons:
             if peer is not daemon and not peer.is_lost:
                 self._schedule(
@@ -553,7 +553,7 @@
             if not request.kind.idempotent:
                 self._record_outcome(request, "unknown")
                 return
-        if request.attempts < 3 and daemon.router.retries.spend(self._deployment.service):
+        if request.attempts < 3 and daemon.router.retries.try_spend(self._deployment.service):
             self.tally.retry_count += 1
             self._start_attempt(daemon, request)
         else:
@@ -616,7 +616,7 @@
         )
 
         def respond(decision: Grant | Rejected) -> None:
-            free_slots = peer.router.free_slots()[service]
+            free_slots = peer.router.count_free_slots()[service]
             grant = decision if isinstance(decision, Grant) else None
             self._schedule(delay_ms, lambda: apply_response(grant, free_slots))
 
--- a/coltsfootpier/burn/_stats.py
+++ b/coltsfootpier/burn/_stats.py
@@ -197,7 +197,7 @@
             minute, _classify_cause(outcome, reason, is_late, latency_ms, waited_ms, slowdown)
         )
 
-    def latencies(self) -> dict[str, list[int]]:
+    def get_latency_histograms(self) -> dict[str, list[int]]:
         """Return the latency histogram of each service since the daemon started.
 
         Each histogram has one count for each bound of `BOUNDS_MS`, and one for higher latencies.
--- a/coltsfootpier/cells/_cordons.py
+++ b/coltsfootpier/cells/_cordons.py
@@ -48,7 +48,12 @@
     def measure_ending_cost(self, runner_id: str) -> float | None:
         """Return the CPU in thousandths of a core of a runner's runs; None if it is unusable."""
         runner = self._fleet.runners.get(runner_id)
-        if runner is None or not runner.listed or not runner.adopted or runner.entry.draining:
+        if (
+            runner is None
+            or not runner.is_registered
+            or not runner.adopted
+            or runner.entry.draining
+        ):
             return None
         return float(runner.guaranteed_cpu + runner.best_effort_cpu)
 
--- a/coltsfootpier/cells/_estimates.py
+++ b/coltsfootpier/cells/_estimates.py
@@ -214,7 +214,7 @@
         self._measured_ms = now_ms
         runners_by_service: dict[str, list[Runner]] = {}
         for runner in runners:
-            if runner.listed and not runner.entry.draining:
+            if runner.is_registered and not runner.entry.draining:
                 runners_by_service.setdefault(runner.entry.service, []).append(runner)
         for backlog in self._backlogs.values():
             backlog.in_time_work, backlog.all_work, backlog.added_work = {}, {}, {}
@@ -321,7 +321,11 @@
                         in_time_work += work
         capacity = 0.0
         for runner in runners:
-            if runner.listed and not runner.entry.draining and runner.entry.service == service:
+            if (
+                runner.is_registered
+                and not runner.entry.draining
+                and runner.entry.service == service
+            ):
                 capacity += max(0.0, _measure_available_cpu(runner))
         return QueueingDelays(
             in_time_ms=Backlog(work=in_time_work, capacity=capacity).queueing_delay_ms,
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -42,7 +42,7 @@
         """Add the runners that an earlier owner may have used."""
         lease_ms = self._settings.run_lease_ms * (1 + 2 * self._settings.clock_drift)
         for entry in entries:
-            runner = Runner(entry=entry, listed=False, recorded=True)
+            runner = Runner(entry=entry, is_registered=False, recorded=True)
             runner.lease_expiry_ms = runner.inherited_lease_expiry_ms = now_ms + lease_ms
             self.runners[entry.id] = runner
             self.inherited.add(entry.id)
@@ -61,13 +61,13 @@
             if entry.draining and not runner.entry.draining:
                 self._log("runner is draining", runner=runner_id, remaining_ms=entry.remaining_ms)
             runner.entry = entry
-            runner.listed = True
+            runner.is_registered = True
         for runner_id, runner in list(self.runners.items()):
             if runner_id in listed:
                 continue
-            if runner.listed:
+            if runner.is_registered:
                 self._log("runner left the registry", runner=runner_id, runs=len(runner.runs))
-            runner.listed = False
+            runner.is_registered = False
             expired = runner.ended or now_ms > runner.lease_expiry_ms
             if not runner.runs and expired and runner_id not in self.inherited:
                 del self.runners[runner_id]
@@ -174,7 +174,7 @@
             if runner is not None:
                 runner.recorded = True
 
-    def last_durable_end(self, runner_id: str) -> int:
+    def get_last_durable_end(self, runner_id: str) -> int:
         """Return the number of a runner's last ended run up to which all ends are durable."""
         runner = self.runners[runner_id]
         while runner.pending_ends:
@@ -186,5 +186,5 @@
 
     def has_pending_ends(self, runner_id: str) -> bool:
         """Return whether ended runs of a runner await a durable record."""
-        self.last_durable_end(runner_id)
+        self.get_last_durable_end(runner_id)
         return bool(self.runners[runner_id].pending_ends)
--- a/coltsfootpier/cells/_gauges.py
+++ b/coltsfootpier/cells/_gauges.py
@@ -16,7 +16,7 @@
     fleet : Fleet
         Runners of the cell.
     """
-    runners = [runner for runner in fleet.runners.values() if runner.listed]
+    runners = [runner for runner in fleet.runners.values() if runner.is_registered]
     runs = [run for runner in runners for run in runner.runs.values()]
     waiting = [step for step in jobs.ready.values() if step.waiting]
     return {
--- a/coltsfootpier/cells/_health.py
+++ b/coltsfootpier/cells/_health.py
@@ -42,9 +42,11 @@
     settings : CellSettings
         Limits.
     """
-    listed = [other for other in runners if other.listed]
-    quarantined = sum(other.quarantined_until_ms > now_ms or other.on_probation for other in listed)
-    if quarantined + 1 > max(1.0, settings.aside_share * len(listed)):
+    registered = [other for other in runners if other.is_registered]
+    quarantined = sum(
+        other.quarantined_until_ms > now_ms or other.on_probation for other in registered
+    )
+    if quarantined + 1 > max(1.0, settings.aside_share * len(registered)):
         return False
     runner.quarantine_ms = min(
         settings.aside_max_ms, max(settings.aside_ms, 2 * runner.quarantine_ms)
--- a/coltsfootpier/cells/_lease_expiry.py
+++ b/coltsfootpier/cells/_lease_expiry.py
@@ -26,7 +26,7 @@
     >>> call = tracker.record_call(now_ms=0.0, duration_ms=100.0)
     >>> tracker.lease_expiry_ms
     150.0
-    >>> tracker.settle(call, applied=False)
+    >>> tracker.settle_call(call, applied=False)
     >>> tracker.lease_expiry_ms
     -inf
     """
@@ -45,7 +45,7 @@
         return max(self._applied_expiry_ms, *self._calls.values(), float("-inf"))
 
     def record_call(self, *, now_ms: float, duration_ms: float) -> int:
-        """Record a call that is about to be sent; return its number for `settle`.
+        """Record a call that is about to be sent; return its number for `settle_call`.
 
         Parameters
         ----------
@@ -60,7 +60,7 @@
         )
         return self._last_call_number
 
-    def settle(self, call_number: int, *, applied: bool) -> None:
+    def settle_call(self, call_number: int, *, applied: bool) -> None:
         """Record whether the runner may have applied a call that `record_call` numbered."""
         lease_expiry_ms = self._calls.pop(call_number)
         if applied:
--- a/coltsfootpier/cells/_placement.py
+++ b/coltsfootpier/cells/_placement.py
@@ -30,7 +30,7 @@
         Limits.
     """
     return (
-        runner.listed
+        runner.is_registered
         and runner.adopted
         and runner.recorded
         and not runner.entry.draining
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -195,6 +195,8 @@
 
     Parameters
     ----------
+    is_registered : bool
+        Whether its entry is in the registry, or may have expired because of an outage.
     adopted : bool
         Whether it has responded to this owner's fencing token, so that no command of an earlier
         owner can take effect any more and its lists are complete.
@@ -205,7 +207,7 @@
     """
 
     entry: RunnerEntry
-    listed: bool = True
+    is_registered: bool = True
     adopted: bool = False
     # Whether it is in the fleet record in the store, so that a later owner contacts it.
     recorded: bool = False
--- a/coltsfootpier/cells/tests/builders.py
+++ b/coltsfootpier/cells/tests/builders.py
@@ -164,7 +164,7 @@
                 continue
             known = self.cell.fleet.runners.get(name)
             if known is not None:
-                durable_end = self.cell.fleet.last_durable_end(name)
+                durable_end = self.cell.fleet.get_last_durable_end(name)
                 runner.ended = [row for row in runner.ended if row.number > durable_end]
                 lease_expiry_ms = self.now_ms + self.settings.run_lease_ms
                 self.cell.fleet.set_lease_expiry(name, lease_expiry_ms)
--- a/coltsfootpier/cells/tests/test_admission.py
+++ b/coltsfootpier/cells/tests/test_admission.py
@@ -116,12 +116,12 @@
     def test_unapplied_calls_extend_nothing(self):
         """Guards against a runner that is down and never expires, because calls are repeated."""
         tracker = LeaseExpiryTracker(CellSettings())
-        tracker.settle(tracker.record_call(now_ms=0.0, duration_ms=1_000.0), applied=True)
+        tracker.settle_call(tracker.record_call(now_ms=0.0, duration_ms=1_000.0), applied=True)
         lease_expiry_ms = tracker.lease_expiry_ms
         for now_ms in range(100, 5_000, 100):
             call = tracker.record_call(now_ms=float(now_ms), duration_ms=1_000.0)
             self.assertGreaterEqual(tracker.lease_expiry_ms, now_ms + 1_000.0)
-            tracker.settle(call, applied=False)
+            tracker.settle_call(call, applied=False)
         self.assertEqual(tracker.lease_expiry_ms, lease_expiry_ms)
 
     def test_call_in_transit_counts(self):
--- a/coltsfootpier/cells/tests/test_runs.py
+++ b/coltsfootpier/cells/tests/test_runs.py
@@ -101,9 +101,9 @@
         _, run = harness.find("j")[0]
         harness.runners["a"].end(run)
         harness.report()
-        self.assertEqual(harness.cell.fleet.last_durable_end("a"), 0)
+        self.assertEqual(harness.cell.fleet.get_last_durable_end("a"), 0)
         harness.store()
-        self.assertEqual(harness.cell.fleet.last_durable_end("a"), 1)
+        self.assertEqual(harness.cell.fleet.get_last_durable_end("a"), 1)
 
     def test_failed_runs_are_counted(self):
         """Guards against a task that starts again after its attempts are used up."""
--- a/coltsfootpier/daemon/_control.py
+++ b/coltsfootpier/daemon/_control.py
@@ -306,7 +306,7 @@
         for _ in range(5):
             live = [
                 member_id
-                for member_id in self.members.reachable()
+                for member_id in self.members.list_reachable()
                 if member_id in self._live_members and member_id not in self.draining
             ]
             table = self.ownership.plan_handover(live, leave=True)
--- a/coltsfootpier/daemon/_daemon.py
+++ b/coltsfootpier/daemon/_daemon.py
@@ -303,7 +303,7 @@
         members = self.control.members
         availability_zones = {
             member_id: members.members[member_id].availability_zone
-            for member_id in members.reachable()
+            for member_id in members.list_reachable()
         }
         self.router.observe_members(ownership.member, availability_zones)
         self._update_shares()
@@ -444,9 +444,9 @@
             member=self.control.member,
             revision=self.control.known_revision,
             runners_version=self._runners_version,
-            free={} if self._draining else self.router.free_slots(),
+            free={} if self._draining else self.router.count_free_slots(),
             draining=self._draining,
-            ejected=self.router.health.ejected(),
+            ejected=self.router.health.list_ejected(),
         )
 
     async def _observe_heartbeat(
@@ -553,7 +553,7 @@
     async def on_pull_members(self) -> MemberList:
         """Return the reachable members, including this daemon."""
         members = self.control.members
-        reachable = tuple(members.members[member_id] for member_id in members.reachable())
+        reachable = tuple(members.members[member_id] for member_id in members.list_reachable())
         return MemberList(members=tuple({*reachable, self.control.member}))
 
     async def on_revision(self, revision: Revision) -> Revision:
@@ -695,7 +695,9 @@
             seed_state = "no seed has answered" if seeds else "no seeds are set"
             return f"no configuration: the store has not answered and {seed_state}"
         own = self.control.ownership.member
-        peer_ids = [member_id for member_id in self.control.members.reachable() if member_id != own]
+        peer_ids = [
+            member_id for member_id in self.control.members.list_reachable() if member_id != own
+        ]
         if self.control.store_response_age_ms > _ISOLATION_TIMEOUT_MS and not peer_ids:
             return "isolated: neither the store nor a peer answers"
         if self.control.store_response_age_ms == float("inf"):
@@ -718,7 +720,7 @@
                 "owns_dispatcher": int(self._dispatch is not None),
                 "lease_valid": int(self.control.ownership.is_valid),
                 "configuration_revision": self.control.revisions.revision.revision,
-                "reachable_peers": len(self.control.members.reachable()),
+                "reachable_peers": len(self.control.members.list_reachable()),
                 "known_runners": len(self.router.runners()),
                 "store_calls": self._platform.call_count,
                 "owned_key_groups": len(self.permits.manager.tables),
--- a/coltsfootpier/daemon/_main.py
+++ b/coltsfootpier/daemon/_main.py
@@ -13,7 +13,7 @@
 
 from coltsfootpier import logs
 from coltsfootpier.daemon._daemon import Daemon
-from coltsfootpier.settings import Settings, format_settings, read_settings
+from coltsfootpier.settings import Settings, format_settings, parse_settings
 from coltsfootpier.transport import bind
 
 EXIT_FAILURE = 1
@@ -52,7 +52,7 @@
     except UnicodeDecodeError:
         print(f"coltsfootpierd: {path}: not UTF-8 text", file=sys.stderr)
         return EXIT_INVALID
-    read = read_settings(str(path), content)
+    read = parse_settings(str(path), content)
     if isinstance(read, Failure):
         for problem in read.failure():
             print(problem, file=sys.stderr)
--- a/coltsfootpier/daemon/_permits.py
+++ b/coltsfootpier/daemon/_permits.py
@@ -113,7 +113,7 @@
         async with anyio.create_task_group() as self._group:
             while True:
                 await anyio.sleep(_FLUSH_PERIOD_MS / 1000)
-                for table in self.manager.list_unsent():
+                for table in self.manager.list_tables_to_copy():
                     await self._send_copies(table, ())
 
     def reconcile(self) -> None:
@@ -127,7 +127,7 @@
             self._group.start_soon(self._take_over, table)
         for member_id, member in listed.items():
             self._addresses[process_of(member_id)] = member.peers_address
-        for process in self._addresses.keys() - self.manager.known_processes.ages().keys():
+        for process in self._addresses.keys() - self.manager.known_processes.list_ages().keys():
             del self._addresses[process]
 
     def _is_retired(self, process: str) -> bool:
@@ -283,7 +283,7 @@
                 reply = result.unwrap()
                 if reply.accepted:
                     return True
-                self.manager.copies.announce(table.group, reply.epoch)
+                self.manager.copies.observe_epoch(table.group, reply.epoch)
                 if table.is_superseded:
                     return False
         # An outcome that no peer accepted is not sent again. A new owner that does not receive it
@@ -298,7 +298,7 @@
         own = self._control.member
         candidates = [
             member_id
-            for member_id in rank_by_rendezvous(group, members.reachable())
+            for member_id in rank_by_rendezvous(group, members.list_reachable())
             if member_id in self._control.listed_members
             and process_of(member_id) != self.manager.process
         ]
@@ -328,10 +328,10 @@
             # timeout. They are queried only after the group is ready.
             listed = {process_of(member_id) for member_id in self._control.listed_members}
             missing = table.history.missing_processes()
-            await self._pull_all_copies(table, missing if table.ready else missing & listed)
-            is_complete = table.check_history()
-            if not table.ready:
-                table.ready = True
+            await self._pull_all_copies(table, missing if table.is_ready else missing & listed)
+            is_complete = table.update_completeness()
+            if not table.is_ready:
+                table.is_ready = True
                 log_event(
                     "key group taken over",
                     group=table.group,
--- a/coltsfootpier/daemon/_slots.py
+++ b/coltsfootpier/daemon/_slots.py
@@ -11,7 +11,7 @@
 from coltsfootpier.clock import Clock
 from coltsfootpier.peers import BorrowSlot, LentSlot, PeerClient, ReturnSlot
 from coltsfootpier.routing import (
-    Borrow,
+    BorrowPlan,
     Feedback,
     Grant,
     Queued,
@@ -111,7 +111,7 @@
         response_ms = self._router.health.response_ms(service, kind)
         if deadline_ms <= self._clock.now_ms() + response_ms:
             return False
-        return self._router.retries.spend(service)
+        return self._router.retries.try_spend(service)
 
     def compute_attempt_timeout(self, service: str, kind: str, left_ms: float) -> float:
         """Return the timeout in ms of an attempt that can be retried."""
@@ -132,7 +132,7 @@
         decision = await self._acquire(
             ticket, min(request.left_ms, request.wait_ms, _MAX_BORROW_WAIT_MS)
         )
-        free = self._router.free_slots().get(request.service, 0)
+        free = self._router.count_free_slots().get(request.service, 0)
         if isinstance(decision, Grant):
             return LentSlot(runner=decision.runner, token=decision.token, free=free)
         return LentSlot(free=free)
@@ -160,7 +160,7 @@
         for borrow in self._router.plan_borrows(service):
             self._group.start_soon(self._borrow, borrow)
 
-    async def _borrow(self, borrow: Borrow) -> None:
+    async def _borrow(self, borrow: BorrowPlan) -> None:
         service = borrow.ticket.service
         peer = self._get_peer(borrow.peer)
         lent: LentSlot | None = None
--- a/coltsfootpier/daemon/tests/test_slots.py
+++ b/coltsfootpier/daemon/tests/test_slots.py
@@ -81,7 +81,7 @@
             self.assertEqual(decisions[0].owner, "m2")
             await self.brokers["m1"].release(decisions[0], Feedback())
             await anyio.sleep(0.01)
-            self.assertEqual(self.routers["m2"].free_slots(), {"web": 1})
+            self.assertEqual(self.routers["m2"].count_free_slots(), {"web": 1})
 
         self.run_with_brokers(scenario)
 
@@ -94,7 +94,7 @@
                 await self.brokers["m1"].acquire(self.build_ticket(5_000.0))
             await self.brokers["m2"].release(grant, Feedback())
             await anyio.sleep(0.05)
-            self.assertEqual(self.routers["m2"].free_slots(), {"web": 1})
+            self.assertEqual(self.routers["m2"].count_free_slots(), {"web": 1})
 
         self.run_with_brokers(scenario)
 
--- a/coltsfootpier/membership/_table.py
+++ b/coltsfootpier/membership/_table.py
@@ -131,6 +131,6 @@
         elapsed_ms = self._clock.now_ms() - self._last_heartbeat_ms.get(id_, float("-inf"))
         return elapsed_ms > _MAX_MISSED_HEARTBEATS * self._heartbeat_ms
 
-    def reachable(self) -> list[str]:
+    def list_reachable(self) -> list[str]:
         """Return the identifiers of the members that aren't suspected to have failed."""
         return [id_ for id_ in self.members if not self.is_suspect(id_)]
--- a/coltsfootpier/membership/tests/test_table.py
+++ b/coltsfootpier/membership/tests/test_table.py
@@ -22,7 +22,7 @@
         """Guards against daemons that remove each other when their leases in the store expire."""
         self.table.observe_member(_build_member("a"))
         self.table.observe_listing({})
-        self.assertIn("a.i.1", self.table.reachable())
+        self.assertIn("a.i.1", self.table.list_reachable())
         self.clock.advance(4_000)
         self.table.remove_suspects()
         self.assertEqual(self.table.members, {})
@@ -37,6 +37,6 @@
         """Guards against a daemon that stays unknown because it started during a store outage."""
         self.assertTrue(self.table.observe_member(_build_member("c")))
         self.assertFalse(self.table.observe_member(_build_member("c")))
-        self.assertIn("c.i.1", self.table.reachable())
+        self.assertIn("c.i.1", self.table.list_reachable())
         self.table.observe_listing({"c.i.2": _build_member("c", 2)})
         self.assertNotIn("c.i.1", self.table.members)
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -407,8 +407,10 @@
             await anyio.sleep(_timing.REGISTRY_PERIOD_MS / 1000)
 
     def _apply_registry(self, entries: list[RunnerEntry], now_ms: float) -> None:
-        listed = [runner.entry for runner in self.cell.fleet.runners.values() if runner.listed]
-        entries = self._registry_merger.merge(entries, listed, now_ms)
+        registered = [
+            runner.entry for runner in self.cell.fleet.runners.values() if runner.is_registered
+        ]
+        entries = self._registry_merger.merge(entries, registered, now_ms)
         self.cell.set_runners(entries, now_ms)
         new = [entry for entry in entries if entry.id not in self._fleet_entries]
         removed = [
--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -134,7 +134,7 @@
         return call_number
 
     def _settle_call(self, call_number: int, *, applied: bool) -> None:
-        self._lease_expiry.settle(call_number, applied=applied)
+        self._lease_expiry.settle_call(call_number, applied=applied)
         self._cell.fleet.set_lease_expiry(self.id, self._lease_expiry.lease_expiry_ms)
 
     async def _poll_report(self) -> None:
@@ -151,7 +151,7 @@
         self.report_count += 1
         result = await self._client.poll_report(
             deadline_ms=deadline_ms,
-            observed=cell.fleet.last_durable_end(self.id),
+            observed=cell.fleet.get_last_durable_end(self.id),
             # A long poll would return at once while the runner still lists earlier ended runs.
             wait_ms=0 if has_pending_ends or runner_now_ms is None else _timing.REPORT_WAIT_MS,
             timeout_ms=_timing.RUNNER_TIMEOUT_MS,
--- a/coltsfootpier/permits/_copies.py
+++ b/coltsfootpier/permits/_copies.py
@@ -18,7 +18,7 @@
 
 
 class EpochOrderError(InvariantError):
-    """Raised when a record has a higher epoch than the highest announced one of its group."""
+    """Raised when a record has a higher epoch than the highest one observed for its group."""
 
 
 @attrs.define
@@ -52,14 +52,14 @@
         return sum(len(group.records) for group in self._groups.values())
 
     def epoch_of(self, group: str) -> int:
-        """Return the highest epoch seen for a group."""
+        """Return the highest epoch observed for a group."""
         return self._get_group(group).epoch
 
     def pulled_epoch(self, group: str) -> int:
         """Return the highest epoch of an owner that has pulled this daemon's copies of a group."""
         return self._get_group(group).pulled_epoch
 
-    def announce(self, group: str, epoch: int) -> None:
+    def observe_epoch(self, group: str, epoch: int) -> None:
         """Record that a group has an owner with this epoch."""
         state = self._get_group(group)
         state.epoch = max(state.epoch, epoch)
@@ -85,7 +85,7 @@
         Raises
         ------
         EpochOrderError
-            If the record's epoch is higher than the highest announced one of the group.
+            If the record's epoch is higher than the highest one observed for the group.
         """
         state = self._get_group(group)
         if record.epoch > state.epoch:
--- a/coltsfootpier/permits/_history.py
+++ b/coltsfootpier/permits/_history.py
@@ -75,7 +75,7 @@
         if process in self._seen:
             self._seen[process].is_retired = True
 
-    def ages(self) -> dict[str, float]:
+    def list_ages(self) -> dict[str, float]:
         """Return the retained daemons, with the milliseconds since each was last seen."""
         now_ms = self._clock.now_ms()
         for process, seen in list(self._seen.items()):
@@ -225,7 +225,7 @@
 
     def missing_processes(self) -> set[str]:
         """Return the daemons that may hold copies and have not responded."""
-        return self._known_processes.ages().keys() - self._responded
+        return self._known_processes.list_ages().keys() - self._responded
 
     @property
     def is_complete(self) -> bool:
--- a/coltsfootpier/permits/_manager.py
+++ b/coltsfootpier/permits/_manager.py
@@ -115,12 +115,12 @@
             self.coverage.start(ownership.member, is_first=is_first)
         present = {process_of(id_) for id_ in self._listed}
         self.known_processes.observe({*present, self.process})
-        for process in self.known_processes.ages().keys() - present:
+        for process in self.known_processes.list_ages().keys() - present:
             if is_retired(process):
                 self.known_processes.retire(process)
         for group, owner in ownership.table.partitions.items():
             if group.startswith(_KEY_GROUP_PREFIX):
-                self.copies.announce(group, owner.epoch)
+                self.copies.observe_epoch(group, owner.epoch)
         for group, table in list(self.tables.items()):
             if table.is_superseded:
                 del self.tables[group]
@@ -184,7 +184,7 @@
     def settle(self, message: SettlePermit) -> SettleReply:
         """Record the outcome of a request, and keep the changed record to send it to a peer."""
         table = self.tables.get(message.group)
-        if table is None or not table.ready or table.is_superseded:
+        if table is None or not table.is_ready or table.is_superseded:
             return SettleReply(accepted=False)
         changed = table.settle(message)
         if changed is not None:
@@ -207,7 +207,7 @@
 
     # Copies
 
-    def list_unsent(self) -> list[PermitTable]:
+    def list_tables_to_copy(self) -> list[PermitTable]:
         """Return the tables with outcomes that haven't been sent to a peer yet."""
         return [self.tables[group] for group, records in self._unsent_records.items() if records]
 
@@ -237,7 +237,9 @@
         """Record the epoch of a new owner and return the copies of its group."""
         self.coverage.record_peer_message()
         reply = self.copies.handle_pull(message, process=self.process)
-        return attrs.evolve(reply, covered_ms=self.covered_ms(), seen=self.known_processes.ages())
+        return attrs.evolve(
+            reply, covered_ms=self.covered_ms(), seen=self.known_processes.list_ages()
+        )
 
     def covered_ms(self) -> float:
         """Return the length in milliseconds of the period that `Coverage` describes.
--- a/coltsfootpier/permits/_table.py
+++ b/coltsfootpier/permits/_table.py
@@ -51,7 +51,7 @@
 
     Attributes
     ----------
-    ready : bool
+    is_ready : bool
         Whether the owner has tried to pull the records of previous owners; false at first. Until
         then, the table decides on no request.
     """
@@ -69,7 +69,7 @@
         self.group = group
         self.epoch = epoch
         self.history = history
-        self.ready = False
+        self.is_ready = False
         self._copies = copies
         self._clock = clock
         self._window_ms = window_ms
@@ -78,7 +78,7 @@
         self._pending_is_retry: dict[str, bool] = {}
         # Token and end of the current grant of each key.
         self._granted: dict[str, tuple[str, float]] = {}
-        copies.announce(group, epoch)
+        copies.observe_epoch(group, epoch)
 
     @property
     def is_superseded(self) -> bool:
@@ -93,7 +93,7 @@
         PermitReply or CopyRequired
             After `CopyRequired`, `confirm` or `abandon` must be called to decide the request.
         """
-        if self.is_superseded or not self.ready:
+        if self.is_superseded or not self.is_ready:
             return PermitReply(verdict=Verdict.NOT_OWNER)
         hold_ms = request.hold_ms * (1 + MAX_CLOCK_DRIFT_RATIO)
         if hold_ms > self._window_ms:
@@ -104,14 +104,14 @@
             reply = self._decide_from_record(request, record)
             if reply is not None:
                 return reply
-        if not self.check_history():
+        if not self.update_completeness():
             # The key may have been granted even if its record is free, because the record of a
             # later grant may be missing from the history.
             return PermitReply(verdict=Verdict.INCOMPLETE)
         previous = record if record is not None and record.token == request.token else None
         return self._store_pending_record(request, hold_ms, previous)
 
-    def check_history(self) -> bool:
+    def update_completeness(self) -> bool:
         """Return whether the history is complete, and if so, record that for the next owner."""
         is_complete = self.history.is_complete
         if is_complete and not self.is_superseded:
--- a/coltsfootpier/permits/tests/builders.py
+++ b/coltsfootpier/permits/tests/builders.py
@@ -270,8 +270,8 @@
             reply = self._call_daemon(daemon, process, lambda to: to.manager.handle_pull(pull))
             if reply is not None:
                 manager.merge_pulled_copies(table, reply)
-        table.ready = True
-        if table.check_history() and not table.history.missing_processes():
+        table.is_ready = True
+        if table.update_completeness() and not table.history.missing_processes():
             daemon.pulling.remove(table)
 
     def _copy_record(
@@ -290,7 +290,7 @@
         for process in self.rng.sample(others, len(others)):
             reply = self._call_daemon(owner, process, lambda to: to.manager.receive_copies(message))
             if reply is not None and not reply.accepted:
-                owner.manager.copies.announce(table.group, reply.epoch)
+                owner.manager.copies.observe_epoch(table.group, reply.epoch)
             if reply is not None and reply.accepted:
                 copied = True
                 break
--- a/coltsfootpier/permits/tests/test_table.py
+++ b/coltsfootpier/permits/tests/test_table.py
@@ -39,7 +39,7 @@
     member = manager.ownership.member
     manager.ownership.observe(OwnerTable({"keys/0": Ownership(member, epoch)}), epoch)
     (table,) = _reconcile(manager, member, *others)
-    table.ready = True
+    table.is_ready = True
     return table
 
 
--- a/coltsfootpier/routing/__init__.py
+++ b/coltsfootpier/routing/__init__.py
@@ -8,7 +8,7 @@
 from coltsfootpier.routing._health import RunnerHealth
 from coltsfootpier.routing._messages import (
     AttemptResult,
-    Borrow,
+    BorrowPlan,
     Feedback,
     Grant,
     Outcome,
@@ -37,7 +37,7 @@
 __all__ = [
     "AttemptResult",
     "BalancedAssignment",
-    "Borrow",
+    "BorrowPlan",
     "Candidate",
     "FairQueue",
     "Feedback",
--- a/coltsfootpier/routing/_health.py
+++ b/coltsfootpier/routing/_health.py
@@ -127,7 +127,7 @@
         if record is not None and record.blocked_until_ms > 0.0:
             record.blocked_until_ms = self._clock.now_ms() + _PROBE_TIMEOUT_MS
 
-    def ejected(self) -> tuple[str, ...]:
+    def list_ejected(self) -> tuple[str, ...]:
         """Return the runners that this daemon has ejected."""
         return tuple(sorted(id_ for id_, record in self._records.items() if record.is_ejected))
 
@@ -193,7 +193,7 @@
         )
 
     def _list_all_ejected(self, runners: Collection[str]) -> set[str]:
-        all_ejected = set(self.ejected()).union(*self._peer_ejected.values())
+        all_ejected = set(self.list_ejected()).union(*self._peer_ejected.values())
         return all_ejected & set(runners)
 
     def _may_eject(self, runner_id: str, runners: Collection[str]) -> bool:
--- a/coltsfootpier/routing/_messages.py
+++ b/coltsfootpier/routing/_messages.py
@@ -173,7 +173,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Borrow:
+class BorrowPlan:
     """Instruction to request a slot from a peer on behalf of a waiting ticket."""
 
     peer: str
--- a/coltsfootpier/routing/_retries.py
+++ b/coltsfootpier/routing/_retries.py
@@ -45,13 +45,13 @@
     Examples
     --------
     >>> budget = RetryBudget()
-    >>> budget.spend("web")
+    >>> budget.try_spend("web")
     False
     >>> for _ in range(10):
     ...     budget.record_request("web")
-    >>> budget.spend("web")
+    >>> budget.try_spend("web")
     True
-    >>> budget.spend("web")
+    >>> budget.try_spend("web")
     False
     """
 
@@ -64,7 +64,7 @@
             _MAX_SAVED_RETRIES, self._saved_retries[service] + _RETRIES_PER_REQUEST
         )
 
-    def spend(self, service: str) -> bool:
+    def try_spend(self, service: str) -> bool:
         """Spend one retry and return true, or return false if the budget is exhausted."""
         # Allows for rounding: ten additions of 0.1 sum to slightly less than one.
         if self._saved_retries[service] < 1 - 1e-9:
--- a/coltsfootpier/routing/_router.py
+++ b/coltsfootpier/routing/_router.py
@@ -14,7 +14,7 @@
 from coltsfootpier.routing._health import RunnerHealth
 from coltsfootpier.routing._messages import (
     AttemptResult,
-    Borrow,
+    BorrowPlan,
     Feedback,
     Grant,
     Queued,
@@ -255,7 +255,7 @@
             )
         return self._grant_waiting(slots.runner.service)
 
-    def plan_borrows(self, name: str) -> list[Borrow]:
+    def plan_borrows(self, name: str) -> list[BorrowPlan]:
         """Return the slot requests of a service to send to peers now; each is returned once.
 
         At most as many slots are requested from a peer as it has reported free. A daemon without
@@ -266,7 +266,7 @@
         service = self._services.get(name)
         if service is None:
             return []
-        planned: list[Borrow] = []
+        planned: list[BorrowPlan] = []
         own_tickets = [
             ticket for ticket in service.queue.list_next_tickets() if not ticket.borrower
         ]
@@ -278,7 +278,9 @@
             if peer is None:
                 break
             self._peers[peer].pending_borrows[name] += 1
-            planned.append(Borrow(peer=peer, ticket=own_tickets[len(planned) % len(own_tickets)]))
+            planned.append(
+                BorrowPlan(peer=peer, ticket=own_tickets[len(planned) % len(own_tickets)])
+            )
         return planned
 
     def settle_borrow(
@@ -348,7 +350,7 @@
             settled += self._grant_waiting(name)
         return settled
 
-    def free_slots(self) -> dict[str, int]:
+    def count_free_slots(self) -> dict[str, int]:
         """Return the number of free slots that this daemon owns, by service."""
         return {
             name: sum(max(0, self._count_free(self._slots[id_])) for id_ in service.runners)
@@ -356,7 +358,7 @@
             if service.runners
         }
 
-    def owned_slots(self, service: str) -> int:
+    def count_owned_slots(self, service: str) -> int:
         """Return the number of slots of a service that this daemon owns."""
         state = self._services.get(service)
         return sum(self._slots[id_].owned for id_ in state.runners) if state else 0
--- a/coltsfootpier/routing/tests/test_health.py
+++ b/coltsfootpier/routing/tests/test_health.py
@@ -30,7 +30,7 @@
         """Guards against ejecting a runner because one faulty request fails repeatedly."""
         for _ in range(20):
             self.record_result("r1", 1)
-        self.assertEqual(self.health.ejected(), ())
+        self.assertEqual(self.health.list_ejected(), ())
 
     def test_distinct_failures_eject_and_a_successful_probe_readmits(self) -> None:
         """Guards against using a runner that fails all requests, and never readmitting it."""
@@ -42,7 +42,7 @@
         self.assertFalse(self.health.is_usable("r1"))
         self.record_result("r1", 9, AttemptResult.ANSWERED)
         self.assertTrue(self.health.is_usable("r1"))
-        self.assertEqual(self.health.ejected(), ())
+        self.assertEqual(self.health.list_ejected(), ())
 
     def test_success_between_failures_prevents_ejection(self) -> None:
         """Guards against ejecting a runner that fails only some requests."""
@@ -51,25 +51,25 @@
             self.record_result(
                 "r1", request, AttemptResult.ANSWERED if answered else AttemptResult.FAILED
             )
-        self.assertEqual(self.health.ejected(), ())
+        self.assertEqual(self.health.list_ejected(), ())
 
     def test_at_most_a_third_is_ejected(self) -> None:
         """Guards against ejecting all runners of a service when every request fails."""
         self.fail_distinct_requests(*RUNNERS)
-        self.assertEqual(self.health.ejected(), ("r1", "r2"))
+        self.assertEqual(self.health.list_ejected(), ("r1", "r2"))
 
     def test_limit_on_ejections_includes_those_of_peers(self) -> None:
         """Guards against daemons that together eject more than a third of the runners."""
         self.health.observe_peer_ejections("m2", ["r5", "r6"])
         self.fail_distinct_requests("r1")
-        self.assertEqual(self.health.ejected(), ())
+        self.assertEqual(self.health.list_ejected(), ())
 
     def test_simultaneous_ejections_are_reverted(self) -> None:
         """Guards against too many ejections when daemons eject different runners at once."""
         self.fail_distinct_requests("r3", "r4")
         self.health.observe_peer_ejections("m2", ["r1", "r2"])
         self.health.limit_ejections(RUNNERS)
-        self.assertEqual(self.health.ejected(), ())
+        self.assertEqual(self.health.list_ejected(), ())
         self.assertTrue(self.health.is_usable("r3"))
 
 
--- a/coltsfootpier/routing/tests/test_router.py
+++ b/coltsfootpier/routing/tests/test_router.py
@@ -102,7 +102,7 @@
         """Guards against requests that starve on an entry VM that owns no slot of their service."""
         self.router.observe_runners("r1", 2, [build_runner(slots=1)])
         self.router.observe_members("m1", {"m2": "z1"})
-        self.assertEqual(self.router.owned_slots("web"), 0)
+        self.assertEqual(self.router.count_owned_slots("web"), 0)
         self.assertIsInstance(self.acquire(), Queued)
         self.assertEqual([borrow.peer for borrow in self.router.plan_borrows("web")], ["m2"])
         self.assertEqual(self.router.plan_borrows("web"), [])
@@ -123,17 +123,17 @@
         self.router.observe_members("m1", {"m2": "z1"})
         self.assertIsInstance(self.acquire(borrower="m2"), Grant)
         self.router.observe_members("m1", {})
-        self.assertEqual(self.router.free_slots(), {"web": 2})
+        self.assertEqual(self.router.count_free_slots(), {"web": 2})
 
     def test_overdue_attempt_keeps_its_slot_until_the_deadline(self) -> None:
         """Guards against requests to a runner that rejects them while an overdue one runs."""
         grant = self.acquire()
         overdue = Feedback(result=AttemptResult.OVERDUE, request_id="1")
         self.router.release(grant.runner.id, grant.token, overdue)
-        self.assertEqual(self.router.free_slots(), {"web": 1})
+        self.assertEqual(self.router.count_free_slots(), {"web": 1})
         self.clock.advance(1_001.0)
         self.router.expire()
-        self.assertEqual(self.router.free_slots(), {"web": 2})
+        self.assertEqual(self.router.count_free_slots(), {"web": 2})
 
     def test_late_request_is_rejected_not_granted(self) -> None:
         """Guards against granting a slot to a request that can't meet its deadline."""
--- a/coltsfootpier/settings/__init__.py
+++ b/coltsfootpier/settings/__init__.py
@@ -6,7 +6,7 @@
     Settings,
     format_settings,
     format_settings_page,
-    read_settings,
+    parse_settings,
 )
 
 __all__ = [
@@ -15,5 +15,5 @@
     "format_settings",
     "format_settings_page",
     "parse_address",
-    "read_settings",
+    "parse_settings",
 ]
--- a/coltsfootpier/settings/_settings.py
+++ b/coltsfootpier/settings/_settings.py
@@ -231,7 +231,7 @@
     permits: dict[str, Any]
 
 
-def read_settings(source: str, content: str) -> Result[Settings, tuple[Problem, ...]]:
+def parse_settings(source: str, content: str) -> Result[Settings, tuple[Problem, ...]]:
     """Parse and validate the settings of a daemon.
 
     Parameters
--- a/coltsfootpier/settings/tests/test_settings.py
+++ b/coltsfootpier/settings/tests/test_settings.py
@@ -5,7 +5,7 @@
 import unittest
 from pathlib import Path
 
-from coltsfootpier.settings import format_settings, format_settings_page, read_settings
+from coltsfootpier.settings import format_settings, format_settings_page, parse_settings
 
 _SETTINGS_TEXT = """
 [daemon]
@@ -23,8 +23,8 @@
 class SettingsTest(unittest.TestCase):
     def test_formatted_settings_can_be_parsed(self) -> None:
         """Guards against printed settings that don't parse back to the same values."""
-        settings = read_settings("s.ini", _SETTINGS_TEXT).unwrap()
-        self.assertEqual(read_settings("t", format_settings(settings)).unwrap(), settings)
+        settings = parse_settings("s.ini", _SETTINGS_TEXT).unwrap()
+        self.assertEqual(parse_settings("t", format_settings(settings)).unwrap(), settings)
 
     def test_reference_page_matches_definitions(self) -> None:
         """Guards against a reference page with a missing or outdated setting."""
@@ -33,13 +33,13 @@
 
     def test_unknown_key_suggests_nearest_known_key(self) -> None:
         """Guards against a misspelt key that is ignored, so that its default applies."""
-        problems = read_settings("s.ini", _SETTINGS_TEXT + "[periods]\nheartbeat = 5\n").failure()
+        problems = parse_settings("s.ini", _SETTINGS_TEXT + "[periods]\nheartbeat = 5\n").failure()
         self.assertEqual(problems[0].allowed, "did you mean 'heartbeat_ms'?")
 
     def test_lease_shorter_than_three_renewals_is_rejected(self) -> None:
         """Guards against periods with which a single slow call loses the lease."""
         text = _SETTINGS_TEXT + "[periods]\nmember_lease_ms = 3000\nmember_renew_ms = 2000\n"
-        self.assertEqual(read_settings("s.ini", text).failure()[0].key, "member_lease_ms")
+        self.assertEqual(parse_settings("s.ini", text).failure()[0].key, "member_lease_ms")
 
 
 if __name__ == "__main__":
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -13,7 +13,7 @@
 from coltsfootpier.daemon import Daemon, Interfaces
 from coltsfootpier.operators import ApplyRequest
 from coltsfootpier.platform import Vm
-from coltsfootpier.settings import Settings, read_settings
+from coltsfootpier.settings import Settings, parse_settings
 from soak._fakes import (
     FakePeerClient,
     FakePlatformClient,
@@ -270,7 +270,7 @@
                 f"10.0.1.{seed}:2" for seed in range(1, self._initial_daemon_count + 1)
             ),
         )
-        return read_settings("soak", text).unwrap()
+        return parse_settings("soak", text).unwrap()
 
     # Workers
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -181,7 +181,7 @@
         handle = self._spawn(name, ["-m", "standins.worker", f"--name={name}", *options])
         port = await anyio.to_thread.run_sync(_read_port, handle)
         self.workers[name] = Process(name=name, handle=handle, ports={"api": port})
-        await self.list_vm(
+        await self.update_vm(
             name=name,
             state="live",
             role="worker",
@@ -191,7 +191,7 @@
         )
         return self.workers[name]
 
-    async def list_vm(self, **vm: str) -> None:
+    async def update_vm(self, **vm: str) -> None:
         """Add or update a VM in the platform's list of VMs, which shows the change after a delay.
 
         Only the given fields are changed.
@@ -239,14 +239,14 @@
             await wait_for(lambda d=daemon: is_ready(d), timeout_s=timeout_s)
         await self.balancer.check()
 
-    async def status(self, daemon: str) -> dict[str, Any]:
+    async def read_status(self, daemon: str) -> dict[str, Any]:
         """Return the status of a daemon, or an empty dict if it doesn't respond."""
         response = await call(self.daemons[daemon].ports["operators"], "GET", "/v1/status")
         return response.json() if response is not None and response.status == 200 else {}
 
     async def count_running(self, daemon: str, prefix: str) -> int:
         """Count the running tasks whose name starts with `prefix`, as shown by a daemon."""
-        status = await self.status(daemon)
+        status = await self.read_status(daemon)
         return sum(
             task["state"] == "running" and task["task"].startswith(prefix)
             for task in status.get("tasks", ())
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -117,11 +117,11 @@
     await anyio.sleep(1.0)
     print("killing worker-5")
     cluster.workers["worker-5"].signal(signal.SIGKILL)
-    await cluster.list_vm(name="worker-5", state="gone")
+    await cluster.update_vm(name="worker-5", state="gone")
 
 
 async def _are_jobs_done(cluster: Cluster) -> bool:
-    status = await cluster.status("entry-0")
+    status = await cluster.read_status("entry-0")
     jobs = [task for task in status.get("tasks", ()) if task["task"].startswith("job/")]
     return bool(jobs) and all(task["state"] == "done" for task in jobs)
 
@@ -168,7 +168,7 @@
         for name, outcome in tally.non_idempotent
         if outcome.startswith("refused") and runs[name]
     ]
-    status = await cluster.status("entry-0")
+    status = await cluster.read_status("entry-0")
     done_count = sum(
         task["state"] == "done" and task["task"].startswith("job/") for task in status["tasks"]
     )
--- a/tests/test_processes_failures.py
+++ b/tests/test_processes_failures.py
@@ -118,7 +118,7 @@
         return response.headers.get("x-outcome", "") if response else ""
 
     async def _list_tasks(self, prefix: str, daemon: str = "entry-0") -> list[dict[str, Any]]:
-        status = await self.cluster.status(daemon)
+        status = await self.cluster.read_status(daemon)
         return [task for task in status.get("tasks", ()) if task["task"].startswith(prefix)]
 
     async def _wait_for_jobs(self, prefix: str, count: int) -> None:
@@ -259,7 +259,7 @@
         self.assertEqual(await self._send_request("entry-s", "read", "seeded"), "done")
 
         async def is_known() -> bool:
-            status = await self.cluster.status("entry-2")
+            status = await self.cluster.read_status("entry-2")
             return "entry-s" in [vm["name"] for vm in status.get("entry_vms", ())]
 
         await wait_for(is_known, timeout_s=10)
