Correct docstrings that contradict the code of cells, jobs and the platform

Some docstrings named a wrong set of runners or tasks, a wrong unit or too few causes, and a few sentences had to be read twice.

--- a/coltsfootpier/cells/_admission.py
+++ b/coltsfootpier/cells/_admission.py
@@ -1,9 +1,9 @@
 """Admission control: which submitted jobs are accepted.
 
 Batch jobs arrive in bursts of 3 to 6 s at 1.3 to 2.6 times the usual rate, while the runners are
-70 to 85 % utilised in normal operation. An accepted job can't be rejected later, and a late result
-is worth a seventh of one in time. An immediate rejection lets the caller retry when the backlog has
-drained, and lets the accepted jobs end in time.
+70 or 85 % utilised in normal operation. An accepted job can't be rejected later, and a late result
+is worth a seventh of a result in time. An immediate rejection lets the caller retry when the
+backlog has drained, and lets the accepted jobs end in time.
 """
 
 from __future__ import annotations
--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -43,7 +43,7 @@
 
 @attrs.frozen
 class Accepted:
-    """An accepted job; the caller gets the response once its record is durable."""
+    """An accepted job; the caller gets the response once `version` of its record is durable."""
 
     job: Job
     version: int
--- a/coltsfootpier/cells/_cordons.py
+++ b/coltsfootpier/cells/_cordons.py
@@ -46,7 +46,10 @@
             runner.cordoned = False
 
     def measure_ending_cost(self, runner_id: str) -> float | None:
-        """Return the CPU in thousandths of a core of a runner's runs; None if it is unusable."""
+        """Return the cost of ending a runner's runs; None if the runner can't be used now.
+
+        The cost is the CPU that the runs request, in thousandths of a core.
+        """
         runner = self._fleet.runners.get(runner_id)
         if (
             runner is None
--- a/coltsfootpier/cells/_health.py
+++ b/coltsfootpier/cells/_health.py
@@ -59,6 +59,6 @@
 
 
 def is_suspect(runner: Runner, settings: CellSettings) -> bool:
-    """Return whether runs of several jobs have failed on a runner without a success."""
+    """Return whether runs of several jobs failed in a row; on probation, one failure suffices."""
     needed = 1 if runner.on_probation else settings.suspect_failures
     return len(runner.failed_job_ids) >= needed
--- a/coltsfootpier/cells/_interference.py
+++ b/coltsfootpier/cells/_interference.py
@@ -30,7 +30,7 @@
 # Variance of the utilisation in one report, apart from rounding: the tasks of a step differ by
 # about 0.02.
 _REPORT_VARIANCE = 0.0004
-# Tail latencies are reported in whole ms; the variance of a rounded value.
+# Variance of a rounding error in ms squared; tail latencies are reported in whole ms.
 _ROUNDING_VARIANCE_MS = 1.0 / 12.0
 # Load of a step before its first report.
 _LOAD_PRIOR = 0.5
@@ -60,8 +60,8 @@
 _TYPICAL_CPU_SHARE = 0.1
 # Maximum number of pairs, and of load filters, in memory; the oldest are dropped first.
 _MAX_PAIRS = 4_096
-# Maximum number of pairs stored for the next owner: 5 serving and 9 best-effort images make 45, and
-# 60 bytes each keep the record at 20 KB, which costs the store one more round trip.
+# Maximum number of pairs stored for the next owner; 5 serving and 9 best-effort images make 45. At
+# 60 bytes per pair the record has at most 20 KB, which costs the store one more round trip.
 _MAX_EXPORTED_PAIRS = 320
 
 
@@ -175,11 +175,11 @@
         learned_pairs = tuple(
             LearnedInterference(
                 serving=serving,
-                filling=filling,
+                filling=best_effort,
                 mean=round(found.mean, 3),
                 variance=round(found.variance, 4),
             )
-            for (serving, filling), found in pairs
+            for (serving, best_effort), found in pairs
         )
         idle = list(self._idle_tails.items())[-_MAX_EXPORTED_PAIRS:]
         return learned_pairs, {image: round(share, 4) for image, share in idle}
--- a/coltsfootpier/cells/_jobs.py
+++ b/coltsfootpier/cells/_jobs.py
@@ -210,7 +210,7 @@
     # Expiry
 
     def list_expired(self, now_ms: float, *, kept_ms: float, limit: int) -> list[str]:
-        """Return the oldest ended jobs whose retention time has passed.
+        """Return the identifiers of the oldest ended jobs whose retention time has passed.
 
         Parameters
         ----------
--- a/coltsfootpier/cells/_lease_expiry.py
+++ b/coltsfootpier/cells/_lease_expiry.py
@@ -61,7 +61,7 @@
         return self._last_call_number
 
     def settle_call(self, call_number: int, *, applied: bool) -> None:
-        """Record whether the runner may have applied a call that `record_call` numbered."""
+        """Record whether the runner may have applied the call with a number from `record_call`."""
         lease_expiry_ms = self._calls.pop(call_number)
         if applied:
             self._applied_expiry_ms = max(self._applied_expiry_ms, lease_expiry_ms)
--- a/coltsfootpier/cells/_placement.py
+++ b/coltsfootpier/cells/_placement.py
@@ -131,8 +131,8 @@
         preference -= 8
     score = runner.unused_cpu
     if spec.latency_target_ms:
-        # Serving tasks of one image share runners and pack them, so that each best-effort image
-        # finds runners where it does no harm, and some runners have no serving tasks.
+        # Serving tasks of one image are packed onto shared runners, so that each best-effort
+        # image finds runners where it does no harm, and some runners have no serving tasks.
         preference += _score_images({run.step.image for run in list_serving(runner)}, spec.image)
         score = -(runner.entry.cpu_milli - runner.guaranteed_cpu)
     elif spec.fills:
--- a/coltsfootpier/cells/_planning.py
+++ b/coltsfootpier/cells/_planning.py
@@ -38,7 +38,7 @@
     estimates : Estimates
         Expected durations and work of jobs.
     interference : InterferenceTable
-        Effect of best-effort tasks on serving tasks.
+        Estimated interference of best-effort images with serving images.
     log : callable
         Callback that logs one event with its fields.
     observe : callable
@@ -229,7 +229,10 @@
     def _build_advice_request(
         self, step: StepRun, runners: list[Runner], now_ms: float
     ) -> AdviceRequest | None:
-        """Build a request for runners with free capacity that are neither approved nor excluded."""
+        """Return an advice request for the fitting runners for which no valid advice is known.
+
+        Return None if there are none, or while an earlier request may still get a response.
+        """
         if now_ms - step.advice_requested_ms < self._settings.advice_retry_ms:
             return None
         unknown = [
--- a/coltsfootpier/cells/_settings.py
+++ b/coltsfootpier/cells/_settings.py
@@ -59,7 +59,7 @@
         Time for which a long-running task fits on no runner before another task is moved to free
         capacity. Short tasks that occupy the capacity end within that time.
     make_room_period_ms : float
-        Time between two moves that free capacity for one step, and between two moves of one step
+        Time between two attempts to free capacity for one step, and between two moves of one step
         off cordoned runners; a moved task has started elsewhere by then.
     move_retry_ms : float
         Time between attempts to move one slowed run; each runner has a new measurement by then.
@@ -86,12 +86,14 @@
     aside_ms, aside_max_ms : float
         Duration of a runner's first quarantine, and its maximum after repeated failures.
     aside_share : float
-        Maximum share of the runners of a service that are quarantined at once.
+        Maximum share of the cell's registered runners that are quarantined or on probation at
+        once; one is always allowed.
     admit_late : float
         A job is rejected when the expected time to its end exceeds this multiple of its
         objective. A result is of use to the caller up to three times the objective.
     max_open_tasks : int
-        Maximum number of tasks of accepted jobs in a cell; bounds memory and the store's records.
+        Maximum number of tasks that wait for runners, with those of a new job; bounds memory and
+        the store's records.
     tasks_retry_ms : float
         Retry delay of a job that was rejected because of `max_open_tasks`: a typical task has
         ended by then.
--- a/coltsfootpier/cells/tests/test_colocation.py
+++ b/coltsfootpier/cells/tests/test_colocation.py
@@ -210,7 +210,7 @@
         self.assertLess(table.estimate("web", "light"), 0.8)
 
     def test_unknown_pair_has_a_cautious_estimate(self):
-        """Guards against a wide step of an unknown image that overloads a serving runner."""
+        """Guards against a step of many tasks of an unknown image that overloads a runner."""
         table = InterferenceTable(CellSettings())
         self.assertGreater(table.estimate("web", "new"), 1.0)
 
--- a/coltsfootpier/jobs/_model.py
+++ b/coltsfootpier/jobs/_model.py
@@ -80,7 +80,8 @@
     fills : bool
         Whether the tasks are best-effort tasks, which use only capacity that others leave unused.
     may_miss : int
-        Maximum number of tasks of a long-running step that the system may stop at the same time.
+        Maximum number of tasks of a long-running step that the system may stop at the same time;
+        0 for no limit.
     """
 
     count: int
--- a/coltsfootpier/node/_callers.py
+++ b/coltsfootpier/node/_callers.py
@@ -134,7 +134,10 @@
         return HttpResponse.problem(405, "bad_method", method)
 
     def _compute_remaining_ms(self, headers: dict[bytes, bytes], route: Route) -> float:
-        """Return the time for processing a request: the caller's or the route's, if shorter."""
+        """Return the time in ms to process a request, less a reserve for sending the response.
+
+        The shorter of the caller's and the route's time limit applies.
+        """
         try:
             requested_ms = float(headers.get(DEADLINE_HEADER, b"") or math.inf)
         except ValueError:
--- a/coltsfootpier/node/_committer.py
+++ b/coltsfootpier/node/_committer.py
@@ -224,8 +224,9 @@
         self._last_outcome_ms = self._clock.now_ms()
         if not isinstance(error, StoreUnknown):
             self.is_store_responding = not isinstance(error, StoreUnavailable)
-        # A single attempt without a response doesn't show that the store is down; `is_stuck` also
-        # considers how long the change has been in flight.
+        # An attempt that lost its connection at once or reached the time limit shows that the store
+        # doesn't respond. One that failed in between may be due to a single lost packet; `is_stuck`
+        # also considers how long the change has been in flight.
         elif duration_ms < _timing.COMMIT_RETRY_MS or duration_ms >= _timing.STORE_TIMEOUT_MS:
             self.is_store_responding = False
 
--- a/coltsfootpier/node/_control.py
+++ b/coltsfootpier/node/_control.py
@@ -44,7 +44,7 @@
         self._is_store_reachable = True
 
     async def wait_change(self, timeout_ms: float) -> None:
-        """Wait until the configuration or the owner changes, at most `timeout_ms`."""
+        """Wait until the configuration, a wave or the owner changes, at most `timeout_ms`."""
         changed = self._changed
         with anyio.move_on_after(timeout_ms / 1000):
             await changed.wait()
--- a/coltsfootpier/node/_metrics.py
+++ b/coltsfootpier/node/_metrics.py
@@ -10,8 +10,8 @@
 from aioprometheus import Gauge, Registry
 from aioprometheus.formats import text
 
-# Upper bounds of the histogram buckets in ms, doubling from one to the next. The range follows
-# from jobs: one becomes durable after 20 ms at best and ends after a minute at worst.
+# Upper bounds of the histogram buckets, doubling from one to the next. The range covers jobs, which
+# become durable after 20 ms at the earliest and end after a minute at the latest.
 BUCKET_BOUNDS_MS = (5, 10, 20, 40, 80, 160, 320, 640, 1_280, 2_560, 5_120, 10_240, 20_480, 40_960)
 
 
--- a/coltsfootpier/node/_registry.py
+++ b/coltsfootpier/node/_registry.py
@@ -13,7 +13,7 @@
 
 
 class RegistryMerger:
-    """Keeps runners whose entries expired in an outage in use until they can register again.
+    """Retains runners whose entries expired during an outage until they can register again.
 
     Examples
     --------
--- a/coltsfootpier/node/_responses.py
+++ b/coltsfootpier/node/_responses.py
@@ -13,9 +13,12 @@
 class ResponseStatus(enum.Enum):
     """Outcome of a request about a job."""
 
+    # The submitted job was accepted or rejected.
     ACCEPTED = "accepted"
     REFUSED = "refused"
+    # The job or queue was read, or the cancellation is durable.
     KNOWN = "known"
+    # There is no such job.
     MISSING = "missing"
     # No owner could be reached, or it isn't known whether the request took effect.
     UNKNOWN = "unknown"
--- a/coltsfootpier/node/_vms.py
+++ b/coltsfootpier/node/_vms.py
@@ -65,7 +65,7 @@
         """Return whether a listing may show that a runner with work has ended."""
         ...
 
-    def apply_listing(self, alive: Container[str], *, requested_ms: float) -> bool:
+    def apply_listing(self, live: Container[str], *, requested_ms: float) -> bool:
         """Apply a listing of the live runners; return whether one has ended."""
         ...
 
@@ -98,7 +98,7 @@
     may_send_commands : callable
         Returns whether this daemon is guaranteed to still own the cell.
     on_change : callable
-        Called when runners were cordoned or released, or have ended.
+        Called when runners may have been cordoned or released, or have ended.
     on_fenced : callable
         Called with the identifier of a VM when the VM service rejects a command for it, because a
         later owner has sent one.
--- a/coltsfootpier/node/tests/test_vms.py
+++ b/coltsfootpier/node/tests/test_vms.py
@@ -86,9 +86,9 @@
         """Return whether a listing is needed."""
         return self.suspects
 
-    def apply_listing(self, alive, *, requested_ms):
+    def apply_listing(self, live, *, requested_ms):
         """Record a listing."""
-        self.listings.append(alive)
+        self.listings.append(live)
         return False
 
 
--- a/coltsfootpier/ownership/_state.py
+++ b/coltsfootpier/ownership/_state.py
@@ -203,7 +203,7 @@
         return self._ended_epochs.get(partition, 0) >= epoch
 
     def end_epoch(self, partition: str, epoch: int) -> None:
-        """Stop acting at an epoch permanently; this daemon, too, then needs a claim to act again.
+        """Stop acting at an epoch permanently; to act again, this daemon must claim the partition.
 
         Sequence numbers of the exchange between two owners are valid within a pair of epochs. An
         owner that started again with the same epoch would reset them: its peer would reject every
--- a/coltsfootpier/platform/_runners.py
+++ b/coltsfootpier/platform/_runners.py
@@ -307,7 +307,8 @@
     running = []
     for name, attempt, checkpoint, percent, *measured in value["running"]:
         job_id, key = parse_task(name)
-        # The fifth field depends on the kind of task: a tail latency in ms or the cores in use.
+        # The fifth field is a tail latency in ms for a serving task, and CPU in thousandths of a
+        # core for any other.
         measurement = float(measured[0]) if measured and measured[0] is not None else 0.0
         running.append(
             RunningRow(RunId(job_id, key, attempt), checkpoint, float(percent), measurement)
--- a/coltsfootpier/records/_record.py
+++ b/coltsfootpier/records/_record.py
@@ -115,7 +115,7 @@
         self._write_count = 0
         self._number = 0
         self._base_number = 0
-        self._journal_entries = 0
+        self._journal_entry_count = 0
         self._versions: dict[str, int] = {}
         self._changed: set[str] = set()
         self._dirty = False
@@ -163,7 +163,7 @@
         self._number = header.number
         base_item = next((item for item in items if item.key == f"{self.key}/base"), None)
         self._base_number = _read_header(base_item).number if base_item else 0
-        self._journal_entries = header.number - self._base_number
+        self._journal_entry_count = header.number - self._base_number
         # The next journal value, with the new epoch, occupies the key that a write of the previous
         # owner still in flight would use, so that write fails.
         self._dirty = True
@@ -210,10 +210,10 @@
         self._versions[written.write.key] = version
         if written.is_base:
             self._base_number = written.header.number
-            self._journal_entries = 0
+            self._journal_entry_count = 0
             return
         self._number = written.header.number
-        self._journal_entries += max(1, len(written.changes))
+        self._journal_entry_count += max(1, len(written.changes))
         previous = {name: self.durable.get(name) for name in written.changes}
         for name, entry in written.changes.items():
             if entry is None:
@@ -272,7 +272,7 @@
         return False
 
     def _is_base_due(self) -> bool:
-        is_journal_long = self._journal_entries > max(_MIN_JOURNAL_ENTRIES, len(self.durable))
+        is_journal_long = self._journal_entry_count > max(_MIN_JOURNAL_ENTRIES, len(self.durable))
         return is_journal_long or self._number - self._base_number >= _MAX_WRITES_SINCE_BASE
 
     def _build_base(self, token: str) -> _InFlight[_E]:
