Clarify remaining comments of placement, permits, peers and daemon

Cause: a few comments used leftover terms, left out units or a reason, or disagreed with the code in detail. Change: comments and docstrings, one local name and one test variable; the reason for renewing batch tasks in one session only is back.

--- a/coltsfootpier/daemon/_daemon.py
+++ b/coltsfootpier/daemon/_daemon.py
@@ -575,7 +575,7 @@
         )
 
     async def on_exchange(self, request: ExchangeRequest) -> Result[ExchangeReply, object]:
-        """Forward one step of the dispatcher's exchange to the task that owns the shard."""
+        """Forward an exchange request of the dispatcher to the task that owns the shard."""
         owned_shard = self._shards.get((request.shard, request.shard_epoch))
         if owned_shard is None:
             return Failure(StaleExchange("not the owner"))
@@ -583,7 +583,7 @@
         return result.unwrap() if isinstance(result, Success) else result
 
     async def on_borrow(self, request: BorrowSlot) -> LentSlot:
-        """Lend a slot to a peer, after queueing if none is free."""
+        """Lend a slot to a peer; if none is free, queue the request for a limited time."""
         return await self._slots.lend(request)
 
     async def on_return(self, request: ReturnSlot) -> LentSlot:
--- a/coltsfootpier/daemon/_shard_task.py
+++ b/coltsfootpier/daemon/_shard_task.py
@@ -192,7 +192,8 @@
 
     async def _sync_worker(self, name: str, client: WorkerClient) -> None:
         # Batch tasks are renewed only in the session in which this task took over the shard, and
-        # until the hold-over after an expired lease has passed.
+        # until the hold-over after an expired lease has passed. Other daemons infer from a later
+        # session of this daemon that its earlier sessions no longer renew batch tasks.
         hold_over_ended = (
             self._ownership.since_expiry_ms > self._periods["hold_over_ms"]
             or self._ownership.session != self._session
--- a/coltsfootpier/dispatch/_link.py
+++ b/coltsfootpier/dispatch/_link.py
@@ -63,7 +63,8 @@
     free_by_worker : dict
         Free capacity of each worker minus the reservations.
     max_free : tuple of (float, int, int)
-        Largest free cores, memory in MB and accelerators of any worker, each on its own.
+        Maxima over all workers of the free cores, memory in MB and accelerators; each may belong
+        to a different worker.
     total_free_cores, total_cores : float
         Sums over all workers; the free cores exclude reservations.
     availability_zone : str
--- a/coltsfootpier/dispatch/_schedule.py
+++ b/coltsfootpier/dispatch/_schedule.py
@@ -9,8 +9,8 @@
 from coltsfootpier.dispatch._ledger import FINAL_STATES, Entry, Ledger
 
 # The elapsed time since the creation of a run is recorded this many times per period, but with at
-# least the minimum time between two records. A change of dispatcher delays a run by at most this
-# time plus the duration of the change.
+# least the minimum time between two records. A change of dispatcher delays a run by at most the
+# time between two records plus the duration of the change.
 _PROGRESS_STEPS_PER_PERIOD = 16
 _MIN_PROGRESS_STEP_MS = 30_000.0
 # Time between checks for due runs.
--- a/coltsfootpier/dispatch/_shares.py
+++ b/coltsfootpier/dispatch/_shares.py
@@ -133,10 +133,10 @@
         remaining = self._fleet_cores
         total_weight = sum(team.weight for team in self._teams.values())
         for name in names_by_demand:
-            own_weight = self._teams[name].weight
-            self._guaranteed_cores[name] = min(demand[name], remaining * own_weight / total_weight)
+            team_weight = self._teams[name].weight
+            self._guaranteed_cores[name] = min(demand[name], remaining * team_weight / total_weight)
             remaining -= self._guaranteed_cores[name]
-            total_weight -= own_weight
+            total_weight -= team_weight
 
     def compute_relative_usage(self, team: str) -> float:
         """Return the cores of a team's tasks that aren't stopping, divided by the team's weight."""
--- a/coltsfootpier/dispatch/_sizes.py
+++ b/coltsfootpier/dispatch/_sizes.py
@@ -21,7 +21,7 @@
 
 @attrs.frozen
 class Assessment:
-    """Reason why no worker has room for a task now, and whether this is final."""
+    """Reason why a task fits on no worker now, and whether this is final."""
 
     reason: str
     is_final: bool = False
--- a/coltsfootpier/dispatch/tests/test_schedule.py
+++ b/coltsfootpier/dispatch/tests/test_schedule.py
@@ -99,15 +99,15 @@
 
         The dispatcher crashes after it has written only one of the four records.
         """
-        for bucket in range(4):
-            with self.subTest(bucket=bucket):
+        for record_index in range(4):
+            with self.subTest(record_index=record_index):
                 self.setUp()
                 self._advance_seconds(5)
                 self._complete_tasks()
                 self._advance_seconds(590)
                 self.clock.advance(20_000.0)
                 self.dispatcher.step()
-                items = self._write_records(self.dispatcher, only=bucket)
+                items = self._write_records(self.dispatcher, only=record_index)
                 runs = set()
                 for record in self.dispatcher.ledger.records:
                     record_items = [
--- a/coltsfootpier/membership/_table.py
+++ b/coltsfootpier/membership/_table.py
@@ -115,7 +115,7 @@
         self._leaving.add(id_)
 
     def remove_suspects(self) -> bool:
-        """Remove suspected members that the store doesn't list, and return whether any were."""
+        """Remove suspected members that the store doesn't list; return whether there were any."""
         suspects = [id_ for id_ in self.members if id_ not in self._listed and self.is_suspect(id_)]
         for id_ in suspects:
             del self.members[id_]
--- a/coltsfootpier/peers/_client.py
+++ b/coltsfootpier/peers/_client.py
@@ -97,11 +97,11 @@
         return await self._post("runners", {}, RunnerTable)
 
     async def exchange(self, request: ExchangeRequest) -> Result[ExchangeReply, CallError]:
-        """Send one step of the dispatcher's exchange to the owner of a shard."""
+        """Send an exchange request of the dispatcher to the owner of a shard."""
         return await self._post("exchange", request, ExchangeReply, _EXCHANGE_TIMEOUT_MS)
 
     async def borrow_slot(self, request: BorrowSlot) -> Result[LentSlot, CallError]:
-        """Request a slot; the peer may queue the request for up to its `wait_ms`."""
+        """Request a slot; the peer may queue the request for up to `request.wait_ms`."""
         return await self._post(
             "borrow", request, LentSlot, request.wait_ms + _TIMEOUT_MS, self._borrow_channel
         )
--- a/coltsfootpier/peers/_messages.py
+++ b/coltsfootpier/peers/_messages.py
@@ -77,9 +77,9 @@
     kind, team : str
         Request kind and team whose shares the slot is charged to.
     left_ms : float
-        Time until the deadline of the request.
+        Time until the deadline of the request, in milliseconds.
     wait_ms : float
-        Maximum time for which the owner may queue the request.
+        Maximum time for which the owner may queue the request, in milliseconds.
     excluded : tuple of str
         Runners that the request must not be sent to again.
     """
--- a/coltsfootpier/peers/_server.py
+++ b/coltsfootpier/peers/_server.py
@@ -31,7 +31,7 @@
 from coltsfootpier.placement import ExchangeReply, ExchangeRequest
 from coltsfootpier.transport import Application, HttpRequest, HttpResponse, decode
 
-# The body must hold a complete configuration text, which the store limits to 1 MB.
+# The limit must exceed the size of a complete configuration text, which the store limits to 1 MB.
 _MAX_BODY_BYTES = 4_000_000
 
 
@@ -59,11 +59,11 @@
         ...
 
     async def on_exchange(self, request: ExchangeRequest) -> Result[ExchangeReply, Any]:
-        """Forward one step of the dispatcher's exchange to the task that owns the shard."""
+        """Forward an exchange request of the dispatcher to the task that owns the shard."""
         ...
 
     async def on_borrow(self, request: BorrowSlot) -> LentSlot:
-        """Lend a slot to a peer, after queueing if none is free."""
+        """Lend a slot to a peer; if none is free, queue the request for a limited time."""
         ...
 
     async def on_dispatch_status(self) -> StatusReply:
--- a/coltsfootpier/permits/_copies.py
+++ b/coltsfootpier/permits/_copies.py
@@ -112,7 +112,7 @@
         return CopyReply(accepted=self.merge(message.group, message.records), epoch=state.epoch)
 
     def merge(self, group: str, records: Iterable[PermitRecord]) -> bool:
-        """Store the records of a message, and return whether the group had room for all of them."""
+        """Store the records of a message, and return false if the group is too full for some."""
         now_ms = self._clock.now_ms()
         are_stored = [self.store(group, record.shift(now_ms)) for record in records]
         return all(are_stored)
--- a/coltsfootpier/permits/_history.py
+++ b/coltsfootpier/permits/_history.py
@@ -10,9 +10,9 @@
 from coltsfootpier.permits._messages import PulledPermits
 
 # Maximum time for which a daemon may consider itself the only member although another one has
-# joined, because its watch of the store hasn't reported that one yet. A silent watch is replaced
-# after 5 s; a daemon whose listing of the members is older than this limit doesn't count as the
-# only member.
+# joined, because its watch of the store hasn't reported that one yet. A watch without a response is
+# replaced after 5 s; a daemon whose listing of the members is older than this limit doesn't count
+# as the only member.
 _MAX_WATCH_LAG_MS = 10_000.0
 # Represents an unlimited duration; JSON has no infinity.
 _UNLIMITED_MS = 1e12
--- a/coltsfootpier/permits/_manager.py
+++ b/coltsfootpier/permits/_manager.py
@@ -194,8 +194,8 @@
     def merge_pulled_copies(self, table: PermitTable, reply: PulledPermits) -> None:
         """Merge the copies that a daemon has returned for a newly owned group.
 
-        If the daemon has seen a higher epoch, or if the group has no room for all copies, the
-        daemon doesn't count as having responded.
+        If the daemon has seen a higher epoch, or if the group is too full to store all copies,
+        the daemon doesn't count as having responded.
         """
         if not reply.accepted or not self.copies.merge(table.group, reply.records):
             return
--- a/coltsfootpier/permits/_table.py
+++ b/coltsfootpier/permits/_table.py
@@ -52,8 +52,8 @@
     Attributes
     ----------
     is_ready : bool
-        Whether the owner has tried to pull the records of previous owners; false at first. Until
-        then, the table decides on no request.
+        Whether the owner has attempted to pull the records of previous owners. Before that, the
+        table decides on no request.
     """
 
     def __init__(
--- a/coltsfootpier/permits/tests/builders.py
+++ b/coltsfootpier/permits/tests/builders.py
@@ -139,7 +139,7 @@
         self.table, self.version = OwnerTable(), 0
         self.leases: dict[str, float] = {}
         self.daemons: list[Daemon] = []
-        # Pairs of daemon names that can't reach each other; "s" stands for the store.
+        # Pairs of daemon names that can't reach each other; "s" denotes the store.
         self.partitioned: set[frozenset[str]] = set()
         self.requests: list[Request] = []
         self.pending_copies: list[tuple[Request, Daemon, PermitTable, CopyRequired, bool]] = []
--- a/coltsfootpier/placement/_guard.py
+++ b/coltsfootpier/placement/_guard.py
@@ -29,7 +29,7 @@
 # whenever interference returns soon after a relaxation.
 _INITIAL_HOLD_MS = 20_000.0
 _MAX_HOLD_MS = 320_000.0
-# Time during which a service or job that was evicted from a worker isn't placed there again.
+# Time after an eviction during which no task of the same job is placed on the worker.
 _PLACEMENT_BLOCK_MS = 120_000.0
 _MAX_HISTORY_LENGTH = 64
 # Number of times each throttle command is sent, because an exchange with a worker may be lost.
@@ -137,7 +137,7 @@
         self._slowdowns = slowdowns
         self._protects_services = protect_services
         self._workers: dict[str, _WorkerState] = {}
-        # Keys are a worker and the service or job that must not be placed there.
+        # Keys are a worker and the job whose tasks must not be placed there.
         self._blocked_until_ms: dict[tuple[str, str], float] = {}
         # Share last sent for each attempt, and how many more times it will be sent.
         self._sent_shares: dict[Key, tuple[float, int]] = {}
@@ -147,7 +147,7 @@
         self._workers.pop(worker, None)
 
     def is_blocked(self, worker: str, declared: str, now_ms: float) -> bool:
-        """Return whether a service or job was evicted from a worker recently."""
+        """Return whether a task of a job was evicted from a worker recently."""
         until_ms = self._blocked_until_ms.get((worker, declared))
         if until_ms is not None and now_ms >= until_ms:
             del self._blocked_until_ms[worker, declared]
--- a/coltsfootpier/placement/_health.py
+++ b/coltsfootpier/placement/_health.py
@@ -11,8 +11,9 @@
 # A job that has failed on this many workers without a success is considered faulty itself, and
 # its failures no longer count against workers.
 _FAULTY_JOB_WORKERS = 3
-# Maximum fraction of a shard's workers that may be quarantined at once, so that a scheduler
-# fault that looks like broken workers can't empty the shard.
+# Maximum fraction of a shard's live workers that may be quarantined at once, so that a scheduler
+# fault that looks like broken workers can't empty the shard. In a shard with at least two live
+# workers, one may always be quarantined.
 _MAX_QUARANTINED_SHARE = 1 / 3
 # Time from the quarantine to the first probe. It doubles, up to the maximum, with each failure
 # during the quarantine.
--- a/coltsfootpier/placement/_shard.py
+++ b/coltsfootpier/placement/_shard.py
@@ -45,7 +45,7 @@
 # An attempt that fits on no worker is released to the dispatcher after this time.
 _PLACEMENT_TIMEOUT_MS = 2_000.0
 # The same while tasks are being evicted for the attempt; leaves time for another attempt within
-# 8.3 s.
+# the 8.3 s in which urgent tasks must start.
 _EVICTION_TIMEOUT_MS = 4_000.0
 # An attempt that has run for this long counts as a success for its worker.
 _SUCCESS_AFTER_MS = 10_000.0
--- a/coltsfootpier/placement/_usage.py
+++ b/coltsfootpier/placement/_usage.py
@@ -61,7 +61,7 @@
             self._usage_by_declared.popitem(last=False)
 
     def predict_size(self, spec: TaskSpec, limit: Size) -> Size:
-        """Return the larger of a task's declared size and its service's or job's measured usage.
+        """Return the larger of a task's declared size and the measured usage of its service or job.
 
         Parameters
         ----------
--- a/coltsfootpier/placement/tests/test_guard.py
+++ b/coltsfootpier/placement/tests/test_guard.py
@@ -76,7 +76,7 @@
         self.assertEqual(table.estimate("web", "late"), SlowdownTable().estimate("web", "late"))
 
     def test_table_is_bounded(self) -> None:
-        """Guards against memory use that grows with the number of kinds ever seen."""
+        """Guards against memory use that grows with the number of pairs ever measured."""
         table = SlowdownTable(max_pairs=10)
         for index in range(100):
             table.observe("web", {f"job{index}": 1.0}, 1.5)
--- a/coltsfootpier/routing/_health.py
+++ b/coltsfootpier/routing/_health.py
@@ -132,7 +132,7 @@
         return tuple(sorted(id_ for id_, record in self._records.items() if record.is_ejected))
 
     def limit_ejections(self, runners: Collection[str]) -> None:
-        """Revert own ejections if all daemons together have ejected too many runners of a service.
+        """Revert this daemon's ejections if the daemons together have ejected too many runners.
 
         Daemons may eject different runners before they receive each other's ejections. If these
         are more than a third of the service's runners, every daemon keeps only the ejections of
--- a/coltsfootpier/transport/_connection.py
+++ b/coltsfootpier/transport/_connection.py
@@ -118,8 +118,9 @@
             An open connection whose last response is older than this (ms) is replaced first,
             because an idle connection may have stopped delivering data.
         stream_threshold_bytes : int, optional
-            A response whose body is larger than this (bytes) is passed to `on_large_response`
-            with the rest as a stream, which must be read; `timeout_ms` applies until then.
+            If the body of the response is larger than this (bytes), its first part is passed to
+            `on_large_response` with the rest as a stream, which must be read. `timeout_ms` then
+            limits the time to the first part, and a separate timeout of 60 s the rest.
         on_large_response : callable, optional
             Called with the first part of a large response.
 
