Correct docstrings that contradict the code

Two classes of benchmarks.placement documented three parameters under names that they do not have, and the docstrings of the bounded log writer and its test misstated which lines are dropped and when the counts are written.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -29,7 +29,7 @@
 
     Parameters
     ----------
-    build : callable, optional
+    build_policy : callable, optional
         Returns the placement policy of a shard owner; None selects the default policy.
     may_evict : bool
         Whether batch tasks may be evicted and throttled.
@@ -75,11 +75,11 @@
 
     Parameters
     ----------
-    load : float
+    batch_load_share : float
         Offered batch load as a share of the cores that the services leave free.
     has_noisy_waves : bool
         Whether the interference of one batch job triples in the first half of each minute.
-    flood : str
+    flood_priority : str
         Priority of a flood, in which a separate team submits tasks at ten times the rate of all
         batch tasks from 60 s on; empty for none.
     loses_zone : bool
@@ -155,8 +155,8 @@
 ) -> Declaration:
     """Build the declaration for a time of the simulation.
 
-    Tasks that arrive are added to the batch jobs `batch_jobs`, the job of urgent tasks and the job
-    of the flood.
+    Each arriving task increases the number of tasks of its job: one of `batch_jobs`, ``urgent`` or
+    ``flood``.
     """
     lines = []
     for team, weight in (("services", 2), ("reports", 1), ("surge", 1)):
--- a/coltsfootpier/burn/_stats.py
+++ b/coltsfootpier/burn/_stats.py
@@ -174,7 +174,7 @@
         outcome : Outcome
             How the request ended.
         reason : str
-            Reason of the outcome, such as a `RejectionReason`; may be empty.
+            Reason of the outcome, such as the value of a `RejectionReason`; may be empty.
         latency_ms : float
             Time from arrival to response.
         waited_ms : float
--- a/coltsfootpier/logs/_bounded.py
+++ b/coltsfootpier/logs/_bounded.py
@@ -19,8 +19,8 @@
     """Writer of log lines that doesn't wait for the reader of its file descriptor.
 
     Lines above the rate limit of their event, and lines for which the buffer has no space because
-    the reader is slow, are dropped and counted. A line with the counts is written in the next
-    second in which a line is written and the buffer has space.
+    the reader is slow, are dropped and counted. The first call of `write` after a second also
+    writes a line with the counts, if the buffer has space.
 
     Parameters
     ----------
--- a/coltsfootpier/logs/tests/test_bounded.py
+++ b/coltsfootpier/logs/tests/test_bounded.py
@@ -8,7 +8,7 @@
 
 
 class BoundedWriterTest(unittest.TestCase):
-    """Lines that can't be written at once are dropped and counted."""
+    """Lines above the rate limit or the limit of the buffer are dropped and counted."""
 
     def setUp(self):
         self.read_fd, self.write_fd = os.pipe()
