Clarify docstrings of soak checks, stand-ins and tests

Five soak checks had no docstring, some sentences had an unclear subject, and one test docstring did not say what it guards against.

--- a/benchmarks/colocation.py
+++ b/benchmarks/colocation.py
@@ -124,7 +124,7 @@
     Parameters
     ----------
     kind : str
-        ``urgent``, ``batch`` or ``lasting``, which stands for long-running jobs.
+        ``urgent``, ``batch`` or ``lasting`` (a long-running job).
     objective_ms : float
         Time from the submission within which the job must be completed to earn its full value.
     attempts : int
@@ -154,8 +154,8 @@
     Parameters
     ----------
     batch, urgent, lasting, total : float
-        Earned share of the value of the offered jobs, by kind and in total. ``lasting`` stands for
-        long-running jobs.
+        Earned share of the value of the offered jobs, by kind and in total. ``lasting`` is the
+        kind of long-running jobs.
     refused : float
         Share of the batch and urgent jobs that were never accepted.
     over_share : float
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -297,7 +297,7 @@
     busy_second_ms : float
         The dispatcher's part of a second in which about `STARTS_PER_S` tasks end and as many start.
     plan_sync_ms, observe_reply_ms : float
-        Request to one worker and processing of its reply by a shard owner.
+        Building the request to one worker, and processing its reply, by a shard owner.
     """
 
     tasks: int
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -42,7 +42,7 @@
     cpu_share : float
         Share of its cores that the task may use; below 1 while it is throttled.
     measured_slowdowns : deque of (float, float)
-        Times of recent measurements in ms, and the measured slowdown.
+        Time in ms and slowdown of each recent measurement.
     """
 
     command: Command
--- a/benchmarks/tests/test_colocation.py
+++ b/benchmarks/tests/test_colocation.py
@@ -6,10 +6,10 @@
 
 
 class ColocationTest(unittest.TestCase):
-    """Guards against a simulation that differs between runs, or whose results are implausible."""
+    """Simulation of one seed, run twice."""
 
     def test_simulation_is_repeatable_and_completes_jobs(self):
-        """Two runs of one seed agree, best-effort tasks run, and most of the value is earned.
+        """Guards against runs of one seed that differ, idle runners and implausible results.
 
         With differing runs, two versions of a policy couldn't be compared; on idle runners, the
         policy would make no difference.
--- a/coltsfootpier/burn/_report.py
+++ b/coltsfootpier/burn/_report.py
@@ -212,7 +212,10 @@
 
 
 def _compute_percentile(histogram: Sequence[int], share: float) -> float:
-    """Return the upper bound in ms of the bucket in which a percentile lies; 0 if it is empty."""
+    """Return the upper bound in ms of the bucket that contains a percentile.
+
+    Returns 0 if the histogram is empty.
+    """
     total = sum(histogram)
     cumulative = 0
     for bound_ms, count in zip((*BOUNDS_MS, float("inf")), histogram, strict=False):
--- a/coltsfootpier/burn/tests/test_burn.py
+++ b/coltsfootpier/burn/tests/test_burn.py
@@ -49,7 +49,7 @@
         self.assertNotEqual(self._build_report().services[0].alarm, "page")
 
     def test_counts_expire_after_six_hours(self) -> None:
-        """Guards against counting requests of earlier minutes that share a place in the ring."""
+        """Guards against counters of the ring buffer that keep counts from six hours before."""
         self._record(10, latency_ms=150.0)
         self.clock.advance(361 * _MINUTE_MS)
         self.assertEqual(self._build_report().services[0].finished, 0)
--- a/soak/_fakes.py
+++ b/soak/_fakes.py
@@ -76,7 +76,7 @@
         self._vms_lag_s = vms_lag_s
 
     def put(self, key: str, value: Any, expected: int, lease: str) -> bool:
-        """Write a key if its current version is `expected`."""
+        """Expire leases, write a key like the base class, and call `on_put` after a write."""
         self.expire_leases()
         succeeded = super().put(key, value, expected, lease)
         if succeeded:
--- a/soak/_invariants.py
+++ b/soak/_invariants.py
@@ -71,7 +71,7 @@
         self._accepted_revisions: dict[str, int] = {}
         self._conflict_tokens: set[str] = set()
         self._applied_revisions: set[int] = set()
-        # Entries of each record, as its journal values in the store yield them.
+        # Entries of each record: the result of all journal values that were written to the store.
         self._records: dict[str, dict[str, Any]] = defaultdict(dict)
 
     def record_violation(self, invariant: str, detail: str) -> None:
@@ -142,12 +142,14 @@
             self._conflict_tokens.add(token)
 
     def _check_usage(self, worker: FakeWorker) -> None:
+        """Check that the attempts that run on a worker fit its size."""
         sizes = [command.spec.size for command in worker.list_running() if command.spec]
         used = tuple(sum(size[index] for size in sizes) for index in range(3))
         if not fits(used, worker.size):
             self.record_violation("R1", f"{worker.process_host.name} runs {used} of {worker.size}")
 
     def _check_ledger(self, changed: dict[str, Any]) -> None:
+        """Check that no task leaves the state ``done``, given the changed entries of the ledger."""
         for task, raw_entry in changed.items():
             if raw_entry["state"] == "done":
                 self._done_tasks.add(task)
@@ -155,6 +157,7 @@
                 self.record_violation("done once", f"{task} went from done to {raw_entry['state']}")
 
     def _check_record(self, key: str, entries: dict[str, Any]) -> None:
+        """Check that the placements in a shard's record fit the sizes of their workers."""
         used: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
         for raw_placement in entries.values():
             if raw_placement.get("state") in ("placed", "stopping", "orphaned"):
@@ -267,6 +270,7 @@
                 self.record_violation("replay", f"{key}: {replayed} instead of {entries}")
 
     def _check_job(self, task: str, entry: Entry | None) -> None:
+        """Check that a batch task has ended, with a reason if it was rejected or failed."""
         if entry is None:
             # Allowed only for a job that operators removed before any dispatcher had applied a
             # revision that declares it: the job ended as cancelled and never started.
@@ -283,6 +287,7 @@
             self.event_counts[f"tasks {entry.state}"] += 1
 
     def _check_shards(self, entries: dict[str, Entry]) -> None:
+        """Check that each placement belongs to an attempt that the ledger shows as assigned."""
         self._check_replay()
         for key, placements in self._records.items():
             if not key.startswith("records/shard/"):
--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -214,7 +214,7 @@
             return isinstance(await store.commit(expect={}, puts=[write]), Success)
 
     async def read_wave_status(self, number: int) -> str:
-        """Return the state of a wave that operators read; empty if none is stored."""
+        """Return the state of a wave as stored for operators; empty if none is stored."""
         key, _ = encode_wave_status(number, completed=True)
         with self._open_store() as store:
             item = (await store.get(key)).unwrap()
--- a/standins/runners.py
+++ b/standins/runners.py
@@ -81,6 +81,7 @@
         # End of the lease, which all runs share.
         self._lease_until_ms = 0.0
         self._runs: dict[str, _Run] = {}
+        # Ended runs that no owner has acknowledged, as rows of the response of `extend_lease`.
         self._ended_runs: list[list[Any]] = []
         self._last_ended_number = 0
         # Highest attempt of each task that was stopped or has ended; starts up to it are rejected.
@@ -243,7 +244,11 @@
             )
 
     async def register(self, store: StoreClient, platform: HttptoolsConnection, port: int) -> None:
-        """Refresh the registry entry of the runner periodically until cancelled."""
+        """Refresh the registry entry of the runner periodically until cancelled.
+
+        After an incarnation ends, its entry is removed, and the next incarnation is registered once
+        the maintenance of the VM is over.
+        """
         sequence, registered_name = 0, ""
         vm = f"m-{port}"
         while True:
--- a/standins/vms.py
+++ b/standins/vms.py
@@ -45,7 +45,10 @@
         self.maintenance_runs: list[dict[str, Any]] = []
 
     def update_worker(self, worker: dict[str, Any]) -> None:
-        """Update the runner of a VM, which ends maintenance; a VM without a runner is down."""
+        """Set the runner of a VM, which ends its maintenance.
+
+        An empty name of the runner marks the VM as down.
+        """
         vm = self._vms.setdefault(worker["id"], _Vm("", 0))
         if not worker["runner"]:
             vm.state, vm.runner = "down", ""
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -144,7 +144,7 @@
     command: Command
     lease_until_ms: float
     progress_ms: float = 0.0
-    share: float = 1.0
+    cpu_share: float = 1.0
     runner: Runner | None = None
     state: str = "running"
     outcome: str = ""
@@ -281,7 +281,7 @@
         elif command.kind == "renew" and attempt is not None:
             attempt.lease_until_ms = max(attempt.lease_until_ms, command.lease_until_ms)
         elif command.kind == "throttle" and attempt is not None:
-            attempt.share = command.share
+            attempt.cpu_share = command.share
         elif command.kind == "stop":
             if attempt is None:
                 # A start command of this attempt may still be in flight; the recorded attempt
@@ -312,8 +312,8 @@
             attempt.progress_ms = float(command.checkpoint or 0.0)
 
     def _fits(self, command: Command) -> bool:
-        # Checked with the new attempt included: a worker never exceeds its own capacity, even if
-        # the shard owner's view of it is wrong.
+        # The sum includes the new attempt, which is already in `_attempts`. A worker never exceeds
+        # its own capacity, even if the shard owner's view of it is wrong.
         sizes = [
             attempt.command.spec.size
             for attempt in self._attempts.values()
@@ -330,7 +330,7 @@
             if now_ms >= attempt.lease_until_ms:
                 self._end_attempt(attempt, "expired", "the lease ended")
             elif attempt.command.spec.kind == "batch":
-                attempt.progress_ms += elapsed_ms * self._speed * attempt.share
+                attempt.progress_ms += elapsed_ms * self._speed * attempt.cpu_share
                 if attempt.progress_ms >= attempt.command.spec.run_time_ms:
                     self.finished[attempt.command.task] += 1
                     self._end_attempt(attempt, "done", "")
--- a/tests/test_processes_bodies.py
+++ b/tests/test_processes_bodies.py
@@ -49,7 +49,7 @@
         return b"".join(received).partition(b"\r\n\r\n")[2]
 
     def test_large_bodies_reach_slow_readers_with_bounded_memory(self) -> None:
-        """Guards against buffering whole responses for slow readers, mixing or truncating them."""
+        """Guards against responses to slow readers that are buffered whole, mixed or truncated."""
 
         async def test() -> None:
             await self._set_faults(answer_bytes=_BODY_BYTES)
--- a/tests/test_processes_failures.py
+++ b/tests/test_processes_failures.py
@@ -248,7 +248,7 @@
         run_async(test)
 
     async def _check_daemons_started_in_outage(self, revision: int) -> None:
-        """Check that a new daemon with a seed becomes ready in an outage, and one without not."""
+        """Check that in an outage a new daemon becomes ready if, and only if, it has a seed."""
         seed_port = self.cluster.daemons["entry-0"].ports["peers"]
         seeded = self.cluster.start_daemon("entry-s", "zone-a", seeds=(f"127.0.0.1:{seed_port}",))
         waited_s = await wait_for(lambda: is_ready(seeded), timeout_s=15)
