Listen on an address before the socket is handed over

Cause: `bind` only bound the socket. With SO_REUSEADDR two sockets can be bound to one port until one of them listens. If another process listens between our bind and listen, uvloop discards the error of listen and returns a server without a socket.

--- a/coltsfootpier/transport/_server.py
+++ b/coltsfootpier/transport/_server.py
@@ -22,6 +22,8 @@
 Scope = dict[str, Any]
 # Bodies that take longer are rejected, so that a stalled sender can't block a server.
 _BODY_TIMEOUT_MS = 10_000.0
+# Connections that the kernel holds until the server accepts them.
+_BACKLOG_CONNECTIONS = 2_048
 AsgiApp = Callable[[Scope, Callable, Callable], Awaitable[None]]
 
 
@@ -289,7 +291,10 @@
 
 
 def bind(host: str, port: int) -> Result[socket.socket, BindError]:
-    """Bind a TCP socket, so that an unusable address is detected at startup.
+    """Open a listening TCP socket, so that an unusable address is detected at startup.
+
+    Another process may listen on the address between the two system calls. The event loop would
+    discard that error of `listen`, so the socket listens already when it is handed over.
 
     Parameters
     ----------
@@ -307,6 +312,7 @@
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listener.bind((host, port))
+        listener.listen(_BACKLOG_CONNECTIONS)
     except OSError as error:
         listener.close()
         return Failure(BindError(f"{host}:{port}", error.strerror or str(error)))
@@ -364,6 +370,7 @@
             date_header=False,
             timeout_keep_alive=75,
             limit_concurrency=max_connections,
+            backlog=_BACKLOG_CONNECTIONS,
         )
         self._server = _EmbeddedServer(config)
         self._listener = listener
