Hold the ports of daemons until they listen

Cause: the stand-ins drew the fixed ports of a daemon at random, tested them with a socket that they closed again, and another run could draw and bind them before the daemon did. The ports now come from the system and stay bound by a socket that doesn't listen, until the cluster is closed.

--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -4,10 +4,8 @@
 
 import contextlib
 import os
-import secrets
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -36,15 +34,14 @@
 from standins.cluster import ClientResponse, call, wait_for
 from standins.daemon import LINKS_VARIABLE
 from standins.histories import RunRecord, parse_records
+from standins.ports import PortReservations
 
 # Host and path prefix of the requests that `Nodes.request` sends.
 HOST = "a.example"
 PREFIX = "/p/"
-# Range of the ports of daemons; the end is excluded.
 # Reads of a history, and the time between two; a restart resets connections that open meanwhile.
 _HISTORY_ATTEMPTS = 3
 _HISTORY_PAUSE_S = 0.05
-_PORT_RANGE = (20_000, 32_000)
 # Range of the delay of calls that runners carry out late, in ms.
 _LATE_RANGE_MS = (2_000.0, 12_000.0)
 _RUNNER_CALLS = ("run-start", "run-stop", "pace", "hold")
@@ -104,7 +101,7 @@
     log: Path
 
     def list_ports(self) -> list[int]:
-        """Return the ports that were reserved for the daemon."""
+        """Return the ports of the daemon."""
         return [self.front, self.ready, self.metrics - 1, self.metrics]
 
     def signal(self, number: signal.Signals) -> None:
@@ -113,24 +110,6 @@
             self.handle.send_signal(number)
 
 
-def _reserve_ports(count: int) -> list[int]:
-    """Return consecutive free ports.
-
-    They lie below the ephemeral port range of the system (from 32768), so that no connection of
-    another process occupies one before the daemon has bound it.
-    """
-    while True:
-        first = secrets.randbelow(_PORT_RANGE[1] - _PORT_RANGE[0] - count) + _PORT_RANGE[0]
-        ports = list(range(first, first + count))
-        try:
-            for port in ports:
-                with socket.socket() as probe:
-                    probe.bind(("127.0.0.1", port))
-        except OSError:
-            continue
-        return ports
-
-
 class Nodes:
     """A store, runners and daemons on the loopback address.
 
@@ -147,6 +126,7 @@
     def __init__(self) -> None:
         self._folder = tempfile.TemporaryDirectory(prefix="coltsfootpier-")
         self._handles: list[subprocess.Popen] = []
+        self._reservations = PortReservations()
         self.nodes: dict[str, Node] = {}
         self.runner_ports: list[int] = []
         self.past_runs: list[dict[str, Any]] = []
@@ -188,7 +168,14 @@
         self.runner_ports += [int(port) for port in ports.split(",")]
         return handle
 
-    def start_node(self, name: str, *, store_port: int = 0, faulty_links: bool = False) -> Node:
+    def start_node(
+        self,
+        name: str,
+        *,
+        store_port: int = 0,
+        faulty_links: bool = False,
+        ports: list[int] | None = None,
+    ) -> Node:
         """Start a daemon.
 
         Parameters
@@ -199,8 +186,10 @@
             Port of a relay to the store; 0 for the store itself.
         faulty_links : bool, default=False
             Whether `set_links` may be used.
+        ports : list of int, optional
+            Ports in the order of `Node.list_ports`; free ones are reserved by default.
         """
-        front, ready, peer, metrics = _reserve_ports(4)
+        front, ready, peer, metrics = ports or self._reservations.reserve(4)
         folder = Path(self._folder.name)
         settings = folder / f"{name}.toml"
         settings.write_text(
@@ -441,4 +430,5 @@
             handle.wait(timeout=10)
             if handle.stdout is not None:
                 handle.stdout.close()
+        self._reservations.close()
         self._folder.cleanup()
--- a/tests/test_processes_nodes.py
+++ b/tests/test_processes_nodes.py
@@ -6,7 +6,6 @@
 import sys
 import unittest
 from collections import Counter
-from unittest import mock
 
 import anyio
 import orjson
@@ -181,8 +180,7 @@
         async def test():
             await nodes.put_configuration(1, [ROUTE])
             await nodes.wait_ready()
-            with mock.patch("standins.nodes._reserve_ports", return_value=first.list_ports()):
-                second = nodes.start_node("n1")
+            second = nodes.start_node("n1", ports=first.list_ports())
             code = await anyio.to_thread.run_sync(lambda: second.handle.wait(timeout=TIMEOUT_S))
             self.assertEqual(code, 4)
             self.assertIn('event="address not available"', second.log.read_text())
