Finish requests that arrive while a daemon exits

Cause: the drain ended once no request was in flight, but the servers accepted requests until the process was gone. One that arrived in between was cancelled with the event loop while it waited for the owner on another VM, and uvicorn answers a cancelled request with 500. The drain now stops the servers, which close idle connections and finish the requests in flight, and waits for them within the platform's time limit. The test failed before with a request started and not responded to when `Daemon.run` returned.

--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -170,8 +170,12 @@
         if self._owner is not None:
             await self._owner.resign()
         await anyio.sleep(_timing.DRAIN_MS / 1000)
-        while self._callers.in_flight and self._clock.now_ms() < end_ms:
-            await anyio.sleep(_timing.MIN_PLAN_PERIOD_MS / 1000)
+        # From here on no request arrives that the exit could interrupt.
+        for server in self._servers:
+            server.stop()
+        with anyio.move_on_after((end_ms - self._clock.now_ms()) / 1000):
+            for server in self._servers:
+                await server.ended.wait()
 
     async def _report_readiness(self, _: HttpRequest) -> HttpResponse:
         ready = (
--- a/coltsfootpier/node/tests/test_daemon.py
+++ b/coltsfootpier/node/tests/test_daemon.py
@@ -1,16 +1,19 @@
-"""Tests of a daemon's requests to the owner on another VM."""
+"""Tests of a daemon's requests to the owner on another VM, and of its stop."""
 
 import unittest
+from unittest import mock
 
 import anyio
 from returns.result import Failure, Success
 
 from coltsfootpier.cells import CellSettings
 from coltsfootpier.journal import OwnerInfo
+from coltsfootpier.node import _timing
 from coltsfootpier.node._daemon import Daemon
 from coltsfootpier.node._responses import Response, ResponseStatus, build_rejection
 from coltsfootpier.node.tests.builders import build_settings, build_submission
-from coltsfootpier.transport import NotSent, Unanswered
+from coltsfootpier.transport import HttpResponse, NotSent, Unanswered, send_response
+from standins.ports import HOST, PortReservations
 
 ADDRESS = "127.0.0.1:9"
 BACKLOG = build_rejection("backlog")
@@ -72,3 +75,56 @@
         """Guards against callers that submit an accepted job again."""
         accepted = Response(status=ResponseStatus.ACCEPTED)
         self.assertEqual(self._submit(UNANSWERED, Success(accepted)), accepted)
+
+
+class SlowCallers:
+    """Application whose requests take a while, and which never counts one as in flight."""
+
+    in_flight = 0
+    is_draining = False
+
+    def __init__(self):
+        self.started = 0
+        self.responded = 0
+
+    async def __call__(self, scope, receive, send):
+        self.started += 1
+        await anyio.sleep(0.3)
+        await send_response(send, HttpResponse())
+        self.responded += 1
+
+
+class StopTest(unittest.TestCase):
+    """Stop of a daemon whose store is unreachable."""
+
+    def test_request_that_arrives_after_the_last_check_is_finished(self):
+        """Guards against status 500 for a request that arrives as the daemon exits."""
+        reservations = PortReservations()
+        self.addCleanup(reservations.close)
+        address = (HOST, reservations.reserve(1)[0])
+        settings = build_settings(callers=address, readiness=(HOST, 0), peer_port=0, metrics_port=0)
+        daemon = Daemon(settings=settings, cell_settings=CellSettings())
+        callers = daemon._callers = SlowCallers()
+
+        async def test():
+            async with anyio.create_task_group() as group:
+
+                async def run():
+                    await daemon.run()
+                    group.cancel_scope.cancel()
+
+                group.start_soon(run)
+                await anyio.wait_all_tasks_blocked()
+                async with await anyio.connect_tcp(*address) as stream:
+                    daemon.stop()
+                    await stream.send(b"GET /p/a HTTP/1.1\r\nhost: a.example\r\n\r\n")
+                    received = await stream.receive()
+                    self.assertIn(b"200", received.split(b"\r\n")[0])
+            self.assertEqual((callers.started, callers.responded), (1, 1))
+
+        with mock.patch.object(_timing, "DRAIN_MS", 100.0):
+            anyio.run(test)
+
+
+if __name__ == "__main__":
+    unittest.main()
