Treat a failure at the owner as an unknown outcome

A caller could get 503 (rejected, has not run) for a job that then ran. Cause: the response of an owner on another VM was decoded whatever its status, and one that can't be decoded counts as "not the owner", so as if no owner had processed the request. An owner whose process exits answers 500 without such a body, also to a submission that it has begun to commit. A status from 500 on is now a failed call, after which a rejection elsewhere is passed on as unknown. The test failed before with "not the owner" (1 of 2 new tests; the other one keeps responses such as 404, which say that nothing was processed, as they were).

--- a/coltsfootpier/node/_peers.py
+++ b/coltsfootpier/node/_peers.py
@@ -17,6 +17,7 @@
 from coltsfootpier.node._responses import NOT_OWNER, Response
 from coltsfootpier.transport import (
     Application,
+    BadReply,
     CallError,
     HttpRequest,
     HttpResponse,
@@ -32,6 +33,8 @@
 # deadlines.
 _MAX_CONNECTIONS = 8
 _MAX_MESSAGE_BYTES = 1_000_000
+# Lowest status that says that a server failed.
+_FIRST_SERVER_ERROR = 500
 
 
 @attrs.frozen(kw_only=True)
@@ -154,14 +157,21 @@
     async def send_request(
         self, request: JobRequest, *, timeout_ms: float
     ) -> Result[Response, CallError]:
-        """Send a request to the owner; a malformed response counts as `NOT_OWNER`."""
+        """Send a request to the owner.
+
+        A malformed response counts as `NOT_OWNER`. After a failure inside of the owner's process,
+        such as its exit, the outcome is unknown.
+        """
         result = await self._pool.exchange(
             "POST", _PATHS[type(request)], body=encode(request), timeout_ms=timeout_ms
         )
         if isinstance(result, Failure):
             return result
+        reply = result.unwrap()
+        if reply.status >= _FIRST_SERVER_ERROR:
+            return Failure(BadReply("failed at the owner", reply.status))
         try:
-            return Success(decode(result.unwrap().body, Response))
+            return Success(decode(reply.body, Response))
         except MalformedMessageError:
             return Success(NOT_OWNER)
 
--- a/coltsfootpier/node/tests/test_peers.py
+++ b/coltsfootpier/node/tests/test_peers.py
@@ -3,13 +3,19 @@
 import unittest
 
 import anyio
-from returns.result import Success
+from returns.result import Failure, Success
 
+from coltsfootpier.clock import VirtualClock
 from coltsfootpier.journal import OwnerInfo
-from coltsfootpier.node._peers import ReadJob, build_peer_application, request_while_owner
+from coltsfootpier.node._peers import (
+    PeerClient,
+    ReadJob,
+    build_peer_application,
+    request_while_owner,
+)
 from coltsfootpier.node._responses import NOT_OWNER, Response, ResponseStatus
 from coltsfootpier.node.tests.builders import build_submission
-from coltsfootpier.transport import decode, encode
+from coltsfootpier.transport import NotSent, Reply, decode, encode
 
 OLD = OwnerInfo(holder="old", address="127.0.0.1:1", generation=1)
 NEW = OwnerInfo(holder="new", address="127.0.0.1:2", generation=2)
@@ -151,3 +157,35 @@
         request = build_submission(generation=OLD.generation)
         self.assertEqual(self._receive_submission(request, owner), NOT_OWNER)
         self.assertEqual(owner.accepted, [])
+
+
+class FakePool:
+    """Connections that return a given response."""
+
+    def __init__(self, status, body):
+        self._reply = Reply(status=status, headers=(), body=body)
+
+    async def exchange(self, method, target, *, body, timeout_ms):
+        return Success(self._reply)
+
+
+class PeerClientTest(unittest.TestCase):
+    """Responses of the owner on another VM, without a network."""
+
+    def _submit(self, status, body):
+        async def submit():
+            client = PeerClient(address=OLD.address, clock=VirtualClock())
+            client._pool = FakePool(status, body)
+            return await client.send_request(build_submission(), timeout_ms=1_000.0)
+
+        return anyio.run(submit)
+
+    def test_submission_interrupted_at_the_owner_is_not_rejected(self):
+        """Guards against a rejection of a job that the owner accepted before its process exited."""
+        result = self._submit(500, b"Internal Server Error")
+        self.assertIsInstance(result, Failure)
+        self.assertNotIsInstance(result.failure(), NotSent)
+
+    def test_request_that_the_peer_can_not_read_is_sent_again(self):
+        """Guards against an unknown outcome of a request that no owner has processed."""
+        self.assertEqual(self._submit(404, b'{"error": "unknown_path"}'), Success(NOT_OWNER))
