Answer requests that the exit interrupts with 503 or 504

Cause: a drain that overruns its time limit, for example since the VM was suspended, ends the event loop, which cancels the requests, and uvicorn answers cancelled requests with 500. The application now responds before it passes the cancellation on: 503 to a query, 504 (undecided) to a submission or cancellation, which an owner may have got. The test cancels one request of each kind: no response of the application before (3 of 3 methods).

--- a/coltsfootpier/node/_callers.py
+++ b/coltsfootpier/node/_callers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import anyio
 import attrs
 from returns.result import Failure
 
@@ -56,6 +57,16 @@
     return attrs.evolve(response, headers=((b"retry-after", seconds.encode()),))
 
 
+def _build_interrupted_response(method: str) -> HttpResponse:
+    """Return the response to a request that the exit of the process interrupts."""
+    if method == "GET":
+        response = _build_retry_response(503, "stopping", _timing.DEFAULT_RETRY_AFTER_MS)
+    else:
+        # The request may have been sent to an owner.
+        response = HttpResponse.problem(504, "undecided", "stopping")
+    return attrs.evolve(response, headers=(*response.headers, (b"connection", b"close")))
+
+
 class CallerApplication:
     """ASGI application that submits and cancels jobs and reports their state.
 
@@ -92,7 +103,12 @@
         self.in_flight += 1
         started_ms = self._clock.now_ms()
         try:
-            response = await self._route_request(scope, receive)
+            try:
+                response = await self._route_request(scope, receive)
+            except anyio.get_cancelled_exc_class():
+                # The process exits. Otherwise the server would respond with status 500.
+                await send_response(send, _build_interrupted_response(scope["method"]))
+                raise
             method, status = scope["method"], str(response.status)
             self._metrics.count("requests", method=method, status=status)
             self._metrics.observe("request_ms", self._clock.now_ms() - started_ms)
--- a/coltsfootpier/node/tests/test_callers.py
+++ b/coltsfootpier/node/tests/test_callers.py
@@ -1,5 +1,7 @@
 """Tests of callers' requests: correct responses and rejection of invalid input."""
 
+import asyncio
+import contextlib
 import unittest
 
 import anyio
@@ -192,5 +194,55 @@
         self.assertLessEqual(request.left_ms, 500)
 
 
+class HangingOwnerClient:
+    """Client that never gets a response."""
+
+    async def send_request(self, request, deadline_ms):
+        await anyio.sleep_forever()
+
+
+class InterruptedRequestTest(unittest.TestCase):
+    """Requests that wait for the owner while the event loop ends, without a network."""
+
+    def _interrupt(self, method):
+        configuration = build_configuration()
+        application = CallerApplication(
+            clock=VirtualClock(),
+            owner_client=HangingOwnerClient(),
+            get_configuration=lambda: configuration,
+            metrics=Metrics(),
+        )
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": f"/p/{JOB_ID}",
+            "headers": [(b"host", b"a.example")],
+        }
+        sent = []
+
+        async def receive():
+            return {"type": "http.request", "body": orjson.dumps(BODY), "more_body": False}
+
+        async def send(message):
+            sent.append(message)
+
+        async def cancel_request():
+            task = asyncio.create_task(application(scope, receive, send))
+            await anyio.wait_all_tasks_blocked()
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+            self.assertTrue(task.cancelled())
+
+        anyio.run(cancel_request)
+        return [message["status"] for message in sent if "status" in message]
+
+    def test_interrupted_requests_get_true_statuses(self):
+        """Guards against status 500, and against a rejection of a job that may be accepted."""
+        for method, status in (("GET", 503), ("POST", 504), ("DELETE", 504)):
+            with self.subTest(method=method):
+                self.assertEqual(self._interrupt(method), [status])
+
+
 if __name__ == "__main__":
     unittest.main()
