Hear runners whose wall clock was set back before a restart

Callers' jobs lost the slots of a runner for good: after a restart with an earlier time of start (`born`), because the wall clock of its VM was set back, its reports were ignored, so its tasks lapsed and no new one was placed there. Cause: `apply_report` told a later incarnation from an earlier one by the order of their times of start. The order of calls tells them apart. One task polls a runner, one report at a time, and discards responses that come after its time limit or from an earlier address, so a report that was requested after the latest one arrived can't be older. Any other time of start in it is a restart, and none in a report requested before. Both new tests failed before (report ignored; run freed by a late report). The simulated runners now start with a clock set back by up to 10 minutes in 30% of the cases.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -240,9 +240,13 @@
     def apply_report(self, runner_id: str, report: RunnerReport, now_ms: float) -> None:
         """Apply a runner's report of its present and ended runs."""
         runner = self.fleet.runners.get(runner_id)
-        if runner is None or report.started_unix_ms < runner.started_unix_ms:
+        if runner is None:
             return
-        if runner.started_unix_ms and report.started_unix_ms > runner.started_unix_ms:
+        if runner.started_unix_ms and report.started_unix_ms != runner.started_unix_ms:
+            # The wall clock of a VM may be set back, so the times of start don't tell which
+            # incarnation is the later one. The order of request and latest report does.
+            if not report.started_unix_ms or report.sent_ms < runner.contact_ms:
+                return
             for run in self.fleet.apply_restart(
                 runner, report.started_unix_ms, EndProof.RESTART_IN_REPORT
             ):
--- a/coltsfootpier/cells/tests/test_proofs.py
+++ b/coltsfootpier/cells/tests/test_proofs.py
@@ -41,6 +41,28 @@
         self.harness.report(*(name for name in self.harness.runners if name != runner_id))
         self.assertEqual(self._list_starts(), [])
 
+    def test_runner_whose_clock_was_set_back_is_heard_after_its_restart(self):
+        """Guards against ignoring a runner for good because its time of start is earlier."""
+        self.harness.plan()
+        (runner_id, run), *_ = self.harness.find("j")
+        for started_unix_ms, running in ((5, (run,)), (3, ())):
+            self.harness.now_ms += 10.0
+            self._report(runner_id, started_unix_ms=started_unix_ms, running=running)
+        runner = self.harness.cell.fleet.runners[runner_id]
+        self.assertEqual((runner.started_unix_ms, len(runner.runs)), (3, 0))
+
+    def test_report_requested_before_the_latest_one_proves_no_restart(self):
+        """Guards against two runs when a late report of an earlier incarnation counts as newer."""
+        self.harness.plan()
+        (runner_id, run), *_ = self.harness.find("j")
+        sent_ms = self.harness.now_ms
+        self.harness.now_ms += 10.0
+        self._report(runner_id, started_unix_ms=5, running=(run,))
+        for started_unix_ms in (3, 7, 0):
+            self._report(runner_id, started_unix_ms=started_unix_ms, sent_ms=sent_ms)
+            runner = self.harness.cell.fleet.runners[runner_id]
+            self.assertEqual((runner.started_unix_ms, list(runner.runs)), (5, [run]))
+
     def test_listed_run_is_freed_by_an_inherited_expiry_that_has_passed(self):
         """Guards against two runs when an earlier owner extended a lease later than assumed."""
         self.harness.plan()
--- a/soak/_run_model.py
+++ b/soak/_run_model.py
@@ -36,6 +36,9 @@
 _STORE_DELAY_S = (0.002, 0.006)
 _STORE_TIMEOUT_S = 1.0
 _UNIX_OFFSET_MS = 1_700_000_000_000
+# Share of the starts of a runner whose VM's wall clock is set back, and the most by which it is.
+_CLOCK_SET_BACK_SHARE = 0.3
+_MAX_CLOCK_SET_BACK_MS = 600_000.0
 
 
 @attrs.define(eq=False)
@@ -153,6 +156,8 @@
         Event loop.
     rng : random.Random
         Source of durations.
+    clock_rng : random.Random
+        Source of changes of the VM's wall clock.
     history : TaskHistory
         Record of the runs.
     address : str
@@ -168,6 +173,7 @@
         *,
         loop: VirtualLoop,
         rng: random.Random,
+        clock_rng: random.Random,
         history: TaskHistory,
         address: str,
         rate: float,
@@ -175,6 +181,7 @@
     ) -> None:
         self._loop = loop
         self._rng = rng
+        self._clock_rng = clock_rng
         self._history = history
         self._get_duration_ms = get_duration_ms
         self.address = address
@@ -204,6 +211,8 @@
         self._incarnation += 1
         self._boot_ms = self._loop.true_s * 1000 - self._rng.uniform(1.0, 60.0)
         self.born = int(_UNIX_OFFSET_MS + self._loop.true_s * 1000)
+        if self._clock_rng.random() < _CLOCK_SET_BACK_SHARE:
+            self.born -= int(self._clock_rng.uniform(1.0, _MAX_CLOCK_SET_BACK_MS))
         self.token = 0
         self.lease_end_ms = 0.0
         self._lease_epoch = 0
--- a/soak/_run_simulation.py
+++ b/soak/_run_simulation.py
@@ -99,6 +99,7 @@
     ) -> None:
         self.loop = loop
         self.rng = random.Random(f"{seed}/model")
+        clock_rng = random.Random(f"{seed}/clocks")
         self.history = TaskHistory(loop)
         self.store = SimulatedStore(loop)
         self.owners: list[SimulatedOwner] = []
@@ -110,6 +111,7 @@
             SimulatedRunner(
                 loop=loop,
                 rng=self.rng,
+                clock_rng=clock_rng,
                 history=self.history,
                 address=f"127.0.0.1:{number}",
                 rate=runner_rate or 1.0 - self.rng.choice((0.0, 0.5, 1.0)) * _RUNNER_SLOWNESS,
