Bound the wait of a successor that fewer than half of the runners accept

What callers saw: after a change of owner in which more than half of the recorded runners were gone, without a listing of worker VMs, no task of a job accepted before it ever started again, and no new runner was used. Cause: the earlier owner may prove its ownership by more than half of the runners for as long as the store doesn't respond to it, so its successor had no time from which it could count.

A majority now proves the ownership for 30 minutes after the last confirmation of the store (max_unconfirmed_ms). No confirmation follows a successor's claim, so the successor counts from its claim: that time, 12 s in which a last call may arrive late, and the platform's longest lease, as a runner that has restarted may misread the deadline of such a call. Then inherited runners that never responded count as settled.

The cost: an outage of the store of over 30 minutes ends all runs, services included.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -120,7 +120,7 @@
         now_ms, unix_ms : float
             Local time and Unix time.
         """
-        self.fleet.add_inherited(fleet)
+        self.fleet.add_inherited(fleet, now_ms)
         for record in records:
             job = self.jobs.add(record, now_ms, durable=True)
             # The objective counts from the acceptance, whichever owner accepted the job.
@@ -267,11 +267,7 @@
                 runner.applied_end = row.number
         for row in report.running:
             self._apply_running_row(runner, row, now_ms)
-        if runner.earlier_lease_expiry_ms == float("inf"):
-            # It has rejected the earlier owner since.
-            runner.earlier_lease_expiry_ms = report.received_ms + compute_lease_ms(
-                self._settings.run_lease_ms, self._settings
-            )
+        self.fleet.record_first_report(runner, report.received_ms)
         if report.running and runner.lease_expiry_ms <= report.received_ms:
             # The listed runs show that their leases were extended later than assumed.
             runner.earlier_lease_expiry_ms = report.received_ms + compute_lease_ms(
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Collection, Iterable
 
-from coltsfootpier.cells._lease_expiry import compute_lease_ms
+from coltsfootpier.cells._lease_expiry import compute_lease_ms, compute_unconfirmed_lease_ms
 from coltsfootpier.cells._messages import RunId, RunnerEntry
 from coltsfootpier.cells._ownership import OwnershipProof
 from coltsfootpier.cells._settings import CellSettings
@@ -43,21 +43,22 @@
         # Runners that an earlier owner used and that have not responded to this owner yet.
         self.inherited: set[str] = set()
         self._inherited_count = 0
-        # Whether the time is known by which leases that the earlier owner extended expire.
-        self._is_expiry_bounded = False
+        # Runners whose leases the earlier owner may extend for as long as it may act at all.
+        self._unbounded: set[str] = set()
         self.proof = OwnershipProof(settings=settings, runners=self.runners)
 
-    def add_inherited(self, entries: Iterable[RunnerEntry]) -> None:
-        """Add the runners that an earlier owner may have used.
+    def add_inherited(self, entries: Iterable[RunnerEntry], now_ms: float) -> None:
+        """Add the runners that an earlier owner may have used, after the claim of the cell.
 
         The earlier owner may extend leases until half of them have accepted this owner, see
-        `bound_inherited_leases`.
+        `bound_inherited_leases`, or until the longest time for which it acts without the store.
         """
         for entry in entries:
             runner = Runner(entry=entry, is_registered=False, recorded=True)
-            runner.earlier_lease_expiry_ms = float("inf")
+            runner.earlier_lease_expiry_ms = now_ms + compute_unconfirmed_lease_ms(self._settings)
             self.runners[entry.id] = runner
             self.inherited.add(entry.id)
+            self._unbounded.add(entry.id)
         self._inherited_count = len(self.inherited)
 
     @property
@@ -71,20 +72,28 @@
         A settled runner has accepted this owner, or its runs have ended. From then on the earlier
         owner can't prove its ownership again, so it stops extending leases.
         """
-        if self._is_expiry_bounded or not self.is_half_settled:
+        bounded = self._unbounded & self.inherited
+        if not bounded or not self.is_half_settled:
             return
-        self._is_expiry_bounded = True
         settings = self._settings
         lease_ms = compute_lease_ms(settings.proof_validity_ms + settings.run_lease_ms, settings)
-        for runner_id in self.inherited:
+        for runner_id in bounded:
             self.runners[runner_id].earlier_lease_expiry_ms = now_ms + lease_ms
-        if self.inherited:
-            self._log(
-                "waiting for inherited leases",
-                runners=len(self.inherited),
-                generation=self.generation,
-                clock_ms=now_ms,
-                lease_expiry_ms=now_ms + lease_ms,
+        self._unbounded -= bounded
+        self._log(
+            "waiting for inherited leases",
+            runners=len(bounded),
+            generation=self.generation,
+            clock_ms=now_ms,
+            lease_expiry_ms=now_ms + lease_ms,
+        )
+
+    def record_first_report(self, runner: Runner, received_ms: float) -> None:
+        """Record that an inherited runner has rejected the earlier owner since a local time."""
+        if runner.entry.id in self._unbounded:
+            self._unbounded.discard(runner.entry.id)
+            runner.earlier_lease_expiry_ms = received_ms + compute_lease_ms(
+                self._settings.run_lease_ms, self._settings
             )
 
     def update_listed(self, entries: Iterable[RunnerEntry], now_ms: float) -> None:
@@ -113,6 +122,7 @@
             is_barring = self.has_unanswered_starts(runner, now_ms)
             if not runner.runs and expired and not is_barring and runner_id not in self.inherited:
                 del self.runners[runner_id]
+                self._unbounded.discard(runner_id)
 
     def apply_restart(self, runner: Runner, started_unix_ms: int, proof: EndProof) -> list[Run]:
         """Apply a restart and return the runs that were lost with the earlier incarnation.
--- a/coltsfootpier/cells/_lease_expiry.py
+++ b/coltsfootpier/cells/_lease_expiry.py
@@ -22,6 +22,17 @@
     return duration_ms * (1.0 + 3.0 * settings.clock_drift) + _SEND_ALLOWANCE_MS
 
 
+def compute_unconfirmed_lease_ms(settings: CellSettings) -> float:
+    """Return the longest local time that leases last after the store has confirmed an owner last.
+
+    The owner acts for `max_unconfirmed_ms`. Its last call may arrive late, at a runner that has
+    restarted and takes the deadline for one that lies far ahead.
+    """
+    return compute_lease_ms(
+        settings.max_unconfirmed_ms + settings.late_call_ms + settings.max_run_lease_ms, settings
+    )
+
+
 class LeaseExpiryTracker:
     """Tracks when the last lease that a runner may have extended expires, in local time.
 
--- a/coltsfootpier/cells/_ownership.py
+++ b/coltsfootpier/cells/_ownership.py
@@ -4,7 +4,8 @@
 owner, or whether the others still reach it and have replaced the owner. A later owner sends its
 higher fencing token to every runner, and a runner rejects the earlier owner from then on. So an
 owner whose commands are accepted by more than half of the runners precedes any owner that at least
-half of them have accepted.
+half of them have accepted. It relies on them for a limited time only, so that a successor that half
+of them don't accept knows when the earlier owner has stopped.
 """
 
 from __future__ import annotations
@@ -56,6 +57,9 @@
     def is_valid(self, now_ms: float) -> bool:
         """Return whether no later owner can rely on this owner having stopped."""
         validity_ms = self._settings.proof_validity_ms
+        # A successor counts from its claim, which no confirmation follows.
+        if now_ms >= self.store_confirmed_ms + self._settings.max_unconfirmed_ms:
+            return False
         if now_ms < max(self.store_confirmed_ms + validity_ms, self._majority_until_ms):
             return True
         self._majority_until_ms = min(
--- a/coltsfootpier/cells/tests/test_ownership.py
+++ b/coltsfootpier/cells/tests/test_ownership.py
@@ -54,6 +54,22 @@
         self.harness.advance(100)
         self.assertEqual(len(self.harness.find("k")), 1)
 
+    def test_majority_proves_nothing_for_longer_than_a_successor_counts(self):
+        """Guards against an owner that acts beside a successor that waits for its end in vain."""
+        self.harness = SimulatedCell(NAMES, max_unconfirmed_ms=5_000.0)
+        self.harness.join()
+        self.harness.is_store_up = False
+        self.harness.advance(4_900)
+        self.assertTrue(self._is_proven())
+        self.harness.advance(100)
+        self.assertFalse(self._is_proven())
+        self.harness.submit("k")
+        self.harness.advance(500)
+        self.assertEqual(self.harness.find("k"), [])
+        self.harness.is_store_up = True
+        self.harness.advance(100)
+        self.assertEqual(len(self.harness.find("k")), 1)
+
     def test_restarted_runners_prove_nothing(self):
         """Guards against a majority of runners that accepted a later owner before a restart."""
         self.harness.is_store_up = False
@@ -142,6 +158,19 @@
         self.later.advance(4 * self.later.settings.run_lease_ms)
         self.assertEqual(len(self.later.find("j")), 1)
 
+    def test_minority_of_runners_goes_on_after_the_longest_outage(self):
+        """Guards against tasks that wait for good since most runners are gone."""
+        self._take_over(*[name for name in NAMES if name != self.name][:1])
+        settings = self.later.settings
+        acting_ms = settings.max_unconfirmed_ms / (1 - settings.clock_drift)
+        # A call that arrives late may extend the longest lease.
+        acting_ms += settings.late_call_ms + settings.max_run_lease_ms
+        self.later.advance(acting_ms, step_ms=1_000.0)
+        self.assertEqual(self.later.commands, [])
+        self.later.advance(0.1 * settings.max_unconfirmed_ms, step_ms=1_000.0)
+        self.assertIsInstance(self.later.commands[0], StartRun)
+        self.assertTrue(self.later.cell.fleet.is_half_settled)
+
 
 class RestartTest(unittest.TestCase):
     """Runners that start again under their identifier."""
--- a/soak/_run_simulation.py
+++ b/soak/_run_simulation.py
@@ -81,6 +81,8 @@
         Whether a successor claims the cell as soon as it has no owner.
     runner_rate : float, optional
         Rate of the runners' clocks; chosen by seed if not given.
+    cell_settings : CellSettings, optional
+        Settings of all owners.
 
     Attributes
     ----------
@@ -96,8 +98,10 @@
         runner_count: int,
         claims_automatically: bool = True,
         runner_rate: float | None = None,
+        cell_settings: CellSettings | None = None,
     ) -> None:
         self.loop = loop
+        self._cell_settings = cell_settings or CellSettings()
         self.rng = random.Random(f"{seed}/model")
         self.history = TaskHistory(loop)
         self.store = SimulatedStore(loop)
@@ -190,7 +194,7 @@
         def create_owner() -> Owner:
             return Owner(
                 settings=build_settings(),
-                cell_settings=CellSettings(),
+                cell_settings=self._cell_settings,
                 store=client,
                 clock=clock,
                 head=head,
@@ -499,7 +503,15 @@
 
 async def _run(loop: VirtualLoop, seed: int, duration_s: float) -> RunReport:
     rng = random.Random(f"{seed}/jobs")
-    simulation = RunSimulation(loop=loop, seed=seed, runner_count=rng.randint(3, 6))
+    # In some runs, an outage of the store is longer than an owner acts without it.
+    limit_rng = random.Random(f"{seed}/limit")
+    max_unconfirmed_ms = limit_rng.choice((CellSettings().max_unconfirmed_ms,) * 3 + (4_000.0,))
+    simulation = RunSimulation(
+        loop=loop,
+        seed=seed,
+        runner_count=rng.randint(3, 6),
+        cell_settings=CellSettings(max_unconfirmed_ms=max_unconfirmed_ms),
+    )
     injector = FaultInjector(simulation=simulation, seed=seed)
     with simulation.patch_time(), record_logs(simulation):
         await simulation.start()
--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from coltsfootpier.cells import CellSettings
 from soak._loop import VirtualLoop, discard_loop
 from soak._run_simulation import RunSimulation, record_logs, run_seed
 
@@ -20,7 +21,7 @@
         self.loop = VirtualLoop()
         self.addCleanup(discard_loop, self.loop)
 
-    def _play(self, play, *, runner_count=2, runner_rate=1.0):
+    def _play(self, play, *, runner_count=2, runner_rate=1.0, **settings):
         """Play a scenario and check that the task has one run in the end and never had two."""
 
         async def run():
@@ -30,6 +31,7 @@
                 runner_count=runner_count,
                 claims_automatically=False,
                 runner_rate=runner_rate,
+                cell_settings=CellSettings(**settings),
             )
             with self.simulation.patch_time(), record_logs(self.simulation):
                 await self.simulation.start()
@@ -69,6 +71,26 @@
 
         self._play(play, runner_count=3)
 
+    def test_successor_reaches_fewer_than_half_of_the_runners_for_good(self):
+        """Guards against a task that waits for good, and against a second run of it meanwhile."""
+
+        async def play(simulation):
+            runner, (second, third, last) = await self._start_task()
+            earlier = simulation.current
+            self._set_links(earlier, second, third, is_cut=False)
+            await anyio.sleep(2.0)
+            earlier.store.is_cut = True
+            addresses = tuple(other.address for other in (runner, second, third))
+            simulation.cut_from_successor = (addresses, 120.0)
+            simulation.revoke_ownership()
+            simulation.claim()
+            await anyio.sleep(18.0)
+            self.assertEqual(simulation.history.find_runners(TASK), [runner])
+            await anyio.sleep(35.0)
+            self.assertEqual(simulation.history.find_runners(TASK), [last])
+
+        self._play(play, runner_count=4, max_unconfirmed_ms=20_000.0)
+
     def test_superseded_owner_starts_task_on_restarted_runner(self):
         """Guards against a start where the token of the successor was forgotten."""
 
