Wait for unknown runners when the list of runners can't be decoded

What callers saw: with a damaged fleet record, a new owner waited for no runner and started the tasks of inherited jobs while their first runs went on: two runs of one task. Cause: _load_one treated a malformed record as an empty one. So it was for the progress of maintenance, whose commands in flight were forgotten, and a job whose record was malformed was answered with 410 and accepted, and run, again.

Malformed records are now typed (RecordError) and each reader decides. Without a list of runners, inherited jobs wait until no earlier owner's lease can last, or until two listings of worker VMs in a row name only runners that have accepted the new owner; new jobs start. The list that the owner writes meanwhile is marked as incomplete, so that its own successor waits too; a record without the mark is complete. Waves wait until no command of an earlier owner can arrive. A job with a malformed record is neither accepted nor reported as missing. Learned state still counts as empty, since it only improves estimates.

An older daemon ignores the mark during a rollout.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -107,6 +107,7 @@
         *,
         now_ms: float,
         unix_ms: float,
+        is_fleet_complete: bool = True,
     ) -> None:
         """Load the jobs and runners recorded by earlier owners.
 
@@ -119,8 +120,10 @@
             each of them has responded or the leases of all its runs have expired.
         now_ms, unix_ms : float
             Local time and Unix time.
+        is_fleet_complete : bool, default=True
+            Whether `fleet` is known to list all of these runners.
         """
-        self.fleet.add_inherited(fleet, now_ms)
+        self.fleet.add_inherited(fleet, now_ms, is_complete=is_fleet_complete)
         for record in records:
             job = self.jobs.add(record, now_ms, durable=True)
             # The objective counts from the acceptance, whichever owner accepted the job.
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -45,22 +45,48 @@
         self._inherited_count = 0
         # Runners whose leases the earlier owner may extend for as long as it may act at all.
         self._unbounded: set[str] = set()
+        # Whether the fleet record lists all runners that earlier owners may use.
+        self.is_complete = True
+        self._unlisted_expiry_ms = float("-inf")
         self.proof = OwnershipProof(settings=settings, runners=self.runners)
 
-    def add_inherited(self, entries: Iterable[RunnerEntry], now_ms: float) -> None:
+    def add_inherited(
+        self, entries: Iterable[RunnerEntry], now_ms: float, *, is_complete: bool = True
+    ) -> None:
         """Add the runners that an earlier owner may have used, after the claim of the cell.
 
         The earlier owner may extend leases until half of them have accepted this owner, see
         `bound_inherited_leases`, or until the longest time for which it acts without the store.
+
+        Parameters
+        ----------
+        entries : iterable of RunnerEntry
+            Runners in the fleet record.
+        now_ms : float
+            Local time.
+        is_complete : bool, default=True
+            Whether these are all of them. Otherwise, no half of them proves anything.
         """
+        self.is_complete = is_complete
+        self._unlisted_expiry_ms = now_ms + compute_unconfirmed_lease_ms(self._settings)
         for entry in entries:
             runner = Runner(entry=entry, is_registered=False, recorded=True)
-            runner.earlier_lease_expiry_ms = now_ms + compute_unconfirmed_lease_ms(self._settings)
+            runner.earlier_lease_expiry_ms = self._unlisted_expiry_ms
             self.runners[entry.id] = runner
             self.inherited.add(entry.id)
             self._unbounded.add(entry.id)
         self._inherited_count = len(self.inherited)
 
+    @property
+    def may_have_unknown_runs(self) -> bool:
+        """Whether an earlier owner may have runs of inherited jobs that this owner doesn't know."""
+        return bool(self.inherited) or not self.is_complete
+
+    def mark_complete(self, cause: str) -> None:
+        """Record that every runner that earlier owners may use is known to this owner."""
+        self.is_complete = True
+        self._log("fleet record completed", cause=cause, generation=self.generation)
+
     @property
     def is_half_settled(self) -> bool:
         """Whether half of the inherited runners have accepted this owner, or have ended."""
@@ -72,8 +98,10 @@
         A settled runner has accepted this owner, or its runs have ended. From then on the earlier
         owner can't prove its ownership again, so it stops extending leases.
         """
+        if not self.is_complete and self.proof.covers_expiry(self._unlisted_expiry_ms):
+            self.mark_complete("leases expired")
         bounded = self._unbounded & self.inherited
-        if not bounded or not self.is_half_settled:
+        if not self.is_complete or not bounded or not self.is_half_settled:
             return
         settings = self._settings
         lease_ms = compute_lease_ms(settings.proof_validity_ms + settings.run_lease_ms, settings)
--- a/coltsfootpier/cells/_incarnations.py
+++ b/coltsfootpier/cells/_incarnations.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container
+from collections.abc import Collection
 
 from coltsfootpier.cells._fleet import Fleet, LogCallback
 from coltsfootpier.cells._jobs import JobTable
@@ -39,21 +39,26 @@
         self._fleet = fleet
         self._jobs = jobs
         self._log = log
+        # Whether the last listing named only runners that had accepted this owner.
+        self._has_accepted_all = False
 
     def has_suspects(self, now_ms: float) -> bool:
-        """Return whether a listing may show that a runner with work has ended."""
-        return any(
+        """Return whether a listing may show that a runner with work has ended.
+
+        A listing also names the runners that a fleet record which can't be decoded may have listed.
+        """
+        return not self._fleet.is_complete or any(
             (runner.runs or runner_id in self._fleet.inherited)
             and now_ms - runner.contact_ms > self._settings.suspect_after_ms
             for runner_id, runner in self._fleet.runners.items()
         )
 
-    def apply_listing(self, live: Container[str], *, requested_ms: float) -> bool:
+    def apply_listing(self, live: Collection[str], *, requested_ms: float) -> bool:
         """Apply a complete listing.
 
         Parameters
         ----------
-        live : container of str
+        live : collection of str
             Runners that are live on a worker VM that is up.
         requested_ms : float
             Local time before the listing was requested.
@@ -63,6 +68,7 @@
         bool
             Whether a runner has ended.
         """
+        self._check_completeness(live)
         ended = False
         for runner_id, runner in self._fleet.runners.items():
             if runner.ended and not runner.runs:
@@ -78,6 +84,21 @@
                 runner.unlisted_since_ms = requested_ms
         return ended
 
+    def _check_completeness(self, live: Collection[str]) -> None:
+        """Complete the fleet record once all live runners have rejected the earlier owners.
+
+        A listing that names nothing shows no runner at all.
+        """
+        if self._fleet.is_complete:
+            return
+        runners = self._fleet.runners
+        has_accepted_all = bool(live) and all(
+            runner_id in runners and runners[runner_id].adopted for runner_id in live
+        )
+        if has_accepted_all and self._has_accepted_all:
+            self._fleet.mark_complete("all listed runners responded")
+        self._has_accepted_all = has_accepted_all
+
     def _end_runner(self, runner: Runner, requested_ms: float) -> None:
         runs = end_incarnation(
             runner,
--- a/coltsfootpier/cells/_planning.py
+++ b/coltsfootpier/cells/_planning.py
@@ -86,7 +86,9 @@
             for step in self._jobs.ready.values()
             if step.waiting
             and step.job.durable_version > 0
-            and not (self._fleet.inherited and step.job.record.id in self._jobs.inherited)
+            and not (
+                self._fleet.may_have_unknown_runs and step.job.record.id in self._jobs.inherited
+            )
         ]
         steps.sort(key=lambda step: self._estimates.rank(step, now_ms))
         commands: list[StartRun | AdviceRequest] = []
--- a/coltsfootpier/cells/tests/test_ownership.py
+++ b/coltsfootpier/cells/tests/test_ownership.py
@@ -172,6 +172,66 @@
         self.assertTrue(self.later.cell.fleet.is_half_settled)
 
 
+class UnreadableFleetTest(unittest.TestCase):
+    """Takeover with a fleet record that can't be decoded."""
+
+    def setUp(self):
+        first = SimulatedCell(NAMES)
+        first.join()
+        first.submit("j", build_job(build_step(), build_step(after=(0,))))
+        first.plan()
+        ((self.name, _),) = first.find("j")
+        records = [job.record for job in first.cell.jobs.jobs.values()]
+        self.others = tuple(name for name in NAMES if name != self.name)
+        self.later = SimulatedCell(self.others, generation=2)
+        self.later.cell.load(
+            records, (), now_ms=first.now_ms, unix_ms=first.unix_ms, is_fleet_complete=False
+        )
+        self.later.join()
+        self.first = first
+
+    def _list_vms(self, *living):
+        for _ in range(2):
+            self.later.cell.incarnations.apply_listing(living, requested_ms=self.later.now_ms)
+            self.later.advance(100)
+
+    def test_task_on_an_unknown_runner_waits(self):
+        """Guards against two runs of a task whose runner the new owner doesn't know."""
+        self.later.advance(60_000)
+        self.assertEqual(self.later.find("j"), [])
+        self.assertTrue(self.later.cell.incarnations.has_suspects(self.later.now_ms))
+        settings = self.later.settings
+        self.later.advance(1.2 * settings.max_unconfirmed_ms, step_ms=1_000.0)
+        self.assertTrue(any(isinstance(command, StartRun) for command in self.later.commands))
+
+    def test_new_jobs_start_meanwhile(self):
+        """Guards against a cell that stands still because of one record."""
+        self.later.submit("new")
+        self.later.advance(200)
+        self.assertEqual(len(self.later.find("new")), 1)
+
+    def test_half_of_an_incomplete_list_bounds_nothing(self):
+        """Guards against a count from runners of which the earlier owner needs none."""
+        self.later.cell.load(
+            [],
+            [self.later.runners[self.others[0]].entry, build_entry("x")],
+            now_ms=self.later.now_ms,
+            unix_ms=self.later.unix_ms,
+            is_fleet_complete=False,
+        )
+        self.later.join()
+        self.later.advance(60_000)
+        self.assertEqual(self.later.find("j"), [])
+
+    def test_listing_names_all_runners_that_may_run_something(self):
+        """Guards against inherited jobs that wait for 30 minutes after all runners responded."""
+        self._list_vms(*NAMES)
+        self._list_vms()
+        self.assertEqual(self.later.find("j"), [])
+        self._list_vms(*self.others)
+        self.assertEqual(len(self.later.find("j")), 1)
+
+
 class RestartTest(unittest.TestCase):
     """Runners that start again under their identifier."""
 
--- a/coltsfootpier/jobs/__init__.py
+++ b/coltsfootpier/jobs/__init__.py
@@ -8,13 +8,14 @@
     TaskKey,
     find_job_error,
 )
-from coltsfootpier.jobs._record import JobRecord, decode_record, encode_record
+from coltsfootpier.jobs._record import JobRecord, RecordError, decode_record, encode_record
 
 __all__ = [
     "JobRecord",
     "JobSpec",
     "JobState",
     "Queue",
+    "RecordError",
     "StepSpec",
     "TaskKey",
     "decode_record",
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -47,6 +47,8 @@
 
 # Upper bound of the run lease as a fraction of the longest lease that the platform allows.
 _MAX_RUN_LEASE_FRACTION = 0.6
+# Its tasks may have run, so it can neither be accepted again nor reported as missing.
+_UNREADABLE_JOB = Response(status=ResponseStatus.UNKNOWN, reason="unreadable record")
 
 
 class Owner:
@@ -144,6 +146,10 @@
         # Local time at which the claim of each runner or VM to know a later owner was checked.
         self._fence_checked_ms: dict[str, float] = {}
         self._fleet_entries: dict[str, RunnerEntry] = {}
+        # Whether the fleet record that this owner read or wrote last lists all runners in use.
+        self._is_record_complete = True
+        # Jobs that may have run, but whose records can't be decoded.
+        self._unreadable_jobs: frozenset[str] = frozenset()
         self._wake = anyio.Event()
         self._group: TaskGroup | None = None
         self._registry_reader = RegistryReader(log=log_event)
@@ -160,7 +166,15 @@
             return
         now_ms = self._clock.now_ms()
         self.cell.restore_learned(loaded.learned)
-        self.cell.load(loaded.jobs, loaded.fleet, now_ms=now_ms, unix_ms=time.time() * 1000)
+        self.cell.load(
+            loaded.jobs,
+            loaded.fleet,
+            now_ms=now_ms,
+            unix_ms=time.time() * 1000,
+            is_fleet_complete=loaded.is_fleet_complete,
+        )
+        self._unreadable_jobs = loaded.unreadable_jobs
+        self._is_record_complete = loaded.is_fleet_complete
         self._fleet_entries = {entry.id: entry for entry in loaded.fleet}
         self._committer.recorded_fleet = frozenset(self._fleet_entries)
         log_event(
@@ -168,6 +182,8 @@
             generation=self.cell.generation,
             jobs=len(loaded.jobs),
             runners=len(loaded.fleet),
+            fleet_complete=loaded.is_fleet_complete,
+            unreadable_jobs=len(loaded.unreadable_jobs),
             learned_pairs=len(loaded.learned.pressures),
             clock_ms=self._clock.now_ms(),
         )
@@ -245,6 +261,8 @@
         deadline_ms = started_ms + left_ms
         if not self.is_ready or self._is_resigning:
             return NOT_OWNER
+        if job_id in self._unreadable_jobs:
+            return _UNREADABLE_JOB
         if job_id not in self.cell.jobs.jobs and self._committer.is_stuck:
             log_event("job rejected", job=job_id, reason="store")
             return build_rejection("store")
@@ -306,6 +324,8 @@
         """
         if not self.is_ready:
             return NOT_OWNER
+        if job_id in self._unreadable_jobs:
+            return _UNREADABLE_JOB
         job = self.cell.cancel(job_id, self._clock.now_ms())
         if job is None:
             return self._build_unknown_job_response()
@@ -320,6 +340,8 @@
         """Return the state of a job."""
         if not self.is_ready:
             return NOT_OWNER
+        if job_id in self._unreadable_jobs:
+            return _UNREADABLE_JOB
         if not self._lease_renewer.is_valid:
             # A later owner may have ended the job, which then has a final state in the store. If
             # the store doesn't respond, the state in memory is the best available.
@@ -479,12 +501,15 @@
             for runner_id in self._fleet_entries
             if runner_id not in self.cell.fleet.runners
         ]
-        if new or removed:
+        is_complete = self.cell.fleet.is_complete
+        if new or removed or is_complete != self._is_record_complete:
+            self._is_record_complete = is_complete
             self._fleet_entries.update((entry.id, entry) for entry in new)
             for runner_id in removed:
                 del self._fleet_entries[runner_id]
             self._committer.put_fleet(
-                encode_fleet(self._fleet_entries.values()), frozenset(self._fleet_entries)
+                encode_fleet(self._fleet_entries.values(), is_complete=is_complete),
+                frozenset(self._fleet_entries),
             )
         self._update_runner_tasks()
         self._wake_planner()
@@ -517,7 +542,7 @@
             await anyio.sleep(_timing.LEARNED_PERIOD_MS / 1000)
             self._committer.put_learned(encode(self.cell.export_learned()))
 
-    async def _run_vm_task(self, record: MaintenanceRecord) -> None:
+    async def _run_vm_task(self, record: MaintenanceRecord | None) -> None:
         settings = self._settings
         host, port = settings.vm_service
         client = VmClient(
@@ -536,6 +561,7 @@
             clock=self._clock,
             maintenance_ms=settings.upkeep_ms,
             command_pause_ms=settings.order_pause_ms,
+            late_call_ms=self._cell_settings.late_call_ms,
             get_waves=self._get_waves,
             may_send_commands=lambda: self._lease_renewer.is_valid,
             on_change=self._wake_planner,
--- a/coltsfootpier/node/_records.py
+++ b/coltsfootpier/node/_records.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from coltsfootpier.cells import LearnedState, RunnerEntry
-from coltsfootpier.jobs import JobRecord, decode_record
+from coltsfootpier.jobs import JobRecord, RecordError, decode_record
 from coltsfootpier.logs import log_event
 from coltsfootpier.maintenance import MaintenanceRecord
 from coltsfootpier.node.keys import FLEET_KEY, JOBS_PREFIX, LEARNED_KEY, MAINTENANCE_KEY
@@ -28,15 +28,20 @@
 
 @attrs.frozen
 class _Fleet:
-    """List of the runners that may have runs; a runner must be in it before a run starts there."""
+    """List of the runners that may have runs; a runner must be in it before a run starts there.
+
+    It is incomplete while an owner that could not decode an earlier list waits for the runners that
+    may be missing.
+    """
 
     runners: tuple[_FleetMember, ...] = ()
+    is_complete: bool = True
 
 
-def encode_fleet(entries: Iterable[RunnerEntry]) -> bytes:
+def encode_fleet(entries: Iterable[RunnerEntry], *, is_complete: bool = True) -> bytes:
     """Encode the list of runners for the store."""
     members = (_FleetMember(entry.id, entry.service, entry.address) for entry in entries)
-    return encode(_Fleet(tuple(members)))
+    return encode(_Fleet(tuple(members), is_complete))
 
 
 @attrs.frozen
@@ -51,14 +56,20 @@
         Runners on which earlier owners may have started runs.
     learned : LearnedState
         Learned state of images and queues, as the last owner stored it.
-    maintenance : MaintenanceRecord
-        Progress of the maintenance waves.
+    maintenance : MaintenanceRecord, optional
+        Progress of the maintenance waves; None if it can't be decoded.
+    is_fleet_complete : bool
+        Whether `fleet` lists all runners that earlier owners may use.
+    unreadable_jobs : frozenset of str
+        Identifiers of the jobs whose records can't be decoded.
     """
 
     jobs: list[JobRecord]
     fleet: tuple[RunnerEntry, ...]
     learned: LearnedState
-    maintenance: MaintenanceRecord
+    maintenance: MaintenanceRecord | None
+    is_fleet_complete: bool = True
+    unreadable_jobs: frozenset[str] = frozenset()
 
 
 async def load_records(store: StoreClient) -> Result[OwnerRecords, PlatformError]:
@@ -75,32 +86,45 @@
     maintenance = await _load_one(store, MAINTENANCE_KEY, MaintenanceRecord)
     if isinstance(maintenance, Failure):
         return maintenance
-    records = []
+    records: list[JobRecord] = []
+    unreadable_jobs: set[str] = set()
     for item in items.unwrap():
         decoded = decode_record(item.value)
         if isinstance(decoded, Failure):
             log_event("cannot decode record", key=item.key, reason=str(decoded.failure()))
+            unreadable_jobs.add(item.key.removeprefix(JOBS_PREFIX))
             continue
         records.append(decoded.unwrap())
+    known_fleet = fleet.unwrap().value_or(_Fleet(is_complete=False))
     entries = tuple(
         RunnerEntry(id=member.id, service=member.service, address=member.address)
-        for member in fleet.unwrap().runners
+        for member in known_fleet.runners
+    )
+    return Success(
+        OwnerRecords(
+            jobs=records,
+            fleet=entries,
+            # Learned values only improve estimates.
+            learned=learned.unwrap().value_or(LearnedState()),
+            maintenance=maintenance.unwrap().value_or(None),
+            is_fleet_complete=known_fleet.is_complete,
+            unreadable_jobs=frozenset(unreadable_jobs),
+        )
     )
-    return Success(OwnerRecords(records, entries, learned.unwrap(), maintenance.unwrap()))
 
 
 async def _load_one(
     store: StoreClient, key: str, record_type: type[_T]
-) -> Result[_T, PlatformError]:
-    """Load one record; a missing or malformed one is treated as empty."""
+) -> Result[Result[_T, RecordError], PlatformError]:
+    """Load one record; a missing one has never been written and is empty."""
     item = await store.get(key)
     if isinstance(item, Failure):
         return item
     value = item.unwrap().value
     if value is None:
-        return Success(record_type())
+        return Success(Success(record_type()))
     try:
-        return Success(decode(value, record_type))
+        return Success(Success(decode(value, record_type)))
     except MalformedMessageError as error:
         log_event("cannot decode record", key=key, reason=str(error))
-        return Success(record_type())
+        return Success(Failure(RecordError(f"{key}: {error}")))
--- a/coltsfootpier/node/_vms.py
+++ b/coltsfootpier/node/_vms.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Protocol
 
 import anyio
@@ -65,7 +65,7 @@
         """Return whether a listing may show that a runner with work has ended."""
         ...
 
-    def apply_listing(self, live: Container[str], *, requested_ms: float) -> bool:
+    def apply_listing(self, live: Collection[str], *, requested_ms: float) -> bool:
         """Apply a listing of the live runners; return whether one has ended."""
         ...
 
@@ -85,14 +85,17 @@
         Tracker of live runners.
     records : RecordWriter
         Writer of progress records.
-    record : MaintenanceRecord
-        Progress that earlier owners have recorded.
+    record : MaintenanceRecord, optional
+        Progress that earlier owners have recorded; None if it can't be decoded. Waves wait then
+        until no earlier command can arrive.
     clock : Clock
         Time source.
     maintenance_ms : float
         Time in ms that the maintenance of a VM takes.
     command_pause_ms : float
         Minimum time in ms between the commands of two owners for one VM.
+    late_call_ms : float
+        Time after which a call without a response is no longer carried out.
     get_waves : callable
         Returns the waves that operators have requested.
     may_send_commands : callable
@@ -111,10 +114,11 @@
         cordons: RunnerCordons,
         liveness: RunnerLiveness,
         records: RecordWriter,
-        record: MaintenanceRecord,
+        record: MaintenanceRecord | None,
         clock: Clock,
         maintenance_ms: float,
         command_pause_ms: float,
+        late_call_ms: float,
         get_waves: Callable[[], Iterable[Wave]],
         may_send_commands: Callable[[], bool],
         on_change: Callable[[], None],
@@ -128,6 +132,10 @@
         self._may_send_commands = may_send_commands
         self._on_change = on_change
         self._on_fenced = on_fenced
+        self._waves_due_ms = float("-inf")
+        if record is None:
+            record = MaintenanceRecord()
+            self._waves_due_ms = clock.now_ms() + command_pause_ms + late_call_ms
         self._planner = MaintenancePlanner(
             settings=MaintenanceSettings(
                 maintenance_ms=maintenance_ms,
@@ -145,9 +153,10 @@
     async def run(self) -> None:
         """Carry out waves and look for ended runners until cancelled."""
         while True:
-            self._planner.set_waves(
-                self._get_waves(), now_ms=self._clock.now_ms(), unix_ms=time.time() * 1000
-            )
+            waves, now_ms = self._get_waves(), self._clock.now_ms()
+            if now_ms < self._waves_due_ms:
+                waves = ()
+            self._planner.set_waves(waves, now_ms=now_ms, unix_ms=time.time() * 1000)
             self._write_progress()
             has_suspects = self._liveness.has_suspects(self._clock.now_ms())
             sent = (has_suspects or self._planner.is_active) and await self._list_and_send()
@@ -169,7 +178,7 @@
             log_event("worker VM listing succeeded again")
         self._is_service_reachable = True
         vms = listed.unwrap()
-        live = {vm.runner_id for vm in vms if vm.state is VmState.UP}
+        live = {vm.runner_id for vm in vms if vm.state is VmState.UP and vm.runner_id}
         if self._liveness.apply_listing(live, requested_ms=requested_ms):
             self._on_change()
         if not self._planner.is_active:
--- a/coltsfootpier/node/tests/test_owner.py
+++ b/coltsfootpier/node/tests/test_owner.py
@@ -7,15 +7,15 @@
 from returns.result import Failure, Success
 
 from coltsfootpier.cells import RunnerEntry
-from coltsfootpier.cells.tests.builders import build_entry
+from coltsfootpier.cells.tests.builders import build_entry, build_job
 from coltsfootpier.clock import VirtualClock
 from coltsfootpier.journal import Head
 from coltsfootpier.node import _timing
 from coltsfootpier.node._responses import NOT_OWNER, ResponseStatus
 from coltsfootpier.node.keys import HEAD_KEY
-from coltsfootpier.node.tests.builders import MemoryStore, build_owner
+from coltsfootpier.node.tests.builders import MemoryStore, build_owner, build_queue
 from coltsfootpier.platform import StoreUnavailable
-from coltsfootpier.transport import encode
+from coltsfootpier.transport import decode, encode
 
 
 class OwnerTestCase(unittest.TestCase):
@@ -53,6 +53,18 @@
         for response in self._query():
             self.assertEqual(response, NOT_OWNER)
 
+    def test_job_whose_record_cannot_be_decoded(self):
+        """Guards against a 410 response for an accepted job, and against running it again."""
+        self.owner._unreadable_jobs = frozenset({"5c0e7a21d94b36f8"})
+
+        async def submit():
+            queue = build_queue("short")
+            return await self.owner.submit("5c0e7a21d94b36f8", queue, build_job(), 100.0)
+
+        for response in (*self._query(), anyio.run(submit)):
+            self.assertIs(response.status, ResponseStatus.UNKNOWN)
+        self.assertEqual(self.owner.cell.jobs.jobs, {})
+
 
 class StopLogTest(unittest.TestCase):
     """The line of an owner that stops because another one owns the cell."""
@@ -152,6 +164,24 @@
 class FleetRecordTest(OwnerTestCase):
     """Runners of the fleet record that earlier owners have written."""
 
+    def test_list_is_incomplete_until_earlier_owners_can_use_no_other_runner(self):
+        """Guards against a next owner that waits only for the runners that this one has found."""
+        self.owner.cell.load([], (), now_ms=0.0, unix_ms=0.0, is_fleet_complete=False)
+        self.owner._is_record_complete = False
+        written = []
+
+        async def apply():
+            async with anyio.create_task_group() as group:
+                self.owner._group = group
+                self.owner._apply_registry([build_entry("a")], 0.0)
+                group.cancel_scope.cancel()
+            written.append(decode(self.owner._committer._fleet[0], dict))
+
+        anyio.run(apply)
+        self.owner.cell.fleet.mark_complete("test")
+        anyio.run(apply)
+        self.assertEqual([record.get("is_complete", True) for record in written], [False, True])
+
     def test_runner_whose_address_cannot_be_called(self):
         """Guards against daemons that end one after another at an odd fleet record."""
         addresses = ("nowhere", "127.0.0.1:x", "127.0.0.1:99999", "", "127.0.0.1:7")
--- a/coltsfootpier/node/tests/test_vms.py
+++ b/coltsfootpier/node/tests/test_vms.py
@@ -21,7 +21,9 @@
 from coltsfootpier.transport import Unanswered, decode
 
 PAUSE_MS = 3_000.0
+LATE_CALL_MS = 12_000.0
 STEP_MS = 500.0
+EMPTY_RECORD = MaintenanceRecord()
 
 
 class FakeVms:
@@ -106,7 +108,7 @@
         self.may_send_commands = True
         self.fenced = []
 
-    def _run(self, rounds, record=None):
+    def _run(self, rounds, record=EMPTY_RECORD):
         remaining_rounds = [rounds]
         scopes = []
 
@@ -122,10 +124,11 @@
             cordons=self.cordons,
             liveness=self.liveness,
             records=self.records,
-            record=record or MaintenanceRecord(),
+            record=record,
             clock=self.clock,
             maintenance_ms=2_000.0,
             command_pause_ms=PAUSE_MS,
+            late_call_ms=LATE_CALL_MS,
             get_waves=get_waves,
             may_send_commands=lambda: self.may_send_commands,
             on_change=lambda: None,
@@ -144,6 +147,17 @@
     def _read_record(self):
         return decode(self.records.values[MAINTENANCE_KEY], MaintenanceRecord).waves[0]
 
+    def test_unreadable_record(self):
+        """Guards against more VMs down than allowed, by commands of this and an earlier owner."""
+        due_ms = self.start_ms + PAUSE_MS + LATE_CALL_MS
+        sent_ms = []
+        self.vms.on_command = lambda command: sent_ms.append(self.clock.now_ms())
+        self._run(int((due_ms - self.start_ms) / STEP_MS) - 2, record=None)
+        # A later owner that reads a readable record would not wait.
+        self.assertEqual((sent_ms, self.records.values), ([], {}))
+        self._run(60, record=None)
+        self.assertGreaterEqual(sent_ms[0], due_ms)
+
     def test_wave_is_completed(self):
         """Guards against a complete wave that isn't reported to operators as complete."""
         self._run(20)
--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -5,6 +5,7 @@
 import anyio
 
 from coltsfootpier.cells import CellSettings
+from coltsfootpier.node.keys import FLEET_KEY
 from soak._loop import VirtualLoop, discard_loop
 from soak._run_simulation import RunSimulation, record_logs, run_seed
 
@@ -91,6 +92,25 @@
 
         self._play(play, runner_count=4, max_unconfirmed_ms=20_000.0)
 
+    def test_successor_cannot_decode_the_list_of_runners(self):
+        """Guards against a second run of a task whose runner the successor doesn't know."""
+
+        async def play(simulation):
+            runner, others = await self._start_task()
+            simulation.store.put(FLEET_KEY, b'{"runners":7}')
+            simulation.cut_from_successor = ((runner.address,), 8.0)
+            simulation.revoke_ownership()
+            successor = simulation.claim()
+            await anyio.sleep(2.0)
+            await simulation.submit("1c0e7a21d94b36f8", duration_ms=float("inf"))
+            await anyio.sleep(4.0)
+            self.assertEqual(simulation.history.find_runners(TASK), [runner])
+            self.assertEqual(simulation.history.find_runners("1c0e7a21d94b36f8.0.0.0"), others)
+            await anyio.sleep(4.0)
+            self.assertTrue(successor.owner.cell.fleet.is_complete)
+
+        self._play(play)
+
     def test_superseded_owner_starts_task_on_restarted_runner(self):
         """Guards against a start where the token of the successor was forgotten."""
 
