Name the limits that an owner keeps in the head record

What callers would have seen: during a rollout, two runs of one task. A successor of this release counts from the longest time for which its predecessor acts without the store, and an owner of an earlier release has no such limit. Settings that differ between two releases have the same effect.

The head record now names the limits (bounds). A claim carries the longest of its own and the earlier owners' limits, and none if the head that it replaces names none, as an earlier release leaves it; an owner writes its own once no earlier one can have a run that it doesn't know. The settings that a claim names are the ones that the owner uses.

Evidence: unit tests of the head, the cell and the owner fail before, since there are no such fields. Records of this release are read by an earlier one, which ignores the field and drops it at its claim.

--- a/coltsfootpier/cells/__init__.py
+++ b/coltsfootpier/cells/__init__.py
@@ -4,7 +4,7 @@
 from coltsfootpier.cells._cell import Accepted, Cell
 from coltsfootpier.cells._fleet import CapacityError, DoubleRunError
 from coltsfootpier.cells._learned import LearnedInterference, LearnedState
-from coltsfootpier.cells._lease_expiry import LeaseExpiryTracker
+from coltsfootpier.cells._lease_expiry import LeaseExpiryTracker, get_bounds
 from coltsfootpier.cells._messages import (
     AdviceRequest,
     CellCommand,
@@ -47,4 +47,5 @@
     "StartRun",
     "StopRun",
     "check_admission",
+    "get_bounds",
 ]
--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -40,6 +40,7 @@
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells._state import EndProof, Job, Run, Runner, RunState, StepRun, Task
 from coltsfootpier.jobs import JobRecord, JobSpec, JobState, Queue
+from coltsfootpier.journal import ActionBounds
 
 
 @attrs.frozen
@@ -107,6 +108,7 @@
         *,
         now_ms: float,
         unix_ms: float,
+        bounds: ActionBounds | None = None,
         is_fleet_complete: bool = True,
     ) -> None:
         """Load the jobs and runners recorded by earlier owners.
@@ -120,10 +122,12 @@
             each of them has responded or the leases of all its runs have expired.
         now_ms, unix_ms : float
             Local time and Unix time.
+        bounds : ActionBounds, optional
+            Bounds of all earlier owners, if they are known.
         is_fleet_complete : bool, default=True
             Whether `fleet` is known to list all of these runners.
         """
-        self.fleet.add_inherited(fleet, now_ms, is_complete=is_fleet_complete)
+        self.fleet.add_inherited(fleet, now_ms, bounds=bounds, is_complete=is_fleet_complete)
         for record in records:
             job = self.jobs.add(record, now_ms, durable=True)
             # The objective counts from the acceptance, whichever owner accepted the job.
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -10,6 +10,7 @@
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells._state import EndProof, Run, Runner, RunState, StepRun, Task
 from coltsfootpier.exceptions import InvariantError
+from coltsfootpier.journal import ActionBounds
 
 LogCallback = Callable[..., None]
 
@@ -51,7 +52,12 @@
         self.proof = OwnershipProof(settings=settings, runners=self.runners)
 
     def add_inherited(
-        self, entries: Iterable[RunnerEntry], now_ms: float, *, is_complete: bool = True
+        self,
+        entries: Iterable[RunnerEntry],
+        now_ms: float,
+        *,
+        bounds: ActionBounds | None = None,
+        is_complete: bool = True,
     ) -> None:
         """Add the runners that an earlier owner may have used, after the claim of the cell.
 
@@ -64,11 +70,13 @@
             Runners in the fleet record.
         now_ms : float
             Local time.
+        bounds : ActionBounds, optional
+            Bounds of all earlier owners, if they are known.
         is_complete : bool, default=True
             Whether these are all of them. Otherwise, no half of them proves anything.
         """
         self.is_complete = is_complete
-        self._unlisted_expiry_ms = now_ms + compute_unconfirmed_lease_ms(self._settings)
+        self._unlisted_expiry_ms = now_ms + compute_unconfirmed_lease_ms(bounds, self._settings)
         for entry in entries:
             runner = Runner(entry=entry, is_registered=False, recorded=True)
             runner.earlier_lease_expiry_ms = self._unlisted_expiry_ms
--- a/coltsfootpier/cells/_lease_expiry.py
+++ b/coltsfootpier/cells/_lease_expiry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from coltsfootpier.cells._settings import CellSettings
+from coltsfootpier.journal import ActionBounds
 
 # Allowance for the time between reading the clock and sending.
 _SEND_ALLOWANCE_MS = 50.0
@@ -22,14 +23,21 @@
     return duration_ms * (1.0 + 3.0 * settings.clock_drift) + _SEND_ALLOWANCE_MS
 
 
-def compute_unconfirmed_lease_ms(settings: CellSettings) -> float:
+def get_bounds(settings: CellSettings) -> ActionBounds:
+    """Return the bounds of an owner with these settings."""
+    return ActionBounds(unconfirmed_ms=settings.max_unconfirmed_ms)
+
+
+def compute_unconfirmed_lease_ms(bounds: ActionBounds | None, settings: CellSettings) -> float:
     """Return the longest local time that leases last after the store has confirmed an owner last.
 
-    The owner acts for `max_unconfirmed_ms`. Its last call may arrive late, at a runner that has
-    restarted and takes the deadline for one that lies far ahead.
+    The last call of the owner may arrive late, at a runner that has restarted and takes the
+    deadline for one that lies far ahead. Without known bounds, the time is infinite.
     """
+    if bounds is None:
+        return float("inf")
     return compute_lease_ms(
-        settings.max_unconfirmed_ms + settings.late_call_ms + settings.max_run_lease_ms, settings
+        bounds.unconfirmed_ms + settings.late_call_ms + settings.max_run_lease_ms, settings
     )
 
 
--- a/coltsfootpier/cells/tests/test_ownership.py
+++ b/coltsfootpier/cells/tests/test_ownership.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from coltsfootpier.cells import CellSettings, LeaseExpiryTracker
+from coltsfootpier.cells import CellSettings, LeaseExpiryTracker, get_bounds
 from coltsfootpier.cells._lease_expiry import compute_lease_ms
 from coltsfootpier.cells._messages import StartOutcome, StartRun, StopRun
 from coltsfootpier.cells.tests.builders import SimulatedCell, build_entry, build_job, build_step
@@ -125,7 +125,13 @@
         entries = [runner.entry for runner in self.harness.runners.values()]
         self.later = SimulatedCell(NAMES, generation=2)
         self.later.runners = self.harness.runners
-        self.later.cell.load(records, entries, now_ms=self.later.now_ms, unix_ms=self.later.unix_ms)
+        self.later.cell.load(
+            records,
+            entries,
+            now_ms=self.later.now_ms,
+            unix_ms=self.later.unix_ms,
+            bounds=get_bounds(self.later.settings),
+        )
 
     def _take_over(self, *reachable):
         for name, runner in self.later.runners.items():
@@ -158,6 +164,18 @@
         self.later.advance(4 * self.later.settings.run_lease_ms)
         self.assertEqual(len(self.later.find("j")), 1)
 
+    def test_earlier_release_may_act_for_good(self):
+        """Guards against a count from a limit that the earlier owner doesn't know."""
+        self.later.cell.load(
+            [],
+            [runner.entry for runner in self.harness.runners.values()],
+            now_ms=self.later.now_ms,
+            unix_ms=self.later.unix_ms,
+        )
+        self._take_over(*[name for name in NAMES if name != self.name][:1])
+        self.later.advance(2 * self.later.settings.max_unconfirmed_ms, step_ms=1_000.0)
+        self.assertEqual(self.later.commands, [])
+
     def test_minority_of_runners_goes_on_after_the_longest_outage(self):
         """Guards against tasks that wait for good since most runners are gone."""
         self._take_over(*[name for name in NAMES if name != self.name][:1])
@@ -185,7 +203,12 @@
         self.others = tuple(name for name in NAMES if name != self.name)
         self.later = SimulatedCell(self.others, generation=2)
         self.later.cell.load(
-            records, (), now_ms=first.now_ms, unix_ms=first.unix_ms, is_fleet_complete=False
+            records,
+            (),
+            now_ms=first.now_ms,
+            unix_ms=first.unix_ms,
+            bounds=get_bounds(first.settings),
+            is_fleet_complete=False,
         )
         self.later.join()
         self.first = first
--- a/coltsfootpier/journal/_head.py
+++ b/coltsfootpier/journal/_head.py
@@ -12,6 +12,23 @@
 from coltsfootpier.transport import MalformedMessageError, decode, is_address
 
 
+@attrs.frozen(kw_only=True)
+class ActionBounds:
+    """Bounds on how long an owner acts without a successor's knowledge, on which these rely.
+
+    Parameters
+    ----------
+    unconfirmed_ms : float
+        Longest time for which it acts after the last confirmation of the store.
+    """
+
+    unconfirmed_ms: float
+
+    def combine(self, other: ActionBounds) -> ActionBounds:
+        """Return the bounds that hold for two owners."""
+        return ActionBounds(unconfirmed_ms=max(self.unconfirmed_ms, other.unconfirmed_ms))
+
+
 @attrs.frozen(kw_only=True)
 class Head:
     """Value of the head record.
@@ -25,25 +42,38 @@
         Incarnation of the daemon that wrote the head.
     sequence : int
         Number of the change within the ownership.
+    bounds : ActionBounds, optional
+        Bounds that hold for the holder and for all earlier owners that may still act; None if they
+        aren't known, for example because an earlier release wrote the head.
     """
 
     generation: int
     holder: str
     sequence: int = 0
+    bounds: ActionBounds | None = None
 
-    def next(self) -> Head:
-        """Return the head of the next change."""
-        return attrs.evolve(self, sequence=self.sequence + 1)
+    def next(self, bounds: ActionBounds | None = None) -> Head:
+        """Return the head of the next change, with new bounds if given."""
+        return attrs.evolve(self, sequence=self.sequence + 1, bounds=bounds or self.bounds)
 
-    def claim(self, holder: str) -> Head:
+    def claim(self, holder: str, bounds: ActionBounds | None = None) -> Head:
         """Return the head that claims the cell for a new owner.
 
+        Parameters
+        ----------
+        holder : str
+            Incarnation of the daemon.
+        bounds : ActionBounds, optional
+            Bounds of the new owner.
+
         Examples
         --------
         >>> Head(generation=3, holder="a", sequence=9).claim("b")
-        Head(generation=4, holder='b', sequence=0)
+        Head(generation=4, holder='b', sequence=0, bounds=None)
         """
-        return Head(generation=self.generation + 1, holder=holder)
+        if bounds is not None and self.generation:
+            bounds = bounds.combine(self.bounds) if self.bounds is not None else None
+        return Head(generation=self.generation + 1, holder=holder, bounds=bounds)
 
 
 @attrs.frozen(kw_only=True)
--- a/coltsfootpier/node/_committer.py
+++ b/coltsfootpier/node/_committer.py
@@ -11,7 +11,7 @@
 from coltsfootpier.cells import Cell, Job
 from coltsfootpier.clock import Clock
 from coltsfootpier.jobs import encode_record
-from coltsfootpier.journal import Head, OwnerInfo, decode_head, was_applied
+from coltsfootpier.journal import ActionBounds, Head, OwnerInfo, decode_head, was_applied
 from coltsfootpier.logs import log_event
 from coltsfootpier.node import _timing
 from coltsfootpier.node._change_sender import ChangeSender
@@ -88,6 +88,8 @@
         self.recorded_fleet: frozenset[str] = frozenset()
         # Lists of runners that were put since, in order; a successor may read any of them.
         self._unsettled_fleets: list[frozenset[str]] = []
+        # Bounds to write with the next change; None to keep those in the head.
+        self.bounds: ActionBounds | None = None
         # Lease under which the owner's key is to be written again; 0 if none.
         self._lease_to_bind = 0
         # Lease under which this owner wrote the owner's key last.
@@ -173,7 +175,7 @@
         expired = cell.jobs.list_expired(
             self._clock.now_ms(), kept_ms=self._retention_ms, limit=_MAX_REMOVED_JOBS
         )
-        next_head = self._head.next()
+        next_head = self._head.next(self.bounds)
         puts = [Write(HEAD_KEY, encode(next_head))]
         puts += [Write(job_key(job.record.id), encode_record(job.record)) for job, _ in batch]
         puts += [Write(key, value) for key, value in single_records.items()]
--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -8,7 +8,7 @@
 import anyio
 from returns.result import Failure
 
-from coltsfootpier.cells import CellSettings
+from coltsfootpier.cells import CellSettings, get_bounds
 from coltsfootpier.clock import MonotonicClock
 from coltsfootpier.journal import Head, OwnerInfo, decode_head
 from coltsfootpier.logs import log_event
@@ -17,7 +17,7 @@
 from coltsfootpier.node._control import ControlState
 from coltsfootpier.node._election import choose_claim_delay, choose_lease_ttl
 from coltsfootpier.node._metrics import Metrics
-from coltsfootpier.node._owner import Owner
+from coltsfootpier.node._owner import Owner, limit_run_lease
 from coltsfootpier.node._peers import (
     CancelJob,
     JobRequest,
@@ -240,19 +240,23 @@
 
     async def _claim(self, owner_revision: int) -> None:
         """Claim the cell if its owner's key is unchanged; on success run it as its owner."""
+        # The settings may be reloaded meanwhile, and the head tells successors what holds.
+        settings = self._settings
         head_item = await self._store.get(HEAD_KEY)
         if isinstance(head_item, Failure):
             await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
             return
         item = head_item.unwrap()
         try:
-            head: Head = decode_head(item.value).claim(self._incarnation)
+            head: Head = decode_head(item.value).claim(
+                self._incarnation, get_bounds(limit_run_lease(self._cell_settings, settings))
+            )
         except MalformedMessageError as error:
             log_event("cannot decode head record", reason=str(error))
             await anyio.sleep(_timing.STORE_TIMEOUT_MS / 1000)
             return
         granted_ms = self._clock.now_ms()
-        granted = await self._store.grant_lease(ttl_ms=choose_lease_ttl(self._settings))
+        granted = await self._store.grant_lease(ttl_ms=choose_lease_ttl(settings))
         if isinstance(granted, Failure):
             await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
             return
@@ -272,17 +276,31 @@
             await self._control.wait_change(_timing.STORE_BACKOFF_MS)
             if self._control.owner == info:
                 await self._run_owner(
-                    head, self._control.owner_revision, info, lease=lease, granted_ms=granted_ms
+                    settings,
+                    head,
+                    self._control.owner_revision,
+                    info,
+                    lease=lease,
+                    granted_ms=granted_ms,
                 )
             return
         self._control.update_owner(info, result.unwrap())
-        await self._run_owner(head, result.unwrap(), info, lease=lease, granted_ms=granted_ms)
+        await self._run_owner(
+            settings, head, result.unwrap(), info, lease=lease, granted_ms=granted_ms
+        )
 
     async def _run_owner(
-        self, head: Head, revision: int, info: OwnerInfo, *, lease: int, granted_ms: float
+        self,
+        settings: NodeSettings,
+        head: Head,
+        revision: int,
+        info: OwnerInfo,
+        *,
+        lease: int,
+        granted_ms: float,
     ) -> None:
         self._owner = Owner(
-            settings=self._settings,
+            settings=settings,
             cell_settings=self._cell_settings,
             store=self._store,
             clock=self._clock,
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -18,6 +18,7 @@
     CellSettings,
     Rejected,
     RunnerEntry,
+    get_bounds,
 )
 from coltsfootpier.clock import Clock
 from coltsfootpier.jobs import JobSpec, JobState, Queue, decode_record
@@ -51,6 +52,16 @@
 _UNREADABLE_JOB = Response(status=ResponseStatus.UNKNOWN, reason="unreadable record")
 
 
+def limit_run_lease(cell_settings: CellSettings, settings: NodeSettings) -> CellSettings:
+    """Return the cell's settings within the longest lease that the platform allows."""
+    longest_ms = settings.max_run_lease_ms
+    return attrs.evolve(
+        cell_settings,
+        run_lease_ms=min(cell_settings.run_lease_ms, _MAX_RUN_LEASE_FRACTION * longest_ms),
+        max_run_lease_ms=longest_ms,
+    )
+
+
 class Owner:
     """Owner of a cell, which runs its planner, its runner tasks and the writer of its records.
 
@@ -101,18 +112,12 @@
         self._get_waves = get_waves
         self._metrics = metrics
         self._cell_settings = cell_settings
-        self._run_lease_ms = min(
-            cell_settings.run_lease_ms, _MAX_RUN_LEASE_FRACTION * settings.max_run_lease_ms
-        )
+        self._head = head
         self._store = store
         self._clock = clock
         self.info = info
         self.cell = Cell(
-            settings=attrs.evolve(
-                cell_settings,
-                run_lease_ms=self._run_lease_ms,
-                max_run_lease_ms=settings.max_run_lease_ms,
-            ),
+            settings=limit_run_lease(cell_settings, settings),
             generation=head.generation,
             log=log_event,
             observe=metrics.observe,
@@ -171,6 +176,7 @@
             loaded.fleet,
             now_ms=now_ms,
             unix_ms=time.time() * 1000,
+            bounds=self._head.bounds,
             is_fleet_complete=loaded.is_fleet_complete,
         )
         self._unreadable_jobs = loaded.unreadable_jobs
@@ -511,9 +517,15 @@
                 encode_fleet(self._fleet_entries.values(), is_complete=is_complete),
                 frozenset(self._fleet_entries),
             )
+        self._declare_bounds()
         self._update_runner_tasks()
         self._wake_planner()
 
+    def _declare_bounds(self) -> None:
+        """Write this owner's bounds with the next change once no earlier owner acts any more."""
+        if self._committer.bounds is None and not self.cell.fleet.may_have_unknown_runs:
+            self._committer.bounds = get_bounds(self.cell.settings)
+
     def _update_runner_tasks(self) -> None:
         for runner_id, task in list(self._runner_tasks.items()):
             runner = self.cell.fleet.runners.get(runner_id)
@@ -528,7 +540,7 @@
                     entry=runner.entry,
                     cell=self.cell,
                     settings=self.cell.settings,
-                    run_lease_ms=self._run_lease_ms,
+                    run_lease_ms=self.cell.settings.run_lease_ms,
                     commits=self._committer,
                     clock=self._clock,
                     on_change=self._wake_planner,
--- a/coltsfootpier/node/tests/test_owner.py
+++ b/coltsfootpier/node/tests/test_owner.py
@@ -6,7 +6,7 @@
 import anyio
 from returns.result import Failure, Success
 
-from coltsfootpier.cells import RunnerEntry
+from coltsfootpier.cells import CellSettings, RunnerEntry, get_bounds
 from coltsfootpier.cells.tests.builders import build_entry, build_job
 from coltsfootpier.clock import VirtualClock
 from coltsfootpier.journal import Head
@@ -153,6 +153,15 @@
         self.owner.cell.fleet.inherited -= set("ab")
         self.assertEqual(anyio.run(list_recorded), set("abcde"))
 
+    def test_bounds_are_declared_once_earlier_owners_have_stopped(self):
+        """Guards against a next owner that relies on this one while an earlier one still acts."""
+        self.owner.cell.load([], [build_entry("a")], now_ms=0.0, unix_ms=0.0)
+        self.owner._declare_bounds()
+        self.assertIsNone(self.owner._committer.bounds)
+        self.owner.cell.fleet.inherited.clear()
+        self.owner._declare_bounds()
+        self.assertEqual(self.owner._committer.bounds, get_bounds(CellSettings()))
+
     def test_later_owner_in_the_watch_stops_the_owner(self):
         """Guards against an owner that goes on until a runner rejects it."""
         self.owner.record_latest_generation(1)
--- a/soak/_run_simulation.py
+++ b/soak/_run_simulation.py
@@ -18,13 +18,13 @@
 import eliot
 from returns.result import Success
 
-from coltsfootpier.cells import CellSettings
+from coltsfootpier.cells import CellSettings, get_bounds
 from coltsfootpier.jobs import JobSpec, Queue, StepSpec
 from coltsfootpier.journal import OwnerInfo, decode_head
 from coltsfootpier.node import Configuration, Route, _timing
 from coltsfootpier.node import _owner as owner_module
 from coltsfootpier.node._metrics import Metrics
-from coltsfootpier.node._owner import Owner
+from coltsfootpier.node._owner import Owner, limit_run_lease
 from coltsfootpier.node.keys import HEAD_KEY, OWNER_KEY
 from coltsfootpier.node.tests.builders import build_settings
 from coltsfootpier.platform import Write
@@ -173,7 +173,9 @@
             rate=1.0 + self.rng.uniform(-_OWNER_CLOCK_ERROR, _OWNER_CLOCK_ERROR),
             origin_s=self.rng.uniform(0.0, 1_000.0),
         )
-        head = decode_head(item.value).claim(host.name)
+        head = decode_head(item.value).claim(
+            host.name, get_bounds(limit_run_lease(self._cell_settings, build_settings()))
+        )
         info = OwnerInfo(holder=host.name, address="127.0.0.1:1", generation=head.generation)
         lease = self.store.grant(_timing.OWNER_LEASE_MS)
         revision = self.store.change(
