Count inherited leases from the earlier owner's last proof

Cause: an owner extended leases by their whole length with a proof of ownership of any valid age (1.5 s), so that its successor had to add the two.

A lease now ends at most 300 ms (lease_slack_ms) and its length after the proof that it is extended with: a proof of that age or younger, as the store confirms it five times a second, extends it by the whole length, an older one by less. A successor counts 4.6 s. The head record names the length (bounds); after an owner of an earlier release, it remains 5.9 s. So the earlier owner's own confirmation that it has stopped isn't needed: a resigned owner's last proof is as old as one of a crashed one, and its leases last as long.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -487,6 +487,12 @@
         """Return whether leases may be extended and runs started; see `OwnershipProof`."""
         return self.fleet.proof.is_valid(now_ms)
 
+    def compute_extension_ms(self, now_ms: float) -> float:
+        """Return the time by which leases may be extended while the ownership is proven."""
+        settings = self._settings
+        late_ms = max(0.0, self.fleet.proof.measure_age_ms(now_ms) - settings.lease_slack_ms)
+        return settings.run_lease_ms - late_ms
+
     def plan(self, now_ms: float, unix_ms: float) -> list[CellCommand]:
         """Return the commands that are due now.
 
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -4,7 +4,11 @@
 
 from collections.abc import Callable, Collection, Iterable
 
-from coltsfootpier.cells._lease_expiry import compute_lease_ms, compute_unconfirmed_lease_ms
+from coltsfootpier.cells._lease_expiry import (
+    compute_inherited_lease_ms,
+    compute_lease_ms,
+    compute_unconfirmed_lease_ms,
+)
 from coltsfootpier.cells._messages import RunId, RunnerEntry
 from coltsfootpier.cells._ownership import OwnershipProof
 from coltsfootpier.cells._settings import CellSettings
@@ -49,6 +53,7 @@
         # Whether the fleet record lists all runners that earlier owners may use.
         self.is_complete = True
         self._unlisted_expiry_ms = float("-inf")
+        self._earlier_bounds: ActionBounds | None = None
         self.proof = OwnershipProof(settings=settings, runners=self.runners)
 
     def add_inherited(
@@ -76,6 +81,7 @@
             Whether these are all of them. Otherwise, no half of them proves anything.
         """
         self.is_complete = is_complete
+        self._earlier_bounds = bounds
         self._unlisted_expiry_ms = now_ms + compute_unconfirmed_lease_ms(bounds, self._settings)
         for entry in entries:
             runner = Runner(entry=entry, is_registered=False, recorded=True)
@@ -111,8 +117,7 @@
         bounded = self._unbounded & self.inherited
         if not self.is_complete or not bounded or not self.is_half_settled:
             return
-        settings = self._settings
-        lease_ms = compute_lease_ms(settings.proof_validity_ms + settings.run_lease_ms, settings)
+        lease_ms = compute_inherited_lease_ms(self._earlier_bounds, self._settings)
         for runner_id in bounded:
             self.runners[runner_id].earlier_lease_expiry_ms = now_ms + lease_ms
         self._unbounded -= bounded
--- a/coltsfootpier/cells/_lease_expiry.py
+++ b/coltsfootpier/cells/_lease_expiry.py
@@ -25,7 +25,21 @@
 
 def get_bounds(settings: CellSettings) -> ActionBounds:
     """Return the bounds of an owner with these settings."""
-    return ActionBounds(unconfirmed_ms=settings.max_unconfirmed_ms)
+    return ActionBounds(
+        unconfirmed_ms=settings.max_unconfirmed_ms,
+        lease_ms=max(
+            settings.run_lease_ms + settings.lease_slack_ms,
+            # The lease of a start that no report request extends.
+            settings.proof_validity_ms + settings.start_valid_ms,
+        ),
+    )
+
+
+def compute_inherited_lease_ms(bounds: ActionBounds | None, settings: CellSettings) -> float:
+    """Return the longest local time that leases last after an earlier owner's last proof."""
+    if bounds is None:
+        return compute_lease_ms(settings.proof_validity_ms + settings.run_lease_ms, settings)
+    return compute_lease_ms(bounds.lease_ms, settings)
 
 
 def compute_unconfirmed_lease_ms(bounds: ActionBounds | None, settings: CellSettings) -> float:
--- a/coltsfootpier/cells/_ownership.py
+++ b/coltsfootpier/cells/_ownership.py
@@ -68,6 +68,17 @@
         )
         return now_ms < self._majority_until_ms
 
+    def measure_age_ms(self, now_ms: float) -> float:
+        """Return the age of the latest proof."""
+        age_ms = now_ms - self.store_confirmed_ms
+        if age_ms <= self._settings.lease_slack_ms:
+            return age_ms
+        majority_ms = min(
+            (self._find_majority_ms(runner_ids) for runner_ids in self._recorded),
+            default=float("-inf"),
+        )
+        return min(age_ms, now_ms - majority_ms)
+
     def covers_expiry(self, lease_expiry_ms: float) -> bool:
         """Return whether leases that expired at a local time were extended by no later owner.
 
--- a/coltsfootpier/cells/_settings.py
+++ b/coltsfootpier/cells/_settings.py
@@ -22,6 +22,10 @@
     proof_validity_ms : float
         Time for which a confirmation of the store or of a runner proves that no later owner acts.
         Not shorter than the owner's lease, and longer than two report requests (500 ms each).
+    lease_slack_ms : float
+        Age of a proof up to which leases are extended by their whole length. An older one extends
+        them by less, so that a successor counts the leases from the last proof. Longer than the
+        time between two confirmations of the store.
     max_unconfirmed_ms : float
         Longest time since the last confirmation of the store for which more than half of the
         runners prove the ownership. Work goes on through an outage of the store for that long; a
@@ -114,6 +118,7 @@
     max_run_lease_ms: float = 10_000.0
     late_call_ms: float = 12_000.0
     proof_validity_ms: float = 1_500.0
+    lease_slack_ms: float = 300.0
     max_unconfirmed_ms: float = 1_800_000.0
     start_valid_ms: float = 1_500.0
     clock_drift: float = 0.02
--- a/coltsfootpier/cells/tests/test_ownership.py
+++ b/coltsfootpier/cells/tests/test_ownership.py
@@ -121,19 +121,17 @@
         self.harness.submit("j")
         self.harness.plan()
         ((self.name, _),) = self.harness.find("j")
-        records = [job.record for job in self.harness.cell.jobs.jobs.values()]
-        entries = [runner.entry for runner in self.harness.runners.values()]
         self.later = SimulatedCell(NAMES, generation=2)
         self.later.runners = self.harness.runners
+
+    def _take_over(self, *reachable, bounds=None):
         self.later.cell.load(
-            records,
-            entries,
+            [job.record for job in self.harness.cell.jobs.jobs.values()],
+            [runner.entry for runner in self.harness.runners.values()],
             now_ms=self.later.now_ms,
             unix_ms=self.later.unix_ms,
-            bounds=get_bounds(self.later.settings),
+            bounds=bounds,
         )
-
-    def _take_over(self, *reachable):
         for name, runner in self.later.runners.items():
             runner.reachable = name in reachable
         self.later.join()
@@ -148,6 +146,17 @@
         self.later.advance(1_000)
         self.assertEqual(len(self.later.find("j")), 2)
 
+    def test_leases_are_counted_from_the_last_proof(self):
+        """Guards against tasks that wait longer than the earlier owner extends their leases."""
+        settings = self.later.settings
+        others = [name for name in NAMES if name != self.name]
+        self._take_over(*others, bounds=get_bounds(settings))
+        extended_ms = settings.run_lease_ms + settings.lease_slack_ms
+        self.later.advance(extended_ms / (1 - settings.clock_drift))
+        self.assertEqual(len(self.later.find("j")), 1)
+        self.later.advance(400)
+        self.assertEqual(len(self.later.find("j")), 2)
+
     def test_runner_that_is_cut_off_after_it_accepted_the_owner(self):
         """Guards against tasks that wait for good since a change of owner."""
         self._take_over(*NAMES)
@@ -166,20 +175,15 @@
 
     def test_earlier_release_may_act_for_good(self):
         """Guards against a count from a limit that the earlier owner doesn't know."""
-        self.later.cell.load(
-            [],
-            [runner.entry for runner in self.harness.runners.values()],
-            now_ms=self.later.now_ms,
-            unix_ms=self.later.unix_ms,
-        )
         self._take_over(*[name for name in NAMES if name != self.name][:1])
         self.later.advance(2 * self.later.settings.max_unconfirmed_ms, step_ms=1_000.0)
         self.assertEqual(self.later.commands, [])
 
     def test_minority_of_runners_goes_on_after_the_longest_outage(self):
         """Guards against tasks that wait for good since most runners are gone."""
-        self._take_over(*[name for name in NAMES if name != self.name][:1])
         settings = self.later.settings
+        other = next(name for name in NAMES if name != self.name)
+        self._take_over(other, bounds=get_bounds(settings))
         acting_ms = settings.max_unconfirmed_ms / (1 - settings.clock_drift)
         # A call that arrives late may extend the longest lease.
         acting_ms += settings.late_call_ms + settings.max_run_lease_ms
--- a/coltsfootpier/journal/_head.py
+++ b/coltsfootpier/journal/_head.py
@@ -20,13 +20,19 @@
     ----------
     unconfirmed_ms : float
         Longest time for which it acts after the last confirmation of the store.
+    lease_ms : float
+        Longest time after a proof of its ownership until the leases end that it extends with it.
     """
 
     unconfirmed_ms: float
+    lease_ms: float
 
     def combine(self, other: ActionBounds) -> ActionBounds:
         """Return the bounds that hold for two owners."""
-        return ActionBounds(unconfirmed_ms=max(self.unconfirmed_ms, other.unconfirmed_ms))
+        return ActionBounds(
+            unconfirmed_ms=max(self.unconfirmed_ms, other.unconfirmed_ms),
+            lease_ms=max(self.lease_ms, other.lease_ms),
+        )
 
 
 @attrs.frozen(kw_only=True)
--- a/coltsfootpier/journal/tests/test_head.py
+++ b/coltsfootpier/journal/tests/test_head.py
@@ -5,7 +5,8 @@
 from coltsfootpier.journal import ActionBounds, Head, decode_head
 from coltsfootpier.transport import encode
 
-SHORT, LONG = ActionBounds(unconfirmed_ms=1_000.0), ActionBounds(unconfirmed_ms=9_000.0)
+SHORT = ActionBounds(unconfirmed_ms=1_000.0, lease_ms=100.0)
+LONG = ActionBounds(unconfirmed_ms=9_000.0, lease_ms=200.0)
 
 
 class BoundsTest(unittest.TestCase):
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -540,7 +540,6 @@
                     entry=runner.entry,
                     cell=self.cell,
                     settings=self.cell.settings,
-                    run_lease_ms=self.cell.settings.run_lease_ms,
                     commits=self._committer,
                     clock=self._clock,
                     on_change=self._wake_planner,
--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -51,9 +51,7 @@
     cell : Cell
         Cell to which the reports and responses are applied.
     settings : CellSettings
-        Settings of the cell, with the validity of start commands.
-    run_lease_ms : float
-        Time in ms by which each report request extends the leases of runs.
+        Settings of the cell.
     commits : CommitNotifier
         Notifies when ended runs may have become durable.
     clock : Clock
@@ -73,7 +71,6 @@
         entry: RunnerEntry,
         cell: Cell,
         settings: CellSettings,
-        run_lease_ms: float,
         commits: CommitNotifier,
         clock: Clock,
         on_change: Callable[[], None],
@@ -84,7 +81,6 @@
         self.address = entry.address
         self._cell = cell
         self._settings = settings
-        self._run_lease_ms = run_lease_ms
         self._commits = commits
         self._clock = clock
         self._on_change = on_change
@@ -219,9 +215,10 @@
         runner_now_ms = self._estimate_runner_now_ms()
         deadline_ms = None
         if runner_now_ms is not None and cell.is_ownership_proven(self._clock.now_ms()):
-            deadline_ms = runner_now_ms + self._run_lease_ms
+            extension_ms = cell.compute_extension_ms(self._clock.now_ms())
+            deadline_ms = runner_now_ms + extension_ms
             cell.fleet.record_deadline(self.id, deadline_ms, self._clock.now_ms())
-            call_number = self._record_call(self._run_lease_ms)
+            call_number = self._record_call(extension_ms)
         self.report_count += 1
         result = None
         try:
--- a/coltsfootpier/node/tests/test_runner_log.py
+++ b/coltsfootpier/node/tests/test_runner_log.py
@@ -47,7 +47,6 @@
             entry=entry,
             cell=self.cell,
             settings=self.settings,
-            run_lease_ms=self.settings.run_lease_ms,
             commits=mock.Mock(),
             clock=self.clock,
             on_change=lambda: None,
--- a/coltsfootpier/node/tests/test_runner_task.py
+++ b/coltsfootpier/node/tests/test_runner_task.py
@@ -96,7 +96,6 @@
             entry=build_entry("a"),
             cell=self.cell,
             settings=self.cell.settings,
-            run_lease_ms=RUN_LEASE_MS,
             commits=NoCommits(),
             clock=self.clock,
             on_change=lambda: None,
@@ -201,6 +200,28 @@
 
         self._run(steps)
 
+    def test_deadline_counts_from_the_last_proof(self):
+        """Guards against a lease that goes on after a successor has counted it as expired."""
+
+        async def steps():
+            settings = self.cell.settings
+            # Nobody but the store proves the ownership.
+            self.cell.fleet.mark_recorded(["a", "b", "c"])
+            proven_ms = self.clock.now_ms()
+            self.cell.record_renewal(proven_ms)
+            await self._wait_reports()
+            for age_ms in (settings.lease_slack_ms, settings.proof_validity_ms - 100.0):
+                self.clock.advance(proven_ms + age_ms - self.clock.now_ms())
+                deadline_ms = max(await self._wait_reports())
+                ends_ms = deadline_ms - self.client.clock_ms
+                self.assertGreater(ends_ms, proven_ms + settings.run_lease_ms)
+                longest_ms = settings.run_lease_ms + settings.lease_slack_ms
+                self.assertLessEqual(ends_ms, proven_ms + longest_ms)
+                expiry_ms = self.cell.fleet.runners["a"].lease_expiry_ms
+                self.assertLessEqual(expiry_ms, proven_ms + 1.1 * longest_ms)
+
+        self._run(steps)
+
     def test_request_after_a_failure_only_asks_for_the_state(self):
         """Guards against deadlines and acknowledged ends that a restarted runner misunderstands."""
 
--- a/coltsfootpier/node/tests/test_runner_task_errors.py
+++ b/coltsfootpier/node/tests/test_runner_task_errors.py
@@ -97,7 +97,6 @@
             entry=self.entry,
             cell=self.cell,
             settings=CellSettings(),
-            run_lease_ms=4_000.0,
             commits=Commits(),
             clock=self.clock,
             on_change=lambda: None,
