--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -40,6 +40,7 @@
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells._state import EndProof, Job, Run, Runner, RunState, StepRun, Task
 from coltsfootpier.jobs import JobRecord, JobSpec, JobState, Queue
+from coltsfootpier.journal import ActionBounds
 
 
 @attrs.frozen
@@ -107,6 +108,8 @@
         *,
         now_ms: float,
         unix_ms: float,
+        bounds: ActionBounds | None = None,
+        is_fleet_complete: bool = True,
     ) -> None:
         """Load the jobs and runners recorded by earlier owners.
 
@@ -119,8 +122,12 @@
             each of them has responded or the leases of all its runs have expired.
         now_ms, unix_ms : float
             Local time and Unix time.
+        bounds : ActionBounds, optional
+            Bounds of all earlier owners, if they are known.
+        is_fleet_complete : bool, default=True
+            Whether `fleet` is known to list all of these runners.
         """
-        self.fleet.add_inherited(fleet)
+        self.fleet.add_inherited(fleet, now_ms, bounds=bounds, is_complete=is_fleet_complete)
         for record in records:
             job = self.jobs.add(record, now_ms, durable=True)
             # The objective counts from the acceptance, whichever owner accepted the job.
@@ -271,11 +278,7 @@
                 runner.applied_end = row.number
         for row in report.running:
             self._apply_running_row(runner, row, now_ms)
-        if runner.earlier_lease_expiry_ms == float("inf"):
-            # It has rejected the earlier owner since.
-            runner.earlier_lease_expiry_ms = report.received_ms + compute_lease_ms(
-                self._settings.run_lease_ms, self._settings
-            )
+        self.fleet.record_first_report(runner, report.received_ms)
         if report.running and runner.lease_expiry_ms <= report.received_ms:
             # The listed runs show that their leases were extended later than assumed.
             runner.earlier_lease_expiry_ms = report.received_ms + compute_lease_ms(
@@ -488,6 +491,12 @@
         """Return whether leases may be extended and runs started; see `OwnershipProof`."""
         return self.fleet.proof.is_valid(now_ms)
 
+    def compute_extension_ms(self, now_ms: float) -> float:
+        """Return the time by which leases may be extended while the ownership is proven."""
+        settings = self._settings
+        late_ms = max(0.0, self.fleet.proof.measure_age_ms(now_ms) - settings.lease_slack_ms)
+        return settings.run_lease_ms - late_ms
+
     def plan(self, now_ms: float, unix_ms: float) -> list[CellCommand]:
         """Return the commands that are due now.
 
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -4,12 +4,17 @@
 
 from collections.abc import Callable, Collection, Iterable
 
-from coltsfootpier.cells._lease_expiry import compute_lease_ms
+from coltsfootpier.cells._lease_expiry import (
+    compute_inherited_lease_ms,
+    compute_lease_ms,
+    compute_unconfirmed_lease_ms,
+)
 from coltsfootpier.cells._messages import RunId, RunnerEntry
 from coltsfootpier.cells._ownership import OwnershipProof
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells._state import EndProof, Run, Runner, RunState, StepRun, Task
 from coltsfootpier.exceptions import InvariantError
+from coltsfootpier.journal import ActionBounds
 
 LogCallback = Callable[..., None]
 
@@ -43,23 +48,59 @@
         # Runners that an earlier owner used and that have not responded to this owner yet.
         self.inherited: set[str] = set()
         self._inherited_count = 0
-        # Whether the time is known by which leases that the earlier owner extended expire.
-        self._is_expiry_bounded = False
+        # Runners whose leases the earlier owner may extend for as long as it may act at all.
+        self._unbounded: set[str] = set()
+        # Whether the fleet record lists all runners that earlier owners may use.
+        self.is_complete = True
+        self._unlisted_expiry_ms = float("-inf")
+        self._earlier_bounds: ActionBounds | None = None
         self.proof = OwnershipProof(settings=settings, runners=self.runners)
 
-    def add_inherited(self, entries: Iterable[RunnerEntry]) -> None:
-        """Add the runners that an earlier owner may have used.
+    def add_inherited(
+        self,
+        entries: Iterable[RunnerEntry],
+        now_ms: float,
+        *,
+        bounds: ActionBounds | None = None,
+        is_complete: bool = True,
+    ) -> None:
+        """Add the runners that an earlier owner may have used, after the claim of the cell.
 
         The earlier owner may extend leases until half of them have accepted this owner, see
-        `bound_inherited_leases`.
+        `bound_inherited_leases`, or until the longest time for which it acts without the store.
+
+        Parameters
+        ----------
+        entries : iterable of RunnerEntry
+            Runners in the fleet record.
+        now_ms : float
+            Local time.
+        bounds : ActionBounds, optional
+            Bounds of all earlier owners, if they are known.
+        is_complete : bool, default=True
+            Whether these are all of them. Otherwise, no half of them proves anything.
         """
+        self.is_complete = is_complete
+        self._earlier_bounds = bounds
+        self._unlisted_expiry_ms = now_ms + compute_unconfirmed_lease_ms(bounds, self._settings)
         for entry in entries:
             runner = Runner(entry=entry, is_registered=False, recorded=True)
-            runner.earlier_lease_expiry_ms = float("inf")
+            runner.earlier_lease_expiry_ms = self._unlisted_expiry_ms
             self.runners[entry.id] = runner
             self.inherited.add(entry.id)
+            self._unbounded.add(entry.id)
         self._inherited_count = len(self.inherited)
 
+    @property
+    def may_have_unknown_runs(self) -> bool:
+        """Whether an earlier owner may have runs of inherited jobs that this owner doesn't know."""
+        return bool(self.inherited) or not self.is_complete
+
+    def mark_complete(self, cause: str) -> None:
+        """Record that every runner that earlier owners may use is known to this owner."""
+        self.is_complete = True
+        self._log("fleet record completed", cause=cause, generation=self.generation)
+
     @property
     def is_half_settled(self) -> bool:
         """Whether half of the inherited runners have accepted this owner, or have ended."""
@@ -71,20 +112,29 @@
         A settled runner has accepted this owner, or its runs have ended. From then on the earlier
         owner can't prove its ownership again, so it stops extending leases.
         """
-        if self._is_expiry_bounded or not self.is_half_settled:
+        if not self.is_complete and self.proof.covers_expiry(self._unlisted_expiry_ms):
+            self.mark_complete("leases expired")
+        bounded = self._unbounded & self.inherited
+        if not self.is_complete or not bounded or not self.is_half_settled:
             return
-        self._is_expiry_bounded = True
-        settings = self._settings
-        lease_ms = compute_lease_ms(settings.proof_validity_ms + settings.run_lease_ms, settings)
-        for runner_id in self.inherited:
+        lease_ms = compute_inherited_lease_ms(self._earlier_bounds, self._settings)
+        for runner_id in bounded:
             self.runners[runner_id].earlier_lease_expiry_ms = now_ms + lease_ms
-        if self.inherited:
-            self._log(
-                "waiting for inherited leases",
-                runners=len(self.inherited),
-                generation=self.generation,
-                clock_ms=now_ms,
-                lease_expiry_ms=now_ms + lease_ms,
+        self._unbounded -= bounded
+        self._log(
+            "waiting for inherited leases",
+            runners=len(bounded),
+            generation=self.generation,
+            clock_ms=now_ms,
+            lease_expiry_ms=now_ms + lease_ms,
+        )
+
+    def record_first_report(self, runner: Runner, received_ms: float) -> None:
+        """Record that an inherited runner has rejected the earlier owner since a local time."""
+        if runner.entry.id in self._unbounded:
+            self._unbounded.discard(runner.entry.id)
+            runner.earlier_lease_expiry_ms = received_ms + compute_lease_ms(
+                self._settings.run_lease_ms, self._settings
             )
 
     def update_listed(self, entries: Iterable[RunnerEntry], now_ms: float) -> None:
@@ -113,6 +163,7 @@
             is_barring = self.has_unanswered_starts(runner, now_ms)
             if not runner.runs and expired and not is_barring and runner_id not in self.inherited:
                 del self.runners[runner_id]
+                self._unbounded.discard(runner_id)
 
     def apply_restart(self, runner: Runner, started_unix_ms: int, proof: EndProof) -> list[Run]:
         """Apply a restart and return the runs that were lost with the earlier incarnation.
--- a/coltsfootpier/cells/_lease_expiry.py
+++ b/coltsfootpier/cells/_lease_expiry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from coltsfootpier.cells._settings import CellSettings
+from coltsfootpier.journal import ActionBounds
 
 # Allowance for the time between reading the clock and sending.
 _SEND_ALLOWANCE_MS = 50.0
@@ -22,6 +23,38 @@
     return duration_ms * (1.0 + 3.0 * settings.clock_drift) + _SEND_ALLOWANCE_MS
 
 
+def get_bounds(settings: CellSettings) -> ActionBounds:
+    """Return the bounds of an owner with these settings."""
+    return ActionBounds(
+        unconfirmed_ms=settings.max_unconfirmed_ms,
+        lease_ms=max(
+            settings.run_lease_ms + settings.lease_slack_ms,
+            # The lease of a start that no report request extends.
+            settings.proof_validity_ms + settings.start_valid_ms,
+        ),
+    )
+
+
+def compute_inherited_lease_ms(bounds: ActionBounds | None, settings: CellSettings) -> float:
+    """Return the longest local time that leases last after an earlier owner's last proof."""
+    if bounds is None:
+        return compute_lease_ms(settings.proof_validity_ms + settings.run_lease_ms, settings)
+    return compute_lease_ms(bounds.lease_ms, settings)
+
+
+def compute_unconfirmed_lease_ms(bounds: ActionBounds | None, settings: CellSettings) -> float:
+    """Return the longest local time that leases last after the store has confirmed an owner last.
+
+    The last call of the owner may arrive late, at a runner that has restarted and takes the
+    deadline for one that lies far ahead. Without known bounds, the time is infinite.
+    """
+    if bounds is None:
+        return float("inf")
+    return compute_lease_ms(
+        bounds.unconfirmed_ms + settings.late_call_ms + settings.max_run_lease_ms, settings
+    )
+
+
 class LeaseExpiryTracker:
     """Tracks when the last lease that a runner may have extended expires, in local time.
 
--- a/coltsfootpier/cells/tests/test_ownership.py
+++ b/coltsfootpier/cells/tests/test_ownership.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from coltsfootpier.cells import CellSettings, LeaseExpiryTracker
+from coltsfootpier.cells import CellSettings, LeaseExpiryTracker, get_bounds
 from coltsfootpier.cells._lease_expiry import compute_lease_ms
 from coltsfootpier.cells._messages import StartOutcome, StartRun, StopRun
 from coltsfootpier.cells.tests.builders import SimulatedCell, build_entry, build_job, build_step
@@ -54,6 +54,22 @@
         self.harness.advance(100)
         self.assertEqual(len(self.harness.find("k")), 1)
 
+    def test_majority_proves_nothing_for_longer_than_a_successor_counts(self):
+        """Guards against an owner that acts beside a successor that waits for its end in vain."""
+        self.harness = SimulatedCell(NAMES, max_unconfirmed_ms=5_000.0)
+        self.harness.join()
+        self.harness.is_store_up = False
+        self.harness.advance(4_900)
+        self.assertTrue(self._is_proven())
+        self.harness.advance(100)
+        self.assertFalse(self._is_proven())
+        self.harness.submit("k")
+        self.harness.advance(500)
+        self.assertEqual(self.harness.find("k"), [])
+        self.harness.is_store_up = True
+        self.harness.advance(100)
+        self.assertEqual(len(self.harness.find("k")), 1)
+
     def test_restarted_runners_prove_nothing(self):
         """Guards against a majority of runners that accepted a later owner before a restart."""
         self.harness.is_store_up = False
@@ -105,13 +121,17 @@
         self.harness.submit("j")
         self.harness.plan()
         ((self.name, _),) = self.harness.find("j")
-        records = [job.record for job in self.harness.cell.jobs.jobs.values()]
-        entries = [runner.entry for runner in self.harness.runners.values()]
         self.later = SimulatedCell(NAMES, generation=2)
         self.later.runners = self.harness.runners
-        self.later.cell.load(records, entries, now_ms=self.later.now_ms, unix_ms=self.later.unix_ms)
 
-    def _take_over(self, *reachable):
+    def _take_over(self, *reachable, bounds=None):
+        self.later.cell.load(
+            [job.record for job in self.harness.cell.jobs.jobs.values()],
+            [runner.entry for runner in self.harness.runners.values()],
+            now_ms=self.later.now_ms,
+            unix_ms=self.later.unix_ms,
+            bounds=bounds,
+        )
         for name, runner in self.later.runners.items():
             runner.reachable = name in reachable
         self.later.join()
@@ -126,6 +146,17 @@
         self.later.advance(1_000)
         self.assertEqual(len(self.later.find("j")), 2)
 
+    def test_leases_are_counted_from_the_last_proof(self):
+        """Guards against tasks that wait longer than the earlier owner extends their leases."""
+        settings = self.later.settings
+        others = [name for name in NAMES if name != self.name]
+        self._take_over(*others, bounds=get_bounds(settings))
+        extended_ms = settings.run_lease_ms + settings.lease_slack_ms
+        self.later.advance(extended_ms / (1 - settings.clock_drift))
+        self.assertEqual(len(self.later.find("j")), 1)
+        self.later.advance(400)
+        self.assertEqual(len(self.later.find("j")), 2)
+
     def test_runner_that_is_cut_off_after_it_accepted_the_owner(self):
         """Guards against tasks that wait for good since a change of owner."""
         self._take_over(*NAMES)
@@ -142,6 +173,91 @@
         self.later.advance(4 * self.later.settings.run_lease_ms)
         self.assertEqual(len(self.later.find("j")), 1)
 
+    def test_earlier_release_may_act_for_good(self):
+        """Guards against a count from a limit that the earlier owner doesn't know."""
+        self._take_over(*[name for name in NAMES if name != self.name][:1])
+        self.later.advance(2 * self.later.settings.max_unconfirmed_ms, step_ms=1_000.0)
+        self.assertEqual(self.later.commands, [])
+
+    def test_minority_of_runners_goes_on_after_the_longest_outage(self):
+        """Guards against tasks that wait for good since most runners are gone."""
+        settings = self.later.settings
+        other = next(name for name in NAMES if name != self.name)
+        self._take_over(other, bounds=get_bounds(settings))
+        acting_ms = settings.max_unconfirmed_ms / (1 - settings.clock_drift)
+        # A call that arrives late may extend the longest lease.
+        acting_ms += settings.late_call_ms + settings.max_run_lease_ms
+        self.later.advance(acting_ms, step_ms=1_000.0)
+        self.assertEqual(self.later.commands, [])
+        self.later.advance(0.1 * settings.max_unconfirmed_ms, step_ms=1_000.0)
+        self.assertIsInstance(self.later.commands[0], StartRun)
+        self.assertTrue(self.later.cell.fleet.is_half_settled)
+
+
+class UnreadableFleetTest(unittest.TestCase):
+    """Takeover with a fleet record that can't be decoded."""
+
+    def setUp(self):
+        first = SimulatedCell(NAMES)
+        first.join()
+        first.submit("j", build_job(build_step(), build_step(after=(0,))))
+        first.plan()
+        ((self.name, _),) = first.find("j")
+        records = [job.record for job in first.cell.jobs.jobs.values()]
+        self.others = tuple(name for name in NAMES if name != self.name)
+        self.later = SimulatedCell(self.others, generation=2)
+        self.later.cell.load(
+            records,
+            (),
+            now_ms=first.now_ms,
+            unix_ms=first.unix_ms,
+            bounds=get_bounds(first.settings),
+            is_fleet_complete=False,
+        )
+        self.later.join()
+        self.first = first
+
+    def _list_vms(self, *living):
+        for _ in range(2):
+            self.later.cell.incarnations.apply_listing(living, requested_ms=self.later.now_ms)
+            self.later.advance(100)
+
+    def test_task_on_an_unknown_runner_waits(self):
+        """Guards against two runs of a task whose runner the new owner doesn't know."""
+        self.later.advance(60_000)
+        self.assertEqual(self.later.find("j"), [])
+        self.assertTrue(self.later.cell.incarnations.has_suspects(self.later.now_ms))
+        settings = self.later.settings
+        self.later.advance(1.2 * settings.max_unconfirmed_ms, step_ms=1_000.0)
+        self.assertTrue(any(isinstance(command, StartRun) for command in self.later.commands))
+
+    def test_new_jobs_start_meanwhile(self):
+        """Guards against a cell that stands still because of one record."""
+        self.later.submit("new")
+        self.later.advance(200)
+        self.assertEqual(len(self.later.find("new")), 1)
+
+    def test_half_of_an_incomplete_list_bounds_nothing(self):
+        """Guards against a count from runners of which the earlier owner needs none."""
+        self.later.cell.load(
+            [],
+            [self.later.runners[self.others[0]].entry, build_entry("x")],
+            now_ms=self.later.now_ms,
+            unix_ms=self.later.unix_ms,
+            is_fleet_complete=False,
+        )
+        self.later.join()
+        self.later.advance(60_000)
+        self.assertEqual(self.later.find("j"), [])
+
+    def test_listing_names_all_runners_that_may_run_something(self):
+        """Guards against inherited jobs that wait for 30 minutes after all runners responded."""
+        self._list_vms(*NAMES)
+        self._list_vms()
+        self.assertEqual(self.later.find("j"), [])
+        self._list_vms(*self.others)
+        self.assertEqual(len(self.later.find("j")), 1)
+
 
 class RestartTest(unittest.TestCase):
     """Runners that start again under their identifier."""
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -18,6 +18,7 @@
     CellSettings,
     Rejected,
     RunnerEntry,
+    get_bounds,
 )
 from coltsfootpier.clock import Clock
 from coltsfootpier.jobs import JobSpec, JobState, Queue, decode_record
@@ -47,6 +48,18 @@
 
 # Upper bound of the run lease as a fraction of the longest lease that the platform allows.
 _MAX_RUN_LEASE_FRACTION = 0.6
+# Its tasks may have run, so it can neither be accepted again nor reported as missing.
+_UNREADABLE_JOB = Response(status=ResponseStatus.UNKNOWN, reason="unreadable record")
+
+
+def limit_run_lease(cell_settings: CellSettings, settings: NodeSettings) -> CellSettings:
+    """Return the cell's settings within the longest lease that the platform allows."""
+    longest_ms = settings.max_run_lease_ms
+    return attrs.evolve(
+        cell_settings,
+        run_lease_ms=min(cell_settings.run_lease_ms, _MAX_RUN_LEASE_FRACTION * longest_ms),
+        max_run_lease_ms=longest_ms,
+    )
 
 
 class Owner:
@@ -99,18 +112,12 @@
         self._get_waves = get_waves
         self._metrics = metrics
         self._cell_settings = cell_settings
-        self._run_lease_ms = min(
-            cell_settings.run_lease_ms, _MAX_RUN_LEASE_FRACTION * settings.max_run_lease_ms
-        )
+        self._head = head
         self._store = store
         self._clock = clock
         self.info = info
         self.cell = Cell(
-            settings=attrs.evolve(
-                cell_settings,
-                run_lease_ms=self._run_lease_ms,
-                max_run_lease_ms=settings.max_run_lease_ms,
-            ),
+            settings=limit_run_lease(cell_settings, settings),
             generation=head.generation,
             log=log_event,
             observe=metrics.observe,
@@ -144,6 +151,10 @@
         # Local time at which the claim of each runner or VM to know a later owner was checked.
         self._fence_checked_ms: dict[str, float] = {}
         self._fleet_entries: dict[str, RunnerEntry] = {}
+        # Whether the fleet record that this owner read or wrote last lists all runners in use.
+        self._is_record_complete = True
+        # Jobs that may have run, but whose records can't be decoded.
+        self._unreadable_jobs: frozenset[str] = frozenset()
         self._wake = anyio.Event()
         self._group: TaskGroup | None = None
         self._registry_reader = RegistryReader(log=log_event)
@@ -160,7 +171,16 @@
             return
         now_ms = self._clock.now_ms()
         self.cell.restore_learned(loaded.learned)
-        self.cell.load(loaded.jobs, loaded.fleet, now_ms=now_ms, unix_ms=time.time() * 1000)
+        self.cell.load(
+            loaded.jobs,
+            loaded.fleet,
+            now_ms=now_ms,
+            unix_ms=time.time() * 1000,
+            bounds=self._head.bounds,
+            is_fleet_complete=loaded.is_fleet_complete,
+        )
+        self._unreadable_jobs = loaded.unreadable_jobs
+        self._is_record_complete = loaded.is_fleet_complete
         self._fleet_entries = {entry.id: entry for entry in loaded.fleet}
         self._committer.recorded_fleet = frozenset(self._fleet_entries)
         log_event(
@@ -168,6 +188,8 @@
             generation=self.cell.generation,
             jobs=len(loaded.jobs),
             runners=len(loaded.fleet),
+            fleet_complete=loaded.is_fleet_complete,
+            unreadable_jobs=len(loaded.unreadable_jobs),
             learned_pairs=len(loaded.learned.pressures),
             clock_ms=self._clock.now_ms(),
         )
@@ -245,6 +267,8 @@
         deadline_ms = started_ms + left_ms
         if not self.is_ready or self._is_resigning:
             return NOT_OWNER
+        if job_id in self._unreadable_jobs:
+            return _UNREADABLE_JOB
         if job_id not in self.cell.jobs.jobs and self._committer.is_stuck:
             log_event("job rejected", job=job_id, reason="store")
             return build_rejection("store")
@@ -306,6 +330,8 @@
         """
         if not self.is_ready:
             return NOT_OWNER
+        if job_id in self._unreadable_jobs:
+            return _UNREADABLE_JOB
         job = self.cell.cancel(job_id, self._clock.now_ms())
         if job is None:
             return self._build_unknown_job_response()
@@ -320,6 +346,8 @@
         """Return the state of a job."""
         if not self.is_ready:
             return NOT_OWNER
+        if job_id in self._unreadable_jobs:
+            return _UNREADABLE_JOB
         if not self._lease_renewer.is_valid:
             # A later owner may have ended the job, which then has a final state in the store. If
             # the store doesn't respond, the state in memory is the best available.
@@ -479,16 +507,25 @@
             for runner_id in self._fleet_entries
             if runner_id not in self.cell.fleet.runners
         ]
-        if new or removed:
+        is_complete = self.cell.fleet.is_complete
+        if new or removed or is_complete != self._is_record_complete:
+            self._is_record_complete = is_complete
             self._fleet_entries.update((entry.id, entry) for entry in new)
             for runner_id in removed:
                 del self._fleet_entries[runner_id]
             self._committer.put_fleet(
-                encode_fleet(self._fleet_entries.values()), frozenset(self._fleet_entries)
+                encode_fleet(self._fleet_entries.values(), is_complete=is_complete),
+                frozenset(self._fleet_entries),
             )
+        self._declare_bounds()
         self._update_runner_tasks()
         self._wake_planner()
 
+    def _declare_bounds(self) -> None:
+        """Write this owner's bounds with the next change once no earlier owner acts any more."""
+        if self._committer.bounds is None and not self.cell.fleet.may_have_unknown_runs:
+            self._committer.bounds = get_bounds(self.cell.settings)
+
     def _update_runner_tasks(self) -> None:
         for runner_id, task in list(self._runner_tasks.items()):
             runner = self.cell.fleet.runners.get(runner_id)
@@ -503,7 +540,6 @@
                     entry=runner.entry,
                     cell=self.cell,
                     settings=self.cell.settings,
-                    run_lease_ms=self._run_lease_ms,
                     commits=self._committer,
                     clock=self._clock,
                     on_change=self._wake_planner,
@@ -517,7 +553,7 @@
             await anyio.sleep(_timing.LEARNED_PERIOD_MS / 1000)
             self._committer.put_learned(encode(self.cell.export_learned()))
 
-    async def _run_vm_task(self, record: MaintenanceRecord) -> None:
+    async def _run_vm_task(self, record: MaintenanceRecord | None) -> None:
         settings = self._settings
         host, port = settings.vm_service
         client = VmClient(
@@ -536,6 +572,7 @@
             clock=self._clock,
             maintenance_ms=settings.upkeep_ms,
             command_pause_ms=settings.order_pause_ms,
+            late_call_ms=self._cell_settings.late_call_ms,
             get_waves=self._get_waves,
             may_send_commands=lambda: self._lease_renewer.is_valid,
             on_change=self._wake_planner,
--- a/soak/_run_simulation.py
+++ b/soak/_run_simulation.py
@@ -18,13 +18,13 @@
 import eliot
 from returns.result import Success
 
-from coltsfootpier.cells import CellSettings
+from coltsfootpier.cells import CellSettings, get_bounds
 from coltsfootpier.jobs import JobSpec, Queue, StepSpec
 from coltsfootpier.journal import OwnerInfo, decode_head
 from coltsfootpier.node import Configuration, Route, _timing
 from coltsfootpier.node import _owner as owner_module
 from coltsfootpier.node._metrics import Metrics
-from coltsfootpier.node._owner import Owner
+from coltsfootpier.node._owner import Owner, limit_run_lease
 from coltsfootpier.node.keys import HEAD_KEY, OWNER_KEY
 from coltsfootpier.node.tests.builders import build_settings
 from coltsfootpier.platform import Write
@@ -81,6 +81,8 @@
         Whether a successor claims the cell as soon as it has no owner.
     runner_rate : float, optional
         Rate of the runners' clocks; chosen by seed if not given.
+    cell_settings : CellSettings, optional
+        Settings of all owners.
 
     Attributes
     ----------
@@ -96,8 +98,10 @@
         runner_count: int,
         claims_automatically: bool = True,
         runner_rate: float | None = None,
+        cell_settings: CellSettings | None = None,
     ) -> None:
         self.loop = loop
+        self._cell_settings = cell_settings or CellSettings()
         self.rng = random.Random(f"{seed}/model")
         clock_rng = random.Random(f"{seed}/clocks")
         self.history = TaskHistory(loop)
@@ -171,7 +175,9 @@
             rate=1.0 + self.rng.uniform(-_OWNER_CLOCK_ERROR, _OWNER_CLOCK_ERROR),
             origin_s=self.rng.uniform(0.0, 1_000.0),
         )
-        head = decode_head(item.value).claim(host.name)
+        head = decode_head(item.value).claim(
+            host.name, get_bounds(limit_run_lease(self._cell_settings, build_settings()))
+        )
         info = OwnerInfo(holder=host.name, address="127.0.0.1:1", generation=head.generation)
         lease = self.store.grant(_timing.OWNER_LEASE_MS)
         revision = self.store.change(
@@ -192,7 +198,7 @@
         def create_owner() -> Owner:
             return Owner(
                 settings=build_settings(),
-                cell_settings=CellSettings(),
+                cell_settings=self._cell_settings,
                 store=client,
                 clock=clock,
                 head=head,
@@ -501,7 +507,15 @@
 
 async def _run(loop: VirtualLoop, seed: int, duration_s: float) -> RunReport:
     rng = random.Random(f"{seed}/jobs")
-    simulation = RunSimulation(loop=loop, seed=seed, runner_count=rng.randint(3, 6))
+    # In some runs, an outage of the store is longer than an owner acts without it.
+    limit_rng = random.Random(f"{seed}/limit")
+    max_unconfirmed_ms = limit_rng.choice((CellSettings().max_unconfirmed_ms,) * 3 + (4_000.0,))
+    simulation = RunSimulation(
+        loop=loop,
+        seed=seed,
+        runner_count=rng.randint(3, 6),
+        cell_settings=CellSettings(max_unconfirmed_ms=max_unconfirmed_ms),
+    )
     injector = FaultInjector(simulation=simulation, seed=seed)
     with simulation.patch_time(), record_logs(simulation):
         await simulation.start()
