Hold tasks whose start has no response for their runner

Cause: what frees a task shows that nothing runs on the runner, not that nothing starts there later. A stop binds one incarnation only.

Change: a task whose start has no response starts again on the same runner only, once its present incarnation has confirmed a stop and a later report doesn't list the run, until the start can't be carried out any more: 12 s after its call ended, once a report lists the run, or once a request to the runner at that address gets 421, since another runner responds there then. This needs no more of the listing of VMs than before. A stop counts only if it was sent after the first report of the incarnation, as the response names none. Other tasks of the step pass a held one, its gang waits.

Evidence: the three new scenarios of soak.test_runs failed on, each with two runs at once, and pass now.

--- a/benchmarks/colocation.py
+++ b/benchmarks/colocation.py
@@ -461,7 +461,9 @@
             elif isinstance(command, StopRun):
                 if command.run in runner.task_runs:
                     self._end_run(runner, command.run, EndKind.STOPPED)
-                self.cell.handle_stop_response(command.runner_id, command.run, self.now_ms)
+                self.cell.handle_stop_response(
+                    command.runner_id, command.run, self.now_ms, sent_ms=self.now_ms
+                )
             elif isinstance(command, PaceRun) and command.run in runner.task_runs:
                 runner.task_runs[command.run].pace = command.percent
 
--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -278,6 +278,7 @@
                 self._settings.max_run_lease_ms, self._settings
             )
         present = {row.run for row in report.running}
+        self.fleet.unanswered_starts.apply_report(runner_id, report, present, now_ms)
         runner.unneeded_runs &= present
         for run in list(runner.runs.values()):
             # The report was requested after the run was confirmed present, or after its start was
@@ -414,8 +415,9 @@
     ) -> None:
         """Apply the outcome of a start command to its run."""
         self.counters[f"start_{outcome.value}"] += 1
-        if outcome is StartOutcome.UNKNOWN and runner_id in self.fleet.runners:
-            self.fleet.record_unanswered_start(self.fleet.runners[runner_id], run_id, now_ms)
+        self.fleet.unanswered_starts.settle(
+            run_id, now_ms, answered=outcome is not StartOutcome.UNKNOWN
+        )
         run = self.fleet.find_run(runner_id, run_id)
         if run is None:
             return
@@ -460,13 +462,34 @@
         """
         self._planner.apply_advice(request, tickets, valid_ms, now_ms)
 
-    def handle_stop_response(self, runner_id: str, run_id: RunId, now_ms: float) -> None:
-        """Record that a runner stopped a run, or will reject its start from now on."""
-        run = self.fleet.find_run(runner_id, run_id)
+    def handle_stop_response(
+        self, runner_id: str, run_id: RunId, now_ms: float, *, sent_ms: float
+    ) -> None:
+        """Record that a runner stopped a run, or will reject its start from now on.
+
+        Parameters
+        ----------
+        runner_id : str
+            The runner.
+        run_id : RunId
+            The run.
+        now_ms : float
+            Local time.
+        sent_ms : float
+            Local time before the stop was sent. The response doesn't name the incarnation, so a
+            stop that was sent before the first report of the present one proves nothing.
+        """
+        runner = self.fleet.runners.get(runner_id)
+        if runner is None or sent_ms < runner.first_accepted_ms:
+            return
+        self.fleet.unanswered_starts.confirm_stop(run_id, now_ms)
+        run = runner.runs.get(run_id)
         if run is not None:
             run.stop_confirmed_ms = min(run.stop_confirmed_ms, now_ms)
-        if runner_id in self.fleet.runners:
-            self.fleet.runners[runner_id].starts_to_bar.pop(run_id, None)
+
+    def handle_replaced_runner(self, runner_id: str, address: str, now_ms: float) -> None:
+        """Record that another runner responds at a runner's address and rejects late starts."""
+        self.fleet.unanswered_starts.retire_address(runner_id, address, now_ms)
 
     def handle_pace_failure(self, runner_id: str, run_id: RunId) -> None:
         """Mark the pace of a run as unknown, so that it is commanded again."""
@@ -497,6 +520,7 @@
         if is_check_due:
             self._last_check_ms = now_ms
             self.fleet.bound_inherited_leases(now_ms)
+            self.fleet.unanswered_starts.remove_expired(now_ms)
             for runner in self.fleet.runners.values():
                 self._enforce_time_limits(runner, now_ms)
         self._measure_best_effort(now_ms)
@@ -567,10 +591,10 @@
     def _bar_late_starts(self, runner: Runner, now_ms: float) -> None:
         if now_ms - runner.barred_ms < self._settings.stop_retry_ms:
             return
-        for run_id in self.fleet.list_starts_to_bar(runner, now_ms):
+        for run_id in self.fleet.unanswered_starts.list_to_bar(runner):
             runner.barred_ms = now_ms
             self._commands.append(
-                StopRun(runner_id=runner.entry.id, run=run_id, reason="start before a restart")
+                StopRun(runner_id=runner.entry.id, run=run_id, reason="start without a response")
             )
 
     def _is_stalled(self, runner: Runner, run: Run, now_ms: float) -> bool:
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -9,6 +9,7 @@
 from coltsfootpier.cells._ownership import OwnershipProof
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells._state import EndProof, Run, Runner, RunState, StepRun, Task
+from coltsfootpier.cells._unanswered_starts import UnansweredStarts
 from coltsfootpier.exceptions import InvariantError
 
 LogCallback = Callable[..., None]
@@ -46,6 +47,7 @@
         # Whether the time is known by which leases that the earlier owner extended expire.
         self._is_expiry_bounded = False
         self.proof = OwnershipProof(settings=settings, runners=self.runners)
+        self.unanswered_starts = UnansweredStarts(settings=settings, log=log)
 
     def add_inherited(self, entries: Iterable[RunnerEntry]) -> None:
         """Add the runners that an earlier owner may have used.
@@ -110,7 +112,7 @@
             runner.is_registered = False
             expired = runner.ended or self.has_expired_leases(runner)
             # A runner that registers again must reject late starts of its earlier incarnation.
-            is_barring = self.has_unanswered_starts(runner, now_ms)
+            is_barring = self.unanswered_starts.has_runner(runner_id)
             if not runner.runs and expired and not is_barring and runner_id not in self.inherited:
                 del self.runners[runner_id]
 
@@ -136,7 +138,7 @@
             self.remove_run(run, proof)
         for run in runner.runs.values():
             run.stop_confirmed_ms = float("inf")
-        runner.starts_to_bar |= runner.unanswered_starts
+        self.unanswered_starts.apply_restart(runner.entry.id)
         runner.started_unix_ms = started_unix_ms
         runner.applied_end = 0
         runner.pending_ends.clear()
@@ -241,31 +243,6 @@
             lease_expiry_ms=runner.lease_expiry_ms,
         )
 
-    def record_unanswered_start(self, runner: Runner, run_id: RunId, now_ms: float) -> None:
-        """Record a start without a response, which may be executed later, even after a restart."""
-        oldest_ms = now_ms - self._settings.late_call_ms
-        runner.unanswered_starts = {
-            known: settled_ms
-            for known, settled_ms in runner.unanswered_starts.items()
-            if settled_ms > oldest_ms
-        }
-        runner.unanswered_starts[run_id] = now_ms
-
-    def has_unanswered_starts(self, runner: Runner, now_ms: float) -> bool:
-        """Return whether a start without a response may still be executed late."""
-        oldest_ms = now_ms - self._settings.late_call_ms
-        return any(settled_ms > oldest_ms for settled_ms in runner.unanswered_starts.values())
-
-    def list_starts_to_bar(self, runner: Runner, now_ms: float) -> list[RunId]:
-        """Return the runs whose late start a restarted runner must be told to reject."""
-        oldest_ms = now_ms - self._settings.late_call_ms
-        runner.starts_to_bar = {
-            run_id: settled_ms
-            for run_id, settled_ms in runner.starts_to_bar.items()
-            if settled_ms > oldest_ms
-        }
-        return list(runner.starts_to_bar)
-
     def find_run(self, runner_id: str, run_id: RunId) -> Run | None:
         """Return a run that is present on a runner."""
         runner = self.runners.get(runner_id)
--- a/coltsfootpier/cells/_gauges.py
+++ b/coltsfootpier/cells/_gauges.py
@@ -23,6 +23,7 @@
         "jobs_open": sum(job.is_open for job in jobs.jobs.values()),
         "waiting": sum(len(step.waiting) for step in waiting),
         "waiting_fill": sum(len(step.waiting) for step in waiting if step.spec.fills),
+        "waiting_held": fleet.unanswered_starts.held_tasks,
         "runs": len(runs),
         "slowed": sum(run.pace < 100 for run in runs),
         "runners": len(runners),
--- a/coltsfootpier/cells/_messages.py
+++ b/coltsfootpier/cells/_messages.py
@@ -165,6 +165,8 @@
     ROOM = "room"
     # The ticket was missing or not valid.
     TICKET = "ticket"
+    # Another runner responds at the address.
+    REPLACED = "replaced"
     # It was not sent, because the ownership wasn't proven or the runner's clock wasn't known.
     WITHHELD = "withheld"
     # The runner did not execute it: it is unhealthy, a different incarnation, or was not reached.
--- a/coltsfootpier/cells/_planning.py
+++ b/coltsfootpier/cells/_planning.py
@@ -100,9 +100,15 @@
                 if request is not None:
                     commands.append(request)
                 runners = self._list_approved(step, runners, now_ms)
+            held = self._fleet.unanswered_starts.find_held(step, now_ms)
             if step.spec.gang:
-                commands += self._place_gang(step, runners, now_ms)
+                commands += self._place_gang(step, runners, held, now_ms)
                 continue
+            commands += self._place_held(step, runners, held, now_ms)
+            # The tasks that are still held must not keep others waiting.
+            passed_over = [index for index in held if index in step.waiting]
+            for index in passed_over:
+                step.waiting.remove(index)
             while step.waiting:
                 index = step.waiting[0]
                 task = step.tasks.get(index)
@@ -116,8 +122,36 @@
                 commands.append(self._start_run(runner, step, index, now_ms))
             else:
                 step.blocked_ms = float("inf")
+            step.waiting.extendleft(reversed(passed_over))
         return commands
 
+    def _place_held(
+        self, step: StepRun, runners: list[Runner], held: Mapping[int, str], now_ms: float
+    ) -> list[StartRun]:
+        """Start the held tasks whose runner rejects their late starts and has capacity."""
+        commands = []
+        for index in held:
+            allowed = self._list_allowed(step, index, runners, held)
+            runner = self._choose_runner(allowed, step, step.tasks.get(index))
+            if runner is not None:
+                command = self._start_run(runner, step, index, now_ms)
+                self._fleet.unanswered_starts.record_resumption(command.run, now_ms)
+                commands.append(command)
+        return commands
+
+    def _list_allowed(
+        self, step: StepRun, index: int, runners: list[Runner], held: Mapping[int, str]
+    ) -> list[Runner]:
+        """Return the runners on which a task may start in view of its unanswered starts."""
+        if index not in held:
+            return runners
+        return [
+            runner
+            for runner in runners
+            if runner.entry.id == held[index]
+            and self._fleet.unanswered_starts.is_rejected(step, index, runner)
+        ]
+
     def choose_slowed_run(self, now_ms: float) -> Run | None:
         """Return a slowed best-effort run that fits beside the serving tasks of another runner.
 
@@ -276,32 +310,42 @@
     ) -> Runner | None:
         return choose_runner(runners, step, task, self._interference, self._settings, rack=rack)
 
-    def _place_gang(self, step: StepRun, runners: list[Runner], now_ms: float) -> list[StartRun]:
+    def _place_gang(
+        self, step: StepRun, runners: list[Runner], held: Mapping[int, str], now_ms: float
+    ) -> list[StartRun]:
         """Start all members of a gang at once, in one rack if that is required, or none of them."""
         if len(step.waiting) < step.spec.count:
             return []
         racks = {runner.entry.rack for runner in runners} if step.spec.same_rack else {""}
         for rack in sorted(racks, key=lambda rack: (rack != step.spec.rack_affinity, rack)):
-            chosen = self._choose_members(step, runners, rack)
+            chosen = self._choose_members(step, runners, held, rack)
             if len(chosen) == len(step.waiting):
                 attempt = 1 + max((task.attempt for task in step.tasks.values()), default=0)
-                return [
-                    self._start_run(runner, step, index, now_ms, attempt=attempt)
-                    for index, runner in zip(list(step.waiting), chosen, strict=True)
+                commands = [
+                    self._start_run(chosen[index], step, index, now_ms, attempt=attempt)
+                    for index in list(step.waiting)
                 ]
+                for command in commands:
+                    self._fleet.unanswered_starts.record_resumption(command.run, now_ms)
+                return commands
         return []
 
-    def _choose_members(self, step: StepRun, runners: list[Runner], rack: str) -> list[Runner]:
-        chosen: list[Runner] = []
-        for index in step.waiting:
-            runner = self._choose_runner(runners, step, step.tasks.get(index), rack=rack)
+    def _choose_members(
+        self, step: StepRun, runners: list[Runner], held: Mapping[int, str], rack: str
+    ) -> dict[int, Runner]:
+        """Return the runner of each member by index, as far as runners were found."""
+        chosen: dict[int, Runner] = {}
+        # Members that may start on one runner only choose first.
+        for index in sorted(step.waiting, key=lambda index: index not in held):
+            allowed = self._list_allowed(step, index, runners, held)
+            runner = self._choose_runner(allowed, step, step.tasks.get(index), rack=rack)
             if runner is None:
                 break
             # Reserve at once, so that the next member sees the remaining capacity.
             runner.reserve(step.spec)
             step.runs_per_runner[runner.entry.id] = step.runs_per_runner.get(runner.entry.id, 0) + 1
-            chosen.append(runner)
-        for runner in chosen:
+            chosen[index] = runner
+        for runner in chosen.values():
             runner.reserve(step.spec, -1)
             step.runs_per_runner[runner.entry.id] -= 1
         return chosen
@@ -331,6 +375,7 @@
         attempt = max(attempt, task.attempt + 1, base + 1)
         run_id = RunId(step.job.record.id, step.build_key(index), attempt)
         self._fleet.add_run(runner, step, run_id, now_ms)
+        self._fleet.unanswered_starts.record(run_id, runner, now_ms)
         task.preferred_runner = ""
         # A long-running task shows too late whether its runner is healthy.
         if not step.spec.long_running:
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -248,10 +248,7 @@
     runs: dict[RunId, Run] = attrs.field(factory=dict)
     # Runs in its last report that no task needs; each is logged once.
     unneeded_runs: set[RunId] = attrs.field(factory=set)
-    # Starts without a response and when they were settled, and those of an earlier incarnation that
-    # this one has not been told to reject yet.
-    unanswered_starts: dict[RunId, float] = attrs.field(factory=dict)
-    starts_to_bar: dict[RunId, float] = attrs.field(factory=dict)
+    # When the runner was last told to reject late starts.
     barred_ms: float = float("-inf")
     guaranteed_cpu: int = 0
     serving_cpu: int = 0
--- a/coltsfootpier/cells/tests/builders.py
+++ b/coltsfootpier/cells/tests/builders.py
@@ -210,7 +210,9 @@
                 runner.rejected.add(command.run)
                 if command.run in runner.running:
                     runner.end(command.run, EndKind.STOPPED, runner.running[command.run])
-                self.cell.handle_stop_response(command.runner_id, command.run, self.now_ms)
+                self.cell.handle_stop_response(
+                    command.runner_id, command.run, self.now_ms, sent_ms=self.now_ms
+                )
             elif isinstance(command, PaceRun) and not runner.reachable:
                 self.cell.handle_pace_failure(command.runner_id, command.run)
         return commands
--- a/coltsfootpier/cells/tests/test_proofs.py
+++ b/coltsfootpier/cells/tests/test_proofs.py
@@ -76,7 +76,10 @@
         self.assertFalse(harness.cell.fleet.runners[name].ended)
 
     def test_listing_frees_run_whose_start_is_still_in_flight(self):
-        """Guards against two runs when the runner restarts before its start command arrives."""
+        """Guards against two runs when the runner restarts before its start command arrives.
+
+        The task is free once the listing covers the start and no incarnation can carry it out.
+        """
         harness = self.harness
         (command,) = self._list_starts()
         harness.runners[command.runner_id].reachable = False
@@ -94,6 +97,11 @@
         harness.cell.incarnations.apply_listing(
             harness.runners.keys() - {command.runner_id}, requested_ms=harness.now_ms
         )
+        self.assertEqual(harness.cell.fleet.runners[command.runner_id].runs, {})
+        self.assertEqual(self._list_starts(), [])
+        harness.now_ms += harness.settings.late_call_ms + 1
+        harness.report()
+        harness.renew()
         self.assertEqual(len(self._list_starts()), 1)
 
     def test_start_before_a_restart_is_barred(self):
--- /dev/null
+++ b/coltsfootpier/cells/tests/test_unanswered_starts.py
@@ -0,0 +1,195 @@
+"""Tasks whose start has no response, which their runner may still carry out."""
+
+import unittest
+
+from coltsfootpier.cells import StartOutcome
+from coltsfootpier.cells.tests.builders import SimulatedCell, build_entry, build_job, build_step
+
+
+class UnansweredStartTest(unittest.TestCase):
+    """Where and when such a task starts again."""
+
+    def setUp(self):
+        self.harness = SimulatedCell(("a", "b"))
+        self.harness.join()
+        self.late_call_ms = self.harness.settings.late_call_ms
+
+    @property
+    def _starts(self):
+        return self.harness.cell.fleet.unanswered_starts
+
+    def _submit(self, *steps, runner="a"):
+        """Submit a job whose first starts reach one runner only and get no response."""
+        harness = self.harness
+        for name in harness.runners:
+            harness.cell.fleet.runners[name].full = name != runner
+        harness.outcomes[runner] = StartOutcome.UNKNOWN
+        harness.submit("j", build_job(*steps))
+        harness.plan()
+        self.assertEqual(harness.find("j"), [])
+        harness.outcomes.clear()
+        for name in harness.runners:
+            harness.cell.fleet.runners[name].full = False
+
+    def _crash(self, name="a"):
+        harness = self.harness
+        harness.runners[name].reachable = False
+        harness.runners[name].running.clear()
+        harness.advance(800)
+        for _ in range(2):
+            harness.cell.incarnations.apply_listing(
+                harness.runners.keys() - {name}, requested_ms=harness.now_ms
+            )
+            harness.advance(100)
+        self.assertEqual(harness.cell.fleet.runners[name].runs, {})
+
+    def _restart(self, name="a"):
+        runner = self.harness.runners[name]
+        runner.entry = build_entry(name, started_unix_ms=runner.entry.started_unix_ms + 1)
+        runner.rejected.clear()
+        runner.reachable = True
+        self.harness.list_runners()
+
+    def _get_last_event(self, name):
+        return [fields for event, fields in self.harness.events if event == name][-1]
+
+    def test_unlisted_runner_may_restart_and_carry_out_the_start(self):
+        """Guards against a task that starts elsewhere before its late start is ruled out."""
+        self._submit()
+        self._crash()
+        self.harness.advance(self.late_call_ms - 1_200)
+        self.assertEqual(self.harness.find("j"), [])
+        self.harness.advance(400)
+        self.assertEqual([name for name, _ in self.harness.find("j")], ["b"])
+        self.assertEqual(self._get_last_event("held task released")["reason"], "expired")
+        self.assertEqual(len(self._starts), 0)
+
+    def test_expired_lease_does_not_rule_out_the_start(self):
+        """Guards against a late start on a runner that restarts after its leases have expired."""
+        self._submit()
+        self.harness.runners["a"].reachable = False
+        self.harness.advance(7_000)
+        self.assertEqual(self.harness.cell.fleet.runners["a"].runs, {})
+        self.assertEqual(self.harness.find("j"), [])
+
+    def test_runner_that_rejects_the_start_gets_the_task_again(self):
+        """Guards against a task that waits 12 s although its runner rejects the late start."""
+        self._submit()
+        self.harness.advance(900)
+        ((name, run),) = self.harness.find("j")
+        self.assertEqual((name, run.attempt), ("a", 2))
+
+    def test_runner_that_rejects_the_start_may_restart(self):
+        """Guards against a task that moves while only the present incarnation rejects its start."""
+        self._submit()
+        self.harness.cell.fleet.runners["a"].cordoned = True
+        self.harness.advance(self.late_call_ms - 500)
+        self.assertEqual(self.harness.find("j"), [])
+        self.harness.advance(1_000)
+        self.assertEqual([name for name, _ in self.harness.find("j")], ["b"])
+
+    def test_restarted_runner_rejects_the_start_before_it_gets_the_task(self):
+        """Guards against a start beside a late one on an incarnation that wasn't told to reject."""
+        self._submit()
+        self._crash()
+        self._restart()
+        self.harness.report()
+        self.harness.plan()
+        self.assertEqual(self.harness.find("j"), [])
+        self.harness.advance(700)
+        ((name, run),) = self.harness.find("j")
+        self.assertEqual((name, run.attempt), ("a", 2))
+        self.assertEqual(len(self.harness.runners["a"].rejected), 1)
+
+    def test_stop_confirmed_by_an_earlier_incarnation(self):
+        """Guards against a response that overtakes the report of a restart."""
+        self._submit()
+        run_id = next(iter(self.harness.cell.fleet.runners["a"].runs))
+        sent_ms = self.harness.now_ms
+        self.harness.now_ms += 10
+        self._restart()
+        self.harness.report()
+        self.harness.cell.handle_stop_response("a", run_id, self.harness.now_ms, sent_ms=sent_ms)
+        self.harness.now_ms += 10
+        self.harness.report()
+        self.assertIn(run_id, self.harness.cell.fleet.runners["a"].runs)
+
+    def test_start_that_was_carried_out_holds_no_task(self):
+        """Guards against a wait for a start that a report has listed."""
+        self._submit()
+        run_id = next(iter(self.harness.cell.fleet.runners["a"].runs))
+        self.harness.runners["a"].running[run_id] = ""
+        self.harness.report()
+        self._crash()
+        self.assertEqual([name for name, _ in self.harness.find("j")], ["b"])
+
+    def test_replaced_runner_holds_no_task(self):
+        """Guards against a wait for a runner whose address rejects calls to it."""
+        self._submit()
+        self._crash()
+        self.harness.cell.handle_replaced_runner("a", "127.0.0.1:2", self.harness.now_ms)
+        self.harness.advance(100)
+        self.assertEqual(self.harness.find("j"), [])
+        self.harness.cell.handle_replaced_runner("a", "127.0.0.1:1", self.harness.now_ms)
+        self.harness.advance(100)
+        self.assertEqual([name for name, _ in self.harness.find("j")], ["b"])
+
+    def test_held_task_blocks_no_other_task(self):
+        """Guards against a step whose tasks all wait for the held one."""
+        self._submit(build_step(count=3, cpu_milli=3_000))
+        self._crash()
+        self.harness.advance(500)
+        ((name, run),) = self.harness.find("j")
+        self.assertEqual((name, run.key.index), ("b", 1))
+        self.assertEqual(list(self.harness.cell.jobs.ready["j", 0, 0].waiting), [0, 2])
+        self.assertEqual(self.harness.cell.summarise()["waiting_held"], 1)
+
+    def test_held_member_holds_its_gang(self):
+        """Guards against a gang that starts beside a late member."""
+        self._submit(build_step(count=2, cpu_milli=2_000, gang=True))
+        self._crash()
+        self.harness.advance(500)
+        self.assertEqual(self.harness.find("j"), [])
+        self._restart()
+        self.harness.advance(700)
+        found = self.harness.find("j")
+        self.assertEqual([name for name, _ in found], ["a", "a"])
+        self.assertEqual({run.attempt for _, run in found}, {2})
+
+    def test_speculative_task_may_run_twice(self):
+        """Guards against a wait that no rule requires."""
+        self._submit(build_step(speculative=True))
+        self._crash()
+        self.assertEqual([name for name, _ in self.harness.find("j")], ["b"])
+
+    def test_runner_that_left_the_registry_is_still_known(self):
+        """Guards against a task that moves because its runner's entry has expired."""
+        self._submit()
+        self._crash()
+        entries = [self.harness.runners["b"].entry]
+        self.harness.cell.set_runners(entries, self.harness.now_ms)
+        self.harness.advance(1_000)
+        self.assertEqual(self.harness.find("j"), [])
+        self.harness.advance(self.late_call_ms)
+        self.harness.cell.set_runners(entries, self.harness.now_ms)
+        self.assertNotIn("a", self.harness.cell.fleet.runners)
+
+    def test_cancelled_job_leaves_no_held_task(self):
+        """Guards against a table that grows with cancelled jobs."""
+        self._submit()
+        self._crash()
+        self.assertEqual(self._starts.held_tasks, 1)
+        self.harness.cell.cancel("j", self.harness.now_ms)
+        self.harness.advance(self.late_call_ms)
+        self.assertEqual((len(self._starts), self._starts.held_tasks), (0, 0))
+
+    def test_answered_starts_leave_no_entries(self):
+        """Guards against a table that grows with each start."""
+        self.harness.submit("j", build_job(build_step(count=4)))
+        self.harness.plan()
+        self.assertEqual(len(self.harness.find("j")), 4)
+        self.assertEqual(len(self._starts), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -256,6 +256,9 @@
     async def _handle_failure(self, error: object) -> None:
         if error is StartOutcome.FENCED:
             self._on_fenced(self.id)
+        if error is StartOutcome.REPLACED:
+            self._cell.handle_replaced_runner(self.id, self.address, self._clock.now_ms())
+            self._on_change()
         if self._is_reachable:
             log_event(
                 "runner unreachable",
@@ -343,8 +346,11 @@
         }
 
     async def _send_stop(self, command: StopRun) -> None:
+        sent_ms = self._clock.now_ms()
         if await self._client.stop(command, timeout_ms=_timing.RUNNER_TIMEOUT_MS):
-            self._cell.handle_stop_response(self.id, command.run, self._clock.now_ms())
+            self._cell.handle_stop_response(
+                self.id, command.run, self._clock.now_ms(), sent_ms=sent_ms
+            )
 
     async def _send_pace(self, command: PaceRun) -> None:
         if not await self._client.set_pace(command, timeout_ms=_timing.RUNNER_TIMEOUT_MS):
--- a/coltsfootpier/node/tests/test_runner_task.py
+++ b/coltsfootpier/node/tests/test_runner_task.py
@@ -38,6 +38,7 @@
         self.starts = []
         self.is_answering = True
         self.is_reachable = True
+        self.is_replaced = False
 
     def __call__(self, **_):
         return self
@@ -49,6 +50,8 @@
         await anyio.sleep(0)
         if not self.is_reachable:
             return Failure(Unanswered("overdue"))
+        if self.is_replaced:
+            return Failure(StartOutcome.REPLACED)
         now_ms = self._clock.now_ms()
         return Success(
             RunnerReport(
@@ -132,6 +135,26 @@
         ).job
         self.cell.jobs.mark_durable(job, job.version)
 
+    def test_another_runner_at_the_address_rules_out_late_starts(self):
+        """Guards against a task that waits 12 s for a runner that was replaced."""
+
+        async def steps():
+            await self._wait_reports()
+            self.clock.advance(10.0)
+            self.cell.record_renewal(self.clock.now_ms())
+            await self._wait_reports()
+            command = self._plan_start()
+            self.client.is_answering = False
+            self.task.execute(command)
+            await self._wait_reports()
+            starts = self.cell.fleet.unanswered_starts
+            self.assertTrue(starts.has_runner("a"))
+            self.client.is_replaced = True
+            await self._wait_reports()
+            self.assertFalse(starts.has_runner("a"))
+
+        self._run(steps)
+
     def _plan_start(self):
         self._submit()
         now_ms = self.clock.now_ms()
--- a/coltsfootpier/platform/_runners.py
+++ b/coltsfootpier/platform/_runners.py
@@ -275,7 +275,8 @@
         Returns
         -------
         Result of RunnerReport or failure
-            `StartOutcome.FENCED` when a later owner has sent commands to the runner.
+            `StartOutcome.FENCED` when a later owner has sent commands to the runner, and
+            `StartOutcome.REPLACED` when another runner responded.
         """
         body: dict[str, Any] = {"fencing_token": self._token, "observed": observed}
         if deadline_ms is not None:
@@ -296,6 +297,8 @@
         value = load_object(reply)
         if reply.status == 409 and read_reason(reply) == "fence":
             return Failure(StartOutcome.FENCED)
+        if reply.status == 421:
+            return Failure(StartOutcome.REPLACED)
         if reply.status != 200:
             return Failure(StartOutcome.REFUSED)
         try:
--- a/coltsfootpier/platform/tests/test_clients.py
+++ b/coltsfootpier/platform/tests/test_clients.py
@@ -60,6 +60,21 @@
                 body = b'{"clock_ms":1,"reason":%s}' % reason
                 self.assertIs(self.call(body, 409, self._start), outcome)
 
+    def test_another_runner_responds(self):
+        """Guards against a wait for a runner whose address another one has taken."""
+
+        async def poll(port):
+            item = Item("servers/i-1", build_entry(address=f"127.0.0.1:{port}"))
+            entry = decode_runner_entry(item).unwrap()
+            client = RunnerClient(entry=entry, token=1, clock=MonotonicClock())
+            result = await client.poll_report(
+                deadline_ms=None, observed=0, wait_ms=0, timeout_ms=2_000.0
+            )
+            client.close()
+            return result.failure()
+
+        self.assertIs(self.call(b'{"clock_ms":1}', 421, poll), StartOutcome.REPLACED)
+
 
 class AdviceClientTest(ClientTestCase):
     """Requests for tickets."""
--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -124,6 +124,68 @@
 
         self._play(play)
 
+    async def _send_late_start(self, late_s):
+        """Send a start to the first runner that is carried out later and gets no response."""
+        first, *others = self.simulation.runners
+        owner = self.simulation.current
+        self._set_links(owner, *others, is_cut=True)
+        await anyio.sleep(4.0)
+        self.simulation.network.late_s = (late_s, late_s)
+        self._set_links(owner, first, late=1.0)
+        await self.simulation.submit(JOB, duration_ms=float("inf"))
+        await anyio.sleep(0.1)
+        self._set_links(owner, first, late=0.0)
+        self._set_links(owner, *others, is_cut=False)
+        return first, others, owner
+
+    def test_unlisted_runner_restarts_and_carries_out_late_start(self):
+        """Guards against a listing that frees the task of a start without a response."""
+
+        async def play(simulation):
+            runner, _, owner = await self._send_late_start(6.0)
+            simulation.restart_runner(runner, 4.0)
+            await anyio.sleep(3.0)
+            self._set_links(owner, runner, is_cut=True)
+            await anyio.sleep(6.0)
+            self._set_links(owner, runner, is_cut=False)
+            await anyio.sleep(10.0)
+
+        self._play(play)
+
+    def test_runner_rejects_late_start_and_carries_it_out_after_a_restart(self):
+        """Guards against a confirmed stop that frees the task although a restart voids it."""
+
+        async def play(simulation):
+            owner = simulation.current
+            runner, other = simulation.runners
+            self._set_links(owner, other, is_cut=True)
+            await anyio.sleep(2.0)
+            # The other runner has more free capacity.
+            await simulation.submit("f" * 16, duration_ms=float("inf"), count=3)
+            runner, _, owner = await self._send_late_start(8.0)
+            await anyio.sleep(2.0)
+            self._set_links(owner, runner, is_cut=True)
+            simulation.restart_runner(runner, 1.0)
+            await anyio.sleep(6.0)
+            self._set_links(owner, runner, is_cut=False)
+            await anyio.sleep(10.0)
+
+        self._play(play)
+
+    def test_runner_restarts_after_its_leases_expired_and_carries_out_late_start(self):
+        """Guards against an expired lease that frees the task of a start without a response."""
+
+        async def play(simulation):
+            runner, _, owner = await self._send_late_start(10.0)
+            self._set_links(owner, runner, is_cut=True)
+            await anyio.sleep(8.0)
+            simulation.restart_runner(runner, 0.5)
+            await anyio.sleep(4.0)
+            self._set_links(owner, runner, is_cut=False)
+            await anyio.sleep(10.0)
+
+        self._play(play)
+
     def test_restart_in_the_registry_frees_run_of_the_new_incarnation(self):
         """Guards against a restart that frees a run that was started after it."""
 
