Acknowledge ends only in requests that follow a report with ends

Cause: each request repeated the number of the last acknowledged end, so that every request that was carried out late could acknowledge ends of a later incarnation, whose numbers start anew.

Change: a request acknowledges ends only while the last report listed some. A runner forgets an end that is acknowledged once, and lists it again if that call was lost.

Not covered, and said so: the request that acknowledges an end may itself be late.

--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -97,6 +97,8 @@
         # Incarnation of the runner that the clock sample and the lease expiry refer to.
         self._started_unix_ms = 0
         self._is_reachable = True
+        # Whether the last report listed ended runs.
+        self._lists_ends = False
         # Runs whose start command has no outcome yet.
         self._pending_starts: set[RunId] = set()
         # Reason and origin of the last unexpected error.
@@ -227,8 +229,7 @@
         try:
             result = await self._client.poll_report(
                 deadline_ms=deadline_ms,
-                # The numbers of ends start anew with a restart, which a failed call may hide.
-                observed=cell.fleet.get_last_durable_end(self.id) if self._is_reachable else 0,
+                observed=self._find_acknowledged_end(),
                 # A long poll would return at once while the runner still lists earlier ended runs.
                 wait_ms=0 if has_pending_ends or runner_now_ms is None else _timing.REPORT_WAIT_MS,
                 timeout_ms=_timing.RUNNER_TIMEOUT_MS,
@@ -248,11 +249,22 @@
         if not self._is_reachable:
             log_event("runner reachable again", runner=self.id)
         self._is_reachable = True
+        self._lists_ends = bool(result.unwrap().ended)
         self._apply_report(result.unwrap())
         self._last_error = None
         if cell.fleet.has_pending_ends(self.id):
             await self._commits.wait_commit(_timing.REPORT_WAIT_MS / 2)
 
+    def _find_acknowledged_end(self) -> int:
+        """Return the number up to which the next request acknowledges ends; 0 for none.
+
+        The numbers start anew with a restart, which a failed call may hide. A request may also be
+        carried out late by a later incarnation, so only one that has ends to acknowledge does so.
+        """
+        if not (self._is_reachable and self._lists_ends):
+            return 0
+        return self._cell.fleet.get_last_durable_end(self.id)
+
     async def _handle_failure(self, error: object) -> None:
         if error is StartOutcome.FENCED:
             self._on_fenced(self.id)
