Record starts without a response for the next owner

Cause: only the owner that sent a start knew that it had no response.

Change: starts that have had no response for 100 ms are recorded with the next change, at most each 200 ms, with the time for which they may still be carried out; an owner that resigns records those whose calls it cancels. A successor holds their tasks as the earlier owner would. It needs no stops, since its token makes each incarnation that has responded to it reject them. Starts that were settled leave the record after 2 s. An owner without such starts writes nothing.

--- a/coltsfootpier/cells/__init__.py
+++ b/coltsfootpier/cells/__init__.py
@@ -21,6 +21,7 @@
 )
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells._state import Job
+from coltsfootpier.cells._unanswered_starts import InheritedStart, UnansweredStarts
 
 __all__ = [
     "Accepted",
@@ -33,6 +34,7 @@
     "DoubleRunError",
     "EndKind",
     "EndedRow",
+    "InheritedStart",
     "Job",
     "LearnedInterference",
     "LearnedState",
@@ -46,5 +48,6 @@
     "StartOutcome",
     "StartRun",
     "StopRun",
+    "UnansweredStarts",
     "check_admission",
 ]
--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -39,6 +39,7 @@
 from coltsfootpier.cells._planning import Planner
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells._state import EndProof, Job, Run, Runner, RunState, StepRun, Task
+from coltsfootpier.cells._unanswered_starts import InheritedStart
 from coltsfootpier.jobs import JobRecord, JobSpec, JobState, Queue
 
 
@@ -107,6 +108,7 @@
         *,
         now_ms: float,
         unix_ms: float,
+        unanswered: Iterable[InheritedStart] = (),
     ) -> None:
         """Load the jobs and runners recorded by earlier owners.
 
@@ -119,8 +121,11 @@
             each of them has responded or the leases of all its runs have expired.
         now_ms, unix_ms : float
             Local time and Unix time.
+        unanswered : iterable of InheritedStart, optional
+            Starts without a response that the earlier owner has recorded.
         """
         self.fleet.add_inherited(fleet)
+        self.fleet.unanswered_starts.inherit(unanswered, now_ms)
         for record in records:
             job = self.jobs.add(record, now_ms, durable=True)
             # The objective counts from the acceptance, whichever owner accepted the job.
--- a/coltsfootpier/cells/_unanswered_starts.py
+++ b/coltsfootpier/cells/_unanswered_starts.py
@@ -19,6 +19,26 @@
 from coltsfootpier.jobs import TaskKey
 
 
+@attrs.frozen(kw_only=True)
+class InheritedStart:
+    """A start without a response that an earlier owner has recorded.
+
+    Parameters
+    ----------
+    run : RunId
+        The run to start.
+    runner_id, address : str
+        Runner to which it was sent, and its address.
+    left_ms : float
+        Time for which it might still be carried out when it was recorded.
+    """
+
+    run: RunId
+    runner_id: str
+    address: str
+    left_ms: float
+
+
 @attrs.define(kw_only=True, eq=False)
 class UnansweredStart:
     """A start that was sent and has no response yet, or never gets one.
@@ -40,6 +60,8 @@
         When the runner confirmed a stop for it; infinite before.
     rejected_by : int or None
         Incarnation that is known to reject it.
+    is_inherited : bool
+        Whether an earlier owner sent it; each incarnation that has responded rejects it then.
     """
 
     run: RunId
@@ -50,6 +72,13 @@
     is_settled: bool = False
     stop_confirmed_ms: float = float("inf")
     rejected_by: int | None = None
+    is_inherited: bool = False
+
+    def is_rejected(self, runner: Runner) -> bool:
+        """Return whether the present incarnation of its runner rejects it."""
+        if self.is_inherited:
+            return runner.adopted
+        return self.rejected_by == runner.started_unix_ms
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -95,13 +124,64 @@
 
     def record(self, run_id: RunId, runner: Runner, now_ms: float) -> None:
         """Record a start that is about to be sent."""
-        start = UnansweredStart(
-            run=run_id,
-            runner_id=runner.entry.id,
-            address=runner.entry.address,
-            started_unix_ms=runner.started_unix_ms,
-            open_ms=now_ms,
+        self._add(
+            UnansweredStart(
+                run=run_id,
+                runner_id=runner.entry.id,
+                address=runner.entry.address,
+                started_unix_ms=runner.started_unix_ms,
+                open_ms=now_ms,
+            )
         )
+
+    def inherit(self, starts: Iterable[InheritedStart], now_ms: float) -> None:
+        """Add the starts that an earlier owner has recorded, before any other."""
+        for start in sorted(starts, key=lambda start: start.left_ms):
+            left_ms = min(start.left_ms, self._settings.late_call_ms)
+            self._add(
+                UnansweredStart(
+                    run=start.run,
+                    runner_id=start.runner_id,
+                    address=start.address,
+                    started_unix_ms=0,
+                    open_ms=now_ms - self._settings.late_call_ms + left_ms,
+                    is_settled=True,
+                    is_inherited=True,
+                )
+            )
+
+    def export(self, now_ms: float, *, pending_ms: float, limit: int) -> tuple[InheritedStart, ...]:
+        """Return the latest starts without a response, for the next owner.
+
+        Parameters
+        ----------
+        now_ms : float
+            Local time.
+        pending_ms : float
+            Time from which a start whose call hasn't ended is returned.
+        limit : int
+            Maximum number of starts to return.
+        """
+        starts = [
+            start
+            for start in self._starts.values()
+            if start.is_settled or now_ms - start.open_ms >= pending_ms
+        ]
+        return tuple(
+            InheritedStart(
+                run=start.run,
+                runner_id=start.runner_id,
+                address=start.address,
+                left_ms=self._compute_left_ms(start, now_ms),
+            )
+            for start in starts[-limit:]
+        )
+
+    def _compute_left_ms(self, start: UnansweredStart, now_ms: float) -> float:
+        return start.open_ms + self._settings.late_call_ms - now_ms
+
+    def _add(self, start: UnansweredStart) -> None:
+        run_id = start.run
         self._starts[run_id] = start
         self._by_runner.setdefault(start.runner_id, {})[run_id] = start
         tasks = self._by_step.setdefault((run_id.job_id, *run_id.key[:2]), {})
@@ -210,7 +290,7 @@
             run_id
             for run_id, start in self._by_runner.get(runner.entry.id, {}).items()
             if start.is_settled
-            and start.rejected_by != runner.started_unix_ms
+            and not start.is_rejected(runner)
             and start.open_ms < runner.contact_ms
             and (run_id not in runner.runs or start.started_unix_ms != runner.started_unix_ms)
         ]
@@ -254,13 +334,14 @@
             run=str(start.run),
             runner=start.runner_id,
             born=start.started_unix_ms,
-            left_ms=start.open_ms + self._settings.late_call_ms - now_ms,
+            left_ms=self._compute_left_ms(start, now_ms),
+            inherited=start.is_inherited,
         )
 
     def is_rejected(self, step: StepRun, index: int, runner: Runner) -> bool:
         """Return whether a runner's present incarnation rejects the late starts of a task."""
         starts = self._by_step[step.id][step.build_key(index)].values()
-        return all(start.rejected_by == runner.started_unix_ms for start in starts)
+        return all(start.is_rejected(runner) for start in starts)
 
     def record_resumption(self, run_id: RunId, now_ms: float) -> None:
         """Record that a task, if it is held, starts again on the runner of its unanswered start."""
--- a/coltsfootpier/cells/tests/test_unanswered_starts.py
+++ b/coltsfootpier/cells/tests/test_unanswered_starts.py
@@ -174,6 +174,46 @@
         self.harness.cell.set_runners(entries, self.harness.now_ms)
         self.assertNotIn("a", self.harness.cell.fleet.runners)
 
+    def test_successor_knows_the_start(self):
+        """Guards against a successor that starts the task elsewhere."""
+        self._submit()
+        self.harness.advance(200)
+        starts = self._starts.export(self.harness.now_ms, pending_ms=0.0, limit=10)
+        records = [job.record for job in self.harness.cell.jobs.jobs.values()]
+        entries = [runner.entry for runner in self.harness.runners.values()]
+        for is_listed in (False, True):
+            with self.subTest(is_listed=is_listed):
+                self.harness = SimulatedCell(("a", "b"), generation=2)
+                self.harness.cell.load(
+                    records,
+                    entries,
+                    now_ms=self.harness.now_ms,
+                    unix_ms=self.harness.unix_ms,
+                    unanswered=starts,
+                )
+                self.harness.runners["a"].reachable = is_listed
+                self.harness.join()
+                self.harness.advance(300)
+                if not is_listed:
+                    self._crash()
+                    self.harness.advance(300)
+                    self.assertEqual(self.harness.find("j"), [])
+                    self.harness.advance(self.late_call_ms)
+                ((name, run),) = self.harness.find("j")
+                self.assertEqual((name, run.attempt), ("a" if is_listed else "b", 10_001))
+
+    def test_recorded_time_counts_from_the_start(self):
+        """Guards against a wait that begins anew with each owner."""
+        self._submit()
+        self.harness.now_ms += 5_000
+        (start,) = self._starts.export(self.harness.now_ms, pending_ms=0.0, limit=10)
+        self.assertEqual(start.left_ms, self.late_call_ms - 5_000)
+        successor = SimulatedCell(("a", "b"), generation=2)
+        successor.cell.fleet.unanswered_starts.inherit([start], successor.now_ms)
+        successor.now_ms += start.left_ms
+        successor.cell.fleet.unanswered_starts.remove_expired(successor.now_ms)
+        self.assertEqual(len(successor.cell.fleet.unanswered_starts), 0)
+
     def test_cancelled_job_leaves_no_held_task(self):
         """Guards against a table that grows with cancelled jobs."""
         self._submit()
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -16,6 +16,7 @@
     Cell,
     CellCommand,
     CellSettings,
+    InheritedStart,
     Rejected,
     RunnerEntry,
 )
@@ -34,8 +35,9 @@
 from coltsfootpier.node._responses import NOT_OWNER, Response, ResponseStatus, build_rejection
 from coltsfootpier.node._runner_task import RunnerTask
 from coltsfootpier.node._settings import Configuration, NodeSettings
+from coltsfootpier.node._unanswered_starts import UnansweredStartWriter, load_unanswered_starts
 from coltsfootpier.node._vms import VmTask
-from coltsfootpier.node.keys import HEAD_KEY, job_key
+from coltsfootpier.node.keys import HEAD_KEY, UNANSWERED_KEY, job_key
 from coltsfootpier.platform import (
     REGISTRY_PREFIX,
     AdviceClient,
@@ -126,6 +128,9 @@
             lease=lease,
             retention_ms=settings.status_kept_ms,
         )
+        self._unanswered_writer = UnansweredStartWriter(
+            starts=self.cell.fleet.unanswered_starts, records=self._committer, clock=clock
+        )
         self._lease_renewer = LeaseRenewer(
             store=store,
             clock=clock,
@@ -158,9 +163,18 @@
         loaded = await self._load_records()
         if loaded is None:
             return
+        unanswered = await self._load_unanswered_starts()
+        if unanswered is None:
+            return
         now_ms = self._clock.now_ms()
         self.cell.restore_learned(loaded.learned)
-        self.cell.load(loaded.jobs, loaded.fleet, now_ms=now_ms, unix_ms=time.time() * 1000)
+        self.cell.load(
+            loaded.jobs,
+            loaded.fleet,
+            now_ms=now_ms,
+            unix_ms=time.time() * 1000,
+            unanswered=unanswered,
+        )
         self._fleet_entries = {entry.id: entry for entry in loaded.fleet}
         self._committer.recorded_fleet = frozenset(self._fleet_entries)
         log_event(
@@ -169,6 +183,7 @@
             jobs=len(loaded.jobs),
             runners=len(loaded.fleet),
             learned_pairs=len(loaded.learned.pressures),
+            unanswered_starts=len(unanswered),
             clock_ms=self._clock.now_ms(),
         )
         try:
@@ -179,6 +194,7 @@
                 group.start_soon(self._run_planner)
                 group.start_soon(self._log_summaries)
                 group.start_soon(self._save_learned)
+                group.start_soon(self._unanswered_writer.run)
                 if self._settings.vm_service is not None:
                     group.start_soon(self._run_vm_task, loaded.maintenance)
                 self.is_ready = True
@@ -216,15 +232,31 @@
             await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
         return None
 
+    async def _load_unanswered_starts(self) -> tuple[InheritedStart, ...] | None:
+        deadline_ms = self._clock.now_ms() + _timing.OWNER_LEASE_MS
+        while self._clock.now_ms() < deadline_ms:
+            result = await load_unanswered_starts(self._store)
+            if isinstance(result, Success):
+                return result.unwrap()
+            log_event("cannot load records", reason=repr(result.failure()))
+            await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
+        return None
+
     async def resign(self) -> None:
         """Release the cell immediately: commit pending changes, then end the lease."""
         self._is_resigning = True
+        # The calls that are in flight are cancelled.
+        self._unanswered_writer.write(pending_ms=0.0)
         deadline_ms = self._clock.now_ms() + _timing.STORE_TIMEOUT_MS
-        while self.cell.jobs.dirty_count and self._clock.now_ms() < deadline_ms:
+        while self._has_unwritten_changes and self._clock.now_ms() < deadline_ms:
             await self._committer.wait_commit(_timing.STORE_BACKOFF_MS)
         self._stop("resigned")
         await self._store.revoke_lease(self._lease_renewer.lease)
 
+    @property
+    def _has_unwritten_changes(self) -> bool:
+        return bool(self.cell.jobs.dirty_count) or not self._committer.is_written(UNANSWERED_KEY)
+
     # Requests about jobs
 
     async def submit(self, job_id: str, queue: Queue, spec: JobSpec, left_ms: float) -> Response:
--- a/coltsfootpier/node/_timing.py
+++ b/coltsfootpier/node/_timing.py
@@ -64,6 +64,13 @@
 # interference of a pair of images is learned from two or three reports, 500 ms apart, so the next
 # owner learns again the little that was not written.
 LEARNED_PERIOD_MS = 2_000.0
+# Time between checks whether the record for the next owner lacks a start without a response.
+UNANSWERED_PERIOD_MS = 200.0
+# Time from which a start whose call hasn't ended counts as without a response; a runner in another
+# availability zone responds within 10 ms.
+UNANSWERED_PENDING_MS = 100.0
+# Time after which the record is written again because it lists starts that have been settled.
+UNANSWERED_CLEARING_MS = 2_000.0
 # Time between probes of an unresponsive owner; half of the load balancer's check period, so that
 # the daemon is ready again by the next check.
 PROBE_PERIOD_MS = 500.0
--- a/coltsfootpier/node/keys.py
+++ b/coltsfootpier/node/keys.py
@@ -13,6 +13,7 @@
 FLEET_KEY = "cells/0/fleet"
 LEARNED_KEY = "cells/0/learned"
 MAINTENANCE_KEY = "cells/0/upkeep"
+UNANSWERED_KEY = "cells/0/unanswered"
 JOBS_PREFIX = "cells/0/jobs/"
 
 
--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -186,6 +186,20 @@
 
         self._play(play)
 
+    def test_successor_does_not_know_of_a_late_start(self):
+        """Guards against a successor that starts the task of a start without a response."""
+
+        async def play(simulation):
+            runner, _, _ = await self._send_late_start(8.0)
+            await anyio.sleep(0.8)
+            simulation.cut_from_successor = ((runner.address,), 8.0)
+            simulation.revoke_ownership()
+            simulation.claim()
+            simulation.restart_runner(runner, 4.0)
+            await anyio.sleep(20.0)
+
+        self._play(play)
+
     def test_restart_in_the_registry_frees_run_of_the_new_incarnation(self):
         """Guards against a restart that frees a run that was started after it."""
 
