--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -93,6 +93,8 @@
         # Incarnation of the runner that the clock sample and the lease expiry refer to.
         self._started_unix_ms = 0
         self._is_reachable = True
+        # Whether the last report listed ended runs.
+        self._lists_ends = False
         # Runs whose start command has no outcome yet.
         self._pending_starts: set[RunId] = set()
         # Reason and origin of the last unexpected error.
@@ -224,8 +226,7 @@
         try:
             result = await self._client.poll_report(
                 deadline_ms=deadline_ms,
-                # The numbers of ends start anew with a restart, which a failed call may hide.
-                observed=cell.fleet.get_last_durable_end(self.id) if self._is_reachable else 0,
+                observed=self._find_acknowledged_end(),
                 # A long poll would return at once while the runner still lists earlier ended runs.
                 wait_ms=0 if has_pending_ends or runner_now_ms is None else _timing.REPORT_WAIT_MS,
                 timeout_ms=_timing.RUNNER_TIMEOUT_MS,
@@ -245,14 +246,28 @@
         if not self._is_reachable:
             log_event("runner reachable again", runner=self.id)
         self._is_reachable = True
+        self._lists_ends = bool(result.unwrap().ended)
         self._apply_report(result.unwrap())
         self._last_error = None
         if cell.fleet.has_pending_ends(self.id):
             await self._commits.wait_commit(_timing.REPORT_WAIT_MS / 2)
 
+    def _find_acknowledged_end(self) -> int:
+        """Return the number up to which the next request acknowledges ends; 0 for none.
+
+        The numbers start anew with a restart, which a failed call may hide. A request may also be
+        carried out late by a later incarnation, so only one that has ends to acknowledge does so.
+        """
+        if not (self._is_reachable and self._lists_ends):
+            return 0
+        return self._cell.fleet.get_last_durable_end(self.id)
+
     async def _handle_failure(self, error: object) -> None:
         if error is StartOutcome.FENCED:
             self._on_fenced(self.id)
+        if error is StartOutcome.REPLACED:
+            self._cell.handle_replaced_runner(self.id, self.address, self._clock.now_ms())
+            self._on_change()
         if self._is_reachable:
             log_event(
                 "runner unreachable",
@@ -340,8 +355,11 @@
         }
 
     async def _send_stop(self, command: StopRun) -> None:
+        sent_ms = self._clock.now_ms()
         if await self._client.stop(command, timeout_ms=_timing.RUNNER_TIMEOUT_MS):
-            self._cell.handle_stop_response(self.id, command.run, self._clock.now_ms())
+            self._cell.handle_stop_response(
+                self.id, command.run, self._clock.now_ms(), sent_ms=sent_ms
+            )
 
     async def _send_pace(self, command: PaceRun) -> None:
         if not await self._client.set_pace(command, timeout_ms=_timing.RUNNER_TIMEOUT_MS):
