Count a job as pending until one of its starts is carried out

Cause: a job counted as started once a start command was planned. Eight of the jobs had only starts that were refused or had no response; they weren't counted again and were shown as running.

Change: a job has started once a response, a listed run or a listed end shows that a start was carried out.

Result: the new test failed before with 0 pending jobs instead of 1, 2 and 2; the 30 tests of coltsfootpier.cells.tests.test_runs pass.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -321,6 +321,7 @@
         if run.state in (RunState.STARTING, RunState.UNSURE):
             run.state = RunState.RUNNING
         run.listed = True
+        run.step_run.job.started = True
         if run.confirmed_ms == float("inf"):
             run.confirmed_ms = run.last_progress_ms = now_ms
         if row.percent != run.percent or run.pace == 0:
@@ -375,6 +376,7 @@
         if step is None or not step.job.is_open:
             return
         job = step.job
+        job.started = True
         if row.checkpoint:
             step.tasks.setdefault(row.run.key.index, Task()).checkpoint = row.checkpoint
         if row.outcome is EndKind.DONE:
@@ -439,6 +441,7 @@
                 run.state = RunState.RUNNING
             run.confirmed_ms = min(run.confirmed_ms, now_ms)
             run.last_progress_ms = now_ms
+            run.step_run.job.started = True
             return
         if outcome is StartOutcome.UNKNOWN:
             if run.state is RunState.STARTING:
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -261,7 +261,6 @@
         step.runs_per_runner[runner.entry.id] = step.runs_per_runner.get(runner.entry.id, 0) + 1
         if index in step.waiting:
             step.waiting.remove(index)
-        step.job.started = True
         return run
 
     def remove_run(self, run: Run, proof: EndProof, outcome: str = "") -> None:
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -187,6 +187,7 @@
     version: int = 0
     durable_version: int = 0
     steps: dict[tuple[int, int], StepRun] = attrs.field(factory=dict)
+    # Whether a start was carried out; the response or a report shows it.
     started: bool = False
 
     def iter_steps(self, occurrence: int) -> Iterator[StepRun]:
--- a/coltsfootpier/cells/tests/test_runs.py
+++ b/coltsfootpier/cells/tests/test_runs.py
@@ -42,6 +42,19 @@
         harness.store()
         self.assertEqual(job.visible_state, JobState.COMPLETED)
 
+    def test_job_without_a_start_that_was_carried_out_is_pending(self):
+        """Guards against a number of pending jobs without those whose only start was rejected."""
+        harness = SimulatedCell(("a",))
+        harness.join()
+        pending = []
+        for outcome in (StartOutcome.REFUSED, StartOutcome.UNKNOWN, StartOutcome.STARTED):
+            harness.outcomes["a"] = outcome
+            harness.submit(outcome.name)
+            harness.plan()
+            harness.cell.fleet.runners["a"].full = False
+            pending.append(harness.cell.jobs.count_pending("batch"))
+        self.assertEqual(pending, [1, 2, 2])
+
     def test_nothing_starts_before_the_job_is_durable(self):
         """Guards against a run of a job that a crash would lose."""
         harness = SimulatedCell()
