Run classes of tests in several processes

Cause: all tests ran one after another, though most of the time they wait for processes of their own, and the two longest simulations keep one core busy. tests/run.py now runs each class of tests as a whole in one of up to four forked processes, and half of the cores at most. The parent process prints the known failures, each failure with its traceback as before, and the count; a process that ends early fails the tests of its class.

--- a/tests/run.py
+++ b/tests/run.py
@@ -1,20 +1,34 @@
-"""Test runner that runs all tests of the repository and prints how many passed and failed."""
+"""Test runner that runs all tests of the repository and prints how many passed and failed.
+
+The classes of tests run in several processes, each class as a whole in one.
+"""
 
 from __future__ import annotations
 
 import doctest
 import importlib
+import multiprocessing
 import os
 import pkgutil
 import sys
+import time
 import unittest
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from concurrent.futures.process import BrokenProcessPool
+from itertools import groupby
 from pathlib import Path
 
+import attrs
 import hypothesis
 
 import coltsfootpier
 
 ROOT = Path(__file__).resolve().parent.parent
+# Packages with tests; those with the longest classes come first, since they determine the end.
+_PACKAGES = ("soak", "tests", "standins", "benchmarks", "coltsfootpier")
+# Maximum number of processes; tests of clusters start several processes of their own.
+_MAX_PROCESSES = 4
 
 
 def list_known_failures() -> set[str]:
@@ -56,6 +70,96 @@
     return suite
 
 
+@attrs.frozen
+class GroupResult:
+    """Result of the tests of one class.
+
+    Parameters
+    ----------
+    run_count, failed_count : int
+        Number of tests that were run, and of failures and errors.
+    reports : tuple of str
+        Description and traceback of each failure and error.
+    """
+
+    run_count: int
+    failed_count: int
+    reports: tuple[str, ...]
+
+
+def list_tests(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
+    """Return the tests of a suite and of the suites in it."""
+    for test in suite:
+        if isinstance(test, unittest.TestSuite):
+            yield from list_tests(test)
+        else:
+            yield test
+
+
+def group_by_class(suite: unittest.TestSuite) -> list[unittest.TestSuite]:
+    """Return the tests of each class, which share what the class sets up."""
+    return [unittest.TestSuite(tests) for _, tests in groupby(list_tests(suite), key=type)]
+
+
+def run_group(group: unittest.TestSuite) -> GroupResult:
+    """Run a group of tests in this process."""
+    result = unittest.TextTestResult(sys.stderr, descriptions=True, verbosity=1)
+    group.run(result)
+    outcomes = [("ERROR", *error) for error in result.errors]
+    outcomes += [("FAIL", *failure) for failure in result.failures]
+    outcomes += [("UNEXPECTED SUCCESS", test, "") for test in result.unexpectedSuccesses]
+    reports = [
+        "\n".join(
+            (
+                result.separator1,
+                f"{kind}: {result.getDescription(test)}",
+                result.separator2,
+                text,
+            )
+        )
+        for kind, test, text in outcomes
+    ]
+    sys.stdout.flush()
+    return GroupResult(result.testsRun, len(outcomes), tuple(reports))
+
+
+# Groups that this process may be asked to run.
+_groups: list[unittest.TestSuite] = []
+
+
+def _set_groups(groups: list[unittest.TestSuite]) -> None:
+    _groups[:] = groups
+
+
+def _run_numbered_group(number: int) -> GroupResult:
+    return run_group(_groups[number])
+
+
+def run_groups(groups: list[unittest.TestSuite], *, process_count: int) -> Iterator[GroupResult]:
+    """Run groups of tests in several processes and return each result as soon as it is known.
+
+    The tests of a group whose process ended early count as failed.
+    """
+    with ProcessPoolExecutor(
+        process_count,
+        # A forked process inherits the groups, which can't be sent to it.
+        mp_context=multiprocessing.get_context("fork"),
+        initializer=_set_groups,
+        initargs=(groups,),
+    ) as executor:
+        futures = {
+            executor.submit(_run_numbered_group, number): group
+            for number, group in enumerate(groups)
+        }
+        for future in as_completed(futures):
+            try:
+                yield future.result()
+            except BrokenProcessPool:
+                tests = [test.id() for test in futures[future]]
+                report = f"ERROR: a test process ended before {', '.join(tests)}"
+                yield GroupResult(len(tests), len(tests), (report,))
+
+
 def main() -> int:
     """Run all tests but the known failures; return 0 if they all pass, otherwise 1."""
     os.chdir(ROOT)
@@ -64,12 +168,22 @@
     hypothesis.settings.load_profile("ci")
     loader = unittest.TestLoader()
     suite = unittest.TestSuite()
-    for package in ("coltsfootpier", "soak", "benchmarks", "standins", "tests"):
+    for package in _PACKAGES:
         suite.addTest(loader.discover(package, pattern="test_*.py", top_level_dir="."))
     suite.addTest(load_doctests())
-    result = unittest.TextTestRunner(verbosity=1).run(select_tests(suite, list_known_failures()))
-    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
-    print(f"{result.testsRun - failed} passed, {failed} failed")
+    groups = group_by_class(select_tests(suite, list_known_failures()))
+    process_count = max(1, min(_MAX_PROCESSES, len(os.sched_getaffinity(0)) // 2))
+    sys.stdout.flush()
+    started_s = time.monotonic()
+    results = list(run_groups(groups, process_count=process_count))
+    run_count = sum(result.run_count for result in results)
+    failed = sum(result.failed_count for result in results)
+    print(file=sys.stderr)
+    for result in results:
+        for report in result.reports:
+            print(report, file=sys.stderr)
+    print(f"Ran {run_count} tests in {time.monotonic() - started_s:.3f}s", file=sys.stderr)
+    print(f"{run_count - failed} passed, {failed} failed")
     return 1 if failed or loader.errors else 0
 
 
