Accept jobs until a new owner knows the capacity of its runners

What callers felt: for 0.3 s after a change of owner, jobs were rejected with Retry-After 3 s although runners were free. Cause: the new owner had not read the registry, so it counted a capacity of zero, and a queueing delay of infinity behind the inherited jobs; for best-effort jobs it kept that measurement for 250 ms.

An owner that hasn't read the registry has no reason to reject, so it accepts (within max_open_tasks), and it measures the best-effort capacity again once the registry is read and whenever a runner responds first.

The unit test fails before, for jobs with and without best-effort steps.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -191,6 +191,9 @@
             return Rejected("tasks", settings.tasks_retry_ms)
         if any(step.long_running for step in spec.steps) or spec.occurrences:
             return None
+        # A new owner that doesn't know its runners yet has no reason to reject a job.
+        if not self.fleet.is_listed:
+            return None
         critical_path_ms = self._estimates.estimate_critical_path_ms(queue.name, spec.steps)
         objective_ms = queue.stretch * critical_path_ms + queue.objective_ms
         if not any(step.fills for step in spec.steps):
@@ -233,6 +236,8 @@
 
     def set_runners(self, entries: Iterable[RunnerEntry], now_ms: float) -> None:
         """Apply the latest list of registered runners."""
+        if not self.fleet.is_listed:
+            self._estimates.expire_measurement()
         self.fleet.update_listed(entries, now_ms)
         for runner in self.fleet.runners.values():
             if runner.entry.draining:
@@ -256,6 +261,7 @@
                 self.jobs.requeue(run.id)
         runner.started_unix_ms = report.started_unix_ms
         if not runner.adopted:
+            self._estimates.expire_measurement()
             self._log(
                 "runner responded",
                 runner=runner_id,
--- a/coltsfootpier/cells/_estimates.py
+++ b/coltsfootpier/cells/_estimates.py
@@ -226,6 +226,10 @@
             backlog.in_time_delay_ms = backlog.capacity.estimate_delays(backlog.in_time_work)
             backlog.all_delay_ms = backlog.capacity.estimate_delays(backlog.all_work)
 
+    def expire_measurement(self) -> None:
+        """Measure the best-effort capacity anew the next time, as more of it is known by now."""
+        self._measured_ms = float("-inf")
+
     def _add_remaining_work(self, job: Job, now_ms: float) -> None:
         backlog = None
         for step in job.steps.values():
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -54,6 +54,8 @@
         self.is_complete = True
         self._unlisted_expiry_ms = float("-inf")
         self._earlier_bounds: ActionBounds | None = None
+        # Whether the registry was read, so that the capacity of the cell is known.
+        self.is_listed = False
         self.proof = OwnershipProof(settings=settings, runners=self.runners)
 
     def add_inherited(
@@ -142,6 +144,7 @@
 
         An entry proves no restart, as others may write entries too; a report of the runner does.
         """
+        self.is_listed = True
         listed = {entry.id: entry for entry in entries}
         for runner_id, entry in listed.items():
             runner = self.runners.get(runner_id)
--- a/coltsfootpier/cells/tests/test_admission.py
+++ b/coltsfootpier/cells/tests/test_admission.py
@@ -62,6 +62,29 @@
         spec = build_job(build_step(count=4, estimate_ms=1_000.0))
         self.assertIsInstance(harness.submit("new", spec, queue), Accepted)
 
+    def test_new_owner_accepts_what_the_earlier_one_would_have_accepted(self):
+        """Guards against callers that are sent away for 3 s because an owner has just begun."""
+        for step in (build_step(count=8), build_step(count=8, fills=True, image="i")):
+            first = SimulatedCell()
+            first.join()
+            for number in range(2):
+                first.submit(f"old{number}", build_job(step))
+            harness = SimulatedCell(generation=2)
+            harness.cell.load(
+                [job.record for job in first.cell.jobs.jobs.values()],
+                [runner.entry for runner in harness.runners.values()],
+                now_ms=harness.now_ms,
+                unix_ms=harness.unix_ms,
+            )
+            steps = (harness.plan, harness.list_runners, harness.plan, harness.join, harness.plan)
+            for number, act in enumerate(steps):
+                act()
+                new = build_step(fills=step.fills, image=step.image)
+                result = harness.submit(f"new{number}", build_job(new))
+                with self.subTest(act=act.__name__, fills=step.fills):
+                    self.assertIsInstance(result, Accepted)
+                harness.now_ms += 10
+
     def test_limit_on_open_tasks(self):
         """Guards against a job that uses up the memory of the entry VM."""
         harness = SimulatedCell(("a",), max_open_tasks=10)
