Assume the longest lease for young incarnations after a takeover

Cause: the runner had restarted under its identifier shortly before the takeover. A report request of the earlier owner, sent to the incarnation before, was carried out late, and its deadline on that clock gave the longest lease. The owner that detects a restart covers this; its successor, which adopted the run and lost the runner right after, assumed the usual length.

Change: the expiry that a successor assumes after the first response of an inherited runner counts the longest lease if the incarnation started in the 27 s before the takeover (the age of a late call, the longest lease and 5 s for the difference of Unix clocks). Others keep the usual length.

An inherited runner that never responds to the successor may hold such a lease as well; that isn't covered, since it would make all inherited tasks wait 12.2 s instead of 5.9 s.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -98,6 +98,8 @@
         self.cordons = Cordons(fleet=self.fleet, jobs=self.jobs, log=log)
         self._commands: list[CellCommand] = []
         self._last_check_ms = float("-inf")
+        # Unix time at which the records of earlier owners were loaded.
+        self._loaded_unix_ms = float("inf")
 
     # Jobs
 
@@ -124,6 +126,7 @@
         unanswered : iterable of InheritedStart, optional
             Starts without a response that the earlier owner has recorded.
         """
+        self._loaded_unix_ms = unix_ms
         self.fleet.add_inherited(fleet)
         self.fleet.unanswered_starts.inherit(unanswered, now_ms)
         for record in records:
@@ -275,7 +278,7 @@
         if runner.earlier_lease_expiry_ms == float("inf"):
             # It has rejected the earlier owner since.
             runner.earlier_lease_expiry_ms = report.received_ms + compute_lease_ms(
-                self._settings.run_lease_ms, self._settings
+                self._find_earlier_lease_ms(report), self._settings
             )
         if report.running and runner.lease_expiry_ms <= report.received_ms:
             # The listed runs show that their leases were extended later than assumed.
@@ -307,6 +310,17 @@
                 )
             )
 
+    def _find_earlier_lease_ms(self, report: RunnerReport) -> float:
+        """Return the longest lease that an earlier owner may have given to an incarnation.
+
+        A late call with a deadline on the clock of the incarnation before gives the longest one.
+        """
+        settings = self._settings
+        span_ms = settings.late_call_ms + settings.max_run_lease_ms + settings.unix_clock_error_ms
+        if report.started_unix_ms > self._loaded_unix_ms - span_ms:
+            return settings.max_run_lease_ms
+        return settings.run_lease_ms
+
     def _apply_running_row(self, runner: Runner, row: RunningRow, now_ms: float) -> None:
         run = runner.runs.get(row.run) or self._adopt_run(runner, row, now_ms)
         if run is None:
--- a/coltsfootpier/cells/_settings.py
+++ b/coltsfootpier/cells/_settings.py
@@ -27,6 +27,9 @@
         unanswered command keeps a task waiting.
     clock_drift : float
         Relative error of a runner's clock in either direction; 0.02 is the platform's bound.
+    unix_clock_error_ms : float
+        Bound of the difference between the Unix clocks of a runner and an entry VM; larger than the
+        platform's steps of 2 s.
     contact_fresh_ms : float
         Age of the last report from which a runner gets no new runs. More than the longest wait
         for a report (500 ms) plus one lost response.
@@ -112,6 +115,7 @@
     proof_validity_ms: float = 1_500.0
     start_valid_ms: float = 1_500.0
     clock_drift: float = 0.02
+    unix_clock_error_ms: float = 5_000.0
     contact_fresh_ms: float = 1_300.0
     suspect_after_ms: float = 650.0
     unsure_stop_ms: float = 400.0
--- a/coltsfootpier/cells/tests/test_proofs.py
+++ b/coltsfootpier/cells/tests/test_proofs.py
@@ -63,6 +63,26 @@
         successor.renew()
         self.assertEqual(self._list_starts(), [])
 
+    def test_earlier_owner_extended_a_lease_by_a_deadline_on_an_earlier_clock(self):
+        """Guards against two runs when a restarted runner took a late deadline."""
+        self.harness.plan()
+        ((runner_id, run),) = self.harness.find("j")
+        job = self.harness.cell.jobs.jobs["j"].record
+        entries = [runner.entry for runner in self.harness.runners.values()]
+        self.harness = successor = SimulatedCell(generation=2)
+        successor.cell.load([job], entries, now_ms=successor.now_ms, unix_ms=successor.unix_ms)
+        successor.list_runners()
+        successor.cell.fleet.mark_recorded(successor.runners)
+        started_unix_ms = int(successor.unix_ms) - 3_000
+        for name in successor.runners:
+            running = (run,) if name == runner_id else ()
+            self._report(name, started_unix_ms=started_unix_ms, running=running)
+        successor.runners[runner_id].reachable = False
+        successor.advance(successor.settings.max_run_lease_ms)
+        self.assertIn(run, successor.cell.fleet.runners[runner_id].runs)
+        successor.advance(1_000)
+        self.assertEqual(successor.cell.fleet.runners[runner_id].runs, {})
+
     def test_registry_entry_alone_frees_nothing(self):
         """Guards against two runs when another writer gives an entry a later time of start."""
         harness = self.harness
