Merge the lease of young incarnations after a takeover

The age of an incarnation counts by its own clock as well, since the wall clock of its VM may be set back, which the simulation now does. Simulated runners of the unit tests report an age that fits their time of start.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -131,7 +131,9 @@
         unanswered : iterable of InheritedStart, optional
             Starts without a response that the earlier owner has recorded.
         """
-        self.fleet.add_inherited(fleet, now_ms, bounds=bounds, is_complete=is_fleet_complete)
+        self.fleet.add_inherited(
+            fleet, now_ms, unix_ms=unix_ms, bounds=bounds, is_complete=is_fleet_complete
+        )
         self.fleet.unanswered_starts.inherit(unanswered, now_ms)
         for record in records:
             job = self.jobs.add(record, now_ms, durable=True)
@@ -289,7 +291,7 @@
                 runner.applied_end = row.number
         for row in report.running:
             self._apply_running_row(runner, row, now_ms)
-        self.fleet.record_first_report(runner, report.received_ms)
+        self.fleet.record_first_report(runner, report)
         if report.running and runner.lease_expiry_ms <= report.received_ms:
             # The listed runs show that their leases were extended later than assumed.
             runner.earlier_lease_expiry_ms = report.received_ms + compute_lease_ms(
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -9,7 +9,7 @@
     compute_lease_ms,
     compute_unconfirmed_lease_ms,
 )
-from coltsfootpier.cells._messages import RunId, RunnerEntry
+from coltsfootpier.cells._messages import RunId, RunnerEntry, RunnerReport
 from coltsfootpier.cells._ownership import OwnershipProof
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells._state import EndProof, Run, Runner, RunState, StepRun, Task
@@ -49,6 +49,9 @@
         # Runners that an earlier owner used and that have not responded to this owner yet.
         self.inherited: set[str] = set()
         self._inherited_count = 0
+        # Runners in the fleet record, and Unix time at which the record was loaded.
+        self._earlier_ids: frozenset[str] = frozenset()
+        self._loaded_unix_ms = float("inf")
         # Runners whose leases the earlier owner may extend for as long as it may act at all.
         self._unbounded: set[str] = set()
         # Whether the fleet record lists all runners that earlier owners may use.
@@ -65,6 +68,7 @@
         entries: Iterable[RunnerEntry],
         now_ms: float,
         *,
+        unix_ms: float,
         bounds: ActionBounds | None = None,
         is_complete: bool = True,
     ) -> None:
@@ -77,8 +81,8 @@
         ----------
         entries : iterable of RunnerEntry
             Runners in the fleet record.
-        now_ms : float
-            Local time.
+        now_ms, unix_ms : float
+            Local time and Unix time.
         bounds : ActionBounds, optional
             Bounds of all earlier owners, if they are known.
         is_complete : bool, default=True
@@ -93,6 +97,8 @@
             self.runners[entry.id] = runner
             self.inherited.add(entry.id)
             self._unbounded.add(entry.id)
+        self._earlier_ids = frozenset(self.inherited)
+        self._loaded_unix_ms = unix_ms
         self._inherited_count = len(self.inherited)
 
     @property
@@ -133,13 +139,30 @@
             lease_expiry_ms=now_ms + lease_ms,
         )
 
-    def record_first_report(self, runner: Runner, received_ms: float) -> None:
-        """Record that an inherited runner has rejected the earlier owner since a local time."""
+    def record_first_report(self, runner: Runner, report: RunnerReport) -> None:
+        """Record that an inherited runner rejects the earlier owner's commands from now on."""
+        if runner.adopted or runner.entry.id not in self._earlier_ids:
+            return
+        is_young = self._is_young(report)
+        settings = self._settings
+        lease_ms = settings.max_run_lease_ms if is_young else settings.run_lease_ms
+        lease_expiry_ms = report.received_ms + compute_lease_ms(lease_ms, settings)
         if runner.entry.id in self._unbounded:
             self._unbounded.discard(runner.entry.id)
-            runner.earlier_lease_expiry_ms = received_ms + compute_lease_ms(
-                self._settings.run_lease_ms, self._settings
-            )
+            runner.earlier_lease_expiry_ms = lease_expiry_ms
+        elif is_young:
+            runner.earlier_lease_expiry_ms = max(runner.earlier_lease_expiry_ms, lease_expiry_ms)
+
+    def _is_young(self, report: RunnerReport) -> bool:
+        """Return whether a late call of an earlier owner may have given an incarnation a lease.
+
+        A deadline on the clock of the incarnation before may lie far ahead, which gives the longest
+        lease. The runner's clock starts anew with each incarnation; its wall clock may be set back.
+        """
+        settings = self._settings
+        span_ms = settings.late_call_ms + settings.max_run_lease_ms
+        oldest_unix_ms = self._loaded_unix_ms - span_ms - settings.unix_clock_error_ms
+        return report.clock_ms < span_ms or report.started_unix_ms > oldest_unix_ms
 
     def update_listed(self, entries: Iterable[RunnerEntry], now_ms: float) -> None:
         """Apply the latest list of registered runners.
--- a/coltsfootpier/cells/tests/builders.py
+++ b/coltsfootpier/cells/tests/builders.py
@@ -174,7 +174,7 @@
             self.cell.apply_report(
                 name,
                 RunnerReport(
-                    clock_ms=self.now_ms,
+                    clock_ms=self.unix_ms - runner.entry.started_unix_ms,
                     started_unix_ms=runner.entry.started_unix_ms,
                     running=tuple(
                         RunningRow(
--- a/coltsfootpier/cells/tests/test_proofs.py
+++ b/coltsfootpier/cells/tests/test_proofs.py
@@ -14,10 +14,10 @@
         self.harness.join()
         self.harness.submit("j")
 
-    def _report(self, runner_id, *, started_unix_ms=1, sent_ms=None, running=()):
+    def _report(self, runner_id, *, started_unix_ms=1, clock_ms=None, sent_ms=None, running=()):
         harness = self.harness
         report = RunnerReport(
-            clock_ms=harness.now_ms,
+            clock_ms=harness.unix_ms - started_unix_ms if clock_ms is None else clock_ms,
             started_unix_ms=started_unix_ms,
             running=tuple(RunningRow(run, "", 0.0) for run in running),
             ended=(),
@@ -85,6 +85,37 @@
         successor.renew()
         self.assertEqual(self._list_starts(), [])
 
+    def _lose_restarted_runner_after_takeover(self, *, set_back_ms):
+        """Return a runner that restarted 3 s before the takeover and is lost now, and its run."""
+        self.harness = SimulatedCell()
+        self.harness.join()
+        self.harness.submit("j")
+        self.harness.plan()
+        ((runner_id, run),) = self.harness.find("j")
+        job = self.harness.cell.jobs.jobs["j"].record
+        entries = [runner.entry for runner in self.harness.runners.values()]
+        self.harness = successor = SimulatedCell(generation=2)
+        successor.cell.load([job], entries, now_ms=successor.now_ms, unix_ms=successor.unix_ms)
+        successor.list_runners()
+        successor.cell.fleet.mark_recorded(successor.runners)
+        started_unix_ms = int(successor.unix_ms) - 3_000 - set_back_ms
+        for name in successor.runners:
+            running = (run,) if name == runner_id else ()
+            self._report(name, started_unix_ms=started_unix_ms, clock_ms=3_000.0, running=running)
+        successor.runners[runner_id].reachable = False
+        return runner_id, run
+
+    def test_earlier_owner_extended_a_lease_by_a_deadline_on_an_earlier_clock(self):
+        """Guards against two runs when a restarted runner took a late deadline."""
+        for set_back_ms in (0, 600_000):
+            with self.subTest(set_back_ms=set_back_ms):
+                runner_id, run = self._lose_restarted_runner_after_takeover(set_back_ms=set_back_ms)
+                successor = self.harness
+                successor.advance(successor.settings.max_run_lease_ms)
+                self.assertIn(run, successor.cell.fleet.runners[runner_id].runs)
+                successor.advance(1_000)
+                self.assertEqual(successor.cell.fleet.runners[runner_id].runs, {})
+
     def test_registry_entry_alone_frees_nothing(self):
         """Guards against two runs when another writer gives an entry a later time of start."""
         harness = self.harness
