Prove the ownership by the head record instead of renewals of the lease

An owner whose key was removed while the renewals of its lease succeeded went on beside its successor: it extended leases, so that tasks ran twice, and answered 410 to callers of jobs that the successor had accepted, until the watch, a runner or a commit showed the later owner.

Cause: a confirmed renewal counted as a proof that no later owner exists. It proves that the lease exists, not that the owner's key is still under it.

A claim always replaces the head record, whatever has happened to the earlier owner's key. So the proof is now a change that expected the owner's head and took effect, counted from before its first attempt, or a read that shows the own head, counted from before it was sent (`OwnershipVerifier`). A read is due 200 ms after the latest proof, has connections of its own and doesn't wait for lost ones. One that shows a later head stops the owner (cause "later head"); an odd value neither proves nor stops anything. `OwnershipProof`, the state of jobs, 410 answers and VM commands use this proof; the last two one that was sent after the request. The log names kind and age of the proof when an owner stops, and when it loses and regains its proof.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -477,7 +477,7 @@
     # Planning
 
     def record_renewal(self, sent_ms: float) -> None:
-        """Record that the store confirmed a renewal of the owner's lease, sent at a local time."""
+        """Record that the store showed that no later owner existed at a local time."""
         self.fleet.proof.record_renewal(sent_ms)
 
     def is_ownership_proven(self, now_ms: float) -> bool:
--- a/coltsfootpier/cells/_ownership.py
+++ b/coltsfootpier/cells/_ownership.py
@@ -28,8 +28,8 @@
     Attributes
     ----------
     store_confirmed_ms : float
-        Local time at which the latest renewal of the owner's lease that the store confirmed was
-        sent. No later owner existed then.
+        Latest local time at which the store showed that no later owner existed, counted from before
+        the call was sent.
     """
 
     def __init__(self, *, settings: CellSettings, runners: dict[str, Runner]) -> None:
@@ -43,7 +43,7 @@
         self._majority_until_ms = float("-inf")
 
     def record_renewal(self, sent_ms: float) -> None:
-        """Record that the store confirmed a renewal that was sent at a local time."""
+        """Record that the store showed that no later owner existed at a local time."""
         self.store_confirmed_ms = max(self.store_confirmed_ms, sent_ms)
 
     def set_recorded(self, *recorded: Iterable[str]) -> None:
@@ -58,12 +58,16 @@
         validity_ms = self._settings.proof_validity_ms
         if now_ms < max(self.store_confirmed_ms + validity_ms, self._majority_until_ms):
             return True
-        self._majority_until_ms = min(
-            (self._find_majority_ms(runner_ids) + validity_ms for runner_ids in self._recorded),
-            default=float("-inf"),
-        )
+        self._majority_until_ms = self._find_common_majority_ms() + validity_ms
         return now_ms < self._majority_until_ms
 
+    def find_latest(self) -> tuple[str, float]:
+        """Return who gave the latest proof (``store`` or ``runners``), and its local time."""
+        majority_ms = self._find_common_majority_ms()
+        if majority_ms > self.store_confirmed_ms:
+            return "runners", majority_ms
+        return "store", self.store_confirmed_ms
+
     def covers_expiry(self, lease_expiry_ms: float) -> bool:
         """Return whether leases that expired at a local time were extended by no later owner.
 
@@ -80,6 +84,12 @@
         """
         return runner.first_accepted_ms <= self.store_confirmed_ms
 
+    def _find_common_majority_ms(self) -> float:
+        return min(
+            (self._find_majority_ms(runner_ids) for runner_ids in self._recorded),
+            default=float("-inf"),
+        )
+
     def _find_majority_ms(self, runner_ids: frozenset[str]) -> float:
         """Return the latest time since which more than half of the runners accepted the owner."""
         accepted = sorted(
--- a/coltsfootpier/cells/tests/test_ownership.py
+++ b/coltsfootpier/cells/tests/test_ownership.py
@@ -38,6 +38,14 @@
         self.harness.plan()
         self.assertEqual(len(self.harness.find("j")), 1)
 
+    def test_latest_proof_is_named(self):
+        """Guards against logs that don't show on whose word an owner acted."""
+        proof = self.harness.cell.fleet.proof
+        confirmed_ms = self.harness.now_ms
+        self.assertEqual(proof.find_latest(), ("store", confirmed_ms))
+        self._lose_store("a", "b", "c")
+        self.assertEqual(proof.find_latest(), ("runners", self.harness.now_ms))
+
     def test_replaced_owner_starts_nothing(self):
         """Guards against a second run by an owner that only some runners still accept."""
         self._lose_store("a", "b")
--- a/coltsfootpier/node/_committer.py
+++ b/coltsfootpier/node/_committer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import anyio
 import attrs
@@ -60,8 +60,9 @@
         Store revision of the head.
     owner : OwnerInfo
         Value of the owner's key.
-    lease : int
-        Lease under which the claim wrote the owner's key.
+    on_confirmed : callable
+        Called with the local time before the first attempt of each change that took effect. No
+        later owner existed then, as the change expected this owner's head.
     retention_ms : float
         Retention time of the record of an ended job, in ms.
     """
@@ -74,10 +75,11 @@
         head: Head,
         revision: int,
         owner: OwnerInfo,
-        lease: int,
+        on_confirmed: Callable[[float], None],
         retention_ms: float,
     ) -> None:
         self._retention_ms = retention_ms
+        self._on_confirmed = on_confirmed
         self._store = store
         self._clock = clock
         self._head = head
@@ -90,8 +92,6 @@
         self._unsettled_fleets: list[frozenset[str]] = []
         # Lease under which the owner's key is to be written again; 0 if none.
         self._lease_to_bind = 0
-        # Lease under which this owner wrote the owner's key last.
-        self.bound_lease = lease
         self._learned: bytes | None = None
         # Single records that aren't durable yet, by key.
         self._single_records: dict[str, bytes] = {}
@@ -186,7 +186,7 @@
             puts.append(Write(OWNER_KEY, encode(self._owner), lease))
             expect[OWNER_KEY] = 0
         removed = [job_key(job_id) for job_id in expired]
-        self.pending_since_ms = self._clock.now_ms()
+        self.pending_since_ms = sent_ms = self._clock.now_ms()
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._withdraw_unsent_when_stuck, cell, batch)
@@ -218,6 +218,7 @@
                 return None
             self._revision = resolution
         self._head = next_head
+        self._on_confirmed(sent_ms)
         self.commit_count += 1
         if fleet is not None:
             self.recorded_fleet = fleet[1]
@@ -231,10 +232,8 @@
         for key, value in single_records.items():
             if self._single_records.get(key) is value:
                 del self._single_records[key]
-        if lease:
-            self.bound_lease = lease
-            if self._lease_to_bind == lease:
-                self._lease_to_bind = 0
+        if lease and self._lease_to_bind == lease:
+            self._lease_to_bind = 0
         for job, version in batch:
             cell.jobs.mark_durable(job, version)
             self._maybe_written.discard(job.record.id)
--- a/coltsfootpier/node/_lease.py
+++ b/coltsfootpier/node/_lease.py
@@ -6,9 +6,8 @@
 from typing import Protocol
 
 import anyio
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
-from coltsfootpier.clock import Clock
 from coltsfootpier.logs import log_event
 from coltsfootpier.node import _timing
 from coltsfootpier.platform import LeaseLost, PlatformError, StoreLease
@@ -32,6 +31,9 @@
 class LeaseRenewer:
     """Renews the lease of the owner's key, and replaces it by a new one if it has expired.
 
+    The lease only lets other daemons claim the cell soon after the owner has gone. Its renewals
+    don't prove the ownership, since the owner's key may have been removed under it.
+
     It keeps the lease also while the store loses or delays the responses to a third of its calls. A
     renewal is sent every period, whether or not the previous one got a response, since waiting for
     a response until the time limit could take longer than the lease lasts.
@@ -40,53 +42,29 @@
     ----------
     store : LeaseStore
         The store.
-    clock : Clock
-        Time source.
     lease : int
         Identifier of the lease that the claim of the cell used.
-    granted_ms : float
-        Local time before that lease was requested.
     ttl_ms : float
         Time to live of a new lease, in ms.
     on_granted : callable
         Called with the identifier of a new lease that replaces an expired one.
-    on_renewed : callable
-        Called with the send time of each renewal that the store confirmed while the owner's key
-        was bound to the lease.
-    is_key_bound : callable
-        Returns whether the owner's key is known to be written under a lease. Before that, another
-        daemon may have claimed the cell.
     """
 
     def __init__(
         self,
         *,
         store: LeaseStore,
-        clock: Clock,
         lease: int,
-        granted_ms: float,
         ttl_ms: float,
         on_granted: Callable[[int], None],
-        on_renewed: Callable[[float], None],
-        is_key_bound: Callable[[int], bool],
     ) -> None:
         self._store = store
-        self._clock = clock
         self._ttl_ms = ttl_ms
         self._on_granted = on_granted
-        self._on_renewed = on_renewed
-        self._is_key_bound = is_key_bound
         self.lease = lease
-        # Send time of the latest grant or renewal that the store confirmed.
-        self._renewed_ms = granted_ms
         self._in_flight = 0
         self._is_granting = False
 
-    @property
-    def is_valid(self) -> bool:
-        """Whether the lease is guaranteed to hold, so that no other daemon can own the cell."""
-        return self._clock.now_ms() - self._renewed_ms < _timing.OWNER_LEASE_MS
-
     async def run(self) -> None:
         """Renew the lease until cancelled."""
         async with anyio.create_task_group() as group:
@@ -96,19 +74,13 @@
                     group.start_soon(self._renew)
 
     async def _renew(self) -> None:
-        lease, sent_ms = self.lease, self._clock.now_ms()
-        was_key_bound = self._is_key_bound(lease)
+        lease = self.lease
         self._in_flight += 1
         try:
             result = await self._store.renew_lease(lease)
         finally:
             self._in_flight -= 1
-        if isinstance(result, Success):
-            if was_key_bound:
-                self._renewed_ms = max(self._renewed_ms, sent_ms)
-                self._on_renewed(sent_ms)
-            return
-        is_expired = isinstance(result.failure(), LeaseLost)
+        is_expired = isinstance(result, Failure) and isinstance(result.failure(), LeaseLost)
         if is_expired and lease == self.lease and not self._is_granting:
             await self._grant()
 
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -21,7 +21,7 @@
 )
 from coltsfootpier.clock import Clock
 from coltsfootpier.jobs import JobSpec, JobState, Queue, decode_record
-from coltsfootpier.journal import Head, OwnerInfo, decode_head
+from coltsfootpier.journal import Head, OwnerInfo
 from coltsfootpier.logs import log_event
 from coltsfootpier.maintenance import MaintenanceRecord, Wave
 from coltsfootpier.node import _timing
@@ -34,8 +34,9 @@
 from coltsfootpier.node._responses import NOT_OWNER, Response, ResponseStatus, build_rejection
 from coltsfootpier.node._runner_task import RunnerTask
 from coltsfootpier.node._settings import Configuration, NodeSettings
+from coltsfootpier.node._verifier import OwnershipVerifier
 from coltsfootpier.node._vms import VmTask
-from coltsfootpier.node.keys import HEAD_KEY, job_key
+from coltsfootpier.node.keys import job_key
 from coltsfootpier.platform import (
     REGISTRY_PREFIX,
     AdviceClient,
@@ -43,7 +44,7 @@
     StoreClient,
     VmClient,
 )
-from coltsfootpier.transport import MalformedMessageError, encode, is_address
+from coltsfootpier.transport import encode, is_address
 
 # Upper bound of the run lease as a fraction of the longest lease that the platform allows.
 _MAX_RUN_LEASE_FRACTION = 0.6
@@ -117,24 +118,28 @@
         )
         # The claim took effect later than that.
         self.cell.record_renewal(granted_ms)
+        self._verifier = OwnershipVerifier(
+            store=store,
+            clock=clock,
+            head=head,
+            confirmed_ms=granted_ms,
+            on_confirmed=self.cell.record_renewal,
+            on_replaced=self._on_replaced,
+        )
         self._committer = Committer(
             store=store,
             clock=clock,
             head=head,
             revision=revision,
             owner=info,
-            lease=lease,
+            on_confirmed=self._verifier.record_confirmation,
             retention_ms=settings.status_kept_ms,
         )
         self._lease_renewer = LeaseRenewer(
             store=store,
-            clock=clock,
             lease=lease,
-            granted_ms=granted_ms,
             ttl_ms=choose_lease_ttl(settings),
             on_granted=self._committer.rebind_owner,
-            on_renewed=self.cell.record_renewal,
-            is_key_bound=lambda lease: lease == self._committer.bound_lease,
         )
         self._advice_client = None
         if settings.advice is not None:
@@ -143,6 +148,9 @@
         self._runner_tasks: dict[str, RunnerTask] = {}
         # Local time at which the claim of each runner or VM to know a later owner was checked.
         self._fence_checked_ms: dict[str, float] = {}
+        self._is_checking_fence = False
+        # Local time since which the ownership isn't proven; None while it is.
+        self._unproven_since_ms: float | None = None
         self._fleet_entries: dict[str, RunnerEntry] = {}
         self._wake = anyio.Event()
         self._group: TaskGroup | None = None
@@ -176,6 +184,7 @@
                 self._group = group
                 group.start_soon(self._poll_registry)
                 group.start_soon(self._lease_renewer.run)
+                group.start_soon(self._verifier.run)
                 group.start_soon(self._run_planner)
                 group.start_soon(self._log_summaries)
                 group.start_soon(self._save_learned)
@@ -197,11 +206,13 @@
             (runner.deadline_sent_ms for runner in self.cell.fleet.runners.values()),
             default=float("-inf"),
         )
+        now_ms = self._clock.now_ms()
         log_event(
             "owner stopping",
             generation=self.cell.generation,
             cause=str(cause),
-            deadline_age_ms=self._clock.now_ms() - last_sent_ms,
+            deadline_age_ms=now_ms - last_sent_ms,
+            **self._describe_proof(now_ms),
         )
         if self._group is not None:
             self._group.cancel_scope.cancel()
@@ -306,11 +317,18 @@
         """
         if not self.is_ready:
             return NOT_OWNER
+        deadline_ms = self._clock.now_ms() + left_ms
         job = self.cell.cancel(job_id, self._clock.now_ms())
         if job is None:
-            return self._build_unknown_job_response()
+            # Only an owner that precedes any later one when it responds knows that there is no job.
+            if not await self._verifier.confirm(
+                timeout_ms=min(left_ms, _timing.HEAD_CONFIRM_TIMEOUT_MS)
+            ):
+                return NOT_OWNER
+            job = self.cell.cancel(job_id, self._clock.now_ms())
+            if job is None:
+                return Response(status=ResponseStatus.MISSING)
         self._wake_planner()
-        deadline_ms = self._clock.now_ms() + left_ms
         outcome = await self._wait_durable(Accepted(job, job.version), deadline_ms)
         log_event("job cancelled", job=job_id, outcome=outcome.value)
         is_durable = outcome is ResponseStatus.ACCEPTED
@@ -320,26 +338,25 @@
         """Return the state of a job."""
         if not self.is_ready:
             return NOT_OWNER
-        if not self._lease_renewer.is_valid:
+        if self._clock.now_ms() - self._verifier.confirmed_ms >= _timing.OWNER_LEASE_MS:
             # A later owner may have ended the job, which then has a final state in the store. If
             # the store doesn't respond, the state in memory is the best available.
             final_state = await self._read_final_state(job_id)
             if final_state is not None:
                 return Response(status=ResponseStatus.KNOWN, state=final_state)
-        job = self.cell.jobs.jobs.get(job_id)
-        if job is None or job.durable_version == 0:
-            return self._build_unknown_job_response()
-        return Response(status=ResponseStatus.KNOWN, state=job.visible_state)
-
-    def _build_unknown_job_response(self) -> Response:
-        """Return the response for a job that is unknown to this owner.
+        # A later owner may have accepted a job that is unknown here before the request arrived.
+        if self._get_visible_state(job_id) is None and not await self._verifier.confirm(
+            timeout_ms=_timing.HEAD_CONFIRM_TIMEOUT_MS
+        ):
+            return NOT_OWNER
+        state = self._get_visible_state(job_id)
+        if state is None:
+            return Response(status=ResponseStatus.MISSING)
+        return Response(status=ResponseStatus.KNOWN, state=state)
 
-        An owner whose lease may have expired, for example because its process was frozen, doesn't
-        know the jobs that its successor has accepted, so it can't report a job as missing.
-        """
-        return (
-            Response(status=ResponseStatus.MISSING) if self._lease_renewer.is_valid else NOT_OWNER
-        )
+    def _get_visible_state(self, job_id: str) -> JobState | None:
+        job = self.cell.jobs.jobs.get(job_id)
+        return None if job is None or job.durable_version == 0 else job.visible_state
 
     async def _read_final_state(self, job_id: str) -> JobState | None:
         """Return the final state of a job in the store; None if it has none or can't be read."""
@@ -380,10 +397,15 @@
     def _on_fenced(self, target: str) -> None:
         now_ms = self._clock.now_ms()
         checked_ms = self._fence_checked_ms.get(target, float("-inf"))
-        if self._is_resigning or now_ms - checked_ms < _timing.FENCE_CHECK_PERIOD_MS:
+        if (
+            self._is_resigning
+            or self._is_checking_fence
+            or now_ms - checked_ms < _timing.FENCE_CHECK_PERIOD_MS
+        ):
             return
         is_first = target not in self._fence_checked_ms
         self._fence_checked_ms[target] = now_ms
+        self._is_checking_fence = True
         self._group.start_soon(self._check_fence, target, is_first)
 
     async def _check_fence(self, target: str, is_first: bool) -> None:
@@ -391,19 +413,25 @@
 
         A server at the address of an odd registry entry may respond as if it knew one.
         """
-        item = await self._store.get(HEAD_KEY, timeout_ms=_timing.STORE_READ_TIMEOUT_MS)
-        if isinstance(item, Success) and self._is_own_head(item.unwrap().value):
+        try:
+            is_confirmed = await self._verifier.confirm(timeout_ms=_timing.STORE_READ_TIMEOUT_MS)
+        finally:
+            self._is_checking_fence = False
+        if is_confirmed:
             if is_first:
                 log_event("later owner not confirmed by the store", at=target)
             return
         log_event("fenced by a later owner", at=target)
         self._stop("fenced")
 
-    def _is_own_head(self, value: bytes | None) -> bool:
-        try:
-            return decode_head(value).generation == self.cell.generation
-        except MalformedMessageError:
-            return False
+    def _on_replaced(self, head: Head) -> None:
+        log_event(
+            "ownership lost",
+            generation=self.cell.generation,
+            found_generation=head.generation,
+            found_holder=head.holder,
+        )
+        self._stop("later head")
 
     def record_latest_generation(self, generation: int) -> None:
         """Stop if a later owner exists."""
@@ -421,6 +449,7 @@
                 self._execute(command)
             if self.cell.jobs.dirty_count:
                 self._committer.notify()
+            self._track_proof()
             duration_ms = self._clock.now_ms() - started_ms
             self._metrics.observe("plan_ms", duration_ms)
             pause_ms = max(_timing.MIN_PLAN_PERIOD_MS, _timing.PLAN_PAUSE_FACTOR * duration_ms)
@@ -428,6 +457,27 @@
             with anyio.move_on_after(_timing.MAX_PLAN_WAIT_MS / 1000):
                 await self._wake.wait()
 
+    def _describe_proof(self, now_ms: float) -> dict[str, object]:
+        """Return log fields about the latest proof of ownership."""
+        kind, proven_ms = self.cell.fleet.proof.find_latest()
+        return {"proof": kind, "proof_age_ms": now_ms - proven_ms}
+
+    def _track_proof(self) -> None:
+        """Log when the ownership is no longer proven, and when it is again."""
+        now_ms = self._clock.now_ms()
+        is_proven = self.cell.is_ownership_proven(now_ms)
+        if is_proven == (self._unproven_since_ms is None):
+            return
+        fields = {"generation": self.cell.generation, **self._describe_proof(now_ms)}
+        if is_proven:
+            log_event(
+                "ownership proven again", unproven_ms=now_ms - self._unproven_since_ms, **fields
+            )
+            self._unproven_since_ms = None
+        else:
+            log_event("ownership not proven", **fields)
+            self._unproven_since_ms = now_ms
+
     def _execute(self, command: CellCommand) -> None:
         if isinstance(command, AdviceRequest):
             if self._advice_client is not None:
@@ -537,7 +587,7 @@
             maintenance_ms=settings.upkeep_ms,
             command_pause_ms=settings.order_pause_ms,
             get_waves=self._get_waves,
-            may_send_commands=lambda: self._lease_renewer.is_valid,
+            may_send_commands=lambda: self._verifier.confirm(timeout_ms=_timing.VM_TIMEOUT_MS),
             on_change=self._wake_planner,
             on_fenced=self._on_fenced,
         )
@@ -552,6 +602,9 @@
             **self.cell.summarise(),
             "generation": self.cell.generation,
             "commits": self._committer.commit_count,
+            "head_reads": self._verifier.read_count,
+            "is_ownership_proven": int(self._unproven_since_ms is None),
+            "store_proof_age_ms": self._clock.now_ms() - self._verifier.confirmed_ms,
             "reports": sum(task.report_count for task in self._runner_tasks.values()),
         }
 
--- a/coltsfootpier/node/_timing.py
+++ b/coltsfootpier/node/_timing.py
@@ -22,6 +22,14 @@
 # 700 periods. A renewal is charged a tenth of any other call.
 OWNER_LEASE_MS = 1_300.0
 OWNER_RENEW_PERIOD_MS = 200.0
+# Age of the latest proof of ownership after which the head record is read. Much less than a proof
+# is valid, so that several reads in a row may be lost.
+HEAD_READ_PERIOD_MS = 200.0
+# Minimum time between two reads of the head record that requests are waiting for.
+HEAD_READ_PAUSE_MS = 50.0
+# Time that a request waits for such a read. Together with a read of a job record it is below the
+# time limit of a request to another daemon.
+HEAD_CONFIRM_TIMEOUT_MS = 600.0
 # Time between reads of the registry. Runners report every 1,500 ms and must get no new run 2,000 ms
 # after they announced that they leave.
 REGISTRY_PERIOD_MS = 400.0
@@ -67,8 +75,8 @@
 # Time between probes of an unresponsive owner; half of the load balancer's check period, so that
 # the daemon is ready again by the next check.
 PROBE_PERIOD_MS = 500.0
-# Time limit of one call to the VM service; below the owner's lease, so that a command sent while
-# the lease held has arrived or failed soon after the lease expires.
+# Time limit of one call to the VM service. A command is sent right after a proof of ownership, so a
+# later owner that waits for this time and the platform's pause sends the next one late enough.
 VM_TIMEOUT_MS = 1_000.0
 # Time between listings of the worker VMs while a maintenance wave isn't complete. The shorter time
 # applies after a command, when tasks of the VM wait to be started elsewhere, and while a runner may
--- a/coltsfootpier/node/_vms.py
+++ b/coltsfootpier/node/_vms.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Awaitable, Callable, Container, Iterable
 from typing import Protocol
 
 import anyio
@@ -96,7 +96,7 @@
     get_waves : callable
         Returns the waves that operators have requested.
     may_send_commands : callable
-        Returns whether this daemon is guaranteed to still own the cell.
+        Awaited before each command; returns whether this daemon still owned the cell meanwhile.
     on_change : callable
         Called when runners may have been cordoned or released, or have ended.
     on_fenced : callable
@@ -116,7 +116,7 @@
         maintenance_ms: float,
         command_pause_ms: float,
         get_waves: Callable[[], Iterable[Wave]],
-        may_send_commands: Callable[[], bool],
+        may_send_commands: Callable[[], Awaitable[bool]],
         on_change: Callable[[], None],
         on_fenced: Callable[[str], None],
     ) -> None:
@@ -193,7 +193,7 @@
 
     async def _send_command(self, command: MaintenanceCommand) -> None:
         outcome = MaintenanceOutcome.REFUSED
-        if self._may_send_commands():
+        if await self._may_send_commands():
             outcome = await self._client.start_maintenance(
                 command, timeout_ms=_timing.VM_TIMEOUT_MS
             )
--- a/coltsfootpier/platform/_store.py
+++ b/coltsfootpier/platform/_store.py
@@ -32,11 +32,12 @@
 # Maximum number of conditions, writes and removals of one transaction, set by the platform.
 MAX_ENTRIES = 32
 # Connections for each kind of call. A call whose response is lost keeps its connection until its
-# timeout, so attempts of a change and renewals of a lease have pools of their own, which are as
+# timeout, so attempts of a change, renewals of a lease and probes have pools of their own, each as
 # large as the number of such calls in flight.
 _GENERAL_CONNECTIONS = 4
 _COMMIT_CONNECTIONS = 6
 _RENEWAL_CONNECTIONS = 6
+_PROBE_CONNECTIONS = 6
 # Concurrent watches.
 _WATCH_CONNECTIONS = 4
 
@@ -76,6 +77,9 @@
         self._renewal_pool = HttptoolsPool(
             host=host, port=port, clock=clock, connections=_RENEWAL_CONNECTIONS
         )
+        self._probe_pool = HttptoolsPool(
+            host=host, port=port, clock=clock, connections=_PROBE_CONNECTIONS
+        )
         self._watch_pool = HttptoolsPool(
             host=host, port=port, clock=clock, connections=_WATCH_CONNECTIONS
         )
@@ -85,8 +89,17 @@
         self, key: str, *, timeout_ms: float | None = None
     ) -> Result[Item, PlatformError]:
         """Read one key; a missing key has version 0."""
+        return await self._get(key, self._general_pool, timeout_ms)
+
+    async def probe(self, key: str, *, timeout_ms: float) -> Result[Item, PlatformError]:
+        """Read one key on a connection that other calls never occupy."""
+        return await self._get(key, self._probe_pool, timeout_ms)
+
+    async def _get(
+        self, key: str, pool: HttptoolsPool, timeout_ms: float | None
+    ) -> Result[Item, PlatformError]:
         target = f"/kv-key?key={quote(key, safe='/')}"
-        result = await self._call("GET", target, timeout_ms=timeout_ms)
+        result = await self._call("GET", target, pool=pool, timeout_ms=timeout_ms)
         if isinstance(result, Failure):
             return result
         reply = result.unwrap()
@@ -229,7 +242,13 @@
 
     def close(self) -> None:
         """Close the idle connections."""
-        for pool in (self._general_pool, self._commit_pool, self._renewal_pool, self._watch_pool):
+        for pool in (
+            self._general_pool,
+            self._commit_pool,
+            self._renewal_pool,
+            self._probe_pool,
+            self._watch_pool,
+        ):
             pool.close()
 
     async def _call(
--- a/soak/_run_model.py
+++ b/soak/_run_model.py
@@ -681,6 +681,10 @@
         """Read one key."""
         return await self._call(lambda: Success(self._store.read(key)))
 
+    async def probe(self, key: str, *, timeout_ms: float) -> Result:
+        """Read one key."""
+        return await self.get(key)
+
     async def list_all(self, prefix: str, *, allow_stale: bool = False) -> Result:
         """Read all items under a prefix."""
         return await self._call(lambda: Success(self._store.list(prefix)))
--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -69,6 +69,23 @@
 
         self._play(play, runner_count=3)
 
+    def test_owner_without_key_extends_leases_while_its_renewals_succeed(self):
+        """Guards against renewals that count as a proof of ownership after the key was removed."""
+
+        async def play(simulation):
+            runner, _ = await self._start_task()
+            earlier = simulation.current
+            simulation.cut_from_successor = ((runner.address,), 60.0)
+            simulation.revoke_ownership()
+            simulation.claim()
+            await anyio.sleep(1.0)
+            ended.append(earlier.is_ended)
+            await anyio.sleep(30.0)
+
+        ended = []
+        self._play(play, runner_count=3)
+        self.assertEqual(ended, [True])
+
     def test_superseded_owner_starts_task_on_restarted_runner(self):
         """Guards against a start where the token of the successor was forgotten."""
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,7 +6,8 @@
 
 Faults are set with ``POST /faults``: ``outage`` (calls are rejected), ``silent`` (calls get no
 response), ``delay_ms``, ``lose_answers`` (writes take effect, but the connection is closed without
-a response), and ``rubbish`` (responses that aren't JSON).
+a response), ``rubbish`` (responses that aren't JSON), and ``mute_watches`` (watches end without
+events, as if nothing had changed).
 
 ``POST /remove`` removes keys without ending their leases. ``GET /renewal`` returns as soon as a
 lease is renewed, just before the response to the renewal is sent.
@@ -65,6 +66,7 @@
     delay_ms: float = 0.0
     lose_answers: int = 0
     rubbish: bool = False
+    mute_watches: bool = False
 
 
 class Store:
@@ -376,6 +378,8 @@
             if items is None:
                 return HttpResponse.problem(410, "history_lost", f"after {after_revision}")
             remaining_ms = end_ms - self._clock.now_ms()
+            if self.faults.mute_watches:
+                items, revision = [], after_revision
             if items or remaining_ms <= 0:
                 events = [self._describe_watch_event(item["key"]) for item in items]
                 return HttpResponse.from_message({"events": events, "store_revision": revision})
--- a/tests/test_processes_repeats.py
+++ b/tests/test_processes_repeats.py
@@ -101,6 +101,29 @@
         self._check("", remove_key=True)
 
 
+class MutedOwnerTest(RepeatsTestCase):
+    """An owner whose key is removed while its renewals succeed and its watch shows nothing."""
+
+    def test_accepted_job_is_not_reported_as_missing(self):
+        """Guards against 410 responses for jobs that the successor has accepted."""
+
+        async def test():
+            owner = await self.nodes.read_owner()
+            self.nodes.set_links(owner, {self.nodes.runner_ports[0]: "cut"})
+            await self.nodes.set_store_faults(mute_watches=True)
+            await self.nodes.remove_owner_key()
+            self.nodes.start_node("n2", faulty_links=True)
+            await self.wait_for_log('event="ownership begins" vm=n2')
+            job_id = await self.submit("n2", run_ms=10_000)
+            for method in ("GET", "DELETE"):
+                response = await self.nodes.request(owner, method, job_id, timeout_ms=1_500)
+                status = response.status if response is not None else None
+                self.assertNotEqual(status, 410, self.nodes.read_logs())
+            await self.wait_for_log(f'event="owner stopping" vm={owner}')
+
+        run_async(test)
+
+
 class RebornRunnerTest(RepeatsTestCase):
     """A runner that starts again under its id while calls to the earlier incarnation are late."""
 
