Keep an owner that most runners accept when one rejects it in an outage

While the store was down, a single "fence" response, also of an odd server at the address of a registry entry, ended the owner, and with it the leases of all runs: no daemon can claim the cell until the store is back.

Cause: the check of a rejected command stopped the owner unless a read of the head showed its own record, so the outage by itself decided.

A genuine rejection shows that a later owner exists, which relies on nothing of this owner while its proof is valid. One runner alone neither ends it nor keeps it.

--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -409,20 +409,27 @@
         self._group.start_soon(self._check_fence, target, is_first)
 
     async def _check_fence(self, target: str, is_first: bool) -> None:
-        """Stop unless the store shows that no later owner exists.
+        """Stop unless the ownership stays proven until the store shows that no later owner exists.
 
-        A server at the address of an odd registry entry may respond as if it knew one.
+        A server at the address of an odd registry entry may respond as if it knew one, and the
+        store may be down. A later owner relies on nothing as long as the proof is valid.
         """
         try:
-            is_confirmed = await self._verifier.confirm(timeout_ms=_timing.STORE_READ_TIMEOUT_MS)
+            while not await self._verifier.confirm(timeout_ms=_timing.STORE_READ_TIMEOUT_MS):
+                now_ms = self._clock.now_ms()
+                if self._is_stopped or not self.cell.is_ownership_proven(now_ms):
+                    log_event("fenced by a later owner", at=target)
+                    self._stop("fenced")
+                    return
+                if is_first:
+                    is_first = False
+                    log_event(
+                        "later owner can't be checked", at=target, **self._describe_proof(now_ms)
+                    )
         finally:
             self._is_checking_fence = False
-        if is_confirmed:
-            if is_first:
-                log_event("later owner not confirmed by the store", at=target)
-            return
-        log_event("fenced by a later owner", at=target)
-        self._stop("fenced")
+        if is_first:
+            log_event("later owner not confirmed by the store", at=target)
 
     def _on_replaced(self, head: Head) -> None:
         log_event(
--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -86,6 +86,26 @@
         self._play(play, runner_count=3)
         self.assertEqual(ended, [True])
 
+    def test_odd_runner_does_not_end_the_owner_while_the_store_is_down(self):
+        """Guards against work that is lost because one runner claims to know a later owner."""
+
+        async def play(simulation):
+            runner, (other, odd) = await self._start_task()
+            owner = simulation.current
+            self._set_links(owner, other, odd, is_cut=False)
+            await anyio.sleep(2.0)
+            odd.token = 99
+            simulation.store.is_down = True
+            await anyio.sleep(10.0)
+            simulation.store.is_down = False
+            await anyio.sleep(2.0)
+            ended.append(owner.is_ended)
+            self.assertEqual(simulation.history.find_runners(TASK), [runner])
+
+        ended = []
+        self._play(play, runner_count=3)
+        self.assertEqual(ended, [False])
+
     def test_superseded_owner_starts_task_on_restarted_runner(self):
         """Guards against a start where the token of the successor was forgotten."""
 
