Remember late calls to a runner that leaves the registry

A task had two runs at once: its runner restarted under its identifier, got the task, took a late report request whose deadline was computed on the clock of the earlier incarnation (a lease of 10 s), and was cut off. The owner freed the task 4.3 s after the last contact.

Cause: a restart is detected by the change of `born`, which is known only while the fleet keeps the runner. A crashed runner whose entry has expired is removed, with its calls without a response, and is a new one when it registers again.

The fleet keeps the time until which such a call may extend leases, from the last expiry that the owner's own calls gave, the 12 s in which a call may arrive late, and the longest lease. It applies to a runner that registers again under the identifier, and doesn't keep ended runners in the fleet record, where they would count for a majority.

--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -58,6 +58,8 @@
         self.is_complete = True
         self._unlisted_expiry_ms = float("-inf")
         self._earlier_bounds: ActionBounds | None = None
+        # Until when a late call may extend leases on each runner that was removed.
+        self._removed_expiry_ms: dict[str, float] = {}
         # Whether the registry was read, so that the capacity of the cell is known.
         self.is_listed = False
         self.proof = OwnershipProof(settings=settings, runners=self.runners)
@@ -175,6 +177,9 @@
             runner = self.runners.get(runner_id)
             if runner is None:
                 runner = self.runners[runner_id] = Runner(entry=entry)
+                runner.earlier_lease_expiry_ms = self._removed_expiry_ms.get(
+                    runner_id, float("-inf")
+                )
                 self._log("runner joined", runner=runner_id, rack=entry.rack)
             if entry.draining and not runner.entry.draining:
                 self._log("runner is draining", runner=runner_id, remaining_ms=entry.remaining_ms)
@@ -192,6 +197,28 @@
             if not runner.runs and expired and not is_barring and runner_id not in self.inherited:
                 del self.runners[runner_id]
                 self._unbounded.discard(runner_id)
+                self._retain_late_expiry(runner, now_ms)
+
+    def _retain_late_expiry(self, removed: Runner, now_ms: float) -> None:
+        """Retain until when a late call may extend leases on a removed runner.
+
+        It may register again after a restart and take a deadline on its earlier clock.
+        """
+        settings = self._settings
+        # The last call with a deadline was sent before the leases that it extended expired.
+        expiry_ms = (
+            removed.call_lease_expiry_ms
+            + settings.late_call_ms
+            + compute_lease_ms(settings.max_run_lease_ms, settings)
+        )
+        removed_id = removed.entry.id
+        self._removed_expiry_ms[removed_id] = max(
+            expiry_ms, self._removed_expiry_ms.get(removed_id, float("-inf"))
+        )
+        for runner_id in [
+            key for key, end_ms in self._removed_expiry_ms.items() if end_ms < now_ms
+        ]:
+            del self._removed_expiry_ms[runner_id]
 
     def apply_restart(self, runner: Runner, started_unix_ms: int, proof: EndProof) -> list[Run]:
         """Apply a restart and return the runs that were lost with the earlier incarnation.
--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -282,6 +282,29 @@
 
         self._play(play)
 
+    def test_runner_leaves_the_registry_and_takes_late_deadline_after_its_restart(self):
+        """Guards against a removed runner whose calls without a response are forgotten."""
+
+        async def play(simulation):
+            runner, other = simulation.runners
+            owner = simulation.current
+            await anyio.sleep(20.0)
+            simulation.network.late_s = (11.5, 11.5)
+            self._set_links(owner, runner, late=1.0)
+            await anyio.sleep(0.6)
+            self._set_links(owner, runner, late=0.0)
+            self._set_links(owner, other, is_cut=True)
+            simulation.restart_runner(runner, 7.0)
+            await anyio.sleep(9.7)
+            await simulation.submit(JOB, duration_ms=float("inf"))
+            await anyio.sleep(1.4)
+            self.assertEqual(simulation.history.find_runners(TASK), [runner])
+            self._set_links(owner, runner, is_cut=True)
+            self._set_links(owner, other, is_cut=False)
+            await anyio.sleep(25.0)
+
+        self._play(play)
+
     def test_restart_in_the_registry_frees_run_of_the_new_incarnation(self):
         """Guards against a restart that frees a run that was started after it."""
 
