Expect the longest lease on young runners outside of the fleet record

A task had two runs at once: a runner that crashed was removed from the fleet record, restarted under its identifier, and took a late report request of the earlier owner, whose deadline was computed on the earlier clock, before it responded to the successor. The successor gave it a task, lost the runner, and freed the task 4.3 s after the last contact, while its lease was 10 s.

Cause: `record_first_report` expects the longest lease only on runners that the loaded record lists. The record shows where inherited runs may be, not which runners an earlier owner has called.

The unit tests of the cells pass.

The price is a later expiry for tasks of a runner that joins under the second or a later owner and is lost within seconds without being listed as ended.

--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -142,10 +142,15 @@
         )
 
     def record_first_report(self, runner: Runner, report: RunnerReport) -> None:
-        """Record that an inherited runner rejects the earlier owner's commands from now on."""
-        if runner.adopted or runner.entry.id not in self._earlier_ids:
+        """Record that a runner rejects the earlier owner's commands from now on.
+
+        An earlier owner may have called a runner that left the fleet record since.
+        """
+        if runner.adopted or self.generation == 1:
             return
         is_young = self._is_young(report)
+        if not is_young and runner.entry.id not in self._earlier_ids:
+            return
         settings = self._settings
         lease_ms = settings.max_run_lease_ms if is_young else settings.run_lease_ms
         lease_expiry_ms = report.received_ms + compute_lease_ms(lease_ms, settings)
--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -305,6 +305,33 @@
 
         self._play(play)
 
+    def test_removed_runner_takes_late_deadline_before_it_responds_to_a_successor(self):
+        """Guards against a lease of 10 s on a runner that isn't in the fleet record."""
+
+        async def play(simulation):
+            runner, other = simulation.runners
+            await anyio.sleep(20.0)
+            simulation.network.late_s = (11.5, 11.5)
+            self._set_links(simulation.current, runner, late=1.0)
+            await anyio.sleep(0.6)
+            self._set_links(simulation.current, runner, late=0.0)
+            simulation.restart_runner(runner, 8.4)
+            await anyio.sleep(7.4)
+            simulation.cut_from_successor = ((runner.address,), 3.7)
+            simulation.revoke_ownership()
+            simulation.claim()
+            await anyio.sleep(3.9)
+            self._set_links(simulation.current, other, is_cut=True)
+            await anyio.sleep(1.4)
+            await simulation.submit(JOB, duration_ms=float("inf"))
+            await anyio.sleep(0.5)
+            self.assertEqual(simulation.history.find_runners(TASK), [runner])
+            self._set_links(simulation.current, runner, is_cut=True)
+            self._set_links(simulation.current, other, is_cut=False)
+            await anyio.sleep(25.0)
+
+        self._play(play)
+
     def test_restart_in_the_registry_frees_run_of_the_new_incarnation(self):
         """Guards against a restart that frees a run that was started after it."""
 
