Name the confirmation of the ownership after what it is now

`record_renewal` of the cell and of the proof records that the store showed that no later owner existed, by a change or a read of the head. Renewals of the lease no longer call it, so the name was wrong. Mechanical: 18 uses and two comments. The unit tests of cells and node passed before and after.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -476,9 +476,9 @@
 
     # Planning
 
-    def record_renewal(self, sent_ms: float) -> None:
+    def record_confirmation(self, sent_ms: float) -> None:
         """Record that the store showed that no later owner existed at a local time."""
-        self.fleet.proof.record_renewal(sent_ms)
+        self.fleet.proof.record_confirmation(sent_ms)
 
     def is_ownership_proven(self, now_ms: float) -> bool:
         """Return whether leases may be extended and runs started; see `OwnershipProof`."""
--- a/coltsfootpier/cells/_ownership.py
+++ b/coltsfootpier/cells/_ownership.py
@@ -42,7 +42,7 @@
         # Until when more than half of each list is known to have accepted the owner.
         self._majority_until_ms = float("-inf")
 
-    def record_renewal(self, sent_ms: float) -> None:
+    def record_confirmation(self, sent_ms: float) -> None:
         """Record that the store showed that no later owner existed at a local time."""
         self.store_confirmed_ms = max(self.store_confirmed_ms, sent_ms)
 
--- a/coltsfootpier/cells/tests/builders.py
+++ b/coltsfootpier/cells/tests/builders.py
@@ -117,7 +117,7 @@
         entries = entries or tuple(build_entry(name) for name in names)
         self.runners = {entry.id: SimulatedRunner(entry) for entry in entries}
         self.commands: list[CellCommand] = []
-        # Whether the store confirms each renewal of the owner's lease.
+        # Whether the store confirms that no later owner exists.
         self.is_store_up = True
         # Outcome of start commands on each runner, if it is another than `STARTED`.
         self.outcomes: dict[str, StartOutcome] = {}
@@ -193,9 +193,9 @@
             )
 
     def renew(self) -> None:
-        """Renew the owner's lease, if the store responds."""
+        """Confirm that no later owner exists, if the store responds."""
         if self.is_store_up:
-            self.cell.record_renewal(self.now_ms)
+            self.cell.record_confirmation(self.now_ms)
 
     def plan(self) -> list[CellCommand]:
         """Plan once and execute the commands on reachable runners."""
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -117,13 +117,13 @@
             observe=metrics.observe,
         )
         # The claim took effect later than that.
-        self.cell.record_renewal(granted_ms)
+        self.cell.record_confirmation(granted_ms)
         self._verifier = OwnershipVerifier(
             store=store,
             clock=clock,
             head=head,
             confirmed_ms=granted_ms,
-            on_confirmed=self.cell.record_renewal,
+            on_confirmed=self.cell.record_confirmation,
             on_replaced=self._on_replaced,
         )
         self._committer = Committer(
--- a/coltsfootpier/node/tests/test_owner.py
+++ b/coltsfootpier/node/tests/test_owner.py
@@ -82,7 +82,7 @@
     def test_replaced_owner_with_fresh_proof_does_not_report_missing_job(self):
         """Guards against the same by an owner whose key was removed, as in soak seeds 105, 106."""
         self.store.put(HEAD_KEY, encode(Head(generation=2, holder="other")))
-        self.owner.cell.record_renewal(self.clock.now_ms())
+        self.owner.cell.record_confirmation(self.clock.now_ms())
         for response in self._query():
             self.assertEqual(response, NOT_OWNER)
         self.assertTrue(self.owner._is_stopped)
--- a/coltsfootpier/node/tests/test_runner_log.py
+++ b/coltsfootpier/node/tests/test_runner_log.py
@@ -54,7 +54,7 @@
             on_fenced=lambda _: None,
             connect=lambda **_: self.client,
         )
-        self.cell.record_renewal(self.clock.now_ms())
+        self.cell.record_confirmation(self.clock.now_ms())
 
     async def _report(self, started_unix_ms=5):
         now_ms = self.clock.now_ms()
--- a/coltsfootpier/node/tests/test_runner_task.py
+++ b/coltsfootpier/node/tests/test_runner_task.py
@@ -143,7 +143,7 @@
 
         async def steps():
             await self._wait_reports()
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             self.assertIsNotNone((await self._wait_reports())[-1])
             # The runner rejects reports, so that it proves nothing either.
             self.client.is_reachable = False
@@ -156,7 +156,7 @@
         """Guards against an owner that was frozen between its plan and the start command."""
 
         async def steps():
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             await self._wait_reports()
             command = self._plan_start()
             # One of three runners is no majority.
@@ -173,7 +173,7 @@
         """Guards against a lease of the longest time on a runner whose clock started anew."""
 
         async def steps():
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             await self._wait_reports()
             self.client.started_unix_ms = 2
             self.client.clock_ms = 0.0
@@ -191,10 +191,10 @@
 
         async def steps():
             self.client.rate = 1 - self.cell.settings.clock_drift
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             await self._wait_reports()
             self.clock.advance(20_000.0)
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             deadline_ms = max(await self._wait_reports())
             runner_now_ms = self.client.clock_ms + self.clock.now_ms() * self.client.rate
             self.assertLessEqual(deadline_ms, runner_now_ms + RUN_LEASE_MS)
@@ -205,7 +205,7 @@
         """Guards against deadlines and acknowledged ends that a restarted runner misunderstands."""
 
         async def steps():
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             await self._wait_reports()
             self.cell.fleet.runners["a"].applied_end = 57
             self.assertIsNotNone((await self._wait_reports())[-1])
@@ -223,7 +223,7 @@
         self.client.is_answering = False
 
         async def steps():
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             await self._wait_reports()
             self.task.execute(self._plan_start())
             await self._wait_reports()
@@ -237,7 +237,7 @@
         """Guards against freed tasks that still run at the earlier address of their runner."""
 
         async def steps():
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             await self._wait_reports()
 
         self._run(steps)
--- a/coltsfootpier/node/tests/test_runner_task_errors.py
+++ b/coltsfootpier/node/tests/test_runner_task_errors.py
@@ -82,7 +82,7 @@
         self.entry = build_entry()
         self.cell.set_runners([self.entry], self.clock.now_ms())
         self.cell.fleet.mark_recorded([self.entry.id])
-        self.cell.record_renewal(self.clock.now_ms())
+        self.cell.record_confirmation(self.clock.now_ms())
         self.client = OddClient(self.clock)
         for patch in (
             mock.patch.object(_timing, "RUNNER_ERROR_PAUSE_MS", 20.0),
@@ -130,7 +130,7 @@
         now_ms = self.clock.now_ms()
         accepted = self.cell.submit(JOB_ID, QUEUE, build_job(), now_ms=now_ms, unix_ms=0.0)
         self.cell.jobs.mark_durable(accepted.job, accepted.version)
-        self.cell.record_renewal(now_ms)
+        self.cell.record_confirmation(now_ms)
         commands = self.cell.plan(now_ms, 0.0)
         (command,) = [command for command in commands if isinstance(command, StartRun)]
         self.task.execute(command)
