Bound the age of the proof with which a command for a VM is sent

A later owner sends no command for a VM with a recorded one until the platform's pause and one call have passed. That counts on the earlier owner having stopped when its successor began, as an expired lease ensured. An owner whose key was removed is proven wrong only by its next proof, and one that was frozen between its proof and the command sends it seconds later, so that commands of two owners could be less than the platform's pause apart.

Evidence: found by reading; the unit test of a freeze between proof and command failed with `verifier.confirm` alone as the condition, which answered yes.

--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -594,7 +594,7 @@
             maintenance_ms=settings.upkeep_ms,
             command_pause_ms=settings.order_pause_ms,
             get_waves=self._get_waves,
-            may_send_commands=lambda: self._verifier.confirm(timeout_ms=_timing.VM_TIMEOUT_MS),
+            may_send_commands=self._may_send_vm_command,
             on_change=self._wake_planner,
             on_fenced=self._on_fenced,
         )
@@ -603,6 +603,12 @@
         finally:
             client.close()
 
+    async def _may_send_vm_command(self) -> bool:
+        limit_ms = _timing.VM_PROOF_AGE_MS
+        is_confirmed = await self._verifier.confirm(timeout_ms=limit_ms)
+        # The process may have been frozen meanwhile.
+        return is_confirmed and self._clock.now_ms() - self._verifier.confirmed_ms < limit_ms
+
     def read_gauges(self) -> dict[str, float]:
         """Return the current values of the cell for metrics and logs."""
         return {
--- a/coltsfootpier/node/_timing.py
+++ b/coltsfootpier/node/_timing.py
@@ -75,9 +75,11 @@
 # Time between probes of an unresponsive owner; half of the load balancer's check period, so that
 # the daemon is ready again by the next check.
 PROBE_PERIOD_MS = 500.0
-# Time limit of one call to the VM service. A command is sent right after a proof of ownership, so a
-# later owner that waits for this time and the platform's pause sends the next one late enough.
+# Time limit of one call to the VM service.
 VM_TIMEOUT_MS = 1_000.0
+# Maximum age of the proof of ownership with which a command for a VM is sent. A later owner waits
+# for this time, one call and the platform's pause before its first command for the same VM.
+VM_PROOF_AGE_MS = 300.0
 # Time between listings of the worker VMs while a maintenance wave isn't complete. The shorter time
 # applies after a command, when tasks of the VM wait to be started elsewhere, and while a runner may
 # have ended.
--- a/coltsfootpier/node/_vms.py
+++ b/coltsfootpier/node/_vms.py
@@ -131,7 +131,9 @@
         self._planner = MaintenancePlanner(
             settings=MaintenanceSettings(
                 maintenance_ms=maintenance_ms,
-                takeover_delay_ms=command_pause_ms + _timing.VM_TIMEOUT_MS,
+                takeover_delay_ms=(
+                    command_pause_ms + _timing.VM_TIMEOUT_MS + _timing.VM_PROOF_AGE_MS
+                ),
             ),
             cordons=cordons,
             record=record,
--- a/coltsfootpier/node/tests/test_owner.py
+++ b/coltsfootpier/node/tests/test_owner.py
@@ -243,6 +243,27 @@
         self.assertTrue(self.owner._is_stopped)
 
 
+class VmCommandTest(OwnerTestCase):
+    """Commands for worker VMs, which a later owner may send as well."""
+
+    def _is_sent(self, *, frozen_ms):
+        verifier = self.owner._verifier
+
+        async def confirm(*, timeout_ms):
+            self.clock.advance(1.0)
+            verifier.record_confirmation(self.clock.now_ms())
+            self.clock.advance(frozen_ms)
+            return True
+
+        verifier.confirm = confirm
+        return anyio.run(self.owner._may_send_vm_command)
+
+    def test_no_command_after_a_freeze(self):
+        """Guards against commands of two owners for one VM within the platform's pause."""
+        self.assertTrue(self._is_sent(frozen_ms=0.0))
+        self.assertFalse(self._is_sent(frozen_ms=_timing.VM_PROOF_AGE_MS))
+
+
 class FleetRecordTest(OwnerTestCase):
     """Runners of the fleet record that earlier owners have written."""
 
--- a/coltsfootpier/node/tests/test_vms.py
+++ b/coltsfootpier/node/tests/test_vms.py
@@ -179,7 +179,8 @@
         self.waves = [build_wave("m-1", "m-2", max_down=2)]
         wave = WaveRecord(number=1, began_unix_ms=0.0, ordered=("m-1",))
         self._run(20, MaintenanceRecord((wave,)))
-        self.assertGreaterEqual(times["m-1"], PAUSE_MS + _timing.VM_TIMEOUT_MS)
+        delay_ms = PAUSE_MS + _timing.VM_TIMEOUT_MS + _timing.VM_PROOF_AGE_MS
+        self.assertGreaterEqual(times["m-1"], delay_ms)
         # No earlier owner has sent a command for this VM.
         self.assertLess(times["m-2"], PAUSE_MS)
 
