--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -126,13 +126,13 @@
             observe=metrics.observe,
         )
         # The claim took effect later than that.
-        self.cell.record_renewal(granted_ms)
+        self.cell.record_confirmation(granted_ms)
         self._verifier = OwnershipVerifier(
             store=store,
             clock=clock,
             head=head,
             confirmed_ms=granted_ms,
-            on_confirmed=self.cell.record_renewal,
+            on_confirmed=self.cell.record_confirmation,
             on_replaced=self._on_replaced,
         )
         self._committer = Committer(
@@ -658,7 +658,7 @@
             command_pause_ms=settings.order_pause_ms,
             late_call_ms=self._cell_settings.late_call_ms,
             get_waves=self._get_waves,
-            may_send_commands=lambda: self._verifier.confirm(timeout_ms=_timing.VM_TIMEOUT_MS),
+            may_send_commands=self._may_send_vm_command,
             on_change=self._wake_planner,
             on_fenced=self._on_fenced,
         )
@@ -667,6 +667,12 @@
         finally:
             client.close()
 
+    async def _may_send_vm_command(self) -> bool:
+        limit_ms = _timing.VM_PROOF_AGE_MS
+        is_confirmed = await self._verifier.confirm(timeout_ms=limit_ms)
+        # The process may have been frozen meanwhile.
+        return is_confirmed and self._clock.now_ms() - self._verifier.confirmed_ms < limit_ms
+
     def read_gauges(self) -> dict[str, float]:
         """Return the current values of the cell for metrics and logs."""
         return {
--- a/coltsfootpier/node/tests/test_owner.py
+++ b/coltsfootpier/node/tests/test_owner.py
@@ -99,7 +99,7 @@
     def test_replaced_owner_with_fresh_proof_does_not_report_missing_job(self):
         """Guards against the same by an owner whose key was removed, as in soak seeds 105, 106."""
         self.store.put(HEAD_KEY, encode(Head(generation=2, holder="other")))
-        self.owner.cell.record_renewal(self.clock.now_ms())
+        self.owner.cell.record_confirmation(self.clock.now_ms())
         for response in self._query():
             self.assertEqual(response, NOT_OWNER)
         self.assertTrue(self.owner._is_stopped)
@@ -269,6 +269,27 @@
         self.assertTrue(self.owner._is_stopped)
 
 
+class VmCommandTest(OwnerTestCase):
+    """Commands for worker VMs, which a later owner may send as well."""
+
+    def _is_sent(self, *, frozen_ms):
+        verifier = self.owner._verifier
+
+        async def confirm(*, timeout_ms):
+            self.clock.advance(1.0)
+            verifier.record_confirmation(self.clock.now_ms())
+            self.clock.advance(frozen_ms)
+            return True
+
+        verifier.confirm = confirm
+        return anyio.run(self.owner._may_send_vm_command)
+
+    def test_no_command_after_a_freeze(self):
+        """Guards against commands of two owners for one VM within the platform's pause."""
+        self.assertTrue(self._is_sent(frozen_ms=0.0))
+        self.assertFalse(self._is_sent(frozen_ms=_timing.VM_PROOF_AGE_MS))
+
+
 class FleetRecordTest(OwnerTestCase):
     """Runners of the fleet record that earlier owners have written."""
 
--- a/coltsfootpier/node/tests/test_runner_task.py
+++ b/coltsfootpier/node/tests/test_runner_task.py
@@ -187,7 +187,7 @@
 
         async def steps():
             await self._wait_reports()
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             self.assertIsNotNone((await self._wait_reports())[-1])
             # The runner rejects reports, so that it proves nothing either.
             self.client.is_reachable = False
@@ -200,7 +200,7 @@
         """Guards against an owner that was frozen between its plan and the start command."""
 
         async def steps():
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             await self._wait_reports()
             command = self._plan_start()
             # One of three runners is no majority.
@@ -217,7 +217,7 @@
         """Guards against a lease of the longest time on a runner whose clock started anew."""
 
         async def steps():
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             await self._wait_reports()
             self.client.started_unix_ms = 2
             self.client.clock_ms = 0.0
@@ -235,10 +235,10 @@
 
         async def steps():
             self.client.rate = 1 - self.cell.settings.clock_drift
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             await self._wait_reports()
             self.clock.advance(20_000.0)
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             deadline_ms = max(await self._wait_reports())
             runner_now_ms = self.client.clock_ms + self.clock.now_ms() * self.client.rate
             self.assertLessEqual(deadline_ms, runner_now_ms + RUN_LEASE_MS)
@@ -271,7 +271,7 @@
         """Guards against deadlines and acknowledged ends that a restarted runner misunderstands."""
 
         async def steps():
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             await self._wait_reports()
             self.client.ended = (EndedRow(57, RunId("j", TaskKey(0, 0, 0), 1), EndKind.DONE),)
             self.assertIsNotNone((await self._wait_reports())[-1])
@@ -290,7 +290,7 @@
         self.client.is_answering = False
 
         async def steps():
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             await self._wait_reports()
             self.task.execute(self._plan_start())
             await self._wait_reports()
@@ -304,7 +304,7 @@
         """Guards against freed tasks that still run at the earlier address of their runner."""
 
         async def steps():
-            self.cell.record_renewal(self.clock.now_ms())
+            self.cell.record_confirmation(self.clock.now_ms())
             await self._wait_reports()
 
         self._run(steps)
