Return the members of a daemon in the order of its table

Cause: a trace of all simulated calls under two hash seeds differs first where a starting daemon adds the members that its seed returned. `on_pull_members` removed duplicates with a set, whose order depends on the hashes of the members' names, so the peers were connected in another order. A dict keeps the order of the member table.

--- a/coltsfootpier/daemon/_daemon.py
+++ b/coltsfootpier/daemon/_daemon.py
@@ -554,7 +554,7 @@
         """Return the reachable members, including this daemon."""
         members = self.control.members
         reachable = tuple(members.members[member_id] for member_id in members.list_reachable())
-        return MemberList(members=tuple({*reachable, self.control.member}))
+        return MemberList(members=tuple(dict.fromkeys((*reachable, self.control.member))))
 
     async def on_revision(self, revision: Revision) -> Revision:
         """Apply a durable revision and return the revision in force."""
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import os
+import subprocess
+import sys
 import unittest
 
 from soak._run import run_seed
@@ -43,6 +46,25 @@
         self.assertEqual(first.events, second.events)
         self.assertEqual(first.callbacks, second.callbacks)
 
+    def test_seed_replays_exactly_in_another_process(self) -> None:
+        """Guards against a run that depends on the order of a set, which hashes of texts decide."""
+        program = (
+            "from soak._run import run_seed\n"
+            "report = run_seed(20, minutes=2.0, workers=1, daemons=5)\n"
+            "print(report.callbacks, *report.events, sep='\\n')"
+        )
+        processes = [
+            subprocess.Popen(
+                [sys.executable, "-c", program],
+                stdout=subprocess.PIPE,
+                env={**os.environ, "PYTHONHASHSEED": hash_seed},
+            )
+            for hash_seed in ("0", "1")
+        ]
+        first, second = [process.communicate()[0].splitlines() for process in processes]
+        self.assertGreater(len(first), 20)
+        self.assertEqual(first, second)
+
 
 if __name__ == "__main__":
     unittest.main()
