Use new runners after 10 s although most recorded ones are gone

What callers felt: after a change of owner in which more than half of the recorded runners were gone, without a listing of worker VMs, new runners got no run until the successor's wait ended (32 minutes, for good before), so new jobs had less than half of the earlier capacity. Cause: a longer list of runners would give the next owner a majority that the earlier owner doesn't need, so new runners stayed out of it.

After 10 s new runners enter the list, which is marked as incomplete until half of the recorded ones are settled: a next owner then relies on no half of it, and waits as if it couldn't be decoded.

Evidence: the unit test fails before.

--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -153,6 +153,9 @@
         self._fleet_entries: dict[str, RunnerEntry] = {}
         # Whether the fleet record that this owner read or wrote last lists all runners in use.
         self._is_record_complete = True
+        # Whether runners were added to it while the earlier owner may need none of them.
+        self._has_added_early = False
+        self._loaded_ms = float("inf")
         # Jobs that may have run, but whose records can't be decoded.
         self._unreadable_jobs: frozenset[str] = frozenset()
         self._wake = anyio.Event()
@@ -179,6 +182,7 @@
             bounds=self._head.bounds,
             is_fleet_complete=loaded.is_fleet_complete,
         )
+        self._loaded_ms = now_ms
         self._unreadable_jobs = loaded.unreadable_jobs
         self._is_record_complete = loaded.is_fleet_complete
         self._fleet_entries = {entry.id: entry for entry in loaded.fleet}
@@ -496,18 +500,18 @@
         ]
         entries = self._registry_merger.merge(entries, registered, now_ms)
         self.cell.set_runners(entries, now_ms)
-        # A longer list would give the next owner a majority that the earlier owner doesn't need.
+        # A longer list would give the next owner a majority that the earlier owner doesn't need. If
+        # half of the runners may be gone, the list is marked, so that nobody relies on half of it.
+        fleet = self.cell.fleet
+        is_late = now_ms - self._loaded_ms >= _timing.SETTLING_TIMEOUT_MS
         new = [
             entry
             for entry in entries
-            if entry.id not in self._fleet_entries and self.cell.fleet.is_half_settled
+            if entry.id not in self._fleet_entries and (fleet.is_half_settled or is_late)
         ]
-        removed = [
-            runner_id
-            for runner_id in self._fleet_entries
-            if runner_id not in self.cell.fleet.runners
-        ]
-        is_complete = self.cell.fleet.is_complete
+        self._has_added_early |= bool(new) and not fleet.is_half_settled
+        removed = [runner_id for runner_id in self._fleet_entries if runner_id not in fleet.runners]
+        is_complete = fleet.is_complete and (fleet.is_half_settled or not self._has_added_early)
         if new or removed or is_complete != self._is_record_complete:
             self._is_record_complete = is_complete
             self._fleet_entries.update((entry.id, entry) for entry in new)
--- a/coltsfootpier/node/_timing.py
+++ b/coltsfootpier/node/_timing.py
@@ -25,6 +25,9 @@
 # Time between reads of the registry. Runners report every 1,500 ms and must get no new run 2,000 ms
 # after they announced that they leave.
 REGISTRY_PERIOD_MS = 400.0
+# Time after a change of owner from which new runners are used although fewer than half of the
+# recorded ones have responded or ended; longer than a restart of all runners takes.
+SETTLING_TIMEOUT_MS = 10_000.0
 # Time limit of a call to a runner; covers the usual 10 ms and two retransmissions of 200 ms.
 RUNNER_TIMEOUT_MS = 600.0
 # Long-poll time of a report request. The tail latency in a report covers the last 500 ms.
--- a/coltsfootpier/node/tests/test_owner.py
+++ b/coltsfootpier/node/tests/test_owner.py
@@ -153,6 +153,31 @@
         self.owner.cell.fleet.inherited -= set("ab")
         self.assertEqual(anyio.run(list_recorded), set("abcde"))
 
+    def test_new_runners_are_used_although_most_recorded_ones_are_gone(self):
+        """Guards against new runners that stay unused for 30 minutes after a change of owner."""
+        inherited = [build_entry(name) for name in "abcd"]
+        self.owner.cell.load([], inherited, now_ms=0.0, unix_ms=0.0)
+        self.owner._fleet_entries = {entry.id: entry for entry in inherited}
+        self.owner._loaded_ms = 0.0
+        written = []
+
+        async def apply(now_ms):
+            async with anyio.create_task_group() as group:
+                self.owner._group = group
+                self.owner._apply_registry([build_entry("e")], now_ms)
+                group.cancel_scope.cancel()
+            record = self.owner._committer._fleet
+            is_complete = record and decode(record[0], dict).get("is_complete", True)
+            written.append((is_complete, set(self.owner._fleet_entries)))
+
+        anyio.run(apply, _timing.SETTLING_TIMEOUT_MS - 1.0)
+        anyio.run(apply, _timing.SETTLING_TIMEOUT_MS)
+        self.owner.cell.fleet.inherited -= set("ab")
+        anyio.run(apply, _timing.SETTLING_TIMEOUT_MS + 1.0)
+        # Until half of the recorded ones are settled, a next owner may not count from half of them.
+        expected = [(None, set("abcd")), (False, set("abcde")), (True, set("abcde"))]
+        self.assertEqual(written, expected)
+
     def test_bounds_are_declared_once_earlier_owners_have_stopped(self):
         """Guards against a next owner that relies on this one while an earlier one still acts."""
         self.owner.cell.load([], [build_entry("a")], now_ms=0.0, unix_ms=0.0)
--- a/soak/_run_simulation.py
+++ b/soak/_run_simulation.py
@@ -83,6 +83,8 @@
         Rate of the runners' clocks; chosen by seed if not given.
     cell_settings : CellSettings, optional
         Settings of all owners.
+    lists_vms : bool, default=True
+        Whether there are listings of the worker VMs.
 
     Attributes
     ----------
@@ -99,9 +101,11 @@
         claims_automatically: bool = True,
         runner_rate: float | None = None,
         cell_settings: CellSettings | None = None,
+        lists_vms: bool = True,
     ) -> None:
         self.loop = loop
         self._cell_settings = cell_settings or CellSettings()
+        self._lists_vms = lists_vms
         self.rng = random.Random(f"{seed}/model")
         self.history = TaskHistory(loop)
         self.store = SimulatedStore(loop)
@@ -213,7 +217,8 @@
         self.owners.append(owner)
         self.history.add("owner claims", owner=host.name, cut_from=",".join(addresses))
         self.loop.start(host, self._run_owner(owner))
-        self.loop.start(host, self._list_vms(owner))
+        if self._lists_vms:
+            self.loop.start(host, self._list_vms(owner))
         return owner
 
     def _reconnect(self, host: str, address: str) -> None:
@@ -513,6 +518,7 @@
         seed=seed,
         runner_count=rng.randint(3, 6),
         cell_settings=CellSettings(max_unconfirmed_ms=max_unconfirmed_ms),
+        lists_vms=limit_rng.random() < 0.75,
     )
     injector = FaultInjector(simulation=simulation, seed=seed)
     with simulation.patch_time(), record_logs(simulation):
