Acknowledge no end while a start of its task may be carried out

Cause: the end of a run rules out other starts of its task on that incarnation only.

Change: an end isn't acknowledged before all starts of its task without a response are settled, 12 s after the call at most. The job's record and what callers see don't wait. A long poll returns at once while ends are listed, so reports are 150 ms apart on such a runner.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -391,10 +391,10 @@
                 self._estimates.record_duration(step, now_ms - run.start_sent_ms)
             for unneeded in self.jobs.finish_task(step, row.run.key, now_ms):
                 self._stop_run(unneeded, "no longer needed", now_ms)
-            runner.pending_ends.append((row.number, job, job.version))
+            runner.pending_ends.append((row.number, row.run, job, job.version))
         elif row.outcome is EndKind.FAILED:
             self._apply_failed_run(runner, step, row, now_ms)
-            runner.pending_ends.append((row.number, job, job.version))
+            runner.pending_ends.append((row.number, row.run, job, job.version))
         if run is not None:
             self.jobs.requeue(run.id)
 
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -308,16 +308,26 @@
                 runner.recorded = True
 
     def get_last_durable_end(self, runner_id: str) -> int:
-        """Return the number of a runner's last ended run up to which all ends are durable."""
+        """Return the number of a runner's last ended run up to which all ends may be acknowledged.
+
+        Their records are durable then, and no incarnation may carry out another start of the task.
+        """
         runner = self.runners[runner_id]
         while runner.pending_ends:
-            number, job, version = runner.pending_ends[0]
-            if job.durable_version < version:
+            number, run_id, job, version = runner.pending_ends[0]
+            if job.durable_version < version or self.unanswered_starts.has_task(run_id):
                 return number - 1
             runner.pending_ends.popleft()
         return runner.applied_end
 
     def has_pending_ends(self, runner_id: str) -> bool:
-        """Return whether ended runs of a runner await a durable record."""
+        """Return whether ended runs of a runner can't be acknowledged yet."""
         self.get_last_durable_end(runner_id)
         return bool(self.runners[runner_id].pending_ends)
+
+    def has_unrecorded_ends(self, runner_id: str) -> bool:
+        """Return whether ended runs of a runner await a durable record."""
+        return any(
+            job.durable_version < version
+            for _, _, job, version in self.runners[runner_id].pending_ends
+        )
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -243,8 +243,8 @@
     deadline_ms: float = float("-inf")
     deadline_sent_ms: float = float("-inf")
     applied_end: int = 0
-    # Ended runs whose durable record is outstanding: number, job, version of the job.
-    pending_ends: deque[tuple[int, Job, int]] = attrs.field(factory=deque)
+    # Ended runs that aren't acknowledged yet: number, run, job, version of the job.
+    pending_ends: deque[tuple[int, RunId, Job, int]] = attrs.field(factory=deque)
     runs: dict[RunId, Run] = attrs.field(factory=dict)
     # Runs in its last report that no task needs; each is logged once.
     unneeded_runs: set[RunId] = attrs.field(factory=set)
--- a/coltsfootpier/cells/_unanswered_starts.py
+++ b/coltsfootpier/cells/_unanswered_starts.py
@@ -281,6 +281,11 @@
         """Return whether a runner may still carry out a start without a response."""
         return runner_id in self._by_runner
 
+    def has_task(self, run_id: RunId) -> bool:
+        """Return whether another start of a run's task may still be carried out."""
+        tasks = self._by_step.get((run_id.job_id, *run_id.key[:2]), {})
+        return any(other != run_id for other in tasks.get(run_id.key, ()))
+
     def list_to_bar(self, runner: Runner) -> list[RunId]:
         """Return the runs whose late start the runner's present incarnation must be told to reject.
 
--- a/coltsfootpier/cells/tests/test_unanswered_starts.py
+++ b/coltsfootpier/cells/tests/test_unanswered_starts.py
@@ -174,6 +174,17 @@
         self.harness.cell.set_runners(entries, self.harness.now_ms)
         self.assertNotIn("a", self.harness.cell.fleet.runners)
 
+    def test_end_is_not_acknowledged_while_the_start_may_be_carried_out(self):
+        """Guards against a late start after an acknowledged end, once the runner has restarted."""
+        self._submit()
+        self.harness.advance(900)
+        self.harness.finish("j")
+        self.harness.advance(100)
+        fleet = self.harness.cell.fleet
+        self.assertEqual(fleet.get_last_durable_end("a"), 0)
+        self.harness.advance(self.late_call_ms)
+        self.assertEqual(fleet.get_last_durable_end("a"), 1)
+
     def test_successor_knows_the_start(self):
         """Guards against a successor that starts the task elsewhere."""
         self._submit()
--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -252,8 +252,11 @@
         self._lists_ends = bool(result.unwrap().ended)
         self._apply_report(result.unwrap())
         self._last_error = None
-        if cell.fleet.has_pending_ends(self.id):
+        if cell.fleet.has_unrecorded_ends(self.id):
             await self._commits.wait_commit(_timing.REPORT_WAIT_MS / 2)
+        elif cell.fleet.has_pending_ends(self.id):
+            # Held for starts without a response; a long poll would return at once.
+            await anyio.sleep(_timing.HELD_ENDS_PERIOD_MS / 1000)
 
     def _find_acknowledged_end(self) -> int:
         """Return the number up to which the next request acknowledges ends; 0 for none.
--- a/coltsfootpier/node/_timing.py
+++ b/coltsfootpier/node/_timing.py
@@ -31,6 +31,9 @@
 REPORT_WAIT_MS = 500
 # Pause after a failed report request.
 REPORT_BACKOFF_MS = 150.0
+# Time between reports while a runner lists ends that can't be acknowledged yet because of a start
+# without a response; the next end shows after at most that time.
+HELD_ENDS_PERIOD_MS = 150.0
 # Time between checks whether a later owner exists that one runner claims to know.
 FENCE_CHECK_PERIOD_MS = 1_000.0
 # Pause after an unexpected error in the task of a runner.
--- a/coltsfootpier/node/tests/test_runner_task.py
+++ b/coltsfootpier/node/tests/test_runner_task.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 import anyio
+import attrs
 from returns.result import Failure, Success
 
 from coltsfootpier.cells import (
@@ -157,6 +158,32 @@
 
         self._run(steps)
 
+    def test_end_that_cannot_be_acknowledged_is_polled_with_pauses(self):
+        """Guards against requests without a pause for the 12 s of a late start."""
+
+        async def steps():
+            await self._wait_reports()
+            self.clock.advance(10.0)
+            self.cell.record_renewal(self.clock.now_ms())
+            await self._wait_reports()
+            command = self._plan_start()
+            self.client.is_answering = False
+            self.task.execute(command)
+            later = attrs.evolve(command.run, attempt=command.run.attempt + 1)
+            self.client.ended = (EndedRow(1, later, EndKind.DONE),)
+            while not self.cell.fleet.has_pending_ends("a"):
+                await anyio.sleep(0)
+            job = self.cell.jobs.jobs[later.job_id]
+            self.cell.jobs.mark_durable(job, job.version)
+            count = len(self.client.observed)
+            for _ in range(200):
+                await anyio.sleep(0)
+            self.assertLess(len(self.client.observed), count + 5)
+            self.assertEqual(self.client.observed[-1], 0)
+
+        with mock.patch.multiple(_timing, HELD_ENDS_PERIOD_MS=1_000_000.0):
+            self._run(steps)
+
     def test_another_runner_at_the_address_rules_out_late_starts(self):
         """Guards against a task that waits 12 s for a runner that was replaced."""
 
