Let held tasks move from a runner that rejects their late start

An eighth of the held tasks waited for about 10 s, and tasks that had failed on the runner were given to it again.

Cause: a task stayed on the runner of its unanswered start for 12 s although that runner responded and rejected the late start, even without capacity for it and after it had failed there.

Change: such a task may start elsewhere once the runner has rejected the start for 1 s, or at once after a failure there, as long as the runner responds. A runner that doesn't respond, or has ended, holds the task as before.

--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -47,7 +47,7 @@
         # Whether the time is known by which leases that the earlier owner extended expire.
         self._is_expiry_bounded = False
         self.proof = OwnershipProof(settings=settings, runners=self.runners)
-        self.unanswered_starts = UnansweredStarts(settings=settings, log=log)
+        self.unanswered_starts = UnansweredStarts(settings=settings, runners=self.runners, log=log)
 
     def add_inherited(self, entries: Iterable[RunnerEntry]) -> None:
         """Add the runners that an earlier owner may have used.
--- a/coltsfootpier/cells/_settings.py
+++ b/coltsfootpier/cells/_settings.py
@@ -19,6 +19,9 @@
         Longest lease of a runner; it shortens any deadline that lies further ahead.
     late_call_ms : float
         Time after which a call without a response is no longer executed by a runner.
+    rejected_hold_ms : float
+        Time for which a task whose late start its runner rejects waits for capacity there; short
+        tasks that occupy the capacity end within that time.
     proof_validity_ms : float
         Time for which a confirmation of the store or of a runner proves that no later owner acts.
         Not shorter than the owner's lease, and longer than two report requests (500 ms each).
@@ -112,6 +115,7 @@
     run_lease_ms: float = 4_000.0
     max_run_lease_ms: float = 10_000.0
     late_call_ms: float = 12_000.0
+    rejected_hold_ms: float = 1_000.0
     proof_validity_ms: float = 1_500.0
     start_valid_ms: float = 1_500.0
     clock_drift: float = 0.02
--- a/coltsfootpier/cells/_unanswered_starts.py
+++ b/coltsfootpier/cells/_unanswered_starts.py
@@ -5,11 +5,14 @@
 while the present incarnation rejects the late start. This holds until the start can't be carried
 out any more: its time has passed, it has been carried out, or another runner responds at the
 address that it was sent to.
+
+A runner that responds and rejects the late start rarely ends within the next seconds. So a task for
+which it has no capacity, or that failed there, may start elsewhere.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import attrs
 
@@ -60,6 +63,8 @@
         When the runner confirmed a stop for it; infinite before.
     rejected_by : int or None
         Incarnation that is known to reject it.
+    rejected_ms : float
+        Since when that is known.
     is_inherited : bool
         Whether an earlier owner sent it; each incarnation that has responded rejects it then.
     """
@@ -72,13 +77,20 @@
     is_settled: bool = False
     stop_confirmed_ms: float = float("inf")
     rejected_by: int | None = None
+    rejected_ms: float = float("inf")
     is_inherited: bool = False
 
     def is_rejected(self, runner: Runner) -> bool:
         """Return whether the present incarnation of its runner rejects it."""
+        return self.find_rejected_ms(runner) < float("inf")
+
+    def find_rejected_ms(self, runner: Runner) -> float:
+        """Return since when the present incarnation of its runner rejects it."""
         if self.is_inherited:
-            return runner.adopted
-        return self.rejected_by == runner.started_unix_ms
+            return runner.first_accepted_ms if runner.adopted else float("inf")
+        if self.rejected_by != runner.started_unix_ms:
+            return float("inf")
+        return self.rejected_ms
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -94,6 +106,8 @@
     ----------
     settings : CellSettings
         Time after which a late start is no longer carried out.
+    runners : dict of str to Runner
+        Runners of the cell by identifier, shared with the fleet.
     log : callable
         Callback that logs one event with its fields.
 
@@ -103,8 +117,11 @@
         Number of times that a task was held.
     """
 
-    def __init__(self, *, settings: CellSettings, log: Callable[..., None]) -> None:
+    def __init__(
+        self, *, settings: CellSettings, runners: Mapping[str, Runner], log: Callable[..., None]
+    ) -> None:
         self._settings = settings
+        self._runners = runners
         self._log = log
         # In the order of `open_ms`.
         self._starts: dict[RunId, UnansweredStart] = {}
@@ -237,6 +254,8 @@
         for start in starts.values():
             # The report was requested after the stop was confirmed and doesn't list the run.
             if start.stop_confirmed_ms < report.sent_ms:
+                if not start.is_rejected(self._runners[runner_id]):
+                    start.rejected_ms = now_ms
                 start.rejected_by = report.started_unix_ms
 
     def retire_address(self, runner_id: str, address: str, now_ms: float) -> None:
@@ -322,11 +341,27 @@
         for key, starts in tasks.items():
             if step.has_runs(key.index) or key in step.job.record.done:
                 continue
+            if all(self._may_move(step, start, now_ms) for start in starts.values()):
+                self._log_release(list(starts)[-1], now_ms, "rejected")
+                continue
             held[key.index] = self._find_runner(starts.values())
             if (step.job.record.id, key) not in self._held:
                 self._log_hold(step, key, list(starts.values())[-1], now_ms)
         return held
 
+    def _may_move(self, step: StepRun, start: UnansweredStart, now_ms: float) -> bool:
+        """Return whether a start doesn't keep its task on a runner that rejects it."""
+        settings = self._settings
+        runner = self._runners.get(start.runner_id)
+        if runner is None or runner.ended:
+            return False
+        if now_ms - runner.contact_ms > settings.suspect_after_ms:
+            return False
+        task = step.tasks.get(start.run.key.index)
+        if task is not None and start.runner_id in task.avoided_runners:
+            return start.is_rejected(runner)
+        return now_ms - start.find_rejected_ms(runner) >= settings.rejected_hold_ms
+
     def _find_runner(self, starts: Iterable[UnansweredStart]) -> str:
         runner_ids = {start.runner_id for start in starts}
         return runner_ids.pop() if len(runner_ids) == 1 else ""
