End an owner that is replaced while it loads its records

A daemon that claimed the cell and was replaced before it had loaded the records acted as owner for good: its `run` never returned, so it answered requests from its own state, and never claimed the cell again.

Cause: `_stop` took note of the stop and cancelled the task group, which exists only once the records are loaded. The owner went on, and each later stop (a later head, a lost commit, the watch) was ignored as a repetition.

The records are loaded inside of the task group now, so a stop cancels the loading too.

--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -179,12 +179,39 @@
     async def run(self, configuration: Configuration) -> None:
         """Schedule the cell until another daemon owns it, or until `resign`."""
         self.cell.set_queues(configuration.queues)
+        async with anyio.create_task_group() as group:
+            self._group = group
+            loaded = await self._load()
+            if loaded is not None:
+                await self._schedule(loaded, group)
+            group.cancel_scope.cancel()
+
+    async def _schedule(self, loaded: OwnerRecords, group: TaskGroup) -> None:
+        """Schedule the cell with the loaded records until the ownership ends."""
+        try:
+            group.start_soon(self._poll_registry)
+            group.start_soon(self._lease_renewer.run)
+            group.start_soon(self._verifier.run)
+            group.start_soon(self._run_planner)
+            group.start_soon(self._log_summaries)
+            group.start_soon(self._save_learned)
+            group.start_soon(self._unanswered_writer.run)
+            if self._settings.vm_service is not None:
+                group.start_soon(self._run_vm_task, loaded.maintenance)
+            self.is_ready = True
+            self._stop(await self._committer.run(self.cell))
+        finally:
+            self.is_ready = False
+            log_event("ownership ended", generation=self.cell.generation)
+
+    async def _load(self) -> OwnerRecords | None:
+        """Load the records of earlier owners; return None if they can't be read."""
         loaded = await self._load_records()
         if loaded is None:
-            return
+            return None
         unanswered = await self._load_unanswered_starts()
         if unanswered is None:
-            return
+            return None
         now_ms = self._clock.now_ms()
         self.cell.restore_learned(loaded.learned)
         self.cell.load(
@@ -209,26 +236,9 @@
             unreadable_jobs=len(loaded.unreadable_jobs),
             learned_pairs=len(loaded.learned.pressures),
             unanswered_starts=len(unanswered),
-            clock_ms=self._clock.now_ms(),
+            clock_ms=now_ms,
         )
-        try:
-            async with anyio.create_task_group() as group:
-                self._group = group
-                group.start_soon(self._poll_registry)
-                group.start_soon(self._lease_renewer.run)
-                group.start_soon(self._verifier.run)
-                group.start_soon(self._run_planner)
-                group.start_soon(self._log_summaries)
-                group.start_soon(self._save_learned)
-                group.start_soon(self._unanswered_writer.run)
-                if self._settings.vm_service is not None:
-                    group.start_soon(self._run_vm_task, loaded.maintenance)
-                self.is_ready = True
-                ownership_lost = await self._committer.run(self.cell)
-                self._stop(ownership_lost)
-        finally:
-            self.is_ready = False
-            log_event("ownership ended", generation=self.cell.generation)
+        return loaded
 
     def _stop(self, cause: OwnershipLost | str) -> None:
         # Several causes may coincide, for example several runners that report a later owner.
--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -131,6 +131,24 @@
         self._play(play, runner_count=3)
         self.assertEqual(ended, [True])
 
+    def test_owner_that_is_replaced_while_it_loads_ends(self):
+        """Guards against a daemon that acts as owner, and never claims again, for good."""
+
+        async def play(simulation):
+            await self._start_task()
+            simulation.revoke_ownership()
+            replaced = simulation.claim()
+            await anyio.sleep(0.004)
+            simulation.revoke_ownership()
+            simulation.claim()
+            replaced.owner.record_latest_generation(3)
+            await anyio.sleep(5.0)
+            ended.append(replaced.is_ended)
+
+        ended = []
+        self._play(play)
+        self.assertEqual(ended, [True])
+
     def test_odd_runner_does_not_end_the_owner_while_the_store_is_down(self):
         """Guards against work that is lost because one runner claims to know a later owner."""
 
