Renew the owner's lease while its records are loaded

While the store was slow, a change of owner left the cell without one: each new owner lost its lease before it had loaded the records, and another daemon claimed the cell.

Cause: the renewal of the lease (1,300 ms) began after loading, which is five reads one after another since the record of unanswered starts, and four before; a slow store responds in up to 400 ms.

The scenario in soak.test_runs failed before and passes.

The renewal begins with the ownership; it keeps the lease of the key that the claim wrote, whatever the loading takes.

--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -181,6 +181,8 @@
         self.cell.set_queues(configuration.queues)
         async with anyio.create_task_group() as group:
             self._group = group
+            # While the store is slow, loading takes longer than the lease lasts.
+            group.start_soon(self._lease_renewer.run)
             loaded = await self._load()
             if loaded is not None:
                 await self._schedule(loaded, group)
@@ -190,7 +192,6 @@
         """Schedule the cell with the loaded records until the ownership ends."""
         try:
             group.start_soon(self._poll_registry)
-            group.start_soon(self._lease_renewer.run)
             group.start_soon(self._verifier.run)
             group.start_soon(self._run_planner)
             group.start_soon(self._log_summaries)
--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -1,11 +1,13 @@
 """Property test of rule TWICE, and the series of events that broke it."""
 
 import unittest
+from unittest import mock
 
 import anyio
 
 from coltsfootpier.cells import CellSettings
-from coltsfootpier.node.keys import FLEET_KEY
+from coltsfootpier.node.keys import FLEET_KEY, OWNER_KEY
+from soak import _run_model
 from soak._loop import VirtualLoop, discard_loop
 from soak._run_simulation import RunSimulation, record_logs, run_seed
 
@@ -149,6 +151,20 @@
         self._play(play)
         self.assertEqual(ended, [True])
 
+    def test_successor_keeps_its_lease_while_it_loads_from_a_slow_store(self):
+        """Guards against owners that replace each other before any of them begins."""
+
+        async def play(simulation):
+            await self._start_task()
+            with mock.patch.object(_run_model, "_STORE_DELAY_S", (0.2, 0.2)):
+                simulation.revoke_ownership()
+                simulation.claim()
+                for _ in range(60):
+                    await anyio.sleep(0.05)
+                    self.assertIsNotNone(simulation.store.read(OWNER_KEY).value)
+
+        self._play(play)
+
     def test_odd_runner_does_not_end_the_owner_while_the_store_is_down(self):
         """Guards against work that is lost because one runner claims to know a later owner."""
 
