Confirm the ownership only within the time limit

An owner that was frozen between a read of the head and its response could send a command for a VM after the freeze, on a proof as old as the freeze. Its successor counts such commands as over after 5 s.

Cause: when a process wakes, the event loop handles the response before the time limit, so `confirm` returned true whatever time had passed. The wait of the successor is a bound that nothing made the earlier owner keep.

The unit test failed before and passes.

A confirmation that comes after the time limit counts as none, so a command is sent at most `VM_TIMEOUT_MS` after its proof was requested.

--- a/coltsfootpier/node/_verifier.py
+++ b/coltsfootpier/node/_verifier.py
@@ -219,7 +219,9 @@
         with anyio.move_on_after(timeout_ms / 1000):
             while self.confirmed_ms <= requested_ms and not self._is_ended:
                 await self._changed.wait()
-        return self.confirmed_ms > requested_ms
+        # After a freeze, a response may be handled although the time limit has passed.
+        is_late = self._clock.now_ms() - requested_ms > timeout_ms
+        return self.confirmed_ms > requested_ms and not is_late
 
     async def _read(self, sent_ms: float) -> None:
         self.read_count += 1
--- a/coltsfootpier/node/tests/test_verifier.py
+++ b/coltsfootpier/node/tests/test_verifier.py
@@ -190,6 +190,21 @@
         self.run_with([None] * 9, test)
         self.assertTrue(self.answer)
 
+    def test_confirmation_after_a_freeze_is_too_late(self):
+        """Guards against a command for a VM that is sent when a successor counts it as over."""
+
+        def respond():
+            self.clock.advance(TIMEOUT_MS + 5_000.0)
+            return build_item(OWN)
+
+        async def test():
+            await self.wait_for_reads(1)
+            self.clock.advance(5.0)
+            self.answer = await self.verifier.confirm(timeout_ms=TIMEOUT_MS)
+
+        self.run_with([None, None, respond], test)
+        self.assertFalse(self.answer)
+
     def test_many_requests_share_a_read(self):
         """Guards against charged reads that grow with the number of queries for unknown jobs."""
         answers = []
