Adopt a listed run in place of one that the same report shows as gone

What callers saw: two runs of one task on one runner, for the time that a stop takes. Cause: a late start of a task was carried out by the next incarnation of its runner, whose report listed that run and no longer the one that the owner knew. The listed run was examined first, and was stopped as not needed; then the other was removed and its task started again, before the stop took effect.

A report now removes the runs that it should list and doesn't first, so that the listed run is adopted.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -278,6 +278,9 @@
                 self._apply_end(runner, row, now_ms)
                 # An end that could not be applied is never acknowledged to its runner.
                 runner.applied_end = row.number
+        present = {row.run for row in report.running}
+        # A listed run may take the place of one that is gone.
+        self._remove_absent_runs(runner, present, report.sent_ms)
         for row in report.running:
             self._apply_running_row(runner, row, now_ms)
         self.fleet.record_first_report(runner, report.received_ms)
@@ -286,17 +289,7 @@
             runner.earlier_lease_expiry_ms = report.received_ms + compute_lease_ms(
                 self._settings.max_run_lease_ms, self._settings
             )
-        present = {row.run for row in report.running}
         runner.unneeded_runs &= present
-        for run in list(runner.runs.values()):
-            # The report was requested after the run was confirmed present, or after its start was
-            # ruled out. If it doesn't list the run, the run is gone.
-            should_be_listed = (
-                run.confirmed_ms < report.sent_ms or run.stop_confirmed_ms < report.sent_ms
-            )
-            if run.id not in present and should_be_listed:
-                self.fleet.remove_run(run, EndProof.ABSENT_FROM_REPORT)
-                self.jobs.requeue(run.id)
         runner.adopted = True
         self.fleet.inherited.discard(runner_id)
         if self._interference.observe(runner, now_ms):
@@ -310,6 +303,17 @@
                 )
             )
 
+    def _remove_absent_runs(self, runner: Runner, present: set[RunId], sent_ms: float) -> None:
+        """Remove the runs that a report should list and doesn't.
+
+        It was requested after a run was confirmed present, or after its start was ruled out.
+        """
+        for run in list(runner.runs.values()):
+            should_be_listed = run.confirmed_ms < sent_ms or run.stop_confirmed_ms < sent_ms
+            if run.id not in present and should_be_listed:
+                self.fleet.remove_run(run, EndProof.ABSENT_FROM_REPORT)
+                self.jobs.requeue(run.id)
+
     def _apply_running_row(self, runner: Runner, row: RunningRow, now_ms: float) -> None:
         run = runner.runs.get(row.run) or self._adopt_run(runner, row, now_ms)
         if run is None:
--- a/coltsfootpier/cells/tests/test_ownership.py
+++ b/coltsfootpier/cells/tests/test_ownership.py
@@ -292,6 +292,23 @@
         self.harness.advance(300)
         self.assertEqual(len(self.harness.find("j")), 1)
 
+    def test_late_start_takes_the_place_of_the_run_that_was_lost(self):
+        """Guards against a run beside one that is being stopped, as in soak.runs seed 100."""
+        late = self._start_without_response()
+        runner = self.harness.runners[late.runner_id]
+        self.harness.outcomes = dict.fromkeys(("a", "b"), StartOutcome.ROOM)
+        self.harness.outcomes[late.runner_id] = StartOutcome.STARTED
+        self.harness.advance(1_000)
+        ((_, lost),) = self.harness.find("j")
+        self.assertGreater(lost.attempt, late.run.attempt)
+        # The run was confirmed by the response to its start only.
+        self.harness.cell.fleet.runners[late.runner_id].runs[lost].listed = False
+        self._restart(late.runner_id)
+        runner.running[late.run] = ""
+        self.harness.report()
+        self.harness.plan()
+        self.assertEqual(self.harness.find("j"), [(late.runner_id, late.run)])
+
     def test_stop_confirmed_before_a_restart_proves_nothing(self):
         """Guards against a second run of a task whose stop the new incarnation has forgotten."""
         command = self._start_without_response()
