Report lost tests if a test process ends before all are submitted

Cause: a process that ends while other groups are still being submitted breaks the pool, and the runner handled that only for groups that it had submitted. In a whole run the same would have ended the runner with a traceback instead of the count. Groups that can't be submitted count as failed, too.

--- a/tests/run.py
+++ b/tests/run.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import doctest
 import importlib
 import multiprocessing
@@ -14,7 +15,7 @@
 import time
 import unittest
 from collections.abc import Iterator
-from concurrent.futures import ProcessPoolExecutor, as_completed
+from concurrent.futures import Future, ProcessPoolExecutor, as_completed
 from concurrent.futures.process import BrokenProcessPool
 from itertools import groupby
 from pathlib import Path
@@ -147,17 +148,23 @@
         initializer=_set_groups,
         initargs=(groups,),
     ) as executor:
-        futures = {
-            executor.submit(_run_numbered_group, number): group
-            for number, group in enumerate(groups)
-        }
+        futures: dict[Future[GroupResult], unittest.TestSuite] = {}
+        # A process may end while other groups are still being submitted.
+        with contextlib.suppress(BrokenProcessPool):
+            for number, group in enumerate(groups):
+                futures[executor.submit(_run_numbered_group, number)] = group
         for future in as_completed(futures):
             try:
                 yield future.result()
             except BrokenProcessPool:
-                tests = [test.id() for test in futures[future]]
-                report = f"ERROR: a test process ended before {', '.join(tests)}"
-                yield GroupResult(len(tests), len(tests), (report,))
+                yield _build_lost_result(futures[future])
+        yield from map(_build_lost_result, groups[len(futures) :])
+
+
+def _build_lost_result(group: unittest.TestSuite) -> GroupResult:
+    tests = [test.id() for test in group]
+    report = f"ERROR: a test process ended before {', '.join(tests)}"
+    return GroupResult(len(tests), len(tests), (report,))
 
 
 def main() -> int:
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -4,6 +4,8 @@
 import io
 import os
 import unittest
+from concurrent.futures import ProcessPoolExecutor, wait
+from unittest import mock
 
 from tests.run import group_by_class, run_group, run_groups
 
@@ -74,6 +76,20 @@
         )
         self.assertIn("_Shared.check_exit", "".join(results[0].reports + results[1].reports))
 
+    def test_process_that_ends_before_all_groups_are_submitted_fails_the_others(self):
+        """Guards against a traceback instead of results when a process ends very early."""
+        groups = group_by_class(_build_suite(_Shared("check_exit"), _Other("check_set_up")))
+        submit = ProcessPoolExecutor.submit
+
+        def submit_and_wait(executor, *arguments):
+            future = submit(executor, *arguments)
+            wait([future])
+            return future
+
+        with mock.patch.object(ProcessPoolExecutor, "submit", submit_and_wait):
+            results = list(run_groups(groups, process_count=1))
+        self.assertEqual([result.failed_count for result in results], [1, 1])
+
 
 if __name__ == "__main__":
     unittest.main()
