Play the fixed seeds of the simulations two at a time

Developers waited for one process at the end of the tests: in two whole runs at the same time, the class with the fixed seeds of the soak was the last for more than two minutes, with one core. Cause: its 7 seeds, and the 20 of soak.test_runs, ran one after another in one process each. They now run in two processes, and the replay tests are a class of their own, which can run beside. Seeds, durations and checks are the same, and a violation is reported for its seed as before.

--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -1,6 +1,8 @@
 """Property test of rule TWICE, and the series of events that broke it."""
 
 import unittest
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 
 import anyio
 
@@ -11,6 +13,9 @@
 TASK = f"{JOB}.0.0.0"
 # Seconds in which the first owner and its runners know each other.
 SETTLING_S = 2.0
+SEEDS = range(20)
+# Number of seeds that run at the same time.
+PROCESS_COUNT = 2
 
 
 class ScenarioTest(unittest.TestCase):
@@ -176,9 +181,10 @@
 
     def test_no_task_has_two_runs_at_once(self):
         """Guards against two runs of one task and against a run after a noted end."""
-        for seed in range(20):
+        with ProcessPoolExecutor(PROCESS_COUNT) as pool:
+            reports = list(pool.map(partial(run_seed, duration_s=40.0), SEEDS))
+        for seed, report in zip(SEEDS, reports, strict=True):
             with self.subTest(seed=seed):
-                report = run_seed(seed, duration_s=40.0)
                 self.assertEqual(report.violations, (), "\n".join(report.events[-120:]))
 
     def test_seed_replays_exactly(self):
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -6,8 +6,9 @@
 import subprocess
 import sys
 import unittest
+from concurrent.futures import ProcessPoolExecutor
 
-from soak._run import run_seed
+from soak._run import Report, run_seed
 
 # Seed, virtual minutes, workers, daemons (0: chosen by seed) and kinds of faults (empty: all);
 # docs/proofs.md lists the mutation that each run detects.
@@ -22,6 +23,16 @@
 )
 
 
+# Number of seeds that run at the same time.
+_PROCESS_COUNT = 2
+
+
+def _run_seed(
+    seed: int, minutes: float, workers: int, daemons: int, kinds: tuple[str, ...]
+) -> Report:
+    return run_seed(seed, minutes=minutes, daemons=daemons, workers=workers, kinds=kinds)
+
+
 class SoakTest(unittest.TestCase):
     """Runs of the whole deployment on a virtual clock with injected faults."""
 
@@ -30,13 +41,16 @@
 
         docs/proofs.md describes them.
         """
-        for seed, minutes, workers, daemons, kinds in RUNS:
+        with ProcessPoolExecutor(_PROCESS_COUNT) as pool:
+            reports = list(pool.map(_run_seed, *zip(*RUNS, strict=True)))
+        for (seed, *_, kinds), report in zip(RUNS, reports, strict=True):
             with self.subTest(seed=seed, kinds=kinds):
-                report = run_seed(
-                    seed, minutes=minutes, daemons=daemons, workers=workers, kinds=kinds
-                )
                 self.assertEqual(report.violation, "", "\n".join(report.events[-60:]))
 
+
+class ReplayTest(unittest.TestCase):
+    """Runs of one seed, which must be equal."""
+
     def test_seed_replays_exactly(self) -> None:
         """Guards against a violation that can't be reproduced from its seed.
 
