Keep the age of a proof by runners when most of them restart

In an outage of the store, report requests carried deadlines minutes in the past, below zero on a young clock, for up to 1.5 s after half of the runners had restarted: a proof was valid, but its age counted from the store.

Cause: the validity is kept until it ends (`_majority_until_ms`), while the age is computed from the present incarnations, of which a restarted one has accepted nothing.

Evidence: the unit test, an extension of "-57400.0" ms 60 s after the store was lost, failed before and passes.

Both use the time of the latest majority that was found now. A restart doesn't undo an acceptance before it.

--- a/coltsfootpier/cells/_ownership.py
+++ b/coltsfootpier/cells/_ownership.py
@@ -40,8 +40,8 @@
         # Lists of runners of which a later owner has read one: the durable one, and one that is
         # being written.
         self._recorded: tuple[frozenset[str], ...] = ()
-        # Until when more than half of each list is known to have accepted the owner.
-        self._majority_until_ms = float("-inf")
+        # When more than half of each list is known to have accepted the owner.
+        self._majority_ms = float("-inf")
 
     def record_renewal(self, sent_ms: float) -> None:
         """Record that the store showed that no later owner existed at a local time."""
@@ -52,7 +52,7 @@
         lists = tuple(dict.fromkeys(frozenset(runner_ids) for runner_ids in recorded))
         if lists != self._recorded:
             self._recorded = lists
-            self._majority_until_ms = float("-inf")
+            self._majority_ms = float("-inf")
 
     def is_valid(self, now_ms: float) -> bool:
         """Return whether no later owner can rely on this owner having stopped."""
@@ -60,10 +60,10 @@
         # A successor counts from its claim, which no confirmation follows.
         if now_ms >= self.store_confirmed_ms + self._settings.max_unconfirmed_ms:
             return False
-        if now_ms < max(self.store_confirmed_ms + validity_ms, self._majority_until_ms):
+        if now_ms < max(self.store_confirmed_ms, self._majority_ms) + validity_ms:
             return True
-        self._majority_until_ms = self._find_common_majority_ms() + validity_ms
-        return now_ms < self._majority_until_ms
+        self._majority_ms = self._find_common_majority_ms()
+        return now_ms < self._majority_ms + validity_ms
 
     def measure_age_ms(self, now_ms: float) -> float:
         """Return the age of the latest proof."""
@@ -72,7 +72,8 @@
 
     def find_latest(self) -> tuple[str, float]:
         """Return who gave the latest proof (``store`` or ``runners``), and its local time."""
-        majority_ms = self._find_common_majority_ms()
+        # A restart doesn't undo an acceptance before it.
+        majority_ms = max(self._majority_ms, self._find_common_majority_ms())
         if majority_ms > self.store_confirmed_ms:
             return "runners", majority_ms
         return "store", self.store_confirmed_ms
--- a/coltsfootpier/cells/tests/test_ownership.py
+++ b/coltsfootpier/cells/tests/test_ownership.py
@@ -87,6 +87,18 @@
         self.harness.advance(self.validity_ms + 100)
         self.assertFalse(self._is_proven())
 
+    def test_restart_of_most_runners_leaves_the_deadlines_of_the_others_ahead(self):
+        """Guards against requests with a deadline in the past, or below zero, in an outage."""
+        self._lose_store(*NAMES)
+        self.harness.advance(60_000)
+        self.assertTrue(self._is_proven())
+        for name in NAMES[:2]:
+            self.harness.runners[name].entry = build_entry(name, started_unix_ms=2)
+        self.harness.advance(100)
+        self.assertTrue(self._is_proven())
+        extension_ms = self.harness.cell.compute_extension_ms(self.harness.now_ms)
+        self.assertGreater(extension_ms, self.harness.settings.run_lease_ms - self.validity_ms)
+
     def test_restarted_runner_gets_no_run_before_the_store_confirms(self):
         """Guards against a second run where the token of a later owner was forgotten."""
         self.harness.is_store_up = False
