Show two faults of a restart under the same identifier near a change of owner

Two scenarios that fail, for faults that are open; each is a second run of one task, and neither is fixed here.

A restarted runner took a late report request on its earlier clock (a lease of 10 s). Its owner knew and tracked the longest lease, started a task there, and was replaced.

A runner restarted within 250 ms, which two listings of the successor showed, and the superseded owner, whose proof was 1 s old, had not noticed. `covers_incarnation` judges the last incarnation that is known, not the one that gets the start.

--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -204,6 +204,52 @@
 
         self._play(play, runner_count=3)
 
+    def test_successor_does_not_know_that_a_restarted_runner_has_the_longest_lease(self):
+        """Guards against a run for which the successor assumes the usual lease."""
+
+        async def play(simulation):
+            runner, other, _ = simulation.runners
+            earlier = simulation.current
+            await anyio.sleep(20.0)
+            self._set_links(earlier, other, is_cut=True)
+            simulation.network.late_s = (3.0, 3.0)
+            self._set_links(earlier, runner, late=1.0)
+            await anyio.sleep(0.6)
+            self._set_links(earlier, runner, late=0.0)
+            simulation.restart_runner(runner, 0.2)
+            self._set_links(earlier, simulation.runners[2], is_cut=True)
+            await anyio.sleep(2.0)
+            await simulation.submit(JOB, duration_ms=float("inf"))
+            await anyio.sleep(1.0)
+            self.assertEqual(simulation.history.find_runners(TASK), [runner])
+            simulation.cut_from_successor = ((runner.address,), 20.0)
+            earlier.store.is_cut = True
+            simulation.revoke_ownership()
+            simulation.claim()
+            await anyio.sleep(25.0)
+
+        self._play(play, runner_count=3)
+
+    def test_superseded_owner_has_not_noticed_that_the_runner_restarted(self):
+        """Guards against a start on an incarnation that the successor counts as ended."""
+
+        async def play(simulation):
+            runner, (other, _) = await self._start_task()
+            earlier = simulation.current
+            self._set_links(earlier, other, is_cut=False)
+            await anyio.sleep(3.25)
+            simulation.cut_from_successor = ((runner.address, other.address), 6.0)
+            earlier.store.is_cut = True
+            simulation.revoke_ownership()
+            simulation.claim()
+            await anyio.sleep(0.1)
+            simulation.restart_runner(runner, 30.0)
+            await anyio.sleep(0.3)
+            simulation.restart_runner(other, 0.25)
+            await anyio.sleep(8.0)
+
+        self._play(play, runner_count=3)
+
     def test_restarted_runner_takes_deadline_on_the_clock_of_its_earlier_incarnation(self):
         """Guards against a lease of 10 s that the owner assumes to be 4 s."""
 
