Count a claim as proof from before the head was read

A claim without a response is taken for successful if the owner's key names this daemon, and then proved the ownership from the time at which its lease was requested. That key may be due to an earlier attempt of the same generation, which took effect after the head was read and ended before the lease was requested, if the daemon was frozen in between; a later owner may exist then.

Cause: the time belongs to the lease, while the proof has to come from the head record, which shows that no owner of this generation existed when it was read.

Evidence: the unit test, a freeze of 5 s during the read and a claim without a response (6000.0 instead of 1000.0 ms), failed before and passes.

The time is taken before the read, so it precedes each attempt that the claim could be mistaken for.

--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -246,6 +246,8 @@
         """Claim the cell if its owner's key is unchanged; on success run it as its owner."""
         # The settings may be reloaded meanwhile, and the head tells successors what holds.
         settings = self._settings
+        # An earlier attempt to claim may take effect at any time after the head was read.
+        granted_ms = self._clock.now_ms()
         head_item = await self._store.get(HEAD_KEY)
         if isinstance(head_item, Failure):
             await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
@@ -259,7 +261,6 @@
             log_event("cannot decode head record", reason=str(error))
             await anyio.sleep(_timing.STORE_TIMEOUT_MS / 1000)
             return
-        granted_ms = self._clock.now_ms()
         granted = await self._store.grant_lease(ttl_ms=choose_lease_ttl(settings))
         if isinstance(granted, Failure):
             await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -85,7 +85,7 @@
     lease : int
         Identifier of the lease of the owner's key.
     granted_ms : float
-        Local time before the lease was requested.
+        Local time before the claim read the head that it replaced.
     metrics : Metrics
         Counters and histograms of the daemon.
     get_waves : callable, optional
--- a/coltsfootpier/node/tests/test_daemon.py
+++ b/coltsfootpier/node/tests/test_daemon.py
@@ -7,11 +7,13 @@
 from returns.result import Failure, Success
 
 from coltsfootpier.cells import CellSettings
-from coltsfootpier.journal import OwnerInfo
+from coltsfootpier.clock import VirtualClock
+from coltsfootpier.journal import OwnerInfo, decode_owner
 from coltsfootpier.node import _timing
 from coltsfootpier.node._daemon import Daemon
 from coltsfootpier.node._responses import Response, ResponseStatus, build_rejection
 from coltsfootpier.node.tests.builders import build_settings, build_submission
+from coltsfootpier.platform import Item, StoreLease, StoreUnknown
 from coltsfootpier.transport import HttpResponse, NotSent, Unanswered, send_response
 from standins.ports import HOST, PortReservations
 
@@ -77,6 +79,37 @@
         self.assertEqual(self._submit(UNANSWERED, Success(accepted)), accepted)
 
 
+class FrozenClaimStore:
+    """Store that carries out a claim without a response, after a freeze during the first read."""
+
+    def __init__(self, daemon):
+        self._daemon = daemon
+
+    async def get(self, key):
+        self._daemon._clock.advance(5_000.0)
+        return Success(Item(key))
+
+    async def grant_lease(self, *, ttl_ms):
+        return Success(StoreLease(7, ttl_ms))
+
+    async def commit(self, *, expect, puts):
+        self._daemon._control.update_owner(decode_owner(puts[1].value), 9)
+        return Failure(StoreUnknown("overdue"))
+
+
+class ClaimTest(unittest.TestCase):
+    """Claims of the cell."""
+
+    def test_claim_proves_nothing_after_the_head_was_read(self):
+        """Guards against a proof by a claim without a response that took effect long before."""
+        daemon = Daemon(settings=build_settings(), cell_settings=CellSettings())
+        daemon._clock = VirtualClock(start_ms=1_000.0)
+        daemon._store = FrozenClaimStore(daemon)
+        daemon._run_owner = mock.AsyncMock()
+        anyio.run(daemon._claim, 0)
+        self.assertEqual(daemon._run_owner.await_args.kwargs["granted_ms"], 1_000.0)
+
+
 class SlowCallers:
     """Application whose requests take a while, and which never counts one as in flight."""
 
