Wait for the daemon's servers in the test of its stop

Cause, from the stack of the process: the test waited in `wait_all_tasks_blocked`, which looks every 100 ms whether all tasks wait. The daemon's servers wake up every 100 ms, too, so both can stay in step for good. The daemon itself listened and was idle. The test now waits until the daemon has its four servers, and fails after 40 s.

--- a/coltsfootpier/node/tests/test_daemon.py
+++ b/coltsfootpier/node/tests/test_daemon.py
@@ -16,6 +16,9 @@
 from standins.ports import HOST, PortReservations
 
 ADDRESS = "127.0.0.1:9"
+# Servers that a daemon starts.
+ENDPOINTS = ("callers", "readiness", "peers", "metrics")
+TIMEOUT_S = 40
 BACKLOG = build_rejection("backlog")
 UNANSWERED = Failure(Unanswered("overdue"))
 
@@ -107,6 +110,11 @@
         callers = daemon._callers = SlowCallers()
 
         async def test():
+            with anyio.fail_after(TIMEOUT_S):
+                await stop_during_request()
+            self.assertEqual((callers.started, callers.responded), (1, 1))
+
+        async def stop_during_request():
             async with anyio.create_task_group() as group:
 
                 async def run():
@@ -114,13 +122,13 @@
                     group.cancel_scope.cancel()
 
                 group.start_soon(run)
-                await anyio.wait_all_tasks_blocked()
+                while len(daemon._servers) < len(ENDPOINTS):
+                    await anyio.sleep(0)
                 async with await anyio.connect_tcp(*address) as stream:
                     daemon.stop()
                     await stream.send(b"GET /p/a HTTP/1.1\r\nhost: a.example\r\n\r\n")
                     received = await stream.receive()
                     self.assertIn(b"200", received.split(b"\r\n")[0])
-            self.assertEqual((callers.started, callers.responded), (1, 1))
 
         with mock.patch.object(_timing, "DRAIN_MS", 100.0):
             anyio.run(test)
