Plan nothing while an owner resigns

A task could get two runs after a rolling restart of the daemons: an owner that resigns records its starts without a response once, and went on planning until its last change was written, so that its successor didn't know the starts of that time. Found by a review, by reading.

Beside it, the time of the claim's proof is named confirmed_ms, as it isn't the time of the grant any more, and both readers of records share one loop.

--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -247,7 +247,7 @@
         # The settings may be reloaded meanwhile, and the head tells successors what holds.
         settings = self._settings
         # An earlier attempt to claim may take effect at any time after the head was read.
-        granted_ms = self._clock.now_ms()
+        confirmed_ms = self._clock.now_ms()
         head_item = await self._store.get(HEAD_KEY)
         if isinstance(head_item, Failure):
             await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
@@ -286,12 +286,12 @@
                     self._control.owner_revision,
                     info,
                     lease=lease,
-                    granted_ms=granted_ms,
+                    confirmed_ms=confirmed_ms,
                 )
             return
         self._control.update_owner(info, result.unwrap())
         await self._run_owner(
-            settings, head, result.unwrap(), info, lease=lease, granted_ms=granted_ms
+            settings, head, result.unwrap(), info, lease=lease, confirmed_ms=confirmed_ms
         )
 
     async def _run_owner(
@@ -302,7 +302,7 @@
         info: OwnerInfo,
         *,
         lease: int,
-        granted_ms: float,
+        confirmed_ms: float,
     ) -> None:
         self._owner = Owner(
             settings=settings,
@@ -313,7 +313,7 @@
             revision=revision,
             info=info,
             lease=lease,
-            granted_ms=granted_ms,
+            confirmed_ms=confirmed_ms,
             metrics=self._metrics,
             get_waves=lambda: list(self._control.waves.values()),
         )
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TypeVar
 
 import anyio
 import attrs
 from anyio.abc import TaskGroup
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from coltsfootpier.cells import (
     Accepted,
@@ -16,7 +17,6 @@
     Cell,
     CellCommand,
     CellSettings,
-    InheritedStart,
     Rejected,
     RunnerEntry,
     get_bounds,
@@ -43,12 +43,15 @@
 from coltsfootpier.platform import (
     REGISTRY_PREFIX,
     AdviceClient,
+    PlatformError,
     RunnerClient,
     StoreClient,
     VmClient,
 )
 from coltsfootpier.transport import encode, is_address
 
+_T = TypeVar("_T")
+
 # Upper bound of the run lease as a fraction of the longest lease that the platform allows.
 _MAX_RUN_LEASE_FRACTION = 0.6
 # Its tasks may have run, so it can neither be accepted again nor reported as missing.
@@ -84,7 +87,7 @@
         Value of the owner's key.
     lease : int
         Identifier of the lease of the owner's key.
-    granted_ms : float
+    confirmed_ms : float
         Local time before the claim read the head that it replaced.
     metrics : Metrics
         Counters and histograms of the daemon.
@@ -105,7 +108,7 @@
         revision: int,
         info: OwnerInfo,
         lease: int,
-        granted_ms: float,
+        confirmed_ms: float,
         metrics: Metrics,
         get_waves: Callable[[], Iterable[Wave]] = tuple,
         connect: Callable[..., RunnerClient] = RunnerClient,
@@ -126,12 +129,12 @@
             observe=metrics.observe,
         )
         # The claim took effect later than that.
-        self.cell.record_confirmation(granted_ms)
+        self.cell.record_confirmation(confirmed_ms)
         self._verifier = OwnershipVerifier(
             store=store,
             clock=clock,
             head=head,
-            confirmed_ms=granted_ms,
+            confirmed_ms=confirmed_ms,
             on_confirmed=self.cell.record_confirmation,
             on_replaced=self._on_replaced,
         )
@@ -210,10 +213,10 @@
 
     async def _load(self) -> OwnerRecords | None:
         """Load the records of earlier owners; return None if they can't be read."""
-        loaded = await self._load_records()
+        loaded = await self._read_until_loaded(load_records)
         if loaded is None:
             return None
-        unanswered = await self._load_unanswered_starts()
+        unanswered = await self._read_until_loaded(load_unanswered_starts)
         if unanswered is None:
             return None
         now_ms = self._clock.now_ms()
@@ -265,20 +268,13 @@
         if self._group is not None:
             self._group.cancel_scope.cancel()
 
-    async def _load_records(self) -> OwnerRecords | None:
-        deadline_ms = self._clock.now_ms() + _timing.OWNER_LEASE_MS
-        while self._clock.now_ms() < deadline_ms:
-            result = await load_records(self._store)
-            if isinstance(result, Success):
-                return result.unwrap()
-            log_event("cannot load records", reason=repr(result.failure()))
-            await anyio.sleep(_timing.STORE_BACKOFF_MS / 1000)
-        return None
-
-    async def _load_unanswered_starts(self) -> tuple[InheritedStart, ...] | None:
+    async def _read_until_loaded(
+        self, load: Callable[[StoreClient], Awaitable[Result[_T, PlatformError]]]
+    ) -> _T | None:
+        """Return what `load` reads; None if the store doesn't respond for too long."""
         deadline_ms = self._clock.now_ms() + _timing.OWNER_LEASE_MS
         while self._clock.now_ms() < deadline_ms:
-            result = await load_unanswered_starts(self._store)
+            result = await load(self._store)
             if isinstance(result, Success):
                 return result.unwrap()
             log_event("cannot load records", reason=repr(result.failure()))
@@ -522,8 +518,10 @@
             self.cell.fleet.mark_recorded(
                 self._committer.recorded_fleet, *self._committer.unsettled_fleets
             )
-            for command in self.cell.plan(started_ms, time.time() * 1000):
-                self._execute(command)
+            # A start after the last record of unanswered starts would be unknown to the successor.
+            if not self._is_resigning:
+                for command in self.cell.plan(started_ms, time.time() * 1000):
+                    self._execute(command)
             if self.cell.jobs.dirty_count:
                 self._committer.notify()
             self._track_proof()
--- a/coltsfootpier/node/tests/builders.py
+++ b/coltsfootpier/node/tests/builders.py
@@ -177,7 +177,7 @@
         revision=1,
         info=OwnerInfo(holder="me", address="127.0.0.1:1", generation=1),
         lease=7,
-        granted_ms=0.0,
+        confirmed_ms=0.0,
         metrics=Metrics(),
     )
 
--- a/coltsfootpier/node/tests/test_daemon.py
+++ b/coltsfootpier/node/tests/test_daemon.py
@@ -110,7 +110,7 @@
         daemon._store = FrozenClaimStore(daemon)
         daemon._run_owner = mock.AsyncMock()
         anyio.run(daemon._claim, 0)
-        self.assertEqual(daemon._run_owner.await_args.kwargs["granted_ms"], 1_000.0)
+        self.assertEqual(daemon._run_owner.await_args.kwargs["confirmed_ms"], 1_000.0)
 
 
 class SlowCallers:
--- a/coltsfootpier/node/tests/test_unanswered_starts.py
+++ b/coltsfootpier/node/tests/test_unanswered_starts.py
@@ -92,6 +92,19 @@
             anyio.run(owner.resign)
         self.assertEqual(put_record.call_args.args[0], UNANSWERED_KEY)
 
+    def test_owner_that_resigns_starts_nothing(self):
+        """Guards against a start after the last record, which the successor doesn't know."""
+        owner = build_owner(self.clock, self.store)
+        owner._is_resigning = True
+        owner.cell.plan = mock.Mock(return_value=[])
+
+        async def plan_once():
+            with anyio.move_on_after(0.01):
+                await owner._run_planner()
+
+        anyio.run(plan_once)
+        owner.cell.plan.assert_not_called()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/soak/_run_simulation.py
+++ b/soak/_run_simulation.py
@@ -209,7 +209,7 @@
                 revision=revision.unwrap(),
                 info=info,
                 lease=lease,
-                granted_ms=clock.now_ms(),
+                confirmed_ms=clock.now_ms(),
                 metrics=Metrics(),
                 connect=self.network.connect(host),
             )
