--- a/coltsfootpier/cells/_gauges.py
+++ b/coltsfootpier/cells/_gauges.py
@@ -24,6 +24,7 @@
         "waiting": sum(len(step.waiting) for step in waiting),
         "waiting_fill": sum(len(step.waiting) for step in waiting if step.spec.fills),
         "waiting_held": fleet.unanswered_starts.held_tasks,
+        "held": fleet.unanswered_starts.held_count,
         "runs": len(runs),
         "slowed": sum(run.pace < 100 for run in runs),
         "runners": len(runners),
--- a/coltsfootpier/cells/tests/test_unanswered_starts.py
+++ b/coltsfootpier/cells/tests/test_unanswered_starts.py
@@ -160,7 +160,8 @@
         ((name, run),) = self.harness.find("j")
         self.assertEqual((name, run.key.index), ("b", 1))
         self.assertEqual(list(self.harness.cell.jobs.ready["j", 0, 0].waiting), [0, 2])
-        self.assertEqual(self.harness.cell.summarise()["waiting_held"], 1)
+        gauges = self.harness.cell.summarise()
+        self.assertEqual((gauges["waiting_held"], gauges["held"]), (1, 1))
 
     def test_held_member_holds_its_gang(self):
         """Guards against a gang that starts beside a late member."""
