Release held tasks once their runner's VM is gone or has another runner

Cause: only another runner at the address, which responds with 421, showed that the identifier isn't used any more. No runner comes to the address of a VM that is gone.

Change: listings of worker VMs show on which VM each runner is. A held task is released once that VM names another runner, or two listings in a row lack it, as a runner is one life of its VM. A VM that is down, or that no listing has named with the runner, holds the task as before. The VMs are listed once for new runners, at most every 2 s.

Evidence: found by reading for the merge; the new unit tests need the argument with which a listing names the VMs, and the simulation passes it with each listing. test_no_suspect_without_work lists the VMs first, since one listing is needed for that now; it still checks that no other follows.

--- a/coltsfootpier/cells/_incarnations.py
+++ b/coltsfootpier/cells/_incarnations.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from coltsfootpier.cells._fleet import Fleet, LogCallback
 from coltsfootpier.cells._jobs import JobTable
@@ -39,21 +39,46 @@
         self._fleet = fleet
         self._jobs = jobs
         self._log = log
+        # Worker VM of each runner that a listing has named, and the VMs that the last one lacked.
+        self._vm_by_runner: dict[str, str] = {}
+        self._missing_vms: frozenset[str] = frozenset()
+        self._vms_listed_ms = float("-inf")
         # Whether the last listing named only runners that had accepted this owner.
         self._has_accepted_all = False
 
     def has_suspects(self, now_ms: float) -> bool:
         """Return whether a listing may show that a runner with work has ended.
 
-        A listing also names the runners that a fleet record which can't be decoded may have listed.
+        A listing also names the runners that a fleet record which can't be decoded may have listed,
+        and the VM of each runner, which has to be known before the VM is gone.
         """
-        return not self._fleet.is_complete or any(
-            (runner.runs or runner_id in self._fleet.inherited)
-            and now_ms - runner.contact_ms > self._settings.suspect_after_ms
+        fleet, settings = self._fleet, self._settings
+        if not fleet.is_complete or self._is_vm_unknown(now_ms):
+            return True
+        return any(
+            (
+                runner.runs
+                or runner_id in fleet.inherited
+                or fleet.unanswered_starts.has_runner(runner_id)
+            )
+            and now_ms - runner.contact_ms > settings.suspect_after_ms
+            for runner_id, runner in fleet.runners.items()
+        )
+
+    def _is_vm_unknown(self, now_ms: float) -> bool:
+        """Return whether it is time to ask for the VMs of runners that no listing has named yet."""
+        return now_ms - self._vms_listed_ms > self._settings.vm_retry_ms and any(
+            runner.adopted and runner_id not in self._vm_by_runner
             for runner_id, runner in self._fleet.runners.items()
         )
 
-    def apply_listing(self, live: Collection[str], *, requested_ms: float) -> bool:
+    def apply_listing(
+        self,
+        live: Collection[str],
+        *,
+        requested_ms: float,
+        runner_by_vm: Mapping[str, str] | None = None,
+    ) -> bool:
         """Apply a complete listing.
 
         Parameters
@@ -62,6 +87,8 @@
             Runners that are live on a worker VM that is up.
         requested_ms : float
             Local time before the listing was requested.
+        runner_by_vm : Mapping of str to str, optional
+            Runner that each listed VM names; empty for one that names none.
 
         Returns
         -------
@@ -69,6 +96,8 @@
             Whether a runner has ended.
         """
         self._check_completeness(live)
+        if runner_by_vm is not None:
+            self._retire_runners(runner_by_vm, requested_ms)
         ended = False
         for runner_id, runner in self._fleet.runners.items():
             if runner.ended and not runner.runs:
@@ -84,6 +113,30 @@
                 runner.unlisted_since_ms = requested_ms
         return ended
 
+    def _retire_runners(self, runner_by_vm: Mapping[str, str], requested_ms: float) -> None:
+        """Release the tasks that wait for a runner whose identifier isn't used any more.
+
+        A runner is one life of its VM. It doesn't start again once its VM names another runner, or
+        is gone. One listing may miss a VM, as its pages are not one snapshot.
+        """
+        self._vms_listed_ms = requested_ms
+        self._vm_by_runner |= {runner_id: vm for vm, runner_id in runner_by_vm.items() if runner_id}
+        starts = self._fleet.unanswered_starts
+        for runner_id in starts.list_runners():
+            vm = self._vm_by_runner.get(runner_id)
+            if vm is None:
+                continue
+            is_replaced = runner_by_vm.get(vm, "") not in ("", runner_id)
+            if is_replaced or (vm in self._missing_vms and vm not in runner_by_vm):
+                starts.retire_runner(runner_id, requested_ms)
+        known_vms = frozenset(self._vm_by_runner.values())
+        self._missing_vms = known_vms - runner_by_vm.keys()
+        self._vm_by_runner = {
+            runner_id: vm
+            for runner_id, vm in self._vm_by_runner.items()
+            if runner_id in self._fleet.runners
+        }
+
     def _check_completeness(self, live: Collection[str]) -> None:
         """Complete the fleet record once all live runners have rejected the earlier owners.
 
--- a/coltsfootpier/cells/_settings.py
+++ b/coltsfootpier/cells/_settings.py
@@ -47,6 +47,8 @@
     suspect_after_ms : float
         Time without a report after which the platform's listing is checked for whether a runner is
         still live. More than the longest wait for a report (500 ms) plus its transfer.
+    vm_retry_ms : float
+        Time between listings for the VMs of runners that no listing has named yet.
     unsure_stop_ms : float
         Time after which a run with an unanswered start command is stopped; above the usual response
         time of a runner in another availability zone (10 ms) plus one retransmission (200 ms).
@@ -132,6 +134,7 @@
     unix_clock_error_ms: float = 5_000.0
     contact_fresh_ms: float = 1_300.0
     suspect_after_ms: float = 650.0
+    vm_retry_ms: float = 2_000.0
     unsure_stop_ms: float = 400.0
     stop_retry_ms: float = 500.0
     check_period_ms: float = 50.0
--- a/coltsfootpier/cells/_unanswered_starts.py
+++ b/coltsfootpier/cells/_unanswered_starts.py
@@ -3,8 +3,8 @@
 An incarnation that was told to reject a late start rejects it, but one that starts later under the
 same identifier doesn't know that. So the task may start again only on the same runner, and only
 while the present incarnation rejects the late start. This holds until the start can't be carried
-out any more: its time has passed, it has been carried out, or another runner responds at the
-address that it was sent to.
+out any more: its time has passed, it has been carried out, another runner responds at the address
+that it was sent to, or the runner's VM is gone or has another runner.
 
 A runner that responds and rejects the late start rarely ends within the next seconds. So a task for
 which it has no capacity, or that failed there, may start elsewhere.
@@ -258,6 +258,16 @@
                     start.rejected_ms = now_ms
                 start.rejected_by = report.started_unix_ms
 
+    def list_runners(self) -> list[str]:
+        """Return the runners that may still carry out a start without a response."""
+        return list(self._by_runner)
+
+    def retire_runner(self, runner_id: str, now_ms: float) -> None:
+        """Discard the starts of a runner whose identifier isn't used any more."""
+        for start in list(self._by_runner.get(runner_id, {}).values()):
+            if start.is_settled:
+                self._remove(start, now_ms, "runner replaced")
+
     def retire_address(self, runner_id: str, address: str, now_ms: float) -> None:
         """Discard the starts of a runner at an address where another runner responds."""
         for start in list(self._by_runner.get(runner_id, {}).values()):
--- a/coltsfootpier/cells/tests/test_incarnations.py
+++ b/coltsfootpier/cells/tests/test_incarnations.py
@@ -94,10 +94,26 @@
 
     def test_no_suspect_without_work(self):
         """Guards against requesting costly listings while no task waits for them."""
+        self.harness.cell.incarnations.apply_listing(
+            {"a", "b"},
+            requested_ms=self.harness.now_ms,
+            runner_by_vm={"vm-a": "a", "vm-b": "b"},
+        )
         self.harness.finish("j")
         self._crash()
         self.assertFalse(self.harness.cell.incarnations.has_suspects(self.harness.now_ms))
 
+    def test_vms_of_new_runners_are_listed_at_intervals(self):
+        """Guards against a listing every 100 ms because one runner is on no listed VM."""
+        incarnations = self.harness.cell.incarnations
+        self.assertTrue(incarnations.has_suspects(self.harness.now_ms))
+        incarnations.apply_listing(
+            {"a"}, requested_ms=self.harness.now_ms, runner_by_vm={"vm-a": "a"}
+        )
+        self.assertFalse(incarnations.has_suspects(self.harness.now_ms))
+        self.harness.advance(self.harness.settings.vm_retry_ms + 100)
+        self.assertTrue(incarnations.has_suspects(self.harness.now_ms))
+
     def test_next_owner_does_not_wait_for_a_gone_runner(self):
         """Guards against inherited jobs that all wait 4 s because one runner is gone."""
         records = [job.record for job in self.harness.cell.jobs.jobs.values()]
--- a/coltsfootpier/cells/tests/test_unanswered_starts.py
+++ b/coltsfootpier/cells/tests/test_unanswered_starts.py
@@ -152,6 +152,51 @@
         self.harness.advance(100)
         self.assertEqual([name for name, _ in self.harness.find("j")], ["b"])
 
+    def _list_vms(self, vms, times=1):
+        for _ in range(times):
+            self.harness.cell.incarnations.apply_listing(
+                {runner for runner in vms.values() if runner},
+                requested_ms=self.harness.now_ms,
+                runner_by_vm=vms,
+            )
+            self.harness.advance(100)
+
+    def test_vm_that_is_gone_or_has_another_runner_holds_no_task(self):
+        """Guards against a wait of 12 s for a runner that can't restart under its identifier."""
+        for vms, times in (({"vm-b": "b"}, 2), ({"vm-a": "c", "vm-b": "b"}, 1)):
+            with self.subTest(vms=vms):
+                self.setUp()
+                self._list_vms({"vm-a": "a", "vm-b": "b"})
+                self._submit()
+                self._crash()
+                suspects = self.harness.cell.incarnations.has_suspects(self.harness.now_ms)
+                self.assertTrue(suspects)
+                self._list_vms(vms, times)
+                self.assertEqual([name for name, _ in self.harness.find("j")], ["b"])
+
+    def test_vm_that_is_down_or_unknown_holds_the_task(self):
+        """Guards against a task that starts elsewhere while its runner may restart."""
+        for known, vms in (
+            ({"vm-a": "a", "vm-b": "b"}, {"vm-a": "", "vm-b": "b"}),
+            ({"vm-b": "b"}, {"vm-b": "b"}),
+        ):
+            with self.subTest(known=known):
+                self.setUp()
+                self._list_vms(known)
+                self._submit()
+                self._crash()
+                self._list_vms(vms, 5)
+                self.assertEqual(self.harness.find("j"), [])
+
+    def test_one_listing_without_a_vm_retires_no_runner(self):
+        """Guards against a late start on a runner whose VM one page of a listing missed."""
+        self._list_vms({"vm-a": "a", "vm-b": "b"})
+        self._submit()
+        self._crash()
+        for vms in ({"vm-b": "b"}, {"vm-a": "", "vm-b": "b"}, {"vm-b": "b"}):
+            self._list_vms(vms)
+        self.assertEqual(self.harness.find("j"), [])
+
     def test_held_task_blocks_no_other_task(self):
         """Guards against a step whose tasks all wait for the held one."""
         self._submit(build_step(count=3, cpu_milli=3_000))
--- a/coltsfootpier/node/_vms.py
+++ b/coltsfootpier/node/_vms.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable, Collection, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from typing import Protocol
 
 import anyio
@@ -65,8 +65,10 @@
         """Return whether a listing may show that a runner with work has ended."""
         ...
 
-    def apply_listing(self, live: Collection[str], *, requested_ms: float) -> bool:
-        """Apply a listing of the live runners; return whether one has ended."""
+    def apply_listing(
+        self, live: Collection[str], *, requested_ms: float, runner_by_vm: Mapping[str, str]
+    ) -> bool:
+        """Apply a listing of the live runners and of all VMs; return whether a runner has ended."""
         ...
 
 
@@ -181,7 +183,8 @@
         self._is_service_reachable = True
         vms = listed.unwrap()
         live = {vm.runner_id for vm in vms if vm.state is VmState.UP and vm.runner_id}
-        if self._liveness.apply_listing(live, requested_ms=requested_ms):
+        runner_by_vm = {vm.id: vm.runner_id if vm.state is VmState.UP else "" for vm in vms}
+        if self._liveness.apply_listing(live, requested_ms=requested_ms, runner_by_vm=runner_by_vm):
             self._on_change()
         if not self._planner.is_active:
             return False
--- a/coltsfootpier/node/tests/test_vms.py
+++ b/coltsfootpier/node/tests/test_vms.py
@@ -88,9 +88,10 @@
         """Return whether a listing is needed."""
         return self.suspects
 
-    def apply_listing(self, live, *, requested_ms):
+    def apply_listing(self, live, *, requested_ms, runner_by_vm):
         """Record a listing."""
         self.listings.append(live)
+        self.runner_by_vm = runner_by_vm
         return False
 
 
@@ -224,6 +225,7 @@
         self.vms.states = {"m-1": [VmState.UP], "m-2": [VmState.DOWN], "m-3": [VmState.UPKEEP]}
         self._run(4)
         self.assertEqual(self.liveness.listings[0], {"i-m-1"})
+        self.assertEqual(self.liveness.runner_by_vm, {"m-1": "i-m-1", "m-2": "", "m-3": ""})
         self.vms.failures = 100
         self.liveness.listings.clear()
         self._run(4)
--- a/soak/_run_simulation.py
+++ b/soak/_run_simulation.py
@@ -242,9 +242,15 @@
             if has_suspects:
                 await anyio.sleep(self.rng.uniform(0.002, 0.04))
                 live = {runner.id for runner in self.runners if runner.is_up}
+                runner_by_vm = {
+                    f"vm{number}": runner.id if runner.is_up else ""
+                    for number, runner in enumerate(self.runners)
+                }
                 await anyio.sleep(self.rng.uniform(0.002, 0.04))
                 if not owner.is_ended:
-                    incarnations.apply_listing(live, requested_ms=requested_ms)
+                    incarnations.apply_listing(
+                        live, requested_ms=requested_ms, runner_by_vm=runner_by_vm
+                    )
             await anyio.sleep(0.1 if has_suspects else 0.5)
 
     def revoke_ownership(self) -> None:
