Use one term for late starts that a runner rejects

A newcomer met bar, reject and stop for the same thing, and a method whose name said that it records a report while it sets lease expiries.

Change: renames within coltsfootpier.cells, and one builder for two tests of the runner task that began alike. No behaviour changed.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -294,7 +294,7 @@
         self._remove_absent_runs(runner, present, report.sent_ms)
         for row in report.running:
             self._apply_running_row(runner, row, now_ms)
-        self.fleet.record_first_report(runner, report)
+        self.fleet.update_expiry_on_first_report(runner, report)
         if report.running and runner.lease_expiry_ms <= report.received_ms:
             # The listed runs show that their leases were extended later than assumed.
             runner.earlier_lease_expiry_ms = report.received_ms + compute_lease_ms(
@@ -602,7 +602,7 @@
             for run in self.fleet.remove_runs(runner, EndProof.LEASE_EXPIRED):
                 self.jobs.requeue(run.id)
             self.fleet.inherited.discard(runner.entry.id)
-        self._bar_late_starts(runner, now_ms)
+        self._reject_late_starts(runner, now_ms)
         stalled: list[Run] = []
         for run in runner.runs.values():
             if (
@@ -621,11 +621,11 @@
         if len(stalled) >= settings.suspect_stalls:
             self._quarantine_runner(runner, now_ms, "stalled runs")
 
-    def _bar_late_starts(self, runner: Runner, now_ms: float) -> None:
-        if now_ms - runner.barred_ms < self._settings.stop_retry_ms:
+    def _reject_late_starts(self, runner: Runner, now_ms: float) -> None:
+        if now_ms - runner.late_starts_stopped_ms < self._settings.stop_retry_ms:
             return
-        for run_id in self.fleet.unanswered_starts.list_to_bar(runner):
-            runner.barred_ms = now_ms
+        for run_id in self.fleet.unanswered_starts.list_unrejected(runner):
+            runner.late_starts_stopped_ms = now_ms
             self._commands.append(
                 StopRun(runner_id=runner.entry.id, run=run_id, reason="start without a response")
             )
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -141,7 +141,7 @@
             lease_expiry_ms=now_ms + lease_ms,
         )
 
-    def record_first_report(self, runner: Runner, report: RunnerReport) -> None:
+    def update_expiry_on_first_report(self, runner: Runner, report: RunnerReport) -> None:
         """Record that a runner rejects the earlier owner's commands from now on.
 
         An earlier owner may have called a runner that left the fleet record since.
@@ -198,8 +198,13 @@
             runner.is_registered = False
             expired = runner.ended or self.has_expired_leases(runner)
             # A runner that registers again must reject late starts of its earlier incarnation.
-            is_barring = self.unanswered_starts.has_runner(runner_id)
-            if not runner.runs and expired and not is_barring and runner_id not in self.inherited:
+            may_start_late = self.unanswered_starts.has_runner(runner_id)
+            if (
+                not runner.runs
+                and expired
+                and not may_start_late
+                and runner_id not in self.inherited
+            ):
                 del self.runners[runner_id]
                 self._unbounded.discard(runner_id)
                 self._retain_late_expiry(runner, now_ms)
@@ -230,7 +235,7 @@
 
         A run that no report has listed stays, since its start command may have been executed by the
         new incarnation, or may still be. A stop that the earlier incarnation confirmed is void, so
-        starts without a response are barred again.
+        starts without a response have to be rejected again.
         """
         self._log(
             "runner restarted",
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -250,7 +250,7 @@
     # Runs in its last report that no task needs; each is logged once.
     unneeded_runs: set[RunId] = attrs.field(factory=set)
     # When the runner was last told to reject late starts.
-    barred_ms: float = float("-inf")
+    late_starts_stopped_ms: float = float("-inf")
     guaranteed_cpu: int = 0
     serving_cpu: int = 0
     best_effort_cpu: int = 0
--- a/coltsfootpier/cells/_unanswered_starts.py
+++ b/coltsfootpier/cells/_unanswered_starts.py
@@ -315,7 +315,7 @@
         tasks = self._by_step.get((run_id.job_id, *run_id.key[:2]), {})
         return any(other != run_id for other in tasks.get(run_id.key, ()))
 
-    def list_to_bar(self, runner: Runner) -> list[RunId]:
+    def list_unrejected(self, runner: Runner) -> list[RunId]:
         """Return the runs whose late start the runner's present incarnation must be told to reject.
 
         Runs that are present are stopped by the cell itself.
--- a/coltsfootpier/cells/tests/test_proofs.py
+++ b/coltsfootpier/cells/tests/test_proofs.py
@@ -157,7 +157,7 @@
         harness.renew()
         self.assertEqual(len(self._list_starts()), 1)
 
-    def test_start_before_a_restart_is_barred(self):
+    def test_start_before_a_restart_is_rejected(self):
         """Guards against two runs when a start arrives after its runner has restarted."""
         harness = self.harness
         (command,) = self._list_starts()
--- a/coltsfootpier/node/tests/test_runner_task.py
+++ b/coltsfootpier/node/tests/test_runner_task.py
@@ -146,6 +146,16 @@
         ).job
         self.cell.jobs.mark_durable(job, job.version)
 
+    async def _send_start_without_response(self):
+        await self._wait_reports()
+        self.clock.advance(10.0)
+        self.cell.record_confirmation(self.clock.now_ms())
+        await self._wait_reports()
+        command = self._plan_start()
+        self.client.is_answering = False
+        self.task.execute(command)
+        return command
+
     def test_request_without_listed_ends_acknowledges_none(self):
         """Guards against a late request that acknowledges ends of the next incarnation unseen."""
 
@@ -161,13 +171,7 @@
         """Guards against requests without a pause for the 12 s of a late start."""
 
         async def steps():
-            await self._wait_reports()
-            self.clock.advance(10.0)
-            self.cell.record_confirmation(self.clock.now_ms())
-            await self._wait_reports()
-            command = self._plan_start()
-            self.client.is_answering = False
-            self.task.execute(command)
+            command = await self._send_start_without_response()
             later = attrs.evolve(command.run, attempt=command.run.attempt + 1)
             self.client.ended = (EndedRow(1, later, EndKind.DONE),)
             while not self.cell.fleet.has_pending_ends("a"):
@@ -187,13 +191,7 @@
         """Guards against a task that waits 12 s for a runner that was replaced."""
 
         async def steps():
-            await self._wait_reports()
-            self.clock.advance(10.0)
-            self.cell.record_confirmation(self.clock.now_ms())
-            await self._wait_reports()
-            command = self._plan_start()
-            self.client.is_answering = False
-            self.task.execute(command)
+            await self._send_start_without_response()
             await self._wait_reports()
             starts = self.cell.fleet.unanswered_starts
             self.assertTrue(starts.has_runner("a"))
