Acknowledge no end while the earlier owner may act

Cause: an owner that has been replaced acts until its proof ends, 1.5 s at most. Within that time its successor acknowledged the end of a run, and the runner crashed; the earlier owner saw two listings without the runner, freed the task and started it on a runner that the successor didn't reach.

Change: a new owner acknowledges ends once no proof of an earlier owner can be valid: 1.6 s after half of the runners are settled, and 12 s at most, so that lists of ends don't grow while most runners are gone. The record of the job doesn't wait. An end that is never acknowledged counts as lost with its runner, so that the second run is allowed. Runners with such ends are asked each 250 ms.

--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -58,6 +58,8 @@
         self.is_complete = True
         self._unlisted_expiry_ms = float("-inf")
         self._earlier_bounds: ActionBounds | None = None
+        # Until when an earlier owner may act on a proof of its ownership.
+        self._earlier_acts_until_ms = float("-inf")
         # Until when a late call may extend leases on each runner that was removed.
         self._removed_expiry_ms: dict[str, float] = {}
         # Whether the registry was read, so that the capacity of the cell is known.
@@ -93,6 +95,8 @@
         self.is_complete = is_complete
         self._earlier_bounds = bounds
         self._unlisted_expiry_ms = now_ms + compute_unconfirmed_lease_ms(bounds, self._settings)
+        if self.generation > 1:
+            self._earlier_acts_until_ms = now_ms + self._settings.late_call_ms
         for entry in entries:
             runner = Runner(entry=entry, is_registered=False, recorded=True)
             runner.earlier_lease_expiry_ms = self._unlisted_expiry_ms
@@ -126,6 +130,9 @@
         """
         if not self.is_complete and self.proof.covers_expiry(self._unlisted_expiry_ms):
             self.mark_complete("leases expired")
+        if self.is_complete and self.is_half_settled:
+            acting_ms = compute_lease_ms(self._settings.proof_validity_ms, self._settings)
+            self._earlier_acts_until_ms = min(self._earlier_acts_until_ms, now_ms + acting_ms)
         bounded = self._unbounded & self.inherited
         if not self.is_complete or not bounded or not self.is_half_settled:
             return
@@ -433,6 +440,14 @@
             runner.pending_ends.popleft()
         return runner.applied_end
 
+    def may_acknowledge_ends(self, now_ms: float) -> bool:
+        """Return whether ends that are durable may be acknowledged.
+
+        While an earlier owner acts, it may start the task of such an end again once the runner is
+        gone. An end that is never acknowledged then counts as lost with its runner.
+        """
+        return now_ms >= self._earlier_acts_until_ms
+
     def has_pending_ends(self, runner_id: str) -> bool:
         """Return whether ended runs of a runner can't be acknowledged yet."""
         self.get_last_durable_end(runner_id)
--- a/coltsfootpier/cells/tests/test_ownership.py
+++ b/coltsfootpier/cells/tests/test_ownership.py
@@ -166,6 +166,24 @@
         self.later.advance(1_000)
         self.assertEqual(len(self.later.find("j")), 2)
 
+    def test_no_end_is_acknowledged_while_the_earlier_owner_may_act(self):
+        """Guards against a task that the earlier owner starts again after its end was noted."""
+        fleet, settings = self.later.cell.fleet, self.later.settings
+        self.assertTrue(self.harness.cell.fleet.may_acknowledge_ends(self.harness.now_ms))
+        self._take_over(*NAMES)
+        self.later.advance(settings.proof_validity_ms)
+        self.assertFalse(fleet.may_acknowledge_ends(self.later.now_ms))
+        self.later.advance(300)
+        self.assertTrue(fleet.may_acknowledge_ends(self.later.now_ms))
+
+    def test_ends_are_acknowledged_although_most_runners_are_gone(self):
+        """Guards against runners whose lists of ends grow for as long as the others are gone."""
+        self._take_over(self.name)
+        self.later.advance(self.later.settings.late_call_ms - 100)
+        self.assertFalse(self.later.cell.fleet.may_acknowledge_ends(self.later.now_ms))
+        self.later.advance(200)
+        self.assertTrue(self.later.cell.fleet.may_acknowledge_ends(self.later.now_ms))
+
     def test_leases_are_counted_from_the_last_proof(self):
         """Guards against tasks that wait longer than the earlier owner extends their leases."""
         settings = self.later.settings
--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -254,6 +254,8 @@
         elif cell.fleet.has_pending_ends(self.id):
             # Held for starts without a response; a long poll would return at once.
             await anyio.sleep(_timing.HELD_ENDS_PERIOD_MS / 1000)
+        elif self._lists_ends and not cell.fleet.may_acknowledge_ends(self._clock.now_ms()):
+            await anyio.sleep(_timing.REPORT_WAIT_MS / 2 / 1000)
 
     def _find_acknowledged_end(self) -> int:
         """Return the number up to which the next request acknowledges ends; 0 for none.
@@ -261,7 +263,8 @@
         The numbers start anew with a restart, which a failed call may hide. A request may also be
         carried out late by a later incarnation, so only one that has ends to acknowledge does so.
         """
-        if not (self._is_reachable and self._lists_ends):
+        may_acknowledge = self._cell.fleet.may_acknowledge_ends(self._clock.now_ms())
+        if not (self._is_reachable and self._lists_ends and may_acknowledge):
             return 0
         return self._cell.fleet.get_last_durable_end(self.id)
 
--- a/coltsfootpier/node/tests/test_runner_task.py
+++ b/coltsfootpier/node/tests/test_runner_task.py
@@ -167,6 +167,21 @@
 
         self._run(steps)
 
+    def test_ends_wait_while_an_earlier_owner_may_act(self):
+        """Guards against an acknowledged end whose task an earlier owner starts again."""
+        fleet = self.cell.fleet
+
+        async def steps():
+            self.cell.record_confirmation(self.clock.now_ms())
+            self.client.ended = (EndedRow(57, RunId("j", TaskKey(0, 0, 0), 1), EndKind.DONE),)
+            for may_acknowledge, observed in ((False, 0), (True, 57)):
+                with mock.patch.object(fleet, "may_acknowledge_ends", return_value=may_acknowledge):
+                    await self._wait_reports()
+                    self.assertEqual(self.client.observed[-1], observed)
+
+        with mock.patch.multiple(_timing, REPORT_WAIT_MS=0):
+            self._run(steps)
+
     def test_end_that_cannot_be_acknowledged_is_polled_with_pauses(self):
         """Guards against requests without a pause for the 12 s of a late start."""
 
