--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -58,7 +58,7 @@
         self.is_complete = True
         self._unlisted_expiry_ms = float("-inf")
         self._earlier_bounds: ActionBounds | None = None
-        # Until when an earlier owner may act on a proof of its ownership.
+        # Until when no end is acknowledged, as an earlier owner may act on a proof of ownership.
         self._earlier_acts_until_ms = float("-inf")
         # Until when a late call may extend leases on each runner that was removed.
         self._removed_expiry_ms: dict[str, float] = {}
@@ -96,6 +96,7 @@
         self._earlier_bounds = bounds
         self._unlisted_expiry_ms = now_ms + compute_unconfirmed_lease_ms(bounds, self._settings)
         if self.generation > 1:
+            # Lists of ends must not grow for as long as most runners are gone.
             self._earlier_acts_until_ms = now_ms + self._settings.late_call_ms
         for entry in entries:
             runner = Runner(entry=entry, is_registered=False, recorded=True)
