Start no best-effort task beside a serving task that stays over its target

Cause: after 2 s over its target a serving task pauses the best-effort tasks beside it, but new ones were still placed there when their estimated interference was low; each works at full speed until the next report, half a second later.

Change: such a runner gets no best-effort task until the serving task is below its target again.

--- a/coltsfootpier/cells/_pacing.py
+++ b/coltsfootpier/cells/_pacing.py
@@ -38,21 +38,22 @@
         Local time.
     harm_stop_ms : float
         Time over its target after which a serving task pauses all best-effort runs beside it,
-        whatever their estimated interference.
+        whatever their estimated interference, and its runner gets no new ones.
 
     Returns
     -------
     list of PaceRun
         Commands for the runs whose pace changes.
     """
+    over_ms = max((now_ms - run.over_target_since_ms for run in list_serving(runner)), default=0.0)
+    runner.harmed = over_ms >= harm_stop_ms
     best_effort = [
         run for run in runner.runs.values() if run.step.fills and run.state is RunState.RUNNING
     ]
     if not best_effort:
         return []
     best_effort.sort(key=lambda run: rank(run.step_run))
-    over_ms = max((now_ms - run.over_target_since_ms for run in list_serving(runner)), default=0.0)
-    if over_ms >= harm_stop_ms:
+    if runner.harmed:
         paces = dict.fromkeys(best_effort, 0)
     else:
         paces = table.choose_paces(runner, best_effort)
--- a/coltsfootpier/cells/_placement.py
+++ b/coltsfootpier/cells/_placement.py
@@ -119,7 +119,7 @@
     if not runner.fits(spec) or not is_eligible(runner, step):
         return False
     if spec.fills:
-        if runner.unused_cpu < spec.cpu_milli * settings.fill_fit:
+        if runner.harmed or runner.unused_cpu < spec.cpu_milli * settings.fill_fit:
             return False
         return table.has_headroom(runner, spec)
     return True
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -275,6 +275,8 @@
     # Tail latencies of the serving runs in the last measurement, and when it was taken.
     measured_tails: tuple[float, ...] = ()
     measured_ms: float = float("-inf")
+    # Whether a serving task has been over its target for so long that it gets no best-effort run.
+    harmed: bool = False
     failed_job_ids: list[str] = attrs.field(factory=list)
     quarantined_until_ms: float = float("-inf")
     quarantine_ms: float = 0.0
--- a/coltsfootpier/cells/tests/test_colocation.py
+++ b/coltsfootpier/cells/tests/test_colocation.py
@@ -110,6 +110,36 @@
             longest_ms = max(longest_ms, over_ms)
         self.assertLess(longest_ms, 3_000)
 
+    def test_harm_ends_although_new_best_effort_tasks_keep_coming(self):
+        """Guards against new tasks at full speed in place of those that were paused.
+
+        A new task works until the next report of its runner, half a second later.
+        """
+        harness = build_harness(1)
+        harness.cell._interference.estimate = lambda serving, best_effort: 0.0
+        harness.submit("s", build_job(build_serving()))
+        harness.advance(1_000)
+        over_ms = longest_ms = 0
+        started_ms = {}
+        for number in range(100):
+            if number % 3 == 0:
+                step = build_best_effort("heavy", estimate_ms=500.0)
+                harness.submit(f"f{number}", build_job(step))
+            harness.now_ms += 100
+            for name, run in harness.list_running():
+                if (
+                    run.job_id != "s"
+                    and harness.now_ms - started_ms.setdefault(run, harness.now_ms) >= 800
+                ):
+                    harness.runners[name].end(run)
+            if number % 5 == 0:
+                harness.report()
+            harness.plan()
+            harness.store()
+            over_ms = over_ms + 100 if harness.count_over_target() else 0
+            longest_ms = max(longest_ms, over_ms)
+        self.assertLess(longest_ms, 4_000)
+
     def test_harm_ends_although_reports_are_imprecise(self):
         """Guards against a target that is missed for 4 s while every other report is just below it.
 
