--- a/coltsfootpier/node/tests/test_control.py
+++ b/coltsfootpier/node/tests/test_control.py
@@ -1,4 +1,4 @@
-"""Tests of maintenance waves that a daemon reads from the store."""
+"""Tests of the configuration and the maintenance waves that a daemon reads from the store."""
 
 import unittest
 
@@ -31,5 +31,37 @@
         self.assertEqual(self.control.waves, {})
 
 
+class ConfigurationTest(unittest.TestCase):
+    """Versions of the configuration that reach a daemon."""
+
+    def setUp(self):
+        self.control = ControlState(store=None)
+
+    def _apply(self, version, *names):
+        routes = [
+            {"name": name, "host": "h", "prefix": f"/{name}/", "service": "web"} for name in names
+        ]
+        body = orjson.dumps({"version": version, "routes": routes, "services": []})
+        self.control._apply_item(Item("op/config", body, version, version))
+
+    def _list_routes(self):
+        return [route.prefix for route in self.control.configuration.routes]
+
+    def test_withdrawn_route_is_not_used_again(self):
+        """Guards against an event that arrives late and brings a withdrawn route back."""
+        self._apply(3, "old", "kept")
+        self.assertEqual(self._list_routes(), ["/old/", "/kept/"])
+        self._apply(7, "kept")
+        self._apply(3, "old", "kept")
+        self.assertEqual(self._list_routes(), ["/kept/"])
+        self.assertEqual(self.control.configuration.version, 7)
+
+    def test_malformed_configuration_leaves_the_one_in_force(self):
+        """Guards against a daemon that drops all routes at a value that it can't read."""
+        self._apply(3, "kept")
+        self.control._apply_item(Item("op/config", b"{", 4, 4))
+        self.assertEqual(self._list_routes(), ["/kept/"])
+
+
 if __name__ == "__main__":
     unittest.main()
