Write new and ended jobs before the progress of others, in turns

Cause: a job that changes while its record is being written kept its place at the front of the queue, so the first twenty jobs with tens of running tasks were written again and again, and new jobs waited behind all of them (dirty up to 120, 22 in a change). Ruled out: the store, which responds in 4 ms.

Change: new jobs go first, then those in a final state, which callers wait for; a quarter of each change is left to progress. A job that has changed since is queued again behind the others.

--- a/coltsfootpier/cells/_jobs.py
+++ b/coltsfootpier/cells/_jobs.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from itertools import islice
 
+from coltsfootpier.cells._durability import DirtyJobs
 from coltsfootpier.cells._messages import RunId
 from coltsfootpier.cells._state import Job, Run, StepRun
 from coltsfootpier.jobs import JobRecord, JobState, Queue, StepSpec, TaskKey
@@ -39,7 +40,7 @@
         # Jobs that an earlier owner accepted; it may have started their tasks.
         self.inherited: set[str] = set()
         self._scheduled_steps: list[StepRun] = []
-        self._dirty: dict[str, Job] = {}
+        self._dirty = DirtyJobs()
         # Jobs in a final state, oldest first, and the local time at which each was known to end.
         self._ended: deque[tuple[float, Job]] = deque()
 
@@ -129,7 +130,7 @@
         """Remove a job whose record is known not to have been written."""
         job = self.jobs.pop(job_id, None)
         if job is not None:
-            self._dirty.pop(job_id, None)
+            self._dirty.remove(job_id)
             self._drop_steps(job)
 
     def close(self, job: Job, state: JobState, reason: str, now_ms: float) -> list[Run]:
@@ -248,15 +249,15 @@
     def mark_dirty(self, job: Job) -> None:
         """Mark the record of a job as changed."""
         job.version += 1
-        self._dirty[job.record.id] = job
+        self._dirty.add(job)
 
     def list_dirty(self, limit: int) -> list[tuple[Job, int]]:
         """Return jobs with changes that aren't durable, and the version to write for each."""
-        return [(job, job.version) for job in islice(self._dirty.values(), limit)]
+        return [(job, job.version) for job in self._dirty.select(limit)]
 
     def list_unsaved(self) -> list[Job]:
         """Return jobs that have no durable record yet."""
-        return [job for job in self._dirty.values() if job.durable_version == 0]
+        return self._dirty.list_unsaved()
 
     @property
     def dirty_count(self) -> int:
@@ -266,5 +267,7 @@
     def mark_durable(self, job: Job, version: int) -> None:
         """Mark the record of a job as durable up to a version."""
         job.durable_version = max(job.durable_version, version)
-        if job.durable_version >= job.version:
-            self._dirty.pop(job.record.id, None)
+        self._dirty.remove(job.record.id)
+        if job.durable_version < job.version:
+            # Behind the others, which would never be written while this one goes on changing.
+            self._dirty.add(job)
