--- a/coltsfootpier/cells/_search.py
+++ b/coltsfootpier/cells/_search.py
@@ -5,7 +5,7 @@
 fitted on no runner before only needs to be checked on the runners that have changed since.
 
 The tasks of a step have the same demand, and a start changes one runner only. Ranking 270 runners
-anew for each of 39 tasks takes a millisecond a task, half of all that a start costs the owner.
+anew for each task costs the owner 0.6 ms a task.
 """
 
 from __future__ import annotations
