Acknowledge the end of a closed job's task only once the closure is durable

Cause: the store was down; a caller cancelled the job, which the owner closed in memory; one of its runs ended as done before it was stopped. Ends of closed jobs were acknowledged at once, so the runner forgot this one, while the store, and so the next owner, had the job as open.

Change: such an end waits until the final state of its job is durable.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -406,6 +406,7 @@
         self.counters[f"ended_{row.outcome.value}"] += 1
         step = self.jobs.find_step(row.run)
         if step is None or not step.job.is_open:
+            self._retain_end_of_closed_job(runner, row)
             return
         job = step.job
         job.started = True
@@ -425,6 +426,15 @@
         if run is not None:
             self.jobs.requeue(run.id)
 
+    def _retain_end_of_closed_job(self, runner: Runner, row: EndedRow) -> None:
+        """Leave an end unacknowledged until the final state of its job is durable.
+
+        Until then the next owner may find the job open, and would start the task again.
+        """
+        job = self.jobs.jobs.get(row.run.job_id)
+        if job is not None and row.outcome in (EndKind.DONE, EndKind.FAILED):
+            runner.pending_ends.append((row.number, row.run, job, job.version))
+
     def _apply_failed_run(
         self, runner: Runner, step: StepRun, row: EndedRow, now_ms: float
     ) -> None:
--- a/coltsfootpier/cells/tests/test_runs.py
+++ b/coltsfootpier/cells/tests/test_runs.py
@@ -118,6 +118,33 @@
         harness.store()
         self.assertEqual(harness.cell.fleet.get_last_durable_end("a"), 1)
 
+    def test_end_of_a_closed_job_is_acknowledged_only_once_the_closure_is_durable(self):
+        """Guards against a next owner that finds the job open and starts a task that is done.
+
+        Seen in a load run (TWICE on icf-lahore-grown, trouble-3): a job was cancelled while the
+        store was down, one of its tasks ended as done, and the runner forgot that end.
+        """
+        for is_cancelled in (True, False):
+            with self.subTest(is_cancelled=is_cancelled):
+                harness = SimulatedCell()
+                harness.join()
+                harness.submit("j", build_job(build_step(count=2)), build_queue(max_attempts=1))
+                harness.plan()
+                harness.is_durable = False
+                (first_runner, first), (second_runner, second) = harness.find("j")
+                self.assertNotEqual(first_runner, second_runner)
+                if is_cancelled:
+                    harness.cell.cancel("j", harness.now_ms)
+                else:
+                    harness.runners[first_runner].end(first, EndKind.FAILED)
+                    harness.report()
+                harness.runners[second_runner].end(second)
+                harness.report()
+                fleet = harness.cell.fleet
+                self.assertEqual(fleet.get_last_durable_end(second_runner), 0)
+                harness.store()
+                self.assertEqual(fleet.get_last_durable_end(second_runner), 1)
+
     def test_failed_runs_are_counted(self):
         """Guards against a task that starts again after its attempts are used up."""
         harness = SimulatedCell(("a", "b", "c", "d", "e"))
