review: show lasting tasks that wait for quarantined runners

Cause: the share of runners in quarantine counts over the whole cell, and a runner of lasting tasks never counts a success, so rare failures add up and each later one doubles its quarantine.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -1,4 +1,4 @@
-"""Start of the stand-ins of `review.common.kinds`, and calls to them."""
+"""Start of the stand-ins of the review's cases, and calls to them."""
 
 from __future__ import annotations
 
@@ -20,10 +20,18 @@
 
 def start_kind_runners(nodes: Nodes, kinds: list[str], **options: Any) -> list[int]:
     """Start a process with a runner of each kind, and return the ports of the runners."""
+    return _start_runners(nodes, "review.common.kinds", kinds=",".join(kinds), **options)
+
+
+def start_lasting_runners(nodes: Nodes, services: list[str]) -> list[int]:
+    """Start a process with a runner of each service, and return the ports of the runners."""
+    return _start_runners(nodes, "review.common.lasting", services=",".join(services))
+
+
+def _start_runners(nodes: Nodes, module: str, **options: Any) -> list[int]:
     handle = nodes._spawn(
-        "review.common.kinds",
+        module,
         f"--store={nodes.store_port}",
-        f"--kinds={','.join(kinds)}",
         *(f"--{name}={value}" for name, value in options.items()),
         log=Path(nodes._folder.name) / "runners.log",
     )
