--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from review.common.case import Case, group_by_task, main, make_route
+from review.frame import Case, group_by_task, main, make_route
 from standins.histories import RunRecord
 
 _JOB = "aaaaaaaaaaaa0001"
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from review.common.case import Case, group_by_task, main, make_route
+from review.frame import Case, group_by_task, main, make_route
 
 _JOB_OF_FOUR, _JOB_OF_ONE = "bbbbbbbbbbbb0004", "bbbbbbbbbbbb0001"
 _MAX_ATTEMPTS = {_JOB_OF_FOUR: 4, _JOB_OF_ONE: 1}
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 # and need no compiler; this checks that they and the project's own stand-ins can be loaded.
 set -eu
 cd "$(dirname "$0")/.."
-PYTHONPATH="target/deps:." python3 -c "
-import review.common.case, review.common.harness, review.common.kinds
+PYTHONPATH="target/deps:." PYTHONDONTWRITEBYTECODE=1 python3 -c "
+import review.frame, review.harness, review.kinds, review.lasting
 import standins.cluster, standins.nodes, standins.platform, standins.runners"
--- a/review/common/harness.py
+++ b/review/harness.py
@@ -20,12 +20,12 @@
 
 def start_kind_runners(nodes: Nodes, kinds: list[str], **options: Any) -> list[int]:
     """Start a process with a runner of each kind, and return the ports of the runners."""
-    return _start_runners(nodes, "review.common.kinds", kinds=",".join(kinds), **options)
+    return _start_runners(nodes, "review.kinds", kinds=",".join(kinds), **options)
 
 
 def start_lasting_runners(nodes: Nodes, services: list[str]) -> list[int]:
     """Start a process with a runner of each service, and return the ports of the runners."""
-    return _start_runners(nodes, "review.common.lasting", services=",".join(services))
+    return _start_runners(nodes, "review.lasting", services=",".join(services))
 
 
 def _start_runners(nodes: Nodes, module: str, **options: Any) -> list[int]:
