Keep the values of a job's queue in its record

A job's record held only the name of its queue and the service. Once the operators had removed the queue, its values lived in the owner's memory, and the next owner made up a queue with three attempts.

The record of an open job now holds the values of its queue in the newest configuration that named it, and that version. All paths follow one rule: the newest configuration that has named the queue holds, whoever owns the cell. An owner whose configuration is older than the one applied before leaves the values as they are. Placement took the service from the configuration and admission from the job; both use the job now. Ruled out: a configuration that isn't read or can't be decoded when the records are loaded, since the cell is claimed only with one.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -154,9 +154,9 @@
         """Restore the learned state of images and queues from an earlier owner."""
         self._estimates.restore(learned)
 
-    def set_queues(self, queues: Mapping[str, Queue]) -> None:
-        """Apply the queues of the configuration in force."""
-        self.jobs.set_queues(queues)
+    def set_queues(self, queues: Mapping[str, Queue], *, version: int = 0) -> None:
+        """Apply the queues of a version of the configuration."""
+        self.jobs.set_queues(queues, version=version)
 
     def submit(
         self, job_id: str, queue: Queue, spec: JobSpec, *, now_ms: float, unix_ms: float
--- a/coltsfootpier/cells/_jobs.py
+++ b/coltsfootpier/cells/_jobs.py
@@ -13,6 +13,10 @@
 
 LogCallback = Callable[..., None]
 
+# Attempts of a job whose queue is unknown: an earlier release wrote its record, and the queue was
+# removed before this release added its values.
+_DEFAULT_ATTEMPTS = 3
+
 
 class JobTable:
     """Table of all jobs of a cell.
@@ -34,7 +38,8 @@
         self._observe = observe
         self._counters = counters
         self.jobs: dict[str, Job] = {}
-        self.queues: dict[str, Queue] = {}
+        self._queues: dict[str, Queue] = {}
+        self._queues_version = 0
         # Steps that may have tasks to start.
         self.ready: dict[tuple[str, int, int], StepRun] = {}
         # Jobs that an earlier owner accepted; it may have started their tasks.
@@ -44,24 +49,56 @@
         # Jobs in a final state, oldest first, and the local time at which each was known to end.
         self._ended: deque[tuple[float, Job]] = deque()
 
-    def set_queues(self, queues: Mapping[str, Queue]) -> None:
-        """Apply the queues of the configuration in force."""
-        self.queues = dict(queues)
+    def set_queues(self, queues: Mapping[str, Queue], *, version: int = 0) -> None:
+        """Apply the queues of a version of the configuration to the open jobs."""
+        self._queues = dict(queues)
+        self._queues_version = version
         for job in self.jobs.values():
-            job.queue = self.queues.get(job.record.queue, job.queue)
+            self._update_queue(job)
+
+    def _update_queue(self, job: Job) -> None:
+        """Apply the configuration in force to an open job.
+
+        A job keeps its queue if the configuration doesn't name it any more, or is older than the
+        one that an earlier owner has applied.
+        """
+        record = job.record
+        queue = self._queues.get(record.queue)
+        if queue is None or not job.is_open or self._queues_version < record.queue_version:
+            return
+        job.queue = queue
+        if record.queue_values != queue:
+            record.service = queue.service
+            record.queue_values, record.queue_version = queue, self._queues_version
+            self.mark_dirty(job)
 
     def add(
         self, record: JobRecord, now_ms: float, *, durable: bool, queue: Queue | None = None
     ) -> Job:
-        """Add a job with the progress in its record."""
-        queue = queue or self.queues.get(record.queue)
-        if queue is None:
-            # The queue was removed from the configuration; its jobs continue.
-            queue = Queue(name=record.queue, service=record.service, max_attempts=3)
-        job = Job(record=record, queue=queue, arrived_ms=now_ms)
+        """Add a job with the progress in its record.
+
+        Parameters
+        ----------
+        record : JobRecord
+            Record of the job.
+        now_ms : float
+            Local time.
+        durable : bool
+            Whether the record is in the store.
+        queue : Queue, optional
+            Queue of a new job; that of an inherited one is in its record.
+        """
+        if queue is not None:
+            record.queue_values, record.queue_version = queue, self._queues_version
+        job = Job(
+            record=record,
+            queue=record.queue_values or self._build_unknown_queue(record),
+            arrived_ms=now_ms,
+        )
         if durable:
             job.version = job.durable_version = 1
         self.jobs[record.id] = job
+        self._update_queue(job)
         if job.is_open and record.spec is not None:
             for occurrence in range(record.spec.occurrence_count):
                 for number, spec in enumerate(record.spec.steps):
@@ -72,6 +109,13 @@
             self._ended.append((now_ms, job))
         return job
 
+    def _build_unknown_queue(self, record: JobRecord) -> Queue:
+        """Return the queue of a record that doesn't hold its values."""
+        is_needed = not record.state.is_final and record.queue not in self._queues
+        if is_needed:
+            self._log("queue of job unknown", job=record.id, queue=record.queue)
+        return Queue(name=record.queue, service=record.service, max_attempts=_DEFAULT_ATTEMPTS)
+
     def _add_step(self, job: Job, occurrence: int, number: int, spec: StepSpec) -> None:
         step = StepRun(job=job, occurrence=occurrence, number=number, spec=spec)
         for index in range(spec.count):
@@ -155,6 +199,7 @@
         job.record.spec = None
         job.record.done = set()
         job.record.failures = {}
+        job.record.queue_values = None
         return runs
 
     def _drop_steps(self, job: Job) -> None:
--- a/coltsfootpier/cells/_planning.py
+++ b/coltsfootpier/cells/_planning.py
@@ -93,7 +93,7 @@
         steps.sort(key=lambda step: self._estimates.rank(step, now_ms))
         commands: list[StartRun | AdviceRequest] = []
         for step in steps:
-            service = self._find_service(step)
+            service = step.job.queue.service
             runners = self._search.list_usable(service)
             if not runners:
                 continue
@@ -203,7 +203,7 @@
                 continue
             step.last_move_ms = now_ms
             return self._find_displaceable_run(
-                step, self._search.list_usable(self._find_service(step))
+                step, self._search.list_usable(step.job.queue.service)
             )
         return None
 
@@ -262,9 +262,6 @@
         others = [other for other in self._search.list_usable(service) if other is not runner]
         return self._choose_runner(others, run.step_run, None) is not None
 
-    def _find_service(self, step: StepRun) -> str:
-        return self._jobs.queues.get(step.job.record.queue, step.job.queue).service
-
     def _list_approved(self, step: StepRun, runners: list[Runner], now_ms: float) -> list[Runner]:
         return [runner for runner in runners if step.find_ticket(runner.entry.id, now_ms)]
 
--- a/coltsfootpier/jobs/_record.py
+++ b/coltsfootpier/jobs/_record.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from coltsfootpier.exceptions import ColtsfootpierError
-from coltsfootpier.jobs._model import JobSpec, JobState, TaskKey
+from coltsfootpier.jobs._model import JobSpec, JobState, Queue, TaskKey
 from coltsfootpier.transport import MalformedMessageError, decode, unstructure
 
 
@@ -26,7 +26,7 @@
     queue : str
         Name of the queue.
     service : str
-        Service of the queue when the job was accepted.
+        Service of the queue.
     accepted_unix_ms : float
         Unix time in ms at which the job was accepted.
     state : JobState
@@ -40,6 +40,11 @@
         Numbers of the failed attempts of each task. A runner reports an ended run until it is
         acknowledged, so a later owner may see it again; the numbers keep it from being counted
         twice.
+    queue_values : Queue, optional
+        The queue in the newest configuration that named it, since a successor may find it removed.
+        None in a record of an earlier release, and once the state is final.
+    queue_version : int
+        Version of that configuration, or of an earlier one with the same values.
     """
 
     id: str
@@ -50,6 +55,8 @@
     spec: JobSpec | None = None
     done: set[TaskKey] = attrs.field(factory=set)
     failures: dict[TaskKey, set[int]] = attrs.field(factory=dict)
+    queue_values: Queue | None = None
+    queue_version: int = 0
 
 
 def encode_record(record: JobRecord) -> bytes:
@@ -72,6 +79,8 @@
         value["spec"] = unstructure(record.spec)
         value["done"] = [list(key) for key in sorted(record.done)]
         value["failures"] = [[*key, sorted(attempts)] for key, attempts in record.failures.items()]
+        if record.queue_values is not None:
+            value["queue_values"] = _encode_queue(record.queue_values, record.queue_version)
     return orjson.dumps(value)
 
 
@@ -80,6 +89,7 @@
     try:
         value = orjson.loads(body)
         spec = value.get("spec")
+        queue, version = _decode_queue(value)
         return Success(
             JobRecord(
                 id=decode(value["id"], str),
@@ -93,6 +103,8 @@
                     _decode_key(key): decode(attempts, set[int])
                     for *key, attempts in value.get("failures", ())
                 },
+                queue_values=queue,
+                queue_version=version,
             )
         )
     except (
@@ -108,3 +120,35 @@
 
 def _decode_key(value: list[object]) -> TaskKey:
     return TaskKey(*decode(value, tuple[int, int, int]))
+
+
+def _encode_queue(queue: Queue, version: int) -> list[object]:
+    """Encode what a record doesn't hold elsewhere, as a row without names to keep records small."""
+    return [
+        version,
+        queue.priority,
+        queue.max_attempts,
+        queue.stretch,
+        queue.objective_ms,
+        int(queue.needs_advice),
+    ]
+
+
+def _decode_queue(value: dict[str, object]) -> tuple[Queue | None, int]:
+    """Return the queue in a record and its version; None for a record of an earlier release."""
+    row = value.get("queue_values")
+    if row is None:
+        return None, 0
+    version, priority, max_attempts, stretch, objective_ms, needs_advice = decode(
+        row, tuple[int, int, int, float, float, int]
+    )
+    queue = Queue(
+        name=decode(value["queue"], str),
+        service=decode(value["service"], str),
+        priority=priority,
+        max_attempts=max_attempts,
+        stretch=stretch,
+        objective_ms=objective_ms,
+        needs_advice=bool(needs_advice),
+    )
+    return queue, version
--- a/coltsfootpier/jobs/tests/test_record.py
+++ b/coltsfootpier/jobs/tests/test_record.py
@@ -5,7 +5,15 @@
 import orjson
 from returns.result import Failure
 
-from coltsfootpier.jobs import JobRecord, JobSpec, StepSpec, TaskKey, decode_record, encode_record
+from coltsfootpier.jobs import (
+    JobRecord,
+    JobSpec,
+    Queue,
+    StepSpec,
+    TaskKey,
+    decode_record,
+    encode_record,
+)
 from tests.entries import build_nested_text
 
 
@@ -22,6 +30,16 @@
             spec=JobSpec(payload="p", steps=(StepSpec(count=3, cpu_milli=2**64 - 1),)),
             done={TaskKey(0, 0, 2)},
             failures={TaskKey(0, 0, 1): {10_001, 20_001}},
+            queue_values=Queue(
+                name="q",
+                service="s",
+                priority=3,
+                max_attempts=4,
+                stretch=1.5,
+                objective_ms=250.5,
+                needs_advice=True,
+            ),
+            queue_version=12,
         )
         self.assertEqual(decode_record(encode_record(record)).unwrap(), record)
 
@@ -36,6 +54,7 @@
             "spec": {"payload": "", "steps": [{"count": 1}]},
             "done": [],
             "failures": [],
+            "queue_values": [12, 3, 4, 1.5, 250.5, 1],
         }
         self.assertNotIsInstance(decode_record(orjson.dumps(record)), Failure)
         for text in (b"[1]", b"[[1]]", b'["a"]', b"7e300", build_nested_text(1_000)):
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -184,7 +184,7 @@
 
     async def run(self, configuration: Configuration) -> None:
         """Schedule the cell until another daemon owns it, or until `resign`."""
-        self.cell.set_queues(configuration.queues)
+        self.cell.set_queues(configuration.queues, version=configuration.version)
         async with anyio.create_task_group() as group:
             self._group = group
             # While the store is slow, loading takes longer than the lease lasts.
@@ -450,7 +450,7 @@
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Apply the queues of a newer configuration."""
-        self.cell.set_queues(configuration.queues)
+        self.cell.set_queues(configuration.queues, version=configuration.version)
         self._wake_planner()
 
     # Tasks
