Take nothing for absent that a cut report leaves out

A new owner that read only the first page would have started the done tasks behind it, too, and a late start that was carried out and ended behind the page counted as rejected.

Whether the list of ends is whole is decided once, where a report is decoded. A cut report frees no run and shows no rejection, and a new owner starts no task of an inherited job before it has read the ends of each runner to the last page. The owner's log names cut lists. Ruled out: ends acknowledged before their record was durable, and ends that are applied twice. Pages of the store, of VMs and the watch are read to their end already.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -311,7 +311,8 @@
                 runner.applied_end = row.number
         present = {row.run for row in report.running}
         # A listed run may take the place of one that is gone.
-        self._remove_absent_runs(runner, present, report.sent_ms)
+        if report.is_complete:
+            self._remove_absent_runs(runner, present, report.sent_ms)
         for row in report.running:
             self._apply_running_row(runner, row, now_ms)
         self.fleet.update_expiry_on_first_report(runner, report)
@@ -322,8 +323,8 @@
             )
         self.fleet.unanswered_starts.apply_report(runner_id, report, present, now_ms)
         runner.unneeded_runs &= present
+        self.fleet.record_report(runner, report)
         runner.adopted = True
-        self.fleet.inherited.discard(runner_id)
         if self._interference.observe(runner, now_ms):
             self._commands.extend(
                 adjust_paces(
@@ -338,7 +339,8 @@
     def _remove_absent_runs(self, runner: Runner, present: set[RunId], sent_ms: float) -> None:
         """Remove the runs that a report should list and doesn't.
 
-        It was requested after a run was confirmed present, or after its start was ruled out.
+        It lists all ended runs, and was requested after a run was confirmed present, or after its
+        start was ruled out.
         """
         for run in list(runner.runs.values()):
             should_be_listed = run.confirmed_ms < sent_ms or run.stop_confirmed_ms < sent_ms
@@ -615,7 +617,7 @@
     def _enforce_time_limits(self, runner: Runner, now_ms: float) -> None:
         settings = self._settings
         if self.fleet.has_expired_leases(runner):
-            inherited = runner.entry.id in self.fleet.inherited
+            inherited = self.fleet.has_unknown_runs(runner.entry.id)
             if runner.runs or inherited:
                 self._log(
                     "run leases expired",
@@ -631,7 +633,7 @@
                 )
             for run in self.fleet.remove_runs(runner, EndProof.LEASE_EXPIRED):
                 self.jobs.requeue(run.id)
-            self.fleet.inherited.discard(runner.entry.id)
+            self.fleet.settle_runner(runner.entry.id)
         self._reject_late_starts(runner, now_ms)
         stalled: list[Run] = []
         for run in runner.runs.values():
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -49,6 +49,9 @@
         # Runners that an earlier owner used and that have not responded to this owner yet.
         self.inherited: set[str] = set()
         self._inherited_count = 0
+        # Runners that have responded to this owner, but have more ended runs of an earlier owner
+        # than they list at a time.
+        self._partly_read: set[str] = set()
         # Runners in the fleet record, and Unix time at which the record was loaded.
         self._earlier_ids: frozenset[str] = frozenset()
         self._loaded_unix_ms = float("inf")
@@ -110,8 +113,38 @@
 
     @property
     def may_have_unknown_runs(self) -> bool:
-        """Whether an earlier owner may have runs of inherited jobs that this owner doesn't know."""
-        return bool(self.inherited) or not self.is_complete
+        """Whether an earlier owner may have runs of inherited jobs that this owner doesn't know.
+
+        They may go on, or have ended.
+        """
+        return bool(self.inherited or self._partly_read) or not self.is_complete
+
+    def has_unknown_runs(self, runner_id: str) -> bool:
+        """Return whether a runner may have unknown runs of an earlier owner."""
+        return runner_id in self.inherited or runner_id in self._partly_read
+
+    def settle_runner(self, runner_id: str) -> None:
+        """Record that no run of an earlier owner on a runner is unknown any more."""
+        self.inherited.discard(runner_id)
+        self._partly_read.discard(runner_id)
+
+    def record_report(self, runner: Runner, report: RunnerReport) -> None:
+        """Record which runs of earlier owners are unknown after a report of a runner."""
+        runner_id = runner.entry.id
+        if report.is_complete != runner.lists_all_ends:
+            runner.lists_all_ends = report.is_complete
+            self._log(
+                "runner lists all ended runs" if report.is_complete else "list of ended runs cut",
+                runner=runner_id,
+                last_end=runner.applied_end,
+                runs=len(runner.runs),
+                generation=self.generation,
+            )
+        if report.is_complete:
+            self._partly_read.discard(runner_id)
+        elif not runner.adopted and self.generation > 1:
+            self._partly_read.add(runner_id)
+        self.inherited.discard(runner_id)
 
     def mark_complete(self, cause: str) -> None:
         """Record that every runner that earlier owners may use is known to this owner."""
@@ -211,7 +244,7 @@
                 not runner.runs
                 and expired
                 and not may_start_late
-                and runner_id not in self.inherited
+                and not self.has_unknown_runs(runner_id)
             ):
                 del self.runners[runner_id]
                 self._unbounded.discard(runner_id)
@@ -266,6 +299,8 @@
         runner.pending_ends.clear()
         runner.adopted = False
         runner.first_accepted_ms, runner.accepted_ms = float("inf"), float("-inf")
+        # The next incarnation lists none of the earlier ends.
+        self._partly_read.discard(runner.entry.id)
         return lost
 
     def mark_ended(
@@ -284,7 +319,7 @@
             confirmed later, stays, since a later incarnation may have executed it.
         """
         runner.ended = True
-        self.inherited.discard(runner.entry.id)
+        self.settle_runner(runner.entry.id)
         lost = [
             run
             for run in runner.runs.values()
--- a/coltsfootpier/cells/_incarnations.py
+++ b/coltsfootpier/cells/_incarnations.py
@@ -58,7 +58,7 @@
         return any(
             (
                 runner.runs
-                or runner_id in fleet.inherited
+                or fleet.has_unknown_runs(runner_id)
                 or fleet.unanswered_starts.has_runner(runner_id)
             )
             and now_ms - runner.contact_ms > settings.suspect_after_ms
--- a/coltsfootpier/cells/_messages.py
+++ b/coltsfootpier/cells/_messages.py
@@ -138,7 +138,10 @@
     running : tuple of RunningRow
         All runs present.
     ended : tuple of EndedRow
-        Ended runs that aren't acknowledged.
+        Ended runs that aren't acknowledged, the earliest first; a runner lists a limited number.
+    is_complete : bool
+        Whether `ended` lists all of them. Otherwise a run in neither list may have ended, so its
+        absence proves nothing.
     sent_ms, received_ms : float
         Local times before the request and after the response.
     """
@@ -149,6 +152,7 @@
     ended: tuple[EndedRow, ...]
     sent_ms: float
     received_ms: float
+    is_complete: bool = True
 
 
 class StartOutcome(enum.Enum):
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -222,12 +222,14 @@
         Whether its entry is in the registry, or may have expired because of an outage.
     adopted : bool
         Whether it has responded to this owner's fencing token, so that no command of an earlier
-        owner can take effect any more and its lists are complete.
+        owner can take effect any more.
     deadline_ms, deadline_sent_ms : float
         Deadline of the last report request to it, on its clock, and local time before it was sent;
         for logs.
     applied_end : int
         Number of the last ended run in its reports that was applied.
+    lists_all_ends : bool
+        Whether its last report listed all ended runs that aren't acknowledged.
     """
 
     entry: RunnerEntry
@@ -249,6 +251,7 @@
     deadline_ms: float = float("-inf")
     deadline_sent_ms: float = float("-inf")
     applied_end: int = 0
+    lists_all_ends: bool = True
     # Ended runs that aren't acknowledged yet: number, run, job, version of the job.
     pending_ends: deque[tuple[int, RunId, Job, int]] = attrs.field(factory=deque)
     runs: dict[RunId, Run] = attrs.field(factory=dict)
--- a/coltsfootpier/cells/_unanswered_starts.py
+++ b/coltsfootpier/cells/_unanswered_starts.py
@@ -251,6 +251,8 @@
         for run_id in carried_out:
             if run_id in starts:
                 self._remove(starts[run_id], now_ms, "carried out")
+        if not report.is_complete:
+            return
         for start in starts.values():
             # The report was requested after the stop was confirmed and doesn't list the run.
             if start.stop_confirmed_ms < report.sent_ms:
--- a/coltsfootpier/cells/tests/builders.py
+++ b/coltsfootpier/cells/tests/builders.py
@@ -79,6 +79,8 @@
     rejected: set[RunId] = attrs.field(factory=set)
     last_end: int = 0
     reachable: bool = True
+    # Ended runs that it lists at a time.
+    end_limit: int = 500
 
     def end(self, run: RunId, outcome: EndKind = EndKind.DONE, checkpoint: str = "") -> None:
         """End a run that is present."""
@@ -185,7 +187,8 @@
                         )
                         for run, checkpoint in runner.running.items()
                     ),
-                    ended=tuple(runner.ended),
+                    ended=tuple(runner.ended[: runner.end_limit]),
+                    is_complete=len(runner.ended) < runner.end_limit,
                     sent_ms=self.now_ms,
                     received_ms=self.now_ms,
                 ),
--- a/coltsfootpier/platform/_runners.py
+++ b/coltsfootpier/platform/_runners.py
@@ -75,6 +75,8 @@
 # Numbers of fields in rows of a report; a running row may have more.
 _RUNNING_FIELDS = 4
 _ENDED_FIELDS = 5
+# Ended runs that a runner lists at a time.
+_MAX_LISTED_ENDS = 500
 _MAX_CHECKPOINT_BYTES = 65_536
 _MAX_PERCENT = 100
 # Fields of a row of approved runners: the runner and its ticket.
@@ -380,11 +382,13 @@
 
 
 def _decode_report(value: dict[str, Any], sent_ms: float, received_ms: float) -> RunnerReport:
+    ended = tuple(map(_decode_ended_row, read_list(value, "ended")))
     return RunnerReport(
         clock_ms=read_number(value, "clock_ms"),
         started_unix_ms=read_int(value, "born", high=MAX_TIME_MS, default=0),
         running=tuple(map(_decode_running_row, read_list(value, "running"))),
-        ended=tuple(map(_decode_ended_row, read_list(value, "ended"))),
+        ended=ended,
+        is_complete=len(ended) < _MAX_LISTED_ENDS,
         sent_ms=sent_ms,
         received_ms=received_ms,
     )
--- a/coltsfootpier/platform/tests/test_reports.py
+++ b/coltsfootpier/platform/tests/test_reports.py
@@ -38,6 +38,12 @@
         self.assertEqual(decode(running=[RUNNING_ROW[:4]]).running[0].measured, 0.0)
         self.assertEqual(decode(running=[[*RUNNING_ROW[:4], None]]).running[0].measured, 0.0)
 
+    def test_list_of_ends_may_be_cut(self):
+        """Guards against taking a run that a full list of ends leaves out for lost."""
+        rows = [[number, *ENDED_ROW[1:]] for number in range(1, 501)]
+        self.assertTrue(decode(ended=rows[:499]).is_complete)
+        self.assertFalse(decode(ended=rows).is_complete)
+
     def assert_refused(self, **changes):
         """Check that a report is refused with a reason of bounded length."""
         with self.assertRaises(InvalidFieldError) as caught:
