Send a start without a response again under its attempt

The start is now sent once more, under the same attempt and to the same incarnation, so all its calls come to one run at most, and its capacity stays reserved. No task starts elsewhere while one of its calls may be carried out; `rejected_hold_ms` is gone. Once a start was repeated, a report that lists its run doesn't settle the other calls, and the next owner is told so by the record of unanswered starts.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -491,6 +491,14 @@
             if run.state is RunState.STARTING:
                 run.state = RunState.UNSURE
             return
+        if self.fleet.unanswered_starts.find(run_id) is not None:
+            # An earlier call of the same start may still be carried out.
+            self._log(
+                "start retry rejected", run=str(run_id), runner=runner_id, reason=outcome.value
+            )
+            if run.state is RunState.STARTING:
+                run.state = RunState.UNSURE
+            return
         if outcome is StartOutcome.TICKET:
             run.step_run.tickets.pop(runner_id, None)
         if outcome in (StartOutcome.ROOM, StartOutcome.REFUSED, StartOutcome.WITHHELD):
@@ -639,9 +647,9 @@
         for run in runner.runs.values():
             if (
                 run.state is RunState.UNSURE
-                and now_ms - run.start_sent_ms > settings.unsure_stop_ms
+                and now_ms - run.start_sent_ms > settings.start_retry_ms
             ):
-                self._stop_run(run, "no response to start command", now_ms)
+                self._retry_start(runner, run, now_ms)
             if run.state is RunState.STOPPING:
                 if now_ms - run.stop_sent_ms >= settings.stop_retry_ms:
                     self._queue_stop(run, now_ms)
@@ -653,6 +661,15 @@
         if len(stalled) >= settings.suspect_stalls:
             self._quarantine_runner(runner, now_ms, "stalled runs")
 
+    def _retry_start(self, runner: Runner, run: Run, now_ms: float) -> None:
+        """Send an unanswered start command once more, or stop its run."""
+        if not self._planner.may_retry_start(run, now_ms):
+            self._stop_run(run, "no response to start command", now_ms)
+            return
+        is_silent = now_ms - runner.contact_ms > self._settings.suspect_after_ms
+        if not is_silent and self.is_ownership_proven(now_ms):
+            self._commands.append(self._planner.retry_start(run, now_ms))
+
     def _reject_late_starts(self, runner: Runner, now_ms: float) -> None:
         if now_ms - runner.late_starts_stopped_ms < self._settings.stop_retry_ms:
             return
--- a/coltsfootpier/cells/_planning.py
+++ b/coltsfootpier/cells/_planning.py
@@ -155,9 +155,14 @@
             runner
             for runner in runners
             if runner.entry.id == held[index]
+            and not self._has_failed_on(step, index, runner)
             and self._fleet.unanswered_starts.is_rejected(step, index, runner)
         ]
 
+    def _has_failed_on(self, step: StepRun, index: int, runner: Runner) -> bool:
+        task = step.tasks.get(index)
+        return task is not None and runner.entry.id in task.avoided_runners
+
     def choose_slowed_run(self, now_ms: float) -> Run | None:
         """Return a slowed best-effort run that fits beside the serving tasks of another runner.
 
@@ -378,16 +383,50 @@
         attempt = max(attempt, task.attempt + 1, base + 1)
         run_id = RunId(step.job.record.id, step.build_key(index), attempt)
         self._fleet.add_run(runner, step, run_id, now_ms)
-        self._fleet.unanswered_starts.record(run_id, runner, now_ms)
         task.preferred_runner = ""
         # A long-running task shows too late whether its runner is healthy.
         if not step.spec.long_running:
             runner.probe_run = run_id
         self._fleet.assert_capacity(runner)
+        return self._build_start(runner, step, run_id, now_ms)
+
+    def _build_start(self, runner: Runner, step: StepRun, run_id: RunId, now_ms: float) -> StartRun:
+        self._fleet.unanswered_starts.record(run_id, runner, now_ms)
         return StartRun(
             runner_id=runner.entry.id,
             run=run_id,
             payload=step.job.record.spec.payload,
-            checkpoint=step.find_checkpoint(task),
+            checkpoint=step.find_checkpoint(step.tasks[run_id.key.index]),
             ticket=step.find_ticket(runner.entry.id, now_ms),
         )
+
+    def may_retry_start(self, run: Run, now_ms: float) -> bool:
+        """Return whether the start command of a run may be sent once more.
+
+        It goes only to the incarnation that the first one was sent to: a later one may have other
+        labels and less capacity.
+        """
+        runner = self._fleet.runners[run.runner_id]
+        start = self._fleet.unanswered_starts.find(run.id)
+        return (
+            start is not None
+            and start.started_unix_ms == runner.started_unix_ms
+            and start.address == runner.entry.address
+            and not runner.entry.draining
+            and run.retry_count < self._settings.max_start_retries
+            and (
+                not run.step_run.job.queue.needs_advice
+                or bool(run.step_run.find_ticket(run.runner_id, now_ms))
+            )
+        )
+
+    def retry_start(self, run: Run, now_ms: float) -> StartRun:
+        """Return the start command of a run once more."""
+        run.retry_count += 1
+        run.start_sent_ms = now_ms
+        run.state = RunState.STARTING
+        self._log(
+            "start command repeated", run=str(run.id), runner=run.runner_id, retries=run.retry_count
+        )
+        runner = self._fleet.runners[run.runner_id]
+        return self._build_start(runner, run.step_run, run.id, now_ms)
--- a/coltsfootpier/cells/_settings.py
+++ b/coltsfootpier/cells/_settings.py
@@ -19,9 +19,6 @@
         Longest lease of a runner; it shortens any deadline that lies further ahead.
     late_call_ms : float
         Time after which a call without a response is no longer executed by a runner.
-    rejected_hold_ms : float
-        Time for which a task whose late start its runner rejects waits for capacity there; short
-        tasks that occupy the capacity end within that time.
     proof_validity_ms : float
         Time for which a confirmation of the store or of a runner proves that no later owner acts.
         Not shorter than the owner's lease, and longer than two report requests (500 ms each).
@@ -49,9 +46,12 @@
         still live. More than the longest wait for a report (500 ms) plus its transfer.
     vm_retry_ms : float
         Time between listings for the VMs of runners that no listing has named yet.
-    unsure_stop_ms : float
-        Time after which a run with an unanswered start command is stopped; above the usual response
+    start_retry_ms : float
+        Time after which an unanswered start command is sent once more; above the usual response
         time of a runner in another availability zone (10 ms) plus one retransmission (200 ms).
+    max_start_retries : int
+        Maximum number of times that a start command is sent once more before its run is stopped.
+        With half of the commands unanswered, one task in 256 is stopped.
     stop_retry_ms : float
         Time between stop commands for a run that is still listed.
     check_period_ms : float
@@ -131,7 +131,6 @@
     run_lease_ms: float = 4_000.0
     max_run_lease_ms: float = 10_000.0
     late_call_ms: float = 12_000.0
-    rejected_hold_ms: float = 1_000.0
     proof_validity_ms: float = 1_500.0
     lease_slack_ms: float = 300.0
     max_unconfirmed_ms: float = 1_800_000.0
@@ -141,7 +140,8 @@
     contact_fresh_ms: float = 1_300.0
     suspect_after_ms: float = 650.0
     vm_retry_ms: float = 2_000.0
-    unsure_stop_ms: float = 400.0
+    start_retry_ms: float = 400.0
+    max_start_retries: int = 7
     stop_retry_ms: float = 500.0
     check_period_ms: float = 50.0
     fill_fit: float = 0.7
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -70,6 +70,8 @@
     listed: bool = False
     stop_confirmed_ms: float = float("inf")
     stop_sent_ms: float = float("-inf")
+    # Number of times that its start command was sent once more.
+    retry_count: int = 0
     percent: float = 0.0
     last_progress_ms: float = 0.0
     measured: float = 0.0
--- a/coltsfootpier/cells/_unanswered_starts.py
+++ b/coltsfootpier/cells/_unanswered_starts.py
@@ -1,13 +1,14 @@
 """Starts without a response, which a runner may still carry out.
 
-An incarnation that was told to reject a late start rejects it, but one that starts later under the
-same identifier doesn't know that. So the task may start again only on the same runner, and only
-while the present incarnation rejects the late start. This holds until the start can't be carried
-out any more: its time has passed, it has been carried out, another runner responds at the address
-that it was sent to, or the runner's VM is gone or has another runner.
-
-A runner that responds and rejects the late start rarely ends within the next seconds. So a task for
-which it has no capacity, or that failed there, may start elsewhere.
+The cell repeats such a start under the same number of the attempt while the incarnation lives to
+which it was sent: a runner that has the run already confirms it. So at most one run comes of all
+the calls, on this incarnation or on one that starts later under the same identifier.
+
+An incarnation that was told to reject a late start rejects it, but a later one doesn't know that.
+So the task may start again only on the same runner, and only while the present incarnation rejects
+the late start. This holds until the start can't be carried out any more: its time has passed, its
+only call has been carried out, another runner responds at the address that it was sent to, or the
+runner's VM is gone or has another runner.
 """
 
 from __future__ import annotations
@@ -34,12 +35,15 @@
         Runner to which it was sent, and its address.
     left_ms : float
         Time for which it might still be carried out when it was recorded.
+    is_repeated : bool
+        Whether it was sent more than once.
     """
 
     run: RunId
     runner_id: str
     address: str
     left_ms: float
+    is_repeated: bool = False
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -63,10 +67,11 @@
         When the runner confirmed a stop for it; infinite before.
     rejected_by : int or None
         Incarnation that is known to reject it.
-    rejected_ms : float
-        Since when that is known.
     is_inherited : bool
         Whether an earlier owner sent it; each incarnation that has responded rejects it then.
+    is_repeated : bool
+        Whether it was sent more than once. Once one call has been carried out, the others may still
+        be by a later incarnation.
     """
 
     run: RunId
@@ -77,20 +82,14 @@
     is_settled: bool = False
     stop_confirmed_ms: float = float("inf")
     rejected_by: int | None = None
-    rejected_ms: float = float("inf")
     is_inherited: bool = False
+    is_repeated: bool = False
 
     def is_rejected(self, runner: Runner) -> bool:
         """Return whether the present incarnation of its runner rejects it."""
-        return self.find_rejected_ms(runner) < float("inf")
-
-    def find_rejected_ms(self, runner: Runner) -> float:
-        """Return since when the present incarnation of its runner rejects it."""
         if self.is_inherited:
-            return runner.first_accepted_ms if runner.adopted else float("inf")
-        if self.rejected_by != runner.started_unix_ms:
-            return float("inf")
-        return self.rejected_ms
+            return runner.adopted
+        return self.rejected_by == runner.started_unix_ms
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -140,7 +139,12 @@
         return len(self._held)
 
     def record(self, run_id: RunId, runner: Runner, now_ms: float) -> None:
-        """Record a start that is about to be sent."""
+        """Record a start that is about to be sent, or sent once more to the same incarnation."""
+        start = self._starts.pop(run_id, None)
+        if start is not None:
+            start.is_repeated, start.is_settled, start.open_ms = True, False, now_ms
+            self._starts[run_id] = start
+            return
         self._add(
             UnansweredStart(
                 run=run_id,
@@ -164,6 +168,7 @@
                     open_ms=now_ms - self._settings.late_call_ms + left_ms,
                     is_settled=True,
                     is_inherited=True,
+                    is_repeated=start.is_repeated,
                 )
             )
 
@@ -190,6 +195,7 @@
                 runner_id=start.runner_id,
                 address=start.address,
                 left_ms=self._compute_left_ms(start, now_ms),
+                is_repeated=start.is_repeated,
             )
             for start in starts[-limit:]
         )
@@ -209,10 +215,13 @@
         start = self._starts.get(run_id)
         if start is None:
             return
-        if answered:
+        if answered and not start.is_repeated:
             self._remove(start, now_ms, "answered")
             return
         start.is_settled = True
+        if answered:
+            # The call before had no response.
+            return
         start.open_ms = now_ms
         self._starts[run_id] = self._starts.pop(run_id)
 
@@ -246,18 +255,16 @@
         starts = self._by_runner.get(runner_id)
         if not starts:
             return
-        carried_out = [run_id for run_id in starts if run_id in present]
-        carried_out += [row.run for row in report.ended if row.run in starts]
-        for run_id in carried_out:
-            if run_id in starts:
-                self._remove(starts[run_id], now_ms, "carried out")
-        if not report.is_complete:
-            return
-        for start in starts.values():
-            # The report was requested after the stop was confirmed and doesn't list the run.
-            if start.stop_confirmed_ms < report.sent_ms:
-                if not start.is_rejected(self._runners[runner_id]):
-                    start.rejected_ms = now_ms
+        ended = {row.run for row in report.ended if row.run in starts}
+        for start in list(starts.values()):
+            if start.run in ended or start.run in present:
+                if not start.is_repeated:
+                    self._remove(start, now_ms, "carried out")
+                elif start.run in ended:
+                    # A runner rejects the calls of a run that has ended there.
+                    start.rejected_by = report.started_unix_ms
+            elif report.is_complete and start.stop_confirmed_ms < report.sent_ms:
+                # The report was requested after the stop was confirmed and doesn't list the run.
                 start.rejected_by = report.started_unix_ms
 
     def list_runners(self) -> list[str]:
@@ -313,9 +320,14 @@
         return runner_id in self._by_runner
 
     def has_task(self, run_id: RunId) -> bool:
-        """Return whether another start of a run's task may still be carried out."""
+        """Return whether a further start of a run's task may still be carried out."""
         tasks = self._by_step.get((run_id.job_id, *run_id.key[:2]), {})
-        return any(other != run_id for other in tasks.get(run_id.key, ()))
+        starts = tasks.get(run_id.key, {})
+        return any(other != run_id or start.is_repeated for other, start in starts.items())
+
+    def find(self, run_id: RunId) -> UnansweredStart | None:
+        """Return a start that may still be carried out; None if it is none."""
+        return self._starts.get(run_id)
 
     def list_unrejected(self, runner: Runner) -> list[RunId]:
         """Return the runs whose late start the runner's present incarnation must be told to reject.
@@ -353,27 +365,11 @@
         for key, starts in tasks.items():
             if step.has_runs(key.index) or key in step.job.record.done:
                 continue
-            if all(self._may_move(step, start, now_ms) for start in starts.values()):
-                self._log_release(list(starts)[-1], now_ms, "rejected")
-                continue
             held[key.index] = self._find_runner(starts.values())
             if (step.job.record.id, key) not in self._held:
                 self._log_hold(step, key, list(starts.values())[-1], now_ms)
         return held
 
-    def _may_move(self, step: StepRun, start: UnansweredStart, now_ms: float) -> bool:
-        """Return whether a start doesn't keep its task on a runner that rejects it."""
-        settings = self._settings
-        runner = self._runners.get(start.runner_id)
-        if runner is None or runner.ended:
-            return False
-        if now_ms - runner.contact_ms > settings.suspect_after_ms:
-            return False
-        task = step.tasks.get(start.run.key.index)
-        if task is not None and start.runner_id in task.avoided_runners:
-            return start.is_rejected(runner)
-        return now_ms - start.find_rejected_ms(runner) >= settings.rejected_hold_ms
-
     def _find_runner(self, starts: Iterable[UnansweredStart]) -> str:
         runner_ids = {start.runner_id for start in starts}
         return runner_ids.pop() if len(runner_ids) == 1 else ""
--- a/coltsfootpier/node/_unanswered_starts.py
+++ b/coltsfootpier/node/_unanswered_starts.py
@@ -34,6 +34,7 @@
     runner: str
     address: str
     left_ms: float
+    repeated: bool = False
 
 
 @attrs.frozen
@@ -73,6 +74,7 @@
                 runner_id=start.runner,
                 address=start.address,
                 left_ms=start.left_ms,
+                is_repeated=start.repeated,
             )
             for start in starts
         )
@@ -96,7 +98,8 @@
         self._starts = starts
         self._records = records
         self._clock = clock
-        self._recorded: frozenset[RunId] = frozenset()
+        # Recorded runs, and whether their start was sent more than once.
+        self._recorded: frozenset[tuple[RunId, bool]] = frozenset()
         self._written_ms = float("-inf")
 
     async def run(self) -> None:
@@ -115,7 +118,7 @@
         """
         now_ms = self._clock.now_ms()
         starts = self._starts.export(now_ms, pending_ms=pending_ms, limit=_MAX_RECORDED)
-        current = frozenset(start.run for start in starts)
+        current = frozenset((start.run, start.is_repeated) for start in starts)
         is_cleared = current != self._recorded and (
             now_ms - self._written_ms >= _timing.UNANSWERED_CLEARING_MS
         )
@@ -136,4 +139,5 @@
         runner=start.runner_id,
         address=start.address,
         left_ms=start.left_ms,
+        repeated=start.is_repeated,
     )
