Hold a VM of an earlier owner's command in all waves

The planner now holds each VM that the record names, in any wave and phase, until the pause has passed since the takeover. Ruled out: a command that wasn't recorded before it was sent.

--- a/coltsfootpier/maintenance/_planner.py
+++ b/coltsfootpier/maintenance/_planner.py
@@ -6,7 +6,8 @@
 
 A command whose response was lost may still take effect later. Its VM therefore counts as down until
 a later response or a listing shows the outcome. The command is recorded before it is sent, so that
-the next owner counts the VM as down too.
+the next owner counts the VM as down too. The platform asks for a pause between the commands of two
+owners for one VM, whichever waves they belong to.
 """
 
 from __future__ import annotations
@@ -159,6 +160,11 @@
         self._cordons = cordons
         self._log = log
         self._earlier_records = {wave.number: wave for wave in record.waves}
+        # VMs to which an earlier owner may have sent a command, and until when they get none.
+        self._earlier_vm_ids = frozenset(
+            vm_id for wave in record.waves for vm_id in (*wave.ordered, *wave.begun)
+        )
+        self._earlier_vms_held_until_ms: float | None = None
         self._waves: dict[int, _WaveState] = {}
         # VMs of the last listing, and identifiers of the VMs of the last two listings.
         self._vms: dict[str, WorkerVm] = {}
@@ -179,6 +185,8 @@
         now_ms, unix_ms : float
             Local time and Unix time.
         """
+        if self._earlier_vms_held_until_ms is None:
+            self._earlier_vms_held_until_ms = now_ms + self._settings.takeover_delay_ms
         requested = {wave.number: wave for wave in waves}
         for number in set(self._waves) - set(requested):
             self._withdraw(self._waves.pop(number))
@@ -209,7 +217,7 @@
                     phase=_Phase.ORDERED,
                     phase_start_ms=now_ms,
                     is_outcome_unknown=True,
-                    due_ms=now_ms + self._settings.takeover_delay_ms,
+                    due_ms=self._earlier_vms_held_until_ms,
                 )
         self._log(
             "maintenance wave opened",
@@ -336,6 +344,7 @@
                 or vm.state is not VmState.UP
                 or vm_id in state.active
                 or vm_id in in_other_waves
+                or self._is_held(vm_id, now_ms)
                 or state.retry_at_ms.get(vm_id, now_ms) > now_ms
             ):
                 continue
@@ -351,6 +360,10 @@
             )
             self._log("worker VM cordoned", wave=state.wave.number, worker=vm_id, runner=runner_id)
 
+    def _is_held(self, vm_id: str, now_ms: float) -> bool:
+        """Return whether the latest command for a VM may be too recent and by an earlier owner."""
+        return vm_id in self._earlier_vm_ids and now_ms < self._earlier_vms_held_until_ms
+
     def _list_pending_vms(self, state: _WaveState) -> list[str]:
         done = state.begun | state.excluded
         return [vm_id for vm_id in state.wave.vms if vm_id not in done]
--- a/coltsfootpier/maintenance/tests/builders.py
+++ b/coltsfootpier/maintenance/tests/builders.py
@@ -141,8 +141,10 @@
     def change_owner(self, record: MaintenanceRecord) -> None:
         """Replace the planner by that of the next owner."""
         self.cordons = FakeCordons()
+        settings = MaintenanceSettings(maintenance_ms=MAINTENANCE_MS)
+        self.takeover_delay_ms = settings.takeover_delay_ms
         self.planner = MaintenancePlanner(
-            settings=MaintenanceSettings(maintenance_ms=MAINTENANCE_MS),
+            settings=settings,
             cordons=self.cordons,
             record=record,
             log=lambda event, /, **fields: self.events.append(event),
--- a/coltsfootpier/maintenance/tests/test_planner.py
+++ b/coltsfootpier/maintenance/tests/test_planner.py
@@ -10,7 +10,12 @@
     WaveRecord,
     WorkerVm,
 )
-from coltsfootpier.maintenance.tests.builders import Response, SimulatedVms, build_wave
+from coltsfootpier.maintenance.tests.builders import (
+    MAINTENANCE_MS,
+    Response,
+    SimulatedVms,
+    build_wave,
+)
 
 
 class WaveTest(unittest.TestCase):
@@ -241,6 +246,35 @@
         simulation.run(12_000)
         self.assertEqual((simulation.peak_down, simulation.maintenance_counts), (1, [1, 1]))
 
+    def test_next_owner_waits_before_it_commands_a_vm_of_its_predecessor(self):
+        """Guards against commands of two owners for one VM within the platform's pause.
+
+        The VM's maintenance for the first wave has begun, so only the second wave names it again.
+        """
+        for is_completed in (False, True):
+            for has_both in (False, True):
+                with self.subTest(is_completed=is_completed, has_both=has_both):
+                    first, second = build_wave("a", "b"), build_wave("a", "c", number=2)
+                    wave = WaveRecord(
+                        number=1, began_unix_ms=0.0, begun=("a",), completed=is_completed
+                    )
+                    simulation = SimulatedVms("a", "b", "c", record=MaintenanceRecord((wave,)))
+                    simulation.waves = [first, second] if has_both else [first]
+                    simulation.step()
+                    simulation.waves = [first, second]
+                    simulation.run(simulation.takeover_delay_ms - 200.0)
+                    self.assertNotIn("a", {command.vm_id for command in simulation.commands})
+                    self.assertIn("c", {command.vm_id for command in simulation.commands})
+                    simulation.run(5_000)
+                    self.assertIn(MaintenanceCommand(wave=2, vm_id="a"), simulation.commands)
+
+    def test_owner_of_both_waves_does_not_wait(self):
+        """Guards against a pause between two waves that only a change of owner requires."""
+        simulation = SimulatedVms("a")
+        simulation.waves = [build_wave("a"), build_wave("a", number=2)]
+        simulation.run(MAINTENANCE_MS + 1_000)
+        self.assertEqual([command.wave for command in simulation.commands], [1, 2])
+
     def test_next_owner_continues_wave(self):
         """Guards against a change of owner that restarts a wave or repeats maintenance of a VM."""
         record = MaintenanceRecord(
