Limit quarantine in each set of runners, and count lasting work

The share that may be quarantined was taken of the whole cell, and a long-running task, which never ends as done, gave its runner failures but no success.

The share now holds in each set of runners to which an open step is limited, by service and required label, and leaves the last one in use. A long-running run that has been at work for 3 s counts as a success, and its failure after that says nothing against its runner.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -21,6 +21,7 @@
     quarantine_runner,
     record_failure,
     record_success,
+    record_work,
 )
 from coltsfootpier.cells._incarnations import IncarnationTracker
 from coltsfootpier.cells._interference import InterferenceTable
@@ -362,6 +363,8 @@
             run.last_progress_ms = now_ms
         run.percent = row.percent
         run.measured = row.measured
+        if run.step.long_running:
+            record_work(runner, run, now_ms, self._settings)
         if row.checkpoint:
             run.task.checkpoint = row.checkpoint
 
@@ -423,7 +426,7 @@
                 self._stop_run(unneeded, "no longer needed", now_ms)
             runner.pending_ends.append((row.number, row.run, job, job.version))
         elif row.outcome is EndKind.FAILED:
-            self._apply_failed_run(runner, step, row, now_ms)
+            self._apply_failed_run(runner, step, row, run, now_ms)
             runner.pending_ends.append((row.number, row.run, job, job.version))
         if run is not None:
             self.jobs.requeue(run.id)
@@ -438,13 +441,14 @@
             runner.pending_ends.append((row.number, row.run, job, job.version))
 
     def _apply_failed_run(
-        self, runner: Runner, step: StepRun, row: EndedRow, now_ms: float
+        self, runner: Runner, step: StepRun, row: EndedRow, run: Run | None, now_ms: float
     ) -> None:
         job = step.job
         step.tasks.setdefault(row.run.key.index, Task()).avoided_runners.add(runner.entry.id)
-        record_failure(runner, job.record.id)
-        if is_suspect(runner, self._settings):
-            self._quarantine_runner(runner, now_ms, "failures")
+        if run is None or not run.is_proven:
+            record_failure(runner, job.record.id)
+            if is_suspect(runner, self._settings):
+                self._quarantine_runner(runner, now_ms, "failures")
         if step.spec.long_running:
             return
         failures = self.jobs.count_failure(step, row.run.key, row.run.attempt)
@@ -453,9 +457,28 @@
             self._close_job(job, JobState.FAILED, "attempts used up", now_ms)
 
     def _quarantine_runner(self, runner: Runner, now_ms: float, reason: str) -> None:
-        if quarantine_runner(runner, self.fleet.runners.values(), now_ms, self._settings):
+        if quarantine_runner(runner, self._list_peer_groups(runner), now_ms, self._settings):
             self._log("runner quarantined", runner=runner.entry.id, reason=reason)
 
+    def _list_peer_groups(self, runner: Runner) -> list[list[Runner]]:
+        """Return the sets of runners with this one to which open steps are limited."""
+        service = runner.entry.service
+        peers = [
+            other
+            for other in self.fleet.runners.values()
+            if other.is_registered and other.entry.service == service
+        ]
+        required_labels = {
+            step.spec.required_label
+            for job in self.jobs.jobs.values()
+            if job.is_open and job.queue.service == service
+            for step in job.steps.values()
+        }
+        return [peers] + [
+            [other for other in peers if label in other.entry.labels]
+            for label in required_labels.intersection(runner.entry.labels)
+        ]
+
     def _stop_run(self, run: Run, reason: str, now_ms: float) -> None:
         if run.state is not RunState.STOPPING:
             run.state = RunState.STOPPING
--- a/coltsfootpier/cells/_health.py
+++ b/coltsfootpier/cells/_health.py
@@ -3,14 +3,20 @@
 A runner may respond to health checks and report requests while every run on it fails. Failed runs
 count against the attempts of a job, so such a runner is quarantined after failures of several jobs
 and then gets one run at a time until one succeeds.
+
+Long-running tasks may fail at any time, and none ends as done. One that has been at work for a
+while shows that its runner is sound, and its failure says nothing against it.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from coltsfootpier.cells._settings import CellSettings
-from coltsfootpier.cells._state import Runner
+from coltsfootpier.cells._state import Run, Runner
+
+# Progress of a long-running run that is at work.
+_AT_WORK_PERCENT = 100.0
 
 
 def record_success(runner: Runner) -> None:
@@ -26,8 +32,22 @@
         runner.failed_job_ids.append(job_id)
 
 
+def record_work(runner: Runner, run: Run, now_ms: float, settings: CellSettings) -> None:
+    """Count a long-running run as a success of its runner once it has been at work for a while."""
+    if run.percent < _AT_WORK_PERCENT:
+        run.at_work_since_ms = float("inf")
+        return
+    run.at_work_since_ms = min(run.at_work_since_ms, now_ms)
+    if not run.is_proven and now_ms - run.at_work_since_ms >= settings.long_run_success_ms:
+        run.is_proven = True
+        record_success(runner)
+
+
 def quarantine_runner(
-    runner: Runner, runners: Iterable[Runner], now_ms: float, settings: CellSettings
+    runner: Runner,
+    peer_groups: Iterable[Collection[Runner]],
+    now_ms: float,
+    settings: CellSettings,
 ) -> bool:
     """Quarantine a runner unless too many are already; return whether it was quarantined.
 
@@ -35,19 +55,22 @@
     ----------
     runner : Runner
         The runner on which runs failed or stalled.
-    runners : iterable of Runner
-        All runners of the cell.
+    peer_groups : iterable of collection of Runner
+        Sets of registered runners with this one, each of which is all that some step can use.
     now_ms : float
         Local time.
     settings : CellSettings
         Limits.
     """
-    registered = [other for other in runners if other.is_registered]
-    quarantined = sum(
-        other.quarantined_until_ms > now_ms or other.on_probation for other in registered
-    )
-    if quarantined + 1 > max(1.0, settings.aside_share * len(registered)):
-        return False
+    for peers in peer_groups:
+        quarantined = sum(
+            other.quarantined_until_ms > now_ms or other.on_probation
+            for other in peers
+            if other is not runner
+        )
+        limit = min(len(peers) - 1, max(1.0, settings.aside_share * len(peers)))
+        if quarantined + 1 > limit:
+            return False
     runner.quarantine_ms = min(
         settings.aside_max_ms, max(settings.aside_ms, 2 * runner.quarantine_ms)
     )
--- a/coltsfootpier/cells/_settings.py
+++ b/coltsfootpier/cells/_settings.py
@@ -109,8 +109,11 @@
     aside_ms, aside_max_ms : float
         Duration of a runner's first quarantine, and its maximum after repeated failures.
     aside_share : float
-        Maximum share of the cell's registered runners that are quarantined or on probation at
-        once; one is always allowed.
+        Maximum share of the runners that can serve a step that are quarantined or on probation at
+        once. One is always allowed, but for the last one.
+    long_run_success_ms : float
+        Time at work after which a long-running run counts as a success of its runner. Shorter than
+        the longest quarantine, so that a sound runner leaves its probation.
     admit_late : float
         A job is rejected when the expected time to its end exceeds this multiple of its
         objective. A result is of use to the caller up to three times the objective.
@@ -167,6 +170,7 @@
     aside_ms: float = 3_000.0
     aside_max_ms: float = 20_000.0
     aside_share: float = 0.34
+    long_run_success_ms: float = 3_000.0
     admit_late: float = 3.0
     reserve_deviations: float = 2.0
     long_running_retry_ms: float = 1_000.0
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -70,6 +70,9 @@
     listed: bool = False
     stop_confirmed_ms: float = float("inf")
     stop_sent_ms: float = float("-inf")
+    # Since when a long-running run is at work, and whether that has counted as a success.
+    at_work_since_ms: float = float("inf")
+    is_proven: bool = False
     # Number of times that its start command was sent once more.
     retry_count: int = 0
     percent: float = 0.0
