--- a/coltsfootpier/node/tests/test_unanswered_starts.py
+++ b/coltsfootpier/node/tests/test_unanswered_starts.py
@@ -51,6 +51,20 @@
         self.assertEqual((start.run, start.runner_id), (run_id, "a"))
         self.assertEqual(start.left_ms, self.harness.settings.late_call_ms)
 
+    def test_next_owner_reads_that_a_start_was_repeated(self):
+        """Guards against a successor that takes one call of a start for the only one.
+
+        The record lists the start already when it is sent once more.
+        """
+        self.harness.submit("j")
+        self.harness.plan()
+        self._write()
+        self.assertFalse(self._load()[0].is_repeated)
+        self.harness.advance(600)
+        self._write()
+        (start,) = self._load()
+        self.assertTrue(start.is_repeated)
+
     def test_calm_owner_writes_nothing(self):
         """Guards against calls of the store while all starts get responses."""
         self.harness.outcomes.clear()
