--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,6 +11,8 @@
     "standins.runners",
     "standins.histories",
     "review.second_cluster",
+    "review.second_proxy",
+    "review.second_runners",
 ):
     importlib.import_module(module)
 CHECK
