--- a/review/second_cluster.py
+++ b/review/second_cluster.py
@@ -25,6 +25,7 @@
 from coltsfootpier.clock import MonotonicClock
 from coltsfootpier.platform import CONFIG_KEY, SETTINGS_VARIABLE, StoreClient, Write
 from coltsfootpier.transport import HttptoolsConnection
+from standins.histories import RunRecord
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "nony24.example"
@@ -111,6 +112,17 @@
     body: bytes
 
 
+def describe_run(run: RunRecord) -> str:
+    """Describe a run of a task, with times in ms on the clock of the machine."""
+    end = "goes on" if run.end_ms is None else f"{run.how} at {run.end_ms:.0f}"
+    noted = "" if run.acknowledged_ms is None else f", observed at {run.acknowledged_ms:.0f}"
+    lapsed = ", lease lapsed before" if run.lapsed else ""
+    return (
+        f"{run.task} #{run.attempt} token {run.token} on {run.runner} born {run.born}"
+        f" from {run.begin_ms:.0f}, {end}{noted}{lapsed}"
+    )
+
+
 class Recorder:
     """Writer of `record.txt`; times are in seconds since its creation."""
 
@@ -284,4 +296,3 @@
     def read_log(self, name: str) -> str:
         """Return the log of a process."""
         return (Path(self._folder.name) / f"{name}.log").read_text()
-
