Fence the earlier incarnation of a restarted runner, and record its long lease

Callers saw two runs of one task: a runner restarts under its identifier, a report request from before the restart reaches the new incarnation, and its deadline, a time on the earlier clock, gives the longest lease. The owner knew that and started tasks there; its successor, which did not reach the runner, counted the usual lease and started them elsewhere.

Cause: a call for one life of a runner acts on the next one, and what follows from it is known to one process only. The instance header cannot tell the two lives apart.

Change: each incarnation gets a higher fencing token than the ones before. The owner reserves it with a change of the head (generation + 1), so a successor's token, also that of an earlier release, is above all of them. A restarted runner is used once it has responded to that token; from then on it rejects late deadlines, acknowledgements and starts, and its leases end with the longest one from that response. The fleet record names the runner before it gets runs, and a successor that does not reach it counts the longest lease. The same holds for young runners that a successor finds, and for runners that register again under their identifier after they were removed.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -27,7 +27,6 @@
 from coltsfootpier.cells._interference import InterferenceTable
 from coltsfootpier.cells._jobs import JobTable
 from coltsfootpier.cells._learned import LearnedState
-from coltsfootpier.cells._lease_expiry import compute_lease_ms
 from coltsfootpier.cells._messages import (
     AdviceRequest,
     CellCommand,
@@ -116,6 +115,7 @@
         unix_ms: float,
         bounds: ActionBounds | None = None,
         is_fleet_complete: bool = True,
+        long_leases: Mapping[str, float] | None = None,
         unanswered: Iterable[InheritedStart] = (),
     ) -> None:
         """Load the jobs and runners recorded by earlier owners.
@@ -133,11 +133,18 @@
             Bounds of all earlier owners, if they are known.
         is_fleet_complete : bool, default=True
             Whether `fleet` is known to list all of these runners.
+        long_leases : Mapping of str to float, optional
+            Times for which runners of `fleet` may hold a longer lease than usual.
         unanswered : iterable of InheritedStart, optional
             Starts without a response that the earlier owner has recorded.
         """
         self.fleet.add_inherited(
-            fleet, now_ms, unix_ms=unix_ms, bounds=bounds, is_complete=is_fleet_complete
+            fleet,
+            now_ms,
+            unix_ms=unix_ms,
+            bounds=bounds,
+            is_complete=is_fleet_complete,
+            long_leases=long_leases,
         )
         self.fleet.unanswered_starts.inherit(unanswered, now_ms)
         for record in records:
@@ -292,7 +299,9 @@
             ):
                 self.jobs.requeue(run.id)
         runner.started_unix_ms = report.started_unix_ms
-        if not runner.adopted:
+        # Until then, calls to an earlier incarnation may still be carried out.
+        rejects_earlier_calls = report.sent_ms >= runner.token_since_ms
+        if rejects_earlier_calls and not runner.adopted:
             self._estimates.expire_measurement()
             self._log(
                 "runner responded",
@@ -302,8 +311,9 @@
                 generation=self.generation,
             )
         runner.contact_ms = report.received_ms
-        runner.accepted_ms = max(runner.accepted_ms, report.sent_ms)
-        runner.first_accepted_ms = min(runner.first_accepted_ms, report.received_ms)
+        if rejects_earlier_calls:
+            runner.accepted_ms = max(runner.accepted_ms, report.sent_ms)
+            runner.first_accepted_ms = min(runner.first_accepted_ms, report.received_ms)
         runner.full = runner.ended = False
         for row in sorted(report.ended, key=lambda row: row.number):
             if row.number > runner.applied_end:
@@ -316,16 +326,15 @@
             self._remove_absent_runs(runner, present, report.sent_ms)
         for row in report.running:
             self._apply_running_row(runner, row, now_ms)
-        self.fleet.update_expiry_on_first_report(runner, report)
-        if report.running and runner.lease_expiry_ms <= report.received_ms:
-            # The listed runs show that their leases were extended later than assumed.
-            runner.earlier_lease_expiry_ms = report.received_ms + compute_lease_ms(
-                self._settings.max_run_lease_ms, self._settings
-            )
+        if rejects_earlier_calls:
+            self.fleet.bound_leases_on_first_report(runner, report)
+            if report.running and runner.lease_expiry_ms <= report.received_ms:
+                # The listed runs show that their leases were extended later than assumed.
+                self.fleet.set_long_lease(runner, report.received_ms)
         self.fleet.unanswered_starts.apply_report(runner_id, report, present, now_ms)
         runner.unneeded_runs &= present
         self.fleet.record_report(runner, report)
-        runner.adopted = True
+        runner.adopted = rejects_earlier_calls
         if self._interference.observe(runner, now_ms):
             self._commands.extend(
                 adjust_paces(
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from coltsfootpier.cells._lease_expiry import (
     compute_inherited_lease_ms,
@@ -44,6 +44,8 @@
     def __init__(self, *, settings: CellSettings, generation: int, log: LogCallback) -> None:
         self._settings = settings
         self.generation = generation
+        # Highest fencing token that this owner may use.
+        self._token = generation
         self._log = log
         self.runners: dict[str, Runner] = {}
         # Runners that an earlier owner used and that have not responded to this owner yet.
@@ -52,8 +54,7 @@
         # Runners that have responded to this owner, but have more ended runs of an earlier owner
         # than they list at a time.
         self._partly_read: set[str] = set()
-        # Runners in the fleet record, and Unix time at which the record was loaded.
-        self._earlier_ids: frozenset[str] = frozenset()
+        # Unix time at which the fleet record was loaded.
         self._loaded_unix_ms = float("inf")
         # Runners whose leases the earlier owner may extend for as long as it may act at all.
         self._unbounded: set[str] = set()
@@ -78,6 +79,7 @@
         unix_ms: float,
         bounds: ActionBounds | None = None,
         is_complete: bool = True,
+        long_leases: Mapping[str, float] | None = None,
     ) -> None:
         """Add the runners that an earlier owner may have used, after the claim of the cell.
 
@@ -94,6 +96,9 @@
             Bounds of all earlier owners, if they are known.
         is_complete : bool, default=True
             Whether these are all of them. Otherwise, no half of them proves anything.
+        long_leases : Mapping of str to float, optional
+            Times in ms from now for which runners may hold a longer lease than usual, see
+            `list_long_leases`.
         """
         self.is_complete = is_complete
         self._earlier_bounds = bounds
@@ -102,12 +107,14 @@
             # Lists of ends must not grow for as long as most runners are gone.
             self._earlier_acts_until_ms = now_ms + self._settings.late_call_ms
         for entry in entries:
-            runner = Runner(entry=entry, is_registered=False, recorded=True)
+            runner = Runner(entry=entry, is_registered=False, recorded=True, token=self._token)
             runner.earlier_lease_expiry_ms = self._unlisted_expiry_ms
+            if long_leases and entry.id in long_leases:
+                runner.long_lease_ms = long_leases[entry.id]
+                runner.long_lease_expiry_ms = now_ms + runner.long_lease_ms
             self.runners[entry.id] = runner
             self.inherited.add(entry.id)
             self._unbounded.add(entry.id)
-        self._earlier_ids = frozenset(self.inherited)
         self._loaded_unix_ms = unix_ms
         self._inherited_count = len(self.inherited)
 
@@ -177,29 +184,49 @@
         self._log(
             "waiting for inherited leases",
             runners=len(bounded),
+            long_leases=sum(
+                self.runners[runner_id].long_lease_expiry_ms > now_ms + lease_ms
+                for runner_id in bounded
+            ),
             generation=self.generation,
             clock_ms=now_ms,
             lease_expiry_ms=now_ms + lease_ms,
         )
 
-    def update_expiry_on_first_report(self, runner: Runner, report: RunnerReport) -> None:
-        """Record that a runner rejects the earlier owner's commands from now on.
+    def bound_leases_on_first_report(self, runner: Runner, report: RunnerReport) -> None:
+        """Bound the leases on an incarnation that rejects all earlier calls from now on.
 
         An earlier owner may have called a runner that left the fleet record since.
         """
-        if runner.adopted or self.generation == 1:
+        if runner.adopted:
             return
-        is_young = self._is_young(report)
-        if not is_young and runner.entry.id not in self._earlier_ids:
+        if runner.token_since_ms > float("-inf"):
+            runner.earlier_lease_expiry_ms = float("-inf")
+            self.set_long_lease(runner, report.received_ms)
+            self._log(
+                "runner rejects earlier calls",
+                runner=runner.entry.id,
+                born=report.started_unix_ms,
+                token=runner.token,
+                generation=self.generation,
+                lease_expiry_ms=runner.long_lease_expiry_ms,
+            )
+            return
+        if self.generation == 1:
             return
-        settings = self._settings
-        lease_ms = settings.max_run_lease_ms if is_young else settings.run_lease_ms
-        lease_expiry_ms = report.received_ms + compute_lease_ms(lease_ms, settings)
         if runner.entry.id in self._unbounded:
             self._unbounded.discard(runner.entry.id)
-            runner.earlier_lease_expiry_ms = lease_expiry_ms
-        elif is_young:
-            runner.earlier_lease_expiry_ms = max(runner.earlier_lease_expiry_ms, lease_expiry_ms)
+            runner.earlier_lease_expiry_ms = report.received_ms + compute_lease_ms(
+                self._settings.run_lease_ms, self._settings
+            )
+        if self._is_young(report):
+            self.set_long_lease(runner, report.received_ms)
+
+    def set_long_lease(self, runner: Runner, now_ms: float) -> None:
+        """Record that a runner may have been given the longest lease until now."""
+        settings = self._settings
+        runner.long_lease_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
+        runner.long_lease_expiry_ms = now_ms + runner.long_lease_ms
 
     def _is_young(self, report: RunnerReport) -> bool:
         """Return whether a late call of an earlier owner may have given an incarnation a lease.
@@ -222,10 +249,10 @@
         for runner_id, entry in listed.items():
             runner = self.runners.get(runner_id)
             if runner is None:
-                runner = self.runners[runner_id] = Runner(entry=entry)
-                runner.earlier_lease_expiry_ms = self._removed_expiry_ms.get(
-                    runner_id, float("-inf")
-                )
+                runner = self.runners[runner_id] = Runner(entry=entry, token=self._token)
+                if runner_id in self._removed_expiry_ms:
+                    runner.earlier_lease_expiry_ms = self._removed_expiry_ms[runner_id]
+                    self._require_token(runner)
                 self._log("runner joined", runner=runner_id, rack=entry.rack)
             if entry.draining and not runner.entry.draining:
                 self._log("runner is draining", runner=runner_id, remaining_ms=entry.remaining_ms)
@@ -258,7 +285,7 @@
         settings = self._settings
         # The last call with a deadline was sent before the leases that it extended expired.
         expiry_ms = (
-            removed.call_lease_expiry_ms
+            removed.lease_expiry_ms
             + settings.late_call_ms
             + compute_lease_ms(settings.max_run_lease_ms, settings)
         )
@@ -299,10 +326,72 @@
         runner.pending_ends.clear()
         runner.adopted = False
         runner.first_accepted_ms, runner.accepted_ms = float("inf"), float("-inf")
+        self._require_token(runner)
         # The next incarnation lists none of the earlier ends.
         self._partly_read.discard(runner.entry.id)
         return lost
 
+    def _require_token(self, runner: Runner) -> None:
+        """Use a higher token for a runner that may carry out calls to an earlier incarnation."""
+        settings = self._settings
+        runner.long_lease_expiry_ms = runner.token_since_ms = float("inf")
+        runner.long_lease_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
+        if runner.runs:
+            # Without any, it gets runs only once it rejects these calls, and a later owner's load
+            # comes after that.
+            runner.long_lease_ms += settings.late_call_ms
+
+    @property
+    def needs_token(self) -> bool:
+        """Whether a runner needs a higher token than this owner may use."""
+        return any(
+            runner.awaits_token and runner.token == self._token for runner in self.runners.values()
+        )
+
+    def set_token(self, token: int, now_ms: float) -> None:
+        """Use a token, which a later owner's exceeds, for the runners that need a higher one."""
+        self._token = token
+        self.assign_tokens(now_ms)
+
+    def assign_tokens(self, now_ms: float) -> None:
+        """Use the highest token for the runners that need a higher one than their own."""
+        for runner in self.runners.values():
+            if runner.awaits_token and runner.token < self._token:
+                runner.token, runner.token_since_ms = self._token, now_ms
+
+    def list_long_leases(self, now_ms: float) -> dict[str, float]:
+        """Return the runners that may hold a longer lease than those that this owner extends.
+
+        Returns
+        -------
+        dict of str to float
+            For each of them, the time in ms for which an owner that claims the cell from now on and
+            doesn't reach it has to count the lease from its load.
+        """
+        return {
+            runner_id: runner.long_lease_ms
+            for runner_id, runner in self.runners.items()
+            if runner.long_lease_expiry_ms > now_ms
+        }
+
+    def record_long_leases(
+        self, recorded: Mapping[str, float], *unsettled: Mapping[str, float]
+    ) -> None:
+        """Record which long leases a later owner knows, see `list_long_leases`.
+
+        Parameters
+        ----------
+        recorded : Mapping of str to float
+            Those in the durable fleet record.
+        *unsettled : Mapping of str to float
+            Those in each later record that may be durable already.
+        """
+        for runner_id, runner in self.runners.items():
+            runner.long_lease_recorded = all(
+                leases.get(runner_id, 0.0) >= runner.long_lease_ms
+                for leases in (recorded, *unsettled)
+            )
+
     def mark_ended(
         self, runner: Runner, proof: EndProof, shown_ms: float = float("inf")
     ) -> list[Run]:
--- a/coltsfootpier/cells/_lease_expiry.py
+++ b/coltsfootpier/cells/_lease_expiry.py
@@ -145,5 +145,12 @@
             arrival_ms + compute_lease_ms(settings.max_run_lease_ms, settings),
         )
 
+    def discard_earlier_calls(self) -> None:
+        """Discard all calls that have ended, because the runner rejects late ones from now on.
+
+        The caller bounds the leases that they have extended.
+        """
+        self._applied_expiry_ms = self._unanswered_ms = float("-inf")
+
     def _has_unanswered_calls(self, now_ms: float) -> bool:
         return bool(self._calls) or now_ms - self._unanswered_ms < self._settings.late_call_ms
--- a/coltsfootpier/cells/_placement.py
+++ b/coltsfootpier/cells/_placement.py
@@ -33,6 +33,8 @@
         runner.is_registered
         and runner.adopted
         and runner.recorded
+        # A later owner that doesn't reach the runner must not count a shorter lease than it holds.
+        and (runner.long_lease_recorded or runner.long_lease_expiry_ms <= now_ms)
         and not runner.entry.draining
         and not runner.full
         and not runner.cordoned
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -226,8 +226,21 @@
     is_registered : bool
         Whether its entry is in the registry, or may have expired because of an outage.
     adopted : bool
-        Whether it has responded to this owner's fencing token, so that no command of an earlier
-        owner can take effect any more.
+        Whether its incarnation has responded to `token`, so that no call of an earlier owner or to
+        an earlier incarnation can take effect any more.
+    token : int
+        Fencing token of the calls to it. Each incarnation gets a higher one than those before.
+    token_since_ms : float
+        Local time since which `token` is used; infinite while a higher one is needed.
+    long_lease_expiry_ms : float
+        Local time until which it may hold a lease that is longer than those that this owner extends
+        by its calls. Infinite while a restarted incarnation hasn't responded to its token, since a
+        call to an earlier one may still give it the longest lease.
+    long_lease_ms : float
+        Time from its load for which a later owner that doesn't reach the runner has to count that
+        lease.
+    long_lease_recorded : bool
+        Whether a later owner does so.
     deadline_ms, deadline_sent_ms : float
         Deadline of the last report request to it, on its clock, and local time before it was sent;
         for logs.
@@ -240,6 +253,11 @@
     entry: RunnerEntry
     is_registered: bool = True
     adopted: bool = False
+    token: int = 0
+    token_since_ms: float = float("-inf")
+    long_lease_expiry_ms: float = float("-inf")
+    long_lease_ms: float = 0.0
+    long_lease_recorded: bool = False
     # Whether it is in the fleet record in the store, so that a later owner contacts it.
     recorded: bool = False
     started_unix_ms: int = 0
@@ -300,8 +318,21 @@
 
     @property
     def lease_expiry_ms(self) -> float:
-        """Local time by which the leases of all its runs have expired unless they are extended."""
-        return max(self.call_lease_expiry_ms, self.earlier_lease_expiry_ms)
+        """Local time by which the leases of all its runs have expired unless they are extended.
+
+        While `long_lease_expiry_ms` is infinite, `call_lease_expiry_ms` includes the longest lease.
+        """
+        long_ms = self.long_lease_expiry_ms
+        return max(
+            self.call_lease_expiry_ms,
+            self.earlier_lease_expiry_ms,
+            long_ms if long_ms < float("inf") else float("-inf"),
+        )
+
+    @property
+    def awaits_token(self) -> bool:
+        """Whether it gets no deadline, acknowledgement or start before a higher token is used."""
+        return self.token_since_ms == float("inf")
 
     @property
     def long_running_cpu(self) -> int:
--- a/coltsfootpier/cells/tests/builders.py
+++ b/coltsfootpier/cells/tests/builders.py
@@ -113,13 +113,14 @@
         **changes: Any,
     ) -> None:
         self.now_ms = START_MS
+        self.last_token = generation
         self.events: list[tuple[str, dict[str, Any]]] = []
         self.settings = CellSettings(**changes)
         self.cell = Cell(settings=self.settings, generation=generation, log=self._log)
         entries = entries or tuple(build_entry(name) for name in names)
         self.runners = {entry.id: SimulatedRunner(entry) for entry in entries}
         self.commands: list[CellCommand] = []
-        # Whether the store confirms that no later owner exists.
+        # Whether the store confirms that no later owner exists, and takes changes.
         self.is_store_up = True
         # Outcome of start commands on each runner, if it is another than `STARTED`.
         self.outcomes: dict[str, StartOutcome] = {}
@@ -200,9 +201,20 @@
         if self.is_store_up:
             self.cell.record_confirmation(self.now_ms)
 
+    def write_fleet(self) -> None:
+        """Reserve a fencing token if one is needed, and record which runners are marked."""
+        fleet = self.cell.fleet
+        if not self.is_store_up:
+            return
+        if fleet.needs_token:
+            self.last_token += 1
+            fleet.set_token(self.last_token, self.now_ms)
+        fleet.record_long_leases(fleet.list_long_leases(self.now_ms))
+
     def plan(self) -> list[CellCommand]:
         """Plan once and execute the commands on reachable runners."""
         self.renew()
+        self.write_fleet()
         commands = self.cell.plan(self.now_ms, self.unix_ms)
         self.commands += commands
         for command in commands:
--- a/coltsfootpier/journal/_head.py
+++ b/coltsfootpier/journal/_head.py
@@ -42,8 +42,9 @@
     Parameters
     ----------
     generation : int
-        Number of the ownership, from 1; each claim increments it. Runners reject commands with a
-        lower generation than the highest that they have seen.
+        Number of the ownership, from 1; each claim increments it. It is also the highest fencing
+        token that the owner uses: the owner increments it before it uses a higher one. Runners
+        reject commands with a lower token than the highest that they have seen.
     holder : str
         Incarnation of the daemon that wrote the head.
     sequence : int
@@ -58,9 +59,27 @@
     sequence: int = 0
     bounds: ActionBounds | None = None
 
-    def next(self, bounds: ActionBounds | None = None) -> Head:
-        """Return the head of the next change, with new bounds if given."""
-        return attrs.evolve(self, sequence=self.sequence + 1, bounds=bounds or self.bounds)
+    def next(self, bounds: ActionBounds | None = None, *, raises_token: bool = False) -> Head:
+        """Return the head of the next change, with new bounds if given.
+
+        Parameters
+        ----------
+        bounds : ActionBounds, optional
+            Bounds of the owner, if they change.
+        raises_token : bool, default=False
+            Whether the change reserves a higher fencing token for the owner.
+
+        Examples
+        --------
+        >>> Head(generation=3, holder="a", sequence=9).next(raises_token=True)
+        Head(generation=4, holder='a', sequence=10, bounds=None)
+        """
+        return attrs.evolve(
+            self,
+            generation=self.generation + raises_token,
+            sequence=self.sequence + 1,
+            bounds=bounds or self.bounds,
+        )
 
     def claim(self, holder: str, bounds: ActionBounds | None = None) -> Head:
         """Return the head that claims the cell for a new owner.
--- a/coltsfootpier/node/_committer.py
+++ b/coltsfootpier/node/_committer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import anyio
 import attrs
@@ -38,6 +38,23 @@
 _RESERVED_ENTRIES = 6 + _MAX_REMOVED_JOBS
 
 
+@attrs.frozen(eq=False)
+class FleetList:
+    """Contents of a fleet record.
+
+    Parameters
+    ----------
+    runner_ids : frozenset of str
+        Runners that may have runs.
+    long_leases : Mapping of str to float
+        For those that may hold a longer lease than usual, the time in ms for which a later owner
+        counts it from its load.
+    """
+
+    runner_ids: frozenset[str] = frozenset()
+    long_leases: Mapping[str, float] = attrs.field(factory=dict)
+
+
 @attrs.frozen
 class OwnershipLost:
     """Outcome of a commit that shows that another daemon owns the cell."""
@@ -65,6 +82,10 @@
         later owner existed then, as the change expected this owner's head.
     retention_ms : float
         Retention time of the record of an ended job, in ms.
+    on_head : callable, optional
+        Called with the head of each change before it is first sent.
+    on_token_raised : callable, optional
+        Called with the owner's highest fencing token once a higher one is durable.
     """
 
     def __init__(
@@ -77,19 +98,26 @@
         owner: OwnerInfo,
         on_confirmed: Callable[[float], None],
         retention_ms: float,
+        on_head: Callable[[Head], None] = lambda _: None,
+        on_token_raised: Callable[[int], None] = lambda _: None,
     ) -> None:
         self._retention_ms = retention_ms
         self._on_confirmed = on_confirmed
+        self._on_head = on_head
+        self._on_token_raised = on_token_raised
         self._store = store
         self._clock = clock
         self._head = head
         self._revision = revision
         self._owner = owner
-        self._fleet: tuple[bytes, frozenset[str]] | None = None
-        # Identifiers of the runners in the durable list.
-        self.recorded_fleet: frozenset[str] = frozenset()
-        # Lists of runners that were put since, in order; a successor may read any of them.
-        self._unsettled_fleets: list[frozenset[str]] = []
+        self._fleet: tuple[bytes, FleetList] | None = None
+        # Contents of the durable fleet record.
+        self.recorded_fleet = FleetList()
+        # Those of the records that were put since, in order; a successor may read any of them.
+        self._unsettled_fleets: list[FleetList] = []
+        # Whether a higher fencing token is needed, and the highest one that is durable.
+        self._is_token_needed = False
+        self._token = head.generation
         # Bounds to write with the next change; None to keep those in the head.
         self.bounds: ActionBounds | None = None
         # Lease under which the owner's key is to be written again; 0 if none.
@@ -113,17 +141,22 @@
         """Wake the committer because there is something to write."""
         self._wake.set()
 
-    def put_fleet(self, value: bytes, runner_ids: frozenset[str]) -> None:
-        """Write the encoded list of runners, which lists `runner_ids`, with the next change."""
-        self._fleet = (value, runner_ids)
-        self._unsettled_fleets.append(runner_ids)
+    def put_fleet(self, value: bytes, contents: FleetList) -> None:
+        """Write an encoded fleet record, which has these contents, with the next change."""
+        self._fleet = (value, contents)
+        self._unsettled_fleets.append(contents)
         self.notify()
 
     @property
-    def unsettled_fleets(self) -> tuple[frozenset[str], ...]:
-        """Identifiers of the runners in each list that may be durable already."""
+    def unsettled_fleets(self) -> tuple[FleetList, ...]:
+        """Contents of each fleet record that may be durable already."""
         return tuple(self._unsettled_fleets)
 
+    def raise_token(self) -> None:
+        """Reserve a higher fencing token with the next change."""
+        self._is_token_needed = True
+        self.notify()
+
     def put_learned(self, value: bytes) -> None:
         """Write the learned state with the next change; it doesn't trigger a change by itself."""
         self._learned = value
@@ -155,7 +188,11 @@
         """Commit changes until another daemon owns the cell."""
         while True:
             if not (
-                cell.jobs.dirty_count or self._fleet or self._lease_to_bind or self._single_records
+                cell.jobs.dirty_count
+                or self._fleet
+                or self._lease_to_bind
+                or self._single_records
+                or self._is_token_needed
             ):
                 await self._wake.wait()
             self._wake = anyio.Event()
@@ -169,13 +206,14 @@
         single_records = dict(list(self._single_records.items())[:_MAX_SINGLE_RECORDS])
         batch = cell.jobs.list_dirty(MAX_ENTRIES - _RESERVED_ENTRIES - len(single_records))
         fleet, lease, learned = self._fleet, self._lease_to_bind, self._learned
-        if not (batch or fleet or lease or single_records):
+        if not (batch or fleet or lease or single_records or self._is_token_needed):
             return None
         # Records of ended jobs are removed along with other changes, as the removal isn't urgent.
         expired = cell.jobs.list_expired(
             self._clock.now_ms(), kept_ms=self._retention_ms, limit=_MAX_REMOVED_JOBS
         )
-        next_head = self._head.next(self.bounds)
+        next_head = self._head.next(self.bounds, raises_token=self._is_token_needed)
+        self._on_head(next_head)
         puts = [Write(HEAD_KEY, encode(next_head))]
         puts += [Write(job_key(job.record.id), encode_record(job.record)) for job, _ in batch]
         puts += [Write(key, value) for key, value in single_records.items()]
@@ -222,6 +260,10 @@
         self._head = next_head
         self._on_confirmed(sent_ms)
         self.commit_count += 1
+        if next_head.generation > self._token:
+            self._token = next_head.generation
+            self._is_token_needed = False
+            self._on_token_raised(self._token)
         if fleet is not None:
             self.recorded_fleet = fleet[1]
             # A later change has replaced the earlier lists for good.
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -27,7 +27,7 @@
 from coltsfootpier.logs import log_event
 from coltsfootpier.maintenance import MaintenanceRecord, Wave
 from coltsfootpier.node import _timing
-from coltsfootpier.node._committer import Committer, OwnershipLost
+from coltsfootpier.node._committer import Committer, FleetList, OwnershipLost
 from coltsfootpier.node._election import choose_lease_ttl
 from coltsfootpier.node._lease import LeaseRenewer
 from coltsfootpier.node._metrics import Metrics
@@ -146,6 +146,8 @@
             owner=info,
             on_confirmed=self._verifier.record_confirmation,
             retention_ms=settings.status_kept_ms,
+            on_head=self._verifier.record_head,
+            on_token_raised=self._apply_token,
         )
         self._unanswered_writer = UnansweredStartWriter(
             starts=self.cell.fleet.unanswered_starts, records=self._committer, clock=clock
@@ -167,8 +169,10 @@
         # Local time since which the ownership isn't proven; None while it is.
         self._unproven_since_ms: float | None = None
         self._fleet_entries: dict[str, RunnerEntry] = {}
-        # Whether the fleet record that this owner read or wrote last lists all runners in use.
+        # Whether the fleet record that this owner read or wrote last lists all runners in use, and
+        # the long leases in it.
         self._is_record_complete = True
+        self._long_leases: dict[str, float] = {}
         # Whether runners were added to it while the earlier owner may need none of them.
         self._has_added_early = False
         self._loaded_ms = float("inf")
@@ -228,19 +232,24 @@
             unix_ms=time.time() * 1000,
             bounds=self._head.bounds,
             is_fleet_complete=loaded.is_fleet_complete,
+            long_leases=loaded.long_leases,
             unanswered=unanswered,
         )
         self._loaded_ms = now_ms
         self._unreadable_jobs = loaded.unreadable_jobs
         self._is_record_complete = loaded.is_fleet_complete
         self._fleet_entries = {entry.id: entry for entry in loaded.fleet}
-        self._committer.recorded_fleet = frozenset(self._fleet_entries)
+        self._long_leases = loaded.long_leases
+        self._committer.recorded_fleet = FleetList(
+            frozenset(self._fleet_entries), loaded.long_leases
+        )
         log_event(
             "ownership begins",
             generation=self.cell.generation,
             jobs=len(loaded.jobs),
             runners=len(loaded.fleet),
             fleet_complete=loaded.is_fleet_complete,
+            long_leases=len(loaded.long_leases),
             unreadable_jobs=len(loaded.unreadable_jobs),
             learned_pairs=len(loaded.learned.pressures),
             unanswered_starts=len(unanswered),
@@ -516,9 +525,8 @@
         while True:
             self._wake = anyio.Event()
             started_ms = self._clock.now_ms()
-            self.cell.fleet.mark_recorded(
-                self._committer.recorded_fleet, *self._committer.unsettled_fleets
-            )
+            self._fence_earlier_incarnations(started_ms)
+            self._update_recorded_fleet()
             # A start after the last record of unanswered starts would be unknown to the successor.
             if not self._is_resigning:
                 for command in self.cell.plan(started_ms, time.time() * 1000):
@@ -533,6 +541,48 @@
             with anyio.move_on_after(_timing.MAX_PLAN_WAIT_MS / 1000):
                 await self._wake.wait()
 
+    def _fence_earlier_incarnations(self, now_ms: float) -> None:
+        """Have a higher token reserved for restarted runners, and their leases recorded."""
+        fleet = self.cell.fleet
+        fleet.assign_tokens(now_ms)
+        if fleet.needs_token:
+            self._committer.raise_token()
+        if any(
+            self._long_leases.get(runner_id, 0.0) < lease_ms
+            for runner_id, lease_ms in self._list_long_leases(now_ms).items()
+        ):
+            self._put_fleet(now_ms)
+
+    def _list_long_leases(self, now_ms: float) -> dict[str, float]:
+        """Return the long leases on the runners of the fleet record."""
+        return {
+            runner_id: lease_ms
+            for runner_id, lease_ms in self.cell.fleet.list_long_leases(now_ms).items()
+            if runner_id in self._fleet_entries
+        }
+
+    def _apply_token(self, token: int) -> None:
+        self.cell.fleet.set_token(token, self._clock.now_ms())
+        log_event("fencing token raised", token=token, generation=self.cell.generation)
+
+    def _update_recorded_fleet(self) -> None:
+        fleet, committer = self.cell.fleet, self._committer
+        recorded, unsettled = committer.recorded_fleet, committer.unsettled_fleets
+        fleet.mark_recorded(recorded.runner_ids, *(other.runner_ids for other in unsettled))
+        fleet.record_long_leases(recorded.long_leases, *(other.long_leases for other in unsettled))
+
+    def _put_fleet(self, now_ms: float) -> None:
+        """Write the fleet record with the present long leases."""
+        self._long_leases = self._list_long_leases(now_ms)
+        value = encode_fleet(
+            self._fleet_entries.values(),
+            is_complete=self._is_record_complete,
+            long_leases=self._long_leases,
+        )
+        self._committer.put_fleet(
+            value, FleetList(frozenset(self._fleet_entries), self._long_leases)
+        )
+
     def _describe_proof(self, now_ms: float) -> dict[str, object]:
         """Return log fields about the latest proof of ownership."""
         kind, proven_ms = self.cell.fleet.proof.find_latest()
@@ -606,15 +656,16 @@
         self._has_added_early |= bool(new) and not fleet.is_half_settled
         removed = [runner_id for runner_id in self._fleet_entries if runner_id not in fleet.runners]
         is_complete = fleet.is_complete and (fleet.is_half_settled or not self._has_added_early)
-        if new or removed or is_complete != self._is_record_complete:
+        is_changed = (
+            is_complete != self._is_record_complete
+            or self._list_long_leases(now_ms) != self._long_leases
+        )
+        if new or removed or is_changed:
             self._is_record_complete = is_complete
             self._fleet_entries.update((entry.id, entry) for entry in new)
             for runner_id in removed:
                 del self._fleet_entries[runner_id]
-            self._committer.put_fleet(
-                encode_fleet(self._fleet_entries.values(), is_complete=is_complete),
-                frozenset(self._fleet_entries),
-            )
+            self._put_fleet(now_ms)
         self._declare_bounds()
         self._update_runner_tasks()
         self._wake_planner()
--- a/coltsfootpier/node/_records.py
+++ b/coltsfootpier/node/_records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import TypeVar
 
 import attrs
@@ -24,6 +24,8 @@
     id: str
     service: str
     address: str
+    # See `encode_fleet`; earlier releases neither write nor keep it.
+    long_lease_ms: float = 0.0
 
 
 @attrs.frozen
@@ -38,9 +40,29 @@
     is_complete: bool = True
 
 
-def encode_fleet(entries: Iterable[RunnerEntry], *, is_complete: bool = True) -> bytes:
-    """Encode the list of runners for the store."""
-    members = (_FleetMember(entry.id, entry.service, entry.address) for entry in entries)
+def encode_fleet(
+    entries: Iterable[RunnerEntry],
+    *,
+    is_complete: bool = True,
+    long_leases: Mapping[str, float] | None = None,
+) -> bytes:
+    """Encode the list of runners for the store.
+
+    Parameters
+    ----------
+    entries : iterable of RunnerEntry
+        The runners.
+    is_complete : bool, default=True
+        Whether these are all runners that may have runs.
+    long_leases : Mapping of str to float, optional
+        For runners that may hold a longer lease than usual, the time in ms for which a later owner
+        that doesn't reach them counts it from its load.
+    """
+    long_leases = long_leases or {}
+    members = (
+        _FleetMember(entry.id, entry.service, entry.address, long_leases.get(entry.id, 0.0))
+        for entry in entries
+    )
     return encode(_Fleet(tuple(members), is_complete))
 
 
@@ -62,6 +84,9 @@
         Whether `fleet` lists all runners that earlier owners may use.
     unreadable_jobs : frozenset of str
         Identifiers of the jobs whose records can't be decoded.
+    long_leases : dict of str to float
+        For runners of `fleet` that may hold a longer lease than usual, the time in ms for which it
+        counts from the load.
     """
 
     jobs: list[JobRecord]
@@ -70,6 +95,7 @@
     maintenance: MaintenanceRecord | None
     is_fleet_complete: bool = True
     unreadable_jobs: frozenset[str] = frozenset()
+    long_leases: dict[str, float] = attrs.field(factory=dict)
 
 
 async def load_records(store: StoreClient) -> Result[OwnerRecords, PlatformError]:
@@ -109,6 +135,11 @@
             maintenance=maintenance.unwrap().value_or(None),
             is_fleet_complete=known_fleet.is_complete,
             unreadable_jobs=frozenset(unreadable_jobs),
+            long_leases={
+                member.id: member.long_lease_ms
+                for member in known_fleet.runners
+                if member.long_lease_ms > 0
+            },
         )
     )
 
--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -86,7 +86,10 @@
         self._on_change = on_change
         self._on_fenced = on_fenced
         self._lease_expiry = LeaseExpiryTracker(settings)
-        self._client = connect(entry=entry, token=cell.generation, clock=clock)
+        runner = cell.fleet.runners.get(entry.id)
+        # Token that the runner's incarnation has accepted.
+        self._accepted_token = cell.generation if runner is None else runner.token
+        self._client = connect(entry=entry, token=self._accepted_token, clock=clock)
         # Clock of the runner in the last report, and local time at which that report arrived; both
         # in ms.
         self._clock_sample: tuple[float, float] | None = None
@@ -207,28 +210,42 @@
             self._cell.fleet.set_lease_expiry(self.id, self._lease_expiry.lease_expiry_ms)
         self._started_unix_ms = runner.started_unix_ms
 
+    def _get_token(self) -> int:
+        """Return the fencing token of the next call."""
+        runner = self._cell.fleet.runners.get(self.id)
+        return self._accepted_token if runner is None else runner.token
+
     async def _poll_report(self) -> None:
         cell = self._cell
-        if self.id not in cell.fleet.runners:
+        runner = cell.fleet.runners.get(self.id)
+        if runner is None:
             await anyio.sleep(_timing.REPORT_BACKOFF_MS / 1000)
             return
         self._detect_restart()
+        if runner.awaits_token:
+            await self._commits.wait_commit(_timing.REPORT_WAIT_MS / 2)
         has_pending_ends = cell.fleet.has_pending_ends(self.id)
         runner_now_ms = self._estimate_runner_now_ms()
         deadline_ms = None
-        if runner_now_ms is not None and cell.is_ownership_proven(self._clock.now_ms()):
+        if (
+            runner_now_ms is not None
+            and not runner.awaits_token
+            and cell.is_ownership_proven(self._clock.now_ms())
+        ):
             extension_ms = cell.compute_extension_ms(self._clock.now_ms())
             deadline_ms = runner_now_ms + extension_ms
             cell.fleet.record_deadline(self.id, deadline_ms, self._clock.now_ms())
             call_number = self._record_call(extension_ms)
         self.report_count += 1
         result = None
+        # A long poll would return at once while the runner still lists earlier ended runs.
+        is_short = has_pending_ends or runner_now_ms is None or not runner.adopted
+        token = self._client.token = runner.token
         try:
             result = await self._client.poll_report(
                 deadline_ms=deadline_ms,
                 observed=self._find_acknowledged_end(),
-                # A long poll would return at once while the runner still lists earlier ended runs.
-                wait_ms=0 if has_pending_ends or runner_now_ms is None else _timing.REPORT_WAIT_MS,
+                wait_ms=0 if is_short else _timing.REPORT_WAIT_MS,
                 timeout_ms=_timing.RUNNER_TIMEOUT_MS,
             )
         finally:
@@ -241,13 +258,17 @@
                     answered=is_answered or not may_be_accepted,
                 )
         if isinstance(result, Failure):
-            await self._handle_failure(result.failure())
+            await self._handle_failure(result.failure(), token)
             return
         if not self._is_reachable:
             log_event("runner reachable again", runner=self.id)
         self._is_reachable = True
         self._lists_ends = bool(result.unwrap().ended)
         self._apply_report(result.unwrap())
+        if token > self._accepted_token:
+            self._accepted_token = token
+            self._lease_expiry.discard_earlier_calls()
+            cell.fleet.set_lease_expiry(self.id, self._lease_expiry.lease_expiry_ms)
         self._last_error = None
         if cell.fleet.has_unrecorded_ends(self.id):
             await self._commits.wait_commit(_timing.REPORT_WAIT_MS / 2)
@@ -264,13 +285,14 @@
         carried out late by a later incarnation, so only one that has ends to acknowledge does so.
         """
         may_acknowledge = self._cell.fleet.may_acknowledge_ends(self._clock.now_ms())
-        if not (self._is_reachable and self._lists_ends and may_acknowledge):
+        is_adopted = self._cell.fleet.runners[self.id].adopted
+        if not (self._is_reachable and self._lists_ends and may_acknowledge and is_adopted):
             return 0
         return self._cell.fleet.get_last_durable_end(self.id)
 
-    async def _handle_failure(self, error: object) -> None:
+    async def _handle_failure(self, error: object, token: int) -> None:
         if error is StartOutcome.FENCED:
-            self._on_fenced(self.id)
+            self._handle_fence(token)
         if error is StartOutcome.REPLACED:
             self._cell.handle_replaced_runner(self.id, self.address, self._clock.now_ms())
             self._on_change()
@@ -286,6 +308,11 @@
         self._clock_sample = None
         await anyio.sleep(_timing.REPORT_BACKOFF_MS / 1000)
 
+    def _handle_fence(self, token: int) -> None:
+        """Report a later owner, unless a call of this owner with a higher token came first."""
+        if token == self._get_token():
+            self._on_fenced(self.id)
+
     def _describe_leases(self) -> dict[str, object]:
         """Return log fields about the last deadline sent and the assumed expiry of the leases."""
         runner = self._cell.fleet.runners.get(self.id)
@@ -308,9 +335,14 @@
 
     async def _send_start(self, command: StartRun) -> None:
         self._detect_restart()
+        runner = self._cell.fleet.runners.get(self.id)
         runner_now_ms = self._estimate_runner_now_ms()
         now_ms = self._clock.now_ms
-        if runner_now_ms is None or not self._cell.is_ownership_proven(now_ms()):
+        if (
+            runner_now_ms is None
+            or (runner is not None and not runner.adopted)
+            or not self._cell.is_ownership_proven(now_ms())
+        ):
             self._pending_starts.discard(command.run)
             self._cell.handle_start_response(self.id, command.run, StartOutcome.WITHHELD, now_ms())
             return
@@ -318,6 +350,7 @@
         deadline_ms = runner_now_ms + valid_ms
         log_fields = self._describe_start(command, deadline_ms)
         call_number = self._record_call(valid_ms)
+        token = self._client.token = self._get_token()
         outcome = None
         try:
             outcome, _ = await self._client.start(
@@ -340,7 +373,7 @@
             self._pending_starts.discard(command.run)
             self._cell.handle_start_response(self.id, command.run, outcome, now_ms())
         if outcome is StartOutcome.FENCED:
-            self._on_fenced(self.id)
+            self._handle_fence(token)
         if outcome is not StartOutcome.STARTED:
             self._on_change()
 
@@ -362,12 +395,14 @@
 
     async def _send_stop(self, command: StopRun) -> None:
         sent_ms = self._clock.now_ms()
+        self._client.token = self._get_token()
         if await self._client.stop(command, timeout_ms=_timing.RUNNER_TIMEOUT_MS):
             self._cell.handle_stop_response(
                 self.id, command.run, self._clock.now_ms(), sent_ms=sent_ms
             )
 
     async def _send_pace(self, command: PaceRun) -> None:
+        self._client.token = self._get_token()
         if not await self._client.set_pace(command, timeout_ms=_timing.RUNNER_TIMEOUT_MS):
             self._cell.handle_pace_failure(self.id, command.run)
 
--- a/coltsfootpier/node/_verifier.py
+++ b/coltsfootpier/node/_verifier.py
@@ -47,9 +47,20 @@
     reason: str
 
 
-def examine_head(item: Item, *, generation: int, holder: str) -> OwnHead | LaterHead | UnclearHead:
+def examine_head(
+    item: Item, *, generation: int, holder: str, raised_generation: int = 0
+) -> OwnHead | LaterHead | UnclearHead:
     """Return what a read of the head record shows to an owner.
 
+    Parameters
+    ----------
+    item : Item
+        Item that was read.
+    generation, holder : int, str
+        Generation that the owner's claim wrote, and the owner's holder.
+    raised_generation : int, default=0
+        Highest generation to which the owner has raised its head since; 0 for none.
+
     Examples
     --------
     >>> value = b'{"generation": 3, "holder": "a", "sequence": 9}'
@@ -66,7 +77,7 @@
         return UnclearHead(str(error))
     if head.generation < generation:
         return UnclearHead(f"generation {head.generation} is earlier than {generation}")
-    if (head.generation, head.holder) != (generation, holder):
+    if head.holder != holder or head.generation > max(generation, raised_generation):
         return LaterHead(head)
     return OwnHead()
 
@@ -167,6 +178,7 @@
         self._store = store
         self._clock = clock
         self._head = head
+        self._raised_generation = 0
         self._on_confirmed = on_confirmed
         self._on_replaced = on_replaced
         self._schedule = HeadReadSchedule(confirmed_ms=confirmed_ms)
@@ -188,6 +200,10 @@
         self._on_confirmed(sent_ms)
         self._notify()
 
+    def record_head(self, head: Head) -> None:
+        """Record that the owner is about to write a head, which may have a higher generation."""
+        self._raised_generation = max(self._raised_generation, head.generation)
+
     async def run(self) -> None:
         """Read the head record whenever a read is due, until cancelled."""
         try:
@@ -233,7 +249,12 @@
         if isinstance(result, Failure):
             return
         own = self._head
-        finding = examine_head(result.unwrap(), generation=own.generation, holder=own.holder)
+        finding = examine_head(
+            result.unwrap(),
+            generation=own.generation,
+            holder=own.holder,
+            raised_generation=self._raised_generation,
+        )
         if isinstance(finding, LaterHead):
             self._end()
             self._on_replaced(finding.head)
--- a/coltsfootpier/node/tests/test_committer.py
+++ b/coltsfootpier/node/tests/test_committer.py
@@ -270,6 +270,33 @@
         self.assertIsNotNone(self.store.read(job_key("j")).value)
         self.assertIn("j", self.simulated.cell.jobs.jobs)
 
+    def test_token_is_raised_once_the_head_with_it_is_durable(self):
+        """Guards against a token that the next owner uses, too."""
+        tokens = []
+        self.committer._on_token_raised = tokens.append
+        self.committer.raise_token()
+        self.store.faults = [StoreUnavailable("busy")]
+        self._commit()
+        self.assertEqual(tokens, [])
+        self._commit()
+        self.assertEqual(tokens, [4])
+        head = decode_head(self.store.read(HEAD_KEY).value)
+        self.assertEqual(head.claim("other").generation, 5)
+        self._commit()
+        self.assertEqual(tokens, [4])
+
+    def test_token_of_an_abandoned_change_is_not_used(self):
+        """Guards against a token above the head, which the next owner would use, too."""
+        tokens = []
+        self.committer._on_token_raised = tokens.append
+        self.committer.raise_token()
+        self.committer.rebind_owner(9)
+        self.store.faults = [LeaseLost("9")]
+        self._commit()
+        self.assertEqual(tokens, [])
+        self._commit()
+        self.assertEqual(tokens, [decode_head(self.store.read(HEAD_KEY).value).generation])
+
     def test_replaced_owner_writes_nothing(self):
         """Guards against an owner that keeps writing after another one has claimed the cell."""
         claimed = Head(generation=4, holder="other")
--- a/coltsfootpier/node/tests/test_records.py
+++ b/coltsfootpier/node/tests/test_records.py
@@ -45,6 +45,12 @@
             self.assertEqual([entry.id for entry in loaded.fleet], ["a"])
             self.assertEqual(loaded.is_fleet_complete, is_complete)
 
+    def test_long_leases_of_runners(self):
+        """Guards against a next owner that counts a shorter lease than a runner may hold."""
+        entries = [build_entry("a"), build_entry("b")]
+        self.store.put(FLEET_KEY, encode_fleet(entries, long_leases={"b": 10_650.0, "c": 1.0}))
+        self.assertEqual(self._load().long_leases, {"b": 10_650.0})
+
     def test_list_of_runners_that_was_never_written(self):
         """Guards against a first owner that waits for runners of owners that never were."""
         self.assertTrue(self._load().is_fleet_complete)
--- a/coltsfootpier/node/tests/test_runner_log.py
+++ b/coltsfootpier/node/tests/test_runner_log.py
@@ -47,7 +47,7 @@
             entry=entry,
             cell=self.cell,
             settings=self.settings,
-            commits=mock.Mock(),
+            commits=mock.AsyncMock(),
             clock=self.clock,
             on_change=lambda: None,
             on_fenced=lambda _: None,
@@ -113,6 +113,8 @@
         await self.task._send_start(command)
         self.client.start.assert_not_awaited()
         await self._report(started_unix_ms=6)
+        self.cell.fleet.set_token(4, self.clock.now_ms())
+        await self._report(started_unix_ms=6)
         self.events.clear()
         fields = await self._start()
         self.assertEqual((fields["sample_born"], fields["born"]), (6, 6))
--- a/coltsfootpier/node/tests/test_runner_task.py
+++ b/coltsfootpier/node/tests/test_runner_task.py
@@ -44,6 +44,9 @@
         self.started_unix_ms = 1
         self.clock_ms = 500_000.0
         self.rate = 1.0
+        self.token = 0
+        self.tokens = []
+        self.is_fencing = False
         self.deadlines_ms = []
         self.observed = []
         self.starts = []
@@ -51,19 +54,24 @@
         self.is_reachable = True
         self.is_replaced = False
         self.ended = ()
+        self.on_poll = lambda: None
 
     def __call__(self, **_):
         return self
 
     async def poll_report(self, *, deadline_ms, observed, **_):
         """Return a report without runs."""
+        self.tokens.append(self.token)
         self.deadlines_ms.append(deadline_ms)
         self.observed.append(observed)
         await anyio.sleep(0)
+        self.on_poll()
         if not self.is_reachable:
             return Failure(Unanswered("overdue"))
         if self.is_replaced:
             return Failure(StartOutcome.REPLACED)
+        if self.is_fencing:
+            return Failure(StartOutcome.FENCED)
         now_ms = self._clock.now_ms()
         return Success(
             RunnerReport(
@@ -101,6 +109,7 @@
     def setUp(self):
         self.clock = VirtualClock(start_ms=1_000.0)
         self.client = FakeClient(self.clock)
+        self.fenced = []
         self.cell = Cell(settings=CellSettings(), generation=1, log=lambda *_, **__: None)
         self.cell.set_runners([build_entry("a")], self.clock.now_ms())
         self.cell.fleet.mark_recorded(["a"])
@@ -114,7 +123,7 @@
             commits=NoCommits(),
             clock=self.clock,
             on_change=lambda: None,
-            on_fenced=lambda _: None,
+            on_fenced=self.fenced.append,
             connect=self.client,
         )
 
@@ -262,6 +271,7 @@
             self.client.started_unix_ms = 2
             self.client.clock_ms = 0.0
             await self._wait_reports()
+            self.cell.fleet.set_token(2, self.clock.now_ms())
             *_, deadline_ms = await self._wait_reports()
             self.assertLessEqual(deadline_ms, self.clock.now_ms() + RUN_LEASE_MS)
             longest_ms = self.cell.settings.max_run_lease_ms
@@ -270,6 +280,40 @@
 
         self._run(steps)
 
+    def test_restarted_runner_gets_no_deadline_before_a_higher_token(self):
+        """Guards against late calls to an earlier incarnation that the runner carries out."""
+
+        async def steps():
+            self.cell.record_confirmation(self.clock.now_ms())
+            await self._wait_reports()
+            self.client.started_unix_ms = 2
+            self.client.ended = (EndedRow(57, RunId("j", TaskKey(0, 0, 0), 1), EndKind.DONE),)
+            await self._wait_reports()
+            self.assertEqual((await self._wait_reports())[-1], None)
+            self.assertEqual((self.client.tokens[-1], self.client.observed[-1]), (1, 0))
+            self.cell.fleet.set_token(2, self.clock.now_ms())
+            self.assertIsNotNone((await self._wait_reports())[-1])
+            self.assertEqual((self.client.tokens[-1], self.client.observed[-1]), (2, 57))
+
+        self._run(steps)
+
+    def test_call_that_the_owner_s_higher_token_overtakes_shows_no_later_owner(self):
+        """Guards against an owner that stops because of its own token."""
+        self.cell.fleet.set_token(2, self.clock.now_ms())
+        runner = self.cell.fleet.runners["a"]
+
+        async def steps():
+            await self._wait_reports()
+            self.client.is_fencing = True
+            self.client.on_poll = lambda: setattr(runner, "token", self.client.tokens[-1] + 1)
+            await self._wait_reports()
+            self.assertEqual(self.fenced, [])
+            self.client.on_poll = lambda: None
+            await self._wait_reports()
+            self.assertIn("a", self.fenced)
+
+        self._run(steps)
+
     def test_deadline_from_an_old_sample_of_a_slow_clock(self):
         """Guards against a lease beyond its assumed expiry after a pause of the owner."""
 
--- a/coltsfootpier/node/tests/test_verifier.py
+++ b/coltsfootpier/node/tests/test_verifier.py
@@ -141,6 +141,19 @@
                 self.assertEqual(self.replaced, [head])
                 self.assertEqual(self.confirmed, [])
 
+    def test_head_with_the_owner_s_raised_token_is_its_own(self):
+        """Guards against an owner that takes its own change for that of a later owner."""
+        raised = OWN.next(raises_token=True)
+        later = raised.next(raises_token=True)
+
+        async def test():
+            self.verifier.record_head(raised)
+            await self.wait_for_reads(3)
+
+        self.run_with([build_item(OWN), build_item(raised), build_item(later)], test)
+        self.assertEqual(len(self.confirmed), 2)
+        self.assertEqual(self.replaced, [later])
+
     def test_odd_value_neither_proves_nor_stops(self):
         """Guards against one odd response that ends the only owner, or counts as a proof."""
         odd = (
--- a/coltsfootpier/platform/_runners.py
+++ b/coltsfootpier/platform/_runners.py
@@ -171,16 +171,21 @@
     entry : RunnerEntry
         Registry entry of the runner.
     token : int
-        Fencing token of the owner that sends the commands.
+        Fencing token of the calls.
     clock : Clock
         Time source.
+
+    Attributes
+    ----------
+    token : int
+        Fencing token of the following calls.
     """
 
     def __init__(self, *, entry: RunnerEntry, token: int, clock: Clock) -> None:
         host, port = split_address(entry.address)
         self.address = entry.address
+        self.token = token
         self._clock = clock
-        self._token = token
         self._headers = (("expect-instance", entry.id),)
         self._command_pool = HttptoolsPool(
             host=host, port=port, clock=clock, connections=_COMMAND_CONNECTIONS
@@ -213,7 +218,7 @@
             "attempt": command.run.attempt,
             "spec": command.payload,
             "deadline_ms": int(deadline_ms),
-            "fencing_token": self._token,
+            "fencing_token": self.token,
         }
         if command.checkpoint:
             body["checkpoint"] = command.checkpoint
@@ -242,7 +247,7 @@
         body = {
             "task": format_task(command.run.job_id, command.run.key),
             "attempt": command.run.attempt,
-            "fencing_token": self._token,
+            "fencing_token": self.token,
         }
         result = await self._send_command("run-stop", body, timeout_ms)
         return isinstance(result, Success) and result.unwrap().status == 200
@@ -253,7 +258,7 @@
             "task": format_task(command.run.job_id, command.run.key),
             "attempt": command.run.attempt,
             "percent": command.percent,
-            "fencing_token": self._token,
+            "fencing_token": self.token,
         }
         result = await self._send_command("pace", body, timeout_ms)
         return isinstance(result, Success) and result.unwrap().status == 200
@@ -280,7 +285,7 @@
             `StartOutcome.FENCED` when a later owner has sent commands to the runner, and
             `StartOutcome.REPLACED` when another runner responded.
         """
-        body: dict[str, Any] = {"fencing_token": self._token, "observed": observed}
+        body: dict[str, Any] = {"fencing_token": self.token, "observed": observed}
         if deadline_ms is not None:
             body["deadline_ms"] = int(deadline_ms)
         if wait_ms:
