--- a/soak/_run_model.py
+++ b/soak/_run_model.py
@@ -391,6 +391,8 @@
         Probability that a call is carried out seconds later and gets no response.
     delay_ms : float
         Longest additional delay of each direction.
+    late_s : tuple of float, optional
+        Bounds of the time after which late calls are carried out; by default those of the network.
     """
 
     is_cut: bool = False
@@ -398,6 +400,7 @@
     loss: float = 0.0
     late: float = 0.0
     delay_ms: float = 0.0
+    late_s: tuple[float, float] | None = None
 
 
 class RunnerNetwork:
@@ -467,7 +470,7 @@
             is_lost = rng.random() < link.loss
             delay_s = rng.uniform(0.001, 0.004) + rng.uniform(0.0, link.delay_ms) / 1000
             if is_late:
-                delay_s = rng.uniform(*self.late_s)
+                delay_s = rng.uniform(*(link.late_s or self.late_s))
             answers = not is_late and not is_lost
             arrives = is_late or not is_lost or rng.random() < 0.5
 
--- a/soak/_run_simulation.py
+++ b/soak/_run_simulation.py
@@ -39,6 +39,7 @@
     TaskHistory,
     registry_key,
 )
+from soak._run_series import RecutInjector
 
 _UNIX_OFFSET_S = 1_700_000_000.0
 # Bound of a runner's clock error by the platform, and the usual one of an owner's clock.
@@ -49,6 +50,9 @@
 _QUEUE = Queue(name="batch", service="web", max_attempts=3, stretch=2.0, objective_ms=1_000_000.0)
 # Fields of log lines that are part of the history.
 _LOGGED_FIELDS = ("run", "runner", "runs", "reason", "outcome", "cause", "deadline_ms", "proof")
+# Kinds of injected series of faults.
+RANDOM, RECUT, MIXED = "random", "recut", "mixed"
+SERIES = (RANDOM, RECUT, MIXED)
 _CONFIGURATION = Configuration(
     version=1, routes=(Route(host="a.example", prefix="/p/", timeout_ms=3_000.0, queue=_QUEUE),)
 )
@@ -115,6 +119,8 @@
         self._claims_automatically = claims_automatically
         # Addresses of the runners that the next successor doesn't reach, and for how long.
         self.cut_from_successor: tuple[tuple[str, ...], float] = ((), 0.0)
+        # Until which true time no later owner reaches an address.
+        self._cut_until_s: dict[str, float] = {}
         self.runners = [
             SimulatedRunner(
                 loop=loop,
@@ -198,6 +204,9 @@
             self.network.get_link(host.name, address).is_cut = True
             self.loop.call_after(duration_s, lambda a=address: self._reconnect(host.name, a))
         self.cut_from_successor = ((), 0.0)
+        for address, end_s in self._cut_until_s.items():
+            if end_s > self.loop.true_s:
+                self.set_links([host.name], [address], end_s - self.loop.true_s, is_cut=True)
 
         def create_owner() -> Owner:
             return Owner(
@@ -223,6 +232,12 @@
             self.loop.start(host, self._list_vms(owner))
         return owner
 
+    def cut_from_later_owners(self, addresses: Iterable[str], duration_s: float) -> None:
+        """Cut runners off from all owners that claim the cell within some time, until its end."""
+        for address in addresses:
+            end_s = self.loop.true_s + duration_s
+            self._cut_until_s[address] = max(end_s, self._cut_until_s.get(address, 0.0))
+
     def _reconnect(self, host: str, address: str) -> None:
         self.network.get_link(host, address).is_cut = False
 
@@ -516,7 +531,7 @@
     fault_counts: dict[str, int]
 
 
-async def _run(loop: VirtualLoop, seed: int, duration_s: float) -> RunReport:
+async def _run(loop: VirtualLoop, seed: int, duration_s: float, series: str) -> RunReport:
     rng = random.Random(f"{seed}/jobs")
     # In some runs, an outage of the store is longer than an owner acts without it.
     limit_rng = random.Random(f"{seed}/limit")
@@ -528,11 +543,16 @@
         cell_settings=CellSettings(max_unconfirmed_ms=max_unconfirmed_ms),
         lists_vms=limit_rng.random() < 0.75,
     )
-    injector = FaultInjector(simulation=simulation, seed=seed)
+    injectors: list[FaultInjector | RecutInjector] = []
+    if series in (RANDOM, MIXED):
+        injectors.append(FaultInjector(simulation=simulation, seed=seed))
+    if series in (RECUT, MIXED):
+        injectors.append(RecutInjector(simulation=simulation, seed=seed))
     with simulation.patch_time(), record_logs(simulation):
         await simulation.start()
         await anyio.sleep(1.0)
-        loop.start(None, injector.run(duration_s - 5.0))
+        for injector in injectors:
+            loop.start(None, injector.run(duration_s - 5.0))
         number = 0
         while loop.true_s < duration_s and not simulation.history.violations:
             number += 1
@@ -550,7 +570,7 @@
         events=tuple(history.format_events(history.first_violated_task)),
         start_count=history.start_count,
         owner_count=len(simulation.owners),
-        fault_counts=dict(injector.fault_counts),
+        fault_counts=dict(sum((item.fault_counts for item in injectors), Counter())),
     )
 
 
@@ -574,7 +594,7 @@
         eliot.remove_destination(record)
 
 
-def run_seed(seed: int, *, duration_s: float = 60.0) -> RunReport:
+def run_seed(seed: int, *, duration_s: float = 60.0, series: str = RANDOM) -> RunReport:
     """Run one seed until its end or the first violation.
 
     Parameters
@@ -583,6 +603,9 @@
         Determines the whole run.
     duration_s : float, default=60.0
         Duration of the run in virtual seconds.
+    series : str, default="random"
+        Kind of the injected faults: "random", "recut" (restarts followed by a change of owner and a
+        cut) or "mixed" (both).
 
     Returns
     -------
@@ -591,6 +614,6 @@
     random.seed(seed)
     loop = VirtualLoop()
     try:
-        return loop.run_until_complete(_run(loop, seed, duration_s))
+        return loop.run_until_complete(_run(loop, seed, duration_s, series))
     finally:
         discard_loop(loop)
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -10,7 +10,7 @@
 
 from absl import app, flags
 
-from soak._run_simulation import RunReport, run_seed
+from soak._run_simulation import RANDOM, SERIES, RunReport, run_seed
 from soak._seeds import parse_seeds
 
 _FLAGS = flags.FLAGS
@@ -19,6 +19,12 @@
 flags.DEFINE_integer(
     "processes", 1, "Number of seeds to run in parallel.", lower_bound=1, upper_bound=4
 )
+flags.DEFINE_enum(
+    "series",
+    RANDOM,
+    SERIES,
+    "Injected faults: independent ones; restarts followed by a change of owner and a cut; or both.",
+)
 flags.DEFINE_integer("events", 120, "Number of events to print on a violation.", lower_bound=0)
 
 
@@ -39,7 +45,7 @@
     totals: Counter[str] = Counter()
     failed_seeds: list[int] = []
     with ProcessPoolExecutor(_FLAGS.processes) as pool:
-        run = partial(run_seed, duration_s=_FLAGS.seconds)
+        run = partial(run_seed, duration_s=_FLAGS.seconds, series=_FLAGS.series)
         for report in pool.map(run, parse_seeds(_FLAGS.seeds)):
             _print_report(report)
             fault_counts.update(report.fault_counts)
