Hold the task of an unanswered start for the lease of its run, too

A start without a response holds its task for the 12 s in which the runner may still carry it out. An incarnation that restarted behind a cut may do so at the last moment, and a deadline on an earlier clock, of the start itself or of any other late call, gives its run the longest lease. The task started elsewhere after 12 s, beside that run.

The task is now held until the last call to the runner may have been carried out and the longest lease has passed, unless a report that was requested after the start's last moment shows the runner, or two listings of VMs after it don't name the runner. The next owner takes over the time that is left, also once only the run may go on.

The new tests fail without the change. Tests that expected the start after 12 s now expect that it waits for the listings.

--- a/coltsfootpier/cells/_incarnations.py
+++ b/coltsfootpier/cells/_incarnations.py
@@ -100,15 +100,15 @@
             self._retire_runners(runner_by_vm, requested_ms)
         ended = False
         for runner_id, runner in self._fleet.runners.items():
-            if runner.ended and not runner.runs:
-                continue
             is_unresponsive = requested_ms - runner.contact_ms > self._settings.suspect_after_ms
             if runner_id in live or not is_unresponsive:
                 runner.unlisted_since_ms = float("inf")
             elif runner.unlisted_since_ms < requested_ms:
                 # The pages of a listing are not one snapshot, so one listing may miss a runner.
-                self._end_runner(runner, requested_ms)
-                ended = True
+                runner.ended_ms = requested_ms
+                if runner.runs or not runner.ended:
+                    self._end_runner(runner, requested_ms)
+                    ended = True
             else:
                 runner.unlisted_since_ms = requested_ms
         return ended
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -291,6 +291,8 @@
     # platform listings without it was requested; infinite while it is listed.
     ended: bool = False
     unlisted_since_ms: float = float("inf")
+    # When the last platform listing was requested that, as the one before it, didn't name it.
+    ended_ms: float = float("-inf")
     # Whether it gets no new runs before maintenance of its VM, and whether the maintenance was
     # requested, so that its runs may end at any moment.
     cordoned: bool = False
--- a/coltsfootpier/cells/_unanswered_starts.py
+++ b/coltsfootpier/cells/_unanswered_starts.py
@@ -8,7 +8,8 @@
 So the task may start again only on the same runner, and only while the present incarnation rejects
 the late start. This holds until the start can't be carried out any more: its time has passed, its
 only call has been carried out, another runner responds at the address that it was sent to, or the
-runner's VM is gone or has another runner.
+runner's VM is gone or has another runner. Once its time has passed, a run that it has started on an
+unreachable runner may go on for the longest lease.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 
 import attrs
 
+from coltsfootpier.cells._lease_expiry import compute_lease_ms
 from coltsfootpier.cells._messages import RunId, RunnerReport
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells._state import Runner, StepRun
@@ -34,7 +36,8 @@
     runner_id, address : str
         Runner to which it was sent, and its address.
     left_ms : float
-        Time for which it might still be carried out when it was recorded.
+        Time for which it might still be carried out when it was recorded; negative if only its run
+        may go on.
     is_repeated : bool
         Whether it was sent more than once.
     """
@@ -128,6 +131,8 @@
         # By step and task.
         self._by_step: dict[tuple, dict[TaskKey, dict[RunId, UnansweredStart]]] = {}
         self._held: dict[tuple[str, TaskKey], _HeldTask] = {}
+        # Until when an earlier owner may send calls.
+        self._earlier_acts_until_ms = float("-inf")
         self.held_count = 0
 
     def __len__(self) -> int:
@@ -157,6 +162,7 @@
 
     def inherit(self, starts: Iterable[InheritedStart], now_ms: float) -> None:
         """Add the starts that an earlier owner has recorded, before any other."""
+        self._earlier_acts_until_ms = now_ms + self._settings.proof_validity_ms
         for start in sorted(starts, key=lambda start: start.left_ms):
             left_ms = min(start.left_ms, self._settings.late_call_ms)
             self._add(
@@ -284,13 +290,36 @@
                 self._remove(start, now_ms, "runner replaced")
 
     def remove_expired(self, now_ms: float) -> None:
-        """Discard the starts that are no longer carried out."""
-        oldest_ms = now_ms - self._settings.late_call_ms
-        while self._starts:
-            start = next(iter(self._starts.values()))
-            if start.open_ms > oldest_ms:
+        """Discard the starts that are no longer carried out and have no run that isn't known."""
+        for start in list(self._starts.values()):
+            if now_ms < start.open_ms + self._settings.late_call_ms:
                 return
-            self._remove(start, now_ms, "expired")
+            if self._is_run_known(start) or now_ms >= self._compute_run_end_ms(start):
+                self._remove(start, now_ms, "expired")
+
+    def _is_run_known(self, start: UnansweredStart) -> bool:
+        """Return whether it is known since the last moment of a start if it has a run."""
+        expired_ms = start.open_ms + self._settings.late_call_ms
+        runner = self._runners.get(start.runner_id)
+        if runner is None:
+            return False
+        return runner.accepted_ms > expired_ms or runner.ended_ms > expired_ms
+
+    def _compute_run_end_ms(self, start: UnansweredStart) -> float:
+        """Return the local time by which the run of a start has ended on an unreachable runner.
+
+        A later incarnation may carry out the start, and any other call without a response, at the
+        last moment. A deadline on an earlier clock then gives the longest lease.
+        """
+        settings = self._settings
+        last_call_ms = max(other.open_ms for other in self._by_runner[start.runner_id].values())
+        if start.is_inherited:
+            last_call_ms = max(last_call_ms, self._earlier_acts_until_ms)
+        runner = self._runners.get(start.runner_id)
+        if runner is not None:
+            last_call_ms = max(last_call_ms, runner.deadline_sent_ms)
+        run_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
+        return last_call_ms + settings.late_call_ms + run_ms
 
     def _remove(self, start: UnansweredStart, now_ms: float, reason: str) -> None:
         run_id = start.run
--- a/coltsfootpier/cells/tests/test_proofs.py
+++ b/coltsfootpier/cells/tests/test_proofs.py
@@ -155,6 +155,14 @@
         harness.now_ms += harness.settings.late_call_ms + 1
         harness.report()
         harness.renew()
+        self.assertEqual(self._list_starts(), [])
+        for _ in range(2):
+            harness.cell.incarnations.apply_listing(
+                harness.runners.keys() - {command.runner_id}, requested_ms=harness.now_ms
+            )
+            harness.now_ms += harness.settings.check_period_ms
+        harness.report()
+        harness.renew()
         self.assertEqual(len(self._list_starts()), 1)
 
     def test_start_before_a_restart_is_rejected(self):
--- a/coltsfootpier/cells/tests/test_unanswered_starts.py
+++ b/coltsfootpier/cells/tests/test_unanswered_starts.py
@@ -3,6 +3,7 @@
 import unittest
 
 from coltsfootpier.cells import EndKind, StartOutcome, StartRun
+from coltsfootpier.cells._lease_expiry import compute_lease_ms
 from coltsfootpier.cells.tests.builders import SimulatedCell, build_entry, build_job, build_step
 
 
@@ -39,12 +40,17 @@
         harness.runners[name].reachable = False
         harness.runners[name].running.clear()
         harness.advance(800)
+        self._list_others(name)
+        self.assertEqual(harness.cell.fleet.runners[name].runs, {})
+
+    def _list_others(self, name="a"):
+        """Apply two listings that don't name a runner."""
+        harness = self.harness
         for _ in range(2):
             harness.cell.incarnations.apply_listing(
                 harness.runners.keys() - {name}, requested_ms=harness.now_ms
             )
             harness.advance(100)
-        self.assertEqual(harness.cell.fleet.runners[name].runs, {})
 
     def _restart(self, name="a"):
         runner = self.harness.runners[name]
@@ -64,13 +70,37 @@
         """Guards against a task that starts elsewhere before its late start is ruled out."""
         self._submit()
         self._crash()
-        self.harness.advance(self.late_call_ms - 1_200)
+        self.harness.advance(self.late_call_ms - 800)
         self.assertEqual(self.harness.find("j"), [])
-        self.harness.advance(400)
+        self._list_others()
         self.assertEqual([name for name, _ in self.harness.find("j")], ["b"])
         self.assertEqual(self._get_last_event("held task released")["reason"], "expired")
         self.assertEqual(len(self._starts), 0)
 
+    def test_unreachable_runner_carries_out_the_start_at_the_last_moment(self):
+        """Guards against a second run beside one with the longest lease on the next incarnation."""
+        self._submit()
+        self.harness.runners["a"].reachable = False
+        settings = self.harness.settings
+        longest_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
+        self.harness.advance(self.late_call_ms + longest_ms - 100)
+        self.assertEqual(self.harness.find("j"), [])
+        self.harness.advance(300)
+        self.assertEqual([name for name, _ in self.harness.find("j")], ["b"])
+
+    def test_later_deadline_extends_the_run_of_the_start(self):
+        """Guards against a wait that counts from the start, which a later call may outlast."""
+        self._submit()
+        self.harness.runners["a"].reachable = False
+        self.harness.advance(2_000)
+        self.harness.cell.fleet.record_deadline("a", 0.0, self.harness.now_ms)
+        settings = self.harness.settings
+        longest_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
+        self.harness.advance(self.late_call_ms + longest_ms - 100)
+        self.assertEqual(self.harness.find("j"), [])
+        self.harness.advance(300)
+        self.assertEqual([name for name, _ in self.harness.find("j")], ["b"])
+
     def test_expired_lease_does_not_rule_out_the_start(self):
         """Guards against a late start on a runner that restarts after its leases have expired."""
         self._submit()
@@ -251,6 +281,7 @@
         self.harness.advance(1_000)
         self.assertEqual(self.harness.find("j"), [])
         self.harness.advance(self.late_call_ms)
+        self._list_others()
         self.harness.cell.set_runners(entries, self.harness.now_ms)
         self.assertNotIn("a", self.harness.cell.fleet.runners)
 
@@ -290,6 +321,8 @@
                     self.harness.advance(300)
                     self.assertEqual(self.harness.find("j"), [])
                     self.harness.advance(self.late_call_ms)
+                    self.assertEqual(self.harness.find("j"), [])
+                    self._list_others()
                 ((name, run),) = self.harness.find("j")
                 self.assertEqual((name, run.attempt), ("a" if is_listed else "b", 10_001))
 
@@ -301,8 +334,27 @@
         self.assertEqual(start.left_ms, self.late_call_ms - 5_000)
         successor = SimulatedCell(("a", "b"), generation=2)
         successor.cell.fleet.unanswered_starts.inherit([start], successor.now_ms)
-        successor.now_ms += start.left_ms
-        successor.cell.fleet.unanswered_starts.remove_expired(successor.now_ms)
+        successor.join()
+        successor.advance(start.left_ms)
+        self.assertEqual(len(successor.cell.fleet.unanswered_starts), 1)
+        successor.advance(100)
+        self.assertEqual(len(successor.cell.fleet.unanswered_starts), 0)
+
+    def test_successor_waits_for_the_run_of_an_expired_start(self):
+        """Guards against a start that the next owner forgets although its run may go on."""
+        self._submit()
+        self.harness.runners["a"].reachable = False
+        self.harness.advance(self.late_call_ms + 1_000)
+        (start,) = self._starts.export(self.harness.now_ms, pending_ms=0.0, limit=10)
+        successor = SimulatedCell(("a", "b"), generation=2)
+        successor.cell.fleet.unanswered_starts.inherit([start], successor.now_ms)
+        successor.runners["a"].reachable = False
+        successor.join()
+        settings = successor.settings
+        run_ms = settings.late_call_ms + compute_lease_ms(settings.max_run_lease_ms, settings)
+        successor.advance(run_ms)
+        self.assertEqual(len(successor.cell.fleet.unanswered_starts), 1)
+        successor.advance(settings.proof_validity_ms + 100)
         self.assertEqual(len(successor.cell.fleet.unanswered_starts), 0)
 
     def test_cancelled_job_leaves_no_held_task(self):
@@ -312,6 +364,7 @@
         self.assertEqual(self._starts.held_tasks, 1)
         self.harness.cell.cancel("j", self.harness.now_ms)
         self.harness.advance(self.late_call_ms)
+        self._list_others()
         self.assertEqual((len(self._starts), self._starts.held_tasks), (0, 0))
 
     def test_answered_starts_leave_no_entries(self):
@@ -413,6 +466,8 @@
         self.harness.advance(5_000)
         self.assertEqual(self.harness.find("j"), [])
         self.harness.advance(self.late_call_ms)
+        self.assertEqual(self.harness.find("j"), [])
+        self._list_others()
         self.assertEqual([name for name, _ in self.harness.find("j")], ["b"])
 
     def test_end_of_a_repeated_start_is_acknowledged_later(self):
--- a/coltsfootpier/node/tests/test_unanswered_starts.py
+++ b/coltsfootpier/node/tests/test_unanswered_starts.py
@@ -81,6 +81,8 @@
         self.harness.plan()
         self._write()
         self.clock.advance(self.harness.settings.late_call_ms + 1)
+        self.harness.now_ms = self.clock.now_ms()
+        self.harness.report()
         self.harness.cell.fleet.unanswered_starts.remove_expired(self.clock.now_ms())
         self._write()
         self.assertEqual(self._load(), ())
