Detect a restart by the clock in the response to a start

A start may be answered by a later incarnation before a report shows the restart, up to 1.1 s after it. Its run has a deadline on the earlier clock and so the longest lease, which nobody recorded; a successor that took over within that time counted the usual one.

The response tells the runner's clock. If it is behind the clock of a report that was received before the start was sent, the runner has restarted: it needs a higher token at once, and the fleet record says until when its run may go on. Only such a clock gives a lease that is longer than assumed.

An owner that is killed between such a response and the commit still leaves the run unknown.

--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -298,6 +298,26 @@
         ]:
             del self._removed_expiry_ms[runner_id]
 
+    def suspect_restart(self, runner: Runner) -> None:
+        """Record that a runner's clock has started anew, before a report shows the restart.
+
+        A run that it has started since may hold the longest lease.
+        """
+        self._log(
+            "runner's clock started anew",
+            runner=runner.entry.id,
+            runs=len(runner.runs),
+            born=runner.started_unix_ms,
+            generation=self.generation,
+        )
+        self._discard_acceptance(runner)
+
+    def _discard_acceptance(self, runner: Runner) -> None:
+        """Record that a runner has accepted no token since its restart."""
+        runner.adopted = False
+        runner.first_accepted_ms, runner.accepted_ms = float("inf"), float("-inf")
+        self._require_token(runner)
+
     def apply_restart(self, runner: Runner, started_unix_ms: int, proof: EndProof) -> list[Run]:
         """Apply a restart and return the runs that were lost with the earlier incarnation.
 
@@ -324,9 +344,7 @@
         runner.started_unix_ms = started_unix_ms
         runner.applied_end = 0
         runner.pending_ends.clear()
-        runner.adopted = False
-        runner.first_accepted_ms, runner.accepted_ms = float("inf"), float("-inf")
-        self._require_token(runner)
+        self._discard_acceptance(runner)
         # The next incarnation lists none of the earlier ends.
         self._partly_read.discard(runner.entry.id)
         return lost
--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -351,11 +351,15 @@
         log_fields = self._describe_start(command, deadline_ms)
         call_number = self._record_call(valid_ms)
         token = self._client.token = self._get_token()
+        reported_ms, _ = self._clock_sample
+        started_unix_ms = self._started_unix_ms
         outcome = None
         try:
-            outcome, _ = await self._client.start(
+            outcome, clock_ms = await self._client.start(
                 command, deadline_ms=deadline_ms, timeout_ms=_timing.RUNNER_TIMEOUT_MS
             )
+            if clock_ms is not None and clock_ms < reported_ms:
+                self._record_reset_clock(started_unix_ms)
         finally:
             log_event(
                 "start command outcome",
@@ -377,6 +381,14 @@
         if outcome is not StartOutcome.STARTED:
             self._on_change()
 
+    def _record_reset_clock(self, started_unix_ms: int) -> None:
+        """Record that a response came from a later incarnation than the last report before it."""
+        runner = self._cell.fleet.runners.get(self.id)
+        if runner is not None and runner.started_unix_ms == started_unix_ms:
+            self._clock_sample = None
+            self._cell.fleet.suspect_restart(runner)
+            self._on_change()
+
     def _describe_start(self, command: StartRun, deadline_ms: float) -> dict[str, object]:
         """Return log fields about a start command that is about to be sent."""
         runner = self._cell.fleet.runners.get(self.id)
--- a/coltsfootpier/node/tests/test_runner_task.py
+++ b/coltsfootpier/node/tests/test_runner_task.py
@@ -51,6 +51,8 @@
         self.observed = []
         self.starts = []
         self.is_answering = True
+        # Clock in the responses to starts, if they tell it.
+        self.start_clock_ms = None
         self.is_reachable = True
         self.is_replaced = False
         self.ended = ()
@@ -89,7 +91,7 @@
         self.starts.append((command, deadline_ms))
         if not self.is_answering:
             await anyio.sleep_forever()
-        return StartOutcome.STARTED, None
+        return StartOutcome.STARTED, self.start_clock_ms
 
     def close(self):
         """Close nothing."""
@@ -297,6 +299,28 @@
 
         self._run(steps)
 
+    def test_response_to_a_start_shows_a_restart(self):
+        """Guards against a run on a new incarnation whose long lease no later owner knows of."""
+        leases = {}
+
+        async def steps():
+            self.cell.record_confirmation(self.clock.now_ms())
+            await self._wait_reports()
+            self.task.execute(self._plan_start())
+            while not self.client.starts:
+                await anyio.sleep(0)
+            await anyio.sleep(0)
+            leases.update(self.cell.fleet.list_long_leases(self.clock.now_ms()))
+
+        for clock_ms, is_restarted in ((1_000_000.0, False), (7.0, True)):
+            with self.subTest(clock_ms=clock_ms):
+                self.setUp()
+                self.client.start_clock_ms = clock_ms
+                self._run(steps)
+                self.assertEqual(self.cell.fleet.needs_token, is_restarted)
+                self.assertEqual(list(leases), ["a"] if is_restarted else [])
+        self.assertGreater(leases["a"], self.cell.settings.late_call_ms)
+
     def test_call_that_the_owner_s_higher_token_overtakes_shows_no_later_owner(self):
         """Guards against an owner that stops because of its own token."""
         self.cell.fleet.set_token(2, self.clock.now_ms())
--- a/coltsfootpier/platform/_runners.py
+++ b/coltsfootpier/platform/_runners.py
@@ -211,7 +211,7 @@
         outcome : StartOutcome
             Outcome of the command.
         clock_ms : float or None
-            Time on the runner's clock when it responded.
+            Time on the runner's clock when it responded; None if the response doesn't tell it.
         """
         body = {
             "task": format_task(command.run.job_id, command.run.key),
@@ -230,7 +230,7 @@
             return (StartOutcome.REFUSED if is_unsent else StartOutcome.UNKNOWN), None
         reply = result.unwrap()
         value = load_object(reply)
-        clock_ms = value.get("clock_ms")
+        clock_ms = _read_clock_ms(value)
         if reply.status == 200:
             return StartOutcome.STARTED, clock_ms
         if reply.status == 409:
@@ -386,6 +386,14 @@
     return require_text("a runner", runner_id), require_text("a ticket", ticket, _MAX_TICKET_BYTES)
 
 
+def _read_clock_ms(value: dict[str, Any]) -> float | None:
+    """Return the runner's clock in the response to a command; None if it is missing or invalid."""
+    try:
+        return read_number(value, "clock_ms")
+    except InvalidFieldError:
+        return None
+
+
 def _decode_report(value: dict[str, Any], sent_ms: float, received_ms: float) -> RunnerReport:
     ended = tuple(map(_decode_ended_row, read_list(value, "ended")))
     return RunnerReport(
