Keep the lease expiry of a runner that restarts again before it is fenced

The first report that was requested with a raised token discarded the tracked expiry of the leases, also if it showed one more restart and so fenced nothing. A run that only the response to its start had shown then counted as expired, and its task started elsewhere beside it. The expiry is discarded only once the incarnation has been adopted.

The new test fails without the change.

--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -265,7 +265,7 @@
         self._is_reachable = True
         self._lists_ends = bool(result.unwrap().ended)
         self._apply_report(result.unwrap())
-        if token > self._accepted_token:
+        if token > self._accepted_token and runner.adopted:
             self._accepted_token = token
             self._lease_expiry.discard_earlier_calls()
             cell.fleet.set_lease_expiry(self.id, self._lease_expiry.lease_expiry_ms)
--- a/coltsfootpier/node/tests/test_runner_task.py
+++ b/coltsfootpier/node/tests/test_runner_task.py
@@ -299,6 +299,27 @@
 
         self._run(steps)
 
+    def test_second_restart_is_shown_by_the_first_report_with_a_token(self):
+        """Guards against leases that count as expired although no incarnation was fenced."""
+        runner = self.cell.fleet.runners["a"]
+
+        def restart():
+            self.client.started_unix_ms += 1
+            self.client.on_poll = lambda: None
+
+        async def steps():
+            self.cell.record_confirmation(self.clock.now_ms())
+            await self._wait_reports()
+            restart()
+            await self._wait_reports()
+            self.client.on_poll = restart
+            self.cell.fleet.set_token(2, self.clock.now_ms())
+            while runner.token != 2 or not runner.awaits_token:
+                await anyio.sleep(0)
+            self.assertGreater(runner.lease_expiry_ms, self.clock.now_ms() + RUN_LEASE_MS)
+
+        self._run(steps)
+
     def test_response_to_a_start_shows_a_restart(self):
         """Guards against a run on a new incarnation whose long lease no later owner knows of."""
         leases = {}
