Count a report as fencing only if it was requested after the token was raised

A report that was requested in the very millisecond in which the token was raised could still carry the lower one. It no longer counts.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -300,7 +300,7 @@
                 self.jobs.requeue(run.id)
         runner.started_unix_ms = report.started_unix_ms
         # Until then, calls to an earlier incarnation may still be carried out.
-        rejects_earlier_calls = report.sent_ms >= runner.token_since_ms
+        rejects_earlier_calls = report.sent_ms > runner.token_since_ms
         if rejects_earlier_calls and not runner.adopted:
             self._estimates.expire_measurement()
             self._log(
--- a/coltsfootpier/node/tests/test_runner_log.py
+++ b/coltsfootpier/node/tests/test_runner_log.py
@@ -114,6 +114,7 @@
         self.client.start.assert_not_awaited()
         await self._report(started_unix_ms=6)
         self.cell.fleet.set_token(4, self.clock.now_ms())
+        self.clock.advance(1.0)
         await self._report(started_unix_ms=6)
         self.events.clear()
         fields = await self._start()
--- a/coltsfootpier/node/tests/test_runner_task.py
+++ b/coltsfootpier/node/tests/test_runner_task.py
@@ -150,6 +150,11 @@
             await anyio.sleep(0)
         return self.client.deadlines_ms[start:]
 
+    def _use_token(self, token):
+        """Use a raised token from now on."""
+        self.cell.fleet.set_token(token, self.clock.now_ms())
+        self.clock.advance(1.0)
+
     def _submit(self):
         now_ms = self.clock.now_ms()
         job = self.cell.submit(
@@ -273,7 +278,7 @@
             self.client.started_unix_ms = 2
             self.client.clock_ms = 0.0
             await self._wait_reports()
-            self.cell.fleet.set_token(2, self.clock.now_ms())
+            self._use_token(2)
             *_, deadline_ms = await self._wait_reports()
             self.assertLessEqual(deadline_ms, self.clock.now_ms() + RUN_LEASE_MS)
             longest_ms = self.cell.settings.max_run_lease_ms
@@ -293,7 +298,7 @@
             await self._wait_reports()
             self.assertEqual((await self._wait_reports())[-1], None)
             self.assertEqual((self.client.tokens[-1], self.client.observed[-1]), (1, 0))
-            self.cell.fleet.set_token(2, self.clock.now_ms())
+            self._use_token(2)
             self.assertIsNotNone((await self._wait_reports())[-1])
             self.assertEqual((self.client.tokens[-1], self.client.observed[-1]), (2, 57))
 
@@ -303,17 +308,18 @@
         """Guards against leases that count as expired although no incarnation was fenced."""
         runner = self.cell.fleet.runners["a"]
 
-        def restart():
-            self.client.started_unix_ms += 1
-            self.client.on_poll = lambda: None
+        def restart_once():
+            if self.client.tokens[-1] == 2:
+                self.client.started_unix_ms += 1
+                self.client.on_poll = lambda: None
 
         async def steps():
             self.cell.record_confirmation(self.clock.now_ms())
             await self._wait_reports()
-            restart()
+            self.client.started_unix_ms += 1
             await self._wait_reports()
-            self.client.on_poll = restart
-            self.cell.fleet.set_token(2, self.clock.now_ms())
+            self.client.on_poll = restart_once
+            self._use_token(2)
             while runner.token != 2 or not runner.awaits_token:
                 await anyio.sleep(0)
             self.assertGreater(runner.lease_expiry_ms, self.clock.now_ms() + RUN_LEASE_MS)
