Name in the history of a simulated run the incarnation that a late call was sent to

A call of an owner that a runner carries out after a restart is shown as 'owner1-for-w4/1', and a start with the length of the lease that follows from it. The history didn't tell such a call from one that was meant for the present incarnation.

--- a/soak/_run_model.py
+++ b/soak/_run_model.py
@@ -122,10 +122,10 @@
         """Record a run that is done."""
         self._done.setdefault(end.task, []).append(end)
 
-    def record_noted(self, end: DoneEnd, runner: SimulatedRunner) -> None:
+    def record_noted(self, end: DoneEnd, runner: SimulatedRunner, sender: str) -> None:
         """Record that the end of a done run was acknowledged while its lease held."""
         end.is_noted = True
-        self.add("end noted", task=end.task, runner=runner.label)
+        self.add("end noted", task=end.task, runner=runner.label, by=sender)
         if self._last_start_ms[end.task] > end.time_ms:
             self._violate(end.task, "a run started after an end that was noted later")
 
@@ -275,7 +275,7 @@
         if self.lease_end_ms <= now_ms:
             self._lease_epoch += 1
         self.lease_end_ms = end_ms
-        if self.runs:
+        if self.runs or "-for-" in sender:
             self._history.add(
                 "lease extended",
                 runner=self.label,
@@ -306,7 +306,10 @@
         if len(self.runs) * 1_000 >= RUNNER_CPU_MILLI:
             return self._reject("room")
         run = self.runs[task, attempt] = PresentRun(task, attempt, self)
-        self._history.add("start by", task=task, runner=self.label, sender=sender)
+        lease_ms = round(self.lease_end_ms - self.clock_ms)
+        self._history.add(
+            "start by", task=task, runner=self.label, sender=sender, lease_ms=lease_ms
+        )
         self._history.record_start(run)
         duration_ms = self._get_duration_ms(task)
         if duration_ms < float("inf"):
@@ -354,7 +357,7 @@
         for end in self._done:
             held = end.lease_epoch == self._lease_epoch and not is_lapsed
             if end.number <= observed and held:
-                self._history.record_noted(end, self)
+                self._history.record_noted(end, self, sender)
         self._done = [end for end in self._done if end.number > observed]
         self._ended = [row for row in self._ended if row[0] > observed]
         if "deadline_ms" in body:
@@ -463,8 +466,10 @@
             return Failure(NotSent("no connection in time"))
         with anyio.move_on_after(timeout_ms / 1000):
             await anyio.sleep(rng.uniform(0.0, 0.002))
-            if self._find_runner(address) is None and not is_open:
+            runner = self._find_runner(address)
+            if runner is None and not is_open:
                 return Failure(NotSent("connection refused", unreachable=True))
+            label = "" if runner is None else runner.label
             response: asyncio.Future[Reply] = self._loop.create_future()
             is_late = rng.random() < link.late
             is_lost = rng.random() < link.loss
@@ -486,6 +491,7 @@
                             expected_id,
                             body,
                             response if answers else None,
+                            label,
                         ),
                     )
 
@@ -507,11 +513,14 @@
         expected_id: str,
         body: bytes,
         response: asyncio.Future | None,
+        label: str,
     ) -> None:
         runner = self._find_runner(address)
         if runner is None:
             return
-        status, value = await runner.handle(command, expected_id, orjson.loads(body), host.name)
+        # The history tells calls apart that were sent before the incarnation started.
+        sender = host.name if label == runner.label else f"{host.name}-for-{label or 'none'}"
+        status, value = await runner.handle(command, expected_id, orjson.loads(body), sender)
         delay_s = self._rng.uniform(0.001, 0.004) + self._rng.uniform(0.0, link.delay_ms) / 1000
 
         def respond() -> None:
