Show eight orders of events in which a restarted runner has a second run

* a late deadline that the next incarnation takes before, or after, its owner has seen the restart;
* a start that isn't late, sent before the owner notices the restart, with a deadline on the earlier clock;
* a third owner, which doesn't know what the second one has learned;
* a late acknowledgement that hides the end of a run of the next incarnation;
* a start in the owner's last 100 ms, and a start that is carried out just before it expires.

The scenario without a final run (a task that is done) sets final_run_count.

--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -29,8 +29,8 @@
         self.loop = VirtualLoop()
         self.addCleanup(discard_loop, self.loop)
 
-    def _play(self, play, *, runner_count=2, runner_rate=1.0, **settings):
-        """Play a scenario and check that the task has one run in the end and never had two."""
+    def _play(self, play, *, runner_count=2, runner_rate=1.0, final_run_count=1, **settings):
+        """Play a scenario and check how many runs the task has in the end, and never had two."""
 
         async def run():
             self.simulation = RunSimulation(
@@ -49,7 +49,7 @@
         self.loop.run_until_complete(run())
         history = self.simulation.history
         self.assertEqual(history.violations, [], "\n".join(history.format_events(TASK)[-80:]))
-        self.assertEqual(len(history.find_runners(TASK)), 1)
+        self.assertEqual(len(history.find_runners(TASK)), final_run_count)
 
     def _set_links(self, owner, *runners, **changes):
         addresses = [runner.address for runner in runners]
@@ -235,6 +235,158 @@
 
         self._play(play, runner_count=3)
 
+    async def _restart_first_runner(self, *, late_s):
+        """Restart the first runner; report requests from before are carried out late.
+
+        The owner reaches only this runner from then on.
+        """
+        first, *others = self.simulation.runners
+        owner = self.simulation.current
+        await anyio.sleep(20.0)
+        self.simulation.network.late_s = (late_s, late_s)
+        self._set_links(owner, first, late=1.0)
+        await anyio.sleep(0.6)
+        self._set_links(owner, first, late=0.0)
+        self.simulation.restart_runner(first, 0.2)
+        self._set_links(owner, *others, is_cut=True)
+        return first
+
+    def _replace_owner(self, *unreachable, duration_s):
+        """Kill the owner; its successor doesn't reach some runners for a while."""
+        addresses = tuple(runner.address for runner in unreachable)
+        self.simulation.cut_from_successor = (addresses, duration_s)
+        self.simulation.current.host.dead = True
+        self.simulation.revoke_ownership()
+        self.simulation.claim()
+
+    async def _start_task_before_restart_is_noticed(self):
+        """Start the task on the first runner, on its next incarnation, which nobody has seen."""
+        first, *others = self.simulation.runners
+        await anyio.sleep(20.0)
+        self._set_links(self.simulation.current, *others, is_cut=True)
+        await anyio.sleep(2.0)
+        self.simulation.restart_runner(first, 0.02)
+        await anyio.sleep(0.05)
+        await self.simulation.submit(JOB, duration_ms=float("inf"))
+        await anyio.sleep(0.05)
+        self.assertEqual(self.simulation.history.find_runners(TASK), [first])
+        return first
+
+    def test_successor_does_not_know_that_a_start_preceded_the_detection_of_a_restart(self):
+        """Guards against a start whose deadline on the earlier clock gives the longest lease."""
+
+        async def play(simulation):
+            runner = await self._start_task_before_restart_is_noticed()
+            await anyio.sleep(1.2)
+            self._replace_owner(runner, duration_s=20.0)
+            await anyio.sleep(25.0)
+
+        self._play(play, runner_count=3)
+
+    def test_owner_ends_before_it_detects_the_restart_that_a_start_followed(self):
+        """Guards against a run with the longest lease that no owner knows of."""
+
+        async def play(simulation):
+            runner = await self._start_task_before_restart_is_noticed()
+            self._replace_owner(runner, duration_s=20.0)
+            await anyio.sleep(25.0)
+
+        self._play(play, runner_count=3)
+
+    def test_successor_does_not_know_that_a_late_deadline_preceded_the_detection_of_a_restart(self):
+        """Guards against a lease that a late deadline gives before the owner sees the restart."""
+
+        async def play(simulation):
+            runner = await self._restart_first_runner(late_s=0.9)
+            await anyio.sleep(1.2)
+            await simulation.submit(JOB, duration_ms=float("inf"))
+            await anyio.sleep(1.0)
+            self.assertEqual(simulation.history.find_runners(TASK), [runner])
+            self._replace_owner(runner, duration_s=20.0)
+            await anyio.sleep(25.0)
+
+        self._play(play, runner_count=3)
+
+    def test_late_deadline_extends_the_lease_of_a_run_after_the_change_of_owner(self):
+        """Guards against a deadline from before a restart that arrives after the owner is gone."""
+
+        async def play(simulation):
+            runner = await self._restart_first_runner(late_s=5.0)
+            await anyio.sleep(2.0)
+            await simulation.submit(JOB, duration_ms=float("inf"))
+            await anyio.sleep(1.0)
+            self.assertEqual(simulation.history.find_runners(TASK), [runner])
+            self._replace_owner(runner, duration_s=20.0)
+            await anyio.sleep(25.0)
+
+        self._play(play, runner_count=3)
+
+    def test_third_owner_does_not_know_that_the_runner_has_the_longest_lease(self):
+        """Guards against a young incarnation that only the owner in between has seen."""
+
+        async def play(simulation):
+            runner = await self._restart_first_runner(late_s=0.9)
+            await anyio.sleep(1.2)
+            await simulation.submit(JOB, duration_ms=float("inf"))
+            await anyio.sleep(0.5)
+            self.assertEqual(simulation.history.find_runners(TASK), [runner])
+            self._replace_owner(duration_s=0.0)
+            await anyio.sleep(1.0)
+            self._replace_owner(runner, duration_s=20.0)
+            await anyio.sleep(25.0)
+
+        self._play(play, runner_count=3)
+
+    def test_late_request_acknowledges_an_end_of_the_next_incarnation(self):
+        """Guards against a done task that starts again, as a late request hid its end."""
+
+        async def play(simulation):
+            runner, *others = simulation.runners
+            owner = simulation.current
+            self._set_links(owner, *others, is_cut=True)
+            await anyio.sleep(20.0)
+            await simulation.submit("1c0e7a21d94b36f8", duration_ms=200.0)
+            await anyio.sleep(0.1)
+            # The next request acknowledges the end.
+            simulation.network.late_s = (7.0, 7.0)
+            self._set_links(owner, runner, late=1.0)
+            await anyio.sleep(0.4)
+            self._set_links(owner, runner, late=0.0)
+            simulation.restart_runner(runner, 0.2)
+            await anyio.sleep(2.0)
+            await simulation.submit(JOB, duration_ms=3_000.0)
+            await anyio.sleep(1.0)
+            self.assertEqual(simulation.history.find_runners(TASK), [runner])
+            self._replace_owner(runner, duration_s=5.0)
+            await anyio.sleep(20.0)
+
+        self._play(play, runner_count=3, final_run_count=0)
+
+    def test_successor_does_not_know_of_a_start_that_the_owner_sent_last(self):
+        """Guards against a late start that couldn't be recorded for the successor."""
+
+        async def play(simulation):
+            runner, _, _ = await self._send_late_start(8.0)
+            self._replace_owner(runner, duration_s=20.0)
+            simulation.restart_runner(runner, 4.0)
+            await anyio.sleep(25.0)
+
+        self._play(play, runner_count=3)
+
+    def test_unreachable_runner_carries_out_late_start_shortly_before_it_expires(self):
+        """Guards against a start that still has a run when it can't be carried out any more."""
+
+        async def play(simulation):
+            await anyio.sleep(10.0)
+            runner, _, owner = await self._send_late_start(11.8)
+            await anyio.sleep(0.2)
+            self._set_links(owner, runner, is_cut=True)
+            await anyio.sleep(10.8)
+            simulation.restart_runner(runner, 0.3)
+            await anyio.sleep(20.0)
+
+        self._play(play, runner_count=3)
+
     def test_superseded_owner_has_not_noticed_that_the_runner_restarted(self):
         """Guards against a start on an incarnation that the successor counts as ended."""
 
