--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -11,13 +11,15 @@
 from coltsfootpier.node.keys import FLEET_KEY, OWNER_KEY
 from soak import _run_model
 from soak._loop import VirtualLoop, discard_loop
-from soak._run_simulation import RunSimulation, record_logs, run_seed
+from soak._run_simulation import RANDOM, RECUT, RunSimulation, record_logs, run_seed
 
 JOB = "5c0e7a21d94b36f8"
 TASK = f"{JOB}.0.0.0"
 # Seconds in which the first owner and its runners know each other.
 SETTLING_S = 2.0
 SEEDS = range(20)
+# Seeds of restarts, each followed by a change of owner and a cut, that have broken the rule.
+RECUT_SEEDS = (15, 17, 88, 134, 217, 240, 275, 299)
 # Number of seeds that run at the same time.
 PROCESS_COUNT = 2
 
@@ -621,9 +623,17 @@
 
     def test_no_task_has_two_runs_at_once(self):
         """Guards against two runs of one task and against a run after a noted end."""
+        self._check_seeds(SEEDS, RANDOM)
+
+    def test_no_task_has_two_runs_after_restarts_with_changes_of_owner(self):
+        """Guards against calls from before a restart that act on the next incarnation."""
+        self._check_seeds(RECUT_SEEDS, RECUT)
+
+    def _check_seeds(self, seeds, series):
+        """Run some seeds of a series and check that none of them has broken the rule."""
         with ProcessPoolExecutor(PROCESS_COUNT) as pool:
-            reports = list(pool.map(partial(run_seed, duration_s=40.0), SEEDS))
-        for seed, report in zip(SEEDS, reports, strict=True):
+            reports = list(pool.map(partial(run_seed, duration_s=40.0, series=series), seeds))
+        for seed, report in zip(seeds, reports, strict=True):
             with self.subTest(seed=seed):
                 self.assertEqual(report.violations, (), "\n".join(report.events[-120:]))
 
