Let stand-in runners carry out calls of an earlier incarnation on request

A late call that fell due while its runner was down was lost. On the platform it may reach the next incarnation under the same id, so it waits for that now, for up to 12 s after its arrival. Calls can also be held back until a test releases them, and the longest lease and the time of a stop are parameters, so that process tests can use the bounds of a deployment.

New tests show that a lower fencing token has no effect for any call, that a late deadline gives a restarted runner the longest lease, and that a higher token bars it.

--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -64,8 +64,8 @@
 memory_mb = 300
 max_fds = 4100
 [bounds]
-hold_max_ms = 10000
-stop_grace_ms = 200
+hold_max_ms = {max_lease}
+stop_grace_ms = {stop_grace}
 grace_s = 6
 restore_ms = 600
 status_s = 120
@@ -113,6 +113,13 @@
 class Nodes:
     """A store, runners and daemons on the loopback address.
 
+    Parameters
+    ----------
+    max_lease_ms : int, default=10_000
+        Longest lease that a deadline gives on a runner.
+    stop_grace_ms : int, default=200
+        Longest time that a stop takes on a runner.
+
     Attributes
     ----------
     nodes : dict of str to Node
@@ -123,7 +130,8 @@
         Rows of the histories of killed runners.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, max_lease_ms: int = 10_000, stop_grace_ms: int = 200) -> None:
+        self._max_lease_ms, self._stop_grace_ms = max_lease_ms, stop_grace_ms
         self._folder = tempfile.TemporaryDirectory(prefix="coltsfootpier-")
         self._handles: list[subprocess.Popen] = []
         self._reservations = PortReservations()
@@ -162,6 +170,8 @@
             f"--store={self.store_port}",
             f"--count={count}",
             f"--seed={len(self._handles)}",
+            f"--max_lease_ms={self._max_lease_ms}",
+            f"--stop_grace_ms={self._stop_grace_ms}",
             log=log,
         )
         ports = handle.stdout.readline().decode().strip().split("=")[1]
@@ -201,6 +211,8 @@
                 last=metrics,
                 store=store_port or self.store_port,
                 vms=self.store_port,
+                max_lease=self._max_lease_ms,
+                stop_grace=self._stop_grace_ms,
             )
         )
         log = folder / f"{name}.log"
@@ -386,15 +398,27 @@
         port: int,
         *,
         late_share: float = 0.0,
-        late_range_ms: tuple[float, float] = _LATE_RANGE_MS,
+        late_range_ms: tuple[float, float] | None = _LATE_RANGE_MS,
         late_calls: tuple[str, ...] = _RUNNER_CALLS,
     ) -> None:
-        """Set the share of some calls that a runner carries out late and without a response."""
+        """Set the share of some calls that a runner carries out late and without a response.
+
+        Without a range, they are carried out after `release_calls`.
+        """
         body = orjson.dumps(
             {"late_share": late_share, "late_range_ms": late_range_ms, "late_calls": late_calls}
         )
         await call(port, "POST", "/faults", body=body, timeout_ms=5_000)
 
+    async def count_held_calls(self, port: int) -> int:
+        """Return the number of late calls of a runner that wait for `release_calls`."""
+        response = await call(port, "GET", "/held", timeout_ms=5_000)
+        return response.json()["count"] if response is not None else 0
+
+    async def release_calls(self, port: int) -> None:
+        """Let a runner carry out the late calls that wait for it."""
+        await call(port, "POST", "/release", timeout_ms=5_000)
+
     async def kill_runners(self, handle: subprocess.Popen, ports: list[int]) -> None:
         """Kill a process that hosts runners; their runs end before their histories are read."""
         # A frozen process can't return the histories.
--- a/standins/runners.py
+++ b/standins/runners.py
@@ -11,7 +11,9 @@
   again under its id or another one, and can't reach the store for a time.
 * ``POST /crash`` ends the incarnation for good and returns the history.
 * ``POST /faults`` with ``late_share``, ``late_range_ms`` and ``late_calls`` (such as ``hold``)
-  leaves that share of these calls without a response, and carries them out after a random time.
+  leaves that share of these calls without a response, and carries them out after a random time. If
+  ``late_range_ms`` is null, they wait for ``POST /release``; ``GET /held`` returns how many do. The
+  next incarnation carries out a call that is due while the runner is down.
 """
 
 from __future__ import annotations
@@ -23,6 +25,7 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import anyio
@@ -51,10 +54,8 @@
 _STALL_MS = 200.0
 _CPU_MILLI = 8_000
 _MEMORY_MB = 16_000
-# Longest lease that a deadline gives, on the runner's clock.
-_MAX_LEASE_MS = 10_000.0
-# Longest time that a stop takes.
-_STOP_GRACE_MS = 200.0
+# Time in which a call may arrive late.
+_MAX_LATE_MS = 12_000.0
 # Rates of the runners' clocks, of which the slowest is the platform's bound.
 _CLOCK_RATES = (0.98, 1.0)
 # Time after which a call without a response is given up; every caller's timeout is shorter.
@@ -88,6 +89,10 @@
         Chooses the rate of the clock, the durations of stops and the calls that are late.
     clock : Clock
         Clock of the machine.
+    max_lease_ms : float, default=10_000
+        Longest lease that a deadline gives, on the runner's clock.
+    stop_grace_ms : float, default=200
+        Longest time that a stop takes.
 
     Attributes
     ----------
@@ -97,8 +102,17 @@
         False while its VM is in maintenance, and after a crash.
     """
 
-    def __init__(self, *, name: str, rng: random.Random, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        rng: random.Random,
+        clock: Clock,
+        max_lease_ms: float = 10_000.0,
+        stop_grace_ms: float = 200.0,
+    ) -> None:
         self._clock = clock
+        self._max_lease_ms, self._stop_grace_ms = max_lease_ms, stop_grace_ms
         self._rng = rng
         self._clock_rate = rng.choice(_CLOCK_RATES)
         self.history: list[dict[str, Any]] = []
@@ -109,7 +123,11 @@
         self._hidden_until_ms = float("-inf")
         # Whether the platform knows that the runner is down.
         self._is_crashed = False
-        self._late_share, self._late_range_ms, self._late_calls = 0.0, (0.0, 0.0), ()
+        self._late_share, self._late_calls = 0.0, ()
+        # Range of the delay of late calls; None if they wait for `_released`.
+        self._late_range_ms: tuple[float, float] | None = None
+        self._released = anyio.Event()
+        self._held_count = 0
         # Transports of the open connections.
         self.connections: set[asyncio.Transport] = set()
         # Those of a crashed incarnation, to be reset.
@@ -179,6 +197,16 @@
         self._late_calls = tuple(body["late_calls"])
         return HttpResponse.from_message({})
 
+    async def count_held(self, _: HttpRequest) -> HttpResponse:
+        """Return the number of late calls that wait for `release`."""
+        return HttpResponse.from_message({"count": self._held_count})
+
+    async def release(self, _: HttpRequest) -> HttpResponse:
+        """Carry out the late calls that have no time of their own."""
+        self._released.set()
+        self._released = anyio.Event()
+        return HttpResponse.from_message({})
+
     def _read_clock_ms(self) -> float:
         """Return the time on the runner's clock, which starts with the incarnation."""
         return (self._clock.now_ms() - self._incarnation_start_ms) * self._clock_rate
@@ -194,7 +222,7 @@
                 request.path.endswith(self._late_calls) and self._rng.random() < self._late_share
             )
             if is_late:
-                await anyio.sleep(self._rng.uniform(*self._late_range_ms) / 1000)
+                await self._delay_call()
             start_unix_ms = self.start_unix_ms
             response = None
             if self.is_up:
@@ -209,6 +237,20 @@
 
         return handle
 
+    async def _delay_call(self) -> None:
+        """Wait until a late call is due and the runner is up, or until it is lost."""
+        with anyio.move_on_after(_MAX_LATE_MS / 1000):
+            if self._late_range_ms is None:
+                self._held_count += 1
+                try:
+                    await self._released.wait()
+                finally:
+                    self._held_count -= 1
+            else:
+                await anyio.sleep(self._rng.uniform(*self._late_range_ms) / 1000)
+            while not self.is_up:
+                await anyio.sleep(_TICK_MS / 1000)
+
     def _build_response(self, status: int = 200, **fields: Any) -> HttpResponse:
         fields = {"clock_ms": int(self._read_clock_ms()), "born": self.start_unix_ms, **fields}
         return HttpResponse.from_message(fields, status)
@@ -223,7 +265,9 @@
 
     def _extend_lease_until(self, deadline_ms: float) -> None:
         """Extend the lease to a time on the runner's clock, by the longest lease at most."""
-        duration_ms = min(deadline_ms - self._read_clock_ms(), _MAX_LEASE_MS) / self._clock_rate
+        duration_ms = (
+            min(deadline_ms - self._read_clock_ms(), self._max_lease_ms) / self._clock_rate
+        )
         self._lease_until_ms = max(self._lease_until_ms, self._clock.now_ms() + duration_ms)
 
     async def start_run(self, request: HttpRequest) -> HttpResponse:
@@ -261,7 +305,7 @@
         self._highest_ended_attempts[task] = max(attempt, self._highest_ended_attempts.get(task, 0))
         for run in self._runs.values():
             if run.task == task and run.attempt <= attempt:
-                stop_ms = self._clock.now_ms() + self._rng.uniform(0.0, _STOP_GRACE_MS)
+                stop_ms = self._clock.now_ms() + self._rng.uniform(0.0, self._stop_grace_ms)
                 run.stop_ms = min(run.stop_ms, stop_ms)
         return self._build_response()
 
@@ -468,14 +512,22 @@
     return IncarnationProtocol
 
 
-async def serve(store_port: int, count: int, seed: int) -> None:
+async def serve(
+    store_port: int, count: int, seed: int, *, max_lease_ms: float, stop_grace_ms: float
+) -> None:
     """Serve `count` runners until cancelled, and print their ports."""
     clock = MonotonicClock()
     store = StoreClient(host="127.0.0.1", port=store_port, clock=clock, timeout_ms=1_000.0)
     ports = []
     async with anyio.create_task_group() as group:
         for number in range(count):
-            runner = Runner(name=_choose_name(), rng=random.Random(f"{seed}/{number}"), clock=clock)
+            runner = Runner(
+                name=_choose_name(),
+                rng=random.Random(f"{seed}/{number}"),
+                clock=clock,
+                max_lease_ms=max_lease_ms,
+                stop_grace_ms=stop_grace_ms,
+            )
             routes = {
                 "POST /coltsfootpier/run-start": runner.handle_call(runner.start_run),
                 "POST /coltsfootpier/run-stop": runner.handle_call(runner.stop_run),
@@ -485,6 +537,8 @@
                 "POST /restart": runner.restart,
                 "POST /crash": runner.crash,
                 "POST /faults": runner.set_faults,
+                "GET /held": runner.count_held,
+                "POST /release": runner.release,
                 "GET /history": runner.read_history,
             }
             server = Server(
@@ -503,8 +557,15 @@
 
 def _run(_: list[str]) -> int:
     options = flags.FLAGS
+    serve_runners = partial(
+        serve, max_lease_ms=options.max_lease_ms, stop_grace_ms=options.stop_grace_ms
+    )
     anyio.run(
-        serve, options.store, options.count, options.seed, backend_options={"use_uvloop": True}
+        serve_runners,
+        options.store,
+        options.count,
+        options.seed,
+        backend_options={"use_uvloop": True},
     )
     return 0
 
@@ -513,4 +574,6 @@
     flags.DEFINE_integer("store", 0, "TCP port of the store on the loopback address.")
     flags.DEFINE_integer("count", 1, "Number of runners.")
     flags.DEFINE_integer("seed", 0, "Seed of the runners' own random choices.")
+    flags.DEFINE_float("max_lease_ms", 10_000.0, "Longest lease that a deadline gives, in ms.")
+    flags.DEFINE_float("stop_grace_ms", 200.0, "Longest time that a stop takes, in ms.")
     sys.exit(app.run(_run))
--- a/standins/test_runners.py
+++ b/standins/test_runners.py
@@ -173,6 +173,123 @@
 
         run_async(test)
 
+    def test_call_held_back_over_a_restart(self):
+        """Guards against a late call that the next incarnation never carries out."""
+
+        async def test():
+            _, report = await self.call(self.first, "hold")
+            await self.nodes.set_runner_faults(self.first, late_share=1.0, late_range_ms=None)
+            deadline_ms = report["clock_ms"] + 60_000
+            fields = {"task": TASK, "attempt": 1, "spec": "run_ms=60000"}
+            response = await self.call(
+                self.first, "run-start", timeout_ms=500, deadline_ms=deadline_ms, **fields
+            )
+            self.assertIsNone(response)
+            await self.nodes.set_runner_faults(self.first)
+            await self.nodes.restart_runner(self.first, keep_id=True, down_ms=1_000.0)
+            self.assertEqual(await self.nodes.count_held_calls(self.first), 1)
+            await self.nodes.release_calls(self.first)
+            self.assertEqual(await self.nodes.read_history(), [])
+            with anyio.fail_after(TIMEOUT_S):
+                while not await self.nodes.read_history():
+                    await anyio.sleep(0.1)
+            (record,) = await self.nodes.read_history()
+            self.assertGreater(record.born, report["born"])
+
+        run_async(test)
+
+
+class FencingTest(unittest.TestCase):
+    """Fencing tokens, of which each incarnation keeps the highest that it has seen."""
+
+    def setUp(self):
+        self.clock = VirtualClock(start_ms=1e6)
+        self.runner = Runner(
+            name="i-1", rng=random.Random(1), clock=self.clock, max_lease_ms=6_000.0
+        )
+
+    async def call(self, handler, token, **fields):
+        """Call a handler as an owner does; return the status and the body."""
+        body = orjson.dumps({"fencing_token": token, **fields})
+        response = await handler(HttpRequest("POST", "/", "", (), body))
+        return response.status, orjson.loads(response.body)
+
+    async def start(self, token, attempt=1, deadline_ms=4_000.0, run_ms=60_000):
+        """Start a run of the task; return the status."""
+        fields = {"task": TASK, "attempt": attempt, "spec": f"run_ms={run_ms}"}
+        return (await self.call(self.runner.start_run, token, deadline_ms=deadline_ms, **fields))[0]
+
+    async def restart(self):
+        """Start the next incarnation under the same identifier."""
+        await self.call(self.runner.restart, 0, keep_id=True, down_ms=0.0, hidden_ms=0.0)
+        with anyio.move_on_after(0.1):
+            await self.runner.run()
+
+    async def read_runs(self):
+        """Return the records of all runs."""
+        _, body = await self.call(self.runner.read_history, 0)
+        return parse_records(body["runs"])
+
+    def test_lower_token_has_no_effect(self):
+        """Guards against a call with a lower token that extends, acknowledges, starts or stops."""
+
+        async def test():
+            await self.start(7, run_ms=10)
+            self.clock.advance(20.0)
+            self.assertEqual([run.how for run in await self.read_runs()], ["done"])
+            self.assertEqual(await self.start(7, attempt=2), 200)
+            run = {"task": TASK, "attempt": 2}
+            calls = (
+                (self.runner.extend_lease, {"observed": 1, "deadline_ms": 1e6}),
+                (self.runner.start_run, {**run, "attempt": 3, "spec": "", "deadline_ms": 1e6}),
+                (self.runner.stop_run, run),
+                (self.runner.accept_pace, {**run, "percent": 0}),
+            )
+            for handler, fields in calls:
+                for token in (0, 6):
+                    status, body = await self.call(handler, token, **fields)
+                    self.assertEqual((status, body["reason"]), (409, "fence"))
+            _, report = await self.call(self.runner.extend_lease, 7)
+            self.assertEqual([row[1] for row in report["running"]], [2])
+            self.assertEqual(len(report["ended"]), 1)
+            self.clock.advance(4_200.0)
+            self.assertEqual([run.how for run in await self.read_runs()], ["done", "lapsed"])
+
+        anyio.run(test)
+
+    def test_late_deadline_gives_a_restarted_runner_the_longest_lease(self):
+        """Guards against a stand-in whose late calls can't extend leases beyond their length."""
+
+        async def test():
+            self.clock.advance(20_000.0)
+            self.assertEqual(await self.start(7, deadline_ms=24_000.0), 200)
+            await self.restart()
+            self.assertEqual(await self.start(7, attempt=2), 200)
+            self.clock.advance(1_000.0)
+            fields = {"observed": 0, "deadline_ms": 24_000.0}
+            self.assertEqual((await self.call(self.runner.extend_lease, 7, **fields))[0], 200)
+            self.clock.advance(5_900.0)
+            self.assertEqual([run.how for run in await self.read_runs()], ["killed", ""])
+            self.clock.advance(300.0)
+            self.assertEqual([run.how for run in await self.read_runs()], ["killed", "lapsed"])
+
+        anyio.run(test)
+
+    def test_higher_token_of_restarted_runner_rejects_late_calls(self):
+        """Guards against an incarnation that forgets the first token that it has accepted."""
+
+        async def test():
+            self.clock.advance(20_000.0)
+            await self.start(7)
+            await self.restart()
+            fields = {"observed": 0, "deadline_ms": 24_000.0}
+            self.assertEqual((await self.call(self.runner.extend_lease, 6, **fields))[0], 200)
+            self.assertEqual(await self.start(8, attempt=2), 200)
+            status, body = await self.call(self.runner.extend_lease, 7, **fields)
+            self.assertEqual((status, body["reason"]), (409, "fence"))
+
+        anyio.run(test)
+
 
 class LeaseTest(unittest.TestCase):
     """Leases on the clock of a runner, which starts with its incarnation."""
