Count an end shown by listings only with a later proof of ownership

An owner that has been replaced acts until its latest proof expires, 1.5 s after it. Two listings without a crashed runner freed its tasks although its successor had counted the same end and started them already; a runner that had restarted since without a sign had forgotten the successor's token and carried out the start.

A runner now counts as ended only if the latest proof, of the store or of most runners, is later than the first listing that didn't name it. Then no later owner relied on the end before. That waits for the next proof, 200 ms with the store and about 500 ms without it.

Tests that apply two listings without a proof between them now confirm the ownership in between.

--- a/coltsfootpier/cells/_incarnations.py
+++ b/coltsfootpier/cells/_incarnations.py
@@ -103,14 +103,16 @@
             is_unresponsive = requested_ms - runner.contact_ms > self._settings.suspect_after_ms
             if runner_id in live or not is_unresponsive:
                 runner.unlisted_since_ms = float("inf")
-            elif runner.unlisted_since_ms < requested_ms:
+            elif runner.unlisted_since_ms == float("inf"):
+                runner.unlisted_since_ms = requested_ms
+            elif runner.unlisted_since_ms < requested_ms and self._fleet.proof.covers_end(
+                runner.unlisted_since_ms
+            ):
                 # The pages of a listing are not one snapshot, so one listing may miss a runner.
                 runner.ended_ms = requested_ms
                 if runner.runs or not runner.ended:
                     self._end_runner(runner, requested_ms)
                     ended = True
-            else:
-                runner.unlisted_since_ms = requested_ms
         return ended
 
     def _retire_runners(self, runner_by_vm: Mapping[str, str], requested_ms: float) -> None:
--- a/coltsfootpier/cells/_ownership.py
+++ b/coltsfootpier/cells/_ownership.py
@@ -86,6 +86,14 @@
         """
         return self.store_confirmed_ms > lease_expiry_ms
 
+    def covers_end(self, shown_ms: float) -> bool:
+        """Return whether no later owner relied on an end that a listing showed at a local time.
+
+        A later owner may have started the tasks of the runner elsewhere before the latest proof
+        expires.
+        """
+        return self.find_latest()[1] > shown_ms
+
     def covers_incarnation(self, runner: Runner) -> bool:
         """Return whether a runner's incarnation accepted this owner before any later one.
 
--- a/coltsfootpier/cells/tests/test_incarnations.py
+++ b/coltsfootpier/cells/tests/test_incarnations.py
@@ -36,6 +36,18 @@
         self.assertTrue(self._apply_listing(self.other))
         self.assertEqual(len(self.harness.runners[self.other].running), 1)
 
+    def test_owner_without_a_proof_after_the_end_frees_nothing(self):
+        """Guards against a start by a replaced owner whose successor has started the task, too."""
+        self._crash()
+        self.harness.is_store_up = False
+        for _ in range(3):
+            self.assertFalse(self._apply_listing(self.other))
+        self.assertEqual(self.harness.runners[self.other].running, {})
+        self.harness.is_store_up = True
+        self.harness.advance(100)
+        self.assertTrue(self._apply_listing(self.other))
+        self.assertEqual(len(self.harness.runners[self.other].running), 1)
+
     def test_partitioned_runner(self):
         """Guards against a task that runs twice, since a partitioned runner keeps running."""
         self._crash()
--- a/coltsfootpier/cells/tests/test_proofs.py
+++ b/coltsfootpier/cells/tests/test_proofs.py
@@ -139,6 +139,7 @@
         harness.advance(800)
         for _ in range(2):
             harness.now_ms += 10
+            harness.renew()
             harness.cell.incarnations.apply_listing(
                 harness.runners.keys() - {command.runner_id}, requested_ms=harness.now_ms
             )
@@ -147,6 +148,7 @@
             command.runner_id, command.run, StartOutcome.UNKNOWN, harness.now_ms
         )
         harness.now_ms += 10
+        harness.renew()
         harness.cell.incarnations.apply_listing(
             harness.runners.keys() - {command.runner_id}, requested_ms=harness.now_ms
         )
--- a/coltsfootpier/cells/tests/test_run_log.py
+++ b/coltsfootpier/cells/tests/test_run_log.py
@@ -75,6 +75,7 @@
         self.harness.now_ms += 700
         for _ in range(2):
             self.harness.now_ms += 10
+            self.harness.renew()
             self.harness.cell.incarnations.apply_listing((), requested_ms=self.harness.now_ms)
         self._assert_freed("runner_unlisted")
 
@@ -160,6 +161,7 @@
             )
             if event == "runner ended":
                 for requested_ms in (2_000.0, 2_500.0):
+                    harness.cell.record_confirmation(requested_ms)
                     harness.cell.incarnations.apply_listing((), requested_ms=requested_ms)
             else:
                 harness.cell.cordons.record_ended("a")
