Let the next owner find restarts that the owner before it hasn't noticed

The fleet record now holds the start of the known incarnation of each runner. If the registry names another one for a runner that the next owner doesn't reach, that owner counts the time for late calls and the longest lease from its load. An owner that is stopped in order writes the long leases it knows of.

An entry still proves nothing: a wrong one only makes the inherited jobs wait while the runner isn't reached. A runner that restarts and can't register before it is cut off stays unknown.

--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -54,7 +54,8 @@
         # Runners that have responded to this owner, but have more ended runs of an earlier owner
         # than they list at a time.
         self._partly_read: set[str] = set()
-        # Unix time at which the fleet record was loaded.
+        # Local time and Unix time at which the fleet record was loaded.
+        self._loaded_ms = float("-inf")
         self._loaded_unix_ms = float("inf")
         # Runners whose leases the earlier owner may extend for as long as it may act at all.
         self._unbounded: set[str] = set()
@@ -115,7 +116,7 @@
             self.runners[entry.id] = runner
             self.inherited.add(entry.id)
             self._unbounded.add(entry.id)
-        self._loaded_unix_ms = unix_ms
+        self._loaded_ms, self._loaded_unix_ms = now_ms, unix_ms
         self._inherited_count = len(self.inherited)
 
     @property
@@ -221,6 +222,8 @@
             )
         if self._is_young(report):
             self.set_long_lease(runner, report.received_ms)
+        else:
+            runner.long_lease_expiry_ms = float("-inf")
 
     def set_long_lease(self, runner: Runner, now_ms: float) -> None:
         """Record that a runner may have been given the longest lease until now."""
@@ -256,6 +259,8 @@
                 self._log("runner joined", runner=runner_id, rack=entry.rack)
             if entry.draining and not runner.entry.draining:
                 self._log("runner is draining", runner=runner_id, remaining_ms=entry.remaining_ms)
+            if runner_id in self.inherited:
+                self._compare_incarnations(runner, entry)
             runner.entry = entry
             runner.is_registered = True
         for runner_id, runner in list(self.runners.items()):
@@ -277,6 +282,29 @@
                 self._unbounded.discard(runner_id)
                 self._retain_late_expiry(runner, now_ms)
 
+    def _compare_incarnations(self, runner: Runner, entry: RunnerEntry) -> None:
+        """Assume the longest lease if a runner may have restarted unknown to the earlier owner.
+
+        That owner may have started runs there with deadlines on the clock of the incarnation in the
+        record. An entry proves nothing, but a lease that is too long does no harm.
+        """
+        known_ms, started_ms = runner.entry.started_unix_ms, entry.started_unix_ms
+        if not known_ms or not started_ms or known_ms == started_ms:
+            return
+        settings = self._settings
+        runner.long_lease_ms = settings.late_call_ms + compute_lease_ms(
+            settings.max_run_lease_ms, settings
+        )
+        runner.long_lease_expiry_ms = self._loaded_ms + runner.long_lease_ms
+        self._log(
+            "inherited runner may have restarted",
+            runner=runner.entry.id,
+            born=started_ms,
+            earlier_born=known_ms,
+            generation=self.generation,
+            lease_expiry_ms=runner.long_lease_expiry_ms,
+        )
+
     def _retain_late_expiry(self, removed: Runner, now_ms: float) -> None:
         """Retain until when a late call may extend leases on a removed runner.
 
--- a/coltsfootpier/cells/tests/test_long_leases.py
+++ b/coltsfootpier/cells/tests/test_long_leases.py
@@ -122,6 +122,20 @@
                 successor.advance(1_300)
                 self.assertEqual(len(successor.find("j")), 1)
 
+    def test_next_owner_finds_that_a_runner_restarted_unknown_to_the_owner_before(self):
+        """Guards against a run on the clock of an earlier incarnation that no owner has noticed."""
+        successor = self._build_successor({})
+        restarted = build_entry("a", started_unix_ms=2)
+        others = [successor.runners[name].entry for name in NAMES[1:]]
+        successor.cell.set_runners([restarted, *others], successor.now_ms)
+        longest_ms = successor.settings.late_call_ms + self.longest_ms
+        leases = successor.cell.fleet.list_long_leases(successor.now_ms)
+        self.assertEqual(leases, {"a": longest_ms})
+        successor.advance(longest_ms - 300)
+        self.assertEqual(successor.find("j"), [])
+        successor.advance(600)
+        self.assertEqual(len(successor.find("j")), 1)
+
     def test_next_owner_passes_a_long_lease_on(self):
         """Guards against the owner after the next one, which the record no longer tells."""
         successor = self._build_successor({"a": self.longest_ms})
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -295,6 +295,7 @@
         self._is_resigning = True
         # The calls that are in flight are cancelled.
         self._unanswered_writer.write(pending_ms=0.0)
+        self._fence_earlier_incarnations(self._clock.now_ms())
         deadline_ms = self._clock.now_ms() + _timing.STORE_TIMEOUT_MS
         while self._has_unwritten_changes and self._clock.now_ms() < deadline_ms:
             await self._committer.wait_commit(_timing.STORE_BACKOFF_MS)
@@ -303,7 +304,11 @@
 
     @property
     def _has_unwritten_changes(self) -> bool:
-        return bool(self.cell.jobs.dirty_count) or not self._committer.is_written(UNANSWERED_KEY)
+        return (
+            bool(self.cell.jobs.dirty_count)
+            or bool(self._committer.unsettled_fleets)
+            or not self._committer.is_written(UNANSWERED_KEY)
+        )
 
     # Requests about jobs
 
@@ -571,8 +576,21 @@
         fleet.mark_recorded(recorded.runner_ids, *(other.runner_ids for other in unsettled))
         fleet.record_long_leases(recorded.long_leases, *(other.long_leases for other in unsettled))
 
+    def _update_fleet_entries(self) -> bool:
+        """Update the known incarnations of recorded runners; return whether one has changed."""
+        runners = self.cell.fleet.runners
+        changed = {
+            runner_id: attrs.evolve(entry, started_unix_ms=runners[runner_id].started_unix_ms)
+            for runner_id, entry in self._fleet_entries.items()
+            if runner_id in runners
+            and runners[runner_id].started_unix_ms not in (0, entry.started_unix_ms)
+        }
+        self._fleet_entries.update(changed)
+        return bool(changed)
+
     def _put_fleet(self, now_ms: float) -> None:
-        """Write the fleet record with the present long leases."""
+        """Write the fleet record with the present incarnations and long leases."""
+        self._update_fleet_entries()
         self._long_leases = self._list_long_leases(now_ms)
         value = encode_fleet(
             self._fleet_entries.values(),
@@ -659,6 +677,7 @@
         is_changed = (
             is_complete != self._is_record_complete
             or self._list_long_leases(now_ms) != self._long_leases
+            or self._update_fleet_entries()
         )
         if new or removed or is_changed:
             self._is_record_complete = is_complete
--- a/coltsfootpier/node/_records.py
+++ b/coltsfootpier/node/_records.py
@@ -24,8 +24,9 @@
     id: str
     service: str
     address: str
-    # See `encode_fleet`; earlier releases neither write nor keep it.
+    # See `encode_fleet`; earlier releases neither write nor keep these fields.
     long_lease_ms: float = 0.0
+    started_unix_ms: int = 0
 
 
 @attrs.frozen
@@ -51,7 +52,7 @@
     Parameters
     ----------
     entries : iterable of RunnerEntry
-        The runners.
+        The runners, with the start of the incarnation that is known of each.
     is_complete : bool, default=True
         Whether these are all runners that may have runs.
     long_leases : Mapping of str to float, optional
@@ -60,7 +61,13 @@
     """
     long_leases = long_leases or {}
     members = (
-        _FleetMember(entry.id, entry.service, entry.address, long_leases.get(entry.id, 0.0))
+        _FleetMember(
+            entry.id,
+            entry.service,
+            entry.address,
+            long_leases.get(entry.id, 0.0),
+            entry.started_unix_ms,
+        )
         for entry in entries
     )
     return encode(_Fleet(tuple(members), is_complete))
@@ -123,7 +130,12 @@
         records.append(decoded.unwrap())
     known_fleet = fleet.unwrap().value_or(_Fleet(is_complete=False))
     entries = tuple(
-        RunnerEntry(id=member.id, service=member.service, address=member.address)
+        RunnerEntry(
+            id=member.id,
+            service=member.service,
+            address=member.address,
+            started_unix_ms=member.started_unix_ms,
+        )
         for member in known_fleet.runners
     )
     return Success(
--- a/coltsfootpier/node/tests/test_records.py
+++ b/coltsfootpier/node/tests/test_records.py
@@ -51,6 +51,12 @@
         self.store.put(FLEET_KEY, encode_fleet(entries, long_leases={"b": 10_650.0, "c": 1.0}))
         self.assertEqual(self._load().long_leases, {"b": 10_650.0})
 
+    def test_incarnations_of_runners(self):
+        """Guards against a next owner that can't tell that a runner has restarted since."""
+        self.store.put(FLEET_KEY, encode_fleet([build_entry("a", started_unix_ms=7)]))
+        (entry,) = self._load().fleet
+        self.assertEqual(entry.started_unix_ms, 7)
+
     def test_list_of_runners_that_was_never_written(self):
         """Guards against a first owner that waits for runners of owners that never were."""
         self.assertTrue(self._load().is_fleet_complete)
--- a/coltsfootpier/node/tests/test_unanswered_starts.py
+++ b/coltsfootpier/node/tests/test_unanswered_starts.py
@@ -6,7 +6,7 @@
 import anyio
 
 from coltsfootpier.cells import StartOutcome
-from coltsfootpier.cells.tests.builders import SimulatedCell
+from coltsfootpier.cells.tests.builders import SimulatedCell, build_entry
 from coltsfootpier.clock import VirtualClock
 from coltsfootpier.node import _timing
 from coltsfootpier.node._unanswered_starts import UnansweredStartWriter, load_unanswered_starts
@@ -108,6 +108,17 @@
             anyio.run(owner.resign)
         self.assertEqual(put_record.call_args.args[0], UNANSWERED_KEY)
 
+    def test_owner_that_resigns_records_long_leases(self):
+        """Guards against a lease that is lost with an owner that is stopped in order."""
+        owner = build_owner(self.clock, self.store)
+        owner._store = mock.Mock(revoke_lease=mock.AsyncMock())
+        owner.cell.set_runners([build_entry("a")], self.clock.now_ms())
+        owner._fleet_entries = {"a": build_entry("a")}
+        owner.cell.fleet.suspect_restart(owner.cell.fleet.runners["a"])
+        with mock.patch.object(owner._committer, "put_fleet") as put_fleet:
+            anyio.run(owner.resign)
+        self.assertEqual(list(put_fleet.call_args.args[1].long_leases), ["a"])
+
     def test_owner_that_resigns_starts_nothing(self):
         """Guards against a start after the last record, which the successor doesn't know."""
         owner = build_owner(self.clock, self.store)
