--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -531,7 +531,10 @@
             self._wake = anyio.Event()
             started_ms = self._clock.now_ms()
             self._fence_earlier_incarnations(started_ms)
-            self._update_recorded_fleet()
+            self.cell.fleet.mark_recorded(
+                self._committer.recorded_fleet.runner_ids,
+                *(other.runner_ids for other in self._committer.unsettled_fleets),
+            )
             # A start after the last record of unanswered starts would be unknown to the successor.
             if not self._is_resigning:
                 for command in self.cell.plan(started_ms, time.time() * 1000):
@@ -548,15 +551,22 @@
 
     def _fence_earlier_incarnations(self, now_ms: float) -> None:
         """Have a higher token reserved for restarted runners, and their leases recorded."""
-        fleet = self.cell.fleet
+        fleet, committer = self.cell.fleet, self._committer
+        long_leases = self._list_long_leases(now_ms)
+        if not long_leases:
+            return
         fleet.assign_tokens(now_ms)
         if fleet.needs_token:
-            self._committer.raise_token()
+            committer.raise_token()
         if any(
             self._long_leases.get(runner_id, 0.0) < lease_ms
-            for runner_id, lease_ms in self._list_long_leases(now_ms).items()
+            for runner_id, lease_ms in long_leases.items()
         ):
             self._put_fleet(now_ms)
+        fleet.record_long_leases(
+            committer.recorded_fleet.long_leases,
+            *(other.long_leases for other in committer.unsettled_fleets),
+        )
 
     def _list_long_leases(self, now_ms: float) -> dict[str, float]:
         """Return the long leases on the runners of the fleet record."""
@@ -570,12 +580,6 @@
         self.cell.fleet.set_token(token, self._clock.now_ms())
         log_event("fencing token raised", token=token, generation=self.cell.generation)
 
-    def _update_recorded_fleet(self) -> None:
-        fleet, committer = self.cell.fleet, self._committer
-        recorded, unsettled = committer.recorded_fleet, committer.unsettled_fleets
-        fleet.mark_recorded(recorded.runner_ids, *(other.runner_ids for other in unsettled))
-        fleet.record_long_leases(recorded.long_leases, *(other.long_leases for other in unsettled))
-
     def _update_fleet_entries(self) -> bool:
         """Update the known incarnations of recorded runners; return whether one has changed."""
         runners = self.cell.fleet.runners
