Add a fault that restarts runners and cuts them off around a change of owner to soak.nodes

The fault runners_recut holds back report requests, restarts runners under their ids, ends the owner and cuts the runners off for 8 s, again and again.

--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -13,7 +13,8 @@
 * no more VMs of a maintenance wave are down at the same time than it allows, none is down twice for
   one wave, and a wave that is shown as completed has included each of its VMs.
 
-``python -m soak.nodes --seeds 1:6 --seconds 20`` runs seeds 1 to 5.
+``python -m soak.nodes --seeds 1:6 --seconds 20`` runs seeds 1 to 5. The fault ``runners_recut``
+occurs only if it is named, as in ``--only runners_recut --seconds 45 --max_lease_ms 6000``.
 """
 
 from __future__ import annotations
@@ -61,6 +62,9 @@
 _LONG_RUN_S = 8.0
 # Faults of the paths from daemons to a runner.
 _PATH_FAULTS = ("cut", "cut", "one_way", "lossy", "refuse")
+# Duration of the tasks that run while runners restart and are cut off, in ms, and of the cut, in s.
+_LONG_TASK_MS = 12_000
+_RECUT_S = 8.0
 
 
 @attrs.define
@@ -116,10 +120,18 @@
         Names of the faults to inject; all if empty.
     log_path : str
         Folder for the logs and histories of a failed seed; empty to discard them.
+    max_lease_ms : int, default=10_000
+        Longest lease that a deadline gives on a runner.
     """
 
     def __init__(
-        self, *, seed: int, duration_s: float, only: tuple[str, ...] = (), log_path: str = ""
+        self,
+        *,
+        seed: int,
+        duration_s: float,
+        only: tuple[str, ...] = (),
+        log_path: str = "",
+        max_lease_ms: int = 10_000,
     ) -> None:
         self._only, self._log_path = only, log_path
         self._rng = random.Random(seed)
@@ -128,7 +140,7 @@
             random.Random(f"{seed}/{number}") for number in range(_FAULT_SERIES_COUNT)
         ]
         self._duration_s = duration_s
-        self._nodes = Nodes()
+        self._nodes = Nodes(max_lease_ms=max_lease_ms)
         self._relays: dict[str, Relay] = {}
         # Processes that host runners, with the ports of these runners.
         self._runner_processes: list[tuple[Any, list[int]]] = []
@@ -137,6 +149,8 @@
         self._faulted_nodes: set[str] = set()
         # Faults of paths by daemon and target port, for each active fault.
         self._broken_links: list[dict[str, dict[int, str]]] = []
+        # Whether runners that have restarted are about to be cut off, or are.
+        self._is_recutting = False
         # Time at which runners stopped delaying calls.
         self._late_calls_end_s = float("-inf")
         # VMs of each maintenance wave.
@@ -295,6 +309,8 @@
             "owner_split": self._split_from_owner,
         }
         names = sorted(self._only or faults)
+        # Not among the others, since seeds would choose other faults then.
+        faults["runners_recut"] = self._recut_runners
         while time.monotonic() < end_s:
             await anyio.sleep(rng.uniform(0.2, 1.5))
             name = rng.choice(names)
@@ -422,6 +438,57 @@
             )
             await anyio.sleep(after_s)
 
+    async def _recut_runners(self, rng: random.Random) -> None:
+        """Restart runners under their ids, replace the owner and cut the runners off.
+
+        Report requests from before the restart are carried out until the end of the cut.
+        """
+        if self._is_recutting:
+            # At most one at a time, since more than half of the runners could be cut off otherwise.
+            self.report.faults["runners_recut"] -= 1
+            return
+        self._is_recutting = True
+        try:
+            await self._recut_chosen_runners(rng, self._choose_runners(rng, 2))
+        finally:
+            self._is_recutting = False
+
+    async def _recut_chosen_runners(self, rng: random.Random, ports: list[int]) -> None:
+        await self._submit_long_job(rng)
+        await anyio.sleep(rng.uniform(0.5, 1.5))
+        for port in ports:
+            await self._nodes.set_runner_faults(
+                port, late_share=1.0, late_range_ms=(500.0, 6_000.0), late_calls=("hold",)
+            )
+        await anyio.sleep(rng.uniform(0.3, 0.8))
+        for port in ports:
+            await self._nodes.set_runner_faults(port)
+            await self._nodes.restart_runner(port, keep_id=True, down_ms=rng.uniform(0.0, 600.0))
+        self._late_calls_end_s = time.monotonic()
+        await anyio.sleep(rng.uniform(1.0, 2.5))
+        async with self._affect_owner() as owner:
+            if not owner:
+                return
+            cut = dict.fromkeys(ports, "cut")
+            async with self._break_links(dict.fromkeys(self._nodes.nodes, cut)):
+                node = self._nodes.nodes[owner]
+                node.signal(rng.choice((signal.SIGKILL, signal.SIGKILL, signal.SIGTERM)))
+                await anyio.to_thread.run_sync(lambda: node.handle.wait(timeout=20))
+                await anyio.sleep(rng.uniform(0.0, 3.0))
+                self._start_node(owner)
+                await anyio.sleep(_RECUT_S)
+
+    async def _submit_long_job(self, rng: random.Random) -> None:
+        """Submit a job that takes much of the capacity of the runners, if it is accepted."""
+        job = _Job(secrets.token_hex(8), tasks_fail=False, may_be_accepted=True)
+        self._jobs.append(job)
+        step = {"count": 12, "cpu": 2_000, "mem_mb": 100, "estimate_ms": _LONG_TASK_MS}
+        body = {"spec": f"run_ms={_LONG_TASK_MS}", "steps": [step]}
+        response = await self._nodes.request(
+            rng.choice(sorted(self._nodes.nodes)), "POST", job.id, body, timeout_ms=2_500
+        )
+        job.is_accepted = response is not None and response.status == 200
+
     async def _cut_runners(self, rng: random.Random) -> None:
         ports = self._choose_runners(rng, 4)
         links = {
@@ -560,9 +627,21 @@
         self.report.lost_completions += map(str, find_excused_runs(records))
 
 
-def run_seed(seed: int, seconds: float, only: tuple[str, ...] = (), log_path: str = "") -> Report:
+def run_seed(
+    seed: int,
+    seconds: float,
+    only: tuple[str, ...] = (),
+    log_path: str = "",
+    max_lease_ms: int = 10_000,
+) -> Report:
     """Run one seed and return its report; see `NodesSoak`."""
-    soak = NodesSoak(seed=seed, duration_s=seconds, only=only, log_path=log_path)
+    soak = NodesSoak(
+        seed=seed,
+        duration_s=seconds,
+        only=only,
+        log_path=log_path,
+        max_lease_ms=max_lease_ms,
+    )
     return anyio.run(soak.run, backend_options={"use_uvloop": True})
 
 
@@ -571,7 +650,9 @@
     first, end = (int(part) for part in options.seeds.split(":"))
     failed_seed_count = 0
     for seed in range(first, end):
-        report = run_seed(seed, options.seconds, tuple(options.only), options.log_path)
+        report = run_seed(
+            seed, options.seconds, tuple(options.only), options.log_path, options.max_lease_ms
+        )
         failed_seed_count += bool(report.violations)
         faults = " ".join(f"{name}={count}" for name, count in sorted(report.faults.items()))
         verdict = "FAILED" if report.violations else "ok"
@@ -593,5 +674,6 @@
     flags.DEFINE_float("seconds", 20.0, "Time with faults for each seed, in s.")
     flags.DEFINE_bool("logs", False, "Print the last log lines of a failed seed.")
     flags.DEFINE_list("only", [], "Names of the faults to inject; all if empty.")
+    flags.DEFINE_integer("max_lease_ms", 10_000, "Longest lease on a runner, in ms.")
     flags.DEFINE_string("log_path", "", "Folder for the logs and histories of failed seeds.")
     sys.exit(app.run(_run))
