Count the longest lease once a response to a start shows a restart

After a start whose response showed that the runner had restarted, the owner itself still counted the lease of its last report request. If the runner was cut off before its next report, its task started elsewhere beside the run.

The tracked expiry now covers late calls and the longest lease from that response on, as after a restart in a report, until the runner accepts its token. The new scenario and the extended test fail without the change.

--- a/coltsfootpier/node/_runner_task.py
+++ b/coltsfootpier/node/_runner_task.py
@@ -386,6 +386,8 @@
         runner = self._cell.fleet.runners.get(self.id)
         if runner is not None and runner.started_unix_ms == started_unix_ms:
             self._clock_sample = None
+            self._lease_expiry.record_restart(self._clock.now_ms())
+            self._cell.fleet.set_lease_expiry(self.id, self._lease_expiry.lease_expiry_ms)
             self._cell.fleet.suspect_restart(runner)
             self._on_change()
 
--- a/coltsfootpier/node/tests/test_runner_task.py
+++ b/coltsfootpier/node/tests/test_runner_task.py
@@ -328,7 +328,7 @@
 
     def test_response_to_a_start_shows_a_restart(self):
         """Guards against a run on a new incarnation whose long lease no later owner knows of."""
-        leases = {}
+        leases, lengths_ms = {}, []
 
         async def steps():
             self.cell.record_confirmation(self.clock.now_ms())
@@ -338,6 +338,8 @@
                 await anyio.sleep(0)
             await anyio.sleep(0)
             leases.update(self.cell.fleet.list_long_leases(self.clock.now_ms()))
+            expiry_ms = self.cell.fleet.runners["a"].lease_expiry_ms
+            lengths_ms.append(expiry_ms - self.clock.now_ms())
 
         for clock_ms, is_restarted in ((1_000_000.0, False), (7.0, True)):
             with self.subTest(clock_ms=clock_ms):
@@ -347,6 +349,10 @@
                 self.assertEqual(self.cell.fleet.needs_token, is_restarted)
                 self.assertEqual(list(leases), ["a"] if is_restarted else [])
         self.assertGreater(leases["a"], self.cell.settings.late_call_ms)
+        # The owner itself counts it, too.
+        longest_ms = self.cell.settings.max_run_lease_ms
+        self.assertLess(lengths_ms[0], longest_ms)
+        self.assertGreater(lengths_ms[1], longest_ms)
 
     def test_call_that_the_owner_s_higher_token_overtakes_shows_no_later_owner(self):
         """Guards against an owner that stops because of its own token."""
--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -409,6 +409,28 @@
 
         self._play(play, runner_count=3)
 
+    def test_owner_counts_the_longest_lease_once_a_response_shows_the_restart(self):
+        """Guards against a run that its own owner takes for expired before any report shows it."""
+
+        async def play(simulation):
+            runner, *others = simulation.runners
+            owner = simulation.current
+            await anyio.sleep(20.0)
+            self._set_links(owner, *others, is_cut=True)
+            await anyio.sleep(2.0)
+            simulation.restart_runner(runner, 0.02)
+            await anyio.sleep(0.05)
+            await simulation.submit(JOB, duration_ms=float("inf"))
+            while not simulation.history.find_runners(TASK):
+                await anyio.sleep(0.002)
+            # The response arrives before the cut, the next report doesn't.
+            await anyio.sleep(0.012)
+            self._set_links(owner, runner, is_cut=True)
+            self._set_links(owner, *others, is_cut=False)
+            await anyio.sleep(25.0)
+
+        self._play(play, runner_count=3)
+
     def test_restarted_runner_takes_deadline_on_the_clock_of_its_earlier_incarnation(self):
         """Guards against a lease of 10 s that the owner assumes to be 4 s."""
 
