--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -382,9 +382,9 @@
         settings = self._settings
         runner.long_lease_expiry_ms = runner.token_since_ms = float("inf")
         runner.long_lease_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
-        if runner.runs:
-            # Without any, it gets runs only once it rejects these calls, and a later owner's load
-            # comes after that.
+        if runner.runs or self.unanswered_starts.has_runner(runner.entry.id):
+            # It may have runs before it rejects late calls. Any other run starts after a proof by
+            # the store that is later than that, so a later owner's load comes after it, too.
             runner.long_lease_ms += settings.late_call_ms
 
     @property
--- a/coltsfootpier/cells/_incarnations.py
+++ b/coltsfootpier/cells/_incarnations.py
@@ -104,12 +104,12 @@
             if runner_id in live or not is_unresponsive:
                 runner.unlisted_since_ms = float("inf")
             elif runner.unlisted_since_ms == float("inf"):
-                runner.unlisted_since_ms = requested_ms
+                runner.unlisted_since_ms = runner.last_unlisted_ms = requested_ms
             elif runner.unlisted_since_ms < requested_ms and self._fleet.proof.covers_end(
                 runner.unlisted_since_ms
             ):
                 # The pages of a listing are not one snapshot, so one listing may miss a runner.
-                runner.ended_ms = requested_ms
+                runner.ended_ms, runner.last_unlisted_ms = runner.last_unlisted_ms, requested_ms
                 if runner.runs or not runner.ended:
                     self._end_runner(runner, requested_ms)
                     ended = True
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -291,7 +291,9 @@
     # platform listings without it was requested; infinite while it is listed.
     ended: bool = False
     unlisted_since_ms: float = float("inf")
-    # When the last platform listing was requested that, as the one before it, didn't name it.
+    # When the last platform listing without it was requested, and the one before that if it is
+    # without it, too: two in a row show that it wasn't live at that time.
+    last_unlisted_ms: float = float("-inf")
     ended_ms: float = float("-inf")
     # Whether it gets no new runs before maintenance of its VM, and whether the maintenance was
     # requested, so that its runs may end at any moment.
--- a/coltsfootpier/cells/tests/test_long_leases.py
+++ b/coltsfootpier/cells/tests/test_long_leases.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from coltsfootpier.cells import RunnerReport
 from coltsfootpier.cells._lease_expiry import compute_lease_ms
 from coltsfootpier.cells.tests.builders import SimulatedCell, build_entry
 
@@ -53,6 +54,25 @@
         self.assertFalse(self.fleet.needs_token)
         self.assertEqual(self._list_used(), {"a"})
 
+    def test_response_to_a_request_with_the_lower_token_fences_nothing(self):
+        """Guards against a runner that counts as fenced since the response came late enough."""
+        self._restart()
+        sent_ms = self.harness.now_ms
+        self.harness.now_ms += 10.0
+        self.fleet.set_token(2, self.harness.now_ms)
+        report = RunnerReport(
+            clock_ms=1e6,
+            started_unix_ms=2,
+            running=(),
+            ended=(),
+            sent_ms=sent_ms,
+            received_ms=self.harness.now_ms + 10.0,
+        )
+        self.harness.cell.apply_report("a", report, self.harness.now_ms + 10.0)
+        self.assertFalse(self.runner.adopted)
+        self.assertEqual(self.runner.accepted_ms, float("-inf"))
+        self.assertEqual(self.runner.first_accepted_ms, float("inf"))
+
     def test_runner_gets_no_run_before_the_next_owner_would_count_the_longest_lease(self):
         """Guards against a lease of which only the present owner knows."""
         self._restart()
@@ -83,6 +103,19 @@
         self._restart()
         self.assertTrue(self.fleet.needs_token)
 
+    def test_removed_runner_keeps_its_long_lease(self):
+        """Guards against a run on a runner that was removed while its lease was unknown."""
+        self._restart()
+        self._use_token()
+        expiry_ms = self.runner.lease_expiry_ms
+        entries = [runner.entry for runner in self.harness.runners.values()]
+        self.fleet.set_lease_expiry("a", float("-inf"))
+        self.runner.ended = True
+        self.harness.cell.set_runners(entries[1:], self.harness.now_ms)
+        self.assertNotIn("a", self.fleet.runners)
+        self.harness.cell.set_runners(entries, self.harness.now_ms)
+        self.assertGreater(self.fleet.runners["a"].lease_expiry_ms, expiry_ms)
+
     def test_runner_that_registers_again_needs_a_higher_token(self):
         """Guards against a restart that no report shows, as the runner was removed meanwhile."""
         self.harness.report()
--- a/coltsfootpier/cells/tests/test_unanswered_starts.py
+++ b/coltsfootpier/cells/tests/test_unanswered_starts.py
@@ -2,9 +2,10 @@
 
 import unittest
 
-from coltsfootpier.cells import EndKind, StartOutcome, StartRun
+from coltsfootpier.cells import EndKind, RunId, RunnerReport, StartOutcome, StartRun
 from coltsfootpier.cells._lease_expiry import compute_lease_ms
 from coltsfootpier.cells.tests.builders import SimulatedCell, build_entry, build_job, build_step
+from coltsfootpier.jobs import TaskKey
 
 
 class UnansweredStartTestCase(unittest.TestCase):
@@ -98,8 +99,71 @@
         longest_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
         self.harness.advance(self.late_call_ms + longest_ms - 100)
         self.assertEqual(self.harness.find("j"), [])
+        self.assertEqual(len(self._starts), 1)
         self.harness.advance(300)
-        self.assertEqual([name for name, _ in self.harness.find("j")], ["b"])
+        ((name, run),) = self.harness.find("j")
+        self.assertEqual((name, run.attempt), ("b", 2))
+
+    def test_later_start_at_the_runner_extends_the_run_of_the_start(self):
+        """Guards against a wait that a late start of another task outlasts."""
+        self._submit()
+        self.harness.runners["a"].reachable = False
+        self.harness.advance(2_000)
+        runner = self.harness.cell.fleet.runners["a"]
+        self._starts.record(RunId("k", TaskKey(0, 0, 0), 1), runner, self.harness.now_ms)
+        settings = self.harness.settings
+        longest_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
+        self.harness.advance(self.late_call_ms + longest_ms - 100)
+        self.assertEqual(len(self._starts), 2)
+        self.harness.advance(300)
+        self.assertEqual(len(self._starts), 0)
+
+    def test_report_that_was_requested_before_the_last_moment_of_the_start(self):
+        """Guards against a response that a start overtakes, which shows nothing of its run."""
+        self._submit()
+        self.harness.runners["a"].reachable = False
+        self.harness.cell.fleet.runners["a"].cordoned = True
+        (start,) = self._starts._by_runner["a"].values()
+        self.harness.advance(self.late_call_ms - 100)
+        expired_ms = start.open_ms + self.late_call_ms
+        report = RunnerReport(
+            clock_ms=1e6,
+            started_unix_ms=1,
+            running=(),
+            ended=(),
+            sent_ms=expired_ms - 1,
+            received_ms=expired_ms + 100,
+        )
+        self.harness.now_ms = expired_ms + 100
+        self.harness.cell.apply_report("a", report, self.harness.now_ms)
+        self._starts.remove_expired(self.harness.now_ms)
+        self.assertEqual(len(self._starts), 1)
+
+    def test_listing_from_before_the_last_moment_of_the_start(self):
+        """Guards against a start between two listings, of which one missed the runner."""
+        self._submit()
+        self._crash()
+        (start,) = self._starts._by_runner["a"].values()
+        expired_ms = start.open_ms + self.late_call_ms
+        for requested_ms, count in (
+            (expired_ms - 50, 1),
+            (expired_ms + 50, 1),
+            (expired_ms + 150, 0),
+        ):
+            self.harness.now_ms = requested_ms
+            self.harness.renew()
+            self.harness.cell.incarnations.apply_listing(("b",), requested_ms=requested_ms)
+            self._starts.remove_expired(requested_ms)
+            self.assertEqual(len(self._starts), count)
+
+    def test_restarted_runner_may_carry_out_the_start_of_a_freed_run(self):
+        """Guards against a next owner that doesn't count late calls to such a runner."""
+        self._submit()
+        self._crash()
+        self._restart()
+        self.harness.report("a")
+        leases = self.harness.cell.fleet.list_long_leases(self.harness.now_ms)
+        self.assertGreater(leases["a"], self.late_call_ms)
 
     def test_expired_lease_does_not_rule_out_the_start(self):
         """Guards against a late start on a runner that restarts after its leases have expired."""
--- a/coltsfootpier/node/tests/test_owner.py
+++ b/coltsfootpier/node/tests/test_owner.py
@@ -11,8 +11,10 @@
 from coltsfootpier.clock import VirtualClock
 from coltsfootpier.journal import Head
 from coltsfootpier.node import _timing
+from coltsfootpier.node._committer import FleetList
+from coltsfootpier.node._records import encode_fleet
 from coltsfootpier.node._responses import NOT_OWNER, ResponseStatus
-from coltsfootpier.node.keys import HEAD_KEY
+from coltsfootpier.node.keys import FLEET_KEY, HEAD_KEY
 from coltsfootpier.node.tests.builders import (
     MemoryStore,
     build_owner,
@@ -252,6 +254,50 @@
         self.owner.cell.fleet.inherited -= set("ab")
         self.assertEqual(anyio.run(list_recorded), set("abcde"))
 
+    def _restart_runner(self):
+        """Let a recorded runner restart; return it."""
+        self.owner.cell.set_runners([build_entry("a")], 0.0)
+        self.owner._fleet_entries = {"a": build_entry("a")}
+        runner = self.owner.cell.fleet.runners["a"]
+        self.owner.cell.fleet.suspect_restart(runner)
+        return runner
+
+    def test_token_is_used_once_the_head_with_it_is_durable(self):
+        """Guards against a token that the next owner uses, too."""
+        runner = self._restart_runner()
+        self.owner._fence_earlier_incarnations(10.0)
+        self.assertEqual((runner.token, runner.awaits_token), (1, True))
+        self.owner._committer._on_token_raised(2)
+        self.assertEqual((runner.token, runner.awaits_token), (2, False))
+
+    def test_token_that_was_raised_before_a_restart_is_used_for_it(self):
+        """Guards against a runner that waits for a token for good."""
+        self.owner._committer._on_token_raised(2)
+        runner = self._restart_runner()
+        runner.token = 1
+        self.owner._fence_earlier_incarnations(10.0)
+        self.assertEqual((runner.token, runner.awaits_token), (2, False))
+
+    def test_long_lease_counts_as_recorded_once_every_record_in_flight_has_it(self):
+        """Guards against a run whose long lease the next owner may not find in the record."""
+        runner = self._restart_runner()
+        committer = self.owner._committer
+        self.owner._fence_earlier_incarnations(10.0)
+        self.assertFalse(runner.long_lease_recorded)
+        committer.recorded_fleet = committer.unsettled_fleets[-1]
+        self.owner._fence_earlier_incarnations(20.0)
+        self.assertTrue(runner.long_lease_recorded)
+        committer.put_fleet(b"", FleetList(frozenset("a")))
+        self.owner._fence_earlier_incarnations(30.0)
+        self.assertFalse(runner.long_lease_recorded)
+
+    def test_loaded_long_leases_count_as_recorded(self):
+        """Guards against inherited runners that stay unused until the record is written again."""
+        self.store.put(FLEET_KEY, encode_fleet([build_entry("a")], long_leases={"a": 10_650.0}))
+        self.store.list_all = mock.AsyncMock(return_value=Success([]))
+        anyio.run(self.owner._load)
+        self.assertEqual(self.owner._committer.recorded_fleet.long_leases, {"a": 10_650.0})
+
     def test_new_runners_are_used_although_most_recorded_ones_are_gone(self):
         """Guards against new runners that stay unused for 30 minutes after a change of owner."""
         inherited = [build_entry(name) for name in "abcd"]
--- a/coltsfootpier/node/tests/test_runner_task.py
+++ b/coltsfootpier/node/tests/test_runner_task.py
@@ -354,6 +354,21 @@
         self.assertLess(lengths_ms[0], longest_ms)
         self.assertGreater(lengths_ms[1], longest_ms)
 
+    def test_start_for_a_runner_that_has_restarted_is_withheld(self):
+        """Guards against a planned start that is sent before the runner rejects late calls."""
+
+        async def steps():
+            self.cell.record_confirmation(self.clock.now_ms())
+            await self._wait_reports()
+            command = self._plan_start()
+            self.cell.fleet.suspect_restart(self.cell.fleet.runners["a"])
+            await self._wait_reports()
+            self.task.execute(command)
+            await self._wait_reports()
+            self.assertEqual(self.client.starts, [])
+
+        self._run(steps)
+
     def test_call_that_the_owner_s_higher_token_overtakes_shows_no_later_owner(self):
         """Guards against an owner that stops because of its own token."""
         self.cell.fleet.set_token(2, self.clock.now_ms())
--- a/tests/test_processes_restarts.py
+++ b/tests/test_processes_restarts.py
@@ -1,6 +1,5 @@
 """Process tests of runners that restart under their identifiers shortly before a takeover."""
 
-import contextlib
 import secrets
 import signal
 import unittest
@@ -21,8 +20,6 @@
 DAEMONS = ("n0", "n1", "n2")
 # Time by which the clock of a runner is ahead of the one of its next incarnation, in ms.
 CLOCK_LEAD_MS = 10_000
-# Time in which a task may start on a runner that has restarted, in s.
-START_S = 3.0
 # Time between a restart and a late call, in which the owner doesn't notice the restart, in s.
 EARLY_RELEASE_S = 0.4
 # Time between the late calls of two runners, whose leases go on from the last call before the cut.
@@ -89,8 +86,7 @@
     async def _restart_runners(self, ports, *, release_s=None):
         """Restart runners, and wait until tasks run on them again.
 
-        A scheduler may as well start nothing there yet, which ends the wait, too. If `release_s` is
-        given, the calls that were held back are carried out after that time.
+        If `release_s` is given, the calls that were held back are carried out after that time.
         """
         entries = await self.nodes.read_entries()
         born = max(entry["born"] for entry in entries.values())
@@ -105,8 +101,7 @@
             runs = [record for record in records if record.born > born and record.end_ms is None]
             return len(runs) >= RUNNER_SLOTS * len(ports)
 
-        with contextlib.suppress(TimeoutError):
-            await wait_for(have_runs, timeout_s=START_S)
+        await wait_for(have_runs, timeout_s=TIMEOUT_S)
 
     async def _release_calls(self, ports, pause_s=0.0):
         for port in ports:
