--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -299,7 +299,8 @@
             ):
                 self.jobs.requeue(run.id)
         runner.started_unix_ms = report.started_unix_ms
-        # Until then, calls to an earlier incarnation may still be carried out.
+        # Calls to an earlier incarnation may be carried out until a request with the runner's token
+        # has been answered.
         rejects_earlier_calls = report.sent_ms > runner.token_since_ms
         if rejects_earlier_calls and not runner.adopted:
             self._estimates.expire_measurement()
--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -420,10 +420,10 @@
             if runner.long_lease_expiry_ms > now_ms
         }
 
-    def record_long_leases(
+    def mark_long_leases_recorded(
         self, recorded: Mapping[str, float], *unsettled: Mapping[str, float]
     ) -> None:
-        """Record which long leases a later owner knows, see `list_long_leases`.
+        """Mark the long leases that a later owner finds in the store, see `list_long_leases`.
 
         Parameters
         ----------
--- a/coltsfootpier/cells/tests/builders.py
+++ b/coltsfootpier/cells/tests/builders.py
@@ -202,14 +202,14 @@
             self.cell.record_confirmation(self.now_ms)
 
     def write_fleet(self) -> None:
-        """Reserve a fencing token if one is needed, and record which runners are marked."""
+        """Do what the owner does in the store: reserve a token, and record the long leases."""
         fleet = self.cell.fleet
         if not self.is_store_up:
             return
         if fleet.needs_token:
             self.last_token += 1
             fleet.set_token(self.last_token, self.now_ms)
-        fleet.record_long_leases(fleet.list_long_leases(self.now_ms))
+        fleet.mark_long_leases_recorded(fleet.list_long_leases(self.now_ms))
 
     def plan(self) -> list[CellCommand]:
         """Plan once and execute the commands on reachable runners."""
--- a/coltsfootpier/cells/tests/test_long_leases.py
+++ b/coltsfootpier/cells/tests/test_long_leases.py
@@ -47,7 +47,7 @@
     def test_runner_gets_no_run_while_it_may_carry_out_calls_to_its_earlier_incarnation(self):
         """Guards against a run that a late deadline or acknowledgement reaches."""
         self._restart()
-        self.fleet.record_long_leases({"a": float("inf")})
+        self.fleet.mark_long_leases_recorded({"a": float("inf")})
         self.assertTrue(self.fleet.needs_token)
         self.assertEqual(self._list_used(), set())
         self._use_token()
@@ -80,9 +80,9 @@
         leases = self.fleet.list_long_leases(self.harness.now_ms)
         self.assertEqual(leases, {"a": self.longest_ms})
         for recorded in (({},), (leases, {}), ({}, leases), ({"a": self.longest_ms - 1},)):
-            self.fleet.record_long_leases(*recorded)
+            self.fleet.mark_long_leases_recorded(*recorded)
             self.assertEqual(self._list_used(), set())
-        self.fleet.record_long_leases(leases, leases)
+        self.fleet.mark_long_leases_recorded(leases, leases)
         self.assertEqual(self._list_used(), {"a"})
 
     def test_long_lease_ends(self):
--- a/coltsfootpier/journal/_head.py
+++ b/coltsfootpier/journal/_head.py
@@ -42,9 +42,10 @@
     Parameters
     ----------
     generation : int
-        Number of the ownership, from 1; each claim increments it. It is also the highest fencing
-        token that the owner uses: the owner increments it before it uses a higher one. Runners
-        reject commands with a lower token than the highest that they have seen.
+        Number of the ownership, from 1, and highest fencing token that its owner uses. Each claim
+        increments it, and so does the owner before it uses a higher token; the numbers of
+        ownerships have gaps then. Runners reject commands with a lower token than the highest that
+        they have seen.
     holder : str
         Incarnation of the daemon that wrote the head.
     sequence : int
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -563,7 +563,7 @@
             for runner_id, lease_ms in long_leases.items()
         ):
             self._put_fleet(now_ms)
-        fleet.record_long_leases(
+        fleet.mark_long_leases_recorded(
             committer.recorded_fleet.long_leases,
             *(other.long_leases for other in committer.unsettled_fleets),
         )
--- a/soak/_run_model.py
+++ b/soak/_run_model.py
@@ -39,6 +39,8 @@
 # Share of the starts of a runner whose VM's wall clock is set back, and the most by which it is.
 _CLOCK_SET_BACK_SHARE = 0.3
 _MAX_CLOCK_SET_BACK_MS = 600_000.0
+# In the history, separates the sender of a call from the earlier incarnation that it was sent to.
+_EARLIER_MARK = "-for-"
 
 
 @attrs.define(eq=False)
@@ -275,7 +277,7 @@
         if self.lease_end_ms <= now_ms:
             self._lease_epoch += 1
         self.lease_end_ms = end_ms
-        if self.runs or "-for-" in sender:
+        if self.runs or _EARLIER_MARK in sender:
             self._history.add(
                 "lease extended",
                 runner=self.label,
@@ -518,8 +520,9 @@
         runner = self._find_runner(address)
         if runner is None:
             return
-        # The history tells calls apart that were sent before the incarnation started.
-        sender = host.name if label == runner.label else f"{host.name}-for-{label or 'none'}"
+        sender = host.name
+        if label != runner.label:
+            sender += f"{_EARLIER_MARK}{label or 'none'}"
         status, value = await runner.handle(command, expected_id, orjson.loads(body), sender)
         delay_s = self._rng.uniform(0.001, 0.004) + self._rng.uniform(0.0, link.delay_ms) / 1000
 
--- a/soak/_run_series.py
+++ b/soak/_run_series.py
@@ -1,4 +1,7 @@
-"""Series of restarts under the same identifier, followed by a change of owner and a cut."""
+"""Series of restarts under the same identifier, followed by a change of owner and a cut.
+
+They are named after the days ``recut`` and ``recut-kill`` in ``deploy/days``.
+"""
 
 from __future__ import annotations
 
