--- a/coltsfootpier/cells/_fleet.py
+++ b/coltsfootpier/cells/_fleet.py
@@ -7,6 +7,7 @@
 from coltsfootpier.cells._lease_expiry import (
     compute_inherited_lease_ms,
     compute_lease_ms,
+    compute_longest_lease_ms,
     compute_unconfirmed_lease_ms,
 )
 from coltsfootpier.cells._messages import RunId, RunnerEntry, RunnerReport
@@ -227,8 +228,7 @@
 
     def set_long_lease(self, runner: Runner, now_ms: float) -> None:
         """Record that a runner may have been given the longest lease until now."""
-        settings = self._settings
-        runner.long_lease_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
+        runner.long_lease_ms = compute_longest_lease_ms(self._settings)
         runner.long_lease_expiry_ms = now_ms + runner.long_lease_ms
 
     def _is_young(self, report: RunnerReport) -> bool:
@@ -292,9 +292,7 @@
         if not known_ms or not started_ms or known_ms == started_ms:
             return
         settings = self._settings
-        runner.long_lease_ms = settings.late_call_ms + compute_lease_ms(
-            settings.max_run_lease_ms, settings
-        )
+        runner.long_lease_ms = settings.late_call_ms + compute_longest_lease_ms(settings)
         runner.long_lease_expiry_ms = self._loaded_ms + runner.long_lease_ms
         self._log(
             "inherited runner may have restarted",
@@ -313,9 +311,7 @@
         settings = self._settings
         # The last call with a deadline was sent before the leases that it extended expired.
         expiry_ms = (
-            removed.lease_expiry_ms
-            + settings.late_call_ms
-            + compute_lease_ms(settings.max_run_lease_ms, settings)
+            removed.lease_expiry_ms + settings.late_call_ms + compute_longest_lease_ms(settings)
         )
         removed_id = removed.entry.id
         self._removed_expiry_ms[removed_id] = max(
@@ -381,7 +377,7 @@
         """Use a higher token for a runner that may carry out calls to an earlier incarnation."""
         settings = self._settings
         runner.long_lease_expiry_ms = runner.token_since_ms = float("inf")
-        runner.long_lease_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
+        runner.long_lease_ms = compute_longest_lease_ms(settings)
         if runner.runs or self.unanswered_starts.has_runner(runner.entry.id):
             # It may have runs before it rejects late calls. Any other run starts after a proof by
             # the store that is later than that, so a later owner's load comes after it, too.
--- a/coltsfootpier/cells/_lease_expiry.py
+++ b/coltsfootpier/cells/_lease_expiry.py
@@ -23,6 +23,11 @@
     return duration_ms * (1.0 + 3.0 * settings.clock_drift) + _SEND_ALLOWANCE_MS
 
 
+def compute_longest_lease_ms(settings: CellSettings) -> float:
+    """Return the longest local time of a lease, which a deadline on an earlier clock gives."""
+    return compute_lease_ms(settings.max_run_lease_ms, settings)
+
+
 def get_bounds(settings: CellSettings) -> ActionBounds:
     """Return the bounds of an owner with these settings."""
     return ActionBounds(
@@ -142,7 +147,7 @@
         arrival_ms = now_ms + (settings.late_call_ms if self._has_unanswered_calls(now_ms) else 0.0)
         self._applied_expiry_ms = max(
             self._applied_expiry_ms,
-            arrival_ms + compute_lease_ms(settings.max_run_lease_ms, settings),
+            arrival_ms + compute_longest_lease_ms(settings),
         )
 
     def discard_earlier_calls(self) -> None:
--- a/coltsfootpier/cells/_unanswered_starts.py
+++ b/coltsfootpier/cells/_unanswered_starts.py
@@ -18,7 +18,7 @@
 
 import attrs
 
-from coltsfootpier.cells._lease_expiry import compute_lease_ms
+from coltsfootpier.cells._lease_expiry import compute_longest_lease_ms
 from coltsfootpier.cells._messages import RunId, RunnerReport
 from coltsfootpier.cells._settings import CellSettings
 from coltsfootpier.cells._state import Runner, StepRun
@@ -298,7 +298,7 @@
                 self._remove(start, now_ms, "expired")
 
     def _is_run_known(self, start: UnansweredStart) -> bool:
-        """Return whether it is known since the last moment of a start if it has a run."""
+        """Return whether a report or listings from after its last moment show what became of it."""
         expired_ms = start.open_ms + self._settings.late_call_ms
         runner = self._runners.get(start.runner_id)
         if runner is None:
@@ -318,8 +318,7 @@
         runner = self._runners.get(start.runner_id)
         if runner is not None:
             last_call_ms = max(last_call_ms, runner.deadline_sent_ms)
-        run_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
-        return last_call_ms + settings.late_call_ms + run_ms
+        return last_call_ms + settings.late_call_ms + compute_longest_lease_ms(settings)
 
     def _remove(self, start: UnansweredStart, now_ms: float, reason: str) -> None:
         run_id = start.run
--- a/coltsfootpier/cells/tests/test_long_leases.py
+++ b/coltsfootpier/cells/tests/test_long_leases.py
@@ -3,7 +3,7 @@
 import unittest
 
 from coltsfootpier.cells import RunnerReport
-from coltsfootpier.cells._lease_expiry import compute_lease_ms
+from coltsfootpier.cells._lease_expiry import compute_longest_lease_ms
 from coltsfootpier.cells.tests.builders import SimulatedCell, build_entry
 
 NAMES = ("a", "b", "c")
@@ -18,7 +18,7 @@
         self.fleet = self.harness.cell.fleet
         self.runner = self.fleet.runners["a"]
         settings = self.harness.settings
-        self.longest_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
+        self.longest_ms = compute_longest_lease_ms(settings)
 
     def _restart(self, name="a"):
         entry = self.harness.runners[name].entry
--- a/coltsfootpier/cells/tests/test_unanswered_starts.py
+++ b/coltsfootpier/cells/tests/test_unanswered_starts.py
@@ -3,7 +3,7 @@
 import unittest
 
 from coltsfootpier.cells import EndKind, RunId, RunnerReport, StartOutcome, StartRun
-from coltsfootpier.cells._lease_expiry import compute_lease_ms
+from coltsfootpier.cells._lease_expiry import compute_longest_lease_ms
 from coltsfootpier.cells.tests.builders import SimulatedCell, build_entry, build_job, build_step
 from coltsfootpier.jobs import TaskKey
 
@@ -83,7 +83,7 @@
         self._submit()
         self.harness.runners["a"].reachable = False
         settings = self.harness.settings
-        longest_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
+        longest_ms = compute_longest_lease_ms(settings)
         self.harness.advance(self.late_call_ms + longest_ms - 100)
         self.assertEqual(self.harness.find("j"), [])
         self.harness.advance(300)
@@ -96,7 +96,7 @@
         self.harness.advance(2_000)
         self.harness.cell.fleet.record_deadline("a", 0.0, self.harness.now_ms)
         settings = self.harness.settings
-        longest_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
+        longest_ms = compute_longest_lease_ms(settings)
         self.harness.advance(self.late_call_ms + longest_ms - 100)
         self.assertEqual(self.harness.find("j"), [])
         self.assertEqual(len(self._starts), 1)
@@ -112,7 +112,7 @@
         runner = self.harness.cell.fleet.runners["a"]
         self._starts.record(RunId("k", TaskKey(0, 0, 0), 1), runner, self.harness.now_ms)
         settings = self.harness.settings
-        longest_ms = compute_lease_ms(settings.max_run_lease_ms, settings)
+        longest_ms = compute_longest_lease_ms(settings)
         self.harness.advance(self.late_call_ms + longest_ms - 100)
         self.assertEqual(len(self._starts), 2)
         self.harness.advance(300)
@@ -415,7 +415,7 @@
         successor.runners["a"].reachable = False
         successor.join()
         settings = successor.settings
-        run_ms = settings.late_call_ms + compute_lease_ms(settings.max_run_lease_ms, settings)
+        run_ms = settings.late_call_ms + compute_longest_lease_ms(settings)
         successor.advance(run_ms)
         self.assertEqual(len(successor.cell.fleet.unanswered_starts), 1)
         successor.advance(settings.proof_validity_ms + 100)
