Test crowds of clients, counting what the kernel holds for them

They pass on.

Crowd and bounds are fixed here, before the product changes.

The start of the processes moves from test_processes_limits.py to tests/limited.py; its checks are unchanged.

--- a/tests/flooding.py
+++ b/tests/flooding.py
@@ -6,9 +6,10 @@
 import resource
 import select
 import socket
+import threading
 import time
 import unittest
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator, Sequence
 from pathlib import Path
 
 import attrs
@@ -20,6 +21,10 @@
 _BLOCK_BYTES = 65_536
 # Time for all connections to open; the kernel repeats an attempt after 1 and 3 s.
 _CONNECT_S = 5.0
+# Time between two samples of the memory of a process.
+_SAMPLE_PERIOD_S = 0.05
+# State of a listening socket in /proc/net/tcp, whose queue counts connections instead of bytes.
+_LISTEN_STATE = "0A"
 
 
 @attrs.frozen(kw_only=True)
@@ -105,7 +110,14 @@
     int
         Number of bytes that were sent.
     """
-    clients = [_Client(port, flood) for _ in range(flood.connections)]
+    with open_floods([(port, flood)]) as sent_bytes:
+        yield sent_bytes
+
+
+@contextlib.contextmanager
+def open_floods(floods: Sequence[tuple[int, Flood]]) -> Iterator[int]:
+    """Send floods to several ports at the same time; see `open_flood`."""
+    clients = [_Client(port, flood) for port, flood in floods for _ in range(flood.connections)]
     try:
         connected_s = time.monotonic() + _CONNECT_S
         while time.monotonic() < connected_s and any(client.is_connecting for client in clients):
@@ -150,3 +162,57 @@
 def count_descriptors(pid: int) -> int:
     """Return the number of open file descriptors of a process."""
     return len(list(Path(f"/proc/{pid}/fd").iterdir()))
+
+
+def read_used_memory_mb(pid: int, ports: Collection[int]) -> float:
+    """Return what counts toward the memory limit of a process, in MB (10^6 bytes).
+
+    This is the resident memory, and the bytes that the kernel has received for connections to the
+    ports of the process, accepted or not, and that the process hasn't read.
+    """
+    status = Path(f"/proc/{pid}/status").read_text().splitlines()
+    resident_kib = next(int(line.split()[1]) for line in status if line.startswith("VmRSS"))
+    unread_bytes = 0
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        _, local, _, state, queues = line.split()[:5]
+        if int(local.partition(":")[2], 16) in ports and state != _LISTEN_STATE:
+            unread_bytes += int(queues.partition(":")[2], 16)
+    return (resident_kib * 1_024 + unread_bytes) / 1e6
+
+
+class MemorySampler:
+    """Samples the memory of a process in a thread while it is used as a context.
+
+    Parameters
+    ----------
+    pid : int
+        Process.
+    ports : collection of int
+        Ports on which it listens.
+
+    Attributes
+    ----------
+    peak_mb : float
+        Largest value of `read_used_memory_mb` so far.
+    """
+
+    def __init__(self, pid: int, ports: Collection[int]) -> None:
+        self._pid, self._ports = pid, ports
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self.peak_mb = 0.0
+
+    def __enter__(self) -> MemorySampler:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stopping.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            # The status of a process that has ended has no resident memory.
+            with contextlib.suppress(OSError, StopIteration):
+                self.peak_mb = max(self.peak_mb, read_used_memory_mb(self._pid, self._ports))
+            self._stopping.wait(_SAMPLE_PERIOD_S)
--- a/tests/test_processes_limits.py
+++ b/tests/test_processes_limits.py
@@ -4,23 +4,14 @@
 
 import unittest
 from collections.abc import Callable
-from subprocess import Popen
+from contextlib import AbstractAsyncContextManager
 from typing import ClassVar
 
-import anyio
-
 from coltsfootpier.transport import HttptoolsConnection, Reply
-from standins.cluster import Cluster, wait_for
-from standins.nodes import HOST, PREFIX, Nodes
+from standins.nodes import HOST, PREFIX
 from tests.clusters import ClusterTestCase, run_async
-from tests.flooding import (
-    Flood,
-    count_descriptors,
-    limit_descriptors,
-    open_flood,
-    read_peak_memory_mb,
-)
-from tests.test_processes_nodes import ROUTE
+from tests.flooding import Flood, count_descriptors, open_flood, read_peak_memory_mb
+from tests.limited import LimitedProcess, open_daemon, open_node
 
 # Memory that each process may use, in its settings and as the bound of the tests.
 _MEMORY_MB = 200
@@ -90,8 +81,8 @@
     # Targets of ordinary queries by port.
     targets: ClassVar[dict[str, str]]
 
-    async def run_process(self, check: Callable) -> None:
-        """Start a process; await `check` with its ports by name and its handle; stop it."""
+    def open_process(self) -> AbstractAsyncContextManager[LimitedProcess]:
+        """Run a process."""
         raise NotImplementedError
 
     def check_ports(self, build: Callable[[str], Flood], ports: tuple[str, ...] = ()) -> None:
@@ -105,14 +96,16 @@
             Names of the ports; all by default.
         """
 
-        async def check(numbers, handle) -> None:
-            for port in ports or self.ports:
-                with self.subTest(port=port):
-                    await self._check_flood(port, numbers[port], handle, build(self.targets[port]))
+        async def check() -> None:
+            async with self.open_process() as process:
+                for port in ports or self.ports:
+                    with self.subTest(port=port):
+                        await self._check_flood(port, process, build(self.targets[port]))
 
-        run_async(lambda: self.run_process(check))
+        run_async(check)
 
-    async def _check_flood(self, port: str, number: int, handle: Popen, flood: Flood) -> None:
+    async def _check_flood(self, port: str, process: LimitedProcess, flood: Flood) -> None:
+        number, handle = process.ports[port], process.handle
         with open_flood(number, flood) as sent_bytes:
             response = await _send_query(number, self.targets[port])
             self.assertIsNone(handle.poll(), "the process has ended")
@@ -169,27 +162,9 @@
         "metrics": "/metrics",
     }
 
-    async def run_process(self, check: Callable) -> None:
-        """Start a store and a daemon."""
-        nodes = Nodes(memory_mb=_MEMORY_MB, max_fds=self.max_fds)
-        try:
-            nodes.start_platform(runners=1)
-            await nodes.put_configuration(1, [ROUTE])
-            with limit_descriptors(self.max_fds):
-                node = nodes.start_node("n0")
-            await nodes.wait_ready()
-
-            async def has_owner() -> bool:
-                response = await nodes.request("n0", "GET", "")
-                return response is not None and response.status == 200
-
-            await wait_for(has_owner, timeout_s=20)
-            ports = dict(
-                zip(("front", "ready", "peers", "metrics"), node.list_ports(), strict=True)
-            )
-            await check(ports, node.handle)
-        finally:
-            nodes.close()
+    def open_process(self) -> AbstractAsyncContextManager[LimitedProcess]:
+        """Run a store and a daemon."""
+        return open_node(memory_mb=_MEMORY_MB, max_fds=self.max_fds)
 
 
 class NodeLimitsTest(_FloodTests, _NodeTestCase):
@@ -212,18 +187,9 @@
     ports = ("callers", "peers", "operators")
     targets = {"callers": "/services/none/read", "peers": "/none", "operators": "/v1/status"}
 
-    async def run_process(self, check: Callable) -> None:
-        """Start a platform and a daemon."""
-        cluster = Cluster(zones=("zone-a",))
-        try:
-            cluster.start_platform()
-            with limit_descriptors(_MAX_FDS):
-                await anyio.to_thread.run_sync(cluster.start_daemon, "entry-0", "zone-a")
-            await cluster.wait_ready()
-            daemon = cluster.daemons["entry-0"]
-            await check(daemon.ports, daemon.handle)
-        finally:
-            cluster.stop()
+    def open_process(self) -> AbstractAsyncContextManager[LimitedProcess]:
+        """Run a platform and a daemon."""
+        return open_daemon(memory_mb=_MEMORY_MB, max_fds=_MAX_FDS)
 
 
 class LargeResponseTest(ClusterTestCase):
