Bound the received bytes that the kernel holds for clients

What callers saw: on an entry VM the process was killed for its memory and their requests broke off. Trailers without end, requests without headers and readiness requests ahead of their responses were enough.

Cause: a client beyond the limits is slowed down by not reading its connection. Its bytes then wait in the kernel, 128 KB and more for each connection, and the platform counts them toward the memory of the process. Nothing bounded them.

Change: the listening sockets have a receive buffer, an eighth of the memory limit over the connections that the port and its kernel queue may have, 4 to 32 KB each. Accepted connections inherit it. The estimate of each connection counts its buffer, so that the process bound covers it at all ports together. A port has no more connections than fit into that bound, which matters where the limit of descriptors is large. A body within the limits is never rejected; it arrives in several windows.

Why it works: the kernel stops the sender at the buffer whether the process reads or not, so no turn of the event loop is too long for it.

--- a/coltsfootpier/daemon/_daemon.py
+++ b/coltsfootpier/daemon/_daemon.py
@@ -266,8 +266,11 @@
     ) -> Server:
         """Build the server of a port that may use the descriptors divided by `divisor`."""
         host, port = self._settings.listen[endpoint]
-        connections = ConnectionGroup.from_descriptors(
-            read_max_files(), divisor=divisor, max_connections=max_connections
+        connections = ConnectionGroup.from_limits(
+            max_files=read_max_files(),
+            memory_mb=self._settings.bounds["memory_mb"],
+            divisor=divisor,
+            max_connections=max_connections,
         )
         protocol = build_protocol(
             lambda: _CONNECTION_LIMITS,
@@ -283,6 +286,7 @@
             listener=self._listeners.get(endpoint),
             protocol=protocol,
             backlog=connections.backlog,
+            max_unread_bytes=connections.max_unread_bytes,
         )
 
     def _record_limit(self, event: str, bound: str) -> None:
--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -124,11 +124,12 @@
             routes={"GET /metrics": self._render_metrics}, max_body_bytes=_MAX_PROBE_BYTES
         )
         peers = build_peer_application(get_owner=lambda: self._owner)
-        peer_connections = ConnectionGroup.from_descriptors(
-            settings.max_files, divisor=_PEERS_DIVISOR, backlog_divisor=_PEERS_BACKLOG_DIVISOR
+        limits = {"max_files": settings.max_files, "memory_mb": settings.memory_mb}
+        peer_connections = ConnectionGroup.from_limits(
+            **limits, divisor=_PEERS_DIVISOR, backlog_divisor=_PEERS_BACKLOG_DIVISOR
         )
         caller_connections, readiness_connections, metrics_connections = (
-            ConnectionGroup.from_descriptors(settings.max_files, divisor=divisor)
+            ConnectionGroup.from_limits(**limits, divisor=divisor)
             for divisor in (_CALLERS_DIVISOR, _PROBES_DIVISOR, _PROBES_DIVISOR)
         )
         peer_address = settings.ip, settings.peer_port
@@ -159,6 +160,7 @@
                     listener=listener.unwrap(),
                     protocol=protocol,
                     backlog=connections.backlog,
+                    max_unread_bytes=connections.max_unread_bytes,
                 )
             )
         async with anyio.create_task_group() as group:
--- a/coltsfootpier/settings/_settings.py
+++ b/coltsfootpier/settings/_settings.py
@@ -11,7 +11,7 @@
 from coltsfootpier.exceptions import Problem
 from coltsfootpier.node import CallerLimits
 from coltsfootpier.platform import DEFAULT_MEMORY_MB
-from coltsfootpier.transport import ConnectionLimits, compute_budget_bytes
+from coltsfootpier.transport import MAX_UNREAD_BYTES, ConnectionLimits, compute_budget_bytes
 
 SECTIONS: dict[str, tuple[_ini.Key, ...]] = {
     "daemon": (
@@ -160,7 +160,7 @@
             default=200,
             unit="MB",
             description="Memory of the process. A quarter of it bounds what all connections of "
-            "clients buffer, and must hold two bodies of request_body_bytes.",
+            "clients use, and must hold two bodies of request_body_bytes.",
         ),
         _ini.number(
             "queue_length",
@@ -375,10 +375,14 @@
         "of a waiting response for this time is disconnected. |",
         "| `pipelined` | 1 | requests | Nothing more is parsed or read while this number of "
         "requests waits behind the one that is processed. |",
-        "| `process_bytes` | a quarter of the memory | bytes | If all connections together buffer "
-        "more, those that buffer most are closed. |",
-        "| `connections` | a part of the descriptors | connections | A new connection takes the "
-        "place of the one that has waited for its client for longest. |",
+        "| `unread` | an eighth of the memory for all connections that a port may have, 4,096 to "
+        f"{MAX_UNREAD_BYTES:,} each | bytes | The kernel receives no more for a connection until "
+        "the process reads; the client waits. |",
+        "| `process_bytes` | a quarter of the memory | bytes | If all connections together use "
+        "more, also in the kernel, those that use most are closed. |",
+        "| `connections` | a part of the descriptors, and as many as fit into `process_bytes` | "
+        "connections | A new connection takes the place of the one that has waited for its client "
+        "for longest. |",
     ]
 
 
@@ -392,7 +396,8 @@
         "| key | default | unit | meaning |",
         "|---|---|---|---|",
         f"| `memory_mb` in `[limits]` | {DEFAULT_MEMORY_MB} | MB | Memory of the process. A "
-        "quarter of it bounds what all connections of clients buffer. Needs a restart. |",
+        "quarter of it bounds what all connections of clients use, also in the kernel. Needs a "
+        "restart. |",
         "| `max_fds` in `[limits]` | required | descriptors | File descriptors of the process. A "
         "quarter of them bounds the connections of callers, a half those of other daemons, and a "
         "64th each those of the readiness check and of the metrics. Needs a restart. |",
--- a/coltsfootpier/transport/__init__.py
+++ b/coltsfootpier/transport/__init__.py
@@ -2,6 +2,7 @@
 
 from coltsfootpier.transport._address import MAX_PORT, is_address, is_ip_address, split_address
 from coltsfootpier.transport._budget import (
+    MAX_UNREAD_BYTES,
     ConnectionGroup,
     ProcessBudget,
     compute_budget_bytes,
@@ -39,6 +40,7 @@
 
 __all__ = [
     "MAX_PORT",
+    "MAX_UNREAD_BYTES",
     "Application",
     "AsgiApp",
     "BadReply",
--- a/coltsfootpier/transport/_budget.py
+++ b/coltsfootpier/transport/_budget.py
@@ -27,6 +27,15 @@
 MAX_BACKLOG_CONNECTIONS = 2_048
 # Smallest bound on connections, for ports with a small share of few descriptors.
 _MIN_CONNECTIONS = 8
+# Share of the memory limit that the kernel may use for received bytes of one port's connections.
+_UNREAD_DIVISOR = 8
+# Bounds on these bytes for one connection. The larger one is the window of 30 Mbit/s at a round
+# trip of 8 ms, the smaller one still takes an ordinary request at once.
+_MIN_UNREAD_BYTES = 4_096
+MAX_UNREAD_BYTES = 32_768
+# Estimated memory in bytes of an open connection in the process. Measured with 1,000 connections:
+# 7,400 for a silent one, 13,500 with a part of a header.
+CONNECTION_BYTES = 12_000
 
 
 class ConnectionState(enum.IntEnum):
@@ -127,6 +136,8 @@
         Bound on the number of open connections.
     backlog : int
         Connections that the kernel holds until the process accepts them.
+    max_unread_bytes : int
+        Received bytes that the kernel holds for each connection until the process reads them.
     """
 
     def __init__(
@@ -134,9 +145,11 @@
         *,
         max_connections: int = MAX_BACKLOG_CONNECTIONS,
         backlog: int = MAX_BACKLOG_CONNECTIONS,
+        max_unread_bytes: int = MAX_UNREAD_BYTES,
     ) -> None:
         self.backlog = backlog
         self.max_connections = max_connections
+        self.max_unread_bytes = max_unread_bytes
         self._states: dict[BudgetedConnection, ConnectionState] = {}
         # Connections of each state in the order in which they entered it.
         self._members: dict[ConnectionState, dict[BudgetedConnection, None]] = {
@@ -144,33 +157,42 @@
         }
 
     @classmethod
-    def from_descriptors(
+    def from_limits(
         cls,
-        max_files: int,
         *,
+        max_files: int,
+        memory_mb: int,
         divisor: int,
         max_connections: int | None = None,
         backlog_divisor: int = _BACKLOG_DIVISOR,
     ) -> ConnectionGroup:
-        """Build the bound of a port that may use a part of the descriptors of the process.
+        """Build the bound of a port that may use a part of the limits of the process.
 
         Parameters
         ----------
         max_files : int
             File descriptors of the process.
+        memory_mb : int
+            Memory of the process in MB.
         divisor : int
-            The port may use ``max_files / divisor`` connections.
+            The port may use ``max_files / divisor`` connections, if they fit into the memory that
+            all connections of the process may use.
         max_connections : int, optional
             A further bound from the settings.
         backlog_divisor : int
             The kernel may hold ``max_files / backlog_divisor`` connections until the process
             accepts them.
         """
-        share = max(_MIN_CONNECTIONS, max_files // divisor)
+        fitting = compute_budget_bytes(memory_mb) // (CONNECTION_BYTES + _MIN_UNREAD_BYTES)
+        share = max(_MIN_CONNECTIONS, min(max_files // divisor, fitting))
+        share = min(share, max_connections or share)
         backlog = max(_MIN_CONNECTIONS, max_files // backlog_divisor)
+        backlog = min(backlog, share, MAX_BACKLOG_CONNECTIONS)
+        unread_bytes = memory_mb * 1_000_000 // _UNREAD_DIVISOR // (share + backlog)
         return cls(
-            max_connections=min(share, max_connections or share),
-            backlog=min(backlog, share, MAX_BACKLOG_CONNECTIONS),
+            max_connections=share,
+            backlog=backlog,
+            max_unread_bytes=max(_MIN_UNREAD_BYTES, min(MAX_UNREAD_BYTES, unread_bytes)),
         )
 
     def __len__(self) -> int:
--- a/coltsfootpier/transport/_limits.py
+++ b/coltsfootpier/transport/_limits.py
@@ -17,6 +17,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from coltsfootpier.transport._budget import (
+    CONNECTION_BYTES,
     ConnectionGroup,
     ConnectionState,
     OnLimit,
@@ -36,10 +37,8 @@
 # Bytes of a chunk's size line and line ends that don't count as trailers and chunk extensions: up
 # to 8 digits and two line ends, rounded up.
 _CHUNK_FRAMING_BYTES = 16
-# Estimated memory in bytes of an open connection, of a parsed request and of one of its headers,
-# besides their bytes. Measured with 1,000 connections: 7,400 for a silent one, 13,500 with a part
-# of a header. With 592,000 requests and 2.7 million headers: 1,500 and 114 each.
-_CONNECTION_BYTES = 12_000
+# Estimated memory in bytes of a parsed request and of one of its headers, besides their bytes.
+# Measured with 592,000 requests and 2.7 million headers: 1,500 and 114 each.
 _REQUEST_BYTES = 2_000
 _HEADER_BYTES = 128
 
@@ -381,7 +380,9 @@
         if self._is_evicted:
             return
         used_bytes = (
-            _CONNECTION_BYTES
+            CONNECTION_BYTES
+            # The kernel may hold them at any time, also while reading is paused.
+            + self.group.max_unread_bytes
             + len(self._received)
             + sum(cost for _, cost in self._pending)
             + self._body_bytes
--- a/coltsfootpier/transport/_server.py
+++ b/coltsfootpier/transport/_server.py
@@ -344,6 +344,9 @@
         reach needs one.
     backlog : int
         Connections that the kernel holds until the server accepts them.
+    max_unread_bytes : int, optional
+        Received bytes that the kernel holds for each connection of `listener` until the server
+        reads them; the default of the system if omitted.
     """
 
     def __init__(
@@ -355,6 +358,7 @@
         listener: socket.socket | None = None,
         protocol: type[LimitedProtocol] | None = None,
         backlog: int = MAX_BACKLOG_CONNECTIONS,
+        max_unread_bytes: int | None = None,
     ) -> None:
         config = uvicorn.Config(
             app,
@@ -373,6 +377,9 @@
         )
         self._server = _EmbeddedServer(config)
         self._listener = listener
+        if listener is not None and max_unread_bytes is not None:
+            # Accepted connections inherit it. The kernel doubles the value.
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, max_unread_bytes // 2)
         self.port = port
         self.ended = anyio.Event()
 
--- a/coltsfootpier/transport/tests/test_server.py
+++ b/coltsfootpier/transport/tests/test_server.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure
 
-from coltsfootpier.transport import bind
+from coltsfootpier.transport import Application, Server, bind
 
 HOST = "127.0.0.1"
 
@@ -40,5 +40,31 @@
         self.assertIn("in use", result.failure().reason)
 
 
+class ReceiveBufferTest(unittest.TestCase):
+    """Received bytes that the kernel holds."""
+
+    def test_unread_bytes_are_bounded(self):
+        """Guards against a client whose bytes wait in the kernel without a limit."""
+        listener = bind(HOST, 0).unwrap()
+        self.addCleanup(listener.close)
+        Server(
+            app=Application(routes={}, max_body_bytes=0),
+            host=HOST,
+            port=0,
+            listener=listener,
+            max_unread_bytes=8_192,
+        )
+        client = socket.create_connection(listener.getsockname())
+        self.addCleanup(client.close)
+        accepted, _ = listener.accept()
+        self.addCleanup(accepted.close)
+        client.settimeout(0.5)
+        with self.assertRaises(TimeoutError):
+            while True:
+                client.send(b"x" * 10_000)
+        # The client's kernel holds the rest.
+        self.assertLessEqual(len(accepted.recv(1_000_000, socket.MSG_PEEK)), 8_192)
+
+
 if __name__ == "__main__":
     unittest.main()
