Return memory to the system after connections have released much

What callers saw: nothing at once, but a process that had served a crowd kept its memory, so that the next crowd, or the state of a new owner, began above it and the process was killed earlier.

Cause: the allocator of the C library returns only the end of its heap. After long request lines or bodies of 250 clients, small blocks that stay allocated kept 23 to 30 MB of free pages, of a share of 24 MB for clients.

Change: once the connections have released a quarter of their share since the last time, the process asks the allocator for its free pages (malloc_trim), at most once a second and only where the C library has the call.

Why it works: malloc_trim also returns whole free pages between blocks in use. The test of the budget sees one call for one release, and none while memory is in use.

--- a/coltsfootpier/transport/_budget.py
+++ b/coltsfootpier/transport/_budget.py
@@ -12,12 +12,16 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from coltsfootpier.transport._memory import release_free_memory
+
 # Share of the memory limit that connections may use; the rest is for the state of the process. A
 # daemon without clients uses 42 MB, the owner of a cell with 1,500 runners 159 MB.
 _MEMORY_DIVISOR = 4
 # After connections were closed for their memory, the rest use at most this share of the bound, so
 # that the search for the largest ones isn't repeated for each received byte.
 _RELIEF_SHARE = 0.75
+# Memory is returned to the system after connections have released this share of the bound.
+_TRIM_SHARE = 0.25
 # Period at which connections check whether the client still reads.
 _CHECK_PERIOD_MS = 1_000.0
 # Connections that are checked before the event loop runs other tasks.
@@ -81,10 +85,13 @@
         self._usage: dict[BudgetedConnection, int] = {}
         self._timer: asyncio.TimerHandle | None = None
         self.buffered_bytes = 0
+        # Largest value since memory was last returned to the system.
+        self._peak_bytes = 0
 
     def update(self, connection: BudgetedConnection, used_bytes: int) -> None:
         """Record the memory of a connection, and close the largest ones if the sum is too large."""
         self.buffered_bytes += used_bytes - self._usage.get(connection, 0)
+        self._peak_bytes = max(self._peak_bytes, self.buffered_bytes)
         self._usage[connection] = used_bytes
         if self._timer is None:
             self._schedule_check()
@@ -109,8 +116,16 @@
 
     def _check_progress(self) -> None:
         self._timer = None
+        self._release_memory()
         self._check_batch(list(self._usage))
 
+    def _release_memory(self) -> None:
+        """Return memory to the system once connections have released much of it."""
+        released_bytes = self._peak_bytes - self.buffered_bytes
+        if released_bytes > self._max_buffered_bytes * _TRIM_SHARE:
+            self._peak_bytes = self.buffered_bytes
+            release_free_memory()
+
     def _check_batch(self, connections: list[BudgetedConnection]) -> None:
         for connection in connections[:_CHECK_BATCH]:
             # It may have been closed since the check began.
--- a/coltsfootpier/transport/tests/test_budget.py
+++ b/coltsfootpier/transport/tests/test_budget.py
@@ -45,6 +45,26 @@
         budget.remove(large)
         self.assertEqual(budget.buffered_bytes, 50)
 
+    async def test_released_memory_is_returned_to_the_system(self):
+        """Guards against memory that the allocator keeps after a crowd has left."""
+        budget = ProcessBudget(max_buffered_bytes=1_000)
+        connections = [FakeConnection() for _ in range(4)]
+        with (
+            mock.patch.object(_budget, "_CHECK_PERIOD_MS", 1.0),
+            mock.patch.object(_budget, "release_free_memory") as release,
+        ):
+            for connection in connections:
+                budget.update(connection, 100)
+            await asyncio.sleep(0.1)
+            release.assert_not_called()
+            for connection in connections:
+                budget.remove(connection)
+            async with asyncio.timeout(20):
+                while not release.called:
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            release.assert_called_once()
+
     async def test_connections_are_checked_periodically(self):
         """Guards against clients that stop reading and are never noticed."""
         budget = ProcessBudget(max_buffered_bytes=1_000)
