Count paths as often as they are held, and repeat only a part in responses

What callers saw: as before, a process that could be killed for its memory. The bound on all connections (24 MB in the tests) held, and the resident memory rose above it.

Cause: the estimate of a request had its path once. The URL, the path as bytes and the path as text are separate copies, and a 404 had the whole path in its body, which waits in the application and in the write buffer while the client reads nothing. With request lines of 15 KB that is over half of what a connection holds.

Change: the path counts three times, and a response repeats at most 256 characters of it. The kinds and codes of errors are unchanged.

Why it works: the estimate follows the copies that are made, so the connections with long paths are the ones that the bound closes.

The two unit tests fail without the change (300 bytes counted instead of 900; 400 characters in the response).

--- a/coltsfootpier/node/_callers.py
+++ b/coltsfootpier/node/_callers.py
@@ -26,6 +26,7 @@
     is_job_id,
 )
 from coltsfootpier.transport import (
+    MAX_ECHO_CHARACTERS,
     BodyError,
     HttpResponse,
     Scope,
@@ -127,7 +128,7 @@
         path = scope["path"]
         route = configuration.find_route(headers.get(b"host", b"").decode("latin-1"), path)
         if route is None:
-            return HttpResponse.problem(404, "unknown_queue", path)
+            return HttpResponse.problem(404, "unknown_queue", path[:MAX_ECHO_CHARACTERS])
         deadline_ms = self._clock.now_ms() + self._compute_remaining_ms(headers, route)
         try:
             body = await read_body(
--- a/coltsfootpier/transport/__init__.py
+++ b/coltsfootpier/transport/__init__.py
@@ -23,6 +23,7 @@
 from coltsfootpier.transport._limits import ConnectionLimits, build_protocol
 from coltsfootpier.transport._mailbox import Mailbox
 from coltsfootpier.transport._server import (
+    MAX_ECHO_CHARACTERS,
     Application,
     AsgiApp,
     BodyError,
@@ -39,6 +40,7 @@
 from coltsfootpier.transport._stream import BodyStream, BodyTruncatedError, Upload, UploadError
 
 __all__ = [
+    "MAX_ECHO_CHARACTERS",
     "MAX_PORT",
     "MAX_UNREAD_BYTES",
     "Application",
--- a/coltsfootpier/transport/_limits.py
+++ b/coltsfootpier/transport/_limits.py
@@ -262,6 +262,8 @@
         """Stop the header timeout and handle the request."""
         self._stop_timer()
         cost = _REQUEST_BYTES + self._header_bytes + _HEADER_BYTES * len(self.headers)
+        # The scope holds the path as bytes and as text besides the URL.
+        cost += 2 * len(self.url)
         self._header_bytes = 0
         self._in_body = True
         self._extra_bytes = 0
--- a/coltsfootpier/transport/_server.py
+++ b/coltsfootpier/transport/_server.py
@@ -23,6 +23,8 @@
 Scope = dict[str, Any]
 # Bodies that take longer are rejected, so that a stalled sender can't block a server.
 _BODY_TIMEOUT_MS = 10_000.0
+# Longest part of a path that a response repeats.
+MAX_ECHO_CHARACTERS = 256
 AsgiApp = Callable[[Scope, Callable, Callable], Awaitable[None]]
 
 
@@ -278,7 +280,9 @@
         method, path = scope["method"], scope["path"]
         handler = self._find_handler(method, path)
         if handler is None:
-            return HttpResponse.problem(404, "unknown_path", f"{method} {path}")
+            return HttpResponse.problem(
+                404, "unknown_path", f"{method} {path[:MAX_ECHO_CHARACTERS]}"
+            )
         try:
             body = await read_body(scope, receive, max_body_bytes=self._max_body_bytes)
             query = scope.get("query_string", b"").decode("latin-1")
--- a/coltsfootpier/transport/tests/test_limits.py
+++ b/coltsfootpier/transport/tests/test_limits.py
@@ -385,6 +385,35 @@
 
         self.assertEqual(self._run_client(client, idle_timeout_ms=200.0)[:1], ["unread_body"])
 
+    def test_path_counts_as_often_as_it_is_held(self):
+        """Guards against long paths that take more memory than is counted for them."""
+        budget = ProcessBudget(max_buffered_bytes=1_000_000)
+        used_bytes = []
+
+        async def client(stream):
+            for size in (100, 400):
+                path = b"/slow" + b"x" * size
+                await stream.send(REQUEST.replace(b"/a", path) + b"ab")
+                await anyio.sleep(0.1)
+                used_bytes.append(budget.buffered_bytes)
+                await stream.send(b"cd")
+                self.assertIn(b'{"bytes":4}', await self._read_response(stream))
+
+        self.assertEqual(self._run_client(client, budget=budget), [])
+        self.assertGreaterEqual(used_bytes[1] - used_bytes[0], 3 * 300)
+
+    def test_response_repeats_a_part_of_a_long_path(self):
+        """Guards against responses that are as large as the paths of unread requests."""
+
+        async def client(stream):
+            await stream.send(REQUEST.replace(b"POST /a", b"PUT /" + b"x" * 400) + b"abcd")
+            response = await self._read_response(stream)
+            self.assertIn(b" 404 ", response)
+            self.assertIn(b"x" * 200, response)
+            self.assertNotIn(b"x" * 300, response)
+
+        self.assertEqual(self._run_client(client), [])
+
     def test_connection_is_closed_when_the_process_buffers_too_much(self):
         """Guards against many bodies that are each within the limits."""
         # Each of the two connections counts with what the kernel may hold for it.
