Leave to clients only the memory that the process doesn't need

What callers saw: the process of an owner with many runners was killed for its memory at a load of clients that another daemon carries.

Cause: connections could use a quarter of the memory limit whatever else the process held. An owner of 1,500 runners holds 159 of 200 MB.

Change: the bound on all connections is at most the limit, less an eighth of it, less the resident memory that connections don't account for. It is measured once a second while there are connections, and once when the first one opens. A 32nd of the limit is always left, so that ordinary requests are served. Where the system doesn't tell the resident memory, the bound stays a quarter. Connections that use no more than one ordinary request (64 KB) are closed in the order in which they make room for new ones, silent ones first, since a low bound may be reached by their number alone.

Why it works: what the estimate misses is resident too, and lowers the bound.

The metric connection_bytes_bound shows the bound.

--- a/coltsfootpier/daemon/_daemon.py
+++ b/coltsfootpier/daemon/_daemon.py
@@ -72,7 +72,6 @@
     ProcessBudget,
     Server,
     build_protocol,
-    compute_budget_bytes,
     is_address,
     read_max_files,
     split_address,
@@ -184,9 +183,7 @@
         self._clock = clock or MonotonicClock()
         self._interfaces = interfaces or Interfaces.over_tcp(settings=settings, clock=self._clock)
         self._platform = self._interfaces.platform
-        self._budget = ProcessBudget(
-            max_buffered_bytes=compute_budget_bytes(settings.bounds["memory_mb"])
-        )
+        self._budget = ProcessBudget.from_memory(settings.bounds["memory_mb"])
         # Number of connections by what a limit did to them, and by the limit.
         self._limit_counts: Counter[tuple[str, str]] = Counter()
         self._changed = anyio.Event()
@@ -769,6 +766,7 @@
                 "owned_key_groups": len(self.permits.manager.tables),
                 "permit_records": len(self.permits.manager.copies),
                 "connection_bytes": self._budget.buffered_bytes,
+                "connection_bytes_bound": self._budget.bound_bytes,
                 **{
                     f"connections_{action}_{bound}": count
                     for (action, bound), count in self._limit_counts.items()
--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -47,7 +47,6 @@
     Server,
     bind,
     build_protocol,
-    compute_budget_bytes,
     encode,
 )
 
@@ -107,7 +106,7 @@
         # Local time by which every request must have its response; finite once the daemon drains.
         self._responses_due_ms = float("inf")
         self._servers: list[Server] = []
-        self._budget = ProcessBudget(max_buffered_bytes=compute_budget_bytes(settings.memory_mb))
+        self._budget = ProcessBudget.from_memory(settings.memory_mb)
 
     async def run(self) -> BindError | None:
         """Serve until the drain that `stop` starts has ended; return an error if a bind fails."""
@@ -238,6 +237,7 @@
             "configuration_version": configuration.version if configuration is not None else 0,
             "requests_in_flight": self._callers.in_flight,
             "connection_bytes": self._budget.buffered_bytes,
+            "connection_bytes_bound": self._budget.bound_bytes,
             "owns_cell": int(owner is not None),
             "store_calls": counts.calls,
             "store_calls_refused": counts.unavailable,
--- a/coltsfootpier/settings/_settings.py
+++ b/coltsfootpier/settings/_settings.py
@@ -159,8 +159,8 @@
             maximum=1_000_000,
             default=200,
             unit="MB",
-            description="Memory of the process. A quarter of it bounds what all connections of "
-            "clients use, and must hold two bodies of request_body_bytes.",
+            description="Memory of the process. A quarter of it, or less if less is free, bounds "
+            "what all connections of clients use, and must hold two bodies of request_body_bytes.",
         ),
         _ini.number(
             "queue_length",
@@ -378,8 +378,9 @@
         "| `unread` | an eighth of the memory for all connections that a port may have, 4,096 to "
         f"{MAX_UNREAD_BYTES:,} each | bytes | The kernel receives no more for a connection until "
         "the process reads; the client waits. |",
-        "| `process_bytes` | a quarter of the memory | bytes | If all connections together use "
-        "more, also in the kernel, those that use most are closed. |",
+        "| `process_bytes` | a quarter of the memory, or what is free of seven eighths | bytes | "
+        "If all connections together use more, also in the kernel, those that use most are "
+        "closed; below 64 KB each, those that wait for their clients. |",
         "| `connections` | a part of the descriptors, and as many as fit into `process_bytes` | "
         "connections | A new connection takes the place of the one that has waited for its client "
         "for longest. |",
@@ -396,8 +397,8 @@
         "| key | default | unit | meaning |",
         "|---|---|---|---|",
         f"| `memory_mb` in `[limits]` | {DEFAULT_MEMORY_MB} | MB | Memory of the process. A "
-        "quarter of it bounds what all connections of clients use, also in the kernel. Needs a "
-        "restart. |",
+        "quarter of it, or less if less is free, bounds what all connections of clients use, also "
+        "in the kernel. Needs a restart. |",
         "| `max_fds` in `[limits]` | required | descriptors | File descriptors of the process. A "
         "quarter of them bounds the connections of callers, a half those of other daemons, and a "
         "64th each those of the readiness check and of the metrics. Needs a restart. |",
--- a/coltsfootpier/transport/_budget.py
+++ b/coltsfootpier/transport/_budget.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from coltsfootpier.transport._memory import release_free_memory
+from coltsfootpier.transport._memory import read_resident_bytes, release_free_memory
 
 # Share of the memory limit that connections may use; the rest is for the state of the process. A
 # daemon without clients uses 42 MB, the owner of a cell with 1,500 runners 159 MB.
@@ -20,6 +20,13 @@
 # After connections were closed for their memory, the rest use at most this share of the bound, so
 # that the search for the largest ones isn't repeated for each received byte.
 _RELIEF_SHARE = 0.75
+# Connections that use less are closed in the order of their states, not by what they use: one
+# ordinary request stays below it.
+_ORDINARY_BYTES = 65_536
+# Part of the memory limit that is kept free for what isn't estimated, and smallest part that
+# connections may use, so that ordinary requests are served whatever the process holds.
+_RESERVE_DIVISOR = 8
+_SMALLEST_DIVISOR = 32
 # Memory is returned to the system after connections have released this share of the bound.
 _TRIM_SHARE = 0.25
 # Period at which connections check whether the client still reads.
@@ -60,6 +67,11 @@
 class BudgetedConnection(Protocol):
     """Connection that can be closed to free what it uses."""
 
+    @property
+    def state(self) -> ConnectionState:
+        """What the connection does."""
+        ...
+
     def evict(self, limit_name: str) -> None:
         """Close the connection immediately and drop what it buffers."""
         ...
@@ -70,46 +82,111 @@
 
 
 class ProcessBudget:
-    """Bound on the bytes that all connections of a process buffer.
+    """Bound on the bytes that all connections of a process buffer, also in the kernel.
 
-    If it is exceeded, the connections that buffer most are closed.
+    If it is exceeded, the connections that buffer most are closed; among those that buffer no more
+    than an ordinary request, the ones that a new connection would replace first.
 
     Parameters
     ----------
     max_buffered_bytes : int
         Bound on the estimated memory of all connections together, in bytes.
+    memory_bytes : int, optional
+        Memory limit of the process in bytes. If it is given, the bound is lower while the state of
+        the process leaves less than `max_buffered_bytes` free.
+    read_resident : callable, optional
+        Returns the resident memory of the process in bytes, or None if it isn't known.
+
+    Attributes
+    ----------
+    bound_bytes : int
+        Bound in force.
+    buffered_bytes : int
+        Estimated memory of all connections together.
     """
 
-    def __init__(self, *, max_buffered_bytes: int) -> None:
+    def __init__(
+        self,
+        *,
+        max_buffered_bytes: int,
+        memory_bytes: int | None = None,
+        read_resident: Callable[[], int | None] = read_resident_bytes,
+    ) -> None:
         self._max_buffered_bytes = max_buffered_bytes
-        self._usage: dict[BudgetedConnection, int] = {}
+        self._memory_bytes = memory_bytes
+        self._read_resident = read_resident
+        # Total and kernel's part of the estimated memory of each connection.
+        self._usage: dict[BudgetedConnection, tuple[int, int]] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self.bound_bytes = max_buffered_bytes
         self.buffered_bytes = 0
+        self._unread_bytes = 0
         # Largest value since memory was last returned to the system.
         self._peak_bytes = 0
 
-    def update(self, connection: BudgetedConnection, used_bytes: int) -> None:
-        """Record the memory of a connection, and close the largest ones if the sum is too large."""
-        self.buffered_bytes += used_bytes - self._usage.get(connection, 0)
+    @classmethod
+    def from_memory(cls, memory_mb: int) -> ProcessBudget:
+        """Build the bound of a process with a memory limit of `memory_mb`."""
+        return cls(
+            max_buffered_bytes=compute_budget_bytes(memory_mb),
+            memory_bytes=memory_mb * 1_000_000,
+        )
+
+    def update(
+        self, connection: BudgetedConnection, used_bytes: int, unread_bytes: int = 0
+    ) -> None:
+        """Record the memory of a connection, and close some if the sum is too large.
+
+        Parameters
+        ----------
+        connection : BudgetedConnection
+            An open connection.
+        used_bytes : int
+            Its estimated memory in bytes.
+        unread_bytes : int
+            Part of it that the kernel uses.
+        """
+        previous_used, previous_unread = self._usage.get(connection, (0, 0))
+        self.buffered_bytes += used_bytes - previous_used
+        self._unread_bytes += unread_bytes - previous_unread
         self._peak_bytes = max(self._peak_bytes, self.buffered_bytes)
-        self._usage[connection] = used_bytes
+        self._usage[connection] = used_bytes, unread_bytes
         if self._timer is None:
+            self._adapt_bound()
             self._schedule_check()
-        if self.buffered_bytes > self._max_buffered_bytes:
+        if self.buffered_bytes > self.bound_bytes:
             self._relieve()
 
     def remove(self, connection: BudgetedConnection) -> None:
         """Remove a connection that is closed."""
-        self.buffered_bytes -= self._usage.pop(connection, 0)
+        used_bytes, unread_bytes = self._usage.pop(connection, (0, 0))
+        self.buffered_bytes -= used_bytes
+        self._unread_bytes -= unread_bytes
 
     def _relieve(self) -> None:
-        target_bytes = self._max_buffered_bytes * _RELIEF_SHARE
-        for connection in sorted(self._usage, key=self._usage.__getitem__, reverse=True):
+        target_bytes = self.bound_bytes * _RELIEF_SHARE
+
+        def build_key(connection: BudgetedConnection) -> tuple[int, ConnectionState, int]:
+            used_bytes = self._usage[connection][0]
+            return -max(used_bytes, _ORDINARY_BYTES), connection.state, -used_bytes
+
+        for connection in sorted(self._usage, key=build_key):
             if self.buffered_bytes <= target_bytes:
                 return
             self.remove(connection)
             connection.evict("process_bytes")
 
+    def _adapt_bound(self) -> None:
+        """Lower the bound to what the rest of the process leaves free."""
+        resident_bytes = self._read_resident() if self._memory_bytes is not None else None
+        if resident_bytes is None:
+            return
+        state_bytes = resident_bytes - (self.buffered_bytes - self._unread_bytes)
+        reserve_bytes = self._memory_bytes // _RESERVE_DIVISOR
+        free_bytes = self._memory_bytes - reserve_bytes - state_bytes
+        smallest_bytes = self._memory_bytes // _SMALLEST_DIVISOR
+        self.bound_bytes = max(smallest_bytes, min(self._max_buffered_bytes, free_bytes))
+
     def _schedule_check(self) -> None:
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(_CHECK_PERIOD_MS / 1000, self._check_progress)
@@ -117,6 +194,9 @@
     def _check_progress(self) -> None:
         self._timer = None
         self._release_memory()
+        self._adapt_bound()
+        if self.buffered_bytes > self.bound_bytes:
+            self._relieve()
         self._check_batch(list(self._usage))
 
     def _release_memory(self) -> None:
--- a/coltsfootpier/transport/_limits.py
+++ b/coltsfootpier/transport/_limits.py
@@ -395,10 +395,12 @@
         if self._header_bytes:
             used_bytes += _REQUEST_BYTES + self._header_bytes
             used_bytes += _HEADER_BYTES * len(self.headers or ())
-        self.group.update(self, self._find_state())
-        self.budget.update(self, used_bytes)
+        self.group.update(self, self.state)
+        self.budget.update(self, used_bytes, self.group.max_unread_bytes)
 
-    def _find_state(self) -> ConnectionState:
+    @property
+    def state(self) -> ConnectionState:
+        """What the connection does."""
         if self.flow.write_paused or self.transport.is_closing():
             return ConnectionState.STALLED
         if self.pipeline or (self._received and self._continuation is None):
--- a/coltsfootpier/transport/_memory.py
+++ b/coltsfootpier/transport/_memory.py
@@ -1,8 +1,21 @@
-"""Memory of this process, as the C library sees it."""
+"""Memory of this process, as the operating system and the C library see it."""
 
 from __future__ import annotations
 
 import ctypes
+import resource
+from pathlib import Path
+
+_STATM = Path("/proc/self/statm")
+_PAGE_BYTES = resource.getpagesize()
+
+
+def read_resident_bytes() -> int | None:
+    """Return the resident memory of this process in bytes, or None if the system doesn't tell."""
+    try:
+        return int(_STATM.read_text().split()[1]) * _PAGE_BYTES
+    except (OSError, ValueError, IndexError):
+        return None
 
 
 def release_free_memory() -> bool:
--- a/coltsfootpier/transport/tests/test_budget.py
+++ b/coltsfootpier/transport/tests/test_budget.py
@@ -11,7 +11,8 @@
 class FakeConnection:
     """Connection that records the limits for which it is closed."""
 
-    def __init__(self):
+    def __init__(self, state=ConnectionState.IDLE):
+        self.state = state
         self.closed = []
         self.checks = 0
 
@@ -45,6 +46,70 @@
         budget.remove(large)
         self.assertEqual(budget.buffered_bytes, 50)
 
+    async def test_idle_connections_are_closed_before_requests_in_progress(self):
+        """Guards against ordinary requests that are closed because many connections are open."""
+        budget = ProcessBudget(max_buffered_bytes=100_000)
+        busy = FakeConnection(ConnectionState.BUSY)
+        idle = [FakeConnection() for _ in range(5)]
+        budget.update(busy, 30_000)
+        for connection in idle:
+            budget.update(connection, 15_000)
+        self.assertEqual(busy.closed, [])
+        self.assertEqual(sum(connection.closed == ["process_bytes"] for connection in idle), 2)
+
+    async def test_memory_of_a_large_request_is_freed_first(self):
+        """Guards against many small connections that are closed for what a large one buffers."""
+        budget = ProcessBudget(max_buffered_bytes=200_000)
+        large = FakeConnection(ConnectionState.BUSY)
+        idle = [FakeConnection() for _ in range(5)]
+        for connection in idle:
+            budget.update(connection, 20_000)
+        budget.update(large, 110_000)
+        self.assertEqual(large.closed, ["process_bytes"])
+        self.assertEqual([connection.closed for connection in idle], [[]] * 5)
+
+    async def test_bound_follows_the_free_memory(self):
+        """Guards against a share for connections that the state of the process needs."""
+        state_bytes = 300_000
+
+        def read_resident():
+            # Four fifths of what connections use are resident.
+            return state_bytes + budget.buffered_bytes * 4 // 5
+
+        budget = ProcessBudget(
+            max_buffered_bytes=250_000, memory_bytes=1_000_000, read_resident=read_resident
+        )
+        connections = [FakeConnection() for _ in range(6)]
+        with mock.patch.object(_budget, "_CHECK_PERIOD_MS", 1.0):
+            for connection in connections:
+                budget.update(connection, 40_000, 8_000)
+            self.assertEqual(budget.bound_bytes, 250_000)
+            state_bytes = 692_000
+            async with asyncio.timeout(20):
+                while budget.bound_bytes == 250_000:
+                    await asyncio.sleep(0.01)
+        # The limit less an eighth and the state.
+        self.assertEqual(budget.bound_bytes, 183_000)
+        self.assertEqual(sum(bool(connection.closed) for connection in connections), 3)
+
+    async def test_some_memory_is_left_to_connections(self):
+        """Guards against a process that closes all connections because its state is large."""
+        budget = ProcessBudget(
+            max_buffered_bytes=250_000, memory_bytes=1_000_000, read_resident=lambda: 999_000
+        )
+        connection = FakeConnection(ConnectionState.BUSY)
+        budget.update(connection, 20_000)
+        self.assertEqual(connection.closed, [])
+        self.assertEqual(budget.bound_bytes, 31_250)
+
+    async def test_unknown_resident_memory_keeps_the_bound(self):
+        """Guards against a bound of zero on a system that doesn't tell the resident memory."""
+        budget = ProcessBudget(
+            max_buffered_bytes=250_000, memory_bytes=1_000_000, read_resident=lambda: None
+        )
+        budget.update(FakeConnection(), 20_000)
+        self.assertEqual(budget.bound_bytes, 250_000)
+
     async def test_released_memory_is_returned_to_the_system(self):
         """Guards against memory that the allocator keeps after a crowd has left."""
         budget = ProcessBudget(max_buffered_bytes=1_000)
