Let connections take turns with input that is expensive to parse

Cause: each connection parsed up to 8 pieces of 4 KB before the next one. 4 KB of such chunks take 2 ms, so one turn of the event loop took 16 ms for each connection, 4 s for 250.

Change: a piece that continues a header, or a chunked body whose next 4 KB aren't content, is expensive. Connections with such pieces wait in one queue of the process, which parses at most 8 pieces before other tasks run, one for each connection in turn. First pieces of headers, bodies of known length and large chunks don't wait.

Why it works: the time of a turn no longer grows with the number of connections that send such input. An ordinary request has none and waits at most for 8 pieces.

--- a/coltsfootpier/transport/_budget.py
+++ b/coltsfootpier/transport/_budget.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 from coltsfootpier.transport._memory import read_resident_bytes, release_free_memory
+from coltsfootpier.transport._turns import ParseQueue
 
 # Share of the memory limit that connections may use; the rest is for the state of the process. A
 # daemon without clients uses 42 MB, the owner of a cell with 1,500 runners 159 MB.
@@ -103,6 +104,8 @@
         Bound in force.
     buffered_bytes : int
         Estimated memory of all connections together.
+    parse_queue : ParseQueue
+        Connections whose received bytes take turns to be parsed.
     """
 
     def __init__(
@@ -115,6 +118,7 @@
         self._max_buffered_bytes = max_buffered_bytes
         self._memory_bytes = memory_bytes
         self._read_resident = read_resident
+        self.parse_queue = ParseQueue()
         # Total and kernel's part of the estimated memory of each connection.
         self._usage: dict[BudgetedConnection, tuple[int, int]] = {}
         self._timer: asyncio.TimerHandle | None = None
--- a/coltsfootpier/transport/_limits.py
+++ b/coltsfootpier/transport/_limits.py
@@ -31,8 +31,8 @@
 # Most bytes of a header or of chunks, and of a body of known length, that are parsed at a time.
 _PIECE_BYTES = 4_096
 _BODY_PIECE_BYTES = 65_536
-# Most pieces that are parsed before other connections get their turn. An ordinary request takes at
-# most 6: one of the header and 5 of the body.
+# Most pieces of one connection that are parsed before other connections get their turn. An ordinary
+# request takes at most 6: one of the header and 5 of the body.
 _MAX_PIECES = 8
 # Bytes of a chunk's size line and line ends that don't count as trailers and chunk extensions: up
 # to 8 digits and two line ends, rounded up.
@@ -142,8 +142,6 @@
         # Up to 3 parsed bytes that may be the start of a terminator.
         self._parsed_end = b""
         self._is_parsing = False
-        # Scheduled call that parses what was left after the largest number of pieces.
-        self._continuation: asyncio.Handle | None = None
         self._is_evicted = False
         self._is_slowed = False
         # Size of the write buffer at the last check, and the time since which it hasn't shrunk.
@@ -176,38 +174,66 @@
         self._offset = 0
         self._parse_received()
 
-    def _parse_received(self) -> None:
-        """Parse the received bytes until a second request waits for its response."""
+    def continue_parsing(self) -> None:
+        """Parse one expensive piece, and what is cheap behind it."""
+        self._parse_received(expensive_pieces=1)
+
+    def _parse_received(self, expensive_pieces: int = 0) -> None:
+        """Parse the received bytes until a second request waits for its response.
+
+        Parameters
+        ----------
+        expensive_pieces : int
+            Number of expensive pieces that may be parsed; more wait for the connection's turn.
+        """
         if self._is_parsing or self.parser is None:
             return
-        self._cancel_continuation()
         self._is_parsing = True
         pieces = 0
         try:
             while (
                 pieces < _MAX_PIECES
-                and self._offset < len(self._received)
-                and not self.flow.read_paused
-                and not self.pipeline
-                and not self.transport.is_closing()
+                and self._can_parse()
+                and (expensive_pieces > 0 or not self._is_expensive())
             ):
+                expensive_pieces -= self._is_expensive()
                 piece = self._take_piece()
                 if piece:
                     self._parse_piece(piece)
                 pieces += 1
         finally:
             self._is_parsing = False
+        if self._can_parse():
+            self.budget.parse_queue.add(self)
+        else:
+            self.budget.parse_queue.remove(self)
         is_held = self._offset < len(self._received)
         if not is_held or self.transport.is_closing():
             self._received, self._offset = b"", 0
         elif self.pipeline and not self._is_slowed:
             self._is_slowed = True
             type(self).on_slowed("pipelined")
-        elif pieces == _MAX_PIECES and not self.flow.read_paused and not self.pipeline:
-            self._continuation = self.loop.call_soon(self._parse_received)
         self.flow.hold(is_held or bool(self.pipeline))
         self._report()
 
+    def _can_parse(self) -> bool:
+        """Return whether received bytes wait only for their turn."""
+        return (
+            self._offset < len(self._received)
+            and not self.flow.read_paused
+            and not self.pipeline
+            and not self.transport.is_closing()
+        )
+
+    def _is_expensive(self) -> bool:
+        """Return whether the next piece may have many headers or chunks.
+
+        Most headers end with their first piece, which is parsed at once.
+        """
+        if not self._in_body:
+            return self._header_bytes > 0
+        return not self._missing_body_bytes and self._chunks.missing_bytes < _PIECE_BYTES
+
     def _take_piece(self) -> bytes:
         """Return the next bytes to parse, which end with a header or body at the latest."""
         start = self._offset
@@ -361,7 +387,7 @@
             cycle.message_event.set()
         self._pending.clear()
         self.pipeline.clear()
-        self._cancel_continuation()
+        self.budget.parse_queue.remove(self)
         self._release_request()
 
     def check_progress(self) -> None:
@@ -403,7 +429,7 @@
         """What the connection does."""
         if self.flow.write_paused or self.transport.is_closing():
             return ConnectionState.STALLED
-        if self.pipeline or (self._received and self._continuation is None):
+        if self.pipeline or (self._received and self not in self.budget.parse_queue):
             return ConnectionState.PIPELINING
         if self._pending and not (self._in_body and not self.pipeline):
             return ConnectionState.BUSY
@@ -423,11 +449,6 @@
             self._timer.cancel()
             self._timer = None
 
-    def _cancel_continuation(self) -> None:
-        if self._continuation is not None:
-            self._continuation.cancel()
-            self._continuation = None
-
     def _close(self, limit_name: str) -> None:
         self._stop_timer()
         if limit_name == "header_timeout" and self._pending:
--- a/coltsfootpier/transport/tests/test_limits.py
+++ b/coltsfootpier/transport/tests/test_limits.py
@@ -1,6 +1,7 @@
 """Tests of connection limits with slow, idle and oversized requests."""
 
 import asyncio
+import contextlib
 import gc
 import socket
 import struct
@@ -18,6 +19,7 @@
     ProcessBudget,
     Server,
     _limits,
+    _turns,
     build_protocol,
 )
 from coltsfootpier.transport._budget import MAX_UNREAD_BYTES
@@ -63,9 +65,9 @@
         parse_received = LimitedProtocol._parse_received
         parse_piece = LimitedProtocol._parse_piece
 
-        def count_call(protocol):
+        def count_call(protocol, *arguments, **keywords):
             self.calls.append(0)
-            parse_received(protocol)
+            parse_received(protocol, *arguments, **keywords)
 
         def count_piece(protocol, piece):
             self.calls[-1] += 1
@@ -267,6 +269,40 @@
         self.assertLessEqual(max(counter.calls), _limits._MAX_PIECES)
         self.assertGreater(sum(counter.calls), 500)
 
+    def test_chunks_of_many_connections_take_turns(self):
+        """Guards against a turn of the event loop that grows with the number of connections."""
+        most_pieces = 0
+
+        async def sample_pieces():
+            nonlocal most_pieces
+            parsed = sum(counter.calls)
+            while True:
+                await anyio.lowlevel.checkpoint()
+                most_pieces = max(most_pieces, sum(counter.calls) - parsed)
+                parsed = sum(counter.calls)
+
+        async def client(stream):
+            address = stream.extra(SocketAttribute.remote_address)
+            async with contextlib.AsyncExitStack() as stack, anyio.create_task_group() as group:
+                streams = [
+                    await stack.enter_async_context(await anyio.connect_tcp(*address))
+                    for _ in range(20)
+                ]
+                group.start_soon(sample_pieces)
+                for other in streams:
+                    await other.send(CHUNKED)
+                for other in streams:
+                    await other.send(b"1\r\nx\r\n" * 2_000 + b"0\r\n\r\n")
+                for other in streams:
+                    self.assertIn(b'{"bytes":2000}', await self._read_response(other))
+                group.cancel_scope.cancel()
+
+        with mock.patch.object(_limits, "_PIECE_BYTES", 100), PieceCounter() as counter:
+            self.assertEqual(self._run_client(client), [])
+        self.assertGreater(sum(counter.calls), 2_000)
+        # Headers are parsed besides, once for each connection.
+        self.assertLessEqual(most_pieces, _turns._MAX_PIECES + 20)
+
     def test_idle_connection_releases_its_request(self):
         """Guards against idle connections that hold memory which isn't counted."""
         header = b"".join(b"a%d: b\r\n" % number for number in range(30))
