Close clients that send ahead before idle connections

What callers saw: nothing yet; found on reading the change. A daemon's idle connections to the owner were closed for the memory that clients used by sending ahead of their responses, and each request of that daemon had to connect again.

Cause: closes small connections in the order in which they make room for new ones, idle ones first. There the number of connections is scarce, here the memory.

Change: clients that send ahead and those that don't read come first, then idle connections, incomplete requests and requests in progress.

Result: the new test fails on (the idle connection is closed) and passes.

--- a/coltsfootpier/settings/_settings.py
+++ b/coltsfootpier/settings/_settings.py
@@ -380,7 +380,7 @@
         "the process reads; the client waits. |",
         "| `process_bytes` | a quarter of the memory, or what is free of seven eighths | bytes | "
         "If all connections together use more, also in the kernel, those that use most are "
-        "closed; below 64 KB each, those that wait for their clients. |",
+        "closed; below 64 KB each, those whose clients send ahead or don't read. |",
         "| `connections` | a part of the descriptors, and as many as fit into `process_bytes` | "
         "connections | A new connection takes the place of the one that has waited for its client "
         "for longest. |",
--- a/coltsfootpier/transport/_budget.py
+++ b/coltsfootpier/transport/_budget.py
@@ -65,6 +65,17 @@
     BUSY = 4
 
 
+# Order in which connections are closed for the memory of all, if none of them uses much. Other
+# daemons keep idle connections, so those whose clients exceed the limits come first.
+_RELIEF_ORDER = (
+    ConnectionState.PIPELINING,
+    ConnectionState.STALLED,
+    ConnectionState.IDLE,
+    ConnectionState.RECEIVING,
+    ConnectionState.BUSY,
+)
+
+
 class BudgetedConnection(Protocol):
     """Connection that can be closed to free what it uses."""
 
@@ -86,7 +97,7 @@
     """Bound on the bytes that all connections of a process buffer, also in the kernel.
 
     If it is exceeded, the connections that buffer most are closed; among those that buffer no more
-    than an ordinary request, the ones that a new connection would replace first.
+    than an ordinary request, the ones whose clients send ahead or don't read.
 
     Parameters
     ----------
@@ -170,9 +181,10 @@
     def _relieve(self) -> None:
         target_bytes = self.bound_bytes * _RELIEF_SHARE
 
-        def build_key(connection: BudgetedConnection) -> tuple[int, ConnectionState, int]:
+        def build_key(connection: BudgetedConnection) -> tuple[int, int, int]:
             used_bytes = self._usage[connection][0]
-            return -max(used_bytes, _ORDINARY_BYTES), connection.state, -used_bytes
+            rank = _RELIEF_ORDER.index(connection.state)
+            return -max(used_bytes, _ORDINARY_BYTES), rank, -used_bytes
 
         for connection in sorted(self._usage, key=build_key):
             if self.buffered_bytes <= target_bytes:
--- a/coltsfootpier/transport/tests/test_budget.py
+++ b/coltsfootpier/transport/tests/test_budget.py
@@ -57,6 +57,19 @@
         self.assertEqual(busy.closed, [])
         self.assertEqual(sum(connection.closed == ["process_bytes"] for connection in idle), 2)
 
+    async def test_idle_connections_stay_beside_clients_that_send_ahead(self):
+        """Guards against connections of other daemons that are closed for what clients send."""
+        budget = ProcessBudget(max_buffered_bytes=100_000)
+        idle = FakeConnection()
+        pipelining = [FakeConnection(ConnectionState.PIPELINING) for _ in range(5)]
+        budget.update(idle, 30_000)
+        for connection in pipelining:
+            budget.update(connection, 15_000)
+        self.assertEqual(idle.closed, [])
+        self.assertEqual(
+            sum(connection.closed == ["process_bytes"] for connection in pipelining), 2
+        )
+
     async def test_memory_of_a_large_request_is_freed_first(self):
         """Guards against many small connections that are closed for what a large one buffers."""
         budget = ProcessBudget(max_buffered_bytes=200_000)
