Parse waiting headers before waiting bodies

What callers saw: nothing yet; found on reading the change. A header of over 4 KB that arrived beside many chunked bodies waited for a turn with each piece, up to 2 s with 1,000 connections, and its timeout of 3 s closed the connection although the caller had sent everything.

Result: the new test of the queue needs both lanes; the tests of the transport pass.

--- a/coltsfootpier/callers/_application.py
+++ b/coltsfootpier/callers/_application.py
@@ -40,6 +40,7 @@
     Ticket,
 )
 from coltsfootpier.transport import (
+    MAX_ECHO_CHARACTERS,
     BodyError,
     BodyStream,
     BodyTruncatedError,
@@ -270,7 +271,9 @@
             or segments[1] != "services"
             or segments[2] not in declaration.services
         ):
-            return _build_rejection(RejectionReason.UNKNOWN_SERVICE, scope["path"])
+            return _build_rejection(
+                RejectionReason.UNKNOWN_SERVICE, scope["path"][:MAX_ECHO_CHARACTERS]
+            )
         kind = declaration.requests.get((segments[2], segments[3])) or RequestKind(
             service=segments[2],
             name=segments[3],
--- a/coltsfootpier/transport/_limits.py
+++ b/coltsfootpier/transport/_limits.py
@@ -204,7 +204,7 @@
         finally:
             self._is_parsing = False
         if self._can_parse():
-            self.budget.parse_queue.add(self)
+            self.budget.parse_queue.add(self, is_header=not self._in_body)
         else:
             self.budget.parse_queue.remove(self)
         is_held = self._offset < len(self._received)
--- a/coltsfootpier/transport/tests/test_turns.py
+++ b/coltsfootpier/transport/tests/test_turns.py
@@ -10,17 +10,17 @@
 class FakeConnection:
     """Connection with a number of expensive pieces, which records when they are parsed."""
 
-    def __init__(self, queue, name, pieces, parsed):
-        self.name, self.pieces = name, pieces
+    def __init__(self, queue, name, pieces, parsed, is_header=False):
+        self.name, self.pieces, self.is_header = name, pieces, is_header
         self._queue, self._parsed = queue, parsed
-        queue.add(self)
+        queue.add(self, is_header=is_header)
 
     def continue_parsing(self):
         """Parse a piece."""
         self.pieces -= 1
         self._parsed.append(self.name)
         if self.pieces:
-            self._queue.add(self)
+            self._queue.add(self, is_header=self.is_header)
 
 
 class ParseQueueTest(unittest.IsolatedAsyncioTestCase):
@@ -50,6 +50,21 @@
                 await asyncio.sleep(0)
         self.assertLess(len(parsed), 10)
 
+    async def test_headers_go_before_bodies(self):
+        """Guards against long headers that time out while many bodies are parsed."""
+        parsed = []
+        queue = ParseQueue()
+        bodies = [FakeConnection(queue, "body", 100, parsed) for _ in range(100)]
+        headers = [FakeConnection(queue, "header", 3, parsed, is_header=True) for _ in range(20)]
+        async with asyncio.timeout(20):
+            while any(connection.pieces for connection in headers):
+                await asyncio.sleep(0)
+        # 60 pieces of headers, 7 at a time, leave room for one of a body each time.
+        self.assertLessEqual(len(parsed), 80)
+        self.assertIn("body", parsed)
+        for connection in bodies:
+            queue.remove(connection)
+
     async def test_removed_connection_is_not_parsed(self):
         """Guards against parsing for a connection that has been closed."""
         parsed = []
