Share the sending of ordinary requests between the tests of limits

tests/test_processes_limits.py and tests/test_processes_crowds.py sent them with the same lines; tests/limited.py has them once. Limits, targets and checks are unchanged.

--- a/tests/limited.py
+++ b/tests/limited.py
@@ -9,11 +9,15 @@
 import anyio
 import attrs
 
+from coltsfootpier.transport import HttptoolsConnection, Reply
 from standins.cluster import Cluster, wait_for
-from standins.nodes import Nodes
+from standins.nodes import HOST, Nodes
 from tests.flooding import limit_descriptors
 from tests.test_processes_nodes import ROUTE
 
+# Generous limit for an ordinary request, which may find the process busy.
+_TIMEOUT_MS = 60_000
+
 
 @attrs.frozen(kw_only=True)
 class LimitedProcess:
@@ -67,3 +71,19 @@
         yield LimitedProcess(handle=daemon.handle, ports=daemon.ports)
     finally:
         cluster.stop()
+
+
+async def send_request(
+    port: int, target: str, *, method: str = "GET", body: bytes = b""
+) -> Reply | None:
+    """Send an ordinary request on a new connection; return None if there is no response."""
+    connection = HttptoolsConnection(host="127.0.0.1", port=port)
+    result = await connection.exchange(
+        method,
+        target,
+        headers=(("Host", HOST), ("Deadline-Ms", "3000")),
+        body=body,
+        timeout_ms=_TIMEOUT_MS,
+    )
+    connection.close()
+    return result.value_or(None)
--- a/tests/test_processes_crowds.py
+++ b/tests/test_processes_crowds.py
@@ -14,7 +14,7 @@
 
 import orjson
 
-from coltsfootpier.transport import HttptoolsConnection, Reply
+from coltsfootpier.transport import Reply
 from standins.cluster import wait_for
 from standins.nodes import HOST, PREFIX
 from tests.clusters import run_async
@@ -25,7 +25,7 @@
     open_floods,
     read_used_memory_mb,
 )
-from tests.limited import LimitedProcess, open_daemon, open_node
+from tests.limited import LimitedProcess, open_daemon, open_node, send_request
 from tests.test_processes_nodes import build_job_body
 
 # Limits of memory and file descriptors in the settings of the processes. They have the proportions
@@ -41,8 +41,7 @@
 _CLIENTS = 250
 # Bytes that each client sends.
 _CLIENT_BYTES = 400_000
-# Generous limits; no result depends on the time that anything takes.
-_TIMEOUT_MS = 60_000
+# Generous limit; no result depends on the time that anything takes.
 _SETTLE_S = 20
 _READY_TARGET = "/coltsfootpier/ready"
 _HOST_HEADERS = f"Host: {HOST}\r\nDeadline-Ms: 3000\r\n"
@@ -112,18 +111,6 @@
         """Send an ordinary request as a caller; return None if there is no response."""
         raise NotImplementedError
 
-    async def exchange(
-        self, process: LimitedProcess, port: str, method: str, target: str, body: bytes = b""
-    ) -> Reply | None:
-        """Send a request on a new connection; return None if there is no response."""
-        connection = HttptoolsConnection(host="127.0.0.1", port=process.ports[port])
-        headers = (("Host", HOST), ("Deadline-Ms", "3000"))
-        result = await connection.exchange(
-            method, target, headers=headers, body=body, timeout_ms=_TIMEOUT_MS
-        )
-        connection.close()
-        return result.value_or(None)
-
     def check_ports(self, build: Callable[[str], Flood], ports: tuple[str, ...] = ()) -> None:
         """Check one process in and after a flood at each port, one port after the other.
 
@@ -192,7 +179,8 @@
         self.assertIsNotNone(ordinary, "an ordinary request got no response")
         if is_calm:
             self.assertEqual(ordinary.status, self.ordinary_status)
-        readiness = await self.exchange(process, self.ready[0], "GET", self.ready[1])
+        port, target = self.ready
+        readiness = await send_request(process.ports[port], target)
         self.assertIsNotNone(readiness, "the readiness check got no response")
         self.assertEqual(readiness.status, 200)
 
@@ -267,7 +255,8 @@
     async def send_ordinary(self, process: LimitedProcess) -> Reply | None:
         """Submit a job."""
         body = orjson.dumps(build_job_body(run_ms=100, count=1))
-        return await self.exchange(process, "front", "POST", PREFIX + secrets.token_hex(8), body)
+        target = PREFIX + secrets.token_hex(8)
+        return await send_request(process.ports["front"], target, method="POST", body=body)
 
 
 class NodeCrowdTest(_CrowdTests, _NodeTestCase):
@@ -308,4 +297,5 @@
 
     async def send_ordinary(self, process: LimitedProcess) -> Reply | None:
         """Send a request for a service that isn't declared, which the daemon answers itself."""
-        return await self.exchange(process, "callers", "POST", self.body_target, b"x" * 1_000)
+        port = process.ports["callers"]
+        return await send_request(port, self.body_target, method="POST", body=b"x" * 1_000)
--- a/tests/test_processes_limits.py
+++ b/tests/test_processes_limits.py
@@ -7,11 +7,10 @@
 from contextlib import AbstractAsyncContextManager
 from typing import ClassVar
 
-from coltsfootpier.transport import HttptoolsConnection, Reply
 from standins.nodes import HOST, PREFIX
 from tests.clusters import ClusterTestCase, run_async
 from tests.flooding import Flood, count_descriptors, open_flood, read_peak_memory_mb
-from tests.limited import LimitedProcess, open_daemon, open_node
+from tests.limited import LimitedProcess, open_daemon, open_node, send_request
 
 # Memory that each process may use, in its settings and as the bound of the tests.
 _MEMORY_MB = 200
@@ -22,8 +21,6 @@
 _MANY_FDS = 4_100
 _SILENT_CONNECTIONS = 400
 _CLIENTS = 8
-# Generous limit for the ordinary request, which may find the process busy.
-_TIMEOUT_MS = 60_000
 _CHUNKED_HEAD = (
     f"POST {PREFIX}a HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n"
     "Deadline-Ms: 3000\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -62,16 +59,6 @@
     return Flood(head=head, unit=b"x", size_bytes=len(head) + 262_143, connections=900)
 
 
-async def _send_query(port: int, target: str) -> Reply | None:
-    """Send an ordinary request on a new connection; return None if there is no response."""
-    connection = HttptoolsConnection(host="127.0.0.1", port=port)
-    result = await connection.exchange(
-        "GET", target, headers=(("Host", HOST), ("Deadline-Ms", "3000")), timeout_ms=_TIMEOUT_MS
-    )
-    connection.close()
-    return result.value_or(None)
-
-
 class LimitsTestCase(unittest.TestCase):
     """Base class of tests that start one process for each kind of client."""
 
@@ -107,7 +94,7 @@
     async def _check_flood(self, port: str, process: LimitedProcess, flood: Flood) -> None:
         number, handle = process.ports[port], process.handle
         with open_flood(number, flood) as sent_bytes:
-            response = await _send_query(number, self.targets[port])
+            response = await send_request(number, self.targets[port])
             self.assertIsNone(handle.poll(), "the process has ended")
             memory_mb = read_peak_memory_mb(handle.pid)
             descriptors = count_descriptors(handle.pid)
@@ -212,7 +199,7 @@
                 await self.cluster.set_faults(worker, answer_bytes=6_000_000)
             daemon = self.cluster.daemons["entry-0"]
             with open_flood(daemon.ports["callers"], flood) as sent_bytes:
-                response = await _send_query(daemon.ports["callers"], "/services/none/read")
+                response = await send_request(daemon.ports["callers"], "/services/none/read")
                 self.assertIsNone(daemon.handle.poll(), "the process has ended")
                 memory_mb = read_peak_memory_mb(daemon.handle.pid)
             print(
