--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,4 +6,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PYTHONPATH="target/deps:.:review" PYTHONDONTWRITEBYTECODE=1
-python3 -c 'import standins.nodes, standins.platform, standins.runners, third_world'
+python3 -c 'import standins.nodes, standins.platform, standins.runners, third_fleet, third_world'
--- a/review/third_world.py
+++ b/review/third_world.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import os
+import signal
+import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -12,8 +15,10 @@
 import anyio
 import orjson
 
+from coltsfootpier.platform import SETTINGS_VARIABLE
 from standins.cluster import call
-from standins.nodes import Nodes
+from standins.nodes import Node, Nodes
+from standins.ports import PortReservations
 
 # Exit codes of a script.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -33,6 +38,38 @@
     "stretch": 2,
     "slo_ms": 1_000,
 }
+# Settings of a daemon with the bounds of the site file dss-vieta.
+_SETTINGS = """
+node_name = "{name}"
+role = "daemon"
+ip = "127.0.0.1"
+zone = "zone-a"
+region = "region-a"
+internal_ports = [{peer}, {metrics}]
+serves = ["front"]
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[limits]
+cpu_share = 0.537
+cores = 2
+memory_mb = {memory_mb}
+max_fds = 4100
+[bounds]
+hold_max_ms = 10000
+stop_grace_ms = 200
+grace_s = 6
+restore_ms = 600
+status_s = 120
+maintenance_s = 2
+lease_ms = 3000
+[platform]
+address = "127.0.0.1:{store}"
+ttl_min_ms = 1000
+[cloud_api]
+address = "127.0.0.1:{cloud}"
+"""
+_ROOT = Path(__file__).resolve().parent.parent
 
 
 class ScriptError(Exception):
@@ -73,18 +110,105 @@
     record : Record
         Receives what is sent and answered.
     nodes : Nodes
-        Processes of the deployment.
+        The project's stand-ins, and the requests to daemons.
     """
 
     def __init__(self, record: Record, nodes: Nodes) -> None:
         self.record = record
         self.nodes = nodes
+        self.cloud_port = 0
+        self._handles: list[subprocess.Popen] = []
+        self._folder = tempfile.TemporaryDirectory(prefix="third-")
+        self._reservations = PortReservations()
 
     async def start(self, *, runners: int, daemons: int) -> None:
-        """Start the processes, and wait until a job is completed."""
+        """Start the project's stand-ins and daemons, and wait until a job is completed."""
         self.nodes.start_platform(runners)
+        self.cloud_port = self.nodes.store_port
         for number in range(daemons):
-            self.nodes.start_node(f"front-{number}")
+            self.start_daemon(f"front-{number}")
+        await self._begin_service()
+
+    async def start_with_fleet(self, *, machines: int, daemons: int, page_size: int) -> None:
+        """Start the project's store, the VMs of `third_fleet` and daemons; see `start`."""
+        self.nodes.store_port = self._start_stand_in("standins.platform")
+        self.cloud_port = self._start_stand_in(
+            "third_fleet",
+            f"--store={self.nodes.store_port}",
+            f"--count={machines}",
+            f"--page_size={page_size}",
+        )
+        for number in range(daemons):
+            self.start_daemon(f"front-{number}")
+        await self._begin_service()
+
+    def _start_stand_in(self, module: str, *arguments: str) -> int:
+        """Start a stand-in and return the port that it prints."""
+        with (Path(self._folder.name) / f"{module}.log").open("ab") as log:
+            handle = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                cwd=_ROOT,
+                stdout=subprocess.PIPE,
+                stderr=log,
+            )
+        self._handles.append(handle)
+        line = handle.stdout.readline()
+        if not line.startswith(b"port="):
+            raise ScriptError(f"{module} did not start")
+        return int(line.split(b"=")[1])
+
+    def start_daemon(self, name: str, *, memory_mb: int = 300) -> None:
+        """Start a daemon with the command of the deploy file, or start it again."""
+        known = self.nodes.nodes.get(name)
+        ports = known.list_ports() if known is not None else self._reservations.reserve(4)
+        front, ready, peer, metrics = ports
+        settings = Path(self._folder.name) / f"{name}.toml"
+        settings.write_text(
+            _SETTINGS.format(
+                name=name,
+                front=front,
+                ready=ready,
+                peer=peer,
+                metrics=metrics,
+                store=self.nodes.store_port,
+                cloud=self.cloud_port,
+                memory_mb=memory_mb,
+            )
+        )
+        log = Path(self._folder.name) / f"{name}.log"
+        with log.open("ab") as stream:
+            handle = subprocess.Popen(
+                ["python3", "-m", "coltsfootpier.node"],
+                cwd=_ROOT,
+                stdout=stream,
+                stderr=stream,
+                env={**os.environ, SETTINGS_VARIABLE: str(settings)},
+            )
+        self._handles.append(handle)
+        self.nodes.nodes[name] = Node(
+            name=name, handle=handle, front=front, ready=ready, metrics=metrics, log=log
+        )
+
+    def kill_daemon(self, name: str) -> None:
+        """Kill a daemon as a loss of power does."""
+        handle = self.nodes.nodes[name].handle
+        handle.send_signal(signal.SIGKILL)
+        handle.wait(timeout=10)
+        self.record.add(f"{name} is killed")
+
+    def close(self) -> None:
+        """Kill all processes that this object started, and delete their files."""
+        for handle in self._handles:
+            if handle.poll() is None:
+                handle.kill()
+            handle.wait(timeout=10)
+            if handle.stdout is not None:
+                handle.stdout.close()
+        self._reservations.close()
+        self._folder.cleanup()
+
+    async def _begin_service(self) -> None:
+        """Configure the daemons and wait until a job is completed."""
         await self.nodes.put_configuration(1, [ROUTE])
         try:
             await self.nodes.wait_ready()
@@ -99,7 +223,7 @@
         with anyio.move_on_after(10):
             while await self.read("front-0", name) != "completed":
                 await anyio.sleep(0.25)
-            self.record.add(f"{daemons} daemons and {runners} runners are in service")
+            self.record.add(f"{len(self.nodes.nodes)} daemons are in service")
             return
         raise ScriptError("the first job wasn't completed")
 
@@ -178,7 +302,7 @@
     return {"spec": f"run_ms={run_ms}", "steps": steps, **fields}
 
 
-def run_script(script: Callable[[World], Awaitable[bool]], path: Path, **settings: int) -> None:
+def run_script(script: Callable[[World], Awaitable[bool]], path: Path) -> None:
     """Run a script, which returns whether the rule was broken, and exit with its code.
 
     Parameters
@@ -187,18 +311,18 @@
         The script.
     path : Path
         The script's own file; the record is written beside it.
-    settings : int
-        Parameters of `Nodes`.
     """
     record = Record(path.parent / "record.txt")
     record.add(f"TROUBLE={int(has_trouble())}")
 
     async def run() -> bool:
-        nodes = Nodes(**settings)
+        nodes = Nodes()
+        world = World(record, nodes)
         try:
             with anyio.fail_after(110):
-                return await script(World(record, nodes))
+                return await script(world)
         finally:
+            world.close()
             nodes.close()
 
     try:
