--- a/review/13/check.py
+++ b/review/13/check.py
@@ -11,10 +11,10 @@
 
 from standins.cluster import call
 
-# 16 pages; the VMs of the last rack are on the last four.
-MACHINES, PAGE_SIZE, RACK = 32, 2, "r3"
-# `cloud_slow`: answers take 50 times as long as the 4 ms of the stand-in.
-SLOW_MS = 200.0
+# Five pages; the VMs of the last rack are on the last one.
+MACHINES, PAGE_SIZE, RACK = 40, 8, "r4"
+# `cloud_slow`: answers take 50 times as long as the 10 ms of the stand-in.
+SLOW_MS = 500.0
 MAY_MISS = 1
 # `notice_ms` of the site file.
 NOTICE_MS = 4_500.0
