--- a/review/third_fleet.py
+++ b/review/third_fleet.py
@@ -6,7 +6,8 @@
 a runner with a new id is up on it at the same address.
 
 The port of the service also takes ``POST /delay`` with ``ms``, the time that each of its answers
-takes from then on, and ``GET /events``, which returns what the runners started and ended.
+takes from then on, ``POST /crash`` with ``machine`` and the arguments of `Machine.crash`, and ``GET
+/events``, which returns what the runners started and ended.
 """
 
 from __future__ import annotations
@@ -60,6 +61,10 @@
         return int(min(99.0, 100.0 * (now_ms - self.began_ms) / (self.end_ms - self.began_ms)))
 
 
+def _choose_id() -> str:
+    return f"i-{secrets.token_hex(5)}"
+
+
 class Machine:
     """A worker VM with the runner that is up on it.
 
@@ -79,11 +84,16 @@
         self.port = 0
         self.state = "up"
         self.waves: set[int] = set()
+        self.cpu_milli = CPU_MILLI
+        # Arguments of `crash` for the next start of a lasting task; that start gets no answer.
+        self.crash_at_start: dict[str, Any] | None = None
         self._up_ms = 0.0
-        self._begin_incarnation()
+        self._answers_from_ms = 0.0
+        self.runner = ""
+        self._begin_incarnation(_choose_id())
 
-    def _begin_incarnation(self) -> None:
-        self.runner = f"i-{secrets.token_hex(5)}"
+    def _begin_incarnation(self, runner: str) -> None:
+        self.runner = runner
         self.born = int(time.time() * 1000)
         self._began_ms = _clock.now_ms()
         self._token = 0
@@ -106,6 +116,20 @@
         self.waves.add(wave)
         self.state, self._up_ms = "upkeep", _clock.now_ms() + MAINTENANCE_MS
 
+    def crash(self, down_ms: float, cpu_milli: int, slow_ms: float) -> None:
+        """Crash the runner, which starts again under its id, with another capacity.
+
+        It answers calls only `slow_ms` after its start.
+        """
+        self._apply_ends()
+        self._add_event("crash")
+        for run in list(self.runs.values()):
+            self._add_event("end", task=run.task, attempt=run.attempt, how="crash")
+        self.runs.clear()
+        self.state, self._up_ms = "down", _clock.now_ms() + down_ms
+        self._answers_from_ms = self._up_ms + slow_ms
+        self.cpu_milli = cpu_milli
+
     def _add_event(self, kind: str, **fields: Any) -> None:
         event = {"ms": _clock.now_ms(), "event": kind, "machine": self.name, "runner": self.runner}
         self.events.append({**event, **fields})
@@ -116,11 +140,16 @@
         while True:
             now_ms = _clock.now_ms()
             if self.state == "upkeep" and now_ms >= self._up_ms:
-                self._begin_incarnation()
+                self._begin_incarnation(_choose_id())
+                self.state = "up"
+            if self.state == "down" and now_ms >= self._up_ms:
+                # The runner starts again under its id.
+                self._begin_incarnation(self.runner)
+                self._add_event("up", cpu=self.cpu_milli)
                 self.state = "up"
             if self.state == "up":
                 self._apply_ends()
-            if entry and (self.state != "up" or entry != self.runner):
+            if entry and (self.state == "upkeep" or entry != self.runner):
                 await store.commit(expect={}, remove=[f"servers/{entry}"])
                 entry = ""
             if self.state == "up" and (not entry or now_ms - written_ms >= HEARTBEAT_MS):
@@ -137,7 +166,7 @@
             "slots": 8,
             "state": "ready",
             "cold_left_ms": 0,
-            "capacity": {"cpu": CPU_MILLI, "mem_mb": MEMORY_MB, "gpu": 0},
+            "capacity": {"cpu": self.cpu_milli, "mem_mb": MEMORY_MB, "gpu": 0},
             "labels": ["a", self.rack],
             "seq": int((_clock.now_ms() - self._began_ms) / HEARTBEAT_MS) + 1,
             "born": self.born,
@@ -168,7 +197,9 @@
         """Wrap a handler: a VM that is down is silent, and another runner's calls get 421."""
 
         async def handle_request(request: HttpRequest) -> HttpResponse:
-            runner = self.runner
+            runner, born = self.runner, self.born
+            if self.state == "up":
+                await anyio.sleep(max(0.0, self._answers_from_ms - _clock.now_ms()) / 1000)
             if self.state == "up" and request.header(b"expect-instance") not in ("", runner):
                 return self._answer(421)
             response = None
@@ -179,7 +210,7 @@
                     return self._answer(409, reason="fence")
                 self._token = body.get("fencing_token", 0)
                 response = await handler(body)
-            if response is None or self.runner != runner or self.state != "up":
+            if response is None or self.born != born or self.state != "up":
                 await anyio.sleep(_SILENCE_S)
             return response or self._answer(503)
 
@@ -199,6 +230,10 @@
     async def start(self, body: dict[str, Any]) -> HttpResponse:
         """Start a run."""
         task, attempt, spec = body["task"], body["attempt"], body["spec"]
+        if spec == "lasting" and self.crash_at_start is not None:
+            arguments, self.crash_at_start = self.crash_at_start, None
+            self.crash(**arguments)
+            return self._answer(503)
         self._extend(body["deadline_ms"])
         if (task, attempt) in self.runs:
             return self._answer()
@@ -273,7 +308,7 @@
     def __init__(self, machines: dict[str, Machine], page_size: int) -> None:
         self._machines = machines
         self._page_size = page_size
-        self._delay_ms = 4.0
+        self._delay_ms = 10.0
 
     async def set_delay(self, request: HttpRequest) -> HttpResponse:
         """Set how long each answer takes."""
@@ -290,7 +325,7 @@
             machine = self._machines[name]
             row = {"machine": name, "pool": "p", "state": machine.state, "zone": "zone-a"}
             row |= {"labels": ["a", machine.rack]}
-            row |= {"capacity": {"cpu": CPU_MILLI, "mem_mb": MEMORY_MB, "gpu": 0}}
+            row |= {"capacity": {"cpu": machine.cpu_milli, "mem_mb": MEMORY_MB, "gpu": 0}}
             rows.append({**row, "id": machine.runner if machine.state == "up" else None})
         has_next = len(names) > self._page_size
         token = names[self._page_size - 1] if has_next else None
@@ -311,6 +346,12 @@
         await anyio.sleep(self._delay_ms / 1000)
         return HttpResponse.from_message(reason, status)
 
+    async def crash(self, request: HttpRequest) -> HttpResponse:
+        """Have the runner on a VM crash as the next start of a lasting task arrives."""
+        body = orjson.loads(request.body)
+        self._machines[body.pop("machine")].crash_at_start = body
+        return HttpResponse.from_message({})
+
     async def list_events(self, _: HttpRequest) -> HttpResponse:
         """Return all events and what is at work now."""
         machines = self._machines.values()
@@ -333,12 +374,12 @@
         await anyio.sleep(_PERIOD_S / 5)
 
 
-async def serve(store_port: int, count: int, page_size: int) -> None:
+async def serve(store_port: int, count: int, page_size: int, rack_size: int) -> None:
     """Serve the VMs until cancelled, and print the port of their service."""
     store = StoreClient(host="127.0.0.1", port=store_port, clock=_clock, timeout_ms=1_000.0)
     events: list[dict[str, Any]] = []
     machines = {
-        name: Machine(name, f"r{number // 8}", events)
+        name: Machine(name, f"r{number // rack_size}", events)
         for number in range(count)
         for name in [f"m-{number:02d}"]
     }
@@ -351,6 +392,7 @@
             "GET /coltsfootpier/machines": service.list_page,
             "POST /coltsfootpier/machine-upkeep": service.maintain,
             "POST /delay": service.set_delay,
+            "POST /crash": service.crash,
             "GET /events": service.list_events,
         }
         application = Application(routes=routes, max_body_bytes=10_000)
@@ -365,6 +407,7 @@
         options.store,
         options.count,
         options.page_size,
+        options.rack_size,
         backend_options={"use_uvloop": True},
     )
     return 0
@@ -374,4 +417,5 @@
     flags.DEFINE_integer("store", 0, "TCP port of the store on the loopback address.")
     flags.DEFINE_integer("count", 1, "Number of worker VMs.")
     flags.DEFINE_integer("page_size", 2, "Number of VMs of a page of the listing.")
+    flags.DEFINE_integer("rack_size", 8, "Number of VMs of a rack.")
     sys.exit(app.run(_run))
--- a/review/third_world.py
+++ b/review/third_world.py
@@ -129,7 +129,9 @@
             self.start_daemon(f"front-{number}")
         await self._begin_service()
 
-    async def start_with_fleet(self, *, machines: int, daemons: int, page_size: int) -> None:
+    async def start_with_fleet(
+        self, *, machines: int, daemons: int, page_size: int = 8, rack_size: int = 8
+    ) -> None:
         """Start the project's store, the VMs of `third_fleet` and daemons; see `start`."""
         self.nodes.store_port = self._start_stand_in("standins.platform")
         self.cloud_port = self._start_stand_in(
@@ -137,6 +139,7 @@
             f"--store={self.nodes.store_port}",
             f"--count={machines}",
             f"--page_size={page_size}",
+            f"--rack_size={rack_size}",
         )
         for number in range(daemons):
             self.start_daemon(f"front-{number}")
