--- a/review/third_world.py
+++ b/review/third_world.py
@@ -121,9 +121,19 @@
         self._folder = tempfile.TemporaryDirectory(prefix="third-")
         self._reservations = PortReservations()
 
-    async def start(self, *, runners: int, daemons: int) -> None:
-        """Start the project's stand-ins and daemons, and wait until a job is completed."""
+    async def start(self, *, runners: int, daemons: int, runner_processes: int = 1) -> None:
+        """Start the project's stand-ins and daemons, and wait until a job is completed.
+
+        Parameters
+        ----------
+        runners : int
+            Number of runners of each process that hosts runners.
+        daemons, runner_processes : int
+            Number of daemons, and of processes that host runners.
+        """
         self.nodes.start_platform(runners)
+        for _ in range(runner_processes - 1):
+            self.nodes.start_runners(runners)
         self.cloud_port = self.nodes.store_port
         for number in range(daemons):
             self.start_daemon(f"front-{number}")
