--- a/review/third_world.py
+++ b/review/third_world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
 import subprocess
@@ -341,7 +342,9 @@
     try:
         is_broken = anyio.run(run)
     except Exception as error:
-        record.add(f"the case could not run: {error!r}")
+        # Without its folder, not even the record can be written.
+        with contextlib.suppress(OSError):
+            record.add(f"the case could not run: {error!r}")
         sys.exit(NOT_RUN)
     record.add("the rule was BROKEN" if is_broken else "the rule held")
     sys.exit(BROKEN if is_broken else HELD)
