Keep the steps of a job by occurrence, and plan only what is due

Cause: each measurement of the queueing delays went over the steps of all occurrences, and for each one the slack of its job searched all steps of the job twice, 2 x 20,000 x 20,000 iterations in one turn of the event loop. Submissions of short jobs did the same for steps that don't fill.

Evidence: on a plan estimated 41,000 durations for 50 occurrences of 20 steps due in an hour, a submission 165,120 beside 20 occurrences of 64 steps, and a plan 80,400 for 10 due occurrences of 40 steps.

Change: a job keeps its steps by occurrence, so that a pass over one costs its steps only. An occurrence counts as work once it is due; before, it is a number and a due time in the schedule. The sums behind slack and rank are kept with the occurrence until a task is done or an expected duration changes. Beyond max_due_tasks, due occurrences begin as others end, the most urgent queue first, and each job always has one.

Tests that looked up a step by (occurrence, number) use Job.find_step; they check the same.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -91,7 +91,12 @@
         self._log = log
         self.generation = generation
         self.counters: Counter[str] = Counter()
-        self.jobs = JobTable(log=log, counters=self.counters, observe=observe)
+        self.jobs = JobTable(
+            log=log,
+            counters=self.counters,
+            observe=observe,
+            max_due_tasks=settings.max_due_tasks,
+        )
         self.fleet = Fleet(settings=settings, generation=generation, log=log)
         self._interference = InterferenceTable(settings)
         self._estimates = Estimates(self._interference, lateness_factor=settings.admit_late)
@@ -244,7 +249,7 @@
         self, job_id: str, queue: Queue, spec: JobSpec, now_ms: float
     ) -> Rejected | None:
         settings = self._settings
-        tasks = sum(step.count for step in spec.steps) * spec.occurrence_count
+        tasks = spec.task_count
         waiting = sum(len(step.waiting) for step in self.jobs.ready.values())
         if waiting + tasks > settings.max_open_tasks:
             return Rejected("tasks", settings.tasks_retry_ms)
@@ -570,10 +575,10 @@
             if other.is_registered and other.entry.service == service and not other.evacuated
         ]
         required_labels = {
-            step.spec.required_label
+            step.required_label
             for job in self.jobs.jobs.values()
-            if job.is_open and job.queue.service == service
-            for step in job.steps.values()
+            if job.is_open and job.record.spec is not None and job.queue.service == service
+            for step in job.record.spec.steps
         }
         return [peers] + [
             [other for other in peers if label in other.entry.labels]
@@ -719,7 +724,7 @@
         now_ms, unix_ms : float
             Local time and Unix time.
         """
-        self.jobs.mark_due_occurrences_ready(unix_ms)
+        self.jobs.begin_due_occurrences(now_ms, unix_ms)
         is_check_due = now_ms - self._last_check_ms >= self._settings.check_period_ms
         if is_check_due:
             self._last_check_ms = now_ms
--- a/coltsfootpier/cells/_estimates.py
+++ b/coltsfootpier/cells/_estimates.py
@@ -16,7 +16,14 @@
 from coltsfootpier.cells._overload import Lateness
 from coltsfootpier.cells._placement import may_get_new_runs
 from coltsfootpier.cells._rejections import Demand
-from coltsfootpier.cells._state import Job, Run, Runner, StepRun
+from coltsfootpier.cells._state import (
+    Job,
+    Occurrence,
+    OccurrenceTotals,
+    Run,
+    Runner,
+    StepRun,
+)
 from coltsfootpier.jobs import JobSpec, Queue, StepSpec
 
 # Decay factor of the submitted work per new job; the last 50 jobs count most.
@@ -111,6 +118,8 @@
         self._measured_ms = float("-inf")
         self._refresh_ms = compute_refresh_ms(0)
         self._duration_models: dict[str, DurationModel] = {}
+        # Incremented with each change of an expected duration.
+        self._durations_version = 1
         self._mean_work: dict[str, float] = {}
         # Decaying sum of the work submitted for each best-effort image.
         self._submitted_work: dict[str, float] = {}
@@ -121,6 +130,7 @@
     def record_duration(self, step: StepRun, real_ms: float) -> None:
         """Update the duration model with a completed run."""
         self._get_duration_model(step.job.queue.name).update(real_ms, step.spec.estimate_ms)
+        self._durations_version += 1
         step.completed_count += 1
         step.completed_ms += real_ms
 
@@ -186,16 +196,35 @@
                 added = self._estimate_step_work(queue, step)
                 work[step.image] = work.get(step.image, 0.0) + added
 
+    def _measure_totals(self, occurrence: Occurrence) -> OccurrenceTotals:
+        """Return the sums over the steps of an occurrence.
+
+        A plan needs them for each of its waiting steps, so they are kept until a task is done.
+        """
+        if occurrence.totals is None or occurrence.totals_version != self._durations_version:
+            occurrence.totals = self._add_up(occurrence)
+            occurrence.totals_version = self._durations_version
+        return occurrence.totals
+
+    def _add_up(self, occurrence: Occurrence) -> OccurrenceTotals:
+        whole_ms = remaining_ms = work = remaining_work = 0.0
+        for step in occurrence.steps:
+            run_ms = self.estimate_run_ms(step)
+            whole_ms += run_ms
+            work += self._estimate_step_work(step.job.queue.name, step.spec)
+            if not step.is_done:
+                remaining_ms += run_ms
+                remaining_work += (step.spec.count - step.done_count) * step.spec.cpu_milli * run_ms
+        return OccurrenceTotals(
+            whole_ms=whole_ms, remaining_ms=remaining_ms, work=work, remaining_work=remaining_work
+        )
+
     def estimate_slack_ms(self, step: StepRun, now_ms: float) -> float:
         """Return the time in ms until a job's objective, less the remaining time of its steps."""
         job = step.job
         if step.spec.long_running or job.record.spec is None:
             return 0.0
-        remaining_ms = sum(
-            self.estimate_run_ms(other)
-            for other in job.iter_steps(step.occurrence)
-            if not other.is_done
-        )
+        remaining_ms = self._measure_totals(step.occurrence).remaining_ms
         return job.arrived_ms + self._compute_objective_ms(step) - now_ms - remaining_ms
 
     def estimate_step_limits(self, step: StepRun) -> tuple[float, float]:
@@ -205,7 +234,7 @@
         """
         later_ms = sum(
             self.estimate_run_ms(other)
-            for other in step.job.iter_steps(step.occurrence)
+            for other in step.occurrence.steps
             if not other.is_done and other is not step
         )
         objective_ms = self._compute_objective_ms(step)
@@ -229,21 +258,15 @@
 
     def _compute_objective_ms(self, step: StepRun) -> float:
         queue = step.job.queue
-        whole_ms = sum(
-            self.estimate_run_ms(other) for other in step.job.iter_steps(step.occurrence)
-        )
+        whole_ms = self._measure_totals(step.occurrence).whole_ms
         return queue.stretch * whole_ms + queue.objective_ms
 
     def rank(self, step: StepRun, now_ms: float, *, yields: bool = False) -> Rank:
         """Return the sort key of a step that waits for runners."""
         job = step.job
         mean = self._mean_work.get(job.queue.name, 0.0) or 1.0
-        remaining = sum(
-            (other.spec.count - other.done_count)
-            * other.spec.cpu_milli
-            * self.estimate_run_ms(other)
-            for other in job.iter_steps(step.occurrence)
-        )
+        totals = self._measure_totals(step.occurrence)
+        remaining = totals.remaining_work
         if step.spec.fills:
             remaining /= self._get_backlog(job.queue.service).capacity.estimate_share(
                 step.spec.image
@@ -252,7 +275,7 @@
             step,
             lateness=self.classify_lateness(step, now_ms),
             remaining=remaining / mean,
-            size=self.estimate_work(job.queue.name, job.record.spec) / mean,
+            size=totals.work / mean,
             yields=yields,
         )
 
@@ -280,6 +303,7 @@
             model = DurationModel.restore(sums)
             if model is not None:
                 self._duration_models[queue] = model
+        self._durations_version += 1
         self._mean_work.update(learned.mean_work)
         self._submitted_work.update(learned.offered)
         for service, demand in learned.short_demand.items():
@@ -345,7 +369,7 @@
 
     def _add_remaining_work(self, job: Job, now_ms: float) -> None:
         backlog = None
-        for step in job.steps.values():
+        for step in job.iter_steps():
             spec = step.spec
             if not spec.fills or spec.long_running or step.is_done:
                 continue
@@ -510,7 +534,7 @@
             ):
                 continue
             count += 1
-            for step in job.steps.values():
+            for step in job.iter_steps():
                 if not (step.spec.fills or step.spec.long_running or step.is_done):
                     work = self._estimate_remaining_work(step, now_ms)
                     memory = work * step.spec.memory_mb / max(1, step.spec.cpu_milli)
--- a/coltsfootpier/cells/_jobs.py
+++ b/coltsfootpier/cells/_jobs.py
@@ -8,8 +8,9 @@
 
 from coltsfootpier.cells._durability import DirtyJobs
 from coltsfootpier.cells._messages import RunId
-from coltsfootpier.cells._state import Job, Run, StepRun
-from coltsfootpier.jobs import JobRecord, JobState, Queue, StepSpec, TaskKey
+from coltsfootpier.cells._schedule import OccurrenceSchedule
+from coltsfootpier.cells._state import Job, Occurrence, Run, StepRun
+from coltsfootpier.jobs import JobRecord, JobState, Queue, TaskKey
 
 LogCallback = Callable[..., None]
 
@@ -29,10 +30,17 @@
         Counts of decisions.
     observe : callable
         Callback that adds a latency in ms to the histogram with the given name.
+    max_due_tasks : int
+        Number of tasks of due occurrences from which later ones wait, see `OccurrenceSchedule`.
     """
 
     def __init__(
-        self, *, log: LogCallback, counters: Counter[str], observe: Callable[[str, float], None]
+        self,
+        *,
+        log: LogCallback,
+        counters: Counter[str],
+        observe: Callable[[str, float], None],
+        max_due_tasks: int,
     ) -> None:
         self._log = log
         self._observe = observe
@@ -44,7 +52,7 @@
         self.ready: dict[tuple[str, int, int], StepRun] = {}
         # Jobs that an earlier owner accepted; it may have started their tasks.
         self.inherited: set[str] = set()
-        self._scheduled_steps: list[StepRun] = []
+        self._schedule = OccurrenceSchedule(max_due_tasks=max_due_tasks)
         self._dirty = DirtyJobs()
         # Jobs in a final state, oldest first, and the local time at which each was known to end.
         self._ended: deque[tuple[float, Job]] = deque()
@@ -100,11 +108,7 @@
         self.jobs[record.id] = job
         self._update_queue(job)
         if job.is_open and record.spec is not None:
-            for occurrence in range(record.spec.occurrence_count):
-                for number, spec in enumerate(record.spec.steps):
-                    self._add_step(job, occurrence, number, spec)
-            for step in list(job.steps.values()):
-                self._mark_step_ready(step, now_ms)
+            self._add_occurrences(job, now_ms)
         if not job.is_open:
             self._ended.append((now_ms, job))
         return job
@@ -116,51 +120,76 @@
             self._log("queue of job unknown", job=record.id, queue=record.queue)
         return Queue(name=record.queue, service=record.service, max_attempts=_DEFAULT_ATTEMPTS)
 
-    def _add_step(self, job: Job, occurrence: int, number: int, spec: StepSpec) -> None:
-        step = StepRun(job=job, occurrence=occurrence, number=number, spec=spec)
-        for index in range(spec.count):
-            if step.build_key(index) in job.record.done:
-                step.done_count += 1
-            else:
-                step.waiting.append(index)
-        job.started = job.started or step.done_count > 0
-        job.steps[occurrence, number] = step
+    def _add_occurrences(self, job: Job, now_ms: float) -> None:
+        spec = job.record.spec
+        job.started = bool(job.record.done)
+        job.open_task_count = spec.task_count
+        for number in range(spec.occurrence_count):
+            occurrence = self._build_occurrence(job, number)
+            job.open_task_count -= sum(step.done_count for step in occurrence.steps)
+            if not occurrence.is_done:
+                job.later_occurrences[number] = occurrence
+        if spec.occurrences:
+            self._schedule.add(job)
+        else:
+            self._begin_occurrence(job, 0, now_ms)
+
+    def _build_occurrence(self, job: Job, number: int) -> Occurrence:
+        occurrence = Occurrence(number=number)
+        done = job.record.done
+        for step_number, spec in enumerate(job.record.spec.steps):
+            step = StepRun(job=job, occurrence=occurrence, number=step_number, spec=spec)
+            step.waiting.extend(
+                index for index in range(spec.count) if step.build_key(index) not in done
+            )
+            step.done_count = spec.count - len(step.waiting)
+            occurrence.steps.append(step)
+        return occurrence
+
+    def _begin_occurrence(self, job: Job, number: int, now_ms: float) -> None:
+        """Let the tasks of an occurrence start unless it is done."""
+        occurrence = job.later_occurrences.pop(number, None)
+        if occurrence is None:
+            return
+        job.occurrences[number] = occurrence
+        occurrence.is_due = True
+        for step in occurrence.steps:
+            self._mark_step_ready(step, now_ms)
 
     def _mark_step_ready(self, step: StepRun, now_ms: float) -> None:
         """Mark a step as ready for placement if all steps before it are done."""
-        job = step.job
-        earlier = (job.steps[step.occurrence, number] for number in step.spec.after)
-        if step.is_done or step.ready_ms <= now_ms or not all(other.is_done for other in earlier):
+        occurrence = step.occurrence
+        if (
+            not occurrence.is_due
+            or step.is_done
+            or step.ready_ms <= now_ms
+            or not all(occurrence.steps[number].is_done for number in step.spec.after)
+        ):
             return
         step.ready_ms = now_ms
-        if job.record.spec.occurrences:
-            self._scheduled_steps.append(step)
-        else:
-            self.ready[step.id] = step
+        self.ready[step.id] = step
 
-    def mark_due_occurrences_ready(self, unix_ms: float) -> None:
-        """Mark the steps of due occurrences as ready for placement."""
-        due = [
-            step
-            for step in self._scheduled_steps
-            if not step.job.is_open
-            or step.job.record.spec.compute_due_unix_ms(step.occurrence) <= unix_ms
-        ]
-        for step in due:
-            self._scheduled_steps.remove(step)
-            if step.job.is_open:
-                self.ready[step.id] = step
+    def begin_due_occurrences(self, now_ms: float, unix_ms: float) -> None:
+        """Mark the first steps of due occurrences as ready for placement.
+
+        Parameters
+        ----------
+        now_ms, unix_ms : float
+            Local time and Unix time.
+        """
+        for job, number in self._schedule.iter_due(unix_ms):
+            self._begin_occurrence(job, number, now_ms)
 
     def find_step(self, run_id: RunId) -> StepRun | None:
         """Return the step that a run belongs to; None when the job or the task is unknown."""
         job = self.jobs.get(run_id.job_id)
-        step = job.steps.get(run_id.key[:2]) if job is not None else None
+        step = job.find_step(*run_id.key[:2]) if job is not None else None
         return step if step is not None and run_id.key.index < step.spec.count else None
 
     def find_step_by_id(self, step_id: tuple[str, int, int]) -> StepRun | None:
         """Return a step by its identifier; None when its job is unknown."""
         job = self.jobs.get(step_id[0])
-        return job.steps.get(step_id[1:]) if job is not None else None
+        return job.find_step(*step_id[1:]) if job is not None else None
 
     def measure_long_running_cpu(self, service: str) -> int:
         """Return the CPU demand of a service's open long-running jobs, in thousandths of a core."""
@@ -202,7 +231,7 @@
             duration_ms=duration_ms,
             inherited=job.record.id in self.inherited,
         )
-        runs = [run for step in job.steps.values() for run in step.list_runs()]
+        runs = [run for step in job.iter_steps() for run in step.list_runs()]
         self._drop_steps(job)
         job.record.spec = None
         job.record.done = set()
@@ -211,9 +240,12 @@
         return runs
 
     def _drop_steps(self, job: Job) -> None:
-        for step in job.steps.values():
+        for step in job.iter_steps():
             step.waiting.clear()
             self.ready.pop(step.id, None)
+        job.occurrences.clear()
+        job.later_occurrences.clear()
+        self._schedule.remove(job)
         self.inherited.discard(job.record.id)
 
     def finish_task(self, step: StepRun, key: TaskKey, now_ms: float) -> list[Run]:
@@ -226,21 +258,30 @@
                 continue
             job.record.done.add(step.build_key(index))
             step.done_count += 1
+            job.open_task_count -= 1
             if index in step.waiting:
                 step.waiting.remove(index)
             if index in step.tasks and not step.spec.gang:
                 unneeded += step.tasks[index].runs
         job.started = True
         self.mark_dirty(job)
+        step.occurrence.totals = None
         if step.is_done:
             self.ready.pop(step.id, None)
-            for other in job.steps.values():
-                if other.occurrence == step.occurrence and step.number in other.spec.after:
+            for other in step.occurrence.steps:
+                if step.number in other.spec.after:
                     self._mark_step_ready(other, now_ms)
-            if all(other.is_done for other in job.steps.values()):
+            if not job.open_task_count:
                 unneeded += self.close(job, JobState.COMPLETED, "all tasks are done", now_ms)
+            elif step.occurrence.is_done:
+                self._end_occurrence(job, step.occurrence)
         return unneeded
 
+    def _end_occurrence(self, job: Job, occurrence: Occurrence) -> None:
+        """Drop the state of an occurrence whose tasks are done while its job goes on."""
+        job.occurrences.pop(occurrence.number, None)
+        job.later_occurrences.pop(occurrence.number, None)
+
     def count_failure(self, step: StepRun, key: TaskKey, attempt: int) -> int:
         """Count a failed run of a task and return the number of its failures."""
         # The members of a gang fail together, which counts as one failure.
@@ -259,7 +300,8 @@
         if run_id.key in step.job.record.done or step.has_runs(index) or index in step.waiting:
             return
         step.waiting.appendleft(index)
-        self.ready[step.id] = step
+        if step.occurrence.is_due:
+            self.ready[step.id] = step
 
     def count_pending(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue for which no task has started."""
--- a/coltsfootpier/cells/_overload.py
+++ b/coltsfootpier/cells/_overload.py
@@ -171,7 +171,7 @@
     """
     demands = [
         (len(other.waiting), other.spec)
-        for other in step.job.iter_steps(step.occurrence)
+        for other in step.occurrence.steps
         if other.waiting and other.ready_ms < float("inf")
     ]
     wanted_cpu = 0 if memory_only else 2 * sum(count * spec.cpu_milli for count, spec in demands)
--- a/coltsfootpier/cells/_planning.py
+++ b/coltsfootpier/cells/_planning.py
@@ -556,7 +556,7 @@
             "step started",
             job=step.job.record.id,
             step=step.number,
-            occurrence=step.occurrence,
+            occurrence=step.occurrence.number,
             tasks=step.spec.count,
             runner=runner.entry.id,
             queueing_delay_ms=queueing_delay_ms,
--- a/coltsfootpier/cells/_settings.py
+++ b/coltsfootpier/cells/_settings.py
@@ -145,6 +145,10 @@
     max_open_tasks : int
         Maximum number of tasks that wait for runners, with those of a new job; bounds memory and
         the store's records.
+    max_due_tasks : int
+        Number of tasks of due occurrences of scheduled jobs from which a job with one occurrence
+        begins no further one. At 53 starts a second, the highest rate that the system is made for,
+        they last for 90 s.
     copy_gain_share : float
         Time by which a copy must be expected to end earlier than the run, as a share of the usual
         duration of the step's runs.
@@ -234,6 +238,7 @@
     reserve_deviations: float = 2.0
     long_running_retry_ms: float = 1_000.0
     max_open_tasks: int = 20_000
+    max_due_tasks: int = 5_000
     copy_gain_share: float = 0.25
     copy_outlier_factor: float = 1.5
     copy_undeclared_factor: float = 3.0
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -136,12 +136,61 @@
         return bool(self.preferred_runner or self.avoided_runners)
 
 
+@attrs.frozen(kw_only=True)
+class OccurrenceTotals:
+    """Sums over the steps of an occurrence, with the expected durations of their tasks.
+
+    Parameters
+    ----------
+    whole_ms, remaining_ms : float
+        Time in ms of all steps, and of those that aren't done, if they run one after another.
+    work, remaining_work : float
+        Work of all tasks by the declared durations, and of those that aren't done, in thousandths
+        of a core times ms.
+    """
+
+    whole_ms: float
+    remaining_ms: float
+    work: float
+    remaining_work: float
+
+
+@attrs.define(kw_only=True, eq=False)
+class Occurrence:
+    """One run of all steps of a job.
+
+    Parameters
+    ----------
+    number : int
+        Its number, from 0; 0 for a job without a schedule.
+    steps : list of StepRun
+        Its steps, in the order of the specification.
+    is_due : bool
+        Whether its tasks may start. One that a runner reports before that isn't due yet.
+    totals : OccurrenceTotals, optional
+        Sums over its steps; None after one of its tasks is done.
+    totals_version : int
+        Version of the expected durations that `totals` are computed with.
+    """
+
+    number: int
+    steps: list[StepRun] = attrs.field(factory=list)
+    is_due: bool = False
+    totals: OccurrenceTotals | None = None
+    totals_version: int = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks are done."""
+        return all(step.is_done for step in self.steps)
+
+
 @attrs.define(kw_only=True, eq=False)
 class StepRun:
     """One step of one occurrence of a job."""
 
     job: Job
-    occurrence: int
+    occurrence: Occurrence
     number: int
     spec: StepSpec
     # Indices of tasks that wait for a runner.
@@ -177,7 +226,7 @@
     @property
     def id(self) -> tuple[str, int, int]:
         """Unique identifier of the step."""
-        return self.job.record.id, self.occurrence, self.number
+        return self.job.record.id, self.occurrence.number, self.number
 
     def find_ticket(self, runner_id: str, now_ms: float) -> str:
         """Return the ticket for a runner that is valid at a local time; empty for none."""
@@ -211,7 +260,7 @@
 
     def build_key(self, index: int) -> TaskKey:
         """Return the key of the task with an index."""
-        return TaskKey(self.occurrence, self.number, index)
+        return TaskKey(self.occurrence.number, self.number, index)
 
     @property
     def run_limit(self) -> int:
@@ -232,6 +281,14 @@
     ----------
     version, durable_version : int
         Number of the last change, and of the last change that the store has acknowledged.
+    occurrences : dict of int to Occurrence
+        Occurrences that are due and not done, by number.
+    later_occurrences : dict of int to Occurrence
+        Occurrences that aren't due yet.
+    next_occurrence : int
+        Position in the order of their due times of the first occurrence that isn't due yet.
+    open_task_count : int
+        Number of tasks that aren't done.
     """
 
     record: JobRecord
@@ -239,16 +296,40 @@
     arrived_ms: float
     version: int = 0
     durable_version: int = 0
-    steps: dict[tuple[int, int], StepRun] = attrs.field(factory=dict)
+    occurrences: dict[int, Occurrence] = attrs.field(factory=dict)
+    later_occurrences: dict[int, Occurrence] = attrs.field(factory=dict)
+    next_occurrence: int = 0
+    open_task_count: int = 0
     # Whether a start was carried out; the response or a report shows it.
     started: bool = False
     # Number of its runs, and the local time of the first plan that found none; infinite before.
     run_count: int = 0
     idle_since_ms: float = float("inf")
 
-    def iter_steps(self, occurrence: int) -> Iterator[StepRun]:
-        """Iterate over the steps of one occurrence."""
-        return (step for step in self.steps.values() if step.occurrence == occurrence)
+    def iter_steps(self) -> Iterator[StepRun]:
+        """Iterate over the steps of the occurrences that are due and not done."""
+        return (step for occurrence in self.occurrences.values() for step in occurrence.steps)
+
+    def find_step(self, occurrence: int, number: int) -> StepRun | None:
+        """Return a step of an occurrence that isn't done; None if there is none."""
+        found = self.occurrences.get(occurrence) or self.later_occurrences.get(occurrence)
+        if found is None or not 0 <= number < len(found.steps):
+            return None
+        return found.steps[number]
+
+    def count_due_tasks(self) -> int:
+        """Return the number of tasks of the occurrences that are due and not done."""
+        if not self.occurrences:
+            return 0
+        return len(self.occurrences) * self.record.spec.occurrence_task_count
+
+    @property
+    def next_due_unix_ms(self) -> float:
+        """Unix time in ms at which the next occurrence is due; infinite after the last one."""
+        spec = self.record.spec
+        if spec is None or self.next_occurrence >= spec.occurrence_count:
+            return float("inf")
+        return spec.compute_due_unix_ms(spec.find_occurrence(self.next_occurrence))
 
     @property
     def is_open(self) -> bool:
--- a/coltsfootpier/cells/tests/test_admission.py
+++ b/coltsfootpier/cells/tests/test_admission.py
@@ -109,7 +109,7 @@
         harness = SimulatedCell()
         harness.join()
         job = harness.submit("j", build_job(build_step(), build_step(fills=True))).job
-        self.short, self.best_effort = job.steps.values()
+        self.short, self.best_effort = job.iter_steps()
 
     def test_urgent_work_goes_before_best_effort(self):
         """Guards against batch work that delays short urgent tasks."""
--- a/coltsfootpier/cells/tests/test_copies.py
+++ b/coltsfootpier/cells/tests/test_copies.py
@@ -129,7 +129,7 @@
     def test_copy_avoids_runners_where_the_task_failed(self):
         """Guards against a copy on a runner that has failed the task."""
         self._submit()
-        task = self.cell.cell.jobs.jobs[_JOB].steps[0, 0].tasks[0]
+        task = self.cell.cell.jobs.jobs[_JOB].find_step(0, 0).tasks[0]
         first = self._list_runs()[0][0]
         task.avoided_runners |= set("abcde") - {first, "e" if first != "e" else "a"}
         self._advance(600.0)
--- a/coltsfootpier/cells/tests/test_cut_reports.py
+++ b/coltsfootpier/cells/tests/test_cut_reports.py
@@ -118,7 +118,7 @@
         self.harness.is_durable = True
         self._advance(self.harness.settings.run_lease_ms + 1_000)
         freed = TASKS - 2 * END_LIMIT
-        self.assertEqual(sum(len(step.waiting) for step in self._job.steps.values()), freed)
+        self.assertEqual(sum(len(step.waiting) for step in self._job.iter_steps()), freed)
 
     def test_rejection_of_a_late_start_is_not_shown_by_a_cut_list(self):
         """Guards against a second run after a late start that ran and ended unseen.
--- a/coltsfootpier/cells/tests/test_overload.py
+++ b/coltsfootpier/cells/tests/test_overload.py
@@ -122,7 +122,7 @@
             counts = [
                 task.preempted_count
                 for job in harness.cell.jobs.jobs.values()
-                for step in job.steps.values()
+                for step in job.iter_steps()
                 for task in step.tasks.values()
             ]
             with self.subTest(seed=seed):
@@ -299,7 +299,7 @@
                 harness.advance(harness.settings.aged_start_ms - 300)
                 self.assertEqual(len(harness.find("b0")), 1)
                 self.assertEqual(harness.cell.counters["aged_starts"], 1)
-                run = harness.cell.jobs.jobs["b0"].steps[0, 0].list_runs()[0]
+                run = harness.cell.jobs.jobs["b0"].find_step(0, 0).list_runs()[0]
                 harness.advance(1_000)
                 self.assertEqual(run.pace, harness.settings.pace_levels[-1])
 
@@ -310,7 +310,7 @@
             harness = self._build(rng)
             self._submit_batch(rng, harness, 1)
             harness.advance(harness.settings.aged_start_ms + 300)
-            run = harness.cell.jobs.jobs["b0"].steps[0, 0].list_runs()[0]
+            run = harness.cell.jobs.jobs["b0"].find_step(0, 0).list_runs()[0]
             for number in range(8):
                 # Each report is a new measurement.
                 self._measure(harness, 30.0 + 0.1 * number)
@@ -339,7 +339,7 @@
         harness.advance(300)
         ((_, run),) = harness.find("l")
         if is_move:
-            step = harness.cell.jobs.jobs["l"].steps[0, 0]
+            step = harness.cell.jobs.jobs["l"].find_step(0, 0)
             step.tasks[0].preferred_runner = "a"
         harness.runners["a"].end(run, EndKind.STOPPED if is_move else EndKind.FAILED)
         harness.report()
--- a/coltsfootpier/cells/tests/test_regrouping.py
+++ b/coltsfootpier/cells/tests/test_regrouping.py
@@ -34,7 +34,7 @@
         step = build_serving(image=image, **changes)
         job = self.harness.submit(name, build_job(step)).job
         runner = self.cell.fleet.runners[runner_id]
-        command = self.cell._planner._start_run(runner, job.steps[0, 0], 0, self.harness.now_ms)
+        command = self.cell._planner._start_run(runner, job.find_step(0, 0), 0, self.harness.now_ms)
         run = runner.runs[command.run]
         run.load = 0.5
         self.harness.runners[runner_id].running[command.run] = ""
--- a/coltsfootpier/cells/tests/test_search.py
+++ b/coltsfootpier/cells/tests/test_search.py
@@ -177,7 +177,7 @@
                 max_per_runner=generator.choice((0, 0, 1)),
             )
             job = harness.submit(f"j{number}", build_job(spec), build_queue()).job
-            steps.append(job.steps[0, 0])
+            steps.append(job.find_step(0, 0))
         reserved = []
         for _ in range(30):
             usable = [runner for runner in runners if generator.random() < 0.8]
@@ -220,10 +220,12 @@
             image="batch",
             max_per_runner=generator.choice((0, 3)),
         )
-        step = harness.submit("wide", build_job(spec)).job.steps[0, 0]
+        step = harness.submit("wide", build_job(spec)).job.find_step(0, 0)
         fleet = harness.cell.fleet
         runners = list(fleet.runners.values())
-        others = harness.submit("web", build_job(attrs.evolve(serving, count=4))).job.steps[0, 0]
+        others = harness.submit("web", build_job(attrs.evolve(serving, count=4))).job.find_step(
+            0, 0
+        )
         for index in range(4):
             runner = generator.choice(runners)
             run = harness.cell._planner._start_run(runner, others, index, 0.0).run
--- a/coltsfootpier/jobs/_model.py
+++ b/coltsfootpier/jobs/_model.py
@@ -143,6 +143,23 @@
         """Memory demand of the long-running tasks in MB."""
         return sum(step.count * step.memory_mb for step in self.steps if step.long_running)
 
+    @property
+    def occurrence_task_count(self) -> int:
+        """Number of tasks of one occurrence."""
+        return sum(step.count for step in self.steps)
+
+    @property
+    def task_count(self) -> int:
+        """Number of tasks of all occurrences."""
+        return self.occurrence_count * self.occurrence_task_count
+
+    def find_occurrence(self, position: int) -> int:
+        """Return the number of the occurrence at a position in the order of their due times.
+
+        A negative interval makes the last one due first.
+        """
+        return position if self.interval_ms >= 0 else self.occurrence_count - 1 - position
+
     def compute_due_unix_ms(self, occurrence: int) -> float:
         """Return the Unix time in ms before which an occurrence must not start."""
         if not self.occurrences:
@@ -206,7 +223,7 @@
         error = _find_step_error(number, step)
         if error:
             return f"step {number}: {error}"
-    tasks = sum(step.count for step in spec.steps) * spec.occurrence_count
+    tasks = spec.task_count
     return f"{tasks} tasks, allowed: 1 to {MAX_TASKS}" if tasks > MAX_TASKS else ""
 
 
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -377,7 +377,7 @@
                 "job accepted",
                 job=job_id,
                 queue=queue.name,
-                tasks=count_tasks(spec),
+                tasks=spec.task_count,
                 durable_ms=durable_ms,
                 generation=self.cell.generation,
             )
@@ -850,8 +850,3 @@
         while True:
             await anyio.sleep(_timing.SUMMARY_PERIOD_MS / 1000)
             log_event("cell summary", **self.read_gauges(), store_calls=self._store.counts.calls)
-
-
-def count_tasks(spec: JobSpec) -> int:
-    """Return the number of tasks of a job."""
-    return sum(step.count for step in spec.steps) * spec.occurrence_count
