Create the state of an occurrence when it begins

Cause: a job got the state of all steps of all occurrences when it was added, 2.2 KB for each step, and kept about 150 bytes for each done task.

Change: an occurrence has state from its begin, or from the first report of a run of it, until its tasks are done. Done tasks are one bit each in memory; the record in the store doesn't change. A step has no queue of durations before the first one, and no set of runners without approval.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -523,7 +523,7 @@
                     run.progress.add(now_ms, 100.0)
                     self._speeds.observe_run(runner, run, now_ms)
                 if not (run.adopted or run.is_resumed) and run.pace == 100:
-                    step.durations_ms.append(now_ms - run.start_sent_ms)
+                    step.record_duration(now_ms - run.start_sent_ms)
                 if row.run.key not in job.record.done:
                     self._copies.record_win(run, now_ms)
             for unneeded in self.jobs.finish_task(step, row.run.key, now_ms):
--- a/coltsfootpier/cells/_jobs.py
+++ b/coltsfootpier/cells/_jobs.py
@@ -10,7 +10,7 @@
 from coltsfootpier.cells._messages import RunId
 from coltsfootpier.cells._schedule import OccurrenceSchedule
 from coltsfootpier.cells._state import Job, Occurrence, Run, StepRun
-from coltsfootpier.jobs import JobRecord, JobState, Queue, TaskKey
+from coltsfootpier.jobs import JobRecord, JobState, Queue, TaskKey, TaskSet
 
 LogCallback = Callable[..., None]
 
@@ -108,7 +108,7 @@
         self.jobs[record.id] = job
         self._update_queue(job)
         if job.is_open and record.spec is not None:
-            self._add_occurrences(job, now_ms)
+            self._add_tasks(job, now_ms)
         if not job.is_open:
             self._ended.append((now_ms, job))
         return job
@@ -120,20 +120,27 @@
             self._log("queue of job unknown", job=record.id, queue=record.queue)
         return Queue(name=record.queue, service=record.service, max_attempts=_DEFAULT_ATTEMPTS)
 
-    def _add_occurrences(self, job: Job, now_ms: float) -> None:
-        spec = job.record.spec
-        job.started = bool(job.record.done)
-        job.open_task_count = spec.task_count
-        for number in range(spec.occurrence_count):
-            occurrence = self._build_occurrence(job, number)
-            job.open_task_count -= sum(step.done_count for step in occurrence.steps)
-            if not occurrence.is_done:
-                job.later_occurrences[number] = occurrence
-        if spec.occurrences:
+    def _add_tasks(self, job: Job, now_ms: float) -> None:
+        """Add what is left to run of a new or inherited job."""
+        record = job.record
+        record.done = TaskSet(record.spec, record.done)
+        job.started = bool(record.done)
+        job.open_task_count = record.spec.task_count - len(record.done)
+        if record.spec.occurrences:
             self._schedule.add(job)
         else:
             self._begin_occurrence(job, 0, now_ms)
 
+    def _provide_occurrence(self, job: Job, number: int) -> Occurrence | None:
+        """Return the state of an occurrence, which is created if needed; None if it is done."""
+        occurrence = job.occurrences.get(number)
+        if occurrence is None:
+            occurrence = self._build_occurrence(job, number)
+            if occurrence.is_done:
+                return None
+            job.occurrences[number] = occurrence
+        return occurrence
+
     def _build_occurrence(self, job: Job, number: int) -> Occurrence:
         occurrence = Occurrence(number=number)
         done = job.record.done
@@ -148,10 +155,9 @@
 
     def _begin_occurrence(self, job: Job, number: int, now_ms: float) -> None:
         """Let the tasks of an occurrence start unless it is done."""
-        occurrence = job.later_occurrences.pop(number, None)
+        occurrence = self._provide_occurrence(job, number)
         if occurrence is None:
             return
-        job.occurrences[number] = occurrence
         occurrence.is_due = True
         for step in occurrence.steps:
             self._mark_step_ready(step, now_ms)
@@ -181,9 +187,18 @@
             self._begin_occurrence(job, number, now_ms)
 
     def find_step(self, run_id: RunId) -> StepRun | None:
-        """Return the step that a run belongs to; None when the job or the task is unknown."""
+        """Return the step that a run belongs to; None when the job or the task is unknown.
+
+        A runner may report a run of an occurrence that isn't due here: an earlier owner's clock was
+        fast, or it had begun more of the occurrences that are due.
+        """
         job = self.jobs.get(run_id.job_id)
-        step = job.find_step(*run_id.key[:2]) if job is not None else None
+        if job is None:
+            return None
+        number, step_number, _ = run_id.key
+        if job.is_open and job.has_occurrence(number):
+            self._provide_occurrence(job, number)
+        step = job.find_step(number, step_number)
         return step if step is not None and run_id.key.index < step.spec.count else None
 
     def find_step_by_id(self, step_id: tuple[str, int, int]) -> StepRun | None:
@@ -244,7 +259,6 @@
             step.waiting.clear()
             self.ready.pop(step.id, None)
         job.occurrences.clear()
-        job.later_occurrences.clear()
         self._schedule.remove(job)
         self.inherited.discard(job.record.id)
 
@@ -279,8 +293,11 @@
 
     def _end_occurrence(self, job: Job, occurrence: Occurrence) -> None:
         """Drop the state of an occurrence whose tasks are done while its job goes on."""
-        job.occurrences.pop(occurrence.number, None)
-        job.later_occurrences.pop(occurrence.number, None)
+        del job.occurrences[occurrence.number]
+        # Late reports of its failed runs find no step, so that they aren't counted again.
+        failures = job.record.failures
+        for key in [key for key in failures if key.occurrence == occurrence.number]:
+            del failures[key]
 
     def count_failure(self, step: StepRun, key: TaskKey, attempt: int) -> int:
         """Count a failed run of a task and return the number of its failures."""
--- a/coltsfootpier/cells/_planning.py
+++ b/coltsfootpier/cells/_planning.py
@@ -493,8 +493,9 @@
         for runner_id in request.runner_ids:
             if runner_id in tickets:
                 step.tickets[runner_id] = (tickets[runner_id], now_ms + valid_ms)
-            else:
-                step.unapproved.add(runner_id)
+        step.unapproved = step.unapproved.union(
+            runner_id for runner_id in request.runner_ids if runner_id not in tickets
+        )
         self._log(
             "advice received",
             job=request.step_id[0],
--- a/coltsfootpier/cells/_speeds.py
+++ b/coltsfootpier/cells/_speeds.py
@@ -126,7 +126,7 @@
         Local time; a measurement is used for `_REFRESH_MS`.
     """
     if now_ms - step.peers_measured_ms >= _REFRESH_MS:
-        known = list(step.durations_ms)
+        known = list(step.durations_ms or ())
         for run in step.list_runs():
             duration_ms = None if run.progress is None else run.progress.estimate_duration_ms()
             if duration_ms is not None and run.pace == 100:
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -14,6 +14,8 @@
 
 # Runs of one task of a speculative step that may exist at once.
 MAX_SPECULATIVE_RUNS = 2
+# Number of completed runs of a step whose durations are kept.
+_KEPT_DURATIONS = 100
 
 
 class RunState(enum.Enum):
@@ -200,8 +202,8 @@
     # Number of completed runs and the sum of their durations.
     completed_count: int = 0
     completed_ms: float = 0.0
-    # Durations of its latest completed runs in ms.
-    durations_ms: deque[float] = attrs.field(factory=lambda: deque(maxlen=100))
+    # Durations of its latest completed runs in ms. An empty deque would take 760 bytes.
+    durations_ms: deque[float] | None = None
     # Their usual duration, with that of the present runs, and when it was measured.
     peer_ms: float | None = None
     peers_measured_ms: float = float("-inf")
@@ -212,7 +214,7 @@
     # For a queue that needs advice: ticket and local expiry time for each approved runner, the
     # runners that were not approved, and when advice was last requested.
     tickets: dict[str, tuple[str, float]] = attrs.field(factory=dict)
-    unapproved: set[str] = attrs.field(factory=set)
+    unapproved: frozenset[str] = frozenset()
     advice_requested_ms: float = float("-inf")
     # Since when no runner has fitted a waiting task; infinite while no task is blocked.
     blocked_ms: float = float("inf")
@@ -228,6 +230,12 @@
         """Unique identifier of the step."""
         return self.job.record.id, self.occurrence.number, self.number
 
+    def record_duration(self, duration_ms: float) -> None:
+        """Add the duration of a completed run in ms to the latest ones."""
+        if self.durations_ms is None:
+            self.durations_ms = deque(maxlen=_KEPT_DURATIONS)
+        self.durations_ms.append(duration_ms)
+
     def find_ticket(self, runner_id: str, now_ms: float) -> str:
         """Return the ticket for a runner that is valid at a local time; empty for none."""
         ticket, until_ms = self.tickets.get(runner_id, ("", 0.0))
@@ -282,11 +290,9 @@
     version, durable_version : int
         Number of the last change, and of the last change that the store has acknowledged.
     occurrences : dict of int to Occurrence
-        Occurrences that are due and not done, by number.
-    later_occurrences : dict of int to Occurrence
-        Occurrences that aren't due yet.
+        Occurrences that have begun and aren't done, and those with reported runs, by number.
     next_occurrence : int
-        Position in the order of their due times of the first occurrence that isn't due yet.
+        Position in the order of their due times of the first occurrence that hasn't begun.
     open_task_count : int
         Number of tasks that aren't done.
     """
@@ -297,7 +303,6 @@
     version: int = 0
     durable_version: int = 0
     occurrences: dict[int, Occurrence] = attrs.field(factory=dict)
-    later_occurrences: dict[int, Occurrence] = attrs.field(factory=dict)
     next_occurrence: int = 0
     open_task_count: int = 0
     # Whether a start was carried out; the response or a report shows it.
@@ -307,18 +312,22 @@
     idle_since_ms: float = float("inf")
 
     def iter_steps(self) -> Iterator[StepRun]:
-        """Iterate over the steps of the occurrences that are due and not done."""
+        """Iterate over the steps of `occurrences`."""
         return (step for occurrence in self.occurrences.values() for step in occurrence.steps)
 
     def find_step(self, occurrence: int, number: int) -> StepRun | None:
-        """Return a step of an occurrence that isn't done; None if there is none."""
-        found = self.occurrences.get(occurrence) or self.later_occurrences.get(occurrence)
+        """Return a step of `occurrences`; None if there is none."""
+        found = self.occurrences.get(occurrence)
         if found is None or not 0 <= number < len(found.steps):
             return None
         return found.steps[number]
 
+    def has_occurrence(self, number: int) -> bool:
+        """Return whether an open job has an occurrence with a number."""
+        return self.record.spec is not None and 0 <= number < self.record.spec.occurrence_count
+
     def count_due_tasks(self) -> int:
-        """Return the number of tasks of the occurrences that are due and not done."""
+        """Return the number of tasks of `occurrences`."""
         if not self.occurrences:
             return 0
         return len(self.occurrences) * self.record.spec.occurrence_task_count
--- a/coltsfootpier/cells/tests/test_schedule.py
+++ b/coltsfootpier/cells/tests/test_schedule.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import tracemalloc
 import unittest
+from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
@@ -17,8 +19,18 @@
     build_queue,
     build_step,
 )
-from coltsfootpier.jobs import JobRecord, JobSpec, JobState, StepSpec, TaskKey
+from coltsfootpier.jobs import (
+    JobRecord,
+    JobSpec,
+    JobState,
+    StepSpec,
+    TaskKey,
+    decode_record,
+    encode_record,
+)
 
+# An owner with 200 MB of memory, the smallest entry VM, has an eighth of it for 40 such jobs.
+MAX_JOB_BYTES = 200 * 1024 * 1024 // 8 // 40
 HOUR_MS = 3_600_000.0
 MINUTE_MS = 60_000.0
 
@@ -47,6 +59,16 @@
     )
 
 
+def measure_memory(action: Callable[[], Any]) -> int:
+    """Return the memory in bytes that an action has allocated and not released."""
+    tracemalloc.start()
+    try:
+        action()
+        return tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+
+
 class PlanCostTest(unittest.TestCase):
     """Estimated durations that plans and submissions compute, as a measure of their time."""
 
@@ -122,6 +144,61 @@
         self.assertEqual(set(states), {JobState.COMPLETED})
 
 
+class MemoryTest(unittest.TestCase):
+    """Memory of jobs with many occurrences."""
+
+    def setUp(self) -> None:
+        """Start a cell with one runner."""
+        self.harness = SimulatedCell(("a",))
+        self.harness.join()
+
+    def test_occurrences_to_come_take_no_memory(self):
+        """Guards against owners that run out of memory over occurrences not due (review/13)."""
+        spec = build_scheduled_job(
+            build_chain(5), self.harness, occurrences=1_000, due_in_ms=HOUR_MS
+        )
+
+        def submit() -> None:
+            for number in range(4):
+                self.harness.submit(f"j{number}", spec)
+
+        self.assertLess(measure_memory(submit), 4 * MAX_JOB_BYTES)
+
+    def test_many_due_occurrences_take_bounded_memory(self):
+        """Guards against the same when all of them are due at once."""
+        spec = build_scheduled_job(
+            build_chain(5), self.harness, occurrences=1_000, due_in_ms=0, interval_ms=1
+        )
+
+        def submit() -> None:
+            for number in range(40):
+                self.harness.submit(f"j{number}", spec)
+            self.harness.advance(1_000)
+
+        self.assertLess(measure_memory(submit), 40 * MAX_JOB_BYTES)
+
+    def test_loaded_job_takes_little_memory_for_done_tasks(self):
+        """Guards against a later owner that holds a key for each task that is done."""
+        spec = build_scheduled_job(build_chain(20), self.harness, occurrences=1_000, due_in_ms=0)
+        record = JobRecord(
+            id="j",
+            queue="batch",
+            service="web",
+            accepted_unix_ms=0.0,
+            spec=spec,
+            done={TaskKey(number, step, 0) for number in range(999) for step in range(20)},
+        )
+        body = encode_record(record)
+        later = SimulatedCell(("a",), generation=2)
+
+        def load() -> None:
+            decoded = decode_record(body).unwrap()
+            later.cell.load([decoded], [], now_ms=later.now_ms, unix_ms=later.unix_ms)
+
+        self.assertLess(measure_memory(load), MAX_JOB_BYTES)
+        self.assertEqual(encode_record(later.cell.jobs.jobs["j"].record), body)
+
+
 class OccurrenceOrderTest(unittest.TestCase):
     """Which occurrences begin, and when."""
 
--- a/coltsfootpier/jobs/__init__.py
+++ b/coltsfootpier/jobs/__init__.py
@@ -9,6 +9,7 @@
     find_job_error,
 )
 from coltsfootpier.jobs._record import JobRecord, RecordError, decode_record, encode_record
+from coltsfootpier.jobs._task_set import TaskSet
 
 __all__ = [
     "JobRecord",
@@ -18,6 +19,7 @@
     "RecordError",
     "StepSpec",
     "TaskKey",
+    "TaskSet",
     "decode_record",
     "encode_record",
     "find_job_error",
--- a/coltsfootpier/jobs/_record.py
+++ b/coltsfootpier/jobs/_record.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import MutableSet
+
 import attrs
 import orjson
 from returns.result import Failure, Result, Success
 
 from coltsfootpier.exceptions import ColtsfootpierError
 from coltsfootpier.jobs._model import JobSpec, JobState, Queue, TaskKey
+from coltsfootpier.jobs._task_set import TaskSet
 from coltsfootpier.transport import MalformedMessageError, decode, unstructure
 
 
@@ -34,7 +37,7 @@
         to the owner and the runners.
     spec : JobSpec, optional
         None once the state is final, which keeps records of ended jobs small.
-    done : set of TaskKey
+    done : MutableSet of TaskKey
         Tasks that have completed.
     failures : dict of TaskKey to set of int
         Numbers of the failed attempts of each task. A runner reports an ended run until it is
@@ -53,7 +56,7 @@
     accepted_unix_ms: float
     state: JobState = JobState.QUEUED
     spec: JobSpec | None = None
-    done: set[TaskKey] = attrs.field(factory=set)
+    done: MutableSet[TaskKey] = attrs.field(factory=set)
     failures: dict[TaskKey, set[int]] = attrs.field(factory=dict)
     queue_values: Queue | None = None
     queue_version: int = 0
@@ -88,7 +91,8 @@
     """Decode a record from the store; return a `RecordError` if it is malformed."""
     try:
         value = orjson.loads(body)
-        spec = value.get("spec")
+        spec = None if value.get("spec") is None else decode(value["spec"], JobSpec)
+        done = map(_decode_key, value.get("done", ()))
         queue, version = _decode_queue(value)
         return Success(
             JobRecord(
@@ -97,8 +101,8 @@
                 service=decode(value["service"], str),
                 accepted_unix_ms=decode(value["accepted"], float),
                 state=JobState(value["state"]),
-                spec=None if spec is None else decode(spec, JobSpec),
-                done={_decode_key(key) for key in value.get("done", ())},
+                spec=spec,
+                done=set(done) if spec is None else TaskSet(spec, done),
                 failures={
                     _decode_key(key): decode(attempts, set[int])
                     for *key, attempts in value.get("failures", ())
