Bound the memory of accepted jobs by that of the smallest entry VM

What callers saw: the sum over jobs counted, not the size of one.

Cause: the only bound, max_open_tasks, counts the waiting tasks of steps that are ready. Jobs that wait for their due time or for earlier steps had none.

Change: JobMemory estimates what each job takes and rejects a job that doesn't fit (429, "memory", Retry-After 1 s, or 3 s with a schedule) beside the runners, the connections and a reserve of an eighth. The smallest entry VM counts, since each owner loads all jobs. Jobs with a schedule may take half. Due occurrences beyond the first of a job begin while there is memory. The numbers of steps in `after` are kept once each.

The estimate is above the allocated memory in each case of test_job_memory.

--- a/coltsfootpier/cells/_admission.py
+++ b/coltsfootpier/cells/_admission.py
@@ -83,7 +83,8 @@
     Parameters
     ----------
     reason : str
-        ``unknown_queue``, ``backlog``, ``capacity``, ``tasks``, ``store`` or ``starting``.
+        ``unknown_queue``, ``backlog``, ``capacity``, ``tasks``, ``memory``, ``store`` or
+        ``starting``.
     retry_after_ms : float
         Time after which a retry may succeed.
     queueing_delay_ms, critical_path_ms : float
--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -28,6 +28,7 @@
 )
 from coltsfootpier.cells._incarnations import IncarnationTracker
 from coltsfootpier.cells._interference import InterferenceTable
+from coltsfootpier.cells._job_memory import JobMemory
 from coltsfootpier.cells._jobs import JobTable
 from coltsfootpier.cells._learned import LearnedState
 from coltsfootpier.cells._messages import (
@@ -96,6 +97,7 @@
             counters=self.counters,
             observe=observe,
             max_due_tasks=settings.max_due_tasks,
+            memory=JobMemory(settings.memory_mb, lambda: len(self.fleet.runners)),
         )
         self.fleet = Fleet(settings=settings, generation=generation, log=log)
         self._interference = InterferenceTable(settings)
@@ -253,6 +255,12 @@
         waiting = sum(len(step.waiting) for step in self.jobs.ready.values())
         if waiting + tasks > settings.max_open_tasks:
             return Rejected("tasks", settings.tasks_retry_ms)
+        if not self.jobs.memory.has_room_for(spec):
+            is_scheduled = spec.occurrences > 0
+            return Rejected(
+                "memory",
+                settings.scheduled_retry_ms if is_scheduled else settings.memory_retry_ms,
+            )
         # A new owner that doesn't know its runners yet has no reason to reject a job.
         if spec.occurrences or not self.fleet.is_listed:
             return None
--- a/coltsfootpier/cells/_jobs.py
+++ b/coltsfootpier/cells/_jobs.py
@@ -7,6 +7,7 @@
 from itertools import islice
 
 from coltsfootpier.cells._durability import DirtyJobs
+from coltsfootpier.cells._job_memory import JobMemory
 from coltsfootpier.cells._messages import RunId
 from coltsfootpier.cells._schedule import OccurrenceSchedule
 from coltsfootpier.cells._state import Job, Occurrence, Run, StepRun
@@ -32,6 +33,8 @@
         Callback that adds a latency in ms to the histogram with the given name.
     max_due_tasks : int
         Number of tasks of due occurrences from which later ones wait, see `OccurrenceSchedule`.
+    memory : JobMemory
+        Counts the memory of the jobs.
     """
 
     def __init__(
@@ -41,6 +44,7 @@
         counters: Counter[str],
         observe: Callable[[str, float], None],
         max_due_tasks: int,
+        memory: JobMemory,
     ) -> None:
         self._log = log
         self._observe = observe
@@ -52,7 +56,8 @@
         self.ready: dict[tuple[str, int, int], StepRun] = {}
         # Jobs that an earlier owner accepted; it may have started their tasks.
         self.inherited: set[str] = set()
-        self._schedule = OccurrenceSchedule(max_due_tasks=max_due_tasks)
+        self.memory = memory
+        self._schedule = OccurrenceSchedule(max_due_tasks=max_due_tasks, memory=memory)
         self._dirty = DirtyJobs()
         # Jobs in a final state, oldest first, and the local time at which each was known to end.
         self._ended: deque[tuple[float, Job]] = deque()
@@ -111,6 +116,7 @@
             self._add_tasks(job, now_ms)
         if not job.is_open:
             self._ended.append((now_ms, job))
+        self.memory.count(job)
         return job
 
     def _build_unknown_queue(self, record: JobRecord) -> Queue:
@@ -139,6 +145,7 @@
             if occurrence.is_done:
                 return None
             job.occurrences[number] = occurrence
+            self.memory.count(job)
         return occurrence
 
     def _build_occurrence(self, job: Job, number: int) -> Occurrence:
@@ -228,6 +235,7 @@
         if job is not None:
             self._dirty.remove(job_id)
             self._drop_steps(job)
+            self.memory.remove(job)
 
     def close(self, job: Job, state: JobState, reason: str, now_ms: float) -> list[Run]:
         """Set the final state of a job and return the runs to stop."""
@@ -252,6 +260,7 @@
         job.record.done = set()
         job.record.failures = {}
         job.record.queue_values = None
+        self.memory.count(job)
         return runs
 
     def _drop_steps(self, job: Job) -> None:
@@ -294,6 +303,7 @@
     def _end_occurrence(self, job: Job, occurrence: Occurrence) -> None:
         """Drop the state of an occurrence whose tasks are done while its job goes on."""
         del job.occurrences[occurrence.number]
+        self.memory.count(job)
         # Late reports of its failed runs find no step, so that they aren't counted again.
         failures = job.record.failures
         for key in [key for key in failures if key.occurrence == occurrence.number]:
@@ -354,7 +364,8 @@
         removed = set(job_ids)
         while self._ended and self._ended[0][1].record.id in removed:
             _, job = self._ended.popleft()
-            self.jobs.pop(job.record.id, None)
+            if self.jobs.pop(job.record.id, None) is job:
+                self.memory.remove(job)
 
     # Durability
 
--- a/coltsfootpier/cells/_schedule.py
+++ b/coltsfootpier/cells/_schedule.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from coltsfootpier.cells._job_memory import JobMemory
 from coltsfootpier.cells._state import Job
 
 
@@ -25,10 +26,13 @@
     max_due_tasks : int
         Number of tasks of the occurrences that have begun from which a job with one of them begins
         no further one. Those of less urgent queues don't count.
+    memory : JobMemory
+        Memory of all jobs, which has to have room for a further one as well.
     """
 
-    def __init__(self, *, max_due_tasks: int) -> None:
+    def __init__(self, *, max_due_tasks: int, memory: JobMemory) -> None:
         self._max_due_tasks = max_due_tasks
+        self._memory = memory
         self._jobs: dict[str, Job] = {}
         # No occurrence that hasn't begun is due before that time.
         self._next_due_unix_ms = float("inf")
@@ -60,7 +64,8 @@
         while due:
             priority, _, order, job = heapq.heappop(due)
             ahead = sum(count for other, count in open_tasks.items() if other <= priority)
-            if ahead >= self._max_due_tasks and job.occurrences:
+            has_room = ahead < self._max_due_tasks and self._memory.has_room_for_occurrence(job)
+            if job.occurrences and not has_room:
                 continue
             spec = job.record.spec
             number = spec.find_occurrence(job.next_occurrence)
--- a/coltsfootpier/cells/_settings.py
+++ b/coltsfootpier/cells/_settings.py
@@ -149,6 +149,12 @@
         Number of tasks of due occurrences of scheduled jobs from which a job with one occurrence
         begins no further one. At 53 starts a second, the highest rate that the system is made for,
         they last for 90 s.
+    memory_mb : int
+        Memory of the entry VM in MB; bounds the memory of jobs, see `JobMemory`.
+    memory_retry_ms, scheduled_retry_ms : float
+        Retry delay of a job that was rejected for the memory of jobs, without and with a schedule.
+        A typical job has ended by then. A scheduled one ends at a time that only its caller knows,
+        so its delay is the longest one.
     copy_gain_share : float
         Time by which a copy must be expected to end earlier than the run, as a share of the usual
         duration of the step's runs.
@@ -239,6 +245,9 @@
     long_running_retry_ms: float = 1_000.0
     max_open_tasks: int = 20_000
     max_due_tasks: int = 5_000
+    memory_mb: int = 200
+    memory_retry_ms: float = 1_000.0
+    scheduled_retry_ms: float = 3_000.0
     copy_gain_share: float = 0.25
     copy_outlier_factor: float = 1.5
     copy_undeclared_factor: float = 3.0
--- a/coltsfootpier/cells/_state.py
+++ b/coltsfootpier/cells/_state.py
@@ -295,6 +295,8 @@
         Position in the order of their due times of the first occurrence that hasn't begun.
     open_task_count : int
         Number of tasks that aren't done.
+    used_bytes, scheduled_bytes : int
+        Memory in bytes that `JobMemory` counts for the job.
     """
 
     record: JobRecord
@@ -305,6 +307,8 @@
     occurrences: dict[int, Occurrence] = attrs.field(factory=dict)
     next_occurrence: int = 0
     open_task_count: int = 0
+    used_bytes: int = 0
+    scheduled_bytes: int = 0
     # Whether a start was carried out; the response or a report shows it.
     started: bool = False
     # Number of its runs, and the local time of the first plan that found none; infinite before.
--- a/coltsfootpier/node/_callers.py
+++ b/coltsfootpier/node/_callers.py
@@ -36,7 +36,7 @@
 
 # Rejection reasons caused by the caller's load (429). All other reasons are caused by the system
 # (503).
-_OVERLOAD_REASONS = frozenset({"backlog", "capacity", "tasks"})
+_OVERLOAD_REASONS = frozenset({"backlog", "capacity", "memory", "tasks"})
 
 
 class OwnerClient(Protocol):
--- a/coltsfootpier/node/_daemon.py
+++ b/coltsfootpier/node/_daemon.py
@@ -17,7 +17,7 @@
 from coltsfootpier.node._control import ControlState
 from coltsfootpier.node._election import choose_claim_delay, choose_lease_ttl
 from coltsfootpier.node._metrics import Metrics
-from coltsfootpier.node._owner import Owner, limit_run_lease
+from coltsfootpier.node._owner import Owner, limit_cell_settings
 from coltsfootpier.node._peers import (
     CancelJob,
     JobRequest,
@@ -303,7 +303,7 @@
         item = head_item.unwrap()
         try:
             head: Head = decode_head(item.value).claim(
-                self._incarnation, get_bounds(limit_run_lease(self._cell_settings, settings))
+                self._incarnation, get_bounds(limit_cell_settings(self._cell_settings, settings))
             )
         except MalformedMessageError as error:
             log_event("cannot decode head record", reason=str(error))
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -60,13 +60,14 @@
 _UNREADABLE_JOB = Response(status=ResponseStatus.UNKNOWN, reason="unreadable record")
 
 
-def limit_run_lease(cell_settings: CellSettings, settings: NodeSettings) -> CellSettings:
-    """Return the cell's settings within the longest lease that the platform allows."""
+def limit_cell_settings(cell_settings: CellSettings, settings: NodeSettings) -> CellSettings:
+    """Return the settings of the cell within the limits of the platform and of this VM."""
     longest_ms = settings.max_run_lease_ms
     return attrs.evolve(
         cell_settings,
         run_lease_ms=min(cell_settings.run_lease_ms, _MAX_RUN_LEASE_FRACTION * longest_ms),
         max_run_lease_ms=longest_ms,
+        memory_mb=settings.memory_mb,
     )
 
 
@@ -129,7 +130,7 @@
         self._clock = clock
         self.info = info
         self.cell = Cell(
-            settings=limit_run_lease(cell_settings, settings),
+            settings=limit_cell_settings(cell_settings, settings),
             generation=head.generation,
             log=log_event,
             observe=metrics.observe,
--- a/coltsfootpier/platform/_callers.py
+++ b/coltsfootpier/platform/_callers.py
@@ -64,7 +64,9 @@
         memory_mb=_get_int(fields, "mem_mb"),
         gpus=_get_int(fields, "gpu"),
         estimate_ms=_get_float(fields, "estimate_ms"),
-        after=tuple(_require_int("after", number) for number in read_list(fields, "after", [])),
+        after=tuple(
+            sorted({_require_int("after", number) for number in read_list(fields, "after", [])})
+        ),
         checkpointed=_get_bool(fields, "checkpointed"),
         gang=_get_bool(fields, "gang"),
         same_rack=_get_bool(fields, "same_rack"),
--- a/coltsfootpier/settings/_settings.py
+++ b/coltsfootpier/settings/_settings.py
@@ -398,7 +398,9 @@
         "|---|---|---|---|",
         f"| `memory_mb` in `[limits]` | {DEFAULT_MEMORY_MB} | MB | Memory of the process. A "
         "quarter of it, or less if less is free, bounds what all connections of clients use, also "
-        "in the kernel. Needs a restart. |",
+        "in the kernel. Jobs may take at most a quarter of it, or of the 200 MB of the smallest "
+        "entry VM, and those with a schedule half of that; further ones are rejected (`memory`). "
+        "Needs a restart. |",
         "| `max_fds` in `[limits]` | required | descriptors | File descriptors of the process. A "
         "quarter of them bounds the connections of callers, a half those of other daemons, and a "
         "64th each those of the readiness check and of the metrics. Needs a restart. |",
