Report the longest plan and turn, and the work that isn't due

Change: gauges plan_max_ms and turn_max_ms (longest time for which the event loop ran no other task), also in "owner stopping"; steps_due, tasks_due and tasks_later; job_bytes, job_bytes_scheduled and job_bytes_max.

Result: tests of the gauges; a turn of 700 ms outside a plan shows as such.

--- a/coltsfootpier/cells/_gauges.py
+++ b/coltsfootpier/cells/_gauges.py
@@ -19,8 +19,17 @@
     runners = [runner for runner in fleet.runners.values() if runner.is_registered]
     runs = [run for runner in runners for run in runner.runs.values()]
     waiting = [step for step in jobs.ready.values() if step.waiting]
+    open_jobs = [job for job in jobs.jobs.values() if job.is_open]
+    due_steps = [step for job in open_jobs for step in job.iter_steps()]
+    due_tasks = sum(step.spec.count - step.done_count for step in due_steps)
     return {
-        "jobs_open": sum(job.is_open for job in jobs.jobs.values()),
+        "jobs_open": len(open_jobs),
+        "steps_due": len(due_steps),
+        "tasks_due": due_tasks,
+        "tasks_later": sum(job.open_task_count for job in open_jobs) - due_tasks,
+        "job_bytes": jobs.memory.used_bytes,
+        "job_bytes_scheduled": jobs.memory.scheduled_bytes,
+        "job_bytes_max": jobs.memory.max_bytes,
         "waiting": sum(len(step.waiting) for step in waiting),
         "waiting_fill": sum(len(step.waiting) for step in waiting if step.spec.fills),
         "waiting_held": fleet.unanswered_starts.held_tasks,
--- a/coltsfootpier/cells/tests/test_schedule.py
+++ b/coltsfootpier/cells/tests/test_schedule.py
@@ -144,6 +144,27 @@
         self.assertEqual(set(states), {JobState.COMPLETED})
 
 
+class GaugeTest(unittest.TestCase):
+    """What operators see of occurrences."""
+
+    def test_due_and_later_tasks(self):
+        """Guards against work that isn't due and shows in no metric."""
+        harness = SimulatedCell(("a",))
+        harness.join()
+        steps = [build_step(count=3), build_step(after=(0,))]
+        spec = build_scheduled_job(steps, harness, occurrences=10, due_in_ms=0)
+        harness.submit("j", spec)
+        harness.submit("k", build_job(build_step(count=2)))
+        harness.plan()
+        gauges = harness.cell.summarise()
+        self.assertEqual(
+            [gauges[name] for name in ("steps_due", "tasks_due", "tasks_later")], [3, 6, 36]
+        )
+        self.assertEqual(gauges["job_bytes"], harness.cell.jobs.memory.used_bytes)
+        self.assertLess(gauges["job_bytes_scheduled"], gauges["job_bytes"])
+        self.assertLess(gauges["job_bytes"], gauges["job_bytes_max"])
+
+
 class MemoryTest(unittest.TestCase):
     """Memory of jobs with many occurrences."""
 
--- a/coltsfootpier/node/_owner.py
+++ b/coltsfootpier/node/_owner.py
@@ -177,6 +177,8 @@
         # Local time at which the claim of each runner or VM to know a later owner was checked.
         self._fence_checked_ms: dict[str, float] = {}
         self._is_checking_fence = False
+        # Longest plan, and longest time for which the event loop ran no other task, in ms.
+        self._longest_plan_ms = self._longest_turn_ms = 0.0
         # Local time since which the ownership isn't proven; None while it is.
         self._unproven_since_ms: float | None = None
         self._fleet_entries: dict[str, RunnerEntry] = {}
@@ -219,6 +221,7 @@
             group.start_soon(self._verifier.run)
             group.start_soon(self._run_planner)
             group.start_soon(self._log_summaries)
+            group.start_soon(self._watch_turns)
             group.start_soon(self._save_learned)
             group.start_soon(self._unanswered_writer.run)
             if self._settings.vm_service is not None:
@@ -286,6 +289,8 @@
             generation=self.cell.generation,
             cause=str(cause),
             deadline_age_ms=now_ms - last_sent_ms,
+            plan_max_ms=self._longest_plan_ms,
+            turn_max_ms=self._longest_turn_ms,
             **self._describe_proof(now_ms),
         )
         if self._group is not None:
@@ -566,6 +571,7 @@
             self._track_proof()
             duration_ms = self._clock.now_ms() - started_ms
             self._metrics.observe("plan_ms", duration_ms)
+            self._longest_plan_ms = max(self._longest_plan_ms, duration_ms)
             pause_ms = max(_timing.MIN_PLAN_PERIOD_MS, _timing.PLAN_PAUSE_FACTOR * duration_ms)
             await anyio.sleep(pause_ms / 1000)
             with anyio.move_on_after(_timing.MAX_PLAN_WAIT_MS / 1000):
@@ -832,6 +838,8 @@
         return {
             **self.cell.summarise(),
             "generation": self.cell.generation,
+            "plan_max_ms": round(self._longest_plan_ms),
+            "turn_max_ms": round(self._longest_turn_ms),
             "commits": self._committer.commit_count,
             "head_reads": self._verifier.read_count,
             "is_ownership_proven": int(self._unproven_since_ms is None),
@@ -847,6 +855,15 @@
         causes = {f"reports_{cause}": counts[cause] for cause in REPORT_CAUSES}
         return {"reports": counts.total(), **causes}
 
+    async def _watch_turns(self) -> None:
+        """Measure how much later than asked for a pause ends, whatever task keeps the loop busy."""
+        pause_ms = _timing.TURN_CHECK_PERIOD_MS
+        while True:
+            started_ms = self._clock.now_ms()
+            await anyio.sleep(pause_ms / 1000)
+            turn_ms = self._clock.now_ms() - started_ms - pause_ms
+            self._longest_turn_ms = max(self._longest_turn_ms, turn_ms)
+
     async def _log_summaries(self) -> None:
         while True:
             await anyio.sleep(_timing.SUMMARY_PERIOD_MS / 1000)
--- a/coltsfootpier/node/_timing.py
+++ b/coltsfootpier/node/_timing.py
@@ -96,6 +96,9 @@
 EXIT_RESERVE_MS = 1_000.0
 # Retry delay given to a caller when there is no owner or no store.
 DEFAULT_RETRY_AFTER_MS = 1_000.0
+# Time between measurements of the event loop's delay, below the lease, so that each turn as long as
+# the lease shows in full but for that time.
+TURN_CHECK_PERIOD_MS = 250.0
 # Time between two log lines with the cell's gauges.
 SUMMARY_PERIOD_MS = 1_000.0
 # Time between writes of the learned state; each is part of a change that is sent anyway. The
--- a/coltsfootpier/node/tests/test_owner.py
+++ b/coltsfootpier/node/tests/test_owner.py
@@ -148,11 +148,33 @@
             generation=1,
             cause="fenced",
             deadline_age_ms=30.0,
+            plan_max_ms=0.0,
+            turn_max_ms=0.0,
             proof="store",
             proof_age_ms=1_230.0,
         )
 
 
+class TurnTest(OwnerTestCase):
+    """The longest turn of the event loop in the gauges of an owner."""
+
+    def test_long_turn_shows(self):
+        """Guards against an owner that hangs outside its plans, which no metric would tell."""
+
+        async def block() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.owner._watch_turns)
+                await anyio.wait_all_tasks_blocked()
+                self.clock.advance(_timing.TURN_CHECK_PERIOD_MS + 700.0)
+                with anyio.fail_after(TIMEOUT_MS / 1000):
+                    while self.owner.read_gauges()["turn_max_ms"] != 700:
+                        await anyio.sleep(0.01)
+                group.cancel_scope.cancel()
+
+        anyio.run(block)
+        self.assertEqual(self.owner.read_gauges()["plan_max_ms"], 0)
+
+
 class FenceTest(OwnerTestCase):
     """Runners that reject the owner's token because they know a later one."""
 
