Let other tasks run while large records are loaded and written

What callers would see: an owner that loses its lease, and successors that lose theirs while they load.

Change: the loader lets other tasks run before each record. A change holds records of 250 KB, or one. A record whose specification is invalid counts as one that can't be decoded, since its numbers size what an owner allocates. The soak uses the new name of limit_cell_settings, which had missed.

Result: test_other_tasks_run_between_records and test_large_records_share_no_change failed before (1 turn; 4 records at once) and pass.

--- a/coltsfootpier/cells/_jobs.py
+++ b/coltsfootpier/cells/_jobs.py
@@ -129,7 +129,8 @@
     def _add_tasks(self, job: Job, now_ms: float) -> None:
         """Add what is left to run of a new or inherited job."""
         record = job.record
-        record.done = TaskSet(record.spec, record.done)
+        if not isinstance(record.done, TaskSet):
+            record.done = TaskSet(record.spec, record.done)
         job.started = bool(record.done)
         job.open_task_count = record.spec.task_count - len(record.done)
         if record.spec.occurrences:
--- a/coltsfootpier/jobs/_record.py
+++ b/coltsfootpier/jobs/_record.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from coltsfootpier.exceptions import ColtsfootpierError
-from coltsfootpier.jobs._model import JobSpec, JobState, Queue, TaskKey
+from coltsfootpier.jobs._model import JobSpec, JobState, Queue, TaskKey, find_job_error
 from coltsfootpier.jobs._task_set import TaskSet
 from coltsfootpier.transport import MalformedMessageError, decode, unstructure
 
@@ -80,7 +80,11 @@
     }
     if record.spec is not None:
         value["spec"] = unstructure(record.spec)
-        value["done"] = [list(key) for key in sorted(record.done)]
+        value["done"] = (
+            record.done.list_rows()
+            if isinstance(record.done, TaskSet)
+            else sorted(map(tuple, record.done))
+        )
         value["failures"] = [[*key, sorted(attempts)] for key, attempts in record.failures.items()]
         if record.queue_values is not None:
             value["queue_values"] = _encode_queue(record.queue_values, record.queue_version)
@@ -91,7 +95,7 @@
     """Decode a record from the store; return a `RecordError` if it is malformed."""
     try:
         value = orjson.loads(body)
-        spec = None if value.get("spec") is None else decode(value["spec"], JobSpec)
+        spec = None if value.get("spec") is None else _decode_spec(value["spec"])
         done = map(_decode_key, value.get("done", ()))
         queue, version = _decode_queue(value)
         return Success(
@@ -122,8 +126,21 @@
         return Failure(RecordError(f"malformed job record: {error!r}"))
 
 
+def _decode_spec(value: object) -> JobSpec:
+    """Decode a specification, whose numbers size what an owner allocates."""
+    spec = decode(value, JobSpec)
+    error = find_job_error(spec)
+    if error:
+        raise ValueError(error)
+    return spec
+
+
 def _decode_key(value: list[object]) -> TaskKey:
-    return TaskKey(*decode(value, tuple[int, int, int]))
+    # Without the generic decoder, since a record may have 20,000 keys.
+    occurrence, step, index = value
+    if type(occurrence) is not int or type(step) is not int or type(index) is not int:
+        raise ValueError(f"task key {value!r}, allowed: three whole numbers")
+    return TaskKey(occurrence, step, index)
 
 
 def _encode_queue(queue: Queue, version: int) -> list[object]:
--- a/coltsfootpier/jobs/_task_set.py
+++ b/coltsfootpier/jobs/_task_set.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from bisect import bisect_right
 from collections.abc import Iterable, Iterator, MutableSet
 from itertools import accumulate
 
@@ -65,16 +64,18 @@
 
     def __iter__(self) -> Iterator[TaskKey]:
         """Iterate over the tasks in the order of their keys."""
-        for number, byte in enumerate(self._bits):
-            if byte:
-                for bit in range(8):
-                    if byte & 1 << bit:
-                        yield self._build_key(8 * number + bit)
-
-    def _build_key(self, position: int) -> TaskKey:
-        occurrence, position = divmod(position, self._stride)
-        step = bisect_right(self._offsets, position) - 1
-        return TaskKey(occurrence, step, position - self._offsets[step])
+        return (TaskKey(*row) for row in self.list_rows())
+
+    def list_rows(self) -> list[tuple[int, int, int]]:
+        """Return the tasks in the order of their keys, as plain tuples."""
+        bits = self._bits
+        tasks = [(step, index) for step, count in enumerate(self._counts) for index in range(count)]
+        return [
+            (occurrence, *task)
+            for occurrence in range(self._occurrences)
+            for position, task in enumerate(tasks, occurrence * self._stride)
+            if bits[position >> 3] & 1 << (position & 7)
+        ]
 
     def add(self, key: TaskKey) -> None:
         """Add a task of the job."""
--- a/coltsfootpier/jobs/tests/test_record.py
+++ b/coltsfootpier/jobs/tests/test_record.py
@@ -57,6 +57,9 @@
             "queue_values": [12, 3, 4, 1.5, 250.5, 1],
         }
         self.assertNotIsInstance(decode_record(orjson.dumps(record)), Failure)
+        for steps in ([{"count": 2**50}], [{"count": 1, "after": [3]}], [{"count": -1}], []):
+            odd = {**record, "spec": {"payload": "", "steps": steps}}
+            self.assertIsInstance(decode_record(orjson.dumps(odd)), Failure)
         for text in (b"[1]", b"[[1]]", b'["a"]', b"7e300", build_nested_text(1_000)):
             for name in record:
                 if name == "accepted" and text == b"7e300":
--- a/coltsfootpier/node/_committer.py
+++ b/coltsfootpier/node/_committer.py
@@ -33,6 +33,10 @@
 _MAX_REMOVED_JOBS = 4
 # Maximum number of single records (see `Committer.put_record`) that one change writes.
 _MAX_SINGLE_RECORDS = 4
+# Size of the job records of a change from which it holds no further one. A record of 20,000 done
+# tasks has 210 KB; twenty of them in one change would keep the event loop from renewing the lease,
+# and the slowest link (5 Mbit/s) busy for several seconds.
+_MAX_JOB_RECORDS_BYTES = 250_000
 # Entries of a change other than job records and single records: the expected and the new head, the
 # expected and the new owner's key, the fleet, the learned state, and removals.
 _RESERVED_ENTRIES = 6 + _MAX_REMOVED_JOBS
@@ -204,7 +208,9 @@
     async def _commit(self, cell: Cell) -> OwnershipLost | None:
         """Commit one change; return None unless it shows that another daemon owns the cell."""
         single_records = dict(list(self._single_records.items())[:_MAX_SINGLE_RECORDS])
-        batch = cell.jobs.list_dirty(MAX_ENTRIES - _RESERVED_ENTRIES - len(single_records))
+        batch, job_puts = _encode_jobs(
+            cell.jobs.list_dirty(MAX_ENTRIES - _RESERVED_ENTRIES - len(single_records))
+        )
         fleet, lease, learned = self._fleet, self._lease_to_bind, self._learned
         if not (batch or fleet or lease or single_records or self._is_token_needed):
             return None
@@ -214,8 +220,7 @@
         )
         next_head = self._head.next(self.bounds, raises_token=self._is_token_needed)
         self._on_head(next_head)
-        puts = [Write(HEAD_KEY, encode(next_head))]
-        puts += [Write(job_key(job.record.id), encode_record(job.record)) for job, _ in batch]
+        puts = [Write(HEAD_KEY, encode(next_head)), *job_puts]
         puts += [Write(key, value) for key, value in single_records.items()]
         expect = {HEAD_KEY: self._revision}
         if fleet:
@@ -364,3 +369,16 @@
             found_holder=found_head.holder,
         )
         return OwnershipLost(found_head)
+
+
+def _encode_jobs(jobs: list[tuple[Job, int]]) -> tuple[list[tuple[Job, int]], list[Write]]:
+    """Return those of the jobs that fit into one change, at least the first, and their writes."""
+    puts: list[Write] = []
+    size = 0
+    for job, _ in jobs:
+        value = encode_record(job.record)
+        size += len(value)
+        if puts and size > _MAX_JOB_RECORDS_BYTES:
+            break
+        puts.append(Write(job_key(job.record.id), value))
+    return jobs[: len(puts)], puts
--- a/coltsfootpier/node/_records.py
+++ b/coltsfootpier/node/_records.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 from typing import TypeVar
 
+import anyio.lowlevel
 import attrs
 from returns.result import Failure, Result, Success
 
@@ -122,6 +123,8 @@
     records: list[JobRecord] = []
     unreadable_jobs: set[str] = set()
     for item in items.unwrap():
+        # The lease has to be renewed meanwhile: a record may list 20,000 done tasks.
+        await anyio.lowlevel.checkpoint()
         decoded = decode_record(item.value)
         if isinstance(decoded, Failure):
             log_event("cannot decode record", key=item.key, reason=str(decoded.failure()))
--- a/coltsfootpier/node/tests/test_committer.py
+++ b/coltsfootpier/node/tests/test_committer.py
@@ -6,8 +6,9 @@
 import anyio
 from returns.result import Failure, Success
 
-from coltsfootpier.cells.tests.builders import SimulatedCell
+from coltsfootpier.cells.tests.builders import SimulatedCell, build_job, build_step
 from coltsfootpier.clock import VirtualClock
+from coltsfootpier.jobs import TaskKey
 from coltsfootpier.journal import Head, decode_head
 from coltsfootpier.node import _timing
 from coltsfootpier.node._change_sender import MAX_ATTEMPTS, ChangeSender
@@ -67,6 +68,22 @@
         self.assertEqual(job.durable_version, job.version)
         self.assertIsNotNone(self.store.read(job_key("j")).value)
 
+    def test_large_records_share_no_change(self):
+        """Guards against a change whose records keep the event loop from renewing the lease."""
+        spec = build_job(*[build_step()] * 20, occurrences=1_000)
+        for name in ("i", "j", "k"):
+            job = self.simulated.submit(name, spec).job
+            for number in range(900):
+                for step in range(20):
+                    job.record.done.add(TaskKey(number, step, 0))
+        self.simulated.submit("small")
+        sizes = []
+        for _ in range(4):
+            before = self.simulated.cell.jobs.dirty_count
+            self._commit()
+            sizes.append(before - self.simulated.cell.jobs.dirty_count)
+        self.assertEqual(sizes, [1, 1, 2, 0])
+
     def test_learned_state_is_written_with_next_change(self):
         """Guards against a store call for learned state alone, and against its loss."""
         self.committer.put_learned(b"{}")
--- a/coltsfootpier/node/tests/test_records.py
+++ b/coltsfootpier/node/tests/test_records.py
@@ -4,9 +4,11 @@
 from unittest import mock
 
 import anyio
+import anyio.lowlevel
 from returns.result import Success
 
-from coltsfootpier.cells.tests.builders import build_entry
+from coltsfootpier.cells.tests.builders import build_entry, build_job, build_step
+from coltsfootpier.jobs import JobRecord, TaskSet, encode_record
 from coltsfootpier.node._records import encode_fleet, load_records
 from coltsfootpier.node.keys import FLEET_KEY, MAINTENANCE_KEY, job_key
 from coltsfootpier.node.tests.builders import MemoryStore
@@ -29,6 +31,37 @@
         with mock.patch("coltsfootpier.node._records.log_event") as self.log:
             return anyio.run(load_records, self.store).unwrap()
 
+    def test_other_tasks_run_between_records(self):
+        """Guards against a new owner that can't renew its lease while it decodes large records."""
+        spec = build_job(*[build_step()] * 20, occurrences=1_000)
+        for number in range(5):
+            job_id = f"{number:016x}"
+            record = JobRecord(
+                id=job_id,
+                queue="q",
+                service="s",
+                accepted_unix_ms=0.0,
+                spec=spec,
+                done=TaskSet(spec),
+            )
+            self.store.put(job_key(job_id), encode_record(record))
+        turns = []
+
+        async def load():
+            async with anyio.create_task_group() as group:
+                group.start_soon(count_turns)
+                loaded = await load_records(self.store)
+                group.cancel_scope.cancel()
+            return loaded.unwrap()
+
+        async def count_turns():
+            while True:
+                turns.append(None)
+                await anyio.lowlevel.checkpoint()
+
+        self.assertEqual(len(anyio.run(load).jobs), 5)
+        self.assertGreaterEqual(len(turns), 5)
+
     def test_unreadable_list_of_runners_is_not_empty(self):
         """Guards against an owner that waits for no runner and starts every task a second time."""
         self.store.put(FLEET_KEY, b'{"runners":7}')
--- a/soak/_run_simulation.py
+++ b/soak/_run_simulation.py
@@ -25,7 +25,7 @@
 from coltsfootpier.node import _owner as owner_module
 from coltsfootpier.node._control import ControlState
 from coltsfootpier.node._metrics import Metrics
-from coltsfootpier.node._owner import Owner, limit_run_lease
+from coltsfootpier.node._owner import Owner, limit_cell_settings
 from coltsfootpier.node.keys import CONTROL_PREFIX, HEAD_KEY, OWNER_KEY
 from coltsfootpier.node.tests.builders import build_settings
 from coltsfootpier.platform import Write
@@ -217,7 +217,7 @@
             origin_s=self.rng.uniform(0.0, 1_000.0),
         )
         head = decode_head(item.value).claim(
-            host.name, get_bounds(limit_run_lease(self._cell_settings, build_settings()))
+            host.name, get_bounds(limit_cell_settings(self._cell_settings, build_settings()))
         )
         info = OwnerInfo(holder=host.name, address="127.0.0.1:1", generation=head.generation)
         lease = self.store.grant(_timing.OWNER_LEASE_MS)
