Add jobs with a schedule to the simulation of runs

The simulation had no jobs with a schedule, whose state is created late since this issue: an owner may find runs, ends and records of occurrences that it hasn't begun.

--- a/coltsfootpier/cells/_cell.py
+++ b/coltsfootpier/cells/_cell.py
@@ -92,6 +92,7 @@
         self._log = log
         self.generation = generation
         self.counters: Counter[str] = Counter()
+        self.fleet = Fleet(settings=settings, generation=generation, log=log)
         self.jobs = JobTable(
             log=log,
             counters=self.counters,
@@ -99,7 +100,6 @@
             max_due_tasks=settings.max_due_tasks,
             memory=JobMemory(settings.memory_mb, lambda: len(self.fleet.runners)),
         )
-        self.fleet = Fleet(settings=settings, generation=generation, log=log)
         self._interference = InterferenceTable(settings)
         self._estimates = Estimates(self._interference, lateness_factor=settings.admit_late)
         self._speeds = RunnerSpeeds(settings=settings, log=log, counters=self.counters)
--- a/soak/_run_simulation.py
+++ b/soak/_run_simulation.py
@@ -10,7 +10,7 @@
 import random
 import types
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from unittest import mock
 
 import anyio
@@ -56,8 +56,8 @@
 _LOGGED_FIELDS = ("run", "runner", "runs", "reason", "outcome", "cause", "deadline_ms", "proof")
 # Kinds of injected series of faults.
 RANDOM, RECUT, MIXED = "random", "recut", "mixed"
-COPIES, EVACUATION = "copies", "evacuation"
-SERIES = (RANDOM, RECUT, MIXED, COPIES, EVACUATION)
+COPIES, EVACUATION, SCHEDULED = "copies", "evacuation", "scheduled"
+SERIES = (RANDOM, RECUT, MIXED, COPIES, EVACUATION, SCHEDULED)
 # Runs of a task of a speculative step that may exist at once.
 _MAX_RUNS = 2
 # Shares of the runs of speculative tasks that are slow and that fail, and duration of a slow one
@@ -378,9 +378,29 @@
     # Jobs
 
     async def submit(
-        self, job_id: str, *, duration_ms: float, count: int = 1, speculative: bool = False
+        self,
+        job_id: str,
+        *,
+        duration_ms: float,
+        count: int = 1,
+        speculative: bool = False,
+        schedule: Mapping[str, float] | None = None,
     ) -> None:
-        """Hand a job of equal tasks to the latest owner."""
+        """Hand a job of equal tasks to the latest owner.
+
+        Parameters
+        ----------
+        job_id : str
+            Identifier of the job.
+        duration_ms : float
+            Duration of its tasks; infinite for a long-running job.
+        count : int, default=1
+            Number of tasks of each step.
+        speculative : bool, default=False
+            Whether copies of its tasks may run.
+        schedule : Mapping of str to float, optional
+            Fields of the schedule of a job, which then has two steps.
+        """
         self._durations_ms[job_id] = duration_ms
         if speculative:
             self.history.speculative[job_id] = SpeculativeRules(
@@ -397,9 +417,9 @@
         owner = self.current
         if owner.host.dead:
             return
-        submission = owner.owner.submit(
-            job_id, _QUEUE, JobSpec(payload="p", steps=(step,)), 2_000.0
-        )
+        steps = (step, attrs.evolve(step, after=(0,))) if schedule else (step,)
+        spec = JobSpec(payload="p", steps=steps, **(schedule or {}))
+        submission = owner.owner.submit(job_id, _QUEUE, spec, 2_000.0)
         self.loop.start(owner.host, submission)
 
     def patch_time(self) -> mock._patch:
@@ -616,7 +636,7 @@
         has_zones=series == EVACUATION,
     )
     injectors: list[FaultInjector | RecutInjector | EvacuationInjector] = []
-    if series in (RANDOM, MIXED, COPIES, EVACUATION):
+    if series in (RANDOM, MIXED, COPIES, EVACUATION, SCHEDULED):
         injectors.append(FaultInjector(simulation=simulation, seed=seed))
     if series in (RECUT, MIXED):
         injectors.append(RecutInjector(simulation=simulation, seed=seed))
@@ -636,11 +656,13 @@
                 duration_ms = float("inf")
             elif speculative:
                 duration_ms = rng.choice(_SPECULATIVE_MS)
+            has_schedule = series == SCHEDULED and number > 2
             await simulation.submit(
                 f"{number:016x}",
                 duration_ms=duration_ms,
                 count=rng.randint(1, 3),
                 speculative=speculative,
+                schedule=_draw_schedule(rng, loop.true_s) if has_schedule else None,
             )
             await anyio.sleep(rng.uniform(0.2, 4.0))
     history = simulation.history
@@ -655,6 +677,15 @@
     )
 
 
+def _draw_schedule(rng: random.Random, now_s: float) -> dict[str, float]:
+    """Return a schedule of which some occurrences may be due already, or at the same time."""
+    return {
+        "occurrences": rng.randint(1, 6),
+        "first_due_unix_ms": 1000 * (_UNIX_OFFSET_S + now_s + rng.uniform(-2.0, 4.0)),
+        "interval_ms": rng.choice((1.0, 500.0, 3_000.0)),
+    }
+
+
 @contextlib.contextmanager
 def record_logs(simulation: RunSimulation) -> Iterator[None]:
     """Add the log lines of the owners about runs and runners to the history."""
@@ -687,7 +718,8 @@
     series : str, default="random"
         Kind of the injected faults: "random", "recut" (restarts followed by a change of owner and a
         cut), "mixed" (both), "copies" (independent ones, and speculative jobs with slow and failing
-        runs) or "evacuation" (independent ones, and evacuations of zones).
+        runs), "evacuation" (independent ones, and evacuations of zones) or "scheduled" (independent
+        ones, and jobs with a schedule).
 
     Returns
     -------
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -24,8 +24,8 @@
     RANDOM,
     SERIES,
     "Injected faults: independent ones; restarts followed by a change of owner and a cut; both; "
-    "independent ones and speculative jobs; or independent ones and evacuations of availability "
-    "zones.",
+    "independent ones and speculative jobs; independent ones and evacuations of availability "
+    "zones; or independent ones and jobs with a schedule.",
 )
 flags.DEFINE_integer("events", 120, "Number of events to print on a violation.", lower_bound=0)
 
--- a/soak/test_runs.py
+++ b/soak/test_runs.py
@@ -11,7 +11,15 @@
 from coltsfootpier.node.keys import FLEET_KEY, OWNER_KEY
 from soak import _run_model
 from soak._loop import VirtualLoop, discard_loop
-from soak._run_simulation import COPIES, RANDOM, RECUT, RunSimulation, record_logs, run_seed
+from soak._run_simulation import (
+    COPIES,
+    RANDOM,
+    RECUT,
+    SCHEDULED,
+    RunSimulation,
+    record_logs,
+    run_seed,
+)
 
 JOB = "5c0e7a21d94b36f8"
 TASK = f"{JOB}.0.0.0"
@@ -21,6 +29,7 @@
 # Seeds of restarts, each followed by a change of owner and a cut, that have broken the rule.
 RECUT_SEEDS = (15, 17, 88, 134, 217, 240, 275, 299)
 COPIES_SEEDS = range(6)
+SCHEDULED_SEEDS = range(6)
 # Number of seeds that run at the same time.
 PROCESS_COUNT = 2
 
@@ -659,6 +668,10 @@
         """
         self._check_seeds(COPIES_SEEDS, COPIES)
 
+    def test_scheduled_jobs(self):
+        """Guards against two runs of a task whose occurrence a later owner hasn't begun."""
+        self._check_seeds(SCHEDULED_SEEDS, SCHEDULED)
+
     def _check_seeds(self, seeds, series):
         """Run some seeds of a series and check that none of them has broken the rule."""
         with ProcessPoolExecutor(PROCESS_COUNT) as pool:
