Count 40 KB for a runner beside the memory of jobs, as measured

Cause: the 80 KB came from an owner of 1,500 runners with 159 MB, which held its jobs as well, so that they counted twice. From 900 runners on the bound fell below a quarter of 200 MB, and with 1,500 runners and 100 jobs a second the closed jobs alone would have reached it: ordinary jobs would have been rejected.

Change: 40 KB a runner with its runs.

The bound is the same as before for every deployment in force (at most 350 runners).

--- a/coltsfootpier/cells/_job_memory.py
+++ b/coltsfootpier/cells/_job_memory.py
@@ -20,7 +20,7 @@
 _RESERVE_DIVISOR = 8
 # Memory of an owner without jobs: of the process, and for each runner with its runs.
 _PROCESS_BYTES = 45 * _BYTES_PER_MB
-_RUNNER_BYTES = 80_000
+_RUNNER_BYTES = 40_000
 # Largest and smallest part of the memory that jobs may take.
 _LARGEST_DIVISOR = 4
 _SMALLEST_DIVISOR = 16
